--- /dev/null
+++ b/src/adapters/http/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP to callers and targets.
--- /dev/null
+++ b/src/app/mod.rs
@@ -0,0 +1,1 @@
+//! The running entry and its command line.
--- /dev/null
+++ b/src/domain/error.rs
@@ -0,0 +1,39 @@
+//! The error of every parser in this module.
+
+use std::fmt;
+
+/// A text that is not a valid value, with what would have been allowed.
+///
+/// It names the kind of value, since one settings file holds many kinds.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ParseError {
+    /// The kind of value, for example `rate`.
+    pub kind: &'static str,
+    /// The text as it was found.
+    pub found: String,
+    /// What the parser accepts, for example `a whole number and "rps"`.
+    pub allowed: &'static str,
+}
+
+impl ParseError {
+    pub(crate) fn new(kind: &'static str, found: &str, allowed: &'static str) -> Self {
+        Self {
+            kind,
+            found: found.to_owned(),
+            allowed,
+        }
+    }
+}
+
+impl fmt::Display for ParseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            kind,
+            found,
+            allowed,
+        } = self;
+        write!(f, "{found:?} is not a valid {kind}: allowed is {allowed}")
+    }
+}
+
+impl std::error::Error for ParseError {}
--- /dev/null
+++ b/src/domain/ids.rs
@@ -0,0 +1,168 @@
+//! Names and numbers that identify things.
+//!
+//! Names hold [`Bytes`], so that a clone is a reference count and a name read
+//! from the network is kept without a copy. The parser admits only ASCII, so
+//! the conversion to text cannot fail later.
+
+use std::{fmt, net::SocketAddr, str::FromStr};
+
+use bytes::Bytes;
+
+use super::ParseError;
+
+/// The longest name, in bytes. It equals the longest label of a host name,
+/// because service names appear in the Host header.
+const NAME_MAX: usize = 63;
+
+const NAME_RULE: &str = "1 to 63 lower-case letters, digits, '-' or '.'";
+
+const PATH_RULE: &str = "1 to 190 lower-case letters, digits, '-', '.', ':' or '/'";
+
+fn is_name(b: u8) -> bool {
+    b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.'
+}
+
+fn is_path(b: u8) -> bool {
+    is_name(b) || b == b'/' || b == b':'
+}
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident, $kind:literal, $max:expr, $byte:expr, $rule:expr) => {
+        $(#[$doc])*
+        #[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        pub struct $name(Bytes);
+
+        impl $name {
+            /// Returns the name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                std::str::from_utf8(&self.0).unwrap_or_default()
+            }
+
+            /// Returns the name as bytes, which hashing and messages use.
+            #[must_use]
+            pub fn as_bytes(&self) -> &[u8] {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(s: &str) -> Result<Self, ParseError> {
+                let valid = !s.is_empty() && s.len() <= $max && s.bytes().all($byte);
+                if !valid {
+                    return Err(ParseError::new($kind, s, $rule));
+                }
+                Ok(Self(Bytes::copy_from_slice(s.as_bytes())))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.pad(self.as_str())
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(self.as_str())
+            }
+        }
+    };
+}
+
+name!(
+    /// An availability zone.
+    AzName, "availability zone", NAME_MAX, is_name, NAME_RULE
+);
+name!(
+    /// An entry VM, under the name that its settings give it.
+    EntryId, "entry VM name", NAME_MAX, is_name, NAME_RULE
+);
+name!(
+    /// A limit that entries share, for example `slots/10.0.0.1:8080`.
+    LimitName, "limit name", 190, is_path, PATH_RULE
+);
+name!(
+    /// A place where a service runs.
+    PlaceName, "place name", NAME_MAX, is_name, NAME_RULE
+);
+name!(
+    /// A region, which holds one or more availability zones.
+    RegionName, "region", NAME_MAX, is_name, NAME_RULE
+);
+name!(
+    /// A service, which one team owns.
+    ServiceName, "service name", NAME_MAX, is_name, NAME_RULE
+);
+name!(
+    /// A team, which owns documents and holds a token.
+    TeamName, "team name", NAME_MAX, is_name, NAME_RULE
+);
+
+macro_rules! number {
+    ($(#[$doc:meta])* $name:ident, $kind:literal) => {
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the number that follows this one.
+            #[must_use]
+            pub fn next(self) -> Self {
+                Self(self.0.saturating_add(1))
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseError;
+
+            fn from_str(s: &str) -> Result<Self, ParseError> {
+                s.parse().map(Self).map_err(|_| ParseError::new($kind, s, "a whole number"))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(&self.0, f)
+            }
+        }
+    };
+}
+
+number!(
+    /// The version of the roster. Only a compare-and-swap in the store raises
+    /// it.
+    Epoch, "epoch"
+);
+number!(
+    /// One life of an entry process. A restarted entry takes a greater one, so
+    /// that messages to its former life are recognised.
+    Incarnation, "incarnation"
+);
+number!(
+    /// The store's modification revision of a document. It only grows.
+    Revision, "revision"
+);
+
+/// A target, identified by the address at which it accepts requests.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TargetId(pub SocketAddr);
+
+impl FromStr for TargetId {
+    type Err = ParseError;
+
+    fn from_str(s: &str) -> Result<Self, ParseError> {
+        let addr = s.parse().map(Self);
+        addr.map_err(|_| {
+            ParseError::new("target", s, "an IP number and a port, as in 10.0.0.1:8080")
+        })
+    }
+}
+
+impl fmt::Display for TargetId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
--- /dev/null
+++ b/src/domain/mod.rs
@@ -0,0 +1,28 @@
+//! Ids, sizes, rates, times and documents: the values that every other part
+//! speaks in.
+//!
+//! Each value is a newtype, so that a slot count cannot be passed where a rate
+//! is expected. Each one parses with [`FromStr`](std::str::FromStr) and prints
+//! with [`Display`](std::fmt::Display), and the two round-trip, because the
+//! same text appears in settings, documents, logs and the administration API.
+//! The price is some conversion code at the edges. See
+//! [docs/design.md](../../docs/design.md), section 2.
+
+mod document;
+mod error;
+mod ids;
+mod rates;
+mod shards;
+mod sizes;
+mod time;
+
+pub use document::{Document, Lane, Place, PlaceState, Priority, Route};
+pub use error::ParseError;
+pub use ids::{
+    AzName, EntryId, Epoch, Incarnation, LimitName, PlaceName, RegionName, Revision, ServiceName,
+    TargetId, TeamName,
+};
+pub use rates::{Mbps, Rps, Weight};
+pub use shards::Shards;
+pub use sizes::{Size, Slots};
+pub use time::Millis;
--- /dev/null
+++ b/src/domain/time.rs
@@ -0,0 +1,63 @@
+//! Time, as decisions see it.
+
+use std::{
+    fmt,
+    ops::{Add, Sub},
+    str::FromStr,
+    time::Duration,
+};
+
+use super::{ParseError, sizes::split_unit};
+
+/// A duration, or an instant counted from an origin that the clock chooses.
+///
+/// Decisions take the present instant as an argument, so that a run can be
+/// replayed. Subtraction saturates at zero, since a peer's late message may
+/// carry an instant that is already past.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Millis(pub u64);
+
+impl Millis {
+    /// Returns the duration in the standard library's type.
+    #[must_use]
+    pub const fn duration(self) -> Duration {
+        Duration::from_millis(self.0)
+    }
+}
+
+impl Add for Millis {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl Sub for Millis {
+    type Output = Self;
+
+    fn sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl FromStr for Millis {
+    type Err = ParseError;
+
+    fn from_str(s: &str) -> Result<Self, ParseError> {
+        let err = || ParseError::new("duration", s, "a whole number with \"ms\" or \"s\"");
+        let (digits, unit) = split_unit(s);
+        let n: u64 = digits.parse().map_err(|_| err())?;
+        match unit {
+            "ms" => Ok(Self(n)),
+            "s" => n.checked_mul(1000).map(Self).ok_or_else(err),
+            _ => Err(err()),
+        }
+    }
+}
+
+impl fmt::Display for Millis {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `savorybeam` command.
+
+fn main() {}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,9 @@
+//! The decisions of savorybeam.
+//!
+//! Everything in here is pure: a decision sees state, the present instant and,
+//! where needed, a source of random numbers, all passed in. So each one can be
+//! replayed from a seed and compared with a plain model. The cost is that the
+//! callers in [`app`](crate::app) must carry state and messages to and fro.
+//! `tests/shape.rs` holds that nothing in here imports an adapter or a runtime.
+
+pub mod refusal;
--- /dev/null
+++ b/src/ports/mod.rs
@@ -0,0 +1,22 @@
+//! What decisions and processes need from outside.
+//!
+//! Each port is a plain struct of closures. A test passes closures over a map or
+//! a list, a running entry passes closures over a connection, and neither side
+//! needs a hierarchy of traits. A dynamic call costs a few nanoseconds, which
+//! is nothing beside the I/O behind it.
+
+mod clock;
+mod store;
+mod targets;
+
+use std::{future::Future, pin::Pin, sync::Arc};
+
+pub use clock::Clock;
+pub use store::{Record, Snapshot, Store, StoreError, Update, Write};
+pub use targets::{Body, Outbound, SendError, Targets};
+
+/// A boxed future, as every asynchronous port returns it.
+pub type Fut<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// An asynchronous operation of a port.
+pub type Call<A, T> = Arc<dyn Fn(A) -> Fut<T> + Send + Sync>;
--- /dev/null
+++ b/src/ports/targets.rs
@@ -0,0 +1,80 @@
+//! Requests to targets.
+
+use std::fmt;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::combinators::BoxBody;
+
+use super::Call;
+use crate::domain::TargetId;
+
+/// A body that streams in either direction.
+pub type Body = BoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
+
+/// Why a request got no answer from its target.
+///
+/// The difference between the two decides whether a caller may be told
+/// `not-run`, so an adapter may return `Unsent` only when no byte of the request
+/// was written. See [docs/design.md](../../docs/design.md), section 3.4.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum SendError {
+    /// The target cannot have seen the request.
+    Unsent {
+        /// The step that failed.
+        step: &'static str,
+        /// The target.
+        peer: TargetId,
+        /// The cause.
+        cause: String,
+    },
+    /// The target may have run the request.
+    Unknown {
+        /// The step that failed.
+        step: &'static str,
+        /// The target.
+        peer: TargetId,
+        /// The cause.
+        cause: String,
+        /// Whether the connection broke, which a crash of the target causes.
+        broken: bool,
+    },
+}
+
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Unsent { step, peer, cause }
+            | Self::Unknown {
+                step, peer, cause, ..
+            } => {
+                write!(f, "{step} {peer}: {cause}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for SendError {}
+
+/// A request with the target that is to run it.
+#[derive(Debug)]
+pub struct Outbound {
+    /// The target.
+    pub target: TargetId,
+    /// The request.
+    pub request: Request<Body>,
+}
+
+/// Sends requests to targets.
+#[derive(Clone)]
+pub struct Targets {
+    /// Sends a request and returns the answer's head as soon as it is there.
+    /// Dropping the future or the body cancels the request.
+    pub send: Call<Outbound, Result<Response<Body>, SendError>>,
+}
+
+impl fmt::Debug for Targets {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Targets")
+    }
+}
