Serve a request end to end through separate processes

Cause: no path from a caller to a target existed yet. Ruled out: volo-http's own accept loop and client (see adapters/http). Change: callers' server with graceful stop, pooled connections to targets that tell whether a request was written, the entry process, check and entry commands, the sample target as an example process.

--- /dev/null
+++ b/src/app/cli/entry.rs
@@ -0,0 +1,46 @@
+//! `savorybeam entry`.
+
+use std::{fs, path::PathBuf};
+
+use eyre::{WrapErr, bail};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::{
+    adapters::{
+        clock, http,
+        ini::{Fault, parse_document, parse_settings},
+    },
+    app::entry::{self, Ports},
+    domain::Revision,
+};
+
+/// Runs an entry until SIGTERM or SIGINT.
+pub(super) async fn run(settings: PathBuf, documents: Vec<PathBuf>) -> eyre::Result<()> {
+    let settings = read(&settings, parse_settings)?;
+    let clock = clock::open();
+    let targets = http::open(clock.clone());
+    let entry = entry::spawn(settings, Ports { clock, targets }).await?;
+    for path in documents {
+        let doc = read(&path, parse_document)?;
+        entry.state.adopt(&doc, Revision::default());
+    }
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+    entry.stop().await;
+    Ok(())
+}
+
+fn read<T>(path: &PathBuf, parse: fn(&str, &str) -> Result<T, Vec<Fault>>) -> eyre::Result<T> {
+    let name = path.display().to_string();
+    let text = fs::read_to_string(path).wrap_err_with(|| format!("read {name}"))?;
+    let faults = match parse(&name, &text) {
+        Ok(value) => return Ok(value),
+        Err(faults) => faults,
+    };
+    let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    bail!("{} faults:\n{}", all.len(), all.join("\n"))
+}
--- /dev/null
+++ b/src/app/cli/mod.rs
@@ -0,0 +1,61 @@
+//! The command line.
+//!
+//! Results go to standard output and logs to standard error, so that a result
+//! can be piped on. Exit codes are 0 for done, 1 for failed, 2 for wrong use.
+
+mod check;
+mod entry;
+mod options;
+
+use std::process::ExitCode;
+
+use self::options::Command;
+
+/// Runs the command that the arguments name.
+#[must_use]
+pub fn run() -> ExitCode {
+    let options = match options::options().run_inner(bpaf::Args::current_args()) {
+        Ok(options) => options,
+        Err(bpaf::ParseFailure::Stderr(doc)) => {
+            eprintln!("{}", doc.monochrome(true));
+            return ExitCode::from(2);
+        }
+        Err(failure) => {
+            failure.print_message(100);
+            return ExitCode::SUCCESS;
+        }
+    };
+    log(options.json);
+    let result = match options.command {
+        Command::Check { files } => check::run(&files),
+        Command::Entry {
+            settings,
+            documents,
+        } => block_on(entry::run(settings, documents)),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("savorybeam: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn block_on(task: impl Future<Output = eyre::Result<()>>) -> eyre::Result<()> {
+    tokio::runtime::Runtime::new()?.block_on(task)
+}
+
+fn log(json: bool) {
+    let filter = tracing_subscriber::EnvFilter::try_from_env("SAVORYBEAM_LOG");
+    let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
+    let builder = tracing_subscriber::fmt()
+        .with_env_filter(filter)
+        .with_target(false);
+    let builder = builder.with_writer(std::io::stderr);
+    if json {
+        builder.json().init();
+    } else {
+        builder.with_ansi(false).init();
+    }
+}
--- /dev/null
+++ b/src/app/dev/mod.rs
@@ -0,0 +1,3 @@
+//! Everything on loopback in one process, for a newcomer.
+
+pub mod target;
--- /dev/null
+++ b/src/app/entry/inbound.rs
@@ -0,0 +1,110 @@
+//! The callers' HTTP interface.
+
+use std::sync::Arc;
+
+use http::{Request, Response, header};
+use http_body_util::BodyExt;
+use volo_http::{body::Body, server::Router};
+
+use super::{State, carry, lookup};
+use crate::{
+    adapters::http::answer,
+    domain::{Millis, Priority, ServiceName},
+    policy::refusal::{Code, Refusal},
+};
+
+/// Returns the router of the callers' server.
+pub(super) fn router(state: &Arc<State>) -> Router {
+    let state = state.clone();
+    let handler = move |req: Request<Body>| {
+        let state = state.clone();
+        async move { handle(&state, req).await }
+    };
+    Router::new().fallback(handler)
+}
+
+/// A request of a caller, with what its head says of how to carry it.
+#[derive(Debug)]
+pub(super) struct Inbound {
+    /// The service that the Host header names.
+    pub service: ServiceName,
+    /// The caller's deadline, if it has one.
+    pub deadline: Option<Millis>,
+    /// The key under which a repeat is recognised.
+    pub key: Option<String>,
+    /// The priority, if the caller lowers it.
+    pub priority: Option<Priority>,
+    /// The request.
+    pub request: Request<crate::ports::Body>,
+}
+
+async fn handle(state: &Arc<State>, req: Request<Body>) -> Response<Body> {
+    let host = host(&req);
+    let service = host.and_then(|h| h.parse::<ServiceName>().ok());
+    let known = service.filter(|s| state.services.get(s, |_| ()).is_some());
+    let Some(service) = known else {
+        if req.uri().path() == "/v1/entries" {
+            return lookup::respond(state, &req);
+        }
+        let detail = format!("no document is in force for {:?}", host.unwrap_or_default());
+        return answer(&Refusal::not_run(Code::UnknownService, detail));
+    };
+    let result = match inbound(service, req) {
+        Ok(inbound) => carry::carry(state, inbound).await,
+        Err(refusal) => Err(refusal),
+    };
+    match result {
+        Ok(resp) => resp.map(Body::from_body),
+        Err(refusal) => answer(&refusal),
+    }
+}
+
+/// Returns the Host header without its port.
+fn host(req: &Request<Body>) -> Option<&str> {
+    let text = req.headers().get(header::HOST)?.to_str().ok()?;
+    // A service name has no colon, so what follows the last one is a port.
+    Some(text.rsplit_once(':').map_or(text, |(name, _)| name))
+}
+
+fn inbound(service: ServiceName, req: Request<Body>) -> Result<Inbound, Refusal> {
+    let bad = |detail: String| Refusal::not_run(Code::BadRequest, detail);
+    let text = |name: &str| {
+        let value = req.headers().get(name).map(|v| v.to_str());
+        value
+            .transpose()
+            .map_err(|_| bad(format!("header {name}: not ASCII text")))
+    };
+    let deadline = match text("x-deadline-ms")? {
+        Some(ms) => match ms.parse() {
+            Ok(ms) if ms > 0 => Some(Millis(ms)),
+            _ => {
+                return Err(bad(format!(
+                    "header x-deadline-ms: found {ms:?}, allowed is a whole number from 1"
+                )));
+            }
+        },
+        None => None,
+    };
+    let priority = match text("x-priority")? {
+        Some(word) => Some(
+            word.parse()
+                .map_err(|e| bad(format!("header x-priority: {e}")))?,
+        ),
+        None => None,
+    };
+    let key = match text("idempotency-key")? {
+        Some(key) if key.is_empty() || key.len() > 128 => {
+            return Err(bad(
+                "header idempotency-key: allowed are 1 to 128 characters".to_owned(),
+            ));
+        }
+        key => key.map(str::to_owned),
+    };
+    Ok(Inbound {
+        service,
+        deadline,
+        key,
+        priority,
+        request: req.map(BodyExt::boxed),
+    })
+}
