--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -7,3 +7,4 @@
 pub mod clock;
 pub mod http;
 pub mod ini;
+pub mod store;
