--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -5,6 +5,8 @@
 
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+pub mod relay;
+
 use std::{
     io::{BufRead, BufReader},
     net::{SocketAddr, TcpListener},
