Add the look-up of entry VMs

Cause: callers need to learn which entry VMs to use without a load balancer.

View prepares the entries by region, and rank orders them by distance, load level and weighted rendezvous hash.

--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -8,6 +8,7 @@
 //! The price is some conversion code at the edges. See
 //! [docs/design.md](../../docs/design.md), section 2.
 
+mod blocks;
 mod document;
 mod error;
 mod ids;
@@ -16,6 +17,7 @@
 mod sizes;
 mod time;
 
+pub use blocks::{Prefix, SiteId};
 pub use document::{Document, Lane, Place, PlaceState, Priority, Route};
 pub use error::ParseError;
 pub use ids::{
--- /dev/null
+++ b/src/policy/drain/mod.rs
@@ -0,0 +1,1 @@
+//! Drains of targets, places and entries.
--- /dev/null
+++ b/src/policy/lookup/rank.rs
@@ -0,0 +1,197 @@
+//! The order in which a caller tries entries.
+
+use std::cmp::Ordering;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    Candidate, EntryState, LoadLevel,
+    view::{Member, View},
+};
+use crate::domain::{Millis, RegionName, ServiceName};
+
+/// The most entries that an answer names.
+pub const MAX_ENTRIES: usize = 4;
+
+/// How long callers keep an answer.
+pub const MAX_AGE: Millis = Millis(5_000);
+
+/// How long callers keep an answer while the entries near them change.
+pub const CHANGING_AGE: Millis = Millis(1_000);
+
+/// For how long after a change the membership counts as changing. It covers a
+/// failure detection (3 s of suspicion) and the spread of what follows from it.
+const CHANGING: Millis = Millis(10_000);
+
+/// The weight of a busy entry in the rendezvous hash. Half of its services move
+/// away. If all moved at once, the next entry would become busy in turn.
+const BUSY_WEIGHT: f64 = 0.5;
+
+/// Which entries a caller should use.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer<'a> {
+    /// The entries, the best one first.
+    pub entries: Vec<&'a Candidate>,
+    /// How long the caller may keep the answer.
+    pub max_age: Millis,
+}
+
+/// Ranks the entries for callers of a service in a region.
+///
+/// Entries that answer come before suspects, near regions before far ones,
+/// overloaded entries after the others of their distance, and the weighted
+/// rendezvous hash of (service, entry) decides the rest. So the callers of one
+/// service in one region concentrate on few entries, and a change of one entry
+/// moves only the services that it gains or loses. An overloaded entry still
+/// comes before a farther region, because a wave of callers that leave an
+/// overloaded region would overload the next one.
+///
+/// If the first four share one availability zone, the best entry of another
+/// zone takes the last position.
+#[must_use]
+pub fn rank<'a>(
+    service: &ServiceName,
+    from: &RegionName,
+    view: &'a View,
+    now: Millis,
+) -> Answer<'a> {
+    let search = Search {
+        hash: xxh3_64(service.as_bytes()),
+        view,
+        from: view.region(from),
+    };
+    let mut best = Vec::with_capacity(MAX_ENTRIES);
+    search.fill(&mut best, MAX_ENTRIES, |_| true);
+    spread(&search, &mut best);
+    Answer {
+        max_age: max_age(&search, &best, now),
+        entries: best.iter().map(|r| &r.member.candidate).collect(),
+    }
+}
+
+struct Search<'a> {
+    hash: u64,
+    view: &'a View,
+    from: Option<usize>,
+}
+
+/// An entry with its position in the order.
+#[derive(Clone, Copy)]
+struct Ranked<'a> {
+    suspect: bool,
+    distance: Millis,
+    overloaded: bool,
+    /// The rendezvous score, the least one first.
+    score: f64,
+    group: usize,
+    member: &'a Member,
+}
+
+impl Ranked<'_> {
+    fn order(&self, other: &Self) -> Ordering {
+        let key = |r: &Self| (r.suspect, r.distance, r.overloaded);
+        let ids = || self.member.candidate.id.cmp(&other.member.candidate.id);
+        key(self)
+            .cmp(&key(other))
+            .then(self.score.total_cmp(&other.score))
+            .then_with(ids)
+    }
+}
+
+impl<'a> Search<'a> {
+    /// Fills `best` up to `limit` with the first entries that `fits` admits.
+    fn fill(&self, best: &mut Vec<Ranked<'a>>, limit: usize, fits: impl Fn(&Member) -> bool) {
+        for suspect in [false, true] {
+            for &(distance, group) in self.view.near(self.from) {
+                let full = best.len() == limit;
+                if full
+                    && best
+                        .last()
+                        .is_some_and(|r| !r.suspect && r.distance < distance)
+                {
+                    return;
+                }
+                let members = self.view.groups[group].members.iter();
+                for member in members.filter(|m| is_suspect(m) == suspect && fits(m)) {
+                    insert(best, limit, self.ranked(member, distance, group));
+                }
+            }
+            if best.len() == limit {
+                return;
+            }
+        }
+    }
+
+    fn ranked(&self, member: &'a Member, distance: Millis, group: usize) -> Ranked<'a> {
+        Ranked {
+            suspect: is_suspect(member),
+            distance,
+            overloaded: member.candidate.level == LoadLevel::Overloaded,
+            score: score(self.hash, member),
+            group,
+            member,
+        }
+    }
+}
+
+fn is_suspect(member: &Member) -> bool {
+    member.candidate.state == EntryState::Suspect
+}
+
+fn insert<'a>(best: &mut Vec<Ranked<'a>>, limit: usize, new: Ranked<'a>) {
+    let at = best.partition_point(|r| r.order(&new) == Ordering::Less);
+    if at < limit {
+        best.truncate(limit - 1);
+        best.insert(at, new);
+    }
+}
+
+/// Returns the weighted rendezvous score: an exponential variable whose rate is
+/// the weight, so an entry comes first in proportion to its weight.
+#[allow(clippy::cast_precision_loss)] // 53 bits fit.
+fn score(service: u64, member: &Member) -> f64 {
+    let hash = mix(service ^ member.hash);
+    let uniform = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
+    let weight = match member.candidate.level {
+        LoadLevel::Normal | LoadLevel::Overloaded => 1.0,
+        LoadLevel::Busy => BUSY_WEIGHT,
+    };
+    -uniform.ln() / weight
+}
+
+/// The finaliser of `SplitMix64`. The two hashes are combined by exclusive or,
+/// which alone would give related services related orders.
+fn mix(mut hash: u64) -> u64 {
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
+/// Makes room for a second availability zone.
+fn spread<'a>(search: &Search<'a>, best: &mut Vec<Ranked<'a>>) {
+    let Some(zone) = best.first().map(|r| r.member.zone) else {
+        return;
+    };
+    if best.len() < MAX_ENTRIES || best.iter().any(|r| r.member.zone != zone) {
+        return;
+    }
+    let mut other = Vec::with_capacity(1);
+    search.fill(&mut other, 1, |m| m.zone != zone);
+    if !other.is_empty() {
+        best.truncate(MAX_ENTRIES - 1);
+        best.append(&mut other);
+    }
+}
+
+fn max_age(search: &Search<'_>, best: &[Ranked<'_>], now: Millis) -> Millis {
+    let named = best.iter().map(|r| r.group).chain(search.from);
+    let changing = |group: usize| {
+        let group = &search.view.groups[group];
+        group.doubtful || now < group.changed + CHANGING
+    };
+    if named.into_iter().any(changing) {
+        CHANGING_AGE
+    } else {
+        MAX_AGE
+    }
+}
--- /dev/null
+++ b/src/policy/shift/mod.rs
@@ -0,0 +1,1 @@
+//! Paced moves of traffic between places.
