--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,4 +7,7 @@
 //! `tests/shape.rs` holds that nothing in here imports an adapter or a runtime.
 
 pub mod document;
+pub mod drain;
+pub mod lookup;
 pub mod refusal;
+pub mod shift;
