Add the ledger of shared limits

Cause: entries share target slots, region headroom and link capacity, and no consensus group may decide who uses how much. Ruled out: loans counted instead of numbered. Numbered units have one holder each, so duplicates and reordering can be judged unit by unit. Conclusion: the public interface can be wired in.

--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,4 +6,5 @@
 //! callers in [`app`](crate::app) must carry state and messages to and fro.
 //! `tests/shape.rs` holds that nothing in here imports an adapter or a runtime.
 
+pub mod limit;
 pub mod refusal;
