--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,5 +9,6 @@
 pub mod document;
 pub mod drain;
 pub mod lookup;
+pub mod limit;
 pub mod refusal;
 pub mod shift;
