Add the interface of keyed requests and of crashing requests

Ruled out: one register per service, because the check of the epoch and the record of a vote have to be under one lock, and a transfer per key would let every entry read from every other one when one entry is replaced. A counter of strikes that starts again at zero after expiry was ruled out because peers would take a new strike for an old one.

New refusal codes: key-reused (422) and answer-not-kept (409).

--- /dev/null
+++ b/src/adapters/grpc/claim/mod.rs
@@ -0,0 +1,62 @@
+//! Messages for claims and strikes.
+//!
+//! The types derive their encoding, so the `.proto` text would only repeat them.
+//! Each message converts to and from the type that the policies use; a message
+//! of a peer that does not convert is refused as [`Malformed`].
+
+mod request;
+mod response;
+mod strike;
+mod values;
+
+use std::fmt;
+
+pub use request::{Claim, Finish, Op, Read, Release, Vote};
+pub use response::{ClaimReply, Copied, Empty, Finished, Held, Outcome, Page, Refused};
+pub use strike::{Count, Strike, Strikes};
+pub use values::{Answer, Fingerprint, Header, Holder, Key, Member};
+
+use crate::domain::ParseError;
+
+/// A message of a peer that cannot be used.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Malformed {
+    /// A part is missing.
+    Missing(&'static str),
+    /// A value is not valid.
+    Invalid(ParseError),
+    /// A number is out of its range.
+    Range(&'static str),
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Missing(part) => write!(f, "the message has no {part}"),
+            Self::Invalid(error) => fmt::Display::fmt(error, f),
+            Self::Range(part) => write!(f, "the {part} is out of range"),
+        }
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+impl From<ParseError> for Malformed {
+    fn from(error: ParseError) -> Self {
+        Self::Invalid(error)
+    }
+}
+
+fn part<T, U>(value: Option<T>, name: &'static str) -> Result<U, Malformed>
+where
+    U: TryFrom<T, Error = Malformed>,
+{
+    U::try_from(value.ok_or(Malformed::Missing(name))?)
+}
+
+fn all<T, U>(values: Vec<T>) -> Result<Vec<U>, Malformed>
+where
+    U: TryFrom<T, Error = Malformed>,
+{
+    values.into_iter().map(U::try_from).collect()
+}
--- /dev/null
+++ b/src/adapters/grpc/claim/request.rs
@@ -0,0 +1,234 @@
+//! Requests to the homes of a key.
+
+use super::{
+    Answer, Fingerprint, Key, Malformed, Member, part,
+    values::{answer, answer_out},
+};
+use crate::{
+    domain::Epoch,
+    policy::once::{self, AttemptId, Bucket},
+};
+
+/// A request to a home.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Claim {
+    /// The sender.
+    #[prost(message, optional, tag = "1")]
+    pub sender: Option<Member>,
+    /// The newest epoch that the sender knows.
+    #[prost(uint64, tag = "2")]
+    pub epoch: u64,
+    /// What is asked.
+    #[prost(oneof = "Op", tags = "3, 4, 5, 6")]
+    pub op: Option<Op>,
+}
+
+/// What a home is asked.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Op {
+    /// A vote.
+    #[prost(message, tag = "3")]
+    Vote(Vote),
+    /// The removal of a vote.
+    #[prost(message, tag = "4")]
+    Release(Release),
+    /// The record of an answer.
+    #[prost(message, tag = "5")]
+    Finish(Finish),
+    /// Claims for a new home.
+    #[prost(message, tag = "6")]
+    Read(Read),
+}
+
+impl Claim {
+    /// Returns the message for a request.
+    #[must_use]
+    pub fn new(sender: &once::Member, epoch: Epoch, request: &once::Request) -> Self {
+        let op = match request {
+            once::Request::Vote(vote) => Op::Vote(vote.into()),
+            once::Request::Release(release) => Op::Release(release.into()),
+            once::Request::Finish(finish) => Op::Finish(finish.into()),
+            once::Request::Read(read) => Op::Read(read.into()),
+        };
+        Self {
+            sender: Some(sender.into()),
+            epoch: epoch.0,
+            op: Some(op),
+        }
+    }
+
+    /// Returns the sender, its epoch and the request.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a part is missing or invalid.
+    pub fn into_parts(self) -> Result<(once::Member, Epoch, once::Request), Malformed> {
+        let request = match self.op.ok_or(Malformed::Missing("request"))? {
+            Op::Vote(vote) => once::Request::Vote(vote.try_into()?),
+            Op::Release(release) => once::Request::Release(release.try_into()?),
+            Op::Finish(finish) => once::Request::Finish(finish.try_into()?),
+            Op::Read(read) => once::Request::Read(read.try_into()?),
+        };
+        Ok((part(self.sender, "sender")?, Epoch(self.epoch), request))
+    }
+}
+
+/// A request for a vote.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Vote {
+    /// The key.
+    #[prost(message, optional, tag = "1")]
+    pub key: Option<Key>,
+    /// What the request asks for.
+    #[prost(message, optional, tag = "2")]
+    pub fingerprint: Option<Fingerprint>,
+    /// The attempt.
+    #[prost(fixed64, tag = "3")]
+    pub attempt: u64,
+    /// The entry that runs the attempt.
+    #[prost(message, optional, tag = "4")]
+    pub claimant: Option<Member>,
+    /// The epoch in which the vote is to count.
+    #[prost(uint64, tag = "5")]
+    pub epoch: u64,
+}
+
+impl From<&once::Vote> for Vote {
+    fn from(v: &once::Vote) -> Self {
+        Self {
+            key: Some((&v.key).into()),
+            fingerprint: Some(v.fingerprint.into()),
+            attempt: v.attempt.0,
+            claimant: Some((&v.claimant).into()),
+            epoch: v.epoch.0,
+        }
+    }
+}
+
+impl TryFrom<Vote> for once::Vote {
+    type Error = Malformed;
+
+    fn try_from(v: Vote) -> Result<Self, Malformed> {
+        Ok(Self {
+            key: part(v.key, "key")?,
+            fingerprint: part(v.fingerprint, "fingerprint")?,
+            attempt: AttemptId(v.attempt),
+            claimant: part(v.claimant, "claimant")?,
+            epoch: Epoch(v.epoch),
+        })
+    }
+}
+
+/// Notice of an attempt that will never be dispatched.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Release {
+    /// The key.
+    #[prost(message, optional, tag = "1")]
+    pub key: Option<Key>,
+    /// The attempt.
+    #[prost(fixed64, tag = "2")]
+    pub attempt: u64,
+}
+
+impl From<&once::Release> for Release {
+    fn from(r: &once::Release) -> Self {
+        Self {
+            key: Some((&r.key).into()),
+            attempt: r.attempt.0,
+        }
+    }
+}
+
+impl TryFrom<Release> for once::Release {
+    type Error = Malformed;
+
+    fn try_from(r: Release) -> Result<Self, Malformed> {
+        Ok(Self {
+            key: part(r.key, "key")?,
+            attempt: AttemptId(r.attempt),
+        })
+    }
+}
+
+/// Notice of an executed attempt.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Finish {
+    /// The key.
+    #[prost(message, optional, tag = "1")]
+    pub key: Option<Key>,
+    /// What its request asked for.
+    #[prost(message, optional, tag = "2")]
+    pub fingerprint: Option<Fingerprint>,
+    /// The attempt.
+    #[prost(fixed64, tag = "3")]
+    pub attempt: u64,
+    /// The answer, if it arrived completely.
+    #[prost(message, optional, tag = "4")]
+    pub answer: Option<Answer>,
+}
+
+impl From<&once::Finish> for Finish {
+    fn from(f: &once::Finish) -> Self {
+        Self {
+            key: Some((&f.key).into()),
+            fingerprint: Some(f.fingerprint.into()),
+            attempt: f.attempt.0,
+            answer: answer_out(f.answer.as_ref()),
+        }
+    }
+}
+
+impl TryFrom<Finish> for once::Finish {
+    type Error = Malformed;
+
+    fn try_from(f: Finish) -> Result<Self, Malformed> {
+        Ok(Self {
+            key: part(f.key, "key")?,
+            fingerprint: part(f.fingerprint, "fingerprint")?,
+            attempt: AttemptId(f.attempt),
+            answer: answer(f.answer)?,
+        })
+    }
+}
+
+/// A request for the claims of a former home.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Read {
+    /// The bucket.
+    #[prost(uint32, tag = "1")]
+    pub bucket: u32,
+    /// The epoch in which the source was a home.
+    #[prost(uint64, tag = "2")]
+    pub former: u64,
+    /// The epoch in which the reader is a new home.
+    #[prost(uint64, tag = "3")]
+    pub epoch: u64,
+    /// The last key of the previous page.
+    #[prost(message, optional, tag = "4")]
+    pub after: Option<Key>,
+}
+
+impl From<&once::Read> for Read {
+    fn from(r: &once::Read) -> Self {
+        Self {
+            bucket: r.bucket.0.into(),
+            former: r.former.0,
+            epoch: r.epoch.0,
+            after: r.after.as_ref().map(Key::from),
+        }
+    }
+}
+
+impl TryFrom<Read> for once::Read {
+    type Error = Malformed;
+
+    fn try_from(r: Read) -> Result<Self, Malformed> {
+        let bucket = u16::try_from(r.bucket).ok().filter(|b| *b < Bucket::COUNT);
+        Ok(Self {
+            bucket: Bucket(bucket.ok_or(Malformed::Range("bucket"))?),
+            former: Epoch(r.former),
+            epoch: Epoch(r.epoch),
+            after: r.after.map(once::ClaimKey::try_from).transpose()?,
+        })
+    }
+}
--- /dev/null
+++ b/src/adapters/grpc/mod.rs
@@ -0,0 +1,3 @@
+//! gRPC between entries.
+
+pub mod claim;
--- /dev/null
+++ b/src/policy/once/key.rs
@@ -0,0 +1,207 @@
+//! Keys, fingerprints and attempts.
+
+use std::{fmt, str::FromStr};
+
+use bytes::Bytes;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
+
+use crate::domain::{ParseError, ServiceName, Size};
+
+/// The longest key, in bytes. It bounds the memory of a claim; callers use
+/// UUIDs of 36 bytes or short compound names.
+const KEY_MAX: usize = 255;
+
+/// The value of an `Idempotency-Key` header.
+#[derive(Clone, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct IdempotencyKey(Bytes);
+
+impl IdempotencyKey {
+    /// Returns the key as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        std::str::from_utf8(&self.0).unwrap_or_default()
+    }
+}
+
+impl FromStr for IdempotencyKey {
+    type Err = ParseError;
+
+    fn from_str(s: &str) -> Result<Self, ParseError> {
+        let valid = (1..=KEY_MAX).contains(&s.len()) && s.bytes().all(|b| b.is_ascii_graphic());
+        if !valid {
+            let rule = "1 to 255 visible ASCII characters without blanks";
+            return Err(ParseError::new("idempotency key", s, rule));
+        }
+        Ok(Self(Bytes::copy_from_slice(s.as_bytes())))
+    }
+}
+
+impl fmt::Display for IdempotencyKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+impl fmt::Debug for IdempotencyKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// A key within its service. Two services may use the same key independently.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct ClaimKey {
+    /// The service.
+    pub service: ServiceName,
+    /// The caller's key.
+    pub key: IdempotencyKey,
+}
+
+impl ClaimKey {
+    /// Returns the bucket that holds the key.
+    #[must_use]
+    pub fn bucket(&self) -> Bucket {
+        let seed = xxh3_64_with_seed(self.service.as_bytes(), 0);
+        let hash = xxh3_64_with_seed(&self.key.0, seed);
+        Bucket(u16::try_from(hash % u64::from(Bucket::COUNT)).unwrap_or_default())
+    }
+}
+
+impl fmt::Display for ClaimKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.service, self.key)
+    }
+}
+
+/// A fixed part of all keys. All keys of a bucket have the same homes.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Bucket(pub u16);
+
+impl Bucket {
+    /// The number of buckets. At 2,800 entries each one is home to about four
+    /// buckets, so a replaced entry moves about four ranges. With one range per
+    /// key, each entry would have to read from nearly each other entry.
+    pub const COUNT: u16 = 4096;
+
+    /// Returns all buckets.
+    pub fn all() -> impl Iterator<Item = Self> {
+        (0..Self::COUNT).map(Self)
+    }
+}
+
+impl FromStr for Bucket {
+    type Err = ParseError;
+
+    fn from_str(s: &str) -> Result<Self, ParseError> {
+        match s.parse() {
+            Ok(n) if n < Self::COUNT => Ok(Self(n)),
+            _ => Err(ParseError::new("bucket", s, "a whole number below 4096")),
+        }
+    }
+}
+
+impl fmt::Display for Bucket {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(&self.0, f)
+    }
+}
+
+/// One attempt to execute a keyed request. The claimant draws it at random, so
+/// that it stays unique across restarts.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct AttemptId(pub u64);
+
+impl FromStr for AttemptId {
+    type Err = ParseError;
+
+    fn from_str(s: &str) -> Result<Self, ParseError> {
+        let err = || ParseError::new("attempt id", s, "16 hexadecimal digits");
+        if s.len() != 16 {
+            return Err(err());
+        }
+        u64::from_str_radix(s, 16).map(Self).map_err(|_| err())
+    }
+}
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+/// A digest of what a request asks for.
+///
+/// It detects a key that is used for two different requests, and a request that
+/// crashes one target after the other. The hash does not resist deliberate
+/// collisions; a caller that constructs one only affects requests of the
+/// services it may call anyway.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Fingerprint(pub u128);
+
+impl Fingerprint {
+    /// How much of a body is digested. Longer bodies are streamed; buffering
+    /// them would take more memory than the check is worth.
+    pub const BODY: Size = Size::kib(64);
+
+    /// Returns the digest of a request.
+    ///
+    /// `length` is the declared length of the body, if any, and `body` its
+    /// first [`Self::BODY`] bytes. Two longer bodies that agree in both are
+    /// taken as equal.
+    #[must_use]
+    pub fn of_request(
+        service: &ServiceName,
+        method: &str,
+        path: &str,
+        length: Option<u64>,
+        body: &[u8],
+    ) -> Self {
+        let max = usize::try_from(Self::BODY.0).unwrap_or(usize::MAX);
+        let head = &body[..body.len().min(max)];
+        let length = length.map_or(u64::MAX, |n| n).to_be_bytes();
+        let parts = [
+            service.as_bytes(),
+            method.as_bytes(),
+            path.as_bytes(),
+            &length,
+            head,
+        ];
+        Self::digest(b'r', &parts)
+    }
+
+    /// Returns the digest of a key, which stands for the request in the records
+    /// of crashes.
+    #[must_use]
+    pub fn of_key(key: &ClaimKey) -> Self {
+        Self::digest(b'k', &[key.service.as_bytes(), &key.key.0])
+    }
+
+    /// The length before each part keeps `("ab", "c")` and `("a", "bc")` apart.
+    fn digest(kind: u8, parts: &[&[u8]]) -> Self {
+        let mut hash = Xxh3::new();
+        hash.update(&[kind]);
+        for part in parts {
+            hash.update(&(part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        Self(hash.digest128())
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseError;
+
+    fn from_str(s: &str) -> Result<Self, ParseError> {
+        let err = || ParseError::new("fingerprint", s, "32 hexadecimal digits");
+        if s.len() != 32 {
+            return Err(err());
+        }
+        u128::from_str_radix(s, 16).map(Self).map_err(|_| err())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
--- a/src/policy/refusal/mod.rs
+++ b/src/policy/refusal/mod.rs
@@ -46,6 +46,10 @@
     Broken,
     /// The same key is being run.
     InProgress,
+    /// The request with this key was executed, but its answer is not kept.
+    NotKept,
+    /// The key was used for another request.
+    KeyReused,
     /// The homes of the key did not answer.
     ClaimUnavailable,
     /// The request has crashed targets.
@@ -69,6 +73,8 @@
             Self::Unreachable => "target-unreachable",
             Self::Broken => "connection-broken",
             Self::InProgress => "in-progress",
+            Self::NotKept => "answer-not-kept",
+            Self::KeyReused => "key-reused",
             Self::ClaimUnavailable => "claim-unavailable",
             Self::Blocked => "request-blocked",
             Self::Limited => "limit-reached",
@@ -82,7 +88,8 @@
         match self {
             Self::BadRequest => 400,
             Self::UnknownService => 404,
-            Self::InProgress => 409,
+            Self::InProgress | Self::NotKept => 409,
+            Self::KeyReused => 422,
             Self::TooLarge => 413,
             Self::Blocked => 403,
             Self::NoTarget | Self::Overloaded | Self::ClaimUnavailable | Self::Limited => 503,
