--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -10,5 +10,7 @@
 pub mod drain;
 pub mod lookup;
 pub mod limit;
+pub mod crash;
+pub mod once;
 pub mod refusal;
 pub mod shift;
