--- a/src/policy/queue/mod.rs
+++ b/src/policy/queue/mod.rs
@@ -136,6 +136,25 @@
         self.lanes[at(lane)].len()
     }
 
+    /// Returns the lane from which the next request is to start, or none if
+    /// nothing waits that has room.
+    ///
+    /// Short work goes first, unless long work has used more than half of its
+    /// deadline and short work has not. Otherwise an overload of short work would
+    /// starve the long lane.
+    #[must_use]
+    pub fn next_lane(&self, now: Millis) -> Option<Lane> {
+        let ready = |lane| self.has_room(lane) && self.waiting(lane) > 0;
+        let late = |lane| self.pressure(now, lane) > 50;
+        let urgent = late(Lane::Long) && !late(Lane::Short);
+        let order = if urgent {
+            [Lane::Long, Lane::Short]
+        } else {
+            [Lane::Short, Lane::Long]
+        };
+        order.into_iter().find(|&lane| ready(lane))
+    }
+
     /// Returns the request of a lane that is to start next.
     #[must_use]
     pub fn peek(&self, lane: Lane) -> Option<&Ticket> {
--- a/src/policy/target/choose.rs
+++ b/src/policy/target/choose.rs
@@ -120,8 +120,10 @@
     ) -> Result<Choice, Miss> {
         let mut found = std::mem::take(&mut self.scratch);
         let miss = self.collect(now, rng, ask, site, free, &mut found);
-        let best = self.best(now, rng, ask.lane, &found);
-        found.clear();
+        let last = if ask.pressed { 3 } else { 2 };
+        let few = found[..last].iter().find(|list| !list.is_empty());
+        let best = few.and_then(|list| self.best(now, rng, ask.lane, list));
+        found.iter_mut().for_each(Vec::clear);
         self.scratch = found;
         let target = &self.targets[best.ok_or(miss)?];
         Ok(Choice {
@@ -131,7 +133,8 @@
         })
     }
 
-    /// Collects candidates into `found` and returns what an empty result means.
+    /// Collects candidates, spare ones and last ones, and returns what it means
+    /// if there are none.
     fn collect<R: Rng>(
         &self,
         now: Millis,
@@ -139,14 +142,14 @@
         ask: &Ask<'_>,
         site: usize,
         free: &impl Fn(TargetId, Lane) -> u32,
-        found: &mut Vec<usize>,
+        found: &mut [Vec<usize>; 3],
     ) -> Miss {
         let mut miss = Miss::NoTarget;
         let Some(site) = self.sites.get(site).filter(|s| !s.members.is_empty()) else {
             return miss;
         };
         let start = rng.random_range(0..site.members.len());
-        let mut spare = [None; 2];
+        let peers = f64::from(u32::try_from(site.members.len()).unwrap_or(u32::MAX));
         for n in 0..site.members.len().min(WINDOW) {
             let at = site.members[(start + n) % site.members.len()];
             let target = &self.targets[at];
@@ -157,17 +160,18 @@
             if ask.avoid.contains(&target.id) || usable(target, ask.lane, free) == 0 {
                 continue;
             }
-            match fitness(target, now, rng, ask) {
-                Fitness::Good => found.push(at),
-                Fitness::Spare => spare[0] = spare[0].or(Some(at)),
-                Fitness::Last => spare[1] = spare[1].or(Some(at)),
+            match fitness(target, now, rng, ask, peers) {
+                Fitness::Explore => {
+                    found[0].clear();
+                    found[0].push(at);
+                    return miss;
+                }
+                Fitness::Good => found[0].push(at),
+                Fitness::Spare => found[1].push(at),
+                Fitness::Last => found[2].push(at),
                 Fitness::Never => {}
             }
         }
-        if found.is_empty() {
-            let last = spare[1].filter(|_| ask.pressed);
-            found.extend(spare[0].or(last));
-        }
         miss
     }
 
@@ -178,7 +182,7 @@
             return None;
         }
         let usual = self.usual(lane, found);
-        let latency = |at: usize| self.targets[at].latency[slot(lane)].peak().unwrap_or(usual);
+        let latency = |at: usize| self.targets[at].latency[slot(lane)].faded(now, usual);
         let random = [(); 2].map(|()| found[rng.random_range(0..found.len())]);
         let fast = two_lowest(found, latency);
         let few = random.into_iter().chain(fast.into_iter().flatten());
@@ -203,6 +207,9 @@
 
 /// How readily a target takes a request.
 enum Fitness {
+    /// It is used at once, to see if it has recovered. Its estimated latency
+    /// would otherwise always lose against the candidates.
+    Explore,
     /// It is a candidate.
     Good,
     /// It is used when there is no candidate.
@@ -213,7 +220,13 @@
     Never,
 }
 
-fn fitness<R: Rng>(target: &Target, now: Millis, rng: &mut R, ask: &Ask<'_>) -> Fitness {
+fn fitness<R: Rng>(
+    target: &Target,
+    now: Millis,
+    rng: &mut R,
+    ask: &Ask<'_>,
+    peers: f64,
+) -> Fitness {
     match target.state(now) {
         State::Leaving => Fitness::Never,
         State::Ready => Fitness::Good,
@@ -222,7 +235,7 @@
         State::Shedding if target.ejected || ask.extra => Fitness::Never,
         State::Cold | State::Shedding => Fitness::Spare,
         State::Slow if !target.ejected => Fitness::Spare,
-        State::Slow if ask.explore && rng.random_bool(EXPLORE) => Fitness::Good,
+        State::Slow if ask.explore && rng.random_bool(EXPLORE / peers) => Fitness::Explore,
         State::Slow => Fitness::Last,
     }
 }
@@ -260,7 +273,7 @@
 
 fn score(target: &Target, now: Millis, latency: f64) -> f64 {
     let load = f64::from(target.in_flight() + 1) / f64::from(target.slots.max(1));
-    latency * load * target.penalty(now) / target.part()
+    latency * load * target.penalty(now)
 }
 
 fn two_lowest(found: &[usize], latency: impl Fn(usize) -> f64) -> [Option<usize>; 2] {
--- a/src/policy/target/estimate.rs
+++ b/src/policy/target/estimate.rs
@@ -70,6 +70,17 @@
         (self.samples > 0).then_some(self.peak)
     }
 
+    /// Returns the estimate after a time without samples, in which it approaches
+    /// the usual latency of the other candidates. Without this, a target that
+    /// was slow once would get no request that shows its recovery.
+    pub(super) fn faded(&self, now: Millis, usual: f64) -> f64 {
+        if self.samples == 0 {
+            return usual;
+        }
+        let keep = (-ms(now - self.last) / DECAY_MS).exp();
+        usual + (self.peak - usual) * keep
+    }
+
     /// Returns the estimate that marks slow targets, or none before there are
     /// enough samples to judge.
     pub(super) fn typical(&self) -> Option<f64> {
--- a/src/policy/target/mod.rs
+++ b/src/policy/target/mod.rs
@@ -84,6 +84,8 @@
     pub running: [u32; 2],
     /// The estimated latency of short work.
     pub latency: Option<Millis>,
+    /// Whether it is left out. At most half of a place's targets are.
+    pub ejected: bool,
 }
 
 /// The targets of one service, as one entry sees them.
@@ -92,7 +94,7 @@
     sites: Vec<Site>,
     targets: Vec<Target>,
     index: HashMap<TargetId, usize>,
-    scratch: Vec<usize>,
+    scratch: [Vec<usize>; 3],
 }
 
 /// The position of a lane in arrays.
--- a/src/policy/target/state.rs
+++ b/src/policy/target/state.rs
@@ -142,6 +142,7 @@
             state: self.state(now),
             running: self.running,
             latency,
+            ejected: self.ejected,
         }
     }
 }
--- /dev/null
+++ b/tests/queue.rs
@@ -0,0 +1,327 @@
+//! Guards lanes, queue order and refusal. Each case states what one FIFO queue
+//! would do, since that is what the lanes replace.
+
+use quickcheck::quickcheck;
+use rand::{SeedableRng, rngs::SmallRng};
+use savorybeam::{
+    domain::{Lane, Millis, Priority},
+    policy::queue::{Lengths, Queue, Ticket, WaitId},
+};
+
+fn ticket(arrived: u64, deadline: u64, lane: Lane) -> Ticket {
+    Ticket {
+        arrived: Millis(arrived),
+        deadline: Millis(deadline),
+        lane,
+        length: Millis(10),
+        priority: Priority::Normal,
+    }
+}
+
+fn queue(units: u32) -> (Queue<u32>, SmallRng) {
+    let mut queue = Queue::new();
+    queue.resize(units);
+    (queue, SmallRng::seed_from_u64(1))
+}
+
+const MEAN: Millis = Millis(10);
+
+#[test]
+fn short_work_starts_while_long_work_waits() {
+    let (mut queue, mut rng) = queue(6);
+    let long = ticket(0, 60_000, Lane::Long);
+    for n in 0..10 {
+        let offer = queue.offer(Millis(0), &mut rng, long, Millis(1000), n);
+        assert!(offer.is_ok());
+    }
+    while queue.has_room(Lane::Long) {
+        queue.start(Lane::Long);
+    }
+    let short = ticket(1, 5000, Lane::Short);
+    let offer = queue.offer(Millis(1), &mut rng, short, MEAN, 100);
+    assert!(offer.is_ok());
+    // One FIFO queue would have given all six units to long work.
+    let held = queue.running(Lane::Long);
+    let started = queue
+        .has_room(Lane::Short)
+        .then(|| queue.start(Lane::Short));
+    let item = started.flatten().map(|(_, item)| item);
+    assert_eq!((held, item), (3, Some(100)));
+}
+
+#[test]
+fn an_overload_of_short_work_does_not_starve_long_work() {
+    let (mut queue, mut rng) = queue(4);
+    let long = ticket(0, 1000, Lane::Long);
+    assert!(queue.offer(Millis(0), &mut rng, long, MEAN, 1).is_ok());
+    let mut lanes = Vec::new();
+    for now in [400, 600] {
+        let short = ticket(now, now + 1000, Lane::Short);
+        let offer = queue.offer(Millis(now), &mut rng, short, MEAN, 2);
+        assert!(offer.is_ok());
+        lanes.push(queue.next_lane(Millis(now)));
+        queue.start(Lane::Short);
+        queue.finished(Lane::Short);
+    }
+    // Short work first at all times would never start the long request.
+    assert_eq!(lanes, [Some(Lane::Short), Some(Lane::Long)]);
+}
+
+#[test]
+fn the_nearest_deadline_starts_first() {
+    let (mut queue, mut rng) = queue(1);
+    for deadline in [900, 300, 600] {
+        let offer = queue.offer(
+            Millis(0),
+            &mut rng,
+            ticket(0, deadline, Lane::Short),
+            MEAN,
+            u32::try_from(deadline).expect("it is small"),
+        );
+        assert!(offer.is_ok());
+    }
+    let order: Vec<u32> = std::iter::from_fn(|| queue.start(Lane::Short))
+        .map(|(_, item)| item)
+        .collect();
+    assert_eq!(order, [300, 600, 900]);
+}
+
+#[test]
+fn work_that_cannot_meet_its_deadline_is_refused_at_once() {
+    let (mut queue, mut rng) = queue(2);
+    queue.started(Lane::Short);
+    queue.started(Lane::Short);
+    let mut texts = Vec::new();
+    for n in 0..30 {
+        let offer = queue.offer(Millis(0), &mut rng, ticket(0, 100, Lane::Short), MEAN, n);
+        if let Err(refusal) = offer {
+            texts.push(refusal.to_string());
+        }
+    }
+    // A FIFO queue would accept all 30 and run half of them in vain.
+    texts.dedup();
+    insta::assert_debug_snapshot!((queue.waiting(Lane::Short), texts), @r#"
+(
+    18,
+    [
+        "overloaded (not-run): queue: 100 ms are left, but the short lane needs 95 ms to wait and 10 ms to run",
+    ],
+)
+"#);
+}
+
+#[test]
+fn work_that_waited_too_long_does_not_start() {
+    let (mut queue, mut rng) = queue(1);
+    let offer = queue.offer(Millis(0), &mut rng, ticket(0, 100, Lane::Short), MEAN, 7);
+    assert!(offer.is_ok());
+    assert!(queue.expire(Millis(90), Lane::Short).is_empty());
+    let missed = queue.expire(Millis(91), Lane::Short);
+    let texts: Vec<String> = missed.iter().map(|(_, r)| r.to_string()).collect();
+    assert_eq!(queue.peek(Lane::Short), None);
+    insta::assert_debug_snapshot!(texts, @r#"
+[
+    "overloaded (not-run): queue: the deadline cannot be met after 91 ms in the short lane",
+]
+"#);
+}
+
+#[test]
+fn a_cancelled_request_frees_its_place_and_its_slot() {
+    let (mut queue, mut rng) = queue(1);
+    let offer = queue.offer(Millis(0), &mut rng, ticket(0, 100, Lane::Short), MEAN, 1);
+    let first = offer.expect("there is room").id;
+    let offer = queue.offer(Millis(0), &mut rng, ticket(0, 100, Lane::Short), MEAN, 2);
+    assert!(offer.is_ok());
+    assert_eq!(queue.cancel(first), Some(1));
+    assert_eq!(queue.cancel(first), None);
+    assert_eq!(queue.start(Lane::Short).map(|(_, item)| item), Some(2));
+    assert!(!queue.has_room(Lane::Short));
+    queue.finished(Lane::Short);
+    assert!(queue.has_room(Lane::Short));
+}
+
+#[test]
+fn bulk_is_refused_before_normal_and_critical_last() {
+    let accepted = |now: u64| {
+        let (mut queue, mut rng) = queue(4);
+        let old = queue.offer(Millis(0), &mut rng, ticket(0, 1000, Lane::Short), MEAN, 0);
+        assert!(old.is_ok());
+        [Priority::Bulk, Priority::Normal, Priority::Critical].map(|priority| {
+            let ticket = Ticket {
+                priority,
+                ..ticket(now, now + 1000, Lane::Short)
+            };
+            queue.offer(Millis(now), &mut rng, ticket, MEAN, 1).is_ok()
+        })
+    };
+    let steps = [400, 600, 800].map(accepted);
+    insta::assert_compact_debug_snapshot!(steps, @"[[true, true, true], [false, true, true], [false, false, true]]");
+}
+
+#[test]
+fn a_full_lane_gives_up_bulk_for_critical_work() {
+    let (mut queue, mut rng) = queue(1);
+    let bulk = Ticket {
+        priority: Priority::Bulk,
+        ..ticket(0, 60_000, Lane::Short)
+    };
+    let mut last = 0;
+    while queue.offer(Millis(0), &mut rng, bulk, MEAN, last).is_ok() {
+        last += 1;
+    }
+    let critical = Ticket {
+        priority: Priority::Critical,
+        ..bulk
+    };
+    let queued = queue.offer(Millis(0), &mut rng, critical, MEAN, 1000);
+    let displaced = queued.ok().and_then(|q| q.displaced);
+    let displaced = displaced.map(|(item, refusal)| (item, refusal.to_string()));
+    insta::assert_compact_debug_snapshot!((last, displaced), @r#"
+(64, Some((63, "overloaded (not-run): queue: displaced by critical work")))
+"#);
+}
+
+#[test]
+fn times_to_come_back_are_spread() {
+    let (mut queue, mut rng) = queue(1);
+    let late = ticket(0, 500, Lane::Short);
+    for n in 0..3 {
+        assert!(
+            queue
+                .offer(Millis(0), &mut rng, late, Millis(100), n)
+                .is_ok()
+        );
+    }
+    let mut offer = || queue.offer(Millis(0), &mut rng, late, Millis(200), 9);
+    let times: Vec<_> = (0..4)
+        .map(|_| offer().err().and_then(|r| r.retry))
+        .collect();
+    insta::assert_compact_debug_snapshot!(times, @"[Some(Millis(1048)), Some(Millis(1000)), Some(Millis(480)), Some(Millis(1000))]");
+}
+
+#[test]
+fn lengths_are_declared_or_learned() {
+    let mut lengths = Lengths::new();
+    let lane = |lengths: &Lengths| lengths.lane(None, "/plans");
+    let mut seen = vec![lane(&lengths)];
+    lengths.learn(Lane::Short, "/plans", Millis(9000));
+    seen.push(lane(&lengths));
+    for _ in 0..3 {
+        lengths.learn(Lane::Long, "/plans", Millis(2000));
+    }
+    seen.push(lane(&lengths));
+    for _ in 0..200 {
+        lengths.learn(Lane::Long, "/plans", Millis(20));
+    }
+    seen.push(lane(&lengths));
+    let declared = lengths.lane(Some(Lane::Long), "/plans");
+    let expected = lengths.expected(Lane::Short, "/plans");
+    insta::assert_compact_debug_snapshot!((seen, declared, expected), @"([Short, Short, Long, Short], Long, Millis(20))");
+}
+
+/// The obvious model: a list that is searched for everything.
+#[derive(Default)]
+struct Model {
+    waiting: Vec<(Ticket, WaitId, u32)>,
+    running: [u32; 2],
+}
+
+impl Model {
+    fn first(&self, lane: Lane) -> Option<usize> {
+        let lane = self
+            .waiting
+            .iter()
+            .enumerate()
+            .filter(|(_, w)| w.0.lane == lane);
+        lane.min_by_key(|(_, w)| (w.0.deadline, w.1))
+            .map(|(at, _)| at)
+    }
+
+    fn remove(&mut self, item: u32) {
+        self.waiting.retain(|w| w.2 != item);
+    }
+}
+
+quickcheck! {
+    fn any_sequence_agrees_with_a_list(events: Vec<(u8, u8, u16)>) -> bool {
+        let (mut queue, mut rng) = queue(3);
+        let mut model = Model::default();
+        let mut now = Millis(0);
+        events.into_iter().zip(0..).all(|((kind, n, time), item)| {
+            now = now + Millis(u64::from(time % 20));
+            step(&mut queue, &mut model, &mut rng, now, (kind, n, time), item)
+        })
+    }
+}
+
+fn step(
+    queue: &mut Queue<u32>,
+    model: &mut Model,
+    rng: &mut SmallRng,
+    now: Millis,
+    (kind, n, time): (u8, u8, u16),
+    item: u32,
+) -> bool {
+    let lane = [Lane::Short, Lane::Long][usize::from(n % 2)];
+    let at = usize::from(n % 2);
+    match kind % 8 {
+        0..4 => {
+            let priority =
+                [Priority::Bulk, Priority::Normal, Priority::Critical][usize::from(n % 3)];
+            let until = now.0 + u64::from(time % 1000);
+            let ticket = Ticket {
+                priority,
+                ..ticket(now.0, until, lane)
+            };
+            if let Ok(queued) = queue.offer(now, rng, ticket, MEAN, item) {
+                if let Some((gone, _)) = queued.displaced {
+                    model.remove(gone);
+                }
+                model.waiting.push((ticket, queued.id, item));
+            }
+        }
+        4 => {
+            for (gone, _) in queue.expire(now, lane) {
+                model.remove(gone);
+            }
+            let missed = |w: &(Ticket, WaitId, u32)| now + w.0.length > w.0.deadline;
+            if model
+                .first(lane)
+                .is_some_and(|at| missed(&model.waiting[at]))
+            {
+                return false;
+            }
+        }
+        5 => {
+            let room = model.running[at] < [3, 1][at] && model.running.iter().sum::<u32>() < 3;
+            if queue.has_room(lane) != room {
+                return false;
+            }
+            let expected = model
+                .first(lane)
+                .filter(|_| room)
+                .map(|at| model.waiting.remove(at));
+            model.running[at] += u32::from(expected.is_some());
+            let started = room.then(|| queue.start(lane)).flatten();
+            if started.map(|s| s.1) != expected.map(|e| e.2) {
+                return false;
+            }
+        }
+        6 => {
+            model.running[at] = model.running[at].saturating_sub(1);
+            queue.finished(lane);
+        }
+        _ => {
+            let known = model.waiting.get(usize::from(n)).copied();
+            if let Some((_, id, item)) = known {
+                model.remove(item);
+                if queue.cancel(id) != Some(item) {
+                    return false;
+                }
+            }
+        }
+    }
+    let count = |lane| model.waiting.iter().filter(|w| w.0.lane == lane).count();
+    [Lane::Short, Lane::Long].map(count) == [Lane::Short, Lane::Long].map(|l| queue.waiting(l))
+}
