--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -14,3 +14,8 @@
 pub mod once;
 pub mod refusal;
 pub mod shift;
+pub mod queue;
+pub mod refusal;
+pub mod retry;
+pub mod silence;
+pub mod target;
