--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -5,6 +5,7 @@
 //! same decisions.
 
 pub mod clock;
+pub mod grpc;
 pub mod http;
 pub mod ini;
 pub mod store;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -9,5 +9,13 @@
 pub mod document;
 pub mod drain;
 pub mod lookup;
+pub mod limit;
+pub mod crash;
+pub mod once;
 pub mod refusal;
 pub mod shift;
+pub mod queue;
+pub mod refusal;
+pub mod retry;
+pub mod silence;
+pub mod target;
