Add the etcd adapter, its stand-in and the tests of the document decisions

Cause: documents live in the platform's store, which is reached over the published etcd v3 protocol, and a lost response must not look like a conflict.

Ruled out: a generated client, since tonic's Grpc with prost messages needs no generator; repeating a transaction at the next endpoint, since its first copy may have taken effect; connecting before the call, since a lazy channel reports a failed connect as unsent without holding a lock across an await.

--- /dev/null
+++ b/examples/store_standin/serve.rs
@@ -0,0 +1,62 @@
+//! The listener and its connections.
+
+use std::{io, net::SocketAddr};
+
+use hyper::{server::conn::http2, service::service_fn};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::protocol::{self, Service};
+
+/// Accepts connections. While the store is down, nothing listens and all
+/// connections are closed.
+pub async fn run(listener: TcpListener, service: Service) -> io::Result<()> {
+    let address = listener.local_addr()?;
+    let mut down = service.faults.down.subscribe();
+    let mut listener = Some(listener);
+    loop {
+        if *down.borrow_and_update() {
+            listener = None;
+            if down.changed().await.is_err() {
+                return Ok(());
+            }
+            continue;
+        }
+        let open = match listener.take() {
+            Some(open) => open,
+            None => bind(address).await?,
+        };
+        tokio::select! {
+            accepted = open.accept() => match accepted {
+                Ok((stream, _)) => {
+                    tokio::spawn(connection(stream, service.clone()));
+                }
+                Err(e) => eprintln!("store: accept: {e}"),
+            },
+            _ = down.changed() => {}
+        }
+        listener = Some(open);
+    }
+}
+
+async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+async fn connection(stream: TcpStream, service: Service) {
+    let mut down = service.faults.down.subscribe();
+    let mut breaks = service.faults.breaks.subscribe();
+    breaks.mark_unchanged();
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let run = service_fn(move |request| protocol::handle(service.clone(), request));
+    let builder = http2::Builder::new(TokioExecutor::new());
+    let connection = builder.serve_connection(TokioIo::new(stream), run);
+    tokio::select! {
+        // A broken connection concerns the client alone.
+        _ = connection => {}
+        _ = breaks.changed() => {}
+        _ = down.wait_for(|down| *down) => {}
+    }
+}
--- a/src/adapters/store/calls.rs
+++ b/src/adapters/store/calls.rs
@@ -7,9 +7,9 @@
 
 /// The calls that one process has made to the store, for the metrics.
 ///
-/// The store's rate is a shared and limited good, so every request that is
-/// sent counts, a repetition at another endpoint included. A watch counts once,
-/// however long it waits.
+/// The store's rate is shared and limited, so every attempt counts, a repetition
+/// at another endpoint and an attempt that cannot connect included. A watch
+/// counts once, however long it waits.
 #[derive(Debug, Default)]
 pub struct Calls {
     reads: AtomicU64,
@@ -85,6 +85,11 @@
     pub(super) fn answered(&self) {
         self.down.store(false, Relaxed);
     }
+
+    pub(super) fn failed(&self) {
+        self.failures.fetch_add(1, Relaxed);
+        self.down.store(true, Relaxed);
+    }
 }
 
 impl fmt::Display for Counts {
--- a/src/adapters/store/memory.rs
+++ b/src/adapters/store/memory.rs
@@ -64,15 +64,17 @@
     ends: Millis,
 }
 
-#[derive(Default)]
 struct Log {
     revision: Revision,
+    /// The revision before the first change that is kept.
+    start: Revision,
     updates: VecDeque<Update>,
     watches: Vec<Watch>,
 }
 
 struct Watch {
     prefix: Bytes,
+    after: Revision,
     sender: mpsc::Sender<Update>,
 }
 
@@ -83,7 +85,14 @@
         shared: Arc::new(Shared {
             clock,
             keys: Shards::new(),
-            log: Mutex::default(),
+            log: Mutex::new(Log {
+                // The platform's store counts from 1, and a key at revision zero
+                // is a key that does not exist.
+                revision: Revision(1),
+                start: Revision::default(),
+                updates: VecDeque::new(),
+                watches: Vec::new(),
+            }),
             holders: AtomicU64::new(0),
         }),
     }
@@ -285,7 +294,11 @@
             // The channel has room for all of them.
             let _ = sender.try_send(update);
         }
-        log.watches.push(Watch { prefix, sender });
+        log.watches.push(Watch {
+            prefix,
+            after,
+            sender,
+        });
         receiver
     }
 
@@ -321,7 +334,7 @@
         versions.push(version);
         // The last version at or before the start of the log is still needed to
         // list the key at that moment.
-        let start = log.start();
+        let start = log.start;
         let past = versions.iter().filter(|v| v.revision <= start).count();
         versions.drain(..past.saturating_sub(1));
         revision
@@ -329,15 +342,9 @@
 }
 
 impl Log {
-    /// Returns the revision before the first change that is kept.
-    fn start(&self) -> Revision {
-        let first = self.updates.front().map(|u| subject(u).1);
-        first.map_or(self.revision, |r| Revision(r.0.saturating_sub(1)))
-    }
-
     /// Tells whether every change after `revision` is kept.
     fn reaches(&self, revision: Revision) -> bool {
-        revision >= self.start()
+        revision >= self.start
     }
 
     fn push(&mut self, update: Update) {
@@ -345,12 +352,14 @@
         self.revision = revision;
         // A watch whose reader is gone or too slow ends here.
         self.watches.retain(|w| {
-            !w.sender.is_closed()
-                && (!key.starts_with(&w.prefix) || w.sender.try_send(update.clone()).is_ok())
+            let concerned = revision > w.after && key.starts_with(&w.prefix);
+            !w.sender.is_closed() && (!concerned || w.sender.try_send(update.clone()).is_ok())
         });
         self.updates.push_back(update);
-        if self.updates.len() > LOG_MAX {
-            self.updates.pop_front();
+        if self.updates.len() > LOG_MAX
+            && let Some(oldest) = self.updates.pop_front()
+        {
+            self.start = subject(&oldest).1;
         }
     }
 }
--- /dev/null
+++ b/src/adapters/store/messages.rs
@@ -0,0 +1,405 @@
+//! Messages of the published etcd v3 gRPC protocol.
+//!
+//! Only the messages and fields that savorybeam or its stand-in use are
+//! declared; the codec skips the others. The numbers are those of
+//! `etcdserverpb` and `mvccpb`.
+
+use bytes::Bytes;
+use prost::{Enumeration, Message, Oneof};
+
+/// The method that reads keys.
+pub const RANGE: &str = "/etcdserverpb.KV/Range";
+/// The method that compares and writes in one step.
+pub const TXN: &str = "/etcdserverpb.KV/Txn";
+/// The method that reports changes.
+pub const WATCH: &str = "/etcdserverpb.Watch/Watch";
+/// The method that creates a lease.
+pub const LEASE_GRANT: &str = "/etcdserverpb.Lease/LeaseGrant";
+/// The method that renews a lease.
+pub const LEASE_KEEP_ALIVE: &str = "/etcdserverpb.Lease/LeaseKeepAlive";
+
+/// What every response begins with.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct ResponseHeader {
+    /// The store's revision when the request was carried out.
+    #[prost(int64, tag = "3")]
+    pub revision: i64,
+}
+
+/// A key with its value.
+#[derive(Clone, Message, PartialEq)]
+pub struct KeyValue {
+    /// The key.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub key: Bytes,
+    /// The revision of the key's creation.
+    #[prost(int64, tag = "2")]
+    pub create_revision: i64,
+    /// The revision of the key's last change.
+    #[prost(int64, tag = "3")]
+    pub mod_revision: i64,
+    /// The number of changes since the creation.
+    #[prost(int64, tag = "4")]
+    pub version: i64,
+    /// The value.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub value: Bytes,
+    /// The lease that the key is bound to, zero for none.
+    #[prost(int64, tag = "6")]
+    pub lease: i64,
+}
+
+/// Reads a key, or the keys from `key` up to `range_end`.
+#[derive(Clone, Message, PartialEq)]
+pub struct RangeRequest {
+    /// The first key.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub key: Bytes,
+    /// The key after the last one, empty for a single key.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub range_end: Bytes,
+    /// The most keys to return, zero for all.
+    #[prost(int64, tag = "3")]
+    pub limit: i64,
+    /// The moment to read at, zero for now.
+    #[prost(int64, tag = "4")]
+    pub revision: i64,
+    /// Whether to leave the values out.
+    #[prost(bool, tag = "8")]
+    pub keys_only: bool,
+}
+
+/// The keys that were read.
+#[derive(Clone, Message, PartialEq)]
+pub struct RangeResponse {
+    /// The header.
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    /// The keys in their order.
+    #[prost(message, repeated, tag = "2")]
+    pub kvs: Vec<KeyValue>,
+    /// Whether the limit left keys out.
+    #[prost(bool, tag = "3")]
+    pub more: bool,
+    /// The number of keys in the range.
+    #[prost(int64, tag = "4")]
+    pub count: i64,
+}
+
+/// Writes a key.
+#[derive(Clone, Message, PartialEq)]
+pub struct PutRequest {
+    /// The key.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub key: Bytes,
+    /// The value.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub value: Bytes,
+    /// The lease to bind the key to, zero for none.
+    #[prost(int64, tag = "3")]
+    pub lease: i64,
+}
+
+/// The response to a put.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct PutResponse {
+    /// The header.
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+}
+
+/// Deletes a key.
+#[derive(Clone, Message, PartialEq)]
+pub struct DeleteRangeRequest {
+    /// The key.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub key: Bytes,
+}
+
+/// The response to a deletion.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct DeleteRangeResponse {
+    /// The header.
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    /// The number of deleted keys.
+    #[prost(int64, tag = "2")]
+    pub deleted: i64,
+}
+
+/// One operation of a transaction.
+#[derive(Clone, Message, PartialEq)]
+pub struct RequestOp {
+    /// The operation.
+    #[prost(oneof = "Operation", tags = "1, 2, 3")]
+    pub request: Option<Operation>,
+}
+
+/// The kinds of operations.
+#[derive(Clone, Oneof, PartialEq)]
+pub enum Operation {
+    /// Reads keys.
+    #[prost(message, tag = "1")]
+    Range(RangeRequest),
+    /// Writes a key.
+    #[prost(message, tag = "2")]
+    Put(PutRequest),
+    /// Deletes a key.
+    #[prost(message, tag = "3")]
+    DeleteRange(DeleteRangeRequest),
+}
+
+/// The response to one operation of a transaction.
+#[derive(Clone, Message, PartialEq)]
+pub struct ResponseOp {
+    /// The response.
+    #[prost(oneof = "OperationResponse", tags = "1, 2, 3")]
+    pub response: Option<OperationResponse>,
+}
+
+/// The kinds of responses to operations.
+#[derive(Clone, Oneof, PartialEq)]
+pub enum OperationResponse {
+    /// The keys that were read.
+    #[prost(message, tag = "1")]
+    Range(RangeResponse),
+    /// A key was written.
+    #[prost(message, tag = "2")]
+    Put(PutResponse),
+    /// A key was deleted.
+    #[prost(message, tag = "3")]
+    DeleteRange(DeleteRangeResponse),
+}
+
+/// How a comparison relates what is stored to what is given.
+#[derive(Clone, Copy, Debug, Enumeration, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[repr(i32)]
+pub enum CompareResult {
+    /// They are equal.
+    Equal = 0,
+    /// What is stored is greater.
+    Greater = 1,
+    /// What is stored is less.
+    Less = 2,
+    /// They differ.
+    NotEqual = 3,
+}
+
+/// What a comparison looks at.
+#[derive(Clone, Copy, Debug, Enumeration, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[repr(i32)]
+pub enum CompareTarget {
+    /// The number of changes.
+    Version = 0,
+    /// The revision of the creation.
+    Create = 1,
+    /// The revision of the last change.
+    Mod = 2,
+    /// The value.
+    Value = 3,
+    /// The lease.
+    Lease = 4,
+}
+
+/// The condition of a transaction.
+#[derive(Clone, Message, PartialEq)]
+pub struct Compare {
+    /// The relation, one of [`CompareResult`].
+    #[prost(enumeration = "CompareResult", tag = "1")]
+    pub result: i32,
+    /// The property, one of [`CompareTarget`].
+    #[prost(enumeration = "CompareTarget", tag = "2")]
+    pub target: i32,
+    /// The key.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub key: Bytes,
+    /// The value to compare with.
+    #[prost(oneof = "CompareValue", tags = "4, 5, 6, 7, 8")]
+    pub value: Option<CompareValue>,
+}
+
+/// The value that a comparison is given, by its target.
+#[derive(Clone, Oneof, PartialEq)]
+pub enum CompareValue {
+    /// The number of changes.
+    #[prost(int64, tag = "4")]
+    Version(i64),
+    /// The revision of the creation.
+    #[prost(int64, tag = "5")]
+    CreateRevision(i64),
+    /// The revision of the last change.
+    #[prost(int64, tag = "6")]
+    ModRevision(i64),
+    /// The value.
+    #[prost(bytes = "bytes", tag = "7")]
+    Value(Bytes),
+    /// The lease.
+    #[prost(int64, tag = "8")]
+    Lease(i64),
+}
+
+/// Carries out `success` if all comparisons hold, `failure` otherwise.
+#[derive(Clone, Message, PartialEq)]
+pub struct TxnRequest {
+    /// The comparisons.
+    #[prost(message, repeated, tag = "1")]
+    pub compare: Vec<Compare>,
+    /// The operations if they hold.
+    #[prost(message, repeated, tag = "2")]
+    pub success: Vec<RequestOp>,
+    /// The operations otherwise.
+    #[prost(message, repeated, tag = "3")]
+    pub failure: Vec<RequestOp>,
+}
+
+/// The response to a transaction.
+#[derive(Clone, Message, PartialEq)]
+pub struct TxnResponse {
+    /// The header.
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    /// Whether the comparisons held.
+    #[prost(bool, tag = "2")]
+    pub succeeded: bool,
+    /// One response for each operation that was carried out.
+    #[prost(message, repeated, tag = "3")]
+    pub responses: Vec<ResponseOp>,
+}
+
+/// A message from the watching side.
+#[derive(Clone, Message, PartialEq)]
+pub struct WatchRequest {
+    /// The request.
+    #[prost(oneof = "WatchRequestKind", tags = "1, 2")]
+    pub request: Option<WatchRequestKind>,
+}
+
+/// The kinds of messages from the watching side.
+#[derive(Clone, Oneof, PartialEq)]
+pub enum WatchRequestKind {
+    /// Starts a watch.
+    #[prost(message, tag = "1")]
+    Create(WatchCreateRequest),
+    /// Ends a watch.
+    #[prost(message, tag = "2")]
+    Cancel(WatchCancelRequest),
+}
+
+/// Starts a watch of the keys from `key` up to `range_end`.
+#[derive(Clone, Message, PartialEq)]
+pub struct WatchCreateRequest {
+    /// The first key.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub key: Bytes,
+    /// The key after the last one, empty for a single key.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub range_end: Bytes,
+    /// The first revision to report, zero for changes from now on.
+    #[prost(int64, tag = "3")]
+    pub start_revision: i64,
+    /// Whether a large response may be split.
+    #[prost(bool, tag = "8")]
+    pub fragment: bool,
+}
+
+/// Ends a watch.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct WatchCancelRequest {
+    /// The watch.
+    #[prost(int64, tag = "1")]
+    pub watch_id: i64,
+}
+
+/// A message to the watching side.
+#[derive(Clone, Message, PartialEq)]
+pub struct WatchResponse {
+    /// The header.
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    /// The watch.
+    #[prost(int64, tag = "2")]
+    pub watch_id: i64,
+    /// Whether this confirms the start of the watch.
+    #[prost(bool, tag = "3")]
+    pub created: bool,
+    /// Whether the watch has ended.
+    #[prost(bool, tag = "4")]
+    pub canceled: bool,
+    /// If the watch started too far back, the oldest revision that is kept.
+    #[prost(int64, tag = "5")]
+    pub compact_revision: i64,
+    /// The changes in their order.
+    #[prost(message, repeated, tag = "11")]
+    pub events: Vec<Event>,
+}
+
+/// A change of a key.
+#[derive(Clone, Message, PartialEq)]
+pub struct Event {
+    /// The kind, one of [`EventKind`].
+    #[prost(enumeration = "EventKind", tag = "1")]
+    pub kind: i32,
+    /// The key after the change. A deletion has only the key and the revision.
+    #[prost(message, optional, tag = "2")]
+    pub kv: Option<KeyValue>,
+}
+
+/// The kinds of changes.
+#[derive(Clone, Copy, Debug, Enumeration, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[repr(i32)]
+pub enum EventKind {
+    /// The key was written.
+    Put = 0,
+    /// The key was deleted, or its lease ended.
+    Delete = 1,
+}
+
+/// Creates a lease.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct LeaseGrantRequest {
+    /// The time in seconds.
+    #[prost(int64, tag = "1")]
+    pub ttl: i64,
+    /// The id that the client prefers, zero for any.
+    #[prost(int64, tag = "2")]
+    pub id: i64,
+}
+
+/// A lease was created.
+#[derive(Clone, Message, PartialEq)]
+pub struct LeaseGrantResponse {
+    /// The header.
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    /// The lease.
+    #[prost(int64, tag = "2")]
+    pub id: i64,
+    /// The time in seconds that the store chose.
+    #[prost(int64, tag = "3")]
+    pub ttl: i64,
+    /// Why there is no lease, empty otherwise.
+    #[prost(string, tag = "4")]
+    pub error: String,
+}
+
+/// Renews a lease.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct LeaseKeepAliveRequest {
+    /// The lease.
+    #[prost(int64, tag = "1")]
+    pub id: i64,
+}
+
+/// The response to a renewal.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct LeaseKeepAliveResponse {
+    /// The header.
+    #[prost(message, optional, tag = "1")]
+    pub header: Option<ResponseHeader>,
+    /// The lease.
+    #[prost(int64, tag = "2")]
+    pub id: i64,
+    /// The time in seconds that the lease has left, zero if it has ended.
+    #[prost(int64, tag = "3")]
+    pub ttl: i64,
+}
--- a/src/adapters/store/mod.rs
+++ b/src/adapters/store/mod.rs
@@ -1,7 +1,10 @@
 //! The platform's key-value store behind [`ports::Store`](crate::ports::Store).
 //!
-//! [`memory`] holds the platform's semantics in the process, for `dev` and for
-//! tests.
+//! [`etcd`] speaks the published etcd v3 protocol to the platform's store, with
+//! [`messages`]. [`memory`] holds the same semantics in the process, for `dev`
+//! and for tests. The tests in `tests/store.rs` run against both, so that what
+//! is tried in memory holds for the other. [`record`] encodes what is stored for
+//! a document, and [`documents`] reads and edits documents through any store.
 //!
 //! The store's own failures are of two kinds, and callers depend on the
 //! difference: [`StoreError::Down`](crate::ports::StoreError::Down) says that
@@ -10,7 +13,13 @@
 //! was lost. See [docs/design.md](../../../docs/design.md), sections 3.3 and 7.
 
 mod calls;
+mod client;
+pub mod documents;
+pub mod etcd;
+mod lease;
 pub mod memory;
+pub mod messages;
+pub mod record;
 
 pub use calls::{Calls, Counts};
 
--- a/src/policy/document/state.rs
+++ b/src/policy/document/state.rs
@@ -55,8 +55,10 @@
 
     /// Returns the greatest revision that was adopted or rejected.
     ///
-    /// Digests between entries carry this one. With the revision in effect, an
-    /// invalid revision would be fetched again every second.
+    /// Digests between entries carry it beside the revision in effect. With the
+    /// latter alone, an invalid revision would be fetched again every second;
+    /// with this one alone, a valid revision that arrives after a later invalid
+    /// one would never be fetched.
     #[must_use]
     pub fn judged(&self) -> Revision {
         self.judged
--- /dev/null
+++ b/tests/documents.rs
@@ -0,0 +1,474 @@
+//! Guards the decisions on documents: a process that went back to an old
+//! revision would undo a drain, an editor that misread a lost response would
+//! edit twice, and a diff that left a change out would have it approved unseen.
+
+use std::{collections::BTreeSet, sync::Arc};
+
+use quickcheck::{QuickCheck, TestResult, quickcheck};
+use savorybeam::{
+    adapters::{
+        ini::parse_document,
+        store::{
+            VALUE_MAX, documents,
+            record::{self, RecordError},
+        },
+    },
+    domain::{Document, EntryId, Incarnation, Millis, Revision, ServiceName, Weight},
+    policy::document::{
+        Adoption, Content, Coverage, DocumentState, Edit, EditError, EditId, FORMER_MAX, Fate,
+        History, Stored, diff,
+    },
+    ports::{Record, Update},
+};
+
+const BASE: &str = "\
+[service]
+name = slotboard
+team = kitchens
+deadline = 5 s
+shift-cap = 40 rps
+
+[place north]
+region = nordurland
+az = nordurland-1
+weight = 60
+targets = 10.0.0.1:80, 10.0.0.2:80
+slots = 5
+
+[place south]
+region = reykjanes
+az = reykjanes-1
+weight = 40
+targets = 10.0.1.1:80, 10.0.1.2:80
+leaving = 10.0.1.2:80
+slots = 3
+
+[route /slots]
+lane = short
+
+[route /plans]
+lane = long
+priority = bulk
+";
+
+const EDITED: &str = "\
+[service]
+name = slotboard
+team = bookings
+deadline = 6 s
+shift-cap = 20 rps
+
+[place east]
+region = austurland
+az = austurland-1
+weight = 10
+state = leaving
+targets = 10.0.2.1:80, 10.0.2.2:80
+leaving = 10.0.2.2:80
+slots = 5
+
+[place south]
+region = nordurland
+az = nordurland-2
+weight = 55
+state = leaving
+targets = 10.0.1.2:80, 10.0.1.3:80
+slots = 4
+
+[route /plans]
+priority = critical
+idempotent = true
+
+[route /units]
+";
+
+fn document(text: &str) -> Document {
+    parse_document("test", text).expect("the document is good")
+}
+
+fn service() -> ServiceName {
+    "slotboard".parse().expect("the name is good")
+}
+
+fn lines<T: std::fmt::Display>(all: &[T]) -> String {
+    let all: Vec<String> = all.iter().map(ToString::to_string).collect();
+    all.join("\n")
+}
+
+/// Returns the content of a revision. The same revision always has the same
+/// content, and every third one is invalid.
+fn content(revision: u64) -> Content {
+    let mut doc = document(BASE);
+    doc.deadline = Millis(revision);
+    match revision % 6 {
+        0 | 3 => Content::Invalid(vec!["a fault".to_owned()]),
+        5 => Content::Deleted,
+        _ => Content::Document(Arc::new(doc)),
+    }
+}
+
+/// Feeds revisions in the order of `arrivals` to `adopt`, which returns the
+/// revision in effect, and checks that the latest valid one so far is in effect.
+fn follows_the_latest(
+    arrivals: Vec<u8>,
+    mut adopt: impl FnMut(Revision, Content) -> Revision,
+) -> bool {
+    let mut latest = Revision::default();
+    arrivals.into_iter().all(|n| {
+        let revision = Revision(u64::from(n));
+        let content = content(revision.0);
+        if !matches!(content, Content::Invalid(_)) {
+            latest = latest.max(revision);
+        }
+        adopt(revision, content) == latest
+    })
+}
+
+quickcheck! {
+    fn adoption_never_goes_back(arrivals: Vec<u8>) -> bool {
+        let mut state = DocumentState::new(service());
+        let mut reported = BTreeSet::new();
+        let follows = follows_the_latest(arrivals, |revision, content| {
+            if let Adoption::Rejected(event) = state.adopt(revision, content) {
+                assert!(reported.insert(event.rejected), "an invalid revision is reported once");
+            }
+            state.revision()
+        });
+        let held = match content(state.revision().0) {
+            Content::Document(document) => Some(document),
+            _ => None,
+        };
+        let expected = if state.revision() == Revision::default() { None } else { held };
+        follows && state.document() == expected.as_ref()
+    }
+
+    fn coverage_ignores_the_order_of_reports(reports: Vec<(u8, u8, u8)>) -> bool {
+        let feed = |reports: &mut dyn Iterator<Item = &(u8, u8, u8)>| {
+            let mut coverage = Coverage::default();
+            for (entry, life, revision) in reports {
+                let entry: EntryId = format!("e{}", entry % 4).parse().expect("the name is good");
+                coverage.report(entry, Incarnation(u64::from(life % 3)), Revision(u64::from(*revision)));
+            }
+            coverage
+        };
+        let twice = || reports.iter().chain(&reports);
+        feed(&mut reports.iter()) == feed(&mut twice().rev())
+    }
+
+    fn a_diff_lists_changes_and_nothing_else(weights: (u8, u8), swap: bool) -> bool {
+        let old = document(BASE);
+        let mut new = old.clone();
+        new.places[0].weight = Weight(u32::from(weights.0));
+        new.places[1].weight = Weight(u32::from(weights.1));
+        let changed = (0..2).filter(|n| old.places[*n].weight != new.places[*n].weight).count();
+        if swap {
+            new.places.reverse();
+            new.routes.reverse();
+            new.places[0].targets.reverse();
+        }
+        diff(Some(&old), Some(&new)).len() == changed
+    }
+}
+
+/// Shows that the property above has teeth: the naive version, which adopts
+/// whatever arrives last, fails it.
+#[test]
+fn naive_adoption_fails_the_property() {
+    fn naive(arrivals: Vec<u8>) -> bool {
+        follows_the_latest(arrivals, |revision, _| revision)
+    }
+    let result = QuickCheck::new().quicktest(naive as fn(Vec<u8>) -> bool);
+    assert!(result.is_err(), "the naive version passes the property");
+}
+
+#[test]
+fn an_invalid_revision_leaves_the_last_valid_one_in_effect() {
+    let mut state = DocumentState::new(service());
+    let mut log = Vec::new();
+    let mut other = document(BASE);
+    other.service = "bokun".parse().expect("the name is good");
+    let arrivals = [
+        (
+            3,
+            Content::Invalid(vec!["line 1".to_owned(), "line 2".to_owned()]),
+        ),
+        (2, content(2)),
+        (6, content(6)),
+        (6, content(6)),
+        (4, content(4)),
+        (7, Content::Document(Arc::new(other))),
+        (11, content(11)),
+        (10, content(10)),
+    ];
+    for (revision, content) in arrivals {
+        let adoption = state.adopt(Revision(revision), content);
+        let word = match &adoption {
+            Adoption::Adopted {
+                former_revision, ..
+            } => format!("adopted after {former_revision}"),
+            Adoption::Stale { current } => format!("stale, at {current}"),
+            Adoption::Rejected(event) => event.to_string(),
+        };
+        let document = state.document().map(|d| d.deadline.to_string());
+        log.push(format!(
+            "{revision}: {word}; in effect {} with {document:?}, judged {}",
+            state.revision(),
+            state.judged()
+        ));
+    }
+    insta::assert_snapshot!(lines(&log));
+}
+
+#[test]
+fn a_diff_names_every_kind_of_change() {
+    let (old, new) = (document(BASE), document(EDITED));
+    let parts = [
+        lines(&diff(Some(&old), Some(&new))),
+        lines(&diff(None, Some(&old))),
+        lines(&diff(Some(&old), None)),
+        lines(&diff(Some(&old), Some(&old))),
+    ];
+    insta::assert_snapshot!(parts.join("\n---\n"));
+}
+
+#[test]
+fn coverage_shows_who_is_behind() {
+    let name = |n: &str| n.parse::<EntryId>().expect("the name is good");
+    let members = ["e1", "e2", "e3", "e4"].map(name);
+    let mut coverage = Coverage::default();
+    coverage.report(name("e1"), Incarnation(1), Revision(9));
+    coverage.report(name("e2"), Incarnation(1), Revision(7));
+    coverage.report(name("e3"), Incarnation(1), Revision(9));
+    // The restarted entry has no document yet, whatever its former life had.
+    coverage.report(name("e3"), Incarnation(2), Revision(0));
+    coverage.report(name("e3"), Incarnation(1), Revision(12));
+    let partly = coverage.view(Revision(9), &members);
+    for member in &members[1..] {
+        coverage.report(member.clone(), Incarnation(3), Revision(10));
+    }
+    let whole = coverage.view(Revision(9), &members);
+    assert!(!partly.complete() && whole.complete());
+    assert!(!coverage.view(Revision(9), &[]).complete());
+    insta::assert_snapshot!(lines(&[partly, whole]));
+}
+
+fn edit(id: u128, text: &str) -> Edit {
+    Edit {
+        id: EditId(id),
+        team: "kitchens".parse().expect("the name is good"),
+        wall: Millis(1_000),
+        text: Some(text.to_owned()),
+    }
+}
+
+/// A register with compare-and-swap, as the store has it.
+#[derive(Clone, Default)]
+struct Register {
+    counter: u64,
+    stored: Option<Stored>,
+}
+
+impl Register {
+    fn write(&mut self, expected: Revision, history: History) -> Option<Revision> {
+        let found = self
+            .stored
+            .as_ref()
+            .map_or(Revision::default(), |s| s.revision);
+        if found != expected {
+            return None;
+        }
+        self.counter += 1;
+        let revision = Revision(self.counter);
+        self.stored = Some(Stored { revision, history });
+        Some(revision)
+    }
+
+    fn edit(&mut self, id: u128) {
+        let expected = self
+            .stored
+            .as_ref()
+            .map_or(Revision::default(), |s| s.revision);
+        let history = History::extend(self.stored.clone(), None, edit(id, "text"));
+        self.write(expected, history.expect("no base is given"));
+    }
+}
+
+/// Runs one edit whose response is lost, between edits of others, and compares
+/// what `judge` makes of a later read with what happened.
+fn judges_truly(
+    (before, rival, arrives, after): (u8, bool, bool, u8),
+    judge: impl Fn(EditId, Revision, Option<&Stored>) -> Fate,
+) -> TestResult {
+    let mut register = Register::default();
+    (0..u128::from(before % 30)).for_each(|n| register.edit(1_000 + n));
+    let expected = register
+        .stored
+        .as_ref()
+        .map_or(Revision::default(), |s| s.revision);
+    let own = History::extend(register.stored.clone(), None, edit(1, "text")).expect("no base");
+    if rival {
+        register.edit(2);
+    }
+    let written = arrives
+        .then(|| register.write(expected, own.clone()))
+        .flatten();
+    (0..u128::from(after % 30)).for_each(|n| register.edit(2_000 + n));
+    let fate = judge(EditId(1), expected, register.stored.as_ref());
+    // What the writer is told must hold even if the write arrives now.
+    let late = register.clone().write(expected, own);
+    let known = u64::from(after % 30) < FORMER_MAX as u64;
+    TestResult::from_bool(match fate {
+        Fate::InEffect(own) | Fate::Superseded { own, .. } => written == Some(own),
+        Fate::Lost(_) => written.is_none() && late.is_none(),
+        Fate::Open => written.is_none() && late.is_some(),
+        Fate::Unknown => !known,
+    })
+}
+
+quickcheck! {
+    fn a_lost_response_is_settled_truly(case: (u8, bool, bool, u8)) -> TestResult {
+        judges_truly(case, History::fate)
+    }
+
+    fn edit_ids_read_back(high: u64, low: u64) -> bool {
+        let id = EditId(u128::from(high) << 64 | u128::from(low));
+        id.to_string().parse() == Ok(id)
+    }
+
+    fn records_read_back(texts: Vec<Option<String>>) -> bool {
+        let mut register = Register::default();
+        for (n, text) in texts.into_iter().enumerate() {
+            let expected = register.stored.as_ref().map_or(Revision::default(), |s| s.revision);
+            let edit = Edit { text, ..edit(n as u128, "") };
+            let history = History::extend(register.stored.clone(), None, edit).expect("no base");
+            register.write(expected, history);
+        }
+        register.stored.is_none_or(|s| {
+            let bytes = record::encode(&s.history).expect("the record is small");
+            record::decode(&bytes) == Ok(s.history)
+        })
+    }
+
+    fn any_value_is_an_arrival(value: Vec<u8>) -> bool {
+        let found = Record {
+            key: documents::key(&service()),
+            value: value.into(),
+            revision: Revision(1),
+        };
+        let arrivals = documents::arrivals(&Update::Put(found));
+        arrivals.len() == 1 && matches!(arrivals[0].content, Content::Invalid(_))
+    }
+}
+
+/// Shows that the property has teeth: a writer that takes any other edit in the
+/// record for its own defeat fails it.
+#[test]
+fn a_naive_judgement_fails_the_property() {
+    fn naive(case: (u8, bool, bool, u8)) -> TestResult {
+        judges_truly(case, |id, _, found| match found {
+            Some(s) if s.history.current.id == id => Fate::InEffect(s.revision),
+            Some(s) => Fate::Lost(s.revision),
+            None => Fate::Open,
+        })
+    }
+    let property = naive as fn((u8, bool, bool, u8)) -> TestResult;
+    let result = QuickCheck::new().tests(1_000).quicktest(property);
+    assert!(result.is_err(), "the naive version passes the property");
+}
+
+#[test]
+fn a_history_keeps_twenty_former_revisions() {
+    let mut register = Register::default();
+    (0..30).for_each(|n| register.edit(n));
+    let stored = register.stored.expect("there were edits");
+    let former = &stored.history.former;
+    assert_eq!(former.len(), FORMER_MAX);
+    assert_eq!(stored.at(Revision(30)).map(|e| e.id), Some(EditId(29)));
+    assert_eq!(stored.at(Revision(10)).map(|e| e.id), Some(EditId(9)));
+    assert_eq!(stored.at(Revision(9)), None);
+    let stale = History::extend(Some(stored), Some(Revision(29)), edit(99, "text"));
+    let conflict = EditError::Conflict {
+        base: Revision(29),
+        found: Revision(30),
+    };
+    assert_eq!(stale, Err(conflict));
+}
+
+/// Guards the store's limit: a record that is too large would make every further
+/// edit of the service fail.
+#[test]
+fn a_record_drops_old_revisions_to_fit() {
+    let text = "x".repeat(VALUE_MAX / 4);
+    let mut stored = None;
+    for n in 1..=6 {
+        let history = History::extend(stored, None, edit(n, &text)).expect("no base");
+        let bytes = record::encode(&history).expect("one text fits");
+        assert!(bytes.len() <= VALUE_MAX);
+        stored = Some(Stored {
+            revision: Revision(u64::try_from(n).expect("small")),
+            history: record::decode(&bytes).expect("the record is good"),
+        });
+    }
+    let stored = stored.expect("there were edits");
+    assert_eq!(
+        (stored.history.former.len(), stored.history.dropped),
+        (2, true)
+    );
+    // The record no longer tells what became of an edit of the first revision.
+    let fate = History::fate(EditId(99), Revision::default(), Some(&stored));
+    assert_eq!(fate, Fate::Unknown);
+    let alone = History::extend(None, None, edit(1, &"x".repeat(VALUE_MAX))).expect("no base");
+    assert!(matches!(
+        record::encode(&alone),
+        Err(RecordError::TooLarge(_))
+    ));
+}
+
+#[test]
+fn arrivals_say_what_a_revision_holds() {
+    let stored = |text: Option<&str>, before: Option<Stored>| {
+        let edit = Edit {
+            text: text.map(str::to_owned),
+            ..edit(1, "")
+        };
+        let revision = before.as_ref().map_or(Revision(4), |s| s.revision.next());
+        let history = History::extend(before, None, edit).expect("no base is given");
+        Stored { revision, history }
+    };
+    let put = |stored: &Stored| {
+        Update::Put(Record {
+            key: documents::key(&service()),
+            value: record::encode(&stored.history).expect("the record is small"),
+            revision: stored.revision,
+        })
+    };
+    let invalid = Some("[service]\nname = slotboard\n");
+    let good = stored(Some(BASE), None);
+    let twice = stored(invalid, Some(stored(invalid, Some(good.clone()))));
+    let updates = [
+        put(&good),
+        put(&stored(None, None)),
+        put(&stored(invalid, None)),
+        // A process that starts now takes the last valid revision from the
+        // history.
+        put(&twice),
+        Update::Delete(documents::key(&service()), Revision(5)),
+        Update::Delete("platform/vms/a".into(), Revision(6)),
+        Update::Delete("documents/Not A Name".into(), Revision(7)),
+    ];
+    let words = updates.map(|u| {
+        let arrivals = documents::arrivals(&u).into_iter().map(|a| {
+            let content = match a.content {
+                Content::Document(d) => format!("document of {}", d.team),
+                Content::Deleted => "deleted".to_owned(),
+                Content::Invalid(faults) => faults.join("; "),
+            };
+            format!("{} {}: {content}", a.service, a.revision)
+        });
+        let all: Vec<String> = arrivals.collect();
+        format!("{} arrivals\n{}", all.len(), lines(&all))
+    });
+    insta::assert_snapshot!(lines(&words));
+    let key = documents::key(&service());
+    assert_eq!(documents::service(&key), Some(service()));
+}
