Add the administration interface, the timeline, the metrics and dev

Cause: operators had no way to change a document or to see what an entry does, and a newcomer had to write settings and start six processes first.

Ruled out: volo-http's server for the administration, because it handles signals by itself; per-part clocks for events, because two parts of one entry could then disagree on the order; vector clocks, because their size grows with the fleet.

Change: policy/timeline gives events the stamps of a hybrid logical clock, policy/admin decides which edits are allowed, adapters/metrics declares every metric in one table, app/entry/admin serves HTTP, and app/dev runs three entries, a store and two services in one process. The port to targets is wrapped to count what runs, so the code that carries requests is unchanged.

--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -8,4 +8,5 @@
 pub mod grpc;
 pub mod http;
 pub mod ini;
+pub mod metrics;
 pub mod store;
--- a/src/app/cli/entry.rs
+++ b/src/app/cli/entry.rs
@@ -1,6 +1,6 @@
 //! `savorybeam entry`.
 
-use std::{fs, path::PathBuf};
+use std::{fs, path::PathBuf, sync::Arc};
 
 use eyre::{WrapErr, bail};
 use tokio::signal::unix::{SignalKind, signal};
@@ -9,17 +9,30 @@
     adapters::{
         clock, http,
         ini::{Fault, parse_document, parse_settings},
+        metrics,
+        store::{Calls, etcd},
     },
     app::entry::{self, Ports},
-    domain::Revision,
+    domain::{Millis, Revision},
 };
 
+/// How long a call to the store may take. It answers in milliseconds, and 70 ms
+/// more between regions.
+const STORE_TIMEOUT: Millis = Millis(1_000);
+
 /// Runs an entry until SIGTERM or SIGINT.
 pub(super) async fn run(settings: PathBuf, documents: Vec<PathBuf>) -> eyre::Result<()> {
     let settings = read(&settings, parse_settings)?;
     let clock = clock::open();
     let targets = http::open(clock.clone());
-    let entry = entry::spawn(settings, Ports { clock, targets }).await?;
+    let calls = Arc::<Calls>::default();
+    let ports = Ports {
+        store: etcd::open(&settings.store, STORE_TIMEOUT, calls.clone()),
+        metrics: metrics::open(calls),
+        clock,
+        targets,
+    };
+    let entry = entry::spawn(settings, ports).await?;
     for path in documents {
         let doc = read(&path, parse_document)?;
         entry.state.adopt(&doc, Revision::default());
--- a/src/app/cli/mod.rs
+++ b/src/app/cli/mod.rs
@@ -4,6 +4,7 @@
 //! can be piped on. Exit codes are 0 for done, 1 for failed, 2 for wrong use.
 
 mod check;
+mod dev;
 mod entry;
 mod options;
 
@@ -28,6 +29,7 @@
     log(options.json);
     let result = match options.command {
         Command::Check { files } => check::run(&files),
+        Command::Dev { seconds } => block_on(dev::run(seconds)),
         Command::Entry {
             settings,
             documents,
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -26,6 +26,16 @@
         #[bpaf(positional("FILE"), some("a file to check is needed"))]
         files: Vec<PathBuf>,
     },
+    /// Runs three entries, a store and two sample services on loopback
+    ///
+    /// Prints one JSON line with the addresses when ready. Example: savorybeam
+    /// dev --for 60
+    #[bpaf(command)]
+    Dev {
+        /// Stop after this time
+        #[bpaf(long("for"), argument("SECONDS"), optional)]
+        seconds: Option<u64>,
+    },
     /// Runs the process of an entry VM
     ///
     /// Example: savorybeam entry --settings /etc/savorybeam/entry.ini
--- /dev/null
+++ b/src/app/dev/sample.rs
@@ -0,0 +1,77 @@
+//! The sample services of `dev`.
+
+use std::net::SocketAddr;
+
+use eyre::{WrapErr, eyre};
+
+use crate::{
+    adapters::store::documents::submit,
+    domain::{ServiceName, TeamName},
+    policy::document::{Edit, EditId},
+    ports::{Clock, Store},
+};
+
+/// The services, which one team owns.
+pub(super) const SERVICES: [&str; 2] = ["slotboard", "bokun"];
+
+/// The team.
+const TEAM: &str = "kitchens";
+
+/// The places with their availability zones. Each has one entry, and one target
+/// of each service.
+pub(super) const PLACES: [(&str, &str); 3] = [
+    ("reykjanes", "reykjanes-1"),
+    ("nordurland", "nordurland-1"),
+    ("austurland", "austurland-1"),
+];
+
+/// Returns the settings of an entry.
+pub(super) fn settings(n: usize, token: &str) -> String {
+    let (region, az) = PLACES[n];
+    let regions = PLACES.map(|(r, _)| format!("[region {r}]\nheadroom = 2000 rps\n"));
+    // The store is embedded, so nothing connects to the endpoint.
+    format!(
+        "[entry]\nname = e{n}\nregion = {region}\naz = {az}\n\
+         callers = 127.0.0.1:0\nadmin = 127.0.0.1:0\npeers = 127.0.0.1:0\nlinger = 0 ms\n\
+         [store]\nendpoints = 127.0.0.1:1\n[team {TEAM}]\ntoken = {token}\n{}",
+        regions.concat()
+    )
+}
+
+/// Puts the document of a service into the store.
+pub(super) async fn put(
+    store: &Store,
+    clock: &Clock,
+    service: &str,
+    targets: &[SocketAddr],
+) -> eyre::Result<()> {
+    let name: ServiceName = service.parse()?;
+    let team: TeamName = TEAM.parse()?;
+    let edit = Edit {
+        id: EditId::random(&mut rand::rng()),
+        team,
+        wall: (clock.wall)(),
+        text: Some(document(service, targets)),
+    };
+    let put = submit(store, &name, None, edit).await;
+    put.map_err(|e| eyre!(e))
+        .wrap_err_with(|| format!("put the document of {service}"))?;
+    Ok(())
+}
+
+fn document(service: &str, targets: &[SocketAddr]) -> String {
+    let head =
+        format!("[service]\nname = {service}\nteam = {TEAM}\ndeadline = 5 s\nshift-cap = 40 rps\n");
+    let places = PLACES.iter().zip(targets).map(|((region, az), target)| {
+        format!(
+            "\n[place {az}]\nregion = {region}\naz = {az}\nweight = 100\nslots = {}\ntargets = {target}\n",
+            super::SLOTS
+        )
+    });
+    let routes = "\n[route /bytes]\nlane = long\npriority = bulk\n";
+    [head]
+        .into_iter()
+        .chain(places)
+        .chain([routes.to_owned()])
+        .collect()
+}
