--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,16 +6,15 @@
 //! callers in [`app`](crate::app) must carry state and messages to and fro.
 //! `tests/shape.rs` holds that nothing in here imports an adapter or a runtime.
 
+pub mod crash;
 pub mod document;
 pub mod drain;
-pub mod lookup;
 pub mod limit;
-pub mod crash;
+pub mod lookup;
 pub mod once;
-pub mod refusal;
-pub mod shift;
 pub mod queue;
 pub mod refusal;
 pub mod retry;
+pub mod shift;
 pub mod silence;
 pub mod target;
