Add membership of entries, dissemination of revisions and the gRPC transport

Cause: entries need to know which others are usable, to learn of document revisions without a store watch each, and a transport for their messages.

Ruled out: heartbeats to all (messages per entry grow with the fleet), direct probes alone (one cut direction of one link causes suspicion again and again), refutation by a higher incarnation (it would look like a restart to roster seats, units and claims, so records carry a version within an incarnation), pushed bodies (two of three would be duplicates).

Change: policy/member has the SWIM state machine, the view comparison and the roster rules. policy/spread has announcements, pulls, the hash comparison and the choice of watch holders. adapters/grpc has Routes, bind, Peers and the messages Probe, Relay, Sync and Fetch.

Conclusion: the interface is ready to be wired in.

--- /dev/null
+++ b/src/adapters/grpc/mod.rs
@@ -0,0 +1,34 @@
+//! Messages between entries, over gRPC.
+//!
+//! All methods of `savorybeam.peer.v1.Peer` are unary. A method is a closure
+//! over prost messages that is registered in [`Routes`], so each protocol
+//! (gossip, limits, claims) keeps its messages in a file of its own and no code
+//! is generated. The cost is that there is no `.proto` file for other languages
+//! to read. See [docs/design.md](../../../docs/design.md), section 5.
+
+mod fetch;
+mod gossip;
+mod head;
+mod peers;
+mod server;
+mod traffic;
+
+pub use fetch::{
+    DocumentBody, Fetch, FetchMessage, FetchReply, FetchReplyMessage, fetch, serve_fetch,
+};
+pub use gossip::{
+    Ack, MemberRecord, Probe, ProbeMessage, Relay, RelayMessage, Sync, SyncMessage, SyncReply,
+    SyncReplyMessage, probe, relay, serve_probe, serve_relay, serve_sync, sync,
+};
+pub use head::{Head, Sender, malformed};
+pub use peers::{CallError, Peers, Step};
+pub use server::{Routes, Server, bind};
+pub use tonic::Status;
+pub use traffic::{Counts, Traffic};
+
+/// The service that all methods belong to.
+pub const SERVICE: &str = "savorybeam.peer.v1.Peer";
+
+/// The most bytes of one message. Larger replies would delay others on the same
+/// link; whoever has more to send splits it.
+pub const MESSAGE_MAX: usize = 256 * 1024;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,4 +6,6 @@
 //! callers in [`app`](crate::app) must carry state and messages to and fro.
 //! `tests/shape.rs` holds that nothing in here imports an adapter or a runtime.
 
+pub mod member;
 pub mod refusal;
+pub mod spread;
--- /dev/null
+++ b/tests/member.rs
@@ -0,0 +1,397 @@
+//! Guards the membership of entries: a false failure takes capacity out of use,
+//! a missed one sends callers to a dead entry.
+
+mod fleet;
+mod records;
+
+use std::collections::BTreeMap;
+
+use fleet::Fleet;
+use prost::Message;
+use quickcheck::quickcheck;
+use records::{id, member};
+use savorybeam::{
+    adapters::grpc::MemberRecord,
+    domain::{EntryId, Epoch, Incarnation, Millis},
+    policy::member::{
+        Load, Member, Members, Proposer, Roster, State, Tuning, UPDATE_BYTES, Version, Vm,
+        next_roster, proposers,
+    },
+};
+
+const MINUTE: Millis = Millis(60_000);
+
+fn count(fleet: &Fleet, word: &str) -> usize {
+    fleet.timeline.iter().filter(|e| e.contains(word)).count()
+}
+
+fn whole(fleet: &Fleet) -> bool {
+    let everyone = fleet.nodes.len();
+    fleet.nodes.iter().all(|m| m.alive().count() == everyone)
+}
+
+/// Fails if an entry that knows one seed does not learn of the others.
+#[test]
+fn a_fleet_forms_from_one_seed() {
+    let mut fleet = Fleet::new(9, 1, Tuning::default());
+    fleet.run(Millis(5_000));
+    assert!(whole(&fleet), "{:#?}", fleet.views());
+    assert_eq!(count(&fleet, "suspected"), 0);
+}
+
+/// Fails if a crash is missed, or is noticed by only some of the entries.
+#[test]
+fn a_crash_is_noticed_by_all() {
+    let mut fleet = Fleet::formed(5, 2, Tuning::default());
+    fleet.paused = vec![3];
+    fleet.run(Millis(12_000));
+    insta::assert_snapshot!(fleet.timeline.join("\n"));
+}
+
+/// Fails if lost messages take live entries out of use.
+#[test]
+fn a_tenth_of_messages_lost_fails_nobody() {
+    let mut fleet = Fleet::formed(9, 3, Tuning::default());
+    fleet.loss = 10;
+    fleet.run(Millis(20 * MINUTE.0));
+    assert_eq!(count(&fleet, "failed"), 0);
+    assert!(whole(&fleet));
+}
+
+/// Fails if one direction of one link makes an entry suspect. Direct probes
+/// alone do: the suspicion comes up again and again.
+#[test]
+fn an_asymmetric_cut_is_bridged_by_relays() {
+    let run = |relays| {
+        let tuning = Tuning {
+            relays,
+            ..Tuning::default()
+        };
+        let mut fleet = Fleet::formed(9, 4, tuning);
+        fleet.cuts = vec![(1, 2)];
+        fleet.run(Millis(5 * MINUTE.0));
+        count(&fleet, "suspected")
+    };
+    assert_eq!(run(3), 0);
+    assert!(run(0) > 20, "the naive version is expected to fail");
+}
+
+/// Fails if an entry that was paused for long stays out of use, keeps its old
+/// record, or blames the others for its own pause.
+#[test]
+fn a_paused_entry_refutes_and_returns() {
+    let mut fleet = Fleet::formed(5, 5, Tuning::default());
+    fleet.paused = vec![2];
+    fleet.run(Millis(20_000));
+    assert!(fleet.views().iter().filter(|v| !v.contains(" 2")).count() == 4);
+    fleet.timeline.clear();
+    fleet.paused.clear();
+    fleet.run(Millis(70_000));
+    assert!(whole(&fleet), "{:#?}", fleet.views());
+    assert_eq!(fleet.nodes[2].me().incarnation, Incarnation(1));
+    assert!(fleet.nodes[2].me().version > Version(0));
+    insta::assert_snapshot!(fleet.timeline.join("\n"));
+}
+
+/// Fails if callers are still sent to a leaving entry after a second, or if a
+/// suspicion brings it back into use.
+#[test]
+fn leaving_spreads_at_once_and_stays() {
+    let mut fleet = Fleet::formed(30, 6, Tuning::default());
+    fleet.nodes[4].leave();
+    fleet.run(Millis(500));
+    let uses = |m: &&Members| m.alive().any(|o| o.id == id(4));
+    assert_eq!(fleet.nodes.iter().filter(uses).count(), 0);
+    fleet.paused = vec![4];
+    for _ in 0..300 {
+        fleet.run(Millis(100));
+        assert_eq!(fleet.nodes.iter().filter(uses).count(), 0);
+    }
+    let failed = |m: &Members| m.get(&id(4)).is_some_and(|(_, s)| s == State::Dead);
+    assert_eq!(fleet.nodes.iter().filter(|m| failed(m)).count(), 29);
+}
+
+/// Fails if a partition of an hour leaves the sides apart, or if its end takes
+/// entries out of use that could be reached all the time.
+#[test]
+fn an_hour_of_partition_heals() {
+    let west = |n: usize| n.is_multiple_of(3);
+    let mut fleet = Fleet::formed(9, 7, Tuning::default());
+    fleet.cut_both(west);
+    fleet.run(Millis(60 * MINUTE.0));
+    insta::assert_snapshot!(fleet.views().join("\n"));
+    fleet.cuts.clear();
+    for _ in 0..1_200 {
+        fleet.run(Millis(100));
+        for (n, m) in fleet.nodes.iter().enumerate() {
+            let near = m
+                .alive()
+                .filter(|o| (0..9).any(|k| west(k) == west(n) && o.id == id(k)));
+            assert_eq!(
+                near.count(),
+                if west(n) { 3 } else { 6 },
+                "{:#?}",
+                fleet.views()
+            );
+        }
+    }
+    assert!(whole(&fleet), "{:#?}", fleet.views());
+}
+
+/// Shows that probes of dead members are what heals a partition: without them
+/// the sides stay apart.
+#[test]
+fn without_probes_of_dead_members_a_partition_stays() {
+    let tuning = Tuning {
+        revisit: Millis(1_000 * MINUTE.0),
+        ..Tuning::default()
+    };
+    let mut fleet = Fleet::formed(9, 7, tuning);
+    fleet.cut_both(|n| n.is_multiple_of(3));
+    fleet.run(Millis(5 * MINUTE.0));
+    fleet.cuts.clear();
+    fleet.run(Millis(10 * MINUTE.0));
+    assert!(!whole(&fleet), "the naive version is expected to fail");
+}
+
+/// Fails if the messages of each entry grow with the fleet, as heartbeats to all
+/// others do.
+#[test]
+fn the_messages_of_an_entry_do_not_grow_with_the_fleet() {
+    let rate = |count: usize| {
+        let mut fleet = Fleet::formed(count, 8, Tuning::default());
+        fleet.run(MINUTE);
+        fleet.sent / u64::try_from(count).expect("few members")
+    };
+    let (small, large) = (rate(9), rate(90));
+    assert!(large <= small * 11 / 10, "{small} and {large} a minute");
+    let heartbeats = |count: u64| 60 * (count - 1);
+    assert!(
+        heartbeats(90) > heartbeats(9) * 10,
+        "the naive version grows"
+    );
+}
+
+/// Fails if a message outgrows one packet, or if records are sent for ever.
+#[test]
+fn piggybacked_records_are_bounded_in_size_and_number() {
+    let mut members = Members::new(member(0), Vec::new(), Tuning::default());
+    for n in 1..400 {
+        members.on_update(Millis(0), member(n));
+    }
+    let mut sizes = Vec::new();
+    for _ in 0..2_000 {
+        let updates = members.on_probe(Millis(0), &id(1), Vec::new());
+        let bytes = updates.iter().map(|m| MemberRecord::new(m).encoded_len());
+        sizes.push(bytes.sum::<usize>());
+    }
+    assert!(sizes.iter().all(|s| *s <= UPDATE_BYTES));
+    assert!(
+        sizes[0] > UPDATE_BYTES / 2,
+        "a message is not used: {}",
+        sizes[0]
+    );
+    let last = members.on_probe(Millis(0), &id(1), Vec::new());
+    assert_eq!(last, [member(0)]);
+}
+
+/// Fails if a report of a death takes effect before the member could refute it.
+/// With the order of records alone, it would.
+#[test]
+fn a_report_of_death_can_be_refuted() {
+    let mut members = Members::new(member(0), Vec::new(), Tuning::default());
+    members.on_update(Millis(0), member(1));
+    let dead = Member {
+        state: State::Dead,
+        ..member(1)
+    };
+    assert!(dead.supersedes(&member(1)));
+    members.on_update(Millis(0), dead);
+    assert_eq!(members.get(&id(1)).map(|m| m.1), Some(State::Suspect));
+    let refuted = Member {
+        version: Version(1),
+        ..member(1)
+    };
+    members.on_update(Millis(100), refuted);
+    assert_eq!(members.get(&id(1)).map(|m| m.1), Some(State::Alive));
+}
+
+/// Fails if a process goes on under a name that a later incarnation has taken.
+#[test]
+fn a_superseded_process_is_told() {
+    let mut members = Members::new(member(0), Vec::new(), Tuning::default());
+    let successor = Member {
+        incarnation: Incarnation(7),
+        ..member(0)
+    };
+    members.on_update(Millis(5), successor);
+    let events: Vec<_> = members.events().iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(events.join("\n"), @"5 ms: entry-0 superseded by incarnation 7");
+}
+
+fn update((n, incarnation, version, state): (u8, u8, u8, u8)) -> Member {
+    let states = [State::Alive, State::Suspect, State::Leaving, State::Dead];
+    Member {
+        incarnation: Incarnation(u64::from(incarnation % 3)),
+        version: Version(u64::from(version % 3)),
+        state: states[usize::from(state % 4)],
+        ..member(1 + usize::from(n % 3))
+    }
+}
+
+fn kept(members: &Members) -> BTreeMap<EntryId, Member> {
+    let all = members.all().map(|(m, _)| (m.id.clone(), m.clone()));
+    all.collect()
+}
+
+quickcheck! {
+    /// Fails if two entries that received the same records in another order
+    /// differ for good.
+    fn the_order_of_updates_does_not_matter(updates: Vec<(u8, u8, u8, u8)>, turn: usize) -> bool {
+        let mut forth = Members::new(member(0), Vec::new(), Tuning::default());
+        let mut back = forth.clone();
+        for u in &updates {
+            forth.on_update(Millis(0), update(*u));
+        }
+        let turn = turn % updates.len().max(1);
+        for u in updates[turn..].iter().chain(&updates[..turn]).rev() {
+            back.on_update(Millis(0), update(*u));
+        }
+        kept(&forth) == kept(&back)
+    }
+
+    /// Fails if a late message of a former life displaces a later one.
+    fn an_older_incarnation_never_overrides(updates: Vec<(u8, u8, u8, u8)>) -> bool {
+        let mut members = Members::new(member(0), Vec::new(), Tuning::default());
+        updates.iter().map(|u| update(*u)).all(|u| {
+            let before = kept(&members).get(&u.id).map(|m| m.incarnation);
+            members.on_update(Millis(0), u.clone());
+            kept(&members).get(&u.id).map(|m| m.incarnation) >= before
+        })
+    }
+
+    /// Fails if a record changes on the way, or outgrows the bound that keeps a
+    /// message within one packet.
+    fn records_read_back(n: u8, life: u64, version: u64, state: u8, ip: u128, load: u8) -> bool {
+        let loads = [Load::Normal, Load::High, Load::Severe];
+        let member = Member {
+            incarnation: Incarnation(life),
+            version: Version(version),
+            load: loads[usize::from(load % 3)],
+            admin: (std::net::Ipv6Addr::from(ip), u16::from(n)).into(),
+            ..update((n, 0, 0, state))
+        };
+        let record = MemberRecord::new(&member);
+        let bytes = record.encode_to_vec();
+        let framed = bytes.len() + 2 <= member.size();
+        let read = MemberRecord::decode(bytes.as_slice()).expect("it was encoded");
+        framed && read.read() == Ok(member)
+    }
+}
+
+fn vm(incarnation: u64, leaving: bool) -> Vm {
+    Vm {
+        incarnation: Incarnation(incarnation),
+        leaving,
+    }
+}
+
+fn show(roster: Option<&Roster>) -> String {
+    let seat = |s: &savorybeam::policy::member::Seat| format!("{}.{}", s.entry, s.incarnation);
+    roster.map_or("no change".to_owned(), |r| {
+        let seats: Vec<_> = r.seats.iter().map(seat).collect();
+        format!("epoch {}: {}", r.epoch, seats.join(" "))
+    })
+}
+
+/// Fails if a seat is removed without the platform's word, since its units could
+/// then be used twice, or if an entry joins before the platform lists its VM,
+/// since its absence would then look like its end.
+#[test]
+fn the_roster_follows_the_platform() {
+    let vms = |list: &[(usize, Vm)]| -> BTreeMap<EntryId, Vm> {
+        list.iter().map(|(n, v)| (id(*n), v.clone())).collect()
+    };
+    let three = vms(&[(0, vm(0, false)), (1, vm(0, false)), (2, vm(0, false))]);
+    let live: Vec<Member> = (0..3).map(member).collect();
+    let first = next_roster(&Roster::default(), live.iter(), &three);
+    let start = first.clone().expect("members join");
+    let restarted = Member {
+        incarnation: Incarnation(2),
+        ..member(1)
+    };
+    let cases = [
+        ("three members join at once", first),
+        ("nothing changed", next_roster(&start, live.iter(), &three)),
+        (
+            "two are dead for gossip only",
+            next_roster(&start, live.iter().take(1), &three),
+        ),
+        (
+            "a fourth is not listed yet",
+            next_roster(&start, live.iter().chain(&[member(3)]), &three),
+        ),
+        (
+            "a VM is gone",
+            next_roster(
+                &start,
+                live.iter(),
+                &vms(&[(0, vm(0, false)), (2, vm(0, false))]),
+            ),
+        ),
+        (
+            "a VM is leaving",
+            next_roster(
+                &start,
+                live.iter(),
+                &vms(&[(0, vm(0, false)), (1, vm(0, true)), (2, vm(0, false))]),
+            ),
+        ),
+        (
+            "an entry restarted, the platform says nothing",
+            next_roster(
+                &start,
+                [member(0), restarted.clone(), member(2)].iter(),
+                &three,
+            ),
+        ),
+        (
+            "an entry restarted, the former process is gone",
+            next_roster(
+                &start,
+                [member(0), restarted, member(2)].iter(),
+                &vms(&[(0, vm(0, false)), (1, vm(2, false)), (2, vm(0, false))]),
+            ),
+        ),
+    ];
+    let lines: Vec<_> = cases
+        .iter()
+        .map(|(what, r)| format!("{what}: {}", show(r.as_ref())))
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Fails if a proposer that cannot reach the store holds up changes, or if all
+/// entries propose at once.
+#[test]
+fn proposers_take_turns() {
+    let live: Vec<Member> = (0..3).map(member).collect();
+    let ranked = |epoch| -> Vec<_> {
+        proposers(Epoch(epoch), live.iter())
+            .into_iter()
+            .cloned()
+            .collect()
+    };
+    let order: Vec<_> = (0..4).map(ranked).collect();
+    insta::assert_debug_snapshot!(order);
+    let mut times = Vec::new();
+    for rank in 0..3 {
+        let mut proposer = Proposer::default();
+        let due: Vec<u64> = (0..120)
+            .map(|t| t * 100)
+            .filter(|t| proposer.due(Millis(*t), rank, true))
+            .collect();
+        times.push(due);
+    }
+    insta::assert_debug_snapshot!(times);
+}
