--- a/src/policy/spread/digest.rs
+++ b/src/policy/spread/digest.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::BTreeMap, fmt, str::FromStr};
 
+use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::domain::{ParseError, Revision, ServiceName};
@@ -125,12 +126,11 @@
     }
 
     /// Returns the revisions in the buckets that differ from `theirs`, in whole
-    /// buckets up to the size limit. The first bucket depends on the peer's
-    /// hashes, so a difference that persists does not hide the ones after it.
-    pub(super) fn differing(&self, theirs: &Summary) -> Vec<Announcement> {
+    /// buckets up to the size limit. The first bucket is random, so buckets whose
+    /// difference persists cannot hide the ones after them for good.
+    pub(super) fn differing(&self, theirs: &Summary, rng: &mut impl Rng) -> Vec<Announcement> {
         let mine = self.summary();
-        let start = theirs.0.iter().fold(0, |sum, h| sum ^ h);
-        let start = usize::try_from(start).unwrap_or_default() % BUCKETS;
+        let start = rng.random_range(0..BUCKETS);
         let mut by_bucket: BTreeMap<usize, Vec<Announcement>> = BTreeMap::new();
         for (service, revision) in &self.revisions {
             let at = bucket(service);
--- a/src/policy/spread/known.rs
+++ b/src/policy/spread/known.rs
@@ -162,8 +162,8 @@
 
     /// Returns this entry's revisions in the buckets that differ from a peer's.
     #[must_use]
-    pub fn on_compare(&self, summary: &Summary) -> Vec<Announcement> {
-        self.index.differing(summary)
+    pub fn on_compare(&self, summary: &Summary, rng: &mut impl Rng) -> Vec<Announcement> {
+        self.index.differing(summary, rng)
     }
 
     /// Takes the end of a pull of `services`, after each received body was
