--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -18,3 +18,6 @@
 pub mod shift;
 pub mod silence;
 pub mod target;
+pub mod member;
+pub mod refusal;
+pub mod spread;
