--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -7,10 +7,12 @@
 //! that no refusal could truthfully say `not-run`. See
 //! [docs/design.md](../../../docs/design.md), section 6.
 
+mod query;
 mod refusal;
 mod server;
 mod target;
 
+pub use query::Query;
 pub use refusal::{CODE, OUTCOME, answer};
 pub use server::{BindError, Limits, Server, bind};
 pub use target::open;
--- /dev/null
+++ b/src/adapters/metrics/table.rs
@@ -0,0 +1,82 @@
+//! The table of all metrics.
+
+use std::fmt;
+
+/// One metric as the documentation lists it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Row {
+    /// The name without prefix, unit and suffix.
+    pub base: &'static str,
+    /// The name in the output of `/metrics`.
+    pub name: &'static str,
+    /// The unit.
+    pub unit: &'static str,
+    /// The labels.
+    pub labels: &'static str,
+    /// What it counts.
+    pub help: &'static str,
+}
+
+/// Prints a row of a Markdown table.
+impl fmt::Display for Row {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let labels = if self.labels.is_empty() {
+            "–".to_owned()
+        } else {
+            format!("`{}`", self.labels.replace(", ", "`, `"))
+        };
+        write!(
+            f,
+            "| `{}` | {} | {labels} | {} |",
+            self.name, self.unit, self.help
+        )
+    }
+}
+
+macro_rules! rows {
+    ($($var:ident = $base:literal $name:literal, $unit:literal, $labels:literal, $help:literal;)+) => {
+        $(pub(super) const $var: Row = Row {
+            base: $base,
+            name: $name,
+            unit: $unit,
+            labels: $labels,
+            help: $help,
+        };)+
+
+        /// Every metric, in the order of the output.
+        pub const TABLE: &[Row] = &[$($var),+];
+    };
+}
+
+rows! {
+    REQUESTS = "requests" "savorybeam_requests_total", "requests", "service, code, outcome",
+        "Requests by the target's status or the code of a failure.";
+    LATENCY = "request_latency" "savorybeam_request_latency_seconds", "seconds", "service",
+        "Time from the receipt of a request to the head of its answer.";
+    RUNNING = "requests_running" "savorybeam_requests_running", "requests", "service",
+        "Requests that run now, until the end of the answer's body.";
+    RETRIES = "retries" "savorybeam_retries_total", "requests", "service",
+        "Further attempts after a failed one.";
+    HEDGES = "hedges" "savorybeam_hedges_total", "requests", "service",
+        "Second attempts beside a slow first one.";
+    REFUSALS = "refusals" "savorybeam_refusals_total", "requests", "service, code",
+        "Requests that were refused before they ran.";
+    REVISION = "document_revision" "savorybeam_document_revision", "revision", "service",
+        "The revision in effect at this entry.";
+    EDITS = "edits" "savorybeam_edits_total", "edits", "code",
+        "Edits that were sent to this entry, by code.";
+    MEMBERS = "members" "savorybeam_members", "entries", "state",
+        "Entries by state, as this entry sees them.";
+    UNITS = "limit_units" "savorybeam_limit_units", "units", "limit, kind",
+        "Units of shared limits: home, lent, borrowed, used.";
+    EVENTS = "events" "savorybeam_events_total", "events", "part, kind",
+        "Events of the timeline.";
+    STORE_CALLS = "store_calls" "savorybeam_store_calls_total", "calls", "operation",
+        "Calls to the store, a watch counted once.";
+    STORE_FAILURES = "store_failures" "savorybeam_store_failures_total", "calls", "",
+        "Calls to the store without an answer.";
+    STORE_WATCHES = "store_watches" "savorybeam_store_watches", "watches", "",
+        "Watches that wait at the store now.";
+    STORE_UP = "store_up" "savorybeam_store_up", "0 or 1", "",
+        "Whether the latest call to the store got an answer.";
+}
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -7,4 +7,5 @@
 pub mod clock;
 pub mod http;
 pub mod ini;
+pub mod metrics;
 pub mod store;
--- /dev/null
+++ b/src/app/entry/admin/mod.rs
@@ -0,0 +1,195 @@
+//! The administration interface of an entry: HTTP on an address of its own.
+//!
+//! Every entry serves it, and an edit may be sent to any of them, because the
+//! store and not the entry decides which edit wins. Probes and scrapers need no
+//! token; everything below `/v1/` needs the token of a team, and an edit needs
+//! the token of the team that owns the document. Each topic has a file:
+//! [`edit`] makes an edit and finds out what became of it, `documents` shows
+//! them, `views` shows the state behind [`AdminPort`], `timeline` the events.
+//! See [docs/api.md](../../../../docs/api.md).
+
+mod auth;
+mod body;
+mod changes;
+mod decisions;
+mod documents;
+mod edit;
+mod events;
+mod observe;
+mod port;
+mod record;
+mod reply;
+mod timeline;
+mod views;
+
+use std::{collections::BTreeMap, fmt, net::SocketAddr, sync::Arc};
+
+use http::{Method, Request, Response};
+use volo_http::{body::Body, server::Router};
+
+pub use self::{
+    decisions::Decisions, events::open as open_events, observe::Observer, port::port, reply::render,
+};
+use crate::{
+    adapters::{
+        http::{self as web, BindError, Limits, Query, Server},
+        metrics::{CodeLabel, Metrics},
+    },
+    app::entry::State,
+    domain::TeamName,
+    policy::admin::{Code, Failure},
+    ports::{AdminPort, Clock, Events, Store},
+};
+
+/// How many connections of operators, probes and scrapers are open at the most.
+/// The callers' connections have a limit of their own, so that neither side
+/// takes the other's.
+const CONNECTIONS: u32 = 64;
+
+/// What the administration works with.
+#[derive(Clone)]
+pub struct Admin {
+    /// Each team's token.
+    pub teams: BTreeMap<TeamName, String>,
+    /// Time.
+    pub clock: Clock,
+    /// The store that holds the documents.
+    pub store: Store,
+    /// The timeline of this entry.
+    pub events: Events,
+    /// The metrics of the process.
+    pub metrics: Metrics,
+    /// The state that operators may see.
+    pub port: AdminPort,
+}
+
+/// Prints nothing of the fields, because the tokens must not get into logs.
+impl fmt::Debug for Admin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Admin")
+    }
+}
+
+/// Starts the administration server.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub async fn spawn(addr: SocketAddr, admin: Admin) -> Result<Server, BindError> {
+    let admin = Arc::new(admin);
+    let handler = move |req: Request<Body>| {
+        let admin = admin.clone();
+        async move { handle(&admin, req).await }
+    };
+    let limits = Limits {
+        connections: CONNECTIONS,
+        ..Limits::default()
+    };
+    web::bind(addr, limits, Router::new().fallback(handler)).await
+}
+
+/// Starts the administration server of a running entry.
+///
+/// # Errors
+///
+/// Returns an error if the address cannot be bound.
+pub async fn start(state: &Arc<State>, observer: &Observer) -> Result<Server, BindError> {
+    let State {
+        settings, ports, ..
+    } = &**state;
+    let events = open_events(
+        settings.name.clone(),
+        ports.clock.clone(),
+        ports.metrics.clone(),
+    );
+    let admin = Admin {
+        teams: settings.teams.clone(),
+        clock: ports.clock.clone(),
+        store: ports.store.clone(),
+        metrics: ports.metrics.clone(),
+        port: port(state, &events, observer),
+        events,
+    };
+    let server = spawn(settings.admin, admin).await?;
+    tracing::info!(
+        "admin: {} serves operators at {}.",
+        settings.name,
+        server.addr()
+    );
+    Ok(server)
+}
+
+async fn handle(admin: &Admin, req: Request<Body>) -> Response<Body> {
+    let edits = matches!(*req.method(), Method::PUT | Method::DELETE);
+    let result = dispatch(admin, req).await;
+    if edits {
+        let code = result
+            .as_ref()
+            .err()
+            .map_or("accepted", |f| f.code.as_str());
+        admin.metrics.edits.get_or_create(&CodeLabel { code }).inc();
+    }
+    result.unwrap_or_else(|failure| reply::failure(&failure))
+}
+
+async fn dispatch(admin: &Admin, req: Request<Body>) -> Result<Response<Body>, Failure> {
+    let path = req.uri().path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let method = req.method().clone();
+    if let (&Method::GET, [only]) = (&method, parts.as_slice()) {
+        match *only {
+            "healthz" => return Ok(reply::text("healthy\n")),
+            "readyz" => return views::readyz(admin),
+            "metrics" => return Ok(reply::metrics(admin.metrics.encode())),
+            _ => {}
+        }
+    }
+    let team = auth::team(&admin.teams, &req)?;
+    let query = query(&req)?;
+    match (&method, parts.as_slice()) {
+        (&Method::GET, ["v1", "documents"]) => documents::list(admin).await,
+        (&Method::GET, ["v1", "documents", name]) => documents::get(admin, name, &query).await,
+        (&Method::PUT, ["v1", "documents", name]) => {
+            edit::put(admin, &team, name, &query, req).await
+        }
+        (&Method::DELETE, ["v1", "documents", name]) => {
+            edit::delete(admin, &team, name, &query, &req).await
+        }
+        (&Method::GET, ["v1", "documents", name, "history"]) => {
+            documents::history(admin, name).await
+        }
+        (&Method::GET, ["v1", "documents", name, "where"]) => views::placements(admin, name).await,
+        (&Method::GET, ["v1", "status"]) => Ok(views::status(admin)),
+        (&Method::GET, ["v1", "drains"]) => Ok(views::drains(admin).await),
+        (&Method::GET, ["v1", "limits"]) => Ok(views::limits(admin)),
+        (&Method::GET, ["v1", "explain"]) => views::explain(admin, &query),
+        (&Method::GET, ["v1", "timeline"]) => timeline::get(admin, &query, &req).await,
+        _ => Err(unknown(&method, &path, &parts)),
+    }
+}
+
+/// Returns the failure for a path that is unknown, or known with other methods.
+fn unknown(method: &Method, path: &str, parts: &[&str]) -> Failure {
+    let known = matches!(
+        parts,
+        ["healthz" | "readyz" | "metrics"]
+            | [
+                "v1",
+                "documents" | "status" | "drains" | "limits" | "explain" | "timeline"
+            ]
+            | ["v1", "documents", _]
+            | ["v1", "documents", _, "history" | "where"]
+    );
+    if known {
+        return Failure::new(
+            Code::UnknownMethod,
+            format!("{path} does not accept {method}"),
+        );
+    }
+    Failure::new(Code::UnknownPath, format!("there is no path {path:?}"))
+}
+
+fn query(req: &Request<Body>) -> Result<Query, Failure> {
+    let text = req.uri().query().unwrap_or_default();
+    text.parse().map_err(|e| reply::bad(&e))
+}
--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -4,6 +4,7 @@
 //! answers look-ups, carries requests, and takes its part of the control work,
 //! so that any VM can be replaced by any other.
 
+pub mod admin;
 mod carry;
 mod inbound;
 mod lookup;
@@ -13,14 +14,16 @@
 
 use eyre::WrapErr;
 
+use self::admin::Observer;
 pub use self::service::Service;
 use crate::{
     adapters::{
         http::{self, Limits, Server},
         ini::Settings,
+        metrics::Metrics,
     },
     domain::{Document, Revision, ServiceName, Shards},
-    ports::{Clock, Targets},
+    ports::{Clock, Store, Targets},
 };
 
 /// What a running entry needs from outside.
@@ -30,6 +33,10 @@
     pub clock: Clock,
     /// Requests to targets.
     pub targets: Targets,
+    /// The store.
+    pub store: Store,
+    /// The metrics of the process.
+    pub metrics: Metrics,
 }
 
 /// The state of a running entry.
@@ -58,6 +65,7 @@
     /// Its state, which the administration and tests read.
     pub state: Arc<State>,
     callers: Server,
+    admin: Server,
 }
 
 /// Starts an entry.
@@ -65,7 +73,9 @@
 /// # Errors
 ///
 /// Returns an error if an address cannot be bound.
-pub async fn spawn(settings: Settings, ports: Ports) -> eyre::Result<Entry> {
+pub async fn spawn(settings: Settings, mut ports: Ports) -> eyre::Result<Entry> {
+    let observer = Observer::new(ports.clock.clone(), ports.metrics.clone());
+    ports.targets = observer.wrap(ports.targets);
     let limits = Limits {
         connections: settings.connections,
         ..Limits::default()
@@ -84,7 +94,14 @@
         state.settings.name,
         callers.addr()
     );
-    Ok(Entry { state, callers })
+    let admin = admin::start(&state, &observer)
+        .await
+        .wrap_err("start the administration server")?;
+    Ok(Entry {
+        state,
+        callers,
+        admin,
+    })
 }
 
 impl Entry {
@@ -94,9 +111,17 @@
         self.callers.addr()
     }
 
-    /// Stops without cutting off a request.
+    /// Returns the address at which operators reach it.
+    #[must_use]
+    pub fn admin(&self) -> SocketAddr {
+        self.admin.addr()
+    }
+
+    /// Stops without cutting off a request. The administration stays until the
+    /// last request of a caller has ended, so that operators see the drain.
     pub async fn stop(self) {
         self.callers.stop().await;
+        self.admin.stop().await;
         tracing::info!("entry: {} stopped.", self.state.settings.name);
     }
 }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -6,8 +6,10 @@
 //! callers in [`app`](crate::app) must carry state and messages to and fro.
 //! `tests/shape.rs` holds that nothing in here imports an adapter or a runtime.
 
+pub mod admin;
 pub mod document;
 pub mod drain;
 pub mod lookup;
 pub mod refusal;
 pub mod shift;
+pub mod timeline;
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -5,13 +5,17 @@
 //! needs a hierarchy of traits. A dynamic call costs a few nanoseconds, which
 //! is nothing beside the I/O behind it.
 
+pub mod admin;
 mod clock;
+mod events;
 mod store;
 mod targets;
 
 use std::{future::Future, pin::Pin, sync::Arc};
 
+pub use admin::AdminPort;
 pub use clock::Clock;
+pub use events::{EventQuery, Events};
 pub use store::{Record, Snapshot, Store, StoreError, Update, Write};
 pub use targets::{Body, Outbound, SendError, Targets};
 
