--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,11 +7,15 @@
 //! `tests/shape.rs` holds that nothing in here imports an adapter or a runtime.
 
 pub mod crash;
+pub mod admin;
 pub mod document;
 pub mod drain;
 pub mod limit;
 pub mod lookup;
 pub mod once;
+pub mod refusal;
+pub mod shift;
+pub mod timeline;
 pub mod queue;
 pub mod refusal;
 pub mod retry;
