--- a/src/adapters/grpc/mod.rs
+++ b/src/adapters/grpc/mod.rs
@@ -7,13 +7,17 @@
 //! to read. See [docs/design.md](../../../docs/design.md), section 5.
 
 pub mod claim;
+mod claims;
 mod fetch;
 mod gossip;
 mod head;
+mod limits;
 mod peers;
+mod reports;
 mod server;
 mod traffic;
 
+pub use claims::{claim as ask_home, serve_claim, serve_strike, strike};
 pub use fetch::{
     DocumentBody, Fetch, FetchMessage, FetchReply, FetchReplyMessage, fetch, serve_fetch,
 };
@@ -22,7 +26,9 @@
     SyncReplyMessage, probe, relay, serve_probe, serve_relay, serve_sync, sync,
 };
 pub use head::{Head, Sender, malformed};
+pub use limits::{ItemMessage, LimitMessage, item_size, limit, serve_limit};
 pub use peers::{CallError, Peers, Step};
+pub use reports::{EventsAsked, Report, events, report, serve_events, serve_report};
 pub use server::{Routes, Server, bind};
 pub use tonic::Status;
 pub use traffic::{Counts, Traffic};
--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -94,6 +94,7 @@
 #[derive(Clone)]
 pub struct Metrics {
     registry: Arc<Registry>,
+    calls: Arc<Calls>,
     /// Requests by what became of them.
     pub requests: Family<RequestLabels, Counter>,
     /// The time until the head of an answer.
@@ -130,6 +131,7 @@
 pub fn open(calls: Arc<Calls>) -> Metrics {
     let mut registry = Registry::with_prefix("savorybeam");
     let metrics = Metrics {
+        calls: calls.clone(),
         registry: Arc::default(),
         requests: Family::default(),
         latency: Family::new_with_constructor(latency),
@@ -163,14 +165,23 @@
     r.register(table::MEMBERS.base, help(&table::MEMBERS), m.members);
     r.register(table::UNITS.base, help(&table::UNITS), m.units);
     r.register(table::EVENTS.base, help(&table::EVENTS), m.events);
-    r.register_collector(Box::new(store::StoreMetrics { calls }));
+    r.register_collector(Box::new(store::StoreMetrics {
+        calls: calls.clone(),
+    }));
     Metrics {
+        calls,
         registry: Arc::new(registry),
         ..metrics
     }
 }
 
 impl Metrics {
+    /// Tells whether the latest call to the store was answered.
+    #[must_use]
+    pub fn store_up(&self) -> bool {
+        self.calls.up()
+    }
+
     /// Returns all metrics in the text format of `OpenMetrics`.
     #[must_use]
     pub fn encode(&self) -> String {
--- a/src/adapters/store/mod.rs
+++ b/src/adapters/store/mod.rs
@@ -20,6 +20,8 @@
 pub mod memory;
 pub mod messages;
 pub mod record;
+pub mod roster;
+pub mod vms;
 
 pub use calls::{Calls, Counts};
 
--- a/src/app/cli/entry.rs
+++ b/src/app/cli/entry.rs
@@ -8,12 +8,12 @@
 use crate::{
     adapters::{
         clock, http,
-        ini::{Fault, parse_document, parse_settings},
+        ini::{Fault, parse_settings},
         metrics,
         store::{Calls, etcd},
     },
     app::entry::{self, Ports},
-    domain::{Millis, Revision},
+    domain::Millis,
 };
 
 /// How long a call to the store may take. It answers in milliseconds, and 70 ms
@@ -21,7 +21,7 @@
 const STORE_TIMEOUT: Millis = Millis(1_000);
 
 /// Runs an entry until SIGTERM or SIGINT.
-pub(super) async fn run(settings: PathBuf, documents: Vec<PathBuf>) -> eyre::Result<()> {
+pub(super) async fn run(settings: PathBuf) -> eyre::Result<()> {
     let settings = read(&settings, parse_settings)?;
     let clock = clock::open();
     let targets = http::open(clock.clone());
@@ -33,10 +33,6 @@
         targets,
     };
     let entry = entry::spawn(settings, ports).await?;
-    for path in documents {
-        let doc = read(&path, parse_document)?;
-        entry.state.adopt(&doc, Revision::default());
-    }
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
     tokio::select! {
--- a/src/app/cli/mod.rs
+++ b/src/app/cli/mod.rs
@@ -30,10 +30,7 @@
     let result = match options.command {
         Command::Check { files } => check::run(&files),
         Command::Dev { seconds } => block_on(dev::run(seconds)),
-        Command::Entry {
-            settings,
-            documents,
-        } => block_on(entry::run(settings, documents)),
+        Command::Entry { settings } => block_on(entry::run(settings)),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -44,8 +44,5 @@
         /// The settings
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
-        /// Service documents to serve before the store has answered
-        #[bpaf(long("document"), argument("FILE"))]
-        documents: Vec<PathBuf>,
     },
 }
--- a/src/app/dev/mod.rs
+++ b/src/app/dev/mod.rs
@@ -7,13 +7,12 @@
 
 mod sample;
 pub mod target;
-mod watch;
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 
 use eyre::{WrapErr, eyre};
+use futures::future::join_all;
 use serde_json::{Value, json};
-use tokio::task::JoinHandle;
 
 use crate::{
     adapters::{
@@ -41,7 +40,6 @@
 pub struct Dev {
     entries: Vec<Entry>,
     targets: Vec<Server>,
-    watch: JoinHandle<()>,
 }
 
 /// Starts everything on free ports of the loopback address.
@@ -52,30 +50,42 @@
 pub async fn spawn() -> eyre::Result<Dev> {
     let clock = clock::open();
     let memory = memory::open(clock.clone());
-    let mut entries = Vec::new();
-    for n in 0..sample::PLACES.len() {
-        entries.push(entry(n, &clock, &memory).await?);
-    }
-    let mut targets = Vec::new();
     let store = memory.store(&std::sync::Arc::<Calls>::default());
+    let mut targets = Vec::new();
     for service in sample::SERVICES {
         let own = samples(service).await?;
         let addrs: Vec<SocketAddr> = own.iter().map(Server::addr).collect();
         targets.extend(own);
         sample::put(&store, &clock, service, &addrs).await?;
     }
-    let states = entries.iter().map(|e| e.state.clone()).collect();
-    let watch = watch::spawn(store, states).await?;
-    Ok(Dev {
-        entries,
-        targets,
-        watch,
-    })
+    let peers = free_addresses(sample::PLACES.len())?;
+    let callers = free_addresses(sample::PLACES.len())?;
+    let mut entries = Vec::new();
+    for (n, callers) in callers.into_iter().enumerate() {
+        sample::list_vm(&store, n).await?;
+        let text = sample::settings(n, TOKEN, callers, &peers);
+        entries.push(entry(&text, &clock, &memory).await?);
+    }
+    for entry in &entries {
+        entry.ready().await;
+    }
+    Ok(Dev { entries, targets })
+}
+
+/// Returns addresses that were free a moment ago. Entries tell each other their
+/// addresses, so they have to be known before the servers start.
+fn free_addresses(count: usize) -> eyre::Result<Vec<SocketAddr>> {
+    let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let listeners: Result<Vec<TcpListener>, std::io::Error> = (0..count).map(bind).collect();
+    let addrs = listeners?
+        .iter()
+        .map(TcpListener::local_addr)
+        .collect::<Result<_, _>>()?;
+    Ok(addrs)
 }
 
-async fn entry(n: usize, clock: &Clock, memory: &Memory) -> eyre::Result<Entry> {
-    let text = sample::settings(n, TOKEN);
-    let settings = parse_settings("dev", &text).map_err(|faults| {
+async fn entry(text: &str, clock: &Clock, memory: &Memory) -> eyre::Result<Entry> {
+    let settings = parse_settings("dev", text).map_err(|faults| {
         let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
         eyre!("check the settings: {}", all.join("\n"))
     })?;
@@ -120,14 +130,10 @@
         })
     }
 
-    /// Stops without cutting off a request.
+    /// Stops without cutting off a request. The entries stop at the same time,
+    /// since none of them has to take over from another.
     pub async fn stop(self) {
-        for entry in self.entries {
-            entry.stop().await;
-        }
-        self.watch.abort();
-        for target in self.targets {
-            target.stop().await;
-        }
+        join_all(self.entries.into_iter().map(Entry::stop)).await;
+        join_all(self.targets.into_iter().map(Server::stop)).await;
     }
 }
--- a/src/app/dev/sample.rs
+++ b/src/app/dev/sample.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use eyre::{WrapErr, eyre};
 
 use crate::{
-    adapters::store::documents::submit,
-    domain::{ServiceName, TeamName},
+    adapters::store::{documents::submit, vms},
+    domain::{Revision, ServiceName, TeamName},
     policy::document::{Edit, EditId},
-    ports::{Clock, Store},
+    ports::{Clock, Store, Write},
 };
 
 /// The services, which one team owns.
@@ -26,18 +27,34 @@
 ];
 
 /// Returns the settings of an entry.
-pub(super) fn settings(n: usize, token: &str) -> String {
+pub(super) fn settings(n: usize, token: &str, callers: SocketAddr, peers: &[SocketAddr]) -> String {
     let (region, az) = PLACES[n];
     let regions = PLACES.map(|(r, _)| format!("[region {r}]\nheadroom = 2000 rps\n"));
+    let seeds: Vec<String> = peers.iter().map(ToString::to_string).collect();
+    let (seeds, peers) = (seeds.join(", "), peers[n]);
     // The store is embedded, so nothing connects to the endpoint.
     format!(
         "[entry]\nname = e{n}\nregion = {region}\naz = {az}\n\
-         callers = 127.0.0.1:0\nadmin = 127.0.0.1:0\npeers = 127.0.0.1:0\nlinger = 0 ms\n\
+         callers = {callers}\nadmin = 127.0.0.1:0\npeers = {peers}\nseeds = {seeds}\nlinger = 0 ms\n\
          [store]\nendpoints = 127.0.0.1:1\n[team {TEAM}]\ntoken = {token}\n{}",
         regions.concat()
     )
 }
 
+/// Lists the VM of an entry, as the platform does.
+pub(super) async fn list_vm(store: &Store, n: usize) -> eyre::Result<()> {
+    let write = Write {
+        key: [&vms::PREFIX[..], format!("e{n}").as_bytes()]
+            .concat()
+            .into(),
+        value: Some(Bytes::from_static(b"{}")),
+        expected: Revision::default(),
+    };
+    let listed = (store.write)(write).await.map_err(|e| eyre!(e));
+    listed.wrap_err_with(|| format!("list the VM of e{n}"))?;
+    Ok(())
+}
+
 /// Puts the document of a service into the store.
 pub(super) async fn put(
     store: &Store,
--- a/src/app/entry/admin/port.rs
+++ b/src/app/entry/admin/port.rs
@@ -4,51 +4,46 @@
 
 use super::Observer;
 use crate::{
-    app::entry::{Service, State},
-    domain::{Place, PlaceState, Slots},
+    adapters::grpc::Report,
+    app::entry::{Service, State, control},
+    domain::{Document, EntryId, LimitName, PlaceName, PlaceState, ServiceName, TargetId},
+    policy::{limit, member, shift::Shift},
     ports::{
         AdminPort,
-        admin::{Drain, Gathered, PlaceStatus, Placement, Remaining, ServiceStatus, Status},
+        admin::{
+            Drain, Limit, MemberStatus, PlaceStatus, Placement, Remaining, ServiceStatus, Status,
+        },
     },
 };
 
-/// Returns what this entry knows by itself.
-///
-/// The closures that need other entries answer for this one alone.
+/// Returns what operators may see of an entry. What concerns all entries is
+/// gathered from them at each question.
 #[must_use]
 pub fn port(state: &Arc<State>) -> AdminPort {
     let started = (state.ports.clock.now)();
-    let status_state = state.clone();
-    let drain_state = state.clone();
-    let place_state = state.clone();
+    let of = || state.clone();
+    let (unready, seen, limited) = (of(), of(), of());
+    let (draining, placed, timeline) = (of(), of(), of());
     let decisions = state.observer.decisions.clone();
-    let events = state.events.clone();
     AdminPort {
-        unready: Arc::new(|| None),
+        unready: Arc::new(move || unready.unready()),
         status: Arc::new(move || {
-            let uptime = (status_state.ports.clock.now)() - started;
-            status(&status_state, uptime.0)
+            let uptime = (seen.ports.clock.now)() - started;
+            status(&seen, uptime.0)
         }),
         drains: Arc::new(move |()| {
-            let drains = drains(&drain_state);
-            Box::pin(std::future::ready(drains))
+            let state = draining.clone();
+            Box::pin(async move { drains(&state).await })
         }),
-        limits: Arc::new(Vec::new),
+        limits: Arc::new(move || limits(&limited)),
         explain: Arc::new(move |service| decisions.read(service)),
         placements: Arc::new(move |service| {
-            let revision = place_state.services.get(&service, |s| s.revision.0);
-            let own = Placement {
-                entry: place_state.settings.name.to_string(),
-                revision,
-            };
-            Box::pin(std::future::ready(vec![own]))
+            let state = placed.clone();
+            Box::pin(async move { placements(&state, &service).await })
         }),
         timeline: Arc::new(move |query| {
-            let events = (events.read)(&query);
-            Box::pin(std::future::ready(Gathered {
-                events,
-                missing: Vec::new(),
-            }))
+            let state = timeline.clone();
+            Box::pin(async move { control::gather_events(&state, query).await })
         }),
     }
 }
@@ -57,93 +52,176 @@
     let mut services = Vec::new();
     state
         .services
-        .each(|_, s| services.push(service(s, &state.observer)));
+        .each(|name, s| services.extend(service(name, s, &state.observer)));
     services.sort_by(|a, b| a.service.cmp(&b.service));
     let settings = &state.settings;
     Status {
         entry: settings.name.to_string(),
         region: settings.region.to_string(),
         az: settings.az.to_string(),
-        incarnation: 0,
+        incarnation: state.me.incarnation.0,
         uptime_ms: uptime,
-        ready: true,
-        store_up: true,
+        ready: state.unready().is_none(),
+        store_up: state.ports.metrics.store_up(),
         services,
-        members: Vec::new(),
+        members: members(state),
     }
 }
 
-fn service(service: &Service, observer: &Observer) -> ServiceStatus {
-    let places = &service.doc.places;
-    let sum: u32 = places.iter().map(weight).sum();
-    let targets = places.iter().flat_map(|p| &p.targets);
-    ServiceStatus {
-        service: service.doc.service.to_string(),
-        revision: service.revision.0,
+fn members(state: &State) -> Vec<MemberStatus> {
+    let members = state.fleet.members();
+    let me = &members.me().id;
+    let others = members.all().filter(|(m, _)| m.id != *me);
+    let status = |(m, state): (&member::Member, member::State)| MemberStatus {
+        entry: m.id.to_string(),
+        region: m.region.to_string(),
+        state: state.to_string(),
+        incarnation: m.incarnation.0,
+    };
+    others.map(status).collect()
+}
+
+fn service(name: &ServiceName, service: &Service, observer: &Observer) -> Option<ServiceStatus> {
+    let doc = service.doc.document()?;
+    let targets = doc.places.iter().flat_map(|p| &p.targets);
+    Some(ServiceStatus {
+        service: name.to_string(),
+        revision: service.doc.revision().0,
         running: targets.map(|t| observer.running(*t)).sum(),
-        places: places.iter().map(|p| place(p, sum)).collect(),
-    }
+        places: places(doc, service.shift.as_ref()),
+    })
 }
 
-/// Returns the weight of a place that takes new work.
-fn weight(place: &Place) -> u32 {
-    if place.state == PlaceState::Active {
-        place.weight.0
-    } else {
-        0
-    }
+fn places(doc: &Document, shift: Option<&Shift>) -> Vec<PlaceStatus> {
+    let share = |name: &PlaceName| {
+        let mut shares = shift.into_iter().flat_map(Shift::shares);
+        let found = shares.find(|s| s.name == name);
+        // A share is in millionths, the answer in thousandths.
+        found.map_or(0, |s| s.effective.0 / 1000)
+    };
+    let status = |p: &crate::domain::Place| {
+        let open = p.targets.iter().filter(|t| !p.leaving.contains(t)).count();
+        let open = if p.state == PlaceState::Active {
+            open
+        } else {
+            0
+        };
+        PlaceStatus {
+            place: p.name.to_string(),
+            state: p.state.to_string(),
+            weight: p.weight.0,
+            effective: share(&p.name),
+            targets: u32::try_from(open).unwrap_or(u32::MAX),
+        }
+    };
+    doc.places.iter().map(status).collect()
+}
+
+fn limits(state: &State) -> Vec<Limit> {
+    let mut limits = Vec::new();
+    state
+        .limits
+        .each(|name, ledger| limits.push(limit(name, ledger)));
+    limits.sort_by(|a, b| a.limit.cmp(&b.limit));
+    limits
 }
 
-fn place(place: &Place, sum: u32) -> PlaceStatus {
-    let open = place.targets.iter().filter(|t| !place.leaving.contains(t));
-    let active = place.state == PlaceState::Active && place.slots > Slots(0);
-    PlaceStatus {
-        place: place.name.to_string(),
-        state: place.state.to_string(),
-        weight: place.weight.0,
-        effective: (weight(place) * 1000).checked_div(sum).unwrap_or(0),
-        targets: u32::try_from(if active { open.count() } else { 0 }).unwrap_or(u32::MAX),
+fn limit(name: &LimitName, ledger: &limit::Ledger) -> Limit {
+    let status = ledger.status();
+    let unit = match ledger.limit() {
+        limit::Limit::Slots(_) => "slot".to_owned(),
+        limit::Limit::Rate { rate, .. } => format!("1/{} of {rate}/s", limit::RATE_UNITS),
+    };
+    Limit {
+        limit: name.to_string(),
+        unit,
+        total: u64::from(status.size),
+        home: u64::from((status.usable + status.lent).saturating_sub(status.borrowed)),
+        lent: u64::from(status.lent),
+        borrowed: u64::from(status.borrowed),
+        used: u64::from(status.busy),
     }
 }
 
-fn drains(state: &State) -> Vec<Drain> {
-    let observer = &state.observer;
+async fn placements(state: &Arc<State>, service: &ServiceName) -> Vec<Placement> {
+    let reports = control::gather_reports(state, service).await;
+    let placement = |(entry, report): (EntryId, Option<Report>)| Placement {
+        entry: entry.to_string(),
+        revision: report.and_then(|r| r.revision).map(|r| r.0),
+    };
+    reports.into_iter().map(placement).collect()
+}
+
+/// What leaves: a place, or targets of a place.
+struct Leaving {
+    service: ServiceName,
+    place: PlaceName,
+    target: Option<TargetId>,
+    targets: Vec<TargetId>,
+    revision: u64,
+}
+
+async fn drains(state: &Arc<State>) -> Vec<Drain> {
+    let mut leaving = Vec::new();
+    state
+        .services
+        .each(|name, s| leaving.extend(leaving_of(name, s)));
+    leaving.sort_by(|a, b| (&a.service, &a.place, a.target).cmp(&(&b.service, &b.place, b.target)));
     let mut drains = Vec::new();
-    state.services.each(|_, s| {
-        for place in &s.doc.places {
-            if place.state == PlaceState::Leaving {
-                let running = place.targets.iter().map(|t| observer.running(*t)).sum();
-                drains.push(drain(state, s, place, None, running));
-                continue;
-            }
-            for target in &place.leaving {
-                let running = observer.running(*target);
-                drains.push(drain(state, s, place, Some(target.to_string()), running));
-            }
-        }
-    });
-    drains
-        .sort_by(|a, b| (&a.service, &a.place, &a.target).cmp(&(&b.service, &b.place, &b.target)));
+    for subject in leaving {
+        let reports = control::gather_reports(state, &subject.service).await;
+        drains.push(drain(&subject, reports));
+    }
     drains
 }
 
-fn drain(
-    state: &State,
-    service: &Service,
-    place: &Place,
-    target: Option<String>,
-    running: u64,
-) -> Drain {
-    Drain {
-        service: service.doc.service.to_string(),
-        place: place.name.to_string(),
+fn leaving_of(name: &ServiceName, service: &Service) -> Vec<Leaving> {
+    let Some(doc) = service.doc.document() else {
+        return Vec::new();
+    };
+    let subject = |place: &PlaceName, target, targets| Leaving {
+        service: name.clone(),
+        place: place.clone(),
         target,
-        revision: service.revision.0,
-        complete: running == 0,
-        remaining: vec![Remaining {
-            entry: state.settings.name.to_string(),
-            running: Some(running),
-            revision: Some(service.revision.0),
-        }],
+        targets,
+        revision: service.doc.revision().0,
+    };
+    let mut found = Vec::new();
+    for place in &doc.places {
+        if place.state == PlaceState::Leaving {
+            found.push(subject(&place.name, None, place.targets.clone()));
+            continue;
+        }
+        let targets = place.leaving.iter();
+        found.extend(targets.map(|t| subject(&place.name, Some(*t), vec![*t])));
+    }
+    found
+}
+
+fn drain(subject: &Leaving, reports: Vec<(EntryId, Option<Report>)>) -> Drain {
+    let remaining: Vec<Remaining> = reports.into_iter().map(|r| remaining(subject, r)).collect();
+    let done = |r: &Remaining| r.running == Some(0) && r.revision >= Some(subject.revision);
+    Drain {
+        service: subject.service.to_string(),
+        place: subject.place.to_string(),
+        target: subject.target.map(|t| t.to_string()),
+        revision: subject.revision,
+        complete: remaining.iter().all(done),
+        remaining,
+    }
+}
+
+fn remaining(subject: &Leaving, (entry, report): (EntryId, Option<Report>)) -> Remaining {
+    let running = report.as_ref().map(|r| {
+        let there = r
+            .running
+            .iter()
+            .filter(|(t, _)| subject.targets.contains(t));
+        there.map(|(_, n)| n).sum()
+    });
+    Remaining {
+        entry: entry.to_string(),
+        running,
+        revision: report.and_then(|r| r.revision).map(|r| r.0),
     }
 }
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -2,32 +2,35 @@
 
 use std::{
     pin::Pin,
-    sync::Arc,
-    task::{Context, Poll},
+    sync::{Arc, PoisonError},
 };
 
-use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Response, header};
-use http_body::{Frame, SizeHint};
-use http_body_util::BodyExt;
-use tokio::time::timeout;
+use futures::{StreamExt, stream::FuturesUnordered};
+use http::{Response, StatusCode, header};
 
-use super::{State, inbound::Inbound};
+use super::{
+    State,
+    claims::{self, Claimed, Won},
+    control,
+    inbound::Inbound,
+    job::Job,
+    reply,
+    service::Service,
+    slot::{self, Slot},
+};
 use crate::{
-    domain::{Millis, ServiceName, TargetId},
-    policy::refusal::{Code, Refusal},
+    domain::{Lane, Millis, TargetId},
+    policy::{
+        crash::{Admission, Ending, Failure, Stage, is_strike},
+        refusal::{Code, Refusal},
+        retry::{self, Percentiles},
+        silence,
+        target::Finish,
+    },
     ports::{Body, Outbound, SendError},
 };
 
-/// Headers that concern one connection only, and therefore stay there.
-const HOP_BY_HOP: [HeaderName; 6] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::UPGRADE,
-];
+type Sending = Pin<Box<dyn Future<Output = (Slot, Result<Response<Body>, SendError>)> + Send>>;
 
 /// Carries a request.
 ///
@@ -36,107 +39,350 @@
 /// Returns what the caller is to be told if no answer of a target can be passed
 /// on.
 pub(super) async fn carry(state: &Arc<State>, inbound: Inbound) -> Result<Response<Body>, Refusal> {
-    let Inbound {
-        service,
-        deadline,
-        key,
-        priority,
-        mut request,
-    } = inbound;
-    let priority = priority.unwrap_or_default();
-    tracing::debug!(
-        "carry: {service} {} with key {key:?}, priority {priority}.",
-        request.uri()
-    );
-    let unknown = || {
-        Refusal::not_run(
-            Code::UnknownService,
-            format!("no document is in force for {service}"),
-        )
+    let job = Job::read(state, inbound).await?;
+    let trial = admit(state, &job)?;
+    let won = match claims::claim(state, &job).await? {
+        Claimed::Unkeyed => None,
+        Claimed::Won(won) => Some(won),
+        Claimed::Answered(resp) => return Ok(resp),
     };
-    let started = state
-        .services
-        .get(&service, |s| Ok((s.start()?, s.doc.deadline)));
-    let (target, default) = started.ok_or_else(unknown)??;
-    let running = Running {
-        state: state.clone(),
-        service: service.clone(),
-        target,
+    let suspect = trial.is_some();
+    let slot = slot::acquire(state, &job).await?;
+    let run = Run {
+        state,
+        job,
+        won,
+        suspect,
+        sending: FuturesUnordered::new(),
+        tried: Vec::new(),
+        hedged: false,
+        sent: false,
+        first: (state.ports.clock.now)(),
     };
-    let deadline = deadline.unwrap_or(default);
-    prepare(&mut request, deadline);
-    let send = (state.ports.targets.send)(Outbound { target, request });
-    match timeout(deadline.duration(), send).await {
-        Ok(Ok(resp)) => Ok(pass(resp, running)),
-        Ok(Err(e @ SendError::Unsent { .. })) => {
-            Err(Refusal::not_run(Code::Unreachable, e.to_string()).retry_after(Millis(1_000)))
-        }
-        Ok(Err(e @ SendError::Unknown { .. })) => {
-            Err(Refusal::unknown(Code::Broken, e.to_string()))
-        }
-        Err(_) => {
-            let detail = format!("answer from {target}: none within {deadline}");
-            Err(Refusal::unknown(Code::Deadline, detail))
-        }
-    }
+    run.answer(slot).await
+}
+
+/// A fingerprint under trial, which ends when this value is dropped.
+struct Trial<'a> {
+    state: &'a Arc<State>,
+    job: crate::policy::once::Fingerprint,
 }
 
-/// Turns the caller's head into the target's.
-fn prepare(request: &mut http::Request<Body>, deadline: Millis) {
-    let head = request.headers_mut();
-    for name in &HOP_BY_HOP {
-        head.remove(name);
+impl Drop for Trial<'_> {
+    fn drop(&mut self) {
+        let mut strikes = self
+            .state
+            .strikes
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        strikes.end_trial(self.job);
     }
-    head.insert("x-deadline-ms", HeaderValue::from(deadline.0));
 }
 
-fn pass(resp: Response<Body>, running: Running) -> Response<Body> {
-    let mut resp = resp.map(|body| Tracked { body, running }.boxed());
-    for name in &HOP_BY_HOP {
-        resp.headers_mut().remove(name);
+fn admit<'a>(state: &'a Arc<State>, job: &Job) -> Result<Option<Trial<'a>>, Refusal> {
+    let now = (state.ports.clock.now)();
+    let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
+    match strikes.admit(job.fingerprint, now) {
+        Admission::Free => Ok(None),
+        Admission::Trial => Ok(Some(Trial {
+            state,
+            job: job.fingerprint,
+        })),
+        Admission::Refused(refusal) => Err(refusal),
     }
-    resp
 }
 
-/// A request that holds a slot until this value is dropped, whatever the reason.
-struct Running {
-    state: Arc<State>,
-    service: ServiceName,
-    target: TargetId,
+/// The attempts of one request.
+struct Run<'a> {
+    state: &'a Arc<State>,
+    job: Job,
+    won: Option<Won>,
+    /// Whether its shape has broken a connection before.
+    suspect: bool,
+    sending: FuturesUnordered<Sending>,
+    tried: Vec<TargetId>,
+    hedged: bool,
+    /// Whether a target may have seen it.
+    sent: bool,
+    first: Millis,
 }
 
-impl Drop for Running {
-    fn drop(&mut self) {
+impl Run<'_> {
+    async fn answer(mut self, slot: Slot) -> Result<Response<Body>, Refusal> {
+        self.earn();
+        self.send(slot)?;
+        loop {
+            let now = self.now();
+            let wake = self.wake(now);
+            let timer = tokio::time::sleep((wake - now).duration());
+            let sending = &mut self.sending;
+            let ended = tokio::select! {
+                Some(ended) = sending.next() => Some(ended),
+                () = timer => None,
+            };
+            match ended {
+                Some((slot, Ok(resp))) => {
+                    if let Some(resp) = self.answered(slot, resp).await? {
+                        return Ok(resp);
+                    }
+                }
+                Some((slot, Err(e))) => self.failed(slot, e).await?,
+                None if self.now() >= self.job.deadline => return Err(self.late()),
+                None => self.hedge(),
+            }
+        }
+    }
+
+    fn now(&self) -> Millis {
+        (self.state.ports.clock.now)()
+    }
+
+    fn earn(&self) {
         self.state
             .services
-            .get(&self.service, |s| s.end(self.target));
+            .get(&self.job.service, |s| s.budget.earn());
     }
-}
 
-/// An answer's body that holds its slot while it streams.
-struct Tracked {
-    body: Body,
-    // Held for its drop.
-    #[allow(dead_code)]
-    running: Running,
-}
+    /// Sends the request to the target of a slot.
+    fn send(&mut self, mut slot: Slot) -> Result<(), Refusal> {
+        let now = self.now();
+        // The right to dispatch is checked directly before the dispatch, since
+        // a pause may lie between the win and this point.
+        if let Some(won) = &mut self.won
+            && !won.dispatch(now)
+        {
+            let detail = "the claim is too old to be used";
+            return Err(Refusal::not_run(Code::ClaimUnavailable, detail));
+        }
+        let target = slot.target();
+        let Some(request) = self.job.request(now) else {
+            slot.finish(Finish::Cancelled);
+            return Err(Refusal::unknown(
+                Code::Broken,
+                format!("send to {target}: the body cannot be sent again"),
+            ));
+        };
+        self.tried.push(target);
+        let send = (self.state.ports.targets.send)(Outbound { target, request });
+        self.sending.push(Box::pin(async move {
+            let result = send.await;
+            if result.is_ok() {
+                slot.answered();
+            }
+            (slot, result)
+        }));
+        Ok(())
+    }
 
-impl http_body::Body for Tracked {
-    type Data = Bytes;
-    type Error = Box<dyn std::error::Error + Send + Sync>;
+    /// Returns the next instant at which something is to be decided.
+    fn wake(&self, now: Millis) -> Millis {
+        if self.hedged || self.suspect || !self.job.is_kept() {
+            return self.job.deadline;
+        }
+        let known = self.percentiles();
+        let attempt = self.job.attempt(true, self.count(), self.first);
+        let usual = retry::hedge_at(&attempt, known).ok();
+        let silent = self
+            .job
+            .idempotent
+            .then(|| self.first + silence::patience(known.p99));
+        let wake = usual
+            .into_iter()
+            .chain(silent)
+            .min()
+            .unwrap_or(self.job.deadline);
+        // A hedge that found no free slot is tried again a little later.
+        wake.max(now + Millis(5)).min(self.job.deadline)
+    }
 
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+    fn percentiles(&self) -> Percentiles {
+        let lane = usize::from(self.job.lane == Lane::Long);
+        let known = |s: &mut Service| s.windows[lane].percentiles();
+        self.state
+            .services
+            .get(&self.job.service, known)
+            .unwrap_or_default()
     }
 
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+    fn count(&self) -> u32 {
+        u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
     }
 
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+    fn hedge(&mut self) {
+        let now = self.now();
+        let attempt = self.job.attempt(true, self.count(), self.first);
+        let pay = |s: &mut Service| s.budget.hedge(now, &attempt).is_ok();
+        if !self
+            .state
+            .services
+            .get(&self.job.service, pay)
+            .unwrap_or(false)
+        {
+            self.hedged = true;
+            return;
+        }
+        match slot::acquire_extra(self.state, &self.job, &self.tried) {
+            Some(slot) => {
+                self.hedged = true;
+                // The first copy is still running, so a failure to send this one
+                // changes nothing for the caller.
+                let _ = self.send(slot);
+            }
+            None => {
+                self.state
+                    .services
+                    .get(&self.job.service, |s| s.budget.refund());
+            }
+        }
+    }
+
+    /// Passes an answer on, or returns none if the target shed the request and
+    /// another one may take it.
+    async fn answered(
+        &mut self,
+        mut slot: Slot,
+        resp: Response<Body>,
+    ) -> Result<Option<Response<Body>>, Refusal> {
+        let now = self.now();
+        if let Some(time) = shed(&resp) {
+            let target = slot.target();
+            self.state
+                .services
+                .get(&self.job.service, |s| s.pool.shed(now, target, time));
+            slot.finish(Finish::Cancelled);
+            if self.won.is_none() && self.retry(true).await {
+                return Ok(None);
+            }
+        }
+        if !resp.status().is_server_error() {
+            let mut successes = self
+                .state
+                .successes
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            successes.insert(self.job.fingerprint, now);
+        }
+        Ok(Some(reply::pass(resp, slot, self.won.take())))
+    }
+
+    /// Sends the request again after a failure if that is allowed.
+    async fn failed(&mut self, mut slot: Slot, e: SendError) -> Result<(), Refusal> {
+        slot.finish(Finish::Failed);
+        let sent = matches!(e, SendError::Unknown { .. });
+        self.sent |= sent;
+        if sent {
+            self.strike(&e).await;
+        } else if let Some(won) = &mut self.won {
+            won.unsent();
+        }
+        drop(slot);
+        if !self.sending.is_empty() || self.retry(sent).await {
+            return Ok(());
+        }
+        if self.sent {
+            return Err(Refusal::unknown(Code::Broken, e.to_string()));
+        }
+        Err(Refusal::not_run(Code::Unreachable, e.to_string()).retry_after(Millis(1_000)))
+    }
+
+    /// Counts a broken connection against the request.
+    async fn strike(&mut self, e: &SendError) {
+        let SendError::Unknown {
+            broken: true, peer, ..
+        } = e
+        else {
+            return;
+        };
+        let now = self.now();
+        let failure = Failure {
+            stage: Stage::Written,
+            ending: Ending::Broken,
+            leaving: self.is_leaving(*peer),
+        };
+        let fingerprint = self.job.fingerprint;
+        let known = {
+            let successes = self
+                .state
+                .successes
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            successes.contains(fingerprint, now)
+        };
+        if !is_strike(failure, known) {
+            return;
+        }
+        tracing::warn!(
+            "crash: a request to {} broke the connection to {peer}.",
+            self.job.service
+        );
+        self.suspect = true;
+        let strike = {
+            let mut strikes = self
+                .state
+                .strikes
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            strikes.strike(fingerprint, now)
+        };
+        // The caller may repeat the request through another entry as soon as it
+        // has its answer, so the others have to know first.
+        control::notify(self.state, strike).await;
+    }
+
+    fn is_leaving(&self, target: TargetId) -> bool {
+        let now = self.now();
+        let state = self
+            .state
+            .services
+            .get(&self.job.service, |s| s.pool.state(now, target));
+        state.flatten() == Some(crate::policy::target::State::Leaving)
+    }
+
+    /// Sends the request once more, if budget, time and units allow.
+    async fn retry(&mut self, sent: bool) -> bool {
+        if !self.job.is_kept() {
+            return false;
+        }
+        let now = self.now();
+        let mut attempt = self.job.attempt(sent, self.count(), self.first);
+        attempt.strikes = {
+            let strikes = self
+                .state
+                .strikes
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            strikes.count(self.job.fingerprint, now)
+        };
+        let decide = |s: &mut Service| s.budget.retry(now, &mut rand::rng(), &attempt);
+        let Some(Ok(delay)) = self.state.services.get(&self.job.service, decide) else {
+            return false;
+        };
+        tokio::time::sleep(delay.duration()).await;
+        if let Some(slot) = slot::acquire_extra(self.state, &self.job, &self.tried) {
+            return self.send(slot).is_ok();
+        }
+        self.state
+            .services
+            .get(&self.job.service, |s| s.budget.refund());
+        false
+    }
+
+    fn late(&self) -> Refusal {
+        let targets: Vec<String> = self.tried.iter().map(ToString::to_string).collect();
+        let detail = format!(
+            "answer from {}: none before the deadline",
+            targets.join(", ")
+        );
+        Refusal::unknown(Code::Deadline, detail)
+    }
+}
+
+/// Returns for how long a target that refuses work wants to be left alone.
+fn shed(resp: &Response<Body>) -> Option<Millis> {
+    if resp.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
     }
+    let value = resp.headers().get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: u64 = value.parse().ok()?;
+    Some(Millis(seconds.saturating_mul(1000)))
 }
--- /dev/null
+++ b/src/app/entry/claims.rs
@@ -0,0 +1,317 @@
+//! Claims of keyed requests.
+
+use std::sync::Arc;
+
+use futures::{StreamExt, stream::FuturesUnordered};
+use http::{HeaderName, HeaderValue, StatusCode};
+use http_body_util::{BodyExt, Full};
+use rand::Rng;
+use tokio::time::timeout;
+
+use super::{State, job::Job};
+use crate::{
+    adapters::grpc,
+    domain::{Millis, Shards, Size},
+    policy::{
+        once::{
+            Answer, AttemptId, Bucket, ClaimKey, Claimant, Decision, HomeSet, Limits, Member, Page,
+            Register, Request, Response, Roster, Vote,
+        },
+        refusal::Refusal,
+    },
+    ports::Body,
+};
+
+/// The most claims of a service at one home. At about 200 bytes each this is 20
+/// MB of the memory that an entry has for control.
+const LIMITS: Limits = Limits {
+    claims: 100_000,
+    answers: Size::kib(16 * 1024),
+};
+
+/// How long homes may take to vote. A round trip between regions takes 70 ms.
+const VOTE: Millis = Millis(1_000);
+
+/// How often a release or an answer is sent to a home that does not acknowledge
+/// it. Losing one is safe, but keeps the key in progress.
+const REPEATS: u32 = 5;
+
+/// The registers of the buckets of which this entry is a home. A shard's lock
+/// guards the epoch of a register together with its claims.
+#[derive(Debug)]
+pub struct Claims {
+    me: Member,
+    registers: Shards<Bucket, Register>,
+}
+
+impl Claims {
+    /// Returns registers that do not vote yet.
+    #[must_use]
+    pub fn new(me: Member) -> Self {
+        Self {
+            me,
+            registers: Shards::new(),
+        }
+    }
+
+    /// Adopts a roster and the one before it.
+    pub(super) fn adopt(&self, [current, former]: &[Roster; 2]) {
+        for bucket in Bucket::all() {
+            let (new, old) = (current.homes(bucket), former.homes(bucket));
+            if new.contains(&self.me) {
+                let open = || {
+                    Register::new(
+                        self.me.clone(),
+                        bucket,
+                        LIMITS.share(u32::from(Bucket::COUNT)),
+                    )
+                };
+                self.registers.with(bucket, open, |r| r.adopt(&old, &new));
+            } else {
+                self.registers.get(&bucket, |r| r.adopt(&old, &new));
+            }
+        }
+    }
+
+    /// Answers a request of an entry. A home that has never been one refuses.
+    pub(super) fn handle(&self, request: &Request, now: Millis) -> Response {
+        let bucket = request.bucket();
+        let open = || {
+            Register::new(
+                self.me.clone(),
+                bucket,
+                LIMITS.share(u32::from(Bucket::COUNT)),
+            )
+        };
+        self.registers
+            .with(bucket, open, |r| r.handle(request, now))
+    }
+
+    /// Returns this life of this entry.
+    #[must_use]
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Returns what has to be read from former homes, and forgets what is old.
+    pub(super) fn tick(&self, now: Millis) -> Vec<(Member, Request)> {
+        let mut reads = Vec::new();
+        self.registers.each(|_, r| {
+            r.tick(now);
+            reads.extend(
+                r.reads()
+                    .into_iter()
+                    .map(|(m, read)| (m, Request::Read(read))),
+            );
+        });
+        reads
+    }
+
+    /// Takes a page of a former home.
+    pub(super) fn on_page(&self, from: &Member, page: Page, now: Millis) {
+        let bucket = page.read.bucket;
+        self.registers.get(&bucket, |r| r.on_page(from, page, now));
+    }
+
+    /// Returns how many buckets vote, and how many claims they hold.
+    #[must_use]
+    pub fn counts(&self) -> (usize, usize) {
+        let (mut ready, mut claims) = (0, 0);
+        self.registers.each(|_, r| {
+            ready += usize::from(r.is_ready());
+            claims += r.len();
+        });
+        (ready, claims)
+    }
+}
+
+impl State {
+    /// Returns the homes of a key.
+    fn homes(&self, key: &ClaimKey) -> HomeSet {
+        self.fleet.rosters().claims[0].homes(key.bucket())
+    }
+
+    /// Asks the homes until there is a decision.
+    async fn count_votes(self: &Arc<Self>, claimant: &mut Claimant, deadline: Millis) -> Decision {
+        let now = (self.ports.clock.now)();
+        let until = deadline.min(now + VOTE);
+        let votes = claimant.votes();
+        let mut asked: FuturesUnordered<_> = votes
+            .into_iter()
+            .map(|(home, vote)| {
+                let state = self.clone();
+                async move {
+                    let reply = state.ask_home(&home, Request::Vote(vote)).await;
+                    (home, reply)
+                }
+            })
+            .collect();
+        loop {
+            let left = until - (self.ports.clock.now)();
+            match timeout(left.duration(), asked.next()).await {
+                Ok(Some((home, Some(Response::Vote(epoch, reply))))) => {
+                    if let Some(decision) = claimant.on_reply(&home, epoch, reply) {
+                        return decision;
+                    }
+                }
+                Ok(Some(_)) => {}
+                Ok(None) | Err(_) => {
+                    let lost = claimant.on_timeout();
+                    return lost
+                        .unwrap_or_else(|| Decision::Unavailable("no home answered".to_owned()));
+                }
+            }
+        }
+    }
+
+    /// Sends a request to a home, which may be this entry.
+    pub(super) async fn ask_home(
+        self: &Arc<Self>,
+        home: &Member,
+        request: Request,
+    ) -> Option<Response> {
+        if *home == self.claims.me {
+            return Some(self.claims.handle(&request, (self.ports.clock.now)()));
+        }
+        let address = self.fleet.address(&home.entry)?;
+        let sender = self.fleet.sender();
+        let replies = grpc::ask_home(&self.fleet.peers, address, &sender, home, &[request]).await;
+        replies.ok()?.pop()
+    }
+
+    /// Frees the key of an attempt that was not dispatched.
+    fn release_claim(self: &Arc<Self>, claimant: &mut Claimant, key: &ClaimKey) {
+        let newest = self.homes(key);
+        for (home, release) in claimant.release(&newest) {
+            self.notify_home(home, Request::Release(release));
+        }
+    }
+
+    /// Records the end of an attempt that was dispatched.
+    fn finish_claim(
+        self: &Arc<Self>,
+        claimant: &mut Claimant,
+        key: &ClaimKey,
+        answer: Option<Arc<Answer>>,
+    ) {
+        let newest = self.homes(key);
+        for (home, finish) in claimant.finish(answer, &newest) {
+            self.notify_home(home, Request::Finish(finish));
+        }
+    }
+
+    /// Sends a request until the home acknowledges it.
+    fn notify_home(self: &Arc<Self>, home: Member, request: Request) {
+        let state = self.clone();
+        tokio::spawn(async move {
+            for n in 0..REPEATS {
+                if state.ask_home(&home, request.clone()).await.is_some() {
+                    return;
+                }
+                tokio::time::sleep(Millis(200 << n).duration()).await;
+            }
+            tracing::debug!("claim: {home} did not acknowledge.");
+        });
+    }
+}
+
+/// What became of a request's claim.
+pub(super) enum Claimed {
+    /// The request needs none.
+    Unkeyed,
+    /// It may be dispatched once.
+    Won(Won),
+    /// It was executed before, with this answer.
+    Answered(http::Response<Body>),
+}
+
+/// The right to dispatch a request once.
+///
+/// Dropping it before the dispatch frees the key. Dropping it after the dispatch
+/// records that the answer was lost.
+pub(super) struct Won {
+    state: Arc<State>,
+    key: ClaimKey,
+    claimant: Claimant,
+}
+
+/// Claims the key of a request.
+///
+/// # Errors
+///
+/// Refuses the request if another attempt has the key or no quorum answers.
+pub(super) async fn claim(state: &Arc<State>, job: &Job) -> Result<Claimed, Refusal> {
+    let Some(key) = job.key.clone() else {
+        return Ok(Claimed::Unkeyed);
+    };
+    let now = (state.ports.clock.now)();
+    let homes = state.homes(&key);
+    let vote = Vote {
+        key: key.clone(),
+        fingerprint: job.fingerprint,
+        attempt: AttemptId(rand::rng().random()),
+        claimant: state.claims.me.clone(),
+        epoch: homes.epoch,
+    };
+    let mut won = Won {
+        state: state.clone(),
+        key,
+        claimant: Claimant::new(vote, homes, now),
+    };
+    let decision = state.count_votes(&mut won.claimant, job.deadline).await;
+    match decision {
+        Decision::Won => Ok(Claimed::Won(won)),
+        Decision::Finished(Some(answer)) if answer.body.is_some() => {
+            Ok(Claimed::Answered(replay(&answer)))
+        }
+        decision => match decision.refusal(&mut rand::rng()) {
+            Some(refusal) => Err(refusal),
+            None => Ok(Claimed::Won(won)),
+        },
+    }
+}
+
+impl Won {
+    /// Tells whether the request may be written to a target now.
+    pub fn dispatch(&mut self, now: Millis) -> bool {
+        self.claimant.dispatch(now)
+    }
+
+    /// Notes that nothing of the dispatched request was written.
+    pub fn unsent(&mut self) {
+        self.claimant.unsent();
+    }
+
+    /// Records the answer for repeats of the request.
+    pub fn finish(mut self, answer: Answer) {
+        let answer = Some(Arc::new(answer));
+        self.state
+            .finish_claim(&mut self.claimant, &self.key, answer);
+    }
+}
+
+impl Drop for Won {
+    fn drop(&mut self) {
+        // Only one of the two has an effect, which depends on the dispatch.
+        self.state.release_claim(&mut self.claimant, &self.key);
+        self.state.finish_claim(&mut self.claimant, &self.key, None);
+    }
+}
+
+/// Returns a recorded answer.
+fn replay(answer: &Answer) -> http::Response<Body> {
+    let body = answer.body.clone().unwrap_or_default();
+    let mut resp = http::Response::new(Full::new(body).map_err(|never| match never {}).boxed());
+    *resp.status_mut() =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    for (name, value) in &answer.headers {
+        let name = HeaderName::from_bytes(name);
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(value)) {
+            resp.headers_mut().insert(name, value);
+        }
+    }
+    let replayed = HeaderName::from_static("x-savorybeam-replayed");
+    resp.headers_mut()
+        .insert(replayed, HeaderValue::from_static("true"));
+    resp
+}
--- /dev/null
+++ b/src/app/entry/control/documents.rs
@@ -0,0 +1,101 @@
+//! Documents on their way from the store or a peer into force.
+
+use std::sync::Arc;
+
+use crate::{
+    adapters::{
+        grpc::DocumentBody,
+        ini::{parse_document, print_document},
+        store::{documents::Arrival, roster as encoding},
+    },
+    app::entry::State,
+    domain::{Revision, ServiceName},
+    policy::{
+        document::{Adoption, Content},
+        timeline::Kind,
+    },
+};
+
+/// The name under which the roster is disseminated beside the documents. No
+/// service has it, since a service's name does not begin with a dot.
+pub(in crate::app::entry) const ROSTER: &str = ".roster";
+
+/// Puts a revision in force and tells the peers.
+pub(super) fn arrive(state: &Arc<State>, arrival: Arrival) {
+    let Arrival {
+        service,
+        revision,
+        content,
+    } = arrival;
+    match state.adopt_content(&service, revision, content) {
+        Adoption::Adopted { .. } => {
+            state.fleet.spread().adopted(&service, revision);
+            (state.events.emit)(
+                Kind::RevisionAdopted,
+                format!("{service} revision {revision}"),
+            );
+        }
+        Adoption::Rejected(rejection) => {
+            (state.events.emit)(Kind::RevisionRejected, rejection.to_string());
+        }
+        Adoption::Stale { .. } => {}
+    }
+}
+
+/// Takes a body that a peer sent.
+pub(super) fn receive(state: &Arc<State>, body: DocumentBody) {
+    let DocumentBody {
+        service,
+        revision,
+        text,
+    } = body;
+    if service.as_str() == ROSTER {
+        if let Some(record) = text.and_then(|t| encoding::decode(&t).ok()) {
+            state.adopt_roster(record);
+        }
+        return;
+    }
+    let content = match text {
+        None => Content::Deleted,
+        Some(text) => match parse_document(service.as_str(), &String::from_utf8_lossy(&text)) {
+            Ok(doc) => Content::Document(Arc::new(doc)),
+            Err(faults) => Content::Invalid(faults.iter().map(ToString::to_string).collect()),
+        },
+    };
+    arrive(
+        state,
+        Arrival {
+            service,
+            revision,
+            content,
+        },
+    );
+}
+
+/// Returns the bodies that a peer asks for, as far as they are here.
+pub(super) fn bodies(state: &State, services: &[ServiceName]) -> Vec<DocumentBody> {
+    services.iter().filter_map(|s| body(state, s)).collect()
+}
+
+fn body(state: &State, service: &ServiceName) -> Option<DocumentBody> {
+    if service.as_str() == ROSTER {
+        let rosters = state.fleet.rosters();
+        let text = encoding::encode(&rosters.record).ok()?;
+        return Some(DocumentBody {
+            service: service.clone(),
+            revision: Revision(rosters.epoch().0),
+            text: Some(text),
+        });
+    }
+    let (revision, doc) = state
+        .services
+        .get(service, |s| (s.doc.revision(), s.doc.document().cloned()))?;
+    // The printed form reads back as the same document, and costs no memory
+    // between two requests for it.
+    let text = doc.map(|d| print_document(&d).into());
+    (revision > Revision::default()).then(|| DocumentBody {
+        service: service.clone(),
+        revision,
+        text,
+    })
+}
--- /dev/null
+++ b/src/app/entry/control/gossip.rs
@@ -0,0 +1,204 @@
+//! Membership and dissemination: sends what is due and passes replies back.
+
+use std::sync::{Arc, PoisonError};
+
+use super::{beside, documents, every};
+use crate::{
+    adapters::grpc::{self, Fetch, Probe, Relay, Sync},
+    app::entry::{State, fleet},
+    domain::{EntryId, Millis, ServiceName},
+    policy::{
+        lookup::{Delays, View},
+        member::{Action, Event, EventKind},
+        spread,
+        timeline::Kind,
+    },
+};
+
+/// The period that both protocols expect.
+const PERIOD: Millis = Millis(100);
+
+/// Runs both protocols.
+pub(super) async fn run(state: Arc<State>) {
+    let mut known = Vec::new();
+    every(PERIOD, move || {
+        let now = (state.ports.clock.now)();
+        let actions = state.fleet.members().tick(now, &mut rand::rng());
+        for action in actions {
+            beside(act(state.clone(), action));
+        }
+        report(&state);
+        let candidates = state.fleet.candidates(now);
+        if !fleet::same(&known, &candidates) {
+            show(&state, &candidates);
+            known = candidates;
+        }
+        disseminate(&state);
+        state.fleet.peers.sweep();
+    })
+    .await;
+}
+
+/// Sends the messages of dissemination that are due.
+pub(super) fn disseminate(state: &Arc<State>) {
+    let now = (state.ports.clock.now)();
+    let others = state.fleet.others();
+    let actions = state.fleet.spread().tick(now, &others, &mut rand::rng());
+    for action in actions {
+        beside(fetch(state.clone(), action));
+    }
+}
+
+/// Puts the events of the membership into the timeline.
+fn report(state: &State) {
+    let events = state.fleet.members().events();
+    for Event { member, kind, .. } in events {
+        (state.events.emit)(topic(&kind), format!("{member} {kind}"));
+    }
+}
+
+fn topic(kind: &EventKind) -> Kind {
+    match kind {
+        EventKind::Joined => Kind::MemberJoined,
+        EventKind::Suspected => Kind::MemberSuspected,
+        EventKind::Failed | EventKind::Superseded(_) => Kind::MemberDead,
+        EventKind::Leaving => Kind::MemberLeft,
+        EventKind::Recovered
+        | EventKind::Refuted
+        | EventKind::Paused(_)
+        | EventKind::Restarted(_)
+        | EventKind::Returned => Kind::MemberReturned,
+    }
+}
+
+/// Shows look-ups the entries as they are now.
+fn show(state: &State, candidates: &[crate::policy::lookup::Candidate]) {
+    let links = state.settings.links.iter();
+    let delays = Delays::new(links.map(|l| (l.from.clone(), l.to.clone(), l.delay)));
+    let view = Arc::new(View::new(candidates, &delays));
+    *state.view.write().unwrap_or_else(PoisonError::into_inner) = view;
+}
+
+async fn act(state: Arc<State>, action: Action) {
+    let fleet = &state.fleet;
+    let sender = fleet.sender();
+    let root = fleet.spread().root();
+    let now = || (state.ports.clock.now)();
+    match action {
+        Action::Probe { to, nonce, updates } => {
+            let probe = Probe {
+                sender,
+                nonce,
+                updates,
+                root,
+            };
+            match grpc::probe(&fleet.peers, to, &probe).await {
+                Ok(ack) => acknowledged(&state, &ack.sender.entry.clone(), ack),
+                Err(_) => fleet.members().on_error(nonce),
+            }
+        }
+        Action::Relay {
+            via,
+            target,
+            to,
+            nonce,
+            updates,
+        } => {
+            let probe = Probe {
+                sender,
+                nonce,
+                updates,
+                root,
+            };
+            let relay = Relay {
+                probe,
+                target: target.clone(),
+                to,
+            };
+            if let Ok(ack) = grpc::relay(&fleet.peers, via, &relay).await {
+                acknowledged(&state, &target, ack);
+            }
+        }
+        Action::Sync { to, digest } => {
+            let sync = Sync { sender, digest };
+            if let Ok(reply) = grpc::sync(&fleet.peers, to, &sync).await {
+                let from = reply.sender.entry;
+                fleet
+                    .members()
+                    .on_records(now(), &from, reply.records, reply.more);
+            }
+        }
+    }
+}
+
+fn acknowledged(state: &State, from: &EntryId, ack: Probe) {
+    let now = (state.ports.clock.now)();
+    state
+        .fleet
+        .members()
+        .on_ack(now, from, ack.nonce, ack.updates);
+    let agrees = {
+        let mut spread = state.fleet.spread();
+        spread.on_root(from, ack.root);
+        spread.root() == ack.root
+    };
+    if agrees {
+        state.set_informed();
+    }
+}
+
+async fn fetch(state: Arc<State>, action: spread::Action) {
+    let request = Fetch::new(state.fleet.sender());
+    match action {
+        spread::Action::Announce { to, list } => {
+            let request = Fetch {
+                announced: list,
+                ..request
+            };
+            send(&state, &to, &request).await;
+        }
+        spread::Action::Compare { with, summary } => {
+            let request = Fetch {
+                summary: Some(summary),
+                ..request
+            };
+            send(&state, &with, &request).await;
+        }
+        spread::Action::Pull { from, services } => pull(&state, &from, request, services).await,
+    }
+}
+
+async fn send(state: &Arc<State>, to: &EntryId, request: &Fetch) {
+    let Some(address) = state.fleet.address(to) else {
+        return;
+    };
+    if let Ok(reply) = grpc::fetch(&state.fleet.peers, address, request).await {
+        state.fleet.spread().on_announce(to, &reply.revisions);
+        disseminate(state);
+    }
+}
+
+async fn pull(state: &Arc<State>, from: &EntryId, request: Fetch, services: Vec<ServiceName>) {
+    let request = Fetch {
+        services: services.clone(),
+        ..request
+    };
+    let reply = match state.fleet.address(from) {
+        Some(address) => grpc::fetch(&state.fleet.peers, address, &request)
+            .await
+            .ok(),
+        None => None,
+    };
+    let Some(reply) = reply else {
+        state.fleet.spread().on_error(from, &services);
+        return;
+    };
+    let received = reply.bodies.len();
+    for body in reply.bodies {
+        documents::receive(state, body);
+    }
+    state.fleet.spread().on_pulled(from, &services, received);
+    // Passing a revision on at once, and not at the next period, is what keeps
+    // the way through the fleet short.
+    disseminate(state);
+}
--- /dev/null
+++ b/src/app/entry/control/reports.rs
@@ -0,0 +1,123 @@
+//! Operators' questions to all entries.
+
+use std::sync::Arc;
+
+use futures::StreamExt;
+
+use crate::{
+    adapters::grpc::{self, EventsAsked, Report},
+    app::entry::State,
+    domain::{EntryId, ParseError, ServiceName},
+    policy::{member, timeline::Event},
+    ports::{EventQuery, admin::Gathered},
+};
+
+/// How many entries are asked at the same time. An operator's question reaches
+/// every entry, and this keeps it from being a burst.
+const PARALLEL: usize = 32;
+
+/// Returns what this entry says of a service.
+pub(super) fn own(state: &State, service: &str) -> Report {
+    let Ok(name) = service.parse::<ServiceName>() else {
+        return Report::default();
+    };
+    let report = state.services.get(&name, |s| {
+        let doc = s.doc.document();
+        let targets = doc
+            .iter()
+            .flat_map(|d| &d.places)
+            .flat_map(|p| p.targets.iter());
+        let count = |t: &crate::domain::TargetId| (*t, state.observer.running(*t));
+        Report {
+            revision: Some(s.doc.revision()),
+            running: targets.map(count).filter(|(_, n)| *n > 0).collect(),
+        }
+    });
+    report.unwrap_or_default()
+}
+
+/// Returns the events of this entry.
+pub(super) fn own_events(state: &State, asked: &EventsAsked) -> Result<Vec<Event>, ParseError> {
+    let part = |text: &str| (!text.is_empty()).then(|| text.parse()).transpose();
+    let after = (!asked.after.is_empty())
+        .then(|| asked.after.parse())
+        .transpose()?;
+    let query = EventQuery {
+        after,
+        part: part(&asked.part)?,
+        limit: usize::try_from(asked.limit).unwrap_or(usize::MAX),
+    };
+    Ok((state.events.read)(&query))
+}
+
+/// Returns the other entries that may have requests running: all that are not
+/// known to be gone.
+fn others(state: &State) -> Vec<(EntryId, std::net::SocketAddr)> {
+    let members = state.fleet.members();
+    let me = members.me().id.clone();
+    let all = members
+        .all()
+        .filter(|(m, state)| m.id != me && *state != member::State::Dead);
+    all.map(|(m, _)| (m.id.clone(), m.peers)).collect()
+}
+
+/// Asks every entry about a service, this one included. An entry that does not
+/// answer is listed without a report.
+pub(in crate::app::entry) async fn gather_reports(
+    state: &Arc<State>,
+    service: &ServiceName,
+) -> Vec<(EntryId, Option<Report>)> {
+    let own = (state.me.entry.clone(), Some(own(state, service.as_str())));
+    let calls = others(state)
+        .into_iter()
+        .map(|(entry, address)| async move {
+            let report = grpc::report(&state.fleet.peers, address, service.as_str()).await;
+            (entry, report.ok())
+        });
+    let calls: Vec<_> = calls.collect();
+    let mut reports: Vec<_> = futures::stream::iter(calls)
+        .buffer_unordered(PARALLEL)
+        .collect()
+        .await;
+    reports.push(own);
+    reports.sort_by(|a, b| a.0.cmp(&b.0));
+    reports
+}
+
+/// Collects the events of every entry in the order of their stamps.
+pub(in crate::app::entry) async fn gather_events(
+    state: &Arc<State>,
+    query: EventQuery,
+) -> Gathered {
+    let asked = EventsAsked {
+        after: query
+            .after
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+        part: query.part.map(|p| p.to_string()).unwrap_or_default(),
+        limit: u32::try_from(query.limit).unwrap_or(u32::MAX),
+    };
+    let mut gathered = Gathered {
+        events: (state.events.read)(&query),
+        missing: Vec::new(),
+    };
+    let asked = &asked;
+    let calls = others(state)
+        .into_iter()
+        .map(|(entry, address)| async move {
+            let events = grpc::events(&state.fleet.peers, address, asked).await;
+            (entry, events.ok())
+        });
+    let calls: Vec<_> = calls.collect();
+    let mut answers = futures::stream::iter(calls).buffer_unordered(PARALLEL);
+    while let Some((entry, events)) = answers.next().await {
+        match events {
+            Some(events) => gathered.events.extend(events),
+            None => gathered.missing.push(entry.to_string()),
+        }
+    }
+    gathered.events.sort_by(|a, b| a.stamp.cmp(&b.stamp));
+    gathered.missing.sort();
+    gathered
+}
--- /dev/null
+++ b/src/app/entry/control/routes.rs
@@ -0,0 +1,108 @@
+//! What other entries may ask of this one.
+
+use std::sync::Arc;
+
+use super::{claims, documents, gossip, limits, reports, strikes};
+use crate::{
+    adapters::grpc::{self, Ack, Fetch, FetchReply, Probe, Relay, Routes, Status, Sync, SyncReply},
+    app::entry::State,
+};
+
+/// Returns the methods of this entry.
+pub(super) fn routes(state: &Arc<State>) -> Routes {
+    let routes = Routes::new(state.fleet.traffic.clone());
+    let s = state.clone();
+    let routes = grpc::serve_probe(routes, move |probe| {
+        let reply = probed(&s, probe);
+        async move { Ok(reply) }
+    });
+    let s = state.clone();
+    let routes = grpc::serve_relay(routes, move |relay| {
+        let s = s.clone();
+        async move { relayed(&s, relay).await }
+    });
+    let s = state.clone();
+    let routes = grpc::serve_sync(routes, move |sync| {
+        let reply = compared(&s, &sync);
+        async move { Ok(reply) }
+    });
+    let s = state.clone();
+    let routes = grpc::serve_fetch(routes, move |fetch| {
+        let reply = fetched(&s, &fetch);
+        async move { Ok(reply) }
+    });
+    let s = state.clone();
+    let routes = grpc::serve_limit(routes, move |from, to, items| {
+        limits::receive(&s, from, to, items);
+    });
+    let s = state.clone();
+    let routes = grpc::serve_claim(routes, move |to, request| claims::answer(&s, to, request));
+    let s = state.clone();
+    let routes = grpc::serve_strike(routes, move |strikes| strikes::receive(&s, &strikes));
+    let s = state.clone();
+    let routes = grpc::serve_report(routes, move |service| {
+        (s.fleet.sender(), reports::own(&s, service))
+    });
+    let s = state.clone();
+    grpc::serve_events(routes, move |asked| reports::own_events(&s, asked))
+}
+
+fn probed(state: &Arc<State>, probe: Probe) -> Ack {
+    let now = (state.ports.clock.now)();
+    let from = &probe.sender.entry;
+    let updates = state.fleet.members().on_probe(now, from, probe.updates);
+    let root = {
+        let mut spread = state.fleet.spread();
+        spread.on_root(from, probe.root);
+        spread.root()
+    };
+    Ack {
+        sender: state.fleet.sender(),
+        nonce: probe.nonce,
+        updates,
+        root,
+    }
+}
+
+async fn relayed(state: &Arc<State>, relay: Relay) -> Result<Ack, Status> {
+    let now = (state.ports.clock.now)();
+    let Relay { probe, target, to } = relay;
+    let updates = state.fleet.members().on_relay(now, &target, probe.updates);
+    let root = state.fleet.spread().root();
+    let probe = Probe {
+        sender: state.fleet.sender(),
+        nonce: probe.nonce,
+        updates,
+        root,
+    };
+    let ack = grpc::probe(&state.fleet.peers, to, &probe).await;
+    ack.map_err(|e| Status::unavailable(e.to_string()))
+}
+
+fn compared(state: &Arc<State>, sync: &Sync) -> SyncReply {
+    let (records, more) = state.fleet.members().on_digest(&sync.digest);
+    SyncReply {
+        sender: state.fleet.sender(),
+        records,
+        more,
+    }
+}
+
+fn fetched(state: &Arc<State>, fetch: &Fetch) -> FetchReply {
+    let (revisions, root) = {
+        let mut spread = state.fleet.spread();
+        spread.on_announce(&fetch.sender.entry, &fetch.announced);
+        let summary = fetch.summary.as_ref();
+        let revisions = summary.map(|s| spread.on_compare(s, &mut rand::rng()));
+        (revisions.unwrap_or_default(), spread.root())
+    };
+    if !fetch.announced.is_empty() {
+        gossip::disseminate(state);
+    }
+    FetchReply {
+        sender: state.fleet.sender(),
+        revisions,
+        bodies: documents::bodies(state, &fetch.services),
+        root,
+    }
+}
--- /dev/null
+++ b/src/app/entry/control/store.rs
@@ -0,0 +1,106 @@
+//! The store: few entries watch it, and all others learn from them.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use tokio::{sync::mpsc, time::timeout};
+
+use super::{documents, gossip, jitter};
+use crate::{
+    adapters::store::{documents as records, roster as encoding},
+    app::entry::State,
+    domain::{Millis, Revision},
+    policy::spread::watch_holders,
+    ports::{Snapshot, StoreError, Update},
+};
+
+/// How often an entry looks whether it is to watch.
+const PERIOD: Millis = Millis(500);
+
+/// The longest wait before a broken watch is opened again. Six holders then
+/// make a handful of calls a second to a store that has just come back.
+const BACK_OFF: Millis = Millis(2_000);
+
+/// Watches the store whenever this entry is one of the holders.
+pub(super) async fn run(state: Arc<State>) {
+    loop {
+        // An entry that has no documents from anywhere asks the store itself,
+        // because it may be the first of all.
+        if !is_holder(&state) && state.is_informed() {
+            tokio::time::sleep(PERIOD.duration()).await;
+            continue;
+        }
+        if let Err(e) = watch(&state).await {
+            tracing::debug!("store: {e}.");
+        }
+        jitter(BACK_OFF).await;
+    }
+}
+
+fn is_holder(state: &State) -> bool {
+    let members = state.fleet.members();
+    let holders = watch_holders(members.alive());
+    holders.contains(&&members.me().id)
+}
+
+/// Reads everything once and then follows the changes, until the watch breaks or
+/// another entry takes over.
+async fn watch(state: &Arc<State>) -> Result<(), StoreError> {
+    let store = &state.ports.store;
+    let documents = (store.list)(records::PREFIX).await?;
+    let roster = (store.list)(encoding::KEY).await?;
+    take_all(state, &documents);
+    take_all(state, &roster);
+    state.set_informed();
+    gossip::disseminate(state);
+    let mut documents = open(state, records::PREFIX, documents.revision).await?;
+    let mut roster = open(state, encoding::KEY, roster.revision).await?;
+    loop {
+        let update = async {
+            tokio::select! {
+                update = documents.recv() => update,
+                update = roster.recv() => update,
+            }
+        };
+        match timeout(PERIOD.duration(), update).await {
+            Ok(Some(update)) => {
+                take(state, &update);
+                gossip::disseminate(state);
+            }
+            Err(_) if is_holder(state) => {}
+            Ok(None) | Err(_) => return Ok(()),
+        }
+    }
+}
+
+async fn open(
+    state: &State,
+    prefix: Bytes,
+    from: Revision,
+) -> Result<mpsc::Receiver<Update>, StoreError> {
+    (state.ports.store.watch)((prefix, from)).await
+}
+
+fn take_all(state: &Arc<State>, snapshot: &Snapshot) {
+    for record in &snapshot.records {
+        take(state, &Update::Put(record.clone()));
+    }
+}
+
+fn take(state: &Arc<State>, update: &Update) {
+    if let Update::Put(record) = update
+        && record.key == encoding::KEY
+    {
+        match encoding::decode(&record.value) {
+            Ok(roster) => state.adopt_roster(roster),
+            Err(e) => tracing::error!("store: the roster cannot be read: {e}."),
+        }
+        return;
+    }
+    for arrival in records::arrivals(update) {
+        documents::arrive(state, arrival);
+    }
+}
+
+/// How long the fate of a roster proposal may take to learn.
+pub(super) const ROSTER_WAIT: Millis = Millis(2_000);
--- /dev/null
+++ b/src/app/entry/fleet.rs
@@ -0,0 +1,213 @@
+//! What an entry knows of the other entries.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+};
+
+use crate::{
+    adapters::{
+        grpc::{Peers, Sender, Traffic},
+        ini::Settings,
+        store::roster::RosterRecord,
+    },
+    domain::{EntryId, Epoch, Incarnation, Millis},
+    policy::{
+        limit,
+        lookup::{Candidate, EntryState, LoadLevel, View},
+        member::{self, Load, Members, State, Version},
+        once,
+        spread::{self, Spread},
+    },
+};
+
+/// How long a call to another entry may take. A round trip between regions takes
+/// 70 ms.
+const CALL: Millis = Millis(1_000);
+
+/// A roster in the forms in which decisions need it.
+#[derive(Debug, Default)]
+pub struct Rosters {
+    /// As the store has it, with the one before.
+    pub record: RosterRecord,
+    /// For limits.
+    pub limits: Arc<limit::Roster>,
+    /// For claims, in force and before.
+    pub claims: [once::Roster; 2],
+}
+
+impl Rosters {
+    /// Converts what the store has.
+    #[must_use]
+    pub fn new(record: RosterRecord) -> Self {
+        let seat = |s: &member::Seat| limit::Seat {
+            member: limit::Member {
+                entry: s.entry.clone(),
+                incarnation: s.incarnation,
+            },
+            leaving: false,
+        };
+        let entry = |s: &member::Seat| once::RosterEntry {
+            member: once::Member {
+                entry: s.entry.clone(),
+                incarnation: s.incarnation,
+            },
+            region: s.region.clone(),
+            az: s.az.clone(),
+        };
+        let claims = |r: &member::Roster| once::Roster::new(r.epoch, r.seats.iter().map(entry));
+        let current = &record.current;
+        let limits = limit::Roster::new(current.epoch, current.seats.iter().map(seat).collect());
+        Self {
+            limits: Arc::new(limits),
+            claims: [claims(current), claims(&record.former)],
+            record,
+        }
+    }
+
+    /// Returns the epoch in force.
+    #[must_use]
+    pub fn epoch(&self) -> Epoch {
+        self.record.current.epoch
+    }
+}
+
+/// The other entries: who they are, what they have, and how to reach them.
+///
+/// Membership, dissemination and the roster each have a lock of their own. They
+/// are never held together.
+#[derive(Debug)]
+pub struct Fleet {
+    members: Mutex<Members>,
+    spread: Mutex<Spread>,
+    rosters: RwLock<Arc<Rosters>>,
+    /// Channels to other entries.
+    pub peers: Peers,
+    /// What they have carried.
+    pub traffic: Arc<Traffic>,
+}
+
+impl Fleet {
+    /// Returns a fleet of which only this entry is known.
+    #[must_use]
+    pub fn new(settings: &Settings, incarnation: Incarnation) -> Self {
+        let me = member::Member {
+            id: settings.name.clone(),
+            incarnation,
+            version: Version(0),
+            state: State::Alive,
+            region: settings.region.clone(),
+            az: settings.az.clone(),
+            callers: settings.callers,
+            admin: settings.admin,
+            peers: settings.peers,
+            load: Load::Normal,
+        };
+        let traffic: Arc<Traffic> = Arc::default();
+        Self {
+            members: Mutex::new(Members::new(
+                me,
+                settings.seeds.clone(),
+                member::Tuning::default(),
+            )),
+            spread: Mutex::new(Spread::new(spread::Tuning::default())),
+            rosters: RwLock::default(),
+            peers: Peers::new(CALL, traffic.clone()),
+            traffic,
+        }
+    }
+
+    /// Locks the membership.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the dissemination of revisions.
+    pub fn spread(&self) -> MutexGuard<'_, Spread> {
+        self.spread.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the roster in force.
+    #[must_use]
+    pub fn rosters(&self) -> Arc<Rosters> {
+        self.rosters
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Puts a roster in force if its epoch is greater. Returns whether it was.
+    pub(super) fn set_rosters(&self, rosters: Rosters) -> bool {
+        let mut current = self.rosters.write().unwrap_or_else(PoisonError::into_inner);
+        if rosters.epoch() <= current.epoch() {
+            return false;
+        }
+        *current = Arc::new(rosters);
+        true
+    }
+
+    /// Returns what messages of this entry begin with.
+    #[must_use]
+    pub fn sender(&self) -> Sender {
+        let epoch = self.rosters().epoch();
+        let members = self.members();
+        Sender {
+            entry: members.me().id.clone(),
+            incarnation: members.me().incarnation,
+            epoch,
+        }
+    }
+
+    /// Returns where an entry takes messages of others.
+    #[must_use]
+    pub fn address(&self, entry: &EntryId) -> Option<SocketAddr> {
+        self.members().get(entry).map(|(m, _)| m.peers)
+    }
+
+    /// Returns the other entries that are in use.
+    #[must_use]
+    pub fn others(&self) -> Vec<EntryId> {
+        let members = self.members();
+        let me = members.me().id.clone();
+        let all = members.alive().map(|m| m.id.clone());
+        all.filter(|id| *id != me).collect()
+    }
+
+    /// Returns the entries as look-ups see them.
+    #[must_use]
+    pub fn candidates(&self, now: Millis) -> Vec<Candidate> {
+        let members = self.members();
+        let candidate = |(m, state): (&member::Member, State)| Candidate {
+            id: m.id.clone(),
+            region: m.region.clone(),
+            az: m.az.clone(),
+            address: m.callers,
+            level: match m.load {
+                Load::Normal => LoadLevel::Normal,
+                Load::High => LoadLevel::Busy,
+                Load::Severe => LoadLevel::Overloaded,
+            },
+            state: match state {
+                State::Alive => EntryState::Live,
+                State::Suspect => EntryState::Suspect,
+                State::Leaving => EntryState::Leaving,
+                State::Dead => EntryState::Dead,
+            },
+            since: now,
+        };
+        members.all().map(candidate).collect()
+    }
+}
+
+/// Tells whether two lists name the same entries in the same states, whatever
+/// the time. Only then may a view be kept.
+#[must_use]
+pub(super) fn same(a: &[Candidate], b: &[Candidate]) -> bool {
+    let key = |c: &Candidate| (c.id.clone(), c.address, c.level, c.state);
+    a.len() == b.len() && a.iter().zip(b).all(|(a, b)| key(a) == key(b))
+}
+
+/// Returns an empty view, for an entry that knows nobody yet.
+pub(super) fn no_view() -> View {
+    View::new(&[], &crate::policy::lookup::Delays::default())
+}
--- a/src/app/entry/inbound.rs
+++ b/src/app/entry/inbound.rs
@@ -41,7 +41,7 @@
 async fn handle(state: &Arc<State>, req: Request<Body>) -> Response<Body> {
     let host = host(&req);
     let service = host.and_then(|h| h.parse::<ServiceName>().ok());
-    let known = service.filter(|s| state.services.get(s, |_| ()).is_some());
+    let known = service.filter(|s| state.services.get(s, |s| s.document().is_ok()) == Some(true));
     let Some(service) = known else {
         if req.uri().path() == "/v1/entries" {
             return lookup::respond(state, &req);
--- a/src/app/entry/lookup.rs
+++ b/src/app/entry/lookup.rs
@@ -9,30 +9,38 @@
 use crate::{
     adapters::http::answer,
     domain::ServiceName,
-    policy::refusal::{Code, Refusal},
+    policy::{
+        lookup::rank,
+        refusal::{Code, Refusal},
+    },
 };
 
-/// How long a caller may keep the answer, in seconds.
-const MAX_AGE: u64 = 5;
-
 /// Answers `GET /v1/entries?service=NAME`.
 pub(super) fn respond(state: &Arc<State>, req: &Request<Body>) -> Response<Body> {
     let Some(service) = service(req) else {
         let detail = "the query needs service=NAME";
         return answer(&Refusal::not_run(Code::BadRequest, detail));
     };
-    if state.services.get(&service, |_| ()).is_none() {
+    if state.services.get(&service, |s| s.document().is_ok()) != Some(true) {
         let detail = format!("no document is in force for {service}");
         return answer(&Refusal::not_run(Code::UnknownService, detail));
     }
+    let view = state.view();
+    let now = (state.ports.clock.now)();
+    let ranked = rank(&service, &state.settings.region, &view, now);
+    let urls = ranked
+        .entries
+        .iter()
+        .map(|c| format!("http://{}", c.address));
+    let age = ranked.max_age.0 / 1000;
     let text = serde_json::json!({
         "service": service.as_str(),
-        "max_age": MAX_AGE,
-        "entries": [format!("http://{}", state.settings.callers)],
+        "max_age": age,
+        "entries": urls.collect::<Vec<_>>(),
     });
     let resp = Response::builder()
         .header(header::CONTENT_TYPE, "application/json")
-        .header(header::CACHE_CONTROL, format!("max-age={MAX_AGE}"));
+        .header(header::CACHE_CONTROL, format!("max-age={age}"));
     resp.body(Body::from(text.to_string())).unwrap_or_default()
 }
 
--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -6,26 +6,43 @@
 
 pub mod admin;
 mod carry;
+mod claims;
+mod control;
+mod fleet;
 mod inbound;
+mod job;
 mod lookup;
+mod reply;
 mod service;
+mod slot;
+mod state;
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use eyre::WrapErr;
 
-use self::admin::Observer;
-pub use self::service::Service;
+use self::control::Control;
+pub use self::{
+    service::{Chosen, Service},
+    state::State,
+};
 use crate::{
     adapters::{
         http::{self, Limits, Server},
         ini::Settings,
         metrics::Metrics,
     },
-    domain::{Document, Revision, ServiceName, Shards},
-    ports::{Clock, Events, Store, Targets},
+    domain::Millis,
+    policy::{
+        drain::{Phase, Step, Stop},
+        timeline::Kind,
+    },
+    ports::{Clock, Store, Targets},
 };
 
+/// How often a stop is looked at.
+const STOP_PERIOD: Duration = Duration::from_millis(50);
+
 /// What a running entry needs from outside.
 #[derive(Clone, Debug)]
 pub struct Ports {
@@ -39,30 +56,6 @@
     pub metrics: Metrics,
 }
 
-/// The state of a running entry.
-#[derive(Debug)]
-pub struct State {
-    /// The settings it was started with.
-    pub settings: Settings,
-    /// What it needs from outside.
-    pub ports: Ports,
-    /// The timeline of this entry.
-    pub events: Events,
-    /// What was sent to targets.
-    pub observer: Observer,
-    /// The documents in force, with what is known of their targets.
-    pub services: Shards<ServiceName, Service>,
-}
-
-impl State {
-    /// Puts a document in force unless a newer one already is.
-    pub fn adopt(&self, doc: &Document, revision: Revision) {
-        let name = doc.service.clone();
-        let new = || Service::new(doc.clone(), revision);
-        self.services.with(name, new, |s| s.adopt(doc, revision));
-    }
-}
-
 /// A running entry.
 #[derive(Debug)]
 pub struct Entry {
@@ -70,6 +63,7 @@
     pub state: Arc<State>,
     callers: Server,
     admin: Server,
+    control: Control,
 }
 
 /// Starts an entry.
@@ -77,37 +71,27 @@
 /// # Errors
 ///
 /// Returns an error if an address cannot be bound.
-pub async fn spawn(settings: Settings, mut ports: Ports) -> eyre::Result<Entry> {
-    let observer = Observer::new(ports.clock.clone(), ports.metrics.clone());
-    ports.targets = observer.wrap(ports.targets);
+pub async fn spawn(settings: Settings, ports: Ports) -> eyre::Result<Entry> {
     let limits = Limits {
         connections: settings.connections,
         ..Limits::default()
     };
     let addr = settings.callers;
-    let events = admin::open_events(settings.name.clone(), &ports.clock, &ports.metrics);
-    let state = Arc::new(State {
-        settings,
-        ports,
-        events,
-        observer,
-        services: Shards::new(),
-    });
+    let (state, outbox) = State::open(settings, ports);
     let callers = http::bind(addr, limits, inbound::router(&state))
         .await
         .wrap_err("start the callers' server")?;
-    tracing::info!(
-        "entry: {} serves callers at {}.",
-        state.settings.name,
-        callers.addr()
-    );
     let admin = admin::start(&state)
         .await
         .wrap_err("start the administration server")?;
+    // Last, so that no entry hears of this one before it serves.
+    let control = control::spawn(&state, outbox).await?;
+    (state.events.emit)(Kind::EntryStarted, format!("callers at {}", callers.addr()));
     Ok(Entry {
         state,
         callers,
         admin,
+        control,
     })
 }
 
@@ -124,11 +108,56 @@
         self.admin.addr()
     }
 
-    /// Stops without cutting off a request. The administration stays until the
-    /// last request of a caller has ended, so that operators see the drain.
+    /// Waits until the entry serves.
+    pub async fn ready(&self) {
+        while self.state.unready().is_some() {
+            tokio::time::sleep(STOP_PERIOD).await;
+        }
+    }
+
+    /// Stops without cutting off a request.
+    ///
+    /// The peers are told first, so that no further caller is sent here, and
+    /// the entry serves on as long as callers may keep an older answer. The
+    /// administration stays until the last request has ended, so that operators
+    /// see the drain.
     pub async fn stop(self) {
-        self.callers.stop().await;
-        self.admin.stop().await;
-        tracing::info!("entry: {} stopped.", self.state.settings.name);
+        let Self {
+            state,
+            callers,
+            admin,
+            control,
+        } = self;
+        (state.events.emit)(Kind::EntryLeaving, state.settings.name.to_string());
+        linger(&state).await;
+        callers.stop().await;
+        control::leave_roster(&state).await;
+        control.stop().await;
+        admin.stop().await;
+        tracing::info!("entry: {} stopped.", state.settings.name);
+    }
+}
+
+/// Announces the stop and waits until callers no longer come.
+async fn linger(state: &Arc<State>) {
+    let now = || (state.ports.clock.now)();
+    let (mut stop, _) = Stop::begin(state.settings.linger, now());
+    state.fleet.members().leave();
+    let announced = now();
+    while stop.accepts() {
+        tokio::time::sleep(STOP_PERIOD).await;
+        // The announcement goes to three peers at once and to another one each
+        // second, so after this time some have it. Alone there is nobody to tell.
+        if stop.phase() == Phase::Announcing && (alone(state) || now() - announced >= Millis(1_000))
+        {
+            stop.announced(now());
+        }
+        if stop.tick(state.running(), now()) == Some(Step::Announce) {
+            state.fleet.members().leave();
+        }
     }
 }
+
+fn alone(state: &State) -> bool {
+    state.fleet.others().is_empty()
+}
--- /dev/null
+++ b/src/app/entry/reply.rs
@@ -0,0 +1,113 @@
+//! The answer of a target on its way to the caller.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::{Bytes, BytesMut};
+use http::{Response, response::Parts};
+use http_body::{Frame, SizeHint};
+use http_body_util::BodyExt;
+
+use super::{claims::Won, job::HOP_BY_HOP, slot::Slot};
+use crate::{
+    policy::{once::Answer, target::Finish},
+    ports::Body,
+};
+
+/// Passes an answer on. The slot is held until the last byte is through, because
+/// the target is busy until then.
+pub(super) fn pass(resp: Response<Body>, slot: Slot, won: Option<Won>) -> Response<Body> {
+    let (mut parts, body) = resp.into_parts();
+    for name in &HOP_BY_HOP {
+        parts.headers.remove(name);
+    }
+    let record = won.map(|won| Record {
+        won,
+        head: parts.clone(),
+        body: Some(BytesMut::new()),
+    });
+    let tracked = Tracked { body, slot, record };
+    Response::from_parts(parts, tracked.boxed())
+}
+
+/// The answer of a keyed request, which is kept for repeats.
+struct Record {
+    won: Won,
+    head: Parts,
+    body: Option<BytesMut>,
+}
+
+impl Record {
+    fn add(&mut self, data: &Bytes) {
+        let max = usize::try_from(Answer::BODY.0).unwrap_or(usize::MAX);
+        if let Some(body) = &mut self.body {
+            if body.len() + data.len() <= max {
+                body.extend_from_slice(data);
+            } else {
+                self.body = None;
+            }
+        }
+    }
+
+    fn finish(self) {
+        let headers = self.head.headers.iter();
+        let headers = headers.map(|(name, value)| (name.as_str(), value.as_bytes()));
+        let body = self.body.map(BytesMut::freeze);
+        self.won
+            .finish(Answer::record(self.head.status.as_u16(), headers, body));
+    }
+}
+
+/// An answer's body that holds its slot while it streams.
+struct Tracked {
+    body: Body,
+    slot: Slot,
+    record: Option<Record>,
+}
+
+impl Tracked {
+    fn complete(&mut self) {
+        self.slot.finish(Finish::Done);
+        if let Some(record) = self.record.take() {
+            record.finish();
+        }
+    }
+}
+
+impl http_body::Body for Tracked {
+    type Data = Bytes;
+    type Error = Box<dyn std::error::Error + Send + Sync>;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        match &frame {
+            Poll::Ready(Some(Ok(frame))) => {
+                if let (Some(data), Some(record)) = (frame.data_ref(), self.record.as_mut()) {
+                    record.add(data);
+                }
+                // A body of known length may be dropped without asking for its
+                // end.
+                if self.body.is_end_stream() {
+                    self.complete();
+                }
+            }
+            Poll::Ready(Some(Err(_))) => self.slot.finish(Finish::Failed),
+            Poll::Ready(None) => self.complete(),
+            Poll::Pending => {}
+        }
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -1,72 +1,412 @@
 //! What an entry knows of one service.
 
-use std::collections::HashMap;
+use std::{collections::VecDeque, sync::Arc};
 
+use rand::Rng;
+use tokio::sync::oneshot;
+
+use super::{slot::Slot, state::slots_limit};
 use crate::{
-    domain::{Document, PlaceState, Revision, Slots, TargetId},
-    policy::refusal::{Code, Refusal},
+    domain::{
+        Document, Lane, LimitName, Millis, PlaceName, Revision, ServiceName, Shards, TargetId,
+    },
+    policy::{
+        document::{Adoption, Content, DocumentState},
+        limit::{Ledger, Outgoing, Permit},
+        queue::{Lengths, Queue, Ticket, WaitId},
+        refusal::{Code, Refusal},
+        retry::{Budget, Window},
+        shift::Shift,
+        target::{Ask, Choice, Finish, Miss, Pool},
+    },
 };
 
+/// How many choices are kept for `explain`.
+const CHOICES: usize = 32;
+
+/// The receiver of a waiting request's slot.
+pub(super) type Grant = oneshot::Sender<Result<Slot, Refusal>>;
+
+/// A request that waits for a slot.
+#[derive(Debug)]
+pub(super) struct Waiting {
+    place: PlaceName,
+    grant: Grant,
+}
+
+/// A slot that a request got.
+#[derive(Debug)]
+pub(super) struct Granted {
+    /// Who waits for it.
+    pub grant: Grant,
+    /// The target.
+    pub choice: Choice,
+    /// The lane.
+    pub lane: Lane,
+    /// The right to use the slot.
+    pub permit: Permit,
+}
+
+/// What became of the waiting requests.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    /// Requests that may start.
+    pub granted: Vec<Granted>,
+    /// Requests that are refused.
+    pub refused: Vec<(Grant, Refusal)>,
+    /// Messages that ask for units.
+    pub messages: Vec<Outgoing>,
+}
+
+/// A choice of a target, for `explain`.
+#[derive(Clone, Debug)]
+pub struct Chosen {
+    /// When it was made, on the clock of this process.
+    pub at: Millis,
+    /// The lane of the request.
+    pub lane: Lane,
+    /// The choice.
+    pub choice: Choice,
+    /// How many requests waited.
+    pub waiting: usize,
+}
+
 /// A document in force and the state of its targets. It sits in a shard, so the
 /// shard's lock guards all of it.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Service {
-    /// The document.
-    pub doc: Document,
-    /// Its revision.
-    pub revision: Revision,
-    running: HashMap<TargetId, u32>,
+    name: ServiceName,
+    /// The document in force.
+    pub doc: DocumentState,
+    /// The targets.
+    pub pool: Pool,
+    /// The waiting requests.
+    pub(super) queue: Queue<Waiting>,
+    /// The usual durations of requests.
+    pub lengths: Lengths,
+    /// The times until the head of an answer, short and long.
+    pub windows: [Window; 2],
+    /// What retries and hedges may use.
+    pub budget: Budget,
+    /// Where traffic goes, once there is a document.
+    pub shift: Option<Shift>,
+    /// The latest choices.
+    pub choices: VecDeque<Chosen>,
 }
 
 impl Service {
-    /// Returns the state of a service that is new here.
+    /// Returns the state of a service without a document.
     #[must_use]
-    pub fn new(doc: Document, revision: Revision) -> Self {
+    pub fn new(name: ServiceName) -> Self {
         Self {
-            doc,
-            revision,
-            running: HashMap::new(),
+            doc: DocumentState::new(name.clone()),
+            name,
+            pool: Pool::new(),
+            queue: Queue::new(),
+            lengths: Lengths::new(),
+            windows: [Window::new(), Window::new()],
+            budget: Budget::new(),
+            shift: None,
+            choices: VecDeque::with_capacity(CHOICES),
+        }
+    }
+
+    /// Puts a revision in force if it is strictly newer and valid.
+    pub fn adopt(&mut self, revision: Revision, content: Content, now: Millis) -> Adoption {
+        let adoption = self.doc.adopt(revision, content);
+        if matches!(adoption, Adoption::Adopted { .. }) {
+            self.follow(revision, now);
         }
+        adoption
     }
 
-    /// Puts a document in force if its revision is strictly greater.
-    pub fn adopt(&mut self, doc: &Document, revision: Revision) {
-        if revision > self.revision {
-            self.doc = doc.clone();
-            self.revision = revision;
+    fn follow(&mut self, revision: Revision, now: Millis) {
+        let Some(doc) = self.doc.document().cloned() else {
+            self.pool.adopt(now, &[]);
+            self.shift = None;
+            return;
+        };
+        self.pool.adopt(now, &doc.places);
+        match &mut self.shift {
+            Some(shift) => shift.adopt(&doc, revision, now),
+            None => self.shift = Some(Shift::open(&doc, revision, None, now)),
         }
     }
 
-    /// Picks a target and counts the request as running there.
+    /// Returns the document in force.
+    ///
+    /// # Errors
+    ///
+    /// Refuses the request if there is none.
+    pub fn document(&self) -> Result<Arc<Document>, Refusal> {
+        let missing = || {
+            Refusal::not_run(
+                Code::UnknownService,
+                format!("no document is in force for {}", self.name),
+            )
+        };
+        self.doc.document().cloned().ok_or_else(missing)
+    }
+
+    /// Puts a request into the queue, and returns requests that had to make room.
     ///
     /// # Errors
     ///
-    /// Refuses the request if every target that takes new work is full.
-    pub fn start(&mut self) -> Result<TargetId, Refusal> {
-        let load = |t: &TargetId| self.running.get(t).copied().unwrap_or(0);
-        let places = self
-            .doc
+    /// Refuses the request if it could not be answered in time.
+    pub(super) fn offer<R: Rng>(
+        &mut self,
+        now: Millis,
+        rng: &mut R,
+        ticket: Ticket,
+        place: PlaceName,
+        grant: Grant,
+    ) -> Result<(WaitId, Option<(Grant, Refusal)>), Refusal> {
+        let mean = self.lengths.mean(ticket.lane);
+        let item = Waiting { place, grant };
+        let queued = self.queue.offer(now, rng, ticket, mean, item)?;
+        let displaced = queued
+            .displaced
+            .map(|(item, refusal)| (item.grant, refusal));
+        Ok((queued.id, displaced))
+    }
+
+    /// Starts as many waiting requests as there are units for.
+    pub(super) fn next<R: Rng>(
+        &mut self,
+        now: Millis,
+        rng: &mut R,
+        limits: &Shards<LimitName, Ledger>,
+    ) -> Progress {
+        let mut progress = Progress::default();
+        for lane in [Lane::Short, Lane::Long] {
+            let missed = self.queue.expire(now, lane);
+            progress
+                .refused
+                .extend(missed.into_iter().map(|(w, r)| (w.grant, r)));
+        }
+        self.queue.resize(self.units(limits));
+        while let Some(lane) = self.queue.next_lane(now) {
+            let Some((choice, permit)) = self.take(now, rng, lane, limits) else {
+                break;
+            };
+            let Some((_, waiting)) = self.queue.start(lane) else {
+                break;
+            };
+            self.started(now, lane, &choice);
+            progress.granted.push(Granted {
+                grant: waiting.grant,
+                choice,
+                lane,
+                permit,
+            });
+        }
+        if self.waiting() > 0 {
+            progress.messages = self.ask(now, rng, limits);
+        }
+        progress
+    }
+
+    /// Takes a slot for a retry or a hedge, which never waits.
+    pub(super) fn take_extra<R: Rng>(
+        &mut self,
+        now: Millis,
+        rng: &mut R,
+        lane: Lane,
+        avoid: &[TargetId],
+        limits: &Shards<LimitName, Ledger>,
+    ) -> Option<(Choice, Permit)> {
+        let places = self.places();
+        let ask = Ask {
+            lane,
+            places: &places,
+            avoid,
+            extra: true,
+            explore: false,
+            pressed: false,
+        };
+        let choice = self
+            .pool
+            .choose(now, rng, &ask, |t, l| free(limits, t, l))
+            .ok()?;
+        let permit = limits
+            .get(&slots_limit(choice.target), Ledger::acquire)
+            .flatten()?;
+        self.queue.started(lane);
+        self.started(now, lane, &choice);
+        Some((choice, permit))
+    }
+
+    fn take<R: Rng>(
+        &mut self,
+        now: Millis,
+        rng: &mut R,
+        lane: Lane,
+        limits: &Shards<LimitName, Ledger>,
+    ) -> Option<(Choice, Permit)> {
+        let place = self.queue.first(lane)?.place.clone();
+        let ticket = *self.queue.peek(lane)?;
+        let one = [(place, 1)];
+        // After half of its deadline a request takes what there is.
+        let pressed = (now - ticket.arrived).0 * 2 > (ticket.deadline - ticket.arrived).0;
+        let mut ask = Ask {
+            lane,
+            places: &one,
+            avoid: &[],
+            extra: false,
+            explore: true,
+            pressed,
+        };
+        let unit = |t, l| free(limits, t, l);
+        let mut choice = self.pool.choose(now, rng, &ask, unit);
+        if choice == Err(Miss::NoUnit) || choice == Err(Miss::NoTarget) {
+            // The headroom that the request took is its region's, so any other
+            // place there with traffic of its own may serve it.
+            let near = self.neighbours(&one[0].0);
+            ask.places = &near;
+            choice = self.pool.choose(now, rng, &ask, unit);
+        }
+        let choice = choice.ok()?;
+        let permit = limits
+            .get(&slots_limit(choice.target), Ledger::acquire)
+            .flatten()?;
+        Some((choice, permit))
+    }
+
+    /// Returns the other places in the region of a place, with their shares.
+    fn neighbours(&self, place: &PlaceName) -> Vec<(PlaceName, u32)> {
+        let Some(doc) = self.doc.document() else {
+            return Vec::new();
+        };
+        let region = doc
             .places
             .iter()
-            .filter(|p| p.state == PlaceState::Active);
-        let open = places.flat_map(|p| {
-            let stays = p.targets.iter().filter(|t| !p.leaving.contains(t));
-            stays.map(|t| (*t, p.slots))
-        });
-        let Some((target, slots)) = open.min_by_key(|(t, _)| load(t)) else {
-            return Err(Refusal::not_run(Code::NoTarget, "no target takes new work"));
+            .find(|p| p.name == *place)
+            .map(|p| &p.region);
+        let near = |name: &PlaceName| {
+            let found = doc.places.iter().find(|p| p.name == *name);
+            found.is_some_and(|p| Some(&p.region) == region)
         };
-        if Slots(load(&target)) >= slots {
-            return Err(Refusal::not_run(Code::Overloaded, "every slot is taken"));
+        let places = self.places().into_iter();
+        places
+            .filter(|(name, _)| name != place && near(name))
+            .collect()
+    }
+
+    /// Returns the places with the shares that are proven.
+    fn places(&self) -> Vec<(PlaceName, u32)> {
+        let shares = self.shift.iter().flat_map(Shift::shares);
+        shares.map(|s| (s.name.clone(), s.base.0)).collect()
+    }
+
+    fn started(&mut self, now: Millis, lane: Lane, choice: &Choice) {
+        self.pool.started(choice.target, lane);
+        if self.choices.len() == CHOICES {
+            self.choices.pop_front();
+        }
+        self.choices.push_back(Chosen {
+            at: now,
+            lane,
+            choice: choice.clone(),
+            waiting: self.waiting(),
+        });
+    }
+
+    /// Records the end of a request. `head` is the time until the head of the
+    /// answer, `total` the time until its last byte.
+    pub(super) fn ended(&mut self, now: Millis, lane: Lane, choice: &Choice, end: End<'_>) {
+        self.queue.finished(lane);
+        self.pool
+            .finished(now, choice.target, lane, end.finish, end.head);
+        if let Some(shift) = &mut self.shift {
+            shift.observe(&choice.place, end.head, end.finish == Finish::Failed);
+        }
+        if end.finish == Finish::Done {
+            self.lengths.learn(lane, end.route, end.total);
+            self.windows[usize::from(lane == Lane::Long)].add(now, end.head);
         }
-        *self.running.entry(target).or_default() += 1;
-        Ok(target)
     }
 
-    /// Counts a request as ended.
-    pub fn end(&mut self, target: TargetId) {
-        if let Some(n) = self.running.get_mut(&target) {
-            *n = n.saturating_sub(1);
+    /// Returns how many requests wait.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.queue.waiting(Lane::Short) + self.queue.waiting(Lane::Long)
+    }
+
+    /// Returns how many requests run at targets.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.queue.running(Lane::Short) + self.queue.running(Lane::Long)
+    }
+
+    /// Asks other entries for a unit of one of the targets, drawn at random so
+    /// that the requests of several entries spread.
+    fn ask<R: Rng>(
+        &self,
+        now: Millis,
+        rng: &mut R,
+        limits: &Shards<LimitName, Ledger>,
+    ) -> Vec<Outgoing> {
+        let Some(doc) = self.doc.document() else {
+            return Vec::new();
+        };
+        let places = self.places();
+        let takes = |name: &PlaceName| places.iter().any(|(n, share)| n == name && *share > 0);
+        let open = doc.places.iter().filter(|p| takes(&p.name));
+        let targets: Vec<TargetId> = open
+            .flat_map(|p| p.targets.iter().filter(|t| !p.leaving.contains(t)))
+            .copied()
+            .collect();
+        if targets.is_empty() {
+            return Vec::new();
         }
+        let target = targets[rng.random_range(0..targets.len())];
+        let ask = |ledger: &mut Ledger| {
+            // The failed attempt is what tells the ledger of the demand.
+            if let Some(permit) = ledger.acquire() {
+                return ledger.release(permit, now);
+            }
+            ledger.request(now)
+        };
+        limits.get(&slots_limit(target), ask).unwrap_or_default()
+    }
+
+    /// Returns how many units of the service's targets this entry has.
+    fn units(&self, limits: &Shards<LimitName, Ledger>) -> u32 {
+        let Some(doc) = self.doc.document() else {
+            return 0;
+        };
+        let targets = doc.places.iter().flat_map(|p| &p.targets);
+        let usable = |t: &TargetId| limits.get(&slots_limit(*t), |l| l.status().usable);
+        targets.filter_map(usable).sum()
+    }
+}
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct End<'a> {
+    /// Whether it was answered.
+    pub finish: Finish,
+    /// The time until the head of its answer.
+    pub head: Millis,
+    /// The time until the last byte.
+    pub total: Millis,
+    /// The route under which its length is learned.
+    pub route: &'a str,
+}
+
+/// Returns how many more requests of a lane may run at a target.
+///
+/// An entry that holds every slot of a target keeps one for short work. With
+/// fewer units the queue's limit on long work does that across targets.
+fn free(limits: &Shards<LimitName, Ledger>, target: TargetId, lane: Lane) -> u32 {
+    let status = limits.get(&slots_limit(target), |l| l.status());
+    let Some(status) = status else {
+        return 0;
+    };
+    let idle = status.usable.saturating_sub(status.busy);
+    let holds_all = status.usable >= status.size && status.size > 1;
+    if lane == Lane::Long && holds_all {
+        return idle.saturating_sub(1);
     }
+    idle
 }
--- /dev/null
+++ b/src/app/entry/slot.rs
@@ -0,0 +1,218 @@
+//! Slots: waiting for one, holding one, giving it back.
+
+use std::sync::Arc;
+
+use tokio::{sync::oneshot, time::timeout};
+
+use super::{
+    State,
+    job::Job,
+    service::{End, Granted, Service},
+    state::{region_limit, shift_limit, slots_limit},
+};
+use crate::{
+    domain::{Lane, Millis, PlaceName, ServiceName, TargetId},
+    policy::{
+        limit::Permit,
+        queue::WaitId,
+        refusal::{Code, Refusal},
+        target::{Choice, Finish},
+    },
+};
+
+/// A target's slot in use by one request.
+///
+/// Dropping it gives the slot back, whatever the reason, so that cancelled work
+/// frees its slot at once.
+#[derive(Debug)]
+pub(super) struct Slot {
+    state: Arc<State>,
+    service: ServiceName,
+    route: String,
+    lane: Lane,
+    /// The target and its place.
+    pub choice: Choice,
+    permit: Option<Permit>,
+    started: Millis,
+    head: Option<Millis>,
+    finish: Finish,
+}
+
+impl Slot {
+    fn new(
+        state: &Arc<State>,
+        service: &ServiceName,
+        lane: Lane,
+        choice: Choice,
+        permit: Permit,
+    ) -> Self {
+        Self {
+            state: state.clone(),
+            service: service.clone(),
+            route: String::new(),
+            lane,
+            choice,
+            permit: Some(permit),
+            started: (state.ports.clock.now)(),
+            head: None,
+            finish: Finish::Cancelled,
+        }
+    }
+
+    /// Returns the target.
+    pub fn target(&self) -> TargetId {
+        self.choice.target
+    }
+
+    /// Names the route under which the duration is learned.
+    pub fn set_route(&mut self, route: &str) {
+        route.clone_into(&mut self.route);
+    }
+
+    /// Notes that the head of the answer arrived.
+    pub fn answered(&mut self) {
+        self.head = Some((self.state.ports.clock.now)() - self.started);
+    }
+
+    /// Notes how the request ended. Without this it counts as cancelled.
+    pub fn finish(&mut self, finish: Finish) {
+        self.finish = finish;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = (self.state.ports.clock.now)();
+        let total = now - self.started;
+        let end = End {
+            finish: self.finish,
+            head: self.head.unwrap_or(total),
+            total,
+            route: &self.route,
+        };
+        let (lane, choice) = (self.lane, &self.choice);
+        self.state
+            .services
+            .get(&self.service, |s| s.ended(now, lane, choice, end));
+        if let Some(permit) = self.permit.take() {
+            let limit = slots_limit(choice.target);
+            let release = self.state.limits.get(&limit, |l| l.release(permit, now));
+            self.state.post(release.unwrap_or_default());
+        }
+        self.state.pump(&self.service);
+    }
+}
+
+/// A place in the queue, which is given up when its caller goes away.
+struct Wait<'a> {
+    state: &'a Arc<State>,
+    service: &'a ServiceName,
+    id: WaitId,
+}
+
+impl Drop for Wait<'_> {
+    fn drop(&mut self) {
+        let cancel = |s: &mut Service| s.queue.cancel(self.id);
+        self.state.services.get(self.service, cancel);
+    }
+}
+
+/// Waits for a slot.
+///
+/// # Errors
+///
+/// Refuses the request, which has not run, if it gets none in time.
+pub(super) async fn acquire(state: &Arc<State>, job: &Job) -> Result<Slot, Refusal> {
+    let now = (state.ports.clock.now)();
+    let place = place(state, job)?;
+    let (grant, granted) = oneshot::channel();
+    let ticket = job.ticket(now);
+    let offer = |s: &mut Service| s.offer(now, &mut rand::rng(), ticket, place, grant);
+    let (id, displaced) = state
+        .services
+        .get(&job.service, offer)
+        .ok_or_else(|| job.unknown())??;
+    if let Some((grant, refusal)) = displaced {
+        let _ = grant.send(Err(refusal));
+    }
+    let service = &job.service;
+    let wait = Wait { state, service, id };
+    state.pump(&job.service);
+    let left = job.deadline - now;
+    let result = timeout(left.duration(), granted).await;
+    drop(wait);
+    match result {
+        Ok(Ok(result)) => result.map(|mut slot| {
+            slot.set_route(&job.route);
+            slot
+        }),
+        Ok(Err(_)) | Err(_) => {
+            let detail = format!("queue: no slot within {left}");
+            Err(Refusal::not_run(Code::Overloaded, detail).retry_after(Millis(1_000)))
+        }
+    }
+}
+
+/// Takes a slot for a retry or a hedge, if there is one at once.
+pub(super) fn acquire_extra(state: &Arc<State>, job: &Job, avoid: &[TargetId]) -> Option<Slot> {
+    let now = (state.ports.clock.now)();
+    let take =
+        |s: &mut Service| s.take_extra(now, &mut rand::rng(), job.lane, avoid, &state.limits);
+    let (choice, permit) = state.services.get(&job.service, take).flatten()?;
+    let mut slot = Slot::new(state, &job.service, job.lane, choice, permit);
+    slot.set_route(&job.route);
+    Some(slot)
+}
+
+/// Chooses the place of a request under the limits of shift and region.
+fn place(state: &Arc<State>, job: &Job) -> Result<PlaceName, Refusal> {
+    let cap = shift_limit(&job.service);
+    let choose = |s: &mut Service| {
+        let shift = s.shift.as_mut().ok_or_else(|| job.unknown())?;
+        let unit = || state.admit(&cap);
+        let place = shift.choose_place(&mut rand::rng(), unit, |r| state.admit(&region_limit(r)));
+        place.map(|p| p.name.clone())
+    };
+    let chosen = state.services.get(&job.service, choose);
+    chosen.unwrap_or_else(|| Err(job.unknown()))
+}
+
+impl State {
+    /// Starts waiting requests of all services.
+    pub(super) fn pump_waiting(self: &Arc<Self>) {
+        let mut waiting = Vec::new();
+        self.services.each(|name, s| {
+            if s.waiting() > 0 {
+                waiting.push(name.clone());
+            }
+        });
+        for name in waiting {
+            self.pump(&name);
+        }
+    }
+
+    /// Starts waiting requests of a service as far as units allow. It is called
+    /// whenever a request arrives or ends and whenever units arrive.
+    pub(super) fn pump(self: &Arc<Self>, service: &ServiceName) {
+        let now = (self.ports.clock.now)();
+        let next = |s: &mut Service| s.next(now, &mut rand::rng(), &self.limits);
+        let Some(progress) = self.services.get(service, next) else {
+            return;
+        };
+        self.post(progress.messages);
+        for (grant, refusal) in progress.refused {
+            let _ = grant.send(Err(refusal));
+        }
+        for granted in progress.granted {
+            let Granted {
+                grant,
+                choice,
+                lane,
+                permit,
+            } = granted;
+            let slot = Slot::new(self, service, lane, choice, permit);
+            // If the caller is gone, the slot comes back here and is dropped.
+            let _ = grant.send(Ok(slot));
+        }
+    }
+}
--- a/src/policy/queue/mod.rs
+++ b/src/policy/queue/mod.rs
@@ -162,6 +162,13 @@
         first.map(|(_, waiting)| &waiting.ticket)
     }
 
+    /// Returns the item of the request that [`peek`](Self::peek) shows.
+    #[must_use]
+    pub fn first(&self, lane: Lane) -> Option<&T> {
+        let first = self.lanes[at(lane)].first_key_value();
+        first.map(|(_, waiting)| &waiting.item)
+    }
+
     /// Removes the request that [`peek`](Self::peek) showed. It counts as running
     /// until [`finished`](Self::finished).
     pub fn start(&mut self, lane: Lane) -> Option<(Ticket, T)> {
