--- a/src/app/entry/slot.rs
+++ b/src/app/entry/slot.rs
@@ -141,16 +141,13 @@
     let left = job.deadline - now;
     let result = timeout(left.duration(), granted).await;
     drop(wait);
-    match result {
-        Ok(Ok(result)) => result.map(|mut slot| {
-            slot.set_route(&job.route);
-            slot
-        }),
-        Ok(Err(_)) | Err(_) => {
-            let detail = format!("queue: no slot within {left}");
-            Err(Refusal::not_run(Code::Overloaded, detail).retry_after(Millis(1_000)))
-        }
-    }
+    let Ok(Ok(result)) = result else {
+        let detail = format!("queue: no slot within {left}");
+        return Err(Refusal::not_run(Code::Overloaded, detail).retry_after(Millis(1_000)));
+    };
+    let mut slot = result?;
+    slot.set_route(&job.route);
+    Ok(slot)
 }
 
 /// Takes a slot for a retry or a hedge, if there is one at once.
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -113,10 +113,13 @@
     /// Creates the ledgers of limits that settings define.
     fn open_shared_limits(&self) {
         for (name, region) in &self.settings.regions {
-            self.set_limit(region_limit(name), Limit::requests(region.headroom));
+            self.set_limit(&region_limit(name), Limit::requests(region.headroom));
         }
         for link in &self.settings.links {
-            self.set_limit(link_limit(&link.from, &link.to), Limit::link(link.capacity));
+            self.set_limit(
+                &link_limit(&link.from, &link.to),
+                Limit::link(link.capacity),
+            );
         }
     }
 
@@ -165,7 +168,7 @@
         let kept = new.map(targets).unwrap_or_default();
         for target in old.map(targets).unwrap_or_default() {
             if !kept.contains(&target) {
-                self.set_limit(slots_limit(target), Limit::Slots(Slots(0)));
+                self.set_limit(&slots_limit(target), Limit::Slots(Slots(0)));
             }
         }
         let Some(doc) = new else {
@@ -173,13 +176,13 @@
         };
         for place in &doc.places {
             for target in &place.targets {
-                self.set_limit(slots_limit(*target), Limit::Slots(place.slots));
+                self.set_limit(&slots_limit(*target), Limit::Slots(place.slots));
             }
         }
-        self.set_limit(shift_limit(name), Limit::requests(doc.shift_cap));
+        self.set_limit(&shift_limit(name), Limit::requests(doc.shift_cap));
     }
 
-    fn set_limit(&self, name: LimitName, limit: Limit) {
+    fn set_limit(&self, name: &LimitName, limit: Limit) {
         let now = (self.ports.clock.now)();
         let roster = self.roster();
         let new = || {
@@ -196,7 +199,7 @@
     /// Creates the ledger of a limit that no document has named yet.
     pub(super) fn ensure_limit(&self, name: &LimitName) {
         if self.limits.get(name, |_| ()).is_none() {
-            self.set_limit(name.clone(), Limit::unknown(name));
+            self.set_limit(name, Limit::unknown(name));
         }
     }
 
