Pace answers over region links and find callers' regions by their blocks

Cause: link limits had ledgers but nothing took units from them, and look-ups ranked every caller as if it were in the entry's own region. Ruled out: one limit for both directions, which would halve each. Change: frames of answers from another region wait for capacity of the link; settings list sites with client blocks; answers end their connections in the last part of a stop; refusals are counted. Conclusion: links are limited by the same ledgers as everything else.

--- a/src/adapters/ini/mod.rs
+++ b/src/adapters/ini/mod.rs
@@ -10,4 +10,4 @@
 
 pub use document::{parse_document, print_document};
 pub use reader::Fault;
-pub use settings::{Link, Region, Settings, parse_settings};
+pub use settings::{Link, Region, Settings, Site, parse_settings};
--- a/src/adapters/ini/settings.rs
+++ b/src/adapters/ini/settings.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use super::reader::{Fault, Reader};
-use crate::domain::{AzName, EntryId, Mbps, Millis, RegionName, Rps, TargetId, TeamName};
+use crate::domain::{AzName, EntryId, Mbps, Millis, Prefix, RegionName, Rps, TargetId, TeamName};
 
 /// What an entry process has to know before it starts.
 #[derive(Clone, Debug)]
@@ -32,6 +32,8 @@
     pub regions: BTreeMap<RegionName, Region>,
     /// The links between regions.
     pub links: Vec<Link>,
+    /// The client blocks of each site, in the order of the text.
+    pub sites: Vec<Site>,
     /// Each team's token.
     pub teams: BTreeMap<TeamName, String>,
 }
@@ -43,6 +45,15 @@
     pub headroom: Rps,
 }
 
+/// A site: a part of the network from which clients come.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Site {
+    /// The region that is nearest to it.
+    pub region: RegionName,
+    /// The addresses of its clients.
+    pub blocks: Vec<Prefix>,
+}
+
 /// The link between two regions, the same in each direction.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Link {
@@ -67,7 +78,7 @@
 /// Returns every fault of the text. `file` only names the text in them.
 pub fn parse_settings(file: &str, text: &str) -> Result<Settings, Vec<Fault>> {
     let mut r = Reader::open(file, text)?;
-    r.kinds(&["entry", "store", "region", "link", "team"]);
+    r.kinds(&["entry", "store", "region", "link", "site", "team"]);
     let known = [
         "name",
         "region",
@@ -96,6 +107,7 @@
     let linger = r.value("entry", "linger", LINGER);
     let regions = regions(&mut r);
     let links = links(&mut r, &regions);
+    let sites = sites(&mut r, &regions);
     let teams = teams(&mut r);
     if !r.faults.is_empty() {
         return Err(r.faults);
@@ -114,6 +126,7 @@
             linger,
             regions,
             links,
+            sites,
             teams,
         })
     };
@@ -189,6 +202,23 @@
     links
 }
 
+fn sites(r: &mut Reader, regions: &BTreeMap<RegionName, Region>) -> Vec<Site> {
+    let mut sites = Vec::new();
+    for section in r.sections("site") {
+        r.keys(&section, &["region", "blocks"]);
+        let blocks = r.list(&section, "blocks");
+        let Some(region) = r.needed::<RegionName>(&section, "region") else {
+            continue;
+        };
+        if !regions.contains_key(&region) {
+            let allowed = "a region that has a section";
+            r.fault(&section, "region", region.as_str(), allowed);
+        }
+        sites.push(Site { region, blocks });
+    }
+    sites
+}
+
 fn teams(r: &mut Reader) -> BTreeMap<TeamName, String> {
     let mut teams = BTreeMap::new();
     for section in r.sections("team") {
--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -176,6 +176,15 @@
 }
 
 impl Metrics {
+    /// Counts a request that got no answer of a target.
+    pub fn refused(&self, service: &str, code: &'static str) {
+        let labels = RefusalLabels {
+            service: service.to_owned(),
+            code,
+        };
+        self.refusals.get_or_create(&labels).inc();
+    }
+
     /// Tells whether the latest call to the store was answered.
     #[must_use]
     pub fn store_up(&self) -> bool {
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -14,9 +14,11 @@
     control,
     inbound::Inbound,
     job::Job,
+    pacing::Pacer,
     reply,
     service::Service,
     slot::{self, Slot},
+    state::link_limit,
 };
 use crate::{
     domain::{Lane, Millis, TargetId},
@@ -262,7 +264,24 @@
                 .unwrap_or_else(PoisonError::into_inner);
             successes.insert(self.job.fingerprint, now);
         }
-        Ok(Some(reply::pass(resp, slot, self.won.take())))
+        let pacer = self.pacer(&slot);
+        Ok(Some(reply::pass(resp, slot, self.won.take(), pacer)))
+    }
+
+    /// Returns the pace of an answer that comes from another region.
+    fn pacer(&self, slot: &Slot) -> Option<Pacer> {
+        let place = &slot.choice.place;
+        let region = self
+            .state
+            .services
+            .get(&self.job.service, |s| s.region(place));
+        let here = &self.state.settings.region;
+        let from = region.flatten().filter(|r| r != here)?;
+        Some(Pacer::new(
+            self.state,
+            link_limit(&from, here),
+            self.job.lane,
+        ))
     }
 
     /// Sends the request again after a failure if that is allowed.
--- a/src/app/entry/inbound.rs
+++ b/src/app/entry/inbound.rs
@@ -2,8 +2,9 @@
 
 use std::sync::Arc;
 
-use http::{Request, Response, header};
+use http::{HeaderValue, Request, Response, header};
 use http_body_util::BodyExt;
+use volo::net::Address;
 use volo_http::{body::Body, server::Router};
 
 use super::{State, carry, lookup};
@@ -16,9 +17,17 @@
 /// Returns the router of the callers' server.
 pub(super) fn router(state: &Arc<State>) -> Router {
     let state = state.clone();
-    let handler = move |req: Request<Body>| {
+    let handler = move |client: Address, req: Request<Body>| {
         let state = state.clone();
-        async move { handle(&state, req).await }
+        async move {
+            let mut resp = handle(&state, &client, req).await;
+            if state.is_closing() {
+                // The caller goes to another entry before this one is gone.
+                let close = HeaderValue::from_static("close");
+                resp.headers_mut().insert(header::CONNECTION, close);
+            }
+            resp
+        }
     };
     Router::new().fallback(handler)
 }
@@ -38,24 +47,33 @@
     pub request: Request<crate::ports::Body>,
 }
 
-async fn handle(state: &Arc<State>, req: Request<Body>) -> Response<Body> {
+async fn handle(state: &Arc<State>, client: &Address, req: Request<Body>) -> Response<Body> {
     let host = host(&req);
     let service = host.and_then(|h| h.parse::<ServiceName>().ok());
     let known = service.filter(|s| state.services.get(s, |s| s.document().is_ok()) == Some(true));
     let Some(service) = known else {
         if req.uri().path() == "/v1/entries" {
-            return lookup::respond(state, &req);
+            let client = match client {
+                Address::Ip(addr) => Some(addr.ip()),
+                Address::Unix(_) => None,
+            };
+            return lookup::respond(state, client, &req);
         }
         let detail = format!("no document is in force for {:?}", host.unwrap_or_default());
         return answer(&Refusal::not_run(Code::UnknownService, detail));
     };
+    let name = service.to_string();
     let result = match inbound(service, req) {
         Ok(inbound) => carry::carry(state, inbound).await,
         Err(refusal) => Err(refusal),
     };
     match result {
         Ok(resp) => resp.map(Body::from_body),
-        Err(refusal) => answer(&refusal),
+        Err(refusal) => {
+            let metrics = &state.ports.metrics;
+            metrics.refused(&name, refusal.code.as_str());
+            answer(&refusal)
+        }
     }
 }
 
--- a/src/app/entry/lookup.rs
+++ b/src/app/entry/lookup.rs
@@ -1,22 +1,64 @@
 //! Answers of look-ups.
 
-use std::sync::Arc;
+use std::{net::IpAddr, sync::Arc};
 
 use http::{Request, Response, header};
 use volo_http::body::Body;
 
 use super::State;
 use crate::{
-    adapters::http::answer,
-    domain::ServiceName,
+    adapters::{http::answer, ini::Site},
+    domain::{Prefix, RegionName, ServiceName, SiteId},
     policy::{
-        lookup::rank,
+        lookup::{BlockTable, Change, Sites, rank},
         refusal::{Code, Refusal},
     },
 };
 
+/// Where clients are, by their addresses.
+#[derive(Debug)]
+pub struct Locations {
+    blocks: BlockTable,
+    sites: Sites,
+}
+
+impl Locations {
+    /// Collects the sites of the settings.
+    #[must_use]
+    pub fn new(list: &[Site]) -> Self {
+        let id = |n: usize| SiteId(u32::try_from(n).unwrap_or(u32::MAX));
+        let sites = list.iter().enumerate();
+        let changes: Vec<Change> = sites
+            .clone()
+            .flat_map(|(n, site)| {
+                let change = move |prefix: &Prefix| Change {
+                    prefix: *prefix,
+                    site: Some(id(n)),
+                };
+                site.blocks.iter().map(change)
+            })
+            .collect();
+        let blocks = BlockTable::new();
+        blocks.apply(&changes);
+        Self {
+            blocks,
+            sites: Sites::new(sites.map(|(n, site)| (id(n), site.region.clone()))),
+        }
+    }
+
+    /// Returns the region that is nearest to a client, if its site is known.
+    #[must_use]
+    pub fn region(&self, client: IpAddr) -> Option<&RegionName> {
+        self.sites.region(self.blocks.find(client)?)
+    }
+}
+
 /// Answers `GET /v1/entries?service=NAME`.
-pub(super) fn respond(state: &Arc<State>, req: &Request<Body>) -> Response<Body> {
+pub(super) fn respond(
+    state: &Arc<State>,
+    client: Option<IpAddr>,
+    req: &Request<Body>,
+) -> Response<Body> {
     let Some(service) = service(req) else {
         let detail = "the query needs service=NAME";
         return answer(&Refusal::not_run(Code::BadRequest, detail));
@@ -27,7 +69,11 @@
     }
     let view = state.view();
     let now = (state.ports.clock.now)();
-    let ranked = rank(&service, &state.settings.region, &view, now);
+    // A client that no block holds is taken to be near, since it found this
+    // entry.
+    let region = client.and_then(|c| state.sites.region(c));
+    let region = region.unwrap_or(&state.settings.region);
+    let ranked = rank(&service, region, &view, now);
     let urls = ranked
         .entries
         .iter()
--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -12,6 +12,7 @@
 mod inbound;
 mod job;
 mod lookup;
+mod pacing;
 mod reply;
 mod service;
 mod slot;
@@ -152,6 +153,9 @@
         {
             stop.announced(now());
         }
+        if stop.closes(now()) {
+            state.set_closing();
+        }
         if stop.tick(state.running(), now()) == Some(Step::Announce) {
             state.fleet.members().leave();
         }
--- a/src/app/entry/reply.rs
+++ b/src/app/entry/reply.rs
@@ -2,7 +2,7 @@
 
 use std::{
     pin::Pin,
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
 use bytes::{Bytes, BytesMut};
@@ -10,7 +10,7 @@
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
 
-use super::{claims::Won, job::HOP_BY_HOP, slot::Slot};
+use super::{claims::Won, job::HOP_BY_HOP, pacing::Pacer, slot::Slot};
 use crate::{
     policy::{once::Answer, target::Finish},
     ports::Body,
@@ -18,7 +18,12 @@
 
 /// Passes an answer on. The slot is held until the last byte is through, because
 /// the target is busy until then.
-pub(super) fn pass(resp: Response<Body>, slot: Slot, won: Option<Won>) -> Response<Body> {
+pub(super) fn pass(
+    resp: Response<Body>,
+    slot: Slot,
+    won: Option<Won>,
+    pacer: Option<Pacer>,
+) -> Response<Body> {
     let (mut parts, body) = resp.into_parts();
     for name in &HOP_BY_HOP {
         parts.headers.remove(name);
@@ -28,7 +33,13 @@
         head: parts.clone(),
         body: Some(BytesMut::new()),
     });
-    let tracked = Tracked { body, slot, record };
+    let tracked = Tracked {
+        body,
+        slot,
+        record,
+        pacer,
+        held: None,
+    };
     Response::from_parts(parts, tracked.boxed())
 }
 
@@ -65,9 +76,35 @@
     body: Body,
     slot: Slot,
     record: Option<Record>,
+    pacer: Option<Pacer>,
+    /// A frame that waits for the link.
+    held: Option<Frame<Bytes>>,
 }
 
 impl Tracked {
+    /// Passes a frame on as soon as the link has capacity for it.
+    fn release(&mut self, cx: &mut Context<'_>) -> Poll<Option<Frame<Bytes>>> {
+        if let Some(pacer) = &mut self.pacer
+            && pacer.poll(cx).is_pending()
+        {
+            return Poll::Pending;
+        }
+        Poll::Ready(self.held.take())
+    }
+
+    /// Takes a frame from the target.
+    fn take(&mut self, frame: Frame<Bytes>) {
+        if let Some(data) = frame.data_ref() {
+            if let Some(record) = &mut self.record {
+                record.add(data);
+            }
+            if let Some(pacer) = &mut self.pacer {
+                pacer.add(data.len());
+            }
+        }
+        self.held = Some(frame);
+    }
+
     fn complete(&mut self) {
         self.slot.finish(Finish::Done);
         if let Some(record) = self.record.take() {
@@ -84,27 +121,30 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        let frame = Pin::new(&mut self.body).poll_frame(cx);
-        match &frame {
-            Poll::Ready(Some(Ok(frame))) => {
-                if let (Some(data), Some(record)) = (frame.data_ref(), self.record.as_mut()) {
-                    record.add(data);
+        if self.held.is_none() {
+            match Pin::new(&mut self.body).poll_frame(cx) {
+                Poll::Ready(Some(Ok(frame))) => self.take(frame),
+                Poll::Ready(Some(Err(e))) => {
+                    self.slot.finish(Finish::Failed);
+                    return Poll::Ready(Some(Err(e)));
                 }
-                // A body of known length may be dropped without asking for its
-                // end.
-                if self.body.is_end_stream() {
+                Poll::Ready(None) => {
                     self.complete();
+                    return Poll::Ready(None);
                 }
+                Poll::Pending => return Poll::Pending,
             }
-            Poll::Ready(Some(Err(_))) => self.slot.finish(Finish::Failed),
-            Poll::Ready(None) => self.complete(),
-            Poll::Pending => {}
         }
-        frame
+        let frame = ready!(self.release(cx));
+        // A body of known length may be dropped without asking for its end.
+        if self.body.is_end_stream() {
+            self.complete();
+        }
+        Poll::Ready(frame.map(Ok))
     }
 
     fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        self.held.is_none() && self.body.is_end_stream()
     }
 
     fn size_hint(&self) -> SizeHint {
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -1,6 +1,6 @@
 //! What an entry knows of one service.
 
-use std::{collections::VecDeque, sync::Arc};
+use std::{collections::{HashMap, VecDeque}, sync::Arc};
 
 use rand::Rng;
 use tokio::sync::oneshot;
@@ -8,7 +8,8 @@
 use super::{slot::Slot, state::slots_limit};
 use crate::{
     domain::{
-        Document, Lane, LimitName, Millis, PlaceName, Revision, ServiceName, Shards, TargetId,
+        Document, Lane, LimitName, Millis, PlaceName, RegionName, Revision, ServiceName, Shards,
+        TargetId,
     },
     policy::{
         document::{Adoption, Content, DocumentState},
@@ -80,6 +81,8 @@
     pub doc: DocumentState,
     /// The targets.
     pub pool: Pool,
+    /// The names of the targets' limits, which every choice needs.
+    slots: HashMap<TargetId, LimitName>,
     /// The waiting requests.
     pub(super) queue: Queue<Waiting>,
     /// The usual durations of requests.
@@ -102,6 +105,7 @@
             doc: DocumentState::new(name.clone()),
             name,
             pool: Pool::new(),
+            slots: HashMap::new(),
             queue: Queue::new(),
             lengths: Lengths::new(),
             windows: [Window::new(), Window::new()],
@@ -127,6 +131,8 @@
             return;
         };
         self.pool.adopt(now, &doc.places);
+        let targets = doc.places.iter().flat_map(|p| &p.targets);
+        self.slots = targets.map(|t| (*t, slots_limit(*t))).collect();
         match &mut self.shift {
             Some(shift) => shift.adopt(&doc, revision, now),
             None => self.shift = Some(Shift::open(&doc, revision, None, now)),
@@ -226,10 +232,10 @@
         };
         let choice = self
             .pool
-            .choose(now, rng, &ask, |t, l| free(limits, t, l))
+            .choose(now, rng, &ask, |t, l| free(limits, &self.slots, t, l))
             .ok()?;
         let permit = limits
-            .get(&slots_limit(choice.target), Ledger::acquire)
+            .get(self.slots.get(&choice.target)?, Ledger::acquire)
             .flatten()?;
         self.queue.started(lane);
         self.started(now, lane, &choice);
@@ -256,7 +262,7 @@
             explore: true,
             pressed,
         };
-        let unit = |t, l| free(limits, t, l);
+        let unit = |t, l| free(limits, &self.slots, t, l);
         let mut choice = self.pool.choose(now, rng, &ask, unit);
         if choice == Err(Miss::NoUnit) || choice == Err(Miss::NoTarget) {
             // The headroom that the request took is its region's, so any other
@@ -267,11 +273,19 @@
         }
         let choice = choice.ok()?;
         let permit = limits
-            .get(&slots_limit(choice.target), Ledger::acquire)
+            .get(self.slots.get(&choice.target)?, Ledger::acquire)
             .flatten()?;
         Some((choice, permit))
     }
 
+    /// Returns the region of a place.
+    #[must_use]
+    pub fn region(&self, place: &PlaceName) -> Option<RegionName> {
+        let doc = self.doc.document()?;
+        let found = doc.places.iter().find(|p| p.name == *place);
+        found.map(|p| p.region.clone())
+    }
+
     /// Returns the other places in the region of a place, with their shares.
     fn neighbours(&self, place: &PlaceName) -> Vec<(PlaceName, u32)> {
         let Some(doc) = self.doc.document() else {
@@ -367,17 +381,15 @@
             }
             ledger.request(now)
         };
-        limits.get(&slots_limit(target), ask).unwrap_or_default()
+        let limit = self.slots.get(&target);
+        let out = limit.and_then(|l| limits.get(l, ask));
+        out.unwrap_or_default()
     }
 
     /// Returns how many units of the service's targets this entry has.
     fn units(&self, limits: &Shards<LimitName, Ledger>) -> u32 {
-        let Some(doc) = self.doc.document() else {
-            return 0;
-        };
-        let targets = doc.places.iter().flat_map(|p| &p.targets);
-        let usable = |t: &TargetId| limits.get(&slots_limit(*t), |l| l.status().usable);
-        targets.filter_map(usable).sum()
+        let usable = |l: &LimitName| limits.get(l, |l| l.status().usable);
+        self.slots.values().filter_map(usable).sum()
     }
 }
 
@@ -398,8 +410,14 @@
 ///
 /// An entry that holds every slot of a target keeps one for short work. With
 /// fewer units the queue's limit on long work does that across targets.
-fn free(limits: &Shards<LimitName, Ledger>, target: TargetId, lane: Lane) -> u32 {
-    let status = limits.get(&slots_limit(target), |l| l.status());
+fn free(
+    limits: &Shards<LimitName, Ledger>,
+    slots: &HashMap<TargetId, LimitName>,
+    target: TargetId,
+    lane: Lane,
+) -> u32 {
+    let limit = slots.get(&target);
+    let status = limit.and_then(|l| limits.get(l, |l| l.status()));
     let Some(status) = status else {
         return 0;
     };
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -12,6 +12,7 @@
     admin::{self, Observer},
     claims::Claims,
     fleet::{self, Fleet, Rosters},
+    lookup::Locations,
 };
 use crate::{
     adapters::{ini::Settings, store::roster::RosterRecord},
@@ -60,12 +61,16 @@
     pub observer: Observer,
     /// The entries that look-ups name.
     pub view: RwLock<Arc<View>>,
+    /// The sites of clients.
+    pub sites: Locations,
     /// Requests that broke connections.
     pub strikes: Mutex<Strikes>,
     /// Requests that were executed of late.
     pub successes: Mutex<Successes>,
     /// Whether the documents of the store or of a peer have arrived.
     informed: AtomicBool,
+    /// Whether answers end their connections, shortly before a planned stop.
+    closing: AtomicBool,
     outbox: mpsc::UnboundedSender<Outgoing>,
 }
 
@@ -95,6 +100,7 @@
             claims: Claims::new(claimant.clone()),
             events,
             observer,
+            sites: Locations::new(&settings.sites),
             settings,
             ports,
             me,
@@ -104,6 +110,7 @@
             strikes: Mutex::new(Strikes::new(claimant, SUSPECTS)),
             successes: Mutex::default(),
             informed: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             outbox,
         };
         state.open_shared_limits();
@@ -116,10 +123,9 @@
             self.set_limit(&region_limit(name), Limit::requests(region.headroom));
         }
         for link in &self.settings.links {
-            self.set_limit(
-                &link_limit(&link.from, &link.to),
-                Limit::link(link.capacity),
-            );
+            for (from, to) in [(&link.from, &link.to), (&link.to, &link.from)] {
+                self.set_limit(&link_limit(from, to), Limit::link(link.capacity));
+            }
         }
     }
 
@@ -229,6 +235,17 @@
         self.informed.store(true, Ordering::Release);
     }
 
+    /// Makes further answers end their connections.
+    pub(super) fn set_closing(&self) {
+        self.closing.store(true, Ordering::Release);
+    }
+
+    /// Tells whether answers end their connections.
+    #[must_use]
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
+    }
+
     /// Tells whether the documents of the store or of a peer have arrived.
     #[must_use]
     pub fn is_informed(&self) -> bool {
@@ -282,8 +299,16 @@
     /// defined does not limit.
     #[must_use]
     pub fn admit(&self, limit: &LimitName) -> bool {
+        self.admit_amount(limit, 1)
+    }
+
+    /// Takes an amount of a rate limit. A limit that nobody defined does not
+    /// limit.
+    #[must_use]
+    pub fn admit_amount(&self, limit: &LimitName, amount: u64) -> bool {
         let now = (self.ports.clock.now)();
-        self.limits.get(limit, |l| l.admit(1, now)).unwrap_or(true)
+        let admitted = self.limits.get(limit, |l| l.admit(amount, now));
+        admitted.unwrap_or(true)
     }
 }
 
@@ -307,12 +332,10 @@
     limit_name(&format!("region/{region}"))
 }
 
-/// Returns the name of a link's limit, which does not depend on the order of the
-/// ends.
+/// Returns the name of the limit of a link in one direction.
 #[must_use]
-pub fn link_limit(a: &RegionName, b: &RegionName) -> LimitName {
-    let (a, b) = if a < b { (a, b) } else { (b, a) };
-    limit_name(&format!("link/{a}/{b}"))
+pub fn link_limit(from: &RegionName, to: &RegionName) -> LimitName {
+    limit_name(&format!("link/{from}/{to}"))
 }
 
 /// Returns the name of the cap on a service's shifts.
