Probe targets, share progress of moves, and measure an entry's own load

Cause: targets without traffic were never looked at, a restarted entry jumped to the final weights of a move, and peers saw no load level. Ruled out: load reports polled by each entry, 9 entries times 52 targets; a target may send x-load with its answers instead.

--- a/src/adapters/grpc/reports.rs
+++ b/src/adapters/grpc/reports.rs
@@ -8,8 +8,11 @@
     server::Routes,
 };
 use crate::{
-    domain::{ParseError, Revision, TargetId},
-    policy::timeline::{Event, Stamp},
+    domain::{ParseError, PlaceName, Revision, TargetId},
+    policy::{
+        shift::{Level, Progress, Share},
+        timeline::{Event, Stamp},
+    },
 };
 
 const REPORT: &str = "Report";
@@ -31,6 +34,59 @@
     revision: Option<u64>,
     #[prost(message, repeated, tag = "3")]
     running: Vec<RunningMessage>,
+    #[prost(message, optional, tag = "4")]
+    progress: Option<ProgressMessage>,
+}
+
+/// The encoded progress of a move.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct ProgressMessage {
+    #[prost(uint64, tag = "1")]
+    revision: u64,
+    #[prost(bool, tag = "2")]
+    busy: bool,
+    #[prost(message, repeated, tag = "3")]
+    places: Vec<LevelMessage>,
+}
+
+/// The encoded progress of a place.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct LevelMessage {
+    #[prost(string, tag = "1")]
+    place: String,
+    #[prost(uint32, tag = "2")]
+    effective: u32,
+    #[prost(uint32, tag = "3")]
+    target: u32,
+}
+
+fn put_progress(progress: &Progress) -> ProgressMessage {
+    let level = |(place, level): (&PlaceName, &Level)| LevelMessage {
+        place: place.to_string(),
+        effective: level.effective.0,
+        target: level.target.0,
+    };
+    ProgressMessage {
+        revision: progress.revision.0,
+        busy: progress.busy,
+        places: progress.places.iter().map(level).collect(),
+    }
+}
+
+fn get_progress(message: &ProgressMessage) -> Result<Progress, ParseError> {
+    let level = |l: &LevelMessage| {
+        let level = Level {
+            effective: Share(l.effective),
+            target: Share(l.target),
+        };
+        Ok((l.place.parse()?, level))
+    };
+    let places: Result<_, ParseError> = message.places.iter().map(level).collect();
+    Ok(Progress {
+        revision: Revision(message.revision),
+        busy: message.busy,
+        places: places?,
+    })
 }
 
 /// The encoded count of requests at a target.
@@ -49,6 +105,8 @@
     pub revision: Option<Revision>,
     /// The targets at which its requests run, with how many.
     pub running: Vec<(TargetId, u64)>,
+    /// How far it has come with a move.
+    pub progress: Option<Progress>,
 }
 
 /// The encoded question for events.
@@ -109,6 +167,7 @@
                 head: sender.head(),
                 revision: report.revision.map(|r| r.0),
                 running: running.collect(),
+                progress: report.progress.as_ref().map(put_progress),
             })
         }
     })
@@ -126,7 +185,9 @@
     let reply: ReportReply = peers.call(peer, REPORT, message).await?;
     let read = |r: &RunningMessage| Ok((r.target.parse()?, r.count));
     let running: Result<_, ParseError> = reply.running.iter().map(read).collect();
+    let progress = reply.progress.as_ref().map(get_progress).transpose();
     Ok(Report {
+        progress: progress.map_err(|e| CallError::unreadable(REPORT, peer, &e))?,
         revision: reply.revision.map(Revision),
         running: running.map_err(|e| CallError::unreadable(REPORT, peer, &e))?,
     })
--- a/src/app/entry/admin/mod.rs
+++ b/src/app/entry/admin/mod.rs
@@ -27,7 +27,11 @@
 use volo_http::{body::Body, server::Router};
 
 pub use self::{
-    decisions::Decisions, events::open as open_events, observe::Observer, port::port, reply::render,
+    decisions::Decisions,
+    events::open as open_events,
+    observe::{Observer, Why},
+    port::port,
+    reply::render,
 };
 use crate::{
     adapters::{
--- a/src/app/entry/admin/observe.rs
+++ b/src/app/entry/admin/observe.rs
@@ -17,6 +17,16 @@
     ports::{Body, Clock, Outbound, SendError, Targets, admin::Decision},
 };
 
+/// Why a request goes to its target. It travels with the request as an
+/// extension, since only the code that chose knows it.
+#[derive(Clone, Debug)]
+pub struct Why {
+    /// The place.
+    pub place: String,
+    /// The rule that decided, with the figures that it saw.
+    pub reason: String,
+}
+
 type Counts = Arc<Shards<TargetId, u64>>;
 
 /// Counts the requests that run at each target and notes how they ended.
@@ -79,6 +89,7 @@
         Seen {
             observer: self.clone(),
             service,
+            why: out.request.extensions().get::<Why>().cloned(),
             request: format!("{} {}", out.request.method(), out.request.uri().path()),
             target: out.target,
             gauge,
@@ -95,6 +106,7 @@
     observer: Observer,
     service: ServiceName,
     request: String,
+    why: Option<Why>,
     target: TargetId,
     gauge: Gauge,
     wall: Millis,
@@ -139,9 +151,9 @@
             wall_ms: self.wall.0,
             service: service.to_owned(),
             request: std::mem::take(&mut self.request),
-            place: None,
+            place: self.why.as_ref().map(|w| w.place.clone()),
             target: Some(self.target.to_string()),
-            reason: "fewest running requests".to_owned(),
+            reason: self.why.take().map(|w| w.reason).unwrap_or_default(),
             result: format!("{code} {outcome}"),
             took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
         };
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -10,6 +10,7 @@
 
 use super::{
     State,
+    admin::Why,
     claims::{self, Claimed, Won},
     control,
     inbound::Inbound,
@@ -21,13 +22,14 @@
     state::link_limit,
 };
 use crate::{
+    adapters::metrics::ServiceLabel,
     domain::{Lane, Millis, TargetId},
     policy::{
         crash::{Admission, Ending, Failure, Stage, is_strike},
         refusal::{Code, Refusal},
         retry::{self, Percentiles},
         silence,
-        target::Finish,
+        target::{Finish, Report},
     },
     ports::{Body, Outbound, SendError},
 };
@@ -157,13 +159,14 @@
             return Err(Refusal::not_run(Code::ClaimUnavailable, detail));
         }
         let target = slot.target();
-        let Some(request) = self.job.request(now) else {
+        let Some(mut request) = self.job.request(now) else {
             slot.finish(Finish::Cancelled);
             return Err(Refusal::unknown(
                 Code::Broken,
                 format!("send to {target}: the body cannot be sent again"),
             ));
         };
+        request.extensions_mut().insert(self.why(&slot));
         self.tried.push(target);
         let send = (self.state.ports.targets.send)(Outbound { target, request });
         self.sending.push(Box::pin(async move {
@@ -176,6 +179,21 @@
         Ok(())
     }
 
+    /// Returns why the request goes to the target of a slot, for `explain`.
+    fn why(&self, slot: &Slot) -> Why {
+        let Self { job, tried, .. } = self;
+        let kind = match (tried.len(), self.hedged) {
+            (0, _) => "first attempt".to_owned(),
+            (n, true) => format!("hedge after {n} attempts"),
+            (n, false) => format!("retry after {n} attempts"),
+        };
+        let state = &slot.choice.state;
+        Why {
+            place: slot.choice.place.to_string(),
+            reason: format!("{kind}, lane {}, target {state:?}", job.lane),
+        }
+    }
+
     /// Returns the next instant at which something is to be decided.
     fn wake(&self, now: Millis) -> Millis {
         if self.hedged || self.suspect || !self.job.is_kept() {
@@ -206,6 +224,12 @@
             .unwrap_or_default()
     }
 
+    fn label(&self) -> ServiceLabel {
+        ServiceLabel {
+            service: self.job.service.to_string(),
+        }
+    }
+
     fn count(&self) -> u32 {
         u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
     }
@@ -226,6 +250,8 @@
         match slot::acquire_extra(self.state, &self.job, &self.tried) {
             Some(slot) => {
                 self.hedged = true;
+                let hedges = &self.state.ports.metrics.hedges;
+                hedges.get_or_create(&self.label()).inc();
                 // The first copy is still running, so a failure to send this one
                 // changes nothing for the caller.
                 let _ = self.send(slot);
@@ -256,6 +282,12 @@
                 return Ok(None);
             }
         }
+        if let Some(report) = report(&resp, now) {
+            let target = slot.target();
+            self.state
+                .services
+                .get(&self.job.service, |s| s.pool.report(target, report));
+        }
         if !resp.status().is_server_error() {
             let mut successes = self
                 .state
@@ -378,6 +410,8 @@
         };
         tokio::time::sleep(delay.duration()).await;
         if let Some(slot) = slot::acquire_extra(self.state, &self.job, &self.tried) {
+            let retries = &self.state.ports.metrics.retries;
+            retries.get_or_create(&self.label()).inc();
             return self.send(slot).is_ok();
         }
         self.state
@@ -405,3 +439,10 @@
     let seconds: u64 = value.parse().ok()?;
     Some(Millis(seconds.saturating_mul(1000)))
 }
+
+/// Returns what a target says of its load with an answer: running and waiting
+/// requests in parts of its slots.
+fn report(resp: &Response<Body>, now: Millis) -> Option<Report> {
+    let load: f64 = resp.headers().get("x-load")?.to_str().ok()?.parse().ok()?;
+    load.is_finite().then_some(Report { at: now, load })
+}
--- a/src/app/entry/control/mod.rs
+++ b/src/app/entry/control/mod.rs
@@ -9,12 +9,14 @@
 mod documents;
 mod gossip;
 mod limits;
+mod measures;
 mod reports;
 mod roster;
 mod routes;
 mod shifts;
 mod store;
 mod strikes;
+mod targets;
 
 use std::{sync::Arc, time::Duration};
 
@@ -65,11 +67,13 @@
     tasks.spawn(claims::run(state.clone()));
     tasks.spawn(gossip::run(state.clone()));
     tasks.spawn(limits::run(state.clone()));
+    tasks.spawn(measures::run(state.clone()));
     tasks.spawn(limits::dispatch(state.clone(), outbox));
     tasks.spawn(shifts::run(state.clone()));
     tasks.spawn(store::run(state.clone()));
     tasks.spawn(roster::run(state.clone()));
     tasks.spawn(strikes::run(state.clone()));
+    tasks.spawn(targets::run(state.clone()));
     Ok(Control { server, tasks })
 }
 
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -1,6 +1,9 @@
 //! What an entry knows of one service.
 
-use std::{collections::{HashMap, VecDeque}, sync::Arc};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+};
 
 use rand::Rng;
 use tokio::sync::oneshot;
