--- a/src/policy/member/members.rs
+++ b/src/policy/member/members.rs
@@ -17,9 +17,13 @@
 };
 use crate::domain::{EntryId, Incarnation, Millis, ParseError};
 
-/// How many peers receive a leaving record at once.
+/// How many peers receive a push.
 pub(super) const PUSH_PEERS: usize = 3;
 
+/// The most pushes in a row. One more is allowed per period, which bounds the
+/// traffic when many members return after a partition.
+pub(super) const PUSHES_MAX: u32 = 10;
+
 /// The most extra probes per period of members that a peer reports as live and
 /// this entry holds as dead. It bounds the traffic after a partition.
 pub(super) const RECHECKS: usize = 5;
@@ -152,7 +156,10 @@
     pub(super) order: Vec<EntryId>,
     pub(super) round: Option<Round>,
     pub(super) nonce: u64,
+    /// Whether a record waits that must not wait for the next probe.
     pub(super) push: bool,
+    /// How many pushes are allowed at present.
+    pub(super) credit: u32,
     pub(super) rechecks: BTreeSet<EntryId>,
     pub(super) syncs: BTreeSet<EntryId>,
     pub(super) events: Vec<Event>,
@@ -168,7 +175,7 @@
     #[must_use]
     pub fn new(me: Member, seeds: Vec<SocketAddr>, tuning: Tuning) -> Self {
         let mut queue = Queue::default();
-        queue.push(&me.id, Urgency::State);
+        queue.push(&me.id, Urgency::High);
         Self {
             me,
             others: BTreeMap::new(),
@@ -179,6 +186,7 @@
             round: None,
             nonce: 0,
             push: false,
+            credit: PUSHES_MAX,
             rechecks: BTreeSet::new(),
             syncs: BTreeSet::new(),
             events: Vec::new(),
@@ -234,16 +242,15 @@
         if now >= self.probe_at {
             self.end_round(now);
             self.start_round(now, rng, &mut out);
-            self.probe_again(now, &mut out);
+            self.probe_again(now, rng, &mut out);
+            self.credit = PUSHES_MAX.min(self.credit + 1);
             self.probe_at = now + self.tuning.period;
         }
         if now >= self.revisit_at {
             self.revisit(rng, &mut out);
             self.revisit_at = now + self.tuning.revisit;
         }
-        if std::mem::take(&mut self.push) {
-            self.push_to_peers(rng, &mut out);
-        }
+        self.push_to_peers(rng, &mut out);
         self.compare_views(now, rng, &mut out);
         out
     }
@@ -251,8 +258,9 @@
     /// Takes a probe's records and returns those of the acknowledgement.
     pub fn on_probe(&mut self, now: Millis, from: &EntryId, updates: Vec<Member>) -> Vec<Member> {
         self.contact(from);
+        let stale = self.stale(&updates);
         self.merge(now, updates);
-        self.outgoing(Some(from))
+        self.reply(from, &stale)
     }
 
     /// Takes an acknowledgement from the probed entry `from`.
@@ -297,7 +305,14 @@
     /// Takes the reply to a comparison. `more` is true if the peer has further
     /// records that differ.
     pub fn on_records(&mut self, now: Millis, from: &EntryId, records: Vec<Member>, more: bool) {
-        self.merge(now, records);
+        for record in records {
+            let id = record.id.clone();
+            let scheduled = self.queue.contains(&id);
+            self.on_update(now, record);
+            if !scheduled {
+                self.queue.defer(&id);
+            }
+        }
         if more {
             self.syncs.insert(from.clone());
         }
@@ -317,7 +332,7 @@
     /// Marks this entry as leaving. The next [`tick`](Self::tick) pushes it.
     pub fn leave(&mut self) {
         self.me.state = State::Leaving;
-        self.issue(Urgency::State);
+        self.issue(Urgency::High);
         self.push = true;
     }
 
@@ -325,7 +340,7 @@
     pub fn set_load(&mut self, load: Load) {
         if self.me.load != load {
             self.me.load = load;
-            self.issue(Urgency::Load);
+            self.issue(Urgency::Low);
         }
     }
 
@@ -349,6 +364,18 @@
         std::iter::once(&self.me).chain(others.map(|e| &e.record))
     }
 
+    /// Returns the members of which this entry has a later version. A later state
+    /// of the same version is left out: a suspicion or a death must not spread
+    /// through replies, where the two sides of a former partition meet.
+    fn stale(&self, updates: &[Member]) -> Vec<EntryId> {
+        let behind = |u: &&Member| {
+            let held = self.others.get(&u.id).map(|e| &e.record);
+            held.is_some_and(|m| (m.incarnation, m.version) > (u.incarnation, u.version))
+        };
+        let behind = updates.iter().filter(behind);
+        behind.map(|u| u.id.clone()).collect()
+    }
+
     fn merge(&mut self, now: Millis, updates: Vec<Member>) {
         for update in updates {
             self.on_update(now, update);
--- a/src/policy/member/merge.rs
+++ b/src/policy/member/merge.rs
@@ -16,7 +16,8 @@
             self.note(now, &id, EventKind::Superseded(update.incarnation));
         } else if update.supersedes(&self.me) {
             self.me.version = update.version;
-            self.issue(Urgency::State);
+            self.issue(Urgency::High);
+            self.push = true;
             self.note(now, &id, EventKind::Refuted);
         }
     }
@@ -42,7 +43,7 @@
         };
         self.others.insert(id.clone(), entry);
         self.order.push(id.clone());
-        self.queue.push(&id, Urgency::State);
+        self.queue.push(&id, Urgency::High);
         if !dead {
             self.note(now, &id, EventKind::Joined);
         }
@@ -73,7 +74,12 @@
             entry.since = now;
         }
         self.queue.push(&id, urgency);
-        self.push |= after == State::Leaving && before != State::Leaving;
+        // A refutation is also passed on by members that missed the suspicion,
+        // since others may have heard of it. No other record of a live member
+        // is as urgent without a restart.
+        let refuted = urgency == Urgency::High && after == State::Alive && !restarted;
+        let leaving = after == State::Leaving && before != State::Leaving;
+        self.push |= refuted || leaving;
         if restarted {
             self.note(now, &id, EventKind::Restarted(life));
         } else if let Some(kind) = change(before, after) {
@@ -109,7 +115,7 @@
                 entry.since = now;
                 entry.mine = true;
                 entry.deadline = Some(deadline);
-                self.queue.push(id, Urgency::State);
+                self.queue.push(id, Urgency::High);
                 self.note(now, id, EventKind::Suspected);
             }
             State::Leaving => {
@@ -129,7 +135,7 @@
             if let Some(entry) = self.others.get_mut(&id) {
                 entry.fail(now);
             }
-            self.queue.push(&id, Urgency::State);
+            self.queue.push(&id, Urgency::High);
             self.note(now, &id, EventKind::Failed);
         }
         let old =
@@ -183,9 +189,9 @@
 fn urgency(old: &Member, new: &Member) -> Urgency {
     let same = old.state == new.state && old.incarnation == new.incarnation;
     if same && old.load != new.load {
-        Urgency::Load
+        Urgency::Low
     } else {
-        Urgency::State
+        Urgency::High
     }
 }
 
--- a/src/policy/member/mod.rs
+++ b/src/policy/member/mod.rs
@@ -6,7 +6,7 @@
 //! fleet. A heartbeat to everyone would detect a failure sooner, at a cost that
 //! is quadratic in the fleet.
 //!
-//! It differs from SWIM in five points.
+//! It differs from SWIM in these points.
 //!
 //! * A record carries a [`Version`] within its incarnation. Refutation and load
 //!   raise the version, only a restart raises the incarnation, because roster
@@ -14,10 +14,12 @@
 //! * A report that a member is dead starts a local suspicion instead of taking
 //!   effect at once, so that the member can refute it. Otherwise the end of a
 //!   partition would remove the whole fleet from steering for a moment.
-//! * The entry that suspects a member probes it again every second and includes
-//!   the suspicion, so that the member can refute in the reply.
-//! * A leaving record is pushed to three peers on receipt instead of waiting for
-//!   the next probe.
+//! * The entry that suspects a member probes it again every second, directly and
+//!   through peers, and includes the suspicion, so that the member can refute in
+//!   the reply.
+//! * Leaving records and refutations are pushed to three peers on receipt instead
+//!   of waiting for the next probe. A refutation thus overtakes the suspicion,
+//!   whose 3 s do not grow with the fleet.
 //! * Views are compared with one peer every 30 s, on joining, and on contact
 //!   with a member that was held dead. Dead members are probed once a minute.
 //!
--- a/src/policy/member/probes.rs
+++ b/src/policy/member/probes.rs
@@ -2,14 +2,12 @@
 
 use std::collections::BTreeSet;
 
-use rand::{
-    Rng,
-    seq::{IndexedRandom, SliceRandom},
-};
+use rand::{Rng, seq::IndexedRandom};
 
 use super::{
     event::EventKind,
     members::{Action, Entry, Members, Nonce, PAUSE_GAP, PUSH_PEERS, RECHECKS, Round},
+    queue::UPDATE_BYTES,
     record::{Member, State},
 };
 use crate::domain::{EntryId, Millis};
@@ -48,19 +46,7 @@
         };
         round.relayed = true;
         let (target, nonce) = (round.target.clone(), round.nonce);
-        let Some(to) = self.others.get(&target).map(|e| e.record.peers) else {
-            return;
-        };
-        for peer in self.random_peers(rng, self.tuning.relays, Some(&target)) {
-            let updates = self.outgoing(Some(&target));
-            out.push(Action::Relay {
-                via: peer.peers,
-                target: target.clone(),
-                to,
-                nonce,
-                updates,
-            });
-        }
+        self.relay_through_peers(&target, nonce, rng, out);
     }
 
     /// Suspects the target of the last probe if it was not answered.
@@ -86,17 +72,23 @@
         }
     }
 
-    /// Probes again the members that this entry suspects, and those that it
-    /// holds as dead and a peer does not.
-    pub(super) fn probe_again(&mut self, now: Millis, out: &mut Vec<Action>) {
+    /// Probes again the members that this entry suspects, also through peers, and
+    /// those that it holds as dead and a peer does not. These probes carry the
+    /// suspicion, which otherwise takes longer to reach a member of a large fleet
+    /// than it lasts.
+    pub(super) fn probe_again(&mut self, now: Millis, rng: &mut impl Rng, out: &mut Vec<Action>) {
         let recent = |e: &Entry| e.mine && e.deadline.is_some_and(|at| at > now);
         let suspects = self.others.iter().filter(|(_, e)| recent(e));
-        let mut targets: Vec<EntryId> = suspects.map(|(id, _)| id.clone()).collect();
-        for _ in 0..RECHECKS {
-            targets.extend(self.rechecks.pop_first());
+        let suspects: Vec<EntryId> = suspects.map(|(id, _)| id.clone()).collect();
+        for target in suspects {
+            if let Some(nonce) = self.probe(&target, out) {
+                self.relay_through_peers(&target, nonce, rng, out);
+            }
         }
-        for target in targets {
-            self.probe(&target, out);
+        for _ in 0..RECHECKS {
+            if let Some(target) = self.rechecks.pop_first() {
+                self.probe(&target, out);
+            }
         }
     }
 
@@ -112,8 +104,14 @@
         self.probe_seed(rng, out);
     }
 
-    /// Sends the queue to a few peers at once.
+    /// Sends the queue to a few peers at once, if that is due and within the
+    /// budget.
     pub(super) fn push_to_peers(&mut self, rng: &mut impl Rng, out: &mut Vec<Action>) {
+        if !self.push || self.credit == 0 {
+            return;
+        }
+        self.push = false;
+        self.credit -= 1;
         for peer in self.random_peers(rng, PUSH_PEERS, None) {
             self.probe(&peer.id, out);
         }
@@ -137,10 +135,35 @@
     /// Returns the records for a message: that of this entry, that of the
     /// receiver if it may have to refute it, and the queue.
     pub(super) fn outgoing(&mut self, peer: Option<&EntryId>) -> Vec<Member> {
+        let theirs = peer.and_then(|id| self.others.get(id)).map(|e| &e.record);
+        let doubted = theirs.filter(|m| matches!(m.state, State::Suspect | State::Dead));
+        let first = doubted.cloned().into_iter().collect();
+        self.fill(first)
+    }
+
+    /// Returns the records for a reply: as [`outgoing`](Self::outgoing), and
+    /// before the queue those in which the peer is behind. Without them a peer
+    /// that missed a refutation would hold on to the suspicion, since a record
+    /// leaves the queue after a number of messages.
+    pub(super) fn reply(&mut self, peer: &EntryId, stale: &[EntryId]) -> Vec<Member> {
+        let held = |id: &EntryId| self.others.get(id).map(|e| e.record.clone());
+        let doubted = |m: &Member| matches!(m.state, State::Suspect | State::Dead);
+        let mut first: Vec<Member> = held(peer).filter(doubted).into_iter().collect();
+        first.extend(stale.iter().filter(|id| *id != peer).filter_map(held));
+        self.fill(first)
+    }
+
+    /// Puts this entry's record before `first` and the queue after it, as much
+    /// as one message holds.
+    fn fill(&mut self, first: Vec<Member>) -> Vec<Member> {
         let mut out = vec![self.me.clone()];
-        let theirs = peer.and_then(|id| self.others.get(id));
-        let doubted = theirs.filter(|e| matches!(e.record.state, State::Suspect | State::Dead));
-        out.extend(doubted.map(|e| e.record.clone()));
+        let mut used = self.me.size();
+        for member in first {
+            used += member.size();
+            if used <= UPDATE_BYTES {
+                out.push(member);
+            }
+        }
         let (me, others) = (&self.me, &self.others);
         self.queue.fill(&mut out, others.len() + 1, |id| {
             let other = others.get(id).map(|e| &e.record);
@@ -157,6 +180,28 @@
         Some(nonce)
     }
 
+    fn relay_through_peers(
+        &mut self,
+        target: &EntryId,
+        nonce: Nonce,
+        rng: &mut impl Rng,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(to) = self.others.get(target).map(|e| e.record.peers) else {
+            return;
+        };
+        for peer in self.random_peers(rng, self.tuning.relays, Some(target)) {
+            let updates = self.outgoing(Some(target));
+            out.push(Action::Relay {
+                via: peer.peers,
+                target: target.clone(),
+                to,
+                nonce,
+                updates,
+            });
+        }
+    }
+
     fn probe_seed(&mut self, rng: &mut impl Rng, out: &mut Vec<Action>) {
         let known: BTreeSet<_> = self.not_dead().map(|m| m.peers).collect();
         let seeds = self.seeds.iter().filter(|s| !known.contains(s));
@@ -177,14 +222,15 @@
     /// is probed twice, which bounds the time to detect a failure.
     fn next_target(&mut self, rng: &mut impl Rng) -> Option<EntryId> {
         for _ in 0..2 {
-            while let Some(id) = self.order.pop() {
+            while !self.order.is_empty() {
+                let at = rng.random_range(0..self.order.len());
+                let id = self.order.swap_remove(at);
                 if self.others.get(&id).is_some_and(|e| e.view != State::Dead) {
                     return Some(id);
                 }
             }
             let usable = self.others.iter().filter(|(_, e)| e.view != State::Dead);
             self.order = usable.map(|(id, _)| id.clone()).collect();
-            self.order.shuffle(rng);
         }
         None
     }
--- a/src/policy/member/queue.rs
+++ b/src/policy/member/queue.rs
@@ -13,13 +13,14 @@
 /// that a member misses a record, and the periodic sync repairs that.
 const RETRANSMIT_FACTOR: u32 = 3;
 
-/// How urgent a record is. Load reports wait until state changes are sent.
+/// How urgent a record is. The less urgent ones wait for the others.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Urgency {
     /// A member joined, left, failed or returned.
-    State,
-    /// Only the load changed.
-    Load,
+    High,
+    /// Only the load changed, or the record comes from a comparison of views, so
+    /// that at least one peer has had it for a while.
+    Low,
 }
 
 #[derive(Clone, Debug)]
@@ -44,6 +45,18 @@
         self.items.insert(id.clone(), Item { urgency, sent: 0 });
     }
 
+    /// Reports whether a member's record is scheduled.
+    pub(super) fn contains(&self, id: &EntryId) -> bool {
+        self.items.contains_key(id)
+    }
+
+    /// Makes a member's record less urgent.
+    pub(super) fn defer(&mut self, id: &EntryId) {
+        if let Some(item) = self.items.get_mut(id) {
+            item.urgency = Urgency::Low;
+        }
+    }
+
     /// Drops a member's record.
     pub(super) fn remove(&mut self, id: &EntryId) {
         self.items.remove(id);
@@ -95,9 +108,9 @@
 fn retransmit_limit(fleet: usize, urgency: Urgency) -> u32 {
     let bits = (usize::BITS - fleet.leading_zeros()).max(1);
     match urgency {
-        Urgency::State => RETRANSMIT_FACTOR * bits,
-        // Load changes far more often than state, and a missed report only
-        // affects a ranking until the next one.
-        Urgency::Load => bits,
+        Urgency::High => RETRANSMIT_FACTOR * bits,
+        // Load changes far more often than state, and a start of the whole fleet
+        // would otherwise keep messages full for many minutes.
+        Urgency::Low => bits,
     }
 }
--- a/src/policy/spread/known.rs
+++ b/src/policy/spread/known.rs
@@ -29,9 +29,6 @@
     pub timeout: Millis,
     /// The least time between two comparisons with one peer.
     pub rest: Millis,
-    /// How long after an adoption a differing hash is put down to announcements
-    /// that are still under way.
-    pub settle: Millis,
 }
 
 impl Default for Tuning {
@@ -40,7 +37,6 @@
             fanout: 3,
             timeout: Millis(500),
             rest: Millis(1_000),
-            settle: Millis(500),
         }
     }
 }
@@ -90,7 +86,6 @@
     compared: BTreeMap<EntryId, Millis>,
     replies: BTreeMap<EntryId, BTreeSet<ServiceName>>,
     differing: BTreeSet<EntryId>,
-    changed: Option<Millis>,
 }
 
 impl Spread {
@@ -105,7 +100,6 @@
             compared: BTreeMap::new(),
             replies: BTreeMap::new(),
             differing: BTreeSet::new(),
-            changed: None,
         }
     }
 
@@ -197,7 +191,7 @@
     /// Call it after adoptions and received messages, and every 100 ms.
     pub fn tick(&mut self, now: Millis, peers: &[EntryId], rng: &mut impl Rng) -> Vec<Action> {
         let mut out = Vec::new();
-        self.announce(now, peers, rng, &mut out);
+        self.announce(peers, rng, &mut out);
         self.reply(&mut out);
         self.pull(now, rng, &mut out);
         self.compare(now, &mut out);
@@ -221,18 +215,11 @@
         }
     }
 
-    fn announce(
-        &mut self,
-        now: Millis,
-        peers: &[EntryId],
-        rng: &mut impl Rng,
-        out: &mut Vec<Action>,
-    ) {
+    fn announce(&mut self, peers: &[EntryId], rng: &mut impl Rng, out: &mut Vec<Action>) {
         let fresh = std::mem::take(&mut self.fresh);
         if fresh.is_empty() {
             return;
         }
-        self.changed = Some(now);
         let list = self.revisions(fresh.into_iter());
         for to in peers.choose_multiple(rng, self.tuning.fanout) {
             let (to, list) = (to.clone(), list.clone());
@@ -287,14 +274,17 @@
         );
     }
 
+    /// Asks the peers whose hashes differ. During the spread of an edit this
+    /// often finds what an announcement was about to tell. It is done at once
+    /// all the same: a delay of 500 ms saved little traffic and raised the
+    /// time until the last of 30 entries has an edit from 1.3 s to 3.5 s at p99.
     fn compare(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let Tuning { rest, settle, .. } = self.tuning;
+        let rest = self.tuning.rest;
         self.compared.retain(|_, at| now - *at < rest);
         let differing = std::mem::take(&mut self.differing);
-        let changing = self.changed.is_some_and(|at| now - at < settle);
-        if changing || !self.wanted.is_empty() {
-            // The difference is known or about to be. The next probe tells
-            // whether it persists.
+        if !self.wanted.is_empty() {
+            // The difference is being resolved. The next probe tells whether it
+            // persists.
             return;
         }
         for with in differing {
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -76,6 +76,28 @@
     assert!(run(0) > 20, "the naive version is expected to fail");
 }
 
+/// Fails if a suspicion of a live entry overtakes its refutation in a fleet in
+/// which news takes longer to reach everyone than the suspicion lasts.
+#[test]
+fn a_refutation_overtakes_the_suspicion() {
+    let mut fleet = Fleet::formed(120, 9, Tuning::default());
+    for suspected in [2, 40, 77, 101] {
+        fleet.cut_both(|n| n == suspected);
+        let before = fleet.timeline.len();
+        while fleet.timeline.len() == before {
+            fleet.run(Millis(100));
+        }
+        // Now it can be reached again, but not by the entry that suspects it.
+        let observer = fleet.timeline[before].split(' ').next();
+        let observer = (0..120).find(|n| Some(id(*n).as_str()) == observer);
+        let observer = observer.expect("an entry");
+        fleet.cuts = vec![(observer, suspected), (suspected, observer)];
+        fleet.run(Millis(15_000));
+    }
+    assert!(count(&fleet, "suspected") > 0);
+    assert_eq!(count(&fleet, "failed"), 0);
+}
+
 /// Fails if an entry that was paused for long stays out of use, keeps its old
 /// record, or blames the others for its own pause.
 #[test]
