--- a/src/policy/limit/ledger.rs
+++ b/src/policy/limit/ledger.rs
@@ -19,6 +19,14 @@
     unit: u32,
 }
 
+impl Permit {
+    /// Returns the number of the unit.
+    #[must_use]
+    pub fn unit(&self) -> u32 {
+        self.unit
+    }
+}
+
 /// What a ledger holds, for operators and tests.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Status {
@@ -328,13 +336,17 @@
         self.refresh(now);
     }
 
-    /// Returns the units that this entry may use or that its requests use.
-    pub fn units(&mut self, now: Millis) -> Vec<u32> {
-        self.expire(now);
-        self.refresh(now);
+    /// Returns the units that this entry may use at this instant or that its
+    /// requests use.
+    #[must_use]
+    pub fn units(&self, now: Millis) -> Vec<u32> {
+        let valid = |u: u32| match &self.units[u as usize] {
+            Unit::Borrowed(debt) => now < debt.until,
+            _ => true,
+        };
         let all = 0..u32::try_from(self.units.len()).unwrap_or(u32::MAX);
-        all.filter(|u| self.is_usable(*u) || self.is_busy(*u))
-            .collect()
+        let usable = |u: u32| self.is_usable(u) && valid(u);
+        all.filter(|u| usable(*u) || self.is_busy(*u)).collect()
     }
 
     /// Returns a summary.
--- /dev/null
+++ b/tests/limit.rs
@@ -0,0 +1,136 @@
+//! Guards shared limits: the units in use anywhere never exceed the limit, and
+//! unused units reach the entry that needs them.
+
+#[path = "limit/node.rs"]
+mod node;
+#[path = "limit/world.rs"]
+mod world;
+
+use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use savorybeam::domain::{Rps, Slots};
+use savorybeam::policy::limit::Limit;
+use world::{Faults, STEP, Way, World};
+
+/// Returns how many seeds a property runs; a long run sets the variable.
+fn seeds(default: u64) -> u64 {
+    let text = std::env::var("SAVORYBEAM_SEEDS").ok();
+    text.and_then(|t| t.parse().ok()).unwrap_or(default)
+}
+
+/// A seed of a run. It has no smaller ones: another seed is another run.
+#[derive(Clone, Copy, Debug)]
+struct Seed(u64);
+
+impl Arbitrary for Seed {
+    fn arbitrary(g: &mut Gen) -> Self {
+        Self(u64::arbitrary(g))
+    }
+}
+
+fn check(count: u64, property: fn(Seed) -> TestResult) {
+    QuickCheck::new()
+        .rng(Gen::new(64))
+        .tests(count)
+        .quickcheck(property);
+}
+
+fn run(world: &mut World, time: u64) -> Result<(), String> {
+    let end = world.now + time;
+    while world.now < end {
+        world.step();
+        if let Some(fault) = world.fault() {
+            return Err(fault);
+        }
+    }
+    Ok(())
+}
+
+fn draw(seed: u64, way: Way, limit: Option<Limit>) -> World {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let count = rng.random_range(3..=9);
+    let size = rng.random_range(1..9);
+    let limit = limit.unwrap_or(Limit::Slots(Slots(size)));
+    let faults = Faults::draw(&mut rng);
+    World::new(seed, count, way, limit, faults)
+}
+
+fn verdict(seed: u64, result: Result<(), String>) -> TestResult {
+    match result {
+        Ok(()) => TestResult::passed(),
+        Err(fault) => TestResult::error(format!("seed {seed}: {fault}")),
+    }
+}
+
+fn slots_stay_within(Seed(seed): Seed) -> TestResult {
+    let mut world = draw(seed, Way::Escrow, None);
+    verdict(seed, run(&mut world, 60_000))
+}
+
+fn rates_stay_within(Seed(seed): Seed) -> TestResult {
+    let mut world = draw(seed, Way::Escrow, Some(Limit::requests(Rps(60))));
+    verdict(seed, run(&mut world, 30_000))
+}
+
+/// Guards against a loan, a handover or a restart that lets two entries use one
+/// slot at the same time.
+#[test]
+fn slots_are_never_used_twice() {
+    check(seeds(60), slots_stay_within);
+}
+
+/// Guards against a rate loan that is used after its lender has reclaimed it.
+#[test]
+fn rates_are_never_used_twice() {
+    check(seeds(15), rates_stay_within);
+}
+
+/// The time in which unused units must have moved after the last fault: the
+/// longest survey wait, the audit period, the platform's lag in this world, the
+/// roster's and a few round trips.
+const SETTLE: u64 = 15_000 + 8_000 + 5_000 + 2_000 + 2_000 + 4_000 + 4_000 + 1_000;
+
+fn unused_moves(Seed(seed): Seed, limit: Option<Limit>) -> TestResult {
+    let mut world = draw(seed, Way::Escrow, limit);
+    if let Err(fault) = run(&mut world, 20_000) {
+        return verdict(seed, Err(fault));
+    }
+    world.heal();
+    let size = world.limit.units() as usize;
+    let count = world.entries.len();
+    let hot = world.rng().random_range(0..count);
+    let end = world.now + SETTLE;
+    while world.now < end {
+        for (index, entry) in world.entries.iter_mut().enumerate() {
+            if let Some(entry) = entry {
+                entry.demand = if index == hot { 1.0 } else { 0.0 };
+            }
+        }
+        if let Err(fault) = run(&mut world, STEP) {
+            return verdict(seed, Err(fault));
+        }
+        if world.most() == size && world.entries[hot].is_some() {
+            return TestResult::passed();
+        }
+    }
+    let most = world.most();
+    verdict(
+        seed,
+        Err(format!("{most} of {size} units after {SETTLE} ms")),
+    )
+}
+
+/// Guards against units that are lost for good with a message or an entry, and
+/// against units that stay idle where nobody needs them.
+#[test]
+fn unused_slots_reach_the_demand() {
+    check(seeds(30), |seed| unused_moves(seed, None));
+}
+
+/// Guards against the same for rates.
+#[test]
+fn unused_rates_reach_the_demand() {
+    check(seeds(8), |seed| {
+        unused_moves(seed, Some(Limit::requests(Rps(60))))
+    });
+}
--- /dev/null
+++ b/tests/limit/world.rs
@@ -0,0 +1,499 @@
+//! Entries, a network, a platform and a store in virtual time, from a seed.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use savorybeam::domain::{Epoch, Incarnation, Millis, Slots};
+use savorybeam::policy::limit::{Ledger, Limit, Member, Roster, Seat};
+
+use super::node::{Node, Packet, Sent, Unit};
+
+/// The time between two steps.
+pub const STEP: u64 = 10;
+
+/// How the network and the platform behave.
+#[derive(Clone, Copy, Debug)]
+pub struct Faults {
+    pub loss: f64,
+    pub copies: f64,
+    /// The longest usual delay.
+    pub delay: u64,
+    /// The part of messages that are late by seconds.
+    pub late: f64,
+    /// The chance of a fault in each second.
+    pub rate: f64,
+    /// The greatest deviation of a clock.
+    pub drift: f64,
+}
+
+impl Faults {
+    pub const NONE: Self = Self {
+        loss: 0.0,
+        copies: 0.0,
+        delay: 40,
+        late: 0.0,
+        rate: 0.0,
+        drift: 0.0,
+    };
+
+    pub fn draw(rng: &mut SmallRng) -> Self {
+        Self {
+            loss: rng.random_range(0.0..0.3),
+            copies: rng.random_range(0.0..0.3),
+            delay: rng.random_range(10..400),
+            late: rng.random_range(0.0..0.05),
+            rate: rng.random_range(0.1..1.0),
+            drift: 0.05,
+        }
+    }
+}
+
+/// Which way to share the world uses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    Escrow,
+    Split,
+    Lease,
+}
+
+#[derive(Debug)]
+pub struct Entry {
+    pub member: Member,
+    pub node: Node,
+    pub size: u32,
+    origin: f64,
+    speed: f64,
+    paused: u64,
+    ticked: u64,
+    /// The chance that it starts a request in a step.
+    pub demand: f64,
+    /// Its requests with the time of their end and the size it knew.
+    pub running: Vec<(Unit, u64, u32)>,
+    pub admitted: u64,
+}
+
+/// The requests of a crashed entry go on at the target until they end.
+#[derive(Debug)]
+struct Ghost {
+    member: Member,
+    units: Vec<u32>,
+    size: u32,
+    /// When the platform reports it.
+    report: u64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Packet {
+        from: Member,
+        to: Member,
+        packet: Packet,
+    },
+    Roster(usize, Arc<Roster>),
+    Gone(usize, Member),
+    Size(usize, u32),
+    Start(usize),
+}
+
+pub struct World {
+    pub now: u64,
+    pub faults: Faults,
+    pub entries: Vec<Option<Entry>>,
+    pub limit: Limit,
+    way: Way,
+    rng: SmallRng,
+    ghosts: Vec<Ghost>,
+    queue: BTreeMap<(u64, u64), Event>,
+    sequence: u64,
+    roster: Arc<Roster>,
+    /// Incarnations that the platform has reported gone.
+    reported: Vec<Member>,
+    incarnations: Vec<u64>,
+    store_down: u64,
+    /// A cut between entries below the index and the others, with its end.
+    cut: Option<(usize, u64)>,
+    leaving: Option<usize>,
+    proposed: u64,
+}
+
+pub fn member(index: usize, incarnation: u64) -> Member {
+    Member {
+        entry: format!("e{index}").parse().expect("a valid name"),
+        incarnation: Incarnation(incarnation),
+    }
+}
+
+impl World {
+    pub fn new(seed: u64, count: usize, way: Way, limit: Limit, faults: Faults) -> Self {
+        let mut world = Self {
+            now: 0,
+            faults,
+            entries: (0..count).map(|_| None).collect(),
+            limit,
+            way,
+            rng: SmallRng::seed_from_u64(seed),
+            ghosts: Vec::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            roster: Arc::default(),
+            reported: Vec::new(),
+            incarnations: vec![0; count],
+            store_down: 0,
+            cut: None,
+            leaving: None,
+            proposed: 0,
+        };
+        for index in 0..count {
+            world.start(index);
+        }
+        world.propose();
+        world
+    }
+
+    pub fn rng(&mut self) -> &mut SmallRng {
+        &mut self.rng
+    }
+
+    fn start(&mut self, index: usize) {
+        if self.entries[index].is_some() {
+            return;
+        }
+        self.incarnations[index] += 1;
+        let member = member(index, self.incarnations[index]);
+        let count = self.entries.len();
+        let size = self.limit.units();
+        let node = match self.way {
+            Way::Escrow => {
+                let name = "slots/10.0.0.1:80".parse().expect("a valid name");
+                Node::Escrow(Box::new(Ledger::new(name, member.clone(), self.limit)))
+            }
+            Way::Split => Node::split(index, count, size),
+            Way::Lease => Node::lease(index, size),
+        };
+        let drift = self.faults.drift;
+        let entry = Entry {
+            member,
+            node,
+            size,
+            origin: self.rng.random_range(0.0..1e6),
+            speed: self.rng.random_range(1.0 - drift..=1.0 + drift),
+            paused: 0,
+            ticked: 0,
+            demand: self.rng.random_range(0.0..0.3),
+            running: Vec::new(),
+            admitted: 0,
+        };
+        self.entries[index] = Some(entry);
+        let roster = self.roster.clone();
+        let delay = self.rng.random_range(0..500);
+        self.push(delay, Event::Roster(index, roster));
+    }
+
+    fn push(&mut self, delay: u64, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((self.now + delay, self.sequence), event);
+    }
+
+    /// Puts all live entries in a new roster. An incarnation that is not yet
+    /// reported gone keeps its seat, and its successor waits.
+    fn propose(&mut self) {
+        let mut seats = Vec::new();
+        for (index, slot) in self.entries.iter().enumerate() {
+            let ghost = self
+                .ghosts
+                .iter()
+                .find(|g| g.member.entry == member(index, 0).entry);
+            let live = slot.as_ref().map(|e| e.member.clone());
+            if let Some(member) = ghost.map(|g| g.member.clone()).or(live) {
+                let leaving = self.leaving == Some(index);
+                seats.push(Seat { member, leaving });
+            }
+        }
+        let next = Roster::new(self.roster.epoch(), seats.clone());
+        if self.now < self.store_down || next == *self.roster {
+            return;
+        }
+        self.roster = Arc::new(Roster::new(Epoch(self.roster.epoch().0 + 1), seats));
+        for index in 0..self.entries.len() {
+            let delay = self.rng.random_range(0..2_000);
+            self.push(delay, Event::Roster(index, self.roster.clone()));
+        }
+    }
+
+    /// Reports crashed entries whose time has come.
+    fn report(&mut self) {
+        if self.now < self.store_down {
+            return;
+        }
+        let now = self.now;
+        let (due, rest) = std::mem::take(&mut self.ghosts)
+            .into_iter()
+            .partition(|g| g.report <= now);
+        self.ghosts = rest;
+        let due: Vec<Ghost> = due;
+        for ghost in due {
+            for index in 0..self.entries.len() {
+                let delay = self.rng.random_range(0..5_000);
+                self.push(delay, Event::Gone(index, ghost.member.clone()));
+            }
+            self.reported.push(ghost.member);
+        }
+    }
+
+    pub fn crash(&mut self, index: usize) {
+        // One ghost for each name keeps the roster simple: the platform reports
+        // the former life before the next one crashes.
+        let name = member(index, 0).entry;
+        if self.ghosts.iter().any(|g| g.member.entry == name) {
+            return;
+        }
+        let Some(entry) = self.entries[index].take() else {
+            return;
+        };
+        let units = entry.running.iter().map(|(u, _, _)| u.number()).collect();
+        let ends = entry.running.iter().map(|(_, end, _)| *end).max();
+        let lag = self.now + self.rng.random_range(500..15_000);
+        self.ghosts.push(Ghost {
+            member: entry.member,
+            units,
+            size: entry.size,
+            report: lag.max(ends.unwrap_or(0)),
+        });
+        let delay = self.rng.random_range(100..8_000);
+        self.push(delay, Event::Start(index));
+    }
+
+    pub fn set_size(&mut self, size: u32) {
+        self.limit = Limit::Slots(Slots(size));
+        for index in 0..self.entries.len() {
+            let delay = self.rng.random_range(0..3_000);
+            self.push(delay, Event::Size(index, size));
+        }
+    }
+
+    fn inject(&mut self) {
+        if !self.now.is_multiple_of(1_000) || !self.rng.random_bool(self.faults.rate) {
+            return;
+        }
+        let count = self.entries.len();
+        let index = self.rng.random_range(0..count);
+        match self.rng.random_range(0..8) {
+            0 | 1 => {
+                let until = self.now + self.rng.random_range(200..8_000);
+                if let Some(entry) = &mut self.entries[index] {
+                    entry.paused = until;
+                }
+            }
+            2 => self.crash(index),
+            3 => {
+                let until = self.now + self.rng.random_range(1_000..20_000);
+                self.cut = Some((index, until));
+            }
+            4 => self.store_down = self.now + self.rng.random_range(1_000..40_000),
+            5 => self.leaving = (self.leaving != Some(index)).then_some(index),
+            6 if matches!(self.limit, Limit::Slots(_)) && self.way == Way::Escrow => {
+                let size = self.rng.random_range(1..9);
+                self.set_size(size);
+            }
+            _ => {
+                let demand = self.rng.random_range(0.0..0.5);
+                if let Some(entry) = &mut self.entries[index] {
+                    entry.demand = demand;
+                }
+            }
+        }
+    }
+
+    /// Ends all faults and reports everything that is still unreported.
+    pub fn heal(&mut self) {
+        self.faults = Faults::NONE;
+        self.cut = None;
+        self.store_down = 0;
+        self.leaving = None;
+        for entry in self.entries.iter_mut().flatten() {
+            entry.paused = 0;
+        }
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.inject();
+        self.report();
+        if self.now >= self.proposed + 2_000 {
+            self.proposed = self.now;
+            self.propose();
+        }
+        while let Some(first) = self.queue.first_entry() {
+            if first.key().0 > self.now {
+                break;
+            }
+            let event = first.remove();
+            self.handle(event);
+        }
+        for index in 0..self.entries.len() {
+            self.work(index);
+        }
+    }
+
+    pub fn clock(&self, entry: &Entry) -> Millis {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            clippy::cast_precision_loss
+        )]
+        Millis((entry.origin + self.now as f64 * entry.speed) as u64)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let index = match &event {
+            Event::Packet { to, .. } => (0..self.entries.len())
+                .find(|i| member(*i, 0).entry == to.entry)
+                .expect("a known name"),
+            Event::Roster(i, _) | Event::Gone(i, _) | Event::Size(i, _) => *i,
+            Event::Start(index) => return self.start(*index),
+        };
+        let Some(mut entry) = self.entries[index].take() else {
+            return;
+        };
+        if self.now < entry.paused {
+            let delay = entry.paused - self.now;
+            self.entries[index] = Some(entry);
+            return self.push(delay, event);
+        }
+        let clock = self.clock(&entry);
+        let out = match event {
+            Event::Packet { from, to, packet } => entry.node.receive(&from, &to, packet, clock),
+            Event::Roster(_, roster) => {
+                entry.node.set_roster(&roster, clock);
+                Vec::new()
+            }
+            Event::Gone(_, gone) => {
+                if let Some(ledger) = entry.node.ledger() {
+                    ledger.on_gone(&gone, clock);
+                }
+                Vec::new()
+            }
+            Event::Size(_, size) => {
+                entry.size = size;
+                let ledger = entry.node.ledger().expect("only ledgers change size");
+                let out = ledger.set_limit(Limit::Slots(Slots(size)), clock);
+                out.into_iter()
+                    .map(|o| (o.to, Packet::Item(o.item)))
+                    .collect()
+            }
+            Event::Start(_) => Vec::new(),
+        };
+        let from = entry.member.clone();
+        self.entries[index] = Some(entry);
+        self.send(index, &from, out);
+    }
+
+    /// Lets an entry end and start requests, and tick.
+    fn work(&mut self, index: usize) {
+        let Some(mut entry) = self.entries[index].take() else {
+            return;
+        };
+        if self.now < entry.paused {
+            self.entries[index] = Some(entry);
+            return;
+        }
+        let clock = self.clock(&entry);
+        let mut out = Vec::new();
+        let now = self.now;
+        while let Some(at) = entry.running.iter().position(|(_, end, _)| *end <= now) {
+            let (unit, _, _) = entry.running.swap_remove(at);
+            out.extend(entry.node.release(unit, clock));
+        }
+        if self.rng.random_bool(entry.demand) {
+            if matches!(self.limit, Limit::Slots(_)) {
+                let (unit, sent) = entry.node.acquire(clock);
+                out.extend(sent);
+                let end = now + self.rng.random_range(10..3_000);
+                let size = entry.size;
+                entry.running.extend(unit.map(|u| (u, end, size)));
+            } else if let Some(ledger) = entry.node.ledger() {
+                if ledger.admit(1, clock) {
+                    entry.admitted += 1;
+                }
+                let usable = ledger.status().usable as usize;
+                assert_eq!(
+                    usable,
+                    ledger.units(clock).len(),
+                    "admission saw expired units"
+                );
+            }
+        }
+        if self.now >= entry.ticked + 100 {
+            entry.ticked = self.now;
+            out.extend(entry.node.tick(&member(0, 1), clock));
+        }
+        let from = entry.member.clone();
+        self.entries[index] = Some(entry);
+        self.send(index, &from, out);
+    }
+
+    fn send(&mut self, index: usize, from: &Member, out: Vec<Sent>) {
+        for (to, packet) in out {
+            if self.rng.random_bool(self.faults.loss) || self.is_cut(index, &to) {
+                continue;
+            }
+            let copies = 1 + u32::from(self.rng.random_bool(self.faults.copies));
+            for _ in 0..copies {
+                let late = self.rng.random_bool(self.faults.late);
+                let most = if late { 6_000 } else { self.faults.delay };
+                let delay = self.rng.random_range(1..=most);
+                let event = Event::Packet {
+                    from: from.clone(),
+                    to: to.clone(),
+                    packet: packet.clone(),
+                };
+                self.push(delay, event);
+            }
+        }
+    }
+
+    fn is_cut(&self, from: usize, to: &Member) -> bool {
+        let Some((border, until)) = self.cut else {
+            return false;
+        };
+        let to = (0..self.entries.len()).find(|i| member(*i, 0).entry == to.entry);
+        self.now < until && to.is_some_and(|to| (from < border) != (to < border))
+    }
+
+    /// Returns what breaks the invariant at this instant, if anything does.
+    pub fn fault(&self) -> Option<String> {
+        let mut holders: BTreeMap<u32, Vec<String>> = BTreeMap::new();
+        let mut bound = 0;
+        for entry in self.entries.iter().flatten() {
+            let mut units = entry.node.units(self.clock(entry));
+            units.extend(entry.running.iter().map(|(u, _, _)| u.number()));
+            units.sort_unstable();
+            units.dedup();
+            let name = format!("{}/{}", entry.member.entry, entry.member.incarnation);
+            for unit in units {
+                holders.entry(unit).or_default().push(name.clone());
+            }
+            let sizes = entry.running.iter().map(|(_, _, size)| *size);
+            bound = sizes.chain([entry.size, bound]).max().unwrap_or(0);
+        }
+        for ghost in &self.ghosts {
+            let name = format!("{}/{} (dead)", ghost.member.entry, ghost.member.incarnation);
+            for unit in &ghost.units {
+                holders.entry(*unit).or_default().push(name.clone());
+            }
+            bound = bound.max(ghost.size);
+        }
+        let sum: usize = holders.values().map(Vec::len).sum();
+        if let Some((unit, names)) = holders.iter().find(|(_, names)| names.len() > 1) {
+            return Some(format!("{} ms: unit {unit} is used by {names:?}", self.now));
+        }
+        (sum > bound as usize).then(|| format!("{} ms: {sum} of {bound} units", self.now))
+    }
+
+    /// Returns the most units that one entry may use.
+    pub fn most(&self) -> usize {
+        let entries = self.entries.iter().flatten();
+        let units = entries.map(|e| e.node.units(self.clock(e)).len());
+        units.max().unwrap_or(0)
+    }
+}
