Add the bench that compares target policies in virtual time

Cause: the acceptance thresholds of design section 1.3 were not measured. Conclusion: the place is drawn by weight, so two of three requests cross regions, and a slot unit is then held for 70 ms of travel around 20 ms of work. The naive policy does not notice, since it sends more than the slots and lets the target queue it. This is the first thing to change.

--- /dev/null
+++ b/examples/bench/main.rs
@@ -0,0 +1,131 @@
+//! Compares our policy with the naive one in virtual time.
+//!
+//! `cargo run --release --example bench -- --seed 1 --write docs/MEASURED.md`
+
+// Counts and virtual times are far below the range in which conversions between
+// integers and floating-point numbers lose anything.
+#![allow(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::cast_sign_loss
+)]
+
+mod fake;
+mod loans;
+mod measure;
+mod naive;
+mod net;
+mod platform;
+mod report;
+mod steered;
+mod world;
+
+use std::path::PathBuf;
+
+use bpaf::{OptionParser, Parser, construct, long};
+
+use crate::{
+    fake::Fake,
+    measure::Tally,
+    naive::Naive,
+    net::Net,
+    platform::Core,
+    report::Runs,
+    steered::Steered,
+    world::{DEPLOYMENTS, Deployment, Phase, SECOND},
+};
+
+/// What the command line says.
+struct Args {
+    seed: u64,
+    write: Option<PathBuf>,
+}
+
+fn options() -> OptionParser<Args> {
+    let seed = long("seed")
+        .help("Seed of all random numbers")
+        .argument("N");
+    let seed = seed.fallback(1);
+    let write = long("write")
+        .help("Page to write the tables to")
+        .argument("FILE");
+    let write = write.optional();
+    construct!(Args { seed, write }).to_options()
+}
+
+fn targets(deployment: &Deployment, slowed: usize) -> Vec<Fake> {
+    let mut all = Vec::new();
+    for (n, service) in deployment.services.iter().enumerate() {
+        for server in 0..service.servers {
+            let mut target = Fake::new(n, world::server_az(server), service.slots);
+            // The slowed ones are in different availability zones.
+            target.slowed = n == 0 && server < slowed;
+            target.lies = server == service.servers - 1;
+            all.push(target);
+        }
+    }
+    all
+}
+
+fn run(deployment: &Deployment, phases: &[Phase], slowed: usize, seed: u64, ours: bool) -> Tally {
+    let requests = world::arrivals(deployment, phases, seed);
+    let tally = Tally::new(10 * SECOND, deployment.services.len());
+    let net = Net::new(deployment.mbps, ours);
+    let fakes = targets(deployment, slowed);
+    let mut core = Core::new(*deployment, requests, fakes, tally, net);
+    if ours {
+        let mut steered = Steered::new(&mut core, seed);
+        while let Some(event) = core.next() {
+            steered.handle(&mut core, event);
+        }
+    } else {
+        let mut naive = Naive::new(&core);
+        while let Some(event) = core.next() {
+            naive.handle(&mut core, event);
+        }
+    }
+    core.tally
+}
+
+fn phase(until: u64, load: f64, long: f64) -> Phase {
+    Phase {
+        until: until * SECOND,
+        load,
+        long,
+    }
+}
+
+fn runs(deployment: &Deployment, seed: u64, ours: bool) -> Runs {
+    let usual = [phase(60, 0.6, 1.0)];
+    let burst = [
+        phase(20, 0.4, 1.0),
+        phase(50, 0.4, 3.0),
+        phase(60, 0.4, 1.0),
+    ];
+    let steps = [
+        phase(20, 0.5, 1.0),
+        phase(40, 1.0, 1.0),
+        phase(60, 2.0, 1.0),
+        phase(80, 0.5, 1.0),
+    ];
+    let slowed = |n| run(deployment, &usual, n, seed, ours);
+    Runs {
+        usual: slowed(0),
+        burst: run(deployment, &burst, 0, seed, ours),
+        slowed: [1, 2, 3].map(slowed).into(),
+        steps: run(deployment, &steps, 0, seed, ours),
+    }
+}
+
+fn main() -> std::io::Result<()> {
+    let args = options().run();
+    let mut text = report::preface(args.seed);
+    for deployment in &DEPLOYMENTS {
+        let naive = runs(deployment, args.seed, false);
+        let steered = runs(deployment, args.seed, true);
+        text += &report::table(deployment, &naive, &steered);
+    }
+    print!("{text}");
+    args.write
+        .map_or(Ok(()), |path| std::fs::write(path, &text))
+}
--- /dev/null
+++ b/examples/bench/report.rs
@@ -0,0 +1,187 @@
+//! The table of a comparison and the verdicts.
+
+use std::fmt::Write;
+
+use savorybeam::domain::Lane;
+
+use crate::{measure::Tally, world::Deployment};
+
+/// The runs of one policy in one deployment.
+pub struct Runs {
+    pub usual: Tally,
+    pub burst: Tally,
+    /// The runs with one, two and three slowed targets of the first service.
+    pub slowed: Vec<Tally>,
+    /// 20 s each at 0.5, 1, 2 and 0.5 times saturation.
+    pub steps: Tally,
+}
+
+/// What the figure must be.
+enum Bound {
+    /// Nothing is required.
+    None,
+    /// At most this many times the naive one.
+    Ratio(f64),
+    /// At most this.
+    Most(f64),
+    /// At least this.
+    Least(f64),
+}
+
+type Row = (&'static str, fn(&Runs) -> f64, Bound);
+
+fn short(tally: &Tally, part: f64) -> f64 {
+    tally.percentile(None, Lane::Short, part)
+}
+
+fn slowed(runs: &Runs, n: usize) -> f64 {
+    runs.slowed[n - 1].percentile(Some(0), Lane::Short, 0.99)
+}
+
+/// The first and the last second of each step that count. Five seconds are left
+/// for the change.
+const STEPS: [(usize, usize); 4] = [(5, 20), (25, 40), (45, 60), (65, 80)];
+
+fn goodput(runs: &Runs, n: usize) -> f64 {
+    runs.steps.goodput(STEPS[n].0, STEPS[n].1)
+}
+
+fn work(runs: &Runs, n: usize) -> f64 {
+    runs.steps.work(STEPS[n].0, STEPS[n].1)
+}
+
+/// Returns the goodput at twice saturation in percent of the peak of the steps.
+fn kept(of: fn(&Runs, usize) -> f64, runs: &Runs) -> f64 {
+    let peak = (0..3).map(|n| of(runs, n)).fold(0.0, f64::max);
+    of(runs, 2) * 100.0 / peak
+}
+
+fn rows() -> Vec<Row> {
+    use Bound::{Least, Most, None, Ratio};
+    vec![
+        ("short p50, ms", |r| short(&r.usual, 0.5), Ratio(1.05)),
+        ("short p99, ms", |r| short(&r.usual, 0.99), None),
+        ("short p99.9, ms", |r| short(&r.usual, 0.999), None),
+        (
+            "long p50, ms",
+            |r| r.usual.percentile(Option::None, Lane::Long, 0.5),
+            None,
+        ),
+        (
+            "long p99, ms",
+            |r| r.usual.percentile(Option::None, Lane::Long, 0.99),
+            None,
+        ),
+        ("not answered in time, %", |r| r.usual.failures(), None),
+        ("added attempts, %", |r| r.usual.added(), Most(5.0)),
+        (
+            "most work at a target, % of its slots",
+            |r| r.usual.target_peak.into(),
+            Most(100.0),
+        ),
+        (
+            "most work in a region, % of its slots",
+            |r| r.usual.region_peak.into(),
+            Most(100.0),
+        ),
+        (
+            "short behind long p99, ms",
+            |r| short(&r.burst, 0.99),
+            Ratio(0.3),
+        ),
+        (
+            "short behind long, not in time, %",
+            |r| r.burst.failures(),
+            None,
+        ),
+        ("p99 with 1 slowed target, ms", |r| slowed(r, 1), None),
+        (
+            "p99 with 2 slowed targets, ms",
+            |r| slowed(r, 2),
+            Ratio(0.4),
+        ),
+        ("p99 with 3 slowed targets, ms", |r| slowed(r, 3), None),
+        ("2 slowed: not in time, %", |r| r.slowed[1].failures(), None),
+        (
+            "2 slowed: added attempts, %",
+            |r| r.slowed[1].added(),
+            Most(5.0),
+        ),
+        ("goodput at 0.5, answers/s", |r| goodput(r, 0), None),
+        ("goodput at 1, answers/s", |r| goodput(r, 1), None),
+        ("goodput at 2, answers/s", |r| goodput(r, 2), None),
+        ("goodput at 2, % of peak", |r| kept(goodput, r), Least(95.0)),
+        ("work done at 1, slots", |r| work(r, 1), None),
+        ("work done at 2, slots", |r| work(r, 2), None),
+        ("work done at 2, % of peak", |r| kept(work, r), None),
+        (
+            "recovery after load falls, s",
+            |r| r.steps.recovery(60, 80) as f64,
+            Most(0.0),
+        ),
+        ("steps: added attempts, %", |r| r.steps.added(), Most(5.0)),
+        (
+            "steps: most work at a target, %",
+            |r| r.steps.target_peak.into(),
+            Most(100.0),
+        ),
+        (
+            "steps: most work in a region, %",
+            |r| r.steps.region_peak.into(),
+            Most(100.0),
+        ),
+    ]
+}
+
+/// Returns what stands before the tables.
+pub fn preface(seed: u64) -> String {
+    format!(
+        "# Measured\n\n\
+        Written by `cargo run --release --example bench -- --seed {seed} --write docs/MEASURED.md`.\n\
+        Nothing here is edited by hand. The bounds are those of [design.md](design.md), section 1.3.\n\n\
+        {MODEL}\n"
+    )
+}
+
+/// What is modelled, for the reader of the tables.
+const MODEL: &str = include_str!("model.md");
+
+/// Returns the table of one deployment in Markdown.
+pub fn table(deployment: &Deployment, naive: &Runs, steered: &Runs) -> String {
+    let services = deployment.services.iter();
+    let services: Vec<String> = services
+        .map(|s| format!("{} {}×{}", s.name, s.servers, s.slots))
+        .collect();
+    let mut text = format!("\n## {}\n\n", deployment.name);
+    let _ = writeln!(text, "Servers × slots: {}.\n", services.join(", "));
+    text += "| measure | naive | savorybeam | ratio | bound | verdict |\n";
+    text += "|---|---:|---:|---:|---|---|\n";
+    for (name, read, bound) in rows() {
+        let (a, b) = (read(naive), read(steered));
+        let (bound, met) = judge(&bound, a, b);
+        let verdict = match met {
+            Some(true) => "met",
+            Some(false) => "**missed**",
+            None => "",
+        };
+        let ratio = if a > 0.0 {
+            format!("{:.2}", b / a)
+        } else {
+            "–".into()
+        };
+        let _ = writeln!(
+            text,
+            "| {name} | {a:.1} | {b:.1} | {ratio} | {bound} | {verdict} |"
+        );
+    }
+    text
+}
+
+fn judge(bound: &Bound, naive: f64, steered: f64) -> (String, Option<bool>) {
+    match bound {
+        Bound::None => (String::new(), None),
+        Bound::Ratio(n) => (format!("ratio ≤ {n}"), Some(steered <= naive * n)),
+        Bound::Most(n) => (format!("≤ {n}"), Some(steered <= *n)),
+        Bound::Least(n) => (format!("≥ {n}"), Some(steered >= *n)),
+    }
+}
--- /dev/null
+++ b/examples/bench/steered/mod.rs
@@ -0,0 +1,458 @@
+//! Our policy: the decisions of `savorybeam::policy`, wired to the simulated
+//! platform as an entry wires them to the network.
+
+mod units;
+
+use std::collections::HashMap;
+
+use rand::{SeedableRng, rngs::SmallRng};
+use savorybeam::{
+    domain::{Lane, Millis, Place, PlaceName, PlaceState, Slots, TargetId, Weight},
+    policy::{
+        queue::{Lengths, Queue, Ticket, WaitId},
+        retry::{self, Attempt, Budget, Window},
+        target::{Ask, Finish, Pool, Report},
+    },
+};
+
+use crate::{
+    loans::Loans,
+    platform::{Core, Event},
+    world::{self, AZS, ENTRIES, Kind, MILLI, Micros},
+};
+
+/// How often an entry looks for expired work and missing units.
+const TICK: Micros = 20 * MILLI;
+
+/// The state of one service at one entry.
+struct Own {
+    pool: Pool,
+    queue: Queue<usize>,
+    lengths: Lengths,
+    budget: Budget,
+    windows: [Window; 2],
+    /// Until when the entry waits for an answer to its last question for units.
+    asked: Micros,
+    places: Vec<(PlaceName, u32)>,
+}
+
+/// A request on its way.
+#[derive(Clone, Debug, Default)]
+struct Live {
+    wait: Option<WaitId>,
+    attempts: Vec<usize>,
+    used: Vec<TargetId>,
+    lane: Lane,
+    length: Millis,
+    first: Millis,
+}
+
+/// The state of all entries.
+pub struct Steered {
+    owns: Vec<Vec<Own>>,
+    loans: Loans,
+    live: HashMap<usize, Live>,
+    rng: SmallRng,
+    ids: HashMap<TargetId, usize>,
+}
+
+fn id(target: usize) -> TargetId {
+    TargetId(([10, 0, (target / 256) as u8, (target % 256) as u8], 8080).into())
+}
+
+fn at(lane: Lane) -> usize {
+    usize::from(lane == Lane::Long)
+}
+
+/// Returns the entry that callers of a service in a region use, as the lookup
+/// concentrates them on one.
+fn entry_for(service: usize, region: usize) -> usize {
+    let each = ENTRIES / world::REGIONS;
+    region * each + service % each
+}
+
+impl Steered {
+    pub fn new(core: &mut Core, seed: u64) -> Self {
+        let kinds = core.targets.iter();
+        let kinds: Vec<_> = kinds
+            .map(|t| (t.service, world::region_of(t.az), t.slots))
+            .collect();
+        let services = core.deployment.services.len();
+        for entry in 0..ENTRIES {
+            core.after(TICK, Event::Tick(entry));
+        }
+        Self {
+            owns: (0..ENTRIES)
+                .map(|_| (0..services).map(|s| own(core, s)).collect())
+                .collect(),
+            loans: Loans::new(&kinds, services),
+            live: HashMap::new(),
+            rng: SmallRng::seed_from_u64(seed),
+            ids: (0..kinds.len()).map(|t| (id(t), t)).collect(),
+        }
+    }
+
+    pub fn handle(&mut self, core: &mut Core, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(core, request),
+            Event::Answer(attempt, shed) => self.answer(core, attempt, shed),
+            Event::Hedge(request) => self.hedge(core, request),
+            Event::Retry(request) => self.retry(core, request),
+            Event::Deadline(request) => self.deadline(core, request),
+            Event::Ask(service, from, to, count) => self.asked(core, service, (from, to), count),
+            Event::Grant(target, entry) => {
+                self.loans.granted(target, entry);
+                self.pump(core, entry, core.targets[target].service);
+            }
+            Event::Tick(entry) => self.tick(core, entry),
+            Event::Report => self.report(core),
+            _ => {}
+        }
+    }
+
+    fn arrive(&mut self, core: &mut Core, request: usize) {
+        let r = core.requests[request];
+        let entry = entry_for(r.service, r.region);
+        let own = &mut self.owns[entry][r.service];
+        let declared = (r.kind == Kind::Download).then_some(Lane::Long);
+        let lane = own.lengths.lane(declared, r.kind.route());
+        let length = own.lengths.expected(lane, r.kind.route());
+        let left = r.kind.deadline() - 2 * core.deployment.client;
+        core.after(left, Event::Deadline(request));
+        self.live.insert(
+            request,
+            Live {
+                lane,
+                length,
+                ..Live::default()
+            },
+        );
+        self.enqueue(core, entry, request, core.now + left);
+    }
+
+    fn enqueue(&mut self, core: &mut Core, entry: usize, request: usize, deadline: Micros) {
+        let r = core.requests[request];
+        let own = &mut self.owns[entry][r.service];
+        let Some(live) = self.live.get_mut(&request) else {
+            return;
+        };
+        let ticket = Ticket {
+            arrived: core.millis(),
+            deadline: Millis(deadline / MILLI),
+            lane: live.lane,
+            length: live.length,
+            priority: r.kind.priority(),
+        };
+        own.queue.resize(self.loans.sums(r.service, entry).0);
+        let mean = own.lengths.mean(live.lane);
+        let now = core.millis();
+        match own.queue.offer(now, &mut self.rng, ticket, mean, request) {
+            Ok(queued) => {
+                live.wait = Some(queued.id);
+                if let Some((displaced, _)) = queued.displaced {
+                    self.end(core, displaced, false);
+                }
+            }
+            Err(_) => self.end(core, request, false),
+        }
+        self.pump(core, entry, r.service);
+    }
+
+    fn end(&mut self, core: &mut Core, request: usize, answered: bool) {
+        self.live.remove(&request);
+        core.respond(request, answered);
+    }
+
+    /// Starts waiting requests for which there are units, and asks for more.
+    fn pump(&mut self, core: &mut Core, entry: usize, service: usize) {
+        let (held, _) = self.loans.sums(service, entry);
+        self.owns[entry][service].queue.resize(held);
+        self.expire(core, entry, service);
+        let now = core.millis();
+        while let Some(lane) = self.owns[entry][service].queue.next_lane(now) {
+            let other = if lane == Lane::Short {
+                Lane::Long
+            } else {
+                Lane::Short
+            };
+            let started = self.start(core, entry, service, lane)
+                || (self.owns[entry][service].queue.has_room(other)
+                    && self.start(core, entry, service, other));
+            if !started {
+                break;
+            }
+        }
+        self.ask_units(core, entry, service);
+    }
+
+    fn expire(&mut self, core: &mut Core, entry: usize, service: usize) {
+        for lane in [Lane::Short, Lane::Long] {
+            let now = core.millis();
+            for (request, _) in self.owns[entry][service].queue.expire(now, lane) {
+                self.end(core, request, false);
+            }
+        }
+    }
+
+    fn start(&mut self, core: &mut Core, entry: usize, service: usize, lane: Lane) -> bool {
+        let own = &mut self.owns[entry][service];
+        let now = core.millis();
+        let Some(ticket) = own.queue.peek(lane) else {
+            return false;
+        };
+        let pressed = now - ticket.arrived > Millis(100);
+        let Some(target) = self.choose(core, (entry, service), lane, &[], (false, pressed)) else {
+            return false;
+        };
+        let own = &mut self.owns[entry][service];
+        let Some((_, request)) = own.queue.start(lane) else {
+            return false;
+        };
+        if core.tries[request] == 0 {
+            own.budget.earn();
+        }
+        self.send(core, entry, request, target);
+        true
+    }
+
+    fn choose(
+        &mut self,
+        core: &Core,
+        (entry, service): (usize, usize),
+        lane: Lane,
+        avoid: &[TargetId],
+        (extra, pressed): (bool, bool),
+    ) -> Option<usize> {
+        let own = &mut self.owns[entry][service];
+        let ask = Ask {
+            lane,
+            places: &own.places,
+            avoid,
+            extra,
+            explore: true,
+            pressed,
+        };
+        let (loans, ids) = (&self.loans, &self.ids);
+        let free = |target: TargetId, lane| loans.free(ids[&target], entry, lane);
+        let choice = own.pool.choose(core.millis(), &mut self.rng, &ask, free);
+        choice.ok().map(|c| self.ids[&c.target])
+    }
+
+    fn send(&mut self, core: &mut Core, entry: usize, request: usize, target: usize) {
+        let r = core.requests[request];
+        let own = &mut self.owns[entry][r.service];
+        let now = core.millis();
+        let Some(live) = self.live.get_mut(&request) else {
+            return;
+        };
+        own.pool.started(id(target), live.lane);
+        self.loans.take(target, entry, live.lane);
+        let first = live.used.is_empty();
+        if first {
+            live.first = now;
+        }
+        live.wait = None;
+        live.used.push(id(target));
+        live.attempts.push(core.send(request, entry, target));
+        let attempt = describe(core, live, request, &own.queue);
+        let known = own.windows[at(live.lane)].percentiles();
+        if first && let Ok(at) = retry::hedge_at(&attempt, known) {
+            core.after((at - now).0 * MILLI, Event::Hedge(request));
+        }
+    }
+
+    /// Takes an attempt back and records how it ended.
+    fn close(&mut self, core: &mut Core, attempt: usize, lane: Lane, finish: Finish) {
+        let a = core.attempts[attempt];
+        let service = core.requests[a.request].service;
+        let own = &mut self.owns[a.entry][service];
+        let time = Millis((core.now - a.sent) / MILLI);
+        own.pool
+            .finished(core.millis(), id(a.target), lane, finish, time);
+        own.queue.finished(lane);
+        if finish == Finish::Done {
+            own.windows[at(lane)].add(core.millis(), time);
+            let route = core.requests[a.request].kind.route();
+            own.lengths.learn(lane, route, time);
+        }
+        if let Some(to) = self.loans.release(a.target, a.entry, lane) {
+            let delay = core.between(world::entry_region(a.entry), world::entry_region(to));
+            core.after(delay, Event::Grant(a.target, to));
+        }
+    }
+
+    fn answer(&mut self, core: &mut Core, attempt: usize, shed: bool) {
+        let a = core.attempts[attempt];
+        if a.dropped {
+            return;
+        }
+        let service = core.requests[a.request].service;
+        let Some(mut live) = self.live.remove(&a.request) else {
+            return;
+        };
+        live.attempts.retain(|&other| other != attempt);
+        if shed {
+            self.close(core, attempt, live.lane, Finish::Cancelled);
+            let own = &mut self.owns[a.entry][service];
+            own.pool.shed(core.millis(), id(a.target), Millis(1000));
+            self.live.insert(a.request, live);
+            self.failed(core, a.entry, a.request);
+        } else {
+            self.close(core, attempt, live.lane, Finish::Done);
+            self.drop_attempts(core, &live);
+            core.respond(a.request, true);
+        }
+        self.pump(core, a.entry, service);
+    }
+
+    fn drop_attempts(&mut self, core: &mut Core, live: &Live) {
+        for &attempt in &live.attempts {
+            self.close(core, attempt, live.lane, Finish::Cancelled);
+            core.cancel(attempt);
+        }
+    }
+
+    /// Sends a request again that was shed, if it may be.
+    fn failed(&mut self, core: &mut Core, entry: usize, request: usize) {
+        let service = core.requests[request].service;
+        let own = &mut self.owns[entry][service];
+        let Some(live) = self.live.get(&request) else {
+            return;
+        };
+        if !live.attempts.is_empty() {
+            return;
+        }
+        let attempt = Attempt {
+            sent: false,
+            ..describe(core, live, request, &own.queue)
+        };
+        match own.budget.retry(core.millis(), &mut self.rng, &attempt) {
+            Ok(delay) => core.after(delay.0 * MILLI, Event::Retry(request)),
+            Err(_) => self.end(core, request, false),
+        }
+    }
+
+    fn retry(&mut self, core: &mut Core, request: usize) {
+        let r = core.requests[request];
+        let deadline = r.at + r.kind.deadline() - core.deployment.client;
+        let entry = entry_for(r.service, r.region);
+        self.enqueue(core, entry, request, deadline);
+    }
+
+    fn hedge(&mut self, core: &mut Core, request: usize) {
+        let r = core.requests[request];
+        let entry = entry_for(r.service, r.region);
+        let Some(live) = self.live.get(&request).cloned() else {
+            return;
+        };
+        let own = &mut self.owns[entry][r.service];
+        if live.attempts.len() != 1 || !own.queue.has_room(live.lane) {
+            return;
+        }
+        let attempt = describe(core, &live, request, &own.queue);
+        if own.budget.hedge(core.millis(), &attempt).is_err() {
+            return;
+        }
+        match self.choose(
+            core,
+            (entry, r.service),
+            live.lane,
+            &live.used,
+            (true, false),
+        ) {
+            Some(target) => {
+                self.owns[entry][r.service].queue.started(live.lane);
+                self.send(core, entry, request, target);
+            }
+            None => self.owns[entry][r.service].budget.refund(),
+        }
+    }
+
+    fn deadline(&mut self, core: &mut Core, request: usize) {
+        let Some(live) = self.live.remove(&request) else {
+            return;
+        };
+        let r = core.requests[request];
+        let entry = entry_for(r.service, r.region);
+        if let Some(wait) = live.wait {
+            self.owns[entry][r.service].queue.cancel(wait);
+        }
+        self.drop_attempts(core, &live);
+        core.respond(request, false);
+        self.pump(core, entry, r.service);
+    }
+
+    fn tick(&mut self, core: &mut Core, entry: usize) {
+        for service in 0..self.owns[entry].len() {
+            self.pump(core, entry, service);
+        }
+        if !core.drained() || !self.live.is_empty() {
+            core.after(TICK, Event::Tick(entry));
+        }
+    }
+
+    fn report(&mut self, core: &Core) {
+        let now = core.millis();
+        for (target, &load) in core.reports.iter().enumerate() {
+            let report = Report {
+                at: now - Millis(2000),
+                load,
+            };
+            for owns in &mut self.owns {
+                let own = &mut owns[core.targets[target].service];
+                own.pool.report(id(target), report);
+            }
+        }
+    }
+}
+
+fn describe(core: &Core, live: &Live, request: usize, queue: &Queue<usize>) -> Attempt {
+    let r = core.requests[request];
+    let deadline = r.at + r.kind.deadline() - core.deployment.client;
+    Attempt {
+        idempotent: r.kind != Kind::Booking,
+        sent: true,
+        count: live.used.len() as u32,
+        first: live.first,
+        deadline: Millis(deadline / MILLI),
+        length: live.length,
+        strikes: 0,
+        shedding: queue.pressure(core.millis(), Lane::Short) > 50,
+    }
+}
+
+fn own(core: &Core, service: usize) -> Own {
+    let places: Vec<Place> = (0..AZS).map(|az| place(core, service, az)).collect();
+    let mut pool = Pool::new();
+    pool.adopt(Millis(0), &places);
+    let weights = places.iter().map(|p| (p.name.clone(), p.weight.0));
+    Own {
+        pool,
+        queue: Queue::new(),
+        lengths: Lengths::new(),
+        budget: Budget::new(),
+        windows: [Window::new(), Window::new()],
+        asked: 0,
+        places: weights.collect(),
+    }
+}
+
+/// Returns the place of a service in an availability zone. Its weight is its
+/// part of the service's targets.
+fn place(core: &Core, service: usize, az: usize) -> Place {
+    let here = |&t: &usize| core.targets[t].service == service && core.targets[t].az == az;
+    let targets: Vec<usize> = (0..core.targets.len()).filter(here).collect();
+    let name = |kind: &str, n: usize| format!("{kind}-{n}");
+    Place {
+        name: name("place", az).parse().expect("the name is valid"),
+        region: name("region", world::region_of(az))
+            .parse()
+            .expect("the name is valid"),
+        az: name("az", az).parse().expect("the name is valid"),
+        weight: Weight(targets.len() as u32),
+        state: PlaceState::Active,
+        targets: targets.into_iter().map(id).collect(),
+        leaving: Vec::new(),
+        slots: Slots(core.deployment.services[service].slots),
+    }
+}
