Keep traffic in its region as far as the weights allow

Cause: drawing the place by weight alone sends two of three requests to another region, and their slot units are held for 70 ms of travel. Ruled out: the loan model. Change: local_weights computes per region which part of the traffic crosses, so that each place still gets its part overall; a property test holds that.

--- a/examples/bench/loans.rs
+++ b/examples/bench/loans.rs
@@ -26,18 +26,25 @@
     short: Vec<usize>,
     /// The service and the region of each target.
     kinds: Vec<(usize, usize)>,
+    /// Which entries send work to each target.
+    usable: Vec<[bool; ENTRIES]>,
     /// Entries that wait for units as they become free, by service and holder.
     owed: Vec<Vec<Vec<usize>>>,
 }
 
 impl Loans {
-    pub fn new(targets: &[(usize, usize, u32)], services: usize) -> Self {
+    pub fn new(
+        targets: &[(usize, usize, u32)],
+        services: usize,
+        usable: Vec<[bool; ENTRIES]>,
+    ) -> Self {
         let mut loans = Self {
             held: Vec::new(),
             busy: vec![[0; ENTRIES]; targets.len()],
             long: vec![[0; ENTRIES]; targets.len()],
             short: Vec::new(),
             kinds: Vec::new(),
+            usable,
             owed: vec![vec![Vec::new(); ENTRIES]; services],
         };
         let mut next = 0;
@@ -76,7 +83,9 @@
         self.busy[target][entry] -= 1;
         self.long[target][entry] -= u32::from(lane == Lane::Long);
         let service = self.kinds[target].0;
-        let to = self.owed[service][entry].pop()?;
+        let usable = |&to: &usize| self.usable[target][to];
+        let at = self.owed[service][entry].iter().position(usable)?;
+        let to = self.owed[service][entry].remove(at);
         self.lend(target, entry, to);
         Some(to)
     }
@@ -86,29 +95,35 @@
         self.held[target][entry] += 1;
     }
 
-    /// Returns the units of a service that an entry holds, and the idle ones.
+    /// Returns the units that an entry holds of targets it uses, and the idle
+    /// ones.
     pub fn sums(&self, service: usize, entry: usize) -> (u32, u32) {
         let mine = (0..self.held.len()).filter(|&t| self.kinds[t].0 == service);
+        let mine = mine.filter(|&t| self.usable[t][entry]);
         mine.fold((0, 0), |(held, idle), t| {
             let (h, b) = (self.held[t][entry], self.busy[t][entry]);
             (held + h, idle + h - b)
         })
     }
 
-    /// Lends up to `count` idle units, those near the asker first, and returns
-    /// their targets.
-    pub fn answer(&mut self, service: usize, from: usize, to: usize, count: u32) -> Vec<usize> {
+    /// Returns the targets of idle units that an entry can lend to another one:
+    /// first those it does not use itself, then those beyond the `kept` ones,
+    /// near the asker first.
+    pub fn spare(&self, service: usize, from: usize, to: usize, kept: u32) -> Vec<usize> {
+        let all = (0..self.held.len()).filter(|&t| self.kinds[t].0 == service);
+        let all = all.filter(|&t| self.usable[t][to]);
+        let all = all.flat_map(|t| {
+            let idle = self.held[t][from] - self.busy[t][from];
+            std::iter::repeat_n(t, idle as usize)
+        });
+        let (mut own, mut spare): (Vec<usize>, Vec<usize>) =
+            all.partition(|&t| self.usable[t][from]);
         let near = world::entry_region(to);
-        let mut idle: Vec<usize> = (0..self.held.len())
-            .filter(|&t| self.kinds[t].0 == service)
-            .flat_map(|t| std::iter::repeat_n(t, self.free(t, from, Lane::Short) as usize))
-            .collect();
-        idle.sort_by_key(|&t| self.kinds[t].1 != near);
-        idle.truncate(count as usize);
-        for &target in &idle {
-            self.lend(target, from, to);
-        }
-        idle
+        own.sort_by_key(|&t| self.kinds[t].1 != near);
+        let idle = self.sums(service, from).1;
+        own.truncate(idle.saturating_sub(kept) as usize);
+        spare.append(&mut own);
+        spare
     }
 
     /// Promises one of the units that become free to an entry.
@@ -119,7 +134,7 @@
         }
     }
 
-    fn lend(&mut self, target: usize, from: usize, to: usize) {
+    pub fn lend(&mut self, target: usize, from: usize, to: usize) {
         self.held[target][from] -= 1;
         let left = self.held[target][from];
         if self.short[target] == from && left < self.long[target][from] + 1 {
--- a/examples/bench/steered/mod.rs
+++ b/examples/bench/steered/mod.rs
@@ -7,15 +7,16 @@
 
 use rand::{SeedableRng, rngs::SmallRng};
 use savorybeam::{
-    domain::{Lane, Millis, Place, PlaceName, PlaceState, Slots, TargetId, Weight},
+    domain::{Lane, Millis, Place, PlaceName, PlaceState, RegionName, Slots, TargetId, Weight},
     policy::{
         queue::{Lengths, Queue, Ticket, WaitId},
         retry::{self, Attempt, Budget, Window},
-        target::{Ask, Finish, Pool, Report},
+        target::{Ask, Finish, Pool, Report, local_weights},
     },
 };
 
 use crate::{
+    fake::Fake,
     loans::Loans,
     platform::{Core, Event},
     world::{self, AZS, ENTRIES, Kind, MILLI, Micros},
@@ -64,6 +65,13 @@
     usize::from(lane == Lane::Long)
 }
 
+/// Says whether an entry sends work to a target.
+fn uses(core: &Core, owns: &[Vec<Own>], target: usize, entry: usize) -> bool {
+    let Fake { service, az, .. } = core.targets[target];
+    let serves = entry_for(service, world::entry_region(entry)) == entry;
+    serves && owns[entry][service].places[az].1 > 0
+}
+
 /// Returns the entry that callers of a service in a region use, as the lookup
 /// concentrates them on one.
 fn entry_for(service: usize, region: usize) -> usize {
@@ -81,11 +89,14 @@
         for entry in 0..ENTRIES {
             core.after(TICK, Event::Tick(entry));
         }
+        let owns: Vec<Vec<Own>> = (0..ENTRIES)
+            .map(|e| (0..services).map(|s| own(core, s, e)).collect())
+            .collect();
+        let usable = |t: usize| std::array::from_fn(|e| uses(core, &owns, t, e));
+        let usable = (0..kinds.len()).map(usable).collect();
         Self {
-            owns: (0..ENTRIES)
-                .map(|_| (0..services).map(|s| own(core, s)).collect())
-                .collect(),
-            loans: Loans::new(&kinds, services),
+            owns,
+            loans: Loans::new(&kinds, services, usable),
             live: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             ids: (0..kinds.len()).map(|t| (id(t), t)).collect(),
@@ -421,11 +432,17 @@
     }
 }
 
-fn own(core: &Core, service: usize) -> Own {
+fn own(core: &Core, service: usize, entry: usize) -> Own {
     let places: Vec<Place> = (0..AZS).map(|az| place(core, service, az)).collect();
     let mut pool = Pool::new();
     pool.adopt(Millis(0), &places);
-    let weights = places.iter().map(|p| (p.name.clone(), p.weight.0));
+    let weights = places
+        .iter()
+        .map(|p| (p.name.clone(), p.region.clone(), p.weight.0));
+    let weights: Vec<_> = weights.collect();
+    // Callers are spread evenly.
+    let demand: Vec<_> = (0..world::REGIONS).map(|r| (region(r), 1)).collect();
+    let here = region(world::entry_region(entry));
     Own {
         pool,
         queue: Queue::new(),
@@ -433,10 +450,14 @@
         budget: Budget::new(),
         windows: [Window::new(), Window::new()],
         asked: 0,
-        places: weights.collect(),
+        places: local_weights(&here, &demand, &weights),
     }
 }
 
+fn region(n: usize) -> RegionName {
+    format!("region-{n}").parse().expect("the name is valid")
+}
+
 /// Returns the place of a service in an availability zone. Its weight is its
 /// part of the service's targets.
 fn place(core: &Core, service: usize, az: usize) -> Place {
--- a/examples/bench/steered/units.rs
+++ b/examples/bench/steered/units.rs
@@ -21,15 +21,7 @@
             return;
         }
         let others = (0..ENTRIES).filter(|&e| e != entry);
-        let spare = |&e: &usize| {
-            let (held, idle) = self.loans.sums(service, e);
-            let kept = if serves(e, service) {
-                reserve(held - idle)
-            } else {
-                0
-            };
-            idle.saturating_sub(kept + self.demand(e, service))
-        };
+        let spare = |&e: &usize| self.spare(service, e, entry).len();
         let least = |&e: &usize| self.pressure(e, service);
         let Some(best) = others.clone().max_by_key(spare) else {
             return;
@@ -56,6 +48,13 @@
         (queue.waiting(Lane::Short) + long) as u32
     }
 
+    /// Returns the targets of the units that an entry can lend to another one.
+    fn spare(&self, service: usize, from: usize, to: usize) -> Vec<usize> {
+        let (held, idle) = self.loans.sums(service, from);
+        let kept = reserve(held - idle) + self.demand(from, service);
+        self.loans.spare(service, from, to, kept)
+    }
+
     /// Returns the demand of an entry in percent of the units it holds.
     fn pressure(&self, entry: usize, service: usize) -> u32 {
         let (held, idle) = self.loans.sums(service, entry);
@@ -69,14 +68,11 @@
         (from, to): (usize, usize),
         count: u32,
     ) {
-        let (held, idle) = self.loans.sums(service, to);
-        let kept = if serves(to, service) {
-            reserve(held - idle) + self.demand(to, service)
-        } else {
-            0
-        };
-        let count = count.min(idle.saturating_sub(kept));
-        let units = self.loans.answer(service, to, from, count);
+        let mut units = self.spare(service, to, from);
+        units.truncate(count as usize);
+        for &target in &units {
+            self.loans.lend(target, to, from);
+        }
         let delay = core.between(world::entry_region(from), world::entry_region(to));
         for &target in &units {
             core.after(delay, Event::Grant(target, from));
--- a/src/policy/target/mod.rs
+++ b/src/policy/target/mod.rs
@@ -19,6 +19,7 @@
 mod choose;
 mod estimate;
 mod judge;
+mod local;
 mod state;
 
 use std::collections::HashMap;
@@ -26,6 +27,7 @@
 use crate::domain::{Lane, Millis, Place, PlaceName, PlaceState, TargetId};
 
 pub use choose::{Ask, Choice, Miss};
+pub use local::local_weights;
 use state::{Site, Target};
 
 /// How long a back-off lasts at most, whatever a target asks for.
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -6,8 +6,8 @@
 use quickcheck::quickcheck;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{
-    domain::{Lane, Millis, Place, PlaceName, PlaceState, Slots, TargetId, Weight},
-    policy::target::{Ask, Finish, Miss, Pool, Report, State},
+    domain::{Lane, Millis, Place, PlaceName, PlaceState, RegionName, Slots, TargetId, Weight},
+    policy::target::{Ask, Finish, Miss, Pool, Report, State, local_weights},
 };
 
 fn id(n: u8) -> TargetId {
@@ -385,3 +385,50 @@
     let running = |t| model.running.get(&t).copied().unwrap_or(0);
     ejected <= usable / 2 && views.iter().all(|v| v.running[0] == running(v.target))
 }
+
+/// What each place gets of all the traffic, in parts.
+fn received(demand: &[(RegionName, u32)], places: &[(PlaceName, RegionName, u32)]) -> Vec<f64> {
+    let traffic: f64 = demand.iter().map(|(_, d)| f64::from(*d)).sum();
+    let mut got = vec![0.0; places.len()];
+    for (here, d) in demand {
+        let weights = local_weights(here, demand, places);
+        let total: f64 = weights.iter().map(|(_, w)| f64::from(*w)).sum();
+        for (got, (_, w)) in got.iter_mut().zip(weights) {
+            *got += f64::from(*d) / traffic * f64::from(w) / total;
+        }
+    }
+    got
+}
+
+quickcheck! {
+    fn local_weights_keep_each_place_its_part(demand: [u8; 3], weights: [u8; 5]) -> bool {
+        let region = |n: usize| format!("r{}", n % 3).parse().expect("the name is valid");
+        let demand: Vec<(RegionName, u32)> =
+            (0..3).map(|n| (region(n), u32::from(demand[n]) + 1)).collect();
+        let places: Vec<_> = (0..5)
+            .map(|n| (name(&format!("p{n}")), region(n), u32::from(weights[n]) + 1))
+            .collect();
+        let total: f64 = places.iter().map(|(_, _, w)| f64::from(*w)).sum();
+        let got = received(&demand, &places);
+        got.iter().zip(&places).all(|(got, (_, _, w))| (got - f64::from(*w) / total).abs() < 1e-4)
+    }
+}
+
+#[test]
+fn traffic_crosses_regions_only_where_weights_demand_it() {
+    let region = |text: &str| -> RegionName { text.parse().expect("the name is valid") };
+    let places = [
+        ("a1", "a", 30),
+        ("a2", "a", 30),
+        ("b1", "b", 20),
+        ("c1", "c", 20),
+    ];
+    let places = places.map(|(p, r, w)| (name(p), region(r), w));
+    let demand = ["a", "b", "c"].map(|r| (region(r), 10));
+    let weights = |here: &str| local_weights(&region(here), &demand, &places);
+    // Drawing by weight alone would send 80% of the traffic of b elsewhere.
+    insta::assert_compact_debug_snapshot!(["a", "b", "c"].map(weights), @"[[(a1, 500000), (a2, 500000), (b1, 0), (c1, 0)], [(a1, 200000), (a2, 200000), (b1, 600000), (c1, 0)], [(a1, 200000), (a2, 200000), (b1, 0), (c1, 600000)]]");
+    // Without knowledge of the demand the weights count as they are.
+    let unknown = local_weights(&region("b"), &[], &places);
+    insta::assert_compact_debug_snapshot!(unknown, @"[(a1, 30), (a2, 30), (b1, 20), (c1, 20)]");
+}
