Make the cost of adoption and of a choice linear in the places

Cause: adopting a document searched the former targets for each new one, local_weights summed all the places for each place, and a choice saw only the first 64 places; at 1,900 places these are quadratic or wrong. Change: maps by target, name and region; a choice draws at most 8 places and reports that waiting may help if there are others.

--- a/src/policy/target/choose.rs
+++ b/src/policy/target/choose.rs
@@ -8,6 +8,10 @@
 /// How many targets of a place a choice looks at.
 const WINDOW: usize = 64;
 
+/// How many places are drawn for one choice. The bound keeps a choice cheap for
+/// services with many places when no units are free.
+const DRAWS: usize = 8;
+
 /// The part of its usual traffic that a slow target keeps.
 const EXPLORE: f64 = 0.05;
 
@@ -71,10 +75,16 @@
         ask: &Ask<'_>,
         free: impl Fn(TargetId, Lane) -> u32,
     ) -> Result<Choice, Miss> {
-        let mut tried = 0_u64;
+        let mut tried = Vec::new();
         let mut miss = Miss::NoTarget;
-        while let Some((at, site)) = self.draw(rng, ask.places, tried) {
-            tried |= 1 << at;
+        while tried.len() < DRAWS {
+            let Some(at) = draw(rng, ask.places, &tried) else {
+                break;
+            };
+            tried.push(at);
+            let Some(site) = self.names.get(&ask.places[at].0).copied() else {
+                continue;
+            };
             self.judge(now, site);
             match self.choose_in(now, rng, ask, site, &free) {
                 Ok(choice) => return Ok(choice),
@@ -82,32 +92,9 @@
                 Err(Miss::NoTarget) => {}
             }
         }
-        Err(miss)
-    }
-
-    /// Draws a place by weight among those not yet tried, and returns its
-    /// position in `places` and in the pool. Only the first 64 places count.
-    fn draw<R: Rng>(
-        &self,
-        rng: &mut R,
-        places: &[(PlaceName, u32)],
-        tried: u64,
-    ) -> Option<(usize, usize)> {
-        let left = places.iter().enumerate().take(64);
-        let left = left.filter(|(at, (_, weight))| tried & (1 << at) == 0 && *weight > 0);
-        let total: u64 = left.clone().map(|(_, (_, w))| u64::from(*w)).sum();
-        if total == 0 {
-            return None;
-        }
-        let mut pick = rng.random_range(0..total);
-        for (at, (name, weight)) in left {
-            if pick < u64::from(*weight) {
-                let site = self.sites.iter().position(|s| s.name == *name);
-                return Some((at, site.unwrap_or(usize::MAX)));
-            }
-            pick -= u64::from(*weight);
-        }
-        None
+        // Places that were not drawn may have targets.
+        let untried = ask.places.iter().filter(|(_, w)| *w > 0).count() > tried.len();
+        Err(if untried { Miss::NoUnit } else { miss })
     }
 
     fn choose_in<R: Rng>(
@@ -205,6 +192,24 @@
     }
 }
 
+/// Draws a place by weight among those not yet tried.
+fn draw<R: Rng>(rng: &mut R, places: &[(PlaceName, u32)], tried: &[usize]) -> Option<usize> {
+    let left = places.iter().enumerate();
+    let left = left.filter(|(at, (_, weight))| *weight > 0 && !tried.contains(at));
+    let total: u64 = left.clone().map(|(_, (_, w))| u64::from(*w)).sum();
+    if total == 0 {
+        return None;
+    }
+    let mut pick = rng.random_range(0..total);
+    for (at, (_, weight)) in left {
+        if pick < u64::from(*weight) {
+            return Some(at);
+        }
+        pick -= u64::from(*weight);
+    }
+    None
+}
+
 /// How readily a target takes a request.
 enum Fitness {
     /// It is used at once, to see if it has recovered. Its estimated latency
--- a/src/policy/target/local.rs
+++ b/src/policy/target/local.rs
@@ -1,5 +1,7 @@
 //! Weights of one region's entries.
 
+use std::collections::BTreeMap;
+
 use crate::domain::{PlaceName, RegionName};
 
 /// The sum of the weights that [`local_weights`] returns, apart from rounding.
@@ -23,52 +25,70 @@
     demand: &[(RegionName, u32)],
     places: &[(PlaceName, RegionName, u32)],
 ) -> Vec<(PlaceName, u32)> {
-    let total: f64 = places.iter().map(|(_, _, w)| f64::from(*w)).sum();
-    let traffic: f64 = demand.iter().map(|(_, d)| f64::from(*d)).sum();
-    let weight = |region: &RegionName| {
-        let own = places.iter().filter(|(_, r, _)| r == region);
-        own.map(|(_, _, w)| f64::from(*w)).sum::<f64>() / total
-    };
-    let part = |region: &RegionName| {
-        let own = demand.iter().filter(|(r, _)| r == region);
-        own.map(|(_, d)| f64::from(*d)).sum::<f64>() / traffic
+    let regions = parts(demand, places);
+    let spares: f64 = regions.values().map(Part::spare).sum();
+    let Some(home) = regions.get(here).filter(|r| r.demand > 0.0) else {
+        return places.iter().map(|(p, _, w)| (p.clone(), *w)).collect();
     };
-    let known = total > 0.0 && traffic > 0.0 && part(here) > 0.0;
-    let spare = |region: &RegionName| (weight(region) - part(region)).max(0.0);
-    let surplus = (part(here) - weight(here)).max(0.0);
-    let spares = spare_sum(places, spare);
-    let sent = |region: &RegionName| {
+    let surplus = (home.demand - home.weight).max(0.0);
+    let scaled = |(place, region, w): &(PlaceName, RegionName, u32)| {
+        let Some(part) = regions.get(region).filter(|r| r.total > 0.0) else {
+            return (place.clone(), 0);
+        };
         let kept = if region == here {
-            part(here) - surplus
+            home.demand - surplus
         } else {
             0.0
         };
         let taken = if spares > 0.0 {
-            surplus * spare(region) / spares
+            surplus * part.spare() / spares
         } else {
             0.0
         };
-        (kept + taken) / part(here)
-    };
-    let scaled = |(name, region, w): &(PlaceName, RegionName, u32)| {
-        if !known || *w == 0 {
-            return (name.clone(), *w);
-        }
-        let within = f64::from(*w) / (weight(region) * total);
-        (name.clone(), round(sent(region) * within * SCALE))
+        let within = f64::from(*w) / part.total;
+        (
+            place.clone(),
+            round((kept + taken) / home.demand * within * SCALE),
+        )
     };
     places.iter().map(scaled).collect()
 }
 
-/// Returns the sum over the regions of what they can take from others.
-fn spare_sum(places: &[(PlaceName, RegionName, u32)], spare: impl Fn(&RegionName) -> f64) -> f64 {
-    let mut seen: Vec<&RegionName> = Vec::new();
-    for (_, region, _) in places {
-        if !seen.contains(&region) {
-            seen.push(region);
-        }
+/// What one region has of the whole.
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    /// The sum of its places' weights.
+    total: f64,
+    /// Its part of all weights.
+    weight: f64,
+    /// Its part of the traffic.
+    demand: f64,
+}
+
+impl Part {
+    /// Returns what it can take from other regions.
+    fn spare(&self) -> f64 {
+        (self.weight - self.demand).max(0.0)
+    }
+}
+
+fn parts<'a>(
+    demand: &'a [(RegionName, u32)],
+    places: &'a [(PlaceName, RegionName, u32)],
+) -> BTreeMap<&'a RegionName, Part> {
+    let weights: f64 = places.iter().map(|(_, _, w)| f64::from(*w)).sum();
+    let traffic: f64 = demand.iter().map(|(_, d)| f64::from(*d)).sum();
+    let mut parts: BTreeMap<&RegionName, Part> = BTreeMap::new();
+    for (_, region, w) in places {
+        let part = parts.entry(region).or_default();
+        part.total += f64::from(*w);
+        part.weight += f64::from(*w) / weights.max(1.0);
+    }
+    for (region, d) in demand {
+        let part = parts.entry(region).or_default();
+        part.demand += f64::from(*d) / traffic.max(1.0);
     }
-    seen.into_iter().map(spare).sum()
+    parts
 }
 
 // The values are finite, not negative and at most the scale.
--- a/src/policy/target/mod.rs
+++ b/src/policy/target/mod.rs
@@ -22,7 +22,7 @@
 mod local;
 mod state;
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use crate::domain::{Lane, Millis, Place, PlaceName, PlaceState, TargetId};
 
@@ -94,6 +94,7 @@
 #[derive(Debug, Default)]
 pub struct Pool {
     sites: Vec<Site>,
+    names: HashMap<PlaceName, usize>,
     targets: Vec<Target>,
     index: HashMap<TargetId, usize>,
     scratch: [Vec<usize>; 3],
@@ -122,21 +123,29 @@
     /// listed leave, and are forgotten when nothing of this entry runs there.
     pub fn adopt(&mut self, now: Millis, places: &[Place]) {
         let first = self.targets.is_empty();
-        let mut former = std::mem::take(&mut self.targets);
+        let former = std::mem::take(&mut self.targets);
+        let mut former: BTreeMap<TargetId, Target> =
+            former.into_iter().map(|t| (t.id, t)).collect();
         self.sites.clear();
+        self.names.clear();
         for place in places {
             self.adopt_place(now, first, place, &mut former);
         }
-        self.keep_running(former);
+        self.keep_running(former.into_values());
         self.reindex();
     }
 
-    fn adopt_place(&mut self, now: Millis, first: bool, place: &Place, former: &mut Vec<Target>) {
+    fn adopt_place(
+        &mut self,
+        now: Millis,
+        first: bool,
+        place: &Place,
+        former: &mut BTreeMap<TargetId, Target>,
+    ) {
         let site = self.sites.len();
         for &id in &place.targets {
-            let known = former.iter().position(|t| t.id == id);
-            let mut target = match known {
-                Some(at) => former.swap_remove(at),
+            let mut target = match former.remove(&id) {
+                Some(known) => known,
                 None if first => Target::warm(id),
                 None => Target::cold(id, now),
             };
@@ -149,11 +158,12 @@
             target.leaving = leaving;
             self.targets.push(target);
         }
+        self.names.insert(place.name.clone(), site);
         self.sites.push(Site::new(place.name.clone()));
     }
 
     /// Keeps targets that are not listed any more while something runs there.
-    fn keep_running(&mut self, former: Vec<Target>) {
+    fn keep_running(&mut self, former: impl Iterator<Item = Target>) {
         for mut target in former {
             target.leaving = true;
             target.site = usize::MAX;
@@ -277,7 +287,7 @@
     #[must_use]
     pub fn running(&self, place: Option<&PlaceName>) -> u32 {
         let site = match place {
-            Some(name) => self.sites.iter().position(|s| s.name == *name),
+            Some(name) => self.names.get(name).copied(),
             None => Some(usize::MAX),
         };
         let there = self.targets.iter().filter(|t| Some(t.site) == site);
