--- a/src/policy/shift/choose.rs
+++ b/src/policy/shift/choose.rs
@@ -2,7 +2,7 @@
 
 use rand::Rng;
 
-use super::{Share, Shift};
+use super::{Share, Shift, state::Track};
 use crate::{
     domain::{Millis, Place, RegionName},
     policy::refusal::{Code, Refusal},
@@ -29,29 +29,24 @@
         mut unit: impl FnMut() -> bool,
         mut headroom: impl FnMut(&RegionName) -> bool,
     ) -> Result<&Place, Refusal> {
-        self.counts.requests += 1;
+        self.requests += 1;
         let Some(former) = self.former(rng) else {
             return Err(Refusal::not_run(
                 Code::NoTarget,
                 "choose a place: none takes requests",
             ));
         };
-        let next = self.destination(former, rng);
-        if let Some(next) = next {
-            // The unit comes first: a lost unit only delays the move.
-            if unit() && headroom(&self.tracks[next].place.region) {
-                self.counts.moved += 1;
-                return Ok(&self.tracks[next].place);
-            }
-            self.counts.denied += 1;
-        }
-        if headroom(&self.tracks[former].place.region) {
-            return Ok(&self.tracks[former].place);
-        }
-        match self.overflow(former, rng, unit, headroom) {
-            Some(at) => Ok(&self.tracks[at].place),
-            None => Err(self.full(former)),
-        }
+        let at = if let Some(next) = self.destination(former, rng)
+            && let Some(next) = self.extra(next, &mut unit, &mut headroom)
+        {
+            next
+        } else if headroom(&self.tracks[former].place.region) {
+            former
+        } else {
+            self.tracks[former].counts.full += 1;
+            self.overflow(former, rng, headroom)?
+        };
+        Ok(&self.tracks[at].place)
     }
 
     /// Chooses by the proven shares.
@@ -63,37 +58,59 @@
     /// Chooses whether and where to move a request of a shrinking place.
     fn destination(&self, former: usize, rng: &mut impl Rng) -> Option<usize> {
         let track = &self.tracks[former];
-        let shrink = track.base.0.saturating_sub(track.effective.0);
-        if shrink == 0 || rng.random_range(0..track.base.0) >= shrink {
+        let loss = track.loss();
+        if loss == 0 || rng.random_range(0..track.base.0) >= loss {
             return None;
         }
-        let gain = |at: &super::state::Track| at.effective.0.saturating_sub(at.base.0);
-        let total: u32 = self.tracks.iter().map(gain).sum();
-        pick(
-            self.tracks.iter().map(gain),
-            rng.random_range(0..total.max(1)),
-        )
+        let gains = || self.tracks.iter().map(Track::gain);
+        pick(gains(), rng.random_range(0..gains().sum::<u32>().max(1)))
+    }
+
+    /// Takes a unit for an extra request. If the place at `next` has no headroom,
+    /// another growing place may have the unit, so that a full region does not
+    /// use up the cap of the others.
+    fn extra(
+        &mut self,
+        next: usize,
+        unit: &mut impl FnMut() -> bool,
+        headroom: &mut impl FnMut(&RegionName) -> bool,
+    ) -> Option<usize> {
+        let count = self.tracks.len();
+        // The unit comes first: a lost unit only delays the move, while lost
+        // headroom is missing to other requests.
+        let mut fits = |t: &Track| t.grows() && headroom(&t.place.region);
+        let mut places = (next..next + count).map(|at| at % count);
+        let found = unit()
+            .then(|| places.find(|at| fits(&self.tracks[*at])))
+            .flatten();
+        if found != Some(next) {
+            self.tracks[next].counts.denied += 1;
+        }
+        if let Some(at) = found {
+            self.tracks[at].counts.moved += 1;
+        }
+        found
     }
 
     /// Chooses a place in another region, since the former one is full. A random
-    /// start spreads the overflow. A growing place needs a unit, because what it
-    /// gets beyond its base is extra.
+    /// start spreads the overflow. Growing places are left out, because what they
+    /// get beyond their base is extra.
     fn overflow(
         &self,
         former: usize,
         rng: &mut impl Rng,
-        mut unit: impl FnMut() -> bool,
         mut headroom: impl FnMut(&RegionName) -> bool,
-    ) -> Option<usize> {
+    ) -> Result<usize, Refusal> {
         let count = self.tracks.len();
         let start = rng.random_range(0..count);
         let full = &self.tracks[former].place.region;
         let mut others = (start..start + count).map(|at| at % count);
-        others.find(|at| {
+        let found = others.find(|at| {
             let track = &self.tracks[*at];
-            let fits = track.base.0 > 0 && track.place.region != *full;
-            fits && (!track.grows() || unit()) && headroom(&track.place.region)
-        })
+            let fits = track.base.0 > 0 && !track.grows() && track.place.region != *full;
+            fits && headroom(&track.place.region)
+        });
+        found.ok_or_else(|| self.full(former))
     }
 
     fn full(&self, former: usize) -> Refusal {
--- a/src/policy/shift/share.rs
+++ b/src/policy/shift/share.rs
@@ -31,21 +31,25 @@
     }
 }
 
-/// Divides the whole in proportion to `parts`, by the largest remainder. Returns
-/// shares of zero if all parts are zero.
+/// Divides the whole in proportion to `parts`.
 pub(super) fn divide(parts: &[u64]) -> Vec<Share> {
+    apportion(Share::WHOLE, parts)
+}
+
+/// Divides `total` in proportion to `parts`, by the largest remainder. Returns
+/// shares of zero if all parts are zero.
+pub(super) fn apportion(total: Share, parts: &[u64]) -> Vec<Share> {
     let sum: u128 = parts.iter().copied().map(u128::from).sum();
     if sum == 0 {
         return vec![Share(0); parts.len()];
     }
-    let whole = u128::from(Share::WHOLE.0);
-    let exact = |part: &u64| u128::from(*part) * whole;
-    let floor = |part| u32::try_from(exact(part) / sum).unwrap_or(Share::WHOLE.0);
+    let exact = |part: &u64| u128::from(*part) * u128::from(total.0);
+    let floor = |part| u32::try_from(exact(part) / sum).unwrap_or(total.0);
     let mut shares: Vec<Share> = parts.iter().map(floor).map(Share).collect();
     let given: u32 = shares.iter().map(|s| s.0).sum();
     let mut order: Vec<usize> = (0..parts.len()).collect();
     order.sort_by_key(|i| std::cmp::Reverse(exact(&parts[*i]) % sum));
-    let missing = usize::try_from(Share::WHOLE.0 - given).unwrap_or_default();
+    let missing = usize::try_from(total.0 - given).unwrap_or_default();
     for at in order.into_iter().take(missing) {
         shares[at].0 += 1;
     }
--- a/src/policy/shift/state.rs
+++ b/src/policy/shift/state.rs
@@ -3,7 +3,7 @@
 use super::{
     Health, Level, Progress, Share,
     health::{MIN_SAMPLES, Window},
-    share::{blend, distance, divide},
+    share::{apportion, blend, distance, divide},
 };
 use crate::domain::{Document, Millis, Place, PlaceName, PlaceState, RegionName, Revision};
 
@@ -33,7 +33,7 @@
     Waiting,
     /// The step goes on because this place answers worse than before.
     Held(PlaceName),
-    /// The step goes on because no request of it got a unit and headroom.
+    /// The step starts anew because no request of it got a unit and headroom.
     Capped,
     /// The next step began.
     Stepped,
@@ -62,6 +62,7 @@
     pub(super) place: Place,
     pub(super) base: Share,
     pub(super) effective: Share,
+    pub(super) counts: Counts,
     target: Share,
     lost: bool,
     window: Window,
@@ -74,6 +75,7 @@
             place,
             base: Share(0),
             effective: Share(0),
+            counts: Counts::default(),
             target: Share(0),
             lost: false,
             window: Window::new(),
@@ -90,29 +92,63 @@
     }
 
     pub(super) fn grows(&self) -> bool {
-        self.effective > self.base
+        self.gain() > 0
+    }
+
+    /// What the step adds to the share.
+    pub(super) fn gain(&self) -> u32 {
+        self.effective.0.saturating_sub(self.base.0)
     }
+
+    /// What the step takes from the share.
+    pub(super) fn loss(&self) -> u32 {
+        self.base.0.saturating_sub(self.effective.0)
+    }
+
+    /// Returns the part of the step that units and headroom let through. A place
+    /// whose base already lacks headroom has proven nothing. Where `quiet` says
+    /// that the step lasted long, a place that no request fell to has all of it,
+    /// since so little traffic is harmless.
+    fn passed(&self, quiet: bool) -> u32 {
+        let Counts {
+            moved,
+            denied,
+            full,
+        } = self.counts;
+        let gain = u64::from(self.gain());
+        let passed = match moved + denied {
+            _ if full > 0 => 0,
+            0 if quiet => gain,
+            0 => 0,
+            tried => gain * moved / tried,
+        };
+        u32::try_from(passed.min(gain)).unwrap_or_default()
+    }
+}
+
+/// What happened to the requests of a place since the window began.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Counts {
+    /// Extra requests that the place got.
+    pub(super) moved: u64,
+    /// Extra requests that it did not get.
+    pub(super) denied: u64,
+    /// Requests of its base for which its region had no headroom.
+    pub(super) full: u64,
 }
 
 /// The places of one service and how far their traffic has moved.
 #[derive(Clone, Debug)]
 pub struct Shift {
     pub(super) tracks: Vec<Track>,
-    pub(super) counts: Counts,
+    /// Requests since the window began.
+    pub(super) requests: u64,
     revision: Revision,
     since: Millis,
     busy: bool,
     lost: Vec<RegionName>,
 }
 
-/// What happened to requests since the window began.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Counts {
-    pub(super) requests: u64,
-    pub(super) moved: u64,
-    pub(super) denied: u64,
-}
-
 impl Shift {
     /// Begins with a document. The shares are those that `peers` have proven, or
     /// the document's own if no peer reports any.
@@ -125,7 +161,7 @@
     ) -> Self {
         let mut shift = Self {
             tracks: document.places.iter().cloned().map(Track::new).collect(),
-            counts: Counts::default(),
+            requests: 0,
             revision,
             since: now,
             busy: false,
@@ -144,7 +180,7 @@
             return;
         }
         self.revision = revision;
-        self.proven();
+        self.prove(false);
         let mut former = std::mem::take(&mut self.tracks);
         for place in &document.places {
             let known = former.iter().position(|t| t.place.name == place.name);
@@ -172,7 +208,7 @@
         if lost {
             self.lost.push(region.clone());
         }
-        self.proven();
+        self.prove(false);
         self.mark_lost();
         self.restart(&self.bases(), now);
     }
@@ -195,12 +231,12 @@
         if age < DWELL {
             return Pace::Waiting;
         }
-        if self.counts.requests == 0 {
+        if self.requests == 0 {
             return self.follow(peers, age, now);
         }
         let growing = || self.tracks.iter().filter(|t| t.grows());
         let judged = growing().all(|t| t.window.samples() >= MIN_SAMPLES);
-        let tried = self.counts.moved + self.counts.denied > 0;
+        let tried = growing().any(|t| t.counts.moved + t.counts.denied > 0);
         if age < QUIET && !(judged && tried) {
             return Pace::Waiting;
         }
@@ -208,15 +244,7 @@
             self.begin_window(now);
             return Pace::Held(name);
         }
-        if !tried {
-            // So little traffic that no request fell to the step: it is harmless.
-            self.counts.moved = 1;
-        }
-        if self.counts.moved == 0 {
-            self.begin_window(now);
-            return Pace::Capped;
-        }
-        self.step(now)
+        self.step(age >= QUIET, now)
     }
 
     /// Returns whether shares differ from those of the document.
@@ -251,7 +279,7 @@
         let places = self.tracks.iter().map(|t| (t.place.name.clone(), level(t)));
         Progress {
             revision: self.revision,
-            busy: self.busy || self.counts.requests > 0,
+            busy: self.busy || self.requests > 0,
             places: places.collect(),
         }
     }
@@ -274,13 +302,18 @@
         }
     }
 
-    /// Makes the part of the step that units let through the base.
-    fn proven(&mut self) {
-        let Counts { moved, denied, .. } = self.counts;
-        if moved > 0 {
-            let effective: Vec<Share> = self.tracks.iter().map(|t| t.effective).collect();
-            self.set_base(&blend(&self.bases(), &effective, moved, moved + denied));
+    /// Makes the part of the step that came through the base, and returns how
+    /// much that is.
+    fn prove(&mut self, quiet: bool) -> Share {
+        let passed: Vec<u32> = self.tracks.iter().map(|t| t.passed(quiet)).collect();
+        let total = Share(passed.iter().sum());
+        let losses: Vec<u64> = self.tracks.iter().map(|t| t.loss().into()).collect();
+        let taken = apportion(total, &losses);
+        for ((track, passed), taken) in self.tracks.iter_mut().zip(passed).zip(taken) {
+            track.base.0 += passed;
+            track.base.0 -= taken.0;
         }
+        total
     }
 
     /// Starts a move from `shares`, which closed places lose.
@@ -316,13 +349,13 @@
         }
     }
 
-    fn step(&mut self, now: Millis) -> Pace {
-        self.proven();
+    fn step(&mut self, quiet: bool, now: Millis) -> Pace {
+        let passed = self.prove(quiet);
         self.begin_step(now);
-        if self.is_moving() {
-            Pace::Stepped
-        } else {
-            Pace::Finished
+        match (self.is_moving(), passed) {
+            (false, _) => Pace::Finished,
+            (true, Share(0)) => Pace::Capped,
+            (true, _) => Pace::Stepped,
         }
     }
 
@@ -345,10 +378,13 @@
     }
 
     fn begin_window(&mut self, now: Millis) {
-        self.busy = self.counts.requests > 0;
-        self.counts = Counts::default();
+        self.busy = self.requests > 0;
+        self.requests = 0;
         self.since = now;
-        self.tracks.iter_mut().for_each(|t| t.window.clear());
+        for track in &mut self.tracks {
+            track.window.clear();
+            track.counts = Counts::default();
+        }
     }
 
     /// Moves an entry without traffic. It cannot judge the places, so it takes
@@ -362,8 +398,7 @@
         if age < QUIET {
             return Pace::Waiting;
         }
-        self.counts.moved = 1;
-        self.step(now)
+        self.step(true, now)
     }
 
     /// Returns a growing place that answers worse than before.
