Add the commands for documents, drains, status, explain and the timeline

Cause: operators would have had to write HTTP requests by hand.

Ruled out: a drain call of its own in the interface.

Change: documents get|put|list|check|history, drain, status, explain, timeline. `get` states the revision in the first line and `put` sends it as If-Match, so a lost race is noticed without anybody remembering a revision. Every edit has an id and may be sent again to the next entry. dev now finds its ports first, because look-ups returned port 0.

Figures: none measured.

Conclusion: each command was tried against dev, including a lost race, a drain of a place with a running request, and the exit codes 0, 1 and 2.

--- a/src/adapters/ini/mod.rs
+++ b/src/adapters/ini/mod.rs
@@ -5,9 +5,11 @@
 //! report lines, so an index of the lines is built beside it.
 
 mod document;
+mod edit;
 mod reader;
 mod settings;
 
 pub use document::{parse_document, print_document};
+pub use edit::set_key;
 pub use reader::Fault;
 pub use settings::{Link, Region, Settings, parse_settings};
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -5,6 +5,7 @@
 //! same decisions.
 
 pub mod clock;
+pub mod events;
 pub mod grpc;
 pub mod http;
 pub mod ini;
--- a/src/app/cli/mod.rs
+++ b/src/app/cli/mod.rs
@@ -4,13 +4,18 @@
 //! can be piped on. Exit codes are 0 for done, 1 for failed, 2 for wrong use.
 
 mod check;
+mod client;
 mod dev;
+mod documents;
+mod drain;
 mod entry;
 mod options;
+mod show;
+mod timeline;
 
 use std::process::ExitCode;
 
-use self::options::Command;
+use self::{client::Client, options::Command};
 
 /// Runs the command that the arguments name.
 #[must_use]
@@ -30,10 +35,19 @@
     let result = match options.command {
         Command::Check { files } => check::run(&files),
         Command::Dev { seconds } => block_on(dev::run(seconds)),
+        Command::Documents(command) => block_on(documents::run(command)),
+        Command::Drain(options) => block_on(drain::run(options)),
         Command::Entry {
             settings,
             documents,
         } => block_on(entry::run(settings, documents)),
+        Command::Explain {
+            access,
+            json,
+            service,
+        } => block_on(show::explain(&Client::new(access), &service, json)),
+        Command::Status { access, json } => block_on(show::status(&Client::new(access), json)),
+        Command::Timeline(options) => block_on(timeline::run(options)),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -4,6 +4,12 @@
 
 use bpaf::Bpaf;
 
+use super::client::AdminAddr;
+use crate::{
+    domain::{PlaceName, Revision, ServiceName, TargetId},
+    policy::timeline::{Part, Stamp},
+};
+
 /// Steers traffic between callers and targets
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
@@ -15,10 +21,41 @@
     pub command: Command,
 }
 
+/// Where and as whom the administration is called.
+#[derive(Bpaf, Clone)]
+pub(super) struct Access {
+    /// Administration address of an entry; with several, the next one is tried
+    /// if one does not answer
+    #[bpaf(
+        long("admin"),
+        argument("ADDRESS"),
+        some("--admin is needed, as in --admin 10.0.0.1:7002")
+    )]
+    pub admins: Vec<AdminAddr>,
+    /// Token of the team; the environment variable `SAVORYBEAM_TOKEN` keeps it
+    /// out of the list of processes
+    #[bpaf(argument("TOKEN"), fallback_with(token))]
+    pub token: String,
+}
+
+/// Reads the token from the environment. The parser could do this by itself, but
+/// it would print the token in the help text.
+fn token() -> Result<String, &'static str> {
+    std::env::var("SAVORYBEAM_TOKEN").map_err(|_| "--token or SAVORYBEAM_TOKEN is needed")
+}
+
+/// Prints nothing of the token, because it must not get into logs.
+impl std::fmt::Debug for Access {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Access")
+    }
+}
+
 #[derive(Bpaf, Clone, Debug)]
 pub(super) enum Command {
     /// Checks settings and service documents without starting anything
     ///
+    ///
     /// Example: savorybeam check entry.ini slotboard.ini
     #[bpaf(command)]
     Check {
@@ -28,6 +65,7 @@
     },
     /// Runs three entries, a store and two sample services on loopback
     ///
+    ///
     /// Prints one JSON line with the addresses when ready. Example: savorybeam
     /// dev --for 60
     #[bpaf(command)]
@@ -36,8 +74,22 @@
         #[bpaf(long("for"), argument("SECONDS"), optional)]
         seconds: Option<u64>,
     },
+    /// Reads and edits documents
+    ///
+    ///
+    /// Example: savorybeam documents get --admin 10.0.0.1:7002 slotboard
+    #[bpaf(command)]
+    Documents(#[bpaf(external(documents))] Documents),
+    /// Makes a place or target leave, or shows what leaves
+    ///
+    ///
+    /// Example: savorybeam drain --admin 10.0.0.1:7002 --wait 60 slotboard
+    /// reykjanes-1
+    #[bpaf(command)]
+    Drain(#[bpaf(external(drain_options))] DrainOptions),
     /// Runs the process of an entry VM
     ///
+    ///
     /// Example: savorybeam entry --settings /etc/savorybeam/entry.ini
     #[bpaf(command)]
     Entry {
@@ -48,4 +100,149 @@
         #[bpaf(long("document"), argument("FILE"))]
         documents: Vec<PathBuf>,
     },
+    /// Shows why recent requests of a service went where they went
+    ///
+    ///
+    /// Example: savorybeam explain --admin 10.0.0.1:7002 slotboard
+    #[bpaf(command)]
+    Explain {
+        #[bpaf(external)]
+        access: Access,
+        /// Print the answer as JSON
+        json: bool,
+        /// The service
+        #[bpaf(positional("SERVICE"))]
+        service: ServiceName,
+    },
+    /// Shows the state of an entry
+    ///
+    ///
+    /// Example: savorybeam status --admin 10.0.0.1:7002
+    #[bpaf(command)]
+    Status {
+        #[bpaf(external)]
+        access: Access,
+        /// Print the answer as JSON
+        json: bool,
+    },
+    /// Shows the events of all entries in one order
+    ///
+    ///
+    /// Example: savorybeam timeline --admin 10.0.0.1:7002 --admin 10.0.0.2:7002
+    #[bpaf(command)]
+    Timeline(#[bpaf(external(timeline_options))] TimelineOptions),
+}
+
+#[derive(Bpaf, Clone, Debug)]
+pub(super) enum Documents {
+    /// Prints a document, with its revision in the first line
+    ///
+    ///
+    /// Example: savorybeam documents get --admin 10.0.0.1:7002 slotboard >
+    /// slotboard.ini
+    #[bpaf(command)]
+    Get {
+        #[bpaf(external)]
+        access: Access,
+        /// A former revision, as the history lists it
+        #[bpaf(argument("REVISION"), optional)]
+        revision: Option<Revision>,
+        /// The service
+        #[bpaf(positional("SERVICE"))]
+        service: ServiceName,
+    },
+    /// Puts a document, whose first line states the revision that it replaces
+    ///
+    ///
+    /// Example: savorybeam documents put --admin 10.0.0.1:7002 --dry-run
+    /// slotboard.ini
+    #[bpaf(command)]
+    Put {
+        #[bpaf(external)]
+        access: Access,
+        /// The revision that the file replaces, instead of the first line's
+        #[bpaf(argument("REVISION"), optional)]
+        base: Option<Revision>,
+        /// Replace whichever revision there is
+        force: bool,
+        /// Only show what would change
+        dry_run: bool,
+        /// The document
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Lists all documents
+    ///
+    ///
+    /// Example: savorybeam documents list --admin 10.0.0.1:7002
+    #[bpaf(command)]
+    List {
+        #[bpaf(external)]
+        access: Access,
+        /// Print the answer as JSON
+        json: bool,
+    },
+    /// Checks documents without sending them
+    ///
+    ///
+    /// Example: savorybeam documents check slotboard.ini
+    #[bpaf(command)]
+    Check {
+        /// Documents to check
+        #[bpaf(positional("FILE"), some("a file to check is needed"))]
+        files: Vec<PathBuf>,
+    },
+    /// Lists the latest revisions of a document and what they changed
+    ///
+    ///
+    /// Example: savorybeam documents history --admin 10.0.0.1:7002 slotboard
+    #[bpaf(command)]
+    History {
+        #[bpaf(external)]
+        access: Access,
+        /// Print the answer as JSON
+        json: bool,
+        /// The service
+        #[bpaf(positional("SERVICE"))]
+        service: ServiceName,
+    },
+}
+
+#[derive(Bpaf, Clone, Debug)]
+pub(super) struct DrainOptions {
+    #[bpaf(external)]
+    pub access: Access,
+    /// Print the list of drains as JSON
+    pub json: bool,
+    /// Only this target of the place
+    #[bpaf(argument("TARGET"), optional)]
+    pub target: Option<TargetId>,
+    /// Take new work again
+    pub cancel: bool,
+    /// Wait until nothing runs there, for this time at the most
+    #[bpaf(argument("SECONDS"), optional)]
+    pub wait: Option<u64>,
+    /// The service; without a place, its drains are shown
+    #[bpaf(positional("SERVICE"), optional)]
+    pub service: Option<ServiceName>,
+    /// The place
+    #[bpaf(positional("PLACE"), optional)]
+    pub place: Option<PlaceName>,
+}
+
+#[derive(Bpaf, Clone, Debug)]
+pub(super) struct TimelineOptions {
+    #[bpaf(external)]
+    pub access: Access,
+    /// Print JSON lines
+    pub json: bool,
+    /// The most events, the latest ones
+    #[bpaf(argument("COUNT"), fallback(200))]
+    pub limit: usize,
+    /// Only events of this part, for example document or drain
+    #[bpaf(argument("PART"), optional)]
+    pub part: Option<Part>,
+    /// Only events after this stamp, which the JSON lines contain
+    #[bpaf(argument("STAMP"), optional)]
+    pub after: Option<Stamp>,
 }
--- a/src/app/dev/mod.rs
+++ b/src/app/dev/mod.rs
@@ -74,7 +74,7 @@
 }
 
 async fn entry(n: usize, clock: &Clock, memory: &Memory) -> eyre::Result<Entry> {
-    let text = sample::settings(n, TOKEN);
+    let text = sample::settings(n, TOKEN).wrap_err("find free ports")?;
     let settings = parse_settings("dev", &text).map_err(|faults| {
         let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
         eyre!("check the settings: {}", all.join("\n"))
--- a/src/app/dev/sample.rs
+++ b/src/app/dev/sample.rs
@@ -1,6 +1,9 @@
 //! The sample services of `dev`.
 
-use std::net::SocketAddr;
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+};
 
 use eyre::{WrapErr, eyre};
 
@@ -26,16 +29,34 @@
 ];
 
 /// Returns the settings of an entry.
-pub(super) fn settings(n: usize, token: &str) -> String {
+///
+/// Callers are told the addresses in the settings, so free ports are found
+/// before the entry binds them. Another process could take one in between, and
+/// then the start fails with an error that says so.
+pub(super) fn settings(n: usize, token: &str) -> io::Result<String> {
     let (region, az) = PLACES[n];
+    let [callers, admin, peers] = free_addrs()?;
     let regions = PLACES.map(|(r, _)| format!("[region {r}]\nheadroom = 2000 rps\n"));
     // The store is embedded, so nothing connects to the endpoint.
-    format!(
+    Ok(format!(
         "[entry]\nname = e{n}\nregion = {region}\naz = {az}\n\
-         callers = 127.0.0.1:0\nadmin = 127.0.0.1:0\npeers = 127.0.0.1:0\nlinger = 0 ms\n\
+         callers = {callers}\nadmin = {admin}\npeers = {peers}\nlinger = 0 ms\n\
          [store]\nendpoints = 127.0.0.1:1\n[team {TEAM}]\ntoken = {token}\n{}",
         regions.concat()
-    )
+    ))
+}
+
+/// Returns addresses that nobody uses at the moment. All are bound before the
+/// first is given back, so they differ.
+fn free_addrs() -> io::Result<[SocketAddr; 3]> {
+    let bind = || TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
+    let held = [bind()?, bind()?, bind()?];
+    let [callers, admin, peers] = &held;
+    Ok([
+        callers.local_addr()?,
+        admin.local_addr()?,
+        peers.local_addr()?,
+    ])
 }
 
 /// Puts the document of a service into the store.
--- a/src/app/entry/admin/events.rs
+++ b/src/app/entry/admin/events.rs
@@ -37,9 +37,9 @@
                 kind: kind.to_string(),
             };
             metrics.events.get_or_create(&labels).inc();
-            tracing::info!("{}: {kind}: {text}.", kind.part());
             let mut timeline = lock(&emitting);
             let stamp = timeline.clock.tick(wall());
+            tracing::info!("{}: {kind} at {}: {text}.", kind.part(), stamp.entry);
             timeline.ring.push(Event { stamp, kind, text });
         }),
         read: Arc::new(move |query| {
