--- a/src/app/cli/mod.rs
+++ b/src/app/cli/mod.rs
@@ -37,10 +37,7 @@
         Command::Dev { seconds } => block_on(dev::run(seconds)),
         Command::Documents(command) => block_on(documents::run(command)),
         Command::Drain(options) => block_on(drain::run(options)),
-        Command::Entry {
-            settings,
-            documents,
-        } => block_on(entry::run(settings, documents)),
+        Command::Entry { settings } => block_on(entry::run(settings)),
         Command::Explain {
             access,
             json,
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -96,9 +96,6 @@
         /// The settings
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
-        /// Service documents to serve before the store has answered
-        #[bpaf(long("document"), argument("FILE"))]
-        documents: Vec<PathBuf>,
     },
     /// Shows why recent requests of a service went where they went
     ///
