--- a/src/adapters/ini/mod.rs
+++ b/src/adapters/ini/mod.rs
@@ -12,4 +12,4 @@
 pub use document::{parse_document, print_document};
 pub use edit::set_key;
 pub use reader::Fault;
-pub use settings::{Link, Region, Settings, parse_settings};
+pub use settings::{Link, Region, Settings, Site, parse_settings};
