--- a/tests/shift.rs
+++ b/tests/shift.rs
@@ -5,13 +5,13 @@
 
 use std::collections::BTreeMap;
 
-use shift_fleet::{Fleet, Mode, document, fleet, meter, name, shares};
 use quickcheck::quickcheck;
 use rand::{SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{Millis, Place, PlaceName, PlaceState, RegionName, Revision, Weight},
     policy::shift::{Level, Progress, Share, Shift},
 };
+use shift_fleet::{Fleet, Mode, document, fleet, meter, name, shares};
 
 const START: [(&str, u32); 3] = [("east", 100), ("north", 0), ("west", 0)];
 const MOVED: [(&str, u32); 3] = [("east", 80), ("north", 0), ("west", 20)];
