--- a/src/adapters/grpc/claims.rs
+++ b/src/adapters/grpc/claims.rs
@@ -19,7 +19,7 @@
 
 /// The encoded call. It carries several requests, since a change of the roster
 /// makes a new home read many buckets from the same former one.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct ClaimBatch {
     #[prost(message, optional, tag = "1")]
     to: Option<super::claim::Member>,
@@ -28,14 +28,14 @@
 }
 
 /// The encoded reply, in the order of the requests.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct ClaimBatchReply {
     #[prost(message, repeated, tag = "1")]
     replies: Vec<ClaimReply>,
 }
 
 /// The encoded notice.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct StrikeMessage {
     #[prost(message, optional, tag = "1")]
     head: Option<Head>,
--- a/src/adapters/grpc/limits.rs
+++ b/src/adapters/grpc/limits.rs
@@ -21,7 +21,7 @@
 const LIMIT: &str = "Limit";
 
 /// The encoded call.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct LimitMessage {
     #[prost(message, optional, tag = "1")]
     head: Option<Head>,
@@ -34,7 +34,7 @@
 }
 
 /// The encoded message about one limit.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct ItemMessage {
     #[prost(string, tag = "1")]
     limit: String,
@@ -44,7 +44,7 @@
     kind: Option<Kind>,
 }
 
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, prost::Oneof, PartialEq)]
 enum Kind {
     #[prost(message, tag = "3")]
     Ask(AskMessage),
@@ -66,7 +66,7 @@
     Handover(HandoverMessage),
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 struct AskMessage {
     #[prost(uint64, tag = "1")]
     ask: u64,
@@ -78,7 +78,7 @@
     renew: Vec<u32>,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 struct GrantMessage {
     #[prost(uint64, tag = "1")]
     ask: u64,
@@ -88,7 +88,7 @@
     idle: u32,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 struct HeldMessage {
     #[prost(uint64, tag = "1")]
     ask: u64,
@@ -96,7 +96,7 @@
     units: Vec<u32>,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 struct ReconcileMessage {
     #[prost(uint64, tag = "1")]
     floor: u64,
@@ -104,7 +104,7 @@
     loans: Vec<HeldMessage>,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 struct SurveyMessage {
     #[prost(uint64, tag = "1")]
     round: u64,
@@ -112,7 +112,7 @@
     units: Vec<u32>,
 }
 
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 struct HandoverMessage {
     #[prost(uint64, tag = "1")]
     round: u64,
@@ -122,7 +122,7 @@
     kept: Vec<u32>,
 }
 
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, Copy, prost::Message, PartialEq)]
 struct Nothing {}
 
 impl ItemMessage {
--- a/src/adapters/grpc/reports.rs
+++ b/src/adapters/grpc/reports.rs
@@ -19,14 +19,14 @@
 const EVENTS: &str = "Events";
 
 /// The encoded question about a service.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct ReportMessage {
     #[prost(string, tag = "1")]
     service: String,
 }
 
 /// The encoded report of one entry.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct ReportReply {
     #[prost(message, optional, tag = "1")]
     head: Option<Head>,
@@ -39,7 +39,7 @@
 }
 
 /// The encoded progress of a move.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct ProgressMessage {
     #[prost(uint64, tag = "1")]
     revision: u64,
@@ -50,7 +50,7 @@
 }
 
 /// The encoded progress of a place.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct LevelMessage {
     #[prost(string, tag = "1")]
     place: String,
@@ -90,7 +90,7 @@
 }
 
 /// The encoded count of requests at a target.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct RunningMessage {
     #[prost(string, tag = "1")]
     target: String,
@@ -110,7 +110,7 @@
 }
 
 /// The encoded question for events.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct EventsMessage {
     #[prost(string, tag = "1")]
     after: String,
@@ -121,14 +121,14 @@
 }
 
 /// The encoded events of one entry.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct EventsReply {
     #[prost(message, repeated, tag = "1")]
     events: Vec<EventMessage>,
 }
 
 /// The encoded event.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct EventMessage {
     #[prost(string, tag = "1")]
     stamp: String,
--- a/src/app/dev/sample.rs
+++ b/src/app/dev/sample.rs
@@ -29,7 +29,7 @@
 /// Returns the settings of an entry.
 pub(super) fn settings(n: usize, token: &str, callers: SocketAddr, peers: &[SocketAddr]) -> String {
     let (region, az) = PLACES[n];
-    let regions = PLACES.map(|(r, _)| format!("[region {r}]\nheadroom = 2000 rps\n"));
+    let regions = PLACES.map(|(r, _)| format!("[region {r}]\nheadroom = 100000 rps\n"));
     let seeds: Vec<String> = peers.iter().map(ToString::to_string).collect();
     let (seeds, peers) = (seeds.join(", "), peers[n]);
     // The store is embedded, so nothing connects to the endpoint.
--- a/src/app/dev/target.rs
+++ b/src/app/dev/target.rs
@@ -108,10 +108,11 @@
     while sample.control.silent.load(Ordering::Relaxed) {
         tokio::time::sleep(Duration::from_millis(50)).await;
     }
-    tokio::time::sleep(Duration::from_millis(
-        sample.control.slow.load(Ordering::Relaxed),
-    ))
-    .await;
+    // Even a sleep of no time lasts until the next millisecond.
+    let slow = sample.control.slow.load(Ordering::Relaxed);
+    if slow > 0 {
+        tokio::time::sleep(Duration::from_millis(slow)).await;
+    }
     let number = rest.parse().unwrap_or(0);
     match first {
         "bytes" => stream(number, guard),
