Test the ledger of shared limits under faults in virtual time

Cause: the ledger had no check that one unit is never used by two entries. Ruled out: checking only the sum of units, which hides two faults that cancel. Each unit must have one user at every step. Fixed: a grant of a renewal that came after its ask was given up was returned although the unit was still held under the former ask, so the lender lent it again. Renewals of one lender now go together.

--- a/src/policy/limit/borrow.rs
+++ b/src/policy/limit/borrow.rs
@@ -139,12 +139,23 @@
         if self.expiry > now + RENEW {
             return Vec::new();
         }
+        // All loans of a lender are renewed together, so that they expire
+        // together the next time.
+        let mut lenders: Vec<Member> = Vec::new();
+        for unit in &self.units {
+            if let Unit::Borrowed(debt) = unit
+                && debt.until <= now + RENEW
+                && !lenders.contains(&debt.from)
+                && !self.asks.iter().any(|a| a.to == debt.from)
+            {
+                lenders.push(debt.from.clone());
+            }
+        }
         let mut excess = self.held.saturating_sub(need);
         let mut due = Vec::new();
         for (index, unit) in (0..).zip(&self.units) {
             let Unit::Borrowed(debt) = unit else { continue };
-            let soon = debt.until <= now + RENEW && !debt.recalled;
-            if !soon || self.asks.iter().any(|a| a.to == debt.from) {
+            if debt.recalled || !lenders.contains(&debt.from) {
                 continue;
             }
             if excess > 0 {
--- /dev/null
+++ b/tests/limit/script.rs
@@ -0,0 +1,184 @@
+//! A few entries that exchange messages at once, and a record of it.
+
+use std::{collections::VecDeque, fmt::Write, sync::Arc};
+
+use savorybeam::domain::{Epoch, Millis};
+use savorybeam::policy::limit::{
+    Held, Ledger, Limit, Member, Message, Outgoing, Permit, Roster, Seat, TICK,
+};
+
+use super::world::member;
+
+/// Ledgers by entry number, with the messages between them.
+pub struct Script {
+    pub ledgers: Vec<Ledger>,
+    pub now: Millis,
+    pub log: String,
+    /// Whether messages stay out of the record.
+    pub quiet: bool,
+    limit: Limit,
+    /// Entries at or above this number are cut off from the others.
+    pub border: usize,
+    incarnations: Vec<u64>,
+}
+
+fn units(units: &[u32]) -> String {
+    match units.len() {
+        0..=5 => format!("{units:?}"),
+        n => format!("{n} units"),
+    }
+}
+
+fn describe(message: &Message) -> String {
+    match message {
+        Message::Ask { want, renew, .. } if renew.is_empty() => format!("ask for {want}"),
+        Message::Ask { renew, .. } => format!("ask to renew {}", units(renew)),
+        Message::Grant { units: u, .. } => format!("grant {}", units(u)),
+        Message::Decline { .. } => "decline".to_owned(),
+        Message::Return(Held { units: u, .. }) => format!("return {}", units(u)),
+        Message::Recall(Held { units: u, .. }) => format!("recall {}", units(u)),
+        Message::Audit => "audit".to_owned(),
+        Message::Reconcile { loans, .. } => {
+            let held: Vec<u32> = loans.iter().flat_map(|h| h.units.clone()).collect();
+            format!("reconcile, holding {}", units(&held))
+        }
+        Message::Survey { units: u, .. } => format!("survey of {}", units(u)),
+        Message::Handover { units: u, kept, .. } => {
+            format!("hand over {}, keeping {}", units(u), units(kept))
+        }
+    }
+}
+
+impl Script {
+    /// Returns entries that share a limit, after their first surveys.
+    pub fn new(count: usize, limit: Limit) -> Self {
+        let mut script = Self {
+            ledgers: Vec::new(),
+            now: Millis(1_000),
+            log: String::new(),
+            quiet: false,
+            limit,
+            border: usize::MAX,
+            incarnations: Vec::new(),
+        };
+        for index in 0..count {
+            script.start(index, 1);
+        }
+        script.adopt(1, count);
+        script.run(Millis(300));
+        script.log.clear();
+        script.holdings();
+        script
+    }
+
+    /// Starts an entry, which replaces its former life.
+    pub fn start(&mut self, index: usize, incarnation: u64) {
+        let name = "slots/10.0.0.1:80".parse().expect("a valid name");
+        let ledger = Ledger::new(name, member(index, incarnation), self.limit);
+        if index < self.ledgers.len() {
+            self.ledgers[index] = ledger;
+            self.incarnations[index] = incarnation;
+        } else {
+            self.ledgers.push(ledger);
+            self.incarnations.push(incarnation);
+        }
+    }
+
+    /// Lets every entry adopt a roster of the first `count` entries.
+    pub fn adopt(&mut self, epoch: u64, count: usize) {
+        let seat = |i: usize| Seat {
+            member: member(i, self.incarnations[i]),
+            leaving: false,
+        };
+        let seats = (0..count).map(seat).collect();
+        let roster = Arc::new(Roster::new(Epoch(epoch), seats));
+        for ledger in &mut self.ledgers {
+            ledger.set_roster(roster.clone(), self.now);
+        }
+        self.note(&format!("roster {epoch} with {count} entries"));
+    }
+
+    pub fn note(&mut self, text: &str) {
+        let _ = writeln!(self.log, "# {text}");
+    }
+
+    /// Records what each entry may use.
+    pub fn holdings(&mut self) {
+        let mut line = String::from("=");
+        for (index, ledger) in self.ledgers.iter().enumerate() {
+            let held = units(&ledger.units(self.now));
+            let busy = ledger.status().busy;
+            let _ = write!(line, " e{index}: {held}");
+            if busy > 0 {
+                let _ = write!(line, " ({busy} busy)");
+            }
+            line.push(';');
+        }
+        let _ = writeln!(self.log, "{}", line.trim_end_matches(';'));
+    }
+
+    /// Takes slots, asking others for those that are missing.
+    pub fn acquire(&mut self, index: usize, count: usize) -> Vec<Permit> {
+        let mut permits = Vec::new();
+        for _ in 0..count * 4 {
+            if permits.len() == count {
+                break;
+            }
+            if let Some(permit) = self.ledgers[index].acquire() {
+                permits.push(permit);
+            } else {
+                let out = self.ledgers[index].request(self.now);
+                self.pump(index, out);
+            }
+        }
+        self.note(&format!(
+            "e{index} has taken {} of {count} slots",
+            permits.len()
+        ));
+        permits
+    }
+
+    pub fn release(&mut self, index: usize, permits: Vec<Permit>) {
+        self.note(&format!("e{index} releases {} slots", permits.len()));
+        for permit in permits {
+            let out = self.ledgers[index].release(permit, self.now);
+            self.pump(index, out);
+        }
+    }
+
+    /// Lets time pass, with a tick of every entry that answers `work`.
+    pub fn run(&mut self, time: Millis) {
+        self.run_with(time, |_, _| {});
+    }
+
+    pub fn run_with(&mut self, time: Millis, mut work: impl FnMut(&mut [Ledger], Millis)) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + TICK;
+            work(&mut self.ledgers, self.now);
+            for index in 0..self.ledgers.len() {
+                let out = self.ledgers[index].tick(self.now);
+                self.pump(index, out);
+            }
+        }
+    }
+
+    /// Delivers messages and the answers to them.
+    fn pump(&mut self, index: usize, out: Vec<Outgoing>) {
+        let mut queue: VecDeque<(usize, Outgoing)> = out.into_iter().map(|o| (index, o)).collect();
+        while let Some((from, sent)) = queue.pop_front() {
+            let number = |m: &Member| (0..9).find(|i| member(*i, 0).entry == m.entry);
+            let to = number(&sent.to).expect("a known entry");
+            if (from < self.border) != (to < self.border) {
+                continue;
+            }
+            let text = describe(&sent.item.message);
+            if !self.quiet {
+                let _ = writeln!(self.log, "e{from} -> e{to}: {text}");
+            }
+            let sender = member(from, self.incarnations[from]);
+            let answer = self.ledgers[to].on_message(&sender, &sent.to, sent.item, self.now);
+            queue.extend(answer.into_iter().map(|o| (to, o)));
+        }
+    }
+}
