Encode the messages of limits

Cause: ledgers exchange typed messages that must cross the network in batches. Ruled out: units as packed numbers, which need 1 to 2 bytes each; a bit set has 32 bytes for all 256 units of a rate limit. Change: prost messages by derive in adapters/grpc/limit, packing by recipient into batches of at most 256 KB, and a read-back property.

--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -5,5 +5,6 @@
 //! same decisions.
 
 pub mod clock;
+pub mod grpc;
 pub mod http;
 pub mod ini;
--- a/tests/limit.rs
+++ b/tests/limit.rs
@@ -3,10 +3,14 @@
 
 #[path = "limit/node.rs"]
 mod node;
+#[path = "limit/platform.rs"]
+mod platform;
 #[path = "limit/script.rs"]
 mod script;
 #[path = "limit/timelines.rs"]
 mod timelines;
+#[path = "limit/wire.rs"]
+mod wire;
 #[path = "limit/world.rs"]
 mod world;
 
--- a/tests/limit/world.rs
+++ b/tests/limit/world.rs
@@ -3,8 +3,8 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use savorybeam::domain::{Epoch, Incarnation, Millis, Slots};
-use savorybeam::policy::limit::{Ledger, Limit, Member, Roster, Seat};
+use savorybeam::domain::{Incarnation, Millis, Slots};
+use savorybeam::policy::limit::{Ledger, Limit, Member, Roster};
 
 use super::node::{Node, Packet, Sent, Unit};
 
@@ -75,16 +75,16 @@
 
 /// The requests of a crashed entry go on at the target until they end.
 #[derive(Debug)]
-struct Ghost {
-    member: Member,
-    units: Vec<u32>,
-    size: u32,
+pub struct Ghost {
+    pub member: Member,
+    pub units: Vec<u32>,
+    pub size: u32,
     /// When the platform reports it.
-    report: u64,
+    pub report: u64,
 }
 
 #[derive(Debug)]
-enum Event {
+pub enum Event {
     Packet {
         from: Member,
         to: Member,
@@ -103,20 +103,18 @@
     pub limit: Limit,
     revision: u64,
     way: Way,
-    rng: SmallRng,
+    pub rng: SmallRng,
     /// When requests were admitted to a rate limit.
     pub admissions: Vec<u64>,
-    ghosts: Vec<Ghost>,
+    pub ghosts: Vec<Ghost>,
     queue: BTreeMap<(u64, u64), Event>,
     sequence: u64,
-    roster: Arc<Roster>,
-    /// Incarnations that the platform has reported gone.
-    reported: Vec<Member>,
+    pub roster: Arc<Roster>,
     incarnations: Vec<u64>,
-    store_down: u64,
+    pub store_down: u64,
     /// A cut between entries below the index and the others, with its end.
     cut: Option<(usize, u64)>,
-    leaving: Option<usize>,
+    pub leaving: Option<usize>,
     proposed: u64,
 }
 
@@ -142,7 +140,6 @@
             queue: BTreeMap::new(),
             sequence: 0,
             roster: Arc::default(),
-            reported: Vec::new(),
             incarnations: vec![0; count],
             store_down: 0,
             cut: None,
@@ -195,57 +192,11 @@
         self.push(delay, Event::Roster(index, roster));
     }
 
-    fn push(&mut self, delay: u64, event: Event) {
+    pub fn push(&mut self, delay: u64, event: Event) {
         self.sequence += 1;
         self.queue.insert((self.now + delay, self.sequence), event);
     }
 
-    /// Puts all live entries in a new roster. An incarnation that is not yet
-    /// reported gone keeps its seat, and its successor waits.
-    fn propose(&mut self) {
-        let mut seats = Vec::new();
-        for (index, slot) in self.entries.iter().enumerate() {
-            let ghost = self
-                .ghosts
-                .iter()
-                .find(|g| g.member.entry == member(index, 0).entry);
-            let live = slot.as_ref().map(|e| e.member.clone());
-            if let Some(member) = ghost.map(|g| g.member.clone()).or(live) {
-                let leaving = self.leaving == Some(index);
-                seats.push(Seat { member, leaving });
-            }
-        }
-        let next = Roster::new(self.roster.epoch(), seats.clone());
-        if self.now < self.store_down || next == *self.roster {
-            return;
-        }
-        self.roster = Arc::new(Roster::new(Epoch(self.roster.epoch().0 + 1), seats));
-        for index in 0..self.entries.len() {
-            let delay = self.rng.random_range(0..2_000);
-            self.push(delay, Event::Roster(index, self.roster.clone()));
-        }
-    }
-
-    /// Reports crashed entries whose time has come.
-    fn report(&mut self) {
-        if self.now < self.store_down {
-            return;
-        }
-        let now = self.now;
-        let (due, rest) = std::mem::take(&mut self.ghosts)
-            .into_iter()
-            .partition(|g| g.report <= now);
-        self.ghosts = rest;
-        let due: Vec<Ghost> = due;
-        for ghost in due {
-            for index in 0..self.entries.len() {
-                let delay = self.rng.random_range(0..5_000);
-                self.push(delay, Event::Gone(index, ghost.member.clone()));
-            }
-            self.reported.push(ghost.member);
-        }
-    }
-
     pub fn crash(&mut self, index: usize) {
         // One ghost for each name keeps the roster simple: the platform reports
         // the former life before the next one crashes.
@@ -313,7 +264,7 @@
         }
     }
 
-    /// Ends all faults and reports everything that is still unreported.
+    /// Ends all faults. Crashed entries are reported and return as planned.
     pub fn heal(&mut self) {
         self.faults = Faults::NONE;
         self.cut = None;
@@ -470,41 +421,4 @@
         let to = (0..self.entries.len()).find(|i| member(*i, 0).entry == to.entry);
         self.now < until && to.is_some_and(|to| (from < border) != (to < border))
     }
-
-    /// Returns what breaks the invariant at this instant, if anything does.
-    pub fn fault(&self) -> Option<String> {
-        let mut holders: BTreeMap<u32, Vec<String>> = BTreeMap::new();
-        let mut bound = 0;
-        for entry in self.entries.iter().flatten() {
-            let mut units = entry.node.units(self.clock(entry));
-            units.extend(entry.running.iter().map(|(u, _, _)| u.number()));
-            units.sort_unstable();
-            units.dedup();
-            let name = format!("{}/{}", entry.member.entry, entry.member.incarnation);
-            for unit in units {
-                holders.entry(unit).or_default().push(name.clone());
-            }
-            let sizes = entry.running.iter().map(|(_, _, size)| *size);
-            bound = sizes.chain([entry.size, bound]).max().unwrap_or(0);
-        }
-        for ghost in &self.ghosts {
-            let name = format!("{}/{} (dead)", ghost.member.entry, ghost.member.incarnation);
-            for unit in &ghost.units {
-                holders.entry(*unit).or_default().push(name.clone());
-            }
-            bound = bound.max(ghost.size);
-        }
-        let sum: usize = holders.values().map(Vec::len).sum();
-        if let Some((unit, names)) = holders.iter().find(|(_, names)| names.len() > 1) {
-            return Some(format!("{} ms: unit {unit} is used by {names:?}", self.now));
-        }
-        (sum > bound as usize).then(|| format!("{} ms: {sum} of {bound} units", self.now))
-    }
-
-    /// Returns the most units that one entry may use.
-    pub fn most(&self) -> usize {
-        let entries = self.entries.iter().flatten();
-        let units = entries.map(|e| e.node.units(self.clock(e)).len());
-        units.max().unwrap_or(0)
-    }
 }
