--- a/src/adapters/grpc/mod.rs
+++ b/src/adapters/grpc/mod.rs
@@ -39,3 +39,7 @@
 /// The most bytes of one message. Larger replies would delay others on the same
 /// link; whoever has more to send splits it.
 pub const MESSAGE_MAX: usize = 256 * 1024;
+//! gRPC between entries. See [docs/design.md](../../../docs/design.md),
+//! section 5.
+
+pub mod limit;
