Measure a drain and a cold restart in the bench

Cause: the drain time and the effect of cold caches were not measured. Change: a run in which two targets of the first service leave and come back cold; entries learn of it within 1.6 s.

--- a/examples/bench/fake.rs
+++ b/examples/bench/fake.rs
@@ -29,8 +29,8 @@
     pub slots: u32,
     pub slowed: bool,
     pub lies: bool,
-    /// When it starts with cold caches, if it does.
-    pub cold: Option<Micros>,
+    /// When it leaves and when it is back with cold caches, if it restarts.
+    pub restart: Option<(Micros, Micros)>,
     running: Vec<usize>,
     backlog: VecDeque<usize>,
 }
@@ -43,7 +43,7 @@
             slots,
             slowed: false,
             lies: false,
-            cold: None,
+            restart: None,
             running: Vec::new(),
             backlog: VecDeque::new(),
         }
@@ -81,15 +81,24 @@
         (self.running.len() + self.backlog.len()) as u32
     }
 
+    /// Says whether its document marks it as leaving.
+    pub fn leaves(&self, now: Micros) -> bool {
+        self.restart
+            .is_some_and(|(from, to)| (from..to).contains(&now))
+    }
+
     /// Returns how many times longer than usual work takes now. A slowed target
     /// is disturbed for 6 of every 9 s.
     pub fn factor(&self, now: Micros) -> f64 {
         let disturbed = self.slowed && now % (9 * SECOND) < 6 * SECOND;
         let slow = if disturbed { SLOWED } else { 1.0 };
-        let cold = self.cold.map_or(1.0, |since| {
-            let filled = now.saturating_sub(since).min(COLD_TIME) as f64 / COLD_TIME as f64;
-            COLD - (COLD - 1.0) * filled
-        });
+        let cold = self
+            .restart
+            .filter(|r| r.1 <= now)
+            .map_or(1.0, |(_, since)| {
+                let filled = now.saturating_sub(since).min(COLD_TIME) as f64 / COLD_TIME as f64;
+                COLD - (COLD - 1.0) * filled
+            });
         slow * cold
     }
 }
--- a/examples/bench/loans.rs
+++ b/examples/bench/loans.rs
@@ -28,6 +28,8 @@
     kinds: Vec<(usize, usize)>,
     /// Which entries send work to each target.
     usable: Vec<[bool; ENTRIES]>,
+    /// Targets that leave, whose units count for nothing.
+    closed: Vec<bool>,
     /// Entries that wait for units as they become free, by service and holder.
     owed: Vec<Vec<Vec<usize>>>,
 }
@@ -45,6 +47,7 @@
             short: Vec::new(),
             kinds: Vec::new(),
             usable,
+            closed: vec![false; targets.len()],
             owed: vec![vec![Vec::new(); ENTRIES]; services],
         };
         let mut next = 0;
@@ -72,6 +75,11 @@
         idle.min(most.saturating_sub(self.long[target][entry]))
     }
 
+    /// Sets whether a target leaves.
+    pub fn close(&mut self, target: usize, closed: bool) {
+        self.closed[target] = closed;
+    }
+
     pub fn take(&mut self, target: usize, entry: usize, lane: Lane) {
         self.busy[target][entry] += 1;
         self.long[target][entry] += u32::from(lane == Lane::Long);
@@ -99,7 +107,7 @@
     /// ones.
     pub fn sums(&self, service: usize, entry: usize) -> (u32, u32) {
         let mine = (0..self.held.len()).filter(|&t| self.kinds[t].0 == service);
-        let mine = mine.filter(|&t| self.usable[t][entry]);
+        let mine = mine.filter(|&t| self.usable[t][entry] && !self.closed[t]);
         mine.fold((0, 0), |(held, idle), t| {
             let (h, b) = (self.held[t][entry], self.busy[t][entry]);
             (held + h, idle + h - b)
--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -53,13 +53,29 @@
     construct!(Args { seed, write }).to_options()
 }
 
-fn targets(deployment: &Deployment, slowed: usize) -> Vec<Fake> {
+/// What happens to the first service's targets.
+#[derive(Clone, Copy)]
+enum Trouble {
+    None,
+    /// So many are slowed.
+    Slowed(usize),
+    /// Two leave at 20 s and are back with cold caches at 45 s.
+    Restart,
+}
+
+fn targets(deployment: &Deployment, trouble: Trouble) -> Vec<Fake> {
     let mut all = Vec::new();
     for (n, service) in deployment.services.iter().enumerate() {
         for server in 0..service.servers {
             let mut target = Fake::new(n, world::server_az(server), service.slots);
-            // The slowed ones are in different availability zones.
-            target.slowed = n == 0 && server < slowed;
+            // The first servers are in different availability zones.
+            match trouble {
+                Trouble::Slowed(count) => target.slowed = n == 0 && server < count,
+                Trouble::Restart if n == 0 && server < 2 => {
+                    target.restart = Some((20 * SECOND, 45 * SECOND));
+                }
+                _ => {}
+            }
             target.lies = server == service.servers - 1;
             all.push(target);
         }
@@ -67,11 +83,17 @@
     all
 }
 
-fn run(deployment: &Deployment, phases: &[Phase], slowed: usize, seed: u64, ours: bool) -> Tally {
+fn run(
+    deployment: &Deployment,
+    phases: &[Phase],
+    trouble: Trouble,
+    seed: u64,
+    ours: bool,
+) -> Tally {
     let requests = world::arrivals(deployment, phases, seed);
     let tally = Tally::new(10 * SECOND, deployment.services.len());
     let net = Net::new(deployment.mbps, ours);
-    let fakes = targets(deployment, slowed);
+    let fakes = targets(deployment, trouble);
     let mut core = Core::new(*deployment, requests, fakes, tally, net);
     if ours {
         let mut steered = Steered::new(&mut core, seed);
@@ -108,12 +130,13 @@
         phase(60, 2.0, 1.0),
         phase(80, 0.5, 1.0),
     ];
-    let slowed = |n| run(deployment, &usual, n, seed, ours);
+    let with = |trouble| run(deployment, &usual, trouble, seed, ours);
     Runs {
-        usual: slowed(0),
-        burst: run(deployment, &burst, 0, seed, ours),
-        slowed: [1, 2, 3].map(slowed).into(),
-        steps: run(deployment, &steps, 0, seed, ours),
+        usual: with(Trouble::None),
+        burst: run(deployment, &burst, Trouble::None, seed, ours),
+        slowed: [1, 2, 3].map(|n| with(Trouble::Slowed(n))).into(),
+        restart: with(Trouble::Restart),
+        steps: run(deployment, &steps, Trouble::None, seed, ours),
     }
 }
 
--- a/examples/bench/measure.rs
+++ b/examples/bench/measure.rs
@@ -36,6 +36,11 @@
     /// in percent.
     pub target_peak: u32,
     pub region_peak: u32,
+    /// When the last request left a leaving target, when the last one reached it,
+    /// and how long the longest one was there.
+    pub left: Micros,
+    pub reached: Micros,
+    pub longest: Micros,
     /// How often a target had more work present than slots.
     pub over: u64,
 }
@@ -57,6 +62,9 @@
             begun: 0,
             target_peak: 0,
             region_peak: 0,
+            left: 0,
+            reached: 0,
+            longest: 0,
             over: 0,
         }
     }
@@ -107,6 +115,14 @@
         }
     }
 
+    /// Records that a request left a leaving target, which it had reached at an
+    /// instant.
+    pub fn left(&mut self, now: Micros, reached: Micros) {
+        self.left = now;
+        self.reached = self.reached.max(reached);
+        self.longest = self.longest.max(now - reached);
+    }
+
     /// Records how much work a target and its region have.
     pub fn observe(&mut self, now: Micros, target: &Fake, work: u32, slots: u32) {
         if now < self.from {
--- a/examples/bench/naive.rs
+++ b/examples/bench/naive.rs
@@ -24,6 +24,8 @@
 pub struct Naive {
     lines: Vec<Vec<Line>>,
     running: Vec<[u32; ENTRIES]>,
+    /// The targets that each entry knows to leave.
+    leaving: [Vec<usize>; ENTRIES],
 }
 
 impl Naive {
@@ -41,6 +43,7 @@
                 .map(|_| (0..services).map(line).collect())
                 .collect(),
             running: vec![[0; ENTRIES]; core.targets.len()],
+            leaving: Default::default(),
         }
     }
 
@@ -48,6 +51,11 @@
         match event {
             Event::Arrive(request) => self.arrive(core, request),
             Event::Answer(attempt, shed) => self.answer(core, attempt, shed),
+            Event::Adopt(entry) => {
+                let all = 0..core.targets.len();
+                let leaving = all.filter(|&t| core.targets[t].leaves(core.now));
+                self.leaving[entry] = leaving.collect();
+            }
             Event::Deadline(request) => core.respond(request, false),
             _ => {}
         }
@@ -75,7 +83,8 @@
             let order = (0..count).map(|n| (line.next + n) % count);
             let mut order = order.filter(|&n| {
                 let target = line.targets[n];
-                self.running[target][entry] < core.targets[target].slots
+                let room = self.running[target][entry] < core.targets[target].slots;
+                room && !self.leaving[entry].contains(&target)
             });
             let Some(n) = order.next() else {
                 return;
--- a/examples/bench/platform.rs
+++ b/examples/bench/platform.rs
@@ -9,7 +9,7 @@
     fake::{Fake, Start},
     measure::Tally,
     net::{Net, Step},
-    world::{self, Deployment, MILLI, Micros, Request},
+    world::{self, Deployment, ENTRIES, MILLI, Micros, Request},
 };
 
 /// What happens at an instant.
@@ -39,6 +39,8 @@
     Grant(usize, usize),
     /// An entry does its periodic work.
     Tick(usize),
+    /// A change of the first service's document reaches an entry.
+    Adopt(usize),
     /// Targets measure their load.
     Measure,
     /// The reports of the last measurement reach the entries.
@@ -52,6 +54,8 @@
     pub entry: usize,
     pub target: usize,
     pub sent: Micros,
+    /// When it reached its target.
+    pub reached: Micros,
     /// How many attempts of the request came before it.
     pub nth: u64,
     /// Whether the entry has given it up.
@@ -103,6 +107,7 @@
             arrived: 0,
         };
         core.arrive();
+        core.plan_restarts();
         core.after(world::SECOND, Event::Measure);
         core
     }
@@ -138,6 +143,18 @@
         }
     }
 
+    /// Has each entry learn of a leaving target and of its return within 1.6 s.
+    fn plan_restarts(&mut self) {
+        let Some((leave, back)) = self.targets.iter().find_map(|t| t.restart) else {
+            return;
+        };
+        for entry in 0..ENTRIES {
+            let late = 200 * MILLI * entry as Micros;
+            self.after(leave + late, Event::Adopt(entry));
+            self.after(back + late, Event::Adopt(entry));
+        }
+    }
+
     /// Schedules the next arrival, so that the queue holds one at a time.
     fn arrive(&mut self) {
         let next = self.arrived;
@@ -180,6 +197,7 @@
             entry,
             target,
             sent: self.now,
+            reached: 0,
             nth,
             dropped: false,
             over: false,
@@ -207,6 +225,7 @@
 
     fn reach(&mut self, attempt: usize) {
         let target = self.attempts[attempt].target;
+        self.attempts[attempt].reached = self.now;
         let a = self.attempts[attempt];
         match self.targets[target].arrive(attempt) {
             Start::Now => self.start(attempt),
@@ -289,9 +308,13 @@
     }
 
     fn release(&mut self, attempt: usize) {
+        let target = self.attempts[attempt].target;
         self.attempts[attempt].over = true;
+        if self.targets[target].leaves(self.now) {
+            let reached = self.attempts[attempt].reached;
+            self.tally.left(self.now, reached);
+        }
         self.net.forget(attempt);
-        let target = self.attempts[attempt].target;
         if let Some(next) = self.targets[target].leave(attempt) {
             self.start(next);
         }
--- a/examples/bench/report.rs
+++ b/examples/bench/report.rs
@@ -4,7 +4,10 @@
 
 use savorybeam::domain::Lane;
 
-use crate::{measure::Tally, world::Deployment};
+use crate::{
+    measure::Tally,
+    world::{Deployment, Micros},
+};
 
 /// The runs of one policy in one deployment.
 pub struct Runs {
@@ -12,6 +15,9 @@
     pub burst: Tally,
     /// The runs with one, two and three slowed targets of the first service.
     pub slowed: Vec<Tally>,
+    /// The run in which two targets of the first service leave and come back with
+    /// cold caches.
+    pub restart: Tally,
     /// 20 s each at 0.5, 1, 2 and 0.5 times saturation.
     pub steps: Tally,
 }
@@ -38,6 +44,14 @@
     runs.slowed[n - 1].percentile(Some(0), Lane::Short, 0.99)
 }
 
+fn restarted(runs: &Runs, part: f64) -> f64 {
+    runs.restart.percentile(Some(0), Lane::Short, part)
+}
+
+fn seconds(time: Micros) -> f64 {
+    time as f64 / 1e6
+}
+
 /// The first and the last second of each step that count. Five seconds are left
 /// for the change.
 const STEPS: [(usize, usize); 4] = [(5, 20), (25, 40), (45, 60), (65, 80)];
@@ -107,6 +121,23 @@
             |r| r.slowed[1].added(),
             Most(5.0),
         ),
+        (
+            "p99 over a cold restart of 2 targets, ms",
+            |r| restarted(r, 0.99),
+            None,
+        ),
+        ("restart: not in time, %", |r| r.restart.failures(), None),
+        ("drain time, s", |r| seconds(r.restart.left) - 20.0, None),
+        (
+            "drain time beyond the longest request, s",
+            |r| seconds(r.restart.left) - 20.0 - seconds(r.restart.longest),
+            Most(3.0),
+        ),
+        (
+            "last new work at a leaving target, s",
+            |r| seconds(r.restart.reached) - 20.0,
+            Most(3.0),
+        ),
         ("goodput at 0.5, answers/s", |r| goodput(r, 0), None),
         ("goodput at 1, answers/s", |r| goodput(r, 1), None),
         ("goodput at 2, answers/s", |r| goodput(r, 2), None),
--- a/examples/bench/steered/mod.rs
+++ b/examples/bench/steered/mod.rs
@@ -1,17 +1,18 @@
 //! Our policy: the decisions of `savorybeam::policy`, wired to the simulated
 //! platform as an entry wires them to the network.
 
+mod setup;
 mod units;
 
 use std::collections::HashMap;
 
 use rand::{SeedableRng, rngs::SmallRng};
 use savorybeam::{
-    domain::{Lane, Millis, Place, PlaceName, PlaceState, RegionName, Slots, TargetId, Weight},
+    domain::{Lane, Millis, PlaceName, TargetId},
     policy::{
         queue::{Lengths, Queue, Ticket, WaitId},
         retry::{self, Attempt, Budget, Window},
-        target::{Ask, Finish, Pool, Report, local_weights},
+        target::{Ask, Finish, Pool, Report},
     },
 };
 
@@ -19,7 +20,7 @@
     fake::Fake,
     loans::Loans,
     platform::{Core, Event},
-    world::{self, AZS, ENTRIES, Kind, MILLI, Micros},
+    world::{self, ENTRIES, Kind, MILLI, Micros},
 };
 
 /// How often an entry looks for expired work and missing units.
@@ -90,7 +91,7 @@
             core.after(TICK, Event::Tick(entry));
         }
         let owns: Vec<Vec<Own>> = (0..ENTRIES)
-            .map(|e| (0..services).map(|s| own(core, s, e)).collect())
+            .map(|e| (0..services).map(|s| setup::own(core, s, e)).collect())
             .collect();
         let usable = |t: usize| std::array::from_fn(|e| uses(core, &owns, t, e));
         let usable = (0..kinds.len()).map(usable).collect();
@@ -116,6 +117,7 @@
                 self.pump(core, entry, core.targets[target].service);
             }
             Event::Tick(entry) => self.tick(core, entry),
+            Event::Adopt(entry) => self.adopt(core, entry),
             Event::Report => self.report(core),
             _ => {}
         }
@@ -402,6 +404,16 @@
         }
     }
 
+    /// Takes over the document of the first service, as it is now.
+    fn adopt(&mut self, core: &mut Core, entry: usize) {
+        let places = setup::places(core, 0);
+        self.owns[entry][0].pool.adopt(core.millis(), &places);
+        for (target, fake) in core.targets.iter().enumerate() {
+            self.loans.close(target, fake.leaves(core.now));
+        }
+        self.pump(core, entry, 0);
+    }
+
     fn report(&mut self, core: &Core) {
         let now = core.millis();
         for (target, &load) in core.reports.iter().enumerate() {
@@ -431,49 +443,3 @@
         shedding: queue.pressure(core.millis(), Lane::Short) > 50,
     }
 }
-
-fn own(core: &Core, service: usize, entry: usize) -> Own {
-    let places: Vec<Place> = (0..AZS).map(|az| place(core, service, az)).collect();
-    let mut pool = Pool::new();
-    pool.adopt(Millis(0), &places);
-    let weights = places
-        .iter()
-        .map(|p| (p.name.clone(), p.region.clone(), p.weight.0));
-    let weights: Vec<_> = weights.collect();
-    // Callers are spread evenly.
-    let demand: Vec<_> = (0..world::REGIONS).map(|r| (region(r), 1)).collect();
-    let here = region(world::entry_region(entry));
-    Own {
-        pool,
-        queue: Queue::new(),
-        lengths: Lengths::new(),
-        budget: Budget::new(),
-        windows: [Window::new(), Window::new()],
-        asked: 0,
-        places: local_weights(&here, &demand, &weights),
-    }
-}
-
-fn region(n: usize) -> RegionName {
-    format!("region-{n}").parse().expect("the name is valid")
-}
-
-/// Returns the place of a service in an availability zone. Its weight is its
-/// part of the service's targets.
-fn place(core: &Core, service: usize, az: usize) -> Place {
-    let here = |&t: &usize| core.targets[t].service == service && core.targets[t].az == az;
-    let targets: Vec<usize> = (0..core.targets.len()).filter(here).collect();
-    let name = |kind: &str, n: usize| format!("{kind}-{n}");
-    Place {
-        name: name("place", az).parse().expect("the name is valid"),
-        region: name("region", world::region_of(az))
-            .parse()
-            .expect("the name is valid"),
-        az: name("az", az).parse().expect("the name is valid"),
-        weight: Weight(targets.len() as u32),
-        state: PlaceState::Active,
-        targets: targets.into_iter().map(id).collect(),
-        leaving: Vec::new(),
-        slots: Slots(core.deployment.services[service].slots),
-    }
-}
