--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -10,6 +10,7 @@
     clippy::cast_sign_loss
 )]
 
+mod cost;
 mod fake;
 mod loans;
 mod measure;
@@ -39,6 +40,7 @@
 struct Args {
     seed: u64,
     write: Option<PathBuf>,
+    cost: bool,
 }
 
 fn options() -> OptionParser<Args> {
@@ -50,7 +52,8 @@
         .help("Page to write the tables to")
         .argument("FILE");
     let write = write.optional();
-    construct!(Args { seed, write }).to_options()
+    let cost = long("cost").help("Time single decisions instead").switch();
+    construct!(Args { seed, write, cost }).to_options()
 }
 
 /// What happens to the first service's targets.
@@ -142,6 +145,10 @@
 
 fn main() -> std::io::Result<()> {
     let args = options().run();
+    if args.cost {
+        cost::print();
+        return Ok(());
+    }
     let mut text = report::preface(args.seed);
     for deployment in &DEPLOYMENTS {
         let naive = runs(deployment, args.seed, false);
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -432,3 +432,27 @@
     let unknown = local_weights(&region("b"), &[], &places);
     insta::assert_compact_debug_snapshot!(unknown, @"[(a1, 30), (a2, 30), (b1, 20), (c1, 20)]");
 }
+
+#[test]
+fn routes_of_different_lengths_do_not_make_targets_slow() {
+    let mut pool = pool(6);
+    let places = [(name("a"), 1)];
+    let mut rng = SmallRng::seed_from_u64(3);
+    let mut slow = 0;
+    for now in 0..20_000 {
+        let choice = pool.choose(Millis(now), &mut rng, &ask(&places), free);
+        let Ok(choice) = choice else { continue };
+        pool.started(choice.target, Lane::Short);
+        let time = if rng.random_bool(0.2) { 300 } else { 10 };
+        let time = time * rng.random_range(50..=150) / 100;
+        pool.finished(
+            Millis(now),
+            choice.target,
+            Lane::Short,
+            Finish::Done,
+            Millis(time),
+        );
+        slow += u64::from(pool.state(Millis(now), choice.target) == Some(State::Slow));
+    }
+    assert_eq!(slow, 0);
+}
