Send messages about limits in the packed encoding

Change: the transport carries the batches with bit sets of units; the plain encoding is gone. Conclusion: one encoding of limits.

--- a/src/adapters/grpc/mod.rs
+++ b/src/adapters/grpc/mod.rs
@@ -11,6 +11,7 @@
 mod fetch;
 mod gossip;
 mod head;
+pub mod limit;
 mod limits;
 mod peers;
 mod reports;
@@ -26,7 +27,7 @@
     SyncReplyMessage, probe, relay, serve_probe, serve_relay, serve_sync, sync,
 };
 pub use head::{Head, Sender, malformed};
-pub use limits::{ItemMessage, LimitMessage, item_size, limit, serve_limit};
+pub use limits::{send_limit, serve_limit};
 pub use peers::{CallError, Peers, Step};
 pub use reports::{EventsAsked, Report, events, report, serve_events, serve_report};
 pub use server::{Routes, Server, bind};
@@ -39,7 +40,3 @@
 /// The most bytes of one message. Larger replies would delay others on the same
 /// link; whoever has more to send splits it.
 pub const MESSAGE_MAX: usize = 256 * 1024;
-//! gRPC between entries. See [docs/design.md](../../../docs/design.md),
-//! section 5.
-
-pub mod limit;
--- a/src/app/entry/control/limits.rs
+++ b/src/app/entry/control/limits.rs
@@ -1,18 +1,21 @@
 //! Limits: sends what ledgers ask for and wakes requests that wait for units.
 
-use std::{collections::HashMap, sync::Arc};
+use std::sync::Arc;
 
 use tokio::sync::mpsc;
 
 use super::{beside, every};
 use crate::{
-    adapters::grpc,
+    adapters::grpc::{
+        self,
+        limit::{LimitBatch, Unpacked, pack},
+    },
     app::entry::State,
-    policy::limit::{Item, Member, Outgoing, TICK},
+    policy::limit::{Outgoing, TICK},
 };
 
-/// The most messages that are sent to one peer at once, below the limit of 256
-/// KB for a message of the wire.
+/// The most messages that are taken together. What goes to one peer is packed
+/// into calls of at most 256 KB.
 const BATCH: usize = 512;
 
 /// Does what is due for every ledger.
@@ -37,29 +40,29 @@
 pub(super) async fn dispatch(state: Arc<State>, mut outbox: mpsc::UnboundedReceiver<Outgoing>) {
     let mut waiting = Vec::new();
     while outbox.recv_many(&mut waiting, BATCH).await > 0 {
-        let mut batches: HashMap<Member, Vec<Item>> = HashMap::new();
-        for Outgoing { to, item } in waiting.drain(..) {
-            batches.entry(to).or_default().push(item);
-        }
-        for (to, items) in batches {
-            beside(send(state.clone(), to, items));
+        for batch in pack(&state.me, &waiting) {
+            beside(send(state.clone(), batch));
         }
+        waiting.clear();
     }
 }
 
-async fn send(state: Arc<State>, to: Member, items: Vec<Item>) {
-    let Some(address) = state.fleet.address(&to.entry) else {
+async fn send(state: Arc<State>, batch: LimitBatch) {
+    let Ok(to) = batch.to.parse() else {
+        return;
+    };
+    let Some(address) = state.fleet.address(&to) else {
         return;
     };
-    let sender = state.fleet.sender();
-    if let Err(e) = grpc::limit(&state.fleet.peers, address, sender, &to, &items).await {
+    if let Err(e) = grpc::send_limit(&state.fleet.peers, address, batch).await {
         tracing::debug!("limit: {e}.");
     }
 }
 
 /// Takes messages of another entry.
-pub(super) fn receive(state: &Arc<State>, from: &Member, to: &Member, items: Vec<Item>) {
+pub(super) fn receive(state: &Arc<State>, batch: Unpacked) {
     let now = (state.ports.clock.now)();
+    let Unpacked { from, to, items } = batch;
     for item in items {
         let name = item.limit.clone();
         // Surveys wait for the answer of every member, so a ledger is needed
@@ -67,7 +70,7 @@
         state.ensure_limit(&name);
         let out = state
             .limits
-            .get(&name, |l| l.on_message(from, to, item, now));
+            .get(&name, |l| l.on_message(&from, &to, item, now));
         state.post(out.unwrap_or_default());
     }
     state.pump_waiting();
--- a/src/app/entry/control/routes.rs
+++ b/src/app/entry/control/routes.rs
@@ -32,9 +32,7 @@
         async move { Ok(reply) }
     });
     let s = state.clone();
-    let routes = grpc::serve_limit(routes, move |from, to, items| {
-        limits::receive(&s, from, to, items);
-    });
+    let routes = grpc::serve_limit(routes, move |batch| limits::receive(&s, batch));
     let s = state.clone();
     let routes = grpc::serve_claim(routes, move |to, request| claims::answer(&s, to, request));
     let s = state.clone();
