Treat shed requests as not run, clear strikes on success, bound stalls

Cause: a keyed request that its target shed was recorded with that answer, so each repeat got the refusal again; an innocent request kept its strike; a body on a silent connection held its slot for good. Ruled out: recording only answers below 500, which would run a failed payout twice. Change: an answer 503 with Retry-After means by contract that nothing ran, so the key is freed and the request may be sent elsewhere; a success clears the strikes; an answer that pauses for 30 s is cut; an entry that is not ready reports severe load. Conclusion: refusals of targets no longer stick to a key.

--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -278,9 +278,7 @@
                 .services
                 .get(&self.job.service, |s| s.pool.shed(now, target, time));
             slot.finish(Finish::Cancelled);
-            if self.won.is_none() && self.retry(true).await {
-                return Ok(None);
-            }
+            return self.refused(slot, resp).await;
         }
         if let Some(report) = report(&resp, now) {
             let target = slot.target();
@@ -295,11 +293,47 @@
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
             successes.insert(self.job.fingerprint, now);
+            drop(successes);
+            self.absolve();
         }
         let pacer = self.pacer(&slot);
         Ok(Some(reply::pass(resp, slot, self.won.take(), pacer)))
     }
 
+    /// Sends a request elsewhere that its target shed, or passes the target's
+    /// answer on. A target that sheds has not run the request (docs/api.md), so
+    /// that also a request that may not be repeated can be sent again, and its
+    /// key becomes free.
+    async fn refused(
+        &mut self,
+        slot: Slot,
+        resp: Response<Body>,
+    ) -> Result<Option<Response<Body>>, Refusal> {
+        if let Some(won) = &mut self.won {
+            won.unsent();
+        }
+        if self.retry(false).await {
+            return Ok(None);
+        }
+        Ok(Some(reply::pass(resp, slot, None, None)))
+    }
+
+    /// Clears the strikes against a request that was executed after all.
+    fn absolve(&self) {
+        if !self.suspect {
+            return;
+        }
+        let cleared = {
+            let strikes = self.state.strikes.lock();
+            let mut strikes = strikes.unwrap_or_else(PoisonError::into_inner);
+            strikes.clear(self.job.fingerprint, self.now())
+        };
+        if let Some(strike) = cleared {
+            let state = self.state.clone();
+            tokio::spawn(async move { control::notify(&state, strike).await });
+        }
+    }
+
     /// Returns the pace of an answer that comes from another region.
     fn pacer(&self, slot: &Slot) -> Option<Pacer> {
         let place = &slot.choice.place;
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -101,7 +101,8 @@
             callers: settings.callers,
             admin: settings.admin,
             peers: settings.peers,
-            load: Load::Normal,
+            // It has no slots yet, so callers should try others first.
+            load: Load::Severe,
         };
         let traffic: Arc<Traffic> = Arc::default();
         Self {
--- a/src/app/entry/reply.rs
+++ b/src/app/entry/reply.rs
@@ -9,9 +9,11 @@
 use http::{Response, response::Parts};
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
+use tokio::time::{Instant, Sleep};
 
 use super::{claims::Won, job::HOP_BY_HOP, pacing::Pacer, slot::Slot};
 use crate::{
+    domain::Millis,
     policy::{once::Answer, target::Finish},
     ports::Body,
 };
@@ -39,10 +41,16 @@
         record,
         pacer,
         held: None,
+        stall: Box::pin(tokio::time::sleep(STALL.duration())),
     };
     Response::from_parts(parts, tracked.boxed())
 }
 
+/// How long an answer may pause. A connection that has gone silent in the middle
+/// of a download would otherwise hold its slot for good. It is far above any pause
+/// of a target that still works.
+const STALL: Millis = Millis(30_000);
+
 /// The answer of a keyed request, which is kept for repeats.
 struct Record {
     won: Won,
@@ -71,6 +79,8 @@
     }
 }
 
+type Error = Box<dyn std::error::Error + Send + Sync>;
+
 /// An answer's body that holds its slot while it streams.
 struct Tracked {
     body: Body,
@@ -79,6 +89,7 @@
     pacer: Option<Pacer>,
     /// A frame that waits for the link.
     held: Option<Frame<Bytes>>,
+    stall: Pin<Box<Sleep>>,
 }
 
 impl Tracked {
@@ -92,6 +103,15 @@
         Poll::Ready(self.held.take())
     }
 
+    /// Ends an answer that has paused for too long.
+    fn stalled(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        ready!(self.stall.as_mut().poll(cx));
+        self.slot.finish(Finish::Failed);
+        let target = self.slot.target();
+        let cause = format!("read answer from {target}: no byte for {STALL}");
+        Poll::Ready(Some(Err(cause.into())))
+    }
+
     /// Takes a frame from the target.
     fn take(&mut self, frame: Frame<Bytes>) {
         if let Some(data) = frame.data_ref() {
@@ -103,6 +123,7 @@
             }
         }
         self.held = Some(frame);
+        self.stall.as_mut().reset(Instant::now() + STALL.duration());
     }
 
     fn complete(&mut self) {
@@ -115,7 +136,7 @@
 
 impl http_body::Body for Tracked {
     type Data = Bytes;
-    type Error = Box<dyn std::error::Error + Send + Sync>;
+    type Error = Error;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
@@ -132,7 +153,7 @@
                     self.complete();
                     return Poll::Ready(None);
                 }
-                Poll::Pending => return Poll::Pending,
+                Poll::Pending => return self.stalled(cx),
             }
         }
         let frame = ready!(self.release(cx));
