Ask peers for all moves in one call

Cause: a trial of the fleet slope showed 74 messages/s for each of 9 idle entries in their first seconds: one call for each service and peer. Ruled out: dropping the exchange, after which a restarted entry would jump to the final weights of a move. Change: one call a second to three peers carries the moves of all services, for 10 s after the start and while a move is under way. Conclusion: the cost no longer grows with the number of services.

--- a/src/adapters/grpc/mod.rs
+++ b/src/adapters/grpc/mod.rs
@@ -29,7 +29,9 @@
 pub use head::{Head, Sender, malformed};
 pub use limits::{send_limit, serve_limit};
 pub use peers::{CallError, Peers, Step};
-pub use reports::{EventsAsked, Report, events, report, serve_events, serve_report};
+pub use reports::{
+    EventsAsked, Report, events, moves, report, serve_events, serve_moves, serve_report,
+};
 pub use server::{Routes, Server, bind};
 pub use tonic::Status;
 pub use traffic::{Counts, Traffic};
--- a/src/adapters/grpc/reports.rs
+++ b/src/adapters/grpc/reports.rs
@@ -8,7 +8,7 @@
     server::Routes,
 };
 use crate::{
-    domain::{ParseError, PlaceName, Revision, TargetId},
+    domain::{ParseError, PlaceName, Revision, ServiceName, TargetId},
     policy::{
         shift::{Level, Progress, Share},
         timeline::{Event, Stamp},
@@ -16,6 +16,7 @@
 };
 
 const REPORT: &str = "Report";
+const MOVES: &str = "Moves";
 const EVENTS: &str = "Events";
 
 /// The encoded question about a service.
@@ -34,7 +35,25 @@
     revision: Option<u64>,
     #[prost(message, repeated, tag = "3")]
     running: Vec<RunningMessage>,
-    #[prost(message, optional, tag = "4")]
+}
+
+/// The encoded question for moves.
+#[derive(Clone, Copy, prost::Message, PartialEq)]
+pub struct MovesMessage {}
+
+/// The encoded moves of one entry.
+#[derive(Clone, prost::Message, PartialEq)]
+pub struct MovesReply {
+    #[prost(message, repeated, tag = "1")]
+    moves: Vec<MoveMessage>,
+}
+
+/// The encoded move of a service.
+#[derive(Clone, prost::Message, PartialEq)]
+pub struct MoveMessage {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(message, optional, tag = "2")]
     progress: Option<ProgressMessage>,
 }
 
@@ -105,8 +124,6 @@
     pub revision: Option<Revision>,
     /// The targets at which its requests run, with how many.
     pub running: Vec<(TargetId, u64)>,
-    /// How far it has come with a move.
-    pub progress: Option<Progress>,
 }
 
 /// The encoded question for events.
@@ -167,7 +184,6 @@
                 head: sender.head(),
                 revision: report.revision.map(|r| r.0),
                 running: running.collect(),
-                progress: report.progress.as_ref().map(put_progress),
             })
         }
     })
@@ -185,14 +201,50 @@
     let reply: ReportReply = peers.call(peer, REPORT, message).await?;
     let read = |r: &RunningMessage| Ok((r.target.parse()?, r.count));
     let running: Result<_, ParseError> = reply.running.iter().map(read).collect();
-    let progress = reply.progress.as_ref().map(get_progress).transpose();
     Ok(Report {
-        progress: progress.map_err(|e| CallError::unreadable(REPORT, peer, &e))?,
         revision: reply.revision.map(Revision),
         running: running.map_err(|e| CallError::unreadable(REPORT, peer, &e))?,
     })
 }
 
+/// Registers the closure that returns the moves that are under way.
+#[must_use]
+pub fn serve_moves<F>(routes: Routes, f: F) -> Routes
+where
+    F: Clone + Fn() -> Vec<(ServiceName, Progress)> + Send + Sync + 'static,
+{
+    routes.route(MOVES, move |_: MovesMessage| {
+        let f = f.clone();
+        async move {
+            let put = |(service, progress): (ServiceName, Progress)| MoveMessage {
+                service: service.to_string(),
+                progress: Some(put_progress(&progress)),
+            };
+            Ok(MovesReply {
+                moves: f().into_iter().map(put).collect(),
+            })
+        }
+    })
+}
+
+/// Asks the entry at `peer` for the moves that are under way there.
+///
+/// # Errors
+///
+/// As [`Peers::call`].
+pub async fn moves(
+    peers: &Peers,
+    peer: SocketAddr,
+) -> Result<Vec<(ServiceName, Progress)>, CallError> {
+    let reply: MovesReply = peers.call(peer, MOVES, MovesMessage {}).await?;
+    let read = |m: &MoveMessage| {
+        let progress = m.progress.clone().unwrap_or_default();
+        Ok((m.service.parse()?, get_progress(&progress)?))
+    };
+    let all: Result<Vec<_>, ParseError> = reply.moves.iter().map(read).collect();
+    all.map_err(|e| CallError::unreadable(MOVES, peer, &e))
+}
+
 /// Registers the closure that returns the events of this entry.
 #[must_use]
 pub fn serve_events<F>(routes: Routes, f: F) -> Routes
--- a/src/app/entry/control/reports.rs
+++ b/src/app/entry/control/reports.rs
@@ -8,7 +8,7 @@
     adapters::grpc::{self, EventsAsked, Report},
     app::entry::State,
     domain::{EntryId, ParseError, ServiceName},
-    policy::{member, shift::Shift, timeline::Event},
+    policy::{member, timeline::Event},
     ports::{EventQuery, admin::Gathered},
 };
 
@@ -30,7 +30,6 @@
         let count = |t: &crate::domain::TargetId| (*t, state.observer.running(*t));
         Report {
             revision: Some(s.doc.revision()),
-            progress: s.shift.as_ref().map(Shift::progress),
             running: targets.map(count).filter(|(_, n)| *n > 0).collect(),
         }
     });
--- a/src/app/entry/control/routes.rs
+++ b/src/app/entry/control/routes.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{claims, documents, gossip, limits, reports, strikes};
+use super::{claims, documents, gossip, limits, reports, shifts, strikes};
 use crate::{
     adapters::grpc::{self, Ack, Fetch, FetchReply, Probe, Relay, Routes, Status, Sync, SyncReply},
     app::entry::State,
@@ -42,6 +42,8 @@
         (s.fleet.sender(), reports::own(&s, service))
     });
     let s = state.clone();
+    let routes = grpc::serve_moves(routes, move || shifts::moves(&s));
+    let s = state.clone();
     grpc::serve_events(routes, move |asked| reports::own_events(&s, asked))
 }
 
--- a/src/app/entry/control/shifts.rs
+++ b/src/app/entry/control/shifts.rs
@@ -6,13 +6,13 @@
     sync::Arc,
 };
 
+use futures::future::join_all;
 use rand::seq::IndexedRandom;
 
-use super::{beside, every};
 use crate::{
     adapters::grpc,
     app::entry::State,
-    domain::{EntryId, Millis, RegionName, ServiceName},
+    domain::{Millis, RegionName, ServiceName},
     policy::{
         member,
         shift::{Pace, Progress},
@@ -20,11 +20,11 @@
     },
 };
 
-/// How often a move is looked at.
-const PERIOD: Millis = Millis(250);
+/// How often moves are looked at. It is the shortest time of a step.
+const PERIOD: Millis = Millis(1_000);
 
-/// How long after its start an entry asks its peers how far moves have come.
-/// Within this time it has heard of every move that was under way.
+/// How long after its start an entry asks its peers for moves. Within this time
+/// it has heard of every move that was under way.
 const EARLY: Millis = Millis(10_000);
 
 /// How many peers are asked.
@@ -34,56 +34,65 @@
 pub(super) async fn run(state: Arc<State>) {
     let mut lost = BTreeSet::new();
     let started = (state.ports.clock.now)();
-    every(PERIOD, move || {
-        let now = (state.ports.clock.now)();
+    loop {
+        tokio::time::sleep(PERIOD.duration()).await;
         regions(&state, &mut lost);
-        let early = now - started < EARLY;
-        let mut moving = Vec::new();
-        state.services.each(|name, s| {
-            if s.shift.as_ref().is_some_and(|s| early || s.is_moving()) {
-                moving.push(name.clone());
-            }
-        });
-        for name in moving {
-            beside(step(state.clone(), name));
-        }
-    })
-    .await;
+        let early = (state.ports.clock.now)() - started < EARLY;
+        let peers = if early || !moves(&state).is_empty() {
+            ask(&state).await
+        } else {
+            BTreeMap::new()
+        };
+        step(&state, &peers);
+    }
 }
 
-/// Takes the next step of a service's move, with what peers report.
-async fn step(state: Arc<State>, service: ServiceName) {
-    let peers = progress(&state, &service).await;
+/// Takes the next step of every service's move, with what peers report.
+fn step(state: &State, peers: &BTreeMap<ServiceName, Progress>) {
     let now = (state.ports.clock.now)();
-    let tick = |s: &mut crate::app::entry::Service| {
-        let shift = s.shift.as_mut()?;
-        Some((shift.tick(peers.as_ref(), now), shift.revision()))
-    };
-    let Some((pace, revision)) = state.services.get(&service, tick).flatten() else {
-        return;
-    };
-    let kind = match pace {
-        Pace::Stepped => Kind::ShiftStepped,
-        Pace::Finished => Kind::ShiftCompleted,
-        Pace::Settled | Pace::Waiting | Pace::Held(_) | Pace::Capped | Pace::Followed => return,
-    };
-    (state.events.emit)(kind, format!("{service} to revision {revision}"));
+    let mut events = Vec::new();
+    state.services.each(|name, s| {
+        let Some(shift) = &mut s.shift else {
+            return;
+        };
+        let kind = match shift.tick(peers.get(name), now) {
+            Pace::Stepped => Kind::ShiftStepped,
+            Pace::Finished => Kind::ShiftCompleted,
+            Pace::Settled | Pace::Waiting | Pace::Held(_) | Pace::Capped | Pace::Followed => return,
+        };
+        events.push((kind, format!("{name} to revision {}", shift.revision())));
+    });
+    for (kind, text) in events {
+        (state.events.emit)(kind, text);
+    }
+}
+
+/// Returns the moves that are under way here.
+pub(super) fn moves(state: &State) -> Vec<(ServiceName, Progress)> {
+    let mut moves = Vec::new();
+    state.services.each(|name, s| {
+        if let Some(shift) = s.shift.as_ref().filter(|s| s.is_moving()) {
+            moves.push((name.clone(), shift.progress()));
+        }
+    });
+    moves
 }
 
 /// Returns the least advanced shares that a few peers report.
-async fn progress(state: &Arc<State>, service: &ServiceName) -> Option<Progress> {
+async fn ask(state: &Arc<State>) -> BTreeMap<ServiceName, Progress> {
     let others = state.fleet.others();
-    let asked: Vec<EntryId> = others
-        .choose_multiple(&mut rand::rng(), ASKED)
-        .cloned()
-        .collect();
-    let calls = asked.iter().map(|to| async move {
+    let asked = others.choose_multiple(&mut rand::rng(), ASKED);
+    let calls = asked.map(|to| async move {
         let address = state.fleet.address(to)?;
-        let report = grpc::report(&state.fleet.peers, address, service.as_str());
-        report.await.ok()?.progress
+        grpc::moves(&state.fleet.peers, address).await.ok()
     });
-    let reports = futures::future::join_all(calls).await;
-    reports.into_iter().flatten().reduce(Progress::merge)
+    let mut merged: BTreeMap<ServiceName, Progress> = BTreeMap::new();
+    for (name, progress) in join_all(calls).await.into_iter().flatten().flatten() {
+        let known = merged.remove(&name);
+        let least = known.map_or(progress.clone(), |k| k.merge(progress));
+        merged.insert(name, least);
+    }
+    merged
 }
 
 /// Notes regions whose entries are all gone as far as steering is concerned, and
