Cover a store that fails after a write, and make its faults prompt

Change: the stand-in can answer a write with an error after it took effect, and looks at its faults before it reads requests. The adoption test has a duplicate of a valid revision.

--- a/examples/store_standin/control.rs
+++ b/examples/store_standin/control.rs
@@ -2,6 +2,8 @@
 //!
 //! * `POST /slow/MS` delays every call, zero ends it.
 //! * `POST /lose/N` loses the next N responses to writes that took effect.
+//! * `POST /fail/N` answers the next N writes with an error after they took
+//!   effect.
 //! * `POST /down` closes the listener and all connections, `POST /up` ends it.
 //! * `POST /break` closes all connections once.
 //! * `POST /freeze` leaves all open connections silent; new ones work.
@@ -46,6 +48,7 @@
     match (request.method(), word, number) {
         (&Method::POST, "slow", Some(ms)) => faults.set_slow(ms),
         (&Method::POST, "lose", Some(count)) => faults.set_lose(count),
+        (&Method::POST, "fail", Some(count)) => faults.set_fail(count),
         (&Method::POST, "down", None) => drop(faults.down.send_replace(true)),
         (&Method::POST, "up", None) => drop(faults.down.send_replace(false)),
         (&Method::POST, "break", None) => faults.breaks.send_modify(|n| *n += 1),
--- a/examples/store_standin/protocol.rs
+++ b/examples/store_standin/protocol.rs
@@ -96,6 +96,9 @@
         let write = move |s: &Service| {
             let (response, written) = s.store.txn(request.into_inner())?;
             flag.store(written && s.faults.loses(), Relaxed);
+            if written && s.faults.fails() {
+                return Err(Status::unavailable("etcdserver: request timed out"));
+            }
             Ok(response)
         };
         detached(service.clone(), |f| &f.txn, write)
--- a/examples/store_standin/serve.rs
+++ b/examples/store_standin/serve.rs
@@ -57,11 +57,13 @@
     let connection = builder.serve_connection(TokioIo::new(stream), run);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
-        // A broken connection concerns the client alone.
-        _ = &mut connection => return,
+        // A fault comes before any request that is sent after it.
+        biased;
         _ = breaks.changed() => return,
         _ = down.wait_for(|down| *down) => return,
         _ = freezes.changed() => {}
+        // A broken connection concerns the client alone.
+        _ = &mut connection => return,
     }
     // The socket stays open, and nobody reads or answers.
     tokio::select! {
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -196,6 +196,7 @@
         (6, content(6)),
         (6, content(6)),
         (4, content(4)),
+        (4, content(4)),
         (7, Content::Document(Arc::new(other))),
         (11, content(11)),
         (10, content(10)),
