--- a/src/adapters/grpc/peers.rs
+++ b/src/adapters/grpc/peers.rs
@@ -1,11 +1,6 @@
 //! The calling side.
 
-use std::{
-    fmt, io,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{fmt, io, net::SocketAddr, sync::Arc, time::Instant};
 
 use http::uri::PathAndQuery;
 use hyper_util::rt::TokioIo;
@@ -29,7 +24,7 @@
 
 /// How long an unused channel is kept. Probes go to random peers, so without
 /// this limit each entry would hold a connection to every other one.
-const IDLE_LIMIT: Duration = Duration::from_secs(30);
+const IDLE_LIMIT: Millis = Millis(30_000);
 
 /// The part of a call that failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -183,9 +178,15 @@
     /// Closes channels that have not been used for 30 s. Call it every few
     /// seconds.
     pub fn sweep(&self) {
+        self.sweep_idle(IDLE_LIMIT);
+    }
+
+    /// Closes channels that have not been used for `limit`. Running calls end
+    /// undisturbed.
+    pub fn sweep_idle(&self, limit: Millis) {
         let mut idle = Vec::new();
         self.links.each(|peer, link| {
-            if link.used.elapsed() >= IDLE_LIMIT {
+            if link.used.elapsed() >= limit.duration() {
                 idle.push(*peer);
             }
         });
--- a/src/adapters/grpc/server.rs
+++ b/src/adapters/grpc/server.rs
@@ -146,16 +146,15 @@
 
     /// Stops accepting and waits until running calls have ended. After `limit`
     /// the remaining connections are closed, since a peer that no longer reads
-    /// would keep the process from ending.
-    pub async fn stop(mut self, limit: Millis) {
+    /// would keep the process from ending. Returns whether all calls ended.
+    pub async fn stop(mut self, limit: Millis) -> bool {
         self.stop.send_replace(true);
-        if tokio::time::timeout(limit.duration(), &mut self.task)
-            .await
-            .is_err()
-        {
+        let ended = tokio::time::timeout(limit.duration(), &mut self.task).await;
+        if ended.is_err() {
             tracing::warn!("grpc: calls were still running {limit} after the stop");
             self.task.abort();
         }
+        ended.is_ok()
     }
 }
 
--- a/src/policy/member/members.rs
+++ b/src/policy/member/members.rs
@@ -247,6 +247,7 @@
             self.probe_at = now + self.tuning.period;
         }
         if now >= self.revisit_at {
+            self.forget_old(now);
             self.revisit(rng, &mut out);
             self.revisit_at = now + self.tuning.revisit;
         }
@@ -263,7 +264,8 @@
         self.reply(from, &stale)
     }
 
-    /// Takes an acknowledgement from the probed entry `from`.
+    /// Takes an acknowledgement. `from` is the sender that it names, which is
+    /// another entry than the probed one if an address was reused.
     pub fn on_ack(&mut self, now: Millis, from: &EntryId, nonce: Nonce, updates: Vec<Member>) {
         self.contact(from);
         self.merge(now, updates);
--- a/src/policy/member/merge.rs
+++ b/src/policy/member/merge.rs
@@ -2,7 +2,7 @@
 
 use super::{
     event::EventKind,
-    members::{Entry, Members},
+    members::{DEAD_RETENTION, Entry, Members},
     queue::Urgency,
     record::{Member, State},
 };
@@ -126,20 +126,21 @@
         }
     }
 
-    /// Declares members dead whose suspicion was not refuted in time, and
-    /// forgets those that have been dead for long.
+    /// Declares members dead whose suspicion was not refuted in time.
     pub(super) fn expire(&mut self, now: Millis) {
         let due = |e: &Entry| e.deadline.is_some_and(|at| now >= at);
-        let failed = self.ids_where(due);
-        for id in failed {
+        for id in self.ids_where(due) {
             if let Some(entry) = self.others.get_mut(&id) {
                 entry.fail(now);
             }
             self.queue.push(&id, Urgency::High);
             self.note(now, &id, EventKind::Failed);
         }
-        let old =
-            |e: &Entry| e.view == State::Dead && now - e.since >= super::members::DEAD_RETENTION;
+    }
+
+    /// Forgets members that have been dead for long.
+    pub(super) fn forget_old(&mut self, now: Millis) {
+        let old = |e: &Entry| e.view == State::Dead && now - e.since >= DEAD_RETENTION;
         for id in self.ids_where(old) {
             self.forget(&id);
         }
--- a/tests/grpc.rs
+++ b/tests/grpc.rs
@@ -194,6 +194,29 @@
     }
 }
 
+/// Fails if connections to all peers ever called stay open, or if an idle one
+/// that is open keeps a server from stopping.
+#[tokio::test]
+async fn idle_connections_are_closed() {
+    let routes = Routes::default().route("Echo", |t: Text| async { Ok(t) });
+    let (one, two) = (serve(routes.clone()).await, serve(routes).await);
+    let pool = peers(PATIENT);
+    for server in [&one, &two] {
+        let echo = pool
+            .call::<Text, Text>(server.addr(), "Echo", text(1))
+            .await;
+        assert_eq!(echo, Ok(text(1)));
+    }
+    pool.sweep();
+    assert_eq!(pool.open(), 2);
+    let at = two.addr();
+    assert!(one.stop(PATIENT).await && two.stop(PATIENT).await);
+    let failed = pool.call::<Text, Text>(at, "Echo", text(1)).await;
+    assert_eq!(failed.expect_err("it has stopped").step, Step::Connect);
+    pool.sweep_idle(Millis(0));
+    assert_eq!(pool.open(), 0);
+}
+
 /// Fails if a stop breaks a call that is running, or takes new ones.
 #[tokio::test]
 async fn a_stop_waits_for_running_calls() {
@@ -214,11 +237,11 @@
     begun.notified().await;
     let stopping = tokio::spawn(server.stop(PATIENT));
     while tokio::net::TcpStream::connect(at).await.is_ok() {
-        tokio::task::yield_now().await;
+        tokio::time::sleep(Millis(1).duration()).await;
     }
     finish.notify_one();
     assert_eq!(call.await.expect("no panic"), Ok(text(3)));
-    stopping.await.expect("no panic");
+    assert!(stopping.await.expect("no panic"));
 }
 
 /// Fails if messages or bytes are missed, since the budget for control traffic
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -133,6 +133,34 @@
     assert_eq!(fleet.nodes.iter().filter(|m| failed(m)).count(), 29);
 }
 
+/// Fails if lookups do not learn of an overloaded entry, or if its report looks
+/// like a restart or a refutation.
+#[test]
+fn a_load_report_reaches_everyone() {
+    let mut fleet = Fleet::formed(30, 10, Tuning::default());
+    fleet.nodes[7].set_load(Load::Severe);
+    fleet.run(Millis(10_000));
+    let told = |m: &&Members| m.get(&id(7)).is_some_and(|o| o.0.load == Load::Severe);
+    assert_eq!(fleet.nodes.iter().filter(told).count(), 30);
+    assert!(fleet.timeline.is_empty(), "{:#?}", fleet.timeline);
+}
+
+/// Fails if members that the platform has removed are kept, or if a late message
+/// removes their successor.
+#[test]
+fn a_removed_vm_is_forgotten_but_not_its_successor() {
+    let mut members = Members::new(member(0), Vec::new(), Tuning::default());
+    let successor = Member {
+        incarnation: Incarnation(2),
+        ..member(1)
+    };
+    members.on_update(Millis(0), successor);
+    members.remove(&id(1), Incarnation(1));
+    assert!(members.get(&id(1)).is_some());
+    members.remove(&id(1), Incarnation(2));
+    assert!(members.get(&id(1)).is_none());
+}
+
 /// Fails if a partition of an hour leaves the sides apart, or if its end takes
 /// entries out of use that could be reached all the time.
 #[test]
