Bound the comparison of views after a partition

Cause: at the two-year size, half of the members are held dead after a partition. A truncated reply that changed nothing was requested again at each tick (64 KB every 100 ms), each contact caused a comparison, and all entries checked the same dead members in the order of their names.

Ruled out: a larger reply (the message limit is 256 KB), no comparison on contact (a partition would heal only at the speed of probes).

Change: a truncated reply is followed by another request only if it held news, views are compared at most once a second, dead members to check are drawn at random, and replies begin at a place that depends on the peer. Records that claim a death are left out of comparisons.

A partition at 2,800 entries was not run.

--- a/src/policy/member/members.rs
+++ b/src/policy/member/members.rs
@@ -167,6 +167,8 @@
     pub(super) probe_at: Millis,
     pub(super) revisit_at: Millis,
     pub(super) sync_at: Millis,
+    /// When views were last compared.
+    pub(super) synced: Millis,
 }
 
 impl Members {
@@ -194,6 +196,7 @@
             probe_at: Millis(0),
             revisit_at: Millis(0),
             sync_at: Millis(0),
+            synced: Millis(0),
         }
     }
 
@@ -301,21 +304,25 @@
     /// were left out because of their size.
     #[must_use]
     pub fn on_digest(&self, digest: &ViewDigest) -> (Vec<Member>, bool) {
-        digest.differing(self.not_dead())
+        digest.differing(&self.me.id, self.not_dead())
     }
 
     /// Takes the reply to a comparison. `more` is true if the peer has further
     /// records that differ.
     pub fn on_records(&mut self, now: Millis, from: &EntryId, records: Vec<Member>, more: bool) {
+        let mut news = false;
         for record in records {
             let id = record.id.clone();
             let scheduled = self.queue.contains(&id);
             self.on_update(now, record);
-            if !scheduled {
+            if !scheduled && self.queue.contains(&id) {
                 self.queue.defer(&id);
+                news = true;
             }
         }
-        if more {
+        // After a partition most records can be of members that are held dead
+        // here. These change nothing yet, and the same reply would come again.
+        if more && news {
             self.syncs.insert(from.clone());
         }
     }
@@ -362,7 +369,8 @@
     }
 
     pub(super) fn not_dead(&self) -> impl Iterator<Item = &Member> + Clone {
-        let others = self.others.values().filter(|e| e.view != State::Dead);
+        let others = self.others.values();
+        let others = others.filter(|e| e.record.state != State::Dead);
         std::iter::once(&self.me).chain(others.map(|e| &e.record))
     }
 
--- a/src/policy/member/probes.rs
+++ b/src/policy/member/probes.rs
@@ -85,10 +85,22 @@
                 self.relay_through_peers(&target, nonce, rng, out);
             }
         }
-        for _ in 0..RECHECKS {
-            if let Some(target) = self.rechecks.pop_first() {
-                self.probe(&target, out);
-            }
+        self.check_dead(rng, out);
+    }
+
+    /// Probes some of the members that are live for a peer and dead for this
+    /// entry, drawn at random: others have the same list and would otherwise
+    /// probe the same ones at the same time.
+    fn check_dead(&mut self, rng: &mut impl Rng, out: &mut Vec<Action>) {
+        let others = &self.others;
+        self.rechecks
+            .retain(|id| others.get(id).is_some_and(|e| e.view == State::Dead));
+        let all: Vec<&EntryId> = self.rechecks.iter().collect();
+        let chosen = all.choose_multiple(rng, RECHECKS);
+        let chosen: Vec<EntryId> = chosen.map(|id| (*id).clone()).collect();
+        for target in chosen {
+            self.rechecks.remove(&target);
+            self.probe(&target, out);
         }
     }
 
@@ -124,11 +136,18 @@
             let peers = self.random_peers(rng, 1, None);
             self.syncs.extend(peers.into_iter().map(|p| p.id));
         }
-        for id in std::mem::take(&mut self.syncs) {
-            if let Some(to) = self.others.get(&id).map(|e| e.record.peers) {
-                let digest = super::ViewDigest::of(self.not_dead());
-                out.push(Action::Sync { to, digest });
-            }
+        if now < self.synced + self.tuning.period {
+            return;
+        }
+        // After a partition every contact asks for a comparison. One a second is
+        // enough, and bounds the replies to 64 KB/s.
+        let waiting = std::mem::take(&mut self.syncs);
+        let known = waiting.iter().filter_map(|id| self.others.get(id));
+        let known: Vec<_> = known.map(|e| e.record.peers).collect();
+        if let Some(to) = known.choose(rng).copied() {
+            let digest = super::ViewDigest::of(self.not_dead());
+            out.push(Action::Sync { to, digest });
+            self.synced = now;
         }
     }
 
--- a/src/policy/member/sync.rs
+++ b/src/policy/member/sync.rs
@@ -49,26 +49,33 @@
     }
 
     /// Returns the records in differing buckets, and whether some were left
-    /// out because of the size limit.
+    /// out because of the size limit. The first record depends on `me`, so that
+    /// replies of several peers together hold all of them.
     pub(super) fn differing<'a>(
         &self,
+        me: &EntryId,
         members: impl Iterator<Item = &'a Member> + Clone,
     ) -> (Vec<Member>, bool) {
         let mine = Self::with_buckets(self.0.len(), members.clone());
-        let mut records = Vec::new();
+        let differs = |m: &&Member| {
+            let at = bucket(&m.id, self.0.len());
+            mine.0.get(at) != self.0.get(at)
+        };
+        let mut differing: Vec<&Member> = members.filter(differs).collect();
+        let start = bucket(me, differing.len());
+        differing.rotate_left(start);
         let mut used = 0;
-        for member in members {
-            let at = bucket(&member.id, self.0.len());
-            if mine.0.get(at) == self.0.get(at) {
-                continue;
-            }
-            used += member.size();
-            if used > REPLY_BYTES {
-                return (records, true);
-            }
-            records.push(member.clone());
-        }
-        (records, false)
+        let fits = |m: &&&Member| {
+            used += m.size();
+            used <= REPLY_BYTES
+        };
+        let records: Vec<Member> = differing
+            .iter()
+            .take_while(fits)
+            .map(|m| (*m).clone())
+            .collect();
+        let more = records.len() < differing.len();
+        (records, more)
     }
 
     fn with_buckets<'a>(buckets: usize, members: impl Iterator<Item = &'a Member>) -> Self {
