Measure what shared limits cost

Cause: time, memory and traffic of the limits were not known. Ruled out: a counting allocator, which needs unsafe code. Memory is the growth of the resident set over 4,000 ledgers, which is coarse. Change: examples/limit_slope.

--- a/examples/limit_slope/cost.rs
+++ b/examples/limit_slope/cost.rs
@@ -8,7 +8,7 @@
 use super::traffic::member;
 
 const ROUNDS: u32 = 5_000_000;
-const LEDGERS: usize = 20_000;
+const LEDGERS: usize = 4_000;
 
 fn seats(count: usize) -> Vec<Seat> {
     let seat = |i| Seat {
@@ -56,6 +56,18 @@
         black_box(ledger.admit(1, Millis(u64::from(i))));
     }
     println!("admit: {:?}", start.elapsed() / ROUNDS);
+    for (kind, limit) in [
+        ("5 slots", Limit::Slots(Slots(5))),
+        ("a rate", Limit::requests(Rps(600))),
+    ] {
+        let mut ledger = alone(limit);
+        let rounds = ROUNDS / 50;
+        let start = Instant::now();
+        for i in 0..rounds {
+            black_box(ledger.tick(Millis(u64::from(i) * 100)));
+        }
+        println!("tick of {kind}: {:?}", start.elapsed() / rounds);
+    }
 }
 
 /// Returns the resident memory of this process in bytes.
@@ -66,33 +78,32 @@
 }
 
 /// Prints the memory of limits for one entry among `count`.
-pub fn print_memory(count: usize) {
+///
+/// Nothing is freed in between, since memory that is used again would not count.
+pub fn print_memory(count: usize) -> Vec<Ledger> {
     let roster = Arc::new(Roster::new(Epoch(1), seats(count)));
+    let mut all = Vec::with_capacity(4 * LEDGERS);
     for (kind, limit) in [
         ("5 slots", Limit::Slots(Slots(5))),
         ("a rate", Limit::requests(Rps(600))),
     ] {
         let start = resident();
-        let make = |i: usize| {
+        let first = all.len();
+        for i in 0..LEDGERS {
             let name = format!("slots/10.0.{}.{}:8080", i / 250, i % 250);
             let name = name.parse().expect("a valid name");
             let mut ledger = Ledger::new(name, member(0), limit);
             ledger.set_roster(roster.clone(), Millis(1));
-            ledger
-        };
-        let mut ledgers: Vec<Ledger> = (0..LEDGERS / 10).map(make).collect();
-        let each = (resident() - start) / ledgers.len();
-        let start = resident();
-        let mut loans = 0;
-        for ledger in &mut ledgers {
-            loans += borrow(ledger, limit.units());
+            all.push(ledger);
         }
-        let more = resident().saturating_sub(start);
-        println!(
-            "{count:>3} entries: {each} B per limit of {kind}, {} B more per loan",
-            more / loans.max(1)
-        );
+        let each = resident().saturating_sub(start) / LEDGERS;
+        let start = resident();
+        let borrow_all = |l: &mut Ledger| borrow(l, limit.units());
+        let loans: usize = all[first..].iter_mut().map(borrow_all).sum();
+        let more = resident().saturating_sub(start) as f64 / loans.max(1) as f64;
+        println!("{count:>3} entries: {each} B per limit of {kind}, {more:.1} B more per loan");
     }
+    all
 }
 
 /// Lets a ledger borrow every unit from its peers.
--- a/examples/limit_slope/main.rs
+++ b/examples/limit_slope/main.rs
@@ -15,9 +15,8 @@
     let seed = seed.unwrap_or(1);
     println!("seed {seed}");
     cost::print_time();
-    for count in [9, 47] {
-        cost::print_memory(count);
-    }
+    let kept = [9, 47].map(cost::print_memory);
+    drop(kept);
     for count in [3, 9, 30, 47] {
         traffic::print(count, seed);
     }
