Test planned stops and late grants of dead lenders

Cause: a mutant that accepts a dead lender's late grant survived the random runs, since they seldom produce that order. Change: a directed test of that order, a timeline of a leaving entry, and Ledger::is_empty, which tells a leaving entry that it may stop. Conclusion: the survey's promise is now guarded.

--- a/src/policy/limit/ledger.rs
+++ b/src/policy/limit/ledger.rs
@@ -360,6 +360,13 @@
         all.filter(|u| usable(*u) || self.is_busy(*u)).collect()
     }
 
+    /// Returns whether this entry neither owns nor holds anything, so that it may
+    /// stop without costing capacity until the platform reports it gone.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.units.iter().all(|u| matches!(u, Unit::Absent))
+    }
+
     /// Returns a summary.
     #[must_use]
     pub fn status(&self) -> Status {
--- a/tests/limit/script.rs
+++ b/tests/limit/script.rs
@@ -14,6 +14,8 @@
     pub ledgers: Vec<Ledger>,
     pub now: Millis,
     pub log: String,
+    /// The entry that the next roster marks as leaving.
+    pub leaving: Option<usize>,
     /// Whether messages stay out of the record.
     pub quiet: bool,
     limit: Limit,
@@ -57,6 +59,7 @@
             ledgers: Vec::new(),
             now: Millis(1_000),
             log: String::new(),
+            leaving: None,
             quiet: false,
             limit,
             border: usize::MAX,
@@ -89,7 +92,7 @@
     pub fn adopt(&mut self, epoch: u64, count: usize) {
         let seat = |i: usize| Seat {
             member: member(i, self.incarnations[i]),
-            leaving: false,
+            leaving: self.leaving == Some(i),
         };
         let seats = (0..count).map(seat).collect();
         let roster = Arc::new(Roster::new(Epoch(epoch), seats));
--- a/tests/limit/timelines.rs
+++ b/tests/limit/timelines.rs
@@ -4,7 +4,7 @@
 use savorybeam::domain::{Millis, Rps, Slots};
 use savorybeam::policy::limit::Limit;
 
-use super::script::Script;
+use super::{script::Script, world::member};
 
 /// Guards the usual course: what is needed is lent and comes back.
 #[test]
@@ -80,3 +80,57 @@
     script.holdings();
     insta::assert_snapshot!(script.log);
 }
+
+/// Guards against a planned stop that costs capacity until the platform reports
+/// it.
+#[test]
+fn a_leaving_entry_hands_everything_over() {
+    let mut script = Script::new(3, Limit::Slots(Slots(6)));
+    let own = script.acquire(0, 1);
+    let lent = script.acquire(1, 6);
+    script.holdings();
+    script.leaving = Some(0);
+    script.adopt(2, 3);
+    script.run(Millis(300));
+    script.release(0, own);
+    script.release(1, lent);
+    script.run(Millis(3_000));
+    script.holdings();
+    let empty = script.ledgers[0].is_empty();
+    script.note(&format!("e0 may stop: {empty}"));
+    insta::assert_snapshot!(script.log);
+}
+
+/// Guards against a grant that arrives after its lender is gone and after the
+/// new home has claimed the unit. The random runs seldom produce this order.
+#[test]
+fn a_late_grant_of_a_dead_lender_is_refused() {
+    let mut script = Script::new(2, Limit::Slots(Slots(8)));
+    script.start(2, 1);
+    script.adopt(2, 3);
+    let _running = script.acquire(0, 4);
+    assert!((0..3).all(|_| script.ledgers[0].acquire().is_none()));
+    let now = script.now + Millis(100);
+    let [asker, lender, home] = [0, 1, 2].map(|i| member(i, 1));
+    let mut grants = Vec::new();
+    for ask in script.ledgers[0].tick(now) {
+        grants.extend(script.ledgers[1].on_message(&asker, &ask.to, ask.item, now));
+    }
+    script.ledgers[0].on_gone(&lender, now);
+    script.ledgers[2].on_gone(&lender, now);
+    for survey in script.ledgers[2].tick(now) {
+        for answer in script.ledgers[0].on_message(&home, &survey.to, survey.item, now) {
+            script.ledgers[2].on_message(&asker, &answer.to, answer.item, now);
+        }
+    }
+    for grant in grants {
+        let refused = script.ledgers[0].on_message(&lender, &grant.to, grant.item, now);
+        script.note(&format!(
+            "e0 answers the grant with {} messages",
+            refused.len()
+        ));
+    }
+    script.now = now;
+    script.holdings();
+    insta::assert_snapshot!(script.log);
+}
