Test that a grant to a former life is ignored

Cause: a mutant without the check of the recipient survived the random runs. Change: a directed test of an ask number that two lives of an entry share. Conclusion: the check of the recipient is guarded.

--- a/tests/limit/timelines.rs
+++ b/tests/limit/timelines.rs
@@ -134,3 +134,34 @@
     script.holdings();
     insta::assert_snapshot!(script.log);
 }
+
+/// Guards against a grant to the former life of an entry whose ask had the same
+/// number: the lender has freed that loan already.
+#[test]
+fn a_grant_to_a_former_life_is_ignored() {
+    let mut script = Script::new(2, Limit::Slots(Slots(4)));
+    let mut grants = Vec::new();
+    for life in [1, 2] {
+        let _running = script.acquire(0, script.ledgers[0].status().usable as usize);
+        assert!(script.ledgers[0].acquire().is_none());
+        let asks = script.ledgers[0].request(script.now);
+        script.note(&format!("life {life} of e0 asks: {}", asks.len()));
+        if life == 1 {
+            for ask in asks {
+                let (asker, item) = (member(0, 1), ask.item);
+                grants.extend(script.ledgers[1].on_message(&asker, &ask.to, item, script.now));
+            }
+            script.start(0, 2);
+            script.adopt(2, 2);
+            script.run(Millis(300));
+            script.holdings();
+        }
+    }
+    for mut grant in grants {
+        grant.item.epoch = script.ledgers[0].epoch();
+        let now = script.now;
+        script.ledgers[0].on_message(&member(1, 1), &grant.to, grant.item, now);
+    }
+    script.holdings();
+    insta::assert_snapshot!(script.log);
+}
