Add an outbox for releases and answers

Cause: a release that is lost keeps its key in progress for the retention period, and a home of a newer roster can copy a vote while its release is under way.

Ruled out: homes that ask the claimant for the fate of old votes, since a claimant that restarted could not tell either.

Change: policy::once::Outbox sends each message until every home has answered, and to the homes of rosters adopted within 30 s. It is bounded and drops the oldest message, which is safe.

Conclusion: the entry only has to send what is due and report the replies.

--- a/src/policy/once/claimant.rs
+++ b/src/policy/once/claimant.rs
@@ -93,9 +93,9 @@
 /// to [`Self::on_reply`] and calls [`Self::on_timeout`] at its deadline. It must
 /// ask [`Self::dispatch`] immediately before it writes the request to a target.
 ///
-/// Messages of [`Self::release`] and [`Self::finish`] should be repeated until
-/// each home has acknowledged them, since nobody else can send them. Losing one
-/// is safe, but keeps the key in progress until the end of its retention.
+/// Messages of [`Self::release`] and [`Self::finish`] go through an
+/// [`Outbox`](super::Outbox), since nobody else can send them. Losing one is
+/// safe, but keeps the key in progress until the end of its retention.
 #[derive(Debug)]
 pub struct Claimant {
     vote: Vote,
--- a/src/policy/once/message.rs
+++ b/src/policy/once/message.rs
@@ -33,6 +33,18 @@
     }
 }
 
+impl From<Release> for Request {
+    fn from(release: Release) -> Self {
+        Self::Release(release)
+    }
+}
+
+impl From<Finish> for Request {
+    fn from(finish: Finish) -> Self {
+        Self::Finish(finish)
+    }
+}
+
 /// A home's response.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Response {
--- a/tests/claim_rules.rs
+++ b/tests/claim_rules.rs
@@ -10,8 +10,8 @@
     domain::{Epoch, Incarnation, Millis, Size},
     policy::once::{
         Answer, AttemptId, Bucket, ClaimKey, Claimant, Decision, Fingerprint, Finish, HomeSet,
-        Limits, Member, RETENTION, Read, Reason, Register, Release, Reply, Roster, RosterEntry,
-        TOMBSTONE, Vote,
+        Limits, Member, MessageId, Outbox, RETENTION, Read, Reason, Register, Release, Reply,
+        Roster, RosterEntry, TOMBSTONE, Vote,
     },
 };
 
@@ -459,3 +459,39 @@
     register.adopt(&homes(1, &["a", "b", "c"]), &next);
     assert_eq!((register.is_ready(), register.reads().len()), (false, 3));
 }
+
+/// A release that a home never gets blocks its key for a day: it is sent again
+/// until each home has it, and to homes of a roster that is adopted meanwhile.
+#[test]
+fn the_outbox_sends_until_all_homes_have_answered() {
+    let key = key("k");
+    let mut outbox = Outbox::new(2);
+    let message = |attempt, name: &str| vec![(member(name), release(&key, attempt))];
+    let mut log = Vec::new();
+    let mut due = |outbox: &mut Outbox, at| {
+        let due = outbox.due(Millis(at));
+        let names: Vec<String> = due
+            .iter()
+            .map(|(i, m, _)| format!("{} to {m}", i.0))
+            .collect();
+        log.push(format!("{at}: {}", names.join(", ")));
+    };
+    outbox.push(message(1, "a"), Millis(0));
+    outbox.push([message(2, "a"), message(2, "b")].concat(), Millis(0));
+    due(&mut outbox, 0);
+    due(&mut outbox, 100);
+    outbox.on_reply(MessageId(1), &member("a"));
+    outbox.on_reply(MessageId(1), &member("a"));
+    due(&mut outbox, 150);
+    outbox.push(message(3, "a"), Millis(200));
+    due(&mut outbox, 200);
+    outbox.on_reply(MessageId(1), &member("b"));
+    outbox.on_reply(MessageId(2), &member("a"));
+    outbox.on_roster(|_| homes(2, &["a", "d"]));
+    due(&mut outbox, 210);
+    due(&mut outbox, 29_999);
+    due(&mut outbox, 30_000);
+    due(&mut outbox, 30_200);
+    assert!(outbox.is_empty());
+    insta::assert_snapshot!(log.join("\n"));
+}
