Test that repeated notices do not prolong a block

The merge property gave each run the same number of duplicates, so it passed a merge that adds.

Ruled out: nothing else was considered.

Change: a test for both, and a different number of duplicates in each run of the property. The refusal speaks of connections, since two strikes can come from one target.

--- a/src/policy/crash/strikes.rs
+++ b/src/policy/crash/strikes.rs
@@ -120,7 +120,7 @@
             return Admission::Free;
         }
         if count >= STRIKES {
-            let detail = format!("the request broke the connections of {count} targets");
+            let detail = format!("the request broke {count} connections to targets");
             let left = suspect.latest + BLOCK - now;
             return Admission::Refused(Refusal::not_run(Code::Blocked, detail).retry_after(left));
         }
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -83,10 +83,10 @@
         }
         let end = Millis(100);
         let mut counts = BTreeSet::new();
-        for _ in 0..4 {
+        for copies in 1..5 {
             notices.shuffle(&mut rng);
             let mut table = Strikes::new(member(9), 100);
-            for notice in notices.iter().chain(&notices) {
+            for notice in std::iter::repeat_n(&notices, copies).flatten() {
                 table.merge(notice, end);
             }
             counts.insert(table.count(BAD, end));
@@ -133,6 +133,28 @@
     insta::assert_snapshot!(log.join("\n"));
 }
 
+/// Gossip repeats a notice for as long as it is known, which must not prolong
+/// the block or renew it.
+#[test]
+fn repeated_notices_do_not_prolong_a_block() {
+    let mut here = Strikes::new(member(0), 100);
+    let mut peer = Strikes::new(member(1), 100);
+    here.strike(BAD, Millis(0));
+    let mut notice = here.strike(BAD, Millis(0));
+    peer.merge(&notice, Millis(0));
+    peer.merge(&notice, Millis(5000));
+    assert_eq!(peer.count(BAD, Millis(BLOCK.0 - 1)), 2);
+    assert_eq!(peer.count(BAD, BLOCK), 0);
+    notice.age = BLOCK;
+    let mut new = Strikes::new(member(2), 100);
+    assert_eq!(new.merge(&notice, BLOCK), None);
+    assert!(new.is_empty(), "the block has ended");
+    notice.age = Millis(BLOCK.0 - 7);
+    new.merge(&notice, BLOCK);
+    assert_eq!(new.count(BAD, BLOCK + Millis(6)), 2);
+    assert_eq!(new.count(BAD, BLOCK + Millis(7)), 0);
+}
+
 /// A member that forgets its strikes and counts from one again would have its
 /// new strike taken for the old one, which a peer has cleared.
 #[test]
