Measure headroom in the bench

Cause: the bench showed the greatest use of slots but not how much load can be carried. Change: a row with the greatest load, in steps of 5% of saturation, up to which 99% of the requests are answered in time.

--- a/examples/bench/main.rs
+++ b/examples/bench/main.rs
@@ -120,6 +120,9 @@
     }
 }
 
+/// The loads at which headroom is measured, in parts of saturation.
+const LOADS: [f64; 9] = [0.70, 0.75, 0.80, 0.85, 0.90, 0.95, 1.00, 1.05, 1.10];
+
 fn runs(deployment: &Deployment, seed: u64, ours: bool) -> Runs {
     let usual = [phase(60, 0.6, 1.0)];
     let burst = [
@@ -133,8 +136,14 @@
         phase(60, 2.0, 1.0),
         phase(80, 0.5, 1.0),
     ];
+    let load = |load| {
+        let phases = [phase(30, load, 1.0)];
+        let tally = run(deployment, &phases, Trouble::None, seed, ours);
+        (load, tally.failures())
+    };
     let with = |trouble| run(deployment, &usual, trouble, seed, ours);
     Runs {
+        loads: LOADS.map(load).into(),
         usual: with(Trouble::None),
         burst: run(deployment, &burst, Trouble::None, seed, ours),
         slowed: [1, 2, 3].map(|n| with(Trouble::Slowed(n))).into(),
--- a/examples/bench/report.rs
+++ b/examples/bench/report.rs
@@ -11,6 +11,8 @@
 
 /// The runs of one policy in one deployment.
 pub struct Runs {
+    /// Loads and the requests not answered in time, in percent.
+    pub loads: Vec<(f64, f64)>,
     pub usual: Tally,
     pub burst: Tally,
     /// The runs with one, two and three slowed targets of the first service.
@@ -40,6 +42,15 @@
     tally.percentile(None, Lane::Short, part)
 }
 
+/// Returns the greatest load, in percent, up to which 99% are answered in time.
+fn headroom(runs: &Runs) -> f64 {
+    let good = runs
+        .loads
+        .iter()
+        .take_while(|(_, failures)| *failures <= 1.0);
+    good.map(|(load, _)| load * 100.0).fold(0.0, f64::max)
+}
+
 fn slowed(runs: &Runs, n: usize) -> f64 {
     runs.slowed[n - 1].percentile(Some(0), Lane::Short, 0.99)
 }
@@ -98,6 +109,11 @@
             |r| r.usual.region_peak.into(),
             Most(100.0),
         ),
+        (
+            "greatest load with 99% in time, % of saturation",
+            headroom,
+            None,
+        ),
         (
             "short behind long p99, ms",
             |r| short(&r.burst, 0.99),
