--- a/src/policy/lookup/rank.rs
+++ b/src/policy/lookup/rank.rs
@@ -91,10 +91,8 @@
     fn order(&self, other: &Self) -> Ordering {
         let key = |r: &Self| (r.suspect, r.distance, r.overloaded);
         let ids = || self.member.candidate.id.cmp(&other.member.candidate.id);
-        key(self)
-            .cmp(&key(other))
-            .then(self.score.total_cmp(&other.score))
-            .then_with(ids)
+        let keys = key(self).cmp(&key(other));
+        keys.then(self.score.total_cmp(&other.score)).then_with(ids)
     }
 }
 
@@ -139,11 +137,14 @@
 }
 
 fn insert<'a>(best: &mut Vec<Ranked<'a>>, limit: usize, new: Ranked<'a>) {
-    let at = best.partition_point(|r| r.order(&new) == Ordering::Less);
-    if at < limit {
-        best.truncate(limit - 1);
-        best.insert(at, new);
+    // Most entries come after the last one, so that comparison is first.
+    let full = best.len() == limit;
+    if full && best.last().is_some_and(|r| r.order(&new) == Ordering::Less) {
+        return;
     }
+    best.truncate(limit - 1);
+    let at = best.partition_point(|r| r.order(&new) == Ordering::Less);
+    best.insert(at, new);
 }
 
 /// Returns the weighted rendezvous score: an exponential variable whose rate is
--- a/src/policy/lookup/shard.rs
+++ b/src/policy/lookup/shard.rs
@@ -37,10 +37,6 @@
         }
     }
 
-    pub(super) fn is_empty(&self) -> bool {
-        self.starts.is_empty()
-    }
-
     /// Returns the site of the longest block that holds `addr`.
     pub(super) fn find(&self, addr: K) -> Option<SiteId> {
         let mut at = self.starts.partition_point(|s| *s <= addr).checked_sub(1)?;
--- a/src/policy/lookup/view.rs
+++ b/src/policy/lookup/view.rs
@@ -81,21 +81,31 @@
 /// The region of each site.
 #[derive(Clone, Debug, Default)]
 pub struct Sites {
-    regions: BTreeMap<SiteId, RegionName>,
+    /// Sorted by site.
+    regions: Box<[(SiteId, RegionName)]>,
 }
 
 impl Sites {
-    /// Collects sites with their regions.
+    /// Collects sites with their regions. Each site may appear once.
     pub fn new(sites: impl IntoIterator<Item = (SiteId, RegionName)>) -> Self {
+        let mut regions: Vec<_> = sites.into_iter().collect();
+        regions.sort_by_key(|(site, _)| *site);
         Self {
-            regions: sites.into_iter().collect(),
+            regions: regions.into(),
         }
     }
 
     /// Returns the region of a site.
     #[must_use]
     pub fn region(&self, site: SiteId) -> Option<&RegionName> {
-        self.regions.get(&site)
+        let at = self.regions.binary_search_by_key(&site, |(s, _)| *s);
+        at.ok().map(|at| &self.regions[at].1)
+    }
+
+    /// Returns the memory that the sites take, without the shared text of names.
+    #[must_use]
+    pub fn size(&self) -> Size {
+        Size((size_of::<Self>() + size_of_val(&*self.regions)) as u64)
     }
 }
 
