--- a/examples/lookup_slope/main.rs
+++ b/examples/lookup_slope/main.rs
@@ -93,6 +93,16 @@
     time.expect("the kernel accounts for the time of threads")
 }
 
+/// Returns the processor time of a new view in microseconds.
+fn measure_view(world: &World) -> f64 {
+    const VIEWS: u32 = 100;
+    let start = processor_time();
+    for _ in 0..VIEWS {
+        black_box(world.rebuild());
+    }
+    (processor_time() - start) / 1e3 / f64::from(VIEWS)
+}
+
 /// Returns the resident memory of this process in bytes.
 fn resident() -> usize {
     let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
@@ -110,11 +120,12 @@
         let world = world(blocks);
         let bytes = |size: u64, count: usize| size as f64 / count as f64;
         memory.push(format!(
-            "| {blocks} | {:.1} | {:.1} | {:.1} | {} |",
+            "| {blocks} | {:.1} | {:.1} | {:.1} | {} | {:.0} |",
             bytes(world.table.size().0, world.table.len()),
             bytes(world.sites.size().0, SITES as usize),
             bytes(world.view.size().0, world.view.len()),
             resident() / 1_048_576,
+            measure_view(&world),
         ));
         for threads in THREADS {
             let find = measure(threads, |at| world.find(at));
@@ -127,7 +138,7 @@
         }
     }
     println!(
-        "\n| blocks | bytes per block | bytes per site | bytes per member | resident, MB |\n|---|---|---|---|---|"
+        "\n| blocks | bytes per block | bytes per site | bytes per member | resident, MB | new view, µs |\n|---|---|---|---|---|---|"
     );
     println!("{}", memory.join("\n"));
 }
--- a/examples/lookup_slope/world.rs
+++ b/examples/lookup_slope/world.rs
@@ -26,6 +26,8 @@
     pub table: BlockTable,
     pub sites: Sites,
     pub view: View,
+    members: Vec<Candidate>,
+    delays: Delays,
     probes: Vec<IpAddr>,
     services: Vec<ServiceName>,
 }
@@ -90,10 +92,13 @@
     let pairs = (0..REGIONS).flat_map(|a| (0..a).map(move |b| (a, b)));
     let links = pairs.map(|(a, b)| (region(a), region(b), Millis(20 + (a * b % 90) as u64)));
     let probe = |_| changes[rng.random_range(0..changes.len())].prefix.addr();
+    let delays = Delays::new(links);
     World {
         table,
         sites: Sites::new((0..SITES).map(|s| (SiteId(s), region(s as usize % REGIONS)))),
-        view: View::new(&members, &Delays::new(links)),
+        view: View::new(&members, &delays),
+        members,
+        delays,
         probes: (0..LOOKUPS).map(probe).collect(),
         services: ["slotboard", "bokun", "status-desk"].map(name).to_vec(),
     }
@@ -104,6 +109,11 @@
         self.table.find(self.probes[at % LOOKUPS])
     }
 
+    /// Prepares the view anew, as after a change of the membership.
+    pub fn rebuild(&self) -> View {
+        View::new(&self.members, &self.delays)
+    }
+
     pub fn look_up(&self, at: usize) -> usize {
         let region = self.find(at).and_then(|site| self.sites.region(site));
         let service = &self.services[at % self.services.len()];
