Test the administration, the commands, the timeline and dev; document them

Cause: nothing guarded the outcomes that operators are told, and a newcomer's first request to dev was often refused with limit-reached, because an entry is ready before its units of shared limits arrive.

Ruled out: a longer wait of fixed length in dev, which would be a guess.

Change: README, glossary, operating and api pages; a test holds the tables of codes, metrics and events against the code. dev sends requests until each entry has served each service before it prints its line. Tests of editors' races, lost answers of the store, bad tokens, oversized and slow bodies, malformed HTTP, exit codes, and merging of timelines.

Conclusion: the interface keeps its promises in these tests.

--- a/src/app/dev/mod.rs
+++ b/src/app/dev/mod.rs
@@ -5,6 +5,7 @@
 //! production: the entries serve on sockets of their own, and the first
 //! documents are edits like any other.
 
+mod probe;
 mod sample;
 pub mod target;
 
@@ -69,6 +70,12 @@
     for entry in &entries {
         entry.ready().await;
     }
+    let client = http::open(clock);
+    for entry in &entries {
+        for service in sample::SERVICES {
+            probe::served(&client, entry.callers(), service).await?;
+        }
+    }
     Ok(Dev { entries, targets })
 }
 
--- /dev/null
+++ b/tests/site/mod.rs
@@ -0,0 +1,234 @@
+//! An administration server over a store in memory that can fail.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering::SeqCst},
+    },
+};
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::Full;
+use savorybeam::{
+    adapters::{
+        clock,
+        http::Server,
+        metrics::{self, Metrics},
+        store::{Calls, memory},
+    },
+    app::entry::admin::{self, Admin, open_events},
+    ports::{
+        AdminPort, Events, Store, StoreError,
+        admin::{Decision, Gathered, Placement, Status},
+    },
+};
+
+use crate::harness::{Answer, send};
+
+/// The token of team kitchens.
+pub const TOKEN: &str = "token-of-the-kitchens";
+/// The token of team payouts, which is as long.
+pub const OTHER: &str = "token-of-the-payouts!";
+/// A valid document.
+pub const DOCUMENT: &str = "\
+[service]
+name = slotboard
+team = kitchens
+deadline = 5 s
+
+[place reykjanes-1]
+region = reykjanes
+az = reykjanes-1
+weight = 60
+slots = 5
+targets = 10.0.0.1:8080, 10.0.0.2:8080
+";
+
+/// What the store does wrong.
+#[derive(Debug, Default)]
+pub struct Faults {
+    /// No call gets through.
+    pub down: AtomicBool,
+    /// So many writes take effect without an answer.
+    pub lost: AtomicU64,
+    /// The store goes down as soon as an answer is lost.
+    pub dies: AtomicBool,
+}
+
+/// A running server.
+pub struct Site {
+    pub addr: SocketAddr,
+    pub faults: Arc<Faults>,
+    pub metrics: Metrics,
+    // Held, since the server stops when it is dropped.
+    _server: Server,
+}
+
+impl Site {
+    pub async fn spawn() -> Self {
+        let faults: Arc<Faults> = Arc::default();
+        let clock = clock::open();
+        let calls: Arc<Calls> = Arc::default();
+        let store = memory::open(clock.clone()).store(&calls);
+        let metrics = metrics::open(calls);
+        let events = open_events("e1".parse().expect("a name"), &clock, &metrics);
+        let teams = [("kitchens", TOKEN), ("payouts", OTHER)];
+        let teams: BTreeMap<_, _> = teams
+            .map(|(t, token)| (t.parse().expect("a name"), token.to_owned()))
+            .into();
+        let admin = Admin {
+            teams,
+            clock,
+            store: faulty(store, &faults),
+            metrics: metrics.clone(),
+            port: port(&events),
+            events,
+        };
+        let addr = "127.0.0.1:0".parse().expect("an address");
+        let server = admin::spawn(addr, admin).await.expect("a port is free");
+        Self {
+            addr: server.addr(),
+            faults,
+            metrics,
+            _server: server,
+        }
+    }
+
+    /// Sends a request with the token of team kitchens.
+    pub async fn call(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let bearer = format!("Bearer {TOKEN}");
+        let mut all = vec![("authorization", bearer.as_str())];
+        all.extend(headers);
+        self.call_as(method, path, &all, body).await
+    }
+
+    /// Sends a request with these headers only.
+    pub async fn call_as(
+        &self,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Answer {
+        let mut request = Request::builder().method(method).uri(path);
+        request = request.header("host", "a");
+        for (name, value) in headers.iter().filter(|(_, v)| !v.is_empty()) {
+            request = request.header(*name, *value);
+        }
+        let body = Full::new(Bytes::from(body.to_owned()));
+        let request = request.body(body).expect("the request is well formed");
+        send(self.addr, request).await.expect("an answer")
+    }
+}
+
+/// Returns an answer as text without random ids.
+pub fn show(answer: &Answer) -> String {
+    let mut text = answer.text().trim().to_owned();
+    if let Ok(mut value) = serde_json::from_str::<serde_json::Value>(&text) {
+        if let Some(id) = value.get_mut("edit") {
+            *id = "EDIT".into();
+        }
+        text = value.to_string();
+    }
+    format!("{} {text}", answer.head.status.as_u16())
+}
+
+fn faulty(store: Store, faults: &Arc<Faults>) -> Store {
+    let (f, get) = (faults.clone(), store.get.clone());
+    let (g, write) = (faults.clone(), store.write.clone());
+    Store {
+        get: Arc::new(move |key| {
+            if f.down.load(SeqCst) {
+                return Box::pin(std::future::ready(Err(down())));
+            }
+            get(key)
+        }),
+        write: Arc::new(move |change| {
+            let faults = g.clone();
+            if faults.down.load(SeqCst) {
+                return Box::pin(std::future::ready(Err(down())));
+            }
+            let result = write(change);
+            Box::pin(async move {
+                let result = result.await;
+                let loses = |n: u64| n.checked_sub(1);
+                if faults.lost.fetch_update(SeqCst, SeqCst, loses).is_err() {
+                    return result;
+                }
+                if faults.dies.load(SeqCst) {
+                    faults.down.store(true, SeqCst);
+                }
+                Err(lost())
+            })
+        }),
+        ..store
+    }
+}
+
+fn down() -> StoreError {
+    StoreError::Down {
+        step: "connect to store",
+        peer: "10.0.0.9:2379".to_owned(),
+        cause: "timed out after 1000 ms".to_owned(),
+    }
+}
+
+fn lost() -> StoreError {
+    StoreError::Unknown {
+        step: "answer from store",
+        peer: "10.0.0.9:2379".to_owned(),
+        cause: "connection closed".to_owned(),
+    }
+}
+
+fn port(events: &Events) -> AdminPort {
+    let read = events.read.clone();
+    let decision = Decision {
+        wall_ms: 0,
+        service: "slotboard".to_owned(),
+        request: "GET /slots".to_owned(),
+        place: Some("reykjanes-1".to_owned()),
+        target: Some("10.0.0.1:8080".to_owned()),
+        reason: "fewest running requests".to_owned(),
+        result: "200 complete".to_owned(),
+        took_ms: 4,
+    };
+    let status = Status {
+        entry: "e1".to_owned(),
+        region: "reykjanes".to_owned(),
+        az: "reykjanes-1".to_owned(),
+        incarnation: 7,
+        uptime_ms: 0,
+        ready: false,
+        store_up: true,
+        services: Vec::new(),
+        members: Vec::new(),
+    };
+    let placement = |entry: &str, revision| Placement {
+        entry: entry.to_owned(),
+        revision,
+    };
+    let placements = vec![placement("e1", Some(2)), placement("e2", None)];
+    AdminPort {
+        unready: Arc::new(|| Some("no documents yet".to_owned())),
+        status: Arc::new(move || status.clone()),
+        drains: Arc::new(|()| Box::pin(std::future::ready(Vec::new()))),
+        limits: Arc::new(Vec::new),
+        explain: Arc::new(move |_| vec![decision.clone()]),
+        placements: Arc::new(move |_| Box::pin(std::future::ready(placements.clone()))),
+        timeline: Arc::new(move |query| {
+            let events = read(&query);
+            let missing = Vec::new();
+            Box::pin(std::future::ready(Gathered { events, missing }))
+        }),
+    }
+}
--- /dev/null
+++ b/tests/timeline.rs
@@ -0,0 +1,214 @@
+//! Guards the timeline: stamps that do not read back or that go back in time
+//! would put effects before their causes.
+
+use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
+use savorybeam::{
+    adapters::{
+        events::{Line, decode, encode},
+        http::Query,
+    },
+    domain::{EntryId, Millis},
+    policy::timeline::{AHEAD_MAX, EVENTS_MAX, Event, HybridClock, Kind, Ring, Stamp, Utc, merge},
+};
+
+#[derive(Clone, Debug)]
+struct Emitted(Event);
+
+impl Arbitrary for Emitted {
+    fn arbitrary(g: &mut Gen) -> Self {
+        // Few values, so that equal times and entries are frequent.
+        let entry = *g.choose(&["e1", "e2", "e-3.x"]).expect("one of three");
+        Self(Event {
+            stamp: Stamp {
+                wall: Millis(u64::arbitrary(g) % 5),
+                counter: u32::arbitrary(g) % 3,
+                entry: entry.parse().expect("a name"),
+            },
+            kind: *g.choose(Kind::ALL).expect("there are kinds"),
+            text: String::arbitrary(g),
+        })
+    }
+}
+
+fn entry(name: &str) -> EntryId {
+    name.parse().expect("a name")
+}
+
+fn event(stamp: &str, kind: Kind, text: &str) -> Event {
+    Event {
+        stamp: stamp.parse().expect("a stamp"),
+        kind,
+        text: text.to_owned(),
+    }
+}
+
+quickcheck! {
+    fn stamps_read_back(wall: u64, counter: u32) -> bool {
+        let stamp = Stamp { wall: Millis(wall), counter, entry: entry("e-1.a") };
+        stamp.to_string().parse() == Ok(stamp)
+    }
+
+    fn a_text_is_a_stamp_only_if_it_prints_the_same(text: String) -> bool {
+        text.parse::<Stamp>().map_or(true, |s| s.to_string() == text)
+    }
+
+    fn events_read_back(emitted: Emitted) -> bool {
+        let line = Line::Event(emitted.0);
+        decode(&encode(&line).to_string()) == Ok(line)
+    }
+
+    fn any_line_is_read_or_refused(text: String) -> bool {
+        decode(&text).map_or(true, |line| decode(&encode(&line).to_string()) == Ok(line))
+    }
+
+    fn a_clock_never_goes_back(walls: Vec<u16>) -> bool {
+        let mut clock = HybridClock::new(entry("e1"));
+        let stamps: Vec<Stamp> = walls.iter().map(|w| clock.tick(Millis((*w).into()))).collect();
+        stamps.windows(2).all(|pair| pair[0] < pair[1])
+    }
+
+    fn an_effect_sorts_after_its_cause(walls: Vec<(u16, u16)>) -> bool {
+        let (mut one, mut two) = (HybridClock::new(entry("e1")), HybridClock::new(entry("e2")));
+        walls.iter().all(|(a, b)| {
+            let cause = one.tick(Millis((*a).into()));
+            let adopted = two.receive(&cause, Millis((*b).into()));
+            !adopted || cause < two.tick(Millis((*b).into()))
+        })
+    }
+
+    fn merging_is_sorting_without_doubles(lists: Vec<Vec<Emitted>>) -> bool {
+        let lists: Vec<Vec<Event>> =
+            lists.into_iter().map(|l| l.into_iter().map(|e| e.0).collect()).collect();
+        let merged = merge(lists.clone());
+        let mut naive: Vec<Stamp> = lists.concat().into_iter().map(|e| e.stamp).collect();
+        naive.sort();
+        naive.dedup();
+        merged.into_iter().map(|e| e.stamp).collect::<Vec<_>>() == naive
+    }
+
+    fn queries_read_back(pairs: Vec<(String, String)>) -> TestResult {
+        let mut names: Vec<&String> = pairs.iter().map(|(n, _)| n).collect();
+        names.sort();
+        names.dedup();
+        if names.len() != pairs.len() || names.iter().any(|n| n.is_empty()) {
+            return TestResult::discard();
+        }
+        let query = pairs.iter().fold(Query::default(), |q, (n, v)| q.with(n, v));
+        TestResult::from_bool(query.to_string().parse() == Ok(query))
+    }
+
+    fn any_query_is_read_or_refused(text: String) -> bool {
+        text.parse::<Query>().map_or(true, |q| q.to_string().parse() == Ok(q))
+    }
+}
+
+#[test]
+fn a_wrong_wall_clock_does_not_move_the_others() {
+    let mut clock = HybridClock::new(entry("e1"));
+    let now = Millis(1_000_000);
+    let ahead = |by: Millis| Stamp {
+        wall: now + by,
+        counter: 0,
+        entry: entry("e2"),
+    };
+    let near = clock.receive(&ahead(AHEAD_MAX), now);
+    let far = clock.receive(&ahead(AHEAD_MAX + Millis(1)), now);
+    insta::assert_snapshot!(format!("{near} {far} {}", clock.tick(now)), @"true false 1060000.1@e1");
+}
+
+#[test]
+fn a_ring_keeps_the_latest_events() {
+    let mut ring = Ring::default();
+    for n in 0..EVENTS_MAX + 3 {
+        let kind = if n % 2 == 0 {
+            Kind::StoreUp
+        } else {
+            Kind::StoreDown
+        };
+        ring.push(event(&format!("{n}.0@e1"), kind, ""));
+    }
+    let all = ring.after(None, None, usize::MAX);
+    let after = "4090.0@e1".parse().expect("a stamp");
+    let last = ring.after(Some(&after), None, 2);
+    let texts: Vec<String> = last.iter().map(|e| e.stamp.to_string()).collect();
+    let seen = (all.len(), all[0].stamp.to_string(), ring.dropped(), texts);
+    insta::assert_debug_snapshot!(seen, @r#"
+    (
+        4096,
+        "3.0@e1",
+        3,
+        [
+            "4097.0@e1",
+            "4098.0@e1",
+        ],
+    )
+    "#);
+}
+
+#[test]
+fn events_of_two_entries_make_one_text() {
+    let one = vec![
+        event(
+            "1764846202123.0@e1",
+            Kind::EditAccepted,
+            "slotboard put at revision 5",
+        ),
+        event(
+            "1764846202130.0@e1",
+            Kind::RevisionAdopted,
+            "slotboard revision 5",
+        ),
+    ];
+    let two = vec![
+        event(
+            "1764846202123.1@e2",
+            Kind::RevisionAdopted,
+            "slotboard revision 5",
+        ),
+        event(
+            "1764846203000.0@e2",
+            Kind::DrainStarted,
+            "slotboard place reykjanes-1",
+        ),
+    ];
+    let merged = merge([two, one.clone(), one]);
+    let lines: Vec<String> = merged.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[test]
+fn dates_are_right_around_leap_days() {
+    let days = [
+        0,
+        951_782_400_000,
+        951_868_800_000,
+        1_709_164_800_000,
+        4_107_542_399_999,
+    ];
+    let all: Vec<String> = days.iter().map(|ms| Utc(Millis(*ms)).to_string()).collect();
+    insta::assert_snapshot!(all.join("\n"), @"
+    1970-01-01T00:00:00.000Z
+    2000-02-29T00:00:00.000Z
+    2000-03-01T00:00:00.000Z
+    2024-02-29T00:00:00.000Z
+    2100-02-28T23:59:59.999Z
+    ");
+}
+
+#[test]
+fn faulty_stamps_say_what_is_allowed() {
+    let bad = [
+        "",
+        "5@e1",
+        "5.0",
+        "+5.0@e1",
+        "05.0@e1",
+        "5.4294967296@e1",
+        "5.0@E1",
+    ];
+    let all: Vec<String> = bad
+        .iter()
+        .map(|s| s.parse::<Stamp>().expect_err("it is faulty").to_string())
+        .collect();
+    insta::assert_snapshot!(all.join("\n"));
+}
