Repeat releases and answers of claims until the homes know them

Cause: five attempts over six seconds lost a release during a longer cut, which kept its key in progress for the retention period. Change: the bounded outbox of policy/once carries them and follows a new roster; a relayed acknowledgement is news for the relaying entry too; members whose seat the platform took away are forgotten. Conclusion: the wiring follows the modules' contracts.

--- a/src/app/entry/claims.rs
+++ b/src/app/entry/claims.rs
@@ -1,6 +1,6 @@
 //! Claims of keyed requests.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use http::{HeaderName, HeaderValue, StatusCode};
@@ -14,8 +14,8 @@
     domain::{Millis, Shards, Size},
     policy::{
         once::{
-            Answer, AttemptId, Bucket, ClaimKey, Claimant, Decision, HomeSet, Limits, Member, Page,
-            Register, Request, Response, Roster, Vote,
+            Answer, AttemptId, Bucket, ClaimKey, Claimant, Decision, HomeSet, Limits, Member,
+            Outbox, Page, Register, Request, Response, Roster, Vote,
         },
         refusal::Refusal,
     },
@@ -32,9 +32,8 @@
 /// How long homes may take to vote. A round trip between regions takes 70 ms.
 const VOTE: Millis = Millis(1_000);
 
-/// How often a release or an answer is sent to a home that does not acknowledge
-/// it. Losing one is safe, but keeps the key in progress.
-const REPEATS: u32 = 5;
+/// How many releases and answers may be on their way to homes.
+const OUTBOX: usize = 4_096;
 
 /// The registers of the buckets of which this entry is a home. A shard's lock
 /// guards the epoch of a register together with its claims.
@@ -42,6 +41,7 @@
 pub struct Claims {
     me: Member,
     registers: Shards<Bucket, Register>,
+    outbox: Mutex<Outbox>,
 }
 
 impl Claims {
@@ -51,11 +51,19 @@
         Self {
             me,
             registers: Shards::new(),
+            outbox: Mutex::new(Outbox::new(OUTBOX)),
         }
     }
 
+    /// Locks the releases and answers that are on their way to homes.
+    pub(super) fn outbox(&self) -> MutexGuard<'_, Outbox> {
+        self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Adopts a roster and the one before it.
     pub(super) fn adopt(&self, [current, former]: &[Roster; 2]) {
+        let newest = |request: &Request| current.homes(request.bucket());
+        self.outbox().on_roster(newest);
         for bucket in Bucket::all() {
             let (new, old) = (current.homes(bucket), former.homes(bucket));
             if new.contains(&self.me) {
@@ -182,9 +190,7 @@
     /// Frees the key of an attempt that was not dispatched.
     fn release_claim(self: &Arc<Self>, claimant: &mut Claimant, key: &ClaimKey) {
         let newest = self.homes(key);
-        for (home, release) in claimant.release(&newest) {
-            self.notify_home(home, Request::Release(release));
-        }
+        self.notify_homes(claimant.release(&newest));
     }
 
     /// Records the end of an attempt that was dispatched.
@@ -195,23 +201,31 @@
         answer: Option<Arc<Answer>>,
     ) {
         let newest = self.homes(key);
-        for (home, finish) in claimant.finish(answer, &newest) {
-            self.notify_home(home, Request::Finish(finish));
+        self.notify_homes(claimant.finish(answer, &newest));
+    }
+
+    fn notify_homes<T: Into<Request>>(self: &Arc<Self>, messages: Vec<(Member, T)>) {
+        if messages.is_empty() {
+            return;
         }
+        let now = (self.ports.clock.now)();
+        self.claims.outbox().push(messages, now);
+        self.send_outbox();
     }
 
-    /// Sends a request until the home acknowledges it.
-    fn notify_home(self: &Arc<Self>, home: Member, request: Request) {
-        let state = self.clone();
-        tokio::spawn(async move {
-            for n in 0..REPEATS {
-                if state.ask_home(&home, request.clone()).await.is_some() {
-                    return;
+    /// Sends the releases and answers that are due. They are repeated until each
+    /// home has acknowledged them.
+    pub(super) fn send_outbox(self: &Arc<Self>) {
+        let now = (self.ports.clock.now)();
+        let due = self.claims.outbox().due(now);
+        for (id, home, request) in due {
+            let state = self.clone();
+            tokio::spawn(async move {
+                if state.ask_home(&home, request).await.is_some() {
+                    state.claims.outbox().on_reply(id, &home);
                 }
-                tokio::time::sleep(Millis(200 << n).duration()).await;
-            }
-            tracing::debug!("claim: {home} did not acknowledge.");
-        });
+            });
+        }
     }
 }
 
--- a/src/app/entry/control/claims.rs
+++ b/src/app/entry/control/claims.rs
@@ -21,6 +21,7 @@
 pub(super) async fn run(state: Arc<State>) {
     loop {
         tokio::time::sleep(PERIOD.duration()).await;
+        state.send_outbox();
         let now = (state.ports.clock.now)();
         let mut batches: BTreeMap<Member, Vec<Request>> = BTreeMap::new();
         for (home, request) in state.claims.tick(now) {
--- a/src/app/entry/control/routes.rs
+++ b/src/app/entry/control/routes.rs
@@ -6,6 +6,7 @@
 use crate::{
     adapters::grpc::{self, Ack, Fetch, FetchReply, Probe, Relay, Routes, Status, Sync, SyncReply},
     app::entry::State,
+    policy::member::Nonce,
 };
 
 /// Returns the methods of this entry.
@@ -76,7 +77,13 @@
         root,
     };
     let ack = grpc::probe(&state.fleet.peers, to, &probe).await;
-    ack.map_err(|e| Status::unavailable(e.to_string()))
+    let ack = ack.map_err(|e| Status::unavailable(e.to_string()))?;
+    // The answer is news for this entry as well. It has no round of its own.
+    let updates = ack.updates.clone();
+    let mut members = state.fleet.members();
+    members.on_ack(now, &ack.sender.entry, Nonce(0), updates);
+    drop(members);
+    Ok(ack)
 }
 
 fn compared(state: &Arc<State>, sync: &Sync) -> SyncReply {
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -25,6 +25,7 @@
         document::{Adoption, Content},
         limit::{Ledger, Limit, Member, Outgoing, Roster},
         lookup::View,
+        member::Seat,
         once,
         timeline::Kind,
     },
@@ -212,6 +213,8 @@
     /// Puts a roster in force if its epoch is greater.
     pub(super) fn adopt_roster(&self, record: RosterRecord) {
         let (epoch, seats) = (record.current.epoch, record.current.seats.len());
+        // Only the platform's word takes a seat away, so these are gone.
+        let gone = removed(&record);
         let rosters = Rosters::new(record);
         let claims = rosters.claims.clone();
         if !self.fleet.set_rosters(rosters) {
@@ -221,6 +224,10 @@
         let roster = self.roster();
         self.limits.each(|_, l| l.set_roster(roster.clone(), now));
         self.claims.adopt(&claims);
+        for seat in gone {
+            let mut members = self.fleet.members();
+            members.remove(&seat.entry, seat.incarnation);
+        }
         if let Ok(name) = super::control::ROSTER.parse() {
             self.fleet.spread().adopted(&name, Revision(epoch.0));
         }
@@ -312,6 +319,13 @@
     }
 }
 
+/// Returns the seats that a roster has lost.
+fn removed(record: &RosterRecord) -> Vec<Seat> {
+    let kept = &record.current.seats;
+    let former = record.former.seats.iter();
+    former.filter(|s| !kept.contains(s)).cloned().collect()
+}
+
 fn limit_name(text: &str) -> LimitName {
     // The parts are valid names already, and their sum is shorter than a limit's
     // name may be.
