Order events across entries by their messages, and start without a rush

Cause: the timeline's clock never saw other entries' stamps, so an effect could sort before its cause; entries that start together each took themselves for the only holder of the watch and the only proposer. Ruled out: a stamp in each message's type, which every protocol would repeat. Change: calls and replies carry stamps as metadata; a started entry looks for others for up to 3 s before it asks the store.

--- a/src/adapters/grpc/mod.rs
+++ b/src/adapters/grpc/mod.rs
@@ -16,6 +16,7 @@
 mod peers;
 mod reports;
 mod server;
+mod stamps;
 mod traffic;
 
 pub use claims::{claim as ask_home, serve_claim, serve_strike, strike};
--- a/src/adapters/grpc/peers.rs
+++ b/src/adapters/grpc/peers.rs
@@ -13,10 +13,13 @@
 use tonic_prost::ProstCodec;
 
 use super::{
-    MESSAGE_MAX, SERVICE,
+    MESSAGE_MAX, SERVICE, stamps,
     traffic::{Counted, Traffic},
 };
-use crate::domain::{Millis, ParseError, Shards};
+use crate::{
+    domain::{Millis, ParseError, Shards},
+    ports::Events,
+};
 
 /// How long a connection attempt may take. It is more than three times the
 /// round trip between regions.
@@ -96,6 +99,7 @@
     links: Shards<SocketAddr, Link>,
     timeout: Millis,
     traffic: Arc<Traffic>,
+    events: Option<Events>,
 }
 
 impl Peers {
@@ -107,9 +111,17 @@
             links: Shards::new(),
             timeout,
             traffic,
+            events: None,
         }
     }
 
+    /// Lets calls carry the stamps of a timeline.
+    #[must_use]
+    pub fn with_events(mut self, events: Events) -> Self {
+        self.events = Some(events);
+        self
+    }
+
     /// Calls a method of the entry at `peer` and returns its reply.
     ///
     /// # Errors
@@ -158,7 +170,7 @@
             return Err(error(Step::Encode, cause));
         }
         let channel = self.channel(peer);
-        let sent = send(channel, method, request, &self.traffic);
+        let sent = self.send(channel, method, request);
         match tokio::time::timeout(timeout.duration(), sent).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(status)) => {
@@ -175,6 +187,33 @@
         }
     }
 
+    async fn send<Req, Resp>(
+        &self,
+        channel: Channel,
+        method: &'static str,
+        request: Req,
+    ) -> Result<Resp, Status>
+    where
+        Req: Message + 'static,
+        Resp: Default + Message + 'static,
+    {
+        let path = PathAndQuery::try_from(format!("/{SERVICE}/{method}"));
+        let path = path.map_err(|e| Status::internal(e.to_string()))?;
+        let mut grpc = tonic::client::Grpc::new(channel)
+            .max_decoding_message_size(MESSAGE_MAX)
+            .max_encoding_message_size(MESSAGE_MAX);
+        let ready = grpc.ready().await;
+        ready.map_err(|e| Status::from_error(Box::new(e)))?;
+        self.traffic.message_out();
+        let mut request = Request::new(request);
+        stamps::put(self.events.as_ref(), request.metadata_mut());
+        let codec = ProstCodec::<Req, Resp>::default();
+        let reply = grpc.unary(request, path, codec).await?;
+        stamps::take(self.events.as_ref(), reply.metadata());
+        self.traffic.message_in();
+        Ok(reply.into_inner())
+    }
+
     /// Closes channels that have not been used for 30 s. Call it every few
     /// seconds.
     pub fn sweep(&self) {
@@ -236,30 +275,6 @@
     }
 }
 
-async fn send<Req, Resp>(
-    channel: Channel,
-    method: &'static str,
-    request: Req,
-    traffic: &Traffic,
-) -> Result<Resp, Status>
-where
-    Req: Message + 'static,
-    Resp: Default + Message + 'static,
-{
-    let path = PathAndQuery::try_from(format!("/{SERVICE}/{method}"));
-    let path = path.map_err(|e| Status::internal(e.to_string()))?;
-    let mut grpc = tonic::client::Grpc::new(channel)
-        .max_decoding_message_size(MESSAGE_MAX)
-        .max_encoding_message_size(MESSAGE_MAX);
-    let ready = grpc.ready().await;
-    ready.map_err(|e| Status::from_error(Box::new(e)))?;
-    traffic.message_out();
-    let codec = ProstCodec::<Req, Resp>::default();
-    let reply = grpc.unary(Request::new(request), path, codec).await?;
-    traffic.message_in();
-    Ok(reply.into_inner())
-}
-
 /// Only a failed connection attempt proves that the peer has not seen the call.
 fn step(status: &Status) -> Step {
     let mut source = std::error::Error::source(status);
--- a/src/adapters/grpc/server.rs
+++ b/src/adapters/grpc/server.rs
@@ -19,10 +19,10 @@
 use tonic_prost::ProstCodec;
 
 use super::{
-    MESSAGE_MAX, SERVICE,
+    MESSAGE_MAX, SERVICE, stamps,
     traffic::{Counted, Traffic},
 };
-use crate::domain::Millis;
+use crate::{domain::Millis, ports::Events};
 
 /// The pause after a failed accept. It fails when the process is out of file
 /// descriptors, and an immediate retry would use a whole core.
@@ -36,6 +36,7 @@
 pub struct Routes {
     methods: HashMap<String, Handler>,
     traffic: Arc<Traffic>,
+    events: Option<Events>,
 }
 
 impl fmt::Debug for Routes {
@@ -53,9 +54,18 @@
         Self {
             methods: HashMap::new(),
             traffic,
+            events: None,
         }
     }
 
+    /// Lets replies carry the stamps of a timeline. Only methods that are added
+    /// later do so.
+    #[must_use]
+    pub fn with_events(mut self, events: Events) -> Self {
+        self.events = Some(events);
+        self
+    }
+
     /// Adds a unary method, for example `Probe`. A second closure of the same
     /// method replaces the first.
     #[must_use]
@@ -66,10 +76,10 @@
         Req: Default + Message + 'static,
         Resp: Default + Message + 'static,
     {
-        let traffic = Arc::clone(&self.traffic);
+        let (traffic, events) = (Arc::clone(&self.traffic), self.events.clone());
         let handler = move |request| -> Reply {
-            let (f, traffic) = (f.clone(), Arc::clone(&traffic));
-            Box::pin(answer(request, f, traffic))
+            let (f, traffic, events) = (f.clone(), Arc::clone(&traffic), events.clone());
+            Box::pin(answer(request, f, traffic, events))
         };
         self.methods
             .insert(format!("/{SERVICE}/{method}"), Arc::new(handler));
@@ -81,6 +91,7 @@
     request: http::Request<Body>,
     f: F,
     traffic: Arc<Traffic>,
+    events: Option<Events>,
 ) -> http::Response<Body>
 where
     F: Fn(Req) -> Fut + Send + 'static,
@@ -90,8 +101,14 @@
 {
     traffic.message_in();
     let unary = tower::service_fn(move |request: Request<Req>| {
+        let events = events.clone();
+        stamps::take(events.as_ref(), request.metadata());
         let reply = f(request.into_inner());
-        async move { reply.await.map(Response::new) }
+        async move {
+            let mut reply = Response::new(reply.await?);
+            stamps::put(events.as_ref(), reply.metadata_mut());
+            Ok(reply)
+        }
     });
     let reply = tonic::server::Grpc::new(ProstCodec::<Resp, Req>::default())
         .max_decoding_message_size(MESSAGE_MAX)
@@ -169,7 +186,9 @@
     let listener = TcpListener::bind(addr).await.map_err(failed)?;
     let addr = listener.local_addr().map_err(failed)?;
     let (stop, mut stopped) = watch::channel(false);
-    let Routes { methods, traffic } = routes;
+    let Routes {
+        methods, traffic, ..
+    } = routes;
     let service = PeerService(Arc::new(methods));
     let serving = tonic::transport::Server::builder()
         .add_service(service)
--- a/src/app/entry/control/roster.rs
+++ b/src/app/entry/control/roster.rs
@@ -29,6 +29,7 @@
     let mut proposer = Proposer::default();
     let mut vms = BTreeMap::new();
     let mut listed: Option<Millis> = None;
+    super::store::meet(&state).await;
     loop {
         tokio::time::sleep(PERIOD.duration()).await;
         let now = (state.ports.clock.now)();
--- a/src/app/entry/control/routes.rs
+++ b/src/app/entry/control/routes.rs
@@ -11,7 +11,7 @@
 
 /// Returns the methods of this entry.
 pub(super) fn routes(state: &Arc<State>) -> Routes {
-    let routes = Routes::new(state.fleet.traffic.clone());
+    let routes = Routes::new(state.fleet.traffic.clone()).with_events(state.events.clone());
     let s = state.clone();
     let routes = grpc::serve_probe(routes, move |probe| {
         let reply = probed(&s, probe);
--- a/src/app/entry/control/store.rs
+++ b/src/app/entry/control/store.rs
@@ -21,12 +21,28 @@
 /// make a handful of calls a second to a store that has just come back.
 const BACK_OFF: Millis = Millis(2_000);
 
+/// How long a started entry looks for others before it takes itself to be the
+/// first. Without this, entries that all start at once would each take
+/// themselves for the only holder and the only proposer.
+const ALONE: Millis = Millis(3_000);
+
+/// Waits until another entry is known, or until it is likely that there is none.
+pub(super) async fn meet(state: &State) {
+    let own = state.settings.peers;
+    if state.settings.seeds.iter().all(|s| *s == own) {
+        return;
+    }
+    let start = (state.ports.clock.now)();
+    while state.fleet.others().is_empty() && (state.ports.clock.now)() - start < ALONE {
+        jitter(Millis(100)).await;
+    }
+}
+
 /// Watches the store whenever this entry is one of the holders.
 pub(super) async fn run(state: Arc<State>) {
+    meet(&state).await;
     loop {
-        // An entry that has no documents from anywhere asks the store itself,
-        // because it may be the first of all.
-        if !is_holder(&state) && state.is_informed() {
+        if !is_holder(&state) {
             tokio::time::sleep(PERIOD.duration()).await;
             continue;
         }
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -19,6 +19,7 @@
         once,
         spread::{self, Spread},
     },
+    ports::Events,
 };
 
 /// How long a call to another entry may take. A round trip between regions takes
@@ -90,7 +91,7 @@
 impl Fleet {
     /// Returns a fleet of which only this entry is known.
     #[must_use]
-    pub fn new(settings: &Settings, incarnation: Incarnation) -> Self {
+    pub fn new(settings: &Settings, incarnation: Incarnation, events: &Events) -> Self {
         let me = member::Member {
             id: settings.name.clone(),
             incarnation,
@@ -113,7 +114,7 @@
             )),
             spread: Mutex::new(Spread::new(spread::Tuning::default())),
             rosters: RwLock::default(),
-            peers: Peers::new(CALL, traffic.clone()),
+            peers: Peers::new(CALL, traffic.clone()).with_events(events.clone()),
             traffic,
         }
     }
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -97,7 +97,7 @@
         let observer = Observer::new(ports.clock.clone(), ports.metrics.clone());
         ports.targets = observer.wrap(ports.targets);
         let state = Self {
-            fleet: Fleet::new(&settings, me.incarnation),
+            fleet: Fleet::new(&settings, me.incarnation, &events),
             claims: Claims::new(claimant.clone()),
             events,
             observer,
