Say why a response that is too large is no doubtful write

Cause: the codec reports a response that is too large with the same code as the store reports a revision it no longer has, and the latter counts as not carried out.

Ruled out: a class of its own, since a transaction's response holds no values and cannot be too large.

Change: the comment names the case.

Conclusion: no behaviour changes.

--- a/src/adapters/store/client.rs
+++ b/src/adapters/store/client.rs
@@ -315,7 +315,8 @@
     }
     match status.code() {
         // The store returns these only for requests that it has not carried
-        // out.
+        // out. Our codec uses `OutOfRange` for a response that is too large,
+        // which only a read can have: a transaction returns no values.
         Code::InvalidArgument
         | Code::FailedPrecondition
         | Code::NotFound
