Encode units as gaps, and test answers to earlier rounds

Cause: most messages of a large deployment carry one or two of 256 units, for which a bit set takes up to 32 bytes. Ruled out: choosing the shorter of the two forms for each message; full sets are rare enough. A directed test covers answers to an earlier round.

--- a/src/adapters/grpc/limit.rs
+++ b/src/adapters/grpc/limit.rs
@@ -2,8 +2,8 @@
 //!
 //! One wire message carries the messages of several limits to one recipient,
 //! because a tick of an entry with thousands of limits would otherwise send
-//! thousands of calls. Units are encoded as a bit set, which is at most 512
-//! bytes for the largest limit.
+//! thousands of calls. Units are encoded as the gaps between them: most messages
+//! carry few units, for which a bit set would be longer.
 
 use prost::{Message as _, Oneof};
 
@@ -96,8 +96,8 @@
     #[prost(uint32, tag = "3")]
     pub held: u32,
     /// The units to renew.
-    #[prost(bytes = "vec", tag = "4")]
-    pub renew: Vec<u8>,
+    #[prost(uint32, repeated, tag = "4")]
+    pub renew: Vec<u32>,
 }
 
 /// See [`Message::Grant`].
@@ -107,8 +107,8 @@
     #[prost(uint64, tag = "1")]
     pub ask: u64,
     /// The units lent.
-    #[prost(bytes = "vec", tag = "2")]
-    pub units: Vec<u8>,
+    #[prost(uint32, repeated, tag = "2")]
+    pub units: Vec<u32>,
     /// How many idle units are left.
     #[prost(uint32, tag = "3")]
     pub idle: u32,
@@ -132,8 +132,8 @@
     #[prost(uint64, tag = "1")]
     pub ask: u64,
     /// The units.
-    #[prost(bytes = "vec", tag = "2")]
-    pub units: Vec<u8>,
+    #[prost(uint32, repeated, tag = "2")]
+    pub units: Vec<u32>,
 }
 
 /// See [`Message::Reconcile`].
@@ -154,8 +154,8 @@
     #[prost(uint64, tag = "1")]
     pub round: u64,
     /// The units that the sender lacks.
-    #[prost(bytes = "vec", tag = "2")]
-    pub units: Vec<u8>,
+    #[prost(uint32, repeated, tag = "2")]
+    pub units: Vec<u32>,
 }
 
 /// See [`Message::Handover`].
@@ -165,50 +165,45 @@
     #[prost(uint64, tag = "1")]
     pub round: u64,
     /// The units that the recipient owns from now on.
-    #[prost(bytes = "vec", tag = "2")]
-    pub units: Vec<u8>,
+    #[prost(uint32, repeated, tag = "2")]
+    pub units: Vec<u32>,
     /// The units that the sender still has.
-    #[prost(bytes = "vec", tag = "3")]
-    pub kept: Vec<u8>,
+    #[prost(uint32, repeated, tag = "3")]
+    pub kept: Vec<u32>,
 }
 
-/// Encodes units as a bit set, the lowest unit in the lowest bit of the first
-/// byte.
-fn to_bits(units: &[u32]) -> Vec<u8> {
-    let mut bits = Vec::new();
-    for &unit in units.iter().filter(|u| **u < MAX_UNITS) {
-        let at = unit as usize / 8;
-        if bits.len() <= at {
-            bits.resize(at + 1, 0);
-        }
-        bits[at] |= 1 << (unit % 8);
-    }
-    bits
+/// Encodes units in ascending order as the gaps between them, which mostly take
+/// one byte each.
+fn to_gaps(units: &[u32]) -> Vec<u32> {
+    let mut last = 0;
+    let gap = |unit: &u32| unit.saturating_sub(std::mem::replace(&mut last, *unit));
+    units.iter().map(gap).collect()
 }
 
-/// Decodes a bit set, without the units that no limit has.
-fn from_bits(bits: &[u8]) -> Vec<u32> {
-    let is_set = |u: &u32| {
-        let byte = bits.get(*u as usize / 8).copied().unwrap_or_default();
-        byte & (1 << (u % 8)) != 0
+/// Decodes gaps, without the units that no limit has.
+fn from_gaps(gaps: &[u32]) -> Vec<u32> {
+    let mut last = 0u32;
+    let unit = |gap: &u32| {
+        last = last.saturating_add(*gap);
+        last
     };
-    (0..MAX_UNITS)
-        .take(bits.len().saturating_mul(8))
-        .filter(is_set)
+    gaps.iter()
+        .map(unit)
+        .take_while(|u| *u < MAX_UNITS)
         .collect()
 }
 
 fn to_loan(held: &Held) -> Loan {
     Loan {
         ask: held.ask,
-        units: to_bits(&held.units),
+        units: to_gaps(&held.units),
     }
 }
 
 fn from_loan(loan: &Loan) -> Held {
     Held {
         ask: loan.ask,
-        units: from_bits(&loan.units),
+        units: from_gaps(&loan.units),
     }
 }
 
@@ -223,11 +218,11 @@
             ask: *ask,
             want: *want,
             held: *held,
-            renew: to_bits(renew),
+            renew: to_gaps(renew),
         }),
         Message::Grant { ask, units, idle } => Body::Grant(Grant {
             ask: *ask,
-            units: to_bits(units),
+            units: to_gaps(units),
             idle: *idle,
         }),
         Message::Decline { ask, queued } => Body::Decline(Decline {
@@ -243,12 +238,12 @@
         }),
         Message::Survey { round, units } => Body::Survey(Survey {
             round: *round,
-            units: to_bits(units),
+            units: to_gaps(units),
         }),
         Message::Handover { round, units, kept } => Body::Handover(Handover {
             round: *round,
-            units: to_bits(units),
-            kept: to_bits(kept),
+            units: to_gaps(units),
+            kept: to_gaps(kept),
         }),
     }
 }
@@ -259,11 +254,11 @@
             ask: m.ask,
             want: m.want,
             held: m.held,
-            renew: from_bits(&m.renew),
+            renew: from_gaps(&m.renew),
         },
         Body::Grant(m) => Message::Grant {
             ask: m.ask,
-            units: from_bits(&m.units),
+            units: from_gaps(&m.units),
             idle: m.idle,
         },
         Body::Decline(m) => Message::Decline {
@@ -279,12 +274,12 @@
         },
         Body::Survey(m) => Message::Survey {
             round: m.round,
-            units: from_bits(&m.units),
+            units: from_gaps(&m.units),
         },
         Body::Handover(m) => Message::Handover {
             round: m.round,
-            units: from_bits(&m.units),
-            kept: from_bits(&m.kept),
+            units: from_gaps(&m.units),
+            kept: from_gaps(&m.kept),
         },
     }
 }
--- a/tests/limit/timelines.rs
+++ b/tests/limit/timelines.rs
@@ -165,3 +165,41 @@
     script.holdings();
     insta::assert_snapshot!(script.log);
 }
+
+/// Guards against an answer to an earlier round: what it says was true before
+/// its sender borrowed the unit from a lender that is gone by now.
+#[test]
+fn an_answer_to_an_earlier_round_does_not_count() {
+    let mut script = Script::new(2, Limit::Slots(Slots(8)));
+    script.start(2, 1);
+    script.adopt(2, 3);
+    let [borrower, lender, home] = [0, 1, 2].map(|i| member(i, 1));
+    let mut answers = Vec::new();
+    for survey in script.ledgers[2].tick(script.now) {
+        if survey.to == borrower {
+            answers.extend(script.ledgers[0].on_message(
+                &home,
+                &survey.to,
+                survey.item,
+                script.now,
+            ));
+        }
+    }
+    let _running = script.acquire(0, 4);
+    assert!((0..3).all(|_| script.ledgers[0].acquire().is_none()));
+    script.now = script.now + Millis(100);
+    for ask in script.ledgers[0].tick(script.now) {
+        for grant in script.ledgers[1].on_message(&borrower, &ask.to, ask.item, script.now) {
+            script.ledgers[0].on_message(&lender, &grant.to, grant.item, script.now);
+        }
+    }
+    script.ledgers[2].on_gone(&lender, script.now);
+    script.now = script.now + Millis(1_000);
+    let second = script.ledgers[2].tick(script.now);
+    script.note(&format!("the second round has {} survey", second.len()));
+    for answer in answers {
+        script.ledgers[2].on_message(&borrower, &answer.to, answer.item, script.now);
+    }
+    script.holdings();
+    insta::assert_snapshot!(script.log);
+}
