Measure the work that hedges add, not only their number

Cause: the bound of 5% is on work, and requests that are hedged are longer than others, so counting attempts does not show it. Change: the time that targets spent on attempts that were given up.

--- a/examples/bench/measure.rs
+++ b/examples/bench/measure.rs
@@ -30,8 +30,9 @@
     pub ended: u64,
     pub first: u64,
     pub extra: u64,
-    /// Work that targets began, and usual work of the requests that were sent.
-    pub begun: u64,
+    /// The time that targets spent on attempts that were answered, and on others
+    /// of requests that were sent more than once.
+    pub spent: [u64; 2],
     /// The greatest part of its slots that any target and any region had present,
     /// in percent.
     pub target_peak: u32,
@@ -41,8 +42,6 @@
     pub left: Micros,
     pub reached: Micros,
     pub longest: Micros,
-    /// How often a target had more work present than slots.
-    pub over: u64,
 }
 
 fn histogram() -> Histogram<u64> {
@@ -59,13 +58,12 @@
             ended: 0,
             first: 0,
             extra: 0,
-            begun: 0,
+            spent: [0; 2],
             target_peak: 0,
             region_peak: 0,
             left: 0,
             reached: 0,
             longest: 0,
-            over: 0,
         }
     }
 
@@ -108,10 +106,11 @@
         }
     }
 
-    /// Records that a target began work of a length.
-    pub fn worked(&mut self, now: Micros, time: Micros) {
+    /// Records that a target spent time on an attempt, and whether that was in
+    /// vain.
+    pub fn spent(&mut self, now: Micros, vain: bool, time: Micros) {
         if now >= self.from {
-            self.begun += time;
+            self.spent[usize::from(vain)] += time;
         }
     }
 
@@ -130,7 +129,6 @@
         }
         self.target_peak = self.target_peak.max(target.present() * 100 / target.slots);
         self.region_peak = self.region_peak.max(work * 100 / slots);
-        self.over += u64::from(target.present() > target.slots);
     }
 
     /// Returns a percentile of a lane in milliseconds, of one service or of all.
@@ -170,6 +168,11 @@
         self.failed as f64 * 100.0 / self.ended.max(1) as f64
     }
 
+    /// Returns the work that retries and hedges added, in percent.
+    pub fn added_work(&self) -> f64 {
+        self.spent[1] as f64 * 100.0 / self.spent[0].max(1) as f64
+    }
+
     /// Returns the attempts that retries and hedges added, in percent.
     pub fn added(&self) -> f64 {
         self.extra as f64 * 100.0 / self.first.max(1) as f64
--- a/examples/bench/platform.rs
+++ b/examples/bench/platform.rs
@@ -56,6 +56,8 @@
     pub sent: Micros,
     /// When it reached its target.
     pub reached: Micros,
+    /// When it began to run.
+    pub started: Option<Micros>,
     /// How many attempts of the request came before it.
     pub nth: u64,
     /// Whether the entry has given it up.
@@ -198,6 +200,7 @@
             target,
             sent: self.now,
             reached: 0,
+            started: None,
             nth,
             dropped: false,
             over: false,
@@ -254,7 +257,7 @@
         let request = &self.requests[a.request];
         let factor = world::execution(request, a.nth) * self.targets[a.target].factor(self.now);
         let time = (request.work as f64 * factor) as Micros;
-        self.tally.worked(self.now, time);
+        self.attempts[attempt].started = Some(self.now);
         self.after(time, Event::Done(attempt));
     }
 
@@ -310,6 +313,7 @@
     fn release(&mut self, attempt: usize) {
         let target = self.attempts[attempt].target;
         self.attempts[attempt].over = true;
+        self.account(attempt);
         if self.targets[target].leaves(self.now) {
             let reached = self.attempts[attempt].reached;
             self.tally.left(self.now, reached);
@@ -320,6 +324,16 @@
         }
     }
 
+    /// Records the time that a target spent on an attempt.
+    fn account(&mut self, attempt: usize) {
+        let a = self.attempts[attempt];
+        let repeated = self.tries[a.request] > 1;
+        if let Some(started) = a.started {
+            let vain = a.dropped && repeated;
+            self.tally.spent(self.now, vain, self.now - started);
+        }
+    }
+
     /// Targets measure their load each second; the reports arrive 2 s late. One
     /// target of each service always reports that it is idle.
     fn measure(&mut self) {
--- a/examples/bench/report.rs
+++ b/examples/bench/report.rs
@@ -81,8 +81,15 @@
     of(runs, 2) * 100.0 / peak
 }
 
+/// Returns the rows of the table.
 fn rows() -> Vec<Row> {
-    use Bound::{Least, Most, None, Ratio};
+    let mut rows = usual_rows();
+    rows.extend(overload_rows());
+    rows
+}
+
+fn usual_rows() -> Vec<Row> {
+    use Bound::{Most, None, Ratio};
     vec![
         ("short p50, ms", |r| short(&r.usual, 0.5), Ratio(1.05)),
         ("short p99, ms", |r| short(&r.usual, 0.99), None),
@@ -99,6 +106,7 @@
         ),
         ("not answered in time, %", |r| r.usual.failures(), None),
         ("added attempts, %", |r| r.usual.added(), Most(5.0)),
+        ("added work, %", |r| r.usual.added_work(), Most(5.0)),
         (
             "most work at a target, % of its slots",
             |r| r.usual.target_peak.into(),
@@ -137,6 +145,11 @@
             |r| r.slowed[1].added(),
             Most(5.0),
         ),
+        (
+            "2 slowed: added work, %",
+            |r| r.slowed[1].added_work(),
+            Most(5.0),
+        ),
         (
             "p99 over a cold restart of 2 targets, ms",
             |r| restarted(r, 0.99),
@@ -154,6 +167,12 @@
             |r| seconds(r.restart.reached) - 20.0,
             Most(3.0),
         ),
+    ]
+}
+
+fn overload_rows() -> Vec<Row> {
+    use Bound::{Least, Most, None};
+    vec![
         ("goodput at 0.5, answers/s", |r| goodput(r, 0), None),
         ("goodput at 1, answers/s", |r| goodput(r, 1), None),
         ("goodput at 2, answers/s", |r| goodput(r, 2), None),
