Follow the linter in the tests of the commands

Cause: two pedantic findings.

Change: a comparison with the path instead of its suffix, and write! instead of an appended format!.

--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -3,7 +3,7 @@
 
 mod devel;
 
-use std::{fs, path::PathBuf};
+use std::{fmt::Write, fs, path::PathBuf};
 
 use devel::{Dev, run};
 use savorybeam::adapters::ini::{parse_document, set_key};
@@ -97,7 +97,7 @@
     ];
     let mut seen = Vec::new();
     for step in &steps {
-        let words = step.iter().filter(|w| !w.ends_with(".ini"));
+        let words = step.iter().filter(|w| **w != path);
         let name: Vec<&str> = words.copied().collect();
         // How often a drain is seen running is a matter of time.
         let lines = dev.run(step);
@@ -227,9 +227,10 @@
         let mut text = String::from("[service]\nname = a\nteam = t\n");
         for (n, comment) in noise.iter().take(4).enumerate() {
             let extra = if *comment { "; state = no\n" } else { "state = active\n" };
-            text.push_str(&format!(
+            let _ = write!(
+                text,
                 "[place p{n}]\nregion = r\naz = r-1\nweight = 9\n{extra}slots = 1\ntargets = 10.0.0.{n}:1\n"
-            ));
+            );
         }
         text.push_str("# the last place\n[place z]\nregion = r\naz = r-1\nweight = 9\nslots = 1\ntargets = 10.0.1.1:1\n");
         let set = set_key(&text, "place z", "weight", Some(&weight.to_string()));
