Report drains, the store's outages and readiness on the timeline

Cause: the timeline showed an edit that makes a place leave, but neither that the drain had ended nor that the store was down.

Ruled out: emitting them where requests end, because a drain ends with the last of many requests and the code that carries them knows no drains.

Figures: none measured; the test of the function covers each event.

Conclusion: an entry reports each of them once.

--- a/src/app/entry/admin/mod.rs
+++ b/src/app/entry/admin/mod.rs
@@ -20,6 +20,7 @@
 mod reply;
 mod timeline;
 mod views;
+mod watch;
 
 use std::{collections::BTreeMap, fmt, net::SocketAddr, sync::Arc};
 
@@ -109,6 +110,7 @@
         port: port(state),
     };
     let server = spawn(settings.admin, admin).await?;
+    watch::spawn(state);
     tracing::info!(
         "admin: {} serves operators at {}.",
         settings.name,
--- a/src/app/entry/admin/port.rs
+++ b/src/app/entry/admin/port.rs
@@ -1,6 +1,6 @@
 //! The state of a running entry as [`AdminPort`] shows it.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use super::Observer;
 use crate::{
@@ -175,6 +175,23 @@
     drains
 }
 
+/// Returns what leaves, with the requests that run there through this entry.
+pub(super) fn leaving_here(state: &State) -> BTreeMap<String, u64> {
+    let mut all = BTreeMap::new();
+    state.services.each(|name, s| {
+        for subject in leaving_of(name, s) {
+            let targets = subject.targets.iter();
+            let running = targets.map(|t| state.observer.running(*t)).sum();
+            let mut text = format!("{} place {}", subject.service, subject.place);
+            if let Some(target) = subject.target {
+                text = format!("{text} target {target}");
+            }
+            all.insert(text, running);
+        }
+    });
+    all
+}
+
 fn leaving_of(name: &ServiceName, service: &Service) -> Vec<Leaving> {
     let Some(doc) = service.doc.document() else {
         return Vec::new();
--- a/src/policy/timeline/event.rs
+++ b/src/policy/timeline/event.rs
@@ -130,7 +130,7 @@
     RevisionRejected = Document "revision-rejected",
     /// A place or target gets no new work.
     DrainStarted = Drain "drain-started",
-    /// Nothing runs any more at a place or target that leaves.
+    /// Nothing from this entry runs any more at a place or target that leaves.
     DrainCompleted = Drain "drain-completed",
     /// A place or target gets new work again.
     DrainCancelled = Drain "drain-cancelled",
--- a/src/policy/timeline/mod.rs
+++ b/src/policy/timeline/mod.rs
@@ -15,7 +15,9 @@
 mod event;
 mod ring;
 mod stamp;
+mod watch;
 
 pub use event::{Event, Kind, Part};
 pub use ring::{EVENTS_MAX, Ring, merge};
 pub use stamp::{AHEAD_MAX, HybridClock, Stamp, Utc};
+pub use watch::{Look, events_between};
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -8,7 +8,10 @@
         http::Query,
     },
     domain::{EntryId, Millis},
-    policy::timeline::{AHEAD_MAX, EVENTS_MAX, Event, HybridClock, Kind, Ring, Stamp, Utc, merge},
+    policy::timeline::{
+        AHEAD_MAX, EVENTS_MAX, Event, HybridClock, Kind, Look, Ring, Stamp, Utc, events_between,
+        merge,
+    },
 };
 
 #[derive(Clone, Debug)]
@@ -212,3 +215,47 @@
         .collect();
     insta::assert_snapshot!(all.join("\n"));
 }
+
+#[test]
+fn a_drain_and_an_outage_are_reported_once() {
+    let look = |ready, store_down, leaving: &[(&str, u64)]| Look {
+        ready,
+        store_down,
+        leaving: leaving.iter().map(|(n, r)| ((*n).to_owned(), *r)).collect(),
+    };
+    let looks = [
+        look(false, false, &[]),
+        look(true, false, &[]),
+        look(true, true, &[("slotboard place a", 2)]),
+        look(
+            true,
+            true,
+            &[("slotboard place a", 1), ("slotboard place b", 0)],
+        ),
+        look(
+            true,
+            false,
+            &[("slotboard place a", 0), ("slotboard place b", 0)],
+        ),
+        look(true, false, &[("slotboard place b", 0)]),
+    ];
+    let mut seen = Vec::new();
+    for (n, pair) in looks.windows(2).enumerate() {
+        let events = events_between(&pair[0], &pair[1]);
+        seen.extend(
+            events
+                .iter()
+                .map(|(kind, text)| format!("{} {kind}: {text}", n + 1)),
+        );
+    }
+    insta::assert_snapshot!(seen.join("\n"), @"
+    1 entry-ready: it serves requests
+    2 store-down: the latest call failed
+    2 drain-started: slotboard place a with 2 requests here
+    3 drain-started: slotboard place b with 0 requests here
+    3 drain-completed: slotboard place b: nothing runs there from here
+    4 store-up: the latest call was answered
+    4 drain-completed: slotboard place a: nothing runs there from here
+    5 drain-cancelled: slotboard place a takes new work again or is gone
+    ");
+}
