--- a/src/app/dev/probe.rs
+++ b/src/app/dev/probe.rs
@@ -36,7 +36,7 @@
             .header(header::HOST, service)
             .body(body)?;
         let target = TargetId(entry);
-        let resp = (targets.send)(Outbound { target, request }).await;
+        let resp = (targets.send)(Outbound::new(target, request)).await;
         let resp = resp.map_err(|e| eyre!(e))?;
         let status = resp.status();
         // The body has to end before the connection can be used again.
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -168,7 +168,12 @@
         };
         request.extensions_mut().insert(self.why(&slot));
         self.tried.push(target);
-        let send = (self.state.ports.targets.send)(Outbound { target, request });
+        let hold = slot.hold();
+        let send = (self.state.ports.targets.send)(Outbound {
+            target,
+            request,
+            hold,
+        });
         self.sending.push(Box::pin(async move {
             let result = send.await;
             if result.is_ok() {
@@ -340,7 +345,7 @@
         let region = self
             .state
             .services
-            .get(&self.job.service, |s| s.region(place));
+            .get(&self.job.service, |s| s.region(place).cloned());
         let here = &self.state.settings.region;
         let from = region.flatten().filter(|r| r != here)?;
         Some(Pacer::new(
@@ -448,6 +453,13 @@
             retries.get_or_create(&self.label()).inc();
             return self.send(slot).is_ok();
         }
+        if !sent {
+            // It has not run anywhere, so it may wait for a slot once more.
+            return match slot::acquire(self.state, &self.job).await {
+                Ok(slot) => self.send(slot).is_ok(),
+                Err(_) => false,
+            };
+        }
         self.state
             .services
             .get(&self.job.service, |s| s.budget.refund());
--- a/src/app/entry/control/targets.rs
+++ b/src/app/entry/control/targets.rs
@@ -40,7 +40,7 @@
 
 async fn probe(state: Arc<State>, service: ServiceName, target: TargetId) {
     let request = request();
-    let send = (state.ports.targets.send)(Outbound { target, request });
+    let send = (state.ports.targets.send)(Outbound::new(target, request));
     let alive = match timeout(TIMEOUT.duration(), send).await {
         Ok(Ok(resp)) => resp.status().is_success(),
         Ok(Err(_)) | Err(_) => false,
--- a/src/app/entry/slot.rs
+++ b/src/app/entry/slot.rs
@@ -18,12 +18,13 @@
         refusal::{Code, Refusal},
         target::{Choice, Finish},
     },
+    ports::Hold,
 };
 
 /// A target's slot in use by one request.
 ///
-/// Dropping it gives the slot back, whatever the reason, so that cancelled work
-/// frees its slot at once.
+/// Dropping it gives the slot back, whatever the reason. A cancelled request
+/// gives it back as soon as the target has stopped working on it.
 #[derive(Debug)]
 pub(super) struct Slot {
     state: Arc<State>,
@@ -36,6 +37,8 @@
     started: Millis,
     head: Option<Millis>,
     finish: Finish,
+    /// Resolves when the target has ended the request, once it was sent.
+    ended: Option<oneshot::Receiver<()>>,
 }
 
 impl Slot {
@@ -56,6 +59,7 @@
             started: (state.ports.clock.now)(),
             head: None,
             finish: Finish::Cancelled,
+            ended: None,
         }
     }
 
@@ -64,6 +68,33 @@
         self.choice.target
     }
 
+    /// Returns what the adapter holds as long as the target may work on the
+    /// request.
+    pub fn hold(&mut self) -> Hold {
+        let (hold, ended) = oneshot::channel();
+        self.ended = Some(ended);
+        Arc::new(hold)
+    }
+
+    /// Returns a copy of a cancelled slot that gives the unit back later.
+    fn later(&mut self) -> Option<(oneshot::Receiver<()>, Self)> {
+        let ended = self.ended.take()?;
+        let permit = self.permit.take()?;
+        let rest = Self {
+            state: self.state.clone(),
+            service: self.service.clone(),
+            route: std::mem::take(&mut self.route),
+            lane: self.lane,
+            choice: self.choice.clone(),
+            permit: Some(permit),
+            started: self.started,
+            head: self.head,
+            finish: self.finish,
+            ended: None,
+        };
+        Some((ended, rest))
+    }
+
     /// Names the route under which the duration is learned.
     pub fn set_route(&mut self, route: &str) {
         route.clone_into(&mut self.route);
@@ -82,6 +113,17 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        if self.finish == Finish::Cancelled
+            && let Some((ended, rest)) = self.later()
+        {
+            // The target runs a cancelled request until it sees the connection
+            // close. The next request would be one too many before that.
+            tokio::spawn(async move {
+                let _ = ended.await;
+                drop(rest);
+            });
+            return;
+        }
         let now = (self.state.ports.clock.now)();
         let total = now - self.started;
         let end = End {
@@ -124,7 +166,7 @@
 /// Refuses the request, which has not run, if it gets none in time.
 pub(super) async fn acquire(state: &Arc<State>, job: &Job) -> Result<Slot, Refusal> {
     let now = (state.ports.clock.now)();
-    let place = place(state, job)?;
+    let place = place_in_time(state, job).await?;
     let (grant, granted) = oneshot::channel();
     let ticket = job.ticket(now);
     let offer = |s: &mut Service| s.offer(now, &mut rand::rng(), ticket, place, grant);
@@ -161,6 +203,28 @@
     Some(slot)
 }
 
+/// How long a request waits for units of a rate limit that this entry has just
+/// asked for. A round trip between regions takes 70 ms.
+const UNITS: Millis = Millis(300);
+
+/// How often it looks for them.
+const LOOK: Millis = Millis(10);
+
+/// Chooses the place of a request. If a limit is short of units here, the
+/// request waits until other entries could have lent some.
+async fn place_in_time(state: &Arc<State>, job: &Job) -> Result<PlaceName, Refusal> {
+    let now = || (state.ports.clock.now)();
+    let until = job.deadline.min(now() + UNITS);
+    loop {
+        match place(state, job) {
+            Err(refusal) if refusal.code == Code::Limited && now() < until => {
+                tokio::time::sleep(LOOK.duration()).await;
+            }
+            result => return result,
+        }
+    }
+}
+
 /// Chooses the place of a request under the limits of shift and region.
 fn place(state: &Arc<State>, job: &Job) -> Result<PlaceName, Refusal> {
     let cap = shift_limit(&job.service);
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -268,9 +268,21 @@
         if self.roster().position(&self.me).is_none() {
             return Some("the roster does not list this entry yet".to_owned());
         }
+        if self.is_short() {
+            return Some("units of the regions' headroom have not arrived yet".to_owned());
+        }
         None
     }
 
+    /// Tells whether a region's headroom is all with other entries although some
+    /// of it belongs here, as after a change of the roster.
+    fn is_short(&self) -> bool {
+        let short = |l: &mut Ledger| l.status().usable == 0 && l.status().missing > 0;
+        let regions = self.settings.regions.keys();
+        let mut shorts = regions.filter_map(|r| self.limits.get(&region_limit(r), short));
+        shorts.any(|s| s)
+    }
+
     /// Returns the roster in force, as limits need it.
     #[must_use]
     pub fn roster(&self) -> Arc<Roster> {
@@ -309,13 +321,24 @@
         self.admit_amount(limit, 1)
     }
 
-    /// Takes an amount of a rate limit. A limit that nobody defined does not
-    /// limit.
+    /// Takes an amount of a rate limit, or asks other entries for units of it. A
+    /// limit that nobody defined does not limit.
     #[must_use]
     pub fn admit_amount(&self, limit: &LimitName, amount: u64) -> bool {
         let now = (self.ports.clock.now)();
-        let admitted = self.limits.get(limit, |l| l.admit(amount, now));
-        admitted.unwrap_or(true)
+        let asked = self.limits.get(limit, |l| {
+            if l.admit(amount, now) {
+                return None;
+            }
+            Some(l.request(now))
+        });
+        match asked.flatten() {
+            None => true,
+            Some(out) => {
+                self.post(out);
+                false
+            }
+        }
     }
 }
 
