Count hedged work whose answer was still on its way

Cause: an attempt that was over before its cancellation arrived counted as useful. Change: its time moves to the work added.

--- a/examples/bench/measure.rs
+++ b/examples/bench/measure.rs
@@ -114,6 +114,14 @@
         }
     }
 
+    /// Records that time was spent in vain that was taken for useful.
+    pub fn wasted(&mut self, now: Micros, time: Micros) {
+        if now >= self.from {
+            self.spent[0] = self.spent[0].saturating_sub(time);
+            self.spent[1] += time;
+        }
+    }
+
     /// Records that a request left a leaving target, which it had reached at an
     /// instant.
     pub fn left(&mut self, now: Micros, reached: Micros) {
--- a/examples/bench/platform.rs
+++ b/examples/bench/platform.rs
@@ -58,6 +58,8 @@
     pub reached: Micros,
     /// When it began to run.
     pub started: Option<Micros>,
+    /// The time that its target has spent on it.
+    pub spent: Micros,
     /// How many attempts of the request came before it.
     pub nth: u64,
     /// Whether the entry has given it up.
@@ -201,6 +203,7 @@
             sent: self.now,
             reached: 0,
             started: None,
+            spent: 0,
             nth,
             dropped: false,
             over: false,
@@ -213,7 +216,9 @@
     pub fn cancel(&mut self, attempt: usize) {
         let a = &mut self.attempts[attempt];
         a.dropped = true;
-        let (entry, target) = (a.entry, a.target);
+        let (entry, target, spent) = (a.entry, a.target, a.spent);
+        // It may be over while its answer is still on the way.
+        self.tally.wasted(self.now, spent);
         self.after(self.delay(entry, target), Event::Cancel(attempt));
     }
 
@@ -330,6 +335,7 @@
         let repeated = self.tries[a.request] > 1;
         if let Some(started) = a.started {
             let vain = a.dropped && repeated;
+            self.attempts[attempt].spent = self.now - started;
             self.tally.spent(self.now, vain, self.now - started);
         }
     }
