Choose dev's ports outside the kernel's range and hint at the base of an edit

Cause: in 1 of 3 runs of tests/cli, dev ended at its start. The ports of peers were given back before those of callers were chosen, and any outgoing connection could take one that was found free.

Ruled out: a new attempt of the whole start after a failed bind, since entries tell each other addresses that would then be wrong.

Change: all six ports are held while they are chosen, from 20,000 to 30,000, where the kernel assigns none. `documents put` of a file without its revision names the revision and what to do.

Conclusion: the start of dev no longer depends on what other processes connect to.

--- a/src/app/cli/documents.rs
+++ b/src/app/cli/documents.rs
@@ -7,7 +7,7 @@
 use std::{fs, path::Path};
 
 use eyre::{WrapErr, bail, eyre};
-use http::Method;
+use http::{Method, StatusCode};
 use serde_json::Value;
 
 use super::{
@@ -88,8 +88,14 @@
     let base = base.or(stated.map(|r| format!("\"{r}\"")));
     let ask = put_ask(&doc.service, text, base, dry_run);
     let reply = client.call(&ask).await;
-    let reply = reply.wrap_err_with(|| lost(&ask))?.success()?;
-    let value = reply.json()?;
+    let reply = reply.wrap_err_with(|| lost(&ask))?;
+    if let (StatusCode::PRECONDITION_REQUIRED, Some(found)) = (reply.status, reply.revision()) {
+        bail!(
+            "{} exists at revision {found}: edit the output of `documents get`, or state --base {found}",
+            doc.service
+        );
+    }
+    let value = reply.success()?.json()?;
     if dry_run {
         print_changes(&value["changes"], "");
         return Ok(());
--- a/src/app/dev/mod.rs
+++ b/src/app/dev/mod.rs
@@ -9,10 +9,14 @@
 mod sample;
 pub mod target;
 
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    ops::Range,
+};
 
-use eyre::{WrapErr, eyre};
+use eyre::{WrapErr, bail, eyre};
 use futures::future::join_all;
+use rand::Rng;
 use serde_json::{Value, json};
 
 use crate::{
@@ -36,6 +40,14 @@
 /// The slots of each sample target.
 const SLOTS: u32 = 5;
 
+/// Where the entries' ports are looked for. The kernel gives ports from 32,768 on
+/// to outgoing connections and to servers that ask for any port, and one of them
+/// could take a port between the moment it is found and the moment it is bound.
+const PORTS: Range<u16> = 20_000..30_000;
+
+/// How many ports are tried, of which six are needed.
+const PORT_TRIES: usize = 200;
+
 /// A running set of entries and targets.
 #[derive(Debug)]
 pub struct Dev {
@@ -59,8 +71,9 @@
         targets.extend(own);
         sample::put(&store, &clock, service, &addrs).await?;
     }
-    let peers = free_addresses(sample::PLACES.len())?;
-    let callers = free_addresses(sample::PLACES.len())?;
+    let count = sample::PLACES.len();
+    let mut peers = free_addresses(2 * count)?;
+    let callers = peers.split_off(count);
     let mut entries = Vec::new();
     for (n, callers) in callers.into_iter().enumerate() {
         sample::list_vm(&store, n).await?;
@@ -82,13 +95,21 @@
 /// Returns addresses that were free a moment ago. Entries tell each other their
 /// addresses, so they have to be known before the servers start.
 fn free_addresses(count: usize) -> eyre::Result<Vec<SocketAddr>> {
-    let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
-    let listeners: Result<Vec<TcpListener>, std::io::Error> = (0..count).map(bind).collect();
-    let addrs = listeners?
-        .iter()
-        .map(TcpListener::local_addr)
-        .collect::<Result<_, _>>()?;
-    Ok(addrs)
+    let mut rng = rand::rng();
+    // All are held until the last is found, so they differ.
+    let mut held = Vec::new();
+    for _ in 0..PORT_TRIES {
+        if held.len() == count {
+            break;
+        }
+        let port = rng.random_range(PORTS);
+        held.extend(TcpListener::bind((Ipv4Addr::LOCALHOST, port)));
+    }
+    if held.len() < count {
+        bail!("find {count} free ports: {PORT_TRIES} tries in {PORTS:?} found too few");
+    }
+    let addrs: Result<_, std::io::Error> = held.iter().map(TcpListener::local_addr).collect();
+    Ok(addrs?)
 }
 
 async fn entry(text: &str, clock: &Clock, memory: &Memory) -> eyre::Result<Entry> {
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -46,8 +46,9 @@
     for line in text.lines() {
         let mut words: Vec<String> = Vec::new();
         for word in line.split(' ') {
-            let core = word.trim_end_matches(',');
-            let follows = words.last().is_some_and(|w| w == "revision" || w == "at");
+            let core = word.trim_end_matches([',', ':']);
+            let before = words.last().map(String::as_str);
+            let follows = matches!(before, Some("revision" | "at" | "--base"));
             if !follows || core.parse::<u64>().is_err() {
                 words.push(word.to_owned());
                 continue;
@@ -77,6 +78,9 @@
     let dev = Dev::spawn(&["--for", "120"]);
     let got = dev.run(&["documents", "get", "bokun"]);
     let text = got.strip_prefix("exit 0\n").expect("a document");
+    let bare = text.split_once('\n').expect("the line of the revision").1;
+    let bare = file("bare.ini", bare);
+    let bare = bare.to_str().expect("the path is text");
     let path = file(
         "bokun.ini",
         &text.replacen("weight = 100", "weight = 40", 1),
@@ -87,6 +91,7 @@
         vec!["documents", "put", path],
         vec!["documents", "put", path],
         vec!["documents", "put", "--base", "1", path],
+        vec!["documents", "put", bare],
         vec!["drain", "--wait", "30", "bokun", "reykjanes-1"],
         vec!["drain", "bokun", "reykjanes-1"],
         vec!["drain", "bokun", "atlantis-1"],
@@ -97,7 +102,7 @@
     ];
     let mut seen = Vec::new();
     for step in &steps {
-        let words = step.iter().filter(|w| **w != path);
+        let words = step.iter().filter(|w| **w != path && **w != bare);
         let name: Vec<&str> = words.copied().collect();
         // How often a drain is seen running is a matter of time.
         let lines = dev.run(step);
