Keep traffic in its region as far as weights allow

Ruled out: local places only, which would change each place's part of the whole. Change: while no move is under way an entry draws from weights that fill its own region first; the number of entries stands for a region's traffic.

--- a/src/app/entry/control/shifts.rs
+++ b/src/app/entry/control/shifts.rs
@@ -50,8 +50,10 @@
 /// Takes the next step of every service's move, with what peers report.
 fn step(state: &State, peers: &BTreeMap<ServiceName, Progress>) {
     let now = (state.ports.clock.now)();
+    let demand = demand(state);
     let mut events = Vec::new();
     state.services.each(|name, s| {
+        s.localize(&state.settings.region, &demand);
         let Some(shift) = &mut s.shift else {
             return;
         };
@@ -67,6 +69,17 @@
     }
 }
 
+/// Returns the traffic of each region, in entries. Look-ups spread the callers of
+/// a region over its entries, so their number stands for its traffic.
+fn demand(state: &State) -> Vec<(RegionName, u32)> {
+    let members = state.fleet.members();
+    let mut demand: BTreeMap<RegionName, u32> = BTreeMap::new();
+    for member in members.alive() {
+        *demand.entry(member.region.clone()).or_default() += 1;
+    }
+    demand.into_iter().collect()
+}
+
 /// Returns the moves that are under way here.
 pub(super) fn moves(state: &State) -> Vec<(ServiceName, Progress)> {
     let mut moves = Vec::new();
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -24,7 +24,7 @@
         refusal::{Code, Refusal},
         retry::{Budget, Window},
         shift::Shift,
-        target::{Ask, Choice, Finish, Miss, Pool, State},
+        target::{Ask, Choice, Finish, Miss, Pool, State, local_weights},
     },
 };
 
@@ -99,6 +99,8 @@
     pub budget: Budget,
     /// Where traffic goes, once there is a document.
     pub shift: Option<Shift>,
+    /// The places with their regions and weights for callers of this region.
+    local: Vec<(PlaceName, RegionName, u32)>,
     /// The latest choices.
     pub choices: VecDeque<Chosen>,
 }
@@ -117,6 +119,7 @@
             windows: [Window::new(), Window::new()],
             budget: Budget::new(),
             shift: None,
+            local: Vec::new(),
             choices: VecDeque::with_capacity(CHOICES),
         }
     }
@@ -137,6 +140,8 @@
             return;
         };
         self.pool.adopt(now, &doc.places);
+        // The next round computes them for the new places.
+        self.local.clear();
         let targets = doc.places.iter().flat_map(|p| &p.targets);
         self.slots = targets.map(|t| (*t, slots_limit(*t))).collect();
         match &mut self.shift {
@@ -293,6 +298,45 @@
         Some((choice, permit))
     }
 
+    /// Computes the weights for callers of the region `here`, given the traffic
+    /// of each region.
+    pub(super) fn localize(&mut self, here: &RegionName, demand: &[(RegionName, u32)]) {
+        let place = |(name, share): (PlaceName, u32)| {
+            let region = self.region(&name)?.clone();
+            Some((name, region, share))
+        };
+        let places: Vec<_> = self.places().into_iter().filter_map(place).collect();
+        let weights = local_weights(here, demand, &places);
+        let weighted = places.into_iter().zip(weights);
+        self.local = weighted
+            .map(|((name, region, _), (_, weight))| (name, region, weight))
+            .filter(|(_, _, weight)| *weight > 0)
+            .collect();
+    }
+
+    /// Draws a place near this entry's region, if its region has headroom.
+    ///
+    /// While traffic moves it returns none, because then the shift decides for
+    /// each request whether it moves.
+    pub(super) fn local_place<R: Rng>(
+        &self,
+        rng: &mut R,
+        headroom: impl FnOnce(&RegionName) -> bool,
+    ) -> Option<PlaceName> {
+        if self.shift.as_ref().is_none_or(Shift::is_moving) {
+            return None;
+        }
+        let sum: u32 = self.local.iter().map(|(_, _, w)| w).sum();
+        let mut at = rng.random_range(0..sum.max(1));
+        let drawn = self.local.iter().find(|(_, _, weight)| {
+            let hit = at < *weight;
+            at = at.saturating_sub(*weight);
+            hit
+        });
+        let (name, region, _) = drawn?;
+        headroom(region).then(|| name.clone())
+    }
+
     /// Returns the region of a place.
     #[must_use]
     pub fn region(&self, place: &PlaceName) -> Option<&RegionName> {
--- a/src/app/entry/slot.rs
+++ b/src/app/entry/slot.rs
@@ -11,7 +11,7 @@
     state::{region_limit, shift_limit, slots_limit},
 };
 use crate::{
-    domain::{Lane, Millis, PlaceName, ServiceName, TargetId},
+    domain::{Lane, Millis, PlaceName, RegionName, ServiceName, TargetId},
     policy::{
         limit::Permit,
         queue::WaitId,
@@ -228,10 +228,13 @@
 /// Chooses the place of a request under the limits of shift and region.
 fn place(state: &Arc<State>, job: &Job) -> Result<PlaceName, Refusal> {
     let cap = shift_limit(&job.service);
+    let headroom = |r: &RegionName| state.admit(&region_limit(r));
     let choose = |s: &mut Service| {
+        if let Some(place) = s.local_place(&mut rand::rng(), headroom) {
+            return Ok(place);
+        }
         let shift = s.shift.as_mut().ok_or_else(|| job.unknown())?;
-        let unit = || state.admit(&cap);
-        let place = shift.choose_place(&mut rand::rng(), unit, |r| state.admit(&region_limit(r)));
+        let place = shift.choose_place(&mut rand::rng(), || state.admit(&cap), headroom);
         place.map(|p| p.name.clone())
     };
     let chosen = state.services.get(&job.service, choose);
