--- a/tests/lookup.rs
+++ b/tests/lookup.rs
@@ -115,6 +115,23 @@
     insta::assert_snapshot!(mixed, @"0");
 }
 
+/// Fails if two deltas of one shard lose a change of each other.
+#[test]
+fn deltas_at_the_same_time_are_all_kept() {
+    let table = BlockTable::new();
+    let delta = |writer: u8, block: u8| Change {
+        prefix: Prefix::new([10, 0, writer, block].into(), 32).expect("the length fits"),
+        site: Some(SiteId(1)),
+    };
+    let write = |writer| (0..100).for_each(|block| table.apply(&[delta(writer, block)]));
+    thread::scope(|s| {
+        for writer in 0..4 {
+            s.spawn(move || write(writer));
+        }
+    });
+    insta::assert_snapshot!(table.len(), @"400");
+}
+
 const STATES: [EntryState; 6] = [
     EntryState::Live,
     EntryState::Live,
@@ -244,6 +261,7 @@
     all[3].level = LoadLevel::Normal;
     (all[3].state, all[3].since) = (EntryState::Suspect, Millis(21_000));
     note("e3 suspect", &all, 7, 23_000);
+    note("e3 suspect for long", &all, 7, 40_000);
     (all[3].state, all[3].since) = (EntryState::Leaving, Millis(24_000));
     note("e3 leaving", &all, 7, 25_000);
     note("e3 left", &all, 7, 40_000);
