Look at an idle connection's socket before it is used again

Cause: tests/faults_target.rs lost a POST right after its target was killed. The kernel knew that the connection was closed, but the task that drives it had not run yet, so the request was written and its outcome became unknown. Ruled out: a second descriptor of the socket, which would keep a cancelled connection open. Change: hyper owns a socket of which the pool keeps a weak reference; a peek before reuse finds connections that are closed or have unexpected data. Conclusion: the window is now only the time between the peek and the write.

--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -10,6 +10,7 @@
 mod query;
 mod refusal;
 mod server;
+mod socket;
 mod target;
 
 pub use query::Query;
--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -22,6 +22,7 @@
     time::timeout,
 };
 
+use super::socket::{Socket, Watch};
 use crate::{
     domain::{Millis, Shards, TargetId},
     ports::{Body, Clock, Hold, Outbound, SendError, Targets},
@@ -52,6 +53,7 @@
 /// A connection with what is held for the request that it carries.
 struct Conn {
     sender: SendRequest<Body>,
+    watch: Watch,
     held: Arc<Mutex<Option<Hold>>>,
 }
 
@@ -175,7 +177,8 @@
 fn checkout(pool: &Pool, target: TargetId, now: Millis) -> Option<Conn> {
     pool.get(&target, |idle| {
         while let Some(Idle { conn, since }) = idle.pop() {
-            if now - since < IDLE && conn.sender.is_ready() {
+            let young = now - since < IDLE;
+            if young && conn.sender.is_ready() && !conn.watch.is_closed() {
                 return Some(conn);
             }
         }
@@ -222,7 +225,9 @@
         Err(_) => return Err(failed("connect to", format!("timed out after {CONNECT}"))),
     };
     tune(&stream).map_err(|e| failed("configure connection to", e.to_string()))?;
-    let (sender, conn) = http1::handshake::<_, Body>(TokioIo::new(stream))
+    let socket = Socket::new(stream);
+    let watch = socket.watch();
+    let (sender, conn) = http1::handshake::<_, Body>(TokioIo::new(socket))
         .await
         .map_err(|e| failed("handshake with", e.to_string()))?;
     let held: Arc<Mutex<Option<Hold>>> = Arc::default();
@@ -234,12 +239,16 @@
         }
         end_hold(&ended);
     });
-    Ok(Conn { sender, held })
+    Ok(Conn {
+        sender,
+        watch,
+        held,
+    })
 }
 
 /// Closes this side and waits until the target has closed the other, because a
 /// target stops a cancelled request when it sees that.
-async fn close(mut stream: TcpStream) {
+async fn close(mut stream: Socket) {
     let closed = async {
         let mut buf = vec![0; 16 * 1024];
         let mut left = LEFTOVER;
