Emit events of strikes, blocks, moves and stops

Cause: these kinds of events were documented and never emitted. Change: the code that notices them emits them. Conclusion: four kinds of limits and targets are still not emitted.

--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -30,6 +30,7 @@
         retry::{self, Percentiles},
         silence,
         target::{Finish, Report},
+        timeline::Kind,
     },
     ports::{Body, Outbound, SendError},
 };
@@ -92,7 +93,12 @@
             state,
             job: job.fingerprint,
         })),
-        Admission::Refused(refusal) => Err(refusal),
+        Admission::Refused(refusal) => {
+            drop(strikes);
+            let text = format!("a request to {}: {}", job.service, refusal.detail);
+            (state.events.emit)(Kind::RequestBlocked, text);
+            Err(refusal)
+        }
     }
 }
 
@@ -401,10 +407,11 @@
         if !is_strike(failure, known) {
             return;
         }
-        tracing::warn!(
-            "crash: a request to {} broke the connection to {peer}.",
+        let text = format!(
+            "a request to {} broke the connection to {peer}",
             self.job.service
         );
+        (self.state.events.emit)(Kind::RequestStruck, text);
         self.suspect = true;
         let strike = {
             let mut strikes = self
--- a/src/app/entry/control/documents.rs
+++ b/src/app/entry/control/documents.rs
@@ -29,6 +29,17 @@
     } = arrival;
     match state.adopt_content(&service, revision, content) {
         Adoption::Adopted { .. } => {
+            let moving = |s: &mut crate::app::entry::Service| {
+                s.shift
+                    .as_ref()
+                    .is_some_and(crate::policy::shift::Shift::is_moving)
+            };
+            if state.services.get(&service, moving) == Some(true) {
+                (state.events.emit)(
+                    Kind::ShiftStarted,
+                    format!("{service} to revision {revision}"),
+                );
+            }
             state.fleet.spread().adopted(&service, revision);
             (state.events.emit)(
                 Kind::RevisionAdopted,
--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -136,6 +136,7 @@
         while state.running() > 0 {
             tokio::time::sleep(STOP_PERIOD).await;
         }
+        (state.events.emit)(Kind::EntryStopped, state.settings.name.to_string());
         control::leave_roster(&state).await;
         control.stop().await;
         admin.stop().await;
