--- a/src/adapters/grpc/claim/request.rs
+++ b/src/adapters/grpc/claim/request.rs
@@ -10,7 +10,7 @@
 };
 
 /// A request to a home.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Claim {
     /// The sender.
     #[prost(message, optional, tag = "1")]
@@ -24,7 +24,7 @@
 }
 
 /// What a home is asked.
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, prost::Oneof, PartialEq)]
 pub enum Op {
     /// A vote.
     #[prost(message, tag = "3")]
@@ -74,7 +74,7 @@
 }
 
 /// A request for a vote.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Vote {
     /// The key.
     #[prost(message, optional, tag = "1")]
@@ -120,7 +120,7 @@
 }
 
 /// Notice of an attempt that will never be dispatched.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Release {
     /// The key.
     #[prost(message, optional, tag = "1")]
@@ -151,7 +151,7 @@
 }
 
 /// Notice of an executed attempt.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Finish {
     /// The key.
     #[prost(message, optional, tag = "1")]
@@ -192,7 +192,7 @@
 }
 
 /// A request for the claims of a former home.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Read {
     /// The bucket.
     #[prost(uint32, tag = "1")]
--- a/src/adapters/grpc/claim/response.rs
+++ b/src/adapters/grpc/claim/response.rs
@@ -10,7 +10,7 @@
 };
 
 /// A response of a home.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct ClaimReply {
     /// The sender.
     #[prost(message, optional, tag = "1")]
@@ -27,7 +27,7 @@
 }
 
 /// What a home responds.
-#[derive(Clone, PartialEq, prost::Oneof)]
+#[derive(Clone, prost::Oneof, PartialEq)]
 pub enum Outcome {
     /// The attempt has the vote.
     #[prost(message, tag = "4")]
@@ -56,11 +56,11 @@
 }
 
 /// A message without content.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, Copy, prost::Message, PartialEq)]
 pub struct Empty {}
 
 /// Attempts that hold a key.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Held {
     /// The attempts.
     #[prost(message, repeated, tag = "1")]
@@ -68,7 +68,7 @@
 }
 
 /// An executed request.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Finished {
     /// What it asked for. It is left out of a reply to a vote.
     #[prost(message, optional, tag = "1")]
@@ -79,7 +79,7 @@
 }
 
 /// Why a home refuses.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, Copy, prost::Message, PartialEq)]
 pub struct Refused {
     /// The reason: 1 stale, 2 behind, 3 away, 4 reading, 5 full, 6 released.
     #[prost(uint32, tag = "1")]
@@ -90,7 +90,7 @@
 }
 
 /// Some of the claims of a bucket.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Page {
     /// The request that it answers.
     #[prost(message, optional, tag = "1")]
@@ -104,7 +104,7 @@
 }
 
 /// A claim on its way to another home. Either `held` or `finished` is present.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Copied {
     /// The key.
     #[prost(message, optional, tag = "1")]
--- a/src/adapters/grpc/claim/strike.rs
+++ b/src/adapters/grpc/claim/strike.rs
@@ -7,7 +7,7 @@
 };
 
 /// The strikes that one member has counted.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Count {
     /// The member.
     #[prost(message, optional, tag = "1")]
@@ -21,7 +21,7 @@
 }
 
 /// Strikes against a fingerprint.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Strike {
     /// The fingerprint.
     #[prost(message, optional, tag = "1")]
@@ -35,7 +35,7 @@
 }
 
 /// Strikes in either direction: a push, or what the receiver knows beyond it.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Strikes {
     /// The strikes.
     #[prost(message, repeated, tag = "1")]
--- a/src/adapters/grpc/claim/values.rs
+++ b/src/adapters/grpc/claim/values.rs
@@ -11,7 +11,7 @@
 };
 
 /// One life of an entry.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Member {
     /// The name of the entry.
     #[prost(string, tag = "1")]
@@ -42,7 +42,7 @@
 }
 
 /// A key within its service.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Key {
     /// The service.
     #[prost(string, tag = "1")]
@@ -73,7 +73,7 @@
 }
 
 /// A digest in its two halves.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, Copy, prost::Message, PartialEq)]
 pub struct Fingerprint {
     /// The upper half.
     #[prost(fixed64, tag = "1")]
@@ -102,7 +102,7 @@
 }
 
 /// An attempt with the vote of a home.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Holder {
     /// The attempt.
     #[prost(fixed64, tag = "1")]
@@ -143,7 +143,7 @@
 }
 
 /// A header of a recorded answer.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Header {
     /// The name in lower case.
     #[prost(bytes = "vec", tag = "1")]
@@ -154,7 +154,7 @@
 }
 
 /// A recorded answer.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Answer {
     /// The HTTP status.
     #[prost(uint32, tag = "1")]
--- a/src/adapters/grpc/limit.rs
+++ b/src/adapters/grpc/limit.rs
@@ -14,7 +14,7 @@
 pub const BATCH_MAX: Size = Size::kib(256);
 
 /// Messages of several limits from one entry to another.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct LimitBatch {
     /// The sender's name.
     #[prost(string, tag = "1")]
@@ -34,11 +34,11 @@
 }
 
 /// The answer to a batch. Answers to its messages travel in later batches.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, Copy, prost::Message, PartialEq)]
 pub struct LimitAck {}
 
 /// A message of one limit.
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct LimitItem {
     /// The limit's name.
     #[prost(string, tag = "1")]
@@ -84,7 +84,7 @@
 }
 
 /// See [`Message::Ask`].
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Ask {
     /// The id of the ask.
     #[prost(uint64, tag = "1")]
@@ -101,7 +101,7 @@
 }
 
 /// See [`Message::Grant`].
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Grant {
     /// The id of the ask.
     #[prost(uint64, tag = "1")]
@@ -115,7 +115,7 @@
 }
 
 /// See [`Message::Decline`].
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, Copy, prost::Message, PartialEq)]
 pub struct Decline {
     /// The id of the ask.
     #[prost(uint64, tag = "1")]
@@ -126,7 +126,7 @@
 }
 
 /// See [`Held`].
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Loan {
     /// The id of the ask.
     #[prost(uint64, tag = "1")]
@@ -137,7 +137,7 @@
 }
 
 /// See [`Message::Reconcile`].
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Reconcile {
     /// The lowest ask that may still be granted.
     #[prost(uint64, tag = "1")]
@@ -148,7 +148,7 @@
 }
 
 /// See [`Message::Survey`].
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Survey {
     /// The round.
     #[prost(uint64, tag = "1")]
@@ -159,7 +159,7 @@
 }
 
 /// See [`Message::Handover`].
-#[derive(Clone, PartialEq, prost::Message)]
+#[derive(Clone, prost::Message, PartialEq)]
 pub struct Handover {
     /// The round.
     #[prost(uint64, tag = "1")]
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -12,7 +12,7 @@
     State,
     admin::Why,
     claims::{self, Claimed, Won},
-    control,
+    crashes::admit,
     inbound::Inbound,
     job::Job,
     pacing::Pacer,
@@ -25,12 +25,10 @@
     adapters::metrics::ServiceLabel,
     domain::{Lane, Millis, TargetId},
     policy::{
-        crash::{Admission, Ending, Failure, Stage, is_strike},
         refusal::{Code, Refusal},
         retry::{self, Percentiles},
         silence,
         target::{Finish, Report},
-        timeline::Kind,
     },
     ports::{Body, Outbound, SendError},
 };
@@ -67,54 +65,19 @@
     run.answer(slot).await
 }
 
-/// A fingerprint under trial, which ends when this value is dropped.
-struct Trial<'a> {
-    state: &'a Arc<State>,
-    job: crate::policy::once::Fingerprint,
-}
-
-impl Drop for Trial<'_> {
-    fn drop(&mut self) {
-        let mut strikes = self
-            .state
-            .strikes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        strikes.end_trial(self.job);
-    }
-}
-
-fn admit<'a>(state: &'a Arc<State>, job: &Job) -> Result<Option<Trial<'a>>, Refusal> {
-    let now = (state.ports.clock.now)();
-    let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
-    match strikes.admit(job.fingerprint, now) {
-        Admission::Free => Ok(None),
-        Admission::Trial => Ok(Some(Trial {
-            state,
-            job: job.fingerprint,
-        })),
-        Admission::Refused(refusal) => {
-            drop(strikes);
-            let text = format!("a request to {}: {}", job.service, refusal.detail);
-            (state.events.emit)(Kind::RequestBlocked, text);
-            Err(refusal)
-        }
-    }
-}
-
 /// The attempts of one request.
-struct Run<'a> {
-    state: &'a Arc<State>,
-    job: Job,
-    won: Option<Won>,
+pub(super) struct Run<'a> {
+    pub(super) state: &'a Arc<State>,
+    pub(super) job: Job,
+    pub(super) won: Option<Won>,
     /// Whether its shape has broken a connection before.
-    suspect: bool,
-    sending: FuturesUnordered<Sending>,
-    tried: Vec<TargetId>,
-    hedged: bool,
+    pub(super) suspect: bool,
+    pub(super) sending: FuturesUnordered<Sending>,
+    pub(super) tried: Vec<TargetId>,
+    pub(super) hedged: bool,
     /// Whether a target may have seen it.
-    sent: bool,
-    first: Millis,
+    pub(super) sent: bool,
+    pub(super) first: Millis,
 }
 
 impl Run<'_> {
@@ -143,7 +106,7 @@
         }
     }
 
-    fn now(&self) -> Millis {
+    pub(super) fn now(&self) -> Millis {
         (self.state.ports.clock.now)()
     }
 
@@ -329,22 +292,6 @@
         Ok(Some(reply::pass(resp, slot, None, None)))
     }
 
-    /// Clears the strikes against a request that was executed after all.
-    fn absolve(&self) {
-        if !self.suspect {
-            return;
-        }
-        let cleared = {
-            let strikes = self.state.strikes.lock();
-            let mut strikes = strikes.unwrap_or_else(PoisonError::into_inner);
-            strikes.clear(self.job.fingerprint, self.now())
-        };
-        if let Some(strike) = cleared {
-            let state = self.state.clone();
-            tokio::spawn(async move { control::notify(&state, strike).await });
-        }
-    }
-
     /// Returns the pace of an answer that comes from another region.
     fn pacer(&self, slot: &Slot) -> Option<Pacer> {
         let place = &slot.choice.place;
@@ -381,60 +328,6 @@
         Err(Refusal::not_run(Code::Unreachable, e.to_string()).retry_after(Millis(1_000)))
     }
 
-    /// Counts a broken connection against the request.
-    async fn strike(&mut self, e: &SendError) {
-        let SendError::Unknown {
-            broken: true, peer, ..
-        } = e
-        else {
-            return;
-        };
-        let now = self.now();
-        let failure = Failure {
-            stage: Stage::Written,
-            ending: Ending::Broken,
-            leaving: self.is_leaving(*peer),
-        };
-        let fingerprint = self.job.fingerprint;
-        let known = {
-            let successes = self
-                .state
-                .successes
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            successes.contains(fingerprint, now)
-        };
-        if !is_strike(failure, known) {
-            return;
-        }
-        let text = format!(
-            "a request to {} broke the connection to {peer}",
-            self.job.service
-        );
-        (self.state.events.emit)(Kind::RequestStruck, text);
-        self.suspect = true;
-        let strike = {
-            let mut strikes = self
-                .state
-                .strikes
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            strikes.strike(fingerprint, now)
-        };
-        // The caller may repeat the request through another entry as soon as it
-        // has its answer, so the others have to know first.
-        control::notify(self.state, strike).await;
-    }
-
-    fn is_leaving(&self, target: TargetId) -> bool {
-        let now = self.now();
-        let state = self
-            .state
-            .services
-            .get(&self.job.service, |s| s.pool.state(now, target));
-        state.flatten() == Some(crate::policy::target::State::Leaving)
-    }
-
     /// Sends the request once more, if budget, time and units allow.
     async fn retry(&mut self, sent: bool) -> bool {
         if !self.job.is_kept() {
--- a/tests/limit.rs
+++ b/tests/limit/main.rs
@@ -1,17 +1,11 @@
 //! Guards shared limits: the units in use anywhere never exceed the limit, and
 //! unused units reach the entry that needs them.
 
-#[path = "limit/node.rs"]
 mod node;
-#[path = "limit/platform.rs"]
 mod platform;
-#[path = "limit/script.rs"]
 mod script;
-#[path = "limit/timelines.rs"]
 mod timelines;
-#[path = "limit/wire.rs"]
 mod wire;
-#[path = "limit/world.rs"]
 mod world;
 
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
