Carry the entries' addresses in the roster

The roster was complete after 2 s, but the membership took up to 18 s to know every entry (logs of the last member-joined), and until then surveys of limits could not reach all members. Ruled out: the survey's back-off alone; its rounds fail only because answers are missing. Change: the roster record names each seat's address for messages. Conclusion: limits and claims no longer wait for the membership to form.

--- a/src/adapters/store/roster.rs
+++ b/src/adapters/store/roster.rs
@@ -1,11 +1,13 @@
 //! The encoding of the roster in the store.
 
+use std::{collections::BTreeMap, net::SocketAddr};
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use super::record::RecordError;
 use crate::{
-    domain::{Epoch, Incarnation},
+    domain::{EntryId, Epoch, Incarnation, ParseError},
     policy::member::{Roster, Seat},
 };
 
@@ -22,6 +24,10 @@
     pub former: Roster,
     /// The roster in force.
     pub current: Roster,
+    /// Where the entries of the roster in force take messages of others. The
+    /// membership knows this too, but takes seconds to form, and until then
+    /// limits and claims could reach nobody.
+    pub addresses: BTreeMap<EntryId, SocketAddr>,
 }
 
 #[derive(Deserialize, Serialize)]
@@ -42,6 +48,8 @@
 struct Image {
     former: RosterImage,
     current: RosterImage,
+    #[serde(default)]
+    addresses: BTreeMap<String, SocketAddr>,
 }
 
 /// Encodes a roster.
@@ -50,7 +58,9 @@
 ///
 /// Returns [`RecordError::Malformed`] if the values cannot be encoded.
 pub fn encode(record: &RosterRecord) -> Result<Bytes, RecordError> {
+    let named = record.addresses.iter();
     let image = Image {
+        addresses: named.map(|(e, a)| (e.to_string(), *a)).collect(),
         former: image(&record.former),
         current: image(&record.current),
     };
@@ -66,7 +76,11 @@
 pub fn decode(value: &[u8]) -> Result<RosterRecord, RecordError> {
     let malformed = |e: &dyn std::fmt::Display| RecordError::Malformed(e.to_string());
     let image: Image = serde_json::from_slice(value).map_err(|e| malformed(&e))?;
+    let named = image.addresses.into_iter();
+    let addresses = named.map(|(e, a)| Ok((e.parse()?, a)));
+    let addresses: Result<_, ParseError> = addresses.collect();
     Ok(RosterRecord {
+        addresses: addresses.map_err(|e| malformed(&e))?,
         former: roster(image.former).map_err(|e| malformed(&e))?,
         current: roster(image.current).map_err(|e| malformed(&e))?,
     })
@@ -85,7 +99,7 @@
     }
 }
 
-fn roster(image: RosterImage) -> Result<Roster, crate::domain::ParseError> {
+fn roster(image: RosterImage) -> Result<Roster, ParseError> {
     let seat = |s: SeatImage| {
         Ok(Seat {
             entry: s.entry.parse()?,
--- a/src/app/entry/control/gossip.rs
+++ b/src/app/entry/control/gossip.rs
@@ -23,6 +23,9 @@
     let mut known = Vec::new();
     every(PERIOD, move || {
         let now = (state.ports.clock.now)();
+        if state.fleet.has_strangers() {
+            state.fleet.members().compare_soon();
+        }
         let actions = state.fleet.members().tick(now, &mut rand::rng());
         for action in actions {
             beside(act(state.clone(), action));
--- a/src/app/entry/control/roster.rs
+++ b/src/app/entry/control/roster.rs
@@ -1,7 +1,7 @@
 //! The roster: proposes the next one when entries come or the platform says that
 //! they are gone.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use crate::{
     adapters::store::{
@@ -119,7 +119,11 @@
     current: Roster,
     expected: Revision,
 ) -> Result<(), StoreError> {
-    let record = RosterRecord { former, current };
+    let record = RosterRecord {
+        addresses: addresses(state, &current),
+        former,
+        current,
+    };
     let Ok(value) = encoding::encode(&record) else {
         return Ok(());
     };
@@ -139,6 +143,13 @@
     Ok(())
 }
 
+/// Returns the addresses of the entries of a roster, as far as they are known.
+fn addresses(state: &State, roster: &Roster) -> BTreeMap<EntryId, SocketAddr> {
+    let seats = roster.seats.iter();
+    let named = seats.map(|s| Some((s.entry.clone(), state.fleet.address(&s.entry)?)));
+    named.flatten().collect()
+}
+
 /// Takes this entry off the roster at the end of a planned stop, when none of
 /// its requests runs any more. Without the store its seat stays until the
 /// platform reports the VM gone.
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -163,7 +163,18 @@
     /// Returns where an entry takes messages of others.
     #[must_use]
     pub fn address(&self, entry: &EntryId) -> Option<SocketAddr> {
-        self.members().get(entry).map(|(m, _)| m.peers)
+        let known = self.members().get(entry).map(|(m, _)| m.peers);
+        let rosters = self.rosters();
+        known.or_else(|| rosters.record.addresses.get(entry).copied())
+    }
+
+    /// Tells whether the roster lists entries that the membership does not know.
+    #[must_use]
+    pub fn has_strangers(&self) -> bool {
+        let rosters = self.rosters();
+        let members = self.members();
+        let seats = &rosters.record.current.seats;
+        seats.iter().any(|s| members.get(&s.entry).is_none())
     }
 
     /// Returns the other entries that are in use.
--- a/src/policy/member/members.rs
+++ b/src/policy/member/members.rs
@@ -338,6 +338,13 @@
         }
     }
 
+    /// Compares views with a peer at the next chance, at most once a second. It
+    /// is called while the roster lists entries that are not known here, since
+    /// messages to them would be dropped.
+    pub fn compare_soon(&mut self) {
+        self.sync_at = Millis(0);
+    }
+
     /// Marks this entry as leaving. The next [`tick`](Self::tick) pushes it.
     pub fn leave(&mut self) {
         self.me.state = State::Leaving;
