Declare enumerations of words in one place

Cause: the same macro stood in domain and in policy/member. Change: domain/words.rs; no behaviour. Conclusion: words of documents and members parse alike.

--- a/src/domain/document.rs
+++ b/src/domain/document.rs
@@ -3,11 +3,9 @@
 //! These are the parsed values. The INI text is read and checked in
 //! `adapters::ini`, so that decisions do not depend on the format.
 
-use std::{fmt, str::FromStr};
-
 use super::{
-    AzName, Millis, ParseError, PlaceName, RegionName, Rps, ServiceName, Slots, TargetId, TeamName,
-    Weight,
+    AzName, Millis, PlaceName, RegionName, Rps, ServiceName, Slots, TargetId, TeamName, Weight,
+    words,
 };
 
 /// What a service team asks for.
@@ -71,33 +69,6 @@
     }
 }
 
-macro_rules! words {
-    ($(#[$doc:meta])* $name:ident, $kind:literal, $rule:literal, $($(#[$vdoc:meta])* $var:ident = $word:literal),+) => {
-        $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-        pub enum $name {
-            $($(#[$vdoc])* $var,)+
-        }
-
-        impl FromStr for $name {
-            type Err = ParseError;
-
-            fn from_str(s: &str) -> Result<Self, ParseError> {
-                match s {
-                    $($word => Ok(Self::$var),)+
-                    _ => Err(ParseError::new($kind, s, $rule)),
-                }
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(match self { $(Self::$var => $word,)+ })
-            }
-        }
-    };
-}
-
 words!(
     /// Whether a place takes new work.
     PlaceState, "place state", "\"active\" or \"leaving\"",
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -16,6 +16,7 @@
 mod shards;
 mod sizes;
 mod time;
+mod words;
 
 pub use blocks::{Prefix, SiteId};
 pub use document::{Document, Lane, Place, PlaceState, Priority, Route};
@@ -28,3 +29,4 @@
 pub use shards::Shards;
 pub use sizes::{Size, Slots};
 pub use time::Millis;
+pub(crate) use words::words;
--- a/src/policy/member/record.rs
+++ b/src/policy/member/record.rs
@@ -2,34 +2,7 @@
 
 use std::{fmt, net::SocketAddr, str::FromStr};
 
-use crate::domain::{AzName, EntryId, Incarnation, ParseError, RegionName};
-
-macro_rules! words {
-    ($(#[$doc:meta])* $name:ident, $kind:literal, $rule:literal, $($(#[$vdoc:meta])* $var:ident = $word:literal),+) => {
-        $(#[$doc])*
-        #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
-        pub enum $name {
-            $($(#[$vdoc])* $var,)+
-        }
-
-        impl FromStr for $name {
-            type Err = ParseError;
-
-            fn from_str(s: &str) -> Result<Self, ParseError> {
-                match s {
-                    $($word => Ok(Self::$var),)+
-                    _ => Err(ParseError::new($kind, s, $rule)),
-                }
-            }
-        }
-
-        impl fmt::Display for $name {
-            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(match self { $(Self::$var => $word,)+ })
-            }
-        }
-    };
-}
+use crate::domain::{AzName, EntryId, Incarnation, ParseError, RegionName, words};
 
 words!(
     /// The state of a member. At the same incarnation and version the later
