Drop the list of choices that nobody reads

Cause: each started request cloned its choice into a list for explain, under the service's lock, but explain reads the decisions that the observer keeps. Ruled out: showing both, which would state the same choice twice. Change: the list and its type are gone; behaviour stays as it is. Conclusion: one record of decisions, and less work on the request path.

--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -25,10 +25,7 @@
 use eyre::WrapErr;
 
 use self::control::Control;
-pub use self::{
-    service::{Chosen, Service},
-    state::State,
-};
+pub use self::{service::Service, state::State};
 use crate::{
     adapters::{
         http::{self, Limits, Server},
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -1,9 +1,6 @@
 //! What an entry knows of one service.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    sync::Arc,
-};
+use std::{collections::HashMap, sync::Arc};
 
 use rand::Rng;
 use tokio::sync::oneshot;
@@ -29,9 +26,6 @@
 /// another one.
 const UNITS: Millis = Millis(50);
 
-/// How many choices are kept for `explain`.
-const CHOICES: usize = 32;
-
 /// The receiver of a waiting request's slot.
 pub(super) type Grant = oneshot::Sender<Result<Slot, Refusal>>;
 
@@ -66,19 +60,6 @@
     pub messages: Vec<Outgoing>,
 }
 
-/// A choice of a target, for `explain`.
-#[derive(Clone, Debug)]
-pub struct Chosen {
-    /// When it was made, on the clock of this process.
-    pub at: Millis,
-    /// The lane of the request.
-    pub lane: Lane,
-    /// The choice.
-    pub choice: Choice,
-    /// How many requests waited.
-    pub waiting: usize,
-}
-
 /// A document in force and the state of its targets. It sits in a shard, so the
 /// shard's lock guards all of it.
 #[derive(Debug)]
@@ -104,8 +85,6 @@
     pub(super) local: Vec<(PlaceName, RegionName, u32)>,
     /// A place that lacked units for a request since the last ask.
     missed: Option<PlaceName>,
-    /// The latest choices.
-    pub choices: VecDeque<Chosen>,
 }
 
 impl Service {
@@ -124,7 +103,6 @@
             shift: None,
             local: Vec::new(),
             missed: None,
-            choices: VecDeque::with_capacity(CHOICES),
         }
     }
 
@@ -213,7 +191,7 @@
             let Some((_, waiting)) = self.queue.start(lane) else {
                 break;
             };
-            self.started(now, lane, &choice);
+            self.pool.started(choice.target, lane);
             progress.granted.push(Granted {
                 grant: waiting.grant,
                 choice,
@@ -255,7 +233,7 @@
             .get(self.slots.get(&choice.target)?, Ledger::acquire)
             .flatten()?;
         self.queue.started(lane);
-        self.started(now, lane, &choice);
+        self.pool.started(choice.target, lane);
         Some((choice, permit))
     }
 
@@ -312,19 +290,6 @@
         Some((choice, permit))
     }
 
-    fn started(&mut self, now: Millis, lane: Lane, choice: &Choice) {
-        self.pool.started(choice.target, lane);
-        if self.choices.len() == CHOICES {
-            self.choices.pop_front();
-        }
-        self.choices.push_back(Chosen {
-            at: now,
-            lane,
-            choice: choice.clone(),
-            waiting: self.waiting(),
-        });
-    }
-
     /// Records the end of a request. `head` is the time until the head of the
     /// answer, `total` the time until its last byte.
     pub(super) fn ended(&mut self, now: Millis, lane: Lane, choice: &Choice, end: End<'_>) {
