Use the silence policy's limits for connections to targets

Cause: the adapter stated the keepalive, user timeout and idle limits of policy/silence once more; a constant of the roster stood in the store's file. Change: the adapter takes them from the policy; an idle connection of exactly 10 s now counts as young, as the policy says. The constant is where it is used. Conclusion: one place for these limits.

--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -6,10 +6,7 @@
 //! silent connections while a request runs; it needs no cooperation of the
 //! target, so a slow target is not mistaken for a silent connection.
 
-use std::{
-    sync::{Arc, Mutex, PoisonError},
-    time::Duration,
-};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use http::Response;
 use http_body_util::BodyExt;
@@ -25,6 +22,9 @@
 use super::socket::{Socket, Watch};
 use crate::{
     domain::{Millis, Shards, TargetId},
+    policy::silence::{
+        KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, USER_TIMEOUT, is_stale,
+    },
     ports::{Body, Clock, Hold, Outbound, SendError, Targets},
 };
 
@@ -32,9 +32,6 @@
 /// 70 ms.
 const CONNECT: Millis = Millis(1_000);
 
-/// How long an idle connection is kept.
-const IDLE: Millis = Millis(10_000);
-
 /// How many idle connections are kept for each target.
 const KEPT: usize = 64;
 
@@ -177,7 +174,7 @@
 fn checkout(pool: &Pool, target: TargetId, now: Millis) -> Option<Conn> {
     pool.get(&target, |idle| {
         while let Some(Idle { conn, since }) = idle.pop() {
-            let young = now - since < IDLE;
+            let young = !is_stale(now, since);
             if young && conn.sender.is_ready() && !conn.watch.is_closed() {
                 return Some(conn);
             }
@@ -203,7 +200,7 @@
         end_hold(&conn.held);
         let since = (clock.now)();
         pool.with(target, Vec::new, |idle| {
-            idle.retain(|c| since - c.since < IDLE && !c.conn.sender.is_closed());
+            idle.retain(|c| !is_stale(since, c.since) && !c.conn.sender.is_closed());
             if idle.len() < KEPT {
                 idle.push(Idle { conn, since });
             }
@@ -269,10 +266,10 @@
 fn tune(stream: &TcpStream) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
-        .with_time(Duration::from_secs(2))
-        .with_interval(Duration::from_secs(1))
-        .with_retries(3);
+        .with_time(KEEPALIVE_IDLE.duration())
+        .with_interval(KEEPALIVE_INTERVAL.duration())
+        .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(Duration::from_secs(5)))?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT.duration()))?;
     socket.set_tcp_nodelay(true)
 }
--- a/src/app/entry/control/roster.rs
+++ b/src/app/entry/control/roster.rs
@@ -21,6 +21,9 @@
 /// than this.
 const LIST: Millis = Millis(5_000);
 
+/// How long an entry that stops waits for the store to take it off the roster.
+const LEAVE: Millis = Millis(2_000);
+
 /// How many entries may have to propose, so that the others read no list.
 const RANKS: usize = 3;
 
@@ -167,7 +170,7 @@
         current.epoch = current.epoch.next();
         write(state, present.current, current, revision).await
     };
-    match tokio::time::timeout(super::store::ROSTER_WAIT.duration(), leave).await {
+    match tokio::time::timeout(LEAVE.duration(), leave).await {
         Ok(Ok(())) => {}
         Ok(Err(e)) => tracing::info!("roster: the seat stays: {e}."),
         Err(_) => tracing::info!("roster: the seat stays, the store does not answer."),
--- a/src/app/entry/control/store.rs
+++ b/src/app/entry/control/store.rs
@@ -117,6 +117,3 @@
         documents::arrive(state, arrival);
     }
 }
-
-/// How long the fate of a roster proposal may take to learn.
-pub(super) const ROSTER_WAIT: Millis = Millis(2_000);
