Serve the path from callers to targets on the users' platform

Cause: nothing spoke the platform's protocol. Change: the folder adapters/platform decodes settings, store, registrations and headers; policy/route, balance, overflow, budget and presence decide; app/gateway carries requests in one direction; logs go to standard output through a bounded buffer. Kept bodies moved from app/entry/job to adapters/http/content, so that both entries use one copy.

--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -7,12 +7,14 @@
 //! that no refusal could truthfully say `not-run`. See
 //! [docs/design.md](../../../docs/design.md), section 6.
 
+mod content;
 mod query;
 mod refusal;
 mod server;
 mod socket;
 mod target;
 
+pub use content::{Content, full, strip_hop_by_hop};
 pub use query::Query;
 pub use refusal::{CODE, OUTCOME, answer};
 pub use server::{BindError, Limits, Server, bind};
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -9,5 +9,7 @@
 pub mod grpc;
 pub mod http;
 pub mod ini;
+pub mod logs;
 pub mod metrics;
+pub mod platform;
 pub mod store;
--- /dev/null
+++ b/src/adapters/platform/settings.rs
@@ -0,0 +1,209 @@
+//! The settings file that the platform writes.
+
+use std::{collections::BTreeMap, fmt, net::SocketAddr};
+
+use serde::Deserialize;
+
+use super::millis;
+use crate::{
+    domain::{Bounds, Millis},
+    ports::VmSettings,
+};
+
+/// The variable that holds the path of the settings file.
+pub const PATH_VARIABLE: &str = "SAVORYBEAM_BOOT";
+
+/// The settings cannot be used. All faults are listed at once.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SettingsError {
+    /// One line for each fault.
+    pub faults: Vec<String>,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "read settings: {}", self.faults.join("; "))
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+#[derive(Deserialize)]
+struct Wire {
+    #[serde(rename = "self")]
+    own: WireSelf,
+    network: WireNetwork,
+    provider: WireProvider,
+    terms: WireTerms,
+}
+
+#[derive(Deserialize)]
+struct WireSelf {
+    node_name: String,
+    ip: String,
+    zone: String,
+    region: String,
+    limits: WireLimits,
+}
+
+#[derive(Deserialize)]
+struct WireLimits {
+    cores: f64,
+    max_fds: usize,
+}
+
+#[derive(Deserialize)]
+struct WireNetwork {
+    listen: WireListen,
+    #[serde(default)]
+    seeds: Vec<String>,
+    #[serde(default)]
+    zones: BTreeMap<String, String>,
+}
+
+#[derive(Deserialize)]
+struct WireListen {
+    front: String,
+    readiness: String,
+    control: Option<String>,
+    directory: Option<String>,
+}
+
+/// The table that describes the platform, with one of the same name inside.
+#[derive(Deserialize)]
+struct WireProvider {
+    provider: WireStore,
+}
+
+#[derive(Deserialize)]
+struct WireStore {
+    address: String,
+}
+
+#[derive(Deserialize)]
+struct WireTerms {
+    bounds: WireBounds,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct WireBounds {
+    drain_s: f64,
+    grace_s: f64,
+    retry_budget_ratio: f64,
+    retry_budget_slack: f64,
+    budget_window_s: f64,
+    cold_overshoot: f64,
+    cold_slack: f64,
+    ttl_max_s: f64,
+    max_shift: f64,
+}
+
+/// What holds for a bound that the file does not state: the strictest of the
+/// users' deployments.
+impl Default for WireBounds {
+    fn default() -> Self {
+        Self {
+            drain_s: 2.5,
+            grace_s: 6.0,
+            retry_budget_ratio: 0.2,
+            retry_budget_slack: 50.0,
+            budget_window_s: 10.0,
+            cold_overshoot: 1.5,
+            cold_slack: 5.0,
+            ttl_max_s: 5.0,
+            max_shift: 0.15,
+        }
+    }
+}
+
+/// Collects faults, so that all of them are listed at once.
+#[derive(Default)]
+struct Faults(Vec<String>);
+
+impl Faults {
+    fn parse<T: std::str::FromStr<Err: fmt::Display>>(&mut self, key: &str, s: &str) -> Option<T> {
+        let value = s.parse();
+        value.map_err(|e| self.0.push(format!("{key}: {e}"))).ok()
+    }
+
+    fn time(&mut self, key: &str, seconds: f64) -> Millis {
+        millis(seconds).unwrap_or_else(|| {
+            self.0.push(format!("{key}: {seconds} s is not a duration"));
+            Millis::default()
+        })
+    }
+}
+
+/// Parses the settings. `metrics` is the port of the metrics' address, which the
+/// platform takes from the deploy file.
+///
+/// # Errors
+///
+/// Returns all faults with their keys.
+pub fn parse(text: &str, metrics: u16) -> Result<VmSettings, SettingsError> {
+    let wire: Wire = serde_norway::from_str(text).map_err(|e| SettingsError {
+        faults: vec![e.to_string()],
+    })?;
+    let mut faults = Faults::default();
+    let settings = settings(&wire, metrics, &mut faults);
+    match settings {
+        Some(settings) if faults.0.is_empty() => Ok(settings),
+        _ => Err(SettingsError { faults: faults.0 }),
+    }
+}
+
+fn settings(wire: &Wire, metrics: u16, f: &mut Faults) -> Option<VmSettings> {
+    let (own, net) = (&wire.own, &wire.network);
+    let name = f.parse("self.node_name", &own.node_name);
+    let az = f.parse("self.zone", &own.zone);
+    let region = f.parse("self.region", &own.region);
+    let ip = f.parse("self.ip", &own.ip);
+    let listen = &net.listen;
+    let front = f.parse("network.listen.front", &listen.front);
+    let readiness = f.parse("network.listen.readiness", &listen.readiness);
+    let directory = listen.directory.as_ref();
+    let directory = directory.and_then(|a| f.parse("network.listen.directory", a));
+    let control = listen.control.as_ref();
+    let control = control.and_then(|a| f.parse("network.listen.control", a));
+    let store = f.parse("provider.provider.address", &wire.provider.provider.address);
+    let seeds = net.seeds.iter().filter_map(|s| f.parse("network.seeds", s));
+    let seeds = seeds.collect();
+    let zones = net.zones.iter().filter_map(|(az, region)| {
+        Some((f.parse("network.zones", az)?, f.parse("network.zones", region)?))
+    });
+    let zones = zones.collect();
+    let bounds = bounds(&wire.terms.bounds, f);
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let cores = own.limits.cores.ceil().clamp(1.0, 64.0) as usize;
+    Some(VmSettings {
+        name: name?,
+        az: az?,
+        region: region?,
+        front: front?,
+        readiness: readiness?,
+        directory,
+        control,
+        metrics: SocketAddr::new(ip?, metrics),
+        seeds,
+        store: store?,
+        zones,
+        cores,
+        descriptors: own.limits.max_fds,
+        bounds,
+    })
+}
+
+fn bounds(wire: &WireBounds, f: &mut Faults) -> Bounds {
+    Bounds {
+        drain: f.time("drain_s", wire.drain_s),
+        grace: f.time("grace_s", wire.grace_s),
+        retry_ratio: wire.retry_budget_ratio,
+        retry_slack: wire.retry_budget_slack,
+        retry_window: f.time("budget_window_s", wire.budget_window_s),
+        cold_factor: wire.cold_overshoot,
+        cold_slack: wire.cold_slack,
+        ttl: f.time("ttl_max_s", wire.ttl_max_s),
+        shift: wire.max_shift,
+    }
+}
--- /dev/null
+++ b/src/adapters/platform/store.rs
@@ -0,0 +1,249 @@
+//! Calls to the platform's metadata store.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode, header};
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use super::items::{self, Item};
+use crate::{
+    adapters::http::{Content, full},
+    domain::{Millis, Presence, Revision, TargetId},
+    ports::{
+        Batch, Change, LeaseId, Outbound, Platform, PlatformError, Poll, Targets,
+    },
+};
+
+/// How long a call may take beyond the time that it asks the store to wait. A
+/// slow store answers within a quarter of a second.
+const TIMEOUT: Millis = Millis(1_500);
+
+/// The largest answer that is read. A page has about 1 MB at the most.
+const ANSWER_MAX_BYTES: usize = 4 << 20;
+
+type Answer<T> = Result<T, PlatformError>;
+
+#[derive(Clone)]
+struct Client {
+    addr: SocketAddr,
+    targets: Targets,
+}
+
+/// Opens a client of the store at the address, over the given connections.
+#[must_use]
+pub fn open(addr: SocketAddr, targets: Targets) -> Platform {
+    let client = Client { addr, targets };
+    let [c1, c2, c3, c4, c5] = std::array::from_fn(|_| client.clone());
+    Platform {
+        read: Arc::new(move |()| Box::pin(read(c1.clone()))),
+        poll: Arc::new(move |p| Box::pin(poll(c2.clone(), p))),
+        announce: Arc::new(move |(p, ttl)| Box::pin(announce(c3.clone(), p, ttl))),
+        renew: Arc::new(move |lease| Box::pin(renew(c4.clone(), lease))),
+        withdraw: Arc::new(move |lease| Box::pin(withdraw(c5.clone(), lease))),
+    }
+}
+
+#[derive(Deserialize)]
+struct Page {
+    items: Vec<Item>,
+    has_more: bool,
+    /// The revision of the store when it read the page.
+    at_rev: u64,
+}
+
+async fn read(client: Client) -> Answer<Batch> {
+    let mut changes = Vec::new();
+    let mut first = None;
+    for prefix in items::PREFIXES {
+        let revision = client.range(prefix, &mut changes).await?;
+        // Pages are no snapshot. What changes between them is reported again by
+        // a poll from the first page's revision.
+        first.get_or_insert(revision);
+    }
+    Ok(Batch {
+        changes,
+        revision: first.unwrap_or_default(),
+    })
+}
+
+#[derive(Deserialize)]
+struct Events {
+    events: Vec<Item>,
+    /// The revision up to which the events are complete.
+    at_rev: u64,
+}
+
+async fn poll(client: Client, poll: Poll) -> Answer<Batch> {
+    const STEP: &str = "watch keys";
+    let Poll { after, wait } = poll;
+    let path = format!("/kv-watch?prefix=&after={after}&wait_ms={}", wait.0);
+    let limit = wait + TIMEOUT;
+    let (status, body) = client.call(STEP, Method::GET, &path, None, limit).await?;
+    if status == StatusCode::GONE {
+        return Err(PlatformError::Compacted);
+    }
+    client.expect(STEP, status, &body)?;
+    let events: Events = client.json(STEP, &body)?;
+    Ok(Batch {
+        changes: events.events.iter().filter_map(items::decode).collect(),
+        revision: Revision(events.at_rev),
+    })
+}
+
+#[derive(Deserialize, Serialize)]
+struct Ttl {
+    ttl_s_time: f64,
+}
+
+#[derive(Deserialize)]
+struct Granted {
+    lease: u64,
+}
+
+#[derive(Serialize)]
+struct Write {
+    key: String,
+    value: String,
+    lease: u64,
+}
+
+#[derive(Serialize)]
+struct Transaction {
+    expect_rev: [(); 0],
+    writes: [Write; 1],
+    deletes: [(); 0],
+}
+
+async fn announce(client: Client, presence: Presence, ttl: Millis) -> Answer<LeaseId> {
+    const GRANT: &str = "grant lease";
+    const WRITE: &str = "announce entry";
+    let ttl = Ttl {
+        ttl_s_time: ttl.duration().as_secs_f64(),
+    };
+    let (status, body) = client.post(GRANT, "/kv-lease", &ttl).await?;
+    client.expect(GRANT, status, &body)?;
+    let Granted { lease } = client.json(GRANT, &body)?;
+    let change = Transaction {
+        expect_rev: [],
+        writes: [Write {
+            key: items::presence_key(&presence),
+            value: items::encode_presence(&presence),
+            lease,
+        }],
+        deletes: [],
+    };
+    let (status, body) = client.post(WRITE, "/kv-txn", &change).await?;
+    if status == StatusCode::NOT_FOUND {
+        return Err(PlatformError::Expired);
+    }
+    client.expect(WRITE, status, &body)?;
+    Ok(LeaseId(lease))
+}
+
+async fn renew(client: Client, lease: LeaseId) -> Answer<()> {
+    const STEP: &str = "renew lease";
+    let path = format!("/kv-keep/{}", lease.0);
+    let (status, body) = client
+        .call(STEP, Method::POST, &path, None, TIMEOUT)
+        .await?;
+    if status == StatusCode::NOT_FOUND {
+        return Err(PlatformError::Expired);
+    }
+    client.expect(STEP, status, &body)
+}
+
+async fn withdraw(client: Client, lease: LeaseId) -> Answer<()> {
+    const STEP: &str = "end lease";
+    let path = format!("/kv-lease-end/{}", lease.0);
+    let (status, body) = client
+        .call(STEP, Method::DELETE, &path, None, TIMEOUT)
+        .await?;
+    client.expect(STEP, status, &body)
+}
+
+impl Client {
+    /// Reads all pages of a prefix and returns the revision of the first one.
+    async fn range(&self, prefix: &str, changes: &mut Vec<Change>) -> Answer<Revision> {
+        const STEP: &str = "read keys";
+        let mut first = None;
+        let mut after = String::new();
+        loop {
+            let path = format!("/kv-range?prefix={prefix}{after}");
+            let (status, body) = self.call(STEP, Method::GET, &path, None, TIMEOUT).await?;
+            self.expect(STEP, status, &body)?;
+            let page: Page = self.json(STEP, &body)?;
+            let revision = *first.get_or_insert(Revision(page.at_rev));
+            changes.extend(page.items.iter().filter_map(items::decode));
+            match page.items.last() {
+                Some(last) if page.has_more => after = format!("&after={}", last.key),
+                _ => return Ok(revision),
+            }
+        }
+    }
+
+    async fn post(
+        &self,
+        step: &'static str,
+        path: &str,
+        value: &impl Serialize,
+    ) -> Answer<(StatusCode, Bytes)> {
+        let text = serde_json::to_vec(value).map_err(|e| self.failed(step, &e))?;
+        self.call(step, Method::POST, path, Some(text.into()), TIMEOUT)
+            .await
+    }
+
+    async fn call(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+        limit: Millis,
+    ) -> Answer<(StatusCode, Bytes)> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, self.addr.to_string());
+        if body.is_some() {
+            request = request.header(header::CONTENT_TYPE, "application/json");
+        }
+        let request = request.body(full(body.unwrap_or_default())).map_err(|e| self.failed(step, &e))?;
+        let exchange = async {
+            let out = Outbound::new(TargetId(self.addr), request);
+            let answer = (self.targets.send)(out).await;
+            let answer = answer.map_err(|e| self.failed(step, &e))?;
+            let (head, body) = answer.into_parts();
+            let content = Content::read(body, ANSWER_MAX_BYTES).await;
+            match content.map_err(|e| self.failed(step, &e))? {
+                Content::Whole(bytes) => Ok((head.status, bytes)),
+                Content::Stream(_) => Err(self.failed(step, &"the answer is too long")),
+            }
+        };
+        match timeout(limit.duration(), exchange).await {
+            Ok(answer) => answer,
+            Err(_) => Err(self.failed(step, &format!("timed out after {limit}"))),
+        }
+    }
+
+    fn expect(&self, step: &'static str, status: StatusCode, body: &Bytes) -> Answer<()> {
+        if status.is_success() {
+            return Ok(());
+        }
+        let text = String::from_utf8_lossy(&body[..body.len().min(200)]);
+        Err(self.failed(step, &format!("status {status}: {text}")))
+    }
+
+    fn json<'a, T: Deserialize<'a>>(&self, step: &'static str, body: &'a Bytes) -> Answer<T> {
+        serde_json::from_slice(body).map_err(|e| self.failed(step, &e))
+    }
+
+    fn failed(&self, step: &'static str, cause: &dyn std::fmt::Display) -> PlatformError {
+        PlatformError::Failed {
+            step,
+            peer: self.addr,
+            cause: cause.to_string(),
+        }
+    }
+}
--- a/src/app/cli/mod.rs
+++ b/src/app/cli/mod.rs
@@ -9,6 +9,7 @@
 mod documents;
 mod drain;
 mod entry;
+mod gateway;
 mod options;
 mod show;
 mod timeline;
@@ -31,7 +32,10 @@
             return ExitCode::SUCCESS;
         }
     };
-    log(options.json);
+    // The gateway logs to standard output, as the platform reads it there.
+    if !matches!(options.command, Command::Gateway { .. }) {
+        log(options.json);
+    }
     let result = match options.command {
         Command::Check { files } => check::run(&files),
         Command::Dev { seconds } => block_on(dev::run(seconds)),
@@ -43,6 +47,7 @@
             json,
             service,
         } => block_on(show::explain(&Client::new(access), &service, json)),
+        Command::Gateway { settings, metrics } => gateway::run(settings, metrics),
         Command::Status { access, json } => block_on(show::status(&Client::new(access), json)),
         Command::Timeline(options) => block_on(timeline::run(options)),
     };
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -111,6 +111,20 @@
         #[bpaf(positional("SERVICE"))]
         service: ServiceName,
     },
+    /// Runs the process of an entry VM on the users' platform
+    ///
+    ///
+    /// Example: savorybeam gateway --settings /etc/savorybeam/local.yaml
+    #[bpaf(command)]
+    Gateway {
+        /// The platform's settings; the environment variable `SAVORYBEAM_BOOT`
+        /// names them otherwise
+        #[bpaf(argument("FILE"), optional)]
+        settings: Option<PathBuf>,
+        /// Port of the metrics
+        #[bpaf(argument("PORT"), fallback(9464))]
+        metrics: u16,
+    },
     /// Shows the state of an entry
     ///
     ///
--- a/src/app/entry/job.rs
+++ b/src/app/entry/job.rs
@@ -1,18 +1,12 @@
 //! What an entry has to know of a request before it can carry it.
 
-use std::{
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll},
-};
+use std::sync::Arc;
 
-use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
-use http_body::Frame;
-use http_body_util::{BodyExt, Full};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 
 use super::{State, inbound::Inbound};
 use crate::{
+    adapters::http::{Content, strip_hop_by_hop},
     domain::{Lane, Millis, Priority, ServiceName},
     policy::{
         once::{ClaimKey, Fingerprint},
@@ -23,17 +17,6 @@
     ports::Body,
 };
 
-/// Headers that concern one connection only, and therefore stay there.
-pub(super) const HOP_BY_HOP: [HeaderName; 7] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::UPGRADE,
-    HeaderName::from_static("keep-alive"),
-];
-
 /// The longest body that is kept for a second attempt. It equals what a
 /// fingerprint covers.
 const KEPT: usize = 64 * 1024;
@@ -70,15 +53,6 @@
     headers: HeaderMap,
 }
 
-/// The body of a request.
-#[derive(Debug)]
-enum Content {
-    /// The whole body, which can be sent again.
-    Whole(Bytes),
-    /// The beginning and the rest, which can be sent once.
-    Stream(Option<(Bytes, Body)>),
-}
-
 impl Job {
     /// Reads the beginning of a request's body and what the document says of it.
     ///
@@ -197,27 +171,13 @@
     /// Returns the request for a target, or none if its body was sent already
     /// and not kept.
     pub fn request(&mut self, now: Millis) -> Option<Request<Body>> {
-        let body = match &mut self.content {
-            Content::Whole(bytes) => Full::new(bytes.clone())
-                .map_err(|never| match never {})
-                .boxed(),
-            Content::Stream(rest) => {
-                let (start, rest) = rest.take()?;
-                Joined {
-                    start: Some(start),
-                    rest,
-                }
-                .boxed()
-            }
-        };
+        let body = self.content.send()?;
         let mut request = Request::new(body);
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         *request.headers_mut() = self.head.headers.clone();
         let headers = request.headers_mut();
-        for name in &HOP_BY_HOP {
-            headers.remove(name);
-        }
+        strip_hop_by_hop(headers);
         let left = self.deadline - now;
         headers.insert("x-deadline-ms", HeaderValue::from(left.0));
         Some(request)
@@ -225,16 +185,7 @@
 
     /// Tells whether the request can be sent again.
     pub fn is_kept(&self) -> bool {
-        matches!(self.content, Content::Whole(_))
-    }
-}
-
-impl Content {
-    fn start(&self) -> &[u8] {
-        match self {
-            Self::Whole(bytes) | Self::Stream(Some((bytes, _))) => bytes,
-            Self::Stream(None) => &[],
-        }
+        self.content.is_whole()
     }
 }
 
@@ -256,44 +207,7 @@
 }
 
 /// Reads the body up to what is kept.
-async fn read_body(mut body: Body) -> Result<Content, Refusal> {
-    let mut start = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame =
-            frame.map_err(|e| Refusal::not_run(Code::BadRequest, format!("read body: {e}")))?;
-        let Ok(data) = frame.into_data() else {
-            // Trailers are not passed on; targets get a plain body.
-            continue;
-        };
-        start.extend_from_slice(&data);
-        if start.len() > KEPT {
-            return Ok(Content::Stream(Some((start.freeze(), body))));
-        }
-    }
-    Ok(Content::Whole(start.freeze()))
-}
-
-/// A body whose beginning was read already.
-struct Joined {
-    start: Option<Bytes>,
-    rest: Body,
-}
-
-impl http_body::Body for Joined {
-    type Data = Bytes;
-    type Error = Box<dyn std::error::Error + Send + Sync>;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        if let Some(start) = self.start.take() {
-            return Poll::Ready(Some(Ok(Frame::data(start))));
-        }
-        Pin::new(&mut self.rest).poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.start.is_none() && self.rest.is_end_stream()
-    }
+async fn read_body(body: Body) -> Result<Content, Refusal> {
+    let content = Content::read(body, KEPT).await;
+    content.map_err(|e| Refusal::not_run(Code::BadRequest, format!("read body: {e}")))
 }
--- a/src/app/entry/reply.rs
+++ b/src/app/entry/reply.rs
@@ -11,8 +11,9 @@
 use http_body_util::BodyExt;
 use tokio::time::{Instant, Sleep};
 
-use super::{claims::Won, job::HOP_BY_HOP, pacing::Pacer, slot::Slot};
+use super::{claims::Won, pacing::Pacer, slot::Slot};
 use crate::{
+    adapters::http::strip_hop_by_hop,
     domain::Millis,
     policy::{once::Answer, target::Finish},
     ports::Body,
@@ -27,9 +28,7 @@
     pacer: Option<Pacer>,
 ) -> Response<Body> {
     let (mut parts, body) = resp.into_parts();
-    for name in &HOP_BY_HOP {
-        parts.headers.remove(name);
-    }
+    strip_hop_by_hop(&mut parts.headers);
     let record = won.map(|won| Record {
         won,
         head: parts.clone(),
--- a/src/app/mod.rs
+++ b/src/app/mod.rs
@@ -7,3 +7,4 @@
 pub mod cli;
 pub mod dev;
 pub mod entry;
+pub mod gateway;
--- a/src/domain/ids.rs
+++ b/src/domain/ids.rs
@@ -26,6 +26,10 @@
     is_name(b) || b == b'/' || b == b':'
 }
 
+fn is_graphic(b: u8) -> bool {
+    b.is_ascii_graphic()
+}
+
 macro_rules! name {
     ($(#[$doc:meta])* $name:ident, $kind:literal, $max:expr, $byte:expr, $rule:expr) => {
         $(#[$doc])*
@@ -80,6 +84,10 @@
     /// An entry VM, under the name that its settings give it.
     EntryId, "entry VM name", NAME_MAX, is_name, NAME_RULE
 );
+name!(
+    /// One start of a target, under the id by which it registers.
+    InstanceId, "target id", 200, is_graphic, "1 to 200 printable ASCII characters"
+);
 name!(
     /// A limit that entries share, for example `slots/10.0.0.1:8080`.
     LimitName, "limit name", 190, is_path, PATH_RULE
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -9,23 +9,31 @@
 //! [docs/design.md](../../docs/design.md), section 2.
 
 mod blocks;
+mod bounds;
 mod document;
 mod error;
 mod ids;
+mod instance;
+mod presence;
 mod rates;
+mod route;
 mod shards;
 mod sizes;
 mod time;
 mod words;
 
 pub use blocks::{Prefix, SiteId};
+pub use bounds::Bounds;
 pub use document::{Document, Lane, Place, PlaceState, Priority, Route};
 pub use error::ParseError;
 pub use ids::{
-    AzName, EntryId, Epoch, Incarnation, LimitName, PlaceName, RegionName, Revision, ServiceName,
+    AzName, EntryId, Epoch, Incarnation, InstanceId, LimitName, PlaceName, RegionName, Revision, ServiceName,
     TargetId, TeamName,
 };
+pub use instance::{Instance, InstanceState};
+pub use presence::Presence;
 pub use rates::{Mbps, Rps, Weight};
+pub use route::{CallerLimits, Configuration, Part, RequestKind, Rule, ServiceRule};
 pub use shards::Shards;
 pub use sizes::{Size, Slots};
 pub use time::Millis;
--- /dev/null
+++ b/src/policy/balance/pool.rs
@@ -0,0 +1,459 @@
+//! The targets of one service and the choice among them.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::{
+    cold::Quota,
+    load::Report,
+    target::Target,
+    work::{Work, mix},
+};
+use crate::{
+    domain::{AzName, Instance, InstanceId, Millis, RegionName, Rule, TargetId},
+    policy::{
+        budget::{Allowance, RetryBudget},
+        overflow::{Overflow, Wish},
+    },
+};
+
+/// The round trip to a target of the own region, in milliseconds.
+const NEAR_MS: f64 = 3.0;
+
+/// The round trip to a target of another region, in milliseconds. Both users
+/// state 35 ms one way.
+const FAR_MS: f64 = 72.0;
+
+/// What a request must gain by leaving its region, in milliseconds. Links
+/// between regions are narrow and priced.
+const LEAVE_GAIN_MS: f64 = 15.0;
+
+/// The part of the cold work that the rank by hash weighs. Entries that see the
+/// same loads then make the same second choice.
+const RANK_WEIGHT: f64 = 0.15;
+
+/// How many times the objective an expected failure costs.
+const FAILURE_COST: f64 = 1.5;
+
+/// How much longer a target works that has just started.
+const COLD_FACTOR: f64 = 2.0;
+
+/// The weight of one duration in a target's speed, and of its return to 1.
+const SPEED_GAIN: f64 = 0.06;
+const SPEED_RETURN: f64 = 0.01;
+
+/// A region that has lost this part of its slots hands requests over at once.
+const LOST_PART: f64 = 0.2;
+
+/// For how long a former number of slots is remembered.
+const SLOTS_MEMORY: Millis = Millis(4_000);
+
+/// What all requests of a service see at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct Scene<'a> {
+    /// The present instant.
+    pub now: Millis,
+    /// The region of this entry.
+    pub region: &'a RegionName,
+    /// Availability zones to which nothing may be sent.
+    pub closed: &'a BTreeSet<AzName>,
+    /// What may be sent to cold targets.
+    pub quota: Quota<'a>,
+    /// The largest part of the requests that may change region in a window.
+    pub shift: f64,
+}
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask<'a> {
+    /// Its rule.
+    pub rule: &'a Rule,
+    /// The hash of the object that it concerns.
+    pub object: Option<u64>,
+    /// The targets that it was sent to.
+    pub tried: &'a [InstanceId],
+    /// The time until it must be answered.
+    pub left: Millis,
+}
+
+/// The target that is to run a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Its address.
+    pub addr: TargetId,
+    /// What has to be given back when the request has ended.
+    pub ticket: Ticket,
+}
+
+/// A request at a target.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket {
+    /// The target.
+    pub id: InstanceId,
+    /// When the answer is expected, from the moment of the choice.
+    pub expected: Millis,
+    /// The requests that were there before it.
+    pub load: f64,
+    /// The age of the report in that load, if there was one.
+    pub age: Option<Millis>,
+    /// Whether the target was taken to know the object.
+    pub warm: bool,
+    /// Whether the target is in another region.
+    pub far: bool,
+    sent: Millis,
+    route: u64,
+    object: Option<u64>,
+    trip_ms: f64,
+    factor: f64,
+}
+
+/// Why there is no choice.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Miss {
+    /// No target of the service may take the request at all.
+    NoTarget,
+    /// Targets exist, but all are full, failing or starting.
+    Full,
+    /// No target would answer in time.
+    Late {
+        /// When the earliest answer would come.
+        expected: Millis,
+    },
+}
+
+/// How a request at a target ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// The target answered.
+    Answered,
+    /// The target answered, but not well.
+    Flawed,
+    /// The target rejected the request without running it.
+    Rejected,
+    /// Another target has the address.
+    Misdirected,
+    /// The target could not be reached.
+    Unreachable,
+    /// The connection broke or carried something else than the answer.
+    Broken,
+    /// Nobody waits for the answer any more.
+    Cancelled,
+}
+
+/// The targets of one service, as one entry knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Pool {
+    targets: Vec<Target>,
+    works: HashMap<u64, Work>,
+    overflow: Overflow,
+    budget: RetryBudget,
+    /// The most usable slots in the own region lately, and when that was.
+    slots: (f64, Millis),
+}
+
+#[derive(Clone, Copy)]
+struct Candidate {
+    at: usize,
+    cost: f64,
+    expected: f64,
+    trip: f64,
+    factor: f64,
+    warm: bool,
+}
+
+impl Pool {
+    /// Returns a pool without targets.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Adds or updates a target. Returns whether it is new or its state another
+    /// one.
+    pub fn put(
+        &mut self,
+        now: Millis,
+        instance: Instance,
+        zones: &BTreeMap<AzName, RegionName>,
+    ) -> bool {
+        let region = zones.get(&instance.az).cloned();
+        let Some(at) = self.find(&instance.id) else {
+            self.targets.push(Target::new(instance, region, now));
+            return true;
+        };
+        let known = &self.targets[at].instance;
+        let changed = known.state != instance.state || known.born != instance.born;
+        self.targets[at].update(instance, region, now);
+        changed
+    }
+
+    /// Removes a target.
+    pub fn remove(&mut self, id: &InstanceId) {
+        self.targets.retain(|t| t.instance.id != *id);
+    }
+
+    /// Counts a request of a caller, which earns a part of a further attempt.
+    pub fn earn(&mut self, now: Millis, allowed: &Allowance) {
+        self.budget.earn(now, allowed);
+    }
+
+    /// Pays for a further attempt out of the service's budget.
+    pub fn pay(&mut self, now: Millis, allowed: &Allowance, entries: usize) -> bool {
+        self.budget.pay(now, allowed, entries)
+    }
+
+    /// Returns the part of the requests that is handed over to other regions.
+    #[must_use]
+    pub fn overflow(&self) -> f64 {
+        self.overflow.part()
+    }
+
+    /// Chooses a target for a request and counts the request there.
+    ///
+    /// # Errors
+    ///
+    /// A [`Miss`] says why no target can take it.
+    pub fn choose(&mut self, scene: &Scene<'_>, ask: &Ask<'_>) -> Result<Choice, Miss> {
+        let route = xxh3_64(ask.rule.prefix.as_bytes());
+        let work = self.works.entry(route);
+        let work = *work.or_insert_with(|| Work::new(ask.rule.objective));
+        let open: Vec<usize> = self.open(scene, ask);
+        let usable: Vec<usize> = open
+            .iter()
+            .copied()
+            .filter(|at| self.targets[*at].usable(scene.now, &scene.quota))
+            .collect();
+        let Some(best) = self.assign(scene, ask, &work, &usable) else {
+            return Err(if open.is_empty() { Miss::NoTarget } else { Miss::Full });
+        };
+        let expected = millis(best.expected);
+        if expected > ask.left {
+            return Err(Miss::Late { expected });
+        }
+        Ok(self.start(scene, ask, route, &best))
+    }
+
+    /// Takes back a request that has ended.
+    pub fn finish(&mut self, now: Millis, ticket: &Ticket, ending: Ending, report: Option<Report>) {
+        let Some(at) = self.find(&ticket.id) else {
+            return;
+        };
+        let target = &mut self.targets[at];
+        target.load.own = target.load.own.saturating_sub(1);
+        if let Some(report) = &report {
+            target.load.report(now, report);
+        }
+        let left = target.load.own;
+        match ending {
+            Ending::Answered => {
+                target.health.answered(now, left);
+                if let Some(object) = ticket.object {
+                    target.objects.add(object, now);
+                }
+                self.learn(now, at, ticket);
+            }
+            Ending::Flawed => target.health.flawed(now, left),
+            Ending::Rejected => {
+                let busy = report.is_none_or(|r| r.running + r.waiting >= r.slots);
+                if busy {
+                    target.filled(now);
+                    target.health.cancelled(left);
+                } else {
+                    target.health.flawed(now, left);
+                }
+            }
+            Ending::Misdirected | Ending::Unreachable => target.health.failed(now, left, true),
+            Ending::Broken => target.health.failed(now, left, false),
+            Ending::Cancelled => target.health.cancelled(left),
+        }
+    }
+
+    fn find(&self, id: &InstanceId) -> Option<usize> {
+        self.targets.iter().position(|t| t.instance.id == *id)
+    }
+
+    /// Returns the targets that may run the request at some time.
+    fn open(&self, scene: &Scene<'_>, ask: &Ask<'_>) -> Vec<usize> {
+        let open = |t: &Target| {
+            let Some(region) = &t.region else {
+                return false;
+            };
+            let home = ask.rule.homes.is_empty() || ask.rule.homes.contains(region);
+            home && !scene.closed.contains(&t.instance.az) && !ask.tried.contains(&t.instance.id)
+        };
+        let targets = self.targets.iter().enumerate();
+        targets.filter(|(_, t)| open(t)).map(|(at, _)| at).collect()
+    }
+
+    /// Picks the cheapest target of the region, or of the others if the request
+    /// is to leave.
+    fn assign(
+        &mut self,
+        scene: &Scene<'_>,
+        ask: &Ask<'_>,
+        work: &Work,
+        usable: &[usize],
+    ) -> Option<Candidate> {
+        let (busy, slots) = self.usage(scene, usable);
+        let firsts = self.firsts(ask, usable);
+        let near = |at: &usize| self.targets[*at].region.as_ref() == Some(scene.region);
+        let score = |at: usize| self.score(scene, ask, work, busy, at, firsts.contains(&at));
+        let cheapest = |far: bool| {
+            let side = usable.iter().filter(|at| near(at) != far);
+            side.map(|at| score(*at))
+                .min_by(|a, b| a.cost.total_cmp(&b.cost))
+        };
+        let (here, there) = (cheapest(false), cheapest(true));
+        let (Some(near), Some(far)) = (here, there) else {
+            return here.or(there);
+        };
+        let wish = if far.cost + LEAVE_GAIN_MS < near.cost {
+            Wish::Leave
+        } else {
+            Wish::Stay
+        };
+        let lost = self.lost(scene.now, slots);
+        match self.overflow.assign(scene.now, wish, scene.shift, lost) {
+            Wish::Stay => Some(near),
+            Wish::Leave => Some(far),
+        }
+    }
+
+    /// Returns how busy the region's targets are, from 0 to 1, and their slots.
+    fn usage(&self, scene: &Scene<'_>, usable: &[usize]) -> (f64, f64) {
+        let near = usable.iter().map(|at| &self.targets[*at]);
+        let near = near.filter(|t| t.region.as_ref() == Some(scene.region));
+        let (load, slots) = near.fold((0.0, 0.0), |(load, slots), t| {
+            (load + t.load.total(scene.now), slots + t.slots())
+        });
+        ((load / f64::max(slots, 1.0)).min(1.0), slots)
+    }
+
+    /// Tells whether the region has just lost a considerable part of its slots.
+    fn lost(&mut self, now: Millis, slots: f64) -> bool {
+        let (most, at) = self.slots;
+        if slots >= most || at + SLOTS_MEMORY < now {
+            self.slots = (slots, now);
+            return false;
+        }
+        slots < most * (1.0 - LOST_PART)
+    }
+
+    /// Returns the first target of the object in each region.
+    fn firsts(&self, ask: &Ask<'_>, usable: &[usize]) -> Vec<usize> {
+        let Some(object) = ask.object.filter(|_| ask.rule.sticky) else {
+            return Vec::new();
+        };
+        let mut firsts: Vec<(u64, usize)> = Vec::new();
+        for at in usable {
+            let target = &self.targets[*at];
+            let rank = mix(object, target.hash);
+            let same = |other: &usize| self.targets[*other].region == target.region;
+            match firsts.iter_mut().find(|(_, other)| same(other)) {
+                Some(first) => *first = (*first).max((rank, *at)),
+                None => firsts.push((rank, *at)),
+            }
+        }
+        firsts.into_iter().map(|(_, at)| at).collect()
+    }
+
+    fn score(
+        &self,
+        scene: &Scene<'_>,
+        ask: &Ask<'_>,
+        work: &Work,
+        busy: f64,
+        at: usize,
+        first: bool,
+    ) -> Candidate {
+        let now = scene.now;
+        let target = &self.targets[at];
+        let known = |object| target.objects.holds(object, now);
+        let warm = !target.is_cold(now) && (first || ask.object.is_some_and(known));
+        let slots = target.slots();
+        let waiting = (target.load.total(now) + 1.0 - slots).max(0.0);
+        let mut factor = target.load.pace(now) * target.speed * (1.0 + waiting / slots);
+        if target.is_cold(now) {
+            factor *= COLD_FACTOR;
+        }
+        let far = target.region.as_ref() != Some(scene.region);
+        let trip = if far { FAR_MS } else { NEAR_MS };
+        let expected = trip + work.of(warm) * factor;
+        let rank = ask.object.map_or(0.0, |o| rank(mix(o, target.hash)));
+        let objective = ask.rule.objective.0;
+        #[expect(clippy::cast_precision_loss)]
+        let failures = target.health.rate(now) * FAILURE_COST * objective as f64;
+        let extra = if warm { 0.0 } else { work.cold - work.warm };
+        Candidate {
+            at,
+            cost: expected + busy * extra + failures + rank * work.cold * RANK_WEIGHT,
+            expected,
+            trip,
+            factor,
+            warm,
+        }
+    }
+
+    fn start(
+        &mut self,
+        scene: &Scene<'_>,
+        ask: &Ask<'_>,
+        route: u64,
+        best: &Candidate,
+    ) -> Choice {
+        let now = scene.now;
+        let target = &mut self.targets[best.at];
+        let load = target.load.total(now);
+        let expected = millis(best.expected);
+        target.load.own += 1;
+        target.health.sent(now, expected);
+        if target.is_cold(now) {
+            target.starts.add(now);
+        }
+        Choice {
+            addr: target.instance.addr,
+            ticket: Ticket {
+                id: target.instance.id.clone(),
+                expected,
+                load,
+                age: target.load.reported.map(|at| now - at),
+                warm: best.warm,
+                far: target.region.as_ref() != Some(scene.region),
+                sent: now,
+                route,
+                object: ask.object,
+                trip_ms: best.trip,
+                factor: best.factor,
+            },
+        }
+    }
+
+    /// Learns from the duration of a request that was answered.
+    fn learn(&mut self, now: Millis, at: usize, ticket: &Ticket) {
+        let Some(work) = self.works.get_mut(&ticket.route) else {
+            return;
+        };
+        #[expect(clippy::cast_precision_loss)]
+        let took = ((now - ticket.sent).0 as f64 - ticket.trip_ms).max(1.0);
+        let ms = took / ticket.factor.max(0.01);
+        let usual = work.of(ticket.warm);
+        work.learn(ticket.warm, ms);
+        let target = &mut self.targets[at];
+        let ratio = (ms / usual).clamp(0.4, 4.0);
+        target.speed *= 1.0 + (ratio - 1.0) * SPEED_GAIN;
+        target.speed += (1.0 - target.speed) * SPEED_RETURN;
+        target.speed = target.speed.clamp(0.3, 20.0);
+    }
+}
+
+fn millis(ms: f64) -> Millis {
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    Millis(ms.max(0.0) as u64)
+}
+
+/// Returns the place of a target in an object's order, from 0 for the first.
+#[expect(clippy::cast_precision_loss)]
+fn rank(mixed: u64) -> f64 {
+    1.0 - mixed as f64 / u64::MAX as f64
+}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -7,6 +7,8 @@
 //! `tests/shape.rs` holds that nothing in here imports an adapter or a runtime.
 
 pub mod admin;
+pub mod balance;
+pub mod budget;
 pub mod crash;
 pub mod document;
 pub mod drain;
@@ -14,9 +16,12 @@
 pub mod lookup;
 pub mod member;
 pub mod once;
+pub mod overflow;
+pub mod presence;
 pub mod queue;
 pub mod refusal;
 pub mod retry;
+pub mod route;
 pub mod shift;
 pub mod silence;
 pub mod spread;
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -8,6 +8,7 @@
 pub mod admin;
 mod clock;
 mod events;
+mod platform;
 mod store;
 mod targets;
 
@@ -16,6 +17,9 @@
 pub use admin::AdminPort;
 pub use clock::Clock;
 pub use events::{EventQuery, Events};
+pub use platform::{
+    Batch, Change, LeaseId, Platform, PlatformError, Poll, VmSettings,
+};
 pub use store::{Record, Snapshot, Store, StoreError, Update, Write};
 pub use targets::{Body, Hold, Outbound, SendError, Targets};
 
