Pace the overflow of full regions and judge lapses by their number

Ruled out: load; the traces show the choices. Change: the overflow decides also when no target of the region is usable, and starts at a part that follows from the slots; the grace time needs a third of the targets missing; a refusal needs 20 known durations and lowers them a little; the three prefixes are read at once.

--- a/src/adapters/platform/store.rs
+++ b/src/adapters/platform/store.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
+use futures::future::join_all;
 use http::{Method, Request, StatusCode, header};
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
@@ -12,13 +13,13 @@
     adapters::http::{Content, full},
     domain::{Millis, Presence, Revision, TargetId},
     ports::{
-        Batch, Change, LeaseId, Outbound, Platform, PlatformError, Poll, Targets,
+        Batch, LeaseId, Outbound, Platform, PlatformError, Poll, Targets,
     },
 };
 
 /// How long a call may take beyond the time that it asks the store to wait. A
 /// slow store answers within a quarter of a second.
-const TIMEOUT: Millis = Millis(1_500);
+const TIMEOUT: Millis = Millis(1_000);
 
 /// The largest answer that is read. A page has about 1 MB at the most.
 const ANSWER_MAX_BYTES: usize = 4 << 20;
@@ -54,18 +55,20 @@
 }
 
 async fn read(client: Client) -> Answer<Batch> {
-    let mut changes = Vec::new();
-    let mut first = None;
-    for prefix in items::PREFIXES {
-        let revision = client.range(prefix, &mut changes).await?;
+    // All at once, because a process that has just started serves nobody yet.
+    let ranges = items::PREFIXES.map(|prefix| client.range(prefix));
+    let mut all = Batch {
+        changes: Vec::new(),
+        revision: Revision(u64::MAX),
+    };
+    for range in join_all(ranges).await {
+        let range = range?;
+        all.changes.extend(range.changes);
         // Pages are no snapshot. What changes between them is reported again by
-        // a poll from the first page's revision.
-        first.get_or_insert(revision);
+        // a poll from the earliest revision.
+        all.revision = all.revision.min(range.revision);
     }
-    Ok(Batch {
-        changes,
-        revision: first.unwrap_or_default(),
-    })
+    Ok(all)
 }
 
 #[derive(Deserialize)]
@@ -164,9 +167,10 @@
 }
 
 impl Client {
-    /// Reads all pages of a prefix and returns the revision of the first one.
-    async fn range(&self, prefix: &str, changes: &mut Vec<Change>) -> Answer<Revision> {
+    /// Reads all pages of a prefix, with the revision of the first one.
+    async fn range(&self, prefix: &str) -> Answer<Batch> {
         const STEP: &str = "read keys";
+        let mut changes = Vec::new();
         let mut first = None;
         let mut after = String::new();
         loop {
@@ -178,7 +182,7 @@
             changes.extend(page.items.iter().filter_map(items::decode));
             match page.items.last() {
                 Some(last) if page.has_more => after = format!("&after={}", last.key),
-                _ => return Ok(revision),
+                _ => return Ok(Batch { changes, revision }),
             }
         }
     }
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -30,7 +30,10 @@
     let logs = logs::open();
     let file = Source::new(path, port)?;
     let (text, settings) = file.read()?;
-    let result = runtime(settings.cores)?.block_on(serve(&file, text, settings));
+    let runtime = runtime(settings.cores)?;
+    let result = runtime.block_on(serve(&file, text, settings));
+    // What still runs must not delay the end beyond the grace time.
+    runtime.shutdown_background();
     logs.flush();
     result
 }
--- a/src/app/gateway/feed.rs
+++ b/src/app/gateway/feed.rs
@@ -22,10 +22,10 @@
 
 /// How long the store waits for a change if there is none. A connection may be
 /// silent for good, which only the end of the call shows.
-const WAIT: Millis = Millis(700);
+const WAIT: Millis = Millis(500);
 
 /// The pause after a call that failed.
-const PAUSE: Millis = Millis(400);
+const PAUSE: Millis = Millis(250);
 
 /// Follows the platform until the process ends.
 pub(super) async fn run(state: Arc<State>) {
@@ -58,6 +58,10 @@
 
 impl Feed {
     /// Makes one call and adopts what it brings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error, which is logged already, if the store did not answer.
     async fn step(&mut self) -> Result<(), ()> {
         let platform = &self.state.ports.platform;
         let result = match self.after {
@@ -70,7 +74,7 @@
             Err(PlatformError::Compacted) => {
                 tracing::warn!("feed: the store's history is gone, reading everything again.");
                 self.after = None;
-                return Err(());
+                return Box::pin(self.step()).await;
             }
             Err(e) => {
                 if !self.lost {
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -96,8 +96,8 @@
         let part = |part: f64| grace.duration().mul_f64(part);
         self.state.set_stopping();
         tracing::info!(running = self.state.running(), "gateway: stopping.");
-        self.presence.withdraw().await;
-        tokio::time::sleep(part(ACCEPT_PART)).await;
+        let accepting = tokio::time::sleep(part(ACCEPT_PART));
+        tokio::join!(self.presence.withdraw(), accepting);
         let left = part(END_PART).saturating_sub(part(ACCEPT_PART));
         let ended = timeout(left, self.front.stop()).await.is_ok();
         self.feed.abort();
--- a/src/policy/balance/health.rs
+++ b/src/policy/balance/health.rs
@@ -90,12 +90,14 @@
         }
     }
 
+    /// Tells whether the target is left alone because of its failures.
+    pub fn ejected(&self, now: Millis) -> bool {
+        now < self.ejected
+    }
+
     /// Tells whether the target may get a request.
     pub fn usable(&self, now: Millis) -> bool {
-        if now < self.ejected {
-            return false;
-        }
-        !self.silent(now) || self.tried + TRIAL <= now
+        !self.ejected(now) && (!self.silent(now) || self.tried + TRIAL <= now)
     }
 
     /// Returns the part of requests that fail there.
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -11,7 +11,7 @@
     work::{Work, mix},
 };
 use crate::{
-    domain::{AzName, Instance, InstanceId, Millis, RegionName, Rule, TargetId},
+    domain::{AzName, Instance, InstanceId, InstanceState, Millis, RegionName, Rule, TargetId},
     policy::{
         budget::{Allowance, RetryBudget},
         overflow::{Overflow, Wish},
@@ -43,6 +43,9 @@
 const SPEED_GAIN: f64 = 0.06;
 const SPEED_RETURN: f64 = 0.01;
 
+/// The part of a region's shortage of slots that is handed over from the start.
+const SURPLUS_PART: f64 = 0.6;
+
 /// A region that has lost this part of its slots hands requests over at once.
 const LOST_PART: f64 = 0.2;
 
@@ -146,12 +149,30 @@
 pub struct Pool {
     targets: Vec<Target>,
     works: HashMap<u64, Work>,
-    overflow: Overflow,
+    overflow: Option<Overflow>,
     budget: RetryBudget,
     /// The most usable slots in the own region lately, and when that was.
     slots: (f64, Millis),
 }
 
+/// The slots of a service's targets.
+#[derive(Clone, Copy, Debug, Default)]
+struct Capacity {
+    near: f64,
+    all: f64,
+    regions: f64,
+}
+
+impl Capacity {
+    /// Returns the part of the region's requests that is handed over until the
+    /// requests themselves show what is needed. Regions are taken to have equally
+    /// many callers.
+    fn surplus(&self) -> f64 {
+        let fair = self.all / f64::max(self.regions, 1.0);
+        (1.0 - self.near / f64::max(fair, 1.0)).max(0.0) * SURPLUS_PART
+    }
+}
+
 #[derive(Clone, Copy)]
 struct Candidate {
     at: usize,
@@ -206,7 +227,7 @@
     /// Returns the part of the requests that is handed over to other regions.
     #[must_use]
     pub fn overflow(&self) -> f64 {
-        self.overflow.part()
+        self.overflow.as_ref().map_or(0.0, Overflow::part)
     }
 
     /// Chooses a target for a request and counts the request there.
@@ -224,11 +245,14 @@
             .copied()
             .filter(|at| self.targets[*at].usable(scene.now, &scene.quota))
             .collect();
-        let Some(best) = self.assign(scene, ask, &work, &usable) else {
+        let Some(best) = self.assign(scene, ask, &work, &open, &usable) else {
             return Err(if open.is_empty() { Miss::NoTarget } else { Miss::Full });
         };
         let expected = millis(best.expected);
-        if expected > ask.left {
+        if expected > ask.left && work.is_known(best.warm) {
+            if let Some(work) = self.works.get_mut(&route) {
+                work.doubt(best.warm);
+            }
             return Err(Miss::Late { expected });
         }
         Ok(self.start(scene, ask, route, &best))
@@ -293,9 +317,11 @@
         scene: &Scene<'_>,
         ask: &Ask<'_>,
         work: &Work,
+        open: &[usize],
         usable: &[usize],
     ) -> Option<Candidate> {
-        let (busy, slots) = self.usage(scene, usable);
+        let capacity = self.capacity(scene, open);
+        let busy = self.busy(scene, usable);
         let firsts = self.firsts(ask, usable);
         let near = |at: &usize| self.targets[*at].region.as_ref() == Some(scene.region);
         let score = |at: usize| self.score(scene, ask, work, busy, at, firsts.contains(&at));
@@ -305,29 +331,58 @@
                 .min_by(|a, b| a.cost.total_cmp(&b.cost))
         };
         let (here, there) = (cheapest(false), cheapest(true));
-        let (Some(near), Some(far)) = (here, there) else {
+        if capacity.near <= 0.0 {
             return here.or(there);
+        }
+        let Some(far) = there else {
+            return here;
         };
-        let wish = if far.cost + LEAVE_GAIN_MS < near.cost {
+        let gain = here.map_or(f64::INFINITY, |near| near.cost - far.cost);
+        let wish = if gain > LEAVE_GAIN_MS {
             Wish::Leave
         } else {
             Wish::Stay
         };
-        let lost = self.lost(scene.now, slots);
-        match self.overflow.assign(scene.now, wish, scene.shift, lost) {
-            Wish::Stay => Some(near),
+        let lost = self.lost(scene.now, capacity.near);
+        let overflow = self.overflow.get_or_insert_with(|| Overflow::new(capacity.surplus()));
+        match overflow.assign(scene.now, wish, scene.shift, lost) {
+            Wish::Stay => here,
             Wish::Leave => Some(far),
         }
     }
 
-    /// Returns how busy the region's targets are, from 0 to 1, and their slots.
-    fn usage(&self, scene: &Scene<'_>, usable: &[usize]) -> (f64, f64) {
+    /// Returns the slots of the targets that are there, full or not.
+    fn capacity(&self, scene: &Scene<'_>, open: &[usize]) -> Capacity {
+        let mut capacity = Capacity::default();
+        let mut regions: Vec<&RegionName> = Vec::new();
+        for at in open {
+            let target = &self.targets[*at];
+            let Some(region) = &target.region else {
+                continue;
+            };
+            if target.instance.state != InstanceState::Ready || target.health.ejected(scene.now) {
+                continue;
+            }
+            capacity.all += target.slots();
+            if region == scene.region {
+                capacity.near += target.slots();
+            }
+            if !regions.contains(&region) {
+                regions.push(region);
+                capacity.regions += 1.0;
+            }
+        }
+        capacity
+    }
+
+    /// Returns how busy the region's targets are, from 0 to 1.
+    fn busy(&self, scene: &Scene<'_>, usable: &[usize]) -> f64 {
         let near = usable.iter().map(|at| &self.targets[*at]);
         let near = near.filter(|t| t.region.as_ref() == Some(scene.region));
         let (load, slots) = near.fold((0.0, 0.0), |(load, slots), t| {
             (load + t.load.total(scene.now), slots + t.slots())
         });
-        ((load / f64::max(slots, 1.0)).min(1.0), slots)
+        (load / f64::max(slots, 1.0)).min(1.0)
     }
 
     /// Tells whether the region has just lost a considerable part of its slots.
--- a/src/policy/balance/registry.rs
+++ b/src/policy/balance/registry.rs
@@ -1,8 +1,10 @@
 //! Which targets are registered.
 //!
 //! The store's word is final but for one case: entries lapse while the store is
-//! away, and live targets register again right after its return. A target that
-//! vanishes then stays for a short grace time. See
+//! away, and live targets register again right after its return. When a large
+//! part of the targets vanishes right after an outage, those that vanish stay for
+//! a short grace time. A few that vanish have left, also after an outage: only
+//! this entry may have been cut off. See
 //! [docs/platform.md](../../../docs/platform.md).
 
 use std::collections::HashMap;
@@ -16,6 +18,9 @@
 /// heartbeats at the earliest.
 const OUTAGE: Millis = Millis(2_500);
 
+/// The part of the targets that vanishes when entries lapse.
+const LAPSED_PART: f64 = 0.3;
+
 /// What becomes of one target.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Step {
@@ -74,11 +79,20 @@
         gone.iter().filter_map(|id| self.remove(now, id)).collect()
     }
 
-    /// Removes the targets whose grace time has ended.
+    /// Removes the targets that are missing and have no grace time, or whose
+    /// grace time has ended. It must be called after all changes of one answer of
+    /// the store have been put in.
     pub fn expire(&mut self, now: Millis) -> Vec<Step> {
-        let due = self.missing.iter().filter(|(_, until)| **until <= now);
+        #[expect(clippy::cast_precision_loss)]
+        let part = self.missing.len() as f64 / self.known.len().max(1) as f64;
+        let due = |until: Millis| until <= now || part < LAPSED_PART;
+        let due = self.missing.iter().filter(|(_, until)| due(**until));
         let due: Vec<InstanceId> = due.map(|(id, _)| id.clone()).collect();
-        due.iter().filter_map(|id| self.remove(now, id)).collect()
+        let gone = due.into_iter().filter_map(|id| {
+            self.missing.remove(&id);
+            self.known.remove(&id).map(Step::Remove)
+        });
+        gone.collect()
     }
 
     /// Returns how many targets are registered.
--- a/src/policy/balance/work.rs
+++ b/src/policy/balance/work.rs
@@ -13,6 +13,12 @@
 /// times longer than the rest and say nothing of the others.
 const STRAGGLER: f64 = 2.5;
 
+/// How many durations make an estimate.
+const ENOUGH: u32 = 20;
+
+/// The part by which a refusal lowers an estimate.
+const DOUBT: f64 = 0.01;
+
 /// How many objects of a target are remembered.
 const OBJECTS: usize = 48;
 
@@ -26,6 +32,8 @@
     pub warm: f64,
     /// In milliseconds, on an object that it does not know.
     pub cold: f64,
+    /// How many durations of each were seen.
+    seen: [u32; 2],
 }
 
 impl Work {
@@ -37,6 +45,7 @@
         Self {
             warm: cold * 0.4,
             cold,
+            seen: [0; 2],
         }
     }
 
@@ -45,8 +54,22 @@
         if warm { self.warm } else { self.cold }
     }
 
+    /// Tells whether enough durations were seen to refuse a request because of
+    /// them.
+    pub fn is_known(&self, warm: bool) -> bool {
+        self.seen[usize::from(warm)] >= ENOUGH
+    }
+
+    /// Lowers what is known a little, because a request was refused for it. A
+    /// wrong duration would otherwise refuse all requests that could correct it.
+    pub fn doubt(&mut self, warm: bool) {
+        let usual = if warm { &mut self.warm } else { &mut self.cold };
+        *usual *= 1.0 - DOUBT;
+    }
+
     /// Learns from a duration that was freed of queues and slowness.
     pub fn learn(&mut self, warm: bool, ms: f64) {
+        self.seen[usize::from(warm)] += 1;
         let usual = if warm { &mut self.warm } else { &mut self.cold };
         let ms = ms.clamp(*usual / STRAGGLER, *usual * STRAGGLER);
         *usual += (ms - *usual) * GAIN;
--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -44,6 +44,17 @@
 }
 
 impl Overflow {
+    /// Returns the state of a region that hands over a part from the start.
+    #[must_use]
+    pub fn new(part: f64) -> Self {
+        let part = part.clamp(0.0, 1.0);
+        Self {
+            part,
+            wanted: part,
+            ..Self::default()
+        }
+    }
+
     /// Assigns a request. `cap` is the largest part that may change region from
     /// one window to the next; `lost` says that the region has just lost targets.
     pub fn assign(&mut self, now: Millis, wish: Wish, cap: f64, lost: bool) -> Wish {
