--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -245,7 +245,7 @@
             .copied()
             .filter(|at| self.targets[*at].usable(scene.now, &scene.quota))
             .collect();
-        let Some(best) = self.assign(scene, ask, &work, &open, &usable) else {
+        let Some(best) = self.assign(scene, ask, &work, &usable) else {
             return Err(if open.is_empty() { Miss::NoTarget } else { Miss::Full });
         };
         let expected = millis(best.expected);
@@ -317,10 +317,9 @@
         scene: &Scene<'_>,
         ask: &Ask<'_>,
         work: &Work,
-        open: &[usize],
         usable: &[usize],
     ) -> Option<Candidate> {
-        let capacity = self.capacity(scene, open);
+        let capacity = self.capacity(scene);
         let busy = self.busy(scene, usable);
         let firsts = self.firsts(ask, usable);
         let near = |at: &usize| self.targets[*at].region.as_ref() == Some(scene.region);
@@ -351,16 +350,19 @@
         }
     }
 
-    /// Returns the slots of the targets that are there, full or not.
-    fn capacity(&self, scene: &Scene<'_>, open: &[usize]) -> Capacity {
+    /// Returns the slots of the targets that are there, full or not. What one
+    /// request may use of them does not matter, because the region's overflow is
+    /// the same for all of them.
+    fn capacity(&self, scene: &Scene<'_>) -> Capacity {
         let mut capacity = Capacity::default();
         let mut regions: Vec<&RegionName> = Vec::new();
-        for at in open {
-            let target = &self.targets[*at];
-            let Some(region) = &target.region else {
+        for target in &self.targets {
+            let ready = target.instance.state == InstanceState::Ready;
+            let there = ready && !target.health.ejected(scene.now);
+            let Some(region) = target.region.as_ref().filter(|_| there) else {
                 continue;
             };
-            if target.instance.state != InstanceState::Ready || target.health.ejected(scene.now) {
+            if scene.closed.contains(&target.instance.az) {
                 continue;
             }
             capacity.all += target.slots();
