Refuse what a queue would make miss its objective

Ruled out: cold objects; most of these requests were at a target that knew them. Change: a request is refused at once if its best target has a queue and its answer is expected after 1.1 times the objective.

--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -43,6 +43,13 @@
 const SPEED_GAIN: f64 = 0.06;
 const SPEED_RETURN: f64 = 0.01;
 
+/// A queue of up to this length, in requests for each slot, refuses nothing.
+const QUEUE_FREE: f64 = 0.5;
+
+/// How many times the objective an answer may be expected to take. Estimates
+/// scatter, so that some of those above the objective meet it.
+const LATE_FACTOR: f64 = 1.1;
+
 /// The part of a region's shortage of slots that is handed over from the start.
 const SURPLUS_PART: f64 = 0.6;
 
@@ -180,9 +187,22 @@
     expected: f64,
     trip: f64,
     factor: f64,
+    /// Requests that wait at the target for each of its slots.
+    queue: f64,
     warm: bool,
 }
 
+impl Candidate {
+    /// Tells whether the queue alone makes the answer miss its objective. Adding
+    /// to such a queue makes all that follow late as well, so that the targets
+    /// stay busy with answers of little use.
+    fn is_crowded(&self, rule: &Rule) -> bool {
+        #[expect(clippy::cast_precision_loss)]
+        let objective = rule.objective.0 as f64;
+        self.queue > QUEUE_FREE && self.expected > objective * LATE_FACTOR
+    }
+}
+
 impl Pool {
     /// Returns a pool without targets.
     #[must_use]
@@ -249,7 +269,7 @@
             return Err(if open.is_empty() { Miss::NoTarget } else { Miss::Full });
         };
         let expected = millis(best.expected);
-        if expected > ask.left && work.is_known(best.warm) {
+        if work.is_known(best.warm) && (expected > ask.left || best.is_crowded(ask.rule)) {
             if let Some(work) = self.works.get_mut(&route) {
                 work.doubt(best.warm);
             }
@@ -448,6 +468,7 @@
             expected,
             trip,
             factor,
+            queue: waiting / slots,
             warm,
         }
     }
