Say truly that an unsent request has not run and keep fewer idle connections

Change: the port tells whether the first byte may have left; connections open within 300 ms or another target is tried; six idle connections a target are kept for 4 s; buffers of connections to targets stop at 16 KB.

--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -18,4 +18,4 @@
 pub use query::Query;
 pub use refusal::{CODE, OUTCOME, answer};
 pub use server::{BindError, Limits, Server, bind};
-pub use target::open;
+pub use target::{Keep, open};
--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -23,17 +23,32 @@
 use crate::{
     domain::{Millis, Shards, TargetId},
     policy::silence::{
-        KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, USER_TIMEOUT, is_stale,
+        IDLE_MAX, KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, USER_TIMEOUT,
     },
     ports::{Body, Clock, Hold, Outbound, SendError, Targets},
 };
 
-/// How long a connection may take to open. Between regions it takes about
-/// 70 ms.
-const CONNECT: Millis = Millis(1_000);
+/// Which idle connections are kept.
+#[derive(Clone, Copy, Debug)]
+pub struct Keep {
+    /// How many for each target.
+    pub count: usize,
+    /// For how long.
+    pub idle: Millis,
+}
 
-/// How many idle connections are kept for each target.
-const KEPT: usize = 64;
+impl Default for Keep {
+    fn default() -> Self {
+        Self {
+            count: 64,
+            idle: IDLE_MAX,
+        }
+    }
+}
+
+/// The largest buffer of a connection, in bytes. Large answers would otherwise
+/// grow it to several hundred kilobytes and leave it so.
+const BUFFER_BYTES: usize = 16 * 1024;
 
 /// How long a target may take to close a connection after this side has. It
 /// equals the time after which the kernel gives up on written data.
@@ -70,12 +85,31 @@
     since: Millis,
 }
 
-type Pool = Arc<Shards<TargetId, Vec<Idle>>>;
+/// The idle connections. A shard's lock guards those of its targets.
+#[derive(Clone)]
+struct Pool {
+    idle: Arc<Shards<TargetId, Vec<Idle>>>,
+    keep: Keep,
+}
+
+impl Pool {
+    /// Drops the connections to a target that are of no more use.
+    fn prune(&self, target: TargetId, now: Millis) {
+        self.idle.get(&target, |idle| self.retain(idle, now));
+    }
+
+    fn retain(&self, idle: &mut Vec<Idle>, now: Millis) {
+        idle.retain(|c| now - c.since <= self.keep.idle && !c.conn.sender.is_closed());
+    }
+}
 
 /// Opens a pool of connections to targets.
 #[must_use]
-pub fn open(clock: Clock) -> Targets {
-    let pool: Pool = Arc::default();
+pub fn open(clock: Clock, keep: Keep) -> Targets {
+    let pool = Pool {
+        idle: Arc::default(),
+        keep,
+    };
     Targets {
         send: Arc::new(move |out| {
             let (pool, clock) = (pool.clone(), clock.clone());
@@ -89,10 +123,15 @@
         target,
         mut request,
         hold,
+        connect: limit,
+        idle,
+        begun,
     } = out;
+    let idle = idle.unwrap_or(pool.keep.idle);
     let mut doubt = Doubt::new(pool, clock, target);
-    while let Some(mut conn) = checkout(pool, target, (clock.now)()) {
+    while let Some(mut conn) = checkout(pool, target, (clock.now)(), idle) {
         conn.hold(&hold);
+        begun.set();
         match conn.sender.try_send_request(request).await {
             Ok(resp) => {
                 doubt.end();
@@ -106,8 +145,11 @@
             },
         }
     }
-    let mut conn = connect(target).await?;
+    // A request that came back from a closed connection was not written.
+    begun.clear();
+    let mut conn = connect(target, limit).await?;
     conn.hold(&hold);
+    begun.set();
     match conn.sender.try_send_request(request).await {
         Ok(resp) => {
             doubt.end();
@@ -156,7 +198,7 @@
         if !self.ended && (self.clock.now)() - self.sent >= SILENT {
             let sent = self.sent;
             let old = |idle: &mut Vec<Idle>| idle.retain(|c| c.since >= sent);
-            self.pool.get(&self.target, old);
+            self.pool.idle.get(&self.target, old);
         }
     }
 }
@@ -171,10 +213,10 @@
 }
 
 /// Takes an idle connection that is young enough and still open.
-fn checkout(pool: &Pool, target: TargetId, now: Millis) -> Option<Conn> {
-    pool.get(&target, |idle| {
+fn checkout(pool: &Pool, target: TargetId, now: Millis, limit: Millis) -> Option<Conn> {
+    pool.idle.get(&target, |idle| {
         while let Some(Idle { conn, since }) = idle.pop() {
-            let young = !is_stale(now, since);
+            let young = now - since <= limit;
             if young && conn.sender.is_ready() && !conn.watch.is_closed() {
                 return Some(conn);
             }
@@ -199,32 +241,41 @@
         }
         end_hold(&conn.held);
         let since = (clock.now)();
-        pool.with(target, Vec::new, |idle| {
-            idle.retain(|c| !is_stale(since, c.since) && !c.conn.sender.is_closed());
-            if idle.len() < KEPT {
+        let kept = pool.idle.with(target, Vec::new, |idle| {
+            pool.retain(idle, since);
+            let room = idle.len() < pool.keep.count;
+            if room {
                 idle.push(Idle { conn, since });
             }
+            room
         });
+        if kept {
+            // Nobody may ask for this target again.
+            tokio::time::sleep((pool.keep.idle + Millis(1)).duration()).await;
+            pool.prune(target, (clock.now)());
+        }
     });
     resp.map(|body| body.map_err(Into::into).boxed())
 }
 
-async fn connect(target: TargetId) -> Result<Conn, SendError> {
+async fn connect(target: TargetId, limit: Millis) -> Result<Conn, SendError> {
     let failed = |step, cause: String| SendError::Unsent {
         step,
         peer: target,
         cause,
     };
-    let stream = timeout(CONNECT.duration(), TcpStream::connect(target.0)).await;
+    let stream = timeout(limit.duration(), TcpStream::connect(target.0)).await;
     let stream = match stream {
         Ok(Ok(stream)) => stream,
         Ok(Err(e)) => return Err(failed("connect to", e.to_string())),
-        Err(_) => return Err(failed("connect to", format!("timed out after {CONNECT}"))),
+        Err(_) => return Err(failed("connect to", format!("timed out after {limit}"))),
     };
     tune(&stream).map_err(|e| failed("configure connection to", e.to_string()))?;
     let socket = Socket::new(stream);
     let watch = socket.watch();
-    let (sender, conn) = http1::handshake::<_, Body>(TokioIo::new(socket))
+    let (sender, conn) = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake::<_, Body>(TokioIo::new(socket))
         .await
         .map_err(|e| failed("handshake with", e.to_string()))?;
     let held: Arc<Mutex<Option<Hold>>> = Arc::default();
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -15,12 +15,20 @@
         store::Calls,
     },
     app::gateway::{self, Ports, State},
+    domain::Millis,
     ports::VmSettings,
 };
 
 /// The stack of a worker thread, in bytes.
 const STACK_BYTES: usize = 512 * 1024;
 
+/// The idle connections to targets that are kept. Each costs some 17 KB, a new
+/// one 1 ms of a slot; targets may forget idle ones before their time.
+const KEEP: http::Keep = http::Keep {
+    count: 6,
+    idle: Millis(4_000),
+};
+
 /// How often the settings file is compared, since it may change without a
 /// signal.
 const RELOAD_PERIOD: Duration = Duration::from_secs(2);
@@ -52,7 +60,7 @@
 
 async fn serve(file: &Source, text: String, settings: VmSettings) -> eyre::Result<()> {
     let clock = clock::open();
-    let targets = http::open(clock.clone());
+    let targets = http::open(clock.clone(), KEEP);
     let ports = Ports {
         platform: store::open(settings.store, targets.clone()),
         metrics: metrics::open(Arc::<Calls>::default()),
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -138,11 +138,11 @@
         request.extensions_mut().insert(self.why(&slot));
         self.tried.push(target);
         let hold = slot.hold();
-        let send = (self.state.ports.targets.send)(Outbound {
-            target,
-            request,
+        let out = Outbound {
             hold,
-        });
+            ..Outbound::new(target, request)
+        };
+        let send = (self.state.ports.targets.send)(out);
         self.sending.push(Box::pin(async move {
             let result = send.await;
             if result.is_ok() {
--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -9,6 +9,7 @@
         http::Content,
         platform::headers::{self, Verdict},
     },
+    domain::Millis,
     policy::balance::{Ending, Report},
     ports::{Body, Outbound, SendError},
 };
@@ -17,6 +18,10 @@
 /// shorter one that breaks off can still be replaced by another attempt.
 const WHOLE_BYTES: usize = 128 * 1024;
 
+/// How long a connection to a target may take to open. It takes 75 ms at most
+/// where nothing is lost; another target is tried after that.
+const CONNECT: Millis = Millis(300);
+
 /// What became of an attempt.
 #[derive(Debug)]
 pub(super) enum Outcome {
@@ -48,13 +53,22 @@
     let Some(request) = job.request(&ticket.id, left) else {
         return Outcome::Unknown("the body cannot be sent again".to_owned());
     };
-    let out = Outbound::new(slot.choice.addr, request);
+    let out = Outbound {
+        connect: CONNECT,
+        ..Outbound::new(slot.choice.addr, request)
+    };
+    let begun = out.begun.clone();
     let attempt = async {
         let resp = (state.ports.targets.send)(out).await?;
         Ok::<_, SendError>(read(job, resp).await)
     };
     let (ending, report, outcome) = match timeout(left.duration(), attempt).await {
-        Err(_) => return Outcome::Late,
+        Err(_) if begun.get() => return Outcome::Late,
+        Err(_) => (
+            Ending::Unreachable,
+            None,
+            Outcome::Unsent("no connection in time".to_owned()),
+        ),
         Ok(Err(e @ SendError::Unsent { .. })) => {
             (Ending::Unreachable, None, Outcome::Unsent(e.to_string()))
         }
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -32,9 +32,9 @@
     ports::VmSettings,
 };
 
-/// How long callers' connections may stay idle. It exceeds every limit that the
-/// users set, so that a caller never sends into a connection that closes.
-const IDLE: Duration = Duration::from_secs(120);
+/// How long callers' connections may stay idle. Callers give up idle ones after
+/// four fifths of a limit in the configuration, which is 15 s as a rule.
+const IDLE: Duration = Duration::from_secs(30);
 
 /// Descriptors that are left to listeners, the store and connections to targets.
 const RESERVED: usize = 1_000;
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -21,7 +21,7 @@
     Batch, Change, LeaseId, Platform, PlatformError, Poll, VmSettings,
 };
 pub use store::{Record, Snapshot, Store, StoreError, Update, Write};
-pub use targets::{Body, Hold, Outbound, SendError, Targets};
+pub use targets::{Begun, Body, Hold, Outbound, SendError, Targets};
 
 /// A boxed future, as every asynchronous port returns it.
 pub type Fut<T> = Pin<Box<dyn Future<Output = T> + Send>>;
--- a/src/ports/targets.rs
+++ b/src/ports/targets.rs
@@ -1,6 +1,12 @@
 //! Requests to targets.
 
-use std::{fmt, sync::Arc};
+use std::{
+    fmt,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use bytes::Bytes;
 use http::{Request, Response};
@@ -8,7 +14,7 @@
 use tokio::sync::oneshot;
 
 use super::Call;
-use crate::domain::TargetId;
+use crate::domain::{Millis, TargetId};
 
 /// A body that streams in either direction.
 pub type Body = BoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
@@ -61,6 +67,33 @@
 /// learns the end when the last clone is dropped; nothing is ever sent.
 pub type Hold = Arc<oneshot::Sender<()>>;
 
+/// Tells whether the first byte of a request may have left. Whoever gives up
+/// waiting learns from it whether the target can have run the request.
+#[derive(Clone, Debug, Default)]
+pub struct Begun(Arc<AtomicBool>);
+
+impl Begun {
+    /// Notes that the first byte is about to leave.
+    pub fn set(&self) {
+        self.0.store(true, Ordering::Release);
+    }
+
+    /// Notes that no byte has left after all.
+    pub fn clear(&self) {
+        self.0.store(false, Ordering::Release);
+    }
+
+    /// Tells whether the first byte may have left.
+    #[must_use]
+    pub fn get(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
+/// How long a connection may take to open if nothing else is said. Between
+/// regions it takes about 70 ms.
+const CONNECT: Millis = Millis(1_000);
+
 /// A request with the target that is to run it.
 #[derive(Debug)]
 pub struct Outbound {
@@ -71,6 +104,13 @@
     /// What the adapter holds until the target has ended the request. After a
     /// cancellation that is when the target closes the connection.
     pub hold: Hold,
+    /// How long a new connection may take to open.
+    pub connect: Millis,
+    /// How long a connection may have been idle to be used again, if the
+    /// adapter's own limit is not strict enough.
+    pub idle: Option<Millis>,
+    /// Set as soon as the first byte may have left.
+    pub begun: Begun,
 }
 
 impl Outbound {
@@ -81,6 +121,9 @@
             target,
             request,
             hold: Arc::new(oneshot::channel().0),
+            connect: CONNECT,
+            idle: None,
+            begun: Begun::default(),
         }
     }
 }
