--- a/src/adapters/platform/headers.rs
+++ b/src/adapters/platform/headers.rs
@@ -9,6 +9,8 @@
 
 /// The id of one attempt of a caller.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
+/// How long a connection may be idle and still be used.
+pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
 /// The object that a request concerns.
 const AFFINITY_KEY: HeaderName = HeaderName::from_static("affinity-key");
--- a/src/app/gateway/front.rs
+++ b/src/app/gateway/front.rs
@@ -7,6 +7,11 @@
 use volo_http::{body::Body, server::Router};
 
 use super::{State, answer, carry};
+use crate::adapters::platform::headers;
+
+/// How long callers may leave a connection idle and use it again. It is shorter
+/// than [`super::IDLE`], so that no request meets the end of its connection.
+const KEEP_ALIVE: HeaderValue = HeaderValue::from_static("timeout=4");
 
 /// Returns the router of the callers' server.
 pub(super) fn router(state: &Arc<State>) -> Router {
@@ -40,10 +45,12 @@
         Ok(resp) => resp.map(Body::from_body),
         Err(refusal) => answer::refuse(&refusal),
     };
+    let head = resp.headers_mut();
     if state.is_stopping() {
         // The caller goes to another entry before this one is gone.
-        let close = HeaderValue::from_static("close");
-        resp.headers_mut().insert(header::CONNECTION, close);
+        head.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    } else {
+        head.insert(headers::KEEP_ALIVE, KEEP_ALIVE);
     }
     resp
 }
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -32,9 +32,9 @@
     ports::VmSettings,
 };
 
-/// How long callers' connections may stay idle. Callers give up idle ones after
-/// four fifths of a limit in the configuration, which is 15 s as a rule.
-const IDLE: Duration = Duration::from_secs(30);
+/// How long callers' connections may stay idle. A connection costs some 17 KB,
+/// and impatient callers leave many behind.
+const IDLE: Duration = Duration::from_secs(6);
 
 /// Descriptors that are left to listeners, the store and connections to targets.
 const RESERVED: usize = 1_000;
