Hand over whole objects to other regions instead of single requests

The log of objects shows that callers of different regions hardly ask for the same ones, so that nobody else keeps them warm there. Ruled out: load at the far targets, which were below their slots. Change: the objects whose hash lies below the part that is handed over leave, each to one target elsewhere; the memory of a target's objects goes from 48 to 24.

--- a/src/app/gateway/carry.rs
+++ b/src/app/gateway/carry.rs
@@ -187,6 +187,7 @@
             request = job.label(),
             route = job.rule.name,
             version = %job.table.version,
+            object = job.object.map(|o| format!("{o:016x}")),
             service = %job.service,
             target = last.map_or("-", |t| t.id.as_str()),
             attempts = self.sent,
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -50,6 +50,10 @@
 /// scatter, so that some of those above the objective meet it.
 const LATE_FACTOR: f64 = 1.1;
 
+/// Makes the order in which objects are handed over independent of their order
+/// at any target.
+const PLACE_SEED: u64 = 0x6f76_6572_666c_6f77;
+
 /// The part of a region's shortage of slots that is handed over from the start.
 const SURPLUS_PART: f64 = 0.6;
 
@@ -341,8 +345,8 @@
     ) -> Option<Candidate> {
         let capacity = self.capacity(scene);
         let busy = self.busy(scene, usable);
-        let firsts = self.firsts(ask, usable);
-        let near = |at: &usize| self.targets[*at].region.as_ref() == Some(scene.region);
+        let firsts = self.firsts(scene, ask, usable);
+        let near = |at: &usize| self.is_near(scene, *at);
         let score = |at: usize| self.score(scene, ask, work, busy, at, firsts.contains(&at));
         let cheapest = |far: bool| {
             let side = usable.iter().filter(|at| near(at) != far);
@@ -364,7 +368,8 @@
         };
         let lost = self.lost(scene.now, capacity.near);
         let overflow = self.overflow.get_or_insert_with(|| Overflow::new(capacity.surplus()));
-        match overflow.assign(scene.now, wish, scene.shift, lost) {
+        let place = ask.object.filter(|_| ask.rule.sticky).map(place);
+        match overflow.assign(scene.now, wish, place, scene.shift, lost) {
             Wish::Stay => here,
             Wish::Leave => Some(far),
         }
@@ -417,22 +422,22 @@
         slots < most * (1.0 - LOST_PART)
     }
 
-    /// Returns the first target of the object in each region.
-    fn firsts(&self, ask: &Ask<'_>, usable: &[usize]) -> Vec<usize> {
+    /// Returns the object's first targets: one in the region, and one elsewhere
+    /// that takes the object if it is handed over. Callers of different regions
+    /// seldom ask for the same objects, so each region hands over to one target.
+    fn firsts(&self, scene: &Scene<'_>, ask: &Ask<'_>, usable: &[usize]) -> Vec<usize> {
         let Some(object) = ask.object.filter(|_| ask.rule.sticky) else {
             return Vec::new();
         };
-        let mut firsts: Vec<(u64, usize)> = Vec::new();
-        for at in usable {
-            let target = &self.targets[*at];
-            let rank = mix(object, target.hash);
-            let same = |other: &usize| self.targets[*other].region == target.region;
-            match firsts.iter_mut().find(|(_, other)| same(other)) {
-                Some(first) => *first = (*first).max((rank, *at)),
-                None => firsts.push((rank, *at)),
-            }
-        }
-        firsts.into_iter().map(|(_, at)| at).collect()
+        let first = |far: bool| {
+            let side = usable.iter().filter(|at| self.is_near(scene, **at) != far);
+            side.max_by_key(|at| mix(object, self.targets[**at].hash))
+        };
+        first(false).into_iter().chain(first(true)).copied().collect()
+    }
+
+    fn is_near(&self, scene: &Scene<'_>, at: usize) -> bool {
+        self.targets[at].region.as_ref() == Some(scene.region)
     }
 
     fn score(
@@ -457,7 +462,7 @@
         let far = target.region.as_ref() != Some(scene.region);
         let trip = if far { FAR_MS } else { NEAR_MS };
         let expected = trip + work.of(warm) * factor;
-        let rank = ask.object.map_or(0.0, |o| rank(mix(o, target.hash)));
+        let rank = ask.object.map_or(0.0, |o| 1.0 - unit(mix(o, target.hash)));
         let objective = ask.rule.objective.0;
         #[expect(clippy::cast_precision_loss)]
         let failures = target.health.rate(now) * FAILURE_COST * objective as f64;
@@ -530,8 +535,13 @@
     Millis(ms.max(0.0) as u64)
 }
 
-/// Returns the place of a target in an object's order, from 0 for the first.
+/// Returns where an object lies among all objects, from 0 to 1.
+fn place(object: u64) -> f64 {
+    unit(mix(object, PLACE_SEED))
+}
+
+/// Maps a hash to the range from 0 to 1.
 #[expect(clippy::cast_precision_loss)]
-fn rank(mixed: u64) -> f64 {
-    1.0 - mixed as f64 / u64::MAX as f64
+fn unit(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
 }
--- a/src/policy/balance/work.rs
+++ b/src/policy/balance/work.rs
@@ -20,7 +20,7 @@
 const DOUBT: f64 = 0.01;
 
 /// How many objects of a target are remembered.
-const OBJECTS: usize = 48;
+const OBJECTS: usize = 24;
 
 /// For how long a target is taken to keep an object warm.
 const WARM: Millis = Millis(15_000);
--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -4,9 +4,14 @@
 //! quickly, but the part that changes region may only move slowly, or caches in
 //! both regions go cold at once. [`Overflow`] therefore keeps the part that is
 //! handed over as state of its own. It follows what the requests would choose
-//! freely, at a bounded slope, both ways; requests are then assigned by carrying
-//! the remainder from one to the next. When targets of the region are lost the
-//! slope does not bind, since waiting for it would fail requests.
+//! freely, at a bounded slope, both ways.
+//!
+//! Whole objects are handed over, those whose hash lies below the part, so that
+//! a target elsewhere gets all requests for an object and keeps it warm. Entries
+//! with the same part hand over the same objects. Requests without an object are
+//! assigned by carrying the remainder from one to the next. When targets of the
+//! region are lost the slope does not bind, since waiting for it would fail
+//! requests.
 
 use crate::domain::Millis;
 
@@ -20,9 +25,6 @@
 /// How long a request's free choice counts.
 const MEMORY_MS: f64 = 700.0;
 
-/// The most requests that are owed to either side.
-const OWED_MAX: f64 = 2.0;
-
 /// The part of one service's requests that leaves the region.
 #[derive(Clone, Debug, Default)]
 pub struct Overflow {
@@ -30,6 +32,7 @@
     part: f64,
     /// The part that would leave if the slope did not bind.
     wanted: f64,
+    /// The remainder of requests without an object.
     owed: f64,
     updated: Millis,
 }
@@ -55,26 +58,35 @@
         }
     }
 
-    /// Assigns a request. `cap` is the largest part that may change region from
-    /// one window to the next; `lost` says that the region has just lost targets.
-    pub fn assign(&mut self, now: Millis, wish: Wish, cap: f64, lost: bool) -> Wish {
+    /// Assigns a request. `place` is where its object lies between 0 and 1, if
+    /// it has one, `cap` the largest part that may change region from one window
+    /// to the next; `lost` says that the region has just lost targets.
+    pub fn assign(
+        &mut self,
+        now: Millis,
+        wish: Wish,
+        place: Option<f64>,
+        cap: f64,
+        lost: bool,
+    ) -> Wish {
         self.follow(now, wish, cap, lost);
         if lost {
-            self.owed = 0.0;
             return wish;
         }
-        self.owed = (self.owed + self.part).clamp(-OWED_MAX, OWED_MAX);
-        let leave = match wish {
-            Wish::Leave => self.owed >= 1.0,
-            // Those that would rather stay leave only if nobody else does, so
-            // that the part does not drop at once.
-            Wish::Stay => self.owed >= OWED_MAX,
+        let leaves = match place {
+            Some(place) => place < self.part,
+            None => self.carry(),
         };
-        if leave {
+        if leaves { Wish::Leave } else { Wish::Stay }
+    }
+
+    fn carry(&mut self) -> bool {
+        self.owed += self.part;
+        let leaves = self.owed >= 1.0;
+        if leaves {
             self.owed -= 1.0;
-            return Wish::Leave;
         }
-        Wish::Stay
+        leaves
     }
 
     /// Returns the part that is handed over now.
