--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -54,6 +54,13 @@
 /// at any target.
 const PLACE_SEED: u64 = 0x6f76_6572_666c_6f77;
 
+/// How long after the first target others count as there from the start.
+const OPENING: Millis = Millis(5_000);
+
+/// Makes one request go to a target that joins. It shows that the target works,
+/// and hashing may give it no frequent object.
+const TRIAL_DISCOUNT_MS: f64 = 100_000.0;
+
 /// The part of a region's shortage of slots that is handed over from the start.
 const SURPLUS_PART: f64 = 0.6;
 
@@ -164,6 +171,8 @@
     budget: RetryBudget,
     /// The most usable slots in the own region lately, and when that was.
     slots: (f64, Millis),
+    /// When the first target was added.
+    opened: Option<Millis>,
 }
 
 /// The slots of a service's targets.
@@ -223,8 +232,12 @@
         zones: &BTreeMap<AzName, RegionName>,
     ) -> bool {
         let region = zones.get(&instance.az).cloned();
+        let opened = *self.opened.get_or_insert(now);
         let Some(at) = self.find(&instance.id) else {
-            self.targets.push(Target::new(instance, region, now));
+            let mut target = Target::new(instance, region, now);
+            // Those that are there from the start get their requests by hash.
+            target.used = now < opened + OPENING;
+            self.targets.push(target);
             return true;
         };
         let known = &self.targets[at].instance;
@@ -273,10 +286,8 @@
             return Err(if open.is_empty() { Miss::NoTarget } else { Miss::Full });
         };
         let expected = millis(best.expected);
-        if work.is_known(best.warm) && (expected > ask.left || best.is_crowded(ask.rule)) {
-            if let Some(work) = self.works.get_mut(&route) {
-                work.doubt(best.warm);
-            }
+        let late = expected > ask.left || best.is_crowded(ask.rule);
+        if late && work.is_known(best.warm, scene.now) {
             return Err(Miss::Late { expected });
         }
         Ok(self.start(scene, ask, route, &best))
@@ -466,10 +477,12 @@
         let objective = ask.rule.objective.0;
         #[expect(clippy::cast_precision_loss)]
         let failures = target.health.rate(now) * FAILURE_COST * objective as f64;
+        let trial = !target.used && !far && !target.is_cold(now);
+        let discount = if trial { TRIAL_DISCOUNT_MS } else { 0.0 };
         let extra = if warm { 0.0 } else { work.cold - work.warm };
         Candidate {
             at,
-            cost: expected + busy * extra + failures + rank * work.cold * RANK_WEIGHT,
+            cost: expected + busy * extra + failures + rank * work.cold * RANK_WEIGHT - discount,
             expected,
             trip,
             factor,
@@ -490,6 +503,7 @@
         let load = target.load.total(now);
         let expected = millis(best.expected);
         target.load.own += 1;
+        target.used = true;
         target.health.sent(now, expected);
         if target.is_cold(now) {
             target.starts.add(now);
@@ -521,7 +535,7 @@
         let took = ((now - ticket.sent).0 as f64 - ticket.trip_ms).max(1.0);
         let ms = took / ticket.factor.max(0.01);
         let usual = work.of(ticket.warm);
-        work.learn(ticket.warm, ms);
+        work.learn(now, ticket.warm, ms);
         let target = &mut self.targets[at];
         let ratio = (ms / usual).clamp(0.4, 4.0);
         target.speed *= 1.0 + (ratio - 1.0) * SPEED_GAIN;
--- a/src/policy/balance/target.rs
+++ b/src/policy/balance/target.rs
@@ -26,6 +26,8 @@
     pub starts: Starts,
     /// Until when it is cold.
     pub cold: Millis,
+    /// Whether it has got a request of this entry.
+    pub used: bool,
     /// How long it takes relative to others, learned from durations.
     pub speed: f64,
     /// Until when its queue is taken to be full.
@@ -43,6 +45,7 @@
             health: Health::default(),
             objects: Objects::default(),
             starts: Starts::default(),
+            used: false,
             speed: 1.0,
             full: Millis(0),
         }
--- a/src/policy/balance/work.rs
+++ b/src/policy/balance/work.rs
@@ -16,8 +16,8 @@
 /// How many durations make an estimate.
 const ENOUGH: u32 = 20;
 
-/// The part by which a refusal lowers an estimate.
-const DOUBT: f64 = 0.01;
+/// For how long an answer confirms an estimate.
+const CONFIRMED: Millis = Millis(1_000);
 
 /// How many objects of a target are remembered.
 const OBJECTS: usize = 24;
@@ -34,6 +34,8 @@
     pub cold: f64,
     /// How many durations of each were seen.
     seen: [u32; 2],
+    /// When the last one was seen.
+    learned: Millis,
 }
 
 impl Work {
@@ -46,6 +48,7 @@
             warm: cold * 0.4,
             cold,
             seen: [0; 2],
+            learned: Millis(0),
         }
     }
 
@@ -54,21 +57,16 @@
         if warm { self.warm } else { self.cold }
     }
 
-    /// Tells whether enough durations were seen to refuse a request because of
-    /// them.
-    pub fn is_known(&self, warm: bool) -> bool {
-        self.seen[usize::from(warm)] >= ENOUGH
-    }
-
-    /// Lowers what is known a little, because a request was refused for it. A
-    /// wrong duration would otherwise refuse all requests that could correct it.
-    pub fn doubt(&mut self, warm: bool) {
-        let usual = if warm { &mut self.warm } else { &mut self.cold };
-        *usual *= 1.0 - DOUBT;
+    /// Tells whether enough durations are known to refuse a request because of
+    /// them. They count only while answers confirm them: a wrong duration would
+    /// otherwise refuse all requests that could correct it.
+    pub fn is_known(&self, warm: bool, now: Millis) -> bool {
+        self.seen[usize::from(warm)] >= ENOUGH && now - self.learned <= CONFIRMED
     }
 
     /// Learns from a duration that was freed of queues and slowness.
-    pub fn learn(&mut self, warm: bool, ms: f64) {
+    pub fn learn(&mut self, now: Millis, warm: bool, ms: f64) {
+        self.learned = now;
         self.seen[usize::from(warm)] += 1;
         let usual = if warm { &mut self.warm } else { &mut self.cold };
         let ms = ms.clamp(*usual / STRAGGLER, *usual * STRAGGLER);
