Tell standing queues from passing ones when refusing

Cause: a fixed bound of 1.1 objectives refused too much in passing peaks and too little in a lasting overload. Change: controlled delay: 1.3 objectives while some requests meet short queues, 0.7 once none has for 1 s.

--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -46,9 +46,14 @@
 /// A queue of up to this length, in requests for each slot, refuses nothing.
 const QUEUE_FREE: f64 = 0.5;
 
-/// How many times the objective an answer may be expected to take. Estimates
-/// scatter, so that some of those above the objective meet it.
-const LATE_FACTOR: f64 = 1.1;
+/// The longest delay that a passing queue may cause, in parts of the objective.
+const DELAY_PASSING: f64 = 1.3;
+
+/// The longest delay that a standing queue may cause, in parts of the objective.
+const DELAY_STANDING: f64 = 0.7;
+
+/// For how long no request meets a short queue before the queue is standing.
+const STANDING_AFTER: Millis = Millis(1_000);
 
 /// Makes the order in which objects are handed over independent of their order
 /// at any target.
@@ -173,6 +178,8 @@
     slots: (f64, Millis),
     /// When the first target was added.
     opened: Option<Millis>,
+    /// When a request last met a short queue.
+    eased: Millis,
 }
 
 /// The slots of a service's targets.
@@ -206,13 +213,16 @@
 }
 
 impl Candidate {
-    /// Tells whether the queue alone makes the answer miss its objective. Adding
-    /// to such a queue makes all that follow late as well, so that the targets
-    /// stay busy with answers of little use.
-    fn is_crowded(&self, rule: &Rule) -> bool {
+    /// Returns how long the answer takes, in parts of the objective, if a queue is
+    /// the reason for it.
+    fn delay(&self, rule: &Rule) -> f64 {
         #[expect(clippy::cast_precision_loss)]
-        let objective = rule.objective.0 as f64;
-        self.queue > QUEUE_FREE && self.expected > objective * LATE_FACTOR
+        let objective = rule.objective.0.max(1) as f64;
+        if self.queue > QUEUE_FREE {
+            self.expected / objective
+        } else {
+            0.0
+        }
     }
 }
 
@@ -286,7 +296,7 @@
             return Err(if open.is_empty() { Miss::NoTarget } else { Miss::Full });
         };
         let expected = millis(best.expected);
-        let late = expected > ask.left || best.is_crowded(ask.rule);
+        let late = expected > ask.left || self.is_crowded(scene.now, best.delay(ask.rule));
         if late && work.is_known(best.warm, scene.now) {
             return Err(Miss::Late { expected });
         }
@@ -328,6 +338,19 @@
         }
     }
 
+    /// Decides whether a queue is too long to add to it. Adding to a queue that
+    /// stands makes all that follow late as well, so that the targets stay busy
+    /// with answers of little use; a queue that passes is better served than
+    /// refused. The controlled-delay discipline tells them apart: a queue stands
+    /// if no request has met a short one for some time.
+    fn is_crowded(&mut self, now: Millis, delay: f64) -> bool {
+        if delay <= DELAY_STANDING {
+            self.eased = now;
+        }
+        let standing = now - self.eased > STANDING_AFTER;
+        delay > if standing { DELAY_STANDING } else { DELAY_PASSING }
+    }
+
     fn find(&self, id: &InstanceId) -> Option<usize> {
         self.targets.iter().position(|t| t.instance.id == *id)
     }
