Judge a standing queue by the part of requests that meet a long one

Cause: with many objects some request always meets a short queue, so that a lasting overload was never seen as one. Change: a queue stands when four fifths of the latest requests met a long one.

--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -52,8 +52,11 @@
 /// The longest delay that a standing queue may cause, in parts of the objective.
 const DELAY_STANDING: f64 = 0.7;
 
-/// For how long no request meets a short queue before the queue is standing.
-const STANDING_AFTER: Millis = Millis(1_000);
+/// The part of the latest requests that meets a long queue when it is standing.
+const STANDING_PART: f64 = 0.8;
+
+/// The weight of one request in that part.
+const STANDING_GAIN: f64 = 0.02;
 
 /// Makes the order in which objects are handed over independent of their order
 /// at any target.
@@ -178,8 +181,8 @@
     slots: (f64, Millis),
     /// When the first target was added.
     opened: Option<Millis>,
-    /// When a request last met a short queue.
-    eased: Millis,
+    /// The part of the latest requests that met a long queue.
+    long: f64,
 }
 
 /// The slots of a service's targets.
@@ -296,7 +299,7 @@
             return Err(if open.is_empty() { Miss::NoTarget } else { Miss::Full });
         };
         let expected = millis(best.expected);
-        let late = expected > ask.left || self.is_crowded(scene.now, best.delay(ask.rule));
+        let late = expected > ask.left || self.is_crowded(best.delay(ask.rule));
         if late && work.is_known(best.warm, scene.now) {
             return Err(Miss::Late { expected });
         }
@@ -342,12 +345,11 @@
     /// stands makes all that follow late as well, so that the targets stay busy
     /// with answers of little use; a queue that passes is better served than
     /// refused. The controlled-delay discipline tells them apart: a queue stands
-    /// if no request has met a short one for some time.
-    fn is_crowded(&mut self, now: Millis, delay: f64) -> bool {
-        if delay <= DELAY_STANDING {
-            self.eased = now;
-        }
-        let standing = now - self.eased > STANDING_AFTER;
+    /// if most of the latest requests have met a long one.
+    fn is_crowded(&mut self, delay: f64) -> bool {
+        let long = f64::from(u8::from(delay > DELAY_STANDING));
+        self.long += (long - self.long) * STANDING_GAIN;
+        let standing = self.long > STANDING_PART;
         delay > if standing { DELAY_STANDING } else { DELAY_PASSING }
     }
 
