Let a call to the store take longer after each failure

Ruled out: the store's history and the entries far from the store; the log of 91 VMs shows them up to date. Change: the limit of a call doubles from 1 s to 4 s and returns with the first answer; a gateway test with a slow store fails without it.

--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -214,16 +214,17 @@
 
 /// Takes an idle connection that is young enough and still open.
 fn checkout(pool: &Pool, target: TargetId, now: Millis, limit: Millis) -> Option<Conn> {
-    pool.idle.get(&target, |idle| {
-        while let Some(Idle { conn, since }) = idle.pop() {
-            let young = now - since <= limit;
-            if young && conn.sender.is_ready() && !conn.watch.is_closed() {
-                return Some(conn);
+    pool.idle
+        .get(&target, |idle| {
+            while let Some(Idle { conn, since }) = idle.pop() {
+                let young = now - since <= limit;
+                if young && conn.sender.is_ready() && !conn.watch.is_closed() {
+                    return Some(conn);
+                }
             }
-        }
-        None
-    })
-    .flatten()
+            None
+        })
+        .flatten()
 }
 
 /// Returns the answer, and puts the connection back once its body has ended.
--- a/src/adapters/logs/mod.rs
+++ b/src/adapters/logs/mod.rs
@@ -72,7 +72,10 @@
         // Nobody is left to be told if standard output is gone.
         let _ = out.write_all(&lines);
         if omitted > 0 {
-            let _ = writeln!(out, r#"{{"level":"WARN","message":"logs: lines left out.","lines":{omitted}}}"#);
+            let _ = writeln!(
+                out,
+                r#"{{"level":"WARN","message":"logs: lines left out.","lines":{omitted}}}"#
+            );
         }
         let _ = out.flush();
     }
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -8,8 +8,8 @@
 use super::millis;
 use crate::{
     domain::{
-        CallerLimits, Configuration, Instance, InstanceId, InstanceState, Millis, Part, Presence,
-        RequestKind, Revision, Rule, ServiceRule, Size, Slots,
+        CallerLimits, Configuration, EntryId, Instance, InstanceId, InstanceState, Millis, Part,
+        Presence, RequestKind, Revision, Rule, ServiceRule, Size, Slots,
     },
     ports::Change,
 };
@@ -45,7 +45,12 @@
     } else if let Some(name) = key.strip_prefix(ENTRIES) {
         read(item, name, presence, Change::Left)
     } else if let Some(name) = key.strip_prefix(EVACUATE) {
-        read(item, name, |az, _| Ok(Change::Evacuated(az)), Change::Restored)
+        read(
+            item,
+            name,
+            |az, _| Ok(Change::Evacuated(az)),
+            Change::Restored,
+        )
     } else if key == CONFIG && !item.deleted {
         bytes(item)
             .and_then(|b| configuration(&b))
@@ -62,14 +67,14 @@
 fn read<T: std::str::FromStr<Err: ToString>>(
     item: &Item,
     name: &str,
-    put: impl Fn(T, Bytes) -> Result<Change, String>,
+    put: impl Fn(T, &[u8]) -> Result<Change, String>,
     gone: impl Fn(T) -> Change,
 ) -> Result<Change, String> {
     let name = name.parse().map_err(|e: T::Err| e.to_string())?;
     if item.deleted {
         return Ok(gone(name));
     }
-    put(name, bytes(item)?)
+    put(name, &bytes(item)?)
 }
 
 fn bytes(item: &Item) -> Result<Bytes, String> {
@@ -104,8 +109,8 @@
     born: Option<u64>,
 }
 
-fn registration(id: InstanceId, bytes: Bytes) -> Result<Change, String> {
-    let wire: WireServer = json(&bytes)?;
+fn registration(id: InstanceId, bytes: &[u8]) -> Result<Change, String> {
+    let wire: WireServer = json(bytes)?;
     if wire.slots == 0 {
         return Err("slots: 0 is not a number of slots".to_owned());
     }
@@ -140,8 +145,8 @@
     STANDARD.encode(serde_json::to_vec(&wire).unwrap_or_default())
 }
 
-fn presence(name: crate::domain::EntryId, bytes: Bytes) -> Result<Change, String> {
-    let wire: WireEntry = json(&bytes)?;
+fn presence(name: EntryId, bytes: &[u8]) -> Result<Change, String> {
+    let wire: WireEntry = json(bytes)?;
     Ok(Change::Joined(Presence {
         name,
         front: parse(&wire.front)?,
--- a/src/adapters/platform/settings.rs
+++ b/src/adapters/platform/settings.rs
@@ -172,7 +172,10 @@
     let seeds = net.seeds.iter().filter_map(|s| f.parse("network.seeds", s));
     let seeds = seeds.collect();
     let zones = net.zones.iter().filter_map(|(az, region)| {
-        Some((f.parse("network.zones", az)?, f.parse("network.zones", region)?))
+        Some((
+            f.parse("network.zones", az)?,
+            f.parse("network.zones", region)?,
+        ))
     });
     let zones = zones.collect();
     let bounds = bounds(&wire.terms.bounds, f);
--- a/src/adapters/platform/store.rs
+++ b/src/adapters/platform/store.rs
@@ -12,13 +12,11 @@
 use crate::{
     adapters::http::{Content, full},
     domain::{Millis, Presence, Revision, TargetId},
-    ports::{
-        Batch, LeaseId, Outbound, Platform, PlatformError, Poll, Targets,
-    },
+    ports::{Batch, LeaseId, Outbound, Platform, PlatformError, Poll, Targets},
 };
 
-/// How long a call may take beyond the time that it asks the store to wait. A
-/// slow store answers within a quarter of a second.
+/// How long a call that carries little may take. A slow store answers within a
+/// quarter of a second.
 const TIMEOUT: Millis = Millis(1_000);
 
 /// The largest answer that is read. A page has about 1 MB at the most.
@@ -38,7 +36,7 @@
     let client = Client { addr, targets };
     let [c1, c2, c3, c4, c5] = std::array::from_fn(|_| client.clone());
     Platform {
-        read: Arc::new(move |()| Box::pin(read(c1.clone()))),
+        read: Arc::new(move |limit| Box::pin(read(c1.clone(), limit))),
         poll: Arc::new(move |p| Box::pin(poll(c2.clone(), p))),
         announce: Arc::new(move |(p, ttl)| Box::pin(announce(c3.clone(), p, ttl))),
         renew: Arc::new(move |lease| Box::pin(renew(c4.clone(), lease))),
@@ -54,9 +52,9 @@
     at_rev: u64,
 }
 
-async fn read(client: Client) -> Answer<Batch> {
+async fn read(client: Client, limit: Millis) -> Answer<Batch> {
     // All at once, because a process that has just started serves nobody yet.
-    let ranges = items::PREFIXES.map(|prefix| client.range(prefix));
+    let ranges = items::PREFIXES.map(|prefix| client.range(prefix, limit));
     let mut all = Batch {
         changes: Vec::new(),
         revision: Revision(u64::MAX),
@@ -80,9 +78,9 @@
 
 async fn poll(client: Client, poll: Poll) -> Answer<Batch> {
     const STEP: &str = "watch keys";
-    let Poll { after, wait } = poll;
+    let Poll { after, wait, limit } = poll;
     let path = format!("/kv-watch?prefix=&after={after}&wait_ms={}", wait.0);
-    let limit = wait + TIMEOUT;
+    let limit = wait + limit;
     let (status, body) = client.call(STEP, Method::GET, &path, None, limit).await?;
     if status == StatusCode::GONE {
         return Err(PlatformError::Compacted);
@@ -168,14 +166,14 @@
 
 impl Client {
     /// Reads all pages of a prefix, with the revision of the first one.
-    async fn range(&self, prefix: &str) -> Answer<Batch> {
+    async fn range(&self, prefix: &str, limit: Millis) -> Answer<Batch> {
         const STEP: &str = "read keys";
         let mut changes = Vec::new();
         let mut first = None;
         let mut after = String::new();
         loop {
             let path = format!("/kv-range?prefix={prefix}{after}");
-            let (status, body) = self.call(STEP, Method::GET, &path, None, TIMEOUT).await?;
+            let (status, body) = self.call(STEP, Method::GET, &path, None, limit).await?;
             self.expect(STEP, status, &body)?;
             let page: Page = self.json(STEP, &body)?;
             let revision = *first.get_or_insert(Revision(page.at_rev));
@@ -213,7 +211,9 @@
         if body.is_some() {
             request = request.header(header::CONTENT_TYPE, "application/json");
         }
-        let request = request.body(full(body.unwrap_or_default())).map_err(|e| self.failed(step, &e))?;
+        let request = request
+            .body(full(body.unwrap_or_default()))
+            .map_err(|e| self.failed(step, &e))?;
         let exchange = async {
             let out = Outbound::new(TargetId(self.addr), request);
             let answer = (self.targets.send)(out).await;
--- a/src/app/gateway/carry.rs
+++ b/src/app/gateway/carry.rs
@@ -74,11 +74,15 @@
 
 impl Run<'_> {
     async fn answer(&mut self) -> Result<Response<Body>, Refusal> {
-        let mut kept: Option<Answer> = None;
+        let mut kept: Option<Box<Answer>> = None;
         loop {
             let slot = match Slot::acquire(self.state, &self.job, &self.tried) {
                 Ok(slot) => slot,
-                Err(miss) => return kept.map(answer::pass).ok_or_else(|| self.missed(miss)),
+                Err(miss) => {
+                    return kept
+                        .map(|a| answer::pass(*a))
+                        .ok_or_else(|| self.missed(miss));
+                }
             };
             self.tried.push(slot.ticket().id.clone());
             self.last = Some(slot.ticket().clone());
@@ -86,7 +90,7 @@
             self.note(&outcome);
             let failed = match outcome {
                 Outcome::Answer(answer) if !answer.head.status.is_server_error() => {
-                    return Ok(answer::pass(answer));
+                    return Ok(answer::pass(*answer));
                 }
                 Outcome::Answer(answer) => {
                     // A target's own failure is passed on if nothing better
@@ -94,13 +98,13 @@
                     kept = Some(answer);
                     self.late()
                 }
-                Outcome::Late => return kept.map(answer::pass).ok_or_else(|| self.late()),
+                Outcome::Late => return kept.map(|a| answer::pass(*a)).ok_or_else(|| self.late()),
                 Outcome::Rejected => self.full("the target rejected it"),
                 Outcome::Unsent(cause) => self.full(&cause),
                 Outcome::Unknown(cause) => Refusal::unknown(Code::Broken, cause),
             };
             if !self.again() {
-                return kept.map(answer::pass).ok_or(failed);
+                return kept.map(|a| answer::pass(*a)).ok_or(failed);
             }
         }
     }
@@ -155,7 +159,9 @@
         match miss {
             Miss::NoTarget => self.full("no target may take it"),
             Miss::Full => self.full("all targets are full or failing"),
-            Miss::Late { expected } => self.full(&format!("an answer is expected after {expected}")),
+            Miss::Late { expected } => {
+                self.full(&format!("an answer is expected after {expected}"))
+            }
         }
     }
 
--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub(super) enum Outcome {
     /// The target answered.
-    Answer(Answer),
+    Answer(Box<Answer>),
     /// The target rejected it without running it.
     Rejected,
     /// Nothing of it was sent.
@@ -79,12 +79,12 @@
         Ok(Ok(Read::Misdirected)) => (Ending::Misdirected, None, Outcome::Rejected),
         Ok(Ok(Read::Spoiled(cause))) => (Ending::Broken, None, Outcome::Unknown(cause)),
         Ok(Ok(Read::Answer(head, content, report))) => {
-            return Outcome::Answer(Answer {
+            return Outcome::Answer(Box::new(Answer {
                 head,
                 content,
                 slot,
                 report,
-            });
+            }));
         }
     };
     slot.finish(ending, report);
--- a/src/app/gateway/feed.rs
+++ b/src/app/gateway/feed.rs
@@ -1,6 +1,6 @@
 //! Keeps up with the platform's orders, targets and entries.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{collections::BTreeSet, sync::Arc};
 
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64;
@@ -21,13 +21,21 @@
 /// seldom waits.
 const PERIOD_PART: f64 = 0.55;
 
-/// How long the store waits for a change if there is none. A connection may be
-/// silent for good, which only the end of the call shows.
+/// How long the store waits for a change if there is none.
 const WAIT: Millis = Millis(500);
 
 /// The longest random pause before a call.
 const JITTER: Millis = Millis(50);
 
+/// How long a call may take at first. A connection may be silent for good, which
+/// only the end of the call shows.
+const LIMIT_MIN: Millis = Millis(1_000);
+
+/// How long a call may take at most. The limit doubles with each failure, because
+/// the registry of a large site takes seconds over a narrow link that is busy, and
+/// what has to be read grows with each call that is given up.
+const LIMIT_MAX: Millis = Millis(4_000);
+
 /// The pause after a call that failed.
 const PAUSE: Millis = Millis(250);
 
@@ -37,6 +45,7 @@
         state,
         registry: Registry::default(),
         after: None,
+        limit: LIMIT_MIN,
         lost: false,
     };
     feed.state.refresh_peers(now(&feed.state));
@@ -48,7 +57,7 @@
         };
         // Without jitter all entries would call at the same moment for good.
         let jitter = Millis(rand::rng().random_range(0..=JITTER.0));
-        tokio::time::sleep(Duration::from(pause.duration() + jitter.duration())).await;
+        tokio::time::sleep((pause + jitter).duration()).await;
     }
 }
 
@@ -65,6 +74,8 @@
     registry: Registry,
     /// The revision up to which everything is known.
     after: Option<Revision>,
+    /// How long the next call may take.
+    limit: Millis,
     lost: bool,
 }
 
@@ -77,8 +88,11 @@
     async fn step(&mut self) -> Result<(), ()> {
         let platform = &self.state.ports.platform;
         let result = match self.after {
-            None => (platform.read)(()).await,
-            Some(after) => (platform.poll)(Poll { after, wait: WAIT }).await,
+            None => (platform.read)(self.limit).await,
+            Some(after) => {
+                let (wait, limit) = (WAIT, self.limit);
+                (platform.poll)(Poll { after, wait, limit }).await
+            }
         };
         let at = now(&self.state);
         let batch = match result {
@@ -93,6 +107,7 @@
                     tracing::warn!(cause = %e, "feed: the store is lost.");
                 }
                 self.lost = true;
+                self.limit = (self.limit + self.limit).min(LIMIT_MAX);
                 let steps = self.registry.expire(at);
                 self.adopt(at, steps);
                 return Err(());
@@ -102,6 +117,7 @@
             tracing::info!(revision = %batch.revision, "feed: the store is back.");
         }
         self.lost = false;
+        self.limit = LIMIT_MIN;
         self.apply(at, batch);
         Ok(())
     }
@@ -148,7 +164,9 @@
             }
         }
         let steps = self.registry.retain(at, |id| targets.contains(id));
-        self.state.entries().retain(at, |name| entries.contains(name));
+        self.state
+            .entries()
+            .retain(at, |name| entries.contains(name));
         if *self.state.closed() != closed {
             self.state.set_closed(closed);
         }
@@ -183,7 +201,11 @@
             Change::Joined(presence) => self.state.entries().join(presence),
             Change::Left(name) => self.state.entries().leave(at, &name),
             Change::Unreadable { key, cause } => {
-                tracing::warn!(key, cause, "feed: an item cannot be read and is passed over.");
+                tracing::warn!(
+                    key,
+                    cause,
+                    "feed: an item cannot be read and is passed over."
+                );
             }
         }
     }
@@ -222,7 +244,9 @@
                 Step::Remove(instance) => {
                     let target = &instance.id;
                     tracing::info!(%target, service = %instance.service, "feed: target gone.");
-                    self.state.pools.get(&instance.service, |pool| pool.remove(target));
+                    self.state
+                        .pools
+                        .get(&instance.service, |pool| pool.remove(target));
                 }
             }
         }
--- a/src/app/gateway/job.rs
+++ b/src/app/gateway/job.rs
@@ -76,7 +76,10 @@
         let content = match content {
             Ok(Ok(content)) => content,
             Ok(Err(e)) => {
-                return Err(Refusal::not_run(Code::BadRequest, format!("read body: {e}")));
+                return Err(Refusal::not_run(
+                    Code::BadRequest,
+                    format!("read body: {e}"),
+                ));
             }
             Err(_) => {
                 let detail = "read body: not complete in time";
@@ -116,7 +119,10 @@
 
     /// Returns the caller's id of the request, for logs.
     pub fn label(&self) -> &str {
-        self.id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-")
+        self.id
+            .as_ref()
+            .and_then(|id| id.to_str().ok())
+            .unwrap_or("-")
     }
 }
 
--- a/src/app/gateway/presence.rs
+++ b/src/app/gateway/presence.rs
@@ -68,9 +68,9 @@
     let platform = &state.ports.platform;
     if let Some(lease) = lease {
         match (platform.renew)(lease).await {
-            Ok(()) => return Some(lease),
-            // Whether it was renewed is not known, so the next call tells.
-            Err(PlatformError::Failed { .. }) => return Some(lease),
+            // After a failure it is not known whether the lease was renewed, so the
+            // next call tells.
+            Ok(()) | Err(PlatformError::Failed { .. }) => return Some(lease),
             Err(e) => tracing::warn!(cause = %e, "presence: announcing again."),
         }
     }
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -115,7 +115,10 @@
         let me = xxh3_64(self.settings().name.as_bytes());
         let mut peers: Vec<u64> = {
             let mut entries = self.entries();
-            entries.counted(now).map(|n| xxh3_64(n.as_bytes())).collect()
+            entries
+                .counted(now)
+                .map(|n| xxh3_64(n.as_bytes()))
+                .collect()
         };
         if !peers.contains(&me) {
             peers.push(me);
@@ -194,7 +197,8 @@
             },
             shift: bounds.shift,
         };
-        self.pools.with(service.clone(), Pool::new, |p| f(p, &scene))
+        self.pools
+            .with(service.clone(), Pool::new, |p| f(p, &scene))
     }
 }
 
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -27,8 +27,8 @@
 pub use document::{Document, Lane, Place, PlaceState, Priority, Route};
 pub use error::ParseError;
 pub use ids::{
-    AzName, EntryId, Epoch, Incarnation, InstanceId, LimitName, PlaceName, RegionName, Revision, ServiceName,
-    TargetId, TeamName,
+    AzName, EntryId, Epoch, Incarnation, InstanceId, LimitName, PlaceName, RegionName, Revision,
+    ServiceName, TargetId, TeamName,
 };
 pub use instance::{Instance, InstanceState};
 pub use presence::Presence;
--- a/src/policy/balance/cold.rs
+++ b/src/policy/balance/cold.rs
@@ -31,7 +31,11 @@
 
 impl Quota<'_> {
     /// Returns how many requests this entry may send to a target in one second.
-    #[expect(clippy::cast_possible_truncation, clippy::cast_precision_loss, clippy::cast_sign_loss)]
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
     #[must_use]
     pub fn share(&self, target: u64) -> usize {
         let whole = (self.bound * USED).max(0.0);
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -296,7 +296,11 @@
             .filter(|at| self.targets[*at].usable(scene.now, &scene.quota))
             .collect();
         let Some(best) = self.assign(scene, ask, &work, &usable) else {
-            return Err(if open.is_empty() { Miss::NoTarget } else { Miss::Full });
+            return Err(if open.is_empty() {
+                Miss::NoTarget
+            } else {
+                Miss::Full
+            });
         };
         let expected = millis(best.expected);
         let late = expected > ask.left || self.is_crowded(best.delay(ask.rule));
@@ -350,7 +354,12 @@
         let long = f64::from(u8::from(delay > DELAY_STANDING));
         self.long += (long - self.long) * STANDING_GAIN;
         let standing = self.long > STANDING_PART;
-        delay > if standing { DELAY_STANDING } else { DELAY_PASSING }
+        delay
+            > if standing {
+                DELAY_STANDING
+            } else {
+                DELAY_PASSING
+            }
     }
 
     fn find(&self, id: &InstanceId) -> Option<usize> {
@@ -403,7 +412,9 @@
             Wish::Stay
         };
         let lost = self.lost(scene.now, capacity.near);
-        let overflow = self.overflow.get_or_insert_with(|| Overflow::new(capacity.surplus()));
+        let overflow = self
+            .overflow
+            .get_or_insert_with(|| Overflow::new(capacity.surplus()));
         let place = ask.object.filter(|_| ask.rule.sticky).map(place);
         match overflow.assign(scene.now, wish, place, scene.shift, lost) {
             Wish::Stay => here,
@@ -469,7 +480,11 @@
             let side = usable.iter().filter(|at| self.is_near(scene, **at) != far);
             side.max_by_key(|at| mix(object, self.targets[**at].hash))
         };
-        first(false).into_iter().chain(first(true)).copied().collect()
+        first(false)
+            .into_iter()
+            .chain(first(true))
+            .copied()
+            .collect()
     }
 
     fn is_near(&self, scene: &Scene<'_>, at: usize) -> bool {
@@ -516,13 +531,7 @@
         }
     }
 
-    fn start(
-        &mut self,
-        scene: &Scene<'_>,
-        ask: &Ask<'_>,
-        route: u64,
-        best: &Candidate,
-    ) -> Choice {
+    fn start(&mut self, scene: &Scene<'_>, ask: &Ask<'_>, route: u64, best: &Candidate) -> Choice {
         let now = scene.now;
         let target = &mut self.targets[best.at];
         let load = target.load.total(now);
--- a/src/policy/budget/mod.rs
+++ b/src/policy/budget/mod.rs
@@ -80,7 +80,11 @@
     fn step(&mut self, now: Millis, allowed: &Allowance) -> &mut Step {
         let length = (allowed.window.0 / STEPS).max(1);
         let number = now.0 / length;
-        while self.steps.front().is_some_and(|s| s.number + STEPS < number) {
+        while self
+            .steps
+            .front()
+            .is_some_and(|s| s.number + STEPS < number)
+        {
             self.steps.pop_front();
         }
         if self.steps.back().is_none_or(|s| s.number != number) {
--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -43,7 +43,9 @@
     /// Removes all entries but the named ones.
     pub fn retain(&mut self, now: Millis, keep: impl Fn(&EntryId) -> bool) {
         let lost: Vec<EntryId> = self.known.keys().filter(|n| !keep(n)).cloned().collect();
-        lost.iter().for_each(|name| self.leave(now, name));
+        for name in &lost {
+            self.leave(now, name);
+        }
     }
 
     /// Returns the entries among which a shared limit is divided.
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -95,7 +95,10 @@
                 drawn: AtomicU64::new(seed % 1024),
                 rule,
             };
-            hosts.entry(route.rule.host.clone()).or_default().push(route);
+            hosts
+                .entry(route.rule.host.clone())
+                .or_default()
+                .push(route);
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.rule.prefix.len()));
@@ -130,10 +133,18 @@
     if !rule.prefix.starts_with('/') || !rule.prefix.ends_with('/') {
         return Err(err("the prefix does not begin and end with a slash"));
     }
-    if rule.parts.iter().any(|p| !services.contains_key(&p.service)) {
+    if rule
+        .parts
+        .iter()
+        .any(|p| !services.contains_key(&p.service))
+    {
         return Err(err("a service is not declared"));
     }
-    if rule.parts.iter().any(|p| !p.weight.is_finite() || p.weight < 0.0) {
+    if rule
+        .parts
+        .iter()
+        .any(|p| !p.weight.is_finite() || p.weight < 0.0)
+    {
         return Err(err("a weight is negative"));
     }
     if rule.parts.iter().map(|p| p.weight).sum::<f64>() <= 0.0 {
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -17,9 +17,7 @@
 pub use admin::AdminPort;
 pub use clock::Clock;
 pub use events::{EventQuery, Events};
-pub use platform::{
-    Batch, Change, LeaseId, Platform, PlatformError, Poll, VmSettings,
-};
+pub use platform::{Batch, Change, LeaseId, Platform, PlatformError, Poll, VmSettings};
 pub use store::{Record, Snapshot, Store, StoreError, Update, Write};
 pub use targets::{Begun, Body, Hold, Outbound, SendError, Targets};
 
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -4,7 +4,8 @@
 
 use super::Call;
 use crate::domain::{
-    AzName, Bounds, Configuration, EntryId, Instance, InstanceId, Millis, Presence, RegionName, Revision,
+    AzName, Bounds, Configuration, EntryId, Instance, InstanceId, Millis, Presence, RegionName,
+    Revision,
 };
 
 /// What the platform tells one process about itself and about its bounds.
@@ -82,6 +83,8 @@
     pub after: Revision,
     /// How long the store waits for a first change.
     pub wait: Millis,
+    /// How long the call may take beyond that.
+    pub limit: Millis,
 }
 
 /// Why a call to the platform failed.
@@ -123,8 +126,8 @@
 /// What a gateway needs of the platform's store.
 #[derive(Clone)]
 pub struct Platform {
-    /// Reads everything there is.
-    pub read: Call<(), Answer<Batch>>,
+    /// Reads everything there is. Each of its calls may take the given time.
+    pub read: Call<Millis, Answer<Batch>>,
     /// Waits for changes. One call covers orders, targets and entries, because
     /// each call has a price.
     pub poll: Call<Poll, Answer<Batch>>,
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -94,7 +94,12 @@
 #[test]
 fn failing_targets_are_left_alone_for_a_time() {
     let mut text = String::new();
-    for ending in [Ending::Unreachable, Ending::Misdirected, Ending::Broken, Ending::Rejected] {
+    for ending in [
+        Ending::Unreachable,
+        Ending::Misdirected,
+        Ending::Broken,
+        Ending::Rejected,
+    ] {
         let mut bench = Bench::new();
         let early = bench.spread(Some((0, ending)));
         bench.now = bench.now + Millis(6_000);
@@ -119,7 +124,9 @@
             // Never ends, as at a target without power.
             silent += 1;
         } else {
-            bench.pool.finish(bench.now, &choice.ticket, Ending::Answered, None);
+            bench
+                .pool
+                .finish(bench.now, &choice.ticket, Ending::Answered, None);
         }
     }
     assert!(silent <= 5, "the silent target got {silent} of 40 requests");
@@ -197,7 +204,9 @@
     let (mut registry, most) = registered(8, 10);
     registry.heard(Millis(2_000));
     let calm = vanish(&mut registry, &most, Millis(2_000));
-    let text = format!("{lapsed}\n2 of 10 after an outage: {left} at once\n8 of 10 on a calm day: {calm} at once");
+    let text = format!(
+        "{lapsed}\n2 of 10 after an outage: {left} at once\n8 of 10 on a calm day: {calm} at once"
+    );
     insta::assert_snapshot!(text);
 }
 
--- a/tests/balance/world.rs
+++ b/tests/balance/world.rs
@@ -312,14 +312,13 @@
     fn end(&mut self, now: Millis, server: usize, request: usize) {
         let s = &mut self.servers[server];
         s.running -= 1;
-        // Requests whose callers have given up leave the queue.
-        while let Some(next) = s.waiting.pop_front() {
+        if let Some(next) = s.waiting.pop_front() {
+            // A request whose caller has given up leaves the queue.
             if now - next.arrived < Millis(800) {
                 self.start(now, server, next.entry);
-                break;
+            } else {
+                self.finish(now, server, next.entry, Ending::Cancelled);
             }
-            self.finish(now, server, next.entry, Ending::Cancelled);
-            break;
         }
         let far = self.servers[server].region != self.requests[request].entry;
         let way = if far { FAR_MS / 2 } else { 1 };
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -22,14 +22,16 @@
         Bounds, CallerLimits, Configuration, Instance, InstanceState, Millis, Part, RequestKind,
         Revision, Rule, ServiceRule, Size, Slots, TargetId,
     },
-    ports::{Batch, Change, LeaseId, Outbound, Platform, Targets, VmSettings},
+    ports::{Batch, Change, LeaseId, Outbound, Platform, PlatformError, Targets, VmSettings},
 };
 use volo_http::{body::Body, server::Router};
 
 /// What a target does with a request, by the last part of its path.
 async fn respond(name: &str, runs: &Runs, req: Request<Body>) -> Response<Body> {
     let (head, body) = req.into_parts();
-    let body = http_body_util::BodyExt::collect(body).await.expect("a body");
+    let body = http_body_util::BodyExt::collect(body)
+        .await
+        .expect("a body");
     let text = |key: &str| {
         let value = head.headers.get(key).and_then(|v| v.to_str().ok());
         value.unwrap_or("none").to_owned()
@@ -50,17 +52,20 @@
     let id = head.headers.get("request-id").cloned();
     let id = id.unwrap_or(HeaderValue::from_static("none"));
     resp.headers_mut().insert("request-id", id);
-    resp.headers_mut().insert("server-seal", HeaderValue::from_static("seal"));
+    resp.headers_mut()
+        .insert("server-seal", HeaderValue::from_static("seal"));
     let matched = text("expect-instance") == name;
     match path.rsplit('/').next().unwrap_or_default() {
         _ if !matched => *resp.status_mut() = StatusCode::MISDIRECTED_REQUEST,
         "reject-once" if first => {
             *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            resp.headers_mut().insert("not-executed", HeaderValue::from_static("1"));
+            resp.headers_mut()
+                .insert("not-executed", HeaderValue::from_static("1"));
         }
         "fail-once" if first => *resp.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
         "mix-once" if first => {
-            resp.headers_mut().insert("request-id", HeaderValue::from_static("another"));
+            resp.headers_mut()
+                .insert("request-id", HeaderValue::from_static("another"));
         }
         "slow" => tokio::time::sleep(Duration::from_millis(400)).await,
         "silent" => tokio::time::sleep(Duration::from_secs(30)).await,
@@ -87,7 +92,9 @@
     };
     let addr = "127.0.0.1:0".parse().expect("an address");
     let router = Router::new().fallback(handler);
-    web::bind(addr, Limits::default(), router).await.expect("a port")
+    web::bind(addr, Limits::default(), router)
+        .await
+        .expect("a port")
 }
 
 fn rule(kind: RequestKind, prefix: &str) -> Rule {
@@ -161,16 +168,27 @@
     }
 }
 
-/// A platform whose whole content is known at the start.
-fn platform(changes: Vec<Change>) -> Platform {
+/// A platform whose whole content is known at the start and takes some time to
+/// read.
+fn platform(changes: Vec<Change>, needs: Millis) -> Platform {
     let batch = Batch {
         changes,
         revision: Revision(9),
     };
     Platform {
-        read: Arc::new(move |()| {
+        read: Arc::new(move |limit| {
             let batch = batch.clone();
-            Box::pin(async move { Ok(batch) })
+            Box::pin(async move {
+                // A narrow link, over which the registry takes its time.
+                if limit < needs {
+                    return Err(PlatformError::Failed {
+                        step: "read keys",
+                        peer: "127.0.0.1:9".parse().expect("an address"),
+                        cause: "timed out".to_owned(),
+                    });
+                }
+                Ok(batch)
+            })
         }),
         poll: Arc::new(|poll| {
             Box::pin(async move {
@@ -190,7 +208,7 @@
 impl Site {
     /// Opens a gateway before two targets. `stale` swaps the targets' ids, as if
     /// each had got the other's address.
-    async fn open(stale: bool) -> Self {
+    async fn open(stale: bool, needs: Millis) -> Self {
         let runs = Runs::default();
         let mut targets = vec![target("i-1", &runs).await, target("i-2", &runs).await];
         if stale {
@@ -214,7 +232,7 @@
         let client = web::open(clock.clone(), Keep::default());
         let ports = Ports {
             targets: web::open(clock.clone(), Keep::default()),
-            platform: platform(changes),
+            platform: platform(changes, needs),
             metrics: metrics::open(Arc::<Calls>::default()),
             clock,
         };
@@ -236,7 +254,10 @@
         let answer = self.request(self.gateway.front(), path).await;
         let runs: u32 = {
             let runs = self.runs.lock().expect("runs");
-            runs.iter().filter(|((_, p), _)| p == path).map(|(_, n)| n).sum()
+            runs.iter()
+                .filter(|((_, p), _)| p == path)
+                .map(|(_, n)| n)
+                .sum()
         };
         format!("{path}: {answer}, sent to targets {runs} times")
     }
@@ -277,7 +298,7 @@
 /// is not, or if a caller is told `not-run` of one that may have run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn what_runs_how_often_and_what_the_caller_is_told() {
-    let site = Site::open(false).await;
+    let site = Site::open(false, Millis(0)).await;
     let mut lines = Vec::new();
     for case in ["ok", "reject-once", "fail-once", "mix-once", "silent"] {
         for kind in ["browse", "pay"] {
@@ -294,17 +315,27 @@
 /// Fails if a request runs at a service that got the address of a former target.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_target_with_another_id_runs_nothing() {
-    let site = Site::open(true).await;
+    let site = Site::open(true, Millis(0)).await;
     let answer = site.ask("/pay/ok").await;
     site.close().await;
     insta::assert_snapshot!(answer);
 }
 
+/// Fails if an entry on a narrow link gives up each call to the store for good,
+/// because what it has to read grows meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_may_take_longer_after_each_failure() {
+    let site = Site::open(false, Millis(3_500)).await;
+    let answer = site.ask("/browse/ok").await;
+    site.close().await;
+    insta::assert_snapshot!(answer, @"/browse/ok: 200 POST /browse/ok a slot for 17, sent to targets 1 times");
+}
+
 /// Fails if a planned stop cuts off a request, or if the entry is still offered
 /// to callers.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stop_lets_requests_end() {
-    let site = Site::open(false).await;
+    let site = Site::open(false, Millis(0)).await;
     let helper = site.gateway.helpers().next().expect("a server");
     let before = site.request(helper, "/readiness").await;
     let lookup = site.request(helper, "/resolve?region=north").await;
@@ -324,9 +355,15 @@
     let running = caller.ask(front, "/pay/slow").await;
     stop.await.expect("a stop");
     drop(targets);
-    let lookup = if lookup.starts_with("200") { "found" } else { "not found" };
+    let lookup = if lookup.starts_with("200") {
+        "found"
+    } else {
+        "not found"
+    };
     let ready = state.is_ready();
-    insta::assert_snapshot!(format!("ready {before}\n{lookup}\n{running}\nready {ready}"));
+    insta::assert_snapshot!(format!(
+        "ready {before}\n{lookup}\n{running}\nready {ready}"
+    ));
 }
 
 struct Caller {
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -36,9 +36,14 @@
                 let body = Content::read(body, 10_000).await.expect("a body");
                 let body = String::from_utf8_lossy(body.start()).into_owned();
                 let call = format!("{} {}", head.method, head.uri);
-                calls.lock().expect("calls").push(format!("{call} {body}").trim_end().to_owned());
+                calls
+                    .lock()
+                    .expect("calls")
+                    .push(format!("{call} {body}").trim_end().to_owned());
                 let mut answers = answers.lock().expect("answers");
-                let at = answers.iter().position(|(path, _, _)| call.starts_with(path));
+                let at = answers
+                    .iter()
+                    .position(|(path, _, _)| call.starts_with(path));
                 let (_, status, text) = answers.remove(at.expect("an answer to the call"));
                 let mut resp = Response::new(full(Bytes::from(text)));
                 *resp.status_mut() = StatusCode::from_u16(status).expect("a status");
@@ -77,16 +82,49 @@
 #[tokio::test]
 async fn everything_is_read_page_by_page() {
     let page = |items: &[String], more: bool, rev: u64| {
-        format!(r#"{{"items":[{}],"has_more":{more},"at_rev":{rev}}}"#, items.join(","))
+        format!(
+            r#"{{"items":[{}],"has_more":{more},"at_rev":{rev}}}"#,
+            items.join(",")
+        )
     };
     let presence = r#"{"front":"10.0.0.2:81","az":"a-1","region":"north"}"#;
     let store = store(vec![
-        ("GET /kv-range?prefix=op/", 200, page(&[item("op/config", CONFIG), item("op/evacuate/a-2", "{}"), item("op/other", "{}")], false, 12)),
-        ("GET /kv-range?prefix=savorybeam/entries/", 200, page(&[item("savorybeam/entries/edge-1", presence)], false, 11)),
-        ("GET /kv-range?prefix=servers/&after=servers/i-1", 200, page(&[item("servers/i-2", &TARGET.replace("ready", "draining"))], false, 14)),
-        ("GET /kv-range?prefix=servers/", 200, page(&[item("servers/i-1", TARGET)], true, 13)),
+        (
+            "GET /kv-range?prefix=op/",
+            200,
+            page(
+                &[
+                    item("op/config", CONFIG),
+                    item("op/evacuate/a-2", "{}"),
+                    item("op/other", "{}"),
+                ],
+                false,
+                12,
+            ),
+        ),
+        (
+            "GET /kv-range?prefix=savorybeam/entries/",
+            200,
+            page(&[item("savorybeam/entries/edge-1", presence)], false, 11),
+        ),
+        (
+            "GET /kv-range?prefix=servers/&after=servers/i-1",
+            200,
+            page(
+                &[item("servers/i-2", &TARGET.replace("ready", "draining"))],
+                false,
+                14,
+            ),
+        ),
+        (
+            "GET /kv-range?prefix=servers/",
+            200,
+            page(&[item("servers/i-1", TARGET)], true, 13),
+        ),
     ]);
-    let batch = (store.platform.read)(()).await.expect("all pages");
+    let batch = (store.platform.read)(Millis(1_000))
+        .await
+        .expect("all pages");
     insta::assert_debug_snapshot!(batch);
 }
 
@@ -115,6 +153,7 @@
     let poll = Poll {
         after: Revision(3),
         wait: Millis(500),
+        limit: Millis(1_000),
     };
     let batch = (store.platform.poll)(poll).await.expect("a batch");
     insta::assert_debug_snapshot!(batch);
@@ -128,9 +167,17 @@
         ("GET /kv-watch", 503, "busy".to_owned()),
         ("GET /kv-watch", 200, r#"{"events":[]"#.to_owned()),
         ("POST /kv-keep/7", 404, String::new()),
-        ("POST /kv-lease", 200, r#"{"lease":8,"ttl_s_time":3}"#.to_owned()),
+        (
+            "POST /kv-lease",
+            200,
+            r#"{"lease":8,"ttl_s_time":3}"#.to_owned(),
+        ),
         ("POST /kv-txn", 404, String::new()),
-        ("POST /kv-lease", 200, r#"{"lease":9,"ttl_s_time":3}"#.to_owned()),
+        (
+            "POST /kv-lease",
+            200,
+            r#"{"lease":9,"ttl_s_time":3}"#.to_owned(),
+        ),
         ("POST /kv-txn", 200, r#"{"revision":30}"#.to_owned()),
         ("DELETE /kv-lease-end/9", 200, "{}".to_owned()),
     ]);
@@ -143,18 +190,25 @@
     let poll = Poll {
         after: Revision(3),
         wait: Millis(500),
+        limit: Millis(1_000),
     };
     let p = &store.platform;
     let mut results = Vec::new();
     for _ in 0..3 {
         results.push(format!("{:?}", (p.poll)(poll).await.map(|b| b.revision)));
     }
-    results.push(format!("{:?}", (p.renew)(savorybeam::ports::LeaseId(7)).await));
+    results.push(format!(
+        "{:?}",
+        (p.renew)(savorybeam::ports::LeaseId(7)).await
+    ));
     for _ in 0..2 {
         let announced = (p.announce)((presence.clone(), Millis(3_000))).await;
         results.push(format!("{announced:?}"));
     }
-    results.push(format!("{:?}", (p.withdraw)(savorybeam::ports::LeaseId(9)).await));
+    results.push(format!(
+        "{:?}",
+        (p.withdraw)(savorybeam::ports::LeaseId(9)).await
+    ));
     let calls = store.calls.lock().expect("calls").join("\n");
     insta::assert_snapshot!(format!("{}\n\n{calls}", results.join("\n")));
 }
@@ -178,15 +232,26 @@
         ("failure of the target", 500, head(&good)),
         ("full", 503, head(&[("not-executed", "1")])),
         ("other instance", 421, head(&[("instance-id", "i-2")])),
-        ("other request", 200, head(&[("request-id", "r2"), ("server-seal", "s")])),
+        (
+            "other request",
+            200,
+            head(&[("request-id", "r2"), ("server-seal", "s")]),
+        ),
         ("no id", 200, head(&[("server-seal", "s")])),
         ("no signature", 200, head(&[("request-id", "r1")])),
-        ("encoded", 200, head(&[good[0], good[1], ("content-encoding", "gzip")])),
+        (
+            "encoded",
+            200,
+            head(&[good[0], good[1], ("content-encoding", "gzip")]),
+        ),
     ];
     let id = HeaderValue::from_static("r1");
     let lines = cases.map(|(name, status, head)| {
         let status = StatusCode::from_u16(status).expect("a status");
-        format!("{name}: {:?}", headers::read_answer(status, &head, Some(&id)))
+        format!(
+            "{name}: {:?}",
+            headers::read_answer(status, &head, Some(&id))
+        )
     });
     insta::assert_snapshot!(lines.join("\n"));
 }
