--- a/src/app/gateway/answer.rs
+++ b/src/app/gateway/answer.rs
@@ -6,7 +6,7 @@
 };
 
 use bytes::Bytes;
-use http::{HeaderMap, Response, header};
+use http::Response;
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
 use volo_http::body::Body as FrontBody;
@@ -66,18 +66,9 @@
             .boxed()
         }
     };
-    unframe(&mut head.headers, &body);
     Response::from_parts(head, body)
 }
 
-/// Lets the connection to the caller frame an answer that had no length.
-fn unframe(headers: &mut HeaderMap, body: &Body) {
-    use http_body::Body as _;
-    if body.size_hint().exact().is_none() && !headers.contains_key(header::CONTENT_LENGTH) {
-        headers.remove(header::CONTENT_LENGTH);
-    }
-}
-
 /// An answer's body that holds its slot while it streams.
 struct Tracked {
     body: Body,
--- a/src/policy/balance/mod.rs
+++ b/src/policy/balance/mod.rs
@@ -22,6 +22,7 @@
 //!
 //! See [docs/platform.md](../../../docs/platform.md).
 
+mod choose;
 mod cold;
 mod health;
 mod load;
@@ -30,8 +31,9 @@
 mod target;
 mod work;
 
+pub use choose::{Ask, Choice, Miss, Scene, Ticket};
 pub use cold::Quota;
 pub use load::Report;
-pub use pool::{Ask, Choice, Ending, Miss, Pool, Scene, Ticket};
+pub use pool::{Ending, Pool};
 pub use registry::{Registry, Step};
 pub use work::object_hash;
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -1,156 +1,23 @@
-//! The targets of one service and the choice among them.
+//! The targets of one service, as they register and as requests find them.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
-use xxhash_rust::xxh3::xxh3_64;
-
-use super::{
-    cold::Quota,
-    load::Report,
-    target::Target,
-    work::{Work, mix},
-};
+use super::{choose::Ticket, load::Report, target::Target, work::Work};
 use crate::{
-    domain::{AzName, Instance, InstanceId, InstanceState, Millis, RegionName, Rule, TargetId},
+    domain::{AzName, Instance, InstanceId, Millis, RegionName},
     policy::{
         budget::{Allowance, RetryBudget},
-        overflow::{Overflow, Wish},
+        overflow::Overflow,
     },
 };
 
-/// The round trip to a target of the own region, in milliseconds.
-const NEAR_MS: f64 = 3.0;
-
-/// The round trip to a target of another region, in milliseconds. Both users
-/// state 35 ms one way.
-const FAR_MS: f64 = 72.0;
-
-/// What a request must gain by leaving its region, in milliseconds. Links
-/// between regions are narrow and priced.
-const LEAVE_GAIN_MS: f64 = 15.0;
-
-/// The part of the cold work that the rank by hash weighs. Entries that see the
-/// same loads then make the same second choice.
-const RANK_WEIGHT: f64 = 0.15;
-
-/// How many times the objective an expected failure costs.
-const FAILURE_COST: f64 = 1.5;
-
-/// How much longer a target works that has just started.
-const COLD_FACTOR: f64 = 2.0;
-
 /// The weight of one duration in a target's speed, and of its return to 1.
 const SPEED_GAIN: f64 = 0.06;
 const SPEED_RETURN: f64 = 0.01;
 
-/// A queue of up to this length, in requests for each slot, refuses nothing.
-const QUEUE_FREE: f64 = 0.5;
-
-/// The longest delay that a passing queue may cause, in parts of the objective.
-const DELAY_PASSING: f64 = 1.3;
-
-/// The longest delay that a standing queue may cause, in parts of the objective.
-const DELAY_STANDING: f64 = 0.7;
-
-/// The part of the latest requests that meets a long queue when it is standing.
-const STANDING_PART: f64 = 0.8;
-
-/// The weight of one request in that part.
-const STANDING_GAIN: f64 = 0.02;
-
-/// Makes the order in which objects are handed over independent of their order
-/// at any target.
-const PLACE_SEED: u64 = 0x6f76_6572_666c_6f77;
-
 /// How long after the first target others count as there from the start.
 const OPENING: Millis = Millis(5_000);
 
-/// Makes one request go to a target that joins. It shows that the target works,
-/// and hashing may give it no frequent object.
-const TRIAL_DISCOUNT_MS: f64 = 100_000.0;
-
-/// The part of a region's shortage of slots that is handed over from the start.
-const SURPLUS_PART: f64 = 0.6;
-
-/// A region that has lost this part of its slots hands requests over at once.
-const LOST_PART: f64 = 0.2;
-
-/// For how long a former number of slots is remembered.
-const SLOTS_MEMORY: Millis = Millis(4_000);
-
-/// What all requests of a service see at one moment.
-#[derive(Clone, Copy, Debug)]
-pub struct Scene<'a> {
-    /// The present instant.
-    pub now: Millis,
-    /// The region of this entry.
-    pub region: &'a RegionName,
-    /// Availability zones to which nothing may be sent.
-    pub closed: &'a BTreeSet<AzName>,
-    /// What may be sent to cold targets.
-    pub quota: Quota<'a>,
-    /// The largest part of the requests that may change region in a window.
-    pub shift: f64,
-}
-
-/// What a request needs.
-#[derive(Clone, Copy, Debug)]
-pub struct Ask<'a> {
-    /// Its rule.
-    pub rule: &'a Rule,
-    /// The hash of the object that it concerns.
-    pub object: Option<u64>,
-    /// The targets that it was sent to.
-    pub tried: &'a [InstanceId],
-    /// The time until it must be answered.
-    pub left: Millis,
-}
-
-/// The target that is to run a request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    /// Its address.
-    pub addr: TargetId,
-    /// What has to be given back when the request has ended.
-    pub ticket: Ticket,
-}
-
-/// A request at a target.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Ticket {
-    /// The target.
-    pub id: InstanceId,
-    /// When the answer is expected, from the moment of the choice.
-    pub expected: Millis,
-    /// The requests that were there before it.
-    pub load: f64,
-    /// The age of the report in that load, if there was one.
-    pub age: Option<Millis>,
-    /// Whether the target was taken to know the object.
-    pub warm: bool,
-    /// Whether the target is in another region.
-    pub far: bool,
-    sent: Millis,
-    route: u64,
-    object: Option<u64>,
-    trip_ms: f64,
-    factor: f64,
-}
-
-/// Why there is no choice.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Miss {
-    /// No target of the service may take the request at all.
-    NoTarget,
-    /// Targets exist, but all are full, failing or starting.
-    Full,
-    /// No target would answer in time.
-    Late {
-        /// When the earliest answer would come.
-        expected: Millis,
-    },
-}
-
 /// How a request at a target ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ending {
@@ -173,60 +40,16 @@
 /// The targets of one service, as one entry knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
-    targets: Vec<Target>,
-    works: HashMap<u64, Work>,
-    overflow: Option<Overflow>,
-    budget: RetryBudget,
+    pub(super) targets: Vec<Target>,
+    pub(super) works: HashMap<u64, Work>,
+    pub(super) overflow: Option<Overflow>,
+    pub(super) budget: RetryBudget,
     /// The most usable slots in the own region lately, and when that was.
-    slots: (f64, Millis),
+    pub(super) slots: (f64, Millis),
     /// When the first target was added.
-    opened: Option<Millis>,
+    pub(super) opened: Option<Millis>,
     /// The part of the latest requests that met a long queue.
-    long: f64,
-}
-
-/// The slots of a service's targets.
-#[derive(Clone, Copy, Debug, Default)]
-struct Capacity {
-    near: f64,
-    all: f64,
-    regions: f64,
-}
-
-impl Capacity {
-    /// Returns the part of the region's requests that is handed over until the
-    /// requests themselves show what is needed. Regions are taken to have equally
-    /// many callers.
-    fn surplus(&self) -> f64 {
-        let fair = self.all / f64::max(self.regions, 1.0);
-        (1.0 - self.near / f64::max(fair, 1.0)).max(0.0) * SURPLUS_PART
-    }
-}
-
-#[derive(Clone, Copy)]
-struct Candidate {
-    at: usize,
-    cost: f64,
-    expected: f64,
-    trip: f64,
-    factor: f64,
-    /// Requests that wait at the target for each of its slots.
-    queue: f64,
-    warm: bool,
-}
-
-impl Candidate {
-    /// Returns how long the answer takes, in parts of the objective, if a queue is
-    /// the reason for it.
-    fn delay(&self, rule: &Rule) -> f64 {
-        #[expect(clippy::cast_precision_loss)]
-        let objective = rule.objective.0.max(1) as f64;
-        if self.queue > QUEUE_FREE {
-            self.expected / objective
-        } else {
-            0.0
-        }
-    }
+    pub(super) long: f64,
 }
 
 impl Pool {
@@ -280,36 +103,6 @@
         self.overflow.as_ref().map_or(0.0, Overflow::part)
     }
 
-    /// Chooses a target for a request and counts the request there.
-    ///
-    /// # Errors
-    ///
-    /// A [`Miss`] says why no target can take it.
-    pub fn choose(&mut self, scene: &Scene<'_>, ask: &Ask<'_>) -> Result<Choice, Miss> {
-        let route = xxh3_64(ask.rule.prefix.as_bytes());
-        let work = self.works.entry(route);
-        let work = *work.or_insert_with(|| Work::new(ask.rule.objective));
-        let open: Vec<usize> = self.open(scene, ask);
-        let usable: Vec<usize> = open
-            .iter()
-            .copied()
-            .filter(|at| self.targets[*at].usable(scene.now, &scene.quota))
-            .collect();
-        let Some(best) = self.assign(scene, ask, &work, &usable) else {
-            return Err(if open.is_empty() {
-                Miss::NoTarget
-            } else {
-                Miss::Full
-            });
-        };
-        let expected = millis(best.expected);
-        let late = expected > ask.left || self.is_crowded(best.delay(ask.rule));
-        if late && work.is_known(best.warm, scene.now) {
-            return Err(Miss::Late { expected });
-        }
-        Ok(self.start(scene, ask, route, &best))
-    }
-
     /// Takes back a request that has ended.
     pub fn finish(&mut self, now: Millis, ticket: &Ticket, ending: Ending, report: Option<Report>) {
         let Some(at) = self.find(&ticket.id) else {
@@ -345,221 +138,10 @@
         }
     }
 
-    /// Decides whether a queue is too long to add to it. Adding to a queue that
-    /// stands makes all that follow late as well, so that the targets stay busy
-    /// with answers of little use; a queue that passes is better served than
-    /// refused. The controlled-delay discipline tells them apart: a queue stands
-    /// if most of the latest requests have met a long one.
-    fn is_crowded(&mut self, delay: f64) -> bool {
-        let long = f64::from(u8::from(delay > DELAY_STANDING));
-        self.long += (long - self.long) * STANDING_GAIN;
-        let standing = self.long > STANDING_PART;
-        delay
-            > if standing {
-                DELAY_STANDING
-            } else {
-                DELAY_PASSING
-            }
-    }
-
     fn find(&self, id: &InstanceId) -> Option<usize> {
         self.targets.iter().position(|t| t.instance.id == *id)
     }
 
-    /// Returns the targets that may run the request at some time.
-    fn open(&self, scene: &Scene<'_>, ask: &Ask<'_>) -> Vec<usize> {
-        let open = |t: &Target| {
-            let Some(region) = &t.region else {
-                return false;
-            };
-            let home = ask.rule.homes.is_empty() || ask.rule.homes.contains(region);
-            home && !scene.closed.contains(&t.instance.az) && !ask.tried.contains(&t.instance.id)
-        };
-        let targets = self.targets.iter().enumerate();
-        targets.filter(|(_, t)| open(t)).map(|(at, _)| at).collect()
-    }
-
-    /// Picks the cheapest target of the region, or of the others if the request
-    /// is to leave.
-    fn assign(
-        &mut self,
-        scene: &Scene<'_>,
-        ask: &Ask<'_>,
-        work: &Work,
-        usable: &[usize],
-    ) -> Option<Candidate> {
-        let capacity = self.capacity(scene);
-        let busy = self.busy(scene, usable);
-        let firsts = self.firsts(scene, ask, usable);
-        let near = |at: &usize| self.is_near(scene, *at);
-        let score = |at: usize| self.score(scene, ask, work, busy, at, firsts.contains(&at));
-        let cheapest = |far: bool| {
-            let side = usable.iter().filter(|at| near(at) != far);
-            side.map(|at| score(*at))
-                .min_by(|a, b| a.cost.total_cmp(&b.cost))
-        };
-        let (here, there) = (cheapest(false), cheapest(true));
-        if capacity.near <= 0.0 {
-            return here.or(there);
-        }
-        let Some(far) = there else {
-            return here;
-        };
-        let gain = here.map_or(f64::INFINITY, |near| near.cost - far.cost);
-        let wish = if gain > LEAVE_GAIN_MS {
-            Wish::Leave
-        } else {
-            Wish::Stay
-        };
-        let lost = self.lost(scene.now, capacity.near);
-        let overflow = self
-            .overflow
-            .get_or_insert_with(|| Overflow::new(capacity.surplus()));
-        let place = ask.object.filter(|_| ask.rule.sticky).map(place);
-        match overflow.assign(scene.now, wish, place, scene.shift, lost) {
-            Wish::Stay => here,
-            Wish::Leave => Some(far),
-        }
-    }
-
-    /// Returns the slots of the targets that are there, full or not. What one
-    /// request may use of them does not matter, because the region's overflow is
-    /// the same for all of them.
-    fn capacity(&self, scene: &Scene<'_>) -> Capacity {
-        let mut capacity = Capacity::default();
-        let mut regions: Vec<&RegionName> = Vec::new();
-        for target in &self.targets {
-            let ready = target.instance.state == InstanceState::Ready;
-            let there = ready && !target.health.ejected(scene.now);
-            let Some(region) = target.region.as_ref().filter(|_| there) else {
-                continue;
-            };
-            if scene.closed.contains(&target.instance.az) {
-                continue;
-            }
-            capacity.all += target.slots();
-            if region == scene.region {
-                capacity.near += target.slots();
-            }
-            if !regions.contains(&region) {
-                regions.push(region);
-                capacity.regions += 1.0;
-            }
-        }
-        capacity
-    }
-
-    /// Returns how busy the region's targets are, from 0 to 1.
-    fn busy(&self, scene: &Scene<'_>, usable: &[usize]) -> f64 {
-        let near = usable.iter().map(|at| &self.targets[*at]);
-        let near = near.filter(|t| t.region.as_ref() == Some(scene.region));
-        let (load, slots) = near.fold((0.0, 0.0), |(load, slots), t| {
-            (load + t.load.total(scene.now), slots + t.slots())
-        });
-        (load / f64::max(slots, 1.0)).min(1.0)
-    }
-
-    /// Tells whether the region has just lost a considerable part of its slots.
-    fn lost(&mut self, now: Millis, slots: f64) -> bool {
-        let (most, at) = self.slots;
-        if slots >= most || at + SLOTS_MEMORY < now {
-            self.slots = (slots, now);
-            return false;
-        }
-        slots < most * (1.0 - LOST_PART)
-    }
-
-    /// Returns the object's first targets: one in the region, and one elsewhere
-    /// that takes the object if it is handed over. Callers of different regions
-    /// seldom ask for the same objects, so each region hands over to one target.
-    fn firsts(&self, scene: &Scene<'_>, ask: &Ask<'_>, usable: &[usize]) -> Vec<usize> {
-        let Some(object) = ask.object.filter(|_| ask.rule.sticky) else {
-            return Vec::new();
-        };
-        let first = |far: bool| {
-            let side = usable.iter().filter(|at| self.is_near(scene, **at) != far);
-            side.max_by_key(|at| mix(object, self.targets[**at].hash))
-        };
-        first(false)
-            .into_iter()
-            .chain(first(true))
-            .copied()
-            .collect()
-    }
-
-    fn is_near(&self, scene: &Scene<'_>, at: usize) -> bool {
-        self.targets[at].region.as_ref() == Some(scene.region)
-    }
-
-    fn score(
-        &self,
-        scene: &Scene<'_>,
-        ask: &Ask<'_>,
-        work: &Work,
-        busy: f64,
-        at: usize,
-        first: bool,
-    ) -> Candidate {
-        let now = scene.now;
-        let target = &self.targets[at];
-        let known = |object| target.objects.holds(object, now);
-        let warm = !target.is_cold(now) && (first || ask.object.is_some_and(known));
-        let slots = target.slots();
-        let waiting = (target.load.total(now) + 1.0 - slots).max(0.0);
-        let mut factor = target.load.pace(now) * target.speed * (1.0 + waiting / slots);
-        if target.is_cold(now) {
-            factor *= COLD_FACTOR;
-        }
-        let far = target.region.as_ref() != Some(scene.region);
-        let trip = if far { FAR_MS } else { NEAR_MS };
-        let expected = trip + work.of(warm) * factor;
-        let rank = ask.object.map_or(0.0, |o| 1.0 - unit(mix(o, target.hash)));
-        let objective = ask.rule.objective.0;
-        #[expect(clippy::cast_precision_loss)]
-        let failures = target.health.rate(now) * FAILURE_COST * objective as f64;
-        let trial = !target.used && !far && !target.is_cold(now);
-        let discount = if trial { TRIAL_DISCOUNT_MS } else { 0.0 };
-        let extra = if warm { 0.0 } else { work.cold - work.warm };
-        Candidate {
-            at,
-            cost: expected + busy * extra + failures + rank * work.cold * RANK_WEIGHT - discount,
-            expected,
-            trip,
-            factor,
-            queue: waiting / slots,
-            warm,
-        }
-    }
-
-    fn start(&mut self, scene: &Scene<'_>, ask: &Ask<'_>, route: u64, best: &Candidate) -> Choice {
-        let now = scene.now;
-        let target = &mut self.targets[best.at];
-        let load = target.load.total(now);
-        let expected = millis(best.expected);
-        target.load.own += 1;
-        target.used = true;
-        target.health.sent(now, expected);
-        if target.is_cold(now) {
-            target.starts.add(now);
-        }
-        Choice {
-            addr: target.instance.addr,
-            ticket: Ticket {
-                id: target.instance.id.clone(),
-                expected,
-                load,
-                age: target.load.reported.map(|at| now - at),
-                warm: best.warm,
-                far: target.region.as_ref() != Some(scene.region),
-                sent: now,
-                route,
-                object: ask.object,
-                trip_ms: best.trip,
-                factor: best.factor,
-            },
-        }
-    }
-
     /// Learns from the duration of a request that was answered.
     fn learn(&mut self, now: Millis, at: usize, ticket: &Ticket) {
         let Some(work) = self.works.get_mut(&ticket.route) else {
@@ -577,19 +159,3 @@
         target.speed = target.speed.clamp(0.3, 20.0);
     }
 }
-
-fn millis(ms: f64) -> Millis {
-    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    Millis(ms.max(0.0) as u64)
-}
-
-/// Returns where an object lies among all objects, from 0 to 1.
-fn place(object: u64) -> f64 {
-    unit(mix(object, PLACE_SEED))
-}
-
-/// Maps a hash to the range from 0 to 1.
-#[expect(clippy::cast_precision_loss)]
-fn unit(hash: u64) -> f64 {
-    hash as f64 / u64::MAX as f64
-}
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -209,6 +209,7 @@
         vec!["drain"],
         vec!["entry"],
         vec!["explain"],
+        vec!["gateway"],
         vec!["status"],
         vec!["timeline"],
     ];
