Drop an option that nobody sets and derive the logged outcome

Cause: the last read of the change found Outbound.idle without a user, and the gateway's log deriving an outcome that the refusal already states. Change: the option is gone; the log takes Refusal's outcome, whose word stands in one place. Behaviour and tests stay as they are. Conclusion: less state on the request path.

--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -120,12 +120,10 @@
         mut request,
         hold,
         connect: limit,
-        idle,
         begun,
     } = out;
-    let idle = idle.unwrap_or(pool.keep.idle);
     let mut doubt = Doubt::new(pool, clock, target);
-    while let Some(mut conn) = checkout(pool, target, (clock.now)(), idle) {
+    while let Some(mut conn) = checkout(pool, target, (clock.now)()) {
         conn.hold(&hold);
         begun.set();
         match conn.sender.try_send_request(request).await {
@@ -209,11 +207,11 @@
 }
 
 /// Takes an idle connection that is young enough and still open.
-fn checkout(pool: &Pool, target: TargetId, now: Millis, limit: Millis) -> Option<Conn> {
+fn checkout(pool: &Pool, target: TargetId, now: Millis) -> Option<Conn> {
     pool.idle
         .get(&target, |idle| {
             while let Some(Idle { conn, since }) = idle.pop() {
-                let young = now - since <= limit;
+                let young = now - since <= pool.keep.idle;
                 if young && conn.sender.is_ready() && !conn.watch.is_closed() {
                     return Some(conn);
                 }
--- a/src/app/gateway/carry.rs
+++ b/src/app/gateway/carry.rs
@@ -185,8 +185,7 @@
         let took = now(self.state) - job.arrived;
         let (code, outcome, cause) = match result {
             Ok(resp) => (resp.status().as_str().to_owned(), "complete", String::new()),
-            Err(e) if self.ran => (e.code.to_string(), "unknown", e.detail.clone()),
-            Err(e) => (e.code.to_string(), "not-run", e.detail.clone()),
+            Err(e) => (e.code.to_string(), e.outcome.as_str(), e.detail.clone()),
         };
         let last = self.last.as_ref();
         tracing::info!(
--- a/src/policy/refusal/mod.rs
+++ b/src/policy/refusal/mod.rs
@@ -18,12 +18,20 @@
     Unknown,
 }
 
-impl fmt::Display for Outcome {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Outcome {
+    /// Returns the outcome as callers and logs see it.
+    #[must_use]
+    pub fn as_str(self) -> &'static str {
+        match self {
             Self::NotRun => "not-run",
             Self::Unknown => "unknown",
-        })
+        }
+    }
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
 
--- a/src/ports/targets.rs
+++ b/src/ports/targets.rs
@@ -106,9 +106,6 @@
     pub hold: Hold,
     /// How long a new connection may take to open.
     pub connect: Millis,
-    /// How long a connection may have been idle to be used again, if the
-    /// adapter's own limit is not strict enough.
-    pub idle: Option<Millis>,
     /// Set as soon as the first byte may have left.
     pub begun: Begun,
 }
@@ -122,7 +119,6 @@
             request,
             hold: Arc::new(oneshot::channel().0),
             connect: CONNECT,
-            idle: None,
             begun: Begun::default(),
         }
     }
