Let one entry of each region ask the store for changes

Cause: every entry polled the store by itself and decoded each heartbeat of every target.

Ruled out: longer periods, since a target's leave must be in force within 2.5 s; reads that may be old, since their revision is not said to belong to their content.

Change: policy/upstream ranks the entries of a region; the first asks the store every 0.3 of the strictest bound, the others wait for news at it (adapters/grpc/changes, app/gateway/relay). One whose source is silent or behind asks the store itself, one that the store refuses asks another entry, and one that starts while the store is away learns everything from a seed. Heartbeats that say nothing new lead to no step. Failed calls pause up to 1 s.

The test of old registrations gave the same content twice and expected a step; its cases now differ in slots, and a test of its own holds which changes are mere heartbeats.

--- /dev/null
+++ b/src/adapters/grpc/changes/config.rs
@@ -0,0 +1,147 @@
+//! The encoded configuration.
+
+use crate::domain::{
+    CallerLimits, Configuration, Millis, ParseError, Part, Revision, Rule, ServiceRule, Size,
+};
+
+/// The encoded configuration.
+#[derive(Clone, prost::Message, PartialEq)]
+pub struct ConfigMessage {
+    #[prost(uint64, tag = "1")]
+    version: u64,
+    #[prost(uint64, tag = "2")]
+    head_bytes: u64,
+    #[prost(uint64, tag = "3")]
+    body_bytes: u64,
+    #[prost(uint64, tag = "4")]
+    idle_ms: u64,
+    #[prost(message, repeated, tag = "5")]
+    rules: Vec<RuleMessage>,
+    #[prost(message, repeated, tag = "6")]
+    services: Vec<ServiceMessage>,
+}
+
+/// The encoded rule.
+#[derive(Clone, prost::Message, PartialEq)]
+pub struct RuleMessage {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(string, tag = "2")]
+    host: String,
+    #[prost(string, tag = "3")]
+    prefix: String,
+    #[prost(string, tag = "4")]
+    kind: String,
+    #[prost(uint64, tag = "5")]
+    objective_ms: u64,
+    #[prost(uint64, tag = "6")]
+    timeout_ms: u64,
+    #[prost(uint32, tag = "7")]
+    attempts: u32,
+    #[prost(uint32, tag = "8")]
+    priority: u32,
+    #[prost(bool, tag = "9")]
+    sticky: bool,
+    #[prost(string, repeated, tag = "10")]
+    homes: Vec<String>,
+    #[prost(message, repeated, tag = "11")]
+    parts: Vec<PartMessage>,
+}
+
+/// The encoded part of a rule.
+#[derive(Clone, prost::Message, PartialEq)]
+pub struct PartMessage {
+    #[prost(string, tag = "1")]
+    service: String,
+    #[prost(double, tag = "2")]
+    weight: f64,
+}
+
+/// The encoded rule of a service.
+#[derive(Clone, prost::Message, PartialEq)]
+pub struct ServiceMessage {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(double, tag = "2")]
+    cold_rate: f64,
+}
+
+pub(super) fn put_config(config: &Configuration) -> ConfigMessage {
+    let service = |s: &ServiceRule| ServiceMessage {
+        name: s.name.to_string(),
+        cold_rate: s.cold_rate,
+    };
+    ConfigMessage {
+        version: config.version.0,
+        head_bytes: config.limits.head.0,
+        body_bytes: config.limits.body.0,
+        idle_ms: config.limits.idle.0,
+        rules: config.rules.iter().map(put_rule).collect(),
+        services: config.services.iter().map(service).collect(),
+    }
+}
+
+pub(super) fn get_config(message: &ConfigMessage) -> Result<Configuration, ParseError> {
+    let service = |s: &ServiceMessage| {
+        Ok(ServiceRule {
+            name: s.name.parse()?,
+            cold_rate: s.cold_rate,
+        })
+    };
+    let rules: Result<_, ParseError> = message.rules.iter().map(get_rule).collect();
+    let services: Result<_, ParseError> = message.services.iter().map(service).collect();
+    Ok(Configuration {
+        version: Revision(message.version),
+        limits: CallerLimits {
+            head: Size(message.head_bytes),
+            body: Size(message.body_bytes),
+            idle: Millis(message.idle_ms),
+        },
+        rules: rules?,
+        services: services?,
+    })
+}
+
+fn put_rule(rule: &Rule) -> RuleMessage {
+    let part = |p: &Part| PartMessage {
+        service: p.service.to_string(),
+        weight: p.weight,
+    };
+    RuleMessage {
+        name: rule.name.clone(),
+        host: rule.host.clone(),
+        prefix: rule.prefix.clone(),
+        kind: rule.kind.to_string(),
+        objective_ms: rule.objective.0,
+        timeout_ms: rule.timeout.0,
+        attempts: rule.attempts,
+        priority: rule.priority,
+        sticky: rule.sticky,
+        homes: rule.homes.iter().map(ToString::to_string).collect(),
+        parts: rule.parts.iter().map(part).collect(),
+    }
+}
+
+fn get_rule(message: &RuleMessage) -> Result<Rule, ParseError> {
+    let part = |p: &PartMessage| {
+        Ok(Part {
+            service: p.service.parse()?,
+            weight: p.weight,
+        })
+    };
+    let homes: Result<_, ParseError> = message.homes.iter().map(|r| r.parse()).collect();
+    let parts: Result<_, ParseError> = message.parts.iter().map(part).collect();
+    Ok(Rule {
+        name: message.name.clone(),
+        host: message.host.clone(),
+        prefix: message.prefix.clone(),
+        kind: message.kind.parse()?,
+        objective: Millis(message.objective_ms),
+        timeout: Millis(message.timeout_ms),
+        attempts: message.attempts,
+        priority: message.priority,
+        sticky: message.sticky,
+        homes: homes?,
+        parts: parts?,
+    })
+}
--- /dev/null
+++ b/src/adapters/grpc/changes/messages.rs
@@ -0,0 +1,198 @@
+//! The encoded changes but for configurations.
+
+use super::config::{ConfigMessage, get_config, put_config};
+use crate::{
+    domain::{Instance, Mbps, Millis, ParseError, Presence, Slots},
+    ports::{Change, News},
+};
+
+/// The encoded question.
+#[derive(Clone, Copy, prost::Message, PartialEq)]
+pub struct AskMessage {
+    /// The known revision, if any.
+    #[prost(uint64, optional, tag = "1")]
+    pub after: Option<u64>,
+    /// How long to wait for news, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub wait_ms: u64,
+}
+
+/// The encoded news.
+#[derive(Clone, prost::Message, PartialEq)]
+pub struct NewsMessage {
+    /// The revision up to which they are complete. Without it nothing is known.
+    #[prost(uint64, optional, tag = "1")]
+    pub revision: Option<u64>,
+    /// How long ago the store knew just this, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+    /// Whether some changes are gone.
+    #[prost(bool, tag = "3")]
+    pub compacted: bool,
+    /// The changes.
+    #[prost(message, repeated, tag = "4")]
+    pub changes: Vec<ChangeMessage>,
+}
+
+/// An encoded change.
+#[derive(Clone, prost::Message, PartialEq)]
+pub struct ChangeMessage {
+    #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    kind: Option<Kind>,
+}
+
+#[derive(Clone, prost::Oneof, PartialEq)]
+enum Kind {
+    #[prost(message, tag = "1")]
+    Configured(ConfigMessage),
+    #[prost(string, tag = "2")]
+    Evacuated(String),
+    #[prost(string, tag = "3")]
+    Restored(String),
+    #[prost(message, tag = "4")]
+    Registered(InstanceMessage),
+    #[prost(string, tag = "5")]
+    Unregistered(String),
+    #[prost(message, tag = "6")]
+    Joined(PresenceMessage),
+    #[prost(string, tag = "7")]
+    Left(String),
+}
+
+/// The encoded registration of a target.
+#[derive(Clone, prost::Message, PartialEq)]
+pub struct InstanceMessage {
+    #[prost(string, tag = "1")]
+    id: String,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    addr: String,
+    #[prost(string, tag = "4")]
+    az: String,
+    #[prost(uint32, tag = "5")]
+    slots: u32,
+    #[prost(string, tag = "6")]
+    state: String,
+    #[prost(uint64, tag = "7")]
+    cold_ms: u64,
+    #[prost(uint64, tag = "8")]
+    seq: u64,
+    #[prost(uint64, optional, tag = "9")]
+    born: Option<u64>,
+}
+
+/// The encoded presence of an entry.
+#[derive(Clone, prost::Message, PartialEq)]
+pub struct PresenceMessage {
+    #[prost(string, tag = "1")]
+    name: String,
+    #[prost(string, tag = "2")]
+    front: String,
+    #[prost(string, optional, tag = "3")]
+    peer: Option<String>,
+    #[prost(uint32, tag = "4")]
+    link_mbps: u32,
+    #[prost(string, tag = "5")]
+    az: String,
+    #[prost(string, tag = "6")]
+    region: String,
+}
+
+/// Encodes news. Items that could not be read are not passed on, since whoever
+/// reads them has logged them.
+pub(super) fn put(news: &News) -> NewsMessage {
+    let changes = news.batch.changes.iter().filter_map(put_change);
+    NewsMessage {
+        revision: Some(news.batch.revision.0),
+        age_ms: news.age.0,
+        compacted: false,
+        changes: changes.collect(),
+    }
+}
+
+/// Decodes the changes of a message.
+pub(super) fn get(message: &NewsMessage) -> Result<Vec<Change>, ParseError> {
+    let kinds = message.changes.iter().filter_map(|c| c.kind.as_ref());
+    kinds.map(get_change).collect()
+}
+
+fn put_change(change: &Change) -> Option<ChangeMessage> {
+    let kind = match change {
+        Change::Configured(config) => Kind::Configured(put_config(config)),
+        Change::Evacuated(az) => Kind::Evacuated(az.to_string()),
+        Change::Restored(az) => Kind::Restored(az.to_string()),
+        Change::Registered(instance) => Kind::Registered(put_instance(instance)),
+        Change::Unregistered(id) => Kind::Unregistered(id.to_string()),
+        Change::Joined(presence) => Kind::Joined(put_presence(presence)),
+        Change::Left(name) => Kind::Left(name.to_string()),
+        Change::Unreadable { .. } => return None,
+    };
+    Some(ChangeMessage { kind: Some(kind) })
+}
+
+fn get_change(kind: &Kind) -> Result<Change, ParseError> {
+    Ok(match kind {
+        Kind::Configured(config) => Change::Configured(Box::new(get_config(config)?)),
+        Kind::Evacuated(az) => Change::Evacuated(az.parse()?),
+        Kind::Restored(az) => Change::Restored(az.parse()?),
+        Kind::Registered(instance) => Change::Registered(get_instance(instance)?),
+        Kind::Unregistered(id) => Change::Unregistered(id.parse()?),
+        Kind::Joined(presence) => Change::Joined(get_presence(presence)?),
+        Kind::Left(name) => Change::Left(name.parse()?),
+    })
+}
+
+fn put_instance(i: &Instance) -> InstanceMessage {
+    InstanceMessage {
+        id: i.id.to_string(),
+        service: i.service.to_string(),
+        addr: i.addr.to_string(),
+        az: i.az.to_string(),
+        slots: i.slots.0,
+        state: i.state.to_string(),
+        cold_ms: i.cold.0,
+        seq: i.seq,
+        born: i.born.map(|b| b.0),
+    }
+}
+
+fn get_instance(i: &InstanceMessage) -> Result<Instance, ParseError> {
+    Ok(Instance {
+        id: i.id.parse()?,
+        service: i.service.parse()?,
+        addr: i.addr.parse()?,
+        az: i.az.parse()?,
+        slots: Slots(i.slots),
+        state: i.state.parse()?,
+        cold: Millis(i.cold_ms),
+        seq: i.seq,
+        born: i.born.map(Millis),
+    })
+}
+
+fn put_presence(p: &Presence) -> PresenceMessage {
+    PresenceMessage {
+        name: p.name.to_string(),
+        front: p.front.to_string(),
+        peer: p.peer.map(|a| a.to_string()),
+        link_mbps: p.link.0,
+        az: p.az.to_string(),
+        region: p.region.to_string(),
+    }
+}
+
+fn get_presence(p: &PresenceMessage) -> Result<Presence, ParseError> {
+    let addr = |s: &str| {
+        let addr = s.parse();
+        addr.map_err(|_| ParseError::new("address", s, "an IP address and a port"))
+    };
+    Ok(Presence {
+        name: p.name.parse()?,
+        front: addr(&p.front)?,
+        peer: p.peer.as_deref().map(addr).transpose()?,
+        link: Mbps(p.link_mbps),
+        az: p.az.parse()?,
+        region: p.region.parse()?,
+    })
+}
--- a/src/adapters/grpc/mod.rs
+++ b/src/adapters/grpc/mod.rs
@@ -6,6 +6,7 @@
 //! is generated. The cost is that there is no `.proto` file for other languages
 //! to read. See [docs/design.md](../../../docs/design.md), section 5.
 
+mod changes;
 pub mod claim;
 mod claims;
 mod fetch;
@@ -19,6 +20,7 @@
 mod stamps;
 mod traffic;
 
+pub use changes::{changes, serve_changes};
 pub use claims::{claim as ask_home, serve_claim, serve_strike, strike};
 pub use fetch::{
     DocumentBody, Fetch, FetchMessage, FetchReply, FetchReplyMessage, fetch, serve_fetch,
--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -275,7 +275,7 @@
     let ended = held.clone();
     tokio::spawn(async move {
         match conn.without_shutdown().await {
-            Ok(parts) => close(parts.io.into_inner()).await,
+            Ok(parts) => close(target, parts.io.into_inner()).await,
             Err(e) => tracing::debug!("target: connection to {target} ended: {e}."),
         }
         end_hold(&ended);
@@ -289,7 +289,7 @@
 
 /// Closes this side and waits until the target has closed the other, because a
 /// target stops a cancelled request when it sees that.
-async fn close(mut stream: Socket) {
+async fn close(target: TargetId, mut stream: Socket) {
     let closed = async {
         let mut buf = vec![0; 16 * 1024];
         let mut left = LEFTOVER;
@@ -302,7 +302,11 @@
             left -= n;
         }
     };
-    let _ = timeout(CLOSE.duration(), closed).await;
+    match timeout(CLOSE.duration(), closed).await {
+        Ok(Ok(())) => {}
+        Ok(Err(e)) => tracing::debug!("target: close connection to {target}: {e}."),
+        Err(_) => tracing::warn!("target: {target} did not close within {CLOSE}."),
+    }
 }
 
 /// Makes the kernel notice within about 5 s that the other end has lost track
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -8,8 +8,8 @@
 use super::millis;
 use crate::{
     domain::{
-        CallerLimits, Configuration, EntryId, Instance, InstanceId, InstanceState, Millis, Part,
-        Presence, RequestKind, Revision, Rule, ServiceRule, Size, Slots,
+        CallerLimits, Configuration, EntryId, Instance, InstanceId, InstanceState, Mbps, Millis,
+        Part, Presence, RequestKind, Revision, Rule, ServiceRule, Size, Slots,
     },
     ports::Change,
 };
@@ -130,6 +130,10 @@
 #[derive(Deserialize, Serialize)]
 struct WireEntry {
     front: String,
+    #[serde(default)]
+    peer: Option<String>,
+    #[serde(default)]
+    link_mbps: u32,
     az: String,
     region: String,
 }
@@ -138,6 +142,8 @@
 pub(super) fn encode_presence(presence: &Presence) -> String {
     let wire = WireEntry {
         front: presence.front.to_string(),
+        peer: presence.peer.map(|a| a.to_string()),
+        link_mbps: presence.link.0,
         az: presence.az.to_string(),
         region: presence.region.to_string(),
     };
@@ -150,6 +156,8 @@
     Ok(Change::Joined(Presence {
         name,
         front: parse(&wire.front)?,
+        peer: wire.peer.as_deref().map(parse).transpose()?,
+        link: Mbps(wire.link_mbps),
         az: parse(&wire.az)?,
         region: parse(&wire.region)?,
     }))
--- a/src/adapters/platform/settings.rs
+++ b/src/adapters/platform/settings.rs
@@ -6,7 +6,7 @@
 
 use super::millis;
 use crate::{
-    domain::{Bounds, Millis},
+    domain::{Bounds, Mbps, Millis},
     ports::VmSettings,
 };
 
@@ -50,6 +50,8 @@
 struct WireLimits {
     cores: f64,
     max_fds: usize,
+    #[serde(default)]
+    link_mbps: f64,
 }
 
 #[derive(Deserialize)]
@@ -181,6 +183,8 @@
     let bounds = bounds(&wire.terms.bounds, f);
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let cores = own.limits.cores.ceil().clamp(1.0, 64.0) as usize;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let link = Mbps(own.limits.link_mbps as u32);
     Some(VmSettings {
         name: name?,
         az: az?,
@@ -195,6 +199,7 @@
         zones,
         cores,
         descriptors: own.limits.max_fds,
+        link,
         bounds,
     })
 }
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -10,7 +10,9 @@
 
 use crate::{
     adapters::{
-        clock, http, logs, metrics,
+        clock,
+        grpc::{self, Peers},
+        http, logs, metrics,
         platform::{settings, store},
         store::Calls,
     },
@@ -29,6 +31,9 @@
     idle: Millis(4_000),
 };
 
+/// How long an entry may take to answer a question that it need not wait for.
+const PEER_TIMEOUT: Millis = Millis(500);
+
 /// How often the settings file is compared, since it may change without a
 /// signal.
 const RELOAD_PERIOD: Duration = Duration::from_secs(2);
@@ -61,8 +66,10 @@
 async fn serve(file: &Source, text: String, settings: VmSettings) -> eyre::Result<()> {
     let clock = clock::open();
     let targets = http::open(clock.clone(), KEEP);
+    let peers = Arc::new(Peers::new(PEER_TIMEOUT, Arc::default()));
     let ports = Ports {
         platform: store::open(settings.store, targets.clone()),
+        changes: grpc::changes(peers.clone()),
         metrics: metrics::open(Arc::<Calls>::default()),
         clock,
         targets,
@@ -77,7 +84,10 @@
             _ = term.recv() => break,
             _ = int.recv() => break,
             _ = hup.recv() => file.reload(&gateway.state, &mut current),
-            () = tokio::time::sleep(RELOAD_PERIOD) => file.reload(&gateway.state, &mut current),
+            () = tokio::time::sleep(RELOAD_PERIOD) => {
+                peers.sweep();
+                file.reload(&gateway.state, &mut current);
+            }
         }
     }
     gateway.stop().await;
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -4,8 +4,9 @@
 //! one direction: `front` accepts it, `job` reads it and finds its route,
 //! `carry` chooses targets until one has answered, `slot` holds a target for one
 //! attempt, `exchange` sends the attempt, `answer` makes what the caller gets.
-//! Beside them, `feed` keeps up with the platform, `presence` announces this
-//! entry, and `directory` answers look-ups and checks.
+//! Beside them, `feed` keeps up with the platform, `relay` passes on to other
+//! entries what `feed` knows, `presence` announces this entry, and `directory`
+//! answers look-ups and checks.
 //!
 //! See [docs/platform.md](../../../../docs/platform.md).
 
@@ -17,6 +18,7 @@
 mod front;
 mod job;
 mod presence;
+mod relay;
 mod slot;
 mod state;
 
@@ -27,7 +29,10 @@
 
 pub use self::state::{Ports, State};
 use crate::{
-    adapters::http::{self, Limits, Server},
+    adapters::{
+        grpc,
+        http::{self, Limits, Server},
+    },
     domain::Millis,
     ports::VmSettings,
 };
@@ -54,6 +59,8 @@
     front: Server,
     /// Servers that answer until the process ends.
     helpers: Vec<Server>,
+    /// Answers other entries until the process ends.
+    relay: Option<grpc::Server>,
     feed: JoinHandle<()>,
     presence: presence::Presence,
 }
@@ -75,6 +82,7 @@
     let helpers = directory::bind(&state).await?;
     let front = http::bind(addr, limits, front::router(&state));
     let front = front.await.wrap_err("start the callers' server")?;
+    let relay = relay::bind(&state).await?;
     let feed = tokio::spawn(feed::run(state.clone()));
     let presence = presence::spawn(state.clone());
     let version = env!("CARGO_PKG_VERSION");
@@ -83,6 +91,7 @@
         state,
         front,
         helpers,
+        relay,
         feed,
         presence,
     })
@@ -95,6 +104,12 @@
         self.front.addr()
     }
 
+    /// Returns the address at which other entries reach it.
+    #[must_use]
+    pub fn relay(&self) -> Option<SocketAddr> {
+        self.relay.as_ref().map(grpc::Server::addr)
+    }
+
     /// Returns the addresses of look-ups, readiness checks and metrics.
     pub fn helpers(&self) -> impl Iterator<Item = SocketAddr> {
         self.helpers.iter().map(Server::addr)
@@ -112,7 +127,7 @@
         let left = part(END_PART).saturating_sub(part(ACCEPT_PART));
         let ended = timeout(left, self.front.stop()).await.is_ok();
         self.feed.abort();
-        drop(self.helpers);
+        drop((self.helpers, self.relay));
         let running = self.state.running();
         tracing::info!(ended, running, "gateway: stopped.");
     }
--- a/src/app/gateway/presence.rs
+++ b/src/app/gateway/presence.rs
@@ -78,6 +78,8 @@
     let presence = domain::Presence {
         name: settings.name.clone(),
         front: settings.front,
+        peer: settings.control,
+        link: settings.link,
         az: settings.az.clone(),
         region: settings.region.clone(),
     };
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -8,18 +8,20 @@
     },
 };
 
+use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
     adapters::metrics::Metrics,
-    domain::{AzName, Millis, ServiceName, Shards},
+    domain::{AzName, Bounds, Configuration, Millis, Revision, ServiceName, Shards},
     policy::{
-        balance::{Pool, Quota, Scene},
+        balance::{Pool, Quota, Registry, Scene},
         budget::Allowance,
         presence::Entries,
         route::Table,
+        upstream::Log,
     },
-    ports::{Clock, Platform, Targets, VmSettings},
+    ports::{Change, Changes, Clock, Platform, Targets, VmSettings},
 };
 
 /// What a gateway needs from outside.
@@ -31,6 +33,8 @@
     pub targets: Targets,
     /// The platform's store.
     pub platform: Platform,
+    /// What other entries know of it.
+    pub changes: Changes,
     /// The metrics of the process.
     pub metrics: Metrics,
 }
@@ -48,9 +52,16 @@
     pub pools: Shards<ServiceName, Pool>,
     settings: RwLock<Arc<VmSettings>>,
     table: RwLock<Option<Arc<Table>>>,
+    config: RwLock<Option<Arc<Configuration>>>,
     closed: RwLock<Arc<BTreeSet<AzName>>>,
     peers: RwLock<Arc<Vec<u64>>>,
     entries: Mutex<Entries>,
+    registry: Mutex<Registry>,
+    log: Mutex<Log<Change>>,
+    /// The revision up to which the log is complete.
+    revision: watch::Sender<Revision>,
+    /// The instant until which other entries ask this one.
+    asked: AtomicU64,
     targets: AtomicBool,
     stopping: AtomicBool,
     running: AtomicU64,
@@ -65,9 +76,14 @@
             pools: Shards::new(),
             settings: RwLock::new(Arc::new(settings)),
             table: RwLock::default(),
+            config: RwLock::default(),
             closed: RwLock::default(),
             peers: RwLock::default(),
             entries: Mutex::default(),
+            registry: Mutex::default(),
+            log: Mutex::default(),
+            revision: watch::Sender::new(Revision(0)),
+            asked: AtomicU64::new(0),
             targets: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             running: AtomicU64::new(0),
@@ -91,7 +107,13 @@
         read(&self.table)
     }
 
-    pub(super) fn set_table(&self, table: Arc<Table>) {
+    /// Returns the configuration that the routes were made of.
+    pub(super) fn config(&self) -> Option<Arc<Configuration>> {
+        read(&self.config)
+    }
+
+    pub(super) fn set_table(&self, table: Arc<Table>, config: Arc<Configuration>) {
+        write(&self.config, Some(config));
         write(&self.table, Some(table));
     }
 
@@ -107,7 +129,54 @@
 
     /// Returns the entries that serve.
     pub(super) fn entries(&self) -> MutexGuard<'_, Entries> {
-        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.entries)
+    }
+
+    /// Returns the registered targets.
+    pub(super) fn registry(&self) -> MutexGuard<'_, Registry> {
+        lock(&self.registry)
+    }
+
+    /// Returns the latest changes.
+    pub(super) fn log(&self) -> MutexGuard<'_, Log<Change>> {
+        lock(&self.log)
+    }
+
+    /// Notes changes up to a revision for other entries, as the store knew them at
+    /// `at`. A whole list has no changes that others could have missed.
+    pub(super) fn publish(&self, at: Millis, revision: Revision, news: Vec<Change>, whole: bool) {
+        let revision = {
+            let mut log = self.log();
+            if whole {
+                log.restart(at, revision);
+            } else {
+                log.push(at, revision, news);
+            }
+            log.revision()
+        };
+        self.revision.send_replace(revision);
+    }
+
+    /// Returns the revision up to which changes are known, to wait for greater
+    /// ones.
+    pub(super) fn revisions(&self) -> watch::Receiver<Revision> {
+        self.revision.subscribe()
+    }
+
+    /// Notes that another entry asks for changes, and until when it waits.
+    pub(super) fn set_asked(&self, until: Millis) {
+        self.asked.fetch_max(until.0, Relaxed);
+    }
+
+    /// Tells whether other entries ask this one for changes.
+    pub(super) fn is_source(&self, now: Millis) -> bool {
+        now.0 <= self.asked.load(Relaxed)
+    }
+
+    /// Returns a part of the bound within which changes must be in force.
+    pub(super) fn part(&self, part: f64) -> Millis {
+        let Bounds { drain, config, .. } = self.settings().bounds;
+        drain.min(config).part(part)
     }
 
     /// Takes over which entries share limits, after a change of the entries.
@@ -127,7 +196,8 @@
     }
 
     /// Returns the hashed names of the entries that share limits.
-    pub(super) fn peers(&self) -> Arc<Vec<u64>> {
+    #[must_use]
+    pub fn peers(&self) -> Arc<Vec<u64>> {
         read(&self.peers)
     }
 
@@ -202,6 +272,10 @@
     }
 }
 
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 fn read<T: Clone>(lock: &RwLock<T>) -> T {
     lock.read().unwrap_or_else(PoisonError::into_inner).clone()
 }
--- a/src/domain/instance.rs
+++ b/src/domain/instance.rs
@@ -39,3 +39,16 @@
     /// same id and then holds nothing of before.
     pub born: Option<Millis>,
 }
+
+impl Instance {
+    /// Tells whether another state of the registration says the same of a target
+    /// that is not cold. While it is cold, each state tells how much longer.
+    #[must_use]
+    pub fn is_same(&self, other: &Self) -> bool {
+        let heartbeat = Self {
+            seq: other.seq,
+            ..self.clone()
+        };
+        heartbeat == *other && self.cold == Millis(0)
+    }
+}
--- a/src/domain/time.rs
+++ b/src/domain/time.rs
@@ -23,6 +23,13 @@
     pub const fn duration(self) -> Duration {
         Duration::from_millis(self.0)
     }
+
+    /// Returns a part of the duration.
+    #[must_use]
+    pub fn part(self, part: f64) -> Self {
+        let part = self.duration().mul_f64(part).as_millis();
+        Self(u64::try_from(part).unwrap_or(u64::MAX))
+    }
 }
 
 impl Add for Millis {
--- a/src/policy/balance/registry.rs
+++ b/src/policy/balance/registry.rs
@@ -50,15 +50,23 @@
         self.heard = Some(now);
     }
 
-    /// Adopts a registration, unless it is older than the known one.
+    /// Adopts a registration, unless it is older than the known one. A mere
+    /// heartbeat leads to no step.
     pub fn put(&mut self, instance: Instance) -> Option<Step> {
         let known = self.known.get(&instance.id);
         if known.is_some_and(|k| (instance.born, instance.seq) < (k.born, k.seq)) {
             return None;
         }
-        self.missing.remove(&instance.id);
+        let same = known.is_some_and(|k| k.is_same(&instance));
+        // Others that were told that it is gone have to learn that it is back.
+        let back = self.missing.remove(&instance.id).is_some();
         self.known.insert(instance.id.clone(), instance.clone());
-        Some(Step::Put(instance))
+        (back || !same).then_some(Step::Put(instance))
+    }
+
+    /// Returns the registered targets.
+    pub fn targets(&self) -> impl Iterator<Item = &Instance> {
+        self.known.values()
     }
 
     /// Removes a target whose entry is gone.
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -27,3 +27,4 @@
 pub mod spread;
 pub mod target;
 pub mod timeline;
+pub mod upstream;
--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -57,6 +57,16 @@
         self.known.keys().chain(gone)
     }
 
+    /// Returns the entries that serve in a region.
+    pub fn within(&self, region: &RegionName) -> impl Iterator<Item = &Presence> {
+        self.known.values().filter(move |p| p.region == *region)
+    }
+
+    /// Returns all entries that serve.
+    pub fn all(&self) -> impl Iterator<Item = &Presence> {
+        self.known.values()
+    }
+
     /// Returns where a caller in a region should connect.
     #[must_use]
     pub fn plan(&self, region: Option<&RegionName>) -> Vec<SocketAddr> {
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -6,6 +6,7 @@
 //! is nothing beside the I/O behind it.
 
 pub mod admin;
+mod changes;
 mod clock;
 mod events;
 mod platform;
@@ -15,6 +16,7 @@
 use std::{future::Future, pin::Pin, sync::Arc};
 
 pub use admin::AdminPort;
+pub use changes::{Ask, AskError, Changes, News};
 pub use clock::Clock;
 pub use events::{EventQuery, Events};
 pub use platform::{Batch, Change, LeaseId, Platform, PlatformError, Poll, VmSettings};
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -4,8 +4,8 @@
 
 use super::Call;
 use crate::domain::{
-    AzName, Bounds, Configuration, EntryId, Instance, InstanceId, Millis, Presence, RegionName,
-    Revision,
+    AzName, Bounds, Configuration, EntryId, Instance, InstanceId, Mbps, Millis, Presence,
+    RegionName, Revision,
 };
 
 /// What the platform tells one process about itself and about its bounds.
@@ -37,6 +37,8 @@
     pub cores: usize,
     /// The most descriptors of the process.
     pub descriptors: usize,
+    /// The capacity of the VM's link.
+    pub link: Mbps,
     /// The bounds that the users set.
     pub bounds: Bounds,
 }
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, fmt::Write};
 
 use savorybeam::{
-    domain::{Instance, InstanceId, InstanceState, Millis},
+    domain::{Instance, InstanceId, InstanceState, Millis, Slots},
     policy::balance::{Ask, Choice, Ending, Miss, Pool, Quota, Registry, Scene, Step},
 };
 
@@ -218,9 +218,61 @@
     let new = |seq, born| Instance {
         seq,
         born: Some(Millis(born)),
+        slots: Slots(u32::try_from(seq).expect("a small number")),
         ..instance(0, 0, 2)
     };
-    let results = [new(5, 10), new(4, 10), new(1, 11), new(9, 10), new(1, 11)]
+    let results = [new(5, 10), new(4, 10), new(1, 11), new(9, 10), new(2, 11)]
         .map(|i| registry.put(i).is_some());
     assert_eq!(results, [true, false, true, false, true]);
 }
+
+/// Guards against heartbeats that are passed on to all entries, and against news
+/// that is taken for a heartbeat. The pairs differ in one field each.
+#[test]
+fn only_heartbeats_lead_to_no_step() {
+    let first = Instance {
+        seq: 1,
+        ..instance(0, 0, 2)
+    };
+    let later = Instance {
+        seq: 2,
+        ..first.clone()
+    };
+    let pairs = [
+        ("heartbeat", later.clone()),
+        (
+            "draining",
+            Instance {
+                state: InstanceState::Draining,
+                ..later.clone()
+            },
+        ),
+        (
+            "slots",
+            Instance {
+                slots: Slots(9),
+                ..later.clone()
+            },
+        ),
+        (
+            "cold",
+            Instance {
+                cold: Millis(500),
+                ..later.clone()
+            },
+        ),
+        (
+            "start",
+            Instance {
+                born: Some(Millis(7)),
+                ..later
+            },
+        ),
+    ];
+    let lines = pairs.map(|(what, instance)| {
+        let mut registry = Registry::default();
+        registry.put(first.clone());
+        format!("{what}: {}", registry.put(instance).is_some())
+    });
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -13,14 +13,15 @@
 use savorybeam::{
     adapters::{
         clock,
+        grpc::{self, Peers},
         http::{self as web, Content, Keep, Limits, Server, full},
         metrics,
         store::Calls,
     },
     app::gateway::{self, Gateway, Ports},
     domain::{
-        Bounds, CallerLimits, Configuration, Instance, InstanceState, Millis, Part, RequestKind,
-        Revision, Rule, ServiceRule, Size, Slots, TargetId,
+        Bounds, CallerLimits, Configuration, Instance, InstanceState, Mbps, Millis, Part,
+        RequestKind, Revision, Rule, ServiceRule, Size, Slots, TargetId,
     },
     ports::{Batch, Change, LeaseId, Outbound, Platform, PlatformError, Targets, VmSettings},
 };
@@ -153,6 +154,7 @@
         zones: [(az, region)].into(),
         cores: 1,
         descriptors: 1_024,
+        link: Mbps(100),
         bounds: Bounds {
             drain: Millis(2_500),
             config: Millis(2_500),
@@ -233,6 +235,7 @@
         let ports = Ports {
             targets: web::open(clock.clone(), Keep::default()),
             platform: platform(changes, needs),
+            changes: grpc::changes(Arc::new(Peers::new(Millis(500), Arc::default()))),
             metrics: metrics::open(Arc::<Calls>::default()),
             clock,
         };
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -11,7 +11,7 @@
         http::{Content, full},
         platform::{directory, headers, settings, store},
     },
-    domain::{Millis, Presence, Revision},
+    domain::{Mbps, Millis, Presence, Revision},
     ports::{Platform, Poll, Targets},
 };
 
@@ -184,6 +184,8 @@
     let presence = Presence {
         name: "edge-1".parse().expect("a name"),
         front: "10.0.0.2:81".parse().expect("an address"),
+        peer: Some("10.0.0.2:82".parse().expect("an address")),
+        link: Mbps(100),
         az: "a-1".parse().expect("a name"),
         region: "north".parse().expect("a name"),
     };
