End calls to a silent store after a second and start late entries fresh

Calls to the store took up to 4.5 s while it was silent, since their limit grows with each failure for the sake of large answers over narrow links. An entry that had started meanwhile from what another one knew served that old configuration.

Change: an answer has to begin within 1 s, only its body may take up to the grown limit; while the store is lost it is asked without a wait, entries answer at once, and the pause after a failure counts from the start of the call.

Conclusion: a limit on the whole call cannot tell silence from a slow answer.

--- a/src/adapters/platform/store.rs
+++ b/src/adapters/platform/store.rs
@@ -15,8 +15,10 @@
     ports::{Batch, LeaseId, Outbound, Platform, PlatformError, Poll, Targets},
 };
 
-/// How long a call that carries little may take. A slow store answers within a
-/// quarter of a second.
+/// How long a call that carries little may take, and any call until its answer
+/// begins. A slow store answers within a quarter of a second. A store that is
+/// silent must be noticed soon, since a call that waits for it learns nothing of
+/// its return.
 const TIMEOUT: Millis = Millis(1_000);
 
 /// The largest answer that is read. A page has about 1 MB at the most.
@@ -24,6 +26,24 @@
 
 type Answer<T> = Result<T, PlatformError>;
 
+/// How long a call may take.
+#[derive(Clone, Copy)]
+struct Time {
+    /// How long the store may wait before it answers.
+    wait: Millis,
+    /// How long the answer may take from there.
+    limit: Millis,
+}
+
+impl Default for Time {
+    fn default() -> Self {
+        Self {
+            wait: Millis(0),
+            limit: TIMEOUT,
+        }
+    }
+}
+
 #[derive(Clone)]
 struct Client {
     addr: SocketAddr,
@@ -80,8 +100,8 @@
     const STEP: &str = "watch keys";
     let Poll { after, wait, limit } = poll;
     let path = format!("/kv-watch?prefix=&after={after}&wait_ms={}", wait.0);
-    let limit = wait + limit;
-    let (status, body) = client.call(STEP, Method::GET, &path, None, limit).await?;
+    let time = Time { wait, limit };
+    let (status, body) = client.call(STEP, Method::GET, &path, None, time).await?;
     if status == StatusCode::GONE {
         return Err(PlatformError::Compacted);
     }
@@ -147,7 +167,7 @@
     const STEP: &str = "renew lease";
     let path = format!("/kv-keep/{}", lease.0);
     let (status, body) = client
-        .call(STEP, Method::POST, &path, None, TIMEOUT)
+        .call(STEP, Method::POST, &path, None, Time::default())
         .await?;
     if status == StatusCode::NOT_FOUND {
         return Err(PlatformError::Expired);
@@ -159,7 +179,7 @@
     const STEP: &str = "end lease";
     let path = format!("/kv-lease-end/{}", lease.0);
     let (status, body) = client
-        .call(STEP, Method::DELETE, &path, None, TIMEOUT)
+        .call(STEP, Method::DELETE, &path, None, Time::default())
         .await?;
     client.expect(STEP, status, &body)
 }
@@ -173,7 +193,11 @@
         let mut after = String::new();
         loop {
             let path = format!("/kv-range?prefix={prefix}{after}");
-            let (status, body) = self.call(STEP, Method::GET, &path, None, limit).await?;
+            let time = Time {
+                limit,
+                ..Time::default()
+            };
+            let (status, body) = self.call(STEP, Method::GET, &path, None, time).await?;
             self.expect(STEP, status, &body)?;
             let page: Page = self.json(STEP, &body)?;
             let revision = *first.get_or_insert(Revision(page.at_rev));
@@ -192,7 +216,8 @@
         value: &impl Serialize,
     ) -> Answer<(StatusCode, Bytes)> {
         let text = serde_json::to_vec(value).map_err(|e| self.failed(step, &e))?;
-        self.call(step, Method::POST, path, Some(text.into()), TIMEOUT)
+        let body = Some(text.into());
+        self.call(step, Method::POST, path, body, Time::default())
             .await
     }
 
@@ -202,7 +227,7 @@
         method: Method,
         path: &str,
         body: Option<Bytes>,
-        limit: Millis,
+        time: Time,
     ) -> Answer<(StatusCode, Bytes)> {
         let mut request = Request::builder()
             .method(method)
@@ -214,20 +239,18 @@
         let request = request
             .body(full(body.unwrap_or_default()))
             .map_err(|e| self.failed(step, &e))?;
-        let exchange = async {
-            let out = Outbound::new(TargetId(self.addr), request);
-            let answer = (self.targets.send)(out).await;
-            let answer = answer.map_err(|e| self.failed(step, &e))?;
-            let (head, body) = answer.into_parts();
-            let content = Content::read(body, ANSWER_MAX_BYTES).await;
-            match content.map_err(|e| self.failed(step, &e))? {
-                Content::Whole(bytes) => Ok((head.status, bytes)),
-                Content::Stream(_) => Err(self.failed(step, &"the answer is too long")),
-            }
-        };
-        match timeout(limit.duration(), exchange).await {
-            Ok(answer) => answer,
-            Err(_) => Err(self.failed(step, &format!("timed out after {limit}"))),
+        let late = |limit| self.failed(step, &format!("timed out after {limit}"));
+        let out = Outbound::new(TargetId(self.addr), request);
+        let limit = time.wait + TIMEOUT.min(time.limit);
+        let answer = timeout(limit.duration(), (self.targets.send)(out)).await;
+        let answer = answer.map_err(|_| late(limit))?;
+        let (head, body) = answer.map_err(|e| self.failed(step, &e))?.into_parts();
+        let limit = time.limit;
+        let content = timeout(limit.duration(), Content::read(body, ANSWER_MAX_BYTES)).await;
+        let content = content.map_err(|_| late(limit))?;
+        match content.map_err(|e| self.failed(step, &e))? {
+            Content::Whole(bytes) => Ok((head.status, bytes)),
+            Content::Stream(_) => Err(self.failed(step, &"the answer is too long")),
         }
     }
 
--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -48,11 +48,11 @@
 /// what has to be read grows with each call that is given up.
 const LIMIT_MAX: Millis = Millis(4_000);
 
-/// The pause after a first call that failed. It doubles with each further one,
+/// The time from a first call that failed to the next. It doubles with each further one,
 /// since calls that the store refuses have a price, too.
 const PAUSE_MIN: Millis = Millis(250);
 
-/// The longest pause after a call that failed.
+/// The longest time from a call that failed to the next.
 const PAUSE_MAX: Millis = Millis(1_000);
 
 /// Follows the platform until the process ends.
@@ -118,7 +118,7 @@
                 Ok(()) => part(PERIOD_PART),
                 Err(()) => {
                     self.upstreams.failed(now(&self.state), &upstream);
-                    self.backoff(start)
+                    self.backoff()
                 }
             },
             Upstream::Entry(name, addr) => match self.ask(name, *addr, after).await {
@@ -127,7 +127,7 @@
                     // The store still has what the entry no longer knows.
                     if self.poll(start, after).await.is_err() {
                         self.upstreams.failed(now(&self.state), &Upstream::Store);
-                        return self.backoff(start);
+                        return self.backoff();
                     }
                     Millis(0)
                 }
@@ -141,10 +141,12 @@
     }
 
     /// Returns after which time from the start of a failed call the next is due.
-    fn backoff(&mut self, start: Millis) -> Millis {
+    /// A call that the store refuses ends at once, one that it leaves unanswered
+    /// takes longer than any pause.
+    fn backoff(&mut self) -> Millis {
         let pause = self.pause;
         self.pause = (pause + pause).min(PAUSE_MAX);
-        now(&self.state) - start + pause
+        pause
     }
 
     /// Reads everything from the store or, if that fails, from an entry.
@@ -175,7 +177,7 @@
                 return Millis(0);
             }
         }
-        self.backoff(start)
+        self.backoff()
     }
 
     /// Asks the store for changes.
@@ -184,7 +186,9 @@
     ///
     /// Returns an error, which is logged already, if the store did not answer.
     async fn poll(&mut self, start: Millis, after: Revision) -> Result<(), ()> {
-        let (wait, limit) = (WAIT, self.limit);
+        // The return of the store must not be missed for want of a change.
+        let wait = if self.lost { Millis(0) } else { WAIT };
+        let limit = self.limit;
         let poll = Poll { after, wait, limit };
         match (self.state.ports.platform.poll)(poll).await {
             Ok(batch) => {
@@ -215,7 +219,12 @@
         peer: SocketAddr,
         after: Revision,
     ) -> Result<(), AskError> {
-        let wait = self.state.part(SOURCE_PART) + ASK_SLACK;
+        // While the store turns this entry away, it has to look further at once.
+        let wait = if self.lost {
+            Millis(0)
+        } else {
+            self.state.part(SOURCE_PART) + ASK_SLACK
+        };
         let after = Some(after);
         let news = (self.state.ports.changes.ask)(Ask { peer, after, wait }).await?;
         let limit = self.state.part(AGE_PART);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,11 +1,16 @@
 //! Guards the adapter of the users' platform: a name that is read wrongly, or an
 //! item from another writer, must not become a target or a route.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, StreamBody};
 use savorybeam::{
     adapters::{
         http::{Content, full},
@@ -317,3 +322,43 @@
         .map(|text| settings::parse(text, 9464).expect_err("faulty").to_string());
     insta::assert_snapshot!(errors.join("\n"));
 }
+
+/// Returns a platform whose answers begin after `head`, and end after `body` more.
+fn slow_store(head: u64, body: u64) -> Platform {
+    let targets = Targets {
+        send: Arc::new(move |_| {
+            Box::pin(async move {
+                tokio::time::sleep(Duration::from_millis(head)).await;
+                let text = Bytes::from_static(br#"{"events":[],"at_rev":9}"#);
+                let last = futures::stream::once(async move {
+                    tokio::time::sleep(Duration::from_millis(body)).await;
+                    Ok(Frame::data(text))
+                });
+                Ok(Response::new(StreamBody::new(last).boxed()))
+            })
+        }),
+    };
+    store::open("10.0.0.9:90".parse().expect("an address"), targets)
+}
+
+/// Fails if a call waits on for a store that is silent, so that it learns late
+/// that the store is back, or if it gives up an answer that is on its way.
+#[tokio::test]
+async fn silence_ends_a_call_sooner_than_a_slow_answer() {
+    let poll = Poll {
+        after: Revision(3),
+        wait: Millis(100),
+        limit: Millis(4_000),
+    };
+    let begun = std::time::Instant::now();
+    let silent = (slow_store(60_000, 0).poll)(poll).await;
+    assert!(
+        begun.elapsed() < Duration::from_secs(2),
+        "silence takes long"
+    );
+    let slow = (slow_store(200, 1_500).poll)(poll).await;
+    let limit = Millis(1_000);
+    let late = (slow_store(200, 1_500).poll)(Poll { limit, ..poll }).await;
+    let lines = [silent, slow, late].map(|r| format!("{:?}", r.map(|b| b.revision)));
+    insta::assert_snapshot!(lines.join("\n"));
+}
