Refuse requests beyond the configuration's limits

Cause: the limits on a caller's head and body were decoded but not enforced.

Change: a head beyond header_bytes gets 431, a body beyond body_bytes 413, both as not run; a body without a length is cut off at the limit. Test in tests/gateway.rs, which failed before (all three cases reached a target).

--- a/src/app/gateway/job.rs
+++ b/src/app/gateway/job.rs
@@ -2,7 +2,8 @@
 
 use std::sync::Arc;
 
-use http::{HeaderValue, Request, request::Parts};
+use http::{HeaderValue, Request, header, request::Parts};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use tokio::time::timeout;
 
 use super::{State, now};
@@ -11,7 +12,7 @@
         http::{Content, strip_hop_by_hop},
         platform::headers::{self, RequestHead},
     },
-    domain::{InstanceId, Millis, Rule, ServiceName},
+    domain::{CallerLimits, InstanceId, Millis, Rule, ServiceName, Size},
     policy::{
         balance::object_hash,
         refusal::{Code, Refusal},
@@ -23,6 +24,9 @@
 /// The longest body that is kept for a second attempt.
 const KEPT_BYTES: usize = 64 * 1024;
 
+/// What a header's line has beside its name and value.
+const LINE_BYTES: usize = 4;
+
 /// When a caller may come back to an entry that has no configuration yet.
 const STARTING: Millis = Millis(300);
 
@@ -60,6 +64,8 @@
             return Err(Refusal::not_run(Code::NoTarget, detail).retry_after(STARTING));
         };
         let (head, body) = req.into_parts();
+        let limits = &table.limits;
+        check(limits, &head)?;
         let RequestHead {
             id,
             deadline,
@@ -71,10 +77,12 @@
         };
         let end = arrived + deadline.unwrap_or(rule.timeout).min(rule.timeout);
         let object = object.map(|o| object_hash(&rule.prefix, o.as_bytes()));
-        let reading = Content::read(body, KEPT_BYTES);
+        let most = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
+        let reading = Content::read(Limited::new(body, most).boxed(), KEPT_BYTES);
         let content = timeout((end - arrived).duration(), reading).await;
         let content = match content {
             Ok(Ok(content)) => content,
+            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large(limits.body)),
             Ok(Err(e)) => {
                 return Err(Refusal::not_run(
                     Code::BadRequest,
@@ -126,6 +134,29 @@
     }
 }
 
+/// Refuses a head that exceeds the limits, and one that announces a body that
+/// does.
+fn check(limits: &CallerLimits, head: &Parts) -> Result<(), Refusal> {
+    let lines = head.headers.iter();
+    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + LINE_BYTES);
+    let size = head.uri.to_string().len() + lines.sum::<usize>();
+    if size as u64 > limits.head.0 {
+        let detail = format!("read head: {size} bytes, the limit is {}", limits.head);
+        return Err(Refusal::not_run(Code::HeadTooLarge, detail));
+    }
+    let declared = head.headers.get(header::CONTENT_LENGTH);
+    let declared = declared.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
+    if declared.is_some_and(|length| length > limits.body.0) {
+        return Err(too_large(limits.body));
+    }
+    Ok(())
+}
+
+fn too_large(limit: Size) -> Refusal {
+    let detail = format!("read body: more than the limit of {limit}");
+    Refusal::not_run(Code::TooLarge, detail)
+}
+
 fn find<'a>(table: &'a Table, head: &Parts) -> Result<&'a Route, Refusal> {
     let host = head.headers.get(http::header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
--- a/src/policy/refusal/mod.rs
+++ b/src/policy/refusal/mod.rs
@@ -66,6 +66,8 @@
     Limited,
     /// The body is too large.
     TooLarge,
+    /// The head is too large.
+    HeadTooLarge,
 }
 
 impl Code {
@@ -87,6 +89,7 @@
             Self::Blocked => "request-blocked",
             Self::Limited => "limit-reached",
             Self::TooLarge => "too-large",
+            Self::HeadTooLarge => "head-too-large",
         }
     }
 
@@ -99,6 +102,7 @@
             Self::InProgress | Self::NotKept => 409,
             Self::KeyReused => 422,
             Self::TooLarge => 413,
+            Self::HeadTooLarge => 431,
             Self::Blocked => 403,
             Self::NoTarget | Self::Overloaded | Self::ClaimUnavailable | Self::Limited => 503,
             Self::Unreachable | Self::Broken => 502,
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -389,3 +389,34 @@
         format!("{} {close:?}, {sent} sent", resp.status())
     }
 }
+
+/// Fails if a request beyond the limits in force is sent to a target, or if its
+/// caller is not told that it has not run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_beyond_the_limits_are_refused() {
+    let site = Site::open(false, Millis(0)).await;
+    let mut lines = Vec::new();
+    for (case, head, body) in [
+        ("within", 10_000, 1 << 20),
+        ("head", 17_000, 10),
+        ("body", 10, (1 << 20) + 1),
+    ] {
+        let request = Request::builder()
+            .method("POST")
+            .uri("/pay/ok")
+            .header("host", "kitchens.example")
+            .header("request-id", case)
+            .header("x-filler", "x".repeat(head))
+            .body(full(Bytes::from(vec![b'x'; body])))
+            .expect("a request");
+        let front = TargetId(site.gateway.front());
+        let resp = (site.client.send)(Outbound::new(front, request)).await;
+        let resp = resp.expect("an answer");
+        let outcome = resp.headers().get("x-savorybeam-outcome");
+        lines.push(format!("{case}: {} {outcome:?}", resp.status()));
+    }
+    let runs: u32 = site.runs.lock().expect("runs").values().sum();
+    lines.push(format!("sent to targets {runs} times"));
+    site.close().await;
+    insta::assert_snapshot!(lines.join("\n"));
+}
