Close a connection only after its request's work has stopped

A cancelled request's slot came back 2.5 ms before the target stand-in counted its end: hyper drops the socket of a connection before the work that runs on it, so that the sender saw the close first, and its next request arrived beside the old one. Beside load the thread of the target can be suspended between the two.

Ruled out: the limits (3 held at most in 10,750 events); targets that close late (no time-out of 5 s in the logs); the buffers of 16 KB, which only changed the timing.

Change: the server keeps a handle of the socket until the connection with its work is dropped.

--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -14,6 +14,8 @@
 };
 use volo_http::{body::Body, context::ServerContext, server::Router};
 
+use super::socket::Socket;
+
 /// What a server spends on its connections.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -213,11 +215,15 @@
             Ok::<_, Infallible>(resp.unwrap_or_else(|never| match never {}))
         }
     });
+    // A peer takes a closed connection for the end of its request's work. hyper
+    // drops its socket before that work, so another handle keeps it open.
+    let socket = Socket::new(stream);
+    let _open = socket.clone();
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.patience)
         .max_buf_size(limits.head)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(conn);
     let result = tokio::select! {
         result = conn.as_mut() => result,
--- a/src/adapters/http/socket.rs
+++ b/src/adapters/http/socket.rs
@@ -15,9 +15,9 @@
     net::TcpStream,
 };
 
-/// The socket of a connection. It closes when the connection drops it, since
+/// The socket of a connection. It closes when the last clone is dropped;
 /// [`Watch`] keeps only a weak reference.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Socket(Arc<TcpStream>);
 
 impl Socket {
