Take unseen targets to be as loaded as their region and hand over the whole shortage

Cause: with many entries each one hears seldom of a single target, and its estimate faded to an idle one.

Change: what is not known of a target is taken from the average of the latest reports of its region; the part of the shortage of slots that is handed over from the start is the whole of it (0.6 before).

Conclusion: hand over by capacity first, correct by what is seen.

--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -59,9 +59,6 @@
 /// and hashing may give it no frequent object.
 const TRIAL_DISCOUNT_MS: f64 = 100_000.0;
 
-/// The part of a region's shortage of slots that is handed over from the start.
-const SURPLUS_PART: f64 = 0.6;
-
 /// A region that has lost this part of its slots hands requests over at once.
 const LOST_PART: f64 = 0.2;
 
@@ -155,7 +152,7 @@
     /// many callers.
     fn surplus(&self) -> f64 {
         let fair = self.all / f64::max(self.regions, 1.0);
-        (1.0 - self.near / f64::max(fair, 1.0)).max(0.0) * SURPLUS_PART
+        (1.0 - self.near / f64::max(fair, 1.0)).max(0.0)
     }
 }
 
@@ -321,7 +318,7 @@
         let near = usable.iter().map(|at| &self.targets[*at]);
         let near = near.filter(|t| t.region.as_ref() == Some(scene.region));
         let (load, slots) = near.fold((0.0, 0.0), |(load, slots), t| {
-            (load + t.load.total(scene.now), slots + t.slots())
+            (load + self.load(scene.now, t), slots + t.slots())
         });
         (load / f64::max(slots, 1.0)).min(1.0)
     }
@@ -354,6 +351,13 @@
             .collect()
     }
 
+    /// Returns the requests at a target, as far as is known.
+    fn load(&self, now: Millis, target: &Target) -> f64 {
+        let level = target.region.as_ref().and_then(|r| self.levels.get(r));
+        let others = level.map_or(0.0, |l| l.part(now) * target.slots());
+        target.load.total(now, others)
+    }
+
     fn is_near(&self, scene: &Scene<'_>, at: usize) -> bool {
         self.targets[at].region.as_ref() == Some(scene.region)
     }
@@ -372,7 +376,7 @@
         let known = |object| target.objects.holds(object, now);
         let warm = !target.is_cold(now) && (first || ask.object.is_some_and(known));
         let slots = target.slots();
-        let waiting = (target.load.total(now) + 1.0 - slots).max(0.0);
+        let waiting = (self.load(now, target) + 1.0 - slots).max(0.0);
         let mut factor = target.load.pace(now) * target.speed * (1.0 + waiting / slots);
         if target.is_cold(now) {
             factor *= COLD_FACTOR;
@@ -400,8 +404,8 @@
 
     fn start(&mut self, scene: &Scene<'_>, ask: &Ask<'_>, route: u64, best: &Candidate) -> Choice {
         let now = scene.now;
+        let load = self.load(now, &self.targets[best.at]);
         let target = &mut self.targets[best.at];
-        let load = target.load.total(now);
         let expected = millis(best.expected);
         target.load.own += 1;
         target.used = true;
--- a/src/policy/balance/load.rs
+++ b/src/policy/balance/load.rs
@@ -18,7 +18,8 @@
 /// How fast a reported load gives way to the usual one.
 const FADE_MS: f64 = 400.0;
 
-/// How fast the usual load is forgotten without any report.
+/// How fast a target's usual load gives way to that of its region without any
+/// report.
 const FORGET_MS: f64 = 4_000.0;
 
 /// How fast a reported pace gives way to the usual one. It changes many times a
@@ -28,6 +29,9 @@
 /// The weight of a report in the usual load.
 const USUAL_GAIN: f64 = 0.15;
 
+/// The weight of a report in the load of a region.
+const LEVEL_GAIN: f64 = 0.1;
+
 /// The pace of a target without neighbours, in percent.
 const USUAL_PACE: f64 = 100.0;
 
@@ -65,13 +69,15 @@
         self.reported = Some(now);
     }
 
-    /// Returns the requests that are there now, as far as is known.
-    pub fn total(&self, now: Millis) -> f64 {
+    /// Returns the requests that are there now, as far as is known. What is not
+    /// known of this target is taken to be as at the `others` of its region.
+    pub fn total(&self, now: Millis, others: f64) -> f64 {
         let Some(age) = self.age_ms(now) else {
-            return f64::from(self.own);
+            return f64::from(self.own) + others;
         };
         let fresh = fade(age, FADE_MS);
-        let usual = self.usual * fade(age, FORGET_MS);
+        let kept = fade(age, FORGET_MS);
+        let usual = self.usual * kept + others * (1.0 - kept);
         f64::from(self.own) + self.others * fresh + usual * (1.0 - fresh)
     }
 
@@ -90,6 +96,33 @@
     }
 }
 
+/// The load of the targets of one region that reports show lately, for each slot.
+///
+/// With many entries each one hears seldom of a single target, but often of some
+/// target of a region.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Level {
+    part: f64,
+    at: Millis,
+}
+
+impl Level {
+    /// Adopts a report.
+    pub fn report(&mut self, now: Millis, report: &Report) {
+        let all = f64::from(report.running + report.waiting);
+        let part = all / f64::from(report.slots.max(1));
+        self.part = self.part(now) + (part - self.part(now)) * LEVEL_GAIN;
+        self.at = now;
+    }
+
+    /// Returns the requests for each slot.
+    pub fn part(&self, now: Millis) -> f64 {
+        #[expect(clippy::cast_precision_loss)]
+        let age = (now - self.at).0 as f64;
+        self.part * fade(age, FORGET_MS)
+    }
+}
+
 /// Returns how much of a value is left after a time.
 fn fade(age_ms: f64, scale_ms: f64) -> f64 {
     (-age_ms / scale_ms).exp()
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -2,7 +2,12 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::{choose::Ticket, load::Report, target::Target, work::Work};
+use super::{
+    choose::Ticket,
+    load::{Level, Report},
+    target::Target,
+    work::Work,
+};
 use crate::{
     domain::{AzName, Instance, InstanceId, Millis, RegionName},
     policy::{
@@ -44,6 +49,8 @@
     pub(super) works: HashMap<u64, Work>,
     pub(super) overflow: Option<Overflow>,
     pub(super) budget: RetryBudget,
+    /// The load of each region's targets.
+    pub(super) levels: BTreeMap<RegionName, Level>,
     /// The most usable slots in the own region lately, and when that was.
     pub(super) slots: (f64, Millis),
     /// When the first target was added.
@@ -112,6 +119,9 @@
         target.load.own = target.load.own.saturating_sub(1);
         if let Some(report) = &report {
             target.load.report(now, report);
+            if let Some(region) = target.region.clone() {
+                self.levels.entry(region).or_default().report(now, report);
+            }
         }
         let left = target.load.own;
         match ending {
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -4,7 +4,9 @@
 
 use savorybeam::{
     domain::{Instance, InstanceId, InstanceState, Millis, Slots},
-    policy::balance::{Ask, Choice, Ending, Miss, Pool, Quota, Registry, Scene, Step},
+    policy::balance::{
+        Ask, Choice, Ending, Miss, Pool, Quota, Registry, Report, Scene, Step, Ticket,
+    },
 };
 
 use super::world::{addr, instance, region, rule, zones};
@@ -89,6 +91,35 @@
     assert_eq!(bench.spread(None), [0, 0, 10]);
 }
 
+/// Guards against targets that look idle because this entry has not heard of them
+/// lately, while every answer from their region tells of long queues.
+#[test]
+fn an_unseen_target_counts_as_loaded_as_its_region() {
+    let mut bench = Bench::new();
+    let full = Report {
+        running: 2,
+        waiting: 6,
+        slots: 2,
+        pace: 100,
+    };
+    let mut text = String::new();
+    for n in 0..12 {
+        let Ok(choice) = bench.choose(&["i-1".parse().expect("an id")]) else {
+            break;
+        };
+        let Ticket { id, load, .. } = &choice.ticket;
+        writeln!(text, "request {n}: {id} with {load:.1}").expect("a string");
+        bench.now = bench.now + Millis(120);
+        let report = (*id == instance(0, 0, 2).id).then_some(full);
+        let ending = Ending::Answered;
+        bench.pool.finish(bench.now, &choice.ticket, ending, report);
+    }
+    let unseen = bench.choose(&["i-0".parse().expect("an id"), "i-2".parse().expect("an id")]);
+    let unseen = unseen.map(|c| format!("{} with {:.1}", c.ticket.id, c.ticket.load));
+    writeln!(text, "unseen: {unseen:?}").expect("a string");
+    insta::assert_snapshot!(text);
+}
+
 /// Outlier ejection: failures in a row take a target out, and it is tried again
 /// later. Otherwise a dead one would fail each request that comes to it.
 #[test]
