Lay out the entry's modules, the store client and the command line without circles

Cause: nine files of app/entry, three of adapters/store and two of app/cli imported each other in a circle, so that no file could be read first.

Change: data that many use have files of their own (limits, locations, keys, observe, decisions, events, cli/addr, store/write); a slot gets what becomes of it as a closure and knows nothing of the state (slot, grants); the request is read in job; strikes are functions of state and job. No behaviour changes.

Checked: a script over the use lines finds no strongly connected component in the three folders; clippy is clean; store, path, admin, dev, faults_target, faults_drain, shape, cli, documents, grpc and lookup pass.

--- a/src/adapters/store/client.rs
+++ b/src/adapters/store/client.rs
@@ -35,7 +35,7 @@
 
 /// The largest message from the store: a full page of the largest values, and
 /// as much again as one value for keys and framing.
-const MESSAGE_MAX: usize = (super::etcd::PAGE + 1) * super::VALUE_MAX;
+const MESSAGE_MAX: usize = (super::PAGE + 1) * super::VALUE_MAX;
 
 /// How often an open connection is checked. A connection that has become silent
 /// ends the watches on it after this time and `PING_TIMEOUT`.
--- a/src/adapters/store/etcd.rs
+++ b/src/adapters/store/etcd.rs
@@ -14,26 +14,21 @@
 use tonic::{Status, Streaming};
 
 use super::{
-    Calls, VALUE_MAX, WATCH_BACKLOG,
+    Calls, PAGE, WATCH_BACKLOG,
     client::{Client, Step},
     lease::{self, Held},
     messages::{
-        self, Compare, CompareResult, CompareTarget, CompareValue, DeleteRangeRequest, Event,
-        EventKind, KeyValue, Operation, OperationResponse, PutRequest, RangeRequest, RangeResponse,
-        RequestOp, ResponseHeader, TxnRequest, TxnResponse, WatchCreateRequest, WatchRequest,
-        WatchRequestKind, WatchResponse,
+        self, CompareValue, DeleteRangeRequest, Event, EventKind, KeyValue, Operation,
+        RangeRequest, RangeResponse, WatchCreateRequest, WatchRequest, WatchRequestKind,
+        WatchResponse,
     },
+    write::{header, put, revision, transact},
 };
 use crate::{
     domain::{Millis, Revision, Shards},
     ports::{Fut, Record, Snapshot, Store, StoreError, Update, Write},
 };
 
-/// The keys in a page of a list. A page of the largest values is 64 MB, half of
-/// the memory that an entry may use for control; a page of usual documents is
-/// under 3 MB.
-pub(super) const PAGE: usize = 64;
-
 const GET: Step = Step {
     name: "get",
     path: messages::RANGE,
@@ -46,13 +41,6 @@
     ..GET
 };
 
-const WRITE: Step = Step {
-    name: "write",
-    path: messages::TXN,
-    count: Calls::write,
-    repeatable: false,
-};
-
 const WATCH: Step = Step {
     name: "watch",
     path: messages::WATCH,
@@ -153,73 +141,6 @@
     transact(client, key, condition, Some(operation)).await
 }
 
-/// Carries out an operation on a key under a condition, and returns the store's
-/// revision after it.
-pub(super) async fn transact(
-    client: &Client,
-    key: Bytes,
-    condition: CompareValue,
-    operation: Option<Operation>,
-) -> Result<Revision, StoreError> {
-    let target = match condition {
-        CompareValue::Version(_) => CompareTarget::Version,
-        CompareValue::CreateRevision(_) => CompareTarget::Create,
-        CompareValue::ModRevision(_) => CompareTarget::Mod,
-        CompareValue::Value(_) => CompareTarget::Value,
-        CompareValue::Lease(_) => CompareTarget::Lease,
-    };
-    let compare = Compare {
-        result: CompareResult::Equal.into(),
-        target: target.into(),
-        key: key.clone(),
-        value: Some(condition),
-    };
-    let found = Operation::Range(RangeRequest {
-        key,
-        keys_only: true,
-        ..RangeRequest::default()
-    });
-    let request = TxnRequest {
-        compare: vec![compare],
-        success: operation.into_iter().map(step).collect(),
-        failure: vec![step(found)],
-    };
-    let response: TxnResponse = client.unary(WRITE, request).await?;
-    if response.succeeded {
-        return Ok(revision(header(response.header)));
-    }
-    Err(StoreError::Conflict(found_revision(response)))
-}
-
-fn step(operation: Operation) -> RequestOp {
-    RequestOp {
-        request: Some(operation),
-    }
-}
-
-fn found_revision(response: TxnResponse) -> Revision {
-    let first = response.responses.into_iter().next();
-    match first.and_then(|r| r.response) {
-        Some(OperationResponse::Range(range)) => {
-            let found = range.kvs.first().map_or(0, |kv| kv.mod_revision);
-            revision(found)
-        }
-        _ => Revision::default(),
-    }
-}
-
-/// Returns a put, unless the value is too large.
-pub(super) fn put(key: Bytes, value: Bytes, lease: i64) -> Result<Operation, StoreError> {
-    if value.len() > VALUE_MAX {
-        return Err(StoreError::Down {
-            step: "write",
-            peer: "(none)".to_owned(),
-            cause: super::oversized(value.len()),
-        });
-    }
-    Ok(Operation::Put(PutRequest { key, value, lease }))
-}
-
 async fn watch(
     client: &Client,
     prefix: Bytes,
@@ -292,14 +213,6 @@
     }
 }
 
-fn header(header: Option<ResponseHeader>) -> i64 {
-    header.map_or(0, |h| h.revision)
-}
-
-fn revision(n: i64) -> Revision {
-    Revision(u64::try_from(n).unwrap_or_default())
-}
-
 /// Returns the first key of a range. The protocol has a zero byte for the first
 /// key of all.
 fn first_key(prefix: &Bytes) -> Bytes {
--- a/src/adapters/store/lease.rs
+++ b/src/adapters/store/lease.rs
@@ -12,11 +12,11 @@
 use super::{
     Calls,
     client::{Client, Step},
-    etcd::{put, transact},
     messages::{
         self, CompareValue, LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest,
         LeaseKeepAliveResponse,
     },
+    write::{put, transact},
 };
 use crate::{
     domain::{Millis, Revision, Shards},
--- a/src/adapters/store/mod.rs
+++ b/src/adapters/store/mod.rs
@@ -22,12 +22,18 @@
 pub mod record;
 pub mod roster;
 pub mod vms;
+mod write;
 
 pub use calls::{Calls, Counts};
 
 /// The largest value that the store holds, in bytes, as the platform states it.
 pub const VALUE_MAX: usize = 1 << 20;
 
+/// The keys in a page of a list. A page of the largest values is 64 MB, half of
+/// the memory that an entry may use for control; a page of usual documents is
+/// under 3 MB.
+const PAGE: usize = 64;
+
 /// How many updates a watch may be behind before it is ended. The reader then
 /// lists again, which costs less than an unbounded queue.
 const WATCH_BACKLOG: usize = 1_024;
--- a/src/app/cli/client.rs
+++ b/src/app/cli/client.rs
@@ -1,6 +1,6 @@
 //! Calls to the administration interface.
 
-use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
+use std::{fmt, time::Duration};
 
 use bytes::Bytes;
 use eyre::{WrapErr, bail, eyre};
@@ -11,8 +11,8 @@
 use serde_json::Value;
 use tokio::{net::TcpStream, time::timeout};
 
-use super::options::Access;
-use crate::domain::{ParseError, Revision};
+use super::{addr::AdminAddr, options::Access};
+use crate::domain::Revision;
 
 /// How long a connection may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -24,30 +24,6 @@
 /// The largest answer that is read, several times the largest timeline.
 const ANSWER_MAX: usize = 32 << 20;
 
-/// Where an entry is administered.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct AdminAddr(pub SocketAddr);
-
-impl FromStr for AdminAddr {
-    type Err = ParseError;
-
-    fn from_str(s: &str) -> Result<Self, ParseError> {
-        let addr = s.strip_prefix("http://").unwrap_or(s);
-        let addr = addr.trim_end_matches('/').parse().map(Self);
-        addr.map_err(|_| ParseError {
-            kind: "administration address",
-            found: s.to_owned(),
-            allowed: "an IP number and a port, as in 10.0.0.1:7002 or http://10.0.0.1:7002",
-        })
-    }
-}
-
-impl fmt::Display for AdminAddr {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "http://{}", self.0)
-    }
-}
-
 /// A request to the administration.
 #[derive(Clone, Debug)]
 pub(super) struct Ask {
--- a/src/app/cli/mod.rs
+++ b/src/app/cli/mod.rs
@@ -3,6 +3,7 @@
 //! Results go to standard output and logs to standard error, so that a result
 //! can be piped on. Exit codes are 0 for done, 1 for failed, 2 for wrong use.
 
+mod addr;
 mod check;
 mod client;
 mod dev;
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 
-use super::client::AdminAddr;
+use super::addr::AdminAddr;
 use crate::{
     domain::{PlaceName, Revision, ServiceName, TargetId},
     policy::timeline::{Part, Stamp},
--- a/src/app/entry/admin/mod.rs
+++ b/src/app/entry/admin/mod.rs
@@ -11,11 +11,8 @@
 mod auth;
 mod body;
 mod changes;
-mod decisions;
 mod documents;
 mod edit;
-mod events;
-mod observe;
 mod port;
 mod reply;
 mod timeline;
@@ -27,13 +24,8 @@
 use http::{Method, Request, Response};
 use volo_http::{body::Body, server::Router};
 
-pub use self::{
-    decisions::Decisions,
-    events::open as open_events,
-    observe::{Observer, Why},
-    port::port,
-    reply::render,
-};
+pub use self::{port::port, reply::render};
+pub use super::events::open as open_events;
 use crate::{
     adapters::{
         http::{self as web, BindError, Limits, Query, Server},
--- a/src/app/entry/admin/port.rs
+++ b/src/app/entry/admin/port.rs
@@ -2,10 +2,9 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use super::Observer;
 use crate::{
     adapters::grpc::Report,
-    app::entry::{Service, State, control},
+    app::entry::{Service, State, control, observe::Observer},
     domain::{Document, EntryId, LimitName, PlaceName, PlaceState, ServiceName, TargetId},
     policy::{limit, member, shift::Shift},
     ports::{
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -10,16 +10,15 @@
 
 use super::{
     State,
-    admin::Why,
     claims::{self, Claimed, Won},
-    crashes::admit,
-    inbound::Inbound,
-    job::Job,
+    crashes, grants,
+    job::{Inbound, Job},
+    limits::link_limit,
+    observe::Why,
     pacing::Pacer,
     reply,
     service::Service,
-    slot::{self, Slot},
-    state::link_limit,
+    slot::Slot,
 };
 use crate::{
     adapters::metrics::ServiceLabel,
@@ -43,14 +42,14 @@
 /// on.
 pub(super) async fn carry(state: &Arc<State>, inbound: Inbound) -> Result<Response<Body>, Refusal> {
     let job = Job::read(state, inbound).await?;
-    let trial = admit(state, &job)?;
+    let trial = crashes::admit(state, &job)?;
     let won = match claims::claim(state, &job).await? {
         Claimed::Unkeyed => None,
         Claimed::Won(won) => Some(won),
         Claimed::Answered(resp) => return Ok(resp),
     };
     let suspect = trial.is_some();
-    let slot = slot::acquire(state, &job).await?;
+    let slot = grants::acquire(state, &job).await?;
     let run = Run {
         state,
         job,
@@ -66,18 +65,18 @@
 }
 
 /// The attempts of one request.
-pub(super) struct Run<'a> {
-    pub(super) state: &'a Arc<State>,
-    pub(super) job: Job,
-    pub(super) won: Option<Won>,
+struct Run<'a> {
+    state: &'a Arc<State>,
+    job: Job,
+    won: Option<Won>,
     /// Whether its shape has broken a connection before.
-    pub(super) suspect: bool,
-    pub(super) sending: FuturesUnordered<Sending>,
-    pub(super) tried: Vec<TargetId>,
-    pub(super) hedged: bool,
+    suspect: bool,
+    sending: FuturesUnordered<Sending>,
+    tried: Vec<TargetId>,
+    hedged: bool,
     /// Whether a target may have seen it.
-    pub(super) sent: bool,
-    pub(super) first: Millis,
+    sent: bool,
+    first: Millis,
 }
 
 impl Run<'_> {
@@ -106,7 +105,7 @@
         }
     }
 
-    pub(super) fn now(&self) -> Millis {
+    fn now(&self) -> Millis {
         (self.state.ports.clock.now)()
     }
 
@@ -143,10 +142,11 @@
             ..Outbound::new(target, request)
         };
         let send = (self.state.ports.targets.send)(out);
+        let clock = self.state.ports.clock.clone();
         self.sending.push(Box::pin(async move {
             let result = send.await;
             if result.is_ok() {
-                slot.answered();
+                slot.answered((clock.now)());
             }
             (slot, result)
         }));
@@ -161,9 +161,9 @@
             (n, true) => format!("hedge after {n} attempts"),
             (n, false) => format!("retry after {n} attempts"),
         };
-        let state = &slot.choice.state;
+        let state = &slot.choice().state;
         Why {
-            place: slot.choice.place.to_string(),
+            place: slot.choice().place.to_string(),
             reason: format!("{kind}, lane {}, target {state:?}", job.lane),
         }
     }
@@ -221,7 +221,7 @@
             self.hedged = true;
             return;
         }
-        match slot::acquire_extra(self.state, &self.job, &self.tried) {
+        match grants::acquire_extra(self.state, &self.job, &self.tried) {
             Some(slot) => {
                 self.hedged = true;
                 let hedges = &self.state.ports.metrics.hedges;
@@ -268,7 +268,9 @@
                 .unwrap_or_else(PoisonError::into_inner);
             successes.insert(self.job.fingerprint, now);
             drop(successes);
-            self.absolve();
+            if self.suspect {
+                crashes::absolve(self.state, &self.job);
+            }
         }
         let pacer = self.pacer(&slot);
         Ok(Some(reply::pass(resp, slot, self.won.take(), pacer)))
@@ -294,7 +296,7 @@
 
     /// Returns the pace of an answer that comes from another region.
     fn pacer(&self, slot: &Slot) -> Option<Pacer> {
-        let place = &slot.choice.place;
+        let place = &slot.choice().place;
         let region = self
             .state
             .services
@@ -314,7 +316,7 @@
         let sent = matches!(e, SendError::Unknown { .. });
         self.sent |= sent;
         if sent {
-            self.strike(&e).await;
+            self.suspect |= crashes::strike(self.state, &self.job, &e).await;
         } else if let Some(won) = &mut self.won {
             won.unsent();
         }
@@ -348,14 +350,14 @@
             return false;
         };
         tokio::time::sleep(delay.duration()).await;
-        if let Some(slot) = slot::acquire_extra(self.state, &self.job, &self.tried) {
+        if let Some(slot) = grants::acquire_extra(self.state, &self.job, &self.tried) {
             let retries = &self.state.ports.metrics.retries;
             retries.get_or_create(&self.label()).inc();
             return self.send(slot).is_ok();
         }
         if !sent {
             // It has not run anywhere, so it may wait for a slot once more.
-            return match slot::acquire(self.state, &self.job).await {
+            return match grants::acquire(self.state, &self.job).await {
                 Ok(slot) => self.send(slot).is_ok(),
                 Err(_) => false,
             };
--- a/src/app/entry/claims.rs
+++ b/src/app/entry/claims.rs
@@ -1,6 +1,6 @@
 //! Claims of keyed requests.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use http::{HeaderName, HeaderValue, StatusCode};
@@ -11,128 +11,20 @@
 use super::{State, job::Job};
 use crate::{
     adapters::grpc,
-    domain::{Millis, Shards, Size},
+    domain::Millis,
     policy::{
         once::{
-            Answer, AttemptId, Bucket, ClaimKey, Claimant, Decision, HomeSet, Limits, Member,
-            Outbox, Page, Register, Request, Response, Roster, Vote,
+            Answer, AttemptId, ClaimKey, Claimant, Decision, HomeSet, Member, Request, Response,
+            Vote,
         },
         refusal::Refusal,
     },
     ports::Body,
 };
 
-/// The most claims of a service at one home. At about 200 bytes each this is 20
-/// MB of the memory that an entry has for control.
-const LIMITS: Limits = Limits {
-    claims: 100_000,
-    answers: Size::kib(16 * 1024),
-};
-
 /// How long homes may take to vote. A round trip between regions takes 70 ms.
 const VOTE: Millis = Millis(1_000);
 
-/// How many releases and answers may be on their way to homes.
-const OUTBOX: usize = 4_096;
-
-/// The registers of the buckets of which this entry is a home. A shard's lock
-/// guards the epoch of a register together with its claims.
-#[derive(Debug)]
-pub struct Claims {
-    me: Member,
-    registers: Shards<Bucket, Register>,
-    outbox: Mutex<Outbox>,
-}
-
-impl Claims {
-    /// Returns registers that do not vote yet.
-    #[must_use]
-    pub fn new(me: Member) -> Self {
-        Self {
-            me,
-            registers: Shards::new(),
-            outbox: Mutex::new(Outbox::new(OUTBOX)),
-        }
-    }
-
-    /// Locks the releases and answers that are on their way to homes.
-    pub(super) fn outbox(&self) -> MutexGuard<'_, Outbox> {
-        self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Adopts a roster and the one before it.
-    pub(super) fn adopt(&self, [current, former]: &[Roster; 2]) {
-        let newest = |request: &Request| current.homes(request.bucket());
-        self.outbox().on_roster(newest);
-        for bucket in Bucket::all() {
-            let (new, old) = (current.homes(bucket), former.homes(bucket));
-            if new.contains(&self.me) {
-                let open = || {
-                    Register::new(
-                        self.me.clone(),
-                        bucket,
-                        LIMITS.share(u32::from(Bucket::COUNT)),
-                    )
-                };
-                self.registers.with(bucket, open, |r| r.adopt(&old, &new));
-            } else {
-                self.registers.get(&bucket, |r| r.adopt(&old, &new));
-            }
-        }
-    }
-
-    /// Answers a request of an entry. A home that has never been one refuses.
-    pub(super) fn handle(&self, request: &Request, now: Millis) -> Response {
-        let bucket = request.bucket();
-        let open = || {
-            Register::new(
-                self.me.clone(),
-                bucket,
-                LIMITS.share(u32::from(Bucket::COUNT)),
-            )
-        };
-        self.registers
-            .with(bucket, open, |r| r.handle(request, now))
-    }
-
-    /// Returns this life of this entry.
-    #[must_use]
-    pub fn me(&self) -> &Member {
-        &self.me
-    }
-
-    /// Returns what has to be read from former homes, and forgets what is old.
-    pub(super) fn tick(&self, now: Millis) -> Vec<(Member, Request)> {
-        let mut reads = Vec::new();
-        self.registers.each(|_, r| {
-            r.tick(now);
-            reads.extend(
-                r.reads()
-                    .into_iter()
-                    .map(|(m, read)| (m, Request::Read(read))),
-            );
-        });
-        reads
-    }
-
-    /// Takes a page of a former home.
-    pub(super) fn on_page(&self, from: &Member, page: Page, now: Millis) {
-        let bucket = page.read.bucket;
-        self.registers.get(&bucket, |r| r.on_page(from, page, now));
-    }
-
-    /// Returns how many buckets vote, and how many claims they hold.
-    #[must_use]
-    pub fn counts(&self) -> (usize, usize) {
-        let (mut ready, mut claims) = (0, 0);
-        self.registers.each(|_, r| {
-            ready += usize::from(r.is_ready());
-            claims += r.len();
-        });
-        (ready, claims)
-    }
-}
-
 impl State {
     /// Returns the homes of a key.
     fn homes(&self, key: &ClaimKey) -> HomeSet {
@@ -178,7 +70,7 @@
         home: &Member,
         request: Request,
     ) -> Option<Response> {
-        if *home == self.claims.me {
+        if *home == *self.claims.me() {
             return Some(self.claims.handle(&request, (self.ports.clock.now)()));
         }
         let address = self.fleet.address(&home.entry)?;
@@ -264,7 +156,7 @@
         key: key.clone(),
         fingerprint: job.fingerprint,
         attempt: AttemptId(rand::rng().random()),
-        claimant: state.claims.me.clone(),
+        claimant: state.claims.me().clone(),
         epoch: homes.epoch,
     };
     let mut won = Won {
--- a/src/app/entry/control/documents.rs
+++ b/src/app/entry/control/documents.rs
@@ -8,7 +8,7 @@
         ini::{parse_document, print_document},
         store::{documents::Arrival, roster as encoding},
     },
-    app::entry::State,
+    app::entry::{State, fleet::ROSTER},
     domain::{Revision, ServiceName},
     policy::{
         document::{Adoption, Content},
@@ -16,10 +16,6 @@
     },
 };
 
-/// The name under which the roster is disseminated beside the documents. No
-/// service has it, since a service's name does not begin with a dot.
-pub(in crate::app::entry) const ROSTER: &str = ".roster";
-
 /// Puts a revision in force and tells the peers.
 pub(super) fn arrive(state: &Arc<State>, arrival: Arrival) {
     let Arrival {
--- a/src/app/entry/control/mod.rs
+++ b/src/app/entry/control/mod.rs
@@ -35,7 +35,6 @@
 };
 
 pub(super) use self::{
-    documents::ROSTER,
     reports::{gather_events, gather_reports},
     roster::leave_roster,
     strikes::notify,
--- a/src/app/entry/crashes.rs
+++ b/src/app/entry/crashes.rs
@@ -2,9 +2,9 @@
 
 use std::sync::{Arc, PoisonError};
 
-use super::{State, carry::Run, control, job::Job};
+use super::{State, control, job::Job, service::Service};
 use crate::{
-    domain::TargetId,
+    domain::{Millis, TargetId},
     policy::{
         crash::{Admission, Ending, Failure, Stage, is_strike},
         once::Fingerprint,
@@ -50,74 +50,59 @@
     }
 }
 
-impl Run<'_> {
-    /// Clears the strikes against a request that was executed after all.
-    pub(super) fn absolve(&self) {
-        if !self.suspect {
-            return;
-        }
-        let cleared = {
-            let strikes = self.state.strikes.lock();
-            let mut strikes = strikes.unwrap_or_else(PoisonError::into_inner);
-            strikes.clear(self.job.fingerprint, self.now())
-        };
-        if let Some(strike) = cleared {
-            let state = self.state.clone();
-            tokio::spawn(async move { control::notify(&state, strike).await });
-        }
+/// Clears the strikes against a request that was executed after all.
+pub(super) fn absolve(state: &Arc<State>, job: &Job) {
+    let now = (state.ports.clock.now)();
+    let cleared = {
+        let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
+        strikes.clear(job.fingerprint, now)
+    };
+    if let Some(strike) = cleared {
+        let state = state.clone();
+        tokio::spawn(async move { control::notify(&state, strike).await });
     }
+}
 
-    /// Counts a broken connection against the request.
-    pub(super) async fn strike(&mut self, e: &SendError) {
-        let SendError::Unknown {
-            broken: true, peer, ..
-        } = e
-        else {
-            return;
-        };
-        let now = self.now();
-        let failure = Failure {
-            stage: Stage::Written,
-            ending: Ending::Broken,
-            leaving: self.is_leaving(*peer),
-        };
-        let fingerprint = self.job.fingerprint;
-        let known = {
-            let successes = self
-                .state
-                .successes
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            successes.contains(fingerprint, now)
-        };
-        if !is_strike(failure, known) {
-            return;
-        }
-        let text = format!(
-            "a request to {} broke the connection to {peer}",
-            self.job.service
-        );
-        (self.state.events.emit)(Kind::RequestStruck, text);
-        self.suspect = true;
-        let strike = {
-            let mut strikes = self
-                .state
-                .strikes
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            strikes.strike(fingerprint, now)
-        };
-        // The caller may repeat the request through another entry as soon as it
-        // has its answer, so the others have to know first.
-        control::notify(self.state, strike).await;
+/// Counts a broken connection against the request. Returns whether it counts.
+pub(super) async fn strike(state: &Arc<State>, job: &Job, e: &SendError) -> bool {
+    let SendError::Unknown {
+        broken: true, peer, ..
+    } = e
+    else {
+        return false;
+    };
+    let now = (state.ports.clock.now)();
+    let failure = Failure {
+        stage: Stage::Written,
+        ending: Ending::Broken,
+        leaving: is_leaving(state, job, *peer, now),
+    };
+    let fingerprint = job.fingerprint;
+    let known = {
+        let successes = state.successes.lock();
+        let successes = successes.unwrap_or_else(PoisonError::into_inner);
+        successes.contains(fingerprint, now)
+    };
+    if !is_strike(failure, known) {
+        return false;
     }
+    let text = format!(
+        "a request to {} broke the connection to {peer}",
+        job.service
+    );
+    (state.events.emit)(Kind::RequestStruck, text);
+    let strike = {
+        let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
+        strikes.strike(fingerprint, now)
+    };
+    // The caller may repeat the request through another entry as soon as it has
+    // its answer, so the others have to know first.
+    control::notify(state, strike).await;
+    true
+}
 
-    fn is_leaving(&self, target: TargetId) -> bool {
-        let now = self.now();
-        let state = self
-            .state
-            .services
-            .get(&self.job.service, |s| s.pool.state(now, target));
-        state.flatten() == Some(target::State::Leaving)
-    }
+fn is_leaving(state: &State, job: &Job, target: TargetId, now: Millis) -> bool {
+    let known = |s: &mut Service| s.pool.state(now, target);
+    let known = state.services.get(&job.service, known);
+    known.flatten() == Some(target::State::Leaving)
 }
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -22,6 +22,10 @@
     ports::Events,
 };
 
+/// The name under which the roster is disseminated beside the documents. No
+/// service has it, since a service's name does not begin with a dot.
+pub(super) const ROSTER: &str = ".roster";
+
 /// How long a call to another entry may take. A round trip between regions takes
 /// 70 ms.
 const CALL: Millis = Millis(1_000);
--- a/src/app/entry/inbound.rs
+++ b/src/app/entry/inbound.rs
@@ -7,10 +7,10 @@
 use volo::net::Address;
 use volo_http::{body::Body, server::Router};
 
-use super::{State, carry, lookup};
+use super::{State, carry, job::Inbound, lookup};
 use crate::{
     adapters::http::answer,
-    domain::{Millis, Priority, ServiceName},
+    domain::{Millis, ServiceName},
     policy::refusal::{Code, Refusal},
 };
 
@@ -32,21 +32,6 @@
     Router::new().fallback(handler)
 }
 
-/// A request of a caller, with what its head says of how to carry it.
-#[derive(Debug)]
-pub(super) struct Inbound {
-    /// The service that the Host header names.
-    pub service: ServiceName,
-    /// The caller's deadline, if it has one.
-    pub deadline: Option<Millis>,
-    /// The key under which a repeat is recognised.
-    pub key: Option<String>,
-    /// The priority, if the caller lowers it.
-    pub priority: Option<Priority>,
-    /// The request.
-    pub request: Request<crate::ports::Body>,
-}
-
 async fn handle(state: &Arc<State>, client: &Address, req: Request<Body>) -> Response<Body> {
     let host = host(&req);
     let service = host.and_then(|h| h.parse::<ServiceName>().ok());
--- a/src/app/entry/job.rs
+++ b/src/app/entry/job.rs
@@ -4,7 +4,7 @@
 
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 
-use super::{State, inbound::Inbound};
+use super::State;
 use crate::{
     adapters::http::{Content, strip_hop_by_hop},
     domain::{Lane, Millis, Priority, ServiceName},
@@ -21,6 +21,21 @@
 /// fingerprint covers.
 const KEPT: usize = 64 * 1024;
 
+/// A request of a caller, with what its head says of how to carry it.
+#[derive(Debug)]
+pub(super) struct Inbound {
+    /// The service that the Host header names.
+    pub service: ServiceName,
+    /// The caller's deadline, if it has one.
+    pub deadline: Option<Millis>,
+    /// The key under which a repeat is recognised.
+    pub key: Option<String>,
+    /// The priority, if the caller lowers it.
+    pub priority: Option<Priority>,
+    /// The request.
+    pub request: Request<Body>,
+}
+
 /// A request with everything that decisions about it need.
 #[derive(Debug)]
 pub(super) struct Job {
--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -3,16 +3,29 @@
 //! [`spawn`] starts it and returns a handle. There is no other role: each entry
 //! answers look-ups, carries requests, and takes its part of the control work,
 //! so that any VM can be replaced by any other.
+//!
+//! A request passes these modules in one direction: `inbound` accepts it, `job`
+//! reads it, `crashes` and `claims` tell whether it may run, `grants` waits for a
+//! `slot`, `carry` sends it, `reply` passes the answer on. They work on `state`,
+//! whose parts (`service`, `keys`, `locations`, `observe`, `events`) know nothing
+//! of them.
 
 pub mod admin;
 mod carry;
 mod claims;
 mod control;
 mod crashes;
+mod decisions;
+mod events;
 mod fleet;
+mod grants;
 mod inbound;
 mod job;
+mod keys;
+mod limits;
+mod locations;
 mod lookup;
+mod observe;
 mod pacing;
 mod places;
 mod reply;
--- a/src/app/entry/admin/observe.rs
+++ b/src/app/entry/observe.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use prometheus_client::metrics::gauge::Gauge;
 
-use super::Decisions;
+use super::decisions::Decisions;
 use crate::{
     adapters::metrics::{Metrics, ServiceLabel},
     domain::{Millis, ServiceName, Shards, TargetId},
--- a/src/app/entry/places.rs
+++ b/src/app/entry/places.rs
@@ -3,8 +3,8 @@
 use rand::Rng;
 
 use super::{
+    limits::region_limit,
     service::{Service, free},
-    state::region_limit,
 };
 use crate::{
     domain::{LimitName, Millis, PlaceName, RegionName, Shards},
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -5,7 +5,7 @@
 use rand::Rng;
 use tokio::sync::oneshot;
 
-use super::{slot::Slot, state::slots_limit};
+use super::{limits::slots_limit, slot::Slot};
 use crate::{
     domain::{
         Document, Lane, LimitName, Millis, PlaceName, RegionName, Revision, ServiceName, Shards,
--- a/src/app/entry/slot.rs
+++ b/src/app/entry/slot.rs
@@ -1,71 +1,80 @@
-//! Slots: waiting for one, holding one, giving it back.
+//! Slots of targets in use.
 
-use std::sync::Arc;
+use std::{fmt, sync::Arc};
 
-use tokio::{sync::oneshot, time::timeout};
+use tokio::sync::oneshot;
 
-use super::{
-    State,
-    job::Job,
-    service::{End, Granted, Service},
-    state::{region_limit, shift_limit, slots_limit},
-};
 use crate::{
-    domain::{Lane, Millis, PlaceName, RegionName, ServiceName, TargetId},
+    domain::{Lane, Millis, ServiceName, TargetId},
     policy::{
         limit::Permit,
-        queue::WaitId,
-        refusal::{Code, Refusal},
         target::{Choice, Finish},
     },
     ports::Hold,
 };
 
+/// What becomes of a slot that is given back.
+pub(super) type Back = Arc<dyn Fn(Used) + Send + Sync>;
+
+/// A slot that is given back, with what it was used for.
+#[derive(Debug)]
+pub(super) struct Used {
+    /// The service.
+    pub service: ServiceName,
+    /// The route under which the duration is learned.
+    pub route: String,
+    /// The lane.
+    pub lane: Lane,
+    /// The target and its place.
+    pub choice: Choice,
+    /// The right to use the slot.
+    pub permit: Permit,
+    /// When the slot was taken.
+    pub started: Millis,
+    /// How long the head of the answer took, if it arrived.
+    pub head: Option<Millis>,
+    /// How the request ended.
+    pub finish: Finish,
+}
+
 /// A target's slot in use by one request.
 ///
 /// Dropping it gives the slot back, whatever the reason. A cancelled request
 /// gives it back as soon as the target has stopped working on it.
-#[derive(Debug)]
 pub(super) struct Slot {
-    state: Arc<State>,
-    service: ServiceName,
-    route: String,
-    lane: Lane,
-    /// The target and its place.
-    pub choice: Choice,
-    permit: Option<Permit>,
-    started: Millis,
-    head: Option<Millis>,
-    finish: Finish,
+    used: Option<Used>,
+    target: Choice,
     /// Resolves when the target has ended the request, once it was sent.
     ended: Option<oneshot::Receiver<()>>,
+    back: Back,
+}
+
+impl fmt::Debug for Slot {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Slot({:?})", self.used)
+    }
 }
 
 impl Slot {
-    fn new(
-        state: &Arc<State>,
-        service: &ServiceName,
-        lane: Lane,
-        choice: Choice,
-        permit: Permit,
-    ) -> Self {
+    /// Returns a slot that goes to `back` in the end. It counts as cancelled until
+    /// something else is noted.
+    pub fn new(used: Used, back: Back) -> Self {
         Self {
-            state: state.clone(),
-            service: service.clone(),
-            route: String::new(),
-            lane,
-            choice,
-            permit: Some(permit),
-            started: (state.ports.clock.now)(),
-            head: None,
-            finish: Finish::Cancelled,
+            target: used.choice.clone(),
+            used: Some(used),
             ended: None,
+            back,
         }
     }
 
+    /// Returns the target and its place.
+    pub fn choice(&self) -> &Choice {
+        &self.target
+    }
+
     /// Returns the target.
     pub fn target(&self) -> TargetId {
-        self.choice.target
+        self.target.target
     }
 
     /// Returns what the adapter holds as long as the target may work on the
@@ -76,207 +85,44 @@
         Arc::new(hold)
     }
 
-    /// Returns a copy of a cancelled slot that gives the unit back later.
-    fn later(&mut self) -> Option<(oneshot::Receiver<()>, Self)> {
-        let ended = self.ended.take()?;
-        let permit = self.permit.take()?;
-        let rest = Self {
-            state: self.state.clone(),
-            service: self.service.clone(),
-            route: std::mem::take(&mut self.route),
-            lane: self.lane,
-            choice: self.choice.clone(),
-            permit: Some(permit),
-            started: self.started,
-            head: self.head,
-            finish: self.finish,
-            ended: None,
-        };
-        Some((ended, rest))
-    }
-
     /// Names the route under which the duration is learned.
     pub fn set_route(&mut self, route: &str) {
-        route.clone_into(&mut self.route);
+        if let Some(used) = &mut self.used {
+            route.clone_into(&mut used.route);
+        }
     }
 
     /// Notes that the head of the answer arrived.
-    pub fn answered(&mut self) {
-        self.head = Some((self.state.ports.clock.now)() - self.started);
+    pub fn answered(&mut self, now: Millis) {
+        if let Some(used) = &mut self.used {
+            used.head = Some(now - used.started);
+        }
     }
 
     /// Notes how the request ended. Without this it counts as cancelled.
     pub fn finish(&mut self, finish: Finish) {
-        self.finish = finish;
+        if let Some(used) = &mut self.used {
+            used.finish = finish;
+        }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        if self.finish == Finish::Cancelled
-            && let Some((ended, rest)) = self.later()
-        {
-            // The target runs a cancelled request until it sees the connection
-            // close. The next request would be one too many before that.
-            tokio::spawn(async move {
-                let _ = ended.await;
-                drop(rest);
-            });
+        let Some(used) = self.used.take() else {
             return;
-        }
-        let now = (self.state.ports.clock.now)();
-        let total = now - self.started;
-        let end = End {
-            finish: self.finish,
-            head: self.head.unwrap_or(total),
-            total,
-            route: &self.route,
         };
-        let (lane, choice) = (self.lane, &self.choice);
-        self.state
-            .services
-            .get(&self.service, |s| s.ended(now, lane, choice, end));
-        if let Some(permit) = self.permit.take() {
-            let limit = slots_limit(choice.target);
-            let release = self.state.limits.get(&limit, |l| l.release(permit, now));
-            self.state.post(release.unwrap_or_default());
-        }
-        self.state.pump(&self.service);
-    }
-}
-
-/// A place in the queue, which is given up when its caller goes away.
-struct Wait<'a> {
-    state: &'a Arc<State>,
-    service: &'a ServiceName,
-    id: WaitId,
-}
-
-impl Drop for Wait<'_> {
-    fn drop(&mut self) {
-        let cancel = |s: &mut Service| s.queue.cancel(self.id);
-        self.state.services.get(self.service, cancel);
-    }
-}
-
-/// Waits for a slot.
-///
-/// # Errors
-///
-/// Refuses the request, which has not run, if it gets none in time.
-pub(super) async fn acquire(state: &Arc<State>, job: &Job) -> Result<Slot, Refusal> {
-    let now = (state.ports.clock.now)();
-    let place = place_in_time(state, job).await?;
-    let (grant, granted) = oneshot::channel();
-    let ticket = job.ticket(now);
-    let offer = |s: &mut Service| s.offer(now, &mut rand::rng(), ticket, place, grant);
-    let (id, displaced) = state
-        .services
-        .get(&job.service, offer)
-        .ok_or_else(|| job.unknown())??;
-    if let Some((grant, refusal)) = displaced {
-        let _ = grant.send(Err(refusal));
-    }
-    let service = &job.service;
-    let wait = Wait { state, service, id };
-    state.pump(&job.service);
-    let left = job.deadline - now;
-    let result = timeout(left.duration(), granted).await;
-    drop(wait);
-    let Ok(Ok(result)) = result else {
-        let detail = format!("queue: no slot within {left}");
-        return Err(Refusal::not_run(Code::Overloaded, detail).retry_after(Millis(1_000)));
-    };
-    let mut slot = result?;
-    slot.set_route(&job.route);
-    Ok(slot)
-}
-
-/// Takes a slot for a retry or a hedge, if there is one at once.
-pub(super) fn acquire_extra(state: &Arc<State>, job: &Job, avoid: &[TargetId]) -> Option<Slot> {
-    let now = (state.ports.clock.now)();
-    let take =
-        |s: &mut Service| s.take_extra(now, &mut rand::rng(), job.lane, avoid, &state.limits);
-    let (choice, permit) = state.services.get(&job.service, take).flatten()?;
-    let mut slot = Slot::new(state, &job.service, job.lane, choice, permit);
-    slot.set_route(&job.route);
-    Some(slot)
-}
-
-/// How long a request waits for units of a rate limit that this entry has just
-/// asked for. A round trip between regions takes 70 ms.
-const UNITS: Millis = Millis(300);
-
-/// How often it looks for them.
-const LOOK: Millis = Millis(10);
-
-/// Chooses the place of a request. If a limit is short of units here, the
-/// request waits until other entries could have lent some.
-async fn place_in_time(state: &Arc<State>, job: &Job) -> Result<PlaceName, Refusal> {
-    let now = || (state.ports.clock.now)();
-    let until = job.deadline.min(now() + UNITS);
-    loop {
-        match place(state, job) {
-            Err(refusal) if refusal.code == Code::Limited && now() < until => {
-                tokio::time::sleep(LOOK.duration()).await;
+        let back = self.back.clone();
+        match self.ended.take() {
+            Some(ended) if used.finish == Finish::Cancelled => {
+                // The target runs a cancelled request until it sees the connection
+                // close. The next request would be one too many before that.
+                tokio::spawn(async move {
+                    let _ = ended.await;
+                    back(used);
+                });
             }
-            result => return result,
-        }
-    }
-}
-
-/// Chooses the place of a request under the limits of shift and region.
-fn place(state: &Arc<State>, job: &Job) -> Result<PlaceName, Refusal> {
-    let cap = shift_limit(&job.service);
-    let headroom = |r: &RegionName| state.admit(&region_limit(r));
-    let choose = |s: &mut Service| {
-        if let Some(place) = s.local_place(&mut rand::rng(), headroom) {
-            return Ok(place);
-        }
-        let shift = s.shift.as_mut().ok_or_else(|| job.unknown())?;
-        let place = shift.choose_place(&mut rand::rng(), || state.admit(&cap), headroom);
-        place.map(|p| p.name.clone())
-    };
-    let chosen = state.services.get(&job.service, choose);
-    chosen.unwrap_or_else(|| Err(job.unknown()))
-}
-
-impl State {
-    /// Starts waiting requests of all services.
-    pub(super) fn pump_waiting(self: &Arc<Self>) {
-        let mut waiting = Vec::new();
-        self.services.each(|name, s| {
-            if s.waiting() > 0 {
-                waiting.push(name.clone());
-            }
-        });
-        for name in waiting {
-            self.pump(&name);
-        }
-    }
-
-    /// Starts waiting requests of a service as far as units allow. It is called
-    /// whenever a request arrives or ends and whenever units arrive.
-    pub(super) fn pump(self: &Arc<Self>, service: &ServiceName) {
-        let now = (self.ports.clock.now)();
-        let next = |s: &mut Service| s.next(now, &mut rand::rng(), &self.limits);
-        let Some(progress) = self.services.get(service, next) else {
-            return;
-        };
-        self.post(progress.messages);
-        for (grant, refusal) in progress.refused {
-            let _ = grant.send(Err(refusal));
-        }
-        for granted in progress.granted {
-            let Granted {
-                grant,
-                choice,
-                lane,
-                permit,
-            } = granted;
-            let slot = Slot::new(self, service, lane, choice, permit);
-            // If the caller is gone, the slot comes back here and is dropped.
-            let _ = grant.send(Ok(slot));
+            _ => back(used),
         }
     }
 }
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -8,18 +8,16 @@
 use tokio::sync::mpsc;
 
 use super::{
-    Ports, Service,
-    admin::{self, Observer},
-    claims::Claims,
+    Ports, Service, events,
     fleet::{self, Fleet, Rosters},
-    lookup::Locations,
+    keys::Claims,
+    limits::{link_limit, region_limit, shift_limit, slots_limit},
+    locations::Locations,
+    observe::Observer,
 };
 use crate::{
     adapters::{ini::Settings, store::roster::RosterRecord},
-    domain::{
-        Document, Incarnation, LimitName, RegionName, Revision, ServiceName, Shards, Slots,
-        TargetId,
-    },
+    domain::{Document, Incarnation, LimitName, Revision, ServiceName, Shards, Slots, TargetId},
     policy::{
         crash::{Strikes, Successes},
         document::{Adoption, Content},
@@ -93,7 +91,7 @@
             entry: me.entry.clone(),
             incarnation: me.incarnation,
         };
-        let events = admin::open_events(me.entry.clone(), &ports.clock, &ports.metrics);
+        let events = events::open(me.entry.clone(), &ports.clock, &ports.metrics);
         let observer = Observer::new(ports.clock.clone(), ports.metrics.clone());
         ports.targets = observer.wrap(ports.targets);
         let state = Self {
@@ -228,7 +226,7 @@
             let mut members = self.fleet.members();
             members.remove(&seat.entry, seat.incarnation);
         }
-        if let Ok(name) = super::control::ROSTER.parse() {
+        if let Ok(name) = fleet::ROSTER.parse() {
             self.fleet.spread().adopted(&name, Revision(epoch.0));
         }
         (self.events.emit)(
@@ -348,35 +346,3 @@
     let former = record.former.seats.iter();
     former.filter(|s| !kept.contains(s)).cloned().collect()
 }
-
-fn limit_name(text: &str) -> LimitName {
-    // The parts are valid names already, and their sum is shorter than a limit's
-    // name may be.
-    text.parse().unwrap_or_else(|e| unreachable!("{e}"))
-}
-
-/// Returns the name of a target's limit.
-#[must_use]
-pub fn slots_limit(target: TargetId) -> LimitName {
-    let text = target.to_string();
-    // IPv6 addresses print with brackets, which names do not have.
-    limit_name(&format!("slots/{}", text.replace(['[', ']'], "")))
-}
-
-/// Returns the name of a region's limit.
-#[must_use]
-pub fn region_limit(region: &RegionName) -> LimitName {
-    limit_name(&format!("region/{region}"))
-}
-
-/// Returns the name of the limit of a link in one direction.
-#[must_use]
-pub fn link_limit(from: &RegionName, to: &RegionName) -> LimitName {
-    limit_name(&format!("link/{from}/{to}"))
-}
-
-/// Returns the name of the cap on a service's shifts.
-#[must_use]
-pub fn shift_limit(service: &ServiceName) -> LimitName {
-    limit_name(&format!("shift/{service}"))
-}
