Log seeds that do not answer and poll the store in one place

Read as a newcomer: an error of a seed was dropped without a line, the choice of the upstream sorted by cloned names, and two arms of the feed's step polled the store with the same lines.

--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -78,7 +78,7 @@
     after: Option<Revision>,
     /// How long the next call to the store may take.
     limit: Millis,
-    /// The pause after the next failure.
+    /// The time from the next call that fails to the one after it.
     pause: Millis,
     lost: bool,
 }
@@ -108,28 +108,19 @@
             let near = entries.within(&settings.region);
             self.upstreams.choose(start, &settings.name, near)
         };
-        let state = self.state.clone();
-        let part = |part| state.part(part);
         match &upstream {
-            Upstream::Store => match self.poll(start, after).await {
-                Ok(()) if self.upstreams.leads() || self.state.is_source(start) => {
-                    part(SOURCE_PART)
-                }
-                Ok(()) => part(PERIOD_PART),
-                Err(()) => {
-                    self.upstreams.failed(now(&self.state), &upstream);
-                    self.backoff()
-                }
-            },
+            Upstream::Store => {
+                let followed = self.upstreams.leads() || self.state.is_source(start);
+                let part = if followed { SOURCE_PART } else { PERIOD_PART };
+                let next = self.state.part(part);
+                self.poll_next(start, after, next).await
+            }
             Upstream::Entry(name, addr) => match self.ask(name, *addr, after).await {
                 Ok(()) => Millis(0),
                 Err(AskError::Compacted) => {
                     // The store still has what the entry no longer knows.
-                    if self.poll(start, after).await.is_err() {
-                        self.upstreams.failed(now(&self.state), &Upstream::Store);
-                        return self.backoff();
-                    }
-                    Millis(0)
+                    let next = self.state.part(SOURCE_PART);
+                    self.poll_next(start, after, next).await
                 }
                 Err(e) => {
                     tracing::warn!(%name, cause = %e, "feed: the entry that passes changes on failed.");
@@ -140,6 +131,16 @@
         }
     }
 
+    /// Asks the store for changes. Returns when the next step is due: `next` after
+    /// the start, or sooner if the store did not answer.
+    async fn poll_next(&mut self, start: Millis, after: Revision, next: Millis) -> Millis {
+        if self.poll(start, after).await.is_ok() {
+            return next;
+        }
+        self.upstreams.failed(now(&self.state), &Upstream::Store);
+        self.backoff()
+    }
+
     /// Returns after which time from the start of a failed call the next is due.
     /// A call that the store refuses ends at once, one that it leaves unanswered
     /// takes longer than any pause.
@@ -170,11 +171,14 @@
                 after: None,
                 wait: Millis(0),
             };
-            if let Ok(news) = (self.state.ports.changes.ask)(ask).await {
-                let known = now(&self.state) - news.age;
-                tracing::info!(%seed, age = %news.age, "feed: read everything from an entry.");
-                self.apply(known, news.batch, true);
-                return Millis(0);
+            match (self.state.ports.changes.ask)(ask).await {
+                Ok(news) => {
+                    let known = now(&self.state) - news.age;
+                    tracing::info!(%seed, age = %news.age, "feed: read everything from an entry.");
+                    self.apply(known, news.batch, true);
+                    return Millis(0);
+                }
+                Err(e) => tracing::warn!(%seed, cause = %e, "feed: a seed did not answer."),
             }
         }
         self.backoff()
--- a/src/policy/upstream/choose.rs
+++ b/src/policy/upstream/choose.rs
@@ -53,14 +53,13 @@
         if now < self.direct && !around {
             return Upstream::Store;
         }
-        let known = |name: &EntryId| self.avoided.iter().any(|(_, n)| n == name);
-        let usable = near.filter(|p| p.peer.is_some() && !known(&p.name));
-        let usable: Vec<&Presence> = usable.collect();
-        let rank = |p: &&&Presence| (Reverse(p.link), p.name.clone());
-        let first = usable.iter().min_by_key(rank);
-        self.leads = usable.len() > 1 && first.is_some_and(|p| p.name == *me);
-        let asked = usable.iter().filter(|p| !around || p.name != *me);
-        match asked.min_by_key(rank).map(|p| (p, p.peer)) {
+        let avoided = |name: &EntryId| self.avoided.iter().any(|(_, n)| n == name);
+        let usable = near.filter(|p| p.peer.is_some() && !avoided(&p.name));
+        let mut usable: Vec<&Presence> = usable.collect();
+        usable.sort_by(|a, b| (Reverse(a.link), &a.name).cmp(&(Reverse(b.link), &b.name)));
+        self.leads = usable.len() > 1 && usable[0].name == *me;
+        let mut asked = usable.iter().filter(|p| !around || p.name != *me);
+        match asked.next().map(|p| (p, p.peer)) {
             Some((p, Some(addr))) if p.name != *me => Upstream::Entry(p.name.clone(), addr),
             _ => Upstream::Store,
         }
