Share rules, work loads out once, and derive what was kept twice

No behaviour changes.

- A request cloned its rule with all its strings; it shares the table's now.
- The state kept the configuration beside the table that was compiled from it; Table::configuration gives it back for the entries that ask.
- A choice worked the load of each target out up to three times, each with the fading of its region; it does so once.
- An unreadable reply of an entry made an error of its own instead of calling CallError::unreadable; items decoded names beside parse.
- The attempts of a request had four ways out that did the same.
- Wire fields are renamed once, at the decoding, to names of two words at most.
- Settings, rules, a configuration and a target stood in tests/gateway.rs and tests/relay.rs alike; tests/vm has them.

--- a/src/adapters/grpc/changes/mod.rs
+++ b/src/adapters/grpc/changes/mod.rs
@@ -7,7 +7,6 @@
 
 pub use self::messages::{AskMessage, NewsMessage};
 use super::{
-    head::malformed,
     peers::{CallError, Peers, Step},
     server::Routes,
 };
@@ -68,11 +67,8 @@
     let Some(revision) = reply.revision.map(Revision) else {
         return Err(AskError::Empty);
     };
-    let changes = messages::get(&reply).map_err(|e| AskError::Failed {
-        step: "read changes",
-        peer,
-        cause: malformed(e).message().to_owned(),
-    })?;
+    let changes = messages::get(&reply);
+    let changes = changes.map_err(|e| failed(peer, &CallError::unreadable(CHANGES, peer, &e)))?;
     Ok(News {
         batch: Batch { changes, revision },
         age: Millis(reply.age_ms),
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -70,7 +70,7 @@
     put: impl Fn(T, &[u8]) -> Result<Change, String>,
     gone: impl Fn(T) -> Change,
 ) -> Result<Change, String> {
-    let name = name.parse().map_err(|e: T::Err| e.to_string())?;
+    let name = parse(name)?;
     if item.deleted {
         return Ok(gone(name));
     }
@@ -102,7 +102,8 @@
     slots: u32,
     state: String,
     /// How much longer the server is slow after its start.
-    cold_left_s: f64,
+    #[serde(rename = "cold_left_s")]
+    cold: f64,
     /// The number of this heartbeat.
     seq: u64,
     /// The Unix millisecond of its start.
@@ -121,7 +122,7 @@
         az: parse(&wire.zone)?,
         slots: Slots(wire.slots),
         state: parse::<InstanceState>(&wire.state)?,
-        cold: time("cold_left_s", wire.cold_left_s)?,
+        cold: time("cold_left_s", wire.cold)?,
         seq: wire.seq,
         born: wire.born.map(Millis),
     }))
@@ -175,7 +176,8 @@
 struct WireLimits {
     header_bytes: u64,
     body_bytes: u64,
-    idle_timeout_s: f64,
+    #[serde(rename = "idle_timeout_s")]
+    idle: f64,
 }
 
 #[derive(Deserialize)]
@@ -224,8 +226,8 @@
 struct WireCluster {
     name: String,
     /// The requests a second that a cold server tolerates.
-    #[serde(default)]
-    cold_per_s: f64,
+    #[serde(default, rename = "cold_per_s")]
+    rate: f64,
 }
 
 /// Decodes a configuration. Whether it makes sense as a whole is decided by
@@ -245,7 +247,7 @@
     let services = wire.clusters.into_iter().map(|c| {
         Ok(ServiceRule {
             name: parse(&c.name)?,
-            cold_rate: c.cold_per_s,
+            cold_rate: c.rate,
         })
     });
     Ok(Configuration {
@@ -253,7 +255,7 @@
         limits: CallerLimits {
             head: Size(wire.limits.header_bytes),
             body: Size(wire.limits.body_bytes),
-            idle: time("idle_timeout_s", wire.limits.idle_timeout_s)?,
+            idle: time("idle_timeout_s", wire.limits.idle)?,
         },
         rules,
         services: services.collect::<Result<_, String>>()?,
--- a/src/adapters/platform/settings.rs
+++ b/src/adapters/platform/settings.rs
@@ -91,14 +91,19 @@
 #[serde(default)]
 struct WireBounds {
     drain_s: f64,
-    config_apply_s: f64,
+    #[serde(rename = "config_apply_s")]
+    config: f64,
     grace_s: f64,
-    retry_budget_ratio: f64,
-    retry_budget_slack: f64,
-    budget_window_s: f64,
+    #[serde(rename = "retry_budget_ratio")]
+    retry_ratio: f64,
+    #[serde(rename = "retry_budget_slack")]
+    retry_slack: f64,
+    #[serde(rename = "budget_window_s")]
+    retry_window: f64,
     cold_overshoot: f64,
     cold_slack: f64,
-    ttl_max_s: f64,
+    #[serde(rename = "ttl_max_s")]
+    ttl: f64,
     max_shift: f64,
 }
 
@@ -108,14 +113,14 @@
     fn default() -> Self {
         Self {
             drain_s: 2.5,
-            config_apply_s: 2.5,
+            config: 2.5,
             grace_s: 6.0,
-            retry_budget_ratio: 0.2,
-            retry_budget_slack: 50.0,
-            budget_window_s: 10.0,
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            retry_window: 10.0,
             cold_overshoot: 1.5,
             cold_slack: 5.0,
-            ttl_max_s: 5.0,
+            ttl: 5.0,
             max_shift: 0.15,
         }
     }
@@ -207,14 +212,14 @@
 fn bounds(wire: &WireBounds, f: &mut Faults) -> Bounds {
     Bounds {
         drain: f.time("drain_s", wire.drain_s),
-        config: f.time("config_apply_s", wire.config_apply_s),
+        config: f.time("config_apply_s", wire.config),
         grace: f.time("grace_s", wire.grace_s),
-        retry_ratio: wire.retry_budget_ratio,
-        retry_slack: wire.retry_budget_slack,
-        retry_window: f.time("budget_window_s", wire.budget_window_s),
+        retry_ratio: wire.retry_ratio,
+        retry_slack: wire.retry_slack,
+        retry_window: f.time("budget_window_s", wire.retry_window),
         cold_factor: wire.cold_overshoot,
         cold_slack: wire.cold_slack,
-        ttl: f.time("ttl_max_s", wire.ttl_max_s),
+        ttl: f.time("ttl_max_s", wire.ttl),
         shift: wire.max_shift,
     }
 }
--- a/src/adapters/platform/store.rs
+++ b/src/adapters/platform/store.rs
@@ -115,7 +115,8 @@
 
 #[derive(Deserialize, Serialize)]
 struct Ttl {
-    ttl_s_time: f64,
+    #[serde(rename = "ttl_s_time")]
+    ttl: f64,
 }
 
 #[derive(Deserialize)]
@@ -141,7 +142,7 @@
     const GRANT: &str = "grant lease";
     const WRITE: &str = "announce entry";
     let ttl = Ttl {
-        ttl_s_time: ttl.duration().as_secs_f64(),
+        ttl: ttl.duration().as_secs_f64(),
     };
     let (status, body) = client.post(GRANT, "/kv-lease", &ttl).await?;
     client.expect(GRANT, status, &body)?;
--- a/src/app/gateway/carry.rs
+++ b/src/app/gateway/carry.rs
@@ -75,14 +75,10 @@
 impl Run<'_> {
     async fn answer(&mut self) -> Result<Response<Body>, Refusal> {
         let mut kept: Option<Box<Answer>> = None;
-        loop {
+        let failed = loop {
             let slot = match Slot::acquire(self.state, &self.job, &self.tried) {
                 Ok(slot) => slot,
-                Err(miss) => {
-                    return kept
-                        .map(|a| answer::pass(*a))
-                        .ok_or_else(|| self.missed(miss));
-                }
+                Err(miss) => break self.missed(miss),
             };
             self.tried.push(slot.ticket().id.clone());
             self.last = Some(slot.ticket().clone());
@@ -93,20 +89,20 @@
                     return Ok(answer::pass(*answer));
                 }
                 Outcome::Answer(answer) => {
-                    // A target's own failure is passed on if nothing better
-                    // comes.
                     kept = Some(answer);
                     self.late()
                 }
-                Outcome::Late => return kept.map(|a| answer::pass(*a)).ok_or_else(|| self.late()),
+                Outcome::Late => break self.late(),
                 Outcome::Rejected => self.full("the target rejected it"),
                 Outcome::Unsent(cause) => self.full(&cause),
                 Outcome::Unknown(cause) => Refusal::unknown(Code::Broken, cause),
             };
             if !self.again() {
-                return kept.map(|a| answer::pass(*a)).ok_or(failed);
+                break failed;
             }
-        }
+        };
+        // A target's own failure is passed on if nothing better has come.
+        kept.map(|a| answer::pass(*a)).ok_or(failed)
     }
 
     /// Notes what an attempt has done.
--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -127,7 +127,7 @@
     let seed = xxh3_64(state.settings().name.as_bytes());
     match Table::compile(config.clone(), seed) {
         Ok(table) => {
-            state.set_table(Arc::new(table), Arc::new(config.clone()));
+            state.set_table(Arc::new(table));
             tracing::info!(%version, "feed: configuration in force.");
         }
         Err(e) => {
--- a/src/app/gateway/job.rs
+++ b/src/app/gateway/job.rs
@@ -36,7 +36,7 @@
     /// The routes by which it is handled from beginning to end.
     pub table: Arc<Table>,
     /// The rule of its route.
-    pub rule: Rule,
+    pub rule: Arc<Rule>,
     /// The service that runs it.
     pub service: ServiceName,
     /// The hash of the object that it concerns.
--- a/src/app/gateway/relay.rs
+++ b/src/app/gateway/relay.rs
@@ -61,8 +61,8 @@
     };
     // What changes from here on may be in the answer already, and is told again
     // after the revision.
-    let config = state.config().ok_or(AskError::Empty)?;
-    let mut changes = vec![Change::Configured(Box::new((*config).clone()))];
+    let table = state.table().ok_or(AskError::Empty)?;
+    let mut changes = vec![Change::Configured(Box::new(table.configuration()))];
     let closed = state.closed();
     changes.extend(closed.iter().cloned().map(Change::Evacuated));
     changes.extend(state.entries().all().cloned().map(Change::Joined));
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     adapters::metrics::Metrics,
-    domain::{AzName, Bounds, Configuration, Millis, Revision, ServiceName, Shards},
+    domain::{AzName, Bounds, Millis, Revision, ServiceName, Shards},
     policy::{
         balance::{Pool, Quota, Registry, Scene},
         budget::Allowance,
@@ -52,7 +52,6 @@
     pub pools: Shards<ServiceName, Pool>,
     settings: RwLock<Arc<VmSettings>>,
     table: RwLock<Option<Arc<Table>>>,
-    config: RwLock<Option<Arc<Configuration>>>,
     closed: RwLock<Arc<BTreeSet<AzName>>>,
     peers: RwLock<Arc<Vec<u64>>>,
     entries: Mutex<Entries>,
@@ -76,7 +75,6 @@
             pools: Shards::new(),
             settings: RwLock::new(Arc::new(settings)),
             table: RwLock::default(),
-            config: RwLock::default(),
             closed: RwLock::default(),
             peers: RwLock::default(),
             entries: Mutex::default(),
@@ -107,13 +105,7 @@
         read(&self.table)
     }
 
-    /// Returns the configuration that the routes were made of.
-    pub(super) fn config(&self) -> Option<Arc<Configuration>> {
-        read(&self.config)
-    }
-
-    pub(super) fn set_table(&self, table: Arc<Table>, config: Arc<Configuration>) {
-        write(&self.config, Some(config));
+    pub(super) fn set_table(&self, table: Arc<Table>) {
         write(&self.table, Some(table));
     }
 
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -1,6 +1,6 @@
 //! One choice among the targets of a service.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -165,9 +165,20 @@
     factor: f64,
     /// Requests that wait at the target for each of its slots.
     queue: f64,
+    /// Requests that are there.
+    load: f64,
     warm: bool,
 }
 
+/// How much there is to do.
+#[derive(Clone, Copy)]
+struct Demand {
+    /// How busy the region's targets are, from 0 to 1.
+    busy: f64,
+    /// The requests at the target.
+    load: f64,
+}
+
 impl Candidate {
     /// Returns how long the answer takes, in parts of the objective, if a queue is
     /// the reason for it.
@@ -253,10 +264,17 @@
         usable: &[usize],
     ) -> Option<Candidate> {
         let capacity = self.capacity(scene);
-        let busy = self.busy(scene, usable);
+        let loads = self.loads(scene.now);
+        let busy = self.busy(scene, usable, &loads);
         let firsts = self.firsts(scene, ask, usable);
         let near = |at: &usize| self.is_near(scene, *at);
-        let score = |at: usize| self.score(scene, ask, work, busy, at, firsts.contains(&at));
+        let score = |at: usize| {
+            let demand = Demand {
+                busy,
+                load: loads[at],
+            };
+            self.score(scene, ask, work, demand, at, firsts.contains(&at))
+        };
         let cheapest = |far: bool| {
             let side = usable.iter().filter(|at| near(at) != far);
             side.map(|at| score(*at))
@@ -314,11 +332,10 @@
     }
 
     /// Returns how busy the region's targets are, from 0 to 1.
-    fn busy(&self, scene: &Scene<'_>, usable: &[usize]) -> f64 {
-        let near = usable.iter().map(|at| &self.targets[*at]);
-        let near = near.filter(|t| t.region.as_ref() == Some(scene.region));
-        let (load, slots) = near.fold((0.0, 0.0), |(load, slots), t| {
-            (load + self.load(scene.now, t), slots + t.slots())
+    fn busy(&self, scene: &Scene<'_>, usable: &[usize], loads: &[f64]) -> f64 {
+        let near = usable.iter().filter(|at| self.is_near(scene, **at));
+        let (load, slots) = near.fold((0.0, 0.0), |(load, slots), at| {
+            (load + loads[*at], slots + self.targets[*at].slots())
         });
         (load / f64::max(slots, 1.0)).min(1.0)
     }
@@ -351,11 +368,17 @@
             .collect()
     }
 
-    /// Returns the requests at a target, as far as is known.
-    fn load(&self, now: Millis, target: &Target) -> f64 {
-        let level = target.region.as_ref().and_then(|r| self.levels.get(r));
-        let others = level.map_or(0.0, |l| l.part(now) * target.slots());
-        target.load.total(now, others)
+    /// Returns the requests at each target, as far as is known. They are worked
+    /// out once for a choice, which looks at them several times.
+    fn loads(&self, now: Millis) -> Vec<f64> {
+        let parts = self.levels.iter().map(|(r, level)| (r, level.part(now)));
+        let parts: BTreeMap<&RegionName, f64> = parts.collect();
+        let load = |target: &Target| {
+            let part = target.region.as_ref().and_then(|r| parts.get(r));
+            let others = part.map_or(0.0, |part| part * target.slots());
+            target.load.total(now, others)
+        };
+        self.targets.iter().map(load).collect()
     }
 
     fn is_near(&self, scene: &Scene<'_>, at: usize) -> bool {
@@ -367,16 +390,17 @@
         scene: &Scene<'_>,
         ask: &Ask<'_>,
         work: &Work,
-        busy: f64,
+        demand: Demand,
         at: usize,
         first: bool,
     ) -> Candidate {
+        let Demand { busy, load } = demand;
         let now = scene.now;
         let target = &self.targets[at];
         let known = |object| target.objects.holds(object, now);
         let warm = !target.is_cold(now) && (first || ask.object.is_some_and(known));
         let slots = target.slots();
-        let waiting = (self.load(now, target) + 1.0 - slots).max(0.0);
+        let waiting = (load + 1.0 - slots).max(0.0);
         let mut factor = target.load.pace(now) * target.speed * (1.0 + waiting / slots);
         if target.is_cold(now) {
             factor *= COLD_FACTOR;
@@ -398,13 +422,13 @@
             trip,
             factor,
             queue: waiting / slots,
+            load,
             warm,
         }
     }
 
     fn start(&mut self, scene: &Scene<'_>, ask: &Ask<'_>, route: u64, best: &Candidate) -> Choice {
         let now = scene.now;
-        let load = self.load(now, &self.targets[best.at]);
         let target = &mut self.targets[best.at];
         let expected = millis(best.expected);
         target.load.own += 1;
@@ -418,7 +442,7 @@
             ticket: Ticket {
                 id: target.instance.id.clone(),
                 expected,
-                load,
+                load: best.load,
                 age: target.load.reported.map(|at| now - at),
                 warm: best.warm,
                 far: target.region.as_ref() != Some(scene.region),
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -12,7 +12,10 @@
 use std::{
     collections::HashMap,
     fmt,
-    sync::atomic::{AtomicU64, Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use crate::domain::{CallerLimits, Configuration, Revision, Rule, ServiceName, ServiceRule};
@@ -37,8 +40,8 @@
 /// A rule with the state of its split.
 #[derive(Debug)]
 pub struct Route {
-    /// The rule.
-    pub rule: Rule,
+    /// The rule, which requests share.
+    pub rule: Arc<Rule>,
     drawn: AtomicU64,
 }
 
@@ -93,7 +96,7 @@
             check(&rule, &services)?;
             let route = Route {
                 drawn: AtomicU64::new(seed % 1024),
-                rule,
+                rule: Arc::new(rule),
             };
             hosts
                 .entry(route.rule.host.clone())
@@ -118,6 +121,18 @@
         routes.find(|r| path.starts_with(&r.rule.prefix))
     }
 
+    /// Returns the configuration again, with the rules and services in any order.
+    #[must_use]
+    pub fn configuration(&self) -> Configuration {
+        let routes = self.hosts.values().flatten();
+        Configuration {
+            version: self.version,
+            limits: self.limits,
+            rules: routes.map(|r| Rule::clone(&r.rule)).collect(),
+            services: self.services.values().cloned().collect(),
+        }
+    }
+
     /// Returns what all targets of a service have in common.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceRule> {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,6 +1,8 @@
 //! Guards the path of a request through a gateway, with real connections on
 //! loopback: what runs where and how often, and what the caller is told.
 
+mod vm;
+
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
@@ -19,11 +21,8 @@
         store::Calls,
     },
     app::gateway::{self, Gateway, Ports},
-    domain::{
-        Bounds, CallerLimits, Configuration, Instance, InstanceState, Mbps, Millis, Part,
-        RequestKind, Revision, Rule, ServiceRule, Size, Slots, TargetId,
-    },
-    ports::{Batch, Change, LeaseId, Outbound, Platform, PlatformError, Targets, VmSettings},
+    domain::{Configuration, Millis, RequestKind, Revision, TargetId},
+    ports::{Batch, Change, LeaseId, Outbound, Platform, PlatformError, Targets},
 };
 use volo_http::{body::Body, server::Router};
 
@@ -98,76 +97,12 @@
         .expect("a port")
 }
 
-fn rule(kind: RequestKind, prefix: &str) -> Rule {
-    Rule {
-        name: prefix.to_owned(),
-        host: "kitchens.example".to_owned(),
-        prefix: prefix.to_owned(),
-        kind,
-        objective: Millis(300),
-        timeout: Millis(1_200),
-        attempts: 2,
-        priority: 1,
-        sticky: true,
-        homes: Vec::new(),
-        parts: vec![Part {
-            service: "slots".parse().expect("a name"),
-            weight: 1.0,
-        }],
-    }
-}
-
 fn configuration() -> Configuration {
-    Configuration {
-        version: Revision(3),
-        limits: CallerLimits {
-            head: Size(16_384),
-            body: Size(1 << 20),
-            idle: Millis(15_000),
-        },
-        rules: vec![
-            rule(RequestKind::Idempotent, "/browse/"),
-            rule(RequestKind::Once, "/pay/"),
-        ],
-        services: vec![ServiceRule {
-            name: "slots".parse().expect("a name"),
-            cold_rate: 10.0,
-        }],
-    }
-}
-
-fn settings() -> VmSettings {
-    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
-    let az: savorybeam::domain::AzName = "a-1".parse().expect("a name");
-    let region: savorybeam::domain::RegionName = "north".parse().expect("a name");
-    VmSettings {
-        name: "edge-1".parse().expect("a name"),
-        az: az.clone(),
-        region: region.clone(),
-        front: any,
-        readiness: any,
-        directory: None,
-        control: None,
-        metrics: any,
-        seeds: Vec::new(),
-        store: any,
-        zones: [(az, region)].into(),
-        cores: 1,
-        descriptors: 1_024,
-        link: Mbps(100),
-        bounds: Bounds {
-            drain: Millis(2_500),
-            config: Millis(2_500),
-            grace: Millis(3_000),
-            retry_ratio: 0.2,
-            retry_slack: 50.0,
-            retry_window: Millis(10_000),
-            cold_factor: 1.5,
-            cold_slack: 5.0,
-            ttl: Millis(5_000),
-            shift: 0.15,
-        },
-    }
+    let rules = vec![
+        vm::rule(RequestKind::Idempotent, "/browse/"),
+        vm::rule(RequestKind::Once, "/pay/"),
+    ];
+    vm::configuration(3, rules, 10.0)
 }
 
 /// A platform whose whole content is known at the start and takes some time to
@@ -218,17 +153,8 @@
         }
         let mut changes = vec![Change::Configured(Box::new(configuration()))];
         for (n, server) in targets.iter().enumerate() {
-            changes.push(Change::Registered(Instance {
-                id: format!("i-{}", n + 1).parse().expect("an id"),
-                service: "slots".parse().expect("a name"),
-                addr: TargetId(server.addr()),
-                az: "a-1".parse().expect("a name"),
-                slots: Slots(4),
-                state: InstanceState::Ready,
-                cold: Millis(0),
-                seq: 1,
-                born: Some(Millis(1)),
-            }));
+            let id = format!("i-{}", n + 1);
+            changes.push(Change::Registered(vm::instance(&id, server.addr())));
         }
         let clock = clock::open();
         let client = web::open(clock.clone(), Keep::default());
@@ -239,7 +165,9 @@
             metrics: metrics::open(Arc::<Calls>::default()),
             clock,
         };
-        let gateway = gateway::spawn(settings(), ports).await.expect("a gateway");
+        let gateway = gateway::spawn(vm::settings("edge-1"), ports)
+            .await
+            .expect("a gateway");
         while !gateway.state.is_ready() {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,6 +1,8 @@
 //! Guards what entries tell each other of the platform, with real connections on
 //! loopback and a platform in memory.
 
+mod vm;
+
 use std::{
     net::SocketAddr,
     sync::{
@@ -20,13 +22,12 @@
     },
     app::gateway::{self, Gateway, Ports},
     domain::{
-        Bounds, CallerLimits, Configuration, Instance, InstanceState, Mbps, Millis, Part, Presence,
-        RequestKind, Revision, Rule, ServiceRule, Size, Slots, TargetId,
+        Bounds, Instance, InstanceState, Mbps, Millis, Presence, RequestKind, Revision, Rule,
     },
     ports::{Ask, Batch, Change, LeaseId, Platform, PlatformError, VmSettings},
 };
 
-const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(std::net::Ipv4Addr::LOCALHOST), 0);
+use vm::ANY;
 
 /// The platform's store: every change with its revision.
 #[derive(Default)]
@@ -77,81 +78,34 @@
 }
 
 fn settings(name: &str, seeds: Vec<SocketAddr>) -> VmSettings {
-    let az: savorybeam::domain::AzName = "a-1".parse().expect("a name");
-    let region: savorybeam::domain::RegionName = "north".parse().expect("a name");
+    let base = vm::settings(name);
     VmSettings {
-        name: name.parse().expect("a name"),
-        az: az.clone(),
-        region: region.clone(),
-        front: ANY,
-        readiness: ANY,
-        directory: None,
         control: Some(ANY),
-        metrics: ANY,
         seeds,
-        store: ANY,
-        zones: [(az, region)].into(),
-        cores: 1,
-        descriptors: 1_024,
-        link: Mbps(100),
         bounds: Bounds {
-            drain: Millis(2_500),
-            config: Millis(2_500),
             grace: Millis(500),
-            retry_ratio: 0.2,
-            retry_slack: 50.0,
-            retry_window: Millis(10_000),
-            cold_factor: 1.5,
-            cold_slack: 5.0,
-            ttl: Millis(5_000),
-            shift: 0.15,
+            ..base.bounds
         },
+        ..base
     }
 }
 
 fn configuration(version: u64) -> Change {
-    let service: savorybeam::domain::ServiceName = "slots".parse().expect("a name");
-    Change::Configured(Box::new(Configuration {
-        version: Revision(version),
-        limits: CallerLimits {
-            head: Size(16_384),
-            body: Size(1 << 20),
-            idle: Millis(15_000),
-        },
-        rules: vec![Rule {
-            name: "browse".to_owned(),
-            host: "kitchens.example".to_owned(),
-            prefix: "/browse/".to_owned(),
-            kind: RequestKind::Download,
-            objective: Millis(300),
-            timeout: Millis(1_200),
-            attempts: 2,
-            priority: 1,
-            sticky: true,
-            homes: vec!["north".parse().expect("a name")],
-            parts: vec![Part {
-                service: service.clone(),
-                weight: 0.5,
-            }],
-        }],
-        services: vec![ServiceRule {
-            name: service,
-            cold_rate: 10.5,
-        }],
-    }))
+    let mut rule = Rule {
+        name: "browse".to_owned(),
+        homes: vec!["north".parse().expect("a name")],
+        ..vm::rule(RequestKind::Download, "/browse/")
+    };
+    rule.parts[0].weight = 0.5;
+    Change::Configured(Box::new(vm::configuration(version, vec![rule], 10.5)))
 }
 
 fn target(n: u64, seq: u64, state: InstanceState) -> Change {
+    let addr = SocketAddr::from(([10, 0, 0, 1], 9_000));
     Change::Registered(Instance {
-        id: format!("i-{n}").parse().expect("an id"),
-        service: "slots".parse().expect("a name"),
-        addr: TargetId(SocketAddr::from(([10, 0, 0, 1], 9_000))),
-        az: "a-1".parse().expect("a name"),
-        slots: Slots(4),
         state,
-        cold: Millis(0),
         seq,
-        born: Some(Millis(1)),
+        ..vm::instance(&format!("i-{n}"), addr)
     })
 }
 
