Use lease and protocol terms in the limit policy

The names "ask", "debt", "seat", "spare", "due", "grain" and "item" did not say what they stood for, several constants lacked the quantity that they bound, and comments told stories instead of stating rules and reasons.

Renamed, in all uses: Message::Ask -> Message::Borrow, and its number `ask` -> `request_id`; Ledger::request -> Ledger::request_units; Seat -> RosterMember; Held -> HeldUnits; Item -> Envelope; TTL -> LOAN_TTL; RECLAIM -> RECLAIM_DELAY; IDLE -> IDLE_TIMEOUT; TICK -> TICK_INTERVAL; LINK_GRAIN -> LINK_CHUNK_BITS; Limit::Rate.grain -> max_amount.

The fields of the wire messages keep their names and tags. Behaviour is unchanged.

--- a/examples/limit_slope/cost.rs
+++ b/examples/limit_slope/cost.rs
@@ -3,15 +3,15 @@
 use std::{hint::black_box, sync::Arc, time::Instant};
 
 use savorybeam::domain::{Epoch, Millis, Rps, Slots};
-use savorybeam::policy::limit::{Item, Ledger, Limit, Message, Roster, Seat};
+use savorybeam::policy::limit::{Envelope, Ledger, Limit, Message, Roster, RosterMember};
 
 use super::traffic::member;
 
 const ROUNDS: u32 = 5_000_000;
 const LEDGERS: usize = 4_000;
 
-fn seats(count: usize) -> Vec<Seat> {
-    let seat = |i| Seat {
+fn seats(count: usize) -> Vec<RosterMember> {
+    let seat = |i| RosterMember {
         member: member(i),
         leaving: false,
     };
@@ -43,7 +43,7 @@
     let start = Instant::now();
     for i in 0..ROUNDS {
         black_box(ledger.acquire().is_none());
-        black_box(ledger.request(Millis(u64::from(i))));
+        black_box(ledger.request_units(Millis(u64::from(i))));
     }
     println!(
         "denial and request: {:?} per pair",
@@ -110,21 +110,21 @@
 fn borrow(ledger: &mut Ledger, units: u32) -> usize {
     let _ = ledger.admit(1, Millis(2));
     let _ = ledger.acquire();
-    let mut asked = ledger.request(Millis(2));
+    let mut asked = ledger.request_units(Millis(2));
     let Some(ask) = asked.pop() else { return 0 };
-    let Message::Ask { ask: id, .. } = ask.item.message else {
+    let Message::Borrow { request_id: id, .. } = ask.envelope.message else {
         return 0;
     };
     let units: Vec<u32> = (0..units).collect();
     let message = Message::Grant {
-        ask: id,
+        request_id: id,
         units,
         idle: 0,
     };
-    let item = Item {
+    let envelope = Envelope {
         message,
-        ..ask.item
+        ..ask.envelope
     };
-    let _ = ledger.on_message(&ask.to, &member(0), item, Millis(3));
+    let _ = ledger.on_message(&ask.to, &member(0), envelope, Millis(3));
     ledger.status().borrowed as usize
 }
--- a/examples/limit_slope/traffic.rs
+++ b/examples/limit_slope/traffic.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::adapters::grpc::limit::pack;
 use savorybeam::domain::{Epoch, Incarnation, Mbps, Millis, Rps, Slots};
-use savorybeam::policy::limit::{Ledger, Limit, Member, Outgoing, Permit, Roster, Seat};
+use savorybeam::policy::limit::{Ledger, Limit, Member, Outgoing, Permit, Roster, RosterMember};
 
 /// Two services of Eldhúsleiga's size: 16 targets of 5 slots, 36 of 3.
 const TARGETS: usize = 52;
@@ -44,7 +44,7 @@
 }
 
 fn entries(count: usize) -> Vec<Entry> {
-    let seat = |i| Seat {
+    let seat = |i| RosterMember {
         member: member(i),
         leaving: false,
     };
@@ -98,7 +98,7 @@
             };
             if !admitted {
                 denied += 1;
-                out.extend(ledger.request(clock));
+                out.extend(ledger.request_units(clock));
             }
         }
         if now.is_multiple_of(TICK) {
@@ -125,7 +125,7 @@
             let to = (0..count)
                 .find(|i| all[*i].member == sent.to)
                 .expect("a known entry");
-            let name = &sent.item.limit;
+            let name = &sent.envelope.limit;
             let at = all[to]
                 .ledgers
                 .iter()
@@ -134,7 +134,7 @@
             out[to].extend(all[to].ledgers[at].on_message(
                 &from,
                 &sent.to,
-                sent.item.clone(),
+                sent.envelope.clone(),
                 Millis(now),
             ));
         }
--- a/src/adapters/grpc/limit.rs
+++ b/src/adapters/grpc/limit.rs
@@ -8,7 +8,7 @@
 use prost::{Message as _, Oneof};
 
 use crate::domain::{EntryId, Epoch, Incarnation, LimitName, ParseError, Size};
-use crate::policy::limit::{Held, Item, MAX_UNITS, Member, Message, Outgoing};
+use crate::policy::limit::{Envelope, HeldUnits, MAX_UNITS, Member, Message, Outgoing};
 
 /// The largest encoded batch.
 pub const BATCH_MAX: Size = Size::kib(256);
@@ -54,7 +54,7 @@
 /// The kinds of messages.
 #[derive(Clone, Oneof, PartialEq)]
 pub enum Body {
-    /// See [`Message::Ask`].
+    /// See [`Message::Borrow`].
     #[prost(message, tag = "3")]
     Ask(Ask),
     /// See [`Message::Grant`].
@@ -83,7 +83,7 @@
     Handover(Handover),
 }
 
-/// See [`Message::Ask`].
+/// See [`Message::Borrow`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Ask {
     /// The id of the ask.
@@ -125,7 +125,7 @@
     pub queued: bool,
 }
 
-/// See [`Held`].
+/// See [`HeldUnits`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Loan {
     /// The id of the ask.
@@ -193,40 +193,44 @@
         .collect()
 }
 
-fn to_loan(held: &Held) -> Loan {
+fn to_loan(held: &HeldUnits) -> Loan {
     Loan {
-        ask: held.ask,
+        ask: held.request_id,
         units: to_gaps(&held.units),
     }
 }
 
-fn from_loan(loan: &Loan) -> Held {
-    Held {
-        ask: loan.ask,
+fn from_loan(loan: &Loan) -> HeldUnits {
+    HeldUnits {
+        request_id: loan.ask,
         units: from_gaps(&loan.units),
     }
 }
 
 fn to_body(message: &Message) -> Body {
     match message {
-        Message::Ask {
-            ask,
+        Message::Borrow {
+            request_id,
             want,
             held,
             renew,
         } => Body::Ask(Ask {
-            ask: *ask,
+            ask: *request_id,
             want: *want,
             held: *held,
             renew: to_gaps(renew),
         }),
-        Message::Grant { ask, units, idle } => Body::Grant(Grant {
-            ask: *ask,
+        Message::Grant {
+            request_id,
+            units,
+            idle,
+        } => Body::Grant(Grant {
+            ask: *request_id,
             units: to_gaps(units),
             idle: *idle,
         }),
-        Message::Decline { ask, queued } => Body::Decline(Decline {
-            ask: *ask,
+        Message::Decline { request_id, queued } => Body::Decline(Decline {
+            ask: *request_id,
             queued: *queued,
         }),
         Message::Return(held) => Body::Return(to_loan(held)),
@@ -250,19 +254,19 @@
 
 fn from_body(body: &Body) -> Message {
     match body {
-        Body::Ask(m) => Message::Ask {
-            ask: m.ask,
+        Body::Ask(m) => Message::Borrow {
+            request_id: m.ask,
             want: m.want,
             held: m.held,
             renew: from_gaps(&m.renew),
         },
         Body::Grant(m) => Message::Grant {
-            ask: m.ask,
+            request_id: m.ask,
             units: from_gaps(&m.units),
             idle: m.idle,
         },
         Body::Decline(m) => Message::Decline {
-            ask: m.ask,
+            request_id: m.ask,
             queued: m.queued,
         },
         Body::Return(loan) => Message::Return(from_loan(loan)),
@@ -284,11 +288,11 @@
     }
 }
 
-fn to_item(item: &Item) -> LimitItem {
+fn to_item(envelope: &Envelope) -> LimitItem {
     LimitItem {
-        limit: item.limit.as_str().to_owned(),
-        epoch: item.epoch.0,
-        body: Some(to_body(&item.message)),
+        limit: envelope.limit.as_str().to_owned(),
+        epoch: envelope.epoch.0,
+        body: Some(to_body(&envelope.message)),
     }
 }
 
@@ -299,7 +303,7 @@
     let mut batches: Vec<LimitBatch> = Vec::new();
     let mut open: Vec<(&Member, usize, usize)> = Vec::new();
     for sent in out {
-        let item = to_item(&sent.item);
+        let item = to_item(&sent.envelope);
         // The field's tag and length take at most five bytes here.
         let length = item.encoded_len() + 5;
         let known = open.iter_mut().find(|(to, _, _)| **to == sent.to);
@@ -345,7 +349,7 @@
     /// The recipient that the sender addressed.
     pub to: Member,
     /// The messages, without those of a kind that this version does not know.
-    pub items: Vec<Item>,
+    pub items: Vec<Envelope>,
 }
 
 /// Unpacks a batch.
@@ -358,7 +362,7 @@
     for item in &batch.items {
         let limit: LimitName = item.limit.parse()?;
         let Some(body) = &item.body else { continue };
-        items.push(Item {
+        items.push(Envelope {
             limit,
             epoch: Epoch(item.epoch),
             message: from_body(body),
--- a/src/app/entry/control/limits.rs
+++ b/src/app/entry/control/limits.rs
@@ -11,7 +11,7 @@
         limit::{LimitBatch, Unpacked, pack},
     },
     app::entry::State,
-    policy::limit::{Outgoing, TICK},
+    policy::limit::{Outgoing, TICK_INTERVAL},
 };
 
 /// The most messages that are taken together. What goes to one peer is packed
@@ -20,7 +20,7 @@
 
 /// Does what is due for every ledger.
 pub(super) async fn run(state: Arc<State>) {
-    every(TICK, move || {
+    every(TICK_INTERVAL, move || {
         let now = (state.ports.clock.now)();
         let roster = state.roster();
         let mut out = Vec::new();
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -45,7 +45,7 @@
     /// Converts what the store has.
     #[must_use]
     pub fn new(record: RosterRecord) -> Self {
-        let seat = |s: &member::Seat| limit::Seat {
+        let seat = |s: &member::Seat| limit::RosterMember {
             member: limit::Member {
                 entry: s.entry.clone(),
                 incarnation: s.incarnation,
--- a/src/app/entry/pacing.rs
+++ b/src/app/entry/pacing.rs
@@ -18,7 +18,7 @@
 use super::State;
 use crate::{
     domain::{Lane, LimitName, Millis},
-    policy::limit::LINK_GRAIN,
+    policy::limit::LINK_CHUNK_BITS,
 };
 
 /// How long short work waits until it asks for capacity again.
@@ -78,7 +78,7 @@
     /// limit admits at once. Returns whether all is taken.
     fn take(&mut self) -> bool {
         while self.owed > 0 {
-            let part = self.owed.min(LINK_GRAIN);
+            let part = self.owed.min(LINK_CHUNK_BITS);
             if !self.state.admit_amount(&self.link, part) {
                 return false;
             }
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -348,7 +348,7 @@
             if let Some(permit) = ledger.acquire() {
                 return ledger.release(permit, now);
             }
-            ledger.request(now)
+            ledger.request_units(now)
         };
         let limit = self.slots.get(&target);
         let out = limit.and_then(|l| limits.get(l, ask));
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -328,7 +328,7 @@
             if l.admit(amount, now) {
                 return None;
             }
-            Some(l.request(now))
+            Some(l.request_units(now))
         });
         match asked.flatten() {
             None => true,
--- a/src/policy/limit/demand.rs
+++ b/src/policy/limit/demand.rs
@@ -3,47 +3,48 @@
 use super::{Limit, RATE_UNITS};
 use crate::domain::Millis;
 
-/// The average keeps this many parts per unit.
+/// The fixed-point scale of the average: this many parts are one unit.
 const SCALE: u64 = 1000;
 
-/// The shortest time between two samples. A shorter one would measure single
+/// The shortest time between two samples. Shorter samples would measure single
 /// requests instead of a rate.
-const SAMPLE: Millis = Millis(100);
+const MIN_SAMPLE_PERIOD: Millis = Millis(100);
 
-/// What an entry needed lately.
+/// The recent demand of an entry, in units.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Demand {
     average: u64,
     peak: u32,
     admitted: u64,
     denied: u64,
-    sampled: Millis,
+    sampled_at: Millis,
 }
 
 impl Demand {
     /// Records an admission of `amount` that left `busy` units in use.
-    pub(super) fn admit(&mut self, amount: u64, busy: u32) {
+    pub(super) fn record_admission(&mut self, amount: u64, busy: u32) {
         self.admitted += amount;
         self.peak = self.peak.max(busy);
     }
 
-    /// Records a denial.
-    pub(super) fn deny(&mut self, amount: u64) {
+    /// Records a denial of `amount`.
+    pub(super) fn record_denial(&mut self, amount: u64) {
         self.denied += amount;
     }
 
-    /// Returns whether there was a denial since the last sample.
-    pub(super) fn is_short(&self) -> bool {
+    /// Returns whether anything was denied since the last sample.
+    pub(super) fn has_denials(&self) -> bool {
         self.denied > 0
     }
 
-    /// Takes a sample and starts the next one with `busy` units in use.
+    /// Adds a sample to the average and starts the next one with `busy` units in
+    /// use. It does nothing until [`MIN_SAMPLE_PERIOD`] has passed.
     pub(super) fn sample(&mut self, now: Millis, limit: &Limit, busy: u32) {
-        let elapsed = now - self.sampled;
-        if elapsed < SAMPLE {
+        let elapsed = now - self.sampled_at;
+        if elapsed < MIN_SAMPLE_PERIOD {
             return;
         }
-        let sample = self.latest(elapsed, limit);
+        let sample = self.measure(elapsed, limit);
         let weight = match limit {
             Limit::Slots(_) => 4,
             Limit::Rate { .. } => 8,
@@ -57,7 +58,7 @@
         *self = Self {
             average: self.average,
             peak: busy,
-            sampled: now,
+            sampled_at: now,
             ..Self::default()
         };
     }
@@ -66,19 +67,21 @@
     pub(super) fn need(&self, limit: &Limit, busy: u32) -> u32 {
         let average = u32::try_from(self.average.div_ceil(SCALE)).unwrap_or(u32::MAX);
         let need = match limit {
-            // An average below a tenth of a slot is the tail of past demand.
+            // An average below a tenth of a unit is the decaying rest of past demand.
             Limit::Slots(_) if self.average < SCALE / 10 => busy,
             Limit::Slots(_) => average.max(busy),
             Limit::Rate { .. } if self.average < SCALE / 10 => 0,
             Limit::Rate { .. } => average + average / 8 + 1,
         };
-        let short = u32::from(self.is_short());
+        let short = u32::from(self.has_denials());
         need.max(busy + short).min(limit.units())
     }
 
-    /// Denials count at most as much again as admissions and a little more,
-    /// because a caller that repeats a denied request is counted repeatedly.
-    fn latest(&self, elapsed: Millis, limit: &Limit) -> u64 {
+    /// Returns the units needed in the current sample, scaled by [`SCALE`].
+    ///
+    /// Denials are counted up to a little more than the admissions, because a caller
+    /// that repeats a denied request is counted each time.
+    fn measure(&self, elapsed: Millis, limit: &Limit) -> u64 {
         match *limit {
             Limit::Slots(slots) => {
                 let peak = u64::from(self.peak);
@@ -86,12 +89,12 @@
                 need.min(u64::from(slots.0)) * SCALE
             }
             Limit::Rate { rate, .. } => {
-                let more = self.denied.min(self.admitted + rate / 8);
-                let amount = u128::from(self.admitted + more) * u128::from(RATE_UNITS);
-                let whole = u128::from(rate.max(1)) * u128::from(elapsed.0);
-                let units = amount * 1000 * u128::from(SCALE) / whole;
-                let most = u64::from(RATE_UNITS) * SCALE;
-                u64::try_from(units).unwrap_or(most).min(most)
+                let denied = self.denied.min(self.admitted + rate / 8);
+                let amount = u128::from(self.admitted + denied) * u128::from(RATE_UNITS);
+                let capacity = u128::from(rate.max(1)) * u128::from(elapsed.0);
+                let units = amount * 1000 * u128::from(SCALE) / capacity;
+                let max_units = u64::from(RATE_UNITS) * SCALE;
+                u64::try_from(units).unwrap_or(max_units).min(max_units)
             }
         }
     }
--- a/src/policy/limit/message.rs
+++ b/src/policy/limit/message.rs
@@ -1,96 +1,99 @@
-//! The messages of a limit, without their encoding.
+//! The messages that entries exchange about a limit, independent of their encoding.
 
 use crate::domain::{EntryId, Epoch, Incarnation, LimitName};
 
-/// One life of an entry.
+/// One incarnation of an entry.
 ///
-/// Everything a ledger records about another entry names its incarnation too,
-/// since a restarted entry knows nothing of what its former life held.
+/// Everything that a ledger records about another entry names the incarnation
+/// too, because a restarted entry does not know what it held before.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Member {
     /// The entry VM.
     pub entry: EntryId,
-    /// The life of its process.
+    /// The incarnation of its process.
     pub incarnation: Incarnation,
 }
 
-/// Units that the borrower holds under one ask.
+/// Units that the borrower holds under the id of one borrow request.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Held {
-    /// The ask under which they were granted.
-    pub ask: u64,
+pub struct HeldUnits {
+    /// The id of the request that created or last renewed the loans.
+    pub request_id: u64,
     /// The units, in ascending order.
     pub units: Vec<u32>,
 }
 
-/// What one entry tells another about a limit.
+/// A message between two entries about a limit.
 ///
-/// The ask's number, chosen by the borrower and never reused in its
-/// incarnation, is also the id of the loan.
+/// The borrower chooses the `request_id`, which also identifies the loans under
+/// that request, and never reuses it within its incarnation.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Message {
     /// Requests units.
-    Ask {
-        /// The id of the ask and of the loan.
-        ask: u64,
+    Borrow {
+        /// The id of the request and of the loans that it creates or renews.
+        request_id: u64,
         /// How many units are wanted, including those to renew.
         want: u32,
-        /// How many units the borrower has, so that those without come first.
+        /// How many units the borrower can use already. The lender recalls units
+        /// from a borrower that has more.
         held: u32,
-        /// Units of a rate limit whose loan shall be renewed.
+        /// Units of a rate limit whose loans are to be renewed.
         renew: Vec<u32>,
     },
     /// Lends units.
     Grant {
-        /// The ask that this answers.
-        ask: u64,
+        /// The request that this answers.
+        request_id: u64,
         /// The units lent.
         units: Vec<u32>,
         /// How many idle units the lender still has.
         idle: u32,
     },
-    /// Lends nothing now.
+    /// Lends no units for now.
     Decline {
-        /// The ask that this answers.
-        ask: u64,
-        /// Whether a grant may follow when a unit becomes free.
+        /// The request that this answers.
+        request_id: u64,
+        /// Whether the request is queued, so that a grant may follow.
         queued: bool,
     },
-    /// Gives units back. The sender no longer uses them.
-    Return(Held),
-    /// Requests units back as soon as the request that uses them has ended.
-    Recall(Held),
-    /// Requests a [`Message::Reconcile`].
+    /// Returns units, which the sender no longer uses.
+    Return(HeldUnits),
+    /// Asks the borrower to return units as soon as the requests that use them have
+    /// ended.
+    Recall(HeldUnits),
+    /// Asks the borrower for a [`Message::Reconcile`].
     Audit,
-    /// Reports everything that the borrower holds from the recipient.
+    /// Lists all units that the sender has borrowed from the recipient.
     Reconcile {
-        /// Grants for lower asks that are not listed were never accepted or have
-        /// been returned, and will not be accepted later.
+        /// Grants for requests with a lower id that are not listed were never
+        /// accepted or have been returned, and will not be accepted later.
         floor: u64,
-        /// What the borrower holds.
-        loans: Vec<Held>,
+        /// The units held, grouped by request.
+        loans: Vec<HeldUnits>,
     },
-    /// Requests the units whose home the sender now is.
+    /// Asks a member for units that have their home at the sender.
     Survey {
-        /// The sender's round; only answers of one round count together.
+        /// The number of the survey round. Only answers to the current round are
+        /// counted.
         round: u64,
-        /// The units that the sender lacks.
+        /// The units that the sender does not own.
         units: Vec<u32>,
     },
-    /// Transfers units to their home.
+    /// Transfers the ownership of units to their home.
     Handover {
-        /// The round that this answers; zero if it is not an answer.
+        /// The round that this answers, or zero if it answers none.
         round: u64,
         /// Units that the recipient owns from now on.
         units: Vec<u32>,
-        /// Units that the sender still owns or holds.
+        /// Units that the sender still owns or has borrowed.
         kept: Vec<u32>,
     },
 }
 
-/// A message with the limit and the epoch that it concerns.
+/// A message with its limit and the sender's epoch.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Item {
+pub struct Envelope {
     /// The limit.
     pub limit: LimitName,
     /// The epoch of the sender's roster.
@@ -102,8 +105,8 @@
 /// A message to send.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Outgoing {
-    /// The recipient. Another incarnation ignores the message.
+    /// The recipient. Other incarnations of the same entry ignore the message.
     pub to: Member,
-    /// The message.
-    pub item: Item,
+    /// The message with its limit and epoch.
+    pub envelope: Envelope,
 }
--- a/src/policy/limit/mod.rs
+++ b/src/policy/limit/mod.rs
@@ -1,36 +1,38 @@
 //! Limits that entries share without consensus, by escrow with loans.
 //!
-//! A limit is a fixed number of numbered units. At every instant each unit has
-//! at most one entry that may use it, so the sum never exceeds the limit:
+//! A limit is divided into numbered units. At any time at most one entry may use a
+//! unit, so the total use never exceeds the limit:
 //!
-//! * The *home* of a unit, by rendezvous hash over the [`Roster`], owns it
-//!   without expiry. An owner may lend it.
-//! * A *loan* of a rate limit expires: the borrower counts [`TTL`] from when it
-//!   sent its ask, the lender counts [`RECLAIM`] from its answer. A loan of
-//!   target slots ends only when it is returned, or when the platform has
-//!   reported the borrower gone, because its request may still run.
-//! * After a change of the roster the new home *surveys* all members. The
-//!   former owner hands the unit over when it is free. If every member answers
-//!   that it neither owns nor holds the unit, then the unit was lost with a
-//!   message or an entry, and the home owns it. A member that has answered
-//!   accepts no older grant of that unit.
+//! * The *home* of a unit is chosen by rendezvous hashing over the [`Roster`]. It
+//!   owns the unit without expiry and may lend it.
+//! * A *loan* of a rate limit expires: for the borrower [`LOAN_TTL`] after it sent
+//!   its request, for the lender [`RECLAIM_DELAY`] after its answer. A loan of
+//!   target slots ends only when it is returned or when the platform has reported
+//!   the borrower gone, because a request of the borrower may still run.
+//! * After a change of the roster, the new home of a unit *surveys* all members.
+//!   The former owner hands the unit over when it is free. If every member answers
+//!   that it neither owns nor has borrowed the unit, then the unit was lost with a
+//!   message or an entry, and the home becomes its owner. A member that has
+//!   answered no longer accepts an older grant of that unit.
 //!
-//! Units follow the demand: an entry asks the homes with the most idle units for
-//! what its moving average needs, a lender queues asks for slots while it has
-//! none free, recalls units from the borrower that has the most when another
-//! has fewer, and idle units are returned after [`IDLE`].
+//! Units move to where the demand is. An entry requests the units that its moving
+//! average of the demand calls for from the homes with the most idle units. A
+//! lender queues requests for slots while it has none free, and recalls units from
+//! the borrower with the most units when another one with fewer requests some.
+//! Borrowed units that are not needed are returned after [`IDLE_TIMEOUT`].
 //!
-//! Each message is harmless when lost, duplicated, delayed or reordered. A loss
-//! costs capacity until an audit, an expiry or a survey finds it.
+//! Messages may be lost, duplicated, delayed or reordered without breaking the
+//! limit. After a loss, the affected units are unavailable until an audit, an expiry
+//! or a survey recovers them.
 //!
-//! A rate limit always has [`RATE_UNITS`] units, each worth that part of the
-//! rate, so a change of the rate moves no unit. A limit of slots has one unit
-//! for each slot. An entry neither uses nor lends units beyond the size it
-//! knows, and keeps owning them in case the size grows again.
+//! A rate limit always has [`RATE_UNITS`] units of equal size, so a change of the
+//! rate moves no unit. A limit of slots has one unit for each slot. After a limit
+//! shrinks, an entry neither uses nor lends the units beyond the new size, but
+//! remains their owner in case the limit grows again.
 //!
-//! The price of unanimous surveys: a lost unit, and every unit of a limit that
-//! is new, waits for members that do not answer until the platform has reported
-//! them gone. See [docs/design.md](../../../docs/design.md), section 3.2.
+//! A survey needs the answer of every member. The cost is that a lost unit, and
+//! every unit of a new limit, is unavailable while a member does not answer, until
+//! the platform has reported that member gone. See [docs/design.md](../../../docs/design.md), section 3.2.
 
 mod borrow;
 mod bucket;
@@ -43,42 +45,43 @@
 mod unit;
 
 pub use ledger::{Ledger, Permit, Status};
-pub use message::{Held, Item, Member, Message, Outgoing};
-pub use roster::{Roster, Seat};
+pub use message::{Envelope, HeldUnits, Member, Message, Outgoing};
+pub use roster::{Roster, RosterMember};
 
 use crate::domain::{LimitName, Mbps, Millis, Rps, Slots};
 
 /// The number of units of every rate limit.
 pub const RATE_UNITS: u32 = 256;
 
-/// How long a loan of a rate limit lasts for its borrower, from its ask.
-pub const TTL: Millis = Millis(2_000);
+/// How long a borrower may use a loan of a rate limit, from when it sent the
+/// request.
+pub const LOAN_TTL: Millis = Millis(2_000);
 
-/// How long a loan of a rate limit lasts for its lender, from its answer: the
-/// borrower's time and 25% for clocks that drift apart, and 200 ms for a thread
-/// that stalls between its check and its use.
-pub const RECLAIM: Millis = Millis(TTL.0 + TTL.0 / 4 + 200);
+/// How long a lender waits before it reclaims a loan of a rate limit, from when it
+/// sent the grant: [`LOAN_TTL`], plus 25% for clocks that drift apart, plus 200 ms
+/// for a thread of the borrower that stalls between its check and its use.
+pub const RECLAIM_DELAY: Millis = Millis(LOAN_TTL.0 + LOAN_TTL.0 / 4 + 200);
 
-/// How long a borrowed unit may be idle before it is returned.
-pub const IDLE: Millis = Millis(500);
+/// How long a borrowed unit that is not needed may be idle before it is returned.
+pub const IDLE_TIMEOUT: Millis = Millis(500);
 
-/// How often [`Ledger::tick`] is expected to run.
-pub const TICK: Millis = Millis(100);
+/// How often [`Ledger::tick`] should be called.
+pub const TICK_INTERVAL: Millis = Millis(100);
 
-/// The bits of the largest chunk that is admitted to a link at once, 64 KiB.
-pub const LINK_GRAIN: u64 = 64 * 1024 * 8;
+/// The largest chunk that is admitted to a link at once: 64 KiB, in bits.
+pub const LINK_CHUNK_BITS: u64 = 64 * 1024 * 8;
 
-/// What a limit allows.
+/// The kind and size of a limit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Limit {
-    /// How many requests run at the same time.
+    /// The most requests that run at the same time.
     Slots(Slots),
-    /// How much is admitted in a second.
+    /// The most that is admitted in a second.
     Rate {
-        /// The amount, in requests or bits a second.
+        /// The rate, in requests or bits a second.
         rate: u64,
         /// The largest amount that is admitted at once.
-        grain: u64,
+        max_amount: u64,
     },
 }
 
@@ -88,7 +91,7 @@
     pub fn requests(rate: Rps) -> Self {
         Self::Rate {
             rate: u64::from(rate.0),
-            grain: 1,
+            max_amount: 1,
         }
     }
 
@@ -97,18 +100,21 @@
     pub fn link(rate: Mbps) -> Self {
         Self::Rate {
             rate: u64::from(rate.0) * 1_000_000,
-            grain: LINK_GRAIN,
+            max_amount: LINK_CHUNK_BITS,
         }
     }
 
-    /// Returns the limit of a name before its size is known. A ledger is needed
-    /// even then, because surveys wait for the answer of every member.
+    /// Returns a limit of zero for a name whose size is not known yet. A ledger is
+    /// needed even then, because surveys wait for the answer of every member.
     #[must_use]
     pub fn unknown(name: &LimitName) -> Self {
         if name.as_str().starts_with("slots/") {
             Self::Slots(Slots(0))
         } else {
-            Self::Rate { rate: 0, grain: 1 }
+            Self::Rate {
+                rate: 0,
+                max_amount: 1,
+            }
         }
     }
 
@@ -123,5 +129,5 @@
     }
 }
 
-/// The most units of a limit. It bounds the length of a message.
+/// The most units of a limit. This bounds the length of a message.
 pub const MAX_UNITS: u32 = 4_096;
--- a/src/policy/limit/survey.rs
+++ b/src/policy/limit/survey.rs
@@ -1,35 +1,36 @@
-//! Homes: how a unit comes to its home after a change of the roster.
+//! Surveys, by which the home of a unit becomes its owner after a change of the
+//! roster.
 
 use super::{
     Ledger, MAX_UNITS, Message, Outgoing,
-    unit::{Unit, group},
+    unit::{Unit, group_by_key},
 };
 use crate::domain::Millis;
 
-/// How long a home waits before it surveys again, at first and at most. A round
-/// whose answers take longer than the wait never completes, hence the growth.
-const WAIT_MIN: Millis = Millis(500);
-const WAIT_MAX: Millis = Millis(4_000);
+/// The first and the longest duration of a survey round. The duration doubles with
+/// each round, because a round never completes if its answers take longer.
+const MIN_ROUND_TIME: Millis = Millis(500);
+const MAX_ROUND_TIME: Millis = Millis(4_000);
 
-/// A survey under way.
+/// The current survey round.
 #[derive(Debug, Default)]
-pub(super) struct Round {
-    /// Its number; zero before the first.
+pub(super) struct SurveyRound {
+    /// The number of the round, or zero before the first.
     number: u64,
     /// When the next round starts.
-    next: Millis,
-    /// How long this round lasts.
-    wait: Millis,
-    /// The units that the home lacked at its start.
+    next_start: Millis,
+    /// How long this round lasts, or zero after a complete round.
+    duration: Millis,
+    /// The units that this entry surveys.
     units: Vec<u32>,
-    /// The positions of members that need not answer any more.
-    filled: Vec<usize>,
-    /// Units that some member still owns or holds.
+    /// The positions of members that have answered or need not answer.
+    answered: Vec<usize>,
+    /// Units that a member has reported as owned or borrowed.
     kept: Vec<u32>,
 }
 
-impl Round {
-    /// Ends the round, so that the next one starts at once.
+impl SurveyRound {
+    /// Ends the round, so that the next one can start at once.
     pub(super) fn restart(&mut self) {
         *self = Self {
             number: self.number,
@@ -39,19 +40,19 @@
 }
 
 impl Ledger {
-    /// Starts a round if units are missing and the last round is over.
-    pub(super) fn survey(&mut self, now: Millis) -> Vec<Outgoing> {
-        let Some(own) = self.seat.filter(|_| self.missing > 0) else {
+    /// Starts a round if units are missing and the previous round is over.
+    pub(super) fn start_survey(&mut self, now: Millis) -> Vec<Outgoing> {
+        let Some(own) = self.position.filter(|_| self.missing > 0) else {
             return Vec::new();
         };
-        if now < self.round.next {
+        if now < self.round.next_start {
             return Vec::new();
         }
-        // Only members that were known gone when the round started count as
-        // answers: whatever they granted is older than the answers of the others.
+        // A member counts as answered only if it was known to be gone when the
+        // round started: all its grants are then older than the others' answers.
         let members = self.roster.members().iter().enumerate();
         let is_gone = |m| self.gone.contains(m);
-        let (filled, open): (Vec<_>, Vec<_>) =
+        let (answered, unanswered): (Vec<_>, Vec<_>) =
             members.partition(|(i, s)| *i == own || is_gone(&s.member));
         let units = self.missing_units();
         let number = self.round.number + 1;
@@ -59,58 +60,60 @@
             round: number,
             units: units.to_vec(),
         };
-        let out = open
+        let out = unanswered
             .iter()
             .map(|(_, s)| self.send(&s.member, survey(&units)));
         let out = out.collect();
-        let filled = filled.into_iter().map(|(i, _)| i).collect();
-        let wait = self.round.wait;
-        let wait = (wait + wait).clamp(WAIT_MIN, WAIT_MAX);
+        let answered = answered.into_iter().map(|(i, _)| i).collect();
+        let duration = self.round.duration;
+        let duration = (duration + duration).clamp(MIN_ROUND_TIME, MAX_ROUND_TIME);
         self.refuse_grants(&units);
-        self.round = Round {
+        self.round = SurveyRound {
             number,
-            next: now + wait,
-            wait,
+            next_start: now + duration,
+            duration,
             units,
-            filled,
+            answered,
             kept: Vec::new(),
         };
-        self.claim(now);
+        self.claim_lost(now);
         out
     }
 
     fn missing_units(&self) -> Vec<u32> {
         let owned = |u: &u32| !matches!(self.units[*u as usize], Unit::Absent | Unit::Borrowed(_));
-        let homes = (0..).zip(&self.homes);
-        let mine = homes.filter_map(|(u, home)| (*home == self.seat).then_some(u));
-        mine.filter(|u| !owned(u)).collect()
+        let homes = (0..).zip(&self.home_positions);
+        let own = homes.filter_map(|(u, home)| (*home == self.position).then_some(u));
+        own.filter(|u| !owned(u)).collect()
     }
 
-    /// Refuses grants of units that a survey is told are not held here.
+    /// Marks the units that this entry does not hold, so that open requests do not
+    /// accept a later grant of them.
     fn refuse_grants(&mut self, units: &[u32]) {
         let held = |u: &u32| matches!(self.units.get(*u as usize), Some(Unit::Borrowed(_)));
         let absent: Vec<u32> = units.iter().copied().filter(|u| !held(u)).collect();
-        for ask in &mut self.asks {
-            let news = absent.iter().filter(|u| !ask.refused.contains(u));
-            let news: Vec<u32> = news.copied().collect();
-            ask.refused.extend(news);
+        for request in &mut self.open_requests {
+            let added = absent.iter().filter(|u| !request.refused_units.contains(u));
+            let added: Vec<u32> = added.copied().collect();
+            request.refused_units.extend(added);
         }
     }
 
     pub(super) fn on_survey(
         &mut self,
-        seat: usize,
+        position: usize,
         round: u64,
         units: &[u32],
         now: Millis,
     ) -> Vec<Outgoing> {
-        let to = self.roster.members()[seat].member.clone();
-        let is_home = |u: &u32| *u < MAX_UNITS && self.roster.home(&self.name, *u) == Some(seat);
+        let to = self.roster.members()[position].member.clone();
+        let is_home =
+            |u: &u32| *u < MAX_UNITS && self.roster.home(&self.name, *u) == Some(position);
         let units: Vec<u32> = units.iter().copied().filter(is_home).collect();
         let mut moved = Vec::new();
         let mut kept = Vec::new();
-        self.reclaim(now);
-        self.expire(now);
+        self.reclaim_expired(now);
+        self.drop_expired(now);
         for &index in &units {
             let Some(unit) = self.units.get_mut(index as usize) else {
                 continue;
@@ -118,10 +121,11 @@
             match unit {
                 Unit::Absent => continue,
                 Unit::Free(_) => {}
-                // Only the new home can use it, so it need not come back first.
-                Unit::Lent { loan, .. } if loan.to == to => {}
-                Unit::Busy { due } | Unit::Lent { due, .. } => {
-                    *due = true;
+                // The borrower is the new home, so the unit need not be returned
+                // first.
+                Unit::Lent { loan, .. } if loan.borrower == to => {}
+                Unit::Busy { claimed } | Unit::Lent { claimed, .. } => {
+                    *claimed = true;
                     kept.push(index);
                     continue;
                 }
@@ -134,7 +138,7 @@
             moved.push(index);
         }
         self.refuse_grants(&units);
-        let mut out = self.recall_due(&kept);
+        let mut out = self.recall_for_home(&kept);
         out.push(self.send(
             &to,
             Message::Handover {
@@ -146,19 +150,19 @@
         out
     }
 
-    /// Hands units over that became free after their home had asked for them.
+    /// Hands over units, which must be free, to their homes.
     pub(super) fn hand_over(&mut self, units: Vec<u32>) -> Vec<Outgoing> {
         let home = |u: u32| self.roster.home(&self.name, u).map(|h| (h, u));
-        let groups = group(units.into_iter().filter_map(home));
+        let groups = group_by_key(units.into_iter().filter_map(home));
         let mut out = Vec::new();
-        for (seat, units) in groups {
-            if Some(seat) == self.seat {
+        for (position, units) in groups {
+            if Some(position) == self.position {
                 continue;
             }
             for &index in &units {
                 self.units[index as usize] = Unit::Absent;
             }
-            let to = self.roster.members()[seat].member.clone();
+            let to = self.roster.members()[position].member.clone();
             let message = Message::Handover {
                 round: 0,
                 units,
@@ -171,55 +175,56 @@
 
     pub(super) fn on_handover(
         &mut self,
-        seat: usize,
+        position: usize,
         round: u64,
         units: &[u32],
         kept: &[u32],
         now: Millis,
     ) -> Vec<Outgoing> {
         for &index in units {
-            self.own(index, now);
+            self.take_ownership(index, now);
         }
         if round != 0 && round == self.round.number {
-            if !self.round.filled.contains(&seat) {
-                self.round.filled.push(seat);
+            if !self.round.answered.contains(&position) {
+                self.round.answered.push(position);
             }
             self.round.kept.extend(kept);
-            self.claim(now);
+            self.claim_lost(now);
         }
-        self.request(now)
+        self.request_units(now)
     }
 
-    /// Owns the units that no member has, once all have answered.
-    fn claim(&mut self, now: Millis) {
-        if self.round.filled.len() < self.roster.members().len() {
+    /// Once all members have answered, takes ownership of the units that none of
+    /// them has.
+    fn claim_lost(&mut self, now: Millis) {
+        if self.round.answered.len() < self.roster.members().len() {
             return;
         }
         let units = std::mem::take(&mut self.round.units);
         for index in units {
-            // A unit that is borrowed here from an entry that is gone becomes owned.
+            // This includes units borrowed here from an entry that is gone.
             if !self.round.kept.contains(&index) {
-                self.own(index, now);
+                self.take_ownership(index, now);
             }
         }
-        self.round.wait = Millis(0);
+        self.round.duration = Millis(0);
         self.refresh(now);
     }
 
-    /// Makes this entry the owner of a unit whose home it is.
-    fn own(&mut self, index: u32, now: Millis) {
+    /// Makes this entry the owner of a unit if it is the unit's home.
+    fn take_ownership(&mut self, index: u32, now: Millis) {
         let size = self.units.len();
-        let is_home = self.roster.home(&self.name, index) == self.seat;
-        if index >= MAX_UNITS || !is_home || self.seat.is_none() {
+        let is_home = self.roster.home(&self.name, index) == self.position;
+        if index >= MAX_UNITS || !is_home || self.position.is_none() {
             return;
         }
-        // The unit may lie beyond the size that this entry knows.
+        // The limit may be larger than this entry knows.
         if index as usize >= size {
             self.units.resize(index as usize + 1, Unit::Absent);
         }
         let unit = &mut self.units[index as usize];
         match unit {
-            Unit::Borrowed(debt) if debt.busy => *unit = Unit::Busy { due: false },
+            Unit::Borrowed(loan) if loan.busy => *unit = Unit::Busy { claimed: false },
             Unit::Absent | Unit::Borrowed(_) => *unit = Unit::Free(now),
             Unit::Free(_) | Unit::Busy { .. } | Unit::Lent { .. } => {}
         }
--- a/tests/limit/node.rs
+++ b/tests/limit/node.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use savorybeam::domain::Millis;
-use savorybeam::policy::limit::{Item, Ledger, Member, Permit, Roster};
+use savorybeam::policy::limit::{Envelope, Ledger, Member, Permit, Roster};
 
 /// How long a naive lease lasts.
 const LEASE: Millis = Millis(2_000);
@@ -11,7 +11,7 @@
 /// What nodes send to each other.
 #[derive(Clone, Debug)]
 pub enum Packet {
-    Item(Item),
+    Envelope(Envelope),
     LeaseAsk { want: u32 },
     LeaseGrant { units: Vec<u32> },
 }
@@ -45,7 +45,7 @@
 pub type Sent = (Member, Packet);
 
 fn wrap(out: Vec<savorybeam::policy::limit::Outgoing>) -> Vec<Sent> {
-    let wrap = |o: savorybeam::policy::limit::Outgoing| (o.to, Packet::Item(o.item));
+    let wrap = |o: savorybeam::policy::limit::Outgoing| (o.to, Packet::Envelope(o.envelope));
     out.into_iter().map(wrap).collect()
 }
 
@@ -83,7 +83,7 @@
         match self {
             Self::Escrow(ledger) => match ledger.acquire() {
                 Some(permit) => (Some(Unit::Permit(permit)), Vec::new()),
-                None => (None, wrap(ledger.request(now))),
+                None => (None, wrap(ledger.request_units(now))),
             },
             Self::Split { free, .. } => (free.pop().map(Unit::Plain), Vec::new()),
             Self::Lease(lease) => {
@@ -132,8 +132,8 @@
         now: Millis,
     ) -> Vec<Sent> {
         match (self, packet) {
-            (Self::Escrow(ledger), Packet::Item(item)) => {
-                wrap(ledger.on_message(from, to, item, now))
+            (Self::Escrow(ledger), Packet::Envelope(envelope)) => {
+                wrap(ledger.on_message(from, to, envelope, now))
             }
             (Self::Lease(lease), Packet::LeaseAsk { want }) => {
                 let mut units = Vec::new();
--- a/tests/limit/platform.rs
+++ b/tests/limit/platform.rs
@@ -5,7 +5,7 @@
 
 use rand::Rng;
 use savorybeam::domain::Epoch;
-use savorybeam::policy::limit::{Roster, Seat};
+use savorybeam::policy::limit::{Roster, RosterMember};
 
 use super::world::{Event, Ghost, World, member};
 
@@ -22,7 +22,7 @@
             let live = slot.as_ref().map(|e| e.member.clone());
             if let Some(member) = ghost.map(|g| g.member.clone()).or(live) {
                 let leaving = self.leaving == Some(index);
-                seats.push(Seat { member, leaving });
+                seats.push(RosterMember { member, leaving });
             }
         }
         let next = Roster::new(self.roster.epoch(), seats.clone());
--- a/tests/limit/script.rs
+++ b/tests/limit/script.rs
@@ -4,7 +4,8 @@
 
 use savorybeam::domain::{Epoch, Millis};
 use savorybeam::policy::limit::{
-    Held, Ledger, Limit, Member, Message, Outgoing, Permit, Roster, Seat, TICK,
+    HeldUnits, Ledger, Limit, Member, Message, Outgoing, Permit, Roster, RosterMember,
+    TICK_INTERVAL,
 };
 
 use super::world::member;
@@ -33,13 +34,13 @@
 
 fn describe(message: &Message) -> String {
     match message {
-        Message::Ask { want, renew, .. } if renew.is_empty() => format!("ask for {want}"),
-        Message::Ask { renew, .. } => format!("ask to renew {}", units(renew)),
+        Message::Borrow { want, renew, .. } if renew.is_empty() => format!("ask for {want}"),
+        Message::Borrow { renew, .. } => format!("ask to renew {}", units(renew)),
         Message::Grant { units: u, .. } => format!("grant {}", units(u)),
         Message::Decline { queued: true, .. } => "decline, queued".to_owned(),
         Message::Decline { .. } => "decline".to_owned(),
-        Message::Return(Held { units: u, .. }) => format!("return {}", units(u)),
-        Message::Recall(Held { units: u, .. }) => format!("recall {}", units(u)),
+        Message::Return(HeldUnits { units: u, .. }) => format!("return {}", units(u)),
+        Message::Recall(HeldUnits { units: u, .. }) => format!("recall {}", units(u)),
         Message::Audit => "audit".to_owned(),
         Message::Reconcile { loans, .. } => {
             let held: Vec<u32> = loans.iter().flat_map(|h| h.units.clone()).collect();
@@ -90,7 +91,7 @@
 
     /// Lets every entry adopt a roster of the first `count` entries.
     pub fn adopt(&mut self, epoch: u64, count: usize) {
-        let seat = |i: usize| Seat {
+        let seat = |i: usize| RosterMember {
             member: member(i, self.incarnations[i]),
             leaving: self.leaving == Some(i),
         };
@@ -131,7 +132,7 @@
             if let Some(permit) = self.ledgers[index].acquire() {
                 permits.push(permit);
             } else {
-                let out = self.ledgers[index].request(self.now);
+                let out = self.ledgers[index].request_units(self.now);
                 self.pump(index, out);
             }
         }
@@ -158,7 +159,7 @@
     pub fn run_with(&mut self, time: Millis, mut work: impl FnMut(&mut [Ledger], Millis)) {
         let end = self.now + time;
         while self.now < end {
-            self.now = self.now + TICK;
+            self.now = self.now + TICK_INTERVAL;
             work(&mut self.ledgers, self.now);
             for index in 0..self.ledgers.len() {
                 let out = self.ledgers[index].tick(self.now);
@@ -176,12 +177,12 @@
             if (from < self.border) != (to < self.border) {
                 continue;
             }
-            let text = describe(&sent.item.message);
+            let text = describe(&sent.envelope.message);
             if !self.quiet {
                 let _ = writeln!(self.log, "e{from} -> e{to}: {text}");
             }
             let sender = member(from, self.incarnations[from]);
-            let answer = self.ledgers[to].on_message(&sender, &sent.to, sent.item, self.now);
+            let answer = self.ledgers[to].on_message(&sender, &sent.to, sent.envelope, self.now);
             queue.extend(answer.into_iter().map(|o| (to, o)));
         }
     }
--- a/tests/limit/timelines.rs
+++ b/tests/limit/timelines.rs
@@ -114,17 +114,17 @@
     let [asker, lender, home] = [0, 1, 2].map(|i| member(i, 1));
     let mut grants = Vec::new();
     for ask in script.ledgers[0].tick(now) {
-        grants.extend(script.ledgers[1].on_message(&asker, &ask.to, ask.item, now));
+        grants.extend(script.ledgers[1].on_message(&asker, &ask.to, ask.envelope, now));
     }
     script.ledgers[0].on_gone(&lender, now);
     script.ledgers[2].on_gone(&lender, now);
     for survey in script.ledgers[2].tick(now) {
-        for answer in script.ledgers[0].on_message(&home, &survey.to, survey.item, now) {
-            script.ledgers[2].on_message(&asker, &answer.to, answer.item, now);
+        for answer in script.ledgers[0].on_message(&home, &survey.to, survey.envelope, now) {
+            script.ledgers[2].on_message(&asker, &answer.to, answer.envelope, now);
         }
     }
     for grant in grants {
-        let refused = script.ledgers[0].on_message(&lender, &grant.to, grant.item, now);
+        let refused = script.ledgers[0].on_message(&lender, &grant.to, grant.envelope, now);
         script.note(&format!(
             "e0 answers the grant with {} messages",
             refused.len()
@@ -144,12 +144,12 @@
     for life in [1, 2] {
         let _running = script.acquire(0, script.ledgers[0].status().usable as usize);
         assert!(script.ledgers[0].acquire().is_none());
-        let asks = script.ledgers[0].request(script.now);
+        let asks = script.ledgers[0].request_units(script.now);
         script.note(&format!("life {life} of e0 asks: {}", asks.len()));
         if life == 1 {
             for ask in asks {
-                let (asker, item) = (member(0, 1), ask.item);
-                grants.extend(script.ledgers[1].on_message(&asker, &ask.to, item, script.now));
+                let (asker, envelope) = (member(0, 1), ask.envelope);
+                grants.extend(script.ledgers[1].on_message(&asker, &ask.to, envelope, script.now));
             }
             script.start(0, 2);
             script.adopt(2, 2);
@@ -158,9 +158,9 @@
         }
     }
     for mut grant in grants {
-        grant.item.epoch = script.ledgers[0].epoch();
+        grant.envelope.epoch = script.ledgers[0].epoch();
         let now = script.now;
-        script.ledgers[0].on_message(&member(1, 1), &grant.to, grant.item, now);
+        script.ledgers[0].on_message(&member(1, 1), &grant.to, grant.envelope, now);
     }
     script.holdings();
     insta::assert_snapshot!(script.log);
@@ -180,7 +180,7 @@
             answers.extend(script.ledgers[0].on_message(
                 &home,
                 &survey.to,
-                survey.item,
+                survey.envelope,
                 script.now,
             ));
         }
@@ -189,8 +189,8 @@
     assert!((0..3).all(|_| script.ledgers[0].acquire().is_none()));
     script.now = script.now + Millis(100);
     for ask in script.ledgers[0].tick(script.now) {
-        for grant in script.ledgers[1].on_message(&borrower, &ask.to, ask.item, script.now) {
-            script.ledgers[0].on_message(&lender, &grant.to, grant.item, script.now);
+        for grant in script.ledgers[1].on_message(&borrower, &ask.to, ask.envelope, script.now) {
+            script.ledgers[0].on_message(&lender, &grant.to, grant.envelope, script.now);
         }
     }
     script.ledgers[2].on_gone(&lender, script.now);
@@ -198,7 +198,7 @@
     let second = script.ledgers[2].tick(script.now);
     script.note(&format!("the second round has {} survey", second.len()));
     for answer in answers {
-        script.ledgers[2].on_message(&borrower, &answer.to, answer.item, script.now);
+        script.ledgers[2].on_message(&borrower, &answer.to, answer.envelope, script.now);
     }
     script.holdings();
     insta::assert_snapshot!(script.log);
--- a/tests/limit/wire.rs
+++ b/tests/limit/wire.rs
@@ -5,7 +5,7 @@
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use savorybeam::adapters::grpc::limit::{BATCH_MAX, LimitBatch, pack, unpack};
 use savorybeam::domain::Epoch;
-use savorybeam::policy::limit::{Held, Item, MAX_UNITS, Message, Outgoing};
+use savorybeam::policy::limit::{Envelope, HeldUnits, MAX_UNITS, Message, Outgoing};
 
 use super::world::member;
 
@@ -23,9 +23,9 @@
     units
 }
 
-fn held(g: &mut Gen) -> Held {
-    Held {
-        ask: u64::arbitrary(g),
+fn held(g: &mut Gen) -> HeldUnits {
+    HeldUnits {
+        request_id: u64::arbitrary(g),
         units: units(g),
     }
 }
@@ -34,19 +34,19 @@
     fn arbitrary(g: &mut Gen) -> Self {
         let number = u64::arbitrary(g);
         let message = match u8::arbitrary(g) % 9 {
-            0 => Message::Ask {
-                ask: number,
+            0 => Message::Borrow {
+                request_id: number,
                 want: u32::arbitrary(g),
                 held: u32::arbitrary(g),
                 renew: units(g),
             },
             1 => Message::Grant {
-                ask: number,
+                request_id: number,
                 units: units(g),
                 idle: u32::arbitrary(g),
             },
             2 => Message::Decline {
-                ask: number,
+                request_id: number,
                 queued: bool::arbitrary(g),
             },
             3 => Message::Return(held(g)),
@@ -66,13 +66,13 @@
                 kept: units(g),
             },
         };
-        let item = Item {
+        let envelope = Envelope {
             limit: "link/nairobi/coast".parse().expect("a valid name"),
             epoch: Epoch(u64::arbitrary(g)),
             message,
         };
         let to = member(usize::from(u8::arbitrary(g) % 3), u64::arbitrary(g) % 2);
-        Self(Outgoing { to, item })
+        Self(Outgoing { to, envelope })
     }
 }
 
@@ -85,7 +85,7 @@
             let batch = LimitBatch::decode(bytes.as_slice()).expect("our own encoding");
             let batch = unpack(&batch).expect("valid names");
             assert_eq!(batch.from, member(7, 3));
-            read.extend(batch.items.into_iter().map(|item| Outgoing { to: batch.to.clone(), item }));
+            read.extend(batch.items.into_iter().map(|envelope| Outgoing { to: batch.to.clone(), envelope }));
         }
         // Batches are ordered by recipient, and messages within one recipient.
         let mut expected = sent;
@@ -100,7 +100,7 @@
 fn batches_are_bounded() {
     let one = Outgoing {
         to: member(1, 1),
-        item: Item {
+        envelope: Envelope {
             limit: "link/nairobi/coast".parse().expect("a valid name"),
             epoch: Epoch(1),
             message: Message::Survey {
@@ -113,11 +113,11 @@
     let batches = pack(&member(0, 1), &sent);
     let sizes: Vec<usize> = batches.iter().map(prost::Message::encoded_len).collect();
     assert!(sizes.iter().all(|s| *s as u64 <= BATCH_MAX.0));
-    let read: Vec<Item> = batches
+    let read: Vec<Envelope> = batches
         .iter()
         .flat_map(|b| unpack(b).expect("valid names").items)
         .collect();
-    assert_eq!(read[0], sent[0].item);
+    assert_eq!(read[0], sent[0].envelope);
     let count: usize = batches.iter().map(|b| b.items.len()).sum();
     insta::assert_snapshot!(format!("{count} messages in {} batches", sizes.len()), @"2000 messages in 32 batches");
 }
--- a/tests/limit/world.rs
+++ b/tests/limit/world.rs
@@ -340,7 +340,7 @@
                 let ledger = entry.node.ledger().expect("only ledgers change size");
                 let out = ledger.set_limit(Limit::Slots(Slots(size)), clock);
                 out.into_iter()
-                    .map(|o| (o.to, Packet::Item(o.item)))
+                    .map(|o| (o.to, Packet::Envelope(o.envelope)))
                     .collect()
             }
             Event::Start(_) => Vec::new(),
