Describe the limit tests in terms of simulation and traces

The tests of limits used figurative names (Way, Ghost, cut, life, heal), and several failure messages were bare numbers. The tests now say which failure they guard against and how it comes about, and probabilities and times have their unit in the name or the comment.

Renamed: script.rs (Script) -> scenario.rs (Scenario); timelines.rs -> traces.rs; Way -> Scheme; Ghost -> CrashedEntry; World::fault -> violation, heal -> end_faults; SETTLE -> SETTLE_MS; FOLLOW -> FOLLOW_SLOTS_MS.

The tests check the same as before.

--- a/tests/limit/main.rs
+++ b/tests/limit/main.rs
@@ -1,10 +1,10 @@
-//! Guards shared limits: the units in use anywhere never exceed the limit, and
-//! unused units reach the entry that needs them.
+//! Tests that the units in use at all entries never exceed the limit, and that
+//! unused units reach the entries that need them.
 
 mod node;
 mod platform;
-mod script;
-mod timelines;
+mod scenario;
+mod traces;
 mod wire;
 mod world;
 
@@ -12,18 +12,20 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::domain::{Rps, Slots};
 use savorybeam::policy::limit::Limit;
-use world::{Faults, STEP, Way, World};
+use world::{Faults, STEP_MS, Scheme, World};
 
-/// Returns how many seeds a property runs; a long run sets the variable.
+/// Returns the number of seeds that a property is checked with. `SAVORYBEAM_SEEDS`
+/// overrides it for a long run.
 fn seeds(default: u64) -> u64 {
-    variable("SAVORYBEAM_SEEDS").unwrap_or(default)
+    env_number("SAVORYBEAM_SEEDS").unwrap_or(default)
 }
 
-fn variable(name: &str) -> Option<u64> {
+fn env_number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
 }
 
-/// A seed of a run. It has no smaller ones: another seed is another run.
+/// The seed of a run. It does not shrink, because another seed gives an unrelated
+/// run.
 #[derive(Clone, Copy, Debug)]
 struct Seed(u64);
 
@@ -33,9 +35,9 @@
     }
 }
 
-fn check(count: u64, property: fn(Seed) -> TestResult) {
-    // A failed run is repeated with its seed in this variable.
-    if let Some(seed) = variable("SAVORYBEAM_SEED") {
+fn check_property(count: u64, property: fn(Seed) -> TestResult) {
+    // Set this variable to the seed of a failed run to repeat it.
+    if let Some(seed) = env_number("SAVORYBEAM_SEED") {
         let result = property(Seed(seed));
         assert!(!result.is_failure(), "{result:?}");
         return;
@@ -46,130 +48,136 @@
         .quickcheck(property);
 }
 
-fn run(world: &mut World, time: u64) -> Result<(), String> {
+fn run_world(world: &mut World, time: u64) -> Result<(), String> {
     let end = world.now + time;
     while world.now < end {
         world.step();
-        if let Some(fault) = world.fault() {
-            return Err(fault);
+        if let Some(violation) = world.violation() {
+            return Err(violation);
         }
     }
     Ok(())
 }
 
-fn draw(seed: u64, way: Way, limit: Option<Limit>) -> World {
+fn random_world(seed: u64, scheme: Scheme, limit: Option<Limit>) -> World {
     let mut rng = SmallRng::seed_from_u64(seed);
     let count = rng.random_range(3..=9);
     let size = rng.random_range(1..9);
     let limit = limit.unwrap_or(Limit::Slots(Slots(size)));
-    let faults = Faults::draw(&mut rng);
-    World::new(seed, count, way, limit, faults)
+    let faults = Faults::random(&mut rng);
+    World::new(seed, count, scheme, limit, faults)
 }
 
-fn verdict(seed: u64, result: Result<(), String>) -> TestResult {
+fn to_test_result(seed: u64, result: Result<(), String>) -> TestResult {
     match result {
         Ok(()) => TestResult::passed(),
-        Err(fault) => TestResult::error(format!("seed {seed}: {fault}")),
+        Err(violation) => TestResult::error(format!("seed {seed}: {violation}")),
     }
 }
 
-fn slots_stay_within(Seed(seed): Seed) -> TestResult {
-    let mut world = draw(seed, Way::Escrow, None);
-    verdict(seed, run(&mut world, 60_000))
+fn slots_stay_within_limit(Seed(seed): Seed) -> TestResult {
+    let mut world = random_world(seed, Scheme::Escrow, None);
+    to_test_result(seed, run_world(&mut world, 60_000))
 }
 
-fn rates_stay_within(Seed(seed): Seed) -> TestResult {
-    let mut world = draw(seed, Way::Escrow, Some(Limit::requests(Rps(60))));
-    verdict(seed, run(&mut world, 30_000))
+fn rates_stay_within_limit(Seed(seed): Seed) -> TestResult {
+    let mut world = random_world(seed, Scheme::Escrow, Some(Limit::requests(Rps(60))));
+    to_test_result(seed, run_world(&mut world, 30_000))
 }
 
-/// Guards against a loan, a handover or a restart that lets two entries use one
+/// Guards against loans, handovers and restarts that let two entries use the same
 /// slot at the same time.
 #[test]
 fn slots_are_never_used_twice() {
-    check(seeds(60), slots_stay_within);
+    check_property(seeds(60), slots_stay_within_limit);
 }
 
-/// Guards against a rate loan that is used after its lender has reclaimed it.
+/// Guards against the use of a rate loan after its lender has reclaimed it.
 #[test]
 fn rates_are_never_used_twice() {
-    check(seeds(6), rates_stay_within);
+    check_property(seeds(6), rates_stay_within_limit);
 }
 
-/// The time in which unused units must have moved after the last fault: the
-/// longest survey wait, the audit period, the platform's lag in this world, the
-/// roster's and a few round trips.
-const SETTLE: u64 = 15_000 + 8_000 + 5_000 + 2_000 + 2_000 + 4_000 + 4_000 + 1_000;
+/// The time in which unused units must have moved after the last fault, in
+/// milliseconds. It is the sum of the longest times in these runs: the platform's
+/// detection of a crash, the restart, the report of the crash, the interval between
+/// two rosters, the delivery of a roster, a survey round, the audit interval and a
+/// few round trips.
+const SETTLE_MS: u64 = 15_000 + 8_000 + 5_000 + 2_000 + 2_000 + 4_000 + 4_000 + 1_000;
 
-fn unused_moves(Seed(seed): Seed, limit: Option<Limit>) -> TestResult {
-    let mut world = draw(seed, Way::Escrow, limit);
-    if let Err(fault) = run(&mut world, 20_000) {
-        return verdict(seed, Err(fault));
+fn unused_units_move(Seed(seed): Seed, limit: Option<Limit>) -> TestResult {
+    let mut world = random_world(seed, Scheme::Escrow, limit);
+    if let Err(violation) = run_world(&mut world, 20_000) {
+        return to_test_result(seed, Err(violation));
     }
-    world.heal();
+    world.end_faults();
     let size = world.limit.units() as usize;
     let count = world.entries.len();
     let hot = world.rng().random_range(0..count);
-    let end = world.now + SETTLE;
+    let end = world.now + SETTLE_MS;
     while world.now < end {
         for (index, entry) in world.entries.iter_mut().enumerate() {
             if let Some(entry) = entry {
                 entry.demand = if index == hot { 1.0 } else { 0.0 };
             }
         }
-        if let Err(fault) = run(&mut world, STEP) {
-            return verdict(seed, Err(fault));
+        if let Err(violation) = run_world(&mut world, STEP_MS) {
+            return to_test_result(seed, Err(violation));
         }
-        if world.most() == size && world.entries[hot].is_some() {
+        if world.max_units() == size && world.entries[hot].is_some() {
             return TestResult::passed();
         }
     }
-    let most = world.most();
-    verdict(
+    let max_units = world.max_units();
+    to_test_result(
         seed,
-        Err(format!("{most} of {size} units after {SETTLE} ms")),
+        Err(format!(
+            "one entry has at most {max_units} of {size} units after {SETTLE_MS} ms"
+        )),
     )
 }
 
 /// Guards against units that are lost for good with a message or an entry, and
-/// against units that stay idle where nobody needs them.
+/// against units that stay idle at an entry that does not need them.
 #[test]
 fn unused_slots_reach_the_demand() {
-    check(seeds(30), |seed| unused_moves(seed, None));
+    check_property(seeds(30), |seed| unused_units_move(seed, None));
 }
 
-/// Guards against the same for rates.
+/// The same test for the units of a rate.
 #[test]
 fn unused_rates_reach_the_demand() {
-    check(seeds(4), |seed| {
-        unused_moves(seed, Some(Limit::requests(Rps(60))))
+    check_property(seeds(4), |seed| {
+        unused_units_move(seed, Some(Limit::requests(Rps(60))))
     });
 }
 
-/// Shows that this harness detects a lease that is checked too late and
-/// reclaimed without a margin.
+/// Verifies that these tests detect a faulty protocol: a lease that is checked too
+/// late and reclaimed without a safety margin.
 #[test]
 fn a_lease_without_margin_exceeds_the_limit() {
-    let exceeds = |seed: &u64| run(&mut draw(*seed, Way::Lease, None), 60_000).is_err();
+    let exceeds =
+        |seed: &u64| run_world(&mut random_world(*seed, Scheme::Lease, None), 60_000).is_err();
     assert!((0..20).any(|seed| exceeds(&seed)));
 }
 
-/// Shows that an equal split strands the units of idle entries.
+/// Shows why units are lent: with an equal split, the units of idle entries cannot
+/// be used.
 #[test]
 fn an_equal_split_strands_unused_units() {
     let limit = Limit::Slots(Slots(6));
-    let reached = |way| {
-        let mut world = World::new(1, 3, way, limit, Faults::NONE);
+    let reached = |scheme| {
+        let mut world = World::new(1, 3, scheme, limit, Faults::NONE);
         for (index, entry) in world.entries.iter_mut().flatten().enumerate() {
             entry.demand = if index == 0 { 1.0 } else { 0.0 };
         }
-        run(&mut world, 10_000).expect("both are safe");
-        world.most()
+        run_world(&mut world, 10_000).expect("neither scheme exceeds the limit");
+        world.max_units()
     };
     let text = format!(
         "equal split: {} of 6\nloans: {} of 6",
-        reached(Way::Split),
-        reached(Way::Escrow)
+        reached(Scheme::Split),
+        reached(Scheme::Escrow)
     );
     insta::assert_snapshot!(text, @r"
     equal split: 2 of 6
@@ -177,68 +185,81 @@
     ");
 }
 
-/// Guards against units that earn tokens twice when they move.
+/// Guards against units that earn tokens at two entries for the same time when they
+/// move.
 #[test]
 fn admissions_stay_within_the_rate() {
-    check(seeds(4), |Seed(seed)| {
-        let mut world = draw(seed, Way::Escrow, Some(Limit::requests(Rps(60))));
+    check_property(seeds(4), |Seed(seed)| {
+        let mut world = random_world(seed, Scheme::Escrow, Some(Limit::requests(Rps(60))));
         for entry in world.entries.iter_mut().flatten() {
             entry.demand = 0.9;
         }
-        if let Err(fault) = run(&mut world, 20_000) {
-            return verdict(seed, Err(fault));
+        if let Err(violation) = run_world(&mut world, 20_000) {
+            return to_test_result(seed, Err(violation));
         }
-        // Clocks run up to 5% fast; 100 ms of the rate, or one request for each
-        // entry, may be saved up.
-        let most = 63 + 6 + world.entries.len();
+        // Clocks run up to 5% fast, and a bucket holds the tokens of 100 ms or of one
+        // request.
+        let max_admissions = 63 + 6 + world.entries.len();
         let times = &world.admissions;
         let starts = times.iter().enumerate();
         let count =
             |(i, t): (usize, &u64)| times[i..].iter().take_while(|u| **u < t + 1_000).count();
         let worst = starts.map(count).max().unwrap_or(0);
-        if worst > most {
-            return verdict(seed, Err(format!("{worst} of {most} in a second")));
+        if worst > max_admissions {
+            return to_test_result(
+                seed,
+                Err(format!(
+                    "{worst} admissions in a second, of at most {max_admissions}"
+                )),
+            );
         }
         TestResult::passed()
     });
 }
 
-/// The time in which all units follow the demand without faults: the longest
-/// request (3 s), the idle time (0.5 s), the decay of the average (2 s), the
-/// longest backoff (4 s) and a few round trips.
-const FOLLOW: u64 = 10_000;
+/// The time in which all slots move to the demand without faults, in milliseconds:
+/// the longest request (3 s), the idle timeout (0.5 s), the decay of the average
+/// (2 s), the longest backoff (4 s) and a few round trips.
+const FOLLOW_SLOTS_MS: u64 = 10_000;
 
-/// The same for rates: no request runs, but the average decays more slowly
-/// (6 s) and a return that crosses a renewal waits for its reclaim (2.7 s).
-const FOLLOW_RATE: u64 = 6_000 + 500 + 2_700 + 4_000 + 500;
+/// The same for the units of a rate, which no request uses. But the average decays
+/// more slowly (6 s), and a unit whose return crosses its renewal is only available
+/// after the reclaim (2.7 s).
+const FOLLOW_RATES_MS: u64 = 6_000 + 500 + 2_700 + 4_000 + 500;
 
-/// Guards against units that follow the demand only after many round trips.
+/// Guards against units that take many round trips to move to the demand.
 #[test]
 fn units_follow_the_demand() {
     let follow = |seed: u64, limit, time| {
-        let mut world = draw(seed, Way::Escrow, Some(limit));
-        world.heal();
+        let mut world = random_world(seed, Scheme::Escrow, Some(limit));
+        world.end_faults();
         for hot in [0, 1, 2] {
             for (index, entry) in world.entries.iter_mut().flatten().enumerate() {
                 entry.demand = if index == hot { 1.0 } else { 0.0 };
             }
-            if let Err(fault) = run(&mut world, time) {
-                return verdict(seed, Err(fault));
+            if let Err(violation) = run_world(&mut world, time) {
+                return to_test_result(seed, Err(violation));
             }
             let entry = world.entries[hot].as_ref().expect("no entry crashes");
             let units = entry.node.units(world.clock(entry)).len();
             if units != limit.units() as usize {
-                return verdict(seed, Err(format!("{units} of {}", limit.units())));
+                return to_test_result(
+                    seed,
+                    Err(format!(
+                        "entry {hot} has {units} of {} units",
+                        limit.units()
+                    )),
+                );
             }
         }
         TestResult::passed()
     };
     for seed in 0..seeds(20) {
-        let result = follow(seed, Limit::Slots(Slots(5)), FOLLOW);
+        let result = follow(seed, Limit::Slots(Slots(5)), FOLLOW_SLOTS_MS);
         assert!(!result.is_failure(), "{result:?}");
     }
     for seed in 0..seeds(2) {
-        let result = follow(seed, Limit::requests(Rps(60)), FOLLOW_RATE);
+        let result = follow(seed, Limit::requests(Rps(60)), FOLLOW_RATES_MS);
         assert!(!result.is_failure(), "{result:?}");
     }
 }
--- a/tests/limit/node.rs
+++ b/tests/limit/node.rs
@@ -1,52 +1,53 @@
-//! The entries under test: the ledger, and two naive ways to share a limit.
+//! The schemes to share a limit: the ledger under test, and two naive ones.
 
 use std::sync::Arc;
 
 use savorybeam::domain::Millis;
 use savorybeam::policy::limit::{Envelope, Ledger, Member, Permit, Roster};
 
-/// How long a naive lease lasts.
-const LEASE: Millis = Millis(2_000);
+/// How long a lease of [`Lease`] lasts.
+const LEASE_TTL: Millis = Millis(2_000);
 
-/// What nodes send to each other.
+/// A message between nodes.
 #[derive(Clone, Debug)]
 pub enum Packet {
     Envelope(Envelope),
-    LeaseAsk { want: u32 },
+    LeaseRequest { want: u32 },
     LeaseGrant { units: Vec<u32> },
 }
 
-/// A naive lease of units from one allocator.
+/// A naive scheme in which one allocator leases units to the other entries.
 ///
-/// Its faults: the lease counts from when the grant arrives, it is checked only
-/// by the tick, and the allocator reclaims without a margin.
+/// It has three faults: the borrower counts the lease from the arrival of the grant,
+/// the lease is checked only by the tick, and the allocator reclaims units without a
+/// safety margin.
 #[derive(Debug, Default)]
 pub struct Lease {
     is_allocator: bool,
-    /// At the allocator: who has each unit until when.
+    /// At the allocator: when the lease of each unit expires.
     lent: Vec<Option<Millis>>,
-    /// At a borrower: its units and when it believes they expire.
+    /// At a borrower: its units, and when their leases expire by its own clock.
     held: Vec<(u32, Millis)>,
     busy: Vec<u32>,
 }
 
-/// One way to share a limit, as the entry that uses it.
+/// The state of one entry under one of the schemes.
 #[derive(Debug)]
 pub enum Node {
     /// The ledger under test.
     Escrow(Box<Ledger>),
-    /// Each entry has a fixed part.
+    /// Each entry has a fixed share of the units.
     Split { units: Vec<u32>, free: Vec<u32> },
-    /// Leased shares without a margin.
+    /// Leases without a safety margin.
     Lease(Lease),
 }
 
-/// A message with its recipient.
-pub type Sent = (Member, Packet);
+/// A recipient and a message.
+pub type OutgoingPacket = (Member, Packet);
 
-fn wrap(out: Vec<savorybeam::policy::limit::Outgoing>) -> Vec<Sent> {
-    let wrap = |o: savorybeam::policy::limit::Outgoing| (o.to, Packet::Envelope(o.envelope));
-    out.into_iter().map(wrap).collect()
+fn to_packets(out: Vec<savorybeam::policy::limit::Outgoing>) -> Vec<OutgoingPacket> {
+    let to_packet = |o: savorybeam::policy::limit::Outgoing| (o.to, Packet::Envelope(o.envelope));
+    out.into_iter().map(to_packet).collect()
 }
 
 impl Node {
@@ -78,48 +79,48 @@
         }
     }
 
-    /// Takes a slot and returns its unit.
-    pub fn acquire(&mut self, now: Millis) -> (Option<Unit>, Vec<Sent>) {
+    /// Takes a slot if one is available, and returns it with the messages to send.
+    pub fn acquire(&mut self, now: Millis) -> (Option<Unit>, Vec<OutgoingPacket>) {
         match self {
             Self::Escrow(ledger) => match ledger.acquire() {
                 Some(permit) => (Some(Unit::Permit(permit)), Vec::new()),
-                None => (None, wrap(ledger.request_units(now))),
+                None => (None, to_packets(ledger.request_units(now))),
             },
-            Self::Split { free, .. } => (free.pop().map(Unit::Plain), Vec::new()),
+            Self::Split { free, .. } => (free.pop().map(Unit::Number), Vec::new()),
             Self::Lease(lease) => {
                 let free = lease.held.iter().find(|(u, _)| !lease.busy.contains(u));
                 let unit = free.map(|(u, _)| *u);
                 lease.busy.extend(unit);
-                (unit.map(Unit::Plain), Vec::new())
+                (unit.map(Unit::Number), Vec::new())
             }
         }
     }
 
-    pub fn release(&mut self, unit: Unit, now: Millis) -> Vec<Sent> {
+    pub fn release(&mut self, unit: Unit, now: Millis) -> Vec<OutgoingPacket> {
         match (self, unit) {
-            (Self::Escrow(ledger), Unit::Permit(permit)) => wrap(ledger.release(permit, now)),
-            (Self::Split { free, .. }, Unit::Plain(unit)) => {
+            (Self::Escrow(ledger), Unit::Permit(permit)) => to_packets(ledger.release(permit, now)),
+            (Self::Split { free, .. }, Unit::Number(unit)) => {
                 free.push(unit);
                 Vec::new()
             }
-            (Self::Lease(lease), Unit::Plain(unit)) => {
+            (Self::Lease(lease), Unit::Number(unit)) => {
                 lease.busy.retain(|u| *u != unit);
                 Vec::new()
             }
-            _ => unreachable!("a node gets only its own units back"),
+            _ => unreachable!("a node releases only units that it acquired"),
         }
     }
 
-    pub fn tick(&mut self, allocator: &Member, now: Millis) -> Vec<Sent> {
+    pub fn tick(&mut self, allocator: &Member, now: Millis) -> Vec<OutgoingPacket> {
         match self {
-            Self::Escrow(ledger) => wrap(ledger.tick(now)),
+            Self::Escrow(ledger) => to_packets(ledger.tick(now)),
             Self::Split { .. } => Vec::new(),
             Self::Lease(lease) => {
                 lease.held.retain(|(_, until)| now < *until);
                 if lease.is_allocator {
                     return Vec::new();
                 }
-                vec![(allocator.clone(), Packet::LeaseAsk { want: 2 })]
+                vec![(allocator.clone(), Packet::LeaseRequest { want: 2 })]
             }
         }
     }
@@ -130,23 +131,23 @@
         to: &Member,
         packet: Packet,
         now: Millis,
-    ) -> Vec<Sent> {
+    ) -> Vec<OutgoingPacket> {
         match (self, packet) {
             (Self::Escrow(ledger), Packet::Envelope(envelope)) => {
-                wrap(ledger.on_message(from, to, envelope, now))
+                to_packets(ledger.on_message(from, to, envelope, now))
             }
-            (Self::Lease(lease), Packet::LeaseAsk { want }) => {
+            (Self::Lease(lease), Packet::LeaseRequest { want }) => {
                 let mut units = Vec::new();
                 for (index, lent) in (0..).zip(&mut lease.lent) {
                     if units.len() < want as usize && lent.is_none_or(|until| until <= now) {
-                        *lent = Some(now + LEASE);
+                        *lent = Some(now + LEASE_TTL);
                         units.push(index);
                     }
                 }
                 vec![(from.clone(), Packet::LeaseGrant { units })]
             }
             (Self::Lease(lease), Packet::LeaseGrant { units }) => {
-                let leased = units.into_iter().map(|u| (u, now + LEASE));
+                let leased = units.into_iter().map(|u| (u, now + LEASE_TTL));
                 lease.held.extend(leased);
                 Vec::new()
             }
@@ -154,7 +155,7 @@
         }
     }
 
-    /// Returns the units that may be used or are in use.
+    /// Returns the units that this entry may use or is using.
     pub fn units(&self, now: Millis) -> Vec<u32> {
         match self {
             Self::Escrow(ledger) => ledger.units(now),
@@ -171,14 +172,14 @@
 #[derive(Debug)]
 pub enum Unit {
     Permit(Permit),
-    Plain(u32),
+    Number(u32),
 }
 
 impl Unit {
     pub fn number(&self) -> u32 {
         match self {
             Self::Permit(permit) => permit.unit(),
-            Self::Plain(unit) => *unit,
+            Self::Number(unit) => *unit,
         }
     }
 }
--- a/tests/limit/platform.rs
+++ b/tests/limit/platform.rs
@@ -1,5 +1,5 @@
-//! What the platform and the store do in a world, and what an observer of all
-//! entries sees.
+//! The platform and the store of a [`World`], and the check of the invariant over
+//! all entries.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -7,20 +7,21 @@
 use savorybeam::domain::Epoch;
 use savorybeam::policy::limit::{Roster, RosterMember};
 
-use super::world::{Event, Ghost, World, member};
+use super::world::{CrashedEntry, Event, World, member};
 
 impl World {
-    /// Puts all live entries in a new roster. An incarnation that is not yet
-    /// reported gone keeps its seat, and its successor waits.
-    pub fn propose(&mut self) {
+    /// Publishes a roster of all live entries. A crashed incarnation stays in the
+    /// roster until the platform has reported it gone; only then does its successor
+    /// replace it.
+    pub fn propose_roster(&mut self) {
         let mut seats = Vec::new();
         for (index, slot) in self.entries.iter().enumerate() {
-            let ghost = self
-                .ghosts
+            let crashed = self
+                .crashed
                 .iter()
-                .find(|g| g.member.entry == member(index, 0).entry);
+                .find(|c| c.member.entry == member(index, 0).entry);
             let live = slot.as_ref().map(|e| e.member.clone());
-            if let Some(member) = ghost.map(|g| g.member.clone()).or(live) {
+            if let Some(member) = crashed.map(|c| c.member.clone()).or(live) {
                 let leaving = self.leaving == Some(index);
                 seats.push(RosterMember { member, leaving });
             }
@@ -36,27 +37,28 @@
         }
     }
 
-    /// Reports crashed entries whose time has come.
-    pub fn report(&mut self) {
+    /// Reports the crashed entries whose crash the platform has detected by now.
+    pub fn report_crashed(&mut self) {
         if self.now < self.store_down {
             return;
         }
         let now = self.now;
-        let (due, rest) = std::mem::take(&mut self.ghosts)
+        let (due, rest) = std::mem::take(&mut self.crashed)
             .into_iter()
-            .partition(|g| g.report <= now);
-        self.ghosts = rest;
-        let due: Vec<Ghost> = due;
-        for ghost in due {
+            .partition(|c| c.report_at <= now);
+        self.crashed = rest;
+        let due: Vec<CrashedEntry> = due;
+        for crashed in due {
             for index in 0..self.entries.len() {
                 let delay = self.rng.random_range(0..5_000);
-                self.push(delay, Event::Gone(index, ghost.member.clone()));
+                self.push(delay, Event::Gone(index, crashed.member.clone()));
             }
         }
     }
 
-    /// Returns what breaks the invariant at this instant, if anything does.
-    pub fn fault(&self) -> Option<String> {
+    /// Describes how the invariant is violated now, if it is: a unit is used by two
+    /// entries, or more units are in use than the limit has.
+    pub fn violation(&self) -> Option<String> {
         let mut holders: BTreeMap<u32, Vec<String>> = BTreeMap::new();
         let mut bound = 0;
         for entry in self.entries.iter().flatten() {
@@ -71,22 +73,26 @@
             let sizes = entry.running.iter().map(|(_, _, size)| *size);
             bound = sizes.chain([entry.size, bound]).max().unwrap_or(0);
         }
-        for ghost in &self.ghosts {
-            let name = format!("{}/{} (dead)", ghost.member.entry, ghost.member.incarnation);
-            for unit in &ghost.units {
+        for crashed in &self.crashed {
+            let name = format!(
+                "{}/{} (dead)",
+                crashed.member.entry, crashed.member.incarnation
+            );
+            for unit in &crashed.units {
                 holders.entry(*unit).or_default().push(name.clone());
             }
-            bound = bound.max(ghost.size);
+            bound = bound.max(crashed.size);
         }
         let sum: usize = holders.values().map(Vec::len).sum();
         if let Some((unit, names)) = holders.iter().find(|(_, names)| names.len() > 1) {
             return Some(format!("{} ms: unit {unit} is used by {names:?}", self.now));
         }
-        (sum > bound as usize).then(|| format!("{} ms: {sum} of {bound} units", self.now))
+        (sum > bound as usize)
+            .then(|| format!("{} ms: {sum} units in use, the limit is {bound}", self.now))
     }
 
-    /// Returns the most units that one entry may use.
-    pub fn most(&self) -> usize {
+    /// Returns the largest number of units that a single entry may use.
+    pub fn max_units(&self) -> usize {
         let entries = self.entries.iter().flatten();
         let units = entries.map(|e| e.node.units(self.clock(e)).len());
         units.max().unwrap_or(0)
--- a/tests/limit/script.rs
+++ b/tests/limit/scenario.rs
@@ -1,4 +1,4 @@
-//! A few entries that exchange messages at once, and a record of it.
+//! A few entries that exchange messages without delay, and a trace of the messages.
 
 use std::{collections::VecDeque, fmt::Write, sync::Arc};
 
@@ -10,18 +10,18 @@
 
 use super::world::member;
 
-/// Ledgers by entry number, with the messages between them.
-pub struct Script {
+/// Ledgers by entry number, and the trace of their messages.
+pub struct Scenario {
     pub ledgers: Vec<Ledger>,
     pub now: Millis,
-    pub log: String,
+    pub trace: String,
     /// The entry that the next roster marks as leaving.
     pub leaving: Option<usize>,
-    /// Whether messages stay out of the record.
+    /// Whether messages are left out of the trace.
     pub quiet: bool,
     limit: Limit,
-    /// Entries at or above this number are cut off from the others.
-    pub border: usize,
+    /// Entries from this number on are partitioned from the others.
+    pub isolated_from: usize,
     incarnations: Vec<u64>,
 }
 
@@ -34,8 +34,8 @@
 
 fn describe(message: &Message) -> String {
     match message {
-        Message::Borrow { want, renew, .. } if renew.is_empty() => format!("ask for {want}"),
-        Message::Borrow { renew, .. } => format!("ask to renew {}", units(renew)),
+        Message::Borrow { want, renew, .. } if renew.is_empty() => format!("borrow {want}"),
+        Message::Borrow { renew, .. } => format!("renew {}", units(renew)),
         Message::Grant { units: u, .. } => format!("grant {}", units(u)),
         Message::Decline { queued: true, .. } => "decline, queued".to_owned(),
         Message::Decline { .. } => "decline".to_owned(),
@@ -53,30 +53,30 @@
     }
 }
 
-impl Script {
-    /// Returns entries that share a limit, after their first surveys.
+impl Scenario {
+    /// Returns entries that share a limit and have completed their first surveys.
     pub fn new(count: usize, limit: Limit) -> Self {
-        let mut script = Self {
+        let mut scenario = Self {
             ledgers: Vec::new(),
             now: Millis(1_000),
-            log: String::new(),
+            trace: String::new(),
             leaving: None,
             quiet: false,
             limit,
-            border: usize::MAX,
+            isolated_from: usize::MAX,
             incarnations: Vec::new(),
         };
         for index in 0..count {
-            script.start(index, 1);
+            scenario.start(index, 1);
         }
-        script.adopt(1, count);
-        script.run(Millis(300));
-        script.log.clear();
-        script.holdings();
-        script
+        scenario.adopt_roster(1, count);
+        scenario.run(Millis(300));
+        scenario.trace.clear();
+        scenario.record_holdings();
+        scenario
     }
 
-    /// Starts an entry, which replaces its former life.
+    /// Starts an entry, which replaces its former incarnation.
     pub fn start(&mut self, index: usize, incarnation: u64) {
         let name = "slots/10.0.0.1:80".parse().expect("a valid name");
         let ledger = Ledger::new(name, member(index, incarnation), self.limit);
@@ -89,8 +89,8 @@
         }
     }
 
-    /// Lets every entry adopt a roster of the first `count` entries.
-    pub fn adopt(&mut self, epoch: u64, count: usize) {
+    /// Makes every entry adopt a roster of the first `count` entries.
+    pub fn adopt_roster(&mut self, epoch: u64, count: usize) {
         let seat = |i: usize| RosterMember {
             member: member(i, self.incarnations[i]),
             leaving: self.leaving == Some(i),
@@ -103,12 +103,13 @@
         self.note(&format!("roster {epoch} with {count} entries"));
     }
 
+    /// Adds a comment to the trace.
     pub fn note(&mut self, text: &str) {
-        let _ = writeln!(self.log, "# {text}");
+        let _ = writeln!(self.trace, "# {text}");
     }
 
-    /// Records what each entry may use.
-    pub fn holdings(&mut self) {
+    /// Records the units that each entry may use.
+    pub fn record_holdings(&mut self) {
         let mut line = String::from("=");
         for (index, ledger) in self.ledgers.iter().enumerate() {
             let held = units(&ledger.units(self.now));
@@ -119,10 +120,10 @@
             }
             line.push(';');
         }
-        let _ = writeln!(self.log, "{}", line.trim_end_matches(';'));
+        let _ = writeln!(self.trace, "{}", line.trim_end_matches(';'));
     }
 
-    /// Takes slots, asking others for those that are missing.
+    /// Takes slots, after requesting those that are missing from other entries.
     pub fn acquire(&mut self, index: usize, count: usize) -> Vec<Permit> {
         let mut permits = Vec::new();
         for _ in 0..count * 4 {
@@ -133,7 +134,7 @@
                 permits.push(permit);
             } else {
                 let out = self.ledgers[index].request_units(self.now);
-                self.pump(index, out);
+                self.exchange(index, out);
             }
         }
         self.note(&format!(
@@ -147,39 +148,40 @@
         self.note(&format!("e{index} releases {} slots", permits.len()));
         for permit in permits {
             let out = self.ledgers[index].release(permit, self.now);
-            self.pump(index, out);
+            self.exchange(index, out);
         }
     }
 
-    /// Lets time pass, with a tick of every entry that answers `work`.
+    /// Advances the time with the ticks of all entries.
     pub fn run(&mut self, time: Millis) {
         self.run_with(time, |_, _| {});
     }
 
-    pub fn run_with(&mut self, time: Millis, mut work: impl FnMut(&mut [Ledger], Millis)) {
+    /// Like [`Scenario::run`], and calls `before_tick` before the ticks.
+    pub fn run_with(&mut self, time: Millis, mut before_tick: impl FnMut(&mut [Ledger], Millis)) {
         let end = self.now + time;
         while self.now < end {
             self.now = self.now + TICK_INTERVAL;
-            work(&mut self.ledgers, self.now);
+            before_tick(&mut self.ledgers, self.now);
             for index in 0..self.ledgers.len() {
                 let out = self.ledgers[index].tick(self.now);
-                self.pump(index, out);
+                self.exchange(index, out);
             }
         }
     }
 
-    /// Delivers messages and the answers to them.
-    fn pump(&mut self, index: usize, out: Vec<Outgoing>) {
+    /// Delivers messages and all answers to them.
+    fn exchange(&mut self, index: usize, out: Vec<Outgoing>) {
         let mut queue: VecDeque<(usize, Outgoing)> = out.into_iter().map(|o| (index, o)).collect();
         while let Some((from, sent)) = queue.pop_front() {
-            let number = |m: &Member| (0..9).find(|i| member(*i, 0).entry == m.entry);
-            let to = number(&sent.to).expect("a known entry");
-            if (from < self.border) != (to < self.border) {
+            let index_of = |m: &Member| (0..9).find(|i| member(*i, 0).entry == m.entry);
+            let to = index_of(&sent.to).expect("a known entry");
+            if (from < self.isolated_from) != (to < self.isolated_from) {
                 continue;
             }
             let text = describe(&sent.envelope.message);
             if !self.quiet {
-                let _ = writeln!(self.log, "e{from} -> e{to}: {text}");
+                let _ = writeln!(self.trace, "e{from} -> e{to}: {text}");
             }
             let sender = member(from, self.incarnations[from]);
             let answer = self.ledgers[to].on_message(&sender, &sent.to, sent.envelope, self.now);
--- a/tests/limit/wire.rs
+++ b/tests/limit/wire.rs
@@ -1,5 +1,5 @@
-//! Guards the encoding: a message that reads back differently would move units
-//! that nobody granted.
+//! Tests the encoding of the messages. A message that is decoded differently could
+//! transfer units that were never granted.
 
 use prost::Message as _;
 use quickcheck::{Arbitrary, Gen, quickcheck};
@@ -9,9 +9,9 @@
 
 use super::world::member;
 
-/// Any message to one of three entries.
+/// An arbitrary message to one of three entries.
 #[derive(Clone, Debug)]
-struct Any(Outgoing);
+struct AnyMessage(Outgoing);
 
 fn units(g: &mut Gen) -> Vec<u32> {
     let mut units: Vec<u32> = Vec::arbitrary(g);
@@ -30,7 +30,7 @@
     }
 }
 
-impl Arbitrary for Any {
+impl Arbitrary for AnyMessage {
     fn arbitrary(g: &mut Gen) -> Self {
         let number = u64::arbitrary(g);
         let message = match u8::arbitrary(g) % 9 {
@@ -77,7 +77,7 @@
 }
 
 quickcheck! {
-    fn messages_read_back(sent: Vec<Any>) -> bool {
+    fn messages_round_trip(sent: Vec<AnyMessage>) -> bool {
         let sent: Vec<Outgoing> = sent.into_iter().map(|a| a.0).collect();
         let mut read = Vec::new();
         for batch in pack(&member(7, 3), &sent) {
@@ -87,7 +87,7 @@
             assert_eq!(batch.from, member(7, 3));
             read.extend(batch.items.into_iter().map(|envelope| Outgoing { to: batch.to.clone(), envelope }));
         }
-        // Batches are ordered by recipient, and messages within one recipient.
+        // Only the order of the messages to the same recipient is kept.
         let mut expected = sent;
         expected.sort_by_key(|o| o.to.clone());
         read.sort_by_key(|o| o.to.clone());
@@ -95,9 +95,9 @@
     }
 }
 
-/// Guards against a batch that the recipient's message size limit rejects.
+/// Guards against batches that exceed the recipient's limit on the message size.
 #[test]
-fn batches_are_bounded() {
+fn batches_stay_within_the_size_limit() {
     let one = Outgoing {
         to: member(1, 1),
         envelope: Envelope {
--- a/tests/limit/world.rs
+++ b/tests/limit/world.rs
@@ -1,4 +1,5 @@
-//! Entries, a network, a platform and a store in virtual time, from a seed.
+//! A simulation of entries, a network, a platform and a store in virtual time, with
+//! faults that follow from a seed. Times without a unit are in milliseconds.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -6,51 +7,53 @@
 use savorybeam::domain::{Incarnation, Millis, Slots};
 use savorybeam::policy::limit::{Ledger, Limit, Member, Roster};
 
-use super::node::{Node, Packet, Sent, Unit};
+use super::node::{Node, OutgoingPacket, Packet, Unit};
 
-/// The time between two steps.
-pub const STEP: u64 = 10;
+/// The virtual time between two steps.
+pub const STEP_MS: u64 = 10;
 
-/// How the network and the platform behave.
+/// The faults of the network and the platform. Probabilities are between 0 and 1.
 #[derive(Clone, Copy, Debug)]
 pub struct Faults {
+    /// The probability that a message is lost.
     pub loss: f64,
-    pub copies: f64,
-    /// The longest usual delay.
+    /// The probability that a message is duplicated.
+    pub duplicates: f64,
+    /// The longest usual delay of a message.
     pub delay: u64,
-    /// The part of messages that are late by seconds.
+    /// The probability that a message is delayed by up to 6 seconds.
     pub late: f64,
-    /// The chance of a fault in each second.
-    pub rate: f64,
-    /// The greatest deviation of a clock.
+    /// The probability of a fault in each second.
+    pub fault_rate: f64,
+    /// The largest relative deviation of the speed of a clock.
     pub drift: f64,
 }
 
 impl Faults {
     pub const NONE: Self = Self {
         loss: 0.0,
-        copies: 0.0,
+        duplicates: 0.0,
         delay: 40,
         late: 0.0,
-        rate: 0.0,
+        fault_rate: 0.0,
         drift: 0.0,
     };
 
-    pub fn draw(rng: &mut SmallRng) -> Self {
+    pub fn random(rng: &mut SmallRng) -> Self {
         Self {
             loss: rng.random_range(0.0..0.3),
-            copies: rng.random_range(0.0..0.3),
+            duplicates: rng.random_range(0.0..0.3),
             delay: rng.random_range(10..400),
             late: rng.random_range(0.0..0.05),
-            rate: rng.random_range(0.1..1.0),
+            fault_rate: rng.random_range(0.1..1.0),
             drift: 0.05,
         }
     }
 }
 
-/// Which way to share the world uses.
+/// The scheme by which the entries share the limit, see [`Node`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Way {
+pub enum Scheme {
     Escrow,
     Split,
     Lease,
@@ -61,26 +64,28 @@
     pub member: Member,
     pub node: Node,
     pub size: u32,
-    /// The revision of the document that states the size.
+    /// The revision of the document that set the size.
     revision: u64,
-    origin: f64,
-    speed: f64,
-    paused: u64,
-    ticked: u64,
-    /// The chance that it starts a request in a step.
+    clock_offset: f64,
+    clock_speed: f64,
+    /// The entry neither runs nor receives messages until this time.
+    paused_until: u64,
+    last_tick: u64,
+    /// The probability that it starts a request in a step.
     pub demand: f64,
-    /// Its requests with the time of their end and the size it knew.
+    /// Its running requests: the unit, the end, and the size of the limit that the
+    /// entry knew at the start.
     pub running: Vec<(Unit, u64, u32)>,
 }
 
-/// The requests of a crashed entry go on at the target until they end.
+/// A crashed entry. Its requests keep running at the target until they end.
 #[derive(Debug)]
-pub struct Ghost {
+pub struct CrashedEntry {
     pub member: Member,
     pub units: Vec<u32>,
     pub size: u32,
-    /// When the platform reports it.
-    pub report: u64,
+    /// When the platform reports it gone.
+    pub report_at: u64,
 }
 
 #[derive(Debug)]
@@ -102,20 +107,23 @@
     pub entries: Vec<Option<Entry>>,
     pub limit: Limit,
     revision: u64,
-    way: Way,
+    scheme: Scheme,
     pub rng: SmallRng,
-    /// When requests were admitted to a rate limit.
+    /// The times at which requests were admitted to a rate limit.
     pub admissions: Vec<u64>,
-    pub ghosts: Vec<Ghost>,
+    pub crashed: Vec<CrashedEntry>,
     queue: BTreeMap<(u64, u64), Event>,
     sequence: u64,
     pub roster: Arc<Roster>,
     incarnations: Vec<u64>,
+    /// The store is unavailable until this time.
     pub store_down: u64,
-    /// A cut between entries below the index and the others, with its end.
-    cut: Option<(usize, u64)>,
+    /// A network partition: the entries below the index cannot reach the others until
+    /// the given time.
+    partition: Option<(usize, u64)>,
+    /// The entry that the next roster marks as leaving.
     pub leaving: Option<usize>,
-    proposed: u64,
+    last_proposal: u64,
 }
 
 pub fn member(index: usize, incarnation: u64) -> Member {
@@ -126,30 +134,30 @@
 }
 
 impl World {
-    pub fn new(seed: u64, count: usize, way: Way, limit: Limit, faults: Faults) -> Self {
+    pub fn new(seed: u64, count: usize, scheme: Scheme, limit: Limit, faults: Faults) -> Self {
         let mut world = Self {
             now: 0,
             faults,
             entries: (0..count).map(|_| None).collect(),
             limit,
             revision: 0,
-            way,
+            scheme,
             rng: SmallRng::seed_from_u64(seed),
             admissions: Vec::new(),
-            ghosts: Vec::new(),
+            crashed: Vec::new(),
             queue: BTreeMap::new(),
             sequence: 0,
             roster: Arc::default(),
             incarnations: vec![0; count],
             store_down: 0,
-            cut: None,
+            partition: None,
             leaving: None,
-            proposed: 0,
+            last_proposal: 0,
         };
         for index in 0..count {
             world.start(index);
         }
-        world.propose();
+        world.propose_roster();
         world
     }
 
@@ -165,13 +173,13 @@
         let member = member(index, self.incarnations[index]);
         let count = self.entries.len();
         let size = self.limit.units();
-        let node = match self.way {
-            Way::Escrow => {
+        let node = match self.scheme {
+            Scheme::Escrow => {
                 let name = "slots/10.0.0.1:80".parse().expect("a valid name");
                 Node::Escrow(Box::new(Ledger::new(name, member.clone(), self.limit)))
             }
-            Way::Split => Node::split(index, count, size),
-            Way::Lease => Node::lease(index, size),
+            Scheme::Split => Node::split(index, count, size),
+            Scheme::Lease => Node::lease(index, size),
         };
         let drift = self.faults.drift;
         let entry = Entry {
@@ -179,10 +187,10 @@
             node,
             size,
             revision: self.revision,
-            origin: self.rng.random_range(0.0..1e6),
-            speed: self.rng.random_range(1.0 - drift..=1.0 + drift),
-            paused: 0,
-            ticked: 0,
+            clock_offset: self.rng.random_range(0.0..1e6),
+            clock_speed: self.rng.random_range(1.0 - drift..=1.0 + drift),
+            paused_until: 0,
+            last_tick: 0,
             demand: self.rng.random_range(0.0..0.3),
             running: Vec::new(),
         };
@@ -198,10 +206,10 @@
     }
 
     pub fn crash(&mut self, index: usize) {
-        // One ghost for each name keeps the roster simple: the platform reports
-        // the former life before the next one crashes.
+        // At most one crashed incarnation of each entry keeps the roster simple: the
+        // platform reports it gone before the next one may crash.
         let name = member(index, 0).entry;
-        if self.ghosts.iter().any(|g| g.member.entry == name) {
+        if self.crashed.iter().any(|c| c.member.entry == name) {
             return;
         }
         let Some(entry) = self.entries[index].take() else {
@@ -212,16 +220,17 @@
         let size = sizes.chain([entry.size]).max().unwrap_or(0);
         let ends = entry.running.iter().map(|(_, end, _)| *end).max();
         let lag = self.now + self.rng.random_range(500..15_000);
-        self.ghosts.push(Ghost {
+        self.crashed.push(CrashedEntry {
             member: entry.member,
             units,
             size,
-            report: lag.max(ends.unwrap_or(0)),
+            report_at: lag.max(ends.unwrap_or(0)),
         });
         let delay = self.rng.random_range(100..8_000);
         self.push(delay, Event::Start(index));
     }
 
+    /// Sets the size of the limit. Entries learn of it with a delay.
     pub fn set_size(&mut self, size: u32) {
         self.limit = Limit::Slots(Slots(size));
         self.revision += 1;
@@ -231,8 +240,8 @@
         }
     }
 
-    fn inject(&mut self) {
-        if !self.now.is_multiple_of(1_000) || !self.rng.random_bool(self.faults.rate) {
+    fn inject_fault(&mut self) {
+        if !self.now.is_multiple_of(1_000) || !self.rng.random_bool(self.faults.fault_rate) {
             return;
         }
         let count = self.entries.len();
@@ -241,17 +250,17 @@
             0 | 1 => {
                 let until = self.now + self.rng.random_range(200..8_000);
                 if let Some(entry) = &mut self.entries[index] {
-                    entry.paused = until;
+                    entry.paused_until = until;
                 }
             }
             2 => self.crash(index),
             3 => {
                 let until = self.now + self.rng.random_range(1_000..20_000);
-                self.cut = Some((index, until));
+                self.partition = Some((index, until));
             }
             4 => self.store_down = self.now + self.rng.random_range(1_000..40_000),
             5 => self.leaving = (self.leaving != Some(index)).then_some(index),
-            6 if matches!(self.limit, Limit::Slots(_)) && self.way == Way::Escrow => {
+            6 if matches!(self.limit, Limit::Slots(_)) && self.scheme == Scheme::Escrow => {
                 let size = self.rng.random_range(1..9);
                 self.set_size(size);
             }
@@ -264,34 +273,35 @@
         }
     }
 
-    /// Ends all faults. Crashed entries are reported and return as planned.
-    pub fn heal(&mut self) {
+    /// Ends all faults. The reports and restarts of crashed entries that are already
+    /// scheduled still take place.
+    pub fn end_faults(&mut self) {
         self.faults = Faults::NONE;
-        self.cut = None;
+        self.partition = None;
         self.store_down = 0;
         self.leaving = None;
         for entry in self.entries.iter_mut().flatten() {
-            entry.paused = 0;
+            entry.paused_until = 0;
         }
     }
 
     pub fn step(&mut self) {
-        self.now += STEP;
-        self.inject();
-        self.report();
-        if self.now >= self.proposed + 2_000 {
-            self.proposed = self.now;
-            self.propose();
+        self.now += STEP_MS;
+        self.inject_fault();
+        self.report_crashed();
+        if self.now >= self.last_proposal + 2_000 {
+            self.last_proposal = self.now;
+            self.propose_roster();
         }
         while let Some(first) = self.queue.first_entry() {
             if first.key().0 > self.now {
                 break;
             }
             let event = first.remove();
-            self.handle(event);
+            self.deliver(event);
         }
         for index in 0..self.entries.len() {
-            self.work(index);
+            self.run_entry(index);
         }
     }
 
@@ -301,10 +311,10 @@
             clippy::cast_sign_loss,
             clippy::cast_precision_loss
         )]
-        Millis((entry.origin + self.now as f64 * entry.speed) as u64)
+        Millis((entry.clock_offset + self.now as f64 * entry.clock_speed) as u64)
     }
 
-    fn handle(&mut self, event: Event) {
+    fn deliver(&mut self, event: Event) {
         let index = match &event {
             Event::Packet { to, .. } => (0..self.entries.len())
                 .find(|i| member(*i, 0).entry == to.entry)
@@ -315,8 +325,8 @@
         let Some(mut entry) = self.entries[index].take() else {
             return;
         };
-        if self.now < entry.paused {
-            let delay = entry.paused - self.now;
+        if self.now < entry.paused_until {
+            let delay = entry.paused_until - self.now;
             self.entries[index] = Some(entry);
             return self.push(delay, event);
         }
@@ -350,12 +360,12 @@
         self.send(index, &from, out);
     }
 
-    /// Lets an entry end and start requests, and tick.
-    fn work(&mut self, index: usize) {
+    /// Ends and starts requests of an entry, and runs its tick if it is due.
+    fn run_entry(&mut self, index: usize) {
         let Some(mut entry) = self.entries[index].take() else {
             return;
         };
-        if self.now < entry.paused {
+        if self.now < entry.paused_until {
             self.entries[index] = Some(entry);
             return;
         }
@@ -381,12 +391,12 @@
                 assert_eq!(
                     usable,
                     ledger.units(clock).len(),
-                    "admission saw expired units"
+                    "admission counted expired units"
                 );
             }
         }
-        if self.now >= entry.ticked + 100 {
-            entry.ticked = self.now;
+        if self.now >= entry.last_tick + 100 {
+            entry.last_tick = self.now;
             out.extend(entry.node.tick(&member(0, 1), clock));
         }
         let from = entry.member.clone();
@@ -394,13 +404,13 @@
         self.send(index, &from, out);
     }
 
-    fn send(&mut self, index: usize, from: &Member, out: Vec<Sent>) {
+    fn send(&mut self, index: usize, from: &Member, out: Vec<OutgoingPacket>) {
         for (to, packet) in out {
-            if self.rng.random_bool(self.faults.loss) || self.is_cut(index, &to) {
+            if self.rng.random_bool(self.faults.loss) || self.is_partitioned(index, &to) {
                 continue;
             }
-            let copies = 1 + u32::from(self.rng.random_bool(self.faults.copies));
-            for _ in 0..copies {
+            let duplicates = 1 + u32::from(self.rng.random_bool(self.faults.duplicates));
+            for _ in 0..duplicates {
                 let late = self.rng.random_bool(self.faults.late);
                 let most = if late { 6_000 } else { self.faults.delay };
                 let delay = self.rng.random_range(1..=most);
@@ -414,11 +424,11 @@
         }
     }
 
-    fn is_cut(&self, from: usize, to: &Member) -> bool {
-        let Some((border, until)) = self.cut else {
+    fn is_partitioned(&self, from: usize, to: &Member) -> bool {
+        let Some((boundary, until)) = self.partition else {
             return false;
         };
         let to = (0..self.entries.len()).find(|i| member(*i, 0).entry == to.entry);
-        self.now < until && to.is_some_and(|to| (from < border) != (to < border))
+        self.now < until && to.is_some_and(|to| (from < boundary) != (to < boundary))
     }
 }
