--- a/tests/limit/main.rs
+++ b/tests/limit/main.rs
@@ -48,8 +48,8 @@
         .quickcheck(property);
 }
 
-fn run_world(world: &mut World, time: u64) -> Result<(), String> {
-    let end = world.now + time;
+fn run_world(world: &mut World, duration: u64) -> Result<(), String> {
+    let end = world.now + duration;
     while world.now < end {
         world.step();
         if let Some(violation) = world.violation() {
@@ -230,14 +230,14 @@
 /// Guards against units that take many round trips to move to the demand.
 #[test]
 fn units_follow_the_demand() {
-    let follow = |seed: u64, limit, time| {
+    let follow = |seed: u64, limit, duration| {
         let mut world = random_world(seed, Scheme::Escrow, Some(limit));
         world.end_faults();
         for hot in [0, 1, 2] {
             for (index, entry) in world.entries.iter_mut().flatten().enumerate() {
                 entry.demand = if index == hot { 1.0 } else { 0.0 };
             }
-            if let Err(violation) = run_world(&mut world, time) {
+            if let Err(violation) = run_world(&mut world, duration) {
                 return to_test_result(seed, Err(violation));
             }
             let entry = world.entries[hot].as_ref().expect("no entry crashes");
--- a/tests/limit/platform.rs
+++ b/tests/limit/platform.rs
@@ -14,7 +14,7 @@
     /// roster until the platform has reported it gone; only then does its successor
     /// replace it.
     pub fn propose_roster(&mut self) {
-        let mut seats = Vec::new();
+        let mut members = Vec::new();
         for (index, slot) in self.entries.iter().enumerate() {
             let crashed = self
                 .crashed
@@ -23,14 +23,14 @@
             let live = slot.as_ref().map(|e| e.member.clone());
             if let Some(member) = crashed.map(|c| c.member.clone()).or(live) {
                 let leaving = self.leaving == Some(index);
-                seats.push(RosterMember { member, leaving });
+                members.push(RosterMember { member, leaving });
             }
         }
-        let next = Roster::new(self.roster.epoch(), seats.clone());
+        let next = Roster::new(self.roster.epoch(), members.clone());
         if self.now < self.store_down || next == *self.roster {
             return;
         }
-        self.roster = Arc::new(Roster::new(Epoch(self.roster.epoch().0 + 1), seats));
+        self.roster = Arc::new(Roster::new(Epoch(self.roster.epoch().0 + 1), members));
         for index in 0..self.entries.len() {
             let delay = self.rng.random_range(0..2_000);
             self.push(delay, Event::Roster(index, self.roster.clone()));
--- a/tests/limit/scenario.rs
+++ b/tests/limit/scenario.rs
@@ -91,12 +91,12 @@
 
     /// Makes every entry adopt a roster of the first `count` entries.
     pub fn adopt_roster(&mut self, epoch: u64, count: usize) {
-        let seat = |i: usize| RosterMember {
+        let roster_member = |i: usize| RosterMember {
             member: member(i, self.incarnations[i]),
             leaving: self.leaving == Some(i),
         };
-        let seats = (0..count).map(seat).collect();
-        let roster = Arc::new(Roster::new(Epoch(epoch), seats));
+        let members = (0..count).map(roster_member).collect();
+        let roster = Arc::new(Roster::new(Epoch(epoch), members));
         for ledger in &mut self.ledgers {
             ledger.set_roster(roster.clone(), self.now);
         }
