Describe traffic shifts in terms of shares, steps and health

"Proven" shares, "quiet" steps, "former" places and places that are "full" had to be guessed, and several constants did not name their quantity.

Renamed, in all uses: Pace -> TickOutcome; Level -> PlaceProgress, and its field effective -> base, since it holds the base share; Progress::busy -> has_traffic; Shift::open -> new; Shift::set_region -> set_region_lost; Health::is_within -> is_acceptable. Within the module: Track -> TrackedPlace, STEP -> STEP_SHARE, DWELL -> MIN_STEP_TIME, QUIET -> LOW_TRAFFIC_TIMEOUT, REVIEW -> HEALTH_REFRESH_INTERVAL, QUANTILE -> LATENCY_QUANTILE, FACTOR -> MAX_DEGRADATION, FAILURES_FLOOR -> TOLERATED_FAILURES, prove -> commit_step, passed -> admitted_gain, follow -> follow_peers.

The wire messages keep their field names. Behaviour is unchanged.

--- a/src/adapters/grpc/reports.rs
+++ b/src/adapters/grpc/reports.rs
@@ -10,7 +10,7 @@
 use crate::{
     domain::{ParseError, PlaceName, Revision, ServiceName, TargetId},
     policy::{
-        shift::{Level, Progress, Share},
+        shift::{PlaceProgress, Progress, Share},
         timeline::{Event, Stamp},
     },
 };
@@ -80,22 +80,22 @@
 }
 
 fn put_progress(progress: &Progress) -> ProgressMessage {
-    let level = |(place, level): (&PlaceName, &Level)| LevelMessage {
+    let level = |(place, level): (&PlaceName, &PlaceProgress)| LevelMessage {
         place: place.to_string(),
-        effective: level.effective.0,
+        effective: level.base.0,
         target: level.target.0,
     };
     ProgressMessage {
         revision: progress.revision.0,
-        busy: progress.busy,
+        busy: progress.has_traffic,
         places: progress.places.iter().map(level).collect(),
     }
 }
 
 fn get_progress(message: &ProgressMessage) -> Result<Progress, ParseError> {
     let level = |l: &LevelMessage| {
-        let level = Level {
-            effective: Share(l.effective),
+        let level = PlaceProgress {
+            base: Share(l.effective),
             target: Share(l.target),
         };
         Ok((l.place.parse()?, level))
@@ -103,7 +103,7 @@
     let places: Result<_, ParseError> = message.places.iter().map(level).collect();
     Ok(Progress {
         revision: Revision(message.revision),
-        busy: message.busy,
+        has_traffic: message.busy,
         places: places?,
     })
 }
--- a/src/app/entry/control/shifts.rs
+++ b/src/app/entry/control/shifts.rs
@@ -15,7 +15,7 @@
     domain::{Millis, RegionName, ServiceName},
     policy::{
         member,
-        shift::{Pace, Progress},
+        shift::{Progress, TickOutcome},
         timeline::Kind,
     },
 };
@@ -58,9 +58,13 @@
             return;
         };
         let kind = match shift.tick(peers.get(name), now) {
-            Pace::Stepped => Kind::ShiftStepped,
-            Pace::Finished => Kind::ShiftCompleted,
-            Pace::Settled | Pace::Waiting | Pace::Held(_) | Pace::Capped | Pace::Followed => return,
+            TickOutcome::Stepped => Kind::ShiftStepped,
+            TickOutcome::Finished => Kind::ShiftCompleted,
+            TickOutcome::Settled
+            | TickOutcome::Waiting
+            | TickOutcome::Held(_)
+            | TickOutcome::Capped
+            | TickOutcome::Followed => return,
         };
         events.push((kind, format!("{name} to revision {}", shift.revision())));
     });
@@ -117,7 +121,7 @@
         let is_lost = gone.contains(region);
         state.services.each(|_, s| {
             if let Some(shift) = &mut s.shift {
-                shift.set_region(region, is_lost, now);
+                shift.set_region_lost(region, is_lost, now);
             }
         });
         let text = if is_lost { "lost" } else { "back" };
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -128,7 +128,7 @@
         self.slots = targets.map(|t| (*t, slots_limit(*t))).collect();
         match &mut self.shift {
             Some(shift) => shift.adopt(&doc, revision, now),
-            None => self.shift = Some(Shift::open(&doc, revision, None, now)),
+            None => self.shift = Some(Shift::new(&doc, revision, None, now)),
         }
     }
 
--- a/src/policy/shift/health.rs
+++ b/src/policy/shift/health.rs
@@ -1,26 +1,28 @@
-//! How well a place answers, now and before a move.
+//! The latency and failure rate of a place, compared with those before a move.
 
 use hdrhistogram::Histogram;
 
 use crate::domain::Millis;
 
-/// The quantile that is compared. A mean would follow the few stragglers, and a
-/// median would not see a cache that misses for a third of the requests.
-const QUANTILE: f64 = 0.9;
+/// The latency quantile that is compared. The mean would be dominated by a few
+/// stragglers, and the median would not show a cache that misses for a third of
+/// the requests.
+const LATENCY_QUANTILE: f64 = 0.9;
 
-/// How much worse than before a place may be for the move to go on.
-const FACTOR: u64 = 2;
+/// How many times worse than before the move a place may be without stopping it.
+const MAX_DEGRADATION: u64 = 2;
 
-/// Failures in 10,000 that are always allowed, since twice nothing is nothing.
-const FAILURES_FLOOR: u64 = 100;
+/// Failures in 10,000 requests that are always tolerated. Without them a place
+/// that had no failures before the move could not have any during it.
+const TOLERATED_FAILURES: u64 = 100;
 
-/// The fewest answers from which a judgement is made.
+/// The minimum number of responses for a comparison.
 pub(super) const MIN_SAMPLES: u64 = 10;
 
-/// The longest latency that is told apart, in milliseconds.
-const SLOWEST_MS: u64 = 120_000;
+/// The greatest latency that is recorded; longer ones count as this one.
+const MAX_LATENCY_MS: u64 = 120_000;
 
-/// Latency and failures of a place over some time.
+/// Latency and failure rate of a place over a period.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Health {
     /// The 90th percentile of the latency.
@@ -30,17 +32,17 @@
 }
 
 impl Health {
-    /// Returns whether a place in this state is within twice of `before`.
+    /// Returns whether this health is at most twice as bad as `before`.
     #[must_use]
-    pub fn is_within(self, before: Self) -> bool {
-        // Latencies under 1 ms are not told apart.
-        let slowest = before.latency.0.max(1) * FACTOR;
-        let worst = before.failures * FACTOR + FAILURES_FLOOR;
-        self.latency.0 <= slowest && self.failures <= worst
+    pub fn is_acceptable(self, before: Self) -> bool {
+        // Latencies below 1 ms count as 1 ms.
+        let max_latency = before.latency.0.max(1) * MAX_DEGRADATION;
+        let max_failures = before.failures * MAX_DEGRADATION + TOLERATED_FAILURES;
+        self.latency.0 <= max_latency && self.failures <= max_failures
     }
 
-    /// Returns the worse of two in each respect.
-    pub(super) fn worse(self, other: Self) -> Self {
+    /// Returns the greater latency and the greater failure rate of the two.
+    pub(super) fn worst(self, other: Self) -> Self {
         Self {
             latency: self.latency.max(other.latency),
             failures: self.failures.max(other.failures),
@@ -48,7 +50,7 @@
     }
 }
 
-/// The answers of a place since an instant.
+/// The responses of a place since a point in time.
 #[derive(Clone, Debug)]
 pub(super) struct Window {
     latency: Histogram<u32>,
@@ -57,9 +59,9 @@
 
 impl Window {
     pub(super) fn new() -> Self {
-        let latency = Histogram::new_with_bounds(1, SLOWEST_MS, 1);
+        let latency = Histogram::new_with_bounds(1, MAX_LATENCY_MS, 1);
         Self {
-            latency: latency.expect("the bounds and one digit are valid"),
+            latency: latency.expect("the histogram's bounds and precision are valid"),
             failures: 0,
         }
     }
@@ -73,10 +75,10 @@
         self.latency.len()
     }
 
-    /// Returns the health, if there was any answer.
+    /// Returns the health, or none if there were no responses.
     pub(super) fn health(&self) -> Option<Health> {
         (!self.latency.is_empty()).then(|| Health {
-            latency: Millis(self.latency.value_at_quantile(QUANTILE)),
+            latency: Millis(self.latency.value_at_quantile(LATENCY_QUANTILE)),
             failures: self.failures * 10_000 / self.samples(),
         })
     }
--- a/src/policy/shift/share.rs
+++ b/src/policy/shift/share.rs
@@ -1,11 +1,11 @@
-//! Parts of a service's traffic.
+//! Shares of a service's traffic.
 
 use std::{fmt, str::FromStr};
 
 use crate::domain::ParseError;
 
-/// The part of a service's requests that a place takes, in millionths. Whole
-/// numbers keep the sum of the places exact over any number of steps.
+/// The share of a service's requests that a place gets, in parts per million.
+/// Integers keep the sum over the places exact after any number of steps.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Share(pub u32);
 
@@ -31,41 +31,42 @@
     }
 }
 
-/// Divides the whole in proportion to `parts`.
-pub(super) fn divide(parts: &[u64]) -> Vec<Share> {
-    apportion(Share::WHOLE, parts)
+/// Divides all requests in proportion to `weights`.
+pub(super) fn apportion_whole(weights: &[u64]) -> Vec<Share> {
+    apportion(Share::WHOLE, weights)
 }
 
-/// Divides `total` in proportion to `parts`, by the largest remainder. Returns
-/// shares of zero if all parts are zero.
-pub(super) fn apportion(total: Share, parts: &[u64]) -> Vec<Share> {
-    let sum: u128 = parts.iter().copied().map(u128::from).sum();
+/// Divides `total` in proportion to `weights`, with the largest remainder method.
+/// Returns shares of zero if all weights are zero.
+pub(super) fn apportion(total: Share, weights: &[u64]) -> Vec<Share> {
+    let sum: u128 = weights.iter().copied().map(u128::from).sum();
     if sum == 0 {
-        return vec![Share(0); parts.len()];
+        return vec![Share(0); weights.len()];
     }
-    let exact = |part: &u64| u128::from(*part) * u128::from(total.0);
-    let floor = |part| u32::try_from(exact(part) / sum).unwrap_or(total.0);
-    let mut shares: Vec<Share> = parts.iter().map(floor).map(Share).collect();
-    let given: u32 = shares.iter().map(|s| s.0).sum();
-    let mut order: Vec<usize> = (0..parts.len()).collect();
-    order.sort_by_key(|i| std::cmp::Reverse(exact(&parts[*i]) % sum));
-    let missing = usize::try_from(total.0 - given).unwrap_or_default();
-    for at in order.into_iter().take(missing) {
+    let scaled = |weight: &u64| u128::from(*weight) * u128::from(total.0);
+    let floor = |weight| u32::try_from(scaled(weight) / sum).unwrap_or(total.0);
+    let mut shares: Vec<Share> = weights.iter().map(floor).map(Share).collect();
+    let assigned: u32 = shares.iter().map(|s| s.0).sum();
+    let mut order: Vec<usize> = (0..weights.len()).collect();
+    order.sort_by_key(|i| std::cmp::Reverse(scaled(&weights[*i]) % sum));
+    let remainder = usize::try_from(total.0 - assigned).unwrap_or_default();
+    for at in order.into_iter().take(remainder) {
         shares[at].0 += 1;
     }
     shares
 }
 
-/// Returns the shares `num / den` of the way between two divisions.
-pub(super) fn blend(from: &[Share], to: &[Share], num: u64, den: u64) -> Vec<Share> {
+/// Interpolates linearly: returns the shares at the fraction `num / den` of the
+/// way between two distributions.
+pub(super) fn interpolate(from: &[Share], to: &[Share], num: u64, den: u64) -> Vec<Share> {
     let num = num.min(den);
     let pairs = from.iter().zip(to);
-    let mix = |(a, b): (&Share, &Share)| u64::from(a.0) * (den - num) + u64::from(b.0) * num;
-    let parts: Vec<u64> = pairs.map(mix).collect();
-    divide(&parts)
+    let weighted = |(a, b): (&Share, &Share)| u64::from(a.0) * (den - num) + u64::from(b.0) * num;
+    let weights: Vec<u64> = pairs.map(weighted).collect();
+    apportion_whole(&weights)
 }
 
-/// Returns how much must move to get from one division to another.
+/// Returns how much has to move to get from one distribution to another.
 pub(super) fn distance(from: &[Share], to: &[Share]) -> u32 {
     let pairs = from.iter().zip(to);
     pairs.map(|(a, b)| b.0.saturating_sub(a.0)).sum()
--- a/src/policy/shift/state.rs
+++ b/src/policy/shift/state.rs
@@ -1,45 +1,47 @@
-//! The state of a service's places and the steps of a move.
+//! The shares of a service's places and the steps of a move between them.
 
 use super::{
-    Health, Level, Progress, Share,
+    Health, PlaceProgress, Progress, Share,
     health::{MIN_SAMPLES, Window},
-    share::{apportion, blend, distance, divide},
+    share::{apportion, apportion_whole, distance, interpolate},
 };
 use crate::domain::{Document, Millis, Place, PlaceName, PlaceState, RegionName, Revision};
 
-/// The part of all requests that one step moves at the most. Twenty steps make
-/// a complete move, which then takes 20 s if nothing delays it.
-const STEP: Share = Share(50_000);
+/// The maximum share of all requests that one step moves. Moving all traffic
+/// takes 20 steps, which is 20 s if nothing delays it.
+const STEP_SHARE: Share = Share(50_000);
 
-/// The shortest time of a step. It is the period of the cap, so the rate at
-/// growing places rises by at most the cap within a second.
-const DWELL: Millis = Millis(1_000);
+/// The minimum duration of a step. It equals the period of the cap, so the
+/// request rate at growing places rises by at most the cap per second.
+const MIN_STEP_TIME: Millis = Millis(1_000);
 
-/// How long a step waits for answers when there is little traffic.
-const QUIET: Millis = Millis(10_000);
+/// How long a step waits for enough responses when there is little traffic.
+const LOW_TRAFFIC_TIMEOUT: Millis = Millis(10_000);
 
-/// The period after which a settled place's health is taken anew.
-const REVIEW: Millis = Millis(60_000);
+/// How often the health of places is measured again while no traffic moves.
+const HEALTH_REFRESH_INTERVAL: Millis = Millis(60_000);
 
-/// Differences up to this are due to rounding and are not moved in steps.
-const ROUNDING: u32 = 16;
+/// Differences up to this many millionths are due to rounding and are applied
+/// without a step.
+const ROUNDING_TOLERANCE: u32 = 16;
 
-/// What a tick did.
+/// The result of [`Shift::tick`].
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Pace {
+pub enum TickOutcome {
     /// The shares are those of the document.
     Settled,
-    /// The step goes on.
+    /// The current step continues.
     Waiting,
-    /// The step goes on because this place answers worse than before.
+    /// The current step continues because this place responds worse than before
+    /// the move.
     Held(PlaceName),
-    /// The step starts anew because no request of it got a unit and headroom.
+    /// The step is repeated because none of its requests got a unit and headroom.
     Capped,
     /// The next step began.
     Stepped,
-    /// This entry has no traffic and took over the shares of its peers.
+    /// This entry has no traffic and adopted the shares of its peers.
     Followed,
-    /// The last step ended.
+    /// The last step ended and the move is complete.
     Finished,
 }
 
@@ -48,28 +50,29 @@
 pub struct PlaceShare<'a> {
     /// The place.
     pub name: &'a PlaceName,
-    /// The share that is proven.
+    /// The share that the place is known to handle.
     pub base: Share,
-    /// The share that is tried.
+    /// The share that the current step aims at.
     pub effective: Share,
     /// The share that the document asks for.
     pub target: Share,
 }
 
-/// One place with its shares.
+/// A place with its shares and what was measured of it.
 #[derive(Clone, Debug)]
-pub(super) struct Track {
+pub(super) struct TrackedPlace {
     pub(super) place: Place,
     pub(super) base: Share,
     pub(super) effective: Share,
     pub(super) counts: Counts,
     target: Share,
-    lost: bool,
+    region_lost: bool,
     window: Window,
-    before: Option<Health>,
+    /// The health before the current move, or the latest one if none is going on.
+    health_before: Option<Health>,
 }
 
-impl Track {
+impl TrackedPlace {
     fn new(place: Place) -> Self {
         Self {
             place,
@@ -77,180 +80,188 @@
             effective: Share(0),
             counts: Counts::default(),
             target: Share(0),
-            lost: false,
+            region_lost: false,
             window: Window::new(),
-            before: None,
+            health_before: None,
         }
     }
 
-    /// Whether the place may get new work at all.
-    fn is_open(&self) -> bool {
+    /// Returns whether the place may get new requests at all.
+    fn is_available(&self) -> bool {
         let place = &self.place;
-        let leaves = place.state == PlaceState::Leaving
-            || place.targets.iter().all(|t| place.leaving.contains(t));
-        !self.lost && !leaves
+        let is_leaving = place.state == PlaceState::Leaving
+            || place.targets.iter().all(|p| place.leaving.contains(p));
+        !self.region_lost && !is_leaving
     }
 
     pub(super) fn grows(&self) -> bool {
         self.gain() > 0
     }
 
-    /// What the step adds to the share.
+    /// Returns what the current step adds to the share.
     pub(super) fn gain(&self) -> u32 {
         self.effective.0.saturating_sub(self.base.0)
     }
 
-    /// What the step takes from the share.
+    /// Returns what the current step takes from the share.
     pub(super) fn loss(&self) -> u32 {
         self.base.0.saturating_sub(self.effective.0)
     }
 
-    /// Returns the part of the step that units and headroom let through. A place
-    /// whose base already lacks headroom has proven nothing. Where `quiet` says
-    /// that the step lasted long, a place that no request fell to has all of it,
-    /// since so little traffic is harmless.
-    fn passed(&self, quiet: bool) -> u32 {
+    /// Returns the part of the gain for which requests got a unit and headroom.
+    /// It is zero if the region had no headroom for requests of the base share,
+    /// since the place has then not shown that it can handle more. If the step
+    /// has `timed_out`, a place to which no request was to be moved gets its whole
+    /// gain, since so little traffic does no harm.
+    fn admitted_gain(&self, timed_out: bool) -> u32 {
         let Counts {
             moved,
             denied,
-            full,
+            no_headroom,
         } = self.counts;
         let gain = u64::from(self.gain());
-        let passed = match moved + denied {
-            _ if full > 0 => 0,
-            0 if quiet => gain,
+        let admitted = match moved + denied {
+            _ if no_headroom > 0 => 0,
+            0 if timed_out => gain,
             0 => 0,
-            tried => gain * moved / tried,
+            attempted => gain * moved / attempted,
         };
-        u32::try_from(passed.min(gain)).unwrap_or_default()
+        u32::try_from(admitted.min(gain)).unwrap_or_default()
     }
 }
 
-/// What happened to the requests of a place since the window began.
+/// Counts of a place's requests in the current window.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Counts {
-    /// Extra requests that the place got.
+    /// Extra requests that were moved to the place.
     pub(super) moved: u64,
-    /// Extra requests that it did not get.
+    /// Extra requests that were not, for lack of a unit or headroom.
     pub(super) denied: u64,
-    /// Requests of its base for which its region had no headroom.
-    pub(super) full: u64,
+    /// Requests of the base share for which the region had no headroom.
+    pub(super) no_headroom: u64,
 }
 
-/// The places of one service and how far their traffic has moved.
+/// The places of one service and the progress of the traffic between them.
 #[derive(Clone, Debug)]
 pub struct Shift {
-    pub(super) tracks: Vec<Track>,
-    /// Requests since the window began.
+    pub(super) places: Vec<TrackedPlace>,
+    /// Requests in the current window.
     pub(super) requests: u64,
     revision: Revision,
-    since: Millis,
-    busy: bool,
-    lost: Vec<RegionName>,
+    /// When the current window, and with it the step or its repetition, began.
+    window_start: Millis,
+    /// Whether the previous window had any requests.
+    had_traffic: bool,
+    lost_regions: Vec<RegionName>,
 }
 
 impl Shift {
-    /// Begins with a document. The shares are those that `peers` have proven, or
-    /// the document's own if no peer reports any.
+    /// Creates the state for a document. It starts with the base shares that
+    /// `peers` report, or with the target shares if no peer reports any.
     #[must_use]
-    pub fn open(
+    pub fn new(
         document: &Document,
         revision: Revision,
         peers: Option<&Progress>,
         now: Millis,
     ) -> Self {
         let mut shift = Self {
-            tracks: document.places.iter().cloned().map(Track::new).collect(),
+            places: document
+                .places
+                .iter()
+                .cloned()
+                .map(TrackedPlace::new)
+                .collect(),
             requests: 0,
             revision,
-            since: now,
-            busy: false,
-            lost: Vec::new(),
+            window_start: now,
+            had_traffic: false,
+            lost_regions: Vec::new(),
         };
-        let shares = peers.map_or_else(Vec::new, |p| shift.reported(p));
-        shift.restart(&shares, now);
+        let shares = peers.map_or_else(Vec::new, |p| shift.reported_shares(p));
+        shift.start_move(&shares, now);
         shift
     }
 
-    /// Takes over a newer document. The move to its weights starts from the
-    /// present shares, also in the middle of another move. A place that leaves
-    /// or is gone loses its share at once.
+    /// Adopts a newer document. The move to its weights starts from the current
+    /// shares, even in the middle of another move. A place that is leaving or
+    /// was removed loses its share immediately.
     pub fn adopt(&mut self, document: &Document, revision: Revision, now: Millis) {
         if revision <= self.revision {
             return;
         }
         self.revision = revision;
-        self.prove(false);
-        let mut former = std::mem::take(&mut self.tracks);
+        self.commit_step(false);
+        let mut old_places = std::mem::take(&mut self.places);
         for place in &document.places {
-            let known = former.iter().position(|t| t.place.name == place.name);
-            let track = match known.map(|at| former.swap_remove(at)) {
-                Some(track) if track.place.region == place.region => Track {
+            let old = old_places.iter().position(|p| p.place.name == place.name);
+            let tracked = match old.map(|at| old_places.swap_remove(at)) {
+                Some(tracked) if tracked.place.region == place.region => TrackedPlace {
                     place: place.clone(),
-                    ..track
+                    ..tracked
                 },
-                _ => Track::new(place.clone()),
+                _ => TrackedPlace::new(place.clone()),
             };
-            self.tracks.push(track);
+            self.places.push(tracked);
         }
-        self.mark_lost();
-        self.restart(&self.bases(), now);
+        self.update_lost();
+        self.start_move(&self.base_shares(), now);
     }
 
-    /// Notes that a region is lost or back. The share of a lost one is spread
-    /// over the other places at once. One that is back gets its share in steps,
-    /// because its places are cold.
-    pub fn set_region(&mut self, region: &RegionName, lost: bool, now: Millis) {
-        if self.lost.contains(region) == lost {
+    /// Records that a region is lost or has recovered. The share of a lost region
+    /// is distributed over the other places immediately. A recovered region gets
+    /// its share back in steps, because the caches of its places are cold.
+    pub fn set_region_lost(&mut self, region: &RegionName, lost: bool, now: Millis) {
+        if self.lost_regions.contains(region) == lost {
             return;
         }
-        self.lost.retain(|r| r != region);
+        self.lost_regions.retain(|r| r != region);
         if lost {
-            self.lost.push(region.clone());
+            self.lost_regions.push(region.clone());
         }
-        self.prove(false);
-        self.mark_lost();
-        self.restart(&self.bases(), now);
+        self.commit_step(false);
+        self.update_lost();
+        self.start_move(&self.base_shares(), now);
     }
 
-    /// Notes an answer of a place.
+    /// Records a response of a place.
     pub fn observe(&mut self, place: &PlaceName, latency: Millis, failed: bool) {
-        if let Some(track) = self.tracks.iter_mut().find(|t| t.place.name == *place) {
-            track.window.observe(latency, failed);
+        if let Some(tracked) = self.places.iter_mut().find(|p| p.place.name == *place) {
+            tracked.window.observe(latency, failed);
         }
     }
 
-    /// Goes on with the move if it is time. `peers` is the merged report of the
-    /// other entries of this round.
-    pub fn tick(&mut self, peers: Option<&Progress>, now: Millis) -> Pace {
+    /// Advances the move if the current step can end. `peers` is the merged
+    /// progress that the other entries reported in this round.
+    pub fn tick(&mut self, peers: Option<&Progress>, now: Millis) -> TickOutcome {
         if !self.is_moving() {
-            self.review(now);
-            return Pace::Settled;
+            self.refresh_health(now);
+            return TickOutcome::Settled;
         }
-        let age = now - self.since;
-        if age < DWELL {
-            return Pace::Waiting;
+        let age = now - self.window_start;
+        if age < MIN_STEP_TIME {
+            return TickOutcome::Waiting;
         }
         if self.requests == 0 {
-            return self.follow(peers, age, now);
+            return self.follow_peers(peers, age, now);
         }
-        let growing = || self.tracks.iter().filter(|t| t.grows());
-        let judged = growing().all(|t| t.window.samples() >= MIN_SAMPLES);
-        let tried = growing().any(|t| t.counts.moved + t.counts.denied > 0);
-        if age < QUIET && !(judged && tried) {
-            return Pace::Waiting;
+        let growing = || self.places.iter().filter(|p| p.grows());
+        let sampled = growing().all(|p| p.window.samples() >= MIN_SAMPLES);
+        let attempted = growing().any(|p| p.counts.moved + p.counts.denied > 0);
+        if age < LOW_TRAFFIC_TIMEOUT && !(sampled && attempted) {
+            return TickOutcome::Waiting;
         }
-        if let Some(name) = self.worse_than_before() {
+        if let Some(name) = self.find_degraded() {
             self.begin_window(now);
-            return Pace::Held(name);
+            return TickOutcome::Held(name);
         }
-        self.step(age >= QUIET, now)
+        self.advance(age >= LOW_TRAFFIC_TIMEOUT, now)
     }
 
-    /// Returns whether shares differ from those of the document.
+    /// Returns whether any base share differs from the target share.
     #[must_use]
     pub fn is_moving(&self) -> bool {
-        self.tracks.iter().any(|t| t.base != t.target)
+        self.places.iter().any(|p| p.base != p.target)
     }
 
     /// Returns the revision of the document in effect.
@@ -261,174 +272,184 @@
 
     /// Returns the shares, in the order of the document.
     pub fn shares(&self) -> impl Iterator<Item = PlaceShare<'_>> {
-        self.tracks.iter().map(|t| PlaceShare {
-            name: &t.place.name,
-            base: t.base,
-            effective: t.effective,
-            target: t.target,
+        self.places.iter().map(|p| PlaceShare {
+            name: &p.place.name,
+            base: p.base,
+            effective: p.effective,
+            target: p.target,
         })
     }
 
-    /// Returns what this entry tells its peers.
+    /// Returns the progress that this entry reports to its peers.
     #[must_use]
     pub fn progress(&self) -> Progress {
-        let level = |t: &Track| Level {
-            effective: t.base,
-            target: t.target,
+        let place_progress = |p: &TrackedPlace| PlaceProgress {
+            base: p.base,
+            target: p.target,
         };
-        let places = self.tracks.iter().map(|t| (t.place.name.clone(), level(t)));
+        let places = self
+            .places
+            .iter()
+            .map(|p| (p.place.name.clone(), place_progress(p)));
         Progress {
             revision: self.revision,
-            busy: self.busy || self.requests > 0,
+            has_traffic: self.had_traffic || self.requests > 0,
             places: places.collect(),
         }
     }
 
-    fn bases(&self) -> Vec<Share> {
-        self.tracks.iter().map(|t| t.base).collect()
+    fn base_shares(&self) -> Vec<Share> {
+        self.places.iter().map(|p| p.base).collect()
     }
 
-    fn reported(&self, peers: &Progress) -> Vec<Share> {
-        let share = |t: &Track| peers.places.get(&t.place.name).map(|l| l.effective);
-        self.tracks
+    fn reported_shares(&self, peers: &Progress) -> Vec<Share> {
+        let share = |p: &TrackedPlace| peers.places.get(&p.place.name).map(|r| r.base);
+        self.places
             .iter()
-            .map(|t| share(t).unwrap_or_default())
+            .map(|p| share(p).unwrap_or_default())
             .collect()
     }
 
-    fn mark_lost(&mut self) {
-        for track in &mut self.tracks {
-            track.lost = self.lost.contains(&track.place.region);
+    fn update_lost(&mut self) {
+        for tracked in &mut self.places {
+            tracked.region_lost = self.lost_regions.contains(&tracked.place.region);
         }
     }
 
-    /// Makes the part of the step that came through the base, and returns how
-    /// much that is.
-    fn prove(&mut self, quiet: bool) -> Share {
-        let passed: Vec<u32> = self.tracks.iter().map(|t| t.passed(quiet)).collect();
-        let total = Share(passed.iter().sum());
-        let losses: Vec<u64> = self.tracks.iter().map(|t| t.loss().into()).collect();
+    /// Adds the admitted part of the current step to the base shares, and returns
+    /// how much that is.
+    fn commit_step(&mut self, timed_out: bool) -> Share {
+        let gains: Vec<u32> = self
+            .places
+            .iter()
+            .map(|p| p.admitted_gain(timed_out))
+            .collect();
+        let total = Share(gains.iter().sum());
+        let losses: Vec<u64> = self.places.iter().map(|p| p.loss().into()).collect();
         let taken = apportion(total, &losses);
-        for ((track, passed), taken) in self.tracks.iter_mut().zip(passed).zip(taken) {
-            track.base.0 += passed;
-            track.base.0 -= taken.0;
+        for ((tracked, gain), loss) in self.places.iter_mut().zip(gains).zip(taken) {
+            tracked.base.0 += gain;
+            tracked.base.0 -= loss.0;
         }
         total
     }
 
-    /// Starts a move from `shares`, which closed places lose.
-    fn restart(&mut self, shares: &[Share], now: Millis) {
-        self.freeze();
-        let weights = self.tracks.iter().map(|t| (t, u64::from(t.place.weight.0)));
-        let targets = divide(&open_parts(weights));
-        for (track, target) in self.tracks.iter_mut().zip(&targets) {
-            track.target = *target;
+    /// Starts a move from `shares` to the weights of the document. Places that may
+    /// get no requests lose their share without steps.
+    fn start_move(&mut self, shares: &[Share], now: Millis) {
+        self.record_health_before();
+        let weights = self.places.iter().map(|p| (p, u64::from(p.place.weight.0)));
+        let targets = apportion_whole(&available_weights(weights));
+        for (tracked, target) in self.places.iter_mut().zip(&targets) {
+            tracked.target = *target;
         }
-        let shares = self.tracks.iter().zip(shares);
-        let present = divide(&open_parts(shares.map(|(t, s)| (t, u64::from(s.0)))));
-        let empty = present.iter().all(|s| s.0 == 0);
-        self.set_base(if empty { &targets } else { &present });
+        let shares = self.places.iter().zip(shares);
+        let current = apportion_whole(&available_weights(shares.map(|(p, s)| (p, u64::from(s.0)))));
+        let empty = current.iter().all(|s| s.0 == 0);
+        self.set_base(if empty { &targets } else { &current });
         self.begin_step(now);
     }
 
-    /// Takes the health before a move. In the middle of a move it stays what it
-    /// was, since the present one includes cold caches.
-    fn freeze(&mut self) {
+    /// Records the health before a move. In the middle of a move the earlier record
+    /// is kept, since the current health includes the effect of cold caches.
+    fn record_health_before(&mut self) {
         if !self.is_moving() {
-            for track in &mut self.tracks {
-                if track.window.samples() >= MIN_SAMPLES {
-                    track.before = track.window.health();
+            for tracked in &mut self.places {
+                if tracked.window.samples() >= MIN_SAMPLES {
+                    tracked.health_before = tracked.window.health();
                 }
             }
         }
     }
 
     fn set_base(&mut self, shares: &[Share]) {
-        for (track, share) in self.tracks.iter_mut().zip(shares) {
-            track.base = *share;
+        for (tracked, share) in self.places.iter_mut().zip(shares) {
+            tracked.base = *share;
         }
     }
 
-    fn step(&mut self, quiet: bool, now: Millis) -> Pace {
-        let passed = self.prove(quiet);
+    /// Ends the current step and begins the next one.
+    fn advance(&mut self, timed_out: bool, now: Millis) -> TickOutcome {
+        let admitted = self.commit_step(timed_out);
         self.begin_step(now);
-        match (self.is_moving(), passed) {
-            (false, _) => Pace::Finished,
-            (true, Share(0)) => Pace::Capped,
-            (true, _) => Pace::Stepped,
+        match (self.is_moving(), admitted) {
+            (false, _) => TickOutcome::Finished,
+            (true, Share(0)) => TickOutcome::Capped,
+            (true, _) => TickOutcome::Stepped,
         }
     }
 
-    /// Sets the effective shares one step beyond the base.
+    /// Sets the effective shares one step from the base towards the target.
     fn begin_step(&mut self, now: Millis) {
-        let (base, target) = (self.bases(), self.targets());
-        let rest = distance(&base, &target);
-        if rest <= ROUNDING {
+        let (base, target) = (self.base_shares(), self.target_shares());
+        let remaining = distance(&base, &target);
+        if remaining <= ROUNDING_TOLERANCE {
             self.set_base(&target);
         }
-        let next = blend(&base, &target, STEP.0.into(), rest.max(1).into());
-        for (track, share) in self.tracks.iter_mut().zip(next) {
-            track.effective = share;
+        let next = interpolate(&base, &target, STEP_SHARE.0.into(), remaining.max(1).into());
+        for (tracked, share) in self.places.iter_mut().zip(next) {
+            tracked.effective = share;
         }
         self.begin_window(now);
     }
 
-    fn targets(&self) -> Vec<Share> {
-        self.tracks.iter().map(|t| t.target).collect()
+    fn target_shares(&self) -> Vec<Share> {
+        self.places.iter().map(|p| p.target).collect()
     }
 
     fn begin_window(&mut self, now: Millis) {
-        self.busy = self.requests > 0;
+        self.had_traffic = self.requests > 0;
         self.requests = 0;
-        self.since = now;
-        for track in &mut self.tracks {
-            track.window.clear();
-            track.counts = Counts::default();
+        self.window_start = now;
+        for tracked in &mut self.places {
+            tracked.window.clear();
+            tracked.counts = Counts::default();
         }
     }
 
-    /// Moves an entry without traffic. It cannot judge the places, so it takes
-    /// over what entries with traffic have proven. Otherwise it would be ahead
-    /// of them when their callers fall back to it.
-    fn follow(&mut self, peers: Option<&Progress>, age: Millis, now: Millis) -> Pace {
-        if let Some(peers) = peers.filter(|p| p.busy && p.revision == self.revision) {
-            self.restart(&self.reported(peers), now);
-            return Pace::Followed;
+    /// Advances the move of an entry without traffic. It cannot measure the
+    /// places, so it adopts the base shares of entries with traffic. Otherwise it
+    /// would be ahead of them when their callers fail over to it.
+    fn follow_peers(&mut self, peers: Option<&Progress>, age: Millis, now: Millis) -> TickOutcome {
+        if let Some(peers) = peers.filter(|p| p.has_traffic && p.revision == self.revision) {
+            self.start_move(&self.reported_shares(peers), now);
+            return TickOutcome::Followed;
         }
-        if age < QUIET {
-            return Pace::Waiting;
+        if age < LOW_TRAFFIC_TIMEOUT {
+            return TickOutcome::Waiting;
         }
-        self.step(true, now)
+        self.advance(true, now)
     }
 
-    /// Returns a growing place that answers worse than before.
-    fn worse_than_before(&self) -> Option<PlaceName> {
-        // A place that is new has no health of its own from before.
-        let usual = self
-            .tracks
+    /// Returns a growing place that responds worse than before the move.
+    fn find_degraded(&self) -> Option<PlaceName> {
+        // A new place has no earlier health of its own and is compared with the
+        // worst of the others.
+        let worst = self
+            .places
             .iter()
-            .filter_map(|t| t.before)
-            .reduce(Health::worse);
-        let worse = |t: &&Track| match (t.window.health(), t.before.or(usual)) {
-            (Some(health), Some(before)) => !health.is_within(before),
+            .filter_map(|p| p.health_before)
+            .reduce(Health::worst);
+        let degraded = |p: &&TrackedPlace| match (p.window.health(), p.health_before.or(worst)) {
+            (Some(health), Some(before)) => !health.is_acceptable(before),
             _ => false,
         };
-        let mut growing = self.tracks.iter().filter(|t| t.grows());
-        growing.find(worse).map(|t| t.place.name.clone())
+        let mut growing = self.places.iter().filter(|p| p.grows());
+        growing.find(degraded).map(|p| p.place.name.clone())
     }
 
-    /// Takes the health of settled places anew from time to time.
-    fn review(&mut self, now: Millis) {
-        if now - self.since >= REVIEW {
-            self.freeze();
+    /// Periodically records the health again while no traffic moves.
+    fn refresh_health(&mut self, now: Millis) {
+        if now - self.window_start >= HEALTH_REFRESH_INTERVAL {
+            self.record_health_before();
             self.begin_window(now);
         }
     }
 }
 
-/// Returns the parts of open places, and zero for the others.
-fn open_parts<'a>(parts: impl Iterator<Item = (&'a Track, u64)>) -> Vec<u64> {
-    parts
-        .map(|(t, part)| if t.is_open() { part } else { 0 })
+/// Returns the weights with those of places that may get no requests set to zero.
+fn available_weights<'a>(weights: impl Iterator<Item = (&'a TrackedPlace, u64)>) -> Vec<u64> {
+    weights
+        .map(|(p, weight)| if p.is_available() { weight } else { 0 })
         .collect()
 }
--- a/tests/shift.rs
+++ b/tests/shift.rs
@@ -9,7 +9,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{Millis, Place, PlaceName, PlaceState, RegionName, Revision, Weight},
-    policy::shift::{Level, Progress, Share, Shift},
+    policy::shift::{PlaceProgress, Progress, Share, Shift},
 };
 use shift_fleet::{Fleet, Mode, document, fleet, meter, name, shares};
 
@@ -131,27 +131,27 @@
     let least = reports.reduce(Progress::merge).expect("there are entries");
     let now = Millis(fleet.now);
     let moved = document(&MOVED);
-    let mut restarted = Shift::open(&moved, Revision(2), Some(&least), now);
+    let mut restarted = Shift::new(&moved, Revision(2), Some(&least), now);
     let mut out: Vec<String> = fleet.entries.iter().map(|e| shares(&e.1)).collect();
     out.push(format!("restarted: {}", shares(&restarted)));
     let pace = restarted.tick(Some(&least), now + Millis(20_000));
     out.push(format!("without traffic: {pace:?} {}", shares(&restarted)));
-    let alone = Shift::open(&moved, Revision(2), None, now);
+    let alone = Shift::new(&moved, Revision(2), None, now);
     out.push(format!("without peers: {}", shares(&alone)));
     insta::assert_snapshot!(out.join("\n"));
 }
 
 fn progress((revision, busy, levels): (u8, bool, Vec<(u8, u8)>)) -> Progress {
     let level = |(at, (effective, target)): (usize, (u8, u8))| {
-        let level = Level {
-            effective: Share(effective.into()),
+        let level = PlaceProgress {
+            base: Share(effective.into()),
             target: Share(target.into()),
         };
         (name(&format!("p{}", at % 3)), level)
     };
     Progress {
         revision: Revision(u64::from(revision % 2)),
-        busy,
+        has_traffic: busy,
         places: levels.into_iter().enumerate().map(level).collect(),
     }
 }
@@ -173,7 +173,7 @@
     fn any_sequence_keeps_the_shares_whole(steps: Vec<(u8, u32, bool)>, seed: u64) -> bool {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut current = document(&START);
-        let mut shift = Shift::open(&current, Revision(0), None, Millis(0));
+        let mut shift = Shift::new(&current, Revision(0), None, Millis(0));
         let mut lost: Option<RegionName> = None;
         let mut now = Millis(0);
         for (revision, (kind, value, flag)) in (1..).zip(steps) {
@@ -185,9 +185,9 @@
                 2 => {
                     let region = current.places[at].region.clone();
                     if let Some(other) = lost.take() {
-                        shift.set_region(&other, false, now);
+                        shift.set_region_lost(&other, false, now);
                     }
-                    shift.set_region(&region, flag, now);
+                    shift.set_region_lost(&region, flag, now);
                     lost = flag.then_some(region);
                 }
                 _ => now = now + Millis(u64::from(value % 12_000)),
--- a/tests/shift_fleet/mod.rs
+++ b/tests/shift_fleet/mod.rs
@@ -11,7 +11,7 @@
     domain::{Document, Millis, Place, PlaceName, PlaceState, RegionName, Revision, Slots, Weight},
     policy::{
         refusal::Outcome,
-        shift::{Pace, PlaceShare, Progress, Share, Shift},
+        shift::{PlaceShare, Progress, Share, Shift, TickOutcome},
     },
 };
 
@@ -100,7 +100,7 @@
 
 pub fn fleet(mode: Mode, documents: &[Document]) -> Fleet {
     let entry = |service: usize| {
-        let shift = Shift::open(&documents[service], Revision(1), None, Millis(0));
+        let shift = Shift::new(&documents[service], Revision(1), None, Millis(0));
         (service, shift, meter(CAP))
     };
     let services = 0..documents.len();
@@ -140,7 +140,7 @@
     pub fn lose(&mut self, region: &str, lost: bool) {
         let now = Millis(self.now);
         for entry in &mut self.entries {
-            entry.1.set_region(&name(region), lost, now);
+            entry.1.set_region_lost(&name(region), lost, now);
         }
     }
 
@@ -165,7 +165,7 @@
             let others = (0..reports.len()).filter(of_service);
             let peers = others.map(|i| reports[i].clone()).reduce(Progress::merge);
             let pace = self.entries[at].1.tick(peers.as_ref(), Millis(self.now));
-            if pace != Pace::Waiting {
+            if pace != TickOutcome::Waiting {
                 self.paces.push(format!("{pace:?}"));
             }
         }
