Describe drains by blockers and the stop as a sequence of steps

Holdup, Left and Stop did not say what they stand for, the report of a "life" meant an incarnation, and next, limit and LAST lacked their quantity.

Within the module: ANNOUNCE_LIMIT -> ANNOUNCE_TIMEOUT, ANNOUNCE_RETRY -> ANNOUNCE_INTERVAL, LAST -> CLOSING_TIME.

The tests say which failure they guard against.

--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -47,7 +47,7 @@
     },
     domain::Millis,
     policy::{
-        drain::{Phase, Step, Stop},
+        drain::{Phase, Step, StopSequence},
         timeline::Kind,
     },
     ports::{Clock, Store, Targets},
@@ -159,18 +159,18 @@
 /// Announces the stop and waits until callers no longer come.
 async fn linger(state: &Arc<State>) {
     let now = || (state.ports.clock.now)();
-    let (mut stop, _) = Stop::begin(state.settings.linger, now());
+    let (mut stop, _) = StopSequence::begin(state.settings.linger, now());
     state.fleet.members().leave();
     let announced = now();
-    while stop.accepts() {
+    while stop.accepts_connections() {
         tokio::time::sleep(STOP_PERIOD).await;
         // The announcement goes to three peers at once and to another one each
         // second, so after this time some have it. Alone there is nobody to tell.
         if stop.phase() == Phase::Announcing && (alone(state) || now() - announced >= Millis(1_000))
         {
-            stop.announced(now());
+            stop.acknowledged(now());
         }
-        if stop.closes(now()) {
+        if stop.closes_connections(now()) {
             state.set_closing();
         }
         if stop.tick(state.running(), now()) == Some(Step::Announce) {
--- a/src/policy/drain/mod.rs
+++ b/src/policy/drain/mod.rs
@@ -1,15 +1,15 @@
 //! Drains of targets, places and entries.
 //!
-//! A [`Drain`] answers an operator's question: what still holds up the removal
-//! of this target, place or entry? It only collects reports, because new work
-//! already stops when an entry takes over the document. A [`Stop`] is the
-//! sequence by which an entry takes itself out of service. Both count requests
-//! and set no time limit on them, so a drain never interrupts one; the price is
-//! that a drain takes as long as the longest request. See
+//! A [`Drain`] tells an operator what still blocks the removal of a target, a
+//! place or an entry. It only collects reports, because entries stop sending new
+//! requests as soon as they adopt the document that asks for the drain. A
+//! [`StopSequence`] takes the entry itself out of service. Both count running
+//! requests without a time limit, so a drain never interrupts a request; in
+//! exchange a drain takes as long as the longest request. See
 //! [docs/design.md](../../../docs/design.md), sections 3.1 and 3.9.
 
-mod planned;
+mod progress;
 mod stop;
 
-pub use planned::{Drain, Holdup, Left, Report, Subject};
-pub use stop::{Phase, Step, Stop};
+pub use progress::{Blocker, Drain, Remaining, Report, Subject};
+pub use stop::{Phase, Step, StopSequence};
--- a/src/policy/drain/stop.rs
+++ b/src/policy/drain/stop.rs
@@ -1,67 +1,69 @@
-//! The sequence by which an entry stops.
+//! The sequence of steps by which an entry stops.
 
 use crate::domain::Millis;
 
-/// How long an announcement may take until the entry goes on without an
-/// acknowledgement. A partition must not keep an entry from stopping.
-const ANNOUNCE_LIMIT: Millis = Millis(3_000);
+/// How long an entry waits for its announcement to be acknowledged before it
+/// continues without. A network partition must not keep an entry from stopping.
+const ANNOUNCE_TIMEOUT: Millis = Millis(3_000);
 
-/// The time between announcements that nobody acknowledges.
-const ANNOUNCE_RETRY: Millis = Millis(500);
+/// The time between announcements while none is acknowledged.
+const ANNOUNCE_INTERVAL: Millis = Millis(500);
 
-/// The end of the linger time, when no caller holds an answer that names this
-/// entry. It is the part of the linger time beyond the age of such answers.
-const LAST: Millis = Millis(3_000);
+/// The length of the last part of the linger time, in which no caller holds a
+/// look-up answer that names this entry: the linger time exceeds the maximum age
+/// of such answers by this much.
+const CLOSING_TIME: Millis = Millis(3_000);
 
-/// Where an entry is in its stop sequence.
+/// The phase of a stop sequence.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
-    /// Its peers are being told. It serves as before.
+    /// The entry announces its stop to its peers and serves as before.
     Announcing,
     /// Its peers no longer name it to callers. It serves as before, because
-    /// callers keep answers that name it.
+    /// callers cache answers that name it.
     Lingering,
-    /// It accepts no connection and finishes what runs.
+    /// It accepts no new connections and finishes the running requests.
     Finishing,
-    /// Nothing runs.
+    /// No request is running.
     Stopped,
 }
 
-/// What the process has to do next.
+/// An action that the process has to take.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
-    /// Tell the peers that this entry leaves, and report when they know.
+    /// Tell the peers that this entry is leaving, and call
+    /// [`StopSequence::acknowledged`] when they know.
     Announce,
-    /// Take the connections that already wait and close the listener.
+    /// Accept the connections that are already pending and close the listener.
     StopAccepting,
-    /// Return all units and exit.
+    /// Return all units of limits and exit.
     Exit,
 }
 
-/// An entry that stops.
+/// The stop sequence of an entry.
 ///
-/// Nothing in the sequence limits the time of a running request, since a planned
-/// stop interrupts none.
+/// It sets no time limit on running requests, since a planned stop does not
+/// interrupt any.
 #[derive(Clone, Debug)]
-pub struct Stop {
+pub struct StopSequence {
     phase: Phase,
     linger: Millis,
-    /// The next announcement, or the end of the linger time.
-    next: Millis,
-    /// The last instant at which an announcement is repeated.
-    limit: Millis,
+    /// The time of the next announcement, or the end of the linger time.
+    next_at: Millis,
+    /// When the entry stops waiting for an acknowledgement.
+    deadline: Millis,
 }
 
-impl Stop {
-    /// Begins to stop. The first step is to announce it. `linger` is the age
-    /// that answers to callers may reach, and 3 s.
+impl StopSequence {
+    /// Starts the sequence. The first step is the announcement. `linger` is the
+    /// maximum age of look-up answers plus 3 s.
     #[must_use]
     pub fn begin(linger: Millis, now: Millis) -> (Self, Step) {
         let stop = Self {
             phase: Phase::Announcing,
             linger,
-            next: now + ANNOUNCE_RETRY,
-            limit: now + ANNOUNCE_LIMIT,
+            next_at: now + ANNOUNCE_INTERVAL,
+            deadline: now + ANNOUNCE_TIMEOUT,
         };
         (stop, Step::Announce)
     }
@@ -72,28 +74,28 @@
         self.phase
     }
 
-    /// Notes that the peers know. From here on no new answer names this entry,
-    /// so the linger time starts.
-    pub fn announced(&mut self, now: Millis) {
+    /// Records that the peers know of the stop. From now on no new look-up answer
+    /// names this entry, so the linger time starts.
+    pub fn acknowledged(&mut self, now: Millis) {
         if self.phase == Phase::Announcing {
             self.phase = Phase::Lingering;
-            self.next = now + self.linger;
+            self.next_at = now + self.linger;
         }
     }
 
-    /// Returns the next step, if it is time for one. `running` counts requests
-    /// from their first byte until the last byte of their response.
+    /// Returns the next step if it is due. `running` is the number of requests
+    /// between their first byte and the last byte of their response.
     pub fn tick(&mut self, running: u32, now: Millis) -> Option<Step> {
         match self.phase {
-            Phase::Announcing if now >= self.limit => {
-                self.announced(now);
+            Phase::Announcing if now >= self.deadline => {
+                self.acknowledged(now);
                 None
             }
-            Phase::Announcing if now >= self.next => {
-                self.next = now + ANNOUNCE_RETRY;
+            Phase::Announcing if now >= self.next_at => {
+                self.next_at = now + ANNOUNCE_INTERVAL;
                 Some(Step::Announce)
             }
-            Phase::Lingering if now >= self.next => {
+            Phase::Lingering if now >= self.next_at => {
                 self.phase = Phase::Finishing;
                 Some(Step::StopAccepting)
             }
@@ -105,19 +107,19 @@
         }
     }
 
-    /// Returns whether the entry accepts connections.
+    /// Returns whether the entry accepts new connections.
     #[must_use]
-    pub fn accepts(&self) -> bool {
+    pub fn accepts_connections(&self) -> bool {
         matches!(self.phase, Phase::Announcing | Phase::Lingering)
     }
 
-    /// Returns whether responses end their connection. Before the last part of
-    /// the linger time a caller would only connect to this entry again.
+    /// Returns whether the entry closes a connection after a response. Before the
+    /// last part of the linger time a caller would only reconnect to this entry.
     #[must_use]
-    pub fn closes(&self, now: Millis) -> bool {
+    pub fn closes_connections(&self, now: Millis) -> bool {
         match self.phase {
             Phase::Announcing => false,
-            Phase::Lingering => now + LAST >= self.next,
+            Phase::Lingering => now + CLOSING_TIME >= self.next_at,
             Phase::Finishing | Phase::Stopped => true,
         }
     }
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -1,12 +1,13 @@
-//! Guards drains: one that is reported as finished too early lets an operator
-//! remove a target or an entry in the middle of a request.
+//! Tests of drains and of the stop sequence. A drain that is reported as finished
+//! too early lets an operator remove a target or an entry while it still serves a
+//! request.
 
 use std::{collections::BTreeMap, fmt::Write};
 
 use quickcheck::quickcheck;
 use savorybeam::{
     domain::{EntryId, Incarnation, Millis, Revision},
-    policy::drain::{Drain, Report, Step, Stop, Subject},
+    policy::drain::{Drain, Report, Step, StopSequence, Subject},
 };
 
 fn name<T: std::str::FromStr>(text: &str) -> T {
@@ -14,10 +15,10 @@
     parsed.expect("the name is valid")
 }
 
-fn report(entry: &str, life: u64, sequence: u64, revision: u64, running: u32) -> Report {
+fn report(entry: &str, incarnation: u64, sequence: u64, revision: u64, running: u32) -> Report {
     Report {
         entry: name(entry),
-        incarnation: Incarnation(life),
+        incarnation: Incarnation(incarnation),
         sequence,
         revision: Revision(revision),
         running,
@@ -28,135 +29,139 @@
     Subject::Place(name("slotboard"), name("reykjanes-1"))
 }
 
-/// Fails if a late report, an old revision or a restarted entry is taken for the
-/// end of the drain.
+/// Guards against a drain that is reported as finished because of a report that
+/// arrives late, an entry with an older revision in effect, or a restarted entry.
 #[test]
-fn the_drain_of_a_place_over_time() {
+fn a_place_drain_waits_for_every_entry() {
     let mut drain = Drain::new(place(), Revision(7));
     let mut listed: BTreeMap<EntryId, Incarnation> =
         ["e1", "e2", "e3"].map(|e| (name(e), Incarnation(1))).into();
     let mut out = String::new();
-    let mut note = |what: &str, drain: &Drain, listed: &BTreeMap<EntryId, Incarnation>| {
-        let left = drain.left(listed.iter().map(|(e, i)| (e, *i)));
-        let rows: Vec<String> = left
+    let mut record = |event: &str, drain: &Drain, listed: &BTreeMap<EntryId, Incarnation>| {
+        let remaining = drain.remaining(listed.iter().map(|(e, i)| (e, *i)));
+        let blockers: Vec<String> = remaining
             .entries
             .iter()
-            .map(|(e, h)| format!("{e}: {h}"))
+            .map(|(e, b)| format!("{e}: {b}"))
             .collect();
-        let (running, finished) = (left.running(), left.is_finished());
-        let rows = rows.join("; ");
+        let (running, finished) = (remaining.running(), remaining.is_finished());
+        let blockers = blockers.join("; ");
         writeln!(
             out,
-            "{what}: {running} running, finished {finished} [{rows}]"
+            "{event}: {running} running, finished {finished} [{blockers}]"
         )
-        .expect("memory");
+        .expect("writing to a string succeeds");
     };
-    note("begin", &drain, &listed);
+    record("begin", &drain, &listed);
     drain.observe(report("e1", 1, 1, 6, 4));
     drain.observe(report("e2", 1, 1, 7, 2));
-    note("two reports", &drain, &listed);
+    record("two reports", &drain, &listed);
     drain.observe(report("e1", 1, 3, 7, 1));
     drain.observe(report("e1", 1, 2, 7, 0));
-    note("a late report", &drain, &listed);
+    record("a late report", &drain, &listed);
     drain.observe(report("e2", 1, 2, 7, 0));
     drain.observe(report("e1", 1, 4, 7, 0));
-    note("one silent", &drain, &listed);
+    record("e3 has not reported", &drain, &listed);
     listed.remove(&name::<EntryId>("e3"));
-    note("the silent VM is gone", &drain, &listed);
+    record("e3 is gone from the platform", &drain, &listed);
     listed.insert(name("e2"), Incarnation(2));
-    note("e2 restarted", &drain, &listed);
+    record("e2 restarted", &drain, &listed);
     drain.observe(report("e2", 2, 1, 6, 0));
-    note("e2 has an old document", &drain, &listed);
+    record("e2 has an older revision", &drain, &listed);
     drain.observe(report("e2", 2, 2, 8, 0));
-    note("e2 has a newer one", &drain, &listed);
+    record("e2 has a newer revision", &drain, &listed);
     insta::assert_snapshot!(out);
 }
 
-/// Fails if other entries hold up, or end, the drain of an entry.
+/// Guards against reports of other entries that block or finish the drain of an
+/// entry.
 #[test]
-fn only_the_entry_itself_holds_up_its_drain() {
+fn only_the_entry_itself_blocks_its_drain() {
     let mut drain = Drain::new(Subject::Entry(name("e1")), Revision(0));
     let listed: Vec<EntryId> = vec![name("e1"), name("e2")];
     let mut out = Vec::new();
     for running in [3, 1, 0] {
         drain.observe(report("e1", 1, 10 - u64::from(running), 0, running));
         drain.observe(report("e2", 1, 1, 0, 5));
-        let left = drain.left(listed.iter().map(|e| (e, Incarnation(1))));
-        out.push(format!("{}: {}", drain.subject(), left.running()));
+        let remaining = drain.remaining(listed.iter().map(|e| (e, Incarnation(1))));
+        out.push(format!("{}: {}", drain.subject(), remaining.running()));
     }
     insta::assert_snapshot!(out.join("\n"));
 }
 
 quickcheck! {
-    /// Fails if the order or the repetition of reports changes the result.
-    fn reports_count_in_any_order(reports: Vec<(u8, u8, u8)>, swap: usize) -> bool {
+    /// Guards against a result that depends on the order or the repetition of
+    /// reports.
+    fn reports_are_order_independent(reports: Vec<(u8, u8, u8)>, rotation: usize) -> bool {
         let mut all: Vec<Report> = Vec::new();
         for (sequence, (entry, revision, running)) in (0..).zip(reports) {
             let entry = format!("e{}", entry % 3);
             all.push(report(&entry, 1, sequence, u64::from(revision % 3), u32::from(running % 2)));
         }
         let listed: Vec<EntryId> = vec![name("e0"), name("e1"), name("e2")];
-        let left = |reports: &[Report]| {
+        let remaining = |reports: &[Report]| {
             let mut drain = Drain::new(place(), Revision(1));
             for report in reports {
                 drain.observe(report.clone());
             }
-            drain.left(listed.iter().map(|e| (e, Incarnation(1))))
+            drain.remaining(listed.iter().map(|e| (e, Incarnation(1))))
         };
-        let before = left(&all);
+        let before = remaining(&all);
         let last = |e: &EntryId| all.iter().rev().find(|r| r.entry == *e);
-        let free = |e: &EntryId| last(e).is_some_and(|r| r.revision.0 >= 1 && r.running == 0);
-        let finished = listed.iter().all(free);
-        let middle = swap % all.len().max(1);
+        let is_drained = |e: &EntryId| last(e).is_some_and(|r| r.revision.0 >= 1 && r.running == 0);
+        let finished = listed.iter().all(is_drained);
+        let middle = rotation % all.len().max(1);
         all.rotate_left(middle);
         all.extend_from_within(..middle);
-        before == left(&all) && before.is_finished() == finished
+        before == remaining(&all) && before.is_finished() == finished
     }
 
-    /// Fails if an entry stops while requests run, stops accepting while callers
-    /// may hold an answer that names it, or never stops.
-    fn an_entry_stops_in_order(running: Vec<bool>, known: u16) -> bool {
+    /// Guards against an entry that exits while requests are running, stops
+    /// accepting connections while callers may hold a look-up answer that names it,
+    /// or never exits.
+    fn an_entry_stops_in_order(running: Vec<bool>, acknowledged: u16) -> bool {
         let linger = Millis(8_000);
-        let (mut stop, first) = Stop::begin(linger, Millis(0));
-        let known = Millis(u64::from(known % 40) * 100);
+        let (mut stop, first) = StopSequence::begin(linger, Millis(0));
+        let acknowledged = Millis(u64::from(acknowledged % 40) * 100);
         let mut steps = vec![(first, Millis(0))];
-        let mut busy = running.into_iter();
+        let mut running = running.into_iter();
         for now in (0..400).map(|t| Millis(t * 100)) {
-            if now >= known {
-                stop.announced(now);
+            if now >= acknowledged {
+                stop.acknowledged(now);
             }
-            let running = u32::from(busy.next().unwrap_or(false));
-            let step = stop.tick(running, now);
-            if step == Some(Step::Exit) && running > 0 {
+            let count = u32::from(running.next().unwrap_or(false));
+            let step = stop.tick(count, now);
+            if step == Some(Step::Exit) && count > 0 {
                 return false;
             }
             steps.extend(step.map(|s| (s, now)));
         }
         let at = |step| steps.iter().find(|(s, _)| *s == step).map(|(_, at)| *at);
         let (closed, exit) = (at(Step::StopAccepting), at(Step::Exit));
-        // Without an acknowledgement it goes on after 3 s.
-        let told = known.min(Millis(3_000));
-        closed.is_some_and(|c| c >= told + linger) && exit > closed
+        // Without an acknowledgement the sequence continues after 3 s.
+        let linger_start = acknowledged.min(Millis(3_000));
+        closed.is_some_and(|c| c >= linger_start + linger) && exit > closed
     }
 }
 
-/// Fails if a step of the stop sequence is lost or out of order.
+/// Guards against a step of the stop sequence that is lost or out of order.
 #[test]
-fn the_stop_of_an_entry_over_time() {
-    let (mut stop, first) = Stop::begin(Millis(8_000), Millis(0));
+fn the_stop_sequence_has_all_steps_in_order() {
+    let (mut stop, first) = StopSequence::begin(Millis(8_000), Millis(0));
     let mut out = format!("0 ms {first:?}\n");
     for now in (0..16_000).step_by(100).map(Millis) {
         if now == Millis(700) {
-            stop.announced(now);
+            stop.acknowledged(now);
         }
         let running = u32::from(now < Millis(12_000));
-        let (phase, closes) = (stop.phase(), stop.closes(now));
+        let (phase, closes) = (stop.phase(), stop.closes_connections(now));
         if let Some(step) = stop.tick(running, now) {
-            writeln!(out, "{now} {step:?}").expect("memory");
+            writeln!(out, "{now} {step:?}").expect("writing to a string succeeds");
         }
         if phase != stop.phase() || now.0 % 2_000 == 0 {
-            let (phase, accepts) = (stop.phase(), stop.accepts());
-            writeln!(out, "{now} {phase:?}, accepts {accepts}, closes {closes}").expect("memory");
+            let (phase, accepts) = (stop.phase(), stop.accepts_connections());
+            writeln!(out, "{now} {phase:?}, accepts {accepts}, closes {closes}")
+                .expect("writing to a string succeeds");
         }
     }
     insta::assert_snapshot!(out);
