Use the terms of prefix tables and ranking in look-ups

Change, View, Sites and Delays were too general to tell apart from types of other modules, "slots" of the block table had nothing to do with the slots of a place, and BUSY, FARTHEST and similar constants lacked their quantity.

Renamed, in all uses: Change -> BlockChange; View -> EntryView; Sites -> SiteRegions; Delays -> RegionDelays; Candidate::since -> changed_at; CHANGING_AGE -> CHANGING_MAX_AGE.

--- a/examples/lookup_slope/main.rs
+++ b/examples/lookup_slope/main.rs
@@ -19,7 +19,7 @@
 };
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use savorybeam::{domain::SiteId, policy::lookup::Change};
+use savorybeam::{domain::SiteId, policy::lookup::BlockChange};
 use world::{LOOKUPS, MEMBERS, SITES, World, prefix, world};
 
 /// The sizes of the slope, up to the two-year size of docs/design.md.
@@ -42,8 +42,8 @@
         let (mut deltas, mut busy) = (0, 0.0);
         while !done.load(Ordering::Relaxed) {
             let site = |rng: &mut SmallRng| Some(SiteId(rng.random_range(0..SITES)));
-            let delta: Vec<Change> = (0..DELTA)
-                .map(|_| Change {
+            let delta: Vec<BlockChange> = (0..DELTA)
+                .map(|_| BlockChange {
                     prefix: prefix(&mut rng),
                     site: site(&mut rng),
                 })
--- a/examples/lookup_slope/world.rs
+++ b/examples/lookup_slope/world.rs
@@ -9,7 +9,8 @@
 use savorybeam::{
     domain::{Millis, Prefix, ServiceName, SiteId},
     policy::lookup::{
-        BlockTable, Candidate, Change, Delays, EntryState, LoadLevel, Sites, View, rank,
+        BlockChange, BlockTable, Candidate, EntryState, EntryView, LoadLevel, RegionDelays,
+        SiteRegions, rank,
     },
 };
 
@@ -24,10 +25,10 @@
 
 pub struct World {
     pub table: BlockTable,
-    pub sites: Sites,
-    pub view: View,
+    pub sites: SiteRegions,
+    pub view: EntryView,
     members: Vec<Candidate>,
-    delays: Delays,
+    delays: RegionDelays,
     probes: Vec<IpAddr>,
     services: Vec<ServiceName>,
 }
@@ -65,9 +66,9 @@
     while changes.len() < blocks {
         changes.insert(prefix(&mut rng), SiteId(rng.random_range(0..SITES)));
     }
-    let changes: Vec<Change> = changes
+    let changes: Vec<BlockChange> = changes
         .into_iter()
-        .map(|(prefix, site)| Change {
+        .map(|(prefix, site)| BlockChange {
             prefix,
             site: Some(site),
         })
@@ -86,17 +87,17 @@
             LoadLevel::Normal
         },
         state: EntryState::Live,
-        since: Millis(0),
+        changed_at: Millis(0),
     };
     let members: Vec<Candidate> = (0..MEMBERS).map(member).collect();
     let pairs = (0..REGIONS).flat_map(|a| (0..a).map(move |b| (a, b)));
     let links = pairs.map(|(a, b)| (region(a), region(b), Millis(20 + (a * b % 90) as u64)));
     let probe = |_| changes[rng.random_range(0..changes.len())].prefix.addr();
-    let delays = Delays::new(links);
+    let delays = RegionDelays::new(links);
     World {
         table,
-        sites: Sites::new((0..SITES).map(|s| (SiteId(s), region(s as usize % REGIONS)))),
-        view: View::new(&members, &delays),
+        sites: SiteRegions::new((0..SITES).map(|s| (SiteId(s), region(s as usize % REGIONS)))),
+        view: EntryView::new(&members, &delays),
         members,
         delays,
         probes: (0..LOOKUPS).map(probe).collect(),
@@ -110,8 +111,8 @@
     }
 
     /// Prepares the view anew, as after a change of the membership.
-    pub fn rebuild(&self) -> View {
-        View::new(&self.members, &self.delays)
+    pub fn rebuild(&self) -> EntryView {
+        EntryView::new(&self.members, &self.delays)
     }
 
     pub fn look_up(&self, at: usize) -> usize {
--- a/src/app/entry/control/gossip.rs
+++ b/src/app/entry/control/gossip.rs
@@ -8,7 +8,7 @@
     app::entry::{State, fleet},
     domain::{EntryId, Millis, ServiceName},
     policy::{
-        lookup::{Delays, View},
+        lookup::{EntryView, RegionDelays},
         member::{Action, Event, EventKind},
         spread,
         timeline::Kind,
@@ -77,8 +77,8 @@
 /// Shows look-ups the entries as they are now.
 fn show(state: &State, candidates: &[crate::policy::lookup::Candidate]) {
     let links = state.settings.links.iter();
-    let delays = Delays::new(links.map(|l| (l.from.clone(), l.to.clone(), l.delay)));
-    let view = Arc::new(View::new(candidates, &delays));
+    let delays = RegionDelays::new(links.map(|l| (l.from.clone(), l.to.clone(), l.delay)));
+    let view = Arc::new(EntryView::new(candidates, &delays));
     *state.view.write().unwrap_or_else(PoisonError::into_inner) = view;
 }
 
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -14,7 +14,7 @@
     domain::{EntryId, Epoch, Incarnation, Millis},
     policy::{
         limit,
-        lookup::{Candidate, EntryState, LoadLevel, View},
+        lookup::{Candidate, EntryState, EntryView, LoadLevel},
         member::{self, Load, Members, State, Version},
         once,
         spread::{self, Spread},
@@ -219,7 +219,7 @@
                 State::Leaving => EntryState::Leaving,
                 State::Dead => EntryState::Dead,
             },
-            since: now,
+            changed_at: now,
         };
         let all = members.all().filter(|(m, _)| seated(m));
         all.map(candidate).collect()
@@ -235,6 +235,6 @@
 }
 
 /// Returns an empty view, for an entry that knows nobody yet.
-pub(super) fn no_view() -> View {
-    View::new(&[], &crate::policy::lookup::Delays::default())
+pub(super) fn no_view() -> EntryView {
+    EntryView::new(&[], &crate::policy::lookup::RegionDelays::default())
 }
--- a/src/app/entry/locations.rs
+++ b/src/app/entry/locations.rs
@@ -5,14 +5,14 @@
 use crate::{
     adapters::ini::Site,
     domain::{Prefix, RegionName, SiteId},
-    policy::lookup::{BlockTable, Change, Sites},
+    policy::lookup::{BlockChange, BlockTable, SiteRegions},
 };
 
 /// Where clients are, by their addresses.
 #[derive(Debug)]
 pub struct Locations {
     blocks: BlockTable,
-    sites: Sites,
+    sites: SiteRegions,
 }
 
 impl Locations {
@@ -21,10 +21,10 @@
     pub fn new(list: &[Site]) -> Self {
         let id = |n: usize| SiteId(u32::try_from(n).unwrap_or(u32::MAX));
         let sites = list.iter().enumerate();
-        let changes: Vec<Change> = sites
+        let changes: Vec<BlockChange> = sites
             .clone()
             .flat_map(|(n, site)| {
-                let change = move |prefix: &Prefix| Change {
+                let change = move |prefix: &Prefix| BlockChange {
                     prefix: *prefix,
                     site: Some(id(n)),
                 };
@@ -35,7 +35,7 @@
         blocks.apply(&changes);
         Self {
             blocks,
-            sites: Sites::new(sites.map(|(n, site)| (id(n), site.region.clone()))),
+            sites: SiteRegions::new(sites.map(|(n, site)| (id(n), site.region.clone()))),
         }
     }
 
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -22,7 +22,7 @@
         crash::{Strikes, Successes},
         document::{Adoption, Content},
         limit::{Ledger, Limit, Member, Outgoing, Roster},
-        lookup::View,
+        lookup::EntryView,
         member::Seat,
         once,
         timeline::Kind,
@@ -59,7 +59,7 @@
     /// What is sent to targets.
     pub observer: Observer,
     /// The entries that look-ups name.
-    pub view: RwLock<Arc<View>>,
+    pub view: RwLock<Arc<EntryView>>,
     /// The sites of clients.
     pub sites: Locations,
     /// Requests that broke connections.
@@ -297,7 +297,7 @@
 
     /// Returns the entries as look-ups see them.
     #[must_use]
-    pub fn view(&self) -> Arc<View> {
+    pub fn view(&self) -> Arc<EntryView> {
         self.view
             .read()
             .unwrap_or_else(PoisonError::into_inner)
--- a/src/policy/lookup/block.rs
+++ b/src/policy/lookup/block.rs
@@ -1,4 +1,4 @@
-//! The table of client blocks.
+//! The table that maps client blocks to sites.
 
 use std::{
     collections::BTreeMap,
@@ -6,43 +6,44 @@
     sync::{Arc, Mutex, PoisonError, RwLock},
 };
 
-use super::shard::{Entry, Shard, width};
+use super::shard::{Block, Shard, width};
 use crate::domain::{Prefix, SiteId, Size};
 
-/// How many leading bits of an IPv4 address select a shard. With 4,096 shards,
-/// 1.3 million blocks make about 320 to a shard, so a change copies a few
+/// The number of leading bits of an IPv4 address that select a shard. With 4,096
+/// shards, 1.3 million blocks are about 320 per shard, so a change copies a few
 /// kilobytes.
-const V4_BITS: u8 = 12;
+const V4_INDEX_BITS: u8 = 12;
 
-/// How many leading bits of an IPv6 address select a shard. The addresses in use
-/// share few leading bits: 12 bits put 390,000 blocks into 4 shards, and a delta
-/// of 100 changes took 8 ms.
-const V6_BITS: u8 = 16;
+/// The number of leading bits of an IPv6 address that select a shard. The leading
+/// bits of the addresses in use have few distinct values: 12 bits put 390,000
+/// blocks into 4 shards, and a delta of 100 changes took 8 ms.
+const V6_INDEX_BITS: u8 = 16;
 
 /// A change of one client block.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Change {
+pub struct BlockChange {
     /// The block.
     pub prefix: Prefix,
-    /// Its site, or none to remove the block.
+    /// The site of the block, or none to remove the block.
     pub site: Option<SiteId>,
 }
 
-/// Maps client blocks to sites by longest match.
+/// Maps client blocks to sites by longest prefix match.
 ///
 /// The leading bits of an address select a shard, an immutable sorted array. A
-/// change builds a new array and replaces the shard as a whole, and readers
-/// finish on the old one. A block that is shorter than the leading bits stands
-/// in each shard that it covers, so one address depends on one shard only and a
-/// reader sees each address before or after a change and never in between. Shards
-/// that hold nothing else share one array. The price is a copy of such a block in
-/// each shard with other blocks; blocks of these lengths are few.
+/// change builds a new array and replaces the shard as a whole, while readers
+/// finish on the old one. A block whose prefix is shorter than the leading bits is
+/// stored in each shard that it covers. So the result for an address depends on a
+/// single shard, and a reader sees it as it was before or after a change but never
+/// in between. Covered shards without other blocks share one array. In exchange
+/// the block is copied to each covered shard that has other blocks; there are few
+/// blocks with such short prefixes.
 #[derive(Debug)]
 pub struct BlockTable {
-    v4: Family<u32>,
-    v6: Family<u128>,
-    /// Held while a change is applied. Two changes that read the same shard
-    /// would otherwise lose one of the two.
+    v4: AddressFamily<u32>,
+    v6: AddressFamily<u128>,
+    /// Held while changes are applied. Otherwise two writers could read the same
+    /// shard, and one of their changes would be lost.
     writer: Mutex<()>,
 }
 
@@ -51,13 +52,13 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            v4: Family::new(V4_BITS),
-            v6: Family::new(V6_BITS),
+            v4: AddressFamily::new(V4_INDEX_BITS),
+            v6: AddressFamily::new(V6_INDEX_BITS),
             writer: Mutex::new(()),
         }
     }
 
-    /// Returns the site of the longest block that holds `addr`.
+    /// Returns the site of the block with the longest prefix that contains `addr`.
     #[must_use]
     pub fn find(&self, addr: IpAddr) -> Option<SiteId> {
         match addr.to_canonical() {
@@ -66,9 +67,9 @@
         }
     }
 
-    /// Applies changes, shard by shard. Of several changes of one block, the
-    /// last one counts. The first load is the same operation.
-    pub fn apply(&self, changes: &[Change]) {
+    /// Applies changes, shard by shard. If several changes concern the same block,
+    /// the last one takes effect. The initial load uses this method too.
+    pub fn apply(&self, changes: &[BlockChange]) {
         let _writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
         self.v4
             .apply(changes.iter().filter_map(|c| match c.prefix.addr() {
@@ -94,7 +95,7 @@
         self.len() == 0
     }
 
-    /// Returns the memory that the table takes.
+    /// Returns the memory that the table occupies.
     #[must_use]
     pub fn size(&self) -> Size {
         Size((size_of::<Self>() + self.v4.bytes() + self.v6.bytes()) as u64)
@@ -109,25 +110,26 @@
 
 /// The shards of one address family.
 #[derive(Debug)]
-struct Family<K> {
-    bits: u8,
-    shards: Vec<Slot<K>>,
+struct AddressFamily<K> {
+    /// The number of leading bits of an address that select a shard.
+    index_bits: u8,
+    shards: Vec<ShardCell<K>>,
 }
 
-type Slot<K> = RwLock<Arc<Shard<K>>>;
+type ShardCell<K> = RwLock<Arc<Shard<K>>>;
 
-/// A shard, its changes and the result.
-type Applied<K> = (Arc<Shard<K>>, Vec<Edit<K>>, Arc<Shard<K>>);
+/// A shard, the edits that were applied to it, and the resulting shard.
+type AppliedEdits<K> = (Arc<Shard<K>>, Vec<Edit<K>>, Arc<Shard<K>>);
 
-/// A change of a block, with its first address and length.
-type Edit<K> = Entry<K, Option<SiteId>>;
+/// A change of a block, with the block's first address and prefix length.
+type Edit<K> = Block<K, Option<SiteId>>;
 
-impl<K: Copy + Into<u128> + Ord> Family<K> {
-    fn new(bits: u8) -> Self {
+impl<K: Copy + Into<u128> + Ord> AddressFamily<K> {
+    fn new(index_bits: u8) -> Self {
         let empty = Arc::new(Shard::build(&[]));
-        let shards = (0..1 << bits).map(|_| RwLock::new(Arc::clone(&empty)));
+        let shards = (0..1 << index_bits).map(|_| RwLock::new(Arc::clone(&empty)));
         Self {
-            bits,
+            index_bits,
             shards: shards.collect(),
         }
     }
@@ -136,96 +138,103 @@
         read(&self.shards[self.index(addr)]).find(addr)
     }
 
-    fn apply(&self, changes: impl Iterator<Item = Edit<K>>) {
-        let (wide, narrow): (Vec<_>, Vec<_>) = order(changes.collect())
+    fn apply(&self, edits: impl Iterator<Item = Edit<K>>) {
+        let (wide, narrow): (Vec<_>, Vec<_>) = sort_and_dedup(edits.collect())
             .into_iter()
-            .partition(|c| c.1 < self.bits);
+            .partition(|e| e.1 < self.index_bits);
         if wide.is_empty() {
-            for own in narrow.chunk_by(|a, b| self.index(a.0) == self.index(b.0)) {
-                let slot = &self.shards[self.index(own[0].0)];
-                replace(slot, Arc::new(read(slot).edit(own)));
+            for edits in narrow.chunk_by(|a, b| self.index(a.0) == self.index(b.0)) {
+                let cell = &self.shards[self.index(edits[0].0)];
+                replace(cell, Arc::new(read(cell).edit(edits)));
             }
         } else {
             self.apply_wide(&wide, &narrow);
         }
     }
 
-    /// Applies changes of which some concern many shards. Neighbours that shared
-    /// an array and get the same changes share the new one.
+    /// Applies edits of which the `wide` ones cover several shards. Adjacent shards
+    /// that shared an array and get the same edits share the new one.
     fn apply_wide(&self, wide: &[Edit<K>], mut narrow: &[Edit<K>]) {
-        let mut last: Option<Applied<K>> = None;
-        for (at, slot) in self.shards.iter().enumerate() {
-            let own = narrow.partition_point(|c| self.index(c.0) == at);
-            let mut changes: Vec<_> = wide.iter().copied().filter(|c| self.spans(c, at)).collect();
-            changes.extend_from_slice(&narrow[..own]);
-            narrow = &narrow[own..];
-            if changes.is_empty() {
+        let mut last: Option<AppliedEdits<K>> = None;
+        for (at, cell) in self.shards.iter().enumerate() {
+            let count = narrow.partition_point(|e| self.index(e.0) == at);
+            let mut edits: Vec<_> = wide
+                .iter()
+                .copied()
+                .filter(|e| self.covers(e, at))
+                .collect();
+            edits.extend_from_slice(&narrow[..count]);
+            narrow = &narrow[count..];
+            if edits.is_empty() {
                 continue;
             }
-            let old = read(slot);
+            let old = read(cell);
             let same = last
                 .take()
-                .filter(|l| Arc::ptr_eq(&l.0, &old) && l.1 == changes);
-            let (old, changes, new) = same.unwrap_or_else(|| {
-                let new = Arc::new(old.edit(&changes));
-                (old, changes, new)
+                .filter(|l| Arc::ptr_eq(&l.0, &old) && l.1 == edits);
+            let (old, edits, new) = same.unwrap_or_else(|| {
+                let new = Arc::new(old.edit(&edits));
+                (old, edits, new)
             });
-            replace(slot, Arc::clone(&new));
-            last = Some((old, changes, new));
+            replace(cell, Arc::clone(&new));
+            last = Some((old, edits, new));
         }
     }
 
+    /// Returns the number of blocks. A block that is stored in several shards is
+    /// counted in the first one.
     fn len(&self) -> usize {
         let shards = self.shards.iter().enumerate();
-        let own = |(at, slot): (usize, &Slot<K>)| {
-            let shard = read(slot);
+        let starting = |(at, cell): (usize, &ShardCell<K>)| {
+            let shard = read(cell);
             shard.blocks().filter(|b| self.index(b.0) == at).count()
         };
-        shards.map(own).sum()
+        shards.map(starting).sum()
     }
 
     fn bytes(&self) -> usize {
-        let slots = self.shards.capacity() * size_of::<Slot<K>>();
+        let cells = self.shards.capacity() * size_of::<ShardCell<K>>();
         let shards = self.shards.iter().map(read);
         let shards: BTreeMap<_, _> = shards.map(|s| (Arc::as_ptr(&s), s.bytes())).collect();
-        // Each `Arc` has two counters beside its value.
-        slots
+        // An `Arc` allocates two counters beside its value.
+        cells
             + shards
                 .values()
                 .map(|b| b + 2 * size_of::<usize>())
                 .sum::<usize>()
     }
 
-    /// Returns the shard of an address.
+    /// Returns the index of the shard of an address.
     fn index(&self, addr: K) -> usize {
-        let leading = addr.into() >> (width::<K>() - self.bits);
+        let leading = addr.into() >> (width::<K>() - self.index_bits);
         usize::try_from(leading).unwrap_or_default()
     }
 
-    /// Returns whether a block that is shorter than the leading bits covers a
-    /// shard.
-    fn spans(&self, change: &Edit<K>, shard: usize) -> bool {
-        let shift = self.bits - change.1;
-        self.index(change.0) >> shift == shard >> shift
+    /// Returns whether the block of an edit, whose prefix is shorter than the leading
+    /// bits, covers a shard.
+    fn covers(&self, edit: &Edit<K>, shard: usize) -> bool {
+        let shift = self.index_bits - edit.1;
+        self.index(edit.0) >> shift == shard >> shift
     }
 }
 
-/// Sorts changes and keeps the last one of each block.
-fn order<K: Copy + Ord>(mut changes: Vec<Edit<K>>) -> Vec<Edit<K>> {
-    changes.reverse();
-    changes.sort_by_key(|c| (c.0, c.1));
-    changes.dedup_by_key(|c| (c.0, c.1));
-    changes
+/// Sorts edits by block and keeps the last one of each block.
+fn sort_and_dedup<K: Copy + Ord>(mut edits: Vec<Edit<K>>) -> Vec<Edit<K>> {
+    edits.reverse();
+    edits.sort_by_key(|e| (e.0, e.1));
+    edits.dedup_by_key(|e| (e.0, e.1));
+    edits
 }
 
-fn read<K>(slot: &Slot<K>) -> Arc<Shard<K>> {
-    Arc::clone(&slot.read().unwrap_or_else(PoisonError::into_inner))
+fn read<K>(cell: &ShardCell<K>) -> Arc<Shard<K>> {
+    Arc::clone(&cell.read().unwrap_or_else(PoisonError::into_inner))
 }
 
-fn replace<K>(slot: &Slot<K>, mut shard: Arc<Shard<K>>) {
-    // The old array is freed after the lock, so that readers do not wait for it.
+fn replace<K>(cell: &ShardCell<K>, mut shard: Arc<Shard<K>>) {
+    // The old array is freed after the lock is released, so that readers do not
+    // wait for that.
     std::mem::swap(
-        &mut *slot.write().unwrap_or_else(PoisonError::into_inner),
+        &mut *cell.write().unwrap_or_else(PoisonError::into_inner),
         &mut shard,
     );
 }
--- a/src/policy/lookup/load.rs
+++ b/src/policy/lookup/load.rs
@@ -1,18 +1,18 @@
-//! The load level that an entry tells its peers.
+//! The load level that an entry reports to its peers.
 
 use std::{fmt, str::FromStr};
 
 use crate::domain::ParseError;
 
-/// How loaded an entry is, as far as look-ups care.
+/// The load of an entry, as look-ups consider it.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum LoadLevel {
-    /// It has room.
+    /// It has free capacity.
     #[default]
     Normal,
-    /// It should receive fewer services.
+    /// It should be used by fewer services.
     Busy,
-    /// It should be used only when nothing else is near.
+    /// It should be used only if no other entry is near.
     Overloaded,
 }
 
@@ -43,39 +43,39 @@
     }
 }
 
-/// Percent of use at which an entry becomes busy, and below which it is normal
-/// again.
-const BUSY: (u64, u64) = (70, 55);
+/// The utilization in percent at which an entry becomes busy, and below which it
+/// is normal again.
+const BUSY_PERCENT: (u64, u64) = (70, 55);
 
-/// Percent of use at which an entry becomes overloaded, and below which it is
-/// only busy again.
-const OVERLOADED: (u64, u64) = (90, 75);
+/// The utilization in percent at which an entry becomes overloaded, and below
+/// which it is only busy again.
+const OVERLOADED_PERCENT: (u64, u64) = (90, 75);
 
-/// Turns use into a level with hysteresis.
+/// Converts utilization to a load level with hysteresis.
 ///
-/// Without it an entry near a threshold would change its level with each report,
-/// and services would move to and fro between entries.
+/// Without hysteresis an entry near a threshold would change its level with each
+/// report, and services would move back and forth between entries.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadGauge {
     level: LoadLevel,
 }
 
 impl LoadGauge {
-    /// Returns the present level.
+    /// Returns the current level.
     #[must_use]
     pub fn level(&self) -> LoadLevel {
         self.level
     }
 
-    /// Notes that `used` of `total` is in use, and returns the level.
+    /// Records that `used` of `total` capacity is in use, and returns the new level.
     pub fn observe(&mut self, used: u64, total: u64) -> LoadLevel {
         let percent = used.saturating_mul(100) / total.max(1);
-        let holds = |(up, down): (u64, u64), at: LoadLevel| {
-            percent >= up || (self.level >= at && percent >= down)
+        let reached = |(enter, leave): (u64, u64), level: LoadLevel| {
+            percent >= enter || (self.level >= level && percent >= leave)
         };
-        self.level = if holds(OVERLOADED, LoadLevel::Overloaded) {
+        self.level = if reached(OVERLOADED_PERCENT, LoadLevel::Overloaded) {
             LoadLevel::Overloaded
-        } else if holds(BUSY, LoadLevel::Busy) {
+        } else if reached(BUSY_PERCENT, LoadLevel::Busy) {
             LoadLevel::Busy
         } else {
             LoadLevel::Normal
--- a/src/policy/lookup/mod.rs
+++ b/src/policy/lookup/mod.rs
@@ -1,15 +1,15 @@
-//! Which entry VMs a caller should use.
+//! Chooses the entry VMs that a caller should use.
 //!
-//! A caller's address leads to a site through [`BlockTable`], the site to a
-//! region through [`Sites`], and [`rank`] orders the entry VMs as that region
-//! sees them. Both steps work from memory, because a look-up has to succeed
-//! while everything else is down.
+//! [`BlockTable`] maps a caller's address to a site, [`SiteRegions`] maps the site
+//! to a region, and [`rank`] orders the entry VMs for callers of that region.
+//! Everything is held in memory, because a look-up has to succeed while all other
+//! systems are down.
 //!
-//! The view of the entries is prepared once for each change of the membership
-//! and then only read: a look-up at 2,800 entries visits the entries of the
-//! nearest region instead of all of them. The price is a rebuild of the view,
-//! which grows with the number of entries, so callers batch changes. See
-//! [docs/design.md](../../../docs/design.md), section 3.1.
+//! The [`EntryView`] is built once for each change of the membership and then only
+//! read: a look-up with 2,800 entries visits the entries of the nearest region
+//! instead of all of them. In exchange each change rebuilds the view, at a cost
+//! that grows with the number of entries, so the users of this module batch
+//! changes. See [docs/design.md](../../../docs/design.md), section 3.1.
 
 mod block;
 mod load;
@@ -17,7 +17,7 @@
 mod shard;
 mod view;
 
-pub use block::{BlockTable, Change};
+pub use block::{BlockChange, BlockTable};
 pub use load::{LoadGauge, LoadLevel};
-pub use rank::{Answer, CHANGING_AGE, MAX_AGE, MAX_ENTRIES, rank};
-pub use view::{Candidate, Delays, EntryState, Sites, View};
+pub use rank::{Answer, CHANGING_MAX_AGE, MAX_AGE, MAX_ENTRIES, rank};
+pub use view::{Candidate, EntryState, EntryView, RegionDelays, SiteRegions};
--- a/src/policy/lookup/shard.rs
+++ b/src/policy/lookup/shard.rs
@@ -1,46 +1,47 @@
-//! One immutable part of the block table.
+//! An immutable part of the block table.
 //!
-//! Blocks are sorted by first address, then by length, so that a block stands
-//! behind every block that encloses it. Each one knows its nearest enclosing
-//! block. The longest match of an address is then the last block that starts at
-//! or before it, or one of that block's enclosing blocks: a binary search and at
-//! most as many steps as the address has bits. A trie would be faster to change
-//! but takes several times the memory, and a table of disjoint ranges could not
-//! take back a block without the blocks it had covered.
+//! Blocks are sorted by first address, then by prefix length, so that a block
+//! comes after every block that encloses it. Each block stores the index of its
+//! nearest enclosing block, its parent. The longest match for an address is then
+//! the last block that starts at or before it, or one of that block's ancestors:
+//! a binary search and at most as many steps as the address has bits. A trie
+//! would be faster to change but needs several times the memory. A table of
+//! disjoint ranges could not remove a block, since it would not know the blocks
+//! that the removed one had covered.
 
 use crate::domain::SiteId;
 
-/// Marks a block that no other one encloses.
+/// The parent of a block that no other block encloses.
 const NO_PARENT: u32 = u32::MAX;
 
-/// A block with its first address and length.
-pub(super) type Entry<K, S> = (K, u8, S);
+/// The first address of a block, its prefix length, and its site.
+pub(super) type Block<K, S> = (K, u8, S);
 
-/// Blocks of one address family that share their leading bits. The columns are
-/// separate arrays, so that the binary search touches only the addresses.
+/// Blocks of one address family that share their leading bits. Each attribute has
+/// its own array, so that the binary search reads only the addresses.
 #[derive(Debug)]
 pub(super) struct Shard<K> {
     starts: Box<[K]>,
     parents: Box<[u32]>,
     sites: Box<[SiteId]>,
-    lens: Box<[u8]>,
+    lengths: Box<[u8]>,
 }
 
 impl<K: Copy + Into<u128> + Ord> Shard<K> {
-    /// Builds a shard from blocks in ascending order without duplicates.
-    pub(super) fn build(blocks: &[Entry<K, SiteId>]) -> Self {
+    /// Builds a shard from blocks that are sorted and free of duplicates.
+    pub(super) fn build(blocks: &[Block<K, SiteId>]) -> Self {
         Self {
             starts: blocks.iter().map(|b| b.0).collect(),
             parents: parents(blocks),
             sites: blocks.iter().map(|b| b.2).collect(),
-            lens: blocks.iter().map(|b| b.1).collect(),
+            lengths: blocks.iter().map(|b| b.1).collect(),
         }
     }
 
-    /// Returns the site of the longest block that holds `addr`.
+    /// Returns the site of the block with the longest prefix that contains `addr`.
     pub(super) fn find(&self, addr: K) -> Option<SiteId> {
         let mut at = self.starts.partition_point(|s| *s <= addr).checked_sub(1)?;
-        while !covers(self.starts[at], self.lens[at], addr) {
+        while !contains(self.starts[at], self.lengths[at], addr) {
             let parent = self.parents[at];
             if parent == NO_PARENT {
                 return None;
@@ -50,12 +51,12 @@
         Some(self.sites[at])
     }
 
-    /// Returns a shard with the changes, which are in ascending order without
-    /// duplicates. A change without a site removes the block.
-    pub(super) fn edit(&self, changes: &[Entry<K, Option<SiteId>>]) -> Self {
-        let mut blocks = Vec::with_capacity(self.starts.len() + changes.len());
+    /// Returns a copy with the edits applied, which are sorted and free of
+    /// duplicates. An edit without a site removes the block.
+    pub(super) fn edit(&self, edits: &[Block<K, Option<SiteId>>]) -> Self {
+        let mut blocks = Vec::with_capacity(self.starts.len() + edits.len());
         let mut old = self.blocks().peekable();
-        for &(start, len, site) in changes {
+        for &(start, len, site) in edits {
             let key = (start, len);
             while let Some(block) = old.next_if(|b| (b.0, b.1) < key) {
                 blocks.push(block);
@@ -67,51 +68,53 @@
         Self::build(&blocks)
     }
 
-    /// Returns the blocks in ascending order.
-    pub(super) fn blocks(&self) -> impl Iterator<Item = Entry<K, SiteId>> {
-        let keys = self.starts.iter().zip(&self.lens);
+    /// Returns the blocks in sorted order.
+    pub(super) fn blocks(&self) -> impl Iterator<Item = Block<K, SiteId>> {
+        let keys = self.starts.iter().zip(&self.lengths);
         keys.zip(&self.sites).map(|((k, l), s)| (*k, *l, *s))
     }
 
-    /// Returns the bytes that the shard has allocated, itself included.
+    /// Returns the number of bytes that the shard occupies, including itself.
     pub(super) fn bytes(&self) -> usize {
         size_of::<Self>()
             + size_of_val(&*self.starts)
             + size_of_val(&*self.parents)
             + size_of_val(&*self.sites)
-            + size_of_val(&*self.lens)
+            + size_of_val(&*self.lengths)
     }
 }
 
-/// Returns the number of bits of an address.
-#[allow(clippy::cast_possible_truncation)] // A key has at most 16 bytes.
+/// Returns the number of bits of an address of type `K`.
+#[allow(clippy::cast_possible_truncation)] // An address has at most 16 bytes.
 pub(super) fn width<K>() -> u8 {
     size_of::<K>() as u8 * 8
 }
 
-/// Returns whether the block of `len` bits from `start` holds `addr`.
-fn covers<K: Copy + Into<u128>>(start: K, len: u8, addr: K) -> bool {
-    let differ: u128 = start.into() ^ addr.into();
-    // A block of length 0 shifts all bits out, which a plain shift rejects.
-    differ
+/// Returns whether the block at `start` with a prefix of `len` bits contains `addr`.
+fn contains<K: Copy + Into<u128>>(start: K, len: u8, addr: K) -> bool {
+    let difference: u128 = start.into() ^ addr.into();
+    // For a prefix of length 0 the shift is the whole width, which would overflow
+    // the operator `>>`.
+    difference
         .checked_shr(u32::from(width::<K>() - len))
         .unwrap_or(0)
         == 0
 }
 
-fn parents<K: Copy + Into<u128>>(blocks: &[Entry<K, SiteId>]) -> Box<[u32]> {
-    let mut open: Vec<u32> = Vec::new();
+/// Returns the parent of each block.
+fn parents<K: Copy + Into<u128>>(blocks: &[Block<K, SiteId>]) -> Box<[u32]> {
+    let mut ancestors: Vec<u32> = Vec::new();
     let mut parents = Vec::with_capacity(blocks.len());
     for (at, &(start, _, _)) in (0..NO_PARENT).zip(blocks) {
-        while let Some(&last) = open.last() {
-            let (from, len, _) = blocks[last as usize];
-            if covers(from, len, start) {
+        while let Some(&last) = ancestors.last() {
+            let (last_start, len, _) = blocks[last as usize];
+            if contains(last_start, len, start) {
                 break;
             }
-            open.pop();
+            ancestors.pop();
         }
-        parents.push(open.last().copied().unwrap_or(NO_PARENT));
-        open.push(at);
+        parents.push(ancestors.last().copied().unwrap_or(NO_PARENT));
+        ancestors.push(at);
     }
     parents.into()
 }
--- a/src/policy/lookup/view.rs
+++ b/src/policy/lookup/view.rs
@@ -1,4 +1,4 @@
-//! The entries as look-ups see them.
+//! The state of the entries as look-ups use it.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,17 +10,17 @@
 use super::LoadLevel;
 use crate::domain::{AzName, EntryId, Millis, RegionName, SiteId, Size};
 
-/// What the membership knows of an entry's life.
+/// The state of an entry according to the membership.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum EntryState {
-    /// It answers.
+    /// It responds.
     #[default]
     Live,
-    /// It did not answer lately.
+    /// It has not responded lately and may have failed.
     Suspect,
     /// It is about to stop.
     Leaving,
-    /// It is gone as far as steering is concerned.
+    /// It is considered failed and receives no callers.
     Dead,
 }
 
@@ -33,24 +33,24 @@
     pub region: RegionName,
     /// Its availability zone.
     pub az: AzName,
-    /// Where callers reach it.
+    /// The address for callers.
     pub address: SocketAddr,
     /// The load level that it reported.
     pub level: LoadLevel,
     /// Its state.
     pub state: EntryState,
-    /// When the state last changed, by this process's clock.
-    pub since: Millis,
+    /// When the state last changed, by the clock of this process.
+    pub changed_at: Millis,
 }
 
-/// The one-way delays between regions, from settings.
+/// The one-way network delays between regions, from the settings.
 #[derive(Clone, Debug, Default)]
-pub struct Delays {
+pub struct RegionDelays {
     links: BTreeMap<(RegionName, RegionName), Millis>,
 }
 
-impl Delays {
-    /// Collects links, each of which counts in both directions.
+impl RegionDelays {
+    /// Creates the table from links, each of which applies in both directions.
     pub fn new(links: impl IntoIterator<Item = (RegionName, RegionName, Millis)>) -> Self {
         let links = links.into_iter();
         let both = links.flat_map(|(a, b, d)| [((a.clone(), b.clone()), d), ((b, a), d)]);
@@ -59,15 +59,15 @@
         }
     }
 
-    /// Returns the delay between two regions. A region is at no distance from
-    /// itself, and a pair without a link is farther than any other.
+    /// Returns the delay between two regions. It is zero within a region, and
+    /// greater than any other delay for a pair of regions without a link.
     #[must_use]
     pub fn between(&self, from: &RegionName, to: &RegionName) -> Millis {
         if from == to {
             return Millis(0);
         }
         let link = self.links.get(&(from.clone(), to.clone()));
-        link.copied().unwrap_or(FARTHEST)
+        link.copied().unwrap_or(NO_LINK_DELAY)
     }
 
     fn regions(&self) -> impl Iterator<Item = &RegionName> {
@@ -75,18 +75,18 @@
     }
 }
 
-/// The distance of regions between which settings name no link.
-const FARTHEST: Millis = Millis(u64::MAX);
+/// The delay between regions for which the settings have no link.
+const NO_LINK_DELAY: Millis = Millis(u64::MAX);
 
 /// The region of each site.
 #[derive(Clone, Debug, Default)]
-pub struct Sites {
+pub struct SiteRegions {
     /// Sorted by site.
     regions: Box<[(SiteId, RegionName)]>,
 }
 
-impl Sites {
-    /// Collects sites with their regions. Each site may appear once.
+impl SiteRegions {
+    /// Creates the table from sites and their regions. Each site may appear once.
     pub fn new(sites: impl IntoIterator<Item = (SiteId, RegionName)>) -> Self {
         let mut regions: Vec<_> = sites.into_iter().collect();
         regions.sort_by_key(|(site, _)| *site);
@@ -102,20 +102,22 @@
         at.ok().map(|at| &self.regions[at].1)
     }
 
-    /// Returns the memory that the sites take, without the shared text of names.
+    /// Returns the memory that the table occupies, without the shared text of
+    /// names.
     #[must_use]
     pub fn size(&self) -> Size {
         Size((size_of::<Self>() + size_of_val(&*self.regions)) as u64)
     }
 }
 
-/// What ranking needs of an entry. A look-up reads the keys of a whole region, so
-/// they lie apart from the names and addresses.
+/// The attributes of an entry that ranking uses. A look-up reads the keys of a
+/// whole region, so they are stored separately from names and addresses.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Key {
-    /// The hash of the id, computed once for all look-ups.
+pub(super) struct RankKey {
+    /// The hash of the id, computed in advance for all look-ups.
     pub(super) hash: u64,
-    /// The zone as a number, since zones are compared often.
+    /// A number for the availability zone, which is faster to compare than its
+    /// name.
     pub(super) zone: u32,
     pub(super) level: LoadLevel,
     pub(super) suspect: bool,
@@ -123,33 +125,34 @@
 
 /// The entries of one region.
 #[derive(Debug, Default)]
-pub(super) struct Group {
-    /// Live and suspect entries in the order of their ids.
+pub(super) struct RegionGroup {
+    /// Live and suspect entries, sorted by id.
     pub(super) members: Vec<Candidate>,
     /// The keys of the members, in the same order.
-    pub(super) keys: Vec<Key>,
-    /// When an entry last changed its state.
-    pub(super) changed: Millis,
-    /// Whether an entry is suspect.
-    pub(super) doubtful: bool,
+    pub(super) keys: Vec<RankKey>,
+    /// When the state of any entry last changed.
+    pub(super) changed_at: Millis,
+    /// Whether any entry is suspect.
+    pub(super) has_suspect: bool,
 }
 
-/// The entries, prepared for ranking. It is rebuilt when the membership, a load
-/// level or the settings change, and shared between threads as it is.
+/// An immutable index of the entries for ranking. It is rebuilt when the
+/// membership, a load level or the settings change, and shared between threads.
 #[derive(Debug)]
-pub struct View {
-    pub(super) groups: Vec<Group>,
+pub struct EntryView {
+    pub(super) groups: Vec<RegionGroup>,
     index: BTreeMap<RegionName, usize>,
-    /// For each region the others by distance.
-    near: Vec<Vec<(Millis, usize)>>,
-    /// The order for callers whose region is unknown.
-    far: Vec<(Millis, usize)>,
+    /// For each region, all regions sorted by delay.
+    by_delay: Vec<Vec<(Millis, usize)>>,
+    /// The regions for callers whose region is unknown, all with the same delay.
+    unordered: Vec<(Millis, usize)>,
 }
 
-impl View {
-    /// Prepares a view. Leaving and dead entries only count as changes.
+impl EntryView {
+    /// Builds the view. Look-ups do not name leaving and dead entries; these only
+    /// count for the time of the latest change.
     #[must_use]
-    pub fn new(candidates: &[Candidate], delays: &Delays) -> Self {
+    pub fn new(candidates: &[Candidate], delays: &RegionDelays) -> Self {
         let regions: BTreeSet<&RegionName> = delays
             .regions()
             .chain(candidates.iter().map(|c| &c.region))
@@ -160,25 +163,26 @@
             .enumerate()
             .map(|(i, r)| ((*r).clone(), i))
             .collect();
-        let near = regions
+        let by_delay = regions
             .iter()
-            .map(|from| by_distance(from, &regions, delays));
+            .map(|from| sort_by_delay(from, &regions, delays));
         Self {
-            near: near.collect(),
-            far: (0..regions.len()).map(|at| (FARTHEST, at)).collect(),
-            groups: groups(candidates, &index),
+            by_delay: by_delay.collect(),
+            unordered: (0..regions.len()).map(|at| (NO_LINK_DELAY, at)).collect(),
+            groups: group_by_region(candidates, &index),
             index,
         }
     }
 
-    /// Returns the number of a region.
-    pub(super) fn region(&self, name: &RegionName) -> Option<usize> {
+    /// Returns the index of a region.
+    pub(super) fn region_index(&self, name: &RegionName) -> Option<usize> {
         self.index.get(name).copied()
     }
 
-    /// Returns the regions by distance from `from`.
-    pub(super) fn near(&self, from: Option<usize>) -> &[(Millis, usize)] {
-        from.map_or(&self.far, |at| &self.near[at])
+    /// Returns the indexes of all regions with their delays from `from`, sorted by
+    /// delay. If `from` is none, all have the same delay.
+    pub(super) fn regions_from(&self, from: Option<usize>) -> &[(Millis, usize)] {
+        from.map_or(&self.unordered, |at| &self.by_delay[at])
     }
 
     /// Returns the number of entries that a look-up may name.
@@ -187,41 +191,44 @@
         self.groups.iter().map(|g| g.members.len()).sum()
     }
 
-    /// Returns whether a look-up would find nothing.
+    /// Returns whether there is no entry that a look-up may name.
     #[must_use]
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
-    /// Returns the memory that the view takes, without the shared text of names.
+    /// Returns the memory that the view occupies, without the shared text of names.
     #[must_use]
     pub fn size(&self) -> Size {
         let members = self.groups.iter().map(|g| {
-            g.members.capacity() * size_of::<Candidate>() + g.keys.capacity() * size_of::<Key>()
+            g.members.capacity() * size_of::<Candidate>() + g.keys.capacity() * size_of::<RankKey>()
         });
-        let groups = self.groups.capacity() * size_of::<Group>();
-        let near = self
-            .near
+        let groups = self.groups.capacity() * size_of::<RegionGroup>();
+        let by_delay = self
+            .by_delay
             .iter()
-            .map(|n| n.capacity() * size_of::<(Millis, usize)>());
-        let whole = size_of::<Self>() + groups + members.sum::<usize>() + near.sum::<usize>();
-        Size(whole as u64)
+            .map(|r| r.capacity() * size_of::<(Millis, usize)>());
+        let total = size_of::<Self>() + groups + members.sum::<usize>() + by_delay.sum::<usize>();
+        Size(total as u64)
     }
 }
 
-fn by_distance(
+fn sort_by_delay(
     from: &RegionName,
     regions: &[&RegionName],
-    delays: &Delays,
+    delays: &RegionDelays,
 ) -> Vec<(Millis, usize)> {
     let all = regions.iter().enumerate();
-    let mut near: Vec<_> = all.map(|(at, to)| (delays.between(from, to), at)).collect();
-    near.sort_unstable();
-    near
+    let mut sorted: Vec<_> = all.map(|(at, to)| (delays.between(from, to), at)).collect();
+    sorted.sort_unstable();
+    sorted
 }
 
-fn groups(candidates: &[Candidate], index: &BTreeMap<RegionName, usize>) -> Vec<Group> {
-    let mut groups: Vec<Group> = index.iter().map(|_| Group::default()).collect();
+fn group_by_region(
+    candidates: &[Candidate],
+    index: &BTreeMap<RegionName, usize>,
+) -> Vec<RegionGroup> {
+    let mut groups: Vec<RegionGroup> = index.iter().map(|_| RegionGroup::default()).collect();
     let mut zones = BTreeMap::new();
     for candidate in candidates {
         let Some(group) = index
@@ -230,8 +237,8 @@
         else {
             continue;
         };
-        group.changed = group.changed.max(candidate.since);
-        group.doubtful |= candidate.state == EntryState::Suspect;
+        group.changed_at = group.changed_at.max(candidate.changed_at);
+        group.has_suspect |= candidate.state == EntryState::Suspect;
         if matches!(candidate.state, EntryState::Leaving | EntryState::Dead) {
             continue;
         }
@@ -240,15 +247,19 @@
     for group in &mut groups {
         group.members.sort_by(|a, b| a.id.cmp(&b.id));
         group.members.shrink_to_fit();
-        group.keys = group.members.iter().map(|m| key(m, &mut zones)).collect();
+        group.keys = group
+            .members
+            .iter()
+            .map(|m| rank_key(m, &mut zones))
+            .collect();
     }
     groups
 }
 
-fn key(member: &Candidate, zones: &mut BTreeMap<(RegionName, AzName), u32>) -> Key {
+fn rank_key(member: &Candidate, zones: &mut BTreeMap<(RegionName, AzName), u32>) -> RankKey {
     let next = u32::try_from(zones.len()).unwrap_or(u32::MAX);
     let zone = (member.region.clone(), member.az.clone());
-    Key {
+    RankKey {
         hash: xxh3_64(member.id.as_bytes()),
         zone: *zones.entry(zone).or_insert(next),
         level: member.level,
