--- a/examples/claim_slope/main.rs
+++ b/examples/claim_slope/main.rs
@@ -18,8 +18,8 @@
     adapters::grpc::claim::{Claim, ClaimReply},
     domain::{Epoch, Incarnation, Millis, Size},
     policy::once::{
-        Answer, AttemptId, Bucket, ClaimKey, Fingerprint, Finish, HomeSet, Limits, Member,
-        Register, Release, Request, Roster, RosterEntry, Vote,
+        Answer, AttemptId, Bucket, ClaimKey, ClaimLimits, ClaimTable, Fingerprint, Finish,
+        HomeRequest, HomeSet, Member, Release, Roster, RosterEntry, VoteRequest,
     },
 };
 
@@ -34,12 +34,12 @@
 }
 
 /// A vote whose key has the length of a UUID.
-fn vote(i: u32) -> Vote {
+fn vote(i: u32) -> VoteRequest {
     let key = ClaimKey {
         service: "payout-ledger".parse().expect("a name"),
         key: format!("{i:036}").parse().expect("a key"),
     };
-    Vote {
+    VoteRequest {
         key,
         fingerprint: Fingerprint(u128::from(i)),
         attempt: AttemptId(i.into()),
@@ -48,7 +48,7 @@
     }
 }
 
-fn finish(vote: &Vote) -> Finish {
+fn finish(vote: &VoteRequest) -> Finish {
     let headers = [("content-type", &b"application/json"[..])];
     let answer = Answer::record(201, headers, Some(Bytes::from(vec![b'x'; BODY])));
     Finish {
@@ -80,19 +80,19 @@
         epoch: Epoch(1),
         members: vec![member(0)],
     };
-    let limits = Limits {
+    let limits = ClaimLimits {
         claims: u32::MAX,
         answers: Size(u64::MAX),
     };
-    let mut registers: BTreeMap<Bucket, Register> = BTreeMap::new();
+    let mut tables: BTreeMap<Bucket, ClaimTable> = BTreeMap::new();
     for bucket in Bucket::all() {
-        let mut register = Register::new(member(0), bucket, limits);
-        register.adopt(&HomeSet::default(), &homes);
-        registers.insert(bucket, register);
+        let mut table = ClaimTable::new(member(0), bucket, limits);
+        table.adopt(&HomeSet::default(), &homes);
+        tables.insert(bucket, table);
     }
-    let mut ask = |request: &Request| {
-        let register = registers.get_mut(&request.bucket()).expect("a register");
-        black_box(register.handle(request, Millis(1)))
+    let mut ask = |request: &HomeRequest| {
+        let table = tables.get_mut(&request.bucket()).expect("a table");
+        black_box(table.handle(request, Millis(1)))
     };
     let before = resident();
     for name in ["first vote", "repeated vote", "answer"] {
@@ -100,8 +100,8 @@
         for i in 0..CLAIMS {
             // Decoded from a message, so that a claim shares no memory with us.
             let request = match name {
-                "answer" => Request::Finish(finish(&vote(i))),
-                _ => Request::Vote(vote(i)),
+                "answer" => HomeRequest::Finish(finish(&vote(i))),
+                _ => HomeRequest::Vote(vote(i)),
             };
             let bytes = Claim::new(&member(1), Epoch(1), &request).encode_to_vec();
             let claim = Claim::decode(&bytes[..]).expect("our own message");
@@ -115,16 +115,16 @@
     }
 
     let fresh = vote(CLAIMS);
-    let request = Request::Vote(fresh.clone());
+    let request = HomeRequest::Vote(fresh.clone());
     let release = Release {
         key: fresh.key.clone(),
         attempt: fresh.attempt,
     };
     let samples = [
         ("vote", request.clone()),
-        ("finish", Request::Finish(finish(&fresh))),
+        ("finish", HomeRequest::Finish(finish(&fresh))),
         ("repeat", request.clone()),
-        ("release", Request::Release(release)),
+        ("release", HomeRequest::Release(release)),
     ];
     for (name, request) in &samples {
         let length = Claim::new(&member(1), Epoch(1), request).encoded_len();
--- a/src/adapters/grpc/claim/request.rs
+++ b/src/adapters/grpc/claim/request.rs
@@ -43,12 +43,12 @@
 impl Claim {
     /// Returns the message for a request.
     #[must_use]
-    pub fn new(sender: &once::Member, epoch: Epoch, request: &once::Request) -> Self {
+    pub fn new(sender: &once::Member, epoch: Epoch, request: &once::HomeRequest) -> Self {
         let op = match request {
-            once::Request::Vote(vote) => Op::Vote(vote.into()),
-            once::Request::Release(release) => Op::Release(release.into()),
-            once::Request::Finish(finish) => Op::Finish(finish.into()),
-            once::Request::Read(read) => Op::Read(read.into()),
+            once::HomeRequest::Vote(vote) => Op::Vote(vote.into()),
+            once::HomeRequest::Release(release) => Op::Release(release.into()),
+            once::HomeRequest::Finish(finish) => Op::Finish(finish.into()),
+            once::HomeRequest::Transfer(read) => Op::Read(read.into()),
         };
         Self {
             sender: Some(sender.into()),
@@ -62,12 +62,12 @@
     /// # Errors
     ///
     /// Fails if a part is missing or invalid.
-    pub fn into_parts(self) -> Result<(once::Member, Epoch, once::Request), Malformed> {
+    pub fn into_parts(self) -> Result<(once::Member, Epoch, once::HomeRequest), Malformed> {
         let request = match self.op.ok_or(Malformed::Missing("request"))? {
-            Op::Vote(vote) => once::Request::Vote(vote.try_into()?),
-            Op::Release(release) => once::Request::Release(release.try_into()?),
-            Op::Finish(finish) => once::Request::Finish(finish.try_into()?),
-            Op::Read(read) => once::Request::Read(read.try_into()?),
+            Op::Vote(vote) => once::HomeRequest::Vote(vote.try_into()?),
+            Op::Release(release) => once::HomeRequest::Release(release.try_into()?),
+            Op::Finish(finish) => once::HomeRequest::Finish(finish.try_into()?),
+            Op::Read(read) => once::HomeRequest::Transfer(read.try_into()?),
         };
         Ok((part(self.sender, "sender")?, Epoch(self.epoch), request))
     }
@@ -93,8 +93,8 @@
     pub epoch: u64,
 }
 
-impl From<&once::Vote> for Vote {
-    fn from(v: &once::Vote) -> Self {
+impl From<&once::VoteRequest> for Vote {
+    fn from(v: &once::VoteRequest) -> Self {
         Self {
             key: Some((&v.key).into()),
             fingerprint: Some(v.fingerprint.into()),
@@ -105,7 +105,7 @@
     }
 }
 
-impl TryFrom<Vote> for once::Vote {
+impl TryFrom<Vote> for once::VoteRequest {
     type Error = Malformed;
 
     fn try_from(v: Vote) -> Result<Self, Malformed> {
@@ -208,8 +208,8 @@
     pub after: Option<Key>,
 }
 
-impl From<&once::Read> for Read {
-    fn from(r: &once::Read) -> Self {
+impl From<&once::TransferRequest> for Read {
+    fn from(r: &once::TransferRequest) -> Self {
         Self {
             bucket: r.bucket.0.into(),
             former: r.former.0,
@@ -219,7 +219,7 @@
     }
 }
 
-impl TryFrom<Read> for once::Read {
+impl TryFrom<Read> for once::TransferRequest {
     type Error = Malformed;
 
     fn try_from(r: Read) -> Result<Self, Malformed> {
--- a/src/adapters/grpc/claim/response.rs
+++ b/src/adapters/grpc/claim/response.rs
@@ -6,7 +6,7 @@
 };
 use crate::{
     domain::{Epoch, Millis},
-    policy::once::{self, Reason, Reply, Response},
+    policy::once::{self, HomeResponse, RefusalReason, VoteReply},
 };
 
 /// A response of a home.
@@ -81,7 +81,7 @@
 /// Why a home refuses.
 #[derive(Clone, Copy, prost::Message, PartialEq)]
 pub struct Refused {
-    /// The reason: 1 stale, 2 behind, 3 away, 4 reading, 5 full, 6 released.
+    /// The reason: 1 stale, 2 behind, 3 not home, 4 transferring, 5 full, 6 released.
     #[prost(uint32, tag = "1")]
     pub reason: u32,
     /// The epoch that belongs to the first two reasons.
@@ -123,12 +123,12 @@
 impl ClaimReply {
     /// Returns the message for a response.
     #[must_use]
-    pub fn new(sender: &once::Member, epoch: Epoch, response: &Response) -> Self {
+    pub fn new(sender: &once::Member, epoch: Epoch, response: &HomeResponse) -> Self {
         let (voted, outcome) = match response {
-            Response::Vote(epoch, reply) => (epoch.0, reply_out(reply)),
-            Response::Noted(kept) => (0, Outcome::Noted(*kept)),
-            Response::Page(Ok(page)) => (0, Outcome::Page(page.into())),
-            Response::Page(Err(reason)) => (0, Outcome::Unread((*reason).into())),
+            HomeResponse::Vote(epoch, reply) => (epoch.0, reply_out(reply)),
+            HomeResponse::Acknowledged(kept) => (0, Outcome::Noted(*kept)),
+            HomeResponse::Page(Ok(page)) => (0, Outcome::Page(page.into())),
+            HomeResponse::Page(Err(reason)) => (0, Outcome::Unread((*reason).into())),
         };
         Self {
             sender: Some(sender.into()),
@@ -143,32 +143,36 @@
     /// # Errors
     ///
     /// Fails if a part is missing or invalid.
-    pub fn into_parts(self) -> Result<(once::Member, Epoch, Response), Malformed> {
+    pub fn into_parts(self) -> Result<(once::Member, Epoch, HomeResponse), Malformed> {
         let voted = Epoch(self.voted);
         let response = match self.outcome.ok_or(Malformed::Missing("result"))? {
-            Outcome::Granted(_) => Response::Vote(voted, Reply::Granted),
-            Outcome::Held(held) => Response::Vote(voted, Reply::Held(all(held.holders)?)),
-            Outcome::Finished(done) => Response::Vote(voted, Reply::Finished(answer(done.answer)?)),
-            Outcome::Reused(_) => Response::Vote(voted, Reply::Reused),
-            Outcome::Refused(refused) => Response::Vote(voted, Reply::Refused(refused.try_into()?)),
-            Outcome::Noted(kept) => Response::Noted(kept),
-            Outcome::Page(page) => Response::Page(Ok(page.try_into()?)),
-            Outcome::Unread(refused) => Response::Page(Err(refused.try_into()?)),
+            Outcome::Granted(_) => HomeResponse::Vote(voted, VoteReply::Granted),
+            Outcome::Held(held) => HomeResponse::Vote(voted, VoteReply::Held(all(held.holders)?)),
+            Outcome::Finished(done) => {
+                HomeResponse::Vote(voted, VoteReply::Finished(answer(done.answer)?))
+            }
+            Outcome::Reused(_) => HomeResponse::Vote(voted, VoteReply::KeyReused),
+            Outcome::Refused(refused) => {
+                HomeResponse::Vote(voted, VoteReply::Refused(refused.try_into()?))
+            }
+            Outcome::Noted(kept) => HomeResponse::Acknowledged(kept),
+            Outcome::Page(page) => HomeResponse::Page(Ok(page.try_into()?)),
+            Outcome::Unread(refused) => HomeResponse::Page(Err(refused.try_into()?)),
         };
         Ok((part(self.sender, "sender")?, Epoch(self.epoch), response))
     }
 }
 
-fn reply_out(reply: &Reply) -> Outcome {
+fn reply_out(reply: &VoteReply) -> Outcome {
     match reply {
-        Reply::Granted => Outcome::Granted(Empty {}),
-        Reply::Held(holders) => Outcome::Held(holders.as_slice().into()),
-        Reply::Finished(answer) => Outcome::Finished(Finished {
+        VoteReply::Granted => Outcome::Granted(Empty {}),
+        VoteReply::Held(holders) => Outcome::Held(holders.as_slice().into()),
+        VoteReply::Finished(answer) => Outcome::Finished(Finished {
             fingerprint: None,
             answer: answer_out(answer.as_ref()),
         }),
-        Reply::Reused => Outcome::Reused(Empty {}),
-        Reply::Refused(reason) => Outcome::Refused((*reason).into()),
+        VoteReply::KeyReused => Outcome::Reused(Empty {}),
+        VoteReply::Refused(reason) => Outcome::Refused((*reason).into()),
     }
 }
 
@@ -180,21 +184,21 @@
     }
 }
 
-impl From<Reason> for Refused {
-    fn from(reason: Reason) -> Self {
+impl From<RefusalReason> for Refused {
+    fn from(reason: RefusalReason) -> Self {
         let (reason, epoch) = match reason {
-            Reason::Stale(epoch) => (1, epoch.0),
-            Reason::Behind(epoch) => (2, epoch.0),
-            Reason::Away => (3, 0),
-            Reason::Reading => (4, 0),
-            Reason::Full => (5, 0),
-            Reason::Released => (6, 0),
+            RefusalReason::Stale(epoch) => (1, epoch.0),
+            RefusalReason::Behind(epoch) => (2, epoch.0),
+            RefusalReason::NotHome => (3, 0),
+            RefusalReason::Transferring => (4, 0),
+            RefusalReason::Full => (5, 0),
+            RefusalReason::Released => (6, 0),
         };
         Self { reason, epoch }
     }
 }
 
-impl TryFrom<Refused> for Reason {
+impl TryFrom<Refused> for RefusalReason {
     type Error = Malformed;
 
     fn try_from(r: Refused) -> Result<Self, Malformed> {
@@ -202,8 +206,8 @@
         match r.reason {
             1 => Ok(Self::Stale(epoch)),
             2 => Ok(Self::Behind(epoch)),
-            3 => Ok(Self::Away),
-            4 => Ok(Self::Reading),
+            3 => Ok(Self::NotHome),
+            4 => Ok(Self::Transferring),
             5 => Ok(Self::Full),
             6 => Ok(Self::Released),
             _ => Err(Malformed::Range("reason")),
@@ -211,33 +215,33 @@
     }
 }
 
-impl From<&once::Page> for Page {
-    fn from(p: &once::Page) -> Self {
+impl From<&once::TransferPage> for Page {
+    fn from(p: &once::TransferPage) -> Self {
         Self {
-            read: Some((&p.read).into()),
+            read: Some((&p.request).into()),
             claims: p.claims.iter().map(Copied::from).collect(),
             last: p.last,
         }
     }
 }
 
-impl TryFrom<Page> for once::Page {
+impl TryFrom<Page> for once::TransferPage {
     type Error = Malformed;
 
     fn try_from(p: Page) -> Result<Self, Malformed> {
         Ok(Self {
-            read: part(p.read, "read")?,
+            request: part(p.read, "read")?,
             claims: all(p.claims)?,
             last: p.last,
         })
     }
 }
 
-impl From<&once::Copied> for Copied {
-    fn from(c: &once::Copied) -> Self {
+impl From<&once::CopiedClaim> for Copied {
+    fn from(c: &once::CopiedClaim) -> Self {
         let (held, finished) = match &c.state {
-            once::State::Held(holders) => (Some(holders.as_slice().into()), None),
-            once::State::Finished {
+            once::ClaimState::Held(holders) => (Some(holders.as_slice().into()), None),
+            once::ClaimState::Finished {
                 fingerprint,
                 answer,
             } => {
@@ -252,27 +256,27 @@
             key: Some((&c.key).into()),
             held,
             finished,
-            left: c.left.0,
+            left: c.remaining.0,
         }
     }
 }
 
-impl TryFrom<Copied> for once::Copied {
+impl TryFrom<Copied> for once::CopiedClaim {
     type Error = Malformed;
 
     fn try_from(c: Copied) -> Result<Self, Malformed> {
         let state = match (c.finished, c.held) {
-            (Some(done), _) => once::State::Finished {
+            (Some(done), _) => once::ClaimState::Finished {
                 fingerprint: part(done.fingerprint, "fingerprint")?,
                 answer: answer(done.answer)?,
             },
-            (None, Some(held)) => once::State::Held(all(held.holders)?),
+            (None, Some(held)) => once::ClaimState::Held(all(held.holders)?),
             (None, None) => return Err(Malformed::Missing("state")),
         };
         Ok(Self {
             key: part(c.key, "key")?,
             state,
-            left: Millis(c.left),
+            remaining: Millis(c.left),
         })
     }
 }
--- a/src/adapters/grpc/claims.rs
+++ b/src/adapters/grpc/claims.rs
@@ -11,7 +11,7 @@
 };
 use crate::policy::{
     crash::Strike,
-    once::{Member, Request, Response},
+    once::{HomeRequest, HomeResponse, Member},
 };
 
 const CLAIM: &str = "Claim";
@@ -56,7 +56,7 @@
 pub fn serve_claim<F>(routes: Routes, f: F) -> Routes
 where
     F: Clone
-        + Fn(&Member, &Request) -> Option<(Sender, Response)>
+        + Fn(&Member, &HomeRequest) -> Option<(Sender, HomeResponse)>
         + Send
         + std::marker::Sync
         + 'static,
@@ -100,8 +100,8 @@
     peer: SocketAddr,
     sender: &Sender,
     to: &Member,
-    requests: &[Request],
-) -> Result<Vec<Response>, CallError> {
+    requests: &[HomeRequest],
+) -> Result<Vec<HomeResponse>, CallError> {
     let from = member(sender);
     let batch = ClaimBatch {
         to: Some(to.into()),
@@ -115,7 +115,7 @@
         let parts = r.into_parts();
         parts.map(|(_, _, response)| response)
     };
-    let all: Result<Vec<Response>, _> = reply.replies.into_iter().map(read).collect();
+    let all: Result<Vec<HomeResponse>, _> = reply.replies.into_iter().map(read).collect();
     all.map_err(|e| CallError {
         step: Step::Reply,
         method: CLAIM,
--- a/src/app/entry/claims.rs
+++ b/src/app/entry/claims.rs
@@ -14,8 +14,8 @@
     domain::Millis,
     policy::{
         once::{
-            Answer, AttemptId, ClaimKey, Claimant, Decision, HomeSet, Member, Request, Response,
-            Vote,
+            Answer, AttemptId, ClaimKey, Claimant, Decision, HomeRequest, HomeResponse, HomeSet,
+            Member, VoteRequest,
         },
         refusal::Refusal,
     },
@@ -35,13 +35,13 @@
     async fn count_votes(self: &Arc<Self>, claimant: &mut Claimant, deadline: Millis) -> Decision {
         let now = (self.ports.clock.now)();
         let until = deadline.min(now + VOTE);
-        let votes = claimant.votes();
+        let votes = claimant.vote_requests();
         let mut asked: FuturesUnordered<_> = votes
             .into_iter()
             .map(|(home, vote)| {
                 let state = self.clone();
                 async move {
-                    let reply = state.ask_home(&home, Request::Vote(vote)).await;
+                    let reply = state.ask_home(&home, HomeRequest::Vote(vote)).await;
                     (home, reply)
                 }
             })
@@ -49,7 +49,7 @@
         loop {
             let left = until - (self.ports.clock.now)();
             match timeout(left.duration(), asked.next()).await {
-                Ok(Some((home, Some(Response::Vote(epoch, reply))))) => {
+                Ok(Some((home, Some(HomeResponse::Vote(epoch, reply))))) => {
                     if let Some(decision) = claimant.on_reply(&home, epoch, reply) {
                         return decision;
                     }
@@ -68,8 +68,8 @@
     pub(super) async fn ask_home(
         self: &Arc<Self>,
         home: &Member,
-        request: Request,
-    ) -> Option<Response> {
+        request: HomeRequest,
+    ) -> Option<HomeResponse> {
         if *home == *self.claims.me() {
             return Some(self.claims.handle(&request, (self.ports.clock.now)()));
         }
@@ -96,7 +96,7 @@
         self.notify_homes(claimant.finish(answer, &newest));
     }
 
-    fn notify_homes<T: Into<Request>>(self: &Arc<Self>, messages: Vec<(Member, T)>) {
+    fn notify_homes<T: Into<HomeRequest>>(self: &Arc<Self>, messages: Vec<(Member, T)>) {
         if messages.is_empty() {
             return;
         }
@@ -152,7 +152,7 @@
     };
     let now = (state.ports.clock.now)();
     let homes = state.homes(&key);
-    let vote = Vote {
+    let vote = VoteRequest {
         key: key.clone(),
         fingerprint: job.fingerprint,
         attempt: AttemptId(rand::rng().random()),
@@ -185,7 +185,7 @@
 
     /// Notes that nothing of the dispatched request was written.
     pub fn unsent(&mut self) {
-        self.claimant.unsent();
+        self.claimant.mark_unsent();
     }
 
     /// Records the answer for repeats of the request.
--- a/src/app/entry/control/claims.rs
+++ b/src/app/entry/control/claims.rs
@@ -8,7 +8,7 @@
     adapters::grpc::{self, Sender},
     app::entry::State,
     domain::Millis,
-    policy::once::{Member, Request, Response},
+    policy::once::{HomeRequest, HomeResponse, Member},
 };
 
 /// How often reads are repeated.
@@ -23,7 +23,7 @@
         tokio::time::sleep(PERIOD.duration()).await;
         state.send_outbox();
         let now = (state.ports.clock.now)();
-        let mut batches: BTreeMap<Member, Vec<Request>> = BTreeMap::new();
+        let mut batches: BTreeMap<Member, Vec<HomeRequest>> = BTreeMap::new();
         for (home, request) in state.claims.tick(now) {
             let batch = batches.entry(home).or_default();
             if batch.len() < BATCH {
@@ -41,7 +41,7 @@
     }
 }
 
-async fn read(state: Arc<State>, home: Member, requests: Vec<Request>) {
+async fn read(state: Arc<State>, home: Member, requests: Vec<HomeRequest>) {
     let Some(address) = state.fleet.address(&home.entry) else {
         return;
     };
@@ -52,7 +52,7 @@
     };
     let now = (state.ports.clock.now)();
     for reply in replies {
-        if let Response::Page(Ok(page)) = reply {
+        if let HomeResponse::Page(Ok(page)) = reply {
             state.claims.on_page(&home, page, now);
         }
     }
@@ -60,7 +60,11 @@
 
 /// Answers a request to this entry as a home, unless another life of it is
 /// addressed.
-pub(super) fn answer(state: &State, to: &Member, request: &Request) -> Option<(Sender, Response)> {
+pub(super) fn answer(
+    state: &State,
+    to: &Member,
+    request: &HomeRequest,
+) -> Option<(Sender, HomeResponse)> {
     if to != state.claims.me() {
         return None;
     }
--- a/src/app/entry/reply.rs
+++ b/src/app/entry/reply.rs
@@ -59,7 +59,7 @@
 
 impl Record {
     fn add(&mut self, data: &Bytes) {
-        let max = usize::try_from(Answer::BODY.0).unwrap_or(usize::MAX);
+        let max = usize::try_from(Answer::MAX_BODY.0).unwrap_or(usize::MAX);
         if let Some(body) = &mut self.body {
             if body.len() + data.len() <= max {
                 body.extend_from_slice(data);
--- a/src/policy/once/answer.rs
+++ b/src/policy/once/answer.rs
@@ -1,13 +1,13 @@
-//! Recorded answers.
+//! The part of a target's answer that the homes of a key record and replay.
 
 use bytes::Bytes;
 
 use crate::domain::Size;
 
-/// The headers that are recorded with an answer: those that a client needs to
-/// use the body or to find the created resource. All others describe the first
-/// transfer only.
-const HEADERS: [&str; 6] = [
+/// The headers that are recorded with an answer. A client needs them to
+/// interpret the body or to find the created resource. All other headers
+/// describe only the original response.
+const RECORDED_HEADERS: [&str; 6] = [
     "content-encoding",
     "content-language",
     "content-type",
@@ -16,57 +16,61 @@
     "location",
 ];
 
-/// The longest recorded header value, in bytes. Six of them and a body of 16 KB
-/// fit in one message.
-const VALUE_MAX: usize = 1024;
+/// The longest recorded header value, in bytes. Six such values and a body of
+/// 16 KiB fit in one message.
+const HEADER_VALUE_MAX: usize = 1024;
 
-/// What a target answered to an executed request.
+/// The recorded answer of a target to an executed request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Answer {
     /// The HTTP status.
     pub status: u16,
-    /// Some of the headers, with lower-case names.
+    /// The recorded headers, with lower-case names.
     pub headers: Vec<(Bytes, Bytes)>,
-    /// The complete body, or none if it was not kept.
+    /// The complete body, or none if it was not recorded.
     pub body: Option<Bytes>,
 }
 
 impl Answer {
-    /// The longest body that is recorded.
-    pub const BODY: Size = Size::kib(16);
+    /// The largest body that is recorded.
+    pub const MAX_BODY: Size = Size::kib(16);
 
     /// Returns the part of a target's answer that is recorded.
     ///
-    /// `body` is the complete body; a truncated one must be passed as none. A
-    /// body longer than [`Self::BODY`] is left out, and so is one with a header
-    /// that was too long to keep, because a client could misread it.
+    /// `body` is the complete body. Pass `None` if it was truncated. The body is
+    /// left out if it is larger than [`Self::MAX_BODY`], or if one of its headers
+    /// was left out because of its length: without that header a client could
+    /// misinterpret the body.
     pub fn record<'a>(
         status: u16,
         headers: impl IntoIterator<Item = (&'a str, &'a [u8])>,
         body: Option<Bytes>,
     ) -> Self {
-        let mut kept = Vec::new();
-        let mut whole = true;
+        let mut recorded = Vec::new();
+        let mut complete = true;
         for (name, value) in headers {
-            let Some(name) = HEADERS.iter().find(|h| name.eq_ignore_ascii_case(h)) else {
+            let Some(name) = RECORDED_HEADERS
+                .iter()
+                .find(|h| name.eq_ignore_ascii_case(h))
+            else {
                 continue;
             };
-            if value.len() > VALUE_MAX || kept.len() == HEADERS.len() {
-                whole = false;
+            if value.len() > HEADER_VALUE_MAX || recorded.len() == RECORDED_HEADERS.len() {
+                complete = false;
                 continue;
             }
             let name = Bytes::from_static(name.as_bytes());
-            kept.push((name, Bytes::copy_from_slice(value)));
+            recorded.push((name, Bytes::copy_from_slice(value)));
         }
-        let fits = |b: &Bytes| whole && b.len() as u64 <= Self::BODY.0;
+        let fits = |b: &Bytes| complete && b.len() as u64 <= Self::MAX_BODY.0;
         Self {
             status,
-            headers: kept,
+            headers: recorded,
             body: body.filter(fits).map(|b| Bytes::copy_from_slice(&b)),
         }
     }
 
-    /// Returns the memory that the content takes.
+    /// Returns the size of the headers and the body in memory.
     #[must_use]
     pub fn size(&self) -> Size {
         let headers: usize = self.headers.iter().map(|(n, v)| n.len() + v.len()).sum();
--- a/src/policy/once/claim.rs
+++ b/src/policy/once/claim.rs
@@ -1,26 +1,27 @@
-//! What a home keeps for a key, and the requests that change it.
+//! The state that a home stores for a key, and the messages that change it.
 
 use std::{fmt, sync::Arc};
 
 use super::{Answer, AttemptId, ClaimKey, Fingerprint, Member};
 use crate::domain::{Epoch, Millis};
 
-/// A request to a home to grant a key to an attempt.
+/// A request to a home to vote for an attempt, which grants it the key.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Vote {
+pub struct VoteRequest {
     /// The key.
     pub key: ClaimKey,
-    /// What the request asks for.
+    /// The digest of the caller's request.
     pub fingerprint: Fingerprint,
     /// The attempt.
     pub attempt: AttemptId,
     /// The entry that runs the attempt.
     pub claimant: Member,
-    /// The epoch in which the vote is to count.
+    /// The epoch that the vote belongs to.
     pub epoch: Epoch,
 }
 
-/// Notice to a home that an attempt was not dispatched and never will be.
+/// Tells a home that an attempt was not dispatched and never will be, so the
+/// home removes its vote.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Release {
     /// The key.
@@ -29,27 +30,27 @@
     pub attempt: AttemptId,
 }
 
-/// Notice to a home that an attempt was executed.
+/// Tells a home that an attempt was executed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Finish {
     /// The key.
     pub key: ClaimKey,
-    /// What the request asked for.
+    /// The digest of the caller's request.
     pub fingerprint: Fingerprint,
     /// The attempt.
     pub attempt: AttemptId,
-    /// The target's answer, or none if it did not arrive completely.
+    /// The target's answer, or none if the response was incomplete.
     pub answer: Option<Arc<Answer>>,
 }
 
-/// An attempt that has the vote of a home.
+/// An attempt that a home has voted for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Holder {
     /// The attempt.
     pub attempt: AttemptId,
-    /// What its request asks for.
+    /// The digest of its request.
     pub fingerprint: Fingerprint,
-    /// The entry that runs it, for operators.
+    /// The entry that runs it. Only shown to operators.
     pub claimant: Member,
     /// The epoch in which the vote was given.
     pub epoch: Epoch,
@@ -57,41 +58,42 @@
 
 /// The state of a key at one home.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum State {
-    /// The attempts that may have won. A home grants a key to one attempt only;
-    /// more than one come from a transfer, when the former homes disagreed.
-    /// Then nobody gets a vote until all but one are released.
+pub enum ClaimState {
+    /// The attempts that may have won. A home votes for one attempt only. There
+    /// is more than one after a transfer from former homes that had voted for
+    /// different attempts; no attempt then gets a vote until all but one are
+    /// released.
     Held(Vec<Holder>),
     /// An attempt was executed.
     Finished {
-        /// What its request asked for.
+        /// The digest of its request.
         fingerprint: Fingerprint,
-        /// The answer, if it was kept.
+        /// The answer, if it was recorded.
         answer: Option<Arc<Answer>>,
     },
 }
 
-/// What a home keeps for a key.
+/// The record that a home stores for a key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Claim {
     /// The state.
-    pub state: State,
-    /// When the home forgets the claim, on its own clock.
+    pub state: ClaimState,
+    /// When the home deletes the claim, by its own clock.
     pub expiry: Millis,
-    /// Released attempts. A vote or a copy that arrives late must not hold the
-    /// key for an attempt that nobody will release again.
+    /// Released attempts. A delayed vote request or transfer must not make one
+    /// of them a holder again, since nobody would release it a second time.
     pub released: Vec<AttemptId>,
 }
 
-/// How many released attempts a claim remembers. Late messages are rare, so a
-/// few suffice.
+/// How many released attempts a claim remembers. Delayed messages are rare, so
+/// a few are enough.
 const RELEASED_MAX: usize = 4;
 
 impl Claim {
-    /// Returns a claim that nobody holds.
+    /// Returns a claim without holders.
     pub(super) fn new(expiry: Millis) -> Self {
         Self {
-            state: State::Held(Vec::new()),
+            state: ClaimState::Held(Vec::new()),
             expiry,
             released: Vec::new(),
         }
@@ -99,25 +101,25 @@
 
     /// Returns whether no attempt holds the key.
     pub(super) fn is_free(&self) -> bool {
-        matches!(&self.state, State::Held(holders) if holders.is_empty())
+        matches!(&self.state, ClaimState::Held(holders) if holders.is_empty())
     }
 
-    /// Adds a holder unless it is known or released.
-    pub(super) fn hold(&mut self, holder: Holder) {
+    /// Adds a holder, unless it is already one or was released.
+    pub(super) fn add_holder(&mut self, holder: Holder) {
         let released = self.released.contains(&holder.attempt);
-        if let State::Held(holders) = &mut self.state {
+        if let ClaimState::Held(holders) = &mut self.state {
             let known = holders.iter().any(|h| h.attempt == holder.attempt);
             if !known && !released {
-                // A vector that grows by itself starts with room for four.
+                // `push` on an empty vector would allocate space for four.
                 holders.reserve_exact(1);
                 holders.push(holder);
             }
         }
     }
 
-    /// Removes a holder and remembers that it was released.
+    /// Removes a holder and records it as released.
     pub(super) fn release(&mut self, attempt: AttemptId) {
-        let State::Held(holders) = &mut self.state else {
+        let ClaimState::Held(holders) = &mut self.state else {
             return;
         };
         holders.retain(|h| h.attempt != attempt);
@@ -131,7 +133,7 @@
     }
 }
 
-impl fmt::Display for State {
+impl fmt::Display for ClaimState {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Held(holders) if holders.is_empty() => f.write_str("free"),
--- a/src/policy/once/claimant.rs
+++ b/src/policy/once/claimant.rs
@@ -1,52 +1,56 @@
-//! The entry that wants to execute a keyed request.
+//! One attempt of an entry to execute a keyed request: counts the votes of the
+//! homes and decides whether the request may be dispatched.
 
 use std::{collections::BTreeMap, sync::Arc};
 
 use rand::Rng;
 
-use super::{Answer, AttemptId, Finish, HomeSet, Member, RETENTION, Reason, Release, Reply, Vote};
+use super::{
+    Answer, AttemptId, CLAIM_RETENTION, Finish, HomeSet, Member, RefusalReason, Release, VoteReply,
+    VoteRequest,
+};
 use crate::{
     domain::{Epoch, Millis},
     policy::refusal::{Code, Refusal},
 };
 
-/// The shortest time after which a refused caller may try again: about one
-/// round trip between regions, in which the competing attempts are released.
+/// The minimum retry delay for a refused caller: about one round trip between
+/// regions, which is how long the release of competing attempts takes.
 const RETRY_MIN: Millis = Millis(100);
 
-/// The width of the random part of that time. Two callers that competed for the
-/// votes must not return at the same moment.
-const RETRY_SPREAD: Millis = Millis(400);
+/// The random part of the retry delay, so that two callers that competed for the
+/// votes do not retry at the same time.
+const RETRY_JITTER: Millis = Millis(400);
 
-/// How long after its start an attempt may still be dispatched. It is half of
-/// the retention, so a claim cannot expire at a home before the dispatch.
-const DISPATCH_MAX: Millis = Millis(RETENTION.0 / 2);
+/// How long after its start an attempt may be dispatched. It is half of the
+/// retention, so a claim cannot expire at a home before the dispatch.
+const DISPATCH_WINDOW: Millis = Millis(CLAIM_RETENTION.0 / 2);
 
-/// What became of an attempt to claim a key.
+/// The outcome of an attempt to claim a key.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Decision {
     /// The attempt may be dispatched.
     Won,
-    /// The request was executed before, with this answer if it was kept.
+    /// The request was executed before. Contains the answer if it was recorded.
     Finished(Option<Arc<Answer>>),
-    /// Another attempt may have won. This one is not dispatched.
+    /// Another attempt may have won. This one must not be dispatched.
     InProgress,
-    /// The key belongs to another request. This one is not dispatched.
-    Reused,
-    /// There is no quorum. This attempt is not dispatched, and none that this
-    /// entry knows of can have won.
+    /// The key was used for a different request. This one must not be dispatched.
+    KeyReused,
+    /// There is no quorum. This attempt must not be dispatched, and no other
+    /// attempt that this entry knows of can have won.
     Unavailable(String),
 }
 
 impl Decision {
-    /// Returns what the caller is told, unless it gets an answer.
+    /// Returns the refusal for the caller, or none if the caller gets an answer.
     ///
-    /// The outcome of [`Decision::InProgress`] is unknown although this very
-    /// attempt is not run, because the caller asks about its request and not
-    /// about our attempts.
+    /// The refusal of [`Decision::InProgress`] has the outcome `unknown` although
+    /// this attempt does not run, because the outcome describes the caller's
+    /// request, which another attempt may be executing.
     #[must_use]
     pub fn refusal(&self, rng: &mut impl Rng) -> Option<Refusal> {
-        let retry = RETRY_MIN + Millis(rng.random_range(0..=RETRY_SPREAD.0));
+        let retry = RETRY_MIN + Millis(rng.random_range(0..=RETRY_JITTER.0));
         match self {
             Self::Won => None,
             Self::Finished(Some(answer)) if answer.body.is_some() => None,
@@ -62,8 +66,8 @@
                 let detail = "a request with this key is running or has ended without an answer";
                 Some(Refusal::unknown(Code::InProgress, detail).retry_after(retry))
             }
-            Self::Reused => {
-                let detail = "the key was used for a request with another content";
+            Self::KeyReused => {
+                let detail = "the key was already used for a different request";
                 Some(Refusal::not_run(Code::KeyReused, detail))
             }
             Self::Unavailable(cause) => {
@@ -75,49 +79,50 @@
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Phase {
-    /// Votes are being counted.
-    Asking,
+    /// Replies of the homes are being counted.
+    Voting,
     /// The attempt may be dispatched.
     Won,
-    /// The request may have reached a target.
-    Sent,
-    /// The attempt was given up before it was dispatched.
-    Lost,
-    /// The execution has ended.
-    Done,
+    /// The request may have been written to a target.
+    Dispatched,
+    /// The attempt ended without a dispatch.
+    Abandoned,
+    /// The dispatched attempt has ended.
+    Ended,
 }
 
 /// One attempt to execute a keyed request.
 ///
-/// The entry sends the vote to all homes ([`Self::votes`]), feeds their replies
-/// to [`Self::on_reply`] and calls [`Self::on_timeout`] at its deadline. It must
-/// ask [`Self::dispatch`] immediately before it writes the request to a target.
+/// The entry sends [`Self::vote_requests`] to the homes, passes their replies to
+/// [`Self::on_reply`] and calls [`Self::on_timeout`] at the deadline. It must
+/// call [`Self::dispatch`] immediately before it writes the request to a target.
 ///
-/// Messages of [`Self::release`] and [`Self::finish`] go through an
-/// [`Outbox`](super::Outbox), since nobody else can send them. Losing one is
-/// safe, but keeps the key in progress until the end of its retention.
+/// The messages of [`Self::release`] and [`Self::finish`] go through an
+/// [`Outbox`](super::Outbox), which repeats them, since no other entry can send
+/// them. Losing one is safe, but the key then stays in progress until the end of
+/// its retention.
 #[derive(Debug)]
 pub struct Claimant {
-    vote: Vote,
+    request: VoteRequest,
     homes: HomeSet,
-    replies: BTreeMap<Member, Reply>,
-    /// All members that may hold a vote of this attempt.
-    asked: Vec<Member>,
+    replies: BTreeMap<Member, VoteReply>,
+    /// All members that may have voted for this attempt.
+    contacted: Vec<Member>,
     phase: Phase,
     started: Millis,
 }
 
 impl Claimant {
-    /// Starts an attempt. The epoch of `vote` is replaced by that of `homes`.
+    /// Starts an attempt. The epoch of `request` is replaced by that of `homes`.
     #[must_use]
-    pub fn new(mut vote: Vote, homes: HomeSet, now: Millis) -> Self {
-        vote.epoch = homes.epoch;
+    pub fn new(mut request: VoteRequest, homes: HomeSet, now: Millis) -> Self {
+        request.epoch = homes.epoch;
         Self {
-            vote,
-            asked: homes.members.clone(),
+            request,
+            contacted: homes.members.clone(),
             homes,
             replies: BTreeMap::new(),
-            phase: Phase::Asking,
+            phase: Phase::Voting,
             started: now,
         }
     }
@@ -125,201 +130,206 @@
     /// Returns the attempt.
     #[must_use]
     pub fn attempt(&self) -> AttemptId {
-        self.vote.attempt
+        self.request.attempt
     }
 
-    /// Returns the votes that are to be sent. They may be sent again to homes
-    /// that did not answer or refused for a reason that can pass.
+    /// Returns the vote requests to send. It may be called again to repeat them:
+    /// they go to the homes that have not replied or that refused.
     #[must_use]
-    pub fn votes(&self) -> Vec<(Member, Vote)> {
-        if self.phase != Phase::Asking {
+    pub fn vote_requests(&self) -> Vec<(Member, VoteRequest)> {
+        if self.phase != Phase::Voting {
             return Vec::new();
         }
-        let open = |m: &&Member| matches!(self.replies.get(m), None | Some(Reply::Refused(_)));
-        let members = self.homes.members.iter().filter(open);
-        members.map(|m| (m.clone(), self.vote.clone())).collect()
+        let unanswered =
+            |m: &&Member| matches!(self.replies.get(m), None | Some(VoteReply::Refused(_)));
+        let members = self.homes.members.iter().filter(unanswered);
+        members.map(|m| (m.clone(), self.request.clone())).collect()
     }
 
-    /// Returns the newest epoch that a home refused for, if it is newer than
-    /// ours. The entry should fetch that roster and then call
-    /// [`Self::move_to`].
+    /// Returns the newest epoch that a home reported in a [`RefusalReason::Stale`],
+    /// if it is newer than the epoch of this attempt. The entry should fetch that
+    /// roster and then call [`Self::restart`].
     #[must_use]
-    pub fn newer(&self) -> Option<Epoch> {
-        let stale = self.replies.values().filter_map(|r| match r {
-            Reply::Refused(Reason::Stale(epoch)) => Some(*epoch),
+    pub fn newer_epoch(&self) -> Option<Epoch> {
+        let epochs = self.replies.values().filter_map(|r| match r {
+            VoteReply::Refused(RefusalReason::Stale(epoch)) => Some(*epoch),
             _ => None,
         });
-        stale.max().filter(|e| *e > self.homes.epoch)
+        epochs.max().filter(|e| *e > self.homes.epoch)
     }
 
-    /// Starts the count again in a newer epoch. Votes of different epochs are
-    /// never added up.
-    pub fn move_to(&mut self, homes: HomeSet) {
-        if self.phase != Phase::Asking || homes.epoch <= self.homes.epoch {
+    /// Restarts the vote in a newer epoch. Votes of different epochs are never
+    /// added up.
+    pub fn restart(&mut self, homes: HomeSet) {
+        if self.phase != Phase::Voting || homes.epoch <= self.homes.epoch {
             return;
         }
         for member in &homes.members {
-            if !self.asked.contains(member) {
-                self.asked.push(member.clone());
+            if !self.contacted.contains(member) {
+                self.contacted.push(member.clone());
             }
         }
-        self.vote.epoch = homes.epoch;
+        self.request.epoch = homes.epoch;
         self.homes = homes;
         self.replies.clear();
     }
 
-    /// Counts the reply of a home to the vote in `epoch`. Returns the decision
-    /// if this reply makes it.
-    pub fn on_reply(&mut self, home: &Member, epoch: Epoch, reply: Reply) -> Option<Decision> {
-        let counts = epoch == self.homes.epoch && self.homes.contains(home);
-        if self.phase != Phase::Asking || !counts {
+    /// Counts the reply of a home to a vote request of `epoch`. Returns the
+    /// decision if this reply settles it.
+    pub fn on_reply(&mut self, home: &Member, epoch: Epoch, reply: VoteReply) -> Option<Decision> {
+        let is_current = epoch == self.homes.epoch && self.homes.contains(home);
+        if self.phase != Phase::Voting || !is_current {
             return None;
         }
-        // A grant lasts until this attempt is released, so another reply that
-        // arrives after it was sent before it.
-        if self.replies.get(home) != Some(&Reply::Granted) {
+        // A home keeps its vote until this attempt is released, so a different
+        // reply that arrives after a grant was sent before it.
+        if self.replies.get(home) != Some(&VoteReply::Granted) {
             self.replies.insert(home.clone(), reply);
         }
         if self.granted() >= self.homes.quorum() {
             self.phase = Phase::Won;
             return Some(Decision::Won);
         }
-        let finished = |r: &Reply| matches!(r, Reply::Finished(_));
-        let settled = self.granted() + self.open() < self.homes.quorum();
-        if settled || self.replies.values().any(finished) {
-            return Some(self.lose());
+        let finished = |r: &VoteReply| matches!(r, VoteReply::Finished(_));
+        let is_lost = self.granted() + self.undecided() < self.homes.quorum();
+        if is_lost || self.replies.values().any(finished) {
+            return Some(self.abandon());
         }
         None
     }
 
-    /// Gives up at the deadline, or at once if there are no homes. Returns none
-    /// if the decision was made before.
+    /// Ends the vote at the deadline, or immediately if there are no homes.
+    /// Returns none if a decision was already made.
     pub fn on_timeout(&mut self) -> Option<Decision> {
-        (self.phase == Phase::Asking).then(|| self.lose())
+        (self.phase == Phase::Voting).then(|| self.abandon())
     }
 
-    /// Returns whether the request may be written to a target now. From then on
-    /// it counts as possibly executed.
+    /// Returns whether the request may be written to a target now. If so, the
+    /// request is regarded as possibly executed from then on.
     #[must_use]
     pub fn dispatch(&mut self, now: Millis) -> bool {
-        let may = self.phase == Phase::Won && now - self.started < DISPATCH_MAX;
-        if may {
-            self.phase = Phase::Sent;
+        let allowed = self.phase == Phase::Won && now - self.started < DISPATCH_WINDOW;
+        if allowed {
+            self.phase = Phase::Dispatched;
         }
-        may
+        allowed
     }
 
-    /// Notes that no byte of the dispatched request was written. The attempt
-    /// may be dispatched again or released.
-    pub fn unsent(&mut self) {
-        if self.phase == Phase::Sent {
+    /// Records that no byte of the dispatched request was written. The attempt
+    /// may then be dispatched again or released.
+    pub fn mark_unsent(&mut self) {
+        if self.phase == Phase::Dispatched {
             self.phase = Phase::Won;
         }
     }
 
-    /// Gives up an attempt that is not dispatched, and returns the messages that
+    /// Abandons an attempt that was not dispatched, and returns the messages that
     /// free the key. A dispatched attempt is never released: the result is then
     /// empty.
     ///
-    /// They go to each member that was asked, even if it refused or did not
-    /// answer, because the vote may still arrive there. `newest` are the homes
-    /// in the newest known epoch, which may have copied the vote.
+    /// The messages go to each member that was contacted, even if it refused or
+    /// did not reply, because the vote request may still arrive there. They also
+    /// go to `newest`, the homes in the newest known epoch, because the vote may
+    /// have been transferred to them.
     #[must_use]
     pub fn release(&mut self, newest: &HomeSet) -> Vec<(Member, Release)> {
-        if matches!(self.phase, Phase::Sent | Phase::Done) {
+        if matches!(self.phase, Phase::Dispatched | Phase::Ended) {
             return Vec::new();
         }
-        self.phase = Phase::Lost;
+        self.phase = Phase::Abandoned;
         let release = Release {
-            key: self.vote.key.clone(),
-            attempt: self.vote.attempt,
+            key: self.request.key.clone(),
+            attempt: self.request.attempt,
         };
-        self.address(newest, &release)
+        self.address_all(newest, &release)
     }
 
-    /// Ends the execution and returns the messages that record its answer. None
-    /// means that the answer did not arrive completely. Without an execution the
-    /// result is empty.
+    /// Ends a dispatched attempt and returns the messages that record its answer,
+    /// which is none if the response was incomplete. If the attempt was not
+    /// dispatched, the result is empty.
     #[must_use]
     pub fn finish(
         &mut self,
         answer: Option<Arc<Answer>>,
         newest: &HomeSet,
     ) -> Vec<(Member, Finish)> {
-        if self.phase != Phase::Sent {
+        if self.phase != Phase::Dispatched {
             return Vec::new();
         }
-        self.phase = Phase::Done;
+        self.phase = Phase::Ended;
         let finish = Finish {
-            key: self.vote.key.clone(),
-            fingerprint: self.vote.fingerprint,
-            attempt: self.vote.attempt,
+            key: self.request.key.clone(),
+            fingerprint: self.request.fingerprint,
+            attempt: self.request.attempt,
             answer,
         };
-        self.address(newest, &finish)
+        self.address_all(newest, &finish)
     }
 
-    fn address<T: Clone>(&self, newest: &HomeSet, message: &T) -> Vec<(Member, T)> {
-        let added = newest.members.iter().filter(|m| !self.asked.contains(m));
-        let all = self.asked.iter().chain(added);
+    fn address_all<T: Clone>(&self, newest: &HomeSet, message: &T) -> Vec<(Member, T)> {
+        let added = newest
+            .members
+            .iter()
+            .filter(|m| !self.contacted.contains(m));
+        let all = self.contacted.iter().chain(added);
         all.map(|m| (m.clone(), message.clone())).collect()
     }
 
     fn granted(&self) -> usize {
-        let granted = |r: &&Reply| **r == Reply::Granted;
+        let granted = |r: &&VoteReply| **r == VoteReply::Granted;
         self.replies.values().filter(granted).count()
     }
 
-    /// Counts the homes that may still grant the vote.
-    fn open(&self) -> usize {
-        let passing = |m: &&Member| match self.replies.get(m) {
+    /// Counts the homes that may still vote for this attempt.
+    fn undecided(&self) -> usize {
+        let may_grant = |m: &&Member| match self.replies.get(m) {
             None => true,
-            Some(Reply::Refused(reason)) => *reason != Reason::Full,
+            Some(VoteReply::Refused(reason)) => *reason != RefusalReason::Full,
             Some(_) => false,
         };
-        self.homes.members.iter().filter(passing).count()
+        self.homes.members.iter().filter(may_grant).count()
     }
 
-    fn lose(&mut self) -> Decision {
-        self.phase = Phase::Lost;
+    fn abandon(&mut self) -> Decision {
+        self.phase = Phase::Abandoned;
         let replies = || self.replies.values();
         let finished = replies().find_map(|r| match r {
-            Reply::Finished(answer) => Some(answer.clone()),
+            VoteReply::Finished(answer) => Some(answer.clone()),
             _ => None,
         });
         if let Some(answer) = finished {
             return Decision::Finished(answer);
         }
-        if replies().any(|r| *r == Reply::Reused) {
-            return Decision::Reused;
+        if replies().any(|r| *r == VoteReply::KeyReused) {
+            return Decision::KeyReused;
         }
         if self.another_may_win() {
             return Decision::InProgress;
         }
-        Decision::Unavailable(self.cause())
+        Decision::Unavailable(self.missing_votes())
     }
 
-    /// Returns whether a holder that some home named may have a quorum.
+    /// Returns whether a holder that some home reported may have a quorum.
     ///
-    /// A home that did not say whom it voted for may have voted for that holder.
-    /// A vote of an older epoch may have been part of a quorum of that epoch.
+    /// A home that did not report its vote may have voted for that holder. A vote
+    /// of an older epoch may have been part of a quorum of that epoch.
     fn another_may_win(&self) -> bool {
         let held: Vec<_> = self
             .replies
             .values()
             .filter_map(|r| match r {
-                Reply::Held(holders) => Some(holders),
+                VoteReply::Held(holders) => Some(holders),
                 _ => None,
             })
             .collect();
         held.iter().copied().flatten().any(|holder| {
-            let names = |h: &&&Vec<super::Holder>| h.iter().any(|o| o.attempt == holder.attempt);
-            let votes = held.iter().filter(names).count();
-            holder.epoch < self.homes.epoch || votes + self.open() >= self.homes.quorum()
+            let includes = |h: &&&Vec<super::Holder>| h.iter().any(|o| o.attempt == holder.attempt);
+            let votes = held.iter().filter(includes).count();
+            holder.epoch < self.homes.epoch || votes + self.undecided() >= self.homes.quorum()
         })
     }
 
-    fn cause(&self) -> String {
+    fn missing_votes(&self) -> String {
         if self.homes.members.is_empty() {
             return "no roster is known".to_owned();
         }
@@ -327,8 +337,8 @@
         for home in &self.homes.members {
             causes.push(match self.replies.get(home) {
                 None => format!("{home} did not answer"),
-                Some(Reply::Refused(reason)) => format!("{home}: {reason}"),
-                Some(Reply::Held(_)) => format!("{home} voted for another attempt"),
+                Some(VoteReply::Refused(reason)) => format!("{home}: {reason}"),
+                Some(VoteReply::Held(_)) => format!("{home} voted for another attempt"),
                 Some(_) => continue,
             });
         }
--- a/src/policy/once/key.rs
+++ b/src/policy/once/key.rs
@@ -1,4 +1,4 @@
-//! Keys, fingerprints and attempts.
+//! Idempotency keys, buckets of keys, attempts, and fingerprints of requests.
 
 use std::{fmt, str::FromStr};
 
@@ -7,8 +7,8 @@
 
 use crate::domain::{ParseError, ServiceName, Size};
 
-/// The longest key, in bytes. It bounds the memory of a claim; callers use
-/// UUIDs of 36 bytes or short compound names.
+/// The longest key, in bytes. It bounds the memory of a claim. Callers use UUIDs
+/// of 36 bytes or short compound names.
 const KEY_MAX: usize = 255;
 
 /// The value of an `Idempotency-Key` header.
@@ -48,7 +48,8 @@
     }
 }
 
-/// A key within its service. Two services may use the same key independently.
+/// An idempotency key within the scope of its service. Equal keys of different
+/// services are unrelated.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ClaimKey {
     /// The service.
@@ -58,7 +59,7 @@
 }
 
 impl ClaimKey {
-    /// Returns the bucket that holds the key.
+    /// Returns the bucket that the key hashes to.
     #[must_use]
     pub fn bucket(&self) -> Bucket {
         let seed = xxh3_64_with_seed(self.service.as_bytes(), 0);
@@ -73,14 +74,14 @@
     }
 }
 
-/// A fixed part of all keys. All keys of a bucket have the same homes.
+/// A hash bucket of keys. All keys of a bucket have the same homes.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Bucket(pub u16);
 
 impl Bucket {
-    /// The number of buckets. At 2,800 entries each one is home to about four
-    /// buckets, so a replaced entry moves about four ranges. With one range per
-    /// key, each entry would have to read from nearly each other entry.
+    /// The number of buckets. With 2,800 entries, each entry is a home of about
+    /// four buckets, so replacing an entry transfers about four buckets. If homes
+    /// were chosen per key, each entry would have to read from nearly all others.
     pub const COUNT: u16 = 4096;
 
     /// Returns all buckets.
@@ -106,8 +107,8 @@
     }
 }
 
-/// One attempt to execute a keyed request. The claimant draws it at random, so
-/// that it stays unique across restarts.
+/// Identifies one attempt to execute a keyed request. The claimant chooses it at
+/// random, so that it is unique across restarts.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct AttemptId(pub u64);
 
@@ -129,25 +130,25 @@
     }
 }
 
-/// A digest of what a request asks for.
+/// A digest of a request's content.
 ///
 /// It detects a key that is used for two different requests, and a request that
-/// crashes one target after the other. The hash does not resist deliberate
-/// collisions; a caller that constructs one only affects requests of the
-/// services it may call anyway.
+/// crashes several targets. The hash does not resist deliberate collisions, but a
+/// caller that constructs one only affects requests to services that it is
+/// allowed to call anyway.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Fingerprint(pub u128);
 
 impl Fingerprint {
-    /// How much of a body is digested. Longer bodies are streamed; buffering
-    /// them would take more memory than the check is worth.
-    pub const BODY: Size = Size::kib(64);
+    /// The size of the body prefix that is digested. Larger bodies are streamed;
+    /// buffering them would take more memory than the check is worth.
+    pub const BODY_PREFIX: Size = Size::kib(64);
 
     /// Returns the digest of a request.
     ///
     /// `length` is the declared length of the body, if any, and `body` its
-    /// first [`Self::BODY`] bytes. Two longer bodies that agree in both are
-    /// taken as equal.
+    /// first [`Self::BODY_PREFIX`] bytes. Two larger bodies with the same length
+    /// and prefix have the same digest.
     #[must_use]
     pub fn of_request(
         service: &ServiceName,
@@ -156,7 +157,7 @@
         length: Option<u64>,
         body: &[u8],
     ) -> Self {
-        let max = usize::try_from(Self::BODY.0).unwrap_or(usize::MAX);
+        let max = usize::try_from(Self::BODY_PREFIX.0).unwrap_or(usize::MAX);
         let head = &body[..body.len().min(max)];
         let length = length.map_or(u64::MAX, |n| n).to_be_bytes();
         let parts = [
@@ -169,14 +170,15 @@
         Self::digest(b'r', &parts)
     }
 
-    /// Returns the digest of a key, which stands for the request in the records
-    /// of crashes.
+    /// Returns the digest of a key, which identifies a keyed request in the
+    /// strikes of [`crash`](crate::policy::crash).
     #[must_use]
     pub fn of_key(key: &ClaimKey) -> Self {
         Self::digest(b'k', &[key.service.as_bytes(), &key.key.0])
     }
 
-    /// The length before each part keeps `("ab", "c")` and `("a", "bc")` apart.
+    /// Hashes the parts. Each is preceded by its length, so that `("ab", "c")` and
+    /// `("a", "bc")` have different digests.
     fn digest(kind: u8, parts: &[&[u8]]) -> Self {
         let mut hash = Xxh3::new();
         hash.update(&[kind]);
--- a/src/policy/once/message.rs
+++ b/src/policy/once/message.rs
@@ -1,45 +1,49 @@
-//! What entries ask the homes of a key.
+//! The requests to the homes of a key, and their responses.
 
-use super::{Bucket, Finish, Page, Read, Reason, Register, Release, Reply, Vote};
+use super::{
+    Bucket, ClaimTable, Finish, RefusalReason, Release, TransferPage, TransferRequest, VoteReply,
+    VoteRequest,
+};
 use crate::domain::{Epoch, Millis, Size};
 
-/// The size of a page. Together with the longest answer it stays below the
-/// limit of 256 KB for a message.
-const PAGE: Size = Size::kib(200);
+/// The size of a page, which may be exceeded by one claim. With the largest
+/// answer in that claim, the page is still below the limit of 256 KiB for a
+/// message.
+const PAGE_SIZE: Size = Size::kib(200);
 
 /// A request to a home.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Request {
+pub enum HomeRequest {
     /// Asks for a vote.
-    Vote(Vote),
-    /// Removes a vote.
+    Vote(VoteRequest),
+    /// Removes the vote for an attempt.
     Release(Release),
-    /// Records an answer.
+    /// Records the answer of an executed attempt.
     Finish(Finish),
-    /// Asks for claims.
-    Read(Read),
+    /// Asks a former home for the claims of a bucket.
+    Transfer(TransferRequest),
 }
 
-impl Request {
-    /// Returns the bucket whose register handles the request.
+impl HomeRequest {
+    /// Returns the bucket whose claim table handles the request.
     #[must_use]
     pub fn bucket(&self) -> Bucket {
         match self {
             Self::Vote(vote) => vote.key.bucket(),
             Self::Release(release) => release.key.bucket(),
             Self::Finish(finish) => finish.key.bucket(),
-            Self::Read(read) => read.bucket,
+            Self::Transfer(request) => request.bucket,
         }
     }
 }
 
-impl From<Release> for Request {
+impl From<Release> for HomeRequest {
     fn from(release: Release) -> Self {
         Self::Release(release)
     }
 }
 
-impl From<Finish> for Request {
+impl From<Finish> for HomeRequest {
     fn from(finish: Finish) -> Self {
         Self::Finish(finish)
     }
@@ -47,27 +51,29 @@
 
 /// A home's response.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Response {
-    /// The reply to a vote of an epoch.
-    Vote(Epoch, Reply),
-    /// A release or an answer was noted. False means that the home has no room
-    /// to keep the answer.
-    Noted(bool),
-    /// A page of claims, or why there is none.
-    Page(Result<Page, Reason>),
+pub enum HomeResponse {
+    /// The reply to a vote request of this epoch.
+    Vote(Epoch, VoteReply),
+    /// A release or an answer was handled. False means that the home has no space
+    /// for the claim and did not record the answer.
+    Acknowledged(bool),
+    /// A page of claims, or why the home cannot provide one.
+    Page(Result<TransferPage, RefusalReason>),
 }
 
-impl Register {
-    /// Handles a request of an entry.
-    pub fn handle(&mut self, request: &Request, now: Millis) -> Response {
+impl ClaimTable {
+    /// Handles a request from an entry.
+    pub fn handle(&mut self, request: &HomeRequest, now: Millis) -> HomeResponse {
         match request {
-            Request::Vote(vote) => Response::Vote(vote.epoch, self.vote(vote, now)),
-            Request::Release(release) => {
+            HomeRequest::Vote(vote) => HomeResponse::Vote(vote.epoch, self.vote(vote, now)),
+            HomeRequest::Release(release) => {
                 self.release(release, now);
-                Response::Noted(true)
+                HomeResponse::Acknowledged(true)
+            }
+            HomeRequest::Finish(finish) => HomeResponse::Acknowledged(self.finish(finish, now)),
+            HomeRequest::Transfer(request) => {
+                HomeResponse::Page(self.transfer_page(request, now, PAGE_SIZE))
             }
-            Request::Finish(finish) => Response::Noted(self.finish(finish, now)),
-            Request::Read(read) => Response::Page(self.read(read, now, PAGE)),
         }
     }
 }
--- a/src/policy/once/register.rs
+++ b/src/policy/once/table.rs
@@ -1,38 +1,40 @@
-//! The register of a home: who holds each key of a bucket.
+//! The claim table of a home: which attempt holds each key of a bucket.
 
 use std::{collections::BTreeMap, fmt, sync::Arc};
 
 use super::{
-    Answer, Bucket, Claim, ClaimKey, Finish, Holder, HomeSet, Member, Release, State, Vote,
-    transfer::Transfer,
+    Answer, Bucket, Claim, ClaimKey, ClaimState, Finish, Holder, HomeSet, Member, Release,
+    VoteRequest, transfer::Transfer,
 };
 use crate::domain::{Epoch, Millis, ServiceName, Size};
 
-/// How long a key is bound to its first execution.
-pub const RETENTION: Millis = Millis(24 * 60 * 60 * 1000);
+/// How long a claim is kept, and thus how long a repeat of an executed request is
+/// recognised.
+pub const CLAIM_RETENTION: Millis = Millis(24 * 60 * 60 * 1000);
 
-/// How long a home remembers that an attempt was released. It only has to
-/// exceed the time that a message can be under way.
-pub const TOMBSTONE: Millis = Millis(10 * 60 * 1000);
+/// How long a home remembers that an attempt was released. It only has to exceed
+/// the time that a message can be in flight.
+pub const TOMBSTONE_RETENTION: Millis = Millis(10 * 60 * 1000);
 
-/// The memory that the claims of one service may take in one bucket.
+/// The limits on the claims of one service in one bucket.
 ///
 /// A claim cannot be evicted before its retention ends, because its key could
 /// then be executed again. When a limit is reached, new keys are refused.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Limits {
-    /// The number of claims.
+pub struct ClaimLimits {
+    /// The maximum number of claims.
     pub claims: u32,
-    /// The size of all recorded answers. Beyond it, bodies are not kept.
+    /// The maximum total size of recorded answers. Beyond it, only the status of
+    /// an answer is kept.
     pub answers: Size,
 }
 
-impl Limits {
-    /// Returns each bucket's part of what a service may take on an entry that
-    /// is home to `buckets` buckets. A quarter is added because keys spread
-    /// unevenly.
+impl ClaimLimits {
+    /// Divides the limits of a service on an entry that is a home of `buckets`
+    /// buckets, and returns the limits of each bucket. They are increased by a
+    /// quarter, because keys are not distributed evenly.
     #[must_use]
-    pub fn share(self, buckets: u32) -> Self {
+    pub fn per_bucket(self, buckets: u32) -> Self {
         let buckets = buckets.max(1);
         let claims = (u64::from(self.claims) * 5).div_ceil(u64::from(buckets) * 4);
         let answers = (self.answers.0.saturating_mul(5)).div_ceil(u64::from(buckets) * 4);
@@ -43,54 +45,54 @@
     }
 }
 
-/// Why a home neither grants a key nor says who holds it.
+/// Why a home refuses to vote or to transfer its claims.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub enum Reason {
-    /// The vote is of an older epoch than this one, in which the home votes or
-    /// which it has promised to wait for.
+pub enum RefusalReason {
+    /// The vote request is of an older epoch than this one, which is the newest
+    /// that the home has adopted or promised.
     Stale(Epoch),
-    /// The home has not adopted the epoch of the request yet; it is at this one.
+    /// The home has not adopted the epoch of the request yet. It is at this one.
     Behind(Epoch),
-    /// The member is no home of the key in this epoch.
-    Away,
-    /// The home has not read the claims of the former homes yet.
-    Reading,
-    /// The service has no room for a further claim. The home holds no claim for
+    /// The member is not a home of the key in this epoch.
+    NotHome,
+    /// The transfer of claims from the former homes is not complete yet.
+    Transferring,
+    /// The service has reached its limit of claims, and the home has no claim for
     /// the key.
     Full,
     /// The attempt was released before.
     Released,
 }
 
-impl fmt::Display for Reason {
+impl fmt::Display for RefusalReason {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Stale(epoch) => write!(f, "the vote is older than epoch {epoch}"),
             Self::Behind(epoch) => write!(f, "the home is still at epoch {epoch}"),
-            Self::Away => f.write_str("it is not a home of the key"),
-            Self::Reading => f.write_str("it has not read the claims of the former homes"),
+            Self::NotHome => f.write_str("it is not a home of the key"),
+            Self::Transferring => f.write_str("it has not read the claims of the former homes"),
             Self::Full => f.write_str("it has no room for a further claim of the service"),
             Self::Released => f.write_str("the attempt was released"),
         }
     }
 }
 
-/// A home's answer to a vote.
+/// A home's reply to a vote request.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Reply {
-    /// The attempt has the vote.
+pub enum VoteReply {
+    /// The home has voted for the attempt.
     Granted,
     /// Other attempts hold the key.
     Held(Vec<Holder>),
-    /// The request was executed.
+    /// The request was executed. Contains the answer if it was recorded.
     Finished(Option<Arc<Answer>>),
-    /// The key belongs to a request with another fingerprint.
-    Reused,
+    /// The key is used by a request with a different fingerprint.
+    KeyReused,
     /// The home does not vote.
-    Refused(Reason),
+    Refused(RefusalReason),
 }
 
-/// What the claims of a service take.
+/// The number of claims of a service, and the total size of their answers.
 #[derive(Clone, Copy, Debug, Default)]
 struct Usage {
     claims: u32,
@@ -99,35 +101,36 @@
 
 /// The claims of one bucket at one member.
 ///
-/// One register, under one lock, holds the epoch as well as the claims. If they
-/// were under two locks, a vote could be checked in an older epoch and recorded
-/// after a new home has read the claims.
+/// The epoch and the claims are in one table so that one lock protects both. With
+/// two locks, a vote could be checked against an older epoch and recorded after a
+/// new home has read the claims.
 #[derive(Debug)]
-pub struct Register {
-    pub(super) me: Member,
+pub struct ClaimTable {
+    pub(super) local: Member,
     pub(super) bucket: Bucket,
     /// The homes in the newest adopted epoch.
     pub(super) homes: HomeSet,
-    /// The newest epoch that a new home has read for.
-    pub(super) promised: Epoch,
-    /// The last epoch in which this member voted.
-    pub(super) ready: Option<Epoch>,
+    /// The newest epoch of a transfer request. This member has promised not to
+    /// vote in an epoch before it.
+    pub(super) promised_epoch: Epoch,
+    /// The newest epoch in which this member may vote.
+    pub(super) ready_epoch: Option<Epoch>,
     pub(super) transfer: Option<Transfer>,
     pub(super) claims: BTreeMap<ClaimKey, Claim>,
     usage: BTreeMap<ServiceName, Usage>,
-    limits: Limits,
+    limits: ClaimLimits,
 }
 
-impl Register {
-    /// Returns an empty register, which votes once it has adopted a roster.
+impl ClaimTable {
+    /// Returns an empty table. It does not vote before [`Self::adopt`].
     #[must_use]
-    pub fn new(me: Member, bucket: Bucket, limits: Limits) -> Self {
+    pub fn new(local: Member, bucket: Bucket, limits: ClaimLimits) -> Self {
         Self {
-            me,
+            local,
             bucket,
             homes: HomeSet::default(),
-            promised: Epoch::default(),
-            ready: None,
+            promised_epoch: Epoch::default(),
+            ready_epoch: None,
             transfer: None,
             claims: BTreeMap::new(),
             usage: BTreeMap::new(),
@@ -135,8 +138,8 @@
         }
     }
 
-    /// Changes the limits, which depend on how many buckets an entry has.
-    pub fn set_limits(&mut self, limits: Limits) {
+    /// Changes the limits, which depend on how many buckets the entry is a home of.
+    pub fn set_limits(&mut self, limits: ClaimLimits) {
         self.limits = limits;
     }
 
@@ -155,70 +158,71 @@
     /// Returns whether this member votes in the adopted epoch.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.homes.contains(&self.me) && self.ready == Some(self.homes.epoch)
+        self.homes.contains(&self.local) && self.ready_epoch == Some(self.homes.epoch)
     }
 
-    /// Returns the claim of a key.
+    /// Returns the claim of a key, unless it has expired.
     #[must_use]
     pub fn get(&self, key: &ClaimKey, now: Millis) -> Option<&Claim> {
         self.claims.get(key).filter(|c| c.expiry > now)
     }
 
-    /// Votes for an attempt. A repeated vote gets the same answer as long as
+    /// Handles a vote request. A repeated request gets the same reply as long as
     /// the claim does not change.
-    pub fn vote(&mut self, vote: &Vote, now: Millis) -> Reply {
-        if let Err(reason) = self.check(vote) {
-            return Reply::Refused(reason);
+    pub fn vote(&mut self, vote: &VoteRequest, now: Millis) -> VoteReply {
+        if let Err(reason) = self.check_vote(vote) {
+            return VoteReply::Refused(reason);
         }
-        self.expire(&vote.key, now);
+        self.remove_expired(&vote.key, now);
         if let Some(claim) = self.claims.get_mut(&vote.key) {
-            return decide(claim, vote, now);
+            return vote_on(claim, vote, now);
         }
         if self.is_full(&vote.key.service) {
-            return Reply::Refused(Reason::Full);
+            return VoteReply::Refused(RefusalReason::Full);
         }
-        let claim = self.claim_mut(&vote.key, now + RETENTION);
-        decide(claim, vote, now)
+        let claim = self.claim_mut(&vote.key, now + CLAIM_RETENTION);
+        vote_on(claim, vote, now)
     }
 
-    /// Removes the vote of an attempt that will never be dispatched. It is
+    /// Removes the vote for an attempt that will never be dispatched. A release is
     /// valid in any epoch.
     pub fn release(&mut self, release: &Release, now: Millis) {
-        self.expire(&release.key, now);
+        self.remove_expired(&release.key, now);
         let known = self.claims.contains_key(&release.key);
         if !known && self.is_full(&release.key.service) {
             return;
         }
-        let claim = self.claim_mut(&release.key, now + TOMBSTONE);
+        let claim = self.claim_mut(&release.key, now + TOMBSTONE_RETENTION);
         claim.release(release.attempt);
         if claim.is_free() {
-            claim.expiry = now + TOMBSTONE;
+            claim.expiry = now + TOMBSTONE_RETENTION;
         }
     }
 
-    /// Records the answer of an executed request and returns whether the home
-    /// keeps the claim. It is valid in any epoch.
+    /// Records that a request was executed, with its answer, and returns whether
+    /// the home has recorded it. This is valid in any epoch.
     ///
-    /// A home without room that never voted for the attempt does not keep it;
-    /// the homes that did vote have room already.
+    /// It is not recorded if the table has no claim for the key and the service
+    /// has reached its limit of claims. The homes that voted for the attempt have
+    /// a claim for it already.
     pub fn finish(&mut self, finish: &Finish, now: Millis) -> bool {
-        self.expire(&finish.key, now);
+        self.remove_expired(&finish.key, now);
         let known = self.claims.contains_key(&finish.key);
         if !known && self.is_full(&finish.key.service) {
             return false;
         }
-        let state = State::Finished {
+        let state = ClaimState::Finished {
             fingerprint: finish.fingerprint,
             answer: finish.answer.clone(),
         };
-        self.set_finished(&finish.key, state, now + RETENTION);
+        self.set_finished(&finish.key, state, now + CLAIM_RETENTION);
         true
     }
 
-    /// Sets the first final state of a key. A later one is ignored, so that all
+    /// Sets the final state of a key. Once set it does not change, so that all
     /// repeats get the same answer.
-    pub(super) fn set_finished(&mut self, key: &ClaimKey, state: State, expiry: Millis) {
-        let State::Finished {
+    pub(super) fn set_finished(&mut self, key: &ClaimKey, state: ClaimState, expiry: Millis) {
+        let ClaimState::Finished {
             fingerprint,
             answer,
         } = state
@@ -226,24 +230,25 @@
             return;
         };
         let claim = self.claim_mut(key, expiry);
-        if matches!(claim.state, State::Finished { .. }) {
+        if matches!(claim.state, ClaimState::Finished { .. }) {
             return;
         }
         claim.expiry = claim.expiry.max(expiry);
         claim.released = Vec::new();
         let max = self.limits.answers.0;
         let usage = self.usage.entry(key.service.clone()).or_default();
-        let answer = answer.map(|a| within(a, max.saturating_sub(usage.answers)));
+        let answer = answer.map(|a| drop_large_body(a, max.saturating_sub(usage.answers)));
         usage.answers += answer.as_ref().map_or(0, |a| a.size().0);
         if let Some(claim) = self.claims.get_mut(key) {
-            claim.state = State::Finished {
+            claim.state = ClaimState::Finished {
                 fingerprint,
                 answer,
             };
         }
     }
 
-    /// Returns the claim of a key, which is created if there is none.
+    /// Returns the claim of a key. If there is none, it creates one that ends at
+    /// `expiry`.
     pub(super) fn claim_mut(&mut self, key: &ClaimKey, expiry: Millis) -> &mut Claim {
         if !self.claims.contains_key(key) {
             let usage = self.usage.entry(key.service.clone()).or_default();
@@ -254,7 +259,7 @@
             .or_insert_with(|| Claim::new(expiry))
     }
 
-    /// Removes a claim.
+    /// Removes a claim and subtracts it from the usage of its service.
     pub(super) fn remove(&mut self, key: &ClaimKey) {
         let Some(claim) = self.claims.remove(key) else {
             return;
@@ -263,7 +268,7 @@
             return;
         };
         usage.claims -= 1;
-        if let State::Finished {
+        if let ClaimState::Finished {
             answer: Some(answer),
             ..
         } = claim.state
@@ -275,7 +280,7 @@
         }
     }
 
-    fn expire(&mut self, key: &ClaimKey, now: Millis) {
+    fn remove_expired(&mut self, key: &ClaimKey, now: Millis) {
         if self.claims.get(key).is_some_and(|c| c.expiry <= now) {
             self.remove(key);
         }
@@ -286,39 +291,39 @@
         usage.is_some_and(|u| u.claims >= self.limits.claims)
     }
 
-    fn check(&self, vote: &Vote) -> Result<(), Reason> {
-        let newest = self.homes.epoch.max(self.promised);
+    fn check_vote(&self, vote: &VoteRequest) -> Result<(), RefusalReason> {
+        let newest = self.homes.epoch.max(self.promised_epoch);
         if vote.key.bucket() != self.bucket {
-            return Err(Reason::Away);
+            return Err(RefusalReason::NotHome);
         }
         if vote.epoch < newest {
-            return Err(Reason::Stale(newest));
+            return Err(RefusalReason::Stale(newest));
         }
         if vote.epoch > self.homes.epoch {
-            return Err(Reason::Behind(self.homes.epoch));
+            return Err(RefusalReason::Behind(self.homes.epoch));
         }
-        if !self.homes.contains(&self.me) {
-            return Err(Reason::Away);
+        if !self.homes.contains(&self.local) {
+            return Err(RefusalReason::NotHome);
         }
         if !self.is_ready() {
-            return Err(Reason::Reading);
+            return Err(RefusalReason::Transferring);
         }
         Ok(())
     }
 }
 
-/// Votes on the state of one key.
-fn decide(claim: &mut Claim, vote: &Vote, now: Millis) -> Reply {
+/// Votes on a request for a key with an existing claim, and updates the claim.
+fn vote_on(claim: &mut Claim, vote: &VoteRequest, now: Millis) -> VoteReply {
     let holders = match &mut claim.state {
-        State::Finished {
+        ClaimState::Finished {
             fingerprint,
             answer,
-        } if *fingerprint == vote.fingerprint => return Reply::Finished(answer.clone()),
-        State::Finished { .. } => return Reply::Reused,
-        State::Held(holders) => holders,
+        } if *fingerprint == vote.fingerprint => return VoteReply::Finished(answer.clone()),
+        ClaimState::Finished { .. } => return VoteReply::KeyReused,
+        ClaimState::Held(holders) => holders,
     };
     if claim.released.contains(&vote.attempt) {
-        return Reply::Refused(Reason::Released);
+        return VoteReply::Refused(RefusalReason::Released);
     }
     let others: Vec<Holder> = holders
         .iter()
@@ -327,19 +332,19 @@
         .collect();
     if others.is_empty() {
         if holders.is_empty() {
-            *holders = vec![Holder::of(vote)];
-            claim.expiry = now + RETENTION;
+            *holders = vec![Holder::from_vote(vote)];
+            claim.expiry = now + CLAIM_RETENTION;
         }
-        return Reply::Granted;
+        return VoteReply::Granted;
     }
     if others.iter().all(|h| h.fingerprint != vote.fingerprint) {
-        return Reply::Reused;
+        return VoteReply::KeyReused;
     }
-    Reply::Held(others)
+    VoteReply::Held(others)
 }
 
 impl Holder {
-    fn of(vote: &Vote) -> Self {
+    fn from_vote(vote: &VoteRequest) -> Self {
         Self {
             attempt: vote.attempt,
             fingerprint: vote.fingerprint,
@@ -349,9 +354,9 @@
     }
 }
 
-/// Returns the answer, without its body if it is larger than `room`.
-fn within(answer: Arc<Answer>, room: u64) -> Arc<Answer> {
-    if answer.size().0 <= room {
+/// Returns the answer, reduced to its status if it is larger than `available`.
+fn drop_large_body(answer: Arc<Answer>, available: u64) -> Arc<Answer> {
+    if answer.size().0 <= available {
         return answer;
     }
     Arc::new(Answer {
--- a/src/policy/once/transfer.rs
+++ b/src/policy/once/transfer.rs
@@ -1,61 +1,64 @@
-//! How claims reach the homes of a new epoch.
+//! The transfer of claims from the former homes to the homes of a new epoch.
 
 use std::collections::BTreeMap;
 
-use super::{Bucket, Claim, ClaimKey, HomeSet, Member, RETENTION, Reason, Register, State};
+use super::{
+    Bucket, CLAIM_RETENTION, Claim, ClaimKey, ClaimState, ClaimTable, HomeSet, Member,
+    RefusalReason,
+};
 use crate::domain::{Epoch, Millis, Size};
 
-/// A request of a new home for the claims of a former one. The former home
-/// thereby promises not to vote in an epoch before `epoch`.
+/// A request of a new home for the claims of a former home. By handling it, the
+/// former home promises not to vote in an epoch before `epoch`.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Read {
+pub struct TransferRequest {
     /// The bucket.
     pub bucket: Bucket,
-    /// The epoch in which the source was a home.
+    /// The epoch in which the recipient was a home.
     pub former: Epoch,
-    /// The epoch in which the reader is a new home.
+    /// The epoch in which the sender is a new home.
     pub epoch: Epoch,
-    /// The last key of the previous page.
+    /// The last key of the previous page, or none for the first page.
     pub after: Option<ClaimKey>,
 }
 
-/// A claim on its way to another home.
+/// A claim that is transferred to another home.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Copied {
+pub struct CopiedClaim {
     /// The key.
     pub key: ClaimKey,
     /// The state.
-    pub state: State,
-    /// The rest of the retention, since clocks of two members cannot be
-    /// compared.
-    pub left: Millis,
+    pub state: ClaimState,
+    /// The time until the claim expires. It is relative, since the clocks of two
+    /// members cannot be compared.
+    pub remaining: Millis,
 }
 
-/// Some of the claims of a bucket, in the order of their keys.
+/// Some of the claims of a bucket, sorted by key.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Page {
-    /// The request that it answers.
-    pub read: Read,
+pub struct TransferPage {
+    /// The request that this page answers.
+    pub request: TransferRequest,
     /// The claims.
-    pub claims: Vec<Copied>,
-    /// Whether no claims follow.
+    pub claims: Vec<CopiedClaim>,
+    /// Whether this is the last page.
     pub last: bool,
 }
 
-/// The bytes that a copied claim takes in a message beside its key and its
-/// answer: at most three holders of about 110 bytes each, and a margin.
-const OVERHEAD: u64 = 512;
+/// The estimated size of an encoded claim without its key and its answer, in
+/// bytes: at most three holders of about 110 bytes each, and a margin.
+const CLAIM_OVERHEAD: u64 = 512;
 
-/// The reading of a new home from the former ones.
+/// The state of a new home that is reading the claims of the former homes.
 #[derive(Debug)]
 pub(super) struct Transfer {
     former: HomeSet,
     epoch: Epoch,
     sources: BTreeMap<Member, Progress>,
-    /// Former homes that have ended, as the platform reports.
-    gone: Vec<Member>,
-    /// Since when no quorum of the former homes can vote any more.
-    since: Option<Millis>,
+    /// Former homes whose VM has ended, as reported by the platform.
+    ended: Vec<Member>,
+    /// The time since which the former homes can no longer form a quorum.
+    quorum_lost: Option<Millis>,
 }
 
 #[derive(Debug, Default)]
@@ -71,8 +74,8 @@
             former: former.clone(),
             epoch,
             sources: sources.map(|m| (m.clone(), Progress::default())).collect(),
-            gone: Vec::new(),
-            since: None,
+            ended: Vec::new(),
+            quorum_lost: None,
         }
     }
 
@@ -81,135 +84,145 @@
         done >= self.former.quorum()
     }
 
-    /// Returns whether too few former homes are left for a quorum: all others
-    /// have promised not to vote, or have ended.
-    fn is_closed(&self) -> bool {
-        let ended = |(m, p): &(&Member, &Progress)| p.done || self.gone.contains(m);
-        let ended = self.sources.iter().filter(ended).count();
-        self.sources.is_empty() || ended >= self.former.quorum()
+    /// Returns whether the former homes can no longer form a quorum, because a
+    /// quorum of them has ended or has promised not to vote.
+    fn lacks_quorum(&self) -> bool {
+        let inactive = |(m, p): &(&Member, &Progress)| p.done || self.ended.contains(m);
+        let count = self.sources.iter().filter(inactive).count();
+        self.sources.is_empty() || count >= self.former.quorum()
     }
 }
 
-impl Register {
+impl ClaimTable {
     /// Adopts the homes of a newer epoch, given those of the epoch before it.
     ///
-    /// Epochs must be adopted in order where possible. A member that missed one
-    /// reads as if it were new, because it cannot know whether it was a home
-    /// all the time. Only the first roster of all has no former epoch; its homes
-    /// vote at once. An empty roster must not be published, since the homes
-    /// after it would have nobody to read from and would have to wait for the
-    /// retention period.
+    /// Epochs should be adopted in order where possible. A member that missed an
+    /// epoch reads from the former homes as if it were new, because it cannot know
+    /// whether it was a home in that epoch. Only the first roster has no former
+    /// epoch; its homes vote immediately. An empty roster must not be published,
+    /// since the homes of the roster after it would have no home to read from and
+    /// would have to wait for the retention period.
     pub fn adopt(&mut self, former: &HomeSet, homes: &HomeSet) {
         if homes.epoch <= self.homes.epoch {
             return;
         }
         let in_order = self.homes.epoch == former.epoch;
         self.homes = homes.clone();
-        if !homes.contains(&self.me) {
+        if !homes.contains(&self.local) {
             self.transfer = None;
             return;
         }
         if former.epoch == Epoch::default() {
             self.transfer = None;
-            self.ready = Some(homes.epoch);
+            self.ready_epoch = Some(homes.epoch);
             return;
         }
-        // A quorum of surviving homes always includes a holder of each won
-        // claim, unless quorums became smaller.
-        let stays = former.contains(&self.me) && homes.quorum() >= former.quorum();
-        let was_ready = self.ready == Some(former.epoch);
-        if stays && was_ready {
-            self.ready = Some(homes.epoch);
+        // Each quorum of the remaining homes includes one that voted for the
+        // winner of a key, unless the quorum became smaller.
+        let is_retained = former.contains(&self.local) && homes.quorum() >= former.quorum();
+        let was_ready = self.ready_epoch == Some(former.epoch);
+        if is_retained && was_ready {
+            self.ready_epoch = Some(homes.epoch);
             return;
         }
-        if stays && in_order && self.transfer.is_some() {
+        if is_retained && in_order && self.transfer.is_some() {
             return;
         }
         let mut transfer = Transfer::new(former, homes.epoch);
-        if was_ready && let Some(own) = transfer.sources.get_mut(&self.me) {
+        if was_ready && let Some(own) = transfer.sources.get_mut(&self.local) {
             own.done = true;
         }
         self.transfer = Some(transfer);
-        self.complete();
+        self.end_if_complete();
     }
 
-    /// Returns the requests that are to be sent, and repeated until this member
-    /// is ready. The former homes are asked at the same time.
+    /// Returns the requests to send, one to each former home that has not
+    /// transferred all of its claims. They are to be repeated until this member is
+    /// ready.
     #[must_use]
-    pub fn reads(&self) -> Vec<(Member, Read)> {
+    pub fn transfer_requests(&self) -> Vec<(Member, TransferRequest)> {
         let Some(transfer) = &self.transfer else {
             return Vec::new();
         };
-        let open = |(m, p): &(&Member, &Progress)| !p.done && **m != self.me;
-        let read = |p: &Progress| Read {
+        let incomplete = |(m, p): &(&Member, &Progress)| !p.done && **m != self.local;
+        let request = |p: &Progress| TransferRequest {
             bucket: self.bucket,
             former: transfer.former.epoch,
             epoch: transfer.epoch,
             after: p.after.clone(),
         };
-        let sources = transfer.sources.iter().filter(open);
-        sources.map(|(m, p)| (m.clone(), read(p))).collect()
+        let sources = transfer.sources.iter().filter(incomplete);
+        sources.map(|(m, p)| (m.clone(), request(p))).collect()
     }
 
-    /// Promises not to vote in an epoch before `read.epoch`, and returns the
-    /// claims that follow `read.after`, up to about `max`.
+    /// Promises not to vote in an epoch before `request.epoch`, and returns the
+    /// claims that follow `request.after`, up to about `max`.
     ///
     /// # Errors
     ///
-    /// Fails if this member was not ready in the former epoch, because it then
-    /// may not know all claims.
-    pub fn read(&mut self, read: &Read, now: Millis, max: Size) -> Result<Page, Reason> {
-        self.promised = self.promised.max(read.epoch);
-        if read.bucket != self.bucket {
-            return Err(Reason::Away);
+    /// Fails if this member was not ready in the former epoch, because it then may
+    /// not have all claims.
+    pub fn transfer_page(
+        &mut self,
+        request: &TransferRequest,
+        now: Millis,
+        max: Size,
+    ) -> Result<TransferPage, RefusalReason> {
+        self.promised_epoch = self.promised_epoch.max(request.epoch);
+        if request.bucket != self.bucket {
+            return Err(RefusalReason::NotHome);
         }
-        if self.ready < Some(read.former) {
-            let behind = self.homes.epoch < read.former;
-            let reason = Reason::Behind(self.homes.epoch);
-            return Err(if behind { reason } else { Reason::Reading });
+        if self.ready_epoch < Some(request.former) {
+            let behind = self.homes.epoch < request.former;
+            let reason = RefusalReason::Behind(self.homes.epoch);
+            return Err(if behind {
+                reason
+            } else {
+                RefusalReason::Transferring
+            });
         }
-        let mut page = Page {
-            read: read.clone(),
+        let mut page = TransferPage {
+            request: request.clone(),
             claims: Vec::new(),
             last: true,
         };
         let mut size = 0;
-        for (key, claim) in self.after(read.after.as_ref()) {
+        for (key, claim) in self.claims_after(request.after.as_ref()) {
             if claim.is_free() || claim.expiry <= now {
                 continue;
             }
-            size += length(key, claim);
+            size += encoded_size(key, claim);
             if size > max.0 && !page.claims.is_empty() {
                 page.last = false;
                 break;
             }
-            page.claims.push(Copied {
+            page.claims.push(CopiedClaim {
                 key: key.clone(),
                 state: claim.state.clone(),
-                left: claim.expiry - now,
+                remaining: claim.expiry - now,
             });
         }
         Ok(page)
     }
 
-    /// Takes over the claims of a former home.
+    /// Imports a page of claims of a former home.
     ///
-    /// A page that does not continue the previous one from the same home is a
-    /// duplicate or is late, and is ignored. Claims are taken over even beyond
-    /// the limits, since leaving one out would allow a second execution; there
-    /// are at most as many as the former homes admitted.
-    pub fn on_page(&mut self, from: &Member, page: Page, now: Millis) {
+    /// A page that does not continue the previous one from the same home is
+    /// duplicated or delayed, and is ignored. Claims are imported even beyond the
+    /// limits, since leaving one out would allow a second execution. Their number
+    /// is bounded by the limits of the former homes.
+    pub fn on_page(&mut self, from: &Member, page: TransferPage, now: Millis) {
         let Some(transfer) = &mut self.transfer else {
             return;
         };
         let Some(progress) = transfer.sources.get_mut(from) else {
             return;
         };
-        let read = &page.read;
-        let expected = read.epoch == transfer.epoch
-            && read.former == transfer.former.epoch
-            && read.bucket == self.bucket
-            && read.after == progress.after;
+        let request = &page.request;
+        let expected = request.epoch == transfer.epoch
+            && request.former == transfer.former.epoch
+            && request.bucket == self.bucket
+            && request.after == progress.after;
         if !expected || progress.done {
             return;
         }
@@ -220,27 +233,28 @@
         for copied in page.claims {
             self.import(copied, now);
         }
-        self.complete();
+        self.end_if_complete();
     }
 
-    /// Notes that the platform reports the VM of a former home as gone.
-    pub fn on_gone(&mut self, member: &Member, now: Millis) {
+    /// Records that the platform reports the VM of a former home as ended.
+    pub fn on_member_ended(&mut self, member: &Member, now: Millis) {
         let Some(transfer) = &mut self.transfer else {
             return;
         };
-        if transfer.sources.contains_key(member) && !transfer.gone.contains(member) {
-            transfer.gone.push(member.clone());
+        if transfer.sources.contains_key(member) && !transfer.ended.contains(member) {
+            transfer.ended.push(member.clone());
         }
-        if transfer.since.is_none() && transfer.is_closed() {
-            transfer.since = Some(now);
+        if transfer.quorum_lost.is_none() && transfer.lacks_quorum() {
+            transfer.quorum_lost = Some(now);
         }
     }
 
     /// Removes expired claims.
     ///
-    /// If the claims of a quorum of former homes are lost, this member waits for
-    /// the retention period from the moment when those homes could no longer
-    /// vote. All claims that it might have missed have then expired.
+    /// If the claims of a quorum of the former homes are lost, this member becomes
+    /// ready after a retention period, which begins when the former homes can no
+    /// longer form a quorum. All claims that it might have missed have expired by
+    /// then.
     pub fn tick(&mut self, now: Millis) {
         let expired: Vec<ClaimKey> = self
             .claims
@@ -254,15 +268,18 @@
         let Some(transfer) = &mut self.transfer else {
             return;
         };
-        if transfer.since.is_none() && transfer.is_closed() {
-            transfer.since = Some(now);
+        if transfer.quorum_lost.is_none() && transfer.lacks_quorum() {
+            transfer.quorum_lost = Some(now);
         }
-        if transfer.since.is_some_and(|s| s + RETENTION <= now) {
+        if transfer
+            .quorum_lost
+            .is_some_and(|s| s + CLAIM_RETENTION <= now)
+        {
             self.end_transfer();
         }
     }
 
-    fn complete(&mut self) {
+    fn end_if_complete(&mut self) {
         if self.transfer.as_ref().is_some_and(Transfer::is_complete) {
             self.end_transfer();
         }
@@ -270,39 +287,39 @@
 
     fn end_transfer(&mut self) {
         self.transfer = None;
-        self.ready = Some(self.homes.epoch);
+        self.ready_epoch = Some(self.homes.epoch);
     }
 
-    fn import(&mut self, copied: Copied, now: Millis) {
-        let expiry = now + copied.left.min(RETENTION);
-        let State::Held(holders) = copied.state else {
+    fn import(&mut self, copied: CopiedClaim, now: Millis) {
+        let expiry = now + copied.remaining.min(CLAIM_RETENTION);
+        let ClaimState::Held(holders) = copied.state else {
             self.set_finished(&copied.key, copied.state, expiry);
             return;
         };
         let claim = self.claim_mut(&copied.key, expiry);
         for holder in holders {
-            claim.hold(holder);
+            claim.add_holder(holder);
         }
         if !claim.is_free() {
             claim.expiry = claim.expiry.max(expiry);
         }
     }
 
-    fn after(&self, key: Option<&ClaimKey>) -> impl Iterator<Item = (&ClaimKey, &Claim)> {
+    fn claims_after(&self, key: Option<&ClaimKey>) -> impl Iterator<Item = (&ClaimKey, &Claim)> {
         use std::ops::Bound::{Excluded, Unbounded};
         let from = key.map_or(Unbounded, Excluded);
         self.claims.range::<ClaimKey, _>((from, Unbounded))
     }
 }
 
-fn length(key: &ClaimKey, claim: &Claim) -> u64 {
+fn encoded_size(key: &ClaimKey, claim: &Claim) -> u64 {
     let key = key.service.as_bytes().len() + key.key.as_str().len();
     let answer = match &claim.state {
-        State::Finished {
+        ClaimState::Finished {
             answer: Some(answer),
             ..
         } => answer.size().0,
-        State::Finished { .. } | State::Held(_) => 0,
+        ClaimState::Finished { .. } | ClaimState::Held(_) => 0,
     };
-    key as u64 + answer + OVERHEAD
+    key as u64 + answer + CLAIM_OVERHEAD
 }
--- a/tests/claim_messages.rs
+++ b/tests/claim_messages.rs
@@ -13,8 +13,9 @@
     policy::{
         crash::{self, Count},
         once::{
-            self, Answer, AttemptId, Bucket, ClaimKey, Fingerprint, Holder, HomeSet, Limits,
-            Member, Page, Read, Reason, Register, Release, Reply, Request, Response, State,
+            self, Answer, AttemptId, Bucket, ClaimKey, ClaimLimits, ClaimState, ClaimTable,
+            Fingerprint, Holder, HomeRequest, HomeResponse, HomeSet, Member, RefusalReason,
+            Release, TransferPage, TransferRequest, VoteReply,
         },
     },
 };
@@ -65,8 +66,8 @@
         self.0.random_bool(0.5).then(|| Arc::new(answer))
     }
 
-    fn read(&mut self) -> Read {
-        Read {
+    fn transfer_request(&mut self) -> TransferRequest {
+        TransferRequest {
             bucket: Bucket(self.0.random_range(0..Bucket::COUNT)),
             former: Epoch(self.number()),
             epoch: Epoch(self.number()),
@@ -74,71 +75,71 @@
         }
     }
 
-    fn request(&mut self) -> Request {
+    fn request(&mut self) -> HomeRequest {
         let attempt = AttemptId(self.number());
         match self.0.random_range(0..4) {
-            0 => Request::Vote(once::Vote {
+            0 => HomeRequest::Vote(once::VoteRequest {
                 key: self.key(),
                 fingerprint: self.fingerprint(),
                 attempt,
                 claimant: self.member(),
                 epoch: Epoch(self.number()),
             }),
-            1 => Request::Release(Release {
+            1 => HomeRequest::Release(Release {
                 key: self.key(),
                 attempt,
             }),
-            2 => Request::Finish(once::Finish {
+            2 => HomeRequest::Finish(once::Finish {
                 key: self.key(),
                 fingerprint: self.fingerprint(),
                 attempt,
                 answer: self.answer(),
             }),
-            _ => Request::Read(self.read()),
+            _ => HomeRequest::Transfer(self.transfer_request()),
         }
     }
 
-    fn reason(&mut self) -> Reason {
+    fn reason(&mut self) -> RefusalReason {
         let epoch = Epoch(self.number());
         match self.0.random_range(0..6) {
-            0 => Reason::Stale(epoch),
-            1 => Reason::Behind(epoch),
-            2 => Reason::Away,
-            3 => Reason::Reading,
-            4 => Reason::Full,
-            _ => Reason::Released,
+            0 => RefusalReason::Stale(epoch),
+            1 => RefusalReason::Behind(epoch),
+            2 => RefusalReason::NotHome,
+            3 => RefusalReason::Transferring,
+            4 => RefusalReason::Full,
+            _ => RefusalReason::Released,
         }
     }
 
-    fn copied(&mut self) -> once::Copied {
-        let finished = State::Finished {
+    fn copied(&mut self) -> once::CopiedClaim {
+        let finished = ClaimState::Finished {
             fingerprint: self.fingerprint(),
             answer: self.answer(),
         };
-        let held = State::Held(self.holders());
-        once::Copied {
+        let held = ClaimState::Held(self.holders());
+        once::CopiedClaim {
             key: self.key(),
             state: if self.0.random_bool(0.5) {
                 held
             } else {
                 finished
             },
-            left: Millis(self.number()),
+            remaining: Millis(self.number()),
         }
     }
 
-    fn response(&mut self) -> Response {
+    fn response(&mut self) -> HomeResponse {
         let epoch = Epoch(self.number());
         match self.0.random_range(0..8) {
-            0 => Response::Vote(epoch, Reply::Granted),
-            1 => Response::Vote(epoch, Reply::Held(self.holders())),
-            2 => Response::Vote(epoch, Reply::Finished(self.answer())),
-            3 => Response::Vote(epoch, Reply::Reused),
-            4 => Response::Vote(epoch, Reply::Refused(self.reason())),
-            5 => Response::Noted(self.0.random()),
-            6 => Response::Page(Err(self.reason())),
-            _ => Response::Page(Ok(Page {
-                read: self.read(),
+            0 => HomeResponse::Vote(epoch, VoteReply::Granted),
+            1 => HomeResponse::Vote(epoch, VoteReply::Held(self.holders())),
+            2 => HomeResponse::Vote(epoch, VoteReply::Finished(self.answer())),
+            3 => HomeResponse::Vote(epoch, VoteReply::KeyReused),
+            4 => HomeResponse::Vote(epoch, VoteReply::Refused(self.reason())),
+            5 => HomeResponse::Acknowledged(self.0.random()),
+            6 => HomeResponse::Page(Err(self.reason())),
+            _ => HomeResponse::Page(Ok(TransferPage {
+                request: self.transfer_request(),
                 claims: (0..3).map(|_| self.copied()).collect(),
                 last: self.0.random(),
             })),
@@ -198,10 +199,10 @@
             .into_parts()
             .expect_err("no result")
             .to_string(),
-        once::Vote::try_from(Vote::default())
+        once::VoteRequest::try_from(Vote::default())
             .expect_err("no key")
             .to_string(),
-        once::Copied::try_from(Copied::default())
+        once::CopiedClaim::try_from(Copied::default())
             .expect_err("no state")
             .to_string(),
     ];
@@ -226,24 +227,24 @@
         epoch: Epoch(epoch),
         members: names.iter().map(|n| me(n)).collect(),
     };
-    let limits = Limits {
+    let limits = ClaimLimits {
         claims: 1000,
         answers: Size::kib(10_000),
     };
     let (former, next) = (set(1, &["a"]), set(2, &["b"]));
-    let mut source = Register::new(me("a"), bucket, limits);
+    let mut source = ClaimTable::new(me("a"), bucket, limits);
     source.adopt(&HomeSet::default(), &former);
     let header = vec![b'x'; 1024];
     for (i, key) in keys.iter().enumerate() {
         if i % 4 == 0 {
-            let vote = once::Vote {
+            let vote = once::VoteRequest {
                 key: key.clone(),
                 fingerprint: Fingerprint(u128::MAX),
                 attempt: AttemptId(1),
                 claimant: me("c"),
                 epoch: Epoch(1),
             };
-            assert_eq!(source.vote(&vote, Millis(0)), Reply::Granted);
+            assert_eq!(source.vote(&vote, Millis(0)), VoteReply::Granted);
             continue;
         }
         let names = [
@@ -264,18 +265,18 @@
         assert!(source.finish(&finish, Millis(0)));
     }
     // A claim that is left out for want of room could be executed again.
-    let small = Limits {
+    let small = ClaimLimits {
         claims: 1,
         ..limits
     };
-    let mut reader = Register::new(me("b"), bucket, small);
+    let mut reader = ClaimTable::new(me("b"), bucket, small);
     reader.adopt(&former, &next);
     let mut pages = 0;
-    while let Some((from, read)) = reader.reads().pop() {
-        let response = source.handle(&Request::Read(read), Millis(1));
+    while let Some((from, read)) = reader.transfer_requests().pop() {
+        let response = source.handle(&HomeRequest::Transfer(read), Millis(1));
         let size = ClaimReply::new(&from, Epoch(2), &response).encoded_len();
         assert!(size < MESSAGE, "a page takes {size} bytes");
-        let Response::Page(Ok(page)) = response else {
+        let HomeResponse::Page(Ok(page)) = response else {
             panic!("the source is ready");
         };
         reader.on_page(&from, page, Millis(5));
--- a/tests/claim_rules.rs
+++ b/tests/claim_rules.rs
@@ -9,13 +9,13 @@
 use savorybeam::{
     domain::{Epoch, Incarnation, Millis, Size},
     policy::once::{
-        Answer, AttemptId, Bucket, ClaimKey, Claimant, Decision, Fingerprint, Finish, HomeSet,
-        Limits, Member, MessageId, Outbox, RETENTION, Read, Reason, Register, Release, Reply,
-        Roster, RosterEntry, TOMBSTONE, Vote,
+        Answer, AttemptId, Bucket, CLAIM_RETENTION, ClaimKey, ClaimLimits, ClaimTable, Claimant,
+        Decision, Fingerprint, Finish, HomeSet, Member, MessageId, Outbox, RefusalReason, Release,
+        Roster, RosterEntry, TOMBSTONE_RETENTION, TransferRequest, VoteReply, VoteRequest,
     },
 };
 
-const LIMITS: Limits = Limits {
+const LIMITS: ClaimLimits = ClaimLimits {
     claims: 100,
     answers: Size::kib(64),
 };
@@ -42,8 +42,8 @@
     }
 }
 
-fn vote(key: &ClaimKey, attempt: u64, fingerprint: u128) -> Vote {
-    Vote {
+fn vote(key: &ClaimKey, attempt: u64, fingerprint: u128) -> VoteRequest {
+    VoteRequest {
         key: key.clone(),
         fingerprint: Fingerprint(fingerprint),
         attempt: AttemptId(attempt),
@@ -60,10 +60,10 @@
 }
 
 /// Returns a home that votes in epoch 1.
-fn home(name: &str, key: &ClaimKey, limits: Limits) -> Register {
-    let mut register = Register::new(member(name), key.bucket(), limits);
-    register.adopt(&HomeSet::default(), &homes(1, &["a", "b", "c"]));
-    register
+fn home(name: &str, key: &ClaimKey, limits: ClaimLimits) -> ClaimTable {
+    let mut table = ClaimTable::new(member(name), key.bucket(), limits);
+    table.adopt(&HomeSet::default(), &homes(1, &["a", "b", "c"]));
+    table
 }
 
 fn release(key: &ClaimKey, attempt: u64) -> Release {
@@ -120,7 +120,7 @@
 }
 
 /// Plays a claimant against the replies of its homes and prints the outcome.
-fn outcome(fixed: &[(&str, Reply)]) -> String {
+fn outcome(fixed: &[(&str, VoteReply)]) -> String {
     let homes = homes(1, &["a", "b", "c"]);
     let mut claimant = Claimant::new(vote(&key("k"), 1, 7), homes.clone(), Millis(0));
     let mut decision = None;
@@ -151,12 +151,12 @@
     let third = third.vote(&vote(&key, 1, 7), Millis(0));
     let reused = other.vote(&vote(&key, 4, 8), Millis(0));
     let lines = [
-        outcome(&[("a", Reply::Granted), ("c", Reply::Granted)]),
-        outcome(&[("a", Reply::Granted), ("b", held.clone()), ("c", third)]),
-        outcome(&[("a", Reply::Granted), ("b", held.clone())]),
+        outcome(&[("a", VoteReply::Granted), ("c", VoteReply::Granted)]),
+        outcome(&[("a", VoteReply::Granted), ("b", held.clone()), ("c", third)]),
+        outcome(&[("a", VoteReply::Granted), ("b", held.clone())]),
         outcome(&[("b", held.clone()), ("c", held)]),
-        outcome(&[("a", Reply::Granted), ("b", reused)]),
-        outcome(&[("a", Reply::Granted), ("a", Reply::Granted)]),
+        outcome(&[("a", VoteReply::Granted), ("b", reused)]),
+        outcome(&[("a", VoteReply::Granted), ("a", VoteReply::Granted)]),
         outcome(&[]),
     ];
     insta::assert_snapshot!(lines.join("\n"));
@@ -169,10 +169,10 @@
     let mut claimant = Claimant::new(vote(&key, 1, 7), none, Millis(0));
     let refused = claimant.on_timeout().expect("a decision");
     let alone = Roster::new(Epoch(1), [entry("a", "r1", "z1")]).homes(key.bucket());
-    let mut register = Register::new(member("a"), key.bucket(), LIMITS);
-    register.adopt(&HomeSet::default(), &alone);
+    let mut table = ClaimTable::new(member("a"), key.bucket(), LIMITS);
+    table.adopt(&HomeSet::default(), &alone);
     let mut claimant = Claimant::new(vote(&key, 1, 7), alone, Millis(0));
-    let reply = register.vote(&claimant.votes()[0].1, Millis(0));
+    let reply = table.vote(&claimant.vote_requests()[0].1, Millis(0));
     let won = claimant.on_reply(&member("a"), Epoch(1), reply);
     insta::assert_debug_snapshot!((refused, won));
 }
@@ -183,28 +183,28 @@
 fn a_winner_that_pauses_too_long_may_not_dispatch() {
     let won = || {
         let mut claimant = Claimant::new(vote(&key("k"), 1, 7), homes(1, &["a"]), Millis(5));
-        claimant.on_reply(&member("a"), Epoch(1), Reply::Granted);
+        claimant.on_reply(&member("a"), Epoch(1), VoteReply::Granted);
         claimant
     };
-    assert!(won().dispatch(Millis(5 + RETENTION.0 / 2 - 1)));
-    assert!(!won().dispatch(Millis(5 + RETENTION.0 / 2)));
+    assert!(won().dispatch(Millis(5 + CLAIM_RETENTION.0 / 2 - 1)));
+    assert!(!won().dispatch(Millis(5 + CLAIM_RETENTION.0 / 2)));
 }
 
-/// Forgetting a claim early would allow a second execution, so a full register
+/// Forgetting a claim early would allow a second execution, so a full table
 /// refuses new keys until the retention of old ones ends.
 #[test]
-fn a_full_register_refuses_until_the_retention_ends() {
-    // Keys of one bucket, so that one register holds them.
+fn a_full_table_refuses_new_keys_until_claims_expire() {
+    // Keys of one bucket, so that one table holds them.
     let names = (0..).map(|i| key(&format!("k{i}")));
     let keys: Vec<ClaimKey> = names
         .filter(|k| k.bucket() == key("k0").bucket())
         .take(4)
         .collect();
-    let limits = Limits {
+    let limits = ClaimLimits {
         claims: 2,
         answers: Size(20),
     };
-    let mut register = home("a", &keys[0], limits);
+    let mut table = home("a", &keys[0], limits);
     let answer = |n| {
         Some(Arc::new(Answer::record(
             200,
@@ -221,46 +221,46 @@
     let mut log = Vec::new();
     let mut step = |name: &str, result: String| log.push(format!("{name}: {result}"));
     for (i, key) in keys.iter().enumerate().take(3) {
-        let reply = register.vote(&vote(key, i as u64, 7), Millis(0));
+        let reply = table.vote(&vote(key, i as u64, 7), Millis(0));
         step("vote", format!("{reply:?}"));
     }
     step(
         "answer kept",
-        register.finish(&finish(0, 15), Millis(10)).to_string(),
+        table.finish(&finish(0, 15), Millis(10)).to_string(),
     );
     step(
         "no room for a body",
-        register.finish(&finish(1, 15), Millis(10)).to_string(),
+        table.finish(&finish(1, 15), Millis(10)).to_string(),
     );
     step(
         "no room for a claim",
-        register.finish(&finish(3, 1), Millis(10)).to_string(),
+        table.finish(&finish(3, 1), Millis(10)).to_string(),
     );
     for key in keys.iter().take(2) {
         step(
             "repeat",
-            format!("{:?}", register.vote(&vote(key, 9, 7), Millis(20))),
+            format!("{:?}", table.vote(&vote(key, 9, 7), Millis(20))),
         );
         step(
             "other request",
-            format!("{:?}", register.vote(&vote(key, 9, 8), Millis(20))),
+            format!("{:?}", table.vote(&vote(key, 9, 8), Millis(20))),
         );
     }
-    let last = Millis(10 + RETENTION.0 - 1);
+    let last = Millis(10 + CLAIM_RETENTION.0 - 1);
     step(
         "before the end",
-        format!("{:?}", register.vote(&vote(&keys[2], 9, 7), last)),
+        format!("{:?}", table.vote(&vote(&keys[2], 9, 7), last)),
     );
-    register.tick(last);
+    table.tick(last);
     step(
         "repeat before the end",
-        format!("{:?}", register.vote(&vote(&keys[1], 9, 7), last)),
+        format!("{:?}", table.vote(&vote(&keys[1], 9, 7), last)),
     );
-    register.tick(last + Millis(1));
-    let reply = register.vote(&vote(&keys[2], 9, 7), last + Millis(1));
+    table.tick(last + Millis(1));
+    let reply = table.vote(&vote(&keys[2], 9, 7), last + Millis(1));
     step(
         "after the end",
-        format!("{reply:?}, {} claims", register.len()),
+        format!("{reply:?}, {} claims", table.len()),
     );
     insta::assert_snapshot!(log.join("\n"));
 }
@@ -269,13 +269,13 @@
 #[test]
 fn a_released_attempt_gets_no_vote() {
     let key = key("k");
-    let mut register = home("a", &key, LIMITS);
-    register.release(&release(&key, 1), Millis(0));
-    let late = register.vote(&vote(&key, 1, 7), Millis(1));
-    let next = register.vote(&vote(&key, 2, 8), Millis(2));
-    register.release(&release(&key, 2), Millis(3));
-    register.tick(Millis(3) + TOMBSTONE);
-    insta::assert_debug_snapshot!((late, next, register.len()));
+    let mut table = home("a", &key, LIMITS);
+    table.release(&release(&key, 1), Millis(0));
+    let late = table.vote(&vote(&key, 1, 7), Millis(1));
+    let next = table.vote(&vote(&key, 2, 8), Millis(2));
+    table.release(&release(&key, 2), Millis(3));
+    table.tick(Millis(3) + TOMBSTONE_RETENTION);
+    insta::assert_debug_snapshot!((late, next, table.len()));
 }
 
 /// Former homes that disagree: neither attempt may win in the new epoch, until
@@ -288,19 +288,21 @@
     let mut sources = [home("a", &key, LIMITS), home("b", &key, LIMITS)];
     sources[0].vote(&vote(&key, 1, 7), now);
     sources[1].vote(&vote(&key, 2, 7), now);
-    let mut new = Register::new(member("d"), key.bucket(), LIMITS);
+    let mut new = ClaimTable::new(member("d"), key.bucket(), LIMITS);
     new.adopt(&homes(1, &["a", "b", "c"]), &next);
-    let in_two = |register: &mut Register, attempt| {
+    let in_two = |table: &mut ClaimTable, attempt| {
         let mut vote = vote(&key, attempt, 7);
         vote.epoch = Epoch(2);
-        format!("{:?}", register.vote(&vote, now))
+        format!("{:?}", table.vote(&vote, now))
     };
     let mut log = vec![in_two(&mut new, 1)];
-    for (to, read) in new.reads() {
+    for (to, read) in new.transfer_requests() {
         let Some(source) = ["a", "b"].iter().position(|n| to == member(n)) else {
             continue;
         };
-        let page = sources[source].read(&read, now, max).expect("a page");
+        let page = sources[source]
+            .transfer_page(&read, now, max)
+            .expect("a page");
         new.on_page(&to, page.clone(), now);
         new.on_page(&to, page, now);
     }
@@ -319,18 +321,18 @@
 #[test]
 fn a_home_without_sources_waits_for_the_retention() {
     let key = key("k");
-    let mut new = Register::new(member("d"), key.bucket(), LIMITS);
+    let mut new = ClaimTable::new(member("d"), key.bucket(), LIMITS);
     new.adopt(&homes(1, &["a", "b", "c"]), &homes(2, &["c", "d", "e"]));
     let mut log = Vec::new();
-    let mut after = |register: &mut Register, at: Millis| {
-        register.tick(at);
-        log.push(format!("{at}: ready {}", register.is_ready()));
+    let mut after = |table: &mut ClaimTable, at: Millis| {
+        table.tick(at);
+        log.push(format!("{at}: ready {}", table.is_ready()));
     };
-    after(&mut new, RETENTION + RETENTION);
-    new.on_gone(&member("a"), RETENTION + RETENTION);
-    new.on_gone(&member("b"), RETENTION + RETENTION + Millis(5));
-    after(&mut new, Millis(3 * RETENTION.0 + 4));
-    after(&mut new, Millis(3 * RETENTION.0 + 5));
+    after(&mut new, CLAIM_RETENTION + CLAIM_RETENTION);
+    new.on_member_ended(&member("a"), CLAIM_RETENTION + CLAIM_RETENTION);
+    new.on_member_ended(&member("b"), CLAIM_RETENTION + CLAIM_RETENTION + Millis(5));
+    after(&mut new, Millis(3 * CLAIM_RETENTION.0 + 4));
+    after(&mut new, Millis(3 * CLAIM_RETENTION.0 + 5));
     insta::assert_snapshot!(log.join("\n"));
 }
 
@@ -340,20 +342,23 @@
     let mut claimant = Claimant::new(vote(&key("k"), 1, 7), homes(1, &["a", "b", "c"]), Millis(0));
     let mut reply =
         |home: &str, epoch, reply| claimant.on_reply(&member(home), Epoch(epoch), reply);
-    assert_eq!(reply("a", 1, Reply::Granted), None);
-    assert_eq!(reply("b", 1, Reply::Refused(Reason::Stale(Epoch(2)))), None);
-    assert_eq!(claimant.newer(), Some(Epoch(2)));
-    claimant.move_to(homes(2, &["a", "b", "d"]));
+    assert_eq!(reply("a", 1, VoteReply::Granted), None);
+    assert_eq!(
+        reply("b", 1, VoteReply::Refused(RefusalReason::Stale(Epoch(2)))),
+        None
+    );
+    assert_eq!(claimant.newer_epoch(), Some(Epoch(2)));
+    claimant.restart(homes(2, &["a", "b", "d"]));
     let mut reply =
         |home: &str, epoch, reply| claimant.on_reply(&member(home), Epoch(epoch), reply);
-    assert_eq!(reply("b", 2, Reply::Granted), None);
-    assert_eq!(reply("a", 1, Reply::Granted), None, "it is of epoch 1");
+    assert_eq!(reply("b", 2, VoteReply::Granted), None);
+    assert_eq!(reply("a", 1, VoteReply::Granted), None, "it is of epoch 1");
     assert_eq!(
-        reply("c", 2, Reply::Granted),
+        reply("c", 2, VoteReply::Granted),
         None,
         "it is no home any more"
     );
-    assert_eq!(reply("d", 2, Reply::Granted), Some(Decision::Won));
+    assert_eq!(reply("d", 2, VoteReply::Granted), Some(Decision::Won));
     let asked = claimant.release(&HomeSet::default());
     let asked: Vec<String> = asked.iter().map(|(m, _)| m.to_string()).collect();
     assert_eq!(
@@ -370,7 +375,7 @@
     let set = homes(1, &["a"]);
     let mut claimant = Claimant::new(vote(&key("k"), 1, 7), set.clone(), Millis(0));
     assert!(!claimant.dispatch(Millis(0)), "it has no vote");
-    claimant.on_reply(&member("a"), Epoch(1), Reply::Granted);
+    claimant.on_reply(&member("a"), Epoch(1), VoteReply::Granted);
     assert!(
         claimant.finish(None, &set).is_empty(),
         "it was not dispatched"
@@ -381,16 +386,16 @@
         claimant.release(&set).is_empty(),
         "a target may have seen it"
     );
-    claimant.unsent();
+    claimant.mark_unsent();
     assert!(claimant.dispatch(Millis(0)), "no byte was written");
     assert_eq!(claimant.finish(None, &set).len(), 1);
     assert!(claimant.release(&set).is_empty(), "it has run");
-    claimant.unsent();
+    claimant.mark_unsent();
     assert!(!claimant.dispatch(Millis(0)), "it has run");
 
     let mut lost = Claimant::new(vote(&key("k"), 2, 7), set.clone(), Millis(0));
     assert!(lost.on_timeout().is_some());
-    lost.on_reply(&member("a"), Epoch(1), Reply::Granted);
+    lost.on_reply(&member("a"), Epoch(1), VoteReply::Granted);
     assert!(!lost.dispatch(Millis(0)), "the caller was told not-run");
     assert_eq!(lost.release(&set).len(), 1);
 }
@@ -400,14 +405,17 @@
 #[test]
 fn a_home_that_missed_an_epoch_reads() {
     let key = key("k");
-    let mut register = home("a", &key, LIMITS);
+    let mut table = home("a", &key, LIMITS);
     let former = homes(2, &["b", "c", "d"]);
     let next = homes(3, &["a", "b", "c"]);
     let mut in_order = home("a", &key, LIMITS);
     in_order.adopt(&homes(1, &["a", "b", "c"]), &homes(2, &["a", "b", "d"]));
     assert!(in_order.is_ready(), "a home that stays votes at once");
-    register.adopt(&former, &next);
-    assert_eq!((register.is_ready(), register.reads().len()), (false, 3));
+    table.adopt(&former, &next);
+    assert_eq!(
+        (table.is_ready(), table.transfer_requests().len()),
+        (false, 3)
+    );
     let mut missed = home("a", &key, LIMITS);
     missed.adopt(&homes(2, &["a", "c", "d"]), &next);
     assert!(!missed.is_ready(), "it does not know that it stayed");
@@ -423,17 +431,19 @@
     assert!(!last.is_ready());
     let mut other = home("b", &key, LIMITS);
     other.vote(&vote(&key, 1, 7), Millis(0));
-    let reads = last.reads();
+    let reads = last.transfer_requests();
     let (to, read) = reads
         .iter()
         .find(|(m, _)| *m == member("b"))
         .expect("it asks b");
-    let page = other.read(read, Millis(0), Size::kib(1)).expect("a page");
+    let page = other
+        .transfer_page(read, Millis(0), Size::kib(1))
+        .expect("a page");
     last.on_page(to, page, Millis(0));
     assert!(last.is_ready(), "its own claims count as the second source");
     let mut again = vote(&key, 2, 7);
     again.epoch = Epoch(2);
-    assert!(matches!(last.vote(&again, Millis(0)), Reply::Held(_)));
+    assert!(matches!(last.vote(&again, Millis(0)), VoteReply::Held(_)));
 }
 
 /// A restarted home is empty, and the roster still names its former life.
@@ -442,22 +452,29 @@
     let key = key("k");
     let mut me = member("a");
     me.incarnation = Incarnation(2);
-    let mut register = Register::new(me.clone(), key.bucket(), LIMITS);
-    register.adopt(&HomeSet::default(), &homes(1, &["a", "b", "c"]));
-    let reply = register.vote(&vote(&key, 1, 7), Millis(0));
-    assert_eq!(reply, Reply::Refused(Reason::Away));
-    let read = Read {
+    let mut table = ClaimTable::new(me.clone(), key.bucket(), LIMITS);
+    table.adopt(&HomeSet::default(), &homes(1, &["a", "b", "c"]));
+    let reply = table.vote(&vote(&key, 1, 7), Millis(0));
+    assert_eq!(reply, VoteReply::Refused(RefusalReason::NotHome));
+    let read = TransferRequest {
         bucket: key.bucket(),
         former: Epoch(1),
         epoch: Epoch(2),
         after: None,
     };
-    let page = register.read(&read, Millis(0), Size::kib(1));
-    assert_eq!(page, Err(Reason::Reading), "it has nothing to tell");
+    let page = table.transfer_page(&read, Millis(0), Size::kib(1));
+    assert_eq!(
+        page,
+        Err(RefusalReason::Transferring),
+        "it has nothing to tell"
+    );
     let mut next = homes(2, &["b", "c"]);
     next.members.push(me);
-    register.adopt(&homes(1, &["a", "b", "c"]), &next);
-    assert_eq!((register.is_ready(), register.reads().len()), (false, 3));
+    table.adopt(&homes(1, &["a", "b", "c"]), &next);
+    assert_eq!(
+        (table.is_ready(), table.transfer_requests().len()),
+        (false, 3)
+    );
 }
 
 /// A release that a home never gets blocks its key for a day: it is sent again
--- a/tests/claims/mod.rs
+++ b/tests/claims/mod.rs
@@ -12,8 +12,8 @@
 use savorybeam::{
     domain::{Epoch, Incarnation, Millis, Size},
     policy::once::{
-        Answer, AttemptId, Bucket, ClaimKey, Claimant, Decision, Fingerprint, HomeSet, Limits,
-        Member, Register, Request, Response, Roster, RosterEntry, Vote,
+        Answer, AttemptId, Bucket, ClaimKey, ClaimLimits, ClaimTable, Claimant, Decision,
+        Fingerprint, HomeRequest, HomeResponse, HomeSet, Member, Roster, RosterEntry, VoteRequest,
     },
 };
 
@@ -36,7 +36,7 @@
 /// Each key is executed once, so a schedule needs several to test much.
 const KEYS: usize = 8;
 
-pub const LIMITS: Limits = Limits {
+pub const LIMITS: ClaimLimits = ClaimLimits {
     claims: 100,
     answers: Size::kib(64),
 };
@@ -55,15 +55,15 @@
     /// Adopted rosters.
     known: usize,
     origin: Millis,
-    registers: BTreeMap<Bucket, Register>,
+    tables: BTreeMap<Bucket, ClaimTable>,
     naive: BTreeMap<ClaimKey, Naive>,
     runs: Vec<Run>,
 }
 
 enum Body {
-    Ask(Request),
+    Request(HomeRequest),
     /// A response, with the attempt whose vote it answers.
-    Reply(Option<AttemptId>, Response),
+    Response(Option<AttemptId>, HomeResponse),
 }
 
 struct Message {
@@ -134,7 +134,7 @@
         }
         self.calls += 1;
         let homes = self.homes(i, key);
-        let vote = Vote {
+        let vote = VoteRequest {
             key: key.clone(),
             fingerprint,
             attempt: AttemptId(self.calls),
@@ -169,15 +169,15 @@
     }
 
     fn ask(&mut self, i: usize, run: &Run) {
-        for (to, vote) in run.claimant.votes() {
-            self.send(i, &to, Body::Ask(Request::Vote(vote)));
+        for (to, vote) in run.claimant.vote_requests() {
+            self.send(i, &to, Body::Request(HomeRequest::Vote(vote)));
         }
     }
 
     fn ask_again(&mut self, i: usize, mut run: Run) -> Run {
         let newest = self.rosters[self.nodes[i].known - 1].clone();
         if self.rules != Rules::Single {
-            run.claimant.move_to(newest.homes(run.key.bucket()));
+            run.claimant.restart(newest.homes(run.key.bucket()));
         }
         self.ask(i, &run);
         run
@@ -196,7 +196,7 @@
             Decision::Won => ("won", None),
             Decision::Finished(answer) => ("finished", Some(told(answer.as_ref()))),
             Decision::InProgress => ("in progress", Some(Told::Unknown)),
-            Decision::Reused => ("reused", Some(Told::NotRun)),
+            Decision::KeyReused => ("reused", Some(Told::NotRun)),
             Decision::Unavailable(_) => ("unavailable", Some(Told::NotRun)),
         };
         *self.decisions.entry(name).or_default() += 1;
@@ -212,7 +212,7 @@
         let call = run.call;
         self.history.push(Event::Returned { call, told });
         for (to, release) in run.claimant.release(&HomeSet::default()) {
-            self.send(i, &to, Body::Ask(Request::Release(release)));
+            self.send(i, &to, Body::Request(HomeRequest::Release(release)));
         }
     }
 
@@ -229,7 +229,7 @@
         }
         assert!(run.claimant.dispatch(now), "a winner may dispatch");
         if self.rng.random_ratio(1, 8) {
-            run.claimant.unsent();
+            run.claimant.mark_unsent();
             return Some(run);
         }
         run.sent = true;
@@ -256,7 +256,7 @@
         let told = told(answer.as_ref());
         self.history.push(Event::Returned { call, told });
         for (to, finish) in run.claimant.finish(answer, &HomeSet::default()) {
-            self.send(i, &to, Body::Ask(Request::Finish(finish)));
+            self.send(i, &to, Body::Request(HomeRequest::Finish(finish)));
         }
         None
     }
@@ -285,15 +285,15 @@
             return;
         };
         match &message.body {
-            Body::Ask(request) => {
+            Body::Request(request) => {
                 let response = self.answer(i, request);
                 let attempt = match request {
-                    Request::Vote(vote) => Some(vote.attempt),
+                    HomeRequest::Vote(vote) => Some(vote.attempt),
                     _ => None,
                 };
-                self.send(i, &message.from, Body::Reply(attempt, response));
+                self.send(i, &message.from, Body::Response(attempt, response));
             }
-            Body::Reply(attempt, Response::Vote(epoch, reply)) => {
+            Body::Response(attempt, HomeResponse::Vote(epoch, reply)) => {
                 self.each_run(i, |world, i, mut run| {
                     if Some(run.claimant.attempt()) != *attempt {
                         return Some(run);
@@ -304,26 +304,26 @@
                     }
                 });
             }
-            Body::Reply(_, Response::Page(Ok(page))) => {
+            Body::Response(_, HomeResponse::Page(Ok(page))) => {
                 let now = self.clock(i);
-                let register = self.nodes[i].registers.get_mut(&page.read.bucket);
-                if let Some(register) = register {
-                    register.on_page(&message.from, page.clone(), now);
+                let table = self.nodes[i].tables.get_mut(&page.request.bucket);
+                if let Some(table) = table {
+                    table.on_page(&message.from, page.clone(), now);
                 }
             }
-            Body::Reply(..) => {}
+            Body::Response(..) => {}
         }
     }
 
-    fn answer(&mut self, i: usize, request: &Request) -> Response {
+    fn answer(&mut self, i: usize, request: &HomeRequest) -> HomeResponse {
         let now = self.clock(i);
         if matches!(self.rules, Rules::Single | Rules::Expiry) {
             return naive::answer(&mut self.nodes[i].naive, request, self.rules, now);
         }
         let bucket = request.bucket();
-        match self.nodes[i].registers.get_mut(&bucket) {
-            Some(register) => register.handle(request, now),
-            None => Response::Noted(false),
+        match self.nodes[i].tables.get_mut(&bucket) {
+            Some(table) => table.handle(request, now),
+            None => HomeResponse::Acknowledged(false),
         }
     }
 
@@ -396,29 +396,29 @@
         for key in &self.keys {
             let bucket = key.bucket();
             let me = node.place.member.clone();
-            let register = node
-                .registers
+            let table = node
+                .tables
                 .entry(bucket)
-                .or_insert_with(|| Register::new(me, bucket, LIMITS));
-            register.adopt(&from.homes(bucket), &to.homes(bucket));
+                .or_insert_with(|| ClaimTable::new(me, bucket, LIMITS));
+            table.adopt(&from.homes(bucket), &to.homes(bucket));
         }
     }
 
     fn read(&mut self, i: usize) {
-        let registers = self.nodes[i].registers.values();
-        let reads: Vec<_> = registers.flat_map(Register::reads).collect();
+        let tables = self.nodes[i].tables.values();
+        let reads: Vec<_> = tables.flat_map(ClaimTable::transfer_requests).collect();
         for (to, read) in reads {
             if self.rng.random() {
                 continue;
             }
-            self.send(i, &to, Body::Ask(Request::Read(read)));
+            self.send(i, &to, Body::Request(HomeRequest::Transfer(read)));
         }
     }
 
     fn tick(&mut self, i: usize) {
         let now = self.clock(i);
-        let registers = self.nodes[i].registers.values_mut();
-        registers.for_each(|r| r.tick(now));
+        let tables = self.nodes[i].tables.values_mut();
+        tables.for_each(|r| r.tick(now));
     }
 
     fn send(&mut self, i: usize, to: &Member, body: Body) {
@@ -449,7 +449,7 @@
         alive: true,
         known: 0,
         origin,
-        registers: BTreeMap::new(),
+        tables: BTreeMap::new(),
         naive: BTreeMap::new(),
         runs: Vec::new(),
     }
--- a/tests/claims/naive.rs
+++ b/tests/claims/naive.rs
@@ -4,7 +4,7 @@
 
 use savorybeam::{
     domain::Millis,
-    policy::once::{AttemptId, ClaimKey, Reply, Request, Response},
+    policy::once::{AttemptId, ClaimKey, HomeRequest, HomeResponse, VoteReply},
 };
 
 use super::Rules;
@@ -15,18 +15,18 @@
     attempt: AttemptId,
     since: Millis,
     /// The reply after the end of the execution.
-    finished: Option<Reply>,
+    finished: Option<VoteReply>,
 }
 
 /// A home that knows no epochs.
 pub fn answer(
     claims: &mut BTreeMap<ClaimKey, Naive>,
-    request: &Request,
+    request: &HomeRequest,
     rules: Rules,
     now: Millis,
-) -> Response {
+) -> HomeResponse {
     match request {
-        Request::Vote(vote) => {
+        HomeRequest::Vote(vote) => {
             let open = |n: &Naive| rules == Rules::Expiry && n.finished.is_none();
             if claims
                 .get(&vote.key)
@@ -41,27 +41,27 @@
             });
             let reply = match &claim.finished {
                 Some(reply) => reply.clone(),
-                None if claim.attempt == vote.attempt => Reply::Granted,
-                None => Reply::Held(Vec::new()),
+                None if claim.attempt == vote.attempt => VoteReply::Granted,
+                None => VoteReply::Held(Vec::new()),
             };
-            Response::Vote(vote.epoch, reply)
+            HomeResponse::Vote(vote.epoch, reply)
         }
-        Request::Release(release) => {
+        HomeRequest::Release(release) => {
             let holds = |n: &Naive| n.attempt == release.attempt && n.finished.is_none();
             if claims.get(&release.key).is_some_and(holds) {
                 claims.remove(&release.key);
             }
-            Response::Noted(true)
+            HomeResponse::Acknowledged(true)
         }
-        Request::Finish(finish) => {
+        HomeRequest::Finish(finish) => {
             let done = Naive {
                 attempt: finish.attempt,
                 since: now,
-                finished: Some(Reply::Finished(finish.answer.clone())),
+                finished: Some(VoteReply::Finished(finish.answer.clone())),
             };
             claims.insert(finish.key.clone(), done);
-            Response::Noted(true)
+            HomeResponse::Acknowledged(true)
         }
-        Request::Read(_) => Response::Noted(false),
+        HomeRequest::Transfer(_) => HomeResponse::Acknowledged(false),
     }
 }
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -9,7 +9,7 @@
 use claims::{Rules, World, key};
 use history::{Event, Told, violations};
 use quickcheck::QuickCheck;
-use savorybeam::policy::once::{Fingerprint, RETENTION};
+use savorybeam::policy::once::{CLAIM_RETENTION, Fingerprint};
 
 fn world(seed: u64, rules: Rules) -> World {
     let sizes = [
@@ -31,7 +31,7 @@
 }
 
 fn faults(seed: u64, rules: Rules) -> Vec<String> {
-    violations(&world(seed, rules).history, RETENTION.0)
+    violations(&world(seed, rules).history, CLAIM_RETENTION.0)
 }
 
 /// Loss, duplication, delay, reordering, paused and dead claimants, restarted
@@ -105,7 +105,7 @@
             world.call_with(caller + 3, &key(&format!("k{i}")), Fingerprint(7));
         }
         (0..30).for_each(|_| world.exchange());
-        assert_eq!(violations(&world.history, RETENTION.0), [""; 0]);
+        assert_eq!(violations(&world.history, CLAIM_RETENTION.0), [""; 0]);
         // Four and eight calls. An attempt that was given up before its dispatch
         // lets the repeat win.
         let count = |name| world.decisions.get(name).copied().unwrap_or(0);
