Name the parts of crash protection after what they hold

Strike was a message, Strikes the table behind it, and Tally and Count two levels of the same counter; Suspect collided with the suspected members of the membership protocol. Several comments said "counts", "of late" or "excuse" without saying what is counted or excused.

Renamed: Strike -> StrikeNotice, Strikes -> StrikeTable, Tally -> StrikeCounter, Count -> MemberCount, Ending -> FailureCause, Successes -> RecentSuccesses, BLOCK -> BLOCK_DURATION, Admission::Free -> Unrestricted, and the method strike -> record_strike.

Codes, outcomes and behaviour are unchanged.

--- a/src/adapters/grpc/claim/strike.rs
+++ b/src/adapters/grpc/claim/strike.rs
@@ -42,50 +42,51 @@
     pub strikes: Vec<Strike>,
 }
 
-impl From<&crash::Strike> for Strike {
-    fn from(s: &crash::Strike) -> Self {
-        let count = |(member, count): (&once::Member, &crash::Count)| Count {
+impl From<&crash::StrikeNotice> for Strike {
+    fn from(s: &crash::StrikeNotice) -> Self {
+        let count = |(member, count): (&once::Member, &crash::MemberCount)| Count {
             member: Some(member.into()),
             total: count.total,
             cleared: count.cleared,
         };
         Self {
             fingerprint: Some(s.fingerprint.into()),
-            counts: s.tally.counts().map(count).collect(),
+            counts: s.counter.counts().map(count).collect(),
             age: s.age.0,
         }
     }
 }
 
-impl TryFrom<Strike> for crash::Strike {
+impl TryFrom<Strike> for crash::StrikeNotice {
     type Error = Malformed;
 
     fn try_from(s: Strike) -> Result<Self, Malformed> {
         let count = |c: Count| {
-            let numbers = crash::Count {
+            let numbers = crash::MemberCount {
                 total: c.total,
                 cleared: c.cleared,
             };
             part(c.member, "member").map(|m| (m, numbers))
         };
-        let counts: Result<crash::Tally, Malformed> = s.counts.into_iter().map(count).collect();
+        let counts: Result<crash::StrikeCounter, Malformed> =
+            s.counts.into_iter().map(count).collect();
         Ok(Self {
             fingerprint: part(s.fingerprint, "fingerprint")?,
-            tally: counts?,
+            counter: counts?,
             age: Millis(s.age),
         })
     }
 }
 
-impl From<&[crash::Strike]> for Strikes {
-    fn from(strikes: &[crash::Strike]) -> Self {
+impl From<&[crash::StrikeNotice]> for Strikes {
+    fn from(strikes: &[crash::StrikeNotice]) -> Self {
         Self {
             strikes: strikes.iter().map(Strike::from).collect(),
         }
     }
 }
 
-impl TryFrom<Strikes> for Vec<crash::Strike> {
+impl TryFrom<Strikes> for Vec<crash::StrikeNotice> {
     type Error = Malformed;
 
     fn try_from(s: Strikes) -> Result<Self, Malformed> {
--- a/src/adapters/grpc/claims.rs
+++ b/src/adapters/grpc/claims.rs
@@ -10,7 +10,7 @@
     server::Routes,
 };
 use crate::policy::{
-    crash::Strike,
+    crash::StrikeNotice,
     once::{HomeRequest, HomeResponse, Member},
 };
 
@@ -129,7 +129,11 @@
 #[must_use]
 pub fn serve_strike<F>(routes: Routes, f: F) -> Routes
 where
-    F: Clone + Fn(Vec<Strike>) -> (Sender, Vec<Strike>) + Send + std::marker::Sync + 'static,
+    F: Clone
+        + Fn(Vec<StrikeNotice>) -> (Sender, Vec<StrikeNotice>)
+        + Send
+        + std::marker::Sync
+        + 'static,
 {
     routes.route(STRIKE, move |message: StrikeMessage| {
         let f = f.clone();
@@ -144,9 +148,9 @@
     })
 }
 
-fn read_strikes(message: StrikeMessage) -> Result<Vec<Strike>, tonic::Status> {
+fn read_strikes(message: StrikeMessage) -> Result<Vec<StrikeNotice>, tonic::Status> {
     let strikes = message.strikes.unwrap_or_default();
-    let all: Result<Vec<Strike>, _> = strikes.try_into();
+    let all: Result<Vec<StrikeNotice>, _> = strikes.try_into();
     all.map_err(|e: super::claim::Malformed| tonic::Status::invalid_argument(e.to_string()))
 }
 
@@ -159,8 +163,8 @@
     peers: &Peers,
     peer: SocketAddr,
     sender: &Sender,
-    strikes: &[Strike],
-) -> Result<Vec<Strike>, CallError> {
+    strikes: &[StrikeNotice],
+) -> Result<Vec<StrikeNotice>, CallError> {
     let message = StrikeMessage {
         head: sender.head(),
         strikes: Some(Strikes::from(strikes)),
--- a/src/app/entry/control/strikes.rs
+++ b/src/app/entry/control/strikes.rs
@@ -11,7 +11,7 @@
     adapters::grpc::{self, Sender},
     app::entry::State,
     domain::{EntryId, Millis},
-    policy::crash::{Strike, Strikes},
+    policy::crash::{StrikeNotice, StrikeTable},
 };
 
 /// How long a caller's answer waits for the peers to know of a strike.
@@ -27,7 +27,7 @@
 /// How many notices one comparison carries.
 const PAGE: usize = 64;
 
-fn strikes(state: &State) -> MutexGuard<'_, Strikes> {
+fn strikes(state: &State) -> MutexGuard<'_, StrikeTable> {
     state.strikes.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
@@ -49,7 +49,7 @@
 
 /// Tells the peers of a strike, and returns when they know or when the time that
 /// a caller may wait for it is over.
-pub(in crate::app::entry) async fn notify(state: &Arc<State>, strike: Strike) {
+pub(in crate::app::entry) async fn notify(state: &Arc<State>, strike: StrikeNotice) {
     let others = state.fleet.others();
     let chosen: Vec<EntryId> = others
         .choose_multiple(&mut rand::rng(), FANOUT)
@@ -62,7 +62,7 @@
     let _ = timeout(WAIT.duration(), calls.for_each(|_| async {})).await;
 }
 
-async fn tell(state: Arc<State>, to: EntryId, list: Vec<Strike>) {
+async fn tell(state: Arc<State>, to: EntryId, list: Vec<StrikeNotice>) {
     let Some(address) = state.fleet.address(&to) else {
         return;
     };
@@ -73,13 +73,13 @@
 }
 
 /// Takes notices and returns what this entry knows beyond them.
-pub(super) fn receive(state: &Arc<State>, list: &[Strike]) -> (Sender, Vec<Strike>) {
+pub(super) fn receive(state: &Arc<State>, list: &[StrikeNotice]) -> (Sender, Vec<StrikeNotice>) {
     let more = merge(state, list);
     (state.fleet.sender(), more)
 }
 
 /// Merges notices, passes on what is new, and returns what is known beyond them.
-fn merge(state: &Arc<State>, list: &[Strike]) -> Vec<Strike> {
+fn merge(state: &Arc<State>, list: &[StrikeNotice]) -> Vec<StrikeNotice> {
     let now = (state.ports.clock.now)();
     let mut fresh = Vec::new();
     let mut more = Vec::new();
--- a/src/app/entry/crashes.rs
+++ b/src/app/entry/crashes.rs
@@ -6,7 +6,7 @@
 use crate::{
     domain::{Millis, TargetId},
     policy::{
-        crash::{Admission, Ending, Failure, Stage, is_strike},
+        crash::{Admission, Failure, FailureCause, Stage, is_strike},
         once::Fingerprint,
         refusal::Refusal,
         target,
@@ -36,7 +36,7 @@
     let now = (state.ports.clock.now)();
     let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
     match strikes.admit(job.fingerprint, now) {
-        Admission::Free => Ok(None),
+        Admission::Unrestricted => Ok(None),
         Admission::Trial => Ok(Some(Trial {
             state,
             job: job.fingerprint,
@@ -74,7 +74,7 @@
     let now = (state.ports.clock.now)();
     let failure = Failure {
         stage: Stage::Written,
-        ending: Ending::Broken,
+        cause: FailureCause::Broken,
         leaving: is_leaving(state, job, *peer, now),
     };
     let fingerprint = job.fingerprint;
@@ -93,7 +93,7 @@
     (state.events.emit)(Kind::RequestStruck, text);
     let strike = {
         let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
-        strikes.strike(fingerprint, now)
+        strikes.record_strike(fingerprint, now)
     };
     // The caller may repeat the request through another entry as soon as it has
     // its answer, so the others have to know first.
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -19,7 +19,7 @@
     adapters::{ini::Settings, store::roster::RosterRecord},
     domain::{Document, Incarnation, LimitName, Revision, ServiceName, Shards, Slots, TargetId},
     policy::{
-        crash::{Strikes, Successes},
+        crash::{RecentSuccesses, StrikeTable},
         document::{Adoption, Content},
         limit::{Ledger, Limit, Member, Outgoing, Roster},
         lookup::View,
@@ -63,9 +63,9 @@
     /// The sites of clients.
     pub sites: Locations,
     /// Requests that broke connections.
-    pub strikes: Mutex<Strikes>,
+    pub strikes: Mutex<StrikeTable>,
     /// Requests that were executed of late.
-    pub successes: Mutex<Successes>,
+    pub successes: Mutex<RecentSuccesses>,
     /// Whether the documents of the store or of a peer have arrived.
     informed: AtomicBool,
     /// Whether answers end their connections, shortly before a planned stop.
@@ -106,7 +106,7 @@
             services: Shards::new(),
             limits: Shards::new(),
             view: RwLock::new(Arc::new(fleet::no_view())),
-            strikes: Mutex::new(Strikes::new(claimant, SUSPECTS)),
+            strikes: Mutex::new(StrikeTable::new(claimant, SUSPECTS)),
             successes: Mutex::default(),
             informed: AtomicBool::new(false),
             closing: AtomicBool::new(false),
--- a/src/policy/crash/failure.rs
+++ b/src/policy/crash/failure.rs
@@ -1,99 +1,102 @@
-//! Which failures count.
+//! Which failures are strikes against a request.
 
 use crate::{domain::Millis, policy::once::Fingerprint};
 
-/// How far a failed request had come.
+/// How far the exchange of a failed request had progressed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stage {
-    /// No byte of it was written.
+    /// No byte of the request was written.
     Unsent,
-    /// The target may have seen it.
+    /// Part of the request was written, so the target may have received it.
     Written,
     /// The head of the response had arrived.
     Answered,
 }
 
-/// What ended a request before its response was complete.
+/// Why a request ended before its response was complete.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Ending {
+pub enum FailureCause {
     /// The target reset or closed the connection.
     Broken,
-    /// The connection is silent. The target may be slow or unreachable.
+    /// Nothing arrives on the connection. The target may be slow or unreachable.
     Silent,
-    /// This entry closed the connection, for a hedge or a caller that left.
+    /// This entry closed the connection, because of a hedge or because the caller
+    /// disconnected.
     Cancelled,
 }
 
-/// How a request failed, as far as its entry saw.
+/// How a request failed, as observed by its entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Failure {
-    /// How far it had come.
+    /// How far the exchange had progressed.
     pub stage: Stage,
-    /// What ended it.
-    pub ending: Ending,
-    /// Whether the target was known to be leaving. It may then have ended on
-    /// purpose.
+    /// Why it ended.
+    pub cause: FailureCause,
+    /// Whether the target was known to be leaving. It may then have been stopped
+    /// on purpose.
     pub leaving: bool,
 }
 
 /// Returns whether a failure is a strike against its request.
 ///
-/// Only a connection that the target broke after dispatch and before the head
-/// of the response counts. Silence may be a slow target or a lost link, an error
-/// status comes from a target that is alive, and a truncated body from one that had processed the request.
-/// `succeeded` says whether the fingerprint was executed successfully of late.
+/// It is one only if the target broke the connection after the dispatch and before
+/// the head of the response. A silent connection may be caused by a slow target
+/// or a lost link, an error status comes from a target that is alive, and a
+/// truncated body from a target that had processed the request. `succeeded` says
+/// whether the fingerprint was recently executed successfully.
 #[must_use]
 pub fn is_strike(failure: Failure, succeeded: bool) -> bool {
-    let crashed = failure.stage == Stage::Written && failure.ending == Ending::Broken;
+    let crashed = failure.stage == Stage::Written && failure.cause == FailureCause::Broken;
     crashed && !failure.leaving && !succeeded
 }
 
-/// The number of remembered fingerprints. The table takes 384 KB at 48 bytes each.
-const SUCCESSES: usize = 8192;
+/// The number of slots for fingerprints. The table takes 384 KiB at 48 bytes each.
+const SUCCESS_SLOTS: usize = 8192;
 
-/// How long a success excuses later failures.
-const EXCUSE: Millis = Millis(5 * 60 * 1000);
+/// How long a success prevents failures from being counted as strikes.
+const SUCCESS_LIFETIME: Millis = Millis(5 * 60 * 1000);
 
-/// Fingerprints that were executed successfully of late.
+/// Fingerprints that were recently executed successfully.
 ///
-/// It is a table with one place per hash value, in which a newer fingerprint
-/// replaces an older one. A replaced fingerprint loses its excuse, which at
-/// worst blocks a request that an operator can clear. Popular requests, which
-/// need the excuse most, return to the table soonest.
+/// It is a hash table with one slot per hash value, in which a newer fingerprint
+/// replaces an older one. The failures of a replaced fingerprint are counted
+/// again, so at worst a request is blocked until an operator clears it. Popular
+/// requests, which most need their success remembered, return to the table
+/// soonest.
 #[derive(Debug)]
-pub struct Successes {
-    places: Vec<Option<(Fingerprint, Millis)>>,
+pub struct RecentSuccesses {
+    slots: Vec<Option<(Fingerprint, Millis)>>,
 }
 
-impl Successes {
+impl RecentSuccesses {
     /// Returns an empty table.
     #[must_use]
     pub fn new() -> Self {
         Self {
-            places: vec![None; SUCCESSES],
+            slots: vec![None; SUCCESS_SLOTS],
         }
     }
 
-    /// Notes that a target answered the request without a server error.
+    /// Records that a target answered the request without a server error.
     pub fn insert(&mut self, fingerprint: Fingerprint, now: Millis) {
-        self.places[place(fingerprint)] = Some((fingerprint, now));
+        self.slots[slot_index(fingerprint)] = Some((fingerprint, now));
     }
 
-    /// Returns whether the request was executed successfully of late.
+    /// Returns whether the request was recently executed successfully.
     #[must_use]
     pub fn contains(&self, fingerprint: Fingerprint, now: Millis) -> bool {
-        let found = self.places[place(fingerprint)];
-        found.is_some_and(|(f, at)| f == fingerprint && now - at < EXCUSE)
+        let found = self.slots[slot_index(fingerprint)];
+        found.is_some_and(|(f, at)| f == fingerprint && now - at < SUCCESS_LIFETIME)
     }
 }
 
-impl Default for Successes {
+impl Default for RecentSuccesses {
     fn default() -> Self {
         Self::new()
     }
 }
 
-fn place(fingerprint: Fingerprint) -> usize {
-    let places = SUCCESSES as u128;
-    usize::try_from(fingerprint.0 % places).unwrap_or_default()
+fn slot_index(fingerprint: Fingerprint) -> usize {
+    let slots = SUCCESS_SLOTS as u128;
+    usize::try_from(fingerprint.0 % slots).unwrap_or_default()
 }
--- a/src/policy/crash/strikes.rs
+++ b/src/policy/crash/strikes.rs
@@ -1,8 +1,8 @@
-//! The strikes against all fingerprints.
+//! The table of strikes against all fingerprints, and the admission of requests.
 
 use std::collections::{BTreeSet, HashMap};
 
-use super::Tally;
+use super::StrikeCounter;
 use crate::{
     domain::Millis,
     policy::{
@@ -11,125 +11,128 @@
     },
 };
 
-/// How long strikes count after the latest one.
-pub const BLOCK: Millis = Millis(10 * 60 * 1000);
+/// How long a fingerprint is blocked after its latest strike. All of its strikes
+/// then expire.
+pub const BLOCK_DURATION: Millis = Millis(10 * 60 * 1000);
 
-/// The number of strikes that blocks a fingerprint. The first one may have
-/// another cause than the request.
-const STRIKES: u32 = 2;
+/// The number of strikes that blocks a fingerprint. A single broken connection may
+/// have a cause other than the request.
+const BLOCK_THRESHOLD: u32 = 2;
 
-/// When to try again while another request with one strike is running.
-const TRIAL_RETRY: Millis = Millis(500);
+/// The retry delay for a request that is refused because the trial of its
+/// fingerprint is running.
+const TRIAL_RETRY_DELAY: Millis = Millis(500);
 
-/// Whether a request may run.
+/// The decision whether a request may run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Admission {
-    /// It may run, and may be hedged if its route allows that.
-    Free,
-    /// It may run alone and without a hedge. The entry must call
-    /// [`Strikes::end_trial`] when it has ended.
+    /// The request may run, and may be hedged if its route allows that.
+    Unrestricted,
+    /// The request may run, but without a hedge and without other requests of its
+    /// fingerprint at the same time. The entry must call [`StrikeTable::end_trial`]
+    /// when it has ended.
     Trial,
-    /// It is refused.
+    /// The request is refused.
     Refused(Refusal),
 }
 
-/// Notice of strikes against a fingerprint.
+/// A message to other entries with the strikes against a fingerprint.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Strike {
+pub struct StrikeNotice {
     /// The fingerprint.
     pub fingerprint: Fingerprint,
     /// All strikes that the sender knows.
-    pub tally: Tally,
+    pub counter: StrikeCounter,
     /// The time since the latest strike.
     pub age: Millis,
 }
 
 #[derive(Debug, Default)]
-struct Suspect {
-    tally: Tally,
+struct StrikeRecord {
+    counter: StrikeCounter,
     latest: Millis,
     trial: bool,
 }
 
-impl Suspect {
-    /// Clears the strikes at the end of the block. All of them expire together,
-    /// so the block lasts its full time from the latest one.
+impl StrikeRecord {
+    /// Clears the strikes if they have expired. All of them expire together, so a
+    /// block lasts for its full duration after the latest one.
     fn refresh(&mut self, now: Millis) {
-        if self.latest + BLOCK <= now {
-            self.tally.clear();
+        if self.latest + BLOCK_DURATION <= now {
+            self.counter.clear();
         }
     }
 }
 
-/// The strikes against all fingerprints, as one entry knows them.
+/// The strikes against all fingerprints that are known to one entry.
 ///
-/// The number of fingerprints is bounded. When the table is full, the
-/// fingerprint with the fewest strikes is evicted, and of several the one whose
-/// latest strike is oldest. A caller that produces many different failures thus
-/// cannot unblock one that is known to crash targets, as long as it does not
-/// crash two targets for each of them.
+/// The number of fingerprints is bounded. When the table is full, the fingerprint
+/// with the fewest strikes is evicted, and among equals the one whose latest
+/// strike is oldest. A caller that causes failures with many different requests
+/// therefore cannot unblock a request that crashes targets, unless each of the
+/// others crashes two targets.
 #[derive(Debug)]
-pub struct Strikes {
-    me: Member,
+pub struct StrikeTable {
+    local: Member,
     capacity: usize,
-    /// The greatest total of this member that it has forgotten.
+    /// The greatest total of this member in a record that was removed. New counts
+    /// of this member start at it.
     floor: u32,
-    suspects: HashMap<Fingerprint, Suspect>,
+    records: HashMap<Fingerprint, StrikeRecord>,
 }
 
-impl Strikes {
+impl StrikeTable {
     /// Returns an empty table for up to `capacity` fingerprints.
     #[must_use]
-    pub fn new(me: Member, capacity: usize) -> Self {
+    pub fn new(local: Member, capacity: usize) -> Self {
         Self {
-            me,
+            local,
             capacity: capacity.max(1),
             floor: 0,
-            suspects: HashMap::new(),
+            records: HashMap::new(),
         }
     }
 
-    /// Returns the number of fingerprints.
+    /// Returns the number of fingerprints in the table.
     #[must_use]
     pub fn len(&self) -> usize {
-        self.suspects.len()
+        self.records.len()
     }
 
-    /// Returns whether there is no fingerprint.
+    /// Returns whether the table has no fingerprints.
     #[must_use]
     pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+        self.records.is_empty()
     }
 
-    /// Returns the strikes against a fingerprint.
+    /// Returns the number of active strikes against a fingerprint.
     #[must_use]
     pub fn count(&self, fingerprint: Fingerprint, now: Millis) -> u32 {
-        let suspect = self.suspects.get(&fingerprint);
-        let live = suspect.filter(|s| s.latest + BLOCK > now);
-        live.map_or(0, |s| s.tally.open())
+        let record = self.records.get(&fingerprint);
+        let live = record.filter(|s| s.latest + BLOCK_DURATION > now);
+        live.map_or(0, |s| s.counter.active())
     }
 
-    /// Decides whether a request may run. It must be asked again before each
-    /// retry.
+    /// Decides whether a request may run. It must be called again before each retry.
     pub fn admit(&mut self, fingerprint: Fingerprint, now: Millis) -> Admission {
         let count = self.count(fingerprint, now);
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
-            return Admission::Free;
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return Admission::Unrestricted;
         };
         if count == 0 {
-            return Admission::Free;
+            return Admission::Unrestricted;
         }
-        if count >= STRIKES {
+        if count >= BLOCK_THRESHOLD {
             let detail = format!("the request broke {count} connections to targets");
-            let left = suspect.latest + BLOCK - now;
+            let left = record.latest + BLOCK_DURATION - now;
             return Admission::Refused(Refusal::not_run(Code::Blocked, detail).retry_after(left));
         }
-        if suspect.trial {
-            let detail = "the request broke the connection of a target and is being tried again";
-            let refusal = Refusal::not_run(Code::Blocked, detail).retry_after(TRIAL_RETRY);
+        if record.trial {
+            let detail = "the request broke the connection to a target and is being tried again";
+            let refusal = Refusal::not_run(Code::Blocked, detail).retry_after(TRIAL_RETRY_DELAY);
             return Admission::Refused(refusal);
         }
-        suspect.trial = true;
+        record.trial = true;
         Admission::Trial
     }
 
@@ -139,55 +142,56 @@
         self.count(fingerprint, now) == 0
     }
 
-    /// Ends a trial, however it went. A failure must be counted before.
+    /// Ends a trial. If the request failed with a strike, the strike must be recorded
+    /// before.
     pub fn end_trial(&mut self, fingerprint: Fingerprint) {
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-            suspect.trial = false;
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.trial = false;
         }
     }
 
-    /// Counts a strike of this entry. The result is pushed to all peers before
-    /// the caller gets its response.
-    pub fn strike(&mut self, fingerprint: Fingerprint, now: Millis) -> Strike {
-        self.make_room(fingerprint);
-        let suspect = self.suspects.entry(fingerprint).or_default();
-        suspect.refresh(now);
-        suspect.tally.strike(&self.me, self.floor);
-        suspect.latest = now;
-        notice(fingerprint, suspect, now)
+    /// Records a strike of this entry. The returned notice must be sent to the peers
+    /// before the caller gets its response.
+    pub fn record_strike(&mut self, fingerprint: Fingerprint, now: Millis) -> StrikeNotice {
+        self.evict_if_full(fingerprint);
+        let record = self.records.entry(fingerprint).or_default();
+        record.refresh(now);
+        record.counter.record_strike(&self.local, self.floor);
+        record.latest = now;
+        new_notice(fingerprint, record, now)
     }
 
-    /// Merges the strikes that a peer knows. Returns what this entry knows
-    /// beyond them, which is the reply to the peer.
-    pub fn merge(&mut self, strike: &Strike, now: Millis) -> Option<Strike> {
-        let known = self.suspects.contains_key(&strike.fingerprint);
-        if strike.age >= BLOCK || (!known && strike.tally.counts().next().is_none()) {
+    /// Merges the strikes of a peer. Returns the result as the reply to the peer, if
+    /// it differs from what the peer sent.
+    pub fn merge(&mut self, notice: &StrikeNotice, now: Millis) -> Option<StrikeNotice> {
+        let known = self.records.contains_key(&notice.fingerprint);
+        if notice.age >= BLOCK_DURATION || (!known && notice.counter.counts().next().is_none()) {
             return None;
         }
-        self.make_room(strike.fingerprint);
-        let suspect = self.suspects.entry(strike.fingerprint).or_default();
-        suspect.refresh(now);
-        if suspect.tally.merge(&strike.tally) {
-            suspect.latest = suspect.latest.max(now - strike.age);
+        self.evict_if_full(notice.fingerprint);
+        let record = self.records.entry(notice.fingerprint).or_default();
+        record.refresh(now);
+        if record.counter.merge(&notice.counter) {
+            record.latest = record.latest.max(now - notice.age);
         }
-        (suspect.tally != strike.tally).then(|| notice(strike.fingerprint, suspect, now))
+        (record.counter != notice.counter).then(|| new_notice(notice.fingerprint, record, now))
     }
 
-    /// Clears a fingerprint at an operator's request, or because a trial
-    /// succeeded. The result is pushed to all peers.
-    pub fn clear(&mut self, fingerprint: Fingerprint, now: Millis) -> Option<Strike> {
-        let suspect = self.suspects.get_mut(&fingerprint)?;
-        suspect.tally.clear();
-        Some(notice(fingerprint, suspect, now))
+    /// Clears the strikes against a fingerprint, at an operator's request or because
+    /// a trial succeeded. The returned notice must be sent to the peers.
+    pub fn clear(&mut self, fingerprint: Fingerprint, now: Millis) -> Option<StrikeNotice> {
+        let record = self.records.get_mut(&fingerprint)?;
+        record.counter.clear();
+        Some(new_notice(fingerprint, record, now))
     }
 
-    /// Returns up to `max` notices for the periodic exchange between peers,
-    /// beginning after `after` in the order of fingerprints.
+    /// Returns up to `max` notices for the periodic exchange between peers, sorted by
+    /// fingerprint and starting after the fingerprint `after`.
     #[must_use]
-    pub fn page(&self, after: Option<Fingerprint>, max: usize, now: Millis) -> Vec<Strike> {
+    pub fn page(&self, after: Option<Fingerprint>, max: usize, now: Millis) -> Vec<StrikeNotice> {
         let mut next: BTreeSet<Fingerprint> = BTreeSet::new();
-        for (fingerprint, suspect) in &self.suspects {
-            let live = suspect.latest + BLOCK > now;
+        for (fingerprint, record) in &self.records {
+            let live = record.latest + BLOCK_DURATION > now;
             if live && after.is_none_or(|a| a < *fingerprint) {
                 next.insert(*fingerprint);
             }
@@ -197,14 +201,14 @@
         }
         let known = next.into_iter();
         known
-            .filter_map(|f| self.suspects.get(&f).map(|s| notice(f, s, now)))
+            .filter_map(|f| self.records.get(&f).map(|s| new_notice(f, s, now)))
             .collect()
     }
 
     /// Removes fingerprints whose strikes have expired.
     pub fn tick(&mut self, now: Millis) {
-        let expired = |s: &Suspect| !s.trial && s.latest + BLOCK <= now;
-        let old = self.suspects.iter().filter(|(_, s)| expired(s));
+        let expired = |s: &StrikeRecord| !s.trial && s.latest + BLOCK_DURATION <= now;
+        let old = self.records.iter().filter(|(_, s)| expired(s));
         let old: Vec<Fingerprint> = old.map(|(f, _)| *f).collect();
         for fingerprint in old {
             self.forget(fingerprint);
@@ -212,29 +216,29 @@
     }
 
     fn forget(&mut self, fingerprint: Fingerprint) {
-        if let Some(suspect) = self.suspects.remove(&fingerprint) {
-            self.floor = self.floor.max(suspect.tally.total(&self.me));
+        if let Some(record) = self.records.remove(&fingerprint) {
+            self.floor = self.floor.max(record.counter.total(&self.local));
         }
     }
 
-    fn make_room(&mut self, fingerprint: Fingerprint) {
-        if self.suspects.len() < self.capacity || self.suspects.contains_key(&fingerprint) {
+    fn evict_if_full(&mut self, fingerprint: Fingerprint) {
+        if self.records.len() < self.capacity || self.records.contains_key(&fingerprint) {
             return;
         }
-        let least = self
-            .suspects
+        let evicted = self
+            .records
             .iter()
-            .min_by_key(|(f, s)| (s.tally.open().min(STRIKES), s.latest, **f));
-        if let Some(fingerprint) = least.map(|(f, _)| *f) {
+            .min_by_key(|(f, s)| (s.counter.active().min(BLOCK_THRESHOLD), s.latest, **f));
+        if let Some(fingerprint) = evicted.map(|(f, _)| *f) {
             self.forget(fingerprint);
         }
     }
 }
 
-fn notice(fingerprint: Fingerprint, suspect: &Suspect, now: Millis) -> Strike {
-    Strike {
+fn new_notice(fingerprint: Fingerprint, record: &StrikeRecord, now: Millis) -> StrikeNotice {
+    StrikeNotice {
         fingerprint,
-        tally: suspect.tally.clone(),
-        age: now - suspect.latest,
+        counter: record.counter.clone(),
+        age: now - record.latest,
     }
 }
--- a/tests/claim_messages.rs
+++ b/tests/claim_messages.rs
@@ -11,7 +11,7 @@
     adapters::grpc::claim::{Claim, ClaimReply, Copied, Strikes, Vote},
     domain::{Epoch, Incarnation, Millis, Size},
     policy::{
-        crash::{self, Count},
+        crash::{self, MemberCount},
         once::{
             self, Answer, AttemptId, Bucket, ClaimKey, ClaimLimits, ClaimState, ClaimTable,
             Fingerprint, Holder, HomeRequest, HomeResponse, HomeSet, Member, RefusalReason,
@@ -146,16 +146,16 @@
         }
     }
 
-    fn strike(&mut self) -> crash::Strike {
+    fn strike(&mut self) -> crash::StrikeNotice {
         let count = |_| {
-            let numbers = Count {
+            let numbers = MemberCount {
                 total: self.0.random(),
                 cleared: self.0.random(),
             };
             (self.member(), numbers)
         };
-        crash::Strike {
-            tally: (0..3).map(count).collect(),
+        crash::StrikeNotice {
+            counter: (0..3).map(count).collect(),
             fingerprint: self.fingerprint(),
             age: Millis(self.number()),
         }
@@ -176,14 +176,14 @@
         assert_eq!(read, Ok(Ok((sender, epoch, response))));
         let strikes = vec![random.strike(), random.strike()];
         let bytes = Strikes::from(&strikes[..]).encode_to_vec();
-        let read = Strikes::decode(&bytes[..]).map(Vec::<crash::Strike>::try_from);
+        let read = Strikes::decode(&bytes[..]).map(Vec::<crash::StrikeNotice>::try_from);
         read == Ok(Ok(strikes))
     }
 
     fn any_bytes_are_read_or_refused(bytes: Vec<u8>) -> bool {
         let _ = Claim::decode(&bytes[..]).map(Claim::into_parts);
         let _ = ClaimReply::decode(&bytes[..]).map(ClaimReply::into_parts);
-        let _ = Strikes::decode(&bytes[..]).map(Vec::<crash::Strike>::try_from);
+        let _ = Strikes::decode(&bytes[..]).map(Vec::<crash::StrikeNotice>::try_from);
         true
     }
 }
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -8,7 +8,10 @@
 use savorybeam::{
     domain::{Incarnation, Millis},
     policy::{
-        crash::{Admission, BLOCK, Ending, Failure, Stage, Strike, Strikes, Successes, is_strike},
+        crash::{
+            Admission, BLOCK_DURATION, Failure, FailureCause, RecentSuccesses, Stage, StrikeNotice,
+            StrikeTable, is_strike,
+        },
         once::{Fingerprint, Member},
     },
 };
@@ -22,8 +25,10 @@
     }
 }
 
-fn tables(count: usize) -> Vec<Strikes> {
-    (0..count).map(|i| Strikes::new(member(i), 100)).collect()
+fn tables(count: usize) -> Vec<StrikeTable> {
+    (0..count)
+        .map(|i| StrikeTable::new(member(i), 100))
+        .collect()
 }
 
 /// Repeats a crashing request through random entries for less than ten minutes,
@@ -33,14 +38,14 @@
 fn lost(seed: u64, naive: bool) -> u32 {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut entries = tables(9);
-    let mut late: Vec<Strike> = Vec::new();
+    let mut late: Vec<StrikeNotice> = Vec::new();
     let (mut lost, mut now) = (0, Millis(0));
     for _ in 0..40 {
-        now = now + Millis(rng.random_range(0..BLOCK.0 / 41));
+        now = now + Millis(rng.random_range(0..BLOCK_DURATION.0 / 41));
         let i = rng.random_range(0..entries.len());
         if naive || !matches!(entries[i].admit(BAD, now), Admission::Refused(_)) {
             lost += 1;
-            let strike = entries[i].strike(BAD, now);
+            let strike = entries[i].record_strike(BAD, now);
             entries[i].end_trial(BAD);
             entries.shuffle(&mut rng);
             for entry in &mut entries {
@@ -74,7 +79,7 @@
             if rng.random_ratio(1, 5) {
                 notices.extend(sources[i].clear(BAD, now));
             } else {
-                notices.push(sources[i].strike(BAD, now));
+                notices.push(sources[i].record_strike(BAD, now));
             }
             let j = rng.random_range(0..sources.len());
             if let Some(last) = notices.last() {
@@ -85,7 +90,7 @@
         let mut counts = BTreeSet::new();
         for copies in 1..5 {
             notices.shuffle(&mut rng);
-            let mut table = Strikes::new(member(9), 100);
+            let mut table = StrikeTable::new(member(9), 100);
             for notice in std::iter::repeat_n(&notices, copies).flatten() {
                 table.merge(notice, end);
             }
@@ -97,10 +102,10 @@
 
 #[test]
 fn strikes_block_for_ten_minutes_and_can_be_cleared() {
-    let mut here = Strikes::new(member(0), 100);
-    let mut peer = Strikes::new(member(1), 100);
+    let mut here = StrikeTable::new(member(0), 100);
+    let mut peer = StrikeTable::new(member(1), 100);
     let mut log = Vec::new();
-    let mut step = |name: &str, table: &mut Strikes, at: u64| {
+    let mut step = |name: &str, table: &mut StrikeTable, at: u64| {
         let now = Millis(at);
         let hedge = table.may_hedge(BAD, now);
         let admission = match table.admit(BAD, now) {
@@ -110,26 +115,36 @@
         log.push(format!("{at} {name}: {admission}, hedge {hedge}"));
     };
     step("first", &mut here, 0);
-    let first = here.strike(BAD, Millis(10));
+    let first = here.record_strike(BAD, Millis(10));
     peer.merge(&first, Millis(12));
     step("one strike", &mut peer, 20);
     step("second at the same time", &mut peer, 30);
-    let second = peer.strike(BAD, Millis(1000));
+    let second = peer.record_strike(BAD, Millis(1000));
     peer.end_trial(BAD);
     step("two strikes", &mut peer, 1001);
     here.merge(&second, Millis(1001));
     step("two strikes at the other", &mut here, 1001);
-    step("just before the end", &mut here, 1000 + BLOCK.0 - 1);
-    step("after the end", &mut here, 1001 + BLOCK.0);
-    here.strike(BAD, Millis(2000 + BLOCK.0));
-    let third = here.strike(BAD, Millis(2001 + BLOCK.0));
-    peer.merge(&third, Millis(2002 + BLOCK.0));
-    step("blocked again", &mut peer, 2002 + BLOCK.0);
-    let cleared = here.clear(BAD, Millis(2003 + BLOCK.0)).expect("known");
-    peer.merge(&third, Millis(2004 + BLOCK.0));
-    peer.merge(&cleared, Millis(2005 + BLOCK.0));
-    peer.merge(&third, Millis(2006 + BLOCK.0));
-    step("cleared by the operator", &mut peer, 2007 + BLOCK.0);
+    step(
+        "just before the end",
+        &mut here,
+        1000 + BLOCK_DURATION.0 - 1,
+    );
+    step("after the end", &mut here, 1001 + BLOCK_DURATION.0);
+    here.record_strike(BAD, Millis(2000 + BLOCK_DURATION.0));
+    let third = here.record_strike(BAD, Millis(2001 + BLOCK_DURATION.0));
+    peer.merge(&third, Millis(2002 + BLOCK_DURATION.0));
+    step("blocked again", &mut peer, 2002 + BLOCK_DURATION.0);
+    let cleared = here
+        .clear(BAD, Millis(2003 + BLOCK_DURATION.0))
+        .expect("known");
+    peer.merge(&third, Millis(2004 + BLOCK_DURATION.0));
+    peer.merge(&cleared, Millis(2005 + BLOCK_DURATION.0));
+    peer.merge(&third, Millis(2006 + BLOCK_DURATION.0));
+    step(
+        "cleared by the operator",
+        &mut peer,
+        2007 + BLOCK_DURATION.0,
+    );
     insta::assert_snapshot!(log.join("\n"));
 }
 
@@ -137,59 +152,59 @@
 /// the block or renew it.
 #[test]
 fn repeated_notices_do_not_prolong_a_block() {
-    let mut here = Strikes::new(member(0), 100);
-    let mut peer = Strikes::new(member(1), 100);
-    here.strike(BAD, Millis(0));
-    let mut notice = here.strike(BAD, Millis(0));
+    let mut here = StrikeTable::new(member(0), 100);
+    let mut peer = StrikeTable::new(member(1), 100);
+    here.record_strike(BAD, Millis(0));
+    let mut notice = here.record_strike(BAD, Millis(0));
     peer.merge(&notice, Millis(0));
     peer.merge(&notice, Millis(5000));
-    assert_eq!(peer.count(BAD, Millis(BLOCK.0 - 1)), 2);
-    assert_eq!(peer.count(BAD, BLOCK), 0);
-    notice.age = BLOCK;
-    let mut new = Strikes::new(member(2), 100);
-    assert_eq!(new.merge(&notice, BLOCK), None);
+    assert_eq!(peer.count(BAD, Millis(BLOCK_DURATION.0 - 1)), 2);
+    assert_eq!(peer.count(BAD, BLOCK_DURATION), 0);
+    notice.age = BLOCK_DURATION;
+    let mut new = StrikeTable::new(member(2), 100);
+    assert_eq!(new.merge(&notice, BLOCK_DURATION), None);
     assert!(new.is_empty(), "the block has ended");
-    notice.age = Millis(BLOCK.0 - 7);
-    new.merge(&notice, BLOCK);
-    assert_eq!(new.count(BAD, BLOCK + Millis(6)), 2);
-    assert_eq!(new.count(BAD, BLOCK + Millis(7)), 0);
+    notice.age = Millis(BLOCK_DURATION.0 - 7);
+    new.merge(&notice, BLOCK_DURATION);
+    assert_eq!(new.count(BAD, BLOCK_DURATION + Millis(6)), 2);
+    assert_eq!(new.count(BAD, BLOCK_DURATION + Millis(7)), 0);
 }
 
 /// A member that forgets its strikes and counts from one again would have its
 /// new strike taken for the old one, which a peer has cleared.
 #[test]
 fn a_forgotten_total_is_never_reused() {
-    let mut here = Strikes::new(member(0), 1);
-    let mut peer = Strikes::new(member(1), 100);
-    peer.merge(&here.strike(BAD, Millis(0)), Millis(0));
+    let mut here = StrikeTable::new(member(0), 1);
+    let mut peer = StrikeTable::new(member(1), 100);
+    peer.merge(&here.record_strike(BAD, Millis(0)), Millis(0));
     peer.clear(BAD, Millis(1));
-    here.strike(Fingerprint(8), Millis(1));
+    here.record_strike(Fingerprint(8), Millis(1));
     assert_eq!(here.count(BAD, Millis(1)), 0, "the table holds one only");
-    peer.merge(&here.strike(BAD, Millis(2)), Millis(2));
+    peer.merge(&here.record_strike(BAD, Millis(2)), Millis(2));
     assert_eq!(peer.count(BAD, Millis(2)), 1);
 }
 
 /// A caller that produces many failures must not evict a blocked request.
 #[test]
 fn eviction_spares_blocked_requests() {
-    let mut table = Strikes::new(member(0), 10);
-    table.strike(BAD, Millis(0));
-    table.strike(BAD, Millis(0));
+    let mut table = StrikeTable::new(member(0), 10);
+    table.record_strike(BAD, Millis(0));
+    table.record_strike(BAD, Millis(0));
     for i in 100..200 {
-        table.strike(Fingerprint(i), Millis(1));
+        table.record_strike(Fingerprint(i), Millis(1));
     }
     let counts = [BAD, Fingerprint(100), Fingerprint(199)].map(|f| table.count(f, Millis(2)));
     assert_eq!((table.len(), counts), (10, [2, 0, 1]));
-    table.tick(Millis(1) + BLOCK);
+    table.tick(Millis(1) + BLOCK_DURATION);
     assert!(table.is_empty());
 }
 
 /// The periodic exchange must reach all strikes in bounded messages.
 #[test]
 fn pages_cover_the_table() {
-    let mut table = Strikes::new(member(0), 100);
+    let mut table = StrikeTable::new(member(0), 100);
     for i in 0..25 {
-        table.strike(Fingerprint(i), Millis(0));
+        table.record_strike(Fingerprint(i), Millis(0));
     }
     let (mut seen, mut after) = (Vec::new(), None);
     loop {
@@ -209,11 +224,15 @@
 fn which_failures_are_strikes() {
     let mut lines = Vec::new();
     for stage in [Stage::Unsent, Stage::Written, Stage::Answered] {
-        for ending in [Ending::Broken, Ending::Silent, Ending::Cancelled] {
+        for cause in [
+            FailureCause::Broken,
+            FailureCause::Silent,
+            FailureCause::Cancelled,
+        ] {
             for (leaving, succeeded) in [(false, false), (true, false), (false, true)] {
                 let failure = Failure {
                     stage,
-                    ending,
+                    cause,
                     leaving,
                 };
                 if is_strike(failure, succeeded) {
@@ -222,7 +241,7 @@
             }
         }
     }
-    let mut successes = Successes::new();
+    let mut successes = RecentSuccesses::new();
     successes.insert(BAD, Millis(0));
     let excused = [0, 299_999, 300_000].map(|t| successes.contains(BAD, Millis(t)));
     lines.push(format!("excused at 0 s, before and at 300 s: {excused:?}"));
