Correct comments of the claim table after a rename

A replacement of the parameter vote had also changed the word in two comments. Behaviour is unchanged.

--- a/src/policy/once/table.rs
+++ b/src/policy/once/table.rs
@@ -90,7 +90,7 @@
     Finished(Option<Arc<Answer>>),
     /// The key is used by a request with a different fingerprint.
     KeyReused,
-    /// The home does not request.
+    /// The home refuses to vote.
     Refused(RefusalReason),
 }
 
@@ -115,7 +115,7 @@
     /// The newest epoch of a transfer request. This member has promised not to
     /// vote in an epoch before it.
     pub(super) promised_epoch: Epoch,
-    /// The newest epoch in which this member may request.
+    /// The newest epoch in which this member may vote.
     pub(super) ready_epoch: Option<Epoch>,
     pub(super) transfer: Option<Transfer>,
     pub(super) claims: BTreeMap<ClaimKey, Claim>,
@@ -239,7 +239,7 @@
         claim.released = Vec::new();
         let max = self.limits.answers.0;
         let usage = self.usage.entry(key.service.clone()).or_default();
-        let answer = answer.map(|a| drop_large_body(a, max.saturating_sub(usage.answers)));
+        let answer = answer.map(|a| drop_content_if_large(a, max.saturating_sub(usage.answers)));
         usage.answers += answer.as_ref().map_or(0, |a| a.size().0);
         if let Some(claim) = self.claims.get_mut(key) {
             claim.state = ClaimState::Finished {
@@ -357,7 +357,7 @@
 }
 
 /// Returns the answer, reduced to its status if it is larger than `available`.
-fn drop_large_body(answer: Arc<Answer>, available: u64) -> Arc<Answer> {
+fn drop_content_if_large(answer: Arc<Answer>, available: u64) -> Arc<Answer> {
     if answer.size().0 <= available {
         return answer;
     }
--- a/tests/claims/mod.rs
+++ b/tests/claims/mod.rs
@@ -50,7 +50,7 @@
     key: ClaimKey,
     claimant: Claimant,
     won: bool,
-    sent: bool,
+    dispatched: bool,
 }
 
 struct Node {
@@ -153,7 +153,7 @@
             key: key.clone(),
             claimant,
             won: false,
-            sent: false,
+            dispatched: false,
         };
         self.send_votes(i, &pending);
         self.nodes[i].pending.push(pending);
@@ -232,7 +232,7 @@
     /// dispatch may fail without writing a byte.
     fn dispatch(&mut self, i: usize, mut pending: PendingCall) -> Option<PendingCall> {
         let now = self.clock(i);
-        if !pending.won || pending.sent {
+        if !pending.won || pending.dispatched {
             return Some(pending);
         }
         if self.rng.random_ratio(1, 8) {
@@ -244,7 +244,7 @@
             pending.claimant.mark_unsent();
             return Some(pending);
         }
-        pending.sent = true;
+        pending.dispatched = true;
         self.history.push(Event::Dispatched {
             call: pending.call,
             key: Some(pending.key.to_string()),
@@ -254,7 +254,7 @@
     }
 
     fn complete(&mut self, i: usize, mut pending: PendingCall) -> Option<PendingCall> {
-        if !pending.sent {
+        if !pending.dispatched {
             return Some(pending);
         }
         let call = pending.call;
