--- a/src/policy/once/roster.rs
+++ b/src/policy/once/roster.rs
@@ -60,14 +60,14 @@
 struct Candidate {
     /// The hash of the name. The incarnation is not part of it, so a restarted
     /// entry gets the same buckets again and no other entry needs a transfer.
-    name: u64,
+    name_hash: u64,
     region: usize,
     az: usize,
 }
 
 impl Candidate {
     fn score(self, bucket: Bucket) -> u64 {
-        xxh3_64_with_seed(&self.name.to_le_bytes(), u64::from(bucket.0))
+        xxh3_64_with_seed(&self.name_hash.to_le_bytes(), u64::from(bucket.0))
     }
 }
 
@@ -165,8 +165,12 @@
         let region = *regions.entry(entry.region.clone()).or_insert(count);
         let count = zones.len();
         let az = *zones.entry((region, entry.az.clone())).or_insert(count);
-        let name = xxh3_64_with_seed(entry.member.entry.as_bytes(), 0);
-        Candidate { name, region, az }
+        let name_hash = xxh3_64_with_seed(entry.member.entry.as_bytes(), 0);
+        Candidate {
+            name_hash,
+            region,
+            az,
+        }
     };
     entries.iter().map(&mut candidate).collect()
 }
