--- a/tests/limit/wire.rs
+++ b/tests/limit/wire.rs
@@ -1,17 +1,17 @@
-//! Guards the encoding: a message that reads back differently would move units
-//! that nobody granted.
+//! Tests the encoding of the messages. A message that is decoded differently could
+//! transfer units that were never granted.
 
 use prost::Message as _;
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use savorybeam::adapters::grpc::limit::{BATCH_MAX, LimitBatch, pack, unpack};
 use savorybeam::domain::Epoch;
-use savorybeam::policy::limit::{Held, Item, MAX_UNITS, Message, Outgoing};
+use savorybeam::policy::limit::{Envelope, HeldUnits, MAX_UNITS, Message, Outgoing};
 
 use super::world::member;
 
-/// Any message to one of three entries.
+/// An arbitrary message to one of three entries.
 #[derive(Clone, Debug)]
-struct Any(Outgoing);
+struct AnyMessage(Outgoing);
 
 fn units(g: &mut Gen) -> Vec<u32> {
     let mut units: Vec<u32> = Vec::arbitrary(g);
@@ -23,30 +23,30 @@
     units
 }
 
-fn held(g: &mut Gen) -> Held {
-    Held {
-        ask: u64::arbitrary(g),
+fn held(g: &mut Gen) -> HeldUnits {
+    HeldUnits {
+        request_id: u64::arbitrary(g),
         units: units(g),
     }
 }
 
-impl Arbitrary for Any {
+impl Arbitrary for AnyMessage {
     fn arbitrary(g: &mut Gen) -> Self {
         let number = u64::arbitrary(g);
         let message = match u8::arbitrary(g) % 9 {
-            0 => Message::Ask {
-                ask: number,
+            0 => Message::Borrow {
+                request_id: number,
                 want: u32::arbitrary(g),
                 held: u32::arbitrary(g),
                 renew: units(g),
             },
             1 => Message::Grant {
-                ask: number,
+                request_id: number,
                 units: units(g),
                 idle: u32::arbitrary(g),
             },
             2 => Message::Decline {
-                ask: number,
+                request_id: number,
                 queued: bool::arbitrary(g),
             },
             3 => Message::Return(held(g)),
@@ -66,18 +66,18 @@
                 kept: units(g),
             },
         };
-        let item = Item {
+        let envelope = Envelope {
             limit: "link/nairobi/coast".parse().expect("a valid name"),
             epoch: Epoch(u64::arbitrary(g)),
             message,
         };
         let to = member(usize::from(u8::arbitrary(g) % 3), u64::arbitrary(g) % 2);
-        Self(Outgoing { to, item })
+        Self(Outgoing { to, envelope })
     }
 }
 
 quickcheck! {
-    fn messages_read_back(sent: Vec<Any>) -> bool {
+    fn messages_round_trip(sent: Vec<AnyMessage>) -> bool {
         let sent: Vec<Outgoing> = sent.into_iter().map(|a| a.0).collect();
         let mut read = Vec::new();
         for batch in pack(&member(7, 3), &sent) {
@@ -85,9 +85,9 @@
             let batch = LimitBatch::decode(bytes.as_slice()).expect("our own encoding");
             let batch = unpack(&batch).expect("valid names");
             assert_eq!(batch.from, member(7, 3));
-            read.extend(batch.items.into_iter().map(|item| Outgoing { to: batch.to.clone(), item }));
+            read.extend(batch.items.into_iter().map(|envelope| Outgoing { to: batch.to.clone(), envelope }));
         }
-        // Batches are ordered by recipient, and messages within one recipient.
+        // Only the order of the messages to the same recipient is kept.
         let mut expected = sent;
         expected.sort_by_key(|o| o.to.clone());
         read.sort_by_key(|o| o.to.clone());
@@ -95,12 +95,12 @@
     }
 }
 
-/// Guards against a batch that the recipient's message size limit rejects.
+/// Guards against batches that exceed the recipient's limit on the message size.
 #[test]
-fn batches_are_bounded() {
+fn batches_stay_within_the_size_limit() {
     let one = Outgoing {
         to: member(1, 1),
-        item: Item {
+        envelope: Envelope {
             limit: "link/nairobi/coast".parse().expect("a valid name"),
             epoch: Epoch(1),
             message: Message::Survey {
@@ -113,11 +113,11 @@
     let batches = pack(&member(0, 1), &sent);
     let sizes: Vec<usize> = batches.iter().map(prost::Message::encoded_len).collect();
     assert!(sizes.iter().all(|s| *s as u64 <= BATCH_MAX.0));
-    let read: Vec<Item> = batches
+    let read: Vec<Envelope> = batches
         .iter()
         .flat_map(|b| unpack(b).expect("valid names").items)
         .collect();
-    assert_eq!(read[0], sent[0].item);
+    assert_eq!(read[0], sent[0].envelope);
     let count: usize = batches.iter().map(|b| b.items.len()).sum();
     insta::assert_snapshot!(format!("{count} messages in {} batches", sizes.len()), @"2000 messages in 32 batches");
 }
