--- a/examples/spread_slope/nodes.rs
+++ b/examples/spread_slope/nodes.rs
@@ -121,15 +121,15 @@
 
     fn sender(&self) -> Sender {
         Sender {
-            entry: self.members.me().id.clone(),
-            incarnation: self.members.me().incarnation,
+            entry: self.members.local().id.clone(),
+            incarnation: self.members.local().incarnation,
             epoch: Epoch(1),
         }
     }
 
     pub fn tick(&mut self, now: Millis, rng: &mut impl Rng) -> Calls {
         if now >= self.refresh {
-            let me = &self.members.me().id;
+            let me = &self.members.local().id;
             let others = self.members.alive().filter(|m| m.id != *me);
             self.peers = others.map(|m| m.id.clone()).collect();
             self.refresh = now + Millis(1_000);
--- a/src/app/entry/admin/port.rs
+++ b/src/app/entry/admin/port.rs
@@ -69,7 +69,7 @@
 
 fn members(state: &State) -> Vec<MemberStatus> {
     let members = state.fleet.members();
-    let me = &members.me().id;
+    let me = &members.local().id;
     let others = members.all().filter(|(m, _)| m.id != *me);
     let status = |(m, state): (&member::Member, member::State)| MemberStatus {
         entry: m.id.to_string(),
--- a/src/app/entry/control/gossip.rs
+++ b/src/app/entry/control/gossip.rs
@@ -24,7 +24,7 @@
     every(PERIOD, move || {
         let now = (state.ports.clock.now)();
         if state.fleet.has_strangers() {
-            state.fleet.members().compare_soon();
+            state.fleet.members().request_sync();
         }
         let actions = state.fleet.members().tick(now, &mut rand::rng());
         for action in actions {
@@ -54,7 +54,7 @@
 
 /// Puts the events of the membership into the timeline.
 fn report(state: &State) {
-    let events = state.fleet.members().events();
+    let events = state.fleet.members().take_events();
     for Event { member, kind, .. } in events {
         (state.events.emit)(topic(&kind), format!("{member} {kind}"));
     }
--- a/src/app/entry/control/reports.rs
+++ b/src/app/entry/control/reports.rs
@@ -58,7 +58,7 @@
 fn others(state: &State) -> Vec<(EntryId, Option<SocketAddr>)> {
     let rosters = state.fleet.rosters();
     let members = state.fleet.members();
-    let me = members.me().id.clone();
+    let me = members.local().id.clone();
     let live = members.all().filter(|(_, s)| *s != member::State::Dead);
     let live = live.map(|(m, _)| m.id.clone());
     let seats = rosters.record.current.seats.iter();
--- a/src/app/entry/control/roster.rs
+++ b/src/app/entry/control/roster.rs
@@ -60,7 +60,7 @@
     let epoch = state.fleet.rosters().epoch();
     let members = state.fleet.members();
     let order = proposers(epoch, members.alive());
-    order.iter().position(|id| **id == members.me().id)
+    order.iter().position(|id| **id == members.local().id)
 }
 
 /// Tells whether a live entry waits for the platform to list its VM.
--- a/src/app/entry/control/store.rs
+++ b/src/app/entry/control/store.rs
@@ -56,7 +56,7 @@
 fn is_holder(state: &State) -> bool {
     let members = state.fleet.members();
     let holders = watch_holders(members.alive());
-    holders.contains(&&members.me().id)
+    holders.contains(&&members.local().id)
 }
 
 /// Reads everything once and then follows the changes, until the watch breaks or
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -158,8 +158,8 @@
         let epoch = self.rosters().epoch();
         let members = self.members();
         Sender {
-            entry: members.me().id.clone(),
-            incarnation: members.me().incarnation,
+            entry: members.local().id.clone(),
+            incarnation: members.local().incarnation,
             epoch,
         }
     }
@@ -185,7 +185,7 @@
     #[must_use]
     pub fn others(&self) -> Vec<EntryId> {
         let members = self.members();
-        let me = members.me().id.clone();
+        let me = members.local().id.clone();
         let all = members.alive().map(|m| m.id.clone());
         all.filter(|id| *id != me).collect()
     }
--- a/src/policy/member/event.rs
+++ b/src/policy/member/event.rs
@@ -1,40 +1,40 @@
-//! What membership did, for the timeline.
+//! Membership events, which the timeline records.
 
 use std::fmt;
 
 use crate::domain::{EntryId, Incarnation, Millis};
 
-/// One change that this entry noticed.
+/// A membership change that this entry observed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Event {
-    /// When it was noticed, on the clock of this process.
+    /// When it was observed, on the clock of this process.
     pub at: Millis,
     /// The member concerned.
     pub member: EntryId,
-    /// What changed.
+    /// The kind of change.
     pub kind: EventKind,
 }
 
-/// The kinds of changes.
+/// The kinds of membership changes.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EventKind {
     /// The member was not known before.
     Joined,
-    /// A probe failed, here or elsewhere.
+    /// A probe of the member failed, by this entry or by another.
     Suspected,
-    /// The suspicion was not refuted in time.
+    /// The member did not refute the suspicion in time.
     Failed,
-    /// A suspected member refuted.
+    /// The member refuted a suspicion.
     Recovered,
-    /// A failed member is back.
+    /// A failed member is alive again.
     Returned,
-    /// The member will stop.
+    /// The member announced that it will stop.
     Leaving,
     /// The member runs as a new incarnation.
     Restarted(Incarnation),
-    /// This entry was suspected and refuted it.
+    /// This entry was suspected and refuted the suspicion.
     Refuted,
-    /// This entry was not scheduled for this long. Its view is out of date
+    /// This process was not scheduled for this long. Its view is out of date
     /// until the next sync.
     Paused(Millis),
     /// A later incarnation of this entry exists, so this process must stop.
@@ -50,10 +50,10 @@
             Self::Recovered => f.write_str("recovered"),
             Self::Returned => f.write_str("returned"),
             Self::Leaving => f.write_str("leaving"),
-            Self::Restarted(life) => write!(f, "restarted as incarnation {life}"),
+            Self::Restarted(incarnation) => write!(f, "restarted as incarnation {incarnation}"),
             Self::Refuted => f.write_str("refuted a suspicion"),
             Self::Paused(gap) => write!(f, "paused for {gap}"),
-            Self::Superseded(life) => write!(f, "superseded by incarnation {life}"),
+            Self::Superseded(incarnation) => write!(f, "superseded by incarnation {incarnation}"),
         }
     }
 }
--- a/src/policy/member/members.rs
+++ b/src/policy/member/members.rs
@@ -1,4 +1,4 @@
-//! The state machine of membership.
+//! The membership state machine: its state, inputs and timers.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -17,58 +17,59 @@
 };
 use crate::domain::{EntryId, Incarnation, Millis, ParseError};
 
-/// How many peers receive a push.
-pub(super) const PUSH_PEERS: usize = 3;
+/// How many random peers receive each push.
+pub(super) const PEERS_PER_PUSH: usize = 3;
 
-/// The most pushes in a row. One more is allowed per period, which bounds the
-/// traffic when many members return after a partition.
-pub(super) const PUSHES_MAX: u32 = 10;
+/// The largest burst of pushes. Each probe period adds one to the allowance,
+/// which bounds the traffic when many members return after a partition.
+pub(super) const PUSH_BURST_MAX: u32 = 10;
 
-/// The most extra probes per period of members that a peer reports as live and
-/// this entry holds as dead. It bounds the traffic after a partition.
-pub(super) const RECHECKS: usize = 5;
+/// The maximum number of extra probes per period of members that a peer reports
+/// as live and this entry considers dead. It bounds the traffic after a
+/// partition.
+pub(super) const RECHECKS_PER_PERIOD: usize = 5;
 
-/// A gap between two calls of [`Members::tick`] that counts as a pause of this
-/// process. The caller ticks every 100 ms or less.
-pub(super) const PAUSE_GAP: Millis = Millis(1_000);
+/// The shortest gap between two calls of [`Members::tick`] that counts as a
+/// pause of this process. The caller ticks every 100 ms or less.
+pub(super) const PAUSE_THRESHOLD: Millis = Millis(1_000);
 
-/// How long a dead member is kept and probed. It exceeds the longest partition
-/// that is planned for, one hour, by far.
+/// How long a dead member is kept and probed. It is much longer than one hour,
+/// the longest partition that the design covers.
 pub(super) const DEAD_RETENTION: Millis = Millis(24 * 3_600_000);
 
-/// The times and counts of the protocol.
+/// The timing and fan-out of the protocol.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Tuning {
-    /// The time between two probes.
-    pub period: Millis,
-    /// How long a direct probe waits before peers are asked to relay it. It is
-    /// four times the round trip between regions.
-    pub timeout: Millis,
-    /// How long a suspected member has to refute.
-    pub suspicion: Millis,
-    /// How many peers relay a probe.
-    pub relays: usize,
-    /// The time between two probes of dead members.
-    pub revisit: Millis,
-    /// The time between two comparisons of views.
-    pub sync: Millis,
+    /// The time between two probes of live members.
+    pub probe_period: Millis,
+    /// How long to wait for the acknowledgement of a direct probe before peers
+    /// are asked to relay it: four times the round trip between regions.
+    pub ack_timeout: Millis,
+    /// How long a suspected member has to refute the suspicion.
+    pub suspicion_timeout: Millis,
+    /// How many peers are asked to relay a probe.
+    pub relay_count: usize,
+    /// The time between two probes of a dead member and a seed.
+    pub reconnect_period: Millis,
+    /// The time between two periodic comparisons of views.
+    pub sync_period: Millis,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            period: Millis(1_000),
-            timeout: Millis(300),
-            suspicion: Millis(3_000),
-            relays: 3,
-            revisit: Millis(60_000),
-            sync: Millis(30_000),
+            probe_period: Millis(1_000),
+            ack_timeout: Millis(300),
+            suspicion_timeout: Millis(3_000),
+            relay_count: 3,
+            reconnect_period: Millis(60_000),
+            sync_period: Millis(30_000),
         }
     }
 }
 
-/// Identifies a probe, so that a late acknowledgement is not taken for that of
-/// a later probe.
+/// Identifies a probe, so that a late acknowledgement is not attributed to a
+/// later probe.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Nonce(pub u64);
 
@@ -87,13 +88,13 @@
     }
 }
 
-/// What the caller has to send.
+/// A message that the caller has to send.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
     /// Probe the entry at an address; the acknowledgement goes to
     /// [`Members::on_ack`].
     Probe {
-        /// The address for peers.
+        /// The peer address of the entry to probe.
         to: SocketAddr,
         /// The probe.
         nonce: Nonce,
@@ -101,7 +102,7 @@
         updates: Vec<Member>,
     },
     /// Ask a peer to probe another entry; the forwarded acknowledgement goes to
-    /// [`Members::on_ack`] in the name of the target.
+    /// [`Members::on_ack`] with the probed entry as its sender.
     Relay {
         /// The address of the peer.
         via: SocketAddr,
@@ -118,251 +119,266 @@
     Sync {
         /// The address of the peer.
         to: SocketAddr,
-        /// This entry's view.
+        /// The digest of this entry's view.
         digest: ViewDigest,
     },
 }
 
+/// Another member, with what this entry concludes about it.
 #[derive(Clone, Debug)]
-pub(super) struct Entry {
+pub(super) struct TrackedMember {
     pub(super) record: Member,
-    /// The state used for steering. It differs from the record's while a report
-    /// of death can still be refuted.
-    pub(super) view: State,
+    /// The state by which callers are directed. It differs from the record's
+    /// while a reported death can still be refuted.
+    pub(super) effective_state: State,
     /// When the member is declared dead unless it refutes.
     pub(super) deadline: Option<Millis>,
-    /// Whether this entry started the suspicion.
-    pub(super) mine: bool,
-    /// When the view last changed.
-    pub(super) since: Millis,
+    /// Whether this entry raised the suspicion, after an unanswered probe.
+    pub(super) suspected_here: bool,
+    /// When the effective state last changed.
+    pub(super) changed_at: Millis,
 }
 
+/// The probe of the current period, while it is unanswered.
 #[derive(Clone, Debug)]
-pub(super) struct Round {
+pub(super) struct PendingProbe {
     pub(super) target: EntryId,
     pub(super) nonce: Nonce,
-    pub(super) sent: Millis,
+    pub(super) sent_at: Millis,
     pub(super) relayed: bool,
 }
 
-/// The members as one entry sees them. See the [module](super) for the protocol.
+/// One entry's view of the membership. See the [module](super) for the protocol.
 #[derive(Clone, Debug)]
 pub struct Members {
-    pub(super) me: Member,
-    pub(super) others: BTreeMap<EntryId, Entry>,
+    pub(super) local: Member,
+    pub(super) others: BTreeMap<EntryId, TrackedMember>,
     pub(super) seeds: Vec<SocketAddr>,
     pub(super) tuning: Tuning,
     pub(super) queue: Queue,
-    pub(super) order: Vec<EntryId>,
-    pub(super) round: Option<Round>,
-    pub(super) nonce: u64,
-    /// Whether a record waits that must not wait for the next probe.
+    /// The members that remain to be probed before any is probed again.
+    pub(super) probe_order: Vec<EntryId>,
+    pub(super) pending: Option<PendingProbe>,
+    pub(super) last_nonce: u64,
+    /// Whether the queue holds a record that must be pushed instead of waiting for
+    /// the next probe.
     pub(super) push: bool,
-    /// How many pushes are allowed at present.
-    pub(super) credit: u32,
+    /// How many pushes are allowed now.
+    pub(super) push_credit: u32,
+    /// Members to probe that a peer reports as live and this entry considers
+    /// dead.
     pub(super) rechecks: BTreeSet<EntryId>,
-    pub(super) syncs: BTreeSet<EntryId>,
+    /// Peers with which views should be compared.
+    pub(super) sync_peers: BTreeSet<EntryId>,
     pub(super) events: Vec<Event>,
-    pub(super) ticked: Option<Millis>,
-    pub(super) probe_at: Millis,
-    pub(super) revisit_at: Millis,
-    pub(super) sync_at: Millis,
-    /// When views were last compared.
-    pub(super) synced: Millis,
+    pub(super) last_tick: Option<Millis>,
+    pub(super) next_probe: Millis,
+    pub(super) next_reconnect: Millis,
+    pub(super) next_sync: Millis,
+    /// When this entry last asked a peer to compare views.
+    pub(super) last_sync: Millis,
 }
 
 impl Members {
-    /// Returns a membership of this entry alone. `seeds` are peer addresses
-    /// through which it finds the others.
+    /// Returns a view that holds only this entry. `seeds` are peer addresses
+    /// through which it discovers the other members.
     #[must_use]
-    pub fn new(me: Member, seeds: Vec<SocketAddr>, tuning: Tuning) -> Self {
+    pub fn new(local: Member, seeds: Vec<SocketAddr>, tuning: Tuning) -> Self {
         let mut queue = Queue::default();
-        queue.push(&me.id, Urgency::High);
+        queue.push(&local.id, Urgency::High);
         Self {
-            me,
+            local,
             others: BTreeMap::new(),
             seeds,
             tuning,
             queue,
-            order: Vec::new(),
-            round: None,
-            nonce: 0,
+            probe_order: Vec::new(),
+            pending: None,
+            last_nonce: 0,
             push: false,
-            credit: PUSHES_MAX,
+            push_credit: PUSH_BURST_MAX,
             rechecks: BTreeSet::new(),
-            syncs: BTreeSet::new(),
+            sync_peers: BTreeSet::new(),
             events: Vec::new(),
-            ticked: None,
-            probe_at: Millis(0),
-            revisit_at: Millis(0),
-            sync_at: Millis(0),
-            synced: Millis(0),
+            last_tick: None,
+            next_probe: Millis(0),
+            next_reconnect: Millis(0),
+            next_sync: Millis(0),
+            last_sync: Millis(0),
         }
     }
 
     /// Returns the record of this entry.
     #[must_use]
-    pub fn me(&self) -> &Member {
-        &self.me
+    pub fn local(&self) -> &Member {
+        &self.local
     }
 
-    /// Returns the members to which callers may be sent, this entry included.
-    /// Suspected members are among them, leaving and dead ones are not.
+    /// Returns the members to which callers may be directed, including this
+    /// entry. Suspected members are included, leaving and dead ones are not.
     pub fn alive(&self) -> impl Iterator<Item = &Member> + Clone {
-        let me = (self.me.state == State::Alive).then_some(&self.me);
-        let usable = |e: &&Entry| matches!(e.view, State::Alive | State::Suspect);
-        me.into_iter()
-            .chain(self.others.values().filter(usable).map(|e| &e.record))
+        let local = (self.local.state == State::Alive).then_some(&self.local);
+        let usable =
+            |t: &&TrackedMember| matches!(t.effective_state, State::Alive | State::Suspect);
+        local
+            .into_iter()
+            .chain(self.others.values().filter(usable).map(|t| &t.record))
     }
 
-    /// Returns every known member's record and the state used for steering.
+    /// Returns the record and the effective state of every known member.
     pub fn all(&self) -> impl Iterator<Item = (&Member, State)> {
-        let others = self.others.values().map(|e| (&e.record, e.view));
-        std::iter::once((&self.me, self.me.state)).chain(others)
+        let others = self.others.values().map(|t| (&t.record, t.effective_state));
+        std::iter::once((&self.local, self.local.state)).chain(others)
     }
 
-    /// Returns the record of a member and the state used for steering.
+    /// Returns the record and the effective state of a member.
     #[must_use]
     pub fn get(&self, id: &EntryId) -> Option<(&Member, State)> {
-        if *id == self.me.id {
-            return Some((&self.me, self.me.state));
+        if *id == self.local.id {
+            return Some((&self.local, self.local.state));
         }
-        self.others.get(id).map(|e| (&e.record, e.view))
+        self.others.get(id).map(|t| (&t.record, t.effective_state))
     }
 
-    /// Returns and clears the events since the last call.
-    pub fn events(&mut self) -> Vec<Event> {
+    /// Removes and returns the events since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
     }
 
     /// Returns the messages that are due. Call it every 100 ms or less, and
     /// after [`leave`](Self::leave).
     pub fn tick(&mut self, now: Millis, rng: &mut impl Rng) -> Vec<Action> {
-        self.notice_pause(now, rng);
-        self.expire(now);
+        self.detect_pause(now, rng);
+        self.expire_suspicions(now);
         let mut out = Vec::new();
-        self.relay(now, rng, &mut out);
-        if now >= self.probe_at {
-            self.end_round(now);
-            self.start_round(now, rng, &mut out);
-            self.probe_again(now, rng, &mut out);
-            self.credit = PUSHES_MAX.min(self.credit + 1);
-            self.probe_at = now + self.tuning.period;
+        self.relay_overdue(now, rng, &mut out);
+        if now >= self.next_probe {
+            self.end_probe(now);
+            self.start_probe(now, rng, &mut out);
+            self.reprobe_suspects(now, rng, &mut out);
+            self.push_credit = PUSH_BURST_MAX.min(self.push_credit + 1);
+            self.next_probe = now + self.tuning.probe_period;
         }
-        if now >= self.revisit_at {
-            self.forget_old(now);
-            self.revisit(rng, &mut out);
-            self.revisit_at = now + self.tuning.revisit;
+        if now >= self.next_reconnect {
+            self.reap_dead(now);
+            self.reconnect(rng, &mut out);
+            self.next_reconnect = now + self.tuning.reconnect_period;
         }
         self.push_to_peers(rng, &mut out);
         self.compare_views(now, rng, &mut out);
         out
     }
 
-    /// Takes a probe's records and returns those of the acknowledgement.
+    /// Applies the records of a received probe and returns those to send with the
+    /// acknowledgement.
     pub fn on_probe(&mut self, now: Millis, from: &EntryId, updates: Vec<Member>) -> Vec<Member> {
-        self.contact(from);
-        let stale = self.stale(&updates);
+        self.note_contact(from);
+        let stale = self.stale_ids(&updates);
         self.merge(now, updates);
-        self.reply(from, &stale)
+        self.reply_records(from, &stale)
     }
 
-    /// Takes an acknowledgement. `from` is the sender that it names, which is
-    /// another entry than the probed one if an address was reused.
+    /// Handles an acknowledgement. `from` is the sender that it names, which
+    /// differs from the probed entry if an address was reused.
     pub fn on_ack(&mut self, now: Millis, from: &EntryId, nonce: Nonce, updates: Vec<Member>) {
-        self.contact(from);
+        self.note_contact(from);
         self.merge(now, updates);
-        let answered = |r: &Round| r.nonce == nonce && r.target == *from;
-        if self.round.as_ref().is_some_and(answered) {
-            self.round = None;
+        let answered = |p: &PendingProbe| p.nonce == nonce && p.target == *from;
+        if self.pending.as_ref().is_some_and(answered) {
+            self.pending = None;
         }
-        if let Some(entry) = self.others.get_mut(from)
-            && matches!(entry.record.state, State::Alive | State::Leaving)
+        if let Some(tracked) = self.others.get_mut(from)
+            && matches!(tracked.record.state, State::Alive | State::Leaving)
         {
-            // A leaving member is suspected without a record that it could
-            // refute, so its answer alone ends the suspicion.
-            entry.deadline = None;
+            // The suspicion of a leaving member creates no record that the member
+            // could refute, so its answer alone ends the suspicion.
+            tracked.deadline = None;
         }
     }
 
-    /// Takes the failure of a probe, so that relays are tried before the
-    /// timeout.
+    /// Handles the failure of a probe. Peers are asked to relay
+    /// it at the next tick, without waiting for the timeout.
     pub fn on_error(&mut self, nonce: Nonce) {
-        let timeout = self.tuning.timeout;
-        if let Some(round) = self.round.as_mut().filter(|r| r.nonce == nonce) {
-            round.sent = round.sent - timeout;
+        let timeout = self.tuning.ack_timeout;
+        if let Some(pending) = self.pending.as_mut().filter(|p| p.nonce == nonce) {
+            pending.sent_at = pending.sent_at - timeout;
         }
     }
 
-    /// Returns the records with which to probe `target` on behalf of a peer.
+    /// Handles a request to relay a probe: applies its records and returns those
+    /// with which to probe `target` for the peer.
     pub fn on_relay(&mut self, now: Millis, target: &EntryId, updates: Vec<Member>) -> Vec<Member> {
         self.merge(now, updates);
-        self.outgoing(Some(target))
+        self.outgoing_records(Some(target))
     }
 
-    /// Returns the records in which a peer's view differs, and whether some
-    /// were left out because of their size.
+    /// Returns the records in which a peer's view may differ, and whether some
+    /// were omitted because of the size limit.
     #[must_use]
     pub fn on_digest(&self, digest: &ViewDigest) -> (Vec<Member>, bool) {
-        digest.differing(&self.me.id, self.not_dead())
+        digest.differing(&self.local.id, self.not_dead())
     }
 
-    /// Takes the reply to a comparison. `more` is true if the peer has further
-    /// records that differ.
+    /// Handles the reply to a comparison of views. `more` is true if the peer
+    /// has further records that differ.
     pub fn on_records(&mut self, now: Millis, from: &EntryId, records: Vec<Member>, more: bool) {
-        let mut news = false;
+        let mut changed = false;
         for record in records {
             let id = record.id.clone();
             let scheduled = self.queue.contains(&id);
             self.on_update(now, record);
             if !scheduled && self.queue.contains(&id) {
-                self.queue.defer(&id);
-                news = true;
+                self.queue.lower_urgency(&id);
+                changed = true;
             }
         }
-        // After a partition most records can be of members that are held dead
-        // here. These change nothing yet, and the same reply would come again.
-        if more && news {
-            self.syncs.insert(from.clone());
+        // After a partition, most of the records may be of members that this
+        // entry considers dead. These change nothing yet, and another comparison
+        // would return the same reply.
+        if more && changed {
+            self.sync_peers.insert(from.clone());
         }
     }
 
-    /// Takes one record, from wherever it comes.
+    /// Applies one record from any source.
     pub fn on_update(&mut self, now: Millis, update: Member) {
-        if update.id == self.me.id {
+        if update.id == self.local.id {
             self.refute(now, &update);
         } else if self.others.contains_key(&update.id) {
             self.replace(now, update);
         } else {
-            self.admit(now, update);
+            self.add_member(now, update);
         }
     }
 
-    /// Compares views with a peer at the next chance, at most once a second. It
-    /// is called while the roster lists entries that are not known here, since
-    /// messages to them would be dropped.
-    pub fn compare_soon(&mut self) {
-        self.sync_at = Millis(0);
+    /// Schedules a comparison of views with a random peer for the next tick; at
+    /// most one is sent per probe period. The caller uses it while the roster
+    /// lists entries that are unknown here, since messages to them would be
+    /// dropped.
+    pub fn request_sync(&mut self) {
+        self.next_sync = Millis(0);
     }
 
-    /// Marks this entry as leaving. The next [`tick`](Self::tick) pushes it.
+    /// Marks this entry as leaving. The next [`tick`](Self::tick) pushes the
+    /// record to peers.
     pub fn leave(&mut self) {
-        self.me.state = State::Leaving;
-        self.issue(Urgency::High);
+        self.local.state = State::Leaving;
+        self.issue_version(Urgency::High);
         self.push = true;
     }
 
-    /// Reports this entry's load.
+    /// Sets the load that this entry reports.
     pub fn set_load(&mut self, load: Load) {
-        if self.me.load != load {
-            self.me.load = load;
-            self.issue(Urgency::Low);
+        if self.local.load != load {
+            self.local.load = load;
+            self.issue_version(Urgency::Low);
         }
     }
 
-    /// Forgets a member whose incarnation the platform reports as gone.
+    /// Removes a member if its incarnation is not later than `incarnation`, which
+    /// the platform reports as gone.
     pub fn remove(&mut self, id: &EntryId, incarnation: Incarnation) {
-        let gone = |e: &Entry| e.record.incarnation <= incarnation;
+        let gone = |t: &TrackedMember| t.record.incarnation <= incarnation;
         if self.others.get(id).is_some_and(gone) {
             self.forget(id);
         }
@@ -372,21 +388,22 @@
         self.others.remove(id);
         self.queue.remove(id);
         self.rechecks.remove(id);
-        self.syncs.remove(id);
+        self.sync_peers.remove(id);
     }
 
     pub(super) fn not_dead(&self) -> impl Iterator<Item = &Member> + Clone {
         let others = self.others.values();
-        let others = others.filter(|e| e.record.state != State::Dead);
-        std::iter::once(&self.me).chain(others.map(|e| &e.record))
+        let others = others.filter(|t| t.record.state != State::Dead);
+        std::iter::once(&self.local).chain(others.map(|t| &t.record))
     }
 
-    /// Returns the members of which this entry has a later version. A later state
-    /// of the same version is left out: a suspicion or a death must not spread
-    /// through replies, where the two sides of a former partition meet.
-    fn stale(&self, updates: &[Member]) -> Vec<EntryId> {
+    /// Returns the members of which this entry has a later version than the
+    /// sender of `updates`. A later state of the same version is not included: a
+    /// suspicion or a death must not be disseminated in replies, through which
+    /// the two sides of a healed partition first exchange records.
+    fn stale_ids(&self, updates: &[Member]) -> Vec<EntryId> {
         let behind = |u: &&Member| {
-            let held = self.others.get(&u.id).map(|e| &e.record);
+            let held = self.others.get(&u.id).map(|t| &t.record);
             held.is_some_and(|m| (m.incarnation, m.version) > (u.incarnation, u.version))
         };
         let behind = updates.iter().filter(behind);
@@ -399,7 +416,7 @@
         }
     }
 
-    pub(super) fn note(&mut self, at: Millis, member: &EntryId, kind: EventKind) {
+    pub(super) fn record_event(&mut self, at: Millis, member: &EntryId, kind: EventKind) {
         self.events.push(Event {
             at,
             member: member.clone(),
--- a/src/policy/member/merge.rs
+++ b/src/policy/member/merge.rs
@@ -1,176 +1,179 @@
-//! How records change the view.
+//! Applies records and suspicions to the view.
 
 use super::{
     event::EventKind,
-    members::{DEAD_RETENTION, Entry, Members},
+    members::{DEAD_RETENTION, Members, TrackedMember},
     queue::Urgency,
     record::{Member, State},
 };
 use crate::domain::{EntryId, Millis};
 
 impl Members {
-    /// Takes a record about this entry itself.
+    /// Handles a record about this entry itself: refutes it if it would supersede
+    /// the entry's own, and reports a later incarnation.
     pub(super) fn refute(&mut self, now: Millis, update: &Member) {
-        let id = self.me.id.clone();
-        if update.incarnation > self.me.incarnation {
-            self.note(now, &id, EventKind::Superseded(update.incarnation));
-        } else if update.supersedes(&self.me) {
-            self.me.version = update.version;
-            self.issue(Urgency::High);
+        let id = self.local.id.clone();
+        if update.incarnation > self.local.incarnation {
+            self.record_event(now, &id, EventKind::Superseded(update.incarnation));
+        } else if update.supersedes(&self.local) {
+            self.local.version = update.version;
+            self.issue_version(Urgency::High);
             self.push = true;
-            self.note(now, &id, EventKind::Refuted);
+            self.record_event(now, &id, EventKind::Refuted);
         }
     }
 
     /// Issues the next version of this entry's record.
-    pub(super) fn issue(&mut self, urgency: Urgency) {
-        self.me.version = self.me.version.next();
-        let id = self.me.id.clone();
+    pub(super) fn issue_version(&mut self, urgency: Urgency) {
+        self.local.version = self.local.version.next();
+        let id = self.local.id.clone();
         self.queue.push(&id, urgency);
     }
 
-    /// Takes the first record of a member. That of a dead one is kept as well,
-    /// so that an older record which arrives later does not revive it.
-    pub(super) fn admit(&mut self, now: Millis, update: Member) {
+    /// Adds a member with its first record. A dead member is added as well, so
+    /// that an older record that arrives later does not revive it.
+    pub(super) fn add_member(&mut self, now: Millis, update: Member) {
         let id = update.id.clone();
         let (suspect, dead) = (update.state == State::Suspect, update.state == State::Dead);
-        let entry = Entry {
-            view: update.state,
+        let tracked = TrackedMember {
+            effective_state: update.state,
             record: update,
-            deadline: suspect.then_some(now + self.tuning.suspicion),
-            mine: false,
-            since: now,
+            deadline: suspect.then_some(now + self.tuning.suspicion_timeout),
+            suspected_here: false,
+            changed_at: now,
         };
-        self.others.insert(id.clone(), entry);
-        self.order.push(id.clone());
+        self.others.insert(id.clone(), tracked);
+        self.probe_order.push(id.clone());
         self.queue.push(&id, Urgency::High);
         if !dead {
-            self.note(now, &id, EventKind::Joined);
+            self.record_event(now, &id, EventKind::Joined);
         }
     }
 
-    /// Takes a further record of a member.
+    /// Applies a record of a known member if it supersedes the current one.
     pub(super) fn replace(&mut self, now: Millis, update: Member) {
         let id = update.id.clone();
-        let Some(entry) = self.others.get_mut(&id) else {
+        let Some(tracked) = self.others.get_mut(&id) else {
             return;
         };
-        if !update.supersedes(&entry.record) {
-            let live = update.state < State::Dead && entry.view == State::Dead;
-            if live && update.incarnation == entry.record.incarnation {
-                // A peer still uses it. Only the member itself can tell, by
-                // refuting the record with which it is probed.
+        if !update.supersedes(&tracked.record) {
+            let live = update.state < State::Dead && tracked.effective_state == State::Dead;
+            if live && update.incarnation == tracked.record.incarnation {
+                // A peer considers the member live. Only the member itself can
+                // settle this, by refuting the record that the probe carries.
                 self.rechecks.insert(id);
             }
             return;
         }
-        let restarted = update.incarnation > entry.record.incarnation;
-        let urgency = urgency(&entry.record, &update);
-        let before = entry.view;
-        let deadline = now + self.tuning.suspicion;
-        entry.apply(update, deadline);
-        let (after, life) = (entry.view, entry.record.incarnation);
+        let restarted = update.incarnation > tracked.record.incarnation;
+        let urgency = urgency(&tracked.record, &update);
+        let before = tracked.effective_state;
+        let deadline = now + self.tuning.suspicion_timeout;
+        tracked.apply(update, deadline);
+        let (after, incarnation) = (tracked.effective_state, tracked.record.incarnation);
         if before != after {
-            entry.since = now;
+            tracked.changed_at = now;
         }
         self.queue.push(&id, urgency);
-        // A refutation is also passed on by members that missed the suspicion,
-        // since others may have heard of it. No other record of a live member
-        // is as urgent without a restart.
+        // Members that did not receive the suspicion push the refutation as well,
+        // since others may have received it. Without a restart, an urgent record
+        // of a live member can only be a refutation.
         let refuted = urgency == Urgency::High && after == State::Alive && !restarted;
         let leaving = after == State::Leaving && before != State::Leaving;
         self.push |= refuted || leaving;
         if restarted {
-            self.note(now, &id, EventKind::Restarted(life));
+            self.record_event(now, &id, EventKind::Restarted(incarnation));
         } else if let Some(kind) = change(before, after) {
-            self.note(now, &id, kind);
+            self.record_event(now, &id, kind);
         }
     }
 
-    /// Notes direct contact with a member. If it was held dead or is unknown,
-    /// the two views may be far apart and are compared.
-    pub(super) fn contact(&mut self, from: &EntryId) {
-        match self.others.get(from).map(|e| e.view) {
+    /// Handles direct contact with a member. If the member was considered dead or
+    /// is unknown, the two views may differ widely, so they are compared.
+    pub(super) fn note_contact(&mut self, from: &EntryId) {
+        match self.others.get(from).map(|t| t.effective_state) {
             Some(State::Dead) => {
                 self.rechecks.insert(from.clone());
-                self.syncs.insert(from.clone());
+                self.sync_peers.insert(from.clone());
             }
-            None if *from != self.me.id => {
-                self.syncs.insert(from.clone());
+            None if *from != self.local.id => {
+                self.sync_peers.insert(from.clone());
             }
             _ => {}
         }
     }
 
-    /// Starts the suspicion of a member that did not answer.
+    /// Suspects a member that did not answer a probe.
     pub(super) fn suspect(&mut self, now: Millis, id: &EntryId) {
-        let deadline = now + self.tuning.suspicion;
-        let Some(entry) = self.others.get_mut(id) else {
+        let deadline = now + self.tuning.suspicion_timeout;
+        let Some(tracked) = self.others.get_mut(id) else {
             return;
         };
-        match entry.record.state {
+        match tracked.record.state {
             State::Alive => {
-                entry.record.state = State::Suspect;
-                entry.view = State::Suspect;
-                entry.since = now;
-                entry.mine = true;
-                entry.deadline = Some(deadline);
+                tracked.record.state = State::Suspect;
+                tracked.effective_state = State::Suspect;
+                tracked.changed_at = now;
+                tracked.suspected_here = true;
+                tracked.deadline = Some(deadline);
                 self.queue.push(id, Urgency::High);
-                self.note(now, id, EventKind::Suspected);
+                self.record_event(now, id, EventKind::Suspected);
             }
             State::Leaving => {
-                entry.mine = true;
-                entry.deadline.get_or_insert(deadline);
+                tracked.suspected_here = true;
+                tracked.deadline.get_or_insert(deadline);
             }
             State::Suspect | State::Dead => {}
         }
     }
 
-    /// Declares members dead whose suspicion was not refuted in time.
-    pub(super) fn expire(&mut self, now: Millis) {
-        let due = |e: &Entry| e.deadline.is_some_and(|at| now >= at);
+    /// Declares the members dead that did not refute a suspicion in time.
+    pub(super) fn expire_suspicions(&mut self, now: Millis) {
+        let due = |t: &TrackedMember| t.deadline.is_some_and(|at| now >= at);
         for id in self.ids_where(due) {
-            if let Some(entry) = self.others.get_mut(&id) {
-                entry.fail(now);
+            if let Some(tracked) = self.others.get_mut(&id) {
+                tracked.fail(now);
             }
             self.queue.push(&id, Urgency::High);
-            self.note(now, &id, EventKind::Failed);
+            self.record_event(now, &id, EventKind::Failed);
         }
     }
 
-    /// Forgets members that have been dead for long.
-    pub(super) fn forget_old(&mut self, now: Millis) {
-        let old = |e: &Entry| e.view == State::Dead && now - e.since >= DEAD_RETENTION;
+    /// Removes the members that have been dead for [`DEAD_RETENTION`].
+    pub(super) fn reap_dead(&mut self, now: Millis) {
+        let old = |t: &TrackedMember| {
+            t.effective_state == State::Dead && now - t.changed_at >= DEAD_RETENTION
+        };
         for id in self.ids_where(old) {
             self.forget(&id);
         }
     }
 
-    fn ids_where(&self, test: impl Fn(&Entry) -> bool) -> Vec<EntryId> {
-        let found = self.others.iter().filter(|(_, e)| test(e));
+    fn ids_where(&self, test: impl Fn(&TrackedMember) -> bool) -> Vec<EntryId> {
+        let found = self.others.iter().filter(|(_, t)| test(t));
         found.map(|(id, _)| id.clone()).collect()
     }
 }
 
-impl Entry {
+impl TrackedMember {
     fn apply(&mut self, update: Member, deadline: Millis) {
         self.record = update;
         match self.record.state {
             State::Alive | State::Leaving => {
-                self.view = self.record.state;
+                self.effective_state = self.record.state;
                 self.deadline = None;
-                self.mine = false;
+                self.suspected_here = false;
             }
             State::Suspect => {
-                self.view = State::Suspect;
+                self.effective_state = State::Suspect;
                 self.deadline.get_or_insert(deadline);
             }
-            State::Dead if self.view == State::Dead => {}
+            State::Dead if self.effective_state == State::Dead => {}
             State::Dead => {
-                // The view stays until the deadline, so that the member can
-                // refute first.
-                if self.view == State::Alive {
-                    self.view = State::Suspect;
+                // The member stays in use until the deadline, so that it can
+                // refute the report.
+                if self.effective_state == State::Alive {
+                    self.effective_state = State::Suspect;
                 }
                 self.deadline.get_or_insert(deadline);
             }
@@ -179,14 +182,14 @@
 
     fn fail(&mut self, now: Millis) {
         self.record.state = State::Dead;
-        self.view = State::Dead;
+        self.effective_state = State::Dead;
         self.deadline = None;
-        self.mine = false;
-        self.since = now;
+        self.suspected_here = false;
+        self.changed_at = now;
     }
 }
 
-/// A record that only reports another load is less urgent than the rest.
+/// Returns the urgency of `new`, which is low if only the load changed.
 fn urgency(old: &Member, new: &Member) -> Urgency {
     let same = old.state == new.state && old.incarnation == new.incarnation;
     if same && old.load != new.load {
--- a/src/policy/member/queue.rs
+++ b/src/policy/member/queue.rs
@@ -1,48 +1,55 @@
-//! Records that wait to be piggybacked on probes.
+//! The queue of records to piggyback on probes.
 
 use std::collections::BTreeMap;
 
 use super::record::Member;
 use crate::domain::EntryId;
 
-/// The most bytes of records in one message, so that a probe fits one packet.
-pub const UPDATE_BYTES: usize = 1_200;
+/// The maximum size of the records in one message, so that a probe fits in one
+/// packet.
+pub const UPDATE_BYTES_MAX: usize = 1_200;
 
-/// How often a record is sent, as a multiple of the binary logarithm of the
-/// fleet size. With a factor of 3 the SWIM analysis leaves a negligible chance
-/// that a member misses a record, and the periodic sync repairs that.
+/// How many times a record is sent, as a multiple of the binary logarithm of the
+/// fleet size. According to the SWIM analysis, a factor of 3 leaves a negligible
+/// probability that a member misses a record; the periodic sync repairs that.
 const RETRANSMIT_FACTOR: u32 = 3;
 
-/// How urgent a record is. The less urgent ones wait for the others.
+/// The urgency of a record. Urgent records are sent first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) enum Urgency {
     /// A member joined, left, failed or returned.
     High,
-    /// Only the load changed, or the record comes from a comparison of views, so
-    /// that at least one peer has had it for a while.
+    /// Only the load changed, or the record comes from a comparison of views, in
+    /// which case at least one peer already has it.
     Low,
 }
 
 #[derive(Clone, Debug)]
 struct Item {
     urgency: Urgency,
-    sent: u32,
+    transmits: u32,
 }
 
 /// The members whose record is still to be sent, with the number of times it
-/// was sent. The record itself is read when a message is built, so a newer one
-/// replaces an older one without a second entry.
+/// was sent. The record itself is read when a message is built, so a newer record
+/// needs no second item.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     items: BTreeMap<EntryId, Item>,
 }
 
 impl Queue {
-    /// Schedules a member's record, from the start.
+    /// Schedules a member's record and resets its number of transmissions.
     pub(super) fn push(&mut self, id: &EntryId, urgency: Urgency) {
-        let waiting = self.items.get(id).filter(|i| i.sent == 0);
+        let waiting = self.items.get(id).filter(|i| i.transmits == 0);
         let urgency = waiting.map_or(urgency, |i| i.urgency.min(urgency));
-        self.items.insert(id.clone(), Item { urgency, sent: 0 });
+        self.items.insert(
+            id.clone(),
+            Item {
+                urgency,
+                transmits: 0,
+            },
+        );
     }
 
     /// Reports whether a member's record is scheduled.
@@ -50,34 +57,35 @@
         self.items.contains_key(id)
     }
 
-    /// Makes a member's record less urgent.
-    pub(super) fn defer(&mut self, id: &EntryId) {
+    /// Sets the urgency of a scheduled record to [`Urgency::Low`].
+    pub(super) fn lower_urgency(&mut self, id: &EntryId) {
         if let Some(item) = self.items.get_mut(id) {
             item.urgency = Urgency::Low;
         }
     }
 
-    /// Drops a member's record.
+    /// Removes a member's record from the queue.
     pub(super) fn remove(&mut self, id: &EntryId) {
         self.items.remove(id);
     }
 
-    /// Adds records to `out` until the message is full, least often sent first.
-    /// `fleet` is the number of members.
+    /// Adds records to `out` until the message is full: urgent ones first, then
+    /// those that were sent least often. `record` returns a member's current
+    /// record.
     pub(super) fn fill<'a>(
         &mut self,
         out: &mut Vec<Member>,
-        fleet: usize,
+        member_count: usize,
         record: impl Fn(&EntryId) -> Option<&'a Member>,
     ) {
-        let mut used: usize = out.iter().map(Member::size).sum();
-        let mut order: Vec<_> = self
+        let mut used: usize = out.iter().map(Member::size_bound).sum();
+        let mut by_urgency: Vec<_> = self
             .items
             .iter()
-            .map(|(id, i)| (i.urgency, i.sent, id.clone()))
+            .map(|(id, i)| (i.urgency, i.transmits, id.clone()))
             .collect();
-        order.sort();
-        for (_, _, id) in order {
+        by_urgency.sort();
+        for (_, _, id) in by_urgency {
             if out.iter().any(|m| m.id == id) {
                 continue;
             }
@@ -85,32 +93,32 @@
                 self.items.remove(&id);
                 continue;
             };
-            if used + member.size() > UPDATE_BYTES {
+            if used + member.size_bound() > UPDATE_BYTES_MAX {
                 break;
             }
-            used += member.size();
+            used += member.size_bound();
             out.push(member.clone());
-            self.count(&id, fleet);
+            self.count_transmit(&id, member_count);
         }
     }
 
-    fn count(&mut self, id: &EntryId, fleet: usize) {
+    fn count_transmit(&mut self, id: &EntryId, member_count: usize) {
         if let Some(item) = self.items.get_mut(id) {
-            item.sent += 1;
-            if item.sent >= retransmit_limit(fleet, item.urgency) {
+            item.transmits += 1;
+            if item.transmits >= retransmit_limit(member_count, item.urgency) {
                 self.items.remove(id);
             }
         }
     }
 }
 
-/// Returns how many times each record is sent in a fleet of this size.
-fn retransmit_limit(fleet: usize, urgency: Urgency) -> u32 {
-    let bits = (usize::BITS - fleet.leading_zeros()).max(1);
+/// Returns how many times each record is sent, given the size of the fleet.
+fn retransmit_limit(member_count: usize, urgency: Urgency) -> u32 {
+    let bits = (usize::BITS - member_count.leading_zeros()).max(1);
     match urgency {
         Urgency::High => RETRANSMIT_FACTOR * bits,
-        // Load changes far more often than state, and a start of the whole fleet
-        // would otherwise keep messages full for many minutes.
+        // Load changes far more often than state. With the factor, the start of a
+        // whole fleet would fill the messages for many minutes.
         Urgency::Low => bits,
     }
 }
--- a/src/policy/member/record.rs
+++ b/src/policy/member/record.rs
@@ -1,29 +1,30 @@
-//! What an entry says of itself and what others say of it.
+//! Member records, which entries issue about themselves and others update with
+//! suspicions and deaths.
 
 use std::{fmt, net::SocketAddr, str::FromStr};
 
 use crate::domain::{AzName, EntryId, Incarnation, ParseError, RegionName, words};
 
 words!(
-    /// The state of a member. At the same incarnation and version the later
+    /// The state of a member. At the same incarnation and version, the later
     /// variant takes precedence. `Leaving` ranks above `Suspect` so that a
-    /// suspicion cannot return a leaving member to lookups.
+    /// suspicion cannot put a leaving member back into lookups.
     State, "member state", "\"alive\", \"suspect\", \"leaving\" or \"dead\"",
     /// It answers probes.
     #[default]
     Alive = "alive",
-    /// A probe failed. It still counts as live.
+    /// A probe of it failed. Callers are still directed to it.
     Suspect = "suspect",
-    /// It has announced that it will stop, and takes no new callers.
+    /// It has announced that it will stop, and accepts no new callers.
     Leaving = "leaving",
-    /// It is not used for steering.
+    /// It did not refute a suspicion in time. No caller is directed to it.
     Dead = "dead"
 );
 words!(
     /// The load that an entry reports. There are only three levels because
     /// every change is sent to the whole fleet.
     Load, "load level", "\"normal\", \"high\" or \"severe\"",
-    /// Callers may be sent to it.
+    /// Callers may be directed to it.
     #[default]
     Normal = "normal",
     /// It is ranked lower in lookups.
@@ -34,9 +35,9 @@
 
 /// Counts the records that a member has issued within one incarnation.
 ///
-/// It is separate from [`Incarnation`], because roster seats, units and claims
-/// belong to one life of a process. A refutation after a pause must supersede
-/// the suspicion without looking like a restart.
+/// It is separate from [`Incarnation`] because roster seats, units and claims
+/// belong to one incarnation of a process. A refutation after a pause must
+/// supersede the suspicion without looking like a restart.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Version(pub u64);
 
@@ -63,14 +64,15 @@
     }
 }
 
-/// One entry, as known to a peer. It is also the unit of dissemination.
+/// The record of one entry. It is the unit of dissemination between entries.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Member {
     /// The entry VM.
     pub id: EntryId,
-    /// The life of its process.
+    /// The incarnation of its process.
     pub incarnation: Incarnation,
-    /// The record within that life. Only the member itself raises it.
+    /// The version of the record within that incarnation. Only the member itself
+    /// raises it.
     pub version: Version,
     /// Its state.
     pub state: State,
@@ -78,36 +80,35 @@
     pub region: RegionName,
     /// Its availability zone.
     pub az: AzName,
-    /// Where callers reach it.
+    /// The address for callers.
     pub callers: SocketAddr,
-    /// Where operators reach it.
+    /// The address for operators.
     pub admin: SocketAddr,
-    /// Where other entries reach it.
+    /// The address for other entries.
     pub peers: SocketAddr,
     /// Its reported load.
     pub load: Load,
 }
 
-/// The most bytes that tags, lengths, numbers and flags of one record take in
-/// the encoding between entries: eleven tags of one byte, seven lengths of
-/// one byte, two 10-byte numbers and two 1-byte flags. `tests/member.rs` checks
-/// that no encoded record exceeds [`Member::size`].
-const OVERHEAD: usize = 40;
+/// The maximum size of the tags, lengths, numbers and flags of one encoded
+/// record: eleven 1-byte tags, seven 1-byte lengths, two 10-byte numbers and two
+/// 1-byte flags. `tests/member.rs` checks that no encoded record exceeds [`Member::size_bound`].
+const OVERHEAD_BYTES: usize = 40;
 
 impl Member {
     /// Reports whether this record takes precedence over `other`.
     ///
     /// Records of one member are ordered by incarnation, version and state, and
-    /// the greatest is kept. Updates may therefore arrive in any order, any
-    /// number of times, with the same result.
+    /// the greatest is kept. Records may therefore arrive in any order and any
+    /// number of times with the same result.
     #[must_use]
     pub fn supersedes(&self, other: &Self) -> bool {
-        self.order() > other.order()
+        self.precedence() > other.precedence()
     }
 
-    /// Returns an upper bound of the encoded size in bytes.
+    /// Returns an upper bound on the encoded size in bytes.
     #[must_use]
-    pub fn size(&self) -> usize {
+    pub fn size_bound(&self) -> usize {
         let names = [
             self.id.as_bytes(),
             self.region.as_bytes(),
@@ -116,10 +117,10 @@
         let names: usize = names.iter().map(|n| n.len()).sum();
         let addresses = [self.callers, self.admin, self.peers];
         let addresses: usize = addresses.iter().map(|a| address_size(*a)).sum();
-        OVERHEAD + names + addresses
+        OVERHEAD_BYTES + names + addresses
     }
 
-    fn order(&self) -> (Incarnation, Version, State) {
+    fn precedence(&self) -> (Incarnation, Version, State) {
         (self.incarnation, self.version, self.state)
     }
 }
--- a/src/policy/member/sync.rs
+++ b/src/policy/member/sync.rs
@@ -1,41 +1,41 @@
-//! Comparison of two views of the membership.
+//! Anti-entropy: comparison of the views of two entries.
 //!
-//! The asking side sends a hash per bucket of members; the other side returns
-//! the records in buckets that differ. Dead members are left out on both sides:
-//! after a partition, each side holds the other as dead, and an exchange of
-//! those records would mark the whole fleet as dead at once.
+//! The requester sends one hash per bucket of members; the responder returns its
+//! records in the buckets that differ. Both sides omit dead members: after a
+//! partition, each side considers the other dead, and an exchange of those
+//! records would mark the whole fleet as dead at once.
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::record::Member;
 use crate::domain::EntryId;
 
-/// The most buckets, which bounds a digest to 1 KB.
+/// The maximum number of buckets, which limits a digest to 1 KB.
 const BUCKETS_MAX: usize = 256;
 
-/// The expected number of members per bucket. A bucket of eight records is
-/// smaller than the digest itself.
-const BUCKET_MEMBERS: usize = 8;
+/// The target number of members per bucket. A bucket of eight records is smaller
+/// than the digest itself.
+const MEMBERS_PER_BUCKET: usize = 8;
 
-/// The most bytes of records in one reply. It leaves most of the 256 KB message
-/// limit unused, because a reply also delays others on the same link.
-const REPLY_BYTES: usize = 64 * 1024;
+/// The maximum size of the records in one reply. It is well below the message
+/// limit of 256 KB, because a large reply delays other messages on the link.
+const REPLY_BYTES_MAX: usize = 64 * 1024;
 
-/// A hash per bucket of the members that are not dead.
+/// One hash per bucket of the members that are not dead.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct ViewDigest(Vec<u32>);
 
 impl ViewDigest {
-    /// Returns the digest of `members` with a number of buckets that suits
+    /// Returns the digest of `members`, with a number of buckets that depends on
     /// their count.
     pub(super) fn of<'a>(members: impl Iterator<Item = &'a Member> + Clone) -> Self {
-        let wanted = members.clone().count() / BUCKET_MEMBERS;
+        let wanted = members.clone().count() / MEMBERS_PER_BUCKET;
         let buckets = wanted.next_power_of_two().min(BUCKETS_MAX);
         Self::with_buckets(buckets, members)
     }
 
-    /// Returns a digest read from a message, or none if its length is not
-    /// allowed.
+    /// Returns the digest that a message carries, or `None` if the number of
+    /// hashes is invalid.
     #[must_use]
     pub fn from_hashes(hashes: Vec<u32>) -> Option<Self> {
         let allowed = (1..=BUCKETS_MAX).contains(&hashes.len());
@@ -48,26 +48,26 @@
         &self.0
     }
 
-    /// Returns the records in differing buckets, and whether some were left
-    /// out because of the size limit. The first record depends on `me`, so that
-    /// replies of several peers together hold all of them.
+    /// Returns the records in the buckets that differ, and whether some were
+    /// omitted because of the size limit. The first record depends on `local`, so
+    /// that the replies of several peers together contain all records.
     pub(super) fn differing<'a>(
         &self,
-        me: &EntryId,
+        local: &EntryId,
         members: impl Iterator<Item = &'a Member> + Clone,
     ) -> (Vec<Member>, bool) {
-        let mine = Self::with_buckets(self.0.len(), members.clone());
+        let own = Self::with_buckets(self.0.len(), members.clone());
         let differs = |m: &&Member| {
-            let at = bucket(&m.id, self.0.len());
-            mine.0.get(at) != self.0.get(at)
+            let index = bucket_index(&m.id, self.0.len());
+            own.0.get(index) != self.0.get(index)
         };
         let mut differing: Vec<&Member> = members.filter(differs).collect();
-        let start = bucket(me, differing.len());
+        let start = bucket_index(local, differing.len());
         differing.rotate_left(start);
         let mut used = 0;
         let fits = |m: &&&Member| {
-            used += m.size();
-            used <= REPLY_BYTES
+            used += m.size_bound();
+            used <= REPLY_BYTES_MAX
         };
         let records: Vec<Member> = differing
             .iter()
@@ -81,7 +81,7 @@
     fn with_buckets<'a>(buckets: usize, members: impl Iterator<Item = &'a Member>) -> Self {
         let mut hashes = vec![0; buckets];
         for member in members {
-            if let Some(hash) = hashes.get_mut(bucket(&member.id, buckets)) {
+            if let Some(hash) = hashes.get_mut(bucket_index(&member.id, buckets)) {
                 *hash ^= record_hash(member);
             }
         }
@@ -89,7 +89,7 @@
     }
 }
 
-fn bucket(id: &EntryId, buckets: usize) -> usize {
+fn bucket_index(id: &EntryId, buckets: usize) -> usize {
     let buckets = u64::try_from(buckets.max(1)).unwrap_or(1);
     usize::try_from(xxh3_64(id.as_bytes()) % buckets).unwrap_or_default()
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -72,7 +72,7 @@
             }
         }
         for n in 0..self.nodes.len() {
-            for event in self.nodes[n].events() {
+            for event in self.nodes[n].take_events() {
                 self.timeline.push(format!("{} | {event}", id(n)));
             }
         }
@@ -91,7 +91,7 @@
         let view = |m: &Members| {
             let mut ids: Vec<_> = m.alive().map(|o| number(&o.id)).collect();
             ids.sort();
-            format!("{}: {}", m.me().id, ids.join(" "))
+            format!("{}: {}", m.local().id, ids.join(" "))
         };
         self.nodes.iter().map(view).collect()
     }
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -15,8 +15,8 @@
     adapters::grpc::MemberRecord,
     domain::{EntryId, Epoch, Incarnation, Millis},
     policy::member::{
-        Action, Load, Member, Members, Proposer, Roster, State, Tuning, UPDATE_BYTES, Version, Vm,
-        next_roster, proposers,
+        Action, Load, Member, Members, Proposer, Roster, State, Tuning, UPDATE_BYTES_MAX, Version,
+        Vm, next_roster, proposers,
     },
 };
 
@@ -63,9 +63,9 @@
 /// alone do: the suspicion comes up again and again.
 #[test]
 fn an_asymmetric_cut_is_bridged_by_relays() {
-    let run = |relays| {
+    let run = |relay_count| {
         let tuning = Tuning {
-            relays,
+            relay_count,
             ..Tuning::default()
         };
         let mut fleet = Fleet::formed(9, 4, tuning);
@@ -111,8 +111,8 @@
     fleet.paused.clear();
     fleet.run(Millis(70_000));
     assert!(whole(&fleet), "{:#?}", fleet.views());
-    assert_eq!(fleet.nodes[2].me().incarnation, Incarnation(1));
-    assert!(fleet.nodes[2].me().version > Version(0));
+    assert_eq!(fleet.nodes[2].local().incarnation, Incarnation(1));
+    assert!(fleet.nodes[2].local().version > Version(0));
     insta::assert_snapshot!(fleet.timeline.join("\n"));
 }
 
@@ -243,7 +243,7 @@
 #[test]
 fn without_probes_of_dead_members_a_partition_stays() {
     let tuning = Tuning {
-        revisit: Millis(1_000 * MINUTE.0),
+        reconnect_period: Millis(1_000 * MINUTE.0),
         ..Tuning::default()
     };
     let mut fleet = Fleet::formed(9, 7, tuning);
@@ -285,9 +285,9 @@
         let bytes = updates.iter().map(|m| MemberRecord::new(m).encoded_len());
         sizes.push(bytes.sum::<usize>());
     }
-    assert!(sizes.iter().all(|s| *s <= UPDATE_BYTES));
+    assert!(sizes.iter().all(|s| *s <= UPDATE_BYTES_MAX));
     assert!(
-        sizes[0] > UPDATE_BYTES / 2,
+        sizes[0] > UPDATE_BYTES_MAX / 2,
         "a message is not used: {}",
         sizes[0]
     );
@@ -325,7 +325,11 @@
         ..member(0)
     };
     members.on_update(Millis(5), successor);
-    let events: Vec<_> = members.events().iter().map(ToString::to_string).collect();
+    let events: Vec<_> = members
+        .take_events()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
     insta::assert_snapshot!(events.join("\n"), @"5 ms: entry-0 superseded by incarnation 7");
 }
 
@@ -383,7 +387,7 @@
         };
         let record = MemberRecord::new(&member);
         let bytes = record.encode_to_vec();
-        let framed = bytes.len() + 2 <= member.size();
+        let framed = bytes.len() + 2 <= member.size_bound();
         let read = MemberRecord::decode(bytes.as_slice()).expect("it was encoded");
         framed && read.read() == Ok(member)
     }
