Name the timeouts and results of silence detection

`patience`, `Fate` and `moved` did not say that they are a timeout, what happens to the connection, and that bytes were sent or received. Constants now name the quantity that they set.

Behaviour is unchanged.

--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -23,7 +23,7 @@
 use crate::{
     domain::{Millis, Shards, TargetId},
     policy::silence::{
-        IDLE_MAX, KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, USER_TIMEOUT,
+        KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, POOL_IDLE_MAX, TCP_USER_TIMEOUT,
     },
     ports::{Body, Clock, Hold, Outbound, SendError, Targets},
 };
@@ -41,7 +41,7 @@
     fn default() -> Self {
         Self {
             count: 64,
-            idle: IDLE_MAX,
+            idle: POOL_IDLE_MAX,
         }
     }
 }
@@ -318,6 +318,6 @@
         .with_interval(KEEPALIVE_INTERVAL.duration())
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT.duration()))?;
+    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT.duration()))?;
     socket.set_tcp_nodelay(true)
 }
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -179,7 +179,7 @@
         let silent = self
             .job
             .idempotent
-            .then(|| self.first + silence::patience(known.p99));
+            .then(|| self.first + silence::timeout(known.p99));
         let wake = usual
             .into_iter()
             .chain(silent)
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -7,7 +7,7 @@
     domain::Millis,
     policy::{
         retry::{self, Attempt, Budget, Denied, Percentiles, Window},
-        silence::{self, Action, Fate, Progress},
+        silence::{self, Action, Disposition, Progress},
     },
 };
 
@@ -184,11 +184,11 @@
     let p99 = Some(Millis(500));
     let mut progress = Progress::new(Millis(0), Millis(30_000), true);
     let mut seen = vec![progress.check(Millis(0), p99)];
-    progress.moved(Millis(300), false);
+    progress.record_progress(Millis(300), false);
     seen.extend([1000, 2299, 2300].map(|now| progress.check(Millis(now), p99)));
-    progress.hedged();
+    progress.record_hedge();
     seen.push(progress.check(Millis(2300), p99));
-    let fates = [2200, 2300].map(|now| progress.fate(Millis(now), p99));
+    let fates = [2200, 2300].map(|now| progress.disposition(Millis(now), p99));
     insta::assert_compact_debug_snapshot!((seen, fates), @"([Wait(Millis(2000)), Wait(Millis(2300)), Wait(Millis(2300)), Hedge, Wait(Millis(30000))], [Keep, Retire])");
 }
 
@@ -205,19 +205,22 @@
 #[test]
 fn a_download_may_outlast_its_deadline_while_it_moves() {
     let mut progress = Progress::new(Millis(0), Millis(1000), true);
-    progress.moved(Millis(900), true);
-    progress.moved(Millis(5000), false);
+    progress.record_progress(Millis(900), true);
+    progress.record_progress(Millis(5000), false);
     let check = |now| progress.check(Millis(now), Some(Millis(10)));
     assert_eq!(
         [5500, 6000].map(check),
         [Action::Wait(Millis(6000)), Action::GiveUp]
     );
-    assert_eq!(progress.fate(Millis(5500), Some(Millis(10))), Fate::Keep);
+    assert_eq!(
+        progress.disposition(Millis(5500), Some(Millis(10))),
+        Disposition::Keep
+    );
 }
 
 #[test]
 fn limits_of_patience_are_kept() {
-    let known = [None, Some(Millis(1)), Some(Millis(700))].map(silence::patience);
+    let known = [None, Some(Millis(1)), Some(Millis(700))].map(silence::timeout);
     let stale = [10_000, 10_001].map(|now| silence::is_stale(Millis(now), Millis(0)));
     insta::assert_compact_debug_snapshot!((known, stale), @"([Millis(5000), Millis(1000), Millis(2800)], [false, true])");
 }
