Use the terms of epidemic dissemination for document revisions

`Spread` and its fields `fresh`, `wanted` and `compared` had to be guessed, and the file known.rs held the state machine. Constants now name the quantity that they limit.

Spread -> Dissemination, Spread::adopted -> on_adopted, the field `list` of Action::Announce -> announcements, fields of Tuning: timeout -> pull_timeout, rest -> compare_interval; known.rs -> dissemination.rs. Behaviour is unchanged.

--- a/examples/spread_slope/nodes.rs
+++ b/examples/spread_slope/nodes.rs
@@ -11,7 +11,7 @@
     domain::{EntryId, Epoch, Incarnation, Millis, Revision},
     policy::{
         member::{self, Load, Member, Members, State, Version},
-        spread::{self, Announcement, Spread},
+        spread::{self, Announcement, Dissemination},
     },
 };
 
@@ -50,7 +50,7 @@
     pub members: Members,
     /// The revisions adopted since the caller last looked.
     pub adopted: Vec<Revision>,
-    spread: Spread,
+    spread: Dissemination,
     peers: Vec<EntryId>,
     refresh: Millis,
 }
@@ -102,9 +102,9 @@
 
 impl Node {
     pub fn new(n: usize) -> Self {
-        let mut spread = Spread::new(spread::Tuning::default());
+        let mut spread = Dissemination::new(spread::Tuning::default());
         for service in 0..SERVICES {
-            spread.adopted(&item(service).service, Revision(1));
+            spread.on_adopted(&item(service).service, Revision(1));
         }
         // Without peers the announcements of these go nowhere.
         let mut rng = SmallRng::seed_from_u64(0);
@@ -168,8 +168,8 @@
         for action in actions {
             let mut fetch = Fetch::new(self.sender());
             let to = match action {
-                spread::Action::Announce { to, list } => {
-                    fetch.announced = list;
+                spread::Action::Announce { to, announcements } => {
+                    fetch.announced = announcements;
                     to
                 }
                 spread::Action::Pull { from, services } => {
@@ -193,7 +193,7 @@
 
     fn adopt(&mut self, edit: &Announcement) {
         if self.spread.revision(&edit.service) < edit.revision {
-            self.spread.adopted(&edit.service, edit.revision);
+            self.spread.on_adopted(&edit.service, edit.revision);
             self.adopted.push(edit.revision);
         }
     }
--- a/src/app/entry/control/documents.rs
+++ b/src/app/entry/control/documents.rs
@@ -36,7 +36,7 @@
                     format!("{service} to revision {revision}"),
                 );
             }
-            state.fleet.spread().adopted(&service, revision);
+            state.fleet.spread().on_adopted(&service, revision);
             (state.events.emit)(
                 Kind::RevisionAdopted,
                 format!("{service} revision {revision}"),
--- a/src/app/entry/control/gossip.rs
+++ b/src/app/entry/control/gossip.rs
@@ -153,9 +153,9 @@
 async fn fetch(state: Arc<State>, action: spread::Action) {
     let request = Fetch::new(state.fleet.sender());
     match action {
-        spread::Action::Announce { to, list } => {
+        spread::Action::Announce { to, announcements } => {
             let request = Fetch {
-                announced: list,
+                announced: announcements,
                 ..request
             };
             send(&state, &to, &request).await;
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -17,7 +17,7 @@
         lookup::{Candidate, EntryState, LoadLevel, View},
         member::{self, Load, Members, State, Version},
         once,
-        spread::{self, Spread},
+        spread::{self, Dissemination},
     },
     ports::Events,
 };
@@ -84,7 +84,7 @@
 #[derive(Debug)]
 pub struct Fleet {
     members: Mutex<Members>,
-    spread: Mutex<Spread>,
+    spread: Mutex<Dissemination>,
     rosters: RwLock<Arc<Rosters>>,
     /// Channels to other entries.
     pub peers: Peers,
@@ -116,7 +116,7 @@
                 settings.seeds.clone(),
                 member::Tuning::default(),
             )),
-            spread: Mutex::new(Spread::new(spread::Tuning::default())),
+            spread: Mutex::new(Dissemination::new(spread::Tuning::default())),
             rosters: RwLock::default(),
             peers: Peers::new(CALL, traffic.clone()).with_events(events.clone()),
             traffic,
@@ -129,7 +129,7 @@
     }
 
     /// Locks the dissemination of revisions.
-    pub fn spread(&self) -> MutexGuard<'_, Spread> {
+    pub fn spread(&self) -> MutexGuard<'_, Dissemination> {
         self.spread.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -227,7 +227,7 @@
             members.remove(&seat.entry, seat.incarnation);
         }
         if let Ok(name) = fleet::ROSTER.parse() {
-            self.fleet.spread().adopted(&name, Revision(epoch.0));
+            self.fleet.spread().on_adopted(&name, Revision(epoch.0));
         }
         (self.events.emit)(
             Kind::RosterChanged,
--- a/src/policy/spread/digest.rs
+++ b/src/policy/spread/digest.rs
@@ -1,4 +1,5 @@
-//! Hashes of the adopted revisions.
+//! Hashes over the adopted revisions, which find the differences between two
+//! entries.
 
 use std::{collections::BTreeMap, fmt, str::FromStr};
 
@@ -7,31 +8,31 @@
 
 use crate::domain::{ParseError, Revision, ServiceName};
 
-/// The number of buckets. At 1,900 services a bucket holds 30, whose revisions
-/// fit one packet, as do the 64 hashes.
-const BUCKETS: usize = 64;
+/// The number of buckets. With 1,900 services a bucket holds about 30, whose
+/// revisions fit in one packet, as do the 64 hashes.
+const BUCKET_COUNT: usize = 64;
 
-/// The most bytes of revisions in one reply. All 1,900 services fit, which is
-/// what an entry that joins receives.
-const REPLY_BYTES: usize = 128 * 1024;
+/// The maximum size of the revisions in one reply. An entry that joins receives
+/// the revisions of all services; those of 1,900 services fit.
+const REPLY_BYTES_MAX: usize = 128 * 1024;
 
-/// What an encoded announcement takes beyond its name: three tags, two lengths
-/// and a number.
-const OVERHEAD: usize = 16;
+/// The maximum size of an encoded announcement without the name of its service:
+/// three tags, two lengths and a number.
+const OVERHEAD_BYTES: usize = 16;
 
 /// A service and a revision of its document.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Announcement {
-    /// The service.
+    /// The name of the service.
     pub service: ServiceName,
-    /// The revision.
+    /// The revision of its document.
     pub revision: Revision,
 }
 
 impl Announcement {
-    /// Returns an upper bound of the encoded size in bytes.
-    fn size(&self) -> usize {
-        OVERHEAD + self.service.as_bytes().len()
+    /// Returns an upper bound on the encoded size in bytes.
+    fn size_bound(&self) -> usize {
+        OVERHEAD_BYTES + self.service.as_bytes().len()
     }
 }
 
@@ -41,8 +42,8 @@
     }
 }
 
-/// A hash of all adopted revisions. Two entries with the same hash have adopted
-/// the same revisions.
+/// A hash over all adopted revisions. Entries with the same hash have adopted the
+/// same revisions.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RootHash(pub u64);
 
@@ -61,16 +62,17 @@
     }
 }
 
-/// A hash per bucket of services. These are cut to 32 bits: a collision hides a
-/// difference only until the next change in the bucket.
+/// One hash per bucket of services. The hashes are truncated to 32 bits, since a
+/// collision hides a difference only until the next change in the bucket.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Summary(Vec<u32>);
 
 impl Summary {
-    /// Returns a summary read from a message, or none if its length is wrong.
+    /// Returns the summary that a message carries, or `None` if the number of
+    /// hashes is wrong.
     #[must_use]
     pub fn from_hashes(hashes: Vec<u32>) -> Option<Self> {
-        (hashes.len() == BUCKETS).then_some(Self(hashes))
+        (hashes.len() == BUCKET_COUNT).then_some(Self(hashes))
     }
 
     /// Returns the hashes, one per bucket.
@@ -80,8 +82,8 @@
     }
 }
 
-/// The adopted revisions with their hashes, which are kept up to date with each
-/// adoption so that a probe costs nothing.
+/// The adopted revisions and the hashes over them. Each adoption updates the
+/// hashes, so that a probe need not recompute them.
 #[derive(Clone, Debug)]
 pub(super) struct Index {
     revisions: BTreeMap<ServiceName, Revision>,
@@ -92,26 +94,26 @@
     pub(super) fn new() -> Self {
         Self {
             revisions: BTreeMap::new(),
-            buckets: vec![0; BUCKETS],
+            buckets: vec![0; BUCKET_COUNT],
         }
     }
 
-    /// Notes an adopted revision. Returns whether it is newer than the one
-    /// before; otherwise nothing changes.
+    /// Records an adopted revision and returns `true`, unless the same or a newer
+    /// revision of the service is already recorded.
     pub(super) fn adopt(&mut self, service: &ServiceName, revision: Revision) -> bool {
-        let former = self.revisions.get(service).copied();
-        if former.is_some_and(|r| r >= revision) {
+        let previous = self.revisions.get(service).copied();
+        if previous.is_some_and(|r| r >= revision) {
             return false;
         }
-        if let Some(former) = former {
-            self.toggle(service, former);
+        if let Some(previous) = previous {
+            self.toggle(service, previous);
         }
         self.toggle(service, revision);
         self.revisions.insert(service.clone(), revision);
         true
     }
 
-    /// Returns the adopted revision, zero if there is none.
+    /// Returns the adopted revision of a service, or zero if there is none.
     pub(super) fn revision(&self, service: &ServiceName) -> Revision {
         self.revisions.get(service).copied().unwrap_or_default()
     }
@@ -121,53 +123,57 @@
     }
 
     pub(super) fn summary(&self) -> Summary {
-        let cut = |h: &u64| u32::try_from(h >> 32).unwrap_or_default();
-        Summary(self.buckets.iter().map(cut).collect())
+        let upper_half = |h: &u64| u32::try_from(h >> 32).unwrap_or_default();
+        Summary(self.buckets.iter().map(upper_half).collect())
     }
 
-    /// Returns the revisions in the buckets that differ from `theirs`, in whole
-    /// buckets up to the size limit. The first bucket is random, so buckets whose
-    /// difference persists cannot hide the ones after them for good.
-    pub(super) fn differing(&self, theirs: &Summary, rng: &mut impl Rng) -> Vec<Announcement> {
-        let mine = self.summary();
-        let start = rng.random_range(0..BUCKETS);
+    /// Returns the revisions in the buckets that differ from `remote`, in whole
+    /// buckets up to the size limit. The first bucket is random, so that buckets
+    /// whose difference persists do not exclude the ones after them forever.
+    pub(super) fn differing(&self, remote: &Summary, rng: &mut impl Rng) -> Vec<Announcement> {
+        let local = self.summary();
+        let start = rng.random_range(0..BUCKET_COUNT);
         let mut by_bucket: BTreeMap<usize, Vec<Announcement>> = BTreeMap::new();
         for (service, revision) in &self.revisions {
-            let at = bucket(service);
-            if mine.0.get(at) != theirs.0.get(at) {
-                let turn = (at + BUCKETS - start) % BUCKETS;
-                by_bucket.entry(turn).or_default().push(Announcement {
+            let index = bucket_index(service);
+            if local.0.get(index) != remote.0.get(index) {
+                let offset = (index + BUCKET_COUNT - start) % BUCKET_COUNT;
+                by_bucket.entry(offset).or_default().push(Announcement {
                     service: service.clone(),
                     revision: *revision,
                 });
             }
         }
-        let mut list = Vec::new();
+        let mut selected = Vec::new();
         let mut used = 0;
-        for rows in by_bucket.into_values() {
-            used += rows.iter().map(Announcement::size).sum::<usize>();
-            if used > REPLY_BYTES && !list.is_empty() {
+        for announcements in by_bucket.into_values() {
+            used += announcements
+                .iter()
+                .map(Announcement::size_bound)
+                .sum::<usize>();
+            if used > REPLY_BYTES_MAX && !selected.is_empty() {
                 break;
             }
-            list.extend(rows);
+            selected.extend(announcements);
         }
-        list
+        selected
     }
 
-    /// Adds or removes one revision, which is the same operation.
+    /// Adds one revision to the hash of its bucket or removes it; both are the
+    /// same XOR.
     fn toggle(&mut self, service: &ServiceName, revision: Revision) {
-        if let Some(hash) = self.buckets.get_mut(bucket(service)) {
-            *hash ^= pair_hash(service, revision);
+        if let Some(hash) = self.buckets.get_mut(bucket_index(service)) {
+            *hash ^= revision_hash(service, revision);
         }
     }
 }
 
-fn bucket(service: &ServiceName) -> usize {
-    let buckets = u64::try_from(BUCKETS).unwrap_or(1);
+fn bucket_index(service: &ServiceName) -> usize {
+    let buckets = u64::try_from(BUCKET_COUNT).unwrap_or(1);
     usize::try_from(xxh3_64(service.as_bytes()) % buckets).unwrap_or_default()
 }
 
-fn pair_hash(service: &ServiceName, revision: Revision) -> u64 {
+fn revision_hash(service: &ServiceName, revision: Revision) -> u64 {
     let mut bytes = service.as_bytes().to_vec();
     bytes.extend(revision.0.to_le_bytes());
     xxh3_64(&bytes)
--- a/src/policy/spread/dissemination.rs
+++ b/src/policy/spread/dissemination.rs
@@ -1,4 +1,4 @@
-//! The state machine of dissemination.
+//! The state machine that disseminates adopted revisions.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -7,150 +7,153 @@
 use super::digest::{Announcement, Index, RootHash, Summary};
 use crate::domain::{EntryId, Millis, Revision, ServiceName};
 
-/// The most services in one announcement, which bounds it to 20 KB with the
-/// longest names. A larger batch occurs only at a start, where comparisons cover
-/// the rest.
-const LIST_MAX: usize = 256;
+/// The maximum number of services in one announcement, which limits it to 20 KB
+/// with the longest names. A larger batch occurs only when an entry starts;
+/// comparisons then cover the rest.
+const ANNOUNCED_SERVICES_MAX: usize = 256;
 
-/// The most services in one pull. Bodies are about 2 KB and a reply holds at
-/// most 256 KB.
-const PULL_MAX: usize = 64;
+/// The maximum number of services in one pull. Bodies are about 2 KB and a reply
+/// holds at most 256 KB.
+const PULLED_SERVICES_MAX: usize = 64;
 
-/// The most services whose bodies are awaited at a time. It bounds the burst on
-/// a link when an entry starts and pulls all documents.
-const AWAITED_MAX: usize = 256;
+/// The maximum number of services whose bodies are awaited at a time. It limits
+/// the burst on a link when an entry starts and pulls all documents.
+const AWAITED_BODIES_MAX: usize = 256;
 
-/// The times and counts of dissemination.
+/// The timing and fan-out of dissemination.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Tuning {
     /// How many peers receive each announcement.
     pub fanout: usize,
-    /// How long a pull may take before another peer is asked.
-    pub timeout: Millis,
-    /// The least time between two comparisons with one peer.
-    pub rest: Millis,
+    /// How long to wait for a pull before another peer is asked.
+    pub pull_timeout: Millis,
+    /// The minimum time between two comparisons with the same peer.
+    pub compare_interval: Millis,
 }
 
 impl Default for Tuning {
     fn default() -> Self {
         Self {
             fanout: 3,
-            timeout: Millis(500),
-            rest: Millis(1_000),
+            pull_timeout: Millis(500),
+            compare_interval: Millis(1_000),
         }
     }
 }
 
-/// What the caller has to send. All of it goes through one method, `Fetch`.
+/// A message that the caller has to send. All of them use one method, `Fetch`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
-    /// Tell a peer of revisions; it calls [`Spread::on_announce`].
+    /// Announce revisions to a peer, which calls [`Dissemination::on_announce`].
     Announce {
         /// The peer.
         to: EntryId,
         /// The revisions.
-        list: Vec<Announcement>,
+        announcements: Vec<Announcement>,
     },
-    /// Ask a peer for the bodies of services. After adoption call
-    /// [`Spread::adopted`].
+    /// Ask a peer for the documents of services. Call
+    /// [`Dissemination::on_adopted`] for each one that is adopted.
     Pull {
         /// The peer.
         from: EntryId,
         /// The services.
         services: Vec<ServiceName>,
     },
-    /// Ask a peer for its revisions in differing buckets; the reply goes to
-    /// [`Spread::on_announce`].
+    /// Ask a peer for its revisions in the buckets that differ; the reply goes to
+    /// [`Dissemination::on_announce`].
     Compare {
         /// The peer.
         with: EntryId,
-        /// This entry's hashes.
+        /// The hashes of this entry.
         summary: Summary,
     },
 }
 
+/// A revision that peers have announced and this entry has not adopted.
 #[derive(Clone, Debug)]
-struct Wanted {
+struct MissingRevision {
     revision: Revision,
+    /// The peers that have adopted it.
     sources: BTreeSet<EntryId>,
-    asked: Option<Millis>,
+    /// When the pending pull was sent.
+    asked_at: Option<Millis>,
 }
 
-/// The revisions that this entry has adopted and those that it knows of.
+/// The revisions that this entry has adopted, and those that it has yet to pull.
 #[derive(Clone, Debug)]
-pub struct Spread {
+pub struct Dissemination {
     index: Index,
     tuning: Tuning,
-    fresh: BTreeSet<ServiceName>,
-    wanted: BTreeMap<ServiceName, Wanted>,
-    compared: BTreeMap<EntryId, Millis>,
-    replies: BTreeMap<EntryId, BTreeSet<ServiceName>>,
-    differing: BTreeSet<EntryId>,
+    unannounced: BTreeSet<ServiceName>,
+    missing: BTreeMap<ServiceName, MissingRevision>,
+    compared_at: BTreeMap<EntryId, Millis>,
+    pending_replies: BTreeMap<EntryId, BTreeSet<ServiceName>>,
+    differing_peers: BTreeSet<EntryId>,
 }
 
-impl Spread {
+impl Dissemination {
     /// Returns the state of an entry that has adopted nothing.
     #[must_use]
     pub fn new(tuning: Tuning) -> Self {
         Self {
             index: Index::new(),
             tuning,
-            fresh: BTreeSet::new(),
-            wanted: BTreeMap::new(),
-            compared: BTreeMap::new(),
-            replies: BTreeMap::new(),
-            differing: BTreeSet::new(),
+            unannounced: BTreeSet::new(),
+            missing: BTreeMap::new(),
+            compared_at: BTreeMap::new(),
+            pending_replies: BTreeMap::new(),
+            differing_peers: BTreeSet::new(),
         }
     }
 
-    /// Returns the hash that probes carry.
+    /// Returns the hash over all adopted revisions, which probes carry.
     #[must_use]
     pub fn root(&self) -> RootHash {
         self.index.root()
     }
 
-    /// Returns the hashes by which a peer finds the buckets that differ.
+    /// Returns the hashes per bucket, by which a peer finds the differences.
     #[must_use]
     pub fn summary(&self) -> Summary {
         self.index.summary()
     }
 
-    /// Returns the adopted revision of a service, zero if there is none.
+    /// Returns the adopted revision of a service, or zero if there is none.
     #[must_use]
     pub fn revision(&self, service: &ServiceName) -> Revision {
         self.index.revision(service)
     }
 
-    /// Notes that this entry has adopted a revision, from the store or a peer.
-    /// An older one than before changes nothing.
-    pub fn adopted(&mut self, service: &ServiceName, revision: Revision) {
+    /// Records that this entry has adopted a revision, from the store or a peer.
+    /// A revision older than the recorded one has no effect.
+    pub fn on_adopted(&mut self, service: &ServiceName, revision: Revision) {
         if self.index.adopt(service, revision) {
-            self.fresh.insert(service.clone());
+            self.unannounced.insert(service.clone());
         }
-        let done = |w: &Wanted| w.revision <= self.index.revision(service);
-        if self.wanted.get(service).is_some_and(done) {
-            self.wanted.remove(service);
+        let done = |m: &MissingRevision| m.revision <= self.index.revision(service);
+        if self.missing.get(service).is_some_and(done) {
+            self.missing.remove(service);
         }
     }
 
-    /// Takes the revisions that a peer has adopted. Where this entry has a newer
-    /// one, it tells the peer.
-    pub fn on_announce(&mut self, from: &EntryId, list: &[Announcement]) {
-        for item in list {
-            let mine = self.index.revision(&item.service);
-            if item.revision > mine {
-                self.want(from, item);
-            } else if item.revision < mine {
-                let reply = self.replies.entry(from.clone()).or_default();
-                reply.insert(item.service.clone());
+    /// Handles the revisions that a peer has adopted. Newer ones are pulled from
+    /// the peer; if this entry has a newer one, it is announced to the peer.
+    pub fn on_announce(&mut self, from: &EntryId, announcements: &[Announcement]) {
+        for announcement in announcements {
+            let local = self.index.revision(&announcement.service);
+            if announcement.revision > local {
+                self.add_missing(from, announcement);
+            } else if announcement.revision < local {
+                let reply = self.pending_replies.entry(from.clone()).or_default();
+                reply.insert(announcement.service.clone());
             }
         }
     }
 
-    /// Takes the hash of a probe or an acknowledgement.
+    /// Handles the hash of a probe or an acknowledgement.
     pub fn on_root(&mut self, from: &EntryId, root: RootHash) {
         if root != self.index.root() {
-            self.differing.insert(from.clone());
+            self.differing_peers.insert(from.clone());
         }
     }
 
@@ -160,35 +163,37 @@
         self.index.differing(summary, rng)
     }
 
-    /// Takes the end of a pull of `services`, after each received body was
-    /// passed to [`adopted`](Self::adopted). A peer may return only some bodies
-    /// because of the message limit; the rest is pulled again at once. If
-    /// `received` is zero, another peer is asked.
+    /// Handles the end of a pull of `services`, after
+    /// [`on_adopted`](Self::on_adopted) was called for the received bodies.
+    /// A peer may return only some of the bodies because of the message limit; the
+    /// others are pulled again at once. If `received` is zero, another peer is
+    /// asked.
     pub fn on_pulled(&mut self, from: &EntryId, services: &[ServiceName], received: usize) {
         if received == 0 {
             self.on_error(from, services);
             return;
         }
         for service in services {
-            if let Some(wanted) = self.wanted.get_mut(service) {
-                wanted.asked = None;
+            if let Some(missing) = self.missing.get_mut(service) {
+                missing.asked_at = None;
             }
         }
     }
 
-    /// Takes the failure of a pull, so that another peer is asked at once.
+    /// Handles the failure of a pull. The next [`tick`](Self::tick) asks another
+    /// peer.
     pub fn on_error(&mut self, from: &EntryId, services: &[ServiceName]) {
         for service in services {
-            if let Some(wanted) = self.wanted.get_mut(service) {
-                wanted.sources.remove(from);
-                wanted.asked = None;
+            if let Some(missing) = self.missing.get_mut(service) {
+                missing.sources.remove(from);
+                missing.asked_at = None;
             }
         }
-        self.wanted.retain(|_, w| !w.sources.is_empty());
+        self.missing.retain(|_, m| !m.sources.is_empty());
     }
 
     /// Returns the messages that are due. `peers` are the other live members.
-    /// Call it after adoptions and received messages, and every 100 ms.
+    /// Call it after each adoption and each received message, and every 100 ms.
     pub fn tick(&mut self, now: Millis, peers: &[EntryId], rng: &mut impl Rng) -> Vec<Action> {
         let mut out = Vec::new();
         self.announce(peers, rng, &mut out);
@@ -198,73 +203,76 @@
         out
     }
 
-    fn want(&mut self, from: &EntryId, item: &Announcement) {
-        let new = || Wanted {
-            revision: item.revision,
+    fn add_missing(&mut self, from: &EntryId, announcement: &Announcement) {
+        let new = || MissingRevision {
+            revision: announcement.revision,
             sources: BTreeSet::new(),
-            asked: None,
+            asked_at: None,
         };
-        let wanted = self.wanted.entry(item.service.clone());
-        let wanted = wanted.or_insert_with(new);
-        if item.revision > wanted.revision {
-            // Peers with the former revision cannot serve this one.
-            *wanted = new();
+        let missing = self.missing.entry(announcement.service.clone());
+        let missing = missing.or_insert_with(new);
+        if announcement.revision > missing.revision {
+            // Peers with the older revision cannot provide this one.
+            *missing = new();
         }
-        if item.revision == wanted.revision {
-            wanted.sources.insert(from.clone());
+        if announcement.revision == missing.revision {
+            missing.sources.insert(from.clone());
         }
     }
 
     fn announce(&mut self, peers: &[EntryId], rng: &mut impl Rng, out: &mut Vec<Action>) {
-        let fresh = std::mem::take(&mut self.fresh);
-        if fresh.is_empty() {
+        let unannounced = std::mem::take(&mut self.unannounced);
+        if unannounced.is_empty() {
             return;
         }
-        let list = self.revisions(fresh.into_iter());
+        let announcements = self.announcements(unannounced.into_iter());
         for to in peers.choose_multiple(rng, self.tuning.fanout) {
-            let (to, list) = (to.clone(), list.clone());
-            out.push(Action::Announce { to, list });
+            let (to, announcements) = (to.clone(), announcements.clone());
+            out.push(Action::Announce { to, announcements });
         }
     }
 
     fn reply(&mut self, out: &mut Vec<Action>) {
-        for (to, services) in std::mem::take(&mut self.replies) {
-            let list = self.revisions(services.into_iter());
-            out.push(Action::Announce { to, list });
+        for (to, services) in std::mem::take(&mut self.pending_replies) {
+            let announcements = self.announcements(services.into_iter());
+            out.push(Action::Announce { to, announcements });
         }
     }
 
-    /// Returns the present revisions of at most 256 services.
-    fn revisions(&self, services: impl Iterator<Item = ServiceName>) -> Vec<Announcement> {
-        let list = services.take(LIST_MAX).map(|service| Announcement {
-            revision: self.index.revision(&service),
-            service,
-        });
-        list.collect()
+    /// Returns the adopted revisions of at most [`ANNOUNCED_SERVICES_MAX`]
+    /// services.
+    fn announcements(&self, services: impl Iterator<Item = ServiceName>) -> Vec<Announcement> {
+        let announcements = services
+            .take(ANNOUNCED_SERVICES_MAX)
+            .map(|service| Announcement {
+                revision: self.index.revision(&service),
+                service,
+            });
+        announcements.collect()
     }
 
     fn pull(&mut self, now: Millis, rng: &mut impl Rng, out: &mut Vec<Action>) {
         let mut batches: BTreeMap<EntryId, Vec<ServiceName>> = BTreeMap::new();
-        let timeout = self.tuning.timeout;
-        let awaited = |w: &Wanted| w.asked.is_some_and(|at| now - at < timeout);
-        let busy = self.wanted.values().filter(|w| awaited(w)).count();
-        let mut free = AWAITED_MAX.saturating_sub(busy);
-        for (service, wanted) in &mut self.wanted {
-            if free == 0 {
+        let timeout = self.tuning.pull_timeout;
+        let awaited = |m: &MissingRevision| m.asked_at.is_some_and(|at| now - at < timeout);
+        let awaited_count = self.missing.values().filter(|m| awaited(m)).count();
+        let mut allowance = AWAITED_BODIES_MAX.saturating_sub(awaited_count);
+        for (service, missing) in &mut self.missing {
+            if allowance == 0 {
                 break;
             }
-            if awaited(wanted) {
+            if awaited(missing) {
                 continue;
             }
-            let sources: Vec<&EntryId> = wanted.sources.iter().collect();
+            let sources: Vec<&EntryId> = missing.sources.iter().collect();
             let Some(from) = sources.choose(rng) else {
                 continue;
             };
             let batch = batches.entry((*from).clone()).or_default();
-            if batch.len() < PULL_MAX {
+            if batch.len() < PULLED_SERVICES_MAX {
                 batch.push(service.clone());
-                wanted.asked = Some(now);
-                free -= 1;
+                missing.asked_at = Some(now);
+                allowance -= 1;
             }
         }
         out.extend(
@@ -274,24 +282,25 @@
         );
     }
 
-    /// Asks the peers whose hashes differ. During the spread of an edit this
-    /// often finds what an announcement was about to tell. It is done at once
-    /// all the same: a delay of 500 ms saved little traffic and raised the
-    /// time until the last of 30 entries has an edit from 1.3 s to 3.5 s at p99.
+    /// Asks the peers whose hashes differ to compare revisions. While an edit is
+    /// being disseminated, an announcement of the same revision is often already on
+    /// its way. The comparison is still sent at once: a delay of 500 ms saved
+    /// little traffic and raised the p99 of the time until the last of 30 entries
+    /// has an edit from 1.3 s to 3.5 s.
     fn compare(&mut self, now: Millis, out: &mut Vec<Action>) {
-        let rest = self.tuning.rest;
-        self.compared.retain(|_, at| now - *at < rest);
-        let differing = std::mem::take(&mut self.differing);
-        if !self.wanted.is_empty() {
-            // The difference is being resolved. The next probe tells whether it
-            // persists.
+        let interval = self.tuning.compare_interval;
+        self.compared_at.retain(|_, at| now - *at < interval);
+        let differing_peers = std::mem::take(&mut self.differing_peers);
+        if !self.missing.is_empty() {
+            // Pending pulls may resolve the difference. The next probe shows whether
+            // it persists.
             return;
         }
-        for with in differing {
-            if self.compared.contains_key(&with) {
+        for with in differing_peers {
+            if self.compared_at.contains_key(&with) {
                 continue;
             }
-            self.compared.insert(with.clone(), now);
+            self.compared_at.insert(with.clone(), now);
             let summary = self.index.summary();
             out.push(Action::Compare { with, summary });
         }
--- a/src/policy/spread/holders.rs
+++ b/src/policy/spread/holders.rs
@@ -1,4 +1,4 @@
-//! Which entries watch the store.
+//! Chooses the entries that watch the store.
 
 use std::collections::BTreeMap;
 
@@ -9,19 +9,20 @@
     policy::member::Member,
 };
 
-/// How many entries of a region watch the store, so that one may fail.
-const PER_REGION: usize = 2;
+/// How many entries of a region watch the store. The second one covers a failure
+/// of the first.
+const HOLDERS_PER_REGION: usize = 2;
 
-/// The most entries that watch the store. The number of pending watches does
-/// not grow with the fleet.
+/// The maximum number of entries that watch the store. It keeps the number of
+/// pending watches independent of the fleet size.
 const HOLDERS_MAX: usize = 6;
 
-/// Returns the entries that hold a watch, from the live members.
+/// Returns the live members that should hold a watch.
 ///
 /// Regions and the entries of a region are ranked by rendezvous hash, so a
 /// member that joins or fails moves at most the watches of its own region and of
-/// the last region chosen. Entries with different views choose different
-/// holders for a while, which costs a few watches and loses nothing.
+/// the last region chosen. Entries whose views differ choose different holders
+/// for a while, which costs a few extra watches but misses no change.
 #[must_use]
 pub fn watch_holders<'a>(live: impl Iterator<Item = &'a Member>) -> Vec<&'a EntryId> {
     let mut regions: BTreeMap<&RegionName, Vec<&EntryId>> = BTreeMap::new();
@@ -30,11 +31,11 @@
     }
     let mut ranked: Vec<_> = regions.into_iter().collect();
     ranked.sort_by_cached_key(|(region, _)| rank(region.as_bytes()));
-    let first = ranked.into_iter().flat_map(|(_, mut ids)| {
+    let chosen = ranked.into_iter().flat_map(|(_, mut ids)| {
         ids.sort_by_cached_key(|id| rank(id.as_bytes()));
-        ids.into_iter().take(PER_REGION)
+        ids.into_iter().take(HOLDERS_PER_REGION)
     });
-    first.take(HOLDERS_MAX).collect()
+    chosen.take(HOLDERS_MAX).collect()
 }
 
 fn rank(name: &[u8]) -> u64 {
--- a/src/policy/spread/mod.rs
+++ b/src/policy/spread/mod.rs
@@ -1,21 +1,21 @@
 //! Dissemination of document revisions between entries.
 //!
 //! An entry that adopts a revision announces (service, revision) to three random
-//! peers. A peer that lacks it pulls the body from the announcer, adopts it and
-//! announces it in turn. Announcements alone miss about one entry in twenty, so
-//! every probe carries a hash of all adopted revisions. Where two differ, hashes
-//! per bucket are exchanged and then the revisions of the differing buckets.
-//! That keeps the digest at 8 bytes for any number of services while nothing
-//! changes.
+//! peers. A peer that lacks the revision pulls the body from the announcer,
+//! adopts it and announces it in turn. Announcements alone miss about one entry
+//! in twenty, so every probe carries a hash of all adopted revisions. If the
+//! hashes of two entries differ, one sends its hashes per bucket and the other
+//! replies with the revisions in the buckets that differ. While nothing changes,
+//! the digest is 8 bytes for any number of services.
 //!
-//! Bodies are pulled and not pushed, since with three announcements per entry
-//! two of three pushed bodies would be duplicates. The cost is one more round
-//! trip per hop. See [docs/design.md](../../../docs/design.md), section 3.3.
+//! Bodies are pulled instead of pushed: with three announcements per entry, two
+//! of three pushed bodies would be duplicates. The cost is one more round trip
+//! per hop. See [docs/design.md](../../../docs/design.md), section 3.3.
 
 mod digest;
+mod dissemination;
 mod holders;
-mod known;
 
 pub use digest::{Announcement, RootHash, Summary};
+pub use dissemination::{Action, Dissemination, Tuning};
 pub use holders::watch_holders;
-pub use known::{Action, Spread, Tuning};
--- a/tests/grpc.rs
+++ b/tests/grpc.rs
@@ -19,7 +19,7 @@
     domain::{Epoch, Incarnation, Millis, Revision},
     policy::{
         member::{Members, Nonce, Tuning},
-        spread::{Announcement, RootHash, Spread},
+        spread::{Announcement, Dissemination, RootHash},
     },
 };
 use tokio::sync::Notify;
@@ -327,9 +327,9 @@
     /// Fails if a message changes its meaning between encoder and decoder.
     fn messages_read_back(list: Vec<u16>, n: u8, life: u64, root: u64) -> bool {
         let sender = Sender { incarnation: Incarnation(life), ..sender(usize::from(n)) };
-        let mut spread = Spread::new(savorybeam::policy::spread::Tuning::default());
+        let mut spread = Dissemination::new(savorybeam::policy::spread::Tuning::default());
         for item in names(&list) {
-            spread.adopted(&item.service, item.revision);
+            spread.on_adopted(&item.service, item.revision);
         }
         let request = Fetch {
             sender: sender.clone(),
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -14,7 +14,7 @@
     domain::{EntryId, Epoch, Incarnation, Millis, Revision, ServiceName},
     policy::{
         member::Member,
-        spread::{Action, Announcement, RootHash, Spread, Tuning, watch_holders},
+        spread::{Action, Announcement, Dissemination, RootHash, Tuning, watch_holders},
     },
 };
 
@@ -31,7 +31,7 @@
 
 /// A few entries in one thread. A message takes one step of 50 ms.
 struct Group {
-    nodes: Vec<Spread>,
+    nodes: Vec<Dissemination>,
     ids: Vec<EntryId>,
     rng: SmallRng,
     now: Millis,
@@ -44,7 +44,7 @@
 impl Group {
     fn new(count: usize, seed: u64) -> Self {
         Self {
-            nodes: vec![Spread::new(Tuning::default()); count],
+            nodes: vec![Dissemination::new(Tuning::default()); count],
             ids: (0..count).map(id).collect(),
             rng: SmallRng::seed_from_u64(seed),
             now: Millis(0),
@@ -84,8 +84,8 @@
     fn act(&mut self, n: usize, action: Action) {
         let carried = self.carries();
         match action {
-            Action::Announce { to, list } if carried => {
-                self.nodes[number(&to)].on_announce(&id(n), &list);
+            Action::Announce { to, announcements } if carried => {
+                self.nodes[number(&to)].on_announce(&id(n), &announcements);
             }
             Action::Compare { with, summary } if carried => {
                 let list = self.nodes[number(&with)].on_compare(&summary, &mut self.rng);
@@ -94,7 +94,7 @@
             Action::Pull { from, services } if carried => {
                 for s in &services {
                     let revision = self.nodes[number(&from)].revision(s);
-                    self.nodes[n].adopted(s, revision);
+                    self.nodes[n].on_adopted(s, revision);
                 }
                 self.nodes[n].on_pulled(&from, &services, services.len());
             }
@@ -108,7 +108,7 @@
     }
 
     fn having(&self, wanted: &Announcement) -> usize {
-        let has = |n: &&Spread| n.revision(&wanted.service) >= wanted.revision;
+        let has = |n: &&Dissemination| n.revision(&wanted.service) >= wanted.revision;
         self.nodes.iter().filter(has).count()
     }
 }
@@ -123,7 +123,7 @@
 #[test]
 fn an_edit_reaches_everyone() {
     let mut group = Group::new(100, 1);
-    group.nodes[0].adopted(&service(1), Revision(5));
+    group.nodes[0].on_adopted(&service(1), Revision(5));
     let mut curve = Vec::new();
     while group.now < Millis(3_000) {
         group.step();
@@ -138,7 +138,7 @@
     let missed = |probes| {
         let mut group = Group::new(100, 2);
         group.probes = probes;
-        group.nodes[0].adopted(&service(1), Revision(5));
+        group.nodes[0].on_adopted(&service(1), Revision(5));
         for _ in 0..400 {
             group.step();
         }
@@ -156,20 +156,20 @@
     group.loss = 30;
     for revision in 1..=200 {
         let (node, what) = (group.rng.random_range(0..30), group.rng.random_range(0..20));
-        group.nodes[node].adopted(&service(what), Revision(revision));
+        group.nodes[node].on_adopted(&service(what), Revision(revision));
         group.step();
     }
     for _ in 0..400 {
         group.step();
     }
-    let roots: BTreeSet<RootHash> = group.nodes.iter().map(Spread::root).collect();
+    let roots: BTreeSet<RootHash> = group.nodes.iter().map(Dissemination::root).collect();
     assert_eq!(roots.len(), 1);
 }
 
-fn with_services(count: usize) -> Spread {
-    let mut spread = Spread::new(Tuning::default());
+fn with_services(count: usize) -> Dissemination {
+    let mut spread = Dissemination::new(Tuning::default());
     for n in 0..count {
-        spread.adopted(&service(n), Revision(1));
+        spread.on_adopted(&service(n), Revision(1));
     }
     let mut rng = SmallRng::seed_from_u64(0);
     spread.tick(Millis(0), &[], &mut rng);
@@ -212,7 +212,7 @@
         epoch: Epoch(1),
     };
     let (mut new, old) = (with_services(1_900), with_services(1_900));
-    new.adopted(&service(77), Revision(2));
+    new.on_adopted(&service(77), Revision(2));
     let request = Fetch {
         summary: Some(old.summary()),
         ..Fetch::new(sender.clone())
@@ -240,9 +240,9 @@
         name.parse().expect("a name")
     };
     let refused = |n: usize| n.is_multiple_of(10);
-    let mut far = Spread::new(Tuning::default());
-    (0..1_900).for_each(|n| far.adopted(&long(n), Revision(2)));
-    let mut near = Spread::new(Tuning::default());
+    let mut far = Dissemination::new(Tuning::default());
+    (0..1_900).for_each(|n| far.on_adopted(&long(n), Revision(2)));
+    let mut near = Dissemination::new(Tuning::default());
     let mut rng = SmallRng::seed_from_u64(8);
     let mut left = Vec::new();
     for _ in 0..8 {
@@ -250,7 +250,7 @@
         let wanted = (0..1_900).filter(|n| !refused(*n)).map(&long);
         let wanted: BTreeSet<_> = wanted.collect();
         for item in list.iter().filter(|a| wanted.contains(&a.service)) {
-            near.adopted(&item.service, item.revision);
+            near.on_adopted(&item.service, item.revision);
         }
         left.push(
             wanted
@@ -270,7 +270,7 @@
 /// the body, or if the pull is given up.
 #[test]
 fn another_peer_is_asked_after_a_failure() {
-    let mut spread = Spread::new(Tuning::default());
+    let mut spread = Dissemination::new(Tuning::default());
     let mut rng = SmallRng::seed_from_u64(5);
     spread.on_announce(&id(1), &[item(1, 5)]);
     spread.on_announce(&id(2), &[item(1, 5)]);
@@ -297,15 +297,15 @@
 /// Fails if a peer that is behind is not told.
 #[test]
 fn a_peer_that_is_behind_is_told() {
-    let mut spread = Spread::new(Tuning::default());
+    let mut spread = Dissemination::new(Tuning::default());
     let mut rng = SmallRng::seed_from_u64(6);
-    spread.adopted(&service(1), Revision(5));
+    spread.on_adopted(&service(1), Revision(5));
     spread.tick(Millis(0), &[], &mut rng);
     spread.on_announce(&id(1), &[item(1, 4)]);
     let actions = spread.tick(Millis(100), &[], &mut rng);
     let told = Action::Announce {
         to: id(1),
-        list: vec![item(1, 5)],
+        announcements: vec![item(1, 5)],
     };
     assert_eq!(actions, [told]);
 }
@@ -340,9 +340,9 @@
     /// Fails if the order in which revisions arrive matters, or if an older one
     /// replaces a newer one.
     fn adoption_is_the_same_in_any_order(list: Vec<(u8, u8)>, turn: usize) -> bool {
-        let (mut forth, mut back) = (Spread::new(Tuning::default()), Spread::new(Tuning::default()));
-        let adopt = |s: &mut Spread, (n, r): &(u8, u8)| {
-            s.adopted(&service(usize::from(n % 4)), Revision(1 + u64::from(*r)));
+        let (mut forth, mut back) = (Dissemination::new(Tuning::default()), Dissemination::new(Tuning::default()));
+        let adopt = |s: &mut Dissemination, (n, r): &(u8, u8)| {
+            s.on_adopted(&service(usize::from(n % 4)), Revision(1 + u64::from(*r)));
         };
         for pair in &list {
             adopt(&mut forth, pair);
