--- a/tests/member.rs
+++ b/tests/member.rs
@@ -1,5 +1,5 @@
-//! Guards the membership of entries: a false failure takes capacity out of use,
-//! a missed one sends callers to a dead entry.
+//! Tests the membership of entries. A live entry that is declared dead is lost
+//! capacity; a failure that is missed directs callers to a dead entry.
 
 mod fleet;
 mod records;
@@ -22,47 +22,47 @@
 
 const MINUTE: Millis = Millis(60_000);
 
-fn count(fleet: &Fleet, word: &str) -> usize {
+fn count_events(fleet: &Fleet, word: &str) -> usize {
     fleet.timeline.iter().filter(|e| e.contains(word)).count()
 }
 
-fn whole(fleet: &Fleet) -> bool {
+fn converged(fleet: &Fleet) -> bool {
     let everyone = fleet.nodes.len();
     fleet.nodes.iter().all(|m| m.alive().count() == everyone)
 }
 
-/// Fails if an entry that knows one seed does not learn of the others.
+/// Fails if entries that know one seed do not discover all others.
 #[test]
-fn a_fleet_forms_from_one_seed() {
+fn one_seed_is_enough_to_discover_all_entries() {
     let mut fleet = Fleet::new(9, 1, Tuning::default());
     fleet.run(Millis(5_000));
-    assert!(whole(&fleet), "{:#?}", fleet.views());
-    assert_eq!(count(&fleet, "suspected"), 0);
+    assert!(converged(&fleet), "{:#?}", fleet.views());
+    assert_eq!(count_events(&fleet, "suspected"), 0);
 }
 
-/// Fails if a crash is missed, or is noticed by only some of the entries.
+/// Fails if a crash is not detected, or only by some of the entries.
 #[test]
-fn a_crash_is_noticed_by_all() {
+fn a_crash_is_detected_by_all_entries() {
     let mut fleet = Fleet::formed(5, 2, Tuning::default());
     fleet.paused = vec![3];
     fleet.run(Millis(12_000));
     insta::assert_snapshot!(fleet.timeline.join("\n"));
 }
 
-/// Fails if lost messages take live entries out of use.
+/// Fails if message loss makes live entries count as dead.
 #[test]
-fn a_tenth_of_messages_lost_fails_nobody() {
+fn ten_percent_message_loss_causes_no_false_failure() {
     let mut fleet = Fleet::formed(9, 3, Tuning::default());
     fleet.loss = 10;
     fleet.run(Millis(20 * MINUTE.0));
-    assert_eq!(count(&fleet, "failed"), 0);
-    assert!(whole(&fleet));
+    assert_eq!(count_events(&fleet, "failed"), 0);
+    assert!(converged(&fleet));
 }
 
-/// Fails if one direction of one link makes an entry suspect. Direct probes
-/// alone do: the suspicion comes up again and again.
+/// Fails if the loss of one direction of one link makes an entry suspected. With
+/// direct probes alone, the suspicion recurs.
 #[test]
-fn an_asymmetric_cut_is_bridged_by_relays() {
+fn relays_bridge_an_asymmetric_link_failure() {
     let run = |relay_count| {
         let tuning = Tuning {
             relay_count,
@@ -71,16 +71,17 @@
         let mut fleet = Fleet::formed(9, 4, tuning);
         fleet.cuts = vec![(1, 2)];
         fleet.run(Millis(5 * MINUTE.0));
-        count(&fleet, "suspected")
+        count_events(&fleet, "suspected")
     };
     assert_eq!(run(3), 0);
-    assert!(run(0) > 20, "the naive version is expected to fail");
+    assert!(run(0) > 20, "direct probes alone are expected to fail");
 }
 
-/// Fails if a suspicion of a live entry overtakes its refutation in a fleet in
-/// which news takes longer to reach everyone than the suspicion lasts.
+/// Fails if the suspicion of a live entry expires anywhere before the refutation
+/// arrives. In this fleet, piggybacked records take longer than the suspicion
+/// timeout to reach all entries.
 #[test]
-fn a_refutation_overtakes_the_suspicion() {
+fn a_refutation_arrives_before_the_suspicion_expires() {
     let mut fleet = Fleet::formed(120, 9, Tuning::default());
     for suspected in [2, 40, 77, 101] {
         fleet.cut_both(|n| n == suspected);
@@ -88,21 +89,22 @@
         while fleet.timeline.len() == before {
             fleet.run(Millis(100));
         }
-        // Now it can be reached again, but not by the entry that suspects it.
+        // The entry is reachable again, except for the one that suspects it.
         let observer = fleet.timeline[before].split(' ').next();
         let observer = (0..120).find(|n| Some(id(*n).as_str()) == observer);
         let observer = observer.expect("an entry");
         fleet.cuts = vec![(observer, suspected), (suspected, observer)];
         fleet.run(Millis(15_000));
     }
-    assert!(count(&fleet, "suspected") > 0);
-    assert_eq!(count(&fleet, "failed"), 0);
+    assert!(count_events(&fleet, "suspected") > 0);
+    assert_eq!(count_events(&fleet, "failed"), 0);
 }
 
-/// Fails if an entry that was paused for long stays out of use, keeps its old
-/// record, or blames the others for its own pause.
+/// Fails if an entry that was paused for a long time stays out of use, does not
+/// issue a new version of its record, or suspects others because of its own
+/// pause.
 #[test]
-fn a_paused_entry_refutes_and_returns() {
+fn a_paused_entry_refutes_its_death_and_returns() {
     let mut fleet = Fleet::formed(5, 5, Tuning::default());
     fleet.paused = vec![2];
     fleet.run(Millis(20_000));
@@ -110,17 +112,18 @@
     fleet.timeline.clear();
     fleet.paused.clear();
     fleet.run(Millis(70_000));
-    assert!(whole(&fleet), "{:#?}", fleet.views());
+    assert!(converged(&fleet), "{:#?}", fleet.views());
     assert_eq!(fleet.nodes[2].local().incarnation, Incarnation(1));
     assert!(fleet.nodes[2].local().version > Version(0));
     insta::assert_snapshot!(fleet.timeline.join("\n"));
 }
 
-/// Fails if callers are still sent to a leaving entry after the 3 s that it goes
-/// on serving beyond the age of lookups, or if a suspicion brings it back into
-/// use. All but a few must know it well before, in any of five runs.
+/// Fails if any entry still directs callers to a leaving entry after 3 s, or if a
+/// suspicion brings the leaving entry back into use. A leaving entry serves for
+/// 3 s longer than the maximum age of lookups. After 500 ms at most 3 entries may
+/// not know of it, for each of five seeds.
 #[test]
-fn leaving_spreads_at_once_and_stays() {
+fn leaving_reaches_all_entries_in_time_and_is_final() {
     for seed in 20..25 {
         let mut fleet = Fleet::formed(30, seed, Tuning::default());
         fleet.nodes[4].leave();
@@ -138,10 +141,10 @@
     }
 }
 
-/// Fails if an entry that joins a large fleet does not learn of all members, or
-/// if the end of a partition makes it ask for the same records over and over.
+/// Fails if an entry that joins a large fleet does not receive all members, or if
+/// it requests the same records repeatedly after a partition.
 #[test]
-fn views_are_compared_in_parts() {
+fn views_are_compared_in_parts_and_without_repetition() {
     let count = 900;
     let mut near = Members::new(member(0), Vec::new(), Tuning::default());
     let mut far = Members::new(member(1), Vec::new(), Tuning::default());
@@ -183,10 +186,10 @@
     assert_eq!(replies.sum::<usize>(), 0);
 }
 
-/// Fails if lookups do not learn of an overloaded entry, or if its report looks
-/// like a restart or a refutation.
+/// Fails if an entry does not receive the load of an overloaded one, or if the
+/// change of load is taken for a restart or a refutation.
 #[test]
-fn a_load_report_reaches_everyone() {
+fn a_load_report_reaches_all_entries() {
     let mut fleet = Fleet::formed(30, 10, Tuning::default());
     fleet.nodes[7].set_load(Load::Severe);
     fleet.run(Millis(10_000));
@@ -195,10 +198,10 @@
     assert!(fleet.timeline.is_empty(), "{:#?}", fleet.timeline);
 }
 
-/// Fails if members that the platform has removed are kept, or if a late message
-/// removes their successor.
+/// Fails if a member whose VM the platform has removed is kept, or if a late
+/// report of the removal also removes the next incarnation.
 #[test]
-fn a_removed_vm_is_forgotten_but_not_its_successor() {
+fn removing_an_incarnation_keeps_its_successor() {
     let mut members = Members::new(member(0), Vec::new(), Tuning::default());
     let successor = Member {
         incarnation: Incarnation(2),
@@ -211,13 +214,13 @@
     assert!(members.get(&id(1)).is_none());
 }
 
-/// Fails if a partition of an hour leaves the sides apart, or if its end takes
-/// entries out of use that could be reached all the time.
+/// Fails if the views do not converge after a partition of one hour, or if its end
+/// takes entries out of use that were reachable all the time.
 #[test]
-fn an_hour_of_partition_heals() {
-    let west = |n: usize| n.is_multiple_of(3);
+fn views_converge_after_an_hour_of_partition() {
+    let minority = |n: usize| n.is_multiple_of(3);
     let mut fleet = Fleet::formed(9, 7, Tuning::default());
-    fleet.cut_both(west);
+    fleet.cut_both(minority);
     fleet.run(Millis(60 * MINUTE.0));
     insta::assert_snapshot!(fleet.views().join("\n"));
     fleet.cuts.clear();
@@ -226,22 +229,22 @@
         for (n, m) in fleet.nodes.iter().enumerate() {
             let near = m
                 .alive()
-                .filter(|o| (0..9).any(|k| west(k) == west(n) && o.id == id(k)));
+                .filter(|o| (0..9).any(|k| minority(k) == minority(n) && o.id == id(k)));
             assert_eq!(
                 near.count(),
-                if west(n) { 3 } else { 6 },
+                if minority(n) { 3 } else { 6 },
                 "{:#?}",
                 fleet.views()
             );
         }
     }
-    assert!(whole(&fleet), "{:#?}", fleet.views());
+    assert!(converged(&fleet), "{:#?}", fleet.views());
 }
 
-/// Shows that probes of dead members are what heals a partition: without them
-/// the sides stay apart.
+/// Shows that the views converge after a partition only because dead members are
+/// probed: without these probes they do not.
 #[test]
-fn without_probes_of_dead_members_a_partition_stays() {
+fn without_probes_of_dead_members_a_partition_persists() {
     let tuning = Tuning {
         reconnect_period: Millis(1_000 * MINUTE.0),
         ..Tuning::default()
@@ -251,28 +254,31 @@
     fleet.run(Millis(5 * MINUTE.0));
     fleet.cuts.clear();
     fleet.run(Millis(10 * MINUTE.0));
-    assert!(!whole(&fleet), "the naive version is expected to fail");
+    assert!(!converged(&fleet), "the views are expected to stay apart");
 }
 
-/// Fails if the messages of each entry grow with the fleet, as heartbeats to all
-/// others do.
+/// Fails if the message rate of an entry grows with the fleet size, as that of
+/// all-to-all heartbeats does.
 #[test]
-fn the_messages_of_an_entry_do_not_grow_with_the_fleet() {
+fn the_message_rate_of_an_entry_is_independent_of_the_fleet_size() {
     let rate = |count: usize| {
         let mut fleet = Fleet::formed(count, 8, Tuning::default());
         fleet.run(MINUTE);
         fleet.sent / u64::try_from(count).expect("few members")
     };
     let (small, large) = (rate(9), rate(90));
-    assert!(large <= small * 11 / 10, "{small} and {large} a minute");
+    assert!(
+        large <= small * 11 / 10,
+        "{small} and {large} messages per minute"
+    );
     let heartbeats = |count: u64| 60 * (count - 1);
     assert!(
         heartbeats(90) > heartbeats(9) * 10,
-        "the naive version grows"
+        "all-to-all heartbeats are expected to grow"
     );
 }
 
-/// Fails if a message outgrows one packet, or if records are sent for ever.
+/// Fails if a message does not fit in one packet, or if records are sent forever.
 #[test]
 fn piggybacked_records_are_bounded_in_size_and_number() {
     let mut members = Members::new(member(0), Vec::new(), Tuning::default());
@@ -288,17 +294,17 @@
     assert!(sizes.iter().all(|s| *s <= UPDATE_BYTES_MAX));
     assert!(
         sizes[0] > UPDATE_BYTES_MAX / 2,
-        "a message is not used: {}",
+        "the first message is less than half full: {} bytes",
         sizes[0]
     );
     let last = members.on_probe(Millis(0), &id(1), Vec::new());
     assert_eq!(last, [member(0)]);
 }
 
-/// Fails if a report of a death takes effect before the member could refute it.
-/// With the order of records alone, it would.
+/// Fails if a reported death takes effect before the member could refute it, as it
+/// would by the precedence of records alone.
 #[test]
-fn a_report_of_death_can_be_refuted() {
+fn a_reported_death_can_be_refuted() {
     let mut members = Members::new(member(0), Vec::new(), Tuning::default());
     members.on_update(Millis(0), member(1));
     let dead = Member {
@@ -316,9 +322,9 @@
     assert_eq!(members.get(&id(1)).map(|m| m.1), Some(State::Alive));
 }
 
-/// Fails if a process goes on under a name that a later incarnation has taken.
+/// Fails if a process is not told that a later incarnation of its entry exists.
 #[test]
-fn a_superseded_process_is_told() {
+fn a_later_incarnation_is_reported_to_the_earlier_process() {
     let mut members = Members::new(member(0), Vec::new(), Tuning::default());
     let successor = Member {
         incarnation: Incarnation(7),
@@ -343,43 +349,50 @@
     }
 }
 
-fn kept(members: &Members) -> BTreeMap<EntryId, Member> {
+fn held_records(members: &Members) -> BTreeMap<EntryId, Member> {
     let all = members.all().map(|(m, _)| (m.id.clone(), m.clone()));
     all.collect()
 }
 
 quickcheck! {
-    /// Fails if two entries that received the same records in another order
-    /// differ for good.
-    fn the_order_of_updates_does_not_matter(updates: Vec<(u8, u8, u8, u8)>, turn: usize) -> bool {
-        let mut forth = Members::new(member(0), Vec::new(), Tuning::default());
-        let mut back = forth.clone();
+    /// Fails if two entries that received the same records in different orders
+    /// keep different ones.
+    fn update_order_does_not_matter(updates: Vec<(u8, u8, u8, u8)>, rotation: usize) -> bool {
+        let mut first = Members::new(member(0), Vec::new(), Tuning::default());
+        let mut second = first.clone();
         for u in &updates {
-            forth.on_update(Millis(0), update(*u));
+            first.on_update(Millis(0), update(*u));
         }
-        let turn = turn % updates.len().max(1);
-        for u in updates[turn..].iter().chain(&updates[..turn]).rev() {
-            back.on_update(Millis(0), update(*u));
+        let rotation = rotation % updates.len().max(1);
+        for u in updates[rotation..].iter().chain(&updates[..rotation]).rev() {
+            second.on_update(Millis(0), update(*u));
         }
-        kept(&forth) == kept(&back)
+        held_records(&first) == held_records(&second)
     }
 
-    /// Fails if a late message of a former life displaces a later one.
+    /// Fails if a late record of an earlier incarnation replaces a later one.
     fn an_older_incarnation_never_overrides(updates: Vec<(u8, u8, u8, u8)>) -> bool {
         let mut members = Members::new(member(0), Vec::new(), Tuning::default());
         updates.iter().map(|u| update(*u)).all(|u| {
-            let before = kept(&members).get(&u.id).map(|m| m.incarnation);
+            let before = held_records(&members).get(&u.id).map(|m| m.incarnation);
             members.on_update(Millis(0), u.clone());
-            kept(&members).get(&u.id).map(|m| m.incarnation) >= before
+            held_records(&members).get(&u.id).map(|m| m.incarnation) >= before
         })
     }
 
-    /// Fails if a record changes on the way, or outgrows the bound that keeps a
-    /// message within one packet.
-    fn records_read_back(n: u8, life: u64, version: u64, state: u8, ip: u128, load: u8) -> bool {
+    /// Fails if encoding and decoding change a record, or if its encoded size
+    /// exceeds the bound that keeps a message within one packet.
+    fn records_round_trip_within_bounds(
+        n: u8,
+        incarnation: u64,
+        version: u64,
+        state: u8,
+        ip: u128,
+        load: u8
+    ) -> bool {
         let loads = [Load::Normal, Load::High, Load::Severe];
         let member = Member {
-            incarnation: Incarnation(life),
+            incarnation: Incarnation(incarnation),
             version: Version(version),
             load: loads[usize::from(load % 3)],
             admin: (std::net::Ipv6Addr::from(ip), u16::from(n)).into(),
@@ -408,11 +421,11 @@
     })
 }
 
-/// Fails if a seat is removed without the platform's word, since its units could
-/// then be used twice, or if an entry joins before the platform lists its VM,
-/// since its absence would then look like its end.
+/// Fails if a seat is removed without a report of the platform, since its units
+/// could then be used twice, or if an entry is added before the platform lists its
+/// VM, since the missing VM would then be taken for a removed one.
 #[test]
-fn the_roster_follows_the_platform() {
+fn the_roster_follows_the_reports_of_the_platform() {
     let vms = |list: &[(usize, Vm)]| -> BTreeMap<EntryId, Vm> {
         list.iter().map(|(n, v)| (id(*n), v.clone())).collect()
     };
@@ -428,11 +441,11 @@
         ("three members join at once", first),
         ("nothing changed", next_roster(&start, live.iter(), &three)),
         (
-            "two are dead for gossip only",
+            "two members are dead according to membership only",
             next_roster(&start, live.iter().take(1), &three),
         ),
         (
-            "a fourth is not listed yet",
+            "the platform does not list a fourth member yet",
             next_roster(&start, live.iter().chain(&[member(3)]), &three),
         ),
         (
@@ -452,7 +465,7 @@
             ),
         ),
         (
-            "an entry restarted, the platform says nothing",
+            "an entry restarted, the platform does not report its incarnation",
             next_roster(
                 &start,
                 [member(0), restarted.clone(), member(2)].iter(),
@@ -460,7 +473,7 @@
             ),
         ),
         (
-            "an entry restarted, the former process is gone",
+            "an entry restarted, the platform reports the new incarnation",
             next_roster(
                 &start,
                 [member(0), restarted, member(2)].iter(),
@@ -475,10 +488,10 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
-/// Fails if a proposer that cannot reach the store holds up changes, or if all
-/// entries propose at once.
+/// Fails if a proposer that cannot reach the store blocks changes, or if all
+/// entries propose at the same time.
 #[test]
-fn proposers_take_turns() {
+fn proposers_are_staggered_by_rank() {
     let live: Vec<Member> = (0..3).map(member).collect();
     let ranked = |epoch| -> Vec<_> {
         proposers(Epoch(epoch), live.iter())
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -1,5 +1,5 @@
-//! Guards the dissemination of documents: an entry that misses an edit goes on
-//! sending traffic to a place that its team has closed.
+//! Tests the dissemination of documents. An entry that misses an edit continues to
+//! send traffic to a place that its team has closed.
 
 mod records;
 
@@ -29,7 +29,7 @@
     }
 }
 
-/// A few entries in one thread. A message takes one step of 50 ms.
+/// Simulates several entries in one thread, in steps of 50 ms.
 struct Group {
     nodes: Vec<Dissemination>,
     ids: Vec<EntryId>,
@@ -37,7 +37,7 @@
     now: Millis,
     /// The percentage of messages that are lost.
     loss: u32,
-    /// Whether probes compare hashes.
+    /// Whether entries probe each other and compare root hashes.
     probes: bool,
 }
 
@@ -58,7 +58,7 @@
         let sent: Vec<_> = (0..self.nodes.len()).map(|n| self.tick(n)).collect();
         for (n, actions) in sent.into_iter().enumerate() {
             for action in actions {
-                self.act(n, action);
+                self.execute(n, action);
             }
             if self.probes && self.now.0.is_multiple_of(1_000) {
                 self.probe(n);
@@ -74,24 +74,24 @@
 
     fn probe(&mut self, n: usize) {
         let to = self.rng.random_range(0..self.nodes.len());
-        if to != n && self.carries() {
+        if to != n && self.delivers() {
             let (mine, theirs) = (self.nodes[n].root(), self.nodes[to].root());
             self.nodes[to].on_root(&id(n), mine);
             self.nodes[n].on_root(&id(to), theirs);
         }
     }
 
-    fn act(&mut self, n: usize, action: Action) {
-        let carried = self.carries();
+    fn execute(&mut self, n: usize, action: Action) {
+        let delivered = self.delivers();
         match action {
-            Action::Announce { to, announcements } if carried => {
+            Action::Announce { to, announcements } if delivered => {
                 self.nodes[number(&to)].on_announce(&id(n), &announcements);
             }
-            Action::Compare { with, summary } if carried => {
+            Action::Compare { with, summary } if delivered => {
                 let list = self.nodes[number(&with)].on_compare(&summary, &mut self.rng);
                 self.nodes[n].on_announce(&with, &list);
             }
-            Action::Pull { from, services } if carried => {
+            Action::Pull { from, services } if delivered => {
                 for s in &services {
                     let revision = self.nodes[number(&from)].revision(s);
                     self.nodes[n].on_adopted(s, revision);
@@ -103,11 +103,11 @@
         }
     }
 
-    fn carries(&mut self) -> bool {
+    fn delivers(&mut self) -> bool {
         !self.rng.random_ratio(self.loss, 100)
     }
 
-    fn having(&self, wanted: &Announcement) -> usize {
+    fn adopted_count(&self, wanted: &Announcement) -> usize {
         let has = |n: &&Dissemination| n.revision(&wanted.service) >= wanted.revision;
         self.nodes.iter().filter(has).count()
     }
@@ -118,21 +118,21 @@
     digits.parse().expect("a number")
 }
 
-/// Fails if an edit does not reach everyone, or spreads hop by hop along a chain
-/// instead of in parallel.
+/// Fails if an edit does not reach all entries, or passes along a chain of entries
+/// instead of reaching many in parallel.
 #[test]
-fn an_edit_reaches_everyone() {
+fn an_edit_reaches_all_entries() {
     let mut group = Group::new(100, 1);
     group.nodes[0].on_adopted(&service(1), Revision(5));
     let mut curve = Vec::new();
     while group.now < Millis(3_000) {
         group.step();
-        curve.push(group.having(&item(1, 5)));
+        curve.push(group.adopted_count(&item(1, 5)));
     }
     insta::assert_compact_debug_snapshot!(curve);
 }
 
-/// Shows why hashes are compared: announcements alone leave entries behind.
+/// Shows why hashes are compared: with announcements alone, entries miss edits.
 #[test]
 fn announcements_alone_miss_entries() {
     let missed = |probes| {
@@ -142,16 +142,19 @@
         for _ in 0..400 {
             group.step();
         }
-        100 - group.having(&item(1, 5))
+        100 - group.adopted_count(&item(1, 5))
     };
     assert_eq!(missed(true), 0);
-    assert!(missed(false) > 0, "the naive version is expected to fail");
+    assert!(
+        missed(false) > 0,
+        "announcements alone are expected to miss entries"
+    );
 }
 
-/// Fails if lost messages, or edits that overtake each other, leave entries
-/// with different revisions.
+/// Fails if entries do not converge to the same revisions after lost messages and
+/// concurrent edits.
 #[test]
-fn lost_messages_and_many_edits_leave_no_difference() {
+fn entries_converge_after_message_loss_and_many_edits() {
     let mut group = Group::new(30, 3);
     group.loss = 30;
     for revision in 1..=200 {
@@ -176,10 +179,10 @@
     spread
 }
 
-/// Fails if an entry that starts during an outage of the store does not get all
-/// documents from a peer, or asks for all bodies at once.
+/// Fails if an entry that starts during an outage of the store does not pull all
+/// documents from a peer, or requests all bodies at once.
 #[test]
-fn an_entry_that_starts_pulls_all_documents() {
+fn an_entry_pulls_all_documents_from_a_peer_at_start() {
     let full = with_services(1_900);
     let mut group = Group::new(2, 4);
     group.nodes[1] = full.clone();
@@ -193,7 +196,7 @@
                 assert!(services.len() <= 64);
                 asked += services.len();
             }
-            group.act(0, action);
+            group.execute(0, action);
         }
         assert!(asked <= 256);
         pulls.push(asked);
@@ -202,10 +205,10 @@
     assert_eq!(pulls.iter().sum::<usize>(), 1_900);
 }
 
-/// Fails if the exchange for one edit grows beyond a packet or two at the
-/// two-year number of services.
+/// Fails if the request or the reply of a comparison after one edit exceeds one
+/// packet with 1,900 services, the number expected in two years.
 #[test]
-fn one_edit_costs_little_with_1900_services() {
+fn comparing_one_edit_among_1900_services_fits_in_packets() {
     let sender = Sender {
         entry: id(1),
         incarnation: Incarnation(1),
@@ -231,10 +234,10 @@
     assert!(sizes.iter().all(|s| *s <= 1_400));
 }
 
-/// Fails if documents that this entry refuses, for example because they are of a
-/// newer format, hide others behind the size limit of a reply.
+/// Fails if documents that this entry rejects, for example because of a newer
+/// format, use up the size limit of every reply, so that others never arrive.
 #[test]
-fn differences_that_persist_hide_no_others() {
+fn persistent_differences_do_not_hide_others() {
     let long = |n: usize| -> ServiceName {
         let name = format!("service-{n:04}-{}", "x".repeat(48));
         name.parse().expect("a name")
@@ -261,13 +264,13 @@
     }
     assert!(
         left[0] > 0,
-        "one reply held everything, so nothing could hide"
+        "the first reply holds all services, so the size limit has no effect"
     );
     assert_eq!(left.last(), Some(&0), "{left:?}");
 }
 
-/// Fails if a peer that fails or has nothing is asked again while another has
-/// the body, or if the pull is given up.
+/// Fails if a peer that failed or returned nothing is asked again while another
+/// peer has the body, or if the pull is abandoned.
 #[test]
 fn another_peer_is_asked_after_a_failure() {
     let mut spread = Dissemination::new(Tuning::default());
@@ -287,16 +290,16 @@
         }
     }
     // The first pull gets no answer and is repeated after the timeout. The next
-    // two return nothing, after which no peer is left.
+    // two return nothing, after which no source is left.
     insta::assert_snapshot!(asked.join("\n"));
     spread.on_announce(&id(3), &[item(1, 5)]);
     let again = spread.tick(Millis(1_000), &[], &mut rng);
     assert_eq!(again.len(), 1);
 }
 
-/// Fails if a peer that is behind is not told.
+/// Fails if the newer revision is not announced to a peer with an older one.
 #[test]
-fn a_peer_that_is_behind_is_told() {
+fn a_newer_revision_is_announced_to_an_outdated_peer() {
     let mut spread = Dissemination::new(Tuning::default());
     let mut rng = SmallRng::seed_from_u64(6);
     spread.on_adopted(&service(1), Revision(5));
@@ -310,10 +313,10 @@
     assert_eq!(actions, [told]);
 }
 
-/// Fails if the watches grow with the fleet, leave a region with a single one,
-/// or move about when another region changes.
+/// Fails if the number of watches grows with the fleet, if a region has only one,
+/// or if a failed holder moves more than one watch.
 #[test]
-fn watches_are_few_and_stay() {
+fn watches_are_few_and_rarely_move() {
     let fleet = |count| -> Vec<Member> { (0..count).map(member).collect() };
     let show = |members: &[Member]| -> Vec<String> {
         let regions: BTreeMap<_, _> = members.iter().map(|m| (&m.id, &m.region)).collect();
@@ -337,24 +340,27 @@
 }
 
 quickcheck! {
-    /// Fails if the order in which revisions arrive matters, or if an older one
-    /// replaces a newer one.
-    fn adoption_is_the_same_in_any_order(list: Vec<(u8, u8)>, turn: usize) -> bool {
-        let (mut forth, mut back) = (Dissemination::new(Tuning::default()), Dissemination::new(Tuning::default()));
+    /// Fails if the result depends on the order in which revisions arrive, or if an
+    /// older revision replaces a newer one.
+    fn adoption_order_does_not_matter(list: Vec<(u8, u8)>, rotation: usize) -> bool {
+        let (mut first, mut second) = (
+            Dissemination::new(Tuning::default()),
+            Dissemination::new(Tuning::default()),
+        );
         let adopt = |s: &mut Dissemination, (n, r): &(u8, u8)| {
             s.on_adopted(&service(usize::from(n % 4)), Revision(1 + u64::from(*r)));
         };
         for pair in &list {
-            adopt(&mut forth, pair);
+            adopt(&mut first, pair);
         }
-        let turn = turn % list.len().max(1);
-        for pair in list[turn..].iter().chain(&list[..turn]).rev() {
-            adopt(&mut back, pair);
+        let rotation = rotation % list.len().max(1);
+        for pair in list[rotation..].iter().chain(&list[..rotation]).rev() {
+            adopt(&mut second, pair);
         }
         let newest = |n: u8| list.iter().filter(|p| p.0 % 4 == n).map(|p| 1 + u64::from(p.1)).max();
-        forth.root() == back.root()
+        first.root() == second.root()
             && (0..4).all(|n| {
-                forth.revision(&service(usize::from(n))) == Revision(newest(n).unwrap_or(0))
+                first.revision(&service(usize::from(n))) == Revision(newest(n).unwrap_or(0))
             })
     }
 }
