--- a/src/policy/member/members.rs
+++ b/src/policy/member/members.rs
@@ -240,7 +240,7 @@
         self.others.get(id).map(|t| (&t.record, t.effective_state))
     }
 
-    /// Removes and returns the events since the last call.
+    /// Removes and returns the events recorded since the last call.
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
     }
@@ -296,8 +296,8 @@
         }
     }
 
-    /// Handles the failure of a probe. Peers are asked to relay
-    /// it at the next tick, without waiting for the timeout.
+    /// Handles the failure of a probe. The next [`tick`](Self::tick) asks peers to
+    /// relay it, without waiting for the timeout.
     pub fn on_error(&mut self, nonce: Nonce) {
         let timeout = self.tuning.ack_timeout;
         if let Some(pending) = self.pending.as_mut().filter(|p| p.nonce == nonce) {
@@ -402,12 +402,12 @@
     /// suspicion or a death must not be disseminated in replies, through which
     /// the two sides of a healed partition first exchange records.
     fn stale_ids(&self, updates: &[Member]) -> Vec<EntryId> {
-        let behind = |u: &&Member| {
+        let outdated = |u: &&Member| {
             let held = self.others.get(&u.id).map(|t| &t.record);
             held.is_some_and(|m| (m.incarnation, m.version) > (u.incarnation, u.version))
         };
-        let behind = updates.iter().filter(behind);
-        behind.map(|u| u.id.clone()).collect()
+        let outdated = updates.iter().filter(outdated);
+        outdated.map(|u| u.id.clone()).collect()
     }
 
     fn merge(&mut self, now: Millis, updates: Vec<Member>) {
--- a/src/policy/member/probes.rs
+++ b/src/policy/member/probes.rs
@@ -178,10 +178,11 @@
         self.fill(first)
     }
 
-    /// Returns the records for a reply: as [`outgoing_records`](Self::outgoing_records), and
-    /// before the queued ones those of which the peer has an older version. A
-    /// record leaves the queue after a number of messages, so a peer that missed a
-    /// refutation would otherwise keep the suspicion.
+    /// Returns the records for a reply: those of
+    /// [`outgoing_records`](Self::outgoing_records) and, before the queued ones,
+    /// those of which the peer has an older version. A record leaves the queue
+    /// after a number of messages, so a peer that missed a refutation would
+    /// otherwise keep the suspicion.
     pub(super) fn reply_records(&mut self, peer: &EntryId, stale: &[EntryId]) -> Vec<Member> {
         let held = |id: &EntryId| self.others.get(id).map(|t| t.record.clone());
         let suspected = |m: &Member| matches!(m.state, State::Suspect | State::Dead);
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -193,8 +193,8 @@
     let mut fleet = Fleet::formed(30, 10, Tuning::default());
     fleet.nodes[7].set_load(Load::Severe);
     fleet.run(Millis(10_000));
-    let told = |m: &&Members| m.get(&id(7)).is_some_and(|o| o.0.load == Load::Severe);
-    assert_eq!(fleet.nodes.iter().filter(told).count(), 30);
+    let received = |m: &&Members| m.get(&id(7)).is_some_and(|o| o.0.load == Load::Severe);
+    assert_eq!(fleet.nodes.iter().filter(received).count(), 30);
     assert!(fleet.timeline.is_empty(), "{:#?}", fleet.timeline);
 }
 
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -206,9 +206,9 @@
 }
 
 /// Fails if the request or the reply of a comparison after one edit exceeds one
-/// packet with 1,900 services, the number expected in two years.
+/// packet with 1,900 services, the number that is planned for in two years.
 #[test]
-fn comparing_one_edit_among_1900_services_fits_in_packets() {
+fn comparing_one_edit_among_1900_services_fits_in_one_packet_each() {
     let sender = Sender {
         entry: id(1),
         incarnation: Incarnation(1),
@@ -306,11 +306,11 @@
     spread.tick(Millis(0), &[], &mut rng);
     spread.on_announce(&id(1), &[item(1, 4)]);
     let actions = spread.tick(Millis(100), &[], &mut rng);
-    let told = Action::Announce {
+    let expected = Action::Announce {
         to: id(1),
         announcements: vec![item(1, 5)],
     };
-    assert_eq!(actions, [told]);
+    assert_eq!(actions, [expected]);
 }
 
 /// Fails if the number of watches grows with the fleet, if a region has only one,
