Wrap the comments of membership, dissemination and silence at 80 columns

Also says which factor keeps load records from filling the messages, and what a seat is without the word place, which means a location here. No code changes.

--- a/src/policy/member/members.rs
+++ b/src/policy/member/members.rs
@@ -148,7 +148,8 @@
     pub(super) relayed: bool,
 }
 
-/// One entry's view of the membership. See the [module](super) for the protocol.
+/// One entry's view of the membership. See the [module](super) for the
+/// protocol.
 #[derive(Clone, Debug)]
 pub struct Members {
     pub(super) local: Member,
@@ -160,8 +161,8 @@
     pub(super) probe_order: Vec<EntryId>,
     pub(super) pending: Option<PendingProbe>,
     pub(super) last_nonce: u64,
-    /// Whether the queue holds a record that must be pushed instead of waiting for
-    /// the next probe.
+    /// Whether the queue holds a record that must be pushed instead of waiting
+    /// for the next probe.
     pub(super) push: bool,
     /// How many pushes are allowed now.
     pub(super) push_credit: u32,
@@ -269,8 +270,8 @@
         out
     }
 
-    /// Applies the records of a received probe and returns those to send with the
-    /// acknowledgement.
+    /// Applies the records of a received probe and returns those to send with
+    /// the acknowledgement.
     pub fn on_probe(&mut self, now: Millis, from: &EntryId, updates: Vec<Member>) -> Vec<Member> {
         self.note_contact(from);
         let stale = self.stale_ids(&updates);
@@ -290,14 +291,14 @@
         if let Some(tracked) = self.others.get_mut(from)
             && matches!(tracked.record.state, State::Alive | State::Leaving)
         {
-            // The suspicion of a leaving member creates no record that the member
-            // could refute, so its answer alone ends the suspicion.
+            // The suspicion of a leaving member creates no record that the
+            // member could refute, so its answer alone ends the suspicion.
             tracked.deadline = None;
         }
     }
 
-    /// Handles the failure of a probe. The next [`tick`](Self::tick) asks peers to
-    /// relay it, without waiting for the timeout.
+    /// Handles the failure of a probe. The next [`tick`](Self::tick) asks peers
+    /// to relay it, without waiting for the timeout.
     pub fn on_error(&mut self, nonce: Nonce) {
         let timeout = self.tuning.ack_timeout;
         if let Some(pending) = self.pending.as_mut().filter(|p| p.nonce == nonce) {
@@ -305,8 +306,8 @@
         }
     }
 
-    /// Handles a request to relay a probe: applies its records and returns those
-    /// with which to probe `target` for the peer.
+    /// Handles a request to relay a probe: applies its records and returns
+    /// those with which to probe `target` for the peer.
     pub fn on_relay(&mut self, now: Millis, target: &EntryId, updates: Vec<Member>) -> Vec<Member> {
         self.merge(now, updates);
         self.outgoing_records(Some(target))
@@ -333,8 +334,8 @@
             }
         }
         // After a partition, most of the records may be of members that this
-        // entry considers dead. These change nothing yet, and another comparison
-        // would return the same reply.
+        // entry considers dead. These change nothing yet, and another
+        // comparison would return the same reply.
         if more && changed {
             self.sync_peers.insert(from.clone());
         }
@@ -375,8 +376,8 @@
         }
     }
 
-    /// Removes a member if its incarnation is not later than `incarnation`, which
-    /// the platform reports as gone.
+    /// Removes a member if its incarnation is not later than `incarnation`,
+    /// which the platform reports as gone.
     pub fn remove(&mut self, id: &EntryId, incarnation: Incarnation) {
         let gone = |t: &TrackedMember| t.record.incarnation <= incarnation;
         if self.others.get(id).is_some_and(gone) {
@@ -398,9 +399,9 @@
     }
 
     /// Returns the members of which this entry has a later version than the
-    /// sender of `updates`. A later state of the same version is not included: a
-    /// suspicion or a death must not be disseminated in replies, through which
-    /// the two sides of a healed partition first exchange records.
+    /// sender of `updates`. A later state of the same version is not included:
+    /// a suspicion or a death must not be disseminated in replies, through
+    /// which the two sides of a healed partition first exchange records.
     fn stale_ids(&self, updates: &[Member]) -> Vec<EntryId> {
         let outdated = |u: &&Member| {
             let held = self.others.get(&u.id).map(|t| &t.record);
--- a/src/policy/member/merge.rs
+++ b/src/policy/member/merge.rs
@@ -9,8 +9,8 @@
 use crate::domain::{EntryId, Millis};
 
 impl Members {
-    /// Handles a record about this entry itself: refutes it if it would supersede
-    /// the entry's own, and reports a later incarnation.
+    /// Handles a record about this entry itself: refutes it if it would
+    /// supersede the entry's own, and reports a later incarnation.
     pub(super) fn refute(&mut self, now: Millis, update: &Member) {
         let id = self.local.id.clone();
         if update.incarnation > self.local.incarnation {
@@ -75,9 +75,9 @@
             tracked.changed_at = now;
         }
         self.queue.push(&id, urgency);
-        // Members that did not receive the suspicion push the refutation as well,
-        // since others may have received it. Without a restart, an urgent record
-        // of a live member can only be a refutation.
+        // Members that did not receive the suspicion push the refutation as
+        // well, since others may have received it. Without a restart, an urgent
+        // record of a live member can only be a refutation.
         let refuted = urgency == Urgency::High && after == State::Alive && !restarted;
         let leaving = after == State::Leaving && before != State::Leaving;
         self.push |= refuted || leaving;
@@ -88,8 +88,8 @@
         }
     }
 
-    /// Handles direct contact with a member. If the member was considered dead or
-    /// is unknown, the two views may differ widely, so they are compared.
+    /// Handles direct contact with a member. If the member was considered dead
+    /// or is unknown, the two views may differ widely, so they are compared.
     pub(super) fn note_contact(&mut self, from: &EntryId) {
         match self.others.get(from).map(|t| t.effective_state) {
             Some(State::Dead) => {
--- a/src/policy/member/probes.rs
+++ b/src/policy/member/probes.rs
@@ -78,9 +78,9 @@
     }
 
     /// Probes the members that this entry suspects again, directly and through
-    /// peers, and those that it considers dead and a peer reports as live. These
-    /// probes carry the suspicion; in a large fleet it would otherwise expire
-    /// before piggybacked records deliver it to the member.
+    /// peers, and those that it considers dead and a peer reports as live.
+    /// These probes carry the suspicion; in a large fleet it would otherwise
+    /// expire before piggybacked records deliver it to the member.
     pub(super) fn reprobe_suspects(
         &mut self,
         now: Millis,
@@ -99,8 +99,9 @@
     }
 
     /// Probes some of the members that this entry considers dead and a peer
-    /// reports as live. They are chosen at random, because other entries have the
-    /// same list and would otherwise probe the same members at the same time.
+    /// reports as live. They are chosen at random, because other entries have
+    /// the same list and would otherwise probe the same members at the same
+    /// time.
     fn recheck_dead(&mut self, rng: &mut impl Rng, out: &mut Vec<Action>) {
         let others = &self.others;
         self.rechecks.retain(|id| {
@@ -133,8 +134,8 @@
         self.probe_seed(rng, out);
     }
 
-    /// Sends queued records to a few peers at once if one of them must be pushed
-    /// and the push allowance is not used up.
+    /// Sends queued records to a few peers at once if one of them must be
+    /// pushed and the push allowance is not used up.
     pub(super) fn push_to_peers(&mut self, rng: &mut impl Rng, out: &mut Vec<Action>) {
         if !self.push || self.push_credit == 0 {
             return;
@@ -156,8 +157,8 @@
         if now < self.last_sync + self.tuning.probe_period {
             return;
         }
-        // After a partition every contact schedules a comparison. One per second
-        // is enough, and limits the replies to 64 KB/s.
+        // After a partition every contact schedules a comparison. One per
+        // second is enough, and limits the replies to 64 KB/s.
         let waiting = std::mem::take(&mut self.sync_peers);
         let known = waiting.iter().filter_map(|id| self.others.get(id));
         let known: Vec<_> = known.map(|t| t.record.peers).collect();
@@ -168,9 +169,9 @@
         }
     }
 
-    /// Returns the records for a message: this entry's own, the receiver's if it
-    /// is suspected or dead, so that the receiver can refute it, and the queued
-    /// ones.
+    /// Returns the records for a message: this entry's own, the receiver's if
+    /// it is suspected or dead, so that the receiver can refute it, and the
+    /// queued ones.
     pub(super) fn outgoing_records(&mut self, peer: Option<&EntryId>) -> Vec<Member> {
         let held = peer.and_then(|id| self.others.get(id)).map(|t| &t.record);
         let suspected = held.filter(|m| matches!(m.state, State::Suspect | State::Dead));
@@ -179,10 +180,10 @@
     }
 
     /// Returns the records for a reply: those of
-    /// [`outgoing_records`](Self::outgoing_records) and, before the queued ones,
-    /// those of which the peer has an older version. A record leaves the queue
-    /// after a number of messages, so a peer that missed a refutation would
-    /// otherwise keep the suspicion.
+    /// [`outgoing_records`](Self::outgoing_records) and, before the queued
+    /// ones, those of which the peer has an older version. A record leaves the
+    /// queue after a number of messages, so a peer that missed a refutation
+    /// would otherwise keep the suspicion.
     pub(super) fn reply_records(&mut self, peer: &EntryId, stale: &[EntryId]) -> Vec<Member> {
         let held = |id: &EntryId| self.others.get(id).map(|t| t.record.clone());
         let suspected = |m: &Member| matches!(m.state, State::Suspect | State::Dead);
@@ -191,8 +192,8 @@
         self.fill(first)
     }
 
-    /// Returns this entry's record, then `first`, then queued records, up to the
-    /// size of one message.
+    /// Returns this entry's record, then `first`, then queued records, up to
+    /// the size of one message.
     fn fill(&mut self, first: Vec<Member>) -> Vec<Member> {
         let mut out = vec![self.local.clone()];
         let mut used = self.local.size_bound();
--- a/src/policy/member/queue.rs
+++ b/src/policy/member/queue.rs
@@ -9,9 +9,10 @@
 /// packet.
 pub const UPDATE_BYTES_MAX: usize = 1_200;
 
-/// How many times a record is sent, as a multiple of the binary logarithm of the
-/// fleet size. According to the SWIM analysis, a factor of 3 leaves a negligible
-/// probability that a member misses a record; the periodic sync repairs that.
+/// How many times a record is sent, as a multiple of the binary logarithm of
+/// the fleet size. According to the SWIM analysis, a factor of 3 leaves a
+/// negligible probability that a member misses a record; the periodic sync
+/// repairs that.
 const RETRANSMIT_FACTOR: u32 = 3;
 
 /// The urgency of a record. Urgent records are sent first.
@@ -19,8 +20,8 @@
 pub(super) enum Urgency {
     /// A member joined, left, failed or returned.
     High,
-    /// Only the load changed, or the record comes from a comparison of views, in
-    /// which case at least one peer already has it.
+    /// Only the load changed, or the record comes from a comparison of views,
+    /// in which case at least one peer already has it.
     Low,
 }
 
@@ -31,8 +32,8 @@
 }
 
 /// The members whose record is still to be sent, with the number of times it
-/// was sent. The record itself is read when a message is built, so a newer record
-/// needs no second item.
+/// was sent. The record itself is read when a message is built, so a newer
+/// record needs no second item.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     items: BTreeMap<EntryId, Item>,
@@ -117,8 +118,9 @@
     let bits = (usize::BITS - member_count.leading_zeros()).max(1);
     match urgency {
         Urgency::High => RETRANSMIT_FACTOR * bits,
-        // Load changes far more often than state. With the factor, the start of a
-        // whole fleet would fill the messages for many minutes.
+        // Load changes far more often than state. If these records were sent
+        // `RETRANSMIT_FACTOR` times as often, the start of a whole fleet would
+        // fill the messages for many minutes.
         Urgency::Low => bits,
     }
 }
--- a/src/policy/member/record.rs
+++ b/src/policy/member/record.rs
@@ -71,8 +71,8 @@
     pub id: EntryId,
     /// The incarnation of its process.
     pub incarnation: Incarnation,
-    /// The version of the record within that incarnation. Only the member itself
-    /// raises it.
+    /// The version of the record within that incarnation. Only the member
+    /// itself raises it.
     pub version: Version,
     /// Its state.
     pub state: State,
@@ -91,8 +91,9 @@
 }
 
 /// The maximum size of the tags, lengths, numbers and flags of one encoded
-/// record: eleven 1-byte tags, seven 1-byte lengths, two 10-byte numbers and two
-/// 1-byte flags. `tests/member.rs` checks that no encoded record exceeds [`Member::size_bound`].
+/// record: eleven 1-byte tags, seven 1-byte lengths, two 10-byte numbers and
+/// two 1-byte flags. `tests/member.rs` checks that no encoded record exceeds
+/// [`Member::size_bound`].
 const OVERHEAD_BYTES: usize = 40;
 
 impl Member {
--- a/src/policy/member/roster.rs
+++ b/src/policy/member/roster.rs
@@ -1,9 +1,9 @@
 //! The roster: the entries that are homes of units and claims.
 //!
 //! A failure detector can be wrong, so membership alone never removes a seat. A
-//! seat is removed when the platform reports that its VM is gone or leaving. Two
-//! incarnations of one entry can each hold a seat for a while, because only the
-//! platform can tell that the earlier one is gone.
+//! seat is removed when the platform reports that its VM is gone or leaving.
+//! Two incarnations of one entry can each hold a seat for a while, because only
+//! the platform can tell that the earlier one is gone.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -23,7 +23,7 @@
 /// ranks, which may be unable to reach the store.
 const RANK_DELAY: Millis = Millis(4_000);
 
-/// The place of one incarnation of an entry in the roster.
+/// The membership of one incarnation of an entry in the roster.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Seat {
     /// The entry.
@@ -48,8 +48,8 @@
 /// What the platform reports about one VM.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Vm {
-    /// The earliest incarnation that can still run on it, or zero if the platform
-    /// does not report one.
+    /// The earliest incarnation that can still run on it, or zero if the
+    /// platform does not report one.
     pub incarnation: Incarnation,
     /// Whether the platform is going to remove it.
     pub leaving: bool,
@@ -61,7 +61,8 @@
     }
 }
 
-/// Returns the roster that should follow `current`, or `None` if nothing changes.
+/// Returns the roster that should follow `current`, or `None` if nothing
+/// changes.
 ///
 /// `live` yields the live members and `vms` is the platform's list. A member is
 /// added only after the platform lists its VM, so that its later absence means
@@ -103,8 +104,8 @@
 }
 
 /// Returns the live members in the order in which they may propose the roster
-/// after `epoch`, by rendezvous hash. The order changes with each epoch, so that
-/// the work does not always fall to the same entry.
+/// after `epoch`, by rendezvous hash. The order changes with each epoch, so
+/// that the work does not always fall to the same entry.
 #[must_use]
 pub fn proposers<'a>(epoch: Epoch, live: impl Iterator<Item = &'a Member>) -> Vec<&'a EntryId> {
     let mut ids: Vec<&EntryId> = live.map(|m| &m.id).collect();
@@ -124,9 +125,9 @@
 }
 
 impl Proposer {
-    /// Reports whether to propose now; if so, records the proposal. `rank` is this
-    /// entry's position in [`proposers`], `pending` whether [`next_roster`]
-    /// returns a change.
+    /// Reports whether to propose now; if so, records the proposal. `rank` is
+    /// this entry's position in [`proposers`], `pending` whether
+    /// [`next_roster`] returns a change.
     pub fn due(&mut self, now: Millis, rank: usize, pending: bool) -> bool {
         if !pending {
             self.pending_since = None;
--- a/src/policy/member/sync.rs
+++ b/src/policy/member/sync.rs
@@ -1,8 +1,8 @@
 //! Anti-entropy: comparison of the views of two entries.
 //!
-//! The requester sends one hash per bucket of members; the responder returns its
-//! records in the buckets that differ. Both sides omit dead members: after a
-//! partition, each side considers the other dead, and an exchange of those
+//! The requester sends one hash per bucket of members; the responder returns
+//! its records in the buckets that differ. Both sides omit dead members: after
+//! a partition, each side considers the other dead, and an exchange of those
 //! records would mark the whole fleet as dead at once.
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -13,8 +13,8 @@
 /// The maximum number of buckets, which limits a digest to 1 KB.
 const BUCKETS_MAX: usize = 256;
 
-/// The target number of members per bucket. A bucket of eight records is smaller
-/// than the digest itself.
+/// The target number of members per bucket. A bucket of eight records is
+/// smaller than the digest itself.
 const MEMBERS_PER_BUCKET: usize = 8;
 
 /// The maximum size of the records in one reply. It is well below the message
@@ -26,8 +26,8 @@
 pub struct ViewDigest(Vec<u32>);
 
 impl ViewDigest {
-    /// Returns the digest of `members`, with a number of buckets that depends on
-    /// their count.
+    /// Returns the digest of `members`, with a number of buckets that depends
+    /// on their count.
     pub(super) fn of<'a>(members: impl Iterator<Item = &'a Member> + Clone) -> Self {
         let wanted = members.clone().count() / MEMBERS_PER_BUCKET;
         let buckets = wanted.next_power_of_two().min(BUCKETS_MAX);
@@ -49,8 +49,8 @@
     }
 
     /// Returns the records in the buckets that differ, and whether some were
-    /// omitted because of the size limit. The first record depends on `local`, so
-    /// that the replies of several peers together contain all records.
+    /// omitted because of the size limit. The first record depends on `local`,
+    /// so that the replies of several peers together contain all records.
     pub(super) fn differing<'a>(
         &self,
         local: &EntryId,
--- a/src/policy/silence/mod.rs
+++ b/src/policy/silence/mod.rs
@@ -1,12 +1,12 @@
 //! Detection of silent connections, which are open but have stopped responding.
 //!
 //! An open connection may never respond again while new connections to the same
-//! target work. TCP does not detect this if the peer's kernel still acknowledges
-//! data, so a connection counts as silent if it makes no progress for a time that
-//! depends on the usual durations of the lane. A straggler can be mistaken for a
-//! silent connection. This costs only a hedge, because a connection is retired
-//! only after the same request was answered on another one. See
-//! [docs/design.md](../../../docs/design.md), section 3.11.
+//! target work. TCP does not detect this if the peer's kernel still
+//! acknowledges data, so a connection counts as silent if it makes no progress
+//! for a time that depends on the usual durations of the lane. A straggler can
+//! be mistaken for a silent connection. This costs only a hedge, because a
+//! connection is retired only after the same request was answered on another
+//! one. See [docs/design.md](../../../docs/design.md), section 3.11.
 
 use crate::domain::Millis;
 
@@ -110,9 +110,9 @@
 
     /// Decides what to do now.
     ///
-    /// A request that is not idempotent waits until its deadline, since it may have
-    /// been executed. The deadline does not end a response that has begun: a
-    /// download may continue as long as it makes progress.
+    /// A request that is not idempotent waits until its deadline, since it may
+    /// have been executed. The deadline does not end a response that has begun:
+    /// a download may continue as long as it makes progress.
     #[must_use]
     pub fn check(&self, now: Millis, p99: Option<Millis>) -> Action {
         if self.response_started {
@@ -130,8 +130,8 @@
         Action::Wait(self.deadline.min(self.last_active + timeout(p99)))
     }
 
-    /// Gives up on a response that has begun once its deadline has passed and the
-    /// connection is silent.
+    /// Gives up on a response that has begun once its deadline has passed and
+    /// the connection is silent.
     fn check_response(&self, now: Millis, p99: Option<Millis>) -> Action {
         let end = self.deadline.max(self.last_active + timeout(p99));
         if now >= end {
@@ -141,9 +141,9 @@
         }
     }
 
-    /// Decides whether the connection is kept after its request has ended without
-    /// a response on it, because the hedge was answered first or the caller gave
-    /// up.
+    /// Decides whether the connection is kept after its request has ended
+    /// without a response on it, because the hedge was answered first or the
+    /// caller gave up.
     #[must_use]
     pub fn disposition(&self, now: Millis, p99: Option<Millis>) -> Disposition {
         if self.is_silent(now, p99) {
--- a/src/policy/spread/digest.rs
+++ b/src/policy/spread/digest.rs
@@ -42,8 +42,8 @@
     }
 }
 
-/// A hash over all adopted revisions. Entries with the same hash have adopted the
-/// same revisions.
+/// A hash over all adopted revisions. Entries with the same hash have adopted
+/// the same revisions.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct RootHash(pub u64);
 
@@ -62,8 +62,8 @@
     }
 }
 
-/// One hash per bucket of services. The hashes are truncated to 32 bits, since a
-/// collision hides a difference only until the next change in the bucket.
+/// One hash per bucket of services. The hashes are truncated to 32 bits, since
+/// a collision hides a difference only until the next change in the bucket.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Summary(Vec<u32>);
 
@@ -98,8 +98,8 @@
         }
     }
 
-    /// Records an adopted revision and returns `true`, unless the same or a newer
-    /// revision of the service is already recorded.
+    /// Records an adopted revision and returns `true`, unless the same or a
+    /// newer revision of the service is already recorded.
     pub(super) fn adopt(&mut self, service: &ServiceName, revision: Revision) -> bool {
         let previous = self.revisions.get(service).copied();
         if previous.is_some_and(|r| r >= revision) {
@@ -128,8 +128,9 @@
     }
 
     /// Returns the revisions in the buckets that differ from `remote`, in whole
-    /// buckets up to the size limit. The first bucket is random, so that buckets
-    /// whose difference persists do not exclude the ones after them forever.
+    /// buckets up to the size limit. The first bucket is random, so that
+    /// buckets whose difference persists do not exclude the ones after them
+    /// forever.
     pub(super) fn differing(&self, remote: &Summary, rng: &mut impl Rng) -> Vec<Announcement> {
         let local = self.summary();
         let start = rng.random_range(0..BUCKET_COUNT);
--- a/src/policy/spread/dissemination.rs
+++ b/src/policy/spread/dissemination.rs
@@ -12,8 +12,8 @@
 /// comparisons then cover the rest.
 const ANNOUNCED_SERVICES_MAX: usize = 256;
 
-/// The maximum number of services in one pull. Bodies are about 2 KB and a reply
-/// holds at most 256 KB.
+/// The maximum number of services in one pull. Bodies are about 2 KB and a
+/// reply holds at most 256 KB.
 const PULLED_SERVICES_MAX: usize = 64;
 
 /// The maximum number of services whose bodies are awaited at a time. It limits
@@ -44,7 +44,8 @@
 /// A message that the caller has to send. All of them use one method, `Fetch`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Action {
-    /// Announce revisions to a peer, which calls [`Dissemination::on_announce`].
+    /// Announce revisions to a peer, which calls
+    /// [`Dissemination::on_announce`].
     Announce {
         /// The peer.
         to: EntryId,
@@ -59,8 +60,8 @@
         /// The services.
         services: Vec<ServiceName>,
     },
-    /// Ask a peer for its revisions in the buckets that differ; the reply goes to
-    /// [`Dissemination::on_announce`].
+    /// Ask a peer for its revisions in the buckets that differ; the reply goes
+    /// to [`Dissemination::on_announce`].
     Compare {
         /// The peer.
         with: EntryId,
@@ -79,7 +80,8 @@
     asked_at: Option<Millis>,
 }
 
-/// The revisions that this entry has adopted, and those that it has yet to pull.
+/// The revisions that this entry has adopted, and those that it has yet to
+/// pull.
 #[derive(Clone, Debug)]
 pub struct Dissemination {
     index: Index,
@@ -124,8 +126,8 @@
         self.index.revision(service)
     }
 
-    /// Records that this entry has adopted a revision, from the store or a peer.
-    /// A revision older than the recorded one has no effect.
+    /// Records that this entry has adopted a revision, from the store or a
+    /// peer. A revision older than the recorded one has no effect.
     pub fn on_adopted(&mut self, service: &ServiceName, revision: Revision) {
         if self.index.adopt(service, revision) {
             self.unannounced.insert(service.clone());
@@ -136,8 +138,9 @@
         }
     }
 
-    /// Handles the revisions that a peer has adopted. Newer ones are pulled from
-    /// the peer; if this entry has a newer one, it is announced to the peer.
+    /// Handles the revisions that a peer has adopted. Newer ones are pulled
+    /// from the peer; if this entry has a newer one, it is announced to the
+    /// peer.
     pub fn on_announce(&mut self, from: &EntryId, announcements: &[Announcement]) {
         for announcement in announcements {
             let local = self.index.revision(&announcement.service);
@@ -164,10 +167,10 @@
     }
 
     /// Handles the end of a pull of `services`, after
-    /// [`on_adopted`](Self::on_adopted) was called for the received bodies.
-    /// A peer may return only some of the bodies because of the message limit; the
-    /// others are pulled again at once. If `received` is zero, another peer is
-    /// asked.
+    /// [`on_adopted`](Self::on_adopted) was called for the received bodies. A
+    /// peer may return only some of the bodies because of the message limit;
+    /// the others are pulled again at once. If `received` is zero, another peer
+    /// is asked.
     pub fn on_pulled(&mut self, from: &EntryId, services: &[ServiceName], received: usize) {
         if received == 0 {
             self.on_error(from, services);
@@ -180,8 +183,8 @@
         }
     }
 
-    /// Handles the failure of a pull. The next [`tick`](Self::tick) asks another
-    /// peer.
+    /// Handles the failure of a pull. The next [`tick`](Self::tick) asks
+    /// another peer.
     pub fn on_error(&mut self, from: &EntryId, services: &[ServiceName]) {
         for service in services {
             if let Some(missing) = self.missing.get_mut(service) {
@@ -282,18 +285,18 @@
         );
     }
 
-    /// Asks the peers whose hashes differ to compare revisions. While an edit is
-    /// being disseminated, an announcement of the same revision is often already on
-    /// its way. The comparison is still sent at once: a delay of 500 ms saved
-    /// little traffic and raised the p99 of the time until the last of 30 entries
-    /// has an edit from 1.3 s to 3.5 s.
+    /// Asks the peers whose hashes differ to compare revisions. While an edit
+    /// is being disseminated, an announcement of the same revision is often
+    /// already on its way. The comparison is still sent at once: a delay of 500
+    /// ms saved little traffic and raised the p99 of the time until the last of
+    /// 30 entries has an edit from 1.3 s to 3.5 s.
     fn compare(&mut self, now: Millis, out: &mut Vec<Action>) {
         let interval = self.tuning.compare_interval;
         self.compared_at.retain(|_, at| now - *at < interval);
         let differing_peers = std::mem::take(&mut self.differing_peers);
         if !self.missing.is_empty() {
-            // Pending pulls may resolve the difference. The next probe shows whether
-            // it persists.
+            // Pending pulls may resolve the difference. The next probe shows
+            // whether it persists.
             return;
         }
         for with in differing_peers {
--- a/src/policy/spread/holders.rs
+++ b/src/policy/spread/holders.rs
@@ -9,8 +9,8 @@
     policy::member::Member,
 };
 
-/// How many entries of a region watch the store. The second one covers a failure
-/// of the first.
+/// How many entries of a region watch the store. The second one covers a
+/// failure of the first.
 const HOLDERS_PER_REGION: usize = 2;
 
 /// The maximum number of entries that watch the store. It keeps the number of
@@ -20,9 +20,9 @@
 /// Returns the live members that should hold a watch.
 ///
 /// Regions and the entries of a region are ranked by rendezvous hash, so a
-/// member that joins or fails moves at most the watches of its own region and of
-/// the last region chosen. Entries whose views differ choose different holders
-/// for a while, which costs a few extra watches but misses no change.
+/// member that joins or fails moves at most the watches of its own region and
+/// of the last region chosen. Entries whose views differ choose different
+/// holders for a while, which costs a few extra watches but misses no change.
 #[must_use]
 pub fn watch_holders<'a>(live: impl Iterator<Item = &'a Member>) -> Vec<&'a EntryId> {
     let mut regions: BTreeMap<&RegionName, Vec<&EntryId>> = BTreeMap::new();
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -59,8 +59,8 @@
     assert!(converged(&fleet));
 }
 
-/// Fails if the loss of one direction of one link makes an entry suspected. With
-/// direct probes alone, the suspicion recurs.
+/// Fails if the loss of one direction of one link makes an entry suspected.
+/// With direct probes alone, the suspicion recurs.
 #[test]
 fn relays_bridge_an_asymmetric_link_failure() {
     let run = |relay_count| {
@@ -77,9 +77,9 @@
     assert!(run(0) > 20, "direct probes alone are expected to fail");
 }
 
-/// Fails if the suspicion of a live entry expires anywhere before the refutation
-/// arrives. In this fleet, piggybacked records take longer than the suspicion
-/// timeout to reach all entries.
+/// Fails if the suspicion of a live entry expires anywhere before the
+/// refutation arrives. In this fleet, piggybacked records take longer than the
+/// suspicion timeout to reach all entries.
 #[test]
 fn a_refutation_arrives_before_the_suspicion_expires() {
     let mut fleet = Fleet::formed(120, 9, Tuning::default());
@@ -118,10 +118,10 @@
     insta::assert_snapshot!(fleet.timeline.join("\n"));
 }
 
-/// Fails if any entry still directs callers to a leaving entry after 3 s, or if a
-/// suspicion brings the leaving entry back into use. A leaving entry serves for
-/// 3 s longer than the maximum age of lookups. After 500 ms at most 3 entries may
-/// not know of it, for each of five seeds.
+/// Fails if any entry still directs callers to a leaving entry after 3 s, or if
+/// a suspicion brings the leaving entry back into use. A leaving entry serves
+/// for 3 s longer than the maximum age of lookups. After 500 ms at most 3
+/// entries may not know of it, for each of five seeds.
 #[test]
 fn leaving_reaches_all_entries_in_time_and_is_final() {
     for seed in 20..25 {
@@ -141,8 +141,8 @@
     }
 }
 
-/// Fails if an entry that joins a large fleet does not receive all members, or if
-/// it requests the same records repeatedly after a partition.
+/// Fails if an entry that joins a large fleet does not receive all members, or
+/// if it requests the same records repeatedly after a partition.
 #[test]
 fn views_are_compared_in_parts_and_without_repetition() {
     let count = 900;
@@ -214,8 +214,8 @@
     assert!(members.get(&id(1)).is_none());
 }
 
-/// Fails if the views do not converge after a partition of one hour, or if its end
-/// takes entries out of use that were reachable all the time.
+/// Fails if the views do not converge after a partition of one hour, or if its
+/// end takes entries out of use that were reachable all the time.
 #[test]
 fn views_converge_after_an_hour_of_partition() {
     let minority = |n: usize| n.is_multiple_of(3);
@@ -241,8 +241,8 @@
     assert!(converged(&fleet), "{:#?}", fleet.views());
 }
 
-/// Shows that the views converge after a partition only because dead members are
-/// probed: without these probes they do not.
+/// Shows that the views converge after a partition only because dead members
+/// are probed: without these probes they do not.
 #[test]
 fn without_probes_of_dead_members_a_partition_persists() {
     let tuning = Tuning {
@@ -278,7 +278,8 @@
     );
 }
 
-/// Fails if a message does not fit in one packet, or if records are sent forever.
+/// Fails if a message does not fit in one packet, or if records are sent
+/// forever.
 #[test]
 fn piggybacked_records_are_bounded_in_size_and_number() {
     let mut members = Members::new(member(0), Vec::new(), Tuning::default());
@@ -301,8 +302,8 @@
     assert_eq!(last, [member(0)]);
 }
 
-/// Fails if a reported death takes effect before the member could refute it, as it
-/// would by the precedence of records alone.
+/// Fails if a reported death takes effect before the member could refute it, as
+/// it would by the precedence of records alone.
 #[test]
 fn a_reported_death_can_be_refuted() {
     let mut members = Members::new(member(0), Vec::new(), Tuning::default());
@@ -422,8 +423,8 @@
 }
 
 /// Fails if a seat is removed without a report of the platform, since its units
-/// could then be used twice, or if an entry is added before the platform lists its
-/// VM, since the missing VM would then be taken for a removed one.
+/// could then be used twice, or if an entry is added before the platform lists
+/// its VM, since the missing VM would then be taken for a removed one.
 #[test]
 fn the_roster_follows_the_reports_of_the_platform() {
     let vms = |list: &[(usize, Vm)]| -> BTreeMap<EntryId, Vm> {
--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -1,5 +1,5 @@
-//! Tests the dissemination of documents. An entry that misses an edit continues to
-//! send traffic to a place that its team has closed.
+//! Tests the dissemination of documents. An entry that misses an edit continues
+//! to send traffic to a place that its team has closed.
 
 mod records;
 
@@ -118,8 +118,8 @@
     digits.parse().expect("a number")
 }
 
-/// Fails if an edit does not reach all entries, or passes along a chain of entries
-/// instead of reaching many in parallel.
+/// Fails if an edit does not reach all entries, or passes along a chain of
+/// entries instead of reaching many in parallel.
 #[test]
 fn an_edit_reaches_all_entries() {
     let mut group = Group::new(100, 1);
@@ -151,8 +151,8 @@
     );
 }
 
-/// Fails if entries do not converge to the same revisions after lost messages and
-/// concurrent edits.
+/// Fails if entries do not converge to the same revisions after lost messages
+/// and concurrent edits.
 #[test]
 fn entries_converge_after_message_loss_and_many_edits() {
     let mut group = Group::new(30, 3);
@@ -179,8 +179,8 @@
     spread
 }
 
-/// Fails if an entry that starts during an outage of the store does not pull all
-/// documents from a peer, or requests all bodies at once.
+/// Fails if an entry that starts during an outage of the store does not pull
+/// all documents from a peer, or requests all bodies at once.
 #[test]
 fn an_entry_pulls_all_documents_from_a_peer_at_start() {
     let full = with_services(1_900);
@@ -313,8 +313,8 @@
     assert_eq!(actions, [expected]);
 }
 
-/// Fails if the number of watches grows with the fleet, if a region has only one,
-/// or if a failed holder moves more than one watch.
+/// Fails if the number of watches grows with the fleet, if a region has only
+/// one, or if a failed holder moves more than one watch.
 #[test]
 fn watches_are_few_and_rarely_move() {
     let fleet = |count| -> Vec<Member> { (0..count).map(member).collect() };
@@ -340,8 +340,8 @@
 }
 
 quickcheck! {
-    /// Fails if the result depends on the order in which revisions arrive, or if an
-    /// older revision replaces a newer one.
+    /// Fails if the result depends on the order in which revisions arrive, or
+    /// if an older revision replaces a newer one.
     fn adoption_order_does_not_matter(list: Vec<(u8, u8)>, rotation: usize) -> bool {
         let (mut first, mut second) = (
             Dissemination::new(Tuning::default()),
