Name the target pool in terms of load balancing

The comments and names of src/policy/target were hard to follow: 'part' stood for several shares, 'judge' for outlier detection, 'slot' for the index of a lane, and 'site' for the index of a place.

Renamed: Ask -> Criteria (avoid -> excluded, pressed -> accept_slow), Miss -> ChooseError, Finish -> Completion (Done -> Answered), Report -> LoadReport (at -> measured_at), View -> TargetStatus, Pool::views -> statuses, Pool::probes -> start_probes, Pool::probed -> probe_finished, SHED_MAX -> BACKOFF_MAX. The modules judge and local are now outlier and locality. The comment on the lower bound of latency samples said that it was the latency of an unknown target; it now says what the code does.

Behaviour is unchanged.

--- a/examples/bench/cost.rs
+++ b/examples/bench/cost.rs
@@ -11,7 +11,7 @@
     policy::{
         queue::{Queue, Ticket},
         retry::{Attempt, Budget, Window},
-        target::{Ask, Finish, Pool},
+        target::{Completion, Criteria, Pool},
     },
 };
 
@@ -54,20 +54,20 @@
     let mut pool = Pool::new();
     pool.adopt(Millis(0), &places);
     let mut rng = SmallRng::seed_from_u64(1);
-    let ask = Ask {
+    let ask = Criteria {
         lane: Lane::Short,
         places: &weights,
-        avoid: &[],
+        excluded: &[],
         extra: false,
         explore: true,
-        pressed: false,
+        accept_slow: false,
     };
     mean(|n| {
         let now = Millis(n / 10);
         if let Ok(choice) = pool.choose(now, &mut rng, &ask, |_, _| 4) {
             pool.started(choice.target, Lane::Short);
             let time = Millis(10 + n % 10);
-            pool.finished(now, choice.target, Lane::Short, Finish::Done, time);
+            pool.finished(now, choice.target, Lane::Short, Completion::Answered, time);
         }
     })
 }
--- a/examples/bench/steered/mod.rs
+++ b/examples/bench/steered/mod.rs
@@ -12,7 +12,7 @@
     policy::{
         queue::{Lengths, Queue, Ticket, WaitId},
         retry::{self, Attempt, Budget, Window},
-        target::{Ask, Finish, Pool, Report},
+        target::{Completion, Criteria, LoadReport, Pool},
     },
 };
 
@@ -241,13 +241,13 @@
     ) -> Option<usize> {
         let r = core.requests[request];
         let own = &mut self.owns[entry][r.service];
-        let ask = Ask {
+        let ask = Criteria {
             lane: self.live.get(&request)?.lane,
             places: &own.places,
-            avoid: used,
+            excluded: used,
             extra: !used.is_empty(),
             explore: r.kind != Kind::Booking,
-            pressed,
+            accept_slow: pressed,
         };
         let (loans, ids) = (&self.loans, &self.ids);
         let free = |target: TargetId, lane| loans.free(ids[&target], entry, lane);
@@ -279,7 +279,7 @@
     }
 
     /// Takes an attempt back and records how it ended.
-    fn close(&mut self, core: &mut Core, attempt: usize, lane: Lane, finish: Finish) {
+    fn close(&mut self, core: &mut Core, attempt: usize, lane: Lane, finish: Completion) {
         let a = core.attempts[attempt];
         let service = core.requests[a.request].service;
         let own = &mut self.owns[a.entry][service];
@@ -287,7 +287,7 @@
         own.pool
             .finished(core.millis(), id(a.target), lane, finish, time);
         own.queue.finished(lane);
-        if finish == Finish::Done {
+        if finish == Completion::Answered {
             own.windows[at(lane)].add(core.millis(), time);
             let route = core.requests[a.request].kind.route();
             own.lengths.learn(lane, route, time);
@@ -309,13 +309,13 @@
         };
         live.attempts.retain(|&other| other != attempt);
         if shed {
-            self.close(core, attempt, live.lane, Finish::Cancelled);
+            self.close(core, attempt, live.lane, Completion::Cancelled);
             let own = &mut self.owns[a.entry][service];
             own.pool.shed(core.millis(), id(a.target), Millis(1000));
             self.live.insert(a.request, live);
             self.failed(core, a.entry, a.request);
         } else {
-            self.close(core, attempt, live.lane, Finish::Done);
+            self.close(core, attempt, live.lane, Completion::Answered);
             self.drop_attempts(core, &live);
             core.respond(a.request, true);
         }
@@ -324,7 +324,7 @@
 
     fn drop_attempts(&mut self, core: &mut Core, live: &Live) {
         for &attempt in &live.attempts {
-            self.close(core, attempt, live.lane, Finish::Cancelled);
+            self.close(core, attempt, live.lane, Completion::Cancelled);
             core.cancel(attempt);
         }
     }
@@ -415,8 +415,8 @@
     fn report(&mut self, core: &Core) {
         let now = core.millis();
         for (target, &load) in core.reports.iter().enumerate() {
-            let report = Report {
-                at: now - Millis(2000),
+            let report = LoadReport {
+                measured_at: now - Millis(2000),
                 load,
             };
             for owns in &mut self.owns {
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -27,7 +27,7 @@
         refusal::{Code, Refusal},
         retry::{self, Percentiles},
         silence,
-        target::{Finish, Report},
+        target::{Completion, LoadReport},
     },
     ports::{Body, Outbound, SendError},
 };
@@ -128,7 +128,7 @@
         }
         let target = slot.target();
         let Some(mut request) = self.job.request(now) else {
-            slot.finish(Finish::Cancelled);
+            slot.finish(Completion::Cancelled);
             return Err(Refusal::unknown(
                 Code::Broken,
                 format!("send to {target}: the body cannot be sent again"),
@@ -251,7 +251,7 @@
             self.state
                 .services
                 .get(&self.job.service, |s| s.pool.shed(now, target, time));
-            slot.finish(Finish::Cancelled);
+            slot.finish(Completion::Cancelled);
             return self.refused(slot, resp).await;
         }
         if let Some(report) = report(&resp, now) {
@@ -312,7 +312,7 @@
 
     /// Sends the request again after a failure if that is allowed.
     async fn failed(&mut self, mut slot: Slot, e: SendError) -> Result<(), Refusal> {
-        slot.finish(Finish::Failed);
+        slot.finish(Completion::Failed);
         let sent = matches!(e, SendError::Unknown { .. });
         self.sent |= sent;
         if sent {
@@ -390,7 +390,10 @@
 
 /// Returns what a target says of its load with an answer: running and waiting
 /// requests in parts of its slots.
-fn report(resp: &Response<Body>, now: Millis) -> Option<Report> {
+fn report(resp: &Response<Body>, now: Millis) -> Option<LoadReport> {
     let load: f64 = resp.headers().get("x-load")?.to_str().ok()?.parse().ok()?;
-    load.is_finite().then_some(Report { at: now, load })
+    load.is_finite().then_some(LoadReport {
+        measured_at: now,
+        load,
+    })
 }
--- a/src/app/entry/control/targets.rs
+++ b/src/app/entry/control/targets.rs
@@ -28,7 +28,7 @@
         let now = (state.ports.clock.now)();
         let mut due: Vec<(ServiceName, TargetId)> = Vec::new();
         state.services.each(|name, s| {
-            let targets = s.pool.probes(now).into_iter();
+            let targets = s.pool.start_probes(now).into_iter();
             due.extend(targets.map(|t| (name.clone(), t)));
         });
         for (service, target) in due {
@@ -48,7 +48,7 @@
     let now = (state.ports.clock.now)();
     state
         .services
-        .get(&service, |s| s.pool.probed(now, target, alive));
+        .get(&service, |s| s.pool.probe_finished(now, target, alive));
 }
 
 /// Returns the request of a probe. It names no service, so it is not counted as
--- a/src/app/entry/grants.rs
+++ b/src/app/entry/grants.rs
@@ -17,7 +17,7 @@
         limit::Permit,
         queue::WaitId,
         refusal::{Code, Refusal},
-        target::{Choice, Finish},
+        target::{Choice, Completion},
     },
 };
 
@@ -135,7 +135,7 @@
             permit,
             started: (self.ports.clock.now)(),
             head: None,
-            finish: Finish::Cancelled,
+            finish: Completion::Cancelled,
         };
         Slot::new(used, Arc::new(move |used| state.take_back(used)))
     }
--- a/src/app/entry/places.rs
+++ b/src/app/entry/places.rs
@@ -11,7 +11,7 @@
     policy::{
         limit::Ledger,
         shift::Shift,
-        target::{Ask, Choice, local_weights},
+        target::{Choice, Criteria, local_weights},
     },
 };
 
@@ -73,12 +73,12 @@
         &mut self,
         now: Millis,
         rng: &mut R,
-        ask: &Ask<'_>,
+        ask: &Criteria<'_>,
         limits: &Shards<LimitName, Ledger>,
     ) -> Option<Choice> {
         let (place, _) = ask.places.first()?;
         let places = self.elsewhere(place);
-        let ask = Ask {
+        let ask = Criteria {
             places: &places,
             extra: true,
             ..*ask
--- a/src/app/entry/reply.rs
+++ b/src/app/entry/reply.rs
@@ -15,7 +15,7 @@
 use crate::{
     adapters::http::strip_hop_by_hop,
     domain::Millis,
-    policy::{once::Answer, target::Finish},
+    policy::{once::Answer, target::Completion},
     ports::Body,
 };
 
@@ -105,7 +105,7 @@
     /// Ends an answer that has paused for too long.
     fn stalled(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         ready!(self.stall.as_mut().poll(cx));
-        self.slot.finish(Finish::Failed);
+        self.slot.finish(Completion::Failed);
         let target = self.slot.target();
         let cause = format!("read answer from {target}: no byte for {STALL}");
         Poll::Ready(Some(Err(cause.into())))
@@ -126,7 +126,7 @@
     }
 
     fn complete(&mut self) {
-        self.slot.finish(Finish::Done);
+        self.slot.finish(Completion::Answered);
         if let Some(record) = self.record.take() {
             record.finish();
         }
@@ -145,7 +145,7 @@
             match Pin::new(&mut self.body).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => self.take(frame),
                 Poll::Ready(Some(Err(e))) => {
-                    self.slot.finish(Finish::Failed);
+                    self.slot.finish(Completion::Failed);
                     return Poll::Ready(Some(Err(e)));
                 }
                 Poll::Ready(None) => {
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -18,7 +18,7 @@
         refusal::{Code, Refusal},
         retry::{Budget, Window},
         shift::Shift,
-        target::{Ask, Choice, Finish, Miss, Pool, State},
+        target::{Choice, ChooseError, Completion, Criteria, Pool, State},
     },
 };
 
@@ -217,13 +217,13 @@
         limits: &Shards<LimitName, Ledger>,
     ) -> Option<(Choice, Permit)> {
         let places = self.near_places();
-        let ask = Ask {
+        let ask = Criteria {
             lane,
             places: &places,
-            avoid,
+            excluded: avoid,
             extra: true,
             explore: false,
-            pressed: false,
+            accept_slow: false,
         };
         let choice = self
             .pool
@@ -249,22 +249,22 @@
         let one = [(place, 1)];
         // After half of its deadline a request takes what there is.
         let pressed = (now - ticket.arrived).0 * 2 > (ticket.deadline - ticket.arrived).0;
-        let ask = Ask {
+        let ask = Criteria {
             lane,
             places: &one,
-            avoid: &[],
+            excluded: &[],
             extra: false,
             explore: true,
-            pressed,
+            accept_slow: pressed,
         };
         let unit = |t, l| free(limits, &self.slots, t, l);
         let mut choice = self.pool.choose(now, rng, &ask, unit);
-        let missing = choice == Err(Miss::NoUnit);
-        if choice == Err(Miss::NoUnit) || choice == Err(Miss::NoTarget) {
+        let missing = choice == Err(ChooseError::NoUnit);
+        if choice == Err(ChooseError::NoUnit) || choice == Err(ChooseError::NoTarget) {
             // The headroom that the request took is its region's, so any other
             // place there with traffic of its own may serve it.
             let near = self.neighbours(&one[0].0);
-            let ask = Ask {
+            let ask = Criteria {
                 places: &near,
                 ..ask
             };
@@ -297,9 +297,9 @@
         self.pool
             .finished(now, choice.target, lane, end.finish, end.head);
         if let Some(shift) = &mut self.shift {
-            shift.observe(&choice.place, end.head, end.finish == Finish::Failed);
+            shift.observe(&choice.place, end.head, end.finish == Completion::Failed);
         }
-        if end.finish == Finish::Done {
+        if end.finish == Completion::Answered {
             self.lengths.learn(lane, end.route, end.total);
             self.windows[usize::from(lane == Lane::Long)].add(now, end.head);
         }
@@ -366,7 +366,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct End<'a> {
     /// Whether it was answered.
-    pub finish: Finish,
+    pub finish: Completion,
     /// The time until the head of its answer.
     pub head: Millis,
     /// The time until the last byte.
--- a/src/app/entry/slot.rs
+++ b/src/app/entry/slot.rs
@@ -8,7 +8,7 @@
     domain::{Lane, Millis, ServiceName, TargetId},
     policy::{
         limit::Permit,
-        target::{Choice, Finish},
+        target::{Choice, Completion},
     },
     ports::Hold,
 };
@@ -34,7 +34,7 @@
     /// How long the head of the answer took, if it arrived.
     pub head: Option<Millis>,
     /// How the request ended.
-    pub finish: Finish,
+    pub finish: Completion,
 }
 
 /// A target's slot in use by one request.
@@ -100,7 +100,7 @@
     }
 
     /// Notes how the request ended. Without this it counts as cancelled.
-    pub fn finish(&mut self, finish: Finish) {
+    pub fn finish(&mut self, finish: Completion) {
         if let Some(used) = &mut self.used {
             used.finish = finish;
         }
@@ -114,7 +114,7 @@
         };
         let back = self.back.clone();
         match self.ended.take() {
-            Some(ended) if used.finish == Finish::Cancelled => {
+            Some(ended) if used.finish == Completion::Cancelled => {
                 // The target runs a cancelled request until it sees the connection
                 // close. The next request would be one too many before that.
                 tokio::spawn(async move {
--- a/src/policy/target/estimate.rs
+++ b/src/policy/target/estimate.rs
@@ -1,18 +1,19 @@
-//! Moving estimates of a target's latency.
+//! Moving averages of the latency of a target.
 
 use crate::domain::Millis;
 
-/// The time in which an estimate without samples loses about two thirds of its
-/// distance to a new sample.
-const DECAY_MS: f64 = 2000.0;
+/// The time constant of the exponential decay of an estimate without samples:
+/// after this time about one third of the difference is left.
+const TIME_CONSTANT_MS: f64 = 2000.0;
 
-/// The part of a new sample in the typical latency. With 0.2 a straggler of 20
-/// times the usual length raises the geometric mean by a factor of 1.8, which
+/// The weight of a new sample in the typical latency. With 0.2 a straggler of 20
+/// times the usual latency raises the geometric mean by a factor of 1.8, which
 /// stays below the factor of 3 that marks a slow target.
-const TYPICAL_PART: f64 = 0.2;
+const TYPICAL_GAIN: f64 = 0.2;
 
-/// The latency that is assumed of a target without samples.
-const UNKNOWN_MS: f64 = 1.0;
+/// The lower bound of a sample. Durations are whole milliseconds, and the
+/// logarithm of zero is not finite.
+const SAMPLE_MIN_MS: f64 = 1.0;
 
 /// Returns a duration as a floating-point number of milliseconds.
 pub(super) fn ms(time: Millis) -> f64 {
@@ -21,13 +22,15 @@
 
 /// The latency of one lane at one target.
 ///
-/// There are two estimates because they serve different ends. `peak` rises at
-/// once and decays slowly, so that the next requests avoid a target that has
-/// just become slow. `typical` is a geometric mean, which one straggler hardly
-/// moves, and decides whether the target counts as slow.
+/// It has two estimates for different purposes. `peak` orders candidates: it
+/// rises quickly and decays slowly, so that the next requests avoid a target that
+/// has just become slow. `typical` decides whether the target counts as slow: it
+/// is a geometric mean, which one straggler hardly moves.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Latency {
+    /// A peak-sensitive moving average, in milliseconds.
     peak: f64,
+    /// The moving average of the logarithm of the samples.
     typical: f64,
     samples: u32,
     last: Millis,
@@ -36,58 +39,58 @@
 impl Latency {
     /// Adds a measured latency.
     pub(super) fn add(&mut self, now: Millis, time: Millis) {
-        let sample = ms(time).max(UNKNOWN_MS);
+        let sample = ms(time).max(SAMPLE_MIN_MS);
         if self.samples == 0 {
             self.peak = sample;
             self.typical = sample.ln();
         } else {
             self.add_peak(now, sample);
-            self.typical += TYPICAL_PART * (sample.ln() - self.typical);
+            self.typical += TYPICAL_GAIN * (sample.ln() - self.typical);
         }
         self.samples = self.samples.saturating_add(1);
         self.last = now;
     }
 
-    /// Adds a latency that is known only to be at least `time`, because the
-    /// request was cancelled. Without it, hedges that win would hide that the
-    /// other target is slow.
-    pub(super) fn add_at_least(&mut self, now: Millis, time: Millis) {
+    /// Adds a lower bound of a latency, from a request that was cancelled after
+    /// `time`. Without it, a hedge that answers first would hide that the target
+    /// of the first attempt is slow.
+    pub(super) fn add_lower_bound(&mut self, now: Millis, time: Millis) {
         if self.samples > 0 && ms(time) > self.typical.exp() {
             self.add(now, time);
         }
     }
 
     fn add_peak(&mut self, now: Millis, sample: f64) {
-        let keep = (-ms(now - self.last) / DECAY_MS).exp();
-        // A sample above the estimate counts half at once. Taking it in full
-        // made one straggler empty its target for seconds.
+        let keep = (-ms(now - self.last) / TIME_CONSTANT_MS).exp();
+        // A sample above the estimate gets a weight of one half. With its full
+        // weight, one straggler kept traffic from its target for seconds.
         let part = if sample > self.peak { 0.5 } else { 1.0 - keep };
         self.peak += part.max(0.05) * (sample - self.peak);
     }
 
-    /// Returns the estimate that orders candidates, or none without samples.
+    /// Returns the estimate that orders candidates, or `None` without samples.
     pub(super) fn peak(&self) -> Option<f64> {
         (self.samples > 0).then_some(self.peak)
     }
 
-    /// Returns the estimate after a time without samples, in which it approaches
-    /// the usual latency of the other candidates. Without this, a target that
-    /// was slow once would get no request that shows its recovery.
-    pub(super) fn faded(&self, now: Millis, usual: f64) -> f64 {
+    /// Returns the peak estimate, decayed since the last sample towards `mean`,
+    /// the mean latency of the candidates. Without the decay, a target that was
+    /// slow once would get no request that shows its recovery.
+    pub(super) fn decayed(&self, now: Millis, mean: f64) -> f64 {
         if self.samples == 0 {
-            return usual;
+            return mean;
         }
-        let keep = (-ms(now - self.last) / DECAY_MS).exp();
-        usual + (self.peak - usual) * keep
+        let keep = (-ms(now - self.last) / TIME_CONSTANT_MS).exp();
+        mean + (self.peak - mean) * keep
     }
 
-    /// Returns the estimate that marks slow targets, or none before there are
-    /// enough samples to judge.
+    /// Returns the estimate that decides whether a target is slow, or `None` with
+    /// fewer than three samples.
     pub(super) fn typical(&self) -> Option<f64> {
         (self.samples >= 3).then(|| self.typical.exp())
     }
 
-    /// Returns when the last sample came.
+    /// Returns the time of the last sample.
     pub(super) fn last(&self) -> Millis {
         self.last
     }
--- a/src/policy/target/mod.rs
+++ b/src/policy/target/mod.rs
@@ -1,107 +1,111 @@
-//! The choice of a target.
+//! Load balancing over the targets of a service.
 //!
-//! A [`Pool`] holds what one entry knows of the targets of one service. The
-//! choice rests on the entry's own measurements, in-flight counts and latency,
-//! because load reports lag and may be wrong: a report can only make a target
-//! less attractive, and loses half of its effect every 2 s.
+//! A [`Pool`] holds the state that one entry keeps of the targets of one
+//! service. Targets are ranked by the entry's own measurements, the requests in
+//! flight and the latency, because load reports lag and may be wrong: a report
+//! can only lower the rank of a target, and its effect halves every 2 s.
 //!
-//! Targets that do badly are left out softly. A slow target keeps one twentieth
-//! of its traffic, so that its recovery is noticed; a target that sheds is left
-//! out for the time it asks for; a cold one starts with a tenth. At most half of
-//! a place's targets are left out at the same time, since a fault that seems to
-//! affect more than half is more likely a fault of the measurement or of a
-//! common dependency.
+//! Unhealthy targets get less traffic before they get none. A slow target keeps
+//! one twentieth of its traffic, so that its recovery is noticed. A target that
+//! sheds load is ejected for the back-off that it asks for. A cold target starts
+//! with a tenth of its traffic. At most half of a place's targets are ejected at
+//! the same time: a fault that seems to affect more than half is more likely a
+//! fault of the measurement or of a common dependency.
 //!
-//! A choice looks at up to 64 targets of one place. The cost is that a larger
-//! place is judged by a random window. See
+//! A choice examines up to 64 targets of one place. In a larger place it
+//! therefore sees only a random window of the targets. See
 //! [docs/design.md](../../../docs/design.md), section 3.5.
 
 mod choose;
 mod estimate;
-mod judge;
-mod local;
+mod locality;
+mod outlier;
 mod state;
 
 use std::collections::{BTreeMap, HashMap};
 
 use crate::domain::{Lane, Millis, Place, PlaceName, PlaceState, TargetId};
 
-pub use choose::{Ask, Choice, Miss};
-pub use local::local_weights;
-use state::{Site, Target};
+pub use choose::{Choice, ChooseError, Criteria};
+pub use locality::local_weights;
+use state::{PlaceTargets, Target};
 
-/// How long a back-off lasts at most, whatever a target asks for.
-pub const SHED_MAX: Millis = Millis(5000);
+/// The longest back-off, whatever a target asks for.
+pub const BACKOFF_MAX: Millis = Millis(5000);
 
-/// How long a target without samples is left alone between two probes.
+/// The interval between probes of a target that has no recent latency sample.
 pub const PROBE_INTERVAL: Millis = Millis(2000);
 
-/// The back-off after the first failure in a row. It doubles with each further
-/// one up to [`SHED_MAX`].
-const FAILURE_PAUSE: Millis = Millis(250);
+/// The back-off after the first failure. It doubles with each consecutive
+/// failure, up to [`BACKOFF_MAX`].
+const FAILURE_BACKOFF: Millis = Millis(250);
 
-/// How a target is treated.
+/// The state of a target, which determines how much traffic it gets.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum State {
-    /// It takes its full part.
+    /// The target takes its full share of traffic.
     Ready,
-    /// It is new or has come back, and its part grows.
+    /// The target is new or has returned, and its share is ramped up.
     Cold,
-    /// It is much slower than its peers and gets exploratory traffic only.
+    /// The target is much slower than its peers. It gets exploratory traffic,
+    /// and more only if no better target has a free slot.
     Slow,
-    /// It shed a request or failed, and gets nothing for a while.
+    /// The target shed a request or failed, and is in back-off. It gets requests
+    /// only if it is not ejected and no better target has a free slot.
     Shedding,
-    /// It gets no new work.
+    /// The target is being removed and gets no new requests.
     Leaving,
 }
 
 /// How a request at a target ended.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
-pub enum Finish {
+pub enum Completion {
     /// The target answered.
-    Done,
+    Answered,
     /// The target could not be reached or broke the connection.
     Failed,
-    /// The request was cancelled, by its caller or since a hedge won.
+    /// The request was cancelled, by its caller or because a hedge answered
+    /// first.
     Cancelled,
 }
 
-/// What a target says about its own load.
+/// The load that a target reports of itself.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Report {
+pub struct LoadReport {
     /// When the load was measured, on the clock of this process.
-    pub at: Millis,
-    /// Running and waiting requests in parts of the slots; 1 means full.
+    pub measured_at: Millis,
+    /// Running and waiting requests divided by the slots; 1 means that all slots
+    /// are taken.
     pub load: f64,
 }
 
-/// What this entry knows of one target, for `explain` and metrics.
+/// A snapshot of the state of one target, for `explain` and metrics.
 #[derive(Clone, Debug, PartialEq)]
-pub struct View {
+pub struct TargetStatus {
     /// The target.
     pub target: TargetId,
-    /// How it is treated.
+    /// Its state.
     pub state: State,
-    /// The entry's own requests that run there, short and long.
+    /// The requests of this entry that run at the target, short and long.
     pub running: [u32; 2],
-    /// The estimated latency of short work.
+    /// The estimated latency of short requests, if there are samples.
     pub latency: Option<Millis>,
-    /// Whether it is left out. At most half of a place's targets are.
+    /// Whether it is ejected. At most half of a place's targets are.
     pub ejected: bool,
 }
 
-/// The targets of one service, as one entry sees them.
+/// The targets of one service and the state that one entry keeps of them.
 #[derive(Debug, Default)]
 pub struct Pool {
-    sites: Vec<Site>,
-    names: HashMap<PlaceName, usize>,
+    places: Vec<PlaceTargets>,
+    place_indexes: HashMap<PlaceName, usize>,
     targets: Vec<Target>,
-    index: HashMap<TargetId, usize>,
+    target_indexes: HashMap<TargetId, usize>,
     scratch: [Vec<usize>; 3],
 }
 
-/// The position of a lane in arrays.
-pub(super) fn slot(lane: Lane) -> usize {
+/// Returns the index of a lane in arrays.
+pub(super) fn lane_index(lane: Lane) -> usize {
     match lane {
         Lane::Short => 0,
         Lane::Long => 1,
@@ -115,23 +119,24 @@
         Self::default()
     }
 
-    /// Takes over the places of an adopted document.
+    /// Replaces the places and targets by those of an adopted document.
     ///
-    /// Targets that were known keep their state. Further ones start cold, except
-    /// for the first document of this process: the targets of a service that
-    /// this entry has just met are most likely warm. Targets that are no longer
-    /// listed leave, and are forgotten when nothing of this entry runs there.
+    /// Known targets keep their state. New targets start cold, unless the pool is
+    /// empty, as it is at the first document of this process: a service that this
+    /// entry has just learned of most likely has warm targets. Targets that are
+    /// no longer listed leave, and are removed when no request of this entry runs
+    /// there.
     pub fn adopt(&mut self, now: Millis, places: &[Place]) {
         let first = self.targets.is_empty();
         let former = std::mem::take(&mut self.targets);
         let mut former: BTreeMap<TargetId, Target> =
             former.into_iter().map(|t| (t.id, t)).collect();
-        self.sites.clear();
-        self.names.clear();
+        self.places.clear();
+        self.place_indexes.clear();
         for place in places {
             self.adopt_place(now, first, place, &mut former);
         }
-        self.keep_running(former.into_values());
+        self.keep_unlisted(former.into_values());
         self.reindex();
     }
 
@@ -142,7 +147,7 @@
         place: &Place,
         former: &mut BTreeMap<TargetId, Target>,
     ) {
-        let site = self.sites.len();
+        let place_index = self.places.len();
         for &id in &place.targets {
             let mut target = match former.remove(&id) {
                 Some(known) => known,
@@ -151,22 +156,22 @@
             };
             let leaving = place.state == PlaceState::Leaving || place.leaving.contains(&id);
             if target.leaving && !leaving {
-                target.chill(now);
+                target.restart_ramp(now);
             }
-            target.site = site;
+            target.place_index = place_index;
             target.slots = place.slots.0;
             target.leaving = leaving;
             self.targets.push(target);
         }
-        self.names.insert(place.name.clone(), site);
-        self.sites.push(Site::new(place.name.clone()));
+        self.place_indexes.insert(place.name.clone(), place_index);
+        self.places.push(PlaceTargets::new(place.name.clone()));
     }
 
-    /// Keeps targets that are not listed any more while something runs there.
-    fn keep_running(&mut self, former: impl Iterator<Item = Target>) {
+    /// Keeps targets that are no longer listed while requests run there.
+    fn keep_unlisted(&mut self, former: impl Iterator<Item = Target>) {
         for mut target in former {
             target.leaving = true;
-            target.site = usize::MAX;
+            target.place_index = usize::MAX;
             if target.in_flight() > 0 {
                 self.targets.push(target);
             }
@@ -174,11 +179,11 @@
     }
 
     fn reindex(&mut self) {
-        self.index.clear();
-        for (at, target) in self.targets.iter().enumerate() {
-            self.index.insert(target.id, at);
-            if let Some(site) = self.sites.get_mut(target.site) {
-                site.members.push(at);
+        self.target_indexes.clear();
+        for (index, target) in self.targets.iter().enumerate() {
+            self.target_indexes.insert(target.id, index);
+            if let Some(place) = self.places.get_mut(target.place_index) {
+                place.targets.push(index);
             }
         }
     }
@@ -186,124 +191,134 @@
     /// Records that a request was sent to a target.
     pub fn started(&mut self, target: TargetId, lane: Lane) {
         if let Some(target) = self.target(target) {
-            target.running[slot(lane)] += 1;
+            target.running[lane_index(lane)] += 1;
         }
     }
 
-    /// Records the end of a request that [`started`](Self::started) announced.
-    /// `time` is how long it took, measured at this entry.
+    /// Records the end of a request that was passed to
+    /// [`started`](Self::started). `time` is its latency, measured at this entry.
     pub fn finished(
         &mut self,
         now: Millis,
         target: TargetId,
         lane: Lane,
-        finish: Finish,
+        completion: Completion,
         time: Millis,
     ) {
-        let Some(at) = self.index.get(&target).copied() else {
+        let Some(index) = self.target_indexes.get(&target).copied() else {
             return;
         };
-        let target = &mut self.targets[at];
-        target.running[slot(lane)] = target.running[slot(lane)].saturating_sub(1);
-        match finish {
-            Finish::Done => target.done(now, lane, time),
-            Finish::Failed => self.failed(now, at),
-            Finish::Cancelled => target.latency[slot(lane)].add_at_least(now, time),
+        let target = &mut self.targets[index];
+        target.running[lane_index(lane)] = target.running[lane_index(lane)].saturating_sub(1);
+        match completion {
+            Completion::Answered => target.record_answer(now, lane, time),
+            Completion::Failed => self.failed(now, index),
+            Completion::Cancelled => target.latency[lane_index(lane)].add_lower_bound(now, time),
         }
-        self.forget(at);
+        self.forget(index);
     }
 
-    fn failed(&mut self, now: Millis, at: usize) {
-        let target = &mut self.targets[at];
+    fn failed(&mut self, now: Millis, index: usize) {
+        let target = &mut self.targets[index];
         target.failures = target.failures.saturating_add(1);
-        let doubled = FAILURE_PAUSE.0 << (target.failures - 1).min(5);
-        self.back_off(now, at, Millis(doubled));
+        let doubled = FAILURE_BACKOFF.0 << (target.failures - 1).min(5);
+        self.back_off(now, index, Millis(doubled));
     }
 
-    /// Records that a target shed a request, with the time it asked for.
+    /// Records that a target shed a request and asked for a back-off of `retry`.
     pub fn shed(&mut self, now: Millis, target: TargetId, retry: Millis) {
-        if let Some(at) = self.index.get(&target).copied() {
-            self.back_off(now, at, retry);
+        if let Some(index) = self.target_indexes.get(&target).copied() {
+            self.back_off(now, index, retry);
         }
     }
 
-    fn back_off(&mut self, now: Millis, at: usize, time: Millis) {
-        let target = &mut self.targets[at];
-        let until = now + time.min(SHED_MAX);
-        target.until = target.until.max(Some(until));
-        if let Some(site) = self.sites.get_mut(target.site) {
-            site.stale();
+    fn back_off(&mut self, now: Millis, index: usize, time: Millis) {
+        let target = &mut self.targets[index];
+        let until = now + time.min(BACKOFF_MAX);
+        target.backoff_until = target.backoff_until.max(Some(until));
+        if let Some(place) = self.places.get_mut(target.place_index) {
+            place.invalidate();
         }
     }
 
-    /// Records a target's report. A report older than the last one is ignored.
-    pub fn report(&mut self, target: TargetId, report: Report) {
+    /// Records the load report of a target. A report older than the last one is
+    /// ignored.
+    pub fn report(&mut self, target: TargetId, report: LoadReport) {
         if let Some(target) = self.target(target)
-            && target.report.is_none_or(|r| r.at <= report.at)
+            && target
+                .report
+                .is_none_or(|r| r.measured_at <= report.measured_at)
         {
             target.report = Some(report);
         }
     }
 
-    /// Returns the targets that are due for a probe, and counts them as probed.
-    pub fn probes(&mut self, now: Millis) -> Vec<TargetId> {
+    /// Returns the targets that are due for a probe, and records that they were
+    /// probed now.
+    pub fn start_probes(&mut self, now: Millis) -> Vec<TargetId> {
         let due = self.targets.iter_mut().filter(|t| t.probe_due(now));
         let due = due.map(|t| {
-            t.probed = Some(now);
+            t.last_probe = Some(now);
             t.id
         });
         due.collect()
     }
 
-    /// Records the result of a probe. A probe is not a latency sample, since
-    /// health endpoints may answer quickly on a target that does no work.
-    pub fn probed(&mut self, now: Millis, target: TargetId, alive: bool) {
-        let Some(at) = self.index.get(&target).copied() else {
+    /// Records the result of a probe. Its latency is not used as a sample, since
+    /// a health endpoint may answer quickly while the target does no work.
+    pub fn probe_finished(&mut self, now: Millis, target: TargetId, alive: bool) {
+        let Some(index) = self.target_indexes.get(&target).copied() else {
             return;
         };
         if !alive {
-            self.failed(now, at);
+            self.failed(now, index);
         }
     }
 
-    /// Returns how a target is treated now.
+    /// Returns the current state of a target, or `None` if it is not known.
     pub fn state(&mut self, now: Millis, target: TargetId) -> Option<State> {
-        let at = self.index.get(&target).copied()?;
-        self.judge(now, self.targets[at].site);
-        Some(self.targets[at].state(now))
+        let index = self.target_indexes.get(&target).copied()?;
+        self.evaluate(now, self.targets[index].place_index);
+        Some(self.targets[index].state(now))
     }
 
-    /// Returns what is known of every target.
-    pub fn views(&mut self, now: Millis) -> Vec<View> {
-        for site in 0..self.sites.len() {
-            self.judge(now, site);
+    /// Returns the status of every target.
+    pub fn statuses(&mut self, now: Millis) -> Vec<TargetStatus> {
+        for place_index in 0..self.places.len() {
+            self.evaluate(now, place_index);
         }
-        self.targets.iter().map(|t| t.view(now)).collect()
+        self.targets.iter().map(|t| t.status(now)).collect()
     }
 
-    /// Returns how many of this entry's requests run at targets of a place, or
-    /// at targets that no document lists any more if `place` is none. A drain
-    /// waits for zero.
+    /// Returns how many requests of this entry run at the targets of a place. If
+    /// `place` is `None`, counts those at targets that the document no longer
+    /// lists. A drain waits until the count is zero.
     #[must_use]
     pub fn running(&self, place: Option<&PlaceName>) -> u32 {
-        let site = match place {
-            Some(name) => self.names.get(name).copied(),
+        let place_index = match place {
+            Some(name) => self.place_indexes.get(name).copied(),
             None => Some(usize::MAX),
         };
-        let there = self.targets.iter().filter(|t| Some(t.site) == site);
-        there.map(Target::in_flight).sum()
+        let at_place = self
+            .targets
+            .iter()
+            .filter(|t| Some(t.place_index) == place_index);
+        at_place.map(Target::in_flight).sum()
     }
 
     fn target(&mut self, id: TargetId) -> Option<&mut Target> {
-        self.index.get(&id).map(|&at| &mut self.targets[at])
+        self.target_indexes
+            .get(&id)
+            .map(|&index| &mut self.targets[index])
     }
 
-    /// Drops a target that no document lists once nothing runs there.
-    fn forget(&mut self, at: usize) {
-        let target = &self.targets[at];
-        if target.site == usize::MAX && target.in_flight() == 0 {
-            self.targets.swap_remove(at);
-            self.sites.iter_mut().for_each(|s| s.members.clear());
+    /// Removes a target that the document no longer lists once no request runs
+    /// there.
+    fn forget(&mut self, index: usize) {
+        let target = &self.targets[index];
+        if target.place_index == usize::MAX && target.in_flight() == 0 {
+            self.targets.swap_remove(index);
+            self.places.iter_mut().for_each(|p| p.targets.clear());
             self.reindex();
         }
     }
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -7,7 +7,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{Lane, Millis, Place, PlaceName, PlaceState, RegionName, Slots, TargetId, Weight},
-    policy::target::{Ask, Finish, Miss, Pool, Report, State, local_weights},
+    policy::target::{ChooseError, Completion, Criteria, LoadReport, Pool, State, local_weights},
 };
 
 fn id(n: u8) -> TargetId {
@@ -37,14 +37,14 @@
     pool
 }
 
-fn ask(places: &[(PlaceName, u32)]) -> Ask<'_> {
-    Ask {
+fn ask(places: &[(PlaceName, u32)]) -> Criteria<'_> {
+    Criteria {
         lane: Lane::Short,
         places,
-        avoid: &[],
+        excluded: &[],
         extra: false,
         explore: true,
-        pressed: false,
+        accept_slow: false,
     }
 }
 
@@ -59,13 +59,19 @@
     let mut rng = SmallRng::seed_from_u64(from);
     let mut ends: BTreeMap<(u64, u64), (TargetId, u64)> = BTreeMap::new();
     let mut counts: BTreeMap<TargetId, u64> = BTreeMap::new();
-    for view in pool.views(Millis(from)) {
+    for view in pool.statuses(Millis(from)) {
         counts.insert(view.target, 0);
     }
     for now in (from..to).step_by(2) {
         while let Some(first) = ends.first_entry().filter(|e| e.key().0 <= now) {
             let (target, time) = first.remove();
-            pool.finished(Millis(now), target, Lane::Short, Finish::Done, Millis(time));
+            pool.finished(
+                Millis(now),
+                target,
+                Lane::Short,
+                Completion::Answered,
+                Millis(time),
+            );
         }
         if let Ok(choice) = pool.choose(Millis(now), &mut rng, &ask(&places), free) {
             pool.started(choice.target, Lane::Short);
@@ -75,7 +81,13 @@
         }
     }
     for ((_, _), (target, time)) in ends {
-        pool.finished(Millis(to), target, Lane::Short, Finish::Done, Millis(time));
+        pool.finished(
+            Millis(to),
+            target,
+            Lane::Short,
+            Completion::Answered,
+            Millis(time),
+        );
     }
     let total: u64 = counts.values().sum();
     counts.values().map(|n| n * 1000 / total.max(1)).collect()
@@ -104,8 +116,8 @@
     for (n, load) in (0..).zip(reports) {
         pool.report(
             id(n),
-            Report {
-                at: Millis(0),
+            LoadReport {
+                measured_at: Millis(0),
                 load,
             },
         );
@@ -119,20 +131,26 @@
 fn an_old_report_loses_its_effect() {
     let share = |at: u64| {
         let mut pool = pool(2);
-        let full = Report {
-            at: Millis(at),
+        let full = LoadReport {
+            measured_at: Millis(at),
             load: 1.0,
         };
         pool.report(id(0), full);
-        let late = Report {
-            at: Millis(at.saturating_sub(1)),
+        let late = LoadReport {
+            measured_at: Millis(at.saturating_sub(1)),
             load: 0.0,
         };
         pool.report(id(0), late);
         for n in 0..2 {
             pool.started(id(n), Lane::Short);
             let time = Millis(8 + 2 * u64::from(n));
-            pool.finished(Millis(20_000), id(n), Lane::Short, Finish::Done, time);
+            pool.finished(
+                Millis(20_000),
+                id(n),
+                Lane::Short,
+                Completion::Answered,
+                time,
+            );
         }
         picks(&mut pool, 20_000)
     };
@@ -156,7 +174,13 @@
     let mut pool = pool(4);
     drive(&mut pool, 0, 2000, |_| 10);
     pool.started(id(0), Lane::Short);
-    pool.finished(Millis(2001), id(0), Lane::Short, Finish::Done, Millis(200));
+    pool.finished(
+        Millis(2001),
+        id(0),
+        Lane::Short,
+        Completion::Answered,
+        Millis(200),
+    );
     assert_eq!(pool.state(Millis(2100), id(0)), Some(State::Ready));
 }
 
@@ -170,7 +194,7 @@
             Millis(2000 + n),
             id(0),
             Lane::Short,
-            Finish::Cancelled,
+            Completion::Cancelled,
             Millis(60),
         );
     }
@@ -223,7 +247,13 @@
     let mut now = 0;
     for _ in 0..6 {
         pool.started(id(0), Lane::Short);
-        pool.finished(Millis(now), id(0), Lane::Short, Finish::Failed, Millis(1));
+        pool.finished(
+            Millis(now),
+            id(0),
+            Lane::Short,
+            Completion::Failed,
+            Millis(1),
+        );
         let from = now;
         while pool.state(Millis(now), id(0)) == Some(State::Shedding) {
             now += 50;
@@ -238,7 +268,7 @@
     let mut pool = pool(2);
     let places = [(name("a"), 1)];
     let mut rng = SmallRng::seed_from_u64(1);
-    let long = Ask {
+    let long = Criteria {
         lane: Lane::Long,
         ..ask(&places)
     };
@@ -259,17 +289,17 @@
     let none = |_: TargetId, _: Lane| 0;
     assert_eq!(
         pool.choose(Millis(0), &mut rng, &ask(&places), none),
-        Err(Miss::NoUnit)
+        Err(ChooseError::NoUnit)
     );
     let zero = [(name("a"), 0), (name("b"), 5)];
     assert_eq!(
         pool.choose(Millis(0), &mut rng, &ask(&zero), free),
-        Err(Miss::NoTarget)
+        Err(ChooseError::NoTarget)
     );
     pool.adopt(Millis(0), &[place(0..2, &[0, 1])]);
     assert_eq!(
         pool.choose(Millis(0), &mut rng, &ask(&places), free),
-        Err(Miss::NoTarget)
+        Err(ChooseError::NoTarget)
     );
 }
 
@@ -280,8 +310,8 @@
     let places = [(name("a"), 1)];
     let mut rng = SmallRng::seed_from_u64(1);
     let avoid = [id(0)];
-    let extra = Ask {
-        avoid: &avoid,
+    let extra = Criteria {
+        excluded: &avoid,
         extra: true,
         ..ask(&places)
     };
@@ -295,8 +325,14 @@
 fn probes_keep_to_their_budget() {
     let mut pool = pool(3);
     pool.started(id(0), Lane::Short);
-    pool.finished(Millis(1), id(0), Lane::Short, Finish::Done, Millis(1));
-    let count = |pool: &mut Pool, now| pool.probes(Millis(now)).len();
+    pool.finished(
+        Millis(1),
+        id(0),
+        Lane::Short,
+        Completion::Answered,
+        Millis(1),
+    );
+    let count = |pool: &mut Pool, now| pool.start_probes(Millis(now)).len();
     let counts = [1000, 1500, 2999, 3000, 4000].map(|now| count(&mut pool, now));
     insta::assert_compact_debug_snapshot!(counts, @"[2, 0, 1, 2, 0]");
 }
@@ -337,8 +373,8 @@
         0 => pool.shed(now, target, long),
         1 => pool.report(
             target,
-            Report {
-                at: now,
+            LoadReport {
+                measured_at: now,
                 load: f64::from(time),
             },
         ),
@@ -350,14 +386,18 @@
             let running = model.running.entry(target).or_default();
             if *running > 0 {
                 *running -= 1;
-                let end = [Finish::Done, Finish::Failed, Finish::Cancelled][usize::from(time % 3)];
+                let end = [
+                    Completion::Answered,
+                    Completion::Failed,
+                    Completion::Cancelled,
+                ][usize::from(time % 3)];
                 pool.finished(now, target, Lane::Short, end, long);
             }
         }
         _ => {
             // Odd targets have units, so a choice must not fall on even ones.
-            let ask = Ask {
-                pressed: kind > 128,
+            let ask = Criteria {
+                accept_slow: kind > 128,
                 ..ask(places)
             };
             let odd = [id(1), id(3), id(5)];
@@ -379,7 +419,7 @@
 }
 
 fn agrees(pool: &mut Pool, model: &Model, now: Millis) -> bool {
-    let views = pool.views(now);
+    let views = pool.statuses(now);
     let ejected = views.iter().filter(|v| v.ejected).count();
     let usable = views.iter().filter(|v| v.state != State::Leaving).count();
     let running = |t| model.running.get(&t).copied().unwrap_or(0);
@@ -449,7 +489,7 @@
             Millis(now),
             choice.target,
             Lane::Short,
-            Finish::Done,
+            Completion::Answered,
             Millis(time),
         );
         slow += u64::from(pool.state(Millis(now), choice.target) == Some(State::Slow));
