--- a/examples/bench/cost.rs
+++ b/examples/bench/cost.rs
@@ -81,7 +81,7 @@
             arrived: Millis(n),
             deadline: Millis(n + 5000),
             lane: Lane::Short,
-            length: Millis(20),
+            expected_duration: Millis(20),
             priority: Priority::Normal,
         };
         let _ = black_box(queue.offer(Millis(n), &mut rng, ticket, Millis(20), n));
@@ -101,12 +101,12 @@
         count: 1,
         first: Millis(0),
         deadline: Millis(u64::MAX),
-        length: Millis(20),
+        expected_duration: Millis(20),
         strikes: 0,
         shedding: false,
     };
     mean(|n| {
-        budget.earn();
+        budget.deposit();
         window.add(Millis(n / 10), Millis(10 + n % 100));
         let _ = black_box(budget.hedge(Millis(n), &attempt));
     })
--- a/examples/bench/steered/mod.rs
+++ b/examples/bench/steered/mod.rs
@@ -10,7 +10,7 @@
 use savorybeam::{
     domain::{Lane, Millis, PlaceName, TargetId},
     policy::{
-        queue::{Lengths, Queue, Ticket, WaitId},
+        queue::{Queue, RouteDurations, Ticket, WaitId},
         retry::{self, Attempt, Budget, Window},
         target::{Completion, Criteria, LoadReport, Pool},
     },
@@ -30,7 +30,7 @@
 struct Own {
     pool: Pool,
     queue: Queue<usize>,
-    lengths: Lengths,
+    lengths: RouteDurations,
     budget: Budget,
     windows: [Window; 2],
     /// Until when the entry waits for an answer to its last question for units.
@@ -153,7 +153,7 @@
             arrived: core.millis(),
             deadline: Millis(deadline / MILLI),
             lane: live.lane,
-            length: live.length,
+            expected_duration: live.length,
             priority: r.kind.priority(),
         };
         own.queue.resize(self.loans.sums(r.service, entry).0);
@@ -189,7 +189,7 @@
                 Lane::Short
             };
             let started = self.start(core, entry, service, lane)
-                || (self.owns[entry][service].queue.has_room(other)
+                || (self.owns[entry][service].queue.can_start(other)
                     && self.start(core, entry, service, other));
             if !started {
                 break;
@@ -224,7 +224,7 @@
             return false;
         };
         if core.tries[request] == 0 {
-            own.budget.earn();
+            own.budget.deposit();
         }
         self.send(core, entry, request, target);
         true
@@ -273,7 +273,7 @@
         live.attempts.push(core.send(request, entry, target));
         let attempt = describe(core, live, request, &own.queue);
         let known = own.windows[at(live.lane)].percentiles();
-        if first && let Ok(at) = retry::hedge_at(&attempt, known) {
+        if first && let Ok(at) = retry::hedge_time(&attempt, known) {
             core.after((at - now).0 * MILLI, Event::Hedge(request));
         }
     }
@@ -290,7 +290,7 @@
         if finish == Completion::Answered {
             own.windows[at(lane)].add(core.millis(), time);
             let route = core.requests[a.request].kind.route();
-            own.lengths.learn(lane, route, time);
+            own.lengths.record(lane, route, time);
         }
         if let Some(to) = self.loans.release(a.target, a.entry, lane) {
             let delay = core.between(world::entry_region(a.entry), world::entry_region(to));
@@ -363,7 +363,7 @@
             return;
         };
         let own = &mut self.owns[entry][r.service];
-        if live.attempts.len() != 1 || !own.queue.has_room(live.lane) {
+        if live.attempts.len() != 1 || !own.queue.can_start(live.lane) {
             return;
         }
         let attempt = describe(core, &live, request, &own.queue);
@@ -436,8 +436,8 @@
         count: live.used.len() as u32,
         first: live.first,
         deadline: Millis(deadline / MILLI),
-        length: live.length,
+        expected_duration: live.length,
         strikes: 0,
-        shedding: queue.pressure(core.millis(), Lane::Short) > 50,
+        shedding: queue.head_wait_percent(core.millis(), Lane::Short) > 50,
     }
 }
--- a/examples/bench/steered/setup.rs
+++ b/examples/bench/steered/setup.rs
@@ -3,7 +3,7 @@
 use savorybeam::{
     domain::{Millis, Place, PlaceState, RegionName, Slots, Weight},
     policy::{
-        queue::{Lengths, Queue},
+        queue::{Queue, RouteDurations},
         retry::{Budget, Window},
         target::{Pool, local_weights},
     },
@@ -29,7 +29,7 @@
     Own {
         pool,
         queue: Queue::new(),
-        lengths: Lengths::new(),
+        lengths: RouteDurations::new(),
         budget: Budget::new(),
         windows: [Window::new(), Window::new()],
         asked: 0,
--- a/examples/bench/steered/units.rs
+++ b/examples/bench/steered/units.rs
@@ -40,10 +40,10 @@
 
     fn demand(&self, entry: usize, service: usize) -> u32 {
         let queue = &self.owns[entry][service].queue;
-        let long = queue.limit(Lane::Long).max(1)
+        let long = queue.max_running(Lane::Long).max(1)
             - queue
                 .running(Lane::Long)
-                .min(queue.limit(Lane::Long).max(1));
+                .min(queue.max_running(Lane::Long).max(1));
         let long = queue.waiting(Lane::Long).min(long as usize);
         (queue.waiting(Lane::Short) + long) as u32
     }
--- a/src/adapters/http/refusal.rs
+++ b/src/adapters/http/refusal.rs
@@ -18,7 +18,7 @@
         "code": refusal.code.as_str(),
         "outcome": refusal.outcome.to_string(),
         "detail": refusal.detail,
-        "retry_ms": refusal.retry.map(|t| t.0),
+        "retry_ms": refusal.retry_after.map(|t| t.0),
     });
     let mut resp = Response::new(Body::from(text.to_string()));
     *resp.status_mut() = StatusCode::from_u16(refusal.code.status()).unwrap_or_default();
@@ -33,7 +33,7 @@
         OUTCOME,
         outcome.unwrap_or(HeaderValue::from_static("unknown")),
     );
-    if let Some(time) = refusal.retry {
+    if let Some(time) = refusal.retry_after {
         // The header counts whole seconds, so a shorter time rounds up.
         head.insert(
             header::RETRY_AFTER,
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -112,7 +112,7 @@
     fn earn(&self) {
         self.state
             .services
-            .get(&self.job.service, |s| s.budget.earn());
+            .get(&self.job.service, |s| s.budget.deposit());
     }
 
     /// Sends the request to the target of a slot.
@@ -130,7 +130,7 @@
         let Some(mut request) = self.job.request(now) else {
             slot.finish(Completion::Cancelled);
             return Err(Refusal::unknown(
-                Code::Broken,
+                Code::ConnectionBroken,
                 format!("send to {target}: the body cannot be sent again"),
             ));
         };
@@ -175,7 +175,7 @@
         }
         let known = self.percentiles();
         let attempt = self.job.attempt(true, self.count(), self.first);
-        let usual = retry::hedge_at(&attempt, known).ok();
+        let usual = retry::hedge_time(&attempt, known).ok();
         let silent = self
             .job
             .idempotent
@@ -325,9 +325,9 @@
             return Ok(());
         }
         if self.sent {
-            return Err(Refusal::unknown(Code::Broken, e.to_string()));
+            return Err(Refusal::unknown(Code::ConnectionBroken, e.to_string()));
         }
-        Err(Refusal::not_run(Code::Unreachable, e.to_string()).retry_after(Millis(1_000)))
+        Err(Refusal::not_run(Code::TargetUnreachable, e.to_string()).retry_after(Millis(1_000)))
     }
 
     /// Sends the request once more, if budget, time and units allow.
@@ -374,7 +374,7 @@
             "answer from {}: none before the deadline",
             targets.join(", ")
         );
-        Refusal::unknown(Code::Deadline, detail)
+        Refusal::unknown(Code::DeadlineExceeded, detail)
     }
 }
 
--- a/src/app/entry/grants.rs
+++ b/src/app/entry/grants.rs
@@ -93,7 +93,7 @@
     let until = job.deadline.min(now() + UNITS);
     loop {
         match place(state, job) {
-            Err(refusal) if refusal.code == Code::Limited && now() < until => {
+            Err(refusal) if refusal.code == Code::LimitReached && now() < until => {
                 tokio::time::sleep(LOOK.duration()).await;
             }
             result => return result,
--- a/src/app/entry/job.rs
+++ b/src/app/entry/job.rs
@@ -112,7 +112,7 @@
         let content = tokio::time::timeout(deadline.duration(), read_body(body)).await;
         let content = content.map_err(|_| {
             Refusal::not_run(
-                Code::Deadline,
+                Code::DeadlineExceeded,
                 format!("read body: not complete within {deadline}"),
             )
         })??;
@@ -164,7 +164,7 @@
             arrived: now,
             deadline: self.deadline,
             lane: self.lane,
-            length: self.length,
+            expected_duration: self.length,
             priority: self.priority,
         }
     }
@@ -177,7 +177,7 @@
             count,
             first,
             deadline: self.deadline,
-            length: self.length,
+            expected_duration: self.length,
             strikes: 0,
             shedding: false,
         }
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -14,7 +14,7 @@
     policy::{
         document::{Adoption, Content, DocumentState},
         limit::{Ledger, Outgoing, Permit},
-        queue::{Lengths, Queue, Ticket, WaitId},
+        queue::{Queue, RouteDurations, Ticket, WaitId},
         refusal::{Code, Refusal},
         retry::{Budget, Window},
         shift::Shift,
@@ -74,7 +74,7 @@
     /// The waiting requests.
     pub(super) queue: Queue<Waiting>,
     /// The usual durations of requests.
-    pub lengths: Lengths,
+    pub lengths: RouteDurations,
     /// The times until the head of an answer, short and long.
     pub windows: [Window; 2],
     /// What retries and hedges may use.
@@ -97,7 +97,7 @@
             pool: Pool::new(),
             slots: HashMap::new(),
             queue: Queue::new(),
-            lengths: Lengths::new(),
+            lengths: RouteDurations::new(),
             windows: [Window::new(), Window::new()],
             budget: Budget::new(),
             shift: None,
@@ -300,7 +300,7 @@
             shift.observe(&choice.place, end.head, end.finish == Completion::Failed);
         }
         if end.finish == Completion::Answered {
-            self.lengths.learn(lane, end.route, end.total);
+            self.lengths.record(lane, end.route, end.total);
             self.windows[usize::from(lane == Lane::Long)].add(now, end.head);
         }
     }
--- a/src/app/gateway/answer.rs
+++ b/src/app/gateway/answer.rs
@@ -27,7 +27,7 @@
 /// Returns the answer that tells a caller of a refusal.
 pub(super) fn refuse(refusal: &Refusal) -> Response<FrontBody> {
     let mut resp = web::answer(refusal);
-    if let Some(time) = refusal.retry {
+    if let Some(time) = refusal.retry_after {
         headers::write_retry(resp.headers_mut(), time);
     }
     resp
--- a/src/app/gateway/carry.rs
+++ b/src/app/gateway/carry.rs
@@ -95,7 +95,7 @@
                 Outcome::Late => break self.late(),
                 Outcome::Rejected => self.full("the target rejected it"),
                 Outcome::Unsent(cause) => self.full(&cause),
-                Outcome::Unknown(cause) => Refusal::unknown(Code::Broken, cause),
+                Outcome::Unknown(cause) => Refusal::unknown(Code::ConnectionBroken, cause),
             };
             if !self.again() {
                 break failed;
@@ -164,7 +164,7 @@
     /// Returns the failure of a request that no target can take.
     fn full(&self, cause: &str) -> Refusal {
         if self.ran {
-            return Refusal::unknown(Code::Broken, cause);
+            return Refusal::unknown(Code::ConnectionBroken, cause);
         }
         Refusal::not_run(Code::Overloaded, cause).retry_after(FULL_RETRY)
     }
@@ -172,7 +172,7 @@
     fn late(&self) -> Refusal {
         let tried: Vec<&str> = self.tried.iter().map(InstanceId::as_str).collect();
         let detail = format!("answer from {}: none in time", tried.join(", "));
-        Refusal::unknown(Code::Deadline, detail)
+        Refusal::unknown(Code::DeadlineExceeded, detail)
     }
 
     /// Logs and counts what became of the request.
--- a/src/policy/crash/strikes.rs
+++ b/src/policy/crash/strikes.rs
@@ -122,11 +122,13 @@
         if count >= STRIKES {
             let detail = format!("the request broke {count} connections to targets");
             let left = suspect.latest + BLOCK - now;
-            return Admission::Refused(Refusal::not_run(Code::Blocked, detail).retry_after(left));
+            return Admission::Refused(
+                Refusal::not_run(Code::RequestBlocked, detail).retry_after(left),
+            );
         }
         if suspect.trial {
             let detail = "the request broke the connection of a target and is being tried again";
-            let refusal = Refusal::not_run(Code::Blocked, detail).retry_after(TRIAL_RETRY);
+            let refusal = Refusal::not_run(Code::RequestBlocked, detail).retry_after(TRIAL_RETRY);
             return Admission::Refused(refusal);
         }
         suspect.trial = true;
--- a/src/policy/once/claimant.rs
+++ b/src/policy/once/claimant.rs
@@ -56,7 +56,7 @@
                     || "the request was executed and its answer was lost".to_owned(),
                     |s| format!("the request was answered with {s}; the body was not kept"),
                 );
-                Some(Refusal::unknown(Code::NotKept, detail))
+                Some(Refusal::unknown(Code::AnswerNotKept, detail))
             }
             Self::InProgress => {
                 let detail = "a request with this key is running or has ended without an answer";
--- a/src/policy/queue/admit.rs
+++ b/src/policy/queue/admit.rs
@@ -1,41 +1,44 @@
-//! Who may wait, and who is refused.
+//! Admission control: which requests are queued and which are refused.
 
 use rand::Rng;
 
-use super::{Key, Queue, Queued, Ticket, WAITING_MIN, WAITING_PER_UNIT, at};
+use super::{Key, Queue, Queued, Ticket, WAITING_MIN, WAITING_PER_UNIT, lane_index};
 use crate::{
     domain::{Lane, Millis, Priority},
     policy::refusal::{Code, Refusal},
 };
 
-/// The shortest time after which a refused caller should come back.
+/// The shortest time after which a refused caller is told to retry.
 const RETRY_MIN: Millis = Millis(100);
 
-/// The longest time after which a refused caller should come back.
+/// The longest time after which a refused caller is told to retry.
 const RETRY_MAX: Millis = Millis(5000);
 
-/// After this time with work waiting, only a short queue is kept. A shorter time
-/// would refuse work in bursts that pass by themselves.
-const LASTING: Millis = Millis(1000);
+/// A lane has a standing queue if it has not been empty for this long. A shorter
+/// time would refuse work in bursts that pass by themselves.
+const STANDING_QUEUE_AFTER: Millis = Millis(1000);
 
-/// The parts of its deadline, in percent, that the first waiting request may
-/// have used, and that a new one may have to wait in a lasting overload.
+/// The limits above which bulk and normal requests are refused, in percent of a
+/// request's deadline: how much the first waiting request has used, and how long
+/// a new request has to wait if there is a standing queue.
 ///
-/// The second ones keep the queue of an overload short: without them it grows to
-/// three quarters of a deadline, and that wait remains after the load has
-/// fallen. With 4% and 5% the bench refused 0.1% at 0.6 times saturation.
-const BULK: (u64, u64) = (50, 8);
-const NORMAL: (u64, u64) = (75, 10);
+/// The second limit keeps the queue short during an overload. Without it the
+/// queue grows to three quarters of a deadline, and that wait remains after the
+/// load has fallen. With 4% and 5% the benchmark refused 0.1% of the requests at
+/// 0.6 times saturation.
+const BULK_MAX_PERCENT: (u64, u64) = (50, 8);
+const NORMAL_MAX_PERCENT: (u64, u64) = (75, 10);
 
 impl<T> Queue<T> {
     /// Admits a request to its lane's queue or refuses it.
     ///
-    /// `mean` is the mean duration of the lane, from which the wait is
-    /// estimated.
+    /// `mean` is the mean duration of requests of the lane. The wait is estimated
+    /// from it.
     ///
     /// # Errors
     ///
-    /// The refusal says why the request cannot wait. It has not run.
+    /// Returns the refusal, with the outcome `not-run`, if the lane is full, the
+    /// deadline cannot be met or requests of this priority are shed.
     pub fn offer<R: Rng>(
         &mut self,
         now: Millis,
@@ -45,19 +48,19 @@
         item: T,
     ) -> Result<Queued<T>, Refusal> {
         self.check_deadline(now, rng, &ticket, mean)?;
-        self.check_pressure(now, rng, &ticket, mean)?;
-        let displaced = self.make_room(rng, &ticket, mean)?;
-        self.since[at(ticket.lane)].get_or_insert(now);
+        self.check_priority(now, rng, &ticket, mean)?;
+        let displaced = self.displace_if_full(rng, &ticket, mean)?;
+        self.waiting_since[lane_index(ticket.lane)].get_or_insert(now);
         let id = self.push(ticket, item);
         Ok(Queued { id, displaced })
     }
 
-    /// Removes the requests at the front whose deadline cannot be met any more.
-    /// It is to be called before [`peek`](Self::peek).
+    /// Removes the requests at the front whose deadline can no longer be met.
+    /// Call it before [`peek`](Self::peek).
     pub fn expire(&mut self, now: Millis, lane: Lane) -> Vec<(T, Refusal)> {
-        let mut missed = Vec::new();
+        let mut expired = Vec::new();
         while let Some(ticket) = self.peek(lane).map(|(ticket, _)| *ticket) {
-            if now + ticket.length <= ticket.deadline {
+            if now + ticket.expected_duration <= ticket.deadline {
                 break;
             }
             let Some((_, waiting)) = self.pop(lane) else {
@@ -68,38 +71,40 @@
                 Code::Overloaded,
                 format!("queue: the deadline cannot be met after {waited} in the {lane} lane"),
             );
-            missed.push((waiting.item, refusal.retry_after(RETRY_MIN)));
+            expired.push((waiting.item, refusal.retry_after(RETRY_MIN)));
         }
-        missed
+        expired
     }
 
-    /// Estimates how long a request would wait, from the work that is due before
-    /// it.
+    /// Estimates how long a request would wait, from the number of waiting
+    /// requests with an earlier deadline.
     #[must_use]
-    pub fn wait(&self, ticket: &Ticket, mean: Millis) -> Millis {
+    pub fn expected_wait(&self, ticket: &Ticket, mean: Millis) -> Millis {
         let lane = ticket.lane;
         let last: Key = (ticket.deadline, super::WaitId(u64::MAX));
-        let queue = &self.lanes[at(lane)];
-        let behind_all = queue.last_key_value().is_none_or(|(key, _)| *key < last);
-        // Most requests have the same deadline and go to the end.
-        let ahead = if behind_all {
+        let queue = &self.lanes[lane_index(lane)];
+        let is_last = queue.last_key_value().is_none_or(|(key, _)| *key < last);
+        // The usual case, since most requests of a service get the same time
+        // limit. It avoids a walk over the queue.
+        let ahead = if is_last {
             queue.len()
         } else {
             queue.range(..last).count()
         };
-        if ahead == 0 && self.has_room(lane) {
+        if ahead == 0 && self.can_start(lane) {
             return Millis(0);
         }
         let ahead = u64::try_from(ahead).unwrap_or(u64::MAX);
-        let units = self.parallel(lane);
+        let units = self.concurrency(lane);
         Millis((ahead + 1).saturating_mul(mean.0) / units)
     }
 
-    /// Returns how many requests of a lane run side by side while work waits.
-    fn parallel(&self, lane: Lane) -> u64 {
+    /// Returns how many requests of a lane run concurrently while others wait, at
+    /// least one.
+    fn concurrency(&self, lane: Lane) -> u64 {
         let units = match lane {
             Lane::Short => self.units.saturating_sub(self.running(Lane::Long)),
-            Lane::Long => self.limit(lane),
+            Lane::Long => self.max_running(lane),
         };
         u64::from(units.max(1))
     }
@@ -111,84 +116,87 @@
         ticket: &Ticket,
         mean: Millis,
     ) -> Result<(), Refusal> {
-        let wait = self.wait(ticket, mean);
-        if now + wait + ticket.length <= ticket.deadline {
+        let wait = self.expected_wait(ticket, mean);
+        if now + wait + ticket.expected_duration <= ticket.deadline {
             return Ok(());
         }
         let left = ticket.deadline - now;
         let detail = format!(
-            "queue: {left} are left, but the {} lane needs {wait} to wait and {} to run",
-            ticket.lane, ticket.length
+            "queue: the deadline is in {left}, but the expected wait in the {} lane is {wait} and the expected duration is {}",
+            ticket.lane, ticket.expected_duration
         );
         Err(refuse(rng, wait, detail))
     }
 
-    /// Refuses by priority when the first request has waited for long, or when
-    /// an overload lasts.
-    fn check_pressure<R: Rng>(
+    /// Refuses bulk and normal requests if the first waiting request has used
+    /// much of its deadline, or if there is a standing queue and the wait would
+    /// be long.
+    fn check_priority<R: Rng>(
         &self,
         now: Millis,
         rng: &mut R,
         ticket: &Ticket,
         mean: Millis,
     ) -> Result<(), Refusal> {
-        // Long work is refused for the sake of short work as well, since both
-        // use the same slots. The reverse would be the blocking that lanes are
-        // there to prevent.
-        let short = self.pressure(now, Lane::Short);
-        let pressure = match ticket.lane {
-            Lane::Short => short,
-            Lane::Long => short.max(self.pressure(now, Lane::Long)),
+        // A backlog of short requests also refuses long ones, since both use the
+        // same slots. A backlog of long requests must not refuse short ones: that
+        // is the head-of-line blocking that the lanes prevent.
+        let short_wait = self.head_wait_percent(now, Lane::Short);
+        let head_wait = match ticket.lane {
+            Lane::Short => short_wait,
+            Lane::Long => short_wait.max(self.head_wait_percent(now, Lane::Long)),
         };
-        let span = (ticket.deadline - now).0.max(1);
-        let wait = self.wait(ticket, mean);
-        let ahead = wait.0.saturating_mul(100) / span;
-        let lasting = self.lasting(now, ticket.lane);
-        let beyond = |(used, kept)| pressure > used || (lasting && ahead > kept);
+        let total = (ticket.deadline - now).0.max(1);
+        let wait = self.expected_wait(ticket, mean);
+        let wait_percent = wait.0.saturating_mul(100) / total;
+        let standing = self.has_standing_queue(now, ticket.lane);
+        let exceeds =
+            |(head_max, wait_max)| head_wait > head_max || (standing && wait_percent > wait_max);
         let refused = match ticket.priority {
-            Priority::Bulk => beyond(BULK),
-            Priority::Normal => beyond(NORMAL),
+            Priority::Bulk => exceeds(BULK_MAX_PERCENT),
+            Priority::Normal => exceeds(NORMAL_MAX_PERCENT),
             Priority::Critical => false,
         };
         if !refused {
             return Ok(());
         }
         let detail = format!(
-            "queue: {} work is refused since the {} lane has a wait of {wait}",
+            "queue: {} requests are shed, the expected wait in the {} lane is {wait}",
             ticket.priority, ticket.lane
         );
         Err(refuse(rng, wait, detail))
     }
 
-    /// Says whether work has waited in a lane without a break for long.
-    fn lasting(&self, now: Millis, lane: Lane) -> bool {
-        self.since[at(lane)].is_some_and(|since| now - since > LASTING)
+    /// Returns whether a lane has not been empty for [`STANDING_QUEUE_AFTER`].
+    fn has_standing_queue(&self, now: Millis, lane: Lane) -> bool {
+        self.waiting_since[lane_index(lane)].is_some_and(|since| now - since > STANDING_QUEUE_AFTER)
     }
 
-    /// Returns how much of its deadline the first waiting request has used, in
-    /// percent.
+    /// Returns the time that the first waiting request has waited, in percent of
+    /// the time between its arrival and its deadline. Zero if none waits.
     #[must_use]
-    pub fn pressure(&self, now: Millis, lane: Lane) -> u64 {
+    pub fn head_wait_percent(&self, now: Millis, lane: Lane) -> u64 {
         let Some((first, _)) = self.peek(lane) else {
             return 0;
         };
-        let span = (first.deadline - first.arrived).0.max(1);
-        (now - first.arrived).0.saturating_mul(100) / span
+        let total = (first.deadline - first.arrived).0.max(1);
+        (now - first.arrived).0.saturating_mul(100) / total
     }
 
-    /// Makes room in a full lane by displacing the last request of the lowest
-    /// priority below the ticket's.
-    fn make_room<R: Rng>(
+    /// If the lane is full, removes and returns a waiting request of lower
+    /// priority than the new one: among those of the lowest priority, the one
+    /// with the latest deadline. Refuses the new request if there is none.
+    fn displace_if_full<R: Rng>(
         &mut self,
         rng: &mut R,
         ticket: &Ticket,
         mean: Millis,
     ) -> Result<Option<(T, Refusal)>, Refusal> {
-        let lane = at(ticket.lane);
-        if self.lanes[lane].len() < self.bound(ticket.lane) {
+        let lane = lane_index(ticket.lane);
+        if self.lanes[lane].len() < self.max_waiting(ticket.lane) {
             return Ok(None);
         }
-        let wait = self.wait(ticket, mean);
+        let wait = self.expected_wait(ticket, mean);
         let lower = self.lanes[lane].iter().rev();
         let lower = lower.filter(|(_, w)| w.ticket.priority < ticket.priority);
         let victim = lower.min_by_key(|(_, w)| w.ticket.priority);
@@ -201,16 +209,16 @@
         Ok(self.cancel(id).map(|item| (item, refusal)))
     }
 
-    /// Returns how many requests may wait in a lane.
+    /// Returns the maximum number of requests that may wait in a lane.
     #[must_use]
-    pub fn bound(&self, lane: Lane) -> usize {
-        let units = usize::try_from(self.limit(lane)).unwrap_or(usize::MAX);
+    pub fn max_waiting(&self, lane: Lane) -> usize {
+        let units = usize::try_from(self.max_running(lane)).unwrap_or(usize::MAX);
         units.saturating_mul(WAITING_PER_UNIT).max(WAITING_MIN)
     }
 }
 
-/// Returns a refusal whose time to come back is spread over a factor of three,
-/// so that refused callers do not come back together.
+/// Returns a refusal with a retry time of 50% to 150% of the wait, so that the
+/// refused callers do not retry at the same time.
 fn refuse<R: Rng>(rng: &mut R, wait: Millis, detail: String) -> Refusal {
     let percent = rng.random_range(50..=150);
     let time = wait.0.saturating_mul(percent) / 100;
--- a/src/policy/refusal/mod.rs
+++ b/src/policy/refusal/mod.rs
@@ -1,8 +1,8 @@
-//! What a caller is told when its request is not carried through.
+//! Errors for callers whose request was refused or failed.
 //!
-//! Each refusal has a stable code and says whether the request was run. There
-//! are only two outcomes, since a third such as "probably not" would be of no
-//! use to a caller that has to decide whether to repeat a payment. See
+//! Each refusal has a stable code and states whether the request may have run.
+//! There are only two outcomes: a third one such as "probably not" would not help
+//! a caller that has to decide whether to repeat a payment. See
 //! [docs/design.md](../../../docs/design.md), section 3.4.
 
 use std::fmt;
@@ -12,14 +12,14 @@
 /// Whether a target may have run the request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
-    /// No target has run it or will run it.
+    /// No target has run the request or will run it.
     NotRun,
-    /// A target may have run it.
+    /// A target may have run the request.
     Unknown,
 }
 
 impl Outcome {
-    /// Returns the outcome as callers and logs see it.
+    /// Returns the outcome as it is written to headers, answers and logs.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
@@ -40,30 +40,33 @@
 pub enum Code {
     /// The request is malformed.
     BadRequest,
-    /// No document is in force for the service.
+    /// There is no document in force for the service.
     UnknownService,
-    /// No target may take the request.
+    /// No target accepts requests.
     NoTarget,
-    /// All slots are taken and the queue is full, or the deadline is too near.
+    /// The queue is full, requests of this priority are shed, or the deadline
+    /// cannot be met.
     Overloaded,
     /// The deadline passed.
-    Deadline,
+    DeadlineExceeded,
     /// The target could not be reached.
-    Unreachable,
+    TargetUnreachable,
     /// The connection broke after the request was sent.
-    Broken,
-    /// The same key is being run.
+    ConnectionBroken,
+    /// Another request with the same idempotency key is running.
     InProgress,
-    /// The request with this key was executed, but its answer is not kept.
-    NotKept,
-    /// The key was used for another request.
+    /// The request with this idempotency key was executed, but its answer was not
+    /// kept.
+    AnswerNotKept,
+    /// The idempotency key was used for a different request.
     KeyReused,
-    /// The homes of the key did not answer.
+    /// The entries that store claims of the idempotency key, its homes, did not
+    /// answer.
     ClaimUnavailable,
-    /// The request has crashed targets.
-    Blocked,
+    /// The request is blocked, since it has crashed targets.
+    RequestBlocked,
     /// A region, a link or a shift is at its limit.
-    Limited,
+    LimitReached,
     /// The body is too large.
     TooLarge,
     /// The head is too large.
@@ -71,7 +74,7 @@
 }
 
 impl Code {
-    /// Returns the code as callers see it.
+    /// Returns the code as it is written to headers, answers and logs.
     #[must_use]
     pub fn as_str(self) -> &'static str {
         match self {
@@ -79,34 +82,34 @@
             Self::UnknownService => "unknown-service",
             Self::NoTarget => "no-target",
             Self::Overloaded => "overloaded",
-            Self::Deadline => "deadline-exceeded",
-            Self::Unreachable => "target-unreachable",
-            Self::Broken => "connection-broken",
+            Self::DeadlineExceeded => "deadline-exceeded",
+            Self::TargetUnreachable => "target-unreachable",
+            Self::ConnectionBroken => "connection-broken",
             Self::InProgress => "in-progress",
-            Self::NotKept => "answer-not-kept",
+            Self::AnswerNotKept => "answer-not-kept",
             Self::KeyReused => "key-reused",
             Self::ClaimUnavailable => "claim-unavailable",
-            Self::Blocked => "request-blocked",
-            Self::Limited => "limit-reached",
+            Self::RequestBlocked => "request-blocked",
+            Self::LimitReached => "limit-reached",
             Self::TooLarge => "too-large",
             Self::HeadTooLarge => "head-too-large",
         }
     }
 
-    /// Returns the HTTP status, which other front ends may map further.
+    /// Returns the HTTP status of the code. Other protocols may map it further.
     #[must_use]
     pub fn status(self) -> u16 {
         match self {
             Self::BadRequest => 400,
             Self::UnknownService => 404,
-            Self::InProgress | Self::NotKept => 409,
+            Self::InProgress | Self::AnswerNotKept => 409,
             Self::KeyReused => 422,
             Self::TooLarge => 413,
             Self::HeadTooLarge => 431,
-            Self::Blocked => 403,
-            Self::NoTarget | Self::Overloaded | Self::ClaimUnavailable | Self::Limited => 503,
-            Self::Unreachable | Self::Broken => 502,
-            Self::Deadline => 504,
+            Self::RequestBlocked => 403,
+            Self::NoTarget | Self::Overloaded | Self::ClaimUnavailable | Self::LimitReached => 503,
+            Self::TargetUnreachable | Self::ConnectionBroken => 502,
+            Self::DeadlineExceeded => 504,
         }
     }
 }
@@ -117,17 +120,17 @@
     }
 }
 
-/// A refusal or failure, with all that its caller is told.
+/// A refusal or failure, with all that is reported to the caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Refusal {
     /// The stable code.
     pub code: Code,
-    /// Whether the request may have run.
+    /// Whether a target may have run the request.
     pub outcome: Outcome,
-    /// The step and the peer, for people.
+    /// A message for people that names the failed step and the peer.
     pub detail: String,
-    /// When to try again, if that helps.
-    pub retry: Option<Millis>,
+    /// The time after which the caller may retry, if a retry can help.
+    pub retry_after: Option<Millis>,
 }
 
 impl Refusal {
@@ -138,7 +141,7 @@
             code,
             outcome: Outcome::NotRun,
             detail: detail.into(),
-            retry: None,
+            retry_after: None,
         }
     }
 
@@ -151,10 +154,10 @@
         }
     }
 
-    /// Says when to try again.
+    /// Sets the time after which the caller may retry.
     #[must_use]
     pub fn retry_after(mut self, time: Millis) -> Self {
-        self.retry = Some(time);
+        self.retry_after = Some(time);
         self
     }
 }
--- a/src/policy/retry/mod.rs
+++ b/src/policy/retry/mod.rs
@@ -1,13 +1,14 @@
 //! Retries and hedges.
 //!
-//! One [`Budget`] per service pays for both, so that together they add at most
-//! 5% of work however many requests fail. Without it, retries multiply the load
+//! One [`Budget`] per service limits both, so that together they add at most 5%
+//! of work however many requests fail. Without it, retries multiply the load
 //! exactly when targets are overloaded, and the overload then outlives its
-//! cause. The price is that some requests fail that a retry would have saved.
+//! cause. The cost is that some requests fail that a retry would have saved.
 //!
-//! The functions only decide. The caller sends the retry or hedge, to a target
-//! that [`Pool::choose`](crate::policy::target::Pool::choose) returns for an ask
-//! with `extra`. See [docs/design.md](../../../docs/design.md), section 3.7.
+//! The functions only decide. The caller sends the retry or hedge to a target
+//! that [`Pool::choose`](crate::policy::target::Pool::choose) returns for
+//! criteria with `extra`. See [docs/design.md](../../../docs/design.md), section
+//! 3.7.
 
 mod window;
 
@@ -19,74 +20,75 @@
 
 pub use window::{Percentiles, Window};
 
-/// What one first attempt earns, in thousandths of a retry. It is the 5% of
-/// added work that the design allows.
-const EARN: u32 = 50;
+/// The deposit for each first attempt, in thousandths of a retry. It is the 5%
+/// of added work that the design allows.
+const DEPOSIT_MILLITOKENS: u32 = 50;
 
-/// What one retry or hedge costs, in thousandths.
-const COST: u32 = 1000;
+/// The cost of one retry or hedge.
+const COST_MILLITOKENS: u32 = 1000;
 
-/// The most that is saved up, in thousandths: ten retries.
-const CAP: u32 = 10_000;
+/// The maximum balance: ten retries or hedges.
+const BALANCE_MAX_MILLITOKENS: u32 = 10_000;
 
-/// The mean delay before the first retry. It doubles with each further one.
+/// The mean delay before the first retry. It doubles with each further retry.
 const RETRY_DELAY: Millis = Millis(20);
 
-/// How often a request is sent again, at most.
+/// The maximum number of attempts of a request, including the first one.
 const ATTEMPTS_MAX: u32 = 3;
 
-/// The shortest time after which a request is hedged.
-const HEDGE_MIN: Millis = Millis(5);
+/// The shortest delay before a request is hedged.
+const HEDGE_DELAY_MIN: Millis = Millis(5);
 
-/// Why a request is not sent again.
+/// The reason why a request is not retried or hedged.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub enum Denied {
-    /// It may have run and must not run twice.
+    /// The request may have run and is not idempotent.
     NotIdempotent,
-    /// The budget is used up.
+    /// The budget is exhausted.
     Budget,
     /// The service sheds load.
     Shedding,
-    /// The answer could not be there before the deadline.
+    /// The answer is not expected before the deadline.
     Deadline,
-    /// It was sent often enough.
+    /// The request has reached the maximum number of attempts.
     Attempts,
-    /// It is suspected of crashing targets.
-    Suspect,
-    /// Too few durations are known to tell a late answer from a usual one.
-    Unknown,
+    /// The request is suspected of crashing targets.
+    SuspectedCrash,
+    /// There are too few durations to compute the delay of a hedge.
+    TooFewSamples,
 }
 
 impl fmt::Display for Denied {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::NotIdempotent => "the request may not be repeated",
-            Self::Budget => "the retry budget is used up",
+            Self::NotIdempotent => "the request may have run and is not idempotent",
+            Self::Budget => "the retry budget is exhausted",
             Self::Shedding => "the service sheds load",
             Self::Deadline => "the deadline is too near",
-            Self::Attempts => "the request was sent often enough",
-            Self::Suspect => "the request is suspected of crashing targets",
-            Self::Unknown => "too few durations are known",
+            Self::Attempts => "the request has reached the maximum number of attempts",
+            Self::SuspectedCrash => "the request is suspected of crashing targets",
+            Self::TooFewSamples => "there are too few durations to compute the delay of a hedge",
         })
     }
 }
 
-/// The request that may be sent again.
+/// The state of a request that may be retried or hedged.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Attempt {
-    /// Whether it may run twice.
+    /// Whether the request may run more than once.
     pub idempotent: bool,
     /// Whether a target may have run it.
     pub sent: bool,
-    /// How often it was sent, the first time included.
+    /// The number of attempts so far, including the first one.
     pub count: u32,
-    /// When it was first sent.
+    /// The time of the first attempt.
     pub first: Millis,
-    /// Until when the answer must be there.
+    /// When the answer is due.
     pub deadline: Millis,
     /// How long it is expected to run.
-    pub length: Millis,
-    /// How often a request of this shape has crashed a target.
+    pub expected_duration: Millis,
+    /// The number of crashes of targets that are attributed to requests with the
+    /// same fingerprint.
     pub strikes: u32,
     /// Whether the service sheds load at this entry.
     pub shedding: bool,
@@ -95,94 +97,98 @@
 /// The budget of one service for retries and hedges.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
-    tokens: u32,
+    millitokens: u32,
 }
 
 impl Budget {
-    /// Returns an empty budget. It starts empty so that a restarted entry cannot
-    /// exceed the limit with its first requests.
+    /// Returns an empty budget. With an initial balance, a restarted entry could
+    /// exceed the limit on added work with its first requests.
     #[must_use]
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Records a first attempt, which earns a part of a retry.
-    pub fn earn(&mut self) {
-        self.tokens = (self.tokens + EARN).min(CAP);
+    /// Records a first attempt, which adds a fraction of a retry to the budget.
+    pub fn deposit(&mut self) {
+        self.millitokens = (self.millitokens + DEPOSIT_MILLITOKENS).min(BALANCE_MAX_MILLITOKENS);
     }
 
-    /// Returns how many retries or hedges can be paid now.
+    /// Returns how many retries or hedges the budget allows now.
     #[must_use]
-    pub fn left(&self) -> u32 {
-        self.tokens / COST
+    pub fn available(&self) -> u32 {
+        self.millitokens / COST_MILLITOKENS
     }
 
-    /// Decides whether a failed request is sent again, pays for it, and returns
-    /// the delay before it is sent.
+    /// Decides whether a failed request is retried, withdraws its cost, and
+    /// returns the delay before the retry.
     ///
     /// # Errors
     ///
-    /// Returns why the request is not sent again.
+    /// Returns why the request is not retried.
     pub fn retry<R: Rng>(
         &mut self,
         now: Millis,
         rng: &mut R,
         attempt: &Attempt,
     ) -> Result<Millis, Denied> {
-        check(attempt)?;
-        // Two strikes block a request, so a single one may be chance.
+        check_attempt(attempt)?;
+        // Requests are blocked after two strikes. A single crash may be a
+        // coincidence.
         if attempt.strikes > 1 {
-            return Err(Denied::Suspect);
+            return Err(Denied::SuspectedCrash);
         }
-        let doubled = RETRY_DELAY.0 << attempt.count.saturating_sub(1).min(4);
-        let delay = Millis(rng.random_range(doubled / 2..=doubled * 3 / 2));
-        in_time(now + delay, attempt)?;
-        // No target has worked on a request that was not sent, so sending it
-        // elsewhere adds no work.
+        let mean_delay = RETRY_DELAY.0 << attempt.count.saturating_sub(1).min(4);
+        let delay = Millis(rng.random_range(mean_delay / 2..=mean_delay * 3 / 2));
+        check_deadline(now + delay, attempt)?;
+        // No target has worked on a request that was not sent, so the retry adds
+        // no work and is free.
         if attempt.sent {
-            self.pay()?;
+            self.withdraw()?;
         }
         Ok(delay)
     }
 
-    /// Decides whether a request without an answer is hedged now, and pays for
-    /// it.
+    /// Decides whether a request without an answer is hedged now, and withdraws
+    /// the cost.
     ///
     /// # Errors
     ///
     /// Returns why the request is not hedged.
     pub fn hedge(&mut self, now: Millis, attempt: &Attempt) -> Result<(), Denied> {
         check_hedge(attempt)?;
-        in_time(now, attempt)?;
-        self.pay()
+        check_deadline(now, attempt)?;
+        self.withdraw()
     }
 
-    /// Returns what was paid for a hedge or retry that could not be sent.
+    /// Returns the cost of a retry or hedge that could not be sent.
     pub fn refund(&mut self) {
-        self.tokens = (self.tokens + COST).min(CAP);
+        self.millitokens = (self.millitokens + COST_MILLITOKENS).min(BALANCE_MAX_MILLITOKENS);
     }
 
-    fn pay(&mut self) -> Result<(), Denied> {
-        self.tokens = self.tokens.checked_sub(COST).ok_or(Denied::Budget)?;
+    fn withdraw(&mut self) -> Result<(), Denied> {
+        self.millitokens = self
+            .millitokens
+            .checked_sub(COST_MILLITOKENS)
+            .ok_or(Denied::Budget)?;
         Ok(())
     }
 }
 
-/// Returns the instant at which a request that was just sent should be hedged,
-/// so that the caller can set a timer.
+/// Returns the time at which a request that was just sent should be hedged, for
+/// the caller's timer.
 ///
 /// # Errors
 ///
 /// Returns why the request will not be hedged.
-pub fn hedge_at(attempt: &Attempt, known: Percentiles) -> Result<Millis, Denied> {
+pub fn hedge_time(attempt: &Attempt, known: Percentiles) -> Result<Millis, Denied> {
     check_hedge(attempt)?;
-    let delay = known.p95.ok_or(Denied::Unknown)?.max(HEDGE_MIN);
+    let delay = known.p95.ok_or(Denied::TooFewSamples)?.max(HEDGE_DELAY_MIN);
     let at = attempt.first + delay;
-    in_time(at, attempt)?;
+    check_deadline(at, attempt)?;
     Ok(at)
 }
 
-fn check(attempt: &Attempt) -> Result<(), Denied> {
+fn check_attempt(attempt: &Attempt) -> Result<(), Denied> {
     if attempt.sent && !attempt.idempotent {
         return Err(Denied::NotIdempotent);
     }
@@ -196,19 +202,19 @@
 }
 
 fn check_hedge(attempt: &Attempt) -> Result<(), Denied> {
-    check(attempt)?;
+    check_attempt(attempt)?;
     if !attempt.idempotent {
         return Err(Denied::NotIdempotent);
     }
-    // A hedge would let it crash two targets at once.
+    // If the request does crash targets, a hedge would crash a second one.
     if attempt.strikes > 0 {
-        return Err(Denied::Suspect);
+        return Err(Denied::SuspectedCrash);
     }
     Ok(())
 }
 
-fn in_time(start: Millis, attempt: &Attempt) -> Result<(), Denied> {
-    if start + attempt.length > attempt.deadline {
+fn check_deadline(start: Millis, attempt: &Attempt) -> Result<(), Denied> {
+    if start + attempt.expected_duration > attempt.deadline {
         return Err(Denied::Deadline);
     }
     Ok(())
--- a/src/policy/retry/window.rs
+++ b/src/policy/retry/window.rs
@@ -1,40 +1,43 @@
-//! Percentiles of recent durations.
+//! Percentiles of recent durations, over a sliding window.
 
 use hdrhistogram::Histogram;
 
 use crate::domain::Millis;
 
-/// How long durations count, at least. They count for twice as long at most.
-const SPAN: Millis = Millis(10_000);
+/// The interval at which the histograms are rotated. A duration counts for at
+/// least this long and at most twice as long.
+const ROTATION_INTERVAL: Millis = Millis(10_000);
 
-/// The greatest duration that is kept apart from greater ones.
-const LONGEST_MS: u64 = 600_000;
+/// The longest duration that is recorded. Longer ones are recorded as this one.
+const DURATION_MAX_MS: u64 = 600_000;
 
-/// How many new durations pass before the percentiles are read again. Reading
-/// them walks the histogram, which is too slow for every request.
-const REFRESH: u32 = 64;
+/// The number of new durations after which the percentiles are computed again.
+/// This walks the histograms, which is too slow for every request.
+const REFRESH_SAMPLES: u32 = 64;
 
-/// How many durations must be known before a percentile means something.
-const ENOUGH: u64 = 50;
+/// The minimum number of durations from which percentiles are computed.
+const SAMPLES_MIN: u64 = 50;
 
 /// The recent durations of one lane of a service.
 ///
-/// Two histograms take turns, so that a percentile always rests on 10 to 20 s
-/// and no single duration has to be removed again.
+/// There are two histograms: durations go to the current one, and at each
+/// rotation the older one is reset and becomes the current one. A percentile
+/// therefore covers the last 10 to 20 s, and no single duration has to be removed.
 #[derive(Clone, Debug)]
 pub struct Window {
-    parts: [Option<Histogram<u32>>; 2],
-    turned: Millis,
-    fresh: u32,
+    histograms: [Option<Histogram<u32>>; 2],
+    rotated: Millis,
+    /// The durations added since the percentiles were last computed.
+    new_samples: u32,
     cache: Percentiles,
 }
 
-/// Percentiles of one lane.
+/// Percentiles of the recent durations of one lane.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Percentiles {
-    /// 95% of the durations are at most this long, if enough are known.
+    /// The 95th percentile, or `None` with too few durations.
     pub p95: Option<Millis>,
-    /// 99% of the durations are at most this long, if enough are known.
+    /// The 99th percentile, or `None` with too few durations.
     pub p99: Option<Millis>,
 }
 
@@ -43,56 +46,56 @@
     #[must_use]
     pub fn new() -> Self {
         Self {
-            parts: [histogram(), histogram()],
-            turned: Millis(0),
-            fresh: 0,
+            histograms: [new_histogram(), new_histogram()],
+            rotated: Millis(0),
+            new_samples: 0,
             cache: Percentiles::default(),
         }
     }
 
     /// Adds a duration.
     pub fn add(&mut self, now: Millis, time: Millis) {
-        if now - self.turned >= SPAN {
-            self.turn(now);
+        if now - self.rotated >= ROTATION_INTERVAL {
+            self.rotate(now);
         }
-        if let Some(part) = &mut self.parts[0] {
-            part.saturating_record(time.0.clamp(1, LONGEST_MS));
+        if let Some(histogram) = &mut self.histograms[0] {
+            histogram.saturating_record(time.0.clamp(1, DURATION_MAX_MS));
         }
-        self.fresh += 1;
-        if self.fresh >= REFRESH {
+        self.new_samples += 1;
+        if self.new_samples >= REFRESH_SAMPLES {
             self.refresh();
         }
     }
 
-    /// Returns the percentiles as of the last refresh.
+    /// Returns the percentiles as they were last computed.
     #[must_use]
     pub fn percentiles(&self) -> Percentiles {
         self.cache
     }
 
-    fn turn(&mut self, now: Millis) {
-        self.turned = now;
-        self.parts.swap(0, 1);
-        if let Some(part) = &mut self.parts[0] {
-            part.reset();
+    fn rotate(&mut self, now: Millis) {
+        self.rotated = now;
+        self.histograms.swap(0, 1);
+        if let Some(histogram) = &mut self.histograms[0] {
+            histogram.reset();
         }
         self.refresh();
     }
 
     fn refresh(&mut self) {
-        self.fresh = 0;
-        let mut all = histogram();
+        self.new_samples = 0;
+        let mut all = new_histogram();
         if let Some(all) = &mut all {
-            for part in self.parts.iter().flatten() {
-                // Both have the same bounds, so adding cannot fail.
-                let _ = all.add(part);
+            for histogram in self.histograms.iter().flatten() {
+                // All histograms have the same bounds, so this cannot fail.
+                let _ = all.add(histogram);
             }
         }
-        let all = all.filter(|h| h.len() >= ENOUGH);
-        let read = |q| all.as_ref().map(|h| Millis(h.value_at_quantile(q)));
+        let all = all.filter(|h| h.len() >= SAMPLES_MIN);
+        let quantile = |q| all.as_ref().map(|h| Millis(h.value_at_quantile(q)));
         self.cache = Percentiles {
-            p95: read(0.95),
-            p99: read(0.99),
+            p95: quantile(0.95),
+            p99: quantile(0.99),
         };
     }
 }
@@ -103,8 +106,8 @@
     }
 }
 
-/// Returns a histogram with an error of at most 1%. The bounds are constants
-/// that the library accepts, so there always is one.
-fn histogram() -> Option<Histogram<u32>> {
-    Histogram::new_with_bounds(1, LONGEST_MS, 2).ok()
+/// Returns a histogram with two significant digits, an error of at most 1%. It is
+/// never `None`, since the library accepts these constant bounds.
+fn new_histogram() -> Option<Histogram<u32>> {
+    Histogram::new_with_bounds(1, DURATION_MAX_MS, 2).ok()
 }
--- a/src/policy/shift/choose.rs
+++ b/src/policy/shift/choose.rs
@@ -116,7 +116,7 @@
     fn full(&self, former: usize) -> Refusal {
         let Place { name, region, .. } = &self.tracks[former].place;
         let detail = format!("choose a place: region {region} of {name} and all others are full");
-        Refusal::not_run(Code::Limited, detail).retry_after(RETRY)
+        Refusal::not_run(Code::LimitReached, detail).retry_after(RETRY)
     }
 }
 
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -104,7 +104,7 @@
         let now = Millis(at);
         let hedge = table.may_hedge(BAD, now);
         let admission = match table.admit(BAD, now) {
-            Admission::Refused(refusal) => format!("{refusal}, retry {:?}", refusal.retry),
+            Admission::Refused(refusal) => format!("{refusal}, retry {:?}", refusal.retry_after),
             other => format!("{other:?}"),
         };
         log.push(format!("{at} {name}: {admission}, hedge {hedge}"));
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -1,11 +1,11 @@
-//! Guards lanes, queue order and refusal. Each case states what one FIFO queue
-//! would do, since that is what the lanes replace.
+//! Tests of lanes, queue order and admission. Where a single FIFO queue would
+//! behave differently, the case states how.
 
 use quickcheck::quickcheck;
 use rand::{SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{Lane, Millis, Priority},
-    policy::queue::{Lengths, Queue, Ticket, WaitId},
+    policy::queue::{Queue, RouteDurations, Ticket, WaitId},
 };
 
 fn ticket(arrived: u64, deadline: u64, lane: Lane) -> Ticket {
@@ -13,7 +13,7 @@
         arrived: Millis(arrived),
         deadline: Millis(deadline),
         lane,
-        length: Millis(10),
+        expected_duration: Millis(10),
         priority: Priority::Normal,
     }
 }
@@ -27,30 +27,30 @@
 const MEAN: Millis = Millis(10);
 
 #[test]
-fn short_work_starts_while_long_work_waits() {
+fn short_requests_start_while_long_ones_wait() {
     let (mut queue, mut rng) = queue(6);
     let long = ticket(0, 60_000, Lane::Long);
     for n in 0..10 {
         let offer = queue.offer(Millis(0), &mut rng, long, Millis(1000), n);
         assert!(offer.is_ok());
     }
-    while queue.has_room(Lane::Long) {
+    while queue.can_start(Lane::Long) {
         queue.start(Lane::Long);
     }
     let short = ticket(1, 5000, Lane::Short);
     let offer = queue.offer(Millis(1), &mut rng, short, MEAN, 100);
     assert!(offer.is_ok());
-    // One FIFO queue would have given all six units to long work.
+    // A single FIFO queue would give all six units to long requests.
     let held = queue.running(Lane::Long);
     let started = queue
-        .has_room(Lane::Short)
+        .can_start(Lane::Short)
         .then(|| queue.start(Lane::Short));
     let item = started.flatten().map(|(_, item)| item);
     assert_eq!((held, item), (3, Some(100)));
 }
 
 #[test]
-fn an_overload_of_short_work_does_not_starve_long_work() {
+fn an_overload_of_short_requests_does_not_starve_long_ones() {
     let (mut queue, mut rng) = queue(4);
     let long = ticket(0, 1000, Lane::Long);
     assert!(queue.offer(Millis(0), &mut rng, long, MEAN, 1).is_ok());
@@ -63,12 +63,12 @@
         queue.start(Lane::Short);
         queue.finished(Lane::Short);
     }
-    // Short work first at all times would never start the long request.
+    // Strict precedence of the short lane would never start the long request.
     assert_eq!(lanes, [Some(Lane::Short), Some(Lane::Long)]);
 }
 
 #[test]
-fn the_nearest_deadline_starts_first() {
+fn the_earliest_deadline_starts_first() {
     let (mut queue, mut rng) = queue(1);
     for deadline in [900, 300, 600] {
         let offer = queue.offer(
@@ -87,7 +87,7 @@
 }
 
 #[test]
-fn work_that_cannot_meet_its_deadline_is_refused_at_once() {
+fn a_request_that_cannot_meet_its_deadline_is_refused_on_arrival() {
     let (mut queue, mut rng) = queue(2);
     queue.started(Lane::Short);
     queue.started(Lane::Short);
@@ -98,26 +98,27 @@
             texts.push(refusal.to_string());
         }
     }
-    // A FIFO queue would accept all 30 and run half of them in vain.
+    // A FIFO queue would accept all 30, and about half of the answers would come
+    // too late.
     texts.dedup();
     insta::assert_debug_snapshot!((queue.waiting(Lane::Short), texts), @r#"
 (
     18,
     [
-        "overloaded (not-run): queue: 100 ms are left, but the short lane needs 95 ms to wait and 10 ms to run",
+        "overloaded (not-run): queue: the deadline is in 100 ms, but the expected wait in the short lane is 95 ms and the expected duration is 10 ms",
     ],
 )
 "#);
 }
 
 #[test]
-fn work_that_waited_too_long_does_not_start() {
+fn a_request_that_waited_too_long_does_not_start() {
     let (mut queue, mut rng) = queue(1);
     let offer = queue.offer(Millis(0), &mut rng, ticket(0, 100, Lane::Short), MEAN, 7);
     assert!(offer.is_ok());
     assert!(queue.expire(Millis(90), Lane::Short).is_empty());
-    let missed = queue.expire(Millis(91), Lane::Short);
-    let texts: Vec<String> = missed.iter().map(|(_, r)| r.to_string()).collect();
+    let expired = queue.expire(Millis(91), Lane::Short);
+    let texts: Vec<String> = expired.iter().map(|(_, r)| r.to_string()).collect();
     assert_eq!(queue.peek(Lane::Short), None);
     insta::assert_debug_snapshot!(texts, @r#"
 [
@@ -127,22 +128,22 @@
 }
 
 #[test]
-fn a_cancelled_request_frees_its_place_and_its_slot() {
+fn cancelled_and_finished_requests_free_their_place() {
     let (mut queue, mut rng) = queue(1);
     let offer = queue.offer(Millis(0), &mut rng, ticket(0, 100, Lane::Short), MEAN, 1);
-    let first = offer.expect("there is room").id;
+    let first = offer.expect("the queue is not full").id;
     let offer = queue.offer(Millis(0), &mut rng, ticket(0, 100, Lane::Short), MEAN, 2);
     assert!(offer.is_ok());
     assert_eq!(queue.cancel(first), Some(1));
     assert_eq!(queue.cancel(first), None);
     assert_eq!(queue.start(Lane::Short).map(|(_, item)| item), Some(2));
-    assert!(!queue.has_room(Lane::Short));
+    assert!(!queue.can_start(Lane::Short));
     queue.finished(Lane::Short);
-    assert!(queue.has_room(Lane::Short));
+    assert!(queue.can_start(Lane::Short));
 }
 
 #[test]
-fn bulk_is_refused_before_normal_and_critical_last() {
+fn lower_priorities_are_refused_first() {
     let accepted = |now: u64| {
         let (mut queue, mut rng) = queue(4);
         let old = queue.offer(Millis(0), &mut rng, ticket(0, 1000, Lane::Short), MEAN, 0);
@@ -160,11 +161,11 @@
 }
 
 #[test]
-fn a_lasting_overload_keeps_the_queue_short() {
+fn a_standing_queue_stays_short_under_overload() {
     let (mut queue, mut rng) = queue(1);
     let mut waits = Vec::new();
     for now in 0..4000 {
-        // Twice the work that one unit can do.
+        // Twice the load that one unit can serve.
         if now % 5 == 0 {
             let ticket = ticket(now, now + 5000, Lane::Short);
             let _ = queue.offer(Millis(now), &mut rng, ticket, MEAN, 1);
@@ -176,13 +177,14 @@
             }
         }
     }
-    // With the limits by age alone the wait grows with the overload.
+    // With the limit on the age of the first request alone, the wait would grow as
+    // the overload lasts.
     let wait = [50, 100, 200, 399].map(|n| waits[n]);
     insta::assert_compact_debug_snapshot!(wait, @"[250, 500, 535, 535]");
 }
 
 #[test]
-fn a_full_lane_gives_up_bulk_for_critical_work() {
+fn a_critical_request_displaces_a_bulk_one_in_a_full_lane() {
     let (mut queue, mut rng) = queue(1);
     let bulk = Ticket {
         priority: Priority::Bulk,
@@ -205,7 +207,7 @@
 }
 
 #[test]
-fn times_to_come_back_are_spread() {
+fn retry_times_are_spread() {
     let (mut queue, mut rng) = queue(1);
     let late = ticket(0, 500, Lane::Short);
     for n in 0..3 {
@@ -217,32 +219,32 @@
     }
     let mut offer = || queue.offer(Millis(0), &mut rng, late, Millis(200), 9);
     let times: Vec<_> = (0..4)
-        .map(|_| offer().err().and_then(|r| r.retry))
+        .map(|_| offer().err().and_then(|r| r.retry_after))
         .collect();
     insta::assert_compact_debug_snapshot!(times, @"[Some(Millis(1048)), Some(Millis(1000)), Some(Millis(480)), Some(Millis(1000))]");
 }
 
 #[test]
-fn lengths_are_declared_or_learned() {
-    let mut lengths = Lengths::new();
-    let lane = |lengths: &Lengths| lengths.lane(None, "/plans");
-    let mut seen = vec![lane(&lengths)];
-    lengths.learn(Lane::Short, "/plans", Millis(9000));
-    seen.push(lane(&lengths));
+fn lanes_are_declared_or_learned() {
+    let mut durations = RouteDurations::new();
+    let lane = |durations: &RouteDurations| durations.lane(None, "/plans");
+    let mut seen = vec![lane(&durations)];
+    durations.record(Lane::Short, "/plans", Millis(9000));
+    seen.push(lane(&durations));
     for _ in 0..3 {
-        lengths.learn(Lane::Long, "/plans", Millis(2000));
+        durations.record(Lane::Long, "/plans", Millis(2000));
     }
-    seen.push(lane(&lengths));
+    seen.push(lane(&durations));
     for _ in 0..200 {
-        lengths.learn(Lane::Long, "/plans", Millis(20));
+        durations.record(Lane::Long, "/plans", Millis(20));
     }
-    seen.push(lane(&lengths));
-    let declared = lengths.lane(Some(Lane::Long), "/plans");
-    let expected = lengths.expected(Lane::Short, "/plans");
+    seen.push(lane(&durations));
+    let declared = durations.lane(Some(Lane::Long), "/plans");
+    let expected = durations.expected(Lane::Short, "/plans");
     insta::assert_compact_debug_snapshot!((seen, declared, expected), @"([Short, Short, Long, Short], Long, Millis(20))");
 }
 
-/// The obvious model: a list that is searched for everything.
+/// A reference model: an unordered list that is searched for every operation.
 #[derive(Default)]
 struct Model {
     waiting: Vec<(Ticket, WaitId, u32)>,
@@ -266,18 +268,18 @@
 }
 
 quickcheck! {
-    fn any_sequence_agrees_with_a_list(events: Vec<(u8, u8, u16)>) -> bool {
+    fn any_sequence_of_events_matches_a_list(events: Vec<(u8, u8, u16)>) -> bool {
         let (mut queue, mut rng) = queue(3);
         let mut model = Model::default();
         let mut now = Millis(0);
         events.into_iter().zip(0..).all(|((kind, n, time), item)| {
             now = now + Millis(u64::from(time % 20));
-            step(&mut queue, &mut model, &mut rng, now, (kind, n, time), item)
+            apply_event(&mut queue, &mut model, &mut rng, now, (kind, n, time), item)
         })
     }
 }
 
-fn step(
+fn apply_event(
     queue: &mut Queue<u32>,
     model: &mut Model,
     rng: &mut SmallRng,
@@ -297,35 +299,35 @@
                 ..ticket(now.0, until, lane)
             };
             if let Ok(queued) = queue.offer(now, rng, ticket, MEAN, item) {
-                if let Some((gone, _)) = queued.displaced {
-                    model.remove(gone);
+                if let Some((removed, _)) = queued.displaced {
+                    model.remove(removed);
                 }
                 model.waiting.push((ticket, queued.id, item));
             }
         }
         4 => {
-            for (gone, _) in queue.expire(now, lane) {
-                model.remove(gone);
+            for (removed, _) in queue.expire(now, lane) {
+                model.remove(removed);
             }
-            let missed = |w: &(Ticket, WaitId, u32)| now + w.0.length > w.0.deadline;
+            let expired = |w: &(Ticket, WaitId, u32)| now + w.0.expected_duration > w.0.deadline;
             if model
                 .first(lane)
-                .is_some_and(|at| missed(&model.waiting[at]))
+                .is_some_and(|at| expired(&model.waiting[at]))
             {
                 return false;
             }
         }
         5 => {
-            let room = model.running[at] < [3, 1][at] && model.running.iter().sum::<u32>() < 3;
-            if queue.has_room(lane) != room {
+            let can_start = model.running[at] < [3, 1][at] && model.running.iter().sum::<u32>() < 3;
+            if queue.can_start(lane) != can_start {
                 return false;
             }
             let expected = model
                 .first(lane)
-                .filter(|_| room)
+                .filter(|_| can_start)
                 .map(|at| model.waiting.remove(at));
             model.running[at] += u32::from(expected.is_some());
-            let started = room.then(|| queue.start(lane)).flatten();
+            let started = can_start.then(|| queue.start(lane)).flatten();
             if started.map(|s| s.1) != expected.map(|e| e.2) {
                 return false;
             }
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -1,5 +1,5 @@
-//! Guards retries, hedges and the detection of silent connections. Without the
-//! budget, retries multiply the load when targets fail.
+//! Tests of retries, hedges and the detection of silent connections. Without the
+//! budget, retries would multiply the load when targets fail.
 
 use quickcheck::quickcheck;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -17,35 +17,35 @@
     count: 1,
     first: Millis(0),
     deadline: Millis(5000),
-    length: Millis(20),
+    expected_duration: Millis(20),
     strikes: 0,
     shedding: false,
 };
 
-fn rich() -> Budget {
+fn full_budget() -> Budget {
     let mut budget = Budget::new();
-    (0..1000).for_each(|_| budget.earn());
+    (0..1000).for_each(|_| budget.deposit());
     budget
 }
 
 #[test]
-fn a_total_failure_adds_at_most_a_twentieth() {
+fn retries_add_at_most_five_percent_when_all_requests_fail() {
     let mut rng = SmallRng::seed_from_u64(1);
     let mut budget = Budget::new();
     let mut retries = 0;
     for _ in 0..10_000 {
-        budget.earn();
+        budget.deposit();
         for count in 1..3 {
             let attempt = Attempt { count, ..FIRST };
             retries += u32::from(budget.retry(Millis(0), &mut rng, &attempt).is_ok());
         }
     }
-    // Retrying each failure twice would add 20,000 attempts.
+    // Without a budget, two retries of each request would add 20,000 attempts.
     assert_eq!(retries, 500);
 }
 
 #[test]
-fn decisions_follow_the_attempt() {
+fn retries_and_hedges_depend_on_the_attempt() {
     let cases = [
         ("usual", FIRST),
         (
@@ -100,9 +100,9 @@
     let mut lines = Vec::new();
     for (name, attempt) in cases {
         let mut rng = SmallRng::seed_from_u64(1);
-        let retry = rich().retry(Millis(10), &mut rng, &attempt);
-        let hedge = rich().hedge(Millis(10), &attempt);
-        let at = retry::hedge_at(&attempt, known);
+        let retry = full_budget().retry(Millis(10), &mut rng, &attempt);
+        let hedge = full_budget().hedge(Millis(10), &attempt);
+        let at = retry::hedge_time(&attempt, known);
         lines.push(format!(
             "{name}: retry {retry:?}, hedge {hedge:?}, at {at:?}"
         ));
@@ -112,22 +112,22 @@
 not idempotent: retry Err(NotIdempotent), hedge Err(NotIdempotent), at Err(NotIdempotent)
 not idempotent, not sent: retry Ok(Millis(27)), hedge Err(NotIdempotent), at Err(NotIdempotent)
 sent three times: retry Err(Attempts), hedge Err(Attempts), at Err(Attempts)
-one strike: retry Ok(Millis(27)), hedge Err(Suspect), at Err(Suspect)
-two strikes: retry Err(Suspect), hedge Err(Suspect), at Err(Suspect)
+one strike: retry Ok(Millis(27)), hedge Err(SuspectedCrash), at Err(SuspectedCrash)
+two strikes: retry Err(SuspectedCrash), hedge Err(SuspectedCrash), at Err(SuspectedCrash)
 shedding: retry Err(Shedding), hedge Err(Shedding), at Err(Shedding)
 near deadline: retry Err(Deadline), hedge Err(Deadline), at Err(Deadline)
 "#);
 }
 
 #[test]
-fn an_empty_budget_denies_and_a_refund_returns() {
+fn an_empty_budget_denies_until_a_refund() {
     let mut budget = Budget::new();
     assert_eq!(budget.hedge(Millis(0), &FIRST), Err(Denied::Budget));
-    (0..20).for_each(|_| budget.earn());
+    (0..20).for_each(|_| budget.deposit());
     assert_eq!(budget.hedge(Millis(0), &FIRST), Ok(()));
     assert_eq!(budget.hedge(Millis(0), &FIRST), Err(Denied::Budget));
     budget.refund();
-    assert_eq!(budget.left(), 1);
+    assert_eq!(budget.available(), 1);
 }
 
 quickcheck! {
@@ -136,16 +136,16 @@
         let (mut earned, mut spent) = (0, 0);
         events.into_iter().all(|first| {
             if first {
-                budget.earn();
+                budget.deposit();
                 earned += 1;
             } else {
                 spent += u32::from(budget.hedge(Millis(0), &FIRST).is_ok());
             }
-            spent * 20 <= earned && budget.left() <= 10
+            spent * 20 <= earned && budget.available() <= 10
         })
     }
 
-    fn percentiles_agree_with_a_sorted_list(times: Vec<u16>) -> bool {
+    fn percentiles_match_a_sorted_list(times: Vec<u16>) -> bool {
         let mut window = Window::new();
         let times: Vec<u64> = times.into_iter().map(|t| u64::from(t) + 1).collect();
         let times: Vec<u64> = times.iter().cycle().take(times.len() * 64).copied().collect();
@@ -167,7 +167,7 @@
 }
 
 #[test]
-fn old_durations_are_forgotten() {
+fn old_durations_leave_the_window() {
     let mut window = Window::new();
     let mut p99 = |from: u64, time| {
         for n in 0..100 {
@@ -193,7 +193,7 @@
 }
 
 #[test]
-fn a_request_that_may_not_be_repeated_waits_for_its_deadline() {
+fn a_request_that_is_not_idempotent_waits_for_its_deadline() {
     let progress = Progress::new(Millis(0), Millis(8000), false);
     let check = |now| progress.check(Millis(now), None);
     assert_eq!(
@@ -203,7 +203,7 @@
 }
 
 #[test]
-fn a_download_may_outlast_its_deadline_while_it_moves() {
+fn a_download_may_outlast_its_deadline_while_it_progresses() {
     let mut progress = Progress::new(Millis(0), Millis(1000), true);
     progress.moved(Millis(900), true);
     progress.moved(Millis(5000), false);
@@ -216,7 +216,7 @@
 }
 
 #[test]
-fn limits_of_patience_are_kept() {
+fn silence_limits_are_bounded() {
     let known = [None, Some(Millis(1)), Some(Millis(700))].map(silence::patience);
     let stale = [10_000, 10_001].map(|now| silence::is_stale(Millis(now), Millis(0)));
     insta::assert_compact_debug_snapshot!((known, stale), @"([Millis(5000), Millis(1000), Millis(2800)], [false, true])");
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -1,5 +1,6 @@
-//! Guards the choice of a target. Each case compares the pool with the naive
-//! choice that it replaces, so that a pool that falls back to it is noticed.
+//! Tests of the target pool. Where a simpler algorithm exists, such as round
+//! robin or the least reported load, the case states what it would do, so that
+//! a pool that behaves like it fails the test.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -37,7 +38,7 @@
     pool
 }
 
-fn ask(places: &[(PlaceName, u32)]) -> Criteria<'_> {
+fn criteria(places: &[(PlaceName, u32)]) -> Criteria<'_> {
     Criteria {
         lane: Lane::Short,
         places,
@@ -48,13 +49,13 @@
     }
 }
 
-fn free(_: TargetId, _: Lane) -> u32 {
+fn unlimited(_: TargetId, _: Lane) -> u32 {
     u32::MAX
 }
 
-/// Sends a request every 2 ms from `from` to `to` and returns how many each
-/// target got, in per mille. `time` is what a target takes, within 20%.
-fn drive(pool: &mut Pool, from: u64, to: u64, time: impl Fn(TargetId) -> u64) -> Vec<u64> {
+/// Sends a request every 2 ms from `from` to `to` and returns the share of each
+/// target, in per mille. `time` is the latency of a target, varied by 20%.
+fn run_load(pool: &mut Pool, from: u64, to: u64, time: impl Fn(TargetId) -> u64) -> Vec<u64> {
     let places = [(name("a"), 1)];
     let mut rng = SmallRng::seed_from_u64(from);
     let mut ends: BTreeMap<(u64, u64), (TargetId, u64)> = BTreeMap::new();
@@ -73,7 +74,7 @@
                 Millis(time),
             );
         }
-        if let Ok(choice) = pool.choose(Millis(now), &mut rng, &ask(&places), free) {
+        if let Ok(choice) = pool.choose(Millis(now), &mut rng, &criteria(&places), unlimited) {
             pool.started(choice.target, Lane::Short);
             let time = time(choice.target) * rng.random_range(80..=120) / 100;
             ends.insert((now + time, now), (choice.target, time));
@@ -93,24 +94,24 @@
     counts.values().map(|n| n * 1000 / total.max(1)).collect()
 }
 
-/// Returns how many of 1000 choices fall on target 0 while nothing runs.
-fn picks(pool: &mut Pool, now: u64) -> usize {
+/// Returns how often target 0 is chosen in 1000 choices while no request runs.
+fn choices_of_first(pool: &mut Pool, now: u64) -> usize {
     let places = [(name("a"), 1)];
     let mut rng = SmallRng::seed_from_u64(now);
-    let mut pick = || pool.choose(Millis(now), &mut rng, &ask(&places), free);
+    let mut pick = || pool.choose(Millis(now), &mut rng, &criteria(&places), unlimited);
     (0..1000)
         .filter(|_| pick().is_ok_and(|c| c.target == id(0)))
         .count()
 }
 
 #[test]
-fn a_lying_report_attracts_no_traffic() {
+fn an_understated_load_report_gains_no_traffic() {
     let reports = [0.0, 0.6, 0.6, 0.6];
-    let naive = (0..4).min_by(|&a, &b| f64::total_cmp(&reports[a], &reports[b]));
+    let least_reported = (0..4).min_by(|&a, &b| f64::total_cmp(&reports[a], &reports[b]));
     assert_eq!(
-        naive,
+        least_reported,
         Some(0),
-        "the naive choice sends everything to the liar"
+        "the least reported load would send everything to target 0"
     );
     let mut pool = pool(4);
     for (n, load) in (0..).zip(reports) {
@@ -122,25 +123,25 @@
             },
         );
     }
-    // The liar is slower than its peers, but not slow enough to be ejected.
-    let shares = drive(&mut pool, 0, 4000, |t| if t == id(0) { 20 } else { 10 });
+    // Target 0 is slower than its peers, but not slow enough to be ejected.
+    let shares = run_load(&mut pool, 0, 4000, |t| if t == id(0) { 20 } else { 10 });
     insta::assert_compact_debug_snapshot!(shares, @"[90, 299, 322, 288]");
 }
 
 #[test]
 fn an_old_report_loses_its_effect() {
-    let share = |at: u64| {
+    let choices = |at: u64| {
         let mut pool = pool(2);
         let full = LoadReport {
             measured_at: Millis(at),
             load: 1.0,
         };
         pool.report(id(0), full);
-        let late = LoadReport {
+        let older = LoadReport {
             measured_at: Millis(at.saturating_sub(1)),
             load: 0.0,
         };
-        pool.report(id(0), late);
+        pool.report(id(0), older);
         for n in 0..2 {
             pool.started(id(n), Lane::Short);
             let time = Millis(8 + 2 * u64::from(n));
@@ -152,27 +153,27 @@
                 time,
             );
         }
-        picks(&mut pool, 20_000)
+        choices_of_first(&mut pool, 20_000)
     };
-    insta::assert_compact_debug_snapshot!([share(20_000), share(10_000)], @"[0, 1000]");
+    insta::assert_compact_debug_snapshot!([choices(20_000), choices(10_000)], @"[0, 1000]");
 }
 
 #[test]
-fn a_slowed_target_keeps_little_traffic_and_comes_back() {
+fn a_slow_target_loses_traffic_and_recovers() {
     let mut pool = pool(8);
-    let usual = drive(&mut pool, 0, 2000, |_| 10);
-    let slowed = drive(&mut pool, 2000, 6000, |t| if t == id(0) { 100 } else { 10 });
+    let before = run_load(&mut pool, 0, 2000, |_| 10);
+    let slowed = run_load(&mut pool, 2000, 6000, |t| if t == id(0) { 100 } else { 10 });
     let state = pool.state(Millis(6000), id(0));
-    let after = drive(&mut pool, 6000, 16_000, |_| 10);
+    let after = run_load(&mut pool, 6000, 16_000, |_| 10);
     let back = pool.state(Millis(16_000), id(0));
     // Round robin would send 125 to the slowed target.
-    insta::assert_compact_debug_snapshot!((usual[0], slowed[0], state, after[0], back), @"(106, 1, Some(Ready), 79, Some(Ready))");
+    insta::assert_compact_debug_snapshot!((before[0], slowed[0], state, after[0], back), @"(106, 1, Some(Ready), 79, Some(Ready))");
 }
 
 #[test]
 fn a_single_straggler_does_not_eject_its_target() {
     let mut pool = pool(4);
-    drive(&mut pool, 0, 2000, |_| 10);
+    run_load(&mut pool, 0, 2000, |_| 10);
     pool.started(id(0), Lane::Short);
     pool.finished(
         Millis(2001),
@@ -185,9 +186,9 @@
 }
 
 #[test]
-fn hedges_that_win_do_not_hide_a_slow_target() {
+fn cancelled_requests_reveal_a_slow_target() {
     let mut pool = pool(4);
-    drive(&mut pool, 0, 2000, |_| 10);
+    run_load(&mut pool, 0, 2000, |_| 10);
     for n in 0..20 {
         pool.started(id(0), Lane::Short);
         pool.finished(
@@ -202,48 +203,48 @@
 }
 
 #[test]
-fn a_cold_target_starts_with_little() {
+fn a_cold_target_is_ramped_up() {
     let mut pool = pool(4);
-    drive(&mut pool, 0, 2000, |_| 10);
+    run_load(&mut pool, 0, 2000, |_| 10);
     pool.adopt(Millis(2000), &[place(0..5, &[])]);
     let slower = |t| if t == id(4) { 25 } else { 10 };
-    let first = drive(&mut pool, 2000, 3000, slower)[4];
-    // The ramp pauses while the target is more than twice as slow as its peers.
-    drive(&mut pool, 3000, 20_000, slower);
+    let first = run_load(&mut pool, 2000, 3000, slower)[4];
+    // The ramp back_offs while the target is more than twice as slow as its peers.
+    run_load(&mut pool, 3000, 20_000, slower);
     let held = pool.state(Millis(20_000), id(4));
-    drive(&mut pool, 20_000, 40_000, |_| 10);
+    run_load(&mut pool, 20_000, 40_000, |_| 10);
     let warm = pool.state(Millis(40_000), id(4));
     // Round robin would send 200 at once.
     insta::assert_compact_debug_snapshot!((first, held, warm), @"(4, Some(Cold), Some(Ready))");
 }
 
 #[test]
-fn a_target_that_sheds_is_left_out_and_comes_back() {
+fn a_shedding_target_is_ejected_and_returns() {
     let mut pool = pool(4);
     pool.shed(Millis(0), id(0), Millis(60_000));
-    let out = drive(&mut pool, 0, 4900, |_| 10)[0];
+    let out = run_load(&mut pool, 0, 4900, |_| 10)[0];
     let early = pool.state(Millis(4900), id(0));
     let back = pool.state(Millis(5001), id(0));
-    let share = drive(&mut pool, 5001, 12_000, |_| 10)[0];
+    let share = run_load(&mut pool, 5001, 12_000, |_| 10)[0];
     let ready = pool.state(Millis(12_000), id(0));
     insta::assert_compact_debug_snapshot!((out, early, back, share, ready), @"(0, Some(Shedding), Some(Cold), 228, Some(Ready))");
 }
 
 #[test]
-fn at_most_half_of_the_targets_are_left_out() {
+fn at_most_half_of_the_targets_are_ejected() {
     let mut pool = pool(4);
     for n in 0..4 {
         pool.shed(Millis(0), id(n), Millis(1000 + u64::from(n)));
     }
-    // Leaving out every target that shed would refuse all work.
-    let shares = drive(&mut pool, 0, 900, |_| 10);
+    // Ejecting all targets that shed load would refuse every request.
+    let shares = run_load(&mut pool, 0, 900, |_| 10);
     insta::assert_compact_debug_snapshot!(shares, @"[504, 495, 0, 0]");
 }
 
 #[test]
-fn failures_in_a_row_lengthen_the_pause() {
+fn consecutive_failures_double_the_back_off() {
     let mut pool = pool(4);
-    let mut pauses = Vec::new();
+    let mut back_offs = Vec::new();
     let mut now = 0;
     for _ in 0..6 {
         pool.started(id(0), Lane::Short);
@@ -258,53 +259,53 @@
         while pool.state(Millis(now), id(0)) == Some(State::Shedding) {
             now += 50;
         }
-        pauses.push(now - from);
+        back_offs.push(now - from);
     }
-    insta::assert_compact_debug_snapshot!(pauses, @"[250, 500, 1000, 2000, 4000, 5000]");
+    insta::assert_compact_debug_snapshot!(back_offs, @"[250, 500, 1000, 2000, 4000, 5000]");
 }
 
 #[test]
-fn long_work_leaves_a_slot_of_each_target() {
+fn long_requests_leave_one_slot_of_each_target_free() {
     let mut pool = pool(2);
     let places = [(name("a"), 1)];
     let mut rng = SmallRng::seed_from_u64(1);
     let long = Criteria {
         lane: Lane::Long,
-        ..ask(&places)
+        ..criteria(&places)
     };
     let mut started = 0;
-    while let Ok(choice) = pool.choose(Millis(0), &mut rng, &long, free) {
+    while let Ok(choice) = pool.choose(Millis(0), &mut rng, &long, unlimited) {
         pool.started(choice.target, Lane::Long);
         started += 1;
     }
-    let short = pool.choose(Millis(0), &mut rng, &ask(&places), free);
+    let short = pool.choose(Millis(0), &mut rng, &criteria(&places), unlimited);
     assert_eq!((started, short.is_ok()), (6, true));
 }
 
 #[test]
-fn misses_say_whether_waiting_helps() {
+fn errors_tell_missing_units_from_missing_targets() {
     let mut pool = pool(2);
     let places = [(name("a"), 1)];
     let mut rng = SmallRng::seed_from_u64(1);
     let none = |_: TargetId, _: Lane| 0;
     assert_eq!(
-        pool.choose(Millis(0), &mut rng, &ask(&places), none),
+        pool.choose(Millis(0), &mut rng, &criteria(&places), none),
         Err(ChooseError::NoUnit)
     );
     let zero = [(name("a"), 0), (name("b"), 5)];
     assert_eq!(
-        pool.choose(Millis(0), &mut rng, &ask(&zero), free),
+        pool.choose(Millis(0), &mut rng, &criteria(&zero), unlimited),
         Err(ChooseError::NoTarget)
     );
     pool.adopt(Millis(0), &[place(0..2, &[0, 1])]);
     assert_eq!(
-        pool.choose(Millis(0), &mut rng, &ask(&places), free),
+        pool.choose(Millis(0), &mut rng, &criteria(&places), unlimited),
         Err(ChooseError::NoTarget)
     );
 }
 
 #[test]
-fn extra_attempts_avoid_cold_targets_and_former_ones() {
+fn retries_and_hedges_avoid_cold_and_excluded_targets() {
     let mut pool = pool(2);
     pool.adopt(Millis(1), &[place(0..3, &[])]);
     let places = [(name("a"), 1)];
@@ -313,16 +314,16 @@
     let extra = Criteria {
         excluded: &avoid,
         extra: true,
-        ..ask(&places)
+        ..criteria(&places)
     };
     for _ in 0..50 {
-        let choice = pool.choose(Millis(1), &mut rng, &extra, free);
+        let choice = pool.choose(Millis(1), &mut rng, &extra, unlimited);
         assert_eq!(choice.map(|c| c.target), Ok(id(1)));
     }
 }
 
 #[test]
-fn probes_keep_to_their_budget() {
+fn probes_respect_their_interval() {
     let mut pool = pool(3);
     pool.started(id(0), Lane::Short);
     pool.finished(
@@ -337,7 +338,8 @@
     insta::assert_compact_debug_snapshot!(counts, @"[2, 0, 1, 2, 0]");
 }
 
-/// The obvious model of what must hold whatever happens.
+/// A reference model: the running requests of each target, and the targets that
+/// are leaving.
 #[derive(Default)]
 struct Model {
     running: HashMap<TargetId, u32>,
@@ -345,7 +347,7 @@
 }
 
 quickcheck! {
-    fn hard_rules_hold_on_any_sequence(seed: u64, events: Vec<(u8, u8, u16)>) -> bool {
+    fn invariants_hold_for_any_sequence_of_events(seed: u64, events: Vec<(u8, u8, u16)>) -> bool {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut pool = pool(6);
         let mut model = Model::default();
@@ -353,12 +355,12 @@
         let mut now = Millis(1);
         events.into_iter().all(|(kind, n, time)| {
             now = now + Millis(u64::from(time % 300));
-            step(&mut pool, &mut model, &mut rng, now, (kind, n % 6, time), &places)
+            apply_event(&mut pool, &mut model, &mut rng, now, (kind, n % 6, time), &places)
         })
     }
 }
 
-fn step(
+fn apply_event(
     pool: &mut Pool,
     model: &mut Model,
     rng: &mut SmallRng,
@@ -395,14 +397,14 @@
             }
         }
         _ => {
-            // Odd targets have units, so a choice must not fall on even ones.
-            let ask = Criteria {
+            // Only odd targets have units, so no even one may be chosen.
+            let criteria = Criteria {
                 accept_slow: kind > 128,
-                ..ask(places)
+                ..criteria(places)
             };
             let odd = [id(1), id(3), id(5)];
             let free = |t: TargetId, _| if odd.contains(&t) { units } else { 0 };
-            if let Ok(choice) = pool.choose(now, rng, &ask, free) {
+            if let Ok(choice) = pool.choose(now, rng, &criteria, free) {
                 let n = (0..6)
                     .find(|&n| id(n) == choice.target)
                     .expect("it is known");
@@ -415,10 +417,10 @@
             }
         }
     }
-    agrees(pool, model, now)
+    matches_model(pool, model, now)
 }
 
-fn agrees(pool: &mut Pool, model: &Model, now: Millis) -> bool {
+fn matches_model(pool: &mut Pool, model: &Model, now: Millis) -> bool {
     let views = pool.statuses(now);
     let ejected = views.iter().filter(|v| v.ejected).count();
     let usable = views.iter().filter(|v| v.state != State::Leaving).count();
@@ -426,22 +428,22 @@
     ejected <= usable / 2 && views.iter().all(|v| v.running[0] == running(v.target))
 }
 
-/// What each place gets of all the traffic, in parts.
-fn received(demand: &[(RegionName, u32)], places: &[(PlaceName, RegionName, u32)]) -> Vec<f64> {
+/// Returns the share of each place in the traffic of all regions.
+fn place_shares(demand: &[(RegionName, u32)], places: &[(PlaceName, RegionName, u32)]) -> Vec<f64> {
     let traffic: f64 = demand.iter().map(|(_, d)| f64::from(*d)).sum();
-    let mut got = vec![0.0; places.len()];
+    let mut received = vec![0.0; places.len()];
     for (here, d) in demand {
         let weights = local_weights(here, demand, places);
         let total: f64 = weights.iter().map(|(_, w)| f64::from(*w)).sum();
-        for (got, (_, w)) in got.iter_mut().zip(weights) {
-            *got += f64::from(*d) / traffic * f64::from(w) / total;
+        for (received, (_, w)) in received.iter_mut().zip(weights) {
+            *received += f64::from(*d) / traffic * f64::from(w) / total;
         }
     }
-    got
+    received
 }
 
 quickcheck! {
-    fn local_weights_keep_each_place_its_part(demand: [u8; 3], weights: [u8; 5]) -> bool {
+    fn local_weights_preserve_the_share_of_each_place(demand: [u8; 3], weights: [u8; 5]) -> bool {
         let region = |n: usize| format!("r{}", n % 3).parse().expect("the name is valid");
         let demand: Vec<(RegionName, u32)> =
             (0..3).map(|n| (region(n), u32::from(demand[n]) + 1)).collect();
@@ -449,13 +451,13 @@
             .map(|n| (name(&format!("p{n}")), region(n), u32::from(weights[n]) + 1))
             .collect();
         let total: f64 = places.iter().map(|(_, _, w)| f64::from(*w)).sum();
-        let got = received(&demand, &places);
-        got.iter().zip(&places).all(|(got, (_, _, w))| (got - f64::from(*w) / total).abs() < 1e-4)
+        let received = place_shares(&demand, &places);
+        received.iter().zip(&places).all(|(received, (_, _, w))| (received - f64::from(*w) / total).abs() < 1e-4)
     }
 }
 
 #[test]
-fn traffic_crosses_regions_only_where_weights_demand_it() {
+fn traffic_crosses_regions_only_if_the_weights_require_it() {
     let region = |text: &str| -> RegionName { text.parse().expect("the name is valid") };
     let places = [
         ("a1", "a", 30),
@@ -466,21 +468,22 @@
     let places = places.map(|(p, r, w)| (name(p), region(r), w));
     let demand = ["a", "b", "c"].map(|r| (region(r), 10));
     let weights = |here: &str| local_weights(&region(here), &demand, &places);
-    // Drawing by weight alone would send 80% of the traffic of b elsewhere.
+    // Choosing by weight alone would send 80% of the traffic of b to other
+    // regions.
     insta::assert_compact_debug_snapshot!(["a", "b", "c"].map(weights), @"[[(a1, 500000), (a2, 500000), (b1, 0), (c1, 0)], [(a1, 200000), (a2, 200000), (b1, 600000), (c1, 0)], [(a1, 200000), (a2, 200000), (b1, 0), (c1, 600000)]]");
-    // Without knowledge of the demand the weights count as they are.
-    let unknown = local_weights(&region("b"), &[], &places);
-    insta::assert_compact_debug_snapshot!(unknown, @"[(a1, 30), (a2, 30), (b1, 20), (c1, 20)]");
+    // With no known demand, the configured weights are returned.
+    let no_demand = local_weights(&region("b"), &[], &places);
+    insta::assert_compact_debug_snapshot!(no_demand, @"[(a1, 30), (a2, 30), (b1, 20), (c1, 20)]");
 }
 
 #[test]
-fn routes_of_different_lengths_do_not_make_targets_slow() {
+fn mixed_request_durations_do_not_mark_targets_slow() {
     let mut pool = pool(6);
     let places = [(name("a"), 1)];
     let mut rng = SmallRng::seed_from_u64(3);
     let mut slow = 0;
     for now in 0..20_000 {
-        let choice = pool.choose(Millis(now), &mut rng, &ask(&places), free);
+        let choice = pool.choose(Millis(now), &mut rng, &criteria(&places), unlimited);
         let Ok(choice) = choice else { continue };
         pool.started(choice.target, Lane::Short);
         let time = if rng.random_bool(0.2) { 300 } else { 10 };
