Finish the wording of the target pool and the queue

A second reading found a comment of a test that a rename had garbled, percent values without the unit in their names, shares that were named like weights, and a detail of a refusal in unusual wording.

--- a/src/policy/queue/admit.rs
+++ b/src/policy/queue/admit.rs
@@ -9,13 +9,13 @@
 };
 
 /// The shortest time after which a refused caller is told to retry.
-const RETRY_MIN: Millis = Millis(100);
+const RETRY_AFTER_MIN: Millis = Millis(100);
 
 /// The longest time after which a refused caller is told to retry.
-const RETRY_MAX: Millis = Millis(5000);
+const RETRY_AFTER_MAX: Millis = Millis(5000);
 
-/// A lane has a standing queue if it has not been empty for this long. A shorter
-/// time would refuse work in bursts that pass by themselves.
+/// A lane has a standing queue once it has been non-empty for longer than this. A
+/// shorter time would refuse work in bursts that pass by themselves.
 const STANDING_QUEUE_AFTER: Millis = Millis(1000);
 
 /// The limits above which bulk and normal requests are refused, in percent of a
@@ -71,13 +71,13 @@
                 Code::Overloaded,
                 format!("queue: the deadline cannot be met after {waited} in the {lane} lane"),
             );
-            expired.push((waiting.item, refusal.retry_after(RETRY_MIN)));
+            expired.push((waiting.item, refusal.retry_after(RETRY_AFTER_MIN)));
         }
         expired
     }
 
     /// Estimates how long a request would wait, from the number of waiting
-    /// requests with an earlier deadline.
+    /// requests with an earlier or equal deadline.
     #[must_use]
     pub fn expected_wait(&self, ticket: &Ticket, mean: Millis) -> Millis {
         let lane = ticket.lane;
@@ -120,9 +120,9 @@
         if now + wait + ticket.expected_duration <= ticket.deadline {
             return Ok(());
         }
-        let left = ticket.deadline - now;
+        let remaining = ticket.deadline - now;
         let detail = format!(
-            "queue: the deadline is in {left}, but the expected wait in the {} lane is {wait} and the expected duration is {}",
+            "queue: the deadline is in {remaining}, but the expected wait in the {} lane is {wait} and the expected duration is {}",
             ticket.lane, ticket.expected_duration
         );
         Err(refuse(rng, wait, detail))
@@ -141,17 +141,17 @@
         // A backlog of short requests also refuses long ones, since both use the
         // same slots. A backlog of long requests must not refuse short ones: that
         // is the head-of-line blocking that the lanes prevent.
-        let short_wait = self.head_wait_percent(now, Lane::Short);
-        let head_wait = match ticket.lane {
-            Lane::Short => short_wait,
-            Lane::Long => short_wait.max(self.head_wait_percent(now, Lane::Long)),
+        let short_percent = self.head_wait_percent(now, Lane::Short);
+        let head_percent = match ticket.lane {
+            Lane::Short => short_percent,
+            Lane::Long => short_percent.max(self.head_wait_percent(now, Lane::Long)),
         };
-        let total = (ticket.deadline - now).0.max(1);
+        let time_limit = (ticket.deadline - now).0.max(1);
         let wait = self.expected_wait(ticket, mean);
-        let wait_percent = wait.0.saturating_mul(100) / total;
+        let wait_percent = wait.0.saturating_mul(100) / time_limit;
         let standing = self.has_standing_queue(now, ticket.lane);
         let exceeds =
-            |(head_max, wait_max)| head_wait > head_max || (standing && wait_percent > wait_max);
+            |(head_max, wait_max)| head_percent > head_max || (standing && wait_percent > wait_max);
         let refused = match ticket.priority {
             Priority::Bulk => exceeds(BULK_MAX_PERCENT),
             Priority::Normal => exceeds(NORMAL_MAX_PERCENT),
@@ -167,7 +167,8 @@
         Err(refuse(rng, wait, detail))
     }
 
-    /// Returns whether a lane has not been empty for [`STANDING_QUEUE_AFTER`].
+    /// Returns whether a lane has been non-empty for longer than
+    /// [`STANDING_QUEUE_AFTER`].
     fn has_standing_queue(&self, now: Millis, lane: Lane) -> bool {
         self.waiting_since[lane_index(lane)].is_some_and(|since| now - since > STANDING_QUEUE_AFTER)
     }
@@ -179,8 +180,8 @@
         let Some((first, _)) = self.peek(lane) else {
             return 0;
         };
-        let total = (first.deadline - first.arrived).0.max(1);
-        (now - first.arrived).0.saturating_mul(100) / total
+        let time_limit = (first.deadline - first.arrived).0.max(1);
+        (now - first.arrived).0.saturating_mul(100) / time_limit
     }
 
     /// If the lane is full, removes and returns a waiting request of lower
@@ -204,7 +205,7 @@
             let detail = format!("queue: the {} lane is full", ticket.lane);
             return Err(refuse(rng, wait, detail));
         };
-        let detail = format!("queue: displaced by {} work", ticket.priority);
+        let detail = format!("queue: displaced by a {} request", ticket.priority);
         let refusal = refuse(rng, wait, detail);
         Ok(self.cancel(id).map(|item| (item, refusal)))
     }
@@ -222,6 +223,6 @@
 fn refuse<R: Rng>(rng: &mut R, wait: Millis, detail: String) -> Refusal {
     let percent = rng.random_range(50..=150);
     let time = wait.0.saturating_mul(percent) / 100;
-    let time = Millis(time).clamp(RETRY_MIN, RETRY_MAX);
+    let time = Millis(time).clamp(RETRY_AFTER_MIN, RETRY_AFTER_MAX);
     Refusal::not_run(Code::Overloaded, detail).retry_after(time)
 }
--- a/src/policy/queue/durations.rs
+++ b/src/policy/queue/durations.rs
@@ -20,7 +20,7 @@
 
 #[derive(Clone, Copy, Debug)]
 struct RouteDuration {
-    mean: f64,
+    mean_ms: f64,
     lane: Lane,
 }
 
@@ -47,16 +47,16 @@
     /// the default.
     #[must_use]
     pub fn lane(&self, declared: Option<Lane>, route: &str) -> Lane {
-        let recorded = || self.routes.get(route).map(|l| l.lane);
-        declared.or_else(recorded).unwrap_or_default()
+        let learned = || self.routes.get(route).map(|d| d.lane);
+        declared.or_else(learned).unwrap_or_default()
     }
 
     /// Returns the expected duration of a request.
     #[must_use]
     pub fn expected(&self, lane: Lane, route: &str) -> Millis {
-        let recorded = self.routes.get(route).map(|l| l.mean);
+        let learned = self.routes.get(route).map(|d| d.mean_ms);
         millis(
-            recorded
+            learned
                 .or(self.lanes[super::lane_index(lane)])
                 .unwrap_or(0.0),
         )
@@ -69,7 +69,7 @@
     }
 
     /// Records the duration of a request that was answered. Cancelled requests
-    /// must not be recorded, since they would lower the mean.
+    /// must not be learned, since they would lower the mean.
     pub fn record(&mut self, lane: Lane, route: &str, time: Millis) {
         let sample = f64::from(u32::try_from(time.0).unwrap_or(u32::MAX));
         let mean = &mut self.lanes[super::lane_index(lane)];
@@ -86,16 +86,16 @@
     fn new(sample: f64) -> Self {
         // A single sample does not make a route long.
         Self {
-            mean: sample.min(LONG_ABOVE_MS),
+            mean_ms: sample.min(LONG_ABOVE_MS),
             lane: Lane::Short,
         }
     }
 
     fn add(&mut self, sample: f64) {
-        self.mean += SAMPLE_WEIGHT * (sample - self.mean);
-        if self.mean > LONG_ABOVE_MS {
+        self.mean_ms += SAMPLE_WEIGHT * (sample - self.mean_ms);
+        if self.mean_ms > LONG_ABOVE_MS {
             self.lane = Lane::Long;
-        } else if self.mean < SHORT_BELOW_MS {
+        } else if self.mean_ms < SHORT_BELOW_MS {
             self.lane = Lane::Short;
         }
     }
--- a/src/policy/target/choose.rs
+++ b/src/policy/target/choose.rs
@@ -21,7 +21,7 @@
 /// The conditions under which a target is chosen for a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Criteria<'a> {
-    /// The expected length of the request.
+    /// The lane of the request.
     pub lane: Lane,
     /// The places with their effective weights. One is chosen at random by weight;
     /// if none of its targets can take the request, another one is tried. To
@@ -199,7 +199,8 @@
     }
 
     /// Returns the mean latency of the candidates that have samples. It is the
-    /// assumed latency of those that have none.
+    /// assumed latency of those that have none. Without any samples, 1 ms is assumed
+    /// of all.
     fn mean_latency(&self, lane: Lane, candidates: &[usize]) -> f64 {
         let known = candidates
             .iter()
--- a/src/policy/target/locality.rs
+++ b/src/policy/target/locality.rs
@@ -30,16 +30,16 @@
 ) -> Vec<(PlaceName, u32)> {
     let shares = region_shares(demand, places);
     let spare_sum: f64 = shares.values().map(RegionShare::spare_capacity).sum();
-    let Some(home) = shares.get(here).filter(|s| s.demand > 0.0) else {
+    let Some(home) = shares.get(here).filter(|s| s.demand_share > 0.0) else {
         return places.iter().map(|(p, _, w)| (p.clone(), *w)).collect();
     };
-    let excess = (home.demand - home.weight).max(0.0);
+    let excess = (home.demand_share - home.weight_share).max(0.0);
     let local_weight = |(place, region, w): &(PlaceName, RegionName, u32)| {
-        let Some(share) = shares.get(region).filter(|s| s.total > 0.0) else {
+        let Some(share) = shares.get(region).filter(|s| s.weight_sum > 0.0) else {
             return (place.clone(), 0);
         };
         let kept = if region == here {
-            home.demand - excess
+            home.demand_share - excess
         } else {
             0.0
         };
@@ -48,10 +48,10 @@
         } else {
             0.0
         };
-        let place_share = f64::from(*w) / share.total;
+        let place_share = f64::from(*w) / share.weight_sum;
         (
             place.clone(),
-            round((kept + sent) / home.demand * place_share * WEIGHT_SUM),
+            round((kept + sent) / home.demand_share * place_share * WEIGHT_SUM),
         )
     };
     places.iter().map(local_weight).collect()
@@ -61,17 +61,17 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct RegionShare {
     /// The sum of the weights of its places.
-    total: f64,
+    weight_sum: f64,
     /// The share of its places in the sum of all weights, from 0 to 1.
-    weight: f64,
+    weight_share: f64,
     /// Its share of the traffic, from 0 to 1.
-    demand: f64,
+    demand_share: f64,
 }
 
 impl RegionShare {
     /// Returns the share of all traffic that it can take from other regions.
     fn spare_capacity(&self) -> f64 {
-        (self.weight - self.demand).max(0.0)
+        (self.weight_share - self.demand_share).max(0.0)
     }
 }
 
@@ -84,12 +84,12 @@
     let mut shares: BTreeMap<&RegionName, RegionShare> = BTreeMap::new();
     for (_, region, w) in places {
         let share = shares.entry(region).or_default();
-        share.total += f64::from(*w);
-        share.weight += f64::from(*w) / weight_sum.max(1.0);
+        share.weight_sum += f64::from(*w);
+        share.weight_share += f64::from(*w) / weight_sum.max(1.0);
     }
     for (region, d) in demand {
         let share = shares.entry(region).or_default();
-        share.demand += f64::from(*d) / demand_sum.max(1.0);
+        share.demand_share += f64::from(*d) / demand_sum.max(1.0);
     }
     shares
 }
--- a/src/policy/target/mod.rs
+++ b/src/policy/target/mod.rs
@@ -101,6 +101,8 @@
     place_indexes: HashMap<PlaceName, usize>,
     targets: Vec<Target>,
     target_indexes: HashMap<TargetId, usize>,
+    /// Buffers for the candidates of a choice, one per class, kept to avoid
+    /// allocations.
     scratch: [Vec<usize>; 3],
 }
 
@@ -127,14 +129,14 @@
     /// no longer listed leave, and are removed when no request of this entry runs
     /// there.
     pub fn adopt(&mut self, now: Millis, places: &[Place]) {
-        let first = self.targets.is_empty();
+        let initial = self.targets.is_empty();
         let former = std::mem::take(&mut self.targets);
         let mut former: BTreeMap<TargetId, Target> =
             former.into_iter().map(|t| (t.id, t)).collect();
         self.places.clear();
         self.place_indexes.clear();
         for place in places {
-            self.adopt_place(now, first, place, &mut former);
+            self.adopt_place(now, initial, place, &mut former);
         }
         self.keep_unlisted(former.into_values());
         self.reindex();
@@ -143,7 +145,7 @@
     fn adopt_place(
         &mut self,
         now: Millis,
-        first: bool,
+        initial: bool,
         place: &Place,
         former: &mut BTreeMap<TargetId, Target>,
     ) {
@@ -151,7 +153,7 @@
         for &id in &place.targets {
             let mut target = match former.remove(&id) {
                 Some(known) => known,
-                None if first => Target::warm(id),
+                None if initial => Target::warm(id),
                 None => Target::cold(id, now),
             };
             let leaving = place.state == PlaceState::Leaving || place.leaving.contains(&id);
@@ -221,8 +223,8 @@
     fn failed(&mut self, now: Millis, index: usize) {
         let target = &mut self.targets[index];
         target.failures = target.failures.saturating_add(1);
-        let doubled = FAILURE_BACKOFF.0 << (target.failures - 1).min(5);
-        self.back_off(now, index, Millis(doubled));
+        let back_off = FAILURE_BACKOFF.0 << (target.failures - 1).min(5);
+        self.back_off(now, index, Millis(back_off));
     }
 
     /// Records that a target shed a request and asked for a back-off of `retry`.
@@ -232,9 +234,9 @@
         }
     }
 
-    fn back_off(&mut self, now: Millis, index: usize, time: Millis) {
+    fn back_off(&mut self, now: Millis, index: usize, duration: Millis) {
         let target = &mut self.targets[index];
-        let until = now + time.min(BACKOFF_MAX);
+        let until = now + duration.min(BACKOFF_MAX);
         target.backoff_until = target.backoff_until.max(Some(until));
         if let Some(place) = self.places.get_mut(target.place_index) {
             place.invalidate();
--- a/tests/queue.rs
+++ b/tests/queue.rs
@@ -202,7 +202,7 @@
     let displaced = queued.ok().and_then(|q| q.displaced);
     let displaced = displaced.map(|(item, refusal)| (item, refusal.to_string()));
     insta::assert_compact_debug_snapshot!((last, displaced), @r#"
-(64, Some((63, "overloaded (not-run): queue: displaced by critical work")))
+(64, Some((63, "overloaded (not-run): queue: displaced by a critical request")))
 "#);
 }
 
--- a/tests/target.rs
+++ b/tests/target.rs
@@ -60,8 +60,8 @@
     let mut rng = SmallRng::seed_from_u64(from);
     let mut ends: BTreeMap<(u64, u64), (TargetId, u64)> = BTreeMap::new();
     let mut counts: BTreeMap<TargetId, u64> = BTreeMap::new();
-    for view in pool.statuses(Millis(from)) {
-        counts.insert(view.target, 0);
+    for status in pool.statuses(Millis(from)) {
+        counts.insert(status.target, 0);
     }
     for now in (from..to).step_by(2) {
         while let Some(first) = ends.first_entry().filter(|e| e.key().0 <= now) {
@@ -166,7 +166,7 @@
     let state = pool.state(Millis(6000), id(0));
     let after = run_load(&mut pool, 6000, 16_000, |_| 10);
     let back = pool.state(Millis(16_000), id(0));
-    // Round robin would send 125 to the slowed target.
+    // Round robin would send 125 per mille to the slowed target.
     insta::assert_compact_debug_snapshot!((before[0], slowed[0], state, after[0], back), @"(106, 1, Some(Ready), 79, Some(Ready))");
 }
 
@@ -209,12 +209,12 @@
     pool.adopt(Millis(2000), &[place(0..5, &[])]);
     let slower = |t| if t == id(4) { 25 } else { 10 };
     let first = run_load(&mut pool, 2000, 3000, slower)[4];
-    // The ramp back_offs while the target is more than twice as slow as its peers.
+    // The ramp pauses while the target is more than twice as slow as its peers.
     run_load(&mut pool, 3000, 20_000, slower);
     let held = pool.state(Millis(20_000), id(4));
     run_load(&mut pool, 20_000, 40_000, |_| 10);
     let warm = pool.state(Millis(40_000), id(4));
-    // Round robin would send 200 at once.
+    // Round robin would send 200 per mille at once.
     insta::assert_compact_debug_snapshot!((first, held, warm), @"(4, Some(Cold), Some(Ready))");
 }
 
@@ -310,9 +310,9 @@
     pool.adopt(Millis(1), &[place(0..3, &[])]);
     let places = [(name("a"), 1)];
     let mut rng = SmallRng::seed_from_u64(1);
-    let avoid = [id(0)];
+    let excluded = [id(0)];
     let extra = Criteria {
-        excluded: &avoid,
+        excluded: &excluded,
         extra: true,
         ..criteria(&places)
     };
@@ -369,10 +369,10 @@
     places: &[(PlaceName, u32)],
 ) -> bool {
     let target = id(n);
-    let long = Millis(u64::from(time));
+    let duration = Millis(u64::from(time));
     let units = rng.random_range(0..3);
     match kind % 7 {
-        0 => pool.shed(now, target, long),
+        0 => pool.shed(now, target, duration),
         1 => pool.report(
             target,
             LoadReport {
@@ -388,12 +388,12 @@
             let running = model.running.entry(target).or_default();
             if *running > 0 {
                 *running -= 1;
-                let end = [
+                let completion = [
                     Completion::Answered,
                     Completion::Failed,
                     Completion::Cancelled,
                 ][usize::from(time % 3)];
-                pool.finished(now, target, Lane::Short, end, long);
+                pool.finished(now, target, Lane::Short, completion, duration);
             }
         }
         _ => {
@@ -421,11 +421,14 @@
 }
 
 fn matches_model(pool: &mut Pool, model: &Model, now: Millis) -> bool {
-    let views = pool.statuses(now);
-    let ejected = views.iter().filter(|v| v.ejected).count();
-    let usable = views.iter().filter(|v| v.state != State::Leaving).count();
+    let statuses = pool.statuses(now);
+    let ejected = statuses.iter().filter(|s| s.ejected).count();
+    let eligible = statuses
+        .iter()
+        .filter(|s| s.state != State::Leaving)
+        .count();
     let running = |t| model.running.get(&t).copied().unwrap_or(0);
-    ejected <= usable / 2 && views.iter().all(|v| v.running[0] == running(v.target))
+    ejected <= eligible / 2 && statuses.iter().all(|s| s.running[0] == running(s.target))
 }
 
 /// Returns the share of each place in the traffic of all regions.
@@ -451,8 +454,8 @@
             .map(|n| (name(&format!("p{n}")), region(n), u32::from(weights[n]) + 1))
             .collect();
         let total: f64 = places.iter().map(|(_, _, w)| f64::from(*w)).sum();
-        let received = place_shares(&demand, &places);
-        received.iter().zip(&places).all(|(received, (_, _, w))| (received - f64::from(*w) / total).abs() < 1e-4)
+        let shares = place_shares(&demand, &places);
+        shares.iter().zip(&places).all(|(share, (_, _, w))| (share - f64::from(*w) / total).abs() < 1e-4)
     }
 }
 
