--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -27,7 +27,7 @@
         refusal::{Code, Refusal},
         retry::{self, Percentiles},
         silence,
-        target::{Finish, Report},
+        target::{Completion, LoadReport},
     },
     ports::{Body, Outbound, SendError},
 };
@@ -112,7 +112,7 @@
     fn earn(&self) {
         self.state
             .services
-            .get(&self.job.service, |s| s.budget.earn());
+            .get(&self.job.service, |s| s.budget.deposit());
     }
 
     /// Sends the request to the target of a slot.
@@ -128,9 +128,9 @@
         }
         let target = slot.target();
         let Some(mut request) = self.job.request(now) else {
-            slot.finish(Finish::Cancelled);
+            slot.finish(Completion::Cancelled);
             return Err(Refusal::unknown(
-                Code::Broken,
+                Code::ConnectionBroken,
                 format!("send to {target}: the body cannot be sent again"),
             ));
         };
@@ -175,11 +175,11 @@
         }
         let known = self.percentiles();
         let attempt = self.job.attempt(true, self.count(), self.first);
-        let usual = retry::hedge_at(&attempt, known).ok();
+        let usual = retry::hedge_time(&attempt, known).ok();
         let silent = self
             .job
             .idempotent
-            .then(|| self.first + silence::patience(known.p99));
+            .then(|| self.first + silence::timeout(known.p99));
         let wake = usual
             .into_iter()
             .chain(silent)
@@ -251,7 +251,7 @@
             self.state
                 .services
                 .get(&self.job.service, |s| s.pool.shed(now, target, time));
-            slot.finish(Finish::Cancelled);
+            slot.finish(Completion::Cancelled);
             return self.refused(slot, resp).await;
         }
         if let Some(report) = report(&resp, now) {
@@ -312,7 +312,7 @@
 
     /// Sends the request again after a failure if that is allowed.
     async fn failed(&mut self, mut slot: Slot, e: SendError) -> Result<(), Refusal> {
-        slot.finish(Finish::Failed);
+        slot.finish(Completion::Failed);
         let sent = matches!(e, SendError::Unknown { .. });
         self.sent |= sent;
         if sent {
@@ -325,9 +325,9 @@
             return Ok(());
         }
         if self.sent {
-            return Err(Refusal::unknown(Code::Broken, e.to_string()));
+            return Err(Refusal::unknown(Code::ConnectionBroken, e.to_string()));
         }
-        Err(Refusal::not_run(Code::Unreachable, e.to_string()).retry_after(Millis(1_000)))
+        Err(Refusal::not_run(Code::TargetUnreachable, e.to_string()).retry_after(Millis(1_000)))
     }
 
     /// Sends the request once more, if budget, time and units allow.
@@ -374,7 +374,7 @@
             "answer from {}: none before the deadline",
             targets.join(", ")
         );
-        Refusal::unknown(Code::Deadline, detail)
+        Refusal::unknown(Code::DeadlineExceeded, detail)
     }
 }
 
@@ -390,7 +390,10 @@
 
 /// Returns what a target says of its load with an answer: running and waiting
 /// requests in parts of its slots.
-fn report(resp: &Response<Body>, now: Millis) -> Option<Report> {
+fn report(resp: &Response<Body>, now: Millis) -> Option<LoadReport> {
     let load: f64 = resp.headers().get("x-load")?.to_str().ok()?.parse().ok()?;
-    load.is_finite().then_some(Report { at: now, load })
+    load.is_finite().then_some(LoadReport {
+        measured_at: now,
+        load,
+    })
 }
--- a/src/policy/crash/strikes.rs
+++ b/src/policy/crash/strikes.rs
@@ -125,11 +125,14 @@
         if count >= BLOCK_THRESHOLD {
             let detail = format!("the request broke {count} connections to targets");
             let left = record.latest + BLOCK_DURATION - now;
-            return Admission::Refused(Refusal::not_run(Code::Blocked, detail).retry_after(left));
+            return Admission::Refused(
+                Refusal::not_run(Code::RequestBlocked, detail).retry_after(left),
+            );
         }
         if record.trial {
             let detail = "the request broke the connection to a target and is being tried again";
-            let refusal = Refusal::not_run(Code::Blocked, detail).retry_after(TRIAL_RETRY_DELAY);
+            let refusal =
+                Refusal::not_run(Code::RequestBlocked, detail).retry_after(TRIAL_RETRY_DELAY);
             return Admission::Refused(refusal);
         }
         record.trial = true;
