--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -14,11 +14,11 @@
     policy::{
         document::{Adoption, Content, DocumentState},
         limit::{Ledger, Outgoing, Permit},
-        queue::{Lengths, Queue, Ticket, WaitId},
+        queue::{Queue, RouteDurations, Ticket, WaitId},
         refusal::{Code, Refusal},
         retry::{Budget, Window},
         shift::Shift,
-        target::{Ask, Choice, Finish, Miss, Pool, State},
+        target::{Choice, ChooseError, Completion, Criteria, Pool, State},
     },
 };
 
@@ -74,7 +74,7 @@
     /// The waiting requests.
     pub(super) queue: Queue<Waiting>,
     /// The usual durations of requests.
-    pub lengths: Lengths,
+    pub lengths: RouteDurations,
     /// The times until the head of an answer, short and long.
     pub windows: [Window; 2],
     /// What retries and hedges may use.
@@ -97,7 +97,7 @@
             pool: Pool::new(),
             slots: HashMap::new(),
             queue: Queue::new(),
-            lengths: Lengths::new(),
+            lengths: RouteDurations::new(),
             windows: [Window::new(), Window::new()],
             budget: Budget::new(),
             shift: None,
@@ -217,13 +217,13 @@
         limits: &Shards<LimitName, Ledger>,
     ) -> Option<(Choice, Permit)> {
         let places = self.near_places();
-        let ask = Ask {
+        let ask = Criteria {
             lane,
             places: &places,
-            avoid,
+            excluded: avoid,
             extra: true,
             explore: false,
-            pressed: false,
+            accept_slow: false,
         };
         let choice = self
             .pool
@@ -249,22 +249,22 @@
         let one = [(place, 1)];
         // After half of its deadline a request takes what there is.
         let pressed = (now - ticket.arrived).0 * 2 > (ticket.deadline - ticket.arrived).0;
-        let ask = Ask {
+        let ask = Criteria {
             lane,
             places: &one,
-            avoid: &[],
+            excluded: &[],
             extra: false,
             explore: true,
-            pressed,
+            accept_slow: pressed,
         };
         let unit = |t, l| free(limits, &self.slots, t, l);
         let mut choice = self.pool.choose(now, rng, &ask, unit);
-        let missing = choice == Err(Miss::NoUnit);
-        if choice == Err(Miss::NoUnit) || choice == Err(Miss::NoTarget) {
+        let missing = choice == Err(ChooseError::NoUnit);
+        if choice == Err(ChooseError::NoUnit) || choice == Err(ChooseError::NoTarget) {
             // The headroom that the request took is its region's, so any other
             // place there with traffic of its own may serve it.
             let near = self.neighbours(&one[0].0);
-            let ask = Ask {
+            let ask = Criteria {
                 places: &near,
                 ..ask
             };
@@ -297,10 +297,10 @@
         self.pool
             .finished(now, choice.target, lane, end.finish, end.head);
         if let Some(shift) = &mut self.shift {
-            shift.observe(&choice.place, end.head, end.finish == Finish::Failed);
+            shift.observe(&choice.place, end.head, end.finish == Completion::Failed);
         }
-        if end.finish == Finish::Done {
-            self.lengths.learn(lane, end.route, end.total);
+        if end.finish == Completion::Answered {
+            self.lengths.record(lane, end.route, end.total);
             self.windows[usize::from(lane == Lane::Long)].add(now, end.head);
         }
     }
@@ -366,7 +366,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct End<'a> {
     /// Whether it was answered.
-    pub finish: Finish,
+    pub finish: Completion,
     /// The time until the head of its answer.
     pub head: Millis,
     /// The time until the last byte.
--- a/src/policy/shift/choose.rs
+++ b/src/policy/shift/choose.rs
@@ -124,7 +124,7 @@
         let detail = format!(
             "choose a place: neither region {region} of {name} nor any other region has headroom"
         );
-        Refusal::not_run(Code::Limited, detail).retry_after(RETRY_AFTER)
+        Refusal::not_run(Code::LimitReached, detail).retry_after(RETRY_AFTER)
     }
 }
 
