--- a/src/policy/drain/mod.rs
+++ b/src/policy/drain/mod.rs
@@ -1,8 +1,8 @@
 //! Drains of targets, places and entries.
 //!
 //! A [`Drain`] tells an operator what still blocks the removal of a target, a
-//! place or an entry. It only collects reports, because entries stop sending new
-//! requests as soon as they adopt the document that asks for the drain. A
+//! place or an entry. It only collects reports, because entries stop sending
+//! new requests as soon as they adopt the document that asks for the drain. A
 //! [`StopSequence`] takes the entry itself out of service. Both count running
 //! requests without a time limit, so a drain never interrupts a request; in
 //! exchange a drain takes as long as the longest request. See
--- a/src/policy/drain/progress.rs
+++ b/src/policy/drain/progress.rs
@@ -142,9 +142,9 @@
     ///
     /// `entries` are those that the platform lists, with their current
     /// incarnations. An entry that only the membership considers dead may be
-    /// partitioned and still have requests running, so it counts until the platform
-    /// reports it gone. A report of an earlier incarnation does not count, because
-    /// the new one may have read an older document from a peer.
+    /// partitioned and still have requests running, so it counts until the
+    /// platform reports it gone. A report of an earlier incarnation does not
+    /// count, because the new one may have read an older document from a peer.
     pub fn remaining<'a>(
         &self,
         entries: impl IntoIterator<Item = (&'a EntryId, Incarnation)>,
--- a/src/policy/drain/stop.rs
+++ b/src/policy/drain/stop.rs
@@ -10,8 +10,8 @@
 const ANNOUNCE_INTERVAL: Millis = Millis(500);
 
 /// The length of the last part of the linger time, in which no caller holds a
-/// look-up answer that names this entry: the linger time exceeds the maximum age
-/// of such answers by this much.
+/// look-up answer that names this entry: the linger time exceeds the maximum
+/// age of such answers by this much.
 const CLOSING_TIME: Millis = Millis(3_000);
 
 /// The phase of a stop sequence.
@@ -74,8 +74,8 @@
         self.phase
     }
 
-    /// Records that the peers know of the stop. From now on no new look-up answer
-    /// names this entry, so the linger time starts.
+    /// Records that the peers know of the stop. From now on no new look-up
+    /// answer names this entry, so the linger time starts.
     pub fn acknowledged(&mut self, now: Millis) {
         if self.phase == Phase::Announcing {
             self.phase = Phase::Lingering;
@@ -113,8 +113,9 @@
         matches!(self.phase, Phase::Announcing | Phase::Lingering)
     }
 
-    /// Returns whether the entry closes a connection after a response. Before the
-    /// last part of the linger time a caller would only reconnect to this entry.
+    /// Returns whether the entry closes a connection after a response. Before
+    /// the last part of the linger time a caller would only reconnect to this
+    /// entry.
     #[must_use]
     pub fn closes_connections(&self, now: Millis) -> bool {
         match self.phase {
--- a/src/policy/lookup/block.rs
+++ b/src/policy/lookup/block.rs
@@ -9,14 +9,14 @@
 use super::shard::{Block, Shard, width};
 use crate::domain::{Prefix, SiteId, Size};
 
-/// The number of leading bits of an IPv4 address that select a shard. With 4,096
-/// shards, 1.3 million blocks are about 320 per shard, so a change copies a few
-/// kilobytes.
+/// The number of leading bits of an IPv4 address that select a shard. With
+/// 4,096 shards, 1.3 million blocks are about 320 per shard, so a change copies
+/// a few kilobytes.
 const V4_INDEX_BITS: u8 = 12;
 
-/// The number of leading bits of an IPv6 address that select a shard. The leading
-/// bits of the addresses in use have few distinct values: 12 bits put 390,000
-/// blocks into 4 shards, and a delta of 100 changes took 8 ms.
+/// The number of leading bits of an IPv6 address that select a shard. The
+/// leading bits of the addresses in use have few distinct values: 12 bits put
+/// 390,000 blocks into 4 shards, and a delta of 100 changes took 8 ms.
 const V6_INDEX_BITS: u8 = 16;
 
 /// A change of one client block.
@@ -32,18 +32,18 @@
 ///
 /// The leading bits of an address select a shard, an immutable sorted array. A
 /// change builds a new array and replaces the shard as a whole, while readers
-/// finish on the old one. A block whose prefix is shorter than the leading bits is
-/// stored in each shard that it covers. So the result for an address depends on a
-/// single shard, and a reader sees it as it was before or after a change but never
-/// in between. Covered shards without other blocks share one array. In exchange
-/// the block is copied to each covered shard that has other blocks; there are few
-/// blocks with such short prefixes.
+/// finish on the old one. A block whose prefix is shorter than the leading bits
+/// is stored in each shard that it covers. So the result for an address depends
+/// on a single shard, and a reader sees it as it was before or after a change
+/// but never in between. Covered shards without other blocks share one array.
+/// In exchange the block is copied to each covered shard that has other blocks;
+/// there are few blocks with such short prefixes.
 #[derive(Debug)]
 pub struct BlockTable {
     v4: AddressFamily<u32>,
     v6: AddressFamily<u128>,
-    /// Held while changes are applied. Otherwise two writers could read the same
-    /// shard, and one of their changes would be lost.
+    /// Held while changes are applied. Otherwise two writers could read the
+    /// same shard, and one of their changes would be lost.
     writer: Mutex<()>,
 }
 
@@ -58,7 +58,8 @@
         }
     }
 
-    /// Returns the site of the block with the longest prefix that contains `addr`.
+    /// Returns the site of the block with the longest prefix that contains
+    /// `addr`.
     #[must_use]
     pub fn find(&self, addr: IpAddr) -> Option<SiteId> {
         match addr.to_canonical() {
@@ -67,8 +68,8 @@
         }
     }
 
-    /// Applies changes, shard by shard. If several changes concern the same block,
-    /// the last one takes effect. The initial load uses this method too.
+    /// Applies changes, shard by shard. If several changes concern the same
+    /// block, the last one takes effect. The initial load uses this method too.
     pub fn apply(&self, changes: &[BlockChange]) {
         let _writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
         self.v4
@@ -152,8 +153,8 @@
         }
     }
 
-    /// Applies edits of which the `wide` ones cover several shards. Adjacent shards
-    /// that shared an array and get the same edits share the new one.
+    /// Applies edits of which the `wide` ones cover several shards. Adjacent
+    /// shards that shared an array and get the same edits share the new one.
     fn apply_wide(&self, wide: &[Edit<K>], mut narrow: &[Edit<K>]) {
         let mut last: Option<AppliedEdits<K>> = None;
         for (at, cell) in self.shards.iter().enumerate() {
@@ -181,8 +182,8 @@
         }
     }
 
-    /// Returns the number of blocks. A block that is stored in several shards is
-    /// counted in the first one.
+    /// Returns the number of blocks. A block that is stored in several shards
+    /// is counted in the first one.
     fn len(&self) -> usize {
         let shards = self.shards.iter().enumerate();
         let starting = |(at, cell): (usize, &ShardCell<K>)| {
@@ -210,8 +211,8 @@
         usize::try_from(leading).unwrap_or_default()
     }
 
-    /// Returns whether the block of an edit, whose prefix is shorter than the leading
-    /// bits, covers a shard.
+    /// Returns whether the block of an edit, whose prefix is shorter than the
+    /// leading bits, covers a shard.
     fn covers(&self, edit: &Edit<K>, shard: usize) -> bool {
         let shift = self.index_bits - edit.1;
         self.index(edit.0) >> shift == shard >> shift
--- a/src/policy/lookup/load.rs
+++ b/src/policy/lookup/load.rs
@@ -43,8 +43,8 @@
     }
 }
 
-/// The utilization in percent at which an entry becomes busy, and below which it
-/// is normal again.
+/// The utilization in percent at which an entry becomes busy, and below which
+/// it is normal again.
 const BUSY_PERCENT: (u64, u64) = (70, 55);
 
 /// The utilization in percent at which an entry becomes overloaded, and below
@@ -53,8 +53,8 @@
 
 /// Converts utilization to a load level with hysteresis.
 ///
-/// Without hysteresis an entry near a threshold would change its level with each
-/// report, and services would move back and forth between entries.
+/// Without hysteresis an entry near a threshold would change its level with
+/// each report, and services would move back and forth between entries.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LoadGauge {
     level: LoadLevel,
@@ -67,7 +67,8 @@
         self.level
     }
 
-    /// Records that `used` of `total` capacity is in use, and returns the new level.
+    /// Records that `used` of `total` capacity is in use, and returns the new
+    /// level.
     pub fn observe(&mut self, used: u64, total: u64) -> LoadLevel {
         let percent = used.saturating_mul(100) / total.max(1);
         let reached = |(enter, leave): (u64, u64), level: LoadLevel| {
--- a/src/policy/lookup/rank.rs
+++ b/src/policy/lookup/rank.rs
@@ -19,9 +19,9 @@
 /// How long callers may cache an answer while the entries near them change.
 pub const CHANGING_MAX_AGE: Millis = Millis(1_000);
 
-/// How long a region counts as changing after the state of an entry changed. This
-/// covers the detection of a failure (3 s of suspicion) and the propagation of its
-/// consequences.
+/// How long a region counts as changing after the state of an entry changed.
+/// This covers the detection of a failure (3 s of suspicion) and the
+/// propagation of its consequences.
 const CHANGING_TIME: Millis = Millis(10_000);
 
 /// The entries that a caller should use.
@@ -98,7 +98,8 @@
 }
 
 impl<'a> Search<'a> {
-    /// Fills `best` up to `limit` with the best entries whose key `accept` accepts.
+    /// Fills `best` up to `limit` with the best entries whose key `accept`
+    /// accepts.
     fn fill(&self, best: &mut Vec<Ranked>, limit: usize, accept: impl Fn(&RankKey) -> bool) {
         for suspect in [false, true] {
             for &(delay, group) in self.view.regions_from(self.from) {
@@ -153,9 +154,9 @@
 /// Returns the weighted rendezvous score. With a weight w and a uniformly
 /// distributed u, the score u^(1/w) ranks an entry first with a probability
 /// proportional to its weight. A busy entry has the weight 1/2, so that half of
-/// its services move away: if all moved at once, the next entry would become busy
-/// in turn.
-#[allow(clippy::cast_precision_loss)] // 53 bits fit in the mantissa of an f64.
+/// its services move away: if all moved at once, the next entry would become
+/// busy in turn.
+#[allow(clippy::cast_precision_loss)] // 53 bits fit in an f64.
 fn score(service: u64, key: &RankKey) -> f64 {
     let hash = mix(service ^ key.hash);
     let uniform = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
@@ -165,9 +166,9 @@
     }
 }
 
-/// Applies the finalizer of `SplitMix64`. The hashes of service and entry are only
-/// combined by exclusive or, so that without it similar hashes would give similar
-/// orders.
+/// Applies the finalizer of `SplitMix64`. The hashes of service and entry are
+/// only combined by exclusive or, so that without it similar hashes would give
+/// similar orders.
 fn mix(mut hash: u64) -> u64 {
     hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/src/policy/lookup/shard.rs
+++ b/src/policy/lookup/shard.rs
@@ -2,12 +2,12 @@
 //!
 //! Blocks are sorted by first address, then by prefix length, so that a block
 //! comes after every block that encloses it. Each block stores the index of its
-//! nearest enclosing block, its parent. The longest match for an address is then
-//! the last block that starts at or before it, or one of that block's ancestors:
-//! a binary search and at most as many steps as the address has bits. A trie
-//! would be faster to change but needs several times the memory. A table of
-//! disjoint ranges could not remove a block, since it would not know the blocks
-//! that the removed one had covered.
+//! nearest enclosing block, its parent. The longest match for an address is
+//! then the last block that starts at or before it, or one of that block's
+//! ancestors: a binary search and at most as many steps as the address has
+//! bits. A trie would be faster to change but needs several times the memory. A
+//! table of disjoint ranges could not remove a block, since it would not know
+//! the blocks that the removed one had covered.
 
 use crate::domain::SiteId;
 
@@ -17,8 +17,8 @@
 /// The first address of a block, its prefix length, and its site.
 pub(super) type Block<K, S> = (K, u8, S);
 
-/// Blocks of one address family that share their leading bits. Each attribute has
-/// its own array, so that the binary search reads only the addresses.
+/// Blocks of one address family that share their leading bits. Each attribute
+/// has its own array, so that the binary search reads only the addresses.
 #[derive(Debug)]
 pub(super) struct Shard<K> {
     starts: Box<[K]>,
@@ -38,7 +38,8 @@
         }
     }
 
-    /// Returns the site of the block with the longest prefix that contains `addr`.
+    /// Returns the site of the block with the longest prefix that contains
+    /// `addr`.
     pub(super) fn find(&self, addr: K) -> Option<SiteId> {
         let mut at = self.starts.partition_point(|s| *s <= addr).checked_sub(1)?;
         while !contains(self.starts[at], self.lengths[at], addr) {
@@ -90,11 +91,12 @@
     size_of::<K>() as u8 * 8
 }
 
-/// Returns whether the block at `start` with a prefix of `len` bits contains `addr`.
+/// Returns whether the block at `start` with a prefix of `len` bits contains
+/// `addr`.
 fn contains<K: Copy + Into<u128>>(start: K, len: u8, addr: K) -> bool {
     let difference: u128 = start.into() ^ addr.into();
-    // For a prefix of length 0 the shift is the whole width, which would overflow
-    // the operator `>>`.
+    // For a prefix of length 0 the shift is the whole width, which would
+    // overflow the operator `>>`.
     difference
         .checked_shr(u32::from(width::<K>() - len))
         .unwrap_or(0)
--- a/src/policy/lookup/view.rs
+++ b/src/policy/lookup/view.rs
@@ -86,7 +86,8 @@
 }
 
 impl SiteRegions {
-    /// Creates the table from sites and their regions. Each site may appear once.
+    /// Creates the table from sites and their regions. Each site may appear
+    /// once.
     pub fn new(sites: impl IntoIterator<Item = (SiteId, RegionName)>) -> Self {
         let mut regions: Vec<_> = sites.into_iter().collect();
         regions.sort_by_key(|(site, _)| *site);
@@ -144,13 +145,14 @@
     index: BTreeMap<RegionName, usize>,
     /// For each region, all regions sorted by delay.
     by_delay: Vec<Vec<(Millis, usize)>>,
-    /// The regions for callers whose region is unknown, all with the same delay.
+    /// The regions for callers whose region is unknown, all with the same
+    /// delay.
     unordered: Vec<(Millis, usize)>,
 }
 
 impl EntryView {
-    /// Builds the view. Look-ups do not name leaving and dead entries; these only
-    /// count for the time of the latest change.
+    /// Builds the view. Look-ups do not name leaving and dead entries; these
+    /// only count for the time of the latest change.
     #[must_use]
     pub fn new(candidates: &[Candidate], delays: &RegionDelays) -> Self {
         let regions: BTreeSet<&RegionName> = delays
@@ -179,8 +181,8 @@
         self.index.get(name).copied()
     }
 
-    /// Returns the indexes of all regions with their delays from `from`, sorted by
-    /// delay. If `from` is none, all have the same delay.
+    /// Returns the indexes of all regions with their delays from `from`, sorted
+    /// by delay. If `from` is none, all have the same delay.
     pub(super) fn regions_from(&self, from: Option<usize>) -> &[(Millis, usize)] {
         from.map_or(&self.unordered, |at| &self.by_delay[at])
     }
@@ -197,7 +199,8 @@
         self.len() == 0
     }
 
-    /// Returns the memory that the view occupies, without the shared text of names.
+    /// Returns the memory that the view occupies, without the shared text of
+    /// names.
     #[must_use]
     pub fn size(&self) -> Size {
         let members = self.groups.iter().map(|g| {
--- a/src/policy/shift/choose.rs
+++ b/src/policy/shift/choose.rs
@@ -15,8 +15,8 @@
 impl Shift {
     /// Chooses the place of a request.
     ///
-    /// `take_unit` takes a unit of the shift's cap and `take_headroom` a unit of
-    /// a region's headroom; both return whether one was available. A request
+    /// `take_unit` takes a unit of the shift's cap and `take_headroom` a unit
+    /// of a region's headroom; both return whether one was available. A request
     /// whose own region is out of headroom goes to a place of another region
     /// that has a base share.
     ///
@@ -69,10 +69,10 @@
         share_at(gains(), rng.random_range(0..gains().sum::<u32>().max(1)))
     }
 
-    /// Takes a unit for an extra request and returns the growing place that gets
-    /// the request. If the region of the `preferred` place has no headroom,
-    /// another growing place is used, so that a full region does not use up the
-    /// units of the others.
+    /// Takes a unit for an extra request and returns the growing place that
+    /// gets the request. If the region of the `preferred` place has no
+    /// headroom, another growing place is used, so that a full region does not
+    /// use up the units of the others.
     fn admit_extra(
         &mut self,
         preferred: usize,
--- a/src/policy/shift/health.rs
+++ b/src/policy/shift/health.rs
@@ -9,7 +9,8 @@
 /// the requests.
 const LATENCY_QUANTILE: f64 = 0.9;
 
-/// How many times worse than before the move a place may be without stopping it.
+/// How many times worse than before the move a place may be without stopping
+/// it.
 const MAX_DEGRADATION: u64 = 2;
 
 /// Failures in 10,000 requests that are always tolerated. Without them a place
--- a/src/policy/shift/progress.rs
+++ b/src/policy/shift/progress.rs
@@ -27,8 +27,8 @@
 ///
 /// The merged value is the least advanced one. Merging is commutative,
 /// associative and idempotent, so reports may arrive in any order and more than
-/// once. A merged value does not advance by itself: each gossip round merges the
-/// current reports of the peers again.
+/// once. A merged value does not advance by itself: each gossip round merges
+/// the current reports of the peers again.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Progress {
     /// The revision of the document.
@@ -43,8 +43,8 @@
 
 impl Progress {
     /// Returns the least advanced of two reports. The report with the newer
-    /// revision, or at equal revisions the one of an entry with traffic, replaces
-    /// the other one as a whole.
+    /// revision, or at equal revisions the one of an entry with traffic,
+    /// replaces the other one as a whole.
     #[must_use]
     pub fn merge(self, other: Self) -> Self {
         let precedence = |p: &Self| (p.revision, p.has_traffic);
--- a/src/policy/shift/share.rs
+++ b/src/policy/shift/share.rs
@@ -36,8 +36,8 @@
     apportion(Share::WHOLE, weights)
 }
 
-/// Divides `total` in proportion to `weights`, with the largest remainder method.
-/// Returns shares of zero if all weights are zero.
+/// Divides `total` in proportion to `weights`, with the largest remainder
+/// method. Returns shares of zero if all weights are zero.
 pub(super) fn apportion(total: Share, weights: &[u64]) -> Vec<Share> {
     let sum: u128 = weights.iter().copied().map(u128::from).sum();
     if sum == 0 {
--- a/src/policy/shift/state.rs
+++ b/src/policy/shift/state.rs
@@ -35,7 +35,8 @@
     /// The current step continues because this place responds worse than before
     /// the move.
     Held(PlaceName),
-    /// The step is repeated because none of its requests got a unit and headroom.
+    /// The step is repeated because none of its requests got a unit and
+    /// headroom.
     Capped,
     /// The next step began.
     Stepped,
@@ -68,7 +69,8 @@
     target: Share,
     region_lost: bool,
     window: Window,
-    /// The health before the current move, or the latest one if none is going on.
+    /// The health before the current move, or the latest one if none is going
+    /// on.
     health_before: Option<Health>,
 }
 
@@ -111,8 +113,8 @@
     /// Returns the part of the gain for which requests got a unit and headroom.
     /// It is zero if the region had no headroom for requests of the base share,
     /// since the place has then not shown that it can handle more. If the step
-    /// has `timed_out`, a place to which no request was to be moved gets its whole
-    /// gain, since so little traffic does no harm.
+    /// has `timed_out`, a place to which no request was to be moved gets its
+    /// whole gain, since so little traffic does no harm.
     fn admitted_gain(&self, timed_out: bool) -> u32 {
         let Counts {
             moved,
@@ -148,7 +150,8 @@
     /// Requests in the current window.
     pub(super) requests: u64,
     revision: Revision,
-    /// When the current window began, at the start of a step or of its repetition.
+    /// When the current window began, at the start of a step or of its
+    /// repetition.
     window_start: Millis,
     /// Whether the previous window had any requests.
     had_traffic: bool,
@@ -208,9 +211,10 @@
         self.start_move(&self.base_shares(), now);
     }
 
-    /// Records that a region is lost or has recovered. The share of a lost region
-    /// is distributed over the other places immediately. A recovered region gets
-    /// its share back in steps, because the caches of its places are cold.
+    /// Records that a region is lost or has recovered. The share of a lost
+    /// region is distributed over the other places immediately. A recovered
+    /// region gets its share back in steps, because the caches of its places
+    /// are cold.
     pub fn set_region_lost(&mut self, region: &RegionName, lost: bool, now: Millis) {
         if self.lost_regions.contains(region) == lost {
             return;
@@ -316,8 +320,8 @@
         }
     }
 
-    /// Adds the admitted part of the current step to the base shares, and returns
-    /// how much that is.
+    /// Adds the admitted part of the current step to the base shares, and
+    /// returns how much that is.
     fn commit_step(&mut self, timed_out: bool) -> Share {
         let gains: Vec<u32> = self
             .places
@@ -334,8 +338,8 @@
         total
     }
 
-    /// Starts a move from `shares` to the weights of the document. Places that may
-    /// get no requests lose their share without steps.
+    /// Starts a move from `shares` to the weights of the document. Places that
+    /// may get no requests lose their share without steps.
     fn start_move(&mut self, shares: &[Share], now: Millis) {
         self.record_health_before();
         let weights = self.places.iter().map(|p| (p, u64::from(p.place.weight.0)));
@@ -350,8 +354,9 @@
         self.begin_step(now);
     }
 
-    /// Records the health before a move. In the middle of a move the earlier record
-    /// is kept, since the current health includes the effect of cold caches.
+    /// Records the health before a move. In the middle of a move the earlier
+    /// record is kept, since the current health includes the effect of cold
+    /// caches.
     fn record_health_before(&mut self) {
         if !self.is_moving() {
             for tracked in &mut self.places {
@@ -408,8 +413,8 @@
     }
 
     /// Advances the move of an entry without traffic. It cannot measure the
-    /// places, so it adopts the base shares of entries with traffic. Otherwise it
-    /// would be ahead of them when their callers fail over to it.
+    /// places, so it adopts the base shares of entries with traffic. Otherwise
+    /// it would be ahead of them when their callers fail over to it.
     fn follow_peers(&mut self, peers: Option<&Progress>, age: Millis, now: Millis) -> TickOutcome {
         if let Some(peers) = peers.filter(|p| p.has_traffic && p.revision == self.revision) {
             self.start_move(&self.reported_shares(peers), now);
@@ -447,7 +452,8 @@
     }
 }
 
-/// Returns the weights with those of places that may get no requests set to zero.
+/// Returns the weights with those of places that may get no requests set to
+/// zero.
 fn available_weights<'a>(weights: impl Iterator<Item = (&'a TrackedPlace, u64)>) -> Vec<u64> {
     weights
         .map(|(p, weight)| if p.is_available() { weight } else { 0 })
--- a/tests/drain.rs
+++ b/tests/drain.rs
@@ -1,6 +1,6 @@
-//! Tests of drains and of the stop sequence. A drain that is reported as finished
-//! too early lets an operator remove a target or an entry while it still serves a
-//! request.
+//! Tests of drains and of the stop sequence. A drain that is reported as
+//! finished too early lets an operator remove a target or an entry while it
+//! still serves a request.
 
 use std::{collections::BTreeMap, fmt::Write};
 
@@ -30,7 +30,8 @@
 }
 
 /// Guards against a drain that is reported as finished because of a report that
-/// arrives late, an entry with an older revision in effect, or a restarted entry.
+/// arrives late, an entry with an older revision in effect, or a restarted
+/// entry.
 #[test]
 fn a_place_drain_waits_for_every_entry() {
     let mut drain = Drain::new(place(), Revision(7));
@@ -117,8 +118,8 @@
     }
 
     /// Guards against an entry that exits while requests are running, stops
-    /// accepting connections while callers may hold a look-up answer that names it,
-    /// or never exits.
+    /// accepting connections while callers may hold a look-up answer that names
+    /// it, or never exits.
     fn an_entry_stops_in_order(running: Vec<bool>, acknowledged: u16) -> bool {
         let linger = Millis(8_000);
         let (mut stop, first) = StopSequence::begin(linger, Millis(0));
--- a/tests/lookup.rs
+++ b/tests/lookup.rs
@@ -19,8 +19,8 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Returns an address with one of few values of the leading bits, so that blocks
-/// of such addresses enclose each other.
+/// Returns an address with one of few values of the leading bits, so that
+/// blocks of such addresses enclose each other.
 fn address(seed: u32) -> IpAddr {
     let low = u128::from(seed & 0x00ff_00ff);
     match seed >> 30 {
@@ -55,8 +55,8 @@
 }
 
 quickcheck! {
-    /// Guards against wrong results for nested blocks, after a removal, and at the
-    /// boundary of shards.
+    /// Guards against wrong results for nested blocks, after a removal, and at
+    /// the boundary of shards.
     fn the_table_agrees_with_a_linear_scan(changes: Vec<(u32, u8, u8)>, probes: Vec<u32>) -> bool {
         let table = BlockTable::new();
         let mut reference = BTreeMap::new();
@@ -86,9 +86,9 @@
     }
 }
 
-/// Guards against a reader that sees only a part of a delta for an address: with the
-/// shorter block changed and the longer one not yet added, it would find the new
-/// site of the shorter block.
+/// Guards against a reader that sees only a part of a delta for an address:
+/// with the shorter block changed and the longer one not yet added, it would
+/// find the new site of the shorter block.
 #[test]
 fn lookups_of_one_address_are_atomic() {
     let table = BlockTable::new();
@@ -193,7 +193,7 @@
         h = (h ^ (h >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
         h = (h ^ (h >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
         h ^= h >> 31;
-        #[allow(clippy::cast_precision_loss)] // 53 bits fit in the mantissa of an f64.
+        #[allow(clippy::cast_precision_loss)] // 53 bits fit in an f64.
         let uniform = ((h >> 11) as f64 + 0.5) / 2f64.powi(53);
         -uniform.ln() * if c.level == LoadLevel::Busy { 2.0 } else { 1.0 }
     };
@@ -226,7 +226,8 @@
         ids(rank(&service, &from, &view, Millis(0)).entries) == ids(rank_by_sorting(&service, &from, &all))
     }
 
-    /// Guards against the loss of an entry that moves services which did not use it.
+    /// Guards against the loss of an entry that moves services which did not
+    /// use it.
     fn a_lost_entry_moves_only_its_own_services(count: u8, lost: u8, service: u8) -> bool {
         let count = usize::from(count % 30) + 2;
         let lost = usize::from(lost) % count;
@@ -248,8 +249,8 @@
     format!("{} for {}", entries.join(" "), answer.max_age)
 }
 
-/// Guards against a change of the ranking or of the age of answers between versions,
-/// which would move callers during an upgrade.
+/// Guards against a change of the ranking or of the age of answers between
+/// versions, which would move callers during an upgrade.
 #[test]
 fn answers_are_stable_across_versions() {
     let mut all: Vec<Candidate> = (0..9u8)
--- a/tests/shift.rs
+++ b/tests/shift.rs
@@ -1,6 +1,6 @@
 //! Tests of traffic shifts. A move that is too fast runs into cold caches or
-//! overloads a region, and a place that should get no more requests must not keep
-//! receiving them.
+//! overloads a region, and a place that should get no more requests must not
+//! keep receiving them.
 
 mod shift_fleet;
 
@@ -17,8 +17,8 @@
 const START: [(&str, u32); 3] = [("east", 100), ("north", 0), ("west", 0)];
 const MOVED: [(&str, u32); 3] = [("east", 80), ("north", 0), ("west", 20)];
 
-/// Runs the fleet until no traffic moves, for at most `limit` seconds. Returns the
-/// elapsed seconds.
+/// Runs the fleet until no traffic moves, for at most `limit` seconds. Returns
+/// the elapsed seconds.
 fn run_until_settled(fleet: &mut Fleet, limit: u64) -> u64 {
     let start = fleet.now;
     while fleet.entries.iter().any(|e| e.1.is_moving()) && fleet.now < start + limit * 1_000 {
@@ -50,8 +50,8 @@
     insta::assert_snapshot!(naive.violations("west").join("\n"));
 }
 
-/// Guards against a reversal that jumps back to the original shares or continues
-/// the first move.
+/// Guards against a reversal that jumps back to the original shares or
+/// continues the first move.
 #[test]
 fn a_reversal_starts_from_the_current_shares() {
     let mut fleet = fleet(Mode::Shift, &[document(&START)]);
@@ -93,8 +93,8 @@
     fleet.run(4);
     fleet.set_region_lost("north", false);
     fleet.run(10);
-    // The redistribution of a lost region's share may exceed the growth limit, so
-    // that limit is checked for a region that does not exist.
+    // The redistribution of a lost region's share may exceed the growth limit,
+    // so that limit is checked for a region that does not exist.
     assert_eq!(fleet.violations("south"), Vec::<String>::new());
     insta::assert_snapshot!(fleet.timeline(1, &["east", "north", "west"]));
 }
@@ -122,8 +122,8 @@
     );
 }
 
-/// Guards against a leaving place that gets another request, and against a share
-/// that is lost with it.
+/// Guards against a leaving place that gets another request, and against a
+/// share that is lost with it.
 #[test]
 fn a_leaving_place_gets_no_more_requests() {
     let both = [("east", 70), ("north", 0), ("west", 30)];
@@ -135,8 +135,8 @@
     insta::assert_snapshot!(fleet.timeline(1, &["east", "west"]));
 }
 
-/// Guards against an entry that is ahead of the others after a restart or while it
-/// has no traffic.
+/// Guards against an entry that is ahead of the others after a restart or while
+/// it has no traffic.
 #[test]
 fn a_restarted_entry_takes_the_least_advanced_shares() {
     let mut fleet = fleet(Mode::Shift, &[document(&START)]);
@@ -177,8 +177,8 @@
 type Report = (u8, bool, Vec<(u8, u8)>);
 
 quickcheck! {
-    /// Guards against a merged value that depends on the order or the repetition of
-    /// reports.
+    /// Guards against a merged value that depends on the order or the
+    /// repetition of reports.
     fn merged_progress_does_not_depend_on_order(a: Report, b: Report, c: Report) -> bool {
         let [a, b, c] = [a, b, c].map(progress);
         let merge = |x: &Progress, y: &Progress| x.clone().merge(y.clone());
@@ -187,9 +187,9 @@
             && merge(&a, &a) == a
     }
 
-    /// Guards against shares that are lost by rounding, and against requests to a
-    /// place that is leaving or in a lost region, or to a place without a base share
-    /// for which no unit was taken.
+    /// Guards against shares that are lost by rounding, and against requests to
+    /// a place that is leaving or in a lost region, or to a place without a
+    /// base share for which no unit was taken.
     fn any_sequence_preserves_the_sum_of_shares(steps: Vec<(u8, u32, bool)>, seed: u64) -> bool {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut current = document(&START);
--- a/tests/shift_fleet/mod.rs
+++ b/tests/shift_fleet/mod.rs
@@ -1,6 +1,6 @@
-//! Simulates the entries of one or two services, whose shifts share the units of
-//! a cap. The checks use only the requests that the entries sent, not the state of
-//! the shifts.
+//! Simulates the entries of one or two services, whose shifts share the units
+//! of a cap. The checks use only the requests that the entries sent, not the
+//! state of the shifts.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -21,7 +21,8 @@
     parsed.expect("the name is valid")
 }
 
-/// Returns a document with one place in each of the regions, with these weights.
+/// Returns a document with one place in each of the regions, with these
+/// weights.
 pub fn document(weights: &[(&str, u32)]) -> Document {
     let place = |(region, weight): &(&str, u32)| Place {
         name: name(&format!("{region}-1")),
@@ -79,8 +80,8 @@
 pub enum Mode {
     /// With a [`Shift`].
     Shift,
-    /// The naive version: by the final weights at once, and with the whole cap for
-    /// each entry.
+    /// The naive version: by the final weights at once, and with the whole cap
+    /// for each entry.
     Naive,
 }
 
@@ -90,7 +91,8 @@
     mode: Mode,
     rng: SmallRng,
     pub now: u64,
-    /// The service of each entry, its shift and, in the naive version, its own cap.
+    /// The service of each entry, its shift and, in the naive version, its own
+    /// cap.
     pub entries: Vec<(usize, Shift, RateLimit)>,
     /// The cap of each service.
     caps: Vec<RateLimit>,
@@ -158,7 +160,8 @@
         }
     }
 
-    /// Runs all entries for some seconds. Each sends one request per millisecond.
+    /// Runs all entries for some seconds. Each sends one request per
+    /// millisecond.
     pub fn run(&mut self, seconds: u64) {
         for _ in 0..seconds * 1_000 {
             for at in 0..self.entries.len() {
@@ -250,8 +253,8 @@
         })
     }
 
-    /// Returns the violated limits: the cap, the rate at which `growing` may grow,
-    /// and the headroom of regions. Only the sent requests are checked.
+    /// Returns the violated limits: the cap, the rate at which `growing` may
+    /// grow, and the headroom of regions. Only the sent requests are checked.
     pub fn violations(&self, growing: &str) -> Vec<String> {
         let mut violations = Vec::new();
         let ends = || (1_000..=self.now).step_by(50);
@@ -261,8 +264,8 @@
                 violations.push("more extra requests than the cap".to_owned());
             }
             let rate = |end| self.count_in_region(end, service, growing);
-            // Both counts are random, so a deviation of four standard deviations is
-            // allowed.
+            // Both counts are random, so a deviation of four standard
+            // deviations is allowed.
             let grew_too_fast = |end: u64| {
                 let (before, after) = (rate(end - 1_000), rate(end));
                 after.saturating_sub(before + CAP_RPS).pow(2) > 16 * (after + before)
@@ -280,8 +283,8 @@
         violations
     }
 
-    /// Prints the number of requests within one second every `interval` seconds, and
-    /// the shares of the first entry.
+    /// Prints the number of requests within one second every `interval`
+    /// seconds, and the shares of the first entry.
     pub fn timeline(&self, interval: usize, regions: &[&str]) -> String {
         let mut out = String::new();
         for end in (1_000..=self.now).step_by(1_000 * interval) {
