Name the terms of routing, presence and upstream selection

Comments of these folders described routing, the set of entries and the choice of an upstream by private phrases ("whom to ask", "whoever is further behind reads everything"), and names left the quantity open. They now state the design in the usual terms: active and departed entries, polling, ranking, backoff, a change log.

Names, old -> new: route: Route::draw -> next_service presence: Entries::counted -> with_departed, within -> in_region, plan -> lookup_addresses upstream: Upstreams -> UpstreamSelector (leads -> has_followers, failed -> record_failure, answered -> record_store_answer), Log -> ChangeLog (restart -> reset, after -> changes_after, at -> as_of); the module log is now change_log

Behaviour is unchanged.

--- a/src/app/gateway/directory.rs
+++ b/src/app/gateway/directory.rs
@@ -79,7 +79,7 @@
         settings.zones.get(&az).cloned()
     });
     let region = region.unwrap_or_else(|| settings.region.clone());
-    let mut fronts = state.entries().plan(Some(&region));
+    let mut fronts = state.entries().lookup_addresses(Some(&region));
     if fronts.is_empty() && state.is_ready() {
         // Nobody is announced while the store is away since the start.
         fronts.push(settings.front);
--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -1,7 +1,7 @@
 //! Keeps up with the platform's orders, targets and entries.
 //!
 //! One entry of each region asks the store, the others ask that entry, as
-//! [`Upstreams`] decides. [`apply`] adopts what either of them tells and notes it
+//! [`UpstreamSelector`] decides. [`apply`] adopts what either of them tells and notes it
 //! for those who ask this entry.
 
 mod apply;
@@ -13,7 +13,7 @@
 use super::{State, now};
 use crate::{
     domain::{EntryId, Millis, Revision},
-    policy::upstream::{Upstream, Upstreams},
+    policy::upstream::{Upstream, UpstreamSelector},
     ports::{Ask, AskError, PlatformError, Poll},
 };
 
@@ -71,7 +71,7 @@
 
 struct Feed {
     state: Arc<State>,
-    upstreams: Upstreams,
+    upstreams: UpstreamSelector,
     /// The upstream of the last answer.
     last: Option<Upstream>,
     /// The revision up to which everything is known.
@@ -87,7 +87,7 @@
     fn new(state: Arc<State>) -> Self {
         Self {
             state,
-            upstreams: Upstreams::default(),
+            upstreams: UpstreamSelector::default(),
             last: None,
             after: None,
             limit: LIMIT_MIN,
@@ -105,12 +105,12 @@
         let settings = self.state.settings();
         let upstream = {
             let entries = self.state.entries();
-            let near = entries.within(&settings.region);
+            let near = entries.in_region(&settings.region);
             self.upstreams.choose(start, &settings.name, near)
         };
         match &upstream {
             Upstream::Store => {
-                let followed = self.upstreams.leads() || self.state.is_source(start);
+                let followed = self.upstreams.has_followers() || self.state.is_source(start);
                 let part = if followed { SOURCE_PART } else { PERIOD_PART };
                 let next = self.state.part(part);
                 self.poll_next(start, after, next).await
@@ -124,7 +124,7 @@
                 }
                 Err(e) => {
                     tracing::warn!(%name, cause = %e, "feed: the entry that passes changes on failed.");
-                    self.upstreams.failed(now(&self.state), &upstream);
+                    self.upstreams.record_failure(now(&self.state), &upstream);
                     Millis(0)
                 }
             },
@@ -137,7 +137,8 @@
         if self.poll(start, after).await.is_ok() {
             return next;
         }
-        self.upstreams.failed(now(&self.state), &Upstream::Store);
+        self.upstreams
+            .record_failure(now(&self.state), &Upstream::Store);
         self.backoff()
     }
 
@@ -250,7 +251,7 @@
             tracing::info!("feed: the platform is back.");
         }
         if upstream == Upstream::Store {
-            self.upstreams.answered(now(&self.state));
+            self.upstreams.record_store_answer(now(&self.state));
         }
         if self.last.as_ref() != Some(&upstream) {
             match &upstream {
--- a/src/app/gateway/job.rs
+++ b/src/app/gateway/job.rs
@@ -73,7 +73,7 @@
         } = headers::read_request(&head.headers);
         let (rule, service) = {
             let route = find(&table, &head)?;
-            (route.rule.clone(), route.draw().clone())
+            (route.rule.clone(), route.next_service().clone())
         };
         let end = arrived + deadline.unwrap_or(rule.timeout).min(rule.timeout);
         let object = object.map(|o| object_hash(&rule.prefix, o.as_bytes()));
--- a/src/app/gateway/relay.rs
+++ b/src/app/gateway/relay.rs
@@ -43,13 +43,13 @@
     // Without news the answer still tells that nothing has changed.
     let _ = timeout(wait.duration(), newer).await.is_ok();
     let log = state.log();
-    let changes = log.after(after).ok_or(AskError::Compacted)?;
+    let changes = log.changes_after(after).ok_or(AskError::Compacted)?;
     Ok(News {
         batch: Batch {
             changes,
             revision: log.revision(),
         },
-        age: now(state) - log.at(),
+        age: now(state) - log.as_of(),
     })
 }
 
@@ -57,7 +57,7 @@
 fn everything(state: &State) -> Result<News, AskError> {
     let (revision, at) = {
         let log = state.log();
-        (log.revision(), log.at())
+        (log.revision(), log.as_of())
     };
     // What changes from here on may be in the answer already, and is told again
     // after the revision.
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -19,7 +19,7 @@
         budget::RetryLimits,
         presence::Entries,
         route::Table,
-        upstream::Log,
+        upstream::ChangeLog,
     },
     ports::{Change, Changes, Clock, Platform, Targets, VmSettings},
 };
@@ -56,7 +56,7 @@
     peers: RwLock<Arc<Vec<u64>>>,
     entries: Mutex<Entries>,
     registry: Mutex<Registry>,
-    log: Mutex<Log<Change>>,
+    log: Mutex<ChangeLog<Change>>,
     /// The revision up to which the log is complete.
     revision: watch::Sender<Revision>,
     /// The instant until which other entries ask this one.
@@ -130,7 +130,7 @@
     }
 
     /// Returns the latest changes.
-    pub(super) fn log(&self) -> MutexGuard<'_, Log<Change>> {
+    pub(super) fn log(&self) -> MutexGuard<'_, ChangeLog<Change>> {
         lock(&self.log)
     }
 
@@ -140,7 +140,7 @@
         let revision = {
             let mut log = self.log();
             if whole {
-                log.restart(at, revision);
+                log.reset(at, revision);
             } else {
                 log.push(at, revision, news);
             }
@@ -177,7 +177,7 @@
         let mut peers: Vec<u64> = {
             let mut entries = self.entries();
             entries
-                .counted(now)
+                .with_departed(now)
                 .map(|n| xxh3_64(n.as_bytes()))
                 .collect()
         };
--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -1,9 +1,9 @@
-//! Which entries serve, and which of them a caller is told to use.
+//! The set of active entries, and the entries that a caller is told to connect to.
 //!
-//! The store's leases say who serves. A look-up names the entries of the
-//! caller's region, because a request that crosses regions twice loses its
-//! objective, and because a route may be bound to its home regions. Only a
-//! region without any entry is given those of the others.
+//! An entry is active while it holds a lease in the store. A lookup returns the
+//! entries of the caller's region, because a request that crosses regions twice
+//! misses its latency objective, and because a route may be restricted to its home
+//! regions. Only if a region has no entry, the lookup returns those of all regions.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -12,70 +12,76 @@
 
 use crate::domain::{EntryId, Millis, Presence, RegionName};
 
-/// For how long an entry that has gone still counts when a shared limit is
-/// divided. It may only be cut off from the store and go on using its share.
-const COUNTED: Millis = Millis(15_000);
+/// How long a departed entry still counts when a shared limit is divided. It may
+/// merely have lost its connection to the store and still be using its share.
+const DEPARTED_RETENTION: Millis = Millis(15_000);
 
-/// The most entries that one look-up names. Callers read no more.
-const NAMED_MAX: usize = 64;
+/// The maximum number of entries in a lookup response. Callers read no more.
+const LOOKUP_ENTRIES_MAX: usize = 64;
 
-/// The entries that serve, as one entry knows them.
+/// The active entries, as known to one entry.
 #[derive(Clone, Debug, Default)]
 pub struct Entries {
-    known: BTreeMap<EntryId, Presence>,
-    gone: VecDeque<(Millis, EntryId)>,
+    active: BTreeMap<EntryId, Presence>,
+    /// Departed entries with the instants of their departure, in that order.
+    departed: VecDeque<(Millis, EntryId)>,
 }
 
 impl Entries {
     /// Adds or replaces an entry.
     pub fn join(&mut self, presence: Presence) {
-        self.gone.retain(|(_, name)| *name != presence.name);
-        self.known.insert(presence.name.clone(), presence);
+        self.departed.retain(|(_, name)| *name != presence.name);
+        self.active.insert(presence.name.clone(), presence);
     }
 
     /// Removes an entry.
     pub fn leave(&mut self, now: Millis, name: &EntryId) {
-        if self.known.remove(name).is_some() {
-            self.gone.push_back((now, name.clone()));
+        if self.active.remove(name).is_some() {
+            self.departed.push_back((now, name.clone()));
         }
     }
 
-    /// Removes all entries but the named ones.
+    /// Removes all entries except those for which `keep` returns true.
     pub fn retain(&mut self, now: Millis, keep: impl Fn(&EntryId) -> bool) {
-        let lost: Vec<EntryId> = self.known.keys().filter(|n| !keep(n)).cloned().collect();
-        for name in &lost {
+        let removed: Vec<EntryId> = self.active.keys().filter(|n| !keep(n)).cloned().collect();
+        for name in &removed {
             self.leave(now, name);
         }
     }
 
-    /// Returns the entries among which a shared limit is divided.
-    pub fn counted(&mut self, now: Millis) -> impl Iterator<Item = &EntryId> {
-        while self.gone.front().is_some_and(|(at, _)| *at + COUNTED < now) {
-            self.gone.pop_front();
+    /// Returns the active and the recently departed entries, among which shared limits
+    /// are divided.
+    pub fn with_departed(&mut self, now: Millis) -> impl Iterator<Item = &EntryId> {
+        while self
+            .departed
+            .front()
+            .is_some_and(|(at, _)| *at + DEPARTED_RETENTION < now)
+        {
+            self.departed.pop_front();
         }
-        let gone = self.gone.iter().map(|(_, name)| name);
-        self.known.keys().chain(gone)
+        let departed = self.departed.iter().map(|(_, name)| name);
+        self.active.keys().chain(departed)
     }
 
-    /// Returns the entries that serve in a region.
-    pub fn within(&self, region: &RegionName) -> impl Iterator<Item = &Presence> {
-        self.known.values().filter(move |p| p.region == *region)
+    /// Returns the active entries in a region.
+    pub fn in_region(&self, region: &RegionName) -> impl Iterator<Item = &Presence> {
+        self.active.values().filter(move |p| p.region == *region)
     }
 
-    /// Returns all entries that serve.
+    /// Returns all active entries.
     pub fn all(&self) -> impl Iterator<Item = &Presence> {
-        self.known.values()
+        self.active.values()
     }
 
-    /// Returns where a caller in a region should connect.
+    /// Returns the addresses to which a caller in a region should connect.
     #[must_use]
-    pub fn plan(&self, region: Option<&RegionName>) -> Vec<SocketAddr> {
-        let near = self.known.values().filter(|p| Some(&p.region) == region);
-        let mut fronts: Vec<SocketAddr> = near.map(|p| p.front).collect();
+    pub fn lookup_addresses(&self, region: Option<&RegionName>) -> Vec<SocketAddr> {
+        let local = self.active.values().filter(|p| Some(&p.region) == region);
+        let mut fronts: Vec<SocketAddr> = local.map(|p| p.front).collect();
         if fronts.is_empty() {
-            fronts = self.known.values().map(|p| p.front).collect();
+            fronts = self.active.values().map(|p| p.front).collect();
         }
-        fronts.truncate(NAMED_MAX);
+        fronts.truncate(LOOKUP_ENTRIES_MAX);
         fronts
     }
 }
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -1,12 +1,13 @@
-//! Which services may run a request.
+//! Routing: finds the rule and the service for a request.
 //!
-//! A [`Table`] is compiled from a whole configuration and never changes, so that
-//! a request is handled by one version from beginning to end; a new version is
-//! swapped in beside it. A host's rules are tried from the longest prefix to the
-//! shortest. A host has a handful of rules, so a sorted list beats a trie.
+//! A [`Table`] is compiled from a whole configuration and is immutable, so that a
+//! request is handled by one version from beginning to end; a new version replaces
+//! the table as a whole. The rules of a host are tried from the longest prefix to
+//! the shortest. A host has only a handful of rules, so a sorted list is faster
+//! than a trie.
 //!
-//! A split draws from a low-discrepancy sequence instead of a random number: the
-//! shares are then exact to within a request or two at each entry, also for a
+//! A traffic split uses a low-discrepancy sequence instead of random numbers. The
+//! shares are then exact to within one or two requests at each entry, even for a
 //! route with little traffic. See [docs/platform.md](../../../docs/platform.md).
 
 use std::{
@@ -20,10 +21,10 @@
 
 use crate::domain::{CallerLimits, Configuration, Revision, Rule, ServiceName, ServiceRule};
 
-/// Why a configuration cannot be used.
+/// The reason why a configuration is invalid.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct TableError {
-    /// The name of the rule or service.
+    /// The name of the invalid rule.
     pub name: String,
     /// What is wrong with it.
     pub cause: &'static str,
@@ -37,34 +38,35 @@
 
 impl std::error::Error for TableError {}
 
-/// A rule with the state of its split.
+/// A rule with the state of its traffic split.
 #[derive(Debug)]
 pub struct Route {
-    /// The rule, which requests share.
+    /// The rule.
     pub rule: Arc<Rule>,
-    drawn: AtomicU64,
+    /// The number of requests so far, plus an offset that differs between entries.
+    request_count: AtomicU64,
 }
 
-/// The part of the unit interval between two draws of a split: the golden ratio,
-/// which spreads any number of draws evenly.
-const STEP: f64 = 0.618_033_988_749_894_9;
+/// The step of the sequence within the unit interval: the golden ratio, which
+/// spreads any number of requests evenly.
+const GOLDEN_RATIO_STEP: f64 = 0.618_033_988_749_894_9;
 
 impl Route {
-    /// Draws the service that is to run the next request.
+    /// Returns the service for the next request and advances the sequence.
     #[must_use]
-    pub fn draw(&self) -> &ServiceName {
+    pub fn next_service(&self) -> &ServiceName {
         let parts = &self.rule.parts;
-        let n = self.drawn.fetch_add(1, Ordering::Relaxed);
-        let sum: f64 = parts.iter().map(|p| p.weight).sum();
+        let n = self.request_count.fetch_add(1, Ordering::Relaxed);
+        let weight_sum: f64 = parts.iter().map(|p| p.weight).sum();
         #[expect(clippy::cast_precision_loss)]
-        let mut left = (n as f64 * STEP).fract() * sum;
+        let mut offset = (n as f64 * GOLDEN_RATIO_STEP).fract() * weight_sum;
         for part in parts {
-            if left < part.weight {
+            if offset < part.weight {
                 return &part.service;
             }
-            left -= part.weight;
+            offset -= part.weight;
         }
-        // Rounding may leave a rest after the last part.
+        // Rounding may leave a remainder after the last part.
         &parts[parts.len() - 1].service
     }
 }
@@ -74,28 +76,28 @@
 pub struct Table {
     /// The version of the configuration.
     pub version: Revision,
-    /// What callers may send.
+    /// Limits on the requests of callers.
     pub limits: CallerLimits,
     hosts: HashMap<String, Vec<Route>>,
     services: HashMap<ServiceName, ServiceRule>,
 }
 
 impl Table {
-    /// Compiles a configuration. Entries pass different seeds, so that their
-    /// splits do not all begin with the same part.
+    /// Compiles a configuration. Entries pass different seeds, so that their traffic
+    /// splits do not all start with the same service.
     ///
     /// # Errors
     ///
-    /// Returns the first rule that cannot be used. The configuration in force
-    /// then stays.
+    /// Returns an error for the first invalid rule. The current configuration then
+    /// stays in force.
     pub fn compile(config: Configuration, seed: u64) -> Result<Self, TableError> {
         let services = config.services.into_iter();
         let services: HashMap<_, _> = services.map(|s| (s.name.clone(), s)).collect();
         let mut hosts: HashMap<String, Vec<Route>> = HashMap::new();
         for rule in config.rules {
-            check(&rule, &services)?;
+            validate(&rule, &services)?;
             let route = Route {
-                drawn: AtomicU64::new(seed % 1024),
+                request_count: AtomicU64::new(seed % 1024),
                 rule: Arc::new(rule),
             };
             hosts
@@ -114,14 +116,16 @@
         })
     }
 
-    /// Returns the route of a request. `host` is in lower case, without a port.
+    /// Returns the route of a request. `host` must be in lower case and without a
+    /// port.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let mut routes = self.hosts.get(host)?.iter();
         routes.find(|r| path.starts_with(&r.rule.prefix))
     }
 
-    /// Returns the configuration again, with the rules and services in any order.
+    /// Returns the configuration from which the table was compiled. The order of rules
+    /// and services may differ.
     #[must_use]
     pub fn configuration(&self) -> Configuration {
         let routes = self.hosts.values().flatten();
@@ -133,40 +137,41 @@
         }
     }
 
-    /// Returns what all targets of a service have in common.
+    /// Returns the settings of a service that apply to all of its targets.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceRule> {
         self.services.get(name)
     }
 }
 
-fn check(rule: &Rule, services: &HashMap<ServiceName, ServiceRule>) -> Result<(), TableError> {
+/// Checks that a rule is valid and refers to declared services only.
+fn validate(rule: &Rule, services: &HashMap<ServiceName, ServiceRule>) -> Result<(), TableError> {
     let err = |cause| TableError {
         name: rule.name.clone(),
         cause,
     };
     if !rule.prefix.starts_with('/') || !rule.prefix.ends_with('/') {
-        return Err(err("the prefix does not begin and end with a slash"));
+        return Err(err("the prefix does not start and end with a slash"));
     }
     if rule
         .parts
         .iter()
         .any(|p| !services.contains_key(&p.service))
     {
-        return Err(err("a service is not declared"));
+        return Err(err("a service of the split is not declared"));
     }
     if rule
         .parts
         .iter()
         .any(|p| !p.weight.is_finite() || p.weight < 0.0)
     {
-        return Err(err("a weight is negative"));
+        return Err(err("a weight is negative or not finite"));
     }
     if rule.parts.iter().map(|p| p.weight).sum::<f64>() <= 0.0 {
-        return Err(err("no part has a weight"));
+        return Err(err("no weight is positive"));
     }
     if rule.timeout.0 == 0 || rule.attempts == 0 {
-        return Err(err("no time or no attempt is allowed"));
+        return Err(err("the timeout or the number of attempts is zero"));
     }
     Ok(())
 }
--- /dev/null
+++ b/src/policy/upstream/change_log.rs
@@ -0,0 +1,113 @@
+//! A log of recent changes, from which other entries are served.
+
+use std::collections::VecDeque;
+
+use crate::domain::{Millis, Revision};
+
+/// The maximum number of changes that are kept. An entry that is further behind
+/// must read the full state.
+const CHANGES_MAX: usize = 2_000;
+
+/// How long changes are kept. An entry that did not poll for longer must read the
+/// full state.
+const RETENTION: Millis = Millis(30_000);
+
+/// Changes that were added together.
+struct Batch<T> {
+    at: Millis,
+    revision: Revision,
+    changes: Vec<T>,
+}
+
+/// Recent changes, with the range of revisions for which they are complete.
+///
+/// A batch may be returned to an entry that already has some of its changes. Each
+/// change carries the new state, not a difference, so that applying changes again in
+/// order is idempotent.
+pub struct ChangeLog<T> {
+    /// The revision after which the log is complete.
+    start: Revision,
+    /// The revision up to which the log is complete.
+    revision: Revision,
+    /// The instant as of which the log reflects the state of the store.
+    as_of: Millis,
+    batches: VecDeque<Batch<T>>,
+    count: usize,
+}
+
+impl<T> Default for ChangeLog<T> {
+    fn default() -> Self {
+        Self {
+            start: Revision(u64::MAX),
+            revision: Revision(0),
+            as_of: Millis(0),
+            batches: VecDeque::new(),
+            count: 0,
+        }
+    }
+}
+
+impl<T> std::fmt::Debug for ChangeLog<T> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        let Self {
+            start, revision, ..
+        } = self;
+        write!(f, "ChangeLog({start}..{revision}, {} changes)", self.count)
+    }
+}
+
+impl<T: Clone> ChangeLog<T> {
+    /// Clears the log after the full state up to a revision was read at `at`.
+    pub fn reset(&mut self, at: Millis, revision: Revision) {
+        *self = Self {
+            start: revision,
+            revision,
+            as_of: at,
+            ..Self::default()
+        };
+    }
+
+    /// Adds the changes up to a revision, which the store returned at `at`.
+    pub fn push(&mut self, at: Millis, revision: Revision, changes: Vec<T>) {
+        self.as_of = self.as_of.max(at);
+        self.revision = self.revision.max(revision);
+        if !changes.is_empty() {
+            self.count += changes.len();
+            self.batches.push_back(Batch {
+                at,
+                revision,
+                changes,
+            });
+        }
+        while let Some(first) = self.batches.front()
+            && (self.count > CHANGES_MAX || first.at + RETENTION < at)
+        {
+            self.start = self.start.max(first.revision);
+            self.count -= first.changes.len();
+            self.batches.pop_front();
+        }
+    }
+
+    /// Returns the changes after a revision, or `None` if some of them are no longer
+    /// in the log.
+    #[must_use]
+    pub fn changes_after(&self, revision: Revision) -> Option<Vec<T>> {
+        if revision < self.start {
+            return None;
+        }
+        let newer = self.batches.iter().filter(|b| b.revision > revision);
+        Some(newer.flat_map(|b| b.changes.iter().cloned()).collect())
+    }
+
+    /// Returns the revision up to which the log is complete.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Returns the instant as of which the log reflects the state of the store.
+    #[must_use]
+    pub fn as_of(&self) -> Millis {
+        self.as_of
+    }
+}
--- a/src/policy/upstream/choose.rs
+++ b/src/policy/upstream/choose.rs
@@ -1,91 +1,94 @@
-//! Chooses whom to ask.
+//! Selection of the upstream to poll.
 
 use std::{cmp::Reverse, net::SocketAddr};
 
 use crate::domain::{EntryId, Millis, Presence};
 
-/// How long an entry that failed as a source is passed over. A silent one loses
-/// its lease in the meantime.
-const AVOID: Millis = Millis(10_000);
+/// How long an entry is avoided after it failed as a source. If it has stopped, its
+/// lease expires within this time.
+const FAILED_ENTRY_BACKOFF: Millis = Millis(10_000);
 
-/// How long the store is asked itself after a source failed. The next in rank may
-/// have lost the same source and knows nothing newer until it has asked.
-const DIRECT: Millis = Millis(3_000);
+/// How long the store is polled directly after a source failed. The next entry in
+/// the ranking may have lost the same source, and has no newer changes until it has
+/// polled the store.
+const DIRECT_PERIOD: Millis = Millis(3_000);
 
-/// How long other entries are asked after the store failed to answer.
-const AROUND: Millis = Millis(2_000);
+/// How long another entry is polled after the store failed to answer.
+const STORE_BACKOFF: Millis = Millis(2_000);
 
-/// Whom to ask for changes.
+/// The upstream to poll for changes.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Upstream {
     /// The store.
     Store,
-    /// Another entry, at the address where entries reach it.
+    /// Another entry, with its address for peers.
     Entry(EntryId, SocketAddr),
 }
 
-/// What an entry remembers of those it asked.
+/// Selects the upstream of one entry and remembers failed ones.
 #[derive(Clone, Debug, Default)]
-pub struct Upstreams {
+pub struct UpstreamSelector {
+    /// Entries that failed as a source, each with the end of its avoidance.
     avoided: Vec<(Millis, EntryId)>,
-    /// Until when the store is asked itself.
-    direct: Millis,
-    /// Until when another entry is asked in place of the store.
-    around: Millis,
-    /// Whether others are expected to follow this entry.
-    leads: bool,
+    /// The instant until which the store is polled directly.
+    direct_until: Millis,
+    /// The instant until which another entry is polled instead of the store.
+    bypass_until: Millis,
+    /// Whether other entries are expected to follow this entry.
+    has_followers: bool,
 }
 
-impl Upstreams {
-    /// Chooses among the entries of the own region.
+impl UpstreamSelector {
+    /// Selects an upstream. `local` yields the entries of the local region.
     ///
-    /// The one with the widest link comes first, since it sends the changes to
-    /// all others; the name decides between equal ones.
+    /// They are ranked by link bandwidth, because the source sends the changes to all
+    /// others. Ties are broken by name.
     pub fn choose<'a>(
         &mut self,
         now: Millis,
         me: &EntryId,
-        near: impl Iterator<Item = &'a Presence>,
+        local: impl Iterator<Item = &'a Presence>,
     ) -> Upstream {
         self.avoided.retain(|(until, _)| now < *until);
-        self.leads = false;
-        let around = now < self.around;
-        if now < self.direct && !around {
+        self.has_followers = false;
+        let bypass = now < self.bypass_until;
+        if now < self.direct_until && !bypass {
             return Upstream::Store;
         }
         let avoided = |name: &EntryId| self.avoided.iter().any(|(_, n)| n == name);
-        let usable = near.filter(|p| p.peer.is_some() && !avoided(&p.name));
+        let usable = local.filter(|p| p.peer.is_some() && !avoided(&p.name));
         let mut usable: Vec<&Presence> = usable.collect();
         usable.sort_by(|a, b| (Reverse(a.link), &a.name).cmp(&(Reverse(b.link), &b.name)));
-        self.leads = usable.len() > 1 && usable[0].name == *me;
-        let mut asked = usable.iter().filter(|p| !around || p.name != *me);
-        match asked.next().map(|p| (p, p.peer)) {
+        self.has_followers = usable.len() > 1 && usable[0].name == *me;
+        let mut candidates = usable.iter().filter(|p| !bypass || p.name != *me);
+        match candidates.next().map(|p| (p, p.peer)) {
             Some((p, Some(addr))) if p.name != *me => Upstream::Entry(p.name.clone(), addr),
             _ => Upstream::Store,
         }
     }
 
-    /// Tells whether the last choice was the store because others follow this
-    /// entry.
+    /// Returns whether other entries are expected to follow this entry, as of the last
+    /// call of [`choose`](Self::choose).
     #[must_use]
-    pub fn leads(&self) -> bool {
-        self.leads
+    pub fn has_followers(&self) -> bool {
+        self.has_followers
     }
 
-    /// Notes that an upstream failed or knew nothing recent.
-    pub fn failed(&mut self, now: Millis, upstream: &Upstream) {
+    /// Records that an upstream failed or was out of date.
+    pub fn record_failure(&mut self, now: Millis, upstream: &Upstream) {
         match upstream {
-            Upstream::Store => self.around = now + AROUND,
+            Upstream::Store => self.bypass_until = now + STORE_BACKOFF,
             Upstream::Entry(name, _) => {
-                self.avoided.push((now + AVOID, name.clone()));
-                self.direct = now + DIRECT;
-                self.around = now;
+                self.avoided
+                    .push((now + FAILED_ENTRY_BACKOFF, name.clone()));
+                self.direct_until = now + DIRECT_PERIOD;
+                self.bypass_until = now;
             }
         }
     }
 
-    /// Notes that the store answered.
-    pub fn answered(&mut self, now: Millis) {
-        self.around = now;
+    /// Records that the store answered.
+    pub fn record_store_answer(&mut self, now: Millis) {
+        self.bypass_until = now;
     }
 }
--- a/src/policy/upstream/mod.rs
+++ b/src/policy/upstream/mod.rs
@@ -1,18 +1,20 @@
-//! Where an entry learns of changes: from the store, or from another entry.
+//! Selects the upstream from which an entry polls changes: the store or another
+//! entry.
 //!
-//! Every call to the store has a price and uses a part of its rates, so the
-//! calls must not grow with the number of entries. In each region one entry, the
-//! source, asks the store; the others ask the source, which keeps a [`Log`] of
-//! the latest changes. This is the pattern of a leader with followers, but
-//! without an election: [`Upstreams`] ranks the entries that the store lists, and
-//! each entry follows the first one of its rank.
+//! Every call to the store is billed and counts towards its rate limits, so the
+//! number of calls must not grow with the number of entries. In each region one
+//! entry, the source, polls the store; the others poll the source, which keeps a
+//! [`ChangeLog`] of recent changes. This is a leader with followers, but without an
+//! election: [`UpstreamSelector`] ranks the entries that the store lists, and each
+//! entry follows the first in the ranking.
 //!
-//! Nothing depends on all entries having the same view. An entry whose source is
-//! silent or behind asks the store itself, and one that the store turns away asks
-//! another entry. See [docs/platform.md](../../../docs/platform.md).
+//! Correctness does not depend on a common view of all entries. An entry whose
+//! source is unresponsive or behind polls the store directly, and an entry that the
+//! store rejects polls another entry. See
+//! [docs/platform.md](../../../docs/platform.md).
 
+mod change_log;
 mod choose;
-mod log;
 
-pub use choose::{Upstream, Upstreams};
-pub use log::Log;
+pub use change_log::ChangeLog;
+pub use choose::{Upstream, UpstreamSelector};
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -1,5 +1,5 @@
-//! Guards routing: a request that takes the wrong rule reaches a service to which
-//! no configuration sends it.
+//! Tests of routing. A request that matches the wrong rule would reach a service to
+//! which the configuration does not send it.
 
 use std::collections::BTreeMap;
 
@@ -52,7 +52,7 @@
     Table::compile(config(rules), 0).expect("a usable configuration")
 }
 
-/// Fails if a shorter prefix or another host takes the request.
+/// Guards against matching a rule with a shorter prefix or of another host.
 #[test]
 fn the_longest_prefix_of_the_host_wins() {
     let table = table(vec![
@@ -76,11 +76,12 @@
     insta::assert_snapshot!(found.join("\n"));
 }
 
-/// Fails if a configuration without sense replaces the one in force.
+/// Guards against an invalid configuration that replaces the current one. Each error
+/// must name the rule.
 #[test]
-fn unusable_rules_are_named() {
-    let mut short = rule("a.example", "/s/", &[("slots", 1.0)]);
-    short.timeout = Millis(0);
+fn invalid_rules_are_rejected() {
+    let mut no_timeout = rule("a.example", "/s/", &[("slots", 1.0)]);
+    no_timeout.timeout = Millis(0);
     let rules = [
         rule("a.example", "/open", &[("slots", 1.0)]),
         rule("a.example", "open/", &[("slots", 1.0)]),
@@ -88,7 +89,7 @@
         rule("a.example", "/n/", &[("slots", -1.0), ("kits", 2.0)]),
         rule("a.example", "/z/", &[("slots", 0.0)]),
         rule("a.example", "/e/", &[]),
-        short,
+        no_timeout,
     ];
     let errors = rules.map(|r| match Table::compile(config(vec![r]), 0) {
         Ok(_) => "accepted".to_owned(),
@@ -98,8 +99,9 @@
 }
 
 quickcheck! {
-    /// Fails if a split drifts from its weights, also with little traffic.
-    fn a_split_keeps_its_shares(weights: (u8, u8, u8), seed: u64) -> bool {
+    /// Guards against a traffic split that deviates from its weights, even with little
+    /// traffic.
+    fn a_split_matches_its_weights(weights: (u8, u8, u8), seed: u64) -> bool {
         let weights = [weights.0, weights.1, weights.2].map(|w| f64::from(w) + 1.0);
         let names = ["bookings", "kits", "slots"];
         let parts: Vec<(&str, f64)> = names.into_iter().zip(weights).collect();
@@ -108,7 +110,7 @@
         let route = table.find("a.example", "/x").expect("a route");
         let mut counts: BTreeMap<String, f64> = BTreeMap::new();
         for _ in 0..100 {
-            *counts.entry(route.draw().to_string()).or_default() += 1.0;
+            *counts.entry(route.next_service().to_string()).or_default() += 1.0;
         }
         let sum: f64 = weights.iter().sum();
         parts.iter().all(|(name, weight)| {
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -1,12 +1,13 @@
-//! Guards whom an entry asks for changes: calls to the store must not grow with
-//! the entries, and an entry whose source is lost must not fall behind.
+//! Tests of the selection of upstreams and of the change log. The number of calls to
+//! the store must not grow with the number of entries, and an entry whose source has
+//! failed must not fall behind.
 
 use std::{collections::BTreeMap, fmt::Write, net::SocketAddr};
 
 use quickcheck::quickcheck;
 use savorybeam::{
     domain::{EntryId, Mbps, Millis, Presence, Revision},
-    policy::upstream::{Log, Upstream, Upstreams},
+    policy::upstream::{ChangeLog, Upstream, UpstreamSelector},
 };
 
 fn entry(n: u16, link: u32) -> Presence {
@@ -25,53 +26,57 @@
     format!("edge-{n}").parse().expect("a name")
 }
 
-/// Fails if entries with the same view follow different ones, or if one stays
-/// with an upstream that has failed.
+/// Guards against entries that have the same view but follow different sources, and
+/// against an entry that keeps polling an upstream that has failed.
 #[test]
-fn the_widest_link_leads_and_failures_are_passed_over() {
+fn entries_follow_the_widest_link_and_avoid_failures() {
     let all = [entry(1, 10), entry(2, 100), entry(3, 100)];
     let mut text = String::new();
-    let mut show = |what: &str, up: &mut Upstreams, now: u64, me: u16| {
-        let choice = up.choose(Millis(now), &name(me), all.iter());
-        let leads = up.leads();
-        writeln!(text, "{what}: {choice:?}, leads {leads}").expect("a line");
+    let mut show = |what: &str, selector: &mut UpstreamSelector, now: u64, me: u16| {
+        let choice = selector.choose(Millis(now), &name(me), all.iter());
+        let followers = selector.has_followers();
+        writeln!(text, "{what}: {choice:?}, followers {followers}").expect("a line");
         choice
     };
-    let mut up = Upstreams::default();
-    show("narrow link", &mut up, 0, 1);
-    show("first in rank", &mut up, 0, 2);
-    let source = show("second in rank", &mut up, 0, 3);
-    up.failed(Millis(1_000), &source);
-    show("second, source failed", &mut up, 1_000, 3);
-    show("second, 3 s later", &mut up, 4_000, 3);
-    show("second, 10 s later", &mut up, 11_000, 3);
-    let mut up = Upstreams::default();
-    let store = show("first in rank", &mut up, 0, 2);
-    up.failed(Millis(0), &store);
-    let around = show("first, the store refuses it", &mut up, 100, 2);
-    up.failed(Millis(100), &around);
-    show("first, the other failed, too", &mut up, 100, 2);
-    show("first, 3 s later", &mut up, 3_200, 2);
+    let mut selector = UpstreamSelector::default();
+    show("narrow link", &mut selector, 0, 1);
+    show("first in rank", &mut selector, 0, 2);
+    let source = show("second in rank", &mut selector, 0, 3);
+    selector.record_failure(Millis(1_000), &source);
+    show("second, source failed", &mut selector, 1_000, 3);
+    show("second, 3 s later", &mut selector, 4_000, 3);
+    show("second, 10 s later", &mut selector, 11_000, 3);
+    let mut selector = UpstreamSelector::default();
+    let store = show("first in rank", &mut selector, 0, 2);
+    selector.record_failure(Millis(0), &store);
+    let next = show("first, rejected by the store", &mut selector, 100, 2);
+    selector.record_failure(Millis(100), &next);
+    show("first, next entry failed as well", &mut selector, 100, 2);
+    show("first, 3 s later", &mut selector, 3_200, 2);
     insta::assert_snapshot!(text);
 }
 
-/// The period of a source, and that of an entry that nobody follows.
-const SOURCE: Millis = Millis(750);
-const DIRECT: Millis = Millis(1_375);
+/// The polling intervals of an entry with followers and of one without that polls
+/// the store.
+const SOURCE_INTERVAL: Millis = Millis(750);
+const DIRECT_INTERVAL: Millis = Millis(1_375);
 
-/// How long an entry waits for one that is silent.
-const SILENT: Millis = Millis(1_300);
+/// How long an entry waits for an unresponsive source.
+const SOURCE_TIMEOUT: Millis = Millis(1_300);
 
-/// The entries of a region in virtual time.
+/// A simulation of the entries of a region in virtual time.
 struct Region {
     all: Vec<Presence>,
-    ups: Vec<Upstreams>,
-    /// As of when each knows what the store knew.
-    known: Vec<Millis>,
-    due: Vec<Millis>,
-    /// The one that fell silent, and when.
-    silent: Option<(usize, Millis)>,
+    selectors: Vec<UpstreamSelector>,
+    /// The instant as of which each entry has the state of the store.
+    synced: Vec<Millis>,
+    /// The instant of the next poll of each entry.
+    next_poll: Vec<Millis>,
+    /// The entry that stops, and the instant at which it does.
+    stopped: Option<(usize, Millis)>,
+    /// The number of calls to the store.
     calls: u32,
+    /// The age of the oldest state that any entry had.
     oldest: Millis,
 }
 
@@ -80,77 +85,82 @@
         let many = usize::from(count);
         Self {
             all: (0..count).map(|n| entry(n, 100)).collect(),
-            ups: vec![Upstreams::default(); many],
-            known: vec![Millis(0); many],
-            due: (0..u64::from(count)).map(|n| Millis(n % 50)).collect(),
-            silent: None,
+            selectors: vec![UpstreamSelector::default(); many],
+            synced: vec![Millis(0); many],
+            next_poll: (0..u64::from(count)).map(|n| Millis(n % 50)).collect(),
+            stopped: None,
             calls: 0,
             oldest: Millis(0),
         }
     }
 
     fn run(&mut self, until: Millis) {
-        while let Some((now, n)) = self.due.iter().zip(0..).map(|(d, n)| (*d, n)).min()
+        while let Some((now, n)) = self.next_poll.iter().zip(0..).map(|(d, n)| (*d, n)).min()
             && now < until
         {
-            self.due[n] = self.step(now, n);
+            self.next_poll[n] = self.step(now, n);
         }
     }
 
     fn step(&mut self, now: Millis, n: usize) -> Millis {
-        if self.silent.is_some_and(|(s, at)| s == n && now >= at) {
+        if self.stopped.is_some_and(|(s, at)| s == n && now >= at) {
             return Millis(u64::MAX);
         }
-        self.oldest = self.oldest.max(now - self.known[n]);
-        let up = &mut self.ups[n];
-        let choice = up.choose(now, &self.all[n].name, self.all.iter());
+        self.oldest = self.oldest.max(now - self.synced[n]);
+        let selector = &mut self.selectors[n];
+        let choice = selector.choose(now, &self.all[n].name, self.all.iter());
         let Upstream::Entry(name, _) = &choice else {
             self.calls += 1;
-            self.known[n] = now;
-            return now + if up.leads() { SOURCE } else { DIRECT };
+            self.synced[n] = now;
+            return now
+                + if selector.has_followers() {
+                    SOURCE_INTERVAL
+                } else {
+                    DIRECT_INTERVAL
+                };
         };
         let source = self.all.iter().position(|p| p.name == *name);
         let source = source.expect("a known entry");
-        if self.silent.is_some_and(|(s, at)| s == source && now >= at) {
-            let noticed = now + SILENT;
-            up.failed(noticed, &choice);
-            return noticed;
+        if self.stopped.is_some_and(|(s, at)| s == source && now >= at) {
+            let detected = now + SOURCE_TIMEOUT;
+            selector.record_failure(detected, &choice);
+            return detected;
         }
-        self.known[n] = self.known[n].max(self.known[source]);
-        now + SOURCE
+        self.synced[n] = self.synced[n].max(self.synced[source]);
+        now + SOURCE_INTERVAL
     }
 }
 
-/// Fails if calls to the store grow with the entries of a region, or if the loss
-/// of the source leaves the others with knowledge older than the bound of 2.5 s.
+/// Guards against calls to the store that grow with the number of entries in a
+/// region, and against state older than 2.5 s after the loss of the source.
 #[test]
-fn calls_do_not_grow_with_the_entries() {
+fn store_calls_do_not_grow_with_the_entries() {
     let mut text =
-        String::from("entries, calls in 20 calm s, in the 10 s after the loss, oldest ms\n");
+        String::from("entries, calls in 20 s without a fault, in 10 s after the loss, oldest ms\n");
     for count in [1, 3, 30, 300] {
         let mut region = Region::new(count);
         region.run(Millis(20_000));
-        let calm = region.calls;
+        let normal_calls = region.calls;
         region.calls = 0;
         region.oldest = Millis(0);
-        region.silent = Some((0, Millis(20_000)));
+        region.stopped = Some((0, Millis(20_000)));
         region.run(Millis(30_000));
         let Region { calls, oldest, .. } = region;
         assert!(oldest <= Millis(2_500), "{count} entries: {oldest}");
-        writeln!(text, "{count}, {calm}, {calls}, {}", oldest.0).expect("a line");
+        writeln!(text, "{count}, {normal_calls}, {calls}, {}", oldest.0).expect("a line");
     }
     insta::assert_snapshot!(text);
 }
 
 quickcheck! {
-    /// Fails if one who asks after any revision misses a change, or is told that
-    /// it has all although some are gone.
-    fn whoever_asks_misses_nothing(batches: Vec<Vec<(u8, u8)>>, after: u8) -> bool {
-        let mut log = Log::default();
+    /// Guards against a log that omits a change after a requested revision, or that
+    /// claims to be complete although it has dropped changes.
+    fn the_log_returns_all_later_changes(batches: Vec<Vec<(u8, u8)>>, after: u8) -> bool {
+        let mut log = ChangeLog::default();
         let mut states = vec![BTreeMap::new()];
-        log.restart(Millis(0), Revision(0));
+        log.reset(Millis(0), Revision(0));
         for (n, batch) in (1_u64..).zip(&batches) {
-            // All of them fit into the log.
+            // Few enough that the log drops none.
             let batch = &batch[..batch.len().min(10)];
             let mut state = states.last().cloned().unwrap_or_default();
             state.extend(batch.iter().copied());
@@ -159,7 +169,7 @@
         }
         let after = usize::from(after) % states.len();
         let mut state = states[after].clone();
-        let Some(changes) = log.after(Revision(after as u64)) else {
+        let Some(changes) = log.changes_after(Revision(after as u64)) else {
             return false;
         };
         state.extend(changes);
@@ -167,17 +177,21 @@
     }
 }
 
-/// Fails if a log keeps changes for ever, or tells one who is too far behind that
-/// nothing has changed.
+/// Guards against a log that grows without bound, and against one that reports no
+/// changes to an entry that is too far behind.
 #[test]
-fn old_changes_are_dropped_and_missed() {
-    let mut log = Log::default();
-    assert_eq!(log.after(Revision(5)), None, "an empty log knows nothing");
-    log.restart(Millis(0), Revision(5));
+fn dropped_changes_are_reported_as_missing() {
+    let mut log = ChangeLog::default();
+    assert_eq!(
+        log.changes_after(Revision(5)),
+        None,
+        "an empty log has no changes"
+    );
+    log.reset(Millis(0), Revision(5));
     log.push(Millis(1_000), Revision(6), vec!["a"]);
     log.push(Millis(40_000), Revision(9), vec!["b"]);
     let seen: Vec<_> = [4, 5, 6, 8, 9, 12]
-        .map(|r| format!("after {r}: {:?}", log.after(Revision(r))))
+        .map(|r| format!("after {r}: {:?}", log.changes_after(Revision(r))))
         .into();
     insta::assert_snapshot!(seen.join("\n"));
 }
