--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -18,16 +18,16 @@
 /// The round-trip time to a target in the same region.
 const LOCAL_RTT_MS: f64 = 3.0;
 
-/// The round-trip time to a target in another region. Both users state 35 ms one
-/// way.
+/// The round-trip time to a target in another region. Both users state 35 ms
+/// one way.
 const REMOTE_RTT_MS: f64 = 72.0;
 
 /// The cost that a request must save to prefer another region. Traffic between
 /// regions is limited in bandwidth and billed.
 const OVERFLOW_GAIN_MS: f64 = 15.0;
 
-/// The weight of the hash rank in the cost, as a fraction of the cold duration. It
-/// makes entries that see the same loads agree on the second choice.
+/// The weight of the hash rank in the cost, as a fraction of the cold duration.
+/// It makes entries that see the same loads agree on the second choice.
 const HASH_RANK_WEIGHT: f64 = 0.15;
 
 /// The cost of a certain failure, as a multiple of the objective.
@@ -40,23 +40,21 @@
 /// because of the queue.
 const TOLERATED_QUEUE: f64 = 0.5;
 
-/// The longest delay that a transient queue may cause, as a fraction of the
-/// objective.
+/// The longest delay by a transient queue, as a fraction of the objective.
 const TRANSIENT_DELAY_MAX: f64 = 1.3;
 
-/// The longest delay that a standing queue may cause, as a fraction of the
-/// objective.
+/// The longest delay by a standing queue, as a fraction of the objective.
 const STANDING_DELAY_MAX: f64 = 0.7;
 
-/// The fraction of recent requests with a long delay above which the queue counts
-/// as standing.
+/// The fraction of recent requests with a long delay above which the queue
+/// counts as standing.
 const STANDING_FRACTION: f64 = 0.8;
 
 /// The weight of one request in the moving average of that fraction.
 const STANDING_SMOOTHING: f64 = 0.02;
 
-/// Seed of the hash that decides in which order objects overflow to other regions.
-/// It makes this order independent of the placement on targets.
+/// Seed of the hash that decides in which order objects overflow to other
+/// regions. It makes this order independent of the placement on targets.
 const OVERFLOW_SEED: u64 = 0x6f76_6572_666c_6f77;
 
 /// The cost reduction for a new target, which makes one request go there. That
@@ -82,7 +80,7 @@
     pub evacuated: &'a BTreeSet<AzName>,
     /// The rate limit for cold targets.
     pub cold_quota: ColdQuota<'a>,
-    /// The largest fraction of requests that may change region within one window.
+    /// The largest fraction of requests that may change region in a window.
     pub shift_cap: f64,
 }
 
@@ -108,8 +106,8 @@
     pub ticket: Ticket,
 }
 
-/// A request that is counted at a target until [`Pool::finish`] releases it, with
-/// the estimates that led to the choice.
+/// A request that is counted at a target until [`Pool::finish`] releases it,
+/// with the estimates that led to the choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ticket {
     /// The target.
@@ -154,9 +152,9 @@
 }
 
 impl Capacity {
-    /// Returns the fraction of the region's requests that overflows initially, until
-    /// the requests themselves show what is needed. It assumes that all regions have
-    /// the same number of callers.
+    /// Returns the fraction of the region's requests that overflows initially,
+    /// until the requests themselves show what is needed. It assumes that all
+    /// regions have the same number of callers.
     fn initial_overflow(&self) -> f64 {
         let fair = self.all / f64::max(self.region_count, 1.0);
         (1.0 - self.local / f64::max(fair, 1.0)).max(0.0)
@@ -189,8 +187,8 @@
 }
 
 impl Candidate {
-    /// Returns the expected time until the answer as a fraction of the objective, or
-    /// 0 if the target has no considerable queue.
+    /// Returns the expected time until the answer as a fraction of the
+    /// objective, or 0 if the target has no considerable queue.
     fn delay(&self, rule: &Rule) -> f64 {
         #[expect(clippy::cast_precision_loss)]
         let objective = rule.objective.0.max(1) as f64;
@@ -233,11 +231,11 @@
         Ok(self.record_choice(ctx, req, route, &best))
     }
 
-    /// Returns whether the queueing delay is too long to admit the request. Adding
-    /// to a standing queue delays all later requests as well, so that the targets
-    /// stay busy with answers that come too late; a transient queue is better served
-    /// than refused. As in controlled delay (`CoDel`), the queue counts as standing
-    /// if most of the recent requests had a long delay.
+    /// Returns whether the queueing delay is too long to admit the request.
+    /// Adding to a standing queue delays all later requests as well, so that
+    /// the targets stay busy with answers that come too late; a transient queue
+    /// is better served than refused. As in controlled delay (`CoDel`), the
+    /// queue counts as standing if most recent requests had a long delay.
     fn is_overloaded(&mut self, delay: f64) -> bool {
         let long = f64::from(u8::from(delay > STANDING_DELAY_MAX));
         self.long_fraction += (long - self.long_fraction) * STANDING_SMOOTHING;
@@ -250,8 +248,8 @@
             }
     }
 
-    /// Returns the targets that are eligible for the request, whether they can take
-    /// it now or not.
+    /// Returns the targets that are eligible for the request, whether they can
+    /// take it now or not.
     fn eligible_targets(&self, ctx: &Context<'_>, req: &Request<'_>) -> Vec<usize> {
         let fits = |t: &Target| {
             let Some(region) = &t.region else {
@@ -264,8 +262,8 @@
         targets.filter(|(_, t)| fits(t)).map(|(at, _)| at).collect()
     }
 
-    /// Selects the cheapest target of the local region, or of the other regions if
-    /// the request overflows.
+    /// Selects the cheapest target of the local region, or of the other regions
+    /// if the request overflows.
     fn select_candidate(
         &mut self,
         ctx: &Context<'_>,
@@ -314,9 +312,9 @@
         }
     }
 
-    /// Counts the slots of all targets that are ready and not ejected, whether full
-    /// or not. Which of them one request may use does not matter, because all
-    /// requests share the overflow state of the region.
+    /// Counts the slots of all targets that are ready and not ejected, whether
+    /// full or not. Which of them one request may use does not matter, because
+    /// all requests share the overflow state of the region.
     fn capacity(&self, ctx: &Context<'_>) -> Capacity {
         let mut capacity = Capacity::default();
         let mut regions: Vec<&RegionName> = Vec::new();
@@ -350,7 +348,7 @@
         (load / f64::max(slots, 1.0)).min(1.0)
     }
 
-    /// Returns whether the region has recently lost a large fraction of its slots.
+    /// Returns whether the region has just lost a large fraction of its slots.
     fn has_lost_capacity(&mut self, now: Millis, slots: f64) -> bool {
         let (peak, at) = self.peak_slots;
         if slots >= peak || at + PEAK_SLOTS_WINDOW < now {
@@ -360,10 +358,10 @@
         slots < peak * (1.0 - CAPACITY_LOSS_FRACTION)
     }
 
-    /// Returns the preferred targets of the object by rendezvous hashing: one in the
-    /// local region, and one in the other regions for overflow. Callers of different
-    /// regions seldom use the same objects, so one target for the overflow of each
-    /// region is enough.
+    /// Returns the preferred targets of the object by rendezvous hashing: one
+    /// in the local region, and one in the other regions for overflow. Callers
+    /// of different regions seldom use the same objects, so one target for the
+    /// overflow of each region is enough.
     fn preferred(&self, ctx: &Context<'_>, req: &Request<'_>, usable: &[usize]) -> Vec<usize> {
         let Some(object) = req.object.filter(|_| req.rule.sticky) else {
             return Vec::new();
@@ -379,8 +377,8 @@
             .collect()
     }
 
-    /// Returns the estimated number of requests at each target. It is computed once
-    /// for each choice, which uses the values several times.
+    /// Returns the estimated number of requests at each target. It is computed
+    /// once for each choice, which uses the values several times.
     fn estimated_loads(&self, now: Millis) -> Vec<f64> {
         let slot_loads = self.region_loads.iter().map(|(r, l)| (r, l.slot_load(now)));
         let slot_loads: BTreeMap<&RegionName, f64> = slot_loads.collect();
--- a/src/policy/balance/duration.rs
+++ b/src/policy/balance/duration.rs
@@ -9,8 +9,9 @@
 /// The weight of one sample in the moving average of durations.
 const DURATION_SMOOTHING: f64 = 0.04;
 
-/// Samples are clamped to this factor around the estimate, because a few requests
-/// run many times longer than the rest and say nothing about the others.
+/// Samples are clamped to this factor around the estimate, because a few
+/// requests run many times longer than the rest and say nothing about the
+/// others.
 const OUTLIER_FACTOR: f64 = 2.5;
 
 /// The number of samples from which an estimate is reliable.
@@ -57,9 +58,9 @@
         if warm { self.warm_ms } else { self.cold_ms }
     }
 
-    /// Returns whether the estimate is reliable enough to refuse a request because
-    /// of it. It expires without new samples: a wrong estimate would otherwise
-    /// refuse all requests that could correct it.
+    /// Returns whether the estimate is reliable enough to refuse a request
+    /// because of it. It expires without new samples: a wrong estimate would
+    /// otherwise refuse all requests that could correct it.
     pub fn is_reliable(&self, warm: bool, now: Millis) -> bool {
         self.samples[usize::from(warm)] >= SAMPLES_MIN
             && now - self.last_sample <= ESTIMATE_VALIDITY
@@ -117,8 +118,8 @@
     xxh3_64_with_seed(object, xxh3_64_with_seed(route.as_bytes(), 0))
 }
 
-/// Mixes two hashes into one, for example into the rendezvous-hashing score of an
-/// object and a target.
+/// Mixes two hashes into one, for example into the rendezvous-hashing score of
+/// an object and a target.
 pub(super) fn mix(a: u64, b: u64) -> u64 {
     let mut x = (a ^ b.rotate_left(32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     x ^= x >> 32;
--- a/src/policy/balance/health.rs
+++ b/src/policy/balance/health.rs
@@ -28,8 +28,8 @@
 /// requests counts as unresponsive.
 const UNRESPONSIVE_MIN: Millis = Millis(500);
 
-/// A target with outstanding requests is unresponsive after this multiple of the
-/// expected duration.
+/// A target with outstanding requests is unresponsive after this multiple of
+/// the expected duration.
 const UNRESPONSIVE_FACTOR: u64 = 4;
 
 /// The interval between requests that probe an unresponsive target.
@@ -43,7 +43,7 @@
     /// Moving average of the failed fraction of requests, as of `rate_updated`.
     failure_rate: f64,
     rate_updated: Millis,
-    /// The instant since which requests have been outstanding without any answer.
+    /// Since when requests have been outstanding without an answer.
     waiting_since: Option<Millis>,
     /// The expected duration of the request that started the wait.
     expected_duration: Millis,
@@ -60,8 +60,8 @@
         self.last_sent = now;
     }
 
-    /// Records an answer. `outstanding` is the number of requests that this entry
-    /// still has at the target.
+    /// Records an answer. `outstanding` is the number of requests that this
+    /// entry still has at the target.
     pub fn on_success(&mut self, now: Millis, outstanding: u32) {
         self.consecutive_failures = 0;
         self.ejected_until = Millis(0);
@@ -70,7 +70,7 @@
     }
 
     /// Records a failure that concerns the target as a whole, such as a broken
-    /// connection. If `eject_now` is set, one failure is enough for an ejection.
+    /// connection. If `eject_now` is set, one failure ejects the target.
     pub fn on_failure(&mut self, now: Millis, outstanding: u32, eject_now: bool) {
         self.consecutive_failures += 1;
         self.update_rate(now, 1.0);
--- a/src/policy/balance/load.rs
+++ b/src/policy/balance/load.rs
@@ -22,8 +22,8 @@
 /// its region while no report arrives. The load of a region decays likewise.
 const AVERAGE_DECAY_MS: f64 = 4_000.0;
 
-/// The time constant with which a reported slowdown decays to 100 %. The slowdown
-/// changes many times a second.
+/// The time constant with which a reported slowdown decays to 100 %. The
+/// slowdown changes many times a second.
 const SLOWDOWN_DECAY_MS: f64 = 250.0;
 
 /// The weight of one report in the average load of a target.
@@ -35,8 +35,8 @@
 /// The slowdown of a target that shares its host with no busy neighbour.
 const NORMAL_SLOWDOWN_PERCENT: f64 = 100.0;
 
-/// The load of one target: the requests of this entry, counted exactly, plus those
-/// of other entries, estimated from reports.
+/// The load of one target: the requests of this entry, counted exactly, plus
+/// those of other entries, estimated from reports.
 #[derive(Clone, Debug)]
 pub(super) struct Load {
     /// Requests of this entry that run or wait at the target.
@@ -61,8 +61,8 @@
         }
     }
 
-    /// Applies a report that came with the answer to one of this entry's requests.
-    /// That request must already be subtracted from `own`.
+    /// Applies a report that came with the answer to one of this entry's
+    /// requests. That request must already be subtracted from `own`.
     pub fn report(&mut self, now: Millis, report: &LoadReport) {
         let all = f64::from(report.running + report.waiting);
         self.reported_others = (all - f64::from(self.own)).max(0.0);
@@ -71,8 +71,9 @@
         self.last_report = Some(now);
     }
 
-    /// Returns the estimated number of requests at the target. As its last report
-    /// ages, the estimate approaches `region_others`, the average of its region.
+    /// Returns the estimated number of requests at the target. As its last
+    /// report ages, the estimate approaches `region_others`, the average of its
+    /// region.
     pub fn total(&self, now: Millis, region_others: f64) -> f64 {
         let Some(age) = self.report_age_ms(now) else {
             return f64::from(self.own) + region_others;
--- a/src/policy/balance/mod.rs
+++ b/src/policy/balance/mod.rs
@@ -1,26 +1,27 @@
 //! Load balancing: selects the target that runs a request.
 //!
 //! A target is much faster on an object that it has handled recently, so the
-//! placement of objects determines the total throughput. The policy is a form of
-//! consistent hashing with bounded loads: rendezvous hashing assigns each object a
-//! preferred target in a region, and every entry computes the same one without
-//! communication. The bound is not a fixed load. Each target is scored by its
-//! expected response time, estimated from the request duration (warm or cold), the
-//! queue, the reported slowdown and the network distance, and the request goes to
-//! the target with the lowest score. A hot object thus spreads to further targets
-//! while its preferred target has a queue, and returns afterwards.
+//! placement of objects determines the total throughput. The policy is a form
+//! of consistent hashing with bounded loads: rendezvous hashing assigns each
+//! object a preferred target in a region, and every entry computes the same one
+//! without communication. The bound is not a fixed load. Each target is scored
+//! by its expected response time, estimated from the request duration (warm or
+//! cold), the queue, the reported slowdown and the network distance, and the
+//! request goes to the target with the lowest score. A hot object thus spreads
+//! to further targets while its preferred target has a queue, and returns
+//! afterwards.
 //!
 //! # Trade-offs
 //!
 //! * The load of a target is this entry's own count plus the requests of other
-//!   entries in its last report. A report is as old as the last answer; it decays
-//!   to the average load, so that an outdated report does not attract or repel
-//!   requests for long.
-//! * A cold request occupies a slot for longer and so delays others. The score adds
-//!   that extra time in proportion to the utilization of the region.
-//! * Scoring visits every target of the service. It takes some 20 ns per target,
-//!   which is less than one system call for the 420 targets of the largest known
-//!   service.
+//!   entries in its last report. A report is as old as the last answer; it
+//!   decays to the average load, so that an outdated report does not attract or
+//!   repel requests for long.
+//! * A cold request occupies a slot for longer and so delays others. The score
+//!   adds that extra time in proportion to the utilization of the region.
+//! * Scoring visits every target of the service. It takes some 20 ns per
+//!   target, which is less than one system call for the 420 targets of the
+//!   largest known service.
 //!
 //! See [docs/platform.md](../../../docs/platform.md).
 
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -1,4 +1,5 @@
-//! The targets of one service, with what registrations and requests show of them.
+//! The targets of one service, with what registrations and requests show of
+//! them.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -68,8 +69,8 @@
         Self::default()
     }
 
-    /// Adds or updates a target. Returns whether it is new, has restarted or has
-    /// changed its state.
+    /// Adds or updates a target. Returns whether it is new, has restarted or
+    /// has changed its state.
     pub fn put(
         &mut self,
         now: Millis,
@@ -80,8 +81,8 @@
         let first_added = *self.first_added.get_or_insert(now);
         let Some(index) = self.find(&instance.id) else {
             let mut target = Target::new(instance, region, now);
-            // Targets known from the start need no probe request: they get their
-            // requests by hash.
+            // Targets known from the start need no probe request: they get
+            // their requests by hash.
             target.contacted = now < first_added + INITIAL_DISCOVERY;
             self.targets.push(target);
             return true;
@@ -97,7 +98,8 @@
         self.targets.retain(|t| t.instance.id != *id);
     }
 
-    /// Counts a caller's request, which adds to the retry budget of the service.
+    /// Counts a caller's request, which adds to the retry budget of the
+    /// service.
     pub fn deposit_retry(&mut self, now: Millis, limits: &RetryLimits) {
         self.retry_budget.deposit(now, limits);
     }
@@ -114,8 +116,8 @@
         self.overflow.as_ref().map_or(0.0, Overflow::fraction)
     }
 
-    /// Releases a request that has ended, and learns from its outcome and from the
-    /// load report of the target.
+    /// Releases a request that has ended, and learns from its outcome and from
+    /// the load report of the target.
     pub fn finish(
         &mut self,
         now: Millis,
@@ -166,8 +168,8 @@
         self.targets.iter().position(|t| t.instance.id == *id)
     }
 
-    /// Updates the duration estimate of the route and the target's slowdown from an
-    /// answered request.
+    /// Updates the duration estimate of the route and the target's slowdown
+    /// from an answered request.
     fn update_estimates(&mut self, now: Millis, index: usize, ticket: &Ticket) {
         let Some(estimate) = self.estimates.get_mut(&ticket.route) else {
             return;
--- a/src/policy/balance/registry.rs
+++ b/src/policy/balance/registry.rs
@@ -1,11 +1,11 @@
 //! The registered targets of all services.
 //!
-//! The registry follows the store with one exception: registrations expire during
-//! an outage of the store, and live targets register again right after it. If a
-//! large fraction of the targets disappears right after an outage, they are kept
-//! for a short grace period. If only a few disappear they have left, also after
-//! an outage: it may have been only this entry that lost its connection. See
-//! [docs/platform.md](../../../docs/platform.md).
+//! The registry follows the store with one exception: registrations expire
+//! during an outage of the store, and live targets register again right after
+//! it. If a large fraction of the targets disappears right after an outage,
+//! they are kept for a short grace period. If only a few disappear they have
+//! left, also after an outage: it may have been only this entry that lost its
+//! connection. See [docs/platform.md](../../../docs/platform.md).
 
 use std::collections::HashMap;
 
@@ -18,8 +18,8 @@
 /// Registrations expire after three missed heartbeats at the earliest.
 const OUTAGE_MIN: Millis = Millis(2_500);
 
-/// The fraction of missing targets from which they are taken for expired, not for
-/// stopped.
+/// The fraction of missing targets from which they are taken for expired, not
+/// for stopped.
 const MASS_EXPIRY_FRACTION: f64 = 0.3;
 
 /// A change of one target.
@@ -53,8 +53,8 @@
         self.last_answer = Some(now);
     }
 
-    /// Applies a registration, unless it is older than the known one. A heartbeat
-    /// without other changes returns none.
+    /// Applies a registration, unless it is older than the known one. A
+    /// heartbeat without other changes returns none.
     pub fn put(&mut self, instance: Instance) -> Option<RegistryChange> {
         let known = self.registered.get(&instance.id);
         if known.is_some_and(|k| (instance.born, instance.seq) < (k.born, k.seq)) {
@@ -73,8 +73,8 @@
         self.registered.values()
     }
 
-    /// Removes a target whose registration is gone, or marks it as missing during
-    /// the grace period.
+    /// Removes a target whose registration is gone, or marks it as missing
+    /// during the grace period.
     pub fn remove(&mut self, now: Millis, id: &InstanceId) -> Option<RegistryChange> {
         let ready = self.registered.get(id)?.state == InstanceState::Ready;
         if ready && now < self.grace_until {
@@ -97,8 +97,8 @@
     }
 
     /// Removes the missing targets that are too few for a mass expiry, or whose
-    /// grace period has ended. It must be called after all changes from one answer
-    /// of the store have been applied.
+    /// grace period has ended. It must be called after all changes from one
+    /// answer of the store have been applied.
     pub fn remove_expired(&mut self, now: Millis) -> Vec<RegistryChange> {
         #[expect(clippy::cast_precision_loss)]
         let missing_fraction = self.missing.len() as f64 / self.registered.len().max(1) as f64;
--- a/src/policy/balance/slow_start.rs
+++ b/src/policy/balance/slow_start.rs
@@ -1,11 +1,11 @@
 //! Slow start: rate limits for targets that have just started.
 //!
 //! A cold target tolerates a limited request rate, which is statically divided
-//! among all entries. Each entry may send its share in any one second; a sliding
-//! log of the latest sends enforces this for every window, not only for aligned
-//! ones. If the rate is smaller than the number of entries, rendezvous hashing
-//! selects the entries that may send, so that all entries agree without any
-//! communication.
+//! among all entries. Each entry may send its share in any one second; a
+//! sliding log of the latest sends enforces this for every window, not only for
+//! aligned ones. If the rate is smaller than the number of entries, rendezvous
+//! hashing selects the entries that may send, so that all entries agree without
+//! any communication.
 
 use std::collections::VecDeque;
 
@@ -32,8 +32,8 @@
 }
 
 impl ColdQuota<'_> {
-    /// Returns how many requests this entry may send per second to the target with
-    /// the given hash.
+    /// Returns how many requests this entry may send per second to the target
+    /// with the given hash.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_precision_loss,
--- a/src/policy/balance/target.rs
+++ b/src/policy/balance/target.rs
@@ -10,8 +10,8 @@
 };
 use crate::domain::{Instance, InstanceState, Millis, RegionName};
 
-/// How long a target gets no requests after it rejected one because its queue was
-/// full. Some of its slots become free within that time.
+/// How long a target gets no requests after it rejected one because its queue
+/// was full. Some of its slots become free within that time.
 const FULL_BACKOFF: Millis = Millis(100);
 
 /// A target of a service.
@@ -27,10 +27,11 @@
     pub cold_requests: ColdRequests,
     /// The end of its slow start.
     pub cold_until: Millis,
-    /// Whether this entry has sent it a request, or need not probe it because it was
-    /// there when the entry started.
+    /// Whether this entry has sent it a request, or need not probe it because
+    /// it was there when the entry started.
     pub contacted: bool,
-    /// Moving average of its request durations relative to those of other targets.
+    /// Moving average of its request durations relative to those of other
+    /// targets.
     pub slowdown: f64,
     /// The instant until which its queue is assumed to be full.
     full_until: Millis,
--- a/src/policy/budget/mod.rs
+++ b/src/policy/budget/mod.rs
@@ -3,11 +3,11 @@
 //! Within a window, the retries to a service are limited to a ratio of its
 //! requests plus a fixed number. The ratio needs no coordination, because each
 //! entry derives its share from its own requests. The fixed number is divided
-//! among the entries; half of it is held in reserve for entries that restart and
-//! thereby forget what they have spent. The sliding window consists of ten buckets,
-//! and a bucket counts until the window has left it entirely, so that the count is
-//! never lower than the actual number in any window. Such budgets keep retries from
-//! sustaining an overload (metastable failures, OSDI 2022).
+//! among the entries; half of it is held in reserve for entries that restart
+//! and thereby forget what they have spent. The sliding window consists of ten
+//! buckets, and a bucket counts until the window has left it entirely, so that
+//! the count is never lower than the actual number in any window. Such budgets
+//! keep retries from sustaining an overload (metastable failures, OSDI 2022).
 
 use std::collections::VecDeque;
 
@@ -16,8 +16,8 @@
 /// The number of buckets in the sliding window.
 const WINDOW_BUCKETS: u64 = 10;
 
-/// The fraction of the ratio that is used. Targets count a request near the end of
-/// a window in a different window than this entry does.
+/// The fraction of the ratio that is used. Targets count a request near the end
+/// of a window in a different window than this entry does.
 const RATIO_FRACTION: f64 = 0.85;
 
 /// The fraction of the fixed number that is divided among the entries.
@@ -62,8 +62,9 @@
         self.current_bucket(now, limits).requests += 1;
     }
 
-    /// Withdraws one retry and returns true, unless this entry's share of the budget
-    /// is exhausted. `entries` is the number of entries that share the budget.
+    /// Withdraws one retry and returns true, unless this entry's share of the
+    /// budget is exhausted. `entries` is the number of entries that share the
+    /// budget.
     pub fn withdraw(&mut self, now: Millis, limits: &RetryLimits, entries: usize) -> bool {
         self.current_bucket(now, limits);
         let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -1,17 +1,18 @@
 //! Overflow: the fraction of a region's requests that runs in other regions.
 //!
 //! A region with more load than slots sends requests to other regions. The load
-//! changes quickly, but the overflow fraction must change slowly, or else caches in
-//! both regions go cold at once. [`Overflow`] therefore keeps this fraction as
-//! state. It follows the preferences of the individual requests, in both
-//! directions, with a limited slope.
+//! changes quickly, but the overflow fraction must change slowly, or else
+//! caches in both regions go cold at once. [`Overflow`] therefore keeps this
+//! fraction as state. It follows the preferences of the individual requests, in
+//! both directions, with a limited slope.
 //!
-//! Overflow moves whole objects, those whose hash position is below the fraction,
-//! so that a target in another region gets all requests for an object and keeps it
-//! warm. Entries with the same fraction move the same objects. Requests without an
-//! object are assigned by accumulating the fraction and carrying the remainder to
-//! the next request. When targets of the region are lost the slope limit does not
-//! apply, because requests would fail in the meantime.
+//! Overflow moves whole objects, those whose hash position is below the
+//! fraction, so that a target in another region gets all requests for an object
+//! and keeps it warm. Entries with the same fraction move the same objects.
+//! Requests without an object are assigned by accumulating the fraction and
+//! carrying the remainder to the next request. When targets of the region are
+//! lost the slope limit does not apply, because requests would fail in the
+//! meantime.
 
 use crate::domain::Millis;
 
@@ -58,11 +59,11 @@
         }
     }
 
-    /// Decides where a request runs. `preferred` is the placement with the lower
-    /// cost, `hash_position` the position of the request's object from 0 to 1, if it
-    /// has one, and `shift_cap` the largest fraction that may change region from one
-    /// window to the next. `capacity_lost` says that the region has just lost
-    /// targets.
+    /// Decides where a request runs. `preferred` is the placement with the
+    /// lower cost, `hash_position` the position of the request's object from 0
+    /// to 1, if it has one, and `shift_cap` the largest fraction that may
+    /// change region from one window to the next. `capacity_lost` says that the
+    /// region has just lost targets.
     pub fn assign(
         &mut self,
         now: Millis,
--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -1,9 +1,11 @@
-//! The set of active entries, and the entries that a caller is told to connect to.
+//! The set of active entries, and the entries that a caller is told to connect
+//! to.
 //!
 //! An entry is active while it holds a lease in the store. A lookup returns the
 //! entries of the caller's region, because a request that crosses regions twice
-//! misses its latency objective, and because a route may be restricted to its home
-//! regions. Only if a region has no entry, the lookup returns those of all regions.
+//! misses its latency objective, and because a route may be restricted to its
+//! home regions. Only if a region has no entry, the lookup returns those of all
+//! regions.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -12,8 +14,9 @@
 
 use crate::domain::{EntryId, Millis, Presence, RegionName};
 
-/// How long a departed entry still counts when a shared limit is divided. It may
-/// merely have lost its connection to the store and still be using its share.
+/// How long a departed entry still counts when a shared limit is divided. It
+/// may merely have lost its connection to the store and still be using its
+/// share.
 const DEPARTED_RETENTION: Millis = Millis(15_000);
 
 /// The maximum number of entries in a lookup response. Callers read no more.
@@ -49,8 +52,8 @@
         }
     }
 
-    /// Returns the active and the recently departed entries, among which shared limits
-    /// are divided.
+    /// Returns the active and the recently departed entries, among which shared
+    /// limits are divided.
     pub fn with_departed(&mut self, now: Millis) -> impl Iterator<Item = &EntryId> {
         while self
             .departed
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -1,14 +1,15 @@
 //! Routing: finds the rule and the service for a request.
 //!
-//! A [`Table`] is compiled from a whole configuration and is immutable, so that a
-//! request is handled by one version from beginning to end; a new version replaces
-//! the table as a whole. The rules of a host are tried from the longest prefix to
-//! the shortest. A host has only a handful of rules, so a sorted list is faster
-//! than a trie.
+//! A [`Table`] is compiled from a whole configuration and is immutable, so that
+//! a request is handled by one version from beginning to end; a new version
+//! replaces the table as a whole. The rules of a host are tried from the
+//! longest prefix to the shortest. A host has only a handful of rules, so a
+//! sorted list is faster than a trie.
 //!
-//! A traffic split uses a low-discrepancy sequence instead of random numbers. The
-//! shares are then exact to within one or two requests at each entry, even for a
-//! route with little traffic. See [docs/platform.md](../../../docs/platform.md).
+//! A traffic split uses a low-discrepancy sequence instead of random numbers.
+//! The shares are then exact to within one or two requests at each entry, even
+//! for a route with little traffic. See
+//! [docs/platform.md](../../../docs/platform.md).
 
 use std::{
     collections::HashMap,
@@ -43,7 +44,8 @@
 pub struct Route {
     /// The rule.
     pub rule: Arc<Rule>,
-    /// The number of requests so far, plus an offset that differs between entries.
+    /// The number of requests so far, plus an offset that differs between
+    /// entries.
     request_count: AtomicU64,
 }
 
@@ -83,13 +85,13 @@
 }
 
 impl Table {
-    /// Compiles a configuration. Entries pass different seeds, so that their traffic
-    /// splits do not all start with the same service.
+    /// Compiles a configuration. Entries pass different seeds, so that their
+    /// traffic splits do not all start with the same service.
     ///
     /// # Errors
     ///
-    /// Returns an error for the first invalid rule. The current configuration then
-    /// stays in force.
+    /// Returns an error for the first invalid rule. The current configuration
+    /// then stays in force.
     pub fn compile(config: Configuration, seed: u64) -> Result<Self, TableError> {
         let services = config.services.into_iter();
         let services: HashMap<_, _> = services.map(|s| (s.name.clone(), s)).collect();
@@ -116,16 +118,16 @@
         })
     }
 
-    /// Returns the route of a request. `host` must be in lower case and without a
-    /// port.
+    /// Returns the route of a request. `host` must be in lower case and without
+    /// a port.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let mut routes = self.hosts.get(host)?.iter();
         routes.find(|r| path.starts_with(&r.rule.prefix))
     }
 
-    /// Returns the configuration from which the table was compiled. The order of rules
-    /// and services may differ.
+    /// Returns the configuration from which the table was compiled. The order
+    /// of rules and services may differ.
     #[must_use]
     pub fn configuration(&self) -> Configuration {
         let routes = self.hosts.values().flatten();
--- a/src/policy/upstream/change_log.rs
+++ b/src/policy/upstream/change_log.rs
@@ -8,8 +8,8 @@
 /// must read the full state.
 const CHANGES_MAX: usize = 2_000;
 
-/// How long changes are kept. An entry that did not poll for longer must read the
-/// full state.
+/// How long changes are kept. An entry that did not poll for longer must read
+/// the full state.
 const RETENTION: Millis = Millis(30_000);
 
 /// Changes that were added together.
@@ -21,9 +21,9 @@
 
 /// Recent changes, with the range of revisions for which they are complete.
 ///
-/// A batch may be returned to an entry that already has some of its changes. Each
-/// change carries the new state, not a difference, so that applying changes again in
-/// order is idempotent.
+/// A batch may be returned to an entry that already has some of its changes.
+/// Each change carries the new state, not a difference, so that applying
+/// changes again in order is idempotent.
 pub struct ChangeLog<T> {
     /// The revision after which the log is complete.
     start: Revision,
@@ -88,8 +88,8 @@
         }
     }
 
-    /// Returns the changes after a revision, or `None` if some of them are no longer
-    /// in the log.
+    /// Returns the changes after a revision, or `None` if some of them are no
+    /// longer in the log.
     #[must_use]
     pub fn changes_after(&self, revision: Revision) -> Option<Vec<T>> {
         if revision < self.start {
--- a/src/policy/upstream/choose.rs
+++ b/src/policy/upstream/choose.rs
@@ -4,13 +4,13 @@
 
 use crate::domain::{EntryId, Millis, Presence};
 
-/// How long an entry is avoided after it failed as a source. If it has stopped, its
-/// lease expires within this time.
+/// How long an entry is avoided after it failed as a source. If it has stopped,
+/// its lease expires within this time.
 const FAILED_ENTRY_BACKOFF: Millis = Millis(10_000);
 
-/// How long the store is polled directly after a source failed. The next entry in
-/// the ranking may have lost the same source, and has no newer changes until it has
-/// polled the store.
+/// How long the store is polled directly after a source failed. The next entry
+/// in the ranking may have lost the same source, and has no newer changes until
+/// it has polled the store.
 const DIRECT_PERIOD: Millis = Millis(3_000);
 
 /// How long another entry is polled after the store failed to answer.
@@ -41,8 +41,8 @@
 impl UpstreamSelector {
     /// Selects an upstream. `local` yields the entries of the local region.
     ///
-    /// They are ranked by link bandwidth, because the source sends the changes to all
-    /// others. Ties are broken by name.
+    /// They are ranked by link bandwidth, because the source sends the changes
+    /// to all others. Ties are broken by name.
     pub fn choose<'a>(
         &mut self,
         now: Millis,
@@ -67,8 +67,8 @@
         }
     }
 
-    /// Returns whether other entries are expected to follow this entry, as of the last
-    /// call of [`choose`](Self::choose).
+    /// Returns whether other entries are expected to follow this entry, as of
+    /// the last call of [`choose`](Self::choose).
     #[must_use]
     pub fn has_followers(&self) -> bool {
         self.has_followers
--- a/src/policy/upstream/mod.rs
+++ b/src/policy/upstream/mod.rs
@@ -3,14 +3,14 @@
 //!
 //! Every call to the store is billed and counts towards its rate limits, so the
 //! number of calls must not grow with the number of entries. In each region one
-//! entry, the source, polls the store; the others poll the source, which keeps a
-//! [`ChangeLog`] of recent changes. This is a leader with followers, but without an
-//! election: [`UpstreamSelector`] ranks the entries that the store lists, and each
-//! entry follows the first in the ranking.
+//! entry, the source, polls the store; the others poll the source, which keeps
+//! a [`ChangeLog`] of recent changes. This is a leader with followers, but
+//! without an election: [`UpstreamSelector`] ranks the entries that the store
+//! lists, and each entry follows the first in the ranking.
 //!
 //! Correctness does not depend on a common view of all entries. An entry whose
-//! source is unresponsive or behind polls the store directly, and an entry that the
-//! store rejects polls another entry. See
+//! source is unresponsive or behind polls the store directly, and an entry that
+//! the store rejects polls another entry. See
 //! [docs/platform.md](../../../docs/platform.md).
 
 mod change_log;
--- a/tests/balance/shares.rs
+++ b/tests/balance/shares.rs
@@ -1,5 +1,5 @@
-//! Tests of limits that all entries share: retry budgets, the rate limit of cold
-//! targets, and the cap on shifts between regions.
+//! Tests of limits that all entries share: retry budgets, the rate limit of
+//! cold targets, and the cap on shifts between regions.
 
 use quickcheck::quickcheck;
 use savorybeam::{
@@ -18,8 +18,9 @@
 };
 
 quickcheck! {
-    /// Guards against retries that amplify an overload: in any window, all entries
-    /// together send at most the ratio of retries plus the fixed number.
+    /// Guards against retries that amplify an overload: in any window, all
+    /// entries together send at most the ratio of retries plus the fixed
+    /// number.
     fn all_entries_stay_within_the_retry_budget(entries: u8, steps: Vec<(u8, u8, bool)>) -> bool {
         let entries = usize::from(entries % 12) + 1;
         let mut budgets = vec![RetryBudget::new(); entries];
@@ -40,7 +41,8 @@
         retries.iter().all(|end| {
             let within = |at: &&Millis| **at <= *end && *end - **at <= LIMITS.window;
             let retry_count = retries.iter().filter(within).count();
-            // Earlier requests count as well, as in the measurement of the users.
+            // Earlier requests count as well, as in the measurement of the
+            // users.
             let request_count = requests.iter().filter(|at| **at <= *end).count();
             #[expect(clippy::cast_precision_loss)]
             let limit = request_count as f64 * LIMITS.ratio + LIMITS.slack;
@@ -48,8 +50,8 @@
         })
     }
 
-    /// Guards against overloading a cold target because each entry uses the whole
-    /// rate instead of its share.
+    /// Guards against overloading a cold target because each entry uses the
+    /// whole rate instead of its share.
     fn all_entries_stay_within_the_cold_rate(entries: u8, max_rate: u8, target: u64) -> bool {
         let names: Vec<u64> = (0..=u64::from(entries)).map(|n| n.wrapping_mul(0x9e37_79b9)).collect();
         let max_rate = f64::from(max_rate);
@@ -60,8 +62,9 @@
         f64::from(u32::try_from(all).expect("few")) <= max_rate
     }
 
-    /// Guards the cap on shifts between regions: for any sequence of preferences, the
-    /// overflow fraction changes by at most the cap within two seconds.
+    /// Guards the cap on shifts between regions: for any sequence of
+    /// preferences, the overflow fraction changes by at most the cap within two
+    /// seconds.
     fn overflow_changes_stay_within_the_shift_cap(preferences: Vec<(u8, bool)>) -> bool {
         let mut overflow = Overflow::new(0.3);
         let mut now = Millis(1_000);
@@ -81,8 +84,8 @@
     }
 }
 
-/// Guards against cold caches: while the overflow fraction grows, objects that have
-/// moved to another region stay there.
+/// Guards against cold caches: while the overflow fraction grows, objects that
+/// have moved to another region stay there.
 #[test]
 fn growing_overflow_only_adds_objects() {
     let mut overflow = Overflow::new(0.0);
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -1,6 +1,6 @@
-//! A simulation of entries and targets in virtual time. Targets have slots, a queue,
-//! a limited number of warm objects, and noisy neighbours that slow them down for
-//! short periods.
+//! A simulation of entries and targets in virtual time. Targets have slots, a
+//! queue, a limited number of warm objects, and noisy neighbours that slow them
+//! down for short periods.
 
 use std::{
     cmp::Reverse,
@@ -122,8 +122,8 @@
     Answer(usize, usize),
 }
 
-/// Simulates a load with one entry in each region. The first fifth of the run, in
-/// which caches warm up, is not counted.
+/// Simulates a load with one entry in each region. The first fifth of the run,
+/// in which caches warm up, is not counted.
 pub fn simulate(load: &Load, seed: u64) -> Counts {
     Simulation::new(load, seed).run()
 }
@@ -322,7 +322,8 @@
         let s = &mut self.targets[target];
         s.running -= 1;
         if let Some(next) = s.waiting.pop_front() {
-            // A request is dropped from the queue once its caller has timed out.
+            // A request is dropped from the queue once its caller has timed
+            // out.
             if now - next.arrived < Millis(800) {
                 self.start(now, target, next.entry);
             } else {
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -1,5 +1,5 @@
-//! Tests of targets that drain, expire, fail, become unresponsive, start cold, join
-//! or register again.
+//! Tests of targets that drain, expire, fail, become unresponsive, start cold,
+//! join or register again.
 
 use std::{collections::BTreeSet, fmt::Write};
 
@@ -57,8 +57,9 @@
         self.pool.choose(&ctx, &req)
     }
 
-    /// Returns how many of ten requests each target gets. Each request ends after
-    /// 120 ms, with the given outcome at the failing target and an answer elsewhere.
+    /// Returns how many of ten requests each target gets. Each request ends
+    /// after 120 ms, with the given outcome at the failing target and an answer
+    /// elsewhere.
     fn spread(&mut self, failing: Option<(usize, Ending)>) -> [u32; 3] {
         let mut counts = [0; 3];
         for _ in 0..10 {
@@ -76,7 +77,8 @@
     }
 }
 
-/// Guards against sending requests to a target that has announced that it drains.
+/// Guards against sending requests to a target that has announced that it
+/// drains.
 #[test]
 fn a_draining_target_gets_no_requests() {
     let mut bench = Bench::new();
@@ -94,8 +96,8 @@
     assert_eq!(bench.spread(None), [0, 0, 10]);
 }
 
-/// Guards against taking a target for idle because this entry has no recent report
-/// of it, while all reports from its region show long queues.
+/// Guards against taking a target for idle because this entry has no recent
+/// report of it, while all reports from its region show long queues.
 #[test]
 fn a_target_without_reports_gets_the_load_of_its_region() {
     let mut bench = Bench::new();
@@ -123,8 +125,8 @@
     insta::assert_snapshot!(text);
 }
 
-/// Tests outlier ejection: consecutive failures eject a target for a limited time.
-/// Otherwise a dead target would fail every request that is sent to it.
+/// Tests outlier ejection: consecutive failures eject a target for a limited
+/// time. Otherwise a dead target would fail every request that is sent to it.
 #[test]
 fn failing_targets_are_ejected_for_a_time() {
     let mut text = String::new();
@@ -177,8 +179,8 @@
     assert_eq!(bench.choose(&tried), Err(ChooseError::NoTarget));
 }
 
-/// Tests slow start: a cold target gets at most this entry's share of requests per
-/// second.
+/// Tests slow start: a cold target gets at most this entry's share of requests
+/// per second.
 #[test]
 fn a_cold_target_gets_at_most_its_share() {
     let mut bench = Bench::new();
@@ -226,8 +228,8 @@
     changes.len()
 }
 
-/// Guards against removing all targets whose registrations expired during an outage
-/// of the store, and against keeping targets that have left.
+/// Guards against removing all targets whose registrations expired during an
+/// outage of the store, and against keeping targets that have left.
 #[test]
 fn only_mass_expiry_after_an_outage_has_a_grace_period() {
     let (mut registry, eight) = registered(8, 10);
@@ -249,8 +251,8 @@
     insta::assert_snapshot!(text);
 }
 
-/// Guards against a delayed copy of an old registration that reverts the state of
-/// the target.
+/// Guards against a delayed copy of an old registration that reverts the state
+/// of the target.
 #[test]
 fn an_older_registration_is_ignored() {
     let (mut registry, _) = registered(0, 0);
@@ -265,8 +267,9 @@
     assert_eq!(results, [true, false, true, false, true]);
 }
 
-/// Guards against forwarding heartbeats to all entries, and against taking a change
-/// for a heartbeat. Each pair differs in one field besides the sequence number.
+/// Guards against forwarding heartbeats to all entries, and against taking a
+/// change for a heartbeat. Each pair differs in one field besides the sequence
+/// number.
 #[test]
 fn only_heartbeats_return_no_change() {
     let first = Instance {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -1,5 +1,5 @@
-//! Tests of routing. A request that matches the wrong rule would reach a service to
-//! which the configuration does not send it.
+//! Tests of routing. A request that matches the wrong rule would reach a
+//! service to which the configuration does not send it.
 
 use std::collections::BTreeMap;
 
@@ -76,8 +76,8 @@
     insta::assert_snapshot!(found.join("\n"));
 }
 
-/// Guards against an invalid configuration that replaces the current one. Each error
-/// must name the rule.
+/// Guards against an invalid configuration that replaces the current one. Each
+/// error must name the rule.
 #[test]
 fn invalid_rules_are_rejected() {
     let mut no_timeout = rule("a.example", "/s/", &[("slots", 1.0)]);
@@ -99,8 +99,8 @@
 }
 
 quickcheck! {
-    /// Guards against a traffic split that deviates from its weights, even with little
-    /// traffic.
+    /// Guards against a traffic split that deviates from its weights, even with
+    /// little traffic.
     fn a_split_matches_its_weights(weights: (u8, u8, u8), seed: u64) -> bool {
         let weights = [weights.0, weights.1, weights.2].map(|w| f64::from(w) + 1.0);
         let names = ["bookings", "kits", "slots"];
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -1,6 +1,6 @@
-//! Tests of the selection of upstreams and of the change log. The number of calls to
-//! the store must not grow with the number of entries, and an entry whose source has
-//! failed must not fall behind.
+//! Tests of the selection of upstreams and of the change log. The number of
+//! calls to the store must not grow with the number of entries, and an entry
+//! whose source has failed must not fall behind.
 
 use std::{collections::BTreeMap, fmt::Write, net::SocketAddr};
 
@@ -26,8 +26,8 @@
     format!("edge-{n}").parse().expect("a name")
 }
 
-/// Guards against entries that have the same view but follow different sources, and
-/// against an entry that keeps polling an upstream that has failed.
+/// Guards against entries that have the same view but follow different sources,
+/// and against an entry that keeps polling an upstream that has failed.
 #[test]
 fn entries_follow_the_widest_link_and_avoid_failures() {
     let all = [entry(1, 10), entry(2, 100), entry(3, 100)];
@@ -56,8 +56,8 @@
     insta::assert_snapshot!(text);
 }
 
-/// The polling intervals of an entry with followers and of one without that polls
-/// the store.
+/// The polling intervals of an entry with followers and of one without that
+/// polls the store.
 const SOURCE_INTERVAL: Millis = Millis(750);
 const DIRECT_INTERVAL: Millis = Millis(1_375);
 
@@ -153,8 +153,8 @@
 }
 
 quickcheck! {
-    /// Guards against a log that omits a change after a requested revision, or that
-    /// claims to be complete although it has dropped changes.
+    /// Guards against a log that omits a change after a requested revision, or
+    /// that claims to be complete although it has dropped changes.
     fn the_log_returns_all_later_changes(batches: Vec<Vec<(u8, u8)>>, after: u8) -> bool {
         let mut log = ChangeLog::default();
         let mut states = vec![BTreeMap::new()];
@@ -177,8 +177,8 @@
     }
 }
 
-/// Guards against a log that grows without bound, and against one that reports no
-/// changes to an entry that is too far behind.
+/// Guards against a log that grows without bound, and against one that reports
+/// no changes to an entry that is too far behind.
 #[test]
 fn dropped_changes_are_reported_as_missing() {
     let mut log = ChangeLog::default();
