--- a/examples/bench/cost.rs
+++ b/examples/bench/cost.rs
@@ -11,7 +11,7 @@
     policy::{
         queue::{Queue, Ticket},
         retry::{Attempt, Budget, Window},
-        target::{Ask, Finish, Pool},
+        target::{Completion, Criteria, Pool},
     },
 };
 
@@ -54,20 +54,20 @@
     let mut pool = Pool::new();
     pool.adopt(Millis(0), &places);
     let mut rng = SmallRng::seed_from_u64(1);
-    let ask = Ask {
+    let ask = Criteria {
         lane: Lane::Short,
         places: &weights,
-        avoid: &[],
+        excluded: &[],
         extra: false,
         explore: true,
-        pressed: false,
+        accept_slow: false,
     };
     mean(|n| {
         let now = Millis(n / 10);
         if let Ok(choice) = pool.choose(now, &mut rng, &ask, |_, _| 4) {
             pool.started(choice.target, Lane::Short);
             let time = Millis(10 + n % 10);
-            pool.finished(now, choice.target, Lane::Short, Finish::Done, time);
+            pool.finished(now, choice.target, Lane::Short, Completion::Answered, time);
         }
     })
 }
@@ -81,7 +81,7 @@
             arrived: Millis(n),
             deadline: Millis(n + 5000),
             lane: Lane::Short,
-            length: Millis(20),
+            expected_duration: Millis(20),
             priority: Priority::Normal,
         };
         let _ = black_box(queue.offer(Millis(n), &mut rng, ticket, Millis(20), n));
@@ -101,12 +101,12 @@
         count: 1,
         first: Millis(0),
         deadline: Millis(u64::MAX),
-        length: Millis(20),
+        expected_duration: Millis(20),
         strikes: 0,
         shedding: false,
     };
     mean(|n| {
-        budget.earn();
+        budget.deposit();
         window.add(Millis(n / 10), Millis(10 + n % 100));
         let _ = black_box(budget.hedge(Millis(n), &attempt));
     })
--- a/examples/bench/steered/mod.rs
+++ b/examples/bench/steered/mod.rs
@@ -10,9 +10,9 @@
 use savorybeam::{
     domain::{Lane, Millis, PlaceName, TargetId},
     policy::{
-        queue::{Lengths, Queue, Ticket, WaitId},
+        queue::{Queue, RouteDurations, Ticket, WaitId},
         retry::{self, Attempt, Budget, Window},
-        target::{Ask, Finish, Pool, Report},
+        target::{Completion, Criteria, LoadReport, Pool},
     },
 };
 
@@ -30,7 +30,7 @@
 struct Own {
     pool: Pool,
     queue: Queue<usize>,
-    lengths: Lengths,
+    lengths: RouteDurations,
     budget: Budget,
     windows: [Window; 2],
     /// Until when the entry waits for an answer to its last question for units.
@@ -153,7 +153,7 @@
             arrived: core.millis(),
             deadline: Millis(deadline / MILLI),
             lane: live.lane,
-            length: live.length,
+            expected_duration: live.length,
             priority: r.kind.priority(),
         };
         own.queue.resize(self.loans.sums(r.service, entry).0);
@@ -189,7 +189,7 @@
                 Lane::Short
             };
             let started = self.start(core, entry, service, lane)
-                || (self.owns[entry][service].queue.has_room(other)
+                || (self.owns[entry][service].queue.can_start(other)
                     && self.start(core, entry, service, other));
             if !started {
                 break;
@@ -224,7 +224,7 @@
             return false;
         };
         if core.tries[request] == 0 {
-            own.budget.earn();
+            own.budget.deposit();
         }
         self.send(core, entry, request, target);
         true
@@ -241,13 +241,13 @@
     ) -> Option<usize> {
         let r = core.requests[request];
         let own = &mut self.owns[entry][r.service];
-        let ask = Ask {
+        let ask = Criteria {
             lane: self.live.get(&request)?.lane,
             places: &own.places,
-            avoid: used,
+            excluded: used,
             extra: !used.is_empty(),
             explore: r.kind != Kind::Booking,
-            pressed,
+            accept_slow: pressed,
         };
         let (loans, ids) = (&self.loans, &self.ids);
         let free = |target: TargetId, lane| loans.free(ids[&target], entry, lane);
@@ -273,13 +273,13 @@
         live.attempts.push(core.send(request, entry, target));
         let attempt = describe(core, live, request, &own.queue);
         let known = own.windows[at(live.lane)].percentiles();
-        if first && let Ok(at) = retry::hedge_at(&attempt, known) {
+        if first && let Ok(at) = retry::hedge_time(&attempt, known) {
             core.after((at - now).0 * MILLI, Event::Hedge(request));
         }
     }
 
     /// Takes an attempt back and records how it ended.
-    fn close(&mut self, core: &mut Core, attempt: usize, lane: Lane, finish: Finish) {
+    fn close(&mut self, core: &mut Core, attempt: usize, lane: Lane, finish: Completion) {
         let a = core.attempts[attempt];
         let service = core.requests[a.request].service;
         let own = &mut self.owns[a.entry][service];
@@ -287,10 +287,10 @@
         own.pool
             .finished(core.millis(), id(a.target), lane, finish, time);
         own.queue.finished(lane);
-        if finish == Finish::Done {
+        if finish == Completion::Answered {
             own.windows[at(lane)].add(core.millis(), time);
             let route = core.requests[a.request].kind.route();
-            own.lengths.learn(lane, route, time);
+            own.lengths.record(lane, route, time);
         }
         if let Some(to) = self.loans.release(a.target, a.entry, lane) {
             let delay = core.between(world::entry_region(a.entry), world::entry_region(to));
@@ -309,13 +309,13 @@
         };
         live.attempts.retain(|&other| other != attempt);
         if shed {
-            self.close(core, attempt, live.lane, Finish::Cancelled);
+            self.close(core, attempt, live.lane, Completion::Cancelled);
             let own = &mut self.owns[a.entry][service];
             own.pool.shed(core.millis(), id(a.target), Millis(1000));
             self.live.insert(a.request, live);
             self.failed(core, a.entry, a.request);
         } else {
-            self.close(core, attempt, live.lane, Finish::Done);
+            self.close(core, attempt, live.lane, Completion::Answered);
             self.drop_attempts(core, &live);
             core.respond(a.request, true);
         }
@@ -324,7 +324,7 @@
 
     fn drop_attempts(&mut self, core: &mut Core, live: &Live) {
         for &attempt in &live.attempts {
-            self.close(core, attempt, live.lane, Finish::Cancelled);
+            self.close(core, attempt, live.lane, Completion::Cancelled);
             core.cancel(attempt);
         }
     }
@@ -363,7 +363,7 @@
             return;
         };
         let own = &mut self.owns[entry][r.service];
-        if live.attempts.len() != 1 || !own.queue.has_room(live.lane) {
+        if live.attempts.len() != 1 || !own.queue.can_start(live.lane) {
             return;
         }
         let attempt = describe(core, &live, request, &own.queue);
@@ -415,8 +415,8 @@
     fn report(&mut self, core: &Core) {
         let now = core.millis();
         for (target, &load) in core.reports.iter().enumerate() {
-            let report = Report {
-                at: now - Millis(2000),
+            let report = LoadReport {
+                measured_at: now - Millis(2000),
                 load,
             };
             for owns in &mut self.owns {
@@ -436,8 +436,8 @@
         count: live.used.len() as u32,
         first: live.first,
         deadline: Millis(deadline / MILLI),
-        length: live.length,
+        expected_duration: live.length,
         strikes: 0,
-        shedding: queue.pressure(core.millis(), Lane::Short) > 50,
+        shedding: queue.head_wait_percent(core.millis(), Lane::Short) > 50,
     }
 }
--- a/src/app/entry/grants.rs
+++ b/src/app/entry/grants.rs
@@ -17,7 +17,7 @@
         limit::Permit,
         queue::WaitId,
         refusal::{Code, Refusal},
-        target::{Choice, Finish},
+        target::{Choice, Completion},
     },
 };
 
@@ -93,7 +93,7 @@
     let until = job.deadline.min(now() + UNITS);
     loop {
         match place(state, job) {
-            Err(refusal) if refusal.code == Code::Limited && now() < until => {
+            Err(refusal) if refusal.code == Code::LimitReached && now() < until => {
                 tokio::time::sleep(LOOK.duration()).await;
             }
             result => return result,
@@ -135,7 +135,7 @@
             permit,
             started: (self.ports.clock.now)(),
             head: None,
-            finish: Finish::Cancelled,
+            finish: Completion::Cancelled,
         };
         Slot::new(used, Arc::new(move |used| state.take_back(used)))
     }
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -227,7 +227,7 @@
             members.remove(&seat.entry, seat.incarnation);
         }
         if let Ok(name) = fleet::ROSTER.parse() {
-            self.fleet.spread().adopted(&name, Revision(epoch.0));
+            self.fleet.spread().on_adopted(&name, Revision(epoch.0));
         }
         (self.events.emit)(
             Kind::RosterChanged,
@@ -328,7 +328,7 @@
             if l.admit(amount, now) {
                 return None;
             }
-            Some(l.request(now))
+            Some(l.request_units(now))
         });
         match asked.flatten() {
             None => true,
