Call the test setup of load balancing a fixture

Bench and spread did not say what they are; they are now Fixture and distribution. The second parameter of instance() is the zone. Behaviour is unchanged.

--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -29,12 +29,12 @@
     (0..3).map(|n| (az(n), region(n))).collect()
 }
 
-pub fn instance(n: usize, at: usize, slots: u32) -> Instance {
+pub fn instance(n: usize, zone: usize, slots: u32) -> Instance {
     Instance {
         id: format!("i-{n}").parse().expect("an id"),
         service: "slotboard".parse().expect("a name"),
         addr: format!("10.0.0.{n}:80").parse().expect("an address"),
-        az: format!("az-{at}").parse().expect("a name"),
+        az: format!("az-{zone}").parse().expect("a name"),
         slots: Slots(slots),
         state: InstanceState::Ready,
         cold: Millis(0),
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -14,13 +14,13 @@
 use super::simulation::{addr, instance, region, rule, zones};
 
 /// A pool of three targets and a virtual clock.
-struct Bench {
+struct Fixture {
     pool: Pool,
     now: Millis,
     evacuated: BTreeSet<savorybeam::domain::AzName>,
 }
 
-impl Bench {
+impl Fixture {
     /// Adds two targets in the local region and one in another region.
     fn new() -> Self {
         let mut pool = Pool::new();
@@ -60,7 +60,7 @@
     /// Returns how many of ten requests each target gets. Each request ends
     /// after 120 ms, with the given outcome at the failing target and an answer
     /// elsewhere.
-    fn spread(&mut self, failing: Option<(usize, Ending)>) -> [u32; 3] {
+    fn distribution(&mut self, failing: Option<(usize, Ending)>) -> [u32; 3] {
         let mut counts = [0; 3];
         for _ in 0..10 {
             let Ok(choice) = self.choose(&[]) else {
@@ -81,26 +81,26 @@
 /// drains.
 #[test]
 fn a_draining_target_gets_no_requests() {
-    let mut bench = Bench::new();
+    let mut fixture = Fixture::new();
     let mut leaving = instance(0, 0, 2);
     leaving.state = InstanceState::Draining;
-    bench.pool.put(bench.now, leaving, &zones());
-    assert_eq!(bench.spread(None)[0], 0);
+    fixture.pool.put(fixture.now, leaving, &zones());
+    assert_eq!(fixture.distribution(None)[0], 0);
 }
 
 /// Guards against sending requests to an availability zone that is evacuated.
 #[test]
 fn an_evacuated_zone_gets_no_requests() {
-    let mut bench = Bench::new();
-    bench.evacuated.insert("az-0".parse().expect("a name"));
-    assert_eq!(bench.spread(None), [0, 0, 10]);
+    let mut fixture = Fixture::new();
+    fixture.evacuated.insert("az-0".parse().expect("a name"));
+    assert_eq!(fixture.distribution(None), [0, 0, 10]);
 }
 
 /// Guards against taking a target for idle because this entry has no recent
 /// report of it, while all reports from its region show long queues.
 #[test]
 fn a_target_without_reports_gets_the_load_of_its_region() {
-    let mut bench = Bench::new();
+    let mut fixture = Fixture::new();
     let full = LoadReport {
         running: 2,
         waiting: 6,
@@ -109,17 +109,20 @@
     };
     let mut text = String::new();
     for n in 0..12 {
-        let Ok(choice) = bench.choose(&["i-1".parse().expect("an id")]) else {
+        let Ok(choice) = fixture.choose(&["i-1".parse().expect("an id")]) else {
             break;
         };
         let Ticket { id, load, .. } = &choice.ticket;
         writeln!(text, "request {n}: {id} with {load:.1}").expect("a string");
-        bench.now = bench.now + Millis(120);
+        fixture.now = fixture.now + Millis(120);
         let report = (*id == instance(0, 0, 2).id).then_some(full);
         let ending = Ending::Answered;
-        bench.pool.finish(bench.now, &choice.ticket, ending, report);
+        fixture
+            .pool
+            .finish(fixture.now, &choice.ticket, ending, report);
     }
-    let unreported = bench.choose(&["i-0".parse().expect("an id"), "i-2".parse().expect("an id")]);
+    let unreported =
+        fixture.choose(&["i-0".parse().expect("an id"), "i-2".parse().expect("an id")]);
     let unreported = unreported.map(|c| format!("{} with {:.1}", c.ticket.id, c.ticket.load));
     writeln!(text, "without reports: {unreported:?}").expect("a string");
     insta::assert_snapshot!(text);
@@ -136,10 +139,10 @@
         Ending::Broken,
         Ending::Rejected,
     ] {
-        let mut bench = Bench::new();
-        let early = bench.spread(Some((0, ending)));
-        bench.now = bench.now + Millis(6_000);
-        let later = bench.spread(None);
+        let mut fixture = Fixture::new();
+        let early = fixture.distribution(Some((0, ending)));
+        fixture.now = fixture.now + Millis(6_000);
+        let later = fixture.distribution(None);
         writeln!(text, "{ending:?}: {early:?}, after 6 s {later:?}").expect("a string");
     }
     insta::assert_snapshot!(text);
@@ -149,20 +152,20 @@
 /// otherwise seem idle once its requests are cancelled.
 #[test]
 fn an_unresponsive_target_gets_few_requests() {
-    let mut bench = Bench::new();
+    let mut fixture = Fixture::new();
     let mut unanswered = 0;
     for _ in 0..40 {
-        let Ok(choice) = bench.choose(&[]) else {
+        let Ok(choice) = fixture.choose(&[]) else {
             continue;
         };
-        bench.now = bench.now + Millis(50);
+        fixture.now = fixture.now + Millis(50);
         if choice.addr == addr(0) {
             // The request never ends, as after a power failure of the target.
             unanswered += 1;
         } else {
-            bench
+            fixture
                 .pool
-                .finish(bench.now, &choice.ticket, Ending::Answered, None);
+                .finish(fixture.now, &choice.ticket, Ending::Answered, None);
         }
     }
     assert!(
@@ -174,24 +177,24 @@
 /// Guards against retrying a request on a target that has already failed it.
 #[test]
 fn tried_targets_are_not_eligible() {
-    let mut bench = Bench::new();
+    let mut fixture = Fixture::new();
     let tried: Vec<InstanceId> = (0..3).map(|n| instance(n, 0, 1).id).collect();
-    assert_eq!(bench.choose(&tried), Err(ChooseError::NoTarget));
+    assert_eq!(fixture.choose(&tried), Err(ChooseError::NoTarget));
 }
 
 /// Tests slow start: a cold target gets at most this entry's share of requests
 /// per second.
 #[test]
 fn a_cold_target_gets_at_most_its_share() {
-    let mut bench = Bench::new();
+    let mut fixture = Fixture::new();
     for n in 0..3 {
         let mut cold = instance(n, 0, 2);
         cold.cold = Millis(5_000);
-        bench.pool.put(bench.now, cold, &zones());
+        fixture.pool.put(fixture.now, cold, &zones());
     }
     // A rate of 3 for two entries leaves one request per second for this entry.
     let mut taken = [0; 3];
-    while let Ok(choice) = bench.choose(&[]) {
+    while let Ok(choice) = fixture.choose(&[]) {
         let at = (0..3).find(|n| addr(*n) == choice.addr).expect("known");
         taken[at] += 1;
     }
@@ -202,10 +205,10 @@
 /// shows whether it works.
 #[test]
 fn a_new_target_gets_a_probe_request() {
-    let mut bench = Bench::new();
-    bench.spread(None);
-    bench.pool.put(bench.now, instance(3, 0, 2), &zones());
-    let choice = bench.choose(&[]).expect("a target");
+    let mut fixture = Fixture::new();
+    fixture.distribution(None);
+    fixture.pool.put(fixture.now, instance(3, 0, 2), &zones());
+    let choice = fixture.choose(&[]).expect("a target");
     assert_eq!(choice.addr, addr(3));
 }
 
