--- a/tests/claim_messages.rs
+++ b/tests/claim_messages.rs
@@ -1,5 +1,5 @@
-//! Guards the encoding of claims and strikes: a field that is lost on the way
-//! could grant a key twice.
+//! Tests the encoding of the messages for claims and strikes. A field that is lost
+//! in the encoding could allow a second execution of a key.
 
 use std::sync::Arc;
 
@@ -11,17 +11,19 @@
     adapters::grpc::claim::{Claim, ClaimReply, Copied, Strikes, Vote},
     domain::{Epoch, Incarnation, Millis, Size},
     policy::{
-        crash::{self, Count},
+        crash::{self, MemberCount},
         once::{
-            self, Answer, AttemptId, Bucket, ClaimKey, Fingerprint, Holder, HomeSet, Limits,
-            Member, Page, Read, Reason, Register, Release, Reply, Request, Response, State,
+            self, Answer, AttemptId, Bucket, ClaimKey, ClaimLimits, ClaimState, ClaimTable,
+            Fingerprint, Holder, HomeRequest, HomeResponse, HomeSet, Member, RefusalReason,
+            Release, TransferPage, TransferRequest, VoteReply,
         },
     },
 };
 
-/// The limit of a message between entries.
-const MESSAGE: usize = 256 * 1024;
+/// The maximum size of a message between entries, in bytes.
+const MESSAGE_MAX: usize = 256 * 1024;
 
+/// Generates random values of the message types.
 struct Random(SmallRng);
 
 impl Random {
@@ -65,8 +67,8 @@
         self.0.random_bool(0.5).then(|| Arc::new(answer))
     }
 
-    fn read(&mut self) -> Read {
-        Read {
+    fn transfer_request(&mut self) -> TransferRequest {
+        TransferRequest {
             bucket: Bucket(self.0.random_range(0..Bucket::COUNT)),
             former: Epoch(self.number()),
             epoch: Epoch(self.number()),
@@ -74,87 +76,87 @@
         }
     }
 
-    fn request(&mut self) -> Request {
+    fn request(&mut self) -> HomeRequest {
         let attempt = AttemptId(self.number());
         match self.0.random_range(0..4) {
-            0 => Request::Vote(once::Vote {
+            0 => HomeRequest::Vote(once::VoteRequest {
                 key: self.key(),
                 fingerprint: self.fingerprint(),
                 attempt,
                 claimant: self.member(),
                 epoch: Epoch(self.number()),
             }),
-            1 => Request::Release(Release {
+            1 => HomeRequest::Release(Release {
                 key: self.key(),
                 attempt,
             }),
-            2 => Request::Finish(once::Finish {
+            2 => HomeRequest::Finish(once::Finish {
                 key: self.key(),
                 fingerprint: self.fingerprint(),
                 attempt,
                 answer: self.answer(),
             }),
-            _ => Request::Read(self.read()),
+            _ => HomeRequest::Transfer(self.transfer_request()),
         }
     }
 
-    fn reason(&mut self) -> Reason {
+    fn reason(&mut self) -> RefusalReason {
         let epoch = Epoch(self.number());
         match self.0.random_range(0..6) {
-            0 => Reason::Stale(epoch),
-            1 => Reason::Behind(epoch),
-            2 => Reason::Away,
-            3 => Reason::Reading,
-            4 => Reason::Full,
-            _ => Reason::Released,
+            0 => RefusalReason::Stale(epoch),
+            1 => RefusalReason::Behind(epoch),
+            2 => RefusalReason::NotHome,
+            3 => RefusalReason::Transferring,
+            4 => RefusalReason::Full,
+            _ => RefusalReason::Released,
         }
     }
 
-    fn copied(&mut self) -> once::Copied {
-        let finished = State::Finished {
+    fn copied(&mut self) -> once::CopiedClaim {
+        let finished = ClaimState::Finished {
             fingerprint: self.fingerprint(),
             answer: self.answer(),
         };
-        let held = State::Held(self.holders());
-        once::Copied {
+        let held = ClaimState::Held(self.holders());
+        once::CopiedClaim {
             key: self.key(),
             state: if self.0.random_bool(0.5) {
                 held
             } else {
                 finished
             },
-            left: Millis(self.number()),
+            remaining: Millis(self.number()),
         }
     }
 
-    fn response(&mut self) -> Response {
+    fn response(&mut self) -> HomeResponse {
         let epoch = Epoch(self.number());
         match self.0.random_range(0..8) {
-            0 => Response::Vote(epoch, Reply::Granted),
-            1 => Response::Vote(epoch, Reply::Held(self.holders())),
-            2 => Response::Vote(epoch, Reply::Finished(self.answer())),
-            3 => Response::Vote(epoch, Reply::Reused),
-            4 => Response::Vote(epoch, Reply::Refused(self.reason())),
-            5 => Response::Noted(self.0.random()),
-            6 => Response::Page(Err(self.reason())),
-            _ => Response::Page(Ok(Page {
-                read: self.read(),
+            0 => HomeResponse::Vote(epoch, VoteReply::Granted),
+            1 => HomeResponse::Vote(epoch, VoteReply::Held(self.holders())),
+            2 => HomeResponse::Vote(epoch, VoteReply::Finished(self.answer())),
+            3 => HomeResponse::Vote(epoch, VoteReply::KeyReused),
+            4 => HomeResponse::Vote(epoch, VoteReply::Refused(self.reason())),
+            5 => HomeResponse::Acknowledged(self.0.random()),
+            6 => HomeResponse::Page(Err(self.reason())),
+            _ => HomeResponse::Page(Ok(TransferPage {
+                request: self.transfer_request(),
                 claims: (0..3).map(|_| self.copied()).collect(),
                 last: self.0.random(),
             })),
         }
     }
 
-    fn strike(&mut self) -> crash::Strike {
+    fn strike(&mut self) -> crash::StrikeNotice {
         let count = |_| {
-            let numbers = Count {
+            let numbers = MemberCount {
                 total: self.0.random(),
                 cleared: self.0.random(),
             };
             (self.member(), numbers)
         };
-        crash::Strike {
-            tally: (0..3).map(count).collect(),
+        crash::StrikeNotice {
+            counter: (0..3).map(count).collect(),
             fingerprint: self.fingerprint(),
             age: Millis(self.number()),
         }
@@ -162,7 +164,7 @@
 }
 
 quickcheck! {
-    fn messages_read_back(seed: u64) -> bool {
+    fn messages_round_trip(seed: u64) -> bool {
         let mut random = Random(SmallRng::seed_from_u64(seed));
         let (sender, epoch) = (random.member(), Epoch(random.number()));
         let request = random.request();
@@ -175,14 +177,14 @@
         assert_eq!(read, Ok(Ok((sender, epoch, response))));
         let strikes = vec![random.strike(), random.strike()];
         let bytes = Strikes::from(&strikes[..]).encode_to_vec();
-        let read = Strikes::decode(&bytes[..]).map(Vec::<crash::Strike>::try_from);
+        let read = Strikes::decode(&bytes[..]).map(Vec::<crash::StrikeNotice>::try_from);
         read == Ok(Ok(strikes))
     }
 
-    fn any_bytes_are_read_or_refused(bytes: Vec<u8>) -> bool {
+    fn decoding_arbitrary_bytes_does_not_panic(bytes: Vec<u8>) -> bool {
         let _ = Claim::decode(&bytes[..]).map(Claim::into_parts);
         let _ = ClaimReply::decode(&bytes[..]).map(ClaimReply::into_parts);
-        let _ = Strikes::decode(&bytes[..]).map(Vec::<crash::Strike>::try_from);
+        let _ = Strikes::decode(&bytes[..]).map(Vec::<crash::StrikeNotice>::try_from);
         true
     }
 }
@@ -198,19 +200,20 @@
             .into_parts()
             .expect_err("no result")
             .to_string(),
-        once::Vote::try_from(Vote::default())
+        once::VoteRequest::try_from(Vote::default())
             .expect_err("no key")
             .to_string(),
-        once::Copied::try_from(Copied::default())
+        once::CopiedClaim::try_from(Copied::default())
             .expect_err("no state")
             .to_string(),
     ];
     insta::assert_snapshot!(errors.join("\n"));
 }
 
-/// The largest claims there can be must still travel, in pages below the limit.
+/// Claims of the maximum size must be transferred completely, in pages below the
+/// maximum size of a message.
 #[test]
-fn pages_fit_in_a_message_and_lose_nothing() {
+fn pages_fit_in_a_message_and_transfer_all_claims() {
     let long = |i: u64| ClaimKey {
         service: "s".repeat(63).parse().expect("a name"),
         key: format!("{i:0>255}").parse().expect("a key"),
@@ -226,24 +229,24 @@
         epoch: Epoch(epoch),
         members: names.iter().map(|n| me(n)).collect(),
     };
-    let limits = Limits {
+    let limits = ClaimLimits {
         claims: 1000,
         answers: Size::kib(10_000),
     };
     let (former, next) = (set(1, &["a"]), set(2, &["b"]));
-    let mut source = Register::new(me("a"), bucket, limits);
+    let mut source = ClaimTable::new(me("a"), bucket, limits);
     source.adopt(&HomeSet::default(), &former);
     let header = vec![b'x'; 1024];
     for (i, key) in keys.iter().enumerate() {
         if i % 4 == 0 {
-            let vote = once::Vote {
+            let vote = once::VoteRequest {
                 key: key.clone(),
                 fingerprint: Fingerprint(u128::MAX),
                 attempt: AttemptId(1),
                 claimant: me("c"),
                 epoch: Epoch(1),
             };
-            assert_eq!(source.vote(&vote, Millis(0)), Reply::Granted);
+            assert_eq!(source.vote(&vote, Millis(0)), VoteReply::Granted);
             continue;
         }
         let names = [
@@ -263,19 +266,20 @@
         };
         assert!(source.finish(&finish, Millis(0)));
     }
-    // A claim that is left out for want of room could be executed again.
-    let small = Limits {
+    // The reader imports claims beyond its limit, because a key whose claim is left
+    // out could be executed again.
+    let small = ClaimLimits {
         claims: 1,
         ..limits
     };
-    let mut reader = Register::new(me("b"), bucket, small);
+    let mut reader = ClaimTable::new(me("b"), bucket, small);
     reader.adopt(&former, &next);
     let mut pages = 0;
-    while let Some((from, read)) = reader.reads().pop() {
-        let response = source.handle(&Request::Read(read), Millis(1));
+    while let Some((from, read)) = reader.transfer_requests().pop() {
+        let response = source.handle(&HomeRequest::Transfer(read), Millis(1));
         let size = ClaimReply::new(&from, Epoch(2), &response).encoded_len();
-        assert!(size < MESSAGE, "a page takes {size} bytes");
-        let Response::Page(Ok(page)) = response else {
+        assert!(size < MESSAGE_MAX, "a page takes {size} bytes");
+        let HomeResponse::Page(Ok(page)) = response else {
             panic!("the source is ready");
         };
         reader.on_page(&from, page, Millis(5));
