--- a/examples/claim_slope/main.rs
+++ b/examples/claim_slope/main.rs
@@ -15,7 +15,7 @@
 use bytes::Bytes;
 use prost::Message;
 use savorybeam::{
-    adapters::grpc::claim::{Claim, ClaimReply},
+    adapters::grpc::claim::{ClaimReply, ClaimRequest},
     domain::{Epoch, Incarnation, Millis, Size},
     policy::once::{
         Answer, AttemptId, Bucket, ClaimKey, ClaimLimits, ClaimTable, Fingerprint, Finish,
@@ -103,8 +103,8 @@
                 "answer" => HomeRequest::Finish(finish(&vote(i))),
                 _ => HomeRequest::Vote(vote(i)),
             };
-            let bytes = Claim::new(&member(1), Epoch(1), &request).encode_to_vec();
-            let claim = Claim::decode(&bytes[..]).expect("our own message");
+            let bytes = ClaimRequest::new(&member(1), Epoch(1), &request).encode_to_vec();
+            let claim = ClaimRequest::decode(&bytes[..]).expect("our own message");
             let (_, _, request) = claim.into_parts().expect("our own message");
             let start = Instant::now();
             ask(&request);
@@ -127,15 +127,15 @@
         ("release", HomeRequest::Release(release)),
     ];
     for (name, request) in &samples {
-        let length = Claim::new(&member(1), Epoch(1), request).encoded_len();
+        let length = ClaimRequest::new(&member(1), Epoch(1), request).encoded_len();
         let response = ask(request);
         let reply = ClaimReply::new(&member(0), Epoch(1), &response).encoded_len();
         println!("{name}: {length} B, reply {reply} B, to each of three homes");
     }
     let start = Instant::now();
     for _ in 0..CLAIMS {
-        let bytes = Claim::new(&member(1), Epoch(1), &request).encode_to_vec();
-        let _ = black_box(Claim::decode(&bytes[..]).map(Claim::into_parts));
+        let bytes = ClaimRequest::new(&member(1), Epoch(1), &request).encode_to_vec();
+        let _ = black_box(ClaimRequest::decode(&bytes[..]).map(ClaimRequest::into_parts));
     }
     println!("encode and decode a vote: {:?}", start.elapsed() / CLAIMS);
     for entries in [9, 2800] {
--- a/src/adapters/grpc/changes/config.rs
+++ b/src/adapters/grpc/changes/config.rs
@@ -1,10 +1,10 @@
-//! The encoded configuration.
+//! The encoding of a [`Configuration`].
 
 use crate::domain::{
     CallerLimits, Configuration, Millis, ParseError, Part, Revision, Rule, ServiceRule, Size,
 };
 
-/// The encoded configuration.
+/// An encoded [`Configuration`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct ConfigMessage {
     #[prost(uint64, tag = "1")]
@@ -21,7 +21,7 @@
     services: Vec<ServiceMessage>,
 }
 
-/// The encoded rule.
+/// An encoded [`Rule`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct RuleMessage {
     #[prost(string, tag = "1")]
@@ -48,7 +48,7 @@
     parts: Vec<PartMessage>,
 }
 
-/// The encoded part of a rule.
+/// An encoded [`Part`] of a rule.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct PartMessage {
     #[prost(string, tag = "1")]
@@ -57,7 +57,7 @@
     weight: f64,
 }
 
-/// The encoded rule of a service.
+/// An encoded [`ServiceRule`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct ServiceMessage {
     #[prost(string, tag = "1")]
@@ -66,7 +66,7 @@
     cold_rate: f64,
 }
 
-pub(super) fn put_config(config: &Configuration) -> ConfigMessage {
+pub(super) fn encode_config(config: &Configuration) -> ConfigMessage {
     let service = |s: &ServiceRule| ServiceMessage {
         name: s.name.to_string(),
         cold_rate: s.cold_rate,
@@ -76,19 +76,19 @@
         head_bytes: config.limits.head.0,
         body_bytes: config.limits.body.0,
         idle_ms: config.limits.idle.0,
-        rules: config.rules.iter().map(put_rule).collect(),
+        rules: config.rules.iter().map(encode_rule).collect(),
         services: config.services.iter().map(service).collect(),
     }
 }
 
-pub(super) fn get_config(message: &ConfigMessage) -> Result<Configuration, ParseError> {
+pub(super) fn decode_config(message: &ConfigMessage) -> Result<Configuration, ParseError> {
     let service = |s: &ServiceMessage| {
         Ok(ServiceRule {
             name: s.name.parse()?,
             cold_rate: s.cold_rate,
         })
     };
-    let rules: Result<_, ParseError> = message.rules.iter().map(get_rule).collect();
+    let rules: Result<_, ParseError> = message.rules.iter().map(decode_rule).collect();
     let services: Result<_, ParseError> = message.services.iter().map(service).collect();
     Ok(Configuration {
         version: Revision(message.version),
@@ -102,7 +102,7 @@
     })
 }
 
-fn put_rule(rule: &Rule) -> RuleMessage {
+fn encode_rule(rule: &Rule) -> RuleMessage {
     let part = |p: &Part| PartMessage {
         service: p.service.to_string(),
         weight: p.weight,
@@ -122,7 +122,7 @@
     }
 }
 
-fn get_rule(message: &RuleMessage) -> Result<Rule, ParseError> {
+fn decode_rule(message: &RuleMessage) -> Result<Rule, ParseError> {
     let part = |p: &PartMessage| {
         Ok(Part {
             service: p.service.parse()?,
--- a/src/adapters/grpc/changes/messages.rs
+++ b/src/adapters/grpc/changes/messages.rs
@@ -1,32 +1,34 @@
-//! The encoded changes but for configurations.
+//! The encoding of changes, except for configurations.
 
-use super::config::{ConfigMessage, get_config, put_config};
+use super::config::{ConfigMessage, decode_config, encode_config};
 use crate::{
     domain::{Instance, Mbps, Millis, ParseError, Presence, Slots},
     ports::{Change, News},
 };
 
-/// The encoded question.
+/// A request for the changes after a revision.
 #[derive(Clone, Copy, prost::Message, PartialEq)]
-pub struct AskMessage {
-    /// The known revision, if any.
+pub struct ChangesRequest {
+    /// The revision up to which the sender knows all changes, if any.
     #[prost(uint64, optional, tag = "1")]
     pub after: Option<u64>,
-    /// How long to wait for news, in milliseconds.
+    /// How long to wait for further changes, in milliseconds.
     #[prost(uint64, tag = "2")]
     pub wait_ms: u64,
 }
 
-/// The encoded news.
+/// The reply with the changes after a revision.
 #[derive(Clone, prost::Message, PartialEq)]
-pub struct NewsMessage {
-    /// The revision up to which they are complete. Without it nothing is known.
+pub struct ChangesReply {
+    /// The revision up to which the changes are complete. It is absent if the
+    /// entry knows no state yet.
     #[prost(uint64, optional, tag = "1")]
     pub revision: Option<u64>,
-    /// How long ago the store knew just this, in milliseconds.
+    /// How long ago the store confirmed this state, in milliseconds.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
-    /// Whether some changes are gone.
+    /// Whether the entry no longer has all changes after the requested
+    /// revision.
     #[prost(bool, tag = "3")]
     pub compacted: bool,
     /// The changes.
@@ -34,7 +36,7 @@
     pub changes: Vec<ChangeMessage>,
 }
 
-/// An encoded change.
+/// An encoded [`Change`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct ChangeMessage {
     #[prost(oneof = "Kind", tags = "1, 2, 3, 4, 5, 6, 7")]
@@ -59,7 +61,7 @@
     Left(String),
 }
 
-/// The encoded registration of a target.
+/// An encoded [`Instance`], the registration of a target.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct InstanceMessage {
     #[prost(string, tag = "1")]
@@ -82,7 +84,7 @@
     born: Option<u64>,
 }
 
-/// The encoded presence of an entry.
+/// An encoded [`Presence`] of an entry.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct PresenceMessage {
     #[prost(string, tag = "1")]
@@ -99,11 +101,11 @@
     region: String,
 }
 
-/// Encodes news. Items that could not be read are not passed on, since whoever
-/// reads them has logged them.
-pub(super) fn put(news: &News) -> NewsMessage {
-    let changes = news.batch.changes.iter().filter_map(put_change);
-    NewsMessage {
+/// Encodes changes. Unreadable items are omitted: the entry that read them from
+/// the store has logged them already.
+pub(super) fn encode(news: &News) -> ChangesReply {
+    let changes = news.batch.changes.iter().filter_map(encode_change);
+    ChangesReply {
         revision: Some(news.batch.revision.0),
         age_ms: news.age.0,
         compacted: false,
@@ -111,39 +113,39 @@
     }
 }
 
-/// Decodes the changes of a message.
-pub(super) fn get(message: &NewsMessage) -> Result<Vec<Change>, ParseError> {
+/// Decodes the changes of a reply.
+pub(super) fn decode(message: &ChangesReply) -> Result<Vec<Change>, ParseError> {
     let kinds = message.changes.iter().filter_map(|c| c.kind.as_ref());
-    kinds.map(get_change).collect()
+    kinds.map(decode_change).collect()
 }
 
-fn put_change(change: &Change) -> Option<ChangeMessage> {
+fn encode_change(change: &Change) -> Option<ChangeMessage> {
     let kind = match change {
-        Change::Configured(config) => Kind::Configured(put_config(config)),
+        Change::Configured(config) => Kind::Configured(encode_config(config)),
         Change::Evacuated(az) => Kind::Evacuated(az.to_string()),
         Change::Restored(az) => Kind::Restored(az.to_string()),
-        Change::Registered(instance) => Kind::Registered(put_instance(instance)),
+        Change::Registered(instance) => Kind::Registered(encode_instance(instance)),
         Change::Unregistered(id) => Kind::Unregistered(id.to_string()),
-        Change::Joined(presence) => Kind::Joined(put_presence(presence)),
+        Change::Joined(presence) => Kind::Joined(encode_presence(presence)),
         Change::Left(name) => Kind::Left(name.to_string()),
         Change::Unreadable { .. } => return None,
     };
     Some(ChangeMessage { kind: Some(kind) })
 }
 
-fn get_change(kind: &Kind) -> Result<Change, ParseError> {
+fn decode_change(kind: &Kind) -> Result<Change, ParseError> {
     Ok(match kind {
-        Kind::Configured(config) => Change::Configured(Box::new(get_config(config)?)),
+        Kind::Configured(config) => Change::Configured(Box::new(decode_config(config)?)),
         Kind::Evacuated(az) => Change::Evacuated(az.parse()?),
         Kind::Restored(az) => Change::Restored(az.parse()?),
-        Kind::Registered(instance) => Change::Registered(get_instance(instance)?),
+        Kind::Registered(instance) => Change::Registered(decode_instance(instance)?),
         Kind::Unregistered(id) => Change::Unregistered(id.parse()?),
-        Kind::Joined(presence) => Change::Joined(get_presence(presence)?),
+        Kind::Joined(presence) => Change::Joined(decode_presence(presence)?),
         Kind::Left(name) => Change::Left(name.parse()?),
     })
 }
 
-fn put_instance(i: &Instance) -> InstanceMessage {
+fn encode_instance(i: &Instance) -> InstanceMessage {
     InstanceMessage {
         id: i.id.to_string(),
         service: i.service.to_string(),
@@ -157,7 +159,7 @@
     }
 }
 
-fn get_instance(i: &InstanceMessage) -> Result<Instance, ParseError> {
+fn decode_instance(i: &InstanceMessage) -> Result<Instance, ParseError> {
     Ok(Instance {
         id: i.id.parse()?,
         service: i.service.parse()?,
@@ -171,7 +173,7 @@
     })
 }
 
-fn put_presence(p: &Presence) -> PresenceMessage {
+fn encode_presence(p: &Presence) -> PresenceMessage {
     PresenceMessage {
         name: p.name.to_string(),
         front: p.front.to_string(),
@@ -182,7 +184,7 @@
     }
 }
 
-fn get_presence(p: &PresenceMessage) -> Result<Presence, ParseError> {
+fn decode_presence(p: &PresenceMessage) -> Result<Presence, ParseError> {
     let addr = |s: &str| {
         let addr = s.parse();
         addr.map_err(|_| ParseError::new("address", s, "an IP address and a port"))
--- a/src/adapters/grpc/changes/mod.rs
+++ b/src/adapters/grpc/changes/mod.rs
@@ -1,11 +1,12 @@
-//! `Changes`: what one entry knows of the platform, passed on to another.
+//! `Changes`: the method that relays changes of the platform's state from one
+//! entry to another.
 
 mod config;
 mod messages;
 
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
-pub use self::messages::{AskMessage, NewsMessage};
+pub use self::messages::{ChangesReply, ChangesRequest};
 use super::{
     peers::{CallError, Peers, Step},
     server::Routes,
@@ -17,32 +18,33 @@
 
 const CHANGES: &str = "Changes";
 
-/// How long a reply may take beyond the time for which the other entry waits.
-const SLACK: Millis = Millis(250);
+/// How long a reply may take beyond the time for which the peer waits for
+/// changes.
+const REPLY_MARGIN: Millis = Millis(250);
 
-/// Registers the closure that answers with what this entry knows.
+/// Registers the closure that returns the changes that this entry knows.
 #[must_use]
 pub fn serve_changes<F, Fut>(routes: Routes, f: F) -> Routes
 where
     F: Clone + Fn(Option<Revision>, Millis) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Result<News, AskError>> + Send + 'static,
 {
-    routes.route(CHANGES, move |message: AskMessage| {
+    routes.route(CHANGES, move |message: ChangesRequest| {
         let news = f(message.after.map(Revision), Millis(message.wait_ms));
         async move {
             Ok(match news.await {
-                Ok(news) => messages::put(&news),
-                Err(AskError::Compacted) => NewsMessage {
+                Ok(news) => messages::encode(&news),
+                Err(AskError::Compacted) => ChangesReply {
                     compacted: true,
-                    ..NewsMessage::default()
+                    ..ChangesReply::default()
                 },
-                Err(_) => NewsMessage::default(),
+                Err(_) => ChangesReply::default(),
             })
         }
     })
 }
 
-/// Opens the asking side.
+/// Returns the port that requests changes over `peers`.
 #[must_use]
 pub fn changes(peers: Arc<Peers>) -> Changes {
     Changes {
@@ -55,29 +57,30 @@
 
 async fn call(peers: &Peers, ask: Ask) -> Result<News, AskError> {
     let Ask { peer, after, wait } = ask;
-    let message = AskMessage {
+    let message = ChangesRequest {
         after: after.map(|r| r.0),
         wait_ms: wait.0,
     };
-    let reply = peers.call_within(peer, CHANGES, message, wait + SLACK);
-    let reply: NewsMessage = reply.await.map_err(|e| failed(peer, &e))?;
+    let reply = peers.call_within(peer, CHANGES, message, wait + REPLY_MARGIN);
+    let reply: ChangesReply = reply.await.map_err(|e| ask_error(peer, &e))?;
     if reply.compacted {
         return Err(AskError::Compacted);
     }
     let Some(revision) = reply.revision.map(Revision) else {
         return Err(AskError::Empty);
     };
-    let changes = messages::get(&reply);
-    let changes = changes.map_err(|e| failed(peer, &CallError::unreadable(CHANGES, peer, &e)))?;
+    let changes = messages::decode(&reply);
+    let changes =
+        changes.map_err(|e| ask_error(peer, &CallError::invalid_reply(CHANGES, peer, &e)))?;
     Ok(News {
         batch: Batch { changes, revision },
         age: Millis(reply.age_ms),
     })
 }
 
-fn failed(peer: SocketAddr, e: &CallError) -> AskError {
+fn ask_error(peer: SocketAddr, e: &CallError) -> AskError {
     let step = match e.step {
-        Step::Encode => "encode a question",
+        Step::Encode => "encode a request for changes",
         Step::Connect => "connect for changes",
         Step::Wait => "wait for changes",
         Step::Reply => "ask for changes",
--- a/src/adapters/grpc/claim/mod.rs
+++ b/src/adapters/grpc/claim/mod.rs
@@ -1,8 +1,8 @@
 //! Messages for claims and strikes.
 //!
-//! The types derive their encoding, so the `.proto` text would only repeat them.
-//! Each message converts to and from the type that the policies use; a message
-//! of a peer that does not convert is refused as [`Malformed`].
+//! The types derive their encoding, so a `.proto` file would only repeat them.
+//! Each message converts to and from the type that the policies use. A message
+//! from a peer that cannot be converted is rejected as [`Malformed`].
 
 mod request;
 mod response;
@@ -11,21 +11,21 @@
 
 use std::fmt;
 
-pub use request::{Claim, Finish, Op, Read, Release, Vote};
-pub use response::{ClaimReply, Copied, Empty, Finished, Held, Outcome, Page, Refused};
-pub use strike::{Count, Strike, Strikes};
+pub use request::{ClaimRequest, Finish, Op, Release, Transfer, Vote};
+pub use response::{ClaimReply, CopiedClaim, Empty, Finished, Held, Outcome, Page, Refusal};
+pub use strike::{MemberCount, Strike, Strikes};
 pub use values::{Answer, Fingerprint, Header, Holder, Key, Member};
 
 use crate::domain::ParseError;
 
-/// A message of a peer that cannot be used.
+/// The error for a message from a peer that cannot be converted.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Malformed {
-    /// A part is missing.
+    /// A required field is missing.
     Missing(&'static str),
     /// A value is not valid.
     Invalid(ParseError),
-    /// A number is out of its range.
+    /// A number is out of range.
     Range(&'static str),
 }
 
@@ -47,7 +47,8 @@
     }
 }
 
-fn part<T, U>(value: Option<T>, name: &'static str) -> Result<U, Malformed>
+/// Converts the value of a required field.
+fn required<T, U>(value: Option<T>, name: &'static str) -> Result<U, Malformed>
 where
     U: TryFrom<T, Error = Malformed>,
 {
--- a/src/adapters/grpc/claim/request.rs
+++ b/src/adapters/grpc/claim/request.rs
@@ -1,8 +1,8 @@
 //! Requests to the homes of a key.
 
 use super::{
-    Answer, Fingerprint, Key, Malformed, Member, part,
-    values::{answer, answer_out},
+    Answer, Fingerprint, Key, Malformed, Member, required,
+    values::{decode_answer, encode_answer},
 };
 use crate::{
     domain::Epoch,
@@ -11,36 +11,36 @@
 
 /// A request to a home.
 #[derive(Clone, prost::Message, PartialEq)]
-pub struct Claim {
+pub struct ClaimRequest {
     /// The sender.
     #[prost(message, optional, tag = "1")]
     pub sender: Option<Member>,
     /// The newest epoch that the sender knows.
     #[prost(uint64, tag = "2")]
     pub epoch: u64,
-    /// What is asked.
+    /// The operation.
     #[prost(oneof = "Op", tags = "3, 4, 5, 6")]
     pub op: Option<Op>,
 }
 
-/// What a home is asked.
+/// The operation that a home is asked to perform.
 #[derive(Clone, prost::Oneof, PartialEq)]
 pub enum Op {
-    /// A vote.
+    /// Vote for an attempt.
     #[prost(message, tag = "3")]
     Vote(Vote),
-    /// The removal of a vote.
+    /// Release the vote for an attempt.
     #[prost(message, tag = "4")]
     Release(Release),
-    /// The record of an answer.
+    /// Record the answer of an attempt.
     #[prost(message, tag = "5")]
     Finish(Finish),
-    /// Claims for a new home.
+    /// Transfer claims to a new home.
     #[prost(message, tag = "6")]
-    Read(Read),
+    Transfer(Transfer),
 }
 
-impl Claim {
+impl ClaimRequest {
     /// Returns the message for a request.
     #[must_use]
     pub fn new(sender: &once::Member, epoch: Epoch, request: &once::HomeRequest) -> Self {
@@ -48,7 +48,7 @@
             once::HomeRequest::Vote(vote) => Op::Vote(vote.into()),
             once::HomeRequest::Release(release) => Op::Release(release.into()),
             once::HomeRequest::Finish(finish) => Op::Finish(finish.into()),
-            once::HomeRequest::Transfer(read) => Op::Read(read.into()),
+            once::HomeRequest::Transfer(transfer) => Op::Transfer(transfer.into()),
         };
         Self {
             sender: Some(sender.into()),
@@ -61,15 +61,15 @@
     ///
     /// # Errors
     ///
-    /// Fails if a part is missing or invalid.
+    /// Returns an error if a field is missing or invalid.
     pub fn into_parts(self) -> Result<(once::Member, Epoch, once::HomeRequest), Malformed> {
         let request = match self.op.ok_or(Malformed::Missing("request"))? {
             Op::Vote(vote) => once::HomeRequest::Vote(vote.try_into()?),
             Op::Release(release) => once::HomeRequest::Release(release.try_into()?),
             Op::Finish(finish) => once::HomeRequest::Finish(finish.try_into()?),
-            Op::Read(read) => once::HomeRequest::Transfer(read.try_into()?),
+            Op::Transfer(transfer) => once::HomeRequest::Transfer(transfer.try_into()?),
         };
-        Ok((part(self.sender, "sender")?, Epoch(self.epoch), request))
+        Ok((required(self.sender, "sender")?, Epoch(self.epoch), request))
     }
 }
 
@@ -79,7 +79,7 @@
     /// The key.
     #[prost(message, optional, tag = "1")]
     pub key: Option<Key>,
-    /// What the request asks for.
+    /// The fingerprint of the request.
     #[prost(message, optional, tag = "2")]
     pub fingerprint: Option<Fingerprint>,
     /// The attempt.
@@ -110,16 +110,16 @@
 
     fn try_from(v: Vote) -> Result<Self, Malformed> {
         Ok(Self {
-            key: part(v.key, "key")?,
-            fingerprint: part(v.fingerprint, "fingerprint")?,
+            key: required(v.key, "key")?,
+            fingerprint: required(v.fingerprint, "fingerprint")?,
             attempt: AttemptId(v.attempt),
-            claimant: part(v.claimant, "claimant")?,
+            claimant: required(v.claimant, "claimant")?,
             epoch: Epoch(v.epoch),
         })
     }
 }
 
-/// Notice of an attempt that will never be dispatched.
+/// Reports that an attempt will never be dispatched.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Release {
     /// The key.
@@ -144,25 +144,25 @@
 
     fn try_from(r: Release) -> Result<Self, Malformed> {
         Ok(Self {
-            key: part(r.key, "key")?,
+            key: required(r.key, "key")?,
             attempt: AttemptId(r.attempt),
         })
     }
 }
 
-/// Notice of an executed attempt.
+/// Reports that an attempt was executed.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Finish {
     /// The key.
     #[prost(message, optional, tag = "1")]
     pub key: Option<Key>,
-    /// What its request asked for.
+    /// The fingerprint of its request.
     #[prost(message, optional, tag = "2")]
     pub fingerprint: Option<Fingerprint>,
     /// The attempt.
     #[prost(fixed64, tag = "3")]
     pub attempt: u64,
-    /// The answer, if it arrived completely.
+    /// The answer, if all of it arrived.
     #[prost(message, optional, tag = "4")]
     pub answer: Option<Answer>,
 }
@@ -173,7 +173,7 @@
             key: Some((&f.key).into()),
             fingerprint: Some(f.fingerprint.into()),
             attempt: f.attempt.0,
-            answer: answer_out(f.answer.as_ref()),
+            answer: encode_answer(f.answer.as_ref()),
         }
     }
 }
@@ -183,32 +183,32 @@
 
     fn try_from(f: Finish) -> Result<Self, Malformed> {
         Ok(Self {
-            key: part(f.key, "key")?,
-            fingerprint: part(f.fingerprint, "fingerprint")?,
+            key: required(f.key, "key")?,
+            fingerprint: required(f.fingerprint, "fingerprint")?,
             attempt: AttemptId(f.attempt),
-            answer: answer(f.answer)?,
+            answer: decode_answer(f.answer)?,
         })
     }
 }
 
-/// A request for the claims of a former home.
+/// A request to a former home for the claims of a bucket.
 #[derive(Clone, prost::Message, PartialEq)]
-pub struct Read {
+pub struct Transfer {
     /// The bucket.
     #[prost(uint32, tag = "1")]
     pub bucket: u32,
-    /// The epoch in which the source was a home.
+    /// The epoch in which the recipient was a home.
     #[prost(uint64, tag = "2")]
     pub former: u64,
-    /// The epoch in which the reader is a new home.
+    /// The epoch in which the sender is a new home.
     #[prost(uint64, tag = "3")]
     pub epoch: u64,
-    /// The last key of the previous page.
+    /// The last key of the previous page, or none for the first page.
     #[prost(message, optional, tag = "4")]
     pub after: Option<Key>,
 }
 
-impl From<&once::TransferRequest> for Read {
+impl From<&once::TransferRequest> for Transfer {
     fn from(r: &once::TransferRequest) -> Self {
         Self {
             bucket: r.bucket.0.into(),
@@ -219,10 +219,10 @@
     }
 }
 
-impl TryFrom<Read> for once::TransferRequest {
+impl TryFrom<Transfer> for once::TransferRequest {
     type Error = Malformed;
 
-    fn try_from(r: Read) -> Result<Self, Malformed> {
+    fn try_from(r: Transfer) -> Result<Self, Malformed> {
         let bucket = u16::try_from(r.bucket).ok().filter(|b| *b < Bucket::COUNT);
         Ok(Self {
             bucket: Bucket(bucket.ok_or(Malformed::Range("bucket"))?),
--- a/src/adapters/grpc/claim/response.rs
+++ b/src/adapters/grpc/claim/response.rs
@@ -1,8 +1,8 @@
 //! Responses of the homes of a key.
 
 use super::{
-    Answer, Fingerprint, Holder, Key, Malformed, Member, Read, all, part,
-    values::{answer, answer_out},
+    Answer, Fingerprint, Holder, Key, Malformed, Member, Transfer, all, required,
+    values::{decode_answer, encode_answer},
 };
 use crate::{
     domain::{Epoch, Millis},
@@ -18,15 +18,15 @@
     /// The newest epoch that the sender knows.
     #[prost(uint64, tag = "2")]
     pub epoch: u64,
-    /// The epoch of the vote that is answered, otherwise zero.
+    /// The epoch of the requested vote, or zero if no vote was requested.
     #[prost(uint64, tag = "3")]
     pub voted: u64,
-    /// The result.
+    /// The outcome.
     #[prost(oneof = "Outcome", tags = "4, 5, 6, 7, 8, 9, 10, 11")]
     pub outcome: Option<Outcome>,
 }
 
-/// What a home responds.
+/// The outcome of an operation at a home.
 #[derive(Clone, prost::Oneof, PartialEq)]
 pub enum Outcome {
     /// The attempt has the vote.
@@ -35,27 +35,28 @@
     /// Other attempts hold the key.
     #[prost(message, tag = "5")]
     Held(Held),
-    /// The request was executed.
+    /// The request has been executed.
     #[prost(message, tag = "6")]
     Finished(Finished),
-    /// The key belongs to another request.
+    /// The key was used for a different request.
     #[prost(message, tag = "7")]
-    Reused(Empty),
-    /// The home does not vote.
+    KeyReused(Empty),
+    /// The home refuses to vote.
     #[prost(message, tag = "8")]
-    Refused(Refused),
-    /// A release or an answer was noted. False: the answer is not kept.
+    Refused(Refusal),
+    /// A release or an answer was processed. The value is false if the answer
+    /// was not kept.
     #[prost(bool, tag = "9")]
-    Noted(bool),
-    /// Claims.
+    Acknowledged(bool),
+    /// A page of transferred claims.
     #[prost(message, tag = "10")]
     Page(Page),
-    /// The home does not give its claims.
+    /// The home refuses to transfer its claims.
     #[prost(message, tag = "11")]
-    Unread(Refused),
+    TransferRefused(Refusal),
 }
 
-/// A message without content.
+/// A message without fields.
 #[derive(Clone, Copy, prost::Message, PartialEq)]
 pub struct Empty {}
 
@@ -70,7 +71,7 @@
 /// An executed request.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Finished {
-    /// What it asked for. It is left out of a reply to a vote.
+    /// The fingerprint of the request. Replies to a vote omit it.
     #[prost(message, optional, tag = "1")]
     pub fingerprint: Option<Fingerprint>,
     /// The answer, if it was kept.
@@ -78,44 +79,46 @@
     pub answer: Option<Answer>,
 }
 
-/// Why a home refuses.
+/// The reason why a home refuses a request.
 #[derive(Clone, Copy, prost::Message, PartialEq)]
-pub struct Refused {
-    /// The reason: 1 stale, 2 behind, 3 not home, 4 transferring, 5 full, 6 released.
+pub struct Refusal {
+    /// The reason: 1 stale, 2 behind, 3 not home, 4 transferring, 5 full,
+    /// 6 released.
     #[prost(uint32, tag = "1")]
     pub reason: u32,
-    /// The epoch that belongs to the first two reasons.
+    /// The epoch of the reasons 1 and 2, otherwise zero.
     #[prost(uint64, tag = "2")]
     pub epoch: u64,
 }
 
-/// Some of the claims of a bucket.
+/// A page of the claims of a bucket.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Page {
     /// The request that it answers.
     #[prost(message, optional, tag = "1")]
-    pub read: Option<Read>,
+    pub read: Option<Transfer>,
     /// The claims.
     #[prost(message, repeated, tag = "2")]
-    pub claims: Vec<Copied>,
-    /// Whether no claims follow.
+    pub claims: Vec<CopiedClaim>,
+    /// Whether this is the last page.
     #[prost(bool, tag = "3")]
     pub last: bool,
 }
 
-/// A claim on its way to another home. Either `held` or `finished` is present.
+/// A claim that is transferred to another home. Either `held` or `finished` is
+/// present.
 #[derive(Clone, prost::Message, PartialEq)]
-pub struct Copied {
+pub struct CopiedClaim {
     /// The key.
     #[prost(message, optional, tag = "1")]
     pub key: Option<Key>,
     /// The attempts that hold it.
     #[prost(message, optional, tag = "2")]
     pub held: Option<Held>,
-    /// Its execution.
+    /// The executed request.
     #[prost(message, optional, tag = "3")]
     pub finished: Option<Finished>,
-    /// The rest of the retention in milliseconds.
+    /// The remaining retention time, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub left: u64,
 }
@@ -125,10 +128,10 @@
     #[must_use]
     pub fn new(sender: &once::Member, epoch: Epoch, response: &HomeResponse) -> Self {
         let (voted, outcome) = match response {
-            HomeResponse::Vote(epoch, reply) => (epoch.0, reply_out(reply)),
-            HomeResponse::Acknowledged(kept) => (0, Outcome::Noted(*kept)),
+            HomeResponse::Vote(epoch, reply) => (epoch.0, encode_reply(reply)),
+            HomeResponse::Acknowledged(kept) => (0, Outcome::Acknowledged(*kept)),
             HomeResponse::Page(Ok(page)) => (0, Outcome::Page(page.into())),
-            HomeResponse::Page(Err(reason)) => (0, Outcome::Unread((*reason).into())),
+            HomeResponse::Page(Err(reason)) => (0, Outcome::TransferRefused((*reason).into())),
         };
         Self {
             sender: Some(sender.into()),
@@ -142,36 +145,40 @@
     ///
     /// # Errors
     ///
-    /// Fails if a part is missing or invalid.
+    /// Returns an error if a field is missing or invalid.
     pub fn into_parts(self) -> Result<(once::Member, Epoch, HomeResponse), Malformed> {
         let voted = Epoch(self.voted);
         let response = match self.outcome.ok_or(Malformed::Missing("result"))? {
             Outcome::Granted(_) => HomeResponse::Vote(voted, VoteReply::Granted),
             Outcome::Held(held) => HomeResponse::Vote(voted, VoteReply::Held(all(held.holders)?)),
-            Outcome::Finished(done) => {
-                HomeResponse::Vote(voted, VoteReply::Finished(answer(done.answer)?))
+            Outcome::Finished(finished) => {
+                HomeResponse::Vote(voted, VoteReply::Finished(decode_answer(finished.answer)?))
             }
-            Outcome::Reused(_) => HomeResponse::Vote(voted, VoteReply::KeyReused),
+            Outcome::KeyReused(_) => HomeResponse::Vote(voted, VoteReply::KeyReused),
             Outcome::Refused(refused) => {
                 HomeResponse::Vote(voted, VoteReply::Refused(refused.try_into()?))
             }
-            Outcome::Noted(kept) => HomeResponse::Acknowledged(kept),
+            Outcome::Acknowledged(kept) => HomeResponse::Acknowledged(kept),
             Outcome::Page(page) => HomeResponse::Page(Ok(page.try_into()?)),
-            Outcome::Unread(refused) => HomeResponse::Page(Err(refused.try_into()?)),
+            Outcome::TransferRefused(refused) => HomeResponse::Page(Err(refused.try_into()?)),
         };
-        Ok((part(self.sender, "sender")?, Epoch(self.epoch), response))
+        Ok((
+            required(self.sender, "sender")?,
+            Epoch(self.epoch),
+            response,
+        ))
     }
 }
 
-fn reply_out(reply: &VoteReply) -> Outcome {
+fn encode_reply(reply: &VoteReply) -> Outcome {
     match reply {
         VoteReply::Granted => Outcome::Granted(Empty {}),
         VoteReply::Held(holders) => Outcome::Held(holders.as_slice().into()),
         VoteReply::Finished(answer) => Outcome::Finished(Finished {
             fingerprint: None,
-            answer: answer_out(answer.as_ref()),
+            answer: encode_answer(answer.as_ref()),
         }),
-        VoteReply::KeyReused => Outcome::Reused(Empty {}),
+        VoteReply::KeyReused => Outcome::KeyReused(Empty {}),
         VoteReply::Refused(reason) => Outcome::Refused((*reason).into()),
     }
 }
@@ -184,7 +191,7 @@
     }
 }
 
-impl From<RefusalReason> for Refused {
+impl From<RefusalReason> for Refusal {
     fn from(reason: RefusalReason) -> Self {
         let (reason, epoch) = match reason {
             RefusalReason::Stale(epoch) => (1, epoch.0),
@@ -198,10 +205,10 @@
     }
 }
 
-impl TryFrom<Refused> for RefusalReason {
+impl TryFrom<Refusal> for RefusalReason {
     type Error = Malformed;
 
-    fn try_from(r: Refused) -> Result<Self, Malformed> {
+    fn try_from(r: Refusal) -> Result<Self, Malformed> {
         let epoch = Epoch(r.epoch);
         match r.reason {
             1 => Ok(Self::Stale(epoch)),
@@ -219,7 +226,7 @@
     fn from(p: &once::TransferPage) -> Self {
         Self {
             read: Some((&p.request).into()),
-            claims: p.claims.iter().map(Copied::from).collect(),
+            claims: p.claims.iter().map(CopiedClaim::from).collect(),
             last: p.last,
         }
     }
@@ -230,14 +237,14 @@
 
     fn try_from(p: Page) -> Result<Self, Malformed> {
         Ok(Self {
-            request: part(p.read, "read")?,
+            request: required(p.read, "read")?,
             claims: all(p.claims)?,
             last: p.last,
         })
     }
 }
 
-impl From<&once::CopiedClaim> for Copied {
+impl From<&once::CopiedClaim> for CopiedClaim {
     fn from(c: &once::CopiedClaim) -> Self {
         let (held, finished) = match &c.state {
             once::ClaimState::Held(holders) => (Some(holders.as_slice().into()), None),
@@ -247,7 +254,7 @@
             } => {
                 let finished = Finished {
                     fingerprint: Some((*fingerprint).into()),
-                    answer: answer_out(answer.as_ref()),
+                    answer: encode_answer(answer.as_ref()),
                 };
                 (None, Some(finished))
             }
@@ -261,20 +268,20 @@
     }
 }
 
-impl TryFrom<Copied> for once::CopiedClaim {
+impl TryFrom<CopiedClaim> for once::CopiedClaim {
     type Error = Malformed;
 
-    fn try_from(c: Copied) -> Result<Self, Malformed> {
+    fn try_from(c: CopiedClaim) -> Result<Self, Malformed> {
         let state = match (c.finished, c.held) {
-            (Some(done), _) => once::ClaimState::Finished {
-                fingerprint: part(done.fingerprint, "fingerprint")?,
-                answer: answer(done.answer)?,
+            (Some(finished), _) => once::ClaimState::Finished {
+                fingerprint: required(finished.fingerprint, "fingerprint")?,
+                answer: decode_answer(finished.answer)?,
             },
             (None, Some(held)) => once::ClaimState::Held(all(held.holders)?),
             (None, None) => return Err(Malformed::Missing("state")),
         };
         Ok(Self {
-            key: part(c.key, "key")?,
+            key: required(c.key, "key")?,
             state,
             remaining: Millis(c.left),
         })
--- a/src/adapters/grpc/claim/strike.rs
+++ b/src/adapters/grpc/claim/strike.rs
@@ -1,26 +1,28 @@
 //! Strikes against requests that crash their targets.
 
-use super::{Fingerprint, Malformed, Member, all, part};
+use super::{Fingerprint, Malformed, Member, all, required};
 use crate::{
     domain::Millis,
     policy::{crash, once},
 };
 
-/// The strikes that one member has counted.
+/// An encoded [`MemberCount`](crash::MemberCount): the strikes that one member
+/// has counted.
 #[derive(Clone, prost::Message, PartialEq)]
-pub struct Count {
+pub struct MemberCount {
     /// The member.
     #[prost(message, optional, tag = "1")]
     pub member: Option<Member>,
-    /// All strikes.
+    /// The number of all strikes, including the cleared ones.
     #[prost(uint32, tag = "2")]
     pub total: u32,
-    /// Those that were cleared or have expired.
+    /// The number of strikes that were cleared or have expired.
     #[prost(uint32, tag = "3")]
     pub cleared: u32,
 }
 
-/// Strikes against a fingerprint.
+/// An encoded [`StrikeNotice`](crash::StrikeNotice): the strikes against the
+/// requests with one fingerprint.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Strike {
     /// The fingerprint.
@@ -28,13 +30,13 @@
     pub fingerprint: Option<Fingerprint>,
     /// The strikes by member.
     #[prost(message, repeated, tag = "2")]
-    pub counts: Vec<Count>,
-    /// The milliseconds since the latest strike.
+    pub counts: Vec<MemberCount>,
+    /// The time since the latest strike, in milliseconds.
     #[prost(uint64, tag = "3")]
     pub age: u64,
 }
 
-/// Strikes in either direction: a push, or what the receiver knows beyond it.
+/// The strikes in a request, or those in the reply that its sender lacks.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Strikes {
     /// The strikes.
@@ -44,7 +46,7 @@
 
 impl From<&crash::StrikeNotice> for Strike {
     fn from(s: &crash::StrikeNotice) -> Self {
-        let count = |(member, count): (&once::Member, &crash::MemberCount)| Count {
+        let count = |(member, count): (&once::Member, &crash::MemberCount)| MemberCount {
             member: Some(member.into()),
             total: count.total,
             cleared: count.cleared,
@@ -61,17 +63,17 @@
     type Error = Malformed;
 
     fn try_from(s: Strike) -> Result<Self, Malformed> {
-        let count = |c: Count| {
+        let count = |c: MemberCount| {
             let numbers = crash::MemberCount {
                 total: c.total,
                 cleared: c.cleared,
             };
-            part(c.member, "member").map(|m| (m, numbers))
+            required(c.member, "member").map(|m| (m, numbers))
         };
         let counts: Result<crash::StrikeCounter, Malformed> =
             s.counts.into_iter().map(count).collect();
         Ok(Self {
-            fingerprint: part(s.fingerprint, "fingerprint")?,
+            fingerprint: required(s.fingerprint, "fingerprint")?,
             counter: counts?,
             age: Millis(s.age),
         })
--- a/src/adapters/grpc/claim/values.rs
+++ b/src/adapters/grpc/claim/values.rs
@@ -1,16 +1,16 @@
-//! The values that requests and replies share.
+//! The types that requests and replies share.
 
 use std::sync::Arc;
 
 use bytes::Bytes;
 
-use super::{Malformed, part};
+use super::{Malformed, required};
 use crate::{
     domain::{Epoch, Incarnation},
     policy::once,
 };
 
-/// One life of an entry.
+/// One incarnation of an entry.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Member {
     /// The name of the entry.
@@ -41,13 +41,13 @@
     }
 }
 
-/// A key within its service.
+/// An idempotency key with its service.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Key {
     /// The service.
     #[prost(string, tag = "1")]
     pub service: String,
-    /// The caller's key.
+    /// The key that the caller sent.
     #[prost(string, tag = "2")]
     pub key: String,
 }
@@ -72,7 +72,7 @@
     }
 }
 
-/// A digest in its two halves.
+/// A 128-bit digest of a request, in two halves.
 #[derive(Clone, Copy, prost::Message, PartialEq)]
 pub struct Fingerprint {
     /// The upper half.
@@ -101,19 +101,19 @@
     }
 }
 
-/// An attempt with the vote of a home.
+/// An attempt that has the vote of a home.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Holder {
     /// The attempt.
     #[prost(fixed64, tag = "1")]
     pub attempt: u64,
-    /// What its request asks for.
+    /// The fingerprint of its request.
     #[prost(message, optional, tag = "2")]
     pub fingerprint: Option<Fingerprint>,
     /// The entry that runs it.
     #[prost(message, optional, tag = "3")]
     pub claimant: Option<Member>,
-    /// The epoch of the vote.
+    /// The epoch in which the vote counts.
     #[prost(uint64, tag = "4")]
     pub epoch: u64,
 }
@@ -135,17 +135,17 @@
     fn try_from(h: Holder) -> Result<Self, Malformed> {
         Ok(Self {
             attempt: once::AttemptId(h.attempt),
-            fingerprint: part(h.fingerprint, "fingerprint")?,
-            claimant: part(h.claimant, "claimant")?,
+            fingerprint: required(h.fingerprint, "fingerprint")?,
+            claimant: required(h.claimant, "claimant")?,
             epoch: Epoch(h.epoch),
         })
     }
 }
 
-/// A header of a recorded answer.
+/// A header field of a recorded answer.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Header {
-    /// The name in lower case.
+    /// The name, in lower case.
     #[prost(bytes = "vec", tag = "1")]
     pub name: Vec<u8>,
     /// The value.
@@ -162,8 +162,9 @@
     /// The recorded headers.
     #[prost(message, repeated, tag = "2")]
     pub headers: Vec<Header>,
-    /// The body, if it was kept. A copy of its own, because a part of the
-    /// received buffer would keep the whole message in memory for a day.
+    /// The body, if it was kept. It is copied into a buffer of its own, because
+    /// a slice of the received buffer would keep the whole message in memory
+    /// for a day.
     #[prost(bytes = "vec", optional, tag = "3")]
     pub body: Option<Vec<u8>>,
 }
@@ -195,11 +196,11 @@
     }
 }
 
-pub(super) fn answer(a: Option<Answer>) -> Result<Option<Arc<once::Answer>>, Malformed> {
+pub(super) fn decode_answer(a: Option<Answer>) -> Result<Option<Arc<once::Answer>>, Malformed> {
     a.map(|a| once::Answer::try_from(a).map(Arc::new))
         .transpose()
 }
 
-pub(super) fn answer_out(a: Option<&Arc<once::Answer>>) -> Option<Answer> {
+pub(super) fn encode_answer(a: Option<&Arc<once::Answer>>) -> Option<Answer> {
     a.map(|a| a.as_ref().into())
 }
--- a/src/adapters/grpc/claims.rs
+++ b/src/adapters/grpc/claim_calls.rs
@@ -1,12 +1,12 @@
-//! `Claim` and `Strike`: the calls to the homes of a key, and the notices of
-//! requests that break connections.
+//! `Claim` and `Strike`: the methods that send requests to the homes of a key
+//! and exchange strikes against requests that break connections.
 
 use std::net::SocketAddr;
 
 use super::{
-    claim::{Claim, ClaimReply, Strikes},
-    head::{Head, Sender},
+    claim::{ClaimReply, ClaimRequest, Strikes},
     peers::{CallError, Peers, Step},
+    sender::{Sender, SenderMessage},
     server::Routes,
 };
 use crate::policy::{
@@ -17,28 +17,28 @@
 const CLAIM: &str = "Claim";
 const STRIKE: &str = "Strike";
 
-/// The encoded call. It carries several requests, since a change of the roster
-/// makes a new home read many buckets from the same former one.
+/// Requests to one home. There may be several, because after a change of the
+/// roster a new home reads many buckets from the same former home.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct ClaimBatch {
     #[prost(message, optional, tag = "1")]
     to: Option<super::claim::Member>,
     #[prost(message, repeated, tag = "2")]
-    requests: Vec<Claim>,
+    requests: Vec<ClaimRequest>,
 }
 
-/// The encoded reply, in the order of the requests.
+/// The replies to a [`ClaimBatch`], in the order of its requests.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct ClaimBatchReply {
     #[prost(message, repeated, tag = "1")]
     replies: Vec<ClaimReply>,
 }
 
-/// The encoded notice.
+/// Encoded strikes with their sender.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct StrikeMessage {
     #[prost(message, optional, tag = "1")]
-    head: Option<Head>,
+    head: Option<SenderMessage>,
     #[prost(message, optional, tag = "2")]
     strikes: Option<Strikes>,
 }
@@ -50,8 +50,9 @@
     }
 }
 
-/// Registers the closure that answers requests to a home. It gets the addressed
-/// incarnation, and returns none if that is not its own.
+/// Registers the closure that handles requests to a home. The closure receives
+/// the incarnation to which a request is addressed and returns none if that is
+/// not this entry's incarnation.
 #[must_use]
 pub fn serve_claim<F>(routes: Routes, f: F) -> Routes
 where
@@ -64,23 +65,24 @@
     routes.route(CLAIM, move |batch: ClaimBatch| {
         let f = f.clone();
         async move {
-            let wrong = |e: super::claim::Malformed| tonic::Status::invalid_argument(e.to_string());
+            let invalid =
+                |e: super::claim::Malformed| tonic::Status::invalid_argument(e.to_string());
             let to = batch
                 .to
                 .ok_or_else(|| tonic::Status::invalid_argument("no addressee"))?;
-            let to = Member::try_from(to).map_err(wrong)?;
+            let to = Member::try_from(to).map_err(invalid)?;
             let mut replies = Vec::new();
             let mut size = 0;
             for claim in batch.requests {
-                let (_, _, request) = claim.into_parts().map_err(wrong)?;
-                let gone =
+                let (_, _, request) = claim.into_parts().map_err(invalid)?;
+                let wrong_incarnation =
                     || tonic::Status::failed_precondition("another incarnation is addressed");
-                let (sender, response) = f(&to, &request).ok_or_else(gone)?;
+                let (sender, response) = f(&to, &request).ok_or_else(wrong_incarnation)?;
                 let reply = ClaimReply::new(&member(&sender), sender.epoch, &response);
                 size += prost::Message::encoded_len(&reply);
                 replies.push(reply);
-                // What does not fit is asked for again.
-                if size > super::MESSAGE_MAX / 8 {
+                // The requesting entry repeats the requests that got no reply.
+                if size > super::MAX_MESSAGE_BYTES / 8 {
                     break;
                 }
             }
@@ -89,13 +91,13 @@
     })
 }
 
-/// Sends requests to the home `to` at `peer`. There may be fewer replies than
-/// requests, because of the limit on messages.
+/// Sends requests to the home `to` at `peer`. Because the size of a message is
+/// limited, there may be fewer replies than requests.
 ///
 /// # Errors
 ///
-/// As [`Peers::call`].
-pub async fn claim(
+/// See [`Peers::call`].
+pub async fn send_claims(
     peers: &Peers,
     peer: SocketAddr,
     sender: &Sender,
@@ -107,15 +109,15 @@
         to: Some(to.into()),
         requests: requests
             .iter()
-            .map(|r| Claim::new(&from, sender.epoch, r))
+            .map(|r| ClaimRequest::new(&from, sender.epoch, r))
             .collect(),
     };
     let reply: ClaimBatchReply = peers.call(peer, CLAIM, batch).await?;
-    let read = |r: ClaimReply| {
+    let decode = |r: ClaimReply| {
         let parts = r.into_parts();
         parts.map(|(_, _, response)| response)
     };
-    let all: Result<Vec<HomeResponse>, _> = reply.replies.into_iter().map(read).collect();
+    let all: Result<Vec<HomeResponse>, _> = reply.replies.into_iter().map(decode).collect();
     all.map_err(|e| CallError {
         step: Step::Reply,
         method: CLAIM,
@@ -124,8 +126,8 @@
     })
 }
 
-/// Registers the closure that takes notices of strikes and returns what this
-/// entry knows beyond them.
+/// Registers the closure that receives strikes and returns those that the
+/// sender lacks.
 #[must_use]
 pub fn serve_strike<F>(routes: Routes, f: F) -> Routes
 where
@@ -138,39 +140,40 @@
     routes.route(STRIKE, move |message: StrikeMessage| {
         let f = f.clone();
         async move {
-            let strikes = read_strikes(message)?;
+            let strikes = decode_strikes(message)?;
             let (sender, more) = f(strikes);
             Ok(StrikeMessage {
-                head: sender.head(),
+                head: sender.encode(),
                 strikes: Some(Strikes::from(more.as_slice())),
             })
         }
     })
 }
 
-fn read_strikes(message: StrikeMessage) -> Result<Vec<StrikeNotice>, tonic::Status> {
+fn decode_strikes(message: StrikeMessage) -> Result<Vec<StrikeNotice>, tonic::Status> {
     let strikes = message.strikes.unwrap_or_default();
     let all: Result<Vec<StrikeNotice>, _> = strikes.try_into();
     all.map_err(|e: super::claim::Malformed| tonic::Status::invalid_argument(e.to_string()))
 }
 
-/// Tells the entry at `peer` of strikes and returns what it knows beyond them.
+/// Sends strikes to the entry at `peer` and returns those that this entry
+/// lacks.
 ///
 /// # Errors
 ///
-/// As [`Peers::call`].
-pub async fn strike(
+/// See [`Peers::call`].
+pub async fn send_strikes(
     peers: &Peers,
     peer: SocketAddr,
     sender: &Sender,
     strikes: &[StrikeNotice],
 ) -> Result<Vec<StrikeNotice>, CallError> {
     let message = StrikeMessage {
-        head: sender.head(),
+        head: sender.encode(),
         strikes: Some(Strikes::from(strikes)),
     };
     let reply: StrikeMessage = peers.call(peer, STRIKE, message).await?;
-    read_strikes(reply).map_err(|e| CallError {
+    decode_strikes(reply).map_err(|e| CallError {
         step: Step::Reply,
         method: STRIKE,
         peer,
--- a/src/adapters/grpc/fetch.rs
+++ b/src/adapters/grpc/fetch.rs
@@ -1,9 +1,9 @@
-//! `Fetch`: the messages of dissemination.
+//! `Fetch`: the method that disseminates documents between entries.
 //!
-//! One method carries announcements, the comparison of hashes and the pull of
-//! bodies, each in fields that are left out when empty. A reply never exceeds
-//! the message limit: bodies that do not fit are left out, and the caller asks
-//! again.
+//! One method announces revisions, compares hashes and fetches bodies. Each has
+//! its own fields, which take no space when they are empty. A reply never
+//! exceeds the message limit: bodies that do not fit are omitted, and the
+//! calling entry requests them again.
 
 use std::{future::Future, net::SocketAddr};
 
@@ -12,9 +12,9 @@
 use tonic::Status;
 
 use super::{
-    MESSAGE_MAX,
-    head::{Head, Sender, malformed},
+    MAX_MESSAGE_BYTES,
     peers::{CallError, Peers},
+    sender::{Sender, SenderMessage, malformed},
     server::Routes,
 };
 use crate::{
@@ -24,11 +24,11 @@
 
 const FETCH: &str = "Fetch";
 
-/// The most bytes of bodies in one reply. The rest of the message limit is left
-/// to names, revisions and the sender.
-const BODIES_MAX: usize = MESSAGE_MAX * 3 / 4;
+/// The maximum total size of the bodies in one reply. The rest of the message
+/// limit is reserved for the other fields: names, revisions and the sender.
+const MAX_BODIES_BYTES: usize = MAX_MESSAGE_BYTES * 3 / 4;
 
-/// The encoded service and revision.
+/// An encoded [`Announcement`].
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
 pub struct AnnouncementMessage {
     #[prost(string, tag = "1")]
@@ -37,7 +37,7 @@
     revision: u64,
 }
 
-/// The encoded body of a revision.
+/// An encoded [`DocumentBody`].
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
 pub struct BodyMessage {
     #[prost(string, tag = "1")]
@@ -48,11 +48,11 @@
     text: Option<Bytes>,
 }
 
-/// The encoded request.
+/// An encoded [`Fetch`].
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
 pub struct FetchMessage {
     #[prost(message, optional, tag = "1")]
-    head: Option<Head>,
+    head: Option<SenderMessage>,
     #[prost(message, repeated, tag = "2")]
     announced: Vec<AnnouncementMessage>,
     #[prost(fixed32, repeated, tag = "3")]
@@ -61,11 +61,11 @@
     services: Vec<String>,
 }
 
-/// The encoded reply.
+/// An encoded [`FetchReply`].
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
 pub struct FetchReplyMessage {
     #[prost(message, optional, tag = "1")]
-    head: Option<Head>,
+    head: Option<SenderMessage>,
     #[prost(message, repeated, tag = "2")]
     revisions: Vec<AnnouncementMessage>,
     #[prost(message, repeated, tag = "3")]
@@ -74,65 +74,66 @@
     root: u64,
 }
 
-/// A document as it is in the store.
+/// A revision of a document, as stored.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DocumentBody {
     /// The service.
     pub service: ServiceName,
     /// The revision.
     pub revision: Revision,
-    /// The text, or none if the document was deleted at this revision.
+    /// The text, or none if this revision deleted the document.
     pub text: Option<Bytes>,
 }
 
-/// A request of dissemination.
+/// A request that announces revisions and asks for others.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Fetch {
-    /// Who sent it.
+    /// The sender.
     pub sender: Sender,
     /// Revisions that the sender has adopted.
     pub announced: Vec<Announcement>,
-    /// The sender's hashes, if it wants the revisions in differing buckets.
+    /// The sender's bucket hashes, if it requests the revisions in the buckets
+    /// that differ.
     pub summary: Option<Summary>,
-    /// The services whose bodies it wants.
+    /// The services whose bodies are requested.
     pub services: Vec<ServiceName>,
 }
 
-/// The reply.
+/// The reply to a [`Fetch`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FetchReply {
-    /// Who sent it.
+    /// The sender.
     pub sender: Sender,
-    /// The revisions in differing buckets.
+    /// The revisions in the buckets that differ.
     pub revisions: Vec<Announcement>,
-    /// The bodies, as many as fit.
+    /// The requested bodies. The encoded form may contain only the first ones.
     pub bodies: Vec<DocumentBody>,
     /// The hash of all documents that the sender has adopted.
     pub root: RootHash,
 }
 
-fn put_list(list: &[Announcement]) -> Vec<AnnouncementMessage> {
-    let put = |a: &Announcement| AnnouncementMessage {
+fn encode_announcements(list: &[Announcement]) -> Vec<AnnouncementMessage> {
+    let encode = |a: &Announcement| AnnouncementMessage {
         service: a.service.to_string(),
         revision: a.revision.0,
     };
-    list.iter().map(put).collect()
+    list.iter().map(encode).collect()
 }
 
-fn get_list(list: &[AnnouncementMessage]) -> Result<Vec<Announcement>, ParseError> {
-    let get = |a: &AnnouncementMessage| {
+fn decode_announcements(list: &[AnnouncementMessage]) -> Result<Vec<Announcement>, ParseError> {
+    let decode = |a: &AnnouncementMessage| {
         Ok(Announcement {
             service: a.service.parse()?,
             revision: Revision(a.revision),
         })
     };
-    list.iter().map(get).collect()
+    list.iter().map(decode).collect()
 }
 
-/// Encodes the bodies that fit. At least one is returned, unless it exceeds the
-/// limit alone; such a document cannot be disseminated, and the limit on
-/// documents has to prevent it.
-fn put_bodies(bodies: &[DocumentBody]) -> Vec<BodyMessage> {
+/// Encodes as many bodies as fit. At least the first one does, unless it alone
+/// exceeds the limit: such a document cannot be disseminated, so the limit on
+/// the size of documents has to be lower.
+fn encode_bodies(bodies: &[DocumentBody]) -> Vec<BodyMessage> {
     let mut out = Vec::new();
     let mut used = 0;
     for body in bodies {
@@ -142,7 +143,7 @@
             text: body.text.clone(),
         };
         used += message.encoded_len();
-        if used > BODIES_MAX {
+        if used > MAX_BODIES_BYTES {
             break;
         }
         out.push(message);
@@ -150,19 +151,19 @@
     out
 }
 
-fn get_bodies(bodies: Vec<BodyMessage>) -> Result<Vec<DocumentBody>, ParseError> {
-    let get = |b: BodyMessage| {
+fn decode_bodies(bodies: Vec<BodyMessage>) -> Result<Vec<DocumentBody>, ParseError> {
+    let decode = |b: BodyMessage| {
         Ok(DocumentBody {
             service: b.service.parse()?,
             revision: Revision(b.revision),
             text: b.text,
         })
     };
-    bodies.into_iter().map(get).collect()
+    bodies.into_iter().map(decode).collect()
 }
 
 impl Fetch {
-    /// Returns a request without content.
+    /// Returns a request that announces and asks for nothing.
     #[must_use]
     pub fn new(sender: Sender) -> Self {
         Self {
@@ -178,14 +179,14 @@
     pub fn encode(&self) -> FetchMessage {
         let summary = self.summary.as_ref();
         FetchMessage {
-            head: self.sender.head(),
-            announced: put_list(&self.announced),
+            head: self.sender.encode(),
+            announced: encode_announcements(&self.announced),
             hashes: summary.map_or_else(Vec::new, |s| s.hashes().to_vec()),
             services: self.services.iter().map(ToString::to_string).collect(),
         }
     }
 
-    /// Reads the encoded form.
+    /// Decodes the message.
     ///
     /// # Errors
     ///
@@ -199,8 +200,8 @@
         }
         let services = message.services.iter().map(|s| s.parse());
         Ok(Self {
-            sender: Sender::read(message.head)?,
-            announced: get_list(&message.announced)?,
+            sender: Sender::decode(message.head)?,
+            announced: decode_announcements(&message.announced)?,
             summary,
             services: services.collect::<Result<_, _>>()?,
         })
@@ -212,29 +213,29 @@
     #[must_use]
     pub fn encode(&self) -> FetchReplyMessage {
         FetchReplyMessage {
-            head: self.sender.head(),
-            revisions: put_list(&self.revisions),
-            bodies: put_bodies(&self.bodies),
+            head: self.sender.encode(),
+            revisions: encode_announcements(&self.revisions),
+            bodies: encode_bodies(&self.bodies),
             root: self.root.0,
         }
     }
 
-    /// Reads the encoded form.
+    /// Decodes the message.
     ///
     /// # Errors
     ///
     /// Returns an error if a name is not valid.
     pub fn decode(message: FetchReplyMessage) -> Result<Self, ParseError> {
         Ok(Self {
-            sender: Sender::read(message.head)?,
-            revisions: get_list(&message.revisions)?,
-            bodies: get_bodies(message.bodies)?,
+            sender: Sender::decode(message.head)?,
+            revisions: decode_announcements(&message.revisions)?,
+            bodies: decode_bodies(message.bodies)?,
             root: RootHash(message.root),
         })
     }
 }
 
-/// Registers the closure that answers requests of dissemination.
+/// Registers the closure that handles `Fetch` requests.
 #[must_use]
 pub fn serve_fetch<F, Fut>(routes: Routes, f: F) -> Routes
 where
@@ -250,11 +251,11 @@
     })
 }
 
-/// Sends a request of dissemination to the entry at `peer`.
+/// Sends a `Fetch` request to the entry at `peer`.
 ///
 /// # Errors
 ///
-/// As [`Peers::call`]; a reply that cannot be read is a
+/// See [`Peers::call`]. A reply that cannot be decoded is a
 /// [`Step::Reply`](super::Step::Reply) error.
 pub async fn fetch(
     peers: &Peers,
@@ -262,5 +263,5 @@
     request: &Fetch,
 ) -> Result<FetchReply, CallError> {
     let reply = peers.call(peer, FETCH, request.encode()).await?;
-    FetchReply::decode(reply).map_err(|e| CallError::unreadable(FETCH, peer, &e))
+    FetchReply::decode(reply).map_err(|e| CallError::invalid_reply(FETCH, peer, &e))
 }
--- a/src/adapters/grpc/gossip.rs
+++ b/src/adapters/grpc/gossip.rs
@@ -1,4 +1,4 @@
-//! `Probe`, `Relay` and `Sync`: the messages of membership.
+//! `Probe`, `Relay` and `Sync`: the methods of the membership protocol.
 
 use std::{
     future::Future,
@@ -10,8 +10,8 @@
 use tonic::Status;
 
 use super::{
-    head::{Head, Sender, malformed},
     peers::{CallError, Peers},
+    sender::{Sender, SenderMessage, malformed},
     server::Routes,
 };
 use crate::{
@@ -26,8 +26,8 @@
 const RELAY: &str = "Relay";
 const SYNC: &str = "Sync";
 
-/// The encoded record of a member. Addresses take 6 or 18 bytes instead of
-/// their text, because this message makes up most of the control traffic.
+/// The encoded record of a member. Addresses are encoded in 6 or 18 bytes
+/// rather than as text, because these records are most of the control traffic.
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
 pub struct MemberRecord {
     #[prost(string, tag = "1")]
@@ -68,9 +68,9 @@
             },
             region: member.region.to_string(),
             az: member.az.to_string(),
-            callers: put_address(member.callers),
-            admin: put_address(member.admin),
-            peers: put_address(member.peers),
+            callers: encode_address(member.callers),
+            admin: encode_address(member.admin),
+            peers: encode_address(member.peers),
             load: match member.load {
                 Load::Normal => 0,
                 Load::High => 1,
@@ -79,12 +79,12 @@
         }
     }
 
-    /// Reads the encoded form.
+    /// Decodes the record.
     ///
     /// # Errors
     ///
-    /// Returns an error if a field has a value that is not allowed.
-    pub fn read(&self) -> Result<Member, ParseError> {
+    /// Returns an error if the value of a field is not valid.
+    pub fn to_member(&self) -> Result<Member, ParseError> {
         Ok(Member {
             id: self.id.parse()?,
             incarnation: Incarnation(self.incarnation),
@@ -98,9 +98,9 @@
             },
             region: self.region.parse()?,
             az: self.az.parse()?,
-            callers: get_address(&self.callers)?,
-            admin: get_address(&self.admin)?,
-            peers: get_address(&self.peers)?,
+            callers: decode_address(&self.callers)?,
+            admin: decode_address(&self.admin)?,
+            peers: decode_address(&self.peers)?,
             load: match self.load {
                 0 => Load::Normal,
                 1 => Load::High,
@@ -111,7 +111,8 @@
     }
 }
 
-fn put_address(addr: SocketAddr) -> Bytes {
+/// Encodes the IP address followed by the port in network byte order.
+fn encode_address(addr: SocketAddr) -> Bytes {
     let mut bytes = match addr.ip() {
         IpAddr::V4(ip) => ip.octets().to_vec(),
         IpAddr::V6(ip) => ip.octets().to_vec(),
@@ -120,38 +121,38 @@
     bytes.into()
 }
 
-fn get_address(bytes: &[u8]) -> Result<SocketAddr, ParseError> {
-    let wrong = || ParseError::new("address", &format!("{bytes:?}"), "6 or 18 bytes");
-    let (ip, port) = bytes.split_last_chunk::<2>().ok_or_else(wrong)?;
+fn decode_address(bytes: &[u8]) -> Result<SocketAddr, ParseError> {
+    let invalid = || ParseError::new("address", &format!("{bytes:?}"), "6 or 18 bytes");
+    let (ip, port) = bytes.split_last_chunk::<2>().ok_or_else(invalid)?;
     let port = u16::from_be_bytes(*port);
     if let Ok(ip) = <[u8; 4]>::try_from(ip) {
         return Ok((Ipv4Addr::from(ip), port).into());
     }
-    let ip = <[u8; 16]>::try_from(ip).map_err(|_| wrong())?;
+    let ip = <[u8; 16]>::try_from(ip).map_err(|_| invalid())?;
     Ok((Ipv6Addr::from(ip), port).into())
 }
 
-/// Encodes the records of a message.
-fn put_members(members: &[Member]) -> Vec<MemberRecord> {
+fn encode_members(members: &[Member]) -> Vec<MemberRecord> {
     members.iter().map(MemberRecord::new).collect()
 }
 
-/// Reads the records of a message. Those that cannot be read are skipped, so
-/// that a peer of a newer version does not stop the exchange of all the others.
-fn get_members(records: &[MemberRecord]) -> Vec<Member> {
-    let read = |r: &MemberRecord| {
-        r.read()
-            .inspect_err(|e| tracing::warn!("gossip: record of {:?} skipped: {e}", r.id))
+/// Decodes the records of a message. Invalid records are skipped, so that a
+/// record with a value from a newer version does not prevent the exchange of
+/// the others.
+fn decode_members(records: &[MemberRecord]) -> Vec<Member> {
+    let decode = |r: &MemberRecord| {
+        r.to_member()
+            .inspect_err(|e| tracing::warn!("gossip: skipped record of {:?}: {e}", r.id))
             .ok()
     };
-    records.iter().filter_map(read).collect()
+    records.iter().filter_map(decode).collect()
 }
 
-/// The encoded probe or acknowledgement.
+/// An encoded [`Probe`] or [`Ack`].
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
 pub struct ProbeMessage {
     #[prost(message, optional, tag = "1")]
-    head: Option<Head>,
+    head: Option<SenderMessage>,
     #[prost(uint64, tag = "2")]
     nonce: u64,
     #[prost(message, repeated, tag = "3")]
@@ -160,20 +161,20 @@
     root: u64,
 }
 
-/// A probe.
+/// A probe, which checks whether an entry is alive.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Probe {
-    /// Who sent it.
+    /// The sender.
     pub sender: Sender,
-    /// The probe.
+    /// Identifies the probe in its acknowledgement.
     pub nonce: Nonce,
-    /// Records of members.
+    /// Updated records of members.
     pub updates: Vec<Member>,
     /// The hash of all documents that the sender has adopted.
     pub root: RootHash,
 }
 
-/// An acknowledgement has the same content as a probe.
+/// The acknowledgement of a probe. It has the same fields as the probe.
 pub type Ack = Probe;
 
 impl Probe {
@@ -181,29 +182,29 @@
     #[must_use]
     pub fn encode(&self) -> ProbeMessage {
         ProbeMessage {
-            head: self.sender.head(),
+            head: self.sender.encode(),
             nonce: self.nonce.0,
-            updates: put_members(&self.updates),
+            updates: encode_members(&self.updates),
             root: self.root.0,
         }
     }
 
-    /// Reads the encoded form.
+    /// Decodes the message.
     ///
     /// # Errors
     ///
     /// Returns an error if the sender is not valid.
     pub fn decode(message: ProbeMessage) -> Result<Self, ParseError> {
         Ok(Self {
-            sender: Sender::read(message.head)?,
+            sender: Sender::decode(message.head)?,
             nonce: Nonce(message.nonce),
-            updates: get_members(&message.updates),
+            updates: decode_members(&message.updates),
             root: RootHash(message.root),
         })
     }
 }
 
-/// The encoded request to probe another entry.
+/// An encoded [`Relay`].
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
 pub struct RelayMessage {
     #[prost(message, optional, tag = "1")]
@@ -214,14 +215,15 @@
     to: Bytes,
 }
 
-/// A request to probe another entry. The reply is that entry's acknowledgement.
+/// A request to probe another entry on behalf of the sender. The reply is that
+/// entry's acknowledgement.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Relay {
-    /// What the asking entry sends to the relaying one.
+    /// The probe, as sent by the requesting entry to the relaying entry.
     pub probe: Probe,
     /// The entry to probe.
     pub target: EntryId,
-    /// Its address for peers.
+    /// The address of that entry for peers.
     pub to: SocketAddr,
 }
 
@@ -232,11 +234,11 @@
         RelayMessage {
             probe: Some(self.probe.encode()),
             target: self.target.to_string(),
-            to: put_address(self.to),
+            to: encode_address(self.to),
         }
     }
 
-    /// Reads the encoded form.
+    /// Decodes the message.
     ///
     /// # Errors
     ///
@@ -245,48 +247,48 @@
         Ok(Self {
             probe: Probe::decode(message.probe.unwrap_or_default())?,
             target: message.target.parse()?,
-            to: get_address(&message.to)?,
+            to: decode_address(&message.to)?,
         })
     }
 }
 
-/// The encoded comparison of views.
+/// An encoded [`Sync`].
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
 pub struct SyncMessage {
     #[prost(message, optional, tag = "1")]
-    head: Option<Head>,
+    head: Option<SenderMessage>,
     #[prost(fixed32, repeated, tag = "2")]
     hashes: Vec<u32>,
 }
 
-/// The encoded reply to a comparison of views.
+/// An encoded [`SyncReply`].
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
 pub struct SyncReplyMessage {
     #[prost(message, optional, tag = "1")]
-    head: Option<Head>,
+    head: Option<SenderMessage>,
     #[prost(message, repeated, tag = "2")]
     records: Vec<MemberRecord>,
     #[prost(bool, tag = "3")]
     more: bool,
 }
 
-/// A request to compare views.
+/// A request to compare the views of the members (anti-entropy).
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Sync {
-    /// Who sent it.
+    /// The sender.
     pub sender: Sender,
-    /// The sender's view.
+    /// The digest of the sender's view.
     pub digest: ViewDigest,
 }
 
-/// The reply to a comparison of views.
+/// The reply to a [`Sync`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SyncReply {
-    /// Who sent it.
+    /// The sender.
     pub sender: Sender,
-    /// The records that differ.
+    /// Records that differ between the views.
     pub records: Vec<Member>,
-    /// Whether further records differ.
+    /// Whether there are further records that did not fit.
     pub more: bool,
 }
 
@@ -295,12 +297,12 @@
     #[must_use]
     pub fn encode(&self) -> SyncMessage {
         SyncMessage {
-            head: self.sender.head(),
+            head: self.sender.encode(),
             hashes: self.digest.hashes().to_vec(),
         }
     }
 
-    /// Reads the encoded form.
+    /// Decodes the message.
     ///
     /// # Errors
     ///
@@ -308,10 +310,10 @@
     pub fn decode(message: SyncMessage) -> Result<Self, ParseError> {
         let count = message.hashes.len();
         let digest = ViewDigest::from_hashes(message.hashes);
-        let wrong = || ParseError::new("view digest", &count.to_string(), "1 to 256 hashes");
+        let invalid = || ParseError::new("view digest", &count.to_string(), "1 to 256 hashes");
         Ok(Self {
-            sender: Sender::read(message.head)?,
-            digest: digest.ok_or_else(wrong)?,
+            sender: Sender::decode(message.head)?,
+            digest: digest.ok_or_else(invalid)?,
         })
     }
 }
@@ -321,21 +323,21 @@
     #[must_use]
     pub fn encode(&self) -> SyncReplyMessage {
         SyncReplyMessage {
-            head: self.sender.head(),
-            records: put_members(&self.records),
+            head: self.sender.encode(),
+            records: encode_members(&self.records),
             more: self.more,
         }
     }
 
-    /// Reads the encoded form.
+    /// Decodes the message.
     ///
     /// # Errors
     ///
     /// Returns an error if the sender is not valid.
     pub fn decode(message: SyncReplyMessage) -> Result<Self, ParseError> {
         Ok(Self {
-            sender: Sender::read(message.head)?,
-            records: get_members(&message.records),
+            sender: Sender::decode(message.head)?,
+            records: decode_members(&message.records),
             more: message.more,
         })
     }
@@ -373,7 +375,7 @@
     })
 }
 
-/// Registers the closure that compares views.
+/// Registers the closure that compares this entry's view with the sender's.
 #[must_use]
 pub fn serve_sync<F, Fut>(routes: Routes, f: F) -> Routes
 where
@@ -393,28 +395,29 @@
 ///
 /// # Errors
 ///
-/// As [`Peers::call`]; a reply that cannot be read is a [`Step::Reply`](super::Step::Reply) error.
+/// See [`Peers::call`]. A reply that cannot be decoded is a
+/// [`Step::Reply`](super::Step::Reply) error.
 pub async fn probe(peers: &Peers, peer: SocketAddr, probe: &Probe) -> Result<Ack, CallError> {
     let reply = peers.call(peer, PROBE, probe.encode()).await?;
-    Ack::decode(reply).map_err(|e| CallError::unreadable(PROBE, peer, &e))
+    Ack::decode(reply).map_err(|e| CallError::invalid_reply(PROBE, peer, &e))
 }
 
-/// Asks the entry at `peer` to probe another one.
+/// Asks the entry at `peer` to probe another entry.
 ///
 /// # Errors
 ///
-/// As [`probe`].
+/// See [`probe`].
 pub async fn relay(peers: &Peers, peer: SocketAddr, relay: &Relay) -> Result<Ack, CallError> {
     let reply = peers.call(peer, RELAY, relay.encode()).await?;
-    Ack::decode(reply).map_err(|e| CallError::unreadable(RELAY, peer, &e))
+    Ack::decode(reply).map_err(|e| CallError::invalid_reply(RELAY, peer, &e))
 }
 
-/// Compares views with the entry at `peer`.
+/// Compares this entry's view with that of the entry at `peer`.
 ///
 /// # Errors
 ///
-/// As [`probe`].
+/// See [`probe`].
 pub async fn sync(peers: &Peers, peer: SocketAddr, sync: &Sync) -> Result<SyncReply, CallError> {
     let reply = peers.call(peer, SYNC, sync.encode()).await?;
-    SyncReply::decode(reply).map_err(|e| CallError::unreadable(SYNC, peer, &e))
+    SyncReply::decode(reply).map_err(|e| CallError::invalid_reply(SYNC, peer, &e))
 }
--- a/src/adapters/grpc/limit.rs
+++ b/src/adapters/grpc/limit.rs
@@ -1,17 +1,17 @@
-//! The encoding of the messages of limits.
+//! The encoding of messages about limits.
 //!
-//! One wire message carries the messages of several limits to one recipient,
-//! because a tick of an entry with thousands of limits would otherwise send
-//! thousands of calls. Units are encoded as the gaps between them: most messages
-//! carry few units, for which a bit set would be longer.
+//! Messages of several limits to the same recipient are sent in one batch,
+//! since an entry with thousands of limits would otherwise make thousands of
+//! calls per tick. Lists of units are delta-encoded. A bit set would be larger,
+//! because most messages contain few units.
 
 use prost::{Message as _, Oneof};
 
 use crate::domain::{EntryId, Epoch, Incarnation, LimitName, ParseError, Size};
 use crate::policy::limit::{Envelope, HeldUnits, MAX_UNITS, Member, Message, Outgoing};
 
-/// The largest encoded batch.
-pub const BATCH_MAX: Size = Size::kib(256);
+/// The maximum size of an encoded batch.
+pub const MAX_BATCH_SIZE: Size = Size::kib(256);
 
 /// Messages of several limits from one entry to another.
 #[derive(Clone, prost::Message, PartialEq)]
@@ -33,11 +33,12 @@
     pub items: Vec<LimitItem>,
 }
 
-/// The answer to a batch. Answers to its messages travel in later batches.
+/// The empty reply to a batch. Responses to its messages are sent in later
+/// batches.
 #[derive(Clone, Copy, prost::Message, PartialEq)]
 pub struct LimitAck {}
 
-/// A message of one limit.
+/// An encoded [`Envelope`]: a message about one limit.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct LimitItem {
     /// The limit's name.
@@ -46,17 +47,17 @@
     /// The epoch of the sender's roster.
     #[prost(uint64, tag = "2")]
     pub epoch: u64,
-    /// The message.
+    /// The encoded message.
     #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<Body>,
 }
 
-/// The kinds of messages.
+/// An encoded [`Message`].
 #[derive(Clone, Oneof, PartialEq)]
 pub enum Body {
     /// See [`Message::Borrow`].
     #[prost(message, tag = "3")]
-    Ask(Ask),
+    Borrow(Borrow),
     /// See [`Message::Grant`].
     #[prost(message, tag = "4")]
     Grant(Grant),
@@ -69,7 +70,7 @@
     /// See [`Message::Recall`].
     #[prost(message, tag = "7")]
     Recall(Loan),
-    /// See [`Message::Audit`]; always true.
+    /// See [`Message::Audit`]. The value is always true.
     #[prost(bool, tag = "8")]
     Audit(bool),
     /// See [`Message::Reconcile`].
@@ -85,17 +86,17 @@
 
 /// See [`Message::Borrow`].
 #[derive(Clone, prost::Message, PartialEq)]
-pub struct Ask {
-    /// The id of the ask.
+pub struct Borrow {
+    /// The id of the request.
     #[prost(uint64, tag = "1")]
     pub ask: u64,
-    /// How many units are wanted.
+    /// How many units are wanted, including those to renew.
     #[prost(uint32, tag = "2")]
     pub want: u32,
-    /// How many units the borrower has.
+    /// How many units the borrower can use already.
     #[prost(uint32, tag = "3")]
     pub held: u32,
-    /// The units to renew.
+    /// The units whose loans are to be renewed.
     #[prost(uint32, repeated, tag = "4")]
     pub renew: Vec<u32>,
 }
@@ -103,13 +104,13 @@
 /// See [`Message::Grant`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Grant {
-    /// The id of the ask.
+    /// The id of the request.
     #[prost(uint64, tag = "1")]
     pub ask: u64,
     /// The units lent.
     #[prost(uint32, repeated, tag = "2")]
     pub units: Vec<u32>,
-    /// How many idle units are left.
+    /// How many idle units the lender still has.
     #[prost(uint32, tag = "3")]
     pub idle: u32,
 }
@@ -117,7 +118,7 @@
 /// See [`Message::Decline`].
 #[derive(Clone, Copy, prost::Message, PartialEq)]
 pub struct Decline {
-    /// The id of the ask.
+    /// The id of the request.
     #[prost(uint64, tag = "1")]
     pub ask: u64,
     /// Whether a grant may follow.
@@ -128,7 +129,7 @@
 /// See [`HeldUnits`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Loan {
-    /// The id of the ask.
+    /// The id of the request.
     #[prost(uint64, tag = "1")]
     pub ask: u64,
     /// The units.
@@ -139,10 +140,10 @@
 /// See [`Message::Reconcile`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Reconcile {
-    /// The lowest ask that may still be granted.
+    /// The lowest id of a request that may still be granted.
     #[prost(uint64, tag = "1")]
     pub floor: u64,
-    /// What the borrower holds.
+    /// The units that the borrower holds, grouped by request.
     #[prost(message, repeated, tag = "2")]
     pub loans: Vec<Loan>,
 }
@@ -150,10 +151,10 @@
 /// See [`Message::Survey`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Survey {
-    /// The round.
+    /// The number of the survey round.
     #[prost(uint64, tag = "1")]
     pub round: u64,
-    /// The units that the sender lacks.
+    /// The units that the sender does not own.
     #[prost(uint32, repeated, tag = "2")]
     pub units: Vec<u32>,
 }
@@ -161,64 +162,66 @@
 /// See [`Message::Handover`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct Handover {
-    /// The round.
+    /// The number of the survey round.
     #[prost(uint64, tag = "1")]
     pub round: u64,
     /// The units that the recipient owns from now on.
     #[prost(uint32, repeated, tag = "2")]
     pub units: Vec<u32>,
-    /// The units that the sender still has.
+    /// The units that the sender still owns or has borrowed.
     #[prost(uint32, repeated, tag = "3")]
     pub kept: Vec<u32>,
 }
 
-/// Encodes units in ascending order as the gaps between them, which mostly take
-/// one byte each.
-fn to_gaps(units: &[u32]) -> Vec<u32> {
+/// Delta-encodes units, which are in ascending order. Most deltas take one
+/// byte.
+fn encode_units(units: &[u32]) -> Vec<u32> {
     let mut last = 0;
-    let gap = |unit: &u32| unit.saturating_sub(std::mem::replace(&mut last, *unit));
-    units.iter().map(gap).collect()
+    let delta = |unit: &u32| unit.saturating_sub(std::mem::replace(&mut last, *unit));
+    units.iter().map(delta).collect()
 }
 
-/// Decodes gaps, without the units that no limit has.
-fn from_gaps(gaps: &[u32]) -> Vec<u32> {
+/// Decodes delta-encoded units and stops at the first one that is not below
+/// [`MAX_UNITS`].
+fn decode_units(deltas: &[u32]) -> Vec<u32> {
     let mut last = 0u32;
-    let unit = |gap: &u32| {
-        last = last.saturating_add(*gap);
+    let unit = |delta: &u32| {
+        last = last.saturating_add(*delta);
         last
     };
-    gaps.iter()
+    deltas
+        .iter()
         .map(unit)
         .take_while(|u| *u < MAX_UNITS)
         .collect()
 }
 
-fn to_loan(held: &HeldUnits) -> Loan {
+fn encode_loan(held: &HeldUnits) -> Loan {
     Loan {
         ask: held.request_id,
-        units: to_gaps(&held.units),
+        units: encode_units(&held.units),
     }
 }
 
-fn from_loan(loan: &Loan) -> HeldUnits {
+fn decode_loan(loan: &Loan) -> HeldUnits {
     HeldUnits {
         request_id: loan.ask,
-        units: from_gaps(&loan.units),
+        units: decode_units(&loan.units),
     }
 }
 
-fn to_body(message: &Message) -> Body {
+fn encode_body(message: &Message) -> Body {
     match message {
         Message::Borrow {
             request_id,
             want,
             held,
             renew,
-        } => Body::Ask(Ask {
+        } => Body::Borrow(Borrow {
             ask: *request_id,
             want: *want,
             held: *held,
-            renew: to_gaps(renew),
+            renew: encode_units(renew),
         }),
         Message::Grant {
             request_id,
@@ -226,99 +229,101 @@
             idle,
         } => Body::Grant(Grant {
             ask: *request_id,
-            units: to_gaps(units),
+            units: encode_units(units),
             idle: *idle,
         }),
         Message::Decline { request_id, queued } => Body::Decline(Decline {
             ask: *request_id,
             queued: *queued,
         }),
-        Message::Return(held) => Body::Return(to_loan(held)),
-        Message::Recall(held) => Body::Recall(to_loan(held)),
+        Message::Return(held) => Body::Return(encode_loan(held)),
+        Message::Recall(held) => Body::Recall(encode_loan(held)),
         Message::Audit => Body::Audit(true),
         Message::Reconcile { floor, loans } => Body::Reconcile(Reconcile {
             floor: *floor,
-            loans: loans.iter().map(to_loan).collect(),
+            loans: loans.iter().map(encode_loan).collect(),
         }),
         Message::Survey { round, units } => Body::Survey(Survey {
             round: *round,
-            units: to_gaps(units),
+            units: encode_units(units),
         }),
         Message::Handover { round, units, kept } => Body::Handover(Handover {
             round: *round,
-            units: to_gaps(units),
-            kept: to_gaps(kept),
+            units: encode_units(units),
+            kept: encode_units(kept),
         }),
     }
 }
 
-fn from_body(body: &Body) -> Message {
+fn decode_body(body: &Body) -> Message {
     match body {
-        Body::Ask(m) => Message::Borrow {
+        Body::Borrow(m) => Message::Borrow {
             request_id: m.ask,
             want: m.want,
             held: m.held,
-            renew: from_gaps(&m.renew),
+            renew: decode_units(&m.renew),
         },
         Body::Grant(m) => Message::Grant {
             request_id: m.ask,
-            units: from_gaps(&m.units),
+            units: decode_units(&m.units),
             idle: m.idle,
         },
         Body::Decline(m) => Message::Decline {
             request_id: m.ask,
             queued: m.queued,
         },
-        Body::Return(loan) => Message::Return(from_loan(loan)),
-        Body::Recall(loan) => Message::Recall(from_loan(loan)),
+        Body::Return(loan) => Message::Return(decode_loan(loan)),
+        Body::Recall(loan) => Message::Recall(decode_loan(loan)),
         Body::Audit(_) => Message::Audit,
         Body::Reconcile(m) => Message::Reconcile {
             floor: m.floor,
-            loans: m.loans.iter().map(from_loan).collect(),
+            loans: m.loans.iter().map(decode_loan).collect(),
         },
         Body::Survey(m) => Message::Survey {
             round: m.round,
-            units: from_gaps(&m.units),
+            units: decode_units(&m.units),
         },
         Body::Handover(m) => Message::Handover {
             round: m.round,
-            units: from_gaps(&m.units),
-            kept: from_gaps(&m.kept),
+            units: decode_units(&m.units),
+            kept: decode_units(&m.kept),
         },
     }
 }
 
-fn to_item(envelope: &Envelope) -> LimitItem {
+fn encode_item(envelope: &Envelope) -> LimitItem {
     LimitItem {
         limit: envelope.limit.as_str().to_owned(),
         epoch: envelope.epoch.0,
-        body: Some(to_body(&envelope.message)),
+        body: Some(encode_body(&envelope.message)),
     }
 }
 
-/// Packs messages into batches of at most [`BATCH_MAX`], in the order in which
-/// each recipient first appears.
+/// Packs messages into batches of at most [`MAX_BATCH_SIZE`], each for one
+/// recipient, in the order in which the recipients first appear.
 #[must_use]
 pub fn pack(from: &Member, out: &[Outgoing]) -> Vec<LimitBatch> {
     let mut batches: Vec<LimitBatch> = Vec::new();
-    let mut open: Vec<(&Member, usize, usize)> = Vec::new();
-    for sent in out {
-        let item = to_item(&sent.envelope);
-        // The field's tag and length take at most five bytes here.
+    let mut open_batches: Vec<(&Member, usize, usize)> = Vec::new();
+    for outgoing in out {
+        let item = encode_item(&outgoing.envelope);
+        // The tag and the length prefix of the item take at most five bytes.
         let length = item.encoded_len() + 5;
-        let known = open.iter_mut().find(|(to, _, _)| **to == sent.to);
-        match known {
-            Some((_, at, size)) if fits(*size + length) => {
-                batches[*at].items.push(item);
+        let current = open_batches
+            .iter_mut()
+            .find(|(to, _, _)| **to == outgoing.to);
+        match current {
+            Some((_, index, size)) if fits(*size + length) => {
+                batches[*index].items.push(item);
                 *size += length;
             }
-            known => {
-                let mut batch = header(from, &sent.to);
+            current => {
+                let mut batch = empty_batch(from, &outgoing.to);
                 let size = batch.encoded_len() + length;
                 batch.items.push(item);
-                match known {
-                    Some(slot) => *slot = (&sent.to, batches.len(), size),
-                    None => open.push((&sent.to, batches.len(), size)),
+                match current {
+                    Some(slot) => *slot = (&outgoing.to, batches.len(), size),
+                    None => open_batches.push((&outgoing.to, batches.len(), size)),
                 }
                 batches.push(batch);
             }
@@ -328,10 +333,10 @@
 }
 
 fn fits(length: usize) -> bool {
-    length as u64 <= BATCH_MAX.0
+    length as u64 <= MAX_BATCH_SIZE.0
 }
 
-fn header(from: &Member, to: &Member) -> LimitBatch {
+fn empty_batch(from: &Member, to: &Member) -> LimitBatch {
     LimitBatch {
         from: from.entry.as_str().to_owned(),
         from_incarnation: from.incarnation.0,
@@ -341,23 +346,23 @@
     }
 }
 
-/// What a batch contains.
+/// A decoded batch.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Unpacked {
+pub struct UnpackedBatch {
     /// The sender.
     pub from: Member,
-    /// The recipient that the sender addressed.
+    /// The recipient, as addressed by the sender.
     pub to: Member,
-    /// The messages, without those of a kind that this version does not know.
+    /// The messages, without those of kinds that this version does not know.
     pub items: Vec<Envelope>,
 }
 
-/// Unpacks a batch.
+/// Decodes a batch.
 ///
 /// # Errors
 ///
-/// Returns the first name that is not valid.
-pub fn unpack(batch: &LimitBatch) -> Result<Unpacked, ParseError> {
+/// Returns an error for the first name that is not valid.
+pub fn unpack(batch: &LimitBatch) -> Result<UnpackedBatch, ParseError> {
     let mut items = Vec::new();
     for item in &batch.items {
         let limit: LimitName = item.limit.parse()?;
@@ -365,10 +370,10 @@
         items.push(Envelope {
             limit,
             epoch: Epoch(item.epoch),
-            message: from_body(body),
+            message: decode_body(body),
         });
     }
-    Ok(Unpacked {
+    Ok(UnpackedBatch {
         from: member(&batch.from, batch.from_incarnation)?,
         to: member(&batch.to, batch.to_incarnation)?,
         items,
--- a/src/adapters/grpc/limits.rs
+++ b/src/adapters/grpc/limit_calls.rs
@@ -1,24 +1,24 @@
-//! `Limit`: the call that carries messages about limits.
+//! `Limit`: the method that delivers messages about limits.
 //!
-//! There is no reply: answers are messages of their own, so that each may be
-//! lost alone.
+//! The reply is empty. Responses to the messages are sent in later calls, so
+//! that a lost call never loses a message together with its response.
 
 use std::net::SocketAddr;
 
 use super::{
-    head::malformed,
-    limit::{LimitAck, LimitBatch, Unpacked, unpack},
+    limit::{LimitAck, LimitBatch, UnpackedBatch, unpack},
     peers::{CallError, Peers},
+    sender::malformed,
     server::Routes,
 };
 
 const LIMIT: &str = "Limit";
 
-/// Registers the closure that takes messages about limits.
+/// Registers the closure that receives messages about limits.
 #[must_use]
 pub fn serve_limit<F>(routes: Routes, f: F) -> Routes
 where
-    F: Clone + Fn(Unpacked) + Send + Sync + 'static,
+    F: Clone + Fn(UnpackedBatch) + Send + Sync + 'static,
 {
     routes.route(LIMIT, move |batch: LimitBatch| {
         let f = f.clone();
@@ -33,7 +33,7 @@
 ///
 /// # Errors
 ///
-/// As [`Peers::call`].
+/// See [`Peers::call`].
 pub async fn send_limit(
     peers: &Peers,
     peer: SocketAddr,
--- a/src/adapters/grpc/mod.rs
+++ b/src/adapters/grpc/mod.rs
@@ -1,27 +1,27 @@
-//! Messages between entries, over gRPC.
+//! Calls between entries over gRPC.
 //!
 //! All methods of `savorybeam.peer.v1.Peer` are unary. A method is a closure
 //! over prost messages that is registered in [`Routes`], so each protocol
-//! (gossip, limits, claims) keeps its messages in a file of its own and no code
-//! is generated. The cost is that there is no `.proto` file for other languages
-//! to read. See [docs/design.md](../../../docs/design.md), section 5.
+//! (gossip, limits, claims) defines its messages in its own file and no code is
+//! generated. The drawback is that there is no `.proto` file for clients in
+//! other languages. See [docs/design.md](../../../docs/design.md), section 5.
 
 mod changes;
 pub mod claim;
-mod claims;
+mod claim_calls;
 mod fetch;
 mod gossip;
-mod head;
 pub mod limit;
-mod limits;
+mod limit_calls;
 mod peers;
 mod reports;
+mod sender;
 mod server;
 mod stamps;
 mod traffic;
 
 pub use changes::{changes, serve_changes};
-pub use claims::{claim as ask_home, serve_claim, serve_strike, strike};
+pub use claim_calls::{send_claims, send_strikes, serve_claim, serve_strike};
 pub use fetch::{
     DocumentBody, Fetch, FetchMessage, FetchReply, FetchReplyMessage, fetch, serve_fetch,
 };
@@ -29,19 +29,20 @@
     Ack, MemberRecord, Probe, ProbeMessage, Relay, RelayMessage, Sync, SyncMessage, SyncReply,
     SyncReplyMessage, probe, relay, serve_probe, serve_relay, serve_sync, sync,
 };
-pub use head::{Head, Sender, malformed};
-pub use limits::{send_limit, serve_limit};
+pub use limit_calls::{send_limit, serve_limit};
 pub use peers::{CallError, Peers, Step};
 pub use reports::{
-    EventsAsked, Report, events, moves, report, serve_events, serve_moves, serve_report,
+    EventsQuery, Report, events, moves, report, serve_events, serve_moves, serve_report,
 };
+pub use sender::{Sender, SenderMessage, malformed};
 pub use server::{Routes, Server, bind};
 pub use tonic::Status;
-pub use traffic::{Counts, Traffic};
+pub use traffic::{Traffic, TrafficCounts};
 
-/// The service that all methods belong to.
+/// The full name of the gRPC service that contains all methods.
 pub const SERVICE: &str = "savorybeam.peer.v1.Peer";
 
-/// The most bytes of one message. Larger replies would delay others on the same
-/// link; whoever has more to send splits it.
-pub const MESSAGE_MAX: usize = 256 * 1024;
+/// The maximum size of an encoded message. Larger messages would delay others
+/// on the same network link; a sender with more data splits it into several
+/// messages.
+pub const MAX_MESSAGE_BYTES: usize = 256 * 1024;
--- a/src/adapters/grpc/peers.rs
+++ b/src/adapters/grpc/peers.rs
@@ -1,4 +1,4 @@
-//! The calling side.
+//! The gRPC client of an entry, with a pool of channels to its peers.
 
 use std::{fmt, io, net::SocketAddr, sync::Arc, time::Instant};
 
@@ -13,41 +13,42 @@
 use tonic_prost::ProstCodec;
 
 use super::{
-    MESSAGE_MAX, SERVICE, stamps,
-    traffic::{Counted, Traffic},
+    MAX_MESSAGE_BYTES, SERVICE, stamps,
+    traffic::{CountedStream, Traffic},
 };
 use crate::{
     domain::{Millis, ParseError, Shards},
     ports::Events,
 };
 
-/// How long a connection attempt may take. It is more than three times the
-/// round trip between regions.
+/// The timeout for a connection attempt. It is more than three times the
+/// round-trip time between regions.
 const CONNECT_TIMEOUT: Millis = Millis(250);
 
-/// How long an unused channel is kept. Probes go to random peers, so without
-/// this limit each entry would hold a connection to every other one.
-const IDLE_LIMIT: Millis = Millis(30_000);
+/// How long an unused channel is kept open. Probes go to random peers, so
+/// without this timeout each entry would keep a connection to every other
+/// entry.
+const CHANNEL_IDLE_TIMEOUT: Millis = Millis(30_000);
 
-/// The part of a call that failed.
+/// The step at which a call failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
-    /// The message exceeds the limit, so nothing was sent.
+    /// The request exceeds [`MAX_MESSAGE_BYTES`], so nothing was sent.
     Encode,
-    /// No connection was made, so the peer has not seen the call.
+    /// The connection attempt failed, so the peer has not received the request.
     Connect,
-    /// There was no reply. The peer may have taken the call.
+    /// No reply arrived. The peer may have processed the request.
     Wait,
-    /// The reply is an error or cannot be read.
+    /// The reply is an error or cannot be decoded.
     Reply,
 }
 
-/// Why a call to a peer failed.
+/// The error of a failed call to a peer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct CallError {
     /// The step that failed.
     pub step: Step,
-    /// The method.
+    /// The name of the gRPC method.
     pub method: &'static str,
     /// The address of the peer.
     pub peer: SocketAddr,
@@ -75,9 +76,9 @@
 impl std::error::Error for CallError {}
 
 impl CallError {
-    /// Returns the error for a reply whose values are not valid.
+    /// Returns the error for a reply that contains an invalid value.
     #[must_use]
-    pub fn unreadable(method: &'static str, peer: SocketAddr, error: &ParseError) -> Self {
+    pub fn invalid_reply(method: &'static str, peer: SocketAddr, error: &ParseError) -> Self {
         Self {
             step: Step::Reply,
             method,
@@ -88,34 +89,35 @@
 }
 
 #[derive(Clone, Debug)]
-struct Link {
+struct PooledChannel {
     channel: Channel,
-    used: Instant,
+    last_used: Instant,
 }
 
-/// Channels to other entries, by address, opened at the first call.
+/// A pool of channels to other entries, by address. A channel is opened at the
+/// first call to its peer.
 #[derive(Debug)]
 pub struct Peers {
-    links: Shards<SocketAddr, Link>,
+    channels: Shards<SocketAddr, PooledChannel>,
     timeout: Millis,
     traffic: Arc<Traffic>,
     events: Option<Events>,
 }
 
 impl Peers {
-    /// Returns an empty pool whose calls fail after `timeout` and count into
-    /// `traffic`.
+    /// Returns an empty pool. Calls fail after `timeout`, and their messages
+    /// and bytes are counted in `traffic`.
     #[must_use]
     pub fn new(timeout: Millis, traffic: Arc<Traffic>) -> Self {
         Self {
-            links: Shards::new(),
+            channels: Shards::new(),
             timeout,
             traffic,
             events: None,
         }
     }
 
-    /// Lets calls carry the stamps of a timeline.
+    /// Exchanges stamps in the metadata of requests and replies.
     #[must_use]
     pub fn with_events(mut self, events: Events) -> Self {
         self.events = Some(events);
@@ -126,9 +128,9 @@
     ///
     /// # Errors
     ///
-    /// Returns the step that failed and the peer. A call that timed out also
-    /// drops the channel, so that the next call opens a new connection: the old
-    /// one may have become silent.
+    /// Returns the step that failed, the peer and the cause. If no reply
+    /// arrived, the channel is also removed from the pool, since its connection
+    /// may be dead, and the next call opens a new one.
     pub async fn call<Req, Resp>(
         &self,
         peer: SocketAddr,
@@ -142,11 +144,11 @@
         self.call_within(peer, method, request, self.timeout).await
     }
 
-    /// Does the same as [`call`](Self::call) with another timeout.
+    /// Like [`call`](Self::call), with a timeout for this call.
     ///
     /// # Errors
     ///
-    /// As [`call`](Self::call).
+    /// See [`call`](Self::call).
     pub async fn call_within<Req, Resp>(
         &self,
         peer: SocketAddr,
@@ -165,8 +167,8 @@
             cause,
         };
         let size = request.encoded_len();
-        if size > MESSAGE_MAX {
-            let cause = format!("{size} bytes exceed the limit of {MESSAGE_MAX}");
+        if size > MAX_MESSAGE_BYTES {
+            let cause = format!("{size} bytes exceed the limit of {MAX_MESSAGE_BYTES}");
             return Err(error(Step::Encode, cause));
         }
         let channel = self.channel(peer);
@@ -174,14 +176,14 @@
         match tokio::time::timeout(timeout.duration(), sent).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(status)) => {
-                let step = step(&status);
+                let step = failed_step(&status);
                 if step != Step::Reply {
-                    self.links.remove(&peer);
+                    self.channels.remove(&peer);
                 }
-                Err(error(step, cause(&status)))
+                Err(error(step, root_cause(&status)))
             }
             Err(_) => {
-                self.links.remove(&peer);
+                self.channels.remove(&peer);
                 Err(error(Step::Wait, format!("timed out after {timeout}")))
             }
         }
@@ -200,63 +202,63 @@
         let path = PathAndQuery::try_from(format!("/{SERVICE}/{method}"));
         let path = path.map_err(|e| Status::internal(e.to_string()))?;
         let mut grpc = tonic::client::Grpc::new(channel)
-            .max_decoding_message_size(MESSAGE_MAX)
-            .max_encoding_message_size(MESSAGE_MAX);
+            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_encoding_message_size(MAX_MESSAGE_BYTES);
         let ready = grpc.ready().await;
         ready.map_err(|e| Status::from_error(Box::new(e)))?;
-        self.traffic.message_out();
+        self.traffic.add_message_out();
         let mut request = Request::new(request);
-        stamps::put(self.events.as_ref(), request.metadata_mut());
+        stamps::inject(self.events.as_ref(), request.metadata_mut());
         let codec = ProstCodec::<Req, Resp>::default();
         let reply = grpc.unary(request, path, codec).await?;
-        stamps::take(self.events.as_ref(), reply.metadata());
-        self.traffic.message_in();
+        stamps::extract(self.events.as_ref(), reply.metadata());
+        self.traffic.add_message_in();
         Ok(reply.into_inner())
     }
 
-    /// Closes channels that have not been used for 30 s. Call it every few
+    /// Closes channels that have been idle for 30 s. Callers run this every few
     /// seconds.
-    pub fn sweep(&self) {
-        self.sweep_idle(IDLE_LIMIT);
+    pub fn close_idle(&self) {
+        self.close_idle_after(CHANNEL_IDLE_TIMEOUT);
     }
 
-    /// Closes channels that have not been used for `limit`. Running calls end
-    /// undisturbed.
-    pub fn sweep_idle(&self, limit: Millis) {
+    /// Closes channels that have been idle for `limit`. Calls that are still
+    /// running complete normally.
+    pub fn close_idle_after(&self, limit: Millis) {
         let mut idle = Vec::new();
-        self.links.each(|peer, link| {
-            if link.used.elapsed() >= limit.duration() {
+        self.channels.each(|peer, pooled| {
+            if pooled.last_used.elapsed() >= limit.duration() {
                 idle.push(*peer);
             }
         });
         for peer in idle {
-            self.links.remove(&peer);
+            self.channels.remove(&peer);
         }
     }
 
     /// Returns the number of open channels.
     #[must_use]
-    pub fn open(&self) -> usize {
+    pub fn open_channels(&self) -> usize {
         let mut count = 0;
-        self.links.each(|_, _| count += 1);
+        self.channels.each(|_, _| count += 1);
         count
     }
 
     fn channel(&self, peer: SocketAddr) -> Channel {
-        let new = || Link {
-            channel: open(peer, Arc::clone(&self.traffic)),
-            used: Instant::now(),
+        let new = || PooledChannel {
+            channel: open_channel(peer, Arc::clone(&self.traffic)),
+            last_used: Instant::now(),
         };
-        self.links.with(peer, new, |link| {
-            link.used = Instant::now();
-            link.channel.clone()
+        self.channels.with(peer, new, |pooled| {
+            pooled.last_used = Instant::now();
+            pooled.channel.clone()
         })
     }
 }
 
-fn open(peer: SocketAddr, traffic: Arc<Traffic>) -> Channel {
-    // The address only fills the `:authority` header; the connector below
-    // connects to `peer`.
+fn open_channel(peer: SocketAddr, traffic: Arc<Traffic>) -> Channel {
+    // The URI only sets the `:authority` header; the connector below connects
+    // to `peer`.
     let endpoint = Endpoint::from_static("http://peer");
     endpoint.connect_with_connector_lazy(tower::service_fn(move |_| {
         let traffic = Arc::clone(&traffic);
@@ -264,10 +266,10 @@
     }))
 }
 
-async fn connect(peer: SocketAddr, traffic: Arc<Traffic>) -> io::Result<Counted> {
+async fn connect(peer: SocketAddr, traffic: Arc<Traffic>) -> io::Result<CountedStream> {
     let connecting = TcpStream::connect(peer);
     match tokio::time::timeout(CONNECT_TIMEOUT.duration(), connecting).await {
-        Ok(stream) => Counted::new(stream?, traffic),
+        Ok(stream) => CountedStream::new(stream?, traffic),
         Err(_) => Err(io::Error::new(
             io::ErrorKind::TimedOut,
             format!("timed out after {CONNECT_TIMEOUT}"),
@@ -275,8 +277,9 @@
     }
 }
 
-/// Only a failed connection attempt proves that the peer has not seen the call.
-fn step(status: &Status) -> Step {
+/// Returns the step at which a call failed. Only a failed connection attempt
+/// proves that the peer has not received the request.
+fn failed_step(status: &Status) -> Step {
     let mut source = std::error::Error::source(status);
     if source.is_none() {
         return Step::Reply;
@@ -290,8 +293,8 @@
     Step::Wait
 }
 
-/// Returns the innermost cause, which names the fault.
-fn cause(status: &Status) -> String {
+/// Returns the text of the innermost error, which is the most specific.
+fn root_cause(status: &Status) -> String {
     let mut text = status.message().to_owned();
     let mut source = std::error::Error::source(status);
     while let Some(error) = source {
--- a/src/adapters/grpc/reports.rs
+++ b/src/adapters/grpc/reports.rs
@@ -1,10 +1,11 @@
-//! `Report` and `Events`: what an operator's question needs of other entries.
+//! `Report`, `Moves` and `Events`: the methods with which an entry collects
+//! data from the others, to answer an operator's query or to follow a shift.
 
 use std::net::SocketAddr;
 
 use super::{
-    head::{Head, Sender, malformed},
     peers::{CallError, Peers},
+    sender::{Sender, SenderMessage, malformed},
     server::Routes,
 };
 use crate::{
@@ -19,36 +20,36 @@
 const MOVES: &str = "Moves";
 const EVENTS: &str = "Events";
 
-/// The encoded question about a service.
+/// An encoded request for a report about a service.
 #[derive(Clone, prost::Message, PartialEq)]
-pub struct ReportMessage {
+pub struct ReportRequest {
     #[prost(string, tag = "1")]
     service: String,
 }
 
-/// The encoded report of one entry.
+/// An encoded [`Report`] with its sender.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct ReportReply {
     #[prost(message, optional, tag = "1")]
-    head: Option<Head>,
+    head: Option<SenderMessage>,
     #[prost(uint64, optional, tag = "2")]
     revision: Option<u64>,
     #[prost(message, repeated, tag = "3")]
     running: Vec<RunningMessage>,
 }
 
-/// The encoded question for moves.
+/// An encoded request for the shifts in progress.
 #[derive(Clone, Copy, prost::Message, PartialEq)]
-pub struct MovesMessage {}
+pub struct MovesRequest {}
 
-/// The encoded moves of one entry.
+/// The encoded shifts in progress at one entry.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct MovesReply {
     #[prost(message, repeated, tag = "1")]
     moves: Vec<MoveMessage>,
 }
 
-/// The encoded move of a service.
+/// The encoded shift of a service.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct MoveMessage {
     #[prost(string, tag = "1")]
@@ -57,7 +58,7 @@
     progress: Option<ProgressMessage>,
 }
 
-/// The encoded progress of a move.
+/// The encoded [`Progress`] of a shift.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct ProgressMessage {
     #[prost(uint64, tag = "1")]
@@ -65,12 +66,12 @@
     #[prost(bool, tag = "2")]
     busy: bool,
     #[prost(message, repeated, tag = "3")]
-    places: Vec<LevelMessage>,
+    places: Vec<PlaceMessage>,
 }
 
-/// The encoded progress of a place.
+/// An encoded [`PlaceProgress`].
 #[derive(Clone, prost::Message, PartialEq)]
-pub struct LevelMessage {
+pub struct PlaceMessage {
     #[prost(string, tag = "1")]
     place: String,
     #[prost(uint32, tag = "2")]
@@ -79,28 +80,28 @@
     target: u32,
 }
 
-fn put_progress(progress: &Progress) -> ProgressMessage {
-    let level = |(place, level): (&PlaceName, &PlaceProgress)| LevelMessage {
+fn encode_progress(progress: &Progress) -> ProgressMessage {
+    let encode = |(place, shares): (&PlaceName, &PlaceProgress)| PlaceMessage {
         place: place.to_string(),
-        effective: level.base.0,
-        target: level.target.0,
+        effective: shares.base.0,
+        target: shares.target.0,
     };
     ProgressMessage {
         revision: progress.revision.0,
         busy: progress.has_traffic,
-        places: progress.places.iter().map(level).collect(),
+        places: progress.places.iter().map(encode).collect(),
     }
 }
 
-fn get_progress(message: &ProgressMessage) -> Result<Progress, ParseError> {
-    let level = |l: &LevelMessage| {
-        let level = PlaceProgress {
-            base: Share(l.effective),
-            target: Share(l.target),
+fn decode_progress(message: &ProgressMessage) -> Result<Progress, ParseError> {
+    let decode = |p: &PlaceMessage| {
+        let shares = PlaceProgress {
+            base: Share(p.effective),
+            target: Share(p.target),
         };
-        Ok((l.place.parse()?, level))
+        Ok((p.place.parse()?, shares))
     };
-    let places: Result<_, ParseError> = message.places.iter().map(level).collect();
+    let places: Result<_, ParseError> = message.places.iter().map(decode).collect();
     Ok(Progress {
         revision: Revision(message.revision),
         has_traffic: message.busy,
@@ -108,7 +109,7 @@
     })
 }
 
-/// The encoded count of requests at a target.
+/// The encoded number of requests that run at a target.
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct RunningMessage {
     #[prost(string, tag = "1")]
@@ -117,18 +118,18 @@
     count: u64,
 }
 
-/// What an entry says of a service.
+/// An entry's report about a service.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Report {
-    /// The revision in effect, if it knows the service.
+    /// The revision in effect, or none if the entry does not know the service.
     pub revision: Option<Revision>,
-    /// The targets at which its requests run, with how many.
+    /// The number of running requests by target.
     pub running: Vec<(TargetId, u64)>,
 }
 
-/// The encoded question for events.
+/// An encoded [`EventsQuery`].
 #[derive(Clone, prost::Message, PartialEq)]
-pub struct EventsMessage {
+pub struct EventsRequest {
     #[prost(string, tag = "1")]
     after: String,
     #[prost(string, tag = "2")]
@@ -144,7 +145,7 @@
     events: Vec<EventMessage>,
 }
 
-/// The encoded event.
+/// An encoded [`Event`].
 #[derive(Clone, prost::Message, PartialEq)]
 pub struct EventMessage {
     #[prost(string, tag = "1")]
@@ -155,14 +156,14 @@
     text: String,
 }
 
-/// Which events are asked for, as text; an empty text stands for any.
+/// A query for events. Empty strings match all events.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct EventsAsked {
+pub struct EventsQuery {
     /// Only events after this stamp.
     pub after: String,
-    /// Only events of this part.
+    /// Only events about this part of the system.
     pub part: String,
-    /// The most events.
+    /// The maximum number of events.
     pub limit: u32,
 }
 
@@ -172,7 +173,7 @@
 where
     F: Clone + Fn(&str) -> (Sender, Report) + Send + Sync + 'static,
 {
-    routes.route(REPORT, move |message: ReportMessage| {
+    routes.route(REPORT, move |message: ReportRequest| {
         let f = f.clone();
         async move {
             let (sender, report) = f(&message.service);
@@ -181,7 +182,7 @@
                 count: *count,
             });
             Ok(ReportReply {
-                head: sender.head(),
+                head: sender.encode(),
                 revision: report.revision.map(|r| r.0),
                 running: running.collect(),
             })
@@ -189,112 +190,112 @@
     })
 }
 
-/// Asks the entry at `peer` about a service.
+/// Requests the report of the entry at `peer` about a service.
 ///
 /// # Errors
 ///
-/// As [`Peers::call`].
+/// See [`Peers::call`].
 pub async fn report(peers: &Peers, peer: SocketAddr, service: &str) -> Result<Report, CallError> {
-    let message = ReportMessage {
+    let message = ReportRequest {
         service: service.to_owned(),
     };
     let reply: ReportReply = peers.call(peer, REPORT, message).await?;
-    let read = |r: &RunningMessage| Ok((r.target.parse()?, r.count));
-    let running: Result<_, ParseError> = reply.running.iter().map(read).collect();
+    let decode = |r: &RunningMessage| Ok((r.target.parse()?, r.count));
+    let running: Result<_, ParseError> = reply.running.iter().map(decode).collect();
     Ok(Report {
         revision: reply.revision.map(Revision),
-        running: running.map_err(|e| CallError::unreadable(REPORT, peer, &e))?,
+        running: running.map_err(|e| CallError::invalid_reply(REPORT, peer, &e))?,
     })
 }
 
-/// Registers the closure that returns the moves that are under way.
+/// Registers the closure that returns the shifts in progress.
 #[must_use]
 pub fn serve_moves<F>(routes: Routes, f: F) -> Routes
 where
     F: Clone + Fn() -> Vec<(ServiceName, Progress)> + Send + Sync + 'static,
 {
-    routes.route(MOVES, move |_: MovesMessage| {
+    routes.route(MOVES, move |_: MovesRequest| {
         let f = f.clone();
         async move {
-            let put = |(service, progress): (ServiceName, Progress)| MoveMessage {
+            let encode = |(service, progress): (ServiceName, Progress)| MoveMessage {
                 service: service.to_string(),
-                progress: Some(put_progress(&progress)),
+                progress: Some(encode_progress(&progress)),
             };
             Ok(MovesReply {
-                moves: f().into_iter().map(put).collect(),
+                moves: f().into_iter().map(encode).collect(),
             })
         }
     })
 }
 
-/// Asks the entry at `peer` for the moves that are under way there.
+/// Requests the shifts in progress at the entry at `peer`.
 ///
 /// # Errors
 ///
-/// As [`Peers::call`].
+/// See [`Peers::call`].
 pub async fn moves(
     peers: &Peers,
     peer: SocketAddr,
 ) -> Result<Vec<(ServiceName, Progress)>, CallError> {
-    let reply: MovesReply = peers.call(peer, MOVES, MovesMessage {}).await?;
-    let read = |m: &MoveMessage| {
+    let reply: MovesReply = peers.call(peer, MOVES, MovesRequest {}).await?;
+    let decode = |m: &MoveMessage| {
         let progress = m.progress.clone().unwrap_or_default();
-        Ok((m.service.parse()?, get_progress(&progress)?))
+        Ok((m.service.parse()?, decode_progress(&progress)?))
     };
-    let all: Result<Vec<_>, ParseError> = reply.moves.iter().map(read).collect();
-    all.map_err(|e| CallError::unreadable(MOVES, peer, &e))
+    let all: Result<Vec<_>, ParseError> = reply.moves.iter().map(decode).collect();
+    all.map_err(|e| CallError::invalid_reply(MOVES, peer, &e))
 }
 
-/// Registers the closure that returns the events of this entry.
+/// Registers the closure that returns the matching events of this entry.
 #[must_use]
 pub fn serve_events<F>(routes: Routes, f: F) -> Routes
 where
-    F: Clone + Fn(&EventsAsked) -> Result<Vec<Event>, ParseError> + Send + Sync + 'static,
+    F: Clone + Fn(&EventsQuery) -> Result<Vec<Event>, ParseError> + Send + Sync + 'static,
 {
-    routes.route(EVENTS, move |message: EventsMessage| {
+    routes.route(EVENTS, move |message: EventsRequest| {
         let f = f.clone();
         async move {
-            let asked = EventsAsked {
+            let query = EventsQuery {
                 after: message.after,
                 part: message.part,
                 limit: message.limit,
             };
-            let events = f(&asked).map_err(malformed)?;
-            let put = |e: &Event| EventMessage {
+            let events = f(&query).map_err(malformed)?;
+            let encode = |e: &Event| EventMessage {
                 stamp: e.stamp.to_string(),
                 kind: e.kind.to_string(),
                 text: e.text.clone(),
             };
             Ok(EventsReply {
-                events: events.iter().map(put).collect(),
+                events: events.iter().map(encode).collect(),
             })
         }
     })
 }
 
-/// Asks the entry at `peer` for its events.
+/// Requests the matching events of the entry at `peer`.
 ///
 /// # Errors
 ///
-/// As [`Peers::call`].
+/// See [`Peers::call`].
 pub async fn events(
     peers: &Peers,
     peer: SocketAddr,
-    asked: &EventsAsked,
+    query: &EventsQuery,
 ) -> Result<Vec<Event>, CallError> {
-    let message = EventsMessage {
-        after: asked.after.clone(),
-        part: asked.part.clone(),
-        limit: asked.limit,
+    let message = EventsRequest {
+        after: query.after.clone(),
+        part: query.part.clone(),
+        limit: query.limit,
     };
     let reply: EventsReply = peers.call(peer, EVENTS, message).await?;
-    let read = |e: EventMessage| {
+    let decode = |e: EventMessage| {
         Ok(Event {
             stamp: e.stamp.parse::<Stamp>()?,
             kind: e.kind.parse()?,
             text: e.text,
         })
     };
-    let all: Result<Vec<Event>, ParseError> = reply.events.into_iter().map(read).collect();
-    all.map_err(|e| CallError::unreadable(EVENTS, peer, &e))
+    let all: Result<Vec<Event>, ParseError> = reply.events.into_iter().map(decode).collect();
+    all.map_err(|e| CallError::invalid_reply(EVENTS, peer, &e))
 }
--- a/src/adapters/grpc/head.rs
+++ b/src/adapters/grpc/sender.rs
@@ -1,52 +1,52 @@
-//! What every message between entries begins with.
+//! The sender, the first field of most messages between entries.
 
 use prost::Message;
 use tonic::Status;
 
 use crate::domain::{EntryId, Epoch, Incarnation, ParseError};
 
-/// The encoded sender. Every request and reply has it as field 1.
+/// An encoded [`Sender`], which messages carry as field 1.
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
-pub struct Head {
+pub struct SenderMessage {
     /// The sender's name.
     #[prost(string, tag = "1")]
     pub entry: String,
-    /// The life of its process.
+    /// The incarnation of the sender's process.
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
-    /// The epoch of the roster it knows.
+    /// The epoch of the newest roster that the sender knows.
     #[prost(uint64, tag = "3")]
     pub epoch: u64,
 }
 
-/// Who sent a message, and which roster it knew.
+/// The sender of a message and the epoch of its roster.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Sender {
-    /// The entry.
+    /// The sender's name.
     pub entry: EntryId,
-    /// The life of its process.
+    /// The incarnation of the sender's process.
     pub incarnation: Incarnation,
-    /// The epoch of the roster it knows.
+    /// The epoch of the newest roster that the sender knows.
     pub epoch: Epoch,
 }
 
 impl Sender {
     /// Returns the encoded form.
     #[must_use]
-    pub fn head(&self) -> Option<Head> {
-        Some(Head {
+    pub fn encode(&self) -> Option<SenderMessage> {
+        Some(SenderMessage {
             entry: self.entry.to_string(),
             incarnation: self.incarnation.0,
             epoch: self.epoch.0,
         })
     }
 
-    /// Reads the encoded form.
+    /// Decodes a sender.
     ///
     /// # Errors
     ///
-    /// Returns an error if there is no sender or its name is not valid.
-    pub fn read(head: Option<Head>) -> Result<Self, ParseError> {
+    /// Returns an error if the sender is missing or its name is not valid.
+    pub fn decode(head: Option<SenderMessage>) -> Result<Self, ParseError> {
         let head = head.unwrap_or_default();
         Ok(Self {
             entry: head.entry.parse()?,
@@ -56,7 +56,7 @@
     }
 }
 
-/// Returns the status for a request that cannot be read.
+/// Returns the status for a request that cannot be decoded.
 #[must_use]
 #[expect(clippy::needless_pass_by_value, reason = "it is passed to map_err")]
 pub fn malformed(error: ParseError) -> Status {
--- a/src/adapters/grpc/server.rs
+++ b/src/adapters/grpc/server.rs
@@ -1,4 +1,4 @@
-//! The listening side.
+//! The gRPC server of an entry.
 
 use std::{
     collections::HashMap,
@@ -19,19 +19,19 @@
 use tonic_prost::ProstCodec;
 
 use super::{
-    MESSAGE_MAX, SERVICE, stamps,
-    traffic::{Counted, Traffic},
+    MAX_MESSAGE_BYTES, SERVICE, stamps,
+    traffic::{CountedStream, Traffic},
 };
 use crate::{domain::Millis, ports::Events};
 
-/// The pause after a failed accept. It fails when the process is out of file
-/// descriptors, and an immediate retry would use a whole core.
-const ACCEPT_PAUSE: Millis = Millis(50);
+/// How long to wait after `accept` failed. It fails when the process is out of
+/// file descriptors, and retrying without a delay would fully occupy a core.
+const ACCEPT_RETRY_DELAY: Millis = Millis(50);
 
-type Reply = Pin<Box<dyn Future<Output = http::Response<Body>> + Send>>;
-type Handler = Arc<dyn Fn(http::Request<Body>) -> Reply + Send + Sync>;
+type ReplyFuture = Pin<Box<dyn Future<Output = http::Response<Body>> + Send>>;
+type Handler = Arc<dyn Fn(http::Request<Body>) -> ReplyFuture + Send + Sync>;
 
-/// The methods of an entry, each a closure over its messages.
+/// The methods of a server, each with the closure that handles its requests.
 #[derive(Clone, Default)]
 pub struct Routes {
     methods: HashMap<String, Handler>,
@@ -48,7 +48,8 @@
 }
 
 impl Routes {
-    /// Returns routes without a method that count into `traffic`.
+    /// Returns an empty set of methods. Their messages and bytes are counted in
+    /// `traffic`.
     #[must_use]
     pub fn new(traffic: Arc<Traffic>) -> Self {
         Self {
@@ -58,16 +59,16 @@
         }
     }
 
-    /// Lets replies carry the stamps of a timeline. Only methods that are added
-    /// later do so.
+    /// Exchanges stamps in the metadata of requests and replies. This applies
+    /// only to methods that are added afterwards.
     #[must_use]
     pub fn with_events(mut self, events: Events) -> Self {
         self.events = Some(events);
         self
     }
 
-    /// Adds a unary method, for example `Probe`. A second closure of the same
-    /// method replaces the first.
+    /// Adds a unary method, for example `Probe`. Adding a method again replaces
+    /// its closure.
     #[must_use]
     pub fn route<Req, Resp, F, Fut>(mut self, method: &str, f: F) -> Self
     where
@@ -77,9 +78,9 @@
         Resp: Default + Message + 'static,
     {
         let (traffic, events) = (Arc::clone(&self.traffic), self.events.clone());
-        let handler = move |request| -> Reply {
+        let handler = move |request| -> ReplyFuture {
             let (f, traffic, events) = (f.clone(), Arc::clone(&traffic), events.clone());
-            Box::pin(answer(request, f, traffic, events))
+            Box::pin(handle_unary(request, f, traffic, events))
         };
         self.methods
             .insert(format!("/{SERVICE}/{method}"), Arc::new(handler));
@@ -87,7 +88,7 @@
     }
 }
 
-async fn answer<Req, Resp, F, Fut>(
+async fn handle_unary<Req, Resp, F, Fut>(
     request: http::Request<Body>,
     f: F,
     traffic: Arc<Traffic>,
@@ -99,23 +100,23 @@
     Req: Default + Message + 'static,
     Resp: Default + Message + 'static,
 {
-    traffic.message_in();
+    traffic.add_message_in();
     let unary = tower::service_fn(move |request: Request<Req>| {
         let events = events.clone();
-        stamps::take(events.as_ref(), request.metadata());
+        stamps::extract(events.as_ref(), request.metadata());
         let reply = f(request.into_inner());
         async move {
             let mut reply = Response::new(reply.await?);
-            stamps::put(events.as_ref(), reply.metadata_mut());
+            stamps::inject(events.as_ref(), reply.metadata_mut());
             Ok(reply)
         }
     });
     let reply = tonic::server::Grpc::new(ProstCodec::<Resp, Req>::default())
-        .max_decoding_message_size(MESSAGE_MAX)
-        .max_encoding_message_size(MESSAGE_MAX)
+        .max_decoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(MAX_MESSAGE_BYTES)
         .unary(unary, request)
         .await;
-    traffic.message_out();
+    traffic.add_message_out();
     reply
 }
 
@@ -154,37 +155,40 @@
 }
 
 impl Server {
-    /// Returns the address at which it accepts, with the port that the
-    /// operating system chose if the settings left it open.
+    /// Returns the address of the listener. If port 0 was requested, this has
+    /// the port that the operating system chose.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
         self.addr
     }
 
-    /// Stops accepting and waits until running calls have ended. After `limit`
-    /// the remaining connections are closed, since a peer that no longer reads
-    /// would keep the process from ending. Returns whether all calls ended.
+    /// Stops accepting connections and waits up to `limit` for running calls.
+    /// Then it closes the remaining connections, since a peer that no longer
+    /// reads would keep the process from exiting. Returns whether all calls
+    /// ended in time.
     pub async fn stop(mut self, limit: Millis) -> bool {
         self.stop.send_replace(true);
         let ended = tokio::time::timeout(limit.duration(), &mut self.task).await;
         if ended.is_err() {
-            tracing::warn!("grpc: calls were still running {limit} after the stop");
+            tracing::warn!(
+                "grpc: closing connections with calls still running {limit} after the stop"
+            );
             self.task.abort();
         }
         ended.is_ok()
     }
 }
 
-/// Starts to serve `routes` at `addr`.
+/// Binds `addr` and starts to serve `routes`.
 ///
 /// # Errors
 ///
-/// Returns the error of the operating system, with the address, if it cannot be
-/// bound.
+/// Returns the operating system's error, with the address, if the address
+/// cannot be bound.
 pub async fn bind(addr: SocketAddr, routes: Routes) -> io::Result<Server> {
-    let failed = |e: io::Error| io::Error::new(e.kind(), format!("bind {addr}: {e}"));
-    let listener = TcpListener::bind(addr).await.map_err(failed)?;
-    let addr = listener.local_addr().map_err(failed)?;
+    let with_addr = |e: io::Error| io::Error::new(e.kind(), format!("bind {addr}: {e}"));
+    let listener = TcpListener::bind(addr).await.map_err(with_addr)?;
+    let addr = listener.local_addr().map_err(with_addr)?;
     let (stop, mut stopped) = watch::channel(false);
     let Routes {
         methods, traffic, ..
@@ -193,28 +197,32 @@
     let serving = tonic::transport::Server::builder()
         .add_service(service)
         .serve_with_incoming_shutdown(accept(listener, traffic), async move {
-            // An error means that the handle was dropped, which also stops it.
+            // An error means that the `Server` was dropped, which also stops
+            // the listener.
             let _ = stopped.wait_for(|s| *s).await;
         });
     let task = tokio::spawn(async move {
         if let Err(e) = serving.await {
-            tracing::error!("grpc: serve {addr}: {e}");
+            tracing::error!("grpc: server on {addr} failed: {e}");
         }
     });
     Ok(Server { addr, stop, task })
 }
 
-fn accept(listener: TcpListener, traffic: Arc<Traffic>) -> impl Stream<Item = io::Result<Counted>> {
+fn accept(
+    listener: TcpListener,
+    traffic: Arc<Traffic>,
+) -> impl Stream<Item = io::Result<CountedStream>> {
     stream::unfold((listener, traffic), |(listener, traffic)| async move {
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    let counted = Counted::new(stream, Arc::clone(&traffic));
+                    let counted = CountedStream::new(stream, Arc::clone(&traffic));
                     return Some((counted, (listener, traffic)));
                 }
                 Err(e) => {
-                    tracing::warn!("grpc: accept: {e}");
-                    tokio::time::sleep(ACCEPT_PAUSE.duration()).await;
+                    tracing::warn!("grpc: accept failed: {e}");
+                    tokio::time::sleep(ACCEPT_RETRY_DELAY.duration()).await;
                 }
             }
         }
--- a/src/adapters/grpc/stamps.rs
+++ b/src/adapters/grpc/stamps.rs
@@ -1,9 +1,9 @@
-//! The stamp that travels with every message.
+//! Propagates the stamps of hybrid logical clocks.
 //!
-//! An effect at one entry must come after its cause at another in the timeline,
-//! whatever their wall clocks say. So each call and each reply carries the
-//! sender's stamp as metadata, outside the messages, which therefore need not
-//! know of it. It costs about 40 bytes a message.
+//! In the timeline, an effect at one entry must come after its cause at
+//! another, even if their wall clocks differ. Each request and reply therefore
+//! carries the sender's stamp as gRPC metadata, so that no message needs a
+//! field for it. The stamp takes about 40 bytes per message.
 
 use tonic::metadata::{Ascii, MetadataMap, MetadataValue};
 
@@ -11,8 +11,8 @@
 
 const STAMP: &str = "x-stamp";
 
-/// Adds the present stamp to a message.
-pub(super) fn put(events: Option<&Events>, metadata: &mut MetadataMap) {
+/// Adds the current stamp to the metadata of a message.
+pub(super) fn inject(events: Option<&Events>, metadata: &mut MetadataMap) {
     let stamp = events.map(|e| (e.stamp)().to_string());
     let value = stamp.and_then(|s| MetadataValue::<Ascii>::try_from(s).ok());
     if let Some(value) = value {
@@ -20,8 +20,9 @@
     }
 }
 
-/// Adopts the stamp of a message. One that cannot be read is ignored.
-pub(super) fn take(events: Option<&Events>, metadata: &MetadataMap) {
+/// Advances the local clock to the stamp of a received message. A stamp that
+/// cannot be parsed is ignored.
+pub(super) fn extract(events: Option<&Events>, metadata: &MetadataMap) {
     let text = metadata.get(STAMP).and_then(|v| v.to_str().ok());
     let stamp: Option<Stamp> = text.and_then(|t| t.parse().ok());
     if let (Some(events), Some(stamp)) = (events, stamp) {
--- a/src/adapters/grpc/traffic.rs
+++ b/src/adapters/grpc/traffic.rs
@@ -1,4 +1,4 @@
-//! Counts of messages and bytes between entries.
+//! Counters for the messages and bytes exchanged between entries.
 
 use std::{
     io,
@@ -16,10 +16,10 @@
 };
 use tonic::transport::server::{Connected, TcpConnectInfo};
 
-/// Counters of one process, shared by its server and its client.
+/// The counters of one process, shared by its server and its client.
 ///
-/// Bytes are those of the TCP streams, with the HTTP/2 framing, since these are
-/// what the budget for control traffic is spent on.
+/// Bytes are counted on the TCP streams and include the HTTP/2 framing, because
+/// the budget for control traffic is defined that way.
 #[derive(Debug, Default)]
 pub struct Traffic {
     messages_in: AtomicU64,
@@ -28,9 +28,9 @@
     bytes_out: AtomicU64,
 }
 
-/// The values of the counters at one time.
+/// A snapshot of the counters of [`Traffic`].
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Counts {
+pub struct TrafficCounts {
     /// Requests and replies received.
     pub messages_in: u64,
     /// Requests and replies sent.
@@ -42,10 +42,10 @@
 }
 
 impl Traffic {
-    /// Returns the present values.
+    /// Returns the current values.
     #[must_use]
-    pub fn counts(&self) -> Counts {
-        Counts {
+    pub fn counts(&self) -> TrafficCounts {
+        TrafficCounts {
             messages_in: self.messages_in.load(Relaxed),
             messages_out: self.messages_out.load(Relaxed),
             bytes_in: self.bytes_in.load(Relaxed),
@@ -53,19 +53,19 @@
         }
     }
 
-    pub(super) fn message_in(&self) {
+    pub(super) fn add_message_in(&self) {
         self.messages_in.fetch_add(1, Relaxed);
     }
 
-    pub(super) fn message_out(&self) {
+    pub(super) fn add_message_out(&self) {
         self.messages_out.fetch_add(1, Relaxed);
     }
 
-    fn read(&self, bytes: usize) {
+    fn add_bytes_in(&self, bytes: usize) {
         self.bytes_in.fetch_add(widen(bytes), Relaxed);
     }
 
-    fn written(&self, bytes: usize) {
+    fn add_bytes_out(&self, bytes: usize) {
         self.bytes_out.fetch_add(widen(bytes), Relaxed);
     }
 }
@@ -74,22 +74,23 @@
     u64::try_from(n).unwrap_or(u64::MAX)
 }
 
-/// A TCP stream whose bytes are counted.
+/// A TCP stream that counts the bytes read and written.
 #[derive(Debug)]
-pub(super) struct Counted {
+pub(super) struct CountedStream {
     stream: TcpStream,
     traffic: Arc<Traffic>,
 }
 
-impl Counted {
-    /// Returns the stream with small messages sent at once.
+impl CountedStream {
+    /// Wraps `stream` and disables Nagle's algorithm, so that small messages
+    /// are sent without delay.
     pub(super) fn new(stream: TcpStream, traffic: Arc<Traffic>) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         Ok(Self { stream, traffic })
     }
 }
 
-impl Connected for Counted {
+impl Connected for CountedStream {
     type ConnectInfo = TcpConnectInfo;
 
     fn connect_info(&self) -> TcpConnectInfo {
@@ -97,7 +98,7 @@
     }
 }
 
-impl AsyncRead for Counted {
+impl AsyncRead for CountedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -105,19 +106,19 @@
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        self.traffic.read(buf.filled().len() - before);
+        self.traffic.add_bytes_in(buf.filled().len() - before);
         polled
     }
 }
 
-impl AsyncWrite for Counted {
+impl AsyncWrite for CountedStream {
     fn poll_write(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.count(polled)
+        self.count_written(polled)
     }
 
     fn poll_write_vectored(
@@ -126,7 +127,7 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.count(polled)
+        self.count_written(polled)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -142,10 +143,10 @@
     }
 }
 
-impl Counted {
-    fn count(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+impl CountedStream {
+    fn count_written(&self, polled: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = &polled {
-            self.traffic.written(*n);
+            self.traffic.add_bytes_out(*n);
         }
         polled
     }
--- a/src/adapters/mod.rs
+++ b/src/adapters/mod.rs
@@ -1,8 +1,8 @@
-//! The outside world behind the ports: HTTP, gRPC, the store, clocks, INI.
+//! Implementations of the ports: HTTP, gRPC, the store, clocks, INI files.
 //!
-//! An adapter translates and does nothing else. Whatever has to be decided is
-//! decided in [`policy`](crate::policy), so that another front end can use the
-//! same decisions.
+//! Adapters only translate between external formats and internal types. All
+//! decisions are made in [`policy`](crate::policy), so that another front end
+//! can reuse them.
 
 pub mod clock;
 pub mod events;
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -85,7 +85,7 @@
             _ = int.recv() => break,
             _ = hup.recv() => file.reload(&gateway.state, &mut current),
             () = tokio::time::sleep(RELOAD_PERIOD) => {
-                peers.sweep();
+                peers.close_idle();
                 file.reload(&gateway.state, &mut current);
             }
         }
--- a/src/app/entry/claims.rs
+++ b/src/app/entry/claims.rs
@@ -75,7 +75,8 @@
         }
         let address = self.fleet.address(&home.entry)?;
         let sender = self.fleet.sender();
-        let replies = grpc::ask_home(&self.fleet.peers, address, &sender, home, &[request]).await;
+        let replies =
+            grpc::send_claims(&self.fleet.peers, address, &sender, home, &[request]).await;
         replies.ok()?.pop()
     }
 
--- a/src/app/entry/control/claims.rs
+++ b/src/app/entry/control/claims.rs
@@ -46,7 +46,8 @@
         return;
     };
     let sender = state.fleet.sender();
-    let Ok(replies) = grpc::ask_home(&state.fleet.peers, address, &sender, &home, &requests).await
+    let Ok(replies) =
+        grpc::send_claims(&state.fleet.peers, address, &sender, &home, &requests).await
     else {
         return;
     };
--- a/src/app/entry/control/gossip.rs
+++ b/src/app/entry/control/gossip.rs
@@ -37,7 +37,7 @@
             known = candidates;
         }
         disseminate(&state);
-        state.fleet.peers.sweep();
+        state.fleet.peers.close_idle();
     })
     .await;
 }
--- a/src/app/entry/control/limits.rs
+++ b/src/app/entry/control/limits.rs
@@ -8,7 +8,7 @@
 use crate::{
     adapters::grpc::{
         self,
-        limit::{LimitBatch, Unpacked, pack},
+        limit::{LimitBatch, UnpackedBatch, pack},
     },
     app::entry::State,
     policy::limit::{Outgoing, TICK_INTERVAL},
@@ -60,9 +60,9 @@
 }
 
 /// Takes messages of another entry.
-pub(super) fn receive(state: &Arc<State>, batch: Unpacked) {
+pub(super) fn receive(state: &Arc<State>, batch: UnpackedBatch) {
     let now = (state.ports.clock.now)();
-    let Unpacked { from, to, items } = batch;
+    let UnpackedBatch { from, to, items } = batch;
     for item in items {
         let name = item.limit.clone();
         // Surveys wait for the answer of every member, so a ledger is needed
--- a/src/app/entry/control/reports.rs
+++ b/src/app/entry/control/reports.rs
@@ -5,7 +5,7 @@
 use futures::StreamExt;
 
 use crate::{
-    adapters::grpc::{self, EventsAsked, Report},
+    adapters::grpc::{self, EventsQuery, Report},
     app::entry::State,
     domain::{EntryId, ParseError, ServiceName},
     policy::{member, timeline::Event},
@@ -37,7 +37,7 @@
 }
 
 /// Returns the events of this entry.
-pub(super) fn own_events(state: &State, asked: &EventsAsked) -> Result<Vec<Event>, ParseError> {
+pub(super) fn own_events(state: &State, asked: &EventsQuery) -> Result<Vec<Event>, ParseError> {
     let part = |text: &str| (!text.is_empty()).then(|| text.parse()).transpose();
     let after = (!asked.after.is_empty())
         .then(|| asked.after.parse())
@@ -103,7 +103,7 @@
     state: &Arc<State>,
     query: EventQuery,
 ) -> Gathered {
-    let asked = EventsAsked {
+    let asked = EventsQuery {
         after: query
             .after
             .as_ref()
--- a/src/app/entry/control/strikes.rs
+++ b/src/app/entry/control/strikes.rs
@@ -67,7 +67,7 @@
         return;
     };
     let sender = state.fleet.sender();
-    if let Ok(more) = grpc::strike(&state.fleet.peers, address, &sender, &list).await {
+    if let Ok(more) = grpc::send_strikes(&state.fleet.peers, address, &sender, &list).await {
         merge(&state, &more);
     }
 }
--- a/tests/claim_messages.rs
+++ b/tests/claim_messages.rs
@@ -8,7 +8,7 @@
 use quickcheck::quickcheck;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{
-    adapters::grpc::claim::{Claim, ClaimReply, Copied, Strikes, Vote},
+    adapters::grpc::claim::{ClaimReply, ClaimRequest, CopiedClaim, Strikes, Vote},
     domain::{Epoch, Incarnation, Millis, Size},
     policy::{
         crash::{self, MemberCount},
@@ -168,8 +168,8 @@
         let mut random = Random(SmallRng::seed_from_u64(seed));
         let (sender, epoch) = (random.member(), Epoch(random.number()));
         let request = random.request();
-        let bytes = Claim::new(&sender, epoch, &request).encode_to_vec();
-        let read = Claim::decode(&bytes[..]).map(Claim::into_parts);
+        let bytes = ClaimRequest::new(&sender, epoch, &request).encode_to_vec();
+        let read = ClaimRequest::decode(&bytes[..]).map(ClaimRequest::into_parts);
         assert_eq!(read, Ok(Ok((sender.clone(), epoch, request))));
         let response = random.response();
         let bytes = ClaimReply::new(&sender, epoch, &response).encode_to_vec();
@@ -182,7 +182,7 @@
     }
 
     fn decoding_arbitrary_bytes_does_not_panic(bytes: Vec<u8>) -> bool {
-        let _ = Claim::decode(&bytes[..]).map(Claim::into_parts);
+        let _ = ClaimRequest::decode(&bytes[..]).map(ClaimRequest::into_parts);
         let _ = ClaimReply::decode(&bytes[..]).map(ClaimReply::into_parts);
         let _ = Strikes::decode(&bytes[..]).map(Vec::<crash::StrikeNotice>::try_from);
         true
@@ -192,7 +192,7 @@
 #[test]
 fn incomplete_messages_are_refused() {
     let errors = [
-        Claim::default()
+        ClaimRequest::default()
             .into_parts()
             .expect_err("no request")
             .to_string(),
@@ -203,7 +203,7 @@
         once::VoteRequest::try_from(Vote::default())
             .expect_err("no key")
             .to_string(),
-        once::CopiedClaim::try_from(Copied::default())
+        once::CopiedClaim::try_from(CopiedClaim::default())
             .expect_err("no state")
             .to_string(),
     ];
--- a/tests/grpc.rs
+++ b/tests/grpc.rs
@@ -1,6 +1,7 @@
-//! Guards the transport between entries: an error that names the wrong step
-//! would make a caller repeat what a peer has already done, and a silent
-//! connection that is kept would cut off a peer that is alive.
+//! Tests the transport between entries. An error with the wrong step would make
+//! an entry repeat a call that its peer has already processed. A dead
+//! connection that stays in the pool would make a peer that is alive
+//! unreachable.
 
 mod records;
 
@@ -12,9 +13,10 @@
 use records::{id, member};
 use savorybeam::{
     adapters::grpc::{
-        CallError, DocumentBody, Fetch, FetchMessage, FetchReply, FetchReplyMessage, MESSAGE_MAX,
-        Peers, Probe, Relay, RelayMessage, Routes, Sender, Server, Status, Step, Sync, Traffic,
-        bind, fetch, probe, relay, serve_fetch, serve_probe, serve_relay, serve_sync, sync,
+        CallError, DocumentBody, Fetch, FetchMessage, FetchReply, FetchReplyMessage,
+        MAX_MESSAGE_BYTES, Peers, Probe, Relay, RelayMessage, Routes, Sender, Server, Status, Step,
+        Sync, Traffic, bind, fetch, probe, relay, serve_fetch, serve_probe, serve_relay,
+        serve_sync, sync,
     },
     domain::{Epoch, Incarnation, Millis, Revision},
     policy::{
@@ -24,13 +26,13 @@
 };
 use tokio::sync::Notify;
 
-/// Long enough not to matter where a reply comes.
-const PATIENT: Millis = Millis(20_000);
+/// A timeout that does not expire in calls that get a reply.
+const LONG_TIMEOUT: Millis = Millis(20_000);
 
-/// Short, where no reply comes.
-const SHORT: Millis = Millis(100);
+/// A timeout for calls that get no reply.
+const SHORT_TIMEOUT: Millis = Millis(100);
 
-/// A message of another protocol, as other files define theirs.
+/// A message that is defined outside the crate.
 #[derive(Clone, Eq, Message, PartialEq)]
 struct Text {
     #[prost(bytes = "bytes", tag = "1")]
@@ -51,7 +53,7 @@
     }
 }
 
-fn a_probe(n: usize) -> Probe {
+fn sample_probe(n: usize) -> Probe {
     Probe {
         sender: sender(n),
         nonce: Nonce(5),
@@ -69,13 +71,13 @@
     Peers::new(timeout, Arc::default())
 }
 
-fn shown(error: &CallError) -> String {
+fn mask_address(error: &CallError) -> String {
     format!("{error}").replace(&error.peer.to_string(), "PEER")
 }
 
-/// Fails if one of the methods of gossip loses a value on the way.
+/// Guards against membership messages that lose or change a field.
 #[tokio::test]
-async fn gossip_arrives_as_it_was_sent() {
+async fn membership_messages_arrive_unchanged() {
     let routes = serve_probe(Routes::default(), |p| async { Ok(p) });
     let routes = serve_relay(routes, |r| async move {
         let sender = Sender {
@@ -99,22 +101,22 @@
         })
     });
     let server = serve(routes).await;
-    let peers = peers(PATIENT);
-    let ack = probe(&peers, server.addr(), &a_probe(0)).await;
-    assert_eq!(ack, Ok(a_probe(0)));
+    let peers = peers(LONG_TIMEOUT);
+    let ack = probe(&peers, server.addr(), &sample_probe(0)).await;
+    assert_eq!(ack, Ok(sample_probe(0)));
     let request = Relay {
-        probe: a_probe(0),
+        probe: sample_probe(0),
         target: id(2),
         to: member(2).peers,
     };
     let ack = Probe {
         sender: sender(2),
         nonce: Nonce(3_002),
-        ..a_probe(0)
+        ..sample_probe(0)
     };
     assert_eq!(relay(&peers, server.addr(), &request).await, Ok(ack));
-    let mut mine = Members::new(member(0), Vec::new(), Tuning::default());
-    mine.on_update(Millis(0), member(3));
+    let mut local_view = Members::new(member(0), Vec::new(), Tuning::default());
+    local_view.on_update(Millis(0), member(3));
     let digest = savorybeam::policy::member::ViewDigest::from_hashes(vec![1]);
     let request = Sync {
         sender: sender(0),
@@ -125,16 +127,16 @@
         .expect("a reply");
     assert_eq!(reply.records, [member(4)]);
     drop(peers);
-    server.stop(PATIENT).await;
+    server.stop(LONG_TIMEOUT).await;
 }
 
-/// Fails if other protocols cannot add their methods, or if an error does not
-/// say which step failed.
+/// Checks that further methods can be added, and that each error names the step
+/// that failed.
 #[tokio::test]
 async fn errors_name_the_step_and_the_peer() {
     let routes = Routes::default()
         .route("Echo", |t: Text| async { Ok(t) })
-        .route("Grow", |_: Text| async { Ok(text(MESSAGE_MAX + 1)) })
+        .route("Grow", |_: Text| async { Ok(text(MAX_MESSAGE_BYTES + 1)) })
         .route("Deny", |_: Text| async {
             Err::<Text, _>(Status::aborted("epoch 3 is over"))
         })
@@ -143,100 +145,109 @@
         });
     let routes = serve_probe(routes, |p| async { Ok(p) });
     let server = serve(routes).await;
-    let (at, pool) = (server.addr(), peers(PATIENT));
-    let echo = pool.call::<Text, Text>(at, "Echo", text(100_000)).await;
+    let (addr, pool) = (server.addr(), peers(LONG_TIMEOUT));
+    let echo = pool.call::<Text, Text>(addr, "Echo", text(100_000)).await;
     assert_eq!(echo, Ok(text(100_000)));
-    let nobody = {
+    let closed_port = {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
         listener.local_addr().expect("it is bound")
     };
     let mut errors = Vec::new();
     for (peer, method, len) in [
-        (at, "Grow", 1),
-        (at, "Echo", MESSAGE_MAX + 1),
-        (at, "Deny", 1),
-        (at, "None", 1),
-        (nobody, "Echo", 1),
+        (addr, "Grow", 1),
+        (addr, "Echo", MAX_MESSAGE_BYTES + 1),
+        (addr, "Deny", 1),
+        (addr, "None", 1),
+        (closed_port, "Echo", 1),
     ] {
         let failed = pool.call::<Text, Text>(peer, method, text(len)).await;
-        errors.push(failed.expect_err("it has to fail"));
+        errors.push(failed.expect_err("the call fails"));
     }
     let hang = pool
-        .call_within::<Text, Text>(at, "Hang", text(1), SHORT)
+        .call_within::<Text, Text>(addr, "Hang", text(1), SHORT_TIMEOUT)
         .await;
-    errors.push(hang.expect_err("no reply"));
-    let wrong = pool.call::<Text, Text>(at, "Probe", Text::default()).await;
-    errors.push(wrong.expect_err("no sender"));
+    errors.push(hang.expect_err("no reply is sent"));
+    let no_sender = pool
+        .call::<Text, Text>(addr, "Probe", Text::default())
+        .await;
+    errors.push(no_sender.expect_err("the sender is missing"));
     let lines: Vec<_> = errors
         .iter()
-        .map(|e| format!("{:?}: {}", e.step, shown(e)))
+        .map(|e| format!("{:?}: {}", e.step, mask_address(e)))
         .collect();
     insta::assert_snapshot!(lines.join("\n"));
     drop(pool);
-    server.stop(SHORT).await;
+    server.stop(SHORT_TIMEOUT).await;
 }
 
-/// Fails if a connection that has become silent is used again.
+/// A connection on which a call timed out may be dead, so the next call must
+/// open a new one.
 #[tokio::test]
-async fn a_silent_connection_is_not_used_again() {
+async fn a_connection_that_timed_out_is_not_reused() {
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
         .await
         .expect("a free port");
-    let at = listener.local_addr().expect("it is bound");
-    let pool = peers(SHORT);
+    let addr = listener.local_addr().expect("it is bound");
+    let pool = peers(SHORT_TIMEOUT);
     let mut held = Vec::new();
     for _ in 0..2 {
-        let call = pool.call::<Text, Text>(at, "Echo", text(1));
+        let call = pool.call::<Text, Text>(addr, "Echo", text(1));
         let (failed, accepted) = tokio::join!(call, listener.accept());
-        assert_eq!(failed.expect_err("no reply").step, Step::Wait);
-        held.push(accepted.expect("a new connection each time"));
-        assert_eq!(pool.open(), 0);
+        assert_eq!(failed.expect_err("no reply is sent").step, Step::Wait);
+        held.push(accepted.expect("a new connection for each call"));
+        assert_eq!(pool.open_channels(), 0);
     }
 }
 
-/// Fails if connections to all peers ever called stay open, or if an idle one
-/// that is open keeps a server from stopping.
+/// Guards against keeping a connection to every peer ever called, and against
+/// an idle connection that prevents a server from stopping.
 #[tokio::test]
 async fn idle_connections_are_closed() {
     let routes = Routes::default().route("Echo", |t: Text| async { Ok(t) });
     let (one, two) = (serve(routes.clone()).await, serve(routes).await);
-    let pool = peers(PATIENT);
+    let pool = peers(LONG_TIMEOUT);
     for server in [&one, &two] {
         let echo = pool
             .call::<Text, Text>(server.addr(), "Echo", text(1))
             .await;
         assert_eq!(echo, Ok(text(1)));
     }
-    pool.sweep();
-    assert_eq!(pool.open(), 2);
-    let at = two.addr();
-    assert!(one.stop(PATIENT).await && two.stop(PATIENT).await);
-    let failed = pool.call::<Text, Text>(at, "Echo", text(1)).await;
-    assert_eq!(failed.expect_err("it has stopped").step, Step::Connect);
-    pool.sweep_idle(Millis(0));
-    assert_eq!(pool.open(), 0);
+    pool.close_idle();
+    assert_eq!(pool.open_channels(), 2);
+    let addr = two.addr();
+    assert!(one.stop(LONG_TIMEOUT).await && two.stop(LONG_TIMEOUT).await);
+    let failed = pool.call::<Text, Text>(addr, "Echo", text(1)).await;
+    assert_eq!(
+        failed.expect_err("the server has stopped").step,
+        Step::Connect
+    );
+    pool.close_idle_after(Millis(0));
+    assert_eq!(pool.open_channels(), 0);
 }
 
-/// Fails if a stop breaks a call that is running, or takes new ones.
+/// Guards against a stop that aborts a running call or accepts new connections.
 #[tokio::test]
 async fn a_stop_waits_for_running_calls() {
-    let (begun, finish) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
-    let (b, f) = (Arc::clone(&begun), Arc::clone(&finish));
+    let (started, finish) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let (begin, end) = (Arc::clone(&started), Arc::clone(&finish));
     let routes = Routes::default().route("Slow", move |t: Text| {
-        let (b, f) = (Arc::clone(&b), Arc::clone(&f));
+        let (begin, end) = (Arc::clone(&begin), Arc::clone(&end));
         async move {
-            b.notify_one();
-            f.notified().await;
+            begin.notify_one();
+            end.notified().await;
             Ok(t)
         }
     });
     let server = serve(routes).await;
-    let at = server.addr();
-    let call =
-        tokio::spawn(async move { peers(PATIENT).call::<Text, Text>(at, "Slow", text(3)).await });
-    begun.notified().await;
-    let stopping = tokio::spawn(server.stop(PATIENT));
-    while tokio::net::TcpStream::connect(at).await.is_ok() {
+    let addr = server.addr();
+    let call = tokio::spawn(async move {
+        peers(LONG_TIMEOUT)
+            .call::<Text, Text>(addr, "Slow", text(3))
+            .await
+    });
+    started.notified().await;
+    let stopping = tokio::spawn(server.stop(LONG_TIMEOUT));
+    while tokio::net::TcpStream::connect(addr).await.is_ok() {
         tokio::time::sleep(Millis(1).duration()).await;
     }
     finish.notify_one();
@@ -244,28 +255,42 @@
     assert!(stopping.await.expect("no panic"));
 }
 
-/// Fails if messages or bytes are missed, since the budget for control traffic
-/// is held against these counters.
+/// The budget for control traffic is checked with these counters, so they must
+/// not miss messages or bytes.
 #[tokio::test]
 async fn traffic_is_counted_on_both_sides() {
-    let (near, far) = (Arc::<Traffic>::default(), Arc::<Traffic>::default());
-    let routes = Routes::new(Arc::clone(&far)).route("Echo", |t: Text| async { Ok(t) });
+    let (client_side, server_side) = (Arc::<Traffic>::default(), Arc::<Traffic>::default());
+    let routes = Routes::new(Arc::clone(&server_side)).route("Echo", |t: Text| async { Ok(t) });
     let server = serve(routes).await;
-    let pool = Peers::new(PATIENT, Arc::clone(&near));
+    let pool = Peers::new(LONG_TIMEOUT, Arc::clone(&client_side));
     for _ in 0..10 {
         let echo = pool
             .call::<Text, Text>(server.addr(), "Echo", text(1_000))
             .await;
         assert_eq!(echo, Ok(text(1_000)));
     }
-    let (near, far) = (near.counts(), far.counts());
-    assert_eq!((near.messages_out, near.messages_in), (10, 10));
-    assert_eq!((far.messages_out, far.messages_in), (10, 10));
-    for bytes in [near.bytes_out, near.bytes_in, far.bytes_out, far.bytes_in] {
-        assert!((10_000..20_000).contains(&bytes), "{near:?} {far:?}");
+    let (client_side, server_side) = (client_side.counts(), server_side.counts());
+    assert_eq!(
+        (client_side.messages_out, client_side.messages_in),
+        (10, 10)
+    );
+    assert_eq!(
+        (server_side.messages_out, server_side.messages_in),
+        (10, 10)
+    );
+    for bytes in [
+        client_side.bytes_out,
+        client_side.bytes_in,
+        server_side.bytes_out,
+        server_side.bytes_in,
+    ] {
+        assert!(
+            (10_000..20_000).contains(&bytes),
+            "{client_side:?} {server_side:?}"
+        );
     }
     drop(pool);
-    server.stop(PATIENT).await;
+    server.stop(LONG_TIMEOUT).await;
 }
 
 fn body(n: usize, len: usize) -> DocumentBody {
@@ -276,10 +301,10 @@
     }
 }
 
-/// Fails if a reply outgrows the message limit, so that nothing arrives, or if
-/// the rest cannot be asked for.
+/// Guards against a reply that exceeds the message limit, which would not
+/// arrive at all, and against omitted bodies that cannot be requested later.
 #[tokio::test]
-async fn bodies_that_do_not_fit_are_asked_for_again() {
+async fn omitted_bodies_can_be_requested_again() {
     let all: Vec<_> = (0..40).map(|n| body(n, 20_000)).collect();
     let stored = all.clone();
     let routes = serve_fetch(Routes::default(), move |request: Fetch| {
@@ -295,7 +320,7 @@
         async { Ok(reply) }
     });
     let server = serve(routes).await;
-    let pool = peers(PATIENT);
+    let pool = peers(LONG_TIMEOUT);
     let mut received = Vec::new();
     let mut rounds = 0;
     while received.len() < all.len() {
@@ -312,10 +337,10 @@
     }
     assert_eq!((rounds, received), (4, all));
     drop(pool);
-    server.stop(PATIENT).await;
+    server.stop(LONG_TIMEOUT).await;
 }
 
-fn names(list: &[u16]) -> Vec<Announcement> {
+fn announcements(list: &[u16]) -> Vec<Announcement> {
     let one = |n: &u16| Announcement {
         service: format!("service-{n}").parse().expect("a name"),
         revision: Revision(u64::from(*n) << 40),
@@ -324,27 +349,27 @@
 }
 
 quickcheck! {
-    /// Fails if a message changes its meaning between encoder and decoder.
-    fn messages_read_back(list: Vec<u16>, n: u8, life: u64, root: u64) -> bool {
-        let sender = Sender { incarnation: Incarnation(life), ..sender(usize::from(n)) };
+    /// Guards against messages that change when they are encoded and decoded.
+    fn messages_round_trip(list: Vec<u16>, n: u8, incarnation: u64, root: u64) -> bool {
+        let sender = Sender { incarnation: Incarnation(incarnation), ..sender(usize::from(n)) };
         let mut spread = Dissemination::new(savorybeam::policy::spread::Tuning::default());
-        for item in names(&list) {
+        for item in announcements(&list) {
             spread.on_adopted(&item.service, item.revision);
         }
         let request = Fetch {
             sender: sender.clone(),
-            announced: names(&list),
+            announced: announcements(&list),
             summary: Some(spread.summary()),
-            services: names(&list).into_iter().map(|a| a.service).collect(),
+            services: announcements(&list).into_iter().map(|a| a.service).collect(),
         };
         let reply = FetchReply {
             sender: sender.clone(),
-            revisions: names(&list),
+            revisions: announcements(&list),
             bodies: list.iter().map(|n| body(usize::from(*n), 10)).collect(),
             root: RootHash(root),
         };
         let relay = Relay {
-            probe: Probe { sender, ..a_probe(usize::from(n)) },
+            probe: Probe { sender, ..sample_probe(usize::from(n)) },
             target: id(1),
             to: member(1).peers,
         };
--- a/tests/limit/wire.rs
+++ b/tests/limit/wire.rs
@@ -3,7 +3,7 @@
 
 use prost::Message as _;
 use quickcheck::{Arbitrary, Gen, quickcheck};
-use savorybeam::adapters::grpc::limit::{BATCH_MAX, LimitBatch, pack, unpack};
+use savorybeam::adapters::grpc::limit::{LimitBatch, MAX_BATCH_SIZE, pack, unpack};
 use savorybeam::domain::Epoch;
 use savorybeam::policy::limit::{Envelope, HeldUnits, MAX_UNITS, Message, Outgoing};
 
@@ -112,7 +112,7 @@
     let sent = vec![one; 2_000];
     let batches = pack(&member(0, 1), &sent);
     let sizes: Vec<usize> = batches.iter().map(prost::Message::encoded_len).collect();
-    assert!(sizes.iter().all(|s| *s as u64 <= BATCH_MAX.0));
+    assert!(sizes.iter().all(|s| *s as u64 <= MAX_BATCH_SIZE.0));
     let read: Vec<Envelope> = batches
         .iter()
         .flat_map(|b| unpack(b).expect("valid names").items)
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -403,7 +403,7 @@
         let bytes = record.encode_to_vec();
         let framed = bytes.len() + 2 <= member.size_bound();
         let read = MemberRecord::decode(bytes.as_slice()).expect("it was encoded");
-        framed && read.read() == Ok(member)
+        framed && read.to_member() == Ok(member)
     }
 }
 
