--- a/examples/fleet_slope/main.rs
+++ b/examples/fleet_slope/main.rs
@@ -231,7 +231,7 @@
     let edit = Edit {
         id: EditId::random(&mut rand::rng()),
         team: "slope".parse()?,
-        wall: (clock.wall)(),
+        wall_time: (clock.wall)(),
         text: Some(text),
     };
     submit(store, &name, None, edit).await.map_err(|e| eyre!(e))
--- a/src/adapters/events/mod.rs
+++ b/src/adapters/events/mod.rs
@@ -51,9 +51,9 @@
     match line {
         Line::Event(event) => json!({
             "stamp": event.stamp.to_string(),
-            "time": Utc(event.stamp.wall).to_string(),
+            "time": Utc(event.stamp.wall_time).to_string(),
             "entry": event.stamp.entry.as_str(),
-            "part": event.part().to_string(),
+            "part": event.component().to_string(),
             "kind": event.kind.to_string(),
             "text": event.text,
         }),
--- a/src/adapters/grpc/changes/config.rs
+++ b/src/adapters/grpc/changes/config.rs
@@ -1,7 +1,8 @@
 //! The encoded configuration.
 
 use crate::domain::{
-    CallerLimits, Configuration, Millis, ParseError, Part, Revision, Rule, ServiceRule, Size,
+    CallerLimits, Configuration, Millis, ParseError, Revision, RouteRule, ServiceRule, Size,
+    WeightedService,
 };
 
 /// The encoded configuration.
@@ -102,8 +103,8 @@
     })
 }
 
-fn put_rule(rule: &Rule) -> RuleMessage {
-    let part = |p: &Part| PartMessage {
+fn put_rule(rule: &RouteRule) -> RuleMessage {
+    let part = |p: &WeightedService| PartMessage {
         service: p.service.to_string(),
         weight: p.weight,
     };
@@ -118,20 +119,20 @@
         priority: rule.priority,
         sticky: rule.sticky,
         homes: rule.homes.iter().map(ToString::to_string).collect(),
-        parts: rule.parts.iter().map(part).collect(),
+        parts: rule.services.iter().map(part).collect(),
     }
 }
 
-fn get_rule(message: &RuleMessage) -> Result<Rule, ParseError> {
+fn get_rule(message: &RuleMessage) -> Result<RouteRule, ParseError> {
     let part = |p: &PartMessage| {
-        Ok(Part {
+        Ok(WeightedService {
             service: p.service.parse()?,
             weight: p.weight,
         })
     };
     let homes: Result<_, ParseError> = message.homes.iter().map(|r| r.parse()).collect();
     let parts: Result<_, ParseError> = message.parts.iter().map(part).collect();
-    Ok(Rule {
+    Ok(RouteRule {
         name: message.name.clone(),
         host: message.host.clone(),
         prefix: message.prefix.clone(),
@@ -142,6 +143,6 @@
         priority: message.priority,
         sticky: message.sticky,
         homes: homes?,
-        parts: parts?,
+        services: parts?,
     })
 }
--- a/src/adapters/grpc/changes/messages.rs
+++ b/src/adapters/grpc/changes/messages.rs
@@ -153,7 +153,7 @@
         state: i.state.to_string(),
         cold_ms: i.cold.0,
         seq: i.seq,
-        born: i.born.map(|b| b.0),
+        born: i.started_at.map(|b| b.0),
     }
 }
 
@@ -167,7 +167,7 @@
         state: i.state.parse()?,
         cold: Millis(i.cold_ms),
         seq: i.seq,
-        born: i.born.map(Millis),
+        started_at: i.born.map(Millis),
     })
 }
 
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -9,7 +9,7 @@
 use crate::{
     domain::{
         CallerLimits, Configuration, EntryId, Instance, InstanceId, InstanceState, Mbps, Millis,
-        Part, Presence, RequestKind, Revision, Rule, ServiceRule, Size, Slots,
+        Presence, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots, WeightedService,
     },
     ports::Change,
 };
@@ -124,7 +124,7 @@
         state: parse::<InstanceState>(&wire.state)?,
         cold: time("cold_left_s", wire.cold)?,
         seq: wire.seq,
-        born: wire.born.map(Millis),
+        started_at: wire.born.map(Millis),
     }))
 }
 
@@ -262,23 +262,23 @@
     })
 }
 
-fn rule(host: &str, route: WireRoute) -> Result<Rule, String> {
+fn rule(host: &str, route: WireRoute) -> Result<RouteRule, String> {
     let action = route.action;
-    let mut parts = Vec::new();
+    let mut services = Vec::new();
     for part in action.traffic_split {
-        parts.push(Part {
+        services.push(WeightedService {
             service: parse(&part.service)?,
             weight: part.weight,
         });
     }
     if let Some(service) = action.service {
-        parts.push(Part {
+        services.push(WeightedService {
             service: parse(&service)?,
             weight: 1.0,
         });
     }
     let homes = action.home_regions.iter().map(|r| parse(r));
-    Ok(Rule {
+    Ok(RouteRule {
         name: route.name,
         host: host.to_ascii_lowercase(),
         prefix: route.matches.prefix,
@@ -289,7 +289,7 @@
         priority: route.priority,
         sticky: route.sticky,
         homes: homes.collect::<Result<_, String>>()?,
-        parts,
+        services,
     })
 }
 
--- a/src/adapters/platform/settings.rs
+++ b/src/adapters/platform/settings.rs
@@ -211,15 +211,15 @@
 
 fn bounds(wire: &WireBounds, f: &mut Faults) -> Bounds {
     Bounds {
-        drain: f.time("drain_s", wire.drain_s),
-        config: f.time("config_apply_s", wire.config),
-        grace: f.time("grace_s", wire.grace_s),
+        drain_deadline: f.time("drain_s", wire.drain_s),
+        config_deadline: f.time("config_apply_s", wire.config),
+        grace_period: f.time("grace_s", wire.grace_s),
         retry_ratio: wire.retry_ratio,
         retry_slack: wire.retry_slack,
         retry_window: f.time("budget_window_s", wire.retry_window),
         cold_factor: wire.cold_overshoot,
         cold_slack: wire.cold_slack,
-        ttl: f.time("ttl_max_s", wire.ttl),
-        shift: wire.max_shift,
+        lookup_ttl: f.time("ttl_max_s", wire.ttl),
+        max_shift: wire.max_shift,
     }
 }
--- a/src/adapters/store/documents.rs
+++ b/src/adapters/store/documents.rs
@@ -12,7 +12,7 @@
 use crate::{
     adapters::ini::parse_document,
     domain::{Revision, ServiceName},
-    policy::document::{Content, Edit, EditError, Fate, History, Stored},
+    policy::document::{Content, Edit, EditError, History, StoredHistory, WriteOutcome},
     ports::{Record, Store, StoreError, Update, Write},
 };
 
@@ -143,13 +143,16 @@
 /// # Errors
 ///
 /// Returns an error if the store does not answer or the record is malformed.
-pub async fn read(store: &Store, service: &ServiceName) -> Result<Option<Stored>, SubmitError> {
+pub async fn read(
+    store: &Store,
+    service: &ServiceName,
+) -> Result<Option<StoredHistory>, SubmitError> {
     let found = (store.get)(key(service))
         .await
         .map_err(SubmitError::Store)?;
     let stored = found.map(|r| {
         let history = record::decode(&r.value).map_err(SubmitError::Record)?;
-        Ok(Stored {
+        Ok(StoredHistory {
             revision: r.revision,
             history,
         })
@@ -176,7 +179,7 @@
     let id = edit.id;
     let stored = read(store, service).await?;
     let expected = stored.as_ref().map_or(Revision::default(), |s| s.revision);
-    if let Some(own) = own_revision(History::fate(id, expected, stored.as_ref())) {
+    if let Some(own) = own_revision(History::write_outcome(id, expected, stored.as_ref())) {
         return Ok(own);
     }
     let history = History::extend(stored, base, edit).map_err(SubmitError::Refused)?;
@@ -199,11 +202,11 @@
             tokio::time::sleep(PAUSE).await;
             continue;
         };
-        match History::fate(id, expected, found.as_ref()) {
-            Fate::InEffect(own) | Fate::Superseded { own, .. } => return Ok(own),
-            Fate::Lost(found) => return Err(conflict(expected, found)),
-            Fate::Unknown => return Err(SubmitError::Unknown),
-            Fate::Open => {}
+        match History::write_outcome(id, expected, found.as_ref()) {
+            WriteOutcome::InEffect(own) | WriteOutcome::Superseded { own, .. } => return Ok(own),
+            WriteOutcome::Conflict(found) => return Err(conflict(expected, found)),
+            WriteOutcome::Unknown => return Err(SubmitError::Unknown),
+            WriteOutcome::Pending => {}
         }
         match (store.write)(write.clone()).await {
             Ok(revision) => return Ok(revision),
@@ -219,10 +222,10 @@
     })
 }
 
-fn own_revision(fate: Fate) -> Option<Revision> {
-    match fate {
-        Fate::InEffect(own) | Fate::Superseded { own, .. } => Some(own),
-        Fate::Lost(_) | Fate::Open | Fate::Unknown => None,
+fn own_revision(outcome: WriteOutcome) -> Option<Revision> {
+    match outcome {
+        WriteOutcome::InEffect(own) | WriteOutcome::Superseded { own, .. } => Some(own),
+        WriteOutcome::Conflict(_) | WriteOutcome::Pending | WriteOutcome::Unknown => None,
     }
 }
 
--- a/src/adapters/store/record.rs
+++ b/src/adapters/store/record.rs
@@ -12,7 +12,7 @@
 use super::VALUE_MAX;
 use crate::{
     domain::{Millis, Revision},
-    policy::document::{Edit, Former, History},
+    policy::document::{Edit, FormerRevision, History},
 };
 
 /// The version of the encoding, so that a later one can tell them apart.
@@ -96,7 +96,8 @@
         let cause = format!("format {} is not {FORMAT}", image.format);
         return Err(RecordError::Malformed(cause));
     }
-    let former: Result<Vec<Former>, RecordError> = image.former.into_iter().map(former).collect();
+    let former: Result<Vec<FormerRevision>, RecordError> =
+        image.former.into_iter().map(former).collect();
     Ok(History {
         current: edit(image.current)?,
         former: former?,
@@ -112,12 +113,12 @@
     EditImage {
         id: edit.id.to_string(),
         team: edit.team.to_string(),
-        wall: edit.wall.0,
+        wall: edit.wall_time.0,
         text: edit.text.clone(),
     }
 }
 
-fn former_image(former: &Former) -> FormerImage {
+fn former_image(former: &FormerRevision) -> FormerImage {
     FormerImage {
         revision: former.revision.0,
         edit: edit_image(&former.edit),
@@ -128,13 +129,13 @@
     Ok(Edit {
         id: image.id.parse().map_err(malformed)?,
         team: image.team.parse().map_err(malformed)?,
-        wall: Millis(image.wall),
+        wall_time: Millis(image.wall),
         text: image.text,
     })
 }
 
-fn former(image: FormerImage) -> Result<Former, RecordError> {
-    Ok(Former {
+fn former(image: FormerImage) -> Result<FormerRevision, RecordError> {
+    Ok(FormerRevision {
         revision: Revision(image.revision),
         edit: edit(image.edit)?,
     })
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -7,7 +7,7 @@
 use super::addr::AdminAddr;
 use crate::{
     domain::{PlaceName, Revision, ServiceName, TargetId},
-    policy::timeline::{Part, Stamp},
+    policy::timeline::{Component, Stamp},
 };
 
 /// Steers traffic between callers and targets
@@ -252,7 +252,7 @@
     pub limit: usize,
     /// Only events of this part, for example document or drain
     #[bpaf(argument("PART"), optional)]
-    pub part: Option<Part>,
+    pub part: Option<Component>,
     /// Only events after this stamp, which the JSON lines contain
     #[bpaf(argument("STAMP"), optional)]
     pub after: Option<Stamp>,
--- a/src/app/dev/sample.rs
+++ b/src/app/dev/sample.rs
@@ -67,7 +67,7 @@
     let edit = Edit {
         id: EditId::random(&mut rand::rng()),
         team,
-        wall: (clock.wall)(),
+        wall_time: (clock.wall)(),
         text: Some(document(service, targets)),
     };
     let put = submit(store, &name, None, edit).await;
--- a/src/app/entry/admin/auth.rs
+++ b/src/app/entry/admin/auth.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     domain::TeamName,
-    policy::admin::{Code, Failure},
+    policy::admin::{AdminError, Code},
 };
 
 /// Returns the team whose token the request carries.
@@ -18,8 +18,8 @@
 pub(super) fn team<B>(
     teams: &BTreeMap<TeamName, String>,
     req: &Request<B>,
-) -> Result<TeamName, Failure> {
-    let bad = |detail: &str| Failure::new(Code::BadToken, detail);
+) -> Result<TeamName, AdminError> {
+    let bad = |detail: &str| AdminError::new(Code::BadToken, detail);
     let value = req.headers().get(header::AUTHORIZATION);
     let value = value.ok_or_else(|| bad("the Authorization header is missing"))?;
     let token = value
--- a/src/app/entry/admin/body.rs
+++ b/src/app/entry/admin/body.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     domain::Millis,
-    policy::admin::{Code, Failure},
+    policy::admin::{AdminError, Code},
 };
 
 /// The largest body. It equals the largest value of the store.
@@ -22,22 +22,22 @@
 const BODY_TIMEOUT: Millis = Millis(10_000);
 
 /// Reads a body as text.
-pub(super) async fn text(req: Request<Body>) -> Result<String, Failure> {
+pub(super) async fn text(req: Request<Body>) -> Result<String, AdminError> {
     let read = timeout(BODY_TIMEOUT.duration(), read(req.into_body()));
     let slow = |_| {
         let detail = format!("the body did not arrive within {BODY_TIMEOUT}");
-        Failure::new(Code::SlowBody, detail)
+        AdminError::new(Code::SlowBody, detail)
     };
     let bytes = read.await.map_err(slow)??;
     String::from_utf8(bytes)
-        .map_err(|_| Failure::new(Code::BadRequest, "the body is not UTF-8 text"))
+        .map_err(|_| AdminError::new(Code::BadRequest, "the body is not UTF-8 text"))
 }
 
-async fn read(mut body: Body) -> Result<Vec<u8>, Failure> {
+async fn read(mut body: Body) -> Result<Vec<u8>, AdminError> {
     let mut kept = Vec::new();
     let mut len = 0;
     while let Some(frame) = body.frame().await {
-        let broken = |e| Failure::new(Code::BadRequest, format!("read the body: {e}"));
+        let broken = |e| AdminError::new(Code::BadRequest, format!("read the body: {e}"));
         let Ok(data) = frame.map_err(broken)?.into_data() else {
             continue;
         };
@@ -50,7 +50,7 @@
     }
     if len > BODY_MAX {
         let detail = format!("the body has more than {BODY_MAX} B");
-        return Err(Failure::new(Code::TooLarge, detail));
+        return Err(AdminError::new(Code::TooLarge, detail));
     }
     Ok(kept)
 }
--- a/src/app/entry/admin/documents.rs
+++ b/src/app/entry/admin/documents.rs
@@ -17,12 +17,12 @@
     },
     domain::{Document, Revision, ServiceName},
     policy::{
-        admin::{Code, Failure},
-        document::{Edit, Stored, diff},
+        admin::{AdminError, Code},
+        document::{Edit, StoredHistory, diff},
     },
 };
 
-pub(super) async fn list(admin: &Admin) -> Result<Response<Body>, Failure> {
+pub(super) async fn list(admin: &Admin) -> Result<Response<Body>, AdminError> {
     let snapshot = (admin.store.list)(documents::PREFIX).await;
     let snapshot = snapshot.map_err(|e| unavailable(&e))?;
     let mut all = Vec::new();
@@ -52,7 +52,7 @@
         "revision": revision.0,
         "team": edit.team.as_str(),
         "edit": edit.id.to_string(),
-        "wall_ms": edit.wall.0,
+        "wall_ms": edit.wall_time.0,
         "deleted": edit.text.is_none(),
     })
 }
@@ -62,15 +62,15 @@
     admin: &Admin,
     name: &str,
     query: &Query,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, AdminError> {
     let service = service(name)?;
     let wanted: Option<Revision> = query.value("revision").map_err(|e| reply::bad(&e))?;
     let stored = read(admin, &service).await?;
     let stored = stored.ok_or_else(|| missing(&service))?;
     let revision = wanted.unwrap_or(stored.revision);
-    let edit = stored.at(revision).ok_or_else(|| {
+    let edit = stored.edit_at(revision).ok_or_else(|| {
         let detail = format!("the store keeps no revision {revision} of {service}");
-        Failure::new(Code::UnknownDocument, detail).found(stored.revision)
+        AdminError::new(Code::UnknownDocument, detail).found(stored.revision)
     })?;
     let Some(text) = &edit.text else {
         return Err(missing(&service).found(stored.revision));
@@ -84,18 +84,18 @@
     Ok(resp)
 }
 
-fn missing(service: &ServiceName) -> Failure {
+fn missing(service: &ServiceName) -> AdminError {
     let detail = format!("there is no document for {service}");
-    Failure::new(Code::UnknownDocument, detail)
+    AdminError::new(Code::UnknownDocument, detail)
 }
 
 /// Lists the revisions that the store keeps, the latest first, each with what it
 /// changed.
-pub(super) async fn history(admin: &Admin, name: &str) -> Result<Response<Body>, Failure> {
+pub(super) async fn history(admin: &Admin, name: &str) -> Result<Response<Body>, AdminError> {
     let service = service(name)?;
     let stored = read(admin, &service).await?;
     let stored = stored.ok_or_else(|| missing(&service))?;
-    let Stored { revision, history } = &stored;
+    let StoredHistory { revision, history } = &stored;
     let mut edits = vec![(*revision, &history.current)];
     edits.extend(history.former.iter().map(|f| (f.revision, &f.edit)));
     let mut all = Vec::new();
--- a/src/app/entry/admin/edit.rs
+++ b/src/app/entry/admin/edit.rs
@@ -22,8 +22,8 @@
     },
     domain::{Document, Millis, Revision, ServiceName, TeamName},
     policy::{
-        admin::{Base, Code, Failure, Found, check, conflict},
-        document::{Edit, EditError, EditId, Stored, diff},
+        admin::{AdminError, Code, CurrentRecord, Precondition, check_edit, revision_conflict},
+        document::{Edit, EditError, EditId, StoredHistory, diff},
         timeline::Kind,
     },
     ports::StoreError,
@@ -40,7 +40,7 @@
 struct Plan {
     service: ServiceName,
     team: TeamName,
-    base: Base,
+    base: Precondition,
     id: EditId,
     text: Option<String>,
     document: Option<Document>,
@@ -58,7 +58,7 @@
     name: &str,
     query: &Query,
     req: Request<Body>,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, AdminError> {
     let service = service(name)?;
     let dry = query.flag("dry-run").map_err(|e| reply::bad(&e))?;
     let (base, id) = (base(&req)?, edit_id(&req)?);
@@ -84,7 +84,7 @@
     name: &str,
     query: &Query,
     req: &Request<Body>,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, AdminError> {
     let plan = Plan {
         service: service(name)?,
         team: team.clone(),
@@ -100,41 +100,41 @@
 }
 
 /// Parses the service that a path names.
-pub(super) fn service(name: &str) -> Result<ServiceName, Failure> {
+pub(super) fn service(name: &str) -> Result<ServiceName, AdminError> {
     name.parse().map_err(|e| reply::bad(&e))
 }
 
-fn base(req: &Request<Body>) -> Result<Base, Failure> {
+fn base(req: &Request<Body>) -> Result<Precondition, AdminError> {
     let text = |name: header::HeaderName| {
         let value = req.headers().get(&name).map(|v| v.to_str());
         value.transpose().map_err(|_| {
             let detail = format!("header {name}: not ASCII text");
-            Failure::new(Code::BadRequest, detail)
+            AdminError::new(Code::BadRequest, detail)
         })
     };
     match (text(header::IF_MATCH)?, text(header::IF_NONE_MATCH)?) {
-        (None, None) => Ok(Base::Unstated),
+        (None, None) => Ok(Precondition::Unstated),
         (Some(tag), None) => tag.parse().map_err(|e| reply::bad(&e)),
-        (None, Some("*")) => Ok(Base::Absent),
-        _ => Err(Failure::new(
+        (None, Some("*")) => Ok(Precondition::Absent),
+        _ => Err(AdminError::new(
             Code::BadRequest,
             "allowed is either If-Match with one tag or If-None-Match: *",
         )),
     }
 }
 
-fn edit_id(req: &Request<Body>) -> Result<EditId, Failure> {
+fn edit_id(req: &Request<Body>) -> Result<EditId, AdminError> {
     let Some(value) = req.headers().get(EDIT_ID) else {
         return Ok(EditId::random(&mut rand::rng()));
     };
     let text = value.to_str().unwrap_or_default();
     text.parse()
-        .map_err(|e| Failure::new(Code::BadRequest, format!("header {EDIT_ID}: {e}")))
+        .map_err(|e| AdminError::new(Code::BadRequest, format!("header {EDIT_ID}: {e}")))
 }
 
 /// Parses a document and checks what only the administration knows: its key and
 /// the teams.
-fn parse(admin: &Admin, service: &ServiceName, text: &str) -> Result<Document, Failure> {
+fn parse(admin: &Admin, service: &ServiceName, text: &str) -> Result<Document, AdminError> {
     let file = format!("{service}.ini");
     let mut faults = Vec::new();
     let document = parse_document(&file, text);
@@ -161,15 +161,15 @@
         Ok(doc) if faults.is_empty() => Ok(doc),
         _ => {
             let detail = format!("the document has {} faults", faults.len());
-            Err(Failure::new(Code::InvalidDocument, detail).faults(faults))
+            Err(AdminError::new(Code::InvalidDocument, detail).faults(faults))
         }
     }
 }
 
-async fn dry_run(admin: &Admin, plan: &Plan) -> Result<Response<Body>, Failure> {
+async fn dry_run(admin: &Admin, plan: &Plan) -> Result<Response<Body>, AdminError> {
     let stored = read(admin, &plan.service).await?;
     let found = found(stored.as_ref());
-    check(&plan.team, plan.base, &found, plan.document.as_ref())?;
+    check_edit(&plan.team, plan.base, &found, plan.document.as_ref())?;
     let old = current(&plan.service, stored.as_ref());
     let all = diff(old.as_ref(), plan.document.as_ref());
     let mut resp = reply::json(&json!({
@@ -184,7 +184,7 @@
     Ok(resp)
 }
 
-async fn make(admin: &Admin, plan: Plan) -> Result<Response<Body>, Failure> {
+async fn make(admin: &Admin, plan: Plan) -> Result<Response<Body>, AdminError> {
     let result = write(admin, &plan).await;
     let Plan {
         service, team, id, ..
@@ -217,7 +217,7 @@
     Ok(resp)
 }
 
-async fn write(admin: &Admin, plan: &Plan) -> Result<Accepted, Failure> {
+async fn write(admin: &Admin, plan: &Plan) -> Result<Accepted, AdminError> {
     let stored = read(admin, &plan.service).await?;
     let own = stored.as_ref().and_then(|s| made(s, plan.id));
     if let Some(revision) = own {
@@ -227,11 +227,11 @@
         });
     }
     let found = found(stored.as_ref());
-    check(&plan.team, plan.base, &found, plan.document.as_ref())?;
+    check_edit(&plan.team, plan.base, &found, plan.document.as_ref())?;
     let edit = Edit {
         id: plan.id,
         team: plan.team.clone(),
-        wall: (admin.clock.wall)(),
+        wall_time: (admin.clock.wall)(),
         text: plan.text.clone(),
     };
     let expected = found.revision;
@@ -243,34 +243,36 @@
     })
 }
 
-fn refused(plan: &Plan, expected: Revision, e: SubmitError) -> Failure {
+fn refused(plan: &Plan, expected: Revision, e: SubmitError) -> AdminError {
     match e {
         SubmitError::Refused(EditError::Conflict { found, .. }) => lost(plan.base, expected, found),
-        SubmitError::Refused(e) => Failure::new(Code::BadRequest, e.to_string()),
+        SubmitError::Refused(e) => AdminError::new(Code::BadRequest, e.to_string()),
         SubmitError::Record(RecordError::TooLarge(_)) => {
-            Failure::new(Code::TooLarge, e.to_string())
+            AdminError::new(Code::TooLarge, e.to_string())
         }
-        SubmitError::Record(_) => Failure::new(Code::InvalidRecord, e.to_string()),
+        SubmitError::Record(_) => AdminError::new(Code::InvalidRecord, e.to_string()),
         SubmitError::Store(e @ StoreError::Down { .. }) => unavailable(&e),
         SubmitError::Store(_) | SubmitError::Unknown => {
             let id = plan.id;
             let detail = format!("edit {id}: {e}; send it again with {EDIT_ID}: {id}");
-            Failure::unknown(detail)
+            AdminError::unknown(detail)
         }
     }
 }
 
 /// Returns the failure of an editor whose revision was right when it was
 /// checked, so the conflict names that one.
-fn lost(base: Base, expected: Revision, found: Revision) -> Failure {
+fn lost(base: Precondition, expected: Revision, found: Revision) -> AdminError {
     match base {
-        Base::Any | Base::At(_) => conflict(Base::At(expected), found),
-        Base::Absent | Base::Unstated => conflict(base, found),
+        Precondition::Any | Precondition::At(_) => {
+            revision_conflict(Precondition::At(expected), found)
+        }
+        Precondition::Absent | Precondition::Unstated => revision_conflict(base, found),
     }
 }
 
 /// Returns the revision that an edit got, if the record keeps it.
-fn made(stored: &Stored, id: EditId) -> Option<Revision> {
+fn made(stored: &StoredHistory, id: EditId) -> Option<Revision> {
     if stored.history.current.id == id {
         return Some(stored.revision);
     }
@@ -278,9 +280,9 @@
     former.find(|f| f.edit.id == id).map(|f| f.revision)
 }
 
-fn found(stored: Option<&Stored>) -> Found {
+fn found(stored: Option<&StoredHistory>) -> CurrentRecord {
     let Some(stored) = stored else {
-        return Found::default();
+        return CurrentRecord::default();
     };
     let edit = &stored.history.current;
     // The text in the store was checked before it was written. If it is invalid
@@ -289,30 +291,33 @@
         let doc = parse_document("stored", text);
         doc.map_or_else(|_| edit.team.clone(), |d| d.team)
     });
-    Found {
+    CurrentRecord {
         revision: stored.revision,
         owner,
     }
 }
 
 /// Returns the document in the store, none if there is none that is valid.
-fn current(service: &ServiceName, stored: Option<&Stored>) -> Option<Document> {
+fn current(service: &ServiceName, stored: Option<&StoredHistory>) -> Option<Document> {
     let text = stored?.history.current.text.as_ref()?;
     parse_document(service.as_str(), text).ok()
 }
 
 /// Reads what the store holds for a service.
-pub(super) async fn read(admin: &Admin, service: &ServiceName) -> Result<Option<Stored>, Failure> {
+pub(super) async fn read(
+    admin: &Admin,
+    service: &ServiceName,
+) -> Result<Option<StoredHistory>, AdminError> {
     // A read changes nothing, so its failure is never of unknown outcome.
     documents::read(&admin.store, service)
         .await
         .map_err(|e| match e {
             SubmitError::Store(e) => unavailable(&e),
-            e => Failure::new(Code::InvalidRecord, e.to_string()),
+            e => AdminError::new(Code::InvalidRecord, e.to_string()),
         })
 }
 
 /// Returns the failure while the store does not answer.
-pub(super) fn unavailable(e: &StoreError) -> Failure {
-    Failure::new(Code::StoreUnavailable, e.to_string()).retry_after(RETRY)
+pub(super) fn unavailable(e: &StoreError) -> AdminError {
+    AdminError::new(Code::StoreUnavailable, e.to_string()).retry_after(RETRY)
 }
--- a/src/app/entry/admin/mod.rs
+++ b/src/app/entry/admin/mod.rs
@@ -33,7 +33,7 @@
     },
     app::entry::State,
     domain::TeamName,
-    policy::admin::{Code, Failure},
+    policy::admin::{AdminError, Code},
     ports::{AdminPort, Clock, Events, Store},
 };
 
@@ -124,7 +124,7 @@
     result.unwrap_or_else(|failure| reply::failure(&failure))
 }
 
-async fn dispatch(admin: &Admin, req: Request<Body>) -> Result<Response<Body>, Failure> {
+async fn dispatch(admin: &Admin, req: Request<Body>) -> Result<Response<Body>, AdminError> {
     let path = req.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     let method = req.method().clone();
@@ -161,7 +161,7 @@
 }
 
 /// Returns the failure for a path that is unknown, or known with other methods.
-fn unknown(method: &Method, path: &str, parts: &[&str]) -> Failure {
+fn unknown(method: &Method, path: &str, parts: &[&str]) -> AdminError {
     let known = matches!(
         parts,
         ["healthz" | "readyz" | "metrics"]
@@ -173,15 +173,15 @@
             | ["v1", "documents", _, "history" | "where"]
     );
     if known {
-        return Failure::new(
+        return AdminError::new(
             Code::UnknownMethod,
             format!("{path} does not accept {method}"),
         );
     }
-    Failure::new(Code::UnknownPath, format!("there is no path {path:?}"))
+    AdminError::new(Code::UnknownPath, format!("there is no path {path:?}"))
 }
 
-fn query(req: &Request<Body>) -> Result<Query, Failure> {
+fn query(req: &Request<Body>) -> Result<Query, AdminError> {
     let text = req.uri().query().unwrap_or_default();
     text.parse().map_err(|e| reply::bad(&e))
 }
--- a/src/app/entry/admin/reply.rs
+++ b/src/app/entry/admin/reply.rs
@@ -11,12 +11,12 @@
         metrics,
     },
     domain::{ParseError, Revision},
-    policy::admin::{Code, Failure},
+    policy::admin::{AdminError, Code},
 };
 
 /// Returns a failure as the value that operators see.
 #[must_use]
-pub fn render(failure: &Failure) -> Value {
+pub fn render(failure: &AdminError) -> Value {
     let mut value = json!({
         "code": failure.code.as_str(),
         "outcome": failure.outcome.to_string(),
@@ -36,7 +36,7 @@
 }
 
 /// Returns the answer that tells an operator of a failure.
-pub(super) fn failure(failure: &Failure) -> Response<Body> {
+pub(super) fn failure(failure: &AdminError) -> Response<Body> {
     let mut resp = json(&render(failure));
     *resp.status_mut() = StatusCode::from_u16(failure.code.status()).unwrap_or_default();
     let head = resp.headers_mut();
@@ -60,8 +60,8 @@
 }
 
 /// Returns the failure of a request whose header or query has a faulty value.
-pub(super) fn bad(e: &ParseError) -> Failure {
-    Failure::new(Code::BadRequest, e.to_string())
+pub(super) fn bad(e: &ParseError) -> AdminError {
+    AdminError::new(Code::BadRequest, e.to_string())
 }
 
 pub(super) fn text(body: impl Into<String>) -> Response<Body> {
--- a/src/app/entry/admin/timeline.rs
+++ b/src/app/entry/admin/timeline.rs
@@ -12,8 +12,8 @@
         http::Query,
     },
     policy::{
-        admin::{Code, Failure},
-        timeline::EVENTS_MAX,
+        admin::{AdminError, Code},
+        timeline::MAX_EVENTS,
     },
     ports::{EventQuery, admin::Gathered},
 };
@@ -22,13 +22,13 @@
 const LIMIT: usize = 200;
 
 /// The most events of an answer. At about 200 bytes each, this is below 4 MB.
-const LIMIT_MAX: usize = 4 * EVENTS_MAX;
+const LIMIT_MAX: usize = 4 * MAX_EVENTS;
 
 pub(super) async fn get(
     admin: &Admin,
     query: &Query,
     req: &Request<Body>,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, AdminError> {
     let asked = EventQuery {
         after: query.value("after").map_err(|e| reply::bad(&e))?,
         part: query.value("part").map_err(|e| reply::bad(&e))?,
@@ -52,7 +52,7 @@
 }
 
 /// Collects the events of all entries, or of this one alone.
-async fn gather(admin: &Admin, query: &Query, asked: &EventQuery) -> Result<Gathered, Failure> {
+async fn gather(admin: &Admin, query: &Query, asked: &EventQuery) -> Result<Gathered, AdminError> {
     match query.text("scope") {
         None | Some("all") => Ok((admin.port.timeline)(asked.clone()).await),
         Some("entry") => Ok(Gathered {
@@ -61,7 +61,7 @@
         }),
         Some(text) => {
             let detail = format!("scope: found {text:?}, allowed is \"all\" or \"entry\"");
-            Err(Failure::new(Code::BadRequest, detail))
+            Err(AdminError::new(Code::BadRequest, detail))
         }
     }
 }
@@ -73,7 +73,7 @@
     events.chain(missing).collect()
 }
 
-fn limit(query: &Query) -> Result<usize, Failure> {
+fn limit(query: &Query) -> Result<usize, AdminError> {
     let Some(text) = query.text("limit") else {
         return Ok(LIMIT);
     };
@@ -81,7 +81,7 @@
         Ok(n) if (1..=LIMIT_MAX).contains(&n) => Ok(n),
         _ => {
             let detail = format!("limit: found {text:?}, allowed is 1 to {LIMIT_MAX}");
-            Err(Failure::new(Code::BadRequest, detail))
+            Err(AdminError::new(Code::BadRequest, detail))
         }
     }
 }
--- a/src/app/entry/admin/views.rs
+++ b/src/app/entry/admin/views.rs
@@ -8,13 +8,13 @@
 use crate::{
     adapters::http::Query,
     domain::Millis,
-    policy::admin::{Code, Failure},
+    policy::admin::{AdminError, Code},
 };
 
-pub(super) fn readyz(admin: &Admin) -> Result<Response<Body>, Failure> {
+pub(super) fn readyz(admin: &Admin) -> Result<Response<Body>, AdminError> {
     match (admin.port.unready)() {
         None => Ok(reply::text("ready\n")),
-        Some(why) => Err(Failure::new(Code::NotReady, why).retry_after(Millis(1_000))),
+        Some(why) => Err(AdminError::new(Code::NotReady, why).retry_after(Millis(1_000))),
     }
 }
 
@@ -30,10 +30,10 @@
     reply::json(&json!({ "limits": (admin.port.limits)() }))
 }
 
-pub(super) fn explain(admin: &Admin, query: &Query) -> Result<Response<Body>, Failure> {
+pub(super) fn explain(admin: &Admin, query: &Query) -> Result<Response<Body>, AdminError> {
     let name = query.text("service").ok_or_else(|| {
         let detail = "the query needs service=NAME";
-        Failure::new(Code::BadRequest, detail)
+        AdminError::new(Code::BadRequest, detail)
     })?;
     let service = service(name)?;
     let decisions = (admin.port.explain)(&service);
@@ -43,7 +43,7 @@
 
 /// Tells which revision each entry has in effect. It works without the store,
 /// since an operator asks this most of all during an outage.
-pub(super) async fn placements(admin: &Admin, name: &str) -> Result<Response<Body>, Failure> {
+pub(super) async fn placements(admin: &Admin, name: &str) -> Result<Response<Body>, AdminError> {
     let service = service(name)?;
     let all = (admin.port.placements)(service.clone()).await;
     let latest = all.iter().filter_map(|p| p.revision).max();
--- a/src/app/entry/admin/watch.rs
+++ b/src/app/entry/admin/watch.rs
@@ -8,7 +8,7 @@
 use super::port;
 use crate::{
     app::entry::State,
-    policy::timeline::{Look, events_between},
+    policy::timeline::{StateSnapshot, events_between},
 };
 
 /// The time between two looks. A look visits every document once.
@@ -20,7 +20,7 @@
 }
 
 async fn run(state: Weak<State>) {
-    let mut before = Look::default();
+    let mut before = StateSnapshot::default();
     loop {
         tokio::time::sleep(PERIOD).await;
         // The state is held only while it is looked at, so that it can end.
@@ -33,8 +33,8 @@
     }
 }
 
-fn look(state: &State) -> Look {
-    Look {
+fn look(state: &State) -> StateSnapshot {
+    StateSnapshot {
         ready: state.unready().is_none(),
         store_down: !state.ports.metrics.store_up(),
         leaving: port::leaving_here(state),
--- a/src/app/entry/events.rs
+++ b/src/app/entry/events.rs
@@ -5,13 +5,13 @@
 use crate::{
     adapters::metrics::{EventLabels, Metrics},
     domain::EntryId,
-    policy::timeline::{Event, HybridClock, Ring, Stamp},
+    policy::timeline::{Event, EventRing, HybridClock, Stamp},
     ports::{Clock, Events},
 };
 
 struct Timeline {
     clock: HybridClock,
-    ring: Ring,
+    ring: EventRing,
 }
 
 /// Opens an empty timeline.
@@ -23,7 +23,7 @@
 pub fn open(entry: EntryId, clock: &Clock, metrics: &Metrics) -> Events {
     let shared = Arc::new(Mutex::new(Timeline {
         clock: HybridClock::new(entry),
-        ring: Ring::default(),
+        ring: EventRing::default(),
     }));
     let (emitting, reading) = (shared.clone(), shared.clone());
     let (stamping, receiving) = (shared.clone(), shared);
@@ -33,13 +33,13 @@
     Events {
         emit: Arc::new(move |kind, text| {
             let labels = EventLabels {
-                part: kind.part().to_string(),
+                part: kind.component().to_string(),
                 kind: kind.to_string(),
             };
             metrics.events.get_or_create(&labels).inc();
             let mut timeline = lock(&emitting);
             let stamp = timeline.clock.tick(wall());
-            tracing::info!("{}: {kind} at {}: {text}.", kind.part(), stamp.entry);
+            tracing::info!("{}: {kind} at {}: {text}.", kind.component(), stamp.entry);
             timeline.ring.push(Event { stamp, kind, text });
         }),
         read: Arc::new(move |query| {
--- a/src/app/gateway/directory.rs
+++ b/src/app/gateway/directory.rs
@@ -90,7 +90,7 @@
         *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return resp;
     }
-    let ttl = TTL.min(settings.bounds.ttl);
+    let ttl = TTL.min(settings.bounds.lookup_ttl);
     text("application/json", directory::write_answer(&fronts, ttl))
 }
 
--- a/src/app/gateway/job.rs
+++ b/src/app/gateway/job.rs
@@ -12,7 +12,7 @@
         http::{Content, strip_hop_by_hop},
         platform::headers::{self, RequestHead},
     },
-    domain::{CallerLimits, InstanceId, Millis, Rule, ServiceName, Size},
+    domain::{CallerLimits, InstanceId, Millis, RouteRule, ServiceName, Size},
     policy::{
         balance::object_hash,
         refusal::{Code, Refusal},
@@ -36,7 +36,7 @@
     /// The routes by which it is handled from beginning to end.
     pub table: Arc<Table>,
     /// The rule of its route.
-    pub rule: Arc<Rule>,
+    pub rule: Arc<RouteRule>,
     /// The service that runs it.
     pub service: ServiceName,
     /// The hash of the object that it concerns.
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -118,7 +118,7 @@
     /// Stops within the grace time: leaves the directory, goes on serving while
     /// callers find other entries, and lets running requests end.
     pub async fn stop(self) {
-        let grace = self.state.settings().bounds.grace;
+        let grace = self.state.settings().bounds.grace_period;
         let part = |part: f64| grace.duration().mul_f64(part);
         self.state.set_stopping();
         tracing::info!(running = self.state.running(), "gateway: stopping.");
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -167,8 +167,12 @@
 
     /// Returns a part of the bound within which changes must be in force.
     pub(super) fn part(&self, part: f64) -> Millis {
-        let Bounds { drain, config, .. } = self.settings().bounds;
-        drain.min(config).part(part)
+        let Bounds {
+            drain_deadline,
+            config_deadline,
+            ..
+        } = self.settings().bounds;
+        drain_deadline.min(config_deadline).fraction(part)
     }
 
     /// Takes over which entries share limits, after a change of the entries.
@@ -257,7 +261,7 @@
                 entries: &peers,
                 me: xxh3_64(settings.name.as_bytes()),
             },
-            shift: bounds.shift,
+            shift: bounds.max_shift,
         };
         self.pools
             .with(service.clone(), Pool::new, |p| f(p, &scene))
--- a/src/domain/blocks.rs
+++ b/src/domain/blocks.rs
@@ -1,4 +1,4 @@
-//! Client blocks and the sites that serve them.
+//! Blocks of client addresses and the sites to which they belong.
 
 use std::{
     fmt,
@@ -10,8 +10,8 @@
 
 const PREFIX_RULE: &str = "an IP number without host bits, '/' and a length, as in 10.1.0.0/16";
 
-/// A block of client addresses: an IP number and how many of its leading bits
-/// count.
+/// A block of client addresses, as an IP prefix: an address and the number of
+/// its leading bits that all addresses of the block share.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Prefix {
     addr: IpAddr,
@@ -19,10 +19,10 @@
 }
 
 impl Prefix {
-    /// Returns the block of `len` leading bits of `addr`, or `None` if the
-    /// address has fewer bits. Host bits are cleared. A block of IPv4-mapped
-    /// addresses becomes the IPv4 block, since callers are looked up by the
-    /// IPv4 address.
+    /// Returns the block given by the `len` leading bits of `addr`, or `None` if
+    /// the address has fewer bits. Host bits are cleared. A block of IPv4-mapped
+    /// IPv6 addresses becomes the IPv4 block, since callers are looked up by
+    /// their IPv4 address.
     #[must_use]
     pub fn new(addr: IpAddr, len: u8) -> Option<Self> {
         let (addr, len) = match (addr, addr.to_canonical()) {
@@ -49,13 +49,13 @@
         self.addr
     }
 
-    /// Returns the number of leading bits that count.
+    /// Returns the prefix length in bits.
     #[must_use]
     pub fn bits(&self) -> u8 {
         self.len
     }
 
-    /// Returns whether the block holds `addr`.
+    /// Returns whether the block contains `addr`.
     #[must_use]
     pub fn contains(&self, addr: IpAddr) -> bool {
         let addr = addr.to_canonical();
@@ -84,8 +84,8 @@
     }
 }
 
-/// A site to which client blocks belong. It is a number, since 1.3 million
-/// blocks refer to one each.
+/// A site to which client blocks belong. It is a number to save memory, since
+/// each of 1.3 million blocks refers to a site.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct SiteId(pub u32);
 
--- a/src/domain/bounds.rs
+++ b/src/domain/bounds.rs
@@ -1,29 +1,32 @@
-//! The users' bounds.
+//! The limits that a deployment must keep.
 
 use super::Millis;
 
-/// The users' bounds that decisions depend on.
+/// The limits that the users of a deployment set and that decisions depend on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bounds {
-    /// A target gets nothing later than this after it is known to leave.
-    pub drain: Millis,
-    /// A configuration is in force everywhere within this time.
-    pub config: Millis,
-    /// How long a process has from the signal to stop until it is killed.
-    pub grace: Millis,
-    /// Further attempts that a service may get, for each request.
+    /// The time after which a target that is known to leave gets no more
+    /// requests.
+    pub drain_deadline: Millis,
+    /// The time within which a configuration takes effect at every entry.
+    pub config_deadline: Millis,
+    /// The time between the signal to stop a process and its being killed.
+    pub grace_period: Millis,
+    /// The maximum number of retries that a service gets per request.
     pub retry_ratio: f64,
-    /// Further attempts that a service may get besides.
+    /// The number of retries that a service may get in addition to
+    /// `retry_ratio`.
     pub retry_slack: f64,
-    /// The window over which further attempts are counted.
+    /// The window over which retries are counted.
     pub retry_window: Millis,
-    /// How far a cold target's rate may be exceeded, as a factor.
+    /// The factor by which the rate of a cold target may be exceeded.
     pub cold_factor: f64,
-    /// How far a cold target's rate may be exceeded besides, in requests.
+    /// The number of requests by which the rate of a cold target may be exceeded
+    /// in addition to `cold_factor`.
     pub cold_slack: f64,
-    /// How long callers may keep an answer of a look-up.
-    pub ttl: Millis,
-    /// The largest part of a region's requests that may change region from one
-    /// window to the next.
-    pub shift: f64,
+    /// The maximum time for which callers may cache the answer of a lookup.
+    pub lookup_ttl: Millis,
+    /// The maximum fraction of a region's requests that may move to another
+    /// region from one window to the next.
+    pub max_shift: f64,
 }
--- a/src/domain/document.rs
+++ b/src/domain/document.rs
@@ -1,28 +1,30 @@
-//! A service's document: where it runs, how much each place takes, what leaves.
+//! A service's document: the places where it runs, their weights, and the places
+//! and targets that are leaving.
 //!
-//! These are the parsed values. The INI text is read and checked in
-//! `adapters::ini`, so that decisions do not depend on the format.
+//! These are the parsed values. `adapters::ini` parses and validates the INI
+//! text, so that decisions do not depend on the format.
 
 use super::{
     AzName, Millis, PlaceName, RegionName, Rps, ServiceName, Slots, TargetId, TeamName, Weight,
-    words,
+    word_enum,
 };
 
-/// What a service team asks for.
+/// The placement and routing of a service, as its team declares it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Document {
-    /// The service, which callers name in the Host header.
+    /// The service, which callers name in the `Host` header.
     pub service: ServiceName,
     /// The team that may change the document.
     pub team: TeamName,
-    /// The time a request may take when its caller does not say.
+    /// The deadline of requests whose caller does not state one.
     pub deadline: Millis,
-    /// How many requests a second may be sent to growing places beyond their
-    /// former weight while traffic moves.
+    /// The maximum rate of requests that are sent to growing places in excess of
+    /// their former weight while traffic shifts.
     pub shift_cap: Rps,
     /// The places, in the order of the text.
     pub places: Vec<Place>,
-    /// Paths that differ from the rest. The longest prefix that fits counts.
+    /// Settings for path prefixes. The route with the longest matching prefix
+    /// applies.
     pub routes: Vec<Route>,
 }
 
@@ -35,67 +37,68 @@
     pub region: RegionName,
     /// The availability zone of the targets.
     pub az: AzName,
-    /// The part of the traffic that the place takes.
+    /// The share of the traffic that the place gets.
     pub weight: Weight,
-    /// Whether the place takes new work.
+    /// Whether the place accepts new requests.
     pub state: PlaceState,
     /// The targets, in the order of the text.
     pub targets: Vec<TargetId>,
-    /// Targets of this place that get no new work.
+    /// Targets of this place that get no new requests.
     pub leaving: Vec<TargetId>,
-    /// How many requests each target runs at the same time.
+    /// The number of requests that each target runs concurrently.
     pub slots: Slots,
 }
 
-/// What a document says of paths that begin with a prefix.
+/// The settings of a document for paths that begin with a prefix.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Route {
     /// The prefix, beginning with `/`.
     pub prefix: String,
-    /// The expected length, if the team declares it.
+    /// The expected duration class, if the team declares it.
     pub lane: Option<Lane>,
-    /// What is refused last under overload.
+    /// The priority under overload.
     pub priority: Priority,
-    /// Whether the request may be repeated, if that differs from its method.
+    /// Whether requests may be repeated. If unset, their method decides.
     pub idempotent: Option<bool>,
 }
 
 impl Document {
-    /// Returns the route with the longest prefix of `path`.
+    /// Returns the route with the longest prefix that matches `path`.
     #[must_use]
     pub fn route(&self, path: &str) -> Option<&Route> {
-        let fits = self.routes.iter().filter(|r| path.starts_with(&r.prefix));
-        fits.max_by_key(|r| r.prefix.len())
+        let matching = self.routes.iter().filter(|r| path.starts_with(&r.prefix));
+        matching.max_by_key(|r| r.prefix.len())
     }
 }
 
-words!(
-    /// Whether a place takes new work.
+word_enum!(
+    /// Whether a place accepts new requests.
     PlaceState, "place state", "\"active\" or \"leaving\"",
-    /// It takes new work.
+    /// The place accepts new requests.
     #[default]
     Active = "active",
-    /// It gets no new work and finishes what runs.
+    /// The place gets no new requests and finishes the running ones.
     Leaving = "leaving"
 );
-words!(
-    /// The expected length of a request. Short work never waits behind long
-    /// work, because the two have limits of their own.
+word_enum!(
+    /// The duration class of a request. Each class has its own limits, so short
+    /// requests never queue behind long ones.
     Lane, "lane", "\"short\" or \"long\"",
-    /// Milliseconds of work.
+    /// Requests that take milliseconds.
     #[default]
     Short = "short",
-    /// Large downloads and other long work.
+    /// Large downloads and other long requests.
     Long = "long"
 );
-words!(
-    /// The order in which work is refused under overload, first to last.
+word_enum!(
+    /// The priority of a request. Under overload, requests of lower priority are
+    /// refused first. The variants are in ascending order.
     Priority, "priority", "\"bulk\", \"normal\" or \"critical\"",
     /// Refused first.
     Bulk = "bulk",
-    /// The usual.
+    /// The default.
     #[default]
     Normal = "normal",
-    /// Refused last, such as an unlock or a payout.
+    /// Refused last. Examples are an unlock or a payout.
     Critical = "critical"
 );
--- a/src/domain/error.rs
+++ b/src/domain/error.rs
@@ -1,15 +1,16 @@
-//! The error of every parser in this module.
+//! The error type of the parsers in [`domain`](crate::domain).
 
 use std::fmt;
 
-/// A text that is not a valid value, with what would have been allowed.
+/// The error for a text that is not a valid value, with a description of the
+/// accepted form.
 ///
-/// It names the kind of value, since one settings file holds many kinds.
+/// It names the kind of value, since one settings file contains many kinds.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ParseError {
     /// The kind of value, for example `rate`.
     pub kind: &'static str,
-    /// The text as it was found.
+    /// The text that was parsed.
     pub found: String,
     /// What the parser accepts, for example `a whole number and "rps"`.
     pub allowed: &'static str,
--- a/src/domain/ids.rs
+++ b/src/domain/ids.rs
@@ -1,8 +1,8 @@
-//! Names and numbers that identify things.
+//! Names and numbers that identify services, entries, targets and revisions.
 //!
-//! Names hold [`Bytes`], so that a clone is a reference count and a name read
-//! from the network is kept without a copy. The parser admits only ASCII, so
-//! the conversion to text cannot fail later.
+//! Names contain [`Bytes`], so that cloning one only increments a reference
+//! count and a name read from the network is kept without a copy. The parser
+//! accepts only ASCII, so the conversion to text cannot fail later.
 
 use std::{fmt, net::SocketAddr, str::FromStr};
 
@@ -10,23 +10,23 @@
 
 use super::ParseError;
 
-/// The longest name, in bytes. It equals the longest label of a host name,
-/// because service names appear in the Host header.
-const NAME_MAX: usize = 63;
+/// The maximum length of a name, in bytes. It is the maximum length of a label
+/// in a host name, because service names appear in the `Host` header.
+const MAX_NAME_LEN: usize = 63;
 
 const NAME_RULE: &str = "1 to 63 lower-case letters, digits, '-' or '.'";
 
-const PATH_RULE: &str = "1 to 190 lower-case letters, digits, '-', '.', ':' or '/'";
+const LIMIT_NAME_RULE: &str = "1 to 190 lower-case letters, digits, '-', '.', ':' or '/'";
 
-fn is_name(b: u8) -> bool {
+fn is_name_byte(b: u8) -> bool {
     b.is_ascii_lowercase() || b.is_ascii_digit() || b == b'-' || b == b'.'
 }
 
-fn is_path(b: u8) -> bool {
-    is_name(b) || b == b'/' || b == b':'
+fn is_limit_name_byte(b: u8) -> bool {
+    is_name_byte(b) || b == b'/' || b == b':'
 }
 
-fn is_graphic(b: u8) -> bool {
+fn is_graphic_byte(b: u8) -> bool {
     b.is_ascii_graphic()
 }
 
@@ -78,35 +78,35 @@
 
 name!(
     /// An availability zone.
-    AzName, "availability zone", NAME_MAX, is_name, NAME_RULE
+    AzName, "availability zone", MAX_NAME_LEN, is_name_byte, NAME_RULE
 );
 name!(
-    /// An entry VM, under the name that its settings give it.
-    EntryId, "entry VM name", NAME_MAX, is_name, NAME_RULE
+    /// An entry VM, identified by the name in its settings.
+    EntryId, "entry VM name", MAX_NAME_LEN, is_name_byte, NAME_RULE
 );
 name!(
-    /// One start of a target, under the id by which it registers.
-    InstanceId, "target id", 200, is_graphic, "1 to 200 printable ASCII characters"
+    /// One run of a target, identified by the id with which it registers.
+    InstanceId, "target id", 200, is_graphic_byte, "1 to 200 printable ASCII characters"
 );
 name!(
-    /// A limit that entries share, for example `slots/10.0.0.1:8080`.
-    LimitName, "limit name", 190, is_path, PATH_RULE
+    /// A limit shared between entries, for example `slots/10.0.0.1:8080`.
+    LimitName, "limit name", 190, is_limit_name_byte, LIMIT_NAME_RULE
 );
 name!(
     /// A place where a service runs.
-    PlaceName, "place name", NAME_MAX, is_name, NAME_RULE
+    PlaceName, "place name", MAX_NAME_LEN, is_name_byte, NAME_RULE
 );
 name!(
-    /// A region, which holds one or more availability zones.
-    RegionName, "region", NAME_MAX, is_name, NAME_RULE
+    /// A region, which contains one or more availability zones.
+    RegionName, "region", MAX_NAME_LEN, is_name_byte, NAME_RULE
 );
 name!(
     /// A service, which one team owns.
-    ServiceName, "service name", NAME_MAX, is_name, NAME_RULE
+    ServiceName, "service name", MAX_NAME_LEN, is_name_byte, NAME_RULE
 );
 name!(
     /// A team, which owns documents and holds a token.
-    TeamName, "team name", NAME_MAX, is_name, NAME_RULE
+    TeamName, "team name", MAX_NAME_LEN, is_name_byte, NAME_RULE
 );
 
 macro_rules! number {
@@ -140,17 +140,17 @@
 }
 
 number!(
-    /// The version of the roster. Only a compare-and-swap in the store raises
-    /// it.
+    /// The version of the roster. It is incremented only by a compare-and-swap
+    /// in the store.
     Epoch, "epoch"
 );
 number!(
-    /// One life of an entry process. A restarted entry takes a greater one, so
-    /// that messages to its former life are recognised.
+    /// One run of an entry process. A restarted entry has a greater incarnation,
+    /// so that messages to its former run are recognised.
     Incarnation, "incarnation"
 );
 number!(
-    /// The store's modification revision of a document. It only grows.
+    /// The store's modification revision of a document. It only increases.
     Revision, "revision"
 );
 
--- a/src/domain/instance.rs
+++ b/src/domain/instance.rs
@@ -1,50 +1,51 @@
-//! Targets as they register themselves.
+//! Registrations of targets.
 
-use super::{AzName, InstanceId, Millis, ServiceName, Slots, TargetId, words};
+use super::{AzName, InstanceId, Millis, ServiceName, Slots, TargetId, word_enum};
 
-words!(
-    /// Whether a target takes new work.
+word_enum!(
+    /// Whether a target accepts new requests.
     InstanceState, "state of a target", "\"ready\" or \"draining\"",
-    /// It takes new work.
+    /// The target accepts new requests.
     #[default]
     Ready = "ready",
-    /// It is about to leave and takes no new work.
+    /// The target is about to leave and accepts no new requests.
     Draining = "draining"
 );
 
-/// One start of a target, as the registry lists it.
+/// One run of a target, as the registry lists it.
 ///
-/// The id, not the address, identifies a target, because another service may
-/// get the address once a target is gone. See
+/// A target is identified by its id and not by its address, because another
+/// service may get the address after the target has stopped. See
 /// [docs/platform.md](../../docs/platform.md).
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Instance {
-    /// The id, under which the target answers.
+    /// The id, which the target includes in its answers.
     pub id: InstanceId,
-    /// The service that it runs.
+    /// The service that the target runs.
     pub service: ServiceName,
-    /// Where it accepts requests.
+    /// The address at which the target accepts requests.
     pub addr: TargetId,
-    /// Where it runs.
+    /// The availability zone in which the target runs.
     pub az: AzName,
-    /// How many requests it runs at the same time.
+    /// The number of requests that the target runs concurrently.
     pub slots: Slots,
-    /// Whether it takes new work.
+    /// Whether the target accepts new requests.
     pub state: InstanceState,
-    /// How much longer it is cold, from the moment of the registration.
+    /// How long the target stays cold after this state was registered.
     pub cold: Millis,
-    /// The number of this state of the registration, which only grows.
+    /// The sequence number of this state of the registration. It only increases.
     pub seq: u64,
-    /// When it started, by the wall clock. A target may start again under the
-    /// same id and then holds nothing of before.
-    pub born: Option<Millis>,
+    /// The wall clock time at which the target started. A target may restart
+    /// under the same id, and then has lost its former state.
+    pub started_at: Option<Millis>,
 }
 
 impl Instance {
-    /// Tells whether another state of the registration says the same of a target
-    /// that is not cold. While it is cold, each state tells how much longer.
+    /// Returns whether `other` is a heartbeat that differs only in its sequence
+    /// number. Returns false for a cold target, because each of its heartbeats
+    /// updates how long it stays cold.
     #[must_use]
-    pub fn is_same(&self, other: &Self) -> bool {
+    pub fn is_unchanged_in(&self, other: &Self) -> bool {
         let heartbeat = Self {
             seq: other.seq,
             ..self.clone()
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -1,11 +1,11 @@
-//! Ids, sizes, rates, times and documents: the values that every other part
-//! speaks in.
+//! The value types that all other modules use: ids, sizes, rates, times and
+//! documents.
 //!
 //! Each value is a newtype, so that a slot count cannot be passed where a rate
 //! is expected. Each one parses with [`FromStr`](std::str::FromStr) and prints
 //! with [`Display`](std::fmt::Display), and the two round-trip, because the
 //! same text appears in settings, documents, logs and the administration API.
-//! The price is some conversion code at the edges. See
+//! The cost is some conversion code in the adapters. See
 //! [docs/design.md](../../docs/design.md), section 2.
 
 mod blocks;
@@ -20,7 +20,7 @@
 mod shards;
 mod sizes;
 mod time;
-mod words;
+mod word_enum;
 
 pub use blocks::{Prefix, SiteId};
 pub use bounds::Bounds;
@@ -33,8 +33,10 @@
 pub use instance::{Instance, InstanceState};
 pub use presence::Presence;
 pub use rates::{Mbps, Rps, Weight};
-pub use route::{CallerLimits, Configuration, Part, RequestKind, Rule, ServiceRule};
+pub use route::{
+    CallerLimits, Configuration, RequestKind, RouteRule, ServiceRule, WeightedService,
+};
 pub use shards::Shards;
 pub use sizes::{Size, Slots};
 pub use time::Millis;
-pub(crate) use words::words;
+pub(crate) use word_enum::word_enum;
--- a/src/domain/presence.rs
+++ b/src/domain/presence.rs
@@ -1,21 +1,21 @@
-//! Entries as they announce themselves.
+//! Announcements of entries.
 
 use std::net::SocketAddr;
 
 use super::{AzName, EntryId, Mbps, RegionName};
 
-/// An entry that serves callers.
+/// An entry that serves callers, as it announces itself.
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Presence {
-    /// The entry.
+    /// The name of the entry.
     pub name: EntryId,
-    /// Where callers connect.
+    /// The address to which callers connect.
     pub front: SocketAddr,
-    /// Where other entries reach it, if they do.
+    /// The address to which other entries connect, if there is one.
     pub peer: Option<SocketAddr>,
-    /// The capacity of its link.
+    /// The capacity of the entry's network link.
     pub link: Mbps,
-    /// Where it runs.
+    /// The availability zone in which the entry runs.
     pub az: AzName,
     /// The region of that availability zone.
     pub region: RegionName,
--- a/src/domain/rates.rs
+++ b/src/domain/rates.rs
@@ -31,16 +31,16 @@
 }
 
 rate!(
-    /// A rate of requests, in requests a second.
+    /// A rate of requests, in requests per second.
     Rps, "rate", "rps", "a whole number and \"rps\""
 );
 rate!(
-    /// The capacity of a link, in megabits a second.
+    /// The capacity of a network link, in megabits per second.
     Mbps, "link rate", "mbps", "a whole number and \"mbps\""
 );
 
-/// The part of a service's traffic that a place takes, relative to the sum of
-/// all the weights of the service.
+/// The share of a service's traffic that a place gets, relative to the sum of
+/// all weights of the service.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Weight(pub u32);
 
--- a/src/domain/route.rs
+++ b/src/domain/route.rs
@@ -1,92 +1,96 @@
-//! Configurations: how requests are routed to services.
+//! The routing configuration: which services run which requests.
 
-use super::{Millis, RegionName, Revision, ServiceName, Size, words};
+use super::{Millis, RegionName, Revision, ServiceName, Size, word_enum};
 
-words!(
-    /// How often a request may run.
+word_enum!(
+    /// Whether a request may run more than once, and whether it is a download.
     RequestKind, "kind of a route", "\"idempotent\", \"once\" or \"download\"",
-    /// It may run more than once.
+    /// The request may run more than once.
     #[default]
     Idempotent = "idempotent",
-    /// It runs at most once.
+    /// The request runs at most once.
     Once = "once",
-    /// It may run more than once and has a large answer.
+    /// The request may run more than once and has a large response.
     Download = "download"
 );
 
 impl RequestKind {
-    /// Tells whether a request may run more than once.
+    /// Returns whether a request of this kind may run more than once.
     #[must_use]
     pub fn is_idempotent(self) -> bool {
         self != Self::Once
     }
 }
 
-/// A service's part of a route.
+/// A service that runs a share of a route's requests.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Part {
+pub struct WeightedService {
     /// The service.
     pub service: ServiceName,
-    /// Its part of the requests, relative to the sum over the route.
+    /// The share of the requests, relative to the sum of all weights of the
+    /// route.
     pub weight: f64,
 }
 
-/// How the requests of one host and prefix are handled.
+/// The handling of requests to one host and path prefix.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Rule {
+pub struct RouteRule {
     /// The name, for logs and metrics.
     pub name: String,
-    /// The host that callers ask for, in lower case.
+    /// The host in the callers' requests, in lower case.
     pub host: String,
-    /// The beginning of the path. It begins and ends with a slash.
+    /// The path prefix. It begins and ends with a slash.
     pub prefix: String,
-    /// How often a request may run.
+    /// Whether a request may run more than once.
     pub kind: RequestKind,
-    /// The time within which an answer is of full use.
+    /// The latency objective: the time within which an answer has its full value
+    /// to the caller.
     pub objective: Millis,
-    /// The time after which the caller gets an answer in any case.
+    /// The time after which the caller gets an answer even if no target has
+    /// answered.
     pub timeout: Millis,
-    /// The most targets that one request is sent to.
+    /// The maximum number of targets to which one request is sent.
     pub attempts: u32,
-    /// The rank, 0 being the most urgent.
+    /// The priority. 0 is the most urgent.
     pub priority: u32,
-    /// Whether a target is faster on objects that it handled lately.
+    /// Whether a target is faster for objects that it handled recently.
     pub sticky: bool,
-    /// The only regions in which it may run; empty for all.
+    /// The regions in which requests may run. Empty allows all regions.
     pub homes: Vec<RegionName>,
-    /// The services that run it.
-    pub parts: Vec<Part>,
+    /// The services that run the requests.
+    pub services: Vec<WeightedService>,
 }
 
-/// What all targets of a service have in common.
+/// The settings that apply to all targets of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ServiceRule {
     /// The service.
     pub name: ServiceName,
-    /// The requests a second that a cold target tolerates.
+    /// The rate that a cold target tolerates, in requests per second.
     pub cold_rate: f64,
 }
 
-/// What callers may send.
+/// The limits on requests and connections of callers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerLimits {
-    /// The largest head of a request.
+    /// The maximum size of a request head.
     pub head: Size,
-    /// The largest body of a request.
+    /// The maximum size of a request body.
     pub body: Size,
-    /// How long a connection may stay idle.
+    /// The time after which an idle connection is closed.
     pub idle: Millis,
 }
 
-/// A whole configuration.
+/// A complete routing configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Configuration {
-    /// Its version. Only a greater one replaces it.
+    /// The version. A configuration is replaced only by one with a greater
+    /// version.
     pub version: Revision,
-    /// What callers may send.
+    /// The limits on callers.
     pub limits: CallerLimits,
     /// The rules of all hosts.
-    pub rules: Vec<Rule>,
-    /// The services.
+    pub rules: Vec<RouteRule>,
+    /// The settings of all services.
     pub services: Vec<ServiceRule>,
 }
--- a/src/domain/shards.rs
+++ b/src/domain/shards.rs
@@ -1,4 +1,4 @@
-//! A map in parts, each under its own lock.
+//! A map split into shards with a lock each.
 
 use std::{
     collections::HashMap,
@@ -6,21 +6,21 @@
     sync::{Mutex, MutexGuard, PoisonError},
 };
 
-/// The number of parts. It exceeds the cores of the entry VMs we know, so that
-/// two threads seldom meet at one lock.
-const SHARDS: usize = 32;
+/// The number of shards. It exceeds the number of cores of known entry VMs, so
+/// that two threads rarely contend for the same lock.
+const SHARD_COUNT: usize = 32;
 
-/// A map from keys to state, split by the key's hash into parts that are locked
-/// one at a time.
+/// A map from keys to state, split by the hash of the key into shards with a
+/// lock each.
 ///
-/// State is reached only through closures, so no guard can be held across an
-/// await. A closure must not use another key of the same map. Between maps the
-/// order of locking is documents, limits, targets, claims, as in
-/// [docs/design.md](../../docs/design.md), section 2.
+/// State is accessed only in closures, so no lock guard can be held across an
+/// await. A closure must not access another key of the same map, which may be in
+/// the locked shard. Several maps are locked in the order documents, limits,
+/// targets, claims, see [docs/design.md](../../docs/design.md), section 2.
 #[derive(Debug)]
 pub struct Shards<K, V> {
     hasher: RandomState,
-    parts: Vec<Mutex<HashMap<K, V>>>,
+    shards: Vec<Mutex<HashMap<K, V>>>,
 }
 
 impl<K: Eq + Hash, V> Shards<K, V> {
@@ -29,14 +29,15 @@
     pub fn new() -> Self {
         Self {
             hasher: RandomState::new(),
-            parts: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            shards: (0..SHARD_COUNT).map(|_| Mutex::default()).collect(),
         }
     }
 
-    /// Runs `f` on the state of `key`, which is created if there is none.
+    /// Runs `f` on the state of `key`, after creating it with `new` if there is
+    /// none.
     pub fn with<T>(&self, key: K, new: impl FnOnce() -> V, f: impl FnOnce(&mut V) -> T) -> T {
-        let mut part = self.lock(&key);
-        f(part.entry(key).or_insert_with(new))
+        let mut shard = self.lock(&key);
+        f(shard.entry(key).or_insert_with(new))
     }
 
     /// Runs `f` on the state of `key`, if there is one.
@@ -44,30 +45,32 @@
         self.lock(key).get_mut(key).map(f)
     }
 
-    /// Puts the state of `key` and returns the former one.
+    /// Sets the state of `key` and returns the former one.
     pub fn insert(&self, key: K, value: V) -> Option<V> {
-        let mut part = self.lock(&key);
-        part.insert(key, value)
+        let mut shard = self.lock(&key);
+        shard.insert(key, value)
     }
 
-    /// Removes the state of `key`.
+    /// Removes the state of `key` and returns it.
     pub fn remove(&self, key: &K) -> Option<V> {
         self.lock(key).remove(key)
     }
 
-    /// Runs `f` on every key and its state, one part after the other. The whole
-    /// is therefore not one snapshot.
+    /// Runs `f` on every key and its state. The shards are locked one after the
+    /// other, so `f` does not see a consistent snapshot of the map.
     pub fn each(&self, mut f: impl FnMut(&K, &mut V)) {
-        for part in &self.parts {
-            let mut part = part.lock().unwrap_or_else(PoisonError::into_inner);
-            part.iter_mut().for_each(|(k, v)| f(k, v));
+        for shard in &self.shards {
+            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            shard.iter_mut().for_each(|(k, v)| f(k, v));
         }
     }
 
     fn lock(&self, key: &K) -> MutexGuard<'_, HashMap<K, V>> {
-        let hash = usize::try_from(self.hasher.hash_one(key) % SHARDS as u64).unwrap_or_default();
-        // A panic in one request must not stop the others that share its part.
-        self.parts[hash]
+        let hash =
+            usize::try_from(self.hasher.hash_one(key) % SHARD_COUNT as u64).unwrap_or_default();
+        // A panic in one request must not fail other requests to the same shard,
+        // so a poisoned lock is used as it is.
+        self.shards[hash]
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/domain/sizes.rs
+++ b/src/domain/sizes.rs
@@ -9,7 +9,7 @@
 pub struct Size(pub u64);
 
 impl Size {
-    /// Returns a size of `n` binary kilobytes.
+    /// Returns a size of `n` KiB.
     #[must_use]
     pub const fn kib(n: u64) -> Self {
         Self(n * 1024)
@@ -39,7 +39,7 @@
     }
 }
 
-/// How many requests a target runs at the same time.
+/// The number of requests that a target runs concurrently.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Slots(pub u32);
 
@@ -60,7 +60,7 @@
     }
 }
 
-/// Splits `"40 rps"` into `("40", "rps")`. The blank is optional.
+/// Splits `"40 rps"` into `("40", "rps")`. The space is optional.
 pub(super) fn split_unit(s: &str) -> (&str, &str) {
     let end = s.find(|c: char| !c.is_ascii_digit()).unwrap_or(s.len());
     let (digits, unit) = s.split_at(end);
--- a/src/domain/time.rs
+++ b/src/domain/time.rs
@@ -1,4 +1,4 @@
-//! Time, as decisions see it.
+//! Durations and instants, as decisions use them.
 
 use std::{
     fmt,
@@ -9,26 +9,27 @@
 
 use super::{ParseError, sizes::split_unit};
 
-/// A duration, or an instant counted from an origin that the clock chooses.
+/// A duration in milliseconds, or an instant as the duration since an origin
+/// that the clock defines.
 ///
-/// Decisions take the present instant as an argument, so that a run can be
-/// replayed. Subtraction saturates at zero, since a peer's late message may
-/// carry an instant that is already past.
+/// Decisions take the current time as an argument, so that a run can be
+/// replayed. Subtraction saturates at zero, since a late message of a peer may
+/// contain an instant in the past.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct Millis(pub u64);
 
 impl Millis {
-    /// Returns the duration in the standard library's type.
+    /// Converts the duration to the type of the standard library.
     #[must_use]
     pub const fn duration(self) -> Duration {
         Duration::from_millis(self.0)
     }
 
-    /// Returns a part of the duration.
+    /// Returns the duration multiplied by `fraction`, rounded down.
     #[must_use]
-    pub fn part(self, part: f64) -> Self {
-        let part = self.duration().mul_f64(part).as_millis();
-        Self(u64::try_from(part).unwrap_or(u64::MAX))
+    pub fn fraction(self, fraction: f64) -> Self {
+        let millis = self.duration().mul_f64(fraction).as_millis();
+        Self(u64::try_from(millis).unwrap_or(u64::MAX))
     }
 }
 
--- a/src/domain/words.rs
+++ b/src/domain/word_enum.rs
@@ -1,8 +1,8 @@
-//! Values that are one of a few words.
+//! Enumerations with a text form.
 
 /// Declares an enumeration whose variants parse from and print as one word each,
-/// so that the words stand in one place only.
-macro_rules! words {
+/// so that each word is written in one place only.
+macro_rules! word_enum {
     ($(#[$doc:meta])* $name:ident, $kind:literal, $rule:literal, $($(#[$vdoc:meta])* $var:ident = $word:literal),+) => {
         $(#[$doc])*
         #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -29,4 +29,4 @@
     };
 }
 
-pub(crate) use words;
+pub(crate) use word_enum;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,24 +1,25 @@
 //! Global traffic steering between callers and targets.
 //!
-//! Service teams own a document each that says where their service runs, how
-//! much each place takes and what leaves. Savorybeam carries every request to a
-//! healthy target, and moves traffic within the agreed limits.
+//! Each service has a document, owned by its team, that declares the places
+//! where the service runs, the weight of each place, and the places and targets
+//! that are leaving. Savorybeam forwards every request to a healthy target and
+//! shifts traffic within the agreed limits.
 //!
-//! # A guided tour
+//! # Structure
 //!
-//! * [`domain`] has the values: ids, sizes, rates, times, documents.
-//! * [`policy`] has the decisions. They are pure: time and randomness are passed
-//!   in, and nothing in there knows a socket or an encoding. This is where to
-//!   read how a target is chosen, how a limit is shared, or when a request may
-//!   be repeated.
-//! * [`ports`] says what decisions and processes need from outside, as plain
-//!   structs of closures.
-//! * [`adapters`] fills the ports: HTTP to callers and targets, gRPC between
-//!   entries, the store's protocol, the clock, INI files.
-//! * [`app`] wires a running entry together and has the command line.
+//! * [`domain`] defines the values: ids, sizes, rates, times, documents.
+//! * [`policy`] contains the decisions, such as how a target is chosen, how a
+//!   limit is shared and when a request may be repeated. They are free of I/O:
+//!   time and randomness are passed in, and they use neither sockets nor
+//!   encodings.
+//! * [`ports`] declares the interfaces to the outside that decisions and
+//!   processes need, as plain structs of closures.
+//! * [`adapters`] implements the ports: HTTP to callers and targets, gRPC
+//!   between entries, the store's protocol, the clock, INI files.
+//! * [`app`] assembles a running entry and contains the command line.
 //!
-//! The reasons behind the structure are in `docs/design.md`; the words are in
-//! `docs/glossary.md`.
+//! `docs/design.md` explains the reasons for the structure, and
+//! `docs/glossary.md` the terms.
 
 #![forbid(unsafe_code)]
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,4 @@
-//! The `savorybeam` command. All of it is in the library, so that tests reach
+//! The `savorybeam` command. Its code is in the library, so that tests can use
 //! it too.
 
 fn main() -> std::process::ExitCode {
--- a/src/policy/admin/failure.rs
+++ b/src/policy/admin/error.rs
@@ -1,4 +1,4 @@
-//! Failures of the administration.
+//! Errors of the administration API.
 
 use std::fmt;
 
@@ -9,7 +9,7 @@
 
 macro_rules! codes {
     ($($(#[$doc:meta])* $var:ident = $status:literal $word:literal),+ $(,)?) => {
-        /// The stable codes of the administration.
+        /// The stable error codes of the administration API.
         #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
         pub enum Code {
             $($(#[$doc])* $var,)+
@@ -19,13 +19,14 @@
             /// All codes, in the order of their status.
             pub const ALL: &[Self] = &[$(Self::$var),+];
 
-            /// Returns the code as operators see it.
+            /// Returns the code as it appears in responses.
             #[must_use]
             pub fn as_str(self) -> &'static str {
                 match self { $(Self::$var => $word,)+ }
             }
 
-            /// Returns the HTTP status, which other front ends may map further.
+            /// Returns the HTTP status. Front ends with another protocol may map
+            /// it to their own codes.
             #[must_use]
             pub fn status(self) -> u16 {
                 match self { $(Self::$var => $status,)+ }
@@ -37,7 +38,7 @@
 codes!(
     /// The request is malformed.
     BadRequest = 400 "bad-request",
-    /// The token is missing or of no team.
+    /// The token is missing or belongs to no team.
     BadToken = 401 "bad-token",
     /// Another team owns the document.
     OtherTeam = 403 "other-team",
@@ -55,7 +56,7 @@
     TooLarge = 413 "too-large",
     /// The document has faults.
     InvalidDocument = 422 "invalid-document",
-    /// The editor does not say which revision it replaces.
+    /// The edit does not state which revision it replaces.
     BaseMissing = 428 "base-missing",
     /// The store holds a record that cannot be read.
     InvalidRecord = 500 "invalid-record",
@@ -63,7 +64,7 @@
     NotReady = 503 "not-ready",
     /// The store does not answer.
     StoreUnavailable = 503 "store-unavailable",
-    /// The store's answer to the write was lost.
+    /// The store's response to the write was lost.
     StoreAnswerLost = 504 "store-answer-lost",
 );
 
@@ -73,27 +74,29 @@
     }
 }
 
-/// A failure, with all that an operator is told.
+/// An error of the administration API, with everything that the response
+/// reports.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Failure {
+pub struct AdminError {
     /// The stable code.
     pub code: Code,
     /// Whether the edit may have taken effect.
     pub outcome: Outcome,
-    /// The step and the peer, for people.
+    /// A description for operators, with the failed step and the peer if there
+    /// are any.
     pub detail: String,
-    /// Every fault of a document.
+    /// Every fault of an invalid document.
     pub faults: Vec<String>,
     /// The revision from which the edit started.
     pub base: Option<Revision>,
-    /// The revision that the store is at.
+    /// The store's current revision.
     pub found: Option<Revision>,
-    /// When to try again, if that helps.
+    /// The time after which a retry may succeed, if it may.
     pub retry: Option<Millis>,
 }
 
-impl Failure {
-    /// Returns the failure of a request that changed nothing.
+impl AdminError {
+    /// Returns the error of a request that changed nothing.
     #[must_use]
     pub fn new(code: Code, detail: impl Into<String>) -> Self {
         Self {
@@ -107,7 +110,7 @@
         }
     }
 
-    /// Returns the failure of an edit that may have taken effect.
+    /// Returns the error of an edit that may have taken effect.
     #[must_use]
     pub fn unknown(detail: impl Into<String>) -> Self {
         Self {
@@ -116,28 +119,28 @@
         }
     }
 
-    /// Lists the faults of a document.
+    /// Sets the faults of an invalid document.
     #[must_use]
     pub fn faults(mut self, faults: Vec<String>) -> Self {
         self.faults = faults;
         self
     }
 
-    /// Says from which revision the edit started.
+    /// Sets the revision from which the edit started.
     #[must_use]
     pub fn base(mut self, revision: Revision) -> Self {
         self.base = Some(revision);
         self
     }
 
-    /// Says which revision the store is at.
+    /// Sets the store's current revision.
     #[must_use]
     pub fn found(mut self, revision: Revision) -> Self {
         self.found = Some(revision);
         self
     }
 
-    /// Says when to try again.
+    /// Sets the time after which a retry may succeed.
     #[must_use]
     pub fn retry_after(mut self, time: Millis) -> Self {
         self.retry = Some(time);
@@ -145,10 +148,10 @@
     }
 }
 
-impl fmt::Display for Failure {
+impl fmt::Display for AdminError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{} ({}): {}", self.code, self.outcome, self.detail)
     }
 }
 
-impl std::error::Error for Failure {}
+impl std::error::Error for AdminError {}
--- a/src/policy/admin/mod.rs
+++ b/src/policy/admin/mod.rs
@@ -1,36 +1,37 @@
-//! Which edits of a document are allowed, and what an operator is told of one
-//! that is not.
+//! Authorization and preconditions of edits, and the errors of the
+//! administration API.
 //!
-//! An edit is allowed if the team owns the document, and if the editor has seen
-//! the revision that it replaces. The second rule is what keeps two operators
-//! from overwriting each other without noticing; the store's compare-and-swap
-//! then closes the gap between this check and the write. Codes and outcomes are
-//! decided here and not in the HTTP adapter, so that another front end reports
-//! the same ones. See [docs/design.md](../../../docs/design.md), section 6.
+//! An edit is allowed if the team owns the document and if the editor has seen
+//! the revision that it replaces. The second rule prevents two operators from
+//! overwriting each other's edits unnoticed. The document may still change
+//! between this check and the write, which the store's compare-and-swap detects.
+//! Error codes and outcomes are decided here and not in the HTTP adapter, so
+//! that another front end reports the same ones. See
+//! [docs/design.md](../../../docs/design.md), section 6.
 
-mod failure;
+mod error;
 
 use std::{fmt, str::FromStr};
 
-pub use self::failure::{Code, Failure};
+pub use self::error::{AdminError, Code};
 use crate::domain::{Document, ParseError, Revision, TeamName};
 
-/// Which revision an editor has seen.
+/// The revision that an edit replaces, as the editor states it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Base {
-    /// The editor does not say.
+pub enum Precondition {
+    /// The editor states no precondition.
     #[default]
     Unstated,
-    /// Whichever revision there is.
+    /// The edit replaces whichever revision is current.
     Any,
-    /// No document, as an editor states who wants to create one.
+    /// The edit creates the document, which must not exist.
     Absent,
-    /// A certain revision.
+    /// The edit replaces this revision.
     At(Revision),
 }
 
-/// Parses the value of If-Match: `"5"` or `*`.
-impl FromStr for Base {
+/// Parses the value of the `If-Match` header: `"5"` or `*`.
+impl FromStr for Precondition {
     type Err = ParseError;
 
     fn from_str(s: &str) -> Result<Self, ParseError> {
@@ -45,7 +46,7 @@
     }
 }
 
-impl fmt::Display for Base {
+impl fmt::Display for Precondition {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unstated => f.write_str("unstated"),
@@ -56,68 +57,73 @@
     }
 }
 
-/// What the store holds for a service.
+/// The revision and the owner of the record that the store holds for a service.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Found {
-    /// The revision of the record, zero if there is none.
+pub struct CurrentRecord {
+    /// The revision of the record, or zero if there is none.
     pub revision: Revision,
-    /// The team that owns the document, none if there is none or it was
-    /// deleted.
+    /// The team that owns the document, or `None` if the document does not exist
+    /// or was deleted.
     pub owner: Option<TeamName>,
 }
 
-/// Checks that a team may make an edit now.
+/// Checks that a team is allowed to make an edit of the current record.
 ///
-/// `new` is the document that the edit puts, none if it deletes. An owner may
-/// hand its document to another team by naming it in the new text; a document
-/// that does not exist yet can only be created by the team that it names.
+/// `new` is the document that the edit writes, or `None` if it deletes the
+/// document. An owner can transfer its document to another team by naming that
+/// team in the new text. A document that does not exist can only be created by
+/// the team that it names.
 ///
 /// # Errors
 ///
-/// Returns what the editor is to be told.
-pub fn check(
+/// Returns the error to report to the editor.
+pub fn check_edit(
     team: &TeamName,
-    base: Base,
-    found: &Found,
+    base: Precondition,
+    found: &CurrentRecord,
     new: Option<&Document>,
-) -> Result<(), Failure> {
+) -> Result<(), AdminError> {
     let owner = found.owner.as_ref().or(new.map(|d| &d.team));
     if let Some(owner) = owner.filter(|o| *o != team) {
         let detail = format!("team {owner} owns the document, the token is of team {team}");
-        return Err(Failure::new(Code::OtherTeam, detail));
+        return Err(AdminError::new(Code::OtherTeam, detail));
     }
     if found.owner.is_none() && new.is_none() {
         let detail = "there is no document to delete";
-        return Err(Failure::new(Code::UnknownDocument, detail).found(found.revision));
+        return Err(AdminError::new(Code::UnknownDocument, detail).found(found.revision));
     }
     match (&found.owner, base) {
-        (None, Base::Unstated | Base::Absent) | (Some(_), Base::Any) => Ok(()),
-        (_, Base::At(r)) if r == found.revision => Ok(()),
-        (Some(_), Base::Unstated) => {
+        (None, Precondition::Unstated | Precondition::Absent) | (Some(_), Precondition::Any) => {
+            Ok(())
+        }
+        (_, Precondition::At(r)) if r == found.revision => Ok(()),
+        (Some(_), Precondition::Unstated) => {
             let detail = format!(
                 "the document exists at revision {0}: send If-Match: \"{0}\" to replace it",
                 found.revision
             );
-            Err(Failure::new(Code::BaseMissing, detail).found(found.revision))
+            Err(AdminError::new(Code::BaseMissing, detail).found(found.revision))
         }
-        _ => Err(conflict(base, found.revision)),
+        _ => Err(revision_conflict(base, found.revision)),
     }
 }
 
-/// Returns the failure of an editor who started from another revision than the
-/// store is at.
+/// Returns the error for an edit whose precondition `base` does not hold at the
+/// store's current revision `found`.
 #[must_use]
-pub fn conflict(base: Base, found: Revision) -> Failure {
+pub fn revision_conflict(base: Precondition, found: Revision) -> AdminError {
     let detail = match base {
-        Base::At(base) => format!("the edit started from revision {base}, the store is at {found}"),
-        Base::Any => format!("the edit replaces any revision, the store is at {found}"),
-        Base::Absent | Base::Unstated => {
+        Precondition::At(base) => {
+            format!("the edit started from revision {base}, the store is at {found}")
+        }
+        Precondition::Any => format!("the edit replaces any revision, the store is at {found}"),
+        Precondition::Absent | Precondition::Unstated => {
             format!("the edit creates the document, the store is at {found}")
         }
     };
-    let failure = Failure::new(Code::RevisionConflict, detail).found(found);
+    let error = AdminError::new(Code::RevisionConflict, detail).found(found);
     match base {
-        Base::At(base) => failure.base(base),
-        _ => failure.base(Revision::default()),
+        Precondition::At(base) => error.base(base),
+        _ => error.base(Revision::default()),
     }
 }
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -11,7 +11,7 @@
     work::{Work, mix},
 };
 use crate::{
-    domain::{AzName, InstanceId, InstanceState, Millis, RegionName, Rule, TargetId},
+    domain::{AzName, InstanceId, InstanceState, Millis, RegionName, RouteRule, TargetId},
     policy::overflow::{Overflow, Wish},
 };
 
@@ -84,7 +84,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Ask<'a> {
     /// Its rule.
-    pub rule: &'a Rule,
+    pub rule: &'a RouteRule,
     /// The hash of the object that it concerns.
     pub object: Option<u64>,
     /// The targets that it was sent to.
@@ -182,7 +182,7 @@
 impl Candidate {
     /// Returns how long the answer takes, in parts of the objective, if a queue is
     /// the reason for it.
-    fn delay(&self, rule: &Rule) -> f64 {
+    fn delay(&self, rule: &RouteRule) -> f64 {
         #[expect(clippy::cast_precision_loss)]
         let objective = rule.objective.0.max(1) as f64;
         if self.queue > QUEUE_FREE {
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -84,7 +84,7 @@
             return true;
         };
         let known = &self.targets[at].instance;
-        let changed = known.state != instance.state || known.born != instance.born;
+        let changed = known.state != instance.state || known.started_at != instance.started_at;
         self.targets[at].update(instance, region, now);
         changed
     }
--- a/src/policy/balance/registry.rs
+++ b/src/policy/balance/registry.rs
@@ -54,10 +54,10 @@
     /// heartbeat leads to no step.
     pub fn put(&mut self, instance: Instance) -> Option<Step> {
         let known = self.known.get(&instance.id);
-        if known.is_some_and(|k| (instance.born, instance.seq) < (k.born, k.seq)) {
+        if known.is_some_and(|k| (instance.started_at, instance.seq) < (k.started_at, k.seq)) {
             return None;
         }
-        let same = known.is_some_and(|k| k.is_same(&instance));
+        let same = known.is_some_and(|k| k.is_unchanged_in(&instance));
         // Others that were told that it is gone have to learn that it is back.
         let back = self.missing.remove(&instance.id).is_some();
         self.known.insert(instance.id.clone(), instance.clone());
--- a/src/policy/balance/target.rs
+++ b/src/policy/balance/target.rs
@@ -54,7 +54,7 @@
 
     /// Adopts a new state of the registration.
     pub fn update(&mut self, instance: Instance, region: Option<RegionName>, now: Millis) {
-        if instance.born != self.instance.born || instance.addr != self.instance.addr {
+        if instance.started_at != self.instance.started_at || instance.addr != self.instance.addr {
             // Another start of the target, which knows nothing of the former.
             let own = self.load.own;
             *self = Self::new(instance, region, now);
--- a/src/policy/document/diff.rs
+++ b/src/policy/document/diff.rs
@@ -1,4 +1,4 @@
-//! What an edit would change, for dry runs and the timeline.
+//! Differences between two documents, for dry runs and the timeline.
 
 use std::{collections::BTreeSet, fmt};
 
@@ -7,82 +7,82 @@
     ServiceName, Slots, TargetId, TeamName, Weight,
 };
 
-/// One difference between two documents. The pairs are the former and the new
-/// value.
+/// One difference between two documents. A pair of values of the same type is
+/// the old and the new value.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// The service gets its first document.
+    /// The service has a document where it had none.
     ServiceAdded(ServiceName),
     /// The service's document is deleted.
     ServiceRemoved(ServiceName),
     /// Another team owns the document.
     Team(TeamName, TeamName),
-    /// The default deadline.
+    /// The default deadline of requests differs.
     Deadline(Millis, Millis),
-    /// The cap on shifted traffic.
+    /// The cap on the rate of shifted traffic differs.
     ShiftCap(Rps, Rps),
-    /// A new place with its weight.
+    /// A place is added, with its weight.
     PlaceAdded(PlaceName, Weight),
-    /// A place is gone, with its former weight.
+    /// A place is removed, with its old weight.
     PlaceRemoved(PlaceName, Weight),
     /// A place is in another region.
     Region(PlaceName, RegionName, RegionName),
     /// A place is in another availability zone.
     Az(PlaceName, AzName, AzName),
-    /// A place takes another part of the traffic.
+    /// The weight of a place differs.
     Weight(PlaceName, Weight, Weight),
-    /// A place starts or stops taking new work.
+    /// A place starts or stops accepting new requests.
     State(PlaceName, PlaceState, PlaceState),
-    /// The slots of each target of a place.
+    /// The number of slots of each target of a place differs.
     Slots(PlaceName, Slots, Slots),
-    /// A place has a new target.
+    /// A target is added to a place.
     TargetAdded(PlaceName, TargetId),
-    /// A target is no longer in its place.
+    /// A target is removed from a place.
     TargetRemoved(PlaceName, TargetId),
-    /// A target gets no new work from now on.
+    /// A target gets no new requests from this revision on.
     TargetLeaving(PlaceName, TargetId),
-    /// A target gets new work again.
+    /// A target that was leaving gets new requests again.
     TargetStaying(PlaceName, TargetId),
-    /// A new route.
+    /// A route is added, identified by its path prefix.
     RouteAdded(String),
-    /// A route is gone.
+    /// A route is removed, identified by its path prefix.
     RouteRemoved(String),
-    /// The declared lane of a route.
+    /// The declared lane of a route differs.
     Lane(String, Option<Lane>, Option<Lane>),
-    /// The priority of a route.
+    /// The priority of a route differs.
     Priority(String, Priority, Priority),
-    /// Whether a route's requests may be repeated.
+    /// The declaration whether a route's requests may be repeated differs.
     Idempotent(String, Option<bool>, Option<bool>),
 }
 
-/// Lists the changes from one document to another, where none stands for no
+/// Returns the changes from one document to another. `None` stands for a missing
 /// document.
 ///
-/// The order of places, targets and routes in the text has no effect, so it is
-/// not a change.
+/// The order of places, targets and routes in the text has no effect, so a
+/// different order is not a change.
 #[must_use]
 pub fn diff(old: Option<&Document>, new: Option<&Document>) -> Vec<Change> {
     match (old, new) {
         (None, None) => Vec::new(),
         (Some(old), None) => vec![Change::ServiceRemoved(old.service.clone())],
-        (None, Some(new)) => added(new),
+        (None, Some(new)) => diff_from_nothing(new),
         (Some(old), Some(new)) if old.service != new.service => {
             let mut changes = vec![Change::ServiceRemoved(old.service.clone())];
-            changes.extend(added(new));
+            changes.extend(diff_from_nothing(new));
             changes
         }
-        (Some(old), Some(new)) => changed(old, new),
+        (Some(old), Some(new)) => diff_documents(old, new),
     }
 }
 
-fn added(new: &Document) -> Vec<Change> {
+fn diff_from_nothing(new: &Document) -> Vec<Change> {
     let mut changes = vec![Change::ServiceAdded(new.service.clone())];
-    places(&[], &new.places, &mut changes);
-    routes(&[], &new.routes, &mut changes);
+    diff_places(&[], &new.places, &mut changes);
+    diff_routes(&[], &new.routes, &mut changes);
     changes
 }
 
-fn changed(old: &Document, new: &Document) -> Vec<Change> {
+fn diff_documents(old: &Document, new: &Document) -> Vec<Change> {
     let mut changes = Vec::new();
     if old.team != new.team {
         changes.push(Change::Team(old.team.clone(), new.team.clone()));
@@ -93,28 +93,28 @@
     if old.shift_cap != new.shift_cap {
         changes.push(Change::ShiftCap(old.shift_cap, new.shift_cap));
     }
-    places(&old.places, &new.places, &mut changes);
-    routes(&old.routes, &new.routes, &mut changes);
+    diff_places(&old.places, &new.places, &mut changes);
+    diff_routes(&old.routes, &new.routes, &mut changes);
     changes
 }
 
-fn places(old: &[Place], new: &[Place], out: &mut Vec<Change>) {
+fn diff_places(old: &[Place], new: &[Place], out: &mut Vec<Change>) {
     for o in old.iter().filter(|o| new.iter().all(|n| n.name != o.name)) {
         out.push(Change::PlaceRemoved(o.name.clone(), o.weight));
     }
     for n in new {
         if let Some(o) = old.iter().find(|o| o.name == n.name) {
-            place(o, n, out);
+            diff_place(o, n, out);
             continue;
         }
         out.push(Change::PlaceAdded(n.name.clone(), n.weight));
-        state(PlaceState::Active, n, out);
-        targets(n, &[], &n.targets, Change::TargetAdded, out);
-        targets(n, &[], &n.leaving, Change::TargetLeaving, out);
+        diff_state(PlaceState::Active, n, out);
+        diff_targets(n, &[], &n.targets, Change::TargetAdded, out);
+        diff_targets(n, &[], &n.leaving, Change::TargetLeaving, out);
     }
 }
 
-fn place(old: &Place, new: &Place, out: &mut Vec<Change>) {
+fn diff_place(old: &Place, new: &Place, out: &mut Vec<Change>) {
     let name = || new.name.clone();
     if old.region != new.region {
         let pair = (old.region.clone(), new.region.clone());
@@ -126,51 +126,52 @@
     if old.weight != new.weight {
         out.push(Change::Weight(name(), old.weight, new.weight));
     }
-    state(old.state, new, out);
+    diff_state(old.state, new, out);
     if old.slots != new.slots {
         out.push(Change::Slots(name(), old.slots, new.slots));
     }
-    targets(new, &new.targets, &old.targets, Change::TargetRemoved, out);
-    targets(new, &old.targets, &new.targets, Change::TargetAdded, out);
-    targets(new, &old.leaving, &new.leaving, Change::TargetLeaving, out);
-    // A target that is removed altogether does not get new work again.
-    let stays = |t: &&TargetId| new.targets.contains(t);
-    let freed: Vec<TargetId> = old.leaving.iter().filter(stays).copied().collect();
-    targets(new, &new.leaving, &freed, Change::TargetStaying, out);
+    diff_targets(new, &new.targets, &old.targets, Change::TargetRemoved, out);
+    diff_targets(new, &old.targets, &new.targets, Change::TargetAdded, out);
+    diff_targets(new, &old.leaving, &new.leaving, Change::TargetLeaving, out);
+    // A leaving target that is removed from the place gets no new requests, so
+    // it is not reported as staying.
+    let present = |t: &&TargetId| new.targets.contains(t);
+    let was_leaving: Vec<TargetId> = old.leaving.iter().filter(present).copied().collect();
+    diff_targets(new, &new.leaving, &was_leaving, Change::TargetStaying, out);
 }
 
-fn state(old: PlaceState, new: &Place, out: &mut Vec<Change>) {
+fn diff_state(old: PlaceState, new: &Place, out: &mut Vec<Change>) {
     if old != new.state {
         out.push(Change::State(new.name.clone(), old, new.state));
     }
 }
 
-/// Notes every target in `to` that is not in `from`.
-fn targets(
+/// Adds a change for every target in `to` that is not in `from`.
+fn diff_targets(
     place: &Place,
     from: &[TargetId],
     to: &[TargetId],
     change: impl Fn(PlaceName, TargetId) -> Change,
     out: &mut Vec<Change>,
 ) {
-    let only: BTreeSet<_> = to.iter().filter(|t| !from.contains(t)).collect();
-    out.extend(only.into_iter().map(|t| change(place.name.clone(), *t)));
+    let added: BTreeSet<_> = to.iter().filter(|t| !from.contains(t)).collect();
+    out.extend(added.into_iter().map(|t| change(place.name.clone(), *t)));
 }
 
-fn routes(old: &[Route], new: &[Route], out: &mut Vec<Change>) {
-    let gone = |o: &&Route| new.iter().all(|n| n.prefix != o.prefix);
-    for o in old.iter().filter(gone) {
+fn diff_routes(old: &[Route], new: &[Route], out: &mut Vec<Change>) {
+    let removed = |o: &&Route| new.iter().all(|n| n.prefix != o.prefix);
+    for o in old.iter().filter(removed) {
         out.push(Change::RouteRemoved(o.prefix.clone()));
     }
     for n in new {
         match old.iter().find(|o| o.prefix == n.prefix) {
-            Some(o) => route(o, n, out),
+            Some(o) => diff_route(o, n, out),
             None => out.push(Change::RouteAdded(n.prefix.clone())),
         }
     }
 }
 
-fn route(old: &Route, new: &Route, out: &mut Vec<Change>) {
+fn diff_route(old: &Route, new: &Route, out: &mut Vec<Change>) {
     let prefix = || new.prefix.clone();
     if old.lane != new.lane {
         out.push(Change::Lane(prefix(), old.lane, new.lane));
@@ -205,15 +206,22 @@
             Self::TargetStaying(p, t) => write!(f, "place {p}: target {t}: no longer leaving"),
             Self::RouteAdded(r) => write!(f, "route {r}: added"),
             Self::RouteRemoved(r) => write!(f, "route {r}: removed"),
-            Self::Lane(r, a, b) => write!(f, "route {r}: lane: {} -> {}", or(*a), or(*b)),
+            Self::Lane(r, a, b) => {
+                write!(f, "route {r}: lane: {} -> {}", or_unset(*a), or_unset(*b))
+            }
             Self::Priority(r, a, b) => write!(f, "route {r}: priority: {a} -> {b}"),
             Self::Idempotent(r, a, b) => {
-                write!(f, "route {r}: idempotent: {} -> {}", or(*a), or(*b))
+                write!(
+                    f,
+                    "route {r}: idempotent: {} -> {}",
+                    or_unset(*a),
+                    or_unset(*b)
+                )
             }
         }
     }
 }
 
-fn or(value: Option<impl fmt::Display>) -> String {
+fn or_unset(value: Option<impl fmt::Display>) -> String {
     value.map_or_else(|| "unset".to_owned(), |v| v.to_string())
 }
--- a/src/policy/document/edit.rs
+++ b/src/policy/document/edit.rs
@@ -1,14 +1,14 @@
-//! Edits: what a writer puts into the store, and how it learns whether a write
-//! took effect when the response was lost.
+//! Edits: the record that a writer puts into the store, and how the writer finds
+//! out whether a write took effect when the response was lost.
 //!
-//! The store's answer to a write may be lost after the write took effect. A
-//! writer that simply repeats it would then lose against itself and report a
-//! conflict that never was. So each edit has a random id, which the record keeps
-//! along with the former revisions, and [`History::fate`] decides from a later
-//! read. The one case that a read cannot settle is a record that is still at the
-//! expected revision, since the lost write may be on its way: the writer repeats
-//! the same compare-and-swap, which settles it, because at most one of the two
-//! can succeed.
+//! The store's response to a write may be lost after the write took effect. A
+//! writer that merely repeated the write would conflict with its own edit and
+//! report a conflict that did not happen. Each edit therefore has a random id,
+//! which the record keeps along with the former revisions, and
+//! [`History::write_outcome`] compares it with a later read. A read cannot
+//! decide the case in which the record is still at the expected revision, since
+//! the lost write may still be in flight. The writer then repeats the same
+//! compare-and-swap, of which at most one can succeed.
 
 use std::{fmt, str::FromStr};
 
@@ -16,16 +16,16 @@
 
 use crate::domain::{Millis, Revision, TeamName};
 
-/// The most former revisions that a record keeps.
-pub const FORMER_MAX: usize = 20;
+/// The maximum number of former revisions that a record keeps.
+pub const MAX_FORMER_REVISIONS: usize = 20;
 
-/// Identifies an edit across repeated writes.
+/// Identifies an edit across retries of its write.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct EditId(pub u128);
 
 impl EditId {
-    /// Returns a random id. With 128 bits, no two edits of a deployment's life
-    /// share one in practice.
+    /// Returns a random id. It has 128 bits, so collisions within the lifetime
+    /// of a deployment are negligible.
     pub fn random(rng: &mut impl Rng) -> Self {
         Self(rng.random())
     }
@@ -52,54 +52,56 @@
 /// One edit of a document.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Edit {
-    /// The id.
+    /// The id, the same for every retry.
     pub id: EditId,
-    /// The team that made it.
+    /// The team that made the edit.
     pub team: TeamName,
-    /// When it was made, in milliseconds since the Unix epoch, for people only.
-    pub wall: Millis,
-    /// The text as the team wrote it, none for a deletion.
+    /// When the edit was made, in milliseconds since the Unix epoch. It is only
+    /// displayed; no decision depends on it.
+    pub wall_time: Millis,
+    /// The text as the team wrote it, or `None` for a deletion.
     pub text: Option<String>,
 }
 
 /// A former revision of a document.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Former {
-    /// The store's revision.
+pub struct FormerRevision {
+    /// The revision that the store assigned.
     pub revision: Revision,
-    /// The edit that made it.
+    /// The edit that made the revision.
     pub edit: Edit,
 }
 
-/// What the store holds for a service: the current edit and the former ones.
+/// The record that the store holds for a service: the current edit and the
+/// former ones.
 ///
-/// The current edit carries no revision, since the store assigns it when the
-/// record is written.
+/// The current edit has no revision in the record, since the store assigns it
+/// when the record is written.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct History {
     /// The current edit.
     pub current: Edit,
     /// The former revisions, the latest first.
-    pub former: Vec<Former>,
-    /// Whether older revisions were dropped, because of their number or because
-    /// the record would have become too large.
+    pub former: Vec<FormerRevision>,
+    /// Whether older revisions were dropped, either because there were more than
+    /// [`MAX_FORMER_REVISIONS`] or because the record would have been too large.
     pub dropped: bool,
 }
 
-/// A history together with the store's revision of its current edit.
+/// A history as read from the store, with the revision of its current edit.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Stored {
-    /// The store's revision.
+pub struct StoredHistory {
+    /// The revision that the store assigned to the current edit.
     pub revision: Revision,
-    /// The history.
+    /// The record.
     pub history: History,
 }
 
-impl Stored {
-    /// Returns the edit that made a revision, the current or a former one, none
-    /// if the record does not keep it.
+impl StoredHistory {
+    /// Returns the edit that made the current or a former revision, or `None` if
+    /// the record does not contain it.
     #[must_use]
-    pub fn at(&self, revision: Revision) -> Option<&Edit> {
+    pub fn edit_at(&self, revision: Revision) -> Option<&Edit> {
         if self.revision == revision {
             return Some(&self.history.current);
         }
@@ -109,17 +111,18 @@
 }
 
 impl History {
-    /// Returns the record to write for `edit`, given what the store holds.
+    /// Returns the record to write for `edit`, given the record in the store.
     ///
-    /// The write must be conditional on the revision of `stored`, zero if there
-    /// is none.
+    /// The write must be conditional on the revision of `stored`, or on zero if
+    /// there is none.
     ///
     /// # Errors
     ///
-    /// Returns a conflict if the editor started from another revision than the
-    /// store is at. `base` is none if the editor does not say.
+    /// Returns a conflict if `base`, the revision that the editor started from,
+    /// is not the store's current revision. Without a `base`, this is not
+    /// checked.
     pub fn extend(
-        stored: Option<Stored>,
+        stored: Option<StoredHistory>,
         base: Option<Revision>,
         edit: Edit,
     ) -> Result<Self, EditError> {
@@ -130,21 +133,21 @@
                 found,
             });
         }
-        let Some(Stored { revision, history }) = stored else {
+        let Some(StoredHistory { revision, history }) = stored else {
             return Ok(Self {
                 current: edit,
                 former: Vec::new(),
                 dropped: false,
             });
         };
-        let latest = Former {
+        let latest = FormerRevision {
             revision,
             edit: history.current,
         };
         let mut former = vec![latest];
         former.extend(history.former);
-        let dropped = history.dropped || former.len() > FORMER_MAX;
-        former.truncate(FORMER_MAX);
+        let dropped = history.dropped || former.len() > MAX_FORMER_REVISIONS;
+        former.truncate(MAX_FORMER_REVISIONS);
         Ok(Self {
             current: edit,
             former,
@@ -152,78 +155,84 @@
         })
     }
 
-    /// Decides what became of a write of `id` that was conditional on
+    /// Determines the outcome of a write of edit `id` that was conditional on
     /// `expected` and whose response was lost.
     ///
-    /// `found` is a later read. Every write names the revision that it follows,
-    /// so the edit directly after `expected` is the one that won.
+    /// `found` is a later read of the record. Every write is conditional on the
+    /// revision that it replaces, so of all writes that expected the same
+    /// revision, only the edit directly after it succeeded.
     #[must_use]
-    pub fn fate(id: EditId, expected: Revision, found: Option<&Stored>) -> Fate {
+    pub fn write_outcome(
+        id: EditId,
+        expected: Revision,
+        found: Option<&StoredHistory>,
+    ) -> WriteOutcome {
         let Some(stored) = found else {
-            // The record is gone although deletions leave a record behind, so
-            // nothing can be concluded unless there was no record before.
+            // Deleting a document leaves a record, so a missing record does not
+            // tell the outcome unless there was none before the write.
             return if expected == Revision::default() {
-                Fate::Open
+                WriteOutcome::Pending
             } else {
-                Fate::Unknown
+                WriteOutcome::Unknown
             };
         };
         if stored.history.current.id == id {
-            return Fate::InEffect(stored.revision);
+            return WriteOutcome::InEffect(stored.revision);
         }
         let mut former = stored.history.former.iter();
         if let Some(own) = former.find(|f| f.edit.id == id) {
-            return Fate::Superseded {
+            return WriteOutcome::Superseded {
                 own: own.revision,
                 current: stored.revision,
             };
         }
         if stored.revision == expected {
-            return Fate::Open;
+            return WriteOutcome::Pending;
         }
-        if stored.history.reaches(expected) {
-            return Fate::Lost(stored.revision);
+        if stored.history.is_complete_since(expected) {
+            return WriteOutcome::Conflict(stored.revision);
         }
-        Fate::Unknown
+        WriteOutcome::Unknown
     }
 
-    /// Tells whether the record keeps everything that followed `expected`.
-    fn reaches(&self, expected: Revision) -> bool {
+    /// Returns whether the record contains every edit that followed `expected`.
+    fn is_complete_since(&self, expected: Revision) -> bool {
         let mut former = self.former.iter();
         former.any(|f| f.revision == expected) || (expected == Revision::default() && !self.dropped)
     }
 }
 
-/// What became of a write whose response was lost.
+/// The outcome of a write whose response was lost.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Fate {
-    /// It took effect and is the current revision.
+pub enum WriteOutcome {
+    /// The write took effect and made the current revision.
     InEffect(Revision),
-    /// It took effect, and a later edit replaced it.
+    /// The write took effect, and a later edit replaced it.
     Superseded {
-        /// The revision that the write got.
+        /// The revision that the write made.
         own: Revision,
         /// The current revision.
         current: Revision,
     },
-    /// Another edit won, so the write cannot take effect any more. It holds the
-    /// current revision.
-    Lost(Revision),
-    /// Nothing has followed the expected revision. The write may still arrive,
+    /// Another edit replaced the expected revision, so the write can no longer
+    /// take effect. Contains the current revision.
+    Conflict(Revision),
+    /// The store is still at the expected revision. The write may still arrive,
     /// so the writer repeats it with the same id.
-    Open,
-    /// So many edits followed that the record no longer tells.
+    Pending,
+    /// The record no longer contains all edits since the expected revision, or
+    /// it is missing, so the outcome cannot be determined.
     Unknown,
 }
 
-/// Why an edit is refused before it is written.
+/// The reason why an edit is refused before it is written.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum EditError {
-    /// The editor started from another revision.
+    /// The editor started from a revision that is not the current one.
     Conflict {
         /// The revision that the editor started from.
         base: Revision,
-        /// The revision that the store is at.
+        /// The store's current revision.
         found: Revision,
     },
     /// The text is not an edit id.
--- a/src/policy/document/state.rs
+++ b/src/policy/document/state.rs
@@ -1,53 +1,53 @@
-//! Adoption: the one place that decides which revision is in effect.
+//! Adoption: decides which revision of a document is in effect in a process.
 
 use std::{fmt, sync::Arc};
 
 use crate::domain::{Document, Revision, ServiceName};
 
-/// What a revision holds.
+/// The content of a revision, after parsing and validation.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Content {
     /// A document that passed all checks.
     Document(Arc<Document>),
     /// The document was deleted.
     Deleted,
-    /// A text that failed the checks, with every fault.
+    /// A text that failed validation, with every fault.
     Invalid(Vec<String>),
 }
 
 /// The state of one service's document in one process.
 ///
-/// The caller holds the lock of the service's shard for the whole of
-/// [`adopt`](Self::adopt), so two arrivals of the same service cannot
-/// interleave.
+/// The caller holds the lock of the service's shard during
+/// [`adopt`](Self::adopt), so revisions of the same service are handled one at a
+/// time.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DocumentState {
     service: ServiceName,
     revision: Revision,
     document: Option<Arc<Document>>,
-    judged: Revision,
+    last_checked: Revision,
 }
 
 impl DocumentState {
-    /// Returns the state of a service of which no revision has arrived.
+    /// Returns the state of a service for which no revision has arrived.
     #[must_use]
     pub fn new(service: ServiceName) -> Self {
         Self {
             service,
             revision: Revision::default(),
             document: None,
-            judged: Revision::default(),
+            last_checked: Revision::default(),
         }
     }
 
-    /// Returns the revision in effect, zero if there is none.
+    /// Returns the revision in effect, or zero if there is none.
     #[must_use]
     pub fn revision(&self) -> Revision {
         self.revision
     }
 
-    /// Returns the document in effect, none before the first revision and after
-    /// a deletion.
+    /// Returns the document in effect, or `None` before the first valid revision
+    /// and after a deletion.
     #[must_use]
     pub fn document(&self) -> Option<&Arc<Document>> {
         self.document.as_ref()
@@ -55,13 +55,13 @@
 
     /// Returns the greatest revision that was adopted or rejected.
     ///
-    /// Digests between entries carry it beside the revision in effect. With the
-    /// latter alone, an invalid revision would be fetched again every second;
-    /// with this one alone, a valid revision that arrives after a later invalid
-    /// one would never be fetched.
+    /// A digest exchanged between entries needs both this revision and the one
+    /// in effect. With only the one in effect, an invalid revision would be
+    /// fetched again every second. With only this one, a valid revision that
+    /// arrives after a later invalid one would never be fetched.
     #[must_use]
-    pub fn judged(&self) -> Revision {
-        self.judged
+    pub fn last_checked(&self) -> Revision {
+        self.last_checked
     }
 
     /// Adopts a revision if it is valid and strictly greater than the one in
@@ -75,13 +75,13 @@
                 current: self.revision,
             };
         }
-        match self.valid(content) {
+        match self.validate(content) {
             Ok(document) => self.replace(revision, document),
             Err(faults) => self.reject(revision, faults),
         }
     }
 
-    fn valid(&self, content: Content) -> Result<Option<Arc<Document>>, Vec<String>> {
+    fn validate(&self, content: Content) -> Result<Option<Arc<Document>>, Vec<String>> {
         match content {
             Content::Deleted => Ok(None),
             Content::Invalid(faults) => Err(faults),
@@ -96,7 +96,7 @@
     fn replace(&mut self, revision: Revision, document: Option<Arc<Document>>) -> Adoption {
         let former = std::mem::replace(&mut self.document, document);
         let former_revision = std::mem::replace(&mut self.revision, revision);
-        self.judged = self.judged.max(revision);
+        self.last_checked = self.last_checked.max(revision);
         Adoption::Adopted {
             former_revision,
             former,
@@ -104,12 +104,12 @@
     }
 
     fn reject(&mut self, revision: Revision, faults: Vec<String>) -> Adoption {
-        if revision <= self.judged {
+        if revision <= self.last_checked {
             return Adoption::Stale {
                 current: self.revision,
             };
         }
-        self.judged = revision;
+        self.last_checked = revision;
         Adoption::Rejected(Rejection {
             service: self.service.clone(),
             rejected: revision,
@@ -119,19 +119,19 @@
     }
 }
 
-/// What became of a revision that arrived.
+/// The result of [`DocumentState::adopt`].
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Adoption {
-    /// The revision is now in effect. What it replaced tells a shift where to
-    /// start.
+    /// The revision is now in effect. A traffic shift starts from the document
+    /// that it replaced.
     Adopted {
-        /// The revision that was in effect before, zero if there was none.
+        /// The revision that was in effect before, or zero if there was none.
         former_revision: Revision,
         /// The document that was in effect before.
         former: Option<Arc<Document>>,
     },
-    /// The same or a later revision is in effect, or the same invalid revision
-    /// was reported before. Nothing changes.
+    /// The same or a later revision is in effect, or the revision is invalid and
+    /// the same or a later one was already checked. Nothing changes.
     Stale {
         /// The revision in effect.
         current: Revision,
@@ -141,14 +141,14 @@
     Rejected(Rejection),
 }
 
-/// The event that reports an invalid revision.
+/// Reports an invalid revision.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Rejection {
     /// The service.
     pub service: ServiceName,
     /// The invalid revision.
     pub rejected: Revision,
-    /// The revision that stays in effect, zero if there is none.
+    /// The revision that stays in effect, or zero if there is none.
     pub current: Revision,
     /// Every fault of the invalid revision.
     pub faults: Vec<String>,
--- a/src/policy/member/record.rs
+++ b/src/policy/member/record.rs
@@ -3,9 +3,9 @@
 
 use std::{fmt, net::SocketAddr, str::FromStr};
 
-use crate::domain::{AzName, EntryId, Incarnation, ParseError, RegionName, words};
+use crate::domain::{AzName, EntryId, Incarnation, ParseError, RegionName, word_enum};
 
-words!(
+word_enum!(
     /// The state of a member. At the same incarnation and version, the later
     /// variant takes precedence. `Leaving` ranks above `Suspect` so that a
     /// suspicion cannot put a leaving member back into lookups.
@@ -20,7 +20,7 @@
     /// It did not refute a suspicion in time. No caller is directed to it.
     Dead = "dead"
 );
-words!(
+word_enum!(
     /// The load that an entry reports. There are only three levels because
     /// every change is sent to the whole fleet.
     Load, "load level", "\"normal\", \"high\" or \"severe\"",
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -1,10 +1,11 @@
-//! The decisions of savorybeam.
+//! The decision logic of savorybeam.
 //!
-//! Everything in here is pure: a decision sees state, the present instant and,
-//! where needed, a source of random numbers, all passed in. So each one can be
-//! replayed from a seed and compared with a plain model. The cost is that the
-//! callers in [`app`](crate::app) must carry state and messages to and fro.
-//! `tests/shape.rs` holds that nothing in here imports an adapter or a runtime.
+//! Everything in this module is free of I/O: a decision receives its state, the
+//! current time and, where needed, a random number generator as arguments. Each
+//! one can therefore be replayed from a seed and compared with a reference
+//! model. The cost is that the calling code in [`app`](crate::app) must pass
+//! state and messages in and out. `tests/shape.rs` checks that nothing here
+//! imports an adapter or a runtime.
 
 pub mod admin;
 pub mod balance;
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -18,7 +18,7 @@
     },
 };
 
-use crate::domain::{CallerLimits, Configuration, Revision, Rule, ServiceName, ServiceRule};
+use crate::domain::{CallerLimits, Configuration, Revision, RouteRule, ServiceName, ServiceRule};
 
 /// Why a configuration cannot be used.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -41,7 +41,7 @@
 #[derive(Debug)]
 pub struct Route {
     /// The rule, which requests share.
-    pub rule: Arc<Rule>,
+    pub rule: Arc<RouteRule>,
     drawn: AtomicU64,
 }
 
@@ -53,7 +53,7 @@
     /// Draws the service that is to run the next request.
     #[must_use]
     pub fn draw(&self) -> &ServiceName {
-        let parts = &self.rule.parts;
+        let parts = &self.rule.services;
         let n = self.drawn.fetch_add(1, Ordering::Relaxed);
         let sum: f64 = parts.iter().map(|p| p.weight).sum();
         #[expect(clippy::cast_precision_loss)]
@@ -128,7 +128,7 @@
         Configuration {
             version: self.version,
             limits: self.limits,
-            rules: routes.map(|r| Rule::clone(&r.rule)).collect(),
+            rules: routes.map(|r| RouteRule::clone(&r.rule)).collect(),
             services: self.services.values().cloned().collect(),
         }
     }
@@ -140,7 +140,7 @@
     }
 }
 
-fn check(rule: &Rule, services: &HashMap<ServiceName, ServiceRule>) -> Result<(), TableError> {
+fn check(rule: &RouteRule, services: &HashMap<ServiceName, ServiceRule>) -> Result<(), TableError> {
     let err = |cause| TableError {
         name: rule.name.clone(),
         cause,
@@ -149,20 +149,20 @@
         return Err(err("the prefix does not begin and end with a slash"));
     }
     if rule
-        .parts
+        .services
         .iter()
         .any(|p| !services.contains_key(&p.service))
     {
         return Err(err("a service is not declared"));
     }
     if rule
-        .parts
+        .services
         .iter()
         .any(|p| !p.weight.is_finite() || p.weight < 0.0)
     {
         return Err(err("a weight is negative"));
     }
-    if rule.parts.iter().map(|p| p.weight).sum::<f64>() <= 0.0 {
+    if rule.services.iter().map(|p| p.weight).sum::<f64>() <= 0.0 {
         return Err(err("no part has a weight"));
     }
     if rule.timeout.0 == 0 || rule.attempts == 0 {
--- a/src/policy/timeline/event.rs
+++ b/src/policy/timeline/event.rs
@@ -1,53 +1,60 @@
-//! Events.
+//! Events, their kinds and the components that they concern.
 
 use std::{fmt, str::FromStr};
 
 use super::{Stamp, Utc};
 use crate::domain::ParseError;
 
-/// Something that an operator may want to know of later.
+/// A state change or incident that is recorded for operators.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Event {
-    /// When and where it happened.
+    /// The time of the event and the entry that emitted it.
     pub stamp: Stamp,
     /// What happened.
     pub kind: Kind,
-    /// The names and numbers, for people.
+    /// The details, as text to display.
     pub text: String,
 }
 
 impl Event {
-    /// Returns the part of the system that the event concerns.
+    /// Returns the component that the event concerns.
     #[must_use]
-    pub fn part(&self) -> Part {
-        self.kind.part()
+    pub fn component(&self) -> Component {
+        self.kind.component()
     }
 }
 
 impl fmt::Display for Event {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Stamp { wall, entry, .. } = &self.stamp;
-        let (part, kind) = (self.part(), self.kind);
-        write!(f, "{} {entry} {part}: {kind}: {}", Utc(*wall), self.text)
+        let Stamp {
+            wall_time, entry, ..
+        } = &self.stamp;
+        let (component, kind) = (self.component(), self.kind);
+        write!(
+            f,
+            "{} {entry} {component}: {kind}: {}",
+            Utc(*wall_time),
+            self.text
+        )
     }
 }
 
 macro_rules! parts {
     ($($(#[$doc:meta])* $var:ident = $word:literal),+ $(,)?) => {
-        /// The part of the system that an event concerns. Logs have the same
-        /// prefixes.
+        /// The component that an event concerns. Log messages start with the
+        /// same words.
         #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-        pub enum Part {
+        pub enum Component {
             $($(#[$doc])* $var,)+
         }
 
-        impl fmt::Display for Part {
+        impl fmt::Display for Component {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 f.write_str(match self { $(Self::$var => $word,)+ })
             }
         }
 
-        impl FromStr for Part {
+        impl FromStr for Component {
             type Err = ParseError;
 
             fn from_str(s: &str) -> Result<Self, ParseError> {
@@ -61,29 +68,30 @@
 }
 
 parts!(
-    /// Documents and their revisions.
+    /// Service documents and their revisions.
     Document = "document",
     /// Draining places and targets.
     Drain = "drain",
-    /// The process itself.
+    /// The entry process.
     Entry = "entry",
-    /// Limits that entries share.
+    /// Limits shared between entries.
     Limit = "limit",
     /// Membership of entries.
     Member = "member",
-    /// Single requests.
+    /// Individual requests.
     Request = "request",
-    /// Moves of traffic between places.
+    /// Traffic shifts between places.
     Shift = "shift",
-    /// The store.
+    /// Availability of the store.
     Store = "store",
-    /// Targets.
+    /// Health of targets.
     Target = "target",
 );
 
 macro_rules! kinds {
     ($($(#[$doc:meta])* $var:ident = $part:ident $word:literal),+ $(,)?) => {
-        /// What happened. The word is stable, so that a script may search for it.
+        /// The kind of an event. Its text form is stable, so that scripts can
+        /// search for it.
         #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
         pub enum Kind {
             $($(#[$doc])* $var,)+
@@ -93,10 +101,10 @@
             /// All kinds, in the order of their declaration.
             pub const ALL: &[Self] = &[$(Self::$var),+];
 
-            /// Returns the part that the kind concerns.
+            /// Returns the component that events of this kind concern.
             #[must_use]
-            pub fn part(self) -> Part {
-                match self { $(Self::$var => Part::$part,)+ }
+            pub fn component(self) -> Component {
+                match self { $(Self::$var => Component::$part,)+ }
             }
         }
 
@@ -124,62 +132,64 @@
     EditAccepted = Document "edit-accepted",
     /// An edit was refused.
     EditRefused = Document "edit-refused",
-    /// A revision is in effect at this entry.
+    /// A revision is now in effect at this entry.
     RevisionAdopted = Document "revision-adopted",
-    /// A revision in the store is invalid; the former one stays in effect.
+    /// A revision in the store is invalid. The former one stays in effect.
     RevisionRejected = Document "revision-rejected",
-    /// A place or target gets no new work.
+    /// A place or target gets no new requests from now on.
     DrainStarted = Drain "drain-started",
-    /// Nothing from this entry runs any more at a place or target that leaves.
+    /// No request from this entry is running any more at a leaving place or
+    /// target.
     DrainCompleted = Drain "drain-completed",
-    /// A place or target gets new work again.
+    /// A place or target gets new requests again or was removed.
     DrainCancelled = Drain "drain-cancelled",
-    /// The process runs.
+    /// The process has started.
     EntryStarted = Entry "entry-started",
-    /// The entry has every document and answers.
+    /// The entry has every document and serves requests.
     EntryReady = Entry "entry-ready",
-    /// The entry was told to stop and is no longer in look-ups.
+    /// The entry was told to stop and is no longer returned by lookups.
     EntryLeaving = Entry "entry-leaving",
     /// The entry has stopped.
     EntryStopped = Entry "entry-stopped",
-    /// Requests were refused because the entry has no unit of a limit.
+    /// Requests were refused because the entry holds no unit of a limit.
     LimitShort = Limit "limit-short",
-    /// Units have a new home.
+    /// Units of a limit have a new home entry.
     LimitMoved = Limit "limit-moved",
-    /// A home has taken units back.
+    /// The home entry of a limit has reclaimed units.
     LimitReclaimed = Limit "limit-reclaimed",
-    /// A new entry.
+    /// A new entry joined.
     MemberJoined = Member "member-joined",
     /// An entry does not answer probes.
     MemberSuspected = Member "member-suspected",
-    /// An entry counts as dead for steering.
+    /// An entry is considered dead for traffic steering.
     MemberDead = Member "member-dead",
     /// A suspected or dead entry answers again.
     MemberReturned = Member "member-returned",
-    /// An entry leaves as planned.
+    /// An entry left as planned.
     MemberLeft = Member "member-left",
     /// No entry of a region answers.
     RegionLost = Member "region-lost",
     /// The roster has a new epoch.
     RosterChanged = Member "roster-changed",
-    /// A request broke its target's connection.
+    /// A request broke the connection to its target, which counts as a strike
+    /// against the request.
     RequestStruck = Request "request-struck",
     /// A request is blocked because it has crashed targets.
     RequestBlocked = Request "request-blocked",
     /// Traffic starts to move between places.
     ShiftStarted = Shift "shift-started",
-    /// Weights have moved by a step.
+    /// The weights in use have moved by one step.
     ShiftStepped = Shift "shift-stepped",
-    /// A shift waits for the destination.
+    /// A shift is paused to wait for its destination.
     ShiftPaused = Shift "shift-paused",
-    /// All weights are as in the document.
+    /// The weights in use are those of the document.
     ShiftCompleted = Shift "shift-completed",
     /// The store does not answer.
     StoreDown = Store "store-down",
     /// The store answers again.
     StoreUp = Store "store-up",
-    /// A target gets no work because it fails.
+    /// A target gets no requests because it fails.
     TargetEjected = Target "target-ejected",
-    /// An ejected target gets work again.
+    /// An ejected target gets requests again.
     TargetReturned = Target "target-returned",
 );
--- a/src/policy/timeline/mod.rs
+++ b/src/policy/timeline/mod.rs
@@ -1,23 +1,23 @@
-//! The events of all processes as one timeline.
+//! The timeline: events of all entries in one causal order.
 //!
-//! An operator who asks why traffic moved needs the events of every entry in
-//! one order. Wall clocks alone do not give it, because they differ by more than
-//! the time between a cause and its effect at another entry. Each event
-//! therefore has a [`Stamp`] of a hybrid logical clock: it is close to the wall
-//! clock, and an event that was caused by a message sorts after the events that
-//! its sender had seen. Vector clocks would also tell which events are
+//! To find out why traffic moved, an operator needs the events of every entry in
+//! one order. Wall clocks alone do not provide it, because they differ by more
+//! than the time between a cause and its effect at another entry. Each event
+//! therefore has a [`Stamp`] of a hybrid logical clock, which is close to the
+//! wall clock and orders an event that a message caused after the events that
+//! the message's sender had seen. Vector clocks would also show which events are
 //! concurrent, but their size grows with the number of entries.
 //!
-//! Each entry keeps its latest events in a [`Ring`]; [`merge`] joins the events
-//! of several entries when they are asked for. See
+//! Each entry keeps its latest events in an [`EventRing`]. When a timeline is
+//! requested, [`merge`] combines the events of several entries. See
 //! [docs/design.md](../../../docs/design.md), section 4.
 
 mod event;
 mod ring;
+mod snapshot;
 mod stamp;
-mod watch;
 
-pub use event::{Event, Kind, Part};
-pub use ring::{EVENTS_MAX, Ring, merge};
-pub use stamp::{AHEAD_MAX, HybridClock, Stamp, Utc};
-pub use watch::{Look, events_between};
+pub use event::{Component, Event, Kind};
+pub use ring::{EventRing, MAX_EVENTS, merge};
+pub use snapshot::{StateSnapshot, events_between};
+pub use stamp::{HybridClock, MAX_CLOCK_SKEW, Stamp, Utc};
--- a/src/ports/events.rs
+++ b/src/ports/events.rs
@@ -2,7 +2,7 @@
 
 use std::{fmt, sync::Arc};
 
-use crate::policy::timeline::{Event, Kind, Part, Stamp};
+use crate::policy::timeline::{Component, Event, Kind, Stamp};
 
 /// Which events are asked for.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -10,7 +10,7 @@
     /// Only events after this stamp.
     pub after: Option<Stamp>,
     /// Only events of this part.
-    pub part: Option<Part>,
+    pub part: Option<Component>,
     /// The most events, the latest ones.
     pub limit: usize,
 }
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -334,7 +334,7 @@
         .map(|c| format!("| {} | `{c}` |", c.status()));
     let kinds = Kind::ALL
         .iter()
-        .map(|k| format!("| `{}` | `{k}` |", k.part()));
+        .map(|k| format!("| `{}` | `{k}` |", k.component()));
     missing.extend(codes.chain(kinds).filter(|line| !page.contains(line)));
     insta::assert_debug_snapshot!(missing, @"[]");
 }
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -248,7 +248,7 @@
     let (mut registry, _) = registered(0, 0);
     let new = |seq, born| Instance {
         seq,
-        born: Some(Millis(born)),
+        started_at: Some(Millis(born)),
         slots: Slots(u32::try_from(seq).expect("a small number")),
         ..instance(0, 0, 2)
     };
@@ -295,7 +295,7 @@
         (
             "start",
             Instance {
-                born: Some(Millis(7)),
+                started_at: Some(Millis(7)),
                 ..later
             },
         ),
--- a/tests/balance/world.rs
+++ b/tests/balance/world.rs
@@ -9,8 +9,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{
-        AzName, Instance, InstanceId, InstanceState, Millis, Part, RegionName, RequestKind, Rule,
-        Slots, TargetId,
+        AzName, Instance, InstanceId, InstanceState, Millis, RegionName, RequestKind, RouteRule,
+        Slots, TargetId, WeightedService,
     },
     policy::balance::{Ask, Ending, Miss, Pool, Quota, Report, Scene, Ticket, object_hash},
 };
@@ -36,12 +36,12 @@
         state: InstanceState::Ready,
         cold: Millis(0),
         seq: 1,
-        born: Some(Millis(1)),
+        started_at: Some(Millis(1)),
     }
 }
 
-pub fn rule() -> Rule {
-    Rule {
+pub fn rule() -> RouteRule {
+    RouteRule {
         name: "browse".to_owned(),
         host: "kitchens.example".to_owned(),
         prefix: "/slots/".to_owned(),
@@ -52,7 +52,7 @@
         priority: 1,
         sticky: true,
         homes: Vec::new(),
-        parts: vec![Part {
+        services: vec![WeightedService {
             service: "slotboard".parse().expect("a name"),
             weight: 1.0,
         }],
@@ -131,7 +131,7 @@
     events: BinaryHeap<Reverse<(Millis, u64, Event)>>,
     number: u64,
     tally: Tally,
-    rule: Rule,
+    rule: RouteRule,
 }
 
 impl<'a> World<'a> {
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -15,8 +15,8 @@
     },
     domain::{Document, EntryId, Incarnation, Millis, Revision, ServiceName, Weight},
     policy::document::{
-        Adoption, Content, Coverage, DocumentState, Edit, EditError, EditId, FORMER_MAX, Fate,
-        History, Stored, diff,
+        Adoption, Content, DocumentState, Edit, EditError, EditId, History, MAX_FORMER_REVISIONS,
+        RevisionReports, StoredHistory, WriteOutcome, diff,
     },
     ports::{Record, Update},
 };
@@ -144,7 +144,7 @@
 
     fn coverage_ignores_the_order_of_reports(reports: Vec<(u8, u8, u8)>) -> bool {
         let feed = |reports: &mut dyn Iterator<Item = &(u8, u8, u8)>| {
-            let mut coverage = Coverage::default();
+            let mut coverage = RevisionReports::default();
             for (entry, life, revision) in reports {
                 let entry: EntryId = format!("e{}", entry % 4).parse().expect("the name is good");
                 coverage.report(entry, Incarnation(u64::from(life % 3)), Revision(u64::from(*revision)));
@@ -214,7 +214,7 @@
         log.push(format!(
             "{revision}: {word}; in effect {} with {document:?}, judged {}",
             state.revision(),
-            state.judged()
+            state.last_checked()
         ));
     }
     insta::assert_snapshot!(lines(&log));
@@ -236,20 +236,20 @@
 fn coverage_shows_who_is_behind() {
     let name = |n: &str| n.parse::<EntryId>().expect("the name is good");
     let members = ["e1", "e2", "e3", "e4"].map(name);
-    let mut coverage = Coverage::default();
+    let mut coverage = RevisionReports::default();
     coverage.report(name("e1"), Incarnation(1), Revision(9));
     coverage.report(name("e2"), Incarnation(1), Revision(7));
     coverage.report(name("e3"), Incarnation(1), Revision(9));
     // The restarted entry has no document yet, whatever its former life had.
     coverage.report(name("e3"), Incarnation(2), Revision(0));
     coverage.report(name("e3"), Incarnation(1), Revision(12));
-    let partly = coverage.view(Revision(9), &members);
+    let partly = coverage.status(Revision(9), &members);
     for member in &members[1..] {
         coverage.report(member.clone(), Incarnation(3), Revision(10));
     }
-    let whole = coverage.view(Revision(9), &members);
-    assert!(!partly.complete() && whole.complete());
-    assert!(!coverage.view(Revision(9), &[]).complete());
+    let whole = coverage.status(Revision(9), &members);
+    assert!(!partly.is_complete() && whole.is_complete());
+    assert!(!coverage.status(Revision(9), &[]).is_complete());
     insta::assert_snapshot!(lines(&[partly, whole]));
 }
 
@@ -257,7 +257,7 @@
     Edit {
         id: EditId(id),
         team: "kitchens".parse().expect("the name is good"),
-        wall: Millis(1_000),
+        wall_time: Millis(1_000),
         text: Some(text.to_owned()),
     }
 }
@@ -266,7 +266,7 @@
 #[derive(Clone, Default)]
 struct Register {
     counter: u64,
-    stored: Option<Stored>,
+    stored: Option<StoredHistory>,
 }
 
 impl Register {
@@ -280,7 +280,7 @@
         }
         self.counter += 1;
         let revision = Revision(self.counter);
-        self.stored = Some(Stored { revision, history });
+        self.stored = Some(StoredHistory { revision, history });
         Some(revision)
     }
 
@@ -298,7 +298,7 @@
 /// what `judge` makes of a later read with what happened.
 fn judges_truly(
     (before, rival, arrives, after): (u8, bool, bool, u8),
-    judge: impl Fn(EditId, Revision, Option<&Stored>) -> Fate,
+    judge: impl Fn(EditId, Revision, Option<&StoredHistory>) -> WriteOutcome,
 ) -> TestResult {
     let mut register = Register::default();
     (0..u128::from(before % 30)).for_each(|n| register.edit(1_000 + n));
@@ -317,18 +317,18 @@
     let fate = judge(EditId(1), expected, register.stored.as_ref());
     // What the writer is told must hold even if the write arrives now.
     let late = register.clone().write(expected, own);
-    let known = u64::from(after % 30) < FORMER_MAX as u64;
+    let known = u64::from(after % 30) < MAX_FORMER_REVISIONS as u64;
     TestResult::from_bool(match fate {
-        Fate::InEffect(own) | Fate::Superseded { own, .. } => written == Some(own),
-        Fate::Lost(_) => written.is_none() && late.is_none(),
-        Fate::Open => written.is_none() && late.is_some(),
-        Fate::Unknown => !known,
+        WriteOutcome::InEffect(own) | WriteOutcome::Superseded { own, .. } => written == Some(own),
+        WriteOutcome::Conflict(_) => written.is_none() && late.is_none(),
+        WriteOutcome::Pending => written.is_none() && late.is_some(),
+        WriteOutcome::Unknown => !known,
     })
 }
 
 quickcheck! {
     fn a_lost_response_is_settled_truly(case: (u8, bool, bool, u8)) -> TestResult {
-        judges_truly(case, History::fate)
+        judges_truly(case, History::write_outcome)
     }
 
     fn edit_ids_read_back(high: u64, low: u64) -> bool {
@@ -367,9 +367,9 @@
 fn a_naive_judgement_fails_the_property() {
     fn naive(case: (u8, bool, bool, u8)) -> TestResult {
         judges_truly(case, |id, _, found| match found {
-            Some(s) if s.history.current.id == id => Fate::InEffect(s.revision),
-            Some(s) => Fate::Lost(s.revision),
-            None => Fate::Open,
+            Some(s) if s.history.current.id == id => WriteOutcome::InEffect(s.revision),
+            Some(s) => WriteOutcome::Conflict(s.revision),
+            None => WriteOutcome::Pending,
         })
     }
     let property = naive as fn((u8, bool, bool, u8)) -> TestResult;
@@ -383,10 +383,10 @@
     (0..30).for_each(|n| register.edit(n));
     let stored = register.stored.expect("there were edits");
     let former = &stored.history.former;
-    assert_eq!(former.len(), FORMER_MAX);
-    assert_eq!(stored.at(Revision(30)).map(|e| e.id), Some(EditId(29)));
-    assert_eq!(stored.at(Revision(10)).map(|e| e.id), Some(EditId(9)));
-    assert_eq!(stored.at(Revision(9)), None);
+    assert_eq!(former.len(), MAX_FORMER_REVISIONS);
+    assert_eq!(stored.edit_at(Revision(30)).map(|e| e.id), Some(EditId(29)));
+    assert_eq!(stored.edit_at(Revision(10)).map(|e| e.id), Some(EditId(9)));
+    assert_eq!(stored.edit_at(Revision(9)), None);
     let stale = History::extend(Some(stored), Some(Revision(29)), edit(99, "text"));
     let conflict = EditError::Conflict {
         base: Revision(29),
@@ -405,7 +405,7 @@
         let history = History::extend(stored, None, edit(n, &text)).expect("no base");
         let bytes = record::encode(&history).expect("one text fits");
         assert!(bytes.len() <= VALUE_MAX);
-        stored = Some(Stored {
+        stored = Some(StoredHistory {
             revision: Revision(u64::try_from(n).expect("small")),
             history: record::decode(&bytes).expect("the record is good"),
         });
@@ -416,8 +416,8 @@
         (2, true)
     );
     // The record no longer tells what became of an edit of the first revision.
-    let fate = History::fate(EditId(99), Revision::default(), Some(&stored));
-    assert_eq!(fate, Fate::Unknown);
+    let fate = History::write_outcome(EditId(99), Revision::default(), Some(&stored));
+    assert_eq!(fate, WriteOutcome::Unknown);
     let alone = History::extend(None, None, edit(1, &"x".repeat(VALUE_MAX))).expect("no base");
     assert!(matches!(
         record::encode(&alone),
@@ -427,16 +427,16 @@
 
 #[test]
 fn arrivals_say_what_a_revision_holds() {
-    let stored = |text: Option<&str>, before: Option<Stored>| {
+    let stored = |text: Option<&str>, before: Option<StoredHistory>| {
         let edit = Edit {
             text: text.map(str::to_owned),
             ..edit(1, "")
         };
         let revision = before.as_ref().map_or(Revision(4), |s| s.revision.next());
         let history = History::extend(before, None, edit).expect("no base is given");
-        Stored { revision, history }
+        StoredHistory { revision, history }
     };
-    let put = |stored: &Stored| {
+    let put = |stored: &StoredHistory| {
         Update::Put(Record {
             key: documents::key(&service()),
             value: record::encode(&stored.history).expect("the record is small"),
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -22,7 +22,7 @@
     },
     app::gateway::{self, Gateway, Ports},
     domain::{
-        Bounds, Instance, InstanceState, Mbps, Millis, Presence, RequestKind, Revision, Rule,
+        Bounds, Instance, InstanceState, Mbps, Millis, Presence, RequestKind, Revision, RouteRule,
     },
     ports::{Ask, Batch, Change, LeaseId, Platform, PlatformError, VmSettings},
 };
@@ -83,7 +83,7 @@
         control: Some(ANY),
         seeds,
         bounds: Bounds {
-            grace: Millis(500),
+            grace_period: Millis(500),
             ..base.bounds
         },
         ..base
@@ -91,12 +91,12 @@
 }
 
 fn configuration(version: u64) -> Change {
-    let mut rule = Rule {
+    let mut rule = RouteRule {
         name: "browse".to_owned(),
         homes: vec!["north".parse().expect("a name")],
         ..vm::rule(RequestKind::Download, "/browse/")
     };
-    rule.parts[0].weight = 0.5;
+    rule.services[0].weight = 0.5;
     Change::Configured(Box::new(vm::configuration(version, vec![rule], 10.5)))
 }
 
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -6,17 +6,18 @@
 use quickcheck::quickcheck;
 use savorybeam::{
     domain::{
-        CallerLimits, Configuration, Millis, Part, RequestKind, Revision, Rule, ServiceRule, Size,
+        CallerLimits, Configuration, Millis, RequestKind, Revision, RouteRule, ServiceRule, Size,
+        WeightedService,
     },
     policy::route::Table,
 };
 
-fn rule(host: &str, prefix: &str, parts: &[(&str, f64)]) -> Rule {
-    let part = |(service, weight): &(&str, f64)| Part {
+fn rule(host: &str, prefix: &str, parts: &[(&str, f64)]) -> RouteRule {
+    let part = |(service, weight): &(&str, f64)| WeightedService {
         service: service.parse().expect("a name"),
         weight: *weight,
     };
-    Rule {
+    RouteRule {
         name: format!("{host}{prefix}"),
         host: host.to_owned(),
         prefix: prefix.to_owned(),
@@ -27,11 +28,11 @@
         priority: 1,
         sticky: false,
         homes: Vec::new(),
-        parts: parts.iter().map(part).collect(),
+        services: parts.iter().map(part).collect(),
     }
 }
 
-fn config(rules: Vec<Rule>) -> Configuration {
+fn config(rules: Vec<RouteRule>) -> Configuration {
     let service = |name: &str| ServiceRule {
         name: name.parse().expect("a name"),
         cold_rate: 5.0,
@@ -48,7 +49,7 @@
     }
 }
 
-fn table(rules: Vec<Rule>) -> Table {
+fn table(rules: Vec<RouteRule>) -> Table {
     Table::compile(config(rules), 0).expect("a usable configuration")
 }
 
--- a/tests/store/edits.rs
+++ b/tests/store/edits.rs
@@ -29,7 +29,7 @@
     Edit {
         id: EditId(id),
         team: "kitchens".parse().expect("the name is good"),
-        wall: Millis(0),
+        wall_time: Millis(0),
         text: Some(format!("text {id}")),
     }
 }
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -9,8 +9,8 @@
     },
     domain::{EntryId, Millis},
     policy::timeline::{
-        AHEAD_MAX, EVENTS_MAX, Event, HybridClock, Kind, Look, Ring, Stamp, Utc, events_between,
-        merge,
+        Event, EventRing, HybridClock, Kind, MAX_CLOCK_SKEW, MAX_EVENTS, Stamp, StateSnapshot, Utc,
+        events_between, merge,
     },
 };
 
@@ -23,7 +23,7 @@
         let entry = *g.choose(&["e1", "e2", "e-3.x"]).expect("one of three");
         Self(Event {
             stamp: Stamp {
-                wall: Millis(u64::arbitrary(g) % 5),
+                wall_time: Millis(u64::arbitrary(g) % 5),
                 counter: u32::arbitrary(g) % 3,
                 entry: entry.parse().expect("a name"),
             },
@@ -47,7 +47,7 @@
 
 quickcheck! {
     fn stamps_read_back(wall: u64, counter: u32) -> bool {
-        let stamp = Stamp { wall: Millis(wall), counter, entry: entry("e-1.a") };
+        let stamp = Stamp { wall_time: Millis(wall), counter, entry: entry("e-1.a") };
         stamp.to_string().parse() == Ok(stamp)
     }
 
@@ -110,19 +110,19 @@
     let mut clock = HybridClock::new(entry("e1"));
     let now = Millis(1_000_000);
     let ahead = |by: Millis| Stamp {
-        wall: now + by,
+        wall_time: now + by,
         counter: 0,
         entry: entry("e2"),
     };
-    let near = clock.receive(&ahead(AHEAD_MAX), now);
-    let far = clock.receive(&ahead(AHEAD_MAX + Millis(1)), now);
+    let near = clock.receive(&ahead(MAX_CLOCK_SKEW), now);
+    let far = clock.receive(&ahead(MAX_CLOCK_SKEW + Millis(1)), now);
     insta::assert_snapshot!(format!("{near} {far} {}", clock.tick(now)), @"true false 1060000.1@e1");
 }
 
 #[test]
 fn a_ring_keeps_the_latest_events() {
-    let mut ring = Ring::default();
-    for n in 0..EVENTS_MAX + 3 {
+    let mut ring = EventRing::default();
+    for n in 0..MAX_EVENTS + 3 {
         let kind = if n % 2 == 0 {
             Kind::StoreUp
         } else {
@@ -218,7 +218,7 @@
 
 #[test]
 fn a_drain_and_an_outage_are_reported_once() {
-    let look = |ready, store_down, leaving: &[(&str, u64)]| Look {
+    let look = |ready, store_down, leaving: &[(&str, u64)]| StateSnapshot {
         ready,
         store_down,
         leaving: leaving.iter().map(|(n, r)| ((*n).to_owned(), *r)).collect(),
@@ -249,13 +249,13 @@
         );
     }
     insta::assert_snapshot!(seen.join("\n"), @"
-    1 entry-ready: it serves requests
+    1 entry-ready: the entry serves requests
     2 store-down: the latest call failed
-    2 drain-started: slotboard place a with 2 requests here
-    3 drain-started: slotboard place b with 0 requests here
-    3 drain-completed: slotboard place b: nothing runs there from here
+    2 drain-started: slotboard place a: 2 requests from this entry are running
+    3 drain-started: slotboard place b: 0 requests from this entry are running
+    3 drain-completed: slotboard place b: no requests from this entry are running
     4 store-up: the latest call was answered
-    4 drain-completed: slotboard place a: nothing runs there from here
-    5 drain-cancelled: slotboard place a takes new work again or is gone
+    4 drain-completed: slotboard place a: no requests from this entry are running
+    5 drain-cancelled: slotboard place a accepts new requests again or was removed
     ");
 }
--- a/tests/vm/mod.rs
+++ b/tests/vm/mod.rs
@@ -5,8 +5,9 @@
 
 use savorybeam::{
     domain::{
-        AzName, Bounds, CallerLimits, Configuration, Instance, InstanceState, Mbps, Millis, Part,
-        RegionName, RequestKind, Revision, Rule, ServiceRule, Size, Slots, TargetId,
+        AzName, Bounds, CallerLimits, Configuration, Instance, InstanceState, Mbps, Millis,
+        RegionName, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots, TargetId,
+        WeightedService,
     },
     ports::VmSettings,
 };
@@ -33,23 +34,23 @@
         descriptors: 1_024,
         link: Mbps(100),
         bounds: Bounds {
-            drain: Millis(2_500),
-            config: Millis(2_500),
-            grace: Millis(3_000),
+            drain_deadline: Millis(2_500),
+            config_deadline: Millis(2_500),
+            grace_period: Millis(3_000),
             retry_ratio: 0.2,
             retry_slack: 50.0,
             retry_window: Millis(10_000),
             cold_factor: 1.5,
             cold_slack: 5.0,
-            ttl: Millis(5_000),
-            shift: 0.15,
+            lookup_ttl: Millis(5_000),
+            max_shift: 0.15,
         },
     }
 }
 
 /// Returns a rule whose name is its prefix.
-pub fn rule(kind: RequestKind, prefix: &str) -> Rule {
-    Rule {
+pub fn rule(kind: RequestKind, prefix: &str) -> RouteRule {
+    RouteRule {
         name: prefix.to_owned(),
         host: "kitchens.example".to_owned(),
         prefix: prefix.to_owned(),
@@ -60,14 +61,14 @@
         priority: 1,
         sticky: true,
         homes: Vec::new(),
-        parts: vec![Part {
+        services: vec![WeightedService {
             service: "slots".parse().expect("a name"),
             weight: 1.0,
         }],
     }
 }
 
-pub fn configuration(version: u64, rules: Vec<Rule>, cold_rate: f64) -> Configuration {
+pub fn configuration(version: u64, rules: Vec<RouteRule>, cold_rate: f64) -> Configuration {
     Configuration {
         version: Revision(version),
         limits: CallerLimits {
@@ -93,6 +94,6 @@
         state: InstanceState::Ready,
         cold: Millis(0),
         seq: 1,
-        born: Some(Millis(1)),
+        started_at: Some(Millis(1)),
     }
 }
