Name the tests of documents, timeline, values and input by what they check

Several test names and comments were mottoes ("a lost response is settled truly", "has teeth") or used private words for round trips and errors. Two error texts are plainer: "the token belongs to team" and "one of the event kinds in docs/operating.md". The checks are unchanged.

--- a/src/policy/admin/mod.rs
+++ b/src/policy/admin/mod.rs
@@ -85,7 +85,7 @@
 ) -> Result<(), AdminError> {
     let owner = found.owner.as_ref().or(new.map(|d| &d.team));
     if let Some(owner) = owner.filter(|o| *o != team) {
-        let detail = format!("team {owner} owns the document, the token is of team {team}");
+        let detail = format!("team {owner} owns the document, the token belongs to team {team}");
         return Err(AdminError::new(Code::OtherTeam, detail));
     }
     if found.owner.is_none() && new.is_none() {
--- a/src/policy/timeline/event.rs
+++ b/src/policy/timeline/event.rs
@@ -39,7 +39,7 @@
     }
 }
 
-macro_rules! parts {
+macro_rules! components {
     ($($(#[$doc:meta])* $var:ident = $word:literal),+ $(,)?) => {
         /// The component that an event concerns. Log messages start with the
         /// same words.
@@ -67,7 +67,7 @@
     };
 }
 
-parts!(
+components!(
     /// Service documents and their revisions.
     Document = "document",
     /// Draining places and targets.
@@ -89,7 +89,7 @@
 );
 
 macro_rules! kinds {
-    ($($(#[$doc:meta])* $var:ident = $part:ident $word:literal),+ $(,)?) => {
+    ($($(#[$doc:meta])* $var:ident = $component:ident $word:literal),+ $(,)?) => {
         /// The kind of an event. Its text form is stable, so that scripts can
         /// search for it.
         #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -104,7 +104,7 @@
             /// Returns the component that events of this kind concern.
             #[must_use]
             pub fn component(self) -> Component {
-                match self { $(Self::$var => Component::$part,)+ }
+                match self { $(Self::$var => Component::$component,)+ }
             }
         }
 
@@ -120,7 +120,7 @@
             fn from_str(s: &str) -> Result<Self, ParseError> {
                 match s {
                     $($word => Ok(Self::$var),)+
-                    _ => Err(ParseError::new("event kind", s, "a kind of docs/operating.md")),
+                    _ => Err(ParseError::new("event kind", s, "one of the event kinds in docs/operating.md")),
                 }
             }
         }
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -1,6 +1,6 @@
-//! Guards the decisions on documents: a process that went back to an old
-//! revision would undo a drain, an editor that misread a lost response would
-//! edit twice, and a diff that left a change out would have it approved unseen.
+//! Tests the decisions on documents. A process that returned to an old revision
+//! would undo a drain. A writer that misjudged a lost response would make an edit
+//! twice. A diff that omitted a change would hide it from its reviewer.
 
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -83,11 +83,11 @@
 ";
 
 fn document(text: &str) -> Document {
-    parse_document("test", text).expect("the document is good")
+    parse_document("test", text).expect("the document is valid")
 }
 
 fn service() -> ServiceName {
-    "slotboard".parse().expect("the name is good")
+    "slotboard".parse().expect("the name is valid")
 }
 
 fn lines<T: std::fmt::Display>(all: &[T]) -> String {
@@ -95,8 +95,8 @@
     all.join("\n")
 }
 
-/// Returns the content of a revision. The same revision always has the same
-/// content, and every third one is invalid.
+/// Returns the content of a revision, which depends only on its number. Every
+/// third revision is invalid, and some of the others delete the document.
 fn content(revision: u64) -> Content {
     let mut doc = document(BASE);
     doc.deadline = Millis(revision);
@@ -107,9 +107,10 @@
     }
 }
 
-/// Feeds revisions in the order of `arrivals` to `adopt`, which returns the
-/// revision in effect, and checks that the latest valid one so far is in effect.
-fn follows_the_latest(
+/// Passes revisions in the order of `arrivals` to `adopt`, which returns the
+/// revision in effect, and checks after each that the greatest valid one so far
+/// is in effect.
+fn latest_valid_is_in_effect(
     arrivals: Vec<u8>,
     mut adopt: impl FnMut(Revision, Content) -> Revision,
 ) -> bool {
@@ -125,37 +126,37 @@
 }
 
 quickcheck! {
-    fn adoption_never_goes_back(arrivals: Vec<u8>) -> bool {
+    fn the_latest_valid_revision_is_in_effect(arrivals: Vec<u8>) -> bool {
         let mut state = DocumentState::new(service());
         let mut reported = BTreeSet::new();
-        let follows = follows_the_latest(arrivals, |revision, content| {
+        let latest = latest_valid_is_in_effect(arrivals, |revision, content| {
             if let Adoption::Rejected(event) = state.adopt(revision, content) {
                 assert!(reported.insert(event.rejected), "an invalid revision is reported once");
             }
             state.revision()
         });
-        let held = match content(state.revision().0) {
+        let document = match content(state.revision().0) {
             Content::Document(document) => Some(document),
             _ => None,
         };
-        let expected = if state.revision() == Revision::default() { None } else { held };
-        follows && state.document() == expected.as_ref()
+        let expected = if state.revision() == Revision::default() { None } else { document };
+        latest && state.document() == expected.as_ref()
     }
 
-    fn coverage_ignores_the_order_of_reports(reports: Vec<(u8, u8, u8)>) -> bool {
-        let feed = |reports: &mut dyn Iterator<Item = &(u8, u8, u8)>| {
-            let mut coverage = RevisionReports::default();
-            for (entry, life, revision) in reports {
-                let entry: EntryId = format!("e{}", entry % 4).parse().expect("the name is good");
-                coverage.report(entry, Incarnation(u64::from(life % 3)), Revision(u64::from(*revision)));
+    fn reports_may_arrive_repeatedly_and_in_any_order(reports: Vec<(u8, u8, u8)>) -> bool {
+        let record = |reports: &mut dyn Iterator<Item = &(u8, u8, u8)>| {
+            let mut recorded = RevisionReports::default();
+            for (entry, incarnation, revision) in reports {
+                let entry: EntryId = format!("e{}", entry % 4).parse().expect("the name is valid");
+                recorded.report(entry, Incarnation(u64::from(incarnation % 3)), Revision(u64::from(*revision)));
             }
-            coverage
+            recorded
         };
         let twice = || reports.iter().chain(&reports);
-        feed(&mut reports.iter()) == feed(&mut twice().rev())
+        record(&mut reports.iter()) == record(&mut twice().rev())
     }
 
-    fn a_diff_lists_changes_and_nothing_else(weights: (u8, u8), swap: bool) -> bool {
+    fn a_diff_lists_every_change_and_ignores_the_order(weights: (u8, u8), swap: bool) -> bool {
         let old = document(BASE);
         let mut new = old.clone();
         new.places[0].weight = Weight(u32::from(weights.0));
@@ -170,12 +171,12 @@
     }
 }
 
-/// Shows that the property above has teeth: the naive version, which adopts
-/// whatever arrives last, fails it.
+/// Checks that the property above detects faults: a naive implementation, which
+/// adopts whichever revision arrives last, fails it.
 #[test]
 fn naive_adoption_fails_the_property() {
     fn naive(arrivals: Vec<u8>) -> bool {
-        follows_the_latest(arrivals, |revision, _| revision)
+        latest_valid_is_in_effect(arrivals, |revision, _| revision)
     }
     let result = QuickCheck::new().quicktest(naive as fn(Vec<u8>) -> bool);
     assert!(result.is_err(), "the naive version passes the property");
@@ -186,7 +187,7 @@
     let mut state = DocumentState::new(service());
     let mut log = Vec::new();
     let mut other = document(BASE);
-    other.service = "bokun".parse().expect("the name is good");
+    other.service = "bokun".parse().expect("the name is valid");
     let arrivals = [
         (
             3,
@@ -203,7 +204,7 @@
     ];
     for (revision, content) in arrivals {
         let adoption = state.adopt(Revision(revision), content);
-        let word = match &adoption {
+        let result = match &adoption {
             Adoption::Adopted {
                 former_revision, ..
             } => format!("adopted after {former_revision}"),
@@ -212,7 +213,7 @@
         };
         let document = state.document().map(|d| d.deadline.to_string());
         log.push(format!(
-            "{revision}: {word}; in effect {} with {document:?}, judged {}",
+            "{revision}: {result}; in effect {} with {document:?}, last checked {}",
             state.revision(),
             state.last_checked()
         ));
@@ -233,24 +234,25 @@
 }
 
 #[test]
-fn coverage_shows_who_is_behind() {
-    let name = |n: &str| n.parse::<EntryId>().expect("the name is good");
+fn a_rollout_status_lists_the_members_that_are_behind() {
+    let name = |n: &str| n.parse::<EntryId>().expect("the name is valid");
     let members = ["e1", "e2", "e3", "e4"].map(name);
-    let mut coverage = RevisionReports::default();
-    coverage.report(name("e1"), Incarnation(1), Revision(9));
-    coverage.report(name("e2"), Incarnation(1), Revision(7));
-    coverage.report(name("e3"), Incarnation(1), Revision(9));
-    // The restarted entry has no document yet, whatever its former life had.
-    coverage.report(name("e3"), Incarnation(2), Revision(0));
-    coverage.report(name("e3"), Incarnation(1), Revision(12));
-    let partly = coverage.status(Revision(9), &members);
+    let mut reports = RevisionReports::default();
+    reports.report(name("e1"), Incarnation(1), Revision(9));
+    reports.report(name("e2"), Incarnation(1), Revision(7));
+    reports.report(name("e3"), Incarnation(1), Revision(9));
+    // A restarted entry has no document, so a late report of its former
+    // incarnation does not count.
+    reports.report(name("e3"), Incarnation(2), Revision(0));
+    reports.report(name("e3"), Incarnation(1), Revision(12));
+    let partial = reports.status(Revision(9), &members);
     for member in &members[1..] {
-        coverage.report(member.clone(), Incarnation(3), Revision(10));
+        reports.report(member.clone(), Incarnation(3), Revision(10));
     }
-    let whole = coverage.status(Revision(9), &members);
-    assert!(!partly.is_complete() && whole.is_complete());
-    assert!(!coverage.status(Revision(9), &[]).is_complete());
-    insta::assert_snapshot!(lines(&[partly, whole]));
+    let complete = reports.status(Revision(9), &members);
+    assert!(!partial.is_complete() && complete.is_complete());
+    assert!(!reports.status(Revision(9), &[]).is_complete());
+    insta::assert_snapshot!(lines(&[partial, complete]));
 }
 
 fn edit(id: u128, text: &str) -> Edit {
@@ -262,7 +264,7 @@
     }
 }
 
-/// A register with compare-and-swap, as the store has it.
+/// A register with compare-and-swap, as a model of one key of the store.
 #[derive(Clone, Default)]
 struct Register {
     counter: u64,
@@ -294,11 +296,11 @@
     }
 }
 
-/// Runs one edit whose response is lost, between edits of others, and compares
-/// what `judge` makes of a later read with what happened.
-fn judges_truly(
-    (before, rival, arrives, after): (u8, bool, bool, u8),
-    judge: impl Fn(EditId, Revision, Option<&StoredHistory>) -> WriteOutcome,
+/// Writes one edit whose response is lost, between other edits, and checks that
+/// the outcome that `decide` derives from a later read is the actual one.
+fn outcome_is_correct(
+    (before, competing, arrives, after): (u8, bool, bool, u8),
+    decide: impl Fn(EditId, Revision, Option<&StoredHistory>) -> WriteOutcome,
 ) -> TestResult {
     let mut register = Register::default();
     (0..u128::from(before % 30)).for_each(|n| register.edit(1_000 + n));
@@ -307,18 +309,18 @@
         .as_ref()
         .map_or(Revision::default(), |s| s.revision);
     let own = History::extend(register.stored.clone(), None, edit(1, "text")).expect("no base");
-    if rival {
+    if competing {
         register.edit(2);
     }
     let written = arrives
         .then(|| register.write(expected, own.clone()))
         .flatten();
     (0..u128::from(after % 30)).for_each(|n| register.edit(2_000 + n));
-    let fate = judge(EditId(1), expected, register.stored.as_ref());
-    // What the writer is told must hold even if the write arrives now.
+    let outcome = decide(EditId(1), expected, register.stored.as_ref());
+    // The outcome must remain correct if the write arrives after the read.
     let late = register.clone().write(expected, own);
     let known = u64::from(after % 30) < MAX_FORMER_REVISIONS as u64;
-    TestResult::from_bool(match fate {
+    TestResult::from_bool(match outcome {
         WriteOutcome::InEffect(own) | WriteOutcome::Superseded { own, .. } => written == Some(own),
         WriteOutcome::Conflict(_) => written.is_none() && late.is_none(),
         WriteOutcome::Pending => written.is_none() && late.is_some(),
@@ -327,16 +329,16 @@
 }
 
 quickcheck! {
-    fn a_lost_response_is_settled_truly(case: (u8, bool, bool, u8)) -> TestResult {
-        judges_truly(case, History::write_outcome)
+    fn the_outcome_of_a_lost_response_is_correct(case: (u8, bool, bool, u8)) -> TestResult {
+        outcome_is_correct(case, History::write_outcome)
     }
 
-    fn edit_ids_read_back(high: u64, low: u64) -> bool {
+    fn edit_ids_round_trip(high: u64, low: u64) -> bool {
         let id = EditId(u128::from(high) << 64 | u128::from(low));
         id.to_string().parse() == Ok(id)
     }
 
-    fn records_read_back(texts: Vec<Option<String>>) -> bool {
+    fn records_round_trip(texts: Vec<Option<String>>) -> bool {
         let mut register = Register::default();
         for (n, text) in texts.into_iter().enumerate() {
             let expected = register.stored.as_ref().map_or(Revision::default(), |s| s.revision);
@@ -350,7 +352,7 @@
         })
     }
 
-    fn any_value_is_an_arrival(value: Vec<u8>) -> bool {
+    fn an_arbitrary_value_is_an_invalid_revision(value: Vec<u8>) -> bool {
         let found = Record {
             key: documents::key(&service()),
             value: value.into(),
@@ -361,12 +363,12 @@
     }
 }
 
-/// Shows that the property has teeth: a writer that takes any other edit in the
-/// record for its own defeat fails it.
+/// Checks that the property detects faults: a naive writer, which reports a
+/// conflict whenever the current edit is not its own, fails it.
 #[test]
-fn a_naive_judgement_fails_the_property() {
+fn a_naive_outcome_fails_the_property() {
     fn naive(case: (u8, bool, bool, u8)) -> TestResult {
-        judges_truly(case, |id, _, found| match found {
+        outcome_is_correct(case, |id, _, found| match found {
             Some(s) if s.history.current.id == id => WriteOutcome::InEffect(s.revision),
             Some(s) => WriteOutcome::Conflict(s.revision),
             None => WriteOutcome::Pending,
@@ -395,8 +397,8 @@
     assert_eq!(stale, Err(conflict));
 }
 
-/// Guards the store's limit: a record that is too large would make every further
-/// edit of the service fail.
+/// A record that exceeded the store's size limit would make every further edit
+/// of the service fail.
 #[test]
 fn a_record_drops_old_revisions_to_fit() {
     let text = "x".repeat(VALUE_MAX / 4);
@@ -407,7 +409,7 @@
         assert!(bytes.len() <= VALUE_MAX);
         stored = Some(StoredHistory {
             revision: Revision(u64::try_from(n).expect("small")),
-            history: record::decode(&bytes).expect("the record is good"),
+            history: record::decode(&bytes).expect("the record is valid"),
         });
     }
     let stored = stored.expect("there were edits");
@@ -415,18 +417,18 @@
         (stored.history.former.len(), stored.history.dropped),
         (2, true)
     );
-    // The record no longer tells what became of an edit of the first revision.
-    let fate = History::write_outcome(EditId(99), Revision::default(), Some(&stored));
-    assert_eq!(fate, WriteOutcome::Unknown);
-    let alone = History::extend(None, None, edit(1, &"x".repeat(VALUE_MAX))).expect("no base");
+    // The record no longer contains the edit that created the document.
+    let outcome = History::write_outcome(EditId(99), Revision::default(), Some(&stored));
+    assert_eq!(outcome, WriteOutcome::Unknown);
+    let oversized = History::extend(None, None, edit(1, &"x".repeat(VALUE_MAX))).expect("no base");
     assert!(matches!(
-        record::encode(&alone),
+        record::encode(&oversized),
         Err(RecordError::TooLarge(_))
     ));
 }
 
 #[test]
-fn arrivals_say_what_a_revision_holds() {
+fn arrivals_contain_the_parsed_revisions() {
     let stored = |text: Option<&str>, before: Option<StoredHistory>| {
         let edit = Edit {
             text: text.map(str::to_owned),
@@ -444,20 +446,20 @@
         })
     };
     let invalid = Some("[service]\nname = slotboard\n");
-    let good = stored(Some(BASE), None);
-    let twice = stored(invalid, Some(stored(invalid, Some(good.clone()))));
+    let valid = stored(Some(BASE), None);
+    let invalid_twice = stored(invalid, Some(stored(invalid, Some(valid.clone()))));
     let updates = [
-        put(&good),
+        put(&valid),
         put(&stored(None, None)),
         put(&stored(invalid, None)),
-        // A process that starts now takes the last valid revision from the
-        // history.
-        put(&twice),
+        // A process that starts at an invalid revision adopts the last valid one
+        // from the history.
+        put(&invalid_twice),
         Update::Delete(documents::key(&service()), Revision(5)),
         Update::Delete("platform/vms/a".into(), Revision(6)),
         Update::Delete("documents/Not A Name".into(), Revision(7)),
     ];
-    let words = updates.map(|u| {
+    let results = updates.map(|u| {
         let arrivals = documents::arrivals(&u).into_iter().map(|a| {
             let content = match a.content {
                 Content::Document(d) => format!("document of {}", d.team),
@@ -469,7 +471,7 @@
         let all: Vec<String> = arrivals.collect();
         format!("{} arrivals\n{}", all.len(), lines(&all))
     });
-    insta::assert_snapshot!(lines(&words));
+    insta::assert_snapshot!(lines(&results));
     let key = documents::key(&service());
     assert_eq!(documents::service(&key), Some(service()));
 }
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -1,5 +1,5 @@
-//! Guards against bad input of callers: each case gets a clear answer and the
-//! next caller is served as usual.
+//! Tests how the HTTP server handles malformed, excessive and stalled input of
+//! callers.
 
 mod harness;
 
@@ -11,10 +11,11 @@
 };
 use volo_http::server::Router;
 
-/// Sends bytes as they are and returns what comes back until the end.
-async fn raw(addr: std::net::SocketAddr, bytes: &[u8]) -> String {
+/// Sends raw bytes and returns everything received until the connection is
+/// closed, without the `date` header.
+async fn send_raw(addr: std::net::SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(addr).await.expect("the server accepts");
-    // The server may close before everything is written.
+    // The server may close the connection before everything is written.
     let _ = stream.write_all(bytes).await;
     let mut answer = Vec::new();
     let _ = stream.read_to_end(&mut answer).await;
@@ -23,7 +24,7 @@
     lines.collect::<Vec<_>>().join("\n")
 }
 
-async fn server(limits: Limits) -> savorybeam::adapters::http::Server {
+async fn start_server(limits: Limits) -> savorybeam::adapters::http::Server {
     let router = Router::new().fallback(|| async { "fine" });
     bind("127.0.0.1:0".parse().expect("an address"), limits, router)
         .await
@@ -32,7 +33,7 @@
 
 #[tokio::test]
 async fn malformed_and_oversized_heads_are_refused() {
-    let server = server(Limits::default()).await;
+    let server = start_server(Limits::default()).await;
     let mut seen = Vec::new();
     let large = format!(
         "GET / HTTP/1.1\r\nhost: a\r\nx: {}\r\n\r\n",
@@ -43,7 +44,7 @@
         b"GET / HTTP/9.9\r\n\r\n",
         large.as_bytes(),
     ] {
-        seen.push(raw(server.addr(), bytes).await);
+        seen.push(send_raw(server.addr(), bytes).await);
     }
     let answer = send(server.addr(), request("GET", "a", "/", ""))
         .await
@@ -53,33 +54,33 @@
 }
 
 #[tokio::test]
-async fn a_connection_over_the_limit_is_told_so() {
+async fn a_connection_over_the_limit_gets_an_error_response() {
     let limits = Limits {
         connections: 1,
         ..Limits::default()
     };
-    let server = server(limits).await;
+    let server = start_server(limits).await;
     let mut first = TcpStream::connect(server.addr())
         .await
         .expect("the server accepts");
-    // The answer shows that the first connection holds its place.
+    // Once an answer arrives, the first connection is counted.
     first
         .write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
         .await
         .expect("written");
     let mut byte = [0];
     first.read_exact(&mut byte).await.expect("an answer");
-    insta::assert_snapshot!(raw(server.addr(), b"").await);
+    insta::assert_snapshot!(send_raw(server.addr(), b"").await);
 }
 
 #[tokio::test]
-async fn a_sender_that_stalls_in_its_head_is_closed() {
+async fn a_connection_that_stalls_in_the_request_head_is_closed() {
     let limits = Limits {
         patience: std::time::Duration::from_millis(50),
         ..Limits::default()
     };
-    let server = server(limits).await;
-    // Without the time limit this never returns.
+    let server = start_server(limits).await;
+    // Without the time limit, the read below never returns.
     let mut stream = TcpStream::connect(server.addr())
         .await
         .expect("the server accepts");
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -1,13 +1,13 @@
-//! Guards the layering: a decision that reached for a socket or an encoding
-//! could no longer be replayed from a seed.
+//! Tests the layering of the modules. A decision that used a socket, a clock or
+//! an encoding could not be replayed from a seed.
 
 use std::{fs, path::Path};
 
-fn sources(dir: &Path, out: &mut Vec<(String, String)>) {
-    for entry in fs::read_dir(dir).expect("the folder is there") {
+fn read_sources(dir: &Path, out: &mut Vec<(String, String)>) {
+    for entry in fs::read_dir(dir).expect("the folder exists") {
         let path = entry.expect("the entry is readable").path();
         if path.is_dir() {
-            sources(&path, out);
+            read_sources(&path, out);
         } else {
             let text = fs::read_to_string(&path).expect("sources are text");
             out.push((path.display().to_string(), text));
@@ -15,9 +15,10 @@
     }
 }
 
-fn offenders(dir: &str, banned: &[&str]) -> Vec<String> {
+/// Returns the lines of code under `dir` that contain one of `banned`.
+fn find_banned(dir: &str, banned: &[&str]) -> Vec<String> {
     let mut files = Vec::new();
-    sources(Path::new(dir), &mut files);
+    read_sources(Path::new(dir), &mut files);
     let mut found = Vec::new();
     for (path, text) in files {
         let code = text.lines().filter(|l| !l.trim_start().starts_with("//"));
@@ -44,16 +45,16 @@
         "Instant::now",
         "SystemTime",
     ];
-    insta::assert_debug_snapshot!(offenders("src/policy", &banned), @"[]");
+    insta::assert_debug_snapshot!(find_banned("src/policy", &banned), @"[]");
 }
 
 #[test]
-fn values_import_no_other_part() {
+fn values_import_no_other_module() {
     let banned = ["adapters::", "app::", "ports::", "policy::", "tokio::"];
-    insta::assert_debug_snapshot!(offenders("src/domain", &banned), @"[]");
+    insta::assert_debug_snapshot!(find_banned("src/domain", &banned), @"[]");
 }
 
 #[test]
 fn the_project_declares_no_trait() {
-    insta::assert_debug_snapshot!(offenders("src", &["pub trait ", "  trait "]), @"[]");
+    insta::assert_debug_snapshot!(find_banned("src", &["pub trait ", "  trait "]), @"[]");
 }
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -1,5 +1,5 @@
-//! Guards the timeline: stamps that do not read back or that go back in time
-//! would put effects before their causes.
+//! Tests the timeline. A stamp that did not round-trip, or that was smaller than
+//! an earlier one, would order an effect before its cause.
 
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 use savorybeam::{
@@ -15,11 +15,11 @@
 };
 
 #[derive(Clone, Debug)]
-struct Emitted(Event);
+struct ArbitraryEvent(Event);
 
-impl Arbitrary for Emitted {
+impl Arbitrary for ArbitraryEvent {
     fn arbitrary(g: &mut Gen) -> Self {
-        // Few values, so that equal times and entries are frequent.
+        // A small range of values makes equal times and entries frequent.
         let entry = *g.choose(&["e1", "e2", "e-3.x"]).expect("one of three");
         Self(Event {
             stamp: Stamp {
@@ -46,25 +46,25 @@
 }
 
 quickcheck! {
-    fn stamps_read_back(wall: u64, counter: u32) -> bool {
+    fn stamps_round_trip(wall: u64, counter: u32) -> bool {
         let stamp = Stamp { wall_time: Millis(wall), counter, entry: entry("e-1.a") };
         stamp.to_string().parse() == Ok(stamp)
     }
 
-    fn a_text_is_a_stamp_only_if_it_prints_the_same(text: String) -> bool {
+    fn only_canonical_texts_parse_as_stamps(text: String) -> bool {
         text.parse::<Stamp>().map_or(true, |s| s.to_string() == text)
     }
 
-    fn events_read_back(emitted: Emitted) -> bool {
-        let line = Line::Event(emitted.0);
+    fn events_round_trip(arbitrary: ArbitraryEvent) -> bool {
+        let line = Line::Event(arbitrary.0);
         decode(&encode(&line).to_string()) == Ok(line)
     }
 
-    fn any_line_is_read_or_refused(text: String) -> bool {
+    fn an_arbitrary_line_round_trips_or_is_rejected(text: String) -> bool {
         decode(&text).map_or(true, |line| decode(&encode(&line).to_string()) == Ok(line))
     }
 
-    fn a_clock_never_goes_back(walls: Vec<u16>) -> bool {
+    fn the_stamps_of_a_clock_increase(walls: Vec<u16>) -> bool {
         let mut clock = HybridClock::new(entry("e1"));
         let stamps: Vec<Stamp> = walls.iter().map(|w| clock.tick(Millis((*w).into()))).collect();
         stamps.windows(2).all(|pair| pair[0] < pair[1])
@@ -79,7 +79,7 @@
         })
     }
 
-    fn merging_is_sorting_without_doubles(lists: Vec<Vec<Emitted>>) -> bool {
+    fn merging_sorts_and_removes_duplicates(lists: Vec<Vec<ArbitraryEvent>>) -> bool {
         let lists: Vec<Vec<Event>> =
             lists.into_iter().map(|l| l.into_iter().map(|e| e.0).collect()).collect();
         let merged = merge(lists.clone());
@@ -89,7 +89,7 @@
         merged.into_iter().map(|e| e.stamp).collect::<Vec<_>>() == naive
     }
 
-    fn queries_read_back(pairs: Vec<(String, String)>) -> TestResult {
+    fn queries_round_trip(pairs: Vec<(String, String)>) -> TestResult {
         let mut names: Vec<&String> = pairs.iter().map(|(n, _)| n).collect();
         names.sort();
         names.dedup();
@@ -100,13 +100,13 @@
         TestResult::from_bool(query.to_string().parse() == Ok(query))
     }
 
-    fn any_query_is_read_or_refused(text: String) -> bool {
+    fn an_arbitrary_query_round_trips_or_is_rejected(text: String) -> bool {
         text.parse::<Query>().map_or(true, |q| q.to_string().parse() == Ok(q))
     }
 }
 
 #[test]
-fn a_wrong_wall_clock_does_not_move_the_others() {
+fn a_stamp_too_far_ahead_of_the_wall_clock_is_ignored() {
     let mut clock = HybridClock::new(entry("e1"));
     let now = Millis(1_000_000);
     let ahead = |by: Millis| Stamp {
@@ -149,7 +149,7 @@
 }
 
 #[test]
-fn events_of_two_entries_make_one_text() {
+fn events_of_two_entries_are_merged() {
     let one = vec![
         event(
             "1764846202123.0@e1",
@@ -180,7 +180,7 @@
 }
 
 #[test]
-fn dates_are_right_around_leap_days() {
+fn dates_are_correct_around_leap_days() {
     let days = [
         0,
         951_782_400_000,
@@ -199,8 +199,8 @@
 }
 
 #[test]
-fn faulty_stamps_say_what_is_allowed() {
-    let bad = [
+fn errors_of_invalid_stamps_state_the_format() {
+    let invalid = [
         "",
         "5@e1",
         "5.0",
@@ -209,38 +209,38 @@
         "5.4294967296@e1",
         "5.0@E1",
     ];
-    let all: Vec<String> = bad
+    let all: Vec<String> = invalid
         .iter()
-        .map(|s| s.parse::<Stamp>().expect_err("it is faulty").to_string())
+        .map(|s| s.parse::<Stamp>().expect_err("it is invalid").to_string())
         .collect();
     insta::assert_snapshot!(all.join("\n"));
 }
 
 #[test]
 fn a_drain_and_an_outage_are_reported_once() {
-    let look = |ready, store_down, leaving: &[(&str, u64)]| StateSnapshot {
+    let snapshot = |ready, store_down, leaving: &[(&str, u64)]| StateSnapshot {
         ready,
         store_down,
         leaving: leaving.iter().map(|(n, r)| ((*n).to_owned(), *r)).collect(),
     };
-    let looks = [
-        look(false, false, &[]),
-        look(true, false, &[]),
-        look(true, true, &[("slotboard place a", 2)]),
-        look(
+    let snapshots = [
+        snapshot(false, false, &[]),
+        snapshot(true, false, &[]),
+        snapshot(true, true, &[("slotboard place a", 2)]),
+        snapshot(
             true,
             true,
             &[("slotboard place a", 1), ("slotboard place b", 0)],
         ),
-        look(
+        snapshot(
             true,
             false,
             &[("slotboard place a", 0), ("slotboard place b", 0)],
         ),
-        look(true, false, &[("slotboard place b", 0)]),
+        snapshot(true, false, &[("slotboard place b", 0)]),
     ];
     let mut seen = Vec::new();
-    for (n, pair) in looks.windows(2).enumerate() {
+    for (n, pair) in snapshots.windows(2).enumerate() {
         let events = events_between(&pair[0], &pair[1]);
         seen.extend(
             events
--- a/tests/values.rs
+++ b/tests/values.rs
@@ -1,5 +1,5 @@
-//! Guards the text forms of values: settings, documents, logs and the API share
-//! them, so a value that does not read back would change its meaning on the way.
+//! Tests the text forms of values. Settings, documents, logs and the API share
+//! them, so a value that did not round-trip would change between them.
 
 use std::{fmt::Display, str::FromStr};
 
@@ -8,36 +8,36 @@
     EntryId, LimitName, Mbps, Millis, Revision, Rps, ServiceName, Size, Slots, TargetId, Weight,
 };
 
-fn reads_back<T: Display + Eq + FromStr>(value: &T) -> bool {
+fn round_trips<T: Display + Eq + FromStr>(value: &T) -> bool {
     value.to_string().parse().is_ok_and(|v: T| v == *value)
 }
 
 quickcheck! {
-    fn numbers_read_back(n: u32) -> bool {
-        reads_back(&Rps(n))
-            && reads_back(&Mbps(n))
-            && reads_back(&Millis(u64::from(n)))
-            && reads_back(&Size(u64::from(n)))
-            && reads_back(&Revision(u64::from(n)))
-            && reads_back(&Weight(n % 1001))
-            && reads_back(&Slots(n.max(1)))
+    fn numbers_round_trip(n: u32) -> bool {
+        round_trips(&Rps(n))
+            && round_trips(&Mbps(n))
+            && round_trips(&Millis(u64::from(n)))
+            && round_trips(&Size(u64::from(n)))
+            && round_trips(&Revision(u64::from(n)))
+            && round_trips(&Weight(n % 1001))
+            && round_trips(&Slots(n.max(1)))
     }
 
-    fn targets_read_back(ip: u32, port: u16) -> bool {
-        reads_back(&TargetId((std::net::Ipv4Addr::from(ip), port).into()))
+    fn targets_round_trip(ip: u32, port: u16) -> bool {
+        round_trips(&TargetId((std::net::Ipv4Addr::from(ip), port).into()))
     }
 
-    fn parsers_accept_only_what_reads_back(text: String) -> bool {
-        ServiceName::from_str(&text).map_or(true, |n| reads_back(&n))
-            && EntryId::from_str(&text).map_or(true, |n| reads_back(&n))
-            && LimitName::from_str(&text).map_or(true, |n| reads_back(&n))
-            && Millis::from_str(&text).map_or(true, |n| reads_back(&n))
-            && Size::from_str(&text).map_or(true, |n| reads_back(&n))
+    fn parsed_texts_round_trip(text: String) -> bool {
+        ServiceName::from_str(&text).map_or(true, |n| round_trips(&n))
+            && EntryId::from_str(&text).map_or(true, |n| round_trips(&n))
+            && LimitName::from_str(&text).map_or(true, |n| round_trips(&n))
+            && Millis::from_str(&text).map_or(true, |n| round_trips(&n))
+            && Size::from_str(&text).map_or(true, |n| round_trips(&n))
     }
 }
 
 #[test]
-fn faulty_values_say_what_is_allowed() {
+fn errors_of_invalid_values_state_the_accepted_form() {
     let errors = [
         Rps::from_str("40")
             .expect_err("the unit is missing")
@@ -51,7 +51,7 @@
             .expect_err("not a name")
             .to_string(),
         TargetId::from_str("localhost:80")
-            .expect_err("not an IP number")
+            .expect_err("not an IP address")
             .to_string(),
     ];
     insta::assert_snapshot!(errors.join("\n"));
