Name the caller limits and allowed regions by what they bound

"head", "body" and "idle" of CallerLimits lacked the quantity, and "homes" of RouteRule is also the term for the home entries of limits and claims. Renamed: CallerLimits.head -> max_head, body -> max_body, idle -> idle_timeout; RouteRule.homes -> home_regions; DocumentState::last_checked -> highest_checked, since a lower valid revision may be adopted later. Behaviour is unchanged.

--- a/src/adapters/grpc/changes/config.rs
+++ b/src/adapters/grpc/changes/config.rs
@@ -74,9 +74,9 @@
     };
     ConfigMessage {
         version: config.version.0,
-        head_bytes: config.limits.head.0,
-        body_bytes: config.limits.body.0,
-        idle_ms: config.limits.idle.0,
+        head_bytes: config.limits.max_head.0,
+        body_bytes: config.limits.max_body.0,
+        idle_ms: config.limits.idle_timeout.0,
         rules: config.rules.iter().map(put_rule).collect(),
         services: config.services.iter().map(service).collect(),
     }
@@ -94,9 +94,9 @@
     Ok(Configuration {
         version: Revision(message.version),
         limits: CallerLimits {
-            head: Size(message.head_bytes),
-            body: Size(message.body_bytes),
-            idle: Millis(message.idle_ms),
+            max_head: Size(message.head_bytes),
+            max_body: Size(message.body_bytes),
+            idle_timeout: Millis(message.idle_ms),
         },
         rules: rules?,
         services: services?,
@@ -118,7 +118,7 @@
         attempts: rule.attempts,
         priority: rule.priority,
         sticky: rule.sticky,
-        homes: rule.homes.iter().map(ToString::to_string).collect(),
+        homes: rule.home_regions.iter().map(ToString::to_string).collect(),
         parts: rule.services.iter().map(part).collect(),
     }
 }
@@ -142,7 +142,7 @@
         attempts: message.attempts,
         priority: message.priority,
         sticky: message.sticky,
-        homes: homes?,
+        home_regions: homes?,
         services: parts?,
     })
 }
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -253,9 +253,9 @@
     Ok(Configuration {
         version: Revision(version),
         limits: CallerLimits {
-            head: Size(wire.limits.header_bytes),
-            body: Size(wire.limits.body_bytes),
-            idle: time("idle_timeout_s", wire.limits.idle)?,
+            max_head: Size(wire.limits.header_bytes),
+            max_body: Size(wire.limits.body_bytes),
+            idle_timeout: time("idle_timeout_s", wire.limits.idle)?,
         },
         rules,
         services: services.collect::<Result<_, String>>()?,
@@ -288,7 +288,7 @@
         attempts: action.max_attempts,
         priority: route.priority,
         sticky: route.sticky,
-        homes: homes.collect::<Result<_, String>>()?,
+        home_regions: homes.collect::<Result<_, String>>()?,
         services,
     })
 }
--- a/src/app/gateway/job.rs
+++ b/src/app/gateway/job.rs
@@ -77,12 +77,12 @@
         };
         let end = arrived + deadline.unwrap_or(rule.timeout).min(rule.timeout);
         let object = object.map(|o| object_hash(&rule.prefix, o.as_bytes()));
-        let most = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
+        let most = usize::try_from(limits.max_body.0).unwrap_or(usize::MAX);
         let reading = Content::read(Limited::new(body, most).boxed(), KEPT_BYTES);
         let content = timeout((end - arrived).duration(), reading).await;
         let content = match content {
             Ok(Ok(content)) => content,
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large(limits.body)),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large(limits.max_body)),
             Ok(Err(e)) => {
                 return Err(Refusal::not_run(
                     Code::BadRequest,
@@ -140,14 +140,14 @@
     let lines = head.headers.iter();
     let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + LINE_BYTES);
     let size = head.uri.to_string().len() + lines.sum::<usize>();
-    if size as u64 > limits.head.0 {
-        let detail = format!("read head: {size} bytes, the limit is {}", limits.head);
+    if size as u64 > limits.max_head.0 {
+        let detail = format!("read head: {size} bytes, the limit is {}", limits.max_head);
         return Err(Refusal::not_run(Code::HeadTooLarge, detail));
     }
     let declared = head.headers.get(header::CONTENT_LENGTH);
     let declared = declared.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-    if declared.is_some_and(|length| length > limits.body.0) {
-        return Err(too_large(limits.body));
+    if declared.is_some_and(|length| length > limits.max_body.0) {
+        return Err(too_large(limits.max_body));
     }
     Ok(())
 }
--- a/src/domain/route.rs
+++ b/src/domain/route.rs
@@ -56,7 +56,7 @@
     /// Whether a target is faster for objects that it handled recently.
     pub sticky: bool,
     /// The regions in which requests may run. Empty allows all regions.
-    pub homes: Vec<RegionName>,
+    pub home_regions: Vec<RegionName>,
     /// The services that run the requests.
     pub services: Vec<WeightedService>,
 }
@@ -74,11 +74,11 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct CallerLimits {
     /// The maximum size of a request head.
-    pub head: Size,
+    pub max_head: Size,
     /// The maximum size of a request body.
-    pub body: Size,
+    pub max_body: Size,
     /// The time after which an idle connection is closed.
-    pub idle: Millis,
+    pub idle_timeout: Millis,
 }
 
 /// A complete routing configuration.
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -247,7 +247,7 @@
             let Some(region) = &t.region else {
                 return false;
             };
-            let home = ask.rule.homes.is_empty() || ask.rule.homes.contains(region);
+            let home = ask.rule.home_regions.is_empty() || ask.rule.home_regions.contains(region);
             home && !scene.closed.contains(&t.instance.az) && !ask.tried.contains(&t.instance.id)
         };
         let targets = self.targets.iter().enumerate();
--- a/src/policy/document/state.rs
+++ b/src/policy/document/state.rs
@@ -25,7 +25,7 @@
     service: ServiceName,
     revision: Revision,
     document: Option<Arc<Document>>,
-    last_checked: Revision,
+    highest_checked: Revision,
 }
 
 impl DocumentState {
@@ -36,7 +36,7 @@
             service,
             revision: Revision::default(),
             document: None,
-            last_checked: Revision::default(),
+            highest_checked: Revision::default(),
         }
     }
 
@@ -60,8 +60,8 @@
     /// fetched again every second. With only this one, a valid revision that
     /// arrives after a later invalid one would never be fetched.
     #[must_use]
-    pub fn last_checked(&self) -> Revision {
-        self.last_checked
+    pub fn highest_checked(&self) -> Revision {
+        self.highest_checked
     }
 
     /// Adopts a revision if it is valid and strictly greater than the one in
@@ -96,7 +96,7 @@
     fn replace(&mut self, revision: Revision, document: Option<Arc<Document>>) -> Adoption {
         let former = std::mem::replace(&mut self.document, document);
         let former_revision = std::mem::replace(&mut self.revision, revision);
-        self.last_checked = self.last_checked.max(revision);
+        self.highest_checked = self.highest_checked.max(revision);
         Adoption::Adopted {
             former_revision,
             former,
@@ -104,12 +104,12 @@
     }
 
     fn reject(&mut self, revision: Revision, faults: Vec<String>) -> Adoption {
-        if revision <= self.last_checked {
+        if revision <= self.highest_checked {
             return Adoption::Stale {
                 current: self.revision,
             };
         }
-        self.last_checked = revision;
+        self.highest_checked = revision;
         Adoption::Rejected(Rejection {
             service: self.service.clone(),
             rejected: revision,
--- a/tests/balance/world.rs
+++ b/tests/balance/world.rs
@@ -51,7 +51,7 @@
         attempts: 2,
         priority: 1,
         sticky: true,
-        homes: Vec::new(),
+        home_regions: Vec::new(),
         services: vec![WeightedService {
             service: "slotboard".parse().expect("a name"),
             weight: 1.0,
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -213,9 +213,9 @@
         };
         let document = state.document().map(|d| d.deadline.to_string());
         log.push(format!(
-            "{revision}: {result}; in effect {} with {document:?}, last checked {}",
+            "{revision}: {result}; in effect {} with {document:?}, highest checked {}",
             state.revision(),
-            state.last_checked()
+            state.highest_checked()
         ));
     }
     insta::assert_snapshot!(lines(&log));
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -93,7 +93,7 @@
 fn configuration(version: u64) -> Change {
     let mut rule = RouteRule {
         name: "browse".to_owned(),
-        homes: vec!["north".parse().expect("a name")],
+        home_regions: vec!["north".parse().expect("a name")],
         ..vm::rule(RequestKind::Download, "/browse/")
     };
     rule.services[0].weight = 0.5;
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -27,7 +27,7 @@
         attempts: 2,
         priority: 1,
         sticky: false,
-        homes: Vec::new(),
+        home_regions: Vec::new(),
         services: parts.iter().map(part).collect(),
     }
 }
@@ -40,9 +40,9 @@
     Configuration {
         version: Revision(7),
         limits: CallerLimits {
-            head: Size(16_384),
-            body: Size(1 << 20),
-            idle: Millis(15_000),
+            max_head: Size(16_384),
+            max_body: Size(1 << 20),
+            idle_timeout: Millis(15_000),
         },
         rules,
         services: ["bookings", "kits", "slots"].map(service).into(),
--- a/tests/vm/mod.rs
+++ b/tests/vm/mod.rs
@@ -60,7 +60,7 @@
         attempts: 2,
         priority: 1,
         sticky: true,
-        homes: Vec::new(),
+        home_regions: Vec::new(),
         services: vec![WeightedService {
             service: "slots".parse().expect("a name"),
             weight: 1.0,
@@ -72,9 +72,9 @@
     Configuration {
         version: Revision(version),
         limits: CallerLimits {
-            head: Size(16_384),
-            body: Size(1 << 20),
-            idle: Millis(15_000),
+            max_head: Size(16_384),
+            max_body: Size(1 << 20),
+            idle_timeout: Millis(15_000),
         },
         rules,
         services: vec![ServiceRule {
