--- a/src/app/entry/reply.rs
+++ b/src/app/entry/reply.rs
@@ -15,7 +15,7 @@
 use crate::{
     adapters::http::strip_hop_by_hop,
     domain::Millis,
-    policy::{once::Answer, target::Finish},
+    policy::{once::Answer, target::Completion},
     ports::Body,
 };
 
@@ -59,7 +59,7 @@
 
 impl Record {
     fn add(&mut self, data: &Bytes) {
-        let max = usize::try_from(Answer::BODY.0).unwrap_or(usize::MAX);
+        let max = usize::try_from(Answer::MAX_BODY.0).unwrap_or(usize::MAX);
         if let Some(body) = &mut self.body {
             if body.len() + data.len() <= max {
                 body.extend_from_slice(data);
@@ -105,7 +105,7 @@
     /// Ends an answer that has paused for too long.
     fn stalled(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         ready!(self.stall.as_mut().poll(cx));
-        self.slot.finish(Finish::Failed);
+        self.slot.finish(Completion::Failed);
         let target = self.slot.target();
         let cause = format!("read answer from {target}: no byte for {STALL}");
         Poll::Ready(Some(Err(cause.into())))
@@ -126,7 +126,7 @@
     }
 
     fn complete(&mut self) {
-        self.slot.finish(Finish::Done);
+        self.slot.finish(Completion::Answered);
         if let Some(record) = self.record.take() {
             record.finish();
         }
@@ -145,7 +145,7 @@
             match Pin::new(&mut self.body).poll_frame(cx) {
                 Poll::Ready(Some(Ok(frame))) => self.take(frame),
                 Poll::Ready(Some(Err(e))) => {
-                    self.slot.finish(Finish::Failed);
+                    self.slot.finish(Completion::Failed);
                     return Poll::Ready(Some(Err(e)));
                 }
                 Poll::Ready(None) => {
