Wrap the comments of documents, timeline, admin and domain at 80 columns

Several reworded comments were one or two columns too long. The shard index is called `index` instead of `hash`, since it is the hash modulo the number of shards. Behaviour is unchanged.

--- a/src/domain/blocks.rs
+++ b/src/domain/blocks.rs
@@ -19,10 +19,10 @@
 }
 
 impl Prefix {
-    /// Returns the block given by the `len` leading bits of `addr`, or `None` if
-    /// the address has fewer bits. Host bits are cleared. A block of IPv4-mapped
-    /// IPv6 addresses becomes the IPv4 block, since callers are looked up by
-    /// their IPv4 address.
+    /// Returns the block given by the `len` leading bits of `addr`, or `None`
+    /// if the address has fewer bits. Host bits are cleared. A block of
+    /// IPv4-mapped IPv6 addresses becomes the IPv4 block, since callers are
+    /// looked up by their IPv4 address.
     #[must_use]
     pub fn new(addr: IpAddr, len: u8) -> Option<Self> {
         let (addr, len) = match (addr, addr.to_canonical()) {
--- a/src/domain/bounds.rs
+++ b/src/domain/bounds.rs
@@ -21,8 +21,8 @@
     pub retry_window: Millis,
     /// The factor by which the rate of a cold target may be exceeded.
     pub cold_factor: f64,
-    /// The number of requests by which the rate of a cold target may be exceeded
-    /// in addition to `cold_factor`.
+    /// The number of requests by which the rate of a cold target may be
+    /// exceeded in addition to `cold_factor`.
     pub cold_slack: f64,
     /// The maximum time for which callers may cache the answer of a lookup.
     pub lookup_ttl: Millis,
--- a/src/domain/document.rs
+++ b/src/domain/document.rs
@@ -1,5 +1,5 @@
-//! A service's document: the places where it runs, their weights, and the places
-//! and targets that are leaving.
+//! A service's document: the places where it runs, their weights, and the
+//! places and targets that are leaving.
 //!
 //! These are the parsed values. `adapters::ini` parses and validates the INI
 //! text, so that decisions do not depend on the format.
@@ -18,8 +18,8 @@
     pub team: TeamName,
     /// The deadline of requests whose caller does not state one.
     pub deadline: Millis,
-    /// The maximum rate of requests that are sent to growing places in excess of
-    /// their former weight while traffic shifts.
+    /// The maximum rate of requests that are sent to growing places in excess
+    /// of their former weight while traffic shifts.
     pub shift_cap: Rps,
     /// The places, in the order of the text.
     pub places: Vec<Place>,
@@ -91,8 +91,8 @@
     Long = "long"
 );
 word_enum!(
-    /// The priority of a request. Under overload, requests of lower priority are
-    /// refused first. The variants are in ascending order.
+    /// The priority of a request. Under overload, requests of lower priority
+    /// are refused first. The variants are in ascending order.
     Priority, "priority", "\"bulk\", \"normal\" or \"critical\"",
     /// Refused first.
     Bulk = "bulk",
--- a/src/domain/ids.rs
+++ b/src/domain/ids.rs
@@ -145,8 +145,8 @@
     Epoch, "epoch"
 );
 number!(
-    /// One run of an entry process. A restarted entry has a greater incarnation,
-    /// so that messages to its former run are recognised.
+    /// One run of an entry process. A restarted entry has a greater
+    /// incarnation, so that messages to its former run are recognised.
     Incarnation, "incarnation"
 );
 number!(
--- a/src/domain/instance.rs
+++ b/src/domain/instance.rs
@@ -33,7 +33,8 @@
     pub state: InstanceState,
     /// How long the target stays cold after this state was registered.
     pub cold: Millis,
-    /// The sequence number of this state of the registration. It only increases.
+    /// The sequence number of this state of the registration. It only
+    /// increases.
     pub seq: u64,
     /// The wall clock time at which the target started. A target may restart
     /// under the same id, and then has lost its former state.
--- a/src/domain/route.rs
+++ b/src/domain/route.rs
@@ -43,8 +43,8 @@
     pub prefix: String,
     /// Whether a request may run more than once.
     pub kind: RequestKind,
-    /// The latency objective: the time within which an answer has its full value
-    /// to the caller.
+    /// The latency objective: the time within which an answer has its full
+    /// value to the caller.
     pub objective: Millis,
     /// The time after which the caller gets an answer even if no target has
     /// answered.
--- a/src/domain/shards.rs
+++ b/src/domain/shards.rs
@@ -14,8 +14,8 @@
 /// lock each.
 ///
 /// State is accessed only in closures, so no lock guard can be held across an
-/// await. A closure must not access another key of the same map, which may be in
-/// the locked shard. Several maps are locked in the order documents, limits,
+/// await. A closure must not access another key of the same map, which may be
+/// in the locked shard. Several maps are locked in the order documents, limits,
 /// targets, claims, see [docs/design.md](../../docs/design.md), section 2.
 #[derive(Debug)]
 pub struct Shards<K, V> {
@@ -66,11 +66,11 @@
     }
 
     fn lock(&self, key: &K) -> MutexGuard<'_, HashMap<K, V>> {
-        let hash =
+        let index =
             usize::try_from(self.hasher.hash_one(key) % SHARD_COUNT as u64).unwrap_or_default();
-        // A panic in one request must not fail other requests to the same shard,
-        // so a poisoned lock is used as it is.
-        self.shards[hash]
+        // A panic in one request must not fail other requests to the same
+        // shard, so a poisoned lock is used as it is.
+        self.shards[index]
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
--- a/src/domain/word_enum.rs
+++ b/src/domain/word_enum.rs
@@ -1,7 +1,7 @@
 //! Enumerations with a text form.
 
-/// Declares an enumeration whose variants parse from and print as one word each,
-/// so that each word is written in one place only.
+/// Declares an enumeration whose variants parse from and print as one word
+/// each, so that each word is written in one place only.
 macro_rules! word_enum {
     ($(#[$doc:meta])* $name:ident, $kind:literal, $rule:literal, $($(#[$vdoc:meta])* $var:ident = $word:literal),+) => {
         $(#[$doc])*
--- a/src/policy/admin/error.rs
+++ b/src/policy/admin/error.rs
@@ -25,8 +25,8 @@
                 match self { $(Self::$var => $word,)+ }
             }
 
-            /// Returns the HTTP status. Front ends with another protocol may map
-            /// it to their own codes.
+            /// Returns the HTTP status. Front ends with another protocol may
+            /// map it to their own codes.
             #[must_use]
             pub fn status(self) -> u16 {
                 match self { $(Self::$var => $status,)+ }
--- a/src/policy/admin/mod.rs
+++ b/src/policy/admin/mod.rs
@@ -4,9 +4,9 @@
 //! An edit is allowed if the team owns the document and if the editor has seen
 //! the revision that it replaces. The second rule prevents two operators from
 //! overwriting each other's edits unnoticed. The document may still change
-//! between this check and the write, which the store's compare-and-swap detects.
-//! Error codes and outcomes are decided here and not in the HTTP adapter, so
-//! that another front end reports the same ones. See
+//! between this check and the write, which the store's compare-and-swap
+//! detects. Error codes and outcomes are decided here and not in the HTTP
+//! adapter, so that another front end reports the same ones. See
 //! [docs/design.md](../../../docs/design.md), section 6.
 
 mod error;
@@ -62,8 +62,8 @@
 pub struct CurrentRecord {
     /// The revision of the record, or zero if there is none.
     pub revision: Revision,
-    /// The team that owns the document, or `None` if the document does not exist
-    /// or was deleted.
+    /// The team that owns the document, or `None` if the document does not
+    /// exist or was deleted.
     pub owner: Option<TeamName>,
 }
 
--- a/src/policy/document/diff.rs
+++ b/src/policy/document/diff.rs
@@ -55,8 +55,8 @@
     Idempotent(String, Option<bool>, Option<bool>),
 }
 
-/// Returns the changes from one document to another. `None` stands for a missing
-/// document.
+/// Returns the changes from one document to another. `None` stands for a
+/// missing document.
 ///
 /// The order of places, targets and routes in the text has no effect, so a
 /// different order is not a change.
--- a/src/policy/document/edit.rs
+++ b/src/policy/document/edit.rs
@@ -1,5 +1,5 @@
-//! Edits: the record that a writer puts into the store, and how the writer finds
-//! out whether a write took effect when the response was lost.
+//! Edits: the record that a writer puts into the store, and how the writer
+//! finds out whether a write took effect when the response was lost.
 //!
 //! The store's response to a write may be lost after the write took effect. A
 //! writer that merely repeated the write would conflict with its own edit and
@@ -83,8 +83,9 @@
     pub current: Edit,
     /// The former revisions, the latest first.
     pub former: Vec<FormerRevision>,
-    /// Whether older revisions were dropped, either because there were more than
-    /// [`MAX_FORMER_REVISIONS`] or because the record would have been too large.
+    /// Whether older revisions were dropped, either because there were more
+    /// than [`MAX_FORMER_REVISIONS`] or because the record would have been too
+    /// large.
     pub dropped: bool,
 }
 
@@ -98,8 +99,8 @@
 }
 
 impl StoredHistory {
-    /// Returns the edit that made the current or a former revision, or `None` if
-    /// the record does not contain it.
+    /// Returns the edit that made the current or a former revision, or `None`
+    /// if the record does not contain it.
     #[must_use]
     pub fn edit_at(&self, revision: Revision) -> Option<&Edit> {
         if self.revision == revision {
--- a/src/policy/document/mod.rs
+++ b/src/policy/document/mod.rs
@@ -1,12 +1,12 @@
 //! Service documents: which revision is in effect, whether a write took effect,
 //! what an edit changes, and which entries have a revision in effect.
 //!
-//! The store orders edits by compare-and-swap. This module decides how a process
-//! handles revisions that arrive late, more than once, out of order or with an
-//! invalid text, and what a writer concludes when the store's response to its
-//! write is lost. All state is passed in: the caller keeps one [`DocumentState`]
-//! per service in [`Shards`](crate::domain::Shards), and an adapter reads and
-//! writes a [`History`] in the store.
+//! The store orders edits by compare-and-swap. This module decides how a
+//! process handles revisions that arrive late, more than once, out of order or
+//! with an invalid text, and what a writer concludes when the store's response
+//! to its write is lost. All state is passed in: the caller keeps one
+//! [`DocumentState`] per service in [`Shards`](crate::domain::Shards), and an
+//! adapter reads and writes a [`History`] in the store.
 //!
 //! Adoption depends only on the store's revision, so it needs no clock and no
 //! agreement between entries. The cost is that after the store is restored from
--- a/src/policy/document/rollout.rs
+++ b/src/policy/document/rollout.rs
@@ -7,9 +7,9 @@
 /// The revision of one service's document that each entry reports to have in
 /// effect.
 ///
-/// This is meant for the services that an operator asks about. For every service
-/// and each of 2,800 entries, it would exceed the memory that an entry has for
-/// control data.
+/// This is meant for the services that an operator asks about. For every
+/// service and each of 2,800 entries, it would exceed the memory that an entry
+/// has for control data.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RevisionReports {
     reports: BTreeMap<EntryId, (Incarnation, Revision)>,
@@ -18,8 +18,8 @@
 impl RevisionReports {
     /// Records the revision that an entry reports.
     ///
-    /// Reports may arrive in any order. Within one incarnation of an entry, only
-    /// a greater revision replaces the recorded one. A greater incarnation
+    /// Reports may arrive in any order. Within one incarnation of an entry,
+    /// only a greater revision replaces the recorded one. A greater incarnation
     /// always replaces it, because a restarted entry has no documents.
     pub fn report(&mut self, entry: EntryId, incarnation: Incarnation, revision: Revision) {
         let latest = self.reports.entry(entry).or_default();
@@ -34,8 +34,8 @@
 
     /// Returns which of `members` have `revision` or a later one in effect.
     ///
-    /// A member without a report counts as behind, since it may still use an old
-    /// revision.
+    /// A member without a report counts as behind, since it may still use an
+    /// old revision.
     #[must_use]
     pub fn status<'a>(
         &self,
--- a/src/policy/document/state.rs
+++ b/src/policy/document/state.rs
@@ -18,8 +18,8 @@
 /// The state of one service's document in one process.
 ///
 /// The caller holds the lock of the service's shard during
-/// [`adopt`](Self::adopt), so revisions of the same service are handled one at a
-/// time.
+/// [`adopt`](Self::adopt), so revisions of the same service are handled one at
+/// a time.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct DocumentState {
     service: ServiceName,
@@ -46,8 +46,8 @@
         self.revision
     }
 
-    /// Returns the document in effect, or `None` before the first valid revision
-    /// and after a deletion.
+    /// Returns the document in effect, or `None` before the first valid
+    /// revision and after a deletion.
     #[must_use]
     pub fn document(&self) -> Option<&Arc<Document>> {
         self.document.as_ref()
@@ -130,8 +130,8 @@
         /// The document that was in effect before.
         former: Option<Arc<Document>>,
     },
-    /// The same or a later revision is in effect, or the revision is invalid and
-    /// the same or a later one was already checked. Nothing changes.
+    /// The same or a later revision is in effect, or the revision is invalid
+    /// and the same or a later one was already checked. Nothing changes.
     Stale {
         /// The revision in effect.
         current: Revision,
--- a/src/policy/timeline/event.rs
+++ b/src/policy/timeline/event.rs
@@ -120,7 +120,11 @@
             fn from_str(s: &str) -> Result<Self, ParseError> {
                 match s {
                     $($word => Ok(Self::$var),)+
-                    _ => Err(ParseError::new("event kind", s, "one of the event kinds in docs/operating.md")),
+                    _ => Err(ParseError::new(
+                        "event kind",
+                        s,
+                        "one of the event kinds in docs/operating.md",
+                    )),
                 }
             }
         }
--- a/src/policy/timeline/ring.rs
+++ b/src/policy/timeline/ring.rs
@@ -16,8 +16,8 @@
 }
 
 impl EventRing {
-    /// Appends an event. If there are more than [`MAX_EVENTS`], drops the oldest
-    /// one.
+    /// Appends an event. If there are more than [`MAX_EVENTS`], drops the
+    /// oldest one.
     pub fn push(&mut self, event: Event) {
         self.events.push_back(event);
         if self.events.len() > MAX_EVENTS {
@@ -26,8 +26,8 @@
         }
     }
 
-    /// Returns the latest `limit` events after `stamp` that concern `component`,
-    /// oldest first. `None` selects all stamps or components.
+    /// Returns the latest `limit` events after `stamp` that concern
+    /// `component`, oldest first. `None` selects all stamps or components.
     #[must_use]
     pub fn after(
         &self,
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -1,6 +1,6 @@
 //! Tests the decisions on documents. A process that returned to an old revision
-//! would undo a drain. A writer that misjudged a lost response would make an edit
-//! twice. A diff that omitted a change would hide it from its reviewer.
+//! would undo a drain. A writer that misjudged a lost response would make an
+//! edit twice. A diff that omitted a change would hide it from its reviewer.
 
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -148,7 +148,11 @@
             let mut recorded = RevisionReports::default();
             for (entry, incarnation, revision) in reports {
                 let entry: EntryId = format!("e{}", entry % 4).parse().expect("the name is valid");
-                recorded.report(entry, Incarnation(u64::from(incarnation % 3)), Revision(u64::from(*revision)));
+                recorded.report(
+                    entry,
+                    Incarnation(u64::from(incarnation % 3)),
+                    Revision(u64::from(*revision)),
+                );
             }
             recorded
         };
@@ -452,8 +456,8 @@
         put(&valid),
         put(&stored(None, None)),
         put(&stored(invalid, None)),
-        // A process that starts at an invalid revision adopts the last valid one
-        // from the history.
+        // A process that starts at an invalid revision adopts the last valid
+        // one from the history.
         put(&invalid_twice),
         Update::Delete(documents::key(&service()), Revision(5)),
         Update::Delete("platform/vms/a".into(), Revision(6)),
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -1,5 +1,5 @@
-//! Tests the timeline. A stamp that did not round-trip, or that was smaller than
-//! an earlier one, would order an effect before its cause.
+//! Tests the timeline. A stamp that did not round-trip, or that was smaller
+//! than an earlier one, would order an effect before its cause.
 
 use quickcheck::{Arbitrary, Gen, TestResult, quickcheck};
 use savorybeam::{
