Reword the control tasks of the entry

Comments named their subject only by figures (questions, news, lives, moves that are under way), and functions and constants had bare verbs or nouns as names, so that a reader had to open each one to learn what it sends or limits.

Renamed: control::notify -> announce_strike, beside -> spawn_call, every -> run_every, module measures -> gauges, documents::arrive -> adopt, shifts::moves -> in_progress, store::meet -> wait_for_peers, reports::own and own_events -> local_report and local_events, routes::probed, relayed, compared and fetched -> handle_probe, handle_relay, handle_sync and handle_fetch, gossip::act and fetch -> run_member_action and run_spread_action. Constants now name what they bound, for example WAIT -> NOTICE_TIMEOUT, ALONE -> DISCOVERY_TIMEOUT, RANKS -> PROPOSERS_MAX.

Behaviour is unchanged.

--- a/src/app/entry/control/claims.rs
+++ b/src/app/entry/control/claims.rs
@@ -1,9 +1,9 @@
-//! Claims: answers as a home, and reads from former homes after a change of the
-//! roster.
+//! Claims: handles the requests to this entry as a home, and transfers claims
+//! from the former homes after a change of the roster.
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use super::beside;
+use super::spawn_call;
 use crate::{
     adapters::grpc::{self, Sender},
     app::entry::State,
@@ -11,37 +11,39 @@
     policy::once::{HomeRequest, HomeResponse, Member},
 };
 
-/// How often reads are repeated.
-const PERIOD: Millis = Millis(250);
+/// The interval between two rounds of transfer requests.
+const TRANSFER_PERIOD: Millis = Millis(250);
 
-/// The most reads in one call.
-const BATCH: usize = 256;
+/// The largest number of requests in one call. Each former home gets one call per
+/// round.
+const BATCH_MAX: usize = 256;
 
-/// Reads what this entry needs before it votes.
+/// Transfers the claims that this entry needs before it votes as a new home.
 pub(super) async fn run(state: Arc<State>) {
     loop {
-        tokio::time::sleep(PERIOD.duration()).await;
+        tokio::time::sleep(TRANSFER_PERIOD.duration()).await;
         state.send_outbox();
         let now = (state.ports.clock.now)();
         let mut batches: BTreeMap<Member, Vec<HomeRequest>> = BTreeMap::new();
         for (home, request) in state.claims.tick(now) {
             let batch = batches.entry(home).or_default();
-            if batch.len() < BATCH {
+            if batch.len() < BATCH_MAX {
                 batch.push(request);
             }
         }
-        let calls: Vec<_> = batches
+        let transfers: Vec<_> = batches
             .into_iter()
-            .map(|(home, requests)| beside(read(state.clone(), home, requests)))
+            .map(|(home, requests)| spawn_call(transfer(state.clone(), home, requests)))
             .collect();
-        // The next round starts where this one ended, so it has to wait.
-        for call in calls {
-            let _ = call.await;
+        // Waits for all replies, since the next round requests the pages that
+        // follow them.
+        for task in transfers {
+            let _ = task.await;
         }
     }
 }
 
-async fn read(state: Arc<State>, home: Member, requests: Vec<HomeRequest>) {
+async fn transfer(state: Arc<State>, home: Member, requests: Vec<HomeRequest>) {
     let Some(address) = state.fleet.address(&home.entry) else {
         return;
     };
@@ -58,8 +60,8 @@
     }
 }
 
-/// Answers a request to this entry as a home, unless another life of it is
-/// addressed.
+/// Handles a request to this entry as a home. Returns `None` if the request is
+/// addressed to another incarnation of this entry.
 pub(super) fn answer(
     state: &State,
     to: &Member,
--- a/src/app/entry/control/documents.rs
+++ b/src/app/entry/control/documents.rs
@@ -1,4 +1,4 @@
-//! Documents on their way from the store or a peer into force.
+//! Adoption of documents and rosters that the store or a peer delivers.
 
 use std::sync::Arc;
 
@@ -16,8 +16,9 @@
     },
 };
 
-/// Puts a revision in force and tells the peers.
-pub(super) fn arrive(state: &Arc<State>, arrival: Arrival) {
+/// Adopts a revision, queues its announcement to the peers and emits the events
+/// that follow.
+pub(super) fn adopt(state: &Arc<State>, arrival: Arrival) {
     let Arrival {
         service,
         revision,
@@ -25,12 +26,12 @@
     } = arrival;
     match state.adopt_content(&service, revision, content) {
         Adoption::Adopted { .. } => {
-            let moving = |s: &mut crate::app::entry::Service| {
+            let is_moving = |s: &mut crate::app::entry::Service| {
                 s.shift
                     .as_ref()
                     .is_some_and(crate::policy::shift::Shift::is_moving)
             };
-            if state.services.get(&service, moving) == Some(true) {
+            if state.services.get(&service, is_moving) == Some(true) {
                 (state.events.emit)(
                     Kind::ShiftStarted,
                     format!("{service} to revision {revision}"),
@@ -49,7 +50,7 @@
     }
 }
 
-/// Takes a body that a peer sent.
+/// Adopts the document or the roster that a peer sent.
 pub(super) fn receive(state: &Arc<State>, body: DocumentBody) {
     let DocumentBody {
         service,
@@ -69,7 +70,7 @@
             Err(faults) => Content::Invalid(faults.iter().map(ToString::to_string).collect()),
         },
     };
-    arrive(
+    adopt(
         state,
         Arrival {
             service,
@@ -79,7 +80,8 @@
     );
 }
 
-/// Returns the bodies that a peer asks for, as far as they are here.
+/// Returns the bodies that a peer requests. Those that this entry does not have
+/// are left out.
 pub(super) fn bodies(state: &State, services: &[ServiceName]) -> Vec<DocumentBody> {
     services.iter().filter_map(|s| body(state, s)).collect()
 }
@@ -97,8 +99,8 @@
     let (revision, doc) = state
         .services
         .get(service, |s| (s.doc.revision(), s.doc.document().cloned()))?;
-    // The printed form reads back as the same document, and costs no memory
-    // between two requests for it.
+    // Printing the document on request avoids holding its text in memory. The
+    // printed text parses to the same document.
     let text = doc.map(|d| print_document(&d).into());
     (revision > Revision::default()).then(|| DocumentBody {
         service: service.clone(),
--- a/src/app/entry/control/measures.rs
+++ b/src/app/entry/control/gauges.rs
@@ -1,8 +1,9 @@
-//! What an entry measures of itself: gauges, and the load that peers see.
+//! Gauges of the metrics, and the load level that this entry reports to its
+//! peers.
 
 use std::sync::Arc;
 
-use super::every;
+use super::run_every;
 use crate::{
     adapters::metrics::{ServiceLabel, StateLabel, UnitLabels},
     app::entry::State,
@@ -13,22 +14,22 @@
     },
 };
 
-/// How often gauges are set. Scrapes are rarer.
-const PERIOD: Millis = Millis(1_000);
+/// How often the gauges are set. Metrics are scraped less often.
+const UPDATE_PERIOD: Millis = Millis(1_000);
 
-/// Measures.
+/// Updates the gauges and the load level periodically.
 pub(super) async fn run(state: Arc<State>) {
     let mut gauge = LoadGauge::default();
-    every(PERIOD, move || {
-        services(&state);
-        members(&state);
-        limits(&state);
-        load(&state, &mut gauge);
+    run_every(UPDATE_PERIOD, move || {
+        set_revisions(&state);
+        count_members(&state);
+        set_units(&state);
+        report_load(&state, &mut gauge);
     })
     .await;
 }
 
-fn services(state: &State) {
+fn set_revisions(state: &State) {
     let revisions = &state.ports.metrics.revision;
     state.services.each(|name, s| {
         let label = ServiceLabel {
@@ -39,7 +40,7 @@
     });
 }
 
-fn members(state: &State) {
+fn count_members(state: &State) {
     let states = [
         (member::State::Alive, "alive"),
         (member::State::Suspect, "suspect"),
@@ -47,15 +48,15 @@
         (member::State::Dead, "dead"),
     ];
     let members = state.fleet.members();
-    for (known, word) in states {
+    for (known, label) in states {
         let count = members.all().filter(|(_, s)| *s == known).count();
         let gauge = &state.ports.metrics.members;
-        let gauge = gauge.get_or_create(&StateLabel { state: word });
+        let gauge = gauge.get_or_create(&StateLabel { state: label });
         gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
     }
 }
 
-fn limits(state: &State) {
+fn set_units(state: &State) {
     let units = &state.ports.metrics.units;
     state.limits.each(|name, ledger| {
         let status = ledger.status();
@@ -74,13 +75,13 @@
     });
 }
 
-/// Tells the peers how loaded this entry is: requests that run or wait, in parts
-/// of the connections that it may have.
-fn load(state: &State, gauge: &mut LoadGauge) {
+/// Reports the load level of this entry to its peers: the ratio of running and
+/// waiting requests to the maximum number of connections.
+fn report_load(state: &State, gauge: &mut LoadGauge) {
     let mut used = u64::from(state.running());
     state.services.each(|_, s| used += s.waiting() as u64);
     let level = gauge.observe(used, state.settings.connections.into());
-    // An entry that is not ready has no slots.
+    // An entry that is not ready has no slots, so it reports the highest load.
     let unready = state.unready().is_some();
     state.fleet.members().set_load(match level {
         _ if unready => Load::Severe,
--- a/src/app/entry/control/gossip.rs
+++ b/src/app/entry/control/gossip.rs
@@ -1,8 +1,9 @@
-//! Membership and dissemination: sends what is due and passes replies back.
+//! Membership and dissemination: performs the actions that the two protocols
+//! request and passes the replies back to them.
 
 use std::sync::{Arc, PoisonError};
 
-use super::{beside, documents, every};
+use super::{documents, run_every, spawn_call};
 use crate::{
     adapters::grpc::{self, Fetch, Probe, Relay, Sync},
     app::entry::{State, fleet},
@@ -15,26 +16,26 @@
     },
 };
 
-/// The period that both protocols expect.
-const PERIOD: Millis = Millis(100);
+/// The interval at which both protocols expect to be ticked.
+const TICK_INTERVAL: Millis = Millis(100);
 
 /// Runs both protocols.
 pub(super) async fn run(state: Arc<State>) {
-    let mut known = Vec::new();
-    every(PERIOD, move || {
+    let mut last_candidates = Vec::new();
+    run_every(TICK_INTERVAL, move || {
         let now = (state.ports.clock.now)();
         if state.fleet.has_strangers() {
             state.fleet.members().request_sync();
         }
         let actions = state.fleet.members().tick(now, &mut rand::rng());
         for action in actions {
-            beside(act(state.clone(), action));
+            spawn_call(run_member_action(state.clone(), action));
         }
-        report(&state);
+        emit_events(&state);
         let candidates = state.fleet.candidates(now);
-        if !fleet::same(&known, &candidates) {
-            show(&state, &candidates);
-            known = candidates;
+        if !fleet::same(&last_candidates, &candidates) {
+            update_view(&state, &candidates);
+            last_candidates = candidates;
         }
         disseminate(&state);
         state.fleet.peers.sweep();
@@ -42,25 +43,25 @@
     .await;
 }
 
-/// Sends the messages of dissemination that are due.
+/// Sends the dissemination messages that are due.
 pub(super) fn disseminate(state: &Arc<State>) {
     let now = (state.ports.clock.now)();
     let others = state.fleet.others();
     let actions = state.fleet.spread().tick(now, &others, &mut rand::rng());
     for action in actions {
-        beside(fetch(state.clone(), action));
+        spawn_call(run_spread_action(state.clone(), action));
     }
 }
 
-/// Puts the events of the membership into the timeline.
-fn report(state: &State) {
+/// Emits the membership events to the timeline.
+fn emit_events(state: &State) {
     let events = state.fleet.members().take_events();
     for Event { member, kind, .. } in events {
-        (state.events.emit)(topic(&kind), format!("{member} {kind}"));
+        (state.events.emit)(event_kind(&kind), format!("{member} {kind}"));
     }
 }
 
-fn topic(kind: &EventKind) -> Kind {
+fn event_kind(kind: &EventKind) -> Kind {
     match kind {
         EventKind::Joined => Kind::MemberJoined,
         EventKind::Suspected => Kind::MemberSuspected,
@@ -74,15 +75,15 @@
     }
 }
 
-/// Shows look-ups the entries as they are now.
-fn show(state: &State, candidates: &[crate::policy::lookup::Candidate]) {
+/// Replaces the view from which look-ups choose entries.
+fn update_view(state: &State, candidates: &[crate::policy::lookup::Candidate]) {
     let links = state.settings.links.iter();
     let delays = Delays::new(links.map(|l| (l.from.clone(), l.to.clone(), l.delay)));
     let view = Arc::new(View::new(candidates, &delays));
     *state.view.write().unwrap_or_else(PoisonError::into_inner) = view;
 }
 
-async fn act(state: Arc<State>, action: Action) {
+async fn run_member_action(state: Arc<State>, action: Action) {
     let fleet = &state.fleet;
     let sender = fleet.sender();
     let root = fleet.spread().root();
@@ -96,7 +97,7 @@
                 root,
             };
             match grpc::probe(&fleet.peers, to, &probe).await {
-                Ok(ack) => acknowledged(&state, &ack.sender.entry.clone(), ack),
+                Ok(ack) => handle_ack(&state, &ack.sender.entry.clone(), ack),
                 Err(_) => fleet.members().on_error(nonce),
             }
         }
@@ -119,7 +120,7 @@
                 to,
             };
             if let Ok(ack) = grpc::relay(&fleet.peers, via, &relay).await {
-                acknowledged(&state, &target, ack);
+                handle_ack(&state, &target, ack);
             }
         }
         Action::Sync { to, digest } => {
@@ -134,7 +135,7 @@
     }
 }
 
-fn acknowledged(state: &State, from: &EntryId, ack: Probe) {
+fn handle_ack(state: &State, from: &EntryId, ack: Probe) {
     let now = (state.ports.clock.now)();
     state
         .fleet
@@ -150,7 +151,7 @@
     }
 }
 
-async fn fetch(state: Arc<State>, action: spread::Action) {
+async fn run_spread_action(state: Arc<State>, action: spread::Action) {
     let request = Fetch::new(state.fleet.sender());
     match action {
         spread::Action::Announce { to, announcements } => {
@@ -201,7 +202,7 @@
         documents::receive(state, body);
     }
     state.fleet.spread().on_pulled(from, &services, received);
-    // Passing a revision on at once, and not at the next period, is what keeps
-    // the way through the fleet short.
+    // Announces the new revisions at once instead of at the next tick, since the
+    // delay would add up over the hops through the fleet.
     disseminate(state);
 }
--- a/src/app/entry/control/limits.rs
+++ b/src/app/entry/control/limits.rs
@@ -1,10 +1,11 @@
-//! Limits: sends what ledgers ask for and wakes requests that wait for units.
+//! Limits: sends the messages of the ledgers and wakes requests that wait for
+//! units.
 
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
 
-use super::{beside, every};
+use super::{run_every, spawn_call};
 use crate::{
     adapters::grpc::{
         self,
@@ -14,13 +15,13 @@
     policy::limit::{Outgoing, TICK_INTERVAL},
 };
 
-/// The most messages that are taken together. What goes to one peer is packed
-/// into calls of at most 256 KB.
-const BATCH: usize = 512;
+/// The largest number of messages that are taken from the outbox at once. Those
+/// for the same peer are packed into calls of at most 256 KB.
+const RECEIVE_MAX: usize = 512;
 
-/// Does what is due for every ledger.
+/// Passes a new roster to run_every ledger and ticks it.
 pub(super) async fn run(state: Arc<State>) {
-    every(TICK_INTERVAL, move || {
+    run_every(TICK_INTERVAL, move || {
         let now = (state.ports.clock.now)();
         let roster = state.roster();
         let mut out = Vec::new();
@@ -36,12 +37,12 @@
     .await;
 }
 
-/// Sends messages about limits, all that wait for one peer in one call.
+/// Sends the messages in the outbox. Messages for the same peer share a call.
 pub(super) async fn dispatch(state: Arc<State>, mut outbox: mpsc::UnboundedReceiver<Outgoing>) {
     let mut waiting = Vec::new();
-    while outbox.recv_many(&mut waiting, BATCH).await > 0 {
+    while outbox.recv_many(&mut waiting, RECEIVE_MAX).await > 0 {
         for batch in pack(&state.me, &waiting) {
-            beside(send(state.clone(), batch));
+            spawn_call(send(state.clone(), batch));
         }
         waiting.clear();
     }
@@ -55,18 +56,18 @@
         return;
     };
     if let Err(e) = grpc::send_limit(&state.fleet.peers, address, batch).await {
-        tracing::debug!("limit: {e}.");
+        tracing::debug!("limit: a batch could not be sent: {e}.");
     }
 }
 
-/// Takes messages of another entry.
+/// Passes messages of another entry to the ledgers that they concern.
 pub(super) fn receive(state: &Arc<State>, batch: Unpacked) {
     let now = (state.ports.clock.now)();
     let Unpacked { from, to, items } = batch;
     for item in items {
         let name = item.limit.clone();
-        // Surveys wait for the answer of every member, so a ledger is needed
-        // even before a document names the limit.
+        // A survey waits for the reply of run_every member, so the ledger is created
+        // even if no document known here names the limit yet.
         state.ensure_limit(&name);
         let out = state
             .limits
--- a/src/app/entry/control/mod.rs
+++ b/src/app/entry/control/mod.rs
@@ -1,15 +1,16 @@
-//! The control work of an entry: membership, dissemination, limits, claims and
-//! the store.
+//! The control tasks of an entry: membership, dissemination, limits, claims,
+//! traffic shifts and the store.
 //!
-//! Each topic has a task of its own that wakes at a fixed period and does what
-//! the decisions ask for. Calls to other entries run beside it, so that a silent
-//! peer delays nobody. Nothing here decides; see [`policy`](crate::policy).
+//! Each topic has its own task, which wakes periodically and performs the actions
+//! that [`policy`](crate::policy) returns. Calls to other entries run in tasks of
+//! their own, so that an unresponsive peer delays no other work. All decisions
+//! are made in `policy`.
 
 mod claims;
 mod documents;
+mod gauges;
 mod gossip;
 mod limits;
-mod measures;
 mod reports;
 mod roster;
 mod routes;
@@ -37,20 +38,20 @@
 pub(super) use self::{
     reports::{gather_events, gather_reports},
     roster::leave_roster,
-    strikes::notify,
+    strikes::announce_strike,
 };
 
-/// How long running calls of other entries may take at a stop.
-const STOP: Millis = Millis(1_000);
+/// How long calls of other entries that are in progress may take during a stop.
+const STOP_TIMEOUT: Millis = Millis(1_000);
 
-/// The running control work.
+/// The running control tasks and the server for peers.
 #[derive(Debug)]
 pub struct Control {
     server: Server,
     tasks: JoinSet<()>,
 }
 
-/// Starts the control work.
+/// Starts the control tasks and the server for peers.
 ///
 /// # Errors
 ///
@@ -66,7 +67,7 @@
     tasks.spawn(claims::run(state.clone()));
     tasks.spawn(gossip::run(state.clone()));
     tasks.spawn(limits::run(state.clone()));
-    tasks.spawn(measures::run(state.clone()));
+    tasks.spawn(gauges::run(state.clone()));
     tasks.spawn(limits::dispatch(state.clone(), outbox));
     tasks.spawn(shifts::run(state.clone()));
     tasks.spawn(store::run(state.clone()));
@@ -77,16 +78,16 @@
 }
 
 impl Control {
-    /// Stops the control work. Nothing of it needs to be finished, since every
-    /// message may be lost.
+    /// Stops the control tasks and the server. Work in progress can be aborted,
+    /// because the protocols tolerate the loss of run_every message.
     pub async fn stop(mut self) {
         self.tasks.shutdown().await;
-        self.server.stop(STOP).await;
+        self.server.stop(STOP_TIMEOUT).await;
     }
 }
 
 /// Calls a closure at a fixed period until the task is stopped.
-async fn every(period: Millis, mut f: impl FnMut()) {
+async fn run_every(period: Millis, mut f: impl FnMut()) {
     let mut timer = tokio::time::interval(period.duration());
     timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -95,14 +96,14 @@
     }
 }
 
-/// Runs a call beside the task that asks for it.
-fn beside(call: impl Future<Output = ()> + Send + 'static) -> JoinHandle<()> {
+/// Runs a call in a task of its own, so that the caller need not wait for it.
+fn spawn_call(call: impl Future<Output = ()> + Send + 'static) -> JoinHandle<()> {
     tokio::spawn(call)
 }
 
-/// Waits for a part of a second, so that entries that fail together do not come
-/// back together.
-async fn jitter(most: Millis) {
-    let wait = rand::Rng::random_range(&mut rand::rng(), 0..=most.0);
+/// Sleeps for a random time of at longest `longest`, so that entries that failed at
+/// the same time do not retry at the same time.
+async fn jitter(longest: Millis) {
+    let wait = rand::Rng::random_range(&mut rand::rng(), 0..=longest.0);
     tokio::time::sleep(Duration::from_millis(wait)).await;
 }
--- a/src/app/entry/control/reports.rs
+++ b/src/app/entry/control/reports.rs
@@ -1,4 +1,4 @@
-//! Operators' questions to all entries.
+//! Operators' queries that are answered by all entries.
 
 use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
@@ -12,12 +12,12 @@
     ports::{EventQuery, admin::Gathered},
 };
 
-/// How many entries are asked at the same time. An operator's question reaches
-/// every entry, and this keeps it from being a burst.
-const PARALLEL: usize = 32;
+/// How many entries are queried at the same time. A query goes to every entry of
+/// the fleet, and this bound prevents a burst of calls.
+const CONCURRENT_CALLS: usize = 32;
 
-/// Returns what this entry says of a service.
-pub(super) fn own(state: &State, service: &str) -> Report {
+/// Returns this entry's report about a service.
+pub(super) fn local_report(state: &State, service: &str) -> Report {
     let Ok(name) = service.parse::<ServiceName>() else {
         return Report::default();
     };
@@ -37,7 +37,7 @@
 }
 
 /// Returns the events of this entry.
-pub(super) fn own_events(state: &State, asked: &EventsAsked) -> Result<Vec<Event>, ParseError> {
+pub(super) fn local_events(state: &State, asked: &EventsAsked) -> Result<Vec<Event>, ParseError> {
     let part = |text: &str| (!text.is_empty()).then(|| text.parse()).transpose();
     let after = (!asked.after.is_empty())
         .then(|| asked.after.parse())
@@ -53,8 +53,8 @@
 /// Returns the other entries that may have requests running, with their
 /// addresses as far as they are known.
 ///
-/// An entry that only membership holds for dead may be frozen or cut off and
-/// still have requests running, so it counts as long as the roster lists it.
+/// An entry that membership considers dead may only be frozen or partitioned and
+/// still have requests running, so it is included as long as the roster lists it.
 fn others(state: &State) -> Vec<(EntryId, Option<SocketAddr>)> {
     let rosters = state.fleet.rosters();
     let members = state.fleet.members();
@@ -72,13 +72,16 @@
         .collect()
 }
 
-/// Asks every entry about a service, this one included. An entry that does not
-/// answer is listed without a report.
+/// Collects the reports of all entries about a service, including this one. An
+/// entry that does not reply is listed without a report.
 pub(in crate::app::entry) async fn gather_reports(
     state: &Arc<State>,
     service: &ServiceName,
 ) -> Vec<(EntryId, Option<Report>)> {
-    let own = (state.me.entry.clone(), Some(own(state, service.as_str())));
+    let own = (
+        state.me.entry.clone(),
+        Some(local_report(state, service.as_str())),
+    );
     let calls = others(state)
         .into_iter()
         .map(|(entry, address)| async move {
@@ -90,7 +93,7 @@
         });
     let calls: Vec<_> = calls.collect();
     let mut reports: Vec<_> = futures::stream::iter(calls)
-        .buffer_unordered(PARALLEL)
+        .buffer_unordered(CONCURRENT_CALLS)
         .collect()
         .await;
     reports.push(own);
@@ -98,7 +101,8 @@
     reports
 }
 
-/// Collects the events of every entry in the order of their stamps.
+/// Collects the events of all entries, ordered by stamp, and lists the entries
+/// that did not reply.
 pub(in crate::app::entry) async fn gather_events(
     state: &Arc<State>,
     query: EventQuery,
@@ -127,7 +131,7 @@
             (entry, events.ok())
         });
     let calls: Vec<_> = calls.collect();
-    let mut answers = futures::stream::iter(calls).buffer_unordered(PARALLEL);
+    let mut answers = futures::stream::iter(calls).buffer_unordered(CONCURRENT_CALLS);
     while let Some((entry, events)) = answers.next().await {
         match events {
             Some(events) => gathered.events.extend(events),
--- a/src/app/entry/control/roster.rs
+++ b/src/app/entry/control/roster.rs
@@ -1,5 +1,5 @@
-//! The roster: proposes the next one when entries come or the platform says that
-//! they are gone.
+//! The roster: proposes the next one when entries join or when the platform
+//! reports that their VMs are gone.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
@@ -14,40 +14,44 @@
     ports::{StoreError, Write},
 };
 
-/// How often an entry looks whether the roster has to change.
-const PERIOD: Millis = Millis(250);
+/// How often an entry checks whether the roster has to change.
+const CHECK_PERIOD: Millis = Millis(250);
 
-/// How often the first proposer reads the platform's list. The list lags by more
-/// than this.
-const LIST: Millis = Millis(5_000);
+/// How often a proposer reads the platform's list of VMs if no entry is joining.
+/// Reading it more often gains nothing, since the list lags by more than this.
+const LIST_INTERVAL: Millis = Millis(5_000);
 
-/// How long an entry that stops waits for the store to take it off the roster.
-const LEAVE: Millis = Millis(2_000);
+/// How long a stopping entry waits for its removal from the roster in the store.
+const LEAVE_TIMEOUT: Millis = Millis(2_000);
 
-/// How many entries may have to propose, so that the others read no list.
-const RANKS: usize = 3;
+/// How many entries act as proposers. The others do not read the list of VMs.
+const PROPOSERS_MAX: usize = 3;
 
-/// Proposes rosters.
+/// Proposes a roster when one is due.
 pub(super) async fn run(state: Arc<State>) {
     let mut proposer = Proposer::default();
     let mut vms = BTreeMap::new();
     let mut listed: Option<Millis> = None;
-    super::store::meet(&state).await;
+    super::store::wait_for_peers(&state).await;
     loop {
-        tokio::time::sleep(PERIOD.duration()).await;
+        tokio::time::sleep(CHECK_PERIOD.duration()).await;
         let now = (state.ports.clock.now)();
-        let Some(rank) = rank(&state).filter(|r| *r < RANKS) else {
+        let Some(rank) = rank(&state).filter(|r| *r < PROPOSERS_MAX) else {
             continue;
         };
-        let joining = next(&state, &vms).is_some() || is_missing(&state, &vms);
-        let rest = if joining { Millis(PERIOD.0 * 2) } else { LIST };
-        if listed.is_none_or(|at| now - at >= rest) {
+        let joining = pending_roster(&state, &vms).is_some() || awaits_vm(&state, &vms);
+        let interval = if joining {
+            Millis(CHECK_PERIOD.0 * 2)
+        } else {
+            LIST_INTERVAL
+        };
+        if listed.is_none_or(|at| now - at >= interval) {
             listed = Some(now);
             if let Ok(snapshot) = (state.ports.store.list)(vms::PREFIX).await {
                 vms = vms::read(&snapshot.records);
             }
         }
-        let pending = next(&state, &vms).is_some();
+        let pending = pending_roster(&state, &vms).is_some();
         if proposer.due(now, rank, pending)
             && let Err(e) = propose(&state, &vms).await
         {
@@ -63,42 +67,42 @@
     order.iter().position(|id| **id == members.local().id)
 }
 
-/// Tells whether a live entry waits for the platform to list its VM.
-fn is_missing(state: &State, vms: &BTreeMap<EntryId, Vm>) -> bool {
+/// Returns whether the platform does not list the VM of a live entry yet.
+fn awaits_vm(state: &State, vms: &BTreeMap<EntryId, Vm>) -> bool {
     let members = state.fleet.members();
     members.alive().any(|m| !vms.contains_key(&m.id))
 }
 
-/// Returns the roster that should follow the one in force.
-fn next(state: &State, vms: &BTreeMap<EntryId, Vm>) -> Option<Roster> {
+/// Returns the roster that should replace the current one, if it has to change.
+fn pending_roster(state: &State, vms: &BTreeMap<EntryId, Vm>) -> Option<Roster> {
     let rosters = state.fleet.rosters();
-    follow(state, &rosters.record.current, vms)
+    successor(state, &rosters.record.current, vms)
 }
 
-fn follow(state: &State, present: &Roster, vms: &BTreeMap<EntryId, Vm>) -> Option<Roster> {
+fn successor(state: &State, current: &Roster, vms: &BTreeMap<EntryId, Vm>) -> Option<Roster> {
     let members = state.fleet.members();
     let mut vms = vms.clone();
     for (name, vm) in &mut vms {
-        // An entry that leaves still finishes requests. Its units stay reserved
-        // until it takes itself off the roster or its VM is gone.
+        // A leaving entry still finishes requests. Its units stay reserved until
+        // it removes itself from the roster or its VM is gone.
         vm.leaving = false;
-        // A later life at the same address has bound it, so the former process
+        // A later incarnation has bound the same address, so the former process
         // on that VM has ended.
         if let Some((member, _)) = members.get(name) {
             vm.incarnation = vm.incarnation.max(member.incarnation);
         }
     }
-    next_roster(present, members.alive(), &vms)
+    next_roster(current, members.alive(), &vms)
 }
 
-/// Writes the next roster if nobody else wrote first.
+/// Writes the next roster, unless another entry has written one in the meantime.
 async fn propose(state: &Arc<State>, vms: &BTreeMap<EntryId, Vm>) -> Result<(), StoreError> {
-    let (present, revision) = read(state).await?;
-    state.adopt_roster(present.clone());
-    let Some(current) = follow(state, &present.current, vms) else {
+    let (stored, revision) = read(state).await?;
+    state.adopt_roster(stored.clone());
+    let Some(current) = successor(state, &stored.current, vms) else {
         return Ok(());
     };
-    write(state, present.current, current, revision).await
+    write(state, stored.current, current, revision).await
 }
 
 async fn read(state: &State) -> Result<(RosterRecord, Revision), StoreError> {
@@ -135,7 +139,7 @@
         value: Some(value),
         expected,
     };
-    // If the answer is lost, the watch tells whether the write took effect.
+    // If the reply is lost, the watch shows whether the write took effect.
     (state.ports.store.write)(write).await?;
     tracing::info!(
         "roster: epoch {} has {} entries.",
@@ -146,33 +150,33 @@
     Ok(())
 }
 
-/// Returns the addresses of the entries of a roster, as far as they are known.
+/// Returns the known addresses of the entries of a roster.
 fn addresses(state: &State, roster: &Roster) -> BTreeMap<EntryId, SocketAddr> {
     let seats = roster.seats.iter();
     let named = seats.map(|s| Some((s.entry.clone(), state.fleet.address(&s.entry)?)));
     named.flatten().collect()
 }
 
-/// Takes this entry off the roster at the end of a planned stop, when none of
-/// its requests runs any more. Without the store its seat stays until the
-/// platform reports the VM gone.
+/// Removes this entry from the roster at the end of a planned stop, after all of
+/// its requests have ended. If the store is unavailable, the seat stays until the
+/// platform reports that the VM is gone.
 pub(in crate::app::entry) async fn leave_roster(state: &Arc<State>) {
     let leave = async {
-        let (present, revision) = read(state).await?;
+        let (stored, revision) = read(state).await?;
         let me = &state.me;
-        let mut current = present.current.clone();
+        let mut current = stored.current.clone();
         current
             .seats
             .retain(|s| s.entry != me.entry || s.incarnation != me.incarnation);
-        if current.seats.len() == present.current.seats.len() {
+        if current.seats.len() == stored.current.seats.len() {
             return Ok(());
         }
         current.epoch = current.epoch.next();
-        write(state, present.current, current, revision).await
+        write(state, stored.current, current, revision).await
     };
-    match tokio::time::timeout(LEAVE.duration(), leave).await {
+    match tokio::time::timeout(LEAVE_TIMEOUT.duration(), leave).await {
         Ok(Ok(())) => {}
-        Ok(Err(e)) => tracing::info!("roster: the seat stays: {e}."),
-        Err(_) => tracing::info!("roster: the seat stays, the store does not answer."),
+        Ok(Err(e)) => tracing::info!("roster: this entry keeps its seat: {e}."),
+        Err(_) => tracing::info!("roster: this entry keeps its seat: the store does not reply."),
     }
 }
--- a/src/app/entry/control/routes.rs
+++ b/src/app/entry/control/routes.rs
@@ -1,4 +1,4 @@
-//! What other entries may ask of this one.
+//! The RPC methods that this entry serves to its peers.
 
 use std::sync::Arc;
 
@@ -9,27 +9,27 @@
     policy::member::Nonce,
 };
 
-/// Returns the methods of this entry.
+/// Returns the handlers of all methods.
 pub(super) fn routes(state: &Arc<State>) -> Routes {
     let routes = Routes::new(state.fleet.traffic.clone()).with_events(state.events.clone());
     let s = state.clone();
     let routes = grpc::serve_probe(routes, move |probe| {
-        let reply = probed(&s, probe);
+        let reply = handle_probe(&s, probe);
         async move { Ok(reply) }
     });
     let s = state.clone();
     let routes = grpc::serve_relay(routes, move |relay| {
         let s = s.clone();
-        async move { relayed(&s, relay).await }
+        async move { handle_relay(&s, relay).await }
     });
     let s = state.clone();
     let routes = grpc::serve_sync(routes, move |sync| {
-        let reply = compared(&s, &sync);
+        let reply = handle_sync(&s, &sync);
         async move { Ok(reply) }
     });
     let s = state.clone();
     let routes = grpc::serve_fetch(routes, move |fetch| {
-        let reply = fetched(&s, &fetch);
+        let reply = handle_fetch(&s, &fetch);
         async move { Ok(reply) }
     });
     let s = state.clone();
@@ -40,15 +40,15 @@
     let routes = grpc::serve_strike(routes, move |strikes| strikes::receive(&s, &strikes));
     let s = state.clone();
     let routes = grpc::serve_report(routes, move |service| {
-        (s.fleet.sender(), reports::own(&s, service))
+        (s.fleet.sender(), reports::local_report(&s, service))
     });
     let s = state.clone();
-    let routes = grpc::serve_moves(routes, move || shifts::moves(&s));
+    let routes = grpc::serve_moves(routes, move || shifts::in_progress(&s));
     let s = state.clone();
-    grpc::serve_events(routes, move |asked| reports::own_events(&s, asked))
+    grpc::serve_events(routes, move |asked| reports::local_events(&s, asked))
 }
 
-fn probed(state: &Arc<State>, probe: Probe) -> Ack {
+fn handle_probe(state: &Arc<State>, probe: Probe) -> Ack {
     let now = (state.ports.clock.now)();
     let from = &probe.sender.entry;
     let updates = state.fleet.members().on_probe(now, from, probe.updates);
@@ -65,7 +65,7 @@
     }
 }
 
-async fn relayed(state: &Arc<State>, relay: Relay) -> Result<Ack, Status> {
+async fn handle_relay(state: &Arc<State>, relay: Relay) -> Result<Ack, Status> {
     let now = (state.ports.clock.now)();
     let Relay { probe, target, to } = relay;
     let updates = state.fleet.members().on_relay(now, &target, probe.updates);
@@ -78,7 +78,8 @@
     };
     let ack = grpc::probe(&state.fleet.peers, to, &probe).await;
     let ack = ack.map_err(|e| Status::unavailable(e.to_string()))?;
-    // The answer is news for this entry as well. It has no round of its own.
+    // The reply carries updates for this entry as well. Nonce 0 matches no probe
+    // round, since the round belongs to the entry that requested the relay.
     let updates = ack.updates.clone();
     let mut members = state.fleet.members();
     members.on_ack(now, &ack.sender.entry, Nonce(0), updates);
@@ -86,7 +87,7 @@
     Ok(ack)
 }
 
-fn compared(state: &Arc<State>, sync: &Sync) -> SyncReply {
+fn handle_sync(state: &Arc<State>, sync: &Sync) -> SyncReply {
     let (records, more) = state.fleet.members().on_digest(&sync.digest);
     SyncReply {
         sender: state.fleet.sender(),
@@ -95,7 +96,7 @@
     }
 }
 
-fn fetched(state: &Arc<State>, fetch: &Fetch) -> FetchReply {
+fn handle_fetch(state: &Arc<State>, fetch: &Fetch) -> FetchReply {
     let (revisions, root) = {
         let mut spread = state.fleet.spread();
         spread.on_announce(&fetch.sender.entry, &fetch.announced);
--- a/src/app/entry/control/shifts.rs
+++ b/src/app/entry/control/shifts.rs
@@ -1,5 +1,5 @@
-//! Moves of traffic: takes the next step when it is time, and follows the other
-//! entries where this one has no traffic to judge by.
+//! Traffic shifts: takes the next step when it is due, and follows the progress
+//! of the other entries for services whose traffic does not reach this one.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -20,35 +20,35 @@
     },
 };
 
-/// How often moves are looked at. It is the shortest time of a step.
-const PERIOD: Millis = Millis(1_000);
+/// How often shifts are evaluated, which is also the shortest duration of a step.
+const STEP_PERIOD: Millis = Millis(1_000);
 
-/// How long after its start an entry asks its peers for moves. Within this time
-/// it has heard of every move that was under way.
-const EARLY: Millis = Millis(10_000);
+/// How long after its start an entry asks its peers for shifts although it knows
+/// of none. Within this time it learns of every shift that was in progress.
+const STARTUP_PERIOD: Millis = Millis(10_000);
 
-/// How many peers are asked.
-const ASKED: usize = 3;
+/// How many peers are asked for the progress of their shifts.
+const PEERS_ASKED: usize = 3;
 
-/// Runs the moves of all services.
+/// Runs the shifts of all services.
 pub(super) async fn run(state: Arc<State>) {
     let mut lost = BTreeSet::new();
     let started = (state.ports.clock.now)();
     loop {
-        tokio::time::sleep(PERIOD.duration()).await;
-        regions(&state, &mut lost);
-        let early = (state.ports.clock.now)() - started < EARLY;
-        let peers = if early || !moves(&state).is_empty() {
-            ask(&state).await
+        tokio::time::sleep(STEP_PERIOD.duration()).await;
+        update_lost_regions(&state, &mut lost);
+        let is_starting = (state.ports.clock.now)() - started < STARTUP_PERIOD;
+        let reported = if is_starting || !in_progress(&state).is_empty() {
+            ask_peers(&state).await
         } else {
             BTreeMap::new()
         };
-        step(&state, &peers);
+        advance_shifts(&state, &reported);
     }
 }
 
-/// Takes the next step of every service's move, with what peers report.
-fn step(state: &State, peers: &BTreeMap<ServiceName, Progress>) {
+/// Advances the shift of every service, given the progress that peers report.
+fn advance_shifts(state: &State, reported: &BTreeMap<ServiceName, Progress>) {
     let now = (state.ports.clock.now)();
     let demand = demand(state);
     let mut events = Vec::new();
@@ -57,7 +57,7 @@
         let Some(shift) = &mut s.shift else {
             return;
         };
-        let kind = match shift.tick(peers.get(name), now) {
+        let kind = match shift.tick(reported.get(name), now) {
             Pace::Stepped => Kind::ShiftStepped,
             Pace::Finished => Kind::ShiftCompleted,
             Pace::Settled | Pace::Waiting | Pace::Held(_) | Pace::Capped | Pace::Followed => return,
@@ -69,8 +69,9 @@
     }
 }
 
-/// Returns the traffic of each region, in entries. Look-ups spread the callers of
-/// a region over its entries, so their number stands for its traffic.
+/// Returns the demand of each region, measured in live entries. Look-ups spread
+/// the callers of a region over its entries, so their number represents its
+/// traffic.
 fn demand(state: &State) -> Vec<(RegionName, u32)> {
     let members = state.fleet.members();
     let mut demand: BTreeMap<RegionName, u32> = BTreeMap::new();
@@ -80,21 +81,22 @@
     demand.into_iter().collect()
 }
 
-/// Returns the moves that are under way here.
-pub(super) fn moves(state: &State) -> Vec<(ServiceName, Progress)> {
-    let mut moves = Vec::new();
+/// Returns the progress of the shifts that are in progress at this entry.
+pub(super) fn in_progress(state: &State) -> Vec<(ServiceName, Progress)> {
+    let mut shifts = Vec::new();
     state.services.each(|name, s| {
         if let Some(shift) = s.shift.as_ref().filter(|s| s.is_moving()) {
-            moves.push((name.clone(), shift.progress()));
+            shifts.push((name.clone(), shift.progress()));
         }
     });
-    moves
+    shifts
 }
 
-/// Returns the least advanced shares that a few peers report.
-async fn ask(state: &Arc<State>) -> BTreeMap<ServiceName, Progress> {
+/// Asks a few peers for their progress, and returns the least advanced shares of
+/// each service.
+async fn ask_peers(state: &Arc<State>) -> BTreeMap<ServiceName, Progress> {
     let others = state.fleet.others();
-    let asked = others.choose_multiple(&mut rand::rng(), ASKED);
+    let asked = others.choose_multiple(&mut rand::rng(), PEERS_ASKED);
     let calls = asked.map(|to| async move {
         let address = state.fleet.address(to)?;
         grpc::moves(&state.fleet.peers, address).await.ok()
@@ -108,13 +110,13 @@
     merged
 }
 
-/// Notes regions whose entries are all gone as far as steering is concerned, and
-/// those that are back.
-fn regions(state: &State, lost: &mut BTreeSet<RegionName>) {
+/// Updates the set of lost regions, passes each change to all shifts and emits an
+/// event for it.
+fn update_lost_regions(state: &State, lost: &mut BTreeSet<RegionName>) {
     let now = (state.ports.clock.now)();
-    let gone = gone(state);
-    for region in gone.symmetric_difference(lost) {
-        let is_lost = gone.contains(region);
+    let now_lost = lost_regions(state);
+    for region in now_lost.symmetric_difference(lost) {
+        let is_lost = now_lost.contains(region);
         state.services.each(|_, s| {
             if let Some(shift) = &mut s.shift {
                 shift.set_region(region, is_lost, now);
@@ -123,14 +125,14 @@
         let text = if is_lost { "lost" } else { "back" };
         (state.events.emit)(Kind::RegionLost, format!("{region} is {text}"));
     }
-    *lost = gone;
+    *lost = now_lost;
 }
 
-/// Returns the regions without an entry in use.
+/// Returns the regions in which all known entries are dead.
 ///
-/// A region with a single known entry never counts: that entry may have failed
-/// alone, and the targets' own failures then say what can be reached.
-fn gone(state: &State) -> BTreeSet<RegionName> {
+/// A region with a single known entry is never lost: that entry may have failed
+/// alone, and the failures of the targets then show what can be reached.
+fn lost_regions(state: &State) -> BTreeSet<RegionName> {
     let members = state.fleet.members();
     let mut dead: BTreeMap<RegionName, usize> = BTreeMap::new();
     let mut live = BTreeSet::new();
@@ -141,8 +143,8 @@
             live.insert(member.region.clone());
         }
     }
-    let gone = dead
+    let lost = dead
         .into_iter()
         .filter(|(r, n)| *n > 1 && !live.contains(r));
-    gone.map(|(region, _)| region).collect()
+    lost.map(|(region, _)| region).collect()
 }
--- a/src/app/entry/control/store.rs
+++ b/src/app/entry/control/store.rs
@@ -1,4 +1,5 @@
-//! The store: few entries watch it, and all others learn from them.
+//! The store: a few entries watch it, and the others receive its changes from
+//! them.
 
 use std::sync::Arc;
 
@@ -14,42 +15,43 @@
     ports::{Snapshot, StoreError, Update},
 };
 
-/// How often an entry looks whether it is to watch.
-const PERIOD: Millis = Millis(500);
+/// How often an entry checks whether it should watch the store.
+const CHECK_PERIOD: Millis = Millis(500);
 
-/// The longest wait before a broken watch is opened again. Six holders then
-/// make a handful of calls a second to a store that has just come back.
-const BACK_OFF: Millis = Millis(2_000);
+/// The longest delay before a broken watch is opened again. With six holders, a
+/// store that has just recovered then receives only a few calls per second.
+const REOPEN_DELAY_MAX: Millis = Millis(2_000);
 
-/// How long a started entry looks for others before it takes itself to be the
-/// first. Without this, entries that all start at once would each take
-/// themselves for the only holder and the only proposer.
-const ALONE: Millis = Millis(3_000);
+/// How long an entry that has started waits to discover others before it assumes
+/// that it is the first. Without this delay, entries that start at the same time
+/// would each act as the only watch holder and the only proposer.
+const DISCOVERY_TIMEOUT: Millis = Millis(3_000);
 
-/// Waits until another entry is known, or until it is likely that there is none.
-pub(super) async fn meet(state: &State) {
+/// Waits until another entry is known or [`DISCOVERY_TIMEOUT`] has passed. Returns
+/// at once if the entry has no seeds but itself.
+pub(super) async fn wait_for_peers(state: &State) {
     let own = state.settings.peers;
     if state.settings.seeds.iter().all(|s| *s == own) {
         return;
     }
     let start = (state.ports.clock.now)();
-    while state.fleet.others().is_empty() && (state.ports.clock.now)() - start < ALONE {
+    while state.fleet.others().is_empty() && (state.ports.clock.now)() - start < DISCOVERY_TIMEOUT {
         jitter(Millis(100)).await;
     }
 }
 
-/// Watches the store whenever this entry is one of the holders.
+/// Watches the store whenever this entry is one of the watch holders.
 pub(super) async fn run(state: Arc<State>) {
-    meet(&state).await;
+    wait_for_peers(&state).await;
     loop {
         if !is_holder(&state) {
-            tokio::time::sleep(PERIOD.duration()).await;
+            tokio::time::sleep(CHECK_PERIOD.duration()).await;
             continue;
         }
         if let Err(e) = watch(&state).await {
-            tracing::debug!("store: {e}.");
+            tracing::debug!("store: the watch failed: {e}.");
         }
-        jitter(BACK_OFF).await;
+        jitter(REOPEN_DELAY_MAX).await;
     }
 }
 
@@ -59,18 +61,18 @@
     holders.contains(&&members.local().id)
 }
 
-/// Reads everything once and then follows the changes, until the watch breaks or
-/// another entry takes over.
+/// Reads all records once and then follows the changes, until a watch breaks or
+/// this entry is no longer a watch holder.
 async fn watch(state: &Arc<State>) -> Result<(), StoreError> {
     let store = &state.ports.store;
     let documents = (store.list)(records::PREFIX).await?;
     let roster = (store.list)(encoding::KEY).await?;
-    take_all(state, &documents);
-    take_all(state, &roster);
+    apply_snapshot(state, &documents);
+    apply_snapshot(state, &roster);
     state.set_informed();
     gossip::disseminate(state);
-    let mut documents = open(state, records::PREFIX, documents.revision).await?;
-    let mut roster = open(state, encoding::KEY, roster.revision).await?;
+    let mut documents = open_watch(state, records::PREFIX, documents.revision).await?;
+    let mut roster = open_watch(state, encoding::KEY, roster.revision).await?;
     loop {
         let update = async {
             tokio::select! {
@@ -78,9 +80,9 @@
                 update = roster.recv() => update,
             }
         };
-        match timeout(PERIOD.duration(), update).await {
+        match timeout(CHECK_PERIOD.duration(), update).await {
             Ok(Some(update)) => {
-                take(state, &update);
+                apply_update(state, &update);
                 gossip::disseminate(state);
             }
             Err(_) if is_holder(state) => {}
@@ -89,7 +91,7 @@
     }
 }
 
-async fn open(
+async fn open_watch(
     state: &State,
     prefix: Bytes,
     from: Revision,
@@ -97,23 +99,23 @@
     (state.ports.store.watch)((prefix, from)).await
 }
 
-fn take_all(state: &Arc<State>, snapshot: &Snapshot) {
+fn apply_snapshot(state: &Arc<State>, snapshot: &Snapshot) {
     for record in &snapshot.records {
-        take(state, &Update::Put(record.clone()));
+        apply_update(state, &Update::Put(record.clone()));
     }
 }
 
-fn take(state: &Arc<State>, update: &Update) {
+fn apply_update(state: &Arc<State>, update: &Update) {
     if let Update::Put(record) = update
         && record.key == encoding::KEY
     {
         match encoding::decode(&record.value) {
             Ok(roster) => state.adopt_roster(roster),
-            Err(e) => tracing::error!("store: the roster cannot be read: {e}."),
+            Err(e) => tracing::error!("store: the roster record is invalid: {e}."),
         }
         return;
     }
     for arrival in records::arrivals(update) {
-        documents::arrive(state, arrival);
+        documents::adopt(state, arrival);
     }
 }
--- a/src/app/entry/control/strikes.rs
+++ b/src/app/entry/control/strikes.rs
@@ -1,4 +1,4 @@
-//! Strikes: tells the other entries of requests that break connections.
+//! Strikes: notifies the other entries of requests that break connections.
 
 use std::sync::{Arc, MutexGuard, PoisonError};
 
@@ -6,7 +6,7 @@
 use rand::seq::IndexedRandom;
 use tokio::time::timeout;
 
-use super::{beside, every};
+use super::{run_every, spawn_call};
 use crate::{
     adapters::grpc::{self, Sender},
     app::entry::State,
@@ -14,55 +14,56 @@
     policy::crash::{StrikeNotice, StrikeTable},
 };
 
-/// How long a caller's answer waits for the peers to know of a strike.
-const WAIT: Millis = Millis(250);
+/// How long the response to a caller is held until the peers know of a strike.
+const NOTICE_TIMEOUT: Millis = Millis(250);
 
-/// How many peers are told directly. Each passes a notice on that is new to it,
-/// so the cost for one entry does not grow with the fleet.
-const FANOUT: usize = 8;
+/// How many peers are notified directly. Each of them forwards a notice that is
+/// new to it, so the cost for one entry does not grow with the fleet.
+const NOTICE_FANOUT: usize = 8;
 
-/// How often an entry compares what it knows with one peer.
-const PERIOD: Millis = Millis(1_000);
+/// How often an entry compares its strikes with those of one peer.
+const COMPARE_PERIOD: Millis = Millis(1_000);
 
-/// How many notices one comparison carries.
-const PAGE: usize = 64;
+/// The largest number of notices in one comparison.
+const PAGE_LEN: usize = 64;
 
-fn strikes(state: &State) -> MutexGuard<'_, StrikeTable> {
+fn lock_strikes(state: &State) -> MutexGuard<'_, StrikeTable> {
     state.strikes.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Removes old strikes, and compares the rest with one peer.
+/// Periodically removes expired strikes and compares a page of the others with a
+/// random peer.
 pub(super) async fn run(state: Arc<State>) {
     let mut after = None;
-    every(PERIOD, move || {
+    run_every(COMPARE_PERIOD, move || {
         let now = (state.ports.clock.now)();
-        strikes(&state).tick(now);
-        let page = strikes(&state).page(after, PAGE, now);
+        lock_strikes(&state).tick(now);
+        let page = lock_strikes(&state).page(after, PAGE_LEN, now);
         after = page.last().map(|s| s.fingerprint);
         let others = state.fleet.others();
         if let (Some(to), false) = (others.choose(&mut rand::rng()), page.is_empty()) {
-            beside(tell(state.clone(), to.clone(), page));
+            spawn_call(send_notices(state.clone(), to.clone(), page));
         }
     })
     .await;
 }
 
-/// Tells the peers of a strike, and returns when they know or when the time that
-/// a caller may wait for it is over.
-pub(in crate::app::entry) async fn notify(state: &Arc<State>, strike: StrikeNotice) {
+/// Notifies random peers of a strike. Returns when all of them have replied or
+/// failed, or after [`NOTICE_TIMEOUT`], since a caller waits for this.
+pub(in crate::app::entry) async fn announce_strike(state: &Arc<State>, strike: StrikeNotice) {
     let others = state.fleet.others();
     let chosen: Vec<EntryId> = others
-        .choose_multiple(&mut rand::rng(), FANOUT)
+        .choose_multiple(&mut rand::rng(), NOTICE_FANOUT)
         .cloned()
         .collect();
     let calls: FuturesUnordered<_> = chosen
         .into_iter()
-        .map(|to| beside(tell(state.clone(), to, vec![strike.clone()])))
+        .map(|to| spawn_call(send_notices(state.clone(), to, vec![strike.clone()])))
         .collect();
-    let _ = timeout(WAIT.duration(), calls.for_each(|_| async {})).await;
+    let _ = timeout(NOTICE_TIMEOUT.duration(), calls.for_each(|_| async {})).await;
 }
 
-async fn tell(state: Arc<State>, to: EntryId, list: Vec<StrikeNotice>) {
+async fn send_notices(state: Arc<State>, to: EntryId, list: Vec<StrikeNotice>) {
     let Some(address) = state.fleet.address(&to) else {
         return;
     };
@@ -72,19 +73,20 @@
     }
 }
 
-/// Takes notices and returns what this entry knows beyond them.
+/// Merges the notices of a peer and returns those that the peer lacks.
 pub(super) fn receive(state: &Arc<State>, list: &[StrikeNotice]) -> (Sender, Vec<StrikeNotice>) {
     let more = merge(state, list);
     (state.fleet.sender(), more)
 }
 
-/// Merges notices, passes on what is new, and returns what is known beyond them.
+/// Merges notices, forwards those that are new, and returns those that the sender
+/// lacks.
 fn merge(state: &Arc<State>, list: &[StrikeNotice]) -> Vec<StrikeNotice> {
     let now = (state.ports.clock.now)();
     let mut fresh = Vec::new();
     let mut more = Vec::new();
     {
-        let mut strikes = strikes(state);
+        let mut strikes = lock_strikes(state);
         for strike in list {
             let before = strikes.count(strike.fingerprint, now);
             more.extend(strikes.merge(strike, now));
@@ -95,7 +97,7 @@
     }
     for strike in fresh {
         let state = state.clone();
-        beside(async move { notify(&state, strike).await });
+        spawn_call(async move { announce_strike(&state, strike).await });
     }
     more
 }
--- a/src/app/entry/control/targets.rs
+++ b/src/app/entry/control/targets.rs
@@ -1,4 +1,4 @@
-//! Probes of targets that this entry has not heard of lately.
+//! Health probes of targets from which this entry has no recent response.
 
 use std::sync::Arc;
 
@@ -6,25 +6,26 @@
 use http_body_util::{BodyExt, Empty};
 use tokio::time::timeout;
 
-use super::{beside, every};
+use super::{run_every, spawn_call};
 use crate::{
     app::entry::State,
     domain::{Millis, ServiceName, TargetId},
     ports::{Body, Outbound},
 };
 
-/// How often an entry looks for targets that are due.
-const PERIOD: Millis = Millis(500);
+/// How often an entry checks which targets are due for a probe.
+const CHECK_PERIOD: Millis = Millis(500);
 
-/// How long a probe may take. A round trip between regions takes 70 ms.
-const TIMEOUT: Millis = Millis(1_000);
+/// The timeout of a probe. A round trip between regions takes 70 ms.
+const PROBE_TIMEOUT: Millis = Millis(1_000);
 
-/// The path that targets answer with success while they take work.
-const PATH: &str = "/health";
+/// The path of the health check. A target answers it with success while it
+/// accepts work.
+const PROBE_PATH: &str = "/health";
 
-/// Probes targets.
+/// Sends the probes that are due.
 pub(super) async fn run(state: Arc<State>) {
-    every(PERIOD, move || {
+    run_every(CHECK_PERIOD, move || {
         let now = (state.ports.clock.now)();
         let mut due: Vec<(ServiceName, TargetId)> = Vec::new();
         state.services.each(|name, s| {
@@ -32,16 +33,16 @@
             due.extend(targets.map(|t| (name.clone(), t)));
         });
         for (service, target) in due {
-            beside(probe(state.clone(), service, target));
+            spawn_call(probe(state.clone(), service, target));
         }
     })
     .await;
 }
 
 async fn probe(state: Arc<State>, service: ServiceName, target: TargetId) {
-    let request = request();
+    let request = probe_request();
     let send = (state.ports.targets.send)(Outbound::new(target, request));
-    let alive = match timeout(TIMEOUT.duration(), send).await {
+    let alive = match timeout(PROBE_TIMEOUT.duration(), send).await {
         Ok(Ok(resp)) => resp.status().is_success(),
         Ok(Err(_)) | Err(_) => false,
     };
@@ -51,11 +52,11 @@
         .get(&service, |s| s.pool.probe_finished(now, target, alive));
 }
 
-/// Returns the request of a probe. It names no service, so it is not counted as
-/// one of a caller.
-fn request() -> Request<Body> {
+/// Returns the request of a probe. It names no service, so it is not counted as a
+/// caller's request.
+fn probe_request() -> Request<Body> {
     let body = Empty::new().map_err(|never| match never {}).boxed();
     let mut request = Request::new(body);
-    *request.uri_mut() = http::Uri::from_static(PATH);
+    *request.uri_mut() = http::Uri::from_static(PROBE_PATH);
     request
 }
--- a/src/app/entry/crashes.rs
+++ b/src/app/entry/crashes.rs
@@ -59,7 +59,7 @@
     };
     if let Some(strike) = cleared {
         let state = state.clone();
-        tokio::spawn(async move { control::notify(&state, strike).await });
+        tokio::spawn(async move { control::announce_strike(&state, strike).await });
     }
 }
 
@@ -97,7 +97,7 @@
     };
     // The caller may repeat the request through another entry as soon as it has
     // its answer, so the others have to know first.
-    control::notify(state, strike).await;
+    control::announce_strike(state, strike).await;
     true
 }
 
