Reword the administration server of the entry

Renamed: auth::team -> authenticate, body::text -> read_text, edit::service, base and edit_id -> parse_service, parse_base and parse_edit_id, edit::make and made -> apply and applied_revision, edit::unavailable -> store_unavailable, reply::bad, tag, typed and render -> bad_request, set_etag, with_type and failure_json, port::Leaving -> DrainSubject, port::leaving_here -> running_by_subject, timeline::json_wanted -> accepts_json.

The details for an unknown token and for a wrong precondition header and the log line of the start are reworded as well. Behaviour is unchanged.

--- a/src/app/entry/admin/auth.rs
+++ b/src/app/entry/admin/auth.rs
@@ -1,4 +1,4 @@
-//! Bearer tokens.
+//! Authentication of teams by bearer tokens.
 
 use std::collections::BTreeMap;
 
@@ -13,9 +13,9 @@
 /// Returns the team whose token the request carries.
 ///
 /// Every token is compared over its whole length and the loop does not stop at a
-/// match, so the time tells neither how much of a token was right nor whose it
-/// is. It does tell the lengths of the tokens, which are no secret.
-pub(super) fn team<B>(
+/// match, so the timing reveals neither how much of a token was right nor whose
+/// it is. It does reveal the lengths of the tokens, which are not secret.
+pub(super) fn authenticate<B>(
     teams: &BTreeMap<TeamName, String>,
     req: &Request<B>,
 ) -> Result<TeamName, Failure> {
@@ -32,5 +32,5 @@
             found = Some(team.clone());
         }
     }
-    found.ok_or_else(|| bad("the token is of no team"))
+    found.ok_or_else(|| bad("the token belongs to no team"))
 }
--- a/src/app/entry/admin/body.rs
+++ b/src/app/entry/admin/body.rs
@@ -1,4 +1,4 @@
-//! Request bodies, bounded in size and time.
+//! Reading of request bodies, bounded in size and time.
 
 use http::Request;
 use http_body_util::BodyExt;
@@ -10,35 +10,37 @@
     policy::admin::{Code, Failure},
 };
 
-/// The largest body. It equals the largest value of the store.
+/// The largest accepted body, in bytes. It equals the largest value that the store
+/// accepts.
 const BODY_MAX: usize = 1 << 20;
 
-/// How much of a body that is too large is read and dropped. A sender that
-/// meets a closed connection while it still writes may lose the answer that
-/// tells it why.
+/// How many bytes of a body that is too large are read before the connection is
+/// closed. If it is closed while the client still sends, the client may lose the
+/// response with the reason.
 const DISCARD_MAX: usize = 4 << 20;
 
-/// How long a body may take. 1 MB takes below 1 s on any link between regions.
+/// How long the transfer of a body may take. 1 MB takes less than 1 s on any link
+/// between regions.
 const BODY_TIMEOUT: Millis = Millis(10_000);
 
-/// Reads a body as text.
-pub(super) async fn text(req: Request<Body>) -> Result<String, Failure> {
-    let read = timeout(BODY_TIMEOUT.duration(), read(req.into_body()));
-    let slow = |_| {
+/// Reads a body as UTF-8 text.
+pub(super) async fn read_text(req: Request<Body>) -> Result<String, Failure> {
+    let read = timeout(BODY_TIMEOUT.duration(), read_bytes(req.into_body()));
+    let timed_out = |_| {
         let detail = format!("the body did not arrive within {BODY_TIMEOUT}");
         Failure::new(Code::SlowBody, detail)
     };
-    let bytes = read.await.map_err(slow)??;
+    let bytes = read.await.map_err(timed_out)??;
     String::from_utf8(bytes)
         .map_err(|_| Failure::new(Code::BadRequest, "the body is not UTF-8 text"))
 }
 
-async fn read(mut body: Body) -> Result<Vec<u8>, Failure> {
+async fn read_bytes(mut body: Body) -> Result<Vec<u8>, Failure> {
     let mut kept = Vec::new();
     let mut len = 0;
     while let Some(frame) = body.frame().await {
-        let broken = |e| Failure::new(Code::BadRequest, format!("read the body: {e}"));
-        let Ok(data) = frame.map_err(broken)?.into_data() else {
+        let read_failed = |e| Failure::new(Code::BadRequest, format!("read the body: {e}"));
+        let Ok(data) = frame.map_err(read_failed)?.into_data() else {
             continue;
         };
         len += data.len();
--- a/src/app/entry/admin/changes.rs
+++ b/src/app/entry/admin/changes.rs
@@ -7,11 +7,11 @@
 use crate::policy::document::Change;
 
 pub(super) fn render(all: &[Change]) -> Value {
-    all.iter().map(value).collect()
+    all.iter().map(change_json).collect()
 }
 
-fn value(change: &Change) -> Value {
-    let (kind, subject, from, to) = parts(change);
+fn change_json(change: &Change) -> Value {
+    let (kind, subject, from, to) = fields(change);
     json!({
         "change": kind,
         "subject": subject,
@@ -21,52 +21,52 @@
     })
 }
 
-type Parts = (&'static str, String, Option<String>, Option<String>);
+type Fields = (&'static str, String, Option<String>, Option<String>);
 
-fn parts(change: &Change) -> Parts {
+fn fields(change: &Change) -> Fields {
     match change {
-        Change::ServiceAdded(s) => new("service-added", "", s),
-        Change::ServiceRemoved(s) => old("service-removed", "", s),
-        Change::Team(a, b) => both("team", "", a, b),
-        Change::Deadline(a, b) => both("deadline", "", a, b),
-        Change::ShiftCap(a, b) => both("shift-cap", "", a, b),
-        Change::PlaceAdded(p, w) => new("place-added", p, w),
-        Change::PlaceRemoved(p, w) => old("place-removed", p, w),
-        Change::Region(p, a, b) => both("region", p, a, b),
-        Change::Az(p, a, b) => both("az", p, a, b),
-        Change::Weight(p, a, b) => both("weight", p, a, b),
-        Change::State(p, a, b) => both("state", p, a, b),
-        Change::Slots(p, a, b) => both("slots", p, a, b),
-        Change::TargetAdded(p, t) => new("target-added", p, t),
-        Change::TargetRemoved(p, t) => old("target-removed", p, t),
-        Change::TargetLeaving(p, t) => new("target-leaving", p, t),
-        Change::TargetStaying(p, t) => old("target-staying", p, t),
-        Change::RouteAdded(r) => new("route-added", r, r),
-        Change::RouteRemoved(r) => old("route-removed", r, r),
-        Change::Lane(r, a, b) => maybe("lane", r, *a, *b),
-        Change::Priority(r, a, b) => both("priority", r, a, b),
-        Change::Idempotent(r, a, b) => maybe("idempotent", r, *a, *b),
+        Change::ServiceAdded(s) => added("service-added", "", s),
+        Change::ServiceRemoved(s) => removed("service-removed", "", s),
+        Change::Team(a, b) => changed("team", "", a, b),
+        Change::Deadline(a, b) => changed("deadline", "", a, b),
+        Change::ShiftCap(a, b) => changed("shift-cap", "", a, b),
+        Change::PlaceAdded(p, w) => added("place-added", p, w),
+        Change::PlaceRemoved(p, w) => removed("place-removed", p, w),
+        Change::Region(p, a, b) => changed("region", p, a, b),
+        Change::Az(p, a, b) => changed("az", p, a, b),
+        Change::Weight(p, a, b) => changed("weight", p, a, b),
+        Change::State(p, a, b) => changed("state", p, a, b),
+        Change::Slots(p, a, b) => changed("slots", p, a, b),
+        Change::TargetAdded(p, t) => added("target-added", p, t),
+        Change::TargetRemoved(p, t) => removed("target-removed", p, t),
+        Change::TargetLeaving(p, t) => added("target-leaving", p, t),
+        Change::TargetStaying(p, t) => removed("target-staying", p, t),
+        Change::RouteAdded(r) => added("route-added", r, r),
+        Change::RouteRemoved(r) => removed("route-removed", r, r),
+        Change::Lane(r, a, b) => changed_option("lane", r, *a, *b),
+        Change::Priority(r, a, b) => changed("priority", r, a, b),
+        Change::Idempotent(r, a, b) => changed_option("idempotent", r, *a, *b),
     }
 }
 
-fn new(kind: &'static str, subject: impl Display, to: impl Display) -> Parts {
+fn added(kind: &'static str, subject: impl Display, to: impl Display) -> Fields {
     (kind, subject.to_string(), None, Some(to.to_string()))
 }
 
-fn old(kind: &'static str, subject: impl Display, from: impl Display) -> Parts {
+fn removed(kind: &'static str, subject: impl Display, from: impl Display) -> Fields {
     (kind, subject.to_string(), Some(from.to_string()), None)
 }
 
-fn both<T: Display>(kind: &'static str, subject: impl Display, from: T, to: T) -> Parts {
-    maybe(kind, subject, Some(from), Some(to))
+fn changed<T: Display>(kind: &'static str, subject: impl Display, from: T, to: T) -> Fields {
+    changed_option(kind, subject, Some(from), Some(to))
 }
 
-fn maybe<T: Display>(
+fn changed_option<T: Display>(
     kind: &'static str,
     subject: impl Display,
     from: Option<T>,
     to: Option<T>,
-) -> Parts {
+) -> Fields {
     let text = |v: Option<T>| v.map(|v| v.to_string());
     (kind, subject.to_string(), text(from), text(to))
 }
--- a/src/app/entry/admin/documents.rs
+++ b/src/app/entry/admin/documents.rs
@@ -1,4 +1,4 @@
-//! Documents as the store holds them.
+//! Queries of the documents in the store: list, text and history.
 
 use http::{HeaderValue, Response};
 use serde_json::{Value, json};
@@ -6,7 +6,7 @@
 
 use super::{
     Admin, changes,
-    edit::{read, service, unavailable},
+    edit::{parse_service, read, store_unavailable},
     reply,
 };
 use crate::{
@@ -24,13 +24,13 @@
 
 pub(super) async fn list(admin: &Admin) -> Result<Response<Body>, Failure> {
     let snapshot = (admin.store.list)(documents::PREFIX).await;
-    let snapshot = snapshot.map_err(|e| unavailable(&e))?;
+    let snapshot = snapshot.map_err(|e| store_unavailable(&e))?;
     let mut all = Vec::new();
     for found in &snapshot.records {
         let Some(service) = documents::service(&found.key) else {
             continue;
         };
-        // One record that cannot be read must not hide the others.
+        // An invalid record must not hide the others.
         match record::decode(&found.value) {
             Ok(history) if history.current.text.is_some() => {
                 all.push(summary(&service, found.revision, &history.current));
@@ -57,26 +57,28 @@
     })
 }
 
-/// Returns the text of the current revision, or of the one in the query.
+/// Returns the text of the current revision, or of the revision in the query.
 pub(super) async fn get(
     admin: &Admin,
     name: &str,
     query: &Query,
 ) -> Result<Response<Body>, Failure> {
-    let service = service(name)?;
-    let wanted: Option<Revision> = query.value("revision").map_err(|e| reply::bad(&e))?;
+    let service = parse_service(name)?;
+    let requested: Option<Revision> = query
+        .value("revision")
+        .map_err(|e| reply::bad_request(&e))?;
     let stored = read(admin, &service).await?;
-    let stored = stored.ok_or_else(|| missing(&service))?;
-    let revision = wanted.unwrap_or(stored.revision);
+    let stored = stored.ok_or_else(|| unknown_document(&service))?;
+    let revision = requested.unwrap_or(stored.revision);
     let edit = stored.at(revision).ok_or_else(|| {
         let detail = format!("the store keeps no revision {revision} of {service}");
         Failure::new(Code::UnknownDocument, detail).found(stored.revision)
     })?;
     let Some(text) = &edit.text else {
-        return Err(missing(&service).found(stored.revision));
+        return Err(unknown_document(&service).found(stored.revision));
     };
     let mut resp = reply::text(text.clone());
-    reply::tag(&mut resp, revision);
+    reply::set_etag(&mut resp, revision);
     let team = HeaderValue::from_str(edit.team.as_str());
     if let Ok(team) = team {
         resp.headers_mut().insert("x-savorybeam-team", team);
@@ -84,28 +86,28 @@
     Ok(resp)
 }
 
-fn missing(service: &ServiceName) -> Failure {
+fn unknown_document(service: &ServiceName) -> Failure {
     let detail = format!("there is no document for {service}");
     Failure::new(Code::UnknownDocument, detail)
 }
 
-/// Lists the revisions that the store keeps, the latest first, each with what it
-/// changed.
+/// Lists the revisions that the store keeps, the latest first, each with its
+/// changes.
 pub(super) async fn history(admin: &Admin, name: &str) -> Result<Response<Body>, Failure> {
-    let service = service(name)?;
+    let service = parse_service(name)?;
     let stored = read(admin, &service).await?;
-    let stored = stored.ok_or_else(|| missing(&service))?;
+    let stored = stored.ok_or_else(|| unknown_document(&service))?;
     let Stored { revision, history } = &stored;
     let mut edits = vec![(*revision, &history.current)];
     edits.extend(history.former.iter().map(|f| (f.revision, &f.edit)));
     let mut all = Vec::new();
     for (n, (revision, edit)) in edits.iter().enumerate() {
         let mut value = summary(&service, *revision, edit);
-        let before = edits.get(n + 1).map(|(_, e)| document(e));
-        // Without its predecessor the record does not tell what it changed.
-        if before.is_some() || !history.dropped {
-            let before = before.flatten();
-            let all = diff(before.as_ref(), document(edit).as_ref());
+        let predecessor = edits.get(n + 1).map(|(_, e)| parse_edit(e));
+        // The changes of a revision are unknown if its predecessor was dropped.
+        if predecessor.is_some() || !history.dropped {
+            let predecessor = predecessor.flatten();
+            let all = diff(predecessor.as_ref(), parse_edit(edit).as_ref());
             value["changes"] = changes::render(&all);
         }
         all.push(value);
@@ -115,11 +117,11 @@
         "revisions": all,
         "dropped": history.dropped,
     }));
-    reply::tag(&mut resp, *revision);
+    reply::set_etag(&mut resp, *revision);
     Ok(resp)
 }
 
-fn document(edit: &Edit) -> Option<Document> {
+fn parse_edit(edit: &Edit) -> Option<Document> {
     let text = edit.text.as_ref()?;
     parse_document("stored", text).ok()
 }
--- a/src/app/entry/admin/edit.rs
+++ b/src/app/entry/admin/edit.rs
@@ -1,10 +1,10 @@
 //! Edits of documents.
 //!
-//! The store's compare-and-swap decides which edit wins. Its answer may be lost,
-//! and then [`submit`] finds out from the edit's id in the record what became of
-//! the write. Only if the store is gone for longer does an operator see the
-//! outcome `unknown`, together with the id, under which the edit can be sent
-//! again without the risk of making it twice.
+//! The store's compare-and-swap decides which of several concurrent edits
+//! succeeds. If the reply of the store is lost, [`submit`] reads the record and
+//! finds out from the edit's id whether the write took effect. Only if the store
+//! stays unavailable does an operator get the outcome `unknown`, together with the
+//! id. The edit can be sent again with this id without being applied twice.
 
 use http::{Request, Response, StatusCode, header};
 use serde_json::json;
@@ -29,14 +29,14 @@
     ports::StoreError,
 };
 
-/// When an operator may try again while the store is down.
-const RETRY: Millis = Millis(2_000);
+/// After what time a client should retry while the store is unavailable.
+const RETRY_AFTER: Millis = Millis(2_000);
 
 /// The header with the id of an edit. A client that sends the same id again gets
-/// the result of the first edit, so it may repeat an edit after `unknown`.
+/// the result of the first edit, so it may repeat an edit of outcome `unknown`.
 const EDIT_ID: &str = "x-savorybeam-edit";
 
-/// An edit that is to be made.
+/// An edit that a client requests. Without a text it deletes the document.
 struct Plan {
     service: ServiceName,
     team: TeamName,
@@ -59,10 +59,10 @@
     query: &Query,
     req: Request<Body>,
 ) -> Result<Response<Body>, Failure> {
-    let service = service(name)?;
-    let dry = query.flag("dry-run").map_err(|e| reply::bad(&e))?;
-    let (base, id) = (base(&req)?, edit_id(&req)?);
-    let text = body::text(req).await?;
+    let service = parse_service(name)?;
+    let is_dry_run = query.flag("dry-run").map_err(|e| reply::bad_request(&e))?;
+    let (base, id) = (parse_base(&req)?, parse_edit_id(&req)?);
+    let text = body::read_text(req).await?;
     let document = parse(admin, &service, &text)?;
     let plan = Plan {
         service,
@@ -72,10 +72,10 @@
         text: Some(text),
         document: Some(document),
     };
-    if dry {
+    if is_dry_run {
         return dry_run(admin, &plan).await;
     }
-    make(admin, plan).await
+    apply(admin, plan).await
 }
 
 pub(super) async fn delete(
@@ -86,25 +86,25 @@
     req: &Request<Body>,
 ) -> Result<Response<Body>, Failure> {
     let plan = Plan {
-        service: service(name)?,
+        service: parse_service(name)?,
         team: team.clone(),
-        base: base(req)?,
-        id: edit_id(req)?,
+        base: parse_base(req)?,
+        id: parse_edit_id(req)?,
         text: None,
         document: None,
     };
-    if query.flag("dry-run").map_err(|e| reply::bad(&e))? {
+    if query.flag("dry-run").map_err(|e| reply::bad_request(&e))? {
         return dry_run(admin, &plan).await;
     }
-    make(admin, plan).await
+    apply(admin, plan).await
 }
 
-/// Parses the service that a path names.
-pub(super) fn service(name: &str) -> Result<ServiceName, Failure> {
-    name.parse().map_err(|e| reply::bad(&e))
+/// Parses the service name in a path.
+pub(super) fn parse_service(name: &str) -> Result<ServiceName, Failure> {
+    name.parse().map_err(|e| reply::bad_request(&e))
 }
 
-fn base(req: &Request<Body>) -> Result<Base, Failure> {
+fn parse_base(req: &Request<Body>) -> Result<Base, Failure> {
     let text = |name: header::HeaderName| {
         let value = req.headers().get(&name).map(|v| v.to_str());
         value.transpose().map_err(|_| {
@@ -114,16 +114,16 @@
     };
     match (text(header::IF_MATCH)?, text(header::IF_NONE_MATCH)?) {
         (None, None) => Ok(Base::Unstated),
-        (Some(tag), None) => tag.parse().map_err(|e| reply::bad(&e)),
+        (Some(tag), None) => tag.parse().map_err(|e| reply::bad_request(&e)),
         (None, Some("*")) => Ok(Base::Absent),
         _ => Err(Failure::new(
             Code::BadRequest,
-            "allowed is either If-Match with one tag or If-None-Match: *",
+            "allowed is either If-Match with one entity tag or If-None-Match: *",
         )),
     }
 }
 
-fn edit_id(req: &Request<Body>) -> Result<EditId, Failure> {
+fn parse_edit_id(req: &Request<Body>) -> Result<EditId, Failure> {
     let Some(value) = req.headers().get(EDIT_ID) else {
         return Ok(EditId::random(&mut rand::rng()));
     };
@@ -132,8 +132,8 @@
         .map_err(|e| Failure::new(Code::BadRequest, format!("header {EDIT_ID}: {e}")))
 }
 
-/// Parses a document and checks what only the administration knows: its key and
-/// the teams.
+/// Parses a document, and checks that its service is the one in the path and that
+/// its team is in the settings.
 fn parse(admin: &Admin, service: &ServiceName, text: &str) -> Result<Document, Failure> {
     let file = format!("{service}.ini");
     let mut faults = Vec::new();
@@ -144,14 +144,14 @@
             if doc.service != *service {
                 let name = &doc.service;
                 faults.push(format!(
-                    "{file}: [service] name: found {:?}, allowed is {:?}, which the path names",
+                    "{file}: [service] name: found {:?}, allowed is {:?}, the service in the path",
                     name.as_str(),
                     service.as_str()
                 ));
             }
             if !admin.teams.contains_key(&doc.team) {
                 faults.push(format!(
-                    "{file}: [service] team: found {:?}, allowed is a team of the settings",
+                    "{file}: [service] team: found {:?}, allowed is a team in the settings",
                     doc.team.as_str()
                 ));
             }
@@ -168,9 +168,9 @@
 
 async fn dry_run(admin: &Admin, plan: &Plan) -> Result<Response<Body>, Failure> {
     let stored = read(admin, &plan.service).await?;
-    let found = found(stored.as_ref());
+    let found = found_record(stored.as_ref());
     check(&plan.team, plan.base, &found, plan.document.as_ref())?;
-    let old = current(&plan.service, stored.as_ref());
+    let old = current_document(&plan.service, stored.as_ref());
     let all = diff(old.as_ref(), plan.document.as_ref());
     let mut resp = reply::json(&json!({
         "service": plan.service.as_str(),
@@ -179,12 +179,12 @@
         "changes": changes::render(&all),
     }));
     if found.owner.is_some() {
-        reply::tag(&mut resp, found.revision);
+        reply::set_etag(&mut resp, found.revision);
     }
     Ok(resp)
 }
 
-async fn make(admin: &Admin, plan: Plan) -> Result<Response<Body>, Failure> {
+async fn apply(admin: &Admin, plan: Plan) -> Result<Response<Body>, Failure> {
     let result = write(admin, &plan).await;
     let Plan {
         service, team, id, ..
@@ -213,20 +213,20 @@
     if accepted.created {
         *resp.status_mut() = StatusCode::CREATED;
     }
-    reply::tag(&mut resp, revision);
+    reply::set_etag(&mut resp, revision);
     Ok(resp)
 }
 
 async fn write(admin: &Admin, plan: &Plan) -> Result<Accepted, Failure> {
     let stored = read(admin, &plan.service).await?;
-    let own = stored.as_ref().and_then(|s| made(s, plan.id));
-    if let Some(revision) = own {
+    let applied = stored.as_ref().and_then(|s| applied_revision(s, plan.id));
+    if let Some(revision) = applied {
         return Ok(Accepted {
             revision,
             created: false,
         });
     }
-    let found = found(stored.as_ref());
+    let found = found_record(stored.as_ref());
     check(&plan.team, plan.base, &found, plan.document.as_ref())?;
     let edit = Edit {
         id: plan.id,
@@ -236,22 +236,24 @@
     };
     let expected = found.revision;
     let submitted = submit(&admin.store, &plan.service, Some(expected), edit).await;
-    let revision = submitted.map_err(|e| refused(plan, expected, e))?;
+    let revision = submitted.map_err(|e| submit_failure(plan, expected, e))?;
     Ok(Accepted {
         revision,
         created: found.owner.is_none() && plan.text.is_some(),
     })
 }
 
-fn refused(plan: &Plan, expected: Revision, e: SubmitError) -> Failure {
+fn submit_failure(plan: &Plan, expected: Revision, e: SubmitError) -> Failure {
     match e {
-        SubmitError::Refused(EditError::Conflict { found, .. }) => lost(plan.base, expected, found),
+        SubmitError::Refused(EditError::Conflict { found, .. }) => {
+            conflict_failure(plan.base, expected, found)
+        }
         SubmitError::Refused(e) => Failure::new(Code::BadRequest, e.to_string()),
         SubmitError::Record(RecordError::TooLarge(_)) => {
             Failure::new(Code::TooLarge, e.to_string())
         }
         SubmitError::Record(_) => Failure::new(Code::InvalidRecord, e.to_string()),
-        SubmitError::Store(e @ StoreError::Down { .. }) => unavailable(&e),
+        SubmitError::Store(e @ StoreError::Down { .. }) => store_unavailable(&e),
         SubmitError::Store(_) | SubmitError::Unknown => {
             let id = plan.id;
             let detail = format!("edit {id}: {e}; send it again with {EDIT_ID}: {id}");
@@ -260,17 +262,18 @@
     }
 }
 
-/// Returns the failure of an editor whose revision was right when it was
-/// checked, so the conflict names that one.
-fn lost(base: Base, expected: Revision, found: Revision) -> Failure {
+/// Returns the failure of an edit whose base was current when it was checked but
+/// was replaced before the write. The conflict names the revision that was
+/// checked.
+fn conflict_failure(base: Base, expected: Revision, found: Revision) -> Failure {
     match base {
         Base::Any | Base::At(_) => conflict(Base::At(expected), found),
         Base::Absent | Base::Unstated => conflict(base, found),
     }
 }
 
-/// Returns the revision that an edit got, if the record keeps it.
-fn made(stored: &Stored, id: EditId) -> Option<Revision> {
+/// Returns the revision that an edit created, if the record still contains it.
+fn applied_revision(stored: &Stored, id: EditId) -> Option<Revision> {
     if stored.history.current.id == id {
         return Some(stored.revision);
     }
@@ -278,13 +281,13 @@
     former.find(|f| f.edit.id == id).map(|f| f.revision)
 }
 
-fn found(stored: Option<&Stored>) -> Found {
+fn found_record(stored: Option<&Stored>) -> Found {
     let Some(stored) = stored else {
         return Found::default();
     };
     let edit = &stored.history.current;
-    // The text in the store was checked before it was written. If it is invalid
-    // nevertheless, the team that wrote it may repair it.
+    // A text is checked before it is stored. If it is invalid nevertheless, the
+    // team that wrote it counts as the owner, so that it can repair it.
     let owner = edit.text.as_ref().map(|text| {
         let doc = parse_document("stored", text);
         doc.map_or_else(|_| edit.team.clone(), |d| d.team)
@@ -295,24 +298,24 @@
     }
 }
 
-/// Returns the document in the store, none if there is none that is valid.
-fn current(service: &ServiceName, stored: Option<&Stored>) -> Option<Document> {
+/// Returns the document in the store, or `None` if there is no valid one.
+fn current_document(service: &ServiceName, stored: Option<&Stored>) -> Option<Document> {
     let text = stored?.history.current.text.as_ref()?;
     parse_document(service.as_str(), text).ok()
 }
 
-/// Reads what the store holds for a service.
+/// Reads the record of a service from the store.
 pub(super) async fn read(admin: &Admin, service: &ServiceName) -> Result<Option<Stored>, Failure> {
-    // A read changes nothing, so its failure is never of unknown outcome.
+    // A read changes nothing, so the outcome of a failed read is never `unknown`.
     documents::read(&admin.store, service)
         .await
         .map_err(|e| match e {
-            SubmitError::Store(e) => unavailable(&e),
+            SubmitError::Store(e) => store_unavailable(&e),
             e => Failure::new(Code::InvalidRecord, e.to_string()),
         })
 }
 
-/// Returns the failure while the store does not answer.
-pub(super) fn unavailable(e: &StoreError) -> Failure {
-    Failure::new(Code::StoreUnavailable, e.to_string()).retry_after(RETRY)
+/// Returns the failure of a request while the store does not respond.
+pub(super) fn store_unavailable(e: &StoreError) -> Failure {
+    Failure::new(Code::StoreUnavailable, e.to_string()).retry_after(RETRY_AFTER)
 }
--- a/src/app/entry/admin/mod.rs
+++ b/src/app/entry/admin/mod.rs
@@ -1,11 +1,11 @@
 //! The administration interface of an entry: HTTP on an address of its own.
 //!
-//! Every entry serves it, and an edit may be sent to any of them, because the
-//! store and not the entry decides which edit wins. Probes and scrapers need no
-//! token; everything below `/v1/` needs the token of a team, and an edit needs
-//! the token of the team that owns the document. Each topic has a file:
-//! [`edit`] makes an edit and finds out what became of it, `documents` shows
-//! them, `views` shows the state behind [`AdminPort`], `timeline` the events.
+//! Every entry serves it, and an edit may be sent to any entry, because the store
+//! and not the entry decides which of several edits succeeds. Health checks and
+//! metrics need no token. All paths below `/v1/` need the token of a team, and an
+//! edit needs the token of the team that owns the document. Each topic has a
+//! module: [`edit`] applies edits and determines their outcome, `documents`
+//! returns documents, `views` the state behind [`AdminPort`], `timeline` events.
 //! See [docs/api.md](../../../../docs/api.md).
 
 mod auth;
@@ -24,7 +24,7 @@
 use http::{Method, Request, Response};
 use volo_http::{body::Body, server::Router};
 
-pub use self::{port::port, reply::render};
+pub use self::{port::port, reply::failure_json};
 pub use super::events::open as open_events;
 use crate::{
     adapters::{
@@ -37,17 +37,17 @@
     ports::{AdminPort, Clock, Events, Store},
 };
 
-/// How many connections of operators, probes and scrapers are open at the most.
-/// The callers' connections have a limit of their own, so that neither side
-/// takes the other's.
-const CONNECTIONS: u32 = 64;
+/// How many connections of operators, health checks and scrapers may be open at
+/// the same time. The connections of callers have a separate limit, so that
+/// neither group can exhaust the other's.
+const CONNECTIONS_MAX: u32 = 64;
 
-/// What the administration works with.
+/// The dependencies of the administration server.
 #[derive(Clone)]
 pub struct Admin {
-    /// Each team's token.
+    /// The token of each team.
     pub teams: BTreeMap<TeamName, String>,
-    /// Time.
+    /// The clock.
     pub clock: Clock,
     /// The store that holds the documents.
     pub store: Store,
@@ -59,7 +59,7 @@
     pub port: AdminPort,
 }
 
-/// Prints nothing of the fields, because the tokens must not get into logs.
+/// Omits all fields, because the tokens must not get into logs.
 impl fmt::Debug for Admin {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Admin")
@@ -78,7 +78,7 @@
         async move { handle(&admin, req).await }
     };
     let limits = Limits {
-        connections: CONNECTIONS,
+        connections: CONNECTIONS_MAX,
         ..Limits::default()
     };
     web::bind(addr, limits, Router::new().fallback(handler)).await
@@ -103,18 +103,14 @@
     };
     let server = spawn(settings.admin, admin).await?;
     watch::spawn(state);
-    tracing::info!(
-        "admin: {} serves operators at {}.",
-        settings.name,
-        server.addr()
-    );
+    tracing::info!("admin: {} listens at {}.", settings.name, server.addr());
     Ok(server)
 }
 
 async fn handle(admin: &Admin, req: Request<Body>) -> Response<Body> {
-    let edits = matches!(*req.method(), Method::PUT | Method::DELETE);
+    let is_edit = matches!(*req.method(), Method::PUT | Method::DELETE);
     let result = dispatch(admin, req).await;
-    if edits {
+    if is_edit {
         let code = result
             .as_ref()
             .err()
@@ -128,16 +124,16 @@
     let path = req.uri().path().to_owned();
     let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
     let method = req.method().clone();
-    if let (&Method::GET, [only]) = (&method, parts.as_slice()) {
-        match *only {
+    if let (&Method::GET, [name]) = (&method, parts.as_slice()) {
+        match *name {
             "healthz" => return Ok(reply::text("healthy\n")),
             "readyz" => return views::readyz(admin),
             "metrics" => return Ok(reply::metrics(admin.metrics.encode())),
             _ => {}
         }
     }
-    let team = auth::team(&admin.teams, &req)?;
-    let query = query(&req)?;
+    let team = auth::authenticate(&admin.teams, &req)?;
+    let query = parse_query(&req)?;
     match (&method, parts.as_slice()) {
         (&Method::GET, ["v1", "documents"]) => documents::list(admin).await,
         (&Method::GET, ["v1", "documents", name]) => documents::get(admin, name, &query).await,
@@ -156,12 +152,13 @@
         (&Method::GET, ["v1", "limits"]) => Ok(views::limits(admin)),
         (&Method::GET, ["v1", "explain"]) => views::explain(admin, &query),
         (&Method::GET, ["v1", "timeline"]) => timeline::get(admin, &query, &req).await,
-        _ => Err(unknown(&method, &path, &parts)),
+        _ => Err(unknown_path(&method, &path, &parts)),
     }
 }
 
-/// Returns the failure for a path that is unknown, or known with other methods.
-fn unknown(method: &Method, path: &str, parts: &[&str]) -> Failure {
+/// Returns the failure for an unknown path, or for a known one that does not accept
+/// the method.
+fn unknown_path(method: &Method, path: &str, parts: &[&str]) -> Failure {
     let known = matches!(
         parts,
         ["healthz" | "readyz" | "metrics"]
@@ -181,7 +178,7 @@
     Failure::new(Code::UnknownPath, format!("there is no path {path:?}"))
 }
 
-fn query(req: &Request<Body>) -> Result<Query, Failure> {
+fn parse_query(req: &Request<Body>) -> Result<Query, Failure> {
     let text = req.uri().query().unwrap_or_default();
-    text.parse().map_err(|e| reply::bad(&e))
+    text.parse().map_err(|e| reply::bad_request(&e))
 }
--- a/src/app/entry/admin/port.rs
+++ b/src/app/entry/admin/port.rs
@@ -1,4 +1,4 @@
-//! The state of a running entry as [`AdminPort`] shows it.
+//! The [`AdminPort`] of a running entry.
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -15,33 +15,33 @@
     },
 };
 
-/// Returns what operators may see of an entry. What concerns all entries is
-/// gathered from them at each question.
+/// Returns the state of an entry that operators may see. Drains, placements and
+/// the timeline are collected from all entries at each request.
 #[must_use]
 pub fn port(state: &Arc<State>) -> AdminPort {
     let started = (state.ports.clock.now)();
-    let of = || state.clone();
-    let (unready, seen, limited) = (of(), of(), of());
-    let (draining, placed, timeline) = (of(), of(), of());
+    let clone_state = || state.clone();
+    let (for_unready, for_status, for_limits) = (clone_state(), clone_state(), clone_state());
+    let (for_drains, for_placements, for_timeline) = (clone_state(), clone_state(), clone_state());
     let decisions = state.observer.decisions.clone();
     AdminPort {
-        unready: Arc::new(move || unready.unready()),
+        unready: Arc::new(move || for_unready.unready()),
         status: Arc::new(move || {
-            let uptime = (seen.ports.clock.now)() - started;
-            status(&seen, uptime.0)
+            let uptime = (for_status.ports.clock.now)() - started;
+            status(&for_status, uptime.0)
         }),
         drains: Arc::new(move |()| {
-            let state = draining.clone();
+            let state = for_drains.clone();
             Box::pin(async move { drains(&state).await })
         }),
-        limits: Arc::new(move || limits(&limited)),
+        limits: Arc::new(move || limits(&for_limits)),
         explain: Arc::new(move |service| decisions.read(service)),
         placements: Arc::new(move |service| {
-            let state = placed.clone();
+            let state = for_placements.clone();
             Box::pin(async move { placements(&state, &service).await })
         }),
         timeline: Arc::new(move |query| {
-            let state = timeline.clone();
+            let state = for_timeline.clone();
             Box::pin(async move { control::gather_events(&state, query).await })
         }),
     }
@@ -95,13 +95,13 @@
     let share = |name: &PlaceName| {
         let mut shares = shift.into_iter().flat_map(Shift::shares);
         let found = shares.find(|s| s.name == name);
-        // A share is in millionths, the answer in thousandths.
+        // Shares are in millionths, the status is in thousandths.
         found.map_or(0, |s| s.effective.0 / 1000)
     };
     let status = |p: &crate::domain::Place| {
-        let open = p.targets.iter().filter(|t| !p.leaving.contains(t)).count();
-        let open = if p.state == PlaceState::Active {
-            open
+        let accepting = p.targets.iter().filter(|t| !p.leaving.contains(t)).count();
+        let accepting = if p.state == PlaceState::Active {
+            accepting
         } else {
             0
         };
@@ -110,7 +110,7 @@
             state: p.state.to_string(),
             weight: p.weight.0,
             effective: share(&p.name),
-            targets: u32::try_from(open).unwrap_or(u32::MAX),
+            targets: u32::try_from(accepting).unwrap_or(u32::MAX),
         }
     };
     doc.places.iter().map(status).collect()
@@ -151,8 +151,8 @@
     reports.into_iter().map(placement).collect()
 }
 
-/// What leaves: a place, or targets of a place.
-struct Leaving {
+/// A place that is leaving, or a leaving target of a place.
+struct DrainSubject {
     service: ServiceName,
     place: PlaceName,
     target: Option<TargetId>,
@@ -164,7 +164,7 @@
     let mut leaving = Vec::new();
     state
         .services
-        .each(|name, s| leaving.extend(leaving_of(name, s)));
+        .each(|name, s| leaving.extend(drain_subjects(name, s)));
     leaving.sort_by(|a, b| (&a.service, &a.place, a.target).cmp(&(&b.service, &b.place, b.target)));
     let mut drains = Vec::new();
     for subject in leaving {
@@ -174,11 +174,12 @@
     drains
 }
 
-/// Returns what leaves, with the requests that run there through this entry.
-pub(super) fn leaving_here(state: &State) -> BTreeMap<String, u64> {
+/// Returns the leaving places and targets, each with the number of requests that
+/// run there through this entry.
+pub(super) fn running_by_subject(state: &State) -> BTreeMap<String, u64> {
     let mut all = BTreeMap::new();
     state.services.each(|name, s| {
-        for subject in leaving_of(name, s) {
+        for subject in drain_subjects(name, s) {
             let targets = subject.targets.iter();
             let running = targets.map(|t| state.observer.running(*t)).sum();
             let mut text = format!("{} place {}", subject.service, subject.place);
@@ -191,11 +192,11 @@
     all
 }
 
-fn leaving_of(name: &ServiceName, service: &Service) -> Vec<Leaving> {
+fn drain_subjects(name: &ServiceName, service: &Service) -> Vec<DrainSubject> {
     let Some(doc) = service.doc.document() else {
         return Vec::new();
     };
-    let subject = |place: &PlaceName, target, targets| Leaving {
+    let subject = |place: &PlaceName, target, targets| DrainSubject {
         service: name.clone(),
         place: place.clone(),
         target,
@@ -214,7 +215,7 @@
     found
 }
 
-fn drain(subject: &Leaving, reports: Vec<(EntryId, Option<Report>)>) -> Drain {
+fn drain(subject: &DrainSubject, reports: Vec<(EntryId, Option<Report>)>) -> Drain {
     let remaining: Vec<Remaining> = reports.into_iter().map(|r| remaining(subject, r)).collect();
     let done = |r: &Remaining| r.running == Some(0) && r.revision >= Some(subject.revision);
     Drain {
@@ -227,13 +228,13 @@
     }
 }
 
-fn remaining(subject: &Leaving, (entry, report): (EntryId, Option<Report>)) -> Remaining {
+fn remaining(subject: &DrainSubject, (entry, report): (EntryId, Option<Report>)) -> Remaining {
     let running = report.as_ref().map(|r| {
-        let there = r
+        let matching = r
             .running
             .iter()
             .filter(|(t, _)| subject.targets.contains(t));
-        there.map(|(_, n)| n).sum()
+        matching.map(|(_, n)| n).sum()
     });
     Remaining {
         entry: entry.to_string(),
--- a/src/app/entry/admin/reply.rs
+++ b/src/app/entry/admin/reply.rs
@@ -1,4 +1,4 @@
-//! Answers of the administration.
+//! Responses of the administration server.
 
 use http::{HeaderValue, Response, StatusCode, header};
 use serde::Serialize;
@@ -14,9 +14,9 @@
     policy::admin::{Code, Failure},
 };
 
-/// Returns a failure as the value that operators see.
+/// Returns the JSON form of a failure.
 #[must_use]
-pub fn render(failure: &Failure) -> Value {
+pub fn failure_json(failure: &Failure) -> Value {
     let mut value = json!({
         "code": failure.code.as_str(),
         "outcome": failure.outcome.to_string(),
@@ -35,62 +35,63 @@
     value
 }
 
-/// Returns the answer that tells an operator of a failure.
+/// Returns the response to a request that failed.
 pub(super) fn failure(failure: &Failure) -> Response<Body> {
-    let mut resp = json(&render(failure));
+    let mut resp = json(&failure_json(failure));
     *resp.status_mut() = StatusCode::from_u16(failure.code.status()).unwrap_or_default();
-    let head = resp.headers_mut();
-    head.insert(CODE, HeaderValue::from_static(failure.code.as_str()));
+    let headers = resp.headers_mut();
+    headers.insert(CODE, HeaderValue::from_static(failure.code.as_str()));
     let outcome = HeaderValue::from_str(&failure.outcome.to_string());
     let unknown = HeaderValue::from_static("unknown");
-    head.insert(OUTCOME, outcome.unwrap_or(unknown));
+    headers.insert(OUTCOME, outcome.unwrap_or(unknown));
     if let Some(found) = failure.found.filter(|f| *f != Revision::default()) {
-        tag(&mut resp, found);
+        set_etag(&mut resp, found);
     }
     if failure.code == Code::BadToken {
         let scheme = HeaderValue::from_static("Bearer");
         resp.headers_mut().insert(header::WWW_AUTHENTICATE, scheme);
     }
     if let Some(time) = failure.retry {
-        // The header counts whole seconds, so a shorter time rounds up.
+        // The header is in whole seconds, so the time is rounded up.
         let seconds = HeaderValue::from(time.0.div_ceil(1000));
         resp.headers_mut().insert(header::RETRY_AFTER, seconds);
     }
     resp
 }
 
-/// Returns the failure of a request whose header or query has a faulty value.
-pub(super) fn bad(e: &ParseError) -> Failure {
+/// Returns the failure of a request with an invalid value in the path, in the query
+/// or in a header.
+pub(super) fn bad_request(e: &ParseError) -> Failure {
     Failure::new(Code::BadRequest, e.to_string())
 }
 
 pub(super) fn text(body: impl Into<String>) -> Response<Body> {
-    typed("text/plain; charset=utf-8", body.into())
+    with_type("text/plain; charset=utf-8", body.into())
 }
 
 pub(super) fn metrics(body: String) -> Response<Body> {
-    typed(metrics::CONTENT_TYPE, body)
+    with_type(metrics::CONTENT_TYPE, body)
 }
 
 pub(super) fn json(value: &impl Serialize) -> Response<Body> {
-    // Values here have text keys only, so they always serialize.
+    // The keys of all values are strings, so serialization cannot fail.
     let mut body = serde_json::to_string(value).unwrap_or_default();
     body.push('\n');
-    typed("application/json", body)
+    with_type("application/json", body)
 }
 
-pub(super) fn typed(content: &'static str, body: String) -> Response<Body> {
+pub(super) fn with_type(content: &'static str, body: String) -> Response<Body> {
     let mut resp = Response::new(Body::from(body));
     let content = HeaderValue::from_static(content);
     resp.headers_mut().insert(header::CONTENT_TYPE, content);
-    // Revisions and states change at any moment.
+    // Revisions and states may change at any time, so a cached copy is wrong.
     let no_store = HeaderValue::from_static("no-store");
     resp.headers_mut().insert(header::CACHE_CONTROL, no_store);
     resp
 }
 
-/// Adds the revision as the entity tag.
-pub(super) fn tag(resp: &mut Response<Body>, revision: Revision) {
+/// Sets the entity tag to the revision.
+pub(super) fn set_etag(resp: &mut Response<Body>, revision: Revision) {
     if let Ok(value) = HeaderValue::from_str(&format!("\"{revision}\"")) {
         resp.headers_mut().insert(header::ETAG, value);
     }
--- a/src/app/entry/admin/timeline.rs
+++ b/src/app/entry/admin/timeline.rs
@@ -1,4 +1,4 @@
-//! The timeline as text or JSON lines.
+//! The timeline, as text or JSON lines.
 
 use std::fmt::Write;
 
@@ -18,10 +18,11 @@
     ports::{EventQuery, admin::Gathered},
 };
 
-/// How many events an answer has if the query does not say.
-const LIMIT: usize = 200;
+/// The maximum number of events in a response if the query sets no limit.
+const LIMIT_DEFAULT: usize = 200;
 
-/// The most events of an answer. At about 200 bytes each, this is below 4 MB.
+/// The largest limit that a query may set. At about 200 bytes per event, a response
+/// stays below 4 MB.
 const LIMIT_MAX: usize = 4 * EVENTS_MAX;
 
 pub(super) async fn get(
@@ -29,14 +30,14 @@
     query: &Query,
     req: &Request<Body>,
 ) -> Result<Response<Body>, Failure> {
-    let asked = EventQuery {
-        after: query.value("after").map_err(|e| reply::bad(&e))?,
-        part: query.value("part").map_err(|e| reply::bad(&e))?,
-        limit: limit(query)?,
+    let selection = EventQuery {
+        after: query.value("after").map_err(|e| reply::bad_request(&e))?,
+        part: query.value("part").map_err(|e| reply::bad_request(&e))?,
+        limit: parse_limit(query)?,
     };
-    let lines = lines(gather(admin, query, &asked).await?, asked.limit);
+    let lines = select_lines(gather(admin, query, &selection).await?, selection.limit);
     let mut out = String::new();
-    let json = json_wanted(req);
+    let json = accepts_json(req);
     for line in &lines {
         // Writing to a string cannot fail.
         let _ = if json {
@@ -46,17 +47,17 @@
         };
     }
     if json {
-        return Ok(reply::typed(events::CONTENT_TYPE, out));
+        return Ok(reply::with_type(events::CONTENT_TYPE, out));
     }
     Ok(reply::text(out))
 }
 
-/// Collects the events of all entries, or of this one alone.
-async fn gather(admin: &Admin, query: &Query, asked: &EventQuery) -> Result<Gathered, Failure> {
+/// Collects the events of all entries or only of this one, depending on the scope.
+async fn gather(admin: &Admin, query: &Query, selection: &EventQuery) -> Result<Gathered, Failure> {
     match query.text("scope") {
-        None | Some("all") => Ok((admin.port.timeline)(asked.clone()).await),
+        None | Some("all") => Ok((admin.port.timeline)(selection.clone()).await),
         Some("entry") => Ok(Gathered {
-            events: (admin.events.read)(asked),
+            events: (admin.events.read)(selection),
             missing: Vec::new(),
         }),
         Some(text) => {
@@ -66,16 +67,17 @@
     }
 }
 
-fn lines(gathered: Gathered, limit: usize) -> Vec<Line> {
+/// Returns the latest events, followed by the entries that did not reply.
+fn select_lines(gathered: Gathered, limit: usize) -> Vec<Line> {
     let skip = gathered.events.len().saturating_sub(limit);
     let events = gathered.events.into_iter().skip(skip).map(Line::Event);
     let missing = gathered.missing.into_iter().map(Line::Missing);
     events.chain(missing).collect()
 }
 
-fn limit(query: &Query) -> Result<usize, Failure> {
+fn parse_limit(query: &Query) -> Result<usize, Failure> {
     let Some(text) = query.text("limit") else {
-        return Ok(LIMIT);
+        return Ok(LIMIT_DEFAULT);
     };
     match text.parse() {
         Ok(n) if (1..=LIMIT_MAX).contains(&n) => Ok(n),
@@ -86,7 +88,7 @@
     }
 }
 
-fn json_wanted(req: &Request<Body>) -> bool {
+fn accepts_json(req: &Request<Body>) -> bool {
     let accept = req.headers().get(header::ACCEPT);
     let accept = accept.and_then(|v| v.to_str().ok()).unwrap_or_default();
     accept.contains(events::CONTENT_TYPE) || accept.contains("application/json")
--- a/src/app/entry/admin/views.rs
+++ b/src/app/entry/admin/views.rs
@@ -1,10 +1,10 @@
-//! The state behind [`AdminPort`](crate::ports::AdminPort).
+//! Responses with the state behind [`AdminPort`](crate::ports::AdminPort).
 
 use http::Response;
 use serde_json::json;
 use volo_http::body::Body;
 
-use super::{Admin, edit::service, reply};
+use super::{Admin, edit::parse_service, reply};
 use crate::{
     adapters::http::Query,
     domain::Millis,
@@ -14,7 +14,7 @@
 pub(super) fn readyz(admin: &Admin) -> Result<Response<Body>, Failure> {
     match (admin.port.unready)() {
         None => Ok(reply::text("ready\n")),
-        Some(why) => Err(Failure::new(Code::NotReady, why).retry_after(Millis(1_000))),
+        Some(reason) => Err(Failure::new(Code::NotReady, reason).retry_after(Millis(1_000))),
     }
 }
 
@@ -35,16 +35,16 @@
         let detail = "the query needs service=NAME";
         Failure::new(Code::BadRequest, detail)
     })?;
-    let service = service(name)?;
+    let service = parse_service(name)?;
     let decisions = (admin.port.explain)(&service);
     let value = json!({ "service": service.as_str(), "decisions": decisions });
     Ok(reply::json(&value))
 }
 
-/// Tells which revision each entry has in effect. It works without the store,
-/// since an operator asks this most of all during an outage.
+/// Returns the revision that each entry has in effect. It works without the store,
+/// since operators need it most during a store outage.
 pub(super) async fn placements(admin: &Admin, name: &str) -> Result<Response<Body>, Failure> {
-    let service = service(name)?;
+    let service = parse_service(name)?;
     let all = (admin.port.placements)(service.clone()).await;
     let latest = all.iter().filter_map(|p| p.revision).max();
     let complete = latest.is_some() && all.iter().all(|p| p.revision == latest);
--- a/src/app/entry/admin/watch.rs
+++ b/src/app/entry/admin/watch.rs
@@ -1,4 +1,4 @@
-//! Emits the events that follow from the entry's state.
+//! Emits the events that follow from changes of the entry's state.
 
 use std::{
     sync::{Arc, Weak},
@@ -11,10 +11,10 @@
     policy::timeline::{Look, events_between},
 };
 
-/// The time between two looks. A look visits every document once.
-const PERIOD: Duration = Duration::from_millis(500);
+/// The interval between two observations. Each of them visits every document once.
+const OBSERVE_PERIOD: Duration = Duration::from_millis(500);
 
-/// Starts the looks, which end with the entry.
+/// Starts the task that observes the state. It ends when the state is dropped.
 pub(super) fn spawn(state: &Arc<State>) {
     tokio::spawn(run(Arc::downgrade(state)));
 }
@@ -22,10 +22,10 @@
 async fn run(state: Weak<State>) {
     let mut before = Look::default();
     loop {
-        tokio::time::sleep(PERIOD).await;
-        // The state is held only while it is looked at, so that it can end.
+        tokio::time::sleep(OBSERVE_PERIOD).await;
+        // Holds the state only during an observation, so that it can be dropped.
         let Some(state) = state.upgrade() else { break };
-        let after = look(&state);
+        let after = observe(&state);
         for (kind, text) in events_between(&before, &after) {
             (state.events.emit)(kind, text);
         }
@@ -33,10 +33,10 @@
     }
 }
 
-fn look(state: &State) -> Look {
+fn observe(state: &State) -> Look {
     Look {
         ready: state.unready().is_none(),
         store_down: !state.ports.metrics.store_up(),
-        leaving: port::leaving_here(state),
+        leaving: port::running_by_subject(state),
     }
 }
