Repair doc comments of the control tasks

Some comments contained an identifier where a word of the sentence belonged. The reason for the interval at which the list of VMs is read is stated as before: the list lags by more than it. Behaviour is unchanged.

--- a/src/app/entry/control/limits.rs
+++ b/src/app/entry/control/limits.rs
@@ -19,7 +19,8 @@
 /// for the same peer are packed into calls of at most 256 KB.
 const RECEIVE_MAX: usize = 512;
 
-/// Passes a new roster to run_every ledger and ticks it.
+/// Periodically gives every ledger the current roster, ticks it and sends its
+/// messages.
 pub(super) async fn run(state: Arc<State>) {
     run_every(TICK_INTERVAL, move || {
         let now = (state.ports.clock.now)();
@@ -66,7 +67,7 @@
     let Unpacked { from, to, items } = batch;
     for item in items {
         let name = item.limit.clone();
-        // A survey waits for the reply of run_every member, so the ledger is created
+        // A survey waits for the reply of every member, so the ledger is created
         // even if no document known here names the limit yet.
         state.ensure_limit(&name);
         let out = state
--- a/src/app/entry/control/mod.rs
+++ b/src/app/entry/control/mod.rs
@@ -79,7 +79,7 @@
 
 impl Control {
     /// Stops the control tasks and the server. Work in progress can be aborted,
-    /// because the protocols tolerate the loss of run_every message.
+    /// because the protocols tolerate the loss of any message.
     pub async fn stop(mut self) {
         self.tasks.shutdown().await;
         self.server.stop(STOP_TIMEOUT).await;
@@ -101,7 +101,7 @@
     tokio::spawn(call)
 }
 
-/// Sleeps for a random time of at longest `longest`, so that entries that failed at
+/// Sleeps for a random time of at most `longest`, so that entries that failed at
 /// the same time do not retry at the same time.
 async fn jitter(longest: Millis) {
     let wait = rand::Rng::random_range(&mut rand::rng(), 0..=longest.0);
--- a/src/app/entry/control/roster.rs
+++ b/src/app/entry/control/roster.rs
@@ -18,7 +18,7 @@
 const CHECK_PERIOD: Millis = Millis(250);
 
 /// How often a proposer reads the platform's list of VMs if no entry is joining.
-/// Reading it more often gains nothing, since the list lags by more than this.
+/// The list itself lags by more than this.
 const LIST_INTERVAL: Millis = Millis(5_000);
 
 /// How long a stopping entry waits for its removal from the roster in the store.
--- a/src/app/entry/control/routes.rs
+++ b/src/app/entry/control/routes.rs
@@ -79,7 +79,7 @@
     let ack = grpc::probe(&state.fleet.peers, to, &probe).await;
     let ack = ack.map_err(|e| Status::unavailable(e.to_string()))?;
     // The reply carries updates for this entry as well. Nonce 0 matches no probe
-    // round, since the round belongs to the entry that requested the relay.
+    // round here, because the round is that of the entry that requested the relay.
     let updates = ack.updates.clone();
     let mut members = state.fleet.members();
     members.on_ack(now, &ack.sender.entry, Nonce(0), updates);
--- a/src/app/entry/control/shifts.rs
+++ b/src/app/entry/control/shifts.rs
@@ -110,8 +110,8 @@
     merged
 }
 
-/// Updates the set of lost regions, passes each change to all shifts and emits an
-/// event for it.
+/// Updates the set of regions that are lost as far as steering is concerned, passes
+/// each change to all shifts and emits an event for it.
 fn update_lost_regions(state: &State, lost: &mut BTreeSet<RegionName>) {
     let now = (state.ports.clock.now)();
     let now_lost = lost_regions(state);
--- a/src/app/entry/control/strikes.rs
+++ b/src/app/entry/control/strikes.rs
@@ -49,7 +49,8 @@
 }
 
 /// Notifies random peers of a strike. Returns when all of them have replied or
-/// failed, or after [`NOTICE_TIMEOUT`], since a caller waits for this.
+/// failed, or after [`NOTICE_TIMEOUT`], because a caller's response is held
+/// meanwhile.
 pub(in crate::app::entry) async fn announce_strike(state: &Arc<State>, strike: StrikeNotice) {
     let others = state.fleet.others();
     let chosen: Vec<EntryId> = others
