Reword the tests of administration and relay

The headers and some test names stated what is guarded in figures. They now name the failure.

Renamed tests: outcomes_are_true_while_the_store_fails -> edits_report_the_right_outcome_while_the_store_fails, a_token_opens_only_its_team_s_documents -> a_token_gives_access_only_to_its_team_s_documents, an_edit_that_is_sent_twice_is_made_once -> an_edit_that_is_sent_twice_is_applied_once, an_entry_follows_another_and_outlives_it -> an_entry_follows_a_peer_and_takes_over_when_it_stops, an_entry_starts_from_another_while_the_store_is_away -> an_entry_starts_from_a_peer_while_the_store_is_unavailable. What the tests check is unchanged.

--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -1,6 +1,7 @@
-//! Guards the administration interface: an edit that overwrites another one, a
-//! false `not-run`, a token that opens a foreign document, a client that takes
-//! the server's memory or its connections.
+//! Tests the administration interface against an edit that overwrites a concurrent
+//! one, the outcome `not-run` for an edit that took effect, a token that gives
+//! access to another team's documents, and a client that exhausts the memory or
+//! the connections of the server.
 
 mod harness;
 mod site;
@@ -25,15 +26,15 @@
 #[tokio::test]
 async fn an_edit_needs_the_revision_that_it_replaces() {
     let site = Site::spawn().await;
-    let lighter = DOCUMENT.replace("weight = 60", "weight = 20");
+    let reweighted = DOCUMENT.replace("weight = 60", "weight = 20");
     let mut seen = Vec::new();
     let edits = [
         ("create", vec![], DOCUMENT),
-        ("no base", vec![], &lighter),
-        ("stale base", vec![("if-match", "\"1\"")], &lighter),
-        ("create again", vec![("if-none-match", "*")], &lighter),
-        ("two tags", vec![("if-match", "\"2\", \"3\"")], &lighter),
-        ("right base", vec![("if-match", "\"2\"")], &lighter),
+        ("no base", vec![], &reweighted),
+        ("stale base", vec![("if-match", "\"1\"")], &reweighted),
+        ("create again", vec![("if-none-match", "*")], &reweighted),
+        ("two tags", vec![("if-match", "\"2\", \"3\"")], &reweighted),
+        ("right base", vec![("if-match", "\"2\"")], &reweighted),
         ("any base", vec![("if-match", "*")], DOCUMENT),
     ];
     for (name, headers, text) in edits {
@@ -79,7 +80,7 @@
 }
 
 #[tokio::test]
-async fn an_edit_that_is_sent_twice_is_made_once() {
+async fn an_edit_that_is_sent_twice_is_applied_once() {
     let site = Site::spawn().await;
     let id = [("x-savorybeam-edit", "000000000000000000000000000000ab")];
     let mut seen = Vec::new();
@@ -125,7 +126,7 @@
 }
 
 #[tokio::test]
-async fn a_token_opens_only_its_team_s_documents() {
+async fn a_token_gives_access_only_to_its_team_s_documents() {
     let site = Site::spawn().await;
     site.call("PUT", PATH, &[], DOCUMENT).await;
     let mut seen = Vec::new();
@@ -150,7 +151,7 @@
 }
 
 #[tokio::test]
-async fn outcomes_are_true_while_the_store_fails() {
+async fn edits_report_the_right_outcome_while_the_store_fails() {
     let site = Site::spawn().await;
     site.call("PUT", PATH, &[], DOCUMENT).await;
     let mut seen = Vec::new();
@@ -162,13 +163,13 @@
         seen.push(format!("down {method}: {}", show(&answer)));
     }
     site.faults.down.store(false, SeqCst);
-    // The write takes effect, its answer is lost, and the record tells.
+    // The write takes effect but its reply is lost. The record shows the edit.
     site.faults.lost.store(1, SeqCst);
     let answer = site
         .call("PUT", PATH, &[("if-match", "\"2\"")], DOCUMENT)
         .await;
     seen.push(format!("answer lost: {}", show(&answer)));
-    // The store goes down together with the lost answer.
+    // The reply is lost and the store is down afterwards.
     site.faults.lost.store(1, SeqCst);
     site.faults.dies.store(true, SeqCst);
     let id = ("x-savorybeam-edit", "000000000000000000000000000000cd");
@@ -255,7 +256,8 @@
         let answer = site.call("PUT", PATH, &[], &text).await;
         seen.push(show(&answer));
     }
-    // A document that alone fills the value leaves no room for the record.
+    // A document as large as the largest value of the store leaves no room for the
+    // rest of the record.
     let text = format!(
         "{DOCUMENT}#{}\n",
         "x".repeat((1 << 20) - DOCUMENT.len() - 2)
@@ -294,18 +296,18 @@
             request.lines().next().unwrap_or_default()
         ));
     }
-    // A sender that stops in the middle of a body does not hold up the others.
+    // A client that stops in the middle of a body does not delay other clients.
     let mut slow = TcpStream::connect(site.addr).await.expect("it connects");
     let head = format!(
         "PUT {PATH} HTTP/1.1\r\nhost: a\r\nauthorization: Bearer {TOKEN}\r\ncontent-length: 99\r\n\r\n[ser"
     );
     slow.write_all(head.as_bytes()).await.expect("it writes");
     let answer = site.call("GET", "/healthz", &[], "").await;
-    seen.push(format!("beside a slow sender: {}", answer.head.status));
+    seen.push(format!("during a slow request: {}", answer.head.status));
     let mut answer = vec![0; 30];
     slow.read_exact(&mut answer)
         .await
-        .expect("the slow sender is told");
+        .expect("the slow sender gets a response");
     seen.push(format!(
         "slow sender: {:?}",
         String::from_utf8_lossy(&answer)
@@ -316,7 +318,7 @@
 #[tokio::test]
 async fn metrics_and_documentation_agree() {
     let site = Site::spawn().await;
-    touch(&site.metrics);
+    use_every_family(&site.metrics);
     let output = site.call("GET", "/metrics", &[], "").await.text();
     let page = std::fs::read_to_string("docs/operating.md").expect("the page is there");
     let mut missing = Vec::new();
@@ -339,8 +341,8 @@
     insta::assert_debug_snapshot!(missing, @"[]");
 }
 
-/// Uses every family once, since an unused one is not in the output.
-fn touch(m: &Metrics) {
+/// Sets every metric family once, since the output omits unused families.
+fn use_every_family(m: &Metrics) {
     let service = ServiceLabel {
         service: "slotboard".to_owned(),
     };
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,5 +1,5 @@
-//! Guards what entries tell each other of the platform, with real connections on
-//! loopback and a platform in memory.
+//! Tests how entries pass the platform's changes to each other, with real loopback
+//! connections and an in-memory platform.
 
 mod vm;
 
@@ -29,11 +29,12 @@
 
 use vm::ANY;
 
-/// The platform's store: every change with its revision.
+/// The store of the platform. The revision of a change is its position in the
+/// list, starting at 1.
 #[derive(Default)]
 struct Store {
     changes: Mutex<Vec<Change>>,
-    away: AtomicBool,
+    unavailable: AtomicBool,
 }
 
 impl Store {
@@ -42,11 +43,11 @@
     }
 
     fn after(&self, revision: Revision) -> Result<Batch, PlatformError> {
-        if self.away.load(SeqCst) {
+        if self.unavailable.load(SeqCst) {
             return Err(PlatformError::Failed {
                 step: "read keys",
                 peer: ANY,
-                cause: "the store is away".to_owned(),
+                cause: "the store is unavailable".to_owned(),
             });
         }
         let changes = self.changes.lock().expect("changes");
@@ -58,7 +59,7 @@
     }
 }
 
-/// Returns a platform over the store, with a count of its polls.
+/// Returns a platform that reads from the store and counts its polls.
 fn platform(store: &Arc<Store>, polls: &Arc<AtomicU32>) -> Platform {
     let (all, some, polls) = (store.clone(), store.clone(), polls.clone());
     Platform {
@@ -120,7 +121,7 @@
     })
 }
 
-async fn open(name: &str, platform: Platform, seeds: Vec<SocketAddr>) -> Gateway {
+async fn spawn_gateway(name: &str, platform: Platform, seeds: Vec<SocketAddr>) -> Gateway {
     let clock = clock::open();
     let peers = Arc::new(Peers::new(Millis(500), Arc::default()));
     let ports = Ports {
@@ -134,39 +135,40 @@
     gateway.expect("a gateway")
 }
 
-async fn until(what: &str, look: impl Fn() -> bool) {
+async fn wait_until(what: &str, condition: impl Fn() -> bool) {
     let wait = async {
-        while !look() {
+        while !condition() {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
     };
     let done = tokio::time::timeout(Duration::from_secs(10), wait).await;
-    assert!(done.is_ok(), "{what}: not seen within 10 s");
+    assert!(done.is_ok(), "{what}: not observed within 10 s");
 }
 
-/// Fails if an entry of a region calls the store although another one does, if a
-/// change does not reach it that way, or if it falls behind once the other ends.
+/// Fails if an entry polls the store although another entry of its region does, if
+/// it does not receive a change from that entry, or if it misses a change after
+/// that entry has stopped.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_entry_follows_another_and_outlives_it() {
+async fn an_entry_follows_a_peer_and_takes_over_when_it_stops() {
     let store: Arc<Store> = Arc::default();
     store.put(configuration(1));
     store.put(target(1, 1, InstanceState::Ready));
     let (first_polls, polls): (Arc<AtomicU32>, Arc<AtomicU32>) = Default::default();
-    let first = open("edge-1", platform(&store, &first_polls), Vec::new()).await;
+    let first = spawn_gateway("edge-1", platform(&store, &first_polls), Vec::new()).await;
     store.put(presence(&first, "edge-1"));
-    let second = open("edge-2", platform(&store, &polls), Vec::new()).await;
+    let second = spawn_gateway("edge-2", platform(&store, &polls), Vec::new()).await;
     store.put(presence(&second, "edge-2"));
-    until("both know both", || {
-        let entries = |g: &Gateway| g.state.peers().len() == 2;
-        entries(&first) && entries(&second)
+    wait_until("both entries know each other", || {
+        let knows_both = |g: &Gateway| g.state.peers().len() == 2;
+        knows_both(&first) && knows_both(&second)
     })
     .await;
-    // The second entry's first poll may be under way.
+    // The first poll of the second entry may still be in progress.
     tokio::time::sleep(Duration::from_millis(100)).await;
     let before = polls.load(SeqCst);
     store.put(configuration(2));
     let version = |g: &Gateway| g.state.table().map(|t| t.version);
-    until("the change arrives", || {
+    wait_until("the second entry gets the change", || {
         version(&second) == Some(Revision(2))
     })
     .await;
@@ -174,37 +176,38 @@
     assert_eq!(
         polls.load(SeqCst),
         before,
-        "the second entry called the store"
+        "the second entry polled the store"
     );
     first.stop().await;
     store.put(configuration(3));
-    until("a later one arrives", || {
+    wait_until("the second entry gets the change after the stop", || {
         version(&second) == Some(Revision(3))
     })
     .await;
     assert!(
         polls.load(SeqCst) > before,
-        "the second entry asks the store"
+        "the second entry polls the store"
     );
     second.stop().await;
 }
 
-/// Fails if an entry that starts while the store is away serves nobody although
-/// another entry knows everything.
+/// Fails if an entry that starts while the store is unavailable does not become
+/// ready although another entry has all the data, or if it passes on different
+/// data.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn an_entry_starts_from_another_while_the_store_is_away() {
+async fn an_entry_starts_from_a_peer_while_the_store_is_unavailable() {
     let store: Arc<Store> = Arc::default();
     store.put(configuration(1));
     store.put(target(1, 1, InstanceState::Ready));
     store.put(target(2, 1, InstanceState::Draining));
     store.put(Change::Evacuated("a-2".parse().expect("a name")));
     let polls: Arc<AtomicU32> = Arc::default();
-    let first = open("edge-1", platform(&store, &polls), Vec::new()).await;
-    until("the first is ready", || first.state.is_ready()).await;
-    store.away.store(true, SeqCst);
+    let first = spawn_gateway("edge-1", platform(&store, &polls), Vec::new()).await;
+    wait_until("the first is ready", || first.state.is_ready()).await;
+    store.unavailable.store(true, SeqCst);
     let seed = first.relay().expect("an address");
-    let second = open("edge-2", platform(&store, &polls), vec![seed]).await;
-    until("the second is ready", || second.state.is_ready()).await;
+    let second = spawn_gateway("edge-2", platform(&store, &polls), vec![seed]).await;
+    wait_until("the second is ready", || second.state.is_ready()).await;
     let peers = Peers::new(Millis(500), Arc::default());
     let changes = grpc::changes(Arc::new(peers));
     let ask = Ask {
@@ -212,9 +215,9 @@
         after: None,
         wait: Millis(0),
     };
-    let mut news = (changes.ask)(ask).await.expect("news");
-    news.batch.changes.sort_by_key(|c| format!("{c:?}"));
-    insta::assert_debug_snapshot!(news.batch);
+    let mut reply = (changes.ask)(ask).await.expect("a reply");
+    reply.batch.changes.sort_by_key(|c| format!("{c:?}"));
+    insta::assert_debug_snapshot!(reply.batch);
     first.stop().await;
     second.stop().await;
 }
