--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -88,7 +88,7 @@
             return true;
         };
         let known = &self.targets[index].instance;
-        let changed = known.state != instance.state || known.born != instance.born;
+        let changed = known.state != instance.state || known.started_at != instance.started_at;
         self.targets[index].update(instance, region, now);
         changed
     }
