--- a/src/adapters/grpc/changes/messages.rs
+++ b/src/adapters/grpc/changes/messages.rs
@@ -155,7 +155,7 @@
         state: i.state.to_string(),
         cold_ms: i.cold.0,
         seq: i.seq,
-        born: i.born.map(|b| b.0),
+        born: i.started_at.map(|b| b.0),
     }
 }
 
@@ -169,7 +169,7 @@
         state: i.state.parse()?,
         cold: Millis(i.cold_ms),
         seq: i.seq,
-        born: i.born.map(Millis),
+        started_at: i.born.map(Millis),
     })
 }
 
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -10,8 +10,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{
-        AzName, Instance, InstanceId, InstanceState, Millis, Part, RegionName, RequestKind, Rule,
-        Slots, TargetId,
+        AzName, Instance, InstanceId, InstanceState, Millis, RegionName, RequestKind, RouteRule,
+        Slots, TargetId, WeightedService,
     },
     policy::balance::{
         ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Request, Ticket, object_hash,
@@ -39,12 +39,12 @@
         state: InstanceState::Ready,
         cold: Millis(0),
         seq: 1,
-        born: Some(Millis(1)),
+        started_at: Some(Millis(1)),
     }
 }
 
-pub fn rule() -> Rule {
-    Rule {
+pub fn rule() -> RouteRule {
+    RouteRule {
         name: "browse".to_owned(),
         host: "kitchens.example".to_owned(),
         prefix: "/slots/".to_owned(),
@@ -54,8 +54,8 @@
         attempts: 2,
         priority: 1,
         sticky: true,
-        homes: Vec::new(),
-        parts: vec![Part {
+        home_regions: Vec::new(),
+        services: vec![WeightedService {
             service: "slotboard".parse().expect("a name"),
             weight: 1.0,
         }],
@@ -137,7 +137,7 @@
     events: BinaryHeap<Reverse<(Millis, u64, Event)>>,
     event_count: u64,
     counts: Counts,
-    rule: Rule,
+    rule: RouteRule,
 }
 
 impl<'a> Simulation<'a> {
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -261,7 +261,7 @@
     let (mut registry, _) = registered(0, 0);
     let new = |seq, born| Instance {
         seq,
-        born: Some(Millis(born)),
+        started_at: Some(Millis(born)),
         slots: Slots(u32::try_from(seq).expect("a small number")),
         ..instance(0, 0, 2)
     };
@@ -309,7 +309,7 @@
         (
             "start",
             Instance {
-                born: Some(Millis(7)),
+                started_at: Some(Millis(7)),
                 ..later
             },
         ),
