--- a/src/app/entry/control/limits.rs
+++ b/src/app/entry/control/limits.rs
@@ -9,7 +9,7 @@
 use crate::{
     adapters::grpc::{
         self,
-        limit::{LimitBatch, Unpacked, pack},
+        limit::{LimitBatch, UnpackedBatch, pack},
     },
     app::entry::State,
     policy::limit::{Outgoing, TICK_INTERVAL},
@@ -62,9 +62,9 @@
 }
 
 /// Passes messages of another entry to the ledgers that they concern.
-pub(super) fn receive(state: &Arc<State>, batch: Unpacked) {
+pub(super) fn receive(state: &Arc<State>, batch: UnpackedBatch) {
     let now = (state.ports.clock.now)();
-    let Unpacked { from, to, items } = batch;
+    let UnpackedBatch { from, to, items } = batch;
     for item in items {
         let name = item.limit.clone();
         // A survey waits for the reply of every member, so the ledger is created
