--- a/src/adapters/platform/directory.rs
+++ b/src/adapters/platform/directory.rs
@@ -1,4 +1,4 @@
-//! Look-ups of callers: which entries to use.
+//! Look-ups, by which callers find the entries to use.
 
 use std::net::SocketAddr;
 
@@ -10,14 +10,14 @@
 };
 
 /// The path of a look-up.
-pub const RESOLVE: &str = "/resolve";
+pub const RESOLVE_PATH: &str = "/resolve";
 
 /// The path of a readiness check.
-pub const READINESS: &str = "/readiness";
+pub const READINESS_PATH: &str = "/readiness";
 
-/// Where the caller of a look-up is.
+/// The location of the caller that sends a look-up.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Caller {
+pub struct CallerLocation {
     /// Its region, if it states a valid one.
     pub region: Option<RegionName>,
     /// Its availability zone, if it states a valid one.
@@ -26,28 +26,28 @@
 
 /// Reads the query of a look-up.
 #[must_use]
-pub fn read_query(query: &str) -> Caller {
+pub fn read_query(query: &str) -> CallerLocation {
     let query: Query = query.parse().unwrap_or_default();
     let text = |name| query.text(name);
-    Caller {
+    CallerLocation {
         region: text("region").and_then(|t| t.parse().ok()),
         az: text("zone").and_then(|t| t.parse().ok()),
     }
 }
 
 #[derive(Serialize)]
-struct Answer<'a> {
+struct LookupResponse<'a> {
     addresses: &'a [SocketAddr],
     ttl_s: f64,
 }
 
-/// Writes the answer of a look-up.
+/// Encodes the response to a look-up.
 #[must_use]
-pub fn write_answer(fronts: &[SocketAddr], ttl: Millis) -> String {
-    let answer = Answer {
+pub fn encode_response(fronts: &[SocketAddr], ttl: Millis) -> String {
+    let response = LookupResponse {
         addresses: fronts,
         ttl_s: ttl.duration().as_secs_f64(),
     };
-    // Addresses and a number always have a JSON form.
-    serde_json::to_string(&answer).unwrap_or_default()
+    // Addresses and a finite number can always be serialized.
+    serde_json::to_string(&response).unwrap_or_default()
 }
--- a/src/adapters/platform/headers.rs
+++ b/src/adapters/platform/headers.rs
@@ -1,4 +1,4 @@
-//! The headers of requests and answers.
+//! The headers of requests and responses.
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
@@ -7,88 +7,98 @@
     policy::balance::LoadReport,
 };
 
-/// The id of one attempt of a caller.
+/// The id that a caller gives to one attempt. The response must repeat it.
 pub const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
-/// How long a connection may be idle and still be used.
+/// How long a caller may reuse an idle connection.
 pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// How long the sender waits for the response.
 const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
-/// The object that a request concerns.
+/// Identifies the object that a request concerns.
 const AFFINITY_KEY: HeaderName = HeaderName::from_static("affinity-key");
-/// A signature of the target over its answer.
+/// A signature of the target over its response.
 const SERVER_SEAL: HeaderName = HeaderName::from_static("server-seal");
+/// The instance of a target that may run the request.
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+/// The load that a target reports.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
+/// Says that the target rejected the request without running it.
 const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
 const RETRY_AFTER: HeaderName = http::header::RETRY_AFTER;
 
-/// What the head of a caller's request says of how to carry it.
+/// The headers of a caller's request that determine how it is forwarded.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RequestHead {
-    /// The id of this attempt.
+    /// The request id.
     pub id: Option<HeaderValue>,
-    /// How long the caller waits.
-    pub deadline: Option<Millis>,
-    /// The object that it concerns.
-    pub object: Option<HeaderValue>,
+    /// How long the caller waits for the response.
+    pub timeout: Option<Millis>,
+    /// The affinity key, which identifies the object that the request concerns.
+    pub affinity_key: Option<HeaderValue>,
 }
 
 /// Reads the head of a caller's request.
 #[must_use]
-pub fn read_request(headers: &HeaderMap) -> RequestHead {
+pub fn read_request_head(headers: &HeaderMap) -> RequestHead {
     RequestHead {
         id: headers.get(REQUEST_ID).cloned(),
-        deadline: number(headers, &DEADLINE_MS).map(Millis),
-        object: headers.get(AFFINITY_KEY).cloned(),
+        timeout: read_number(headers, &DEADLINE_MS).map(Millis),
+        affinity_key: headers.get(AFFINITY_KEY).cloned(),
     }
 }
 
-/// Addresses a request to one start of a target, with the time that is left.
-pub fn write_request(headers: &mut HeaderMap, id: &InstanceId, left: Millis) {
-    headers.insert(DEADLINE_MS, HeaderValue::from(left.0));
-    // An id is printable ASCII, so that it always is a valid value.
+/// Sets the headers of an attempt: the instance that may run the request and the
+/// time that is left for it.
+pub fn write_attempt(headers: &mut HeaderMap, id: &InstanceId, time_left: Millis) {
+    headers.insert(DEADLINE_MS, HeaderValue::from(time_left.0));
+    // An id is printable ASCII and thus always a valid header value.
     if let Ok(value) = HeaderValue::from_str(id.as_str()) {
         headers.insert(EXPECT_INSTANCE, value);
     }
 }
 
-/// What a target's answer says about the request.
+/// What the head of a target's response says about the request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Verdict {
-    /// The target ran the request; this is its answer.
+pub enum ResponseKind {
+    /// The target ran the request and this is its response.
     Answered,
     /// The target rejected the request without running it.
     Rejected,
-    /// Another target has the address. The request was not run.
+    /// Another instance uses the address. It did not run the request.
     Misdirected,
-    /// These bytes are not the answer to the request. It may have run.
-    Spoiled(&'static str),
+    /// This is not a valid response to the request, for the given reason. The request
+    /// may have run.
+    Invalid(&'static str),
 }
 
-/// Reads the head of a target's answer to the request with the given id.
+/// Classifies the head of a target's response to the request with the given id.
 #[must_use]
-pub fn read_answer(status: StatusCode, headers: &HeaderMap, id: Option<&HeaderValue>) -> Verdict {
+pub fn classify_response(
+    status: StatusCode,
+    headers: &HeaderMap,
+    id: Option<&HeaderValue>,
+) -> ResponseKind {
     if status == StatusCode::MISDIRECTED_REQUEST {
-        return Verdict::Misdirected;
+        return ResponseKind::Misdirected;
     }
     if headers.contains_key(NOT_EXECUTED) {
-        return Verdict::Rejected;
+        return ResponseKind::Rejected;
     }
     if headers.get(REQUEST_ID) != id {
-        return Verdict::Spoiled("the answer belongs to another request");
+        return ResponseKind::Invalid("the response belongs to another request");
     }
     if !headers.contains_key(SERVER_SEAL) {
-        return Verdict::Spoiled("the answer bears no signature of the target");
+        return ResponseKind::Invalid("the response has no signature of the target");
     }
     if headers.contains_key(http::header::CONTENT_ENCODING) {
-        return Verdict::Spoiled("the body is encoded, which no caller asked for");
+        return ResponseKind::Invalid("the body has a content encoding, which no caller asked for");
     }
-    Verdict::Answered
+    ResponseKind::Answered
 }
 
-/// Reads the load that a target reports: requests running, waiting, slots, and
-/// how long work takes at the moment, in percent of the usual.
+/// Reads the load that a target reports: running requests, waiting requests, slots
+/// and the current duration of work in percent of the usual one.
 #[must_use]
-pub fn read_load(headers: &HeaderMap) -> Option<LoadReport> {
+pub fn read_load_report(headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(SERVER_LOAD)?.to_str().ok()?;
     let mut parts = text.split(',').map(|p| p.trim().parse::<u32>().ok());
     let report = LoadReport {
@@ -100,14 +110,14 @@
     Some(report)
 }
 
-/// Tells a caller when to come back.
-pub fn write_retry(headers: &mut HeaderMap, time: Millis) {
+/// Sets the time after which a caller may retry.
+pub fn write_retry_after(headers: &mut HeaderMap, time: Millis) {
     let text = format!("{}.{:03}", time.0 / 1000, time.0 % 1000);
     if let Ok(value) = HeaderValue::from_str(&text) {
         headers.insert(RETRY_AFTER, value);
     }
 }
 
-fn number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
+fn read_number(headers: &HeaderMap, name: &HeaderName) -> Option<u64> {
     headers.get(name)?.to_str().ok()?.trim().parse().ok()
 }
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -1,11 +1,11 @@
-//! What lies in the store: configurations, evacuations, registrations and the
-//! presence of entries.
+//! Decodes the items of the store: configurations, evacuations, registrations of
+//! targets and announcements of entries.
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::millis;
+use super::seconds_to_millis;
 use crate::{
     domain::{
         CallerLimits, Configuration, EntryId, Instance, InstanceId, InstanceState, Mbps, Millis,
@@ -14,20 +14,20 @@
     ports::Change,
 };
 
-const CONFIG: &str = "op/config";
-const EVACUATE: &str = "op/evacuate/";
-const SERVERS: &str = "servers/";
-const ENTRIES: &str = "savorybeam/entries/";
+const CONFIG_KEY: &str = "op/config";
+const EVACUATE_PREFIX: &str = "op/evacuate/";
+const SERVERS_PREFIX: &str = "servers/";
+const ENTRIES_PREFIX: &str = "savorybeam/entries/";
 
-/// The prefixes of all keys that mean something here.
-pub(super) const PREFIXES: [&str; 3] = ["op/", ENTRIES, SERVERS];
+/// The prefixes of all keys that are decoded.
+pub(super) const KEY_PREFIXES: [&str; 3] = ["op/", ENTRIES_PREFIX, SERVERS_PREFIX];
 
-/// Returns the key under which an entry announces itself.
+/// Returns the key of the announcement of an entry.
 pub(super) fn presence_key(presence: &Presence) -> String {
-    format!("{ENTRIES}{}", presence.name)
+    format!("{ENTRIES_PREFIX}{}", presence.name)
 }
 
-/// One item, or the news that it is gone.
+/// One item of the store, or its deletion.
 #[derive(Debug, Deserialize)]
 pub(super) struct Item {
     pub key: String,
@@ -37,23 +37,23 @@
     deleted: bool,
 }
 
-/// Decodes an item of the store. Returns none for keys that mean nothing here.
+/// Decodes an item of the store. Returns none for a key of an unknown kind.
 pub(super) fn decode(item: &Item) -> Option<Change> {
     let key = item.key.as_str();
-    let result = if let Some(name) = key.strip_prefix(SERVERS) {
-        read(item, name, registration, Change::Unregistered)
-    } else if let Some(name) = key.strip_prefix(ENTRIES) {
-        read(item, name, presence, Change::Left)
-    } else if let Some(name) = key.strip_prefix(EVACUATE) {
-        read(
+    let result = if let Some(name) = key.strip_prefix(SERVERS_PREFIX) {
+        decode_item(item, name, parse_registration, Change::Unregistered)
+    } else if let Some(name) = key.strip_prefix(ENTRIES_PREFIX) {
+        decode_item(item, name, parse_presence, Change::Left)
+    } else if let Some(name) = key.strip_prefix(EVACUATE_PREFIX) {
+        decode_item(
             item,
             name,
             |az, _| Ok(Change::Evacuated(az)),
             Change::Restored,
         )
-    } else if key == CONFIG && !item.deleted {
-        bytes(item)
-            .and_then(|b| configuration(&b))
+    } else if key == CONFIG_KEY && !item.deleted {
+        decode_value(item)
+            .and_then(|b| parse_configuration(&b))
             .map(|c| Change::Configured(Box::new(c)))
     } else {
         return None;
@@ -64,25 +64,28 @@
     }))
 }
 
-fn read<T: std::str::FromStr<Err: ToString>>(
+/// Decodes an item whose key ends in a name. `put` converts a value to a change,
+/// `delete` converts a deletion.
+fn decode_item<T: std::str::FromStr<Err: ToString>>(
     item: &Item,
     name: &str,
     put: impl Fn(T, &[u8]) -> Result<Change, String>,
-    gone: impl Fn(T) -> Change,
+    delete: impl Fn(T) -> Change,
 ) -> Result<Change, String> {
     let name = parse(name)?;
     if item.deleted {
-        return Ok(gone(name));
+        return Ok(delete(name));
     }
-    put(name, &bytes(item)?)
+    put(name, &decode_value(item)?)
 }
 
-fn bytes(item: &Item) -> Result<Bytes, String> {
+/// Decodes the value of an item from base64.
+fn decode_value(item: &Item) -> Result<Bytes, String> {
     let value = STANDARD.decode(&item.value);
     value.map(Bytes::from).map_err(|e| format!("value: {e}"))
 }
 
-fn json<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, String> {
+fn parse_json<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, String> {
     serde_json::from_slice(bytes).map_err(|e| e.to_string())
 }
 
@@ -90,8 +93,9 @@
     text.parse().map_err(|e: T::Err| e.to_string())
 }
 
-fn time(field: &str, seconds: f64) -> Result<Millis, String> {
-    millis(seconds).ok_or_else(|| format!("{field}: {seconds} s is not a duration"))
+fn parse_duration(field: &str, seconds: f64) -> Result<Millis, String> {
+    seconds_to_millis(seconds)
+        .ok_or_else(|| format!("{field}: {seconds} s is not a valid duration"))
 }
 
 #[derive(Deserialize)]
@@ -101,19 +105,19 @@
     zone: String,
     slots: u32,
     state: String,
-    /// How much longer the server is slow after its start.
+    /// How much longer the server is slow after its start, in seconds.
     #[serde(rename = "cold_left_s")]
     cold: f64,
-    /// The number of this heartbeat.
+    /// The sequence number of the heartbeat.
     seq: u64,
-    /// The Unix millisecond of its start.
+    /// The time of its start, in milliseconds since the Unix epoch.
     born: Option<u64>,
 }
 
-fn registration(id: InstanceId, bytes: &[u8]) -> Result<Change, String> {
-    let wire: WireServer = json(bytes)?;
+fn parse_registration(id: InstanceId, bytes: &[u8]) -> Result<Change, String> {
+    let wire: WireServer = parse_json(bytes)?;
     if wire.slots == 0 {
-        return Err("slots: 0 is not a number of slots".to_owned());
+        return Err("slots: 0 is not allowed, a target has at least 1".to_owned());
     }
     Ok(Change::Registered(Instance {
         id,
@@ -122,7 +126,7 @@
         az: parse(&wire.zone)?,
         slots: Slots(wire.slots),
         state: parse::<InstanceState>(&wire.state)?,
-        cold: time("cold_left_s", wire.cold)?,
+        cold: parse_duration("cold_left_s", wire.cold)?,
         seq: wire.seq,
         born: wire.born.map(Millis),
     }))
@@ -139,7 +143,7 @@
     region: String,
 }
 
-/// Encodes the presence of an entry, in standard base64.
+/// Encodes the announcement of an entry as JSON in base64.
 pub(super) fn encode_presence(presence: &Presence) -> String {
     let wire = WireEntry {
         front: presence.front.to_string(),
@@ -148,12 +152,12 @@
         az: presence.az.to_string(),
         region: presence.region.to_string(),
     };
-    // Plain strings always have a JSON form.
+    // Strings and numbers can always be serialized.
     STANDARD.encode(serde_json::to_vec(&wire).unwrap_or_default())
 }
 
-fn presence(name: EntryId, bytes: &[u8]) -> Result<Change, String> {
-    let wire: WireEntry = json(bytes)?;
+fn parse_presence(name: EntryId, bytes: &[u8]) -> Result<Change, String> {
+    let wire: WireEntry = parse_json(bytes)?;
     Ok(Change::Joined(Presence {
         name,
         front: parse(&wire.front)?,
@@ -225,22 +229,22 @@
 #[derive(Deserialize)]
 struct WireCluster {
     name: String,
-    /// The requests a second that a cold server tolerates.
+    /// The requests per second that a cold server can take.
     #[serde(default, rename = "cold_per_s")]
     rate: f64,
 }
 
-/// Decodes a configuration. Whether it makes sense as a whole is decided by
-/// [`Table::compile`](crate::policy::route::Table::compile).
-pub(super) fn configuration(bytes: &[u8]) -> Result<Configuration, String> {
-    let wire: WireConfig = json(bytes)?;
+/// Parses a configuration. [`Table::compile`](crate::policy::route::Table::compile)
+/// checks whether its parts are consistent.
+pub(super) fn parse_configuration(bytes: &[u8]) -> Result<Configuration, String> {
+    let wire: WireConfig = parse_json(bytes)?;
     let version = u64::from_str_radix(&wire.version, 16)
         .map_err(|e| format!("version {:?}: {e}", wire.version))?;
     let mut rules = Vec::new();
     for listener in wire.listeners {
         for route in listener.policy {
             let name = route.name.clone();
-            let rule = rule(&listener.host, route);
+            let rule = convert_rule(&listener.host, route);
             rules.push(rule.map_err(|e| format!("route {name}: {e}"))?);
         }
     }
@@ -255,14 +259,14 @@
         limits: CallerLimits {
             head: Size(wire.limits.header_bytes),
             body: Size(wire.limits.body_bytes),
-            idle: time("idle_timeout_s", wire.limits.idle)?,
+            idle: parse_duration("idle_timeout_s", wire.limits.idle)?,
         },
         rules,
         services: services.collect::<Result<_, String>>()?,
     })
 }
 
-fn rule(host: &str, route: WireRoute) -> Result<Rule, String> {
+fn convert_rule(host: &str, route: WireRoute) -> Result<Rule, String> {
     let action = route.action;
     let mut parts = Vec::new();
     for part in action.traffic_split {
@@ -282,9 +286,9 @@
         name: route.name,
         host: host.to_ascii_lowercase(),
         prefix: route.matches.prefix,
-        kind: kind(&route.kind)?,
-        objective: time("slo_s", route.slo_s)?,
-        timeout: time("timeout_s", action.timeout_s)?,
+        kind: parse_kind(&route.kind)?,
+        objective: parse_duration("slo_s", route.slo_s)?,
+        timeout: parse_duration("timeout_s", action.timeout_s)?,
         attempts: action.max_attempts,
         priority: route.priority,
         sticky: route.sticky,
@@ -293,11 +297,11 @@
     })
 }
 
-fn kind(word: &str) -> Result<RequestKind, String> {
+fn parse_kind(word: &str) -> Result<RequestKind, String> {
     match word {
         "safe" => Ok(RequestKind::Idempotent),
         "unsafe" => Ok(RequestKind::Once),
         "download" => Ok(RequestKind::Download),
-        _ => Err(format!("kind: {word:?} is not a kind of request")),
+        _ => Err(format!("kind: {word:?} is not a request kind")),
     }
 }
--- a/src/adapters/platform/mod.rs
+++ b/src/adapters/platform/mod.rs
@@ -1,13 +1,14 @@
 //! The users' platform behind [`ports::Platform`](crate::ports::Platform).
 //!
-//! This folder is the only place that knows the platform's names, formats and
-//! calls. It decodes each of them once into the project's types and decides
-//! nothing:
+//! Only this module knows the names, formats and calls of the platform. It converts
+//! them to and from the types of this project and makes no decisions:
 //!
 //! * [`settings`] reads the settings file,
 //! * [`store`] calls the metadata store,
-//! * `items` reads what lies there: configurations, registrations, evacuations,
-//! * [`headers`] and [`directory`] read and write what callers and targets see.
+//! * `items` decodes its items: configurations, evacuations, registrations of
+//!   targets and announcements of entries,
+//! * [`headers`] reads and writes the headers of requests and responses,
+//! * [`directory`] reads and writes look-ups of callers.
 //!
 //! See [docs/platform.md](../../../docs/platform.md).
 
@@ -19,12 +20,12 @@
 
 use crate::domain::Millis;
 
-/// Converts the platform's seconds. Negative and absurd values are faults of the
-/// writer, not durations.
-fn millis(seconds: f64) -> Option<Millis> {
-    /// The longest duration that anything on the platform states, in seconds.
-    const LONGEST_S: f64 = 1e6;
-    let valid = (0.0..=LONGEST_S).contains(&seconds);
+/// Converts a duration in seconds. Returns none for negative and implausibly large
+/// values, which only a faulty writer produces.
+fn seconds_to_millis(seconds: f64) -> Option<Millis> {
+    /// An upper bound of all durations of the platform.
+    const MAX_SECONDS: f64 = 1e6;
+    let valid = (0.0..=MAX_SECONDS).contains(&seconds);
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     valid.then(|| Millis((seconds * 1000.0).round() as u64))
 }
--- a/src/adapters/platform/settings.rs
+++ b/src/adapters/platform/settings.rs
@@ -4,16 +4,16 @@
 
 use serde::Deserialize;
 
-use super::millis;
+use super::seconds_to_millis;
 use crate::{
     domain::{Bounds, Mbps, Millis},
     ports::VmSettings,
 };
 
-/// The variable that holds the path of the settings file.
-pub const PATH_VARIABLE: &str = "SAVORYBEAM_BOOT";
+/// The environment variable that holds the path of the settings file.
+pub const SETTINGS_PATH_VARIABLE: &str = "SAVORYBEAM_BOOT";
 
-/// The settings cannot be used. All faults are listed at once.
+/// Lists all faults of invalid settings.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SettingsError {
     /// One line for each fault.
@@ -29,7 +29,7 @@
 impl std::error::Error for SettingsError {}
 
 #[derive(Deserialize)]
-struct Wire {
+struct WireSettings {
     #[serde(rename = "self")]
     own: WireSelf,
     network: WireNetwork,
@@ -71,7 +71,7 @@
     directory: Option<String>,
 }
 
-/// The table that describes the platform, with one of the same name inside.
+/// The mapping that describes the platform. It contains a mapping of the same name.
 #[derive(Deserialize)]
 struct WireProvider {
     provider: WireStore,
@@ -107,7 +107,7 @@
     max_shift: f64,
 }
 
-/// What holds for a bound that the file does not state: the strictest of the
+/// The bounds that apply if the file does not state them: the strictest of the
 /// users' deployments.
 impl Default for WireBounds {
     fn default() -> Self {
@@ -126,43 +126,47 @@
     }
 }
 
-/// Collects faults, so that all of them are listed at once.
+/// Collects faults, so that one error lists all of them.
 #[derive(Default)]
 struct Faults(Vec<String>);
 
 impl Faults {
+    /// Parses a value. Records a fault if it is invalid.
     fn parse<T: std::str::FromStr<Err: fmt::Display>>(&mut self, key: &str, s: &str) -> Option<T> {
         let value = s.parse();
         value.map_err(|e| self.0.push(format!("{key}: {e}"))).ok()
     }
 
-    fn time(&mut self, key: &str, seconds: f64) -> Millis {
-        millis(seconds).unwrap_or_else(|| {
-            self.0.push(format!("{key}: {seconds} s is not a duration"));
+    /// Converts a duration. Records a fault if it is invalid.
+    fn duration(&mut self, key: &str, seconds: f64) -> Millis {
+        seconds_to_millis(seconds).unwrap_or_else(|| {
+            self.0
+                .push(format!("{key}: {seconds} s is not a valid duration"));
             Millis::default()
         })
     }
 }
 
-/// Parses the settings. `metrics` is the port of the metrics' address, which the
-/// platform takes from the deploy file.
+/// Parses the settings. `metrics_port` is the port of the metrics server, which the
+/// platform reads from the deploy file and not from the settings.
 ///
 /// # Errors
 ///
-/// Returns all faults with their keys.
-pub fn parse(text: &str, metrics: u16) -> Result<VmSettings, SettingsError> {
-    let wire: Wire = serde_norway::from_str(text).map_err(|e| SettingsError {
+/// Returns all faults, each with its key.
+pub fn parse(text: &str, metrics_port: u16) -> Result<VmSettings, SettingsError> {
+    let wire: WireSettings = serde_norway::from_str(text).map_err(|e| SettingsError {
         faults: vec![e.to_string()],
     })?;
     let mut faults = Faults::default();
-    let settings = settings(&wire, metrics, &mut faults);
+    let settings = convert_settings(&wire, metrics_port, &mut faults);
     match settings {
         Some(settings) if faults.0.is_empty() => Ok(settings),
         _ => Err(SettingsError { faults: faults.0 }),
     }
 }
 
-fn settings(wire: &Wire, metrics: u16, f: &mut Faults) -> Option<VmSettings> {
+/// Converts the settings. Returns none if a required value is invalid.
+fn convert_settings(wire: &WireSettings, metrics_port: u16, f: &mut Faults) -> Option<VmSettings> {
     let (own, net) = (&wire.own, &wire.network);
     let name = f.parse("self.node_name", &own.node_name);
     let az = f.parse("self.zone", &own.zone);
@@ -185,7 +189,7 @@
         ))
     });
     let zones = zones.collect();
-    let bounds = bounds(&wire.terms.bounds, f);
+    let bounds = convert_bounds(&wire.terms.bounds, f);
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     let cores = own.limits.cores.ceil().clamp(1.0, 64.0) as usize;
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
@@ -198,7 +202,7 @@
         readiness: readiness?,
         directory,
         control,
-        metrics: SocketAddr::new(ip?, metrics),
+        metrics: SocketAddr::new(ip?, metrics_port),
         seeds,
         store: store?,
         zones,
@@ -209,17 +213,17 @@
     })
 }
 
-fn bounds(wire: &WireBounds, f: &mut Faults) -> Bounds {
+fn convert_bounds(wire: &WireBounds, f: &mut Faults) -> Bounds {
     Bounds {
-        drain: f.time("drain_s", wire.drain_s),
-        config: f.time("config_apply_s", wire.config),
-        grace: f.time("grace_s", wire.grace_s),
+        drain: f.duration("drain_s", wire.drain_s),
+        config: f.duration("config_apply_s", wire.config),
+        grace: f.duration("grace_s", wire.grace_s),
         retry_ratio: wire.retry_ratio,
         retry_slack: wire.retry_slack,
-        retry_window: f.time("budget_window_s", wire.retry_window),
+        retry_window: f.duration("budget_window_s", wire.retry_window),
         cold_factor: wire.cold_overshoot,
         cold_slack: wire.cold_slack,
-        ttl: f.time("ttl_max_s", wire.ttl),
+        ttl: f.duration("ttl_max_s", wire.ttl),
         shift: wire.max_shift,
     }
 }
--- a/src/adapters/platform/store.rs
+++ b/src/adapters/platform/store.rs
@@ -15,31 +15,31 @@
     ports::{Batch, LeaseId, Outbound, Platform, PlatformError, Poll, Targets},
 };
 
-/// How long a call that carries little may take, and any call until its answer
-/// begins. A slow store answers within a quarter of a second. A store that is
-/// silent must be noticed soon, since a call that waits for it learns nothing of
-/// its return.
-const TIMEOUT: Millis = Millis(1_000);
+/// The timeout until the response to a call begins, and by default that for reading
+/// the response. A slow store answers within 250 ms. A silent store must be
+/// detected soon, because a call that waits on a dead connection does not notice
+/// that the store is back.
+const DEFAULT_TIMEOUT: Millis = Millis(1_000);
 
-/// The largest answer that is read. A page has about 1 MB at the most.
-const ANSWER_MAX_BYTES: usize = 4 << 20;
+/// The maximum size of a response. A page of items has at most about 1 MB.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
-type Answer<T> = Result<T, PlatformError>;
+type PlatformResult<T> = Result<T, PlatformError>;
 
-/// How long a call may take.
+/// The timeouts of a call.
 #[derive(Clone, Copy)]
-struct Time {
-    /// How long the store may wait before it answers.
+struct Timeouts {
+    /// How long the store may wait for a change before it answers.
     wait: Millis,
-    /// How long the answer may take from there.
+    /// How long reading the response may take after its head.
     limit: Millis,
 }
 
-impl Default for Time {
+impl Default for Timeouts {
     fn default() -> Self {
         Self {
             wait: Millis(0),
-            limit: TIMEOUT,
+            limit: DEFAULT_TIMEOUT,
         }
     }
 }
@@ -50,7 +50,8 @@
     targets: Targets,
 }
 
-/// Opens a client of the store at the address, over the given connections.
+/// Opens a client of the store at the address. It sends its calls through
+/// `targets`.
 #[must_use]
 pub fn open(addr: SocketAddr, targets: Targets) -> Platform {
     let client = Client { addr, targets };
@@ -72,9 +73,10 @@
     at_rev: u64,
 }
 
-async fn read(client: Client, limit: Millis) -> Answer<Batch> {
-    // All at once, because a process that has just started serves nobody yet.
-    let ranges = items::PREFIXES.map(|prefix| client.range(prefix, limit));
+async fn read(client: Client, limit: Millis) -> PlatformResult<Batch> {
+    // Reads all prefixes concurrently, because a process that has just started
+    // cannot serve requests before it has read them.
+    let ranges = items::KEY_PREFIXES.map(|prefix| client.read_prefix(prefix, limit));
     let mut all = Batch {
         changes: Vec::new(),
         revision: Revision(u64::MAX),
@@ -82,8 +84,8 @@
     for range in join_all(ranges).await {
         let range = range?;
         all.changes.extend(range.changes);
-        // Pages are no snapshot. What changes between them is reported again by
-        // a poll from the earliest revision.
+        // The pages are no consistent snapshot. A poll from the earliest revision
+        // reports again what changed between them.
         all.revision = all.revision.min(range.revision);
     }
     Ok(all)
@@ -96,17 +98,19 @@
     at_rev: u64,
 }
 
-async fn poll(client: Client, poll: Poll) -> Answer<Batch> {
+async fn poll(client: Client, poll: Poll) -> PlatformResult<Batch> {
     const STEP: &str = "watch keys";
     let Poll { after, wait, limit } = poll;
     let path = format!("/kv-watch?prefix=&after={after}&wait_ms={}", wait.0);
-    let time = Time { wait, limit };
-    let (status, body) = client.call(STEP, Method::GET, &path, None, time).await?;
+    let timeouts = Timeouts { wait, limit };
+    let (status, body) = client
+        .call(STEP, Method::GET, &path, None, timeouts)
+        .await?;
     if status == StatusCode::GONE {
         return Err(PlatformError::Compacted);
     }
-    client.expect(STEP, status, &body)?;
-    let events: Events = client.json(STEP, &body)?;
+    client.check_status(STEP, status, &body)?;
+    let events: Events = client.parse_json(STEP, &body)?;
     Ok(Batch {
         changes: events.events.iter().filter_map(items::decode).collect(),
         revision: Revision(events.at_rev),
@@ -120,7 +124,7 @@
 }
 
 #[derive(Deserialize)]
-struct Granted {
+struct LeaseGrant {
     lease: u64,
 }
 
@@ -138,15 +142,15 @@
     deletes: [(); 0],
 }
 
-async fn announce(client: Client, presence: Presence, ttl: Millis) -> Answer<LeaseId> {
+async fn announce(client: Client, presence: Presence, ttl: Millis) -> PlatformResult<LeaseId> {
     const GRANT: &str = "grant lease";
     const WRITE: &str = "announce entry";
     let ttl = Ttl {
         ttl: ttl.duration().as_secs_f64(),
     };
     let (status, body) = client.post(GRANT, "/kv-lease", &ttl).await?;
-    client.expect(GRANT, status, &body)?;
-    let Granted { lease } = client.json(GRANT, &body)?;
+    client.check_status(GRANT, status, &body)?;
+    let LeaseGrant { lease } = client.parse_json(GRANT, &body)?;
     let change = Transaction {
         expect_rev: [],
         writes: [Write {
@@ -160,47 +164,47 @@
     if status == StatusCode::NOT_FOUND {
         return Err(PlatformError::Expired);
     }
-    client.expect(WRITE, status, &body)?;
+    client.check_status(WRITE, status, &body)?;
     Ok(LeaseId(lease))
 }
 
-async fn renew(client: Client, lease: LeaseId) -> Answer<()> {
+async fn renew(client: Client, lease: LeaseId) -> PlatformResult<()> {
     const STEP: &str = "renew lease";
     let path = format!("/kv-keep/{}", lease.0);
     let (status, body) = client
-        .call(STEP, Method::POST, &path, None, Time::default())
+        .call(STEP, Method::POST, &path, None, Timeouts::default())
         .await?;
     if status == StatusCode::NOT_FOUND {
         return Err(PlatformError::Expired);
     }
-    client.expect(STEP, status, &body)
+    client.check_status(STEP, status, &body)
 }
 
-async fn withdraw(client: Client, lease: LeaseId) -> Answer<()> {
+async fn withdraw(client: Client, lease: LeaseId) -> PlatformResult<()> {
     const STEP: &str = "end lease";
     let path = format!("/kv-lease-end/{}", lease.0);
     let (status, body) = client
-        .call(STEP, Method::DELETE, &path, None, Time::default())
+        .call(STEP, Method::DELETE, &path, None, Timeouts::default())
         .await?;
-    client.expect(STEP, status, &body)
+    client.check_status(STEP, status, &body)
 }
 
 impl Client {
-    /// Reads all pages of a prefix, with the revision of the first one.
-    async fn range(&self, prefix: &str, limit: Millis) -> Answer<Batch> {
+    /// Reads all pages of a prefix. Returns the revision of the first page.
+    async fn read_prefix(&self, prefix: &str, limit: Millis) -> PlatformResult<Batch> {
         const STEP: &str = "read keys";
         let mut changes = Vec::new();
         let mut first = None;
         let mut after = String::new();
         loop {
             let path = format!("/kv-range?prefix={prefix}{after}");
-            let time = Time {
+            let timeouts = Timeouts {
                 limit,
-                ..Time::default()
+                ..Timeouts::default()
             };
-            let (status, body) = self.call(STEP, Method::GET, &path, None, time).await?;
-            self.expect(STEP, status, &body)?;
-            let page: Page = self.json(STEP, &body)?;
+            let (status, body) = self.call(STEP, Method::GET, &path, None, timeouts).await?;
+            self.check_status(STEP, status, &body)?;
+            let page: Page = self.parse_json(STEP, &body)?;
             let revision = *first.get_or_insert(Revision(page.at_rev));
             changes.extend(page.items.iter().filter_map(items::decode));
             match page.items.last() {
@@ -210,26 +214,28 @@
         }
     }
 
+    /// Sends a value as JSON with `POST`.
     async fn post(
         &self,
         step: &'static str,
         path: &str,
         value: &impl Serialize,
-    ) -> Answer<(StatusCode, Bytes)> {
-        let text = serde_json::to_vec(value).map_err(|e| self.failed(step, &e))?;
+    ) -> PlatformResult<(StatusCode, Bytes)> {
+        let text = serde_json::to_vec(value).map_err(|e| self.error(step, &e))?;
         let body = Some(text.into());
-        self.call(step, Method::POST, path, body, Time::default())
+        self.call(step, Method::POST, path, body, Timeouts::default())
             .await
     }
 
+    /// Sends a request and reads the response.
     async fn call(
         &self,
         step: &'static str,
         method: Method,
         path: &str,
         body: Option<Bytes>,
-        time: Time,
-    ) -> Answer<(StatusCode, Bytes)> {
+        timeouts: Timeouts,
+    ) -> PlatformResult<(StatusCode, Bytes)> {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -239,35 +245,45 @@
         }
         let request = request
             .body(full(body.unwrap_or_default()))
-            .map_err(|e| self.failed(step, &e))?;
-        let late = |limit| self.failed(step, &format!("timed out after {limit}"));
+            .map_err(|e| self.error(step, &e))?;
+        let timed_out = |limit| self.error(step, &format!("timed out after {limit}"));
         let out = Outbound::new(TargetId(self.addr), request);
-        let limit = time.wait + TIMEOUT.min(time.limit);
-        let answer = timeout(limit.duration(), (self.targets.send)(out)).await;
-        let answer = answer.map_err(|_| late(limit))?;
-        let (head, body) = answer.map_err(|e| self.failed(step, &e))?.into_parts();
-        let limit = time.limit;
-        let content = timeout(limit.duration(), Content::read(body, ANSWER_MAX_BYTES)).await;
-        let content = content.map_err(|_| late(limit))?;
-        match content.map_err(|e| self.failed(step, &e))? {
+        let limit = timeouts.wait + DEFAULT_TIMEOUT.min(timeouts.limit);
+        let response = timeout(limit.duration(), (self.targets.send)(out)).await;
+        let response = response.map_err(|_| timed_out(limit))?;
+        let (head, body) = response.map_err(|e| self.error(step, &e))?.into_parts();
+        let limit = timeouts.limit;
+        let content = timeout(limit.duration(), Content::read(body, MAX_RESPONSE_BYTES)).await;
+        let content = content.map_err(|_| timed_out(limit))?;
+        match content.map_err(|e| self.error(step, &e))? {
             Content::Whole(bytes) => Ok((head.status, bytes)),
-            Content::Stream(_) => Err(self.failed(step, &"the answer is too long")),
+            Content::Stream(_) => Err(self.error(step, &"the response is too long")),
         }
     }
 
-    fn expect(&self, step: &'static str, status: StatusCode, body: &Bytes) -> Answer<()> {
+    /// Returns an error with the start of the body if the status is no success.
+    fn check_status(
+        &self,
+        step: &'static str,
+        status: StatusCode,
+        body: &Bytes,
+    ) -> PlatformResult<()> {
         if status.is_success() {
             return Ok(());
         }
         let text = String::from_utf8_lossy(&body[..body.len().min(200)]);
-        Err(self.failed(step, &format!("status {status}: {text}")))
+        Err(self.error(step, &format!("status {status}: {text}")))
     }
 
-    fn json<'a, T: Deserialize<'a>>(&self, step: &'static str, body: &'a Bytes) -> Answer<T> {
-        serde_json::from_slice(body).map_err(|e| self.failed(step, &e))
+    fn parse_json<'a, T: Deserialize<'a>>(
+        &self,
+        step: &'static str,
+        body: &'a Bytes,
+    ) -> PlatformResult<T> {
+        serde_json::from_slice(body).map_err(|e| self.error(step, &e))
     }
 
-    fn failed(&self, step: &'static str, cause: &dyn std::fmt::Display) -> PlatformError {
+    fn error(&self, step: &'static str, cause: &dyn std::fmt::Display) -> PlatformError {
         PlatformError::Failed {
             step,
             peer: self.addr,
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -102,9 +102,14 @@
 
 impl Source {
     fn new(path: Option<PathBuf>, port: u16) -> eyre::Result<Self> {
-        let variable = || std::env::var_os(settings::PATH_VARIABLE).map(PathBuf::from);
+        let variable = || std::env::var_os(settings::SETTINGS_PATH_VARIABLE).map(PathBuf::from);
         let path = path.or_else(variable);
-        let missing = || eyre!("--settings or {} is needed", settings::PATH_VARIABLE);
+        let missing = || {
+            eyre!(
+                "--settings or {} is needed",
+                settings::SETTINGS_PATH_VARIABLE
+            )
+        };
         let path = path.ok_or_else(missing)?;
         Ok(Self { path, port })
     }
--- a/src/app/gateway/directory.rs
+++ b/src/app/gateway/directory.rs
@@ -1,4 +1,4 @@
-//! Look-ups of callers, readiness checks and metrics.
+//! Serves look-ups of callers, readiness checks and metrics.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -16,14 +16,15 @@
     domain::Millis,
 };
 
-/// How long a caller keeps an answer. An entry that leaves is no longer found
-/// after this time.
-const TTL: Millis = Millis(2_000);
+/// How long a caller may cache the response to a look-up. Callers use an entry that
+/// has left for this time at most.
+const LOOKUP_TTL: Millis = Millis(2_000);
 
 /// The path of the metrics.
-const METRICS: &str = "/metrics";
+const METRICS_PATH: &str = "/metrics";
 
-/// Starts the servers of everything but callers' requests.
+/// Starts the servers of look-ups, readiness checks and metrics, one for each
+/// distinct address.
 ///
 /// # Errors
 ///
@@ -49,20 +50,20 @@
     };
     let router = Router::new().fallback(handler);
     let server = web::bind(addr, Limits::default(), router).await;
-    server.wrap_err("start a server of checks and look-ups")
+    server.wrap_err("start a server of look-ups and checks")
 }
 
 fn respond(state: &State, req: &Request<Body>) -> Response<Body> {
     match req.uri().path() {
-        directory::READINESS => {
+        directory::READINESS_PATH => {
             let mut resp = Response::new(Body::empty());
             if !state.is_ready() {
                 *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
             }
             resp
         }
-        directory::RESOLVE => resolve(state, req.uri().query().unwrap_or_default()),
-        METRICS => text(metrics::CONTENT_TYPE, state.ports.metrics.encode()),
+        directory::RESOLVE_PATH => resolve(state, req.uri().query().unwrap_or_default()),
+        METRICS_PATH => text(metrics::CONTENT_TYPE, state.ports.metrics.encode()),
         _ => {
             let mut resp = Response::new(Body::empty());
             *resp.status_mut() = StatusCode::NOT_FOUND;
@@ -71,6 +72,7 @@
     }
 }
 
+/// Answers a look-up with the entries for the caller's region.
 fn resolve(state: &State, query: &str) -> Response<Body> {
     let caller = directory::read_query(query);
     let settings = state.settings();
@@ -81,22 +83,24 @@
     let region = region.unwrap_or_else(|| settings.region.clone());
     let mut fronts = state.entries().lookup_addresses(Some(&region));
     if fronts.is_empty() && state.is_ready() {
-        // Nobody is announced while the store is away since the start.
+        // The entry list is empty if the store was unavailable since the start.
         fronts.push(settings.front);
     }
     if fronts.is_empty() {
-        tracing::warn!(%region, at = %now(state), "directory: no entry is known.");
+        tracing::warn!(%region, at = %now(state), "directory: no entry is known for a look-up.");
         let mut resp = Response::new(Body::empty());
         *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return resp;
     }
-    let ttl = TTL.min(settings.bounds.ttl);
-    text("application/json", directory::write_answer(&fronts, ttl))
+    let ttl = LOOKUP_TTL.min(settings.bounds.ttl);
+    text("application/json", directory::encode_response(&fronts, ttl))
 }
 
-fn text(kind: &'static str, body: String) -> Response<Body> {
+/// Returns a response with a text and its content type.
+fn text(content_type: &'static str, body: String) -> Response<Body> {
     let mut resp = Response::new(Body::from(body));
-    let kind = HeaderValue::from_static(kind);
-    resp.headers_mut().insert(header::CONTENT_TYPE, kind);
+    let content_type = HeaderValue::from_static(content_type);
+    resp.headers_mut()
+        .insert(header::CONTENT_TYPE, content_type);
     resp
 }
--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -1,73 +1,77 @@
-//! One attempt at one target.
+//! Sends one attempt to one target and reads the response.
 
 use http::{Response, response::Parts};
 use tokio::time::timeout;
 
-use super::{State, job::Job, now, slot::Slot};
+use super::{State, now, request::RoutedRequest, slot::Slot};
 use crate::{
     adapters::{
         http::Content,
-        platform::headers::{self, Verdict},
+        platform::headers::{self, ResponseKind},
     },
     domain::Millis,
     policy::balance::{Ending, LoadReport},
     ports::{Body, Outbound, SendError},
 };
 
-/// The longest answer that is read whole before the caller gets any of it. A
-/// shorter one that breaks off can still be replaced by another attempt.
-const WHOLE_BYTES: usize = 128 * 1024;
+/// The size up to which a response is buffered completely before any of it is sent
+/// to the caller. If the connection breaks before that, another attempt can still
+/// replace the response.
+const MAX_BUFFERED_BYTES: usize = 128 * 1024;
 
-/// How long a connection to a target may take to open. It takes 75 ms at most
-/// where nothing is lost; another target is tried after that.
-const CONNECT: Millis = Millis(300);
+/// The timeout for opening a connection to a target, after which another target is
+/// tried. Without packet loss it takes at most 75 ms.
+const CONNECT_TIMEOUT: Millis = Millis(300);
 
-/// What became of an attempt.
+/// The outcome of an attempt.
 #[derive(Debug)]
 pub(super) enum Outcome {
-    /// The target answered.
-    Answer(Box<Answer>),
-    /// The target rejected it without running it.
+    /// The target ran the request and responded.
+    Response(Box<TargetResponse>),
+    /// The target rejected the request without running it.
     Rejected,
-    /// Nothing of it was sent.
+    /// No byte of the request was sent.
     Unsent(String),
-    /// It was sent, and what became of it is not known.
+    /// The request was sent, but no valid response was received. It may have run.
     Unknown(String),
-    /// There was no answer in time.
-    Late,
+    /// The request was sent and not answered before the deadline.
+    TimedOut,
 }
 
-/// A target's answer, with the place that it holds until its last byte.
+/// A target's response, with the slot that it holds until its last byte is sent.
 #[derive(Debug)]
-pub(super) struct Answer {
+pub(super) struct TargetResponse {
     pub head: Parts,
     pub content: Content,
     pub slot: Slot,
+    /// The load that the target reported with the response.
     pub report: Option<LoadReport>,
 }
 
-/// Sends a request to the target of a slot and reads the answer.
-pub(super) async fn exchange(state: &State, job: &mut Job, mut slot: Slot) -> Outcome {
-    let left = job.end - now(state);
+/// Sends a request to the target of a slot and reads the response.
+pub(super) async fn exchange(state: &State, routed: &mut RoutedRequest, mut slot: Slot) -> Outcome {
+    let time_left = routed.deadline - now(state);
     let ticket = slot.ticket();
-    let Some(request) = job.request(&ticket.id, left) else {
-        return Outcome::Unknown("the body cannot be sent again".to_owned());
+    let Some(request) = routed.build_request(&ticket.id, time_left) else {
+        return Outcome::Unknown(
+            "the body was not kept, so the request cannot be sent again".to_owned(),
+        );
     };
     let out = Outbound {
-        connect: CONNECT,
+        connect: CONNECT_TIMEOUT,
         ..Outbound::new(slot.choice.addr, request)
     };
     let begun = out.begun.clone();
     let attempt = async {
         let resp = (state.ports.targets.send)(out).await?;
-        Ok::<_, SendError>(read(job, resp).await)
+        Ok::<_, SendError>(read_response(routed, resp).await)
     };
-    let (ending, report, outcome) = match timeout(left.duration(), attempt).await {
-        Err(_) if begun.get() => return Outcome::Late,
+    let (ending, report, outcome) = match timeout(time_left.duration(), attempt).await {
+        Err(_) if begun.get() => return Outcome::TimedOut,
         Err(_) => (
             Ending::Unreachable,
             None,
-            Outcome::Unsent("no connection in time".to_owned()),
+            Outcome::Unsent("no connection before the deadline".to_owned()),
         ),
         Ok(Err(e @ SendError::Unsent { .. })) => {
             (Ending::Unreachable, None, Outcome::Unsent(e.to_string()))
@@ -75,11 +79,11 @@
         Ok(Err(e @ SendError::Unknown { .. })) => {
             (Ending::Broken, None, Outcome::Unknown(e.to_string()))
         }
-        Ok(Ok(Read::Rejected(report))) => (Ending::Rejected, report, Outcome::Rejected),
-        Ok(Ok(Read::Misdirected)) => (Ending::Misdirected, None, Outcome::Rejected),
-        Ok(Ok(Read::Spoiled(cause))) => (Ending::Broken, None, Outcome::Unknown(cause)),
-        Ok(Ok(Read::Answer(head, content, report))) => {
-            return Outcome::Answer(Box::new(Answer {
+        Ok(Ok(ReadResult::Rejected(report))) => (Ending::Rejected, report, Outcome::Rejected),
+        Ok(Ok(ReadResult::Misdirected)) => (Ending::Misdirected, None, Outcome::Rejected),
+        Ok(Ok(ReadResult::Invalid(cause))) => (Ending::Broken, None, Outcome::Unknown(cause)),
+        Ok(Ok(ReadResult::Response(head, content, report))) => {
+            return Outcome::Response(Box::new(TargetResponse {
                 head,
                 content,
                 slot,
@@ -91,23 +95,24 @@
     outcome
 }
 
-enum Read {
-    Answer(Parts, Content, Option<LoadReport>),
+/// The response to an attempt, as far as the gateway reads it.
+enum ReadResult {
+    Response(Parts, Content, Option<LoadReport>),
     Rejected(Option<LoadReport>),
     Misdirected,
-    Spoiled(String),
+    Invalid(String),
 }
 
-async fn read(job: &Job, resp: Response<Body>) -> Read {
+async fn read_response(routed: &RoutedRequest, resp: Response<Body>) -> ReadResult {
     let (head, body) = resp.into_parts();
-    let report = headers::read_load(&head.headers);
-    match headers::read_answer(head.status, &head.headers, job.id.as_ref()) {
-        Verdict::Rejected => Read::Rejected(report),
-        Verdict::Misdirected => Read::Misdirected,
-        Verdict::Spoiled(cause) => Read::Spoiled(cause.to_owned()),
-        Verdict::Answered => match Content::read(body, WHOLE_BYTES).await {
-            Ok(content) => Read::Answer(head, content, report),
-            Err(e) => Read::Spoiled(format!("read answer: {e}")),
+    let report = headers::read_load_report(&head.headers);
+    match headers::classify_response(head.status, &head.headers, routed.id.as_ref()) {
+        ResponseKind::Rejected => ReadResult::Rejected(report),
+        ResponseKind::Misdirected => ReadResult::Misdirected,
+        ResponseKind::Invalid(cause) => ReadResult::Invalid(cause.to_owned()),
+        ResponseKind::Answered => match Content::read(body, MAX_BUFFERED_BYTES).await {
+            Ok(content) => ReadResult::Response(head, content, report),
+            Err(e) => ReadResult::Invalid(format!("read response: {e}")),
         },
     }
 }
--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -1,4 +1,4 @@
-//! Adopts what the platform tells.
+//! Applies changes of the platform to the state of the gateway.
 
 use std::{collections::BTreeSet, sync::Arc};
 
@@ -12,47 +12,48 @@
 };
 
 impl Feed {
-    /// Adopts what was true at the instant `known`. A whole batch lists everything
-    /// there is, so that what it does not list is gone.
-    pub(super) fn apply(&mut self, known: Millis, batch: Batch, whole: bool) {
+    /// Applies changes that the store held at the time `as_of`. A complete batch lists all
+    /// items, so items that it does not contain are removed.
+    pub(super) fn apply(&mut self, as_of: Millis, batch: Batch, complete: bool) {
         let at = now(&self.state);
         let Batch { changes, revision } = batch;
-        self.state.registry().record_answer(known);
-        if whole {
-            forget(&self.state, at, &changes);
+        self.state.registry().record_answer(as_of);
+        if complete {
+            remove_unlisted(&self.state, at, &changes);
         }
-        let mut news = Vec::new();
+        let mut new_changes = Vec::new();
         for change in changes {
-            if adopt(&self.state, at, &change) {
-                news.push(change);
+            if apply_change(&self.state, at, &change) {
+                new_changes.push(change);
             }
         }
-        self.expire();
+        self.remove_expired();
         let targets = self.state.registry().len();
-        if whole && targets > 0 {
-            tracing::info!(targets, %revision, "feed: read everything.");
+        if complete && targets > 0 {
+            tracing::info!(targets, %revision, "feed: read the complete state.");
         }
         if targets > 0 {
-            self.state.set_targets();
+            self.state.set_has_targets();
         }
         self.state.refresh_peers(at);
         self.after = self.after.max(Some(revision));
-        self.state.publish(known, revision, news, whole);
+        self.state.publish(as_of, revision, new_changes, complete);
     }
 
-    /// Removes the targets whose grace time has ended.
-    pub(super) fn expire(&self) {
+    /// Removes the targets whose grace period has ended.
+    pub(super) fn remove_expired(&self) {
         let at = now(&self.state);
-        let steps = self.state.registry().remove_expired(at);
-        take(&self.state, at, steps);
+        let registry_changes = self.state.registry().remove_expired(at);
+        update_pools(&self.state, at, registry_changes);
     }
 }
 
-/// Drops what a complete list does not contain any more.
-fn forget(state: &State, at: Millis, changes: &[Change]) {
+/// Removes the targets, entries and evacuations that a complete batch does not
+/// contain.
+fn remove_unlisted(state: &State, at: Millis, changes: &[Change]) {
     let mut targets = BTreeSet::new();
     let mut entries = BTreeSet::new();
-    let mut closed = BTreeSet::new();
+    let mut evacuated = BTreeSet::new();
     for change in changes {
         match change {
             Change::Registered(instance) => {
@@ -62,63 +63,60 @@
                 entries.insert(&presence.name);
             }
             Change::Evacuated(az) => {
-                closed.insert(az.clone());
+                evacuated.insert(az.clone());
             }
             _ => {}
         }
     }
-    let steps = state.registry().retain(at, |id| targets.contains(id));
+    let registry_changes = state.registry().retain(at, |id| targets.contains(id));
     state.entries().retain(at, |name| entries.contains(name));
-    if *state.closed() != closed {
-        state.set_closed(closed);
+    if *state.evacuated() != evacuated {
+        state.set_evacuated(evacuated);
     }
-    take(state, at, steps);
+    update_pools(state, at, registry_changes);
 }
 
-/// Adopts a change. Returns whether it tells anything new, which a heartbeat
-/// does not.
-fn adopt(state: &State, at: Millis, change: &Change) -> bool {
+/// Applies a change. Returns whether other entries need it, which they do not if it
+/// is only a heartbeat or cannot be read.
+fn apply_change(state: &State, at: Millis, change: &Change) -> bool {
     match change {
-        Change::Configured(config) => configure(state, config),
+        Change::Configured(config) => apply_configuration(state, config),
         Change::Evacuated(az) => {
-            let mut closed = BTreeSet::clone(&state.closed());
-            if closed.insert(az.clone()) {
+            let mut evacuated = BTreeSet::clone(&state.evacuated());
+            if evacuated.insert(az.clone()) {
                 tracing::info!(%az, "feed: availability zone evacuated.");
-                state.set_closed(closed);
+                state.set_evacuated(evacuated);
             }
         }
         Change::Restored(az) => {
-            let mut closed = BTreeSet::clone(&state.closed());
-            if closed.remove(az) {
-                tracing::info!(%az, "feed: availability zone taken back.");
-                state.set_closed(closed);
+            let mut evacuated = BTreeSet::clone(&state.evacuated());
+            if evacuated.remove(az) {
+                tracing::info!(%az, "feed: availability zone restored.");
+                state.set_evacuated(evacuated);
             }
         }
         Change::Registered(instance) => {
-            let step = state.registry().put(instance.clone());
-            let new = step.is_some();
-            take(state, at, step);
+            let registry_change = state.registry().put(instance.clone());
+            let new = registry_change.is_some();
+            update_pools(state, at, registry_change);
             return new;
         }
         Change::Unregistered(id) => {
-            let step = state.registry().remove(at, id);
-            take(state, at, step);
+            let registry_change = state.registry().remove(at, id);
+            update_pools(state, at, registry_change);
         }
         Change::Joined(presence) => state.entries().join(presence.clone()),
         Change::Left(name) => state.entries().leave(at, name),
         Change::Unreadable { key, cause } => {
-            tracing::warn!(
-                key,
-                cause,
-                "feed: an item cannot be read and is passed over."
-            );
+            tracing::warn!(key, cause, "feed: skipped an item that cannot be read.");
             return false;
         }
     }
     true
 }
 
-fn configure(state: &State, config: &Configuration) {
+/// Puts a configuration into effect if it is newer than the current one.
+fn apply_configuration(state: &State, config: &Configuration) {
     let version = config.version;
     let current = state.table().map(|t| t.version);
     if current.is_some_and(|v| version <= v) {
@@ -128,19 +126,23 @@
     match Table::compile(config.clone(), seed) {
         Ok(table) => {
             state.set_table(Arc::new(table));
-            tracing::info!(%version, "feed: configuration in force.");
+            tracing::info!(%version, "feed: configuration in effect.");
         }
         Err(e) => {
-            tracing::warn!(%version, cause = %e, "feed: configuration refused.");
+            tracing::warn!(%version, cause = %e, "feed: configuration rejected.");
         }
     }
 }
 
-/// Brings steps of the registry to the pools of the services.
-fn take(state: &State, at: Millis, steps: impl IntoIterator<Item = RegistryChange>) {
+/// Applies changes of the registry to the target pools of the services.
+fn update_pools(
+    state: &State,
+    at: Millis,
+    registry_changes: impl IntoIterator<Item = RegistryChange>,
+) {
     let settings = state.settings();
-    for step in steps {
-        match step {
+    for registry_change in registry_changes {
+        match registry_change {
             RegistryChange::Put(instance) => {
                 let service = instance.service.clone();
                 state.pools.with(service, Default::default, |pool| {
@@ -152,7 +154,7 @@
             }
             RegistryChange::Remove(instance) => {
                 let target = &instance.id;
-                tracing::info!(%target, service = %instance.service, "feed: target gone.");
+                tracing::info!(%target, service = %instance.service, "feed: target removed.");
                 state
                     .pools
                     .get(&instance.service, |pool| pool.remove(target));
--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -1,8 +1,8 @@
-//! Keeps up with the platform's orders, targets and entries.
+//! Follows the changes of the platform's configuration, targets and entries.
 //!
-//! One entry of each region asks the store, the others ask that entry, as
-//! [`UpstreamSelector`] decides. [`apply`] adopts what either of them tells and notes it
-//! for those who ask this entry.
+//! One entry of each region polls the store and the others poll that entry, as
+//! [`UpstreamSelector`] decides. [`apply`] applies the changes from either upstream
+//! and publishes them for the entries that poll this one.
 
 mod apply;
 
@@ -17,43 +17,46 @@
     ports::{Ask, AskError, PlatformError, Poll},
 };
 
-/// The part of the users' bounds after which the store is asked again by an entry
-/// that nobody follows. The rest covers the call itself and a second one after a
-/// refusal. Each call has a price, and targets' heartbeats change the store all
-/// the time, so that a call seldom waits.
-const PERIOD_PART: f64 = 0.55;
+/// The poll period of an entry without followers, as a fraction of the time within
+/// which changes must take effect. The rest covers the call itself and a second
+/// one after a refusal. The period is long because each call is charged and the
+/// heartbeats of targets change the store all the time, so that a call rarely
+/// waits for a change.
+const POLL_FRACTION: f64 = 0.55;
 
-/// The part of the bounds after which a source asks again. What remains has to
-/// cover the time until its followers notice that it is silent.
-const SOURCE_PART: f64 = 0.3;
+/// The poll period of an entry with followers, as a fraction of the same time. The
+/// rest has to cover the time until the followers notice that the entry is silent.
+const FOLLOWED_POLL_FRACTION: f64 = 0.3;
 
-/// The part of the bounds up to which what another entry tells is recent.
-const AGE_PART: f64 = 0.55;
+/// The age up to which changes from another entry are accepted, as a fraction of
+/// the same time.
+const MAX_AGE_FRACTION: f64 = 0.55;
 
-/// How long an entry that is asked waits for news beyond the period of a source.
-const ASK_SLACK: Millis = Millis(300);
+/// How much longer than [`FOLLOWED_POLL_FRACTION`] another entry may wait for a
+/// change before it answers.
+const WAIT_MARGIN: Millis = Millis(300);
 
-/// How long the store waits for a change if there is none.
-const WAIT: Millis = Millis(500);
+/// How long the store waits for a first change before it answers a poll.
+const POLL_WAIT: Millis = Millis(500);
 
-/// The longest random pause before a call.
-const JITTER: Millis = Millis(50);
+/// The maximum random delay that is added before each call.
+const MAX_JITTER: Millis = Millis(50);
 
-/// How long a call may take at first. A connection may be silent for good, which
-/// only the end of the call shows.
-const LIMIT_MIN: Millis = Millis(1_000);
+/// The timeout of the first call to the store. A connection may be silent for good,
+/// which only a timeout detects.
+const TIMEOUT_MIN: Millis = Millis(1_000);
 
-/// How long a call may take at most. The limit doubles with each failure, because
-/// the registry of a large site takes seconds over a narrow link that is busy, and
-/// what has to be read grows with each call that is given up.
-const LIMIT_MAX: Millis = Millis(4_000);
+/// The maximum timeout of a call to the store. The timeout doubles with each
+/// failure, because reading the registry of a large deployment takes seconds over a
+/// busy narrow link, and the data to read grows with each abandoned call.
+const TIMEOUT_MAX: Millis = Millis(4_000);
 
-/// The time from a first call that failed to the next. It doubles with each further one,
-/// since calls that the store refuses have a price, too.
-const PAUSE_MIN: Millis = Millis(250);
+/// The time from the start of a first failed call to the next call. It doubles with
+/// each further failure, because calls that the store refuses are charged, too.
+const RETRY_DELAY_MIN: Millis = Millis(250);
 
-/// The longest time from a call that failed to the next.
-const PAUSE_MAX: Millis = Millis(1_000);
+/// The maximum time from the start of a failed call to the next call.
+const RETRY_DELAY_MAX: Millis = Millis(1_000);
 
 /// Follows the platform until the process ends.
 pub(super) async fn run(state: Arc<State>) {
@@ -63,24 +66,27 @@
         let start = now(&feed.state);
         let next = feed.step(start).await;
         let pause = start + next - now(&feed.state);
-        // Without jitter all entries would call at the same moment for good.
-        let jitter = Millis(rand::rng().random_range(0..=JITTER.0));
+        // Without jitter, entries that once call at the same moment would keep doing
+        // so.
+        let jitter = Millis(rand::rng().random_range(0..=MAX_JITTER.0));
         tokio::time::sleep((pause + jitter).duration()).await;
     }
 }
 
+/// The state of the feed.
 struct Feed {
     state: Arc<State>,
     upstreams: UpstreamSelector,
-    /// The upstream of the last answer.
+    /// The upstream that answered last.
     last: Option<Upstream>,
-    /// The revision up to which everything is known.
+    /// The revision up to which all changes are applied, none before the first read.
     after: Option<Revision>,
-    /// How long the next call to the store may take.
-    limit: Millis,
-    /// The time from the next call that fails to the one after it.
-    pause: Millis,
-    lost: bool,
+    /// The timeout of the next call to the store.
+    timeout: Millis,
+    /// The delay after the next failed call, from its start.
+    retry_delay: Millis,
+    /// Whether a call to the store failed and no upstream has answered since.
+    store_failed: bool,
 }
 
 impl Feed {
@@ -90,17 +96,17 @@
             upstreams: UpstreamSelector::default(),
             last: None,
             after: None,
-            limit: LIMIT_MIN,
-            pause: PAUSE_MIN,
-            lost: false,
+            timeout: TIMEOUT_MIN,
+            retry_delay: RETRY_DELAY_MIN,
+            store_failed: false,
         }
     }
 
-    /// Asks once and adopts what it learns. Returns how long after its start the
-    /// next step is due.
+    /// Calls the upstream once and applies the changes. Returns the time from the
+    /// start of this step to that of the next one.
     async fn step(&mut self, start: Millis) -> Millis {
         let Some(after) = self.after else {
-            return self.learn(start).await;
+            return self.read_all(start).await;
         };
         let settings = self.state.settings();
         let upstream = {
@@ -110,20 +116,24 @@
         };
         match &upstream {
             Upstream::Store => {
-                let followed = self.upstreams.has_followers() || self.state.is_source(start);
-                let part = if followed { SOURCE_PART } else { PERIOD_PART };
-                let next = self.state.part(part);
-                self.poll_next(start, after, next).await
+                let followed = self.upstreams.has_followers() || self.state.is_followed(start);
+                let fraction = if followed {
+                    FOLLOWED_POLL_FRACTION
+                } else {
+                    POLL_FRACTION
+                };
+                let next = self.state.bound_fraction(fraction);
+                self.step_store(start, after, next).await
             }
-            Upstream::Entry(name, addr) => match self.ask(name, *addr, after).await {
+            Upstream::Entry(name, addr) => match self.poll_entry(name, *addr, after).await {
                 Ok(()) => Millis(0),
                 Err(AskError::Compacted) => {
-                    // The store still has what the entry no longer knows.
-                    let next = self.state.part(SOURCE_PART);
-                    self.poll_next(start, after, next).await
+                    // The store may still have the history that the entry dropped.
+                    let next = self.state.bound_fraction(FOLLOWED_POLL_FRACTION);
+                    self.step_store(start, after, next).await
                 }
                 Err(e) => {
-                    tracing::warn!(%name, cause = %e, "feed: the entry that passes changes on failed.");
+                    tracing::warn!(%name, cause = %e, "feed: the upstream entry failed.");
                     self.upstreams.record_failure(now(&self.state), &upstream);
                     Millis(0)
                 }
@@ -131,36 +141,36 @@
         }
     }
 
-    /// Asks the store for changes. Returns when the next step is due: `next` after
-    /// the start, or sooner if the store did not answer.
-    async fn poll_next(&mut self, start: Millis, after: Revision, next: Millis) -> Millis {
-        if self.poll(start, after).await.is_ok() {
+    /// Polls the store. Returns the time to the next step: `next`, or the retry delay
+    /// if the store did not answer.
+    async fn step_store(&mut self, start: Millis, after: Revision, next: Millis) -> Millis {
+        if self.poll_store(start, after).await.is_ok() {
             return next;
         }
         self.upstreams
             .record_failure(now(&self.state), &Upstream::Store);
-        self.backoff()
+        self.next_retry_delay()
     }
 
-    /// Returns after which time from the start of a failed call the next is due.
-    /// A call that the store refuses ends at once, one that it leaves unanswered
-    /// takes longer than any pause.
-    fn backoff(&mut self) -> Millis {
-        let pause = self.pause;
-        self.pause = (pause + pause).min(PAUSE_MAX);
-        pause
+    /// Returns the time from the start of a failed call to the next one, and doubles
+    /// it for the next failure. The delay matters for calls that the store refuses at
+    /// once; a call that times out takes at least as long as the maximum delay.
+    fn next_retry_delay(&mut self) -> Millis {
+        let delay = self.retry_delay;
+        self.retry_delay = (delay + delay).min(RETRY_DELAY_MAX);
+        delay
     }
 
-    /// Reads everything from the store or, if that fails, from an entry.
-    async fn learn(&mut self, start: Millis) -> Millis {
-        let read = (self.state.ports.platform.read)(self.limit).await;
+    /// Reads the complete state from the store or, if that fails, from a seed entry.
+    async fn read_all(&mut self, start: Millis) -> Millis {
+        let read = (self.state.ports.platform.read)(self.timeout).await;
         match read {
             Ok(batch) => {
-                self.answered(Upstream::Store);
+                self.record_answer(Upstream::Store);
                 self.apply(start, batch, true);
                 return Millis(0);
             }
-            Err(e) => self.failed(&e),
+            Err(e) => self.record_failure(&e),
         }
         let settings = self.state.settings();
         for seed in &settings.seeds {
@@ -174,106 +184,114 @@
             };
             match (self.state.ports.changes.ask)(ask).await {
                 Ok(news) => {
-                    let known = now(&self.state) - news.age;
-                    tracing::info!(%seed, age = %news.age, "feed: read everything from an entry.");
-                    self.apply(known, news.batch, true);
+                    let as_of = now(&self.state) - news.age;
+                    tracing::info!(%seed, age = %news.age, "feed: read the complete state from an entry.");
+                    self.apply(as_of, news.batch, true);
                     return Millis(0);
                 }
                 Err(e) => tracing::warn!(%seed, cause = %e, "feed: a seed did not answer."),
             }
         }
-        self.backoff()
+        self.next_retry_delay()
     }
 
-    /// Asks the store for changes.
+    /// Polls the store for changes.
     ///
     /// # Errors
     ///
-    /// Returns an error, which is logged already, if the store did not answer.
-    async fn poll(&mut self, start: Millis, after: Revision) -> Result<(), ()> {
-        // The return of the store must not be missed for want of a change.
-        let wait = if self.lost { Millis(0) } else { WAIT };
-        let limit = self.limit;
+    /// Returns an error, after logging it, if the store did not answer.
+    async fn poll_store(&mut self, start: Millis, after: Revision) -> Result<(), ()> {
+        // While the store is unavailable, an empty response must come at once: it
+        // shows that the store is back.
+        let wait = if self.store_failed {
+            Millis(0)
+        } else {
+            POLL_WAIT
+        };
+        let limit = self.timeout;
         let poll = Poll { after, wait, limit };
         match (self.state.ports.platform.poll)(poll).await {
             Ok(batch) => {
-                self.answered(Upstream::Store);
+                self.record_answer(Upstream::Store);
                 self.apply(start, batch, false);
                 Ok(())
             }
             Err(PlatformError::Compacted) => {
-                tracing::warn!("feed: the store's history is gone, reading everything again.");
+                tracing::warn!(
+                    "feed: the store has compacted the changes, reading the complete state."
+                );
                 self.after = None;
                 Ok(())
             }
             Err(e) => {
-                self.failed(&e);
+                self.record_failure(&e);
                 Err(())
             }
         }
     }
 
-    /// Asks another entry for changes.
+    /// Polls another entry for changes.
     ///
     /// # Errors
     ///
-    /// Returns an error if it does not answer or knows nothing recent.
-    async fn ask(
+    /// Returns an error if the entry does not answer or if its state is too old.
+    async fn poll_entry(
         &mut self,
         name: &EntryId,
         peer: SocketAddr,
         after: Revision,
     ) -> Result<(), AskError> {
-        // While the store turns this entry away, it has to look further at once.
-        let wait = if self.lost {
+        // After a failure of the store the other entry has to answer at once, so that
+        // the feed tries the next upstream without delay if it cannot help.
+        let wait = if self.store_failed {
             Millis(0)
         } else {
-            self.state.part(SOURCE_PART) + ASK_SLACK
+            self.state.bound_fraction(FOLLOWED_POLL_FRACTION) + WAIT_MARGIN
         };
         let after = Some(after);
         let news = (self.state.ports.changes.ask)(Ask { peer, after, wait }).await?;
-        let limit = self.state.part(AGE_PART);
+        let limit = self.state.bound_fraction(MAX_AGE_FRACTION);
         if news.age > limit {
             return Err(AskError::Failed {
                 step: "ask for changes",
                 peer,
-                cause: format!("what it knows is {} old, the limit is {limit}", news.age),
+                cause: format!("its state is {} old, the limit is {limit}", news.age),
             });
         }
-        self.answered(Upstream::Entry(name.clone(), peer));
+        self.record_answer(Upstream::Entry(name.clone(), peer));
         self.apply(now(&self.state) - news.age, news.batch, false);
         Ok(())
     }
 
-    /// Notes that an upstream answered.
-    fn answered(&mut self, upstream: Upstream) {
-        if self.lost {
-            tracing::info!("feed: the platform is back.");
+    /// Records that an upstream answered.
+    fn record_answer(&mut self, upstream: Upstream) {
+        if self.store_failed {
+            tracing::info!("feed: the platform is available again.");
         }
         if upstream == Upstream::Store {
             self.upstreams.record_store_answer(now(&self.state));
         }
         if self.last.as_ref() != Some(&upstream) {
             match &upstream {
-                Upstream::Store => tracing::info!("feed: asking the store for changes."),
+                Upstream::Store => tracing::info!("feed: polling the store."),
                 Upstream::Entry(name, _) => {
-                    tracing::info!(%name, "feed: asking an entry for changes.");
+                    tracing::info!(%name, "feed: polling another entry.");
                 }
             }
             self.last = Some(upstream);
         }
-        self.lost = false;
-        self.limit = LIMIT_MIN;
-        self.pause = PAUSE_MIN;
+        self.store_failed = false;
+        self.timeout = TIMEOUT_MIN;
+        self.retry_delay = RETRY_DELAY_MIN;
     }
 
-    /// Notes that the store did not answer.
-    fn failed(&mut self, e: &PlatformError) {
-        if !self.lost {
-            tracing::warn!(cause = %e, "feed: the store is lost.");
+    /// Records that the store did not answer.
+    fn record_failure(&mut self, e: &PlatformError) {
+        if !self.store_failed {
+            tracing::warn!(cause = %e, "feed: the store is unavailable.");
         }
-        self.lost = true;
-        self.limit = (self.limit + self.limit).min(LIMIT_MAX);
-        self.expire();
+        self.store_failed = true;
+        self.timeout = (self.timeout + self.timeout).min(TIMEOUT_MAX);
+        self.remove_expired();
     }
 }
--- /dev/null
+++ b/src/app/gateway/forward.rs
@@ -0,0 +1,220 @@
+//! Forwards one request to targets until one has answered.
+
+use std::sync::Arc;
+
+use http::{Request, Response};
+
+use super::{
+    State,
+    exchange::{Outcome, TargetResponse, exchange},
+    now,
+    request::RoutedRequest,
+    response,
+    slot::Slot,
+};
+use crate::{
+    domain::{InstanceId, Millis},
+    policy::{
+        balance::{ChooseError, Ticket},
+        refusal::{Code, Refusal},
+    },
+    ports::Body,
+};
+
+/// The `retry-after` of a request that no target could take.
+const OVERLOADED_RETRY_AFTER: Millis = Millis(250);
+
+/// The maximum number of targets that are chosen for one request, including those
+/// to which nothing could be sent.
+const MAX_TRIED: usize = 5;
+
+/// Forwards a request and returns the response of a target.
+///
+/// # Errors
+///
+/// Returns the refusal for the caller if no target gave a valid response.
+pub(super) async fn forward(
+    state: &Arc<State>,
+    req: Request<Body>,
+) -> Result<Response<Body>, Refusal> {
+    let request = match RoutedRequest::read(state, req).await {
+        Ok(request) => request,
+        Err(refusal) => {
+            tracing::info!(cause = %refusal, "gateway: request refused before forwarding.");
+            return Err(refusal);
+        }
+    };
+    let (at, limits) = (now(state), state.retry_limits());
+    let pools = &state.pools;
+    pools.get(&request.service, |p| p.deposit_retry(at, &limits));
+    let mut forwarding = Forwarding {
+        state,
+        request,
+        tried: Vec::new(),
+        sent_count: 0,
+        maybe_run: false,
+        last: None,
+    };
+    let result = forwarding.run().await;
+    forwarding.report(&result);
+    result
+}
+
+/// The progress of one request through its attempts.
+struct Forwarding<'a> {
+    state: &'a Arc<State>,
+    request: RoutedRequest,
+    /// The targets that were chosen, in order.
+    tried: Vec<InstanceId>,
+    /// The number of targets to which the request was sent.
+    sent_count: u32,
+    /// Whether a target may have run the request.
+    maybe_run: bool,
+    /// The ticket of the latest attempt.
+    last: Option<Ticket>,
+}
+
+impl Forwarding<'_> {
+    /// Tries targets until one responds without a server error or no further attempt
+    /// is allowed.
+    async fn run(&mut self) -> Result<Response<Body>, Refusal> {
+        let mut error_response: Option<Box<TargetResponse>> = None;
+        let refusal = loop {
+            let slot = match Slot::acquire(self.state, &self.request, &self.tried) {
+                Ok(slot) => slot,
+                Err(error) => break self.choose_refusal(error),
+            };
+            self.tried.push(slot.ticket().id.clone());
+            self.last = Some(slot.ticket().clone());
+            let outcome = exchange(self.state, &mut self.request, slot).await;
+            self.record_outcome(&outcome);
+            let refusal = match outcome {
+                Outcome::Response(response) if !response.head.status.is_server_error() => {
+                    return Ok(response::pass_through(*response));
+                }
+                Outcome::Response(response) => {
+                    error_response = Some(response);
+                    self.timed_out()
+                }
+                Outcome::TimedOut => break self.timed_out(),
+                Outcome::Rejected => self.no_target("the target rejected the request"),
+                Outcome::Unsent(cause) => self.no_target(&cause),
+                Outcome::Unknown(cause) => Refusal::unknown(Code::ConnectionBroken, cause),
+            };
+            if !self.take_retry() {
+                break refusal;
+            }
+        };
+        // If no attempt succeeded, the caller gets the error response of a target.
+        error_response
+            .map(|r| response::pass_through(*r))
+            .ok_or(refusal)
+    }
+
+    /// Updates the progress with the outcome of an attempt and logs a failure.
+    fn record_outcome(&mut self, outcome: &Outcome) {
+        match outcome {
+            Outcome::Unsent(_) => {}
+            Outcome::Rejected => self.sent_count += 1,
+            Outcome::Response(_) | Outcome::Unknown(_) | Outcome::TimedOut => {
+                self.sent_count += 1;
+                self.maybe_run = true;
+            }
+        }
+        let cause = match outcome {
+            Outcome::Response(response) if !response.head.status.is_server_error() => return,
+            Outcome::Response(response) => response.head.status.to_string(),
+            Outcome::Rejected => "rejected".to_owned(),
+            Outcome::TimedOut => "no response before the deadline".to_owned(),
+            Outcome::Unsent(cause) | Outcome::Unknown(cause) => cause.clone(),
+        };
+        let request = self.request.label();
+        let target = self.tried.last().map_or("-", InstanceId::as_str);
+        tracing::info!(request, target, cause, "gateway: attempt failed.");
+    }
+
+    /// Returns whether the request may be sent to another target, and takes the
+    /// retry from the budget if it is one.
+    fn take_retry(&mut self) -> bool {
+        let request = &self.request;
+        let at = now(self.state);
+        if self.maybe_run && !request.rule.kind.is_idempotent() {
+            return false;
+        }
+        if !request.is_resendable() || self.tried.len() >= MAX_TRIED || at >= request.deadline {
+            return false;
+        }
+        if self.sent_count == 0 {
+            // No target received the request, so this is no retry.
+            return true;
+        }
+        if self.sent_count >= request.rule.attempts {
+            return false;
+        }
+        let limits = self.state.retry_limits();
+        let entries = self.state.peers().len();
+        let pools = &self.state.pools;
+        let taken = pools.get(&request.service, |p| p.withdraw_retry(at, &limits, entries));
+        taken.unwrap_or(false)
+    }
+
+    /// Returns the refusal if no target could be chosen.
+    fn choose_refusal(&self, error: ChooseError) -> Refusal {
+        match error {
+            ChooseError::NoTarget => self.no_target("no target is eligible"),
+            ChooseError::Unavailable => self.no_target("all targets are full or failing"),
+            ChooseError::TooLate { expected } => self.no_target(&format!(
+                "the expected response time {expected} exceeds the time left"
+            )),
+        }
+    }
+
+    /// Returns the refusal of a request that no target takes, which is `unknown` if
+    /// an earlier attempt may have run it.
+    fn no_target(&self, cause: &str) -> Refusal {
+        if self.maybe_run {
+            return Refusal::unknown(Code::ConnectionBroken, cause);
+        }
+        Refusal::not_run(Code::Overloaded, cause).retry_after(OVERLOADED_RETRY_AFTER)
+    }
+
+    /// Returns the refusal of a request that no target answered in time.
+    fn timed_out(&self) -> Refusal {
+        let tried: Vec<&str> = self.tried.iter().map(InstanceId::as_str).collect();
+        let detail = format!("no response from {} before the deadline", tried.join(", "));
+        Refusal::unknown(Code::DeadlineExceeded, detail)
+    }
+
+    /// Logs the result of the request and adds it to the metrics.
+    fn report(&self, result: &Result<Response<Body>, Refusal>) {
+        let request = &self.request;
+        let took = now(self.state) - request.arrived;
+        let (code, outcome, cause) = match result {
+            Ok(resp) => (resp.status().as_str().to_owned(), "complete", String::new()),
+            Err(e) => (e.code.to_string(), e.outcome.as_str(), e.detail.clone()),
+        };
+        let last = self.last.as_ref();
+        tracing::info!(
+            request = request.label(),
+            route = request.rule.name,
+            version = %request.table.version,
+            object = request.object.map(|o| format!("{o:016x}")),
+            service = %request.service,
+            target = last.map_or("-", |t| t.id.as_str()),
+            attempts = self.sent_count,
+            load = last.map(|t| t.load),
+            report_age_ms = last.and_then(|t| t.report_age).map(|a| a.0),
+            warm = last.map(|t| t.warm),
+            far = last.map(|t| t.remote),
+            expected_ms = last.map(|t| t.expected_duration.0),
+            limit_ms = (request.deadline - request.arrived).0,
+            took_ms = took.0,
+            code,
+            outcome,
+            cause,
+            "gateway: request ended."
+        );
+        let metrics = &self.state.ports.metrics;
+        metrics.request(request.service.as_str(), code, outcome, took.duration());
+    }
+}
--- a/src/app/gateway/front.rs
+++ b/src/app/gateway/front.rs
@@ -1,4 +1,4 @@
-//! Callers' requests as they come in.
+//! Accepts callers' requests.
 
 use std::sync::Arc;
 
@@ -6,48 +6,49 @@
 use http_body_util::BodyExt;
 use volo_http::{body::Body, server::Router};
 
-use super::{State, answer, carry};
+use super::{State, forward, response};
 use crate::adapters::platform::headers;
 
-/// How long callers may leave a connection idle and use it again. It is shorter
-/// than [`super::IDLE`], so that no request meets the end of its connection.
+/// How long callers may reuse an idle connection. It is shorter than
+/// [`super::IDLE_TIMEOUT`], so that a caller does not send a request on a connection
+/// that is being closed.
 const KEEP_ALIVE: HeaderValue = HeaderValue::from_static("timeout=4");
 
-/// Returns the router of the callers' server.
+/// Returns the router of the server for callers.
 pub(super) fn router(state: &Arc<State>) -> Router {
     let state = state.clone();
     let handler = move |req: Request<Body>| {
-        let running = Running::new(&state);
+        let running = RunningGuard::new(&state);
         async move { handle(running.0.clone(), req).await }
     };
     Router::new().fallback(handler)
 }
 
-/// Counts a request for as long as it is handled.
-struct Running(Arc<State>);
+/// Counts a request as running until it is dropped.
+struct RunningGuard(Arc<State>);
 
-impl Running {
+impl RunningGuard {
     fn new(state: &Arc<State>) -> Self {
-        state.started();
+        state.request_started();
         Self(state.clone())
     }
 }
 
-impl Drop for Running {
+impl Drop for RunningGuard {
     fn drop(&mut self) {
-        self.0.ended();
+        self.0.request_ended();
     }
 }
 
 async fn handle(state: Arc<State>, req: Request<Body>) -> Response<Body> {
-    let result = carry::carry(&state, req.map(BodyExt::boxed)).await;
+    let result = forward::forward(&state, req.map(BodyExt::boxed)).await;
     let mut resp = match result {
         Ok(resp) => resp.map(Body::from_body),
-        Err(refusal) => answer::refuse(&refusal),
+        Err(refusal) => response::refusal_response(&refusal),
     };
     let head = resp.headers_mut();
     if state.is_stopping() {
-        // The caller goes to another entry before this one is gone.
+        // Makes the caller connect to another entry before this one has stopped.
         head.insert(header::CONNECTION, HeaderValue::from_static("close"));
     } else {
         head.insert(headers::KEEP_ALIVE, KEEP_ALIVE);
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -1,24 +1,24 @@
 //! The process that runs on each entry VM of the users' platform.
 //!
-//! [`spawn`] starts it and returns a handle. A request passes these modules in
-//! one direction: `front` accepts it, `job` reads it and finds its route,
-//! `carry` chooses targets until one has answered, `slot` holds a target for one
-//! attempt, `exchange` sends the attempt, `answer` makes what the caller gets.
-//! Beside them, `feed` keeps up with the platform, `relay` passes on to other
-//! entries what `feed` knows, `presence` announces this entry, and `directory`
-//! answers look-ups and checks.
+//! [`spawn`] starts it and returns a handle. A request passes through these
+//! modules in order: `front` accepts it, `request` reads it and finds its route,
+//! `forward` tries targets until one has answered, `slot` reserves capacity at a
+//! target for one attempt, `exchange` sends the attempt, and `response` builds the
+//! response to the caller. Beside them, `feed` follows changes of the platform,
+//! `relay` serves these changes to other entries, `presence` announces this
+//! entry, and `directory` answers look-ups and readiness checks.
 //!
 //! See [docs/platform.md](../../../../docs/platform.md).
 
-mod answer;
-mod carry;
 mod directory;
 mod exchange;
 mod feed;
+mod forward;
 mod front;
-mod job;
 mod presence;
 mod relay;
+mod request;
+mod response;
 mod slot;
 mod state;
 
@@ -37,32 +37,35 @@
     ports::VmSettings,
 };
 
-/// How long callers' connections may stay idle. A connection costs some 17 KB,
-/// and impatient callers leave many behind.
-const IDLE: Duration = Duration::from_secs(6);
+/// The time after which an idle connection of a caller is closed. A connection
+/// takes about 17 KB, and callers that time out leave many idle ones behind.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(6);
 
-/// Descriptors that are left to listeners, the store and connections to targets.
-const RESERVED: usize = 1_000;
+/// The file descriptors reserved for listeners, the store and connections to
+/// targets. The others are available to callers' connections.
+const RESERVED_DESCRIPTORS: usize = 1_000;
 
-/// The part of the grace time during which a stopping entry still accepts
-/// requests, since callers learn of the stop only with their next look-up.
-const ACCEPT_PART: f64 = 0.55;
+/// The fraction of the grace period during which a stopping entry still accepts
+/// requests, because callers learn of the stop only from their next look-up.
+const ACCEPT_FRACTION: f64 = 0.55;
 
-/// The part of the grace time after which a stopping entry ends in any case.
-const END_PART: f64 = 0.93;
+/// The fraction of the grace period after which a stopping entry ends even if
+/// requests are still running.
+const STOP_FRACTION: f64 = 0.93;
 
 /// A running gateway.
 #[derive(Debug)]
 pub struct Gateway {
-    /// Its state, which tests read.
+    /// The state, public for tests.
     pub state: Arc<State>,
     front: Server,
-    /// Servers that answer until the process ends.
-    helpers: Vec<Server>,
-    /// Answers other entries until the process ends.
+    /// The servers of look-ups, readiness checks and metrics, which run until the
+    /// process ends.
+    auxiliary: Vec<Server>,
+    /// The server of changes for other entries, which runs until the process ends.
     relay: Option<grpc::Server>,
     feed: JoinHandle<()>,
-    presence: presence::Presence,
+    announcement: presence::Announcement,
 }
 
 /// Starts a gateway.
@@ -71,69 +74,73 @@
 ///
 /// Returns an error if an address cannot be bound.
 pub async fn spawn(settings: VmSettings, ports: Ports) -> eyre::Result<Gateway> {
-    let connections = settings.descriptors.saturating_sub(RESERVED).max(64);
+    let connections = settings
+        .descriptors
+        .saturating_sub(RESERVED_DESCRIPTORS)
+        .max(64);
     let limits = Limits {
         connections: u32::try_from(connections).unwrap_or(u32::MAX),
-        patience: IDLE,
+        patience: IDLE_TIMEOUT,
         ..Limits::default()
     };
     let addr = settings.front;
     let state = Arc::new(State::new(settings, ports));
-    let helpers = directory::bind(&state).await?;
+    let auxiliary = directory::bind(&state).await?;
     let front = http::bind(addr, limits, front::router(&state));
-    let front = front.await.wrap_err("start the callers' server")?;
+    let front = front.await.wrap_err("start the server for callers")?;
     let relay = relay::bind(&state).await?;
     let feed = tokio::spawn(feed::run(state.clone()));
-    let presence = presence::spawn(state.clone());
+    let announcement = presence::spawn(state.clone());
     let version = env!("CARGO_PKG_VERSION");
     tracing::info!(entry = %state.settings().name, front = %addr, version, "gateway: started.");
     Ok(Gateway {
         state,
         front,
-        helpers,
+        auxiliary,
         relay,
         feed,
-        presence,
+        announcement,
     })
 }
 
 impl Gateway {
-    /// Returns the address at which callers reach it.
+    /// Returns the address at which the gateway accepts callers' requests.
     #[must_use]
-    pub fn front(&self) -> SocketAddr {
+    pub fn front_addr(&self) -> SocketAddr {
         self.front.addr()
     }
 
-    /// Returns the address at which other entries reach it.
+    /// Returns the address at which the gateway serves changes to other entries.
     #[must_use]
-    pub fn relay(&self) -> Option<SocketAddr> {
+    pub fn relay_addr(&self) -> Option<SocketAddr> {
         self.relay.as_ref().map(grpc::Server::addr)
     }
 
     /// Returns the addresses of look-ups, readiness checks and metrics.
-    pub fn helpers(&self) -> impl Iterator<Item = SocketAddr> {
-        self.helpers.iter().map(Server::addr)
+    pub fn auxiliary_addrs(&self) -> impl Iterator<Item = SocketAddr> {
+        self.auxiliary.iter().map(Server::addr)
     }
 
-    /// Stops within the grace time: leaves the directory, goes on serving while
-    /// callers find other entries, and lets running requests end.
+    /// Stops the gateway within the grace period: withdraws the entry from
+    /// look-ups, accepts requests while callers switch to other entries, and then
+    /// waits for running requests.
     pub async fn stop(self) {
         let grace = self.state.settings().bounds.grace;
-        let part = |part: f64| grace.duration().mul_f64(part);
+        let grace_fraction = |fraction: f64| grace.duration().mul_f64(fraction);
         self.state.set_stopping();
         tracing::info!(running = self.state.running(), "gateway: stopping.");
-        let accepting = tokio::time::sleep(part(ACCEPT_PART));
-        tokio::join!(self.presence.withdraw(), accepting);
-        let left = part(END_PART).saturating_sub(part(ACCEPT_PART));
+        let accepting = tokio::time::sleep(grace_fraction(ACCEPT_FRACTION));
+        tokio::join!(self.announcement.withdraw(), accepting);
+        let left = grace_fraction(STOP_FRACTION).saturating_sub(grace_fraction(ACCEPT_FRACTION));
         let ended = timeout(left, self.front.stop()).await.is_ok();
         self.feed.abort();
-        drop((self.helpers, self.relay));
+        drop((self.auxiliary, self.relay));
         let running = self.state.running();
         tracing::info!(ended, running, "gateway: stopped.");
     }
 }
 
-/// Returns the present instant of the clock that decisions use.
+/// Returns the current time of the monotonic clock.
 fn now(state: &State) -> Millis {
     (state.ports.clock.now)()
 }
--- a/src/app/gateway/presence.rs
+++ b/src/app/gateway/presence.rs
@@ -1,4 +1,4 @@
-//! Announces this entry in the store for as long as it serves.
+//! Announces this entry in the store while it can serve requests.
 
 use std::sync::Arc;
 
@@ -10,34 +10,34 @@
     ports::{LeaseId, PlatformError},
 };
 
-/// How long an entry counts as serving after its last renewal.
-const TTL: Millis = Millis(3_000);
+/// How long an entry stays announced after its last renewal.
+const LEASE_TTL: Millis = Millis(3_000);
 
 /// How often the lease is renewed.
-const PERIOD: Millis = Millis(1_000);
+const RENEWAL_PERIOD: Millis = Millis(1_000);
 
-/// How often a process that is not ready yet looks again.
-const LOOK: Millis = Millis(100);
+/// How often a process that is not ready yet checks its readiness.
+const READINESS_CHECK_PERIOD: Millis = Millis(100);
 
-/// The announcement of this entry.
+/// The task that announces this entry.
 #[derive(Debug)]
-pub(super) struct Presence {
+pub(super) struct Announcement {
     stop: oneshot::Sender<()>,
     task: JoinHandle<()>,
 }
 
-/// Starts to announce this entry.
-pub(super) fn spawn(state: Arc<State>) -> Presence {
+/// Starts the task.
+pub(super) fn spawn(state: Arc<State>) -> Announcement {
     let (stop, stopped) = oneshot::channel();
     let task = tokio::spawn(run(state, stopped));
-    Presence { stop, task }
+    Announcement { stop, task }
 }
 
-impl Presence {
-    /// Ends the announcement, so that look-ups no longer name this entry.
+impl Announcement {
+    /// Withdraws the announcement, so that look-ups no longer return this entry.
     pub async fn withdraw(self) {
         drop(self.stop);
-        // The task only fails if it panicked, and the lease then ends by itself.
+        // Joining fails only if the task panicked. The lease then expires.
         let _ = self.task.await;
     }
 }
@@ -46,10 +46,10 @@
     let mut lease = None;
     loop {
         let pause = if state.is_ready() {
-            lease = keep(&state, lease).await;
-            PERIOD
+            lease = renew_or_announce(&state, lease).await;
+            RENEWAL_PERIOD
         } else {
-            LOOK
+            READINESS_CHECK_PERIOD
         };
         tokio::select! {
             _ = &mut stopped => break,
@@ -59,19 +59,19 @@
     if let Some(lease) = lease
         && let Err(e) = (state.ports.platform.withdraw)(lease).await
     {
-        tracing::warn!(cause = %e, "presence: not withdrawn, the lease will end by itself.");
+        tracing::warn!(cause = %e, "presence: withdrawal failed, the lease will expire.");
     }
 }
 
 /// Renews the lease, or announces the entry if there is none.
-async fn keep(state: &State, lease: Option<LeaseId>) -> Option<LeaseId> {
+async fn renew_or_announce(state: &State, lease: Option<LeaseId>) -> Option<LeaseId> {
     let platform = &state.ports.platform;
     if let Some(lease) = lease {
         match (platform.renew)(lease).await {
-            // After a failure it is not known whether the lease was renewed, so the
-            // next call tells.
+            // After a failed call the lease may still exist. The next renewal shows
+            // whether it does.
             Ok(()) | Err(PlatformError::Failed { .. }) => return Some(lease),
-            Err(e) => tracing::warn!(cause = %e, "presence: announcing again."),
+            Err(e) => tracing::warn!(cause = %e, "presence: renewal failed, announcing again."),
         }
     }
     let settings = state.settings();
@@ -83,13 +83,13 @@
         az: settings.az.clone(),
         region: settings.region.clone(),
     };
-    match (platform.announce)((presence, TTL)).await {
+    match (platform.announce)((presence, LEASE_TTL)).await {
         Ok(lease) => {
             tracing::info!("presence: announced.");
             Some(lease)
         }
         Err(e) => {
-            tracing::warn!(cause = %e, "presence: not announced.");
+            tracing::warn!(cause = %e, "presence: announcement failed.");
             None
         }
     }
--- a/src/app/gateway/relay.rs
+++ b/src/app/gateway/relay.rs
@@ -1,4 +1,4 @@
-//! Passes on to other entries what this one knows of the platform.
+//! Serves changes of the platform to other entries.
 
 use std::sync::Arc;
 
@@ -12,7 +12,7 @@
     ports::{AskError, Batch, Change, News},
 };
 
-/// Starts to answer other entries, if the settings have an address for it.
+/// Starts the server for other entries, if the settings have an address for it.
 ///
 /// # Errors
 ///
@@ -26,23 +26,23 @@
         let state = state.clone();
         async move {
             match after {
-                Some(after) => news(&state, after, wait).await,
-                None => everything(&state),
+                Some(after) => changes_after(&state, after, wait).await,
+                None => full_state(&state),
             }
         }
     });
     let server = grpc::bind(addr, routes).await;
-    Ok(Some(server.wrap_err("start the server of changes")?))
+    Ok(Some(server.wrap_err("start the server for other entries")?))
 }
 
-/// Returns the changes after a revision, and waits until there is one.
-async fn news(state: &State, after: Revision, wait: Millis) -> Result<News, AskError> {
-    state.set_asked(now(state) + wait);
-    let mut revisions = state.revisions();
+/// Returns the changes after a revision. Waits up to `wait` for the first one.
+async fn changes_after(state: &State, after: Revision, wait: Millis) -> Result<News, AskError> {
+    state.record_follower(now(state) + wait);
+    let mut revisions = state.subscribe_revision();
     let newer = revisions.wait_for(|known| *known > after);
-    // Without news the answer still tells that nothing has changed.
+    // After a timeout the empty response confirms that nothing has changed.
     let _ = timeout(wait.duration(), newer).await.is_ok();
-    let log = state.log();
+    let log = state.change_log();
     let changes = log.changes_after(after).ok_or(AskError::Compacted)?;
     Ok(News {
         batch: Batch {
@@ -53,18 +53,18 @@
     })
 }
 
-/// Returns everything that is known.
-fn everything(state: &State) -> Result<News, AskError> {
+/// Returns the complete state of the platform as this entry knows it.
+fn full_state(state: &State) -> Result<News, AskError> {
     let (revision, at) = {
-        let log = state.log();
+        let log = state.change_log();
         (log.revision(), log.as_of())
     };
-    // What changes from here on may be in the answer already, and is told again
-    // after the revision.
+    // The state is read after the revision, so it may already contain later
+    // changes. The other entry gets those again with its next request.
     let table = state.table().ok_or(AskError::Empty)?;
     let mut changes = vec![Change::Configured(Box::new(table.configuration()))];
-    let closed = state.closed();
-    changes.extend(closed.iter().cloned().map(Change::Evacuated));
+    let evacuated = state.evacuated();
+    changes.extend(evacuated.iter().cloned().map(Change::Evacuated));
     changes.extend(state.entries().all().cloned().map(Change::Joined));
     changes.extend(state.registry().targets().cloned().map(Change::Registered));
     Ok(News {
--- a/src/app/gateway/job.rs
+++ b/src/app/gateway/request.rs
@@ -1,4 +1,4 @@
-//! A caller's request with everything that decisions about it need.
+//! Reads a caller's request and finds its route.
 
 use std::sync::Arc;
 
@@ -21,65 +21,71 @@
     ports::Body,
 };
 
-/// The longest body that is kept for a second attempt.
-const KEPT_BYTES: usize = 64 * 1024;
+/// The size up to which the body of a request is buffered, so that it can be sent
+/// again. Longer bodies are streamed.
+const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
-/// What a header's line has beside its name and value.
-const LINE_BYTES: usize = 4;
+/// The bytes of a header line beside its name and value: `: ` and CRLF.
+const HEADER_LINE_OVERHEAD_BYTES: usize = 4;
 
-/// When a caller may come back to an entry that has no configuration yet.
-const STARTING: Millis = Millis(300);
+/// The `retry-after` of requests to an entry that has no configuration yet.
+const STARTUP_RETRY_AFTER: Millis = Millis(300);
 
-/// A request of a caller.
+/// A caller's request with its route.
 #[derive(Debug)]
-pub(super) struct Job {
-    /// The routes by which it is handled from beginning to end.
+pub(super) struct RoutedRequest {
+    /// The route table in effect when the request arrived, which applies to all its
+    /// attempts.
     pub table: Arc<Table>,
     /// The rule of its route.
     pub rule: Arc<Rule>,
-    /// The service that runs it.
+    /// The service that runs the request.
     pub service: ServiceName,
-    /// The hash of the object that it concerns.
+    /// The hash of the route's prefix and the affinity key, if the request has one.
     pub object: Option<u64>,
-    /// The caller's id of it.
+    /// The request id that the caller chose.
     pub id: Option<HeaderValue>,
-    /// When it came.
+    /// The time of its arrival.
     pub arrived: Millis,
-    /// Until when it has to be answered.
-    pub end: Millis,
+    /// The time by which the request must be answered.
+    pub deadline: Millis,
     head: Parts,
     content: Content,
 }
 
-impl Job {
+impl RoutedRequest {
     /// Finds the route of a request and reads its body.
     ///
     /// # Errors
     ///
-    /// Refuses a request without a route, and one whose body does not arrive.
+    /// Returns a refusal if no route matches, if a limit is exceeded or if the body
+    /// does not arrive in time.
     pub async fn read(state: &State, req: Request<Body>) -> Result<Self, Refusal> {
         let arrived = now(state);
         let Some(table) = state.table() else {
-            let detail = "no configuration is known yet";
-            return Err(Refusal::not_run(Code::NoTarget, detail).retry_after(STARTING));
+            let detail = "no configuration has been read yet";
+            return Err(Refusal::not_run(Code::NoTarget, detail).retry_after(STARTUP_RETRY_AFTER));
         };
         let (head, body) = req.into_parts();
         let limits = &table.limits;
-        check(limits, &head)?;
+        check_limits(limits, &head)?;
         let RequestHead {
             id,
-            deadline,
-            object,
-        } = headers::read_request(&head.headers);
+            timeout: caller_timeout,
+            affinity_key,
+        } = headers::read_request_head(&head.headers);
         let (rule, service) = {
-            let route = find(&table, &head)?;
+            let route = match_route(&table, &head)?;
             (route.rule.clone(), route.next_service().clone())
         };
-        let end = arrived + deadline.unwrap_or(rule.timeout).min(rule.timeout);
-        let object = object.map(|o| object_hash(&rule.prefix, o.as_bytes()));
-        let most = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
-        let reading = Content::read(Limited::new(body, most).boxed(), KEPT_BYTES);
-        let content = timeout((end - arrived).duration(), reading).await;
+        let deadline = arrived + caller_timeout.unwrap_or(rule.timeout).min(rule.timeout);
+        let object = affinity_key.map(|key| object_hash(&rule.prefix, key.as_bytes()));
+        let max_body_bytes = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
+        let reading = Content::read(
+            Limited::new(body, max_body_bytes).boxed(),
+            MAX_BUFFERED_BYTES,
+        );
+        let content = timeout((deadline - arrived).duration(), reading).await;
         let content = match content {
             Ok(Ok(content)) => content,
             Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large(limits.body)),
@@ -90,7 +96,7 @@
                 ));
             }
             Err(_) => {
-                let detail = "read body: not complete in time";
+                let detail = "read body: timed out";
                 return Err(Refusal::not_run(Code::Overloaded, detail));
             }
         };
@@ -101,31 +107,35 @@
             object,
             id,
             arrived,
-            end,
+            deadline,
             head,
             content,
         })
     }
 
-    /// Returns the request for one start of a target, or none if its body was
-    /// sent already and not kept.
-    pub fn request(&mut self, target: &InstanceId, left: Millis) -> Option<Request<Body>> {
+    /// Returns the request to send to a target, or none if the body was not buffered
+    /// and has been sent already.
+    pub fn build_request(
+        &mut self,
+        target: &InstanceId,
+        time_left: Millis,
+    ) -> Option<Request<Body>> {
         let mut request = Request::new(self.content.send()?);
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         *request.headers_mut() = self.head.headers.clone();
         let head = request.headers_mut();
         strip_hop_by_hop(head);
-        headers::write_request(head, target, left);
+        headers::write_attempt(head, target, time_left);
         Some(request)
     }
 
-    /// Tells whether the request can be sent again.
-    pub fn is_kept(&self) -> bool {
+    /// Returns whether the body is buffered, so that the request can be sent again.
+    pub fn is_resendable(&self) -> bool {
         self.content.is_whole()
     }
 
-    /// Returns the caller's id of the request, for logs.
+    /// Returns the request id for logs, `-` if there is none.
     pub fn label(&self) -> &str {
         self.id
             .as_ref()
@@ -134,12 +144,13 @@
     }
 }
 
-/// Refuses a head that exceeds the limits, and one that announces a body that
-/// does.
-fn check(limits: &CallerLimits, head: &Parts) -> Result<(), Refusal> {
-    let lines = head.headers.iter();
-    let lines = lines.map(|(name, value)| name.as_str().len() + value.len() + LINE_BYTES);
-    let size = head.uri.to_string().len() + lines.sum::<usize>();
+/// Returns a refusal if the head exceeds its limit, or if the declared length of
+/// the body does.
+fn check_limits(limits: &CallerLimits, head: &Parts) -> Result<(), Refusal> {
+    let header_lines = head.headers.iter();
+    let header_lines = header_lines
+        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_OVERHEAD_BYTES);
+    let size = head.uri.to_string().len() + header_lines.sum::<usize>();
     if size as u64 > limits.head.0 {
         let detail = format!("read head: {size} bytes, the limit is {}", limits.head);
         return Err(Refusal::not_run(Code::HeadTooLarge, detail));
@@ -157,10 +168,11 @@
     Refusal::not_run(Code::TooLarge, detail)
 }
 
-fn find<'a>(table: &'a Table, head: &Parts) -> Result<&'a Route, Refusal> {
+/// Finds the route of a request by its host and path.
+fn match_route<'a>(table: &'a Table, head: &Parts) -> Result<&'a Route, Refusal> {
     let host = head.headers.get(http::header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
-    // A host name has no colon, so what follows the last one is a port.
+    // A host name contains no colon, so the part after the last one is the port.
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let host = host.to_ascii_lowercase();
     let path = head.uri.path();
--- a/src/app/gateway/answer.rs
+++ b/src/app/gateway/response.rs
@@ -1,4 +1,4 @@
-//! What a caller gets.
+//! Builds the responses to callers.
 
 use std::{
     pin::Pin,
@@ -11,7 +11,7 @@
 use http_body_util::BodyExt;
 use volo_http::body::Body as FrontBody;
 
-use super::{exchange::Answer, slot::Slot};
+use super::{exchange::TargetResponse, slot::Slot};
 use crate::{
     adapters::{
         http::{self as web, Content, full, strip_hop_by_hop},
@@ -24,23 +24,23 @@
     ports::Body,
 };
 
-/// Returns the answer that tells a caller of a refusal.
-pub(super) fn refuse(refusal: &Refusal) -> Response<FrontBody> {
+/// Returns the response that reports a refusal to a caller.
+pub(super) fn refusal_response(refusal: &Refusal) -> Response<FrontBody> {
     let mut resp = web::answer(refusal);
     if let Some(time) = refusal.retry_after {
-        headers::write_retry(resp.headers_mut(), time);
+        headers::write_retry_after(resp.headers_mut(), time);
     }
     resp
 }
 
-/// Passes a target's answer on.
-pub(super) fn pass(answer: Answer) -> Response<Body> {
-    let Answer {
+/// Returns a target's response for the caller.
+pub(super) fn pass_through(response: TargetResponse) -> Response<Body> {
+    let TargetResponse {
         mut head,
         content,
         mut slot,
         report,
-    } = answer;
+    } = response;
     strip_hop_by_hop(&mut head.headers);
     let ending = if head.status.is_server_error() {
         Ending::ErrorResponse
@@ -54,10 +54,10 @@
         }
         mut content @ Content::Stream(_) => {
             let Some(body) = content.send() else {
-                // A content that was just read has not been sent.
+                // Not reached: content that was just read has not been sent.
                 return Response::from_parts(head, full(Bytes::new()));
             };
-            Tracked {
+            TrackedBody {
                 body,
                 slot,
                 ending,
@@ -69,15 +69,15 @@
     Response::from_parts(head, body)
 }
 
-/// An answer's body that holds its slot while it streams.
-struct Tracked {
+/// The body of a response, which holds its slot while it streams.
+struct TrackedBody {
     body: Body,
     slot: Slot,
     ending: Ending,
     report: Option<LoadReport>,
 }
 
-impl http_body::Body for Tracked {
+impl http_body::Body for TrackedBody {
     type Data = Bytes;
     type Error = Box<dyn std::error::Error + Send + Sync>;
 
@@ -90,7 +90,8 @@
         match &frame {
             Some(Err(_)) => self.slot.finish(Ending::Broken, None),
             None => self.slot.finish(ending, report),
-            // A body of known length may be dropped without asking for its end.
+            // The server may drop a body of known length after the last frame, without
+            // polling for its end.
             Some(Ok(_)) if self.body.is_end_stream() => self.slot.finish(ending, report),
             Some(Ok(_)) => {}
         }
--- a/src/app/gateway/slot.rs
+++ b/src/app/gateway/slot.rs
@@ -1,62 +1,64 @@
-//! A target that is held for one attempt.
+//! Capacity at a target that is reserved for one attempt.
 
 use std::sync::Arc;
 
-use super::{State, job::Job, now};
+use super::{State, now, request::RoutedRequest};
 use crate::{
     domain::{InstanceId, ServiceName},
     policy::balance::{Choice, ChooseError, Ending, LoadReport, Request, Ticket},
 };
 
-/// An attempt's place at a target. Dropping it says that nobody waits any more.
+/// A slot at a target for one attempt. Dropping it before [`Slot::finish`] records
+/// the attempt as cancelled.
 #[derive(Debug)]
 pub(super) struct Slot {
     state: Arc<State>,
     service: ServiceName,
-    /// What was known when the target was chosen.
+    /// The chosen target, with the state on which the choice was based.
     pub choice: Choice,
-    ended: bool,
+    finished: bool,
 }
 
 impl Slot {
-    /// Chooses a target for a request.
+    /// Chooses a target for a request and reserves a slot there.
     ///
     /// # Errors
     ///
-    /// A [`ChooseError`] says why no target can take it.
+    /// Returns a [`ChooseError`] that says why no target can take the request.
     pub fn acquire(
         state: &Arc<State>,
-        job: &Job,
+        routed: &RoutedRequest,
         tried: &[InstanceId],
     ) -> Result<Self, ChooseError> {
-        let choice = state.with_pool(&job.service, &job.table, |pool, scene| {
-            let ask = Request {
-                rule: &job.rule,
-                object: job.object,
+        let choice = state.with_pool(&routed.service, &routed.table, |pool, context| {
+            let request = Request {
+                rule: &routed.rule,
+                object: routed.object,
                 tried,
-                time_left: job.end - scene.now,
+                time_left: routed.deadline - context.now,
             };
-            pool.choose(scene, &ask)
+            pool.choose(context, &request)
         })?;
         Ok(Self {
             state: state.clone(),
-            service: job.service.clone(),
+            service: routed.service.clone(),
             choice,
-            ended: false,
+            finished: false,
         })
     }
 
-    /// Returns what the choice rests on.
+    /// Returns the ticket of the choice, which identifies the attempt.
     pub fn ticket(&self) -> &Ticket {
         &self.choice.ticket
     }
 
-    /// Gives the place back.
+    /// Releases the slot with the result of the attempt. Only the first call has an
+    /// effect.
     pub fn finish(&mut self, ending: Ending, report: Option<LoadReport>) {
-        if self.ended {
+        if self.finished {
             return;
         }
-        self.ended = true;
+        self.finished = true;
         let at = now(&self.state);
         let ticket = &self.choice.ticket;
         self.state.pools.get(&self.service, |pool| {
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -1,4 +1,4 @@
-//! What a gateway keeps.
+//! The state that the modules of a gateway share.
 
 use std::{
     collections::BTreeSet,
@@ -24,16 +24,16 @@
     ports::{Change, Changes, Clock, Platform, Targets, VmSettings},
 };
 
-/// What a gateway needs from outside.
+/// The ports through which a gateway reaches everything outside of it.
 #[derive(Clone, Debug)]
 pub struct Ports {
-    /// Time.
+    /// The clock.
     pub clock: Clock,
-    /// Requests to targets.
+    /// Sends requests to targets.
     pub targets: Targets,
     /// The platform's store.
     pub platform: Platform,
-    /// What other entries know of it.
+    /// Fetches changes of the platform from other entries.
     pub changes: Changes,
     /// The metrics of the process.
     pub metrics: Metrics,
@@ -41,33 +41,37 @@
 
 /// The state of a gateway.
 ///
-/// A shard's lock guards the targets of its services. The other locks are held
-/// only to copy or swap one value. No lock is taken while another is held, and
-/// none is held across an await.
+/// The lock of a shard guards the target pools of its services. The other locks
+/// are held only to copy or replace one value. No lock is acquired while another
+/// is held, and none is held across an await point.
 #[derive(Debug)]
 pub struct State {
-    /// What it needs from outside.
+    /// Access to everything outside of the gateway.
     pub ports: Ports,
-    /// The targets of each service.
+    /// The target pool of each service.
     pub pools: Shards<ServiceName, Pool>,
     settings: RwLock<Arc<VmSettings>>,
     table: RwLock<Option<Arc<Table>>>,
-    closed: RwLock<Arc<BTreeSet<AzName>>>,
+    /// The availability zones that are evacuated.
+    evacuated: RwLock<Arc<BTreeSet<AzName>>>,
+    /// The hashed names of the entries that share limits.
     peers: RwLock<Arc<Vec<u64>>>,
     entries: Mutex<Entries>,
     registry: Mutex<Registry>,
-    log: Mutex<ChangeLog<Change>>,
-    /// The revision up to which the log is complete.
+    change_log: Mutex<ChangeLog<Change>>,
+    /// The revision up to which the change log is complete.
     revision: watch::Sender<Revision>,
-    /// The instant until which other entries ask this one.
-    asked: AtomicU64,
-    targets: AtomicBool,
+    /// The latest time until which another entry waits for changes of this one.
+    followed_until: AtomicU64,
+    /// Whether any target has been registered.
+    has_targets: AtomicBool,
     stopping: AtomicBool,
+    /// The number of running requests.
     running: AtomicU64,
 }
 
 impl State {
-    /// Returns the state of a process that knows nothing yet.
+    /// Returns the state of a process that has read nothing from the platform yet.
     #[must_use]
     pub fn new(settings: VmSettings, ports: Ports) -> Self {
         Self {
@@ -75,20 +79,20 @@
             pools: Shards::new(),
             settings: RwLock::new(Arc::new(settings)),
             table: RwLock::default(),
-            closed: RwLock::default(),
+            evacuated: RwLock::default(),
             peers: RwLock::default(),
             entries: Mutex::default(),
             registry: Mutex::default(),
-            log: Mutex::default(),
+            change_log: Mutex::default(),
             revision: watch::Sender::new(Revision(0)),
-            asked: AtomicU64::new(0),
-            targets: AtomicBool::new(false),
+            followed_until: AtomicU64::new(0),
+            has_targets: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             running: AtomicU64::new(0),
         }
     }
 
-    /// Returns the settings in force.
+    /// Returns the current settings.
     #[must_use]
     pub fn settings(&self) -> Arc<VmSettings> {
         read(&self.settings)
@@ -99,7 +103,7 @@
         write(&self.settings, Arc::new(settings));
     }
 
-    /// Returns the routes in force, if any configuration is known.
+    /// Returns the current route table, if a configuration has been read.
     #[must_use]
     pub fn table(&self) -> Option<Arc<Table>> {
         read(&self.table)
@@ -109,17 +113,17 @@
         write(&self.table, Some(table));
     }
 
-    /// Returns the availability zones to which nothing may be sent.
+    /// Returns the evacuated availability zones, to which no request may be sent.
     #[must_use]
-    pub fn closed(&self) -> Arc<BTreeSet<AzName>> {
-        read(&self.closed)
+    pub fn evacuated(&self) -> Arc<BTreeSet<AzName>> {
+        read(&self.evacuated)
     }
 
-    pub(super) fn set_closed(&self, closed: BTreeSet<AzName>) {
-        write(&self.closed, Arc::new(closed));
+    pub(super) fn set_evacuated(&self, evacuated: BTreeSet<AzName>) {
+        write(&self.evacuated, Arc::new(evacuated));
     }
 
-    /// Returns the entries that serve.
+    /// Returns the entries that are announced.
     pub(super) fn entries(&self) -> MutexGuard<'_, Entries> {
         lock(&self.entries)
     }
@@ -129,49 +133,56 @@
         lock(&self.registry)
     }
 
-    /// Returns the latest changes.
-    pub(super) fn log(&self) -> MutexGuard<'_, ChangeLog<Change>> {
-        lock(&self.log)
+    /// Returns the log of the latest changes.
+    pub(super) fn change_log(&self) -> MutexGuard<'_, ChangeLog<Change>> {
+        lock(&self.change_log)
     }
 
-    /// Notes changes up to a revision for other entries, as the store knew them at
-    /// `at`. A whole list has no changes that others could have missed.
-    pub(super) fn publish(&self, at: Millis, revision: Revision, news: Vec<Change>, whole: bool) {
+    /// Adds changes up to a revision, as the store held them at `at`, to the log that
+    /// is served to other entries. A complete listing contains no changes that other
+    /// entries could have missed, so the log restarts at its revision.
+    pub(super) fn publish(
+        &self,
+        at: Millis,
+        revision: Revision,
+        changes: Vec<Change>,
+        complete: bool,
+    ) {
         let revision = {
-            let mut log = self.log();
-            if whole {
+            let mut log = self.change_log();
+            if complete {
                 log.reset(at, revision);
             } else {
-                log.push(at, revision, news);
+                log.push(at, revision, changes);
             }
             log.revision()
         };
         self.revision.send_replace(revision);
     }
 
-    /// Returns the revision up to which changes are known, to wait for greater
-    /// ones.
-    pub(super) fn revisions(&self) -> watch::Receiver<Revision> {
+    /// Returns a receiver of the revision up to which the change log is complete.
+    pub(super) fn subscribe_revision(&self) -> watch::Receiver<Revision> {
         self.revision.subscribe()
     }
 
-    /// Notes that another entry asks for changes, and until when it waits.
-    pub(super) fn set_asked(&self, until: Millis) {
-        self.asked.fetch_max(until.0, Relaxed);
+    /// Records that another entry waits for changes until the given time.
+    pub(super) fn record_follower(&self, until: Millis) {
+        self.followed_until.fetch_max(until.0, Relaxed);
     }
 
-    /// Tells whether other entries ask this one for changes.
-    pub(super) fn is_source(&self, now: Millis) -> bool {
-        now.0 <= self.asked.load(Relaxed)
+    /// Returns whether another entry waits for changes of this one.
+    pub(super) fn is_followed(&self, now: Millis) -> bool {
+        now.0 <= self.followed_until.load(Relaxed)
     }
 
-    /// Returns a part of the bound within which changes must be in force.
-    pub(super) fn part(&self, part: f64) -> Millis {
+    /// Returns a fraction of the time within which drains and configurations must
+    /// take effect.
+    pub(super) fn bound_fraction(&self, fraction: f64) -> Millis {
         let Bounds { drain, config, .. } = self.settings().bounds;
-        drain.min(config).part(part)
+        drain.min(config).part(fraction)
     }
 
-    /// Takes over which entries share limits, after a change of the entries.
+    /// Recomputes the entries that share limits, after entries joined or left.
     pub(super) fn refresh_peers(&self, now: Millis) {
         let me = xxh3_64(self.settings().name.as_bytes());
         let mut peers: Vec<u64> = {
@@ -193,17 +204,17 @@
         read(&self.peers)
     }
 
-    /// Tells whether callers may be sent here.
+    /// Returns whether this entry can serve requests, so that look-ups may name it.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.targets.load(Relaxed) && self.table().is_some() && !self.is_stopping()
+        self.has_targets.load(Relaxed) && self.table().is_some() && !self.is_stopping()
     }
 
-    pub(super) fn set_targets(&self) {
-        self.targets.store(true, Relaxed);
+    pub(super) fn set_has_targets(&self) {
+        self.has_targets.store(true, Relaxed);
     }
 
-    /// Tells whether the process is about to end.
+    /// Returns whether the gateway is stopping.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Relaxed)
@@ -213,22 +224,22 @@
         self.stopping.store(true, Relaxed);
     }
 
-    /// Returns how many requests run.
+    /// Returns the number of running requests.
     #[must_use]
     pub fn running(&self) -> u64 {
         self.running.load(Relaxed)
     }
 
-    pub(super) fn started(&self) {
+    pub(super) fn request_started(&self) {
         self.running.fetch_add(1, Relaxed);
     }
 
-    pub(super) fn ended(&self) {
+    pub(super) fn request_ended(&self) {
         self.running.fetch_sub(1, Relaxed);
     }
 
-    /// Returns what the retry budget allows.
-    pub(super) fn allowance(&self) -> RetryLimits {
+    /// Returns the limits of the retry budget.
+    pub(super) fn retry_limits(&self) -> RetryLimits {
         let bounds = self.settings().bounds;
         RetryLimits {
             ratio: bounds.retry_ratio,
@@ -237,7 +248,7 @@
         }
     }
 
-    /// Runs `f` on the pool of a service, with what a choice there has to know.
+    /// Calls `f` with the pool of a service and the context for choosing a target.
     pub(super) fn with_pool<T>(
         &self,
         service: &ServiceName,
@@ -245,13 +256,13 @@
         f: impl FnOnce(&mut Pool, &Context<'_>) -> T,
     ) -> T {
         let settings = self.settings();
-        let (closed, peers) = (self.closed(), self.peers());
+        let (evacuated, peers) = (self.evacuated(), self.peers());
         let bounds = &settings.bounds;
         let rate = table.service(service).map_or(0.0, |s| s.cold_rate);
-        let scene = Context {
+        let context = Context {
             now: (self.ports.clock.now)(),
             region: &settings.region,
-            evacuated: &closed,
+            evacuated: &evacuated,
             cold_quota: ColdQuota {
                 max_rate: rate * bounds.cold_factor + bounds.cold_slack,
                 entries: &peers,
@@ -260,7 +271,7 @@
             shift_cap: bounds.shift,
         };
         self.pools
-            .with(service.clone(), Pool::new, |p| f(p, &scene))
+            .with(service.clone(), Pool::new, |p| f(p, &context))
     }
 }
 
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -182,7 +182,7 @@
     /// Sends a request and returns the status, whether it is said not to have
     /// run, and how often it ran.
     async fn ask(&self, path: &str) -> String {
-        let answer = self.request(self.gateway.front(), path).await;
+        let answer = self.request(self.gateway.front_addr(), path).await;
         let runs: u32 = {
             let runs = self.runs.lock().expect("runs");
             runs.iter()
@@ -267,10 +267,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_stop_lets_requests_end() {
     let site = Site::open(false, Millis(0)).await;
-    let helper = site.gateway.helpers().next().expect("a server");
+    let helper = site.gateway.auxiliary_addrs().next().expect("a server");
     let before = site.request(helper, "/readiness").await;
     let lookup = site.request(helper, "/resolve?region=north").await;
-    let front = site.gateway.front();
+    let front = site.gateway.front_addr();
     let state = site.gateway.state.clone();
     let Site {
         gateway,
@@ -337,7 +337,7 @@
             .header("x-filler", "x".repeat(head))
             .body(full(Bytes::from(vec![b'x'; body])))
             .expect("a request");
-        let front = TargetId(site.gateway.front());
+        let front = TargetId(site.gateway.front_addr());
         let resp = (site.client.send)(Outbound::new(front, request)).await;
         let resp = resp.expect("an answer");
         let outcome = resp.headers().get("x-savorybeam-outcome");
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -257,7 +257,7 @@
         let status = StatusCode::from_u16(status).expect("a status");
         format!(
             "{name}: {:?}",
-            headers::read_answer(status, &head, Some(&id))
+            headers::classify_response(status, &head, Some(&id))
         )
     });
     insta::assert_snapshot!(lines.join("\n"));
@@ -269,7 +269,7 @@
     let lines = ["3,0,8", "6,2,6,250", " 1, 2, 3, 4 ", "3,0", "a,b,c", ""].map(|text| {
         let mut head = HeaderMap::new();
         head.insert("server-load", HeaderValue::from_static(text));
-        format!("{text:?}: {:?}", headers::read_load(&head))
+        format!("{text:?}: {:?}", headers::read_load_report(&head))
     });
     insta::assert_snapshot!(lines.join("\n"));
 }
@@ -278,11 +278,11 @@
 #[test]
 fn times_and_addresses_are_written_as_the_platform_reads_them() {
     let mut head = HeaderMap::new();
-    headers::write_retry(&mut head, Millis(1_250));
+    headers::write_retry_after(&mut head, Millis(1_250));
     let id = "i-1".parse().expect("an id");
-    headers::write_request(&mut head, &id, Millis(740));
+    headers::write_attempt(&mut head, &id, Millis(740));
     let fronts = ["10.0.0.2:81".parse().expect("an address")];
-    let answer = directory::write_answer(&fronts, Millis(2_000));
+    let answer = directory::encode_response(&fronts, Millis(2_000));
     let caller = directory::read_query("name=k.example&region=north&zone=a-1");
     insta::assert_snapshot!(format!("{head:?}\n{answer}\n{caller:?}"));
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -112,8 +112,8 @@
 fn presence(gateway: &Gateway, name: &str) -> Change {
     Change::Joined(Presence {
         name: name.parse().expect("a name"),
-        front: gateway.front(),
-        peer: gateway.relay(),
+        front: gateway.front_addr(),
+        peer: gateway.relay_addr(),
         link: Mbps(100),
         az: "a-1".parse().expect("a name"),
         region: "north".parse().expect("a name"),
@@ -202,13 +202,13 @@
     let first = open("edge-1", platform(&store, &polls), Vec::new()).await;
     until("the first is ready", || first.state.is_ready()).await;
     store.away.store(true, SeqCst);
-    let seed = first.relay().expect("an address");
+    let seed = first.relay_addr().expect("an address");
     let second = open("edge-2", platform(&store, &polls), vec![seed]).await;
     until("the second is ready", || second.state.is_ready()).await;
     let peers = Peers::new(Millis(500), Arc::default());
     let changes = grpc::changes(Arc::new(peers));
     let ask = Ask {
-        peer: second.relay().expect("an address"),
+        peer: second.relay_addr().expect("an address"),
         after: None,
         wait: Millis(0),
     };
