Describe the ports as interfaces and name their requests

The ports used names such as Ask, News, Begun and Hold, whose meaning a reader had to guess, and comments without a subject.

Ask -> FetchRequest, AskError -> FetchError, News -> AgedBatch, Changes::ask -> fetch, Begun -> SendStarted, Hold -> InFlight, Outbound::hold/connect/begun -> in_flight/connect_timeout/started, Poll::limit -> timeout, Gathered -> GatheredEvents, Placement -> EntryRevision, AdminPort::unready/placements -> unready_reason/ entry_revisions. Serialized structs keep their field names.

--- a/src/adapters/grpc/changes/messages.rs
+++ b/src/adapters/grpc/changes/messages.rs
@@ -3,7 +3,7 @@
 use super::config::{ConfigMessage, get_config, put_config};
 use crate::{
     domain::{Instance, Mbps, Millis, ParseError, Presence, Slots},
-    ports::{Change, News},
+    ports::{AgedBatch, Change},
 };
 
 /// The encoded question.
@@ -101,7 +101,7 @@
 
 /// Encodes news. Items that could not be read are not passed on, since whoever
 /// reads them has logged them.
-pub(super) fn put(news: &News) -> NewsMessage {
+pub(super) fn put(news: &AgedBatch) -> NewsMessage {
     let changes = news.batch.changes.iter().filter_map(put_change);
     NewsMessage {
         revision: Some(news.batch.revision.0),
--- a/src/adapters/grpc/changes/mod.rs
+++ b/src/adapters/grpc/changes/mod.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     domain::{Millis, Revision},
-    ports::{Ask, AskError, Batch, Changes, News},
+    ports::{AgedBatch, Batch, Changes, FetchError, FetchRequest},
 };
 
 const CHANGES: &str = "Changes";
@@ -25,14 +25,14 @@
 pub fn serve_changes<F, Fut>(routes: Routes, f: F) -> Routes
 where
     F: Clone + Fn(Option<Revision>, Millis) -> Fut + Send + Sync + 'static,
-    Fut: Future<Output = Result<News, AskError>> + Send + 'static,
+    Fut: Future<Output = Result<AgedBatch, FetchError>> + Send + 'static,
 {
     routes.route(CHANGES, move |message: AskMessage| {
         let news = f(message.after.map(Revision), Millis(message.wait_ms));
         async move {
             Ok(match news.await {
                 Ok(news) => messages::put(&news),
-                Err(AskError::Compacted) => NewsMessage {
+                Err(FetchError::Compacted) => NewsMessage {
                     compacted: true,
                     ..NewsMessage::default()
                 },
@@ -46,15 +46,15 @@
 #[must_use]
 pub fn changes(peers: Arc<Peers>) -> Changes {
     Changes {
-        ask: Arc::new(move |ask| {
+        fetch: Arc::new(move |ask| {
             let peers = peers.clone();
             Box::pin(async move { call(&peers, ask).await })
         }),
     }
 }
 
-async fn call(peers: &Peers, ask: Ask) -> Result<News, AskError> {
-    let Ask { peer, after, wait } = ask;
+async fn call(peers: &Peers, ask: FetchRequest) -> Result<AgedBatch, FetchError> {
+    let FetchRequest { peer, after, wait } = ask;
     let message = AskMessage {
         after: after.map(|r| r.0),
         wait_ms: wait.0,
@@ -62,27 +62,27 @@
     let reply = peers.call_within(peer, CHANGES, message, wait + SLACK);
     let reply: NewsMessage = reply.await.map_err(|e| failed(peer, &e))?;
     if reply.compacted {
-        return Err(AskError::Compacted);
+        return Err(FetchError::Compacted);
     }
     let Some(revision) = reply.revision.map(Revision) else {
-        return Err(AskError::Empty);
+        return Err(FetchError::Empty);
     };
     let changes = messages::get(&reply);
     let changes = changes.map_err(|e| failed(peer, &CallError::unreadable(CHANGES, peer, &e)))?;
-    Ok(News {
+    Ok(AgedBatch {
         batch: Batch { changes, revision },
         age: Millis(reply.age_ms),
     })
 }
 
-fn failed(peer: SocketAddr, e: &CallError) -> AskError {
+fn failed(peer: SocketAddr, e: &CallError) -> FetchError {
     let step = match e.step {
         Step::Encode => "encode a question",
         Step::Connect => "connect for changes",
         Step::Wait => "wait for changes",
         Step::Reply => "ask for changes",
     };
-    AskError::Failed {
+    FetchError::Failed {
         step,
         peer,
         cause: e.cause.clone(),
--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -25,7 +25,7 @@
     policy::silence::{
         KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, POOL_IDLE_MAX, TCP_USER_TIMEOUT,
     },
-    ports::{Body, Clock, Hold, Outbound, SendError, Targets},
+    ports::{Body, Clock, InFlight, Outbound, SendError, Targets},
 };
 
 /// Which idle connections are kept.
@@ -62,17 +62,17 @@
 struct Conn {
     sender: SendRequest<Body>,
     watch: Watch,
-    held: Arc<Mutex<Option<Hold>>>,
+    held: Arc<Mutex<Option<InFlight>>>,
 }
 
 impl Conn {
-    fn hold(&self, hold: &Hold) {
+    fn hold(&self, hold: &InFlight) {
         let mut current = self.held.lock().unwrap_or_else(PoisonError::into_inner);
         *current = Some(hold.clone());
     }
 }
 
-fn end_hold(held: &Mutex<Option<Hold>>) {
+fn end_hold(held: &Mutex<Option<InFlight>>) {
     drop(held.lock().unwrap_or_else(PoisonError::into_inner).take());
 }
 
@@ -118,14 +118,14 @@
     let Outbound {
         target,
         mut request,
-        hold,
-        connect: limit,
-        begun,
+        in_flight: hold,
+        connect_timeout: limit,
+        started,
     } = out;
     let mut doubt = Doubt::new(pool, clock, target);
     while let Some(mut conn) = checkout(pool, target, (clock.now)()) {
         conn.hold(&hold);
-        begun.set();
+        started.set();
         match conn.sender.try_send_request(request).await {
             Ok(resp) => {
                 doubt.end();
@@ -140,10 +140,10 @@
         }
     }
     // A request that came back from a closed connection was not written.
-    begun.clear();
+    started.clear();
     let mut conn = connect(target, limit).await?;
     conn.hold(&hold);
-    begun.set();
+    started.set();
     match conn.sender.try_send_request(request).await {
         Ok(resp) => {
             doubt.end();
@@ -271,7 +271,7 @@
     let (sender, conn) = http1::handshake::<_, Body>(TokioIo::new(socket))
         .await
         .map_err(|e| failed("handshake with", e.to_string()))?;
-    let held: Arc<Mutex<Option<Hold>>> = Arc::default();
+    let held: Arc<Mutex<Option<InFlight>>> = Arc::default();
     let ended = held.clone();
     tokio::spawn(async move {
         match conn.without_shutdown().await {
--- a/src/adapters/platform/store.rs
+++ b/src/adapters/platform/store.rs
@@ -100,9 +100,16 @@
 
 async fn poll(client: Client, poll: Poll) -> PlatformResult<Batch> {
     const STEP: &str = "watch keys";
-    let Poll { after, wait, limit } = poll;
+    let Poll {
+        after,
+        wait,
+        timeout,
+    } = poll;
     let path = format!("/kv-watch?prefix=&after={after}&wait_ms={}", wait.0);
-    let timeouts = Timeouts { wait, limit };
+    let timeouts = Timeouts {
+        wait,
+        limit: timeout,
+    };
     let (status, body) = client
         .call(STEP, Method::GET, &path, None, timeouts)
         .await?;
--- a/src/app/entry/admin/port.rs
+++ b/src/app/entry/admin/port.rs
@@ -10,7 +10,8 @@
     ports::{
         AdminPort,
         admin::{
-            Drain, Limit, MemberStatus, PlaceStatus, Placement, Remaining, ServiceStatus, Status,
+            Drain, EntryRevision, Limit, MemberStatus, PlaceStatus, Remaining, ServiceStatus,
+            Status,
         },
     },
 };
@@ -25,7 +26,7 @@
     let (draining, placed, timeline) = (of(), of(), of());
     let decisions = state.observer.decisions.clone();
     AdminPort {
-        unready: Arc::new(move || unready.unready()),
+        unready_reason: Arc::new(move || unready.unready()),
         status: Arc::new(move || {
             let uptime = (seen.ports.clock.now)() - started;
             status(&seen, uptime.0)
@@ -36,7 +37,7 @@
         }),
         limits: Arc::new(move || limits(&limited)),
         explain: Arc::new(move |service| decisions.read(service)),
-        placements: Arc::new(move |service| {
+        entry_revisions: Arc::new(move |service| {
             let state = placed.clone();
             Box::pin(async move { placements(&state, &service).await })
         }),
@@ -142,9 +143,9 @@
     }
 }
 
-async fn placements(state: &Arc<State>, service: &ServiceName) -> Vec<Placement> {
+async fn placements(state: &Arc<State>, service: &ServiceName) -> Vec<EntryRevision> {
     let reports = control::gather_reports(state, service).await;
-    let placement = |(entry, report): (EntryId, Option<Report>)| Placement {
+    let placement = |(entry, report): (EntryId, Option<Report>)| EntryRevision {
         entry: entry.to_string(),
         revision: report.and_then(|r| r.revision).map(|r| r.0),
     };
--- a/src/app/entry/admin/timeline.rs
+++ b/src/app/entry/admin/timeline.rs
@@ -15,7 +15,7 @@
         admin::{Code, Failure},
         timeline::EVENTS_MAX,
     },
-    ports::{EventQuery, admin::Gathered},
+    ports::{EventQuery, admin::GatheredEvents},
 };
 
 /// How many events an answer has if the query does not say.
@@ -52,10 +52,14 @@
 }
 
 /// Collects the events of all entries, or of this one alone.
-async fn gather(admin: &Admin, query: &Query, asked: &EventQuery) -> Result<Gathered, Failure> {
+async fn gather(
+    admin: &Admin,
+    query: &Query,
+    asked: &EventQuery,
+) -> Result<GatheredEvents, Failure> {
     match query.text("scope") {
         None | Some("all") => Ok((admin.port.timeline)(asked.clone()).await),
-        Some("entry") => Ok(Gathered {
+        Some("entry") => Ok(GatheredEvents {
             events: (admin.events.read)(asked),
             missing: Vec::new(),
         }),
@@ -66,7 +70,7 @@
     }
 }
 
-fn lines(gathered: Gathered, limit: usize) -> Vec<Line> {
+fn lines(gathered: GatheredEvents, limit: usize) -> Vec<Line> {
     let skip = gathered.events.len().saturating_sub(limit);
     let events = gathered.events.into_iter().skip(skip).map(Line::Event);
     let missing = gathered.missing.into_iter().map(Line::Missing);
--- a/src/app/entry/admin/views.rs
+++ b/src/app/entry/admin/views.rs
@@ -12,7 +12,7 @@
 };
 
 pub(super) fn readyz(admin: &Admin) -> Result<Response<Body>, Failure> {
-    match (admin.port.unready)() {
+    match (admin.port.unready_reason)() {
         None => Ok(reply::text("ready\n")),
         Some(why) => Err(Failure::new(Code::NotReady, why).retry_after(Millis(1_000))),
     }
@@ -45,7 +45,7 @@
 /// since an operator asks this most of all during an outage.
 pub(super) async fn placements(admin: &Admin, name: &str) -> Result<Response<Body>, Failure> {
     let service = service(name)?;
-    let all = (admin.port.placements)(service.clone()).await;
+    let all = (admin.port.entry_revisions)(service.clone()).await;
     let latest = all.iter().filter_map(|p| p.revision).max();
     let complete = latest.is_some() && all.iter().all(|p| p.revision == latest);
     Ok(reply::json(&json!({
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -138,7 +138,7 @@
         self.tried.push(target);
         let hold = slot.hold();
         let out = Outbound {
-            hold,
+            in_flight: hold,
             ..Outbound::new(target, request)
         };
         let send = (self.state.ports.targets.send)(out);
--- a/src/app/entry/control/reports.rs
+++ b/src/app/entry/control/reports.rs
@@ -9,7 +9,7 @@
     app::entry::State,
     domain::{EntryId, ParseError, ServiceName},
     policy::{member, timeline::Event},
-    ports::{EventQuery, admin::Gathered},
+    ports::{EventQuery, admin::GatheredEvents},
 };
 
 /// How many entries are asked at the same time. An operator's question reaches
@@ -102,7 +102,7 @@
 pub(in crate::app::entry) async fn gather_events(
     state: &Arc<State>,
     query: EventQuery,
-) -> Gathered {
+) -> GatheredEvents {
     let asked = EventsAsked {
         after: query
             .after
@@ -112,7 +112,7 @@
         part: query.part.map(|p| p.to_string()).unwrap_or_default(),
         limit: u32::try_from(query.limit).unwrap_or(u32::MAX),
     };
-    let mut gathered = Gathered {
+    let mut gathered = GatheredEvents {
         events: (state.events.read)(&query),
         missing: Vec::new(),
     };
--- a/src/app/entry/slot.rs
+++ b/src/app/entry/slot.rs
@@ -10,7 +10,7 @@
         limit::Permit,
         target::{Choice, Completion},
     },
-    ports::Hold,
+    ports::InFlight,
 };
 
 /// What becomes of a slot that is given back.
@@ -79,7 +79,7 @@
 
     /// Returns what the adapter holds as long as the target may work on the
     /// request.
-    pub fn hold(&mut self) -> Hold {
+    pub fn hold(&mut self) -> InFlight {
         let (hold, ended) = oneshot::channel();
         self.ended = Some(ended);
         Arc::new(hold)
--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -58,16 +58,16 @@
         );
     };
     let out = Outbound {
-        connect: CONNECT_TIMEOUT,
+        connect_timeout: CONNECT_TIMEOUT,
         ..Outbound::new(slot.choice.addr, request)
     };
-    let begun = out.begun.clone();
+    let started = out.started.clone();
     let attempt = async {
         let resp = (state.ports.targets.send)(out).await?;
         Ok::<_, SendError>(read_response(routed, resp).await)
     };
     let (ending, report, outcome) = match timeout(time_left.duration(), attempt).await {
-        Err(_) if begun.get() => return Outcome::TimedOut,
+        Err(_) if started.get() => return Outcome::TimedOut,
         Err(_) => (
             Ending::Unreachable,
             None,
--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -14,7 +14,7 @@
 use crate::{
     domain::{EntryId, Millis, Revision},
     policy::upstream::{Upstream, UpstreamSelector},
-    ports::{Ask, AskError, PlatformError, Poll},
+    ports::{FetchError, FetchRequest, PlatformError, Poll},
 };
 
 /// The poll period of an entry without followers, as a fraction of the time within
@@ -127,7 +127,7 @@
             }
             Upstream::Entry(name, addr) => match self.poll_entry(name, *addr, after).await {
                 Ok(()) => Millis(0),
-                Err(AskError::Compacted) => {
+                Err(FetchError::Compacted) => {
                     // The store may still have the history that the entry dropped.
                     let next = self.state.bound_fraction(FOLLOWED_POLL_FRACTION);
                     self.step_store(start, after, next).await
@@ -177,16 +177,16 @@
             if Some(*seed) == settings.control {
                 continue;
             }
-            let ask = Ask {
+            let request = FetchRequest {
                 peer: *seed,
                 after: None,
                 wait: Millis(0),
             };
-            match (self.state.ports.changes.ask)(ask).await {
-                Ok(news) => {
-                    let as_of = now(&self.state) - news.age;
-                    tracing::info!(%seed, age = %news.age, "feed: read the complete state from an entry.");
-                    self.apply(as_of, news.batch, true);
+            match (self.state.ports.changes.fetch)(request).await {
+                Ok(aged) => {
+                    let as_of = now(&self.state) - aged.age;
+                    tracing::info!(%seed, age = %aged.age, "feed: read the complete state from an entry.");
+                    self.apply(as_of, aged.batch, true);
                     return Millis(0);
                 }
                 Err(e) => tracing::warn!(%seed, cause = %e, "feed: a seed did not answer."),
@@ -208,8 +208,12 @@
         } else {
             POLL_WAIT
         };
-        let limit = self.timeout;
-        let poll = Poll { after, wait, limit };
+        let timeout = self.timeout;
+        let poll = Poll {
+            after,
+            wait,
+            timeout,
+        };
         match (self.state.ports.platform.poll)(poll).await {
             Ok(batch) => {
                 self.record_answer(Upstream::Store);
@@ -240,7 +244,7 @@
         name: &EntryId,
         peer: SocketAddr,
         after: Revision,
-    ) -> Result<(), AskError> {
+    ) -> Result<(), FetchError> {
         // After a failure of the store the other entry has to answer at once, so that
         // the feed tries the next upstream without delay if it cannot help.
         let wait = if self.store_failed {
@@ -249,17 +253,17 @@
             self.state.bound_fraction(FOLLOWED_POLL_FRACTION) + WAIT_MARGIN
         };
         let after = Some(after);
-        let news = (self.state.ports.changes.ask)(Ask { peer, after, wait }).await?;
+        let aged = (self.state.ports.changes.fetch)(FetchRequest { peer, after, wait }).await?;
         let limit = self.state.bound_fraction(MAX_AGE_FRACTION);
-        if news.age > limit {
-            return Err(AskError::Failed {
-                step: "ask for changes",
+        if aged.age > limit {
+            return Err(FetchError::Failed {
+                step: "fetch changes",
                 peer,
-                cause: format!("its state is {} old, the limit is {limit}", news.age),
+                cause: format!("its state is {} old, the limit is {limit}", aged.age),
             });
         }
         self.record_answer(Upstream::Entry(name.clone(), peer));
-        self.apply(now(&self.state) - news.age, news.batch, false);
+        self.apply(now(&self.state) - aged.age, aged.batch, false);
         Ok(())
     }
 
--- a/src/app/gateway/relay.rs
+++ b/src/app/gateway/relay.rs
@@ -9,7 +9,7 @@
 use crate::{
     adapters::grpc::{self, Routes, Server},
     domain::{Millis, Revision},
-    ports::{AskError, Batch, Change, News},
+    ports::{AgedBatch, Batch, Change, FetchError},
 };
 
 /// Starts the server for other entries, if the settings have an address for it.
@@ -36,15 +36,19 @@
 }
 
 /// Returns the changes after a revision. Waits up to `wait` for the first one.
-async fn changes_after(state: &State, after: Revision, wait: Millis) -> Result<News, AskError> {
+async fn changes_after(
+    state: &State,
+    after: Revision,
+    wait: Millis,
+) -> Result<AgedBatch, FetchError> {
     state.record_follower(now(state) + wait);
     let mut revisions = state.subscribe_revision();
     let newer = revisions.wait_for(|known| *known > after);
     // After a timeout the empty response confirms that nothing has changed.
     let _ = timeout(wait.duration(), newer).await.is_ok();
     let log = state.change_log();
-    let changes = log.changes_after(after).ok_or(AskError::Compacted)?;
-    Ok(News {
+    let changes = log.changes_after(after).ok_or(FetchError::Compacted)?;
+    Ok(AgedBatch {
         batch: Batch {
             changes,
             revision: log.revision(),
@@ -54,20 +58,20 @@
 }
 
 /// Returns the complete state of the platform as this entry knows it.
-fn full_state(state: &State) -> Result<News, AskError> {
+fn full_state(state: &State) -> Result<AgedBatch, FetchError> {
     let (revision, at) = {
         let log = state.change_log();
         (log.revision(), log.as_of())
     };
     // The state is read after the revision, so it may already contain later
     // changes. The other entry gets those again with its next request.
-    let table = state.table().ok_or(AskError::Empty)?;
+    let table = state.table().ok_or(FetchError::Empty)?;
     let mut changes = vec![Change::Configured(Box::new(table.configuration()))];
     let evacuated = state.evacuated();
     changes.extend(evacuated.iter().cloned().map(Change::Evacuated));
     changes.extend(state.entries().all().cloned().map(Change::Joined));
     changes.extend(state.registry().targets().cloned().map(Change::Registered));
-    Ok(News {
+    Ok(AgedBatch {
         batch: Batch { changes, revision },
         age: now(state) - at,
     })
--- a/src/ports/admin.rs
+++ b/src/ports/admin.rs
@@ -1,8 +1,8 @@
-//! The state of an entry as operators see it.
+//! The port from the administration to the state of an entry.
 //!
-//! The administration shows it and decides nothing of it, so it needs copies of
-//! a few values and not the state itself. The closures return values that
-//! serialize as they are.
+//! The administration shows the state to operators and makes no decisions, so it
+//! gets copies of a few values and not the state itself. The closures return values
+//! that are serialized without conversion.
 
 use std::{fmt, sync::Arc};
 
@@ -11,7 +11,7 @@
 use super::{Call, EventQuery};
 use crate::{domain::ServiceName, policy::timeline::Event};
 
-/// One entry and its state.
+/// The state of one entry.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Status {
     /// The name of the entry that answers.
@@ -26,28 +26,28 @@
     pub uptime_ms: u64,
     /// Whether it answers `/readyz` with success.
     pub ready: bool,
-    /// Whether the latest call to the store got an answer.
+    /// Whether the latest call to the store was answered.
     pub store_up: bool,
-    /// The services, in the order of their names.
+    /// The services, ordered by name.
     pub services: Vec<ServiceStatus>,
-    /// The other entries as this one sees them, in the order of their names.
+    /// The other entries as this one sees them, ordered by name.
     pub members: Vec<MemberStatus>,
 }
 
-/// A service at one entry.
+/// The state of a service at one entry.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct ServiceStatus {
     /// The name.
     pub service: String,
     /// The revision in effect.
     pub revision: u64,
-    /// Requests that run now through this entry.
+    /// The number of requests that are running through this entry.
     pub running: u64,
     /// The effective weight of each place, in the order of the document.
     pub places: Vec<PlaceStatus>,
 }
 
-/// A place of a service at one entry.
+/// The state of a place of a service at one entry.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct PlaceStatus {
     /// The name.
@@ -56,14 +56,14 @@
     pub state: String,
     /// The weight in the document.
     pub weight: u32,
-    /// The weight that steering uses now, in thousandths of the sum of the
-    /// service's weights.
+    /// The weight that is currently used to choose a place, in thousandths of the sum
+    /// of the service's weights.
     pub effective: u32,
-    /// How many targets take new work.
+    /// The number of targets that take new requests.
     pub targets: u32,
 }
 
-/// Another entry as one entry sees it.
+/// The state of another entry as one entry sees it.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct MemberStatus {
     /// The name.
@@ -76,29 +76,31 @@
     pub incarnation: u64,
 }
 
-/// A place or target that leaves.
+/// The drain of a place or target.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Drain {
     /// The service.
     pub service: String,
     /// The place.
     pub place: String,
-    /// The target, none if the whole place leaves.
+    /// The target, none if the whole place is drained.
     pub target: Option<String>,
-    /// The revision that made it leave or a later one.
+    /// The revision that started the drain, or a later one.
     pub revision: u64,
-    /// Whether nothing runs there and all entries have the revision in effect.
+    /// Whether no request is running there and the revision is in effect at all
+    /// entries.
     pub complete: bool,
-    /// What remains for each entry.
+    /// What remains to be done at each entry.
     pub remaining: Vec<Remaining>,
 }
 
-/// What remains of a drain at one entry.
+/// What remains to be done for a drain at one entry.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Remaining {
     /// The entry.
     pub entry: String,
-    /// Requests that run there, none if the entry does not answer.
+    /// The number of requests that are running there, none if the entry does not
+    /// answer.
     pub running: Option<u64>,
     /// The revision in effect at the entry.
     pub revision: Option<u64>,
@@ -111,7 +113,7 @@
     pub limit: String,
     /// The unit, for example `slot`, `rps` or `mbps`.
     pub unit: String,
-    /// All units of the deployment.
+    /// The units of the whole deployment.
     pub total: u64,
     /// Units whose home is this entry.
     pub home: u64,
@@ -119,23 +121,23 @@
     pub lent: u64,
     /// Units that this entry has borrowed.
     pub borrowed: u64,
-    /// Units that requests use at this entry now.
+    /// Units that requests at this entry are using.
     pub used: u64,
 }
 
-/// Where a revision is in effect.
+/// The revision of a service that is in effect at one entry.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
-pub struct Placement {
+pub struct EntryRevision {
     /// The entry.
     pub entry: String,
-    /// The revision in effect there, none if it has none or does not answer.
+    /// The revision, none if no revision is in effect or the entry does not answer.
     pub revision: Option<u64>,
 }
 
-/// Why a request went where it went.
+/// The routing decision for a request.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize)]
 pub struct Decision {
-    /// When, in milliseconds since the Unix epoch.
+    /// The time of the decision, in milliseconds since the Unix epoch.
     pub wall_ms: u64,
     /// The service.
     pub service: String,
@@ -145,44 +147,45 @@
     pub place: Option<String>,
     /// The target, none if the request was refused.
     pub target: Option<String>,
-    /// The rule that decided, with the figures that it saw.
+    /// The rule that decided, with its input values.
     pub reason: String,
-    /// What became of it: a status, or a code with its outcome.
+    /// The result: a status, or a code with its outcome.
     pub result: String,
-    /// How long it took until the head of the answer, in milliseconds.
+    /// The time until the head of the response, in milliseconds.
     pub took_ms: u64,
 }
 
-/// Events of all entries that answered.
+/// The events of all entries that answered.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Gathered {
-    /// The events in the order of their stamps.
+pub struct GatheredEvents {
+    /// The events, ordered by stamp.
     pub events: Vec<Event>,
-    /// Entries that did not answer, so that a gap is not taken for silence.
+    /// The entries that did not answer, so that a missing event is not mistaken for
+    /// one that did not happen.
     pub missing: Vec<String>,
 }
 
 type Read<T> = Arc<dyn Fn() -> T + Send + Sync>;
 type Lookup<K, T> = Arc<dyn Fn(&K) -> T + Send + Sync>;
 
-/// What the administration needs of a running entry.
+/// The operations that the administration calls on a running entry.
 #[derive(Clone)]
 pub struct AdminPort {
-    /// Returns why the entry is not ready, none if it is.
-    pub unready: Read<Option<String>>,
+    /// Returns why the entry is not ready, none if it is ready.
+    pub unready_reason: Read<Option<String>>,
     /// Returns the state of the entry.
     pub status: Read<Status>,
-    /// Returns the places and targets that leave, asking other entries for what
-    /// runs there.
+    /// Returns the drains of places and targets. Queries the other entries for their
+    /// running requests.
     pub drains: Call<(), Vec<Drain>>,
     /// Returns the limits as this entry sees them.
     pub limits: Read<Vec<Limit>>,
     /// Returns the latest decisions for a service, the oldest first.
     pub explain: Lookup<ServiceName, Vec<Decision>>,
-    /// Returns the revision of a service that each entry has in effect.
-    pub placements: Call<ServiceName, Vec<Placement>>,
+    /// Returns the revision of a service that is in effect at each entry.
+    pub entry_revisions: Call<ServiceName, Vec<EntryRevision>>,
     /// Collects the events of all entries.
-    pub timeline: Call<EventQuery, Gathered>,
+    pub timeline: Call<EventQuery, GatheredEvents>,
 }
 
 impl fmt::Debug for AdminPort {
--- a/src/ports/changes.rs
+++ b/src/ports/changes.rs
@@ -1,66 +1,68 @@
-//! Changes as one entry passes them on to another.
+//! Fetches changes of the platform from another entry.
 
 use std::{fmt, net::SocketAddr};
 
 use super::{Batch, Call};
 use crate::domain::{Millis, Revision};
 
-/// Asks another entry for the changes after a revision.
+/// A request to another entry for the changes after a revision.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Ask {
-    /// Where entries reach it.
+pub struct FetchRequest {
+    /// The address at which the other entry serves changes.
     pub peer: SocketAddr,
-    /// The revision up to which everything is known, or none if everything is
-    /// asked for.
+    /// The revision up to which the sender has all changes, or none to request the
+    /// complete state.
     pub after: Option<Revision>,
-    /// How long it waits for news.
+    /// How long the other entry waits for a first change before it answers.
     pub wait: Millis,
 }
 
-/// What an entry knows.
+/// A batch of changes from another entry, with its age.
 #[derive(Clone, Debug, PartialEq)]
-pub struct News {
+pub struct AgedBatch {
     /// The changes.
     pub batch: Batch,
-    /// How long ago the store knew just this.
+    /// The time since the store was known to be in this state.
     pub age: Millis,
 }
 
-/// Why an entry passed nothing on.
+/// Why changes could not be fetched.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum AskError {
-    /// It no longer has all changes after the revision.
+pub enum FetchError {
+    /// The other entry no longer has all changes after the revision.
     Compacted,
-    /// It knows nothing yet.
+    /// The other entry has no configuration yet.
     Empty,
     /// The call failed.
     Failed {
         /// The step that failed.
         step: &'static str,
-        /// The entry.
+        /// The address of the other entry.
         peer: SocketAddr,
         /// The cause.
         cause: String,
     },
 }
 
-impl fmt::Display for AskError {
+impl fmt::Display for FetchError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Compacted => f.write_str("the entry no longer has the changes"),
-            Self::Empty => f.write_str("the entry knows nothing yet"),
+            Self::Compacted => {
+                f.write_str("the entry no longer has the changes after the revision")
+            }
+            Self::Empty => f.write_str("the entry has no configuration yet"),
             Self::Failed { step, peer, cause } => write!(f, "{step} at {peer}: {cause}"),
         }
     }
 }
 
-impl std::error::Error for AskError {}
+impl std::error::Error for FetchError {}
 
-/// What a gateway needs of other entries.
+/// The port to other entries.
 #[derive(Clone)]
 pub struct Changes {
-    /// Asks an entry for changes.
-    pub ask: Call<Ask, Result<News, AskError>>,
+    /// Fetches changes from another entry.
+    pub fetch: Call<FetchRequest, Result<AgedBatch, FetchError>>,
 }
 
 impl fmt::Debug for Changes {
--- a/src/ports/clock.rs
+++ b/src/ports/clock.rs
@@ -1,4 +1,4 @@
-//! Time from outside.
+//! The port to the clocks.
 
 use std::{fmt, sync::Arc};
 
@@ -6,8 +6,8 @@
 
 /// The two clocks of a process.
 ///
-/// Decisions use `now`, which never goes back. `wall` only labels events for
-/// people, since the platform does not promise that it is right.
+/// Decisions use `now`, which is monotonic. `wall` only labels events for
+/// operators, because the platform does not guarantee that it is correct.
 #[derive(Clone)]
 pub struct Clock {
     /// Milliseconds since a fixed origin of this process.
--- a/src/ports/events.rs
+++ b/src/ports/events.rs
@@ -1,17 +1,17 @@
-//! Events that an operator may want to know of later.
+//! The port to the timeline of events for operators.
 
 use std::{fmt, sync::Arc};
 
 use crate::policy::timeline::{Event, Kind, Part, Stamp};
 
-/// Which events are asked for.
+/// Selects events of a timeline.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EventQuery {
     /// Only events after this stamp.
     pub after: Option<Stamp>,
     /// Only events of this part.
     pub part: Option<Part>,
-    /// The most events, the latest ones.
+    /// The maximum number of events. The latest ones are returned.
     pub limit: usize,
 }
 
@@ -19,8 +19,8 @@
 
 /// The timeline of one entry.
 ///
-/// The closures give each event its stamp, so that no part of the system has to
-/// hold the clock.
+/// The closures assign a stamp to each event, so that callers need no access to the
+/// clock.
 #[derive(Clone)]
 pub struct Events {
     /// Adds an event.
@@ -29,7 +29,7 @@
     pub read: Read,
     /// Returns a stamp to send with a message.
     pub stamp: Arc<dyn Fn() -> Stamp + Send + Sync>,
-    /// Adopts the stamp of a received message.
+    /// Advances the clock by the stamp of a received message.
     pub receive: Arc<dyn Fn(&Stamp) + Send + Sync>,
 }
 
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -1,9 +1,9 @@
-//! What decisions and processes need from outside.
+//! The ports: interfaces to everything outside of the process.
 //!
 //! Each port is a plain struct of closures. A test passes closures over a map or
-//! a list, a running entry passes closures over a connection, and neither side
-//! needs a hierarchy of traits. A dynamic call costs a few nanoseconds, which
-//! is nothing beside the I/O behind it.
+//! a list, a running entry passes closures over a connection, and neither needs a
+//! hierarchy of traits. A dynamic call costs a few nanoseconds, which is negligible
+//! compared to the I/O behind it.
 
 pub mod admin;
 mod changes;
@@ -16,14 +16,14 @@
 use std::{future::Future, pin::Pin, sync::Arc};
 
 pub use admin::AdminPort;
-pub use changes::{Ask, AskError, Changes, News};
+pub use changes::{AgedBatch, Changes, FetchError, FetchRequest};
 pub use clock::Clock;
 pub use events::{EventQuery, Events};
 pub use platform::{Batch, Change, LeaseId, Platform, PlatformError, Poll, VmSettings};
 pub use store::{Record, Snapshot, Store, StoreError, Update, Write};
-pub use targets::{Begun, Body, Hold, Outbound, SendError, Targets};
+pub use targets::{Body, InFlight, Outbound, SendError, SendStarted, Targets};
 
-/// A boxed future, as every asynchronous port returns it.
+/// A boxed future, which every asynchronous operation of a port returns.
 pub type Fut<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
 /// An asynchronous operation of a port.
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -1,4 +1,5 @@
-//! The platform's registry and orders, in the project's words.
+//! The port to the users' platform: settings, configurations, registrations of
+//! targets and announcements of entries.
 
 use std::{collections::BTreeMap, fmt, net::SocketAddr};
 
@@ -8,59 +9,59 @@
     RegionName, Revision,
 };
 
-/// What the platform tells one process about itself and about its bounds.
+/// The settings of one process, as the platform writes them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct VmSettings {
     /// The name of this entry VM.
     pub name: EntryId,
-    /// Where it runs.
+    /// The availability zone in which it runs.
     pub az: AzName,
     /// The region of that availability zone.
     pub region: RegionName,
-    /// Where callers connect.
+    /// The address for callers' requests.
     pub front: SocketAddr,
-    /// Where the platform asks whether the process is ready.
+    /// The address for readiness checks of the platform.
     pub readiness: SocketAddr,
-    /// Where callers look up entries.
+    /// The address for look-ups of entries by callers.
     pub directory: Option<SocketAddr>,
-    /// Where other entries reach this one.
+    /// The address for other entries.
     pub control: Option<SocketAddr>,
-    /// The metrics' address.
+    /// The address of the metrics.
     pub metrics: SocketAddr,
-    /// The entries that a starting process can ask.
+    /// The addresses of entries that serve the complete state to a starting process.
     pub seeds: Vec<SocketAddr>,
-    /// The platform's store.
+    /// The address of the platform's store.
     pub store: SocketAddr,
     /// The regions of all availability zones.
     pub zones: BTreeMap<AzName, RegionName>,
-    /// The processor cores that the process sees.
+    /// The number of processor cores available to the process.
     pub cores: usize,
-    /// The most descriptors of the process.
+    /// The maximum number of open file descriptors of the process.
     pub descriptors: usize,
-    /// The capacity of the VM's link.
+    /// The capacity of the VM's network link.
     pub link: Mbps,
-    /// The bounds that the users set.
+    /// The bounds on times and rates that the users set.
     pub bounds: Bounds,
 }
 
 /// One change that the platform reports.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
-    /// A configuration.
+    /// A new configuration.
     Configured(Box<Configuration>),
-    /// Nothing more may be sent to an availability zone.
+    /// An availability zone is evacuated. No request may be sent to its targets.
     Evacuated(AzName),
-    /// An availability zone may be used again.
+    /// The evacuation of an availability zone has ended.
     Restored(AzName),
-    /// A target registered or changed.
+    /// A target has registered or its registration has changed.
     Registered(Instance),
-    /// A target's entry is gone.
+    /// The registration of a target was deleted.
     Unregistered(InstanceId),
-    /// An entry serves.
+    /// An entry has announced itself.
     Joined(Presence),
-    /// An entry no longer serves.
+    /// The announcement of an entry was deleted.
     Left(EntryId),
-    /// An item that cannot be read. It names nothing and replaces nothing.
+    /// An item cannot be read. It has no effect and replaces no earlier item.
     Unreadable {
         /// The store's key.
         key: String,
@@ -72,29 +73,30 @@
 /// Changes up to a revision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
-    /// The changes, in their order.
+    /// The changes, in the order in which they are applied.
     pub changes: Vec<Change>,
     /// The revision up to which they are complete.
     pub revision: Revision,
 }
 
-/// Asks for the changes after a revision.
+/// A request for the changes after a revision.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Poll {
-    /// The revision up to which everything is known.
+    /// The revision up to which the sender has all changes.
     pub after: Revision,
-    /// How long the store waits for a first change.
+    /// How long the store waits for a first change before it answers.
     pub wait: Millis,
     /// How long the call may take beyond that.
-    pub limit: Millis,
+    pub timeout: Millis,
 }
 
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PlatformError {
-    /// The history after the revision is gone; everything must be read again.
+    /// The store no longer has all changes after the revision. The complete state
+    /// must be read again.
     Compacted,
-    /// The lease has ended, with all that was written under it.
+    /// The lease has expired, and all items written under it are deleted.
     Expired,
     /// The call failed. A write may have taken effect.
     Failed {
@@ -110,8 +112,10 @@
 impl fmt::Display for PlatformError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Compacted => f.write_str("the history is gone"),
-            Self::Expired => f.write_str("the lease has ended"),
+            Self::Compacted => {
+                f.write_str("the store no longer has the changes after the revision")
+            }
+            Self::Expired => f.write_str("the lease has expired"),
             Self::Failed { step, peer, cause } => write!(f, "{step} at {peer}: {cause}"),
         }
     }
@@ -119,26 +123,26 @@
 
 impl std::error::Error for PlatformError {}
 
-type Answer<T> = Result<T, PlatformError>;
+type PlatformResult<T> = Result<T, PlatformError>;
 
-/// The number of a lease at the store.
+/// Identifies a lease of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LeaseId(pub u64);
 
-/// What a gateway needs of the platform's store.
+/// The operations of the platform's store.
 #[derive(Clone)]
 pub struct Platform {
-    /// Reads everything there is. Each of its calls may take the given time.
-    pub read: Call<Millis, Answer<Batch>>,
-    /// Waits for changes. One call covers orders, targets and entries, because
-    /// each call has a price.
-    pub poll: Call<Poll, Answer<Batch>>,
-    /// Writes the presence of this entry under a new lease of the given length.
-    pub announce: Call<(Presence, Millis), Answer<LeaseId>>,
+    /// Reads the complete state. The given time is the timeout of each page.
+    pub read: Call<Millis, PlatformResult<Batch>>,
+    /// Waits for changes. One call covers configurations, targets and entries, because
+    /// each call is charged.
+    pub poll: Call<Poll, PlatformResult<Batch>>,
+    /// Announces this entry under a new lease of the given duration.
+    pub announce: Call<(Presence, Millis), PlatformResult<LeaseId>>,
     /// Renews the lease.
-    pub renew: Call<LeaseId, Answer<()>>,
-    /// Ends the lease, and with it the presence.
-    pub withdraw: Call<LeaseId, Answer<()>>,
+    pub renew: Call<LeaseId, PlatformResult<()>>,
+    /// Ends the lease, which withdraws the announcement.
+    pub withdraw: Call<LeaseId, PlatformResult<()>>,
 }
 
 impl fmt::Debug for Platform {
--- a/src/ports/store.rs
+++ b/src/ports/store.rs
@@ -1,4 +1,4 @@
-//! The platform's key-value service.
+//! The port to the platform's key-value store.
 
 use std::fmt;
 
@@ -24,15 +24,15 @@
 pub enum Update {
     /// The key has a new value.
     Put(Record),
-    /// The key is gone since the revision.
+    /// The key was deleted at the revision.
     Delete(Bytes, Revision),
 }
 
 /// Why a call to the store failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreError {
-    /// Another write came first. It holds the revision that was found, zero if
-    /// there is no such key. Nothing was written.
+    /// The key is not at the expected revision. Holds its actual revision, which is
+    /// zero if the key does not exist. Nothing was written.
     Conflict(Revision),
     /// The store could not be reached, so nothing was written.
     Down {
@@ -43,7 +43,7 @@
         /// The cause.
         cause: String,
     },
-    /// The answer was lost. The write may have taken effect or not.
+    /// The response was lost. The write may have taken effect.
     Unknown {
         /// The step that failed.
         step: &'static str,
@@ -68,12 +68,12 @@
 
 impl std::error::Error for StoreError {}
 
-/// All keys with a prefix at one moment.
+/// All records with a prefix at one revision.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Snapshot {
-    /// The keys, in their order.
+    /// The records, ordered by key.
     pub records: Vec<Record>,
-    /// The store's revision at that moment, from which a watch may go on.
+    /// The store's revision, from which a watch can continue.
     pub revision: Revision,
 }
 
@@ -84,27 +84,28 @@
     pub key: Bytes,
     /// The new value, or none to delete the key.
     pub value: Option<Bytes>,
-    /// The revision that the key must still have, zero for a new key.
+    /// The revision that the key must have, zero if it must not exist.
     pub expected: Revision,
 }
 
-type Answer<T> = Result<T, StoreError>;
+type StoreResult<T> = Result<T, StoreError>;
 
 /// The store's operations. See [docs/design.md](../../docs/design.md),
 /// section 7.
 #[derive(Clone)]
 pub struct Store {
     /// Reads one key.
-    pub get: Call<Bytes, Answer<Option<Record>>>,
+    pub get: Call<Bytes, StoreResult<Option<Record>>>,
     /// Reads all keys with a prefix.
-    pub list: Call<Bytes, Answer<Snapshot>>,
-    /// Writes if nobody else wrote first, and returns the new revision.
-    pub write: Call<Write, Answer<Revision>>,
-    /// Writes a key that vanishes unless the call is repeated within the time.
-    pub lease: Call<(Record, Millis), Answer<()>>,
-    /// Reports changes of keys with a prefix after a revision. The stream ends
-    /// when the connection breaks; the caller then lists again.
-    pub watch: Call<(Bytes, Revision), Answer<mpsc::Receiver<Update>>>,
+    pub list: Call<Bytes, StoreResult<Snapshot>>,
+    /// Writes a key if it has the expected revision, and returns the new revision.
+    pub write: Call<Write, StoreResult<Revision>>,
+    /// Writes a key with a time to live. The key is deleted unless the call is
+    /// repeated within this time.
+    pub lease: Call<(Record, Millis), StoreResult<()>>,
+    /// Reports the changes of keys with a prefix after a revision. The channel closes
+    /// when the connection breaks. The receiver then has to list the keys again.
+    pub watch: Call<(Bytes, Revision), StoreResult<mpsc::Receiver<Update>>>,
 }
 
 impl fmt::Debug for Store {
--- a/src/ports/targets.rs
+++ b/src/ports/targets.rs
@@ -1,4 +1,4 @@
-//! Requests to targets.
+//! The port to targets.
 
 use std::{
     fmt,
@@ -16,14 +16,13 @@
 use super::Call;
 use crate::domain::{Millis, TargetId};
 
-/// A body that streams in either direction.
+/// A streaming body of a request or a response.
 pub type Body = BoxBody<Bytes, Box<dyn std::error::Error + Send + Sync>>;
 
-/// Why a request got no answer from its target.
+/// Why a request got no response from its target.
 ///
-/// The difference between the two decides whether a caller may be told
-/// `not-run`, so an adapter may return `Unsent` only when no byte of the request
-/// was written. See [docs/design.md](../../docs/design.md), section 3.4.
+/// The variant decides whether a caller may be told `not-run`, so an adapter may
+/// return `Unsent` only if no byte of the request was written. See [docs/design.md](../../docs/design.md), section 3.4.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SendError {
     /// The target cannot have seen the request.
@@ -63,71 +62,71 @@
 
 impl std::error::Error for SendError {}
 
-/// Held as long as a target may work on a request. The receiver of the channel
-/// learns the end when the last clone is dropped; nothing is ever sent.
-pub type Hold = Arc<oneshot::Sender<()>>;
+/// Held as long as a target may work on a request. The channel closes when the last
+/// clone is dropped, which its receiver waits for. Nothing is ever sent.
+pub type InFlight = Arc<oneshot::Sender<()>>;
 
-/// Tells whether the first byte of a request may have left. Whoever gives up
-/// waiting learns from it whether the target can have run the request.
+/// A flag that says whether the first byte of a request may have been sent. After a
+/// timeout it shows whether the target may have run the request.
 #[derive(Clone, Debug, Default)]
-pub struct Begun(Arc<AtomicBool>);
+pub struct SendStarted(Arc<AtomicBool>);
 
-impl Begun {
-    /// Notes that the first byte is about to leave.
+impl SendStarted {
+    /// Sets the flag, before the first byte is sent.
     pub fn set(&self) {
         self.0.store(true, Ordering::Release);
     }
 
-    /// Notes that no byte has left after all.
+    /// Clears the flag, if no byte was sent after all.
     pub fn clear(&self) {
         self.0.store(false, Ordering::Release);
     }
 
-    /// Tells whether the first byte may have left.
+    /// Returns whether the first byte may have been sent.
     #[must_use]
     pub fn get(&self) -> bool {
         self.0.load(Ordering::Acquire)
     }
 }
 
-/// How long a connection may take to open if nothing else is said. Between
-/// regions it takes about 70 ms.
-const CONNECT: Millis = Millis(1_000);
+/// The default timeout for opening a connection. Between regions, opening one takes
+/// about 70 ms.
+const DEFAULT_CONNECT_TIMEOUT: Millis = Millis(1_000);
 
-/// A request with the target that is to run it.
+/// A request and the target to send it to.
 #[derive(Debug)]
 pub struct Outbound {
     /// The target.
     pub target: TargetId,
     /// The request.
     pub request: Request<Body>,
-    /// What the adapter holds until the target has ended the request. After a
+    /// Held by the adapter until the target has finished the request. After a
     /// cancellation that is when the target closes the connection.
-    pub hold: Hold,
-    /// How long a new connection may take to open.
-    pub connect: Millis,
-    /// Set as soon as the first byte may have left.
-    pub begun: Begun,
+    pub in_flight: InFlight,
+    /// The timeout for opening a new connection.
+    pub connect_timeout: Millis,
+    /// Set before the first byte is sent.
+    pub started: SendStarted,
 }
 
 impl Outbound {
-    /// Returns a request that holds no slot, such as a probe.
+    /// Returns a request that occupies no slot, such as a probe.
     #[must_use]
     pub fn new(target: TargetId, request: Request<Body>) -> Self {
         Self {
             target,
             request,
-            hold: Arc::new(oneshot::channel().0),
-            connect: CONNECT,
-            begun: Begun::default(),
+            in_flight: Arc::new(oneshot::channel().0),
+            connect_timeout: DEFAULT_CONNECT_TIMEOUT,
+            started: SendStarted::default(),
         }
     }
 }
 
-/// Sends requests to targets.
+/// The operations on targets.
 #[derive(Clone)]
 pub struct Targets {
-    /// Sends a request and returns the answer's head as soon as it is there.
+    /// Sends a request and returns the response as soon as its head is complete.
     /// Dropping the future or the body cancels the request.
     pub send: Call<Outbound, Result<Response<Body>, SendError>>,
 }
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -158,7 +158,7 @@
     let poll = Poll {
         after: Revision(3),
         wait: Millis(500),
-        limit: Millis(1_000),
+        timeout: Millis(1_000),
     };
     let batch = (store.platform.poll)(poll).await.expect("a batch");
     insta::assert_debug_snapshot!(batch);
@@ -197,7 +197,7 @@
     let poll = Poll {
         after: Revision(3),
         wait: Millis(500),
-        limit: Millis(1_000),
+        timeout: Millis(1_000),
     };
     let p = &store.platform;
     let mut results = Vec::new();
@@ -348,7 +348,7 @@
     let poll = Poll {
         after: Revision(3),
         wait: Millis(100),
-        limit: Millis(4_000),
+        timeout: Millis(4_000),
     };
     let begun = std::time::Instant::now();
     let silent = (slow_store(60_000, 0).poll)(poll).await;
@@ -357,8 +357,8 @@
         "silence takes long"
     );
     let slow = (slow_store(200, 1_500).poll)(poll).await;
-    let limit = Millis(1_000);
-    let late = (slow_store(200, 1_500).poll)(Poll { limit, ..poll }).await;
+    let timeout = Millis(1_000);
+    let late = (slow_store(200, 1_500).poll)(Poll { timeout, ..poll }).await;
     let lines = [silent, slow, late].map(|r| format!("{:?}", r.map(|b| b.revision)));
     insta::assert_snapshot!(lines.join("\n"));
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -24,7 +24,7 @@
     domain::{
         Bounds, Instance, InstanceState, Mbps, Millis, Presence, RequestKind, Revision, Rule,
     },
-    ports::{Ask, Batch, Change, LeaseId, Platform, PlatformError, VmSettings},
+    ports::{Batch, Change, FetchRequest, LeaseId, Platform, PlatformError, VmSettings},
 };
 
 use vm::ANY;
@@ -207,12 +207,12 @@
     until("the second is ready", || second.state.is_ready()).await;
     let peers = Peers::new(Millis(500), Arc::default());
     let changes = grpc::changes(Arc::new(peers));
-    let ask = Ask {
+    let ask = FetchRequest {
         peer: second.relay_addr().expect("an address"),
         after: None,
         wait: Millis(0),
     };
-    let mut news = (changes.ask)(ask).await.expect("news");
+    let mut news = (changes.fetch)(ask).await.expect("news");
     news.batch.changes.sort_by_key(|c| format!("{c:?}"));
     insta::assert_debug_snapshot!(news.batch);
     first.stop().await;
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -22,7 +22,7 @@
     app::entry::admin::{self, Admin, open_events},
     ports::{
         AdminPort, Events, Store, StoreError,
-        admin::{Decision, Gathered, Placement, Status},
+        admin::{Decision, EntryRevision, GatheredEvents, Status},
     },
 };
 
@@ -213,22 +213,22 @@
         services: Vec::new(),
         members: Vec::new(),
     };
-    let placement = |entry: &str, revision| Placement {
+    let placement = |entry: &str, revision| EntryRevision {
         entry: entry.to_owned(),
         revision,
     };
     let placements = vec![placement("e1", Some(2)), placement("e2", None)];
     AdminPort {
-        unready: Arc::new(|| Some("no documents yet".to_owned())),
+        unready_reason: Arc::new(|| Some("no documents yet".to_owned())),
         status: Arc::new(move || status.clone()),
         drains: Arc::new(|()| Box::pin(std::future::ready(Vec::new()))),
         limits: Arc::new(Vec::new),
         explain: Arc::new(move |_| vec![decision.clone()]),
-        placements: Arc::new(move |_| Box::pin(std::future::ready(placements.clone()))),
+        entry_revisions: Arc::new(move |_| Box::pin(std::future::ready(placements.clone()))),
         timeline: Arc::new(move |query| {
             let events = read(&query);
             let missing = Vec::new();
-            Box::pin(std::future::ready(Gathered { events, missing }))
+            Box::pin(std::future::ready(GatheredEvents { events, missing }))
         }),
     }
 }
