--- a/src/adapters/platform/headers.rs
+++ b/src/adapters/platform/headers.rs
@@ -46,8 +46,8 @@
     }
 }
 
-/// Sets the headers of an attempt: the instance that may run the request and the
-/// time that is left for it.
+/// Sets the headers of an attempt: the instance that may run the request and
+/// the time that is left for it.
 pub fn write_attempt(headers: &mut HeaderMap, id: &InstanceId, time_left: Millis) {
     headers.insert(DEADLINE_MS, HeaderValue::from(time_left.0));
     // An id is printable ASCII and thus always a valid header value.
@@ -65,8 +65,8 @@
     Rejected,
     /// Another instance uses the address. It did not run the request.
     Misdirected,
-    /// This is not a valid response to the request, for the given reason. The request
-    /// may have run.
+    /// This is not a valid response to the request, for the given reason. The
+    /// request may have run.
     Invalid(&'static str),
 }
 
@@ -95,8 +95,8 @@
     ResponseKind::Answered
 }
 
-/// Reads the load that a target reports: running requests, waiting requests, slots
-/// and the current duration of work in percent of the usual one.
+/// Reads the load that a target reports: running requests, waiting requests,
+/// slots and the current duration of work in percent of the usual one.
 #[must_use]
 pub fn read_load_report(headers: &HeaderMap) -> Option<LoadReport> {
     let text = headers.get(SERVER_LOAD)?.to_str().ok()?;
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -1,5 +1,5 @@
-//! Decodes the items of the store: configurations, evacuations, registrations of
-//! targets and announcements of entries.
+//! Decodes the items of the store: configurations, evacuations, registrations
+//! of targets and announcements of entries.
 
 use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
@@ -64,8 +64,8 @@
     }))
 }
 
-/// Decodes an item whose key ends in a name. `put` converts a value to a change,
-/// `delete` converts a deletion.
+/// Decodes an item whose key ends in a name. `put` converts a value to a
+/// change, `delete` converts a deletion.
 fn decode_item<T: std::str::FromStr<Err: ToString>>(
     item: &Item,
     name: &str,
@@ -234,8 +234,9 @@
     rate: f64,
 }
 
-/// Parses a configuration. [`Table::compile`](crate::policy::route::Table::compile)
-/// checks whether its parts are consistent.
+/// Parses a configuration.
+/// [`Table::compile`](crate::policy::route::Table::compile) checks whether its
+/// parts are consistent.
 pub(super) fn parse_configuration(bytes: &[u8]) -> Result<Configuration, String> {
     let wire: WireConfig = parse_json(bytes)?;
     let version = u64::from_str_radix(&wire.version, 16)
--- a/src/adapters/platform/mod.rs
+++ b/src/adapters/platform/mod.rs
@@ -1,7 +1,7 @@
 //! The users' platform behind [`ports::Platform`](crate::ports::Platform).
 //!
-//! Only this module knows the names, formats and calls of the platform. It converts
-//! them to and from the types of this project and makes no decisions:
+//! Only this module knows the names, formats and calls of the platform. It
+//! converts them to and from the types of this project and makes no decisions:
 //!
 //! * [`settings`] reads the settings file,
 //! * [`store`] calls the metadata store,
@@ -20,8 +20,8 @@
 
 use crate::domain::Millis;
 
-/// Converts a duration in seconds. Returns none for negative and implausibly large
-/// values, which only a faulty writer produces.
+/// Converts a duration in seconds. Returns none for negative and implausibly
+/// large values, which only a faulty writer produces.
 fn seconds_to_millis(seconds: f64) -> Option<Millis> {
     /// An upper bound of all durations of the platform.
     const MAX_SECONDS: f64 = 1e6;
--- a/src/adapters/platform/settings.rs
+++ b/src/adapters/platform/settings.rs
@@ -71,7 +71,8 @@
     directory: Option<String>,
 }
 
-/// The mapping that describes the platform. It contains a mapping of the same name.
+/// The mapping that describes the platform. It contains a mapping of the same
+/// name.
 #[derive(Deserialize)]
 struct WireProvider {
     provider: WireStore,
@@ -147,8 +148,8 @@
     }
 }
 
-/// Parses the settings. `metrics_port` is the port of the metrics server, which the
-/// platform reads from the deploy file and not from the settings.
+/// Parses the settings. `metrics_port` is the port of the metrics server, which
+/// the platform reads from the deploy file and not from the settings.
 ///
 /// # Errors
 ///
--- a/src/adapters/platform/store.rs
+++ b/src/adapters/platform/store.rs
@@ -15,10 +15,10 @@
     ports::{Batch, LeaseId, Outbound, Platform, PlatformError, Poll, Targets},
 };
 
-/// The timeout until the response to a call begins, and by default that for reading
-/// the response. A slow store answers within 250 ms. A silent store must be
-/// detected soon, because a call that waits on a dead connection does not notice
-/// that the store is back.
+/// The timeout until the response to a call begins, and by default that for
+/// reading the response. A slow store answers within 250 ms. A silent store
+/// must be detected soon, because a call that waits on a dead connection does
+/// not notice that the store is back.
 const DEFAULT_TIMEOUT: Millis = Millis(1_000);
 
 /// The maximum size of a response. A page of items has at most about 1 MB.
@@ -84,8 +84,8 @@
     for range in join_all(ranges).await {
         let range = range?;
         all.changes.extend(range.changes);
-        // The pages are no consistent snapshot. A poll from the earliest revision
-        // reports again what changed between them.
+        // The pages are no consistent snapshot. A poll from the earliest
+        // revision reports again what changed between them.
         all.revision = all.revision.min(range.revision);
     }
     Ok(all)
--- a/src/app/gateway/directory.rs
+++ b/src/app/gateway/directory.rs
@@ -16,8 +16,8 @@
     domain::Millis,
 };
 
-/// How long a caller may cache the response to a look-up. Callers use an entry that
-/// has left for this time at most.
+/// How long a caller may cache the response to a look-up. Callers use an entry
+/// that has left for this time at most.
 const LOOKUP_TTL: Millis = Millis(2_000);
 
 /// The path of the metrics.
--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -14,13 +14,13 @@
     ports::{Body, Outbound, SendError},
 };
 
-/// The size up to which a response is buffered completely before any of it is sent
-/// to the caller. If the connection breaks before that, another attempt can still
-/// replace the response.
+/// The size up to which a response is buffered completely before any of it is
+/// sent to the caller. If the connection breaks before that, another attempt
+/// can still replace the response.
 const MAX_BUFFERED_BYTES: usize = 128 * 1024;
 
-/// The timeout for opening a connection to a target, after which another target is
-/// tried. Without packet loss it takes at most 75 ms.
+/// The timeout for opening a connection to a target, after which another target
+/// is tried. Without packet loss it takes at most 75 ms.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 
 /// The outcome of an attempt.
@@ -32,13 +32,15 @@
     Rejected,
     /// No byte of the request was sent.
     Unsent(String),
-    /// The request was sent, but no valid response was received. It may have run.
+    /// The request was sent, but no valid response was received. It may have
+    /// run.
     Unknown(String),
     /// The request was sent and not answered before the deadline.
     TimedOut,
 }
 
-/// A target's response, with the slot that it holds until its last byte is sent.
+/// A target's response, with the slot that it holds until its last byte is
+/// sent.
 #[derive(Debug)]
 pub(super) struct TargetResponse {
     pub head: Parts,
--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -12,8 +12,8 @@
 };
 
 impl Feed {
-    /// Applies changes that the store held at the time `as_of`. A complete batch lists all
-    /// items, so items that it does not contain are removed.
+    /// Applies changes that the store held at the time `as_of`. A complete
+    /// batch lists all items, so items that it does not contain are removed.
     pub(super) fn apply(&mut self, as_of: Millis, batch: Batch, complete: bool) {
         let at = now(&self.state);
         let Batch { changes, revision } = batch;
@@ -76,8 +76,8 @@
     update_pools(state, at, registry_changes);
 }
 
-/// Applies a change. Returns whether other entries need it, which they do not if it
-/// is only a heartbeat or cannot be read.
+/// Applies a change. Returns whether other entries need it, which they do not
+/// if it is only a heartbeat or cannot be read.
 fn apply_change(state: &State, at: Millis, change: &Change) -> bool {
     match change {
         Change::Configured(config) => apply_configuration(state, config),
--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -1,8 +1,8 @@
 //! Follows the changes of the platform's configuration, targets and entries.
 //!
 //! One entry of each region polls the store and the others poll that entry, as
-//! [`UpstreamSelector`] decides. [`apply`] applies the changes from either upstream
-//! and publishes them for the entries that poll this one.
+//! [`UpstreamSelector`] decides. [`apply`] applies the changes from either
+//! upstream and publishes them for the entries that poll this one.
 
 mod apply;
 
@@ -17,19 +17,20 @@
     ports::{FetchError, FetchRequest, PlatformError, Poll},
 };
 
-/// The poll period of an entry without followers, as a fraction of the time within
-/// which changes must take effect. The rest covers the call itself and a second
-/// one after a refusal. The period is long because each call is charged and the
-/// heartbeats of targets change the store all the time, so that a call rarely
-/// waits for a change.
+/// The poll period of an entry without followers, as a fraction of the time
+/// within which changes must take effect. The rest covers the call itself and a
+/// second one after a refusal. The period is long because each call is charged
+/// and the heartbeats of targets change the store all the time, so that a call
+/// rarely waits for a change.
 const POLL_FRACTION: f64 = 0.55;
 
-/// The poll period of an entry with followers, as a fraction of the same time. The
-/// rest has to cover the time until the followers notice that the entry is silent.
+/// The poll period of an entry with followers, as a fraction of the same time.
+/// The rest has to cover the time until the followers notice that the entry is
+/// silent.
 const FOLLOWED_POLL_FRACTION: f64 = 0.3;
 
-/// The age up to which changes from another entry are accepted, as a fraction of
-/// the same time.
+/// The age up to which changes from another entry are accepted, as a fraction
+/// of the same time.
 const MAX_AGE_FRACTION: f64 = 0.55;
 
 /// How much longer than [`FOLLOWED_POLL_FRACTION`] another entry may wait for a
@@ -42,17 +43,19 @@
 /// The maximum random delay that is added before each call.
 const MAX_JITTER: Millis = Millis(50);
 
-/// The timeout of the first call to the store. A connection may be silent for good,
-/// which only a timeout detects.
+/// The timeout of the first call to the store. A connection may be silent for
+/// good, which only a timeout detects.
 const TIMEOUT_MIN: Millis = Millis(1_000);
 
 /// The maximum timeout of a call to the store. The timeout doubles with each
-/// failure, because reading the registry of a large deployment takes seconds over a
-/// busy narrow link, and the data to read grows with each abandoned call.
+/// failure, because reading the registry of a large deployment takes seconds
+/// over a busy narrow link, and the data to read grows with each abandoned
+/// call.
 const TIMEOUT_MAX: Millis = Millis(4_000);
 
-/// The time from the start of a first failed call to the next call. It doubles with
-/// each further failure, because calls that the store refuses are charged, too.
+/// The time from the start of a first failed call to the next call. It doubles
+/// with each further failure, because calls that the store refuses are charged,
+/// too.
 const RETRY_DELAY_MIN: Millis = Millis(250);
 
 /// The maximum time from the start of a failed call to the next call.
@@ -66,8 +69,8 @@
         let start = now(&feed.state);
         let next = feed.step(start).await;
         let pause = start + next - now(&feed.state);
-        // Without jitter, entries that once call at the same moment would keep doing
-        // so.
+        // Without jitter, entries that once call at the same moment would keep
+        // doing so.
         let jitter = Millis(rand::rng().random_range(0..=MAX_JITTER.0));
         tokio::time::sleep((pause + jitter).duration()).await;
     }
@@ -79,7 +82,8 @@
     upstreams: UpstreamSelector,
     /// The upstream that answered last.
     last: Option<Upstream>,
-    /// The revision up to which all changes are applied, none before the first read.
+    /// The revision up to which all changes are applied, none before the first
+    /// read.
     after: Option<Revision>,
     /// The timeout of the next call to the store.
     timeout: Millis,
@@ -102,8 +106,8 @@
         }
     }
 
-    /// Calls the upstream once and applies the changes. Returns the time from the
-    /// start of this step to that of the next one.
+    /// Calls the upstream once and applies the changes. Returns the time from
+    /// the start of this step to that of the next one.
     async fn step(&mut self, start: Millis) -> Millis {
         let Some(after) = self.after else {
             return self.read_all(start).await;
@@ -128,7 +132,8 @@
             Upstream::Entry(name, addr) => match self.poll_entry(name, *addr, after).await {
                 Ok(()) => Millis(0),
                 Err(FetchError::Compacted) => {
-                    // The store may still have the history that the entry dropped.
+                    // The store may still have the history that the entry
+                    // dropped.
                     let next = self.state.bound_fraction(FOLLOWED_POLL_FRACTION);
                     self.step_store(start, after, next).await
                 }
@@ -141,8 +146,8 @@
         }
     }
 
-    /// Polls the store. Returns the time to the next step: `next`, or the retry delay
-    /// if the store did not answer.
+    /// Polls the store. Returns the time to the next step: `next`, or the retry
+    /// delay if the store did not answer.
     async fn step_store(&mut self, start: Millis, after: Revision, next: Millis) -> Millis {
         if self.poll_store(start, after).await.is_ok() {
             return next;
@@ -152,16 +157,18 @@
         self.next_retry_delay()
     }
 
-    /// Returns the time from the start of a failed call to the next one, and doubles
-    /// it for the next failure. The delay matters for calls that the store refuses at
-    /// once; a call that times out takes at least as long as the maximum delay.
+    /// Returns the time from the start of a failed call to the next one, and
+    /// doubles it for the next failure. The delay matters for calls that the
+    /// store refuses at once; a call that times out takes at least as long as
+    /// the maximum delay.
     fn next_retry_delay(&mut self) -> Millis {
         let delay = self.retry_delay;
         self.retry_delay = (delay + delay).min(RETRY_DELAY_MAX);
         delay
     }
 
-    /// Reads the complete state from the store or, if that fails, from a seed entry.
+    /// Reads the complete state from the store or, if that fails, from a seed
+    /// entry.
     async fn read_all(&mut self, start: Millis) -> Millis {
         let read = (self.state.ports.platform.read)(self.timeout).await;
         match read {
@@ -201,8 +208,8 @@
     ///
     /// Returns an error, after logging it, if the store did not answer.
     async fn poll_store(&mut self, start: Millis, after: Revision) -> Result<(), ()> {
-        // While the store is unavailable, an empty response must come at once: it
-        // shows that the store is back.
+        // While the store is unavailable, an empty response must come at once:
+        // it shows that the store is back.
         let wait = if self.store_failed {
             Millis(0)
         } else {
@@ -238,15 +245,17 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the entry does not answer or if its state is too old.
+    /// Returns an error if the entry does not answer or if its state is too
+    /// old.
     async fn poll_entry(
         &mut self,
         name: &EntryId,
         peer: SocketAddr,
         after: Revision,
     ) -> Result<(), FetchError> {
-        // After a failure of the store the other entry has to answer at once, so that
-        // the feed tries the next upstream without delay if it cannot help.
+        // After a failure of the store the other entry has to answer at once,
+        // so that the feed tries the next upstream without delay if it cannot
+        // help.
         let wait = if self.store_failed {
             Millis(0)
         } else {
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -24,8 +24,8 @@
 /// The `retry-after` of a request that no target could take.
 const OVERLOADED_RETRY_AFTER: Millis = Millis(250);
 
-/// The maximum number of targets that are chosen for one request, including those
-/// to which nothing could be sent.
+/// The maximum number of targets that are chosen for one request, including
+/// those to which nothing could be sent.
 const MAX_TRIED: usize = 5;
 
 /// Forwards a request and returns the response of a target.
@@ -75,8 +75,8 @@
 }
 
 impl Forwarding<'_> {
-    /// Tries targets until one responds without a server error or no further attempt
-    /// is allowed.
+    /// Tries targets until one responds without a server error or no further
+    /// attempt is allowed.
     async fn run(&mut self) -> Result<Response<Body>, Refusal> {
         let mut error_response: Option<Box<TargetResponse>> = None;
         let refusal = loop {
@@ -105,7 +105,8 @@
                 break refusal;
             }
         };
-        // If no attempt succeeded, the caller gets the error response of a target.
+        // If no attempt succeeded, the caller gets the error response of a
+        // target.
         error_response
             .map(|r| response::pass_through(*r))
             .ok_or(refusal)
@@ -169,8 +170,8 @@
         }
     }
 
-    /// Returns the refusal of a request that no target takes, which is `unknown` if
-    /// an earlier attempt may have run it.
+    /// Returns the refusal of a request that no target takes, which is
+    /// `unknown` if an earlier attempt may have run it.
     fn no_target(&self, cause: &str) -> Refusal {
         if self.maybe_run {
             return Refusal::unknown(Code::ConnectionBroken, cause);
--- a/src/app/gateway/front.rs
+++ b/src/app/gateway/front.rs
@@ -10,8 +10,8 @@
 use crate::adapters::platform::headers;
 
 /// How long callers may reuse an idle connection. It is shorter than
-/// [`super::IDLE_TIMEOUT`], so that a caller does not send a request on a connection
-/// that is being closed.
+/// [`super::IDLE_TIMEOUT`], so that a caller does not send a request on a
+/// connection that is being closed.
 const KEEP_ALIVE: HeaderValue = HeaderValue::from_static("timeout=4");
 
 /// Returns the router of the server for callers.
@@ -48,7 +48,8 @@
     };
     let head = resp.headers_mut();
     if state.is_stopping() {
-        // Makes the caller connect to another entry before this one has stopped.
+        // Makes the caller connect to another entry before this one has
+        // stopped.
         head.insert(header::CONNECTION, HeaderValue::from_static("close"));
     } else {
         head.insert(headers::KEEP_ALIVE, KEEP_ALIVE);
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -1,12 +1,13 @@
 //! The process that runs on each entry VM of the users' platform.
 //!
 //! [`spawn`] starts it and returns a handle. A request passes through these
-//! modules in order: `front` accepts it, `request` reads it and finds its route,
-//! `forward` tries targets until one has answered, `slot` reserves capacity at a
-//! target for one attempt, `exchange` sends the attempt, and `response` builds the
-//! response to the caller. Beside them, `feed` follows changes of the platform,
-//! `relay` serves these changes to other entries, `presence` announces this
-//! entry, and `directory` answers look-ups and readiness checks.
+//! modules in order: `front` accepts it, `request` reads it and finds its
+//! route, `forward` tries targets until one has answered, `slot` reserves
+//! capacity at a target for one attempt, `exchange` sends the attempt, and
+//! `response` builds the response to the caller. Beside them, `feed` follows
+//! changes of the platform, `relay` serves these changes to other entries,
+//! `presence` announces this entry, and `directory` answers look-ups and
+//! readiness checks.
 //!
 //! See [docs/platform.md](../../../../docs/platform.md).
 
@@ -59,10 +60,11 @@
     /// The state, public for tests.
     pub state: Arc<State>,
     front: Server,
-    /// The servers of look-ups, readiness checks and metrics, which run until the
-    /// process ends.
+    /// The servers of look-ups, readiness checks and metrics, which run until
+    /// the process ends.
     auxiliary: Vec<Server>,
-    /// The server of changes for other entries, which runs until the process ends.
+    /// The server of changes for other entries, which runs until the process
+    /// ends.
     relay: Option<grpc::Server>,
     feed: JoinHandle<()>,
     announcement: presence::Announcement,
@@ -110,7 +112,8 @@
         self.front.addr()
     }
 
-    /// Returns the address at which the gateway serves changes to other entries.
+    /// Returns the address at which the gateway serves changes to other
+    /// entries.
     #[must_use]
     pub fn relay_addr(&self) -> Option<SocketAddr> {
         self.relay.as_ref().map(grpc::Server::addr)
@@ -122,8 +125,8 @@
     }
 
     /// Stops the gateway within the grace period: withdraws the entry from
-    /// look-ups, accepts requests while callers switch to other entries, and then
-    /// waits for running requests.
+    /// look-ups, accepts requests while callers switch to other entries, and
+    /// then waits for running requests.
     pub async fn stop(self) {
         let grace = self.state.settings().bounds.grace;
         let grace_fraction = |fraction: f64| grace.duration().mul_f64(fraction);
--- a/src/app/gateway/presence.rs
+++ b/src/app/gateway/presence.rs
@@ -34,7 +34,8 @@
 }
 
 impl Announcement {
-    /// Withdraws the announcement, so that look-ups no longer return this entry.
+    /// Withdraws the announcement, so that look-ups no longer return this
+    /// entry.
     pub async fn withdraw(self) {
         drop(self.stop);
         // Joining fails only if the task panicked. The lease then expires.
@@ -68,8 +69,8 @@
     let platform = &state.ports.platform;
     if let Some(lease) = lease {
         match (platform.renew)(lease).await {
-            // After a failed call the lease may still exist. The next renewal shows
-            // whether it does.
+            // After a failed call the lease may still exist. The next renewal
+            // shows whether it does.
             Ok(()) | Err(PlatformError::Failed { .. }) => return Some(lease),
             Err(e) => tracing::warn!(cause = %e, "presence: renewal failed, announcing again."),
         }
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -21,8 +21,8 @@
     ports::Body,
 };
 
-/// The size up to which the body of a request is buffered, so that it can be sent
-/// again. Longer bodies are streamed.
+/// The size up to which the body of a request is buffered, so that it can be
+/// sent again. Longer bodies are streamed.
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 
 /// The bytes of a header line beside its name and value: `: ` and CRLF.
@@ -34,14 +34,15 @@
 /// A caller's request with its route.
 #[derive(Debug)]
 pub(super) struct RoutedRequest {
-    /// The route table in effect when the request arrived, which applies to all its
-    /// attempts.
+    /// The route table in effect when the request arrived, which applies to all
+    /// its attempts.
     pub table: Arc<Table>,
     /// The rule of its route.
     pub rule: Arc<Rule>,
     /// The service that runs the request.
     pub service: ServiceName,
-    /// The hash of the route's prefix and the affinity key, if the request has one.
+    /// The hash of the route's prefix and the affinity key, if the request has
+    /// one.
     pub object: Option<u64>,
     /// The request id that the caller chose.
     pub id: Option<HeaderValue>,
@@ -58,8 +59,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if no route matches, if a limit is exceeded or if the body
-    /// does not arrive in time.
+    /// Returns a refusal if no route matches, if a limit is exceeded or if the
+    /// body does not arrive in time.
     pub async fn read(state: &State, req: Request<Body>) -> Result<Self, Refusal> {
         let arrived = now(state);
         let Some(table) = state.table() else {
@@ -113,8 +114,8 @@
         })
     }
 
-    /// Returns the request to send to a target, or none if the body was not buffered
-    /// and has been sent already.
+    /// Returns the request to send to a target, or none if the body was not
+    /// buffered and has been sent already.
     pub fn build_request(
         &mut self,
         target: &InstanceId,
@@ -130,7 +131,8 @@
         Some(request)
     }
 
-    /// Returns whether the body is buffered, so that the request can be sent again.
+    /// Returns whether the body is buffered, so that the request can be sent
+    /// again.
     pub fn is_resendable(&self) -> bool {
         self.content.is_whole()
     }
@@ -144,8 +146,8 @@
     }
 }
 
-/// Returns a refusal if the head exceeds its limit, or if the declared length of
-/// the body does.
+/// Returns a refusal if the head exceeds its limit, or if the declared length
+/// of the body does.
 fn check_limits(limits: &CallerLimits, head: &Parts) -> Result<(), Refusal> {
     let header_lines = head.headers.iter();
     let header_lines = header_lines
@@ -172,7 +174,8 @@
 fn match_route<'a>(table: &'a Table, head: &Parts) -> Result<&'a Route, Refusal> {
     let host = head.headers.get(http::header::HOST);
     let host = host.and_then(|h| h.to_str().ok()).unwrap_or_default();
-    // A host name contains no colon, so the part after the last one is the port.
+    // A host name contains no colon, so the part after the last one is the
+    // port.
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let host = host.to_ascii_lowercase();
     let path = head.uri.path();
--- a/src/app/gateway/response.rs
+++ b/src/app/gateway/response.rs
@@ -90,8 +90,8 @@
         match &frame {
             Some(Err(_)) => self.slot.finish(Ending::Broken, None),
             None => self.slot.finish(ending, report),
-            // The server may drop a body of known length after the last frame, without
-            // polling for its end.
+            // The server may drop a body of known length after the last frame,
+            // without polling for its end.
             Some(Ok(_)) if self.body.is_end_stream() => self.slot.finish(ending, report),
             Some(Ok(_)) => {}
         }
--- a/src/app/gateway/slot.rs
+++ b/src/app/gateway/slot.rs
@@ -8,8 +8,8 @@
     policy::balance::{Choice, ChooseError, Ending, LoadReport, Request, Ticket},
 };
 
-/// A slot at a target for one attempt. Dropping it before [`Slot::finish`] records
-/// the attempt as cancelled.
+/// A slot at a target for one attempt. Dropping it before [`Slot::finish`]
+/// records the attempt as cancelled.
 #[derive(Debug)]
 pub(super) struct Slot {
     state: Arc<State>,
@@ -52,8 +52,8 @@
         &self.choice.ticket
     }
 
-    /// Releases the slot with the result of the attempt. Only the first call has an
-    /// effect.
+    /// Releases the slot with the result of the attempt. Only the first call
+    /// has an effect.
     pub fn finish(&mut self, ending: Ending, report: Option<LoadReport>) {
         if self.finished {
             return;
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -42,8 +42,8 @@
 /// The state of a gateway.
 ///
 /// The lock of a shard guards the target pools of its services. The other locks
-/// are held only to copy or replace one value. No lock is acquired while another
-/// is held, and none is held across an await point.
+/// are held only to copy or replace one value. No lock is acquired while
+/// another is held, and none is held across an await point.
 #[derive(Debug)]
 pub struct State {
     /// Access to everything outside of the gateway.
@@ -71,7 +71,8 @@
 }
 
 impl State {
-    /// Returns the state of a process that has read nothing from the platform yet.
+    /// Returns the state of a process that has read nothing from the platform
+    /// yet.
     #[must_use]
     pub fn new(settings: VmSettings, ports: Ports) -> Self {
         Self {
@@ -113,7 +114,8 @@
         write(&self.table, Some(table));
     }
 
-    /// Returns the evacuated availability zones, to which no request may be sent.
+    /// Returns the evacuated availability zones, to which no request may be
+    /// sent.
     #[must_use]
     pub fn evacuated(&self) -> Arc<BTreeSet<AzName>> {
         read(&self.evacuated)
@@ -138,9 +140,10 @@
         lock(&self.change_log)
     }
 
-    /// Adds changes up to a revision, as the store held them at `at`, to the log that
-    /// is served to other entries. A complete listing contains no changes that other
-    /// entries could have missed, so the log restarts at its revision.
+    /// Adds changes up to a revision, as the store held them at `at`, to the
+    /// log that is served to other entries. A complete listing contains no
+    /// changes that other entries could have missed, so the log restarts at its
+    /// revision.
     pub(super) fn publish(
         &self,
         at: Millis,
@@ -160,7 +163,8 @@
         self.revision.send_replace(revision);
     }
 
-    /// Returns a receiver of the revision up to which the change log is complete.
+    /// Returns a receiver of the revision up to which the change log is
+    /// complete.
     pub(super) fn subscribe_revision(&self) -> watch::Receiver<Revision> {
         self.revision.subscribe()
     }
@@ -175,8 +179,8 @@
         now.0 <= self.followed_until.load(Relaxed)
     }
 
-    /// Returns a fraction of the time within which drains and configurations must
-    /// take effect.
+    /// Returns a fraction of the time within which drains and configurations
+    /// must take effect.
     pub(super) fn bound_fraction(&self, fraction: f64) -> Millis {
         let Bounds { drain, config, .. } = self.settings().bounds;
         drain.min(config).part(fraction)
@@ -204,7 +208,8 @@
         read(&self.peers)
     }
 
-    /// Returns whether this entry can serve requests, so that look-ups may name it.
+    /// Returns whether this entry can serve requests, so that look-ups may name
+    /// it.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.has_targets.load(Relaxed) && self.table().is_some() && !self.is_stopping()
@@ -248,7 +253,8 @@
         }
     }
 
-    /// Calls `f` with the pool of a service and the context for choosing a target.
+    /// Calls `f` with the pool of a service and the context for choosing a
+    /// target.
     pub(super) fn with_pool<T>(
         &self,
         service: &ServiceName,
--- a/src/ports/admin.rs
+++ b/src/ports/admin.rs
@@ -1,8 +1,8 @@
 //! The port from the administration to the state of an entry.
 //!
-//! The administration shows the state to operators and makes no decisions, so it
-//! gets copies of a few values and not the state itself. The closures return values
-//! that are serialized without conversion.
+//! The administration shows the state to operators and makes no decisions, so
+//! it gets copies of a few values and not the state itself. The closures return
+//! values that are serialized without conversion.
 
 use std::{fmt, sync::Arc};
 
@@ -56,8 +56,8 @@
     pub state: String,
     /// The weight in the document.
     pub weight: u32,
-    /// The weight that is currently used to choose a place, in thousandths of the sum
-    /// of the service's weights.
+    /// The weight that is currently used to choose a place, in thousandths of
+    /// the sum of the service's weights.
     pub effective: u32,
     /// The number of targets that take new requests.
     pub targets: u32,
@@ -99,8 +99,8 @@
 pub struct Remaining {
     /// The entry.
     pub entry: String,
-    /// The number of requests that are running there, none if the entry does not
-    /// answer.
+    /// The number of requests that are running there, none if the entry does
+    /// not answer.
     pub running: Option<u64>,
     /// The revision in effect at the entry.
     pub revision: Option<u64>,
@@ -130,7 +130,8 @@
 pub struct EntryRevision {
     /// The entry.
     pub entry: String,
-    /// The revision, none if no revision is in effect or the entry does not answer.
+    /// The revision, none if no revision is in effect or the entry does not
+    /// answer.
     pub revision: Option<u64>,
 }
 
@@ -160,8 +161,8 @@
 pub struct GatheredEvents {
     /// The events, ordered by stamp.
     pub events: Vec<Event>,
-    /// The entries that did not answer, so that a missing event is not mistaken for
-    /// one that did not happen.
+    /// The entries that did not answer, so that a missing event is not mistaken
+    /// for one that did not happen.
     pub missing: Vec<String>,
 }
 
@@ -175,8 +176,8 @@
     pub unready_reason: Read<Option<String>>,
     /// Returns the state of the entry.
     pub status: Read<Status>,
-    /// Returns the drains of places and targets. Queries the other entries for their
-    /// running requests.
+    /// Returns the drains of places and targets. Queries the other entries for
+    /// their running requests.
     pub drains: Call<(), Vec<Drain>>,
     /// Returns the limits as this entry sees them.
     pub limits: Read<Vec<Limit>>,
--- a/src/ports/changes.rs
+++ b/src/ports/changes.rs
@@ -10,8 +10,8 @@
 pub struct FetchRequest {
     /// The address at which the other entry serves changes.
     pub peer: SocketAddr,
-    /// The revision up to which the sender has all changes, or none to request the
-    /// complete state.
+    /// The revision up to which the sender has all changes, or none to request
+    /// the complete state.
     pub after: Option<Revision>,
     /// How long the other entry waits for a first change before it answers.
     pub wait: Millis,
--- a/src/ports/events.rs
+++ b/src/ports/events.rs
@@ -19,8 +19,8 @@
 
 /// The timeline of one entry.
 ///
-/// The closures assign a stamp to each event, so that callers need no access to the
-/// clock.
+/// The closures assign a stamp to each event, so that callers need no access to
+/// the clock.
 #[derive(Clone)]
 pub struct Events {
     /// Adds an event.
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -1,9 +1,9 @@
 //! The ports: interfaces to everything outside of the process.
 //!
-//! Each port is a plain struct of closures. A test passes closures over a map or
-//! a list, a running entry passes closures over a connection, and neither needs a
-//! hierarchy of traits. A dynamic call costs a few nanoseconds, which is negligible
-//! compared to the I/O behind it.
+//! Each port is a plain struct of closures. A test passes closures over a map
+//! or a list, a running entry passes closures over a connection, and neither
+//! needs a hierarchy of traits. A dynamic call costs a few nanoseconds, which
+//! is negligible compared to the I/O behind it.
 
 pub mod admin;
 mod changes;
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -28,7 +28,8 @@
     pub control: Option<SocketAddr>,
     /// The address of the metrics.
     pub metrics: SocketAddr,
-    /// The addresses of entries that serve the complete state to a starting process.
+    /// The addresses of entries that serve the complete state to a starting
+    /// process.
     pub seeds: Vec<SocketAddr>,
     /// The address of the platform's store.
     pub store: SocketAddr,
@@ -49,7 +50,8 @@
 pub enum Change {
     /// A new configuration.
     Configured(Box<Configuration>),
-    /// An availability zone is evacuated. No request may be sent to its targets.
+    /// An availability zone is evacuated. No request may be sent to its
+    /// targets.
     Evacuated(AzName),
     /// The evacuation of an availability zone has ended.
     Restored(AzName),
@@ -93,8 +95,8 @@
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PlatformError {
-    /// The store no longer has all changes after the revision. The complete state
-    /// must be read again.
+    /// The store no longer has all changes after the revision. The complete
+    /// state must be read again.
     Compacted,
     /// The lease has expired, and all items written under it are deleted.
     Expired,
@@ -134,8 +136,8 @@
 pub struct Platform {
     /// Reads the complete state. The given time is the timeout of each page.
     pub read: Call<Millis, PlatformResult<Batch>>,
-    /// Waits for changes. One call covers configurations, targets and entries, because
-    /// each call is charged.
+    /// Waits for changes. One call covers configurations, targets and entries,
+    /// because each call is charged.
     pub poll: Call<Poll, PlatformResult<Batch>>,
     /// Announces this entry under a new lease of the given duration.
     pub announce: Call<(Presence, Millis), PlatformResult<LeaseId>>,
--- a/src/ports/store.rs
+++ b/src/ports/store.rs
@@ -31,8 +31,8 @@
 /// Why a call to the store failed.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StoreError {
-    /// The key is not at the expected revision. Holds its actual revision, which is
-    /// zero if the key does not exist. Nothing was written.
+    /// The key is not at the expected revision. Holds its actual revision,
+    /// which is zero if the key does not exist. Nothing was written.
     Conflict(Revision),
     /// The store could not be reached, so nothing was written.
     Down {
@@ -98,13 +98,15 @@
     pub get: Call<Bytes, StoreResult<Option<Record>>>,
     /// Reads all keys with a prefix.
     pub list: Call<Bytes, StoreResult<Snapshot>>,
-    /// Writes a key if it has the expected revision, and returns the new revision.
+    /// Writes a key if it has the expected revision, and returns the new
+    /// revision.
     pub write: Call<Write, StoreResult<Revision>>,
     /// Writes a key with a time to live. The key is deleted unless the call is
     /// repeated within this time.
     pub lease: Call<(Record, Millis), StoreResult<()>>,
-    /// Reports the changes of keys with a prefix after a revision. The channel closes
-    /// when the connection breaks. The receiver then has to list the keys again.
+    /// Reports the changes of keys with a prefix after a revision. The channel
+    /// closes when the connection breaks. The receiver then has to list the
+    /// keys again.
     pub watch: Call<(Bytes, Revision), StoreResult<mpsc::Receiver<Update>>>,
 }
 
--- a/src/ports/targets.rs
+++ b/src/ports/targets.rs
@@ -21,8 +21,9 @@
 
 /// Why a request got no response from its target.
 ///
-/// The variant decides whether a caller may be told `not-run`, so an adapter may
-/// return `Unsent` only if no byte of the request was written. See [docs/design.md](../../docs/design.md), section 3.4.
+/// The variant decides whether a caller may be told `not-run`, so an adapter
+/// may return `Unsent` only if no byte of the request was written. See
+/// [docs/design.md](../../docs/design.md), section 3.4.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SendError {
     /// The target cannot have seen the request.
@@ -62,12 +63,12 @@
 
 impl std::error::Error for SendError {}
 
-/// Held as long as a target may work on a request. The channel closes when the last
-/// clone is dropped, which its receiver waits for. Nothing is ever sent.
+/// Held as long as a target may work on a request. The channel closes when the
+/// last clone is dropped, which its receiver waits for. Nothing is ever sent.
 pub type InFlight = Arc<oneshot::Sender<()>>;
 
-/// A flag that says whether the first byte of a request may have been sent. After a
-/// timeout it shows whether the target may have run the request.
+/// A flag that says whether the first byte of a request may have been sent.
+/// After a timeout it shows whether the target may have run the request.
 #[derive(Clone, Debug, Default)]
 pub struct SendStarted(Arc<AtomicBool>);
 
@@ -89,8 +90,8 @@
     }
 }
 
-/// The default timeout for opening a connection. Between regions, opening one takes
-/// about 70 ms.
+/// The default timeout for opening a connection. Between regions, opening one
+/// takes about 70 ms.
 const DEFAULT_CONNECT_TIMEOUT: Millis = Millis(1_000);
 
 /// A request and the target to send it to.
@@ -126,8 +127,8 @@
 /// The operations on targets.
 #[derive(Clone)]
 pub struct Targets {
-    /// Sends a request and returns the response as soon as its head is complete.
-    /// Dropping the future or the body cancels the request.
+    /// Sends a request and returns the response as soon as its head is
+    /// complete. Dropping the future or the body cancels the request.
     pub send: Call<Outbound, Result<Response<Body>, SendError>>,
 }
 
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -2,8 +2,8 @@
 //! false `not-run`, a token that opens a foreign document, a client that takes
 //! the server's memory or its connections.
 
+mod admin_server;
 mod harness;
-mod site;
 
 use std::{sync::atomic::Ordering::SeqCst, time::Duration};
 
@@ -14,7 +14,7 @@
     policy::{admin::Code, timeline::Kind},
 };
 
-use site::{DOCUMENT, OTHER, Site, TOKEN, show};
+use admin_server::{AdminServer, DOCUMENT, OTHER_TOKEN, TOKEN, show};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -24,7 +24,7 @@
 
 #[tokio::test]
 async fn an_edit_needs_the_revision_that_it_replaces() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     let lighter = DOCUMENT.replace("weight = 60", "weight = 20");
     let mut seen = Vec::new();
     let edits = [
@@ -55,7 +55,7 @@
 
 #[tokio::test]
 async fn one_of_many_racing_editors_wins() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     site.call("PUT", PATH, &[], DOCUMENT).await;
     let edits = (0..8).map(|n| {
         let text = DOCUMENT.replace("weight = 60", &format!("weight = {n}"));
@@ -80,7 +80,7 @@
 
 #[tokio::test]
 async fn an_edit_that_is_sent_twice_is_made_once() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     let id = [("x-savorybeam-edit", "000000000000000000000000000000ab")];
     let mut seen = Vec::new();
     for _ in 0..2 {
@@ -93,7 +93,7 @@
 
 #[tokio::test]
 async fn a_dry_run_shows_typed_changes_and_writes_nothing() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     site.call("PUT", PATH, &[], DOCUMENT).await;
     let text = DOCUMENT
         .replace("weight = 60", "weight = 20\nstate = leaving")
@@ -112,7 +112,7 @@
 
 #[tokio::test]
 async fn a_bad_document_lists_every_fault() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     let text = DOCUMENT
         .replace("weight = 60", "weight = heavy")
         .replace("slots = 5", "slots = 0\ncolour = red");
@@ -126,7 +126,7 @@
 
 #[tokio::test]
 async fn a_token_opens_only_its_team_s_documents() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     site.call("PUT", PATH, &[], DOCUMENT).await;
     let mut seen = Vec::new();
     let bearer = |token: &str| format!("Bearer {token}");
@@ -136,7 +136,7 @@
         ("empty", bearer("")),
         ("prefix", bearer(&TOKEN[..TOKEN.len() - 1])),
         ("longer", bearer(&format!("{TOKEN}x"))),
-        ("other team", bearer(OTHER)),
+        ("other team", bearer(OTHER_TOKEN)),
     ];
     for (name, value) in &tokens {
         for method in ["GET", "PUT", "DELETE"] {
@@ -151,7 +151,7 @@
 
 #[tokio::test]
 async fn outcomes_are_true_while_the_store_fails() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     site.call("PUT", PATH, &[], DOCUMENT).await;
     let mut seen = Vec::new();
     site.faults.down.store(true, SeqCst);
@@ -163,20 +163,20 @@
     }
     site.faults.down.store(false, SeqCst);
     // The write takes effect, its answer is lost, and the record tells.
-    site.faults.lost.store(1, SeqCst);
+    site.faults.lost_writes.store(1, SeqCst);
     let answer = site
         .call("PUT", PATH, &[("if-match", "\"2\"")], DOCUMENT)
         .await;
     seen.push(format!("answer lost: {}", show(&answer)));
     // The store goes down together with the lost answer.
-    site.faults.lost.store(1, SeqCst);
-    site.faults.dies.store(true, SeqCst);
+    site.faults.lost_writes.store(1, SeqCst);
+    site.faults.goes_down.store(true, SeqCst);
     let id = ("x-savorybeam-edit", "000000000000000000000000000000cd");
     let headers = [("if-match", "\"3\""), id];
     let answer = site.call("PUT", PATH, &headers, DOCUMENT).await;
     seen.push(format!("answer lost and down: {}", show(&answer)));
     site.faults.down.store(false, SeqCst);
-    site.faults.dies.store(false, SeqCst);
+    site.faults.goes_down.store(false, SeqCst);
     let answer = site.call("PUT", PATH, &headers, DOCUMENT).await;
     seen.push(format!("sent again: {}", show(&answer)));
     insta::assert_snapshot!(seen.join("\n"));
@@ -184,7 +184,7 @@
 
 #[tokio::test]
 async fn every_path_answers_with_a_stable_code() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     site.call("PUT", PATH, &[], DOCUMENT).await;
     let paths = [
         "GET /healthz",
@@ -223,7 +223,7 @@
 
 #[tokio::test]
 async fn the_timeline_is_text_or_json_lines() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     site.call("PUT", PATH, &[], DOCUMENT).await;
     let accept = [("accept", "application/x-ndjson")];
     let json = site
@@ -248,7 +248,7 @@
 
 #[tokio::test]
 async fn bodies_are_bounded_in_size() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     let mut seen = Vec::new();
     for len in [(1 << 20) + 1, 3 << 20] {
         let text = "#".repeat(len);
@@ -271,7 +271,7 @@
 
 #[tokio::test]
 async fn malformed_requests_are_refused_and_others_served() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     let bad = [
         "nonsense\r\n\r\n",
         "GET /healthz HTTP/9.9\r\n\r\n",
@@ -315,7 +315,7 @@
 
 #[tokio::test]
 async fn metrics_and_documentation_agree() {
-    let site = Site::spawn().await;
+    let site = AdminServer::spawn().await;
     touch(&site.metrics);
     let output = site.call("GET", "/metrics", &[], "").await.text();
     let page = std::fs::read_to_string("docs/operating.md").expect("the page is there");
--- a/tests/site/mod.rs
+++ b/tests/admin_server/mod.rs
@@ -1,4 +1,5 @@
-//! An administration server over a store in memory that can fail.
+//! An administration server for tests, over an in-memory store with injected
+//! faults.
 
 use std::{
     collections::BTreeMap,
@@ -30,8 +31,8 @@
 
 /// The token of team kitchens.
 pub const TOKEN: &str = "token-of-the-kitchens";
-/// The token of team payouts, which is as long.
-pub const OTHER: &str = "token-of-the-payouts!";
+/// The token of team payouts. It has the same length.
+pub const OTHER_TOKEN: &str = "token-of-the-payouts!";
 /// A valid document.
 pub const DOCUMENT: &str = "\
 [service]
@@ -47,27 +48,28 @@
 targets = 10.0.0.1:8080, 10.0.0.2:8080
 ";
 
-/// What the store does wrong.
+/// The faults that are injected into the store.
 #[derive(Debug, Default)]
 pub struct Faults {
-    /// No call gets through.
+    /// Whether all calls fail without an effect.
     pub down: AtomicBool,
-    /// So many writes take effect without an answer.
-    pub lost: AtomicU64,
-    /// The store goes down as soon as an answer is lost.
-    pub dies: AtomicBool,
+    /// The number of following writes that take effect but whose response is
+    /// lost.
+    pub lost_writes: AtomicU64,
+    /// Whether the store goes down as soon as a response is lost.
+    pub goes_down: AtomicBool,
 }
 
-/// A running server.
-pub struct Site {
+/// A running administration server.
+pub struct AdminServer {
     pub addr: SocketAddr,
     pub faults: Arc<Faults>,
     pub metrics: Metrics,
-    // Held, since the server stops when it is dropped.
+    // Dropping it stops the server.
     _server: Server,
 }
 
-impl Site {
+impl AdminServer {
     pub async fn spawn() -> Self {
         let faults: Arc<Faults> = Arc::default();
         let clock = clock::open();
@@ -75,7 +77,7 @@
         let store = memory::open(clock.clone()).store(&calls);
         let metrics = metrics::open(calls);
         let events = open_events("e1".parse().expect("a name"), &clock, &metrics);
-        let teams = [("kitchens", TOKEN), ("payouts", OTHER)];
+        let teams = [("kitchens", TOKEN), ("payouts", OTHER_TOKEN)];
         let teams: BTreeMap<_, _> = teams
             .map(|(t, token)| (t.parse().expect("a name"), token.to_owned()))
             .into();
@@ -111,7 +113,8 @@
         self.call_as(method, path, &all, body).await
     }
 
-    /// Sends a request with these headers only.
+    /// Sends a request with the given headers and no token. Headers with an
+    /// empty value are left out.
     pub async fn call_as(
         &self,
         method: &str,
@@ -130,7 +133,7 @@
     }
 }
 
-/// Returns an answer as text without random ids.
+/// Returns the status and body of a response, with the random edit id replaced.
 pub fn show(answer: &Answer) -> String {
     let mut text = answer.text().trim().to_owned();
     if let Ok(mut value) = serde_json::from_str::<serde_json::Value>(&text) {
@@ -142,29 +145,34 @@
     format!("{} {text}", answer.head.status.as_u16())
 }
 
+/// Returns the store with the faults injected.
 fn faulty(store: Store, faults: &Arc<Faults>) -> Store {
-    let (f, get) = (faults.clone(), store.get.clone());
-    let (g, write) = (faults.clone(), store.write.clone());
+    let (get_faults, get) = (faults.clone(), store.get.clone());
+    let (write_faults, write) = (faults.clone(), store.write.clone());
     Store {
         get: Arc::new(move |key| {
-            if f.down.load(SeqCst) {
+            if get_faults.down.load(SeqCst) {
                 return Box::pin(std::future::ready(Err(down())));
             }
             get(key)
         }),
         write: Arc::new(move |change| {
-            let faults = g.clone();
+            let faults = write_faults.clone();
             if faults.down.load(SeqCst) {
                 return Box::pin(std::future::ready(Err(down())));
             }
             let result = write(change);
             Box::pin(async move {
                 let result = result.await;
-                let loses = |n: u64| n.checked_sub(1);
-                if faults.lost.fetch_update(SeqCst, SeqCst, loses).is_err() {
+                let decrement = |n: u64| n.checked_sub(1);
+                if faults
+                    .lost_writes
+                    .fetch_update(SeqCst, SeqCst, decrement)
+                    .is_err()
+                {
                     return result;
                 }
-                if faults.dies.load(SeqCst) {
+                if faults.goes_down.load(SeqCst) {
                     faults.down.store(true, SeqCst);
                 }
                 Err(lost())
@@ -190,6 +198,7 @@
     }
 }
 
+/// Returns a port with fixed values and the timeline of `events`.
 fn port(events: &Events) -> AdminPort {
     let read = events.read.clone();
     let decision = Decision {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -1,5 +1,5 @@
-//! Guards the path of a request through a gateway, with real connections on
-//! loopback: what runs where and how often, and what the caller is told.
+//! Tests requests through a gateway over connections on loopback: which targets
+//! receive a request, how often, and which response the caller gets.
 
 mod vm;
 
@@ -26,8 +26,9 @@
 };
 use volo_http::{body::Body, server::Router};
 
-/// What a target does with a request, by the last part of its path.
-async fn respond(name: &str, runs: &Runs, req: Request<Body>) -> Response<Body> {
+/// Answers a request as a target does. The last segment of the path selects the
+/// behaviour.
+async fn respond(name: &str, received: &ReceivedCounts, req: Request<Body>) -> Response<Body> {
     let (head, body) = req.into_parts();
     let body = http_body_util::BodyExt::collect(body)
         .await
@@ -38,9 +39,9 @@
     };
     let path = head.uri.path().to_owned();
     let first = {
-        let mut runs = runs.lock().expect("runs");
-        let first = runs.keys().all(|(_, p)| *p != path);
-        *runs.entry((name.to_owned(), path.clone())).or_default() += 1;
+        let mut received = received.lock().expect("counts");
+        let first = received.keys().all(|(_, p)| *p != path);
+        *received.entry((name.to_owned(), path.clone())).or_default() += 1;
         first
     };
     let mut resp = Response::new(Body::from(format!(
@@ -63,7 +64,7 @@
                 .insert("not-executed", HeaderValue::from_static("1"));
         }
         "fail-once" if first => *resp.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
-        "mix-once" if first => {
+        "wrong-id-once" if first => {
             resp.headers_mut()
                 .insert("request-id", HeaderValue::from_static("another"));
         }
@@ -74,21 +75,22 @@
     resp
 }
 
-/// How often each target was sent each path.
-type Runs = Arc<Mutex<BTreeMap<(String, String), u32>>>;
+/// The number of requests that each target received for each path.
+type ReceivedCounts = Arc<Mutex<BTreeMap<(String, String), u32>>>;
 
-struct Site {
+/// A gateway in front of two targets.
+struct Fixture {
     gateway: Gateway,
     targets: Vec<Server>,
-    runs: Runs,
+    received: ReceivedCounts,
     client: Targets,
 }
 
-async fn target(name: &'static str, runs: &Runs) -> Server {
-    let runs = runs.clone();
+async fn target(name: &'static str, received: &ReceivedCounts) -> Server {
+    let received = received.clone();
     let handler = move |req: Request<Body>| {
-        let runs = runs.clone();
-        async move { respond(name, &runs, req).await }
+        let received = received.clone();
+        async move { respond(name, &received, req).await }
     };
     let addr = "127.0.0.1:0".parse().expect("an address");
     let router = Router::new().fallback(handler);
@@ -105,9 +107,9 @@
     vm::configuration(3, rules, 10.0)
 }
 
-/// A platform whose whole content is known at the start and takes some time to
-/// read.
-fn platform(changes: Vec<Change>, needs: Millis) -> Platform {
+/// Returns a platform with a fixed content. Reading it fails if the timeout is
+/// shorter than `read_time`.
+fn platform(changes: Vec<Change>, read_time: Millis) -> Platform {
     let batch = Batch {
         changes,
         revision: Revision(9),
@@ -116,8 +118,8 @@
         read: Arc::new(move |limit| {
             let batch = batch.clone();
             Box::pin(async move {
-                // A narrow link, over which the registry takes its time.
-                if limit < needs {
+                // Simulates a large registry that is read over a narrow link.
+                if limit < read_time {
                     return Err(PlatformError::Failed {
                         step: "read keys",
                         peer: "127.0.0.1:9".parse().expect("an address"),
@@ -142,13 +144,16 @@
     }
 }
 
-impl Site {
-    /// Opens a gateway before two targets. `stale` swaps the targets' ids, as if
-    /// each had got the other's address.
-    async fn open(stale: bool, needs: Millis) -> Self {
-        let runs = Runs::default();
-        let mut targets = vec![target("i-1", &runs).await, target("i-2", &runs).await];
-        if stale {
+impl Fixture {
+    /// Starts a gateway and two targets. `swapped` registers each target under
+    /// the id of the other, as if they had exchanged their addresses.
+    async fn open(swapped: bool, read_time: Millis) -> Self {
+        let received = ReceivedCounts::default();
+        let mut targets = vec![
+            target("i-1", &received).await,
+            target("i-2", &received).await,
+        ];
+        if swapped {
             targets.swap(0, 1);
         }
         let mut changes = vec![Change::Configured(Box::new(configuration()))];
@@ -160,7 +165,7 @@
         let client = web::open(clock.clone(), Keep::default());
         let ports = Ports {
             targets: web::open(clock.clone(), Keep::default()),
-            platform: platform(changes, needs),
+            platform: platform(changes, read_time),
             changes: grpc::changes(Arc::new(Peers::new(Millis(500), Arc::default()))),
             metrics: metrics::open(Arc::<Calls>::default()),
             clock,
@@ -174,25 +179,27 @@
         Self {
             gateway,
             targets,
-            runs,
+            received,
             client,
         }
     }
 
-    /// Sends a request and returns the status, whether it is said not to have
-    /// run, and how often it ran.
-    async fn ask(&self, path: &str) -> String {
+    /// Sends a request. Returns the status, the body of a target or the outcome
+    /// of a refusal, and how often the targets received the request.
+    async fn send(&self, path: &str) -> String {
         let answer = self.request(self.gateway.front_addr(), path).await;
-        let runs: u32 = {
-            let runs = self.runs.lock().expect("runs");
-            runs.iter()
+        let count: u32 = {
+            let received = self.received.lock().expect("counts");
+            received
+                .iter()
                 .filter(|((_, p), _)| p == path)
                 .map(|(_, n)| n)
                 .sum()
         };
-        format!("{path}: {answer}, sent to targets {runs} times")
+        format!("{path}: {answer}, sent to targets {count} times")
     }
 
+    /// Sends a request with all headers of a caller.
     async fn request(&self, addr: SocketAddr, path: &str) -> String {
         let request = Request::builder()
             .method("POST")
@@ -225,65 +232,67 @@
     }
 }
 
-/// Fails if a request that may run once runs twice, if one that may be repeated
-/// is not, or if a caller is told `not-run` of one that may have run.
+/// Fails if a request that must run at most once is sent again after it may
+/// have run, if an idempotent request is not retried, or if a caller is told
+/// `not-run` for a request that may have run.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn what_runs_how_often_and_what_the_caller_is_told() {
-    let site = Site::open(false, Millis(0)).await;
+async fn requests_are_retried_only_if_that_is_safe() {
+    let fixture = Fixture::open(false, Millis(0)).await;
     let mut lines = Vec::new();
-    for case in ["ok", "reject-once", "fail-once", "mix-once", "silent"] {
+    for case in ["ok", "reject-once", "fail-once", "wrong-id-once", "silent"] {
         for kind in ["browse", "pay"] {
-            lines.push(site.ask(&format!("/{kind}/{case}")).await);
-            // A target that rejects gets nothing for a moment.
+            lines.push(fixture.send(&format!("/{kind}/{case}")).await);
+            // Waits until a target that rejected a request is chosen again.
             tokio::time::sleep(Duration::from_millis(200)).await;
         }
     }
-    lines.push(site.ask("/other/ok").await);
-    site.close().await;
+    lines.push(fixture.send("/other/ok").await);
+    fixture.close().await;
     insta::assert_snapshot!(lines.join("\n"));
 }
 
-/// Fails if a request runs at a service that got the address of a former target.
+/// Fails if a request is run by another instance that now uses the address of
+/// the chosen target.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_target_with_another_id_runs_nothing() {
-    let site = Site::open(true, Millis(0)).await;
-    let answer = site.ask("/pay/ok").await;
-    site.close().await;
+async fn misdirected_requests_are_not_run() {
+    let fixture = Fixture::open(true, Millis(0)).await;
+    let answer = fixture.send("/pay/ok").await;
+    fixture.close().await;
     insta::assert_snapshot!(answer);
 }
 
-/// Fails if an entry on a narrow link gives up each call to the store for good,
-/// because what it has to read grows meanwhile.
+/// Fails if an entry on a narrow link never finishes reading the registry,
+/// because each call times out and the timeout does not grow.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_call_may_take_longer_after_each_failure() {
-    let site = Site::open(false, Millis(3_500)).await;
-    let answer = site.ask("/browse/ok").await;
-    site.close().await;
+async fn store_timeout_grows_after_each_failure() {
+    let fixture = Fixture::open(false, Millis(3_500)).await;
+    let answer = fixture.send("/browse/ok").await;
+    fixture.close().await;
     insta::assert_snapshot!(answer, @"/browse/ok: 200 POST /browse/ok a slot for 17, sent to targets 1 times");
 }
 
-/// Fails if a planned stop cuts off a request, or if the entry is still offered
-/// to callers.
+/// Fails if a planned stop aborts a request, or if the entry still reports
+/// itself as ready.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn a_stop_lets_requests_end() {
-    let site = Site::open(false, Millis(0)).await;
-    let helper = site.gateway.auxiliary_addrs().next().expect("a server");
-    let before = site.request(helper, "/readiness").await;
-    let lookup = site.request(helper, "/resolve?region=north").await;
-    let front = site.gateway.front_addr();
-    let state = site.gateway.state.clone();
-    let Site {
+async fn a_stop_completes_running_requests() {
+    let fixture = Fixture::open(false, Millis(0)).await;
+    let auxiliary = fixture.gateway.auxiliary_addrs().next().expect("a server");
+    let before = fixture.request(auxiliary, "/readiness").await;
+    let lookup = fixture.request(auxiliary, "/resolve?region=north").await;
+    let front = fixture.gateway.front_addr();
+    let state = fixture.gateway.state.clone();
+    let Fixture {
         gateway,
         targets,
-        runs,
+        received,
         client,
-    } = site;
+    } = fixture;
     let stop = tokio::spawn(gateway.stop());
     while !state.is_stopping() {
         tokio::task::yield_now().await;
     }
-    let caller = Caller { runs, client };
-    let running = caller.ask(front, "/pay/slow").await;
+    let caller = Caller { received, client };
+    let running = caller.send(front, "/pay/slow").await;
     stop.await.expect("a stop");
     drop(targets);
     let lookup = if lookup.starts_with("200") {
@@ -297,13 +306,14 @@
     ));
 }
 
+/// A caller that outlives the gateway.
 struct Caller {
-    runs: Runs,
+    received: ReceivedCounts,
     client: Targets,
 }
 
 impl Caller {
-    async fn ask(&self, addr: SocketAddr, path: &str) -> String {
+    async fn send(&self, addr: SocketAddr, path: &str) -> String {
         let request = Request::builder()
             .uri(path)
             .header("host", "kitchens.example")
@@ -313,16 +323,16 @@
         let resp = (self.client.send)(Outbound::new(TargetId(addr), request)).await;
         let resp = resp.expect("an answer");
         let close = resp.headers().get("connection").cloned();
-        let sent = self.runs.lock().expect("runs").len();
+        let sent = self.received.lock().expect("counts").len();
         format!("{} {close:?}, {sent} sent", resp.status())
     }
 }
 
-/// Fails if a request beyond the limits in force is sent to a target, or if its
-/// caller is not told that it has not run.
+/// Fails if a request that exceeds the configured limits is sent to a target,
+/// or if its caller is not told `not-run`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_beyond_the_limits_are_refused() {
-    let site = Site::open(false, Millis(0)).await;
+    let fixture = Fixture::open(false, Millis(0)).await;
     let mut lines = Vec::new();
     for (case, head, body) in [
         ("within", 10_000, 1 << 20),
@@ -337,14 +347,14 @@
             .header("x-filler", "x".repeat(head))
             .body(full(Bytes::from(vec![b'x'; body])))
             .expect("a request");
-        let front = TargetId(site.gateway.front_addr());
-        let resp = (site.client.send)(Outbound::new(front, request)).await;
+        let front = TargetId(fixture.gateway.front_addr());
+        let resp = (fixture.client.send)(Outbound::new(front, request)).await;
         let resp = resp.expect("an answer");
         let outcome = resp.headers().get("x-savorybeam-outcome");
         lines.push(format!("{case}: {} {outcome:?}", resp.status()));
     }
-    let runs: u32 = site.runs.lock().expect("runs").values().sum();
-    lines.push(format!("sent to targets {runs} times"));
-    site.close().await;
+    let count: u32 = fixture.received.lock().expect("counts").values().sum();
+    lines.push(format!("sent to targets {count} times"));
+    fixture.close().await;
     insta::assert_snapshot!(lines.join("\n"));
 }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,4 +1,4 @@
-//! Guards the whole path in separate processes: store, entries, targets.
+//! Tests requests through a store, entries and targets in separate processes.
 
 mod harness;
 
@@ -7,7 +7,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_is_served_end_to_end() {
     let site = Site::open(3, 2, 3).await;
-    let mut seen = Vec::new();
+    let mut responses = Vec::new();
     for entry in &site.entries {
         let answer = send(
             entry.proc.addr,
@@ -16,17 +16,17 @@
         .await
         .expect("an answer");
         assert!(["t0", "t1"].contains(&answer.header("x-target")));
-        seen.push(format!("{} {}", answer.head.status, answer.text()));
+        responses.push(format!("{} {}", answer.head.status, answer.text()));
     }
-    insta::assert_snapshot!(seen.join("\n"));
+    insta::assert_snapshot!(responses.join("\n"));
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_look_up_names_every_entry() {
+async fn a_look_up_lists_every_entry() {
     let site = Site::open(3, 1, 3).await;
     let path = "/v1/entries?service=slotboard";
-    let mut named = 0;
-    while named < 3 {
+    let mut listed = 0;
+    while listed < 3 {
         let answer = send(
             site.entries[0].proc.addr,
             request("GET", "127.0.0.1", path, ""),
@@ -34,7 +34,7 @@
         .await
         .expect("an answer");
         let value: serde_json::Value = serde_json::from_str(&answer.text()).expect("JSON");
-        named = value["entries"].as_array().expect("a list").len();
+        listed = value["entries"].as_array().expect("a list").len();
         assert!(answer.header("cache-control").starts_with("max-age="));
     }
 }
@@ -42,7 +42,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_refusal_says_whether_the_request_ran() {
     let mut site = Site::open(1, 1, 3).await;
-    let mut seen = Vec::new();
+    let mut responses = Vec::new();
     for service in ["nobody", "slotboard"] {
         site.targets.clear();
         let answer = send(
@@ -52,24 +52,25 @@
         .await
         .expect("an answer");
         let outcome = answer.header("x-savorybeam-outcome");
-        seen.push(format!(
+        responses.push(format!(
             "{} {} {outcome}",
             answer.head.status,
             answer.header("x-savorybeam-code")
         ));
     }
-    insta::assert_snapshot!(seen.join("\n"));
+    insta::assert_snapshot!(responses.join("\n"));
 }
 
 #[tokio::test(flavor = "multi_thread")]
-async fn a_planned_stop_cuts_off_no_download() {
+async fn a_planned_stop_completes_downloads() {
     let mut site = Site::open(3, 1, 3).await;
     let req = request("GET", "slotboard", "/bytes/50000000", "");
     let resp = harness::open(site.entries[0].proc.addr, req)
         .await
         .expect("an answer");
     site.entries[0].proc.signal("TERM");
-    // The stop is under way before the body is read: the listener is closed.
+    // Waits until the listener is closed, so that the body is read during the
+    // stop.
     while tokio::net::TcpStream::connect(site.entries[0].proc.addr)
         .await
         .is_ok()
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -1,5 +1,5 @@
-//! Guards the adapter of the users' platform: a name that is read wrongly, or an
-//! item from another writer, must not become a target or a route.
+//! Tests the adapter of the users' platform: an invalid item must not become a
+//! target or a route, and names and formats must be those of the platform.
 
 use std::{
     sync::{Arc, Mutex},
@@ -20,22 +20,24 @@
     ports::{Platform, Poll, Targets},
 };
 
-type Canned = Vec<(&'static str, u16, String)>;
+/// The responses of a store: the start of the method and path, the status and
+/// the body.
+type CannedResponses = Vec<(&'static str, u16, String)>;
 
-/// A store that answers each call whose path begins with a text, once, and notes
-/// the calls with their bodies.
+/// A store that gives each canned response once, to the first call that matches
+/// it, and records the calls with their bodies.
 struct Store {
     platform: Platform,
     calls: Arc<Mutex<Vec<String>>>,
 }
 
-fn store(answers: Canned) -> Store {
+fn store(answers: CannedResponses) -> Store {
     let answers = Arc::new(Mutex::new(answers));
     let calls: Arc<Mutex<Vec<String>>> = Arc::default();
-    let noted = calls.clone();
+    let recorded = calls.clone();
     let targets = Targets {
         send: Arc::new(move |out| {
-            let (answers, calls) = (answers.clone(), noted.clone());
+            let (answers, calls) = (answers.clone(), recorded.clone());
             Box::pin(async move {
                 let (head, body) = out.request.into_parts();
                 let body = Content::read(body, 10_000).await.expect("a body");
@@ -82,10 +84,11 @@
     "clusters":[{"name":"slots","health_path":"/health","max_conns":330,"cold_s":3,"cold_per_s":14.5},
                 {"name":"bookings","health_path":"/health","max_conns":330,"cold_s":3,"cold_per_s":2}]}"#;
 
-/// Fails if a page is left out, if a poll could miss what changes between pages,
-/// or if a field gets another meaning.
+/// Fails if a page is skipped, if the revision is later than that of the
+/// earliest page, so that a poll would miss changes between pages, or if a
+/// field is decoded wrongly.
 #[tokio::test]
-async fn everything_is_read_page_by_page() {
+async fn all_prefixes_are_read_page_by_page() {
     let page = |items: &[String], more: bool, rev: u64| {
         format!(
             r#"{{"items":[{}],"has_more":{more},"at_rev":{rev}}}"#,
@@ -133,9 +136,10 @@
     insta::assert_debug_snapshot!(batch);
 }
 
-/// Fails if an item of another writer names a target, or hides the others.
+/// Fails if an invalid item becomes a target or a route, or if it hides other
+/// items.
 #[tokio::test]
-async fn items_that_cannot_be_read_name_nothing() {
+async fn unreadable_items_have_no_effect() {
     let changed = |from: &str, to: &str| item("servers/i-1", &TARGET.replace(from, to));
     let events = [
         changed(r#""slots":4"#, r#""slots":"4""#),
@@ -164,9 +168,10 @@
     insta::assert_debug_snapshot!(batch);
 }
 
-/// Fails if a lost history, an ended lease or a refusal is taken for another one.
+/// Fails if a compacted history, an expired lease or a refusal is mistaken for
+/// another failure.
 #[tokio::test]
-async fn failures_of_the_store_are_told_apart() {
+async fn store_failures_are_distinguished() {
     let store = store(vec![
         ("GET /kv-watch", 410, String::new()),
         ("GET /kv-watch", 503, "busy".to_owned()),
@@ -220,10 +225,10 @@
     insta::assert_snapshot!(format!("{}\n\n{calls}", results.join("\n")));
 }
 
-/// Fails if an answer of another request, or bytes that no target signed, could
-/// be passed on, or if a rejection is taken for a run.
+/// Fails if the response to another request or an unsigned response could be
+/// passed on, or if a rejection is mistaken for an executed request.
 #[test]
-fn answers_are_told_apart_by_their_heads() {
+fn responses_are_classified_by_their_heads() {
     let head = |pairs: &[(&'static str, &'static str)]| -> HeaderMap {
         pairs
             .iter()
@@ -236,7 +241,7 @@
     let good = [("request-id", "r1"), ("server-seal", "s")];
     let cases = [
         ("good", 200, head(&good)),
-        ("failure of the target", 500, head(&good)),
+        ("error of the target", 500, head(&good)),
         ("full", 503, head(&[("not-executed", "1")])),
         ("other instance", 421, head(&[("instance-id", "i-2")])),
         (
@@ -263,9 +268,9 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
-/// Fails if a report is read wrongly or a spoiled one is taken for a load.
+/// Fails if a load report is read wrongly or an invalid one is used.
 #[test]
-fn load_reports_are_read_or_left_out() {
+fn invalid_load_reports_are_ignored() {
     let lines = ["3,0,8", "6,2,6,250", " 1, 2, 3, 4 ", "3,0", "a,b,c", ""].map(|text| {
         let mut head = HeaderMap::new();
         head.insert("server-load", HeaderValue::from_static(text));
@@ -274,9 +279,10 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
-/// Fails if a caller is told to come back at another time than was decided.
+/// Fails if headers or look-ups are not written and read in the platform's
+/// format, for example if `retry-after` differs from the chosen time.
 #[test]
-fn times_and_addresses_are_written_as_the_platform_reads_them() {
+fn headers_and_look_ups_have_the_format_of_the_platform() {
     let mut head = HeaderMap::new();
     headers::write_retry_after(&mut head, Millis(1_250));
     let id = "i-1".parse().expect("an id");
@@ -303,14 +309,14 @@
 terms: {bounds: {drain_s: 3, ttl_max_s: 5, max_shift: 0.15}}
 ";
 
-/// Fails if a field of the settings file is read wrongly or a field that is not
-/// known yet is refused.
+/// Fails if a field of the settings file is read wrongly or an unknown field is
+/// rejected.
 #[test]
 fn settings_are_read() {
     insta::assert_debug_snapshot!(settings::parse(SETTINGS, 9464));
 }
 
-/// Fails if only the first fault of a settings file is named.
+/// Fails if not all faults of a settings file are reported.
 #[test]
 fn faulty_settings_list_every_fault() {
     let faulty = SETTINGS
@@ -323,7 +329,8 @@
     insta::assert_snapshot!(errors.join("\n"));
 }
 
-/// Returns a platform whose answers begin after `head`, and end after `body` more.
+/// Returns a platform whose responses begin after `head` ms and end `body` ms
+/// later.
 fn slow_store(head: u64, body: u64) -> Platform {
     let targets = Targets {
         send: Arc::new(move |_| {
@@ -341,10 +348,11 @@
     store::open("10.0.0.9:90".parse().expect("an address"), targets)
 }
 
-/// Fails if a call waits on for a store that is silent, so that it learns late
-/// that the store is back, or if it gives up an answer that is on its way.
+/// Fails if a call to a silent store is not abandoned soon, so that the entry
+/// would notice too late that the store is back, or if a slow response is
+/// abandoned while it is being received.
 #[tokio::test]
-async fn silence_ends_a_call_sooner_than_a_slow_answer() {
+async fn a_silent_store_times_out_before_a_slow_response() {
     let poll = Poll {
         after: Revision(3),
         wait: Millis(100),
@@ -354,7 +362,7 @@
     let silent = (slow_store(60_000, 0).poll)(poll).await;
     assert!(
         begun.elapsed() < Duration::from_secs(2),
-        "silence takes long"
+        "the call to the silent store took too long"
     );
     let slow = (slow_store(200, 1_500).poll)(poll).await;
     let timeout = Millis(1_000);
