--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -56,7 +56,7 @@
     let ticket = slot.ticket();
     let Some(request) = routed.build_request(&ticket.id, time_left) else {
         return Outcome::Unknown(
-            "the body was not kept, so the request cannot be sent again".to_owned(),
+            "the body was not buffered, so the request cannot be sent again".to_owned(),
         );
     };
     let out = Outbound {
--- a/src/app/gateway/slot.rs
+++ b/src/app/gateway/slot.rs
@@ -47,7 +47,8 @@
         })
     }
 
-    /// Returns the ticket of the choice, which identifies the attempt.
+    /// Returns the ticket of the attempt, with the estimates that led to the
+    /// choice.
     pub fn ticket(&self) -> &Ticket {
         &self.choice.ticket
     }
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -1,4 +1,5 @@
-//! The ports: interfaces to everything outside of the process.
+//! The ports, through which decisions and processes reach everything outside of
+//! them.
 //!
 //! Each port is a plain struct of closures. A test passes closures over a map
 //! or a list, a running entry passes closures over a connection, and neither
--- a/tests/admin_server/mod.rs
+++ b/tests/admin_server/mod.rs
@@ -152,14 +152,14 @@
     Store {
         get: Arc::new(move |key| {
             if get_faults.down.load(SeqCst) {
-                return Box::pin(std::future::ready(Err(down())));
+                return Box::pin(std::future::ready(Err(unreachable_error())));
             }
             get(key)
         }),
         write: Arc::new(move |change| {
             let faults = write_faults.clone();
             if faults.down.load(SeqCst) {
-                return Box::pin(std::future::ready(Err(down())));
+                return Box::pin(std::future::ready(Err(unreachable_error())));
             }
             let result = write(change);
             Box::pin(async move {
@@ -175,14 +175,14 @@
                 if faults.goes_down.load(SeqCst) {
                     faults.down.store(true, SeqCst);
                 }
-                Err(lost())
+                Err(response_lost_error())
             })
         }),
         ..store
     }
 }
 
-fn down() -> StoreError {
+fn unreachable_error() -> StoreError {
     StoreError::Down {
         step: "connect to store",
         peer: "10.0.0.9:2379".to_owned(),
@@ -190,7 +190,7 @@
     }
 }
 
-fn lost() -> StoreError {
+fn response_lost_error() -> StoreError {
     StoreError::Unknown {
         step: "answer from store",
         peer: "10.0.0.9:2379".to_owned(),
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -215,13 +215,13 @@
         let resp = (self.client.send)(Outbound::new(TargetId(addr), request)).await;
         let (head, body) = resp.expect("an answer").into_parts();
         let body = Content::read(body, 10_000).await.expect("a body");
-        let seal = if head.headers.contains_key("server-seal") {
+        let content = if head.headers.contains_key("server-seal") {
             String::from_utf8_lossy(body.start()).into_owned()
         } else {
             let outcome = head.headers.get("x-savorybeam-outcome");
             format!("{:?}", outcome.unwrap_or(&HeaderValue::from_static("")))
         };
-        format!("{} {seal}", head.status.as_u16())
+        format!("{} {content}", head.status.as_u16())
     }
 
     async fn close(self) {
