--- a/src/adapters/grpc/changes/config.rs
+++ b/src/adapters/grpc/changes/config.rs
@@ -1,7 +1,8 @@
 //! The encoded configuration.
 
 use crate::domain::{
-    CallerLimits, Configuration, Millis, ParseError, Part, Revision, Rule, ServiceRule, Size,
+    CallerLimits, Configuration, Millis, ParseError, Revision, RouteRule, ServiceRule, Size,
+    WeightedService,
 };
 
 /// The encoded configuration.
@@ -73,9 +74,9 @@
     };
     ConfigMessage {
         version: config.version.0,
-        head_bytes: config.limits.head.0,
-        body_bytes: config.limits.body.0,
-        idle_ms: config.limits.idle.0,
+        head_bytes: config.limits.max_head.0,
+        body_bytes: config.limits.max_body.0,
+        idle_ms: config.limits.idle_timeout.0,
         rules: config.rules.iter().map(put_rule).collect(),
         services: config.services.iter().map(service).collect(),
     }
@@ -93,17 +94,17 @@
     Ok(Configuration {
         version: Revision(message.version),
         limits: CallerLimits {
-            head: Size(message.head_bytes),
-            body: Size(message.body_bytes),
-            idle: Millis(message.idle_ms),
+            max_head: Size(message.head_bytes),
+            max_body: Size(message.body_bytes),
+            idle_timeout: Millis(message.idle_ms),
         },
         rules: rules?,
         services: services?,
     })
 }
 
-fn put_rule(rule: &Rule) -> RuleMessage {
-    let part = |p: &Part| PartMessage {
+fn put_rule(rule: &RouteRule) -> RuleMessage {
+    let part = |p: &WeightedService| PartMessage {
         service: p.service.to_string(),
         weight: p.weight,
     };
@@ -117,21 +118,21 @@
         attempts: rule.attempts,
         priority: rule.priority,
         sticky: rule.sticky,
-        homes: rule.homes.iter().map(ToString::to_string).collect(),
-        parts: rule.parts.iter().map(part).collect(),
+        homes: rule.home_regions.iter().map(ToString::to_string).collect(),
+        parts: rule.services.iter().map(part).collect(),
     }
 }
 
-fn get_rule(message: &RuleMessage) -> Result<Rule, ParseError> {
+fn get_rule(message: &RuleMessage) -> Result<RouteRule, ParseError> {
     let part = |p: &PartMessage| {
-        Ok(Part {
+        Ok(WeightedService {
             service: p.service.parse()?,
             weight: p.weight,
         })
     };
     let homes: Result<_, ParseError> = message.homes.iter().map(|r| r.parse()).collect();
     let parts: Result<_, ParseError> = message.parts.iter().map(part).collect();
-    Ok(Rule {
+    Ok(RouteRule {
         name: message.name.clone(),
         host: message.host.clone(),
         prefix: message.prefix.clone(),
@@ -141,7 +142,7 @@
         attempts: message.attempts,
         priority: message.priority,
         sticky: message.sticky,
-        homes: homes?,
-        parts: parts?,
+        home_regions: homes?,
+        services: parts?,
     })
 }
--- a/src/adapters/platform/settings.rs
+++ b/src/adapters/platform/settings.rs
@@ -216,15 +216,15 @@
 
 fn convert_bounds(wire: &WireBounds, f: &mut Faults) -> Bounds {
     Bounds {
-        drain: f.duration("drain_s", wire.drain_s),
-        config: f.duration("config_apply_s", wire.config),
-        grace: f.duration("grace_s", wire.grace_s),
+        drain_deadline: f.duration("drain_s", wire.drain_s),
+        config_deadline: f.duration("config_apply_s", wire.config),
+        grace_period: f.duration("grace_s", wire.grace_s),
         retry_ratio: wire.retry_ratio,
         retry_slack: wire.retry_slack,
         retry_window: f.duration("budget_window_s", wire.retry_window),
         cold_factor: wire.cold_overshoot,
         cold_slack: wire.cold_slack,
-        ttl: f.duration("ttl_max_s", wire.ttl),
-        shift: wire.max_shift,
+        lookup_ttl: f.duration("ttl_max_s", wire.ttl),
+        max_shift: wire.max_shift,
     }
 }
--- a/src/app/entry/admin/timeline.rs
+++ b/src/app/entry/admin/timeline.rs
@@ -12,8 +12,8 @@
         http::Query,
     },
     policy::{
-        admin::{Code, Failure},
-        timeline::EVENTS_MAX,
+        admin::{AdminError, Code},
+        timeline::MAX_EVENTS,
     },
     ports::{EventQuery, admin::GatheredEvents},
 };
@@ -23,13 +23,13 @@
 
 /// The largest limit that a query may set. At about 200 bytes per event, a response
 /// stays below 4 MB.
-const LIMIT_MAX: usize = 4 * EVENTS_MAX;
+const LIMIT_MAX: usize = 4 * MAX_EVENTS;
 
 pub(super) async fn get(
     admin: &Admin,
     query: &Query,
     req: &Request<Body>,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, AdminError> {
     let selection = EventQuery {
         after: query.value("after").map_err(|e| reply::bad_request(&e))?,
         part: query.value("part").map_err(|e| reply::bad_request(&e))?,
@@ -57,7 +57,7 @@
     admin: &Admin,
     query: &Query,
     selection: &EventQuery,
-) -> Result<GatheredEvents, Failure> {
+) -> Result<GatheredEvents, AdminError> {
     match query.text("scope") {
         None | Some("all") => Ok((admin.port.timeline)(selection.clone()).await),
         Some("entry") => Ok(GatheredEvents {
@@ -66,7 +66,7 @@
         }),
         Some(text) => {
             let detail = format!("scope: found {text:?}, allowed is \"all\" or \"entry\"");
-            Err(Failure::new(Code::BadRequest, detail))
+            Err(AdminError::new(Code::BadRequest, detail))
         }
     }
 }
@@ -79,7 +79,7 @@
     events.chain(missing).collect()
 }
 
-fn parse_limit(query: &Query) -> Result<usize, Failure> {
+fn parse_limit(query: &Query) -> Result<usize, AdminError> {
     let Some(text) = query.text("limit") else {
         return Ok(LIMIT_DEFAULT);
     };
@@ -87,7 +87,7 @@
         Ok(n) if (1..=LIMIT_MAX).contains(&n) => Ok(n),
         _ => {
             let detail = format!("limit: found {text:?}, allowed is 1 to {LIMIT_MAX}");
-            Err(Failure::new(Code::BadRequest, detail))
+            Err(AdminError::new(Code::BadRequest, detail))
         }
     }
 }
--- a/src/app/gateway/directory.rs
+++ b/src/app/gateway/directory.rs
@@ -92,7 +92,7 @@
         *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         return resp;
     }
-    let ttl = LOOKUP_TTL.min(settings.bounds.ttl);
+    let ttl = LOOKUP_TTL.min(settings.bounds.lookup_ttl);
     text("application/json", directory::encode_response(&fronts, ttl))
 }
 
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -128,7 +128,7 @@
     /// look-ups, accepts requests while callers switch to other entries, and
     /// then waits for running requests.
     pub async fn stop(self) {
-        let grace = self.state.settings().bounds.grace;
+        let grace = self.state.settings().bounds.grace_period;
         let grace_fraction = |fraction: f64| grace.duration().mul_f64(fraction);
         self.state.set_stopping();
         tracing::info!(running = self.state.running(), "gateway: stopping.");
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -12,7 +12,7 @@
         http::{Content, strip_hop_by_hop},
         platform::headers::{self, RequestHead},
     },
-    domain::{CallerLimits, InstanceId, Millis, Rule, ServiceName, Size},
+    domain::{CallerLimits, InstanceId, Millis, RouteRule, ServiceName, Size},
     policy::{
         balance::object_hash,
         refusal::{Code, Refusal},
@@ -38,7 +38,7 @@
     /// its attempts.
     pub table: Arc<Table>,
     /// The rule of its route.
-    pub rule: Arc<Rule>,
+    pub rule: Arc<RouteRule>,
     /// The service that runs the request.
     pub service: ServiceName,
     /// The hash of the route's prefix and the affinity key, if the request has
@@ -81,7 +81,7 @@
         };
         let deadline = arrived + caller_timeout.unwrap_or(rule.timeout).min(rule.timeout);
         let object = affinity_key.map(|key| object_hash(&rule.prefix, key.as_bytes()));
-        let max_body_bytes = usize::try_from(limits.body.0).unwrap_or(usize::MAX);
+        let max_body_bytes = usize::try_from(limits.max_body.0).unwrap_or(usize::MAX);
         let reading = Content::read(
             Limited::new(body, max_body_bytes).boxed(),
             MAX_BUFFERED_BYTES,
@@ -89,7 +89,7 @@
         let content = timeout((deadline - arrived).duration(), reading).await;
         let content = match content {
             Ok(Ok(content)) => content,
-            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large(limits.body)),
+            Ok(Err(e)) if e.is::<LengthLimitError>() => return Err(too_large(limits.max_body)),
             Ok(Err(e)) => {
                 return Err(Refusal::not_run(
                     Code::BadRequest,
@@ -153,14 +153,14 @@
     let header_lines = header_lines
         .map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_OVERHEAD_BYTES);
     let size = head.uri.to_string().len() + header_lines.sum::<usize>();
-    if size as u64 > limits.head.0 {
-        let detail = format!("read head: {size} bytes, the limit is {}", limits.head);
+    if size as u64 > limits.max_head.0 {
+        let detail = format!("read head: {size} bytes, the limit is {}", limits.max_head);
         return Err(Refusal::not_run(Code::HeadTooLarge, detail));
     }
     let declared = head.headers.get(header::CONTENT_LENGTH);
     let declared = declared.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-    if declared.is_some_and(|length| length > limits.body.0) {
-        return Err(too_large(limits.body));
+    if declared.is_some_and(|length| length > limits.max_body.0) {
+        return Err(too_large(limits.max_body));
     }
     Ok(())
 }
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -182,8 +182,12 @@
     /// Returns a fraction of the time within which drains and configurations
     /// must take effect.
     pub(super) fn bound_fraction(&self, fraction: f64) -> Millis {
-        let Bounds { drain, config, .. } = self.settings().bounds;
-        drain.min(config).part(fraction)
+        let Bounds {
+            drain_deadline,
+            config_deadline,
+            ..
+        } = self.settings().bounds;
+        drain_deadline.min(config_deadline).fraction(fraction)
     }
 
     /// Recomputes the entries that share limits, after entries joined or left.
@@ -274,7 +278,7 @@
                 entries: &peers,
                 this_entry: xxh3_64(settings.name.as_bytes()),
             },
-            shift_cap: bounds.shift,
+            shift_cap: bounds.max_shift,
         };
         self.pools
             .with(service.clone(), Pool::new, |p| f(p, &context))
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -20,7 +20,7 @@
     },
 };
 
-use crate::domain::{CallerLimits, Configuration, Revision, Rule, ServiceName, ServiceRule};
+use crate::domain::{CallerLimits, Configuration, Revision, RouteRule, ServiceName, ServiceRule};
 
 /// The reason why a configuration is invalid.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 pub struct Route {
     /// The rule.
-    pub rule: Arc<Rule>,
+    pub rule: Arc<RouteRule>,
     /// The number of requests so far, plus an offset that differs between
     /// entries.
     request_count: AtomicU64,
@@ -57,7 +57,7 @@
     /// Returns the service for the next request and advances the sequence.
     #[must_use]
     pub fn next_service(&self) -> &ServiceName {
-        let parts = &self.rule.parts;
+        let parts = &self.rule.services;
         let n = self.request_count.fetch_add(1, Ordering::Relaxed);
         let weight_sum: f64 = parts.iter().map(|p| p.weight).sum();
         #[expect(clippy::cast_precision_loss)]
@@ -134,7 +134,7 @@
         Configuration {
             version: self.version,
             limits: self.limits,
-            rules: routes.map(|r| Rule::clone(&r.rule)).collect(),
+            rules: routes.map(|r| RouteRule::clone(&r.rule)).collect(),
             services: self.services.values().cloned().collect(),
         }
     }
@@ -147,7 +147,10 @@
 }
 
 /// Checks that a rule is valid and refers to declared services only.
-fn validate(rule: &Rule, services: &HashMap<ServiceName, ServiceRule>) -> Result<(), TableError> {
+fn validate(
+    rule: &RouteRule,
+    services: &HashMap<ServiceName, ServiceRule>,
+) -> Result<(), TableError> {
     let err = |cause| TableError {
         name: rule.name.clone(),
         cause,
@@ -156,20 +159,20 @@
         return Err(err("the prefix does not start and end with a slash"));
     }
     if rule
-        .parts
+        .services
         .iter()
         .any(|p| !services.contains_key(&p.service))
     {
         return Err(err("a service of the split is not declared"));
     }
     if rule
-        .parts
+        .services
         .iter()
         .any(|p| !p.weight.is_finite() || p.weight < 0.0)
     {
         return Err(err("a weight is negative or not finite"));
     }
-    if rule.parts.iter().map(|p| p.weight).sum::<f64>() <= 0.0 {
+    if rule.services.iter().map(|p| p.weight).sum::<f64>() <= 0.0 {
         return Err(err("no weight is positive"));
     }
     if rule.timeout.0 == 0 || rule.attempts == 0 {
--- a/src/ports/events.rs
+++ b/src/ports/events.rs
@@ -2,15 +2,15 @@
 
 use std::{fmt, sync::Arc};
 
-use crate::policy::timeline::{Event, Kind, Part, Stamp};
+use crate::policy::timeline::{Component, Event, Kind, Stamp};
 
 /// Selects events of a timeline.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EventQuery {
     /// Only events after this stamp.
     pub after: Option<Stamp>,
-    /// Only events of this part.
-    pub part: Option<Part>,
+    /// Only events of this component.
+    pub part: Option<Component>,
     /// The maximum number of events. The latest ones are returned.
     pub limit: usize,
 }
