--- a/src/app/entry/control/reports.rs
+++ b/src/app/entry/control/reports.rs
@@ -9,7 +9,7 @@
     app::entry::State,
     domain::{EntryId, ParseError, ServiceName},
     policy::{member, timeline::Event},
-    ports::{EventQuery, admin::Gathered},
+    ports::{EventQuery, admin::GatheredEvents},
 };
 
 /// How many entries are queried at the same time. A query goes to every entry of
@@ -106,7 +106,7 @@
 pub(in crate::app::entry) async fn gather_events(
     state: &Arc<State>,
     query: EventQuery,
-) -> Gathered {
+) -> GatheredEvents {
     let asked = EventsQuery {
         after: query
             .after
@@ -116,7 +116,7 @@
         part: query.part.map(|p| p.to_string()).unwrap_or_default(),
         limit: u32::try_from(query.limit).unwrap_or(u32::MAX),
     };
-    let mut gathered = Gathered {
+    let mut gathered = GatheredEvents {
         events: (state.events.read)(&query),
         missing: Vec::new(),
     };
