Describe the fault-injection tests and their harness in usual terms

The comments and names of tests/harness and the faults_ tests used figurative words (guard, told, got, stand-in, held for dead) and bare verbs (more, end, one, set). They now name what is waited for, sent or checked, and the heads of the tests state the failure that each guards against.

Renamed in the harness: Site -> Deployment, Site::open -> Deployment::start_serving, Proc -> Process, Answer -> BufferedResponse, open -> send_streaming, authorized -> admin_request, in_effect -> wait_for_revision, faults::Got -> CallResult, until -> wait_until, guarded -> with_timeout, numbered -> request_with_id, set -> set_header, GUARD -> STEP_TIMEOUT. Several tests are renamed after the behaviour that they check.

No behaviour and no check is changed.

--- a/tests/admin_server/mod.rs
+++ b/tests/admin_server/mod.rs
@@ -27,7 +27,7 @@
     },
 };
 
-use crate::harness::{Answer, send};
+use crate::harness::{BufferedResponse, send};
 
 /// The token of team kitchens.
 pub const TOKEN: &str = "token-of-the-kitchens";
@@ -106,7 +106,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &str,
-    ) -> Answer {
+    ) -> BufferedResponse {
         let bearer = format!("Bearer {TOKEN}");
         let mut all = vec![("authorization", bearer.as_str())];
         all.extend(headers);
@@ -121,7 +121,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &str,
-    ) -> Answer {
+    ) -> BufferedResponse {
         let mut request = Request::builder().method(method).uri(path);
         request = request.header("host", "a");
         for (name, value) in headers.iter().filter(|(_, v)| !v.is_empty()) {
@@ -134,7 +134,7 @@
 }
 
 /// Returns the status and body of a response, with the random edit id replaced.
-pub fn show(answer: &Answer) -> String {
+pub fn show(answer: &BufferedResponse) -> String {
     let mut text = answer.text().trim().to_owned();
     if let Ok(mut value) = serde_json::from_str::<serde_json::Value>(&text) {
         if let Some(id) = value.get_mut("edit") {
--- a/tests/faults_once.rs
+++ b/tests/faults_once.rs
@@ -1,5 +1,6 @@
-//! Guards keyed requests against a second execution, and `not-run` against
-//! being false, while entries and targets are killed and frozen.
+//! Tests that no request with an idempotency key is executed twice and that no
+//! executed request is reported as `not-run`, while entries and targets are
+//! killed and frozen.
 
 mod harness;
 mod history;
@@ -14,35 +15,42 @@
 };
 
 use harness::{
-    Site,
-    faults::{Got, call, guarded, numbered, set, until},
+    Deployment,
+    faults::{CallResult, call, request_with_id, set_header, wait_until, with_timeout},
 };
 use history::{Event, Told, violations};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::task::JoinSet;
 
-/// A key's retention exceeds every run of these tests, so the checker treats
-/// all of a history as one retention period.
-const RETENTION: u64 = u64::MAX;
+/// Keys are retained for longer than any of these tests runs, so the checker
+/// treats the whole history as one retention period.
+const KEY_RETENTION: u64 = u64::MAX;
 
-type Log = Arc<Mutex<Vec<(u64, String, Got)>>>;
+/// The id, key and result of each call.
+type CallLog = Arc<Mutex<Vec<(u64, String, CallResult)>>>;
 
-/// Sends a keyed request once and notes the result.
-async fn one(addr: SocketAddr, key: &str, id: u64, log: &Log) {
-    let mut req = numbered("POST", "/echo", key, &format!("call-{id}"));
-    set(&mut req, "idempotency-key", key);
-    set(&mut req, "x-deadline-ms", "1500");
-    let got = call(addr, req, Duration::from_secs(2)).await;
+/// Sends a request with an idempotency key once and records the result.
+async fn send_keyed(addr: SocketAddr, key: &str, id: u64, log: &CallLog) {
+    let mut req = request_with_id("POST", "/echo", key, &format!("call-{id}"));
+    set_header(&mut req, "idempotency-key", key);
+    set_header(&mut req, "x-deadline-ms", "1500");
+    let result = call(addr, req, Duration::from_secs(2)).await;
     let mut log = log.lock().expect("no panic");
-    log.push((id, key.to_owned(), got));
+    log.push((id, key.to_owned(), result));
 }
 
-/// Callers that send each key to several entries at the same time and again.
-fn callers(addrs: &[SocketAddr], seed: u64, log: &Log, stop: &Arc<AtomicBool>) -> JoinSet<u64> {
-    let mut set = JoinSet::new();
+/// Spawns callers that send requests with the same key to several entries, both
+/// concurrently and repeatedly.
+fn spawn_callers(
+    addrs: &[SocketAddr],
+    seed: u64,
+    log: &CallLog,
+    stop: &Arc<AtomicBool>,
+) -> JoinSet<u64> {
+    let mut tasks = JoinSet::new();
     for caller in 0..4 {
         let (addrs, log, stop) = (addrs.to_vec(), log.clone(), stop.clone());
-        set.spawn(async move {
+        tasks.spawn(async move {
             let mut rng = StdRng::seed_from_u64(seed + caller);
             let mut id = caller * 1_000_000;
             let mut key = 0;
@@ -50,74 +58,81 @@
                 key += 1;
                 let name = format!("key-{caller}-{key}");
                 for _ in 0..rng.random_range(1..4) {
-                    let mut same = JoinSet::new();
+                    let mut concurrent = JoinSet::new();
                     for _ in 0..rng.random_range(2..4) {
                         id += 1;
                         let addr = addrs[rng.random_range(0..addrs.len())];
                         let (name, log) = (name.clone(), log.clone());
-                        same.spawn(async move { one(addr, &name, id, &log).await });
+                        concurrent.spawn(async move { send_keyed(addr, &name, id, &log).await });
                     }
-                    same.join_all().await;
+                    concurrent.join_all().await;
                 }
             }
             key
         });
     }
-    set
+    tasks
 }
 
-/// Returns what is wrong with what callers were told and targets executed.
-async fn check(site: &Site, log: &Log, dead: &[usize]) -> Vec<String> {
+/// Compares the results of callers with the executions of targets, and returns
+/// the violations. `dead` are the indexes of killed targets.
+async fn find_violations(deployment: &Deployment, log: &CallLog, dead: &[usize]) -> Vec<String> {
     let log = std::mem::take(&mut *log.lock().expect("no panic"));
     let mut history = Vec::new();
-    let mut found = Vec::new();
-    for (id, key, got) in &log {
-        // The runs of a dead target are lost with it.
+    let mut problems = Vec::new();
+    for (id, key, result) in &log {
+        // The execution counts of a killed target are lost.
         let mut runs = 0;
-        for (n, target) in site.targets.iter().enumerate() {
+        for (n, target) in deployment.targets.iter().enumerate() {
             if !dead.contains(&n) {
-                runs += target.number(&format!("/runs/call-{id}")).await;
+                runs += target.read_number(&format!("/runs/call-{id}")).await;
             }
         }
         for at in 0..runs {
             let (call, key) = (*id, Some(key.clone()));
             history.push(Event::Dispatched { call, key, at });
-            let answer = key_of(&history);
+            let answer = last_dispatched_key(&history);
             history.push(Event::Executed { call, answer });
         }
-        let told = match got {
-            Got::Answer(a) if a.head.status.is_success() => Told::Answer(a.text()),
-            Got::Unreachable(_) => Told::NotRun,
-            got if got.outcome() == "not-run" => Told::NotRun,
+        let told = match result {
+            CallResult::Response(r) if r.head.status.is_success() => Told::Answer(r.text()),
+            CallResult::Unreachable(_) => Told::NotRun,
+            result if result.outcome() == "not-run" => Told::NotRun,
             _ => Told::Unknown,
         };
-        let whole = |told: &Told| matches!(told, Told::Answer(text) if text != key);
-        if whole(&told) {
-            found.push(format!("call {id} of {key} got the answer of another"));
+        let is_foreign = |told: &Told| matches!(told, Told::Answer(text) if text != key);
+        if is_foreign(&told) {
+            problems.push(format!(
+                "call {id} of {key} got the response of another key"
+            ));
         }
         if !matches!(told, Told::Answer(_)) {
             history.push(Event::Returned { call: *id, told });
         }
     }
-    found.extend(violations(&history, RETENTION));
-    found
+    problems.extend(violations(&history, KEY_RETENTION));
+    problems
 }
 
-fn key_of(history: &[Event]) -> String {
+/// Returns the key of the last event if it is a dispatch, or an empty string.
+fn last_dispatched_key(history: &[Event]) -> String {
     match history.last() {
         Some(Event::Dispatched { key: Some(key), .. }) => key.clone(),
         _ => String::new(),
     }
 }
 
-fn successes(log: &Log) -> usize {
+fn successes(log: &CallLog) -> usize {
     let log = log.lock().expect("no panic");
-    log.iter().filter(|(_, _, got)| got.is_success()).count()
+    log.iter()
+        .filter(|(_, _, result)| result.is_success())
+        .count()
 }
 
-async fn more(log: &Log, count: usize) {
+/// Waits until `count` more requests have succeeded.
+async fn wait_for_successes(log: &CallLog, count: usize) {
     let goal = successes(log) + count;
-    until("keyed requests succeed", || async {
+    wait_until("keyed requests succeed", || async {
         let now = successes(log);
         (now >= goal).then_some(()).ok_or_else(|| {
             let log = log.lock().expect("no panic");
@@ -128,91 +143,96 @@
     .await;
 }
 
-/// Killed and frozen entries lose votes and answers. None of that may let a key
-/// run twice or make a `not-run` false.
+/// Killed and frozen entries lose votes and recorded responses. The loss must
+/// not let a key run twice or an executed request be reported as `not-run`.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_failure_of_entries_lets_a_key_run_twice() {
-    run(7).await;
+    run_scenario(7).await;
 }
 
-/// A longer run with a new seed, which it prints:
-/// `cargo test --locked --test faults_once -- --ignored --nocapture`, and
-/// `SEED=N` before it repeats one.
+/// Repeats the scenario with a random seed, which it prints:
+/// `cargo test --locked --test faults_once -- --ignored --nocapture`. Setting
+/// `SEED=N` repeats a run.
 #[tokio::test(flavor = "multi_thread")]
 #[ignore = "takes minutes"]
-async fn random_failures_let_no_key_run_twice() {
+async fn no_random_failure_lets_a_key_run_twice() {
     let seed = std::env::var("SEED").ok().and_then(|s| s.parse().ok());
     let seed = seed.unwrap_or_else(rand::random::<u32>);
     println!("seed {seed}");
     for n in 0..10 {
-        run(u64::from(seed) + n * 1_000).await;
+        run_scenario(u64::from(seed) + n * 1_000).await;
     }
 }
 
-async fn run(seed: u64) {
+/// Freezes an entry, restarts another one and kills a target under load, then
+/// checks the history.
+async fn run_scenario(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
-    let mut site = guarded("open", Site::open(5, 3, 5)).await;
-    let addrs: Vec<SocketAddr> = site.entries.iter().map(|e| e.proc.addr).collect();
-    let (log, stop) = <(Log, Arc<AtomicBool>)>::default();
-    let mut callers = callers(&addrs, seed, &log, &stop);
-    more(&log, 25).await;
+    let mut deployment = with_timeout("start", Deployment::start_serving(5, 3, 5)).await;
+    let addrs: Vec<SocketAddr> = deployment.entries.iter().map(|e| e.process.addr).collect();
+    let (log, stop) = <(CallLog, Arc<AtomicBool>)>::default();
+    let mut callers = spawn_callers(&addrs, seed, &log, &stop);
+    wait_for_successes(&log, 25).await;
     let frozen = rng.random_range(0..5);
-    site.entries[frozen].proc.signal("STOP");
-    more(&log, 25).await;
+    deployment.entries[frozen].process.signal("STOP");
+    wait_for_successes(&log, 25).await;
     let killed = (frozen + rng.random_range(1..5)) % 5;
-    site.restart(killed);
-    site.entries[frozen].proc.signal("CONT");
-    guarded("ready", site.entries[killed].ready()).await;
-    more(&log, 25).await;
+    deployment.restart(killed);
+    deployment.entries[frozen].process.signal("CONT");
+    with_timeout("ready", deployment.entries[killed].wait_until_ready()).await;
+    wait_for_successes(&log, 25).await;
     let dead = rng.random_range(0..3);
-    site.targets[dead].signal("KILL");
-    more(&log, 25).await;
+    deployment.targets[dead].signal("KILL");
+    wait_for_successes(&log, 25).await;
     stop.store(true, Ordering::SeqCst);
-    guarded("callers", async {
+    with_timeout("callers", async {
         while callers.join_next().await.is_some() {}
     })
     .await;
-    assert_eq!(check(&site, &log, &[dead]).await, Vec::<String>::new());
+    assert_eq!(
+        find_violations(&deployment, &log, &[dead]).await,
+        Vec::<String>::new()
+    );
 }
 
-/// A repeat must get the recorded answer, through whichever entry it comes.
+/// A repeated request must get the recorded response through every entry.
 #[tokio::test(flavor = "multi_thread")]
-async fn a_repeat_replays_the_recorded_answer() {
-    let site = guarded("open", Site::open(3, 2, 3)).await;
-    let log = Log::default();
-    let mut first = Vec::new();
+async fn a_repeat_gets_the_recorded_response() {
+    let deployment = with_timeout("start", Deployment::start_serving(3, 2, 3)).await;
+    let log = CallLog::default();
+    let mut keys = Vec::new();
     for key in 0..5 {
         let key = format!("paid-{key}");
-        until("the first is executed", || async {
-            one(site.entries[0].proc.addr, &key, 0, &log).await;
-            let got = log.lock().expect("no panic").pop();
-            match got {
-                Some((_, _, Got::Answer(a))) => {
-                    assert_eq!(a.text(), key);
+        wait_until("the first request is executed", || async {
+            send_keyed(deployment.entries[0].process.addr, &key, 0, &log).await;
+            let result = log.lock().expect("no panic").pop();
+            match result {
+                Some((_, _, CallResult::Response(r))) => {
+                    assert_eq!(r.text(), key);
                     Ok(())
                 }
-                got => Err(format!("{got:?}")),
+                result => Err(format!("{result:?}")),
             }
         })
         .await;
-        first.push(key);
+        keys.push(key);
     }
-    for entry in &site.entries {
-        for key in &first {
-            until("the answer is replayed", || async {
-                one(entry.proc.addr, key, 1, &log).await;
-                let got = log.lock().expect("no panic").pop();
-                match got {
-                    Some((_, _, Got::Answer(a))) => {
-                        assert_eq!(a.text(), *key);
-                        assert_eq!(a.header("x-savorybeam-replayed"), "true");
+    for entry in &deployment.entries {
+        for key in &keys {
+            wait_until("the response is replayed", || async {
+                send_keyed(entry.process.addr, key, 1, &log).await;
+                let result = log.lock().expect("no panic").pop();
+                match result {
+                    Some((_, _, CallResult::Response(r))) => {
+                        assert_eq!(r.text(), *key);
+                        assert_eq!(r.header("x-savorybeam-replayed"), "true");
                         Ok(())
                     }
-                    got => Err(format!("{got:?}")),
+                    result => Err(format!("{result:?}")),
                 }
             })
             .await;
-            assert_eq!(site.runs(key).await, 1, "{key}");
+            assert_eq!(deployment.run_count(key).await, 1, "{key}");
         }
     }
 }
--- a/tests/harness/faults.rs
+++ b/tests/harness/faults.rs
@@ -1,5 +1,5 @@
-//! What tests with real failures share: waiting with a guard, restarting an
-//! entry, calling with an id, and asking a target what it has seen.
+//! Helpers of the fault-injection tests: waiting with a timeout, restarting an
+//! entry, sending requests with an id, and reading the counters of a target.
 
 use std::{future::Future, net::SocketAddr, time::Duration};
 
@@ -7,50 +7,51 @@
 use http::{HeaderValue, Request};
 use http_body_util::Full;
 
-use super::{Answer, Proc, Site, pause, request, send, spawn_entry};
+use super::{BufferedResponse, Deployment, Process, pause, request, send, spawn_entry};
 
-/// The time after which a wait fails. It is no bound of the system, and only
-/// ends a test that would hang.
-const GUARD: Duration = Duration::from_secs(75);
+/// The time limit of each step of a test. It only ends tests that would hang,
+/// and asserts no latency bound of the system.
+const STEP_TIMEOUT: Duration = Duration::from_secs(75);
 
-/// Waits until a condition holds, and fails with what was seen last.
-pub async fn until<F, T>(what: &str, mut look: F)
+/// Polls a condition until it holds. Panics after [`STEP_TIMEOUT`] with the
+/// last error.
+pub async fn wait_until<F, T>(what: &str, mut probe: F)
 where
     F: FnMut() -> T,
     T: Future<Output = Result<(), String>>,
 {
-    let mut seen = String::from("nothing");
+    let mut last_error = String::from("nothing");
     let wait = async {
-        while let Err(e) = look().await {
-            seen = e;
+        while let Err(e) = probe().await {
+            last_error = e;
             pause().await;
         }
     };
-    let done = tokio::time::timeout(GUARD, wait).await;
-    assert!(done.is_ok(), "{what}: last seen: {seen}");
+    let done = tokio::time::timeout(STEP_TIMEOUT, wait).await;
+    assert!(done.is_ok(), "{what}: last seen: {last_error}");
 }
 
-/// Runs a test's step under the guard.
-pub async fn guarded<T>(what: &str, step: impl Future<Output = T>) -> T {
-    let done = tokio::time::timeout(GUARD, step).await;
-    done.unwrap_or_else(|_| panic!("{what}: not done within {GUARD:?}"))
+/// Runs a step of a test, and panics if it takes longer than [`STEP_TIMEOUT`].
+pub async fn with_timeout<T>(what: &str, step: impl Future<Output = T>) -> T {
+    let done = tokio::time::timeout(STEP_TIMEOUT, step).await;
+    done.unwrap_or_else(|_| panic!("{what}: not done within {STEP_TIMEOUT:?}"))
 }
 
-/// What a caller got.
+/// The result of a call.
 #[derive(Debug)]
-pub enum Got {
-    /// A target's answer.
-    Answer(Answer),
-    /// A refusal of the system: code, outcome and detail.
+pub enum CallResult {
+    /// A target's response.
+    Response(BufferedResponse),
+    /// An error response of the entry: code, outcome and detail.
     Refused(String, String, String),
     /// The connection could not be opened.
     Unreachable(String),
-    /// The connection broke, or the caller gave up.
-    Lost(String),
+    /// The connection broke, or the call timed out.
+    NoResponse(String),
 }
 
-impl Got {
-    /// Returns the outcome that the system stated, empty if it stated none.
+impl CallResult {
+    /// Returns the outcome that the entry stated, or an empty string.
     pub fn outcome(&self) -> &str {
         match self {
             Self::Refused(_, outcome, _) => outcome,
@@ -58,92 +59,99 @@
         }
     }
 
-    /// Returns whether it is a whole answer with success.
+    /// Returns whether this is a complete response with a success status.
     pub fn is_success(&self) -> bool {
-        matches!(self, Self::Answer(a) if a.head.status.is_success() && a.body.is_ok())
+        matches!(self, Self::Response(r) if r.head.status.is_success() && r.body.is_ok())
     }
 }
 
-/// Sends a request and waits for at most `patience`.
-pub async fn call(addr: SocketAddr, req: Request<Full<Bytes>>, patience: Duration) -> Got {
+/// Sends a request on a new connection and waits for its result for at most
+/// `timeout`.
+pub async fn call(addr: SocketAddr, req: Request<Full<Bytes>>, timeout: Duration) -> CallResult {
     let connect = tokio::net::TcpStream::connect(addr);
-    let answer = async {
+    let response = async {
         let stream = match connect.await {
             Ok(stream) => stream,
-            Err(e) => return Got::Unreachable(e.to_string()),
+            Err(e) => return CallResult::Unreachable(e.to_string()),
         };
-        match super::send_over(stream, req).await {
-            Ok(answer) => told(answer),
-            Err(e) => Got::Lost(e),
+        match super::send_on(stream, req).await {
+            Ok(response) => classify(response),
+            Err(e) => CallResult::NoResponse(e),
         }
     };
-    let answer = tokio::time::timeout(patience, answer).await;
-    answer.unwrap_or_else(|_| Got::Lost("the caller gave up".to_owned()))
+    let response = tokio::time::timeout(timeout, response).await;
+    response.unwrap_or_else(|_| CallResult::NoResponse("the call timed out".to_owned()))
 }
 
-fn told(answer: Answer) -> Got {
-    let code = answer.header("x-savorybeam-code").to_owned();
+/// Tells error responses of the entry from responses of a target.
+fn classify(response: BufferedResponse) -> CallResult {
+    let code = response.header("x-savorybeam-code").to_owned();
     if code.is_empty() {
-        return match &answer.body {
-            Ok(_) => Got::Answer(answer),
-            Err(e) => Got::Lost(e.clone()),
+        return match &response.body {
+            Ok(_) => CallResult::Response(response),
+            Err(e) => CallResult::NoResponse(e.clone()),
         };
     }
-    let outcome = answer.header("x-savorybeam-outcome").to_owned();
-    Got::Refused(code, outcome, answer.text())
+    let outcome = response.header("x-savorybeam-outcome").to_owned();
+    CallResult::Refused(code, outcome, response.text())
 }
 
-/// Returns a request with an id under which targets count it.
-pub fn numbered(method: &str, path: &str, body: &str, id: &str) -> Request<Full<Bytes>> {
+/// Builds a request with an id under which targets count its executions.
+pub fn request_with_id(method: &str, path: &str, body: &str, id: &str) -> Request<Full<Bytes>> {
     let mut req = request(method, "slotboard", path, body);
-    set(&mut req, "x-call-id", id);
+    set_header(&mut req, "x-call-id", id);
     req
 }
 
 /// Sets a header.
-pub fn set(req: &mut Request<Full<Bytes>>, name: &'static str, value: &str) {
+pub fn set_header(req: &mut Request<Full<Bytes>>, name: &'static str, value: &str) {
     let value = HeaderValue::from_str(value).expect("the value is ASCII");
     req.headers_mut().insert(name, value);
 }
 
-impl Proc {
-    /// Returns whether the process has not ended.
+impl Process {
+    /// Returns whether the process has not exited.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
 
-    /// Asks a stand-in for a number, zero if it is down.
-    pub async fn number(&self, path: &str) -> u64 {
-        let answer = send(self.addr, request("GET", "target", path, "")).await;
-        answer.map_or(0, |a| a.text().trim().parse().unwrap_or(0))
+    /// Reads a number from a path of a simulated target, 0 if it does not
+    /// respond.
+    pub async fn read_number(&self, path: &str) -> u64 {
+        let response = send(self.addr, request("GET", "target", path, "")).await;
+        response.map_or(0, |r| r.text().trim().parse().unwrap_or(0))
     }
 
-    /// Sets a control of a target.
-    pub async fn control(&self, query: &str) {
+    /// Sets a fault-injection control of a target.
+    pub async fn set_control(&self, query: &str) {
         let path = format!("/control?{query}");
-        let answer = send(self.addr, request("GET", "target", &path, "")).await;
-        assert!(answer.is_ok_and(|a| a.head.status.is_success()), "{query}");
+        let response = send(self.addr, request("GET", "target", &path, "")).await;
+        assert!(
+            response.is_ok_and(|r| r.head.status.is_success()),
+            "{query}"
+        );
     }
 }
 
-impl Site {
-    /// Returns how often targets have run what counts under a name.
-    pub async fn runs(&self, name: &str) -> u64 {
+impl Deployment {
+    /// Returns how often the targets together have executed requests with a
+    /// call id or an idempotency key.
+    pub async fn run_count(&self, name: &str) -> u64 {
         let mut runs = 0;
         for target in &self.targets {
-            runs += target.number(&format!("/runs/{name}")).await;
+            runs += target.read_number(&format!("/runs/{name}")).await;
         }
         runs
     }
 
-    /// Starts an entry's next life at its old addresses. The former one is
-    /// killed if it still runs.
+    /// Kills an entry's process if it still runs and starts a new one at the
+    /// same addresses.
     pub fn restart(&mut self, n: usize) {
         let peers: Vec<SocketAddr> = self.entries.iter().map(|e| e.peers).collect();
         let old = &mut self.entries[n];
-        let (callers, admin) = (old.proc.addr, old.admin);
-        old.proc.signal("KILL");
-        old.proc.wait();
-        self.entries[n] = spawn_entry(n, self.store.proc.addr, &peers, callers, admin);
+        let (callers, admin) = (old.process.addr, old.admin);
+        old.process.signal("KILL");
+        old.process.wait();
+        self.entries[n] = spawn_entry(n, self.store.process.addr, &peers, callers, admin);
     }
 }
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -1,9 +1,9 @@
-//! Starts the real processes of a test and talks HTTP to them.
+//! Starts the processes of a test and sends HTTP requests to them.
 //!
-//! Every process is killed when its handle is dropped, so that a failed test
-//! leaves none behind.
+//! A process is killed when its handle is dropped, so that a failed test leaves
+//! none running.
 
-#![allow(dead_code, reason = "each test file uses its own part")]
+#![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 pub mod faults;
 pub mod relay;
@@ -31,14 +31,14 @@
 use tokio::net::TcpStream;
 
 /// A child process.
-pub struct Proc {
+pub struct Process {
     child: Child,
-    /// Where it serves.
+    /// The address on which it serves requests.
     pub addr: SocketAddr,
 }
 
-impl Proc {
-    /// Sends a signal by its name, for example `TERM` or `STOP`.
+impl Process {
+    /// Sends a signal given by name, for example `TERM` or `STOP`.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let status = Command::new("kill")
@@ -47,7 +47,8 @@
         assert!(status.expect("kill runs").success(), "kill -{name} {pid}");
     }
 
-    /// Waits until the process has ended and returns whether it succeeded.
+    /// Waits for the process to exit and returns whether its exit status is
+    /// success.
     pub fn wait(&mut self) -> bool {
         self.child
             .wait()
@@ -56,41 +57,44 @@
     }
 }
 
-impl Drop for Proc {
+impl Drop for Process {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
 }
 
-/// Returns the path of a stand-in, which cargo builds beside the tests.
-pub fn example(name: &str) -> PathBuf {
+/// Returns the path of an example binary, which cargo builds next to the tests.
+pub fn example_path(name: &str) -> PathBuf {
     let test = std::env::current_exe().expect("the test has a path");
-    let deps = test.parent().expect("the test is in a folder");
+    let deps = test.parent().expect("the test is in a directory");
     deps.with_file_name("examples").join(name)
 }
 
-/// Returns an address that nobody uses at the moment.
+/// Returns a loopback address whose port is not in use.
 ///
-/// Its port is below the range from which the kernel takes the ports of
-/// connections. A port of that range is often taken again before the process
-/// for which it is meant has started. No port is handed out twice, since tests
-/// that run at the same time may not have bound theirs yet.
+/// The port is below the kernel's ephemeral range: a port of that range is
+/// often assigned to an outgoing connection before the process meant to bind it
+/// has started. No port is returned twice, since concurrent tests may not have
+/// bound theirs yet.
 pub fn free_addr() -> SocketAddr {
-    static TAKEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
+    static ISSUED_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     loop {
         let port = rand::random_range(10_000..32_000);
         let addr = SocketAddr::from(([127, 0, 0, 1], port));
-        let is_new = TAKEN.lock().expect("no test panics here").insert(port);
+        let is_new = ISSUED_PORTS
+            .lock()
+            .expect("no test panics here")
+            .insert(port);
         if is_new && TcpListener::bind(addr).is_ok() {
             return addr;
         }
     }
 }
 
-/// Starts a target and waits until it serves.
-pub fn target(name: &str, slots: u32) -> Proc {
-    let mut child = Command::new(example("target_standin"))
+/// Starts a simulated target and waits until it serves requests.
+pub fn spawn_target(name: &str, slots: u32) -> Process {
+    let mut child = Command::new(example_path("target_standin"))
         .args([
             "--listen",
             "127.0.0.1:0",
@@ -108,12 +112,12 @@
         .read_line(&mut line)
         .expect("the target prints its address");
     let addr = line.trim().parse().expect("the line is an address");
-    Proc { child, addr }
+    Process { child, addr }
 }
 
-/// Starts the store's stand-in and waits until it serves.
-pub fn store() -> Store {
-    let mut child = Command::new(example("store_standin"))
+/// Starts the simulated store and waits until it serves requests.
+pub fn spawn_store() -> Store {
+    let mut child = Command::new(example_path("store_standin"))
         .args([
             "--listen",
             "127.0.0.1:0",
@@ -139,29 +143,29 @@
     };
     Store {
         control: addr("control"),
-        proc: Proc {
+        process: Process {
             child,
             addr: addr("listen"),
         },
     }
 }
 
-/// A running stand-in of the store.
+/// A running simulated store.
 pub struct Store {
-    /// Where its faults are controlled.
+    /// The address on which faults are injected.
     pub control: SocketAddr,
     /// The process.
-    pub proc: Proc,
+    pub process: Process,
 }
 
 impl Store {
-    /// Returns a client.
+    /// Opens a client of the store.
     pub fn client(&self) -> savorybeam::ports::Store {
-        etcd::open(&[self.proc.addr], Millis(2_000), Arc::default())
+        etcd::open(&[self.process.addr], Millis(2_000), Arc::default())
     }
 
-    /// Writes a key that is new.
-    pub async fn put(&self, key: &str, value: &str) {
+    /// Creates a key that does not exist yet.
+    pub async fn create_key(&self, key: &str, value: &str) {
         let write = Write {
             key: Bytes::from(key.to_owned()),
             value: Some(Bytes::from(value.to_owned())),
@@ -172,11 +176,11 @@
             .expect("the key is written");
     }
 
-    /// Deletes a key.
-    pub async fn delete(&self, key: &str) {
+    /// Deletes an existing key.
+    pub async fn delete_key(&self, key: &str) {
         let client = self.client();
         let key = Bytes::from(key.to_owned());
-        let found = (client.get)(key.clone()).await.expect("the store answers");
+        let found = (client.get)(key.clone()).await.expect("the store responds");
         let write = Write {
             key,
             value: None,
@@ -188,98 +192,114 @@
 
 /// A running entry.
 pub struct Entry {
-    /// The process. Its address is the callers'.
-    pub proc: Proc,
-    /// Where operators reach it.
+    /// The process. Its address is the one for callers.
+    pub process: Process,
+    /// The address of its administration server.
     pub admin: SocketAddr,
-    /// Where other entries reach it.
+    /// The address for connections from other entries.
     pub peers: SocketAddr,
 }
 
-/// A whole deployment of separate processes: store, entries and targets.
-pub struct Site {
+/// A deployment of separate processes: store, entries and targets.
+pub struct Deployment {
     /// The store.
     pub store: Store,
-    /// The entries, each in a region of its own.
+    /// The entries, assigned to [`REGIONS`] in turn.
     pub entries: Vec<Entry>,
     /// The targets.
-    pub targets: Vec<Proc>,
+    pub targets: Vec<Process>,
 }
 
-/// The token of the team that owns the documents of tests.
+/// The token of the team that owns the documents of the tests.
 pub const TOKEN: &str = "token-of-the-kitchens";
 
-/// The regions of a test's entries.
+/// The regions that entries and targets are assigned to in turn.
 pub const REGIONS: [&str; 3] = ["r1", "r2", "r3"];
 
-impl Site {
-    /// Starts a deployment with a service `slotboard` whose targets have
-    /// `slots` slots, and waits until every entry serves it.
-    pub async fn open(entries: usize, targets: usize, slots: u32) -> Self {
-        let targets: Vec<Proc> = (0..targets)
-            .map(|n| target(&format!("t{n}"), slots))
+impl Deployment {
+    /// Starts a deployment with the service `slotboard`, whose targets have
+    /// `slots` slots each, and waits until every entry serves it.
+    pub async fn start_serving(entries: usize, targets: usize, slots: u32) -> Self {
+        let targets: Vec<Process> = (0..targets)
+            .map(|n| spawn_target(&format!("t{n}"), slots))
             .collect();
         let addrs: Vec<SocketAddr> = targets.iter().map(|t| t.addr).collect();
-        let site = Self::start(entries, targets).await;
-        site.put(0, &document(&addrs, slots, "")).await;
-        site.serving("slotboard").await;
-        site
+        let deployment = Self::start(entries, targets).await;
+        deployment
+            .put_document(0, &document(&addrs, slots, ""))
+            .await;
+        deployment.wait_until_serving("slotboard").await;
+        deployment
     }
 
-    /// Starts a deployment without a document.
-    pub async fn start(entries: usize, targets: Vec<Proc>) -> Self {
-        let store = store();
+    /// Starts a deployment without documents and waits until its entries are
+    /// ready.
+    pub async fn start(entries: usize, targets: Vec<Process>) -> Self {
+        let store = spawn_store();
         let peers: Vec<SocketAddr> = (0..entries).map(|_| free_addr()).collect();
-        let mut site = Self {
+        let mut deployment = Self {
             store,
             entries: Vec::new(),
             targets,
         };
         for n in 0..entries {
-            site.store.put(&format!("platform/vms/e{n}"), "{}").await;
-            let entry = spawn_entry(n, site.store.proc.addr, &peers, free_addr(), free_addr());
-            site.entries.push(entry);
+            deployment
+                .store
+                .create_key(&format!("platform/vms/e{n}"), "{}")
+                .await;
+            let entry = spawn_entry(
+                n,
+                deployment.store.process.addr,
+                &peers,
+                free_addr(),
+                free_addr(),
+            );
+            deployment.entries.push(entry);
         }
-        for entry in &site.entries {
-            entry.ready().await;
+        for entry in &deployment.entries {
+            entry.wait_until_ready().await;
         }
-        site
+        deployment
     }
 
-    /// Puts a document through an entry's administration, and returns the
-    /// answer.
-    pub async fn put(&self, entry: usize, doc: &str) -> Answer {
+    /// Writes the document of `slotboard` through an entry's administration
+    /// server and returns the response, which must be a success.
+    pub async fn put_document(&self, entry: usize, doc: &str) -> BufferedResponse {
         let admin = self.entries[entry].admin;
         let path = "/v1/documents/slotboard";
-        let found = send(admin, authorized("GET", path, "", ""))
+        let current = send(admin, admin_request("GET", path, "", ""))
             .await
-            .expect("an answer");
-        let answer = send(admin, authorized("PUT", path, found.header("etag"), doc))
-            .await
-            .expect("an answer");
+            .expect("a response");
+        let response = send(
+            admin,
+            admin_request("PUT", path, current.header("etag"), doc),
+        )
+        .await
+        .expect("a response");
         assert!(
-            answer.head.status.is_success(),
+            response.head.status.is_success(),
             "{}: {}",
-            answer.head.status,
-            answer.text()
+            response.head.status,
+            response.text()
         );
-        answer
+        response
     }
 
-    /// Waits until every entry answers a request to a service with success.
-    pub async fn serving(&self, service: &str) {
+    /// Waits until every entry responds with success to a request to a service.
+    pub async fn wait_until_serving(&self, service: &str) {
         for entry in &self.entries {
-            while send(entry.proc.addr, request("GET", service, "/echo", ""))
+            while send(entry.process.addr, request("GET", service, "/echo", ""))
                 .await
-                .is_ok_and(|a| !a.head.status.is_success())
+                .is_ok_and(|r| !r.head.status.is_success())
             {
                 pause().await;
             }
         }
     }
 
-    /// Waits until every entry has at least a revision in effect.
-    pub async fn in_effect(&self, revision: u64) {
+    /// Waits until every entry has applied a revision of `slotboard` or a later
+    /// one.
+    pub async fn wait_for_revision(&self, revision: u64) {
         for entry in &self.entries {
             while entry.revision().await < revision {
                 pause().await;
@@ -289,26 +309,26 @@
 }
 
 impl Entry {
-    /// Waits until it says that it is ready.
-    pub async fn ready(&self) {
-        let ask = || request("GET", "admin", "/readyz", "");
-        while !send(self.admin, ask())
+    /// Waits until the readiness endpoint responds with success.
+    pub async fn wait_until_ready(&self) {
+        let probe = || request("GET", "admin", "/readyz", "");
+        while !send(self.admin, probe())
             .await
-            .is_ok_and(|a| a.head.status.is_success())
+            .is_ok_and(|r| r.head.status.is_success())
         {
             pause().await;
         }
     }
 
-    /// Returns its state.
+    /// Fetches the status from the administration server.
     pub async fn status(&self) -> serde_json::Value {
-        let answer = send(self.admin, authorized("GET", "/v1/status", "", ""))
+        let response = send(self.admin, admin_request("GET", "/v1/status", "", ""))
             .await
-            .expect("an answer");
-        serde_json::from_str(&answer.text()).expect("the status is JSON")
+            .expect("a response");
+        serde_json::from_str(&response.text()).expect("the status is JSON")
     }
 
-    /// Returns the revision of `slotboard` that it has in effect.
+    /// Returns the applied revision of `slotboard`, or 0 if there is none.
     pub async fn revision(&self) -> u64 {
         let status = self.status().await;
         let services = status["services"].as_array().cloned().unwrap_or_default();
@@ -317,14 +337,14 @@
     }
 }
 
-/// Waits a little between two looks at something that is about to happen.
+/// Sleeps for the interval between two polls of a condition.
 pub async fn pause() {
     tokio::time::sleep(Duration::from_millis(20)).await;
 }
 
-/// Returns the document of `slotboard` with one place per target, spread over
-/// the regions.
-pub fn document(targets: &[SocketAddr], slots: u32, rest: &str) -> String {
+/// Returns a document of `slotboard` with one place per target, assigned to
+/// [`REGIONS`] in turn, followed by `extra`.
+pub fn document(targets: &[SocketAddr], slots: u32, extra: &str) -> String {
     let place = |(n, addr): (usize, &SocketAddr)| {
         let region = REGIONS[n % REGIONS.len()];
         format!(
@@ -333,12 +353,12 @@
     };
     let places: Vec<String> = targets.iter().enumerate().map(place).collect();
     format!(
-        "[service]\nname = slotboard\nteam = kitchens\ndeadline = 5 s\n{}{rest}",
+        "[service]\nname = slotboard\nteam = kitchens\ndeadline = 5 s\n{}{extra}",
         places.concat()
     )
 }
 
-/// Starts an entry.
+/// Starts the entry `e{n}` without waiting until it is ready.
 pub fn spawn_entry(
     n: usize,
     store: SocketAddr,
@@ -357,16 +377,16 @@
         seeds.join(", "),
         regions.concat()
     );
-    let path = write(&format!("{callers}.ini").replace(':', "-"), &settings);
+    let path = write_temp_file(&format!("{callers}.ini").replace(':', "-"), &settings);
     let child = Command::new(env!("CARGO_BIN_EXE_savorybeam"))
         .arg("entry")
         .arg("--settings")
         .arg(path)
-        .stderr(log(n, callers.port()))
+        .stderr(log_output(n, callers.port()))
         .spawn()
         .expect("the entry starts");
     Entry {
-        proc: Proc {
+        process: Process {
             child,
             addr: callers,
         },
@@ -375,9 +395,9 @@
     }
 }
 
-/// Returns where an entry logs: nowhere, or to the folder that
-/// `SAVORYBEAM_TEST_LOGS` names.
-fn log(n: usize, port: u16) -> Stdio {
+/// Returns the log output of an entry: a file in the directory that
+/// `SAVORYBEAM_TEST_LOGS` names, or nothing if the variable is unset.
+fn log_output(n: usize, port: u16) -> Stdio {
     let Some(dir) = std::env::var_os("SAVORYBEAM_TEST_LOGS") else {
         return Stdio::null();
     };
@@ -386,16 +406,17 @@
     file.map_or_else(|_| Stdio::null(), Stdio::from)
 }
 
-fn write(name: &str, text: &str) -> PathBuf {
+fn write_temp_file(name: &str, text: &str) -> PathBuf {
     let dir = std::env::temp_dir().join(format!("savorybeam-{}", std::process::id()));
-    fs::create_dir_all(&dir).expect("the folder can be made");
+    fs::create_dir_all(&dir).expect("the directory can be created");
     let path = dir.join(name);
     fs::write(&path, text).expect("the file can be written");
     path
 }
 
-/// Returns a request to the administration. An empty `etag` sends none.
-pub fn authorized(method: &str, path: &str, etag: &str, body: &str) -> Request<Full<Bytes>> {
+/// Builds a request to the administration server with the token of the tests.
+/// An empty `etag` sends no `if-match` header.
+pub fn admin_request(method: &str, path: &str, etag: &str, body: &str) -> Request<Full<Bytes>> {
     let mut request = request(method, "admin", path, body);
     let headers = request.headers_mut();
     let token = format!("Bearer {TOKEN}")
@@ -408,59 +429,64 @@
     request
 }
 
-/// An answer, read to its end.
+/// A response whose body has been read to its end.
 #[derive(Debug)]
-pub struct Answer {
-    /// The head.
+pub struct BufferedResponse {
+    /// The status line and headers.
     pub head: http::response::Parts,
-    /// The body, or why it was cut short.
+    /// The body, or the error that ended it early.
     pub body: Result<Bytes, String>,
 }
 
-impl Answer {
-    /// Returns a header as text, empty if it is missing.
+impl BufferedResponse {
+    /// Returns a header as text, or an empty string if it is missing or not
+    /// text.
     pub fn header(&self, name: &str) -> &str {
         let value = self.head.headers.get(name);
         value.and_then(|v| v.to_str().ok()).unwrap_or_default()
     }
 
-    /// Returns the body as text.
+    /// Returns the body as text, and panics if it is incomplete.
     pub fn text(&self) -> String {
-        let body = self.body.as_ref().expect("the body is whole");
+        let body = self.body.as_ref().expect("the body is complete");
         String::from_utf8_lossy(body).into_owned()
     }
 }
 
-/// Sends a request on a connection of its own.
-pub async fn send(addr: SocketAddr, req: Request<Full<Bytes>>) -> Result<Answer, String> {
+/// Sends a request on a new connection and reads the response to its end.
+pub async fn send(addr: SocketAddr, req: Request<Full<Bytes>>) -> Result<BufferedResponse, String> {
     let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
-    send_over(stream, req).await
+    send_on(stream, req).await
 }
 
-/// Sends a request on an open connection.
-pub async fn send_over(stream: TcpStream, req: Request<Full<Bytes>>) -> Result<Answer, String> {
-    let resp = open_over(stream, req).await?;
+/// Sends a request on an open connection and reads the response to its end.
+pub async fn send_on(
+    stream: TcpStream,
+    req: Request<Full<Bytes>>,
+) -> Result<BufferedResponse, String> {
+    let resp = send_streaming_on(stream, req).await?;
     let (head, body) = resp.into_parts();
     let body = body
         .collect()
         .await
         .map(http_body_util::Collected::to_bytes);
-    Ok(Answer {
+    Ok(BufferedResponse {
         head,
         body: body.map_err(|e| e.to_string()),
     })
 }
 
-/// Sends a request and returns the answer as soon as its head is there.
-pub async fn open(
+/// Sends a request on a new connection and returns the response once its
+/// headers have arrived, without reading the body.
+pub async fn send_streaming(
     addr: SocketAddr,
     req: Request<Full<Bytes>>,
 ) -> Result<Response<hyper::body::Incoming>, String> {
     let stream = TcpStream::connect(addr).await.map_err(|e| e.to_string())?;
-    open_over(stream, req).await
+    send_streaming_on(stream, req).await
 }
 
-async fn open_over(
+async fn send_streaming_on(
     stream: TcpStream,
     req: Request<Full<Bytes>>,
 ) -> Result<Response<hyper::body::Incoming>, String> {
@@ -471,7 +497,7 @@
     sender.send_request(req).await.map_err(|e| e.to_string())
 }
 
-/// Returns a request to a service.
+/// Builds a request to a service.
 pub fn request(method: &str, service: &str, path: &str, body: &str) -> Request<Full<Bytes>> {
     Request::builder()
         .method(method)
