--- a/src/app/entry/admin/port.rs
+++ b/src/app/entry/admin/port.rs
@@ -25,7 +25,7 @@
     let (draining, placed, timeline) = (of(), of(), of());
     let decisions = state.observer.decisions.clone();
     AdminPort {
-        unready: Arc::new(move || unready.unready()),
+        unready: Arc::new(move || unready.unready_reason()),
         status: Arc::new(move || {
             let uptime = (seen.ports.clock.now)() - started;
             status(&seen, uptime.0)
@@ -60,7 +60,7 @@
         az: settings.az.to_string(),
         incarnation: state.me.incarnation.0,
         uptime_ms: uptime,
-        ready: state.unready().is_none(),
+        ready: state.unready_reason().is_none(),
         store_up: state.ports.metrics.store_up(),
         services,
         members: members(state),
--- a/src/app/entry/admin/watch.rs
+++ b/src/app/entry/admin/watch.rs
@@ -35,7 +35,7 @@
 
 fn look(state: &State) -> Look {
     Look {
-        ready: state.unready().is_none(),
+        ready: state.unready_reason().is_none(),
         store_down: !state.ports.metrics.store_up(),
         leaving: port::leaving_here(state),
     }
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -1,4 +1,5 @@
-//! Carries one request from its caller to a target and the answer back.
+//! Forwards one request to a target, with retries and a hedge, and returns the
+//! answer.
 
 use std::{
     pin::Pin,
@@ -10,11 +11,11 @@
 
 use super::{
     State,
-    claims::{self, Claimed, Won},
+    claims::{self, ClaimOutcome, WonClaim},
     crashes, grants,
     job::{Inbound, Job},
     limits::link_limit,
-    observe::Why,
+    observe::DispatchReason,
     pacing::Pacer,
     reply,
     service::Service,
@@ -32,74 +33,78 @@
     ports::{Body, Outbound, SendError},
 };
 
-type Sending = Pin<Box<dyn Future<Output = (Slot, Result<Response<Body>, SendError>)> + Send>>;
+type SendFuture = Pin<Box<dyn Future<Output = (Slot, Result<Response<Body>, SendError>)> + Send>>;
 
-/// Carries a request.
+/// Forwards a request to a target and returns the target's answer.
 ///
 /// # Errors
 ///
-/// Returns what the caller is to be told if no answer of a target can be passed
-/// on.
+/// Returns the refusal for the caller if no target's answer can be passed on.
 pub(super) async fn carry(state: &Arc<State>, inbound: Inbound) -> Result<Response<Body>, Refusal> {
     let job = Job::read(state, inbound).await?;
     let trial = crashes::admit(state, &job)?;
-    let won = match claims::claim(state, &job).await? {
-        Claimed::Unkeyed => None,
-        Claimed::Won(won) => Some(won),
-        Claimed::Answered(resp) => return Ok(resp),
+    let claim = match claims::claim(state, &job).await? {
+        ClaimOutcome::Unkeyed => None,
+        ClaimOutcome::Won(claim) => Some(claim),
+        ClaimOutcome::Answered(resp) => return Ok(resp),
     };
     let suspect = trial.is_some();
     let slot = grants::acquire(state, &job).await?;
-    let run = Run {
+    let delivery = Delivery {
         state,
         job,
-        won,
+        claim,
         suspect,
-        sending: FuturesUnordered::new(),
-        tried: Vec::new(),
+        in_flight: FuturesUnordered::new(),
+        tried_targets: Vec::new(),
         hedged: false,
         sent: false,
-        first: (state.ports.clock.now)(),
+        first_sent: (state.ports.clock.now)(),
     };
-    run.answer(slot).await
+    delivery.execute(slot).await
 }
 
-/// The attempts of one request.
-struct Run<'a> {
+/// The delivery of one request: its running attempts and what earlier ones
+/// have shown.
+struct Delivery<'a> {
     state: &'a Arc<State>,
     job: Job,
-    won: Option<Won>,
-    /// Whether its shape has broken a connection before.
+    claim: Option<WonClaim>,
+    /// Whether a request with this fingerprint has broken a connection before.
+    /// Such a request is not hedged.
     suspect: bool,
-    sending: FuturesUnordered<Sending>,
-    tried: Vec<TargetId>,
+    in_flight: FuturesUnordered<SendFuture>,
+    tried_targets: Vec<TargetId>,
     hedged: bool,
-    /// Whether a target may have seen it.
+    /// Whether a target may have received the request.
     sent: bool,
-    first: Millis,
+    /// When the first attempt began.
+    first_sent: Millis,
 }
 
-impl Run<'_> {
-    async fn answer(mut self, slot: Slot) -> Result<Response<Body>, Refusal> {
-        self.earn();
+impl Delivery<'_> {
+    /// Sends the request to the target of a slot, and retries and hedges it
+    /// until there is an answer or a refusal.
+    async fn execute(mut self, slot: Slot) -> Result<Response<Body>, Refusal> {
+        self.deposit();
         self.send(slot)?;
         loop {
             let now = self.now();
-            let wake = self.wake(now);
-            let timer = tokio::time::sleep((wake - now).duration());
-            let sending = &mut self.sending;
+            let next_wakeup = self.next_wakeup(now);
+            let timer = tokio::time::sleep((next_wakeup - now).duration());
+            let in_flight = &mut self.in_flight;
             let ended = tokio::select! {
-                Some(ended) = sending.next() => Some(ended),
+                Some(ended) = in_flight.next() => Some(ended),
                 () = timer => None,
             };
             match ended {
                 Some((slot, Ok(resp))) => {
-                    if let Some(resp) = self.answered(slot, resp).await? {
+                    if let Some(resp) = self.on_answer(slot, resp).await? {
                         return Ok(resp);
                     }
                 }
-                Some((slot, Err(e))) => self.failed(slot, e).await?,
-                None if self.now() >= self.job.deadline => return Err(self.late()),
+                Some((slot, Err(e))) => self.on_failure(slot, e).await?,
+                None if self.now() >= self.job.deadline => return Err(self.deadline_refusal()),
                 None => self.hedge(),
             }
         }
@@ -109,7 +114,8 @@
         (self.state.ports.clock.now)()
     }
 
-    fn earn(&self) {
+    /// Records a first attempt in the retry budget.
+    fn deposit(&self) {
         self.state
             .services
             .get(&self.job.service, |s| s.budget.deposit());
@@ -118,24 +124,24 @@
     /// Sends the request to the target of a slot.
     fn send(&mut self, mut slot: Slot) -> Result<(), Refusal> {
         let now = self.now();
-        // The right to dispatch is checked directly before the dispatch, since
-        // a pause may lie between the win and this point.
-        if let Some(won) = &mut self.won
-            && !won.dispatch(now)
+        // The claim is checked directly before the dispatch, because the
+        // process may have been paused since the claim was won.
+        if let Some(claim) = &mut self.claim
+            && !claim.dispatch(now)
         {
             let detail = "the claim is too old to be used";
             return Err(Refusal::not_run(Code::ClaimUnavailable, detail));
         }
         let target = slot.target();
         let Some(mut request) = self.job.request(now) else {
-            slot.finish(Completion::Cancelled);
+            slot.set_completion(Completion::Cancelled);
             return Err(Refusal::unknown(
                 Code::ConnectionBroken,
                 format!("send to {target}: the body cannot be sent again"),
             ));
         };
-        request.extensions_mut().insert(self.why(&slot));
-        self.tried.push(target);
+        request.extensions_mut().insert(self.dispatch_reason(&slot));
+        self.tried_targets.push(target);
         let hold = slot.hold();
         let out = Outbound {
             hold,
@@ -143,58 +149,60 @@
         };
         let send = (self.state.ports.targets.send)(out);
         let clock = self.state.ports.clock.clone();
-        self.sending.push(Box::pin(async move {
+        self.in_flight.push(Box::pin(async move {
             let result = send.await;
             if result.is_ok() {
-                slot.answered((clock.now)());
+                slot.set_head_time((clock.now)());
             }
             (slot, result)
         }));
         Ok(())
     }
 
-    /// Returns why the request goes to the target of a slot, for `explain`.
-    fn why(&self, slot: &Slot) -> Why {
-        let Self { job, tried, .. } = self;
-        let kind = match (tried.len(), self.hedged) {
+    /// Returns why the request is sent to the target of a slot, for `explain`.
+    fn dispatch_reason(&self, slot: &Slot) -> DispatchReason {
+        let Self {
+            job, tried_targets, ..
+        } = self;
+        let kind = match (tried_targets.len(), self.hedged) {
             (0, _) => "first attempt".to_owned(),
             (n, true) => format!("hedge after {n} attempts"),
             (n, false) => format!("retry after {n} attempts"),
         };
         let state = &slot.choice().state;
-        Why {
+        DispatchReason {
             place: slot.choice().place.to_string(),
             reason: format!("{kind}, lane {}, target {state:?}", job.lane),
         }
     }
 
-    /// Returns the next instant at which something is to be decided.
-    fn wake(&self, now: Millis) -> Millis {
-        if self.hedged || self.suspect || !self.job.is_kept() {
+    /// Returns when to hedge the request, or its deadline if it is not hedged.
+    fn next_wakeup(&self, now: Millis) -> Millis {
+        if self.hedged || self.suspect || !self.job.is_repeatable() {
             return self.job.deadline;
         }
-        let known = self.percentiles();
-        let attempt = self.job.attempt(true, self.count(), self.first);
-        let usual = retry::hedge_time(&attempt, known).ok();
-        let silent = self
+        let percentiles = self.percentiles();
+        let attempt = self.job.attempt(true, self.attempts(), self.first_sent);
+        let hedge_at = retry::hedge_time(&attempt, percentiles).ok();
+        let silent_at = self
             .job
             .idempotent
-            .then(|| self.first + silence::timeout(known.p99));
-        let wake = usual
+            .then(|| self.first_sent + silence::timeout(percentiles.p99));
+        let next_wakeup = hedge_at
             .into_iter()
-            .chain(silent)
+            .chain(silent_at)
             .min()
             .unwrap_or(self.job.deadline);
-        // A hedge that found no free slot is tried again a little later.
-        wake.max(now + Millis(5)).min(self.job.deadline)
+        // A hedge that found no free slot is attempted again 5 ms later.
+        next_wakeup.max(now + Millis(5)).min(self.job.deadline)
     }
 
     fn percentiles(&self) -> Percentiles {
         let lane = usize::from(self.job.lane == Lane::Long);
-        let known = |s: &mut Service| s.windows[lane].percentiles();
+        let percentiles = |s: &mut Service| s.latency_windows[lane].percentiles();
         self.state
             .services
-            .get(&self.job.service, known)
+            .get(&self.job.service, percentiles)
             .unwrap_or_default()
     }
 
@@ -204,30 +212,32 @@
         }
     }
 
-    fn count(&self) -> u32 {
-        u32::try_from(self.tried.len()).unwrap_or(u32::MAX)
+    fn attempts(&self) -> u32 {
+        u32::try_from(self.tried_targets.len()).unwrap_or(u32::MAX)
     }
 
+    /// Sends a hedge if the budget allows it and a slot is free. If the budget
+    /// does not allow it, no other hedge is attempted.
     fn hedge(&mut self) {
         let now = self.now();
-        let attempt = self.job.attempt(true, self.count(), self.first);
-        let pay = |s: &mut Service| s.budget.hedge(now, &attempt).is_ok();
+        let attempt = self.job.attempt(true, self.attempts(), self.first_sent);
+        let withdraw = |s: &mut Service| s.budget.hedge(now, &attempt).is_ok();
         if !self
             .state
             .services
-            .get(&self.job.service, pay)
+            .get(&self.job.service, withdraw)
             .unwrap_or(false)
         {
             self.hedged = true;
             return;
         }
-        match grants::acquire_extra(self.state, &self.job, &self.tried) {
+        match grants::acquire_extra(self.state, &self.job, &self.tried_targets) {
             Some(slot) => {
                 self.hedged = true;
                 let hedges = &self.state.ports.metrics.hedges;
                 hedges.get_or_create(&self.label()).inc();
-                // The first copy is still running, so a failure to send this one
-                // changes nothing for the caller.
+                // The first copy is still running, so a failure to send this
+                // one changes nothing for the caller.
                 let _ = self.send(slot);
             }
             None => {
@@ -238,23 +248,23 @@
         }
     }
 
-    /// Passes an answer on, or returns none if the target shed the request and
-    /// another one may take it.
-    async fn answered(
+    /// Passes an answer on, or returns `None` if the target shed the request
+    /// and it was sent to another one.
+    async fn on_answer(
         &mut self,
         mut slot: Slot,
         resp: Response<Body>,
     ) -> Result<Option<Response<Body>>, Refusal> {
         let now = self.now();
-        if let Some(time) = shed(&resp) {
+        if let Some(duration) = shed_duration(&resp) {
             let target = slot.target();
             self.state
                 .services
-                .get(&self.job.service, |s| s.pool.shed(now, target, time));
-            slot.finish(Completion::Cancelled);
-            return self.refused(slot, resp).await;
+                .get(&self.job.service, |s| s.pool.shed(now, target, duration));
+            slot.set_completion(Completion::Cancelled);
+            return self.on_shed(slot, resp).await;
         }
-        if let Some(report) = report(&resp, now) {
+        if let Some(report) = load_report(&resp, now) {
             let target = slot.target();
             self.state
                 .services
@@ -269,32 +279,32 @@
             successes.insert(self.job.fingerprint, now);
             drop(successes);
             if self.suspect {
-                crashes::absolve(self.state, &self.job);
+                crashes::clear_strikes(self.state, &self.job);
             }
         }
         let pacer = self.pacer(&slot);
-        Ok(Some(reply::pass(resp, slot, self.won.take(), pacer)))
+        Ok(Some(reply::forward(resp, slot, self.claim.take(), pacer)))
     }
 
-    /// Sends a request elsewhere that its target shed, or passes the target's
-    /// answer on. A target that sheds has not run the request (docs/api.md), so
-    /// that also a request that may not be repeated can be sent again, and its
-    /// key becomes free.
-    async fn refused(
+    /// Sends a request that its target shed to another target, or passes the
+    /// target's answer on. A target that sheds a request has not run it
+    /// (docs/api.md), so a request that is not idempotent can be sent again
+    /// too, and its key is released.
+    async fn on_shed(
         &mut self,
         slot: Slot,
         resp: Response<Body>,
     ) -> Result<Option<Response<Body>>, Refusal> {
-        if let Some(won) = &mut self.won {
-            won.unsent();
+        if let Some(claim) = &mut self.claim {
+            claim.mark_unsent();
         }
         if self.retry(false).await {
             return Ok(None);
         }
-        Ok(Some(reply::pass(resp, slot, None, None)))
+        Ok(Some(reply::forward(resp, slot, None, None)))
     }
 
-    /// Returns the pace of an answer that comes from another region.
+    /// Returns the pacer of an answer that comes from another region.
     fn pacer(&self, slot: &Slot) -> Option<Pacer> {
         let place = &slot.choice().place;
         let region = self
@@ -310,18 +320,19 @@
         ))
     }
 
-    /// Sends the request again after a failure if that is allowed.
-    async fn failed(&mut self, mut slot: Slot, e: SendError) -> Result<(), Refusal> {
-        slot.finish(Completion::Failed);
+    /// Retries the request after a failed attempt, or returns the refusal if no
+    /// other attempt is running and a retry is not allowed.
+    async fn on_failure(&mut self, mut slot: Slot, e: SendError) -> Result<(), Refusal> {
+        slot.set_completion(Completion::Failed);
         let sent = matches!(e, SendError::Unknown { .. });
         self.sent |= sent;
         if sent {
-            self.suspect |= crashes::strike(self.state, &self.job, &e).await;
-        } else if let Some(won) = &mut self.won {
-            won.unsent();
+            self.suspect |= crashes::record_strike(self.state, &self.job, &e).await;
+        } else if let Some(claim) = &mut self.claim {
+            claim.mark_unsent();
         }
         drop(slot);
-        if !self.sending.is_empty() || self.retry(sent).await {
+        if !self.in_flight.is_empty() || self.retry(sent).await {
             return Ok(());
         }
         if self.sent {
@@ -330,13 +341,14 @@
         Err(Refusal::not_run(Code::TargetUnreachable, e.to_string()).retry_after(Millis(1_000)))
     }
 
-    /// Sends the request once more, if budget, time and units allow.
+    /// Retries the request if the retry budget, the deadline and free slots
+    /// allow it. Returns whether it was sent.
     async fn retry(&mut self, sent: bool) -> bool {
-        if !self.job.is_kept() {
+        if !self.job.is_repeatable() {
             return false;
         }
         let now = self.now();
-        let mut attempt = self.job.attempt(sent, self.count(), self.first);
+        let mut attempt = self.job.attempt(sent, self.attempts(), self.first_sent);
         attempt.strikes = {
             let strikes = self
                 .state
@@ -345,18 +357,18 @@
                 .unwrap_or_else(PoisonError::into_inner);
             strikes.count(self.job.fingerprint, now)
         };
-        let decide = |s: &mut Service| s.budget.retry(now, &mut rand::rng(), &attempt);
-        let Some(Ok(delay)) = self.state.services.get(&self.job.service, decide) else {
+        let withdraw = |s: &mut Service| s.budget.retry(now, &mut rand::rng(), &attempt);
+        let Some(Ok(delay)) = self.state.services.get(&self.job.service, withdraw) else {
             return false;
         };
         tokio::time::sleep(delay.duration()).await;
-        if let Some(slot) = grants::acquire_extra(self.state, &self.job, &self.tried) {
+        if let Some(slot) = grants::acquire_extra(self.state, &self.job, &self.tried_targets) {
             let retries = &self.state.ports.metrics.retries;
             retries.get_or_create(&self.label()).inc();
             return self.send(slot).is_ok();
         }
         if !sent {
-            // It has not run anywhere, so it may wait for a slot once more.
+            // No target has run it, so it may wait for a slot again.
             return match grants::acquire(self.state, &self.job).await {
                 Ok(slot) => self.send(slot).is_ok(),
                 Err(_) => false,
@@ -368,8 +380,9 @@
         false
     }
 
-    fn late(&self) -> Refusal {
-        let targets: Vec<String> = self.tried.iter().map(ToString::to_string).collect();
+    /// Returns the refusal of a request without an answer before its deadline.
+    fn deadline_refusal(&self) -> Refusal {
+        let targets: Vec<String> = self.tried_targets.iter().map(ToString::to_string).collect();
         let detail = format!(
             "answer from {}: none before the deadline",
             targets.join(", ")
@@ -378,8 +391,8 @@
     }
 }
 
-/// Returns for how long a target that refuses work wants to be left alone.
-fn shed(resp: &Response<Body>) -> Option<Millis> {
+/// Returns how long a target that sheds load asks to get no requests.
+fn shed_duration(resp: &Response<Body>) -> Option<Millis> {
     if resp.status() != StatusCode::SERVICE_UNAVAILABLE {
         return None;
     }
@@ -388,9 +401,9 @@
     Some(Millis(seconds.saturating_mul(1000)))
 }
 
-/// Returns what a target says of its load with an answer: running and waiting
-/// requests in parts of its slots.
-fn report(resp: &Response<Body>, now: Millis) -> Option<LoadReport> {
+/// Returns the load that a target reports with an answer: its running and
+/// waiting requests divided by its slots.
+fn load_report(resp: &Response<Body>, now: Millis) -> Option<LoadReport> {
     let load: f64 = resp.headers().get("x-load")?.to_str().ok()?.parse().ok()?;
     load.is_finite().then_some(LoadReport {
         measured_at: now,
--- a/src/app/entry/claims.rs
+++ b/src/app/entry/claims.rs
@@ -1,4 +1,4 @@
-//! Claims of keyed requests.
+//! Claims on idempotency keys, which let a keyed request run at most once.
 
 use std::sync::Arc;
 
@@ -22,8 +22,9 @@
     ports::Body,
 };
 
-/// How long homes may take to vote. A round trip between regions takes 70 ms.
-const VOTE: Millis = Millis(1_000);
+/// The time limit for the votes of the homes. A round trip between regions
+/// takes 70 ms.
+const VOTE_TIMEOUT: Millis = Millis(1_000);
 
 impl State {
     /// Returns the homes of a key.
@@ -31,10 +32,14 @@
         self.fleet.rosters().claims[0].homes(key.bucket())
     }
 
-    /// Asks the homes until there is a decision.
-    async fn count_votes(self: &Arc<Self>, claimant: &mut Claimant, deadline: Millis) -> Decision {
+    /// Asks the homes for their votes until there is a decision.
+    async fn collect_votes(
+        self: &Arc<Self>,
+        claimant: &mut Claimant,
+        deadline: Millis,
+    ) -> Decision {
         let now = (self.ports.clock.now)();
-        let until = deadline.min(now + VOTE);
+        let vote_deadline = deadline.min(now + VOTE_TIMEOUT);
         let votes = claimant.votes();
         let mut asked: FuturesUnordered<_> = votes
             .into_iter()
@@ -47,7 +52,7 @@
             })
             .collect();
         loop {
-            let left = until - (self.ports.clock.now)();
+            let left = vote_deadline - (self.ports.clock.now)();
             match timeout(left.duration(), asked.next()).await {
                 Ok(Some((home, Some(Response::Vote(epoch, reply))))) => {
                     if let Some(decision) = claimant.on_reply(&home, epoch, reply) {
@@ -56,15 +61,15 @@
                 }
                 Ok(Some(_)) => {}
                 Ok(None) | Err(_) => {
-                    let lost = claimant.on_timeout();
-                    return lost
+                    let decision = claimant.on_timeout();
+                    return decision
                         .unwrap_or_else(|| Decision::Unavailable("no home answered".to_owned()));
                 }
             }
         }
     }
 
-    /// Sends a request to a home, which may be this entry.
+    /// Sends a request to a home. This entry may be that home.
     pub(super) async fn ask_home(
         self: &Arc<Self>,
         home: &Member,
@@ -79,13 +84,14 @@
         replies.ok()?.pop()
     }
 
-    /// Frees the key of an attempt that was not dispatched.
+    /// Releases the key of an attempt that was not dispatched.
     fn release_claim(self: &Arc<Self>, claimant: &mut Claimant, key: &ClaimKey) {
         let newest = self.homes(key);
         self.notify_homes(claimant.release(&newest));
     }
 
-    /// Records the end of an attempt that was dispatched.
+    /// Records the answer of an attempt that was dispatched, or that it was
+    /// lost.
     fn finish_claim(
         self: &Arc<Self>,
         claimant: &mut Claimant,
@@ -105,8 +111,8 @@
         self.send_outbox();
     }
 
-    /// Sends the releases and answers that are due. They are repeated until each
-    /// home has acknowledged them.
+    /// Sends the releases and answers that are due. Each is sent again until
+    /// its home has acknowledged it.
     pub(super) fn send_outbox(self: &Arc<Self>) {
         let now = (self.ports.clock.now)();
         let due = self.claims.outbox().due(now);
@@ -121,21 +127,21 @@
     }
 }
 
-/// What became of a request's claim.
-pub(super) enum Claimed {
-    /// The request needs none.
+/// The outcome of a claim.
+pub(super) enum ClaimOutcome {
+    /// The request has no key and needs no claim.
     Unkeyed,
-    /// It may be dispatched once.
-    Won(Won),
-    /// It was executed before, with this answer.
+    /// The request may be dispatched once.
+    Won(WonClaim),
+    /// The request was executed before, and this answer was recorded.
     Answered(http::Response<Body>),
 }
 
 /// The right to dispatch a request once.
 ///
-/// Dropping it before the dispatch frees the key. Dropping it after the dispatch
-/// records that the answer was lost.
-pub(super) struct Won {
+/// Dropping it before the dispatch releases the key. Dropping it after the
+/// dispatch records that the answer was lost.
+pub(super) struct WonClaim {
     state: Arc<State>,
     key: ClaimKey,
     claimant: Claimant,
@@ -145,10 +151,10 @@
 ///
 /// # Errors
 ///
-/// Refuses the request if another attempt has the key or no quorum answers.
-pub(super) async fn claim(state: &Arc<State>, job: &Job) -> Result<Claimed, Refusal> {
+/// Refuses the request if another attempt holds the key or no quorum answers.
+pub(super) async fn claim(state: &Arc<State>, job: &Job) -> Result<ClaimOutcome, Refusal> {
     let Some(key) = job.key.clone() else {
-        return Ok(Claimed::Unkeyed);
+        return Ok(ClaimOutcome::Unkeyed);
     };
     let now = (state.ports.clock.now)();
     let homes = state.homes(&key);
@@ -159,32 +165,32 @@
         claimant: state.claims.me().clone(),
         epoch: homes.epoch,
     };
-    let mut won = Won {
+    let mut won = WonClaim {
         state: state.clone(),
         key,
         claimant: Claimant::new(vote, homes, now),
     };
-    let decision = state.count_votes(&mut won.claimant, job.deadline).await;
+    let decision = state.collect_votes(&mut won.claimant, job.deadline).await;
     match decision {
-        Decision::Won => Ok(Claimed::Won(won)),
+        Decision::Won => Ok(ClaimOutcome::Won(won)),
         Decision::Finished(Some(answer)) if answer.body.is_some() => {
-            Ok(Claimed::Answered(replay(&answer)))
+            Ok(ClaimOutcome::Answered(replay(&answer)))
         }
         decision => match decision.refusal(&mut rand::rng()) {
             Some(refusal) => Err(refusal),
-            None => Ok(Claimed::Won(won)),
+            None => Ok(ClaimOutcome::Won(won)),
         },
     }
 }
 
-impl Won {
-    /// Tells whether the request may be written to a target now.
+impl WonClaim {
+    /// Returns whether the request may be sent to a target now.
     pub fn dispatch(&mut self, now: Millis) -> bool {
         self.claimant.dispatch(now)
     }
 
-    /// Notes that nothing of the dispatched request was written.
-    pub fn unsent(&mut self) {
+    /// Marks the dispatched request as unsent: no byte of it was written.
+    pub fn mark_unsent(&mut self) {
         self.claimant.unsent();
     }
 
@@ -196,15 +202,16 @@
     }
 }
 
-impl Drop for Won {
+impl Drop for WonClaim {
     fn drop(&mut self) {
-        // Only one of the two has an effect, which depends on the dispatch.
+        // The first call has an effect only before the dispatch, the second
+        // only after it.
         self.state.release_claim(&mut self.claimant, &self.key);
         self.state.finish_claim(&mut self.claimant, &self.key, None);
     }
 }
 
-/// Returns a recorded answer.
+/// Returns a recorded answer as a response.
 fn replay(answer: &Answer) -> http::Response<Body> {
     let body = answer.body.clone().unwrap_or_default();
     let mut resp = http::Response::new(Full::new(body).map_err(|never| match never {}).boxed());
--- a/src/app/entry/control/documents.rs
+++ b/src/app/entry/control/documents.rs
@@ -8,7 +8,7 @@
         ini::{parse_document, print_document},
         store::{documents::Arrival, roster as encoding},
     },
-    app::entry::{State, fleet::ROSTER},
+    app::entry::{State, fleet::ROSTER_NAME},
     domain::{Revision, ServiceName},
     policy::{
         document::{Adoption, Content},
@@ -36,7 +36,7 @@
                     format!("{service} to revision {revision}"),
                 );
             }
-            state.fleet.spread().on_adopted(&service, revision);
+            state.fleet.dissemination().on_adopted(&service, revision);
             (state.events.emit)(
                 Kind::RevisionAdopted,
                 format!("{service} revision {revision}"),
@@ -56,7 +56,7 @@
         revision,
         text,
     } = body;
-    if service.as_str() == ROSTER {
+    if service.as_str() == ROSTER_NAME {
         if let Some(record) = text.and_then(|t| encoding::decode(&t).ok()) {
             state.adopt_roster(record);
         }
@@ -85,7 +85,7 @@
 }
 
 fn body(state: &State, service: &ServiceName) -> Option<DocumentBody> {
-    if service.as_str() == ROSTER {
+    if service.as_str() == ROSTER_NAME {
         let rosters = state.fleet.rosters();
         let text = encoding::encode(&rosters.record).ok()?;
         return Some(DocumentBody {
--- a/src/app/entry/control/gossip.rs
+++ b/src/app/entry/control/gossip.rs
@@ -23,7 +23,7 @@
     let mut known = Vec::new();
     every(PERIOD, move || {
         let now = (state.ports.clock.now)();
-        if state.fleet.has_strangers() {
+        if state.fleet.has_unknown_entries() {
             state.fleet.members().request_sync();
         }
         let actions = state.fleet.members().tick(now, &mut rand::rng());
@@ -32,7 +32,7 @@
         }
         report(&state);
         let candidates = state.fleet.candidates(now);
-        if !fleet::same(&known, &candidates) {
+        if !fleet::same_entries(&known, &candidates) {
             show(&state, &candidates);
             known = candidates;
         }
@@ -45,8 +45,11 @@
 /// Sends the messages of dissemination that are due.
 pub(super) fn disseminate(state: &Arc<State>) {
     let now = (state.ports.clock.now)();
-    let others = state.fleet.others();
-    let actions = state.fleet.spread().tick(now, &others, &mut rand::rng());
+    let others = state.fleet.other_entries();
+    let actions = state
+        .fleet
+        .dissemination()
+        .tick(now, &others, &mut rand::rng());
     for action in actions {
         beside(fetch(state.clone(), action));
     }
@@ -85,7 +88,7 @@
 async fn act(state: Arc<State>, action: Action) {
     let fleet = &state.fleet;
     let sender = fleet.sender();
-    let root = fleet.spread().root();
+    let root = fleet.dissemination().root();
     let now = || (state.ports.clock.now)();
     match action {
         Action::Probe { to, nonce, updates } => {
@@ -141,12 +144,12 @@
         .members()
         .on_ack(now, from, ack.nonce, ack.updates);
     let agrees = {
-        let mut spread = state.fleet.spread();
+        let mut spread = state.fleet.dissemination();
         spread.on_root(from, ack.root);
         spread.root() == ack.root
     };
     if agrees {
-        state.set_informed();
+        state.set_documents_loaded();
     }
 }
 
@@ -176,7 +179,10 @@
         return;
     };
     if let Ok(reply) = grpc::fetch(&state.fleet.peers, address, request).await {
-        state.fleet.spread().on_announce(to, &reply.revisions);
+        state
+            .fleet
+            .dissemination()
+            .on_announce(to, &reply.revisions);
         disseminate(state);
     }
 }
@@ -193,14 +199,17 @@
         None => None,
     };
     let Some(reply) = reply else {
-        state.fleet.spread().on_error(from, &services);
+        state.fleet.dissemination().on_error(from, &services);
         return;
     };
     let received = reply.bodies.len();
     for body in reply.bodies {
         documents::receive(state, body);
     }
-    state.fleet.spread().on_pulled(from, &services, received);
+    state
+        .fleet
+        .dissemination()
+        .on_pulled(from, &services, received);
     // Passing a revision on at once, and not at the next period, is what keeps
     // the way through the fleet short.
     disseminate(state);
--- a/src/app/entry/control/limits.rs
+++ b/src/app/entry/control/limits.rs
@@ -30,8 +30,8 @@
             }
             out.extend(ledger.tick(now));
         });
-        state.post(out);
-        state.pump_waiting();
+        state.enqueue_messages(out);
+        state.start_all_queued();
     })
     .await;
 }
@@ -71,7 +71,7 @@
         let out = state
             .limits
             .get(&name, |l| l.on_message(&from, &to, item, now));
-        state.post(out.unwrap_or_default());
+        state.enqueue_messages(out.unwrap_or_default());
     }
-    state.pump_waiting();
+    state.start_all_queued();
 }
--- a/src/app/entry/control/measures.rs
+++ b/src/app/entry/control/measures.rs
@@ -81,7 +81,7 @@
     state.services.each(|_, s| used += s.waiting() as u64);
     let level = gauge.observe(used, state.settings.connections.into());
     // An entry that is not ready has no slots.
-    let unready = state.unready().is_some();
+    let unready = state.unready_reason().is_some();
     state.fleet.members().set_load(match level {
         _ if unready => Load::Severe,
         LoadLevel::Normal => Load::Normal,
--- a/src/app/entry/control/routes.rs
+++ b/src/app/entry/control/routes.rs
@@ -53,7 +53,7 @@
     let from = &probe.sender.entry;
     let updates = state.fleet.members().on_probe(now, from, probe.updates);
     let root = {
-        let mut spread = state.fleet.spread();
+        let mut spread = state.fleet.dissemination();
         spread.on_root(from, probe.root);
         spread.root()
     };
@@ -69,7 +69,7 @@
     let now = (state.ports.clock.now)();
     let Relay { probe, target, to } = relay;
     let updates = state.fleet.members().on_relay(now, &target, probe.updates);
-    let root = state.fleet.spread().root();
+    let root = state.fleet.dissemination().root();
     let probe = Probe {
         sender: state.fleet.sender(),
         nonce: probe.nonce,
@@ -97,7 +97,7 @@
 
 fn fetched(state: &Arc<State>, fetch: &Fetch) -> FetchReply {
     let (revisions, root) = {
-        let mut spread = state.fleet.spread();
+        let mut spread = state.fleet.dissemination();
         spread.on_announce(&fetch.sender.entry, &fetch.announced);
         let summary = fetch.summary.as_ref();
         let revisions = summary.map(|s| spread.on_compare(s, &mut rand::rng()));
--- a/src/app/entry/control/shifts.rs
+++ b/src/app/entry/control/shifts.rs
@@ -53,7 +53,7 @@
     let demand = demand(state);
     let mut events = Vec::new();
     state.services.each(|name, s| {
-        s.localize(&state.settings.region, &demand);
+        s.compute_local_weights(&state.settings.region, &demand);
         let Some(shift) = &mut s.shift else {
             return;
         };
@@ -93,7 +93,7 @@
 
 /// Returns the least advanced shares that a few peers report.
 async fn ask(state: &Arc<State>) -> BTreeMap<ServiceName, Progress> {
-    let others = state.fleet.others();
+    let others = state.fleet.other_entries();
     let asked = others.choose_multiple(&mut rand::rng(), ASKED);
     let calls = asked.map(|to| async move {
         let address = state.fleet.address(to)?;
--- a/src/app/entry/control/store.rs
+++ b/src/app/entry/control/store.rs
@@ -33,7 +33,7 @@
         return;
     }
     let start = (state.ports.clock.now)();
-    while state.fleet.others().is_empty() && (state.ports.clock.now)() - start < ALONE {
+    while state.fleet.other_entries().is_empty() && (state.ports.clock.now)() - start < ALONE {
         jitter(Millis(100)).await;
     }
 }
@@ -67,7 +67,7 @@
     let roster = (store.list)(encoding::KEY).await?;
     take_all(state, &documents);
     take_all(state, &roster);
-    state.set_informed();
+    state.set_documents_loaded();
     gossip::disseminate(state);
     let mut documents = open(state, records::PREFIX, documents.revision).await?;
     let mut roster = open(state, encoding::KEY, roster.revision).await?;
--- a/src/app/entry/control/strikes.rs
+++ b/src/app/entry/control/strikes.rs
@@ -39,7 +39,7 @@
         strikes(&state).tick(now);
         let page = strikes(&state).page(after, PAGE, now);
         after = page.last().map(|s| s.fingerprint);
-        let others = state.fleet.others();
+        let others = state.fleet.other_entries();
         if let (Some(to), false) = (others.choose(&mut rand::rng()), page.is_empty()) {
             beside(tell(state.clone(), to.clone(), page));
         }
@@ -50,7 +50,7 @@
 /// Tells the peers of a strike, and returns when they know or when the time that
 /// a caller may wait for it is over.
 pub(in crate::app::entry) async fn notify(state: &Arc<State>, strike: Strike) {
-    let others = state.fleet.others();
+    let others = state.fleet.other_entries();
     let chosen: Vec<EntryId> = others
         .choose_multiple(&mut rand::rng(), FANOUT)
         .cloned()
--- a/src/app/entry/crashes.rs
+++ b/src/app/entry/crashes.rs
@@ -1,4 +1,4 @@
-//! Requests that break the connections to their targets.
+//! Requests that crash their targets, seen as broken connections.
 
 use std::sync::{Arc, PoisonError};
 
@@ -15,10 +15,10 @@
     ports::SendError,
 };
 
-/// A fingerprint under trial, which ends when this value is dropped.
+/// A trial of a suspected request. It ends when this value is dropped.
 pub(super) struct Trial<'a> {
     state: &'a Arc<State>,
-    job: Fingerprint,
+    fingerprint: Fingerprint,
 }
 
 impl Drop for Trial<'_> {
@@ -28,10 +28,12 @@
             .strikes
             .lock()
             .unwrap_or_else(PoisonError::into_inner);
-        strikes.end_trial(self.job);
+        strikes.end_trial(self.fingerprint);
     }
 }
 
+/// Admits a request unless its fingerprint is blocked. Returns a trial if it is
+/// suspected.
 pub(super) fn admit<'a>(state: &'a Arc<State>, job: &Job) -> Result<Option<Trial<'a>>, Refusal> {
     let now = (state.ports.clock.now)();
     let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
@@ -39,7 +41,7 @@
         Admission::Free => Ok(None),
         Admission::Trial => Ok(Some(Trial {
             state,
-            job: job.fingerprint,
+            fingerprint: job.fingerprint,
         })),
         Admission::Refused(refusal) => {
             drop(strikes);
@@ -50,8 +52,8 @@
     }
 }
 
-/// Clears the strikes against a request that was executed after all.
-pub(super) fn absolve(state: &Arc<State>, job: &Job) {
+/// Clears the strikes against a request that has now succeeded.
+pub(super) fn clear_strikes(state: &Arc<State>, job: &Job) {
     let now = (state.ports.clock.now)();
     let cleared = {
         let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
@@ -63,8 +65,9 @@
     }
 }
 
-/// Counts a broken connection against the request. Returns whether it counts.
-pub(super) async fn strike(state: &Arc<State>, job: &Job, e: &SendError) -> bool {
+/// Records a strike against a request that broke a connection. Returns whether
+/// the failure counts as one.
+pub(super) async fn record_strike(state: &Arc<State>, job: &Job, e: &SendError) -> bool {
     let SendError::Unknown {
         broken: true, peer, ..
     } = e
@@ -78,12 +81,12 @@
         leaving: is_leaving(state, job, *peer, now),
     };
     let fingerprint = job.fingerprint;
-    let known = {
+    let recently_succeeded = {
         let successes = state.successes.lock();
         let successes = successes.unwrap_or_else(PoisonError::into_inner);
         successes.contains(fingerprint, now)
     };
-    if !is_strike(failure, known) {
+    if !is_strike(failure, recently_succeeded) {
         return false;
     }
     let text = format!(
@@ -95,14 +98,14 @@
         let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
         strikes.strike(fingerprint, now)
     };
-    // The caller may repeat the request through another entry as soon as it has
-    // its answer, so the others have to know first.
+    // The caller may repeat the request through another entry as soon as it
+    // gets its answer, so the other entries must have the strike before that.
     control::notify(state, strike).await;
     true
 }
 
 fn is_leaving(state: &State, job: &Job, target: TargetId, now: Millis) -> bool {
-    let known = |s: &mut Service| s.pool.state(now, target);
-    let known = state.services.get(&job.service, known);
-    known.flatten() == Some(target::State::Leaving)
+    let state_of = |s: &mut Service| s.pool.state(now, target);
+    let target_state = state.services.get(&job.service, state_of);
+    target_state.flatten() == Some(target::State::Leaving)
 }
--- a/src/app/entry/decisions.rs
+++ b/src/app/entry/decisions.rs
@@ -1,4 +1,4 @@
-//! The latest decisions, for `explain`.
+//! The latest routing decisions, for `explain`.
 
 use std::{collections::VecDeque, fmt, sync::Arc};
 
@@ -7,41 +7,43 @@
     ports::admin::Decision,
 };
 
-/// How many decisions are kept for each service. They answer "why did this
-/// request go there", which is asked of the last few; counts are in the metrics.
-const KEPT: usize = 32;
+/// The maximum number of decisions that are kept per service. `explain` is used
+/// to ask about the last few requests; totals are in the metrics.
+const MAX_DECISIONS: usize = 32;
 
-/// The longest request line that a decision keeps, since callers choose it.
-const REQUEST_MAX: usize = 200;
+/// The maximum length of a request line in a decision. Callers choose the line,
+/// so its length must be limited.
+const MAX_REQUEST_BYTES: usize = 200;
 
-/// The latest decisions of an entry. Clones share them.
+/// The latest decisions of an entry, per service. Clones share them.
 #[derive(Clone, Default)]
 pub struct Decisions {
     shards: Arc<Shards<ServiceName, VecDeque<Decision>>>,
 }
 
 impl Decisions {
-    /// Notes a decision. The caller names only services that have a document,
-    /// so that requests for other names take no memory.
-    pub fn note(&self, service: ServiceName, mut decision: Decision) {
-        if decision.request.len() > REQUEST_MAX {
-            let end = (0..=REQUEST_MAX)
+    /// Records a decision and drops the oldest one if necessary. Call it only
+    /// for services that have a document: requests for other names must take no
+    /// memory.
+    pub fn record(&self, service: ServiceName, mut decision: Decision) {
+        if decision.request.len() > MAX_REQUEST_BYTES {
+            let end = (0..=MAX_REQUEST_BYTES)
                 .rev()
                 .find(|n| decision.request.is_char_boundary(*n));
             decision.request.truncate(end.unwrap_or(0));
         }
-        self.shards.with(service, VecDeque::new, |kept| {
-            if kept.len() == KEPT {
-                kept.pop_front();
+        self.shards.with(service, VecDeque::new, |decisions| {
+            if decisions.len() == MAX_DECISIONS {
+                decisions.pop_front();
             }
-            kept.push_back(decision);
+            decisions.push_back(decision);
         });
     }
 
-    /// Returns the decisions for a service, the oldest first.
+    /// Returns the decisions for a service, oldest first.
     #[must_use]
     pub fn read(&self, service: &ServiceName) -> Vec<Decision> {
-        let read = |kept: &mut VecDeque<Decision>| kept.iter().cloned().collect();
+        let read = |decisions: &mut VecDeque<Decision>| decisions.iter().cloned().collect();
         self.shards.get(service, read).unwrap_or_default()
     }
 }
--- a/src/app/entry/events.rs
+++ b/src/app/entry/events.rs
@@ -16,18 +16,18 @@
 
 /// Opens an empty timeline.
 ///
-/// Clock and ring share one lock, so that events are in the ring in the order of
-/// their stamps. An entry emits a few events a second at the most, so the lock
-/// needs no shards.
+/// One lock guards the clock and the ring, so the ring holds the events in the
+/// order of their stamps. An entry emits at most a few events per second, so
+/// one lock is enough.
 #[must_use]
 pub fn open(entry: EntryId, clock: &Clock, metrics: &Metrics) -> Events {
     let shared = Arc::new(Mutex::new(Timeline {
         clock: HybridClock::new(entry),
         ring: Ring::default(),
     }));
-    let (emitting, reading) = (shared.clone(), shared.clone());
-    let (stamping, receiving) = (shared.clone(), shared);
-    let (wall, stamp_wall, receive_wall) =
+    let (emit_timeline, read_timeline) = (shared.clone(), shared.clone());
+    let (stamp_timeline, receive_timeline) = (shared.clone(), shared);
+    let (emit_wall, stamp_wall, receive_wall) =
         (clock.wall.clone(), clock.wall.clone(), clock.wall.clone());
     let metrics = metrics.clone();
     Events {
@@ -37,21 +37,23 @@
                 kind: kind.to_string(),
             };
             metrics.events.get_or_create(&labels).inc();
-            let mut timeline = lock(&emitting);
-            let stamp = timeline.clock.tick(wall());
+            let mut timeline = lock(&emit_timeline);
+            let stamp = timeline.clock.tick(emit_wall());
             tracing::info!("{}: {kind} at {}: {text}.", kind.part(), stamp.entry);
             timeline.ring.push(Event { stamp, kind, text });
         }),
         read: Arc::new(move |query| {
-            let timeline = lock(&reading);
+            let timeline = lock(&read_timeline);
             let after = query.after.as_ref();
             timeline.ring.after(after, query.part, query.limit)
         }),
-        stamp: Arc::new(move || lock(&stamping).clock.tick(stamp_wall())),
+        stamp: Arc::new(move || lock(&stamp_timeline).clock.tick(stamp_wall())),
         receive: Arc::new(move |stamp: &Stamp| {
-            let accepted = lock(&receiving).clock.receive(stamp, receive_wall());
+            let accepted = lock(&receive_timeline).clock.receive(stamp, receive_wall());
             if !accepted {
-                tracing::warn!("timeline: the stamp {stamp} is too far ahead and not adopted.");
+                tracing::warn!(
+                    "timeline: stamp {stamp} ignored, it is too far ahead of the local clock."
+                );
             }
         }),
     }
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -1,4 +1,4 @@
-//! What an entry knows of the other entries.
+//! The other entries: membership, rosters, and connections to them.
 
 use std::{
     net::SocketAddr,
@@ -22,37 +22,37 @@
     ports::Events,
 };
 
-/// The name under which the roster is disseminated beside the documents. No
-/// service has it, since a service's name does not begin with a dot.
-pub(super) const ROSTER: &str = ".roster";
+/// The name under which the roster is disseminated together with the documents.
+/// Names of services do not begin with a dot, so no service has it.
+pub(super) const ROSTER_NAME: &str = ".roster";
 
-/// How long a call to another entry may take. A round trip between regions takes
-/// 70 ms.
-const CALL: Millis = Millis(1_000);
+/// The time limit for a call to another entry. A round trip between regions
+/// takes 70 ms.
+const CALL_TIMEOUT: Millis = Millis(1_000);
 
-/// A roster in the forms in which decisions need it.
+/// A roster, converted to the types that limits and claims use.
 #[derive(Debug, Default)]
 pub struct Rosters {
-    /// As the store has it, with the one before.
+    /// The record in the store: the current and the former roster.
     pub record: RosterRecord,
-    /// For limits.
+    /// The current roster for limits.
     pub limits: Arc<limit::Roster>,
-    /// For claims, in force and before.
+    /// The current and the former roster for claims.
     pub claims: [once::Roster; 2],
 }
 
 impl Rosters {
-    /// Converts what the store has.
+    /// Converts the record of the store.
     #[must_use]
     pub fn new(record: RosterRecord) -> Self {
-        let seat = |s: &member::Seat| limit::RosterMember {
+        let limit_member = |s: &member::Seat| limit::RosterMember {
             member: limit::Member {
                 entry: s.entry.clone(),
                 incarnation: s.incarnation,
             },
             leaving: false,
         };
-        let entry = |s: &member::Seat| once::RosterEntry {
+        let claim_entry = |s: &member::Seat| once::RosterEntry {
             member: once::Member {
                 entry: s.entry.clone(),
                 incarnation: s.incarnation,
@@ -60,9 +60,13 @@
             region: s.region.clone(),
             az: s.az.clone(),
         };
-        let claims = |r: &member::Roster| once::Roster::new(r.epoch, r.seats.iter().map(entry));
+        let claims =
+            |r: &member::Roster| once::Roster::new(r.epoch, r.seats.iter().map(claim_entry));
         let current = &record.current;
-        let limits = limit::Roster::new(current.epoch, current.seats.iter().map(seat).collect());
+        let limits = limit::Roster::new(
+            current.epoch,
+            current.seats.iter().map(limit_member).collect(),
+        );
         Self {
             limits: Arc::new(limits),
             claims: [claims(current), claims(&record.former)],
@@ -70,30 +74,31 @@
         }
     }
 
-    /// Returns the epoch in force.
+    /// Returns the epoch of the current roster.
     #[must_use]
     pub fn epoch(&self) -> Epoch {
         self.record.current.epoch
     }
 }
 
-/// The other entries: who they are, what they have, and how to reach them.
+/// The other entries: their membership, the revisions that they have, and the
+/// channels to them.
 ///
-/// Membership, dissemination and the roster each have a lock of their own. They
-/// are never held together.
+/// Membership, dissemination and the rosters have separate locks, of which no
+/// thread holds two at the same time.
 #[derive(Debug)]
 pub struct Fleet {
     members: Mutex<Members>,
-    spread: Mutex<Dissemination>,
+    dissemination: Mutex<Dissemination>,
     rosters: RwLock<Arc<Rosters>>,
     /// Channels to other entries.
     pub peers: Peers,
-    /// What they have carried.
+    /// Counts of what was sent over the channels.
     pub traffic: Arc<Traffic>,
 }
 
 impl Fleet {
-    /// Returns a fleet of which only this entry is known.
+    /// Returns a fleet that knows only this entry.
     #[must_use]
     pub fn new(settings: &Settings, incarnation: Incarnation, events: &Events) -> Self {
         let me = member::Member {
@@ -106,7 +111,7 @@
             callers: settings.callers,
             admin: settings.admin,
             peers: settings.peers,
-            // It has no slots yet, so callers should try others first.
+            // It has no slots yet, so callers should try other entries first.
             load: Load::Severe,
         };
         let traffic: Arc<Traffic> = Arc::default();
@@ -116,9 +121,9 @@
                 settings.seeds.clone(),
                 member::Tuning::default(),
             )),
-            spread: Mutex::new(Dissemination::new(spread::Tuning::default())),
+            dissemination: Mutex::new(Dissemination::new(spread::Tuning::default())),
             rosters: RwLock::default(),
-            peers: Peers::new(CALL, traffic.clone()).with_events(events.clone()),
+            peers: Peers::new(CALL_TIMEOUT, traffic.clone()).with_events(events.clone()),
             traffic,
         }
     }
@@ -129,11 +134,13 @@
     }
 
     /// Locks the dissemination of revisions.
-    pub fn spread(&self) -> MutexGuard<'_, Dissemination> {
-        self.spread.lock().unwrap_or_else(PoisonError::into_inner)
+    pub fn dissemination(&self) -> MutexGuard<'_, Dissemination> {
+        self.dissemination
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the roster in force.
+    /// Returns the current rosters.
     #[must_use]
     pub fn rosters(&self) -> Arc<Rosters> {
         self.rosters
@@ -142,7 +149,8 @@
             .clone()
     }
 
-    /// Puts a roster in force if its epoch is greater. Returns whether it was.
+    /// Replaces the rosters if the new epoch is greater. Returns whether they
+    /// were replaced.
     pub(super) fn set_rosters(&self, rosters: Rosters) -> bool {
         let mut current = self.rosters.write().unwrap_or_else(PoisonError::into_inner);
         if rosters.epoch() <= current.epoch() {
@@ -152,7 +160,7 @@
         true
     }
 
-    /// Returns what messages of this entry begin with.
+    /// Returns the sender header of this entry's messages.
     #[must_use]
     pub fn sender(&self) -> Sender {
         let epoch = self.rosters().epoch();
@@ -164,7 +172,8 @@
         }
     }
 
-    /// Returns where an entry takes messages of others.
+    /// Returns the address at which an entry accepts messages from other
+    /// entries.
     #[must_use]
     pub fn address(&self, entry: &EntryId) -> Option<SocketAddr> {
         let known = self.members().get(entry).map(|(m, _)| m.peers);
@@ -172,36 +181,38 @@
         known.or_else(|| rosters.record.addresses.get(entry).copied())
     }
 
-    /// Tells whether the roster lists entries that the membership does not know.
+    /// Returns whether the roster lists entries that the membership does not
+    /// know.
     #[must_use]
-    pub fn has_strangers(&self) -> bool {
+    pub fn has_unknown_entries(&self) -> bool {
         let rosters = self.rosters();
         let members = self.members();
         let seats = &rosters.record.current.seats;
         seats.iter().any(|s| members.get(&s.entry).is_none())
     }
 
-    /// Returns the other entries that are in use.
+    /// Returns the other entries that are alive.
     #[must_use]
-    pub fn others(&self) -> Vec<EntryId> {
+    pub fn other_entries(&self) -> Vec<EntryId> {
         let members = self.members();
         let me = members.local().id.clone();
         let all = members.alive().map(|m| m.id.clone());
         all.filter(|id| *id != me).collect()
     }
 
-    /// Returns the entries as look-ups see them.
+    /// Returns the candidates for look-ups: the entries that have a seat in the
+    /// roster.
     ///
-    /// An entry without a seat in the roster has no units, so callers would wait
-    /// there in vain. During an outage of the store that may last long.
+    /// An entry without a seat has no units, so its callers would wait in vain,
+    /// for as long as an outage of the store lasts.
     #[must_use]
     pub fn candidates(&self, now: Millis) -> Vec<Candidate> {
         let rosters = self.rosters();
         let members = self.members();
-        let seated = |m: &member::Member| {
+        let has_seat = |m: &member::Member| {
             let seats = &rosters.record.current.seats;
-            let holds = |s: &member::Seat| s.entry == m.id && s.incarnation == m.incarnation;
-            seats.iter().any(holds)
+            let belongs = |s: &member::Seat| s.entry == m.id && s.incarnation == m.incarnation;
+            seats.iter().any(belongs)
         };
         let candidate = |(m, state): (&member::Member, State)| Candidate {
             id: m.id.clone(),
@@ -221,20 +232,20 @@
             },
             since: now,
         };
-        let all = members.all().filter(|(m, _)| seated(m));
+        let all = members.all().filter(|(m, _)| has_seat(m));
         all.map(candidate).collect()
     }
 }
 
-/// Tells whether two lists name the same entries in the same states, whatever
-/// the time. Only then may a view be kept.
+/// Returns whether two lists contain the same entries with the same addresses,
+/// levels and states. The times may differ. Only then may a view be reused.
 #[must_use]
-pub(super) fn same(a: &[Candidate], b: &[Candidate]) -> bool {
+pub(super) fn same_entries(a: &[Candidate], b: &[Candidate]) -> bool {
     let key = |c: &Candidate| (c.id.clone(), c.address, c.level, c.state);
     a.len() == b.len() && a.iter().zip(b).all(|(a, b)| key(a) == key(b))
 }
 
-/// Returns an empty view, for an entry that knows nobody yet.
-pub(super) fn no_view() -> View {
+/// Returns an empty view, for an entry that knows no other entries yet.
+pub(super) fn empty_view() -> View {
     View::new(&[], &crate::policy::lookup::Delays::default())
 }
--- a/src/app/entry/grants.rs
+++ b/src/app/entry/grants.rs
@@ -1,4 +1,4 @@
-//! Waiting for a slot, and what happens when one comes back.
+//! Waits for slots, and starts waiting requests when slots are returned.
 
 use std::sync::Arc;
 
@@ -8,8 +8,8 @@
     State,
     job::Job,
     limits::{region_limit, shift_limit, slots_limit},
-    service::{End, Granted, Service},
-    slot::{Slot, Used},
+    service::{Granted, RequestEnd, Service},
+    slot::{Slot, SlotUse},
 };
 use crate::{
     domain::{Lane, Millis, PlaceName, RegionName, ServiceName, TargetId},
@@ -21,14 +21,15 @@
     },
 };
 
-/// A place in the queue, which is given up when its caller goes away.
-struct Wait<'a> {
+/// A request in the queue. Dropping it removes the request, for example when
+/// its caller disconnects.
+struct QueuedRequest<'a> {
     state: &'a Arc<State>,
     service: &'a ServiceName,
     id: WaitId,
 }
 
-impl Drop for Wait<'_> {
+impl Drop for QueuedRequest<'_> {
     fn drop(&mut self) {
         let cancel = |s: &mut Service| s.queue.cancel(self.id);
         self.state.services.get(self.service, cancel);
@@ -39,26 +40,27 @@
 ///
 /// # Errors
 ///
-/// Refuses the request, which has not run, if it gets none in time.
+/// Refuses the request if it gets no slot before its deadline. The request was
+/// not run.
 pub(super) async fn acquire(state: &Arc<State>, job: &Job) -> Result<Slot, Refusal> {
     let now = (state.ports.clock.now)();
-    let place = place_in_time(state, job).await?;
+    let place = wait_for_place(state, job).await?;
     let (grant, granted) = oneshot::channel();
     let ticket = job.ticket(now);
     let offer = |s: &mut Service| s.offer(now, &mut rand::rng(), ticket, place, grant);
     let (id, displaced) = state
         .services
         .get(&job.service, offer)
-        .ok_or_else(|| job.unknown())??;
+        .ok_or_else(|| job.unknown_service())??;
     if let Some((grant, refusal)) = displaced {
         let _ = grant.send(Err(refusal));
     }
     let service = &job.service;
-    let wait = Wait { state, service, id };
-    state.pump(&job.service);
+    let queued = QueuedRequest { state, service, id };
+    state.start_queued(&job.service);
     let left = job.deadline - now;
     let result = timeout(left.duration(), granted).await;
-    drop(wait);
+    drop(queued);
     let Ok(Ok(result)) = result else {
         let detail = format!("queue: no slot within {left}");
         return Err(Refusal::not_run(Code::Overloaded, detail).retry_after(Millis(1_000)));
@@ -68,7 +70,7 @@
     Ok(slot)
 }
 
-/// Takes a slot for a retry or a hedge, if there is one at once.
+/// Takes a slot for a retry or a hedge, if one is free now.
 pub(super) fn acquire_extra(state: &Arc<State>, job: &Job, avoid: &[TargetId]) -> Option<Slot> {
     let now = (state.ports.clock.now)();
     let take =
@@ -79,46 +81,48 @@
     Some(slot)
 }
 
-/// How long a request waits for units of a rate limit that this entry has just
-/// asked for. A round trip between regions takes 70 ms.
-const UNITS: Millis = Millis(300);
+/// The longest wait for units of a rate limit that this entry has requested
+/// from other entries. A round trip between regions takes 70 ms.
+const RATE_UNITS_WAIT: Millis = Millis(300);
 
-/// How often it looks for them.
-const LOOK: Millis = Millis(10);
+/// The interval at which a waiting request checks for these units.
+const RATE_UNITS_POLL: Millis = Millis(10);
 
-/// Chooses the place of a request. If a limit is short of units here, the
-/// request waits until other entries could have lent some.
-async fn place_in_time(state: &Arc<State>, job: &Job) -> Result<PlaceName, Refusal> {
+/// Chooses the place of a request. If this entry lacks units of a limit, the
+/// request waits long enough for other entries to lend some.
+async fn wait_for_place(state: &Arc<State>, job: &Job) -> Result<PlaceName, Refusal> {
     let now = || (state.ports.clock.now)();
-    let until = job.deadline.min(now() + UNITS);
+    let wait_until = job.deadline.min(now() + RATE_UNITS_WAIT);
     loop {
-        match place(state, job) {
-            Err(refusal) if refusal.code == Code::LimitReached && now() < until => {
-                tokio::time::sleep(LOOK.duration()).await;
+        match choose_place(state, job) {
+            Err(refusal) if refusal.code == Code::LimitReached && now() < wait_until => {
+                tokio::time::sleep(RATE_UNITS_POLL.duration()).await;
             }
             result => return result,
         }
     }
 }
 
-/// Chooses the place of a request under the limits of shift and region.
-fn place(state: &Arc<State>, job: &Job) -> Result<PlaceName, Refusal> {
+/// Chooses the place of a request within the cap on shifts and the headroom of
+/// the regions.
+fn choose_place(state: &Arc<State>, job: &Job) -> Result<PlaceName, Refusal> {
     let cap = shift_limit(&job.service);
     let headroom = |r: &RegionName| state.admit(&region_limit(r));
     let choose = |s: &mut Service| {
-        if let Some(place) = s.local_place(&mut rand::rng(), headroom) {
+        if let Some(place) = s.draw_local_place(&mut rand::rng(), headroom) {
             return Ok(place);
         }
-        let shift = s.shift.as_mut().ok_or_else(|| job.unknown())?;
+        let shift = s.shift.as_mut().ok_or_else(|| job.unknown_service())?;
         let place = shift.choose_place(&mut rand::rng(), || state.admit(&cap), headroom);
         place.map(|p| p.name.clone())
     };
     let chosen = state.services.get(&job.service, choose);
-    chosen.unwrap_or_else(|| Err(job.unknown()))
+    chosen.unwrap_or_else(|| Err(job.unknown_service()))
 }
 
 impl State {
-    /// Returns a slot that comes back here.
+    /// Returns a slot that is released by [`State::release_slot`] when it is
+    /// dropped.
     fn slot(
         self: &Arc<Self>,
         service: &ServiceName,
@@ -127,41 +131,42 @@
         permit: Permit,
     ) -> Slot {
         let state = self.clone();
-        let used = Used {
+        let usage = SlotUse {
             service: service.clone(),
             route: String::new(),
             lane,
             choice,
             permit,
-            started: (self.ports.clock.now)(),
-            head: None,
-            finish: Completion::Cancelled,
+            taken_at: (self.ports.clock.now)(),
+            head_time: None,
+            completion: Completion::Cancelled,
         };
-        Slot::new(used, Arc::new(move |used| state.take_back(used)))
+        Slot::new(usage, Arc::new(move |usage| state.release_slot(usage)))
     }
 
-    /// Takes a slot back, learns from its use, and lets the next request start.
-    fn take_back(self: &Arc<Self>, used: Used) {
+    /// Releases a slot, records how the request ended, and starts the next
+    /// request.
+    fn release_slot(self: &Arc<Self>, usage: SlotUse) {
         let now = (self.ports.clock.now)();
-        let total = now - used.started;
-        let end = End {
-            finish: used.finish,
-            head: used.head.unwrap_or(total),
+        let total = now - usage.taken_at;
+        let end = RequestEnd {
+            completion: usage.completion,
+            head_time: usage.head_time.unwrap_or(total),
             total,
-            route: &used.route,
+            route: &usage.route,
         };
-        let (lane, choice) = (used.lane, &used.choice);
+        let (lane, choice) = (usage.lane, &usage.choice);
         self.services
-            .get(&used.service, |s| s.ended(now, lane, choice, end));
+            .get(&usage.service, |s| s.record_end(now, lane, choice, end));
         let limit = slots_limit(choice.target);
-        let permit = used.permit;
+        let permit = usage.permit;
         let release = self.limits.get(&limit, |l| l.release(permit, now));
-        self.post(release.unwrap_or_default());
-        self.pump(&used.service);
+        self.enqueue_messages(release.unwrap_or_default());
+        self.start_queued(&usage.service);
     }
 
     /// Starts waiting requests of all services.
-    pub(super) fn pump_waiting(self: &Arc<Self>) {
+    pub(super) fn start_all_queued(self: &Arc<Self>) {
         let mut waiting = Vec::new();
         self.services.each(|name, s| {
             if s.waiting() > 0 {
@@ -169,19 +174,20 @@
             }
         });
         for name in waiting {
-            self.pump(&name);
+            self.start_queued(&name);
         }
     }
 
-    /// Starts waiting requests of a service as far as units allow. It is called
-    /// whenever a request arrives or ends and whenever units arrive.
-    pub(super) fn pump(self: &Arc<Self>, service: &ServiceName) {
+    /// Starts waiting requests of a service as long as there are units for
+    /// them. Called whenever a request arrives or ends and whenever units
+    /// arrive.
+    pub(super) fn start_queued(self: &Arc<Self>, service: &ServiceName) {
         let now = (self.ports.clock.now)();
-        let next = |s: &mut Service| s.next(now, &mut rand::rng(), &self.limits);
-        let Some(progress) = self.services.get(service, next) else {
+        let start_waiting = |s: &mut Service| s.start_waiting(now, &mut rand::rng(), &self.limits);
+        let Some(progress) = self.services.get(service, start_waiting) else {
             return;
         };
-        self.post(progress.messages);
+        self.enqueue_messages(progress.messages);
         for (grant, refusal) in progress.refused {
             let _ = grant.send(Err(refusal));
         }
@@ -193,7 +199,8 @@
                 permit,
             } = granted;
             let slot = self.slot(service, lane, choice, permit);
-            // If the caller is gone, the slot comes back here and is dropped.
+            // If the caller has disconnected, `send` returns the slot, which is
+            // then dropped and so released.
             let _ = grant.send(Ok(slot));
         }
     }
--- a/src/app/entry/inbound.rs
+++ b/src/app/entry/inbound.rs
@@ -1,4 +1,4 @@
-//! The callers' HTTP interface.
+//! The HTTP interface for callers.
 
 use std::sync::Arc;
 
@@ -22,7 +22,8 @@
         async move {
             let mut resp = handle(&state, &client, req).await;
             if state.is_closing() {
-                // The caller goes to another entry before this one is gone.
+                // The caller then connects to another entry before this one
+                // stops.
                 let close = HeaderValue::from_static("close");
                 resp.headers_mut().insert(header::CONNECTION, close);
             }
@@ -32,6 +33,7 @@
     Router::new().fallback(handler)
 }
 
+/// Answers a request to a service, or a look-up if the Host header names none.
 async fn handle(state: &Arc<State>, client: &Address, req: Request<Body>) -> Response<Body> {
     let host = host(&req);
     let service = host.and_then(|h| h.parse::<ServiceName>().ok());
@@ -48,7 +50,7 @@
         return answer(&Refusal::not_run(Code::UnknownService, detail));
     };
     let name = service.to_string();
-    let result = match inbound(service, req) {
+    let result = match parse_headers(service, req) {
         Ok(inbound) => carry::carry(state, inbound).await,
         Err(refusal) => Err(refusal),
     };
@@ -62,26 +64,28 @@
     }
 }
 
-/// Returns the Host header without its port.
+/// Returns the Host header without the port.
 fn host(req: &Request<Body>) -> Option<&str> {
     let text = req.headers().get(header::HOST)?.to_str().ok()?;
-    // A service name has no colon, so what follows the last one is a port.
+    // A service name contains no colon, so the text after the last colon is the
+    // port.
     Some(text.rsplit_once(':').map_or(text, |(name, _)| name))
 }
 
-fn inbound(service: ServiceName, req: Request<Body>) -> Result<Inbound, Refusal> {
-    let bad = |detail: String| Refusal::not_run(Code::BadRequest, detail);
+/// Parses the headers that say how the request is to be carried.
+fn parse_headers(service: ServiceName, req: Request<Body>) -> Result<Inbound, Refusal> {
+    let bad_request = |detail: String| Refusal::not_run(Code::BadRequest, detail);
     let text = |name: &str| {
         let value = req.headers().get(name).map(|v| v.to_str());
         value
             .transpose()
-            .map_err(|_| bad(format!("header {name}: not ASCII text")))
+            .map_err(|_| bad_request(format!("header {name}: not ASCII text")))
     };
     let deadline = match text("x-deadline-ms")? {
         Some(ms) => match ms.parse() {
             Ok(ms) if ms > 0 => Some(Millis(ms)),
             _ => {
-                return Err(bad(format!(
+                return Err(bad_request(format!(
                     "header x-deadline-ms: found {ms:?}, allowed is a whole number from 1"
                 )));
             }
@@ -91,13 +95,13 @@
     let priority = match text("x-priority")? {
         Some(word) => Some(
             word.parse()
-                .map_err(|e| bad(format!("header x-priority: {e}")))?,
+                .map_err(|e| bad_request(format!("header x-priority: {e}")))?,
         ),
         None => None,
     };
     let key = match text("idempotency-key")? {
         Some(key) if key.is_empty() || key.len() > 128 => {
-            return Err(bad(
+            return Err(bad_request(
                 "header idempotency-key: allowed are 1 to 128 characters".to_owned(),
             ));
         }
--- a/src/app/entry/job.rs
+++ b/src/app/entry/job.rs
@@ -1,4 +1,4 @@
-//! What an entry has to know of a request before it can carry it.
+//! Reads a request and what its service's document says about it.
 
 use std::sync::Arc;
 
@@ -17,45 +17,45 @@
     ports::Body,
 };
 
-/// The longest body that is kept for a second attempt. It equals what a
-/// fingerprint covers.
-const KEPT: usize = 64 * 1024;
+/// The maximum size of a body that is kept for a second attempt. It equals the
+/// part of a body that a fingerprint covers.
+const MAX_KEPT_BYTES: usize = 64 * 1024;
 
-/// A request of a caller, with what its head says of how to carry it.
+/// A request of a caller and the parsed headers that say how to carry it.
 #[derive(Debug)]
 pub(super) struct Inbound {
     /// The service that the Host header names.
     pub service: ServiceName,
-    /// The caller's deadline, if it has one.
+    /// The time until the caller's deadline, if the caller sets one.
     pub deadline: Option<Millis>,
-    /// The key under which a repeat is recognised.
+    /// The idempotency key, by which repeats are recognised.
     pub key: Option<String>,
-    /// The priority, if the caller lowers it.
+    /// The priority, if the caller sets one.
     pub priority: Option<Priority>,
     /// The request.
     pub request: Request<Body>,
 }
 
-/// A request with everything that decisions about it need.
+/// A request with everything that is needed to decide where and when it runs.
 #[derive(Debug)]
 pub(super) struct Job {
     /// The service.
     pub service: ServiceName,
-    /// Until when the head of the answer must be there.
+    /// When the head of the answer must have arrived.
     pub deadline: Millis,
-    /// The expected length, as a class.
+    /// The lane, which is the class of the expected duration.
     pub lane: Lane,
-    /// The expected length.
-    pub length: Millis,
-    /// What is refused last.
+    /// The expected duration.
+    pub expected_duration: Millis,
+    /// The priority. Requests of low priority are refused first.
     pub priority: Priority,
-    /// Whether it may run twice.
+    /// Whether the request may run more than once.
     pub idempotent: bool,
-    /// The key under which it runs at most once, if it may not be repeated.
+    /// The key under which it runs at most once, if it is not idempotent.
     pub key: Option<ClaimKey>,
-    /// The digest of what it asks for.
+    /// The digest of the request.
     pub fingerprint: Fingerprint,
-    /// The route under which its length is learned.
+    /// The route under which its duration is learned.
     pub route: String,
     head: Head,
     content: Content,
@@ -69,9 +69,11 @@
 }
 
 impl Job {
-    /// Reads the beginning of a request's body and what the document says of it.
+    /// Reads the beginning of a request's body and looks up its route in the
+    /// document.
     ///
-    /// The body is read before a slot is taken, so that a slow sender holds none.
+    /// The body is read before a slot is taken, so that a caller that sends
+    /// slowly holds no slot.
     ///
     /// # Errors
     ///
@@ -85,7 +87,7 @@
             request,
         } = inbound;
         let arrived = (state.ports.clock.now)();
-        let unknown = || {
+        let unknown_service = || {
             Refusal::not_run(
                 Code::UnknownService,
                 format!("no document is in force for {service}"),
@@ -95,20 +97,20 @@
         let path = parts.uri.path();
         let facts = state.services.get(&service, |s| {
             let doc = s.document()?;
-            let rule = doc.route(path);
-            let route = rule.map_or_else(|| first_segment(path), |r| r.prefix.clone());
-            let lane = s.lengths.lane(rule.and_then(|r| r.lane), &route);
-            let length = s.lengths.expected(lane, &route);
-            Ok((doc, route, lane, length))
+            let route_rule = doc.route(path);
+            let route = route_rule.map_or_else(|| first_segment(path), |r| r.prefix.clone());
+            let lane = s.durations.lane(route_rule.and_then(|r| r.lane), &route);
+            let expected_duration = s.durations.expected(lane, &route);
+            Ok((doc, route, lane, expected_duration))
         });
-        let (doc, route, lane, length) = facts.ok_or_else(unknown)??;
-        let rule = doc.route(path);
-        let allowed = rule.map(|r| r.priority).unwrap_or_default();
-        let idempotent = rule
+        let (doc, route, lane, expected_duration) = facts.ok_or_else(unknown_service)??;
+        let route_rule = doc.route(path);
+        let max_priority = route_rule.map(|r| r.priority).unwrap_or_default();
+        let idempotent = route_rule
             .and_then(|r| r.idempotent)
             .unwrap_or(parts.method.is_idempotent());
         let deadline = deadline.unwrap_or(doc.deadline);
-        let declared = body_length(&parts.headers);
+        let declared_bytes = content_length(&parts.headers);
         let content = tokio::time::timeout(deadline.duration(), read_body(body)).await;
         let content = content.map_err(|_| {
             Refusal::not_run(
@@ -120,7 +122,7 @@
             &service,
             parts.method.as_str(),
             parts.uri.path_and_query().map_or("/", |p| p.as_str()),
-            declared,
+            declared_bytes,
             content.start(),
         );
         let key = match key.filter(|_| !idempotent) {
@@ -136,9 +138,9 @@
             service,
             deadline: arrived + deadline,
             lane,
-            length,
+            expected_duration,
             // A caller may lower its priority but not raise it.
-            priority: priority.map_or(allowed, |p| p.min(allowed)),
+            priority: priority.map_or(max_priority, |p| p.min(max_priority)),
             idempotent,
             key,
             fingerprint,
@@ -152,24 +154,24 @@
         })
     }
 
-    /// Returns the refusal of a request whose service has no document any more.
-    pub fn unknown(&self) -> Refusal {
+    /// Returns the refusal of a request whose service no longer has a document.
+    pub fn unknown_service(&self) -> Refusal {
         let detail = format!("no document is in force for {}", self.service);
         Refusal::not_run(Code::UnknownService, detail)
     }
 
-    /// Returns what the queue needs.
+    /// Returns what the queue needs to know about the request.
     pub fn ticket(&self, now: Millis) -> Ticket {
         Ticket {
             arrived: now,
             deadline: self.deadline,
             lane: self.lane,
-            expected_duration: self.length,
+            expected_duration: self.expected_duration,
             priority: self.priority,
         }
     }
 
-    /// Returns what decisions about another attempt need.
+    /// Returns what decisions about another attempt need to know.
     pub fn attempt(&self, sent: bool, count: u32, first: Millis) -> Attempt {
         Attempt {
             idempotent: self.idempotent,
@@ -177,13 +179,13 @@
             count,
             first,
             deadline: self.deadline,
-            expected_duration: self.length,
+            expected_duration: self.expected_duration,
             strikes: 0,
             shedding: false,
         }
     }
 
-    /// Returns the request for a target, or none if its body was sent already
+    /// Returns the request for a target, or `None` if its body was sent before
     /// and not kept.
     pub fn request(&mut self, now: Millis) -> Option<Request<Body>> {
         let body = self.content.send()?;
@@ -198,21 +200,23 @@
         Some(request)
     }
 
-    /// Tells whether the request can be sent again.
-    pub fn is_kept(&self) -> bool {
+    /// Returns whether the whole body is kept, so that the request can be sent
+    /// again.
+    pub fn is_repeatable(&self) -> bool {
         self.content.is_whole()
     }
 }
 
-/// Returns `/a` for `/a/b/c`. Whole paths would make one route of each booking.
+/// Returns the first segment of a path: `/a` for `/a/b/c`. Whole paths often
+/// contain the id of an object, which would make each its own route.
 fn first_segment(path: &str) -> String {
     let end = path[1.min(path.len())..]
         .find('/')
-        .map_or(path.len(), |at| at + 1);
+        .map_or(path.len(), |slash| slash + 1);
     path[..end].to_owned()
 }
 
-fn body_length(headers: &HeaderMap) -> Option<u64> {
+fn content_length(headers: &HeaderMap) -> Option<u64> {
     headers
         .get(header::CONTENT_LENGTH)?
         .to_str()
@@ -221,8 +225,8 @@
         .ok()
 }
 
-/// Reads the body up to what is kept.
+/// Reads the body up to the size that is kept.
 async fn read_body(body: Body) -> Result<Content, Refusal> {
-    let content = Content::read(body, KEPT).await;
+    let content = Content::read(body, MAX_KEPT_BYTES).await;
     content.map_err(|e| Refusal::not_run(Code::BadRequest, format!("read body: {e}")))
 }
--- a/src/app/entry/limits.rs
+++ b/src/app/entry/limits.rs
@@ -2,15 +2,15 @@
 
 use crate::domain::{LimitName, RegionName, ServiceName, TargetId};
 
-/// Returns the name of a target's limit.
+/// Returns the name of the limit on a target's slots.
 #[must_use]
 pub fn slots_limit(target: TargetId) -> LimitName {
     let text = target.to_string();
-    // IPv6 addresses print with brackets, which names do not have.
+    // IPv6 addresses print with brackets, which names of limits do not allow.
     limit_name(&format!("slots/{}", text.replace(['[', ']'], "")))
 }
 
-/// Returns the name of a region's limit.
+/// Returns the name of the limit on a region's requests.
 #[must_use]
 pub fn region_limit(region: &RegionName) -> LimitName {
     limit_name(&format!("region/{region}"))
@@ -29,7 +29,7 @@
 }
 
 fn limit_name(text: &str) -> LimitName {
-    // The parts are valid names already, and their sum is shorter than a limit's
-    // name may be.
+    // The parts are valid names, and together they are shorter than the longest
+    // valid name of a limit.
     text.parse().unwrap_or_else(|e| unreachable!("{e}"))
 }
--- a/src/app/entry/locations.rs
+++ b/src/app/entry/locations.rs
@@ -1,4 +1,4 @@
-//! Where clients are.
+//! The locations of clients.
 
 use std::net::IpAddr;
 
@@ -8,7 +8,7 @@
     policy::lookup::{BlockTable, Change, Sites},
 };
 
-/// Where clients are, by their addresses.
+/// Maps addresses of clients to sites, and sites to regions.
 #[derive(Debug)]
 pub struct Locations {
     blocks: BlockTable,
@@ -16,17 +16,17 @@
 }
 
 impl Locations {
-    /// Collects the sites of the settings.
+    /// Builds the tables from the sites in the settings.
     #[must_use]
     pub fn new(list: &[Site]) -> Self {
-        let id = |n: usize| SiteId(u32::try_from(n).unwrap_or(u32::MAX));
+        let site_id = |n: usize| SiteId(u32::try_from(n).unwrap_or(u32::MAX));
         let sites = list.iter().enumerate();
         let changes: Vec<Change> = sites
             .clone()
             .flat_map(|(n, site)| {
                 let change = move |prefix: &Prefix| Change {
                     prefix: *prefix,
-                    site: Some(id(n)),
+                    site: Some(site_id(n)),
                 };
                 site.blocks.iter().map(change)
             })
@@ -35,11 +35,12 @@
         blocks.apply(&changes);
         Self {
             blocks,
-            sites: Sites::new(sites.map(|(n, site)| (id(n), site.region.clone()))),
+            sites: Sites::new(sites.map(|(n, site)| (site_id(n), site.region.clone()))),
         }
     }
 
-    /// Returns the region that is nearest to a client, if its site is known.
+    /// Returns the region of a client's site, or `None` if no site has the
+    /// address.
     #[must_use]
     pub fn region(&self, client: IpAddr) -> Option<&RegionName> {
         self.sites.region(self.blocks.find(client)?)
--- a/src/app/entry/lookup.rs
+++ b/src/app/entry/lookup.rs
@@ -1,4 +1,4 @@
-//! Answers of look-ups.
+//! Answers look-ups: which entries a caller of a service should use.
 
 use std::{net::IpAddr, sync::Arc};
 
@@ -21,7 +21,7 @@
     client: Option<IpAddr>,
     req: &Request<Body>,
 ) -> Response<Body> {
-    let Some(service) = service(req) else {
+    let Some(service) = queried_service(req) else {
         let detail = "the query needs service=NAME";
         return answer(&Refusal::not_run(Code::BadRequest, detail));
     };
@@ -31,28 +31,29 @@
     }
     let view = state.view();
     let now = (state.ports.clock.now)();
-    // A client that no block holds is taken to be near, since it found this
-    // entry.
-    let region = client.and_then(|c| state.sites.region(c));
+    // A client outside all configured blocks is taken to be in this entry's
+    // region, since it found this entry.
+    let region = client.and_then(|c| state.locations.region(c));
     let region = region.unwrap_or(&state.settings.region);
-    let ranked = rank(&service, region, &view, now);
-    let urls = ranked
+    let ranking = rank(&service, region, &view, now);
+    let urls = ranking
         .entries
         .iter()
         .map(|c| format!("http://{}", c.address));
-    let age = ranked.max_age.0 / 1000;
+    let max_age_s = ranking.max_age.0 / 1000;
     let text = serde_json::json!({
         "service": service.as_str(),
-        "max_age": age,
+        "max_age": max_age_s,
         "entries": urls.collect::<Vec<_>>(),
     });
     let resp = Response::builder()
         .header(header::CONTENT_TYPE, "application/json")
-        .header(header::CACHE_CONTROL, format!("max-age={age}"));
+        .header(header::CACHE_CONTROL, format!("max-age={max_age_s}"));
     resp.body(Body::from(text.to_string())).unwrap_or_default()
 }
 
-fn service(req: &Request<Body>) -> Option<ServiceName> {
+/// Returns the service that the query names.
+fn queried_service(req: &Request<Body>) -> Option<ServiceName> {
     let mut pairs = req.uri().query()?.split('&');
     let value = pairs.find_map(|p| p.strip_prefix("service="))?;
     value.parse().ok()
--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -1,14 +1,14 @@
 //! The process that runs on each entry VM.
 //!
 //! [`spawn`] starts it and returns a handle. There is no other role: each entry
-//! answers look-ups, carries requests, and takes its part of the control work,
-//! so that any VM can be replaced by any other.
+//! answers look-ups, carries requests, and does its share of the control work,
+//! so any VM can replace any other.
 //!
-//! A request passes these modules in one direction: `inbound` accepts it, `job`
-//! reads it, `crashes` and `claims` tell whether it may run, `grants` waits for a
-//! `slot`, `carry` sends it, `reply` passes the answer on. They work on `state`,
-//! whose parts (`service`, `keys`, `locations`, `observe`, `events`) know nothing
-//! of them.
+//! A request passes through these modules in one direction: `inbound` accepts
+//! it, `job` reads it, `crashes` and `claims` decide whether it may run,
+//! `grants` waits for a `slot`, `carry` sends it, and `reply` forwards the
+//! answer. They use `state`, whose parts (`service`, `registers`, `locations`,
+//! `observe`, `events`) do not depend on them.
 
 pub mod admin;
 mod carry;
@@ -21,13 +21,13 @@
 mod grants;
 mod inbound;
 mod job;
-mod keys;
 mod limits;
 mod locations;
 mod lookup;
 mod observe;
 mod pacing;
 mod places;
+mod registers;
 mod reply;
 mod service;
 mod slot;
@@ -53,15 +53,15 @@
     ports::{Clock, Store, Targets},
 };
 
-/// How often a stop is looked at.
-const STOP_PERIOD: Duration = Duration::from_millis(50);
+/// The interval at which readiness and the progress of a stop are checked.
+const STOP_POLL: Duration = Duration::from_millis(50);
 
-/// What a running entry needs from outside.
+/// The ports through which a running entry reaches the outside.
 #[derive(Clone, Debug)]
 pub struct Ports {
-    /// Time.
+    /// The clock.
     pub clock: Clock,
-    /// Requests to targets.
+    /// The client that sends requests to targets.
     pub targets: Targets,
     /// The store.
     pub store: Store,
@@ -72,7 +72,7 @@
 /// A running entry.
 #[derive(Debug)]
 pub struct Entry {
-    /// Its state, which the administration and tests read.
+    /// The state, which the administration and tests read.
     pub state: Arc<State>,
     callers: Server,
     admin: Server,
@@ -97,7 +97,8 @@
     let admin = admin::start(&state)
         .await
         .wrap_err("start the administration server")?;
-    // Last, so that no entry hears of this one before it serves.
+    // Started last, so that other entries learn of this one only when it
+    // serves.
     let control = control::spawn(&state, outbox).await?;
     (state.events.emit)(Kind::EntryStarted, format!("callers at {}", callers.addr()));
     Ok(Entry {
@@ -109,31 +110,31 @@
 }
 
 impl Entry {
-    /// Returns the address at which callers reach it.
+    /// Returns the address for callers.
     #[must_use]
     pub fn callers(&self) -> SocketAddr {
         self.callers.addr()
     }
 
-    /// Returns the address at which operators reach it.
+    /// Returns the address for operators.
     #[must_use]
     pub fn admin(&self) -> SocketAddr {
         self.admin.addr()
     }
 
-    /// Waits until the entry serves.
+    /// Waits until the entry is ready to serve requests.
     pub async fn ready(&self) {
-        while self.state.unready().is_some() {
-            tokio::time::sleep(STOP_PERIOD).await;
+        while self.state.unready_reason().is_some() {
+            tokio::time::sleep(STOP_POLL).await;
         }
     }
 
-    /// Stops without cutting off a request.
+    /// Stops the entry without aborting a request.
     ///
-    /// The peers are told first, so that no further caller is sent here, and
-    /// the entry serves on as long as callers may keep an older answer. The
-    /// administration stays until the last request has ended, so that operators
-    /// see the drain.
+    /// The other entries are told first, so that look-ups no longer name this
+    /// one. It continues to serve as long as callers may use an older answer of
+    /// a look-up. The administration server stops after the last request has
+    /// ended, so that operators can watch the drain.
     pub async fn stop(self) {
         let Self {
             state,
@@ -144,9 +145,9 @@
         (state.events.emit)(Kind::EntryLeaving, state.settings.name.to_string());
         linger(&state).await;
         callers.stop().await;
-        // Targets may still work on requests whose callers went away.
+        // Targets may still work on requests whose callers have disconnected.
         while state.running() > 0 {
-            tokio::time::sleep(STOP_PERIOD).await;
+            tokio::time::sleep(STOP_POLL).await;
         }
         (state.events.emit)(Kind::EntryStopped, state.settings.name.to_string());
         control::leave_roster(&state).await;
@@ -156,17 +157,19 @@
     }
 }
 
-/// Announces the stop and waits until callers no longer come.
+/// Announces the stop and waits until callers no longer connect.
 async fn linger(state: &Arc<State>) {
     let now = || (state.ports.clock.now)();
     let (mut stop, _) = Stop::begin(state.settings.linger, now());
     state.fleet.members().leave();
-    let announced = now();
+    let announced_at = now();
     while stop.accepts() {
-        tokio::time::sleep(STOP_PERIOD).await;
-        // The announcement goes to three peers at once and to another one each
-        // second, so after this time some have it. Alone there is nobody to tell.
-        if stop.phase() == Phase::Announcing && (alone(state) || now() - announced >= Millis(1_000))
+        tokio::time::sleep(STOP_POLL).await;
+        // The announcement is sent to three entries at once and to another one
+        // each second, so some have received it after this time. If there are
+        // no other entries, nothing has to be announced.
+        if stop.phase() == Phase::Announcing
+            && (is_alone(state) || now() - announced_at >= Millis(1_000))
         {
             stop.announced(now());
         }
@@ -179,6 +182,6 @@
     }
 }
 
-fn alone(state: &State) -> bool {
-    state.fleet.others().is_empty()
+fn is_alone(state: &State) -> bool {
+    state.fleet.other_entries().is_empty()
 }
--- a/src/app/entry/observe.rs
+++ b/src/app/entry/observe.rs
@@ -1,8 +1,8 @@
-//! Watches what is sent to targets: for metrics, `explain` and drains.
+//! Observes the requests to targets, for metrics, `explain` and drains.
 //!
-//! The port to targets is the one place that every request passes, so it is
-//! wrapped here and the code that carries requests needs to know nothing of it.
-//! A refusal reaches no target and is noted by the code that refuses.
+//! Every request passes the port to targets. It is wrapped here, so the code
+//! that carries requests does not depend on the observation. A refused request
+//! reaches no target and is counted by the code that refuses it.
 
 use std::{sync::Arc, time::Instant};
 
@@ -17,19 +17,19 @@
     ports::{Body, Clock, Outbound, SendError, Targets, admin::Decision},
 };
 
-/// Why a request goes to its target. It travels with the request as an
-/// extension, since only the code that chose knows it.
+/// The reason why a request is sent to its target. It is an extension of the
+/// request, because only the code that chose the target knows it.
 #[derive(Clone, Debug)]
-pub struct Why {
-    /// The place.
+pub struct DispatchReason {
+    /// The place of the target.
     pub place: String,
-    /// The rule that decided, with the figures that it saw.
+    /// The kind of attempt, the lane, and the state of the target.
     pub reason: String,
 }
 
-type Counts = Arc<Shards<TargetId, u64>>;
+type RunningCounts = Arc<Shards<TargetId, u64>>;
 
-/// Counts the requests that run at each target and notes how they ended.
+/// Counts the requests that run at each target and records how they ended.
 /// Clones share the counts.
 #[derive(Clone, Debug)]
 pub struct Observer {
@@ -38,11 +38,11 @@
     /// The metrics of the process.
     pub metrics: Metrics,
     clock: Clock,
-    running: Counts,
+    running: RunningCounts,
 }
 
 impl Observer {
-    /// Returns an observer that has seen nothing.
+    /// Returns an observer without any records.
     #[must_use]
     pub fn new(clock: Clock, metrics: Metrics) -> Self {
         Self {
@@ -59,17 +59,17 @@
         self.running.get(&target, |n| *n).unwrap_or(0)
     }
 
-    /// Returns the port with every request noted and counted.
+    /// Wraps the port so that every request is counted and recorded.
     #[must_use]
     pub fn wrap(&self, targets: Targets) -> Targets {
         let observer = self.clone();
         let send = move |out: Outbound| {
-            let seen = service(&out.request).map(|s| observer.start(s, &out));
+            let active = service(&out.request).map(|s| observer.start(s, &out));
             let send = (targets.send)(out);
             Box::pin(async move {
                 let result = send.await;
-                match seen {
-                    Some(seen) => seen.head(result),
+                match active {
+                    Some(active) => active.on_head(result),
                     None => result,
                 }
             }) as crate::ports::Fut<_>
@@ -79,70 +79,76 @@
         }
     }
 
-    fn start(&self, service: ServiceName, out: &Outbound) -> Seen {
+    /// Counts a request as running. It counts until the returned value is
+    /// dropped.
+    fn start(&self, service: ServiceName, out: &Outbound) -> ActiveRequest {
         let label = ServiceLabel {
             service: service.to_string(),
         };
         let gauge = self.metrics.running.get_or_create_owned(&label);
         gauge.inc();
         self.running.with(out.target, || 0, |n| *n += 1);
-        Seen {
+        ActiveRequest {
             observer: self.clone(),
             service,
-            why: out.request.extensions().get::<Why>().cloned(),
+            dispatch_reason: out.request.extensions().get::<DispatchReason>().cloned(),
             request: format!("{} {}", out.request.method(), out.request.uri().path()),
             target: out.target,
             gauge,
             wall: (self.clock.wall)(),
             start: Instant::now(),
-            ended: false,
+            recorded: false,
         }
     }
 }
 
-/// A request that runs. It counts until it is dropped, also if the caller goes
-/// away.
-struct Seen {
+/// A running request. It counts as running until it is dropped, also if the
+/// caller disconnects.
+struct ActiveRequest {
     observer: Observer,
     service: ServiceName,
     request: String,
-    why: Option<Why>,
+    dispatch_reason: Option<DispatchReason>,
     target: TargetId,
     gauge: Gauge,
     wall: Millis,
     start: Instant,
-    ended: bool,
+    recorded: bool,
 }
 
-impl Seen {
-    /// Notes the head of the answer, and goes on counting until the body ends.
-    fn head(
+impl ActiveRequest {
+    /// Records the head of the answer. The request counts as running until the
+    /// body ends.
+    fn on_head(
         mut self,
         result: Result<Response<Body>, SendError>,
     ) -> Result<Response<Body>, SendError> {
         match result {
             Ok(resp) => {
-                self.note(resp.status().as_str(), "complete");
+                self.record(resp.status().as_str(), "complete");
                 Ok(resp.map(|body| {
-                    let keep = move |frame| {
+                    // The closure owns `self`, so the request counts until the
+                    // body is dropped.
+                    let keep_counting = move |frame| {
                         let _ = &self;
                         frame
                     };
-                    body.map_frame(keep).boxed()
+                    body.map_frame(keep_counting).boxed()
                 }))
             }
             Err(e) => {
                 match e {
-                    SendError::Unsent { .. } => self.note("target-unreachable", "not-run"),
-                    SendError::Unknown { .. } => self.note("connection-broken", "unknown"),
+                    SendError::Unsent { .. } => self.record("target-unreachable", "not-run"),
+                    SendError::Unknown { .. } => self.record("connection-broken", "unknown"),
                 }
                 Err(e)
             }
         }
     }
 
-    fn note(&mut self, code: &str, outcome: &'static str) {
-        self.ended = true;
+    /// Records the outcome in the metrics and as a decision.
+    fn record(&mut self, code: &str, outcome: &'static str) {
+        self.recorded = true;
         let took = self.start.elapsed();
         let service = self.service.as_str();
         let metrics = &self.observer.metrics;
@@ -151,21 +157,25 @@
             wall_ms: self.wall.0,
             service: service.to_owned(),
             request: std::mem::take(&mut self.request),
-            place: self.why.as_ref().map(|w| w.place.clone()),
+            place: self.dispatch_reason.as_ref().map(|r| r.place.clone()),
             target: Some(self.target.to_string()),
-            reason: self.why.take().map(|w| w.reason).unwrap_or_default(),
+            reason: self
+                .dispatch_reason
+                .take()
+                .map(|r| r.reason)
+                .unwrap_or_default(),
             result: format!("{code} {outcome}"),
             took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
         };
         let decisions = self.observer.decisions.clone();
-        decisions.note(self.service.clone(), decision);
+        decisions.record(self.service.clone(), decision);
     }
 }
 
-impl Drop for Seen {
+impl Drop for ActiveRequest {
     fn drop(&mut self) {
-        if !self.ended {
-            self.note("cancelled", "unknown");
+        if !self.recorded {
+            self.record("cancelled", "unknown");
         }
         self.gauge.dec();
         let counts = &self.observer.running;
@@ -173,9 +183,11 @@
     }
 }
 
+/// Returns the service that the Host header names.
 fn service(request: &Request<Body>) -> Option<ServiceName> {
     let host = request.headers().get(header::HOST)?.to_str().ok()?;
-    // A service name has no colon, so what follows the last one is a port.
+    // A service name contains no colon, so the text after the last colon is the
+    // port.
     let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
     name.parse().ok()
 }
--- a/src/app/entry/pacing.rs
+++ b/src/app/entry/pacing.rs
@@ -1,10 +1,10 @@
-//! Keeps answers within the capacity of the link that they cross.
+//! Paces answers to the capacity of the link that they cross.
 //!
-//! Every frame of an answer from another region takes its bits from the shared
-//! limit of the link before it is passed on. A frame without capacity waits, and
-//! meanwhile the target is not read from, so TCP slows it down. Frames of short
-//! work look for capacity more often than those of long work, which lets short
-//! answers pass large downloads. See
+//! Each frame of an answer from another region takes its bits from the shared
+//! limit of the link before it is passed on. While a frame waits for capacity,
+//! nothing is read from the target, so TCP flow control slows the target down.
+//! Frames of the short lane check for capacity more often than those of the
+//! long lane, so short answers overtake large downloads. See
 //! [docs/design.md](../../../docs/design.md), section 3.6.
 
 use std::{
@@ -21,20 +21,20 @@
     policy::limit::LINK_CHUNK_BITS,
 };
 
-/// How long short work waits until it asks for capacity again.
-const SHORT_WAIT: Millis = Millis(1);
+/// The interval at which an answer of the short lane checks for capacity.
+const SHORT_LANE_POLL: Millis = Millis(1);
 
-/// How long long work waits.
-const LONG_WAIT: Millis = Millis(5);
+/// The interval at which an answer of the long lane checks for capacity.
+const LONG_LANE_POLL: Millis = Millis(5);
 
-/// The pace of one answer.
+/// Paces one answer.
 #[derive(Debug)]
 pub(super) struct Pacer {
     state: Arc<State>,
     link: LimitName,
-    wait: Millis,
-    /// Bits of the present frame that have no capacity yet.
-    owed: u64,
+    poll_interval: Millis,
+    /// Bits of the current frame that have no capacity yet.
+    pending_bits: u64,
     sleep: Option<Pin<Box<Sleep>>>,
 }
 
@@ -44,21 +44,21 @@
         Self {
             state: state.clone(),
             link,
-            wait: match lane {
-                Lane::Short => SHORT_WAIT,
-                Lane::Long => LONG_WAIT,
+            poll_interval: match lane {
+                Lane::Short => SHORT_LANE_POLL,
+                Lane::Long => LONG_LANE_POLL,
             },
-            owed: 0,
+            pending_bits: 0,
             sleep: None,
         }
     }
 
-    /// Adds a frame that is to be passed on.
+    /// Adds the size of a frame that is to be passed on.
     pub fn add(&mut self, bytes: usize) {
-        self.owed = self.owed.saturating_add(bytes as u64 * 8);
+        self.pending_bits = self.pending_bits.saturating_add(bytes as u64 * 8);
     }
 
-    /// Returns ready when everything that was added has its capacity.
+    /// Returns ready when there was capacity for everything that was added.
     pub fn poll(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         loop {
             if let Some(sleep) = &mut self.sleep {
@@ -70,19 +70,19 @@
             if self.take() {
                 return Poll::Ready(());
             }
-            self.sleep = Some(Box::pin(tokio::time::sleep(self.wait.duration())));
+            self.sleep = Some(Box::pin(tokio::time::sleep(self.poll_interval.duration())));
         }
     }
 
-    /// Takes capacity for as much as possible, in the largest amounts that the
-    /// limit admits at once. Returns whether all is taken.
+    /// Takes capacity for as many bits as possible, in the largest chunks that
+    /// the limit admits at once. Returns whether no bits are left.
     fn take(&mut self) -> bool {
-        while self.owed > 0 {
-            let part = self.owed.min(LINK_CHUNK_BITS);
-            if !self.state.admit_amount(&self.link, part) {
+        while self.pending_bits > 0 {
+            let chunk = self.pending_bits.min(LINK_CHUNK_BITS);
+            if !self.state.admit_amount(&self.link, chunk) {
                 return false;
             }
-            self.owed -= part;
+            self.pending_bits -= chunk;
         }
         true
     }
--- a/src/app/entry/places.rs
+++ b/src/app/entry/places.rs
@@ -1,10 +1,10 @@
-//! Which places of a service may serve a request that arrives here.
+//! Chooses the places of a service that may serve a request to this entry.
 
 use rand::Rng;
 
 use super::{
     limits::region_limit,
-    service::{Service, free},
+    service::{Service, free_slots},
 };
 use crate::{
     domain::{LimitName, Millis, PlaceName, RegionName, Shards},
@@ -16,9 +16,13 @@
 };
 
 impl Service {
-    /// Computes the weights for callers of the region `here`, given the traffic
-    /// of each region.
-    pub(super) fn localize(&mut self, here: &RegionName, demand: &[(RegionName, u32)]) {
+    /// Computes the weights of the places for callers in the region `here`,
+    /// from the traffic of each region.
+    pub(super) fn compute_local_weights(
+        &mut self,
+        here: &RegionName,
+        demand: &[(RegionName, u32)],
+    ) {
         let place = |(name, share): (PlaceName, u32)| {
             let region = self.region(&name)?.clone();
             Some((name, region, share))
@@ -26,17 +30,18 @@
         let places: Vec<_> = self.places().into_iter().filter_map(place).collect();
         let weights = local_weights(here, demand, &places);
         let weighted = places.into_iter().zip(weights);
-        self.local = weighted
+        self.local_weights = weighted
             .map(|((name, region, _), (_, weight))| (name, region, weight))
             .filter(|(_, _, weight)| *weight > 0)
             .collect();
     }
 
-    /// Draws a place near this entry's region, if its region has headroom.
+    /// Draws a place by the local weights. Returns `None` if there are no local
+    /// weights or the region of the drawn place has no headroom.
     ///
-    /// While traffic moves it returns none, because then the shift decides for
-    /// each request whether it moves.
-    pub(super) fn local_place<R: Rng>(
+    /// Also returns `None` while a shift is moving traffic, because the shift
+    /// then chooses the place of each request.
+    pub(super) fn draw_local_place<R: Rng>(
         &self,
         rng: &mut R,
         headroom: impl FnOnce(&RegionName) -> bool,
@@ -44,12 +49,12 @@
         if self.shift.as_ref().is_none_or(Shift::is_moving) {
             return None;
         }
-        let sum: u32 = self.local.iter().map(|(_, _, w)| w).sum();
-        let mut at = rng.random_range(0..sum.max(1));
-        let drawn = self.local.iter().find(|(_, _, weight)| {
-            let hit = at < *weight;
-            at = at.saturating_sub(*weight);
-            hit
+        let sum: u32 = self.local_weights.iter().map(|(_, _, w)| w).sum();
+        let mut remaining = rng.random_range(0..sum.max(1));
+        let drawn = self.local_weights.iter().find(|(_, _, weight)| {
+            let is_drawn = remaining < *weight;
+            remaining = remaining.saturating_sub(*weight);
+            is_drawn
         });
         let (name, region, _) = drawn?;
         headroom(region).then(|| name.clone())
@@ -65,34 +70,36 @@
 
     /// Chooses a target in another region within that region's headroom.
     ///
-    /// One request must not hold up all that wait behind it for other places,
-    /// for example because its own place leaves or is frozen, and it need not
-    /// fail because its own place does. Only targets that work well are chosen:
-    /// one that fails quickly always has free slots and would attract all.
-    pub(super) fn choose_elsewhere<R: Rng>(
+    /// Without this, a request whose own place is leaving or frozen would block
+    /// the requests behind it in the queue that could run at other places, and
+    /// it would fail together with its place. Only healthy targets are chosen:
+    /// one that fails quickly always has free slots and would attract every
+    /// request.
+    pub(super) fn choose_remote_target<R: Rng>(
         &mut self,
         now: Millis,
         rng: &mut R,
-        ask: &Criteria<'_>,
+        criteria: &Criteria<'_>,
         limits: &Shards<LimitName, Ledger>,
     ) -> Option<Choice> {
-        let (place, _) = ask.places.first()?;
-        let places = self.elsewhere(place);
-        let ask = Criteria {
+        let (place, _) = criteria.places.first()?;
+        let places = self.remote_places(place);
+        let criteria = Criteria {
             places: &places,
             extra: true,
-            ..*ask
+            ..*criteria
         };
-        let unit = |t, l| free(limits, &self.slots, t, l);
-        let choice = self.pool.choose(now, rng, &ask, unit).ok()?;
+        let unit = |t, l| free_slots(limits, &self.slot_limits, t, l);
+        let choice = self.pool.choose(now, rng, &criteria, unit).ok()?;
         let region = region_limit(self.region(&choice.place)?);
         let admitted = limits.get(&region, |l| l.admit(1, now));
         admitted.unwrap_or(true).then_some(choice)
     }
 
-    /// Returns the places in other regions with their shares. Growing ones are
-    /// left out, because what they get beyond their share needs the shift's cap.
-    pub(super) fn elsewhere(&self, place: &PlaceName) -> Vec<(PlaceName, u32)> {
+    /// Returns the places in other regions with their shares. Places whose
+    /// share is growing are left out, because the cap on shifts limits what
+    /// they get beyond their share.
+    pub(super) fn remote_places(&self, place: &PlaceName) -> Vec<(PlaceName, u32)> {
         let region = self.region(place);
         let shares = self.shift.iter().flat_map(Shift::shares);
         shares
@@ -103,7 +110,7 @@
     }
 
     /// Returns the other places in the region of a place, with their shares.
-    pub(super) fn neighbours(&self, place: &PlaceName) -> Vec<(PlaceName, u32)> {
+    pub(super) fn same_region_places(&self, place: &PlaceName) -> Vec<(PlaceName, u32)> {
         let Some(doc) = self.doc.document() else {
             return Vec::new();
         };
@@ -112,27 +119,29 @@
             .iter()
             .find(|p| p.name == *place)
             .map(|p| &p.region);
-        let near = |name: &PlaceName| {
+        let in_region = |name: &PlaceName| {
             let found = doc.places.iter().find(|p| p.name == *name);
             found.is_some_and(|p| Some(&p.region) == region)
         };
         let places = self.places().into_iter();
         places
-            .filter(|(name, _)| name != place && near(name))
+            .filter(|(name, _)| name != place && in_region(name))
             .collect()
     }
 
-    /// Returns the places for callers of this region, or all while traffic moves.
-    pub(super) fn near_places(&self) -> Vec<(PlaceName, u32)> {
-        if self.local.is_empty() || self.shift.as_ref().is_none_or(Shift::is_moving) {
+    /// Returns the places with their weights for callers in this region, or all
+    /// places with their shares while a shift is moving traffic.
+    pub(super) fn local_places(&self) -> Vec<(PlaceName, u32)> {
+        if self.local_weights.is_empty() || self.shift.as_ref().is_none_or(Shift::is_moving) {
             return self.places();
         }
-        let near = self.local.iter();
-        near.map(|(name, _, weight)| (name.clone(), *weight))
+        let weights = self.local_weights.iter();
+        weights
+            .map(|(name, _, weight)| (name.clone(), *weight))
             .collect()
     }
 
-    /// Returns the places with the shares that are proven.
+    /// Returns the places with their base shares.
     pub(super) fn places(&self) -> Vec<(PlaceName, u32)> {
         let shares = self.shift.iter().flat_map(Shift::shares);
         shares.map(|s| (s.name.clone(), s.base.0)).collect()
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -1,4 +1,4 @@
-//! What an entry knows of one service.
+//! The state of one service: its document, targets, queue and budgets.
 
 use std::{collections::HashMap, sync::Arc};
 
@@ -22,11 +22,11 @@
     },
 };
 
-/// How long a request waits for units of its own region before it may go to
-/// another one.
-const UNITS: Millis = Millis(50);
+/// How long a request waits for units of its own region before it may be sent
+/// to another region.
+const LOCAL_UNITS_WAIT: Millis = Millis(50);
 
-/// The receiver of a waiting request's slot.
+/// The channel on which a waiting request gets its slot or its refusal.
 pub(super) type Grant = oneshot::Sender<Result<Slot, Refusal>>;
 
 /// A request that waits for a slot.
@@ -36,10 +36,10 @@
     grant: Grant,
 }
 
-/// A slot that a request got.
+/// A waiting request that may start, and its target.
 #[derive(Debug)]
 pub(super) struct Granted {
-    /// Who waits for it.
+    /// The channel to the waiting request.
     pub grant: Grant,
     /// The target.
     pub choice: Choice,
@@ -49,42 +49,44 @@
     pub permit: Permit,
 }
 
-/// What became of the waiting requests.
+/// The waiting requests that may start now or are refused.
 #[derive(Debug, Default)]
 pub(super) struct Progress {
     /// Requests that may start.
     pub granted: Vec<Granted>,
     /// Requests that are refused.
     pub refused: Vec<(Grant, Refusal)>,
-    /// Messages that ask for units.
+    /// Messages that request units from other entries.
     pub messages: Vec<Outgoing>,
 }
 
-/// A document in force and the state of its targets. It sits in a shard, so the
-/// shard's lock guards all of it.
+/// The current document of a service and the state of its targets. The lock of
+/// the shard that holds it guards all of it.
 #[derive(Debug)]
 pub struct Service {
     pub(super) name: ServiceName,
-    /// The document in force.
+    /// The current document.
     pub doc: DocumentState,
     /// The targets.
     pub pool: Pool,
-    /// The names of the targets' limits, which every choice needs.
-    pub(super) slots: HashMap<TargetId, LimitName>,
-    /// The waiting requests.
+    /// The names of the targets' limits. Every choice needs them, so they are
+    /// formatted only once.
+    pub(super) slot_limits: HashMap<TargetId, LimitName>,
+    /// The waiting and running requests.
     pub(super) queue: Queue<Waiting>,
     /// The usual durations of requests.
-    pub lengths: RouteDurations,
-    /// The times until the head of an answer, short and long.
-    pub windows: [Window; 2],
-    /// What retries and hedges may use.
+    pub durations: RouteDurations,
+    /// The times until the head of an answer, for the short and the long lane.
+    pub latency_windows: [Window; 2],
+    /// The budget for retries and hedges.
     pub budget: Budget,
-    /// Where traffic goes, once there is a document.
+    /// The distribution of traffic among the places, if there is a document.
     pub shift: Option<Shift>,
-    /// The places with their regions and weights for callers of this region.
-    pub(super) local: Vec<(PlaceName, RegionName, u32)>,
-    /// A place that lacked units for a request since the last ask.
-    missed: Option<PlaceName>,
+    /// The places, their regions, and their weights for callers in this region.
+    pub(super) local_weights: Vec<(PlaceName, RegionName, u32)>,
+    /// A place that has lacked units for a request since units were last
+    /// requested.
+    starved_place: Option<PlaceName>,
 }
 
 impl Service {
@@ -95,63 +97,65 @@
             doc: DocumentState::new(name.clone()),
             name,
             pool: Pool::new(),
-            slots: HashMap::new(),
+            slot_limits: HashMap::new(),
             queue: Queue::new(),
-            lengths: RouteDurations::new(),
-            windows: [Window::new(), Window::new()],
+            durations: RouteDurations::new(),
+            latency_windows: [Window::new(), Window::new()],
             budget: Budget::new(),
             shift: None,
-            local: Vec::new(),
-            missed: None,
+            local_weights: Vec::new(),
+            starved_place: None,
         }
     }
 
-    /// Puts a revision in force if it is strictly newer and valid.
+    /// Adopts a revision if it is strictly newer and valid.
     pub fn adopt(&mut self, revision: Revision, content: Content, now: Millis) -> Adoption {
         let adoption = self.doc.adopt(revision, content);
         if matches!(adoption, Adoption::Adopted { .. }) {
-            self.follow(revision, now);
+            self.apply_document(revision, now);
         }
         adoption
     }
 
-    fn follow(&mut self, revision: Revision, now: Millis) {
+    /// Adapts the targets, limits and shift to the current document.
+    fn apply_document(&mut self, revision: Revision, now: Millis) {
         let Some(doc) = self.doc.document().cloned() else {
             self.pool.adopt(now, &[]);
             self.shift = None;
             return;
         };
         self.pool.adopt(now, &doc.places);
-        // The next round computes them for the new places.
-        self.local.clear();
+        // They are computed again for the new places in the next control round.
+        self.local_weights.clear();
         let targets = doc.places.iter().flat_map(|p| &p.targets);
-        self.slots = targets.map(|t| (*t, slots_limit(*t))).collect();
+        self.slot_limits = targets.map(|t| (*t, slots_limit(*t))).collect();
         match &mut self.shift {
             Some(shift) => shift.adopt(&doc, revision, now),
             None => self.shift = Some(Shift::open(&doc, revision, None, now)),
         }
     }
 
-    /// Returns the document in force.
+    /// Returns the current document.
     ///
     /// # Errors
     ///
     /// Refuses the request if there is none.
     pub fn document(&self) -> Result<Arc<Document>, Refusal> {
-        let missing = || {
+        let refusal = || {
             Refusal::not_run(
                 Code::UnknownService,
                 format!("no document is in force for {}", self.name),
             )
         };
-        self.doc.document().cloned().ok_or_else(missing)
+        self.doc.document().cloned().ok_or_else(refusal)
     }
 
-    /// Puts a request into the queue, and returns requests that had to make room.
+    /// Queues a request. Returns its id and the request that it displaced, if
+    /// any.
     ///
     /// # Errors
     ///
-    /// Refuses the request if it could not be answered in time.
+    /// Refuses the request if it could not be answered before its deadline.
     pub(super) fn offer<R: Rng>(
         &mut self,
         now: Millis,
@@ -160,7 +164,7 @@
         place: PlaceName,
         grant: Grant,
     ) -> Result<(WaitId, Option<(Grant, Refusal)>), Refusal> {
-        let mean = self.lengths.mean(ticket.lane);
+        let mean = self.durations.mean(ticket.lane);
         let item = Waiting { place, grant };
         let queued = self.queue.offer(now, rng, ticket, mean, item)?;
         let displaced = queued
@@ -169,8 +173,9 @@
         Ok((queued.id, displaced))
     }
 
-    /// Starts as many waiting requests as there are units for.
-    pub(super) fn next<R: Rng>(
+    /// Takes slots for as many waiting requests as there are units for, and
+    /// removes requests that cannot be answered in time.
+    pub(super) fn start_waiting<R: Rng>(
         &mut self,
         now: Millis,
         rng: &mut R,
@@ -178,12 +183,12 @@
     ) -> Progress {
         let mut progress = Progress::default();
         for lane in [Lane::Short, Lane::Long] {
-            let missed = self.queue.expire(now, lane);
+            let expired = self.queue.expire(now, lane);
             progress
                 .refused
-                .extend(missed.into_iter().map(|(w, r)| (w.grant, r)));
+                .extend(expired.into_iter().map(|(w, r)| (w.grant, r)));
         }
-        self.queue.resize(self.units(limits));
+        self.queue.resize(self.usable_units(limits));
         while let Some(lane) = self.queue.next_lane(now) {
             let Some((choice, permit)) = self.take(now, rng, lane, limits) else {
                 break;
@@ -199,15 +204,16 @@
                 permit,
             });
         }
-        // Also a request that was served elsewhere is demand for its own place.
-        let missed = self.missed.take();
-        if missed.is_some() || self.waiting() > 0 {
-            progress.messages = self.ask(now, rng, limits, missed.as_ref());
+        // A request that was sent to another region is still demand for its own
+        // place.
+        let starved_place = self.starved_place.take();
+        if starved_place.is_some() || self.waiting() > 0 {
+            progress.messages = self.request_unit(now, rng, limits, starved_place.as_ref());
         }
         progress
     }
 
-    /// Takes a slot for a retry or a hedge, which never waits.
+    /// Takes a slot for a retry or a hedge, if one is free now.
     pub(super) fn take_extra<R: Rng>(
         &mut self,
         now: Millis,
@@ -216,8 +222,8 @@
         avoid: &[TargetId],
         limits: &Shards<LimitName, Ledger>,
     ) -> Option<(Choice, Permit)> {
-        let places = self.near_places();
-        let ask = Criteria {
+        let places = self.local_places();
+        let criteria = Criteria {
             lane,
             places: &places,
             excluded: avoid,
@@ -227,16 +233,19 @@
         };
         let choice = self
             .pool
-            .choose(now, rng, &ask, |t, l| free(limits, &self.slots, t, l))
+            .choose(now, rng, &criteria, |t, l| {
+                free_slots(limits, &self.slot_limits, t, l)
+            })
             .ok()?;
         let permit = limits
-            .get(self.slots.get(&choice.target)?, Ledger::acquire)
+            .get(self.slot_limits.get(&choice.target)?, Ledger::acquire)
             .flatten()?;
         self.queue.started(lane);
         self.pool.started(choice.target, lane);
         Some((choice, permit))
     }
 
+    /// Takes a slot for the first request of a lane.
     fn take<R: Rng>(
         &mut self,
         now: Millis,
@@ -246,62 +255,73 @@
     ) -> Option<(Choice, Permit)> {
         let (ticket, waiting) = self.queue.peek(lane)?;
         let (ticket, place) = (*ticket, waiting.place.clone());
-        let one = [(place, 1)];
-        // After half of its deadline a request takes what there is.
-        let pressed = (now - ticket.arrived).0 * 2 > (ticket.deadline - ticket.arrived).0;
-        let ask = Criteria {
+        let own_place = [(place, 1)];
+        // After half of the time until its deadline a request accepts slow
+        // targets.
+        let past_half_deadline =
+            (now - ticket.arrived).0 * 2 > (ticket.deadline - ticket.arrived).0;
+        let criteria = Criteria {
             lane,
-            places: &one,
+            places: &own_place,
             excluded: &[],
             extra: false,
             explore: true,
-            accept_slow: pressed,
+            accept_slow: past_half_deadline,
         };
-        let unit = |t, l| free(limits, &self.slots, t, l);
-        let mut choice = self.pool.choose(now, rng, &ask, unit);
-        let missing = choice == Err(ChooseError::NoUnit);
+        let unit = |t, l| free_slots(limits, &self.slot_limits, t, l);
+        let mut choice = self.pool.choose(now, rng, &criteria, unit);
+        let lacks_units = choice == Err(ChooseError::NoUnit);
         if choice == Err(ChooseError::NoUnit) || choice == Err(ChooseError::NoTarget) {
-            // The headroom that the request took is its region's, so any other
-            // place there with traffic of its own may serve it.
-            let near = self.neighbours(&one[0].0);
-            let ask = Criteria {
-                places: &near,
-                ..ask
+            // The request has taken headroom of the region, so any other place
+            // of the region that has a share of the traffic may serve it.
+            let nearby = self.same_region_places(&own_place[0].0);
+            let criteria = Criteria {
+                places: &nearby,
+                ..criteria
             };
-            choice = self.pool.choose(now, rng, &ask, unit);
+            choice = self.pool.choose(now, rng, &criteria, unit);
         }
-        if missing {
-            self.missed = Some(one[0].0.clone());
+        if lacks_units {
+            self.starved_place = Some(own_place[0].0.clone());
         }
-        // Units of the own region arrive within a few milliseconds, sooner than
-        // an answer from another region.
-        let early = missing && now - ticket.arrived < UNITS;
-        let fails = |c: &Choice| c.state == State::Shedding;
-        if !early
-            && choice.as_ref().map_or(true, fails)
-            && let Some(other) = self.choose_elsewhere(now, rng, &ask, limits)
+        // Units from entries in the same region arrive within a few
+        // milliseconds, which is sooner than an answer from another region.
+        let keep_waiting = lacks_units && now - ticket.arrived < LOCAL_UNITS_WAIT;
+        let is_shedding = |c: &Choice| c.state == State::Shedding;
+        if !keep_waiting
+            && choice.as_ref().map_or(true, is_shedding)
+            && let Some(remote) = self.choose_remote_target(now, rng, &criteria, limits)
         {
-            choice = Ok(other);
+            choice = Ok(remote);
         }
         let choice = choice.ok()?;
         let permit = limits
-            .get(self.slots.get(&choice.target)?, Ledger::acquire)
+            .get(self.slot_limits.get(&choice.target)?, Ledger::acquire)
             .flatten()?;
         Some((choice, permit))
     }
 
-    /// Records the end of a request. `head` is the time until the head of the
-    /// answer, `total` the time until its last byte.
-    pub(super) fn ended(&mut self, now: Millis, lane: Lane, choice: &Choice, end: End<'_>) {
+    /// Records the end of a request.
+    pub(super) fn record_end(
+        &mut self,
+        now: Millis,
+        lane: Lane,
+        choice: &Choice,
+        end: RequestEnd<'_>,
+    ) {
         self.queue.finished(lane);
         self.pool
-            .finished(now, choice.target, lane, end.finish, end.head);
+            .finished(now, choice.target, lane, end.completion, end.head_time);
         if let Some(shift) = &mut self.shift {
-            shift.observe(&choice.place, end.head, end.finish == Completion::Failed);
+            shift.observe(
+                &choice.place,
+                end.head_time,
+                end.completion == Completion::Failed,
+            );
         }
-        if end.finish == Completion::Answered {
-            self.lengths.record(lane, end.route, end.total);
-            self.windows[usize::from(lane == Lane::Long)].add(now, end.head);
+        if end.completion == Completion::Answered {
+            self.durations.record(lane, end.route, end.total);
+            self.latency_windows[usize::from(lane == Lane::Long)].add(now, end.head_time);
         }
     }
 
@@ -317,9 +337,11 @@
         self.queue.running(Lane::Short) + self.queue.running(Lane::Long)
     }
 
-    /// Asks other entries for a unit of one of the targets, of the given place or
-    /// of any, drawn at random so that the requests of several entries spread.
-    fn ask<R: Rng>(
+    /// Requests a unit of one target from other entries. The target belongs to
+    /// the given place, or to any place with a share if there is none. It is
+    /// drawn at random, so that several entries do not all ask for the same
+    /// target.
+    fn request_unit<R: Rng>(
         &self,
         now: Millis,
         rng: &mut R,
@@ -330,12 +352,12 @@
             return Vec::new();
         };
         let places = self.places();
-        let takes = |name: &PlaceName| match place {
+        let is_included = |name: &PlaceName| match place {
             Some(place) => name == place,
             None => places.iter().any(|(n, share)| n == name && *share > 0),
         };
-        let open = doc.places.iter().filter(|p| takes(&p.name));
-        let targets: Vec<TargetId> = open
+        let included = doc.places.iter().filter(|p| is_included(&p.name));
+        let targets: Vec<TargetId> = included
             .flat_map(|p| p.targets.iter().filter(|t| !p.leaving.contains(t)))
             .copied()
             .collect();
@@ -343,49 +365,49 @@
             return Vec::new();
         }
         let target = targets[rng.random_range(0..targets.len())];
-        let ask = |ledger: &mut Ledger| {
-            // The failed attempt is what tells the ledger of the demand.
+        let request = |ledger: &mut Ledger| {
+            // The ledger counts a failed `acquire` as demand.
             if let Some(permit) = ledger.acquire() {
                 return ledger.release(permit, now);
             }
             ledger.request_units(now)
         };
-        let limit = self.slots.get(&target);
-        let out = limit.and_then(|l| limits.get(l, ask));
+        let limit = self.slot_limits.get(&target);
+        let out = limit.and_then(|l| limits.get(l, request));
         out.unwrap_or_default()
     }
 
-    /// Returns how many units of the service's targets this entry has.
-    fn units(&self, limits: &Shards<LimitName, Ledger>) -> u32 {
+    /// Returns how many units of the service's targets this entry may use.
+    fn usable_units(&self, limits: &Shards<LimitName, Ledger>) -> u32 {
         let usable = |l: &LimitName| limits.get(l, |l| l.status().usable);
-        self.slots.values().filter_map(usable).sum()
+        self.slot_limits.values().filter_map(usable).sum()
     }
 }
 
-/// How a request ended.
+/// The end of a request: its result and its durations.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct End<'a> {
-    /// Whether it was answered.
-    pub finish: Completion,
-    /// The time until the head of its answer.
-    pub head: Millis,
+pub(super) struct RequestEnd<'a> {
+    /// Whether the request was answered, failed or was cancelled.
+    pub completion: Completion,
+    /// The time until the head of the answer.
+    pub head_time: Millis,
     /// The time until the last byte.
     pub total: Millis,
-    /// The route under which its length is learned.
+    /// The route under which the duration is learned.
     pub route: &'a str,
 }
 
 /// Returns how many more requests of a lane may run at a target.
 ///
-/// An entry that holds every slot of a target keeps one for short work. With
-/// fewer units the queue's limit on long work does that across targets.
-pub(super) fn free(
+/// An entry that holds all slots of a target reserves one for the short lane.
+/// With fewer slots, the queue limits the long lane across all targets.
+pub(super) fn free_slots(
     limits: &Shards<LimitName, Ledger>,
-    slots: &HashMap<TargetId, LimitName>,
+    slot_limits: &HashMap<TargetId, LimitName>,
     target: TargetId,
     lane: Lane,
 ) -> u32 {
-    let limit = slots.get(&target);
+    let limit = slot_limits.get(&target);
     let status = limit.and_then(|l| limits.get(l, |l| l.status()));
     let Some(status) = status else {
         return 0;
--- a/src/app/entry/slot.rs
+++ b/src/app/entry/slot.rs
@@ -1,4 +1,4 @@
-//! Slots of targets in use.
+//! Slots of targets that are in use by requests.
 
 use std::{fmt, sync::Arc};
 
@@ -13,12 +13,12 @@
     ports::Hold,
 };
 
-/// What becomes of a slot that is given back.
-pub(super) type Back = Arc<dyn Fn(Used) + Send + Sync>;
+/// The function that a slot calls when it is released.
+pub(super) type OnRelease = Arc<dyn Fn(SlotUse) + Send + Sync>;
 
-/// A slot that is given back, with what it was used for.
+/// The use of a slot, which is recorded when the slot is released.
 #[derive(Debug)]
-pub(super) struct Used {
+pub(super) struct SlotUse {
     /// The service.
     pub service: ServiceName,
     /// The route under which the duration is learned.
@@ -30,99 +30,101 @@
     /// The right to use the slot.
     pub permit: Permit,
     /// When the slot was taken.
-    pub started: Millis,
+    pub taken_at: Millis,
     /// How long the head of the answer took, if it arrived.
-    pub head: Option<Millis>,
+    pub head_time: Option<Millis>,
     /// How the request ended.
-    pub finish: Completion,
+    pub completion: Completion,
 }
 
-/// A target's slot in use by one request.
+/// A slot of a target that is in use by one request.
 ///
-/// Dropping it gives the slot back, whatever the reason. A cancelled request
-/// gives it back as soon as the target has stopped working on it.
+/// Dropping it releases the slot. If the request was cancelled, the slot is
+/// released only when the target has stopped working on the request.
 pub(super) struct Slot {
-    used: Option<Used>,
-    target: Choice,
-    /// Resolves when the target has ended the request, once it was sent.
+    usage: Option<SlotUse>,
+    choice: Choice,
+    /// Resolves when the target has ended the request. Set when the request is
+    /// sent.
     ended: Option<oneshot::Receiver<()>>,
-    back: Back,
+    on_release: OnRelease,
 }
 
 impl fmt::Debug for Slot {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "Slot({:?})", self.used)
+        write!(f, "Slot({:?})", self.usage)
     }
 }
 
 impl Slot {
-    /// Returns a slot that goes to `back` in the end. It counts as cancelled until
-    /// something else is noted.
-    pub fn new(used: Used, back: Back) -> Self {
+    /// Returns a slot that is passed to `on_release` when it is dropped. The
+    /// request counts as cancelled until another end is set.
+    pub fn new(usage: SlotUse, on_release: OnRelease) -> Self {
         Self {
-            target: used.choice.clone(),
-            used: Some(used),
+            choice: usage.choice.clone(),
+            usage: Some(usage),
             ended: None,
-            back,
+            on_release,
         }
     }
 
     /// Returns the target and its place.
     pub fn choice(&self) -> &Choice {
-        &self.target
+        &self.choice
     }
 
     /// Returns the target.
     pub fn target(&self) -> TargetId {
-        self.target.target
+        self.choice.target
     }
 
-    /// Returns what the adapter holds as long as the target may work on the
-    /// request.
+    /// Returns a guard that the adapter holds as long as the target may work on
+    /// the request.
     pub fn hold(&mut self) -> Hold {
         let (hold, ended) = oneshot::channel();
         self.ended = Some(ended);
         Arc::new(hold)
     }
 
-    /// Names the route under which the duration is learned.
+    /// Sets the route under which the duration is learned.
     pub fn set_route(&mut self, route: &str) {
-        if let Some(used) = &mut self.used {
-            route.clone_into(&mut used.route);
+        if let Some(usage) = &mut self.usage {
+            route.clone_into(&mut usage.route);
         }
     }
 
-    /// Notes that the head of the answer arrived.
-    pub fn answered(&mut self, now: Millis) {
-        if let Some(used) = &mut self.used {
-            used.head = Some(now - used.started);
+    /// Records the time at which the head of the answer arrived.
+    pub fn set_head_time(&mut self, now: Millis) {
+        if let Some(usage) = &mut self.usage {
+            usage.head_time = Some(now - usage.taken_at);
         }
     }
 
-    /// Notes how the request ended. Without this it counts as cancelled.
-    pub fn finish(&mut self, finish: Completion) {
-        if let Some(used) = &mut self.used {
-            used.finish = finish;
+    /// Sets how the request ended. Without this call it counts as cancelled.
+    pub fn set_completion(&mut self, completion: Completion) {
+        if let Some(usage) = &mut self.usage {
+            usage.completion = completion;
         }
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        let Some(used) = self.used.take() else {
+        let Some(usage) = self.usage.take() else {
             return;
         };
-        let back = self.back.clone();
+        let on_release = self.on_release.clone();
         match self.ended.take() {
-            Some(ended) if used.finish == Completion::Cancelled => {
-                // The target runs a cancelled request until it sees the connection
-                // close. The next request would be one too many before that.
+            Some(ended) if usage.completion == Completion::Cancelled => {
+                // The target works on a cancelled request until it sees that
+                // the connection is closed. Another request before that would
+                // exceed its slots.
                 tokio::spawn(async move {
                     let _ = ended.await;
-                    back(used);
+                    on_release(usage);
                 });
             }
-            _ => back(used),
+            _ => on_release(usage),
         }
     }
 }
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -10,10 +10,10 @@
 use super::{
     Ports, Service, events,
     fleet::{self, Fleet, Rosters},
-    keys::Claims,
     limits::{link_limit, region_limit, shift_limit, slots_limit},
     locations::Locations,
     observe::Observer,
+    registers::Claims,
 };
 use crate::{
     adapters::{ini::Settings, store::roster::RosterRecord},
@@ -30,61 +30,61 @@
     ports::Events,
 };
 
-/// The most fingerprints of requests under suspicion, about 100 bytes each.
-const SUSPECTS: usize = 4_096;
+/// The maximum number of fingerprints with strikes, about 100 bytes each.
+const MAX_SUSPECTS: usize = 4_096;
 
 /// The state of a running entry.
 ///
-/// Each table has its own locks. Where two are needed, the order is services,
-/// then limits; the others are taken alone. None is held across an await.
+/// Each field has its own locks. Lock order: services before limits. Every
+/// other lock is taken alone, and none is held across an await.
 #[derive(Debug)]
 pub struct State {
-    /// The settings it was started with.
+    /// The settings with which the entry was started.
     pub settings: Settings,
-    /// What it needs from outside.
+    /// The ports to the outside.
     pub ports: Ports,
-    /// This life of this entry.
+    /// This entry with its current incarnation.
     pub me: Member,
-    /// The documents in force, with what is known of their targets. A shard's
-    /// lock guards everything about its services.
+    /// The services: their current documents and the state of their targets.
+    /// The lock of a shard guards everything about its services.
     pub services: Shards<ServiceName, Service>,
-    /// This entry's part of each limit.
+    /// This entry's ledger of each limit.
     pub limits: Shards<LimitName, Ledger>,
     /// The other entries.
     pub fleet: Fleet,
-    /// The claims of keyed requests of which this entry is a home.
+    /// The claims on keys of which this entry is a home.
     pub claims: Claims,
     /// The timeline of this entry.
     pub events: Events,
-    /// What is sent to targets.
+    /// The observer of requests to targets.
     pub observer: Observer,
-    /// The entries that look-ups name.
+    /// The entries among which look-ups choose.
     pub view: RwLock<Arc<View>>,
-    /// The sites of clients.
-    pub sites: Locations,
-    /// Requests that broke connections.
+    /// The locations of clients.
+    pub locations: Locations,
+    /// The strikes against requests that broke connections.
     pub strikes: Mutex<Strikes>,
-    /// Requests that were executed of late.
+    /// The requests that were recently executed.
     pub successes: Mutex<Successes>,
-    /// Whether the documents of the store or of a peer have arrived.
-    informed: AtomicBool,
-    /// Whether answers end their connections, shortly before a planned stop.
+    /// Whether the documents have arrived from the store or from another entry.
+    documents_loaded: AtomicBool,
+    /// Whether answers close their connections, shortly before a planned stop.
     closing: AtomicBool,
     outbox: mpsc::UnboundedSender<Outgoing>,
 }
 
 impl State {
-    /// Returns the state of an entry that knows nothing yet, and the messages
-    /// about limits that it will want to send.
+    /// Returns the state of an entry that has no documents yet, and the
+    /// receiver of the messages about limits that it will send.
     pub(super) fn open(
         settings: Settings,
         mut ports: Ports,
     ) -> (Arc<Self>, mpsc::UnboundedReceiver<Outgoing>) {
-        let (outbox, sent) = mpsc::unbounded_channel();
+        let (outbox, outgoing) = mpsc::unbounded_channel();
         let me = Member {
             entry: settings.name.clone(),
-            // The wall clock at the start is greater in each later life, unless
-            // the platform sets it back, and then the entry is refused its seat.
+            // The start time is greater in each later incarnation. If the
+            // platform sets the clock back, the entry is refused its seat.
             incarnation: Incarnation((ports.clock.wall)().0),
         };
         let claimant = once::Member {
@@ -99,24 +99,24 @@
             claims: Claims::new(claimant.clone()),
             events,
             observer,
-            sites: Locations::new(&settings.sites),
+            locations: Locations::new(&settings.sites),
             settings,
             ports,
             me,
             services: Shards::new(),
             limits: Shards::new(),
-            view: RwLock::new(Arc::new(fleet::no_view())),
-            strikes: Mutex::new(Strikes::new(claimant, SUSPECTS)),
+            view: RwLock::new(Arc::new(fleet::empty_view())),
+            strikes: Mutex::new(Strikes::new(claimant, MAX_SUSPECTS)),
             successes: Mutex::default(),
-            informed: AtomicBool::new(false),
+            documents_loaded: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             outbox,
         };
         state.open_shared_limits();
-        (Arc::new(state), sent)
+        (Arc::new(state), outgoing)
     }
 
-    /// Creates the ledgers of limits that settings define.
+    /// Creates the ledgers of the limits in the settings.
     fn open_shared_limits(&self) {
         for (name, region) in &self.settings.regions {
             self.set_limit(&region_limit(name), Limit::requests(region.headroom));
@@ -128,14 +128,15 @@
         }
     }
 
-    /// Puts a document in force, unless the same or a newer revision already is.
+    /// Adopts a document, unless the same or a newer revision was adopted
+    /// before.
     pub fn adopt(self: &Arc<Self>, doc: &Document, revision: Revision) -> Adoption {
         let content = Content::Document(Arc::new(doc.clone()));
         self.adopt_content(&doc.service, revision, content)
     }
 
-    /// Puts a revision in force. This is the only way by which a document
-    /// changes; the rule that no entry goes back is inside.
+    /// Adopts a revision if it is newer and valid. Documents change only
+    /// through this function, so an entry never returns to an older revision.
     pub fn adopt_content(
         self: &Arc<Self>,
         name: &ServiceName,
@@ -153,9 +154,9 @@
                     .services
                     .get(name, |s| s.doc.document().cloned())
                     .flatten();
-                self.size_limits(name, doc.as_deref(), former.as_deref());
+                self.resize_limits(name, doc.as_deref(), former.as_deref());
                 tracing::info!("document: {name} is at revision {revision}.");
-                self.pump(name);
+                self.start_queued(name);
             }
             Adoption::Rejected(rejection) => tracing::warn!("{rejection}."),
             Adoption::Stale { .. } => {}
@@ -163,9 +164,10 @@
         adoption
     }
 
-    /// Sizes the ledgers that a document defines. A ledger that no document
-    /// names any more has size zero and is kept, because of what it has lent.
-    fn size_limits(&self, name: &ServiceName, new: Option<&Document>, old: Option<&Document>) {
+    /// Sets the sizes of the ledgers that a document defines. A ledger that no
+    /// document names any more gets size zero. It is not removed, because units
+    /// that it has lent may still be outstanding.
+    fn resize_limits(&self, name: &ServiceName, new: Option<&Document>, old: Option<&Document>) {
         let targets = |doc: &Document| -> Vec<TargetId> {
             let all = doc.places.iter().flat_map(|p| p.targets.iter().copied());
             all.collect()
@@ -195,24 +197,25 @@
             ledger.set_roster(roster, now);
             ledger
         };
-        let out = self
+        let messages = self
             .limits
             .with(name.clone(), new, |l| l.set_limit(limit, now));
-        self.post(out);
+        self.enqueue_messages(messages);
     }
 
-    /// Creates the ledger of a limit that no document has named yet.
+    /// Creates the ledger of a limit that no document has defined yet.
     pub(super) fn ensure_limit(&self, name: &LimitName) {
         if self.limits.get(name, |_| ()).is_none() {
             self.set_limit(name, Limit::unknown(name));
         }
     }
 
-    /// Puts a roster in force if its epoch is greater.
+    /// Adopts a roster if its epoch is greater.
     pub(super) fn adopt_roster(&self, record: RosterRecord) {
         let (epoch, seats) = (record.current.epoch, record.current.seats.len());
-        // Only the platform's word takes a seat away, so these are gone.
-        let gone = removed(&record);
+        // A seat is removed only when the platform reports that its VM is gone
+        // or leaving.
+        let removed = removed_seats(&record);
         let rosters = Rosters::new(record);
         let claims = rosters.claims.clone();
         if !self.fleet.set_rosters(rosters) {
@@ -222,12 +225,14 @@
         let roster = self.roster();
         self.limits.each(|_, l| l.set_roster(roster.clone(), now));
         self.claims.adopt(&claims);
-        for seat in gone {
+        for seat in removed {
             let mut members = self.fleet.members();
             members.remove(&seat.entry, seat.incarnation);
         }
-        if let Ok(name) = fleet::ROSTER.parse() {
-            self.fleet.spread().on_adopted(&name, Revision(epoch.0));
+        if let Ok(name) = fleet::ROSTER_NAME.parse() {
+            self.fleet
+                .dissemination()
+                .on_adopted(&name, Revision(epoch.0));
         }
         (self.events.emit)(
             Kind::RosterChanged,
@@ -235,53 +240,55 @@
         );
     }
 
-    /// Notes that the documents of the store or of a peer have arrived.
-    pub(super) fn set_informed(&self) {
-        self.informed.store(true, Ordering::Release);
+    /// Records that the documents have arrived from the store or from another
+    /// entry.
+    pub(super) fn set_documents_loaded(&self) {
+        self.documents_loaded.store(true, Ordering::Release);
     }
 
-    /// Makes further answers end their connections.
+    /// Makes further answers close their connections.
     pub(super) fn set_closing(&self) {
         self.closing.store(true, Ordering::Release);
     }
 
-    /// Tells whether answers end their connections.
+    /// Returns whether answers close their connections.
     #[must_use]
     pub fn is_closing(&self) -> bool {
         self.closing.load(Ordering::Acquire)
     }
 
-    /// Tells whether the documents of the store or of a peer have arrived.
+    /// Returns whether the documents have arrived from the store or from
+    /// another entry.
     #[must_use]
-    pub fn is_informed(&self) -> bool {
-        self.informed.load(Ordering::Acquire)
+    pub fn has_documents(&self) -> bool {
+        self.documents_loaded.load(Ordering::Acquire)
     }
 
-    /// Returns why this entry cannot serve yet, none if it can.
+    /// Returns the reason why this entry cannot serve yet, or `None` if it can.
     #[must_use]
-    pub fn unready(&self) -> Option<String> {
-        if !self.is_informed() {
+    pub fn unready_reason(&self) -> Option<String> {
+        if !self.has_documents() {
             return Some("no documents have arrived from the store or a peer".to_owned());
         }
         if self.roster().position(&self.me).is_none() {
             return Some("the roster does not list this entry yet".to_owned());
         }
-        if self.is_short() {
+        if self.lacks_headroom() {
             return Some("units of the regions' headroom have not arrived yet".to_owned());
         }
         None
     }
 
-    /// Tells whether a region's headroom is all with other entries although some
-    /// of it belongs here, as after a change of the roster.
-    fn is_short(&self) -> bool {
-        let short = |l: &mut Ledger| l.status().usable == 0 && l.status().missing > 0;
+    /// Returns whether other entries hold all of a region's headroom although
+    /// some of it belongs to this one, as after a change of the roster.
+    fn lacks_headroom(&self) -> bool {
+        let lacks_units = |l: &mut Ledger| l.status().usable == 0 && l.status().missing > 0;
         let regions = self.settings.regions.keys();
-        let mut shorts = regions.filter_map(|r| self.limits.get(&region_limit(r), short));
-        shorts.any(|s| s)
+        let mut shortages = regions.filter_map(|r| self.limits.get(&region_limit(r), lacks_units));
+        shortages.any(|s| s)
     }
 
-    /// Returns the roster in force, as limits need it.
+    /// Returns the current roster for limits.
     #[must_use]
     pub fn roster(&self) -> Arc<Roster> {
         self.fleet.rosters().limits.clone()
@@ -295,7 +302,7 @@
         running
     }
 
-    /// Returns the entries as look-ups see them.
+    /// Returns the entries among which look-ups choose.
     #[must_use]
     pub fn view(&self) -> Arc<View> {
         self.view
@@ -304,44 +311,46 @@
             .clone()
     }
 
-    /// Hands messages about limits to the task that sends them. If it is gone,
-    /// the entry is stopping, and a lost message costs nothing but capacity.
-    pub fn post(&self, messages: Vec<Outgoing>) {
+    /// Passes messages about limits to the task that sends them. If the task
+    /// has ended, the entry is stopping and the messages are dropped: a lost
+    /// message only reduces the usable capacity.
+    pub fn enqueue_messages(&self, messages: Vec<Outgoing>) {
         for message in messages {
             let _ = self.outbox.send(message);
         }
     }
 
-    /// Takes one unit of a limit of requests a second. A limit that nobody
-    /// defined does not limit.
+    /// Takes one unit of a rate limit. Returns true if the limit is not
+    /// defined.
     #[must_use]
     pub fn admit(&self, limit: &LimitName) -> bool {
         self.admit_amount(limit, 1)
     }
 
-    /// Takes an amount of a rate limit, or asks other entries for units of it. A
-    /// limit that nobody defined does not limit.
+    /// Takes an amount of a rate limit, or requests units from other entries if
+    /// there are too few. Returns whether the amount was taken, or true if the
+    /// limit is not defined.
     #[must_use]
     pub fn admit_amount(&self, limit: &LimitName, amount: u64) -> bool {
         let now = (self.ports.clock.now)();
-        let asked = self.limits.get(limit, |l| {
+        let requested = self.limits.get(limit, |l| {
             if l.admit(amount, now) {
                 return None;
             }
             Some(l.request_units(now))
         });
-        match asked.flatten() {
+        match requested.flatten() {
             None => true,
-            Some(out) => {
-                self.post(out);
+            Some(messages) => {
+                self.enqueue_messages(messages);
                 false
             }
         }
     }
 }
 
-/// Returns the seats that a roster has lost.
-fn removed(record: &RosterRecord) -> Vec<Seat> {
+/// Returns the seats of the former roster that the current one lacks.
+fn removed_seats(record: &RosterRecord) -> Vec<Seat> {
     let kept = &record.current.seats;
     let former = record.former.seats.iter();
     former.filter(|s| !kept.contains(s)).cloned().collect()
