--- a/src/app/entry/claims.rs
+++ b/src/app/entry/claims.rs
@@ -14,8 +14,8 @@
     domain::Millis,
     policy::{
         once::{
-            Answer, AttemptId, ClaimKey, Claimant, Decision, HomeSet, Member, Request, Response,
-            Vote,
+            Answer, AttemptId, ClaimKey, Claimant, Decision, HomeRequest, HomeResponse, HomeSet,
+            Member, VoteRequest,
         },
         refusal::Refusal,
     },
@@ -40,13 +40,13 @@
     ) -> Decision {
         let now = (self.ports.clock.now)();
         let vote_deadline = deadline.min(now + VOTE_TIMEOUT);
-        let votes = claimant.votes();
+        let votes = claimant.vote_requests();
         let mut asked: FuturesUnordered<_> = votes
             .into_iter()
             .map(|(home, vote)| {
                 let state = self.clone();
                 async move {
-                    let reply = state.ask_home(&home, Request::Vote(vote)).await;
+                    let reply = state.ask_home(&home, HomeRequest::Vote(vote)).await;
                     (home, reply)
                 }
             })
@@ -54,7 +54,7 @@
         loop {
             let left = vote_deadline - (self.ports.clock.now)();
             match timeout(left.duration(), asked.next()).await {
-                Ok(Some((home, Some(Response::Vote(epoch, reply))))) => {
+                Ok(Some((home, Some(HomeResponse::Vote(epoch, reply))))) => {
                     if let Some(decision) = claimant.on_reply(&home, epoch, reply) {
                         return decision;
                     }
@@ -73,8 +73,8 @@
     pub(super) async fn ask_home(
         self: &Arc<Self>,
         home: &Member,
-        request: Request,
-    ) -> Option<Response> {
+        request: HomeRequest,
+    ) -> Option<HomeResponse> {
         if *home == *self.claims.me() {
             return Some(self.claims.handle(&request, (self.ports.clock.now)()));
         }
@@ -102,7 +102,7 @@
         self.notify_homes(claimant.finish(answer, &newest));
     }
 
-    fn notify_homes<T: Into<Request>>(self: &Arc<Self>, messages: Vec<(Member, T)>) {
+    fn notify_homes<T: Into<HomeRequest>>(self: &Arc<Self>, messages: Vec<(Member, T)>) {
         if messages.is_empty() {
             return;
         }
@@ -158,7 +158,7 @@
     };
     let now = (state.ports.clock.now)();
     let homes = state.homes(&key);
-    let vote = Vote {
+    let vote = VoteRequest {
         key: key.clone(),
         fingerprint: job.fingerprint,
         attempt: AttemptId(rand::rng().random()),
@@ -191,7 +191,7 @@
 
     /// Marks the dispatched request as unsent: no byte of it was written.
     pub fn mark_unsent(&mut self) {
-        self.claimant.unsent();
+        self.claimant.mark_unsent();
     }
 
     /// Records the answer for repeats of the request.
--- a/src/app/entry/crashes.rs
+++ b/src/app/entry/crashes.rs
@@ -6,7 +6,7 @@
 use crate::{
     domain::{Millis, TargetId},
     policy::{
-        crash::{Admission, Ending, Failure, Stage, is_strike},
+        crash::{Admission, Failure, FailureCause, Stage, is_strike},
         once::Fingerprint,
         refusal::Refusal,
         target,
@@ -38,7 +38,7 @@
     let now = (state.ports.clock.now)();
     let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
     match strikes.admit(job.fingerprint, now) {
-        Admission::Free => Ok(None),
+        Admission::Unrestricted => Ok(None),
         Admission::Trial => Ok(Some(Trial {
             state,
             fingerprint: job.fingerprint,
@@ -77,7 +77,7 @@
     let now = (state.ports.clock.now)();
     let failure = Failure {
         stage: Stage::Written,
-        ending: Ending::Broken,
+        cause: FailureCause::Broken,
         leaving: is_leaving(state, job, *peer, now),
     };
     let fingerprint = job.fingerprint;
@@ -96,7 +96,7 @@
     (state.events.emit)(Kind::RequestStruck, text);
     let strike = {
         let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
-        strikes.strike(fingerprint, now)
+        strikes.record_strike(fingerprint, now)
     };
     // The caller may repeat the request through another entry as soon as it
     // gets its answer, so the other entries must have the strike before that.
--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -7,11 +7,12 @@
 //! A request passes through these modules in one direction: `inbound` accepts
 //! it, `job` reads it, `crashes` and `claims` decide whether it may run,
 //! `grants` waits for a `slot`, `carry` sends it, and `reply` forwards the
-//! answer. They use `state`, whose parts (`service`, `registers`, `locations`,
-//! `observe`, `events`) do not depend on them.
+//! answer. They use `state`, whose parts (`service`, `claim_tables`,
+//! `locations`, `observe`, `events`) do not depend on them.
 
 pub mod admin;
 mod carry;
+mod claim_tables;
 mod claims;
 mod control;
 mod crashes;
@@ -27,7 +28,6 @@
 mod observe;
 mod pacing;
 mod places;
-mod registers;
 mod reply;
 mod service;
 mod slot;
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -8,18 +8,19 @@
 use tokio::sync::mpsc;
 
 use super::{
-    Ports, Service, events,
+    Ports, Service,
+    claim_tables::Claims,
+    events,
     fleet::{self, Fleet, Rosters},
     limits::{link_limit, region_limit, shift_limit, slots_limit},
     locations::Locations,
     observe::Observer,
-    registers::Claims,
 };
 use crate::{
     adapters::{ini::Settings, store::roster::RosterRecord},
     domain::{Document, Incarnation, LimitName, Revision, ServiceName, Shards, Slots, TargetId},
     policy::{
-        crash::{Strikes, Successes},
+        crash::{RecentSuccesses, StrikeTable},
         document::{Adoption, Content},
         limit::{Ledger, Limit, Member, Outgoing, Roster},
         lookup::View,
@@ -63,9 +64,9 @@
     /// The locations of clients.
     pub locations: Locations,
     /// The strikes against requests that broke connections.
-    pub strikes: Mutex<Strikes>,
+    pub strikes: Mutex<StrikeTable>,
     /// The requests that were recently executed.
-    pub successes: Mutex<Successes>,
+    pub successes: Mutex<RecentSuccesses>,
     /// Whether the documents have arrived from the store or from another entry.
     documents_loaded: AtomicBool,
     /// Whether answers close their connections, shortly before a planned stop.
@@ -106,7 +107,7 @@
             services: Shards::new(),
             limits: Shards::new(),
             view: RwLock::new(Arc::new(fleet::empty_view())),
-            strikes: Mutex::new(Strikes::new(claimant, MAX_SUSPECTS)),
+            strikes: Mutex::new(StrikeTable::new(claimant, MAX_SUSPECTS)),
             successes: Mutex::default(),
             documents_loaded: AtomicBool::new(false),
             closing: AtomicBool::new(false),
--- a/tests/claims/naive.rs
+++ b/tests/claims/naive.rs
@@ -1,67 +1,67 @@
-//! Homes with rules that look sufficient and are not.
+//! Homes with protocols that seem to execute a key at most once but do not.
 
 use std::collections::BTreeMap;
 
 use savorybeam::{
     domain::Millis,
-    policy::once::{AttemptId, ClaimKey, Reply, Request, Response},
+    policy::once::{AttemptId, ClaimKey, HomeRequest, HomeResponse, VoteReply},
 };
 
-use super::Rules;
+use super::Protocol;
 
-const EXPIRY: Millis = Millis(30_000);
+const NAIVE_EXPIRY: Millis = Millis(30_000);
 
-pub struct Naive {
+pub struct NaiveClaim {
     attempt: AttemptId,
-    since: Millis,
-    /// The reply after the end of the execution.
-    finished: Option<Reply>,
+    claimed_at: Millis,
+    /// The reply to further vote requests once the attempt has finished.
+    finished: Option<VoteReply>,
 }
 
-/// A home that knows no epochs.
-pub fn answer(
-    claims: &mut BTreeMap<ClaimKey, Naive>,
-    request: &Request,
-    rules: Rules,
+/// Handles a request as a home that ignores epochs.
+pub fn handle(
+    claims: &mut BTreeMap<ClaimKey, NaiveClaim>,
+    request: &HomeRequest,
+    protocol: Protocol,
     now: Millis,
-) -> Response {
+) -> HomeResponse {
     match request {
-        Request::Vote(vote) => {
-            let open = |n: &Naive| rules == Rules::Expiry && n.finished.is_none();
+        HomeRequest::Vote(vote) => {
+            let open = |n: &NaiveClaim| protocol == Protocol::EarlyExpiry && n.finished.is_none();
             if claims
                 .get(&vote.key)
-                .is_some_and(|n| open(n) && n.since + EXPIRY <= now)
+                .is_some_and(|n| open(n) && n.claimed_at + NAIVE_EXPIRY <= now)
             {
                 claims.remove(&vote.key);
             }
-            let claim = claims.entry(vote.key.clone()).or_insert(Naive {
+            let claim = claims.entry(vote.key.clone()).or_insert(NaiveClaim {
                 attempt: vote.attempt,
-                since: now,
+                claimed_at: now,
                 finished: None,
             });
             let reply = match &claim.finished {
                 Some(reply) => reply.clone(),
-                None if claim.attempt == vote.attempt => Reply::Granted,
-                None => Reply::Held(Vec::new()),
+                None if claim.attempt == vote.attempt => VoteReply::Granted,
+                None => VoteReply::Held(Vec::new()),
             };
-            Response::Vote(vote.epoch, reply)
+            HomeResponse::Vote(vote.epoch, reply)
         }
-        Request::Release(release) => {
-            let holds = |n: &Naive| n.attempt == release.attempt && n.finished.is_none();
+        HomeRequest::Release(release) => {
+            let holds = |n: &NaiveClaim| n.attempt == release.attempt && n.finished.is_none();
             if claims.get(&release.key).is_some_and(holds) {
                 claims.remove(&release.key);
             }
-            Response::Noted(true)
+            HomeResponse::Acknowledged(true)
         }
-        Request::Finish(finish) => {
-            let done = Naive {
+        HomeRequest::Finish(finish) => {
+            let done = NaiveClaim {
                 attempt: finish.attempt,
-                since: now,
-                finished: Some(Reply::Finished(finish.answer.clone())),
+                claimed_at: now,
+                finished: Some(VoteReply::Finished(finish.answer.clone())),
             };
             claims.insert(finish.key.clone(), done);
-            Response::Noted(true)
+            HomeResponse::Acknowledged(true)
         }
-        Request::Read(_) => Response::Noted(false),
+        HomeRequest::Transfer(_) => HomeResponse::Acknowledged(false),
     }
 }
