--- a/tests/claims/mod.rs
+++ b/tests/claims/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use self::naive::NaiveClaim;
-use crate::history::{Event, Told};
+use crate::history::{CallResult, Event};
 
 /// The protocol that the homes follow.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -204,25 +204,25 @@
         mut pending: PendingCall,
         decision: Decision,
     ) -> Option<PendingCall> {
-        let (name, told) = match decision {
+        let (name, result) = match decision {
             Decision::Won => ("won", None),
-            Decision::Finished(answer) => ("finished", Some(told(answer.as_ref()))),
-            Decision::InProgress => ("in progress", Some(Told::Unknown)),
-            Decision::KeyReused => ("reused", Some(Told::NotRun)),
-            Decision::Unavailable(_) => ("unavailable", Some(Told::NotRun)),
+            Decision::Finished(answer) => ("finished", Some(call_result(answer.as_ref()))),
+            Decision::InProgress => ("in progress", Some(CallResult::Unknown)),
+            Decision::KeyReused => ("reused", Some(CallResult::NotRun)),
+            Decision::Unavailable(_) => ("unavailable", Some(CallResult::NotRun)),
         };
         *self.decisions.entry(name).or_default() += 1;
-        let Some(told) = told else {
+        let Some(result) = result else {
             pending.won = true;
             return Some(pending);
         };
-        self.release(i, &mut pending, told);
+        self.release(i, &mut pending, result);
         None
     }
 
-    fn release(&mut self, i: usize, pending: &mut PendingCall, told: Told) {
+    fn release(&mut self, i: usize, pending: &mut PendingCall, result: CallResult) {
         let call = pending.call;
-        self.history.push(Event::Returned { call, told });
+        self.history.push(Event::Returned { call, result });
         for (to, release) in pending.claimant.release(&HomeSet::default()) {
             self.send(i, &to, Body::Request(HomeRequest::Release(release)));
         }
@@ -236,7 +236,7 @@
             return Some(pending);
         }
         if self.rng.random_ratio(1, 8) {
-            self.release(i, &mut pending, Told::NotRun);
+            self.release(i, &mut pending, CallResult::NotRun);
             return None;
         }
         assert!(pending.claimant.dispatch(now), "a winner may dispatch");
@@ -265,8 +265,8 @@
         });
         let answer = Arc::new(Answer::record(200, [], Some(Bytes::from(body))));
         let answer = self.rng.random_ratio(3, 4).then_some(answer);
-        let told = told(answer.as_ref());
-        self.history.push(Event::Returned { call, told });
+        let result = call_result(answer.as_ref());
+        self.history.push(Event::Returned { call, result });
         for (to, finish) in pending.claimant.finish(answer, &HomeSet::default()) {
             self.send(i, &to, Body::Request(HomeRequest::Finish(finish)));
         }
@@ -490,9 +490,9 @@
     }
 }
 
-fn told(answer: Option<&Arc<Answer>>) -> Told {
+fn call_result(answer: Option<&Arc<Answer>>) -> CallResult {
     let body = answer.and_then(|a| a.body.clone());
-    body.map_or(Told::Unknown, |b| {
-        Told::Answer(String::from_utf8_lossy(&b).into_owned())
+    body.map_or(CallResult::Unknown, |b| {
+        CallResult::Answer(String::from_utf8_lossy(&b).into_owned())
     })
 }
--- a/tests/faults_once.rs
+++ b/tests/faults_once.rs
@@ -17,7 +17,7 @@
     Site,
     faults::{Got, call, guarded, numbered, set, until},
 };
-use history::{Event, Told, violations};
+use history::{CallResult, Event, violations};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::task::JoinSet;
 
@@ -85,18 +85,18 @@
             let answer = key_of(&history);
             history.push(Event::Executed { call, answer });
         }
-        let told = match got {
-            Got::Answer(a) if a.head.status.is_success() => Told::Answer(a.text()),
-            Got::Unreachable(_) => Told::NotRun,
-            got if got.outcome() == "not-run" => Told::NotRun,
-            _ => Told::Unknown,
+        let result = match got {
+            Got::Answer(a) if a.head.status.is_success() => CallResult::Answer(a.text()),
+            Got::Unreachable(_) => CallResult::NotRun,
+            got if got.outcome() == "not-run" => CallResult::NotRun,
+            _ => CallResult::Unknown,
         };
-        let whole = |told: &Told| matches!(told, Told::Answer(text) if text != key);
-        if whole(&told) {
+        let whole = |result: &CallResult| matches!(result, CallResult::Answer(text) if text != key);
+        if whole(&result) {
             found.push(format!("call {id} of {key} got the answer of another"));
         }
-        if !matches!(told, Told::Answer(_)) {
-            history.push(Event::Returned { call: *id, told });
+        if !matches!(result, CallResult::Answer(_)) {
+            history.push(Event::Returned { call: *id, result });
         }
     }
     found.extend(violations(&history, RETENTION));
--- a/tests/history/mod.rs
+++ b/tests/history/mod.rs
@@ -1,17 +1,18 @@
-//! Checks of recorded histories.
+//! A checker of recorded histories.
 //!
-//! A test records what callers asked, what reached a target, what callers were
-//! told and which revisions an observer saw. [`violations`] lists what none of
-//! these may show, independent of how the system under test is built.
+//! A test records what was dispatched to targets, what they executed, which
+//! results callers got, and which revisions observers saw. [`violations`] lists
+//! the violated invariants. It does not depend on the implementation of the
+//! system under test.
 
-#![allow(dead_code, reason = "each test uses a part of it")]
+#![allow(dead_code, reason = "no test uses all items")]
 
 use std::collections::{BTreeMap, BTreeSet};
 
-/// What a caller was told.
+/// The result that a caller got.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Told {
-    /// A target's answer, by its content.
+pub enum CallResult {
+    /// The body of a target's answer.
     Answer(String),
     /// A refusal with the outcome `not-run`.
     NotRun,
@@ -19,10 +20,10 @@
     Unknown,
 }
 
-/// One event. Calls are numbered; a repeat is a call of its own.
+/// An event in a history. Each call has a number, and a repeat is a new call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Event {
-    /// A byte of the request may have reached a target.
+    /// A byte of the request may have reached a target, at time `at`.
     Dispatched {
         call: u64,
         key: Option<String>,
@@ -31,29 +32,30 @@
     /// A target executed the request.
     Executed { call: u64, answer: String },
     /// The caller got its result.
-    Returned { call: u64, told: Told },
-    /// An observer saw a revision in effect.
-    Seen {
+    Returned { call: u64, result: CallResult },
+    /// An observer saw that a revision was in effect.
+    Observed {
         observer: String,
         service: String,
         revision: u64,
     },
 }
 
-/// Returns what is wrong with a history.
+/// Returns the violated invariants of a history.
 ///
-/// `retention` is the time within which a key may be dispatched only once.
+/// `retention` is the time during which a key may be dispatched only once.
 pub fn violations(history: &[Event], retention: u64) -> Vec<String> {
-    let mut found = repeated(history, retention);
-    found.extend(false_not_run(history));
-    found.extend(invented(history));
-    found.extend(reverted(history));
-    found
+    let mut violations = repeated_dispatches(history, retention);
+    violations.extend(false_not_run_results(history));
+    violations.extend(unexecuted_answers(history));
+    violations.extend(reverted_revisions(history));
+    violations
 }
 
-fn repeated(history: &[Event], retention: u64) -> Vec<String> {
+/// Returns the keys that were dispatched twice within the retention time.
+fn repeated_dispatches(history: &[Event], retention: u64) -> Vec<String> {
     let mut last: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
-    let mut found = Vec::new();
+    let mut violations = Vec::new();
     for event in history {
         let Event::Dispatched {
             call,
@@ -63,62 +65,67 @@
         else {
             continue;
         };
-        if let Some((former, before)) = last.insert(key, (*call, *at))
-            && at.saturating_sub(before) < retention
+        if let Some((earlier_call, earlier_at)) = last.insert(key, (*call, *at))
+            && at.saturating_sub(earlier_at) < retention
         {
-            found.push(format!(
-                "key {key} was dispatched by call {former} and by call {call}"
+            violations.push(format!(
+                "key {key} was dispatched by call {earlier_call} and by call {call}"
             ));
         }
     }
-    found
+    violations
 }
 
-/// The dispatch may come later than the refusal, so the whole history counts.
-fn false_not_run(history: &[Event]) -> Vec<String> {
-    let sent = |event: &Event| match event {
+/// Returns the calls with the result not-run that were dispatched. The dispatch
+/// may follow the refusal, so it is searched for in the whole history.
+fn false_not_run_results(history: &[Event]) -> Vec<String> {
+    let dispatched = |event: &Event| match event {
         Event::Dispatched { call, .. } => Some(*call),
         _ => None,
     };
-    let sent: BTreeSet<u64> = history.iter().filter_map(sent).collect();
-    let refused = |event: &Event| match event {
+    let dispatched: BTreeSet<u64> = history.iter().filter_map(dispatched).collect();
+    let not_run = |event: &Event| match event {
         Event::Returned {
             call,
-            told: Told::NotRun,
-        } => sent.contains(call).then_some(*call),
+            result: CallResult::NotRun,
+        } => dispatched.contains(call).then_some(*call),
         _ => None,
     };
-    let calls = history.iter().filter_map(refused);
+    let calls = history.iter().filter_map(not_run);
     calls
-        .map(|c| format!("call {c} was told not-run and was dispatched"))
+        .map(|c| format!("call {c} got not-run but was dispatched"))
         .collect()
 }
 
-fn invented(history: &[Event]) -> Vec<String> {
-    let mut real: BTreeSet<&str> = BTreeSet::new();
-    let mut found = Vec::new();
+/// Returns the calls that got an answer that no target had executed.
+fn unexecuted_answers(history: &[Event]) -> Vec<String> {
+    let mut executed: BTreeSet<&str> = BTreeSet::new();
+    let mut violations = Vec::new();
     for event in history {
         match event {
             Event::Executed { answer, .. } => {
-                real.insert(answer);
+                executed.insert(answer);
             }
             Event::Returned {
                 call,
-                told: Told::Answer(answer),
-            } if !real.contains(answer.as_str()) => {
-                found.push(format!("call {call} got {answer:?}, which nobody executed"));
+                result: CallResult::Answer(answer),
+            } if !executed.contains(answer.as_str()) => {
+                violations.push(format!(
+                    "call {call} got {answer:?}, which no target had executed"
+                ));
             }
             _ => {}
         }
     }
-    found
+    violations
 }
 
-fn reverted(history: &[Event]) -> Vec<String> {
-    let mut newest: BTreeMap<(&str, &str), u64> = BTreeMap::new();
-    let mut found = Vec::new();
+/// Returns the observers that went back to an older revision of a service.
+fn reverted_revisions(history: &[Event]) -> Vec<String> {
+    let mut newest_seen: BTreeMap<(&str, &str), u64> = BTreeMap::new();
+    let mut violations = Vec::new();
     for event in history {
-        let Event::Seen {
+        let Event::Observed {
             observer,
             service,
             revision,
@@ -126,13 +133,13 @@
         else {
             continue;
         };
-        let seen = newest.entry((observer, service)).or_default();
+        let seen = newest_seen.entry((observer, service)).or_default();
         if revision < seen {
-            found.push(format!(
+            violations.push(format!(
                 "{observer} went from revision {seen} of {service} to {revision}"
             ));
         }
         *seen = (*seen).max(*revision);
     }
-    found
+    violations
 }
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -43,7 +43,7 @@
 /// Fails if a crash is not detected, or only by some of the entries.
 #[test]
 fn a_crash_is_detected_by_all_entries() {
-    let mut fleet = Fleet::formed(5, 2, Tuning::default());
+    let mut fleet = Fleet::converged(5, 2, Tuning::default());
     fleet.paused = vec![3];
     fleet.run(Millis(12_000));
     insta::assert_snapshot!(fleet.timeline.join("\n"));
@@ -52,8 +52,8 @@
 /// Fails if message loss makes live entries count as dead.
 #[test]
 fn ten_percent_message_loss_causes_no_false_failure() {
-    let mut fleet = Fleet::formed(9, 3, Tuning::default());
-    fleet.loss = 10;
+    let mut fleet = Fleet::converged(9, 3, Tuning::default());
+    fleet.loss_percent = 10;
     fleet.run(Millis(20 * MINUTE.0));
     assert_eq!(count_events(&fleet, "failed"), 0);
     assert!(converged(&fleet));
@@ -68,8 +68,8 @@
             relay_count,
             ..Tuning::default()
         };
-        let mut fleet = Fleet::formed(9, 4, tuning);
-        fleet.cuts = vec![(1, 2)];
+        let mut fleet = Fleet::converged(9, 4, tuning);
+        fleet.cut_links = vec![(1, 2)];
         fleet.run(Millis(5 * MINUTE.0));
         count_events(&fleet, "suspected")
     };
@@ -82,9 +82,9 @@
 /// suspicion timeout to reach all entries.
 #[test]
 fn a_refutation_arrives_before_the_suspicion_expires() {
-    let mut fleet = Fleet::formed(120, 9, Tuning::default());
+    let mut fleet = Fleet::converged(120, 9, Tuning::default());
     for suspected in [2, 40, 77, 101] {
-        fleet.cut_both(|n| n == suspected);
+        fleet.isolate_group(|n| n == suspected);
         let before = fleet.timeline.len();
         while fleet.timeline.len() == before {
             fleet.run(Millis(100));
@@ -93,7 +93,7 @@
         let observer = fleet.timeline[before].split(' ').next();
         let observer = (0..120).find(|n| Some(id(*n).as_str()) == observer);
         let observer = observer.expect("an entry");
-        fleet.cuts = vec![(observer, suspected), (suspected, observer)];
+        fleet.cut_links = vec![(observer, suspected), (suspected, observer)];
         fleet.run(Millis(15_000));
     }
     assert!(count_events(&fleet, "suspected") > 0);
@@ -105,7 +105,7 @@
 /// pause.
 #[test]
 fn a_paused_entry_refutes_its_death_and_returns() {
-    let mut fleet = Fleet::formed(5, 5, Tuning::default());
+    let mut fleet = Fleet::converged(5, 5, Tuning::default());
     fleet.paused = vec![2];
     fleet.run(Millis(20_000));
     assert!(fleet.views().iter().filter(|v| !v.contains(" 2")).count() == 4);
@@ -125,7 +125,7 @@
 #[test]
 fn leaving_reaches_all_entries_in_time_and_is_final() {
     for seed in 20..25 {
-        let mut fleet = Fleet::formed(30, seed, Tuning::default());
+        let mut fleet = Fleet::converged(30, seed, Tuning::default());
         fleet.nodes[4].leave();
         let uses = |m: &&Members| m.alive().any(|o| o.id == id(4));
         fleet.run(Millis(500));
@@ -190,7 +190,7 @@
 /// change of load is taken for a restart or a refutation.
 #[test]
 fn a_load_report_reaches_all_entries() {
-    let mut fleet = Fleet::formed(30, 10, Tuning::default());
+    let mut fleet = Fleet::converged(30, 10, Tuning::default());
     fleet.nodes[7].set_load(Load::Severe);
     fleet.run(Millis(10_000));
     let received = |m: &&Members| m.get(&id(7)).is_some_and(|o| o.0.load == Load::Severe);
@@ -219,11 +219,11 @@
 #[test]
 fn views_converge_after_an_hour_of_partition() {
     let minority = |n: usize| n.is_multiple_of(3);
-    let mut fleet = Fleet::formed(9, 7, Tuning::default());
-    fleet.cut_both(minority);
+    let mut fleet = Fleet::converged(9, 7, Tuning::default());
+    fleet.isolate_group(minority);
     fleet.run(Millis(60 * MINUTE.0));
     insta::assert_snapshot!(fleet.views().join("\n"));
-    fleet.cuts.clear();
+    fleet.cut_links.clear();
     for _ in 0..1_200 {
         fleet.run(Millis(100));
         for (n, m) in fleet.nodes.iter().enumerate() {
@@ -249,10 +249,10 @@
         reconnect_period: Millis(1_000 * MINUTE.0),
         ..Tuning::default()
     };
-    let mut fleet = Fleet::formed(9, 7, tuning);
-    fleet.cut_both(|n| n.is_multiple_of(3));
+    let mut fleet = Fleet::converged(9, 7, tuning);
+    fleet.isolate_group(|n| n.is_multiple_of(3));
     fleet.run(Millis(5 * MINUTE.0));
-    fleet.cuts.clear();
+    fleet.cut_links.clear();
     fleet.run(Millis(10 * MINUTE.0));
     assert!(!converged(&fleet), "the views are expected to stay apart");
 }
@@ -262,7 +262,7 @@
 #[test]
 fn the_message_rate_of_an_entry_is_independent_of_the_fleet_size() {
     let rate = |count: usize| {
-        let mut fleet = Fleet::formed(count, 8, Tuning::default());
+        let mut fleet = Fleet::converged(count, 8, Tuning::default());
         fleet.run(MINUTE);
         fleet.sent / u64::try_from(count).expect("few members")
     };
--- a/tests/once.rs
+++ b/tests/once.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 
 use claims::{Protocol, Simulation, key};
-use history::{Event, Told, violations};
+use history::{CallResult, Event, violations};
 use quickcheck::QuickCheck;
 use savorybeam::policy::once::{CLAIM_RETENTION, Fingerprint};
 
@@ -80,7 +80,7 @@
             events[1] += u32::from(matches!(
                 event,
                 Event::Returned {
-                    told: Told::Answer(_),
+                    result: CallResult::Answer(_),
                     ..
                 }
             ));
@@ -132,18 +132,18 @@
         key: Some("k".to_owned()),
         at,
     };
-    let seen = |revision| Event::Seen {
+    let seen = |revision| Event::Observed {
         observer: "e1".to_owned(),
         service: "slotboard".to_owned(),
         revision,
     };
-    let returned = |call, told| Event::Returned { call, told };
+    let returned = |call, result| Event::Returned { call, result };
     let history = [
-        returned(1, Told::NotRun),
+        returned(1, CallResult::NotRun),
         sent(1, 10),
         sent(2, 20),
         sent(3, 200),
-        returned(2, Told::Answer("paid".to_owned())),
+        returned(2, CallResult::Answer("paid".to_owned())),
         seen(5),
         seen(4),
         seen(5),
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -27,7 +27,7 @@
     ports::{Ask, Batch, Change, LeaseId, Platform, PlatformError, VmSettings},
 };
 
-use vm::ANY;
+use vm::ANY_PORT;
 
 /// The platform's store: every change with its revision.
 #[derive(Default)]
@@ -45,7 +45,7 @@
         if self.away.load(SeqCst) {
             return Err(PlatformError::Failed {
                 step: "read keys",
-                peer: ANY,
+                peer: ANY_PORT,
                 cause: "the store is away".to_owned(),
             });
         }
@@ -80,7 +80,7 @@
 fn settings(name: &str, seeds: Vec<SocketAddr>) -> VmSettings {
     let base = vm::settings(name);
     VmSettings {
-        control: Some(ANY),
+        control: Some(ANY_PORT),
         seeds,
         bounds: Bounds {
             grace: Millis(500),
--- a/tests/vm/mod.rs
+++ b/tests/vm/mod.rs
@@ -1,5 +1,5 @@
-//! What the platform tells an entry VM in tests: settings, a configuration and a
-//! target.
+//! Builders of what the platform provides to an entry VM: its settings, a
+//! configuration and a target.
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
@@ -11,23 +11,25 @@
     ports::VmSettings,
 };
 
-/// Any free port of loopback.
-pub const ANY: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// A loopback address with port 0, which binds to a free port.
+pub const ANY_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
+/// Returns the settings of a VM in AZ `a-1`, with every listener on a free
+/// port.
 pub fn settings(name: &str) -> VmSettings {
-    let az: AzName = "a-1".parse().expect("a name");
-    let region: RegionName = "north".parse().expect("a name");
+    let az: AzName = "a-1".parse().expect("a valid name");
+    let region: RegionName = "north".parse().expect("a valid name");
     VmSettings {
-        name: name.parse().expect("a name"),
+        name: name.parse().expect("a valid name"),
         az: az.clone(),
         region: region.clone(),
-        front: ANY,
-        readiness: ANY,
+        front: ANY_PORT,
+        readiness: ANY_PORT,
         directory: None,
         control: None,
-        metrics: ANY,
+        metrics: ANY_PORT,
         seeds: Vec::new(),
-        store: ANY,
+        store: ANY_PORT,
         zones: [(az, region)].into(),
         cores: 1,
         descriptors: 1_024,
@@ -47,7 +49,7 @@
     }
 }
 
-/// Returns a rule whose name is its prefix.
+/// Returns a rule that has its prefix as its name.
 pub fn rule(kind: RequestKind, prefix: &str) -> Rule {
     Rule {
         name: prefix.to_owned(),
@@ -61,12 +63,13 @@
         sticky: true,
         homes: Vec::new(),
         parts: vec![Part {
-            service: "slots".parse().expect("a name"),
+            service: "slots".parse().expect("a valid name"),
             weight: 1.0,
         }],
     }
 }
 
+/// Returns a configuration with the given rules and the service `slots`.
 pub fn configuration(version: u64, rules: Vec<Rule>, cold_rate: f64) -> Configuration {
     Configuration {
         version: Revision(version),
@@ -77,18 +80,19 @@
         },
         rules,
         services: vec![ServiceRule {
-            name: "slots".parse().expect("a name"),
+            name: "slots".parse().expect("a valid name"),
             cold_rate,
         }],
     }
 }
 
+/// Returns a ready target of the service `slots` with four slots.
 pub fn instance(id: &str, addr: SocketAddr) -> Instance {
     Instance {
-        id: id.parse().expect("an id"),
-        service: "slots".parse().expect("a name"),
+        id: id.parse().expect("a valid id"),
+        service: "slots".parse().expect("a valid name"),
         addr: TargetId(addr),
-        az: "a-1".parse().expect("a name"),
+        az: "a-1".parse().expect("a valid name"),
         slots: Slots(4),
         state: InstanceState::Ready,
         cold: Millis(0),
