--- a/src/app/entry/places.rs
+++ b/src/app/entry/places.rs
@@ -129,8 +129,9 @@
             .collect()
     }
 
-    /// Returns the places with their weights for callers in this region, or all
-    /// places with their shares while a shift is moving traffic.
+    /// Returns the places with their weights for callers in this region. If
+    /// there are no local weights or a shift is moving traffic, returns all
+    /// places with their shares.
     pub(super) fn local_places(&self) -> Vec<(PlaceName, u32)> {
         if self.local_weights.is_empty() || self.shift.as_ref().is_none_or(Shift::is_moving) {
             return self.places();
