--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -15,11 +15,11 @@
     adapters::metrics::Metrics,
     domain::{AzName, Bounds, Millis, Revision, ServiceName, Shards},
     policy::{
-        balance::{Pool, Quota, Registry, Scene},
-        budget::Allowance,
+        balance::{ColdQuota, Context, Pool, Registry},
+        budget::RetryLimits,
         presence::Entries,
         route::Table,
-        upstream::Log,
+        upstream::ChangeLog,
     },
     ports::{Change, Changes, Clock, Platform, Targets, VmSettings},
 };
@@ -56,7 +56,7 @@
     peers: RwLock<Arc<Vec<u64>>>,
     entries: Mutex<Entries>,
     registry: Mutex<Registry>,
-    log: Mutex<Log<Change>>,
+    log: Mutex<ChangeLog<Change>>,
     /// The revision up to which the log is complete.
     revision: watch::Sender<Revision>,
     /// The instant until which other entries ask this one.
@@ -130,7 +130,7 @@
     }
 
     /// Returns the latest changes.
-    pub(super) fn log(&self) -> MutexGuard<'_, Log<Change>> {
+    pub(super) fn log(&self) -> MutexGuard<'_, ChangeLog<Change>> {
         lock(&self.log)
     }
 
@@ -140,7 +140,7 @@
         let revision = {
             let mut log = self.log();
             if whole {
-                log.restart(at, revision);
+                log.reset(at, revision);
             } else {
                 log.push(at, revision, news);
             }
@@ -177,7 +177,7 @@
         let mut peers: Vec<u64> = {
             let mut entries = self.entries();
             entries
-                .counted(now)
+                .with_departed(now)
                 .map(|n| xxh3_64(n.as_bytes()))
                 .collect()
         };
@@ -228,9 +228,9 @@
     }
 
     /// Returns what the retry budget allows.
-    pub(super) fn allowance(&self) -> Allowance {
+    pub(super) fn allowance(&self) -> RetryLimits {
         let bounds = self.settings().bounds;
-        Allowance {
+        RetryLimits {
             ratio: bounds.retry_ratio,
             slack: bounds.retry_slack,
             window: bounds.retry_window,
@@ -242,22 +242,22 @@
         &self,
         service: &ServiceName,
         table: &Table,
-        f: impl FnOnce(&mut Pool, &Scene<'_>) -> T,
+        f: impl FnOnce(&mut Pool, &Context<'_>) -> T,
     ) -> T {
         let settings = self.settings();
         let (closed, peers) = (self.closed(), self.peers());
         let bounds = &settings.bounds;
         let rate = table.service(service).map_or(0.0, |s| s.cold_rate);
-        let scene = Scene {
+        let scene = Context {
             now: (self.ports.clock.now)(),
             region: &settings.region,
-            closed: &closed,
-            quota: Quota {
-                bound: rate * bounds.cold_factor + bounds.cold_slack,
+            evacuated: &closed,
+            cold_quota: ColdQuota {
+                max_rate: rate * bounds.cold_factor + bounds.cold_slack,
                 entries: &peers,
-                me: xxh3_64(settings.name.as_bytes()),
+                this_entry: xxh3_64(settings.name.as_bytes()),
             },
-            shift: bounds.shift,
+            shift_cap: bounds.shift,
         };
         self.pools
             .with(service.clone(), Pool::new, |p| f(p, &scene))
