--- a/src/app/entry/claim_tables.rs
+++ b/src/app/entry/claim_tables.rs
@@ -10,8 +10,8 @@
     },
 };
 
-/// The limits on the claims of one service in all buckets of a home. At about 200
-/// bytes each, the claims use 20 MB of the memory for control work.
+/// The limits on the claims of one service in all buckets of a home. At about
+/// 200 bytes each, the claims use 20 MB of the memory for control work.
 const CLAIM_LIMITS: ClaimLimits = ClaimLimits {
     claims: 100_000,
     answers: Size::kib(16 * 1024),
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -14,7 +14,7 @@
     domain::{EntryId, Epoch, Incarnation, Millis},
     policy::{
         limit,
-        lookup::{Candidate, EntryState, LoadLevel, View},
+        lookup::{Candidate, EntryState, EntryView, LoadLevel},
         member::{self, Load, Members, State, Version},
         once,
         spread::{self, Dissemination},
@@ -230,7 +230,7 @@
                 State::Leaving => EntryState::Leaving,
                 State::Dead => EntryState::Dead,
             },
-            since: now,
+            changed_at: now,
         };
         let all = members.all().filter(|(m, _)| has_seat(m));
         all.map(candidate).collect()
@@ -246,6 +246,6 @@
 }
 
 /// Returns an empty view, for an entry that knows no other entries yet.
-pub(super) fn empty_view() -> View {
-    View::new(&[], &crate::policy::lookup::Delays::default())
+pub(super) fn empty_view() -> EntryView {
+    EntryView::new(&[], &crate::policy::lookup::RegionDelays::default())
 }
--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -47,7 +47,7 @@
     },
     domain::Millis,
     policy::{
-        drain::{Phase, Step, Stop},
+        drain::{Phase, Step, StopSequence},
         timeline::Kind,
     },
     ports::{Clock, Store, Targets},
@@ -160,10 +160,10 @@
 /// Announces the stop and waits until callers no longer connect.
 async fn linger(state: &Arc<State>) {
     let now = || (state.ports.clock.now)();
-    let (mut stop, _) = Stop::begin(state.settings.linger, now());
+    let (mut stop, _) = StopSequence::begin(state.settings.linger, now());
     state.fleet.members().leave();
     let announced_at = now();
-    while stop.accepts() {
+    while stop.accepts_connections() {
         tokio::time::sleep(STOP_POLL).await;
         // The announcement is sent to three entries at once and to another one
         // each second, so some have received it after this time. If there are
@@ -171,9 +171,9 @@
         if stop.phase() == Phase::Announcing
             && (is_alone(state) || now() - announced_at >= Millis(1_000))
         {
-            stop.announced(now());
+            stop.acknowledged(now());
         }
-        if stop.closes(now()) {
+        if stop.closes_connections(now()) {
             state.set_closing();
         }
         if stop.tick(state.running(), now()) == Some(Step::Announce) {
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -23,7 +23,7 @@
         crash::{RecentSuccesses, StrikeTable},
         document::{Adoption, Content},
         limit::{Ledger, Limit, Member, Outgoing, Roster},
-        lookup::View,
+        lookup::EntryView,
         member::Seat,
         once,
         timeline::Kind,
@@ -60,7 +60,7 @@
     /// The observer of requests to targets.
     pub observer: Observer,
     /// The entries among which look-ups choose.
-    pub view: RwLock<Arc<View>>,
+    pub view: RwLock<Arc<EntryView>>,
     /// The locations of clients.
     pub locations: Locations,
     /// The strikes against requests that broke connections.
@@ -305,7 +305,7 @@
 
     /// Returns the entries among which look-ups choose.
     #[must_use]
-    pub fn view(&self) -> Arc<View> {
+    pub fn view(&self) -> Arc<EntryView> {
         self.view
             .read()
             .unwrap_or_else(PoisonError::into_inner)
