--- a/src/app/entry/crashes.rs
+++ b/src/app/entry/crashes.rs
@@ -61,7 +61,7 @@
     };
     if let Some(strike) = cleared {
         let state = state.clone();
-        tokio::spawn(async move { control::notify(&state, strike).await });
+        tokio::spawn(async move { control::announce_strike(&state, strike).await });
     }
 }
 
@@ -100,7 +100,7 @@
     };
     // The caller may repeat the request through another entry as soon as it
     // gets its answer, so the other entries must have the strike before that.
-    control::notify(state, strike).await;
+    control::announce_strike(state, strike).await;
     true
 }
 
