--- a/src/app/entry/admin/edit.rs
+++ b/src/app/entry/admin/edit.rs
@@ -22,8 +22,8 @@
     },
     domain::{Document, Millis, Revision, ServiceName, TeamName},
     policy::{
-        admin::{Base, Code, Failure, Found, check, conflict},
-        document::{Edit, EditError, EditId, Stored, diff},
+        admin::{AdminError, Code, CurrentRecord, Precondition, check_edit, revision_conflict},
+        document::{Edit, EditError, EditId, StoredHistory, diff},
         timeline::Kind,
     },
     ports::StoreError,
@@ -40,7 +40,7 @@
 struct Plan {
     service: ServiceName,
     team: TeamName,
-    base: Base,
+    base: Precondition,
     id: EditId,
     text: Option<String>,
     document: Option<Document>,
@@ -58,7 +58,7 @@
     name: &str,
     query: &Query,
     req: Request<Body>,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, AdminError> {
     let service = parse_service(name)?;
     let is_dry_run = query.flag("dry-run").map_err(|e| reply::bad_request(&e))?;
     let (base, id) = (parse_base(&req)?, parse_edit_id(&req)?);
@@ -84,7 +84,7 @@
     name: &str,
     query: &Query,
     req: &Request<Body>,
-) -> Result<Response<Body>, Failure> {
+) -> Result<Response<Body>, AdminError> {
     let plan = Plan {
         service: parse_service(name)?,
         team: team.clone(),
@@ -100,41 +100,41 @@
 }
 
 /// Parses the service name in a path.
-pub(super) fn parse_service(name: &str) -> Result<ServiceName, Failure> {
+pub(super) fn parse_service(name: &str) -> Result<ServiceName, AdminError> {
     name.parse().map_err(|e| reply::bad_request(&e))
 }
 
-fn parse_base(req: &Request<Body>) -> Result<Base, Failure> {
+fn parse_base(req: &Request<Body>) -> Result<Precondition, AdminError> {
     let text = |name: header::HeaderName| {
         let value = req.headers().get(&name).map(|v| v.to_str());
         value.transpose().map_err(|_| {
             let detail = format!("header {name}: not ASCII text");
-            Failure::new(Code::BadRequest, detail)
+            AdminError::new(Code::BadRequest, detail)
         })
     };
     match (text(header::IF_MATCH)?, text(header::IF_NONE_MATCH)?) {
-        (None, None) => Ok(Base::Unstated),
+        (None, None) => Ok(Precondition::Unstated),
         (Some(tag), None) => tag.parse().map_err(|e| reply::bad_request(&e)),
-        (None, Some("*")) => Ok(Base::Absent),
-        _ => Err(Failure::new(
+        (None, Some("*")) => Ok(Precondition::Absent),
+        _ => Err(AdminError::new(
             Code::BadRequest,
             "allowed is either If-Match with one entity tag or If-None-Match: *",
         )),
     }
 }
 
-fn parse_edit_id(req: &Request<Body>) -> Result<EditId, Failure> {
+fn parse_edit_id(req: &Request<Body>) -> Result<EditId, AdminError> {
     let Some(value) = req.headers().get(EDIT_ID) else {
         return Ok(EditId::random(&mut rand::rng()));
     };
     let text = value.to_str().unwrap_or_default();
     text.parse()
-        .map_err(|e| Failure::new(Code::BadRequest, format!("header {EDIT_ID}: {e}")))
+        .map_err(|e| AdminError::new(Code::BadRequest, format!("header {EDIT_ID}: {e}")))
 }
 
 /// Parses a document, and checks that its service is the one in the path and that
 /// its team is in the settings.
-fn parse(admin: &Admin, service: &ServiceName, text: &str) -> Result<Document, Failure> {
+fn parse(admin: &Admin, service: &ServiceName, text: &str) -> Result<Document, AdminError> {
     let file = format!("{service}.ini");
     let mut faults = Vec::new();
     let document = parse_document(&file, text);
@@ -161,15 +161,15 @@
         Ok(doc) if faults.is_empty() => Ok(doc),
         _ => {
             let detail = format!("the document has {} faults", faults.len());
-            Err(Failure::new(Code::InvalidDocument, detail).faults(faults))
+            Err(AdminError::new(Code::InvalidDocument, detail).faults(faults))
         }
     }
 }
 
-async fn dry_run(admin: &Admin, plan: &Plan) -> Result<Response<Body>, Failure> {
+async fn dry_run(admin: &Admin, plan: &Plan) -> Result<Response<Body>, AdminError> {
     let stored = read(admin, &plan.service).await?;
     let found = found_record(stored.as_ref());
-    check(&plan.team, plan.base, &found, plan.document.as_ref())?;
+    check_edit(&plan.team, plan.base, &found, plan.document.as_ref())?;
     let old = current_document(&plan.service, stored.as_ref());
     let all = diff(old.as_ref(), plan.document.as_ref());
     let mut resp = reply::json(&json!({
@@ -184,7 +184,7 @@
     Ok(resp)
 }
 
-async fn apply(admin: &Admin, plan: Plan) -> Result<Response<Body>, Failure> {
+async fn apply(admin: &Admin, plan: Plan) -> Result<Response<Body>, AdminError> {
     let result = write(admin, &plan).await;
     let Plan {
         service, team, id, ..
@@ -217,7 +217,7 @@
     Ok(resp)
 }
 
-async fn write(admin: &Admin, plan: &Plan) -> Result<Accepted, Failure> {
+async fn write(admin: &Admin, plan: &Plan) -> Result<Accepted, AdminError> {
     let stored = read(admin, &plan.service).await?;
     let applied = stored.as_ref().and_then(|s| applied_revision(s, plan.id));
     if let Some(revision) = applied {
@@ -227,11 +227,11 @@
         });
     }
     let found = found_record(stored.as_ref());
-    check(&plan.team, plan.base, &found, plan.document.as_ref())?;
+    check_edit(&plan.team, plan.base, &found, plan.document.as_ref())?;
     let edit = Edit {
         id: plan.id,
         team: plan.team.clone(),
-        wall: (admin.clock.wall)(),
+        wall_time: (admin.clock.wall)(),
         text: plan.text.clone(),
     };
     let expected = found.revision;
@@ -243,21 +243,21 @@
     })
 }
 
-fn submit_failure(plan: &Plan, expected: Revision, e: SubmitError) -> Failure {
+fn submit_failure(plan: &Plan, expected: Revision, e: SubmitError) -> AdminError {
     match e {
         SubmitError::Refused(EditError::Conflict { found, .. }) => {
             conflict_failure(plan.base, expected, found)
         }
-        SubmitError::Refused(e) => Failure::new(Code::BadRequest, e.to_string()),
+        SubmitError::Refused(e) => AdminError::new(Code::BadRequest, e.to_string()),
         SubmitError::Record(RecordError::TooLarge(_)) => {
-            Failure::new(Code::TooLarge, e.to_string())
+            AdminError::new(Code::TooLarge, e.to_string())
         }
-        SubmitError::Record(_) => Failure::new(Code::InvalidRecord, e.to_string()),
+        SubmitError::Record(_) => AdminError::new(Code::InvalidRecord, e.to_string()),
         SubmitError::Store(e @ StoreError::Down { .. }) => store_unavailable(&e),
         SubmitError::Store(_) | SubmitError::Unknown => {
             let id = plan.id;
             let detail = format!("edit {id}: {e}; send it again with {EDIT_ID}: {id}");
-            Failure::unknown(detail)
+            AdminError::unknown(detail)
         }
     }
 }
@@ -265,15 +265,17 @@
 /// Returns the failure of an edit whose base was current when it was checked but
 /// was replaced before the write. The conflict names the revision that was
 /// checked.
-fn conflict_failure(base: Base, expected: Revision, found: Revision) -> Failure {
+fn conflict_failure(base: Precondition, expected: Revision, found: Revision) -> AdminError {
     match base {
-        Base::Any | Base::At(_) => conflict(Base::At(expected), found),
-        Base::Absent | Base::Unstated => conflict(base, found),
+        Precondition::Any | Precondition::At(_) => {
+            revision_conflict(Precondition::At(expected), found)
+        }
+        Precondition::Absent | Precondition::Unstated => revision_conflict(base, found),
     }
 }
 
 /// Returns the revision that an edit created, if the record still contains it.
-fn applied_revision(stored: &Stored, id: EditId) -> Option<Revision> {
+fn applied_revision(stored: &StoredHistory, id: EditId) -> Option<Revision> {
     if stored.history.current.id == id {
         return Some(stored.revision);
     }
@@ -281,9 +283,9 @@
     former.find(|f| f.edit.id == id).map(|f| f.revision)
 }
 
-fn found_record(stored: Option<&Stored>) -> Found {
+fn found_record(stored: Option<&StoredHistory>) -> CurrentRecord {
     let Some(stored) = stored else {
-        return Found::default();
+        return CurrentRecord::default();
     };
     let edit = &stored.history.current;
     // A text is checked before it is stored. If it is invalid nevertheless, the
@@ -292,30 +294,33 @@
         let doc = parse_document("stored", text);
         doc.map_or_else(|_| edit.team.clone(), |d| d.team)
     });
-    Found {
+    CurrentRecord {
         revision: stored.revision,
         owner,
     }
 }
 
 /// Returns the document in the store, or `None` if there is no valid one.
-fn current_document(service: &ServiceName, stored: Option<&Stored>) -> Option<Document> {
+fn current_document(service: &ServiceName, stored: Option<&StoredHistory>) -> Option<Document> {
     let text = stored?.history.current.text.as_ref()?;
     parse_document(service.as_str(), text).ok()
 }
 
 /// Reads the record of a service from the store.
-pub(super) async fn read(admin: &Admin, service: &ServiceName) -> Result<Option<Stored>, Failure> {
+pub(super) async fn read(
+    admin: &Admin,
+    service: &ServiceName,
+) -> Result<Option<StoredHistory>, AdminError> {
     // A read changes nothing, so the outcome of a failed read is never `unknown`.
     documents::read(&admin.store, service)
         .await
         .map_err(|e| match e {
             SubmitError::Store(e) => store_unavailable(&e),
-            e => Failure::new(Code::InvalidRecord, e.to_string()),
+            e => AdminError::new(Code::InvalidRecord, e.to_string()),
         })
 }
 
 /// Returns the failure of a request while the store does not respond.
-pub(super) fn store_unavailable(e: &StoreError) -> Failure {
-    Failure::new(Code::StoreUnavailable, e.to_string()).retry_after(RETRY_AFTER)
+pub(super) fn store_unavailable(e: &StoreError) -> AdminError {
+    AdminError::new(Code::StoreUnavailable, e.to_string()).retry_after(RETRY_AFTER)
 }
--- a/src/app/entry/admin/reply.rs
+++ b/src/app/entry/admin/reply.rs
@@ -11,12 +11,12 @@
         metrics,
     },
     domain::{ParseError, Revision},
-    policy::admin::{Code, Failure},
+    policy::admin::{AdminError, Code},
 };
 
 /// Returns the JSON form of a failure.
 #[must_use]
-pub fn failure_json(failure: &Failure) -> Value {
+pub fn failure_json(failure: &AdminError) -> Value {
     let mut value = json!({
         "code": failure.code.as_str(),
         "outcome": failure.outcome.to_string(),
@@ -36,7 +36,7 @@
 }
 
 /// Returns the response to a request that failed.
-pub(super) fn failure(failure: &Failure) -> Response<Body> {
+pub(super) fn failure(failure: &AdminError) -> Response<Body> {
     let mut resp = json(&failure_json(failure));
     *resp.status_mut() = StatusCode::from_u16(failure.code.status()).unwrap_or_default();
     let headers = resp.headers_mut();
@@ -61,8 +61,8 @@
 
 /// Returns the failure of a request with an invalid value in the path, in the query
 /// or in a header.
-pub(super) fn bad_request(e: &ParseError) -> Failure {
-    Failure::new(Code::BadRequest, e.to_string())
+pub(super) fn bad_request(e: &ParseError) -> AdminError {
+    AdminError::new(Code::BadRequest, e.to_string())
 }
 
 pub(super) fn text(body: impl Into<String>) -> Response<Body> {
--- a/src/app/entry/admin/watch.rs
+++ b/src/app/entry/admin/watch.rs
@@ -8,7 +8,7 @@
 use super::port;
 use crate::{
     app::entry::State,
-    policy::timeline::{Look, events_between},
+    policy::timeline::{StateSnapshot, events_between},
 };
 
 /// The interval between two observations. Each of them visits every document once.
@@ -20,7 +20,7 @@
 }
 
 async fn run(state: Weak<State>) {
-    let mut before = Look::default();
+    let mut before = StateSnapshot::default();
     loop {
         tokio::time::sleep(OBSERVE_PERIOD).await;
         // Holds the state only during an observation, so that it can be dropped.
@@ -33,8 +33,8 @@
     }
 }
 
-fn observe(state: &State) -> Look {
-    Look {
+fn observe(state: &State) -> StateSnapshot {
+    StateSnapshot {
         ready: state.unready_reason().is_none(),
         store_down: !state.ports.metrics.store_up(),
         leaving: port::running_by_subject(state),
