--- a/src/app/entry/admin/port.rs
+++ b/src/app/entry/admin/port.rs
@@ -26,7 +26,7 @@
     let (for_drains, for_placements, for_timeline) = (clone_state(), clone_state(), clone_state());
     let decisions = state.observer.decisions.clone();
     AdminPort {
-        unready_reason: Arc::new(move || for_unready.unready()),
+        unready_reason: Arc::new(move || for_unready.unready_reason()),
         status: Arc::new(move || {
             let uptime = (for_status.ports.clock.now)() - started;
             status(&for_status, uptime.0)
@@ -61,7 +61,7 @@
         az: settings.az.to_string(),
         incarnation: state.me.incarnation.0,
         uptime_ms: uptime,
-        ready: state.unready().is_none(),
+        ready: state.unready_reason().is_none(),
         store_up: state.ports.metrics.store_up(),
         services,
         members: members(state),
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -27,7 +27,7 @@
     ports::{Batch, Change, FetchRequest, LeaseId, Platform, PlatformError, VmSettings},
 };
 
-use vm::ANY;
+use vm::ANY_PORT;
 
 /// The store of the platform. The revision of a change is its position in the
 /// list, starting at 1.
@@ -46,7 +46,7 @@
         if self.unavailable.load(SeqCst) {
             return Err(PlatformError::Failed {
                 step: "read keys",
-                peer: ANY,
+                peer: ANY_PORT,
                 cause: "the store is unavailable".to_owned(),
             });
         }
@@ -81,7 +81,7 @@
 fn settings(name: &str, seeds: Vec<SocketAddr>) -> VmSettings {
     let base = vm::settings(name);
     VmSettings {
-        control: Some(ANY),
+        control: Some(ANY_PORT),
         seeds,
         bounds: Bounds {
             grace_period: Millis(500),
