Reword src/app/cli and name its types after HTTP and drain terms

The client called its requests "asks" and the edit of a drain a "wish", and several constants lacked their quantity or unit. Help texts described options with phrases that needed guessing, such as "Take new work again".

Renamed: Ask -> AdminRequest, Reply -> AdminResponse, Reply::success -> error_for_status, call_at -> call_entry, ANSWER_TIMEOUT -> RESPONSE_TIMEOUT, ANSWER_MAX -> MAX_RESPONSE_BYTES, MARK -> REVISION_PREFIX, put_ask -> put_request, lost -> unknown_outcome, rows -> array_field, Wish -> DrainEdit, ATTEMPTS -> MAX_ATTEMPTS, POLL -> POLL_INTERVAL, KEEP -> IDLE_CONNECTIONS, STACK_BYTES -> WORKER_STACK_BYTES, Source -> SettingsFile, Part -> EntryTimeline, log -> init_logging. Command names, flags and exit codes stay.

Some help texts and error messages are reworded, none of which a test matches. Behaviour is otherwise unchanged.

--- a/src/app/cli/addr.rs
+++ b/src/app/cli/addr.rs
@@ -1,10 +1,10 @@
-//! Addresses of the administration interface.
+//! Parsing and printing of administration addresses.
 
 use std::{fmt, net::SocketAddr, str::FromStr};
 
 use crate::domain::ParseError;
 
-/// Where an entry is administered.
+/// The address of the administration interface of an entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AdminAddr(pub SocketAddr);
 
--- a/src/app/cli/check.rs
+++ b/src/app/cli/check.rs
@@ -1,4 +1,4 @@
-//! `savorybeam check`.
+//! `savorybeam check`: validates settings and service documents offline.
 
 use std::{fs, path::PathBuf};
 
@@ -6,7 +6,7 @@
 
 use crate::adapters::ini::{Fault, parse_document, parse_settings};
 
-/// Prints every fault of the files.
+/// Validates the files, prints every fault in them, and fails if there is one.
 pub(super) fn run(files: &[PathBuf]) -> eyre::Result<()> {
     let mut faults = Vec::new();
     for path in files {
@@ -24,9 +24,11 @@
     Ok(())
 }
 
+/// Returns the faults in a file. A text with a `[service]` section is a
+/// document, any other is the settings of an entry.
 fn check(name: &str, text: &str) -> Vec<Fault> {
-    let is_document = text.lines().any(|l| l.trim() == "[service]");
-    if is_document {
+    let has_service = text.lines().any(|l| l.trim() == "[service]");
+    if has_service {
         return parse_document(name, text).err().unwrap_or_default();
     }
     parse_settings(name, text).err().unwrap_or_default()
--- a/src/app/cli/client.rs
+++ b/src/app/cli/client.rs
@@ -1,4 +1,4 @@
-//! Calls to the administration interface.
+//! An HTTP client for the administration interface of entries.
 
 use std::{fmt, time::Duration};
 
@@ -14,31 +14,34 @@
 use super::{addr::AdminAddr, options::Access};
 use crate::domain::Revision;
 
-/// How long a connection may take to open.
+/// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// How long an answer may take. An edit whose fate the entry has to find out
-/// takes a few seconds.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
+/// The timeout of a request, from connecting to the end of the response.
+///
+/// An edit takes a few seconds if its write to the store failed and the entry
+/// has to find out whether it took effect.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The largest answer that is read, several times the largest timeline.
-const ANSWER_MAX: usize = 32 << 20;
+/// The largest response body that is accepted: several times the size of the
+/// largest timeline.
+const MAX_RESPONSE_BYTES: usize = 32 << 20;
 
-/// A request to the administration.
+/// A request to the administration interface.
 #[derive(Clone, Debug)]
-pub(super) struct Ask {
-    /// The method.
+pub(super) struct AdminRequest {
+    /// The HTTP method.
     pub method: Method,
-    /// The path with the query.
+    /// The path and query.
     pub path: String,
-    /// Further headers.
+    /// Headers in addition to those that [`Client`] sends with every request.
     pub headers: Vec<(&'static str, String)>,
-    /// The body, empty for most requests.
+    /// The body, which is empty for reads.
     pub body: String,
 }
 
-impl Ask {
-    /// Returns a request that reads.
+impl AdminRequest {
+    /// Returns a GET request without a body.
     pub(super) fn get(path: impl Into<String>) -> Self {
         Self {
             method: Method::GET,
@@ -49,10 +52,10 @@
     }
 }
 
-/// An answer, read to its end.
+/// A complete response of the administration interface.
 #[derive(Clone, Debug)]
-pub(super) struct Reply {
-    /// The status.
+pub(super) struct AdminResponse {
+    /// The status code.
     pub status: StatusCode,
     /// The headers.
     pub headers: HeaderMap,
@@ -60,25 +63,26 @@
     pub body: String,
 }
 
-impl Reply {
-    /// Returns the revision that the answer is tagged with.
+impl AdminResponse {
+    /// Returns the document revision in the `ETag` header.
     pub(super) fn revision(&self) -> Option<Revision> {
         let tag = self.headers.get(header::ETAG)?.to_str().ok()?;
         tag.trim_matches('"').parse().ok()
     }
 
-    /// Returns the body as JSON.
+    /// Parses the body as JSON.
     pub(super) fn json(&self) -> eyre::Result<Value> {
-        serde_json::from_str(&self.body).wrap_err("read the answer")
+        serde_json::from_str(&self.body).wrap_err("read the response")
     }
 
-    /// Returns the answer if it is a success, and what the entry says otherwise.
-    pub(super) fn success(self) -> eyre::Result<Self> {
+    /// Returns the response if its status is 2xx, and otherwise an error with the
+    /// code, the outcome and the faults that the entry reports.
+    pub(super) fn error_for_status(self) -> eyre::Result<Self> {
         if self.status.is_success() {
             return Ok(self);
         }
         let Ok(value) = serde_json::from_str::<Value>(&self.body) else {
-            bail!("the answer is {}: {}", self.status, self.body.trim());
+            bail!("the response is {}: {}", self.status, self.body.trim());
         };
         let text = |name: &str| value[name].as_str().unwrap_or_default().to_owned();
         let mut message = format!("{} ({}): {}", text("code"), text("outcome"), text("detail"));
@@ -90,7 +94,8 @@
     }
 }
 
-/// Calls the administration of one or more entries with a token.
+/// A client for the administration interface of one or more entries, which
+/// authenticates with a team's token.
 #[derive(Clone)]
 pub(super) struct Client {
     addrs: Vec<AdminAddr>,
@@ -105,56 +110,73 @@
         }
     }
 
-    /// Returns the addresses.
+    /// Returns the addresses of the entries, in the order in which they are tried.
     pub(super) fn addrs(&self) -> &[AdminAddr] {
         &self.addrs
     }
 
-    /// Calls the first entry that answers.
+    /// Sends a request to each entry in turn until one responds.
     ///
-    /// The request must be safe to repeat: a read, or an edit with an id.
-    pub(super) async fn call(&self, ask: &Ask) -> eyre::Result<Reply> {
-        let mut last = eyre!("no administration address");
+    /// An entry that failed may have executed the request, so it must be safe to
+    /// repeat: a read, or an edit with an id.
+    pub(super) async fn call(&self, request: &AdminRequest) -> eyre::Result<AdminResponse> {
+        let mut last_error = eyre!("no administration address");
         for addr in &self.addrs {
-            match self.call_at(*addr, ask).await {
-                Ok(reply) => return Ok(reply),
-                Err(e) => last = e,
+            match self.call_entry(*addr, request).await {
+                Ok(response) => return Ok(response),
+                Err(e) => last_error = e,
             }
         }
-        Err(last)
+        Err(last_error)
     }
 
-    /// Calls a certain entry.
-    pub(super) async fn call_at(&self, addr: AdminAddr, ask: &Ask) -> eyre::Result<Reply> {
-        let call = timeout(ANSWER_TIMEOUT, self.exchange(addr, ask)).await;
-        call.map_err(|_| eyre!("no answer within {} s", ANSWER_TIMEOUT.as_secs()))
+    /// Sends a request to the entry at an address.
+    pub(super) async fn call_entry(
+        &self,
+        addr: AdminAddr,
+        request: &AdminRequest,
+    ) -> eyre::Result<AdminResponse> {
+        let response = timeout(RESPONSE_TIMEOUT, self.exchange(addr, request)).await;
+        response
+            .map_err(|_| eyre!("no response within {} s", RESPONSE_TIMEOUT.as_secs()))
             .and_then(|result| result)
-            .wrap_err_with(|| format!("{} {} at {addr}", ask.method, ask.path))
+            .wrap_err_with(|| format!("{} {} at {addr}", request.method, request.path))
     }
 
-    async fn exchange(&self, addr: AdminAddr, ask: &Ask) -> eyre::Result<Reply> {
-        let mut request = Request::builder()
-            .method(&ask.method)
-            .uri(&ask.path)
+    async fn exchange(
+        &self,
+        addr: AdminAddr,
+        request: &AdminRequest,
+    ) -> eyre::Result<AdminResponse> {
+        let mut builder = Request::builder()
+            .method(&request.method)
+            .uri(&request.path)
             .header(header::HOST, addr.0.to_string())
             .header(header::AUTHORIZATION, format!("Bearer {}", self.token))
             .header(header::CONNECTION, "close");
-        for (name, value) in &ask.headers {
-            request = request.header(*name, value);
+        for (name, value) in &request.headers {
+            builder = builder.header(*name, value);
         }
-        let request = request.body(Full::new(Bytes::from(ask.body.clone())))?;
+        let request = builder.body(Full::new(Bytes::from(request.body.clone())))?;
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr.0)).await;
         let stream = stream
-            .wrap_err_with(|| format!("connect: none within {} s", CONNECT_TIMEOUT.as_secs()))?
+            .wrap_err_with(|| {
+                format!(
+                    "connect: no connection within {} s",
+                    CONNECT_TIMEOUT.as_secs()
+                )
+            })?
             .wrap_err("connect")?;
         let (mut sender, conn) = http1::handshake(TokioIo::new(stream)).await?;
         let conn = tokio::spawn(conn);
         let resp = sender.send_request(request).await.wrap_err("send")?;
         let (head, body) = resp.into_parts();
-        let body = Limited::new(body, ANSWER_MAX).collect().await;
-        let body = body.map_err(|e| eyre!("read the answer: {e}"))?.to_bytes();
+        let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
+        let body = body
+            .map_err(|e| eyre!("read the response: {e}"))?
+            .to_bytes();
         conn.abort();
-        Ok(Reply {
+        Ok(AdminResponse {
             status: head.status,
             headers: head.headers,
             body: String::from_utf8_lossy(&body).into_owned(),
@@ -162,7 +184,7 @@
     }
 }
 
-/// Prints nothing of the token, because it must not get into logs.
+/// Omits the token, which must not appear in logs.
 impl fmt::Debug for Client {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str("Client")
--- a/src/app/cli/dev.rs
+++ b/src/app/cli/dev.rs
@@ -1,4 +1,4 @@
-//! `savorybeam dev`.
+//! `savorybeam dev`: runs a complete system on loopback.
 
 use std::{io::Write, time::Duration};
 
@@ -6,7 +6,8 @@
 
 use crate::app::dev;
 
-/// Runs until SIGTERM, SIGINT or the time is over.
+/// Starts the entries and sample targets, prints how to reach them, and runs
+/// until SIGTERM, SIGINT or, if `seconds` is given, that time has passed.
 pub(super) async fn run(seconds: Option<u64>) -> eyre::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
     let mut int = signal(SignalKind::interrupt())?;
@@ -14,7 +15,7 @@
     let mut out = std::io::stdout();
     writeln!(out, "{}", dev.describe())?;
     out.flush()?;
-    let over = async {
+    let timer = async {
         match seconds {
             Some(n) => tokio::time::sleep(Duration::from_secs(n)).await,
             None => std::future::pending().await,
@@ -23,7 +24,7 @@
     tokio::select! {
         _ = term.recv() => {}
         _ = int.recv() => {}
-        () = over => {}
+        () = timer => {}
     }
     dev.stop().await;
     Ok(())
--- a/src/app/cli/documents.rs
+++ b/src/app/cli/documents.rs
@@ -1,8 +1,9 @@
-//! `savorybeam documents`.
+//! `savorybeam documents`: reads, validates and edits service documents.
 //!
-//! `get` writes the revision into the first line as a comment, and `put` reads
-//! it from there. So the usual way of editing a file states its base without
-//! anybody having to remember it, and a lost race is noticed.
+//! `get` writes the revision into the first line as a comment, and `put` sends
+//! it as the base of the edit. So an operator who edits the output of `get`
+//! doesn't have to state the base, and a concurrent edit is detected instead of
+//! overwritten.
 
 use std::{fs, path::Path};
 
@@ -12,7 +13,7 @@
 
 use super::{
     check,
-    client::{Ask, Client, Reply},
+    client::{AdminRequest, AdminResponse, Client},
     options::Documents,
 };
 use crate::{
@@ -21,10 +22,10 @@
     policy::{document::EditId, timeline::Utc},
 };
 
-/// What the first line of a document begins with if it states its revision.
-const MARK: &str = "# savorybeam revision ";
+/// The start of the first line of a printed document, before its revision.
+const REVISION_PREFIX: &str = "# savorybeam revision ";
 
-/// Runs a command on documents.
+/// Runs a subcommand of `documents`.
 pub(super) async fn run(command: Documents) -> eyre::Result<()> {
     match command {
         Documents::Get {
@@ -65,10 +66,13 @@
     if let Some(revision) = revision {
         path = format!("{path}?revision={revision}");
     }
-    let reply = client.call(&Ask::get(path)).await?.success()?;
-    let found = reply.revision().unwrap_or_default();
-    println!("{MARK}{found}");
-    print!("{}", reply.body);
+    let response = client
+        .call(&AdminRequest::get(path))
+        .await?
+        .error_for_status()?;
+    let found = response.revision().unwrap_or_default();
+    println!("{REVISION_PREFIX}{found}");
+    print!("{}", response.body);
     Ok(())
 }
 
@@ -84,18 +88,19 @@
         let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
         eyre!("{} faults:\n{}", all.len(), all.join("\n"))
     })?;
-    let (stated, text) = split_mark(&text);
-    let base = base.or(stated.map(|r| format!("\"{r}\"")));
-    let ask = put_ask(&doc.service, text, base, dry_run);
-    let reply = client.call(&ask).await;
-    let reply = reply.wrap_err_with(|| lost(&ask))?;
-    if let (StatusCode::PRECONDITION_REQUIRED, Some(found)) = (reply.status, reply.revision()) {
+    let (line_revision, text) = split_revision_line(&text);
+    let base = base.or(line_revision.map(|r| format!("\"{r}\"")));
+    let request = put_request(&doc.service, text, base, dry_run);
+    let response = client.call(&request).await;
+    let response = response.wrap_err_with(|| unknown_outcome(&request))?;
+    if let (StatusCode::PRECONDITION_REQUIRED, Some(found)) = (response.status, response.revision())
+    {
         bail!(
             "{} exists at revision {found}: edit the output of `documents get`, or state --base {found}",
             doc.service
         );
     }
-    let value = reply.success()?.json()?;
+    let value = response.error_for_status()?.json()?;
     if dry_run {
         print_changes(&value["changes"], "");
         return Ok(());
@@ -104,18 +109,19 @@
     Ok(())
 }
 
-/// Returns the request of an edit. Its id makes it safe to repeat.
-pub(super) fn put_ask(
+/// Returns a request that edits a document. It carries a random edit id, which
+/// makes it safe to repeat.
+pub(super) fn put_request(
     service: &ServiceName,
     text: &str,
     base: Option<String>,
     dry_run: bool,
-) -> Ask {
+) -> AdminRequest {
     let query = if dry_run { "?dry-run=1" } else { "" };
     let id = EditId::random(&mut rand::rng());
     let mut headers = vec![("x-savorybeam-edit", id.to_string())];
     headers.extend(base.map(|tag| ("if-match", tag)));
-    Ask {
+    AdminRequest {
         method: Method::PUT,
         path: format!("/v1/documents/{service}{query}"),
         headers,
@@ -123,53 +129,60 @@
     }
 }
 
-/// Says how an editor finds out what became of an edit without an answer.
-pub(super) fn lost(ask: &Ask) -> String {
-    let id = ask.headers.first().map_or("", |(_, id)| id.as_str());
+/// Returns the error context of an edit that got no response, which says how to
+/// find out whether the edit took effect.
+pub(super) fn unknown_outcome(request: &AdminRequest) -> String {
+    let id = request.headers.first().map_or("", |(_, id)| id.as_str());
     format!("edit {id}: it may have taken effect; its id is in the document's history if it has")
 }
 
-/// Splits the line with the revision from the text.
-fn split_mark(text: &str) -> (Option<Revision>, &str) {
-    let stated = text.split_once('\n').and_then(|(first, rest)| {
-        let revision = first.trim().strip_prefix(MARK)?.parse().ok()?;
+/// Separates the text from the revision line that `get` writes before it.
+fn split_revision_line(text: &str) -> (Option<Revision>, &str) {
+    let found = text.split_once('\n').and_then(|(first, rest)| {
+        let revision = first.trim().strip_prefix(REVISION_PREFIX)?.parse().ok()?;
         Some((revision, rest))
     });
-    stated.map_or((None, text), |(revision, rest)| (Some(revision), rest))
+    found.map_or((None, text), |(revision, rest)| (Some(revision), rest))
 }
 
 async fn list(client: &Client, json: bool) -> eyre::Result<()> {
-    let reply = client.call(&Ask::get("/v1/documents")).await?.success()?;
+    let response = client
+        .call(&AdminRequest::get("/v1/documents"))
+        .await?
+        .error_for_status()?;
     if json {
-        print!("{}", reply.body);
+        print!("{}", response.body);
         return Ok(());
     }
-    for d in rows(&reply, "documents")? {
-        let service = d["service"].as_str().unwrap_or_default();
-        if let Some(fault) = d["fault"].as_str() {
-            println!("{service:<24} revision {:<8} {fault}", d["revision"]);
+    for document in array_field(&response, "documents")? {
+        let service = document["service"].as_str().unwrap_or_default();
+        if let Some(fault) = document["fault"].as_str() {
+            println!("{service:<24} revision {:<8} {fault}", document["revision"]);
             continue;
         }
-        println!("{service:<24} {}", edit_line(&d));
+        println!("{service:<24} {}", format_edit(&document));
     }
     Ok(())
 }
 
 async fn history(client: &Client, service: &ServiceName, json: bool) -> eyre::Result<()> {
     let path = format!("/v1/documents/{service}/history");
-    let reply = client.call(&Ask::get(path)).await?.success()?;
+    let response = client
+        .call(&AdminRequest::get(path))
+        .await?
+        .error_for_status()?;
     if json {
-        print!("{}", reply.body);
+        print!("{}", response.body);
         return Ok(());
     }
-    for edit in rows(&reply, "revisions")? {
-        println!("{}", edit_line(&edit));
+    for edit in array_field(&response, "revisions")? {
+        println!("{}", format_edit(&edit));
         print_changes(&edit["changes"], "  ");
     }
     Ok(())
 }
 
-fn edit_line(edit: &Value) -> String {
+fn format_edit(edit: &Value) -> String {
     let wall = Utc(Millis(edit["wall_ms"].as_u64().unwrap_or_default()));
     let team = edit["team"].as_str().unwrap_or_default();
     let deleted = if edit["deleted"] == true {
@@ -194,11 +207,11 @@
     }
 }
 
-/// Returns the rows of an answer.
-pub(super) fn rows(reply: &Reply, name: &str) -> eyre::Result<Vec<Value>> {
-    let value = reply.json()?;
+/// Returns the array in a field of a JSON response.
+pub(super) fn array_field(response: &AdminResponse, name: &str) -> eyre::Result<Vec<Value>> {
+    let value = response.json()?;
     match value[name].as_array() {
-        Some(rows) => Ok(rows.clone()),
-        None => bail!("read the answer: {name} is missing"),
+        Some(items) => Ok(items.clone()),
+        None => bail!("read the response: {name} is missing"),
     }
 }
--- a/src/app/cli/drain.rs
+++ b/src/app/cli/drain.rs
@@ -1,8 +1,8 @@
-//! `savorybeam drain`.
+//! `savorybeam drain`: starts, cancels and shows drains.
 //!
 //! A drain is an edit of the document like any other: the place or target is
 //! marked as leaving, and the rest of the text stays as it is. So the command
-//! needs no right and no interface of its own.
+//! needs neither a permission nor an endpoint of its own.
 
 use std::time::Duration;
 
@@ -12,8 +12,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    client::{Ask, Client},
-    documents::{lost, put_ask, rows},
+    client::{AdminRequest, Client},
+    documents::{array_field, put_request, unknown_outcome},
     options::DrainOptions,
 };
 use crate::{
@@ -21,44 +21,47 @@
     domain::{Document, Place, PlaceName, Revision, ServiceName, TargetId},
 };
 
-/// How often the edit is derived anew after it lost a race against an edit of
-/// something else.
-const ATTEMPTS: usize = 3;
+/// How many times an edit is tried. It is derived again from the latest revision
+/// after a concurrent edit replaced the one that it started from.
+const MAX_ATTEMPTS: usize = 3;
 
-/// The pause between two looks at a drain.
-const POLL: Duration = Duration::from_millis(500);
+/// The time between two requests for the state of a drain.
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Drains a place or target, or shows all drains.
+/// Starts or cancels the drain of a place or target. Shows the drains if the
+/// service or the place is not given.
 pub(super) async fn run(options: DrainOptions) -> eyre::Result<()> {
     let client = Client::new(options.access);
     let (Some(service), Some(place)) = (&options.service, &options.place) else {
-        return show(&client, options.service.as_ref(), options.json).await;
+        return show_drains(&client, options.service.as_ref(), options.json).await;
     };
-    let wish = Wish {
+    let edit = DrainEdit {
         service: service.clone(),
         place: place.clone(),
         target: options.target,
         cancel: options.cancel,
     };
-    match edit(&client, &wish).await? {
-        Some(revision) => println!("{wish} since revision {revision}"),
-        None => println!("{wish} already"),
+    match submit_edit(&client, &edit).await? {
+        Some(revision) => println!("{edit} since revision {revision}"),
+        None => println!("{edit} already"),
     }
     match options.wait {
-        Some(seconds) if !wish.cancel => wait(&client, &wish, Duration::from_secs(seconds)).await,
+        Some(seconds) if !edit.cancel => {
+            wait_until_complete(&client, &edit, Duration::from_secs(seconds)).await
+        }
         _ => Ok(()),
     }
 }
 
-/// What an operator wants to leave or to stay.
-struct Wish {
+/// An edit that starts or cancels the drain of a place, or of one of its targets.
+struct DrainEdit {
     service: ServiceName,
     place: PlaceName,
     target: Option<TargetId>,
     cancel: bool,
 }
 
-impl std::fmt::Display for Wish {
+impl std::fmt::Display for DrainEdit {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{} place {}", self.service, self.place)?;
         if let Some(target) = self.target {
@@ -68,49 +71,57 @@
     }
 }
 
-/// Makes the edit and returns its revision, none if nothing has to change.
-async fn edit(client: &Client, wish: &Wish) -> eyre::Result<Option<Revision>> {
-    let path = format!("/v1/documents/{}", wish.service);
-    for _ in 0..ATTEMPTS {
-        let reply = client.call(&Ask::get(path.clone())).await?.success()?;
-        let revision = reply
+/// Submits the edit and returns its revision, or `None` if the document already
+/// has the requested state.
+async fn submit_edit(client: &Client, edit: &DrainEdit) -> eyre::Result<Option<Revision>> {
+    let path = format!("/v1/documents/{}", edit.service);
+    for _ in 0..MAX_ATTEMPTS {
+        let response = client
+            .call(&AdminRequest::get(path.clone()))
+            .await?
+            .error_for_status()?;
+        let revision = response
             .revision()
-            .ok_or_else(|| eyre!("the answer has no revision"))?;
-        let text = change(wish, &reply.body)?;
-        if text == reply.body {
+            .ok_or_else(|| eyre!("the response has no revision"))?;
+        let text = apply_edit(edit, &response.body)?;
+        if text == response.body {
             return Ok(None);
         }
         let base = Some(format!("\"{revision}\""));
-        let ask = put_ask(&wish.service, &text, base, false);
-        let reply = client.call(&ask).await.wrap_err_with(|| lost(&ask))?;
-        if reply.status != StatusCode::PRECONDITION_FAILED {
-            return Ok(reply.success()?.revision());
+        let request = put_request(&edit.service, &text, base, false);
+        let response = client
+            .call(&request)
+            .await
+            .wrap_err_with(|| unknown_outcome(&request))?;
+        if response.status != StatusCode::PRECONDITION_FAILED {
+            return Ok(response.error_for_status()?.revision());
         }
     }
-    bail!("other edits came first {ATTEMPTS} times")
+    bail!("other edits replaced the base revision {MAX_ATTEMPTS} times")
 }
 
-/// Returns the text with the place or target marked.
-fn change(wish: &Wish, text: &str) -> eyre::Result<String> {
-    let doc = parse_document(wish.service.as_str(), text)
+/// Returns the text with the place or target marked as leaving, or as active if
+/// the edit cancels a drain.
+fn apply_edit(edit: &DrainEdit, text: &str) -> eyre::Result<String> {
+    let doc = parse_document(edit.service.as_str(), text)
         .map_err(|faults| eyre!("the document in the store has {} faults", faults.len()))?;
-    let place = find(&doc, &wish.place)?;
-    let section = format!("place {}", wish.place);
-    let Some(target) = wish.target else {
-        let state = if wish.cancel { "active" } else { "leaving" };
+    let place = find(&doc, &edit.place)?;
+    let section = format!("place {}", edit.place);
+    let Some(target) = edit.target else {
+        let state = if edit.cancel { "active" } else { "leaving" };
         if place.state.to_string() == state {
             return Ok(text.to_owned());
         }
         return Ok(set_key(text, &section, "state", Some(state)));
     };
     if !place.targets.contains(&target) {
-        bail!("place {} has no target {target}", wish.place);
+        bail!("place {} has no target {target}", edit.place);
     }
-    if place.leaving.contains(&target) != wish.cancel {
+    if place.leaving.contains(&target) != edit.cancel {
         return Ok(text.to_owned());
     }
     let mut leaving = place.leaving.clone();
-    if wish.cancel {
+    if edit.cancel {
         leaving.retain(|t| *t != target);
     } else {
         leaving.push(target);
@@ -120,6 +131,7 @@
     Ok(set_key(text, &section, "leaving", value.as_deref()))
 }
 
+/// Returns a place of the document, or an error that lists its places.
 fn find<'a>(doc: &'a Document, name: &PlaceName) -> eyre::Result<&'a Place> {
     let found = doc.places.iter().find(|p| p.name == *name);
     found.ok_or_else(|| {
@@ -132,25 +144,35 @@
     })
 }
 
-/// Shows the drains of a service or of all.
-async fn show(client: &Client, service: Option<&ServiceName>, json: bool) -> eyre::Result<()> {
-    let reply = client.call(&Ask::get("/v1/drains")).await?.success()?;
+/// Prints the drains of a service, or of all services. JSON output is the
+/// response as received and lists all services.
+async fn show_drains(
+    client: &Client,
+    service: Option<&ServiceName>,
+    json: bool,
+) -> eyre::Result<()> {
+    let response = client
+        .call(&AdminRequest::get("/v1/drains"))
+        .await?
+        .error_for_status()?;
     if json {
-        print!("{}", reply.body);
+        print!("{}", response.body);
         return Ok(());
     }
-    let mut all = rows(&reply, "drains")?;
+    let mut all = array_field(&response, "drains")?;
     all.retain(|d| service.is_none_or(|s| d["service"] == s.as_str()));
     if all.is_empty() {
         println!("nothing leaves");
     }
     for drain in all {
-        println!("{}", line(&drain));
+        println!("{}", format_drain(&drain));
     }
     Ok(())
 }
 
-fn line(drain: &Value) -> String {
+/// Returns the text form of a drain: its state, and the number of requests that
+/// each entry still runs there.
+fn format_drain(drain: &Value) -> String {
     let text = |v: &Value| v.as_str().unwrap_or_default().to_owned();
     let mut out = format!(
         "{} place {}",
@@ -175,34 +197,41 @@
     out
 }
 
-/// Waits until the drain is complete.
-async fn wait(client: &Client, wish: &Wish, time: Duration) -> eyre::Result<()> {
-    let give_up = Instant::now() + time;
-    let mut shown = String::new();
+/// Polls until the drain is complete, and prints its state whenever it changes.
+async fn wait_until_complete(
+    client: &Client,
+    edit: &DrainEdit,
+    timeout: Duration,
+) -> eyre::Result<()> {
+    let deadline = Instant::now() + timeout;
+    let mut printed = String::new();
     loop {
-        let reply = client.call(&Ask::get("/v1/drains")).await?.success()?;
-        let all = rows(&reply, "drains")?;
-        // The entry that answers may not have the revision yet.
-        if let Some(drain) = all.iter().find(|d| is_wish(wish, d)) {
-            let line = line(drain);
-            if line != shown {
-                println!("{line}");
-                shown = line;
+        let response = client
+            .call(&AdminRequest::get("/v1/drains"))
+            .await?
+            .error_for_status()?;
+        let all = array_field(&response, "drains")?;
+        // The drain is missing until the responding entry has adopted the edit.
+        if let Some(drain) = all.iter().find(|d| is_drain_of(edit, d)) {
+            let text = format_drain(drain);
+            if text != printed {
+                println!("{text}");
+                printed = text;
             }
             if drain["complete"] == true {
                 return Ok(());
             }
         }
-        if Instant::now() >= give_up {
-            bail!("{wish}: not complete within {} s", time.as_secs());
+        if Instant::now() >= deadline {
+            bail!("{edit}: not complete within {} s", timeout.as_secs());
         }
-        sleep(POLL).await;
+        sleep(POLL_INTERVAL).await;
     }
 }
 
-fn is_wish(wish: &Wish, drain: &Value) -> bool {
-    let target = wish.target.map(|t| t.to_string());
-    drain["service"] == wish.service.as_str()
-        && drain["place"] == wish.place.as_str()
+fn is_drain_of(edit: &DrainEdit, drain: &Value) -> bool {
+    let target = edit.target.map(|t| t.to_string());
+    drain["service"] == edit.service.as_str()
+        && drain["place"] == edit.place.as_str()
         && drain["target"].as_str() == target.as_deref()
 }
--- a/src/app/cli/entry.rs
+++ b/src/app/cli/entry.rs
@@ -1,4 +1,4 @@
-//! `savorybeam entry`.
+//! `savorybeam entry`: runs the process of an entry VM.
 
 use std::{fs, path::PathBuf, sync::Arc};
 
@@ -16,19 +16,19 @@
     domain::Millis,
 };
 
-/// How long a call to the store may take. It answers in milliseconds, and 70 ms
-/// more between regions.
+/// The timeout of a call to the store. It responds within milliseconds, plus
+/// 70 ms between regions.
 const STORE_TIMEOUT: Millis = Millis(1_000);
 
-/// Runs an entry until SIGTERM or SIGINT.
+/// Runs an entry until SIGTERM or SIGINT, then stops it gracefully.
 pub(super) async fn run(settings: PathBuf) -> eyre::Result<()> {
     let settings = read(&settings, parse_settings)?;
     let clock = clock::open();
     let targets = http::open(clock.clone(), http::Keep::default());
-    let calls = Arc::<Calls>::default();
+    let store_calls = Arc::<Calls>::default();
     let ports = Ports {
-        store: etcd::open(&settings.store, STORE_TIMEOUT, calls.clone()),
-        metrics: metrics::open(calls),
+        store: etcd::open(&settings.store, STORE_TIMEOUT, store_calls.clone()),
+        metrics: metrics::open(store_calls),
         clock,
         targets,
     };
@@ -43,6 +43,7 @@
     Ok(())
 }
 
+/// Reads and parses a file. The error lists all faults in it.
 fn read<T>(path: &PathBuf, parse: fn(&str, &str) -> Result<T, Vec<Fault>>) -> eyre::Result<T> {
     let name = path.display().to_string();
     let text = fs::read_to_string(path).wrap_err_with(|| format!("read {name}"))?;
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -1,4 +1,4 @@
-//! `savorybeam gateway`.
+//! `savorybeam gateway`: runs the process of an entry VM on the users' platform.
 
 use std::{path::PathBuf, sync::Arc, time::Duration};
 
@@ -21,51 +21,53 @@
     ports::VmSettings,
 };
 
-/// The stack of a worker thread, in bytes.
-const STACK_BYTES: usize = 512 * 1024;
+/// The stack size of a worker thread.
+const WORKER_STACK_BYTES: usize = 512 * 1024;
 
-/// The idle connections to targets that are kept. Each costs some 17 KB, a new
-/// one 1 ms of a slot; targets may forget idle ones before their time.
-const KEEP: http::Keep = http::Keep {
+/// How many idle connections to targets are kept, and for how long. An idle
+/// connection costs about 17 KB of memory, and opening a new one occupies a slot
+/// for 1 ms. Targets may close idle connections earlier.
+const IDLE_CONNECTIONS: http::Keep = http::Keep {
     count: 6,
     idle: Millis(4_000),
 };
 
-/// How long an entry may take to answer a question that it need not wait for.
+/// The timeout of requests to other entries that are answered immediately, without
+/// waiting for an event.
 const PEER_TIMEOUT: Millis = Millis(500);
 
-/// How often the settings file is compared, since it may change without a
-/// signal.
+/// How often the settings file is checked for changes, since it may change
+/// without a SIGHUP.
 const RELOAD_PERIOD: Duration = Duration::from_secs(2);
 
-/// Runs a gateway until SIGTERM or SIGINT.
+/// Runs a gateway until SIGTERM or SIGINT, then stops it gracefully.
 pub(super) fn run(path: Option<PathBuf>, port: u16) -> eyre::Result<()> {
     let logs = logs::open();
-    let file = Source::new(path, port)?;
+    let file = SettingsFile::new(path, port)?;
     let (text, settings) = file.read()?;
-    let runtime = runtime(settings.cores)?;
+    let runtime = build_runtime(settings.cores)?;
     let result = runtime.block_on(serve(&file, text, settings));
-    // What still runs must not delay the end beyond the grace time.
+    // Tasks that still run must not delay the exit beyond the grace period.
     runtime.shutdown_background();
     logs.flush();
     result
 }
 
-/// Returns a runtime with one worker for each core that the settings state,
-/// which may be fewer than the machine shows.
-fn runtime(cores: usize) -> eyre::Result<Runtime> {
+/// Returns a runtime with one worker for each core that the settings allow, which
+/// may be fewer than the machine reports.
+fn build_runtime(cores: usize) -> eyre::Result<Runtime> {
     let runtime = Builder::new_multi_thread()
         .worker_threads(cores)
         .max_blocking_threads(2)
-        .thread_stack_size(STACK_BYTES)
+        .thread_stack_size(WORKER_STACK_BYTES)
         .enable_all()
         .build();
     runtime.wrap_err("start the runtime")
 }
 
-async fn serve(file: &Source, text: String, settings: VmSettings) -> eyre::Result<()> {
+async fn serve(file: &SettingsFile, text: String, settings: VmSettings) -> eyre::Result<()> {
     let clock = clock::open();
-    let targets = http::open(clock.clone(), KEEP);
+    let targets = http::open(clock.clone(), IDLE_CONNECTIONS);
     let peers = Arc::new(Peers::new(PEER_TIMEOUT, Arc::default()));
     let ports = Ports {
         platform: store::open(settings.store, targets.clone()),
@@ -94,13 +96,14 @@
     Ok(())
 }
 
-/// Where the settings come from.
-struct Source {
+/// The platform's settings file.
+struct SettingsFile {
     path: PathBuf,
+    /// The port of the metrics, which the file does not contain.
     port: u16,
 }
 
-impl Source {
+impl SettingsFile {
     fn new(path: Option<PathBuf>, port: u16) -> eyre::Result<Self> {
         let variable = || std::env::var_os(settings::PATH_VARIABLE).map(PathBuf::from);
         let path = path.or_else(variable);
@@ -116,8 +119,8 @@
         Ok((text, settings))
     }
 
-    /// Adopts a changed settings file. A file that cannot be used replaces
-    /// nothing.
+    /// Applies the settings file if it has changed. If it cannot be read or
+    /// parsed, the current settings stay in effect.
     fn reload(&self, state: &State, current: &mut String) {
         match self.read() {
             Ok((text, _)) if text == *current => {}
--- a/src/app/cli/mod.rs
+++ b/src/app/cli/mod.rs
@@ -1,7 +1,8 @@
 //! The command line.
 //!
 //! Results go to standard output and logs to standard error, so that a result
-//! can be piped on. Exit codes are 0 for done, 1 for failed, 2 for wrong use.
+//! can be piped. The exit code is 0 for success, 1 for a failed command and 2 for
+//! a usage error.
 
 mod addr;
 mod check;
@@ -19,7 +20,8 @@
 
 use self::{client::Client, options::Command};
 
-/// Runs the command that the arguments name.
+/// Parses the arguments of the process, runs the command and returns its exit
+/// code.
 #[must_use]
 pub fn run() -> ExitCode {
     let options = match options::options().run_inner(bpaf::Args::current_args()) {
@@ -33,9 +35,10 @@
             return ExitCode::SUCCESS;
         }
     };
-    // The gateway logs to standard output, as the platform reads it there.
+    // The gateway sets up its own logs on standard output, where the platform
+    // reads them.
     if !matches!(options.command, Command::Gateway { .. }) {
-        log(options.json);
+        init_logging(options.json);
     }
     let result = match options.command {
         Command::Check { files } => check::run(&files),
@@ -65,7 +68,9 @@
     tokio::runtime::Runtime::new()?.block_on(task)
 }
 
-fn log(json: bool) {
+/// Sets up logging to standard error, at the level that `SAVORYBEAM_LOG` states
+/// and `info` otherwise.
+fn init_logging(json: bool) {
     let filter = tracing_subscriber::EnvFilter::try_from_env("SAVORYBEAM_LOG");
     let filter = filter.unwrap_or_else(|_| tracing_subscriber::EnvFilter::new("info"));
     let builder = tracing_subscriber::fmt()
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -1,4 +1,5 @@
-//! Commands and their arguments.
+//! The commands and their arguments. The help texts are their doc comments, also
+//! that of [`Access`], which is the heading of its options.
 
 use std::path::PathBuf;
 
@@ -21,11 +22,11 @@
     pub command: Command,
 }
 
-/// Where and as whom the administration is called.
+/// Access to the administration interface
 #[derive(Bpaf, Clone)]
 pub(super) struct Access {
-    /// Administration address of an entry; with several, the next one is tried
-    /// if one does not answer
+    /// Administration address of an entry; if several are given, each is tried
+    /// until one responds
     #[bpaf(
         long("admin"),
         argument("ADDRESS"),
@@ -33,18 +34,18 @@
     )]
     pub admins: Vec<AdminAddr>,
     /// Token of the team; the environment variable `SAVORYBEAM_TOKEN` keeps it
-    /// out of the list of processes
-    #[bpaf(argument("TOKEN"), fallback_with(token))]
+    /// out of the process list
+    #[bpaf(argument("TOKEN"), fallback_with(token_from_env))]
     pub token: String,
 }
 
-/// Reads the token from the environment. The parser could do this by itself, but
-/// it would print the token in the help text.
-fn token() -> Result<String, &'static str> {
+/// Reads the token from the environment. The `env` attribute of bpaf would do the
+/// same, but would print the token in the help text.
+fn token_from_env() -> Result<String, &'static str> {
     std::env::var("SAVORYBEAM_TOKEN").map_err(|_| "--token or SAVORYBEAM_TOKEN is needed")
 }
 
-/// Prints nothing of the token, because it must not get into logs.
+/// Omits the token, which must not appear in logs.
 impl std::fmt::Debug for Access {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.write_str("Access")
@@ -70,7 +71,7 @@
     /// dev --for 60
     #[bpaf(command)]
     Dev {
-        /// Stop after this time
+        /// Stop after this many seconds
         #[bpaf(long("for"), argument("SECONDS"), optional)]
         seconds: Option<u64>,
     },
@@ -80,7 +81,7 @@
     /// Example: savorybeam documents get --admin 10.0.0.1:7002 slotboard
     #[bpaf(command)]
     Documents(#[bpaf(external(documents))] Documents),
-    /// Makes a place or target leave, or shows what leaves
+    /// Drains a place or target, or shows the drains
     ///
     ///
     /// Example: savorybeam drain --admin 10.0.0.1:7002 --wait 60 slotboard
@@ -93,11 +94,11 @@
     /// Example: savorybeam entry --settings /etc/savorybeam/entry.ini
     #[bpaf(command)]
     Entry {
-        /// The settings
+        /// The settings file
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
-    /// Shows why recent requests of a service went where they went
+    /// Shows which targets recent requests of a service were sent to, and why
     ///
     ///
     /// Example: savorybeam explain --admin 10.0.0.1:7002 slotboard
@@ -105,7 +106,7 @@
     Explain {
         #[bpaf(external)]
         access: Access,
-        /// Print the answer as JSON
+        /// Print the response as JSON
         json: bool,
         /// The service
         #[bpaf(positional("SERVICE"))]
@@ -117,11 +118,11 @@
     /// Example: savorybeam gateway --settings /etc/savorybeam/local.yaml
     #[bpaf(command)]
     Gateway {
-        /// The platform's settings; the environment variable `SAVORYBEAM_BOOT`
-        /// names them otherwise
+        /// The platform's settings file; defaults to the environment variable
+        /// `SAVORYBEAM_BOOT`
         #[bpaf(argument("FILE"), optional)]
         settings: Option<PathBuf>,
-        /// Port of the metrics
+        /// Port on which the metrics are served
         #[bpaf(argument("PORT"), fallback(9464))]
         metrics: u16,
     },
@@ -133,10 +134,10 @@
     Status {
         #[bpaf(external)]
         access: Access,
-        /// Print the answer as JSON
+        /// Print the response as JSON
         json: bool,
     },
-    /// Shows the events of all entries in one order
+    /// Shows the events of all entries in one total order
     ///
     ///
     /// Example: savorybeam timeline --admin 10.0.0.1:7002 --admin 10.0.0.2:7002
@@ -155,14 +156,15 @@
     Get {
         #[bpaf(external)]
         access: Access,
-        /// A former revision, as the history lists it
+        /// An earlier revision from the history, instead of the latest one
         #[bpaf(argument("REVISION"), optional)]
         revision: Option<Revision>,
         /// The service
         #[bpaf(positional("SERVICE"))]
         service: ServiceName,
     },
-    /// Puts a document, whose first line states the revision that it replaces
+    /// Creates or replaces a document; the first line of the file states the
+    /// revision that it replaces
     ///
     ///
     /// Example: savorybeam documents put --admin 10.0.0.1:7002 --dry-run
@@ -171,12 +173,12 @@
     Put {
         #[bpaf(external)]
         access: Access,
-        /// The revision that the file replaces, instead of the first line's
+        /// The revision that the file replaces, instead of the one in its first line
         #[bpaf(argument("REVISION"), optional)]
         base: Option<Revision>,
-        /// Replace whichever revision there is
+        /// Replace the current revision, whichever it is
         force: bool,
-        /// Only show what would change
+        /// Show what would change without changing it
         dry_run: bool,
         /// The document
         #[bpaf(positional("FILE"))]
@@ -190,10 +192,10 @@
     List {
         #[bpaf(external)]
         access: Access,
-        /// Print the answer as JSON
+        /// Print the response as JSON
         json: bool,
     },
-    /// Checks documents without sending them
+    /// Validates documents without sending them
     ///
     ///
     /// Example: savorybeam documents check slotboard.ini
@@ -211,7 +213,7 @@
     History {
         #[bpaf(external)]
         access: Access,
-        /// Print the answer as JSON
+        /// Print the response as JSON
         json: bool,
         /// The service
         #[bpaf(positional("SERVICE"))]
@@ -223,17 +225,17 @@
 pub(super) struct DrainOptions {
     #[bpaf(external)]
     pub access: Access,
-    /// Print the list of drains as JSON
+    /// Print all drains as JSON, if no place is given
     pub json: bool,
-    /// Only this target of the place
+    /// Drain only this target of the place
     #[bpaf(argument("TARGET"), optional)]
     pub target: Option<TargetId>,
-    /// Take new work again
+    /// Cancel the drain, so that the place or target gets requests again
     pub cancel: bool,
-    /// Wait until nothing runs there, for this time at the most
+    /// Wait at most this long until no requests run there
     #[bpaf(argument("SECONDS"), optional)]
     pub wait: Option<u64>,
-    /// The service; without a place, its drains are shown
+    /// The service; its drains are shown if no place is given
     #[bpaf(positional("SERVICE"), optional)]
     pub service: Option<ServiceName>,
     /// The place
@@ -245,15 +247,15 @@
 pub(super) struct TimelineOptions {
     #[bpaf(external)]
     pub access: Access,
-    /// Print JSON lines
+    /// Print events as JSON lines
     pub json: bool,
-    /// The most events, the latest ones
+    /// Show only this many of the latest events
     #[bpaf(argument("COUNT"), fallback(200))]
     pub limit: usize,
-    /// Only events of this part, for example document or drain
+    /// Show only events of this component, such as document or drain
     #[bpaf(argument("PART"), optional)]
     pub part: Option<Component>,
-    /// Only events after this stamp, which the JSON lines contain
+    /// Show only events after this stamp, as found in the JSON lines
     #[bpaf(argument("STAMP"), optional)]
     pub after: Option<Stamp>,
 }
--- a/src/app/cli/show.rs
+++ b/src/app/cli/show.rs
@@ -1,95 +1,99 @@
-//! `savorybeam status` and `savorybeam explain`.
+//! `savorybeam status` and `savorybeam explain`: print the state and the recent
+//! routing decisions of an entry.
 
 use serde_json::Value;
 
 use super::{
-    client::{Ask, Client},
-    documents::rows,
+    client::{AdminRequest, Client},
+    documents::array_field,
 };
 use crate::{
     domain::{Millis, ServiceName},
     policy::timeline::Utc,
 };
 
-/// Shows the state of an entry.
+/// Prints the state of an entry.
 pub(super) async fn status(client: &Client, json: bool) -> eyre::Result<()> {
-    let reply = client.call(&Ask::get("/v1/status")).await?.success()?;
+    let response = client
+        .call(&AdminRequest::get("/v1/status"))
+        .await?
+        .error_for_status()?;
     if json {
-        print!("{}", reply.body);
+        print!("{}", response.body);
         return Ok(());
     }
-    let s = reply.json()?;
-    let yes = |v: &Value| if *v == true { "yes" } else { "no" };
+    let status = response.json()?;
+    let yes_or_no = |v: &Value| if *v == true { "yes" } else { "no" };
     println!(
         "entry {} in {} ({}), ready: {}, store up: {}, up for {} s",
-        text(&s["entry"]),
-        text(&s["region"]),
-        text(&s["az"]),
-        yes(&s["ready"]),
-        yes(&s["store_up"]),
-        s["uptime_ms"].as_u64().unwrap_or_default() / 1000
+        str_or_empty(&status["entry"]),
+        str_or_empty(&status["region"]),
+        str_or_empty(&status["az"]),
+        yes_or_no(&status["ready"]),
+        yes_or_no(&status["store_up"]),
+        status["uptime_ms"].as_u64().unwrap_or_default() / 1000
     );
-    for service in all(&s["services"]) {
+    for service in all(&status["services"]) {
         println!(
             "service {}: revision {}, {} requests running",
-            text(&service["service"]),
+            str_or_empty(&service["service"]),
             service["revision"],
             service["running"]
         );
         for place in all(&service["places"]) {
             println!(
                 "  place {}: {}, weight {}, effective {} of 1000, {} targets",
-                text(&place["place"]),
-                text(&place["state"]),
+                str_or_empty(&place["place"]),
+                str_or_empty(&place["state"]),
                 place["weight"],
                 place["effective"],
                 place["targets"]
             );
         }
     }
-    for member in all(&s["members"]) {
+    for member in all(&status["members"]) {
         println!(
             "member {} in {}: {}, incarnation {}",
-            text(&member["entry"]),
-            text(&member["region"]),
-            text(&member["state"]),
+            str_or_empty(&member["entry"]),
+            str_or_empty(&member["region"]),
+            str_or_empty(&member["state"]),
             member["incarnation"]
         );
     }
     Ok(())
 }
 
-/// Shows why recent requests of a service went where they went.
+/// Prints which targets recent requests of a service were sent to, and why.
 pub(super) async fn explain(
     client: &Client,
     service: &ServiceName,
     json: bool,
 ) -> eyre::Result<()> {
-    let ask = Ask::get(format!("/v1/explain?service={service}"));
-    let reply = client.call(&ask).await?.success()?;
+    let request = AdminRequest::get(format!("/v1/explain?service={service}"));
+    let response = client.call(&request).await?.error_for_status()?;
     if json {
-        print!("{}", reply.body);
+        print!("{}", response.body);
         return Ok(());
     }
-    let decisions = rows(&reply, "decisions")?;
+    let decisions = array_field(&response, "decisions")?;
     if decisions.is_empty() {
         println!("no request of {service} went through this entry yet");
     }
-    for d in decisions {
-        let wall = Utc(Millis(d["wall_ms"].as_u64().unwrap_or_default()));
-        let target = d["target"].as_str().unwrap_or("no target");
+    for decision in decisions {
+        let wall = Utc(Millis(decision["wall_ms"].as_u64().unwrap_or_default()));
+        let target = decision["target"].as_str().unwrap_or("no target");
         println!(
             "{wall} {} -> {target}: {}; {} after {} ms",
-            text(&d["request"]),
-            text(&d["reason"]),
-            text(&d["result"]),
-            d["took_ms"]
+            str_or_empty(&decision["request"]),
+            str_or_empty(&decision["reason"]),
+            str_or_empty(&decision["result"]),
+            decision["took_ms"]
         );
     }
     Ok(())
 }
 
-fn text(value: &Value) -> &str {
+fn str_or_empty(value: &Value) -> &str {
     value.as_str().unwrap_or_default()
 }
 
--- a/src/app/cli/timeline.rs
+++ b/src/app/cli/timeline.rs
@@ -1,8 +1,8 @@
-//! `savorybeam timeline`.
+//! `savorybeam timeline`: prints the merged events of all entries.
 //!
-//! One entry already collects the events of all that it reaches. Asking several
-//! entries and merging their answers shows the whole timeline also while
-//! regions are partitioned from each other.
+//! An entry responds with the events of all entries that it reaches. Querying
+//! several entries and merging their responses gives a complete timeline even
+//! while regions are partitioned from each other.
 
 use std::collections::BTreeSet;
 
@@ -10,7 +10,7 @@
 use futures::future::join_all;
 
 use super::{
-    client::{Ask, Client},
+    client::{AdminRequest, Client},
     options::TimelineOptions,
 };
 use crate::{
@@ -21,37 +21,38 @@
     policy::timeline::{Event, merge},
 };
 
-/// What one entry returned.
+/// The timeline that one entry returned.
 #[derive(Default)]
-struct Part {
+struct EntryTimeline {
     events: Vec<Event>,
+    /// The entries whose events it could not collect.
     missing: BTreeSet<String>,
 }
 
-/// Prints the events of all entries in one order.
+/// Prints the events of all entries in one total order.
 pub(super) async fn run(options: TimelineOptions) -> eyre::Result<()> {
-    let ask = ask(&options);
+    let request = build_request(&options);
     let client = Client::new(options.access);
-    let calls = client
+    let responses = client
         .addrs()
         .iter()
-        .map(|addr| client.call_at(*addr, &ask));
-    let mut parts = Vec::new();
-    let mut failed = Vec::new();
-    for result in join_all(calls).await {
+        .map(|addr| client.call_entry(*addr, &request));
+    let mut timelines = Vec::new();
+    let mut errors = Vec::new();
+    for result in join_all(responses).await {
         match result {
-            Ok(reply) => parts.push(read(&reply.success()?.body)),
-            Err(e) => failed.push(e),
+            Ok(response) => timelines.push(read(&response.error_for_status()?.body)),
+            Err(e) => errors.push(e),
         }
     }
-    for e in &failed {
+    for e in &errors {
         eprintln!("savorybeam: {e:#}");
     }
-    if parts.is_empty() {
+    if timelines.is_empty() {
         return Err(eyre!("no entry answered"));
     }
-    let missing = missing(&parts);
-    let events = merge(parts.into_iter().map(|p| p.events));
+    let missing = missing_in_all(&timelines);
+    let events = merge(timelines.into_iter().map(|t| t.events));
     let skip = events.len().saturating_sub(options.limit);
     let events = events.into_iter().skip(skip).map(Line::Event);
     for line in events.chain(missing.into_iter().map(Line::Missing)) {
@@ -64,7 +65,7 @@
     Ok(())
 }
 
-fn ask(options: &TimelineOptions) -> Ask {
+fn build_request(options: &TimelineOptions) -> AdminRequest {
     let mut query = Query::default().with("limit", options.limit);
     if let Some(part) = options.part {
         query = query.with("part", part);
@@ -72,30 +73,34 @@
     if let Some(after) = &options.after {
         query = query.with("after", after);
     }
-    let mut ask = Ask::get(format!("/v1/timeline?{query}"));
+    let mut request = AdminRequest::get(format!("/v1/timeline?{query}"));
     let accept = events::CONTENT_TYPE.to_owned();
-    ask.headers.push(("accept", accept));
-    ask
+    request.headers.push(("accept", accept));
+    request
 }
 
-/// Returns the entries that are missing in every part.
-fn missing(parts: &[Part]) -> BTreeSet<String> {
-    let mut parts = parts.iter().map(|p| p.missing.clone());
-    let first = parts.next().unwrap_or_default();
-    parts.fold(first, |all, one| all.intersection(&one).cloned().collect())
+/// Returns the entries whose events are missing in every timeline.
+fn missing_in_all(timelines: &[EntryTimeline]) -> BTreeSet<String> {
+    let mut timelines = timelines.iter().map(|t| t.missing.clone());
+    let first = timelines.next().unwrap_or_default();
+    timelines.fold(first, |all, next| {
+        all.intersection(&next).cloned().collect()
+    })
 }
 
-fn read(lines: &str) -> Part {
-    let mut part = Part::default();
+/// Parses the JSON lines of a response.
+fn read(lines: &str) -> EntryTimeline {
+    let mut timeline = EntryTimeline::default();
     for line in lines.lines() {
         match events::decode(line) {
-            Ok(Line::Event(event)) => part.events.push(event),
+            Ok(Line::Event(event)) => timeline.events.push(event),
             Ok(Line::Missing(entry)) => {
-                part.missing.insert(entry);
+                timeline.missing.insert(entry);
             }
-            // During an upgrade, an entry may know more kinds than this command.
-            Err(e) => eprintln!("savorybeam: an event is left out: {e}"),
+            // During an upgrade, an entry may send kinds of events that this version
+            // doesn't know.
+            Err(e) => eprintln!("savorybeam: skipped an event that cannot be read: {e}"),
         }
     }
-    part
+    timeline
 }
