--- a/src/app/dev/probe.rs
+++ b/src/app/dev/probe.rs
@@ -1,4 +1,4 @@
-//! Waits until requests are served.
+//! Waits until an entry serves requests for a service.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -12,23 +12,23 @@
     ports::{Outbound, Targets},
 };
 
-/// How long it may take until an entry serves a request.
+/// The timeout for an entry to serve its first request.
 const TIMEOUT: Duration = Duration::from_secs(20);
 
-/// The pause between two tries.
-const PAUSE: Duration = Duration::from_millis(50);
+/// The time between two attempts.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Sends requests for a service to an entry until one is answered by a target.
+/// Sends requests for a service to an entry until one succeeds.
 ///
 /// An entry is ready as soon as the roster lists it, but its units of shared
 /// limits arrive up to a second later, and until then it refuses requests with
-/// `limit-reached`. A newcomer's first request must not meet that.
-pub(super) async fn served(
+/// `limit-reached`. The first request of a user must not fail with this.
+pub(super) async fn wait_until_served(
     targets: &Targets,
     entry: SocketAddr,
     service: &str,
 ) -> eyre::Result<()> {
-    let give_up = Instant::now() + TIMEOUT;
+    let deadline = Instant::now() + TIMEOUT;
     loop {
         let body = Empty::new().map_err(|never| match never {}).boxed();
         let request = Request::builder()
@@ -39,14 +39,14 @@
         let resp = (targets.send)(Outbound::new(target, request)).await;
         let resp = resp.map_err(|e| eyre!(e))?;
         let status = resp.status();
-        // The body has to end before the connection can be used again.
+        // The connection can be reused only after the body has been read.
         let _ = resp.into_body().collect().await;
         if status.is_success() {
             return Ok(());
         }
-        if Instant::now() >= give_up {
+        if Instant::now() >= deadline {
             bail!("request to {service} at {entry}: still {status} after 20 s");
         }
-        sleep(PAUSE).await;
+        sleep(RETRY_INTERVAL).await;
     }
 }
--- a/src/app/dev/sample.rs
+++ b/src/app/dev/sample.rs
@@ -1,4 +1,4 @@
-//! The sample services of `dev`.
+//! The entries and sample services of `dev`: their settings and documents.
 
 use std::net::SocketAddr;
 
@@ -12,27 +12,34 @@
     ports::{Clock, Store, Write},
 };
 
-/// The services, which one team owns.
+/// The sample services, which all belong to [`TEAM`].
 pub(super) const SERVICES: [&str; 2] = ["slotboard", "bokun"];
 
-/// The team.
+/// The team that owns the sample services.
 const TEAM: &str = "kitchens";
 
-/// The places with their availability zones. Each has one entry, and one target
-/// of each service.
+/// The region and availability zone of each place. Each place has one entry, and
+/// one target of each service.
 pub(super) const PLACES: [(&str, &str); 3] = [
     ("reykjanes", "reykjanes-1"),
     ("nordurland", "nordurland-1"),
     ("austurland", "austurland-1"),
 ];
 
-/// Returns the settings of an entry.
-pub(super) fn settings(n: usize, token: &str, callers: SocketAddr, peers: &[SocketAddr]) -> String {
+/// Returns the settings of the entry in the place at index `n`. `callers` is its
+/// address for callers, and `peers` are the addresses of all entries for each
+/// other.
+pub(super) fn entry_settings(
+    n: usize,
+    token: &str,
+    callers: SocketAddr,
+    peers: &[SocketAddr],
+) -> String {
     let (region, az) = PLACES[n];
     let regions = PLACES.map(|(r, _)| format!("[region {r}]\nheadroom = 100000 rps\n"));
     let seeds: Vec<String> = peers.iter().map(ToString::to_string).collect();
     let (seeds, peers) = (seeds.join(", "), peers[n]);
-    // The store is embedded, so nothing connects to the endpoint.
+    // The store is in memory, so nothing connects to the endpoint.
     format!(
         "[entry]\nname = e{n}\nregion = {region}\naz = {az}\n\
          callers = {callers}\nadmin = 127.0.0.1:0\npeers = {peers}\nseeds = {seeds}\nlinger = 0 ms\n\
@@ -41,8 +48,8 @@
     )
 }
 
-/// Lists the VM of an entry, as the platform does.
-pub(super) async fn list_vm(store: &Store, n: usize) -> eyre::Result<()> {
+/// Writes the VM of an entry into the store, as the platform does in production.
+pub(super) async fn register_vm(store: &Store, n: usize) -> eyre::Result<()> {
     let write = Write {
         key: [&vms::PREFIX[..], format!("e{n}").as_bytes()]
             .concat()
@@ -50,13 +57,13 @@
         value: Some(Bytes::from_static(b"{}")),
         expected: Revision::default(),
     };
-    let listed = (store.write)(write).await.map_err(|e| eyre!(e));
-    listed.wrap_err_with(|| format!("list the VM of e{n}"))?;
+    let written = (store.write)(write).await.map_err(|e| eyre!(e));
+    written.wrap_err_with(|| format!("write the VM of e{n}"))?;
     Ok(())
 }
 
-/// Puts the document of a service into the store.
-pub(super) async fn put(
+/// Submits the document of a sample service as an edit.
+pub(super) async fn put_document(
     store: &Store,
     clock: &Clock,
     service: &str,
@@ -68,21 +75,24 @@
         id: EditId::random(&mut rand::rng()),
         team,
         wall_time: (clock.wall)(),
-        text: Some(document(service, targets)),
+        text: Some(document_text(service, targets)),
     };
-    let put = submit(store, &name, None, edit).await;
-    put.map_err(|e| eyre!(e))
+    let submitted = submit(store, &name, None, edit).await;
+    submitted
+        .map_err(|e| eyre!(e))
         .wrap_err_with(|| format!("put the document of {service}"))?;
     Ok(())
 }
 
-fn document(service: &str, targets: &[SocketAddr]) -> String {
+/// Returns a document with a target in each place, and a route for large
+/// downloads.
+fn document_text(service: &str, targets: &[SocketAddr]) -> String {
     let head =
         format!("[service]\nname = {service}\nteam = {TEAM}\ndeadline = 5 s\nshift-cap = 40 rps\n");
     let places = PLACES.iter().zip(targets).map(|((region, az), target)| {
         format!(
             "\n[place {az}]\nregion = {region}\naz = {az}\nweight = 100\nslots = {}\ntargets = {target}\n",
-            super::SLOTS
+            super::SLOTS_PER_TARGET
         )
     });
     let routes = "\n[route /bytes]\nlane = long\npriority = bulk\n";
