--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,5 +1,6 @@
-//! Guards the commands that operators script: exit codes, output, and an edit
-//! that must neither overwrite another one nor touch the rest of the text.
+//! Tests of the commands that operators use in scripts: their exit codes, their
+//! output, and that an edit neither overwrites a concurrent one nor changes other
+//! parts of the text.
 
 mod devel;
 
@@ -10,78 +11,79 @@
 
 const TOKEN: &str = "token-of-the-kitchens";
 
-/// Replaces what differs between two runs: addresses, times, edit ids and the
-/// revisions, which depend on what else the entries write into the store.
-fn stable(text: &str) -> String {
+/// Replaces what differs from run to run: addresses, times and edit ids.
+fn normalize(text: &str) -> String {
     let mut out = String::new();
     for line in text.lines() {
-        let words: Vec<String> = line.split(' ').map(stable_word).collect();
+        let words: Vec<String> = line.split(' ').map(normalize_word).collect();
         out.push_str(&words.join(" "));
         out.push('\n');
     }
     out
 }
 
-fn stable_word(word: &str) -> String {
-    let core = word.trim_end_matches([',', ':', ';']);
-    let tail = &word[core.len()..];
-    let hex = core.len() == 32 && core.bytes().all(|b| b.is_ascii_hexdigit());
-    let date = core.len() == 24 && core.ends_with('Z') && core.contains('T');
+fn normalize_word(word: &str) -> String {
+    let value = word.trim_end_matches([',', ':', ';']);
+    let tail = &word[value.len()..];
+    let hex = value.len() == 32 && value.bytes().all(|b| b.is_ascii_hexdigit());
+    let date = value.len() == 24 && value.ends_with('Z') && value.contains('T');
     let name = if hex {
         "EDIT"
     } else if date {
         "TIME"
-    } else if core.contains("127.0.0.1:") {
+    } else if value.contains("127.0.0.1:") {
         "ADDRESS"
     } else {
-        core
+        value
     };
     format!("{name}{tail}")
 }
 
-/// Numbers the revisions in the order in which they appear.
-fn number(text: &str) -> String {
-    let mut seen: Vec<String> = Vec::new();
+/// Replaces revisions by numbers in the order of their first appearance, since
+/// they depend on what else the entries write into the store.
+fn number_revisions(text: &str) -> String {
+    let mut revisions: Vec<String> = Vec::new();
     let mut out = Vec::new();
     for line in text.lines() {
         let mut words: Vec<String> = Vec::new();
         for word in line.split(' ') {
-            let core = word.trim_end_matches([',', ':']);
+            let value = word.trim_end_matches([',', ':']);
             let before = words.last().map(String::as_str);
-            let follows = matches!(before, Some("revision" | "at" | "--base"));
-            if !follows || core.parse::<u64>().is_err() {
+            let labelled = matches!(before, Some("revision" | "at" | "--base"));
+            if !labelled || value.parse::<u64>().is_err() {
                 words.push(word.to_owned());
                 continue;
             }
-            let known = seen.iter().position(|s| s == core);
-            let n = known.unwrap_or(seen.len());
+            let known = revisions.iter().position(|s| s == value);
+            let n = known.unwrap_or(revisions.len());
             if known.is_none() {
-                seen.push(core.to_owned());
+                revisions.push(value.to_owned());
             }
-            words.push(format!("R{n}{}", &word[core.len()..]));
+            words.push(format!("R{n}{}", &word[value.len()..]));
         }
         out.push(words.join(" "));
     }
     out.join("\n")
 }
 
-fn file(name: &str, text: &str) -> PathBuf {
+/// Writes a file into a temporary folder of this process and returns its path.
+fn temp_file(name: &str, text: &str) -> PathBuf {
     let dir = std::env::temp_dir().join(format!("savorybeam-cli-{}", std::process::id()));
-    fs::create_dir_all(&dir).expect("the folder can be made");
+    fs::create_dir_all(&dir).expect("the folder can be created");
     let path = dir.join(name);
     fs::write(&path, text).expect("the file can be written");
     path
 }
 
 #[test]
-fn an_operator_edits_drains_and_looks_back() {
+fn documents_and_drain_commands_report_their_results() {
     let dev = Dev::spawn(&["--for", "120"]);
     let got = dev.run(&["documents", "get", "bokun"]);
     let text = got.strip_prefix("exit 0\n").expect("a document");
     let bare = text.split_once('\n').expect("the line of the revision").1;
-    let bare = file("bare.ini", bare);
+    let bare = temp_file("bare.ini", bare);
     let bare = bare.to_str().expect("the path is text");
-    let path = file(
+    let path = temp_file(
         "bokun.ini",
         &text.replacen("weight = 100", "weight = 40", 1),
     );
@@ -100,33 +102,33 @@
         vec!["explain", "nobody"],
         vec!["documents", "get", "nobody"],
     ];
-    let mut seen = Vec::new();
+    let mut outputs = Vec::new();
     for step in &steps {
         let words = step.iter().filter(|w| **w != path && **w != bare);
         let name: Vec<&str> = words.copied().collect();
-        // How often a drain is seen running is a matter of time.
+        // The number of lines about a running drain depends on timing.
         let lines = dev.run(step);
         let lines = lines
             .lines()
             .filter(|l| !l.starts_with("  e") && !l.ends_with(": running"));
         let text: Vec<&str> = lines.collect();
-        seen.push(stable(&format!(
+        outputs.push(normalize(&format!(
             "> {}\n{}",
             name.join(" "),
             text.join("\n")
         )));
     }
-    // The entry adopts the last edit a moment after the store has accepted it.
+    // The entry adopts the last edit some time after the store has accepted it.
     let ended = (0..100).any(|_| {
         std::thread::sleep(std::time::Duration::from_millis(50));
         dev.run(&["drain", "bokun"]) == "exit 0\nnothing leaves\n"
     });
     assert!(ended, "the drain is cancelled");
-    insta::assert_snapshot!(number(&seen.join("\n")));
+    insta::assert_snapshot!(number_revisions(&outputs.join("\n")));
 }
 
 #[test]
-fn one_timeline_comes_from_several_entries() {
+fn timeline_merges_events_of_several_entries_in_order() {
     let dev = Dev::spawn(&["--for", "60"]);
     let mut args = vec!["timeline", "--part", "document", "--json"];
     let admins = dev.line["admins"].as_array().expect("a list");
@@ -157,9 +159,9 @@
 }
 
 #[test]
-fn wrong_use_and_failures_have_different_codes() {
+fn usage_errors_and_failures_have_different_exit_codes() {
     let closed = "127.0.0.1:1";
-    let bad = file("bad.ini", "[service]\nname = Slot Board\n");
+    let bad = temp_file("bad.ini", "[service]\nname = Slot Board\n");
     let bad = bad.to_str().expect("the path is text");
     let runs: Vec<(Vec<&str>, Option<&str>)> = vec![
         (vec![], None),
@@ -186,13 +188,13 @@
             Some(TOKEN),
         ),
     ];
-    let mut seen = Vec::new();
+    let mut outputs = Vec::new();
     for (args, token) in &runs {
-        seen.push(format!("> {}\n{}", args.join(" "), run(args, *token)));
+        outputs.push(format!("> {}\n{}", args.join(" "), run(args, *token)));
     }
     let checked = run(&["documents", "check", bad], None);
-    seen.push(checked.replace(bad, "bad.ini"));
-    insta::assert_snapshot!(seen.join("\n"));
+    outputs.push(checked.replace(bad, "bad.ini"));
+    insta::assert_snapshot!(outputs.join("\n"));
 }
 
 #[test]
@@ -213,7 +215,7 @@
         vec!["status"],
         vec!["timeline"],
     ];
-    let mut seen = Vec::new();
+    let mut outputs = Vec::new();
     for mut args in commands {
         args.push("--help");
         let text = run(&args, Some(TOKEN));
@@ -223,19 +225,19 @@
         );
         let example = text.lines().find(|l| l.contains("Example: savorybeam"));
         let code = text.lines().next().unwrap_or_default();
-        seen.push(format!("{code} {}", example.unwrap_or("no example")));
+        outputs.push(format!("{code} {}", example.unwrap_or("no example")));
     }
-    insta::assert_snapshot!(seen.join("\n"));
+    insta::assert_snapshot!(outputs.join("\n"));
 }
 
 quickcheck::quickcheck! {
-    fn a_key_is_set_and_the_rest_stays(weight: u8, noise: Vec<bool>) -> bool {
+    fn set_key_changes_only_the_given_key(weight: u8, comments: Vec<bool>) -> bool {
         let mut text = String::from("[service]\nname = a\nteam = t\n");
-        for (n, comment) in noise.iter().take(4).enumerate() {
-            let extra = if *comment { "; state = no\n" } else { "state = active\n" };
+        for (n, is_comment) in comments.iter().take(4).enumerate() {
+            let state = if *is_comment { "; state = no\n" } else { "state = active\n" };
             let _ = write!(
                 text,
-                "[place p{n}]\nregion = r\naz = r-1\nweight = 9\n{extra}slots = 1\ntargets = 10.0.0.{n}:1\n"
+                "[place p{n}]\nregion = r\naz = r-1\nweight = 9\n{state}slots = 1\ntargets = 10.0.0.{n}:1\n"
             );
         }
         text.push_str("# the last place\n[place z]\nregion = r\naz = r-1\nweight = 9\nslots = 1\ntargets = 10.0.1.1:1\n");
@@ -245,8 +247,8 @@
         let last = expected.places.last_mut().expect("there is a place");
         last.weight = savorybeam::domain::Weight(weight.into());
         last.state = savorybeam::domain::PlaceState::Leaving;
-        let back = set_key(&set, "place z", "state", None);
-        let back = set_key(&back, "place z", "weight", Some("9"));
-        parse_document("a", &set) == Ok(expected) && back == text
+        let restored = set_key(&set, "place z", "state", None);
+        let restored = set_key(&restored, "place z", "weight", Some("9"));
+        parse_document("a", &set) == Ok(expected) && restored == text
     }
 }
--- a/tests/devel/mod.rs
+++ b/tests/devel/mod.rs
@@ -1,6 +1,6 @@
-//! A running `savorybeam dev`, and commands against it.
+//! Runs `savorybeam dev`, and commands against it.
 
-#![allow(dead_code, reason = "each test file uses its own part")]
+#![allow(dead_code, reason = "each test file uses a different part")]
 
 use std::{
     io::{BufRead, BufReader, Read},
@@ -9,16 +9,16 @@
 
 use serde_json::Value;
 
-/// A running `dev`, which is killed when the handle is dropped.
+/// A running `savorybeam dev` process, which is killed on drop.
 pub struct Dev {
     child: Child,
     out: BufReader<ChildStdout>,
-    /// The line that it has printed.
+    /// The JSON line that it printed when it was ready.
     pub line: Value,
 }
 
 impl Dev {
-    /// Starts it and waits for its line.
+    /// Starts `savorybeam dev` and waits until it prints its line.
     pub fn spawn(args: &[&str]) -> Self {
         let mut child = Command::new(env!("CARGO_BIN_EXE_savorybeam"))
             .arg("dev")
@@ -35,14 +35,14 @@
         Self { child, out, line }
     }
 
-    /// Returns a text of the line.
+    /// Returns a string field of the line.
     pub fn text(&self, name: &str) -> String {
         let value = &self.line[name];
         let value = value.as_str().expect("the value is text");
         value.to_owned()
     }
 
-    /// Sends a signal by its name.
+    /// Sends a signal, such as `TERM`, to the process.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         let kill = Command::new("kill")
@@ -51,7 +51,8 @@
         assert!(kill.expect("kill runs").success());
     }
 
-    /// Waits for the end, and returns the exit code and the rest of its output.
+    /// Waits until the process exits, and returns its exit code and the rest of its
+    /// output.
     pub fn wait(mut self) -> (Option<i32>, String) {
         let mut rest = String::new();
         self.out
@@ -77,7 +78,8 @@
     }
 }
 
-/// Runs a command and returns its exit code with its output and errors.
+/// Runs a command and returns its exit code, standard output and standard error
+/// as one text.
 pub fn run(args: &[&str], token: Option<&str>) -> String {
     let mut command = Command::new(env!("CARGO_BIN_EXE_savorybeam"));
     command.args(args).env_remove("SAVORYBEAM_TOKEN");
