--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -87,7 +87,7 @@
             _ = int.recv() => break,
             _ = hup.recv() => file.reload(&gateway.state, &mut current),
             () = tokio::time::sleep(RELOAD_PERIOD) => {
-                peers.sweep();
+                peers.close_idle();
                 file.reload(&gateway.state, &mut current);
             }
         }
--- a/src/app/entry/control/gossip.rs
+++ b/src/app/entry/control/gossip.rs
@@ -38,7 +38,7 @@
             last_candidates = candidates;
         }
         disseminate(&state);
-        state.fleet.peers.sweep();
+        state.fleet.peers.close_idle();
     })
     .await;
 }
