Reword two messages of the command line and the sample target

The context of an edit without a response and the refusal of an unknown control key were hard to read. No test matches them. Behaviour is unchanged.

--- a/src/app/cli/documents.rs
+++ b/src/app/cli/documents.rs
@@ -133,7 +133,7 @@
 /// find out whether the edit took effect.
 pub(super) fn unknown_outcome(request: &AdminRequest) -> String {
     let id = request.headers.first().map_or("", |(_, id)| id.as_str());
-    format!("edit {id}: it may have taken effect; its id is in the document's history if it has")
+    format!("edit {id} may have taken effect: if so, the history of the document lists its id")
 }
 
 /// Separates the text from the revision line that `get` writes before it.
--- a/src/app/dev/target.rs
+++ b/src/app/dev/target.rs
@@ -195,7 +195,7 @@
             _ => {
                 return status(
                     StatusCode::BAD_REQUEST,
-                    "known are slots, slow, shed, drain, silence, peak, crash\n",
+                    "known keys are slots, slow, shed, drain, silence, peak, crash\n",
                 );
             }
         }
