--- a/src/adapters/grpc/changes/mod.rs
+++ b/src/adapters/grpc/changes/mod.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     domain::{Millis, Revision},
-    ports::{Ask, AskError, Batch, Changes, News},
+    ports::{AgedBatch, Batch, Changes, FetchError, FetchRequest},
 };
 
 const CHANGES: &str = "Changes";
@@ -27,14 +27,14 @@
 pub fn serve_changes<F, Fut>(routes: Routes, f: F) -> Routes
 where
     F: Clone + Fn(Option<Revision>, Millis) -> Fut + Send + Sync + 'static,
-    Fut: Future<Output = Result<News, AskError>> + Send + 'static,
+    Fut: Future<Output = Result<AgedBatch, FetchError>> + Send + 'static,
 {
     routes.route(CHANGES, move |message: ChangesRequest| {
         let news = f(message.after.map(Revision), Millis(message.wait_ms));
         async move {
             Ok(match news.await {
                 Ok(news) => messages::encode(&news),
-                Err(AskError::Compacted) => ChangesReply {
+                Err(FetchError::Compacted) => ChangesReply {
                     compacted: true,
                     ..ChangesReply::default()
                 },
@@ -48,44 +48,44 @@
 #[must_use]
 pub fn changes(peers: Arc<Peers>) -> Changes {
     Changes {
-        ask: Arc::new(move |ask| {
+        fetch: Arc::new(move |ask| {
             let peers = peers.clone();
             Box::pin(async move { call(&peers, ask).await })
         }),
     }
 }
 
-async fn call(peers: &Peers, ask: Ask) -> Result<News, AskError> {
-    let Ask { peer, after, wait } = ask;
+async fn call(peers: &Peers, request: FetchRequest) -> Result<AgedBatch, FetchError> {
+    let FetchRequest { peer, after, wait } = request;
     let message = ChangesRequest {
         after: after.map(|r| r.0),
         wait_ms: wait.0,
     };
     let reply = peers.call_within(peer, CHANGES, message, wait + REPLY_MARGIN);
-    let reply: ChangesReply = reply.await.map_err(|e| ask_error(peer, &e))?;
+    let reply: ChangesReply = reply.await.map_err(|e| fetch_error(peer, &e))?;
     if reply.compacted {
-        return Err(AskError::Compacted);
+        return Err(FetchError::Compacted);
     }
     let Some(revision) = reply.revision.map(Revision) else {
-        return Err(AskError::Empty);
+        return Err(FetchError::Empty);
     };
     let changes = messages::decode(&reply);
     let changes =
-        changes.map_err(|e| ask_error(peer, &CallError::invalid_reply(CHANGES, peer, &e)))?;
-    Ok(News {
+        changes.map_err(|e| fetch_error(peer, &CallError::invalid_reply(CHANGES, peer, &e)))?;
+    Ok(AgedBatch {
         batch: Batch { changes, revision },
         age: Millis(reply.age_ms),
     })
 }
 
-fn ask_error(peer: SocketAddr, e: &CallError) -> AskError {
+fn fetch_error(peer: SocketAddr, e: &CallError) -> FetchError {
     let step = match e.step {
         Step::Encode => "encode a request for changes",
         Step::Connect => "connect for changes",
         Step::Wait => "wait for changes",
         Step::Reply => "ask for changes",
     };
-    AskError::Failed {
+    FetchError::Failed {
         step,
         peer,
         cause: e.cause.clone(),
--- a/src/app/entry/admin/timeline.rs
+++ b/src/app/entry/admin/timeline.rs
@@ -15,7 +15,7 @@
         admin::{AdminError, Code},
         timeline::MAX_EVENTS,
     },
-    ports::{EventQuery, admin::Gathered},
+    ports::{EventQuery, admin::GatheredEvents},
 };
 
 /// The maximum number of events in a response if the query sets no limit.
@@ -57,10 +57,10 @@
     admin: &Admin,
     query: &Query,
     selection: &EventQuery,
-) -> Result<Gathered, AdminError> {
+) -> Result<GatheredEvents, AdminError> {
     match query.text("scope") {
         None | Some("all") => Ok((admin.port.timeline)(selection.clone()).await),
-        Some("entry") => Ok(Gathered {
+        Some("entry") => Ok(GatheredEvents {
             events: (admin.events.read)(selection),
             missing: Vec::new(),
         }),
@@ -72,7 +72,7 @@
 }
 
 /// Returns the latest events, followed by the entries that did not reply.
-fn select_lines(gathered: Gathered, limit: usize) -> Vec<Line> {
+fn select_lines(gathered: GatheredEvents, limit: usize) -> Vec<Line> {
     let skip = gathered.events.len().saturating_sub(limit);
     let events = gathered.events.into_iter().skip(skip).map(Line::Event);
     let missing = gathered.missing.into_iter().map(Line::Missing);
--- a/src/app/entry/admin/views.rs
+++ b/src/app/entry/admin/views.rs
@@ -12,7 +12,7 @@
 };
 
 pub(super) fn readyz(admin: &Admin) -> Result<Response<Body>, AdminError> {
-    match (admin.port.unready)() {
+    match (admin.port.unready_reason)() {
         None => Ok(reply::text("ready\n")),
         Some(reason) => Err(AdminError::new(Code::NotReady, reason).retry_after(Millis(1_000))),
     }
@@ -45,7 +45,7 @@
 /// since operators need it most during a store outage.
 pub(super) async fn placements(admin: &Admin, name: &str) -> Result<Response<Body>, AdminError> {
     let service = parse_service(name)?;
-    let all = (admin.port.placements)(service.clone()).await;
+    let all = (admin.port.entry_revisions)(service.clone()).await;
     let latest = all.iter().filter_map(|p| p.revision).max();
     let complete = latest.is_some() && all.iter().all(|p| p.revision == latest);
     Ok(reply::json(&json!({
