--- a/src/app/entry/admin/watch.rs
+++ b/src/app/entry/admin/watch.rs
@@ -35,7 +35,7 @@
 
 fn observe(state: &State) -> StateSnapshot {
     StateSnapshot {
-        ready: state.unready().is_none(),
+        ready: state.unready_reason().is_none(),
         store_down: !state.ports.metrics.store_up(),
         leaving: port::running_by_subject(state),
     }
--- a/src/app/entry/control/shifts.rs
+++ b/src/app/entry/control/shifts.rs
@@ -53,7 +53,7 @@
     let demand = demand(state);
     let mut events = Vec::new();
     state.services.each(|name, s| {
-        s.localize(&state.settings.region, &demand);
+        s.compute_local_weights(&state.settings.region, &demand);
         let Some(shift) = &mut s.shift else {
             return;
         };
@@ -99,7 +99,7 @@
 /// Asks a few peers for their progress, and returns the least advanced shares of
 /// each service.
 async fn ask_peers(state: &Arc<State>) -> BTreeMap<ServiceName, Progress> {
-    let others = state.fleet.others();
+    let others = state.fleet.other_entries();
     let asked = others.choose_multiple(&mut rand::rng(), PEERS_ASKED);
     let calls = asked.map(|to| async move {
         let address = state.fleet.address(to)?;
--- a/tests/faults_drain.rs
+++ b/tests/faults_drain.rs
@@ -15,7 +15,7 @@
 
 use harness::{
     Deployment, Entry, admin_request, document,
-    faults::{CallResult, call, wait_until, with_timeout},
+    faults::{HttpResult, call, wait_until, with_timeout},
     request, send, send_streaming,
 };
 use http_body_util::BodyExt;
@@ -110,7 +110,7 @@
     for addr in list {
         let req = request("POST", "slotboard", "/delay/5", "");
         match call(*addr, req, Duration::from_secs(30)).await {
-            CallResult::Unreachable(_) => {}
+            HttpResult::Unreachable(_) => {}
             result if result.is_success() => return None,
             result => return Some(format!("{addr}: {result:?}")),
         }
@@ -267,8 +267,8 @@
             loop {
                 let req = request("GET", "lookup", "/v1/entries?service=slotboard", "");
                 match call(addr, req, Duration::from_secs(30)).await {
-                    CallResult::Response(_) => served.fetch_add(1, Ordering::SeqCst),
-                    CallResult::Unreachable(_) => return None,
+                    HttpResult::Response(_) => served.fetch_add(1, Ordering::SeqCst),
+                    HttpResult::Unreachable(_) => return None,
                     result => return Some(format!("{result:?}")),
                 };
             }
--- a/tests/faults_once.rs
+++ b/tests/faults_once.rs
@@ -16,9 +16,9 @@
 
 use harness::{
     Deployment,
-    faults::{CallResult, call, request_with_id, set_header, wait_until, with_timeout},
+    faults::{HttpResult, call, request_with_id, set_header, wait_until, with_timeout},
 };
-use history::{Event, Told, violations};
+use history::{CallResult, Event, violations};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use tokio::task::JoinSet;
 
@@ -27,7 +27,7 @@
 const KEY_RETENTION: u64 = u64::MAX;
 
 /// The id, key and result of each call.
-type CallLog = Arc<Mutex<Vec<(u64, String, CallResult)>>>;
+type CallLog = Arc<Mutex<Vec<(u64, String, HttpResult)>>>;
 
 /// Sends a request with an idempotency key once and records the result.
 async fn send_keyed(addr: SocketAddr, key: &str, id: u64, log: &CallLog) {
@@ -80,7 +80,7 @@
     let log = std::mem::take(&mut *log.lock().expect("no panic"));
     let mut history = Vec::new();
     let mut problems = Vec::new();
-    for (id, key, result) in &log {
+    for (id, key, response) in &log {
         // The execution counts of a killed target are lost.
         let mut runs = 0;
         for (n, target) in deployment.targets.iter().enumerate() {
@@ -94,20 +94,21 @@
             let answer = last_dispatched_key(&history);
             history.push(Event::Executed { call, answer });
         }
-        let told = match result {
-            CallResult::Response(r) if r.head.status.is_success() => Told::Answer(r.text()),
-            CallResult::Unreachable(_) => Told::NotRun,
-            result if result.outcome() == "not-run" => Told::NotRun,
-            _ => Told::Unknown,
+        let result = match response {
+            HttpResult::Response(r) if r.head.status.is_success() => CallResult::Answer(r.text()),
+            HttpResult::Unreachable(_) => CallResult::NotRun,
+            response if response.outcome() == "not-run" => CallResult::NotRun,
+            _ => CallResult::Unknown,
         };
-        let is_foreign = |told: &Told| matches!(told, Told::Answer(text) if text != key);
-        if is_foreign(&told) {
+        let is_foreign =
+            |result: &CallResult| matches!(result, CallResult::Answer(text) if text != key);
+        if is_foreign(&result) {
             problems.push(format!(
                 "call {id} of {key} got the response of another key"
             ));
         }
-        if !matches!(told, Told::Answer(_)) {
-            history.push(Event::Returned { call: *id, told });
+        if !matches!(result, CallResult::Answer(_)) {
+            history.push(Event::Returned { call: *id, result });
         }
     }
     problems.extend(violations(&history, KEY_RETENTION));
@@ -207,7 +208,7 @@
             send_keyed(deployment.entries[0].process.addr, &key, 0, &log).await;
             let result = log.lock().expect("no panic").pop();
             match result {
-                Some((_, _, CallResult::Response(r))) => {
+                Some((_, _, HttpResult::Response(r))) => {
                     assert_eq!(r.text(), key);
                     Ok(())
                 }
@@ -223,7 +224,7 @@
                 send_keyed(entry.process.addr, key, 1, &log).await;
                 let result = log.lock().expect("no panic").pop();
                 match result {
-                    Some((_, _, CallResult::Response(r))) => {
+                    Some((_, _, HttpResult::Response(r))) => {
                         assert_eq!(r.text(), *key);
                         assert_eq!(r.header("x-savorybeam-replayed"), "true");
                         Ok(())
--- a/tests/faults_target.rs
+++ b/tests/faults_target.rs
@@ -7,7 +7,7 @@
 
 use harness::{
     Deployment, Process, document,
-    faults::{CallResult, call, request_with_id, set_header, wait_until, with_timeout},
+    faults::{HttpResult, call, request_with_id, set_header, wait_until, with_timeout},
     relay::Relay,
     request, spawn_target,
 };
@@ -49,7 +49,7 @@
     let down = running.filter(|r| !r).count();
     assert!(down <= 2, "{down} targets are down");
     match last.expect("a result") {
-        CallResult::Refused(code, outcome, _) => {
+        HttpResult::Refused(code, outcome, _) => {
             assert_eq!((&*code, &*outcome), ("request-blocked", "not-run"));
         }
         result => panic!("the request is not blocked: {result:?}"),
@@ -113,7 +113,7 @@
             result if result.is_success() => served += 1,
             // Retries are limited by a budget, so some responses of the
             // shedding target reach the caller unchanged.
-            CallResult::Response(r) if !r.header("retry-after").is_empty() => {
+            HttpResult::Response(r) if !r.header("retry-after").is_empty() => {
                 assert_eq!(r.header("x-target"), "t0");
                 assert_eq!(deployment.run_count(&id).await, 0);
             }
@@ -131,7 +131,7 @@
         )
         .await;
         match result {
-            CallResult::Response(r) if r.header("x-target") == "t0" => Ok(()),
+            HttpResult::Response(r) if r.header("x-target") == "t0" => Ok(()),
             result => Err(format!("{result:?}")),
         }
     })
@@ -181,7 +181,7 @@
     for _ in 0..6 {
         calls.spawn(call(addr, get_request("/delay/200"), CALL_TIMEOUT));
     }
-    assert!(calls.join_all().await.iter().all(CallResult::is_success));
+    assert!(calls.join_all().await.iter().all(HttpResult::is_success));
     (deployment, relay)
 }
 
--- a/tests/harness/faults.rs
+++ b/tests/harness/faults.rs
@@ -37,9 +37,9 @@
     done.unwrap_or_else(|_| panic!("{what}: not done within {STEP_TIMEOUT:?}"))
 }
 
-/// The result of a call.
+/// The result of an HTTP call, as its caller sees it.
 #[derive(Debug)]
-pub enum CallResult {
+pub enum HttpResult {
     /// A target's response.
     Response(BufferedResponse),
     /// An error response of the entry: code, outcome and detail.
@@ -50,7 +50,7 @@
     NoResponse(String),
 }
 
-impl CallResult {
+impl HttpResult {
     /// Returns the outcome that the entry stated, or an empty string.
     pub fn outcome(&self) -> &str {
         match self {
@@ -67,33 +67,33 @@
 
 /// Sends a request on a new connection and waits for its result for at most
 /// `timeout`.
-pub async fn call(addr: SocketAddr, req: Request<Full<Bytes>>, timeout: Duration) -> CallResult {
+pub async fn call(addr: SocketAddr, req: Request<Full<Bytes>>, timeout: Duration) -> HttpResult {
     let connect = tokio::net::TcpStream::connect(addr);
     let response = async {
         let stream = match connect.await {
             Ok(stream) => stream,
-            Err(e) => return CallResult::Unreachable(e.to_string()),
+            Err(e) => return HttpResult::Unreachable(e.to_string()),
         };
         match super::send_on(stream, req).await {
             Ok(response) => classify(response),
-            Err(e) => CallResult::NoResponse(e),
+            Err(e) => HttpResult::NoResponse(e),
         }
     };
     let response = tokio::time::timeout(timeout, response).await;
-    response.unwrap_or_else(|_| CallResult::NoResponse("the call timed out".to_owned()))
+    response.unwrap_or_else(|_| HttpResult::NoResponse("the call timed out".to_owned()))
 }
 
 /// Tells error responses of the entry from responses of a target.
-fn classify(response: BufferedResponse) -> CallResult {
+fn classify(response: BufferedResponse) -> HttpResult {
     let code = response.header("x-savorybeam-code").to_owned();
     if code.is_empty() {
         return match &response.body {
-            Ok(_) => CallResult::Response(response),
-            Err(e) => CallResult::NoResponse(e.clone()),
+            Ok(_) => HttpResult::Response(response),
+            Err(e) => HttpResult::NoResponse(e.clone()),
         };
     }
     let outcome = response.header("x-savorybeam-outcome").to_owned();
-    CallResult::Refused(code, outcome, response.text())
+    HttpResult::Refused(code, outcome, response.text())
 }
 
 /// Builds a request with an id under which targets count its executions.
