--- a/examples/fleet_slope/main.rs
+++ b/examples/fleet_slope/main.rs
@@ -26,7 +26,7 @@
         ini::parse_settings,
         metrics,
         store::{
-            Calls,
+            CallCounters,
             documents::submit,
             memory::{self, Memory},
             vms,
@@ -72,7 +72,7 @@
 /// A fleet with its store.
 struct Fleet {
     entries: Vec<Entry>,
-    calls: Vec<Arc<Calls>>,
+    calls: Vec<Arc<CallCounters>>,
     store: Store,
     clock: Clock,
 }
@@ -127,7 +127,7 @@
     };
     for (n, callers) in callers.into_iter().enumerate() {
         list(&fleet.store, n).await?;
-        let calls: Arc<Calls> = Arc::default();
+        let calls: Arc<CallCounters> = Arc::default();
         let entry = spawn(n, callers, &peers, &fleet.clock, &memory, &calls).await?;
         fleet.entries.push(entry);
         fleet.calls.push(calls);
@@ -143,7 +143,7 @@
             let counts = calls.counts();
             sum.0 += counts.reads;
             sum.1 += counts.writes;
-            sum.2 += counts.waiting;
+            sum.2 += counts.open_watches;
         }
         sum
     }
@@ -185,7 +185,7 @@
     peers: &[SocketAddr],
     clock: &Clock,
     memory: &Memory,
-    calls: &Arc<Calls>,
+    calls: &Arc<CallCounters>,
 ) -> eyre::Result<Entry> {
     let region = n % REGIONS;
     let seeds: Vec<String> = peers.iter().take(3).map(ToString::to_string).collect();
@@ -209,7 +209,7 @@
 /// Lists a VM, as the platform does.
 async fn list(store: &Store, n: usize) -> eyre::Result<()> {
     let write = Write {
-        key: [&vms::PREFIX[..], format!("e{n}").as_bytes()]
+        key: [&vms::KEY_PREFIX[..], format!("e{n}").as_bytes()]
             .concat()
             .into(),
         value: Some(Bytes::from_static(b"{}")),
--- a/examples/store_standin/state.rs
+++ b/examples/store_standin/state.rs
@@ -12,7 +12,7 @@
 
 use bytes::Bytes;
 use savorybeam::adapters::store::{
-    VALUE_MAX,
+    MAX_VALUE_BYTES,
     messages::{
         Compare, CompareResult, CompareTarget, CompareValue, DeleteRangeResponse, Event, EventKind,
         KeyValue, Operation, OperationResponse, PutResponse, RangeRequest, RangeResponse,
@@ -233,7 +233,7 @@
             let Some(Operation::Put(put)) = &operation.request else {
                 continue;
             };
-            if put.value.len() > VALUE_MAX {
+            if put.value.len() > MAX_VALUE_BYTES {
                 return Err(Status::invalid_argument("etcdserver: request is too large"));
             }
             if put.lease != 0 && !self.leases.contains_key(&put.lease) {
--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -23,7 +23,7 @@
 };
 
 pub use self::table::{Row, TABLE};
-use crate::adapters::store::Calls;
+use crate::adapters::store::CallCounters;
 
 /// The content type of [`Metrics::encode`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -94,7 +94,7 @@
 #[derive(Clone)]
 pub struct Metrics {
     registry: Arc<Registry>,
-    calls: Arc<Calls>,
+    calls: Arc<CallCounters>,
     /// Requests by what became of them.
     pub requests: Family<RequestLabels, Counter>,
     /// The time until the head of an answer.
@@ -128,7 +128,7 @@
 /// Returns the metrics of a process whose calls to the store are counted in
 /// `calls`.
 #[must_use]
-pub fn open(calls: Arc<Calls>) -> Metrics {
+pub fn open(calls: Arc<CallCounters>) -> Metrics {
     let mut registry = Registry::with_prefix("savorybeam");
     let metrics = Metrics {
         calls: calls.clone(),
@@ -188,7 +188,7 @@
     /// Tells whether the latest call to the store was answered.
     #[must_use]
     pub fn store_up(&self) -> bool {
-        self.calls.up()
+        self.calls.is_up()
     }
 
     /// Returns all metrics in the text format of `OpenMetrics`.
--- a/src/adapters/metrics/store.rs
+++ b/src/adapters/metrics/store.rs
@@ -9,13 +9,13 @@
 };
 
 use super::table::{STORE_CALLS, STORE_FAILURES, STORE_UP, STORE_WATCHES};
-use crate::adapters::store::Calls;
+use crate::adapters::store::CallCounters;
 
 /// Reads the counters of the store's adapter.
 #[derive(Debug)]
 pub(super) struct StoreMetrics {
     /// The counters.
-    pub calls: Arc<Calls>,
+    pub calls: Arc<CallCounters>,
 }
 
 impl Collector for StoreMetrics {
@@ -37,8 +37,8 @@
         let single =
             encoder.encode_descriptor(STORE_FAILURES.base, STORE_FAILURES.help, None, counter)?;
         ConstCounter::new(counts.failures).encode(single)?;
-        let waiting = i64::try_from(counts.waiting).unwrap_or(i64::MAX);
-        let up = i64::from(self.calls.up());
+        let waiting = i64::try_from(counts.open_watches).unwrap_or(i64::MAX);
+        let up = i64::from(self.calls.is_up());
         for (row, value) in [(STORE_WATCHES, waiting), (STORE_UP, up)] {
             let single = encoder.encode_descriptor(row.base, row.help, None, MetricType::Gauge)?;
             ConstGauge::new(value).encode(single)?;
--- a/src/adapters/store/client.rs
+++ b/src/adapters/store/client.rs
@@ -1,11 +1,12 @@
-//! Connections to the store and the fate of each call.
+//! A gRPC client with failover between the store's endpoints.
 //!
-//! Every call has a timeout, and every failure is put into a class, because a
-//! writer must know whether its write may have taken effect. A call is `Unsent`
-//! only if no connection could be made, and `Refused` only if the store itself
-//! said that it did nothing. After anything else a write is in doubt. A class
-//! that errs towards doubt costs a read, one that errs the other way would cost
-//! correctness.
+//! Every call has a timeout, and every failure is classified, because a writer
+//! must know whether its write may have taken effect. A call is `NotSent` only
+//! if no connection was established, and `Refused` only if the store returned a
+//! status that rules out execution. After any other failure, the outcome of a
+//! write is unknown. Classifying a failed write as unknown without need costs
+//! an extra read; classifying an executed write as not executed would be
+//! incorrect.
 
 use std::{
     error::Error,
@@ -30,87 +31,95 @@
 };
 use tonic_prost::ProstCodec;
 
-use super::Calls;
+use super::CallCounters;
 use crate::{domain::Millis, ports::StoreError};
 
-/// The largest message from the store: a full page of the largest values, and
-/// as much again as one value for keys and framing.
-const MESSAGE_MAX: usize = (super::PAGE + 1) * super::VALUE_MAX;
+/// The size limit of a message from the store: a full page of values of the
+/// maximum size, plus the size of one more value for keys and framing.
+const MAX_MESSAGE_BYTES: usize = (super::PAGE_KEYS + 1) * super::MAX_VALUE_BYTES;
 
-/// How often an open connection is checked. A connection that has become silent
-/// ends the watches on it after this time and `PING_TIMEOUT`.
+/// The interval of HTTP/2 keep-alive pings. The watches on an unresponsive
+/// connection end after this interval plus [`PING_TIMEOUT`].
 const PING_INTERVAL: Duration = Duration::from_secs(1);
 
-/// How long the reply to such a check may take.
+/// How long the reply to a keep-alive ping may take.
 const PING_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The connections to the store's endpoints.
+/// Connections to the store's endpoints.
 pub(super) struct Client {
-    peers: Vec<Peer>,
+    servers: Vec<ServerState>,
+    /// The index of the server that the next call tries first.
     preferred: AtomicUsize,
+    /// The timeout of one attempt at one server.
     timeout: Duration,
-    /// The counts of the calls.
-    pub(super) calls: Arc<Calls>,
+    pub(super) counters: Arc<CallCounters>,
 }
 
-struct Peer {
+/// An endpoint and the channel to it, if one is in use.
+struct ServerState {
     address: SocketAddr,
     channel: Mutex<Option<Channel>>,
 }
 
-/// A kind of call.
+/// A method of the store's API and how to call it.
 #[derive(Clone, Copy)]
-pub(super) struct Step {
-    /// The name in errors.
+pub(super) struct Method {
+    /// The name of the step in error messages.
     pub(super) name: &'static str,
-    /// The method.
+    /// The path of the gRPC method.
     pub(super) path: &'static str,
-    /// Counts the call.
-    pub(super) count: fn(&Calls),
-    /// Whether the call may be sent again, to the next endpoint, although the
-    /// first may have been carried out.
-    pub(super) repeatable: bool,
+    /// Counts an attempt.
+    pub(super) count: fn(&CallCounters),
+    /// Whether the call may be sent again even though an earlier attempt may
+    /// have been executed.
+    pub(super) retry_safe: bool,
 }
 
 /// Why a call to one endpoint failed.
 enum Failure {
-    /// No connection could be made.
-    Unsent(String),
-    /// The store said that it did nothing.
+    /// No connection was established, so the request was not sent.
+    NotSent(String),
+    /// The store returned a status that rules out execution.
     Refused(String),
-    /// The connection broke.
-    Broken(String),
-    /// The store did not answer in time, or gave an answer that leaves it open.
+    /// The connection broke during the call.
+    Disconnected(String),
+    /// The call timed out, or the store's status does not rule out execution.
     Unknown(String),
 }
 
-/// Our side of a stream, which ends when this is dropped.
-pub(super) struct Open(#[expect(dead_code, reason = "held for its drop")] oneshot::Sender<()>);
+/// Keeps the request side of a stream open until it is dropped.
+pub(super) struct StreamGuard(
+    #[expect(dead_code, reason = "held for its drop")] oneshot::Sender<()>,
+);
 
-/// A connection for one call.
+/// A gRPC client for one call.
 pub(super) type Connection = Grpc<Channel>;
 
 impl Client {
-    pub(super) fn new(endpoints: &[SocketAddr], timeout: Millis, calls: Arc<Calls>) -> Self {
-        let peer = |address: &SocketAddr| Peer {
+    pub(super) fn new(
+        endpoints: &[SocketAddr],
+        timeout: Millis,
+        counters: Arc<CallCounters>,
+    ) -> Self {
+        let server = |address: &SocketAddr| ServerState {
             address: *address,
             channel: Mutex::default(),
         };
         Self {
-            peers: endpoints.iter().map(peer).collect(),
+            servers: endpoints.iter().map(server).collect(),
             preferred: AtomicUsize::new(0),
             timeout: timeout.duration(),
-            calls,
+            counters,
         }
     }
 
-    /// Makes a call with one request and one response.
-    pub(super) async fn unary<A, B>(&self, step: Step, request: A) -> Result<B, StoreError>
+    /// Calls a unary method.
+    pub(super) async fn unary<A, B>(&self, method: Method, request: A) -> Result<B, StoreError>
     where
         A: Clone + Message + 'static,
         B: Default + Message + 'static,
     {
-        self.call(step, |mut connection, path| {
+        self.call(method, |mut connection, path| {
             let request = Request::new(request.clone());
             async move {
                 let codec = ProstCodec::<A, B>::default();
@@ -120,86 +129,92 @@
         .await
     }
 
-    /// Opens a stream with one request, and passes the stream to `first`, which
-    /// reads as far as the call's timeout is to cover. Our side of the stream
-    /// stays open as long as the returned value is kept.
+    /// Calls a bidirectional streaming method with a single request.
+    ///
+    /// The response stream is passed to `read_first`, which reads the messages
+    /// that must arrive within the call's timeout. The request side of the
+    /// stream stays open until the returned [`StreamGuard`] is dropped.
     pub(super) async fn stream<A, B, F, T>(
         &self,
-        step: Step,
+        method: Method,
         request: A,
-        first: impl Fn(Streaming<B>) -> F,
-    ) -> Result<(T, Open), StoreError>
+        read_first: impl Fn(Streaming<B>) -> F,
+    ) -> Result<(T, StreamGuard), StoreError>
     where
         A: Clone + Message + 'static,
         B: Default + Message + 'static,
         F: Future<Output = Result<T, Status>>,
     {
-        self.call(step, |mut connection, path| {
-            let (open, closed) = oneshot::channel();
-            let one = stream::once(std::future::ready(request.clone()));
-            // Dropping the response does not end the call as long as our side
-            // is open, so the store would keep the watch.
-            let requests = one.chain(stream::pending()).take_until(closed);
-            let first = &first;
+        self.call(method, |mut connection, path| {
+            let (guard, dropped) = oneshot::channel();
+            let single = stream::once(std::future::ready(request.clone()));
+            // Dropping the response stream does not end the call while the
+            // request side is open, so the store would keep a watch. Dropping
+            // the guard closes the request side.
+            let requests = single.chain(stream::pending()).take_until(dropped);
+            let read_first = &read_first;
             async move {
                 let codec = ProstCodec::<A, B>::default();
                 let request = Request::new(requests);
                 let stream = connection.streaming(request, path, codec).await?;
-                Ok((first(stream.into_inner()).await?, Open(open)))
+                Ok((read_first(stream.into_inner()).await?, StreamGuard(guard)))
             }
         })
         .await
     }
 
-    /// Tries the endpoints in turn, beginning with the one that worked last.
+    /// Tries the endpoints in turn, starting with the preferred one, until one
+    /// of them responds or a failure forbids a retry.
     async fn call<F, T>(
         &self,
-        step: Step,
+        method: Method,
         attempt: impl Fn(Connection, PathAndQuery) -> F,
     ) -> Result<T, StoreError>
     where
         F: Future<Output = Result<T, Status>>,
     {
-        let count = self.peers.len();
+        let count = self.servers.len();
         let start = self.preferred.load(Relaxed);
-        let mut error = unconfigured(step);
-        for at in (0..count).map(|n| (start + n) % count) {
-            let peer = &self.peers[at];
-            let mut result = self.once(step, peer, &attempt).await;
-            if step.repeatable && matches!(result, Err(Failure::Broken(_))) {
-                // The connection had broken since it was last used, which says
-                // nothing about the store. The next attempt opens a new one.
-                result = self.once(step, peer, &attempt).await;
+        let mut error = no_endpoint_error(method);
+        for index in (0..count).map(|n| (start + n) % count) {
+            let server = &self.servers[index];
+            let mut result = self.attempt_at(method, server, &attempt).await;
+            if method.retry_safe && matches!(result, Err(Failure::Disconnected(_))) {
+                // The connection may have broken while it was idle, which does
+                // not mean that the store is down. A second attempt at the same
+                // server opens a new connection.
+                result = self.attempt_at(method, server, &attempt).await;
             }
             match result {
                 Ok(response) => {
-                    self.preferred.store(at, Relaxed);
-                    self.calls.answered();
+                    self.preferred.store(index, Relaxed);
+                    self.counters.record_response();
                     return Ok(response);
                 }
                 Err(Failure::Refused(cause)) => {
-                    self.calls.answered();
-                    return Err(Failure::Refused(cause).into_error(step, peer.address));
+                    self.counters.record_response();
+                    return Err(Failure::Refused(cause).into_error(method, server.address));
                 }
                 Err(failure) => {
-                    // The next call begins with another endpoint.
-                    self.preferred.store((at + 1) % count, Relaxed);
-                    let last = failure.is_final(step);
-                    error = failure.into_error(step, peer.address);
-                    if last {
+                    // The next call starts with the next endpoint.
+                    self.preferred.store((index + 1) % count, Relaxed);
+                    let stop = failure.forbids_retry(method);
+                    error = failure.into_error(method, server.address);
+                    if stop {
                         break;
                     }
                 }
             }
         }
-        self.calls.failed();
+        self.counters.record_failure();
         Err(error)
     }
 
-    async fn once<F, T>(
+    /// Makes one attempt at one server.
+    async fn attempt_at<F, T>(
         &self,
-        step: Step,
-        peer: &Peer,
+        method: Method,
+        server: &ServerState,
         attempt: impl Fn(Connection, PathAndQuery) -> F,
     ) -> Result<T, Failure>
     where
@@ -207,48 +222,49 @@
     {
         let deadline = tokio::time::Instant::now() + self.timeout;
         let mut connection =
-            Grpc::new(peer.channel(self.timeout)?).max_decoding_message_size(MESSAGE_MAX);
-        (step.count)(&self.calls);
+            Grpc::new(server.channel(self.timeout)?).max_decoding_message_size(MAX_MESSAGE_BYTES);
+        (method.count)(&self.counters);
         match tokio::time::timeout_at(deadline, connection.ready()).await {
             Ok(Ok(())) => {}
             Ok(Err(e)) => {
-                peer.reset();
-                return Err(Failure::Unsent(Chain(&e).to_string()));
+                server.discard_channel();
+                return Err(Failure::NotSent(ErrorChain(&e).to_string()));
             }
             Err(_) => {
-                peer.reset();
-                return Err(Failure::Unsent(self.timed_out()));
+                server.discard_channel();
+                return Err(Failure::NotSent(self.timeout_cause()));
             }
         }
-        let response = attempt(connection, PathAndQuery::from_static(step.path));
+        let response = attempt(connection, PathAndQuery::from_static(method.path));
         match tokio::time::timeout_at(deadline, response).await {
             Ok(Ok(response)) => Ok(response),
-            Ok(Err(status)) => Err(classify(&status)),
+            Ok(Err(status)) => Err(classify_status(&status)),
             Err(_) => {
-                // The connection may have become silent, so the next call opens
-                // a new one. Calls and watches on the old one go on.
-                peer.reset();
-                Err(Failure::Unknown(self.timed_out()))
+                // The connection may be dead, so the next call opens a new one.
+                // Calls and watches in progress keep the old one.
+                server.discard_channel();
+                Err(Failure::Unknown(self.timeout_cause()))
             }
         }
     }
 
-    fn timed_out(&self) -> String {
+    fn timeout_cause(&self) -> String {
         format!("timed out after {} ms", self.timeout.as_millis())
     }
 }
 
-impl Peer {
+impl ServerState {
+    /// Returns the current channel, or a new one that connects on first use.
     fn channel(&self, timeout: Duration) -> Result<Channel, Failure> {
         let mut slot = self.channel.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(channel) = slot.as_ref() {
             return Ok(channel.clone());
         }
         let uri = format!("http://{}", self.address);
-        let endpoint = Endpoint::from_shared(uri).map_err(|e| Failure::Unsent(e.to_string()))?;
+        let endpoint = Endpoint::from_shared(uri).map_err(|e| Failure::NotSent(e.to_string()))?;
         let endpoint = endpoint
-            // The attempt to connect ends well before the call does, so that a
-            // call without a connection is known to be unsent.
+            // Connecting times out well before the call does, so that a call
+            // without a connection is classified as not sent.
             .connect_timeout(timeout / 2)
             .http2_keep_alive_interval(PING_INTERVAL)
             .keep_alive_timeout(PING_TIMEOUT)
@@ -256,30 +272,34 @@
         Ok(slot.insert(endpoint.connect_lazy()).clone())
     }
 
-    fn reset(&self) {
+    /// Makes the next call open a new connection.
+    fn discard_channel(&self) {
         *self.channel.lock().unwrap_or_else(PoisonError::into_inner) = None;
     }
 }
 
 impl Failure {
-    /// Tells whether another endpoint must not be tried.
-    fn is_final(&self, step: Step) -> bool {
-        matches!(self, Self::Broken(_) | Self::Unknown(_)) && !step.repeatable
+    /// Returns whether the call must not be sent again, because it may have
+    /// been executed and is not safe to retry.
+    fn forbids_retry(&self, method: Method) -> bool {
+        matches!(self, Self::Disconnected(_) | Self::Unknown(_)) && !method.retry_safe
     }
 
-    fn into_error(self, step: Step, peer: SocketAddr) -> StoreError {
-        let (peer, step_name) = (peer.to_string(), step.name);
+    fn into_error(self, method: Method, address: SocketAddr) -> StoreError {
+        let (peer, name) = (address.to_string(), method.name);
         match self {
-            Self::Broken(cause) | Self::Unknown(cause) if !step.repeatable => StoreError::Unknown {
-                step: step_name,
-                peer,
-                cause,
-            },
-            Self::Unsent(cause)
+            Self::Disconnected(cause) | Self::Unknown(cause) if !method.retry_safe => {
+                StoreError::Unknown {
+                    step: name,
+                    peer,
+                    cause,
+                }
+            }
+            Self::NotSent(cause)
             | Self::Refused(cause)
-            | Self::Broken(cause)
+            | Self::Disconnected(cause)
             | Self::Unknown(cause) => StoreError::Down {
-                step: step_name,
+                step: name,
                 peer,
                 cause,
             },
@@ -287,19 +307,20 @@
     }
 }
 
-fn unconfigured(step: Step) -> StoreError {
+fn no_endpoint_error(method: Method) -> StoreError {
     StoreError::Down {
-        step: step.name,
+        step: method.name,
         peer: "(none)".to_owned(),
         cause: "no endpoint is configured".to_owned(),
     }
 }
 
-fn classify(status: &Status) -> Failure {
+/// Classifies a gRPC status by whether the request may have been executed.
+fn classify_status(status: &Status) -> Failure {
     let mut source = status.source();
     while let Some(error) = source {
         if let Some(connect) = error.downcast_ref::<ConnectError>() {
-            return Failure::Unsent(format!("connect: {}", Chain(&*connect.0)));
+            return Failure::NotSent(format!("connect: {}", ErrorChain(&*connect.0)));
         }
         source = error.source();
     }
@@ -307,16 +328,17 @@
         "" => status.code().description().to_owned(),
         message => message.to_owned(),
     };
-    // A status that the store did not send has its cause behind it. hyper's
-    // "canceled" nearly always means that the request was not sent, but not for
-    // a stream that was just opened, so it is not taken for unsent.
+    // Only a status that was created locally has a source error. hyper's
+    // "canceled" nearly always means that the request was not sent, except on a
+    // stream that was just opened, so it is not classified as not sent.
     if let Some(source) = status.source() {
-        return Failure::Broken(format!("{cause}: {}", Chain(source)));
+        return Failure::Disconnected(format!("{cause}: {}", ErrorChain(source)));
     }
     match status.code() {
-        // The store returns these only for requests that it has not carried
-        // out. Our codec uses `OutOfRange` for a response that is too large,
-        // which only a read can have: a transaction returns no values.
+        // The store returns these only for requests that it did not execute.
+        // The local codec also reports `OutOfRange` for a response over the
+        // size limit, which only a read can get: a transaction returns no
+        // values.
         Code::InvalidArgument
         | Code::FailedPrecondition
         | Code::NotFound
@@ -329,10 +351,10 @@
     }
 }
 
-/// Prints an error with its causes.
-struct Chain<'a>(&'a dyn Error);
+/// Formats an error followed by the chain of its sources.
+struct ErrorChain<'a>(&'a dyn Error);
 
-impl fmt::Display for Chain<'_> {
+impl fmt::Display for ErrorChain<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.0)?;
         let mut source = self.0.source();
--- a/src/adapters/store/documents.rs
+++ b/src/adapters/store/documents.rs
@@ -1,8 +1,8 @@
-//! Documents in the store: what a revision holds, and how an edit is written.
+//! Reads documents from the store and writes edits to it.
 //!
-//! The decisions are in [`policy::document`](crate::policy::document). Here they
-//! are carried out against a [`Store`], with a bounded number of attempts,
-//! because an editor waits for the result.
+//! The rules for edits are in [`policy::document`](crate::policy::document).
+//! This module executes them against a [`Store`], with a bounded number of
+//! attempts, because an editor waits for the result.
 
 use std::{fmt, sync::Arc, time::Duration};
 
@@ -16,39 +16,41 @@
     ports::{Record, Store, StoreError, Update, Write},
 };
 
-/// The prefix of all documents.
-pub const PREFIX: Bytes = Bytes::from_static(b"documents/");
+/// The key prefix of all documents.
+pub const KEY_PREFIX: Bytes = Bytes::from_static(b"documents/");
 
-/// How often an edit is written or read back before its fate is reported as
-/// unknown.
-const ATTEMPTS: u32 = 5;
+/// The maximum number of attempts to write an edit or to read it back before
+/// its outcome is reported as unknown.
+const MAX_ATTEMPTS: u32 = 5;
 
-/// The pause before an edit is read back. A write that is still on its way has
-/// usually arrived by then, which saves repeating it.
-const PAUSE: Duration = Duration::from_millis(200);
+/// The delay before an edit is read back. A write that is still in flight has
+/// usually reached the store by then, which avoids sending it again.
+const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// A revision of a document as it arrives from the store.
+/// A revision of a document as read from the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Arrival {
-    /// The service.
+pub struct DocumentRevision {
+    /// The service that the document configures.
     pub service: ServiceName,
     /// The store's revision.
     pub revision: Revision,
-    /// What the revision holds.
+    /// The document, or why there is none.
     pub content: Content,
 }
 
-/// Why an edit was not made, or is not known to be made.
+/// Why an edit was not written, or why its outcome is unknown.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum SubmitError {
-    /// The editor started from another revision, or another edit came first.
+    /// The edit is based on another revision, or another edit was written
+    /// first.
     Refused(EditError),
-    /// The record cannot be read or written.
+    /// The record cannot be decoded or encoded.
     Record(RecordError),
-    /// The store did not answer. [`StoreError::Unknown`] means that the edit may
+    /// The store call failed. [`StoreError::Unknown`] means that the edit may
     /// have taken effect.
     Store(StoreError),
-    /// The edit may have taken effect, and the record does not tell.
+    /// The edit may have taken effect, and the record does not show whether it
+    /// has.
     Unknown,
 }
 
@@ -59,7 +61,7 @@
             Self::Record(e) => e.fmt(f),
             Self::Store(e) => e.fmt(f),
             Self::Unknown => {
-                f.write_str("the edit may have taken effect; the record does not tell")
+                f.write_str("the edit may have taken effect; the record does not show it")
             }
         }
     }
@@ -70,27 +72,29 @@
 /// Returns the key of a service's document.
 #[must_use]
 pub fn key(service: &ServiceName) -> Bytes {
-    [&PREFIX[..], service.as_bytes()].concat().into()
+    [&KEY_PREFIX[..], service.as_bytes()].concat().into()
 }
 
-/// Returns the service that a key belongs to, none for a key of another kind.
+/// Returns the service that a key belongs to, or `None` if it is not the key of
+/// a document.
 #[must_use]
-pub fn service(key: &[u8]) -> Option<ServiceName> {
-    let name = key.strip_prefix(&PREFIX[..])?;
+pub fn parse_key(key: &[u8]) -> Option<ServiceName> {
+    let name = key.strip_prefix(&KEY_PREFIX[..])?;
     std::str::from_utf8(name).ok()?.parse().ok()
 }
 
-/// Returns the revisions that an update brings, none for a key of another kind.
+/// Returns the document revisions in an update, or none if its key is not the
+/// key of a document.
 ///
 /// If the current revision is invalid, the last valid one in the record's
-/// history comes before it, because a process that has just started has no other
-/// way to learn of it from the store.
+/// history precedes it, because a process that has just started cannot get it
+/// from the store in any other way.
 #[must_use]
-pub fn arrivals(update: &Update) -> Vec<Arrival> {
+pub fn document_revisions(update: &Update) -> Vec<DocumentRevision> {
     match update {
-        Update::Put(found) => found_arrivals(found),
+        Update::Put(found) => record_revisions(found),
         Update::Delete(key, revision) => {
-            let deleted = service(key).map(|service| Arrival {
+            let deleted = parse_key(key).map(|service| DocumentRevision {
                 service,
                 revision: *revision,
                 content: Content::Deleted,
@@ -100,35 +104,36 @@
     }
 }
 
-fn found_arrivals(found: &Record) -> Vec<Arrival> {
-    let Some(service) = service(&found.key) else {
+fn record_revisions(record: &Record) -> Vec<DocumentRevision> {
+    let Some(service) = parse_key(&record.key) else {
         return Vec::new();
     };
-    let arrival = |revision, content| Arrival {
+    let document_revision = |revision, content| DocumentRevision {
         service: service.clone(),
         revision,
         content,
     };
-    let history = match record::decode(&found.value) {
+    let history = match record::decode(&record.value) {
         Ok(history) => history,
         Err(e) => {
             let invalid = Content::Invalid(vec![e.to_string()]);
-            return vec![arrival(found.revision, invalid)];
+            return vec![document_revision(record.revision, invalid)];
         }
     };
-    let current = arrival(found.revision, content(&service, &history.current));
+    let current = document_revision(record.revision, parse_content(&service, &history.current));
     if !matches!(current.content, Content::Invalid(_)) {
         return vec![current];
     }
     let mut former = history.former.iter();
-    let valid = former.find_map(|f| match content(&service, &f.edit) {
+    let valid = former.find_map(|f| match parse_content(&service, &f.edit) {
         Content::Invalid(_) => None,
-        content => Some(arrival(f.revision, content)),
+        content => Some(document_revision(f.revision, content)),
     });
     valid.into_iter().chain([current]).collect()
 }
 
-fn content(service: &ServiceName, edit: &Edit) -> Content {
+/// Parses the text of an edit.
+fn parse_content(service: &ServiceName, edit: &Edit) -> Content {
     let Some(text) = &edit.text else {
         return Content::Deleted;
     };
@@ -142,7 +147,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the store does not answer or the record is malformed.
+/// Returns an error if the store call fails or the record is malformed.
 pub async fn read(store: &Store, service: &ServiceName) -> Result<Option<Stored>, SubmitError> {
     let found = (store.get)(key(service))
         .await
@@ -157,16 +162,17 @@
     stored.transpose()
 }
 
-/// Writes an edit and returns the revision that it got.
+/// Writes an edit and returns its revision.
 ///
-/// The caller has checked the text. `base` is the revision that the editor
-/// started from, none to follow whatever is there. An edit that is submitted
-/// again with the same id is written once.
+/// The text must have been validated by the caller. `base` is the revision that
+/// the edit is based on; with `None` the edit applies to the current revision,
+/// whichever it is. An edit that is submitted again with the same id is written
+/// only once.
 ///
 /// # Errors
 ///
-/// Returns a conflict if another edit came first, and an error of the store
-/// otherwise. See [`SubmitError`].
+/// Returns a conflict if another edit was written first. See [`SubmitError`]
+/// for the other errors.
 pub async fn submit(
     store: &Store,
     service: &ServiceName,
@@ -176,7 +182,7 @@
     let id = edit.id;
     let stored = read(store, service).await?;
     let expected = stored.as_ref().map_or(Revision::default(), |s| s.revision);
-    if let Some(own) = own_revision(History::fate(id, expected, stored.as_ref())) {
+    if let Some(own) = written_revision(History::fate(id, expected, stored.as_ref())) {
         return Ok(own);
     }
     let history = History::extend(stored, base, edit).map_err(SubmitError::Refused)?;
@@ -185,47 +191,48 @@
         value: Some(record::encode(&history).map_err(SubmitError::Record)?),
         expected,
     };
-    let mut lost = match (store.write)(write.clone()).await {
+    let mut last_error = match (store.write)(write.clone()).await {
         Ok(revision) => return Ok(revision),
         Err(error @ StoreError::Down { .. }) => return Err(SubmitError::Store(error)),
         Err(error) => error,
     };
-    for _ in 1..ATTEMPTS {
-        if let StoreError::Unknown { .. } = lost {
-            tokio::time::sleep(PAUSE).await;
+    for _ in 1..MAX_ATTEMPTS {
+        if let StoreError::Unknown { .. } = last_error {
+            tokio::time::sleep(RETRY_DELAY).await;
         }
-        // While the store is down, the write stays in doubt.
+        // The outcome stays unknown while the record cannot be read.
         let Ok(found) = read(store, service).await else {
-            tokio::time::sleep(PAUSE).await;
+            tokio::time::sleep(RETRY_DELAY).await;
             continue;
         };
         match History::fate(id, expected, found.as_ref()) {
             Fate::InEffect(own) | Fate::Superseded { own, .. } => return Ok(own),
-            Fate::Lost(found) => return Err(conflict(expected, found)),
+            Fate::Lost(found) => return Err(conflict_error(expected, found)),
             Fate::Unknown => return Err(SubmitError::Unknown),
             Fate::Open => {}
         }
         match (store.write)(write.clone()).await {
             Ok(revision) => return Ok(revision),
-            Err(StoreError::Down { .. }) => tokio::time::sleep(PAUSE).await,
-            Err(error) => lost = error,
+            Err(StoreError::Down { .. }) => tokio::time::sleep(RETRY_DELAY).await,
+            Err(error) => last_error = error,
         }
     }
-    Err(match lost {
-        // The last write met a revision that no read has explained, which may be
-        // the edit's own.
+    Err(match last_error {
+        // The last write conflicted with a revision that was not read
+        // afterwards and may be the edit's own.
         StoreError::Conflict(_) => SubmitError::Unknown,
         error => SubmitError::Store(error),
     })
 }
 
-fn own_revision(fate: Fate) -> Option<Revision> {
+/// Returns the revision of the edit if the record shows that it was written.
+fn written_revision(fate: Fate) -> Option<Revision> {
     match fate {
         Fate::InEffect(own) | Fate::Superseded { own, .. } => Some(own),
         Fate::Lost(_) | Fate::Open | Fate::Unknown => None,
     }
 }
 
-fn conflict(base: Revision, found: Revision) -> SubmitError {
+fn conflict_error(base: Revision, found: Revision) -> SubmitError {
     SubmitError::Refused(EditError::Conflict { base, found })
 }
--- a/src/adapters/store/lease.rs
+++ b/src/adapters/store/lease.rs
@@ -1,58 +1,60 @@
-//! Keys that vanish unless their holder renews them.
+//! Keys that are bound to a lease and deleted when it expires.
 //!
-//! A holder that was paused may find that its lease has ended and that another
-//! holds the key. So every renewal also checks, in a transaction, that the key
-//! is still bound to the holder's own lease; otherwise the holder gets a
-//! conflict instead of a key that it does not have. The cost is a second call
-//! for each renewal.
+//! While a holder is paused, its lease may expire and another process may take
+//! the key. Every renewal therefore also checks, in a transaction, that the key
+//! is still bound to the holder's own lease, and returns a conflict if it is
+//! not. This costs a second call per renewal.
 
 use bytes::Bytes;
 use tonic::{Status, Streaming};
 
 use super::{
-    Calls,
-    client::{Client, Step},
+    CallCounters,
+    client::{Client, Method},
     messages::{
         self, CompareValue, LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest,
         LeaseKeepAliveResponse,
     },
-    write::{put, transact},
+    write::{put_operation, write_if},
 };
 use crate::{
     domain::{Millis, Revision, Shards},
     ports::{Record, StoreError},
 };
 
-/// A grant whose response is lost leaves a lease without keys, which ends by
-/// itself, so it may be repeated.
-const GRANT: Step = Step {
+/// A grant is safe to retry, because a lost response only leaves a lease
+/// without keys, which expires.
+const GRANT: Method = Method {
     name: "grant lease",
     path: messages::LEASE_GRANT,
-    count: Calls::lease,
-    repeatable: true,
+    count: CallCounters::count_lease,
+    retry_safe: true,
 };
 
-const RENEW: Step = Step {
+const RENEW: Method = Method {
     name: "renew lease",
     path: messages::LEASE_KEEP_ALIVE,
-    count: Calls::lease,
-    repeatable: true,
+    count: CallCounters::count_lease,
+    retry_safe: true,
 };
 
-/// What this process knows of a lease that it holds.
+/// A lease that this process holds.
 #[derive(Clone)]
-pub(super) struct Held {
+pub(super) struct HeldLease {
     lease: i64,
-    /// The value that the key surely has.
+    /// The value of the key, or `None` if it is not known.
     value: Option<Bytes>,
 }
 
-/// Writes a key that vanishes unless this is called again within `time`.
-pub(super) async fn hold(
+/// Writes a key that is deleted unless this function is called again within
+/// `ttl`.
+///
+/// Fails with [`StoreError::Conflict`] if another process has written the key.
+pub(super) async fn acquire_or_renew(
     client: &Client,
-    leases: &Shards<Bytes, Held>,
+    leases: &Shards<Bytes, HeldLease>,
     record: Record,
-    time: Millis,
+    ttl: Millis,
 ) -> Result<(), StoreError> {
     let Record { key, value, .. } = record;
     let held = leases.get(&key, |h| h.clone());
@@ -61,24 +63,25 @@
         _ => None,
     };
     if let Some(held) = held {
-        match confirm(client, &held, &key, &value).await {
-            // The key is not there: the first write never arrived, or somebody
-            // deleted the key.
+        match write_if_held(client, &held, &key, &value).await {
+            // The key does not exist: either the first write did not take
+            // effect, or the key was deleted. It is created again below.
             Err(StoreError::Conflict(found)) if found == Revision::default() => {}
-            result => return settle(leases, key, value, held.lease, result),
+            result => return update_held(leases, key, value, held.lease, result),
         }
-        let result = create(client, held.lease, &key, &value).await;
-        return settle(leases, key, value, held.lease, result);
+        let result = create_key(client, held.lease, &key, &value).await;
+        return update_held(leases, key, value, held.lease, result);
     }
     leases.remove(&key);
-    let lease = grant(client, time).await?;
-    let result = create(client, lease, &key, &value).await;
-    settle(leases, key, value, lease, result)
+    let lease = grant(client, ttl).await?;
+    let result = create_key(client, lease, &key, &value).await;
+    update_held(leases, key, value, lease, result)
 }
 
-/// Keeps the lease for the next call, unless the key is another holder's.
-fn settle(
-    leases: &Shards<Bytes, Held>,
+/// Records the lease for the next call, or drops it if another process has
+/// written the key.
+fn update_held(
+    leases: &Shards<Bytes, HeldLease>,
     key: Bytes,
     value: Bytes,
     lease: i64,
@@ -88,16 +91,16 @@
     if matches!(result, Err(StoreError::Conflict(_))) {
         leases.remove(&key);
     } else {
-        leases.insert(key, Held { lease, value });
+        leases.insert(key, HeldLease { lease, value });
     }
     result.map(|_| ())
 }
 
-/// Writes the value, unless it is there already, if the key is still bound to
-/// the lease.
-async fn confirm(
+/// Checks that the key is still bound to the lease, and writes the value if it
+/// may have changed.
+async fn write_if_held(
     client: &Client,
-    held: &Held,
+    held: &HeldLease,
     key: &Bytes,
     value: &Bytes,
 ) -> Result<Revision, StoreError> {
@@ -105,26 +108,27 @@
     let operation = if held.value.as_ref() == Some(value) {
         None
     } else {
-        Some(put(key.clone(), value.clone(), held.lease)?)
+        Some(put_operation(key.clone(), value.clone(), held.lease)?)
     };
-    transact(client, key.clone(), condition, operation).await
+    write_if(client, key.clone(), condition, operation).await
 }
 
-async fn create(
+/// Writes the key if it does not exist.
+async fn create_key(
     client: &Client,
     lease: i64,
     key: &Bytes,
     value: &Bytes,
 ) -> Result<Revision, StoreError> {
-    let operation = put(key.clone(), value.clone(), lease)?;
+    let operation = put_operation(key.clone(), value.clone(), lease)?;
     let absent = CompareValue::CreateRevision(0);
-    transact(client, key.clone(), absent, Some(operation)).await
+    write_if(client, key.clone(), absent, Some(operation)).await
 }
 
-async fn grant(client: &Client, time: Millis) -> Result<i64, StoreError> {
-    // The protocol counts whole seconds. A longer lease is safe, a shorter one
-    // might end between two renewals.
-    let seconds = time.0.div_ceil(1_000).max(1);
+async fn grant(client: &Client, ttl: Millis) -> Result<i64, StoreError> {
+    // The protocol has whole seconds. The time is rounded up, because a longer
+    // lease is safe and a shorter one could expire between two renewals.
+    let seconds = ttl.0.div_ceil(1_000).max(1);
     let request = LeaseGrantRequest {
         ttl: i64::try_from(seconds).unwrap_or(i64::MAX),
         id: 0,
@@ -133,13 +137,13 @@
     Ok(response.id)
 }
 
-/// Renews a lease and tells whether it still runs.
+/// Renews a lease and returns whether it is still alive.
 async fn renew(client: &Client, lease: i64) -> Result<bool, StoreError> {
     let request = LeaseKeepAliveRequest { id: lease };
-    let first = |mut stream: Streaming<LeaseKeepAliveResponse>| async move {
+    let read_first = |mut stream: Streaming<LeaseKeepAliveResponse>| async move {
         let response = stream.message().await?;
         response.ok_or_else(|| Status::unavailable("the stream ended without a response"))
     };
-    let (response, _open) = client.stream(RENEW, request, first).await?;
+    let (response, _guard) = client.stream(RENEW, request, read_first).await?;
     Ok(response.ttl > 0)
 }
--- a/src/adapters/store/memory.rs
+++ b/src/adapters/store/memory.rs
@@ -1,15 +1,15 @@
-//! A store inside the process, with the semantics of the platform's.
+//! An in-memory store with the semantics of the platform's store.
 //!
-//! Keys are held in [`Shards`], so that readers of different keys do not meet.
-//! What has to be one sequence, the revision counter, the log of changes and
-//! the watches, is behind a lock of its own, which is taken after the shard's.
-//! A key keeps its former versions as long as the log reaches back, because a
-//! list must show all keys at one moment although it visits one shard after the
-//! other.
+//! Keys are kept in [`Shards`], so that operations on different keys rarely
+//! contend for a lock. The revision counter, the log of changes and the watches
+//! need a single order, so they share a separate lock, which is taken after the
+//! shard's lock. Each key keeps its old versions as far back as the log
+//! reaches, because a list must return all keys at one revision although it
+//! visits the shards one after the other.
 //!
-//! Leases follow the [`Clock`] that is passed in. An expired key is removed by
-//! the next operation that sees it, or by a timer, so that watches hear of it
-//! without any operation.
+//! Leases expire by the [`Clock`] that is passed in. An expired key is removed
+//! by the next operation on it or by a timer, so that watches are notified even
+//! if no operation follows.
 
 use std::{
     collections::VecDeque,
@@ -23,20 +23,20 @@
 use bytes::Bytes;
 use tokio::sync::mpsc;
 
-use super::{Calls, VALUE_MAX, WATCH_BACKLOG};
+use super::{CallCounters, MAX_VALUE_BYTES, MAX_WATCH_BACKLOG};
 use crate::{
     domain::{Millis, Revision, Shards},
     ports::{Clock, Record, Snapshot, Store, StoreError, Update, Write},
 };
 
-/// How many changes the log keeps. A watch that starts further back ends at
-/// once, so that its reader lists again.
-const LOG_MAX: usize = 4_096;
+/// How many updates the log keeps. A watch that starts before the oldest of
+/// them ends immediately, so that its reader lists again.
+const MAX_LOG_UPDATES: usize = 4_096;
 
-/// The peer that errors name.
-const PEER: &str = "memory";
+/// The peer name in errors.
+const PEER_NAME: &str = "memory";
 
-/// A store in memory. Clones share the same content.
+/// An in-memory store. Clones share their content.
 #[derive(Clone)]
 pub struct Memory {
     shared: Arc<Shared>,
@@ -46,11 +46,12 @@
     clock: Clock,
     keys: Shards<Bytes, Vec<Version>>,
     log: Mutex<Log>,
-    holders: AtomicU64,
+    /// The holder id of the next [`Store`] that is created.
+    next_holder: AtomicU64,
 }
 
-/// One version of a key, the latest last. A version without value is a
-/// deletion.
+/// One version of a key. A version without a value is a deletion. The versions
+/// of a key are in ascending order of their revisions.
 #[derive(Clone)]
 struct Version {
     revision: Revision,
@@ -58,16 +59,19 @@
     lease: Option<Lease>,
 }
 
+/// The lease that a version is bound to.
 #[derive(Clone, Copy)]
 struct Lease {
     holder: u64,
-    ends: Millis,
+    expires_at: Millis,
 }
 
+/// The latest changes of all keys, and the watches that follow them.
 struct Log {
+    /// The store's current revision.
     revision: Revision,
-    /// The revision before the first change that is kept.
-    start: Revision,
+    /// The revision before the oldest update that is kept.
+    compacted: Revision,
     updates: VecDeque<Update>,
     watches: Vec<Watch>,
 }
@@ -78,7 +82,7 @@
     sender: mpsc::Sender<Update>,
 }
 
-/// Returns an empty store whose leases follow `clock`.
+/// Returns an empty store whose leases expire by `clock`.
 #[must_use]
 pub fn open(clock: Clock) -> Memory {
     Memory {
@@ -86,65 +90,65 @@
             clock,
             keys: Shards::new(),
             log: Mutex::new(Log {
-                // The platform's store counts from 1, and a key at revision zero
-                // is a key that does not exist.
+                // The platform's store starts at revision 1; revision zero
+                // stands for a key that does not exist.
                 revision: Revision(1),
-                start: Revision::default(),
+                compacted: Revision::default(),
                 updates: VecDeque::new(),
                 watches: Vec::new(),
             }),
-            holders: AtomicU64::new(0),
+            next_holder: AtomicU64::new(0),
         }),
     }
 }
 
 impl Memory {
-    /// Returns the store for one process, which holds leases of its own and
-    /// counts its calls in `calls`.
+    /// Returns a handle for one process, which holds its own leases. Calls are
+    /// counted in `counters`.
     #[must_use]
-    pub fn store(&self, calls: &Arc<Calls>) -> Store {
-        let holder = self.shared.holders.fetch_add(1, Relaxed);
-        let (s, c) = (self.shared.clone(), calls.clone());
+    pub fn store(&self, counters: &Arc<CallCounters>) -> Store {
+        let holder = self.shared.next_holder.fetch_add(1, Relaxed);
+        let (s, c) = (self.shared.clone(), counters.clone());
         let get = Arc::new(move |key: Bytes| {
-            c.read();
+            c.count_read();
             let found = s.get(&key);
-            c.answered();
-            ready(Ok(found))
+            c.record_response();
+            ready_future(Ok(found))
         });
-        let (s, c) = (self.shared.clone(), calls.clone());
+        let (s, c) = (self.shared.clone(), counters.clone());
         let list = Arc::new(move |prefix: Bytes| {
-            c.read();
+            c.count_read();
             let found = s.list(&prefix);
-            c.answered();
-            ready(Ok(found))
+            c.record_response();
+            ready_future(Ok(found))
         });
-        let (s, c) = (self.shared.clone(), calls.clone());
+        let (s, c) = (self.shared.clone(), counters.clone());
         let write = Arc::new(move |write: Write| {
-            c.write();
+            c.count_write();
             let result = s.write(write);
-            c.answered();
-            ready(result)
+            c.record_response();
+            ready_future(result)
         });
-        let (s, c) = (self.shared.clone(), calls.clone());
-        let lease = Arc::new(move |(record, time): (Record, Millis)| {
-            c.lease();
-            let result = s.lease(holder, &record, time);
-            c.answered();
-            let expiry = (Arc::downgrade(&s), record.key, time);
-            let started = result.is_ok();
+        let (s, c) = (self.shared.clone(), counters.clone());
+        let lease = Arc::new(move |(record, ttl): (Record, Millis)| {
+            c.count_lease();
+            let result = s.lease(holder, &record, ttl);
+            c.record_response();
+            let expiry = (Arc::downgrade(&s), record.key, ttl);
+            let held = result.is_ok();
             Box::pin(async move {
-                if started {
-                    tokio::spawn(expire_later(expiry));
+                if held {
+                    tokio::spawn(expire_after(expiry));
                 }
                 result
             }) as crate::ports::Fut<_>
         });
-        let (s, c) = (self.shared.clone(), calls.clone());
+        let (s, c) = (self.shared.clone(), counters.clone());
         let watch = Arc::new(move |(prefix, after): (Bytes, Revision)| {
-            c.watch();
-            let (updates, calls) = (s.watch(prefix, after), c.clone());
-            c.answered();
-            Box::pin(async move { Ok(counted(updates, calls)) }) as crate::ports::Fut<_>
+            c.count_watch();
+            let (updates, counters) = (s.watch(prefix, after), c.clone());
+            c.record_response();
+            Box::pin(async move { Ok(forward_counted(updates, counters)) }) as crate::ports::Fut<_>
         });
         Store {
             get,
@@ -156,14 +160,17 @@
     }
 }
 
-fn ready<T: Send + 'static>(value: T) -> crate::ports::Fut<T> {
+fn ready_future<T: Send + 'static>(value: T) -> crate::ports::Fut<T> {
     Box::pin(std::future::ready(value))
 }
 
-/// Passes updates on and counts the watch as waiting until either side ends.
-fn counted(mut updates: mpsc::Receiver<Update>, calls: Arc<Calls>) -> mpsc::Receiver<Update> {
+/// Forwards updates and counts the watch as open until either side ends.
+fn forward_counted(
+    mut updates: mpsc::Receiver<Update>,
+    counters: Arc<CallCounters>,
+) -> mpsc::Receiver<Update> {
     let (sender, receiver) = mpsc::channel(1);
-    calls.watch_began();
+    counters.watch_opened();
     tokio::spawn(async move {
         loop {
             let update = tokio::select! {
@@ -175,18 +182,18 @@
                 break;
             }
         }
-        calls.watch_ended();
+        counters.watch_closed();
     });
     receiver
 }
 
-/// Removes the key when its lease has ended, unless it was renewed meanwhile.
-async fn expire_later((shared, key, time): (Weak<Shared>, Bytes, Millis)) {
-    tokio::time::sleep(time.duration()).await;
+/// Waits for `ttl` and then removes the key, unless its lease has been renewed.
+async fn expire_after((shared, key, ttl): (Weak<Shared>, Bytes, Millis)) {
+    tokio::time::sleep(ttl.duration()).await;
     if let Some(shared) = shared.upgrade() {
         shared
             .keys
-            .get(&key, |versions| shared.expire(&key, versions));
+            .get(&key, |versions| shared.remove_expired(&key, versions));
     }
 }
 
@@ -197,8 +204,8 @@
 
     fn get(&self, key: &Bytes) -> Option<Record> {
         let read = |versions: &mut Vec<Version>| {
-            self.expire(key, versions);
-            record(key, versions.last()?)
+            self.remove_expired(key, versions);
+            to_record(key, versions.last()?)
         };
         self.keys.get(key, read).flatten()
     }
@@ -206,27 +213,27 @@
     fn list(&self, prefix: &Bytes) -> Snapshot {
         self.keys.each(|key, versions| {
             if key.starts_with(prefix) {
-                self.expire(key, versions);
+                self.remove_expired(key, versions);
             }
         });
         loop {
             let revision = self.log().revision;
             let records = self.list_at(prefix, revision);
-            // Versions are kept as far back as the log reaches. If it has moved
-            // past the moment meanwhile, some may be missing.
-            if self.log().reaches(revision) {
+            // Versions are kept as far back as the log reaches. If the log has
+            // moved past this revision meanwhile, some versions may be missing.
+            if self.log().retains_after(revision) {
                 return Snapshot { records, revision };
             }
         }
     }
 
-    fn list_at(&self, prefix: &Bytes, moment: Revision) -> Vec<Record> {
+    fn list_at(&self, prefix: &Bytes, at_revision: Revision) -> Vec<Record> {
         let mut records = Vec::new();
         self.keys.each(|key, versions| {
             if key.starts_with(prefix) {
-                let mut past = versions.iter().rev();
-                let version = past.find(|v| v.revision <= moment);
-                records.extend(version.and_then(|v| record(key, v)));
+                let mut newest_first = versions.iter().rev();
+                let version = newest_first.find(|v| v.revision <= at_revision);
+                records.extend(version.and_then(|v| to_record(key, v)));
             }
         });
         records.sort_by(|a, b| a.key.cmp(&b.key));
@@ -241,28 +248,28 @@
             expected,
         } = write;
         self.keys.with(key.clone(), Vec::new, |versions| {
-            self.expire(&key, versions);
-            let found = current(versions);
+            self.remove_expired(&key, versions);
+            let found = current_revision(versions);
             if found != expected {
                 return Err(StoreError::Conflict(found));
             }
             if value.is_none() && found == Revision::default() {
-                // There is nothing to delete, and no change to give a revision.
+                // There is no key to delete, so the revision does not change.
                 return Ok(self.log().revision);
             }
             Ok(self.append(&key, versions, value, None))
         })
     }
 
-    fn lease(&self, holder: u64, record: &Record, time: Millis) -> Result<(), StoreError> {
+    fn lease(&self, holder: u64, record: &Record, ttl: Millis) -> Result<(), StoreError> {
         check_size("lease", Some(&record.value))?;
         let lease = Lease {
             holder,
-            ends: (self.clock.now)() + time,
+            expires_at: (self.clock.now)() + ttl,
         };
         self.keys.with(record.key.clone(), Vec::new, |versions| {
-            self.expire(&record.key, versions);
-            let found = current(versions);
+            self.remove_expired(&record.key, versions);
+            let found = current_revision(versions);
             match versions.last_mut() {
                 Some(v) if v.lease.is_some_and(|l| l.holder == holder) => {
                     v.lease = Some(lease);
@@ -281,17 +288,17 @@
 
     fn watch(&self, prefix: Bytes, after: Revision) -> mpsc::Receiver<Update> {
         let mut log = self.log();
-        if !log.reaches(after) {
+        if !log.retains_after(after) {
             return mpsc::channel(1).1;
         }
         let missed = log.updates.iter().filter(|u| {
-            let (key, revision) = subject(u);
+            let (key, revision) = key_and_revision(u);
             revision > after && key.starts_with(&prefix)
         });
         let missed: Vec<Update> = missed.cloned().collect();
-        let (sender, receiver) = mpsc::channel(WATCH_BACKLOG + missed.len());
+        let (sender, receiver) = mpsc::channel(MAX_WATCH_BACKLOG + missed.len());
         for update in missed {
-            // The channel has room for all of them.
+            // The channel's capacity includes all missed updates.
             let _ = sender.try_send(update);
         }
         log.watches.push(Watch {
@@ -302,17 +309,18 @@
         receiver
     }
 
-    /// Removes the key if its lease has ended. The shard's lock is held.
-    fn expire(&self, key: &Bytes, versions: &mut Vec<Version>) {
+    /// Removes the key if its lease has expired. The caller holds the shard's
+    /// lock.
+    fn remove_expired(&self, key: &Bytes, versions: &mut Vec<Version>) {
         let lease = versions.last().and_then(|v| v.lease);
-        if lease.is_some_and(|l| l.ends <= (self.clock.now)()) {
+        if lease.is_some_and(|l| l.expires_at <= (self.clock.now)()) {
             self.append(key, versions, None, None);
         }
     }
 
-    /// Gives a change its revision, notes it and tells the watches. The shard's
-    /// lock is held, so a reader of the shard sees the change as soon as its
-    /// revision is out.
+    /// Assigns a revision to a change, appends it to the log and notifies the
+    /// watches. The caller holds the shard's lock, so a reader that has learned
+    /// the new revision also finds the change in the shard.
     fn append(
         &self,
         key: &Bytes,
@@ -327,57 +335,58 @@
             value,
             lease,
         };
-        log.push(match record(key, &version) {
+        log.push(match to_record(key, &version) {
             Some(record) => Update::Put(record),
             None => Update::Delete(key.clone(), revision),
         });
         versions.push(version);
         // The last version at or before the start of the log is still needed to
-        // list the key at that moment.
-        let start = log.start;
-        let past = versions.iter().filter(|v| v.revision <= start).count();
-        versions.drain(..past.saturating_sub(1));
+        // list the key at that revision.
+        let compacted = log.compacted;
+        let compacted_versions = versions.iter().filter(|v| v.revision <= compacted).count();
+        versions.drain(..compacted_versions.saturating_sub(1));
         revision
     }
 }
 
 impl Log {
-    /// Tells whether every change after `revision` is kept.
-    fn reaches(&self, revision: Revision) -> bool {
-        revision >= self.start
+    /// Returns whether every update after `revision` is kept.
+    fn retains_after(&self, revision: Revision) -> bool {
+        revision >= self.compacted
     }
 
     fn push(&mut self, update: Update) {
-        let (key, revision) = subject(&update);
+        let (key, revision) = key_and_revision(&update);
         self.revision = revision;
-        // A watch whose reader is gone or too slow ends here.
+        // Ends the watches whose reader is gone or whose buffer is full.
         self.watches.retain(|w| {
-            let concerned = revision > w.after && key.starts_with(&w.prefix);
-            !w.sender.is_closed() && (!concerned || w.sender.try_send(update.clone()).is_ok())
+            let affected = revision > w.after && key.starts_with(&w.prefix);
+            !w.sender.is_closed() && (!affected || w.sender.try_send(update.clone()).is_ok())
         });
         self.updates.push_back(update);
-        if self.updates.len() > LOG_MAX
+        if self.updates.len() > MAX_LOG_UPDATES
             && let Some(oldest) = self.updates.pop_front()
         {
-            self.start = subject(&oldest).1;
+            self.compacted = key_and_revision(&oldest).1;
         }
     }
 }
 
-fn subject(update: &Update) -> (&Bytes, Revision) {
+fn key_and_revision(update: &Update) -> (&Bytes, Revision) {
     match update {
         Update::Put(record) => (&record.key, record.revision),
         Update::Delete(key, revision) => (key, *revision),
     }
 }
 
-/// Returns the key's revision, zero if there is no such key.
-fn current(versions: &[Version]) -> Revision {
+/// Returns the key's current revision, or zero if the key does not exist.
+fn current_revision(versions: &[Version]) -> Revision {
     let last = versions.last().filter(|v| v.value.is_some());
     last.map_or(Revision::default(), |v| v.revision)
 }
 
-fn record(key: &Bytes, version: &Version) -> Option<Record> {
+/// Returns the record of a version, or `None` for a deletion.
+fn to_record(key: &Bytes, version: &Version) -> Option<Record> {
     let value = version.value.clone()?;
     Some(Record {
         key: key.clone(),
@@ -388,10 +397,10 @@
 
 fn check_size(step: &'static str, value: Option<&Bytes>) -> Result<(), StoreError> {
     match value {
-        Some(v) if v.len() > VALUE_MAX => Err(StoreError::Down {
+        Some(v) if v.len() > MAX_VALUE_BYTES => Err(StoreError::Down {
             step,
-            peer: PEER.to_owned(),
-            cause: super::oversized(v.len()),
+            peer: PEER_NAME.to_owned(),
+            cause: super::too_large_message(v.len()),
         }),
         _ => Ok(()),
     }
--- a/src/adapters/store/messages.rs
+++ b/src/adapters/store/messages.rs
@@ -1,15 +1,15 @@
 //! Messages of the published etcd v3 gRPC protocol.
 //!
-//! Only the messages and fields that savorybeam or its stand-in use are
-//! declared; the codec skips the others. The numbers are those of
-//! `etcdserverpb` and `mvccpb`.
+//! Only the messages and fields that savorybeam or the stand-in for the store
+//! (`examples/store_standin`) use are declared; the codec skips the others. The
+//! field numbers are those of `etcdserverpb` and `mvccpb`.
 
 use bytes::Bytes;
 use prost::{Enumeration, Message, Oneof};
 
 /// The method that reads keys.
 pub const RANGE: &str = "/etcdserverpb.KV/Range";
-/// The method that compares and writes in one step.
+/// The method that compares and writes in one transaction.
 pub const TXN: &str = "/etcdserverpb.KV/Txn";
 /// The method that reports changes.
 pub const WATCH: &str = "/etcdserverpb.Watch/Watch";
@@ -18,10 +18,10 @@
 /// The method that renews a lease.
 pub const LEASE_KEEP_ALIVE: &str = "/etcdserverpb.Lease/LeaseKeepAlive";
 
-/// What every response begins with.
+/// The header of every response.
 #[derive(Clone, Copy, Message, PartialEq)]
 pub struct ResponseHeader {
-    /// The store's revision when the request was carried out.
+    /// The store's revision when the request was executed.
     #[prost(int64, tag = "3")]
     pub revision: i64,
 }
@@ -32,13 +32,13 @@
     /// The key.
     #[prost(bytes = "bytes", tag = "1")]
     pub key: Bytes,
-    /// The revision of the key's creation.
+    /// The revision at which the key was created.
     #[prost(int64, tag = "2")]
     pub create_revision: i64,
-    /// The revision of the key's last change.
+    /// The revision at which the key was last changed.
     #[prost(int64, tag = "3")]
     pub mod_revision: i64,
-    /// The number of changes since the creation.
+    /// The number of writes since the key was created.
     #[prost(int64, tag = "4")]
     pub version: i64,
     /// The value.
@@ -49,7 +49,7 @@
     pub lease: i64,
 }
 
-/// Reads a key, or the keys from `key` up to `range_end`.
+/// Reads a key, or the keys from `key` up to but not including `range_end`.
 #[derive(Clone, Message, PartialEq)]
 pub struct RangeRequest {
     /// The first key.
@@ -58,13 +58,13 @@
     /// The key after the last one, empty for a single key.
     #[prost(bytes = "bytes", tag = "2")]
     pub range_end: Bytes,
-    /// The most keys to return, zero for all.
+    /// The maximum number of keys to return, zero for no limit.
     #[prost(int64, tag = "3")]
     pub limit: i64,
-    /// The moment to read at, zero for now.
+    /// The revision to read at, zero for the current one.
     #[prost(int64, tag = "4")]
     pub revision: i64,
-    /// Whether to leave the values out.
+    /// Whether to omit the values.
     #[prost(bool, tag = "8")]
     pub keys_only: bool,
 }
@@ -75,10 +75,10 @@
     /// The header.
     #[prost(message, optional, tag = "1")]
     pub header: Option<ResponseHeader>,
-    /// The keys in their order.
+    /// The keys in ascending order.
     #[prost(message, repeated, tag = "2")]
     pub kvs: Vec<KeyValue>,
-    /// Whether the limit left keys out.
+    /// Whether the range has more keys than the limit.
     #[prost(bool, tag = "3")]
     pub more: bool,
     /// The number of keys in the range.
@@ -171,83 +171,84 @@
     DeleteRange(DeleteRangeResponse),
 }
 
-/// How a comparison relates what is stored to what is given.
+/// The relation that a comparison requires between the stored and the given
+/// value.
 #[derive(Clone, Copy, Debug, Enumeration, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[repr(i32)]
 pub enum CompareResult {
-    /// They are equal.
+    /// The values are equal.
     Equal = 0,
-    /// What is stored is greater.
+    /// The stored value is greater.
     Greater = 1,
-    /// What is stored is less.
+    /// The stored value is less.
     Less = 2,
-    /// They differ.
+    /// The values are not equal.
     NotEqual = 3,
 }
 
-/// What a comparison looks at.
+/// The property of a key that a comparison reads.
 #[derive(Clone, Copy, Debug, Enumeration, Eq, Hash, Ord, PartialEq, PartialOrd)]
 #[repr(i32)]
 pub enum CompareTarget {
-    /// The number of changes.
+    /// The number of writes since the key was created.
     Version = 0,
-    /// The revision of the creation.
+    /// The revision at which the key was created.
     Create = 1,
-    /// The revision of the last change.
+    /// The revision at which the key was last changed.
     Mod = 2,
     /// The value.
     Value = 3,
-    /// The lease.
+    /// The lease that the key is bound to.
     Lease = 4,
 }
 
-/// The condition of a transaction.
+/// A condition of a transaction.
 #[derive(Clone, Message, PartialEq)]
 pub struct Compare {
-    /// The relation, one of [`CompareResult`].
+    /// The required relation, one of [`CompareResult`].
     #[prost(enumeration = "CompareResult", tag = "1")]
     pub result: i32,
-    /// The property, one of [`CompareTarget`].
+    /// The compared property, one of [`CompareTarget`].
     #[prost(enumeration = "CompareTarget", tag = "2")]
     pub target: i32,
     /// The key.
     #[prost(bytes = "bytes", tag = "3")]
     pub key: Bytes,
-    /// The value to compare with.
+    /// The given value.
     #[prost(oneof = "CompareValue", tags = "4, 5, 6, 7, 8")]
     pub value: Option<CompareValue>,
 }
 
-/// The value that a comparison is given, by its target.
+/// The given value of a comparison; the variant matches the compared property.
 #[derive(Clone, Oneof, PartialEq)]
 pub enum CompareValue {
-    /// The number of changes.
+    /// The number of writes since the key was created.
     #[prost(int64, tag = "4")]
     Version(i64),
-    /// The revision of the creation.
+    /// The revision at which the key was created.
     #[prost(int64, tag = "5")]
     CreateRevision(i64),
-    /// The revision of the last change.
+    /// The revision at which the key was last changed.
     #[prost(int64, tag = "6")]
     ModRevision(i64),
     /// The value.
     #[prost(bytes = "bytes", tag = "7")]
     Value(Bytes),
-    /// The lease.
+    /// The lease that the key is bound to.
     #[prost(int64, tag = "8")]
     Lease(i64),
 }
 
-/// Carries out `success` if all comparisons hold, `failure` otherwise.
+/// Executes `success` if all comparisons hold, and `failure` otherwise.
 #[derive(Clone, Message, PartialEq)]
 pub struct TxnRequest {
     /// The comparisons.
     #[prost(message, repeated, tag = "1")]
     pub compare: Vec<Compare>,
-    /// The operations if they hold.
+    /// The operations to execute if all comparisons hold.
     #[prost(message, repeated, tag = "2")]
     pub success: Vec<RequestOp>,
-    /// The operations otherwise.
+    /// The operations to execute otherwise.
     #[prost(message, repeated, tag = "3")]
     pub failure: Vec<RequestOp>,
 }
@@ -258,15 +259,15 @@
     /// The header.
     #[prost(message, optional, tag = "1")]
     pub header: Option<ResponseHeader>,
-    /// Whether the comparisons held.
+    /// Whether all comparisons held.
     #[prost(bool, tag = "2")]
     pub succeeded: bool,
-    /// One response for each operation that was carried out.
+    /// One response for each executed operation.
     #[prost(message, repeated, tag = "3")]
     pub responses: Vec<ResponseOp>,
 }
 
-/// A message from the watching side.
+/// A message from the client on a watch stream.
 #[derive(Clone, Message, PartialEq)]
 pub struct WatchRequest {
     /// The request.
@@ -274,7 +275,7 @@
     pub request: Option<WatchRequestKind>,
 }
 
-/// The kinds of messages from the watching side.
+/// The kinds of client messages on a watch stream.
 #[derive(Clone, Oneof, PartialEq)]
 pub enum WatchRequestKind {
     /// Starts a watch.
@@ -285,7 +286,7 @@
     Cancel(WatchCancelRequest),
 }
 
-/// Starts a watch of the keys from `key` up to `range_end`.
+/// Starts a watch of the keys from `key` up to but not including `range_end`.
 #[derive(Clone, Message, PartialEq)]
 pub struct WatchCreateRequest {
     /// The first key.
@@ -294,7 +295,7 @@
     /// The key after the last one, empty for a single key.
     #[prost(bytes = "bytes", tag = "2")]
     pub range_end: Bytes,
-    /// The first revision to report, zero for changes from now on.
+    /// The first revision to report, zero for changes after the current one.
     #[prost(int64, tag = "3")]
     pub start_revision: i64,
     /// Whether a large response may be split.
@@ -305,18 +306,18 @@
 /// Ends a watch.
 #[derive(Clone, Copy, Message, PartialEq)]
 pub struct WatchCancelRequest {
-    /// The watch.
+    /// The id of the watch.
     #[prost(int64, tag = "1")]
     pub watch_id: i64,
 }
 
-/// A message to the watching side.
+/// A message from the store on a watch stream.
 #[derive(Clone, Message, PartialEq)]
 pub struct WatchResponse {
     /// The header.
     #[prost(message, optional, tag = "1")]
     pub header: Option<ResponseHeader>,
-    /// The watch.
+    /// The id of the watch.
     #[prost(int64, tag = "2")]
     pub watch_id: i64,
     /// Whether this confirms the start of the watch.
@@ -325,10 +326,10 @@
     /// Whether the watch has ended.
     #[prost(bool, tag = "4")]
     pub canceled: bool,
-    /// If the watch started too far back, the oldest revision that is kept.
+    /// The oldest revision that is kept, if the watch was to start before it.
     #[prost(int64, tag = "5")]
     pub compact_revision: i64,
-    /// The changes in their order.
+    /// The changes in the order of their revisions.
     #[prost(message, repeated, tag = "11")]
     pub events: Vec<Event>,
 }
@@ -339,7 +340,8 @@
     /// The kind, one of [`EventKind`].
     #[prost(enumeration = "EventKind", tag = "1")]
     pub kind: i32,
-    /// The key after the change. A deletion has only the key and the revision.
+    /// The key after the change. For a deletion, only the key and the revision
+    /// are set.
     #[prost(message, optional, tag = "2")]
     pub kv: Option<KeyValue>,
 }
@@ -350,34 +352,34 @@
 pub enum EventKind {
     /// The key was written.
     Put = 0,
-    /// The key was deleted, or its lease ended.
+    /// The key was deleted, or its lease expired.
     Delete = 1,
 }
 
 /// Creates a lease.
 #[derive(Clone, Copy, Message, PartialEq)]
 pub struct LeaseGrantRequest {
-    /// The time in seconds.
+    /// The time to live in seconds.
     #[prost(int64, tag = "1")]
     pub ttl: i64,
-    /// The id that the client prefers, zero for any.
+    /// The requested id, zero to let the store choose one.
     #[prost(int64, tag = "2")]
     pub id: i64,
 }
 
-/// A lease was created.
+/// The response to the creation of a lease.
 #[derive(Clone, Message, PartialEq)]
 pub struct LeaseGrantResponse {
     /// The header.
     #[prost(message, optional, tag = "1")]
     pub header: Option<ResponseHeader>,
-    /// The lease.
+    /// The id of the lease.
     #[prost(int64, tag = "2")]
     pub id: i64,
-    /// The time in seconds that the store chose.
+    /// The time to live in seconds that the store chose.
     #[prost(int64, tag = "3")]
     pub ttl: i64,
-    /// Why there is no lease, empty otherwise.
+    /// Why the lease was not created, empty on success.
     #[prost(string, tag = "4")]
     pub error: String,
 }
@@ -385,7 +387,7 @@
 /// Renews a lease.
 #[derive(Clone, Copy, Message, PartialEq)]
 pub struct LeaseKeepAliveRequest {
-    /// The lease.
+    /// The id of the lease.
     #[prost(int64, tag = "1")]
     pub id: i64,
 }
@@ -396,10 +398,10 @@
     /// The header.
     #[prost(message, optional, tag = "1")]
     pub header: Option<ResponseHeader>,
-    /// The lease.
+    /// The id of the lease.
     #[prost(int64, tag = "2")]
     pub id: i64,
-    /// The time in seconds that the lease has left, zero if it has ended.
+    /// The remaining time to live in seconds, zero if the lease has expired.
     #[prost(int64, tag = "3")]
     pub ttl: i64,
 }
--- a/src/adapters/store/record.rs
+++ b/src/adapters/store/record.rs
@@ -1,37 +1,38 @@
-//! The encoding of what the store holds for a service's document.
+//! The encoding of a service's document and its history in the store.
 //!
 //! Records are JSON, so that an operator can read them with the store's own
-//! tools during an incident. Protobuf would be smaller, but the texts dominate
-//! the size either way.
+//! tools during an incident. Protobuf would save little, because the document
+//! texts dominate the size in either encoding.
 
 use std::fmt;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::VALUE_MAX;
+use super::MAX_VALUE_BYTES;
 use crate::{
     domain::{Millis, Revision},
     policy::document::{Edit, Former, History},
 };
 
-/// The version of the encoding, so that a later one can tell them apart.
-const FORMAT: u32 = 1;
+/// The version of the encoding, which lets a later version recognize it.
+const FORMAT_VERSION: u32 = 1;
 
-/// Why a record cannot be written or read.
+/// Why a record cannot be encoded or decoded.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RecordError {
-    /// The text alone is too large for the store.
+    /// The current text alone exceeds the store's limit. Holds the size of the
+    /// record in bytes.
     TooLarge(usize),
-    /// The value is not a record.
+    /// The value is not a valid record.
     Malformed(String),
 }
 
 impl fmt::Display for RecordError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::TooLarge(len) => f.write_str(&super::oversized(*len)),
-            Self::Malformed(cause) => write!(f, "the record cannot be read: {cause}"),
+            Self::TooLarge(len) => f.write_str(&super::too_large_message(*len)),
+            Self::Malformed(cause) => write!(f, "the record cannot be decoded: {cause}"),
         }
     }
 }
@@ -39,15 +40,15 @@
 impl std::error::Error for RecordError {}
 
 #[derive(Deserialize, Serialize)]
-struct Image {
+struct HistoryJson {
     format: u32,
-    current: EditImage,
-    former: Vec<FormerImage>,
+    current: EditJson,
+    former: Vec<FormerJson>,
     dropped: bool,
 }
 
 #[derive(Deserialize, Serialize)]
-struct EditImage {
+struct EditJson {
     id: String,
     team: String,
     wall: u64,
@@ -55,33 +56,34 @@
 }
 
 #[derive(Deserialize, Serialize)]
-struct FormerImage {
+struct FormerJson {
     revision: u64,
-    edit: EditImage,
+    edit: EditJson,
 }
 
-/// Encodes a history. The oldest former revisions are dropped if the record
-/// would be too large for the store.
+/// Encodes a history. If the record would exceed the store's limit, the oldest
+/// former revisions are dropped.
 ///
 /// # Errors
 ///
-/// Returns [`RecordError::TooLarge`] if the current text alone does not fit.
+/// Returns [`RecordError::TooLarge`] if the record exceeds the limit with the
+/// current text alone.
 pub fn encode(history: &History) -> Result<Bytes, RecordError> {
-    let mut image = Image {
-        format: FORMAT,
-        current: edit_image(&history.current),
-        former: history.former.iter().map(former_image).collect(),
+    let mut json = HistoryJson {
+        format: FORMAT_VERSION,
+        current: edit_to_json(&history.current),
+        former: history.former.iter().map(former_to_json).collect(),
         dropped: history.dropped,
     };
     loop {
-        let bytes = serde_json::to_vec(&image).map_err(malformed)?;
-        if bytes.len() <= VALUE_MAX {
+        let bytes = serde_json::to_vec(&json).map_err(malformed)?;
+        if bytes.len() <= MAX_VALUE_BYTES {
             return Ok(bytes.into());
         }
-        if image.former.pop().is_none() {
+        if json.former.pop().is_none() {
             return Err(RecordError::TooLarge(bytes.len()));
         }
-        image.dropped = true;
+        json.dropped = true;
     }
 }
 
@@ -89,18 +91,22 @@
 ///
 /// # Errors
 ///
-/// Returns [`RecordError::Malformed`] if the value is not a record.
+/// Returns [`RecordError::Malformed`] if the value is not a valid record.
 pub fn decode(value: &Bytes) -> Result<History, RecordError> {
-    let image: Image = serde_json::from_slice(value).map_err(malformed)?;
-    if image.format != FORMAT {
-        let cause = format!("format {} is not {FORMAT}", image.format);
+    let json: HistoryJson = serde_json::from_slice(value).map_err(malformed)?;
+    if json.format != FORMAT_VERSION {
+        let cause = format!(
+            "format {} is not supported, expected {FORMAT_VERSION}",
+            json.format
+        );
         return Err(RecordError::Malformed(cause));
     }
-    let former: Result<Vec<Former>, RecordError> = image.former.into_iter().map(former).collect();
+    let former: Result<Vec<Former>, RecordError> =
+        json.former.into_iter().map(former_from_json).collect();
     Ok(History {
-        current: edit(image.current)?,
+        current: edit_from_json(json.current)?,
         former: former?,
-        dropped: image.dropped,
+        dropped: json.dropped,
     })
 }
 
@@ -108,8 +114,8 @@
     RecordError::Malformed(cause.to_string())
 }
 
-fn edit_image(edit: &Edit) -> EditImage {
-    EditImage {
+fn edit_to_json(edit: &Edit) -> EditJson {
+    EditJson {
         id: edit.id.to_string(),
         team: edit.team.to_string(),
         wall: edit.wall.0,
@@ -117,25 +123,25 @@
     }
 }
 
-fn former_image(former: &Former) -> FormerImage {
-    FormerImage {
+fn former_to_json(former: &Former) -> FormerJson {
+    FormerJson {
         revision: former.revision.0,
-        edit: edit_image(&former.edit),
+        edit: edit_to_json(&former.edit),
     }
 }
 
-fn edit(image: EditImage) -> Result<Edit, RecordError> {
+fn edit_from_json(json: EditJson) -> Result<Edit, RecordError> {
     Ok(Edit {
-        id: image.id.parse().map_err(malformed)?,
-        team: image.team.parse().map_err(malformed)?,
-        wall: Millis(image.wall),
-        text: image.text,
+        id: json.id.parse().map_err(malformed)?,
+        team: json.team.parse().map_err(malformed)?,
+        wall: Millis(json.wall),
+        text: json.text,
     })
 }
 
-fn former(image: FormerImage) -> Result<Former, RecordError> {
+fn former_from_json(json: FormerJson) -> Result<Former, RecordError> {
     Ok(Former {
-        revision: Revision(image.revision),
-        edit: edit(image.edit)?,
+        revision: Revision(json.revision),
+        edit: edit_from_json(json.edit)?,
     })
 }
--- a/src/adapters/store/roster.rs
+++ b/src/adapters/store/roster.rs
@@ -1,4 +1,4 @@
-//! The encoding of the roster in the store.
+//! The encoding of the roster of entries in the store.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -11,33 +11,34 @@
     policy::member::{Roster, Seat},
 };
 
-/// The key of the roster.
+/// The key of the roster in the store.
 pub const KEY: Bytes = Bytes::from_static(b"roster");
 
-/// The roster with the one before it.
+/// The current roster and the previous one.
 ///
-/// A new home of a claim has to read from the former homes, so whoever learns of
-/// an epoch must learn of the former one at the same time.
+/// A new home of a claim has to read from the previous homes, so an entry that
+/// learns of an epoch must learn of the previous epoch at the same time.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RosterRecord {
-    /// The roster of the epoch before.
+    /// The roster of the previous epoch.
     pub former: Roster,
-    /// The roster in force.
+    /// The roster of the current epoch.
     pub current: Roster,
-    /// Where the entries of the roster in force take messages of others. The
-    /// membership knows this too, but takes seconds to form, and until then
-    /// limits and claims could reach nobody.
+    /// The addresses at which the entries of the current roster accept messages
+    /// from other entries. The membership protocol distributes them as well,
+    /// but takes seconds to converge after a start, and limits and claims need
+    /// them before that.
     pub addresses: BTreeMap<EntryId, SocketAddr>,
 }
 
 #[derive(Deserialize, Serialize)]
-struct RosterImage {
+struct RosterJson {
     epoch: u64,
-    seats: Vec<SeatImage>,
+    seats: Vec<SeatJson>,
 }
 
 #[derive(Deserialize, Serialize)]
-struct SeatImage {
+struct SeatJson {
     entry: String,
     incarnation: u64,
     region: String,
@@ -45,62 +46,62 @@
 }
 
 #[derive(Deserialize, Serialize)]
-struct Image {
-    former: RosterImage,
-    current: RosterImage,
+struct RecordJson {
+    former: RosterJson,
+    current: RosterJson,
     #[serde(default)]
     addresses: BTreeMap<String, SocketAddr>,
 }
 
-/// Encodes a roster.
+/// Encodes a roster record.
 ///
 /// # Errors
 ///
-/// Returns [`RecordError::Malformed`] if the values cannot be encoded.
+/// Returns [`RecordError::Malformed`] if the record cannot be encoded.
 pub fn encode(record: &RosterRecord) -> Result<Bytes, RecordError> {
-    let named = record.addresses.iter();
-    let image = Image {
-        addresses: named.map(|(e, a)| (e.to_string(), *a)).collect(),
-        former: image(&record.former),
-        current: image(&record.current),
+    let addresses = record.addresses.iter();
+    let json = RecordJson {
+        addresses: addresses.map(|(e, a)| (e.to_string(), *a)).collect(),
+        former: roster_to_json(&record.former),
+        current: roster_to_json(&record.current),
     };
-    let bytes = serde_json::to_vec(&image).map_err(|e| RecordError::Malformed(e.to_string()))?;
+    let bytes = serde_json::to_vec(&json).map_err(|e| RecordError::Malformed(e.to_string()))?;
     Ok(bytes.into())
 }
 
-/// Decodes a roster.
+/// Decodes a roster record.
 ///
 /// # Errors
 ///
-/// Returns [`RecordError::Malformed`] if the value is not a roster.
+/// Returns [`RecordError::Malformed`] if the value is not a valid record.
 pub fn decode(value: &[u8]) -> Result<RosterRecord, RecordError> {
     let malformed = |e: &dyn std::fmt::Display| RecordError::Malformed(e.to_string());
-    let image: Image = serde_json::from_slice(value).map_err(|e| malformed(&e))?;
-    let named = image.addresses.into_iter();
-    let addresses = named.map(|(e, a)| Ok((e.parse()?, a)));
+    let json: RecordJson = serde_json::from_slice(value).map_err(|e| malformed(&e))?;
+    let addresses = json.addresses.into_iter();
+    let addresses = addresses.map(|(e, a)| Ok((e.parse()?, a)));
     let addresses: Result<_, ParseError> = addresses.collect();
     Ok(RosterRecord {
         addresses: addresses.map_err(|e| malformed(&e))?,
-        former: roster(image.former).map_err(|e| malformed(&e))?,
-        current: roster(image.current).map_err(|e| malformed(&e))?,
+        former: roster_from_json(json.former).map_err(|e| malformed(&e))?,
+        current: roster_from_json(json.current).map_err(|e| malformed(&e))?,
     })
 }
 
-fn image(roster: &Roster) -> RosterImage {
-    let seat = |s: &Seat| SeatImage {
+fn roster_to_json(roster: &Roster) -> RosterJson {
+    let seat = |s: &Seat| SeatJson {
         entry: s.entry.to_string(),
         incarnation: s.incarnation.0,
         region: s.region.to_string(),
         az: s.az.to_string(),
     };
-    RosterImage {
+    RosterJson {
         epoch: roster.epoch.0,
         seats: roster.seats.iter().map(seat).collect(),
     }
 }
 
-fn roster(image: RosterImage) -> Result<Roster, ParseError> {
-    let seat = |s: SeatImage| {
+fn roster_from_json(json: RosterJson) -> Result<Roster, ParseError> {
+    let seat = |s: SeatJson| {
         Ok(Seat {
             entry: s.entry.parse()?,
             incarnation: Incarnation(s.incarnation),
@@ -108,9 +109,9 @@
             az: s.az.parse()?,
         })
     };
-    let seats: Result<Vec<Seat>, _> = image.seats.into_iter().map(seat).collect();
+    let seats: Result<Vec<Seat>, _> = json.seats.into_iter().map(seat).collect();
     Ok(Roster {
-        epoch: Epoch(image.epoch),
+        epoch: Epoch(json.epoch),
         seats: seats?,
     })
 }
--- a/src/adapters/store/vms.rs
+++ b/src/adapters/store/vms.rs
@@ -1,7 +1,8 @@
-//! The platform's list of VMs, which it keeps in the store.
+//! The platform's list of VMs, which the platform keeps in the store.
 //!
-//! Each VM has a key `platform/vms/NAME`. A VM without a key is gone. The value
-//! is JSON: `{"incarnation": 0, "leaving": false}`, both optional.
+//! Each VM has a key `platform/vms/NAME`. A VM without a key no longer exists.
+//! The value is JSON, `{"incarnation": 0, "leaving": false}`; both fields are
+//! optional.
 
 use std::collections::BTreeMap;
 
@@ -14,27 +15,27 @@
     ports::Record,
 };
 
-/// The prefix of the list.
-pub const PREFIX: Bytes = Bytes::from_static(b"platform/vms/");
+/// The key prefix of the list.
+pub const KEY_PREFIX: Bytes = Bytes::from_static(b"platform/vms/");
 
 #[derive(Default, Deserialize)]
 #[serde(default)]
-struct Image {
+struct VmJson {
     incarnation: u64,
     leaving: bool,
 }
 
-/// Reads the list. A key that is not a name is skipped, and a value that cannot
-/// be read counts as a live VM, because the key alone says that it is not gone.
+/// Decodes the list. A key without a valid name is skipped. A value that cannot
+/// be decoded counts as a live VM, because the key alone shows that it exists.
 #[must_use]
 pub fn read(records: &[Record]) -> BTreeMap<EntryId, Vm> {
     let vm = |record: &Record| {
-        let name = record.key.strip_prefix(&PREFIX[..])?;
+        let name = record.key.strip_prefix(&KEY_PREFIX[..])?;
         let name = std::str::from_utf8(name).ok()?.parse().ok()?;
-        let image: Image = serde_json::from_slice(&record.value).unwrap_or_default();
+        let json: VmJson = serde_json::from_slice(&record.value).unwrap_or_default();
         let vm = Vm {
-            incarnation: Incarnation(image.incarnation),
-            leaving: image.leaving,
+            incarnation: Incarnation(json.incarnation),
+            leaving: json.leaving,
         };
         Some((name, vm))
     };
--- a/src/adapters/store/write.rs
+++ b/src/adapters/store/write.rs
@@ -1,10 +1,10 @@
-//! Writes under a condition, and what the store says if it does not hold.
+//! Conditional writes as etcd transactions.
 
 use bytes::Bytes;
 
 use super::{
-    Calls, VALUE_MAX,
-    client::{Client, Step},
+    CallCounters, MAX_VALUE_BYTES,
+    client::{Client, Method},
     messages::{
         self, Compare, CompareResult, CompareTarget, CompareValue, Operation, OperationResponse,
         PutRequest, RangeRequest, RequestOp, ResponseHeader, TxnRequest, TxnResponse,
@@ -12,16 +12,17 @@
 };
 use crate::{domain::Revision, ports::StoreError};
 
-const WRITE: Step = Step {
+const WRITE: Method = Method {
     name: "write",
     path: messages::TXN,
-    count: Calls::write,
-    repeatable: false,
+    count: CallCounters::count_write,
+    retry_safe: false,
 };
 
-/// Carries out an operation on a key under a condition, and returns the store's
-/// revision after it.
-pub(super) async fn transact(
+/// Executes an operation on a key if the condition holds, and returns the
+/// store's revision after it. If the condition does not hold, the same
+/// transaction reads the key's revision for [`StoreError::Conflict`].
+pub(super) async fn write_if(
     client: &Client,
     key: Bytes,
     condition: CompareValue,
@@ -40,56 +41,60 @@
         key: key.clone(),
         value: Some(condition),
     };
-    let found = Operation::Range(RangeRequest {
+    let read_revision = Operation::Range(RangeRequest {
         key,
         keys_only: true,
         ..RangeRequest::default()
     });
     let request = TxnRequest {
         compare: vec![compare],
-        success: operation.into_iter().map(step).collect(),
-        failure: vec![step(found)],
+        success: operation.into_iter().map(request_op).collect(),
+        failure: vec![request_op(read_revision)],
     };
     let response: TxnResponse = client.unary(WRITE, request).await?;
     if response.succeeded {
-        return Ok(revision(header(response.header)));
+        return Ok(to_revision(header_revision(response.header)));
     }
-    Err(StoreError::Conflict(found_revision(response)))
+    Err(StoreError::Conflict(conflicting_revision(response)))
 }
 
-fn step(operation: Operation) -> RequestOp {
+fn request_op(operation: Operation) -> RequestOp {
     RequestOp {
         request: Some(operation),
     }
 }
 
-fn found_revision(response: TxnResponse) -> Revision {
+/// Returns the revision that the failure branch has read, zero for no such key.
+fn conflicting_revision(response: TxnResponse) -> Revision {
     let first = response.responses.into_iter().next();
     match first.and_then(|r| r.response) {
         Some(OperationResponse::Range(range)) => {
             let found = range.kvs.first().map_or(0, |kv| kv.mod_revision);
-            revision(found)
+            to_revision(found)
         }
         _ => Revision::default(),
     }
 }
 
-/// Returns a put, unless the value is too large.
-pub(super) fn put(key: Bytes, value: Bytes, lease: i64) -> Result<Operation, StoreError> {
-    if value.len() > VALUE_MAX {
+/// Returns the operation that writes a key, or an error if the value is larger
+/// than the store accepts.
+pub(super) fn put_operation(key: Bytes, value: Bytes, lease: i64) -> Result<Operation, StoreError> {
+    if value.len() > MAX_VALUE_BYTES {
         return Err(StoreError::Down {
             step: "write",
             peer: "(none)".to_owned(),
-            cause: super::oversized(value.len()),
+            cause: super::too_large_message(value.len()),
         });
     }
     Ok(Operation::Put(PutRequest { key, value, lease }))
 }
 
-pub(super) fn header(header: Option<ResponseHeader>) -> i64 {
+/// Returns the store's revision from a response header, zero without a header.
+pub(super) fn header_revision(header: Option<ResponseHeader>) -> i64 {
     header.map_or(0, |h| h.revision)
 }
 
-pub(super) fn revision(n: i64) -> Revision {
+/// Converts a revision of the protocol. Negative values become zero.
+pub(super) fn to_revision(n: i64) -> Revision {
     Revision(u64::try_from(n).unwrap_or_default())
 }
--- a/src/app/cli/entry.rs
+++ b/src/app/cli/entry.rs
@@ -10,7 +10,7 @@
         clock, http,
         ini::{Fault, parse_settings},
         metrics,
-        store::{Calls, etcd},
+        store::{CallCounters, etcd},
     },
     app::entry::{self, Ports},
     domain::Millis,
@@ -25,7 +25,7 @@
     let settings = read(&settings, parse_settings)?;
     let clock = clock::open();
     let targets = http::open(clock.clone(), http::Keep::default());
-    let calls = Arc::<Calls>::default();
+    let calls = Arc::<CallCounters>::default();
     let ports = Ports {
         store: etcd::open(&settings.store, STORE_TIMEOUT, calls.clone()),
         metrics: metrics::open(calls),
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -14,7 +14,7 @@
         grpc::{self, Peers},
         http, logs, metrics,
         platform::{settings, store},
-        store::Calls,
+        store::CallCounters,
     },
     app::gateway::{self, Ports, State},
     domain::Millis,
@@ -70,7 +70,7 @@
     let ports = Ports {
         platform: store::open(settings.store, targets.clone()),
         changes: grpc::changes(peers.clone()),
-        metrics: metrics::open(Arc::<Calls>::default()),
+        metrics: metrics::open(Arc::<CallCounters>::default()),
         clock,
         targets,
     };
--- a/src/app/dev/mod.rs
+++ b/src/app/dev/mod.rs
@@ -26,7 +26,7 @@
         ini::parse_settings,
         metrics,
         store::{
-            Calls,
+            CallCounters,
             memory::{self, Memory},
         },
     },
@@ -63,7 +63,7 @@
 pub async fn spawn() -> eyre::Result<Dev> {
     let clock = clock::open();
     let memory = memory::open(clock.clone());
-    let store = memory.store(&std::sync::Arc::<Calls>::default());
+    let store = memory.store(&std::sync::Arc::<CallCounters>::default());
     let mut targets = Vec::new();
     for service in sample::SERVICES {
         let own = samples(service).await?;
@@ -117,7 +117,7 @@
         let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
         eyre!("check the settings: {}", all.join("\n"))
     })?;
-    let calls = std::sync::Arc::<Calls>::default();
+    let calls = std::sync::Arc::<CallCounters>::default();
     let ports = Ports {
         targets: http::open(clock.clone(), http::Keep::default()),
         clock: clock.clone(),
--- a/src/app/dev/sample.rs
+++ b/src/app/dev/sample.rs
@@ -44,7 +44,7 @@
 /// Lists the VM of an entry, as the platform does.
 pub(super) async fn list_vm(store: &Store, n: usize) -> eyre::Result<()> {
     let write = Write {
-        key: [&vms::PREFIX[..], format!("e{n}").as_bytes()]
+        key: [&vms::KEY_PREFIX[..], format!("e{n}").as_bytes()]
             .concat()
             .into(),
         value: Some(Bytes::from_static(b"{}")),
--- a/src/app/entry/admin/documents.rs
+++ b/src/app/entry/admin/documents.rs
@@ -23,11 +23,11 @@
 };
 
 pub(super) async fn list(admin: &Admin) -> Result<Response<Body>, Failure> {
-    let snapshot = (admin.store.list)(documents::PREFIX).await;
+    let snapshot = (admin.store.list)(documents::KEY_PREFIX).await;
     let snapshot = snapshot.map_err(|e| unavailable(&e))?;
     let mut all = Vec::new();
     for found in &snapshot.records {
-        let Some(service) = documents::service(&found.key) else {
+        let Some(service) = documents::parse_key(&found.key) else {
             continue;
         };
         // One record that cannot be read must not hide the others.
--- a/src/app/entry/control/documents.rs
+++ b/src/app/entry/control/documents.rs
@@ -6,7 +6,7 @@
     adapters::{
         grpc::DocumentBody,
         ini::{parse_document, print_document},
-        store::{documents::Arrival, roster as encoding},
+        store::{documents::DocumentRevision, roster as encoding},
     },
     app::entry::{State, fleet::ROSTER},
     domain::{Revision, ServiceName},
@@ -17,8 +17,8 @@
 };
 
 /// Puts a revision in force and tells the peers.
-pub(super) fn arrive(state: &Arc<State>, arrival: Arrival) {
-    let Arrival {
+pub(super) fn arrive(state: &Arc<State>, arrival: DocumentRevision) {
+    let DocumentRevision {
         service,
         revision,
         content,
@@ -71,7 +71,7 @@
     };
     arrive(
         state,
-        Arrival {
+        DocumentRevision {
             service,
             revision,
             content,
--- a/src/app/entry/control/roster.rs
+++ b/src/app/entry/control/roster.rs
@@ -43,7 +43,7 @@
         let rest = if joining { Millis(PERIOD.0 * 2) } else { LIST };
         if listed.is_none_or(|at| now - at >= rest) {
             listed = Some(now);
-            if let Ok(snapshot) = (state.ports.store.list)(vms::PREFIX).await {
+            if let Ok(snapshot) = (state.ports.store.list)(vms::KEY_PREFIX).await {
                 vms = vms::read(&snapshot.records);
             }
         }
--- a/src/app/entry/control/store.rs
+++ b/src/app/entry/control/store.rs
@@ -63,13 +63,13 @@
 /// another entry takes over.
 async fn watch(state: &Arc<State>) -> Result<(), StoreError> {
     let store = &state.ports.store;
-    let documents = (store.list)(records::PREFIX).await?;
+    let documents = (store.list)(records::KEY_PREFIX).await?;
     let roster = (store.list)(encoding::KEY).await?;
     take_all(state, &documents);
     take_all(state, &roster);
     state.set_informed();
     gossip::disseminate(state);
-    let mut documents = open(state, records::PREFIX, documents.revision).await?;
+    let mut documents = open(state, records::KEY_PREFIX, documents.revision).await?;
     let mut roster = open(state, encoding::KEY, roster.revision).await?;
     loop {
         let update = async {
@@ -113,7 +113,7 @@
         }
         return;
     }
-    for arrival in records::arrivals(update) {
+    for arrival in records::document_revisions(update) {
         documents::arrive(state, arrival);
     }
 }
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -9,7 +9,7 @@
     adapters::{
         ini::parse_document,
         store::{
-            VALUE_MAX, documents,
+            MAX_VALUE_BYTES, documents,
             record::{self, RecordError},
         },
     },
@@ -356,7 +356,7 @@
             value: value.into(),
             revision: Revision(1),
         };
-        let arrivals = documents::arrivals(&Update::Put(found));
+        let arrivals = documents::document_revisions(&Update::Put(found));
         arrivals.len() == 1 && matches!(arrivals[0].content, Content::Invalid(_))
     }
 }
@@ -399,12 +399,12 @@
 /// edit of the service fail.
 #[test]
 fn a_record_drops_old_revisions_to_fit() {
-    let text = "x".repeat(VALUE_MAX / 4);
+    let text = "x".repeat(MAX_VALUE_BYTES / 4);
     let mut stored = None;
     for n in 1..=6 {
         let history = History::extend(stored, None, edit(n, &text)).expect("no base");
         let bytes = record::encode(&history).expect("one text fits");
-        assert!(bytes.len() <= VALUE_MAX);
+        assert!(bytes.len() <= MAX_VALUE_BYTES);
         stored = Some(Stored {
             revision: Revision(u64::try_from(n).expect("small")),
             history: record::decode(&bytes).expect("the record is good"),
@@ -418,7 +418,8 @@
     // The record no longer tells what became of an edit of the first revision.
     let fate = History::fate(EditId(99), Revision::default(), Some(&stored));
     assert_eq!(fate, Fate::Unknown);
-    let alone = History::extend(None, None, edit(1, &"x".repeat(VALUE_MAX))).expect("no base");
+    let alone =
+        History::extend(None, None, edit(1, &"x".repeat(MAX_VALUE_BYTES))).expect("no base");
     assert!(matches!(
         record::encode(&alone),
         Err(RecordError::TooLarge(_))
@@ -458,7 +459,7 @@
         Update::Delete("documents/Not A Name".into(), Revision(7)),
     ];
     let words = updates.map(|u| {
-        let arrivals = documents::arrivals(&u).into_iter().map(|a| {
+        let arrivals = documents::document_revisions(&u).into_iter().map(|a| {
             let content = match a.content {
                 Content::Document(d) => format!("document of {}", d.team),
                 Content::Deleted => "deleted".to_owned(),
@@ -471,5 +472,5 @@
     });
     insta::assert_snapshot!(lines(&words));
     let key = documents::key(&service());
-    assert_eq!(documents::service(&key), Some(service()));
+    assert_eq!(documents::parse_key(&key), Some(service()));
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -18,7 +18,7 @@
         grpc::{self, Peers},
         http::{self as web, Content, Keep, Limits, Server, full},
         metrics,
-        store::Calls,
+        store::CallCounters,
     },
     app::gateway::{self, Gateway, Ports},
     domain::{Configuration, Millis, RequestKind, Revision, TargetId},
@@ -162,7 +162,7 @@
             targets: web::open(clock.clone(), Keep::default()),
             platform: platform(changes, needs),
             changes: grpc::changes(Arc::new(Peers::new(Millis(500), Arc::default()))),
-            metrics: metrics::open(Arc::<Calls>::default()),
+            metrics: metrics::open(Arc::<CallCounters>::default()),
             clock,
         };
         let gateway = gateway::spawn(vm::settings("edge-1"), ports)
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -18,7 +18,7 @@
         grpc::{self, Peers},
         http::{self as web, Keep},
         metrics,
-        store::Calls,
+        store::CallCounters,
     },
     app::gateway::{self, Gateway, Ports},
     domain::{
@@ -127,7 +127,7 @@
         targets: web::open(clock.clone(), Keep::default()),
         platform,
         changes: grpc::changes(peers),
-        metrics: metrics::open(Arc::<Calls>::default()),
+        metrics: metrics::open(Arc::<CallCounters>::default()),
         clock,
     };
     let gateway = gateway::spawn(settings(name, seeds), ports).await;
--- a/tests/site/mod.rs
+++ b/tests/site/mod.rs
@@ -17,7 +17,7 @@
         clock,
         http::Server,
         metrics::{self, Metrics},
-        store::{Calls, memory},
+        store::{CallCounters, memory},
     },
     app::entry::admin::{self, Admin, open_events},
     ports::{
@@ -71,7 +71,7 @@
     pub async fn spawn() -> Self {
         let faults: Arc<Faults> = Arc::default();
         let clock = clock::open();
-        let calls: Arc<Calls> = Arc::default();
+        let calls: Arc<CallCounters> = Arc::default();
         let store = memory::open(clock.clone()).store(&calls);
         let metrics = metrics::open(calls);
         let events = open_events("e1".parse().expect("a name"), &clock, &metrics);
--- a/tests/store/faults.rs
+++ b/tests/store/faults.rs
@@ -34,7 +34,10 @@
         let watch = |after| (store.watch)(("w/".into(), after));
         let mut updates = watch(Revision::default()).await.expect("up");
         log.extend(until(&mut updates, first).await);
-        assert_eq!((calls.counts().waiting, standin.count("waiting")), (1, 1));
+        assert_eq!(
+            (calls.counts().open_watches, standin.count("waiting")),
+            (1, 1)
+        );
         standin.set("break");
         log.push(format!("broken: {:?}", next(&mut updates).await));
         let second = (other.write)(put("w/b", "1", Revision::default()))
@@ -59,7 +62,7 @@
         );
         let error = (store.write)(put("w/c", "1", Revision::default())).await;
         assert!(matches!(error, Err(StoreError::Down { .. })), "{error:?}");
-        assert!(!calls.up());
+        assert!(!calls.is_up());
         let refused = submit(&store, &service(), None, edit(1)).await;
         assert!(matches!(
             refused,
@@ -80,7 +83,7 @@
         let mut updates = watch(first).await.expect("up");
         log.push(format!("compacted: {:?}", next(&mut updates).await));
         log.push(format!("{:?}", list(&store, "w/").await));
-        assert!(calls.up());
+        assert!(calls.is_up());
         log
     });
     let log = log
@@ -111,7 +114,7 @@
         assert_eq!(next(&mut updates).await, None);
         assert_eq!((store.get)("s/a".into()).await, Ok(None));
     });
-    wait_until(&runtime, || calls.counts().waiting == 0);
+    wait_until(&runtime, || calls.counts().open_watches == 0);
 }
 
 /// Guards a holder whose write was lost: it must not lose the key to itself.
@@ -213,6 +216,6 @@
         drop(watch);
     });
     wait_until(&runtime, || {
-        calls.counts().waiting == 0 && standin.count("waiting") == 0
+        calls.counts().open_watches == 0 && standin.count("waiting") == 0
     });
 }
--- a/tests/store/semantics.rs
+++ b/tests/store/semantics.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use quickcheck::{QuickCheck, TestResult};
 use savorybeam::{
-    adapters::store::VALUE_MAX,
+    adapters::store::MAX_VALUE_BYTES,
     domain::{Millis, Revision},
     ports::{Record, Store, StoreError, Update},
 };
@@ -67,7 +67,7 @@
         }
         let (keys, _) = list(&store, "p/").await;
         let sorted = keys.is_sorted();
-        let large = "x".repeat(VALUE_MAX);
+        let large = "x".repeat(MAX_VALUE_BYTES);
         let at = (store.write)(put("q/max", &large, Revision::default())).await;
         let found = (store.get)("q/max".into())
             .await
@@ -77,7 +77,7 @@
         let refused = matches!(over, Err(StoreError::Down { .. }));
         let none = (store.get)("q/over".into()).await;
         assert!(at.is_ok() && sorted && refused && none == Ok(None));
-        assert_eq!((keys.len(), found.value.len()), (150, VALUE_MAX));
+        assert_eq!((keys.len(), found.value.len()), (150, MAX_VALUE_BYTES));
         keys
     });
 }
--- a/tests/store/support.rs
+++ b/tests/store/support.rs
@@ -6,7 +6,7 @@
 use savorybeam::{
     adapters::{
         clock,
-        store::{Calls, etcd, memory},
+        store::{CallCounters, etcd, memory},
     },
     domain::{Millis, Revision},
     ports::{Store, Update, Write},
@@ -21,8 +21,8 @@
 /// The timeout of calls that are expected to time out.
 pub const HASTY: Millis = Millis(100);
 
-pub fn connect(address: SocketAddr, timeout: Millis) -> (Store, Arc<Calls>) {
-    let calls = Arc::new(Calls::default());
+pub fn connect(address: SocketAddr, timeout: Millis) -> (Store, Arc<CallCounters>) {
+    let calls = Arc::new(CallCounters::default());
     (etcd::open(&[address], timeout, calls.clone()), calls)
 }
 
