--- a/tests/store/faults.rs
+++ b/tests/store/faults.rs
@@ -1,4 +1,5 @@
-//! Outages, broken connections, endpoints that do not answer, and the counts.
+//! Outages, broken and unresponsive connections, unresponsive endpoints, and
+//! the call counters.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -15,17 +16,21 @@
 use crate::{
     edits::{edit, service},
     standin::Standin,
-    support::{PATIENT, connect, delete, list, next, over_protocol, put, until, wait_until},
+    support::{
+        LONG_TIMEOUT, connect, delete, etcd_stores, list_records, next_update, put, read_through,
+        wait_until,
+    },
 };
 
-/// Guards an outage: reads and writes fail as surely not written, the watch
-/// ends, and a new watch from the last revision misses nothing.
+/// Guards against changes that are missed in an outage: calls fail with
+/// [`StoreError::Down`], the watch ends, and a new watch from the last revision
+/// reports all later changes.
 #[test]
-fn an_outage_ends_the_watch_and_misses_nothing() {
+fn a_watch_ends_in_an_outage_and_resumes_without_gaps() {
     let runtime = Runtime::new().expect("the runtime starts");
     let standin = Standin::spawn();
-    let [other] = over_protocol(&standin);
-    let (store, calls) = connect(standin.address, PATIENT);
+    let [other] = etcd_stores(&standin);
+    let (store, counters) = connect(standin.address, LONG_TIMEOUT);
     let log = runtime.block_on(async {
         let mut log = Vec::new();
         let first = (store.write)(put("w/a", "1", Revision::default()))
@@ -33,21 +38,21 @@
             .expect("up");
         let watch = |after| (store.watch)(("w/".into(), after));
         let mut updates = watch(Revision::default()).await.expect("up");
-        log.extend(until(&mut updates, first).await);
+        log.extend(read_through(&mut updates, first).await);
         assert_eq!(
-            (calls.counts().open_watches, standin.count("waiting")),
+            (counters.counts().open_watches, standin.count("waiting")),
             (1, 1)
         );
-        standin.set("break");
-        log.push(format!("broken: {:?}", next(&mut updates).await));
+        standin.post_control("break");
+        log.push(format!("broken: {:?}", next_update(&mut updates).await));
         let second = (other.write)(put("w/b", "1", Revision::default()))
             .await
             .expect("up");
         let mut updates = watch(first).await.expect("up");
-        log.extend(until(&mut updates, second).await);
-        standin.set("down");
-        log.push(format!("down: {:?}", next(&mut updates).await));
-        // The first call may still go to the connection that is being closed, so
+        log.extend(read_through(&mut updates, second).await);
+        standin.post_control("down");
+        log.push(format!("down: {:?}", next_update(&mut updates).await));
+        // The first call may still use the connection that is being closed, so
         // the text of its error varies.
         let error = (store.get)("w/a".into()).await.expect_err("down");
         assert!(matches!(error, StoreError::Down { .. }), "{error:?}");
@@ -62,13 +67,13 @@
         );
         let error = (store.write)(put("w/c", "1", Revision::default())).await;
         assert!(matches!(error, Err(StoreError::Down { .. })), "{error:?}");
-        assert!(!calls.is_up());
+        assert!(!counters.is_up());
         let refused = submit(&store, &service(), None, edit(1)).await;
         assert!(matches!(
             refused,
             Err(SubmitError::Store(StoreError::Down { .. }))
         ));
-        standin.set("up");
+        standin.post_control("up");
         let third = loop {
             match (store.write)(put("w/c", "1", Revision::default())).await {
                 Ok(revision) => break revision,
@@ -76,14 +81,14 @@
             }
         };
         let mut updates = watch(second).await.expect("up");
-        log.extend(until(&mut updates, third).await);
-        // After a compaction a watch from before it ends at once, and a list
-        // tells what it missed.
-        standin.set("compact");
+        log.extend(read_through(&mut updates, third).await);
+        // A watch from before a compaction ends immediately, and a list returns
+        // the current state.
+        standin.post_control("compact");
         let mut updates = watch(first).await.expect("up");
-        log.push(format!("compacted: {:?}", next(&mut updates).await));
-        log.push(format!("{:?}", list(&store, "w/").await));
-        assert!(calls.is_up());
+        log.push(format!("compacted: {:?}", next_update(&mut updates).await));
+        log.push(format!("{:?}", list_records(&store, "w/").await));
+        assert!(counters.is_up());
         log
     });
     let log = log
@@ -92,102 +97,109 @@
     insta::assert_snapshot!(log);
 }
 
-/// Guards against connections that become silent while new ones work: the watch
-/// must end, and the calls must move to a new connection.
+/// Guards against calls and watches that hang on an unresponsive connection
+/// while new connections work: the watch must end, and later calls must use a
+/// new connection.
 #[test]
-fn a_silent_connection_is_given_up() {
+fn an_unresponsive_connection_is_replaced() {
     let runtime = Runtime::new().expect("the runtime starts");
     let standin = Standin::spawn();
-    let (store, calls) = connect(standin.address, Millis(1_500));
+    let (store, counters) = connect(standin.address, Millis(1_500));
     runtime.block_on(async {
         let watch = (store.watch)(("s/".into(), Revision::default())).await;
         let mut updates = watch.expect("up");
-        standin.set("freeze");
+        standin.post_control("freeze");
         let write = put("s/a", "1", Revision::default());
-        let doubtful = (store.write)(write).await;
+        let unknown = (store.write)(write).await;
         assert!(
-            matches!(doubtful, Err(StoreError::Unknown { .. })),
-            "{doubtful:?}"
+            matches!(unknown, Err(StoreError::Unknown { .. })),
+            "{unknown:?}"
         );
         let write = put("s/b", "1", Revision::default());
         assert_eq!((store.write)(write).await, Ok(Revision(2)));
-        assert_eq!(next(&mut updates).await, None);
+        assert_eq!(next_update(&mut updates).await, None);
         assert_eq!((store.get)("s/a".into()).await, Ok(None));
     });
-    wait_until(&runtime, || calls.counts().open_watches == 0);
+    wait_until(&runtime, || counters.counts().open_watches == 0);
 }
 
-/// Guards a holder whose write was lost: it must not lose the key to itself.
+/// Guards against a holder that conflicts with its own write after the response
+/// of that write was lost.
 #[test]
-fn a_lease_survives_a_lost_response() {
+fn a_holder_keeps_its_key_after_a_lost_response() {
     let runtime = Runtime::new().expect("the runtime starts");
     let standin = Standin::spawn();
-    let [store] = over_protocol(&standin);
+    let [store] = etcd_stores(&standin);
     let record = Record {
         key: "l/key".into(),
         value: "x".into(),
         revision: Revision::default(),
     };
     runtime.block_on(async {
-        let hold = || (store.lease)((record.clone(), Millis(60_000)));
-        standin.set("lose/1");
-        let lost = hold().await;
+        let acquire_or_renew = || (store.lease)((record.clone(), Millis(60_000)));
+        standin.post_control("lose/1");
+        let lost = acquire_or_renew().await;
         assert!(matches!(lost, Err(StoreError::Unknown { .. })), "{lost:?}");
-        assert_eq!(hold().await, Ok(()));
-        assert_eq!(list(&store, "l/").await.0, ["l/key = x at 3"]);
-        // Somebody deletes the key, so the holder writes it again.
+        assert_eq!(acquire_or_renew().await, Ok(()));
+        assert_eq!(list_records(&store, "l/").await.0, ["l/key = x at 3"]);
+        // Another client deletes the key, so the holder creates it again.
         let deleted = delete("l/key", Revision(3));
         (store.write)(deleted).await.expect("up");
-        assert_eq!(hold().await, Ok(()));
-        // Somebody else writes the key, so the holder has lost it.
+        assert_eq!(acquire_or_renew().await, Ok(()));
+        // Another client writes the key, so the holder gets a conflict.
         let taken = put("l/key", "y", Revision(5));
         (store.write)(taken).await.expect("up");
-        assert_eq!(hold().await, Err(StoreError::Conflict(Revision(6))));
+        assert_eq!(
+            acquire_or_renew().await,
+            Err(StoreError::Conflict(Revision(6)))
+        );
     });
 }
 
-/// Guards the endpoints' order: one that is closed or silent must not stop the
-/// calls, except for a write that may already have taken effect.
+/// Guards against calls that fail because of one closed or unresponsive
+/// endpoint although another one works. Only a write that may have taken effect
+/// must not be sent to the next endpoint.
 #[test]
 fn endpoints_are_tried_in_turn() {
     let runtime = Runtime::new().expect("the runtime starts");
     let standin = Standin::spawn();
-    let silent = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let unresponsive = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
     let address = |l: &std::net::TcpListener| l.local_addr().expect("it is bound");
-    let (silent_at, closed_at) = (address(&silent), address(&closed));
+    let (unresponsive_address, closed_address) = (address(&unresponsive), address(&closed));
     drop(closed);
     let open = |endpoints: &[SocketAddr]| etcd::open(endpoints, Millis(1_500), Arc::default());
     runtime.block_on(async {
-        let store = open(&[closed_at, standin.address]);
+        let store = open(&[closed_address, standin.address]);
         let first = (store.write)(put("k", "1", Revision::default())).await;
         assert_eq!(first, Ok(Revision(2)));
-        let store = open(&[silent_at, standin.address]);
+        let store = open(&[unresponsive_address, standin.address]);
         assert!((store.get)("k".into()).await.is_ok());
         assert_eq!(
             (store.write)(put("k", "2", Revision(2))).await,
             Ok(Revision(3))
         );
-        let store = open(&[silent_at, standin.address]);
+        let store = open(&[unresponsive_address, standin.address]);
         let write = put("k", "3", Revision(3));
-        let doubtful = (store.write)(write.clone()).await;
+        let unknown = (store.write)(write.clone()).await;
         assert!(
-            matches!(doubtful, Err(StoreError::Unknown { .. })),
-            "{doubtful:?}"
+            matches!(unknown, Err(StoreError::Unknown { .. })),
+            "{unknown:?}"
         );
-        // The next call begins with the other endpoint.
+        // The next call starts with the other endpoint.
         assert_eq!((store.write)(write).await, Ok(Revision(4)));
         let none = (open(&[]).get)("k".into()).await.expect_err("no endpoint");
         insta::assert_snapshot!(none, @"get at (none): no endpoint is configured");
     });
 }
 
-/// Guards the store's rate: what this process counts is what the store sees.
+/// Guards against calls that are not counted, because the store limits their
+/// rate: the counters must agree with those of the stand-in.
 #[test]
-fn calls_are_counted_as_the_store_counts_them() {
+fn call_counts_agree_with_those_of_the_store() {
     let runtime = Runtime::new().expect("the runtime starts");
     let standin = Standin::spawn();
-    let (store, calls) = connect(standin.address, PATIENT);
+    let (store, counters) = connect(standin.address, LONG_TIMEOUT);
     runtime.block_on(async {
         let record = Record {
             key: "l".into(),
@@ -204,8 +216,8 @@
         let watch = (store.watch)(("k/".into(), Revision::default()))
             .await
             .expect("up");
-        list(&store, "k/").await;
-        let counts = calls.counts();
+        list_records(&store, "k/").await;
+        let counts = counters.counts();
         let seen = ["range", "txn", "watch"].map(|kind| standin.count(kind));
         assert_eq!([counts.reads, counts.writes, counts.watches], seen);
         assert_eq!(
@@ -216,6 +228,6 @@
         drop(watch);
     });
     wait_until(&runtime, || {
-        calls.counts().open_watches == 0 && standin.count("waiting") == 0
+        counters.counts().open_watches == 0 && standin.count("waiting") == 0
     });
 }
--- a/tests/store/main.rs
+++ b/tests/store/main.rs
@@ -1,6 +1,7 @@
-//! Guards the store behind its port. The same scenarios run in memory and over
-//! the store's protocol against the stand-in, because what is tried in memory
-//! must hold for the platform's store.
+//! Tests of both implementations of the store. The same scenarios run against
+//! the in-memory store and, over the etcd protocol, against the stand-in
+//! `examples/store_standin`, because other tests use the store in memory and
+//! their results must hold for the platform's store.
 
 mod edits;
 mod faults;
--- a/tests/store/semantics.rs
+++ b/tests/store/semantics.rs
@@ -1,4 +1,4 @@
-//! What the store promises while it is up.
+//! The semantics of the store while it is available.
 
 use std::{collections::BTreeMap, sync::OnceLock};
 
@@ -13,12 +13,17 @@
 
 use crate::{
     standin::Standin,
-    support::{delete, in_memory, list, next, on_both, over_protocol, put, show, text, until},
+    support::{
+        delete, etcd_stores, format_update, list_records, memory_stores, next_update, put,
+        read_through, run_on_both, to_text,
+    },
 };
 
+/// Guards against differences between the implementations: writes, deletions
+/// and conflicts, watches from two revisions, and lists of several prefixes.
 #[test]
-fn writes_lists_and_watches_behave_alike() {
-    let log = on_both(|[store]| async move {
+fn writes_lists_and_watches_agree_in_memory_and_over_etcd() {
+    let log = run_on_both(|[store]| async move {
         let mut log = Vec::new();
         let zero = Revision::default();
         let a = (store.write)(put("d/a", "1", zero))
@@ -42,56 +47,60 @@
             (store.write)(delete("d/a", found.revision)).await
         ));
         log.push(format!("{:?}", (store.get)("d/a".into()).await));
-        let again = (store.write)(put("d/a", "3", zero)).await.expect("gone");
-        log.extend(until(&mut updates, again).await);
-        let mut later = (store.watch)(("d/".into(), found.revision))
+        let recreated = (store.write)(put("d/a", "3", zero)).await.expect("gone");
+        log.extend(read_through(&mut updates, recreated).await);
+        let mut resumed = (store.watch)(("d/".into(), found.revision))
             .await
             .expect("up");
-        log.extend(until(&mut later, again).await);
+        log.extend(read_through(&mut resumed, recreated).await);
         for prefix in ["d/", "", "d/b", "z"] {
-            log.push(format!("{prefix:?}: {:?}", list(&store, prefix).await));
+            log.push(format!(
+                "{prefix:?}: {:?}",
+                list_records(&store, prefix).await
+            ));
         }
         log
     });
     insta::assert_snapshot!(log);
 }
 
-/// Guards the paging of lists: a key that is left out would be a document that
-/// is not in effect anywhere.
+/// Guards against lists that omit keys at a page boundary, which would keep a
+/// document from taking effect, and against values that are truncated or
+/// refused although they have the maximum size.
 #[test]
-fn long_lists_and_large_values_are_complete() {
-    on_both(|[store]| async move {
+fn paged_lists_and_values_of_the_maximum_size_are_complete() {
+    run_on_both(|[store]| async move {
         for n in 0..150 {
             let write = put(&format!("p/{n:03}"), "x", Revision::default());
             (store.write)(write).await.expect("a new key");
         }
-        let (keys, _) = list(&store, "p/").await;
+        let (keys, _) = list_records(&store, "p/").await;
         let sorted = keys.is_sorted();
         let large = "x".repeat(MAX_VALUE_BYTES);
-        let at = (store.write)(put("q/max", &large, Revision::default())).await;
+        let written = (store.write)(put("q/max", &large, Revision::default())).await;
         let found = (store.get)("q/max".into())
             .await
             .expect("up")
             .expect("there");
         let over = (store.write)(put("q/over", &(large + "x"), Revision::default())).await;
         let refused = matches!(over, Err(StoreError::Down { .. }));
-        let none = (store.get)("q/over".into()).await;
-        assert!(at.is_ok() && sorted && refused && none == Ok(None));
+        let over_record = (store.get)("q/over".into()).await;
+        assert!(written.is_ok() && sorted && refused && over_record == Ok(None));
         assert_eq!((keys.len(), found.value.len()), (150, MAX_VALUE_BYTES));
         keys
     });
 }
 
-/// Guards compare-and-swap under concurrency: an increment that is lost would be
-/// an edit that is accepted and has no effect.
+/// Guards against lost updates by concurrent compare-and-swap writes, in which
+/// an accepted edit would have no effect.
 #[test]
-fn racing_writers_lose_no_write() {
+fn concurrent_increments_lose_no_update() {
     async fn increment(store: Store, times: u32) {
         for _ in 0..times {
             loop {
                 let found = (store.get)("n".into()).await.expect("up");
                 let (value, expected) = found.map_or((0, Revision::default()), |r| {
-                    (text(&r.value).parse().expect("a number"), r.revision)
+                    (to_text(&r.value).parse().expect("a number"), r.revision)
                 });
                 let write = put("n", &(value + 1).to_string(), expected);
                 match (store.write)(write).await {
@@ -102,22 +111,23 @@
             }
         }
     }
-    let log = on_both(|stores: [Store; 4]| async move {
+    let log = run_on_both(|stores: [Store; 4]| async move {
         let reader = stores[0].clone();
         let tasks = stores.map(|s| tokio::spawn(increment(s, 25)));
         futures::future::try_join_all(tasks)
             .await
             .expect("no task panics");
-        list(&reader, "n").await.0
+        list_records(&reader, "n").await.0
     });
     assert_eq!(log, "n = 100 at 101");
 }
 
-/// Guards lists against mixing moments: a process that starts from such a list
-/// would miss what changed in between, although its watch goes on from there.
+/// Guards against lists that mix revisions while keys are being written. A
+/// process that continues such a list with a watch would miss the changes made
+/// in between.
 #[test]
-fn a_list_shows_one_moment() {
-    async fn count_up(store: Store) {
+fn a_list_is_a_consistent_snapshot() {
+    async fn increment_keys_in_turn(store: Store) {
         let mut expected = [Revision::default(); 16];
         for n in 0..100 {
             for (key, expected) in expected.iter_mut().enumerate() {
@@ -126,31 +136,34 @@
             }
         }
     }
-    on_both(|[reader, writer]| async move {
-        let task = tokio::spawn(count_up(writer));
+    run_on_both(|[reader, writer]| async move {
+        let task = tokio::spawn(increment_keys_in_turn(writer));
         while !task.is_finished() {
             let snapshot = (reader.list)("m/".into()).await.expect("up");
-            let value = |r: &Record| text(&r.value).parse::<u32>().expect("a number");
+            let value = |r: &Record| to_text(&r.value).parse::<u32>().expect("a number");
             let values: Vec<u32> = snapshot.records.iter().map(value).collect();
-            // The keys count up one after the other.
-            let ahead = values.first().zip(values.last()).map(|(a, b)| a - b);
+            // The writer increments the keys in turn, so in any consistent
+            // snapshot the values do not increase from key to key and differ by
+            // at most one.
+            let difference = values.first().zip(values.last()).map(|(a, b)| a - b);
             let ordered = values.is_sorted_by(|a, b| a >= b);
-            assert!(ordered && ahead.unwrap_or_default() <= 1, "{values:?}");
+            assert!(ordered && difference.unwrap_or_default() <= 1, "{values:?}");
             let latest = snapshot.records.iter().map(|r| r.revision).max();
             assert!(latest.is_none_or(|r| r == snapshot.revision));
             tokio::task::yield_now().await;
         }
-        task.await.expect("the writer ends well");
+        task.await.expect("the writer does not panic");
         Vec::new()
     });
 }
 
-/// Guards the memory of `dev`: a reader that stands still, or that starts too
-/// far back, is sent back to list instead of growing a queue.
+/// Guards the memory use of `dev`: the watch of a reader that is too slow ends,
+/// and a watch from before the start of the log ends immediately, so that the
+/// reader lists again and no queue grows without bound.
 #[test]
-fn a_slow_watch_in_memory_ends() {
+fn a_slow_watch_in_memory_ends_and_a_compacted_one_is_refused() {
     let runtime = Runtime::new().expect("the runtime starts");
-    let [store] = in_memory();
+    let [store] = memory_stores();
     runtime.block_on(async {
         let watch = |after| (store.watch)(("k".into(), after));
         let mut slow = watch(Revision::default()).await.expect("up");
@@ -161,7 +174,7 @@
                 .expect("the only writer");
         }
         let mut seen = Revision::default();
-        while let Some(update) = next(&mut slow).await {
+        while let Some(update) = next_update(&mut slow).await {
             let Update::Put(record) = update else {
                 panic!("nothing is deleted");
             };
@@ -169,18 +182,25 @@
             seen = record.revision;
         }
         assert!(seen < last, "the slow watch ends");
-        let mut early = watch(Revision::default()).await.expect("up");
-        assert_eq!(next(&mut early).await, None);
+        let mut compacted = watch(Revision::default()).await.expect("up");
+        assert_eq!(next_update(&mut compacted).await, None);
         let mut recent = watch(Revision(4_000)).await.expect("up");
-        assert_eq!(until(&mut recent, last).await.len(), 1_001);
-        assert_eq!(list(&store, "k").await.0, [format!("k = x at {last}")]);
+        assert_eq!(read_through(&mut recent, last).await.len(), 1_001);
+        assert_eq!(
+            list_records(&store, "k").await.0,
+            [format!("k = x at {last}")]
+        );
     });
 }
 
-/// Compares random writes with a plain model of a register per key.
+/// Compares the results of random writes with a model of one register per key.
 #[test]
-fn random_writes_follow_the_model() {
-    fn model(ops: &[(u8, bool, bool)], store: &Store, runtime: &Runtime) -> TestResult {
+fn random_writes_agree_with_a_model() {
+    fn check_against_model(
+        ops: &[(u8, bool, bool)],
+        store: &Store,
+        runtime: &Runtime,
+    ) -> TestResult {
         let mut model: BTreeMap<u8, Revision> = BTreeMap::new();
         let base = runtime
             .block_on((store.list)(Bytes::new()))
@@ -203,7 +223,9 @@
                 Err(e) if e != StoreError::Conflict(current) => {
                     return TestResult::error(e.to_string());
                 }
-                Err(_) if !stale => return TestResult::error("a good write was refused"),
+                Err(_) if !stale => {
+                    return TestResult::error("a write with the current revision was refused");
+                }
                 Err(_) => {}
             }
         }
@@ -213,17 +235,17 @@
         let found: Vec<Revision> = found.records.iter().map(|r| r.revision).collect();
         TestResult::from_bool(found == model.into_values().collect::<Vec<_>>())
     }
-    // quickcheck takes only functions without environment.
+    // quickcheck takes only function pointers, which cannot capture the stores.
     static STORES: OnceLock<(Runtime, Standin, [Store; 2])> = OnceLock::new();
-    #[allow(clippy::needless_pass_by_value)] // quickcheck passes values.
+    #[allow(clippy::needless_pass_by_value)] // quickcheck passes arguments by value.
     fn property(ops: Vec<(u8, bool, bool)>) -> TestResult {
         let (runtime, _, stores) = STORES.get_or_init(|| {
             let standin = Standin::spawn();
-            let ([near], [far]) = (in_memory(), over_protocol(&standin));
+            let ([memory_store], [etcd_store]) = (memory_stores(), etcd_stores(&standin));
             let runtime = Runtime::new().expect("the runtime starts");
-            (runtime, standin, [near, far])
+            (runtime, standin, [memory_store, etcd_store])
         });
-        let mut results = stores.iter().map(|s| model(&ops, s, runtime));
+        let mut results = stores.iter().map(|s| check_against_model(&ops, s, runtime));
         let failed = results.find(TestResult::is_failure);
         failed.unwrap_or_else(TestResult::passed)
     }
@@ -231,17 +253,18 @@
     QuickCheck::new().tests(50).quickcheck(property);
 }
 
-/// Guards leases: a holder that was paused must learn that it lost the key, and
-/// the others that it is free.
+/// Guards against two holders of one key: after a lease has expired, a watch
+/// reports that the key is free, another holder can take it, and the paused
+/// holder gets a conflict.
 #[test]
 fn an_expired_lease_passes_to_another_holder() {
-    let log = on_both(|[first, second]| async move {
+    let log = run_on_both(|[first, second]| async move {
         let record = |value: &str| Record {
             key: "l/key".into(),
             value: Bytes::copy_from_slice(value.as_bytes()),
             revision: Revision::default(),
         };
-        let time = Millis(1_000);
+        let ttl = Millis(1_000);
         let mut log = Vec::new();
         let mut updates = (second.watch)(("l/".into(), Revision::default()))
             .await
@@ -249,24 +272,26 @@
         for value in ["a", "a", "b"] {
             log.push(format!(
                 "first: {:?}",
-                (first.lease)((record(value), time)).await
+                (first.lease)((record(value), ttl)).await
             ));
         }
         log.push(format!(
             "second: {:?}",
-            (second.lease)((record("c"), time)).await
+            (second.lease)((record("c"), ttl)).await
         ));
-        // The first holder pauses, so its lease ends.
+        // The first holder stops renewing, so its lease expires.
         for _ in 0..3 {
-            log.push(show(&next(&mut updates).await.expect("the watch goes on")));
+            log.push(format_update(
+                &next_update(&mut updates).await.expect("the watch is open"),
+            ));
         }
         log.push(format!(
             "second: {:?}",
-            (second.lease)((record("c"), time)).await
+            (second.lease)((record("c"), ttl)).await
         ));
         log.push(format!(
             "first: {:?}",
-            (first.lease)((record("b"), time)).await
+            (first.lease)((record("b"), ttl)).await
         ));
         log
     });
--- a/tests/store/standin.rs
+++ b/tests/store/standin.rs
@@ -7,20 +7,21 @@
     process::{Child, Command, Stdio},
 };
 
-/// A running stand-in, which ends with this value.
+/// A running stand-in. The process is killed when the value is dropped.
 pub struct Standin {
     child: Child,
     control: SocketAddr,
-    /// Where it serves the store's protocol.
+    /// The address at which it serves the etcd protocol.
     pub address: SocketAddr,
 }
 
 impl Standin {
     /// Starts a stand-in on free ports.
     pub fn spawn() -> Self {
-        let mut child = Command::new(binary())
+        let mut child = Command::new(binary_path())
             .args(["--listen", "127.0.0.1:0", "--control", "127.0.0.1:0"])
-            // It exits when its input ends, also if this process is killed.
+            // Makes it exit when its standard input is closed, which also
+            // happens if this process is killed.
             .arg("--until-eof")
             .stdin(Stdio::piped())
             .stdout(Stdio::piped())
@@ -44,7 +45,7 @@
     }
 
     /// Posts a control request, for example `slow/200`.
-    pub fn set(&self, path: &str) {
+    pub fn post_control(&self, path: &str) {
         self.request("POST", path);
     }
 
@@ -52,7 +53,7 @@
     pub fn count(&self, kind: &str) -> u64 {
         let counts: serde_json::Value =
             serde_json::from_str(&self.request("GET", "counts")).expect("the counts are JSON");
-        counts[kind].as_u64().expect("the count is there")
+        counts[kind].as_u64().expect("there is a count of the kind")
     }
 
     fn request(&self, method: &str, path: &str) -> String {
@@ -79,10 +80,13 @@
     }
 }
 
-/// Cargo puts tests into `deps` and examples into a folder beside it.
-fn binary() -> PathBuf {
+/// Returns the path of the example's binary. Cargo puts test binaries into
+/// `deps` and examples into `examples` next to it.
+fn binary_path() -> PathBuf {
     let test = std::env::current_exe().expect("the test has a path");
-    let deps = test.parent().expect("the test is in a folder");
-    let profile = deps.parent().expect("the folder is in the profile's");
+    let deps = test.parent().expect("the test binary is in a directory");
+    let profile = deps
+        .parent()
+        .expect("the directory is in the profile's directory");
     profile.join("examples").join("store_standin")
 }
--- a/tests/store/support.rs
+++ b/tests/store/support.rs
@@ -1,4 +1,4 @@
-//! What the tests of the store share.
+//! Helpers that the tests of the store share.
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -15,26 +15,29 @@
 
 use crate::standin::Standin;
 
-/// The timeout of calls that are expected to be answered.
-pub const PATIENT: Millis = Millis(5_000);
+/// The timeout of calls that are expected to get a response.
+pub const LONG_TIMEOUT: Millis = Millis(5_000);
 
 /// The timeout of calls that are expected to time out.
-pub const HASTY: Millis = Millis(100);
+pub const SHORT_TIMEOUT: Millis = Millis(100);
 
+/// Returns a client of the store at `address` and its counters.
 pub fn connect(address: SocketAddr, timeout: Millis) -> (Store, Arc<CallCounters>) {
-    let calls = Arc::new(CallCounters::default());
-    (etcd::open(&[address], timeout, calls.clone()), calls)
+    let counters = Arc::new(CallCounters::default());
+    (etcd::open(&[address], timeout, counters.clone()), counters)
 }
 
-/// Returns several processes' views of one store in memory.
-pub fn in_memory<const N: usize>() -> [Store; N] {
+/// Returns `N` handles of one in-memory store, each with its own leases, as
+/// separate processes would have them.
+pub fn memory_stores<const N: usize>() -> [Store; N] {
     let memory = memory::open(clock::open());
     std::array::from_fn(|_| memory.store(&Arc::default()))
 }
 
-/// Returns several processes' views of one stand-in.
-pub fn over_protocol<const N: usize>(standin: &Standin) -> [Store; N] {
-    std::array::from_fn(|_| connect(standin.address, PATIENT).0)
+/// Returns `N` clients of one stand-in, each with its own leases, as separate
+/// processes would have them.
+pub fn etcd_stores<const N: usize>(standin: &Standin) -> [Store; N] {
+    std::array::from_fn(|_| connect(standin.address, LONG_TIMEOUT).0)
 }
 
 pub fn put(key: &str, value: &str, expected: Revision) -> Write {
@@ -52,73 +55,88 @@
     }
 }
 
-pub fn text(bytes: &Bytes) -> String {
+pub fn to_text(bytes: &Bytes) -> String {
     String::from_utf8_lossy(bytes).into_owned()
 }
 
-pub fn show(update: &Update) -> String {
+pub fn format_update(update: &Update) -> String {
     match update {
         Update::Put(r) => format!(
             "put {} = {} at {}",
-            text(&r.key),
-            text(&r.value),
+            to_text(&r.key),
+            to_text(&r.value),
             r.revision
         ),
-        Update::Delete(key, revision) => format!("delete {} at {revision}", text(key)),
+        Update::Delete(key, revision) => format!("delete {} at {revision}", to_text(key)),
     }
 }
 
-/// Waits for an update. The limit only ends a test that would hang.
-pub async fn next(updates: &mut mpsc::Receiver<Update>) -> Option<Update> {
+/// Waits for the next update, or `None` if the watch ends. The timeout only
+/// prevents a failing test from hanging.
+pub async fn next_update(updates: &mut mpsc::Receiver<Update>) -> Option<Update> {
     let update = tokio::time::timeout(Duration::from_secs(60), updates.recv());
-    update.await.expect("the watch reports or ends")
+    update
+        .await
+        .expect("the watch returns an update or ends within 60 s")
 }
 
-/// Reads updates up to and including the one at `last`.
-pub async fn until(updates: &mut mpsc::Receiver<Update>, last: Revision) -> Vec<String> {
-    let mut shown = Vec::new();
+/// Reads updates up to and including the one at revision `last`.
+pub async fn read_through(updates: &mut mpsc::Receiver<Update>, last: Revision) -> Vec<String> {
+    let mut lines = Vec::new();
     loop {
-        let update = next(updates).await.expect("the watch goes on");
-        let at = match &update {
+        let update = next_update(updates).await.expect("the watch is open");
+        let revision = match &update {
             Update::Put(record) => record.revision,
             Update::Delete(_, revision) => *revision,
         };
-        shown.push(show(&update));
-        if at >= last {
-            return shown;
+        lines.push(format_update(&update));
+        if revision >= last {
+            return lines;
         }
     }
 }
 
-pub async fn list(store: &Store, prefix: &'static str) -> (Vec<String>, Revision) {
+pub async fn list_records(store: &Store, prefix: &'static str) -> (Vec<String>, Revision) {
     let snapshot = (store.list)(prefix.into()).await.expect("the store is up");
     let records = snapshot.records.iter();
-    let shown = records.map(|r| format!("{} = {} at {}", text(&r.key), text(&r.value), r.revision));
-    (shown.collect(), snapshot.revision)
+    let lines = records.map(|r| {
+        format!(
+            "{} = {} at {}",
+            to_text(&r.key),
+            to_text(&r.value),
+            r.revision
+        )
+    });
+    (lines.collect(), snapshot.revision)
 }
 
-/// Runs one scenario on both stores and returns its log, which must be the same.
-pub fn on_both<const N: usize, F>(scenario: impl Fn([Store; N]) -> F) -> String
+/// Runs a scenario against both implementations and returns its log, which must
+/// be the same for both.
+pub fn run_on_both<const N: usize, F>(scenario: impl Fn([Store; N]) -> F) -> String
 where
     F: Future<Output = Vec<String>>,
 {
     let runtime = Runtime::new().expect("the runtime starts");
     let standin = Standin::spawn();
-    let near = runtime.block_on(scenario(in_memory()));
-    let far = runtime.block_on(scenario(over_protocol(&standin)));
-    assert_eq!(near, far, "memory and protocol differ");
-    near.join("\n")
+    let in_memory_log = runtime.block_on(scenario(memory_stores()));
+    let protocol_log = runtime.block_on(scenario(etcd_stores(&standin)));
+    assert_eq!(
+        in_memory_log, protocol_log,
+        "the logs in memory and over the protocol differ"
+    );
+    in_memory_log.join("\n")
 }
 
-/// Waits until a condition holds. The limit only ends a test that would hang.
-pub fn wait_until(runtime: &Runtime, mut holds: impl FnMut() -> bool) {
+/// Waits until a condition holds, at most 3,000 times 20 ms. The limit only
+/// prevents a failing test from hanging.
+pub fn wait_until(runtime: &Runtime, mut condition: impl FnMut() -> bool) {
     runtime.block_on(async {
         for _ in 0..3_000 {
-            if holds() {
+            if condition() {
                 return;
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
-        panic!("the condition never holds");
+        panic!("the condition does not hold within 60 s");
     });
 }
