--- a/src/adapters/grpc/changes/mod.rs
+++ b/src/adapters/grpc/changes/mod.rs
@@ -1,88 +1,91 @@
-//! `Changes`: what one entry knows of the platform, passed on to another.
+//! `Changes`: the method that relays changes of the platform's state from one
+//! entry to another.
 
 mod config;
 mod messages;
 
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
-pub use self::messages::{AskMessage, NewsMessage};
+pub use self::messages::{ChangesReply, ChangesRequest};
 use super::{
     peers::{CallError, Peers, Step},
     server::Routes,
 };
 use crate::{
     domain::{Millis, Revision},
-    ports::{Ask, AskError, Batch, Changes, News},
+    ports::{AgedBatch, Batch, Changes, FetchError, FetchRequest},
 };
 
 const CHANGES: &str = "Changes";
 
-/// How long a reply may take beyond the time for which the other entry waits.
-const SLACK: Millis = Millis(250);
+/// How long a reply may take beyond the time for which the peer waits for
+/// changes.
+const REPLY_MARGIN: Millis = Millis(250);
 
-/// Registers the closure that answers with what this entry knows.
+/// Registers the closure that returns the changes that this entry knows.
 #[must_use]
 pub fn serve_changes<F, Fut>(routes: Routes, f: F) -> Routes
 where
     F: Clone + Fn(Option<Revision>, Millis) -> Fut + Send + Sync + 'static,
-    Fut: Future<Output = Result<News, AskError>> + Send + 'static,
+    Fut: Future<Output = Result<AgedBatch, FetchError>> + Send + 'static,
 {
-    routes.route(CHANGES, move |message: AskMessage| {
+    routes.route(CHANGES, move |message: ChangesRequest| {
         let news = f(message.after.map(Revision), Millis(message.wait_ms));
         async move {
             Ok(match news.await {
-                Ok(news) => messages::put(&news),
-                Err(AskError::Compacted) => NewsMessage {
+                Ok(news) => messages::encode(&news),
+                Err(FetchError::Compacted) => ChangesReply {
                     compacted: true,
-                    ..NewsMessage::default()
+                    ..ChangesReply::default()
                 },
-                Err(_) => NewsMessage::default(),
+                Err(_) => ChangesReply::default(),
             })
         }
     })
 }
 
-/// Opens the asking side.
+/// Returns the port that requests changes over `peers`.
 #[must_use]
 pub fn changes(peers: Arc<Peers>) -> Changes {
     Changes {
-        ask: Arc::new(move |ask| {
+        fetch: Arc::new(move |ask| {
             let peers = peers.clone();
             Box::pin(async move { call(&peers, ask).await })
         }),
     }
 }
 
-async fn call(peers: &Peers, ask: Ask) -> Result<News, AskError> {
-    let Ask { peer, after, wait } = ask;
-    let message = AskMessage {
+async fn call(peers: &Peers, request: FetchRequest) -> Result<AgedBatch, FetchError> {
+    let FetchRequest { peer, after, wait } = request;
+    let message = ChangesRequest {
         after: after.map(|r| r.0),
         wait_ms: wait.0,
     };
-    let reply = peers.call_within(peer, CHANGES, message, wait + SLACK);
-    let reply: NewsMessage = reply.await.map_err(|e| failed(peer, &e))?;
+    let reply = peers.call_within(peer, CHANGES, message, wait + REPLY_MARGIN);
+    let reply: ChangesReply = reply.await.map_err(|e| fetch_error(peer, &e))?;
     if reply.compacted {
-        return Err(AskError::Compacted);
+        return Err(FetchError::Compacted);
     }
     let Some(revision) = reply.revision.map(Revision) else {
-        return Err(AskError::Empty);
+        return Err(FetchError::Empty);
     };
-    let changes = messages::get(&reply);
-    let changes = changes.map_err(|e| failed(peer, &CallError::unreadable(CHANGES, peer, &e)))?;
-    Ok(News {
+    let changes = messages::decode(&reply);
+    let changes =
+        changes.map_err(|e| fetch_error(peer, &CallError::invalid_reply(CHANGES, peer, &e)))?;
+    Ok(AgedBatch {
         batch: Batch { changes, revision },
         age: Millis(reply.age_ms),
     })
 }
 
-fn failed(peer: SocketAddr, e: &CallError) -> AskError {
+fn fetch_error(peer: SocketAddr, e: &CallError) -> FetchError {
     let step = match e.step {
-        Step::Encode => "encode a question",
+        Step::Encode => "encode a request for changes",
         Step::Connect => "connect for changes",
         Step::Wait => "wait for changes",
         Step::Reply => "ask for changes",
     };
-    AskError::Failed {
+    FetchError::Failed {
         step,
         peer,
         cause: e.cause.clone(),
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -85,7 +85,7 @@
             _ = int.recv() => break,
             _ = hup.recv() => file.reload(&gateway.state, &mut current),
             () = tokio::time::sleep(RELOAD_PERIOD) => {
-                peers.sweep();
+                peers.close_idle();
                 file.reload(&gateway.state, &mut current);
             }
         }
@@ -102,9 +102,14 @@
 
 impl Source {
     fn new(path: Option<PathBuf>, port: u16) -> eyre::Result<Self> {
-        let variable = || std::env::var_os(settings::PATH_VARIABLE).map(PathBuf::from);
+        let variable = || std::env::var_os(settings::SETTINGS_PATH_VARIABLE).map(PathBuf::from);
         let path = path.or_else(variable);
-        let missing = || eyre!("--settings or {} is needed", settings::PATH_VARIABLE);
+        let missing = || {
+            eyre!(
+                "--settings or {} is needed",
+                settings::SETTINGS_PATH_VARIABLE
+            )
+        };
         let path = path.ok_or_else(missing)?;
         Ok(Self { path, port })
     }
--- a/src/app/entry/control/reports.rs
+++ b/src/app/entry/control/reports.rs
@@ -5,11 +5,11 @@
 use futures::StreamExt;
 
 use crate::{
-    adapters::grpc::{self, EventsAsked, Report},
+    adapters::grpc::{self, EventsQuery, Report},
     app::entry::State,
     domain::{EntryId, ParseError, ServiceName},
     policy::{member, timeline::Event},
-    ports::{EventQuery, admin::Gathered},
+    ports::{EventQuery, admin::GatheredEvents},
 };
 
 /// How many entries are queried at the same time. A query goes to every entry of
@@ -37,7 +37,7 @@
 }
 
 /// Returns the events of this entry.
-pub(super) fn local_events(state: &State, asked: &EventsAsked) -> Result<Vec<Event>, ParseError> {
+pub(super) fn local_events(state: &State, asked: &EventsQuery) -> Result<Vec<Event>, ParseError> {
     let part = |text: &str| (!text.is_empty()).then(|| text.parse()).transpose();
     let after = (!asked.after.is_empty())
         .then(|| asked.after.parse())
@@ -106,8 +106,8 @@
 pub(in crate::app::entry) async fn gather_events(
     state: &Arc<State>,
     query: EventQuery,
-) -> Gathered {
-    let asked = EventsAsked {
+) -> GatheredEvents {
+    let asked = EventsQuery {
         after: query
             .after
             .as_ref()
@@ -116,7 +116,7 @@
         part: query.part.map(|p| p.to_string()).unwrap_or_default(),
         limit: u32::try_from(query.limit).unwrap_or(u32::MAX),
     };
-    let mut gathered = Gathered {
+    let mut gathered = GatheredEvents {
         events: (state.events.read)(&query),
         missing: Vec::new(),
     };
