Reword the claim cost example

The names of the constants lacked what they count, and 'ask', 'fresh' and 'before' did not say what they hold. Names: CLAIMS -> CLAIM_COUNT, BODY -> BODY_BYTES, resident -> resident_bytes, ask -> handle_request, fresh -> unclaimed_vote. The comments say what the memory figure includes and why each request is decoded first. Output and behaviour are unchanged.

--- a/examples/claim_slope/main.rs
+++ b/examples/claim_slope/main.rs
@@ -1,8 +1,8 @@
-//! Measures what a claim costs at its home: time per vote, memory, and bytes on
-//! the wire.
+//! Measures the cost of a claim at the member that stores it, its home: time per
+//! vote, memory, and bytes on the wire.
 //!
-//! Run with `cargo run --release --example claim_slope`. The memory is the
-//! growth of the resident set, so it includes what the allocator wastes. The
+//! Run with `cargo run --release --example claim_slope`. Memory is measured as
+//! the growth of the resident set, so it includes allocator overhead. The
 //! recorded answer has a body of 300 bytes.
 
 use std::{
@@ -23,21 +23,21 @@
     },
 };
 
-const CLAIMS: u32 = 200_000;
-const BODY: usize = 300;
+const CLAIM_COUNT: u32 = 200_000;
+const BODY_BYTES: usize = 300;
 
 fn member(i: usize) -> Member {
     Member {
-        entry: format!("entry-{i}").parse().expect("a name"),
+        entry: format!("entry-{i}").parse().expect("a valid name"),
         incarnation: Incarnation(1_700_000_000),
     }
 }
 
-/// A vote whose key has the length of a UUID.
+/// Returns a vote whose key has 36 characters, as a UUID has.
 fn vote(i: u32) -> VoteRequest {
     let key = ClaimKey {
-        service: "payout-ledger".parse().expect("a name"),
-        key: format!("{i:036}").parse().expect("a key"),
+        service: "payout-ledger".parse().expect("a valid name"),
+        key: format!("{i:036}").parse().expect("a valid key"),
     };
     VoteRequest {
         key,
@@ -48,9 +48,10 @@
     }
 }
 
+/// Returns the request that records the answer to the request of `vote`.
 fn finish(vote: &VoteRequest) -> Finish {
     let headers = [("content-type", &b"application/json"[..])];
-    let answer = Answer::record(201, headers, Some(Bytes::from(vec![b'x'; BODY])));
+    let answer = Answer::record(201, headers, Some(Bytes::from(vec![b'x'; BODY_BYTES])));
     Finish {
         key: vote.key.clone(),
         fingerprint: vote.fingerprint,
@@ -59,18 +60,19 @@
     }
 }
 
-fn resident() -> u64 {
+/// Returns the resident memory of this process in bytes.
+fn resident_bytes() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let line = status.lines().find(|l| l.starts_with("VmRSS:"));
-    let kib = line.and_then(|l| l.split_whitespace().nth(1)?.parse().ok());
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
     kib.unwrap_or(0) * 1024
 }
 
 fn roster(entries: usize) -> Roster {
     let entry = |i: usize| RosterEntry {
         member: member(i),
-        region: format!("region-{}", i % 60).parse().expect("a name"),
-        az: format!("az-{}", i % 187).parse().expect("a name"),
+        region: format!("region-{}", i % 60).parse().expect("a valid name"),
+        az: format!("az-{}", i % 187).parse().expect("a valid name"),
     };
     Roster::new(Epoch(1), (0..entries).map(entry))
 }
@@ -90,59 +92,68 @@
         table.adopt(&HomeSet::default(), &homes);
         tables.insert(bucket, table);
     }
-    let mut ask = |request: &HomeRequest| {
-        let table = tables.get_mut(&request.bucket()).expect("a table");
+    let mut handle_request = |request: &HomeRequest| {
+        let table = tables
+            .get_mut(&request.bucket())
+            .expect("a table for every bucket");
         black_box(table.handle(request, Millis(1)))
     };
-    let before = resident();
-    for name in ["first vote", "repeated vote", "answer"] {
-        let mut time = Duration::ZERO;
-        for i in 0..CLAIMS {
-            // Decoded from a message, so that a claim shares no memory with us.
-            let request = match name {
+    let initial_bytes = resident_bytes();
+    for step in ["first vote", "repeated vote", "answer"] {
+        let mut total_time = Duration::ZERO;
+        for i in 0..CLAIM_COUNT {
+            // Decoding gives the table its own copy of the request, as for a
+            // claim from another process, so that its memory is counted.
+            let request = match step {
                 "answer" => HomeRequest::Finish(finish(&vote(i))),
                 _ => HomeRequest::Vote(vote(i)),
             };
-            let bytes = ClaimRequest::new(&member(1), Epoch(1), &request).encode_to_vec();
-            let claim = ClaimRequest::decode(&bytes[..]).expect("our own message");
-            let (_, _, request) = claim.into_parts().expect("our own message");
+            let encoded = ClaimRequest::new(&member(1), Epoch(1), &request).encode_to_vec();
+            let claim = ClaimRequest::decode(&encoded[..]).expect("a message encoded here");
+            let (_, _, request) = claim.into_parts().expect("a message encoded here");
             let start = Instant::now();
-            ask(&request);
-            time += start.elapsed();
+            handle_request(&request);
+            total_time += start.elapsed();
         }
-        let (time, memory) = (time / CLAIMS, (resident() - before) / u64::from(CLAIMS));
-        println!("{name}: {time:?}, then {memory} B of memory per claim");
+        let (mean_time, claim_bytes) = (
+            total_time / CLAIM_COUNT,
+            (resident_bytes() - initial_bytes) / u64::from(CLAIM_COUNT),
+        );
+        println!("{step}: {mean_time:?}, then {claim_bytes} B of memory per claim");
     }
 
-    let fresh = vote(CLAIMS);
-    let request = HomeRequest::Vote(fresh.clone());
+    let unclaimed_vote = vote(CLAIM_COUNT);
+    let request = HomeRequest::Vote(unclaimed_vote.clone());
     let release = Release {
-        key: fresh.key.clone(),
-        attempt: fresh.attempt,
+        key: unclaimed_vote.key.clone(),
+        attempt: unclaimed_vote.attempt,
     };
     let samples = [
         ("vote", request.clone()),
-        ("finish", HomeRequest::Finish(finish(&fresh))),
+        ("finish", HomeRequest::Finish(finish(&unclaimed_vote))),
         ("repeat", request.clone()),
         ("release", HomeRequest::Release(release)),
     ];
     for (name, request) in &samples {
-        let length = ClaimRequest::new(&member(1), Epoch(1), request).encoded_len();
-        let response = ask(request);
-        let reply = ClaimReply::new(&member(0), Epoch(1), &response).encoded_len();
-        println!("{name}: {length} B, reply {reply} B, to each of three homes");
+        let request_bytes = ClaimRequest::new(&member(1), Epoch(1), request).encoded_len();
+        let response = handle_request(request);
+        let reply_bytes = ClaimReply::new(&member(0), Epoch(1), &response).encoded_len();
+        println!("{name}: {request_bytes} B, reply {reply_bytes} B, to each of three homes");
     }
     let start = Instant::now();
-    for _ in 0..CLAIMS {
-        let bytes = ClaimRequest::new(&member(1), Epoch(1), &request).encode_to_vec();
-        let _ = black_box(ClaimRequest::decode(&bytes[..]).map(ClaimRequest::into_parts));
+    for _ in 0..CLAIM_COUNT {
+        let encoded = ClaimRequest::new(&member(1), Epoch(1), &request).encode_to_vec();
+        let _ = black_box(ClaimRequest::decode(&encoded[..]).map(ClaimRequest::into_parts));
     }
-    println!("encode and decode a vote: {:?}", start.elapsed() / CLAIMS);
+    println!(
+        "encode and decode a vote: {:?}",
+        start.elapsed() / CLAIM_COUNT
+    );
     for entries in [9, 2800] {
         let roster = roster(entries);
         let start = Instant::now();
-        Bucket::all().for_each(|b| drop(black_box(roster.homes(b))));
-        let time = start.elapsed();
-        println!("homes of all buckets, {entries} entries: {time:?}");
+        Bucket::all().for_each(|bucket| drop(black_box(roster.homes(bucket))));
+        let elapsed = start.elapsed();
+        println!("homes of all buckets, {entries} entries: {elapsed:?}");
     }
 }
