Reword the fleet cost example

Function names such as list, put, open and float hid what they do, and the module header named the measured work only as 'control'. Names: row -> measure_fleet, open -> start_fleet, list -> register_vm, put -> submit_document, addresses -> free_addresses, processor -> processor_seconds, resident -> resident_bytes, float -> to_f64. The comments say why start-up is excluded and why a free port may be taken. Output and behaviour are unchanged.

--- a/examples/fleet_slope/main.rs
+++ b/examples/fleet_slope/main.rs
@@ -1,13 +1,14 @@
-//! What the control work costs as the fleet grows, with real entries.
+//! Measures the cost of control work as the fleet grows, with real entries.
 //!
 //! ```text
 //! cargo run --release --example fleet_slope -- --sizes 3,9,30 --seconds 10
 //! ```
 //!
-//! It starts entries in this process on loopback, with real sockets between
-//! them and an embedded store that counts its calls as the platform does. Each
-//! row is one fleet: it settles, idles for the given time, gets one edit, and is
-//! stopped. There are no callers, so everything that is counted is control.
+//! The entries run in this process on loopback, with real sockets between them
+//! and an in-memory store that counts calls in the same way as the platform's
+//! store. Each row of the output is one fleet: it starts, idles for the given
+//! time, receives one edit, and stops. There are no callers, so all measured
+//! work is control work.
 
 use std::{
     fs,
@@ -38,11 +39,11 @@
     ports::{Clock, Store, Write},
 };
 
-/// The regions over which the entries are spread.
-const REGIONS: usize = 3;
+/// The number of regions over which the entries are distributed.
+const REGION_COUNT: usize = 3;
 
-/// How many services there are, with 12 targets each.
-const SERVICES: usize = 4;
+/// The number of services, with 12 targets each.
+const SERVICE_COUNT: usize = 4;
 
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
@@ -64,12 +65,12 @@
     println!("|---|---|---|---|---|---|---|---|---|---|");
     for size in options.sizes.split(',') {
         let size = size.trim().parse()?;
-        row(size, Duration::from_secs(options.seconds)).await?;
+        measure_fleet(size, Duration::from_secs(options.seconds)).await?;
     }
     Ok(())
 }
 
-/// A fleet with its store.
+/// A running fleet with its store.
 struct Fleet {
     entries: Vec<Entry>,
     calls: Vec<Arc<Calls>>,
@@ -77,48 +78,51 @@
     clock: Clock,
 }
 
-async fn row(size: usize, idle: Duration) -> eyre::Result<()> {
-    let before = resident()?;
+/// Runs one fleet and prints its row of the table.
+async fn measure_fleet(size: usize, idle: Duration) -> eyre::Result<()> {
+    let initial_bytes = resident_bytes()?;
     let start = Instant::now();
-    let fleet = open(size).await?;
+    let fleet = start_fleet(size).await?;
     join_all(fleet.entries.iter().map(Entry::ready)).await;
-    let settled = start.elapsed();
-    // Surveys of limits and reads of claims end within a few seconds.
+    let ready_time = start.elapsed();
+    // Excludes start-up work from the measurement: limit surveys and reads
+    // of claims end within a few seconds.
     tokio::time::sleep(Duration::from_secs(5)).await;
-    let (reads, writes, _) = fleet.count();
-    let (messages, bytes) = fleet.traffic();
-    let busy = processor()?;
+    let (reads, writes, _) = fleet.store_calls();
+    let (messages, bytes) = fleet.sent_traffic();
+    let initial_cpu = processor_seconds()?;
     tokio::time::sleep(idle).await;
     let seconds = idle.as_secs_f64();
-    let (reads_end, writes_end, watches) = fleet.count();
-    let (messages_end, bytes_end) = fleet.traffic();
-    let each = seconds * f64::from(u32::try_from(size)?);
-    let rate = |from: u64, to: u64, per: f64| float(to.saturating_sub(from)) / per;
-    let used = (processor()? - busy) * 100.0 / each;
-    let memory = (float(resident()?) - float(before)) / float(size as u64) / 1e6;
-    let edit = fleet.edit().await?;
+    let (reads_end, writes_end, watches) = fleet.store_calls();
+    let (messages_end, bytes_end) = fleet.sent_traffic();
+    let entry_seconds = seconds * f64::from(u32::try_from(size)?);
+    let rate = |start: u64, end: u64, divisor: f64| to_f64(end.saturating_sub(start)) / divisor;
+    let cpu_percent = (processor_seconds()? - initial_cpu) * 100.0 / entry_seconds;
+    let entry_mb = (to_f64(resident_bytes()?) - to_f64(initial_bytes)) / to_f64(size as u64) / 1e6;
+    let edit_time = fleet.time_edit().await?;
     println!(
-        "| {size} | {:.1} | {:.2} | {:.2} | {watches} | {:.1} | {:.0} | {used:.2} | {memory:.1} | {} |",
-        settled.as_secs_f64(),
+        "| {size} | {:.1} | {:.2} | {:.2} | {watches} | {:.1} | {:.0} | {cpu_percent:.2} | {entry_mb:.1} | {} |",
+        ready_time.as_secs_f64(),
         rate(reads, reads_end, seconds),
         rate(writes, writes_end, seconds),
-        rate(messages, messages_end, each),
-        rate(bytes, bytes_end, each),
-        edit.as_millis()
+        rate(messages, messages_end, entry_seconds),
+        rate(bytes, bytes_end, entry_seconds),
+        edit_time.as_millis()
     );
     join_all(fleet.entries.into_iter().map(Entry::stop)).await;
     Ok(())
 }
 
-async fn open(size: usize) -> eyre::Result<Fleet> {
+/// Submits the documents, then registers and starts `size` entries.
+async fn start_fleet(size: usize) -> eyre::Result<Fleet> {
     let clock = clock::open();
     let memory = memory::open(clock.clone());
     let store = memory.store(&Arc::default());
-    for n in 0..SERVICES {
-        put(&store, &clock, n, 5).await?;
+    for n in 0..SERVICE_COUNT {
+        submit_document(&store, &clock, n, 5).await?;
     }
-    let peers = addresses(size)?;
-    let callers = addresses(size)?;
+    let peers = free_addresses(size)?;
+    let callers = free_addresses(size)?;
     let mut fleet = Fleet {
         entries: Vec::new(),
         calls: Vec::new(),
@@ -126,9 +130,9 @@
         clock,
     };
     for (n, callers) in callers.into_iter().enumerate() {
-        list(&fleet.store, n).await?;
+        register_vm(&fleet.store, n).await?;
         let calls: Arc<Calls> = Arc::default();
-        let entry = spawn(n, callers, &peers, &fleet.clock, &memory, &calls).await?;
+        let entry = spawn_entry(n, callers, &peers, &fleet.clock, &memory, &calls).await?;
         fleet.entries.push(entry);
         fleet.calls.push(calls);
     }
@@ -136,34 +140,34 @@
 }
 
 impl Fleet {
-    /// Returns the reads and writes so far, and the waiting watches.
-    fn count(&self) -> (u64, u64, u64) {
-        let mut sum = (0, 0, 0);
+    /// Returns the store reads and writes so far, and the number of open watches.
+    fn store_calls(&self) -> (u64, u64, u64) {
+        let mut totals = (0, 0, 0);
         for calls in &self.calls {
             let counts = calls.counts();
-            sum.0 += counts.reads;
-            sum.1 += counts.writes;
-            sum.2 += counts.waiting;
+            totals.0 += counts.reads;
+            totals.1 += counts.writes;
+            totals.2 += counts.waiting;
         }
-        sum
+        totals
     }
 
-    /// Returns the messages and bytes that all entries have sent.
-    fn traffic(&self) -> (u64, u64) {
+    /// Returns the number of messages and bytes sent by all entries.
+    fn sent_traffic(&self) -> (u64, u64) {
         let counts = self.entries.iter().map(|e| e.state.fleet.traffic.counts());
         counts.fold((0, 0), |sum, c| {
             (sum.0 + c.messages_out, sum.1 + c.bytes_out)
         })
     }
 
-    /// Makes one edit and returns how long it takes to be in effect everywhere.
-    async fn edit(&self) -> eyre::Result<Duration> {
+    /// Submits one edit and returns the time until every entry has adopted it.
+    async fn time_edit(&self) -> eyre::Result<Duration> {
         let start = Instant::now();
-        let revision = put(&self.store, &self.clock, 0, 4).await?;
+        let revision = submit_document(&self.store, &self.clock, 0, 4).await?;
         let name: ServiceName = "service-0".parse()?;
         for entry in &self.entries {
-            let has = || entry.state.services.get(&name, |s| s.doc.revision());
-            while has() < Some(revision) {
+            let adopted = || entry.state.services.get(&name, |s| s.doc.revision());
+            while adopted() < Some(revision) {
                 tokio::time::sleep(Duration::from_millis(1)).await;
             }
         }
@@ -171,15 +175,16 @@
     }
 }
 
-/// Returns addresses that were free a moment ago.
-fn addresses(count: usize) -> eyre::Result<Vec<SocketAddr>> {
+/// Returns loopback addresses whose ports were free when they were drawn. Another
+/// process can take a port before an entry binds it.
+fn free_addresses(count: usize) -> eyre::Result<Vec<SocketAddr>> {
     let bind = |_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0));
     let listeners: Result<Vec<TcpListener>, std::io::Error> = (0..count).map(bind).collect();
     let addrs: Result<_, _> = listeners?.iter().map(TcpListener::local_addr).collect();
     Ok(addrs?)
 }
 
-async fn spawn(
+async fn spawn_entry(
     n: usize,
     callers: SocketAddr,
     peers: &[SocketAddr],
@@ -187,7 +192,7 @@
     memory: &Memory,
     calls: &Arc<Calls>,
 ) -> eyre::Result<Entry> {
-    let region = n % REGIONS;
+    let region = n % REGION_COUNT;
     let seeds: Vec<String> = peers.iter().take(3).map(ToString::to_string).collect();
     let text = format!(
         "[entry]\nname = e{n}\nregion = r{region}\naz = r{region}-a\ncallers = {callers}\n\
@@ -206,8 +211,8 @@
     entry::spawn(settings, ports).await
 }
 
-/// Lists a VM, as the platform does.
-async fn list(store: &Store, n: usize) -> eyre::Result<()> {
+/// Writes the record of an entry VM to the store, as the platform does.
+async fn register_vm(store: &Store, n: usize) -> eyre::Result<()> {
     let write = Write {
         key: [&vms::PREFIX[..], format!("e{n}").as_bytes()]
             .concat()
@@ -219,9 +224,16 @@
     Ok(())
 }
 
-async fn put(store: &Store, clock: &Clock, n: usize, slots: u32) -> eyre::Result<Revision> {
+/// Submits the document of service `n`, with `slots` slots.
+async fn submit_document(
+    store: &Store,
+    clock: &Clock,
+    n: usize,
+    slots: u32,
+) -> eyre::Result<Revision> {
     let name: ServiceName = format!("service-{n}").parse()?;
-    // Nothing listens there: targets that refuse connections cost a probe.
+    // Nothing listens on these addresses. Each target refuses connections, so its
+    // cost is that of a failed probe.
     let targets: Vec<String> = (0..12).map(|t| format!("127.0.{n}.{t}:9")).collect();
     let text = format!(
         "[service]\nname = {name}\nteam = slope\n[place p]\nregion = r0\naz = r0-a\nweight = 100\n\
@@ -237,29 +249,34 @@
     submit(store, &name, None, edit).await.map_err(|e| eyre!(e))
 }
 
-#[expect(clippy::cast_precision_loss, reason = "counts stay far below 2^52")]
-fn float(n: u64) -> f64 {
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "the counts are far below 2^52, so f64 holds them exactly"
+)]
+fn to_f64(n: u64) -> f64 {
     n as f64
 }
 
 /// Returns the resident memory of this process in bytes.
-fn resident() -> eyre::Result<u64> {
+fn resident_bytes() -> eyre::Result<u64> {
     let text = fs::read_to_string("/proc/self/statm")?;
     let pages: u64 = text
         .split(' ')
         .nth(1)
-        .ok_or_eyre("statm has no second field")?
+        .ok_or_eyre("/proc/self/statm has no second field")?
         .parse()?;
     Ok(pages * 4096)
 }
 
-/// Returns the processor time that this process has used, in seconds.
-fn processor() -> eyre::Result<f64> {
+/// Returns the processor time used by this process, in seconds.
+fn processor_seconds() -> eyre::Result<f64> {
     let text = fs::read_to_string("/proc/self/stat")?;
-    let (_, rest) = text.rsplit_once(')').ok_or_eyre("stat has no name")?;
+    let (_, rest) = text
+        .rsplit_once(')')
+        .ok_or_eyre("/proc/self/stat has no process name")?;
     let fields: Vec<&str> = rest.split_whitespace().collect();
     let ticks = |n: usize| fields.get(n).and_then(|f| f.parse::<u64>().ok());
-    // User and system time, in ticks of 10 ms.
+    // Fields 14 and 15 of /proc/self/stat: user and system time, in ticks of 10 ms.
     let (user, system) = (ticks(11), ticks(12));
-    Ok(float(user.zip(system).map_or(0, |(u, s)| u + s)) / 100.0)
+    Ok(to_f64(user.zip(system).map_or(0, |(u, s)| u + s)) / 100.0)
 }
