--- a/examples/limit_slope/main.rs
+++ b/examples/limit_slope/main.rs
@@ -1,11 +1,14 @@
-//! Prints what shared limits cost: time per admission, memory, and messages and
-//! bytes a second for each entry, by the number of entries.
+//! Prints the cost of shared limits by the number of entries: time per admission,
+//! memory, and the messages and bytes per second that each entry sends.
 //!
 //! Run with `cargo run --release --example limit_slope [SEED]`. Messages are
-//! counted in virtual time over the real encoding, so they depend only on the
-//! seed.
+//! encoded as on the wire and counted in virtual time, so their figures depend
+//! only on the seed.
 
-#![expect(clippy::cast_precision_loss, reason = "figures are printed for people")]
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "the printed figures are rounded anyway"
+)]
 
 mod cost;
 mod traffic;
@@ -14,10 +17,10 @@
     let seed = std::env::args().nth(1).and_then(|s| s.parse().ok());
     let seed = seed.unwrap_or(1);
     println!("seed {seed}");
-    cost::print_time();
-    let kept = [9, 47].map(cost::print_memory);
-    drop(kept);
+    cost::print_admission_time();
+    let ledgers = [9, 47].map(cost::print_memory);
+    drop(ledgers);
     for count in [3, 9, 30, 47] {
-        traffic::print(count, seed);
+        traffic::print_traffic(count, seed);
     }
 }
