--- a/examples/lookup_slope/main.rs
+++ b/examples/lookup_slope/main.rs
@@ -1,14 +1,14 @@
-//! Measures a look-up (client block, site, ranked entries) over table sizes and
-//! threads, also while changes are applied, and prints a Markdown table for
-//! docs/CAPACITY.md:
+//! Measures the cost of a lookup by table size and number of threads, with and
+//! without concurrent changes. A lookup finds the block of a client address, its
+//! site and the ranked entries. Prints the Markdown tables for docs/CAPACITY.md:
 //!
 //! ```text
 //! cargo run --release --locked --example lookup_slope
 //! ```
 
-#![allow(clippy::cast_precision_loss)] // Figures are rounded anyway.
+#![allow(clippy::cast_precision_loss)] // The printed figures are rounded anyway.
 
-mod world;
+mod fixture;
 
 use std::{
     fs,
@@ -18,67 +18,79 @@
     time::Duration,
 };
 
+use fixture::{Fixture, LOOKUP_COUNT, MEMBER_COUNT, SITE_COUNT, fixture, prefix};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{domain::SiteId, policy::lookup::BlockChange};
-use world::{LOOKUPS, MEMBERS, SITES, World, prefix, world};
 
-/// The sizes of the slope, up to the two-year size of docs/design.md.
-const BLOCKS: [usize; 3] = [10_000, 100_000, 1_300_000];
+/// The table sizes, up to the size that docs/design.md expects in two years.
+const BLOCK_COUNTS: [usize; 3] = [10_000, 100_000, 1_300_000];
+/// The rate of lookups over all members for which the CPU share is printed.
 const LOOKUPS_PER_SECOND: f64 = 10_000_000.0;
 
-const THREADS: [usize; 3] = [1, 4, 8];
+const THREAD_COUNTS: [usize; 3] = [1, 4, 8];
 const ROUNDS: usize = 3;
 
-/// The changes of one delta, and the pause between two deltas.
-const DELTA: usize = 100;
-const PAUSE: Duration = Duration::from_millis(10);
+/// The number of block changes in one delta.
+const CHANGES_PER_DELTA: usize = 100;
+/// The pause between two deltas.
+const DELTA_PAUSE: Duration = Duration::from_millis(10);
 
-/// Measures look-ups while deltas are applied, and the mean time of a delta
-/// in microseconds.
-fn measure_changing(world: &World, threads: usize) -> (f64, f64) {
-    let done = AtomicBool::new(false);
-    let change = || {
+/// Measures lookups while another thread applies deltas. Returns the processor
+/// time of a lookup in nanoseconds and the mean processor time of a delta in
+/// microseconds.
+fn measure_during_changes(fixture: &Fixture, threads: usize) -> (f64, f64) {
+    let stop_writer = AtomicBool::new(false);
+    let apply_deltas = || {
         let mut rng = SmallRng::seed_from_u64(12);
-        let (mut deltas, mut busy) = (0, 0.0);
-        while !done.load(Ordering::Relaxed) {
-            let site = |rng: &mut SmallRng| Some(SiteId(rng.random_range(0..SITES)));
-            let delta: Vec<BlockChange> = (0..DELTA)
+        let (mut delta_count, mut busy_ns) = (0, 0.0);
+        while !stop_writer.load(Ordering::Relaxed) {
+            let random_site = |rng: &mut SmallRng| Some(SiteId(rng.random_range(0..SITE_COUNT)));
+            let delta: Vec<BlockChange> = (0..CHANGES_PER_DELTA)
                 .map(|_| BlockChange {
                     prefix: prefix(&mut rng),
-                    site: site(&mut rng),
+                    site: random_site(&mut rng),
                 })
                 .collect();
-            let start = processor_time();
-            world.table.apply(&delta);
-            busy += processor_time() - start;
-            deltas += 1;
-            thread::sleep(PAUSE);
+            let start = processor_ns();
+            fixture.table.apply(&delta);
+            busy_ns += processor_ns() - start;
+            delta_count += 1;
+            thread::sleep(DELTA_PAUSE);
         }
-        busy / 1e3 / f64::from(deltas)
+        busy_ns / 1e3 / f64::from(delta_count)
     };
-    thread::scope(|s| {
-        let writer = s.spawn(change);
-        let time = measure(threads, |at| world.look_up(at));
-        done.store(true, Ordering::Relaxed);
-        (time, writer.join().expect("the writer ends"))
+    thread::scope(|scope| {
+        let writer = scope.spawn(apply_deltas);
+        let lookup_ns = measure(threads, |index| fixture.look_up(index));
+        stop_writer.store(true, Ordering::Relaxed);
+        (
+            lookup_ns,
+            writer.join().expect("a writer that does not panic"),
+        )
     })
 }
 
-/// Returns the processor time of one operation in nanoseconds, the median of
-/// several rounds. Elapsed time would include the other work of the machine.
+/// Returns the processor time of one operation in nanoseconds, as the median of
+/// several rounds. Elapsed time would include other work on the machine.
 fn measure<T>(threads: usize, operation: impl Fn(usize) -> T + Sync) -> f64 {
-    let one = &|thread: usize| {
-        let first = thread * LOOKUPS / threads;
-        let start = processor_time();
-        let results = (first..first + LOOKUPS).map(&operation);
-        results.for_each(|r| drop(black_box(r)));
-        processor_time() - start
+    let run_thread = &|thread: usize| {
+        let first = thread * LOOKUP_COUNT / threads;
+        let start = processor_ns();
+        let results = (first..first + LOOKUP_COUNT).map(&operation);
+        results.for_each(|result| drop(black_box(result)));
+        processor_ns() - start
     };
     let round = || {
-        thread::scope(|s| {
-            let all: Vec<_> = (0..threads).map(|t| s.spawn(move || one(t))).collect();
-            let times = all.into_iter().map(|t| t.join().expect("the thread ends"));
-            times.sum::<f64>() / (threads * LOOKUPS) as f64
+        thread::scope(|scope| {
+            let all: Vec<_> = (0..threads)
+                .map(|t| scope.spawn(move || run_thread(t)))
+                .collect();
+            let times = all.into_iter().map(|handle| {
+                handle
+                    .join()
+                    .expect("a measuring thread that does not panic")
+            });
+            times.sum::<f64>() / (threads * LOOKUP_COUNT) as f64
         })
     };
     let mut rounds: Vec<f64> = (0..ROUNDS).map(|_| round()).collect();
@@ -86,25 +98,25 @@
     rounds[ROUNDS / 2]
 }
 
-/// Returns the time that this thread has run, in nanoseconds.
-fn processor_time() -> f64 {
+/// Returns the processor time used by this thread, in nanoseconds.
+fn processor_ns() -> f64 {
     let stat = fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
     let time = stat.split(' ').next().and_then(|t| t.parse().ok());
-    time.expect("the kernel accounts for the time of threads")
+    time.expect("a kernel that accounts for the processor time of threads")
 }
 
-/// Returns the processor time of a new view in microseconds.
-fn measure_view(world: &World) -> f64 {
-    const VIEWS: u32 = 100;
-    let start = processor_time();
-    for _ in 0..VIEWS {
-        black_box(world.rebuild());
+/// Returns the processor time of building a view, in microseconds.
+fn measure_view(fixture: &Fixture) -> f64 {
+    const VIEW_COUNT: u32 = 100;
+    let start = processor_ns();
+    for _ in 0..VIEW_COUNT {
+        black_box(fixture.rebuild());
     }
-    (processor_time() - start) / 1e3 / f64::from(VIEWS)
+    (processor_ns() - start) / 1e3 / f64::from(VIEW_COUNT)
 }
 
 /// Returns the resident memory of this process in bytes.
-fn resident() -> usize {
+fn resident_bytes() -> usize {
     let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
     let pages = statm.split(' ').nth(1).and_then(|p| p.parse().ok());
     pages.unwrap_or(0) * 4096
@@ -115,30 +127,30 @@
         "| blocks | threads | block, ns | look-up, ns | with changes, ns | delta, µs | core at 10 M/s |"
     );
     println!("|---|---|---|---|---|---|---|");
-    let mut memory = Vec::new();
-    for blocks in BLOCKS {
-        let world = world(blocks);
-        let bytes = |size: u64, count: usize| size as f64 / count as f64;
-        memory.push(format!(
+    let mut memory_rows = Vec::new();
+    for blocks in BLOCK_COUNTS {
+        let fixture = fixture(blocks);
+        let bytes_per_item = |size: u64, count: usize| size as f64 / count as f64;
+        memory_rows.push(format!(
             "| {blocks} | {:.1} | {:.1} | {:.1} | {} | {:.0} |",
-            bytes(world.table.size().0, world.table.len()),
-            bytes(world.sites.size().0, SITES as usize),
-            bytes(world.view.size().0, world.view.len()),
-            resident() / 1_048_576,
-            measure_view(&world),
+            bytes_per_item(fixture.table.size().0, fixture.table.len()),
+            bytes_per_item(fixture.sites.size().0, SITE_COUNT as usize),
+            bytes_per_item(fixture.view.size().0, fixture.view.len()),
+            resident_bytes() / 1_048_576,
+            measure_view(&fixture),
         ));
-        for threads in THREADS {
-            let find = measure(threads, |at| world.find(at));
-            let whole = measure(threads, |at| world.look_up(at));
-            let (changing, delta) = measure_changing(&world, threads);
-            let core = LOOKUPS_PER_SECOND / MEMBERS as f64 * changing / 1e9 * 100.0;
+        for threads in THREAD_COUNTS {
+            let find_ns = measure(threads, |index| fixture.find(index));
+            let lookup_ns = measure(threads, |index| fixture.look_up(index));
+            let (changing_ns, delta_us) = measure_during_changes(&fixture, threads);
+            let core_percent = LOOKUPS_PER_SECOND / MEMBER_COUNT as f64 * changing_ns / 1e9 * 100.0;
             println!(
-                "| {blocks} | {threads} | {find:.0} | {whole:.0} | {changing:.0} | {delta:.0} | {core:.2}% |"
+                "| {blocks} | {threads} | {find_ns:.0} | {lookup_ns:.0} | {changing_ns:.0} | {delta_us:.0} | {core_percent:.2}% |"
             );
         }
     }
     println!(
         "\n| blocks | bytes per block | bytes per site | bytes per member | resident, MB | new view, µs |\n|---|---|---|---|---|---|"
     );
-    println!("{}", memory.join("\n"));
+    println!("{}", memory_rows.join("\n"));
 }
