Reword the control traffic example

Names: Run -> Simulation, go -> run_events, at -> schedule, gaps -> edit_rng, FORMING -> WARM_UP, SPAN -> MEASURED_TIME, item -> announcement, number -> entry_index, watched, serve, finish -> on_watch, on_request, on_reply, connect -> record_call, overhead -> measure_overhead. Fields and events say what they hold. Output and behaviour are unchanged.

--- a/examples/spread_slope/main.rs
+++ b/examples/spread_slope/main.rs
@@ -1,9 +1,10 @@
 //! Measures what control traffic costs per entry as the fleet grows.
 //!
-//! Entries run in one thread and in virtual time, over the real encoding. Each
-//! direction of a link takes 35 ms. Documents change 0.64 times a second, with
-//! 2 KB each and 1,900 services. The overhead of HTTP/2 is measured on loopback
-//! with real calls; TCP and IP headers are not counted.
+//! The entries run in one thread and in virtual time, and their messages are
+//! encoded as on the wire. A message takes 35 ms in each direction. There are
+//! 1,900 services with documents of 2 KB, and 0.64 edits per second. The overhead
+//! of HTTP/2 is measured with real calls on loopback. TCP and IP headers are not
+//! counted.
 //!
 //! ```text
 //! cargo run --release --locked --example spread_slope -- 9 30 100
@@ -18,42 +19,52 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{domain::Millis, policy::spread::watch_holders};
 
-use nodes::{Call, Node, SERVICES, item};
+use nodes::{Call, Node, SERVICE_COUNT, announcement};
 use tally::Tally;
 
-const DELAY: Millis = Millis(35);
-const TICK: Millis = Millis(100);
-/// The time in which a fleet forms, and the time that is measured after it.
-const FORMING: Millis = Millis(600_000);
-const SPAN: Millis = Millis(180_000);
+/// The delay of a message in one direction.
+const LINK_DELAY: Millis = Millis(35);
+const TICK_INTERVAL: Millis = Millis(100);
+/// The time before the measurement, in which the entries find each other.
+const WARM_UP: Millis = Millis(600_000);
+/// The time that is measured.
+const MEASURED_TIME: Millis = Millis(180_000);
 const EDITS_PER_SECOND: f64 = 0.64;
 
 enum Event {
+    /// The tick of an entry.
     Tick(usize),
+    /// An edit of the next service.
     Edit,
-    /// A holder's watch reports an edit.
+    /// An entry's watch on the store reports the edit with this revision.
     Watch(usize, u64),
+    /// A request arrives: the sender, the receiver and the request.
     Request(usize, usize, Call),
+    /// A reply arrives: the sender and receiver of the request, the request and
+    /// the reply.
     Reply(usize, usize, Call, Call),
 }
 
-struct Run {
+/// A simulated fleet with its pending events.
+struct Simulation {
     nodes: Vec<Node>,
+    /// The pending events, ordered by time and then by the order of scheduling.
     queue: BTreeMap<(Millis, u64), Event>,
-    serial: u64,
+    sequence: u64,
     rng: SmallRng,
-    /// A source of its own, so that all sizes see the same edits.
-    gaps: SmallRng,
+    /// The random source of the times between edits. It is separate from `rng`, so
+    /// that the edits are the same for all sizes.
+    edit_rng: SmallRng,
     tally: Tally,
 }
 
 fn main() -> eyre::Result<()> {
-    let sizes = std::env::args().skip(1).map(|a| a.parse());
+    let sizes = std::env::args().skip(1).map(|size| size.parse());
     let mut sizes = sizes.collect::<Result<Vec<usize>, _>>()?;
     if sizes.is_empty() {
         sizes = vec![9, 30, 100];
     }
-    let overhead = wire::overhead()?;
+    let overhead = wire::measure_overhead()?;
     println!("bytes of HTTP/2 per call, both directions: {overhead}\n");
     println!("Sent per entry and second; as much is received.\n");
     println!(
@@ -61,104 +72,117 @@
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|");
     for size in sizes {
-        let mut run = Run::new(size);
-        run.go();
-        println!("{}", run.tally.row(size, SPAN, &overhead));
+        let mut simulation = Simulation::new(size);
+        simulation.run_events();
+        println!("{}", simulation.tally.row(size, MEASURED_TIME, &overhead));
     }
     Ok(())
 }
 
-impl Run {
+impl Simulation {
     fn new(size: usize) -> Self {
-        let mut run = Self {
+        let mut simulation = Self {
             nodes: (0..size).map(Node::new).collect(),
             queue: BTreeMap::new(),
-            serial: 0,
+            sequence: 0,
             rng: SmallRng::seed_from_u64(1),
-            gaps: SmallRng::seed_from_u64(2),
+            edit_rng: SmallRng::seed_from_u64(2),
             tally: Tally::default(),
         };
         for n in 0..size {
-            // Entries start at different times, so that probes are not in step.
-            let start = Millis(run.rng.random_range(1..=1_000));
-            run.at(start, Event::Tick(n));
+            // Entries start at different times, so that they do not all probe at the
+            // same time.
+            let start = Millis(simulation.rng.random_range(1..=1_000));
+            simulation.schedule(start, Event::Tick(n));
         }
-        run.at(FORMING, Event::Edit);
-        run
+        simulation.schedule(WARM_UP, Event::Edit);
+        simulation
     }
 
-    fn at(&mut self, time: Millis, event: Event) {
-        self.serial += 1;
-        self.queue.insert((time, self.serial), event);
+    /// Adds an event to the queue.
+    fn schedule(&mut self, time: Millis, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((time, self.sequence), event);
     }
 
-    fn go(&mut self) {
+    /// Processes events until the measured time ends.
+    fn run_events(&mut self) {
         while let Some(((now, _), event)) = self.queue.pop_first() {
-            if now >= FORMING + SPAN {
+            if now >= WARM_UP + MEASURED_TIME {
                 break;
             }
             self.take(now, event);
         }
     }
 
+    /// Processes one event.
     fn take(&mut self, now: Millis, event: Event) {
         match event {
             Event::Tick(n) => {
                 let calls = self.nodes[n].tick(now, &mut self.rng);
                 self.send(now, n, calls);
-                self.at(now + TICK, Event::Tick(n));
+                self.schedule(now + TICK_INTERVAL, Event::Tick(n));
             }
             Event::Edit => self.edit(now),
             Event::Watch(n, revision) => {
-                let calls = self.nodes[n].watched(now, &item(revision), &mut self.rng);
-                self.adopted(now, n);
+                let calls = self.nodes[n].on_watch(now, &announcement(revision), &mut self.rng);
+                self.record_adoptions(now, n);
                 self.send(now, n, calls);
             }
             Event::Request(from, to, call) => {
-                let (reply, calls) = self.nodes[to].serve(now, from, &call, &mut self.rng);
-                if now >= FORMING {
-                    self.tally.message(&reply);
+                let (reply, calls) = self.nodes[to].on_request(now, from, &call, &mut self.rng);
+                if now >= WARM_UP {
+                    self.tally.record_message(&reply);
                 }
-                self.at(now + DELAY, Event::Reply(from, to, call, reply));
+                self.schedule(now + LINK_DELAY, Event::Reply(from, to, call, reply));
                 self.send(now, to, calls);
             }
             Event::Reply(from, to, call, reply) => {
-                let calls = self.nodes[from].finish(now, to, &call, &reply, &mut self.rng);
-                self.adopted(now, from);
+                let calls = self.nodes[from].on_reply(now, to, &call, &reply, &mut self.rng);
+                self.record_adoptions(now, from);
                 self.send(now, from, calls);
             }
         }
     }
 
+    /// Edits the next service: the watches report the edit after the delay of a
+    /// message. Also schedules the edit after it.
     fn edit(&mut self, now: Millis) {
-        let revision = 2 + self.tally.edits();
-        assert!(revision < SERVICES, "each service is edited once");
-        self.tally.edit(now, revision);
+        let revision = 2 + self.tally.edit_count();
+        assert!(
+            revision < SERVICE_COUNT,
+            "each service can be edited only once"
+        );
+        self.tally.record_edit(now, revision);
         let holders = watch_holders(self.nodes[0].members.alive());
-        let holders: Vec<usize> = holders.into_iter().map(nodes::number).collect();
+        let holders: Vec<usize> = holders.into_iter().map(nodes::entry_index).collect();
         for n in holders {
-            self.at(now + DELAY, Event::Watch(n, revision));
+            self.schedule(now + LINK_DELAY, Event::Watch(n, revision));
         }
-        // Exponential gaps, as independent teams edit.
-        let gap = -self.gaps.random_range(f64::EPSILON..1.0).ln() / EDITS_PER_SECOND;
-        let gap = std::time::Duration::from_secs_f64(gap);
-        let gap = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
-        self.at(now + Millis(gap), Event::Edit);
+        // The times between edits are distributed exponentially, as for independent
+        // teams.
+        let interval = -self.edit_rng.random_range(f64::EPSILON..1.0).ln() / EDITS_PER_SECOND;
+        let interval = std::time::Duration::from_secs_f64(interval);
+        let interval = u64::try_from(interval.as_millis()).unwrap_or(u64::MAX);
+        self.schedule(now + Millis(interval), Event::Edit);
     }
 
-    fn adopted(&mut self, now: Millis, n: usize) {
+    /// Records the revisions that an entry has adopted since the last call.
+    fn record_adoptions(&mut self, now: Millis, n: usize) {
         for revision in std::mem::take(&mut self.nodes[n].adopted) {
-            self.tally.adopted(now, revision.0, self.nodes.len());
+            self.tally
+                .record_adoption(now, revision.0, self.nodes.len());
         }
     }
 
+    /// Records requests and schedules their arrival.
     fn send(&mut self, now: Millis, from: usize, calls: Vec<(usize, Call)>) {
         for (to, call) in calls {
-            if now >= FORMING {
-                self.tally.message(&call);
+            if now >= WARM_UP {
+                self.tally.record_message(&call);
             }
-            self.tally.connect(now, now >= FORMING, (from, to));
-            self.at(now + DELAY, Event::Request(from, to, call));
+            self.tally.record_call(now, now >= WARM_UP, (from, to));
+            self.schedule(now + LINK_DELAY, Event::Request(from, to, call));
         }
     }
 }
--- a/examples/spread_slope/nodes.rs
+++ b/examples/spread_slope/nodes.rs
@@ -1,4 +1,5 @@
-//! One entry: it decodes what it receives and encodes what it sends.
+//! A simulated entry, which decodes the messages that it receives and encodes
+//! those that it sends.
 
 use bytes::Bytes;
 use prost::Message;
@@ -15,10 +16,10 @@
     },
 };
 
-/// The number of services at the two-year size.
-pub const SERVICES: u64 = 1_900;
-/// The size of a document.
-const BODY: [u8; 2_048] = [b'x'; 2_048];
+/// The number of services expected in two years.
+pub const SERVICE_COUNT: u64 = 1_900;
+/// The body of every document.
+const DOCUMENT_BODY: [u8; 2_048] = [b'x'; 2_048];
 
 #[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Kind {
@@ -34,57 +35,65 @@
     pub bytes: Bytes,
 }
 
-/// Requests with the numbers of the entries that they go to.
+/// Requests, each with the index of the entry that receives it.
 pub type Calls = Vec<(usize, Call)>;
 
-fn call(kind: Kind, message: &impl Message) -> Call {
+fn encode_call(kind: Kind, message: &impl Message) -> Call {
     let bytes = message.encode_to_vec().into();
     Call { kind, bytes }
 }
 
 fn decode<T: Default + Message>(call: &Call) -> T {
-    T::decode(call.bytes.clone()).expect("an entry encoded it")
+    T::decode(call.bytes.clone()).expect("a message encoded by an entry")
 }
 
+/// A simulated entry.
 pub struct Node {
     pub members: Members,
-    /// The revisions adopted since the caller last looked.
+    /// The revisions adopted since the simulation last took them.
     pub adopted: Vec<Revision>,
     spread: Dissemination,
     peers: Vec<EntryId>,
-    refresh: Millis,
+    /// When `peers` is next updated from the membership.
+    refresh_at: Millis,
 }
 
-fn id(n: usize) -> EntryId {
-    format!("entry-{n:04}").parse().expect("a name")
+fn entry_id(n: usize) -> EntryId {
+    format!("entry-{n:04}").parse().expect("a valid name")
 }
 
-pub fn number(id: &EntryId) -> usize {
+/// Returns the index of the entry with this ID.
+pub fn entry_index(id: &EntryId) -> usize {
     let digits = id.as_str().trim_start_matches("entry-");
-    digits.parse().expect("a number")
+    digits.parse().expect("a valid index")
 }
 
-/// Returns the edit with this revision, each of another service.
-pub fn item(revision: u64) -> Announcement {
+/// Returns the announcement of the edit with this revision. Each revision belongs
+/// to another service.
+pub fn announcement(revision: u64) -> Announcement {
     Announcement {
-        service: format!("service-{revision:04}").parse().expect("a name"),
+        service: format!("service-{revision:04}")
+            .parse()
+            .expect("a valid name"),
         revision: Revision(revision),
     }
 }
 
-fn record(n: usize) -> Member {
-    let high = u8::try_from(n / 250).expect("few entries");
-    let low = u8::try_from(n % 250).expect("it is less than 250");
+/// Returns the membership record of an entry.
+fn member_record(n: usize) -> Member {
+    let high = u8::try_from(n / 250).expect("at most 64,000 entries");
+    let low = u8::try_from(n % 250).expect("a remainder below 250");
     let at = |port| ([10, 0, high, low], port).into();
     let region = format!("region-{}", n % 3);
     Member {
-        id: id(n),
-        // Milliseconds since 1970, as long as those of a real process.
+        id: entry_id(n),
+        // Milliseconds since 1970, so that the encoded value is as long as that of a
+        // real process.
         incarnation: Incarnation(1_800_000_000_000),
         version: Version(0),
         state: State::Alive,
-        az: format!("{region}-a").parse().expect("a name"),
-        region: region.parse().expect("a name"),
+        az: format!("{region}-a").parse().expect("a valid name"),
+        region: region.parse().expect("a valid name"),
         callers: at(8_080),
         admin: at(8_081),
         peers: at(8_082),
@@ -92,7 +101,8 @@
     }
 }
 
-fn entry(addr: std::net::SocketAddr) -> usize {
+/// Returns the index of the entry with this address.
+fn index_of(addr: std::net::SocketAddr) -> usize {
     let std::net::IpAddr::V4(ip) = addr.ip() else {
         unreachable!("all addresses are IPv4");
     };
@@ -103,19 +113,20 @@
 impl Node {
     pub fn new(n: usize) -> Self {
         let mut spread = Dissemination::new(spread::Tuning::default());
-        for service in 0..SERVICES {
-            spread.on_adopted(&item(service).service, Revision(1));
+        for service in 0..SERVICE_COUNT {
+            spread.on_adopted(&announcement(service).service, Revision(1));
         }
-        // Without peers the announcements of these go nowhere.
+        // The first tick has no peers, so the initial documents are announced to
+        // nobody.
         let mut rng = SmallRng::seed_from_u64(0);
         spread.tick(Millis(0), &[], &mut rng);
-        let seeds = vec![record(0).peers];
+        let seeds = vec![member_record(0).peers];
         Self {
-            members: Members::new(record(n), seeds, member::Tuning::default()),
+            members: Members::new(member_record(n), seeds, member::Tuning::default()),
             adopted: Vec::new(),
             spread,
             peers: Vec::new(),
-            refresh: Millis(0),
+            refresh_at: Millis(0),
         }
     }
 
@@ -127,20 +138,25 @@
         }
     }
 
+    /// Advances the entry to `now` and returns the resulting requests.
     pub fn tick(&mut self, now: Millis, rng: &mut impl Rng) -> Calls {
-        if now >= self.refresh {
-            let me = &self.members.local().id;
-            let others = self.members.alive().filter(|m| m.id != *me);
+        if now >= self.refresh_at {
+            let local = &self.members.local().id;
+            let others = self.members.alive().filter(|m| m.id != *local);
             self.peers = others.map(|m| m.id.clone()).collect();
-            self.refresh = now + Millis(1_000);
+            self.refresh_at = now + Millis(1_000);
         }
         let actions = self.members.tick(now, rng);
-        let mut calls: Calls = actions.into_iter().filter_map(|a| self.member(a)).collect();
-        calls.extend(self.spread(now, rng));
+        let mut calls: Calls = actions
+            .into_iter()
+            .filter_map(|a| self.membership_call(a))
+            .collect();
+        calls.extend(self.dissemination_calls(now, rng));
         calls
     }
 
-    fn member(&self, action: member::Action) -> Option<(usize, Call)> {
+    /// Encodes the request of a membership action.
+    fn membership_call(&self, action: member::Action) -> Option<(usize, Call)> {
         let sender = self.sender();
         match action {
             member::Action::Probe { to, nonce, updates } => {
@@ -151,18 +167,19 @@
                     updates,
                     root,
                 };
-                Some((entry(to), call(Kind::Probe, &probe.encode())))
+                Some((index_of(to), encode_call(Kind::Probe, &probe.encode())))
             }
             member::Action::Sync { to, digest } => {
                 let sync = Sync { sender, digest };
-                Some((entry(to), call(Kind::Sync, &sync.encode())))
+                Some((index_of(to), encode_call(Kind::Sync, &sync.encode())))
             }
-            // No message is lost here, so there is nothing to relay.
+            // The simulation loses no messages, so no probe needs to be relayed.
             member::Action::Relay { .. } => None,
         }
     }
 
-    fn spread(&mut self, now: Millis, rng: &mut impl Rng) -> Calls {
+    /// Returns the requests that are due for the dissemination of documents.
+    fn dissemination_calls(&mut self, now: Millis, rng: &mut impl Rng) -> Calls {
         let actions = self.spread.tick(now, &self.peers, rng);
         let mut calls = Calls::new();
         for action in actions {
@@ -181,16 +198,18 @@
                     with
                 }
             };
-            calls.push((number(&to), call(Kind::Fetch, &fetch.encode())));
+            calls.push((entry_index(&to), encode_call(Kind::Fetch, &fetch.encode())));
         }
         calls
     }
 
-    pub fn watched(&mut self, now: Millis, edit: &Announcement, rng: &mut impl Rng) -> Calls {
+    /// Adopts an edit that the watch reported, and returns the resulting requests.
+    pub fn on_watch(&mut self, now: Millis, edit: &Announcement, rng: &mut impl Rng) -> Calls {
         self.adopt(edit);
-        self.spread(now, rng)
+        self.dissemination_calls(now, rng)
     }
 
+    /// Adopts an edit if it is newer than the known revision of its service.
     fn adopt(&mut self, edit: &Announcement) {
         if self.spread.revision(&edit.service) < edit.revision {
             self.spread.on_adopted(&edit.service, edit.revision);
@@ -198,8 +217,8 @@
         }
     }
 
-    /// Answers a request, and returns what follows from it.
-    pub fn serve(
+    /// Handles a request. Returns the reply and the resulting requests.
+    pub fn on_request(
         &mut self,
         now: Millis,
         from: usize,
@@ -209,35 +228,37 @@
         let (sender, root) = (self.sender(), self.spread.root());
         match request.kind {
             Kind::Probe => {
-                let probe = Probe::decode(decode::<ProbeMessage>(request)).expect("valid");
-                self.spread.on_root(&id(from), probe.root);
+                let probe =
+                    Probe::decode(decode::<ProbeMessage>(request)).expect("a valid message");
+                self.spread.on_root(&entry_id(from), probe.root);
                 let nonce = probe.nonce;
-                let updates = self.members.on_probe(now, &id(from), probe.updates);
+                let updates = self.members.on_probe(now, &entry_id(from), probe.updates);
                 let ack = Probe {
                     sender,
                     nonce,
                     updates,
                     root,
                 };
-                (call(Kind::Probe, &ack.encode()), Calls::new())
+                (encode_call(Kind::Probe, &ack.encode()), Calls::new())
             }
             Kind::Sync => {
-                let sync = Sync::decode(decode::<SyncMessage>(request)).expect("valid");
+                let sync = Sync::decode(decode::<SyncMessage>(request)).expect("a valid message");
                 let (records, more) = self.members.on_digest(&sync.digest);
                 let reply = SyncReply {
                     sender,
                     records,
                     more,
                 };
-                (call(Kind::Sync, &reply.encode()), Calls::new())
+                (encode_call(Kind::Sync, &reply.encode()), Calls::new())
             }
             Kind::Fetch => {
-                let fetch = Fetch::decode(decode::<FetchMessage>(request)).expect("valid");
-                self.spread.on_announce(&id(from), &fetch.announced);
+                let fetch =
+                    Fetch::decode(decode::<FetchMessage>(request)).expect("a valid message");
+                self.spread.on_announce(&entry_id(from), &fetch.announced);
                 let body = |service| DocumentBody {
                     revision: self.spread.revision(&service),
                     service,
-                    text: Some(Bytes::from_static(&BODY)),
+                    text: Some(Bytes::from_static(&DOCUMENT_BODY)),
                 };
                 let summary = fetch.summary.as_ref();
                 let reply = FetchReply {
@@ -246,13 +267,16 @@
                     bodies: fetch.services.into_iter().map(body).collect(),
                     root,
                 };
-                (call(Kind::Fetch, &reply.encode()), self.spread(now, rng))
+                (
+                    encode_call(Kind::Fetch, &reply.encode()),
+                    self.dissemination_calls(now, rng),
+                )
             }
         }
     }
 
-    /// Takes a reply, and returns what follows from it.
-    pub fn finish(
+    /// Handles a reply and returns the resulting requests.
+    pub fn on_reply(
         &mut self,
         now: Millis,
         from: usize,
@@ -260,33 +284,36 @@
         reply: &Call,
         rng: &mut impl Rng,
     ) -> Calls {
-        let peer = id(from);
+        let peer = entry_id(from);
         match reply.kind {
             Kind::Probe => {
-                let ack = Probe::decode(decode::<ProbeMessage>(reply)).expect("valid");
+                let ack = Probe::decode(decode::<ProbeMessage>(reply)).expect("a valid message");
                 self.spread.on_root(&peer, ack.root);
                 self.members.on_ack(now, &peer, ack.nonce, ack.updates);
                 Calls::new()
             }
             Kind::Sync => {
-                let reply = SyncReply::decode(decode::<SyncReplyMessage>(reply)).expect("valid");
+                let reply =
+                    SyncReply::decode(decode::<SyncReplyMessage>(reply)).expect("a valid message");
                 self.members
                     .on_records(now, &peer, reply.records, reply.more);
                 Calls::new()
             }
             Kind::Fetch => {
-                let asked = Fetch::decode(decode::<FetchMessage>(request)).expect("valid");
-                let reply = FetchReply::decode(decode::<FetchReplyMessage>(reply)).expect("valid");
+                let fetch =
+                    Fetch::decode(decode::<FetchMessage>(request)).expect("a valid message");
+                let reply = FetchReply::decode(decode::<FetchReplyMessage>(reply))
+                    .expect("a valid message");
                 for body in &reply.bodies {
                     let (service, revision) = (body.service.clone(), body.revision);
                     self.adopt(&Announcement { service, revision });
                 }
-                if !asked.services.is_empty() {
+                if !fetch.services.is_empty() {
                     self.spread
-                        .on_pulled(&peer, &asked.services, reply.bodies.len());
+                        .on_pulled(&peer, &fetch.services, reply.bodies.len());
                 }
                 self.spread.on_announce(&peer, &reply.revisions);
-                self.spread(now, rng)
+                self.dissemination_calls(now, rng)
             }
         }
     }
--- a/examples/spread_slope/wire.rs
+++ b/examples/spread_slope/wire.rs
@@ -1,4 +1,4 @@
-//! The bytes of HTTP/2 around a call, measured on loopback.
+//! Measures the bytes that HTTP/2 adds to a call, on loopback.
 
 use std::{fmt, net::SocketAddr, sync::Arc};
 
@@ -8,11 +8,11 @@
     policy::{member::Nonce, spread::RootHash},
 };
 
-/// Bytes of both directions beyond the encoded messages.
+/// The bytes of a call in both directions, without its encoded messages.
 pub struct Overhead {
-    /// A call that opens its connection.
+    /// For a call that opens its connection.
     pub first: u64,
-    /// A call over an open connection.
+    /// For a call on an open connection.
     pub later: u64,
 }
 
@@ -23,11 +23,11 @@
     }
 }
 
-/// Calls an entry on loopback and reads the counters.
-pub fn overhead() -> eyre::Result<Overhead> {
+/// Calls a server on loopback and computes the overhead from the traffic counters.
+pub fn measure_overhead() -> eyre::Result<Overhead> {
     tokio::runtime::Runtime::new()?.block_on(async {
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
-        let routes = serve_probe(Routes::default(), |p| async { Ok(p) });
+        let routes = serve_probe(Routes::default(), |probe| async { Ok(probe) });
         let server = bind(any, routes).await?;
         let traffic = Arc::<Traffic>::default();
         let peers = Peers::new(Millis(5_000), Arc::clone(&traffic));
@@ -41,15 +41,15 @@
             updates: Vec::new(),
             root: RootHash(1),
         };
-        let body = 2 * u64::try_from(prost::Message::encoded_len(&message.encode()))?;
+        let message_bytes = 2 * u64::try_from(prost::Message::encoded_len(&message.encode()))?;
         let bytes = || traffic.counts().bytes_in + traffic.counts().bytes_out;
         probe(&peers, server.addr(), &message).await?;
-        let first = bytes() - body;
+        let first = bytes() - message_bytes;
         let calls = 20;
         for _ in 0..calls {
             probe(&peers, server.addr(), &message).await?;
         }
-        let later = (bytes() - body - first) / calls - body;
+        let later = (bytes() - message_bytes - first) / calls - message_bytes;
         drop(peers);
         server.stop(Millis(1_000)).await;
         Ok(Overhead { first, later })
