--- a/src/app/entry/control/gossip.rs
+++ b/src/app/entry/control/gossip.rs
@@ -24,7 +24,7 @@
     let mut last_candidates = Vec::new();
     run_every(TICK_INTERVAL, move || {
         let now = (state.ports.clock.now)();
-        if state.fleet.has_strangers() {
+        if state.fleet.has_unknown_entries() {
             state.fleet.members().request_sync();
         }
         let actions = state.fleet.members().tick(now, &mut rand::rng());
@@ -33,7 +33,7 @@
         }
         emit_events(&state);
         let candidates = state.fleet.candidates(now);
-        if !fleet::same(&last_candidates, &candidates) {
+        if !fleet::same_entries(&last_candidates, &candidates) {
             update_view(&state, &candidates);
             last_candidates = candidates;
         }
@@ -46,8 +46,11 @@
 /// Sends the dissemination messages that are due.
 pub(super) fn disseminate(state: &Arc<State>) {
     let now = (state.ports.clock.now)();
-    let others = state.fleet.others();
-    let actions = state.fleet.spread().tick(now, &others, &mut rand::rng());
+    let others = state.fleet.other_entries();
+    let actions = state
+        .fleet
+        .dissemination()
+        .tick(now, &others, &mut rand::rng());
     for action in actions {
         spawn_call(run_spread_action(state.clone(), action));
     }
@@ -86,7 +89,7 @@
 async fn run_member_action(state: Arc<State>, action: Action) {
     let fleet = &state.fleet;
     let sender = fleet.sender();
-    let root = fleet.spread().root();
+    let root = fleet.dissemination().root();
     let now = || (state.ports.clock.now)();
     match action {
         Action::Probe { to, nonce, updates } => {
@@ -142,12 +145,12 @@
         .members()
         .on_ack(now, from, ack.nonce, ack.updates);
     let agrees = {
-        let mut spread = state.fleet.spread();
+        let mut spread = state.fleet.dissemination();
         spread.on_root(from, ack.root);
         spread.root() == ack.root
     };
     if agrees {
-        state.set_informed();
+        state.set_documents_loaded();
     }
 }
 
@@ -177,7 +180,10 @@
         return;
     };
     if let Ok(reply) = grpc::fetch(&state.fleet.peers, address, request).await {
-        state.fleet.spread().on_announce(to, &reply.revisions);
+        state
+            .fleet
+            .dissemination()
+            .on_announce(to, &reply.revisions);
         disseminate(state);
     }
 }
@@ -194,14 +200,17 @@
         None => None,
     };
     let Some(reply) = reply else {
-        state.fleet.spread().on_error(from, &services);
+        state.fleet.dissemination().on_error(from, &services);
         return;
     };
     let received = reply.bodies.len();
     for body in reply.bodies {
         documents::receive(state, body);
     }
-    state.fleet.spread().on_pulled(from, &services, received);
+    state
+        .fleet
+        .dissemination()
+        .on_pulled(from, &services, received);
     // Announces the new revisions at once instead of at the next tick, since the
     // delay would add up over the hops through the fleet.
     disseminate(state);
--- a/src/app/entry/control/store.rs
+++ b/src/app/entry/control/store.rs
@@ -35,7 +35,9 @@
         return;
     }
     let start = (state.ports.clock.now)();
-    while state.fleet.others().is_empty() && (state.ports.clock.now)() - start < DISCOVERY_TIMEOUT {
+    while state.fleet.other_entries().is_empty()
+        && (state.ports.clock.now)() - start < DISCOVERY_TIMEOUT
+    {
         jitter(Millis(100)).await;
     }
 }
@@ -69,7 +71,7 @@
     let roster = (store.list)(encoding::KEY).await?;
     apply_snapshot(state, &documents);
     apply_snapshot(state, &roster);
-    state.set_informed();
+    state.set_documents_loaded();
     gossip::disseminate(state);
     let mut documents = open_watch(state, records::PREFIX, documents.revision).await?;
     let mut roster = open_watch(state, encoding::KEY, roster.revision).await?;
--- a/src/app/entry/control/strikes.rs
+++ b/src/app/entry/control/strikes.rs
@@ -40,7 +40,7 @@
         lock_strikes(&state).tick(now);
         let page = lock_strikes(&state).page(after, PAGE_LEN, now);
         after = page.last().map(|s| s.fingerprint);
-        let others = state.fleet.others();
+        let others = state.fleet.other_entries();
         if let (Some(to), false) = (others.choose(&mut rand::rng()), page.is_empty()) {
             spawn_call(send_notices(state.clone(), to.clone(), page));
         }
@@ -52,7 +52,7 @@
 /// failed, or after [`NOTICE_TIMEOUT`], because a caller's response is held
 /// meanwhile.
 pub(in crate::app::entry) async fn announce_strike(state: &Arc<State>, strike: StrikeNotice) {
-    let others = state.fleet.others();
+    let others = state.fleet.other_entries();
     let chosen: Vec<EntryId> = others
         .choose_multiple(&mut rand::rng(), NOTICE_FANOUT)
         .cloned()
