--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -18,7 +18,7 @@
         grpc::{self, Peers},
         http::{self as web, Content, Keep, Limits, Server, full},
         metrics,
-        store::Calls,
+        store::CallCounters,
     },
     app::gateway::{self, Gateway, Ports},
     domain::{Configuration, Millis, RequestKind, Revision, TargetId},
@@ -167,7 +167,7 @@
             targets: web::open(clock.clone(), Keep::default()),
             platform: platform(changes, read_time),
             changes: grpc::changes(Arc::new(Peers::new(Millis(500), Arc::default()))),
-            metrics: metrics::open(Arc::<Calls>::default()),
+            metrics: metrics::open(Arc::<CallCounters>::default()),
             clock,
         };
         let gateway = gateway::spawn(vm::settings("edge-1"), ports)
