Reword the latency example of the entry hop

Internal names changed: times -> latencies, lost -> failures, connection -> measure_connection, request -> send_echo, answered -> succeeded. Two error messages say what failed. Flags, the printed table and behaviour are unchanged.

--- a/examples/hop/main.rs
+++ b/examples/hop/main.rs
@@ -1,13 +1,14 @@
-//! What the hop through an entry costs, over real sockets on loopback.
+//! Measures the latency that an entry adds to a request, over real sockets on loopback.
 //!
 //! ```text
 //! cargo run --release --example hop -- --requests 20000 --connections 8
 //! ```
 //!
-//! It starts the deployment of `dev` and a target of its own, sends the same
-//! requests directly to a target and through an entry, and prints percentiles of
-//! the latency. Everything runs in one process, so the two paths share the same
-//! cores and the figures hold only as a comparison.
+//! It starts the deployment of `dev` and a separate target, sends the same
+//! requests directly to that target and through an entry, and prints latency
+//! percentiles for both paths. Client, entry and targets share one process and
+//! its cores, so the absolute figures are not meaningful: only the difference
+//! between the two paths is.
 
 use std::{net::SocketAddr, time::Instant};
 
@@ -25,10 +26,10 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 struct Options {
-    /// How many requests each connection sends
+    /// Number of requests per connection
     #[bpaf(argument("N"), fallback(20_000))]
     requests: u32,
-    /// How many connections send at the same time
+    /// Number of concurrent connections
     #[bpaf(argument("N"), fallback(4))]
     connections: u32,
 }
@@ -41,22 +42,22 @@
     let described = dev.describe();
     let entry = described["entries"][0]
         .as_str()
-        .ok_or_eyre("dev names no entry")?;
+        .ok_or_eyre("the description of the dev deployment lists no entry")?;
     let entry: SocketAddr = entry.trim_start_matches("http://").parse()?;
     println!("| path | requests/s | p50 µs | p99 µs | p99.9 µs | failed |");
     println!("|---|---|---|---|---|---|");
     for (name, addr) in [("direct", direct.addr()), ("through an entry", entry)] {
-        // The first round warms connections and estimates up.
+        // A warm-up round opens the connections and lets the estimates settle.
         measure(addr, options.connections, options.requests / 10).await?;
         let start = Instant::now();
-        let (times, failed) = measure(addr, options.connections, options.requests).await?;
+        let (latencies, failed) = measure(addr, options.connections, options.requests).await?;
         let rate =
             f64::from(options.connections * options.requests) / start.elapsed().as_secs_f64();
         println!(
             "| {name} | {rate:.0} | {} | {} | {} | {failed} |",
-            times.value_at_quantile(0.5),
-            times.value_at_quantile(0.99),
-            times.value_at_quantile(0.999)
+            latencies.value_at_quantile(0.5),
+            latencies.value_at_quantile(0.99),
+            latencies.value_at_quantile(0.999)
         );
     }
     dev.stop().await;
@@ -64,7 +65,8 @@
     Ok(())
 }
 
-/// Sends requests over several connections, one after the other on each.
+/// Sends `requests` sequential requests on each of `connections` concurrent
+/// connections. Returns the latencies in microseconds and the number of failures.
 async fn measure(
     addr: SocketAddr,
     connections: u32,
@@ -72,43 +74,48 @@
 ) -> eyre::Result<(Histogram<u64>, u64)> {
     let mut tasks = JoinSet::new();
     for _ in 0..connections {
-        tasks.spawn(connection(addr, requests));
+        tasks.spawn(measure_connection(addr, requests));
     }
     let mut all = Histogram::new(3)?;
     let mut failed = 0;
     while let Some(result) = tasks.join_next().await {
-        let (times, lost) = result??;
-        all.add(times)?;
-        failed += lost;
+        let (latencies, failures) = result??;
+        all.add(latencies)?;
+        failed += failures;
     }
     Ok((all, failed))
 }
 
-async fn connection(addr: SocketAddr, requests: u32) -> eyre::Result<(Histogram<u64>, u64)> {
+/// Opens one connection and sends `requests` sequential requests on it.
+async fn measure_connection(
+    addr: SocketAddr,
+    requests: u32,
+) -> eyre::Result<(Histogram<u64>, u64)> {
     let stream = TcpStream::connect(addr).await;
-    let stream = stream.wrap_err_with(|| format!("connect to {addr}"))?;
+    let stream = stream.wrap_err_with(|| format!("failed to connect to {addr}"))?;
     stream.set_nodelay(true)?;
     let (mut sender, conn) = handshake(TokioIo::new(stream)).await?;
     tokio::spawn(conn);
-    let mut times = Histogram::new(3)?;
+    let mut latencies = Histogram::new(3)?;
     let mut failed = 0;
     for _ in 0..requests {
         let start = Instant::now();
-        let answered = request(&mut sender).await?;
-        failed += u64::from(!answered);
-        times.saturating_record(u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX));
+        let succeeded = send_echo(&mut sender).await?;
+        failed += u64::from(!succeeded);
+        latencies.saturating_record(u64::try_from(start.elapsed().as_micros()).unwrap_or(u64::MAX));
     }
-    Ok((times, failed))
+    Ok((latencies, failed))
 }
 
-async fn request(sender: &mut SendRequest<Empty<Bytes>>) -> eyre::Result<bool> {
+/// Returns whether the response has a success status.
+async fn send_echo(sender: &mut SendRequest<Empty<Bytes>>) -> eyre::Result<bool> {
     let req = Request::builder()
         .uri("/echo")
         .header("host", "slotboard")
         .body(Empty::new())?;
     sender.ready().await?;
     let resp = sender.send_request(req).await?;
-    let answered = resp.status().is_success();
+    let succeeded = resp.status().is_success();
     resp.into_body().collect().await?;
-    Ok(answered)
+    Ok(succeeded)
 }
