--- a/examples/target_standin/main.rs
+++ b/examples/target_standin/main.rs
@@ -1,4 +1,4 @@
-//! A sample target as a process of its own, for tests that kill and freeze it.
+//! Runs the sample target in a separate process, for tests that kill or freeze it.
 //!
 //! ```text
 //! cargo run --example target_standin -- --listen 127.0.0.1:9001 --name t1 --slots 3
@@ -12,13 +12,13 @@
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
 struct Options {
-    /// The address to serve at; port 0 takes a free one
+    /// Address to listen on; port 0 picks a free port
     #[bpaf(argument("ADDR"))]
     listen: SocketAddr,
-    /// The name in the x-target header
+    /// Name reported in the x-target header
     #[bpaf(argument("NAME"), fallback("target".to_owned()))]
     name: String,
-    /// How many requests run at the same time
+    /// Number of concurrent requests above which requests are shed
     #[bpaf(argument("N"), fallback(3))]
     slots: u32,
 }
@@ -30,11 +30,11 @@
         std::process::exit(3)
     })
     .await?;
-    // Tests wait for this line and read the port from it.
+    // Tests wait for this line and parse the port from it.
     println!("{}", server.addr());
     std::io::stdout().flush()?;
-    let mut term = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
-    term.recv().await;
+    let mut sigterm = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    sigterm.recv().await;
     server.stop().await;
     Ok(())
 }
