Reword the in-memory store that tests run as a process

Several descriptions had to be guessed: which revision bounds a read, what compaction and a frozen connection mean, and what a comparison with a missing key yields. The protocol, the control requests, the printed keys and behaviour are unchanged.

--- a/examples/store_standin/control.rs
+++ b/examples/store_standin/control.rs
@@ -1,14 +1,15 @@
 //! The control port, which speaks HTTP/1.1.
 //!
-//! * `POST /slow/MS` delays every call, zero ends it.
-//! * `POST /lose/N` loses the next N responses to writes that took effect.
+//! * `POST /slow/MS` delays every call by MS milliseconds; zero removes the delay.
+//! * `POST /lose/N` drops the next N responses to writes that took effect.
 //! * `POST /fail/N` answers the next N writes with an error after they took
 //!   effect.
-//! * `POST /down` closes the listener and all connections, `POST /up` ends it.
+//! * `POST /down` closes the listener and all connections; `POST /up` listens again.
 //! * `POST /break` closes all connections once.
-//! * `POST /freeze` leaves all open connections silent; new ones work.
-//! * `POST /compact` forgets all former versions.
-//! * `GET /counts` reports the calls as JSON.
+//! * `POST /freeze` stops reading and writing on all open connections, but keeps
+//!   them open; new connections work.
+//! * `POST /compact` discards all superseded versions and the event log.
+//! * `GET /counts` returns the call counts as JSON.
 
 use std::{convert::Infallible, sync::Arc};
 
@@ -27,7 +28,7 @@
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                eprintln!("control: accept: {e}");
+                eprintln!("control port: failed to accept a connection: {e}");
                 continue;
             }
         };
@@ -41,14 +42,14 @@
 }
 
 fn respond(request: &Request<Incoming>, store: &Store, faults: &Faults) -> Response<Full<Bytes>> {
-    let mut words = request.uri().path().split('/').skip(1);
-    let word = words.next().unwrap_or_default();
-    let number = words.next().and_then(|n| n.parse::<u64>().ok());
+    let mut segments = request.uri().path().split('/').skip(1);
+    let command = segments.next().unwrap_or_default();
+    let argument = segments.next().and_then(|n| n.parse::<u64>().ok());
     let mut body = serde_json::Value::Null;
-    match (request.method(), word, number) {
-        (&Method::POST, "slow", Some(ms)) => faults.set_slow(ms),
-        (&Method::POST, "lose", Some(count)) => faults.set_lose(count),
-        (&Method::POST, "fail", Some(count)) => faults.set_fail(count),
+    match (request.method(), command, argument) {
+        (&Method::POST, "slow", Some(ms)) => faults.set_delay(ms),
+        (&Method::POST, "lose", Some(count)) => faults.set_losses(count),
+        (&Method::POST, "fail", Some(count)) => faults.set_errors(count),
         (&Method::POST, "down", None) => drop(faults.down.send_replace(true)),
         (&Method::POST, "up", None) => drop(faults.down.send_replace(false)),
         (&Method::POST, "break", None) => faults.breaks.send_modify(|n| *n += 1),
@@ -56,7 +57,8 @@
         (&Method::POST, "compact", None) => store.compact(),
         (&Method::GET, "counts", None) => body = faults.counts(),
         _ => {
-            let mut response = Response::new(Full::new(Bytes::from_static(b"no such control\n")));
+            let mut response =
+                Response::new(Full::new(Bytes::from_static(b"unknown control request\n")));
             *response.status_mut() = StatusCode::NOT_FOUND;
             return response;
         }
--- a/examples/store_standin/main.rs
+++ b/examples/store_standin/main.rs
@@ -1,17 +1,18 @@
-//! A stand-in for the platform's store, in a process of its own.
+//! An in-memory replacement for the platform's store that tests run as a
+//! separate process.
 //!
 //! It serves a subset of the published etcd v3 protocol (KV Range and Txn,
-//! Watch, Lease grant and keep-alive) and keeps everything in memory. A control
-//! port makes it slow or down, has it lose responses after a write took effect,
-//! and reports how often it was called.
+//! Watch, Lease grant and keep-alive) and keeps all data in memory. Requests to
+//! a control port inject faults, such as delays, an outage, or a response that is
+//! lost after its write took effect, and read the number of calls.
 //!
 //! ```text
 //! store_standin --listen 127.0.0.1:2379 --control 127.0.0.1:2380 [--until-eof]
 //! ```
 //!
-//! It prints one JSON line with the addresses when it is ready. Port 0 chooses a
-//! free port. With `--until-eof` it exits when its standard input ends, so that
-//! it does not outlive a test that is killed.
+//! When it is ready, it prints one JSON line with its addresses. Port 0 picks a
+//! free port. With `--until-eof` it exits when its standard input reaches
+//! end-of-file, so that it does not outlive a test that is killed.
 
 mod control;
 mod faults;
@@ -30,12 +31,16 @@
 async fn main() -> eyre::Result<()> {
     let (listen, control, until_eof) = options().run();
     let listener = TcpListener::bind(listen).await?;
-    let controls = TcpListener::bind(control).await?;
-    let (listen, control) = (listener.local_addr()?, controls.local_addr()?);
+    let control_listener = TcpListener::bind(control).await?;
+    let (listen, control) = (listener.local_addr()?, control_listener.local_addr()?);
     let store = Arc::new(Store::new());
     let faults = Arc::new(Faults::default());
     tokio::spawn(state::expire_leases(store.clone()));
-    tokio::spawn(control::run(controls, store.clone(), faults.clone()));
+    tokio::spawn(control::run(
+        control_listener,
+        store.clone(),
+        faults.clone(),
+    ));
     println!(
         "{}",
         serde_json::json!({ "listen": listen.to_string(), "control": control.to_string() })
@@ -52,15 +57,15 @@
 
 fn options() -> bpaf::OptionParser<(SocketAddr, SocketAddr, bool)> {
     let listen = bpaf::long("listen")
-        .help("Where to serve the store's protocol")
+        .help("Address to serve the etcd protocol on")
         .argument("ADDR");
     let control = bpaf::long("control")
-        .help("Where to accept control requests")
+        .help("Address to accept control requests on")
         .argument("ADDR");
     let until_eof = bpaf::long("until-eof")
-        .help("Exit when the standard input ends")
+        .help("Exit when standard input reaches end-of-file")
         .switch();
     bpaf::construct!(listen, control, until_eof)
         .to_options()
-        .descr("A stand-in for the platform's store")
+        .descr("An in-memory replacement for the platform's store")
 }
--- a/examples/store_standin/protocol.rs
+++ b/examples/store_standin/protocol.rs
@@ -1,6 +1,6 @@
-//! The methods of the protocol.
+//! The gRPC methods of the etcd protocol.
 //!
-//! `tonic::server::Grpc` does the framing and the codec; the services are
+//! `tonic::server::Grpc` does the framing and runs the codec. The methods are
 //! closures, so no generated code is needed.
 
 use std::sync::{
@@ -25,30 +25,33 @@
 
 use crate::{faults::Faults, state::Store};
 
-/// The store as connections see it.
+/// The state that all connections share.
 #[derive(Clone)]
 pub struct Service {
-    /// The content.
+    /// The keys, leases and events.
     pub store: Arc<Store>,
-    /// What the control port has asked for.
+    /// The faults that the control port injects, and the call counts.
     pub faults: Arc<Faults>,
 }
 
-/// The response to a write is lost.
+/// The error that drops the response to a write.
 #[derive(Debug)]
-pub struct Lost;
+pub struct ResponseLost;
 
-impl std::fmt::Display for Lost {
+impl std::fmt::Display for ResponseLost {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the response is lost")
+        f.write_str("the response is dropped by an injected fault")
     }
 }
 
-impl std::error::Error for Lost {}
+impl std::error::Error for ResponseLost {}
 
-/// Carries out one call. An error resets the call's stream, so that the client
-/// gets no response.
-pub async fn handle(service: Service, request: Request<Incoming>) -> Result<Response<Body>, Lost> {
+/// Handles one call. An error resets the call's stream, so that the client gets
+/// no response.
+pub async fn handle(
+    service: Service,
+    request: Request<Incoming>,
+) -> Result<Response<Body>, ResponseLost> {
     let path = request.uri().path().to_owned();
     match path.as_str() {
         messages::RANGE => Ok(range(service, request).await),
@@ -60,8 +63,8 @@
     }
 }
 
-/// Runs a call in a task of its own, as a store would: a client that gives up
-/// does not stop it, so a write may take effect later.
+/// Runs a call in a separate task. As in a real store, a client that abandons
+/// the call does not cancel it, so a write may still take effect later.
 async fn detached<T: Send + 'static>(
     service: Service,
     count: fn(&Faults) -> &AtomicU64,
@@ -88,15 +91,15 @@
     Grpc::new(codec).unary(run, request).await
 }
 
-async fn txn(service: Service, request: Request<Incoming>) -> Result<Response<Body>, Lost> {
+async fn txn(service: Service, request: Request<Incoming>) -> Result<Response<Body>, ResponseLost> {
     let lost = Arc::new(AtomicBool::new(false));
-    let flag = lost.clone();
+    let lost_flag = lost.clone();
     let run = service_fn(move |request: tonic::Request<TxnRequest>| {
-        let flag = flag.clone();
+        let lost_flag = lost_flag.clone();
         let write = move |s: &Service| {
             let (response, written) = s.store.txn(request.into_inner())?;
-            flag.store(written && s.faults.loses(), Relaxed);
-            if written && s.faults.fails() {
+            lost_flag.store(written && s.faults.take_loss(), Relaxed);
+            if written && s.faults.take_error() {
                 return Err(Status::unavailable("etcdserver: request timed out"));
             }
             Ok(response)
@@ -106,7 +109,7 @@
     let codec = ProstCodec::<TxnResponse, TxnRequest>::default();
     let response = Grpc::new(codec).unary(run, request).await;
     if lost.load(Relaxed) {
-        return Err(Lost);
+        return Err(ResponseLost);
     }
     Ok(response)
 }
@@ -163,41 +166,47 @@
             let mut requests = requests.into_inner();
             let first = requests.message().await?.and_then(|r| r.request);
             let Some(WatchRequestKind::Create(create)) = first else {
-                return Err(Status::invalid_argument("a watch begins with its creation"));
+                return Err(Status::invalid_argument(
+                    "the first message of a watch stream must be a create request",
+                ));
             };
-            Ok(tonic::Response::new(changes(service, create, requests)))
+            Ok(tonic::Response::new(watch_responses(
+                service, create, requests,
+            )))
         }
     });
     let codec = ProstCodec::<WatchResponse, WatchRequest>::default();
     Grpc::new(codec).streaming(run, request).await
 }
 
-/// Returns the responses of a watch. It ends when the client closes the stream
+/// Returns the responses of a watch. The watch ends when the client closes the stream
 /// or cancels the watch.
-fn changes(
+fn watch_responses(
     service: Service,
     create: WatchCreateRequest,
     mut requests: Streaming<WatchRequest>,
 ) -> impl Stream<Item = Result<WatchResponse, Status>> {
     let (sender, receiver) = mpsc::channel(16);
     tokio::spawn(async move {
-        service.faults.waiting.fetch_add(1, Relaxed);
+        service.faults.open_watches.fetch_add(1, Relaxed);
         tokio::select! {
-            () = report(&service, create, &sender) => {}
+            () = send_events(&service, create, &sender) => {}
             _ = requests.message() => {}
             () = sender.closed() => {}
         }
-        service.faults.waiting.fetch_sub(1, Relaxed);
+        service.faults.open_watches.fetch_sub(1, Relaxed);
     });
     ReceiverStream::new(receiver)
 }
 
-async fn report(
+/// Confirms the creation of a watch and then sends its events, until the stream
+/// is closed or the next revision to send has been compacted.
+async fn send_events(
     service: &Service,
     create: WatchCreateRequest,
     sender: &mpsc::Sender<Result<WatchResponse, Status>>,
 ) {
-    let mut changed = service.store.changes();
+    let mut changed = service.store.watch_revision();
     let created = WatchResponse {
         header: Some(header(service)),
         created: true,
@@ -215,7 +224,7 @@
             return;
         }
         changed.mark_unchanged();
-        match events(service, next, &create.key, &create.range_end) {
+        match collect_events(service, next, &create.key, &create.range_end) {
             Ok((found, revision)) => {
                 next = next.max(revision + 1);
                 response = found;
@@ -232,7 +241,10 @@
     }
 }
 
-fn events(
+/// Returns the response with the events from `start` on, if there are any, and
+/// the store's revision. The error is the response that cancels a watch whose
+/// start revision has been compacted.
+fn collect_events(
     service: &Service,
     start: i64,
     key: &Bytes,
@@ -246,9 +258,9 @@
     match service.store.events(start, key, end) {
         Ok((events, revision)) if events.is_empty() => Ok((None, revision)),
         Ok((events, revision)) => Ok((Some(response(events)), revision)),
-        Err(oldest) => Err(WatchResponse {
+        Err(oldest_revision) => Err(WatchResponse {
             canceled: true,
-            compact_revision: oldest,
+            compact_revision: oldest_revision,
             ..response(Vec::new())
         }),
     }
--- a/examples/store_standin/serve.rs
+++ b/examples/store_standin/serve.rs
@@ -1,4 +1,5 @@
-//! The listener and its connections.
+//! Accepts connections and serves HTTP/2 on them, or closes or freezes them when
+//! a fault is injected.
 
 use std::{io, net::SocketAddr};
 
@@ -8,7 +9,7 @@
 
 use crate::protocol::{self, Service};
 
-/// Accepts connections. While the store is down, nothing listens and all
+/// Accepts connections. While the store is down, the listener and all
 /// connections are closed.
 pub async fn run(listener: TcpListener, service: Service) -> io::Result<()> {
     let address = listener.local_addr()?;
@@ -29,9 +30,9 @@
         tokio::select! {
             accepted = open.accept() => match accepted {
                 Ok((stream, _)) => {
-                    tokio::spawn(connection(stream, service.clone()));
+                    tokio::spawn(handle_connection(stream, service.clone()));
                 }
-                Err(e) => eprintln!("store: accept: {e}"),
+                Err(e) => eprintln!("store: failed to accept a connection: {e}"),
             },
             _ = down.changed() => {}
         }
@@ -43,7 +44,7 @@
     TcpListener::bind(address).await
 }
 
-async fn connection(stream: TcpStream, service: Service) {
+async fn handle_connection(stream: TcpStream, service: Service) {
     let mut down = service.faults.down.subscribe();
     let mut breaks = service.faults.breaks.subscribe();
     breaks.mark_unchanged();
@@ -57,15 +58,16 @@
     let connection = builder.serve_connection(TokioIo::new(stream), run);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
-        // A fault comes before any request that is sent after it.
+        // Polls faults first, so that a fault applies to every request that is
+        // sent after it.
         biased;
         _ = breaks.changed() => return,
         _ = down.wait_for(|down| *down) => return,
         _ = freezes.changed() => {}
-        // A broken connection concerns the client alone.
+        // Connection errors are ignored: they affect only this client.
         _ = &mut connection => return,
     }
-    // The socket stays open, and nobody reads or answers.
+    // Frozen: the socket stays open, but nothing is read or written.
     tokio::select! {
         _ = breaks.changed() => {}
         _ = down.wait_for(|down| *down) => {}
--- a/examples/store_standin/state.rs
+++ b/examples/store_standin/state.rs
@@ -1,8 +1,8 @@
-//! Keys with their versions, leases and the log of changes.
+//! Keys with their versions, leases and the event log.
 //!
-//! A transaction compares and writes any keys in one step, so everything is
-//! behind one lock. That is also how the store that this stands in for behaves:
-//! it carries out its writes one after the other.
+//! A transaction compares and writes any set of keys atomically, so one lock
+//! protects the whole state. The real store also applies its writes one after
+//! the other.
 
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
@@ -22,41 +22,45 @@
 use tokio::sync::watch;
 use tonic::Status;
 
-/// How often ended leases are looked for.
+/// Interval between checks for expired leases.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
 
-/// The store.
+/// An in-memory store with the semantics of etcd.
 pub struct Store {
     state: Mutex<State>,
-    changed: watch::Sender<i64>,
+    /// The current revision, which wakes the watches when it increases.
+    revisions: watch::Sender<i64>,
 }
 
 struct State {
     revision: i64,
+    /// The revision up to which events and superseded versions are discarded.
     compacted: i64,
+    /// The versions of each key, oldest first.
     keys: BTreeMap<Bytes, Vec<KeyValue>>,
+    /// The events of each revision.
     log: BTreeMap<i64, Vec<Event>>,
     leases: HashMap<i64, Lease>,
     next_lease: i64,
 }
 
 struct Lease {
-    time: Duration,
-    ends: Instant,
+    ttl: Duration,
+    expires: Instant,
     keys: BTreeSet<Bytes>,
 }
 
-/// Removes the keys of ended leases as long as the process runs.
+/// Removes the keys of expired leases until the process exits.
 pub async fn expire_leases(store: Arc<Store>) {
     let mut interval = tokio::time::interval(EXPIRY_INTERVAL);
     loop {
         interval.tick().await;
-        store.change(State::expire);
+        store.update(State::expire);
     }
 }
 
 impl Store {
-    /// Returns an empty store, whose revision is 1 as the protocol has it.
+    /// Returns an empty store at revision 1, the initial revision in etcd.
     pub fn new() -> Self {
         Self {
             state: Mutex::new(State {
@@ -67,7 +71,7 @@
                 leases: HashMap::new(),
                 next_lease: 1,
             }),
-            changed: watch::Sender::new(1),
+            revisions: watch::Sender::new(1),
         }
     }
 
@@ -75,49 +79,49 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Carries out `f` and wakes the watches if the revision has grown.
-    fn change<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
+    /// Runs `f` on the state and wakes the watches if the revision has increased.
+    fn update<T>(&self, f: impl FnOnce(&mut State) -> T) -> T {
         let (result, revision) = {
             let mut state = self.lock();
             let result = f(&mut state);
             (result, state.revision)
         };
-        self.changed.send_if_modified(|seen| {
-            let grown = revision > *seen;
-            *seen = revision.max(*seen);
-            grown
+        self.revisions.send_if_modified(|latest| {
+            let increased = revision > *latest;
+            *latest = revision.max(*latest);
+            increased
         });
         result
     }
 
-    /// Returns a receiver that wakes when the revision grows.
-    pub fn changes(&self) -> watch::Receiver<i64> {
-        self.changed.subscribe()
+    /// Returns a receiver that is notified when the revision increases.
+    pub fn watch_revision(&self) -> watch::Receiver<i64> {
+        self.revisions.subscribe()
     }
 
-    /// Reads keys.
+    /// Reads a range of keys.
     pub fn range(&self, request: &RangeRequest) -> Result<RangeResponse, Status> {
         self.lock().range(request)
     }
 
-    /// Carries out a transaction, and tells whether it has written.
+    /// Executes a transaction, and returns whether it wrote anything.
     pub fn txn(&self, request: TxnRequest) -> Result<(TxnResponse, bool), Status> {
-        self.change(|state| state.txn(request))
+        self.update(|state| state.txn(request))
     }
 
-    /// Creates a lease.
+    /// Creates a lease and returns its id. Id 0 picks a free one.
     pub fn grant(&self, seconds: i64, id: i64) -> Result<i64, Status> {
-        self.change(|state| state.grant(seconds, id))
+        self.update(|state| state.grant(seconds, id))
     }
 
-    /// Renews a lease and returns its time in seconds, zero if it has ended.
+    /// Renews a lease and returns its TTL in seconds, or zero if it has expired.
     pub fn renew(&self, id: i64) -> i64 {
         let mut state = self.lock();
         let Some(lease) = state.leases.get_mut(&id) else {
             return 0;
         };
-        lease.ends = Instant::now() + lease.time;
-        i64::try_from(lease.time.as_secs()).unwrap_or(i64::MAX)
+        lease.expires = Instant::now() + lease.ttl;
+        i64::try_from(lease.ttl.as_secs()).unwrap_or(i64::MAX)
     }
 
     /// Returns the current revision.
@@ -125,26 +129,27 @@
         self.lock().revision
     }
 
-    /// Returns the changes from `start` on, or the oldest revision that is kept
-    /// if that is later.
+    /// Returns the events of a key range from revision `start` on, and the current
+    /// revision. If `start` has been compacted, the error is the oldest revision
+    /// that is available.
     pub fn events(&self, start: i64, key: &[u8], end: &[u8]) -> Result<(Vec<Event>, i64), i64> {
         let state = self.lock();
         if start <= state.compacted {
             return Err(state.compacted + 1);
         }
         let all = state.log.range(start..).flat_map(|(_, events)| events);
-        let fits = |e: &&Event| e.kv.as_ref().is_some_and(|kv| contains(key, end, &kv.key));
-        Ok((all.filter(fits).cloned().collect(), state.revision))
+        let in_range = |e: &&Event| e.kv.as_ref().is_some_and(|kv| contains(key, end, &kv.key));
+        Ok((all.filter(in_range).cloned().collect(), state.revision))
     }
 
-    /// Forgets all former versions and changes.
+    /// Discards the event log and all versions but the latest of each key.
     pub fn compact(&self) {
         let mut state = self.lock();
         state.compacted = state.revision;
         state.log.clear();
         for versions in state.keys.values_mut() {
-            let old = versions.len().saturating_sub(1);
-            versions.drain(..old);
+            let superseded = versions.len().saturating_sub(1);
+            versions.drain(..superseded);
         }
     }
 }
@@ -156,15 +161,16 @@
         }
     }
 
-    /// Returns the key at a revision, none if it does not exist then.
-    fn at(&self, key: &Bytes, revision: i64) -> Option<&KeyValue> {
+    /// Returns a key's value at a revision, or none if the key does not exist at
+    /// that revision.
+    fn value_at(&self, key: &Bytes, revision: i64) -> Option<&KeyValue> {
         let versions = self.keys.get(key)?;
         let last = versions.iter().rev().find(|v| v.mod_revision <= revision);
         last.filter(|v| v.version > 0)
     }
 
     fn range(&self, request: &RangeRequest) -> Result<RangeResponse, Status> {
-        let moment = match request.revision {
+        let revision = match request.revision {
             0 => self.revision,
             n if n < self.compacted => {
                 return Err(Status::out_of_range(
@@ -180,9 +186,9 @@
         };
         let first = request.key.clone();
         let keys = self.keys.range(first..).map(|(key, _)| key);
-        let inside = keys.take_while(|k| contains(&request.key, &request.range_end, k));
-        let mut kvs: Vec<KeyValue> = inside
-            .filter_map(|key| self.at(key, moment).cloned())
+        let selected = keys.take_while(|k| contains(&request.key, &request.range_end, k));
+        let mut kvs: Vec<KeyValue> = selected
+            .filter_map(|key| self.value_at(key, revision).cloned())
             .collect();
         let count = kvs.len();
         let limit = usize::try_from(request.limit).unwrap_or_default();
@@ -203,20 +209,20 @@
     }
 
     fn txn(&mut self, request: TxnRequest) -> Result<(TxnResponse, bool), Status> {
-        let succeeded = request.compare.iter().all(|c| self.holds(c));
+        let succeeded = request.compare.iter().all(|c| self.evaluate(c));
         let operations = if succeeded {
             request.success
         } else {
             request.failure
         };
-        self.check(&operations)?;
+        self.validate(&operations)?;
         let next = self.revision + 1;
         let mut responses = Vec::new();
         for operation in operations {
-            responses.push(self.carry_out(operation, next)?);
+            responses.push(self.apply(operation, next)?);
         }
-        let written = self.log.contains_key(&next);
-        if written {
+        let wrote = self.log.contains_key(&next);
+        if wrote {
             self.revision = next;
         }
         let response = TxnResponse {
@@ -224,11 +230,12 @@
             succeeded,
             responses,
         };
-        Ok((response, written))
+        Ok((response, wrote))
     }
 
-    /// Refuses operations that cannot be carried out, before any of them is.
-    fn check(&self, operations: &[RequestOp]) -> Result<(), Status> {
+    /// Returns an error if an operation is invalid, so that a transaction fails
+    /// before any of its operations is applied.
+    fn validate(&self, operations: &[RequestOp]) -> Result<(), Status> {
         for operation in operations {
             let Some(Operation::Put(put)) = &operation.request else {
                 continue;
@@ -243,7 +250,7 @@
         Ok(())
     }
 
-    fn carry_out(&mut self, operation: RequestOp, next: i64) -> Result<ResponseOp, Status> {
+    fn apply(&mut self, operation: RequestOp, next: i64) -> Result<ResponseOp, Status> {
         let header = Some(ResponseHeader { revision: next });
         let response = match operation.request {
             Some(Operation::Range(range)) => OperationResponse::Range(self.range(&range)?),
@@ -252,7 +259,7 @@
                 OperationResponse::Put(PutResponse { header })
             }
             Some(Operation::DeleteRange(delete)) => {
-                let found = self.at(&delete.key, next).is_some();
+                let found = self.value_at(&delete.key, next).is_some();
                 if found {
                     self.put(delete.key, None, 0, next);
                 }
@@ -261,34 +268,34 @@
                     deleted: i64::from(found),
                 })
             }
-            None => return Err(Status::unimplemented("the operation is not supported")),
+            None => return Err(Status::unimplemented("unsupported operation")),
         };
         Ok(ResponseOp {
             response: Some(response),
         })
     }
 
-    /// Tells whether a comparison holds. A key that does not exist has zero for
-    /// every property.
-    fn holds(&self, compare: &Compare) -> bool {
-        let stored = self.at(&compare.key, self.revision);
-        let number = |f: fn(&KeyValue) -> i64| stored.map_or(0, f);
+    /// Returns whether a comparison is true. For a key that does not exist, all
+    /// numeric properties are zero and a comparison of the value is false.
+    fn evaluate(&self, compare: &Compare) -> bool {
+        let stored = self.value_at(&compare.key, self.revision);
+        let property = |f: fn(&KeyValue) -> i64| stored.map_or(0, f);
         let order = match &compare.value {
-            Some(CompareValue::Version(n)) => number(|kv| kv.version).cmp(n),
-            Some(CompareValue::CreateRevision(n)) => number(|kv| kv.create_revision).cmp(n),
-            Some(CompareValue::ModRevision(n)) => number(|kv| kv.mod_revision).cmp(n),
-            Some(CompareValue::Lease(n)) => number(|kv| kv.lease).cmp(n),
+            Some(CompareValue::Version(n)) => property(|kv| kv.version).cmp(n),
+            Some(CompareValue::CreateRevision(n)) => property(|kv| kv.create_revision).cmp(n),
+            Some(CompareValue::ModRevision(n)) => property(|kv| kv.mod_revision).cmp(n),
+            Some(CompareValue::Lease(n)) => property(|kv| kv.lease).cmp(n),
             Some(CompareValue::Value(value)) => match stored {
                 Some(kv) => kv.value.cmp(value),
                 None => return false,
             },
-            // The codec leaves a zero out, which is then the value compared
-            // with.
+            // The codec omits a zero, so a missing value means a comparison with
+            // zero.
             None => match compare.target() {
-                CompareTarget::Version => number(|kv| kv.version).cmp(&0),
-                CompareTarget::Create => number(|kv| kv.create_revision).cmp(&0),
-                CompareTarget::Mod => number(|kv| kv.mod_revision).cmp(&0),
-                CompareTarget::Lease => number(|kv| kv.lease).cmp(&0),
+                CompareTarget::Version => property(|kv| kv.version).cmp(&0),
+                CompareTarget::Create => property(|kv| kv.create_revision).cmp(&0),
+                CompareTarget::Mod => property(|kv| kv.mod_revision).cmp(&0),
+                CompareTarget::Lease => property(|kv| kv.lease).cmp(&0),
                 CompareTarget::Value => return false,
             },
         };
@@ -300,25 +307,25 @@
         }
     }
 
-    /// Writes a version, or a deletion if there is no value.
+    /// Appends a version of a key, or a deletion if `value` is none.
     fn put(&mut self, key: Bytes, value: Option<Bytes>, lease: i64, revision: i64) {
-        let former = self.at(&key, revision).cloned().unwrap_or_default();
-        if let Some(bound) = self.leases.get_mut(&former.lease) {
-            bound.keys.remove(&key);
+        let previous = self.value_at(&key, revision).cloned().unwrap_or_default();
+        if let Some(old_lease) = self.leases.get_mut(&previous.lease) {
+            old_lease.keys.remove(&key);
         }
-        if let Some(bound) = self.leases.get_mut(&lease) {
-            bound.keys.insert(key.clone());
+        if let Some(new_lease) = self.leases.get_mut(&lease) {
+            new_lease.keys.insert(key.clone());
         }
         let deleted = value.is_none();
         let kv = KeyValue {
             key: key.clone(),
-            create_revision: match (deleted, former.version) {
+            create_revision: match (deleted, previous.version) {
                 (true, _) => 0,
                 (false, 0) => revision,
-                (false, _) => former.create_revision,
+                (false, _) => previous.create_revision,
             },
             mod_revision: revision,
-            version: if deleted { 0 } else { former.version + 1 },
+            version: if deleted { 0 } else { previous.version + 1 },
             value: value.unwrap_or_default(),
             lease,
         };
@@ -344,10 +351,10 @@
             ));
         }
         self.next_lease = self.next_lease.max(id) + 1;
-        let time = Duration::from_secs(seconds);
+        let ttl = Duration::from_secs(seconds);
         let lease = Lease {
-            time,
-            ends: Instant::now() + time,
+            ttl,
+            expires: Instant::now() + ttl,
             keys: BTreeSet::new(),
         };
         self.leases.insert(id, lease);
@@ -356,9 +363,9 @@
 
     fn expire(&mut self) {
         let now = Instant::now();
-        let ended = self.leases.iter().filter(|(_, l)| l.ends <= now);
-        let ended: Vec<i64> = ended.map(|(id, _)| *id).collect();
-        for id in ended {
+        let expired = self.leases.iter().filter(|(_, l)| l.expires <= now);
+        let expired: Vec<i64> = expired.map(|(id, _)| *id).collect();
+        for id in expired {
             let keys = self.leases.remove(&id).map(|l| l.keys).unwrap_or_default();
             let next = self.revision + 1;
             for key in keys {
@@ -369,8 +376,8 @@
     }
 }
 
-/// Tells whether a range contains a key. An empty end stands for the first key
-/// alone, a zero byte for a range without end.
+/// Returns whether a range contains a key. As in etcd, an empty `end` selects
+/// only the key `first`, and a single zero byte means that the range has no end.
 fn contains(first: &[u8], end: &[u8], key: &[u8]) -> bool {
     match end {
         [] => key == first,
