--- a/src/app/entry/control/roster.rs
+++ b/src/app/entry/control/roster.rs
@@ -47,7 +47,7 @@
         };
         if listed.is_none_or(|at| now - at >= interval) {
             listed = Some(now);
-            if let Ok(snapshot) = (state.ports.store.list)(vms::PREFIX).await {
+            if let Ok(snapshot) = (state.ports.store.list)(vms::KEY_PREFIX).await {
                 vms = vms::read(&snapshot.records);
             }
         }
