--- a/examples/store_standin/protocol.rs
+++ b/examples/store_standin/protocol.rs
@@ -179,8 +179,8 @@
     Grpc::new(codec).streaming(run, request).await
 }
 
-/// Returns the responses of a watch. The watch ends when the client closes the stream
-/// or cancels the watch.
+/// Returns the responses of a watch. The watch ends when the client closes the
+/// stream or cancels the watch.
 fn watch_responses(
     service: Service,
     create: WatchCreateRequest,
--- a/examples/store_standin/state.rs
+++ b/examples/store_standin/state.rs
@@ -25,7 +25,7 @@
 /// Interval between checks for expired leases.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(20);
 
-/// An in-memory store with the semantics of etcd.
+/// An in-memory store with a subset of the semantics of etcd.
 pub struct Store {
     state: Mutex<State>,
     /// The current revision, which wakes the watches when it increases.
