Reword the HTTP adapter and name its limits by quantity and unit

Comments spoke of answers that are told, looks at sockets and doubt, and constants such as LAST, FIRST, CLOSE and LEFTOVER did not say what they limit. Keep -> PoolConfig (count -> max_idle, idle -> idle_timeout), Limits::head -> head_bytes, Limits::patience -> head_timeout, CODE -> CODE_HEADER, OUTCOME -> OUTCOME_HEADER, answer -> refusal_response, full -> full_body, Content::start -> prefix, Content::send -> take_body. Inside the folder: Doubt -> SilenceGuard, Watch -> CloseProbe, refuse -> drop_syns, tune -> set_socket_options. One log message is reworded. Behaviour is unchanged.

--- a/examples/fleet_slope/main.rs
+++ b/examples/fleet_slope/main.rs
@@ -198,7 +198,7 @@
     );
     let settings = parse_settings("slope", &text).map_err(|f| eyre!("{f:?}"))?;
     let ports = Ports {
-        targets: http::open(clock.clone(), http::Keep::default()),
+        targets: http::open(clock.clone(), http::PoolConfig::default()),
         clock: clock.clone(),
         store: memory.store(calls),
         metrics: metrics::open(calls.clone()),
--- a/src/adapters/http/content.rs
+++ b/src/adapters/http/content.rs
@@ -1,4 +1,4 @@
-//! Bodies that are kept so that they can be sent more than once.
+//! Message bodies, buffered up to a limit so that a request can be retried.
 
 use std::{
     pin::Pin,
@@ -14,7 +14,7 @@
 
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
-/// Headers that concern one connection only, and therefore stay there.
+/// Hop-by-hop headers, which apply to one connection and are not forwarded.
 const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
     header::PROXY_AUTHENTICATE,
@@ -26,54 +26,55 @@
     HeaderName::from_static("keep-alive"),
 ];
 
-/// Removes the headers that concern one connection only, those that the
-/// connection header names included.
+/// Removes the hop-by-hop headers, including those that the `Connection` header
+/// names.
 pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
+    let listed: Vec<HeaderName> = headers
         .get_all(header::CONNECTION)
         .iter()
         .filter_map(|v| v.to_str().ok())
         .flat_map(|v| v.split(','))
         .filter_map(|name| name.trim().parse().ok())
         .collect();
-    for name in named.iter().chain(&HOP_BY_HOP) {
+    for name in listed.iter().chain(&HOP_BY_HOP) {
         headers.remove(name);
     }
 }
 
-/// The body of a message.
+/// The body of a message, buffered whole if it is short enough.
 #[derive(Debug)]
 pub enum Content {
-    /// The whole body, which can be sent again.
+    /// The whole body, which can be sent any number of times.
     Whole(Bytes),
-    /// The beginning and the rest, which can be sent once.
+    /// The buffered prefix and the unread rest, which can be sent once. None
+    /// after it was sent.
     Stream(Option<(Bytes, Body)>),
 }
 
 impl Content {
-    /// Reads a body, and stops once its beginning is longer than `kept`.
+    /// Reads a body until it ends or more than `max_bytes` are buffered.
     ///
     /// # Errors
     ///
-    /// Returns the error of the body.
-    pub async fn read(mut body: Body, kept: usize) -> Result<Self, Error> {
-        let mut start = BytesMut::new();
+    /// Returns the error with which reading the body failed.
+    pub async fn read(mut body: Body, max_bytes: usize) -> Result<Self, Error> {
+        let mut prefix = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame?.into_data() else {
-                // Trailers are not passed on; both sides get a plain body.
+                // Trailers are not forwarded; both sides get a body without them.
                 continue;
             };
-            start.extend_from_slice(&data);
-            if start.len() > kept {
-                return Ok(Self::Stream(Some((start.freeze(), body))));
+            prefix.extend_from_slice(&data);
+            if prefix.len() > max_bytes {
+                return Ok(Self::Stream(Some((prefix.freeze(), body))));
             }
         }
-        Ok(Self::Whole(start.freeze()))
+        Ok(Self::Whole(prefix.freeze()))
     }
 
-    /// Returns what has been read.
+    /// Returns the buffered bytes, which are none once a stream was sent.
     #[must_use]
-    pub fn start(&self) -> &[u8] {
+    pub fn prefix(&self) -> &[u8] {
         match self {
             Self::Whole(bytes) | Self::Stream(Some((bytes, _))) => bytes,
             Self::Stream(None) => &[],
@@ -86,33 +87,32 @@
         matches!(self, Self::Whole(_))
     }
 
-    /// Returns the body for sending, or none if it was sent already and not
-    /// kept.
-    pub fn send(&mut self) -> Option<Body> {
+    /// Returns a body to send, or none if it is a stream that was sent already.
+    pub fn take_body(&mut self) -> Option<Body> {
         Some(match self {
-            Self::Whole(bytes) => full(bytes.clone()),
+            Self::Whole(bytes) => full_body(bytes.clone()),
             Self::Stream(rest) => {
-                let (start, rest) = rest.take()?;
-                let start = Some(start);
-                Joined { start, rest }.boxed()
+                let (prefix, rest) = rest.take()?;
+                let prefix = Some(prefix);
+                PrefixedBody { prefix, rest }.boxed()
             }
         })
     }
 }
 
-/// Returns a body of bytes that are all there.
+/// Returns a body that consists of `bytes`.
 #[must_use]
-pub fn full(bytes: Bytes) -> Body {
+pub fn full_body(bytes: Bytes) -> Body {
     Full::new(bytes).map_err(|never| match never {}).boxed()
 }
 
-/// A body whose beginning was read already.
-struct Joined {
-    start: Option<Bytes>,
+/// A body that yields the buffered prefix before the unread rest.
+struct PrefixedBody {
+    prefix: Option<Bytes>,
     rest: Body,
 }
 
-impl http_body::Body for Joined {
+impl http_body::Body for PrefixedBody {
     type Data = Bytes;
     type Error = Error;
 
@@ -120,13 +120,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        if let Some(start) = self.start.take() {
-            return Poll::Ready(Some(Ok(Frame::data(start))));
+        if let Some(prefix) = self.prefix.take() {
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
         Pin::new(&mut self.rest).poll_frame(cx)
     }
 
     fn is_end_stream(&self) -> bool {
-        self.start.is_none() && self.rest.is_end_stream()
+        self.prefix.is_none() && self.rest.is_end_stream()
     }
 }
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -1,10 +1,11 @@
 //! HTTP/1.1 to callers, operators and targets.
 //!
-//! Requests arrive at a volo-http router. Its `Server::run` is not used, because
-//! it gives up on running requests after about 30 s, so [`bind`] drives the
-//! connections itself. Requests leave over hyper connections, because hyper
-//! tells whether a request was written; volo-http's client does not, and without
-//! that no refusal could truthfully say `not-run`. See
+//! A volo-http router handles inbound requests. [`bind`] drives the connections
+//! itself instead of calling volo-http's `Server::run`, which aborts running
+//! requests about 30 s after the start of a shutdown. Outbound requests use
+//! hyper connections, because hyper reports whether a failed request was
+//! written. volo-http's client does not, and without that information a refusal
+//! could not reliably say `not-run`. See
 //! [docs/design.md](../../../docs/design.md), section 6.
 
 mod content;
@@ -14,8 +15,8 @@
 mod socket;
 mod target;
 
-pub use content::{Content, full, strip_hop_by_hop};
+pub use content::{Content, full_body, strip_hop_by_hop};
 pub use query::Query;
-pub use refusal::{CODE, OUTCOME, answer};
+pub use refusal::{CODE_HEADER, OUTCOME_HEADER, refusal_response};
 pub use server::{BindError, Limits, Server, bind};
-pub use target::{Keep, open};
+pub use target::{PoolConfig, open};
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -1,4 +1,4 @@
-//! Accepts connections and stops without cutting off a request.
+//! Accepts connections and shuts down without interrupting running requests.
 
 use std::{convert::Infallible, fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -16,45 +16,47 @@
 
 use super::socket::Socket;
 
-/// What a server spends on its connections.
+/// Resource limits of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
-    /// How many connections are open at the most.
+    /// The maximum number of open connections.
     pub connections: u32,
-    /// How many bytes a request's head may have.
-    pub head: usize,
-    /// How long a caller may take to send a head, which also ends connections
-    /// that are idle for as long.
-    pub patience: Duration,
+    /// The maximum size of a request's head.
+    pub head_bytes: usize,
+    /// How long a caller may take to send a request's head. It is also the idle
+    /// timeout of a connection.
+    pub head_timeout: Duration,
 }
 
 impl Default for Limits {
     fn default() -> Self {
         Self {
             connections: 1024,
-            head: 32 * 1024,
-            patience: Duration::from_secs(10),
+            head_bytes: 32 * 1024,
+            head_timeout: Duration::from_secs(10),
         }
     }
 }
 
-/// How many connections over the limit are told so at the same time. Further
-/// ones are closed without an answer, so that a flood costs no memory.
-const REJECTIONS: u32 = 64;
+/// How many connections over the limit are sent a 503 response at the same time.
+/// Further ones are closed without a response, which bounds the memory that a
+/// flood of connections uses.
+const MAX_REJECTIONS: u32 = 64;
 
-/// How long connections are still accepted after new ones are turned away. A
-/// handshake that was under way ends within a round trip between regions.
-const LAST: Duration = Duration::from_millis(250);
+/// How long a stopping server still accepts connections after it has begun to
+/// drop SYN packets. A TCP handshake that has begun completes within one round
+/// trip between regions.
+const ACCEPT_GRACE: Duration = Duration::from_millis(250);
 
-/// How long a connection without a request is kept at a stop, because its caller
-/// may have sent the first one already.
-const FIRST: Duration = Duration::from_secs(1);
+/// How long a stopping server waits for the first request on a connection that
+/// has had none, because the caller may have sent it already.
+const FIRST_REQUEST_GRACE: Duration = Duration::from_secs(1);
 
-const TOO_MANY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
+const TOO_MANY_CONNECTIONS: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\n\
     x-savorybeam-code: too-many-connections\r\nx-savorybeam-outcome: not-run\r\n\
     retry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
-/// The address could not be bound.
+/// A failure to bind an address.
 #[derive(Debug)]
 pub struct BindError {
     /// The address.
@@ -80,23 +82,24 @@
 }
 
 impl Server {
-    /// Returns the address that was bound, with the port that was assigned if
-    /// port 0 was asked for.
+    /// Returns the bound address. If port 0 was requested, it contains the port
+    /// that the kernel assigned.
     #[must_use]
     pub fn addr(&self) -> SocketAddr {
         self.addr
     }
 
-    /// Stops accepting, and returns when every running request has its whole
-    /// answer. There is no time limit, because a large download may take long.
+    /// Stops accepting connections and returns when the responses to all running
+    /// requests are complete. There is no timeout, because a large download may
+    /// take long.
     pub async fn stop(self) {
         self.stop.send_replace(true);
-        // The task only fails if it panicked, and then nothing runs any more.
+        // Joining fails only if the task panicked, and then no request runs.
         let _ = self.task.await;
     }
 }
 
-/// Binds an address and serves the router there.
+/// Binds an address and serves `router` on it.
 ///
 /// # Errors
 ///
@@ -116,16 +119,16 @@
     router: Arc<Router>,
     stopped: watch::Receiver<bool>,
 ) {
-    let open = Arc::new(Semaphore::new(limits.connections as usize));
-    let rejections = Arc::new(Semaphore::new(REJECTIONS as usize));
+    let permits = Arc::new(Semaphore::new(limits.connections as usize));
+    let rejections = Arc::new(Semaphore::new(MAX_REJECTIONS as usize));
     let mut running = JoinSet::new();
     let mut stop = stopped.clone();
     loop {
         tokio::select! {
-            () = stopping(&mut stop) => break,
+            () = wait_for_stop(&mut stop) => break,
             Some(_) = running.join_next() => {}
             conn = listener.accept() => match conn {
-                Ok((stream, peer)) => match open.clone().try_acquire_owned() {
+                Ok((stream, peer)) => match permits.clone().try_acquire_owned() {
                     Ok(permit) => {
                         let conn = serve(stream, peer, limits, router.clone(), stopped.clone());
                         running.spawn(async move {
@@ -137,17 +140,17 @@
                 },
                 Err(e) => {
                     tracing::warn!("http: accept failed: {e}.");
-                    // Out of file descriptors: waiting lets running requests
-                    // end and give theirs back.
+                    // The usual cause is a lack of file descriptors; the pause
+                    // lets running requests finish and release theirs.
                     tokio::time::sleep(Duration::from_millis(50)).await;
                 }
             },
         }
     }
-    refuse(&listener);
-    let end = tokio::time::Instant::now() + LAST;
-    while let Ok(conn) = tokio::time::timeout_at(end, listener.accept()).await {
-        // The limit does not apply to the last few, which are connected already.
+    drop_syns(&listener);
+    let deadline = tokio::time::Instant::now() + ACCEPT_GRACE;
+    while let Ok(conn) = tokio::time::timeout_at(deadline, listener.accept()).await {
+        // These few are connected already, so the limit does not apply.
         if let Ok((stream, peer)) = conn {
             running.spawn(serve(stream, peer, limits, router.clone(), stopped.clone()));
         }
@@ -156,31 +159,31 @@
     while running.join_next().await.is_some() {}
 }
 
-/// Turns new connections away in the kernel, while those whose handshake has
-/// begun can still be accepted.
+/// Attaches a socket filter that drops SYN packets, while connections whose
+/// handshake has begun can still be accepted.
 ///
-/// Closing a listener resets connections that nobody has accepted yet, although
-/// their callers may have sent requests. A dropped SYN is sent again after the
-/// listener is closed and is refused then.
-fn refuse(listener: &TcpListener) {
-    const FLAGS: u32 = 13;
-    const SYN: u32 = 0x02;
-    // The numbers are the published codes of classic BPF: load a byte, jump if a
-    // bit is set, return the length to keep.
+/// Closing a listener resets the connections in its accept queue, although their
+/// callers may have sent requests. A caller whose SYN was dropped retransmits it
+/// after the listener is closed, and the connection is refused then.
+fn drop_syns(listener: &TcpListener) {
+    const FLAGS_OFFSET: u32 = 13;
+    const SYN_FLAG: u32 = 0x02;
+    // Classic BPF opcodes: 0x30 loads a byte, 0x45 jumps if a bit is set, and
+    // 0x06 returns how many bytes of the packet to keep.
     let filter = [
-        SockFilter::new(0x30, 0, 0, FLAGS),
-        SockFilter::new(0x45, 0, 1, SYN),
+        SockFilter::new(0x30, 0, 0, FLAGS_OFFSET),
+        SockFilter::new(0x45, 0, 1, SYN_FLAG),
         SockFilter::new(0x06, 0, 0, 0),
         SockFilter::new(0x06, 0, 0, u32::MAX),
     ];
     if let Err(e) = SockRef::from(listener).attach_filter(&filter) {
-        tracing::warn!("http: turn new connections away: {e}.");
+        tracing::warn!("http: attach the filter that drops SYN packets: {e}.");
     }
 }
 
-/// Waits until the server is to stop. The channel's guard is dropped at once,
-/// since it must not be held across an await.
-async fn stopping(stopped: &mut watch::Receiver<bool>) {
+/// Waits for the stop signal. The channel's guard is dropped at once, since it
+/// must not be held across an await.
+async fn wait_for_stop(stopped: &mut watch::Receiver<bool>) {
     let _ = stopped.wait_for(|s| *s).await.is_ok();
 }
 
@@ -189,7 +192,7 @@
         return;
     };
     tokio::spawn(async move {
-        let write = stream.write_all(TOO_MANY);
+        let write = stream.write_all(TOO_MANY_CONNECTIONS);
         let _ = tokio::time::timeout(Duration::from_secs(1), write).await;
         drop(permit);
     });
@@ -202,12 +205,13 @@
     router: Arc<Router>,
     mut stopped: watch::Receiver<bool>,
 ) {
-    // Answers are often one small segment, which must not wait for an ACK.
+    // Responses are often one small segment, which Nagle's algorithm would hold
+    // back until an ACK arrives.
     let _ = stream.set_nodelay(true);
-    let used = Arc::new(Notify::new());
-    let seen = used.clone();
+    let first_request = Arc::new(Notify::new());
+    let notify = first_request.clone();
     let service = service_fn(move |req: http::Request<Incoming>| {
-        seen.notify_one();
+        notify.notify_one();
         let router = router.clone();
         async move {
             let mut cx = ServerContext::new(peer.into());
@@ -215,24 +219,25 @@
             Ok::<_, Infallible>(resp.unwrap_or_else(|never| match never {}))
         }
     });
-    // A peer takes a closed connection for the end of its request's work. hyper
-    // drops its socket before that work, so another handle keeps it open.
+    // A peer assumes that the work on its request has ended when the connection
+    // closes. hyper drops its socket before it drops that work, so this clone
+    // keeps the connection open until then.
     let socket = Socket::new(stream);
-    let _open = socket.clone();
+    let _keep_open = socket.clone();
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.patience)
-        .max_buf_size(limits.head)
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.head_bytes)
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(conn);
     let result = tokio::select! {
         result = conn.as_mut() => result,
-        () = stopping(&mut stopped) => {
-            // The shutdown would close a connection without a request at once.
+        () = wait_for_stop(&mut stopped) => {
+            // `graceful_shutdown` closes a connection without a request at once.
             tokio::select! {
                 _ = conn.as_mut() => return,
-                () = used.notified() => {}
-                () = tokio::time::sleep(FIRST) => {}
+                () = first_request.notified() => {}
+                () = tokio::time::sleep(FIRST_REQUEST_GRACE) => {}
             }
             conn.as_mut().graceful_shutdown();
             conn.await
--- a/src/adapters/http/socket.rs
+++ b/src/adapters/http/socket.rs
@@ -1,4 +1,4 @@
-//! A socket that can be looked at while hyper owns the connection.
+//! A socket whose state can be probed while hyper owns the connection.
 
 use std::{
     io::{ErrorKind, IoSlice, Result},
@@ -15,39 +15,40 @@
     net::TcpStream,
 };
 
-/// The socket of a connection. It closes when the last clone is dropped;
-/// [`Watch`] keeps only a weak reference.
+/// The socket of a connection. It closes when the last clone is dropped; a
+/// [`CloseProbe`] holds only a weak reference.
 #[derive(Clone, Debug)]
 pub(super) struct Socket(Arc<TcpStream>);
 
 impl Socket {
-    /// Takes over a connected stream.
+    /// Wraps a connected stream.
     pub fn new(stream: TcpStream) -> Self {
         Self(Arc::new(stream))
     }
 
-    /// Returns a look at the socket.
-    pub fn watch(&self) -> Watch {
-        Watch(Arc::downgrade(&self.0))
+    /// Returns a probe of the socket that does not keep it open.
+    pub fn close_probe(&self) -> CloseProbe {
+        CloseProbe(Arc::downgrade(&self.0))
     }
 }
 
-/// A look at the socket of an idle connection.
+/// Tests whether an idle connection is still usable.
 #[derive(Debug)]
-pub(super) struct Watch(Weak<TcpStream>);
+pub(super) struct CloseProbe(Weak<TcpStream>);
 
-impl Watch {
-    /// Tells whether the other end has closed the connection.
+impl CloseProbe {
+    /// Reports whether the peer has closed the connection.
     ///
-    /// The kernel knows this before the task that drives the connection has run.
-    /// A request that is written in between could neither be answered nor be
-    /// called `not-run`.
+    /// The kernel knows this before the task that drives the connection has
+    /// polled the socket. A request that is written in between gets no response,
+    /// and its outcome cannot be reported as `not-run`.
     pub fn is_closed(&self) -> bool {
         let Some(stream) = self.0.upgrade() else {
             return true;
         };
         let mut byte = [MaybeUninit::uninit()];
-        // Nothing may arrive on an idle connection, so data also ends its use.
+        // No data is expected on an idle connection, so data also makes it
+        // unusable.
         match SockRef::from(&*stream).peek(&mut byte) {
             Err(e) => e.kind() != ErrorKind::WouldBlock,
             Ok(_) => true,
@@ -77,7 +78,7 @@
 
 impl AsyncWrite for Socket {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
-        self.write(cx, |stream| stream.try_write(buf))
+        self.poll_write_with(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
@@ -85,7 +86,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
-        self.write(cx, |stream| stream.try_write_vectored(bufs))
+        self.poll_write_with(cx, |stream| stream.try_write_vectored(bufs))
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -102,14 +103,14 @@
 }
 
 impl Socket {
-    fn write(
+    fn poll_write_with(
         &self,
         cx: &mut Context<'_>,
-        write: impl Fn(&TcpStream) -> Result<usize>,
+        try_write: impl Fn(&TcpStream) -> Result<usize>,
     ) -> Poll<Result<usize>> {
         loop {
             ready!(self.0.poll_write_ready(cx))?;
-            match write(&self.0) {
+            match try_write(&self.0) {
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                 result => return Poll::Ready(result),
             }
--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -1,10 +1,10 @@
-//! Connections to targets.
+//! A pool of HTTP/1.1 connections to targets.
 //!
-//! Idle connections are kept for each target in a shard of their own lock. A
-//! connection that sat idle for long is not used again, because something
-//! between the two ends may have lost track of it. The kernel's keepalive finds
-//! silent connections while a request runs; it needs no cooperation of the
-//! target, so a slow target is not mistaken for a silent connection.
+//! Idle connections are pooled per target, in shards with a lock each. A
+//! connection that was idle for too long is not reused, because a middlebox may
+//! have dropped its state. TCP keepalive detects silent connections while a
+//! request runs. The target's kernel answers the probes, so a slow target is not
+//! mistaken for a silent connection.
 
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -19,7 +19,7 @@
     time::timeout,
 };
 
-use super::socket::{Socket, Watch};
+use super::socket::{CloseProbe, Socket};
 use crate::{
     domain::{Millis, Shards, TargetId},
     policy::silence::{
@@ -28,83 +28,85 @@
     ports::{Body, Clock, Hold, Outbound, SendError, Targets},
 };
 
-/// Which idle connections are kept.
+/// Limits of the pool of idle connections.
 #[derive(Clone, Copy, Debug)]
-pub struct Keep {
-    /// How many for each target.
-    pub count: usize,
-    /// For how long.
-    pub idle: Millis,
+pub struct PoolConfig {
+    /// The maximum number of idle connections per target.
+    pub max_idle: usize,
+    /// How long a connection may be idle before it is closed.
+    pub idle_timeout: Millis,
 }
 
-impl Default for Keep {
+impl Default for PoolConfig {
     fn default() -> Self {
         Self {
-            count: 64,
-            idle: POOL_IDLE_MAX,
+            max_idle: 64,
+            idle_timeout: POOL_IDLE_MAX,
         }
     }
 }
 
 /// How long a target may take to close a connection after this side has. It
-/// equals the time after which the kernel gives up on written data.
-const CLOSE: Millis = Millis(5_000);
+/// equals [`TCP_USER_TIMEOUT`], after which the kernel gives up on unacknowledged
+/// data.
+const CLOSE_TIMEOUT: Millis = Millis(5_000);
 
-/// How much of a cancelled answer is read until the connection is reset instead.
-const LEFTOVER: usize = 256 * 1024;
+/// How much of a cancelled response is read and discarded before the connection
+/// is reset instead.
+const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 
-/// An unanswered request that was cancelled after this time casts doubt on the
-/// connections that were idle when it was sent. It is the shortest time after
-/// which a connection counts as silent.
-const SILENT: Millis = Millis(1_000);
+/// If a request is cancelled without a response after at least this time, the
+/// connections that were idle when it was sent are closed too. It is the shortest
+/// time after which a connection counts as silent.
+const MIN_SILENCE: Millis = Millis(1_000);
 
-/// A connection with what is held for the request that it carries.
+/// A connection and the [`Hold`] of the request that it carries.
 struct Conn {
     sender: SendRequest<Body>,
-    watch: Watch,
+    probe: CloseProbe,
     held: Arc<Mutex<Option<Hold>>>,
 }
 
 impl Conn {
-    fn hold(&self, hold: &Hold) {
+    fn set_hold(&self, hold: &Hold) {
         let mut current = self.held.lock().unwrap_or_else(PoisonError::into_inner);
         *current = Some(hold.clone());
     }
 }
 
-fn end_hold(held: &Mutex<Option<Hold>>) {
+fn release_hold(held: &Mutex<Option<Hold>>) {
     drop(held.lock().unwrap_or_else(PoisonError::into_inner).take());
 }
 
-struct Idle {
+struct IdleConn {
     conn: Conn,
     since: Millis,
 }
 
-/// The idle connections. A shard's lock guards those of its targets.
+/// The idle connections by target. Each shard has its own lock.
 #[derive(Clone)]
 struct Pool {
-    idle: Arc<Shards<TargetId, Vec<Idle>>>,
-    keep: Keep,
+    idle: Arc<Shards<TargetId, Vec<IdleConn>>>,
+    config: PoolConfig,
 }
 
 impl Pool {
-    /// Drops the connections to a target that are of no more use.
+    /// Drops the connections to a target that are expired or closed.
     fn prune(&self, target: TargetId, now: Millis) {
         self.idle.get(&target, |idle| self.retain(idle, now));
     }
 
-    fn retain(&self, idle: &mut Vec<Idle>, now: Millis) {
-        idle.retain(|c| now - c.since <= self.keep.idle && !c.conn.sender.is_closed());
+    fn retain(&self, idle: &mut Vec<IdleConn>, now: Millis) {
+        idle.retain(|c| now - c.since <= self.config.idle_timeout && !c.conn.sender.is_closed());
     }
 }
 
 /// Opens a pool of connections to targets.
 #[must_use]
-pub fn open(clock: Clock, keep: Keep) -> Targets {
+pub fn open(clock: Clock, config: PoolConfig) -> Targets {
     let pool = Pool {
         idle: Arc::default(),
-        keep,
+        config,
     };
     Targets {
         send: Arc::new(move |out| {
@@ -122,32 +124,32 @@
         connect: limit,
         begun,
     } = out;
-    let mut doubt = Doubt::new(pool, clock, target);
+    let mut guard = SilenceGuard::new(pool, clock, target);
     while let Some(mut conn) = checkout(pool, target, (clock.now)()) {
-        conn.hold(&hold);
+        conn.set_hold(&hold);
         begun.set();
         match conn.sender.try_send_request(request).await {
             Ok(resp) => {
-                doubt.end();
-                return Ok(keep(pool, clock, target, conn, resp));
+                guard.disarm();
+                return Ok(respond_and_pool(pool, clock, target, conn, resp));
             }
             Err(mut e) => match e.take_message() {
-                // The connection closed while it was idle. Nothing of the
-                // request was written, so another connection may take it.
+                // The connection closed while it was idle. No part of the
+                // request was written, so it can be sent on another connection.
                 Some(unsent) => request = unsent,
-                None => return Err(unknown(target, &e.into_error())),
+                None => return Err(unknown_outcome(target, &e.into_error())),
             },
         }
     }
-    // A request that came back from a closed connection was not written.
+    // No pooled connection has written any part of the request.
     begun.clear();
     let mut conn = connect(target, limit).await?;
-    conn.hold(&hold);
+    conn.set_hold(&hold);
     begun.set();
     match conn.sender.try_send_request(request).await {
         Ok(resp) => {
-            doubt.end();
-            Ok(keep(pool, clock, target, conn, resp))
+            guard.disarm();
+            Ok(respond_and_pool(pool, clock, target, conn, resp))
         }
         Err(mut e) => match e.take_message() {
             Some(_) => Err(SendError::Unsent {
@@ -155,49 +157,51 @@
                 peer: target,
                 cause: e.into_error().to_string(),
             }),
-            None => Err(unknown(target, &e.into_error())),
+            None => Err(unknown_outcome(target, &e.into_error())),
         },
     }
 }
 
-/// A request without an answer. If it is cancelled late, whatever made its
-/// connection silent may concern the idle ones of the same age, so they are
-/// closed. Otherwise each of them would cost one more request its deadline.
-struct Doubt<'a> {
+/// Closes suspect idle connections if a request is cancelled late.
+///
+/// Whatever made the connection of an unanswered request silent may also affect
+/// those that were idle when it was sent. If they stayed in the pool, each would
+/// cost one more request its deadline.
+struct SilenceGuard<'a> {
     pool: &'a Pool,
     clock: &'a Clock,
     target: TargetId,
     sent: Millis,
-    ended: bool,
+    disarmed: bool,
 }
 
-impl<'a> Doubt<'a> {
+impl<'a> SilenceGuard<'a> {
     fn new(pool: &'a Pool, clock: &'a Clock, target: TargetId) -> Self {
         Self {
             pool,
             clock,
             target,
             sent: (clock.now)(),
-            ended: false,
+            disarmed: false,
         }
     }
 
-    fn end(&mut self) {
-        self.ended = true;
+    fn disarm(&mut self) {
+        self.disarmed = true;
     }
 }
 
-impl Drop for Doubt<'_> {
+impl Drop for SilenceGuard<'_> {
     fn drop(&mut self) {
-        if !self.ended && (self.clock.now)() - self.sent >= SILENT {
+        if !self.disarmed && (self.clock.now)() - self.sent >= MIN_SILENCE {
             let sent = self.sent;
-            let old = |idle: &mut Vec<Idle>| idle.retain(|c| c.since >= sent);
-            self.pool.idle.get(&self.target, old);
+            let retain_newer = |idle: &mut Vec<IdleConn>| idle.retain(|c| c.since >= sent);
+            self.pool.idle.get(&self.target, retain_newer);
         }
     }
 }
 
-fn unknown(peer: TargetId, e: &hyper::Error) -> SendError {
+fn unknown_outcome(peer: TargetId, e: &hyper::Error) -> SendError {
     SendError::Unknown {
         step: "answer from",
         peer,
@@ -206,13 +210,13 @@
     }
 }
 
-/// Takes an idle connection that is young enough and still open.
+/// Takes an idle connection that has not expired and is still open.
 fn checkout(pool: &Pool, target: TargetId, now: Millis) -> Option<Conn> {
     pool.idle
         .get(&target, |idle| {
-            while let Some(Idle { conn, since }) = idle.pop() {
-                let young = now - since <= pool.keep.idle;
-                if young && conn.sender.is_ready() && !conn.watch.is_closed() {
+            while let Some(IdleConn { conn, since }) = idle.pop() {
+                let fresh = now - since <= pool.config.idle_timeout;
+                if fresh && conn.sender.is_ready() && !conn.probe.is_closed() {
                     return Some(conn);
                 }
             }
@@ -221,8 +225,9 @@
         .flatten()
 }
 
-/// Returns the answer, and puts the connection back once its body has ended.
-fn keep(
+/// Returns the response and puts the connection back into the pool once the
+/// response's body has ended.
+fn respond_and_pool(
     pool: &Pool,
     clock: &Clock,
     target: TargetId,
@@ -234,19 +239,20 @@
         if conn.sender.ready().await.is_err() {
             return;
         }
-        end_hold(&conn.held);
+        release_hold(&conn.held);
         let since = (clock.now)();
-        let kept = pool.idle.with(target, Vec::new, |idle| {
+        let pooled = pool.idle.with(target, Vec::new, |idle| {
             pool.retain(idle, since);
-            let room = idle.len() < pool.keep.count;
-            if room {
-                idle.push(Idle { conn, since });
+            let has_room = idle.len() < pool.config.max_idle;
+            if has_room {
+                idle.push(IdleConn { conn, since });
             }
-            room
+            has_room
         });
-        if kept {
-            // Nobody may ask for this target again.
-            tokio::time::sleep((pool.keep.idle + Millis(1)).duration()).await;
+        if pooled {
+            // Expired connections are otherwise dropped only when the target is
+            // used again, which may never happen.
+            tokio::time::sleep((pool.config.idle_timeout + Millis(1)).duration()).await;
             pool.prune(target, (clock.now)());
         }
     });
@@ -254,7 +260,7 @@
 }
 
 async fn connect(target: TargetId, limit: Millis) -> Result<Conn, SendError> {
-    let failed = |step, cause: String| SendError::Unsent {
+    let unsent = |step, cause: String| SendError::Unsent {
         step,
         peer: target,
         cause,
@@ -262,56 +268,56 @@
     let stream = timeout(limit.duration(), TcpStream::connect(target.0)).await;
     let stream = match stream {
         Ok(Ok(stream)) => stream,
-        Ok(Err(e)) => return Err(failed("connect to", e.to_string())),
-        Err(_) => return Err(failed("connect to", format!("timed out after {limit}"))),
+        Ok(Err(e)) => return Err(unsent("connect to", e.to_string())),
+        Err(_) => return Err(unsent("connect to", format!("timed out after {limit}"))),
     };
-    tune(&stream).map_err(|e| failed("configure connection to", e.to_string()))?;
+    set_socket_options(&stream).map_err(|e| unsent("configure connection to", e.to_string()))?;
     let socket = Socket::new(stream);
-    let watch = socket.watch();
+    let probe = socket.close_probe();
     let (sender, conn) = http1::handshake::<_, Body>(TokioIo::new(socket))
         .await
-        .map_err(|e| failed("handshake with", e.to_string()))?;
+        .map_err(|e| unsent("handshake with", e.to_string()))?;
     let held: Arc<Mutex<Option<Hold>>> = Arc::default();
-    let ended = held.clone();
+    let released = held.clone();
     tokio::spawn(async move {
         match conn.without_shutdown().await {
             Ok(parts) => close(target, parts.io.into_inner()).await,
             Err(e) => tracing::debug!("target: connection to {target} ended: {e}."),
         }
-        end_hold(&ended);
+        release_hold(&released);
     });
     Ok(Conn {
         sender,
-        watch,
+        probe,
         held,
     })
 }
 
-/// Closes this side and waits until the target has closed the other, because a
-/// target stops a cancelled request when it sees that.
+/// Shuts down the sending side and waits until the target has closed its side. A
+/// target stops the work on a cancelled request when it sees the shutdown.
 async fn close(target: TargetId, mut stream: Socket) {
     let closed = async {
         let mut buf = vec![0; 16 * 1024];
-        let mut left = LEFTOVER;
+        let mut budget = MAX_DISCARDED_BYTES;
         stream.shutdown().await?;
         loop {
             let n = stream.read(&mut buf).await?;
-            if n == 0 || n > left {
+            if n == 0 || n > budget {
                 return Ok::<_, std::io::Error>(());
             }
-            left -= n;
+            budget -= n;
         }
     };
-    match timeout(CLOSE.duration(), closed).await {
+    match timeout(CLOSE_TIMEOUT.duration(), closed).await {
         Ok(Ok(())) => {}
         Ok(Err(e)) => tracing::debug!("target: close connection to {target}: {e}."),
-        Err(_) => tracing::warn!("target: {target} did not close within {CLOSE}."),
+        Err(_) => tracing::warn!("target: {target} did not close within {CLOSE_TIMEOUT}."),
     }
 }
 
-/// Makes the kernel notice within about 5 s that the other end has lost track
-/// of the connection.
-fn tune(stream: &TcpStream) -> std::io::Result<()> {
+/// Sets the socket options. Keepalive and the user timeout make the kernel fail
+/// a connection within about 5 s after its peer has lost the state of it.
+fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
     let probes = TcpKeepalive::new()
         .with_time(KEEPALIVE_IDLE.duration())
--- a/src/adapters/platform/store.rs
+++ b/src/adapters/platform/store.rs
@@ -10,7 +10,7 @@
 
 use super::items::{self, Item};
 use crate::{
-    adapters::http::{Content, full},
+    adapters::http::{Content, full_body},
     domain::{Millis, Presence, Revision, TargetId},
     ports::{Batch, LeaseId, Outbound, Platform, PlatformError, Poll, Targets},
 };
@@ -238,7 +238,7 @@
             request = request.header(header::CONTENT_TYPE, "application/json");
         }
         let request = request
-            .body(full(body.unwrap_or_default()))
+            .body(full_body(body.unwrap_or_default()))
             .map_err(|e| self.failed(step, &e))?;
         let late = |limit| self.failed(step, &format!("timed out after {limit}"));
         let out = Outbound::new(TargetId(self.addr), request);
--- a/src/app/cli/entry.rs
+++ b/src/app/cli/entry.rs
@@ -24,7 +24,7 @@
 pub(super) async fn run(settings: PathBuf) -> eyre::Result<()> {
     let settings = read(&settings, parse_settings)?;
     let clock = clock::open();
-    let targets = http::open(clock.clone(), http::Keep::default());
+    let targets = http::open(clock.clone(), http::PoolConfig::default());
     let calls = Arc::<Calls>::default();
     let ports = Ports {
         store: etcd::open(&settings.store, STORE_TIMEOUT, calls.clone()),
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -26,9 +26,9 @@
 
 /// The idle connections to targets that are kept. Each costs some 17 KB, a new
 /// one 1 ms of a slot; targets may forget idle ones before their time.
-const KEEP: http::Keep = http::Keep {
-    count: 6,
-    idle: Millis(4_000),
+const KEEP: http::PoolConfig = http::PoolConfig {
+    max_idle: 6,
+    idle_timeout: Millis(4_000),
 };
 
 /// How long an entry may take to answer a question that it need not wait for.
--- a/src/app/dev/mod.rs
+++ b/src/app/dev/mod.rs
@@ -83,7 +83,7 @@
     for entry in &entries {
         entry.ready().await;
     }
-    let client = http::open(clock, http::Keep::default());
+    let client = http::open(clock, http::PoolConfig::default());
     for entry in &entries {
         for service in sample::SERVICES {
             probe::served(&client, entry.callers(), service).await?;
@@ -119,7 +119,7 @@
     })?;
     let calls = std::sync::Arc::<Calls>::default();
     let ports = Ports {
-        targets: http::open(clock.clone(), http::Keep::default()),
+        targets: http::open(clock.clone(), http::PoolConfig::default()),
         clock: clock.clone(),
         store: memory.store(&calls),
         metrics: metrics::open(calls),
--- a/src/app/entry/admin/reply.rs
+++ b/src/app/entry/admin/reply.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     adapters::{
-        http::{CODE, OUTCOME},
+        http::{CODE_HEADER, OUTCOME_HEADER},
         metrics,
     },
     domain::{ParseError, Revision},
@@ -40,10 +40,10 @@
     let mut resp = json(&failure_json(failure));
     *resp.status_mut() = StatusCode::from_u16(failure.code.status()).unwrap_or_default();
     let headers = resp.headers_mut();
-    headers.insert(CODE, HeaderValue::from_static(failure.code.as_str()));
+    headers.insert(CODE_HEADER, HeaderValue::from_static(failure.code.as_str()));
     let outcome = HeaderValue::from_str(&failure.outcome.to_string());
     let unknown = HeaderValue::from_static("unknown");
-    headers.insert(OUTCOME, outcome.unwrap_or(unknown));
+    headers.insert(OUTCOME_HEADER, outcome.unwrap_or(unknown));
     if let Some(found) = failure.found.filter(|f| *f != Revision::default()) {
         set_etag(&mut resp, found);
     }
--- a/src/app/entry/inbound.rs
+++ b/src/app/entry/inbound.rs
@@ -9,7 +9,7 @@
 
 use super::{State, carry, job::Inbound, lookup};
 use crate::{
-    adapters::http::answer,
+    adapters::http::refusal_response,
     domain::{Millis, ServiceName},
     policy::refusal::{Code, Refusal},
 };
@@ -45,7 +45,7 @@
             return lookup::respond(state, client, &req);
         }
         let detail = format!("no document is in force for {:?}", host.unwrap_or_default());
-        return answer(&Refusal::not_run(Code::UnknownService, detail));
+        return refusal_response(&Refusal::not_run(Code::UnknownService, detail));
     };
     let name = service.to_string();
     let result = match inbound(service, req) {
@@ -57,7 +57,7 @@
         Err(refusal) => {
             let metrics = &state.ports.metrics;
             metrics.refused(&name, refusal.code.as_str());
-            answer(&refusal)
+            refusal_response(&refusal)
         }
     }
 }
--- a/src/app/entry/job.rs
+++ b/src/app/entry/job.rs
@@ -121,7 +121,7 @@
             parts.method.as_str(),
             parts.uri.path_and_query().map_or("/", |p| p.as_str()),
             declared,
-            content.start(),
+            content.prefix(),
         );
         let key = match key.filter(|_| !idempotent) {
             Some(text) => Some(ClaimKey {
@@ -186,7 +186,7 @@
     /// Returns the request for a target, or none if its body was sent already
     /// and not kept.
     pub fn request(&mut self, now: Millis) -> Option<Request<Body>> {
-        let body = self.content.send()?;
+        let body = self.content.take_body()?;
         let mut request = Request::new(body);
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
--- a/src/app/entry/lookup.rs
+++ b/src/app/entry/lookup.rs
@@ -7,7 +7,7 @@
 
 use super::State;
 use crate::{
-    adapters::http::answer,
+    adapters::http::refusal_response,
     domain::ServiceName,
     policy::{
         lookup::rank,
@@ -23,11 +23,11 @@
 ) -> Response<Body> {
     let Some(service) = service(req) else {
         let detail = "the query needs service=NAME";
-        return answer(&Refusal::not_run(Code::BadRequest, detail));
+        return refusal_response(&Refusal::not_run(Code::BadRequest, detail));
     };
     if state.services.get(&service, |s| s.document().is_ok()) != Some(true) {
         let detail = format!("no document is in force for {service}");
-        return answer(&Refusal::not_run(Code::UnknownService, detail));
+        return refusal_response(&Refusal::not_run(Code::UnknownService, detail));
     }
     let view = state.view();
     let now = (state.ports.clock.now)();
--- a/src/app/gateway/answer.rs
+++ b/src/app/gateway/answer.rs
@@ -14,7 +14,7 @@
 use super::{exchange::Answer, slot::Slot};
 use crate::{
     adapters::{
-        http::{self as web, Content, full, strip_hop_by_hop},
+        http::{self as web, Content, full_body, strip_hop_by_hop},
         platform::headers,
     },
     policy::{
@@ -26,7 +26,7 @@
 
 /// Returns the answer that tells a caller of a refusal.
 pub(super) fn refuse(refusal: &Refusal) -> Response<FrontBody> {
-    let mut resp = web::answer(refusal);
+    let mut resp = web::refusal_response(refusal);
     if let Some(time) = refusal.retry_after {
         headers::write_retry(resp.headers_mut(), time);
     }
@@ -50,12 +50,12 @@
     let body = match content {
         Content::Whole(bytes) => {
             slot.finish(ending, report);
-            full(bytes)
+            full_body(bytes)
         }
         mut content @ Content::Stream(_) => {
-            let Some(body) = content.send() else {
+            let Some(body) = content.take_body() else {
                 // A content that was just read has not been sent.
-                return Response::from_parts(head, full(Bytes::new()));
+                return Response::from_parts(head, full_body(Bytes::new()));
             };
             Tracked {
                 body,
--- a/src/app/gateway/job.rs
+++ b/src/app/gateway/job.rs
@@ -110,7 +110,7 @@
     /// Returns the request for one start of a target, or none if its body was
     /// sent already and not kept.
     pub fn request(&mut self, target: &InstanceId, left: Millis) -> Option<Request<Body>> {
-        let mut request = Request::new(self.content.send()?);
+        let mut request = Request::new(self.content.take_body()?);
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         *request.headers_mut() = self.head.headers.clone();
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -74,7 +74,7 @@
     let connections = settings.descriptors.saturating_sub(RESERVED).max(64);
     let limits = Limits {
         connections: u32::try_from(connections).unwrap_or(u32::MAX),
-        patience: IDLE,
+        head_timeout: IDLE,
         ..Limits::default()
     };
     let addr = settings.front;
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -16,7 +16,7 @@
     adapters::{
         clock,
         grpc::{self, Peers},
-        http::{self as web, Content, Keep, Limits, Server, full},
+        http::{self as web, Content, Limits, PoolConfig, Server, full_body},
         metrics,
         store::Calls,
     },
@@ -157,9 +157,9 @@
             changes.push(Change::Registered(vm::instance(&id, server.addr())));
         }
         let clock = clock::open();
-        let client = web::open(clock.clone(), Keep::default());
+        let client = web::open(clock.clone(), PoolConfig::default());
         let ports = Ports {
-            targets: web::open(clock.clone(), Keep::default()),
+            targets: web::open(clock.clone(), PoolConfig::default()),
             platform: platform(changes, needs),
             changes: grpc::changes(Arc::new(Peers::new(Millis(500), Arc::default()))),
             metrics: metrics::open(Arc::<Calls>::default()),
@@ -203,13 +203,13 @@
             .header("deadline-ms", "2000")
             .header("connection", "x-private")
             .header("x-private", "1")
-            .body(full(Bytes::from_static(b"a slot")))
+            .body(full_body(Bytes::from_static(b"a slot")))
             .expect("a request");
         let resp = (self.client.send)(Outbound::new(TargetId(addr), request)).await;
         let (head, body) = resp.expect("an answer").into_parts();
         let body = Content::read(body, 10_000).await.expect("a body");
         let seal = if head.headers.contains_key("server-seal") {
-            String::from_utf8_lossy(body.start()).into_owned()
+            String::from_utf8_lossy(body.prefix()).into_owned()
         } else {
             let outcome = head.headers.get("x-savorybeam-outcome");
             format!("{:?}", outcome.unwrap_or(&HeaderValue::from_static("")))
@@ -308,7 +308,7 @@
             .uri(path)
             .header("host", "kitchens.example")
             .header("request-id", "r-2")
-            .body(full(Bytes::new()))
+            .body(full_body(Bytes::new()))
             .expect("a request");
         let resp = (self.client.send)(Outbound::new(TargetId(addr), request)).await;
         let resp = resp.expect("an answer");
@@ -335,7 +335,7 @@
             .header("host", "kitchens.example")
             .header("request-id", case)
             .header("x-filler", "x".repeat(head))
-            .body(full(Bytes::from(vec![b'x'; body])))
+            .body(full_body(Bytes::from(vec![b'x'; body])))
             .expect("a request");
         let front = TargetId(site.gateway.front());
         let resp = (site.client.send)(Outbound::new(front, request)).await;
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -76,7 +76,7 @@
 #[tokio::test]
 async fn a_connection_that_stalls_in_the_request_head_is_closed() {
     let limits = Limits {
-        patience: std::time::Duration::from_millis(50),
+        head_timeout: std::time::Duration::from_millis(50),
         ..Limits::default()
     };
     let server = start_server(limits).await;
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -13,7 +13,7 @@
 use http_body_util::{BodyExt, StreamBody};
 use savorybeam::{
     adapters::{
-        http::{Content, full},
+        http::{Content, full_body},
         platform::{directory, headers, settings, store},
     },
     domain::{Mbps, Millis, Presence, Revision},
@@ -39,7 +39,7 @@
             Box::pin(async move {
                 let (head, body) = out.request.into_parts();
                 let body = Content::read(body, 10_000).await.expect("a body");
-                let body = String::from_utf8_lossy(body.start()).into_owned();
+                let body = String::from_utf8_lossy(body.prefix()).into_owned();
                 let call = format!("{} {}", head.method, head.uri);
                 calls
                     .lock()
@@ -50,7 +50,7 @@
                     .iter()
                     .position(|(path, _, _)| call.starts_with(path));
                 let (_, status, text) = answers.remove(at.expect("an answer to the call"));
-                let mut resp = Response::new(full(Bytes::from(text)));
+                let mut resp = Response::new(full_body(Bytes::from(text)));
                 *resp.status_mut() = StatusCode::from_u16(status).expect("a status");
                 Ok(resp)
             })
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -16,7 +16,7 @@
     adapters::{
         clock,
         grpc::{self, Peers},
-        http::{self as web, Keep},
+        http::{self as web, PoolConfig},
         metrics,
         store::Calls,
     },
@@ -125,7 +125,7 @@
     let clock = clock::open();
     let peers = Arc::new(Peers::new(Millis(500), Arc::default()));
     let ports = Ports {
-        targets: web::open(clock.clone(), Keep::default()),
+        targets: web::open(clock.clone(), PoolConfig::default()),
         platform,
         changes: grpc::changes(peers),
         metrics: metrics::open(Arc::<Calls>::default()),
