Reword the logs and ini adapters and their messages

Logs -> LogBuffer, Line -> LineWriter, PERIOD -> FLUSH_INTERVAL; the methods of the INI reader say what they do: kinds -> check_sections, keys -> check_keys, needed -> required, fault -> add_fault.

--- a/src/adapters/ini/document.rs
+++ b/src/adapters/ini/document.rs
@@ -1,25 +1,25 @@
-//! Service documents.
+//! Parses and prints service documents.
 
 use std::{collections::HashSet, fmt::Write};
 
 use super::reader::{Fault, Reader};
 use crate::domain::{Document, Lane, Millis, Place, PlaceState, Priority, Route, Rps, TargetId};
 
-/// The deadline of a service that does not set one.
-const DEADLINE: Millis = Millis(30_000);
+/// The deadline of requests to a service whose document sets none.
+const DEFAULT_DEADLINE: Millis = Millis(30_000);
 
-/// Reads and checks a document.
+/// Parses and validates a document.
 ///
 /// # Errors
 ///
-/// Returns every fault of the text. `file` only names the text in them.
+/// Returns all faults of the text. `file` is only used as the file name in them.
 pub fn parse_document(file: &str, text: &str) -> Result<Document, Vec<Fault>> {
     let mut r = Reader::open(file, text)?;
-    r.kinds(&["service", "place", "route"]);
-    r.keys("service", &["name", "team", "deadline", "shift-cap"]);
-    let service = r.needed("service", "name");
-    let team = r.needed("service", "team");
-    let deadline = r.value("service", "deadline", DEADLINE);
+    r.check_sections(&["service", "place", "route"]);
+    r.check_keys("service", &["name", "team", "deadline", "shift-cap"]);
+    let service = r.required("service", "name");
+    let team = r.required("service", "team");
+    let deadline = r.value("service", "deadline", DEFAULT_DEADLINE);
     let shift_cap = r.value("service", "shift-cap", Rps(u32::MAX));
     let places = places(&mut r);
     let routes = routes(&mut r);
@@ -39,7 +39,7 @@
 fn places(r: &mut Reader) -> Vec<Place> {
     let names = r.sections("place");
     if names.is_empty() {
-        r.fault("place", "", "", "one [place NAME] section at the least");
+        r.add_fault("place", "", "", "at least one [place NAME] section");
     }
     let mut seen = HashSet::new();
     let mut places = Vec::new();
@@ -55,34 +55,34 @@
     let known = [
         "region", "az", "weight", "state", "targets", "leaving", "slots",
     ];
-    r.keys(section, &known);
+    r.check_keys(section, &known);
     let name = r.parse(
         section,
         "",
         section.strip_prefix("place").unwrap_or_default().trim(),
     );
-    let region = r.needed(section, "region");
-    let az = r.needed(section, "az");
-    let weight = r.needed(section, "weight");
+    let region = r.required(section, "region");
+    let az = r.required(section, "az");
+    let weight = r.required(section, "weight");
     let state = r.value(section, "state", PlaceState::Active);
-    let slots = r.needed(section, "slots");
+    let slots = r.required(section, "slots");
     let targets: Vec<TargetId> = r.list(section, "targets");
     let leaving: Vec<TargetId> = r.list(section, "leaving");
     if targets.is_empty() {
-        r.fault(section, "targets", "", "one address at the least");
+        r.add_fault(section, "targets", "", "at least one address");
     }
     for t in &targets {
         if !seen.insert(*t) {
-            r.fault(
+            r.add_fault(
                 section,
                 "targets",
                 &t.to_string(),
-                "each target once in a document",
+                "each target at most once in a document",
             );
         }
     }
     for t in leaving.iter().filter(|t| !targets.contains(t)) {
-        r.fault(section, "leaving", &t.to_string(), "a target of this place");
+        r.add_fault(section, "leaving", &t.to_string(), "a target of this place");
     }
     Some(Place {
         name: name?,
@@ -99,16 +99,16 @@
 fn routes(r: &mut Reader) -> Vec<Route> {
     let mut routes = Vec::new();
     for section in r.sections("route") {
-        r.keys(&section, &["lane", "priority", "idempotent"]);
+        r.check_keys(&section, &["lane", "priority", "idempotent"]);
         let prefix = section.strip_prefix("route").unwrap_or_default().trim();
         if !prefix.starts_with('/') {
-            r.fault(&section, "", prefix, "a path that begins with '/'");
+            r.add_fault(&section, "", prefix, "a path that begins with '/'");
         }
         let lane = r
             .text(&section, "lane")
             .and_then(|s| r.parse::<Lane>(&section, "lane", &s));
         let priority = r.value(&section, "priority", Priority::Normal);
-        let idempotent = flag(r, &section, "idempotent");
+        let idempotent = optional_flag(r, &section, "idempotent");
         routes.push(Route {
             prefix: prefix.to_owned(),
             lane,
@@ -119,23 +119,23 @@
     routes
 }
 
-fn flag(r: &mut Reader, section: &str, key: &str) -> Option<bool> {
+fn optional_flag(r: &mut Reader, section: &str, key: &str) -> Option<bool> {
     let text = r.text(section, key)?;
     match text.as_str() {
         "true" => Some(true),
         "false" => Some(false),
         _ => {
-            r.fault(section, key, &text, "\"true\" or \"false\"");
+            r.add_fault(section, key, &text, "\"true\" or \"false\"");
             None
         }
     }
 }
 
-/// Prints a document so that [`parse_document`] reads the same one back.
+/// Prints a document as text that [`parse_document`] parses to an equal document.
 #[must_use]
 pub fn print_document(doc: &Document) -> String {
     let mut out = String::new();
-    // Writing to a string cannot fail, so the results are dropped.
+    // Writing to a string cannot fail, so the results are ignored.
     let _ = write!(
         out,
         "[service]\nname = {}\nteam = {}\ndeadline = {}\nshift-cap = {}\n",
@@ -151,10 +151,10 @@
             p.weight,
             p.state,
             p.slots,
-            join(&p.targets)
+            join_targets(&p.targets)
         );
         if !p.leaving.is_empty() {
-            let _ = writeln!(out, "leaving = {}", join(&p.leaving));
+            let _ = writeln!(out, "leaving = {}", join_targets(&p.leaving));
         }
     }
     for r in &doc.routes {
@@ -162,14 +162,14 @@
         if let Some(lane) = r.lane {
             let _ = writeln!(out, "lane = {lane}");
         }
-        if let Some(yes) = r.idempotent {
-            let _ = writeln!(out, "idempotent = {yes}");
+        if let Some(idempotent) = r.idempotent {
+            let _ = writeln!(out, "idempotent = {idempotent}");
         }
     }
     out
 }
 
-fn join(targets: &[TargetId]) -> String {
+fn join_targets(targets: &[TargetId]) -> String {
     let all: Vec<String> = targets.iter().map(ToString::to_string).collect();
     all.join(", ")
 }
--- a/src/adapters/ini/mod.rs
+++ b/src/adapters/ini/mod.rs
@@ -1,8 +1,8 @@
-//! Settings and documents as INI text.
+//! Parses settings and documents from INI text.
 //!
-//! A file is checked as a whole: the reader notes every fault and goes on, since
-//! an operator who sees one fault a run needs many runs. `rust-ini` does not
-//! report lines, so an index of the lines is built beside it.
+//! A file is validated as a whole: the reader collects faults instead of stopping
+//! at the first one, so that an operator sees all of them in one run. `rust-ini`
+//! does not report the lines of keys, so the reader builds its own index of them.
 
 mod document;
 mod edit;
--- a/src/adapters/ini/reader.rs
+++ b/src/adapters/ini/reader.rs
@@ -1,4 +1,4 @@
-//! Reads sections and keys, and notes each fault with its place.
+//! Reads sections and keys, and collects each fault with its line.
 
 use std::{collections::HashMap, fmt, str::FromStr};
 
@@ -6,18 +6,18 @@
 
 use crate::domain::ParseError;
 
-/// One fault of a file.
+/// An error in a file.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Fault {
-    /// The file's name.
+    /// The name of the file.
     pub file: String,
-    /// The line, counted from 1; 0 if the fault concerns the whole file.
+    /// The line number, starting at 1, or 0 if the fault has no line.
     pub line: usize,
-    /// The section and key.
+    /// The section, and the key if the fault concerns one.
     pub key: String,
     /// The text that was found.
     pub found: String,
-    /// What is allowed there.
+    /// A description of what is allowed.
     pub allowed: String,
 }
 
@@ -37,24 +37,24 @@
     }
 }
 
-/// A file under check.
+/// A parsed file and the faults found in it so far.
 pub(super) struct Reader {
     file: String,
     ini: Ini,
     lines: HashMap<(String, String), usize>,
-    /// The faults so far.
+    /// The collected faults.
     pub(super) faults: Vec<Fault>,
 }
 
 impl Reader {
-    /// Reads the syntax. A file whose syntax is wrong has that one fault.
+    /// Parses the syntax of a file. A syntax error is returned as its only fault.
     pub(super) fn open(file: &str, text: &str) -> Result<Self, Vec<Fault>> {
         match Ini::load_from_str_noescape(text) {
             Ok(ini) => Ok(Self {
                 file: file.to_owned(),
                 ini,
-                lines: index(text),
-                faults: duplicates(file, text),
+                lines: index_lines(text),
+                faults: find_duplicates(file, text),
             }),
             Err(e) => Err(vec![Fault {
                 file: file.to_owned(),
@@ -66,57 +66,59 @@
         }
     }
 
-    /// Returns the names of sections that are `kind` or begin with `kind` and a
-    /// blank, in the order of the text.
+    /// Returns the names of the sections whose first word is `kind`, in the order
+    /// of the text.
     pub(super) fn sections(&self, kind: &str) -> Vec<String> {
         let all = self.ini.sections().flatten();
-        let fits = all.filter(|s| s.split(' ').next() == Some(kind));
-        fits.map(str::to_owned).collect()
+        let matching = all.filter(|s| s.split(' ').next() == Some(kind));
+        matching.map(str::to_owned).collect()
     }
 
-    /// Notes sections whose kind is not in `known`, and keys outside sections.
-    pub(super) fn kinds(&mut self, known: &[&str]) {
+    /// Adds a fault for each section whose kind is not in `known` and for each key
+    /// outside a section.
+    pub(super) fn check_sections(&mut self, known: &[&str]) {
         let all: Vec<String> = self.ini.sections().flatten().map(str::to_owned).collect();
         let allowed = known.join(", ");
         for name in all {
             let kind = name.split(' ').next().unwrap_or_default();
             if !known.contains(&kind) {
-                self.fault(&name, "", &name, &format!("a section of kind {allowed}"));
+                self.add_fault(&name, "", &name, &format!("a section of kind {allowed}"));
             }
         }
-        let loose: Vec<String> = self
+        let outside: Vec<String> = self
             .ini
             .general_section()
             .iter()
             .map(|(k, _)| k.to_owned())
             .collect();
-        for key in loose {
-            self.fault("", &key, &key, "keys only below a section");
+        for key in outside {
+            self.add_fault("", &key, &key, "keys only within a section");
         }
     }
 
-    /// Notes keys of a section that are not in `known`.
-    pub(super) fn keys(&mut self, section: &str, known: &[&str]) {
+    /// Adds a fault for each key of a section that is not in `known`.
+    pub(super) fn check_keys(&mut self, section: &str, known: &[&str]) {
         let Some(found) = self.ini.section(Some(section)) else {
             return;
         };
-        let extra: Vec<String> = found
+        let unknown: Vec<String> = found
             .iter()
             .map(|(k, _)| k.to_owned())
             .filter(|k| !known.contains(&k.as_str()))
             .collect();
-        for key in extra {
-            self.fault(section, &key, &key, &format!("one of {}", known.join(", ")));
+        for key in unknown {
+            self.add_fault(section, &key, &key, &format!("one of {}", known.join(", ")));
         }
     }
 
-    /// Returns a key's text.
+    /// Returns the text of a key without surrounding blanks.
     pub(super) fn text(&self, section: &str, key: &str) -> Option<String> {
         let found = self.ini.section(Some(section))?;
         found.get(key).map(|v| v.trim().to_owned())
     }
 
-    /// Returns a key's value, or the default where the key is missing or faulty.
+    /// Returns the value of a key, or `default` if the key is missing or invalid.
+    /// Adds a fault if it is invalid.
     pub(super) fn value<T: FromStr<Err = ParseError>>(
         &mut self,
         section: &str,
@@ -129,8 +131,8 @@
         }
     }
 
-    /// Returns a key's value, and notes a fault if the key is missing.
-    pub(super) fn needed<T: FromStr<Err = ParseError>>(
+    /// Returns the value of a key. Adds a fault if the key is missing or invalid.
+    pub(super) fn required<T: FromStr<Err = ParseError>>(
         &mut self,
         section: &str,
         key: &str,
@@ -138,11 +140,12 @@
         if let Some(text) = self.text(section, key) {
             return self.parse(section, key, &text);
         }
-        self.fault(section, key, "", "a value (the key is needed)");
+        self.add_fault(section, key, "", "a value (the key is required)");
         None
     }
 
-    /// Returns the values of a list that is separated by commas.
+    /// Returns the valid items of a comma-separated list. Adds a fault for each
+    /// invalid one.
     pub(super) fn list<T: FromStr<Err = ParseError>>(
         &mut self,
         section: &str,
@@ -153,7 +156,7 @@
         items.filter_map(|s| self.parse(section, key, s)).collect()
     }
 
-    /// Parses one text and notes a fault if it is wrong.
+    /// Parses a text. Adds a fault if it is invalid.
     pub(super) fn parse<T: FromStr<Err = ParseError>>(
         &mut self,
         section: &str,
@@ -163,18 +166,18 @@
         match text.parse() {
             Ok(value) => Some(value),
             Err(e) => {
-                self.fault(section, key, text, e.allowed);
+                self.add_fault(section, key, text, e.allowed);
                 None
             }
         }
     }
 
-    /// Notes a fault.
-    pub(super) fn fault(&mut self, section: &str, key: &str, found: &str, allowed: &str) {
-        let at = |k: &str| self.lines.get(&(section.to_owned(), k.to_owned())).copied();
+    /// Adds a fault. Its line is that of the key, or else that of the section.
+    pub(super) fn add_fault(&mut self, section: &str, key: &str, found: &str, allowed: &str) {
+        let line_of = |k: &str| self.lines.get(&(section.to_owned(), k.to_owned())).copied();
         self.faults.push(Fault {
             file: self.file.clone(),
-            line: at(key).or_else(|| at("")).unwrap_or(0),
+            line: line_of(key).or_else(|| line_of("")).unwrap_or(0),
             key: format!("[{section}] {key}").trim_end().to_owned(),
             found: found.to_owned(),
             allowed: allowed.to_owned(),
@@ -182,10 +185,10 @@
     }
 }
 
-/// Maps (section, key) to the line; the section's own line has an empty key.
-fn index(text: &str) -> HashMap<(String, String), usize> {
+/// Maps each section and key to its line. A section's header has an empty key.
+fn index_lines(text: &str) -> HashMap<(String, String), usize> {
     let mut lines = HashMap::new();
-    each_line(text, |n, section, key| {
+    for_each_line(text, |n, section, key| {
         lines
             .entry((section.to_owned(), key.to_owned()))
             .or_insert(n);
@@ -193,12 +196,12 @@
     lines
 }
 
-/// Notes keys and sections that appear twice, since the INI library would keep
-/// only one of them without a word.
-fn duplicates(file: &str, text: &str) -> Vec<Fault> {
+/// Returns a fault for each repeated key or section, of which the INI library
+/// would silently keep only one.
+fn find_duplicates(file: &str, text: &str) -> Vec<Fault> {
     let mut seen = HashMap::new();
     let mut faults = Vec::new();
-    each_line(text, |n, section, key| {
+    for_each_line(text, |n, section, key| {
         let first = *seen
             .entry((section.to_owned(), key.to_owned()))
             .or_insert(n);
@@ -208,14 +211,16 @@
                 line: n,
                 key: format!("[{section}] {key}").trim_end().to_owned(),
                 found: if key.is_empty() { section } else { key }.to_owned(),
-                allowed: format!("it once; it stands at line {first} too"),
+                allowed: format!("only one occurrence; the first one is at line {first}"),
             });
         }
     });
     faults
 }
 
-fn each_line(text: &str, mut f: impl FnMut(usize, &str, &str)) {
+/// Calls `f` with the line number, section and key of each section header, whose
+/// key is empty, and of each key.
+fn for_each_line(text: &str, mut f: impl FnMut(usize, &str, &str)) {
     let mut section = String::new();
     for (i, line) in text.lines().enumerate() {
         let line = line.trim();
--- a/src/adapters/ini/settings.rs
+++ b/src/adapters/ini/settings.rs
@@ -1,84 +1,85 @@
-//! The settings of an entry process.
+//! Parses the settings of an entry process.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use super::reader::{Fault, Reader};
 use crate::domain::{AzName, EntryId, Mbps, Millis, Prefix, RegionName, Rps, TargetId, TeamName};
 
-/// What an entry process has to know before it starts.
+/// The configuration of an entry process, read at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// The name of this entry.
     pub name: EntryId,
-    /// Its region.
+    /// The region of this entry.
     pub region: RegionName,
-    /// Its availability zone.
+    /// The availability zone of this entry.
     pub az: AzName,
-    /// Where callers reach it.
+    /// The address that serves callers.
     pub callers: SocketAddr,
-    /// Where operators reach it.
+    /// The address that serves operators.
     pub admin: SocketAddr,
-    /// Where other entries reach it.
+    /// The address that serves other entries.
     pub peers: SocketAddr,
-    /// Peer addresses of other entries, to learn the rest from.
+    /// Peer addresses of some other entries, from which this entry learns of all.
     pub seeds: Vec<SocketAddr>,
-    /// The store's addresses, tried in turn.
+    /// The addresses of the store, which are tried in turn.
     pub store: Vec<SocketAddr>,
-    /// How many connections of callers are open at the most.
+    /// The maximum number of open connections from callers.
     pub connections: u32,
-    /// How long a leaving entry goes on serving before it stops accepting.
+    /// How long a leaving entry keeps serving before it stops accepting
+    /// connections.
     pub linger: Millis,
     /// The regions of the deployment.
     pub regions: BTreeMap<RegionName, Region>,
     /// The links between regions.
     pub links: Vec<Link>,
-    /// The client blocks of each site, in the order of the text.
+    /// The sites, in the order of the text.
     pub sites: Vec<Site>,
-    /// Each team's token.
+    /// The token of each team.
     pub teams: BTreeMap<TeamName, String>,
 }
 
 /// A region of the deployment.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Region {
-    /// The most requests a second that may be steered to it.
+    /// The maximum rate of requests that may be steered to the region.
     pub headroom: Rps,
 }
 
-/// A site: a part of the network from which clients come.
+/// A part of the network from which clients connect.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Site {
-    /// The region that is nearest to it.
+    /// The region nearest to the site.
     pub region: RegionName,
-    /// The addresses of its clients.
+    /// The address blocks of the site's clients.
     pub blocks: Vec<Prefix>,
 }
 
-/// The link between two regions, the same in each direction.
+/// The link between two regions, with the same properties in each direction.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Link {
     /// One end.
     pub from: RegionName,
     /// The other end.
     pub to: RegionName,
-    /// Its capacity each way.
+    /// The capacity in each direction.
     pub capacity: Mbps,
-    /// The delay one way.
+    /// The one-way delay.
     pub delay: Millis,
 }
 
-/// The longest time for which a caller keeps a look-up's answer, and 3 s for
-/// requests that are already on their way.
-const LINGER: Millis = Millis(8_000);
+/// The default of [`Settings::linger`]: the longest time for which a caller caches
+/// a lookup response, plus 3 s for requests that are already on their way.
+const DEFAULT_LINGER: Millis = Millis(8_000);
 
-/// Reads and checks settings.
+/// Parses and validates settings.
 ///
 /// # Errors
 ///
-/// Returns every fault of the text. `file` only names the text in them.
+/// Returns all faults of the text. `file` is only used as the file name in them.
 pub fn parse_settings(file: &str, text: &str) -> Result<Settings, Vec<Fault>> {
     let mut r = Reader::open(file, text)?;
-    r.kinds(&["entry", "store", "region", "link", "site", "team"]);
+    r.check_sections(&["entry", "store", "region", "link", "site", "team"]);
     let known = [
         "name",
         "region",
@@ -90,21 +91,21 @@
         "connections",
         "linger",
     ];
-    r.keys("entry", &known);
-    r.keys("store", &["endpoints"]);
-    let name = r.needed("entry", "name");
-    let region = r.needed("entry", "region");
-    let az = r.needed("entry", "az");
+    r.check_keys("entry", &known);
+    r.check_keys("store", &["endpoints"]);
+    let name = r.required("entry", "name");
+    let region = r.required("entry", "region");
+    let az = r.required("entry", "az");
     let callers = address(&mut r, "callers");
     let admin = address(&mut r, "admin");
     let peers = address(&mut r, "peers");
     let seeds = addresses(&mut r, "entry", "seeds");
     let store = addresses(&mut r, "store", "endpoints");
     if store.is_empty() {
-        r.fault("store", "endpoints", "", "one address at the least");
+        r.add_fault("store", "endpoints", "", "at least one address");
     }
     let connections = connections(&mut r);
-    let linger = r.value("entry", "linger", LINGER);
+    let linger = r.value("entry", "linger", DEFAULT_LINGER);
     let regions = regions(&mut r);
     let links = links(&mut r, &regions);
     let sites = sites(&mut r, &regions);
@@ -112,7 +113,7 @@
     if !r.faults.is_empty() {
         return Err(r.faults);
     }
-    let whole = || {
+    let build = || {
         Some(Settings {
             name: name?,
             region: region?,
@@ -130,11 +131,11 @@
             teams,
         })
     };
-    whole().ok_or(r.faults)
+    build().ok_or(r.faults)
 }
 
 fn address(r: &mut Reader, key: &str) -> Option<SocketAddr> {
-    r.needed::<TargetId>("entry", key).map(|t| t.0)
+    r.required::<TargetId>("entry", key).map(|t| t.0)
 }
 
 fn addresses(r: &mut Reader, section: &str, key: &str) -> Vec<SocketAddr> {
@@ -149,7 +150,7 @@
     match text.parse() {
         Ok(n) if n > 0 => n,
         _ => {
-            r.fault("entry", "connections", &text, "a whole number from 1");
+            r.add_fault("entry", "connections", &text, "a whole number from 1");
             0
         }
     }
@@ -158,10 +159,10 @@
 fn regions(r: &mut Reader) -> BTreeMap<RegionName, Region> {
     let mut regions = BTreeMap::new();
     for section in r.sections("region") {
-        r.keys(&section, &["headroom"]);
-        let name = argument(&section, 0);
+        r.check_keys(&section, &["headroom"]);
+        let name = name_argument(&section, 0);
         let name = r.parse(&section, "", &name);
-        let headroom = r.needed(&section, "headroom");
+        let headroom = r.required(&section, "headroom");
         if let (Some(name), Some(headroom)) = (name, headroom) {
             regions.insert(name, Region { headroom });
         }
@@ -172,21 +173,21 @@
 fn links(r: &mut Reader, regions: &BTreeMap<RegionName, Region>) -> Vec<Link> {
     let mut links = Vec::new();
     for section in r.sections("link") {
-        r.keys(&section, &["capacity", "delay"]);
-        let ends = [argument(&section, 0), argument(&section, 1)];
+        r.check_keys(&section, &["capacity", "delay"]);
+        let ends = [name_argument(&section, 0), name_argument(&section, 1)];
         let ends = ends.map(|end| r.parse::<RegionName>(&section, "", &end));
-        let capacity = r.needed(&section, "capacity");
-        let delay = r.needed(&section, "delay");
+        let capacity = r.required(&section, "capacity");
+        let delay = r.required(&section, "delay");
         let [Some(from), Some(to)] = ends else {
             continue;
         };
         for end in [&from, &to] {
             if !regions.contains_key(end) {
-                r.fault(
+                r.add_fault(
                     &section,
                     "",
                     end.as_str(),
-                    "two regions that have a section each",
+                    "two regions that each have a section",
                 );
             }
         }
@@ -205,14 +206,14 @@
 fn sites(r: &mut Reader, regions: &BTreeMap<RegionName, Region>) -> Vec<Site> {
     let mut sites = Vec::new();
     for section in r.sections("site") {
-        r.keys(&section, &["region", "blocks"]);
+        r.check_keys(&section, &["region", "blocks"]);
         let blocks = r.list(&section, "blocks");
-        let Some(region) = r.needed::<RegionName>(&section, "region") else {
+        let Some(region) = r.required::<RegionName>(&section, "region") else {
             continue;
         };
         if !regions.contains_key(&region) {
             let allowed = "a region that has a section";
-            r.fault(&section, "region", region.as_str(), allowed);
+            r.add_fault(&section, "region", region.as_str(), allowed);
         }
         sites.push(Site { region, blocks });
     }
@@ -222,12 +223,12 @@
 fn teams(r: &mut Reader) -> BTreeMap<TeamName, String> {
     let mut teams = BTreeMap::new();
     for section in r.sections("team") {
-        r.keys(&section, &["token"]);
-        let name = r.parse(&section, "", &argument(&section, 0));
+        r.check_keys(&section, &["token"]);
+        let name = r.parse(&section, "", &name_argument(&section, 0));
         let token = r.text(&section, "token").unwrap_or_default();
         if token.len() < 16 {
-            // The token itself stays out of the message, which may be logged.
-            r.fault(&section, "token", "(hidden)", "16 characters at the least");
+            // The message omits the token because it may be logged.
+            r.add_fault(&section, "token", "(hidden)", "at least 16 characters");
         }
         if let Some(name) = name {
             teams.insert(name, token);
@@ -236,7 +237,9 @@
     teams
 }
 
-fn argument(section: &str, n: usize) -> String {
+/// Returns the word at index `n` after the kind in a section's name, or an empty
+/// text.
+fn name_argument(section: &str, n: usize) -> String {
     let words = section.split(' ').filter(|w| !w.is_empty());
     words.skip(1).nth(n).unwrap_or_default().to_owned()
 }
--- a/src/adapters/logs/mod.rs
+++ b/src/adapters/logs/mod.rs
@@ -1,9 +1,10 @@
-//! Structured log lines on standard output, without ever waiting for it.
+//! Writes structured log lines to standard output without blocking.
 //!
-//! Lines collect in a buffer of bounded size, which one thread writes out a few
-//! times a second: whoever reads the output can then not delay a request, and a
-//! burst of lines costs one system call. Lines that find the buffer full are
-//! left out and counted, and the count appears with the next lines.
+//! Lines are appended to a buffer of bounded size, which a thread writes out a
+//! few times a second. A slow reader of the output therefore cannot delay a
+//! request, and a burst of lines costs one system call. Lines that do not fit
+//! into the buffer are dropped and counted, and the count is logged with the next
+//! lines.
 
 use std::{
     io::{self, Write},
@@ -15,28 +16,29 @@
 
 use tracing_subscriber::{EnvFilter, fmt::MakeWriter};
 
-/// How much is buffered, in bytes: some hundred lines.
-const BUFFER_BYTES: usize = 192 * 1024;
+/// The size of the buffer, which holds a few hundred lines.
+const MAX_BUFFER_BYTES: usize = 192 * 1024;
 
-/// How often the buffer is written out.
-const PERIOD: Duration = Duration::from_millis(250);
+/// The interval at which the buffer is written out.
+const FLUSH_INTERVAL: Duration = Duration::from_millis(250);
 
 #[derive(Debug, Default)]
 struct State {
     lines: Vec<u8>,
-    omitted: u64,
+    dropped: u64,
 }
 
-/// The buffer of a process's log lines.
+/// A buffer of log lines. Clones share it.
 #[derive(Clone, Debug, Default)]
-pub struct Logs {
+pub struct LogBuffer {
     state: Arc<Mutex<State>>,
 }
 
-/// Starts to log JSON lines to standard output.
+/// Installs the global subscriber, which logs JSON lines to standard output. The
+/// filter is read from `SAVORYBEAM_LOG` and defaults to `info`.
 #[must_use]
-pub fn open() -> Logs {
-    let logs = Logs::default();
+pub fn open() -> LogBuffer {
+    let logs = LogBuffer::default();
     let filter = EnvFilter::try_from_env("SAVORYBEAM_LOG");
     let filter = filter.unwrap_or_else(|_| EnvFilter::new("info"));
     let lines = tracing_subscriber::fmt().with_env_filter(filter).json();
@@ -48,55 +50,55 @@
         .stack_size(64 * 1024)
         .spawn(move || {
             loop {
-                thread::sleep(PERIOD);
+                thread::sleep(FLUSH_INTERVAL);
                 writer.flush();
             }
         });
     if let Err(e) = spawned {
-        eprintln!("logs: start the writer: {e}.");
+        eprintln!("logs: start the thread that writes the buffer: {e}.");
     }
     logs
 }
 
-impl Logs {
-    /// Writes out what has collected.
+impl LogBuffer {
+    /// Writes out the buffered lines.
     pub fn flush(&self) {
-        let (lines, omitted) = {
+        let (lines, dropped) = {
             let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            (mem::take(&mut state.lines), mem::take(&mut state.omitted))
+            (mem::take(&mut state.lines), mem::take(&mut state.dropped))
         };
         if lines.is_empty() {
             return;
         }
         let mut out = io::stdout().lock();
-        // Nobody is left to be told if standard output is gone.
+        // If standard output is closed, the error cannot be reported anywhere.
         let _ = out.write_all(&lines);
-        if omitted > 0 {
+        if dropped > 0 {
             let _ = writeln!(
                 out,
-                r#"{{"level":"WARN","message":"logs: lines left out.","lines":{omitted}}}"#
+                r#"{{"level":"WARN","message":"logs: buffer full, lines dropped.","lines":{dropped}}}"#
             );
         }
         let _ = out.flush();
     }
 
-    fn add(&self, line: &[u8]) {
+    fn append_line(&self, line: &[u8]) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-        if state.lines.len() + line.len() > BUFFER_BYTES {
-            state.omitted += 1;
+        if state.lines.len() + line.len() > MAX_BUFFER_BYTES {
+            state.dropped += 1;
         } else {
             state.lines.extend_from_slice(line);
         }
     }
 }
 
-/// Takes one line.
+/// A writer that appends each line to the buffer.
 #[derive(Debug)]
-pub struct Line(Logs);
+pub struct LineWriter(LogBuffer);
 
-impl Write for Line {
+impl Write for LineWriter {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        self.0.add(line);
+        self.0.append_line(line);
         Ok(line.len())
     }
 
@@ -105,10 +107,10 @@
     }
 }
 
-impl<'a> MakeWriter<'a> for Logs {
-    type Writer = Line;
+impl<'a> MakeWriter<'a> for LogBuffer {
+    type Writer = LineWriter;
 
-    fn make_writer(&'a self) -> Line {
-        Line(self.clone())
+    fn make_writer(&'a self) -> LineWriter {
+        LineWriter(self.clone())
     }
 }
