Reword the metrics, events and clock adapters and the INI test

The labels and metrics had comments that repeated their names. Metrics:: refused -> count_refusal, Metrics::request -> count_request. The help texts of the metrics and all names in the output stay. Behaviour is unchanged.

--- a/src/adapters/clock/mod.rs
+++ b/src/adapters/clock/mod.rs
@@ -1,4 +1,4 @@
-//! The clocks of the operating system.
+//! The monotonic clock and the wall clock of the operating system.
 
 use std::{
     sync::Arc,
@@ -7,14 +7,14 @@
 
 use crate::{domain::Millis, ports::Clock};
 
-/// Returns clocks whose `now` counts from this call.
+/// Returns the clocks. The monotonic clock `now` starts at 0 with this call.
 #[must_use]
 pub fn open() -> Clock {
     let origin = Instant::now();
     Clock {
-        now: Arc::new(move || millis(origin.elapsed())),
+        now: Arc::new(move || to_millis(origin.elapsed())),
         wall: Arc::new(|| {
-            millis(
+            to_millis(
                 SystemTime::now()
                     .duration_since(UNIX_EPOCH)
                     .unwrap_or_default(),
@@ -23,6 +23,6 @@
     }
 }
 
-fn millis(time: std::time::Duration) -> Millis {
-    Millis(u64::try_from(time.as_millis()).unwrap_or(u64::MAX))
+fn to_millis(duration: std::time::Duration) -> Millis {
+    Millis(u64::try_from(duration.as_millis()).unwrap_or(u64::MAX))
 }
--- a/src/adapters/events/mod.rs
+++ b/src/adapters/events/mod.rs
@@ -1,5 +1,5 @@
-//! Events as JSON lines, which the administration writes and the command line
-//! reads.
+//! Encodes timeline events as JSON lines, which the admin interface writes and the
+//! command line reads.
 
 use std::fmt;
 
@@ -10,26 +10,27 @@
     policy::timeline::{Event, Utc},
 };
 
-/// The content type of JSON lines.
+/// The content type of newline-delimited JSON.
 pub const CONTENT_TYPE: &str = "application/x-ndjson";
 
 /// One line of a timeline.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Line {
-    /// An event.
+    /// A recorded event.
     Event(Event),
-    /// An entry that did not answer, so that a gap is not taken for silence.
+    /// The name of an entry that did not respond. Without this line, the timeline
+    /// would look as if nothing had happened there.
     Missing(String),
 }
 
-/// Why a line cannot be read.
+/// An error in the decoding of a line.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LineError {
     /// The line is not JSON.
     Malformed(String),
-    /// A field is missing.
+    /// A field is missing or not a string.
     Missing(&'static str),
-    /// A field has a value that this version does not know.
+    /// A field has a value that is invalid or that this version does not know.
     Unknown(ParseError),
 }
 
@@ -45,7 +46,7 @@
 
 impl std::error::Error for LineError {}
 
-/// Returns a line as JSON.
+/// Encodes a line as a JSON object.
 #[must_use]
 pub fn encode(line: &Line) -> Value {
     match line {
@@ -61,27 +62,27 @@
     }
 }
 
-/// Reads a line.
+/// Decodes a line.
 ///
 /// # Errors
 ///
-/// Returns an error if the line is not one that [`encode`] writes. An entry of a
-/// later version may write kinds of events that this one does not know.
+/// Returns an error if the line does not have the format of [`encode`], or if its
+/// kind of event is unknown, which an entry of a later version may write.
 pub fn decode(line: &str) -> Result<Line, LineError> {
     let value: Value =
         serde_json::from_str(line).map_err(|e| LineError::Malformed(e.to_string()))?;
     if let Some(entry) = value["missing"].as_str() {
         return Ok(Line::Missing(entry.to_owned()));
     }
-    let text = |name| value[name].as_str().ok_or(LineError::Missing(name));
+    let string = |name| value[name].as_str().ok_or(LineError::Missing(name));
     Ok(Line::Event(Event {
-        stamp: text("stamp")?.parse().map_err(LineError::Unknown)?,
-        kind: text("kind")?.parse().map_err(LineError::Unknown)?,
-        text: text("text")?.to_owned(),
+        stamp: string("stamp")?.parse().map_err(LineError::Unknown)?,
+        kind: string("kind")?.parse().map_err(LineError::Unknown)?,
+        text: string("text")?.to_owned(),
     }))
 }
 
-/// Prints a line for people.
+/// Formats a line as text for operators.
 impl fmt::Display for Line {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -1,10 +1,11 @@
-//! All metrics of a process, in one place.
+//! Declares and exports all metrics of a process.
 //!
-//! A metric that is declared where it is counted is easily declared twice, or
-//! missing from the documentation. [`TABLE`] therefore lists every metric with
-//! its unit and labels; the registry and docs/operating.md are held against it
-//! by tests. Labels take values of documents and settings only, never of
-//! requests, since callers could otherwise make the registry grow without bound.
+//! If each metric were declared where it is counted, one could easily be declared
+//! twice or be missing from the documentation. [`TABLE`] therefore lists every
+//! metric with its unit and labels, and tests compare the registry and
+//! docs/operating.md with it. Label values come from documents and settings only,
+//! never from requests, because callers could otherwise make the registry grow
+//! without bound.
 
 mod store;
 mod table;
@@ -25,35 +26,35 @@
 pub use self::table::{Row, TABLE};
 use crate::adapters::store::Calls;
 
-/// The content type of [`Metrics::encode`].
+/// The content type of the output of [`Metrics::encode`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
-/// One service.
+/// The label of metrics per service.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct ServiceLabel {
     /// The service.
     pub service: String,
 }
 
-/// What became of a request.
+/// The labels of finished requests.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct RequestLabels {
     /// The service.
     pub service: String,
-    /// The target's status, or the stable code of a failure.
+    /// The status code from the target, or the stable code of a failure.
     pub code: String,
     /// `complete`, `not-run` or `unknown`.
     pub outcome: &'static str,
 }
 
-/// A stable code.
+/// The label of metrics per stable code.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct CodeLabel {
-    /// The code.
+    /// The stable code.
     pub code: &'static str,
 }
 
-/// A refusal of a request.
+/// The labels of refused requests.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct RefusalLabels {
     /// The service.
@@ -62,71 +63,71 @@
     pub code: &'static str,
 }
 
-/// A state of entries.
+/// The label of metrics per state of entries.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct StateLabel {
     /// `alive`, `suspect`, `dead` or `left`.
     pub state: &'static str,
 }
 
-/// Units of a limit.
+/// The labels of the units of a limit.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct UnitLabels {
-    /// The limit.
+    /// The name of the limit.
     pub limit: String,
     /// `home`, `lent`, `borrowed` or `used`.
     pub kind: &'static str,
 }
 
-/// A kind of event.
+/// The labels of timeline events.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct EventLabels {
-    /// The part of the system.
+    /// The part of the system that the event concerns.
     pub part: String,
-    /// The kind.
+    /// The kind of event.
     pub kind: String,
 }
 
 /// The metrics of a process.
 ///
-/// A family creates a metric for a label set when it is first used, and a clone
-/// shares the same metrics.
+/// A family creates the metric of a label set on first use. Clones share the same
+/// metrics.
 #[derive(Clone)]
 pub struct Metrics {
     registry: Arc<Registry>,
     calls: Arc<Calls>,
-    /// Requests by what became of them.
+    /// Finished requests by status or code and by outcome.
     pub requests: Family<RequestLabels, Counter>,
-    /// The time until the head of an answer.
+    /// The time from the receipt of a request to the head of its response.
     pub latency: Family<ServiceLabel, Histogram, fn() -> Histogram>,
-    /// Requests that run now.
+    /// Requests in progress, until the end of the response body.
     pub running: Family<ServiceLabel, Gauge>,
-    /// Second and further attempts after a failure.
+    /// Attempts after a failed one.
     pub retries: Family<ServiceLabel, Counter>,
-    /// Second attempts beside a slow first one.
+    /// Hedged attempts: second attempts concurrent with a slow first one.
     pub hedges: Family<ServiceLabel, Counter>,
     /// Requests that were refused before they ran.
     pub refusals: Family<RefusalLabels, Counter>,
-    /// The revision in effect.
+    /// The revision of the document in effect at this entry.
     pub revision: Family<ServiceLabel, Gauge>,
-    /// Edits by code, `accepted` for success.
+    /// Edits by code, which is `accepted` for success.
     pub edits: Family<CodeLabel, Counter>,
     /// Entries by state, as this entry sees them.
     pub members: Family<StateLabel, Gauge>,
-    /// Units of limits.
+    /// Units of shared limits by kind.
     pub units: Family<UnitLabels, Gauge>,
-    /// Events by kind.
+    /// Timeline events by part and kind.
     pub events: Family<EventLabels, Counter>,
 }
 
-/// Buckets from 1 ms to 65 s. Each bound is twice the one before, so a quantile
-/// read from them is at most a factor of two off.
-fn latency() -> Histogram {
+/// Returns a histogram with bounds from 1 ms to 65 s. Each bound is twice the one
+/// before, so the error of a quantile is at most a factor of two.
+fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(0.001, 2.0, 17))
 }
 
-/// Returns the metrics of a process whose calls to the store are counted in
-/// `calls`.
+/// Creates and registers the metrics of a process. `calls` counts its calls to the
+/// store.
 #[must_use]
 pub fn open(calls: Arc<Calls>) -> Metrics {
     let mut registry = Registry::with_prefix("savorybeam");
@@ -134,7 +135,7 @@
         calls: calls.clone(),
         registry: Arc::default(),
         requests: Family::default(),
-        latency: Family::new_with_constructor(latency),
+        latency: Family::new_with_constructor(latency_histogram),
         running: Family::default(),
         retries: Family::default(),
         hedges: Family::default(),
@@ -176,8 +177,8 @@
 }
 
 impl Metrics {
-    /// Counts a request that got no answer of a target.
-    pub fn refused(&self, service: &str, code: &'static str) {
+    /// Counts a request that got a refusal instead of a response from a target.
+    pub fn count_refusal(&self, service: &str, code: &'static str) {
         let labels = RefusalLabels {
             service: service.to_owned(),
             code,
@@ -185,13 +186,13 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
-    /// Tells whether the latest call to the store was answered.
+    /// Reports whether the latest call to the store got a response.
     #[must_use]
     pub fn store_up(&self) -> bool {
         self.calls.up()
     }
 
-    /// Returns all metrics in the text format of `OpenMetrics`.
+    /// Returns all metrics in the `OpenMetrics` text format.
     #[must_use]
     pub fn encode(&self) -> String {
         let mut out = String::new();
@@ -200,8 +201,15 @@
         out
     }
 
-    /// Counts a request whose answer's head arrived or that failed.
-    pub fn request(&self, service: &str, code: String, outcome: &'static str, took: Duration) {
+    /// Counts a request that failed or whose response head arrived, and records its
+    /// latency.
+    pub fn count_request(
+        &self,
+        service: &str,
+        code: String,
+        outcome: &'static str,
+        elapsed: Duration,
+    ) {
         let labels = RequestLabels {
             service: service.to_owned(),
             code,
@@ -212,7 +220,7 @@
             service: service.to_owned(),
         };
         let latency = self.latency.get_or_create(&label);
-        latency.observe(took.as_secs_f64());
+        latency.observe(elapsed.as_secs_f64());
     }
 }
 
--- a/src/adapters/metrics/store.rs
+++ b/src/adapters/metrics/store.rs
@@ -1,4 +1,4 @@
-//! Metrics of the store, read from its counters at each scrape.
+//! Metrics of the store's client, read from its counters at each scrape.
 
 use std::sync::Arc;
 
@@ -11,10 +11,10 @@
 use super::table::{STORE_CALLS, STORE_FAILURES, STORE_UP, STORE_WATCHES};
 use crate::adapters::store::Calls;
 
-/// Reads the counters of the store's adapter.
+/// A collector that exports the counters of the store's adapter.
 #[derive(Debug)]
 pub(super) struct StoreMetrics {
-    /// The counters.
+    /// The counters of the store's adapter.
     pub calls: Arc<Calls>,
 }
 
@@ -34,14 +34,14 @@
             let labels = [("operation", operation)];
             ConstCounter::new(n).encode(family.encode_family(&labels)?)?;
         }
-        let single =
+        let metric =
             encoder.encode_descriptor(STORE_FAILURES.base, STORE_FAILURES.help, None, counter)?;
-        ConstCounter::new(counts.failures).encode(single)?;
+        ConstCounter::new(counts.failures).encode(metric)?;
         let waiting = i64::try_from(counts.waiting).unwrap_or(i64::MAX);
         let up = i64::from(self.calls.up());
         for (row, value) in [(STORE_WATCHES, waiting), (STORE_UP, up)] {
-            let single = encoder.encode_descriptor(row.base, row.help, None, MetricType::Gauge)?;
-            ConstGauge::new(value).encode(single)?;
+            let metric = encoder.encode_descriptor(row.base, row.help, None, MetricType::Gauge)?;
+            ConstGauge::new(value).encode(metric)?;
         }
         Ok(())
     }
--- a/src/adapters/metrics/table.rs
+++ b/src/adapters/metrics/table.rs
@@ -1,19 +1,19 @@
-//! The table of all metrics.
+//! The table of all metrics, from which they are registered and documented.
 
 use std::fmt;
 
-/// One metric as the documentation lists it.
+/// A metric, as the documentation lists it.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Row {
-    /// The name without prefix, unit and suffix.
+    /// The registered name, without prefix, unit and suffix.
     pub base: &'static str,
     /// The name in the output of `/metrics`.
     pub name: &'static str,
-    /// The unit.
+    /// The unit of the value.
     pub unit: &'static str,
-    /// The labels.
+    /// The names of the labels, separated by commas.
     pub labels: &'static str,
-    /// What it counts.
+    /// The help text.
     pub help: &'static str,
 }
 
@@ -43,7 +43,7 @@
             help: $help,
         };)+
 
-        /// Every metric, in the order of the output.
+        /// All metrics, in the order of the output of `/metrics`.
         pub const TABLE: &[Row] = &[$($var),+];
     };
 }
--- a/src/app/entry/inbound.rs
+++ b/src/app/entry/inbound.rs
@@ -56,7 +56,7 @@
         Ok(resp) => resp.map(Body::from_body),
         Err(refusal) => {
             let metrics = &state.ports.metrics;
-            metrics.refused(&name, refusal.code.as_str());
+            metrics.count_refusal(&name, refusal.code.as_str());
             refusal_response(&refusal)
         }
     }
--- a/src/app/entry/observe.rs
+++ b/src/app/entry/observe.rs
@@ -146,7 +146,7 @@
         let took = self.start.elapsed();
         let service = self.service.as_str();
         let metrics = &self.observer.metrics;
-        metrics.request(service, code.to_owned(), outcome, took);
+        metrics.count_request(service, code.to_owned(), outcome, took);
         let decision = Decision {
             wall_ms: self.wall.0,
             service: service.to_owned(),
--- a/src/app/gateway/carry.rs
+++ b/src/app/gateway/carry.rs
@@ -205,6 +205,6 @@
             "gateway: request ended."
         );
         let metrics = &self.state.ports.metrics;
-        metrics.request(job.service.as_str(), code, outcome, took.duration());
+        metrics.count_request(job.service.as_str(), code, outcome, took.duration());
     }
 }
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -346,7 +346,7 @@
     let service = ServiceLabel {
         service: "slotboard".to_owned(),
     };
-    m.request("slotboard", "200".to_owned(), "complete", Duration::ZERO);
+    m.count_request("slotboard", "200".to_owned(), "complete", Duration::ZERO);
     m.running.get_or_create(&service).inc();
     m.retries.get_or_create(&service).inc();
     m.hedges.get_or_create(&service).inc();
--- a/tests/ini.rs
+++ b/tests/ini.rs
@@ -1,9 +1,10 @@
-//! Guards the checks of settings and documents: every fault is listed at once,
-//! with its line, and a good document reads back as printed.
+//! Tests the validation of settings and documents. It must report all faults of a
+//! file in one run, each with its line, and a printed document must parse to the
+//! same document.
 
 use savorybeam::adapters::ini::{parse_document, parse_settings, print_document};
 
-const GOOD: &str = "\
+const VALID_DOCUMENT: &str = "\
 [service]
 name = slotboard
 team = kitchens
@@ -23,7 +24,7 @@
 priority = bulk
 ";
 
-const BAD: &str = "\
+const INVALID_DOCUMENT: &str = "\
 [service]
 name = Slot Board
 deadline = soon
@@ -47,35 +48,36 @@
 [plan]
 ";
 
-fn lines<T: std::fmt::Display>(faults: &[T]) -> String {
+fn join_lines<T: std::fmt::Display>(faults: &[T]) -> String {
     let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
     all.join("\n")
 }
 
 #[test]
-fn a_good_document_reads_back() {
-    let doc = parse_document("slotboard.ini", GOOD).expect("the document is good");
+fn a_printed_document_parses_to_the_same_document() {
+    let doc = parse_document("slotboard.ini", VALID_DOCUMENT).expect("a valid document");
     let text = print_document(&doc);
     insta::assert_snapshot!(text);
     assert_eq!(parse_document("printed", &text), Ok(doc));
 }
 
 #[test]
-fn a_bad_document_lists_every_fault() {
-    let faults = parse_document("slotboard.ini", BAD).expect_err("the document is bad");
-    insta::assert_snapshot!(lines(&faults));
+fn all_faults_of_a_document_are_listed() {
+    let faults =
+        parse_document("slotboard.ini", INVALID_DOCUMENT).expect_err("an invalid document");
+    insta::assert_snapshot!(join_lines(&faults));
 }
 
 #[test]
-fn bad_settings_list_every_fault() {
+fn all_faults_of_settings_are_listed() {
     let text = "[entry]\nname = e1\nregion = r1\ncallers = here\nadmin = 127.0.0.1:1\nconnections = none\n\
         [region r1]\nheadroom = 5\n[link r1 r2]\ncapacity = 280 mbps\ndelay = 35 ms\n[team t]\ntoken = short\n";
-    let faults = parse_settings("entry.ini", text).expect_err("the settings are bad");
-    insta::assert_snapshot!(lines(&faults));
+    let faults = parse_settings("entry.ini", text).expect_err("invalid settings");
+    insta::assert_snapshot!(join_lines(&faults));
 }
 
 quickcheck::quickcheck! {
-    fn any_text_is_read_or_refused(text: String) -> bool {
+    fn arbitrary_text_is_rejected_without_a_panic(text: String) -> bool {
         let _ = parse_settings("any", &text);
         parse_document("any", &text).is_err()
     }
