--- a/src/adapters/grpc/changes/messages.rs
+++ b/src/adapters/grpc/changes/messages.rs
@@ -3,7 +3,7 @@
 use super::config::{ConfigMessage, decode_config, encode_config};
 use crate::{
     domain::{Instance, Mbps, Millis, ParseError, Presence, Slots},
-    ports::{Change, News},
+    ports::{AgedBatch, Change},
 };
 
 /// A request for the changes after a revision.
@@ -103,7 +103,7 @@
 
 /// Encodes changes. Unreadable items are omitted: the entry that read them from
 /// the store has logged them already.
-pub(super) fn encode(news: &News) -> ChangesReply {
+pub(super) fn encode(news: &AgedBatch) -> ChangesReply {
     let changes = news.batch.changes.iter().filter_map(encode_change);
     ChangesReply {
         revision: Some(news.batch.revision.0),
--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -25,7 +25,7 @@
     policy::silence::{
         KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, POOL_IDLE_MAX, TCP_USER_TIMEOUT,
     },
-    ports::{Body, Clock, Hold, Outbound, SendError, Targets},
+    ports::{Body, Clock, InFlight, Outbound, SendError, Targets},
 };
 
 /// Limits of the pool of idle connections.
@@ -60,22 +60,30 @@
 /// time after which a connection counts as silent.
 const MIN_SILENCE: Millis = Millis(1_000);
 
-/// A connection and the [`Hold`] of the request that it carries.
+/// A connection and the [`InFlight`] of the request that it carries.
 struct Conn {
     sender: SendRequest<Body>,
     probe: CloseProbe,
-    held: Arc<Mutex<Option<Hold>>>,
+    in_flight: Arc<Mutex<Option<InFlight>>>,
 }
 
 impl Conn {
-    fn set_hold(&self, hold: &Hold) {
-        let mut current = self.held.lock().unwrap_or_else(PoisonError::into_inner);
-        *current = Some(hold.clone());
+    fn set_in_flight(&self, in_flight: &InFlight) {
+        let mut current = self
+            .in_flight
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        *current = Some(in_flight.clone());
     }
 }
 
-fn release_hold(held: &Mutex<Option<Hold>>) {
-    drop(held.lock().unwrap_or_else(PoisonError::into_inner).take());
+fn release_in_flight(in_flight: &Mutex<Option<InFlight>>) {
+    drop(
+        in_flight
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take(),
+    );
 }
 
 struct IdleConn {
@@ -120,14 +128,14 @@
     let Outbound {
         target,
         mut request,
-        hold,
-        connect: limit,
-        begun,
+        in_flight,
+        connect_timeout: limit,
+        started,
     } = out;
     let mut guard = SilenceGuard::new(pool, clock, target);
     while let Some(mut conn) = checkout(pool, target, (clock.now)()) {
-        conn.set_hold(&hold);
-        begun.set();
+        conn.set_in_flight(&in_flight);
+        started.set();
         match conn.sender.try_send_request(request).await {
             Ok(resp) => {
                 guard.disarm();
@@ -142,10 +150,10 @@
         }
     }
     // No pooled connection has written any part of the request.
-    begun.clear();
+    started.clear();
     let mut conn = connect(target, limit).await?;
-    conn.set_hold(&hold);
-    begun.set();
+    conn.set_in_flight(&in_flight);
+    started.set();
     match conn.sender.try_send_request(request).await {
         Ok(resp) => {
             guard.disarm();
@@ -239,7 +247,7 @@
         if conn.sender.ready().await.is_err() {
             return;
         }
-        release_hold(&conn.held);
+        release_in_flight(&conn.in_flight);
         let since = (clock.now)();
         let pooled = pool.idle.with(target, Vec::new, |idle| {
             pool.retain(idle, since);
@@ -277,19 +285,19 @@
     let (sender, conn) = http1::handshake::<_, Body>(TokioIo::new(socket))
         .await
         .map_err(|e| unsent("handshake with", e.to_string()))?;
-    let held: Arc<Mutex<Option<Hold>>> = Arc::default();
-    let released = held.clone();
+    let in_flight: Arc<Mutex<Option<InFlight>>> = Arc::default();
+    let released = in_flight.clone();
     tokio::spawn(async move {
         match conn.without_shutdown().await {
             Ok(parts) => close(target, parts.io.into_inner()).await,
             Err(e) => tracing::debug!("target: connection to {target} ended: {e}."),
         }
-        release_hold(&released);
+        release_in_flight(&released);
     });
     Ok(Conn {
         sender,
         probe,
-        held,
+        in_flight,
     })
 }
 
--- a/src/app/entry/keys.rs
+++ b/src/app/entry/claim_tables.rs
@@ -1,4 +1,4 @@
-//! The claims that this entry holds as a home of keys.
+//! The claim tables of this entry, which is a home of some of the keys.
 
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
@@ -10,18 +10,19 @@
     },
 };
 
-/// The most claims of a service at one home. At about 200 bytes each this is 20
-/// MB of the memory that an entry has for control.
-const LIMITS: ClaimLimits = ClaimLimits {
+/// The limits on the claims of one service in all buckets of a home. At about
+/// 200 bytes each, the claims use 20 MB of the memory for control work.
+const CLAIM_LIMITS: ClaimLimits = ClaimLimits {
     claims: 100_000,
     answers: Size::kib(16 * 1024),
 };
 
-/// How many releases and answers may be on their way to homes.
-const OUTBOX: usize = 4_096;
+/// The maximum number of releases and answers that are not yet acknowledged by
+/// their homes.
+const MAX_OUTBOX: usize = 4_096;
 
-/// The claim tables of the buckets of which this entry is a home. A shard's lock
-/// guards the epoch of a table together with its claims.
+/// The claim tables of the buckets of which this entry is a home. The lock
+/// of a shard guards both the epoch and the claims of a table.
 #[derive(Debug)]
 pub struct Claims {
     me: Member,
@@ -30,88 +31,91 @@
 }
 
 impl Claims {
-    /// Returns tables that do not vote yet.
+    /// Returns a home without tables.
     #[must_use]
     pub fn new(me: Member) -> Self {
         Self {
             me,
             tables: Shards::new(),
-            outbox: Mutex::new(Outbox::new(OUTBOX)),
+            outbox: Mutex::new(Outbox::new(MAX_OUTBOX)),
         }
     }
 
-    /// Locks the releases and answers that are on their way to homes.
+    /// Locks the releases and answers that are not yet acknowledged.
     pub(super) fn outbox(&self) -> MutexGuard<'_, Outbox> {
         self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Adopts a roster and the one before it.
+    /// Adopts the current and the former roster.
     pub(super) fn adopt(&self, [current, former]: &[Roster; 2]) {
         let newest = |request: &HomeRequest| current.homes(request.bucket());
         self.outbox().on_roster(newest);
         for bucket in Bucket::all() {
             let (new, old) = (current.homes(bucket), former.homes(bucket));
             if new.contains(&self.me) {
-                let open = || {
+                let new_table = || {
                     ClaimTable::new(
                         self.me.clone(),
                         bucket,
-                        LIMITS.per_bucket(u32::from(Bucket::COUNT)),
+                        CLAIM_LIMITS.per_bucket(u32::from(Bucket::COUNT)),
                     )
                 };
-                self.tables.with(bucket, open, |r| r.adopt(&old, &new));
+                self.tables.with(bucket, new_table, |t| t.adopt(&old, &new));
             } else {
-                self.tables.get(&bucket, |r| r.adopt(&old, &new));
+                self.tables.get(&bucket, |t| t.adopt(&old, &new));
             }
         }
     }
 
-    /// Answers a request of an entry. A home that has never been one refuses.
+    /// Answers a request of an entry. An entry that was never a home of the
+    /// bucket refuses.
     pub(super) fn handle(&self, request: &HomeRequest, now: Millis) -> HomeResponse {
         let bucket = request.bucket();
-        let open = || {
+        let new_table = || {
             ClaimTable::new(
                 self.me.clone(),
                 bucket,
-                LIMITS.per_bucket(u32::from(Bucket::COUNT)),
+                CLAIM_LIMITS.per_bucket(u32::from(Bucket::COUNT)),
             )
         };
-        self.tables.with(bucket, open, |r| r.handle(request, now))
+        self.tables
+            .with(bucket, new_table, |t| t.handle(request, now))
     }
 
-    /// Returns this life of this entry.
+    /// Returns this entry with its current incarnation.
     #[must_use]
     pub fn me(&self) -> &Member {
         &self.me
     }
 
-    /// Returns what has to be read from former homes, and forgets what is old.
+    /// Removes old claims, and returns the transfer requests to former homes.
     pub(super) fn tick(&self, now: Millis) -> Vec<(Member, HomeRequest)> {
-        let mut reads = Vec::new();
-        self.tables.each(|_, r| {
-            r.tick(now);
-            reads.extend(
-                r.transfer_requests()
+        let mut requests = Vec::new();
+        self.tables.each(|_, t| {
+            t.tick(now);
+            requests.extend(
+                t.transfer_requests()
                     .into_iter()
-                    .map(|(m, read)| (m, HomeRequest::Transfer(read))),
+                    .map(|(m, request)| (m, HomeRequest::Transfer(request))),
             );
         });
-        reads
+        requests
     }
 
-    /// Takes a page of a former home.
+    /// Adopts a page of claims from a former home.
     pub(super) fn on_page(&self, from: &Member, page: TransferPage, now: Millis) {
         let bucket = page.request.bucket;
-        self.tables.get(&bucket, |r| r.on_page(from, page, now));
+        self.tables.get(&bucket, |t| t.on_page(from, page, now));
     }
 
-    /// Returns how many buckets vote, and how many claims they hold.
+    /// Returns the number of tables that vote, and the number of claims in all
+    /// tables.
     #[must_use]
     pub fn counts(&self) -> (usize, usize) {
         let (mut ready, mut claims) = (0, 0);
-        self.tables.each(|_, r| {
-            ready += usize::from(r.is_ready());
-            claims += r.len();
+        self.tables.each(|_, t| {
+            ready += usize::from(t.is_ready());
+            claims += t.len();
         });
         (ready, claims)
     }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -24,10 +24,10 @@
     domain::{
         Bounds, Instance, InstanceState, Mbps, Millis, Presence, RequestKind, Revision, RouteRule,
     },
-    ports::{Ask, Batch, Change, LeaseId, Platform, PlatformError, VmSettings},
+    ports::{Batch, Change, FetchRequest, LeaseId, Platform, PlatformError, VmSettings},
 };
 
-use vm::ANY;
+use vm::ANY_PORT;
 
 /// The store of the platform. The revision of a change is its position in the
 /// list, starting at 1.
@@ -46,7 +46,7 @@
         if self.unavailable.load(SeqCst) {
             return Err(PlatformError::Failed {
                 step: "read keys",
-                peer: ANY,
+                peer: ANY_PORT,
                 cause: "the store is unavailable".to_owned(),
             });
         }
@@ -81,7 +81,7 @@
 fn settings(name: &str, seeds: Vec<SocketAddr>) -> VmSettings {
     let base = vm::settings(name);
     VmSettings {
-        control: Some(ANY),
+        control: Some(ANY_PORT),
         seeds,
         bounds: Bounds {
             grace_period: Millis(500),
@@ -113,8 +113,8 @@
 fn presence(gateway: &Gateway, name: &str) -> Change {
     Change::Joined(Presence {
         name: name.parse().expect("a name"),
-        front: gateway.front(),
-        peer: gateway.relay(),
+        front: gateway.front_addr(),
+        peer: gateway.relay_addr(),
         link: Mbps(100),
         az: "a-1".parse().expect("a name"),
         region: "north".parse().expect("a name"),
@@ -205,17 +205,17 @@
     let first = spawn_gateway("edge-1", platform(&store, &polls), Vec::new()).await;
     wait_until("the first is ready", || first.state.is_ready()).await;
     store.unavailable.store(true, SeqCst);
-    let seed = first.relay().expect("an address");
+    let seed = first.relay_addr().expect("an address");
     let second = spawn_gateway("edge-2", platform(&store, &polls), vec![seed]).await;
     wait_until("the second is ready", || second.state.is_ready()).await;
     let peers = Peers::new(Millis(500), Arc::default());
     let changes = grpc::changes(Arc::new(peers));
-    let ask = Ask {
-        peer: second.relay().expect("an address"),
+    let ask = FetchRequest {
+        peer: second.relay_addr().expect("an address"),
         after: None,
         wait: Millis(0),
     };
-    let mut reply = (changes.ask)(ask).await.expect("a reply");
+    let mut reply = (changes.fetch)(ask).await.expect("a reply");
     reply.batch.changes.sort_by_key(|c| format!("{c:?}"));
     insta::assert_debug_snapshot!(reply.batch);
     first.stop().await;
