--- a/src/adapters/logs/mod.rs
+++ b/src/adapters/logs/mod.rs
@@ -76,7 +76,7 @@
         if dropped > 0 {
             let _ = writeln!(
                 out,
-                r#"{{"level":"WARN","message":"logs: buffer full, lines dropped.","lines":{dropped}}}"#
+                r#"{{"level":"WARN","message":"logs: lines left out.","lines":{dropped}}}"#
             );
         }
         let _ = out.flush();
