--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -24,7 +24,7 @@
 };
 
 pub use self::table::{Row, TABLE};
-use crate::adapters::store::Calls;
+use crate::adapters::store::CallCounters;
 
 /// The content type of the output of [`Metrics::encode`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -95,7 +95,7 @@
 #[derive(Clone)]
 pub struct Metrics {
     registry: Arc<Registry>,
-    calls: Arc<Calls>,
+    calls: Arc<CallCounters>,
     /// Finished requests by status or code and by outcome.
     pub requests: Family<RequestLabels, Counter>,
     /// The time from the receipt of a request to the head of its response.
@@ -129,7 +129,7 @@
 /// Creates and registers the metrics of a process. `calls` counts its calls to the
 /// store.
 #[must_use]
-pub fn open(calls: Arc<Calls>) -> Metrics {
+pub fn open(calls: Arc<CallCounters>) -> Metrics {
     let mut registry = Registry::with_prefix("savorybeam");
     let metrics = Metrics {
         calls: calls.clone(),
@@ -189,7 +189,7 @@
     /// Reports whether the latest call to the store got a response.
     #[must_use]
     pub fn store_up(&self) -> bool {
-        self.calls.up()
+        self.calls.is_up()
     }
 
     /// Returns all metrics in the `OpenMetrics` text format.
--- a/src/app/entry/control/store.rs
+++ b/src/app/entry/control/store.rs
@@ -67,13 +67,13 @@
 /// this entry is no longer a watch holder.
 async fn watch(state: &Arc<State>) -> Result<(), StoreError> {
     let store = &state.ports.store;
-    let documents = (store.list)(records::PREFIX).await?;
+    let documents = (store.list)(records::KEY_PREFIX).await?;
     let roster = (store.list)(encoding::KEY).await?;
     apply_snapshot(state, &documents);
     apply_snapshot(state, &roster);
     state.set_documents_loaded();
     gossip::disseminate(state);
-    let mut documents = open_watch(state, records::PREFIX, documents.revision).await?;
+    let mut documents = open_watch(state, records::KEY_PREFIX, documents.revision).await?;
     let mut roster = open_watch(state, encoding::KEY, roster.revision).await?;
     loop {
         let update = async {
@@ -117,7 +117,7 @@
         }
         return;
     }
-    for arrival in records::arrivals(update) {
+    for arrival in records::document_revisions(update) {
         documents::adopt(state, arrival);
     }
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -18,7 +18,7 @@
         grpc::{self, Peers},
         http::{self as web, PoolConfig},
         metrics,
-        store::Calls,
+        store::CallCounters,
     },
     app::gateway::{self, Gateway, Ports},
     domain::{
@@ -128,7 +128,7 @@
         targets: web::open(clock.clone(), PoolConfig::default()),
         platform,
         changes: grpc::changes(peers),
-        metrics: metrics::open(Arc::<Calls>::default()),
+        metrics: metrics::open(Arc::<CallCounters>::default()),
         clock,
     };
     let gateway = gateway::spawn(settings(name, seeds), ports).await;
