--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -27,9 +27,9 @@
 /// How many idle connections to targets are kept, and for how long. An idle
 /// connection costs about 17 KB of memory, and opening a new one occupies a slot
 /// for 1 ms. Targets may close idle connections earlier.
-const IDLE_CONNECTIONS: http::Keep = http::Keep {
-    count: 6,
-    idle: Millis(4_000),
+const IDLE_CONNECTIONS: http::PoolConfig = http::PoolConfig {
+    max_idle: 6,
+    idle_timeout: Millis(4_000),
 };
 
 /// The timeout of requests to other entries that are answered immediately, without
--- a/src/app/dev/mod.rs
+++ b/src/app/dev/mod.rs
@@ -87,7 +87,7 @@
     for entry in &entries {
         entry.ready().await;
     }
-    let client = http::open(clock, http::Keep::default());
+    let client = http::open(clock, http::PoolConfig::default());
     for entry in &entries {
         for service in sample::SERVICES {
             probe::wait_until_served(&client, entry.callers(), service).await?;
@@ -125,7 +125,7 @@
     })?;
     let store_calls = std::sync::Arc::<CallCounters>::default();
     let ports = Ports {
-        targets: http::open(clock.clone(), http::Keep::default()),
+        targets: http::open(clock.clone(), http::PoolConfig::default()),
         clock: clock.clone(),
         store: memory.store(&store_calls),
         metrics: metrics::open(store_calls),
--- a/src/app/entry/inbound.rs
+++ b/src/app/entry/inbound.rs
@@ -9,7 +9,7 @@
 
 use super::{State, carry, job::Inbound, lookup};
 use crate::{
-    adapters::http::answer,
+    adapters::http::refusal_response,
     domain::{Millis, ServiceName},
     policy::refusal::{Code, Refusal},
 };
@@ -47,7 +47,7 @@
             return lookup::respond(state, client, &req);
         }
         let detail = format!("no document is in force for {:?}", host.unwrap_or_default());
-        return answer(&Refusal::not_run(Code::UnknownService, detail));
+        return refusal_response(&Refusal::not_run(Code::UnknownService, detail));
     };
     let name = service.to_string();
     let result = match parse_headers(service, req) {
@@ -58,8 +58,8 @@
         Ok(resp) => resp.map(Body::from_body),
         Err(refusal) => {
             let metrics = &state.ports.metrics;
-            metrics.refused(&name, refusal.code.as_str());
-            answer(&refusal)
+            metrics.count_refusal(&name, refusal.code.as_str());
+            refusal_response(&refusal)
         }
     }
 }
--- a/src/app/entry/job.rs
+++ b/src/app/entry/job.rs
@@ -123,7 +123,7 @@
             parts.method.as_str(),
             parts.uri.path_and_query().map_or("/", |p| p.as_str()),
             declared_bytes,
-            content.start(),
+            content.prefix(),
         );
         let key = match key.filter(|_| !idempotent) {
             Some(text) => Some(ClaimKey {
@@ -188,7 +188,7 @@
     /// Returns the request for a target, or `None` if its body was sent before
     /// and not kept.
     pub fn request(&mut self, now: Millis) -> Option<Request<Body>> {
-        let body = self.content.send()?;
+        let body = self.content.take_body()?;
         let mut request = Request::new(body);
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -216,6 +216,6 @@
             "gateway: request ended."
         );
         let metrics = &self.state.ports.metrics;
-        metrics.request(request.service.as_str(), code, outcome, took.duration());
+        metrics.count_request(request.service.as_str(), code, outcome, took.duration());
     }
 }
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -82,7 +82,7 @@
         .max(64);
     let limits = Limits {
         connections: u32::try_from(connections).unwrap_or(u32::MAX),
-        patience: IDLE_TIMEOUT,
+        head_timeout: IDLE_TIMEOUT,
         ..Limits::default()
     };
     let addr = settings.front;
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -121,7 +121,7 @@
         target: &InstanceId,
         time_left: Millis,
     ) -> Option<Request<Body>> {
-        let mut request = Request::new(self.content.send()?);
+        let mut request = Request::new(self.content.take_body()?);
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         *request.headers_mut() = self.head.headers.clone();
--- a/src/app/gateway/response.rs
+++ b/src/app/gateway/response.rs
@@ -14,7 +14,7 @@
 use super::{exchange::TargetResponse, slot::Slot};
 use crate::{
     adapters::{
-        http::{self as web, Content, full, strip_hop_by_hop},
+        http::{self as web, Content, full_body, strip_hop_by_hop},
         platform::headers,
     },
     policy::{
@@ -26,7 +26,7 @@
 
 /// Returns the response that reports a refusal to a caller.
 pub(super) fn refusal_response(refusal: &Refusal) -> Response<FrontBody> {
-    let mut resp = web::answer(refusal);
+    let mut resp = web::refusal_response(refusal);
     if let Some(time) = refusal.retry_after {
         headers::write_retry_after(resp.headers_mut(), time);
     }
@@ -50,12 +50,12 @@
     let body = match content {
         Content::Whole(bytes) => {
             slot.finish(ending, report);
-            full(bytes)
+            full_body(bytes)
         }
         mut content @ Content::Stream(_) => {
-            let Some(body) = content.send() else {
+            let Some(body) = content.take_body() else {
                 // Not reached: content that was just read has not been sent.
-                return Response::from_parts(head, full(Bytes::new()));
+                return Response::from_parts(head, full_body(Bytes::new()));
             };
             TrackedBody {
                 body,
