Name variables after the renamed types and correct the text of a late choice

Types were renamed, while variables and functions that hold their values kept the old words. The text for ChooseError::TooLate said that the expected response time exceeds the time left, although the error is also returned when only the queue delay limit is exceeded. It now says that the response is expected only after that time.

Renamed: news -> aged_batch or fetch, ask -> request, asked -> message, placements -> entry_revisions, arrivals -> revisions, parts -> services, home -> in_home_region. The page of the administration interface no longer links to a private module.

--- a/src/adapters/grpc/changes/messages.rs
+++ b/src/adapters/grpc/changes/messages.rs
@@ -103,11 +103,11 @@
 
 /// Encodes changes. Unreadable items are omitted: the entry that read them from
 /// the store has logged them already.
-pub(super) fn encode(news: &AgedBatch) -> ChangesReply {
-    let changes = news.batch.changes.iter().filter_map(encode_change);
+pub(super) fn encode(aged_batch: &AgedBatch) -> ChangesReply {
+    let changes = aged_batch.batch.changes.iter().filter_map(encode_change);
     ChangesReply {
-        revision: Some(news.batch.revision.0),
-        age_ms: news.age.0,
+        revision: Some(aged_batch.batch.revision.0),
+        age_ms: aged_batch.age.0,
         compacted: false,
         changes: changes.collect(),
     }
--- a/src/adapters/grpc/changes/mod.rs
+++ b/src/adapters/grpc/changes/mod.rs
@@ -30,10 +30,10 @@
     Fut: Future<Output = Result<AgedBatch, FetchError>> + Send + 'static,
 {
     routes.route(CHANGES, move |message: ChangesRequest| {
-        let news = f(message.after.map(Revision), Millis(message.wait_ms));
+        let fetch = f(message.after.map(Revision), Millis(message.wait_ms));
         async move {
-            Ok(match news.await {
-                Ok(news) => messages::encode(&news),
+            Ok(match fetch.await {
+                Ok(aged_batch) => messages::encode(&aged_batch),
                 Err(FetchError::Compacted) => ChangesReply {
                     compacted: true,
                     ..ChangesReply::default()
@@ -48,9 +48,9 @@
 #[must_use]
 pub fn changes(peers: Arc<Peers>) -> Changes {
     Changes {
-        fetch: Arc::new(move |ask| {
+        fetch: Arc::new(move |request| {
             let peers = peers.clone();
-            Box::pin(async move { call(&peers, ask).await })
+            Box::pin(async move { call(&peers, request).await })
         }),
     }
 }
@@ -83,7 +83,7 @@
         Step::Encode => "encode a request for changes",
         Step::Connect => "connect for changes",
         Step::Wait => "wait for changes",
-        Step::Reply => "ask for changes",
+        Step::Reply => "request changes",
     };
     FetchError::Failed {
         step,
--- a/src/app/entry/admin/mod.rs
+++ b/src/app/entry/admin/mod.rs
@@ -4,7 +4,7 @@
 //! and not the entry decides which of several edits succeeds. Health checks and
 //! metrics need no token. All paths below `/v1/` need the token of a team, and an
 //! edit needs the token of the team that owns the document. Each topic has a
-//! module: [`edit`] applies edits and determines their outcome, `documents`
+//! module: `edit` applies edits and determines their outcome, `documents`
 //! returns documents, `views` the state behind [`AdminPort`], `timeline` events.
 //! See [docs/api.md](../../../../docs/api.md).
 
@@ -146,7 +146,9 @@
         (&Method::GET, ["v1", "documents", name, "history"]) => {
             documents::history(admin, name).await
         }
-        (&Method::GET, ["v1", "documents", name, "where"]) => views::placements(admin, name).await,
+        (&Method::GET, ["v1", "documents", name, "where"]) => {
+            views::entry_revisions(admin, name).await
+        }
         (&Method::GET, ["v1", "status"]) => Ok(views::status(admin)),
         (&Method::GET, ["v1", "drains"]) => Ok(views::drains(admin).await),
         (&Method::GET, ["v1", "limits"]) => Ok(views::limits(admin)),
--- a/src/app/entry/admin/port.rs
+++ b/src/app/entry/admin/port.rs
@@ -16,14 +16,15 @@
     },
 };
 
-/// Returns the state of an entry that operators may see. Drains, placements and
-/// the timeline are collected from all entries at each request.
+/// Returns the state of an entry that operators may see. Drains, the document
+/// revisions in effect and the timeline are collected from all entries at each
+/// request.
 #[must_use]
 pub fn port(state: &Arc<State>) -> AdminPort {
     let started = (state.ports.clock.now)();
     let clone_state = || state.clone();
     let (for_unready, for_status, for_limits) = (clone_state(), clone_state(), clone_state());
-    let (for_drains, for_placements, for_timeline) = (clone_state(), clone_state(), clone_state());
+    let (for_drains, for_revisions, for_timeline) = (clone_state(), clone_state(), clone_state());
     let decisions = state.observer.decisions.clone();
     AdminPort {
         unready_reason: Arc::new(move || for_unready.unready_reason()),
@@ -38,8 +39,8 @@
         limits: Arc::new(move || limits(&for_limits)),
         explain: Arc::new(move |service| decisions.read(service)),
         entry_revisions: Arc::new(move |service| {
-            let state = for_placements.clone();
-            Box::pin(async move { placements(&state, &service).await })
+            let state = for_revisions.clone();
+            Box::pin(async move { entry_revisions(&state, &service).await })
         }),
         timeline: Arc::new(move |query| {
             let state = for_timeline.clone();
@@ -143,13 +144,13 @@
     }
 }
 
-async fn placements(state: &Arc<State>, service: &ServiceName) -> Vec<EntryRevision> {
+async fn entry_revisions(state: &Arc<State>, service: &ServiceName) -> Vec<EntryRevision> {
     let reports = control::gather_reports(state, service).await;
-    let placement = |(entry, report): (EntryId, Option<Report>)| EntryRevision {
+    let entry_revision = |(entry, report): (EntryId, Option<Report>)| EntryRevision {
         entry: entry.to_string(),
         revision: report.and_then(|r| r.revision).map(|r| r.0),
     };
-    reports.into_iter().map(placement).collect()
+    reports.into_iter().map(entry_revision).collect()
 }
 
 /// A place that is leaving, or a leaving target of a place.
--- a/src/app/entry/admin/views.rs
+++ b/src/app/entry/admin/views.rs
@@ -43,7 +43,10 @@
 
 /// Returns the revision that each entry has in effect. It works without the store,
 /// since operators need it most during a store outage.
-pub(super) async fn placements(admin: &Admin, name: &str) -> Result<Response<Body>, AdminError> {
+pub(super) async fn entry_revisions(
+    admin: &Admin,
+    name: &str,
+) -> Result<Response<Body>, AdminError> {
     let service = parse_service(name)?;
     let all = (admin.port.entry_revisions)(service.clone()).await;
     let latest = all.iter().filter_map(|p| p.revision).max();
--- a/src/app/entry/control/documents.rs
+++ b/src/app/entry/control/documents.rs
@@ -18,12 +18,12 @@
 
 /// Adopts a revision, queues its announcement to the peers and emits the events
 /// that follow.
-pub(super) fn adopt(state: &Arc<State>, arrival: Arrival) {
+pub(super) fn adopt(state: &Arc<State>, document_revision: Arrival) {
     let Arrival {
         service,
         revision,
         content,
-    } = arrival;
+    } = document_revision;
     match state.adopt_content(&service, revision, content) {
         Adoption::Adopted { .. } => {
             let is_moving = |s: &mut crate::app::entry::Service| {
--- a/src/app/entry/control/reports.rs
+++ b/src/app/entry/control/reports.rs
@@ -37,15 +37,15 @@
 }
 
 /// Returns the events of this entry.
-pub(super) fn local_events(state: &State, asked: &EventsQuery) -> Result<Vec<Event>, ParseError> {
+pub(super) fn local_events(state: &State, message: &EventsQuery) -> Result<Vec<Event>, ParseError> {
     let part = |text: &str| (!text.is_empty()).then(|| text.parse()).transpose();
-    let after = (!asked.after.is_empty())
-        .then(|| asked.after.parse())
+    let after = (!message.after.is_empty())
+        .then(|| message.after.parse())
         .transpose()?;
     let query = EventQuery {
         after,
-        part: part(&asked.part)?,
-        limit: usize::try_from(asked.limit).unwrap_or(usize::MAX),
+        part: part(&message.part)?,
+        limit: usize::try_from(message.limit).unwrap_or(usize::MAX),
     };
     Ok((state.events.read)(&query))
 }
@@ -107,7 +107,7 @@
     state: &Arc<State>,
     query: EventQuery,
 ) -> GatheredEvents {
-    let asked = EventsQuery {
+    let message = EventsQuery {
         after: query
             .after
             .as_ref()
@@ -120,14 +120,14 @@
         events: (state.events.read)(&query),
         missing: Vec::new(),
     };
-    let asked = &asked;
+    let message = &message;
     let calls = others(state)
         .into_iter()
         .map(|(entry, address)| async move {
             let Some(address) = address else {
                 return (entry, None);
             };
-            let events = grpc::events(&state.fleet.peers, address, asked).await;
+            let events = grpc::events(&state.fleet.peers, address, message).await;
             (entry, events.ok())
         });
     let calls: Vec<_> = calls.collect();
--- a/src/app/entry/control/routes.rs
+++ b/src/app/entry/control/routes.rs
@@ -45,7 +45,7 @@
     let s = state.clone();
     let routes = grpc::serve_moves(routes, move || shifts::in_progress(&s));
     let s = state.clone();
-    grpc::serve_events(routes, move |asked| reports::local_events(&s, asked))
+    grpc::serve_events(routes, move |message| reports::local_events(&s, message))
 }
 
 fn handle_probe(state: &Arc<State>, probe: Probe) -> Ack {
--- a/src/app/entry/control/shifts.rs
+++ b/src/app/entry/control/shifts.rs
@@ -114,7 +114,7 @@
     merged
 }
 
-/// Updates the set of regions that are lost as far as steering is concerned, passes
+/// Updates the set of lost regions, as [`lost_regions`] defines them, passes
 /// each change to all shifts and emits an event for it.
 fn update_lost_regions(state: &State, lost: &mut BTreeSet<RegionName>) {
     let now = (state.ports.clock.now)();
--- a/src/app/entry/control/store.rs
+++ b/src/app/entry/control/store.rs
@@ -117,7 +117,7 @@
         }
         return;
     }
-    for arrival in records::arrivals(update) {
-        documents::adopt(state, arrival);
+    for revision in records::arrivals(update) {
+        documents::adopt(state, revision);
     }
 }
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -164,9 +164,9 @@
         match error {
             ChooseError::NoTarget => self.no_target("no target is eligible"),
             ChooseError::Unavailable => self.no_target("all targets are full or failing"),
-            ChooseError::TooLate { expected } => self.no_target(&format!(
-                "the expected response time {expected} exceeds the time left"
-            )),
+            ChooseError::TooLate { expected } => {
+                self.no_target(&format!("the response is expected only after {expected}"))
+            }
         }
     }
 
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -255,8 +255,11 @@
             let Some(region) = &t.region else {
                 return false;
             };
-            let home = req.rule.home_regions.is_empty() || req.rule.home_regions.contains(region);
-            home && !ctx.evacuated.contains(&t.instance.az) && !req.tried.contains(&t.instance.id)
+            let in_home_region =
+                req.rule.home_regions.is_empty() || req.rule.home_regions.contains(region);
+            in_home_region
+                && !ctx.evacuated.contains(&t.instance.az)
+                && !req.tried.contains(&t.instance.id)
         };
         let targets = self.targets.iter().enumerate();
         targets.filter(|(_, t)| fits(t)).map(|(at, _)| at).collect()
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -57,19 +57,19 @@
     /// Returns the service for the next request and advances the sequence.
     #[must_use]
     pub fn next_service(&self) -> &ServiceName {
-        let parts = &self.rule.services;
+        let services = &self.rule.services;
         let n = self.request_count.fetch_add(1, Ordering::Relaxed);
-        let weight_sum: f64 = parts.iter().map(|p| p.weight).sum();
+        let weight_sum: f64 = services.iter().map(|p| p.weight).sum();
         #[expect(clippy::cast_precision_loss)]
         let mut offset = (n as f64 * GOLDEN_RATIO_STEP).fract() * weight_sum;
-        for part in parts {
-            if offset < part.weight {
-                return &part.service;
+        for weighted in services {
+            if offset < weighted.weight {
+                return &weighted.service;
             }
-            offset -= part.weight;
+            offset -= weighted.weight;
         }
-        // Rounding may leave a remainder after the last part.
-        &parts[parts.len() - 1].service
+        // Rounding may leave a remainder after the last service.
+        &services[services.len() - 1].service
     }
 }
 
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -107,15 +107,15 @@
     }
 }
 
-/// Passes revisions in the order of `arrivals` to `adopt`, which returns the
+/// Passes `revisions` in their order to `adopt`, which returns the
 /// revision in effect, and checks after each that the greatest valid one so far
 /// is in effect.
 fn latest_valid_is_in_effect(
-    arrivals: Vec<u8>,
+    revisions: Vec<u8>,
     mut adopt: impl FnMut(Revision, Content) -> Revision,
 ) -> bool {
     let mut latest = Revision::default();
-    arrivals.into_iter().all(|n| {
+    revisions.into_iter().all(|n| {
         let revision = Revision(u64::from(n));
         let content = content(revision.0);
         if !matches!(content, Content::Invalid(_)) {
@@ -126,10 +126,10 @@
 }
 
 quickcheck! {
-    fn the_latest_valid_revision_is_in_effect(arrivals: Vec<u8>) -> bool {
+    fn the_latest_valid_revision_is_in_effect(revisions: Vec<u8>) -> bool {
         let mut state = DocumentState::new(service());
         let mut reported = BTreeSet::new();
-        let latest = latest_valid_is_in_effect(arrivals, |revision, content| {
+        let latest = latest_valid_is_in_effect(revisions, |revision, content| {
             if let Adoption::Rejected(event) = state.adopt(revision, content) {
                 assert!(reported.insert(event.rejected), "an invalid revision is reported once");
             }
@@ -179,8 +179,8 @@
 /// adopts whichever revision arrives last, fails it.
 #[test]
 fn naive_adoption_fails_the_property() {
-    fn naive(arrivals: Vec<u8>) -> bool {
-        latest_valid_is_in_effect(arrivals, |revision, _| revision)
+    fn naive(revisions: Vec<u8>) -> bool {
+        latest_valid_is_in_effect(revisions, |revision, _| revision)
     }
     let result = QuickCheck::new().quicktest(naive as fn(Vec<u8>) -> bool);
     assert!(result.is_err(), "the naive version passes the property");
@@ -192,7 +192,7 @@
     let mut log = Vec::new();
     let mut other = document(BASE);
     other.service = "bokun".parse().expect("the name is valid");
-    let arrivals = [
+    let revisions = [
         (
             3,
             Content::Invalid(vec!["line 1".to_owned(), "line 2".to_owned()]),
@@ -206,7 +206,7 @@
         (11, content(11)),
         (10, content(10)),
     ];
-    for (revision, content) in arrivals {
+    for (revision, content) in revisions {
         let adoption = state.adopt(Revision(revision), content);
         let result = match &adoption {
             Adoption::Adopted {
@@ -362,8 +362,8 @@
             value: value.into(),
             revision: Revision(1),
         };
-        let arrivals = documents::arrivals(&Update::Put(found));
-        arrivals.len() == 1 && matches!(arrivals[0].content, Content::Invalid(_))
+        let revisions = documents::arrivals(&Update::Put(found));
+        revisions.len() == 1 && matches!(revisions[0].content, Content::Invalid(_))
     }
 }
 
@@ -464,7 +464,7 @@
         Update::Delete("documents/Not A Name".into(), Revision(7)),
     ];
     let results = updates.map(|u| {
-        let arrivals = documents::arrivals(&u).into_iter().map(|a| {
+        let revisions = documents::arrivals(&u).into_iter().map(|a| {
             let content = match a.content {
                 Content::Document(d) => format!("document of {}", d.team),
                 Content::Deleted => "deleted".to_owned(),
@@ -472,8 +472,8 @@
             };
             format!("{} {}: {content}", a.service, a.revision)
         });
-        let all: Vec<String> = arrivals.collect();
-        format!("{} arrivals\n{}", all.len(), lines(&all))
+        let all: Vec<String> = revisions.collect();
+        format!("{} revisions\n{}", all.len(), lines(&all))
     });
     insta::assert_snapshot!(lines(&results));
     let key = documents::key(&service());
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -210,12 +210,12 @@
     wait_until("the second is ready", || second.state.is_ready()).await;
     let peers = Peers::new(Millis(500), Arc::default());
     let changes = grpc::changes(Arc::new(peers));
-    let ask = FetchRequest {
+    let request = FetchRequest {
         peer: second.relay_addr().expect("an address"),
         after: None,
         wait: Millis(0),
     };
-    let mut reply = (changes.fetch)(ask).await.expect("a reply");
+    let mut reply = (changes.fetch)(request).await.expect("a reply");
     reply.batch.changes.sort_by_key(|c| format!("{c:?}"));
     insta::assert_debug_snapshot!(reply.batch);
     first.stop().await;
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -12,8 +12,8 @@
     policy::route::Table,
 };
 
-fn rule(host: &str, prefix: &str, parts: &[(&str, f64)]) -> RouteRule {
-    let part = |(service, weight): &(&str, f64)| WeightedService {
+fn rule(host: &str, prefix: &str, services: &[(&str, f64)]) -> RouteRule {
+    let weighted = |(service, weight): &(&str, f64)| WeightedService {
         service: service.parse().expect("a name"),
         weight: *weight,
     };
@@ -28,7 +28,7 @@
         priority: 1,
         sticky: false,
         home_regions: Vec::new(),
-        services: parts.iter().map(part).collect(),
+        services: services.iter().map(weighted).collect(),
     }
 }
 
@@ -105,8 +105,8 @@
     fn a_split_matches_its_weights(weights: (u8, u8, u8), seed: u64) -> bool {
         let weights = [weights.0, weights.1, weights.2].map(|w| f64::from(w) + 1.0);
         let names = ["bookings", "kits", "slots"];
-        let parts: Vec<(&str, f64)> = names.into_iter().zip(weights).collect();
-        let rules = vec![rule("a.example", "/", &parts)];
+        let services: Vec<(&str, f64)> = names.into_iter().zip(weights).collect();
+        let rules = vec![rule("a.example", "/", &services)];
         let table = Table::compile(config(rules), seed).expect("usable");
         let route = table.find("a.example", "/x").expect("a route");
         let mut counts: BTreeMap<String, f64> = BTreeMap::new();
@@ -114,7 +114,7 @@
             *counts.entry(route.next_service().to_string()).or_default() += 1.0;
         }
         let sum: f64 = weights.iter().sum();
-        parts.iter().all(|(name, weight)| {
+        services.iter().all(|(name, weight)| {
             let share = counts.get(*name).copied().unwrap_or_default() / 100.0;
             (share - weight / sum).abs() < 0.05
         })
