--- a/src/app/dev/mod.rs
+++ b/src/app/dev/mod.rs
@@ -26,7 +26,7 @@
         ini::parse_settings,
         metrics,
         store::{
-            Calls,
+            CallCounters,
             memory::{self, Memory},
         },
     },
@@ -67,7 +67,7 @@
 pub async fn spawn() -> eyre::Result<Dev> {
     let clock = clock::open();
     let memory = memory::open(clock.clone());
-    let store = memory.store(&std::sync::Arc::<Calls>::default());
+    let store = memory.store(&std::sync::Arc::<CallCounters>::default());
     let mut targets = Vec::new();
     for service in sample::SERVICES {
         let servers = spawn_targets(service).await?;
@@ -123,7 +123,7 @@
         let all: Vec<String> = faults.iter().map(ToString::to_string).collect();
         eyre!("check the settings: {}", all.join("\n"))
     })?;
-    let store_calls = std::sync::Arc::<Calls>::default();
+    let store_calls = std::sync::Arc::<CallCounters>::default();
     let ports = Ports {
         targets: http::open(clock.clone(), http::Keep::default()),
         clock: clock.clone(),
--- a/src/app/dev/sample.rs
+++ b/src/app/dev/sample.rs
@@ -51,7 +51,7 @@
 /// Writes the VM of an entry into the store, as the platform does in production.
 pub(super) async fn register_vm(store: &Store, n: usize) -> eyre::Result<()> {
     let write = Write {
-        key: [&vms::PREFIX[..], format!("e{n}").as_bytes()]
+        key: [&vms::KEY_PREFIX[..], format!("e{n}").as_bytes()]
             .concat()
             .into(),
         value: Some(Bytes::from_static(b"{}")),
--- a/src/app/entry/control/documents.rs
+++ b/src/app/entry/control/documents.rs
@@ -6,7 +6,7 @@
     adapters::{
         grpc::DocumentBody,
         ini::{parse_document, print_document},
-        store::{documents::Arrival, roster as encoding},
+        store::{documents::DocumentRevision, roster as encoding},
     },
     app::entry::{State, fleet::ROSTER_NAME},
     domain::{Revision, ServiceName},
@@ -18,8 +18,8 @@
 
 /// Adopts a revision, queues its announcement to the peers and emits the events
 /// that follow.
-pub(super) fn adopt(state: &Arc<State>, document_revision: Arrival) {
-    let Arrival {
+pub(super) fn adopt(state: &Arc<State>, document_revision: DocumentRevision) {
+    let DocumentRevision {
         service,
         revision,
         content,
@@ -72,7 +72,7 @@
     };
     adopt(
         state,
-        Arrival {
+        DocumentRevision {
             service,
             revision,
             content,
--- a/tests/admin_server/mod.rs
+++ b/tests/admin_server/mod.rs
@@ -18,7 +18,7 @@
         clock,
         http::Server,
         metrics::{self, Metrics},
-        store::{Calls, memory},
+        store::{CallCounters, memory},
     },
     app::entry::admin::{self, Admin, open_events},
     ports::{
@@ -27,7 +27,7 @@
     },
 };
 
-use crate::harness::{Answer, send};
+use crate::harness::{BufferedResponse, send};
 
 /// The token of team kitchens.
 pub const TOKEN: &str = "token-of-the-kitchens";
@@ -73,7 +73,7 @@
     pub async fn spawn() -> Self {
         let faults: Arc<Faults> = Arc::default();
         let clock = clock::open();
-        let calls: Arc<Calls> = Arc::default();
+        let calls: Arc<CallCounters> = Arc::default();
         let store = memory::open(clock.clone()).store(&calls);
         let metrics = metrics::open(calls);
         let events = open_events("e1".parse().expect("a name"), &clock, &metrics);
@@ -106,7 +106,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &str,
-    ) -> Answer {
+    ) -> BufferedResponse {
         let bearer = format!("Bearer {TOKEN}");
         let mut all = vec![("authorization", bearer.as_str())];
         all.extend(headers);
@@ -121,7 +121,7 @@
         path: &str,
         headers: &[(&str, &str)],
         body: &str,
-    ) -> Answer {
+    ) -> BufferedResponse {
         let mut request = Request::builder().method(method).uri(path);
         request = request.header("host", "a");
         for (name, value) in headers.iter().filter(|(_, v)| !v.is_empty()) {
@@ -134,7 +134,7 @@
 }
 
 /// Returns the status and body of a response, with the random edit id replaced.
-pub fn show(answer: &Answer) -> String {
+pub fn show(answer: &BufferedResponse) -> String {
     let mut text = answer.text().trim().to_owned();
     if let Ok(mut value) = serde_json::from_str::<serde_json::Value>(&text) {
         if let Some(id) = value.get_mut("edit") {
