--- a/src/app/entry/control/store.rs
+++ b/src/app/entry/control/store.rs
@@ -117,7 +117,7 @@
         }
         return;
     }
-    for arrival in records::document_revisions(update) {
-        documents::adopt(state, arrival);
+    for revision in records::document_revisions(update) {
+        documents::adopt(state, revision);
     }
 }
