Serve configurations with kinds of requests that this version does not know

Cause: a route of the kind upload, which the further deployments add, was an unreadable configuration.

Change: an unknown kind makes only its own route one whose requests run at most once, also in changes from an entry of a later version. A warning names the route and a gauge counts such routes. upload is a kind of its own, at most once.

--- a/src/adapters/grpc/changes/config.rs
+++ b/src/adapters/grpc/changes/config.rs
@@ -1,8 +1,8 @@
 //! The encoding of a [`Configuration`].
 
 use crate::domain::{
-    CallerLimits, Configuration, Millis, ParseError, Revision, RouteRule, ServiceRule, Size,
-    WeightedService,
+    CallerLimits, Configuration, Millis, ParseError, RequestKind, Revision, RouteRule, ServiceRule,
+    Size, WeightedService,
 };
 
 /// An encoded [`Configuration`].
@@ -136,7 +136,8 @@
         name: message.name.clone(),
         host: message.host.clone(),
         prefix: message.prefix.clone(),
-        kind: message.kind.parse()?,
+        // An entry of a later version may know more kinds than this one.
+        kind: message.kind.parse().unwrap_or(RequestKind::Unknown),
         objective: Millis(message.objective_ms),
         timeout: Millis(message.timeout_ms),
         attempts: message.attempts,
--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -129,6 +129,8 @@
     pub events: Family<EventLabels, Counter>,
     /// Attempts that could not go to a target because of its notice.
     pub withheld: Family<WithheldLabels, Counter>,
+    /// Routes in effect whose kind this version does not know.
+    pub unknown_kinds: Gauge,
 }
 
 /// Returns a histogram with bounds from 1 ms to 65 s. Each bound is twice the one
@@ -157,6 +159,7 @@
         units: Family::default(),
         events: Family::default(),
         withheld: Family::default(),
+        unknown_kinds: Gauge::default(),
     };
     let r = &mut registry;
     let m = metrics.clone();
@@ -179,6 +182,11 @@
     r.register(table::UNITS.base, help(&table::UNITS), m.units);
     r.register(table::EVENTS.base, help(&table::EVENTS), m.events);
     r.register(table::WITHHELD.base, help(&table::WITHHELD), m.withheld);
+    r.register(
+        table::UNKNOWN_KINDS.base,
+        help(&table::UNKNOWN_KINDS),
+        m.unknown_kinds,
+    );
     r.register_collector(Box::new(store::StoreMetrics {
         calls: calls.clone(),
     }));
--- a/src/adapters/metrics/table.rs
+++ b/src/adapters/metrics/table.rs
@@ -73,6 +73,8 @@
         "Events of the timeline.";
     WITHHELD = "withheld_attempts" "savorybeam_withheld_attempts_total", "attempts", "service, reason",
         "Attempts for which a target was passed over because it is leaving or paused.";
+    UNKNOWN_KINDS = "unknown_kinds" "savorybeam_unknown_kinds", "routes", "",
+        "Routes in effect whose kind this version does not know.";
     STORE_CALLS = "store_calls" "savorybeam_store_calls_total", "calls", "operation",
         "Calls to the store, a watch counted once.";
     STORE_FAILURES = "store_failures" "savorybeam_store_failures_total", "calls", "",
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -374,7 +374,7 @@
         name: route.name,
         host: host.to_ascii_lowercase(),
         prefix: route.matches.prefix,
-        kind: parse_kind(&route.kind)?,
+        kind: parse_kind(&route.kind),
         objective: parse_duration("slo_s", route.slo_s)?,
         timeout: parse_duration("timeout_s", action.timeout_s)?,
         attempts: action.max_attempts,
@@ -385,11 +385,15 @@
     })
 }
 
-fn parse_kind(word: &str) -> Result<RequestKind, String> {
+/// Parses the kind of a route. A word of a later version of the platform makes
+/// only its own route an unknown one: an error would void the configuration, and
+/// with it the routes of all other hosts.
+fn parse_kind(word: &str) -> RequestKind {
     match word {
-        "safe" => Ok(RequestKind::Idempotent),
-        "unsafe" => Ok(RequestKind::Once),
-        "download" => Ok(RequestKind::Download),
-        _ => Err(format!("kind: {word:?} is not a request kind")),
+        "safe" => RequestKind::Idempotent,
+        "unsafe" => RequestKind::Once,
+        "download" => RequestKind::Download,
+        "upload" => RequestKind::Upload,
+        _ => RequestKind::Unknown,
     }
 }
--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -6,7 +6,7 @@
 
 use super::{Feed, State, now};
 use crate::{
-    domain::{Configuration, Millis},
+    domain::{Configuration, Millis, RequestKind},
     policy::{balance::RegistryChange, route::Table},
     ports::{Batch, Change},
 };
@@ -129,6 +129,7 @@
     let seed = xxh3_64(state.settings().name.as_bytes());
     match Table::compile(config.clone(), seed) {
         Ok(table) => {
+            log_unknown_kinds(state, &table);
             state.set_table(Arc::new(table));
             tracing::info!(%version, "feed: configuration in effect.");
         }
@@ -138,6 +139,18 @@
     }
 }
 
+/// Logs and counts the routes whose kind this version does not know, because
+/// their requests are not repeated although the operator may expect that.
+fn log_unknown_kinds(state: &State, table: &Table) {
+    let unknown = || table.rules().filter(|r| r.kind == RequestKind::Unknown);
+    for rule in unknown() {
+        let (version, route) = (table.version, &rule.name);
+        tracing::warn!(%version, route, "feed: the kind of a route is unknown, its requests run at most once.");
+    }
+    let count = i64::try_from(unknown().count()).unwrap_or(i64::MAX);
+    state.ports.metrics.unknown_kinds.set(count);
+}
+
 /// Applies changes of the registry to the target pools of the services.
 fn update_pools(
     state: &State,
--- a/src/domain/route.rs
+++ b/src/domain/route.rs
@@ -3,22 +3,27 @@
 use super::{Millis, RegionName, Revision, ServiceName, Size, word_enum};
 
 word_enum!(
-    /// Whether a request may run more than once, and whether it is a download.
-    RequestKind, "kind of a route", "\"idempotent\", \"once\" or \"download\"",
+    /// Whether a request may run more than once, and whether its bodies are large.
+    RequestKind, "kind of a route", "\"idempotent\", \"once\", \"download\", \"upload\" or \"unknown\"",
     /// The request may run more than once.
     #[default]
     Idempotent = "idempotent",
     /// The request runs at most once.
     Once = "once",
     /// The request may run more than once and has a large response.
-    Download = "download"
+    Download = "download",
+    /// The request runs at most once and has a large body.
+    Upload = "upload",
+    /// The platform states a kind that this version does not know. The request
+    /// runs at most once, because nothing says that it may be repeated.
+    Unknown = "unknown"
 );
 
 impl RequestKind {
     /// Returns whether a request of this kind may run more than once.
     #[must_use]
     pub fn is_idempotent(self) -> bool {
-        self != Self::Once
+        matches!(self, Self::Idempotent | Self::Download)
     }
 }
 
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -130,15 +130,20 @@
     /// of rules and services may differ.
     #[must_use]
     pub fn configuration(&self) -> Configuration {
-        let routes = self.hosts.values().flatten();
         Configuration {
             version: self.version,
             limits: self.limits,
-            rules: routes.map(|r| RouteRule::clone(&r.rule)).collect(),
+            rules: self.rules().cloned().collect(),
             services: self.services.values().cloned().collect(),
         }
     }
 
+    /// Returns the rules of all hosts.
+    pub fn rules(&self) -> impl Iterator<Item = &RouteRule> {
+        let routes = self.hosts.values().flatten();
+        routes.map(|r| r.rule.as_ref())
+    }
+
     /// Returns the settings of a service that apply to all of its targets.
     #[must_use]
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceRule> {
