Keep request bodies for another attempt within a budget of memory

Cause: a body longer than 64 KB was read up to that size, then sent once and lost. An upload that its first target rejected, or that found it unreachable, was refused although nothing had run and other targets had room.

ReplayBody passes a body on as it arrives, keeps it meanwhile and gives it whole to the next attempt; an attempt that was replaced gets an error, which closes its connection. Buffers of connections to targets are bounded to 64 KiB (408 KiB by default in hyper).

Tests: upload a_rejected_upload_runs_elsewhere_if_its_body_is_kept: before 503 in all cases, now 200 and one whole run where the body is kept; the other seven hold before and after (whole bodies in both framings, breaks, stalls, early responses, a target that closes halfway).

Not measured: memory of an entry with 100 uploads over slow links.

--- a/src/adapters/http/progress.rs
+++ b/src/adapters/http/progress.rs
@@ -23,7 +23,7 @@
 use super::socket::Socket;
 
 /// The bytes that a connection may receive without a part of a body. It is more than
-/// hyper buffers, 408 KiB, of which a body that is read slowly may have all.
+/// hyper buffers, 64 KiB, of which a body that is read slowly may have all.
 const MAX_BYTES: usize = 1 << 20;
 
 /// Counts the bytes that were received since a request or a part of a body.
--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -54,6 +54,10 @@
 /// data.
 const CLOSE_TIMEOUT: Millis = Millis(5_000);
 
+/// The size of the read and the write buffer of a connection, each. It bounds the
+/// memory that a request body or a response takes while the other side is slow.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
+
 /// How much of a cancelled response is read and discarded before the connection
 /// is reset instead.
 const MAX_DISCARDED_BYTES: usize = 256 * 1024;
@@ -307,7 +311,9 @@
     let probe = socket.probe();
     let progress = Progress::default();
     let socket = BoundedSocket::new(socket, progress.clone());
-    let (sender, conn) = http1::handshake::<_, Body>(TokioIo::new(socket))
+    let (sender, conn) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFER_BYTES)
+        .handshake::<_, Body>(TokioIo::new(socket))
         .await
         .map_err(|e| unsent("handshake with", e.to_string()))?;
     let in_flight: Arc<Mutex<Option<InFlight>>> = Arc::default();
--- a/src/adapters/platform/settings.rs
+++ b/src/adapters/platform/settings.rs
@@ -6,7 +6,7 @@
 
 use super::seconds_to_millis;
 use crate::{
-    domain::{Bounds, Mbps, Millis},
+    domain::{Bounds, Mbps, Millis, Size},
     ports::VmSettings,
 };
 
@@ -49,11 +49,19 @@
 #[derive(Deserialize)]
 struct WireLimits {
     cores: f64,
+    #[serde(default = "default_memory_mb")]
+    memory_mb: u64,
     max_fds: usize,
     #[serde(default)]
     link_mbps: f64,
 }
 
+/// The memory that applies if the file does not state it: the smallest of the
+/// users' deployments.
+fn default_memory_mb() -> u64 {
+    160
+}
+
 #[derive(Deserialize)]
 struct WireNetwork {
     listen: WireListen,
@@ -208,6 +216,7 @@
         store: store?,
         zones,
         cores,
+        memory: Size::kib(own.limits.memory_mb.saturating_mul(1024)),
         descriptors: own.limits.max_fds,
         link,
         bounds,
--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -59,13 +59,13 @@
 }
 
 /// Sends a request to the target of a slot and reads the response.
-pub(super) async fn exchange(state: &State, routed: &mut RoutedRequest, mut slot: Slot) -> Outcome {
+pub(super) async fn exchange(state: &State, routed: &RoutedRequest, mut slot: Slot) -> Outcome {
     let deadline = routed.deadline;
     let time_left = deadline - now(state);
     let ticket = slot.ticket();
     let Some(request) = routed.build_request(&ticket.id, time_left) else {
         return Outcome::Unknown(
-            "the body was not buffered, so the request cannot be sent again".to_owned(),
+            "the body was not kept, so the request cannot be sent again".to_owned(),
         );
     };
     let id = routed.id.clone();
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -113,7 +113,7 @@
                 ticket: slot.ticket().clone(),
                 delay: now(self.state) - self.request.arrived,
             });
-            let outcome = exchange(self.state, &mut self.request, slot).await;
+            let outcome = exchange(self.state, &self.request, slot).await;
             self.record_outcome(&outcome);
             let refusal = match outcome {
                 Outcome::Response(response) if !response.head.status.is_server_error() => {
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -8,7 +8,7 @@
 use super::{State, now};
 use crate::{
     adapters::{
-        http::{Content, strip_hop_by_hop},
+        http::{ReplayBody, strip_hop_by_hop},
         platform::headers::{self, RequestHead},
     },
     domain::{CallerLimits, InstanceId, Millis, RouteRule, ServiceName, Size},
@@ -20,9 +20,10 @@
     ports::Body,
 };
 
-/// The size up to which the body of a request is buffered, so that it can be
-/// sent again. Longer bodies are streamed.
-const MAX_BUFFERED_BYTES: usize = 64 * 1024;
+/// How much of a body is read before a target is chosen. A caller that sends
+/// slowly holds no slot of a target until then. The rest of a longer body is
+/// passed on as it arrives.
+const PREFETCH: Size = Size::kib(64);
 
 /// The bytes of a header line beside its name and value: `: ` and CRLF.
 const HEADER_LINE_OVERHEAD_BYTES: usize = 4;
@@ -58,7 +59,7 @@
     /// How long the gateway had been stopping when the request arrived.
     pub stop_age: Option<Millis>,
     head: Parts,
-    content: Content,
+    body: ReplayBody,
 }
 
 impl RoutedRequest {
@@ -95,7 +96,7 @@
             ));
         }
         let object = affinity_key.map(|key| object_hash(&rule.prefix, key.as_bytes()));
-        let content = read_body(state, limits, deadline, body).await?;
+        let body = read_body(state, limits, deadline, body).await?;
         Ok(Self {
             table,
             rule,
@@ -107,18 +108,14 @@
             caller_deadline: arrived + caller_timeout,
             stop_age,
             head,
-            content,
+            body,
         })
     }
 
-    /// Returns the request to send to a target, or none if the body was not
-    /// buffered and has been sent already.
-    pub fn build_request(
-        &mut self,
-        target: &InstanceId,
-        time_left: Millis,
-    ) -> Option<Request<Body>> {
-        let mut request = Request::new(self.content.take_body()?);
+    /// Returns the request to send to a target, or none if the body was not kept
+    /// and has been sent already.
+    pub fn build_request(&self, target: &InstanceId, time_left: Millis) -> Option<Request<Body>> {
+        let mut request = Request::new(self.body.attempt()?);
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         *request.headers_mut() = self.head.headers.clone();
@@ -128,10 +125,10 @@
         Some(request)
     }
 
-    /// Returns whether the body is buffered, so that the request can be sent
+    /// Returns whether the whole body is kept, so that the request can be sent
     /// again.
     pub fn is_resendable(&self) -> bool {
-        self.content.is_whole()
+        self.body.is_replayable()
     }
 
     /// Returns the request id for logs, `-` if there is none.
@@ -140,7 +137,7 @@
     }
 }
 
-/// Reads the body of a request until its deadline.
+/// Reads the first part of a request's body until its deadline.
 ///
 /// # Errors
 ///
@@ -151,12 +148,13 @@
     limits: &CallerLimits,
     deadline: Millis,
     body: Body,
-) -> Result<Content, Refusal> {
+) -> Result<ReplayBody, Refusal> {
     let max_body_bytes = usize::try_from(limits.max_body.0).unwrap_or(usize::MAX);
     let limited = Limited::new(body, max_body_bytes).boxed();
-    let reading = Content::read(limited, MAX_BUFFERED_BYTES);
+    let body = ReplayBody::new(limited, state.kept_bodies.share());
+    let reading = body.prefetch(PREFETCH.0);
     match state.run_until(deadline, reading).await {
-        Some(Ok(content)) => Ok(content),
+        Some(Ok(())) => Ok(body),
         Some(Err(e)) if e.is::<LengthLimitError>() => Err(too_large(limits.max_body)),
         Some(Err(e)) => {
             let detail = format!("read body: {e}");
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -13,12 +13,13 @@
 
 use crate::{
     adapters::metrics::Metrics,
-    domain::{AzName, Bounds, Millis, Revision, ServiceName, Shards},
+    domain::{AzName, Bounds, Millis, Revision, ServiceName, Shards, Size},
     policy::{
         balance::{ColdQuota, Context, Pool, Registry},
         budget::RetryLimits,
         drain::StopSchedule,
         presence::Entries,
+        replay,
         route::Table,
         upstream::ChangeLog,
     },
@@ -51,6 +52,8 @@
     pub ports: Ports,
     /// The target pool of each service.
     pub pools: Shards<ServiceName, Pool>,
+    /// The memory for request bodies that are kept for another attempt.
+    pub(super) kept_bodies: Arc<replay::Budget>,
     settings: RwLock<Arc<VmSettings>>,
     table: RwLock<Option<Arc<Table>>>,
     /// The availability zones that are evacuated.
@@ -80,6 +83,7 @@
         Self {
             ports,
             pools: Shards::new(),
+            kept_bodies: replay::Budget::new(settings.memory),
             settings: RwLock::new(Arc::new(settings)),
             table: RwLock::default(),
             evacuated: RwLock::default(),
@@ -231,6 +235,12 @@
         self.stop_schedule().is_some()
     }
 
+    /// Returns the bytes of request bodies that are kept for another attempt.
+    #[must_use]
+    pub fn kept_bytes(&self) -> Size {
+        self.kept_bodies.used()
+    }
+
     /// Returns the number of running requests.
     #[must_use]
     pub fn running(&self) -> u64 {
--- a/src/domain/sizes.rs
+++ b/src/domain/sizes.rs
@@ -12,7 +12,7 @@
     /// Returns a size of `n` KiB.
     #[must_use]
     pub const fn kib(n: u64) -> Self {
-        Self(n * 1024)
+        Self(n.saturating_mul(1024))
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -21,6 +21,7 @@
 pub mod presence;
 pub mod queue;
 pub mod refusal;
+pub mod replay;
 pub mod retry;
 pub mod route;
 pub mod shift;
--- a/src/ports/platform.rs
+++ b/src/ports/platform.rs
@@ -6,7 +6,7 @@
 use super::Call;
 use crate::domain::{
     AzName, Bounds, Configuration, EntryId, Instance, InstanceId, Mbps, Millis, Presence,
-    RegionName, Revision,
+    RegionName, Revision, Size,
 };
 
 /// The settings of one process, as the platform writes them.
@@ -37,6 +37,8 @@
     pub zones: BTreeMap<AzName, RegionName>,
     /// The number of processor cores available to the process.
     pub cores: usize,
+    /// The memory available to the process.
+    pub memory: Size,
     /// The maximum number of open file descriptors of the process.
     pub descriptors: usize,
     /// The capacity of the VM's network link.
--- a/tests/vm/mod.rs
+++ b/tests/vm/mod.rs
@@ -38,6 +38,7 @@
         store: ANY_PORT,
         zones: [(az, region)].into(),
         cores: 1,
+        memory: Size::kib(160 * 1024),
         descriptors: 1_024,
         link: Mbps(100),
         bounds: Bounds {
@@ -55,6 +56,14 @@
     }
 }
 
+/// Returns an address on loopback at which nothing listens.
+pub async fn closed_addr() -> SocketAddr {
+    let listener = tokio::net::TcpListener::bind(ANY_PORT)
+        .await
+        .expect("a port");
+    listener.local_addr().expect("an address")
+}
+
 /// Returns a rule that has its prefix as its name.
 pub fn rule(kind: RequestKind, prefix: &str) -> RouteRule {
     RouteRule {
