Weigh the bytes of a request in the choice of its target

Cause: the choice knew regions and no availability zones.

Change: policy/balance/distance.rs turns the size of a request's body and the learned size of its route's responses into a cost of crossing zones or regions. It is at most half of the objective, the first 8 KiB are free, and a target without a free slot has no advantage from being near. A route whose messages are large has a preferred target for each object in the entry's zone besides the one of the region.

Tests: balance transfer, a region with one short zone and a mixed load.

--- a/src/adapters/http/content.rs
+++ b/src/adapters/http/content.rs
@@ -7,10 +7,10 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, header};
-use http_body::Frame;
+use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, Full};
 
-use crate::ports::Body;
+use crate::{domain::Size, ports::Body};
 
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
@@ -81,6 +81,19 @@
         }
     }
 
+    /// Returns the size of the body, if it is known.
+    #[must_use]
+    pub fn size(&self) -> Option<Size> {
+        let (prefix, rest) = match self {
+            Self::Whole(bytes) => (bytes, 0),
+            Self::Stream(stream) => {
+                let (prefix, rest) = stream.as_ref()?;
+                (prefix, rest.size_hint().exact()?)
+            }
+        };
+        Some(Size(prefix.len() as u64 + rest))
+    }
+
     /// Tells whether the body can be sent again.
     #[must_use]
     pub fn is_whole(&self) -> bool {
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -48,6 +48,8 @@
     /// The hash of the route's prefix and the affinity key, if the request has
     /// one.
     pub object: Option<u64>,
+    /// The size of the body, as far as it was known when the target was chosen.
+    pub size: Size,
     /// The request id that the caller chose.
     pub id: Option<HeaderValue>,
     /// The time of its arrival.
@@ -102,6 +104,7 @@
             rule,
             service,
             object,
+            size: Size(body.known_bytes()),
             id,
             arrived,
             deadline,
--- a/src/app/gateway/response.rs
+++ b/src/app/gateway/response.rs
@@ -53,6 +53,9 @@
     } else {
         Ending::Answered
     };
+    if let Some(size) = content.size() {
+        slot.record_size(size);
+    }
     let body = match content {
         Content::Whole(bytes) => {
             slot.finish(ending, report);
--- a/src/app/gateway/slot.rs
+++ b/src/app/gateway/slot.rs
@@ -4,7 +4,7 @@
 
 use super::{State, notice, now, request::RoutedRequest};
 use crate::{
-    domain::{InstanceId, ServiceName},
+    domain::{InstanceId, ServiceName, Size},
     policy::balance::{Choice, ChooseError, Ending, LoadReport, Request, TargetNotice, Ticket},
 };
 
@@ -37,6 +37,7 @@
                     object: routed.object,
                     tried,
                     time_left: routed.deadline - context.now,
+                    size: routed.size,
                 };
                 (pool.choose(context, &request), pool.take_withheld())
             });
@@ -69,6 +70,12 @@
         notice::record(&self.state, &received);
     }
 
+    /// Records the size of the target's response.
+    pub fn record_size(&self, response: Size) {
+        let pools = &self.state.pools;
+        pools.get(&self.service, |p| p.record_size(self.ticket(), response));
+    }
+
     /// Releases the slot with the result of the attempt. Only the first call
     /// has an effect.
     pub fn finish(&mut self, ending: Ending, report: Option<LoadReport>) {
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -279,6 +279,7 @@
         let rate = table.service(service).map_or(0.0, |s| s.cold_rate);
         let context = Context {
             now: (self.ports.clock.now)(),
+            az: &settings.az,
             region: &settings.region,
             evacuated: &evacuated,
             cold_quota: ColdQuota {
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -5,24 +5,18 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    distance::{Distance, TransferCost},
     duration::{DurationEstimate, mix},
     notice::Withheld,
-    pool::Pool,
+    pool::{Pool, RouteEstimate},
     slow_start::ColdQuota,
     target::Target,
 };
 use crate::{
-    domain::{AzName, InstanceId, Millis, RegionName, RouteRule, TargetId},
+    domain::{AzName, InstanceId, Millis, RegionName, RouteRule, Size, TargetId},
     policy::overflow::{Overflow, Placement},
 };
 
-/// The round-trip time to a target in the same region.
-const LOCAL_RTT_MS: f64 = 3.0;
-
-/// The round-trip time to a target in another region. Both users state 35 ms
-/// one way.
-const REMOTE_RTT_MS: f64 = 72.0;
-
 /// The cost that a request must save to prefer another region. Traffic between
 /// regions is limited in bandwidth and billed.
 const OVERFLOW_GAIN_MS: f64 = 15.0;
@@ -68,6 +62,8 @@
 pub struct Context<'a> {
     /// The present instant.
     pub now: Millis,
+    /// The availability zone of this entry.
+    pub az: &'a AzName,
     /// The region of this entry.
     pub region: &'a RegionName,
     /// Availability zones that are evacuated and get no requests.
@@ -89,6 +85,8 @@
     pub tried: &'a [InstanceId],
     /// The time that is left until its deadline.
     pub time_left: Millis,
+    /// The size of its body, as far as it is known.
+    pub size: Size,
 }
 
 /// The target selected for a request.
@@ -158,6 +156,13 @@
     warm: bool,
 }
 
+/// What is known of a request when targets are scored for it.
+#[derive(Clone, Copy)]
+struct Estimates {
+    duration: DurationEstimate,
+    transfer: TransferCost,
+}
+
 /// The load that a score depends on.
 #[derive(Clone, Copy)]
 struct LoadState {
@@ -189,8 +194,13 @@
     /// Returns a [`ChooseError`] that says why no target can take it.
     pub fn choose(&mut self, ctx: &Context<'_>, req: &Request<'_>) -> Result<Choice, ChooseError> {
         let route = xxh3_64(req.rule.prefix.as_bytes());
+        let objective = req.rule.objective;
         let estimate = self.estimates.entry(route);
-        let estimate = *estimate.or_insert_with(|| DurationEstimate::new(req.rule.objective));
+        let estimate = estimate.or_insert_with(|| RouteEstimate::new(objective));
+        let estimates = Estimates {
+            duration: estimate.duration,
+            transfer: estimate.size.transfer_cost(req.size, objective),
+        };
         let eligible: Vec<usize> = self.eligible_targets(ctx, req);
         self.count_withheld(ctx.now, &eligible);
         let usable: Vec<usize> = eligible
@@ -198,12 +208,12 @@
             .copied()
             .filter(|i| self.targets[*i].is_available(ctx.now, &ctx.cold_quota))
             .collect();
-        let Some(best) = self.select_candidate(ctx, req, &estimate, &usable) else {
+        let Some(best) = self.select_candidate(ctx, req, &estimates, &usable) else {
             return Err(self.choose_error(ctx, req, &eligible));
         };
         let expected = millis(best.expected_ms);
         let late = expected > req.time_left || self.is_overloaded(best.delay(req.rule));
-        if late && estimate.is_reliable(best.warm, ctx.now) {
+        if late && estimates.duration.is_reliable(best.warm, ctx.now) {
             return Err(ChooseError::TooLate { expected });
         }
         Ok(self.record_choice(ctx, req, route, &best))
@@ -256,20 +266,21 @@
         &mut self,
         ctx: &Context<'_>,
         req: &Request<'_>,
-        estimate: &DurationEstimate,
+        estimates: &Estimates,
         usable: &[usize],
     ) -> Option<Candidate> {
         let capacity = self.capacity(ctx);
         let loads = self.estimated_loads(ctx.now);
         let utilization = self.region_utilization(ctx, usable, &loads);
-        let preferred = self.preferred(ctx, req, usable);
+        let az_bound = estimates.transfer.is_az_bound();
+        let preferred = self.preferred(ctx, req, usable, az_bound);
         let is_local = |i: &usize| self.is_local(ctx, *i);
         let score = |i: usize| {
             let state = LoadState {
                 utilization,
                 load: loads[i],
             };
-            self.score(ctx, req, estimate, state, i, preferred.contains(&i))
+            self.score(ctx, req, estimates, state, i, preferred.contains(&i))
         };
         let cheapest = |remote: bool| {
             let side = usable.iter().filter(|i| is_local(i) != remote);
@@ -303,20 +314,27 @@
     /// Returns the preferred targets of the object by rendezvous hashing: one
     /// in the local region, and one in the other regions for overflow. Callers
     /// of different regions seldom use the same objects, so one target for the
-    /// overflow of each region is enough.
-    fn preferred(&self, ctx: &Context<'_>, req: &Request<'_>, usable: &[usize]) -> Vec<usize> {
+    /// overflow of each region is enough. If the route is bound to availability
+    /// zones, there is one in that of this entry besides.
+    fn preferred(
+        &self,
+        ctx: &Context<'_>,
+        req: &Request<'_>,
+        usable: &[usize],
+        az_bound: bool,
+    ) -> Vec<usize> {
         let Some(object) = req.object.filter(|_| req.rule.sticky) else {
             return Vec::new();
         };
-        let first = |remote: bool| {
-            let side = usable.iter().filter(|i| self.is_local(ctx, **i) != remote);
-            side.max_by_key(|i| mix(object, self.targets[**i].hash))
+        let first = |is_candidate: &dyn Fn(&usize) -> bool| {
+            let side = usable.iter().copied().filter(is_candidate);
+            side.max_by_key(|i| mix(object, self.targets[*i].hash))
         };
-        first(false)
-            .into_iter()
-            .chain(first(true))
-            .copied()
-            .collect()
+        let near = |i: &usize| az_bound && self.targets[*i].instance.az == *ctx.az;
+        let local = |i: &usize| self.is_local(ctx, *i);
+        let remote = |i: &usize| !self.is_local(ctx, *i);
+        let sides: [&dyn Fn(&usize) -> bool; 3] = [&near, &local, &remote];
+        sides.into_iter().filter_map(first).collect()
     }
 
     /// Returns the estimated number of requests at each target. It is computed
@@ -340,14 +358,16 @@
         &self,
         ctx: &Context<'_>,
         req: &Request<'_>,
-        estimate: &DurationEstimate,
+        estimates: &Estimates,
         state: LoadState,
         i: usize,
         preferred: bool,
     ) -> Candidate {
         let LoadState { utilization, load } = state;
+        let estimate = &estimates.duration;
         let now = ctx.now;
         let target = &self.targets[i];
+        let distance = Distance::to(ctx, target);
         let is_warm = |object| target.objects.is_warm(object, now);
         let warm = !target.is_cold(now) && (preferred || req.object.is_some_and(is_warm));
         let slots = target.slots();
@@ -356,8 +376,8 @@
         if target.is_cold(now) {
             slowdown *= COLD_SLOWDOWN;
         }
-        let remote = target.region.as_ref() != Some(ctx.region);
-        let rtt_ms = if remote { REMOTE_RTT_MS } else { LOCAL_RTT_MS };
+        let remote = distance == Distance::OtherRegion;
+        let rtt_ms = distance.rtt_ms();
         let expected_ms = rtt_ms + estimate.duration_ms(warm) * slowdown;
         let rank = req.object.map_or(0.0, |o| 1.0 - unit(mix(o, target.hash)));
         let objective = req.rule.objective.0;
@@ -375,6 +395,7 @@
             cost: expected_ms
                 + utilization * extra_ms
                 + failure_cost
+                + estimates.transfer.at(distance, waiting)
                 + rank * estimate.cold_ms * HASH_RANK_WEIGHT
                 - discount,
             expected_ms,
--- a/src/policy/balance/mod.rs
+++ b/src/policy/balance/mod.rs
@@ -11,6 +11,9 @@
 //! to further targets while its preferred target has a queue, and returns
 //! afterwards.
 //!
+//! Bytes that cross availability zones or regions are part of the cost, so that
+//! large bodies stay near their entry.
+//!
 //! # Trade-offs
 //!
 //! * The load of a target is this entry's own count plus the requests of other
@@ -27,6 +30,7 @@
 
 mod capacity;
 mod choose;
+mod distance;
 mod duration;
 mod health;
 mod load;
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -5,13 +5,14 @@
 
 use super::{
     choose::Ticket,
+    distance::SizeEstimate,
     duration::DurationEstimate,
     load::{LoadReport, RegionLoad},
     notice::{DepartedNotices, WithheldCounts},
     target::Target,
 };
 use crate::{
-    domain::{AzName, Instance, InstanceId, Millis, RegionName},
+    domain::{AzName, Instance, InstanceId, Millis, RegionName, Size},
     policy::{
         budget::{RetryBudget, RetryLimits},
         overflow::Overflow,
@@ -46,11 +47,28 @@
     Cancelled,
 }
 
+/// What is known of the requests of one route.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct RouteEstimate {
+    pub duration: DurationEstimate,
+    pub size: SizeEstimate,
+}
+
+impl RouteEstimate {
+    /// Returns the estimate of a route of which no request has ended.
+    pub fn new(objective: Millis) -> Self {
+        Self {
+            duration: DurationEstimate::new(objective),
+            size: SizeEstimate::default(),
+        }
+    }
+}
+
 /// The targets of one service, as one entry knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     pub(super) targets: Vec<Target>,
-    pub(super) estimates: HashMap<u64, DurationEstimate>,
+    pub(super) estimates: HashMap<u64, RouteEstimate>,
     pub(super) overflow: Option<Overflow>,
     pub(super) retry_budget: RetryBudget,
     /// The average load of each region's targets.
@@ -177,6 +195,13 @@
         }
     }
 
+    /// Learns the size of the response to a request.
+    pub fn record_size(&mut self, ticket: &Ticket, response: Size) {
+        if let Some(estimate) = self.estimates.get_mut(&ticket.route) {
+            estimate.size.record(response);
+        }
+    }
+
     pub(super) fn find(&self, id: &InstanceId) -> Option<usize> {
         self.targets.iter().position(|t| t.instance.id == *id)
     }
@@ -187,6 +212,7 @@
         let Some(estimate) = self.estimates.get_mut(&ticket.route) else {
             return;
         };
+        let estimate = &mut estimate.duration;
         #[expect(clippy::cast_precision_loss)]
         let elapsed_ms = ((now - ticket.sent_at).0 as f64 - ticket.rtt_ms).max(1.0);
         let duration_ms = elapsed_ms / ticket.slowdown.max(0.01);
--- a/tests/balance/main.rs
+++ b/tests/balance/main.rs
@@ -1,5 +1,6 @@
 //! Tests of load balancing: placement by object, bounded loads, admission under
-//! overload, shares of limits, and targets that fail or leave.
+//! overload, large bodies and availability zones, shares of limits, and targets that
+//! fail or leave.
 
 mod load;
 mod notice;
@@ -7,3 +8,4 @@
 mod shares;
 mod simulation;
 mod targets;
+mod transfer;
--- a/tests/balance/odd_reports.rs
+++ b/tests/balance/odd_reports.rs
@@ -6,11 +6,11 @@
 
 use quickcheck::quickcheck;
 use savorybeam::{
-    domain::{Millis, RouteRule},
+    domain::{Millis, RouteRule, Size},
     policy::balance::{Choice, ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Request},
 };
 
-use super::simulation::{addr, instance, region, rule, zones};
+use super::simulation::{addr, az, instance, region, rule, zones};
 
 /// Two targets of two slots each and a virtual clock.
 struct Fixture {
@@ -35,6 +35,7 @@
     fn choose(&mut self) -> Result<Choice, ChooseError> {
         let ctx = Context {
             now: self.now,
+            az: &az(0),
             region: &region(0),
             evacuated: &BTreeSet::new(),
             cold_quota: ColdQuota {
@@ -49,6 +50,7 @@
             object: None,
             tried: &[],
             time_left: self.rule.timeout,
+            size: Size(0),
         };
         self.pool.choose(&ctx, &req)
     }
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -11,7 +11,7 @@
 use savorybeam::{
     domain::{
         AzName, Instance, InstanceId, InstanceState, Millis, RegionName, RequestKind, RouteRule,
-        Slots, TargetId, WeightedService,
+        Size, Slots, TargetId, WeightedService,
     },
     policy::balance::{
         ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Request, Ticket, object_hash,
@@ -24,8 +24,11 @@
         .expect("a name")
 }
 
+pub fn az(n: usize) -> AzName {
+    format!("az-{n}").parse().expect("a name")
+}
+
 pub fn zones() -> BTreeMap<AzName, RegionName> {
-    let az = |n: usize| format!("az-{n}").parse().expect("a name");
     (0..3).map(|n| (az(n), region(n))).collect()
 }
 
@@ -245,6 +248,7 @@
         let evacuated = BTreeSet::new();
         let ctx = Context {
             now,
+            az: &az(entry),
             region: &region,
             evacuated: &evacuated,
             cold_quota: ColdQuota {
@@ -259,6 +263,7 @@
             object: Some(object),
             tried: &[],
             time_left: self.rule.timeout,
+            size: Size(0),
         };
         let choice: Result<_, ChooseError> = self.pools[entry].choose(&ctx, &req);
         let ticket = choice.ok()?.ticket;
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -4,14 +4,14 @@
 use std::{collections::BTreeSet, fmt::Write};
 
 use savorybeam::{
-    domain::{Instance, InstanceId, InstanceState, Millis, Slots},
+    domain::{Instance, InstanceId, InstanceState, Millis, Size, Slots},
     policy::balance::{
         Choice, ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Registry,
         RegistryChange, Request, Ticket,
     },
 };
 
-use super::simulation::{addr, instance, region, rule, zones};
+use super::simulation::{addr, az, instance, region, rule, zones};
 
 /// A pool of three targets and a virtual clock.
 pub struct Fixture {
@@ -38,6 +38,7 @@
         let region = region(0);
         let ctx = Context {
             now: self.now,
+            az: &az(0),
             region: &region,
             evacuated: &self.evacuated,
             cold_quota: ColdQuota {
@@ -53,6 +54,7 @@
             object: None,
             tried,
             time_left: rule.timeout,
+            size: Size(0),
         };
         self.pool.choose(&ctx, &req)
     }
--- a/tests/upload.rs
+++ b/tests/upload.rs
@@ -258,7 +258,7 @@
     let closed = vm::closed_addr().await;
     let mut lines = Vec::new();
     // Which target comes first depends on the id.
-    for id in ["i-2", "i-3", "i-4", "i-5"] {
+    for id in ["i-2", "i-3", "i-4", "i-5", "i-6", "i-7"] {
         log.lock().expect("a log").clear();
         let targets = [("i-1", live), (id, closed)];
         let fixture = Fixture::open_with(&targets, Size::kib(160 * 1024), log.clone()).await;
@@ -272,6 +272,8 @@
     200 of a target, [300000 bytes whole, intact] at 1 targets
     200 of a target, [300000 bytes whole, intact] at 1 targets
     200 of a target, [300000 bytes whole, intact] at 1 targets
+    200 of a target, [300000 bytes whole, intact] at 1 targets
+    200 of a target, [300000 bytes whole, intact] at 1 targets
     ");
 }
 
