Move a full region's requests by its load, faster and back more slowly

Cause: each entry moved requests to other regions by the preferences of its own few requests, at 0.4 of the cap on shifts in both directions. A preference says only that a request would be late already.

Change: the share is at least what the reported loads of the regions call for, which all entries of a region see alike; the slope follows the number of the region's requests in a window (0.4 to 0.8 of the cap), and the way back uses 0.3 of the cap.

Tests: balance shares overflow_follows_the_loads_before_requests_are_late, the_slope_grows_with_the_number_of_requests; the property on the cap draws loads and numbers of requests too.

--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -56,6 +56,7 @@
         }
     };
     let (at, limits) = (now(state), state.retry_limits());
+    state.count_request(at);
     let pools = &state.pools;
     pools.get(&request.service, |p| p.deposit_retry(at, &limits));
     let mut forwarding = Forwarding {
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -18,6 +18,7 @@
         balance::{ColdQuota, Context, Pool, Registry},
         budget::RetryLimits,
         drain::StopSchedule,
+        overflow::RequestCount,
         presence::Entries,
         replay,
         route::Table,
@@ -61,6 +62,8 @@
     /// The hashed names of the entries that share limits.
     peers: RwLock<Arc<Vec<u64>>>,
     entries: Mutex<Entries>,
+    /// The requests that callers have sent lately.
+    request_count: Mutex<RequestCount>,
     registry: Mutex<Registry>,
     change_log: Mutex<ChangeLog<Change>>,
     /// The revision up to which the change log is complete.
@@ -89,6 +92,7 @@
             evacuated: RwLock::default(),
             peers: RwLock::default(),
             entries: Mutex::default(),
+            request_count: Mutex::default(),
             registry: Mutex::default(),
             change_log: Mutex::default(),
             revision: watch::Sender::new(Revision(0)),
@@ -136,6 +140,20 @@
         lock(&self.entries)
     }
 
+    /// Counts a request of a caller.
+    pub(super) fn count_request(&self, now: Millis) {
+        lock(&self.request_count).record(now);
+    }
+
+    /// Returns the estimated number of requests of the region's callers in the
+    /// window of shifts, if all its entries get as many as this one.
+    #[expect(clippy::cast_precision_loss)]
+    fn region_requests(&self, now: Millis) -> f64 {
+        let region = &self.settings().region;
+        let entries = self.entries().in_region(region).count().max(1);
+        lock(&self.request_count).recent(now) * entries as f64
+    }
+
     /// Returns the registered targets.
     pub(super) fn registry(&self) -> MutexGuard<'_, Registry> {
         lock(&self.registry)
@@ -277,8 +295,10 @@
         let (evacuated, peers) = (self.evacuated(), self.peers());
         let bounds = &settings.bounds;
         let rate = table.service(service).map_or(0.0, |s| s.cold_rate);
+        let now = (self.ports.clock.now)();
+        let region_requests = self.region_requests(now);
         let context = Context {
-            now: (self.ports.clock.now)(),
+            now,
             az: &settings.az,
             region: &settings.region,
             evacuated: &evacuated,
@@ -288,6 +308,7 @@
                 this_entry: xxh3_64(settings.name.as_bytes()),
             },
             shift_cap: bounds.max_shift,
+            region_requests,
         };
         self.pools
             .with(service.clone(), Pool::new, |p| f(p, &context))
--- a/src/policy/balance/capacity.rs
+++ b/src/policy/balance/capacity.rs
@@ -1,7 +1,10 @@
 //! The capacity of a service's targets by region.
 
 use super::{choose::Context, pool::Pool};
-use crate::domain::{InstanceState, Millis, RegionName};
+use crate::{
+    domain::{InstanceState, Millis, RegionName},
+    policy::overflow::SlotLoads,
+};
 
 /// The fraction of its slots whose loss lets a region overflow without a slope
 /// limit.
@@ -58,6 +61,21 @@
         capacity
     }
 
+    /// Returns the reported loads of the local region and of the others.
+    pub(super) fn slot_loads(&self, ctx: &Context<'_>) -> SlotLoads {
+        let (mut loads, mut others) = (SlotLoads::default(), 0.0);
+        for (region, load) in &self.region_loads {
+            if region == ctx.region {
+                loads.local = load.slot_load(ctx.now);
+            } else {
+                loads.others += load.slot_load(ctx.now);
+                others += 1.0;
+            }
+        }
+        loads.others /= f64::max(others, 1.0);
+        loads
+    }
+
     /// Returns the utilization of the region's targets, from 0 to 1.
     pub(super) fn region_utilization(
         &self,
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     domain::{AzName, InstanceId, Millis, RegionName, RouteRule, Size, TargetId},
-    policy::overflow::{Overflow, Placement},
+    policy::overflow::{Overflow, Placement, ShiftLimit},
 };
 
 /// The cost that a request must save to prefer another region. Traffic between
@@ -72,6 +72,8 @@
     pub cold_quota: ColdQuota<'a>,
     /// The largest fraction of requests that may change region in a window.
     pub shift_cap: f64,
+    /// The estimated number of requests of the region's callers in that window.
+    pub region_requests: f64,
 }
 
 /// The properties of a request that decide on its target.
@@ -300,12 +302,17 @@
         } else {
             Placement::Local
         };
-        let lost = self.has_lost_capacity(ctx.now, capacity.local);
+        let limit = ShiftLimit {
+            cap: ctx.shift_cap,
+            requests: ctx.region_requests,
+            lifted: self.has_lost_capacity(ctx.now, capacity.local),
+        };
+        let slot_loads = self.slot_loads(ctx);
         let overflow = self
             .overflow
             .get_or_insert_with(|| Overflow::new(capacity.initial_overflow()));
         let hash_position = req.object.filter(|_| req.rule.sticky).map(hash_position);
-        match overflow.assign(ctx.now, preference, hash_position, ctx.shift_cap, lost) {
+        match overflow.assign(ctx.now, preference, slot_loads, hash_position, limit) {
             Placement::Local => local,
             Placement::Remote => Some(remote),
         }
--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -3,8 +3,10 @@
 //! A region with more load than slots sends requests to other regions. The load
 //! changes quickly, but the overflow fraction must change slowly, or else
 //! caches in both regions go cold at once. [`Overflow`] therefore keeps this
-//! fraction as state. It follows the preferences of the individual requests, in
-//! both directions, with a limited slope.
+//! fraction as state, which changes with a limited slope. It follows the
+//! preferences of the individual requests, and it is at least what the reported
+//! loads of the regions call for: a preference says only that a request would be
+//! late already, and the few requests of one entry vary.
 //!
 //! Overflow moves whole objects, those whose hash position is below the
 //! fraction, so that a target in another region gets all requests for an object
@@ -19,9 +21,26 @@
 /// The window over which users measure how much traffic changes region.
 const SHIFT_WINDOW_MS: f64 = 2_000.0;
 
-/// The fraction of the users' cap that the slope uses. The rest is a margin for
-/// random variation, since a window holds only a few hundred requests.
-const CAP_FRACTION: f64 = 0.4;
+/// The smallest fraction of the users' cap that the slope uses. The rest is a
+/// margin for random variation, since a window may hold only a few hundred
+/// requests.
+const CAP_FRACTION_MIN: f64 = 0.4;
+
+/// The largest fraction of the users' cap that the slope uses.
+const CAP_FRACTION_MAX: f64 = 0.8;
+
+/// The margin for random variation, in standard deviations of the change from
+/// one window to the next.
+const VARIATION_MARGIN: f64 = 2.5;
+
+/// The fraction of the users' cap that the slope back to the local region uses. A
+/// region whose load falls is likely to need the others again, while its requests
+/// lose little by running there a little longer.
+const RETURN_CAP_FRACTION: f64 = 0.3;
+
+/// The requests per slot that a region keeps. At this load a request seldom
+/// waits.
+const SLOT_LOAD_GOAL: f64 = 0.9;
 
 /// The time constant of the moving average of the requests' preferences.
 const PREFERENCE_DECAY_MS: f64 = 700.0;
@@ -38,6 +57,27 @@
     updated: Millis,
 }
 
+/// The loads of the targets of a region and of the other regions, in requests per
+/// slot.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SlotLoads {
+    /// The load of the local region.
+    pub local: f64,
+    /// The average load of the other regions.
+    pub others: f64,
+}
+
+/// What limits how fast requests may change their region.
+#[derive(Clone, Copy, Debug)]
+pub struct ShiftLimit {
+    /// The largest fraction that may change region from one window to the next.
+    pub cap: f64,
+    /// The estimated number of the region's requests in a window.
+    pub requests: f64,
+    /// Whether the region has just lost targets.
+    pub lifted: bool,
+}
+
 /// Where a request runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Placement {
@@ -61,19 +101,17 @@
 
     /// Decides where a request runs. `preferred` is the placement with the
     /// lower cost, `hash_position` the position of the request's object from 0
-    /// to 1, if it has one, and `shift_cap` the largest fraction that may
-    /// change region from one window to the next. `capacity_lost` says that the
-    /// region has just lost targets.
+    /// to 1, if it has one.
     pub fn assign(
         &mut self,
         now: Millis,
         preferred: Placement,
+        loads: SlotLoads,
         hash_position: Option<f64>,
-        shift_cap: f64,
-        capacity_lost: bool,
+        limit: ShiftLimit,
     ) -> Placement {
-        self.update_fraction(now, preferred, shift_cap, capacity_lost);
-        if capacity_lost {
+        self.update_fraction(now, preferred, loads, limit);
+        if limit.lifted {
             return preferred;
         }
         let is_remote = match hash_position {
@@ -106,8 +144,8 @@
         &mut self,
         now: Millis,
         preferred: Placement,
-        shift_cap: f64,
-        capacity_lost: bool,
+        loads: SlotLoads,
+        limit: ShiftLimit,
     ) {
         #[expect(clippy::cast_precision_loss)]
         let elapsed_ms = ((now - self.updated).0 as f64).min(SHIFT_WINDOW_MS);
@@ -116,11 +154,58 @@
         // Each request has a minimum weight, even if several arrive at once.
         let gain = (elapsed_ms / PREFERENCE_DECAY_MS).clamp(0.02, 0.2);
         self.desired_fraction += (goal - self.desired_fraction) * gain;
-        if capacity_lost {
+        if limit.lifted {
             self.fraction = self.desired_fraction;
             return;
         }
-        let slope = shift_cap * CAP_FRACTION * elapsed_ms / SHIFT_WINDOW_MS;
-        self.fraction += (self.desired_fraction - self.fraction).clamp(-slope, slope);
+        let desired = self.desired_fraction.max(self.needed_fraction(loads));
+        let cap = limit.cap * elapsed_ms / SHIFT_WINDOW_MS;
+        let change = desired - self.fraction;
+        self.fraction += change.clamp(-cap * RETURN_CAP_FRACTION, cap * cap_fraction(limit));
+    }
+
+    /// Returns the fraction at which the local region would have the load that it
+    /// should keep, or that of the other regions if they are fuller. All entries of a
+    /// region see the same loads, while the preferences of the few requests of one
+    /// entry vary.
+    fn needed_fraction(&self, loads: SlotLoads) -> f64 {
+        let goal = loads.others.max(SLOT_LOAD_GOAL);
+        if loads.local <= 0.0 {
+            return 0.0;
+        }
+        (1.0 - (1.0 - self.fraction) * goal / loads.local).clamp(0.0, 1.0)
+    }
+}
+
+/// Returns the fraction of the cap that the slope may use. The more requests a
+/// window has, the less its share varies by chance.
+fn cap_fraction(limit: ShiftLimit) -> f64 {
+    // The variance of a share is at most 1/4n, and that of the difference of two
+    // windows twice as much.
+    let variation = (0.5 / limit.requests.max(1.0)).sqrt() * VARIATION_MARGIN;
+    let left = 1.0 - variation / limit.cap.max(f64::EPSILON);
+    left.clamp(CAP_FRACTION_MIN, CAP_FRACTION_MAX)
+}
+
+/// Counts the requests of an entry in a window, as a moving sum.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RequestCount {
+    sum: f64,
+    updated: Millis,
+}
+
+impl RequestCount {
+    /// Counts a request.
+    pub fn record(&mut self, now: Millis) {
+        self.sum = self.recent(now) + 1.0;
+        self.updated = now;
+    }
+
+    /// Returns the number of requests in the window that ends now.
+    #[must_use]
+    pub fn recent(&self, now: Millis) -> f64 {
+        #[expect(clippy::cast_precision_loss)]
+        let elapsed_ms = (now - self.updated).0 as f64;
+        self.sum * (-elapsed_ms / SHIFT_WINDOW_MS).exp()
     }
 }
--- a/tests/balance/odd_reports.rs
+++ b/tests/balance/odd_reports.rs
@@ -44,6 +44,7 @@
                 this_entry: 1,
             },
             shift_cap: 0.15,
+            region_requests: 0.0,
         };
         let req = Request {
             rule: &self.rule,
--- a/tests/balance/shares.rs
+++ b/tests/balance/shares.rs
@@ -7,10 +7,23 @@
     policy::{
         balance::ColdQuota,
         budget::{RetryBudget, RetryLimits},
-        overflow::{Overflow, Placement},
+        overflow::{Overflow, Placement, RequestCount, ShiftLimit, SlotLoads},
     },
 };
 
+/// The cap on shifts, with the fewest requests in a window.
+const SHIFT: ShiftLimit = ShiftLimit {
+    cap: 0.15,
+    requests: 0.0,
+    lifted: false,
+};
+
+/// Loads that call for no overflow.
+const IDLE: SlotLoads = SlotLoads {
+    local: 0.1,
+    others: 0.1,
+};
+
 const LIMITS: RetryLimits = RetryLimits {
     ratio: 0.2,
     slack: 58.0,
@@ -63,18 +76,23 @@
     }
 
     /// Guards the cap on shifts between regions: for any sequence of
-    /// preferences, the overflow fraction changes by at most the cap within two
-    /// seconds.
-    fn overflow_changes_stay_within_the_shift_cap(preferences: Vec<(u8, bool)>) -> bool {
+    /// preferences, loads and numbers of requests, the overflow fraction changes by
+    /// at most the cap within two seconds.
+    fn overflow_changes_stay_within_the_shift_cap(
+        preferences: Vec<(u8, bool, u8)>,
+        requests: u16
+    ) -> bool {
+        let limit = ShiftLimit { requests: f64::from(requests), ..SHIFT };
         let mut overflow = Overflow::new(0.3);
         let mut now = Millis(1_000);
         let mut fractions = vec![(now, overflow.fraction())];
         // The first call only sets the time.
-        overflow.assign(now, Placement::Local, Some(0.5), 0.15, false);
-        for (wait, remote) in preferences {
+        overflow.assign(now, Placement::Local, IDLE, Some(0.5), limit);
+        for (wait, remote, load) in preferences {
+            let loads = SlotLoads { local: f64::from(load) / 64.0, others: 0.5 };
             now = now + Millis(u64::from(wait));
             let preference = if remote { Placement::Remote } else { Placement::Local };
-            overflow.assign(now, preference, Some(0.5), 0.15, false);
+            overflow.assign(now, preference, loads, Some(0.5), limit);
             fractions.push((now, overflow.fraction()));
         }
         fractions.iter().skip(1).all(|(at, fraction)| {
@@ -96,7 +114,7 @@
             let hash_position = n as f64 / 50.0;
             let now = Millis(1_000 + step * 50);
             let is_remote =
-                overflow.assign(now, Placement::Remote, Some(hash_position), 0.15, false)
+                overflow.assign(now, Placement::Remote, IDLE, Some(hash_position), SHIFT)
                     == Placement::Remote;
             assert!(
                 is_remote || !*was_remote,
@@ -115,6 +133,69 @@
 #[test]
 fn overflow_is_immediate_after_a_loss_of_targets() {
     let mut overflow = Overflow::new(0.0);
-    let preference = overflow.assign(Millis(1_000), Placement::Remote, Some(0.9), 0.15, true);
+    let lost = ShiftLimit {
+        lifted: true,
+        ..SHIFT
+    };
+    let preference = overflow.assign(Millis(1_000), Placement::Remote, IDLE, Some(0.9), lost);
     assert_eq!(preference, Placement::Remote);
 }
+
+/// Returns the overflow fraction of a region in which all requests prefer the
+/// local targets, after each of `seconds`, at ten requests a second.
+fn fractions(start: f64, loads: SlotLoads, requests: f64, seconds: u64) -> Vec<String> {
+    let mut overflow = Overflow::new(start);
+    let limit = ShiftLimit { requests, ..SHIFT };
+    let mut out = Vec::new();
+    for step in 0..=seconds * 10 {
+        let now = Millis(1_000 + step * 100);
+        overflow.assign(now, Placement::Local, loads, Some(0.5), limit);
+        if step % 10 == 0 {
+            out.push(format!("{:.2}", overflow.fraction()));
+        }
+    }
+    out
+}
+
+/// Fails if a region whose targets have queues while others have room moves
+/// requests only after they are late, if it moves more than needed, or if it moves
+/// requests to regions that are as full.
+#[test]
+fn overflow_follows_the_loads_before_requests_are_late() {
+    let cases = [(2.0, 0.5), (1.0, 0.5), (0.9, 0.5), (2.0, 2.0), (2.0, 1.5)];
+    let lines = cases.map(|(local, others)| {
+        let loads = SlotLoads { local, others };
+        let fractions = fractions(0.2, loads, 2_000.0, 4).join(" ");
+        format!("{local} against {others}: {fractions}")
+    });
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Fails if a region with many requests in a window uses as little of the cap as
+/// one with few, or if a share returns as fast as it left.
+#[test]
+fn the_slope_grows_with_the_number_of_requests() {
+    let mut lines = Vec::new();
+    for requests in [0.0, 200.0, 1_000.0, 5_000.0, 1e9] {
+        let full = SlotLoads {
+            local: 4.0,
+            others: 0.5,
+        };
+        let away = fractions(0.2, full, requests, 4).join(" ");
+        let back = fractions(0.5, IDLE, requests, 4).join(" ");
+        lines.push(format!("{requests}: away {away}, back {back}"));
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Fails if the number of requests in a window is counted without those that have
+/// left it.
+#[test]
+fn requests_leave_the_window() {
+    let mut count = RequestCount::default();
+    for step in 0..1_000 {
+        count.record(Millis(step * 10));
+    }
+    let at = |now| format!("{:.0}", count.recent(Millis(now)));
+    insta::assert_snapshot!([at(10_000), at(12_000), at(20_000)].join(" "), @"198 73 1");
+}
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -257,6 +257,7 @@
                 this_entry: 1,
             },
             shift_cap: 0.15,
+            region_requests: 0.0,
         };
         let req = Request {
             rule: &self.rule,
--- a/tests/balance/transfer.rs
+++ b/tests/balance/transfer.rs
@@ -79,6 +79,7 @@
                 this_entry: 1,
             },
             shift_cap: 0.15,
+            region_requests: 0.0,
         };
         let rule = rule();
         let req = Request {
