Test every part of a response and targets that vanish while they run work

Operators of similar systems report a server that stopped in the middle of its response's head, whose callers got a 200 with a short body, and machines that were silent for a while, whose work was repeated or given up. Neither was covered by a test.

Tests: broken_response no_part_of_a_response_looks_complete sends each prefix of a response, with a length, in chunks or up to the end of the connection, ended by a close or a reset; a_target_that_vanishes_from_the_registry_finishes_its_request. Both pass on the code as it is: 502 for each part of a head, and for each part of a body whose end is marked; only a body that ends with a closed connection can not be told from a shorter one.

--- /dev/null
+++ b/tests/broken_response.rs
@@ -0,0 +1,240 @@
+//! Tests responses that a target does not finish, and targets that vanish from the
+//! registry while they run a request. A caller must never take a part of a
+//! response for the whole one, and work that runs is neither repeated nor given up
+//! because nothing is heard of its target.
+
+mod vm;
+
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering::SeqCst},
+    },
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::Request;
+use savorybeam::{
+    adapters::{
+        clock,
+        http::{self as web, Content, PoolConfig, full_body},
+    },
+    app::gateway::Gateway,
+    domain::{Millis, RequestKind, TargetId},
+    ports::{Change, Outbound, Targets},
+};
+use socket2::SockRef;
+use tokio::{
+    io::{AsyncWriteExt, BufReader},
+    net::TcpStream,
+};
+
+use self::vm::raw;
+
+/// How a target ends a connection on which it has sent a part of a response.
+#[derive(Clone, Copy, Debug)]
+enum End {
+    Close,
+    Reset,
+}
+
+/// The part of the next response that a target sends.
+#[derive(Clone, Copy, Debug)]
+struct Cut {
+    bytes: usize,
+    end: End,
+}
+
+/// The framing of a response's body. With [`Framing::Close`] the end of the
+/// connection is the end of the body.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    Length,
+    Chunked,
+    Close,
+}
+
+fn response(id: &str, framing: Framing) -> String {
+    let (header, body) = match framing {
+        Framing::Length => ("content-length: 8\r\n", "a-kitchn"),
+        Framing::Chunked => (
+            "transfer-encoding: chunked\r\n",
+            "8\r\na-kitchn\r\n0\r\n\r\n",
+        ),
+        Framing::Close => ("connection: close\r\n", "a-kitchn"),
+    };
+    format!("HTTP/1.1 200 OK\r\nrequest-id: {id}\r\nserver-seal: seal\r\n{header}\r\n{body}")
+}
+
+struct Fixture {
+    gateway: Gateway,
+    client: Targets,
+    /// The cut of the next response to `/pay/cut`.
+    cut: Arc<Mutex<Cut>>,
+    runs: Arc<AtomicUsize>,
+}
+
+impl Fixture {
+    async fn open(framing: Framing) -> Self {
+        let cut = Arc::new(Mutex::new(Cut {
+            bytes: 0,
+            end: End::Close,
+        }));
+        let runs = Arc::<AtomicUsize>::default();
+        let (cuts, counted) = (cut.clone(), runs.clone());
+        let addr =
+            raw::listen(move |_, stream| serve(stream, framing, cuts.clone(), counted.clone()))
+                .await;
+        let rules = vec![vm::rule(RequestKind::Once, "/pay/")];
+        let changes = vec![
+            Change::Configured(Box::new(vm::configuration(3, rules, 10.0))),
+            Change::Registered(vm::instance("i-1", addr)),
+        ];
+        Self {
+            gateway: vm::entry::open(vm::settings("edge-1"), changes, Millis(0)).await,
+            client: web::open(clock::open(), PoolConfig::default()),
+            cut,
+            runs,
+        }
+    }
+
+    /// Sends a request. Returns the status and the body as the caller gets them.
+    async fn send(&self, path: &str) -> String {
+        let request = Request::builder()
+            .method("POST")
+            .uri(path)
+            .header("host", "kitchens.example")
+            .header("request-id", "r-1")
+            .body(full_body(Bytes::new()));
+        let front = TargetId(self.gateway.front_addr());
+        let out = Outbound::new(front, request.expect("a request"));
+        let (head, body) = (self.client.send)(out).await.expect("a head").into_parts();
+        let body = match Content::read(body, 10_000).await {
+            Ok(body) if head.headers.contains_key("server-seal") => {
+                String::from_utf8_lossy(body.prefix()).into_owned()
+            }
+            Ok(_) => "refusal".to_owned(),
+            Err(_) => "broken off".to_owned(),
+        };
+        format!("{} {body}", head.status.as_u16())
+    }
+}
+
+async fn serve(stream: TcpStream, framing: Framing, cut: Arc<Mutex<Cut>>, runs: Arc<AtomicUsize>) {
+    let mut stream = BufReader::new(stream);
+    while let Some(request) = raw::read_request(&mut stream).await {
+        runs.fetch_add(1, SeqCst);
+        if request.path != "/pay/cut" {
+            let whole = response(&request.id, Framing::Length);
+            stream.write_all(whole.as_bytes()).await.expect("a gateway");
+            continue;
+        }
+        let Cut { bytes, end } = *cut.lock().expect("a cut");
+        let text = response(&request.id, framing);
+        let part = &text.as_bytes()[..bytes.min(text.len())];
+        stream.write_all(part).await.expect("a gateway");
+        if part.len() == text.len() && !matches!(framing, Framing::Close) {
+            // Closing now would race with the next request on the connection.
+            continue;
+        }
+        if let End::Reset = end {
+            // Lets the gateway read what was sent before the reset.
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            let socket = SockRef::from(stream.get_ref());
+            socket.set_linger(Some(Duration::ZERO)).expect("a socket");
+        }
+        return;
+    }
+}
+
+/// Fails if a caller gets a success for any part of a response that ends before its
+/// last byte: in the status line, in a header, before the body or in it. Each part
+/// of the response is tried.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_part_of_a_response_looks_complete() {
+    let mut lines = Vec::new();
+    for framing in [Framing::Length, Framing::Chunked, Framing::Close] {
+        for end in [End::Close, End::Reset] {
+            let fixture = Fixture::open(framing).await;
+            let length = response("r-1", framing).len();
+            let mut results: Vec<(usize, String)> = Vec::new();
+            for bytes in 0..=length {
+                *fixture.cut.lock().expect("a cut") = Cut { bytes, end };
+                let result = fixture.send("/pay/cut").await;
+                if results.last().is_none_or(|(_, last)| *last != result) {
+                    results.push((bytes, result));
+                }
+                // A target is ejected after two failures without a success.
+                let next = fixture.send("/pay/whole").await;
+                assert_eq!(next, "200 a-kitchn", "{framing:?} {end:?} {bytes}");
+            }
+            let results: Vec<String> = results
+                .iter()
+                .map(|(from, result)| format!("from {from} of {length}: {result}"))
+                .collect();
+            lines.push(format!("{framing:?} {end:?}: {}", results.join("; ")));
+            // No request was sent again.
+            assert_eq!(fixture.runs.load(SeqCst), 2 * (length + 1));
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Fails if a running request is given up, or sent to another target, because the
+/// registration of its target has expired or has announced that it leaves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_target_that_vanishes_from_the_registry_finishes_its_request() {
+    let runs = Arc::<AtomicUsize>::default();
+    let mut addrs = Vec::new();
+    for _ in 0..2 {
+        let counted = runs.clone();
+        addrs.push(
+            raw::listen(move |_, stream| {
+                let counted = counted.clone();
+                async move {
+                    let mut stream = BufReader::new(stream);
+                    while let Some(request) = raw::read_request(&mut stream).await {
+                        counted.fetch_add(1, SeqCst);
+                        tokio::time::sleep(Duration::from_millis(500)).await;
+                        let whole = response(&request.id, Framing::Length);
+                        if stream.write_all(whole.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+            })
+            .await,
+        );
+    }
+    let rules = vec![
+        vm::rule(RequestKind::Idempotent, "/browse/"),
+        vm::rule(RequestKind::Once, "/pay/"),
+    ];
+    let changes = vec![
+        Change::Configured(Box::new(vm::configuration(3, rules, 10.0))),
+        Change::Registered(vm::instance("i-1", addrs[0])),
+        Change::Registered(vm::instance("i-2", addrs[1])),
+    ];
+    let updates = vm::entry::Updates::default();
+    let settings = vm::settings("edge-1");
+    let fixture = Fixture {
+        gateway: vm::entry::open_with_updates(settings, changes, &updates).await,
+        client: web::open(clock::open(), PoolConfig::default()),
+        cut: Arc::new(Mutex::new(Cut {
+            bytes: 0,
+            end: End::Close,
+        })),
+        runs,
+    };
+    let vanish = async {
+        while fixture.runs.load(SeqCst) < 2 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let gone = ["i-1", "i-2"].map(|id| Change::Unregistered(id.parse().expect("an id")));
+        updates.apply(gone.into()).await;
+    };
+    let (browse, pay, ()) = tokio::join!(fixture.send("/browse/a"), fixture.send("/pay/a"), vanish);
+    let runs = fixture.runs.load(SeqCst);
+    insta::assert_snapshot!(format!("{browse}; {pay}; {runs} runs"), @"200 a-kitchn; 200 a-kitchn; 2 runs");
+}
