Name a weighted subset of a large region's entries in lookups

Cause: a lookup listed the entries of the caller's region in the order of their names and cut the list at 64. A region of the large deployment has 95 to 103, so that a third of them was never named, and links of 20 and of 200 Mbit/s got the same share of the callers.

Change: with more than 16 entries in a region, each caller (by its address) gets 16 of them by weighted rendezvous hashing, in proportion to the capacity of their links. A change of one entry changes one place of a response, so that callers keep their connections.

Tests: presence lookups_use_every_entry_of_a_large_region_by_its_link (64 of 98 named before), a_caller_keeps_its_entries_when_another_one_leaves, small_regions_name_all_their_entries.

--- a/src/app/gateway/directory.rs
+++ b/src/app/gateway/directory.rs
@@ -4,7 +4,9 @@
 
 use eyre::WrapErr;
 use http::{HeaderValue, Request, Response, StatusCode, header};
+use volo::net::Address;
 use volo_http::{body::Body, server::Router};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{State, now};
 use crate::{
@@ -45,16 +47,16 @@
 
 async fn serve(state: &Arc<State>, addr: SocketAddr) -> eyre::Result<Server> {
     let state = state.clone();
-    let handler = move |req: Request<Body>| {
+    let handler = move |peer: Address, req: Request<Body>| {
         let state = state.clone();
-        async move { respond(&state, &req) }
+        async move { respond(&state, &peer, &req) }
     };
     let router = Router::new().fallback(handler);
     let server = web::bind(addr, Limits::default(), router).await;
     server.wrap_err("start a server of lookups and checks")
 }
 
-fn respond(state: &State, req: &Request<Body>) -> Response<Body> {
+fn respond(state: &State, peer: &Address, req: &Request<Body>) -> Response<Body> {
     match req.uri().path() {
         directory::READINESS_PATH => {
             let mut resp = Response::new(Body::empty());
@@ -63,7 +65,7 @@
             }
             resp
         }
-        directory::RESOLVE_PATH => resolve(state, req.uri().query().unwrap_or_default()),
+        directory::RESOLVE_PATH => resolve(state, peer, req.uri().query().unwrap_or_default()),
         METRICS_PATH => text(metrics::CONTENT_TYPE, state.ports.metrics.encode()),
         _ => {
             let mut resp = Response::new(Body::empty());
@@ -73,8 +75,9 @@
     }
 }
 
-/// Answers a lookup with the entries for the caller's region.
-fn resolve(state: &State, query: &str) -> Response<Body> {
+/// Answers a lookup with the entries for the caller's region. Callers at one
+/// address get the same entries.
+fn resolve(state: &State, peer: &Address, query: &str) -> Response<Body> {
     let caller = directory::read_query(query);
     let settings = state.settings();
     let region = caller.region.or_else(|| {
@@ -84,7 +87,14 @@
     let region = region.unwrap_or_else(|| settings.region.clone());
     // The others learn of a stop from the store; this entry knows it already.
     let leaving = state.is_stopping().then_some(&settings.name);
-    let mut fronts = state.entries().lookup_addresses(Some(&region), leaving);
+    let caller_hash = match peer {
+        Address::Ip(addr) => xxh3_64(addr.ip().to_string().as_bytes()),
+        // Lookups arrive over TCP only.
+        Address::Unix(_) => 0,
+    };
+    let entries = state.entries();
+    let mut fronts = entries.lookup_addresses(Some(&region), caller_hash, leaving);
+    drop(entries);
     if fronts.is_empty() && state.is_ready() {
         // The entry list is empty if the store was unavailable since the start.
         fronts.push(settings.front);
--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -6,12 +6,19 @@
 //! misses its latency objective, and because a route may be restricted to its
 //! home regions. Only if a region has no entry, the lookup returns those of all
 //! regions.
+//!
+//! A large region has more entries than a lookup returns. Each caller then gets a
+//! subset of its own by weighted rendezvous hashing, in which an entry occurs in
+//! proportion to the capacity of its link: it stays the same while the entries do,
+//! and all subsets together use every entry.
 
 use std::{
     collections::{BTreeMap, VecDeque},
     net::SocketAddr,
 };
 
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
 use crate::domain::{EntryId, Millis, Presence, RegionName};
 
 /// How long a departed entry still counts when a shared limit is divided. It
@@ -19,8 +26,10 @@
 /// share.
 const DEPARTED_RETENTION: Millis = Millis(15_000);
 
-/// The maximum number of entries in a lookup response. Callers read no more.
-const LOOKUP_ENTRIES_MAX: usize = 64;
+/// The maximum number of entries in a lookup response. It is small, because
+/// callers use all of them alike: the larger the subset, the less the capacity of
+/// an entry decides how many callers it gets.
+const LOOKUP_ENTRIES_MAX: usize = 16;
 
 /// The active entries, as known to one entry.
 #[derive(Clone, Debug, Default)]
@@ -76,22 +85,38 @@
         self.active.values()
     }
 
-    /// Returns the addresses to which a caller in a region should connect.
-    /// `leaving` is an entry that is known to stop, although it may still hold its
-    /// lease.
+    /// Returns the addresses to which a caller in a region should connect. `caller`
+    /// is a hash of what distinguishes it from other callers. `leaving` is an entry
+    /// that is known to stop, although it may still hold its lease.
     #[must_use]
     pub fn lookup_addresses(
         &self,
         region: Option<&RegionName>,
+        caller: u64,
         leaving: Option<&EntryId>,
     ) -> Vec<SocketAddr> {
         let staying = || self.active.values().filter(|p| Some(&p.name) != leaving);
-        let local = staying().filter(|p| Some(&p.region) == region);
-        let mut fronts: Vec<SocketAddr> = local.map(|p| p.front).collect();
-        if fronts.is_empty() {
-            fronts = staying().map(|p| p.front).collect();
+        let mut entries: Vec<&Presence> = staying().filter(|p| Some(&p.region) == region).collect();
+        if entries.is_empty() {
+            entries = staying().collect();
+        }
+        if entries.len() > LOOKUP_ENTRIES_MAX {
+            entries.sort_by_cached_key(|p| subset_rank(p, caller));
+            entries.truncate(LOOKUP_ENTRIES_MAX);
         }
-        fronts.truncate(LOOKUP_ENTRIES_MAX);
-        fronts
+        entries.iter().map(|p| p.front).collect()
     }
 }
+
+/// Returns the rank of an entry for a caller. The lowest ranks are a weighted
+/// random sample without replacement, which a change of one entry changes in one
+/// place.
+fn subset_rank(entry: &Presence, caller: u64) -> u64 {
+    let hash = xxh3_64_with_seed(entry.name.as_bytes(), caller);
+    #[expect(clippy::cast_precision_loss)]
+    let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+    let weight = f64::from(entry.link.0.max(1));
+    // An exponential variate; its order is that of its bits, since it is not
+    // negative.
+    (-uniform.ln() / weight).max(0.0).to_bits()
+}
--- /dev/null
+++ b/tests/presence.rs
@@ -0,0 +1,128 @@
+//! Tests which entries a lookup names. Callers use all of them alike, so that an
+//! entry that no lookup names serves nobody, and one that all name is overloaded.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
+
+use savorybeam::{
+    domain::{EntryId, Mbps, Presence, RegionName},
+    policy::presence::Entries,
+};
+
+fn region(name: &str) -> RegionName {
+    name.parse().expect("a valid name")
+}
+
+fn presence(n: u16, region_name: &str, link: u32) -> Presence {
+    Presence {
+        name: name(n),
+        front: SocketAddr::from(([10, 0, 0, 1], 1_000 + n)),
+        peer: None,
+        link: Mbps(link),
+        az: "a-1".parse().expect("a valid name"),
+        region: region(region_name),
+    }
+}
+
+fn name(n: u16) -> EntryId {
+    format!("edge-{n}").parse().expect("a valid name")
+}
+
+/// Returns entries of which each tenth has a link that is ten times as fast.
+fn large_region(count: u16) -> Entries {
+    let mut entries = Entries::default();
+    for n in 0..count {
+        let link = if n % 10 == 0 { 200 } else { 20 };
+        entries.join(presence(n, "north", link));
+    }
+    entries
+}
+
+/// Returns how often each port is named in the lookups of 1,000 callers.
+fn named(entries: &Entries) -> BTreeMap<u16, u32> {
+    let mut counts = BTreeMap::new();
+    for caller in 0..1_000_u64 {
+        let fronts = entries.lookup_addresses(Some(&region("north")), caller, None);
+        for front in fronts {
+            *counts.entry(front.port()).or_default() += 1;
+        }
+    }
+    counts
+}
+
+/// Fails if entries of a large region are never named, or if those with a fast
+/// link are not named more often than the others.
+#[test]
+fn lookups_use_every_entry_of_a_large_region_by_its_link() {
+    let entries = large_region(98);
+    let counts = named(&entries);
+    let mean = |fast: bool| {
+        let group = counts.iter().filter(|(port, _)| (**port % 10 == 0) == fast);
+        let group: Vec<u32> = group.map(|(_, count)| *count).collect();
+        group.iter().sum::<u32>() / u32::try_from(group.len()).expect("few")
+    };
+    let ratio = f64::from(mean(true)) / f64::from(mean(false));
+    let size = entries
+        .lookup_addresses(Some(&region("north")), 1, None)
+        .len();
+    insta::assert_snapshot!(
+        format!("{} of 98 entries named, {size} in a lookup, fast links {ratio:.0} times as often", counts.len()),
+        @"98 of 98 entries named, 16 in a lookup, fast links 7 times as often"
+    );
+}
+
+/// Fails if a caller loses more entries than the one that has left, because it
+/// closes its connections to those that a new response does not name.
+#[test]
+fn a_caller_keeps_its_entries_when_another_one_leaves() {
+    let mut entries = large_region(98);
+    let north = region("north");
+    let lookup = |entries: &Entries, leaving: Option<&EntryId>| {
+        let fronts = entries.lookup_addresses(Some(&north), 7, leaving);
+        fronts.into_iter().collect::<BTreeSet<_>>()
+    };
+    let before = lookup(&entries, None);
+    let mut lost = Vec::new();
+    for n in 0..98 {
+        let during = lookup(&entries, Some(&name(n)));
+        lost.push(before.difference(&during).count());
+    }
+    entries.join(presence(98, "north", 20));
+    let after = lookup(&entries, None);
+    let (most, joined) = (lost.iter().max(), before.difference(&after).count());
+    insta::assert_snapshot!(format!("{most:?} lost at most, {joined} when one joins"), @"Some(1) lost at most, 1 when one joins");
+}
+
+/// Fails if a region with few entries names only some of them, if a lookup names
+/// an entry that is leaving, or if callers of a region without entries get none.
+#[test]
+fn small_regions_name_all_their_entries() {
+    let mut entries = Entries::default();
+    for n in 0..16 {
+        entries.join(presence(n, "north", 20));
+    }
+    entries.join(presence(20, "south", 20));
+    let count = |of: &str, leaving: Option<u16>| {
+        let leaving = leaving.map(name);
+        let fronts = entries.lookup_addresses(Some(&region(of)), 7, leaving.as_ref());
+        fronts.len()
+    };
+    let counts = [
+        count("north", None),
+        count("north", Some(3)),
+        count("south", None),
+        count("south", Some(20)),
+        count("west", None),
+    ];
+    insta::assert_debug_snapshot!(counts, @r"
+    [
+        16,
+        15,
+        1,
+        16,
+        16,
+    ]
+    ");
+}
