Keep objects at their targets when a region is overloaded

Cause: under overload, requests left full targets and ran at others, where their objects were not warm and displaced those that were. Two estimates invited that: the cost of an object that is not warm stopped growing at one request per slot, and while a target's queue was full the next one in rank counted as warm.

Change: the cost grows up to three requests per slot, and a target that is full for a moment stays the preferred one of its objects.

Test: balance targets::a_full_target_keeps_its_objects (as warm: true before).

--- a/src/policy/balance/capacity.rs
+++ b/src/policy/balance/capacity.rs
@@ -10,6 +10,11 @@
 /// limit.
 const CAPACITY_LOSS_FRACTION: f64 = 0.2;
 
+/// The highest utilization that raises the cost of an object that is not warm. With
+/// a queue, such a request delays several others: without this, requests that leave
+/// a full target displace objects at further targets, which then fill up in turn.
+const MAX_UTILIZATION: f64 = 3.0;
+
 /// How long the peak number of slots is remembered.
 const PEAK_SLOTS_WINDOW: Millis = Millis(4_000);
 
@@ -76,7 +81,8 @@
         loads
     }
 
-    /// Returns the utilization of the region's targets, from 0 to 1.
+    /// Returns the utilization of the region's targets: requests per slot, running
+    /// and waiting, up to [`MAX_UTILIZATION`].
     pub(super) fn region_utilization(
         &self,
         ctx: &Context<'_>,
@@ -87,7 +93,7 @@
         let (load, slots) = local.fold((0.0, 0.0), |(load, slots), i| {
             (load + loads[*i], slots + self.targets[*i].slots())
         });
-        (load / f64::max(slots, 1.0)).min(1.0)
+        (load / f64::max(slots, 1.0)).min(MAX_UTILIZATION)
     }
 
     /// Returns whether the region has just lost a large fraction of its slots.
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -168,7 +168,7 @@
 /// The load that a score depends on.
 #[derive(Clone, Copy)]
 struct LoadState {
-    /// The utilization of the region's targets, from 0 to 1.
+    /// The utilization of the region's targets, in requests per slot.
     utilization: f64,
     /// The estimated number of requests at the target.
     load: f64,
@@ -205,12 +205,16 @@
         };
         let eligible: Vec<usize> = self.eligible_targets(ctx, req);
         self.count_withheld(ctx.now, &eligible);
-        let usable: Vec<usize> = eligible
+        let up: Vec<usize> = eligible
             .iter()
             .copied()
-            .filter(|i| self.targets[*i].is_available(ctx.now, &ctx.cold_quota))
+            .filter(|i| self.targets[*i].is_up(ctx.now, &ctx.cold_quota))
             .collect();
-        let Some(best) = self.select_candidate(ctx, req, &estimates, &usable) else {
+        let az_bound = estimates.transfer.is_az_bound();
+        let preferred = self.preferred(ctx, req, &up, az_bound);
+        let mut usable = up;
+        usable.retain(|i| self.targets[*i].is_available(ctx.now, &ctx.cold_quota));
+        let Some(best) = self.select_candidate(ctx, req, &estimates, &usable, &preferred) else {
             return Err(self.choose_error(ctx, req, &eligible));
         };
         let expected = millis(best.expected_ms);
@@ -270,12 +274,11 @@
         req: &Request<'_>,
         estimates: &Estimates,
         usable: &[usize],
+        preferred: &[usize],
     ) -> Option<Candidate> {
         let capacity = self.capacity(ctx);
         let loads = self.estimated_loads(ctx.now);
         let utilization = self.region_utilization(ctx, usable, &loads);
-        let az_bound = estimates.transfer.is_az_bound();
-        let preferred = self.preferred(ctx, req, usable, az_bound);
         let is_local = |i: &usize| self.is_local(ctx, *i);
         let score = |i: usize| {
             let state = LoadState {
@@ -318,8 +321,11 @@
         }
     }
 
-    /// Returns the preferred targets of the object by rendezvous hashing: one
-    /// in the local region, and one in the other regions for overflow. Callers
+    /// Returns the preferred targets of the object by rendezvous hashing among the
+    /// targets that are up: one in the local region, and one in the other regions
+    /// for overflow. A target whose queue is full for a moment stays the preferred
+    /// one: the next in rank does not have the object warm, and running it there
+    /// would make that target lose an object of its own. Callers
     /// of different regions seldom use the same objects, so one target for the
     /// overflow of each region is enough. If the route is bound to availability
     /// zones, there is one in that of this entry besides.
@@ -327,14 +333,14 @@
         &self,
         ctx: &Context<'_>,
         req: &Request<'_>,
-        usable: &[usize],
+        up: &[usize],
         az_bound: bool,
     ) -> Vec<usize> {
         let Some(object) = req.object.filter(|_| req.rule.sticky) else {
             return Vec::new();
         };
         let first = |is_candidate: &dyn Fn(&usize) -> bool| {
-            let side = usable.iter().copied().filter(is_candidate);
+            let side = up.iter().copied().filter(is_candidate);
             side.max_by_key(|i| mix(object, self.targets[*i].hash))
         };
         let near = |i: &usize| az_bound && self.targets[*i].instance.az == *ctx.az;
--- a/src/policy/balance/target.rs
+++ b/src/policy/balance/target.rs
@@ -102,8 +102,13 @@
 
     /// Returns whether it may be sent a request now.
     pub fn is_available(&self, now: Millis, quota: &ColdQuota<'_>) -> bool {
+        now >= self.full_until && self.is_up(now, quota)
+    }
+
+    /// Returns whether it may be sent a request now or as soon as its queue has
+    /// room.
+    pub fn is_up(&self, now: Millis, quota: &ColdQuota<'_>) -> bool {
         self.instance.state == InstanceState::Ready
-            && now >= self.full_until
             && self.notices.allows(now, self.load.own, self.slots())
             && self.health.is_available(now)
             && (!self.is_cold(now) || self.cold_requests.allows(now, self.hash, quota))
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -368,3 +368,53 @@
         @"successors chosen [true, true], then 0 of 8 requests in another region"
     );
 }
+
+/// Fails if an object counts as warm at the next target in rank while the queue of
+/// its own target is full. Under overload, requests would then run at targets that
+/// do not have their object, and displace the objects there.
+#[test]
+fn a_full_target_keeps_its_objects() {
+    let mut pool = Pool::new();
+    for n in 0..3 {
+        pool.put(Millis(0), instance(n, 0, 2), &zones());
+    }
+    let now = Millis(60_000);
+    let rule = rule();
+    let mut choose = |at: Millis, reject: bool| {
+        let ctx = Context {
+            now: at,
+            az: &az(0),
+            region: &region(0),
+            evacuated: &BTreeSet::new(),
+            cold_quota: ColdQuota {
+                max_rate: 3.0,
+                entries: &[1],
+                this_entry: 1,
+            },
+            shift_cap: 0.15,
+            region_requests: 0.0,
+        };
+        let req = Request {
+            rule: &rule,
+            object: Some(7),
+            tried: &[],
+            time_left: rule.timeout,
+            size: Size(0),
+        };
+        let Choice { addr, ticket } = pool.choose(&ctx, &req).expect("a target");
+        let ending = if reject {
+            Ending::Rejected
+        } else {
+            Ending::Answered
+        };
+        pool.finish(at + Millis(10), &ticket, ending, None);
+        (addr, ticket.warm)
+    };
+    let (first, _) = choose(now, true);
+    let (second, assumed_warm) = choose(now + Millis(20), false);
+    let elsewhere = first != second;
+    insta::assert_snapshot!(
+        format!("elsewhere while full: {elsewhere}, as warm: {assumed_warm}"),
+        @"elsewhere while full: true, as warm: false"
+    );
+}
