--- a/src/policy/balance/distance.rs
+++ b/src/policy/balance/distance.rs
@@ -94,9 +94,9 @@
         let kib = (bytes - FREE_BYTES).max(0.0) / 1024.0;
         let max = objective_ms * TRANSFER_COST_MAX;
         TransferCost {
-            az_ms: (kib * AZ_COST_MS).min(max),
-            region_ms: (kib * REGION_COST_MS).min(max),
-            objective_ms,
+            az: (kib * AZ_COST_MS).min(max),
+            region: (kib * REGION_COST_MS).min(max),
+            objective: objective_ms,
         }
     }
 }
@@ -104,16 +104,16 @@
 /// What the bytes of one request cost, in milliseconds of delay.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct TransferCost {
-    az_ms: f64,
-    region_ms: f64,
-    objective_ms: f64,
+    az: f64,
+    region: f64,
+    objective: f64,
 }
 
 impl TransferCost {
     /// Returns whether each object has a target of its own in each availability
     /// zone.
     pub fn is_az_bound(&self) -> bool {
-        self.az_ms >= self.objective_ms * AZ_BOUND_FRACTION
+        self.az >= self.objective * AZ_BOUND_FRACTION
     }
 
     /// Returns the cost of a target at a distance, at which `waiting` requests are
@@ -122,9 +122,9 @@
     /// wait.
     pub fn at(&self, distance: Distance, waiting: f64) -> f64 {
         match distance {
-            Distance::SameAz => self.az_ms * waiting.min(1.0),
-            Distance::SameRegion => self.az_ms,
-            Distance::OtherRegion => self.region_ms,
+            Distance::SameAz => self.az * waiting.min(1.0),
+            Distance::SameRegion => self.az,
+            Distance::OtherRegion => self.region,
         }
     }
 }
--- a/tests/balance/odd_reports.rs
+++ b/tests/balance/odd_reports.rs
@@ -6,11 +6,11 @@
 
 use quickcheck::quickcheck;
 use savorybeam::{
-    domain::{Millis, RouteRule, Size},
-    policy::balance::{Choice, ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Request},
+    domain::{Millis, RouteRule},
+    policy::balance::{Choice, ChooseError, Ending, LoadReport, Pool},
 };
 
-use super::simulation::{addr, az, instance, region, rule, zones};
+use super::simulation::{addr, az, context, instance, region, request, rule, zones};
 
 /// Two targets of two slots each and a virtual clock.
 struct Fixture {
@@ -33,27 +33,9 @@
     }
 
     fn choose(&mut self) -> Result<Choice, ChooseError> {
-        let ctx = Context {
-            now: self.now,
-            az: &az(0),
-            region: &region(0),
-            evacuated: &BTreeSet::new(),
-            cold_quota: ColdQuota {
-                max_rate: 3.0,
-                entries: &[1],
-                this_entry: 1,
-            },
-            shift_cap: 0.15,
-            region_requests: 0.0,
-        };
-        let req = Request {
-            rule: &self.rule,
-            object: None,
-            tried: &[],
-            time_left: self.rule.timeout,
-            size: Size(0),
-        };
-        self.pool.choose(&ctx, &req)
+        let (az, region, evacuated) = (az(0), region(0), BTreeSet::new());
+        let ctx = context(self.now, &az, &region, &evacuated);
+        self.pool.choose(&ctx, &request(&self.rule))
     }
 
     /// Sends a request, which ends after 20 ms with the given report.
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -65,6 +65,40 @@
     }
 }
 
+/// Returns the context of an entry in an availability zone of the first region,
+/// which shares the rate of cold targets with one other entry.
+pub fn context<'a>(
+    now: Millis,
+    az: &'a AzName,
+    region: &'a RegionName,
+    evacuated: &'a BTreeSet<AzName>,
+) -> Context<'a> {
+    Context {
+        now,
+        az,
+        region,
+        evacuated,
+        cold_quota: ColdQuota {
+            max_rate: 3.0,
+            entries: &[1, 2],
+            this_entry: 1,
+        },
+        shift_cap: 0.15,
+        region_requests: 0.0,
+    }
+}
+
+/// Returns a request without an object or a body.
+pub fn request(rule: &RouteRule) -> Request<'_> {
+    Request {
+        rule,
+        object: None,
+        tried: &[],
+        time_left: rule.timeout,
+        size: Size(0),
+    }
+}
+
 /// The parameters of a simulation.
 pub struct Load {
     /// The number of targets in each region.
@@ -246,25 +280,18 @@
         }
         let region = region(entry);
         let evacuated = BTreeSet::new();
+        let az = az(entry);
         let ctx = Context {
-            now,
-            az: &az(entry),
-            region: &region,
-            evacuated: &evacuated,
             cold_quota: ColdQuota {
                 max_rate: 20.0,
                 entries: &[1, 2, 3],
                 this_entry: 1,
             },
-            shift_cap: 0.15,
-            region_requests: 0.0,
+            ..context(now, &az, &region, &evacuated)
         };
         let req = Request {
-            rule: &self.rule,
             object: Some(object),
-            tried: &[],
-            time_left: self.rule.timeout,
-            size: Size(0),
+            ..request(&self.rule)
         };
         let choice: Result<_, ChooseError> = self.pools[entry].choose(&ctx, &req);
         let ticket = choice.ok()?.ticket;
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -4,14 +4,13 @@
 use std::{collections::BTreeSet, fmt::Write};
 
 use savorybeam::{
-    domain::{Instance, InstanceId, InstanceState, Millis, Size, Slots},
+    domain::{Instance, InstanceId, InstanceState, Millis, Slots},
     policy::balance::{
-        Choice, ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Registry,
-        RegistryChange, Request, Ticket,
+        Choice, ChooseError, Ending, LoadReport, Pool, Registry, RegistryChange, Request, Ticket,
     },
 };
 
-use super::simulation::{addr, az, instance, region, rule, zones};
+use super::simulation::{addr, az, context, instance, region, request, rule, zones};
 
 /// A pool of three targets and a virtual clock.
 pub struct Fixture {
@@ -35,27 +34,11 @@
     }
 
     pub fn choose(&mut self, tried: &[InstanceId]) -> Result<Choice, ChooseError> {
-        let region = region(0);
-        let ctx = Context {
-            now: self.now,
-            az: &az(0),
-            region: &region,
-            evacuated: &self.evacuated,
-            cold_quota: ColdQuota {
-                max_rate: 3.0,
-                entries: &[1, 2],
-                this_entry: 1,
-            },
-            shift_cap: 0.15,
-            region_requests: 0.0,
-        };
-        let rule = rule();
+        let (az, region, rule) = (az(0), region(0), rule());
+        let ctx = context(self.now, &az, &region, &self.evacuated);
         let req = Request {
-            rule: &rule,
-            object: None,
             tried,
-            time_left: rule.timeout,
-            size: Size(0),
+            ..request(&rule)
         };
         self.pool.choose(&ctx, &req)
     }
@@ -379,27 +362,12 @@
         pool.put(Millis(0), instance(n, 0, 2), &zones());
     }
     let now = Millis(60_000);
-    let rule = rule();
+    let (az, region, rule, evacuated) = (az(0), region(0), rule(), BTreeSet::new());
     let mut choose = |at: Millis, reject: bool| {
-        let ctx = Context {
-            now: at,
-            az: &az(0),
-            region: &region(0),
-            evacuated: &BTreeSet::new(),
-            cold_quota: ColdQuota {
-                max_rate: 3.0,
-                entries: &[1],
-                this_entry: 1,
-            },
-            shift_cap: 0.15,
-            region_requests: 0.0,
-        };
+        let ctx = context(at, &az, &region, &evacuated);
         let req = Request {
-            rule: &rule,
             object: Some(7),
-            tried: &[],
-            time_left: rule.timeout,
-            size: Size(0),
+            ..request(&rule)
         };
         let Choice { addr, ticket } = pool.choose(&ctx, &req).expect("a target");
         let ending = if reject {
--- a/tests/balance/transfer.rs
+++ b/tests/balance/transfer.rs
@@ -7,10 +7,10 @@
 
 use savorybeam::{
     domain::{Millis, Size},
-    policy::balance::{ColdQuota, Context, Ending, Pool, Request, Ticket, object_hash},
+    policy::balance::{Ending, Pool, Request, Ticket, object_hash},
 };
 
-use super::simulation::{addr, az, instance, region, rule, zones};
+use super::simulation::{addr, az, context, instance, region, request, rule, zones};
 
 const SLOTS: u32 = 3;
 
@@ -68,26 +68,12 @@
 
     /// Sends one request with a body and learns that responses are small.
     fn send(&mut self, object: u64, size: Size, counts: &mut Counts) {
-        let ctx = Context {
-            now: self.now,
-            az: &az(0),
-            region: &region(0),
-            evacuated: &BTreeSet::new(),
-            cold_quota: ColdQuota {
-                max_rate: 20.0,
-                entries: &[1],
-                this_entry: 1,
-            },
-            shift_cap: 0.15,
-            region_requests: 0.0,
-        };
-        let rule = rule();
+        let (az, region, rule, evacuated) = (az(0), region(0), rule(), BTreeSet::new());
+        let ctx = context(self.now, &az, &region, &evacuated);
         let req = Request {
-            rule: &rule,
             object: Some(object_hash("/slots/", &object.to_le_bytes())),
-            tried: &[],
-            time_left: rule.timeout,
             size,
+            ..request(&rule)
         };
         let Ok(choice) = self.pool.choose(&ctx, &req) else {
             counts.refused += 1;
--- a/tests/upload.rs
+++ b/tests/upload.rs
@@ -49,7 +49,8 @@
 /// Returns the first `length` bytes of the body that all callers send. They
 /// differ, so that a part in the wrong place is noticed.
 fn body(length: usize) -> Vec<u8> {
-    (0..length).map(|n| (n * 7 / 3 % 251) as u8).collect()
+    let pattern = (0..251_u8).chain((0..251).rev());
+    pattern.cycle().take(length).collect()
 }
 
 fn response(status: &str, id: &str, marks: &str) -> String {
