Test that a removed target does not return with a restart

Operators of similar systems report servers that had left and were used again after a restart. The case that no test covered: a process starts in an outage of the store from an entry that has missed the removal. It uses the target while nobody can know better, and no longer after the return of the store.

Test: relay a_removed_target_does_not_return_with_a_restart, passes on the code as it is.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -282,3 +282,47 @@
     first.stop().await;
     second.stop().await;
 }
+
+/// Fails if an entry that starts during an outage of the store, from an entry that
+/// has missed a removal, uses the removed target after the store is back, or if the
+/// configuration of before the outage comes back.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_removed_target_does_not_return_with_a_restart() {
+    let store: Arc<Store> = Arc::default();
+    store.put(configuration(1));
+    for n in 1..=5 {
+        store.put(target(n, 1, InstanceState::Ready));
+    }
+    let polls: Arc<AtomicU32> = Arc::default();
+    let first = vm::entry::spawn(settings("edge-1", Vec::new()), platform(&store, &polls)).await;
+    wait_until("the first is ready", || first.state.is_ready()).await;
+    store.unavailable.store(true, SeqCst);
+    store.put(Change::Unregistered("i-1".parse().expect("an id")));
+    store.put(configuration(2));
+    let seed = first.relay_addr().expect("an address");
+    let second = vm::entry::spawn(settings("edge-2", vec![seed]), platform(&store, &polls)).await;
+    wait_until("the second is ready", || second.state.is_ready()).await;
+    let mut lines = vec![targets_of(&second).await];
+    store.unavailable.store(false, SeqCst);
+    let version = |g: &Gateway| g.state.table().map(|t| t.version);
+    wait_until("both get the changes of the outage", || {
+        let current = Some(Revision(2));
+        version(&first) == current && version(&second) == current
+    })
+    .await;
+    lines.push(targets_of(&first).await);
+    lines.push(targets_of(&second).await);
+    // A process that starts now has only what the store holds.
+    second.stop().await;
+    let third = vm::entry::spawn(settings("edge-2", vec![seed]), platform(&store, &polls)).await;
+    wait_until("the third is ready", || third.state.is_ready()).await;
+    lines.push(targets_of(&third).await);
+    first.stop().await;
+    third.stop().await;
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    i-1 i-2 i-3 i-4 i-5
+    i-2 i-3 i-4 i-5
+    i-2 i-3 i-4 i-5
+    i-2 i-3 i-4 i-5
+    ");
+}
