Refuse work that would displace objects in an overloaded region

Cause: a region whose targets lose their objects stays overloaded by itself.

Change: above 1.2 requests per slot in the region, a request that would run at a target that does not have its object is refused at once, as not run. Its caller comes back when its own target has room.

--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -195,6 +195,9 @@
             ChooseError::Withheld(withheld) => {
                 self.withheld("all targets are paused or leaving", withheld)
             }
+            ChooseError::Displacing => {
+                self.no_target("the region is overloaded, and no target with room has the object")
+            }
             ChooseError::TooLate { expected } => {
                 self.no_target(&format!("the response is expected only after {expected}"))
             }
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -6,7 +6,7 @@
 
 use super::{
     distance::{Distance, TransferCost},
-    duration::{DurationEstimate, mix},
+    duration::{DurationEstimate, hash_position, mix, unit},
     notice::Withheld,
     pool::{Pool, RouteEstimate},
     slow_start::ColdQuota,
@@ -48,9 +48,11 @@
 /// The weight of one request in the moving average of that fraction.
 const STANDING_SMOOTHING: f64 = 0.02;
 
-/// Seed of the hash that decides in which order objects overflow to other
-/// regions. It makes this order independent of the placement on targets.
-const OVERFLOW_SEED: u64 = 0x6f76_6572_666c_6f77;
+/// The utilization of a region, in requests per slot, above which a request is
+/// refused rather than run at a target that does not have its object warm. It would
+/// take several times as long, and displace an object whose requests then do the
+/// same: such a region stays overloaded after the load has fallen.
+const SPILL_UTILIZATION_MAX: f64 = 1.2;
 
 /// The cost reduction for a new target, which makes one request go there. That
 /// request shows that the target works; hashing alone may give it no frequently
@@ -135,6 +137,9 @@
     Unavailable,
     /// Targets are registered for the request, but all are paused or leaving.
     Withheld(Withheld),
+    /// The region is overloaded, and no target with room has the object of the
+    /// request warm.
+    Displacing,
     /// The best target would answer too late.
     TooLate {
         /// The expected time until its answer.
@@ -165,6 +170,19 @@
     transfer: TransferCost,
 }
 
+/// The targets among which one is selected for a request, by their indexes.
+#[derive(Clone, Copy)]
+struct Targets<'a> {
+    /// The targets that may be sent the request now.
+    usable: &'a [usize],
+    /// The preferred targets of its object.
+    preferred: &'a [usize],
+    /// The estimated loads of all targets of the service.
+    loads: &'a [f64],
+    /// The utilization of the region's targets, in requests per slot.
+    utilization: f64,
+}
+
 /// The load that a score depends on.
 #[derive(Clone, Copy)]
 struct LoadState {
@@ -214,9 +232,20 @@
         let preferred = self.preferred(ctx, req, &up, az_bound);
         let mut usable = up;
         usable.retain(|i| self.targets[*i].is_available(ctx.now, &ctx.cold_quota));
-        let Some(best) = self.select_candidate(ctx, req, &estimates, &usable, &preferred) else {
+        let loads = self.estimated_loads(ctx.now);
+        let utilization = self.region_utilization(ctx, &usable, &loads);
+        let targets = Targets {
+            usable: &usable,
+            preferred: &preferred,
+            loads: &loads,
+            utilization,
+        };
+        let Some(best) = self.select_candidate(ctx, req, &estimates, &targets) else {
             return Err(self.choose_error(ctx, req, &eligible));
         };
+        if !best.warm && !preferred.is_empty() && utilization > SPILL_UTILIZATION_MAX {
+            return Err(ChooseError::Displacing);
+        }
         let expected = millis(best.expected_ms);
         let late = expected > req.time_left || self.is_overloaded(best.delay(req.rule));
         if late && estimates.duration.is_reliable(best.warm, ctx.now) {
@@ -273,22 +302,20 @@
         ctx: &Context<'_>,
         req: &Request<'_>,
         estimates: &Estimates,
-        usable: &[usize],
-        preferred: &[usize],
+        targets: &Targets<'_>,
     ) -> Option<Candidate> {
         let capacity = self.capacity(ctx);
-        let loads = self.estimated_loads(ctx.now);
-        let utilization = self.region_utilization(ctx, usable, &loads);
         let is_local = |i: &usize| self.is_local(ctx, *i);
         let score = |i: usize| {
             let state = LoadState {
-                utilization,
-                load: loads[i],
+                utilization: targets.utilization,
+                load: targets.loads[i],
             };
-            self.score(ctx, req, estimates, state, i, preferred.contains(&i))
+            let preferred = targets.preferred.contains(&i);
+            self.score(ctx, req, estimates, state, i, preferred)
         };
         let cheapest = |remote: bool| {
-            let side = usable.iter().filter(|i| is_local(i) != remote);
+            let side = targets.usable.iter().filter(|i| is_local(i) != remote);
             side.map(|i| score(*i))
                 .min_by(|a, b| a.cost.total_cmp(&b.cost))
         };
@@ -460,14 +487,3 @@
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     Millis(ms.max(0.0) as u64)
 }
-
-/// Returns an object's position in the order of overflow, from 0 to 1.
-fn hash_position(object: u64) -> f64 {
-    unit(mix(object, OVERFLOW_SEED))
-}
-
-/// Maps a hash to the range from 0 to 1.
-#[expect(clippy::cast_precision_loss)]
-fn unit(hash: u64) -> f64 {
-    hash as f64 / u64::MAX as f64
-}
--- a/src/policy/balance/duration.rs
+++ b/src/policy/balance/duration.rs
@@ -26,6 +26,10 @@
 /// How long a target is assumed to keep an object warm after a request for it.
 const WARM_DURATION: Millis = Millis(15_000);
 
+/// Seed of the hash that decides in which order objects overflow to other
+/// regions. It makes this order independent of the placement on targets.
+const OVERFLOW_SEED: u64 = 0x6f76_6572_666c_6f77;
+
 /// Moving averages of the durations of a route's requests on an idle target.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct DurationEstimate {
@@ -126,3 +130,14 @@
     x = x.wrapping_mul(0xd6e8_feb8_6659_fd93);
     x ^ (x >> 29)
 }
+
+/// Returns an object's position in the order of overflow, from 0 to 1.
+pub(super) fn hash_position(object: u64) -> f64 {
+    unit(mix(object, OVERFLOW_SEED))
+}
+
+/// Maps a hash to the range from 0 to 1.
+#[expect(clippy::cast_precision_loss)]
+pub(super) fn unit(hash: u64) -> f64 {
+    hash as f64 / u64::MAX as f64
+}
