--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -4,7 +4,7 @@
 use std::{collections::BTreeSet, fmt::Write};
 
 use savorybeam::{
-    domain::{Instance, InstanceId, InstanceState, Millis, Slots},
+    domain::{Instance, InstanceId, InstanceState, Millis, RouteRule, Slots},
     policy::balance::{
         Choice, ChooseError, Ending, LoadReport, Pool, Registry, RegistryChange, Request, Ticket,
     },
@@ -386,3 +386,49 @@
         @"elsewhere while full: true, as warm: false"
     );
 }
+
+/// Returns whether a request whose own target has just become full runs elsewhere,
+/// if the three targets of the region have reported the given load.
+fn spill(running: u32, waiting: u32, sticky: bool) -> String {
+    let mut pool = Pool::new();
+    for n in 0..3 {
+        pool.put(Millis(0), instance(n, 0, 2), &zones());
+    }
+    let mut now = Millis(60_000);
+    let (az, region, evacuated) = (az(0), region(0), BTreeSet::new());
+    let rule = RouteRule { sticky, ..rule() };
+    let mut send = |object, ending, [running, waiting]: [u32; 2]| {
+        now = now + Millis(1);
+        let ctx = context(now, &az, &region, &evacuated);
+        let req = Request {
+            object: Some(object),
+            ..request(&rule)
+        };
+        let ticket = pool.choose(&ctx, &req)?.ticket;
+        let report = LoadReport {
+            running,
+            waiting,
+            slots: 2,
+            slowdown_percent: 100,
+        };
+        pool.finish(now, &ticket, ending, Some(report));
+        Ok::<_, ChooseError>(ticket)
+    };
+    for object in 100..130 {
+        send(object, Ending::Answered, [running, waiting]).expect("a target");
+    }
+    let own = send(7, Ending::Rejected, [2, 9]).expect("a target");
+    let next = send(7, Ending::Answered, [running, waiting]);
+    let elsewhere = next.map(|ticket| ticket.id != own.id);
+    format!("{running} running, {waiting} waiting, sticky {sticky}: {elsewhere:?}")
+}
+
+/// Fails if an overloaded region runs a request at a target that does not have its
+/// object, which keeps the region overloaded, or if a region with room or a request
+/// whose object makes no difference is refused.
+#[test]
+fn an_overloaded_region_does_not_displace_objects() {
+    let cases = [(0, 0, true), (2, 0, true), (2, 1, true), (2, 1, false)];
+    let lines = cases.map(|(running, waiting, sticky)| spill(running, waiting, sticky));
+    insta::assert_snapshot!(lines.join("\n"));
+}
