Read requests of raw targets in one type, and correct the reason of a cost

RawRequest was a part of RawHead, which the uploads added beside it: one type serves all raw targets now, with the same fields read and the same assertions. The comment of AZ_COST_MS named the delay of 64 KiB without the free bytes.

No behaviour changes.

--- a/src/policy/balance/distance.rs
+++ b/src/policy/balance/distance.rs
@@ -16,8 +16,9 @@
 const REMOTE_RTT_MS: f64 = 72.0;
 
 /// The cost of one KiB that crosses availability zones of a region, as the
-/// delay that a caller would accept in its place. A body of 64 KiB is worth
-/// nearly half a second, which is what an object costs that is not warm.
+/// delay that a caller would accept in its place. A body of 64 KiB, less
+/// [`FREE_BYTES`], is worth a third of a second, which is of the order of what an
+/// object costs that is not warm.
 const AZ_COST_MS: f64 = 6.0;
 
 /// The same for one KiB that crosses regions.
--- a/tests/notice.rs
+++ b/tests/notice.rs
@@ -29,7 +29,7 @@
 
 use self::vm::{
     entry::{self, Updates},
-    raw::{self, RawRequest},
+    raw::{self, RawHead},
 };
 
 /// How long after a refusal requests that were under way may still arrive.
@@ -94,7 +94,7 @@
     script: Script,
 ) {
     let mut stream = BufReader::new(stream);
-    while let Some(RawRequest { id, instance, .. }) = raw::read_request(&mut stream).await {
+    while let Some(RawHead { id, instance, .. }) = raw::read_request(&mut stream).await {
         let received = Received {
             target,
             connection,
--- a/tests/stale_response.rs
+++ b/tests/stale_response.rs
@@ -27,7 +27,7 @@
     net::TcpStream,
 };
 
-use self::vm::raw::{self, RawRequest};
+use self::vm::raw::{self, RawHead};
 
 /// How long a target that rejected a request gets no other, with a margin.
 const BACKOFF: Duration = Duration::from_millis(1_200);
@@ -74,7 +74,7 @@
 ) {
     let mut stream = BufReader::new(stream);
     let mut earlier = Vec::new();
-    while let Some(RawRequest { path, id, .. }) = raw::read_request(&mut stream).await {
+    while let Some(RawHead { path, id, .. }) = raw::read_request(&mut stream).await {
         let received = Received {
             target,
             connection,
--- a/tests/vm/raw.rs
+++ b/tests/vm/raw.rs
@@ -9,17 +9,6 @@
     net::{TcpListener, TcpStream},
 };
 
-/// A request as a target reads it, with its body discarded. A header that is
-/// missing is empty.
-#[derive(Debug, Default)]
-pub struct RawRequest {
-    pub path: String,
-    /// The request id.
-    pub id: String,
-    /// The instance that is asked.
-    pub instance: String,
-}
-
 /// The head of a request as a target reads it. A header that is missing is empty.
 #[derive(Debug, Default)]
 pub struct RawHead {
@@ -93,15 +82,12 @@
     part.read_to_end(out).await.is_ok() && part.limit() == 0
 }
 
-/// Reads one request. Returns none if the connection has ended.
-pub async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<RawRequest> {
+/// Reads one request and discards its body. Returns its head, or none if the
+/// connection has ended.
+pub async fn read_request(stream: &mut BufReader<TcpStream>) -> Option<RawHead> {
     let head = read_head(stream).await?;
     let (_, complete) = read_body(stream, &head).await;
-    complete.then_some(RawRequest {
-        path: head.path,
-        id: head.id,
-        instance: head.instance,
-    })
+    complete.then_some(head)
 }
 
 /// How the length of a body is stated.
