--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standin review/standin/main.rs
+rustc --edition 2024 -O -o target/review/standin review/standin/main.rs
--- a/review/standin/case_chunks.rs
+++ b/review/standin/case_chunks.rs
@@ -32,7 +32,10 @@
         let id = format!("9c41d07be2a3{n:04x}");
         let sent: Vec<u8> = (0..size).map(|at| b'a' + (at % 23) as u8).collect();
         let (framing, body) = if trouble {
-            ("Transfer-Encoding: chunked".to_owned(), http::chunked(&sent))
+            (
+                "Transfer-Encoding: chunked".to_owned(),
+                http::chunked(&sent),
+            )
         } else {
             (format!("Content-Length: {size}"), sent.clone())
         };
@@ -40,20 +43,32 @@
             "GET /leny950/2f HTTP/1.1\r\nHost: hulo84.example\r\nRequest-Id: {id}\r\n\
              Affinity-Key: 17\r\nDeadline-Ms: 2000\r\n{framing}\r\n\r\n"
         );
-        record.line(&format!("client sends {id}: GET, {framing}, body of {size} bytes"));
+        record.line(&format!(
+            "client sends {id}: GET, {framing}, body of {size} bytes"
+        ));
         let request = [head.as_bytes(), &body].concat();
         match exchange(gateway.front, &request, Duration::from_secs(2)) {
             Ok((head, body)) => {
                 let seal = head.get("server-seal");
                 let text = String::from_utf8_lossy(&body).into_owned();
-                record.line(&format!("client gets for {id}: {} seal {seal:?}, {text:?}", head.first));
+                record.line(&format!(
+                    "client gets for {id}: {} seal {seal:?}, {text:?}",
+                    head.first
+                ));
             }
             Err(e) => record.line(&format!("client gets nothing for {id}: {e}")),
         }
-        for run in record.runs().iter().filter(|r| r.request == id && r.body != sent) {
+        for run in record
+            .runs()
+            .iter()
+            .filter(|r| r.request == id && r.body != sent)
+        {
             held = false;
             let length = run.body.len();
-            record.line(&format!("UNASKED: {} ran {id} with a body of {length} bytes, not the {size} that were sent", run.server));
+            record.line(&format!(
+                "UNASKED: {} ran {id} with a body of {length} bytes, not the {size} that were sent",
+                run.server
+            ));
         }
     }
     if record.runs().is_empty() {
--- a/review/standin/case_writer.rs
+++ b/review/standin/case_writer.rs
@@ -46,7 +46,8 @@
     let cut: Arc<Mutex<Vec<String>>> = Arc::default();
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
-            let (record, stop, cut, front) = (record.clone(), stop.clone(), cut.clone(), gateway.front);
+            let (record, stop, cut, front) =
+                (record.clone(), stop.clone(), cut.clone(), gateway.front);
             thread::spawn(move || {
                 let mut n = 0;
                 while !stop.load(SeqCst) {
@@ -81,7 +82,10 @@
     thread::sleep(HEARTBEAT * 3);
     leaving.drain(&store);
     let acknowledged = record.now();
-    record.line(&format!("the store has acknowledged that {} is draining", leaving.id()));
+    record.line(&format!(
+        "the store has acknowledged that {} is draining",
+        leaving.id()
+    ));
     thread::sleep(SERVES_ON);
     leaving.exit(&store);
     record.line(&format!("{} has ended", leaving.id()));
@@ -99,11 +103,26 @@
     let late: Vec<_> = late.collect();
     for run in &late {
         let after = (run.at - acknowledged).as_secs_f64();
-        record.line(&format!("DRAIN: {} ran {} {after:.3} s after the acknowledgement", run.server, run.request));
+        record.line(&format!(
+            "DRAIN: {} ran {} {after:.3} s after the acknowledgement",
+            run.server, run.request
+        ));
     }
-    record.line(&format!("{} requests reached {} too late", late.len(), leaving.id()));
-    for id in cut.lock().unwrap().iter().filter(|id| late.iter().any(|run| run.request == **id)) {
-        record.line(&format!("{id} was at work at {} when it ended, and its client got no answer of a server", leaving.id()));
+    record.line(&format!(
+        "{} requests reached {} too late",
+        late.len(),
+        leaving.id()
+    ));
+    for id in cut
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|id| late.iter().any(|run| run.request == **id))
+    {
+        record.line(&format!(
+            "{id} was at work at {} when it ended, and its client got no answer of a server",
+            leaving.id()
+        ));
     }
     Ok(late.is_empty())
 }
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -15,7 +15,10 @@
 impl Head {
     /// Returns the value of a header, which is empty if there is none.
     pub fn get(&self, name: &str) -> &str {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map_or("", |(_, value)| value)
     }
 
@@ -25,7 +28,8 @@
     }
 
     pub fn is_chunked(&self) -> bool {
-        self.get("transfer-encoding").eq_ignore_ascii_case("chunked")
+        self.get("transfer-encoding")
+            .eq_ignore_ascii_case("chunked")
     }
 }
 
@@ -43,7 +47,8 @@
         } else if line.is_empty() {
             return Ok(Some(head));
         } else if let Some((name, value)) = line.split_once(':') {
-            head.headers.push((name.to_owned(), value.trim().to_owned()));
+            head.headers
+                .push((name.to_owned(), value.trim().to_owned()));
         }
     }
 }
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -45,9 +45,19 @@
 
 impl Server {
     /// Starts a server that registers itself and serves until [`Server::exit`].
-    pub fn start(store: &Store, record: &Record, id: &str, service: &str, zone: &str, ip: &str, work: Duration) -> std::io::Result<Self> {
+    pub fn start(
+        store: &Store,
+        record: &Record,
+        id: &str,
+        service: &str,
+        zone: &str,
+        ip: &str,
+        work: Duration,
+    ) -> std::io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
-        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis());
+        let born = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |d| d.as_millis());
         let server = Self(Arc::new(Shared {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -99,8 +109,14 @@
 
     /// Returns the registration with the given service and sequence number.
     pub fn registration(&self, service: &str, seq: u64) -> String {
-        let Shared { addr, zone, born, .. } = &*self.0;
-        let state = if self.0.draining.load(SeqCst) { "draining" } else { "ready" };
+        let Shared {
+            addr, zone, born, ..
+        } = &*self.0;
+        let state = if self.0.draining.load(SeqCst) {
+            "draining"
+        } else {
+            "ready"
+        };
         format!(
             r#"{{"service":"{service}","address":"{addr}","zone":"{zone}","version":"v1","slots":{SLOTS},"state":"{state}","cold_left_s":0,"seq":{seq},"born":{born}}}"#
         )
@@ -131,10 +147,14 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = http::read_head(&mut reader) {
-            let Ok(body) = http::read_body(&mut reader, &head) else { return };
+            let Ok(body) = http::read_body(&mut reader, &head) else {
+                return;
+            };
             if self.0.ended.load(SeqCst) || self.answer(&mut writer, &head, &body).is_err() {
                 return;
             }
@@ -144,19 +164,33 @@
     fn answer(&self, writer: &mut TcpStream, head: &Head, body: &[u8]) -> std::io::Result<()> {
         let Shared { id, record, .. } = &*self.0;
         if head.word(1) == "/health" {
-            let status = if self.0.draining.load(SeqCst) { "503 X" } else { "200 OK" };
+            let status = if self.0.draining.load(SeqCst) {
+                "503 X"
+            } else {
+                "200 OK"
+            };
             let load = self.load();
-            return write!(writer, "HTTP/1.1 {status}\r\nInstance-Id: {id}\r\nServer-Load: {load}\r\nContent-Length: 0\r\n\r\n");
+            return write!(
+                writer,
+                "HTTP/1.1 {status}\r\nInstance-Id: {id}\r\nServer-Load: {load}\r\nContent-Length: 0\r\n\r\n"
+            );
         }
         let request = head.get("request-id");
         if head.get("expect-instance") != id {
             record.line(&format!("{id} answers {request} with 421"));
-            return write!(writer, "HTTP/1.1 421 X\r\nRequest-Id: {request}\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n");
+            return write!(
+                writer,
+                "HTTP/1.1 421 X\r\nRequest-Id: {request}\r\nInstance-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+            );
         }
         let running = self.0.running.fetch_add(1, SeqCst);
         if running >= SLOTS * 4 {
             self.0.running.fetch_sub(1, SeqCst);
-            return write!(writer, "HTTP/1.1 503 X\r\nRequest-Id: {request}\r\nNot-Executed: 1\r\nServer-Load: {}\r\nContent-Length: 0\r\n\r\n", self.load());
+            return write!(
+                writer,
+                "HTTP/1.1 503 X\r\nRequest-Id: {request}\r\nNot-Executed: 1\r\nServer-Load: {}\r\nContent-Length: 0\r\n\r\n",
+                self.load()
+            );
         }
         record.run(id, head, body);
         thread::sleep(self.0.work);
@@ -172,6 +206,10 @@
 
     fn load(&self) -> String {
         let running = self.0.running.load(SeqCst);
-        format!("{},{},{SLOTS}", running.min(SLOTS), running.saturating_sub(SLOTS))
+        format!(
+            "{},{},{SLOTS}",
+            running.min(SLOTS),
+            running.saturating_sub(SLOTS)
+        )
     }
 }
--- a/review/standin/site.rs
+++ b/review/standin/site.rs
@@ -28,7 +28,11 @@
 
 impl Record {
     pub fn create(path: &str) -> std::io::Result<Self> {
-        Ok(Self(Arc::new((Instant::now(), Mutex::new(File::create(path)?), Mutex::default()))))
+        Ok(Self(Arc::new((
+            Instant::now(),
+            Mutex::new(File::create(path)?),
+            Mutex::default(),
+        ))))
     }
 
     pub fn now(&self) -> Duration {
@@ -43,10 +47,27 @@
     /// Records that a server begins to work on a request.
     pub fn run(&self, server: &str, head: &Head, body: &[u8]) {
         let request = head.get("request-id").to_owned();
-        let framing = if head.is_chunked() { "chunked" } else { head.get("content-length") };
-        let framing = if framing.is_empty() { "no length" } else { framing };
-        self.line(&format!("{server} runs {request}: {} ({framing}), body of {} bytes", head.first, body.len()));
-        let run = Run { at: self.now(), server: server.to_owned(), request, body: body.to_vec() };
+        let framing = if head.is_chunked() {
+            "chunked"
+        } else {
+            head.get("content-length")
+        };
+        let framing = if framing.is_empty() {
+            "no length"
+        } else {
+            framing
+        };
+        self.line(&format!(
+            "{server} runs {request}: {} ({framing}), body of {} bytes",
+            head.first,
+            body.len()
+        ));
+        let run = Run {
+            at: self.now(),
+            server: server.to_owned(),
+            request,
+            body: body.to_vec(),
+        };
         self.0.2.lock().unwrap().push(run);
     }
 
@@ -69,7 +90,8 @@
     /// one is ended early.
     pub fn start(name: &str, store: SocketAddr) -> std::io::Result<Self> {
         let ip = free_ip()?;
-        let folder = std::env::temp_dir().join(format!("savorybeam-review-{}-{name}", std::process::id()));
+        let folder =
+            std::env::temp_dir().join(format!("savorybeam-review-{}-{name}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let path = folder.join("local.yaml");
         fs::write(&path, settings(name, &ip, store))?;
@@ -86,7 +108,12 @@
             writeln!(pids, "{}", child.id())?;
         }
         let addr = |port: u16| format!("{ip}:{port}").parse().expect("an address");
-        Ok(Self { child, front: addr(8641), readiness: addr(8640), folder })
+        Ok(Self {
+            child,
+            front: addr(8641),
+            readiness: addr(8640),
+            folder,
+        })
     }
 
     /// Waits until the gateway says that it is ready.
@@ -97,7 +124,9 @@
                 return Err(format!("the gateway ended with {status}: {}", self.log()));
             }
             let request = b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n";
-            if exchange(self.readiness, request, Duration::from_secs(1)).is_ok_and(|(h, _)| h.word(1) == "200") {
+            if exchange(self.readiness, request, Duration::from_secs(1))
+                .is_ok_and(|(h, _)| h.word(1) == "200")
+            {
                 return Ok(());
             }
             thread::sleep(Duration::from_millis(50));
@@ -126,15 +155,24 @@
     let seed = std::process::id();
     for n in 0..200 {
         let ip = format!("127.{}.{}.1", 60 + (seed + n) % 60, 1 + n % 250);
-        if PORTS.iter().all(|port| TcpListener::bind((ip.as_str(), *port)).is_ok()) {
+        if PORTS
+            .iter()
+            .all(|port| TcpListener::bind((ip.as_str(), *port)).is_ok())
+        {
             return Ok(ip);
         }
     }
-    Err(std::io::Error::other("no loopback address has the ports free"))
+    Err(std::io::Error::other(
+        "no loopback address has the ports free",
+    ))
 }
 
 /// Sends a request on a new connection and reads the response.
-pub fn exchange(addr: SocketAddr, request: &[u8], limit: Duration) -> std::io::Result<(Head, Vec<u8>)> {
+pub fn exchange(
+    addr: SocketAddr,
+    request: &[u8],
+    limit: Duration,
+) -> std::io::Result<(Head, Vec<u8>)> {
     let mut stream = TcpStream::connect_timeout(&addr, Duration::from_secs(1))?;
     stream.set_read_timeout(Some(limit))?;
     stream.set_write_timeout(Some(limit))?;
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -36,7 +36,12 @@
 pub struct Store(Arc<(Mutex<Inner>, Condvar)>);
 
 fn render(key: &str, item: &Item) -> String {
-    let Item { value, revision, created, lease } = item;
+    let Item {
+        value,
+        revision,
+        created,
+        lease,
+    } = item;
     format!(
         r#"{{"key":"{key}","value":"{value}","revision":{revision},"created":{created},"lease":{lease}}}"#
     )
@@ -47,7 +52,12 @@
         self.revision += 1;
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |i| i.created);
-        let item = Item { value, revision, created, lease };
+        let item = Item {
+            value,
+            revision,
+            created,
+            lease,
+        };
         self.events.push((revision, render(key, &item)));
         self.items.insert(key.to_owned(), item);
         revision
@@ -64,7 +74,10 @@
 
     fn end_lease(&mut self, lease: u64) -> bool {
         let known = self.leases.remove(&lease).is_some();
-        let keys = self.items.iter().filter(|(_, i)| lease != 0 && i.lease == lease);
+        let keys = self
+            .items
+            .iter()
+            .filter(|(_, i)| lease != 0 && i.lease == lease);
         let keys: Vec<String> = keys.map(|(k, _)| k.clone()).collect();
         keys.iter().for_each(|k| self.delete(k));
         known
@@ -86,16 +99,18 @@
             }
         });
         let expiring = store.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(50));
-            expiring.change(|inner| {
-                let now = Instant::now();
-                let ended = inner.leases.iter().filter(|(_, (end, _))| *end < now);
-                let ended: Vec<u64> = ended.map(|(id, _)| *id).collect();
-                for lease in ended {
-                    inner.end_lease(lease);
-                }
-            });
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(50));
+                expiring.change(|inner| {
+                    let now = Instant::now();
+                    let ended = inner.leases.iter().filter(|(_, (end, _))| *end < now);
+                    let ended: Vec<u64> = ended.map(|(id, _)| *id).collect();
+                    for lease in ended {
+                        inner.end_lease(lease);
+                    }
+                });
+            }
         });
         Ok((store, addr))
     }
@@ -119,10 +134,14 @@
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while let Ok(Some(head)) = http::read_head(&mut reader) {
-            let Ok(body) = http::read_body(&mut reader, &head) else { return };
+            let Ok(body) = http::read_body(&mut reader, &head) else {
+                return;
+            };
             let body = String::from_utf8_lossy(&body).into_owned();
             let (status, answer) = self.answer(head.word(0), head.word(1), &body);
             if http::write_json(&mut writer, status, &answer).is_err() {
@@ -135,7 +154,10 @@
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let get = |name: &str| {
             let pairs = query.split('&').filter_map(|p| p.split_once('='));
-            let value = pairs.filter(|(n, _)| *n == name).map(|(_, v)| decode(v)).next();
+            let value = pairs
+                .filter(|(n, _)| *n == name)
+                .map(|(_, v)| decode(v))
+                .next();
             value.unwrap_or_default()
         };
         match (method, path) {
@@ -158,19 +180,27 @@
                 let lease = self.change(|inner| {
                     inner.last_lease += 1;
                     let ttl = Duration::from_secs_f64(ttl);
-                    inner.leases.insert(inner.last_lease, (Instant::now() + ttl, ttl));
+                    inner
+                        .leases
+                        .insert(inner.last_lease, (Instant::now() + ttl, ttl));
                     inner.last_lease
                 });
                 (200, format!(r#"{{"lease":{lease},"ttl_s_time":{ttl}}}"#))
             }
             _ => {
-                let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+                let id = path
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse().ok())
+                    .unwrap_or(0);
                 let found = self.change(|inner| {
                     if path.starts_with("/kv-lease-end/") {
                         return inner.end_lease(id);
                     }
                     let lease = inner.leases.get_mut(&id);
-                    lease.map(|(end, ttl)| *end = Instant::now() + *ttl).is_some()
+                    lease
+                        .map(|(end, ttl)| *end = Instant::now() + *ttl)
+                        .is_some()
                 });
                 (if found { 200 } else { 404 }, "{}".to_owned())
             }
@@ -180,11 +210,20 @@
     fn range(&self, prefix: &str, after: &str) -> (u16, String) {
         let inner = self.0.0.lock().unwrap();
         let matching = inner.items.iter().filter(|(k, _)| k.starts_with(prefix));
-        let matching: Vec<_> = matching.filter(|(k, _)| after.is_empty() || k.as_str() > after).collect();
+        let matching: Vec<_> = matching
+            .filter(|(k, _)| after.is_empty() || k.as_str() > after)
+            .collect();
         let has_more = matching.len() > PAGE;
-        let items: Vec<String> = matching.iter().take(PAGE).map(|(k, i)| render(k, i)).collect();
+        let items: Vec<String> = matching
+            .iter()
+            .take(PAGE)
+            .map(|(k, i)| render(k, i))
+            .collect();
         let (items, revision) = (items.join(","), inner.revision);
-        (200, format!(r#"{{"items":[{items}],"has_more":{has_more},"at_rev":{revision}}}"#))
+        (
+            200,
+            format!(r#"{{"items":[{items}],"has_more":{has_more},"at_rev":{revision}}}"#),
+        )
     }
 
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> (u16, String) {
@@ -193,12 +232,18 @@
         let mut inner = lock.lock().unwrap();
         loop {
             let start = format!(r#"{{"key":"{prefix}"#);
-            let events = inner.events.iter().filter(|(r, e)| *r > after && e.starts_with(&start));
+            let events = inner
+                .events
+                .iter()
+                .filter(|(r, e)| *r > after && e.starts_with(&start));
             let events: Vec<&str> = events.map(|(_, e)| e.as_str()).collect();
             let now = Instant::now();
             if !events.is_empty() || now >= end {
                 let (events, revision) = (events.join(","), inner.revision);
-                return (200, format!(r#"{{"events":[{events}],"at_rev":{revision}}}"#));
+                return (
+                    200,
+                    format!(r#"{{"events":[{events}],"at_rev":{revision}}}"#),
+                );
             }
             inner = changed.wait_timeout(inner, end - now).unwrap().0;
         }
@@ -220,13 +265,19 @@
 }
 
 fn text(body: &str, field: &str) -> String {
-    let rest = body.split_once(&format!(r#""{field}":""#)).map_or("", |(_, r)| r);
+    let rest = body
+        .split_once(&format!(r#""{field}":""#))
+        .map_or("", |(_, r)| r);
     rest.split('"').next().unwrap_or_default().to_owned()
 }
 
 fn number(body: &str, field: &str) -> String {
-    let rest = body.split_once(&format!(r#""{field}":"#)).map_or("", |(_, r)| r);
-    rest.chars().take_while(|c| c.is_ascii_digit() || *c == '.').collect()
+    let rest = body
+        .split_once(&format!(r#""{field}":"#))
+        .map_or("", |(_, r)| r);
+    rest.chars()
+        .take_while(|c| c.is_ascii_digit() || *c == '.')
+        .collect()
 }
 
 /// Decodes the percent signs of a query.
@@ -234,7 +285,9 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let code = text.get(at + 1..at + 3).and_then(|h| u8::from_str_radix(h, 16).ok());
+        let code = text
+            .get(at + 1..at + 3)
+            .and_then(|h| u8::from_str_radix(h, 16).ok());
         match (bytes[at], code) {
             (b'%', Some(code)) => {
                 out.push(code);
@@ -257,7 +310,11 @@
         let bits = byte(0) << 16 | byte(1) << 8 | byte(2);
         for digit in 0..4 {
             let index = (bits >> (18 - 6 * digit)) & 63;
-            out.push(if digit <= part.len() { DIGITS[index as usize] as char } else { '=' });
+            out.push(if digit <= part.len() {
+                DIGITS[index as usize] as char
+            } else {
+                '='
+            });
         }
     }
     out
