Log how long calls for the platform's state take and how old the state is

Failed calls after the first one, the duration of each, the age of the entry's state, the revision before a complete read and a state that was out of date are logged now; savorybeam_syncs_total and savorybeam_outdated_total count them. No decision changes.

--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -97,6 +97,17 @@
     pub reason: &'static str,
 }
 
+/// The labels of calls for the platform's state.
+#[derive(Clone, Copy, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct SyncLabels {
+    /// `store` or `entry`.
+    pub upstream: &'static str,
+    /// `changes` or `complete`.
+    pub scope: &'static str,
+    /// `ok`, `failed`, `outdated` or `compacted`.
+    pub result: &'static str,
+}
+
 /// The metrics of a process.
 ///
 /// A family creates the metric of a label set on first use. Clones share the same
@@ -131,6 +142,11 @@
     pub withheld: Family<WithheldLabels, Counter>,
     /// Routes in effect whose kind this version does not know.
     pub unknown_kinds: Gauge,
+    /// Calls for the platform's state.
+    pub syncs: Family<SyncLabels, Counter>,
+    /// How often the state was older than the time within which changes must
+    /// take effect.
+    pub outdated: Counter,
 }
 
 /// Returns a histogram with bounds from 1 ms to 65 s. Each bound is twice the one
@@ -160,6 +176,8 @@
         events: Family::default(),
         withheld: Family::default(),
         unknown_kinds: Gauge::default(),
+        syncs: Family::default(),
+        outdated: Counter::default(),
     };
     let r = &mut registry;
     let m = metrics.clone();
@@ -187,6 +205,8 @@
         help(&table::UNKNOWN_KINDS),
         m.unknown_kinds,
     );
+    r.register(table::SYNCS.base, help(&table::SYNCS), m.syncs);
+    r.register(table::OUTDATED.base, help(&table::OUTDATED), m.outdated);
     r.register_collector(Box::new(store::StoreMetrics {
         calls: calls.clone(),
     }));
@@ -207,6 +227,16 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
+    /// Counts a call for the platform's state.
+    pub fn count_sync(&self, upstream: &'static str, scope: &'static str, result: &'static str) {
+        let labels = SyncLabels {
+            upstream,
+            scope,
+            result,
+        };
+        self.syncs.get_or_create(&labels).inc();
+    }
+
     /// Counts attempts for which notices withheld targets.
     pub fn count_withheld(&self, service: &str, counts: WithheldCounts) {
         for (reason, count) in [("leaving", counts.leaving), ("paused", counts.paused)] {
--- a/src/adapters/metrics/table.rs
+++ b/src/adapters/metrics/table.rs
@@ -75,6 +75,10 @@
         "Attempts for which a target was passed over because it is leaving or paused.";
     UNKNOWN_KINDS = "unknown_kinds" "savorybeam_unknown_kinds", "routes", "",
         "Routes in effect whose kind this version does not know.";
+    SYNCS = "syncs" "savorybeam_syncs_total", "calls", "upstream, scope, result",
+        "Calls of a gateway for the platform's state, to the store or to an entry.";
+    OUTDATED = "outdated" "savorybeam_outdated_total", "times", "",
+        "How often the state of a gateway was older than the time within which changes take effect.";
     STORE_CALLS = "store_calls" "savorybeam_store_calls_total", "calls", "operation",
         "Calls to the store, a watch counted once.";
     STORE_FAILURES = "store_failures" "savorybeam_store_failures_total", "calls", "",
--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -6,7 +6,7 @@
 
 use super::{Feed, State, now};
 use crate::{
-    domain::{Configuration, Millis, RequestKind},
+    domain::{Configuration, Millis, RequestKind, Revision},
     policy::{balance::RegistryChange, route::Table},
     ports::{Batch, Change},
 };
@@ -17,6 +17,7 @@
     pub(super) fn apply(&mut self, as_of: Millis, batch: Batch, complete: bool) {
         let at = now(&self.state);
         let Batch { changes, revision } = batch;
+        self.log_outdated(at, as_of);
         self.state.registry().record_answer(as_of);
         if complete {
             remove_unlisted(&self.state, at, &changes);
@@ -30,7 +31,9 @@
         self.remove_expired();
         let targets = self.state.registry().len();
         if complete && targets > 0 {
-            tracing::info!(targets, %revision, "feed: read the complete state.");
+            let took_ms = self.call_time().0;
+            let before = self.state.change_log().revision();
+            tracing::info!(targets, %revision, %before, took_ms, "feed: read the complete state.");
         }
         if targets > 0 {
             self.state.set_has_targets();
@@ -40,6 +43,22 @@
         self.state.publish(as_of, revision, new_changes, complete);
     }
 
+    /// Logs that the state was older than the time within which changes must
+    /// take effect, now that the state of the store at `as_of` is known.
+    fn log_outdated(&self, at: Millis, as_of: Millis) {
+        let (revision, before) = {
+            let log = self.state.change_log();
+            (log.revision(), log.as_of())
+        };
+        let known = revision > Revision(0);
+        let limit = self.state.bound_fraction(1.0);
+        if known && before < as_of && at - before > limit {
+            let (age_ms, limit_ms) = ((at - before).0, limit.0);
+            tracing::warn!(age_ms, limit_ms, "feed: the state was out of date.");
+            self.state.ports.metrics.outdated.inc();
+        }
+    }
+
     /// Removes the targets whose grace period has ended.
     pub(super) fn remove_expired(&self) {
         let at = now(&self.state);
--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -91,6 +91,8 @@
     retry_delay: Millis,
     /// Whether a call to the store failed and no upstream has answered since.
     store_failed: bool,
+    /// The start of the current call.
+    call_start: Millis,
 }
 
 impl Feed {
@@ -103,9 +105,27 @@
             timeout: TIMEOUT_MIN,
             retry_delay: RETRY_DELAY_MIN,
             store_failed: false,
+            call_start: Millis(0),
         }
     }
 
+    fn count_sync(&self, upstream: &'static str, scope: &'static str, result: &'static str) {
+        let metrics = &self.state.ports.metrics;
+        metrics.count_sync(upstream, scope, result);
+    }
+
+    /// Returns the time since the store was known to be in the state that this
+    /// entry has.
+    fn state_age(&self) -> Millis {
+        let as_of = self.state.change_log().as_of();
+        now(&self.state) - as_of
+    }
+
+    /// Returns the time since the current call started.
+    fn call_time(&self) -> Millis {
+        now(&self.state) - self.call_start
+    }
+
     /// Calls the upstream once and applies the changes. Returns the time from
     /// the start of this step to that of the next one.
     async fn step(&mut self, start: Millis) -> Millis {
@@ -138,7 +158,8 @@
                     self.step_store(start, after, next).await
                 }
                 Err(e) => {
-                    tracing::warn!(%name, cause = %e, "feed: the upstream entry failed.");
+                    let (took_ms, age_ms) = (self.call_time().0, self.state_age().0);
+                    tracing::warn!(%name, cause = %e, took_ms, age_ms, "feed: the upstream entry failed.");
                     self.upstreams.record_failure(now(&self.state), &upstream);
                     Millis(0)
                 }
@@ -170,14 +191,19 @@
     /// Reads the complete state from the store or, if that fails, from a seed
     /// entry.
     async fn read_all(&mut self, start: Millis) -> Millis {
+        self.call_start = start;
         let read = (self.state.ports.platform.read)(self.timeout).await;
         match read {
             Ok(batch) => {
+                self.count_sync("store", "complete", "ok");
                 self.record_answer(Upstream::Store);
                 self.apply(start, batch, true);
                 return Millis(0);
             }
-            Err(e) => self.record_failure(&e),
+            Err(e) => {
+                self.count_sync("store", "complete", "failed");
+                self.record_failure(&e);
+            }
         }
         let settings = self.state.settings();
         for seed in &settings.seeds {
@@ -191,12 +217,16 @@
             };
             match (self.state.ports.changes.fetch)(request).await {
                 Ok(aged) => {
+                    self.count_sync("entry", "complete", "ok");
                     let as_of = now(&self.state) - aged.age;
                     tracing::info!(%seed, age = %aged.age, "feed: read the complete state from an entry.");
                     self.apply(as_of, aged.batch, true);
                     return Millis(0);
                 }
-                Err(e) => tracing::warn!(%seed, cause = %e, "feed: a seed did not answer."),
+                Err(e) => {
+                    self.count_sync("entry", "complete", result_of(&e));
+                    tracing::warn!(%seed, cause = %e, "feed: a seed did not answer.");
+                }
             }
         }
         self.next_retry_delay()
@@ -216,6 +246,7 @@
             POLL_WAIT
         };
         let timeout = self.timeout;
+        self.call_start = start;
         let poll = Poll {
             after,
             wait,
@@ -223,18 +254,24 @@
         };
         match (self.state.ports.platform.poll)(poll).await {
             Ok(batch) => {
+                self.count_sync("store", "changes", "ok");
                 self.record_answer(Upstream::Store);
                 self.apply(start, batch, false);
                 Ok(())
             }
             Err(PlatformError::Compacted) => {
+                self.count_sync("store", "changes", "compacted");
+                let (took_ms, age_ms) = (self.call_time().0, self.state_age().0);
                 tracing::warn!(
+                    took_ms,
+                    age_ms,
                     "feed: the store has compacted the changes, reading the complete state."
                 );
                 self.after = None;
                 Ok(())
             }
             Err(e) => {
+                self.count_sync("store", "changes", "failed");
                 self.record_failure(&e);
                 Err(())
             }
@@ -262,15 +299,19 @@
             self.state.bound_fraction(FOLLOWED_POLL_FRACTION) + WAIT_MARGIN
         };
         let after = Some(after);
-        let aged = (self.state.ports.changes.fetch)(FetchRequest { peer, after, wait }).await?;
+        self.call_start = now(&self.state);
+        let fetched = (self.state.ports.changes.fetch)(FetchRequest { peer, after, wait }).await;
+        let aged = fetched.inspect_err(|e| self.count_sync("entry", "changes", result_of(e)))?;
         let limit = self.state.bound_fraction(MAX_AGE_FRACTION);
         if aged.age > limit {
+            self.count_sync("entry", "changes", "outdated");
             return Err(FetchError::Failed {
                 step: "fetch changes",
                 peer,
                 cause: format!("its state is {} old, the limit is {limit}", aged.age),
             });
         }
+        self.count_sync("entry", "changes", "ok");
         self.record_answer(Upstream::Entry(name.clone(), peer));
         self.apply(now(&self.state) - aged.age, aged.batch, false);
         Ok(())
@@ -300,11 +341,22 @@
 
     /// Records that the store did not answer.
     fn record_failure(&mut self, e: &PlatformError) {
-        if !self.store_failed {
-            tracing::warn!(cause = %e, "feed: the store is unavailable.");
+        let (took_ms, age_ms) = (self.call_time().0, self.state_age().0);
+        if self.store_failed {
+            tracing::info!(cause = %e, took_ms, age_ms, "feed: the store is still unavailable.");
+        } else {
+            tracing::warn!(cause = %e, took_ms, age_ms, "feed: the store is unavailable.");
         }
         self.store_failed = true;
         self.timeout = (self.timeout + self.timeout).min(TIMEOUT_MAX);
         self.remove_expired();
     }
 }
+
+/// Returns the result of a failed call to an entry, as the metrics name it.
+fn result_of(e: &FetchError) -> &'static str {
+    match e {
+        FetchError::Compacted => "compacted",
+        FetchError::Empty | FetchError::Failed { .. } => "failed",
+    }
+}
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -375,4 +375,5 @@
         paused: 2,
     };
     m.count_withheld("slotboard", withheld);
+    m.count_sync("store", "changes", "ok");
 }
