Take no older complete state from another entry

What users saw: traffic in an availability zone that is being evacuated (EVAC), a change that came back older (CONFIG). After the store had dropped its history an entry forgot its revision and read the complete state; if the store did not return it, the entry took that of a seed, of any age, and replaced its evacuations and targets by it.

The entry keeps its revision now and refuses a complete state with a lower one. resync a_complete_state_of_another_entry_replaces_no_newer_one failed before (the evacuation of a-1 ended and the removed i-1 was back) and passes.

--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -40,6 +40,7 @@
         }
         self.state.refresh_peers(at);
         self.after = self.after.max(Some(revision));
+        self.compacted = false;
         self.state.publish(as_of, revision, new_changes, complete);
     }
 
--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -85,6 +85,8 @@
     /// The revision up to which all changes are applied, none before the first
     /// read.
     after: Option<Revision>,
+    /// Whether the store no longer has the changes after that revision.
+    compacted: bool,
     /// The timeout of the next call to the store.
     timeout: Millis,
     /// The delay after the next failed call, from its start.
@@ -102,6 +104,7 @@
             upstreams: UpstreamSelector::default(),
             last: None,
             after: None,
+            compacted: false,
             timeout: TIMEOUT_MIN,
             retry_delay: RETRY_DELAY_MIN,
             store_failed: false,
@@ -129,7 +132,7 @@
     /// Calls the upstream once and applies the changes. Returns the time from
     /// the start of this step to that of the next one.
     async fn step(&mut self, start: Millis) -> Millis {
-        let Some(after) = self.after else {
+        let Some(after) = self.after.filter(|_| !self.compacted) else {
             return self.read_all(start).await;
         };
         let settings = self.state.settings();
@@ -216,6 +219,12 @@
                 wait: Millis(0),
             };
             match (self.state.ports.changes.fetch)(request).await {
+                // It must not take back what this entry knows already.
+                Ok(aged) if Some(aged.batch.revision) < self.after => {
+                    self.count_sync("entry", "complete", "outdated");
+                    let revision = aged.batch.revision;
+                    tracing::info!(%seed, %revision, age = %aged.age, "feed: a seed has an older state.");
+                }
                 Ok(aged) => {
                     self.count_sync("entry", "complete", "ok");
                     let as_of = now(&self.state) - aged.age;
@@ -267,7 +276,7 @@
                     age_ms,
                     "feed: the store has compacted the changes, reading the complete state."
                 );
-                self.after = None;
+                self.compacted = true;
                 Ok(())
             }
             Err(e) => {
