Bound the memory that the starts of responses take together

Report of another operator: bytes without an end in a head or a body filled the memory of the machine that had called. Heads, framing, bodies and refusals of one response are bounded here (tests/endless.rs). Their sum was not: each response keeps up to 128 KiB until it is passed on, and a VM of 160 MB is full with about 600 of them beside what their connections take.

All kept starts of responses share a sixteenth of the memory now; a response for which there is no room is passed on from its first byte, and another target can no longer replace it if it breaks off.

endless_responses_together_keep_a_bounded_part fails without the budget (40 stalled responses of 102,400 bytes at a VM of 16 MiB, none passed on) and passes.

--- a/src/adapters/http/content.rs
+++ b/src/adapters/http/content.rs
@@ -10,7 +10,7 @@
 use http_body::{Body as _, Frame};
 use http_body_util::{BodyExt, Full};
 
-use crate::{domain::Size, ports::Body};
+use crate::{domain::Size, policy::replay::Share, ports::Body};
 
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
@@ -57,7 +57,20 @@
     /// # Errors
     ///
     /// Returns the error with which reading the body failed.
-    pub async fn read(mut body: Body, max_bytes: usize) -> Result<Self, Error> {
+    pub async fn read(body: Body, max_bytes: usize) -> Result<Self, Error> {
+        Self::read_while(body, |_, total| total <= max_bytes).await
+    }
+
+    /// Reads a body until it ends or `may_keep` returns false for the next part,
+    /// which is called with the size of the part and that of the prefix with it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error with which reading the body failed.
+    pub async fn read_while(
+        mut body: Body,
+        mut may_keep: impl FnMut(usize, usize) -> bool,
+    ) -> Result<Self, Error> {
         let mut prefix = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame?.into_data() else {
@@ -65,13 +78,29 @@
                 continue;
             };
             prefix.extend_from_slice(&data);
-            if prefix.len() > max_bytes {
+            if !may_keep(data.len(), prefix.len()) {
                 return Ok(Self::Stream(Some((prefix.freeze(), body))));
             }
         }
         Ok(Self::Whole(prefix.freeze()))
     }
 
+    /// Releases `share` when the buffered bytes are dropped, which is when the last
+    /// of them are written.
+    #[must_use]
+    pub fn with_share(self, share: Share) -> Self {
+        let hold = |bytes| {
+            Bytes::from_owner(KeptBytes {
+                bytes,
+                _share: share,
+            })
+        };
+        match self {
+            Self::Whole(bytes) => Self::Whole(hold(bytes)),
+            Self::Stream(stream) => Self::Stream(stream.map(|(b, rest)| (hold(b), rest))),
+        }
+    }
+
     /// Returns the buffered bytes, which are none once a stream was sent.
     #[must_use]
     pub fn prefix(&self) -> &[u8] {
@@ -113,6 +142,18 @@
     }
 }
 
+/// Bytes with the memory that is reserved for them.
+struct KeptBytes {
+    bytes: Bytes,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for KeptBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// Returns a body that consists of `bytes`.
 #[must_use]
 pub fn full_body(bytes: Bytes) -> Body {
--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -27,6 +27,8 @@
 /// is tried. Without packet loss it takes at most 75 ms.
 const CONNECT_TIMEOUT: Millis = Millis(300);
 
+type BodyError = Box<dyn std::error::Error + Send + Sync>;
+
 /// The outcome of an attempt.
 #[derive(Debug)]
 pub(super) enum Outcome {
@@ -85,7 +87,7 @@
     let started = out.started.clone();
     let attempt = async {
         let resp = (state.ports.targets.send)(out).await?;
-        Ok::<_, SendError>(read_response(routed, &slot, resp).await)
+        Ok::<_, SendError>(read_response(state, routed, &slot, resp).await)
     };
     let (ending, report, outcome) = match state.run_until(deadline, attempt).await {
         None if started.get() => return Outcome::TimedOut,
@@ -126,7 +128,12 @@
     Invalid(String),
 }
 
-async fn read_response(routed: &RoutedRequest, slot: &Slot, resp: Response<Body>) -> ReadResult {
+async fn read_response(
+    state: &State,
+    routed: &RoutedRequest,
+    slot: &Slot,
+    resp: Response<Body>,
+) -> ReadResult {
     let (head, body) = resp.into_parts();
     // The body may take long or break off; the notice holds from now on.
     let notice = headers::read_notice(head.status, &head.headers, routed.id.as_ref());
@@ -136,9 +143,17 @@
         ResponseKind::Rejected => ReadResult::Rejected(report),
         ResponseKind::Misdirected => ReadResult::Misdirected,
         ResponseKind::Invalid(cause) => ReadResult::Invalid(cause.to_owned()),
-        ResponseKind::Answered => match Content::read(body, MAX_BUFFERED_BYTES).await {
+        ResponseKind::Answered => match buffer(state, body).await {
             Ok(content) => ReadResult::Response(head, content, report),
             Err(e) => ReadResult::Invalid(format!("read response: {e}")),
         },
     }
 }
+
+/// Buffers the start of a response, as far as all of them together have room.
+async fn buffer(state: &State, body: Body) -> Result<Content, BodyError> {
+    let mut share = state.kept_responses.share();
+    let may_keep = |part, total| total <= MAX_BUFFERED_BYTES && share.grow(part);
+    let content = Content::read_while(body, may_keep).await?;
+    Ok(content.with_share(share))
+}
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -55,6 +55,9 @@
     pub pools: Shards<ServiceName, Pool>,
     /// The memory for request bodies that are kept for another attempt.
     pub(super) kept_bodies: Arc<replay::Budget>,
+    /// The memory for the starts of responses, which are kept so that another
+    /// target can still answer.
+    pub(super) kept_responses: Arc<replay::Budget>,
     settings: RwLock<Arc<VmSettings>>,
     table: RwLock<Option<Arc<Table>>>,
     /// The availability zones that are evacuated.
@@ -87,6 +90,7 @@
             ports,
             pools: Shards::new(),
             kept_bodies: replay::Budget::new(settings.memory),
+            kept_responses: replay::Budget::new(settings.memory),
             settings: RwLock::new(Arc::new(settings)),
             table: RwLock::default(),
             evacuated: RwLock::default(),
@@ -246,6 +250,12 @@
         self.kept_bodies.used()
     }
 
+    /// Returns the bytes of responses that are kept until they are passed on.
+    #[must_use]
+    pub fn kept_response_bytes(&self) -> Size {
+        self.kept_responses.used()
+    }
+
     /// Returns the number of running requests.
     #[must_use]
     pub fn running(&self) -> u64 {
--- a/src/policy/replay/mod.rs
+++ b/src/policy/replay/mod.rs
@@ -1,4 +1,4 @@
-//! Replay: which request bodies are kept so that they can be sent again.
+//! Replay: which bodies are kept so that a request can be sent again.
 //!
 //! A target may reject a request after a part of its body was sent to it, and a
 //! connection may fail before any of it was. Another target can then run the
@@ -7,6 +7,12 @@
 //! fit into the [`Budget`] of the process. A body that is not kept is passed on
 //! all the same, and its request is sent to one target only.
 //!
+//! The start of a response is kept as well, before any of it is passed on, so
+//! that another target can answer if the response breaks off. Faulty targets may
+//! send many responses without an end at the same time, so that a bound on each
+//! of them is not enough: they have a [`Budget`] of their own, and a response for
+//! which it has no room is passed on from its first byte.
+//!
 //! See [docs/platform.md](../../../docs/platform.md).
 
 use std::sync::{
@@ -23,7 +29,7 @@
 /// this number. The rest is needed for connections and for responses.
 const MEMORY_DIVISOR: u64 = 16;
 
-/// The memory that all kept bodies of a process may take.
+/// The memory that all kept bodies of one direction may take.
 #[derive(Debug)]
 pub struct Budget {
     total: u64,
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -22,9 +22,9 @@
         platform::store,
     },
     app::gateway::Gateway,
-    domain::{Millis, RequestKind, Revision},
+    domain::{Instance, Millis, RequestKind, Revision, RouteRule, Size, Slots},
     policy::stream,
-    ports::{Change, PlatformError, Poll},
+    ports::{Change, PlatformError, Poll, VmSettings},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -68,6 +68,10 @@
             concat_head(GOOD, "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"),
             b"x-a: b\r\n".repeat(2_000),
         ),
+        "stalled" => (
+            concat_head(GOOD, "Transfer-Encoding: chunked\r\n\r\n"),
+            [&b"19000\r\n"[..], &vec![b'x'; 0x19000], b"\r\n"].concat(),
+        ),
         "no-length" => (concat_head(GOOD, "\r\n"), filler()),
         "refusal" => (
             "HTTP/1.1 503 No\r\nRequest-Id: ID\r\nNot-Executed: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
@@ -148,6 +152,9 @@
             if result.is_ok() {
                 seen.written.fetch_add(part.len() as u64, SeqCst);
             }
+            if named == "stalled" {
+                result = stream.read_u8().await.map(|_| ());
+            }
             // About 15 MB/s, so that the test does not use up the processor.
             tokio::time::sleep(Duration::from_millis(1)).await;
         }
@@ -363,6 +370,62 @@
     assert!(closed, "the target is still sending");
 }
 
+/// How many endless responses run at the same time. What each may keep, 128 KiB, is
+/// more than the VM has for all of them.
+const CONCURRENT: usize = 40;
+
+/// Fails if endless responses together take more memory than there is for the starts
+/// of responses. Each alone is short, but the process ends when all of them together
+/// exceed the memory of its VM, and with it the requests of all other callers.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_responses_together_keep_a_bounded_part() {
+    let seen: Arc<Seen> = Arc::default();
+    let rule = RouteRule {
+        timeout: Millis(20_000),
+        objective: Millis(10_000),
+        ..vm::rule(RequestKind::Once, "/pay/")
+    };
+    let target = Instance {
+        slots: Slots(200),
+        ..vm::instance("i-1", target(&seen).await)
+    };
+    let changes = vec![
+        Change::Configured(Box::new(vm::configuration(3, vec![rule], 10.0))),
+        Change::Registered(target),
+    ];
+    let settings = VmSettings {
+        memory: Size::kib(16 * 1024),
+        ..vm::settings("edge-1")
+    };
+    let budget = Size(settings.memory.0 / 16);
+    let gateway = vm::entry::open(settings, changes, Millis(0)).await;
+    let mut callers = Vec::new();
+    for n in 0..CONCURRENT {
+        // Sent one after the other, so that the target is not taken for full. The
+        // body falls short of the size that is kept of one response.
+        callers.push(send(&gateway, &format!("/pay/{n}/stalled"), 20_000).await);
+    }
+    // Each response is either kept or passed on.
+    let mut kept = Size(0);
+    let mut passed_on = 0;
+    for caller in &mut callers {
+        let mut byte = [0];
+        let read = timeout(Duration::from_millis(500), caller.read(&mut byte)).await;
+        passed_on += usize::from(matches!(read, Ok(Ok(1))));
+        kept = kept.max(gateway.state.kept_response_bytes());
+    }
+    drop(callers);
+    while gateway.state.kept_response_bytes() > Size(0) {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    gateway.stop().await;
+    insta::assert_snapshot!(
+        format!("kept within the budget: {}, some passed on at once: {}, some kept: {}",
+            kept <= budget, passed_on >= CONCURRENT / 2, kept > Size(0)),
+        @"kept within the budget: true, some passed on at once: true, some kept: true"
+    );
+}
+
 /// Fails if a response of the store without an end is read without a bound, or if the
 /// call does not end.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
