Order the states of a registration by the store's revision

Another writer had put an entry with an unnamed service and a higher seq under the server's id once. From then on every entry of the server was taken for an older one, and the server stayed in the pool of its own service, because a change of the service moved it nowhere.

Ruled out: to ignore entries whose service the configuration does not name. Entries learn of a new service at different times, and one that has ignored a registration does not get its heartbeats from its source.

A registration carries the revision of the store in which it was written, also between entries; the later one holds. seq and born decide only if a revision is unknown, as with entries of an earlier version. A target whose service changes leaves the pool of the former one.

--- a/src/adapters/grpc/changes/messages.rs
+++ b/src/adapters/grpc/changes/messages.rs
@@ -2,7 +2,7 @@
 
 use super::config::{ConfigMessage, decode_config, encode_config};
 use crate::{
-    domain::{Instance, Mbps, Millis, ParseError, Presence, Slots},
+    domain::{Instance, Mbps, Millis, ParseError, Presence, Revision, Slots},
     ports::{AgedBatch, Change},
 };
 
@@ -85,6 +85,9 @@
     seq: u64,
     #[prost(uint64, optional, tag = "9")]
     born: Option<u64>,
+    /// Absent, that is 0, from entries of earlier versions.
+    #[prost(uint64, tag = "10")]
+    revision: u64,
 }
 
 /// An encoded [`Presence`] of an entry.
@@ -160,6 +163,7 @@
         cold_ms: i.cold.0,
         seq: i.seq,
         born: i.started_at.map(|b| b.0),
+        revision: i.revision.0,
     }
 }
 
@@ -174,6 +178,7 @@
         cold: Millis(i.cold_ms),
         seq: i.seq,
         started_at: i.born.map(Millis),
+        revision: Revision(i.revision),
     })
 }
 
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -38,6 +38,9 @@
 pub(super) struct Item {
     pub key: Text,
     value: Option<Text>,
+    /// The revision in which it was written.
+    #[serde(default)]
+    revision: u64,
     #[serde(default)]
     deleted: bool,
 }
@@ -72,7 +75,8 @@
 pub(super) fn decode(item: &Item) -> Option<Change> {
     let key = item.key.0.as_str();
     let result = if let Some(name) = key.strip_prefix(SERVERS_PREFIX) {
-        decode_item(item, name, parse_registration, Change::Unregistered)
+        let parse = |id, bytes: &[u8]| parse_registration(id, bytes, Revision(item.revision));
+        decode_item(item, name, parse, Change::Unregistered)
     } else if let Some(name) = key.strip_prefix(ENTRIES_PREFIX) {
         decode_item(item, name, parse_presence, Change::Left)
     } else if let Some(name) = key.strip_prefix(EVACUATE_PREFIX) {
@@ -171,7 +175,7 @@
     born: Option<u64>,
 }
 
-fn parse_registration(id: InstanceId, bytes: &[u8]) -> Result<Change, String> {
+fn parse_registration(id: InstanceId, bytes: &[u8], revision: Revision) -> Result<Change, String> {
     let wire: WireServer = parse_json(bytes)?;
     if !(1..=MAX_SLOTS).contains(&wire.slots) {
         return Err(format!(
@@ -191,6 +195,7 @@
         cold: parse_duration("cold_left_s", wire.cold)?,
         seq: wire.seq,
         started_at: wire.born.map(Millis),
+        revision,
     }))
 }
 
--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -6,7 +6,7 @@
 
 use super::{Feed, State, now};
 use crate::{
-    domain::{Configuration, Millis, RequestKind, Revision},
+    domain::{Configuration, Instance, InstanceId, Millis, RequestKind, Revision, ServiceName},
     policy::{balance::RegistryChange, route::Table},
     ports::{Batch, Change},
 };
@@ -214,25 +214,32 @@
     at: Millis,
     registry_changes: impl IntoIterator<Item = RegistryChange>,
 ) {
-    let settings = state.settings();
     for registry_change in registry_changes {
         match registry_change {
-            RegistryChange::Put(instance) => {
-                let service = instance.service.clone();
-                state.pools.with(service, Default::default, |pool| {
-                    if pool.put(at, instance.clone(), &settings.zones) {
-                        let (target, state) = (&instance.id, instance.state);
-                        tracing::info!(%target, %state, service = %instance.service, "feed: target changed.");
-                    }
-                });
+            RegistryChange::Put(instance) => put_target(state, at, instance),
+            RegistryChange::Move(from, instance) => {
+                remove_target(state, at, &from, &instance.id);
+                put_target(state, at, instance);
             }
             RegistryChange::Remove(instance) => {
-                let target = &instance.id;
-                tracing::info!(%target, service = %instance.service, "feed: target removed.");
-                state
-                    .pools
-                    .get(&instance.service, |pool| pool.remove(at, target));
+                remove_target(state, at, &instance.service, &instance.id);
             }
         }
     }
 }
+
+fn put_target(state: &State, at: Millis, instance: Instance) {
+    let settings = state.settings();
+    let service = instance.service.clone();
+    state.pools.with(service, Default::default, |pool| {
+        if pool.put(at, instance.clone(), &settings.zones) {
+            let (target, state) = (&instance.id, instance.state);
+            tracing::info!(%target, %state, service = %instance.service, "feed: target changed.");
+        }
+    });
+}
+
+fn remove_target(state: &State, at: Millis, service: &ServiceName, target: &InstanceId) {
+    tracing::info!(%target, %service, "feed: target removed.");
+    state.pools.get(service, |pool| pool.remove(at, target));
+}
--- a/src/domain/instance.rs
+++ b/src/domain/instance.rs
@@ -1,6 +1,6 @@
 //! Registrations of targets.
 
-use super::{AzName, InstanceId, Millis, ServiceName, Slots, TargetId, word_enum};
+use super::{AzName, InstanceId, Millis, Revision, ServiceName, Slots, TargetId, word_enum};
 
 word_enum!(
     /// Whether a target accepts new requests.
@@ -33,9 +33,13 @@
     pub state: InstanceState,
     /// How long the target stays cold after this state was registered.
     pub cold: Millis,
-    /// The sequence number of this state of the registration. It only
+    /// The sequence number of this state of the registration, which the target
     /// increases.
     pub seq: u64,
+    /// The revision of the store in which this state was written, 0 if it is not
+    /// known. It orders the states of a registration, because another writer may
+    /// have set any sequence number.
+    pub revision: Revision,
     /// The wall clock time at which the target started. A target may restart
     /// under the same id, and then has lost its former state.
     pub started_at: Option<Millis>,
@@ -49,8 +53,19 @@
     pub fn is_unchanged_in(&self, other: &Self) -> bool {
         let heartbeat = Self {
             seq: other.seq,
+            revision: other.revision,
             ..self.clone()
         };
         heartbeat == *other && self.cold == Millis(0)
     }
+
+    /// Returns whether this state of a registration was written before `known`.
+    #[must_use]
+    pub fn is_older_than(&self, known: &Self) -> bool {
+        if self.revision > Revision(0) && known.revision > Revision(0) {
+            self.revision < known.revision
+        } else {
+            (self.started_at, self.seq) < (known.started_at, known.seq)
+        }
+    }
 }
--- a/src/policy/balance/registry.rs
+++ b/src/policy/balance/registry.rs
@@ -9,7 +9,7 @@
 
 use std::collections::HashMap;
 
-use crate::domain::{Instance, InstanceId, InstanceState, Millis};
+use crate::domain::{Instance, InstanceId, InstanceState, Millis, ServiceName};
 
 /// The longest time that a live target takes to register again after an outage.
 const GRACE_PERIOD: Millis = Millis(2_000);
@@ -27,6 +27,8 @@
 pub enum RegistryChange {
     /// It was added, updated or has returned.
     Put(Instance),
+    /// It was registered for another service, the first one, until now.
+    Move(ServiceName, Instance),
     /// It was removed.
     Remove(Instance),
 }
@@ -57,15 +59,19 @@
     /// heartbeat without other changes returns none.
     pub fn put(&mut self, instance: Instance) -> Option<RegistryChange> {
         let known = self.registered.get(&instance.id);
-        if known.is_some_and(|k| (instance.started_at, instance.seq) < (k.started_at, k.seq)) {
+        if known.is_some_and(|k| instance.is_older_than(k)) {
             return None;
         }
         let same = known.is_some_and(|k| k.is_unchanged_in(&instance));
+        let old_service = known.map(|k| k.service.clone());
         // Entries that were told of its removal must learn that it is back.
         let returned = self.missing.remove(&instance.id).is_some();
         self.registered
             .insert(instance.id.clone(), instance.clone());
-        (returned || !same).then_some(RegistryChange::Put(instance))
+        match old_service {
+            Some(from) if from != instance.service => Some(RegistryChange::Move(from, instance)),
+            _ => (returned || !same).then_some(RegistryChange::Put(instance)),
+        }
     }
 
     /// Returns the registered targets.
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -10,8 +10,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{
-        AzName, Instance, InstanceId, InstanceState, Millis, RegionName, RequestKind, RouteRule,
-        Size, Slots, TargetId, WeightedService,
+        AzName, Instance, InstanceId, InstanceState, Millis, RegionName, RequestKind, Revision,
+        RouteRule, Size, Slots, TargetId, WeightedService,
     },
     policy::balance::{
         ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Request, Ticket, object_hash,
@@ -42,6 +42,7 @@
         state: InstanceState::Ready,
         cold: Millis(0),
         seq: 1,
+        revision: Revision(0),
         started_at: Some(Millis(1)),
     }
 }
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -18,7 +18,7 @@
         http::{self as web, Content, Limits, PoolConfig, Server, full_body},
     },
     app::gateway::Gateway,
-    domain::{Configuration, Millis, RequestKind, TargetId},
+    domain::{Configuration, Instance, InstanceState, Millis, RequestKind, Revision, TargetId},
     ports::{Change, Outbound, Targets},
 };
 use volo_http::{body::Body, server::Router};
@@ -305,3 +305,47 @@
     fixture.close().await;
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Fails if an entry of another writer under the id of a target hides the later
+/// entries of the target itself, so that requests are sent to it while it leaves.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_entry_of_another_writer_hides_no_later_one() {
+    let received = ReceivedCounts::default();
+    let server = target("i-1", &received).await;
+    let addr = server.addr();
+    let registration = |revision, seq, service: &str, state| {
+        Change::Registered(Instance {
+            service: service.parse().expect("a name"),
+            state,
+            seq,
+            revision: Revision(revision),
+            ..vm::instance("i-1", addr)
+        })
+    };
+    let (ready, draining) = (InstanceState::Ready, InstanceState::Draining);
+    let changes = vec![
+        Change::Configured(Box::new(configuration())),
+        registration(1, 10, "slots", ready),
+    ];
+    let updates = vm::entry::Updates::default();
+    let settings = vm::settings("edge-1");
+    let gateway = vm::entry::open_with_updates(settings, changes, &updates).await;
+    let fixture = Fixture {
+        gateway,
+        targets: vec![server],
+        received,
+        client: web::open(clock::open(), PoolConfig::default()),
+    };
+    let mut lines = vec![fixture.send("/pay/first").await];
+    for (what, change) in [
+        ("another-writer", registration(2, 999, "unnamed", ready)),
+        ("heartbeat", registration(3, 11, "slots", ready)),
+        ("draining", registration(4, 12, "slots", draining)),
+        ("delayed", registration(3, 11, "slots", ready)),
+    ] {
+        updates.apply(vec![change]).await;
+        lines.push(fixture.send(&format!("/pay/{what}")).await);
+    }
+    fixture.close().await;
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/tests/vm/mod.rs
+++ b/tests/vm/mod.rs
@@ -112,6 +112,7 @@
         state: InstanceState::Ready,
         cold: Millis(0),
         seq: 1,
+        revision: Revision(0),
         started_at: Some(Millis(1)),
     }
 }
