Spare cold targets until the other entries are known

After an outage of the store in which the leases ran out, entries that start together find no announcements, so each takes itself for the only one and uses the whole rate of a cold target. The class: a share of a limit that is computed from a membership which may be incomplete.

Ruled out: counting departed entries, which a process that has just started has none of; a record of all entries without a lease, which costs writes and grows.

An entry gives a cold target nothing in the first 3 s after it has read the announcements for the first time. Within that time each other entry that reaches the store has renewed its lease, or announced itself again, and is known. Requests go to targets that are warm meanwhile.

entries_that_start_together_spare_a_cold_target failed before (requests in the first 3 s) and passes.

--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -39,6 +39,7 @@
         if scope == Scope::Complete {
             let removals = removals_of_unlisted(&self.state, &changes);
             changes.splice(0..0, removals);
+            self.state.entries().record_read(at);
         }
         changes.retain(|change| apply_change(&self.state, at, change));
         self.remove_expired();
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -294,13 +294,18 @@
         let rate = table.service(service).map_or(0.0, |s| s.cold_rate);
         let now = (self.ports.clock.now)();
         let region_requests = self.region_requests(now);
+        let max_rate = if self.entries().is_settled(now) {
+            rate * bounds.cold_factor + bounds.cold_slack
+        } else {
+            0.0
+        };
         let context = Context {
             now,
             az: &settings.az,
             region: &settings.region,
             evacuated: &evacuated,
             cold_quota: ColdQuota {
-                max_rate: rate * bounds.cold_factor + bounds.cold_slack,
+                max_rate,
                 entries: &peers,
                 this_entry: xxh3_64(settings.name.as_bytes()),
             },
--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -26,6 +26,12 @@
 /// share.
 const DEPARTED_RETENTION: Millis = Millis(15_000);
 
+/// How long after its start an entry may not know of others. The leases of all may
+/// have expired in an outage of the store: each is announced again within the
+/// second in which it renews its lease, and is known with the next poll, at most
+/// 1.4 s later.
+const SETTLE_TIME: Millis = Millis(3_000);
+
 /// The maximum number of entries in a lookup response. It is small, because
 /// callers use all of them alike: the larger the subset, the less the capacity of
 /// an entry decides how many callers it gets.
@@ -37,9 +43,23 @@
     active: BTreeMap<EntryId, Presence>,
     /// Departed entries with the instants of their departure, in that order.
     departed: VecDeque<(Millis, EntryId)>,
+    /// When the announcements were read for the first time.
+    first_read: Option<Millis>,
 }
 
 impl Entries {
+    /// Records that all announcements were read.
+    pub fn record_read(&mut self, now: Millis) {
+        self.first_read.get_or_insert(now);
+    }
+
+    /// Returns whether all other entries are known, as far as they reach the
+    /// store. Until then an entry would take more than its share of a limit.
+    #[must_use]
+    pub fn is_settled(&self, now: Millis) -> bool {
+        self.first_read.is_some_and(|at| at + SETTLE_TIME <= now)
+    }
+
     /// Adds or replaces an entry. Returns whether that changed anything.
     pub fn join(&mut self, presence: Presence) -> bool {
         self.departed.retain(|(_, name)| *name != presence.name);
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -6,7 +6,10 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering::SeqCst},
+    },
     time::Duration,
 };
 
@@ -19,7 +22,7 @@
     },
     app::gateway::Gateway,
     domain::{Configuration, Instance, InstanceState, Millis, RequestKind, Revision, TargetId},
-    ports::{Change, Outbound, Targets},
+    ports::{Change, Clock, Outbound, Targets},
 };
 use volo_http::{body::Body, server::Router};
 
@@ -104,6 +107,21 @@
     vm::configuration(3, rules, 10.0)
 }
 
+/// Returns a request with all headers of a caller.
+fn caller_request(path: &str) -> Request<savorybeam::ports::Body> {
+    Request::builder()
+        .method("POST")
+        .uri(path)
+        .header("host", "kitchens.example:80")
+        .header("request-id", "r-1")
+        .header("affinity-key", "17")
+        .header("deadline-ms", "2000")
+        .header("connection", "x-private")
+        .header("x-private", "1")
+        .body(full_body(Bytes::from_static(b"a slot")))
+        .expect("a request")
+}
+
 impl Fixture {
     /// Starts a gateway and two targets. `swapped` registers each target under
     /// the id of the other, as if they had exchanged their addresses.
@@ -146,19 +164,9 @@
         format!("{path}: {answer}, sent to targets {count} times")
     }
 
-    /// Sends a request with all headers of a caller.
+    /// Sends a request and describes the answer.
     async fn request(&self, addr: SocketAddr, path: &str) -> String {
-        let request = Request::builder()
-            .method("POST")
-            .uri(path)
-            .header("host", "kitchens.example:80")
-            .header("request-id", "r-1")
-            .header("affinity-key", "17")
-            .header("deadline-ms", "2000")
-            .header("connection", "x-private")
-            .header("x-private", "1")
-            .body(full_body(Bytes::from_static(b"a slot")))
-            .expect("a request");
+        let request = caller_request(path);
         let resp = (self.client.send)(Outbound::new(TargetId(addr), request)).await;
         let (head, body) = resp.expect("an answer").into_parts();
         let body = Content::read(body, 10_000).await.expect("a body");
@@ -349,3 +357,59 @@
     fixture.close().await;
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Fails if entries that start together overload a cold target, because each takes
+/// itself for the only one until it knows of the others.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_start_together_spare_a_cold_target() {
+    let received = ReceivedCounts::default();
+    let server = target("i-1", &received).await;
+    let cold = Instance {
+        cold: Millis(60_000),
+        ..vm::instance("i-1", server.addr())
+    };
+    let changes = vec![
+        Change::Configured(Box::new(configuration())),
+        Change::Registered(cold),
+    ];
+    let time = Arc::new(AtomicU64::new(1_000));
+    let mut gateways = Vec::new();
+    for n in 0..3 {
+        let time = time.clone();
+        let clock = Clock {
+            now: Arc::new(move || Millis(time.load(SeqCst))),
+            ..clock::open()
+        };
+        let settings = vm::settings(&format!("edge-{n}"));
+        let platform = vm::entry::platform(changes.clone(), Millis(0));
+        let gateway = vm::entry::spawn_with_clock(settings, platform, clock).await;
+        while !gateway.state.is_ready() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        gateways.push(gateway);
+    }
+    let mut lines = Vec::new();
+    for at in [1_000, 3_900, 4_000] {
+        time.store(at, SeqCst);
+        let before: u32 = received.lock().expect("counts").values().sum();
+        for gateway in &gateways {
+            let client = web::open(clock::open(), PoolConfig::default());
+            for n in 0..10 {
+                let request = caller_request(&format!("/pay/{at}-{n}"));
+                let out = Outbound::new(TargetId(gateway.front_addr()), request);
+                (client.send)(out).await.expect("an answer");
+            }
+        }
+        let after: u32 = received.lock().expect("counts").values().sum();
+        let any = if after > before { "some" } else { "none" };
+        lines.push(format!("{at} ms: {any}"));
+    }
+    for gateway in gateways {
+        gateway.stop().await;
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    1000 ms: none
+    3900 ms: none
+    4000 ms: some
+    ");
+}
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -7,7 +7,7 @@
 };
 
 use savorybeam::{
-    domain::{EntryId, Mbps, Presence, RegionName},
+    domain::{EntryId, Mbps, Millis, Presence, RegionName},
     policy::presence::Entries,
 };
 
@@ -126,3 +126,18 @@
     ]
     ");
 }
+
+/// Fails if an entry that has just started, after the leases of all entries have
+/// expired, takes itself for the only one and uses a whole limit that all of them
+/// share.
+#[test]
+fn an_entry_that_has_just_started_does_not_know_all_others() {
+    let mut entries = Entries::default();
+    let mut seen = vec![entries.is_settled(Millis(60_000))];
+    for at in [1_000, 2_000, 3_999, 4_000] {
+        // A later read, after a compaction, does not start the time again.
+        entries.record_read(Millis(at));
+        seen.push(entries.is_settled(Millis(at)));
+    }
+    insta::assert_compact_debug_snapshot!(seen, @"[false, false, false, false, true]");
+}
--- a/tests/vm/entry.rs
+++ b/tests/vm/entry.rs
@@ -15,7 +15,7 @@
     },
     app::gateway::{self, Gateway, Ports},
     domain::{Millis, Revision},
-    ports::{Batch, Change, LeaseId, Platform, PlatformError, Poll, VmSettings},
+    ports::{Batch, Change, Clock, LeaseId, Platform, PlatformError, Poll, VmSettings},
 };
 
 /// Changes that the platform reports after its initial content.
@@ -87,7 +87,11 @@
 
 /// Starts a gateway without waiting until it is ready.
 pub async fn spawn(settings: VmSettings, platform: Platform) -> Gateway {
-    let clock = clock::open();
+    spawn_with_clock(settings, platform, clock::open()).await
+}
+
+/// Starts a gateway whose decisions use the given clock.
+pub async fn spawn_with_clock(settings: VmSettings, platform: Platform, clock: Clock) -> Gateway {
     let ports = Ports {
         targets: web::open(clock.clone(), PoolConfig::default()),
         platform,
