Derive how long an entry spares cold targets from the time between polls

With a time of 6 s for changes to take effect an entry polls the store each 3.3 s, longer than the fixed 3 s in which it took the other entries for known. The time is 1.5 s, for the announcements of all, and one poll period. Also: a target is passed by reference where it is put into its pool, as the linter asks.

--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -159,7 +159,7 @@
         Change::Unregistered(id) => {
             let registry_change = state.registry().remove(at, id);
             update_pools(state, at, registry_change);
-            // An entry without a grace period removes the target now.
+            // Also if its grace period keeps the target here: each entry has its own.
             true
         }
         Change::Joined(presence) => state.entries().join(presence.clone()),
@@ -217,10 +217,10 @@
 ) {
     for registry_change in registry_changes {
         match registry_change {
-            RegistryChange::Put(instance) => put_target(state, at, instance),
+            RegistryChange::Put(instance) => put_target(state, at, &instance),
             RegistryChange::Move(from, instance) => {
                 remove_target(state, at, &from, &instance.id);
-                put_target(state, at, instance);
+                put_target(state, at, &instance);
             }
             RegistryChange::Remove(instance) => {
                 remove_target(state, at, &instance.service, &instance.id);
@@ -229,7 +229,7 @@
     }
 }
 
-fn put_target(state: &State, at: Millis, instance: Instance) {
+fn put_target(state: &State, at: Millis, instance: &Instance) {
     let settings = state.settings();
     let service = instance.service.clone();
     state.pools.with(service, Default::default, |pool| {
--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -23,7 +23,7 @@
 /// second one after a refusal. The period is long because each call is charged
 /// and the heartbeats of targets change the store all the time, so that a call
 /// rarely waits for a change.
-const POLL_FRACTION: f64 = 0.55;
+pub(super) const POLL_FRACTION: f64 = 0.55;
 
 /// The poll period of an entry with followers, as a fraction of the same time.
 /// The rest has to cover the time until the followers notice that the entry is
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::feed::POLL_FRACTION;
 use crate::{
     adapters::metrics::Metrics,
     domain::{AzName, Bounds, Millis, Revision, ServiceName, Shards, Size},
@@ -294,7 +295,8 @@
         let rate = table.service(service).map_or(0.0, |s| s.cold_rate);
         let now = (self.ports.clock.now)();
         let region_requests = self.region_requests(now);
-        let max_rate = if self.entries().is_settled(now) {
+        let poll_period = self.bound_fraction(POLL_FRACTION);
+        let max_rate = if self.entries().is_settled(now, poll_period) {
             rate * bounds.cold_factor + bounds.cold_slack
         } else {
             0.0
--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -26,11 +26,10 @@
 /// share.
 const DEPARTED_RETENTION: Millis = Millis(15_000);
 
-/// How long after its start an entry may not know of others. The leases of all may
-/// have expired in an outage of the store: each is announced again within the
-/// second in which it renews its lease, and is known with the next poll, at most
-/// 1.4 s later.
-const SETTLE_TIME: Millis = Millis(3_000);
+/// How long it takes until every running entry is announced, after an outage of
+/// the store in which the leases of all have expired. An entry notices that within
+/// the second in which it renews its lease; the rest is for the writes.
+const ANNOUNCE_TIME: Millis = Millis(1_500);
 
 /// The maximum number of entries in a lookup response. It is small, because
 /// callers use all of them alike: the larger the subset, the less the capacity of
@@ -54,10 +53,12 @@
     }
 
     /// Returns whether all other entries are known, as far as they reach the
-    /// store. Until then an entry would take more than its share of a limit.
+    /// store, which is polled each `poll_period`. Until then an entry would take
+    /// more than its share of a limit.
     #[must_use]
-    pub fn is_settled(&self, now: Millis) -> bool {
-        self.first_read.is_some_and(|at| at + SETTLE_TIME <= now)
+    pub fn is_settled(&self, now: Millis, poll_period: Millis) -> bool {
+        let is_over = |at| at + ANNOUNCE_TIME + poll_period <= now;
+        self.first_read.is_some_and(is_over)
     }
 
     /// Adds or replaces an entry. Returns whether that changed anything.
--- a/src/policy/replay/mod.rs
+++ b/src/policy/replay/mod.rs
@@ -26,7 +26,7 @@
 pub const MAX_KEPT: Size = Size::kib(512);
 
 /// The fraction of the process's memory that kept bodies may take is one in
-/// this number. The rest is needed for connections and for responses.
+/// this number. The rest is needed for connections.
 const MEMORY_DIVISOR: u64 = 16;
 
 /// The memory that all kept bodies of one direction may take.
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -389,7 +389,7 @@
         gateways.push(gateway);
     }
     let mut lines = Vec::new();
-    for at in [1_000, 3_900, 4_000] {
+    for at in [1_000, 3_800, 3_900] {
         time.store(at, SeqCst);
         let before: u32 = received.lock().expect("counts").values().sum();
         for gateway in &gateways {
@@ -409,7 +409,7 @@
     }
     insta::assert_snapshot!(lines.join("\n"), @r"
     1000 ms: none
-    3900 ms: none
-    4000 ms: some
+    3800 ms: none
+    3900 ms: some
     ");
 }
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -133,11 +133,11 @@
 #[test]
 fn an_entry_that_has_just_started_does_not_know_all_others() {
     let mut entries = Entries::default();
-    let mut seen = vec![entries.is_settled(Millis(60_000))];
+    let mut seen = vec![entries.is_settled(Millis(60_000), Millis(1_500))];
     for at in [1_000, 2_000, 3_999, 4_000] {
         // A later read, after a compaction, does not start the time again.
         entries.record_read(Millis(at));
-        seen.push(entries.is_settled(Millis(at)));
+        seen.push(entries.is_settled(Millis(at), Millis(1_500)));
     }
     insta::assert_compact_debug_snapshot!(seen, @"[false, false, false, false, true]");
 }
