Share the fixtures of entries that pass changes on

tests/resync.rs had copied the settings, the announcement and the waiting of tests/relay.rs. They move to tests/vm; the checks are the same, and the wait in resync is as short as that of relay, 10 s in place of 20 s.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -15,13 +15,14 @@
 use savorybeam::{
     adapters::grpc::{self, Peers},
     app::gateway::Gateway,
-    domain::{
-        Bounds, Instance, InstanceState, Mbps, Millis, Presence, RequestKind, Revision, RouteRule,
-    },
-    ports::{Batch, Change, FetchRequest, Platform, PlatformError, VmSettings},
+    domain::{Instance, InstanceState, Millis, RequestKind, Revision, RouteRule},
+    ports::{Batch, Change, FetchRequest, Platform, PlatformError},
 };
 
-use vm::ANY_PORT;
+use vm::{
+    ANY_PORT,
+    entry::{presence, relay_settings, wait_until},
+};
 
 /// The store of the platform. The revision of a change is its position in the
 /// list, starting at 1.
@@ -70,19 +71,6 @@
     }
 }
 
-fn settings(name: &str, seeds: Vec<SocketAddr>) -> VmSettings {
-    let base = vm::settings(name);
-    VmSettings {
-        control: Some(ANY_PORT),
-        seeds,
-        bounds: Bounds {
-            grace_period: Millis(500),
-            ..base.bounds
-        },
-        ..base
-    }
-}
-
 fn configuration(version: u64) -> Change {
     let mut rule = RouteRule {
         name: "browse".to_owned(),
@@ -102,27 +90,6 @@
     })
 }
 
-fn presence(gateway: &Gateway, name: &str) -> Change {
-    Change::Joined(Presence {
-        name: name.parse().expect("a name"),
-        front: gateway.front_addr(),
-        peer: gateway.relay_addr(),
-        link: Mbps(100),
-        az: "a-1".parse().expect("a name"),
-        region: "north".parse().expect("a name"),
-    })
-}
-
-async fn wait_until(what: &str, condition: impl Fn() -> bool) {
-    let wait = async {
-        while !condition() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    let done = tokio::time::timeout(Duration::from_secs(10), wait).await;
-    assert!(done.is_ok(), "{what}: not observed within 10 s");
-}
-
 /// Fails if an entry polls the store although another entry of its region does, if
 /// it does not receive a change from that entry, or if it misses a change after
 /// that entry has stopped.
@@ -133,12 +100,16 @@
     store.put(target(1, 1, InstanceState::Ready));
     let (first_polls, polls): (Arc<AtomicU32>, Arc<AtomicU32>) = Default::default();
     let first = vm::entry::spawn(
-        settings("edge-1", Vec::new()),
+        relay_settings("edge-1", Vec::new()),
         platform(&store, &first_polls),
     )
     .await;
     store.put(presence(&first, "edge-1"));
-    let second = vm::entry::spawn(settings("edge-2", Vec::new()), platform(&store, &polls)).await;
+    let second = vm::entry::spawn(
+        relay_settings("edge-2", Vec::new()),
+        platform(&store, &polls),
+    )
+    .await;
     store.put(presence(&second, "edge-2"));
     wait_until("both entries know each other", || {
         let knows_both = |g: &Gateway| g.state.peers().len() == 2;
@@ -205,9 +176,17 @@
     store.put(target(1, 1, InstanceState::Ready));
     store.put(target(2, 1, InstanceState::Ready));
     let polls: Arc<AtomicU32> = Arc::default();
-    let first = vm::entry::spawn(settings("edge-1", Vec::new()), platform(&store, &polls)).await;
+    let first = vm::entry::spawn(
+        relay_settings("edge-1", Vec::new()),
+        platform(&store, &polls),
+    )
+    .await;
     store.put(presence(&first, "edge-1"));
-    let second = vm::entry::spawn(settings("edge-2", Vec::new()), platform(&store, &polls)).await;
+    let second = vm::entry::spawn(
+        relay_settings("edge-2", Vec::new()),
+        platform(&store, &polls),
+    )
+    .await;
     store.put(presence(&second, "edge-2"));
     wait_until("both entries know each other", || {
         [&first, &second].iter().all(|g| g.state.peers().len() == 2)
@@ -263,11 +242,19 @@
     store.put(target(2, 1, InstanceState::Draining));
     store.put(Change::Evacuated("a-2".parse().expect("a name")));
     let polls: Arc<AtomicU32> = Arc::default();
-    let first = vm::entry::spawn(settings("edge-1", Vec::new()), platform(&store, &polls)).await;
+    let first = vm::entry::spawn(
+        relay_settings("edge-1", Vec::new()),
+        platform(&store, &polls),
+    )
+    .await;
     wait_until("the first is ready", || first.state.is_ready()).await;
     store.unavailable.store(true, SeqCst);
     let seed = first.relay_addr().expect("an address");
-    let second = vm::entry::spawn(settings("edge-2", vec![seed]), platform(&store, &polls)).await;
+    let second = vm::entry::spawn(
+        relay_settings("edge-2", vec![seed]),
+        platform(&store, &polls),
+    )
+    .await;
     wait_until("the second is ready", || second.state.is_ready()).await;
     let peers = Peers::new(Millis(500), Arc::default());
     let changes = grpc::changes(Arc::new(peers));
@@ -294,13 +281,21 @@
         store.put(target(n, 1, InstanceState::Ready));
     }
     let polls: Arc<AtomicU32> = Arc::default();
-    let first = vm::entry::spawn(settings("edge-1", Vec::new()), platform(&store, &polls)).await;
+    let first = vm::entry::spawn(
+        relay_settings("edge-1", Vec::new()),
+        platform(&store, &polls),
+    )
+    .await;
     wait_until("the first is ready", || first.state.is_ready()).await;
     store.unavailable.store(true, SeqCst);
     store.put(Change::Unregistered("i-1".parse().expect("an id")));
     store.put(configuration(2));
     let seed = first.relay_addr().expect("an address");
-    let second = vm::entry::spawn(settings("edge-2", vec![seed]), platform(&store, &polls)).await;
+    let second = vm::entry::spawn(
+        relay_settings("edge-2", vec![seed]),
+        platform(&store, &polls),
+    )
+    .await;
     wait_until("the second is ready", || second.state.is_ready()).await;
     let mut lines = vec![targets_of(&second).await];
     store.unavailable.store(false, SeqCst);
@@ -314,7 +309,11 @@
     lines.push(targets_of(&second).await);
     // A process that starts now has only what the store holds.
     second.stop().await;
-    let third = vm::entry::spawn(settings("edge-2", vec![seed]), platform(&store, &polls)).await;
+    let third = vm::entry::spawn(
+        relay_settings("edge-2", vec![seed]),
+        platform(&store, &polls),
+    )
+    .await;
     wait_until("the third is ready", || third.state.is_ready()).await;
     lines.push(targets_of(&third).await);
     first.stop().await;
--- a/tests/resync.rs
+++ b/tests/resync.rs
@@ -9,17 +9,19 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
 };
 
 use savorybeam::{
     adapters::grpc::{self, Peers},
     app::gateway::Gateway,
-    domain::{Bounds, Instance, InstanceState, Mbps, Millis, Presence, RequestKind, Revision},
-    ports::{Batch, Change, FetchRequest, Platform, PlatformError, VmSettings},
+    domain::{Instance, InstanceState, Millis, RequestKind, Revision},
+    ports::{Batch, Change, FetchRequest, Platform, PlatformError},
 };
 
-use vm::ANY_PORT;
+use vm::{
+    ANY_PORT,
+    entry::{presence, relay_settings, wait_until},
+};
 
 /// What the store returns to one entry.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -151,25 +153,9 @@
 
 /// Starts an entry and announces it in the store.
 async fn start(store: &Store, name: &str, seeds: Vec<SocketAddr>) -> Gateway {
-    let base = vm::settings(name);
-    let settings = VmSettings {
-        control: Some(ANY_PORT),
-        seeds,
-        bounds: Bounds {
-            grace_period: Millis(500),
-            ..base.bounds
-        },
-        ..base
-    };
+    let settings = relay_settings(name, seeds);
     let gateway = vm::entry::open_with(settings, platform(store, name)).await;
-    store.put(Change::Joined(Presence {
-        name: name.parse().expect("a name"),
-        front: gateway.front_addr(),
-        peer: gateway.relay_addr(),
-        link: Mbps(100),
-        az: "a-1".parse().expect("a name"),
-        region: "north".parse().expect("a name"),
-    }));
+    store.put(presence(&gateway, name));
     gateway
 }
 
@@ -227,16 +213,6 @@
     items.join(", ")
 }
 
-async fn wait_until(what: &str, condition: impl Fn() -> bool) {
-    let wait = async {
-        while !condition() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    let done = tokio::time::timeout(Duration::from_secs(20), wait).await;
-    assert!(done.is_ok(), "{what}: not observed within 20 s");
-}
-
 /// Fails if more than one entry of a region reads the complete state after the
 /// store has dropped its history, as then all do so at once over the same links,
 /// or if an entry misses what changed in the gap: configuration, evacuation,
--- a/tests/vm/entry.rs
+++ b/tests/vm/entry.rs
@@ -1,6 +1,7 @@
 //! A gateway on loopback, with a platform of fixed content.
 
 use std::{
+    net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
 };
@@ -14,10 +15,12 @@
         store::CallCounters,
     },
     app::gateway::{self, Gateway, Ports},
-    domain::{Millis, Revision},
+    domain::{Bounds, Mbps, Millis, Presence, Revision},
     ports::{Batch, Change, Clock, LeaseId, Platform, PlatformError, Poll, VmSettings},
 };
 
+use super::ANY_PORT;
+
 /// Changes that the platform reports after its initial content.
 #[derive(Clone, Debug, Default)]
 pub struct Updates {
@@ -138,3 +141,41 @@
         withdraw: Arc::new(|_| Box::pin(async { Ok(()) })),
     }
 }
+
+/// Returns the settings of an entry that passes changes on to others and stops
+/// soon.
+pub fn relay_settings(name: &str, seeds: Vec<SocketAddr>) -> VmSettings {
+    let base = super::settings(name);
+    VmSettings {
+        control: Some(ANY_PORT),
+        seeds,
+        bounds: Bounds {
+            grace_period: Millis(500),
+            ..base.bounds
+        },
+        ..base
+    }
+}
+
+/// Returns the announcement of an entry.
+pub fn presence(gateway: &Gateway, name: &str) -> Change {
+    Change::Joined(Presence {
+        name: name.parse().expect("a name"),
+        front: gateway.front_addr(),
+        peer: gateway.relay_addr(),
+        link: Mbps(100),
+        az: "a-1".parse().expect("a name"),
+        region: "north".parse().expect("a name"),
+    })
+}
+
+/// Waits until a condition holds, which takes far less than 10 s.
+pub async fn wait_until(what: &str, condition: impl Fn() -> bool) {
+    let wait = async {
+        while !condition() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    let done = tokio::time::timeout(Duration::from_secs(10), wait).await;
+    assert!(done.is_ok(), "{what}: not observed within 10 s");
+}
