--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -45,6 +45,7 @@
     let source = show("second in rank", &mut selector, 0, 3);
     selector.record_failure(Millis(1_000), &source, failed);
     show("second, source failed", &mut selector, 1_000, 3);
+    show("second, 3 s later", &mut selector, 4_000, 3);
     show("second, 10 s later", &mut selector, 11_000, 3);
     let mut selector = UpstreamSelector::default();
     let source = show("third in rank", &mut selector, 0, 4);
