Log the caller, the zone of the target and the split between regions

The end of a request named neither its caller nor the region of its target, and nothing told by which share a request was placed or whether the limit on changes of that share was in force. No decision changes: the ticket of a choice carries the split and the zone for the log line only.

--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards one request to targets until one has answered.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use http::{Request, Response};
 use xxhash_rust::xxh3::xxh3_64;
@@ -34,13 +34,15 @@
 /// those to which nothing could be sent.
 const MAX_TRIED: usize = 5;
 
-/// Forwards a request and returns the response of a target.
+/// Forwards a request of the caller with the given address and returns the
+/// response of a target.
 ///
 /// # Errors
 ///
 /// Returns the refusal for the caller if no target gave a valid response.
 pub(super) async fn forward(
     state: &Arc<State>,
+    caller: Option<SocketAddr>,
     req: Request<Body>,
 ) -> Result<Response<Body>, Refusal> {
     let id = headers::read_request_head(req.headers()).id;
@@ -61,6 +63,7 @@
     pools.get(&request.service, |p| p.deposit_retry(at, &limits));
     let mut forwarding = Forwarding {
         state,
+        caller,
         request,
         tried: Vec::new(),
         sent_count: 0,
@@ -76,6 +79,8 @@
 /// The progress of one request through its attempts.
 struct Forwarding<'a> {
     state: &'a Arc<State>,
+    /// The address of the caller, for logs.
+    caller: Option<SocketAddr>,
     request: RoutedRequest,
     /// The targets that were chosen, in order.
     tried: Vec<InstanceId>,
@@ -278,8 +283,10 @@
         let request = &self.request;
         let took = now(self.state) - request.arrived;
         let last = self.last.as_ref().map(|a| &a.ticket);
+        let split = last.and_then(|t| t.split);
         tracing::info!(
             request = request.label(),
+            caller = self.caller.map(|c| c.ip().to_string()),
             route = request.rule.name,
             version = %request.table.version,
             object = request.object.map(|o| format!("{o:016x}")),
@@ -290,6 +297,9 @@
             report_age_ms = last.and_then(|t| t.report_age).map(|a| a.0),
             warm = last.map(|t| t.warm),
             far = last.map(|t| t.remote),
+            az = last.map(|t| t.az.as_str()),
+            far_share = split.map(|s| s.fraction),
+            lifted = split.map(|s| s.lifted),
             expected_ms = last.map(|t| t.expected_duration.0),
             limit_ms = (request.deadline - request.arrived).0,
             took_ms = took.0,
--- a/src/app/gateway/front.rs
+++ b/src/app/gateway/front.rs
@@ -4,6 +4,7 @@
 
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::BodyExt;
+use volo::net::Address;
 use volo_http::{body::Body, server::Router};
 
 use super::{State, forward, response};
@@ -17,9 +18,9 @@
 /// Returns the router of the server for callers.
 pub(super) fn router(state: &Arc<State>) -> Router {
     let state = state.clone();
-    let handler = move |req: Request<Body>| {
+    let handler = move |peer: Address, req: Request<Body>| {
         let running = RunningGuard::new(&state);
-        async move { handle(running.0.clone(), req).await }
+        async move { handle(running.0.clone(), &peer, req).await }
     };
     Router::new().fallback(handler)
 }
@@ -40,8 +41,13 @@
     }
 }
 
-async fn handle(state: Arc<State>, req: Request<Body>) -> Response<Body> {
-    let result = forward::forward(&state, req.map(BodyExt::boxed)).await;
+async fn handle(state: Arc<State>, peer: &Address, req: Request<Body>) -> Response<Body> {
+    let caller = match peer {
+        Address::Ip(addr) => Some(*addr),
+        // Callers connect over TCP only.
+        Address::Unix(_) => None,
+    };
+    let result = forward::forward(&state, caller, req.map(BodyExt::boxed)).await;
     let mut resp = match result {
         Ok(resp) => resp.map(Body::from_body),
         Err(refusal) => response::refusal_response(&refusal),
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -14,7 +14,7 @@
 };
 use crate::{
     domain::{AzName, InstanceId, Millis, RegionName, RouteRule, Size, TargetId},
-    policy::overflow::{Overflow, Placement, ShiftLimit},
+    policy::overflow::{Overflow, Placement, ShiftLimit, Split},
 };
 
 /// The cost that a request must save to prefer another region. Traffic between
@@ -118,6 +118,11 @@
     pub warm: bool,
     /// Whether the target is in another region.
     pub remote: bool,
+    /// The availability zone of the target.
+    pub az: AzName,
+    /// The split between the regions that placed the request, if both sides had a
+    /// target.
+    pub split: Option<Split>,
     /// When the instance started, which distinguishes it from a later one with
     /// the same id.
     pub(super) started_at: Option<Millis>,
@@ -161,6 +166,8 @@
     /// The estimated number of requests at the target.
     load: f64,
     warm: bool,
+    /// The split between the regions that selected this side.
+    split: Option<Split>,
 }
 
 /// What is known of a request when targets are scored for it.
@@ -342,10 +349,16 @@
             .overflow
             .get_or_insert_with(|| Overflow::new(capacity.initial_overflow()));
         let hash_position = req.object.filter(|_| req.rule.sticky).map(hash_position);
-        match overflow.assign(ctx.now, preference, slot_loads, hash_position, limit) {
+        let placement = overflow.assign(ctx.now, preference, slot_loads, hash_position, limit);
+        let side = match placement {
             Placement::Local => local,
             Placement::Remote => Some(remote),
-        }
+        };
+        let split = Some(Split {
+            fraction: overflow.fraction(),
+            lifted: limit.lifted,
+        });
+        side.map(|candidate| Candidate { split, ..candidate })
     }
 
     /// Returns the preferred targets of the object by rendezvous hashing among the
@@ -444,6 +457,7 @@
             queue_ratio: waiting / slots,
             load,
             warm,
+            split: None,
         }
     }
 
@@ -472,6 +486,8 @@
                 report_age: target.load.last_report.map(|at| now - at),
                 warm: best.warm,
                 remote: target.region.as_ref() != Some(ctx.region),
+                az: target.instance.az.clone(),
+                split: best.split,
                 started_at: target.instance.started_at,
                 sent_at: now,
                 route,
--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -78,6 +78,16 @@
     pub lifted: bool,
 }
 
+/// The state by which a request was placed, for logs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Split {
+    /// The fraction of requests that runs in other regions.
+    pub fraction: f64,
+    /// Whether the slope limit was lifted, so that the request ran where it cost
+    /// least.
+    pub lifted: bool,
+}
+
 /// Where a request runs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Placement {
