--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -99,6 +99,8 @@
     ticket: Ticket,
     /// The time from the arrival of the request to the start of the attempt.
     delay: Millis,
+    /// The number of requests at the target according to its response.
+    reported: Option<f64>,
 }
 
 impl Forwarding<'_> {
@@ -118,6 +120,7 @@
             self.last = Some(Attempt {
                 ticket: slot.ticket().clone(),
                 delay: now(self.state) - self.request.arrived,
+                reported: None,
             });
             let outcome = exchange(self.state, &self.request, slot).await;
             self.record_outcome(&outcome);
@@ -147,6 +150,9 @@
 
     /// Updates the progress with the outcome of an attempt and logs a failure.
     fn record_outcome(&mut self, outcome: &Outcome) {
+        if let (Some(attempt), Outcome::Response(response)) = (&mut self.last, outcome) {
+            attempt.reported = response.report.map(|r| r.requests());
+        }
         match outcome {
             Outcome::Unsent(_) => {}
             Outcome::Rejected => self.sent_count += 1,
@@ -295,11 +301,14 @@
             attempts = self.sent_count,
             load = last.map(|t| t.load),
             report_age_ms = last.and_then(|t| t.report_age).map(|a| a.0),
+            reported = self.last.as_ref().and_then(|a| a.reported),
             warm = last.map(|t| t.warm),
             far = last.map(|t| t.remote),
             az = last.map(|t| t.az.as_str()),
             far_share = split.map(|s| s.fraction),
             lifted = split.map(|s| s.lifted),
+            local_load = split.map(|s| s.loads.local),
+            others_load = split.map(|s| s.loads.others),
             expected_ms = last.map(|t| t.expected_duration.0),
             limit_ms = (request.deadline - request.arrived).0,
             took_ms = took.0,
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -357,6 +357,7 @@
         let split = Some(Split {
             fraction: overflow.fraction(),
             lifted: limit.lifted,
+            loads: slot_loads,
         });
         side.map(|candidate| Candidate { split, ..candidate })
     }
--- a/src/policy/balance/load.rs
+++ b/src/policy/balance/load.rs
@@ -22,7 +22,8 @@
 
 impl LoadReport {
     /// Returns the number of requests at the target.
-    pub(super) fn requests(&self) -> f64 {
+    #[must_use]
+    pub fn requests(&self) -> f64 {
         f64::from(self.running) + f64::from(self.waiting)
     }
 
--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -59,7 +59,7 @@
 
 /// The loads of the targets of a region and of the other regions, in requests per
 /// slot.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct SlotLoads {
     /// The load of the local region.
     pub local: f64,
@@ -86,6 +86,8 @@
     /// Whether the slope limit was lifted, so that the request ran where it cost
     /// least.
     pub lifted: bool,
+    /// The loads of the regions, as this entry knows them.
+    pub loads: SlotLoads,
 }
 
 /// Where a request runs.
