Count each target once in the load of its region

A region with room seemed full, sent requests away and took the targets without reports for full. The average also began at zero, and each report reduced what earlier ones had left by the time between them, which hid the loads of other regions nearly wholly.

Ruled out: callers that use other regions, a slope that is not in force.

A report is weighted with the inverse of its target's rate of answers (inverse probability weighting), and the average follows the time between reports with a least weight of 0.03 in place of 0.1, so that the entries of a region agree better.

--- a/src/policy/balance/load.rs
+++ b/src/policy/balance/load.rs
@@ -47,8 +47,10 @@
 /// The weight of one report in the average load of a target.
 const AVERAGE_SMOOTHING: f64 = 0.15;
 
-/// The weight of one report in the average load of a region.
-const REGION_SMOOTHING: f64 = 0.1;
+/// The weight of one report in the average load of a region. The loads of its
+/// targets differ by more than their mean, and the entries of a region agree only
+/// if each averages over many reports.
+const REGION_SMOOTHING: f64 = 0.03;
 
 /// The slowdown of a target that shares its host with no busy neighbour.
 const NORMAL_SLOWDOWN_PERCENT: f64 = 100.0;
@@ -122,26 +124,44 @@
 /// Moving average of the requests per slot over all targets of a region.
 ///
 /// With many entries, each entry seldom gets a report of one particular target,
-/// but often one of some target of the region.
+/// but often one of some target of the region. Reports come with answers, and a
+/// target with more running requests gives more answers, so an average over
+/// reports would be that of the busy targets. Each report is therefore weighted
+/// with the inverse of the rate at which its target answers, which is in
+/// proportion to its running requests (inverse probability weighting).
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RegionLoad {
-    slot_load: f64,
+    /// The weighted average of the load.
+    load: f64,
+    /// The average weight.
+    weight: f64,
     updated: Millis,
 }
 
 impl RegionLoad {
     /// Applies a report.
     pub fn report(&mut self, now: Millis, report: &LoadReport) {
-        let slot_load = report.slot_load();
-        self.slot_load = self.slot_load(now) + (slot_load - self.slot_load(now)) * REGION_SMOOTHING;
+        // The request that was answered no longer counts, but was running.
+        let answering = (report.requests() + 1.0).min(f64::from(report.slots.max(1)));
+        let weight = 1.0 / answering;
+        let weighted = report.slot_load() * weight;
+        let gain = (1.0 - decay(self.age_ms(now), AVERAGE_DECAY_MS)).max(REGION_SMOOTHING);
+        self.load += (weighted - self.load) * gain;
+        self.weight += (weight - self.weight) * gain;
         self.updated = now;
     }
 
     /// Returns the average number of requests per slot.
     pub fn slot_load(&self, now: Millis) -> f64 {
-        #[expect(clippy::cast_precision_loss)]
-        let age = (now - self.updated).0 as f64;
-        self.slot_load * decay(age, AVERAGE_DECAY_MS)
+        if self.weight <= 0.0 {
+            return 0.0;
+        }
+        self.load / self.weight * decay(self.age_ms(now), AVERAGE_DECAY_MS)
+    }
+
+    #[expect(clippy::cast_precision_loss)]
+    fn age_ms(&self, now: Millis) -> f64 {
+        (now - self.updated).0 as f64
     }
 }
 
