--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -3,10 +3,11 @@
 //! A region with more load than slots sends requests to other regions. The load
 //! changes quickly, but the overflow fraction must change slowly, or else
 //! caches in both regions go cold at once. [`Overflow`] therefore keeps this
-//! fraction as state, which changes with a limited slope. It follows the
-//! preferences of the individual requests, and it is at least what the reported
-//! loads of the regions call for: a preference says only that a request would be
-//! late already, and the few requests of one entry vary.
+//! fraction as state, which changes with a limited slope. It is what the reported
+//! loads of the regions call for, which all entries of a region see alike. The
+//! preferences of individual requests vary: near full load half of them may prefer
+//! another region in each of two regions that are equally full. So they count only
+//! as far as most of them agree, which also covers targets that report no load.
 //!
 //! Overflow moves whole objects, those whose hash position is below the
 //! fraction, so that a target in another region gets all requests for an object
@@ -42,6 +43,11 @@
 /// waits.
 const SLOT_LOAD_GOAL: f64 = 0.9;
 
+/// How much fuller than the other regions the local one may be. The loads are
+/// averages over few reports, and two full regions that follow every difference
+/// exchange their requests.
+const LOAD_TOLERANCE: f64 = 1.25;
+
 /// The time constant of the moving average of the requests' preferences.
 const PREFERENCE_DECAY_MS: f64 = 700.0;
 
@@ -50,8 +56,8 @@
 pub struct Overflow {
     /// The fraction of requests that currently runs in other regions.
     fraction: f64,
-    /// The fraction that would apply without the slope limit.
-    desired_fraction: f64,
+    /// The recent fraction of requests that would cost less in another region.
+    preferred_fraction: f64,
     /// The accumulated fraction of requests without an object.
     remainder: f64,
     updated: Millis,
@@ -106,7 +112,7 @@
         let fraction = fraction.clamp(0.0, 1.0);
         Self {
             fraction,
-            desired_fraction: fraction,
+            preferred_fraction: fraction,
             ..Self::default()
         }
     }
@@ -165,23 +171,22 @@
         let goal = f64::from(u8::from(preferred == Placement::Remote));
         // Each request has a minimum weight, even if several arrive at once.
         let gain = (elapsed_ms / PREFERENCE_DECAY_MS).clamp(0.02, 0.2);
-        self.desired_fraction += (goal - self.desired_fraction) * gain;
+        self.preferred_fraction += (goal - self.preferred_fraction) * gain;
         if limit.lifted {
-            self.fraction = self.desired_fraction;
+            self.fraction = self.preferred_fraction;
             return;
         }
-        let desired = self.desired_fraction.max(self.needed_fraction(loads));
+        let agreed = 2.0 * self.preferred_fraction - 1.0;
+        let desired = self.needed_fraction(loads).max(agreed);
         let cap = limit.cap * elapsed_ms / SHIFT_WINDOW_MS;
         let change = desired - self.fraction;
         self.fraction += change.clamp(-cap * RETURN_CAP_FRACTION, cap * cap_fraction(limit));
     }
 
     /// Returns the fraction at which the local region would have the load that it
-    /// should keep, or that of the other regions if they are fuller. All entries of a
-    /// region see the same loads, while the preferences of the few requests of one
-    /// entry vary.
+    /// should keep, or about that of the other regions if they are fuller.
     fn needed_fraction(&self, loads: SlotLoads) -> f64 {
-        let goal = loads.others.max(SLOT_LOAD_GOAL);
+        let goal = (loads.others * LOAD_TOLERANCE).max(SLOT_LOAD_GOAL);
         if loads.local <= 0.0 {
             return 0.0;
         }
