Take the answered request out of the load that its target reports

The entry took it for one of another entry: each known target seemed fuller by one request of its three to six slots, and each region by up to a third of a request per slot.

The platform's folder takes it out of the running ones when the request was answered; a rejected request was never among them.

--- a/src/adapters/platform/headers.rs
+++ b/src/adapters/platform/headers.rs
@@ -211,14 +211,17 @@
     Some(Millis(seconds.saturating_mul(1_000).saturating_add(millis)))
 }
 
-/// Reads the load that a target reports: running requests, waiting requests,
-/// slots and the current duration of work in percent of the usual one.
+/// Reads the load that a target reports with a response: running requests, waiting
+/// requests, slots and the current duration of work in percent of the usual one.
+/// The target counts an answered request among the running ones until the answer
+/// is sent; it has left when the report is used.
 #[must_use]
-pub fn read_load_report(headers: &HeaderMap) -> Option<LoadReport> {
+pub fn read_load_report(headers: &HeaderMap, kind: ResponseKind) -> Option<LoadReport> {
     let text = headers.get(SERVER_LOAD)?.to_str().ok()?;
     let mut parts = text.split(',').map(|p| p.trim().parse::<u32>().ok());
+    let answered = u32::from(kind == ResponseKind::Answered);
     let report = LoadReport {
-        running: parts.next()??,
+        running: parts.next()??.saturating_sub(answered),
         waiting: parts.next()??,
         slots: parts.next()??,
         slowdown_percent: parts.next().flatten().unwrap_or(100),
--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -138,8 +138,9 @@
     // The body may take long or break off; the notice holds from now on.
     let notice = headers::read_notice(head.status, &head.headers, routed.id.as_ref());
     slot.record_notice(routed.label(), &notice);
-    let report = headers::read_load_report(&head.headers);
-    match headers::classify_response(head.status, &head.headers, routed.id.as_ref()) {
+    let kind = headers::classify_response(head.status, &head.headers, routed.id.as_ref());
+    let report = headers::read_load_report(&head.headers, kind);
+    match kind {
         ResponseKind::Rejected => ReadResult::Rejected(report),
         ResponseKind::Misdirected => ReadResult::Misdirected,
         ResponseKind::Invalid(cause) => ReadResult::Invalid(cause.to_owned()),
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -14,7 +14,11 @@
 use savorybeam::{
     adapters::{
         http::{Content, full_body},
-        platform::{directory, headers, settings, store},
+        platform::{
+            directory,
+            headers::{self, ResponseKind},
+            settings, store,
+        },
     },
     domain::{Mbps, Millis, Presence, Revision, RouteRule},
     ports::{Change, Platform, Poll, Targets},
@@ -348,14 +352,27 @@
 /// Fails if a load report is read wrongly or an invalid one is used.
 #[test]
 fn invalid_load_reports_are_ignored() {
-    let lines = ["3,0,8", "6,2,6,250", " 1, 2, 3, 4 ", "3,0", "a,b,c", ""].map(|text| {
-        let mut head = HeaderMap::new();
-        head.insert("server-load", HeaderValue::from_static(text));
-        format!("{text:?}: {:?}", headers::read_load_report(&head))
-    });
+    let lines = ["3,0,8", "6,2,6,250", " 1, 2, 3, 4 ", "3,0", "a,b,c", ""];
+    let lines = lines.map(|text| load_report(text, ResponseKind::Rejected));
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+/// Fails if the request that a report comes with is taken for one of another entry.
+/// A target counts it among the running ones until its answer is sent.
+#[test]
+fn an_answered_request_is_not_part_of_the_load() {
+    let answered = ["3,0,8", "1,0,8", "0,0,8"];
+    let lines = answered.map(|text| load_report(text, ResponseKind::Answered));
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Returns what a load report in a response of the given kind is read as.
+fn load_report(text: &'static str, kind: ResponseKind) -> String {
+    let mut head = HeaderMap::new();
+    head.insert("server-load", HeaderValue::from_static(text));
+    format!("{text:?}: {:?}", headers::read_load_report(&head, kind))
+}
+
 /// Fails if headers or look-ups are not written and read in the platform's
 /// format, for example if `retry-after` differs from the chosen time.
 #[test]
