--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -1,14 +1,14 @@
-//! Selects a target for one request by scoring all targets of the service.
+//! Selects a target for one request among all targets of the service.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    distance::{Distance, TransferCost},
-    duration::{DurationEstimate, hash_position, mix, unit},
+    duration::{hash_position, mix},
     notice::Withheld,
     pool::{Pool, RouteEstimate},
+    score::{Candidate, Estimates, LoadState},
     slow_start::ColdQuota,
     target::Target,
 };
@@ -21,20 +21,6 @@
 /// regions is limited in bandwidth and billed.
 const OVERFLOW_GAIN_MS: f64 = 15.0;
 
-/// The weight of the hash rank in the cost, as a fraction of the cold duration.
-/// It makes entries that see the same loads agree on the second choice.
-const HASH_RANK_WEIGHT: f64 = 0.15;
-
-/// The cost of a certain failure, as a multiple of the objective.
-const FAILURE_COST_FACTOR: f64 = 1.5;
-
-/// The factor by which requests take longer on a cold target.
-const COLD_SLOWDOWN: f64 = 2.0;
-
-/// The queue length, in requests per slot, up to which no request is refused
-/// because of the queue.
-const TOLERATED_QUEUE: f64 = 0.5;
-
 /// The longest delay by a transient queue, as a fraction of the objective.
 const TRANSIENT_DELAY_MAX: f64 = 1.3;
 
@@ -54,11 +40,6 @@
 /// same: such a region stays overloaded after the load has fallen.
 const SPILL_UTILIZATION_MAX: f64 = 1.2;
 
-/// The cost reduction for a new target, which makes one request go there. That
-/// request shows that the target works; hashing alone may give it no frequently
-/// used object.
-const PROBE_DISCOUNT_MS: f64 = 100_000.0;
-
 /// The state that all requests of a service share at one instant.
 #[derive(Clone, Copy, Debug)]
 pub struct Context<'a> {
@@ -152,31 +133,6 @@
     },
 }
 
-/// A target with its score for one request.
-#[derive(Clone, Copy)]
-struct Candidate {
-    index: usize,
-    cost: f64,
-    expected_ms: f64,
-    rtt_ms: f64,
-    /// The expected duration relative to the usual one.
-    slowdown: f64,
-    /// The number of queued requests per slot.
-    queue_ratio: f64,
-    /// The estimated number of requests at the target.
-    load: f64,
-    warm: bool,
-    /// The split between the regions that selected this side.
-    split: Option<Split>,
-}
-
-/// What is known of a request when targets are scored for it.
-#[derive(Clone, Copy)]
-struct Estimates {
-    duration: DurationEstimate,
-    transfer: TransferCost,
-}
-
 /// The targets among which one is selected for a request, by their indexes.
 #[derive(Clone, Copy)]
 struct Targets<'a> {
@@ -190,29 +146,6 @@
     utilization: f64,
 }
 
-/// The load that a score depends on.
-#[derive(Clone, Copy)]
-struct LoadState {
-    /// The utilization of the region's targets, in requests per slot.
-    utilization: f64,
-    /// The estimated number of requests at the target.
-    load: f64,
-}
-
-impl Candidate {
-    /// Returns the expected time until the answer as a fraction of the
-    /// objective, or 0 if the target has no considerable queue.
-    fn delay(&self, rule: &RouteRule) -> f64 {
-        #[expect(clippy::cast_precision_loss)]
-        let objective = rule.objective.0.max(1) as f64;
-        if self.queue_ratio > TOLERATED_QUEUE {
-            self.expected_ms / objective
-        } else {
-            0.0
-        }
-    }
-}
-
 impl Pool {
     /// Selects a target for a request and counts the request there.
     ///
@@ -408,60 +341,6 @@
         self.targets[i].region.as_ref() == Some(ctx.region)
     }
 
-    fn score(
-        &self,
-        ctx: &Context<'_>,
-        req: &Request<'_>,
-        estimates: &Estimates,
-        state: LoadState,
-        i: usize,
-        preferred: bool,
-    ) -> Candidate {
-        let LoadState { utilization, load } = state;
-        let estimate = &estimates.duration;
-        let now = ctx.now;
-        let target = &self.targets[i];
-        let distance = Distance::to(ctx, target);
-        let is_warm = |object| target.objects.is_warm(object, now);
-        let warm = !target.is_cold(now) && (preferred || req.object.is_some_and(is_warm));
-        let slots = target.slots();
-        let waiting = (load + 1.0 - slots).max(0.0);
-        let mut slowdown = target.load.slowdown(now) * target.slowdown * (1.0 + waiting / slots);
-        if target.is_cold(now) {
-            slowdown *= COLD_SLOWDOWN;
-        }
-        let remote = distance == Distance::OtherRegion;
-        let rtt_ms = distance.rtt_ms();
-        let expected_ms = rtt_ms + estimate.duration_ms(warm) * slowdown;
-        let rank = req.object.map_or(0.0, |o| 1.0 - unit(mix(o, target.hash)));
-        let objective = req.rule.objective.0;
-        #[expect(clippy::cast_precision_loss)]
-        let failure_cost = target.health.failure_rate(now) * FAILURE_COST_FACTOR * objective as f64;
-        let probe = !target.contacted && !remote && !target.is_cold(now);
-        let discount = if probe { PROBE_DISCOUNT_MS } else { 0.0 };
-        let extra_ms = if warm {
-            0.0
-        } else {
-            estimate.cold_ms - estimate.warm_ms
-        };
-        Candidate {
-            index: i,
-            cost: expected_ms
-                + utilization * extra_ms
-                + failure_cost
-                + estimates.transfer.at(distance, waiting)
-                + rank * estimate.cold_ms * HASH_RANK_WEIGHT
-                - discount,
-            expected_ms,
-            rtt_ms,
-            slowdown,
-            queue_ratio: waiting / slots,
-            load,
-            warm,
-            split: None,
-        }
-    }
-
     fn record_choice(
         &mut self,
         ctx: &Context<'_>,
--- a/src/policy/balance/mod.rs
+++ b/src/policy/balance/mod.rs
@@ -37,6 +37,7 @@
 mod notice;
 mod pool;
 mod registry;
+mod score;
 mod slow_start;
 mod target;
 
