Keep the port of an unreachable target bound while a test runs

The fixture bound a port and freed it, and the other test's target got the same one.

The port stays bound without a listener now, so that connections are refused and nobody gets the port.

--- a/tests/upload.rs
+++ b/tests/upload.rs
@@ -288,12 +288,12 @@
     let log = Log::default();
     let served = log.clone();
     let live = raw::listen(move |_, stream| serve("i-1", stream, served.clone())).await;
-    let closed = vm::closed_addr().await;
+    let closed = vm::ClosedAddr::bind();
     let mut lines = Vec::new();
     // Which target comes first depends on the id.
     for id in ["i-2", "i-3", "i-4", "i-5", "i-6", "i-7"] {
         log.lock().expect("a log").clear();
-        let targets = [("i-1", live), (id, closed)];
+        let targets = [("i-1", live), (id, closed.addr)];
         let fixture = Fixture::open_with(&targets, Size::kib(160 * 1024), log.clone()).await;
         let status = fixture
             .send("/artwork/a", LENGTH, LENGTH, BodyFraming::Length)
--- a/tests/vm/mod.rs
+++ b/tests/vm/mod.rs
@@ -56,12 +56,23 @@
     }
 }
 
-/// Returns an address on loopback at which nothing listens.
-pub async fn closed_addr() -> SocketAddr {
-    let listener = tokio::net::TcpListener::bind(ANY_PORT)
-        .await
-        .expect("a port");
-    listener.local_addr().expect("an address")
+/// An address on loopback at which nothing listens as long as this value lives. Its
+/// port stays bound: a free port would be given to a target of a test that runs
+/// beside this one.
+pub struct ClosedAddr {
+    pub addr: SocketAddr,
+    _socket: tokio::net::TcpSocket,
+}
+
+impl ClosedAddr {
+    pub fn bind() -> Self {
+        let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+        socket.bind(ANY_PORT).expect("a port");
+        Self {
+            addr: socket.local_addr().expect("an address"),
+            _socket: socket,
+        }
+    }
 }
 
 /// Returns a rule that has its prefix as its name.
