--- a/src/policy/balance/load.rs
+++ b/src/policy/balance/load.rs
@@ -5,7 +5,7 @@
 /// The load that a target reports with an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LoadReport {
-    /// The number of requests that are running.
+    /// The number of requests that are running, without the answered one.
     pub running: u32,
     /// The number of requests that are queued.
     pub waiting: u32,
