Resolve the import circle of six modules of the load balancing

choose, distance, notice, pool, score and target imported each other. What a choice depends on (context) and what it results in (ticket) are modules of their own now, and what applies notices to the pool (withheld) is apart from the notices.

--- a/src/policy/balance/capacity.rs
+++ b/src/policy/balance/capacity.rs
@@ -1,6 +1,6 @@
 //! The capacity of a service's targets by region.
 
-use super::{choose::Context, pool::Pool};
+use super::{context::Context, pool::Pool};
 use crate::{
     domain::{InstanceState, Millis, RegionName},
     policy::overflow::SlotLoads,
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -1,19 +1,20 @@
 //! Selects a target for one request among all targets of the service.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
+    context::{Context, Request},
     duration::{hash_position, mix},
     notice::Withheld,
     pool::{Pool, RouteEstimate},
     score::{Candidate, Estimates, LoadState},
-    slow_start::ColdQuota,
     target::Target,
+    ticket::{Choice, Ticket},
 };
 use crate::{
-    domain::{AzName, InstanceId, Millis, RegionName, RouteRule, Size, TargetId},
+    domain::{Millis, RegionName},
     policy::overflow::{Overflow, Placement, ShiftLimit, Split},
 };
 
@@ -40,80 +41,6 @@
 /// same: such a region stays overloaded after the load has fallen.
 const SPILL_UTILIZATION_MAX: f64 = 1.2;
 
-/// The state that all requests of a service share at one instant.
-#[derive(Clone, Copy, Debug)]
-pub struct Context<'a> {
-    /// The present instant.
-    pub now: Millis,
-    /// The availability zone of this entry.
-    pub az: &'a AzName,
-    /// The region of this entry.
-    pub region: &'a RegionName,
-    /// Availability zones that are evacuated and get no requests.
-    pub evacuated: &'a BTreeSet<AzName>,
-    /// The rate limit for cold targets.
-    pub cold_quota: ColdQuota<'a>,
-    /// The largest fraction of requests that may change region in a window.
-    pub shift_cap: f64,
-    /// The estimated number of requests of the region's callers in that window.
-    pub region_requests: f64,
-}
-
-/// The properties of a request that decide on its target.
-#[derive(Clone, Copy, Debug)]
-pub struct Request<'a> {
-    /// Its rule.
-    pub rule: &'a RouteRule,
-    /// The hash of the object that it concerns, if any.
-    pub object: Option<u64>,
-    /// The targets to which it was already sent.
-    pub tried: &'a [InstanceId],
-    /// The time that is left until its deadline.
-    pub time_left: Millis,
-    /// The size of its body, as far as it is known.
-    pub size: Size,
-}
-
-/// The target selected for a request.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    /// Its address.
-    pub addr: TargetId,
-    /// Must be passed to [`Pool::finish`] when the request has ended.
-    pub ticket: Ticket,
-}
-
-/// A request that is counted at a target until [`Pool::finish`] releases it,
-/// with the estimates that led to the choice.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Ticket {
-    /// The target.
-    pub id: InstanceId,
-    /// The expected time from the choice to the answer.
-    pub expected_duration: Millis,
-    /// The estimated number of requests at the target before this one.
-    pub load: f64,
-    /// The age of the load report behind that estimate, if there was one.
-    pub report_age: Option<Millis>,
-    /// Whether the target was assumed to have the object warm.
-    pub warm: bool,
-    /// Whether the target is in another region.
-    pub remote: bool,
-    /// The availability zone of the target.
-    pub az: AzName,
-    /// The split between the regions that placed the request, if both sides had a
-    /// target.
-    pub split: Option<Split>,
-    /// When the instance started, which distinguishes it from a later one with
-    /// the same id.
-    pub(super) started_at: Option<Millis>,
-    pub(super) sent_at: Millis,
-    pub(super) route: u64,
-    pub(super) object: Option<u64>,
-    pub(super) rtt_ms: f64,
-    pub(super) slowdown: f64,
-}
-
 /// Why no target was selected.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ChooseError {
--- /dev/null
+++ b/src/policy/balance/context.rs
@@ -0,0 +1,41 @@
+//! What a choice depends on besides the targets: the instant, the entry and the
+//! request.
+
+use std::collections::BTreeSet;
+
+use super::slow_start::ColdQuota;
+use crate::domain::{AzName, InstanceId, Millis, RegionName, RouteRule, Size};
+
+/// The state that all requests of a service share at one instant.
+#[derive(Clone, Copy, Debug)]
+pub struct Context<'a> {
+    /// The present instant.
+    pub now: Millis,
+    /// The availability zone of this entry.
+    pub az: &'a AzName,
+    /// The region of this entry.
+    pub region: &'a RegionName,
+    /// Availability zones that are evacuated and get no requests.
+    pub evacuated: &'a BTreeSet<AzName>,
+    /// The rate limit for cold targets.
+    pub cold_quota: ColdQuota<'a>,
+    /// The largest fraction of requests that may change region in a window.
+    pub shift_cap: f64,
+    /// The estimated number of requests of the region's callers in that window.
+    pub region_requests: f64,
+}
+
+/// The properties of a request that decide on its target.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Its rule.
+    pub rule: &'a RouteRule,
+    /// The hash of the object that it concerns, if any.
+    pub object: Option<u64>,
+    /// The targets to which it was already sent.
+    pub tried: &'a [InstanceId],
+    /// The time that is left until its deadline.
+    pub time_left: Millis,
+    /// The size of its body, as far as it is known.
+    pub size: Size,
+}
--- a/src/policy/balance/distance.rs
+++ b/src/policy/balance/distance.rs
@@ -5,7 +5,7 @@
 //! large body is worth a slower target that is near, while a small request goes
 //! where its object is warm. See [docs/platform.md](../../../docs/platform.md).
 
-use super::{choose::Context, target::Target};
+use super::{context::Context, target::Target};
 use crate::domain::{Millis, Size};
 
 /// The round-trip time to a target in the same region.
--- a/src/policy/balance/mod.rs
+++ b/src/policy/balance/mod.rs
@@ -30,6 +30,7 @@
 
 mod capacity;
 mod choose;
+mod context;
 mod distance;
 mod duration;
 mod health;
@@ -40,11 +41,15 @@
 mod score;
 mod slow_start;
 mod target;
+mod ticket;
+mod withheld;
 
-pub use choose::{Choice, ChooseError, Context, Request, Ticket};
+pub use choose::ChooseError;
+pub use context::{Context, Request};
 pub use duration::object_hash;
 pub use load::LoadReport;
 pub use notice::{NoticeEffect, PauseEffect, PauseRequest, TargetNotice, Withheld, WithheldCounts};
-pub use pool::{Ending, Pool};
+pub use pool::Pool;
 pub use registry::{Registry, RegistryChange};
 pub use slow_start::ColdQuota;
+pub use ticket::{Choice, Ending, Ticket};
--- a/src/policy/balance/notice.rs
+++ b/src/policy/balance/notice.rs
@@ -19,12 +19,7 @@
 
 use std::collections::VecDeque;
 
-use super::{
-    choose::{Context, Ticket},
-    pool::Pool,
-    target::Target,
-};
-use crate::domain::{InstanceId, InstanceState, Millis, RouteRule};
+use crate::domain::{InstanceId, Millis};
 
 /// How long the notice of an instance is kept after its registration is gone.
 /// Registrations of other entries arrive up to 30 s late.
@@ -117,9 +112,10 @@
 /// The notices of one instance.
 #[derive(Clone, Debug, Default)]
 pub(super) struct NoticeState {
-    leaving: bool,
+    /// Whether the target is leaving.
+    pub leaving: bool,
     /// The end of the latest pause, the last instant without requests.
-    paused_until: Option<Millis>,
+    pub paused_until: Option<Millis>,
     /// Whether a notice with an unreadable duration was reported.
     unreadable: bool,
 }
@@ -127,7 +123,7 @@
 impl NoticeState {
     /// Applies a notice. A pause can only be extended, because an earlier
     /// request of the target for a longer one still holds.
-    fn apply(&mut self, now: Millis, notice: &TargetNotice) -> NoticeEffect {
+    pub fn apply(&mut self, now: Millis, notice: &TargetNotice) -> NoticeEffect {
         let leaving = notice.leaving && !self.leaving;
         self.leaving |= notice.leaving;
         let pause = match notice.pause {
@@ -155,7 +151,8 @@
         })
     }
 
-    fn is_paused(&self, now: Millis) -> bool {
+    /// Returns whether the target is paused.
+    pub fn is_paused(&self, now: Millis) -> bool {
         self.paused_until.is_some_and(|end| now <= end)
     }
 
@@ -204,7 +201,7 @@
 impl DepartedNotices {
     /// Applies a notice of an instance whose registration is gone. It has no
     /// effect if notices of a later instance with the same id are kept.
-    fn record(
+    pub fn record(
         &mut self,
         now: Millis,
         id: &InstanceId,
@@ -260,82 +257,3 @@
         applies.then_some(departed.notices)
     }
 }
-
-impl Pool {
-    /// Records the notice that came with the response to a request. It must be
-    /// called as soon as the head of the response is read. A notice of an
-    /// instance that has restarted since has no effect.
-    pub fn record_notice(
-        &mut self,
-        now: Millis,
-        ticket: &Ticket,
-        notice: &TargetNotice,
-    ) -> NoticeEffect {
-        let (id, started_at) = (&ticket.id, ticket.started_at);
-        if let Some(index) = self.find(id) {
-            let target = &mut self.targets[index];
-            return if target.instance.started_at > started_at {
-                NoticeEffect::default()
-            } else {
-                target.notices.apply(now, notice)
-            };
-        }
-        self.departed.record(now, id, started_at, notice)
-    }
-
-    /// Returns the end of the current pause of the instance that a request was
-    /// sent to, or none if it is not paused or not registered any longer.
-    #[must_use]
-    pub fn paused_until(&self, now: Millis, ticket: &Ticket) -> Option<Millis> {
-        let target = &self.targets[self.find(&ticket.id)?];
-        let same = target.instance.started_at == ticket.started_at;
-        let end = target.notices.paused_until?;
-        (same && target.notices.is_paused(now)).then_some(end)
-    }
-
-    /// Returns the numbers of choices in which targets were withheld since the
-    /// last call.
-    pub fn take_withheld(&mut self) -> WithheldCounts {
-        std::mem::take(&mut self.withheld_counts)
-    }
-
-    /// Counts a choice between the given targets.
-    pub(super) fn count_withheld(&mut self, now: Millis, eligible: &[usize]) {
-        let ready = eligible.iter().map(|i| &self.targets[*i]);
-        let ready = ready.filter(|t| t.instance.state == InstanceState::Ready);
-        let (mut leaving, mut paused) = (false, false);
-        for target in ready {
-            leaving |= target.notices.leaving;
-            paused |= target.notices.is_paused(now);
-        }
-        self.withheld_counts.leaving += u64::from(leaving);
-        self.withheld_counts.paused += u64::from(paused);
-    }
-
-    /// If notices withhold all ready targets of a route, returns the time until
-    /// the end of the first pause, none if all of them are leaving. Targets that
-    /// a request has already tried count as well, because the caller's next
-    /// attempt may use them.
-    #[must_use]
-    pub fn withheld(&self, ctx: &Context<'_>, rule: &RouteRule) -> Option<Withheld> {
-        let serves = |t: &&Target| t.serves(ctx, rule);
-        let targets = self.targets.iter().filter(serves);
-        let mut ready = targets
-            .filter(|t| t.instance.state == InstanceState::Ready)
-            .peekable();
-        ready.peek()?;
-        let mut first_end: Option<Millis> = None;
-        for target in ready {
-            let notices = &target.notices;
-            if !notices.is_withheld(ctx.now) {
-                return None;
-            }
-            if let Some(end) = notices.paused_until.filter(|_| !notices.leaving) {
-                first_end = Some(first_end.map_or(end, |first| first.min(end)));
-            }
-        }
-        Some(Withheld {
-            resume_in: first_end.map(|end| end - ctx.now),
-        })
-    }
-}
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -4,12 +4,12 @@
 use std::collections::{BTreeMap, HashMap};
 
 use super::{
-    choose::Ticket,
     distance::SizeEstimate,
     duration::DurationEstimate,
     load::{LoadReport, RegionLoad},
     notice::{DepartedNotices, WithheldCounts},
     target::Target,
+    ticket::{Ending, Ticket},
 };
 use crate::{
     domain::{AzName, Instance, InstanceId, Millis, RegionName, Size},
@@ -28,25 +28,6 @@
 /// start.
 const INITIAL_DISCOVERY: Millis = Millis(5_000);
 
-/// How a request at a target ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Ending {
-    /// The target answered.
-    Answered,
-    /// The target answered with an error.
-    ErrorResponse,
-    /// The target rejected the request without running it.
-    Rejected,
-    /// Another target has taken over the address.
-    Misdirected,
-    /// The target could not be reached.
-    Unreachable,
-    /// The connection broke or carried something other than the answer.
-    Broken,
-    /// Nobody waits for the answer any longer.
-    Cancelled,
-}
-
 /// What is known of the requests of one route.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RouteEstimate {
--- a/src/policy/balance/score.rs
+++ b/src/policy/balance/score.rs
@@ -1,7 +1,7 @@
 //! Scores a target for one request by the expected time until its answer.
 
 use super::{
-    choose::{Context, Request},
+    context::{Context, Request},
     distance::{Distance, TransferCost},
     duration::{DurationEstimate, mix, unit},
     pool::Pool,
--- a/src/policy/balance/target.rs
+++ b/src/policy/balance/target.rs
@@ -3,7 +3,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    choose::Context,
+    context::Context,
     duration::RecentObjects,
     health::Health,
     load::Load,
--- /dev/null
+++ b/src/policy/balance/ticket.rs
@@ -0,0 +1,66 @@
+//! The result of a choice, which counts as a request at its target until it ends.
+
+use crate::{
+    domain::{AzName, InstanceId, Millis, TargetId},
+    policy::overflow::Split,
+};
+
+/// The target selected for a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Its address.
+    pub addr: TargetId,
+    /// Must be passed to [`Pool::finish`](super::Pool::finish) when the request has ended.
+    pub ticket: Ticket,
+}
+
+/// A request that is counted at a target until
+/// [`Pool::finish`](super::Pool::finish) releases it,
+/// with the estimates that led to the choice.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Ticket {
+    /// The target.
+    pub id: InstanceId,
+    /// The expected time from the choice to the answer.
+    pub expected_duration: Millis,
+    /// The estimated number of requests at the target before this one.
+    pub load: f64,
+    /// The age of the load report behind that estimate, if there was one.
+    pub report_age: Option<Millis>,
+    /// Whether the target was assumed to have the object warm.
+    pub warm: bool,
+    /// Whether the target is in another region.
+    pub remote: bool,
+    /// The availability zone of the target.
+    pub az: AzName,
+    /// The split between the regions that placed the request, if both sides had a
+    /// target.
+    pub split: Option<Split>,
+    /// When the instance started, which distinguishes it from a later one with
+    /// the same id.
+    pub(super) started_at: Option<Millis>,
+    pub(super) sent_at: Millis,
+    pub(super) route: u64,
+    pub(super) object: Option<u64>,
+    pub(super) rtt_ms: f64,
+    pub(super) slowdown: f64,
+}
+
+/// How a request at a target ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// The target answered.
+    Answered,
+    /// The target answered with an error.
+    ErrorResponse,
+    /// The target rejected the request without running it.
+    Rejected,
+    /// Another target has taken over the address.
+    Misdirected,
+    /// The target could not be reached.
+    Unreachable,
+    /// The connection broke or carried something other than the answer.
+    Broken,
+    /// Nobody waits for the answer any longer.
+    Cancelled,
+}
--- a/tests/shape.rs
+++ b/tests/shape.rs
@@ -1,7 +1,11 @@
 //! Tests the layering of the modules. A decision that used a socket, a clock or
 //! an encoding could not be replayed from a seed.
 
-use std::{fs, path::Path};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    fs,
+    path::Path,
+};
 
 fn read_sources(dir: &Path, out: &mut Vec<(String, String)>) {
     for entry in fs::read_dir(dir).expect("the folder exists") {
@@ -58,3 +62,58 @@
 fn the_project_declares_no_trait() {
     insta::assert_debug_snapshot!(find_banned("src", &["pub trait ", "  trait "]), @"[]");
 }
+
+/// Returns the names of the sibling modules that a module imports by `super::`.
+fn sibling_imports(text: &str, siblings: &[String]) -> Vec<String> {
+    let code = text.lines().filter(|l| !l.trim_start().starts_with("//"));
+    let code: String = code.collect::<Vec<_>>().join("\n");
+    let mut found = Vec::new();
+    for use_item in code.split("use super::").skip(1) {
+        let item = use_item.split(';').next().unwrap_or_default();
+        let words = item.split(|c: char| !(c.is_alphanumeric() || c == '_'));
+        found.extend(words.filter(|w| siblings.iter().any(|s| s == w)));
+    }
+    found.into_iter().map(str::to_owned).collect()
+}
+
+/// Returns the modules of a folder that can reach themselves through the imports
+/// of their siblings.
+fn import_cycles(dir: &str) -> Vec<String> {
+    let mut files = Vec::new();
+    read_sources(Path::new(dir), &mut files);
+    let name = |path: &str| {
+        let file = Path::new(path).file_stem().expect("a file name");
+        file.to_string_lossy().into_owned()
+    };
+    let siblings: Vec<String> = files.iter().map(|(path, _)| name(path)).collect();
+    let imports: BTreeMap<String, Vec<String>> = files
+        .iter()
+        .map(|(path, text)| (name(path), sibling_imports(text, &siblings)))
+        .collect();
+    let reaches_itself = |start: &String| {
+        let (mut seen, mut open) = (BTreeSet::new(), vec![start]);
+        while let Some(module) = open.pop() {
+            for next in &imports[module] {
+                if next == start {
+                    return true;
+                }
+                if seen.insert(next) {
+                    open.push(next);
+                }
+            }
+        }
+        false
+    };
+    siblings
+        .iter()
+        .filter(|s| reaches_itself(s))
+        .cloned()
+        .collect()
+}
+
+/// Fails if modules of the load balancing import each other in a circle, so that
+/// none of them can be read or tested without the others.
+#[test]
+fn load_balancing_has_no_import_circle() {
+    insta::assert_debug_snapshot!(import_cycles("src/policy/balance"), @"[]");
+}
