Log the basis of refusals, and log and count requests that probe targets

A request that is refused because of overload has the side, the utilization and the share that decided in its log line, and one that goes to a target to show that it works says so (probe, savorybeam_probes_total). What is decided does not change.

--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -140,6 +140,8 @@
     pub events: Family<EventLabels, Counter>,
     /// Attempts that could not go to a target because of its notice.
     pub withheld: Family<WithheldLabels, Counter>,
+    /// Requests that find out whether a new target works.
+    pub probes: Family<ServiceLabel, Counter>,
     /// Routes in effect whose kind this version does not know.
     pub unknown_kinds: Gauge,
     /// Calls for the platform's state.
@@ -175,6 +177,7 @@
         units: Family::default(),
         events: Family::default(),
         withheld: Family::default(),
+        probes: Family::default(),
         unknown_kinds: Gauge::default(),
         syncs: Family::default(),
         outdated: Counter::default(),
@@ -200,6 +203,7 @@
     r.register(table::UNITS.base, help(&table::UNITS), m.units);
     r.register(table::EVENTS.base, help(&table::EVENTS), m.events);
     r.register(table::WITHHELD.base, help(&table::WITHHELD), m.withheld);
+    r.register(table::PROBES.base, help(&table::PROBES), m.probes);
     r.register(
         table::UNKNOWN_KINDS.base,
         help(&table::UNKNOWN_KINDS),
@@ -250,6 +254,14 @@
         }
     }
 
+    /// Counts a request that finds out whether a new target works.
+    pub fn count_probe(&self, service: &str) {
+        let label = ServiceLabel {
+            service: service.to_owned(),
+        };
+        self.probes.get_or_create(&label).inc();
+    }
+
     /// Reports whether the latest call to the store got a response.
     #[must_use]
     pub fn store_up(&self) -> bool {
--- a/src/adapters/metrics/table.rs
+++ b/src/adapters/metrics/table.rs
@@ -73,6 +73,8 @@
         "Events of the timeline.";
     WITHHELD = "withheld_attempts" "savorybeam_withheld_attempts_total", "attempts", "service, reason",
         "Attempts for which a target was passed over because it is leaving or paused.";
+    PROBES = "probes" "savorybeam_probes_total", "requests", "service",
+        "Requests that were sent to a new target of the region to find out whether it works.";
     UNKNOWN_KINDS = "unknown_kinds" "savorybeam_unknown_kinds", "routes", "",
         "Routes in effect whose kind this version does not know.";
     SYNCS = "syncs" "savorybeam_syncs_total", "calls", "upstream, scope, result",
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -17,7 +17,7 @@
     adapters::platform::headers,
     domain::{InstanceId, Millis},
     policy::{
-        balance::{ChooseError, Ticket, Withheld},
+        balance::{Basis, ChooseError, Ticket, Withheld},
         refusal::{self, Code, Refusal},
     },
     ports::Body,
@@ -69,6 +69,7 @@
         sent_count: 0,
         maybe_run: false,
         last: None,
+        refused: None,
         reported: false,
     };
     let result = forwarding.run().await;
@@ -90,6 +91,9 @@
     maybe_run: bool,
     /// The latest attempt.
     last: Option<Attempt>,
+    /// What the refusal of the request was based on, if a target could have taken
+    /// it.
+    refused: Option<Basis>,
     /// Whether the result has been logged.
     reported: bool,
 }
@@ -199,17 +203,19 @@
     }
 
     /// Returns the refusal if no target could be chosen.
-    fn choose_refusal(&self, error: ChooseError) -> Refusal {
+    fn choose_refusal(&mut self, error: ChooseError) -> Refusal {
         match error {
             ChooseError::NoTarget => self.no_target("no target is eligible"),
             ChooseError::Unavailable => self.no_target("all targets are full or failing"),
             ChooseError::Withheld(withheld) => {
                 self.withheld("all targets are paused or leaving", withheld)
             }
-            ChooseError::Displacing => {
+            ChooseError::Displacing(basis) => {
+                self.refused = Some(basis);
                 self.no_target("the region is overloaded, and no target with room has the object")
             }
-            ChooseError::TooLate { expected } => {
+            ChooseError::TooLate { expected, basis } => {
+                self.refused = Some(basis);
                 self.no_target(&format!("the response is expected only after {expected}"))
             }
         }
@@ -289,7 +295,8 @@
         let request = &self.request;
         let took = now(self.state) - request.arrived;
         let last = self.last.as_ref().map(|a| &a.ticket);
-        let split = last.and_then(|t| t.split);
+        let basis = last.map(|t| t.basis).or(self.refused);
+        let split = basis.and_then(|b| b.split);
         tracing::info!(
             request = request.label(),
             caller = self.caller.map(|c| c.ip().to_string()),
@@ -303,8 +310,10 @@
             report_age_ms = last.and_then(|t| t.report_age).map(|a| a.0),
             reported = self.last.as_ref().and_then(|a| a.reported),
             warm = last.map(|t| t.warm),
-            far = last.map(|t| t.remote),
+            probe = last.map(|t| t.probe),
+            far = basis.map(|b| b.remote),
             az = last.map(|t| t.az.as_str()),
+            utilization = basis.map(|b| b.utilization),
             far_share = split.map(|s| s.fraction),
             lifted = split.map(|s| s.lifted),
             local_load = split.map(|s| s.loads.local),
--- a/src/app/gateway/slot.rs
+++ b/src/app/gateway/slot.rs
@@ -44,6 +44,9 @@
         let metrics = &state.ports.metrics;
         metrics.count_withheld(routed.service.as_str(), withheld);
         let choice = choice?;
+        if choice.ticket.probe {
+            metrics.count_probe(routed.service.as_str());
+        }
         Ok(Self {
             state: state.clone(),
             service: routed.service.clone(),
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -11,7 +11,7 @@
     pool::{Pool, RouteEstimate},
     score::{Candidate, Estimates, LoadState},
     target::Target,
-    ticket::{Choice, Ticket},
+    ticket::{Basis, Choice, Ticket},
 };
 use crate::{
     domain::{Millis, RegionName},
@@ -42,7 +42,7 @@
 const SPILL_UTILIZATION_MAX: f64 = 1.2;
 
 /// Why no target was selected.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ChooseError {
     /// No target of the service is eligible for the request.
     NoTarget,
@@ -52,11 +52,13 @@
     Withheld(Withheld),
     /// The region is overloaded, and no target with room has the object of the
     /// request warm.
-    Displacing,
+    Displacing(Basis),
     /// The best target would answer too late.
     TooLate {
         /// The expected time until its answer.
         expected: Millis,
+        /// What the choice of that target was based on.
+        basis: Basis,
     },
 }
 
@@ -110,15 +112,20 @@
         let Some(best) = self.select_candidate(ctx, req, &estimates, &targets) else {
             return Err(self.choose_error(ctx, req, &eligible));
         };
+        let basis = Basis {
+            remote: best.remote,
+            utilization,
+            split: best.split,
+        };
         if !best.warm && !preferred.is_empty() && utilization > SPILL_UTILIZATION_MAX {
-            return Err(ChooseError::Displacing);
+            return Err(ChooseError::Displacing(basis));
         }
         let expected = millis(best.expected_ms);
         let late = expected > req.time_left || self.is_overloaded(best.delay(req.rule));
         if late && estimates.duration.is_reliable(best.warm, ctx.now) {
-            return Err(ChooseError::TooLate { expected });
+            return Err(ChooseError::TooLate { expected, basis });
         }
-        Ok(self.record_choice(ctx, req, route, &best))
+        Ok(self.record_choice(ctx, req, route, &best, basis))
     }
 
     /// Returns why none of the eligible targets was selected.
@@ -274,6 +281,7 @@
         req: &Request<'_>,
         route: u64,
         best: &Candidate,
+        basis: Basis,
     ) -> Choice {
         let now = ctx.now;
         let target = &mut self.targets[best.index];
@@ -292,9 +300,9 @@
                 load: best.load,
                 report_age: target.load.last_report.map(|at| now - at),
                 warm: best.warm,
-                remote: target.region.as_ref() != Some(ctx.region),
+                probe: best.probe,
                 az: target.instance.az.clone(),
-                split: best.split,
+                basis,
                 started_at: target.instance.started_at,
                 sent_at: now,
                 route,
--- a/src/policy/balance/mod.rs
+++ b/src/policy/balance/mod.rs
@@ -52,4 +52,4 @@
 pub use pool::Pool;
 pub use registry::{Registry, RegistryChange};
 pub use slow_start::ColdQuota;
-pub use ticket::{Choice, Ending, Ticket};
+pub use ticket::{Basis, Choice, Ending, Ticket};
--- a/src/policy/balance/score.rs
+++ b/src/policy/balance/score.rs
@@ -41,6 +41,10 @@
     /// The estimated number of requests at the target.
     pub load: f64,
     pub warm: bool,
+    /// Whether the request would show that the target works.
+    pub probe: bool,
+    /// Whether the target is in another region.
+    pub remote: bool,
     /// The split between the regions that selected this side.
     pub split: Option<Split>,
 }
@@ -128,6 +132,8 @@
             queue_ratio: waiting / slots,
             load,
             warm,
+            probe,
+            remote,
             split: None,
         }
     }
--- a/src/policy/balance/ticket.rs
+++ b/src/policy/balance/ticket.rs
@@ -29,13 +29,13 @@
     pub report_age: Option<Millis>,
     /// Whether the target was assumed to have the object warm.
     pub warm: bool,
-    /// Whether the target is in another region.
-    pub remote: bool,
+    /// Whether the target was chosen to find out whether it works, whatever the
+    /// object of the request.
+    pub probe: bool,
     /// The availability zone of the target.
     pub az: AzName,
-    /// The split between the regions that placed the request, if both sides had a
-    /// target.
-    pub split: Option<Split>,
+    /// What the choice was based on.
+    pub basis: Basis,
     /// When the instance started, which distinguishes it from a later one with
     /// the same id.
     pub(super) started_at: Option<Millis>,
@@ -46,6 +46,18 @@
     pub(super) slowdown: f64,
 }
 
+/// What a choice was based on, for logs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Basis {
+    /// Whether the request was to run in another region.
+    pub remote: bool,
+    /// The utilization of the local region, in requests per slot.
+    pub utilization: f64,
+    /// The split between the regions that placed the request, if both sides had a
+    /// target.
+    pub split: Option<Split>,
+}
+
 /// How a request at a target ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ending {
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -374,6 +374,7 @@
         leaving: 1,
         paused: 2,
     };
+    m.count_probe("slotboard");
     m.count_withheld("slotboard", withheld);
     m.count_sync("store", "changes", "ok");
 }
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -110,7 +110,12 @@
     }
     fixture.now = fixture.now + Millis(150);
     let choice = fixture.choose(&[]).expect("a target");
-    let loads = choice.ticket.split.expect("targets on both sides").loads;
+    let loads = choice
+        .ticket
+        .basis
+        .split
+        .expect("targets on both sides")
+        .loads;
     insta::assert_snapshot!(format!("{:.1}", loads.local), @"1.0");
 }
 
@@ -451,7 +456,14 @@
     }
     let own = send(7, Ending::Rejected, [2, 9]).expect("a target");
     let next = send(7, Ending::Answered, [running, waiting]);
-    let elsewhere = next.map(|ticket| ticket.id != own.id);
+    let elsewhere = match next {
+        Ok(ticket) => Ok(ticket.id != own.id),
+        Err(ChooseError::Displacing(basis)) => Err(format!(
+            "displacing at {:.2} requests per slot",
+            basis.utilization
+        )),
+        Err(e) => Err(format!("{e:?}")),
+    };
     format!("{running} running, {waiting} waiting, sticky {sticky}: {elsewhere:?}")
 }
 
