Show that every entry of a region probes each new target

Two failing tests: all 100 entries of a region send a request to each new target to find out whether it works, and two regions whose entries learn of targets late hand requests over although they have room.

--- a/tests/balance/load.rs
+++ b/tests/balance/load.rs
@@ -32,6 +32,7 @@
         warm_objects: 40,
         retries: 0,
         entries: 1,
+        late_targets: 0,
         traffic: RUN_DURATION,
         duration: RUN_DURATION,
         random: false,
--- a/tests/balance/regions.rs
+++ b/tests/balance/regions.rs
@@ -30,6 +30,7 @@
         warm_objects: 40,
         retries: 3,
         entries: 20,
+        late_targets: 0,
         traffic: Millis(12_000),
         duration: Millis(16_000),
         random: false,
@@ -115,3 +116,19 @@
         );
     }
 }
+
+/// Fails if regions whose entries learn of targets late exchange requests with the
+/// others. If each entry sends a first request to each of these targets to find out
+/// whether it works, whatever the object, most requests find their object cold, and
+/// a region with few requests is full.
+#[test]
+fn regions_that_learn_of_targets_late_keep_their_requests() {
+    let load = Load {
+        entries: 100,
+        late_targets: 10,
+        objects: 80,
+        warm_objects: 12,
+        ..load([20, 20, 20], 300.0)
+    };
+    insta::assert_debug_snapshot!(far(&deliveries(&load)));
+}
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -116,6 +116,9 @@
     pub retries: u32,
     /// The number of entries in each region, among which its requests are divided.
     pub entries: usize,
+    /// The number of targets of each region that the entries of the other regions
+    /// than the last one learn of only at [`LATE`], as over a slow link to the store.
+    pub late_targets: usize,
     /// The time after which no caller sends a request any more.
     pub traffic: Millis,
     /// The duration of the simulation.
@@ -151,6 +154,10 @@
 /// When the traffic starts.
 const START: Millis = Millis(10_000);
 
+/// When entries learn of late targets: before the traffic, but long after the
+/// first targets.
+const LATE: Millis = Millis(6_500);
+
 /// How long a caller waits before it sends a refused request again.
 const RETRY_AFTER: Millis = Millis(250);
 
@@ -215,11 +222,17 @@
         let mut pools = vec![Pool::new(); 3 * load.entries];
         let mut targets = Vec::new();
         for (at, count) in load.targets.iter().enumerate() {
-            for _ in 0..*count {
+            for nth in 0..*count {
                 let instance = instance(targets.len(), at, SLOTS);
                 let id = instance.id.clone();
-                for pool in &mut pools {
-                    pool.put(Millis(0), instance.clone(), &zones());
+                let is_late = nth + load.late_targets >= *count;
+                for (entry, pool) in pools.iter_mut().enumerate() {
+                    let at = if is_late && entry < 2 * load.entries {
+                        LATE
+                    } else {
+                        Millis(0)
+                    };
+                    pool.put(at, instance.clone(), &zones());
                 }
                 targets.push(Target {
                     id,
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -6,7 +6,8 @@
 use savorybeam::{
     domain::{Instance, InstanceId, InstanceState, Millis, RouteRule, Slots},
     policy::balance::{
-        Choice, ChooseError, Ending, LoadReport, Pool, Registry, RegistryChange, Request, Ticket,
+        Choice, ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Registry,
+        RegistryChange, Request, Ticket, object_hash,
     },
 };
 
@@ -235,6 +236,47 @@
     assert_eq!(choice.addr, addr(3));
 }
 
+/// Returns how many of 100 entries of a region send a probe to each of four targets
+/// that join while the entries have traffic.
+fn probing_entries() -> [usize; 4] {
+    let (az, region, rule, evacuated) = (az(0), region(0), rule(), BTreeSet::new());
+    let names: Vec<u64> = (0..100).map(|n| object_hash("entry", &[n])).collect();
+    let mut counts = [0; 4];
+    for name in &names {
+        let mut pool = Pool::new();
+        (0..4).for_each(|n| assert!(pool.put(Millis(0), instance(n, 0, 2), &zones())));
+        (4..8).for_each(|n| assert!(pool.put(Millis(30_000), instance(n, 0, 2), &zones())));
+        for at in 0..40 {
+            let now = Millis(30_001 + at * 100);
+            let ctx = Context {
+                cold_quota: ColdQuota {
+                    max_rate: 0.0,
+                    entries: &names,
+                    this_entry: *name,
+                },
+                ..context(now, &az, &region, &evacuated)
+            };
+            let ticket = pool.choose(&ctx, &request(&rule)).expect("a target").ticket;
+            pool.finish(now + Millis(90), &ticket, Ending::Answered, None);
+            let new = (4..8).find(|n| instance(*n, 0, 2).id == ticket.id);
+            if let Some(new) = new.filter(|_| ticket.probe) {
+                counts[new - 4] += 1;
+            }
+        }
+    }
+    counts
+}
+
+/// Fails if every entry of a large region probes each new target, which then
+/// handles as many requests of objects that it does not have, or if no entry does,
+/// so that a target without objects of its own never shows whether it works.
+#[test]
+fn few_entries_of_a_region_probe_a_new_target() {
+    let counts = probing_entries();
+    let few = counts.map(|n| (1..=10).contains(&n));
+    assert_eq!(few, [true; 4], "{counts:?}");
+}
+
 fn registered(n: usize, count: usize) -> (Registry, Vec<Instance>) {
     let mut registry = Registry::default();
     registry.record_answer(Millis(1_000));
