Let few entries of a region probe a new target

Callers saw long waits and refusals in regions with room, and up to 45 in 100 requests of a region changed their region. Each entry sent a first request to every target that it had learned of more than 5 s after the first one, whatever the object. The region counted as full, refused requests and handed others over.

A hash of entry and target selects about four entries of the region, without communication. The work of probing no longer grows with the entries. Regions with up to four entries probe as before.

few_entries_of_a_region_probe_a_new_target: 100 probes a target before, at most 10 now; regions_that_learn_of_targets_late_keep_their_requests: 10 in 100 sent away before, none now.

--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -153,10 +153,8 @@
     /// Returns the estimated number of requests of the region's callers in the
     /// window of shifts, if all its entries get as many as this one.
     #[expect(clippy::cast_precision_loss)]
-    fn region_requests(&self, now: Millis) -> f64 {
-        let region = &self.settings().region;
-        let entries = self.entries().in_region(region).count().max(1);
-        lock(&self.request_count).recent(now) * entries as f64
+    fn region_requests(&self, now: Millis, region_entries: usize) -> f64 {
+        lock(&self.request_count).recent(now) * region_entries as f64
     }
 
     /// Returns the registered targets.
@@ -294,9 +292,14 @@
         let bounds = &settings.bounds;
         let rate = table.service(service).map_or(0.0, |s| s.cold_rate);
         let now = (self.ports.clock.now)();
-        let region_requests = self.region_requests(now);
         let poll_period = self.bound_fraction(POLL_FRACTION);
-        let max_rate = if self.entries().is_settled(now, poll_period) {
+        let (region_entries, is_settled) = {
+            let entries = self.entries();
+            let here = entries.in_region(&settings.region).count().max(1);
+            (here, entries.is_settled(now, poll_period))
+        };
+        let region_requests = self.region_requests(now, region_entries);
+        let max_rate = if is_settled {
             rate * bounds.cold_factor + bounds.cold_slack
         } else {
             0.0
@@ -306,6 +309,7 @@
             az: &settings.az,
             region: &settings.region,
             evacuated: &evacuated,
+            region_entries,
             cold_quota: ColdQuota {
                 max_rate,
                 entries: &peers,
--- a/src/policy/balance/context.rs
+++ b/src/policy/balance/context.rs
@@ -17,6 +17,8 @@
     pub region: &'a RegionName,
     /// Availability zones that are evacuated and get no requests.
     pub evacuated: &'a BTreeSet<AzName>,
+    /// The number of entries in the region of this one, itself included.
+    pub region_entries: usize,
     /// The rate limit for cold targets.
     pub cold_quota: ColdQuota<'a>,
     /// The largest fraction of requests that may change region in a window.
--- a/src/policy/balance/score.rs
+++ b/src/policy/balance/score.rs
@@ -27,6 +27,11 @@
 /// used object.
 const PROBE_DISCOUNT_MS: f64 = 100_000.0;
 
+/// The expected number of entries of a region that probe a new target. A probe
+/// rarely finds its object warm and displaces another one, so the probes must not
+/// multiply with the entries.
+const PROBING_ENTRIES: f64 = 4.0;
+
 /// A target with its score for one request.
 #[derive(Clone, Copy)]
 pub(super) struct Candidate {
@@ -111,7 +116,8 @@
         let objective = req.rule.objective.0;
         #[expect(clippy::cast_precision_loss)]
         let failure_cost = target.health.failure_rate(now) * FAILURE_COST_FACTOR * objective as f64;
-        let probe = !target.contacted && !remote && !target.is_cold(now);
+        let is_new = !target.contacted && !remote && !target.is_cold(now);
+        let probe = is_new && probes(ctx, target.hash);
         let discount = if probe { PROBE_DISCOUNT_MS } else { 0.0 };
         let extra_ms = if warm {
             0.0
@@ -138,3 +144,11 @@
         }
     }
 }
+
+/// Returns whether this entry is one of those that probe a target of its region. A
+/// hash of both decides, so that the entries need no communication.
+fn probes(ctx: &Context<'_>, target: u64) -> bool {
+    #[expect(clippy::cast_precision_loss)]
+    let entries = ctx.region_entries as f64;
+    unit(mix(ctx.cold_quota.this_entry, target)) * entries < PROBING_ENTRIES
+}
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -79,6 +79,7 @@
         az,
         region,
         evacuated,
+        region_entries: 2,
         cold_quota: ColdQuota {
             max_rate: 3.0,
             entries: &[1, 2],
@@ -345,8 +346,9 @@
             cold_quota: ColdQuota {
                 max_rate: 20.0,
                 entries: &[1, 2, 3],
-                this_entry: 1,
+                this_entry: object_hash("entry", &entry.to_be_bytes()),
             },
+            region_entries: self.load.entries,
             region_requests: self.load.window_requests,
             ..context(now, &az, &region, &evacuated)
         };
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -249,6 +249,7 @@
         for at in 0..40 {
             let now = Millis(30_001 + at * 100);
             let ctx = Context {
+                region_entries: names.len(),
                 cold_quota: ColdQuota {
                     max_rate: 0.0,
                     entries: &names,
