--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -22,5 +22,5 @@
 pub use query::Query;
 pub use refusal::{CODE_HEADER, OUTCOME_HEADER, refusal_response};
 pub use replay::ReplayBody;
-pub use server::{BindError, Limits, Server, bind};
+pub use server::{BindError, Limits, Server, bind, peer_ip};
 pub use target::{PoolConfig, open};
--- a/src/adapters/http/server.rs
+++ b/src/adapters/http/server.rs
@@ -1,6 +1,12 @@
 //! Accepts connections and shuts down without interrupting running requests.
 
-use std::{convert::Infallible, fmt, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    fmt, io,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -13,6 +19,7 @@
     task::{JoinHandle, JoinSet},
     time::timeout,
 };
+use volo::net::Address;
 use volo_http::{context::ServerContext, server::Router};
 
 use super::{socket::Socket, unread};
@@ -127,6 +134,16 @@
     }
 }
 
+/// Returns the IP address of a peer, none over a Unix socket, which no server of
+/// this project listens on.
+#[must_use]
+pub fn peer_ip(peer: &Address) -> Option<IpAddr> {
+    match peer {
+        Address::Ip(addr) => Some(addr.ip()),
+        Address::Unix(_) => None,
+    }
+}
+
 /// Binds an address and serves `router` on it.
 ///
 /// # Errors
--- a/src/app/entry/inbound.rs
+++ b/src/app/entry/inbound.rs
@@ -9,7 +9,7 @@
 
 use super::{State, carry, job::Inbound, lookup};
 use crate::{
-    adapters::http::refusal_response,
+    adapters::http::{peer_ip, refusal_response},
     domain::{Millis, ServiceName},
     policy::refusal::{Code, Refusal},
 };
@@ -40,11 +40,7 @@
     let known = service.filter(|s| state.services.get(s, |s| s.document().is_ok()) == Some(true));
     let Some(service) = known else {
         if req.uri().path() == "/v1/entries" {
-            let client = match client {
-                Address::Ip(addr) => Some(addr.ip()),
-                Address::Unix(_) => None,
-            };
-            return lookup::respond(state, client, &req);
+            return lookup::respond(state, peer_ip(client), &req);
         }
         let detail = format!("no document is in force for {:?}", host.unwrap_or_default());
         return refusal_response(&Refusal::not_run(Code::UnknownService, detail));
--- a/src/app/gateway/directory.rs
+++ b/src/app/gateway/directory.rs
@@ -87,11 +87,7 @@
     let region = region.unwrap_or_else(|| settings.region.clone());
     // The others learn of a stop from the store; this entry knows it already.
     let leaving = state.is_stopping().then_some(&settings.name);
-    let caller_hash = match peer {
-        Address::Ip(addr) => xxh3_64(addr.ip().to_string().as_bytes()),
-        // Lookups arrive over TCP only.
-        Address::Unix(_) => 0,
-    };
+    let caller_hash = web::peer_ip(peer).map_or(0, |ip| xxh3_64(ip.to_string().as_bytes()));
     let entries = state.entries();
     let mut fronts = entries.lookup_addresses(Some(&region), caller_hash, leaving);
     drop(entries);
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards one request to targets until one has answered.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use http::{Request, Response};
 use xxhash_rust::xxh3::xxh3_64;
@@ -42,7 +42,7 @@
 /// Returns the refusal for the caller if no target gave a valid response.
 pub(super) async fn forward(
     state: &Arc<State>,
-    caller: Option<SocketAddr>,
+    caller: Option<IpAddr>,
     req: Request<Body>,
 ) -> Result<Response<Body>, Refusal> {
     let id = headers::read_request_head(req.headers()).id;
@@ -81,7 +81,7 @@
 struct Forwarding<'a> {
     state: &'a Arc<State>,
     /// The address of the caller, for logs.
-    caller: Option<SocketAddr>,
+    caller: Option<IpAddr>,
     request: RoutedRequest,
     /// The targets that were chosen, in order.
     tried: Vec<InstanceId>,
@@ -299,7 +299,7 @@
         let split = basis.and_then(|b| b.split);
         tracing::info!(
             request = request.label(),
-            caller = self.caller.map(|c| c.ip().to_string()),
+            caller = self.caller.map(|c| c.to_string()),
             route = request.rule.name,
             version = %request.table.version,
             object = request.object.map(|o| format!("{o:016x}")),
--- a/src/app/gateway/front.rs
+++ b/src/app/gateway/front.rs
@@ -8,7 +8,7 @@
 use volo_http::{body::Body, server::Router};
 
 use super::{State, forward, response};
-use crate::adapters::platform::headers;
+use crate::adapters::{http::peer_ip, platform::headers};
 
 /// How long callers may reuse an idle connection. It is shorter than
 /// [`super::IDLE_TIMEOUT`], so that a caller does not send a request on a
@@ -42,11 +42,7 @@
 }
 
 async fn handle(state: Arc<State>, peer: &Address, req: Request<Body>) -> Response<Body> {
-    let caller = match peer {
-        Address::Ip(addr) => Some(*addr),
-        // Callers connect over TCP only.
-        Address::Unix(_) => None,
-    };
+    let caller = peer_ip(peer);
     let result = forward::forward(&state, caller, req.map(BodyExt::boxed)).await;
     let mut resp = match result {
         Ok(resp) => resp.map(Body::from_body),
