--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -139,6 +139,12 @@
         now(&self.state) - self.call_start
     }
 
+    /// Returns the time since the current call started and the age of the state, in
+    /// milliseconds, for the log lines of calls that failed.
+    fn log_times(&self) -> (u64, u64) {
+        (self.call_time().0, self.state_age().0)
+    }
+
     /// Calls the upstream once and applies the changes. Returns the time from
     /// the start of this step to that of the next one.
     async fn step(&mut self, start: Millis) -> Millis {
@@ -187,21 +193,10 @@
         match self.poll_store(start, after).await {
             Ok(()) if self.compacted => Millis(0),
             Ok(()) => next,
-            Err(()) => {
-                self.record_store_failure();
-                self.next_retry_delay()
-            }
+            Err(()) => self.next_retry_delay(),
         }
     }
 
-    /// Makes the feed poll another entry for a time.
-    fn record_store_failure(&mut self) {
-        let now = now(&self.state);
-        let failure = UpstreamFailure::Unresponsive;
-        self.upstreams
-            .record_failure(now, &Upstream::Store, failure);
-    }
-
     /// Returns the time from the start of a failed call to the next one, and
     /// doubles it for the next failure. The delay matters for calls that the
     /// store refuses at once; a call that times out takes at least as long as
@@ -226,8 +221,7 @@
             }
             Err(e) => {
                 self.count_sync("store", "complete", "failed");
-                self.record_failure(&e);
-                self.record_store_failure();
+                self.record_store_failure(&e);
             }
         }
         let settings = self.state.settings();
@@ -292,7 +286,7 @@
             }
             Err(PlatformError::Compacted) => {
                 self.count_sync("store", "changes", "compacted");
-                let (took_ms, age_ms) = (self.call_time().0, self.state_age().0);
+                let (took_ms, age_ms) = self.log_times();
                 tracing::warn!(
                     took_ms,
                     age_ms,
@@ -305,7 +299,7 @@
             }
             Err(e) => {
                 self.count_sync("store", "changes", "failed");
-                self.record_failure(&e);
+                self.record_store_failure(&e);
                 Err(())
             }
         }
@@ -378,7 +372,7 @@
     }
 
     fn log_failed_entry(&self, name: &EntryId, cause: &dyn std::fmt::Display) {
-        let (took_ms, age_ms) = (self.call_time().0, self.state_age().0);
+        let (took_ms, age_ms) = self.log_times();
         tracing::warn!(%name, %cause, took_ms, age_ms, "feed: the upstream entry failed.");
     }
 
@@ -402,9 +396,10 @@
         self.retry_delay = RETRY_DELAY_MIN;
     }
 
-    /// Records that the store did not answer.
-    fn record_failure(&mut self, e: &PlatformError) {
-        let (took_ms, age_ms) = (self.call_time().0, self.state_age().0);
+    /// Records that the store did not answer, so that the feed polls another entry
+    /// for a time.
+    fn record_store_failure(&mut self, e: &PlatformError) {
+        let (took_ms, age_ms) = self.log_times();
         if self.store_failed {
             tracing::info!(cause = %e, took_ms, age_ms, "feed: the store is still unavailable.");
         } else {
@@ -412,6 +407,9 @@
         }
         self.store_failed = true;
         self.timeout = (self.timeout + self.timeout).min(TIMEOUT_MAX);
+        let (now, failure) = (now(&self.state), UpstreamFailure::Unresponsive);
+        self.upstreams
+            .record_failure(now, &Upstream::Store, failure);
         self.remove_expired();
     }
 }
