Probe no targets that were registered before the first request

A target counted as known from the start for 5 s after the first one. At a start of the whole fleet the registry fills for longer, and which regions got their last group of targets in time was a matter of half a second. All targets are new then; none has shown more than another that it works, and a probe only sends a request past the target that will have its object.

The test of new targets sends a first request before they join, as it says.

--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -284,6 +284,7 @@
         basis: Basis,
     ) -> Choice {
         let now = ctx.now;
+        self.has_traffic = true;
         let target = &mut self.targets[best.index];
         let expected = millis(best.expected_ms);
         target.load.own += 1;
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -25,7 +25,7 @@
 const SLOWDOWN_REVERSION: f64 = 0.01;
 
 /// The time after the first target within which others count as known from the
-/// start.
+/// start, even if there are requests already.
 const INITIAL_DISCOVERY: Millis = Millis(5_000);
 
 /// What is known of the requests of one route.
@@ -58,6 +58,8 @@
     pub(super) peak_slots: (f64, Millis),
     /// When the first target was added.
     pub(super) first_added: Option<Millis>,
+    /// Whether a target has been chosen for any request.
+    pub(super) has_traffic: bool,
     /// The fraction of recent requests with a long queueing delay.
     pub(super) long_fraction: f64,
     /// The notices of targets that are no longer registered.
@@ -87,7 +89,7 @@
             let mut target = Target::new(instance, region, now);
             // Targets known from the start need no probe request: they get
             // their requests by hash.
-            target.contacted = now < first_added + INITIAL_DISCOVERY;
+            target.contacted = !self.has_traffic || now < first_added + INITIAL_DISCOVERY;
             let Instance { id, started_at, .. } = &target.instance;
             let notices = self.departed.take(now, id, *started_at);
             target.notices = notices.unwrap_or_default();
--- a/tests/balance/targets.rs
+++ b/tests/balance/targets.rs
@@ -237,17 +237,14 @@
 }
 
 /// Returns how many of 100 entries of a region send a probe to each of four targets
-/// that join while the entries have traffic.
-fn probing_entries() -> [usize; 4] {
+/// that join 30 s after the first ones, and after a first request if there is one.
+fn probing_entries(first_request: bool) -> [usize; 4] {
     let (az, region, rule, evacuated) = (az(0), region(0), rule(), BTreeSet::new());
     let names: Vec<u64> = (0..100).map(|n| object_hash("entry", &[n])).collect();
     let mut counts = [0; 4];
     for name in &names {
         let mut pool = Pool::new();
-        (0..4).for_each(|n| assert!(pool.put(Millis(0), instance(n, 0, 2), &zones())));
-        (4..8).for_each(|n| assert!(pool.put(Millis(30_000), instance(n, 0, 2), &zones())));
-        for at in 0..40 {
-            let now = Millis(30_001 + at * 100);
+        let mut send = |pool: &mut Pool, now| {
             let ctx = Context {
                 region_entries: names.len(),
                 cold_quota: ColdQuota {
@@ -263,7 +260,13 @@
             if let Some(new) = new.filter(|_| ticket.probe) {
                 counts[new - 4] += 1;
             }
+        };
+        (0..4).for_each(|n| assert!(pool.put(Millis(0), instance(n, 0, 2), &zones())));
+        if first_request {
+            send(&mut pool, Millis(29_000));
         }
+        (4..8).for_each(|n| assert!(pool.put(Millis(30_000), instance(n, 0, 2), &zones())));
+        (0..40).for_each(|at| send(&mut pool, Millis(30_001 + at * 100)));
     }
     counts
 }
@@ -273,11 +276,19 @@
 /// so that a target without objects of its own never shows whether it works.
 #[test]
 fn few_entries_of_a_region_probe_a_new_target() {
-    let counts = probing_entries();
+    let counts = probing_entries(true);
     let few = counts.map(|n| (1..=10).contains(&n));
     assert_eq!(few, [true; 4], "{counts:?}");
 }
 
+/// Fails if targets that are registered before there are any requests, as at the
+/// start of all entries, are probed because an entry learned of them late. All
+/// targets are new then, and none has shown more than another that it works.
+#[test]
+fn targets_that_precede_the_first_request_are_not_probed() {
+    assert_eq!(probing_entries(false), [0; 4]);
+}
+
 fn registered(n: usize, count: usize) -> (Registry, Vec<Instance>) {
     let mut registry = Registry::default();
     registry.record_answer(Millis(1_000));
