Let an entry that keeps no requests take them back

The need for other regions was computed from the part of the requests that an entry keeps, so that an entry with a share of 1 stayed there whatever the load of its region, and entries with shares near 1 took long.

At least a tenth now counts as kept. an_entry_that_keeps_no_requests_takes_ them_back: 1.00 for good before, 0.87 after 5 s now.

--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -48,6 +48,11 @@
 /// exchange their requests.
 const LOAD_TOLERANCE: f64 = 1.25;
 
+/// The smallest fraction of requests that counts as kept when the need is computed
+/// from the load. An entry that keeps next to none has no part in the load of its
+/// region, which then seems independent of the fraction.
+const KEPT_FRACTION_MIN: f64 = 0.1;
+
 /// The time constant of the moving average of the requests' preferences.
 const PREFERENCE_DECAY_MS: f64 = 700.0;
 
@@ -190,7 +195,8 @@
         if loads.local <= 0.0 {
             return 0.0;
         }
-        (1.0 - (1.0 - self.fraction) * goal / loads.local).clamp(0.0, 1.0)
+        let kept = (1.0 - self.fraction).max(KEPT_FRACTION_MIN);
+        (1.0 - kept * goal / loads.local).clamp(0.0, 1.0)
     }
 }
 
--- a/tests/balance/shares.rs
+++ b/tests/balance/shares.rs
@@ -171,6 +171,14 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Fails if an entry that sends all of its requests away does so for good. Its own
+/// share then says nothing about the load of the region, which is that of the other
+/// entries' requests.
+#[test]
+fn an_entry_that_keeps_no_requests_takes_them_back() {
+    insta::assert_snapshot!(fractions(1.0, IDLE, 2_000.0, 5).join(" "));
+}
+
 /// Fails if a region with many requests in a window uses as little of the cap as
 /// one with few, or if a share returns as fast as it left.
 #[test]
