Limit how far refusals change where requests run

When one region's callers burst, up to 35 in 100 of its requests changed their region within 4 s without a lost target.

Each entry keeps one account of its requests of all services, by the side on which they were placed and on which they were sent. While refusals have raised the far part by three tenths of the cap, requests that are placed far run near or are refused there. The rest of the cap is what the share itself may use. Without refusals the two parts are equal, so that the varying mix of an entry's few requests changes nothing.

--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -204,18 +204,17 @@
 
     /// Returns the refusal if no target could be chosen.
     fn choose_refusal(&mut self, error: ChooseError) -> Refusal {
+        self.refused = error.basis();
         match error {
             ChooseError::NoTarget => self.no_target("no target is eligible"),
             ChooseError::Unavailable => self.no_target("all targets are full or failing"),
             ChooseError::Withheld(withheld) => {
                 self.withheld("all targets are paused or leaving", withheld)
             }
-            ChooseError::Displacing(basis) => {
-                self.refused = Some(basis);
+            ChooseError::Displacing(_) => {
                 self.no_target("the region is overloaded, and no target with room has the object")
             }
-            ChooseError::TooLate { expected, basis } => {
-                self.refused = Some(basis);
+            ChooseError::TooLate { expected, .. } => {
                 self.no_target(&format!("the response is expected only after {expected}"))
             }
         }
@@ -314,6 +313,7 @@
             far = basis.map(|b| b.remote),
             az = last.map(|t| t.az.as_str()),
             utilization = basis.map(|b| b.utilization),
+            placed_far = basis.map(|b| b.placed_remote()),
             far_share = split.map(|s| s.fraction),
             lifted = split.map(|s| s.lifted),
             local_load = split.map(|s| s.loads.local),
--- a/src/app/gateway/slot.rs
+++ b/src/app/gateway/slot.rs
@@ -43,6 +43,14 @@
             });
         let metrics = &state.ports.metrics;
         metrics.count_withheld(routed.service.as_str(), withheld);
+        let sent = choice.is_ok();
+        let basis = match &choice {
+            Ok(choice) => Some(choice.ticket.basis),
+            Err(error) => error.basis(),
+        };
+        if let Some(basis) = basis {
+            state.record_side(&basis, sent);
+        }
         let choice = choice?;
         if choice.ticket.probe {
             metrics.count_probe(routed.service.as_str());
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -16,10 +16,10 @@
     adapters::metrics::Metrics,
     domain::{AzName, Bounds, Millis, Revision, ServiceName, Shards, Size},
     policy::{
-        balance::{ColdQuota, Context, Pool, Registry},
+        balance::{Basis, ColdQuota, Context, Pool, Registry},
         budget::RetryLimits,
         drain::StopSchedule,
-        overflow::RequestCount,
+        overflow::{RequestCount, Sides},
         presence::Entries,
         replay,
         route::Table,
@@ -68,6 +68,8 @@
     entries: Mutex<Entries>,
     /// The requests that callers have sent lately.
     request_count: Mutex<RequestCount>,
+    /// Where requests were placed lately, and which of them were refused.
+    sides: Mutex<Sides>,
     registry: Mutex<Registry>,
     change_log: Mutex<ChangeLog<Change>>,
     /// The revision up to which the change log is complete.
@@ -98,6 +100,7 @@
             peers: RwLock::default(),
             entries: Mutex::default(),
             request_count: Mutex::default(),
+            sides: Mutex::default(),
             registry: Mutex::default(),
             change_log: Mutex::default(),
             revision: watch::Sender::new(Revision(0)),
@@ -150,6 +153,13 @@
         lock(&self.request_count).record(now);
     }
 
+    /// Records on which side a request was placed, and whether it was sent.
+    pub(super) fn record_side(&self, basis: &Basis, sent: bool) {
+        let now = (self.ports.clock.now)();
+        let sent_remote = sent.then_some(basis.remote);
+        lock(&self.sides).record(now, basis.placed_remote(), sent_remote);
+    }
+
     /// Returns the estimated number of requests of the region's callers in the
     /// window of shifts, if all its entries get as many as this one.
     #[expect(clippy::cast_precision_loss)]
@@ -317,6 +327,7 @@
             },
             shift_cap: bounds.max_shift,
             region_requests,
+            sides: *lock(&self.sides),
         };
         self.pools
             .with(service.clone(), Pool::new, |p| f(p, &context))
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -75,6 +75,18 @@
     utilization: f64,
 }
 
+impl ChooseError {
+    /// Returns what the refusal was based on, if a target could have taken the
+    /// request.
+    #[must_use]
+    pub fn basis(&self) -> Option<Basis> {
+        match self {
+            Self::Displacing(basis) | Self::TooLate { basis, .. } => Some(*basis),
+            Self::NoTarget | Self::Unavailable | Self::Withheld(_) => None,
+        }
+    }
+}
+
 impl Pool {
     /// Selects a target for a request and counts the request there.
     ///
@@ -217,11 +229,13 @@
             .get_or_insert_with(|| Overflow::new(capacity.initial_overflow()));
         let hash_position = req.object.filter(|_| req.rule.sticky).map(hash_position);
         let placement = overflow.assign(ctx.now, preference, slot_loads, hash_position, limit);
+        let diverts = !limit.lifted && local.is_some() && ctx.sides.is_distorted(ctx.shift_cap);
         let side = match placement {
-            Placement::Local => local,
-            Placement::Remote => Some(remote),
+            Placement::Remote if !diverts => Some(remote),
+            _ => local,
         };
         let split = Some(Split {
+            placement,
             fraction: overflow.fraction(),
             lifted: limit.lifted,
             loads: slot_loads,
--- a/src/policy/balance/context.rs
+++ b/src/policy/balance/context.rs
@@ -4,7 +4,10 @@
 use std::collections::BTreeSet;
 
 use super::slow_start::ColdQuota;
-use crate::domain::{AzName, InstanceId, Millis, RegionName, RouteRule, Size};
+use crate::{
+    domain::{AzName, InstanceId, Millis, RegionName, RouteRule, Size},
+    policy::overflow::Sides,
+};
 
 /// The state that all requests of a service share at one instant.
 #[derive(Clone, Copy, Debug)]
@@ -25,6 +28,8 @@
     pub shift_cap: f64,
     /// The estimated number of requests of the region's callers in that window.
     pub region_requests: f64,
+    /// Where this entry has placed its recent requests, and which it refused.
+    pub sides: Sides,
 }
 
 /// The properties of a request that decide on its target.
--- a/src/policy/balance/ticket.rs
+++ b/src/policy/balance/ticket.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     domain::{AzName, InstanceId, Millis, TargetId},
-    policy::overflow::Split,
+    policy::overflow::{Placement, Split},
 };
 
 /// The target selected for a request.
@@ -58,6 +58,16 @@
     pub split: Option<Split>,
 }
 
+impl Basis {
+    /// Returns whether the request was placed in another region, where it runs unless
+    /// that would change the region of too many requests.
+    #[must_use]
+    pub fn placed_remote(&self) -> bool {
+        let placement = self.split.map(|s| s.placement);
+        placement.map_or(self.remote, |p| p == Placement::Remote)
+    }
+}
+
 /// How a request at a target ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ending {
--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -17,6 +17,10 @@
 //! lost the slope limit does not apply, because requests would fail in the
 //! meantime.
 
+mod sides;
+
+pub use sides::Sides;
+
 use crate::domain::Millis;
 
 /// The window over which users measure how much traffic changes region.
@@ -92,6 +96,8 @@
 /// The state by which a request was placed, for logs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Split {
+    /// Where the request was placed. It may run on the other side, see [`Sides`].
+    pub placement: Placement,
     /// The fraction of requests that runs in other regions.
     pub fraction: f64,
     /// Whether the slope limit was lifted, so that the request ran where it cost
--- a/tests/balance/regions.rs
+++ b/tests/balance/regions.rs
@@ -25,6 +25,7 @@
     Load {
         targets,
         rate: [rate; 3],
+        burst: 1.0,
         window_requests: rate * 2.0,
         objects: 34,
         warm_objects: 40,
@@ -132,3 +133,21 @@
     };
     insta::assert_debug_snapshot!(far(&deliveries(&load)));
 }
+
+/// Fails if requests change their region because one side refuses more of them, as
+/// in a burst and at its end. The fraction that is placed elsewhere changes slowly,
+/// but the fraction among those that run grows with the refusals of the other side.
+#[test]
+fn refusals_in_a_burst_do_not_change_the_region_of_others() {
+    for (targets, burst) in [(20, 3.0), (10, 2.0), (8, 3.0)] {
+        let all = deliveries(&Load {
+            burst,
+            objects: 80,
+            warm_objects: 12,
+            ..load([targets, 30, 30], 300.0)
+        });
+        let shift = largest_shift(&all, 0);
+        let divisions: Vec<_> = (0..8).map(|w| division(&all, 0, w)).collect();
+        assert!(shift <= SHIFT_MAX, "{shift} in 100: {divisions:?}");
+    }
+}
--- a/tests/balance/shares.rs
+++ b/tests/balance/shares.rs
@@ -7,7 +7,7 @@
     policy::{
         balance::ColdQuota,
         budget::{RetryBudget, RetryLimits},
-        overflow::{Overflow, Placement, RequestCount, ShiftLimit, SlotLoads},
+        overflow::{Overflow, Placement, RequestCount, ShiftLimit, Sides, SlotLoads},
     },
 };
 
@@ -207,3 +207,33 @@
     let at = |now| format!("{:.0}", count.recent(Millis(now)));
     insta::assert_snapshot!([at(10_000), at(12_000), at(20_000)].join(" "), @"198 73 1");
 }
+
+/// Returns the fraction of the requests that runs in other regions, of which 40 in
+/// 100 are placed there, if the local side refuses some of its requests.
+fn remote_fraction(refused: f64) -> String {
+    let mut sides = Sides::default();
+    let (mut sent, mut remote, mut due) = (0.0, 0.0, 0.0);
+    for step in 0..4_000 {
+        let placed_remote = step % 5 < 2;
+        let runs_remote = placed_remote && !sides.is_distorted(SHIFT.cap);
+        due += refused;
+        let is_refused = !runs_remote && due >= 1.0;
+        due -= f64::from(u8::from(is_refused));
+        let side = (!is_refused).then_some(runs_remote);
+        sides.record(Millis(step * 50), placed_remote, side);
+        if let Some(is_remote) = side {
+            sent += 1.0;
+            remote += f64::from(u8::from(is_remote));
+        }
+    }
+    format!("{refused:.1}: {:.2}", remote / sent)
+}
+
+/// Fails if refusals of one side raise the other's part of the requests that run
+/// beyond a fraction of the cap, however many they are, or if the placement changes
+/// although none is refused.
+#[test]
+fn refusals_raise_the_part_of_other_regions_by_a_fraction_of_the_cap() {
+    let lines = [0.0, 0.1, 0.3, 0.6].map(remote_fraction);
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -13,8 +13,11 @@
         AzName, Instance, InstanceId, InstanceState, Millis, RegionName, RequestKind, Revision,
         RouteRule, Size, Slots, TargetId, WeightedService,
     },
-    policy::balance::{
-        ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Request, Ticket, object_hash,
+    policy::{
+        balance::{
+            ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Request, Ticket, object_hash,
+        },
+        overflow::Sides,
     },
 };
 
@@ -87,6 +90,7 @@
         },
         shift_cap: 0.15,
         region_requests: 0.0,
+        sides: Sides::default(),
     }
 }
 
@@ -107,6 +111,9 @@
     pub targets: [usize; 3],
     /// Requests per second in each region.
     pub rate: [f64; 3],
+    /// By how much the requests of the first region's callers grow after
+    /// [`BURST_START`].
+    pub burst: f64,
     /// The number of a region's requests in a window, as its entries estimate it.
     pub window_requests: f64,
     /// The number of objects that the callers of each region use.
@@ -155,6 +162,9 @@
 /// When the traffic starts.
 const START: Millis = Millis(10_000);
 
+/// When a burst starts.
+const BURST_START: Millis = Millis(16_000);
+
 /// When entries learn of late targets: before the traffic, but long after the
 /// first targets.
 const LATE: Millis = Millis(6_500);
@@ -210,6 +220,7 @@
     load: &'a Load,
     rng: SmallRng,
     pools: Vec<Pool>,
+    sides: Vec<Sides>,
     targets: Vec<Target>,
     calls: Vec<Call>,
     events: BinaryHeap<Reverse<(Millis, u64, Event)>>,
@@ -248,6 +259,7 @@
         let mut simulation = Self {
             load,
             rng: SmallRng::seed_from_u64(seed),
+            sides: vec![Sides::default(); pools.len()],
             pools,
             targets,
             calls: Vec::new(),
@@ -266,7 +278,13 @@
     }
 
     fn next_arrival(&mut self, now: Millis, region: usize) {
-        let gap = -self.rng.random::<f64>().max(1e-9).ln() * 1000.0 / self.load.rate[region];
+        let factor = if region == 0 && now >= BURST_START {
+            self.load.burst
+        } else {
+            1.0
+        };
+        let rate = self.load.rate[region] * factor;
+        let gap = -self.rng.random::<f64>().max(1e-9).ln() * 1000.0 / rate;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let next = now + Millis(gap as u64);
         if next < START + self.load.traffic {
@@ -350,6 +368,7 @@
             },
             region_entries: self.load.entries,
             region_requests: self.load.window_requests,
+            sides: self.sides[entry],
             ..context(now, &az, &region, &evacuated)
         };
         let req = Request {
@@ -357,6 +376,14 @@
             ..request(&self.rule)
         };
         let choice: Result<_, ChooseError> = self.pools[entry].choose(&ctx, &req);
+        let basis = match &choice {
+            Ok(choice) => Some(choice.ticket.basis),
+            Err(error) => error.basis(),
+        };
+        if let Some(basis) = basis {
+            let sent_remote = choice.is_ok().then_some(basis.remote);
+            self.sides[entry].record(now, basis.placed_remote(), sent_remote);
+        }
         let ticket = choice.ok()?.ticket;
         let at = self.targets.iter().position(|s| s.id == ticket.id);
         Some((at.expect("a known target"), Some(ticket)))
