Send once-only requests on no connection that may be silent

A POST behind a hedged GET could end as deadline-exceeded, unknown, on a connection that was silent. Connections that were idle while a request got no response are closed when it is cancelled after a second or more; but a hedge that answers sooner (after the 95th percentile, 200 ms in the test) cancels the first copy earlier, and the other silent connections stayed in the pool.

--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -99,6 +99,9 @@
 struct IdleConn {
     conn: Conn,
     since: Millis,
+    /// Whether a later request to the same target was cancelled before it had a
+    /// response.
+    suspect: bool,
 }
 
 /// The idle connections by target. Each shard has its own lock.
@@ -141,12 +144,13 @@
         in_flight,
         connect_timeout: limit,
         fresh,
+        once_only,
         started,
         may_reuse,
     } = out;
     declare_framing(&mut request);
     let mut guard = SilenceGuard::new(pool, clock, target);
-    while !fresh && let Some(mut conn) = checkout(pool, target, (clock.now)()) {
+    while !fresh && let Some(mut conn) = checkout(pool, target, (clock.now)(), once_only) {
         conn.set_in_flight(&in_flight);
         started.set();
         match conn.sender.try_send_request(request).await {
@@ -194,11 +198,13 @@
     }
 }
 
-/// Closes suspect idle connections if a request is cancelled late.
+/// Closes or marks suspect idle connections if a request is cancelled.
 ///
 /// Whatever made the connection of an unanswered request silent may also affect
 /// those that were idle when it was sent. If they stayed in the pool, each would
-/// cost one more request its deadline.
+/// cost one more request its deadline. After a short wait, as before a hedge that
+/// answers first, the target may as well be slow, so that they stay for requests
+/// that can be repeated.
 struct SilenceGuard<'a> {
     pool: &'a Pool,
     clock: &'a Clock,
@@ -225,11 +231,18 @@
 
 impl Drop for SilenceGuard<'_> {
     fn drop(&mut self) {
-        if !self.disarmed && (self.clock.now)() - self.sent >= MIN_SILENCE {
-            let sent = self.sent;
-            let retain_newer = |idle: &mut Vec<IdleConn>| idle.retain(|c| c.since >= sent);
-            self.pool.idle.get(&self.target, retain_newer);
+        if self.disarmed {
+            return;
         }
+        let sent = self.sent;
+        let is_silent = (self.clock.now)() - sent >= MIN_SILENCE;
+        self.pool.idle.get(&self.target, |idle| {
+            if is_silent {
+                idle.retain(|c| c.since >= sent);
+            }
+            let older = idle.iter_mut().filter(|c| c.since < sent);
+            older.for_each(|c| c.suspect = true);
+        });
     }
 }
 
@@ -242,11 +255,13 @@
     }
 }
 
-/// Takes an idle connection that has not expired and is still open.
-fn checkout(pool: &Pool, target: TargetId, now: Millis) -> Option<Conn> {
+/// Takes an idle connection that has not expired and is still open. A request that
+/// runs once only gets none that may be silent.
+fn checkout(pool: &Pool, target: TargetId, now: Millis, once_only: bool) -> Option<Conn> {
     pool.idle
         .get(&target, |idle| {
-            while let Some(IdleConn { conn, since }) = idle.pop() {
+            while let Some(last) = idle.iter().rposition(|c| !once_only || !c.suspect) {
+                let IdleConn { conn, since, .. } = idle.remove(last);
                 let fresh = now - since <= pool.config.idle_timeout;
                 if fresh && conn.sender.is_ready() && !conn.probe.is_closed() {
                     return Some(conn);
@@ -294,7 +309,11 @@
             pool.retain(idle, since);
             let has_room = idle.len() < pool.config.max_idle;
             if has_room {
-                idle.push(IdleConn { conn, since });
+                idle.push(IdleConn {
+                    conn,
+                    since,
+                    suspect: false,
+                });
             }
             has_room
         });
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -145,6 +145,7 @@
         let hold = slot.hold();
         let out = Outbound {
             in_flight: hold,
+            once_only: !self.job.idempotent,
             // Responses have no request id. A faulty target that writes a shed
             // response once more would make the next request on the connection
             // appear shed.
--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -81,6 +81,7 @@
     let out = Outbound {
         connect_timeout: CONNECT_TIMEOUT,
         fresh: routed.id.is_none(),
+        once_only: !routed.rule.kind.is_idempotent(),
         may_reuse: Arc::new(may_reuse),
         ..Outbound::new(slot.choice.addr, request)
     };
--- a/src/ports/targets.rs
+++ b/src/ports/targets.rs
@@ -113,6 +113,9 @@
     /// request without an id does, because nothing in a response shows to which
     /// request it belongs.
     pub fresh: bool,
+    /// Whether the request is not sent on a connection that may be silent, because
+    /// nothing would show whether the target has run it.
+    pub once_only: bool,
     /// Set before the first byte is sent.
     pub started: SendStarted,
     /// Called with the head of the response, before the response is returned.
@@ -142,6 +145,7 @@
             in_flight: Arc::new(oneshot::channel().0),
             connect_timeout: DEFAULT_CONNECT_TIMEOUT,
             fresh: false,
+            once_only: false,
             started: SendStarted::default(),
             may_reuse: Arc::new(|_, _| true),
         }
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -235,3 +235,42 @@
     /half: timed out true, 200 /next on connection 2, 200 /last on connection 2
     ");
 }
+
+/// Returns which connection a request gets if three were idle while another request
+/// was cancelled before its response.
+async fn connection_after_cancellation(once_only: bool) -> &'static str {
+    let (target, targets) = (Target::open(), open_pool());
+    let send = |path| {
+        (targets.send)(Outbound {
+            once_only,
+            ..request(&target, path)
+        })
+    };
+    let (a, b, c) = tokio::join!(send("/half"), send("/half"), send("/half"));
+    for answer in [a, b, c] {
+        read(answer).await;
+    }
+    tokio::time::sleep(SETTLE).await;
+    let cancelled = tokio::time::timeout(LATE / 4, send("/late")).await;
+    assert!(cancelled.is_err(), "a response came early");
+    let answer = read(send("/next").await).await;
+    let known = ["connection 1", "connection 2", "connection 3"];
+    if known.iter().any(|c| answer.ends_with(c)) {
+        "a suspect connection"
+    } else {
+        "a new connection"
+    }
+}
+
+/// Fails if a request that runs once only is sent on a connection that may be
+/// silent: one that was idle while another request to the target got no response,
+/// for example until its hedge answered. Nothing would show whether it has run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_once_only_request_uses_no_suspect_connection() {
+    let repeatable = connection_after_cancellation(false).await;
+    let once_only = connection_after_cancellation(true).await;
+    insta::assert_snapshot!(format!("repeatable: {repeatable}\nonce only: {once_only}"), @r"
+    repeatable: a suspect connection
+    once only: a new connection
+    ");
+}
