--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -90,6 +90,43 @@
     })
 }
 
+/// Spawns two entries of a region, which count their polls, and waits until they
+/// know each other.
+async fn spawn_pair(store: &Arc<Store>, polls: [&Arc<AtomicU32>; 2]) -> (Gateway, Gateway) {
+    let spawn = async |name: &str, polls| {
+        let settings = relay_settings(name, Vec::new());
+        let entry = vm::entry::spawn(settings, platform(store, polls)).await;
+        store.put(presence(&entry, name));
+        entry
+    };
+    let first = spawn("edge-1", polls[0]).await;
+    let second = spawn("edge-2", polls[1]).await;
+    wait_until("both entries know each other", || {
+        [&first, &second].iter().all(|g| g.state.peers().len() == 2)
+    })
+    .await;
+    (first, second)
+}
+
+/// Spawns an entry, and another one that can only read the state of the first,
+/// because the store fails after `change`.
+async fn spawn_behind_outage(
+    store: &Arc<Store>,
+    polls: &Arc<AtomicU32>,
+    change: impl FnOnce(),
+) -> (Gateway, Gateway) {
+    let settings = relay_settings("edge-1", Vec::new());
+    let first = vm::entry::spawn(settings, platform(store, polls)).await;
+    wait_until("the first is ready", || first.state.is_ready()).await;
+    store.unavailable.store(true, SeqCst);
+    change();
+    let seed = first.relay_addr().expect("an address");
+    let settings = relay_settings("edge-2", vec![seed]);
+    let second = vm::entry::spawn(settings, platform(store, polls)).await;
+    wait_until("the second is ready", || second.state.is_ready()).await;
+    (first, second)
+}
+
 /// Fails if an entry polls the store although another entry of its region does, if
 /// it does not receive a change from that entry, or if it misses a change after
 /// that entry has stopped.
@@ -99,23 +136,7 @@
     store.put(configuration(1));
     store.put(target(1, 1, InstanceState::Ready));
     let (first_polls, polls): (Arc<AtomicU32>, Arc<AtomicU32>) = Default::default();
-    let first = vm::entry::spawn(
-        relay_settings("edge-1", Vec::new()),
-        platform(&store, &first_polls),
-    )
-    .await;
-    store.put(presence(&first, "edge-1"));
-    let second = vm::entry::spawn(
-        relay_settings("edge-2", Vec::new()),
-        platform(&store, &polls),
-    )
-    .await;
-    store.put(presence(&second, "edge-2"));
-    wait_until("both entries know each other", || {
-        let knows_both = |g: &Gateway| g.state.peers().len() == 2;
-        knows_both(&first) && knows_both(&second)
-    })
-    .await;
+    let (first, second) = spawn_pair(&store, [&first_polls, &polls]).await;
     // The first poll of the second entry may still be in progress.
     tokio::time::sleep(Duration::from_millis(100)).await;
     let before = polls.load(SeqCst);
@@ -176,22 +197,7 @@
     store.put(target(1, 1, InstanceState::Ready));
     store.put(target(2, 1, InstanceState::Ready));
     let polls: Arc<AtomicU32> = Arc::default();
-    let first = vm::entry::spawn(
-        relay_settings("edge-1", Vec::new()),
-        platform(&store, &polls),
-    )
-    .await;
-    store.put(presence(&first, "edge-1"));
-    let second = vm::entry::spawn(
-        relay_settings("edge-2", Vec::new()),
-        platform(&store, &polls),
-    )
-    .await;
-    store.put(presence(&second, "edge-2"));
-    wait_until("both entries know each other", || {
-        [&first, &second].iter().all(|g| g.state.peers().len() == 2)
-    })
-    .await;
+    let (first, second) = spawn_pair(&store, [&polls, &polls]).await;
     let mut lines = vec![targets_of(&first).await];
     let unreadable = |id: &str| Change::Unreadable {
         key: format!("servers/{id}"),
@@ -242,20 +248,7 @@
     store.put(target(2, 1, InstanceState::Draining));
     store.put(Change::Evacuated("a-2".parse().expect("a name")));
     let polls: Arc<AtomicU32> = Arc::default();
-    let first = vm::entry::spawn(
-        relay_settings("edge-1", Vec::new()),
-        platform(&store, &polls),
-    )
-    .await;
-    wait_until("the first is ready", || first.state.is_ready()).await;
-    store.unavailable.store(true, SeqCst);
-    let seed = first.relay_addr().expect("an address");
-    let second = vm::entry::spawn(
-        relay_settings("edge-2", vec![seed]),
-        platform(&store, &polls),
-    )
-    .await;
-    wait_until("the second is ready", || second.state.is_ready()).await;
+    let (first, second) = spawn_behind_outage(&store, &polls, || ()).await;
     let peers = Peers::new(Millis(500), Arc::default());
     let changes = grpc::changes(Arc::new(peers));
     let request = FetchRequest {
@@ -281,22 +274,11 @@
         store.put(target(n, 1, InstanceState::Ready));
     }
     let polls: Arc<AtomicU32> = Arc::default();
-    let first = vm::entry::spawn(
-        relay_settings("edge-1", Vec::new()),
-        platform(&store, &polls),
-    )
-    .await;
-    wait_until("the first is ready", || first.state.is_ready()).await;
-    store.unavailable.store(true, SeqCst);
-    store.put(Change::Unregistered("i-1".parse().expect("an id")));
-    store.put(configuration(2));
-    let seed = first.relay_addr().expect("an address");
-    let second = vm::entry::spawn(
-        relay_settings("edge-2", vec![seed]),
-        platform(&store, &polls),
-    )
+    let (first, second) = spawn_behind_outage(&store, &polls, || {
+        store.put(Change::Unregistered("i-1".parse().expect("an id")));
+        store.put(configuration(2));
+    })
     .await;
-    wait_until("the second is ready", || second.state.is_ready()).await;
     let mut lines = vec![targets_of(&second).await];
     store.unavailable.store(false, SeqCst);
     let version = |g: &Gateway| g.state.table().map(|t| t.version);
@@ -309,6 +291,7 @@
     lines.push(targets_of(&second).await);
     // A process that starts now has only what the store holds.
     second.stop().await;
+    let seed = first.relay_addr().expect("an address");
     let third = vm::entry::spawn(
         relay_settings("edge-2", vec![seed]),
         platform(&store, &polls),
