--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -229,6 +229,8 @@
             .get_or_insert_with(|| Overflow::new(capacity.initial_overflow()));
         let hash_position = req.object.filter(|_| req.rule.sticky).map(hash_position);
         let placement = overflow.assign(ctx.now, preference, slot_loads, hash_position, limit);
+        // A diverted request still counts as placed elsewhere, so that the effect of the
+        // refusals stays visible.
         let diverts = !limit.lifted && local.is_some() && ctx.sides.is_distorted(ctx.shift_cap);
         let side = match placement {
             Placement::Remote if !diverts => Some(remote),
