Let a share return at three fifths of the slope away

The way back was 0.3 of the cap whatever the number of requests. Now it is three fifths of the slope away, 0.24 to 0.48: regions with few requests, whose shares vary more by chance, return a little more slowly than before.

--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -38,10 +38,10 @@
 /// one window to the next.
 const VARIATION_MARGIN: f64 = 2.5;
 
-/// The fraction of the users' cap that the slope back to the local region uses. A
-/// region whose load falls is likely to need the others again, while its requests
-/// lose little by running there a little longer.
-const RETURN_CAP_FRACTION: f64 = 0.3;
+/// The slope back to the local region, as a fraction of that away. A region whose
+/// load falls is likely to need the others again, but a share that is not needed
+/// keeps requests and bytes crossing regions.
+const RETURN_SLOPE_FRACTION: f64 = 0.6;
 
 /// The requests per slot that a region keeps. At this load a request seldom
 /// waits.
@@ -191,7 +191,8 @@
         let desired = self.needed_fraction(loads).max(agreed);
         let cap = limit.cap * elapsed_ms / SHIFT_WINDOW_MS;
         let change = desired - self.fraction;
-        self.fraction += change.clamp(-cap * RETURN_CAP_FRACTION, cap * cap_fraction(limit));
+        let slope = cap * cap_fraction(limit);
+        self.fraction += change.clamp(-slope * RETURN_SLOPE_FRACTION, slope);
     }
 
     /// Returns the fraction at which the local region would have the load that it
