--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -124,8 +124,8 @@
     pub retries: u32,
     /// The number of entries in each region, among which its requests are divided.
     pub entries: usize,
-    /// The number of targets of each region that the entries of the other regions
-    /// than the last one learn of only at [`LATE`], as over a slow link to the store.
+    /// The number of targets of each region that the entries of the first two regions
+    /// learn of only at [`LATE`], because their polls of the store come later.
     pub late_targets: usize,
     /// The time after which no caller sends a request any more.
     pub traffic: Millis,
