--- a/src/policy/balance/ticket.rs
+++ b/src/policy/balance/ticket.rs
@@ -14,9 +14,8 @@
     pub ticket: Ticket,
 }
 
-/// A request that is counted at a target until
-/// [`Pool::finish`](super::Pool::finish) releases it,
-/// with the estimates that led to the choice.
+/// A request that is counted at a target until [`Pool::finish`](super::Pool::finish)
+/// releases it, with the estimates that led to the choice.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ticket {
     /// The target.
@@ -46,7 +45,8 @@
     pub(super) slowdown: f64,
 }
 
-/// What a choice was based on, for logs.
+/// What a choice was based on, for logs and for the account of both sides
+/// ([`Sides`](crate::policy::overflow::Sides)).
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Basis {
     /// Whether the request was to run in another region.
--- a/src/policy/overflow/mod.rs
+++ b/src/policy/overflow/mod.rs
@@ -93,7 +93,7 @@
     pub lifted: bool,
 }
 
-/// The state by which a request was placed, for logs.
+/// The placement of a request, with the state that decided on it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Split {
     /// Where the request was placed. It may run on the other side, see [`Sides`].
