--- a/src/adapters/grpc/changes/config.rs
+++ b/src/adapters/grpc/changes/config.rs
@@ -1,7 +1,7 @@
 //! The encoding of a [`Configuration`].
 
 use crate::domain::{
-    CallerLimits, Configuration, Millis, ParseError, RequestKind, Revision, RouteRule, ServiceRule,
+    CallerLimits, Configuration, Millis, ParseError, Rank, RequestKind, Revision, RouteRule, ServiceRule,
     Size, WeightedService,
 };
 
@@ -100,6 +100,7 @@
         },
         rules: rules?,
         services: services?,
+        workspaces: Vec::new(),
     })
 }
 
@@ -116,7 +117,7 @@
         objective_ms: rule.objective.0,
         timeout_ms: rule.timeout.0,
         attempts: rule.attempts,
-        priority: rule.priority,
+        priority: rule.rank.0,
         sticky: rule.sticky,
         homes: rule.home_regions.iter().map(ToString::to_string).collect(),
         parts: rule.services.iter().map(part).collect(),
@@ -141,7 +142,8 @@
         objective: Millis(message.objective_ms),
         timeout: Millis(message.timeout_ms),
         attempts: message.attempts,
-        priority: message.priority,
+        rank: Rank(message.priority),
+        public: false,
         sticky: message.sticky,
         home_regions: homes?,
         services: parts?,
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -14,7 +14,7 @@
 use crate::{
     domain::{
         CallerLimits, Configuration, EntryId, Instance, InstanceId, InstanceState, Mbps, Millis,
-        Position, Presence, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots, TargetId,
+        Position, Presence, Rank, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots, TargetId,
         WeightedService,
     },
     ports::Change,
@@ -361,6 +361,7 @@
         },
         rules,
         services: services.collect::<Result<_, String>>()?,
+        workspaces: Vec::new(),
     })
 }
 
@@ -397,7 +398,8 @@
         objective: parse_duration("slo_s", route.slo_s)?,
         timeout: parse_duration("timeout_s", action.timeout_s)?,
         attempts: action.max_attempts,
-        priority: route.priority,
+        rank: Rank(route.priority),
+        public: false,
         sticky: route.sticky,
         home_regions: homes.collect::<Result<_, String>>()?,
         services,
--- a/src/adapters/platform/settings.rs
+++ b/src/adapters/platform/settings.rs
@@ -114,6 +114,14 @@
     #[serde(rename = "ttl_max_s")]
     ttl: f64,
     max_shift: f64,
+    #[serde(rename = "quota_window_s")]
+    quota_window: f64,
+    quota_overshoot: f64,
+    quota_slack: f64,
+    /// Whether an entry that may not know of a withdrawn key refuses all keys.
+    strict_revoke: bool,
+    /// The time after which it does so.
+    revoke_s: f64,
 }
 
 /// The bounds that apply if the file does not state them: the strictest of the
@@ -131,6 +139,11 @@
             cold_slack: 5.0,
             ttl: 5.0,
             max_shift: 0.15,
+            quota_window: 5.0,
+            quota_overshoot: 0.1,
+            quota_slack: 20.0,
+            strict_revoke: false,
+            revoke_s: 5.0,
         }
     }
 }
@@ -235,5 +248,11 @@
         cold_slack: wire.cold_slack,
         lookup_ttl: f.duration("ttl_max_s", wire.ttl),
         max_shift: wire.max_shift,
+        quota_window: f.duration("quota_window_s", wire.quota_window),
+        quota_overshoot: wire.quota_overshoot,
+        quota_slack: wire.quota_slack,
+        revocation_limit: wire
+            .strict_revoke
+            .then(|| f.duration("revoke_s", wire.revoke_s)),
     }
 }
--- a/src/domain/bounds.rs
+++ b/src/domain/bounds.rs
@@ -29,4 +29,14 @@
     /// The maximum fraction of a region's requests that may move to another
     /// region from one window to the next.
     pub max_shift: f64,
+    /// The window over which the requests of a workspace are counted.
+    pub quota_window: Millis,
+    /// The fraction by which a workspace may exceed its quota in a window.
+    pub quota_overshoot: f64,
+    /// The number of requests by which it may exceed it in addition.
+    pub quota_slack: f64,
+    /// The time without contact to the store after which an entry refuses all
+    /// callers' keys, since one may have been withdrawn. None if it goes on with the
+    /// keys that it knows.
+    pub revocation_limit: Option<Millis>,
 }
--- a/src/domain/ids.rs
+++ b/src/domain/ids.rs
@@ -113,6 +113,11 @@
     TeamName, "team name", MAX_NAME_LEN, is_name_byte, NAME_RULE
 );
 
+name!(
+    /// A workspace: a customer whose callers share a limit.
+    WorkspaceName, "workspace name", 190, is_graphic_byte, "1 to 190 printable ASCII characters"
+);
+
 macro_rules! number {
     ($(#[$doc:meta])* $name:ident, $kind:literal) => {
         $(#[$doc])*
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -22,6 +22,7 @@
 mod sizes;
 mod time;
 mod word_enum;
+mod workspace;
 
 pub use blocks::{Prefix, SiteId};
 pub use bounds::Bounds;
@@ -29,7 +30,7 @@
 pub use error::ParseError;
 pub use ids::{
     AzName, EntryId, Epoch, Era, Incarnation, InstanceId, LimitName, PlaceName, RegionName,
-    Revision, ServiceName, TargetId, TeamName,
+    Revision, ServiceName, TargetId, TeamName, WorkspaceName,
 };
 pub use instance::{Instance, InstanceState};
 pub use position::Position;
@@ -42,3 +43,4 @@
 pub use sizes::{Size, Slots};
 pub use time::Millis;
 pub(crate) use word_enum::word_enum;
+pub use workspace::{KeyDigest, Quota, Rank, Rate, Workspace};
--- a/src/domain/route.rs
+++ b/src/domain/route.rs
@@ -1,6 +1,6 @@
 //! The routing configuration: which services run which requests.
 
-use super::{Millis, RegionName, Revision, ServiceName, Size, word_enum};
+use super::{Millis, Rank, RegionName, Revision, ServiceName, Size, Workspace, word_enum};
 
 word_enum!(
     /// Whether a request may run more than once, and whether its bodies are large.
@@ -56,8 +56,10 @@
     pub timeout: Millis,
     /// The maximum number of targets to which one request is sent.
     pub attempts: u32,
-    /// The priority. 0 is the most urgent.
-    pub priority: u32,
+    /// The rank of its requests, unless their workspace has one.
+    pub rank: Rank,
+    /// Whether callers need no key. The requests then belong to no workspace.
+    pub public: bool,
     /// Whether a target is faster for objects that it handled recently.
     pub sticky: bool,
     /// The regions in which requests may run. Empty allows all regions.
@@ -98,4 +100,6 @@
     pub rules: Vec<RouteRule>,
     /// The settings of all services.
     pub services: Vec<ServiceRule>,
+    /// The workspaces. If there are none, callers need no keys.
+    pub workspaces: Vec<Workspace>,
 }
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -135,6 +135,7 @@
             limits: self.limits,
             rules: self.rules().cloned().collect(),
             services: self.services.values().cloned().collect(),
+            workspaces: Vec::new(),
         }
     }
 
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{
-        AzName, Instance, InstanceId, InstanceState, Millis, Position, RegionName, RequestKind,
+        AzName, Instance, InstanceId, InstanceState, Millis, Position, Rank, RegionName, RequestKind,
         RouteRule, Size, Slots, TargetId, WeightedService,
     },
     policy::{
@@ -60,7 +60,8 @@
         objective: Millis(300),
         timeout: Millis(800),
         attempts: 2,
-        priority: 1,
+        rank: Rank(1),
+        public: false,
         sticky: true,
         home_regions: Vec::new(),
         services: vec![WeightedService {
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -6,7 +6,7 @@
 use quickcheck::quickcheck;
 use savorybeam::{
     domain::{
-        CallerLimits, Configuration, Millis, RequestKind, Revision, RouteRule, ServiceRule, Size,
+        CallerLimits, Configuration, Millis, Rank, RequestKind, Revision, RouteRule, ServiceRule, Size,
         WeightedService,
     },
     policy::route::Table,
@@ -25,7 +25,8 @@
         objective: Millis(300),
         timeout: Millis(800),
         attempts: 2,
-        priority: 1,
+        rank: Rank(1),
+        public: false,
         sticky: false,
         home_regions: Vec::new(),
         services: services.iter().map(weighted).collect(),
@@ -46,6 +47,7 @@
         },
         rules,
         services: ["bookings", "kits", "slots"].map(service).into(),
+        workspaces: Vec::new(),
     }
 }
 
--- a/tests/vm/mod.rs
+++ b/tests/vm/mod.rs
@@ -11,7 +11,7 @@
 use savorybeam::{
     domain::{
         AzName, Bounds, CallerLimits, Configuration, Instance, InstanceState, Mbps, Millis,
-        Position, RegionName, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots, TargetId,
+        Position, Rank, RegionName, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots, TargetId,
         WeightedService,
     },
     ports::VmSettings,
@@ -52,6 +52,10 @@
             cold_slack: 5.0,
             lookup_ttl: Millis(5_000),
             max_shift: 0.15,
+            quota_window: Millis(5_000),
+            quota_overshoot: 0.1,
+            quota_slack: 20.0,
+            revocation_limit: None,
         },
     }
 }
@@ -85,7 +89,8 @@
         objective: Millis(300),
         timeout: Millis(1_200),
         attempts: 2,
-        priority: 1,
+        rank: Rank(1),
+        public: false,
         sticky: true,
         home_regions: Vec::new(),
         services: vec![WeightedService {
@@ -109,6 +114,7 @@
             name: "slots".parse().expect("a valid name"),
             cold_rate,
         }],
+        workspaces: Vec::new(),
     }
 }
 
