Choose the entries of a lookup by their links in small regions too

Cause: a lookup named all entries of a region with up to 16 of them, and callers use all that are named alike.

Change: the subset for a caller is half of the effective number of entries by link, at least 3. With equal links nothing changes.

--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -7,10 +7,11 @@
 //! home regions. Only if a region has no entry, the lookup returns those of all
 //! regions.
 //!
-//! A large region has more entries than a lookup returns. Each caller then gets a
-//! subset of its own by weighted rendezvous hashing, in which an entry occurs in
-//! proportion to the capacity of its link: it stays the same while the entries do,
-//! and all subsets together use every entry.
+//! Each caller gets a subset of its own by weighted rendezvous hashing, in which an
+//! entry occurs in proportion to the capacity of its link: it stays the same while the
+//! entries do, and all subsets together use every entry. The subset is smaller than the
+//! region if that has many entries or if their links differ: callers use all entries of
+//! a response alike, and would fill the narrow links first.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -38,6 +39,10 @@
 /// an entry decides how many callers it gets.
 const LOOKUP_ENTRIES_MAX: usize = 16;
 
+/// The number of entries that a lookup response has at least, if there are as many, so
+/// that a caller has others to try when some have just failed.
+const LOOKUP_ENTRIES_MIN: usize = 3;
+
 /// How much each entry adds to the time over which all of them announce themselves
 /// again after the store has lost their leases. An announcement takes two writes,
 /// and the store accepts some hundred writes per second from all callers together.
@@ -162,14 +167,36 @@
         if entries.is_empty() {
             entries = staying().collect();
         }
-        if entries.len() > LOOKUP_ENTRIES_MAX {
+        let size = subset_size(&entries);
+        if entries.len() > size {
             entries.sort_by_cached_key(|p| subset_rank(p, caller));
-            entries.truncate(LOOKUP_ENTRIES_MAX);
+            entries.truncate(size);
         }
         entries.iter().map(|p| p.front).collect()
     }
 }
 
+/// Returns how many of the entries a lookup response has. If their links differ, that is
+/// half of the number for which entries with equal links would count (Kish's effective
+/// sample size): a sample without replacement then holds entries about in proportion to
+/// their links.
+fn subset_size(entries: &[&Presence]) -> usize {
+    let links = || entries.iter().map(|p| link_weight(p));
+    if entries.windows(2).all(|pair| pair[0].link == pair[1].link) {
+        return LOOKUP_ENTRIES_MAX;
+    }
+    let squares: f64 = links().map(|link| link * link).sum();
+    let effective = links().sum::<f64>().powi(2) / squares;
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let half = (effective / 2.0) as usize;
+    half.clamp(LOOKUP_ENTRIES_MIN, LOOKUP_ENTRIES_MAX)
+}
+
+/// Returns the capacity of an entry's link in Mbit/s, which is at least 1.
+fn link_weight(entry: &Presence) -> f64 {
+    f64::from(entry.link.0.max(1))
+}
+
 /// Returns the rank of an entry for a caller. The lowest ranks are a weighted
 /// random sample without replacement, which a change of one entry changes in one
 /// place.
@@ -177,8 +204,7 @@
     let hash = xxh3_64_with_seed(entry.name.as_bytes(), caller);
     #[expect(clippy::cast_precision_loss)]
     let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-    let weight = f64::from(entry.link.0.max(1));
     // An exponential variate; its order is that of its bits, since it is not
     // negative.
-    (-uniform.ln() / weight).max(0.0).to_bits()
+    (-uniform.ln() / link_weight(entry)).max(0.0).to_bits()
 }
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -73,6 +73,30 @@
     );
 }
 
+/// Fails if callers of a region with few entries use all of them alike although their
+/// links differ: those with a narrow link then hold answers for longer than objectives
+/// allow. Also fails if a caller gets too few entries to try another one.
+#[test]
+fn callers_of_a_small_region_use_entries_by_their_links() {
+    let lines = [(4, 4, 13), (4, 18, 10), (2, 2, 100)].map(|(fast, slow, link)| {
+        let mut entries = Entries::default();
+        for n in 0..fast + slow {
+            let link = if n < fast { 200 } else { link };
+            entries.join(presence(n, "north", link));
+        }
+        let counts = named(&entries);
+        let all: u32 = counts.values().sum();
+        let of_fast: u32 = counts.range(..1_000 + fast).map(|(_, count)| count).sum();
+        format!(
+            "{fast} of 200 and {slow} of {link} Mbit/s: {} named, {} for each caller, {} in 100 uses are of fast links",
+            counts.len(),
+            all / 1_000,
+            of_fast * 100 / all
+        )
+    });
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 /// Fails if a caller loses more entries than the one that has left, because it
 /// closes its connections to those that a new response does not name.
 #[test]
