Resolve callers' keys to workspaces at each request

A request to a route that is not public needs exactly one known key (else 401 `unknown-key`, not run); the target is told the workspace's name in place of whatever the caller stated, and never the key. The homes of the route and of the workspace both bind. With strict revocation, an entry with old state refuses keyed requests (503 `keys-outdated`). The log line of a request states workspace and rank. Unreadable words cost themselves only and never open an entry. Without workspaces in the configuration nothing changes.

--- a/src/adapters/grpc/changes/config.rs
+++ b/src/adapters/grpc/changes/config.rs
@@ -1,8 +1,9 @@
 //! The encoding of a [`Configuration`].
 
+use super::workspace::{WorkspaceMessage, decode_workspace, encode_workspace};
 use crate::domain::{
-    CallerLimits, Configuration, Millis, ParseError, Rank, RequestKind, Revision, RouteRule, ServiceRule,
-    Size, WeightedService,
+    CallerLimits, Configuration, Millis, ParseError, Rank, RequestKind, Revision, RouteRule,
+    ServiceRule, Size, WeightedService,
 };
 
 /// An encoded [`Configuration`].
@@ -20,6 +21,9 @@
     rules: Vec<RuleMessage>,
     #[prost(message, repeated, tag = "6")]
     services: Vec<ServiceMessage>,
+    /// Empty from entries of earlier versions.
+    #[prost(message, repeated, tag = "7")]
+    workspaces: Vec<WorkspaceMessage>,
 }
 
 /// An encoded [`RouteRule`].
@@ -47,6 +51,9 @@
     homes: Vec<String>,
     #[prost(message, repeated, tag = "11")]
     parts: Vec<PartMessage>,
+    /// False from entries of earlier versions.
+    #[prost(bool, tag = "12")]
+    public: bool,
 }
 
 /// An encoded [`WeightedService`] of a rule.
@@ -79,6 +86,7 @@
         idle_ms: config.limits.idle_timeout.0,
         rules: config.rules.iter().map(encode_rule).collect(),
         services: config.services.iter().map(service).collect(),
+        workspaces: config.workspaces.iter().map(encode_workspace).collect(),
     }
 }
 
@@ -91,6 +99,19 @@
     };
     let rules: Result<_, ParseError> = message.rules.iter().map(decode_rule).collect();
     let services: Result<_, ParseError> = message.services.iter().map(service).collect();
+    let workspaces: Vec<_> = message
+        .workspaces
+        .iter()
+        .filter_map(decode_workspace)
+        .collect();
+    if workspaces.is_empty() && !message.workspaces.is_empty() {
+        // Without workspaces, callers would need no keys.
+        return Err(ParseError::new(
+            "workspaces",
+            "",
+            "at least one that can be read",
+        ));
+    }
     Ok(Configuration {
         version: Revision(message.version),
         limits: CallerLimits {
@@ -100,7 +121,7 @@
         },
         rules: rules?,
         services: services?,
-        workspaces: Vec::new(),
+        workspaces,
     })
 }
 
@@ -121,6 +142,7 @@
         sticky: rule.sticky,
         homes: rule.home_regions.iter().map(ToString::to_string).collect(),
         parts: rule.services.iter().map(part).collect(),
+        public: rule.public,
     }
 }
 
@@ -143,7 +165,7 @@
         timeout: Millis(message.timeout_ms),
         attempts: message.attempts,
         rank: Rank(message.priority),
-        public: false,
+        public: message.public,
         sticky: message.sticky,
         home_regions: homes?,
         services: parts?,
--- a/src/adapters/grpc/changes/mod.rs
+++ b/src/adapters/grpc/changes/mod.rs
@@ -4,6 +4,7 @@
 mod config;
 mod demand;
 mod messages;
+mod workspace;
 
 use std::{future::Future, net::SocketAddr, sync::Arc};
 
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -10,12 +10,12 @@
     de::{self, Visitor},
 };
 
-use super::{seconds_to_millis, shorten};
+use super::{seconds_to_millis, shorten, tenants::parse_tenants};
 use crate::{
     domain::{
         CallerLimits, Configuration, EntryId, Instance, InstanceId, InstanceState, Mbps, Millis,
-        Position, Presence, Rank, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots, TargetId,
-        WeightedService,
+        Position, Presence, Rank, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots,
+        TargetId, WeightedService,
     },
     ports::Change,
 };
@@ -272,6 +272,9 @@
     limits: WireLimits,
     listeners: Vec<WireListener>,
     clusters: Vec<WireCluster>,
+    /// An error about a value of another type would quote it, and it contains keys.
+    #[serde(default)]
+    tenants: serde_json::Value,
 }
 
 #[derive(Deserialize)]
@@ -296,6 +299,8 @@
     slo_s: f64,
     priority: u32,
     #[serde(default)]
+    public: serde_json::Value,
+    #[serde(default)]
     sticky: bool,
     #[serde(rename = "match")]
     matches: WireMatch,
@@ -361,7 +366,7 @@
         },
         rules,
         services: services.collect::<Result<_, String>>()?,
-        workspaces: Vec::new(),
+        workspaces: parse_tenants(&wire.tenants)?,
     })
 }
 
@@ -390,6 +395,7 @@
         });
     }
     let homes = action.home_regions.iter().map(|r| parse(r));
+    let public = parse_public(&route.name, &route.public);
     Ok(RouteRule {
         name: route.name,
         host: host.to_ascii_lowercase(),
@@ -399,13 +405,21 @@
         timeout: parse_duration("timeout_s", action.timeout_s)?,
         attempts: action.max_attempts,
         rank: Rank(route.priority),
-        public: false,
+        public,
         sticky: route.sticky,
         home_regions: homes.collect::<Result<_, String>>()?,
         services,
     })
 }
 
+/// Parses whether callers of a route need no key. They need one if it cannot be read.
+fn parse_public(route: &str, value: &serde_json::Value) -> bool {
+    if !value.is_boolean() && !value.is_null() {
+        tracing::warn!(route, "store: whether a route is public cannot be read.");
+    }
+    value.as_bool().unwrap_or_default()
+}
+
 /// Parses the kind of a route. A word of a later version of the platform makes
 /// only its own route an unknown one: an error would void the configuration, and
 /// with it the routes of all other hosts.
--- a/src/adapters/platform/mod.rs
+++ b/src/adapters/platform/mod.rs
@@ -7,6 +7,7 @@
 //! * [`store`] calls the metadata store,
 //! * `items` decodes its items: configurations, evacuations, registrations of
 //!   targets and announcements of entries,
+//! * `tenants` decodes the tenants of a configuration,
 //! * `era` reads the era of the store from its responses,
 //! * [`headers`] reads and writes the headers of requests and responses,
 //! * [`directory`] reads and writes lookups of callers.
@@ -19,6 +20,7 @@
 mod items;
 pub mod settings;
 pub mod store;
+mod tenants;
 
 use crate::domain::Millis;
 
--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -258,14 +258,14 @@
 /// returns whether it is.
 fn apply_configuration(state: &State, config: &Configuration) -> bool {
     let version = config.version;
-    let current = state.table().map(|t| t.version);
-    if current.is_some_and(|v| version <= v) {
+    if state.table().is_some_and(|t| !t.is_replaced_by(config)) {
         return false;
     }
     let seed = xxh3_64(state.settings().name.as_bytes());
     match Table::compile(config.clone(), seed) {
         Ok(table) => {
             log_unknown_kinds(state, &table);
+            log_shared_keys(&table);
             state.set_table(Arc::new(table));
             tracing::info!(%version, "feed: configuration in effect.");
         }
@@ -288,6 +288,15 @@
     state.ports.metrics.unknown_kinds.set(count);
 }
 
+/// Logs the workspaces that state a key of another one, whose callers do not get what
+/// the operator may expect.
+fn log_shared_keys(table: &Table) {
+    for (owner, other) in table.shared_keys() {
+        let version = table.version;
+        tracing::warn!(%version, %owner, %other, "feed: two workspaces have one key, the first one keeps it.");
+    }
+}
+
 /// Applies changes of the registry to the target pools of the services.
 fn update_pools(
     state: &State,
--- a/src/app/gateway/feed/mod.rs
+++ b/src/app/gateway/feed/mod.rs
@@ -131,8 +131,7 @@
     /// Returns the time since the store was known to be in the state that this
     /// entry has.
     fn state_age(&self) -> Millis {
-        let as_of = self.state.change_log().as_of();
-        now(&self.state) - as_of
+        self.state.age(now(&self.state))
     }
 
     /// Returns the time since the current call started.
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -224,15 +224,11 @@
     /// targets want a pause now, the caller has to wait for its end.
     fn rejected(&self) -> Refusal {
         let cause = "the target rejected the request";
-        let RoutedRequest {
-            service,
-            table,
-            rule,
-            ..
-        } = &self.request;
-        let withheld = self
-            .state
-            .with_pool(service, table, |pool, context| pool.withheld(context, rule));
+        let RoutedRequest { service, table, .. } = &self.request;
+        let homes = self.request.homes();
+        let withheld = self.state.with_pool(service, table, |pool, context| {
+            pool.withheld(context, homes)
+        });
         match withheld {
             Some(withheld) => self.withheld(cause, withheld),
             None => self.no_target(cause),
@@ -301,6 +297,8 @@
             request = request.label(),
             caller = self.caller.map(|c| c.to_string()),
             route = request.rule.name,
+            workspace = request.workspace.as_ref().map(|w| w.name.as_str()),
+            rank = %request.rank,
             version = %request.table.version,
             object = request.object.map(|o| format!("{o:016x}")),
             service = %request.service,
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -11,7 +11,10 @@
         http::{ReplayBody, strip_hop_by_hop},
         platform::headers::{self, RequestHead},
     },
-    domain::{CallerLimits, InstanceId, Millis, RouteRule, ServiceName, Size},
+    domain::{
+        CallerKey, CallerLimits, Homes, InstanceId, Millis, Rank, RouteRule, ServiceName, Size,
+        Workspace,
+    },
     policy::{
         balance::object_hash,
         refusal::{Code, Refusal},
@@ -35,6 +38,9 @@
 /// take them at once.
 const STOPPING_RETRY_AFTER: Millis = Millis(0);
 
+/// The `retry-after` of requests to an entry that cannot know which keys are withdrawn.
+const OUTDATED_RETRY_AFTER: Millis = Millis(500);
+
 /// A caller's request with its route.
 #[derive(Debug)]
 pub(super) struct RoutedRequest {
@@ -43,6 +49,11 @@
     pub table: Arc<Table>,
     /// The rule of its route.
     pub rule: Arc<RouteRule>,
+    /// The workspace of its caller, if the configuration has workspaces and the route is
+    /// not public.
+    pub workspace: Option<Arc<Workspace>>,
+    /// The rank of its workspace, else that of its route.
+    pub rank: Rank,
     /// The service that runs the request.
     pub service: ServiceName,
     /// The hash of the route's prefix and the affinity key, if the request has
@@ -77,7 +88,7 @@
             let detail = "no configuration has been read yet";
             return Err(Refusal::not_run(Code::NoTarget, detail).retry_after(STARTUP_RETRY_AFTER));
         };
-        let (head, body) = req.into_parts();
+        let (mut head, body) = req.into_parts();
         let limits = &table.limits;
         check_limits(limits, &head)?;
         let RequestHead {
@@ -85,10 +96,13 @@
             timeout: caller_timeout,
             affinity_key,
         } = headers::read_request_head(&head.headers);
-        let (rule, service) = {
+        let (rule, workspace, service) = {
             let route = match_route(&table, &head)?;
-            (route.rule.clone(), route.next_service().clone())
+            let workspace = admit_caller(state, &table, &route.rule, &mut head)?;
+            (route.rule.clone(), workspace, route.next_service().clone())
         };
+        let rank = workspace.as_ref().and_then(|w| w.rank);
+        let rank = rank.unwrap_or(rule.rank);
         let caller_timeout = caller_timeout.unwrap_or(rule.timeout);
         let deadline = arrived + caller_timeout.min(rule.timeout);
         let stop_age = state.stop_schedule().map(|s| s.age(arrived));
@@ -102,6 +116,8 @@
         Ok(Self {
             table,
             rule,
+            workspace,
+            rank,
             service,
             object,
             size: Size(body.known_bytes()),
@@ -125,9 +141,17 @@
         let head = request.headers_mut();
         strip_hop_by_hop(head);
         headers::write_attempt(head, target, time_left);
+        if let Some(workspace) = &self.workspace {
+            headers::write_workspace(head, workspace);
+        }
         Some(request)
     }
 
+    /// Returns the regions in which the request may run.
+    pub fn homes(&self) -> Homes<'_> {
+        Homes::new(&self.rule, self.workspace.as_deref())
+    }
+
     /// Returns whether the whole body is kept, so that the request can be sent
     /// again.
     pub fn is_resendable(&self) -> bool {
@@ -213,3 +237,63 @@
         Refusal::not_run(Code::UnknownService, detail)
     })
 }
+
+/// Finds the workspace of a caller by the key in the request, and removes the key from
+/// it. Returns none if callers of the route need no key.
+///
+/// # Errors
+///
+/// Returns a refusal if the caller has no valid key, or if the homes of its workspace and
+/// of the route exclude each other.
+fn admit_caller(
+    state: &State,
+    table: &Table,
+    rule: &RouteRule,
+    head: &mut Parts,
+) -> Result<Option<Arc<Workspace>>, Refusal> {
+    if !table.has_workspaces() {
+        return Ok(None);
+    }
+    let key = headers::take_key(&mut head.headers);
+    if rule.public {
+        return Ok(None);
+    }
+    check_revocation(state)?;
+    let known = key.as_ref().and_then(|key| table.workspace(&key.digest()));
+    let Some(workspace) = known else {
+        return Err(unknown_key(table, key.as_ref()));
+    };
+    if Homes::new(rule, Some(workspace)).is_void() {
+        let (route, name) = (&rule.name, &workspace.name);
+        let detail = format!("route {route} and workspace {name} have no home region in common");
+        return Err(Refusal::not_run(Code::NoTarget, detail));
+    }
+    Ok(Some(workspace.clone()))
+}
+
+/// Returns the refusal of a request without a key of a workspace. Its detail does not
+/// contain the key.
+fn unknown_key(table: &Table, key: Option<&CallerKey>) -> Refusal {
+    let version = table.version;
+    let detail = if key.is_some() {
+        format!("version {version} does not have the key")
+    } else {
+        "the request does not have exactly one key".to_owned()
+    };
+    Refusal::not_run(Code::UnknownKey, detail)
+}
+
+/// Refuses a request with a key if keys may have been withdrawn that this entry still
+/// holds, and the settings require that they are then refused.
+fn check_revocation(state: &State) -> Result<(), Refusal> {
+    let Some(limit) = state.settings().bounds.revocation_limit else {
+        return Ok(());
+    };
+    let age = state.age(now(state));
+    if age <= limit {
+        return Ok(());
+    }
+    let detail = format!("the state of this entry is {age} old, keys are valid for {limit}");
+    let refusal = Refusal::not_run(Code::KeysOutdated, detail);
+    Err(refusal.retry_after(OUTDATED_RETRY_AFTER))
+}
--- a/src/app/gateway/slot.rs
+++ b/src/app/gateway/slot.rs
@@ -37,6 +37,8 @@
             state.with_pool(&routed.service, &routed.table, |pool, context| {
                 let request = Request {
                     rule: &routed.rule,
+                    homes: routed.homes(),
+                    rank: routed.rank,
                     object: routed.object,
                     tried,
                     time_left: routed.deadline - context.now,
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -230,6 +230,11 @@
         lock(&self.change_log)
     }
 
+    /// Returns the time since the store was known to be in the state that this entry has.
+    pub(super) fn age(&self, now: Millis) -> Millis {
+        now - self.change_log().as_of()
+    }
+
     /// Makes changes available to other entries. `add` adds them to the log.
     pub(super) fn publish(&self, add: impl FnOnce(&mut ChangeLog<Change>)) {
         let position = {
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -12,6 +12,7 @@
 mod bounds;
 mod document;
 mod error;
+mod homes;
 mod ids;
 mod instance;
 mod position;
@@ -28,6 +29,7 @@
 pub use bounds::Bounds;
 pub use document::{Document, Lane, Place, PlaceState, Priority, Route};
 pub use error::ParseError;
+pub use homes::Homes;
 pub use ids::{
     AzName, EntryId, Epoch, Era, Incarnation, InstanceId, LimitName, PlaceName, RegionName,
     Revision, ServiceName, TargetId, TeamName, WorkspaceName,
@@ -43,4 +45,4 @@
 pub use sizes::{Size, Slots};
 pub use time::Millis;
 pub(crate) use word_enum::word_enum;
-pub use workspace::{KeyDigest, Quota, Rank, Rate, Workspace};
+pub use workspace::{CallerKey, KeyDigest, Quota, Rank, Rate, Workspace};
--- a/src/domain/workspace.rs
+++ b/src/domain/workspace.rs
@@ -7,6 +7,9 @@
 
 use std::{fmt, str::FromStr};
 
+use bytes::Bytes;
+use sha2::{Digest, Sha256};
+
 use super::{ParseError, RegionName, WorkspaceName};
 
 /// The length of a digest, in bytes.
@@ -19,6 +22,14 @@
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct KeyDigest(pub [u8; DIGEST_LEN]);
 
+impl KeyDigest {
+    /// Returns the digest of a key.
+    #[must_use]
+    pub fn of(key: &[u8]) -> Self {
+        Self(Sha256::digest(key).into())
+    }
+}
+
 impl FromStr for KeyDigest {
     type Err = ParseError;
 
@@ -49,6 +60,36 @@
     }
 }
 
+/// The key that came with a request. It prints as redacted, so that no log line or
+/// error message reveals it.
+pub struct CallerKey(Bytes);
+
+impl CallerKey {
+    /// Returns the key with the given bytes.
+    #[must_use]
+    pub fn new(key: Bytes) -> Self {
+        Self(key)
+    }
+
+    /// Returns the digest by which the key is known.
+    #[must_use]
+    pub fn digest(&self) -> KeyDigest {
+        KeyDigest::of(&self.0)
+    }
+}
+
+impl fmt::Display for CallerKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("(redacted)")
+    }
+}
+
+impl fmt::Debug for CallerKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
 /// A rate of requests per second, which may be a fraction.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
 pub struct Rate(pub f64);
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -175,7 +175,7 @@
         req: &Request<'_>,
         eligible: &[usize],
     ) -> ChooseError {
-        if let Some(withheld) = self.withheld(ctx, req.rule) {
+        if let Some(withheld) = self.withheld(ctx, req.homes) {
             ChooseError::Withheld(withheld)
         } else if eligible.is_empty() {
             ChooseError::NoTarget
@@ -204,7 +204,7 @@
     /// Returns the targets that are eligible for the request, whether they can
     /// take it now or not.
     fn eligible_targets(&self, ctx: &Context<'_>, req: &Request<'_>) -> Vec<usize> {
-        let fits = |t: &Target| t.serves(ctx, req.rule) && !req.tried.contains(&t.instance.id);
+        let fits = |t: &Target| t.serves(ctx, req.homes) && !req.tried.contains(&t.instance.id);
         let targets = self.targets.iter().enumerate();
         targets.filter(|(_, t)| fits(t)).map(|(at, _)| at).collect()
     }
--- a/src/policy/balance/context.rs
+++ b/src/policy/balance/context.rs
@@ -5,7 +5,7 @@
 
 use super::slow_start::ColdQuota;
 use crate::{
-    domain::{AzName, InstanceId, Millis, RegionName, RouteRule, Size},
+    domain::{AzName, Homes, InstanceId, Millis, Rank, RegionName, RouteRule, Size},
     policy::{demand::Demand, overflow::Sides},
 };
 
@@ -40,6 +40,10 @@
 pub struct Request<'a> {
     /// Its rule.
     pub rule: &'a RouteRule,
+    /// The regions in which it may run.
+    pub homes: Homes<'a>,
+    /// Its rank: that of its workspace, else that of its rule.
+    pub rank: Rank,
     /// The hash of the object that it concerns, if any.
     pub object: Option<u64>,
     /// The targets to which it was already sent.
--- a/src/policy/balance/target.rs
+++ b/src/policy/balance/target.rs
@@ -10,7 +10,7 @@
     notice::NoticeState,
     slow_start::{ColdQuota, ColdRequests},
 };
-use crate::domain::{Instance, InstanceState, Millis, RegionName, RouteRule};
+use crate::domain::{Homes, Instance, InstanceState, Millis, RegionName};
 
 /// How long a target gets no requests after it rejected one because its queue
 /// was full. Some of its slots become free within that time.
@@ -94,13 +94,12 @@
         now < self.cold_until
     }
 
-    /// Returns whether it may run requests of a route, now or later.
-    pub fn serves(&self, ctx: &Context<'_>, rule: &RouteRule) -> bool {
+    /// Returns whether it may run requests with the given homes, now or later.
+    pub fn serves(&self, ctx: &Context<'_>, homes: Homes<'_>) -> bool {
         let Some(region) = &self.region else {
             return false;
         };
-        let in_home_region = rule.home_regions.is_empty() || rule.home_regions.contains(region);
-        in_home_region && !ctx.evacuated.contains(&self.instance.az)
+        homes.contains(region) && !ctx.evacuated.contains(&self.instance.az)
     }
 
     /// Returns whether it may be sent a request now.
--- a/src/policy/balance/withheld.rs
+++ b/src/policy/balance/withheld.rs
@@ -8,7 +8,7 @@
     target::Target,
     ticket::Ticket,
 };
-use crate::domain::{InstanceState, Millis, RouteRule};
+use crate::domain::{Homes, InstanceState, Millis};
 
 impl Pool {
     /// Records the notice that came with the response to a request. It must be
@@ -61,13 +61,13 @@
         self.withheld_counts.paused += u64::from(paused);
     }
 
-    /// If notices withhold all ready targets of a route, returns the time until
+    /// If notices withhold all ready targets in the homes of a request, returns the time until
     /// the end of the first pause, none if all of them are leaving. Targets that
     /// a request has already tried count as well, because the caller's next
     /// attempt may use them.
     #[must_use]
-    pub fn withheld(&self, ctx: &Context<'_>, rule: &RouteRule) -> Option<Withheld> {
-        let serves = |t: &&Target| t.serves(ctx, rule);
+    pub fn withheld(&self, ctx: &Context<'_>, homes: Homes<'_>) -> Option<Withheld> {
+        let serves = |t: &&Target| t.serves(ctx, homes);
         let targets = self.targets.iter().filter(serves);
         let mut ready = targets
             .filter(|t| t.instance.state == InstanceState::Ready)
--- a/src/policy/refusal/mod.rs
+++ b/src/policy/refusal/mod.rs
@@ -42,6 +42,10 @@
     BadRequest,
     /// There is no document in force for the service.
     UnknownService,
+    /// The request has no key, or none of a workspace.
+    UnknownKey,
+    /// The entry cannot know whether the key was withdrawn.
+    KeysOutdated,
     /// No target accepts requests.
     NoTarget,
     /// The queue is full, requests of this priority are shed, or the deadline
@@ -83,6 +87,8 @@
         match self {
             Self::BadRequest => "bad-request",
             Self::UnknownService => "unknown-service",
+            Self::UnknownKey => "unknown-key",
+            Self::KeysOutdated => "keys-outdated",
             Self::NoTarget => "no-target",
             Self::Overloaded => "overloaded",
             Self::Stopping => "stopping",
@@ -105,13 +111,15 @@
     pub fn status(self) -> u16 {
         match self {
             Self::BadRequest => 400,
+            Self::UnknownKey => 401,
             Self::UnknownService => 404,
             Self::InProgress | Self::AnswerNotKept => 409,
             Self::KeyReused => 422,
             Self::TooLarge => 413,
             Self::HeadTooLarge => 431,
             Self::RequestBlocked => 403,
-            Self::NoTarget
+            Self::KeysOutdated
+            | Self::NoTarget
             | Self::Overloaded
             | Self::Stopping
             | Self::ClaimUnavailable
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -11,6 +11,8 @@
 //! for a route with little traffic. See
 //! [docs/platform.md](../../../docs/platform.md).
 
+mod workspaces;
+
 use std::{
     collections::HashMap,
     fmt,
@@ -20,7 +22,11 @@
     },
 };
 
-use crate::domain::{CallerLimits, Configuration, Revision, RouteRule, ServiceName, ServiceRule};
+use self::workspaces::Workspaces;
+use crate::domain::{
+    CallerLimits, Configuration, KeyDigest, Revision, RouteRule, ServiceName, ServiceRule,
+    Workspace, WorkspaceName,
+};
 
 /// The reason why a configuration is invalid.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -82,6 +88,7 @@
     pub limits: CallerLimits,
     hosts: HashMap<String, Vec<Route>>,
     services: HashMap<ServiceName, ServiceRule>,
+    workspaces: Workspaces,
 }
 
 impl Table {
@@ -115,6 +122,7 @@
             limits: config.limits,
             hosts,
             services,
+            workspaces: Workspaces::compile(config.workspaces),
         })
     }
 
@@ -135,10 +143,49 @@
             limits: self.limits,
             rules: self.rules().cloned().collect(),
             services: self.services.values().cloned().collect(),
-            workspaces: Vec::new(),
+            workspaces: self.workspaces().map(|w| (**w).clone()).collect(),
         }
     }
 
+    /// Returns whether a configuration replaces the one of this table. One of the same
+    /// version does if only it has workspaces: an entry of a version that knows none has
+    /// passed this one on without them.
+    #[must_use]
+    pub fn is_replaced_by(&self, config: &Configuration) -> bool {
+        let completes = !self.has_workspaces() && !config.workspaces.is_empty();
+        config.version > self.version || (config.version == self.version && completes)
+    }
+
+    /// Returns whether callers need keys, except for public routes.
+    #[must_use]
+    pub fn has_workspaces(&self) -> bool {
+        self.workspaces().next().is_some()
+    }
+
+    /// Returns the workspace to which a key belongs.
+    #[must_use]
+    pub fn workspace(&self, key: &KeyDigest) -> Option<&Arc<Workspace>> {
+        self.workspaces.find(key)
+    }
+
+    /// Returns the workspace with a name.
+    #[must_use]
+    pub fn workspace_named(&self, name: &WorkspaceName) -> Option<&Arc<Workspace>> {
+        self.workspaces.named(name)
+    }
+
+    /// Returns all workspaces in the order of the configuration.
+    pub fn workspaces(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.workspaces.all()
+    }
+
+    /// Returns the keys that two workspaces state, with their owner first. The other
+    /// one does not have it.
+    #[must_use]
+    pub fn shared_keys(&self) -> &[(WorkspaceName, WorkspaceName)] {
+        self.workspaces.shared_keys()
+    }
+
     /// Returns the rules of all hosts.
     pub fn rules(&self) -> impl Iterator<Item = &RouteRule> {
         let routes = self.hosts.values().flatten();
--- /dev/null
+++ b/src/policy/route/workspaces.rs
@@ -0,0 +1,70 @@
+//! The workspaces of a route table, found by the digest of a caller's key.
+
+use std::{
+    collections::{HashMap, hash_map::Entry},
+    sync::Arc,
+};
+
+use crate::domain::{KeyDigest, Workspace, WorkspaceName};
+
+/// The workspaces of one configuration.
+#[derive(Debug, Default)]
+pub(super) struct Workspaces {
+    /// In the order of the configuration.
+    all: Vec<Arc<Workspace>>,
+    /// The index of the workspace that has each key.
+    keys: HashMap<KeyDigest, usize>,
+    names: HashMap<WorkspaceName, usize>,
+    shared_keys: Vec<(WorkspaceName, WorkspaceName)>,
+}
+
+impl Workspaces {
+    /// Compiles the workspaces of a configuration. A key that two of them state belongs
+    /// to the first. Two with one name become one, which has the keys of both and is
+    /// otherwise as the first: targets and quotas know a workspace by its name.
+    pub fn compile(workspaces: Vec<Workspace>) -> Self {
+        let mut compiled = Self::default();
+        let mut all: Vec<Workspace> = Vec::with_capacity(workspaces.len());
+        for mut workspace in workspaces {
+            let keys = std::mem::take(&mut workspace.keys);
+            let index = *compiled
+                .names
+                .entry(workspace.name.clone())
+                .or_insert(all.len());
+            if index == all.len() {
+                all.push(workspace);
+            }
+            for key in keys {
+                match compiled.keys.entry(key) {
+                    Entry::Vacant(entry) => {
+                        entry.insert(index);
+                        all[index].keys.push(key);
+                    }
+                    Entry::Occupied(owner) if *owner.get() != index => {
+                        let names = (all[*owner.get()].name.clone(), all[index].name.clone());
+                        compiled.shared_keys.push(names);
+                    }
+                    Entry::Occupied(_) => {}
+                }
+            }
+        }
+        compiled.all = all.into_iter().map(Arc::new).collect();
+        compiled
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Workspace>> {
+        self.all.iter()
+    }
+
+    pub fn find(&self, key: &KeyDigest) -> Option<&Arc<Workspace>> {
+        self.keys.get(key).map(|index| &self.all[*index])
+    }
+
+    pub fn named(&self, name: &WorkspaceName) -> Option<&Arc<Workspace>> {
+        self.names.get(name).map(|index| &self.all[*index])
+    }
+
+    pub fn shared_keys(&self) -> &[(WorkspaceName, WorkspaceName)] {
+        &self.shared_keys
+    }
+}
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -10,8 +10,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{
-        AzName, Instance, InstanceId, InstanceState, Millis, Position, Rank, RegionName, RequestKind,
-        RouteRule, Size, Slots, TargetId, WeightedService,
+        AzName, Homes, Instance, InstanceId, InstanceState, Millis, Position, Rank, RegionName,
+        RequestKind, RouteRule, Size, Slots, TargetId, WeightedService,
     },
     policy::{
         balance::{
@@ -101,6 +101,8 @@
 pub fn request(rule: &RouteRule) -> Request<'_> {
     Request {
         rule,
+        homes: Homes::new(rule, None),
+        rank: rule.rank,
         object: None,
         tried: &[],
         time_left: rule.timeout,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -15,7 +15,10 @@
 use savorybeam::{
     adapters::grpc::{self, Peers},
     app::gateway::Gateway,
-    domain::{Era, Instance, InstanceState, Millis, Position, RequestKind, Revision, RouteRule},
+    domain::{
+        Configuration, Era, Instance, InstanceState, Millis, Position, Quota, Rank, Rate,
+        RequestKind, Revision, RouteRule, Workspace,
+    },
     ports::{Batch, Change, FetchRequest, Platform, PlatformError},
 };
 
@@ -78,7 +81,23 @@
         ..vm::rule(RequestKind::Download, "/browse/")
     };
     rule.services[0].weight = 0.5;
-    Change::Configured(Box::new(vm::configuration(version, vec![rule], 10.5)))
+    let public = RouteRule {
+        public: true,
+        ..rule.clone()
+    };
+    let workspace = Workspace {
+        rank: Some(Rank(0)),
+        quota: Some(Quota {
+            rate: Rate(2.5),
+            burst: 4.0,
+        }),
+        home_regions: rule.home_regions.clone(),
+        ..vm::workspace("acme", &["key-a"])
+    };
+    Change::Configured(Box::new(Configuration {
+        workspaces: vec![workspace, vm::workspace("plain", &[])],
+        ..vm::configuration(version, vec![rule, public], 10.5)
+    }))
 }
 
 fn target(n: u64, seq: u64, state: InstanceState) -> Change {
--- a/tests/vm/mod.rs
+++ b/tests/vm/mod.rs
@@ -10,9 +10,9 @@
 
 use savorybeam::{
     domain::{
-        AzName, Bounds, CallerLimits, Configuration, Instance, InstanceState, Mbps, Millis,
-        Position, Rank, RegionName, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots, TargetId,
-        WeightedService,
+        AzName, Bounds, CallerLimits, Configuration, Instance, InstanceState, KeyDigest, Mbps,
+        Millis, Position, Rank, RegionName, RequestKind, Revision, RouteRule, ServiceRule, Size,
+        Slots, TargetId, WeightedService, Workspace,
     },
     ports::VmSettings,
 };
@@ -118,6 +118,17 @@
     }
 }
 
+/// Returns a workspace with the given keys and without limits.
+pub fn workspace(name: &str, keys: &[&str]) -> Workspace {
+    Workspace {
+        name: name.parse().expect("a valid name"),
+        keys: keys.iter().map(|k| KeyDigest::of(k.as_bytes())).collect(),
+        rank: None,
+        quota: None,
+        home_regions: Vec::new(),
+    }
+}
+
 /// Returns a ready target of the service `slots` with four slots.
 pub fn instance(id: &str, addr: SocketAddr) -> Instance {
     Instance {
