--- a/examples/bench/cost.rs
+++ b/examples/bench/cost.rs
@@ -5,12 +5,18 @@
 
 use std::{hint::black_box, time::Instant};
 
+use bytes::Bytes;
 use rand::{SeedableRng, rngs::SmallRng};
 use savorybeam::{
-    domain::{Lane, Millis, Place, PlaceName, PlaceState, Priority, Slots, TargetId, Weight},
+    domain::{
+        CallerKey, CallerLimits, Configuration, KeyDigest, Lane, Millis, Place, PlaceName,
+        PlaceState, Priority, Rank, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots,
+        TargetId, Weight, WeightedService, Workspace,
+    },
     policy::{
         queue::{Queue, Ticket},
         retry::{Attempt, Budget, Window},
+        route::Table,
         target::{Completion, Criteria, Pool},
     },
 };
@@ -25,6 +31,18 @@
     }
     println!("offer and start: {} ns", queue());
     println!("budget and window: {} ns", hedges());
+    let config = configuration();
+    let table = Table::compile(config.clone(), 0).expect("the configuration is valid");
+    println!(
+        "resolve the key of one of 76 workspaces: {} ns",
+        keys(&table)
+    );
+    let only_workspaces = Configuration {
+        rules: Vec::new(),
+        ..config
+    };
+    let bytes = memory(&only_workspaces);
+    println!("memory of 76 workspaces with 4 keys each: {bytes} bytes");
 }
 
 fn mean(mut f: impl FnMut(u64)) -> u128 {
@@ -111,3 +129,81 @@
         let _ = black_box(budget.hedge(Millis(n), &attempt));
     })
 }
+
+/// Returns the key of a workspace.
+fn key(workspace: usize, n: usize) -> Vec<u8> {
+    format!("key-of-a-caller-{workspace:04}-{n}").into_bytes()
+}
+
+/// Returns a configuration with the 76 workspaces of the largest known deployment and
+/// 1,556 routes.
+fn configuration() -> Configuration {
+    let name = |kind: &str, n: usize| format!("{kind}-{n}");
+    let workspace = |n| Workspace {
+        name: name("workspace", n).parse().expect("the name is valid"),
+        keys: (0..4).map(|k| KeyDigest::of(&key(n, k))).collect(),
+        rank: None,
+        quota: None,
+        home_regions: Vec::new(),
+    };
+    let rule = |n| RouteRule {
+        name: name("route", n),
+        host: name("host", n % 40),
+        prefix: format!("/route-{n}/"),
+        kind: RequestKind::Idempotent,
+        objective: Millis(300),
+        timeout: Millis(3_000),
+        attempts: 2,
+        rank: Rank(1),
+        public: false,
+        sticky: true,
+        home_regions: Vec::new(),
+        services: vec![WeightedService {
+            service: "slots".parse().expect("the name is valid"),
+            weight: 1.0,
+        }],
+    };
+    Configuration {
+        version: Revision(1),
+        limits: CallerLimits {
+            max_head: Size::kib(16),
+            max_body: Size::kib(64),
+            idle_timeout: Millis(15_000),
+        },
+        rules: (0..1_556).map(rule).collect(),
+        services: vec![ServiceRule {
+            name: "slots".parse().expect("the name is valid"),
+            cold_rate: 1.0,
+        }],
+        workspaces: (0..76).map(workspace).collect(),
+    }
+}
+
+fn keys(table: &Table) -> u128 {
+    let keys: Vec<Bytes> = (0..76).map(|n| key(n, n % 4).into()).collect();
+    mean(|n| {
+        let key = CallerKey::new(keys[n as usize % keys.len()].clone());
+        let found = black_box(table.workspace(&key.digest()));
+        assert!(found.is_some());
+    })
+}
+
+/// Returns the mean memory of a route table, from the growth of the process by many. It
+/// must be the first to allocate much, since memory that was freed is used again.
+fn memory(config: &Configuration) -> i64 {
+    const TABLES: i64 = 1_000;
+    let before = resident_bytes();
+    let tables: Vec<Table> = (0..TABLES)
+        .map(|_| Table::compile(config.clone(), 0).expect("the configuration is valid"))
+        .collect();
+    let bytes = (resident_bytes() - before) / TABLES;
+    drop(black_box(tables));
+    bytes
+}
+
+/// Returns the resident memory of this process, in whole pages of 4 KiB.
+fn resident_bytes() -> i64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|n| n.parse().ok());
+    pages.unwrap_or(0i64) * 4096
+}
