Count requests by workspace, and log when keys are refused

Cause: an operator could not see how a workspace's requests end, nor since when an entry refuses keys because its state is too old.

Change: `savorybeam_workspace_requests_total` by workspace and result, for at most 100 workspaces and `other` for the rest. One log line when an entry begins to refuse all keys and one when it admits them again.

--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -11,8 +11,9 @@
 mod table;
 
 use std::{
+    collections::BTreeSet,
     fmt,
-    sync::{Arc, atomic::AtomicU64},
+    sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -36,6 +37,10 @@
 /// The content type of the output of [`Metrics::encode`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// The number of workspaces with metrics of their own. The others are counted together,
+/// since a configuration may have many.
+pub const WORKSPACES_MAX: usize = 100;
+
 /// The label of metrics per service.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct ServiceLabel {
@@ -54,6 +59,15 @@
     pub outcome: &'static str,
 }
 
+/// The labels of finished requests per workspace.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct WorkspaceLabels {
+    /// The workspace, `other` for those beyond the first [`WORKSPACES_MAX`].
+    pub workspace: String,
+    /// `answered`, or the stable code of a failure.
+    pub result: &'static str,
+}
+
 /// The label of metrics per stable code.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct CodeLabel {
@@ -125,6 +139,10 @@
     calls: Arc<CallCounters>,
     /// Finished requests by status or code and by outcome.
     pub requests: Family<RequestLabels, Counter>,
+    /// Finished requests by workspace.
+    pub workspace_requests: Family<WorkspaceLabels, Counter>,
+    /// The workspaces with metrics of their own.
+    workspaces: Arc<Mutex<BTreeSet<String>>>,
     /// The time from the receipt of a request to the head of its response.
     pub latency: Family<ServiceLabel, Histogram, fn() -> Histogram>,
     /// Requests in progress, until the end of the response body.
@@ -182,6 +200,8 @@
         calls: calls.clone(),
         registry: Arc::default(),
         requests: Family::default(),
+        workspace_requests: Family::default(),
+        workspaces: Arc::default(),
         latency: Family::new_with_constructor(latency_histogram),
         running: Family::default(),
         retries: Family::default(),
@@ -206,6 +226,12 @@
     let m = metrics.clone();
     let help = |row: &Row| row.help.trim_end_matches('.').to_owned();
     r.register(table::REQUESTS.base, help(&table::REQUESTS), m.requests);
+    let workspace_requests = &table::WORKSPACE_REQUESTS;
+    r.register(
+        workspace_requests.base,
+        help(workspace_requests),
+        m.workspace_requests,
+    );
     let seconds = Unit::Seconds;
     r.register_with_unit(
         table::LATENCY.base,
@@ -308,6 +334,29 @@
         self.demand_entries.set(entries);
     }
 
+    /// Counts a request of a workspace that a target answered, or that failed with the
+    /// given stable code.
+    pub fn count_workspace(&self, workspace: &str, failure: Option<&'static str>) {
+        let labels = WorkspaceLabels {
+            workspace: self.workspace_label(workspace),
+            result: failure.unwrap_or("answered"),
+        };
+        self.workspace_requests.get_or_create(&labels).inc();
+    }
+
+    fn workspace_label(&self, name: &str) -> String {
+        let known = self.workspaces.lock();
+        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        if known.contains(name) {
+            return name.to_owned();
+        }
+        if known.len() >= WORKSPACES_MAX {
+            return "other".to_owned();
+        }
+        known.insert(name.to_owned());
+        name.to_owned()
+    }
+
     /// Reports whether the latest call to the store got a response.
     #[must_use]
     pub fn store_up(&self) -> bool {
--- a/src/adapters/metrics/table.rs
+++ b/src/adapters/metrics/table.rs
@@ -51,6 +51,8 @@
 rows! {
     REQUESTS = "requests" "savorybeam_requests_total", "requests", "service, code, outcome",
         "Requests by the target's status or the code of a failure.";
+    WORKSPACE_REQUESTS = "workspace_requests" "savorybeam_workspace_requests_total", "requests", "workspace, result",
+        "Requests of a workspace that a target answered, or by the code of the failure; `other` for workspaces beyond the first 100.";
     LATENCY = "request_latency" "savorybeam_request_latency_seconds", "seconds", "service",
         "Time from the receipt of a request to the head of its answer.";
     RUNNING = "requests_running" "savorybeam_requests_running", "requests", "service",
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -279,8 +279,22 @@
     /// Logs the result of the request and adds it to the metrics.
     fn report(&mut self, result: &Result<Response<Body>, Refusal>) {
         match result {
-            Ok(resp) => self.log_end(resp.status().as_str(), "complete", ""),
-            Err(e) => self.log_end(e.code.as_str(), e.outcome.as_str(), &e.detail),
+            Ok(resp) => {
+                self.log_end(resp.status().as_str(), "complete", "");
+                self.count_workspace(None);
+            }
+            Err(e) => {
+                self.log_end(e.code.as_str(), e.outcome.as_str(), &e.detail);
+                self.count_workspace(Some(e.code.as_str()));
+            }
+        }
+    }
+
+    /// Adds the request to the metrics of its workspace, with the code of its failure.
+    fn count_workspace(&self, failure: Option<&'static str>) {
+        if let Some(workspace) = &self.request.workspace {
+            let metrics = &self.state.ports.metrics;
+            metrics.count_workspace(workspace.name.as_str(), failure);
         }
     }
 
@@ -356,5 +370,6 @@
             outcome.as_str(),
             "the connection closed before the response",
         );
+        self.count_workspace(Some("cancelled"));
     }
 }
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -266,6 +266,8 @@
     if Homes::new(rule, Some(workspace)).is_void() {
         let (route, name) = (&rule.name, &workspace.name);
         let detail = format!("route {route} and workspace {name} have no home region in common");
+        let metrics = &state.ports.metrics;
+        metrics.count_workspace(name.as_str(), Some(Code::NoTarget.as_str()));
         return Err(Refusal::not_run(Code::NoTarget, detail));
     }
     Ok(Some(workspace.clone()))
@@ -290,7 +292,20 @@
         return Ok(());
     };
     let age = state.age(now(state));
-    if age <= limit {
+    let refuses = age > limit;
+    if state.set_refuses_keys(refuses) {
+        let (age_ms, limit_ms) = (age.0, limit.0);
+        if refuses {
+            tracing::warn!(
+                age_ms,
+                limit_ms,
+                "gateway: refusing all keys, the state is too old."
+            );
+        } else {
+            tracing::info!(age_ms, limit_ms, "gateway: admitting keys again.");
+        }
+    }
+    if !refuses {
         return Ok(());
     }
     let detail = format!("the state of this entry is {age} old, keys are valid for {limit}");
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -84,6 +84,8 @@
     followed_until: AtomicU64,
     /// Whether any target has been registered.
     has_targets: AtomicBool,
+    /// Whether callers' keys are refused, because one may have been withdrawn.
+    refuses_keys: AtomicBool,
     /// The schedule of the stop, if the gateway is stopping.
     pub(super) stop: watch::Sender<Option<StopSchedule>>,
     /// The number of running requests.
@@ -114,6 +116,7 @@
             settled: RwLock::default(),
             followed_until: AtomicU64::new(0),
             has_targets: AtomicBool::new(false),
+            refuses_keys: AtomicBool::new(false),
             stop: watch::Sender::new(None),
             running: AtomicU64::new(0),
         }
@@ -235,6 +238,11 @@
         now - self.change_log().as_of()
     }
 
+    /// Records whether callers' keys are refused, and returns whether that is new.
+    pub(super) fn set_refuses_keys(&self, refuses: bool) -> bool {
+        self.refuses_keys.swap(refuses, Relaxed) != refuses
+    }
+
     /// Makes changes available to other entries. `add` adds them to the log.
     pub(super) fn publish(&self, add: impl FnOnce(&mut ChangeLog<Change>)) {
         let position = {
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -381,6 +381,7 @@
         paused: 2,
     };
     m.count_probe("slotboard");
+    m.count_workspace("acme", None);
     m.count_withheld("slotboard", withheld);
     m.count_sync("store", "changes", "ok");
     let services = [("slotboard".parse().expect("a name"), Demand::default())];
--- a/tests/workspace.rs
+++ b/tests/workspace.rs
@@ -7,7 +7,7 @@
     io,
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
+        Arc, LazyLock, Mutex,
         atomic::{AtomicBool, Ordering::SeqCst},
     },
 };
@@ -19,6 +19,7 @@
 use savorybeam::{
     adapters::{
         http::{self as web, Limits, Server, full_body},
+        metrics,
         platform::store,
     },
     app::gateway::Gateway,
@@ -33,6 +34,7 @@
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::TcpStream,
 };
+use tracing::Subscriber;
 use volo_http::{body::Body, server::Router};
 
 use vm::entry::{self, Updates};
@@ -45,17 +47,21 @@
 struct Log(Arc<Mutex<Vec<u8>>>);
 
 impl Log {
-    /// Collects what is logged by all threads until the process ends.
-    fn collect() -> Self {
-        let log = Self::default();
-        let writer = log.clone();
-        let subscriber = tracing_subscriber::fmt()
-            .with_ansi(false)
-            .without_time()
-            .with_writer(move || writer.clone());
-        // Only one test calls this function.
-        subscriber.init();
-        log
+    /// Returns what all threads log from the first call on.
+    fn of_process() -> Self {
+        static LOG: LazyLock<Log> = LazyLock::new(|| {
+            let log = Log::default();
+            tracing::subscriber::set_global_default(log.subscriber()).expect("no other subscriber");
+            log
+        });
+        LOG.clone()
+    }
+
+    /// Returns a subscriber that writes to this log.
+    fn subscriber(&self) -> impl Subscriber + Send + Sync + 'static {
+        let writer = self.clone();
+        let subscriber = tracing_subscriber::fmt().with_ansi(false).without_time();
+        subscriber.with_writer(move || writer.clone()).finish()
     }
 
     fn text(&self) -> String {
@@ -188,12 +194,22 @@
     )
 }
 
+/// Returns the counters of workspaces in an output of the metrics.
+fn counts_of_workspaces(output: &str) -> Vec<String> {
+    let lines = output
+        .lines()
+        .filter(|l| l.starts_with("savorybeam_workspace_requests_total"));
+    let mut counts: Vec<String> = lines.map(str::to_owned).collect();
+    counts.sort();
+    counts
+}
+
 /// Fails if a request runs without the key of a workspace, if a target is told another
 /// workspace or the key, if a key that was taken away works on a kept connection, if
 /// a home is left, or if a key gets into the log, the metrics or a dump of the state.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_run_for_the_workspace_of_their_key() {
-    let log = Log::collect();
+    let log = Log::of_process();
     let target = spawn_target().await;
     let updates = Updates::default();
     let changes = vec![
@@ -249,6 +265,8 @@
         lines.push(caller.send_key("/all/1", "secret-1").await);
         lines.push(caller.send_key("/all/1", "secret-2").await);
     }
+    let metrics = gateway.state.ports.metrics.encode();
+    lines.extend(counts_of_workspaces(&metrics));
     let outputs = [log.text(), scrape(&gateway)];
     assert!(
         outputs[0].contains("workspace=\"acme\""),
@@ -265,6 +283,7 @@
 /// although the settings forbid it, or refuses them after it has current state again.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn keys_are_refused_while_the_state_is_too_old() {
+    let log = Log::of_process();
     let target = spawn_target().await;
     let changes = vec![
         configured(configuration(1, &["secret-1"])),
@@ -298,10 +317,16 @@
     is_down.store(true, SeqCst);
     tokio::time::sleep(Millis(2_500).duration()).await;
     lines.push(caller.send_key("/all/1", "secret-1").await);
+    lines.push(caller.send_key("/all/1", "secret-1").await);
     lines.push(caller.send("/public/1", &[], &[]).await);
     is_down.store(false, SeqCst);
     tokio::time::sleep(Millis(2_500).duration()).await;
     lines.push(caller.send_key("/all/1", "secret-1").await);
+    let log = log.text();
+    let changes = log
+        .lines()
+        .filter(|l| l.contains("all keys") || l.contains("keys again"));
+    assert_eq!(changes.count(), 2, "one line for each change");
     gateway.stop().await;
     // The detail states the age, which varies.
     let results = lines
@@ -328,12 +353,7 @@
         }),
     };
     let log = Log::default();
-    let writer = log.clone();
-    let subscriber = tracing_subscriber::fmt()
-        .with_ansi(false)
-        .without_time()
-        .with_writer(move || writer.clone());
-    let _guard = tracing::subscriber::set_default(subscriber.finish());
+    let _guard = tracing::subscriber::set_default(log.subscriber());
     let platform = store::open(vm::ANY_PORT, targets);
     let poll = Poll {
         after: Position::new(Era(0), Revision(3)),
@@ -434,6 +454,21 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Fails if the metrics of workspaces grow without bound.
+#[test]
+fn workspaces_beyond_a_number_are_counted_together() {
+    let metrics = metrics::open(Arc::default());
+    for n in 0..150 {
+        metrics.count_workspace(&format!("w-{n}"), None);
+        metrics.count_workspace(&format!("w-{n}"), Some("unknown-key"));
+    }
+    let counts = counts_of_workspaces(&metrics.encode());
+    let others = counts.iter().filter(|l| l.contains("\"other\""));
+    let others: Vec<&str> = others.map(String::as_str).collect();
+    let summary = format!("{} counters\n{}", counts.len(), others.join("\n"));
+    insta::assert_snapshot!(summary);
+}
+
 /// Fails if a key can be printed.
 #[test]
 fn a_key_prints_as_redacted() {
