--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -224,15 +224,11 @@
     /// targets want a pause now, the caller has to wait for its end.
     fn rejected(&self) -> Refusal {
         let cause = "the target rejected the request";
-        let RoutedRequest {
-            service,
-            table,
-            rule,
-            ..
-        } = &self.request;
-        let withheld = self
-            .state
-            .with_pool(service, table, |pool, context| pool.withheld(context, rule));
+        let RoutedRequest { service, table, .. } = &self.request;
+        let homes = self.request.homes();
+        let withheld = self.state.with_pool(service, table, |pool, context| {
+            pool.withheld(context, homes)
+        });
         match withheld {
             Some(withheld) => self.withheld(cause, withheld),
             None => self.no_target(cause),
@@ -283,8 +279,22 @@
     /// Logs the result of the request and adds it to the metrics.
     fn report(&mut self, result: &Result<Response<Body>, Refusal>) {
         match result {
-            Ok(resp) => self.log_end(resp.status().as_str(), "complete", ""),
-            Err(e) => self.log_end(e.code.as_str(), e.outcome.as_str(), &e.detail),
+            Ok(resp) => {
+                self.log_end(resp.status().as_str(), "complete", "");
+                self.count_workspace(None);
+            }
+            Err(e) => {
+                self.log_end(e.code.as_str(), e.outcome.as_str(), &e.detail);
+                self.count_workspace(Some(e.code.as_str()));
+            }
+        }
+    }
+
+    /// Adds the request to the metrics of its workspace, with the code of its failure.
+    fn count_workspace(&self, failure: Option<&'static str>) {
+        if let Some(workspace) = &self.request.workspace {
+            let metrics = &self.state.ports.metrics;
+            metrics.count_workspace(workspace.name.as_str(), failure);
         }
     }
 
@@ -301,6 +311,8 @@
             request = request.label(),
             caller = self.caller.map(|c| c.to_string()),
             route = request.rule.name,
+            workspace = request.workspace.as_ref().map(|w| w.name.as_str()),
+            rank = %request.rank,
             version = %request.table.version,
             object = request.object.map(|o| format!("{o:016x}")),
             service = %request.service,
@@ -358,5 +370,6 @@
             outcome.as_str(),
             "the connection closed before the response",
         );
+        self.count_workspace(Some("cancelled"));
     }
 }
