Admit requests by rank when a service has no room for all

Cause: the rank of a request was read and used nowhere. With too little room all ranks were refused alike.

Change: `Demand::by_rank`, summed with the reports of the region and absent from earlier versions; `policy/room` with the account, the line and the requests that return; admission before the body is read. The most urgent rank that is asked for is not held back. A metric and a log line for each change of the rank on the line. A refusal says when the rank is expected to fit, or nothing if that is after the deadline. `Target::limit()` returns the slots.

--- a/src/adapters/grpc/changes/demand.rs
+++ b/src/adapters/grpc/changes/demand.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     domain::ServiceName,
-    policy::demand::{Demand, DemandReport, EntryReport, RegionDemand, SERVICES_MAX},
+    policy::demand::{Demand, DemandReport, EntryReport, RankSlots, RegionDemand, SERVICES_MAX},
 };
 
 /// The encoded [`Demand`] for a service. It has single precision, because every entry
@@ -26,6 +26,9 @@
     stated: f32,
     #[prost(float, tag = "7")]
     stated_far: f32,
+    /// The slots by rank. Absent from entries of earlier versions.
+    #[prost(float, repeated, tag = "8")]
+    by_rank: Vec<f32>,
 }
 
 #[expect(
@@ -42,6 +45,7 @@
         far_reports: demand.far_reports as f32,
         stated: demand.stated as f32,
         stated_far: demand.stated_far as f32,
+        by_rank: demand.by_rank.0.map(|slots| slots as f32).to_vec(),
     };
     services.map(encode).collect()
 }
@@ -58,12 +62,22 @@
             far_reports: m.far_reports.into(),
             stated: m.stated.into(),
             stated_far: m.stated_far.into(),
+            by_rank: decode_ranks(&m.by_rank),
         };
         Some((m.service.parse().ok()?, demand))
     };
     messages.filter_map(decode).collect()
 }
 
+/// Decodes the slots by rank. Ranks that the message lacks need none.
+fn decode_ranks(slots: &[f32]) -> RankSlots {
+    let mut ranks = RankSlots::default();
+    for (rank, slots) in ranks.0.iter_mut().zip(slots) {
+        *rank = (*slots).into();
+    }
+    ranks
+}
+
 /// Decodes the report of an entry, if it has a valid name.
 pub(super) fn decode_report(entry: &str, demand: &[DemandMessage]) -> Option<EntryReport> {
     Some(EntryReport {
--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -31,6 +31,7 @@
 pub use self::table::{Row, TABLE};
 use crate::{
     adapters::store::CallCounters,
+    domain::Rank,
     policy::{balance::WithheldCounts, demand::RegionDemand},
 };
 
@@ -181,6 +182,12 @@
     pub demand_slots: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     /// The number of entries that this demand covers.
     pub demand_entries: Gauge,
+    /// The most urgent rank that is not admitted whole, -1 if all fit.
+    pub line_rank: Family<ServiceLabel, Gauge>,
+    /// The slots that callers ask for when that rank changes.
+    pub line_needed: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    /// The slots that there are for them.
+    pub line_room: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     /// The era of the platform's store.
     pub store_era: Gauge,
 }
@@ -220,6 +227,9 @@
         outdated: Counter::default(),
         demand_slots: Family::default(),
         demand_entries: Gauge::default(),
+        line_rank: Family::default(),
+        line_needed: Family::default(),
+        line_room: Family::default(),
         store_era: Gauge::default(),
     };
     let r = &mut registry;
@@ -261,6 +271,13 @@
     let (slots, entries) = (&table::REGION_DEMAND_SLOTS, &table::REGION_DEMAND_ENTRIES);
     r.register(slots.base, help(slots), m.demand_slots);
     r.register(entries.base, help(entries), m.demand_entries);
+    r.register(table::LINE_RANK.base, help(&table::LINE_RANK), m.line_rank);
+    r.register(
+        table::LINE_NEEDED.base,
+        help(&table::LINE_NEEDED),
+        m.line_needed,
+    );
+    r.register(table::LINE_ROOM.base, help(&table::LINE_ROOM), m.line_room);
     r.register(table::STORE_ERA.base, help(&table::STORE_ERA), m.store_era);
     r.register_collector(Box::new(store::StoreMetrics {
         calls: calls.clone(),
@@ -321,6 +338,18 @@
         self.far_share.get_or_create(&label).set(fraction);
     }
 
+    /// Sets the most urgent rank that is not admitted whole, if there is one, and the
+    /// slots by which it was drawn.
+    pub fn set_line(&self, service: &str, needed: f64, room: f64, rank: Option<Rank>) {
+        let label = ServiceLabel {
+            service: service.to_owned(),
+        };
+        let rank = rank.map_or(-1, |rank| i64::from(rank.0));
+        self.line_rank.get_or_create(&label).set(rank);
+        self.line_needed.get_or_create(&label).set(needed);
+        self.line_room.get_or_create(&label).set(room);
+    }
+
     /// Sets the demand of the region. Services without demand disappear.
     pub fn set_demand(&self, demand: &RegionDemand) {
         self.demand_slots.clear();
--- a/src/adapters/metrics/table.rs
+++ b/src/adapters/metrics/table.rs
@@ -89,6 +89,12 @@
         "Slots that the requests of the region's callers occupy if all objects are warm.";
     REGION_DEMAND_ENTRIES = "region_demand_entries" "savorybeam_region_demand_entries", "entries", "",
         "Entries whose requests the demand of the region is known to cover.";
+    LINE_RANK = "line_rank" "savorybeam_line_rank", "rank", "service",
+        "The most urgent rank that is not admitted whole, -1 if all requests fit.";
+    LINE_NEEDED = "line_needed_slots" "savorybeam_line_needed_slots", "slots", "service",
+        "Slots that callers of the region asked for when this rank last changed.";
+    LINE_ROOM = "line_room_slots" "savorybeam_line_room_slots", "slots", "service",
+        "Slots that there were for them, near and far.";
     STORE_ERA = "store_era" "savorybeam_store_era", "era", "",
         "The era of the store's state that a gateway has; it rises when the store comes back from an older copy.";
     STORE_CALLS = "store_calls" "savorybeam_store_calls_total", "calls", "operation",
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -12,6 +12,7 @@
 //!
 //! See [docs/platform.md](../../../../docs/platform.md).
 
+mod admit;
 mod directory;
 mod exchange;
 mod feed;
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -5,7 +5,11 @@
 use http::{HeaderValue, Request, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 
-use super::{State, now};
+use super::{
+    State,
+    admit::{self, Arrival},
+    now,
+};
 use crate::{
     adapters::{
         http::{ReplayBody, strip_hop_by_hop},
@@ -112,6 +116,18 @@
             ));
         }
         let object = affinity_key.map(|key| object_hash(&rule.prefix, key.as_bytes()));
+        let arrival = Arrival {
+            table: &table,
+            rule: &rule,
+            workspace: workspace.as_deref(),
+            rank,
+            service: &service,
+            object,
+            path: head.uri.path(),
+            label: headers::label(id.as_ref()),
+            deadline,
+        };
+        admit::admit(state, &arrival)?;
         let body = read_body(state, limits, deadline, body).await?;
         Ok(Self {
             table,
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -22,6 +22,7 @@
         overflow::{RequestCount, Sides, window_requests},
         presence::Entries,
         replay,
+        room::Returns,
         route::Table,
         upstream::{ChainTimes, ChangeLog},
     },
@@ -73,6 +74,8 @@
     sides: Mutex<Sides>,
     /// What is known of the demand of the region besides that of this entry.
     demand: Mutex<DemandAccount>,
+    /// The requests that were refused lately for want of room.
+    returns: Mutex<Returns>,
     registry: Mutex<Registry>,
     change_log: Mutex<ChangeLog<Change>>,
     /// The position up to which the change log is complete.
@@ -110,6 +113,7 @@
             request_count: Mutex::default(),
             sides: Mutex::default(),
             demand: Mutex::default(),
+            returns: Mutex::default(),
             registry: Mutex::default(),
             change_log: Mutex::default(),
             position: watch::Sender::new(Position::default()),
@@ -223,6 +227,11 @@
         lock(&self.demand).region(now, &own)
     }
 
+    /// Returns the requests that were refused lately for want of room.
+    pub(super) fn returns(&self) -> MutexGuard<'_, Returns> {
+        lock(&self.returns)
+    }
+
     /// Returns the registered targets.
     pub(super) fn registry(&self) -> MutexGuard<'_, Registry> {
         lock(&self.registry)
--- a/src/policy/balance/capacity.rs
+++ b/src/policy/balance/capacity.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Capacity {
     pub local: f64,
+    /// The part of the local slots whose targets are not in their slow start.
+    pub warm: f64,
     pub all: f64,
     pub region_count: f64,
 }
@@ -59,9 +61,12 @@
             if ctx.evacuated.contains(&target.instance.az) {
                 continue;
             }
-            capacity.all += target.slots();
+            capacity.all += target.limit();
             if region == ctx.region {
-                capacity.local += target.slots();
+                capacity.local += target.limit();
+                if !target.is_cold(ctx.now) {
+                    capacity.warm += target.limit();
+                }
             }
             if !regions.contains(&region) {
                 regions.push(region);
@@ -103,7 +108,7 @@
     }
 
     /// Returns the reported load of the local region.
-    fn local_load(&self, ctx: &Context<'_>) -> f64 {
+    pub(super) fn local_load(&self, ctx: &Context<'_>) -> f64 {
         let load = self.region_loads.get(ctx.region);
         load.map_or(0.0, |load| load.slot_load(ctx.now))
     }
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -2,8 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::{
     context::{Context, Request},
     duration::{hash_position, mix},
@@ -97,17 +95,14 @@
     ///
     /// Returns a [`ChooseError`] that says why no target can take it.
     pub fn choose(&mut self, ctx: &Context<'_>, req: &Request<'_>) -> Result<Choice, ChooseError> {
-        let route = xxh3_64(req.rule.prefix.as_bytes());
-        let objective = req.rule.objective;
-        let estimate = self.estimates.entry(route);
-        let estimate = *estimate.or_insert_with(|| RouteEstimate::new(objective));
+        let (route, estimate) = self.route_estimate(req.rule);
         let choice = self.choose_estimated(ctx, req, route, &estimate);
         // Further attempts are no demand of callers.
         if req.tried.is_empty() {
-            let duration_ms = estimate.duration.typical_ms;
+            let (rank, duration_ms) = (req.rank, estimate.duration.typical_ms);
             match choice {
-                Ok(_) => self.demand.record(ctx.now, duration_ms),
-                Err(_) => self.demand.record_refused(ctx.now, duration_ms),
+                Ok(_) => self.demand.record(ctx.now, rank, duration_ms),
+                Err(_) => self.demand.record_refused(ctx.now, rank, duration_ms),
             }
         }
         choice
--- a/src/policy/balance/mod.rs
+++ b/src/policy/balance/mod.rs
@@ -28,6 +28,7 @@
 //!
 //! See [docs/platform.md](../../../docs/platform.md).
 
+mod admit;
 mod capacity;
 mod choose;
 mod context;
@@ -44,6 +45,7 @@
 mod ticket;
 mod withheld;
 
+pub use admit::{Applicant, NoRoom};
 pub use choose::ChooseError;
 pub use context::{Context, Request};
 pub use duration::object_hash;
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -3,6 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::{
     distance::SizeEstimate,
     duration::DurationEstimate,
@@ -13,11 +15,12 @@
     ticket::{Ending, Ticket},
 };
 use crate::{
-    domain::{AzName, Instance, InstanceId, InstanceState, Millis, RegionName, Size},
+    domain::{AzName, Instance, InstanceId, InstanceState, Millis, RegionName, RouteRule, Size},
     policy::{
         budget::{RetryBudget, RetryLimits},
         demand::{Demand, DemandMeter},
         overflow::Overflow,
+        room::{Line, LineChange},
     },
 };
 
@@ -68,6 +71,10 @@
     pub(super) has_traffic: bool,
     /// The fraction of recent requests with a long queueing delay.
     pub(super) long_fraction: f64,
+    /// Who is admitted when not all requests fit.
+    pub(super) line: Line,
+    /// The latest change of the line, until it is taken.
+    pub(super) line_change: Option<LineChange>,
     /// The notices of targets that are no longer registered.
     pub(super) departed: DepartedNotices,
     /// The latest requests to targets that were removed while they were cold. Such a
@@ -230,6 +237,14 @@
         }
     }
 
+    /// Returns the hash of a route and what is known of its requests.
+    pub(super) fn route_estimate(&mut self, rule: &RouteRule) -> (u64, RouteEstimate) {
+        let route = xxh3_64(rule.prefix.as_bytes());
+        let estimate = self.estimates.entry(route);
+        let estimate = estimate.or_insert_with(|| RouteEstimate::new(rule.objective));
+        (route, *estimate)
+    }
+
     pub(super) fn find(&self, id: &InstanceId) -> Option<usize> {
         self.targets.iter().position(|t| t.instance.id == *id)
     }
--- a/src/policy/balance/target.rs
+++ b/src/policy/balance/target.rs
@@ -124,6 +124,11 @@
             && (!self.is_cold(now) || self.cold_requests.allows(now, self.hash, quota))
     }
 
+    /// Returns the number of requests at once that it takes well, at most its slots.
+    pub fn limit(&self) -> f64 {
+        self.slots()
+    }
+
     pub fn slots(&self) -> f64 {
         f64::from(self.instance.slots.0)
     }
--- a/src/policy/demand/meter.rs
+++ b/src/policy/demand/meter.rs
@@ -1,7 +1,7 @@
 //! Measures the demand of one service at one entry.
 
-use super::Demand;
-use crate::domain::Millis;
+use super::{Demand, RankSlots};
+use crate::domain::{Millis, Rank};
 
 /// The time constant of the moving sums. An entry of a large region gets a few
 /// requests per second of a service, but their sum over the region varies little, and a
@@ -19,6 +19,8 @@
     count: f64,
     /// The sum of their durations in milliseconds.
     busy_ms: f64,
+    /// The same by rank, with refused requests in full.
+    rank_ms: RankSlots,
     /// The time of the first request.
     first: Option<Millis>,
     updated: Millis,
@@ -27,20 +29,22 @@
 impl DemandMeter {
     /// Records a request with the time in milliseconds that it is expected to take at a
     /// target.
-    pub fn record(&mut self, now: Millis, duration_ms: f64) {
-        self.add(now, 1.0, duration_ms);
+    pub fn record(&mut self, now: Millis, rank: Rank, duration_ms: f64) {
+        self.add(now, 1.0, rank, duration_ms);
     }
 
     /// Records a request that was refused. Its caller usually sends it again, which
     /// would count it twice.
-    pub fn record_refused(&mut self, now: Millis, duration_ms: f64) {
-        self.add(now, REFUSED_WEIGHT, duration_ms);
+    pub fn record_refused(&mut self, now: Millis, rank: Rank, duration_ms: f64) {
+        self.add(now, REFUSED_WEIGHT, rank, duration_ms);
     }
 
-    fn add(&mut self, now: Millis, count: f64, duration_ms: f64) {
+    fn add(&mut self, now: Millis, count: f64, rank: Rank, duration_ms: f64) {
         let weight = remaining_weight(now - self.updated);
         self.count = self.count * weight + count;
         self.busy_ms = self.busy_ms * weight + count * duration_ms;
+        self.rank_ms = self.rank_ms.scaled(weight);
+        self.rank_ms.add(rank, duration_ms);
         self.first.get_or_insert(now);
         self.updated = self.updated.max(now);
     }
@@ -59,6 +63,7 @@
         Demand {
             requests: self.count * weight / window_ms * 1_000.0,
             slots: self.busy_ms * weight / window_ms,
+            by_rank: self.rank_ms.scaled(weight / window_ms),
             ..Demand::default()
         }
     }
--- a/src/policy/demand/mod.rs
+++ b/src/policy/demand/mod.rs
@@ -14,12 +14,14 @@
 
 mod account;
 mod meter;
+mod ranks;
 
 use std::{collections::BTreeMap, fmt, ops::AddAssign};
 
 pub use self::{
     account::{DemandAccount, REPORT_VALIDITY, REPORTS_MAX},
     meter::{DEMAND_WINDOW, DemandMeter},
+    ranks::{RANKS, RankSlots},
 };
 use crate::domain::{EntryId, ServiceName};
 
@@ -55,6 +57,9 @@
     pub stated: f64,
     /// The requests per second that these entries send to other regions.
     pub stated_far: f64,
+    /// The slots that the requests of each rank need. There are none from entries of
+    /// earlier versions.
+    pub by_rank: RankSlots,
 }
 
 impl Demand {
@@ -86,7 +91,8 @@
             self.stated,
             self.stated_far,
         ];
-        values.iter().all(|value| range.contains(value))
+        let values = values.iter().chain(&self.by_rank.0);
+        values.into_iter().all(|value| range.contains(value))
     }
 
     /// Returns the demand of all entries of a region if that of most is known. Entries
@@ -98,6 +104,7 @@
             slots: self.slots * factor,
             stated: self.stated * factor,
             stated_far: self.stated_far * factor,
+            by_rank: self.by_rank.scaled(factor),
             ..self
         })
     }
@@ -111,6 +118,7 @@
         self.far_reports += other.far_reports;
         self.stated += other.stated;
         self.stated_far += other.stated_far;
+        self.by_rank += other.by_rank;
     }
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -24,6 +24,7 @@
 pub mod refusal;
 pub mod replay;
 pub mod retry;
+pub mod room;
 pub mod route;
 pub mod shift;
 pub mod silence;
--- a/tests/balance/load.rs
+++ b/tests/balance/load.rs
@@ -39,7 +39,7 @@
         restarted_entries: 0,
         traffic: RUN_DURATION,
         duration: RUN_DURATION,
-        random: false,
+        ..Load::default()
     }
 }
 
--- a/tests/balance/main.rs
+++ b/tests/balance/main.rs
@@ -6,6 +6,7 @@
 mod notice;
 mod odd_reports;
 mod regions;
+mod room;
 mod shares;
 mod simulation;
 mod targets;
--- a/tests/balance/regions.rs
+++ b/tests/balance/regions.rs
@@ -43,7 +43,7 @@
         restarted_entries: 0,
         traffic: Millis(12_000),
         duration: Millis(16_000),
-        random: false,
+        ..Load::default()
     }
 }
 
--- /dev/null
+++ b/tests/balance/room.rs
@@ -0,0 +1,144 @@
+//! Simulations of too little room: which rank is served, which waits, and what is left
+//! of it when the account of the region is lost. Callers give up after 800 ms, and an
+//! answer within 300 ms has its full value.
+
+use std::collections::BTreeMap;
+
+use savorybeam::domain::Millis;
+
+use super::simulation::{Counts, Load, Served, Surge, simulate};
+
+const SEEDS: u64 = 3;
+
+/// The time in which there is too little room.
+const PEAK: (Millis, Millis) = (Millis(8_000), Millis(14_000));
+
+/// By how many percent a less urgent rank may be served more often than a more urgent one.
+const INVERSION_MAX: u32 = 5;
+
+/// Returns a load of three ranks that fits, apart from its peak: one of them is then 2.3
+/// times as much, and all need 1.2 times the slots.
+fn load() -> Load {
+    Load {
+        rate: [250.0; 3],
+        window_requests: 500.0,
+        retries: 1,
+        entries: 4,
+        ranks: &[(0, 0.3), (1, 0.4), (2, 0.3)],
+        surge: Some(Surge {
+            rank: 1,
+            factor: 2.3,
+            from: PEAK.0,
+            until: PEAK.1,
+        }),
+        admission: true,
+        ..Load::default()
+    }
+}
+
+fn runs(load: &Load) -> Vec<Counts> {
+    (0..SEEDS).map(|seed| simulate(load, seed)).collect()
+}
+
+fn add(sum: &mut Served, one: &Served) {
+    sum.asked += one.asked;
+    sum.in_time += one.in_time;
+    sum.late += one.late;
+    sum.refusals += one.refusals;
+}
+
+/// Returns the percentage of each rank that is served, after a check that none is served
+/// less than a more urgent one and that none is starved.
+fn served_ranks(runs: &[Counts]) -> Vec<u32> {
+    let mut ranks: BTreeMap<u32, Served> = BTreeMap::new();
+    let mut all = Served::default();
+    for (rank, served) in runs.iter().flat_map(|run| &run.ranks) {
+        add(ranks.entry(*rank).or_default(), served);
+        add(&mut all, served);
+    }
+    let percents: Vec<u32> = ranks.values().map(Served::percent).collect();
+    for pair in percents.windows(2) {
+        assert!(pair[1] <= pair[0] + INVERSION_MAX, "{percents:?}");
+    }
+    let starved = percents.iter().any(|p| *p < all.percent() / 4);
+    assert!(!starved, "{percents:?}");
+    percents
+}
+
+/// Returns the percentage of the requests of a time that are answered in time.
+fn in_time(runs: &[Counts], (from, until): (Millis, Millis)) -> u32 {
+    let mut sum = Served::default();
+    for run in runs {
+        let seconds = run.seconds.range(from.0 / 1_000..until.0 / 1_000);
+        seconds.for_each(|(_, served)| add(&mut sum, served));
+    }
+    sum.in_time * 100 / sum.asked.max(1)
+}
+
+fn round(percent: u32) -> u32 {
+    (percent + 2) / 5 * 5
+}
+
+/// Returns what is served of each rank, and in time at the peak and after it.
+fn describe(load: &Load) -> String {
+    let runs = runs(load);
+    let ranks: Vec<u32> = served_ranks(&runs).into_iter().map(round).collect();
+    let after = (PEAK.1 + Millis(2_000), load.traffic);
+    let [peak, after] = [PEAK, after].map(|time| round(in_time(&runs, time)));
+    format!("ranks {ranks:?}, in time at the peak {peak}, after it {after}")
+}
+
+/// Fails if all ranks are refused alike when one of them is 2.3 times as much, or if the
+/// service is worse after the peak than before it.
+#[test]
+fn the_least_urgent_rank_waits_when_one_is_more_than_usual() {
+    let cases = [0, 1, 2].map(|rank| {
+        let surge = load().surge.map(|surge| Surge { rank, ..surge });
+        let load = Load { surge, ..load() };
+        format!("{rank} surges: {}", describe(&load))
+    });
+    insta::assert_snapshot!(cases.join("\n"));
+}
+
+/// Fails if anything is refused by rank while there is room, also while all objects are
+/// cold after a start.
+#[test]
+fn nothing_is_refused_by_rank_while_there_is_room() {
+    let calm = |admission| Load {
+        admission,
+        rate: [200.0; 3],
+        surge: None,
+        ..load()
+    };
+    let [with, without] = [true, false].map(|admission| {
+        let runs = runs(&calm(admission));
+        let refusals = runs.iter().flat_map(|run| run.ranks.values());
+        refusals.map(|served| served.refusals).sum::<u32>()
+    });
+    assert_eq!(with, without, "with admission by rank, and without it");
+}
+
+/// Fails if requests of a region whose account is lost at the peak, or that is cut off
+/// from the other regions, are all refused or served by no rank.
+#[test]
+fn a_region_serves_without_its_account_and_on_its_own() {
+    let middle = Some((Millis(10_000), Millis(12_000)));
+    let cases = [
+        (
+            "account lost",
+            Load {
+                unknown: middle,
+                ..load()
+            },
+        ),
+        (
+            "cut off",
+            Load {
+                cut_off: middle,
+                ..load()
+            },
+        ),
+    ];
+    let lines = cases.map(|(name, load)| format!("{name}: {}", describe(&load)));
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -15,7 +15,8 @@
     },
     policy::{
         balance::{
-            ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Request, Ticket, object_hash,
+            Applicant, ChooseError, ColdQuota, Context, Ending, LoadReport, Pool, Request, Ticket,
+            object_hash,
         },
         demand::Demand,
         overflow::Sides,
@@ -71,6 +72,14 @@
     }
 }
 
+/// Returns the rule of requests of a rank.
+fn ranked(rank: u32) -> RouteRule {
+    RouteRule {
+        rank: Rank(rank),
+        ..rule()
+    }
+}
+
 /// Returns the context of an entry in an availability zone of the first region,
 /// which shares the rate of cold targets with one other entry.
 pub fn context<'a>(
@@ -145,6 +154,70 @@
     pub duration: Millis,
     /// Whether targets are selected at random, as the baseline for comparison.
     pub random: bool,
+    /// The ranks of the requests, with their parts.
+    pub ranks: &'static [(u32, f64)],
+    /// A time in which the requests of one rank are more than usual.
+    pub surge: Option<Surge>,
+    /// Whether requests are admitted by rank.
+    pub admission: bool,
+    /// The time in which the entries of the first region know no sum of their demand.
+    pub unknown: Option<(Millis, Millis)>,
+    /// The time in which the first region is cut off from the targets of the others.
+    pub cut_off: Option<(Millis, Millis)>,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self {
+            targets: [8; 3],
+            rate: [100.0; 3],
+            burst: 1.0,
+            swing: 0.0,
+            window_requests: 0.0,
+            objects: 86,
+            warm_objects: 40,
+            retries: 0,
+            entries: 1,
+            late_targets: 0,
+            draining_targets: 0,
+            restarted_entries: 0,
+            traffic: Millis(24_000),
+            duration: Millis(24_000),
+            random: false,
+            ranks: &[(1, 1.0)],
+            surge: None,
+            admission: false,
+            unknown: None,
+            cut_off: None,
+        }
+    }
+}
+
+/// A time in which the requests of one rank are more than usual, after the start of the
+/// traffic.
+#[derive(Clone, Copy)]
+pub struct Surge {
+    pub rank: u32,
+    pub factor: f64,
+    pub from: Millis,
+    pub until: Millis,
+}
+
+/// The requests of one kind, each counted once whatever its returns.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Served {
+    pub asked: u32,
+    pub in_time: u32,
+    pub late: u32,
+    /// How often requests were refused.
+    pub refusals: u32,
+}
+
+impl Served {
+    /// Returns the percentage of the requests that were served.
+    pub fn percent(&self) -> u32 {
+        (self.in_time + self.late) * 100 / self.asked.max(1)
+    }
 }
 
 /// The numbers of requests by outcome.
@@ -161,6 +234,32 @@
     /// The shares of requests that each entry of the first region sends to other
     /// regions, every [`SAMPLE_INTERVAL`] while there is traffic.
     pub shares: Vec<Vec<f64>>,
+    /// The requests by rank and region, and by the second of their first attempt.
+    pub ranks: BTreeMap<u32, Served>,
+    pub regions: [Served; 3],
+    pub seconds: BTreeMap<u64, Served>,
+}
+
+impl Counts {
+    fn served(&mut self, ask: &Ask) -> [&mut Served; 3] {
+        let second = (ask.first - START).0 / 1_000;
+        [
+            self.ranks.entry(ask.rank).or_default(),
+            &mut self.regions[ask.region],
+            self.seconds.entry(second).or_default(),
+        ]
+    }
+}
+
+/// What a caller asks for.
+#[derive(Clone, Copy, Eq, Ord, PartialEq, PartialOrd)]
+struct Ask {
+    region: usize,
+    object: u64,
+    rank: u32,
+    /// When the caller asked for the first time.
+    first: Millis,
+    retries: u32,
 }
 
 /// A request that reached a target.
@@ -225,11 +324,9 @@
 /// A simulated request.
 #[derive(Clone)]
 struct Call {
-    /// The index of its caller's region.
-    region: usize,
+    ask: Ask,
     /// The index of its entry among all.
     entry: usize,
-    object: u64,
     arrived: Millis,
     ticket: Option<Ticket>,
 }
@@ -237,8 +334,8 @@
 #[derive(Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
     Arrival(usize),
-    /// The return of a refused request: its region, object and number of retries.
-    Return(usize, u64, u32),
+    /// The return of a refused request.
+    Return(Ask),
     Delivery(usize, usize),
     Completion(usize, usize),
     Answer(usize, usize),
@@ -268,7 +365,7 @@
     events: BinaryHeap<Reverse<(Millis, u64, Event)>>,
     event_count: u64,
     counts: Counts,
-    rule: RouteRule,
+    rules: BTreeMap<u32, RouteRule>,
 }
 
 impl<'a> Simulation<'a> {
@@ -309,7 +406,11 @@
             events: BinaryHeap::new(),
             event_count: 0,
             counts: Counts::default(),
-            rule: rule(),
+            rules: load
+                .ranks
+                .iter()
+                .map(|(rank, _)| (*rank, ranked(*rank)))
+                .collect(),
         };
         (0..3).for_each(|region| simulation.next_arrival(START, region));
         for nth in 0..=load.traffic.0 / SAMPLE_INTERVAL.0 {
@@ -333,7 +434,9 @@
             1.0
         };
         let wave = if region == 0 { self.wave(now) } else { 1.0 };
-        let rate = self.load.rate[region] * factor * wave;
+        let usual: f64 = self.load.ranks.iter().map(|(_, part)| part).sum();
+        let parts: f64 = self.rank_parts(now).map(|(_, part)| part).sum();
+        let rate = self.load.rate[region] * factor * wave * parts / usual;
         let gap = -self.rng.random::<f64>().max(1e-9).ln() * 1000.0 / rate;
         #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
         let next = now + Millis(gap as u64);
@@ -342,6 +445,31 @@
         }
     }
 
+    /// Returns the ranks with their parts at an instant.
+    fn rank_parts(&self, now: Millis) -> impl Iterator<Item = (u32, f64)> + use<'a> {
+        let surge = self.load.surge;
+        let surge = surge.filter(|s| (START + s.from..START + s.until).contains(&now));
+        self.load.ranks.iter().map(move |(rank, part)| {
+            let factor = surge.filter(|s| s.rank == *rank).map_or(1.0, |s| s.factor);
+            (*rank, part * factor)
+        })
+    }
+
+    fn draw_rank(&mut self, now: Millis) -> u32 {
+        let parts: Vec<_> = self.rank_parts(now).collect();
+        let sum: f64 = parts.iter().map(|(_, part)| part).sum();
+        let mut left = if parts.len() > 1 {
+            self.rng.random::<f64>() * sum
+        } else {
+            0.0
+        };
+        let drawn = parts.iter().find(|(_, part)| {
+            left -= part;
+            left < 0.0
+        });
+        drawn.or(parts.last()).expect("a rank").0
+    }
+
     /// Returns the rate of a wave relative to its mean.
     fn wave(&self, now: Millis) -> f64 {
         #[expect(clippy::cast_precision_loss)]
@@ -360,11 +488,19 @@
                     self.next_arrival(now, region);
                     let own = self.rng.random_range(0..self.load.objects);
                     let object = object_hash("/slots/", format!("{region}/{own}").as_bytes());
-                    self.arrive(now, region, object, 0);
-                }
-                Event::Return(region, object, retries) => {
-                    self.arrive(now, region, object, retries);
+                    let rank = self.draw_rank(now);
+                    self.arrive(
+                        now,
+                        Ask {
+                            region,
+                            object,
+                            rank,
+                            first: now,
+                            retries: 0,
+                        },
+                    );
                 }
+                Event::Return(ask) => self.arrive(now, ask),
                 Event::Delivery(target, call) => self.deliver(now, target, call),
                 Event::Completion(target, call) => self.complete(now, target, call),
                 Event::Answer(target, call) => self.answer(now, target, call),
@@ -407,28 +543,40 @@
         arrived.0 > START.0 + self.load.duration.0 / 5
     }
 
-    fn arrive(&mut self, now: Millis, region: usize, object: u64, retries: u32) {
+    fn arrive(&mut self, now: Millis, ask: Ask) {
+        let region = ask.region;
         let entry = match self.load.entries {
             1 => region,
             entries => region * entries + self.rng.random_range(0..entries),
         };
         let counted = self.is_counted(now);
         self.counts.total += u32::from(counted);
-        let chosen = self.choose(now, region, entry, object);
-        let Some((target, ticket)) = chosen else {
-            self.counts.refused += u32::from(counted);
-            if retries < self.load.retries {
-                let event = Event::Return(region, object, retries + 1);
-                self.add(now + RETRY_AFTER, event);
+        if ask.retries == 0 {
+            self.counts
+                .served(&ask)
+                .into_iter()
+                .for_each(|s| s.asked += 1);
+        }
+        let (target, ticket) = match self.choose(now, entry, ask) {
+            Ok(chosen) => chosen,
+            Err(wait) => {
+                self.counts.refused += u32::from(counted);
+                self.counts
+                    .served(&ask)
+                    .into_iter()
+                    .for_each(|s| s.refusals += 1);
+                if ask.retries < self.load.retries {
+                    let retries = ask.retries + 1;
+                    self.add(now + wait, Event::Return(Ask { retries, ..ask }));
+                }
+                return;
             }
-            return;
         };
         let remote = self.targets[target].region != region;
         let call = self.calls.len();
         self.calls.push(Call {
-            region,
+            ask,
             entry,
-            object,
             arrived: now,
             ticket,
         });
@@ -439,15 +587,27 @@
     fn choose(
         &mut self,
         now: Millis,
-        at: usize,
         entry: usize,
-        object: u64,
-    ) -> Option<(usize, Option<Ticket>)> {
+        ask: Ask,
+    ) -> Result<(usize, Option<Ticket>), Millis> {
+        let Ask {
+            region: at, object, ..
+        } = ask;
         if self.load.random {
-            return Some((self.rng.random_range(0..self.targets.len()), None));
+            return Ok((self.rng.random_range(0..self.targets.len()), None));
         }
         let region_demand = self.exchange_demand(now, at);
-        let (region, az, evacuated) = (region(at), az(at), BTreeSet::new());
+        let is_in = |time: Option<(Millis, Millis)>| {
+            at == 0 && time.is_some_and(|(from, until)| (from..until).contains(&(now - START)))
+        };
+        let region_demand = region_demand.filter(|_| !is_in(self.load.unknown));
+        let (region, az) = (region(at), az(at));
+        let others: &[usize] = if is_in(self.load.cut_off) {
+            &[1, 2]
+        } else {
+            &[]
+        };
+        let evacuated: BTreeSet<_> = others.iter().map(|n| self::az(*n)).collect();
         let ctx = Context {
             cold_quota: ColdQuota {
                 max_rate: 20.0,
@@ -462,8 +622,19 @@
         };
         let req = Request {
             object: Some(object),
-            ..request(&self.rule)
+            ..request(&self.rules[&ask.rank])
         };
+        if self.load.admission {
+            let applicant = Applicant {
+                rule: &self.rules[&ask.rank],
+                homes: Homes::new(&self.rules[&ask.rank], None),
+                rank: Rank(ask.rank),
+                subject: object,
+                returns: ask.retries > 0,
+            };
+            let admitted = self.pools[entry].admit(&ctx, &applicant);
+            admitted.map_err(|no_room| no_room.returns_in)?;
+        }
         let choice: Result<_, ChooseError> = self.pools[entry].choose(&ctx, &req);
         let basis = match &choice {
             Ok(choice) => Some(choice.ticket.basis),
@@ -473,9 +644,9 @@
             let sent_remote = choice.is_ok().then_some(basis.remote);
             self.sides[entry].record(now, basis.placed_remote(), sent_remote);
         }
-        let ticket = choice.ok()?.ticket;
+        let ticket = choice.map_err(|_| RETRY_AFTER)?.ticket;
         let at = self.targets.iter().position(|s| s.id == ticket.id);
-        Some((at.expect("a known target"), Some(ticket)))
+        Ok((at.expect("a known target"), Some(ticket)))
     }
 
     /// Returns the demand of a region as of the last exchange between its entries.
@@ -496,7 +667,7 @@
 
     fn deliver(&mut self, now: Millis, target: usize, call: usize) {
         let s = &mut self.targets[target];
-        let from = self.calls[call].region;
+        let from = self.calls[call].ask.region;
         self.counts.deliveries.push(Delivery {
             at: now - START,
             from,
@@ -515,7 +686,7 @@
     }
 
     fn start(&mut self, now: Millis, target: usize, call: usize) {
-        let object = self.calls[call].object;
+        let object = self.calls[call].ask.object;
         // Noisy neighbours slow a target down for about a seventh of the time.
         let has_noisy_neighbour = self.rng.random_bool(0.006);
         let is_straggler = self.rng.random_bool(0.03);
@@ -564,15 +735,21 @@
                 self.finish(now, target, next.entry, Ending::Cancelled);
             }
         }
-        let remote = self.targets[target].region != self.calls[call].region;
+        let remote = self.targets[target].region != self.calls[call].ask.region;
         let one_way = if remote { REMOTE_RTT_MS / 2 } else { 1 };
         self.add(now + Millis(one_way), Event::Answer(target, call));
     }
 
     fn answer(&mut self, now: Millis, target: usize, call: usize) {
         let arrived = self.calls[call].arrived;
+        let ask = self.calls[call].ask;
+        let in_time = now - ask.first <= self.rules[&ask.rank].objective;
+        for served in self.counts.served(&ask) {
+            served.in_time += u32::from(in_time);
+            served.late += u32::from(!in_time);
+        }
         if self.is_counted(arrived) {
-            if now - arrived <= self.rule.objective {
+            if now - arrived <= self.rules[&ask.rank].objective {
                 self.counts.in_time += 1;
             } else {
                 self.counts.late += 1;
--- a/tests/demand.rs
+++ b/tests/demand.rs
@@ -5,7 +5,7 @@
 
 use quickcheck::quickcheck;
 use savorybeam::{
-    domain::{EntryId, Millis, ServiceName},
+    domain::{EntryId, Millis, Rank, ServiceName},
     policy::demand::{
         Demand, DemandAccount, DemandMeter, DemandReport, REPORT_VALIDITY, REPORTS_MAX,
         RegionDemand, SERVICES_MAX,
@@ -59,7 +59,7 @@
     let start = 100_000;
     for at in (0..20_000).step_by(50) {
         let now = Millis(start + at);
-        meter.record(now, 200.0);
+        meter.record(now, Rank(1), 200.0);
         if [0, 250, 500, 1_000, 2_000, 4_000, 8_000, 19_950].contains(&at) {
             lines.push(format!("after {at} ms: {}", meter.demand(now)));
         }
