--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -26,6 +26,10 @@
 /// The `retry-after` of a request that no target could take.
 const OVERLOADED_RETRY_AFTER: Millis = Millis(250);
 
+/// The `retry-after` of a request that a target rejected while its region has room, so
+/// that another target can take it.
+const REJECTED_RETRY_AFTER: Millis = Millis(50);
+
 /// The service in the metrics of requests that were refused before their service
 /// was asked.
 const NO_SERVICE: &str = "-";
@@ -226,13 +230,17 @@
         let cause = "the target rejected the request";
         let RoutedRequest { service, table, .. } = &self.request;
         let homes = self.request.homes();
-        let withheld = self.state.with_pool(service, table, |pool, context| {
-            pool.withheld(context, homes)
+        let (withheld, has_room) = self.state.with_pool(service, table, |pool, context| {
+            (pool.withheld(context, homes), pool.has_room(context))
         });
-        match withheld {
-            Some(withheld) => self.withheld(cause, withheld),
-            None => self.no_target(cause),
+        if let Some(withheld) = withheld {
+            return self.withheld(cause, withheld);
+        }
+        let mut refusal = self.no_target(cause);
+        if has_room && refusal.retry_after.is_some() {
+            refusal.retry_after = Some(REJECTED_RETRY_AFTER);
         }
+        refusal
     }
 
     /// Returns the refusal of a request for which all targets are paused or
