--- a/src/adapters/grpc/changes/demand.rs
+++ b/src/adapters/grpc/changes/demand.rs
@@ -45,7 +45,7 @@
         far_reports: demand.far_reports as f32,
         stated: demand.stated as f32,
         stated_far: demand.stated_far as f32,
-        by_rank: demand.by_rank.0.map(|slots| slots as f32).to_vec(),
+        by_rank: encode_ranks(&demand.by_rank),
     };
     services.map(encode).collect()
 }
@@ -69,6 +69,17 @@
     messages.filter_map(decode).collect()
 }
 
+/// Encodes the slots by rank, without the least urgent ranks that need none.
+#[expect(
+    clippy::cast_possible_truncation,
+    reason = "rounds to the precision of a message"
+)]
+fn encode_ranks(ranks: &RankSlots) -> Vec<f32> {
+    let used = ranks.0.iter().rposition(|slots| *slots > 0.0);
+    let used = used.map_or(0, |last| last + 1);
+    ranks.0[..used].iter().map(|slots| *slots as f32).collect()
+}
+
 /// Decodes the slots by rank. Ranks that the message lacks need none.
 fn decode_ranks(slots: &[f32]) -> RankSlots {
     let mut ranks = RankSlots::default();
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -219,11 +219,25 @@
                 self.no_target("the region is overloaded, and no target with room has the object")
             }
             ChooseError::TooLate { expected, .. } => {
-                self.no_target(&format!("the response is expected only after {expected}"))
+                let cause = format!("the response is expected only after {expected}");
+                self.without_vain_return(self.no_target(&cause), expected)
             }
         }
     }
 
+    /// Omits when to return if the caller would have given up before the response, which
+    /// takes the expected time then as well.
+    fn without_vain_return(&self, refusal: Refusal, expected: Millis) -> Refusal {
+        let response = refusal
+            .retry_after
+            .map(|wait| now(self.state) + wait + expected);
+        let in_vain = response.is_some_and(|at| at > self.request.caller_deadline);
+        Refusal {
+            retry_after: refusal.retry_after.filter(|_| !in_vain),
+            ..refusal
+        }
+    }
+
     /// Returns the refusal of a request that its last target rejected. If all
     /// targets want a pause now, the caller has to wait for its end.
     fn rejected(&self) -> Refusal {
--- a/src/policy/room/account.rs
+++ b/src/policy/room/account.rs
@@ -60,12 +60,13 @@
         let mut left = self.room - floor * total;
         let first = self.needed.0.iter().position(|needed| *needed > 0.0);
         let mut fractions = [1.0; RANKS];
+        let mut extra = 1.0 - floor;
         for (rank, needed) in self.needed.0.iter().enumerate() {
-            let extra = if Some(rank) <= first {
-                1.0 - floor
-            } else {
-                (left / needed.max(f64::MIN_POSITIVE)).clamp(0.0, 1.0 - floor)
-            };
+            // No rank is admitted more often than a more urgent one, also if none of its
+            // requests are known.
+            if Some(rank) > first {
+                extra = (left / needed.max(f64::MIN_POSITIVE)).clamp(0.0, extra);
+            }
             left -= extra * needed;
             fractions[rank] = floor + extra;
         }
