Give an edit after an older copy a revision that takes effect

The revision of a document was the store's modification revision. The etcd protocol names no era, so that after the store had come back from an older copy an accepted edit had a revision below the one in effect, which no entry takes.

The record of a document now may hold a floor, and its revision is the greater of the floor and the store's revision. Before a write the entry asks all entries which revision they have in effect. If that is later than the stored one, the record gets a floor above it; an entry that started without memory learns it from the others in this way. A record that follows one with a floor in use gets one too. While the store has lost nothing, records hold none and are the same bytes as before, also for earlier versions. Writes stay conditional on the store's own revision. A floor that is no revision makes the record invalid with a message.

The port of the tests of the administration server said that e1 has revision 2 in effect before there is a document; it now reports the revision in the store.

--- a/examples/fleet_slope/main.rs
+++ b/examples/fleet_slope/main.rs
@@ -246,7 +246,9 @@
         wall_time: (clock.wall)(),
         text: Some(text),
     };
-    submit(store, &name, None, edit).await.map_err(|e| eyre!(e))
+    submit(store, &name, None, Revision::default(), edit)
+        .await
+        .map_err(|e| eyre!(e))
 }
 
 #[expect(
--- a/src/adapters/store/documents.rs
+++ b/src/adapters/store/documents.rs
@@ -32,7 +32,7 @@
 pub struct DocumentRevision {
     /// The service that the document configures.
     pub service: ServiceName,
-    /// The store's revision.
+    /// The revision.
     pub revision: Revision,
     /// The document, or why there is none.
     pub content: Content,
@@ -120,7 +120,8 @@
             return vec![document_revision(record.revision, invalid)];
         }
     };
-    let current = document_revision(record.revision, parse_content(&service, &history.current));
+    let revision = history.revision(record.revision);
+    let current = document_revision(revision, parse_content(&service, &history.current));
     if !matches!(current.content, Content::Invalid(_)) {
         return vec![current];
     }
@@ -157,10 +158,7 @@
         .map_err(SubmitError::Store)?;
     let stored = found.map(|r| {
         let history = record::decode(&r.value).map_err(SubmitError::Record)?;
-        Ok(StoredHistory {
-            revision: r.revision,
-            history,
-        })
+        Ok(StoredHistory::new(r.revision, history))
     });
     stored.transpose()
 }
@@ -169,7 +167,9 @@
 ///
 /// The text must have been validated by the caller. `base` is the revision that
 /// the edit is based on; with `None` the edit applies to the current revision,
-/// whichever it is. An edit that is submitted again with the same id is written
+/// whichever it is. The edit gets a revision later than `known`, the latest one
+/// that entries have in effect, which matters after the store has come back from
+/// an older copy. An edit that is submitted again with the same id is written
 /// only once.
 ///
 /// # Errors
@@ -180,6 +180,7 @@
     store: &Store,
     service: &ServiceName,
     base: Option<Revision>,
+    known: Revision,
     edit: Edit,
 ) -> Result<Revision, SubmitError> {
     let id = edit.id;
@@ -188,14 +189,22 @@
     if let Some(own) = written_revision(History::write_outcome(id, expected, stored.as_ref())) {
         return Ok(own);
     }
+    let assigned = stored.as_ref().map_or(Revision::default(), |s| s.assigned);
     let history = History::extend(stored, base, edit).map_err(SubmitError::Refused)?;
+    let history = history.later_than(known);
+    if known > expected {
+        tracing::warn!(
+            "document: the store has {service} at revision {expected}, older than {known} in effect, \
+             and the edit gets a later one."
+        );
+    }
     let write = Write {
         key: key(service),
         value: Some(record::encode(&history).map_err(SubmitError::Record)?),
-        expected,
+        expected: assigned,
     };
     let mut last_error = match (store.write)(write.clone()).await {
-        Ok(revision) => return Ok(revision),
+        Ok(assigned) => return Ok(history.revision(assigned)),
         Err(error @ StoreError::Down { .. }) => return Err(SubmitError::Store(error)),
         Err(error) => error,
     };
@@ -215,7 +224,7 @@
             WriteOutcome::Pending => {}
         }
         match (store.write)(write.clone()).await {
-            Ok(revision) => return Ok(revision),
+            Ok(assigned) => return Ok(history.revision(assigned)),
             Err(StoreError::Down { .. }) => tokio::time::sleep(RETRY_DELAY).await,
             Err(error) => last_error = error,
         }
--- a/src/adapters/store/record.rs
+++ b/src/adapters/store/record.rs
@@ -18,6 +18,9 @@
 /// The version of the encoding, which lets a later version recognize it.
 const FORMAT_VERSION: u32 = 1;
 
+/// The largest floor of a record: the store's own revisions are signed.
+const MAX_FLOOR: u64 = i64::MAX.unsigned_abs();
+
 /// Why a record cannot be encoded or decoded.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RecordError {
@@ -44,9 +47,20 @@
     format: u32,
     current: EditJson,
     former: Vec<FormerJson>,
+    /// Left out if it is zero, as in records of versions that know no floor.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    floor: u64,
     dropped: bool,
 }
 
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
+fn is_zero(n: &u64) -> bool {
+    *n == 0
+}
+
 #[derive(Deserialize, Serialize)]
 struct EditJson {
     id: String,
@@ -67,12 +81,14 @@
 /// # Errors
 ///
 /// Returns [`RecordError::TooLarge`] if the record exceeds the limit with the
-/// current text alone.
+/// current text alone, or [`RecordError::Malformed`] if its floor is too large.
 pub fn encode(history: &History) -> Result<Bytes, RecordError> {
+    check_floor(history.floor.0)?;
     let mut json = HistoryJson {
         format: FORMAT_VERSION,
         current: edit_to_json(&history.current),
         former: history.former.iter().map(former_to_json).collect(),
+        floor: history.floor.0,
         dropped: history.dropped,
     };
     loop {
@@ -101,15 +117,25 @@
         );
         return Err(RecordError::Malformed(cause));
     }
+    check_floor(json.floor)?;
     let former: Result<Vec<FormerRevision>, RecordError> =
         json.former.into_iter().map(former_from_json).collect();
     Ok(History {
         current: edit_from_json(json.current)?,
         former: former?,
+        floor: Revision(json.floor),
         dropped: json.dropped,
     })
 }
 
+/// Checks that a floor leaves room for a later revision.
+fn check_floor(floor: u64) -> Result<(), RecordError> {
+    if floor > MAX_FLOOR {
+        return Err(malformed(format!("floor {floor} is above {MAX_FLOOR}")));
+    }
+    Ok(())
+}
+
 fn malformed(cause: impl fmt::Display) -> RecordError {
     RecordError::Malformed(cause.to_string())
 }
--- a/src/app/dev/sample.rs
+++ b/src/app/dev/sample.rs
@@ -77,7 +77,7 @@
         wall_time: (clock.wall)(),
         text: Some(document_text(service, targets)),
     };
-    let submitted = submit(store, &name, None, edit).await;
+    let submitted = submit(store, &name, None, Revision::default(), edit).await;
     submitted
         .map_err(|e| eyre!(e))
         .wrap_err_with(|| format!("put the document of {service}"))?;
--- a/src/app/entry/admin/documents.rs
+++ b/src/app/entry/admin/documents.rs
@@ -33,7 +33,8 @@
         // An invalid record must not hide the others.
         match record::decode(&found.value) {
             Ok(history) if history.current.text.is_some() => {
-                all.push(summary(&service, found.revision, &history.current));
+                let revision = history.revision(found.revision);
+                all.push(summary(&service, revision, &history.current));
             }
             Ok(_) => {}
             Err(e) => all.push(json!({
@@ -97,7 +98,9 @@
     let service = parse_service(name)?;
     let stored = read(admin, &service).await?;
     let stored = stored.ok_or_else(|| unknown_document(&service))?;
-    let StoredHistory { revision, history } = &stored;
+    let StoredHistory {
+        revision, history, ..
+    } = &stored;
     let mut edits = vec![(*revision, &history.current)];
     edits.extend(history.former.iter().map(|f| (f.revision, &f.edit)));
     let mut all = Vec::new();
--- a/src/app/entry/admin/edit.rs
+++ b/src/app/entry/admin/edit.rs
@@ -236,7 +236,8 @@
         text: plan.text.clone(),
     };
     let expected = found.revision;
-    let submitted = submit(&admin.store, &plan.service, Some(expected), edit).await;
+    let known = known_revision(admin, &plan.service).await;
+    let submitted = submit(&admin.store, &plan.service, Some(expected), known, edit).await;
     let revision = submitted.map_err(|e| submit_failure(plan, expected, e))?;
     Ok(Accepted {
         revision,
@@ -244,6 +245,14 @@
     })
 }
 
+/// Returns the latest revision that an entry has in effect. All of them are asked,
+/// because this one may have started after the store lost the record.
+async fn known_revision(admin: &Admin, service: &ServiceName) -> Revision {
+    let reported = (admin.port.entry_revisions)(service.clone()).await;
+    let latest = reported.iter().filter_map(|r| r.revision).max();
+    Revision(latest.unwrap_or_default())
+}
+
 fn submit_failure(plan: &Plan, expected: Revision, e: SubmitError) -> AdminError {
     match e {
         SubmitError::Refused(EditError::Conflict { found, .. }) => {
--- a/src/policy/document/edit.rs
+++ b/src/policy/document/edit.rs
@@ -75,14 +75,18 @@
 /// The record that the store holds for a service: the current edit and the
 /// former ones.
 ///
-/// The current edit has no revision in the record, since the store assigns it
-/// when the record is written.
+/// The store assigns a revision when the record is written, so the record of the
+/// current edit holds only a lower bound on it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct History {
     /// The current edit.
     pub current: Edit,
     /// The former revisions, the latest first.
     pub former: Vec<FormerRevision>,
+    /// The least revision of the current edit, zero if the one that the store
+    /// assigns is enough. A store that comes back from an older copy assigns
+    /// revisions again, and entries take only a greater one than theirs.
+    pub floor: Revision,
     /// Whether older revisions were dropped, either because there were more
     /// than [`MAX_FORMER_REVISIONS`] or because the record would have been too
     /// large.
@@ -92,13 +96,27 @@
 /// A history as read from the store, with the revision of its current edit.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoredHistory {
-    /// The revision that the store assigned to the current edit.
+    /// The revision that the store assigned to the record. Writes are
+    /// conditional on it.
+    pub assigned: Revision,
+    /// The revision of the current edit, which is later than `assigned` if the
+    /// record has a later floor.
     pub revision: Revision,
     /// The record.
     pub history: History,
 }
 
 impl StoredHistory {
+    /// Returns a history to which the store has assigned a revision.
+    #[must_use]
+    pub fn new(assigned: Revision, history: History) -> Self {
+        Self {
+            assigned,
+            revision: history.revision(assigned),
+            history,
+        }
+    }
+
     /// Returns the edit that made the current or a former revision, or `None`
     /// if the record does not contain it.
     #[must_use]
@@ -114,8 +132,8 @@
 impl History {
     /// Returns the record to write for `edit`, given the record in the store.
     ///
-    /// The write must be conditional on the revision of `stored`, or on zero if
-    /// there is none.
+    /// The write must be conditional on the revision that the store assigned to
+    /// `stored`, or on zero if there is none.
     ///
     /// # Errors
     ///
@@ -134,13 +152,24 @@
                 found,
             });
         }
-        let Some(StoredHistory { revision, history }) = stored else {
+        let Some(StoredHistory {
+            assigned,
+            revision,
+            history,
+        }) = stored
+        else {
             return Ok(Self {
                 current: edit,
                 former: Vec::new(),
+                floor: Revision::default(),
                 dropped: false,
             });
         };
+        let floor = if revision > assigned {
+            revision.next()
+        } else {
+            Revision::default()
+        };
         let latest = FormerRevision {
             revision,
             edit: history.current,
@@ -152,10 +181,32 @@
         Ok(Self {
             current: edit,
             former,
+            floor,
             dropped,
         })
     }
 
+    /// Returns the record with a revision later than `known`, the latest one that
+    /// entries have in effect.
+    ///
+    /// It differs only if the store no longer has a revision that was in effect,
+    /// so that the records of other times are the same for every version.
+    #[must_use]
+    pub fn later_than(mut self, known: Revision) -> Self {
+        let replaced = self.former.first().map(|f| f.revision);
+        if known > replaced.unwrap_or_default() {
+            self.floor = self.floor.max(known.next());
+        }
+        self
+    }
+
+    /// Returns the revision of the current edit, given the one that the store
+    /// assigned to the record.
+    #[must_use]
+    pub fn revision(&self, assigned: Revision) -> Revision {
+        assigned.max(self.floor)
+    }
+
     /// Determines the outcome of a write of edit `id` that was conditional on
     /// `expected` and whose response was lost.
     ///
--- a/src/policy/document/mod.rs
+++ b/src/policy/document/mod.rs
@@ -9,8 +9,9 @@
 //! adapter reads and writes a [`History`] in the store.
 //!
 //! Adoption depends only on the store's revision, so it needs no clock and no
-//! agreement between entries. The cost is that after the store is restored from
-//! a backup with a lower revision counter, its revisions are not adopted. See
+//! agreement between entries. A store that is restored from an older copy assigns
+//! revisions again; the record of an edit made after that holds a floor, later
+//! than every revision that entries report to have in effect. See
 //! [docs/design.md](../../../docs/design.md), section 3.3.
 
 mod diff;
--- a/tests/admin_server/mod.rs
+++ b/tests/admin_server/mod.rs
@@ -18,7 +18,7 @@
         clock,
         http::Server,
         metrics::{self, Metrics},
-        store::{CallCounters, memory},
+        store::{CallCounters, documents, memory},
     },
     app::entry::admin::{self, Admin, open_events},
     ports::{
@@ -81,12 +81,13 @@
         let teams: BTreeMap<_, _> = teams
             .map(|(t, token)| (t.parse().expect("a name"), token.to_owned()))
             .into();
+        let port = port(&events, store.clone());
         let admin = Admin {
             teams,
             clock,
             store: faulty(store, &faults),
             metrics: metrics.clone(),
-            port: port(&events),
+            port,
             events,
         };
         let addr = "127.0.0.1:0".parse().expect("an address");
@@ -198,8 +199,9 @@
     }
 }
 
-/// Returns a port with fixed values and the timeline of `events`.
-fn port(events: &Events) -> AdminPort {
+/// Returns a port with fixed values and the timeline of `events`. Entry e1 has the
+/// documents of `store` in effect, and e2 does not answer.
+fn port(events: &Events, store: Store) -> AdminPort {
     let read = events.read.clone();
     let decision = Decision {
         wall_ms: 0,
@@ -226,14 +228,20 @@
         entry: entry.to_owned(),
         revision,
     };
-    let entry_revisions = vec![entry_revision("e1", Some(2)), entry_revision("e2", None)];
     AdminPort {
         unready_reason: Arc::new(|| Some("no documents yet".to_owned())),
         status: Arc::new(move || status.clone()),
         drains: Arc::new(|()| Box::pin(std::future::ready(Vec::new()))),
         limits: Arc::new(Vec::new),
         explain: Arc::new(move |_| vec![decision.clone()]),
-        entry_revisions: Arc::new(move |_| Box::pin(std::future::ready(entry_revisions.clone()))),
+        entry_revisions: Arc::new(move |service| {
+            let store = store.clone();
+            Box::pin(async move {
+                let stored = documents::read(&store, &service).await.expect("up");
+                let revision = stored.map(|s| s.revision.0);
+                vec![entry_revision("e1", revision), entry_revision("e2", None)]
+            })
+        }),
         timeline: Arc::new(move |query| {
             let events = read(&query);
             let missing = Vec::new();
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -282,13 +282,21 @@
         stored.map_or(Revision::default(), |s| s.revision)
     }
 
+    /// Returns the revision on which a write is conditional.
+    fn assigned(&self) -> Revision {
+        let stored = self.stored.as_ref();
+        stored.map_or(Revision::default(), |s| s.assigned)
+    }
+
     fn write(&mut self, expected: Revision, history: History) -> Option<Revision> {
-        if self.revision() != expected {
+        if self.assigned() != expected {
             return None;
         }
         self.counter += 1;
         let revision = Revision(self.counter);
-        self.stored = Some(StoredHistory { revision, history });
+        let stored = StoredHistory::new(revision, history);
+        let revision = stored.revision;
+        self.stored = Some(stored);
         Some(revision)
     }
 
@@ -332,6 +340,27 @@
         outcome_is_correct(case, History::write_outcome)
     }
 
+    /// Fails if an edit that is accepted after the store has come back from an older
+    /// copy has a revision that entries don't take, or one that was given out before.
+    fn an_edit_is_later_than_all_in_effect(steps: Vec<Option<u8>>) -> bool {
+        let mut register = Register::default();
+        let (mut copies, mut known) = (vec![register.clone()], Revision::default());
+        steps.into_iter().enumerate().all(|(n, step)| {
+            if let Some(copy) = step {
+                register = copies[usize::from(copy) % copies.len()].clone();
+                return true;
+            }
+            let assigned = register.assigned();
+            let history = History::extend(register.stored.clone(), None, edit(n as u128, "text"));
+            let history = history.expect("no base is given").later_than(known);
+            let floor = history.floor;
+            let revision = register.write(assigned, history).expect("it is the only writer");
+            copies.push(register.clone());
+            let is_later = revision > std::mem::replace(&mut known, revision);
+            is_later && (floor == Revision::default() || register.assigned() <= floor)
+        })
+    }
+
     fn edit_ids_round_trip(high: u64, low: u64) -> bool {
         let id = EditId(u128::from(high) << 64 | u128::from(low));
         id.to_string().parse() == Ok(id)
@@ -406,10 +435,10 @@
         let history = History::extend(stored, None, edit(n, &text)).expect("no base");
         let bytes = record::encode(&history).expect("one text fits");
         assert!(bytes.len() <= MAX_VALUE_BYTES);
-        stored = Some(StoredHistory {
-            revision: Revision(u64::try_from(n).expect("small")),
-            history: record::decode(&bytes).expect("the record is valid"),
-        });
+        stored = Some(StoredHistory::new(
+            Revision(u64::try_from(n).expect("small")),
+            record::decode(&bytes).expect("the record is valid"),
+        ));
     }
     let stored = stored.expect("there were edits");
     assert_eq!(
@@ -427,6 +456,33 @@
     ));
 }
 
+/// Fails if a record of a version that knows no floor is refused, if such a version
+/// reads other bytes than its own while the store has lost nothing, or if a floor
+/// that is no revision makes a record unreadable without a message.
+#[test]
+fn a_record_has_a_floor_only_if_it_needs_one() {
+    let history = History::extend(None, None, edit(1, "text")).expect("no base");
+    let plain = record::encode(&history).expect("the record is small");
+    let raised = record::encode(&history.clone().later_than(Revision(8))).expect("small");
+    let decode = |text: &str| record::decode(&text.to_owned().into());
+    let text = String::from_utf8_lossy(&plain).into_owned();
+    assert!(!text.contains("floor"), "{text}");
+    assert_eq!(decode(&text), Ok(history));
+    let found = record::decode(&raised).expect("the record is valid");
+    assert_eq!(found.revision(Revision(3)), Revision(9));
+    assert_eq!(found.revision(Revision(12)), Revision(12));
+    for floor in ["-1", "1.5", "\"9\"", "null", "9223372036854775808", "1e30"] {
+        let odd = text.replace("\"dropped\"", &format!("\"floor\":{floor},\"dropped\""));
+        let error = decode(&odd).expect_err(floor).to_string();
+        assert!(error.starts_with("the record cannot be decoded"), "{error}");
+    }
+    let beyond = found.later_than(Revision(u64::MAX));
+    assert!(matches!(
+        record::encode(&beyond),
+        Err(RecordError::Malformed(_))
+    ));
+}
+
 #[test]
 fn updates_contain_the_parsed_revisions() {
     let stored = |text: Option<&str>, before: Option<StoredHistory>| {
@@ -436,7 +492,7 @@
         };
         let revision = before.as_ref().map_or(Revision(4), |s| s.revision.next());
         let history = History::extend(before, None, edit).expect("no base is given");
-        StoredHistory { revision, history }
+        StoredHistory::new(revision, history)
     };
     let put = |stored: &StoredHistory| {
         Update::Put(Record {
--- a/tests/faults_store.rs
+++ b/tests/faults_store.rs
@@ -276,33 +276,41 @@
 }
 
 /// Fails if an edit that was accepted after the store has come back from an older copy
-/// never takes effect, because its revision is below that of one that was lost.
+/// never takes effect, because its revision is below that of one that was lost. The
+/// first edit goes to an entry that has seen the lost ones, the second to one that has
+/// started after them.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_edit_after_an_older_copy_takes_effect() {
-    let deployment = with_timeout("start", Deployment::start_serving(2, 1, 4)).await;
+    let mut deployment = with_timeout("start", Deployment::start_serving(2, 1, 4)).await;
     control_store(&deployment, "/copy").await;
     for slots in [1, 2, 3] {
         let text = document_text(&deployment, slots);
         let revision = parse_revision(deployment.put_document(0, &text).await.header("etag"));
         with_timeout("applied", deployment.wait_for_revision(revision)).await;
     }
-    come_back_from_copy(&deployment).await;
-    wait_until("the store is back", || async {
-        let tag = fetch_etag(&deployment.entries[0]).await;
-        (!tag.is_empty()).then_some(()).ok_or(tag)
-    })
-    .await;
-    let accepted = deployment
-        .put_document(0, &document_text(&deployment, 5))
-        .await;
-    let accepted = parse_revision(accepted.header("etag"));
-    for entry in &deployment.entries {
-        wait_until("the edit is in effect", || async {
-            let now = entry.revision().await;
-            (now == accepted)
-                .then_some(())
-                .ok_or(format!("{now}, not {accepted}"))
+    for (editor, slots) in [(0, 5), (1, 6)] {
+        come_back_from_copy(&deployment).await;
+        if editor == 1 {
+            deployment.restart(editor);
+            with_timeout("ready", deployment.entries[editor].wait_until_ready()).await;
+        }
+        wait_until("the store is back", || async {
+            let tag = fetch_etag(&deployment.entries[editor]).await;
+            (!tag.is_empty()).then_some(()).ok_or(tag)
         })
         .await;
+        let accepted = deployment
+            .put_document(editor, &document_text(&deployment, slots))
+            .await;
+        let accepted = parse_revision(accepted.header("etag"));
+        for entry in &deployment.entries {
+            wait_until("the edit is in effect", || async {
+                let now = entry.revision().await;
+                (now == accepted)
+                    .then_some(())
+                    .ok_or(format!("{now}, not {accepted}"))
+            })
+            .await;
+        }
     }
 }
--- a/tests/store/edits.rs
+++ b/tests/store/edits.rs
@@ -75,14 +75,21 @@
 #[test]
 fn a_lost_response_is_resolved_by_the_edit_id() {
     async fn scenario(store: Store) -> Vec<u128> {
-        let first = submit(&store, &service(), None, edit(1)).await;
-        let second = submit(&store, &service(), None, edit(2)).await;
-        let again = submit(&store, &service(), None, edit(1)).await;
+        let first = submit(&store, &service(), None, Revision::default(), edit(1)).await;
+        let second = submit(&store, &service(), None, Revision::default(), edit(2)).await;
+        let again = submit(&store, &service(), None, Revision::default(), edit(1)).await;
         assert_eq!(
             (first, second, again),
             (Ok(Revision(2)), Ok(Revision(3)), Ok(Revision(2)))
         );
-        let stale = submit(&store, &service(), Some(Revision(2)), edit(3)).await;
+        let stale = submit(
+            &store,
+            &service(),
+            Some(Revision(2)),
+            Revision::default(),
+            edit(3),
+        )
+        .await;
         let conflict = EditError::Conflict {
             base: Revision(2),
             found: Revision(3),
@@ -142,13 +149,23 @@
         },
         ..reliable.clone()
     };
-    let result = runtime.block_on(submit(&late, &service(), None, edit(1)));
+    let result = runtime.block_on(submit(
+        &late,
+        &service(),
+        None,
+        Revision::default(),
+        edit(1),
+    ));
     assert!(counters.counts().writes > 1, "the write is repeated");
     wait_until(&runtime, || standin.count("pending") == 0);
     let resolved = match result {
-        Err(SubmitError::Store(StoreError::Unknown { .. })) => {
-            runtime.block_on(submit(&reliable, &service(), None, edit(1)))
-        }
+        Err(SubmitError::Store(StoreError::Unknown { .. })) => runtime.block_on(submit(
+            &reliable,
+            &service(),
+            None,
+            Revision::default(),
+            edit(1),
+        )),
         resolved => resolved,
     };
     assert_eq!(resolved, Ok(Revision(2)));
@@ -165,11 +182,13 @@
 #[test]
 fn one_of_two_concurrent_edits_is_accepted() {
     run_on_both(|[first, second]| async move {
-        let base = submit(&first, &service(), None, edit(1)).await.expect("up");
+        let base = submit(&first, &service(), None, Revision::default(), edit(1))
+            .await
+            .expect("up");
         let service = service();
         let (a, b) = tokio::join!(
-            submit(&first, &service, Some(base), edit(2)),
-            submit(&second, &service, Some(base), edit(3)),
+            submit(&first, &service, Some(base), Revision::default(), edit(2)),
+            submit(&second, &service, Some(base), Revision::default(), edit(3)),
         );
         let (won, lost) = if a.is_ok() { (a, b) } else { (b, a) };
         let conflict = EditError::Conflict {
--- a/tests/store/faults.rs
+++ b/tests/store/faults.rs
@@ -68,7 +68,7 @@
         let error = (store.write)(put("w/c", "1", Revision::default())).await;
         assert!(matches!(error, Err(StoreError::Down { .. })), "{error:?}");
         assert!(!counters.is_up());
-        let refused = submit(&store, &service(), None, edit(1)).await;
+        let refused = submit(&store, &service(), None, Revision::default(), edit(1)).await;
         assert!(matches!(
             refused,
             Err(SubmitError::Store(StoreError::Down { .. }))
