Explain where a request would go without sending it

Cause: operators could see only from the logs why a request went where it went, and not what else had been possible.

The choice runs on a copy of the targets' state. The text of a failed choice is the Display of its error, which refusals use too.

--- a/src/app/cli/client.rs
+++ b/src/app/cli/client.rs
@@ -110,6 +110,14 @@
         }
     }
 
+    /// Returns a client that sends no token.
+    pub(super) fn anonymous(addr: AdminAddr) -> Self {
+        Self {
+            addrs: vec![addr],
+            token: String::new(),
+        }
+    }
+
     /// Returns the addresses of the entries, in the order in which they are tried.
     pub(super) fn addrs(&self) -> &[AdminAddr] {
         &self.addrs
--- a/src/app/cli/mod.rs
+++ b/src/app/cli/mod.rs
@@ -11,6 +11,7 @@
 mod documents;
 mod drain;
 mod entry;
+mod explain;
 mod gateway;
 mod options;
 mod show;
@@ -18,7 +19,10 @@
 
 use std::process::ExitCode;
 
-use self::{client::Client, options::Command};
+use self::{
+    client::Client,
+    options::{Command, Explain},
+};
 
 /// Parses the arguments of the process, runs the command and returns its exit
 /// code.
@@ -46,11 +50,12 @@
         Command::Documents(command) => block_on(documents::run(command)),
         Command::Drain(options) => block_on(drain::run(options)),
         Command::Entry { settings } => block_on(entry::run(settings)),
-        Command::Explain {
+        Command::Explain(Explain::Recent {
             access,
             json,
             service,
-        } => block_on(show::explain(&Client::new(access), &service, json)),
+        }) => block_on(show::explain(&Client::new(access), &service, json)),
+        Command::Explain(Explain::Request(question)) => block_on(explain::run(question)),
         Command::Gateway { settings, metrics } => gateway::run(settings, metrics),
         Command::Status { access, json } => block_on(show::status(&Client::new(access), json)),
         Command::Timeline(options) => block_on(timeline::run(options)),
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -7,7 +7,7 @@
 
 use super::addr::AdminAddr;
 use crate::{
-    domain::{PlaceName, Revision, ServiceName, TargetId},
+    domain::{PlaceName, Revision, ServiceName, Size, TargetId, WorkspaceName},
     policy::timeline::{Component, Stamp},
 };
 
@@ -98,20 +98,14 @@
         #[bpaf(argument("FILE"))]
         settings: PathBuf,
     },
-    /// Shows which targets recent requests of a service were sent to, and why
+    /// Shows which targets recent requests of a service were sent to, and why, or
+    /// where a request would go now
     ///
     ///
-    /// Example: savorybeam explain --admin 10.0.0.1:7002 slotboard
+    /// Examples: savorybeam explain --admin 10.0.0.1:7002 slotboard; savorybeam
+    /// explain --gateway 10.0.0.1:9464 --host kitchens.example /slots/7
     #[bpaf(command)]
-    Explain {
-        #[bpaf(external)]
-        access: Access,
-        /// Print the response as JSON
-        json: bool,
-        /// The service
-        #[bpaf(positional("SERVICE"))]
-        service: ServiceName,
-    },
+    Explain(#[bpaf(external(explain))] Explain),
     /// Runs the process of an entry VM on the users' platform
     ///
     ///
@@ -145,6 +139,46 @@
     Timeline(#[bpaf(external(timeline_options))] TimelineOptions),
 }
 
+#[derive(Bpaf, Clone, Debug)]
+pub(super) enum Explain {
+    /// Recent requests, by the administration interface of an entry
+    Recent {
+        #[bpaf(external)]
+        access: Access,
+        /// Print the response as JSON
+        json: bool,
+        /// The service
+        #[bpaf(positional("SERVICE"))]
+        service: ServiceName,
+    },
+    /// A request that is not sent, by the metrics address of a gateway
+    Request(#[bpaf(external(question))] Question),
+}
+
+#[derive(Bpaf, Clone, Debug)]
+pub(super) struct Question {
+    /// The metrics address of a gateway
+    #[bpaf(argument("ADDRESS"))]
+    pub gateway: AdminAddr,
+    /// The host of the request
+    #[bpaf(argument("NAME"))]
+    pub host: String,
+    /// The workspace of the caller, if the route needs a key
+    #[bpaf(argument("NAME"), optional)]
+    pub workspace: Option<WorkspaceName>,
+    /// The affinity key, which identifies the object of the request
+    #[bpaf(argument("KEY"), optional)]
+    pub object: Option<String>,
+    /// The size of the body, as in 64KiB
+    #[bpaf(argument("SIZE"), optional)]
+    pub bytes: Option<Size>,
+    /// Print the response as JSON
+    pub json: bool,
+    /// The path of the request
+    #[bpaf(positional("PATH"))]
+    pub path: String,
+}
+
 #[derive(Bpaf, Clone, Debug)]
 pub(super) enum Documents {
     /// Prints a document, with its revision in the first line
--- a/src/app/gateway/directory.rs
+++ b/src/app/gateway/directory.rs
@@ -4,11 +4,12 @@
 
 use eyre::WrapErr;
 use http::{HeaderValue, Request, Response, StatusCode, header};
+use serde_json::json;
 use volo::net::Address;
 use volo_http::{body::Body, server::Router};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{State, now};
+use super::{State, explain, now};
 use crate::{
     adapters::{
         http::{self as web, Limits, Server},
@@ -47,9 +48,15 @@
 
 async fn serve(state: &Arc<State>, addr: SocketAddr) -> eyre::Result<Server> {
     let state = state.clone();
+    let for_operators = addr == state.settings().metrics;
     let handler = move |peer: Address, req: Request<Body>| {
         let state = state.clone();
-        async move { respond(&state, &peer, &req) }
+        async move {
+            if for_operators && req.uri().path() == explain::EXPLAIN_PATH {
+                return explain_request(&state, req.uri().query().unwrap_or_default());
+            }
+            respond(&state, &peer, &req)
+        }
     };
     let router = Router::new().fallback(handler);
     let server = web::bind(addr, Limits::default(), router).await;
@@ -79,6 +86,19 @@
     }
 }
 
+/// Answers where a request would go. It is served only at the address of the metrics,
+/// because the answer contains the state of targets.
+fn explain_request(state: &State, query: &str) -> Response<Body> {
+    match explain::answer(state, query) {
+        Ok(answer) => text("application/json", answer.to_string()),
+        Err(cause) => {
+            let mut resp = text("application/json", json!({ "error": cause }).to_string());
+            *resp.status_mut() = StatusCode::BAD_REQUEST;
+            resp
+        }
+    }
+}
+
 /// Answers a lookup with the entries for the caller's region. Callers at one
 /// address get the same entries.
 fn resolve(state: &State, peer: &Address, query: &str) -> Response<Body> {
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -205,18 +205,10 @@
     /// Returns the refusal if no target could be chosen.
     fn choose_refusal(&mut self, error: ChooseError) -> Refusal {
         self.refused = error.basis();
+        let cause = error.to_string();
         match error {
-            ChooseError::NoTarget => self.no_target("no target is eligible"),
-            ChooseError::Unavailable => self.no_target("all targets are full or failing"),
-            ChooseError::Withheld(withheld) => {
-                self.withheld("all targets are paused or leaving", withheld)
-            }
-            ChooseError::Displacing(_) => {
-                self.no_target("the region is overloaded, and no target with room has the object")
-            }
-            ChooseError::TooLate { expected, .. } => {
-                self.no_target(&format!("the response is expected only after {expected}"))
-            }
+            ChooseError::Withheld(withheld) => self.withheld(&cause, withheld),
+            _ => self.no_target(&cause),
         }
     }
 
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -14,6 +14,7 @@
 
 mod directory;
 mod exchange;
+mod explain;
 mod feed;
 mod forward;
 mod front;
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -1,6 +1,6 @@
 //! Selects a target for one request among all targets of the service.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, fmt};
 
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -78,6 +78,24 @@
     utilization: f64,
 }
 
+impl fmt::Display for ChooseError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NoTarget => f.write_str("no target is eligible"),
+            Self::Unavailable => f.write_str("all targets are full or failing"),
+            Self::Withheld(_) => f.write_str("all targets are paused or leaving"),
+            Self::Displacing(_) => {
+                f.write_str("the region is overloaded, and no target with room has the object")
+            }
+            Self::TooLate { expected, .. } => {
+                write!(f, "the response is expected only after {expected}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for ChooseError {}
+
 impl ChooseError {
     /// Returns what the refusal was based on, if a target could have taken the
     /// request.
@@ -97,7 +115,7 @@
     ///
     /// Returns a [`ChooseError`] that says why no target can take it.
     pub fn choose(&mut self, ctx: &Context<'_>, req: &Request<'_>) -> Result<Choice, ChooseError> {
-        let route = xxh3_64(req.rule.prefix.as_bytes());
+        let route = route_hash(req);
         let objective = req.rule.objective;
         let estimate = self.estimates.entry(route);
         let estimate = *estimate.or_insert_with(|| RouteEstimate::new(objective));
@@ -287,7 +305,7 @@
     /// of different regions seldom use the same objects, so one target for the
     /// overflow of each region is enough. If the route is bound to availability
     /// zones, there is one in that of this entry besides.
-    fn preferred(
+    pub(super) fn preferred(
         &self,
         ctx: &Context<'_>,
         req: &Request<'_>,
@@ -310,7 +328,7 @@
 
     /// Returns the estimated number of requests at each target. It is computed
     /// once for each choice, which uses the values several times.
-    fn estimated_loads(&self, now: Millis) -> Vec<f64> {
+    pub(super) fn estimated_loads(&self, now: Millis) -> Vec<f64> {
         let slot_loads = self.region_loads.iter().map(|(r, l)| (r, l.slot_load(now)));
         let slot_loads: BTreeMap<&RegionName, f64> = slot_loads.collect();
         let load = |target: &Target| {
@@ -366,7 +384,12 @@
     }
 }
 
-fn millis(ms: f64) -> Millis {
+/// Returns the hash by which the estimates of a request's route are found.
+pub(super) fn route_hash(req: &Request<'_>) -> u64 {
+    xxh3_64(req.rule.prefix.as_bytes())
+}
+
+pub(super) fn millis(ms: f64) -> Millis {
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     Millis(ms.max(0.0) as u64)
 }
--- a/src/policy/balance/target.rs
+++ b/src/policy/balance/target.rs
@@ -90,6 +90,11 @@
         self.full_until = now + FULL_BACKOFF;
     }
 
+    /// Returns whether its queue is assumed to be full.
+    pub fn is_full(&self, now: Millis) -> bool {
+        now < self.full_until
+    }
+
     pub fn is_cold(&self, now: Millis) -> bool {
         now < self.cold_until
     }
@@ -104,7 +109,7 @@
 
     /// Returns whether it may be sent a request now.
     pub fn is_available(&self, now: Millis, quota: &ColdQuota<'_>) -> bool {
-        now >= self.full_until && self.is_up(now, quota)
+        !self.is_full(now) && self.is_up(now, quota)
     }
 
     /// Returns whether it takes a request of this entry now despite its slow start.
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -63,8 +63,18 @@
     /// Returns the service for the next request and advances the sequence.
     #[must_use]
     pub fn next_service(&self) -> &ServiceName {
+        self.service_of(self.request_count.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Returns the service for the next request without advancing the sequence.
+    #[must_use]
+    pub fn peek_service(&self) -> &ServiceName {
+        self.service_of(self.request_count.load(Ordering::Relaxed))
+    }
+
+    /// Returns the service for the request with a number in the sequence.
+    fn service_of(&self, n: u64) -> &ServiceName {
         let services = &self.rule.services;
-        let n = self.request_count.fetch_add(1, Ordering::Relaxed);
         let weight_sum: f64 = services.iter().map(|p| p.weight).sum();
         #[expect(clippy::cast_precision_loss)]
         let mut offset = (n as f64 * GOLDEN_RATIO_STEP).fract() * weight_sum;
