Add quotas of workspaces over all entries

Each entry has an equal part of every quota and delegates it to the granter of its region, which gives tokens in return. The granters exchange spare tokens.

--- a/src/adapters/grpc/changes/config.rs
+++ b/src/adapters/grpc/changes/config.rs
@@ -1,8 +1,8 @@
 //! The encoding of a [`Configuration`].
 
 use crate::domain::{
-    CallerLimits, Configuration, Millis, ParseError, Rank, RequestKind, Revision, RouteRule, ServiceRule,
-    Size, WeightedService,
+    CallerLimits, Configuration, Millis, ParseError, Rank, RequestKind, Revision, RouteRule,
+    ServiceRule, Size, WeightedService,
 };
 
 /// An encoded [`Configuration`].
--- a/src/adapters/grpc/mod.rs
+++ b/src/adapters/grpc/mod.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 mod limit_calls;
 mod peers;
+mod quota;
 mod reports;
 mod sender;
 mod server;
@@ -31,6 +32,7 @@
 };
 pub use limit_calls::{send_limit, serve_limit};
 pub use peers::{CallError, Peers, Step};
+pub use quota::{QuotaReply, QuotaRequest, quotas, serve_quota};
 pub use reports::{
     EventsQuery, Report, events, moves, report, serve_events, serve_moves, serve_report,
 };
--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -11,8 +11,9 @@
 mod table;
 
 use std::{
+    collections::BTreeSet,
     fmt,
-    sync::{Arc, atomic::AtomicU64},
+    sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -36,6 +37,10 @@
 /// The content type of the output of [`Metrics::encode`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// The number of workspaces with metrics of their own. The others are counted together,
+/// since a configuration may have many.
+pub const WORKSPACES_MAX: usize = 100;
+
 /// The label of metrics per service.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct ServiceLabel {
@@ -104,6 +109,22 @@
     pub reason: &'static str,
 }
 
+/// The labels of requests of workspaces with a quota.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct QuotaLabels {
+    /// The workspace.
+    pub workspace: String,
+    /// `admitted`, or the stable code of the refusal.
+    pub result: &'static str,
+}
+
+/// The label of metrics per workspace.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct WorkspaceLabel {
+    /// The workspace, `other` for those beyond the first [`WORKSPACES_MAX`].
+    pub workspace: String,
+}
+
 /// The labels of calls for the platform's state.
 #[derive(Clone, Copy, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct SyncLabels {
@@ -165,6 +186,12 @@
     pub demand_entries: Gauge,
     /// The era of the platform's store.
     pub store_era: Gauge,
+    /// Requests of workspaces with a quota.
+    pub quota: Family<QuotaLabels, Counter>,
+    /// Tokens at hand.
+    pub tokens: Family<WorkspaceLabel, Gauge>,
+    /// The workspaces with metrics of their own.
+    workspaces: Arc<Mutex<BTreeSet<String>>>,
 }
 
 /// Returns a histogram with bounds from 1 ms to 65 s. Each bound is twice the one
@@ -201,6 +228,9 @@
         demand_slots: Family::default(),
         demand_entries: Gauge::default(),
         store_era: Gauge::default(),
+        quota: Family::default(),
+        tokens: Family::default(),
+        workspaces: Arc::default(),
     };
     let r = &mut registry;
     let m = metrics.clone();
@@ -236,6 +266,8 @@
     r.register(slots.base, help(slots), m.demand_slots);
     r.register(entries.base, help(entries), m.demand_entries);
     r.register(table::STORE_ERA.base, help(&table::STORE_ERA), m.store_era);
+    r.register(table::QUOTA.base, help(&table::QUOTA), m.quota);
+    r.register(table::TOKENS.base, help(&table::TOKENS), m.tokens);
     r.register_collector(Box::new(store::StoreMetrics {
         calls: calls.clone(),
     }));
@@ -308,6 +340,35 @@
         self.demand_entries.set(entries);
     }
 
+    /// Counts a request of a workspace with a quota.
+    pub fn count_quota(&self, workspace: &str, result: &'static str) {
+        let labels = QuotaLabels {
+            workspace: self.workspace_label(workspace),
+            result,
+        };
+        self.quota.get_or_create(&labels).inc();
+    }
+
+    /// Adds tokens at hand.
+    pub fn add_tokens(&self, workspace: &str, tokens: u32) {
+        let workspace = self.workspace_label(workspace);
+        let label = WorkspaceLabel { workspace };
+        self.tokens.get_or_create(&label).inc_by(tokens.into());
+    }
+
+    fn workspace_label(&self, name: &str) -> String {
+        let known = self.workspaces.lock();
+        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        if known.contains(name) {
+            return name.to_owned();
+        }
+        if known.len() >= WORKSPACES_MAX {
+            return "other".to_owned();
+        }
+        known.insert(name.to_owned());
+        name.to_owned()
+    }
+
     /// Reports whether the latest call to the store got a response.
     #[must_use]
     pub fn store_up(&self) -> bool {
--- a/src/adapters/metrics/table.rs
+++ b/src/adapters/metrics/table.rs
@@ -89,6 +89,10 @@
         "Entries whose requests the demand of the region is known to cover.";
     STORE_ERA = "store_era" "savorybeam_store_era", "era", "",
         "The era of the store's state that a gateway has; it rises when the store comes back from an older copy.";
+    QUOTA = "quota_requests" "savorybeam_quota_requests_total", "requests", "workspace, result",
+        "Requests of workspaces with a quota: admitted, quota-exceeded, quota-unavailable.";
+    TOKENS = "quota_tokens" "savorybeam_quota_tokens", "tokens", "workspace",
+        "Tokens that this entry has at hand.";
     STORE_CALLS = "store_calls" "savorybeam_store_calls_total", "calls", "operation",
         "Calls to the store, a watch counted once.";
     STORE_FAILURES = "store_failures" "savorybeam_store_failures_total", "calls", "",
--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -14,8 +14,8 @@
 use crate::{
     domain::{
         CallerLimits, Configuration, EntryId, Instance, InstanceId, InstanceState, Mbps, Millis,
-        Position, Presence, Rank, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots, TargetId,
-        WeightedService,
+        Position, Presence, Rank, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots,
+        TargetId, WeightedService,
     },
     ports::Change,
 };
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -72,6 +72,7 @@
     let ports = Ports {
         platform: store::open(settings.store, targets.clone()),
         changes: grpc::changes(peers.clone()),
+        quotas: grpc::quotas(peers.clone()),
         metrics: metrics::open(Arc::<CallCounters>::default()),
         clock,
         targets,
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! [`spawn`] starts it and returns a handle. A request passes through these
 //! modules in order: `front` accepts it, `request` reads it and finds its
-//! route, `forward` tries targets until one has answered, `slot` reserves
+//! route, `quota` admits it if its workspace has a quota, `forward` tries targets until one has answered, `slot` reserves
 //! capacity at a target for one attempt, `exchange` sends the attempt, `notice`
 //! records what the target says about itself, and `response` builds the response
 //! to the caller. Beside them, `feed` follows
@@ -19,6 +19,7 @@
 mod front;
 mod notice;
 mod presence;
+mod quota;
 mod relay;
 mod request;
 mod response;
@@ -62,6 +63,7 @@
     /// ends.
     relay: Option<grpc::Server>,
     feed: JoinHandle<()>,
+    quota: JoinHandle<()>,
     announcement: presence::Announcement,
 }
 
@@ -87,6 +89,7 @@
     let front = front.await.wrap_err("start the server for callers")?;
     let relay = relay::bind(&state).await?;
     let feed = tokio::spawn(feed::run(state.clone()));
+    let quota = tokio::spawn(quota::run(state.clone()));
     let announcement = presence::spawn(state.clone());
     let version = env!("CARGO_PKG_VERSION");
     tracing::info!(entry = %state.settings().name, front = %addr, version, "gateway: started.");
@@ -96,6 +99,7 @@
         auxiliary,
         relay,
         feed,
+        quota,
         announcement,
     })
 }
@@ -133,6 +137,7 @@
         let left = time_until(schedule.exit_at());
         let ended = self.front.stop_within(left).await;
         self.feed.abort();
+        self.quota.abort();
         drop((self.auxiliary, self.relay));
         let running = self.state.running();
         tracing::info!(ended, running, "gateway: stopped.");
--- a/src/app/gateway/relay.rs
+++ b/src/app/gateway/relay.rs
@@ -1,11 +1,11 @@
-//! Serves changes of the platform to other entries.
+//! Serves changes of the platform and tokens of quotas to other entries.
 
 use std::sync::Arc;
 
 use eyre::WrapErr;
 use tokio::time::timeout;
 
-use super::{State, feed, now};
+use super::{State, feed, now, quota};
 use crate::{
     adapters::grpc::{self, Routes, Server},
     domain::{Millis, Position, Revision},
@@ -21,8 +21,13 @@
     let Some(addr) = state.settings().control else {
         return Ok(None);
     };
+    let quotas = state.clone();
+    let routes = grpc::serve_quota(Routes::default(), move |ask| {
+        let state = quotas.clone();
+        async move { quota::answer(&state, &ask) }
+    });
     let state = state.clone();
-    let routes = grpc::serve_changes(Routes::default(), move |query| {
+    let routes = grpc::serve_changes(routes, move |query| {
         let state = state.clone();
         async move {
             let ChangesQuery {
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::quota::Quotas;
 use crate::{
     adapters::metrics::Metrics,
     domain::{AzName, Bounds, Era, Millis, Position, ServiceName, Shards, Size},
@@ -25,7 +26,7 @@
         route::Table,
         upstream::{ChainTimes, ChangeLog},
     },
-    ports::{Change, Changes, Clock, Platform, Targets, VmSettings},
+    ports::{Change, Changes, Clock, Platform, Quotas as QuotaPort, Targets, VmSettings},
 };
 
 /// The ports through which a gateway reaches everything outside of it.
@@ -39,6 +40,8 @@
     pub platform: Platform,
     /// Fetches changes of the platform from other entries.
     pub changes: Changes,
+    /// Asks other entries for tokens of quotas.
+    pub quotas: QuotaPort,
     /// The metrics of the process.
     pub metrics: Metrics,
 }
@@ -75,6 +78,7 @@
     demand: Mutex<DemandAccount>,
     registry: Mutex<Registry>,
     change_log: Mutex<ChangeLog<Change>>,
+    quotas: Quotas,
     /// The position up to which the change log is complete.
     position: watch::Sender<Position>,
     /// The position before a new era of the store, while this entry keeps what the
@@ -100,6 +104,7 @@
             pools: Shards::new(),
             kept_bodies: replay::Budget::new(settings.memory),
             kept_responses: replay::Budget::new(settings.memory),
+            quotas: Quotas::new(&settings.name),
             settings: RwLock::new(Arc::new(settings)),
             table: RwLock::default(),
             evacuated: RwLock::default(),
@@ -138,6 +143,12 @@
 
     pub(super) fn set_table(&self, table: Arc<Table>) {
         write(&self.table, Some(table));
+        self.quotas.notify();
+    }
+
+    /// Returns the tokens and parts of quotas that this entry holds.
+    pub(super) fn quotas(&self) -> &Quotas {
+        &self.quotas
     }
 
     /// Returns the evacuated availability zones, to which no request may be
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -21,6 +21,7 @@
 pub mod overflow;
 pub mod presence;
 pub mod queue;
+pub mod quota;
 pub mod refusal;
 pub mod replay;
 pub mod retry;
--- /dev/null
+++ b/src/policy/quota/bucket.rs
@@ -0,0 +1,201 @@
+//! The token bucket of one workspace at a granter.
+
+use super::{ASK_PERIOD, Limit, Room, TOKEN_VALIDITY, recent::Recent, usage::Usage};
+use crate::domain::Millis;
+
+/// The time for which a granter keeps tokens in reserve for its own region.
+const RESERVE: Millis = Millis(600);
+
+/// The fraction of the capacity that is the minimum of that reserve.
+const RESERVE_FRACTION: f64 = 0.5;
+
+/// The reserve for its own region if requests wait in another one.
+const MINIMUM_RESERVE: Millis = Millis(100);
+
+/// The bounds of the time over which callers without a token should return.
+const SPREAD_MS: [f64; 2] = [500.0, 5_000.0];
+
+/// The maximum time until the next token that is reported.
+const ROOM_MAX_MS: f64 = 10_000.0;
+
+/// A token bucket, with the demand for its tokens.
+///
+/// The level and the tokens at hand of entries are together at most the capacity and
+/// what is earned, or comes from other granters, during the validity of a token. Without
+/// that bound, tokens that are returned and granted again and again would add up at
+/// entries that do not use them.
+#[derive(Clone, Debug)]
+pub(super) struct Bucket {
+    limit: Limit,
+    /// The rate of the parts that the granter holds, in tokens per second.
+    rate: f64,
+    /// The capacity of these parts.
+    capacity: f64,
+    level: f64,
+    filled_at: Millis,
+    /// The tokens that were granted, to other granters as well.
+    granted: Recent,
+    /// The tokens of other granters.
+    added: Recent,
+    usage: Usage,
+    /// Whether tokens lacked since the other granters were asked.
+    pub short: bool,
+    /// The time until which the other granters are known to have no tokens.
+    dry_until: Millis,
+}
+
+impl Bucket {
+    /// Returns an empty bucket without a part. A restart must not earn tokens that a
+    /// former run of the process has used.
+    pub fn new(now: Millis, limit: Limit) -> Self {
+        Self {
+            limit,
+            rate: 0.0,
+            capacity: 0.0,
+            level: 0.0,
+            filled_at: now,
+            granted: Recent::default(),
+            added: Recent::default(),
+            usage: Usage::default(),
+            short: false,
+            dry_until: Millis(0),
+        }
+    }
+
+    /// Adds the tokens earned since the last call.
+    pub fn refill(&mut self, now: Millis) {
+        self.granted.expire(now);
+        self.added.expire(now);
+        let earned = self.rate * seconds(now - self.filled_at);
+        self.filled_at = self.filled_at.max(now);
+        self.raise(earned);
+    }
+
+    fn raise(&mut self, tokens: f64) {
+        let income = self.rate * seconds(TOKEN_VALIDITY) + f64::from(self.added.sum());
+        let outstanding = f64::from(self.granted.sum()) - income;
+        let ceiling = self.capacity - outstanding.max(0.0);
+        self.level = (self.level + tokens).min(ceiling).max(0.0);
+    }
+
+    /// Returns the limit.
+    pub fn limit(&self) -> Limit {
+        self.limit
+    }
+
+    /// Sets the limit. The share of it has to be set as well.
+    pub fn set_limit(&mut self, limit: Limit) {
+        self.limit = limit;
+    }
+
+    /// Sets the part of the limit that the granter holds, and its capacity. The level is
+    /// cut to it.
+    pub fn set_share(&mut self, part: f64, capacity: f64) {
+        self.rate = self.limit.rate * part;
+        self.capacity = capacity;
+        self.raise(0.0);
+    }
+
+    /// Records requests that ask for a token.
+    pub fn record(&mut self, now: Millis, requests: u32) {
+        self.usage.record(now, requests);
+    }
+
+    /// Grants up to `wanted` whole tokens and returns their number.
+    pub fn grant(&mut self, now: Millis, wanted: u32) -> u32 {
+        let count = self.take(wanted);
+        self.granted.record(now, count);
+        count
+    }
+
+    /// Grants up to `wanted` tokens, but at most half of the level, for requests that
+    /// have not arrived yet.
+    pub fn grant_ahead(&mut self, now: Millis, wanted: u32) -> u32 {
+        self.grant(now, wanted.min(whole(self.level / 2.0)))
+    }
+
+    /// Takes back tokens that were granted lately. The oldest ones count, since the time
+    /// of each is unknown and the newer ones may still be used.
+    pub fn take_back(&mut self, tokens: u32) {
+        let returned = self.granted.remove(tokens);
+        self.raise(f64::from(returned));
+    }
+
+    /// Takes tokens for another granter: `waiting` for requests that wait there, and
+    /// `expected` beyond what the region is likely to need.
+    pub fn lend(&mut self, now: Millis, waiting: u32, expected: u32) -> u32 {
+        let minimum = self.usage.expected(now, MINIMUM_RESERVE);
+        let urgent = self.grant(now, waiting.min(whole(self.level - minimum)));
+        let spare = whole(self.level - self.reserve(now));
+        urgent + self.grant(now, expected.min(spare))
+    }
+
+    fn take(&mut self, wanted: u32) -> u32 {
+        let taken = whole(self.level).min(wanted);
+        self.level -= f64::from(taken);
+        taken
+    }
+
+    /// Adds tokens of another granter.
+    pub fn add(&mut self, now: Millis, tokens: u32) {
+        self.added.record(now, tokens);
+        self.raise(f64::from(tokens));
+    }
+
+    /// Returns how many tokens lack for the reserve.
+    pub fn lacking(&self, now: Millis) -> u32 {
+        whole(self.reserve(now) - self.level)
+    }
+
+    /// Returns when there is room again, or none if this granter has no part.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    pub fn room(&self, now: Millis) -> Option<Room> {
+        if self.rate <= 0.0 {
+            return None;
+        }
+        let next = (1.0 - self.level).max(0.0) / self.rate * 1_000.0;
+        let excess = self.usage.rate(now) / self.rate;
+        let spread = (excess * 1_000.0).clamp(SPREAD_MS[0], SPREAD_MS[1]);
+        Some(Room {
+            after: Millis(next.min(ROOM_MAX_MS) as u64),
+            spread: Millis(spread as u64),
+        })
+    }
+
+    /// Records that the other granters have been asked.
+    pub fn record_exchange(&mut self, now: Millis) {
+        if self.short && self.level < 1.0 {
+            self.dry_until = now + ASK_PERIOD;
+        }
+        self.short = false;
+    }
+
+    /// Returns whether the other granters are known to have no tokens.
+    pub fn is_dry(&self, now: Millis) -> bool {
+        now < self.dry_until
+    }
+
+    /// Returns whether requests wait for tokens of the other granters.
+    pub fn is_pending(&self, now: Millis) -> bool {
+        self.short && !self.is_dry(now)
+    }
+
+    fn reserve(&self, now: Millis) -> f64 {
+        let expected = self.usage.expected(now, RESERVE);
+        expected
+            .max(self.capacity * RESERVE_FRACTION)
+            .min(self.capacity)
+    }
+}
+
+#[expect(clippy::cast_precision_loss)]
+fn seconds(time: Millis) -> f64 {
+    time.0 as f64 / 1_000.0
+}
+
+/// Returns the number of whole tokens.
+#[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+fn whole(level: f64) -> u32 {
+    // Sums of fractions may miss a whole number by a rounding error.
+    (level + 1e-9).max(0.0) as u32
+}
--- a/src/policy/refusal/mod.rs
+++ b/src/policy/refusal/mod.rs
@@ -70,6 +70,11 @@
     RequestBlocked,
     /// A region, a link or a shift is at its limit.
     LimitReached,
+    /// The quota of the caller's workspace is used up.
+    QuotaExceeded,
+    /// The entry that keeps the quota of the caller's workspace cannot be reached, and
+    /// the part of this entry is used up.
+    QuotaUnavailable,
     /// The body is too large.
     TooLarge,
     /// The head is too large.
@@ -95,6 +100,8 @@
             Self::ClaimUnavailable => "claim-unavailable",
             Self::RequestBlocked => "request-blocked",
             Self::LimitReached => "limit-reached",
+            Self::QuotaExceeded => "quota-exceeded",
+            Self::QuotaUnavailable => "quota-unavailable",
             Self::TooLarge => "too-large",
             Self::HeadTooLarge => "head-too-large",
         }
@@ -109,13 +116,15 @@
             Self::InProgress | Self::AnswerNotKept => 409,
             Self::KeyReused => 422,
             Self::TooLarge => 413,
+            Self::QuotaExceeded => 429,
             Self::HeadTooLarge => 431,
             Self::RequestBlocked => 403,
             Self::NoTarget
             | Self::Overloaded
             | Self::Stopping
             | Self::ClaimUnavailable
-            | Self::LimitReached => 503,
+            | Self::LimitReached
+            | Self::QuotaUnavailable => 503,
             Self::TargetUnreachable | Self::ConnectionBroken => 502,
             Self::DeadlineExceeded => 504,
         }
--- a/src/policy/upstream/choose.rs
+++ b/src/policy/upstream/choose.rs
@@ -231,7 +231,8 @@
 /// others. Entries with equal links alternate between the availability zones, so that
 /// the loss of a zone, or of the connections between zones, takes the source and its
 /// successors at once as rarely as possible. Ties are broken by name.
-fn rank<'a>(local: impl Iterator<Item = &'a Presence>) -> Vec<&'a Presence> {
+#[must_use]
+pub fn rank<'a>(local: impl Iterator<Item = &'a Presence>) -> Vec<&'a Presence> {
     let mut entries: Vec<&Presence> = local.filter(|p| p.peer.is_some()).collect();
     entries.sort_by(|a, b| a.name.cmp(&b.name));
     let mut counts: BTreeMap<(Mbps, &AzName), usize> = BTreeMap::new();
--- a/src/policy/upstream/mod.rs
+++ b/src/policy/upstream/mod.rs
@@ -26,7 +26,7 @@
 mod timing;
 
 pub use change_log::ChangeLog;
-pub use choose::{Trust, Upstream, UpstreamFailure, UpstreamSelector};
+pub use choose::{Trust, Upstream, UpstreamFailure, UpstreamSelector, rank};
 pub use deferred::Deferred;
 pub use seed::SeedSelector;
 pub use timing::{ChainTimes, REPLY_MARGIN};
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod events;
 mod platform;
+mod quota;
 mod store;
 mod targets;
 
@@ -23,6 +24,7 @@
 pub use platform::{
     Batch, Change, Lease, LeaseId, Platform, PlatformError, Poll, PolledBatch, VmSettings,
 };
+pub use quota::{QuotaCall, QuotaError, Quotas};
 pub use store::{Record, Snapshot, Store, StoreError, Update, Write};
 pub use targets::{
     Body, InFlight, Outbound, ReuseCheck, SendCheck, SendError, SendStarted, Targets,
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -10,8 +10,8 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{
-        AzName, Instance, InstanceId, InstanceState, Millis, Position, Rank, RegionName, RequestKind,
-        RouteRule, Size, Slots, TargetId, WeightedService,
+        AzName, Instance, InstanceId, InstanceState, Millis, Position, Rank, RegionName,
+        RequestKind, RouteRule, Size, Slots, TargetId, WeightedService,
     },
     policy::{
         balance::{
--- /dev/null
+++ b/tests/quota/main.rs
@@ -0,0 +1,240 @@
+//! Tests the quotas of workspaces over many entries in virtual time: the sum of what
+//! all entries admit, and what is refused below a quota.
+
+mod world;
+
+use insta::assert_snapshot;
+use quickcheck::{QuickCheck, TestResult};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use savorybeam::domain::{Millis, Quota};
+use world::{Demand, World, quota};
+
+const SECOND: u64 = 1_000;
+
+/// Adds the same rate of requests in each region.
+fn evenly(world: &mut World, workspace: usize, rate: f64, from: u64, until: u64) {
+    for region in 0..3.min(world.nodes.len()) {
+        let rate = rate / 3.min(world.nodes.len()) as f64;
+        world.demand(Demand {
+            workspace,
+            region,
+            rate,
+            from,
+            until,
+        });
+    }
+}
+
+/// Returns the quotas of 76 workspaces of which a few are large, at 1.6 times what they
+/// use, which is `total` together.
+fn uneven(total: f64) -> Vec<(f64, Quota)> {
+    let weight = |i: usize| (i as f64 + 1.0).powf(-1.2);
+    let sum: f64 = (0..76).map(weight).sum();
+    let rates = (0..76).map(|i| total * weight(i) / sum);
+    rates.map(|r| (r, quota((r * 1.6).ceil()))).collect()
+}
+
+/// Plays 76 workspaces of which the largest sends six times its quota.
+fn hot(count: usize, total: f64) -> World {
+    let loads = uneven(total);
+    let mut world = World::new(1, count, loads.iter().map(|l| l.1).collect());
+    for (i, (rate, quota)) in loads.iter().enumerate() {
+        let rate = if i == 0 { quota.rate.0 * 6.0 } else { *rate };
+        evenly(&mut world, i, rate, 5 * SECOND, 11 * SECOND);
+    }
+    world.run(12 * SECOND);
+    world
+}
+
+fn report(world: &World) -> String {
+    let rest = 1..world.quotas.len();
+    format!(
+        "hot: {}\nrest: {}",
+        world.summary(0..1),
+        world.summary(rest)
+    )
+}
+
+/// Fails if one workspace beyond its quota takes tokens of others, or if small
+/// workspaces, of which most entries see no request in a second, are refused.
+#[test]
+fn others_are_served_beside_a_hot_workspace() {
+    for count in [1, 9, 68, 295] {
+        let total = if count == 295 { 600.0 } else { 1_200.0 };
+        let world = hot(count, total);
+        insta::with_settings!({snapshot_suffix => count.to_string()}, {
+            assert_snapshot!("hot", report(&world));
+        });
+        assert!(world.worst_peak() <= 1.0, "{count}: {}", report(&world));
+    }
+}
+
+/// Fails if a workspace that stays below its quota is refused: one that uses all of it
+/// but a tenth, one whose callers move to another region, and one of three requests per
+/// second, which most entries do not see.
+#[test]
+fn a_calm_workspace_is_refused_nothing() {
+    let mut world = World::new(2, 68, vec![quota(200.0), quota(60.0), quota(5.0)]);
+    evenly(&mut world, 0, 180.0, 5 * SECOND, 20 * SECOND);
+    for (region, from, until) in [(0, 5, 10), (2, 10, 15), (1, 15, 20)] {
+        let (from, until) = (from * SECOND, until * SECOND);
+        let (workspace, rate) = (1, 50.0);
+        world.demand(Demand {
+            workspace,
+            region,
+            rate,
+            from,
+            until,
+        });
+    }
+    evenly(&mut world, 2, 3.0, 5 * SECOND, 60 * SECOND);
+    world.run(61 * SECOND);
+    let rows = (0..3).map(|w| world.summary(w..w + 1));
+    assert_snapshot!(rows.collect::<Vec<_>>().join("\n"));
+}
+
+/// Plays a workspace at twice its quota and one below it, beside a fault at 10 s.
+fn with_fault(fault: impl FnOnce(&mut World) + 'static) -> String {
+    let mut world = World::new(3, 24, vec![quota(100.0), quota(60.0)]);
+    evenly(&mut world, 0, 200.0, 5 * SECOND, 20 * SECOND);
+    evenly(&mut world, 1, 40.0, 5 * SECOND, 20 * SECOND);
+    world.fault(10 * SECOND, fault);
+    world.run(21 * SECOND);
+    assert!(world.worst_peak() <= 1.0, "{}", report(&world));
+    report(&world)
+}
+
+/// Fails if the loss of a granter leaves its region without tokens for long, or if its
+/// successor grants what it has granted.
+#[test]
+fn a_granter_is_lost() {
+    let killed = with_fault(|world| {
+        let first = world.first(0);
+        world.kill(first);
+        world.fault(13 * SECOND, World::refresh_views);
+    });
+    let frozen = with_fault(|world| {
+        let first = world.first(0);
+        world.freeze(first, Millis(3 * SECOND));
+    });
+    let cut = with_fault(|world| {
+        let first = world.first(0);
+        world.cut.insert(first);
+        world.fault(15 * SECOND, |world| world.cut.clear());
+    });
+    let restarted = with_fault(|world| {
+        let first = world.first(0);
+        world.kill(first);
+        world.restart(first);
+    });
+    assert_snapshot!(format!(
+        "killed\n{killed}\nfrozen\n{frozen}\ncut\n{cut}\nrestarted\n{restarted}"
+    ));
+}
+
+/// Fails if entries without contact exceed a quota, or use less than their parts.
+#[test]
+fn regions_and_entries_are_cut_off() {
+    let region = with_fault(|world| {
+        world.cut_region = Some(0);
+        world.fault(15 * SECOND, |world| world.cut_region = None);
+    });
+    let all = with_fault(|world| {
+        world.cut = (0..world.nodes.len()).collect();
+        world.fault(15 * SECOND, |world| world.cut.clear());
+    });
+    assert_snapshot!(format!("region\n{region}\nall\n{all}"));
+}
+
+/// Fails if a restart with lost memory earns the burst again.
+#[test]
+fn all_entries_restart() {
+    let restarted = with_fault(|world| {
+        for i in 0..world.nodes.len() {
+            world.kill(i);
+            world.restart(i);
+        }
+    });
+    assert_snapshot!(restarted);
+}
+
+/// Fails if a lower quota is not kept from one window after it is in effect.
+#[test]
+fn a_quota_is_lowered() {
+    let mut world = World::new(4, 24, vec![quota(100.0)]);
+    evenly(&mut world, 0, 200.0, 5 * SECOND, 20 * SECOND);
+    world.fault(10 * SECOND, |world| {
+        world.quotas[0] = quota(20.0);
+        world.configure();
+    });
+    world.run(21 * SECOND);
+    let peak = world.peak(0, &quota(20.0), 10 * SECOND);
+    assert_snapshot!(format!("{peak:.2}"));
+    assert!(peak <= 1.0);
+}
+
+/// Plays random faults, and returns the largest fraction of a quota that was used.
+fn random_peak(seed: u64) -> f64 {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let count = rng.random_range(1..40);
+    let rates = [rng.random_range(1.0..400.0), rng.random_range(0.5..20.0)];
+    let mut world = World::new(seed, count, rates.iter().map(|r| quota(*r)).collect());
+    world.loss = rng.random_range(0.0..0.2);
+    world.late = rng.random_range(0.0..0.3);
+    if rng.random_bool(0.5) {
+        // The entries that half of the others do not know.
+        world.unknown_from = count - count / 12;
+        world.refresh_views();
+    }
+    for workspace in 0..rates.len() {
+        let rate = rates[workspace] * rng.random_range(1.5..6.0);
+        evenly(&mut world, workspace, rate, 3 * SECOND, 15 * SECOND);
+    }
+    for _ in 0..rng.random_range(0..8) {
+        let (node, kind) = (rng.random_range(0..count), rng.random_range(0..5));
+        let length = rng.random_range(50..4_000);
+        let at = rng.random_range(0..12 * SECOND);
+        world.fault(at, move |world| match kind {
+            0 => {
+                world.kill(node);
+                world.fault(at + length, move |world| world.restart(node));
+            }
+            1 => world.freeze(node, Millis(length)),
+            2 => {
+                world.cut.insert(node);
+                world.fault(at + length, move |world| {
+                    world.cut.remove(&node);
+                });
+            }
+            3 => {
+                world.cut_region = Some(node % 3);
+                world.fault(at + length, |world| world.cut_region = None);
+            }
+            _ => {
+                for i in 0..world.nodes.len() {
+                    world.kill(i);
+                    world.restart(i);
+                }
+            }
+        });
+    }
+    world.run(16 * SECOND);
+    world.worst_peak()
+}
+
+/// Fails if the entries together exceed a quota in any window, whatever messages are
+/// lost or late, whichever entries stop, restart, are cut off or know different others.
+#[test]
+fn the_sum_stays_within_the_quota() {
+    let keeps = |seed: u64| {
+        let peak = random_peak(seed);
+        if peak <= 1.0 {
+            TestResult::passed()
+        } else {
+            TestResult::error(format!("seed {seed}: {peak:.3} of the bound"))
+        }
+    };
+    QuickCheck::new()
+        .tests(40)
+        .quickcheck(keeps as fn(u64) -> TestResult);
+}
--- a/tests/route.rs
+++ b/tests/route.rs
@@ -6,8 +6,8 @@
 use quickcheck::quickcheck;
 use savorybeam::{
     domain::{
-        CallerLimits, Configuration, Millis, Rank, RequestKind, Revision, RouteRule, ServiceRule, Size,
-        WeightedService,
+        CallerLimits, Configuration, Millis, Rank, RequestKind, Revision, RouteRule, ServiceRule,
+        Size, WeightedService,
     },
     policy::route::Table,
 };
--- a/tests/vm/mod.rs
+++ b/tests/vm/mod.rs
@@ -11,8 +11,8 @@
 use savorybeam::{
     domain::{
         AzName, Bounds, CallerLimits, Configuration, Instance, InstanceState, Mbps, Millis,
-        Position, Rank, RegionName, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots, TargetId,
-        WeightedService,
+        Position, Rank, RegionName, RequestKind, Revision, RouteRule, ServiceRule, Size, Slots,
+        TargetId, WeightedService,
     },
     ports::VmSettings,
 };
