--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -59,6 +59,15 @@
     pub outcome: &'static str,
 }
 
+/// The labels of finished requests per workspace.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct WorkspaceLabels {
+    /// The workspace, `other` for those beyond the first [`WORKSPACES_MAX`].
+    pub workspace: String,
+    /// `answered`, or the stable code of a failure.
+    pub result: &'static str,
+}
+
 /// The label of metrics per stable code.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct CodeLabel {
@@ -109,15 +118,6 @@
     pub reason: &'static str,
 }
 
-/// The labels of requests of workspaces with a quota.
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-pub struct QuotaLabels {
-    /// The workspace.
-    pub workspace: String,
-    /// `admitted`, or the stable code of the refusal.
-    pub result: &'static str,
-}
-
 /// The label of metrics per workspace.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct WorkspaceLabel {
@@ -146,6 +146,8 @@
     calls: Arc<CallCounters>,
     /// Finished requests by status or code and by outcome.
     pub requests: Family<RequestLabels, Counter>,
+    /// Finished requests by workspace.
+    pub workspace_requests: Family<WorkspaceLabels, Counter>,
     /// The time from the receipt of a request to the head of its response.
     pub latency: Family<ServiceLabel, Histogram, fn() -> Histogram>,
     /// Requests in progress, until the end of the response body.
@@ -187,7 +189,7 @@
     /// The era of the platform's store.
     pub store_era: Gauge,
     /// Requests of workspaces with a quota.
-    pub quota: Family<QuotaLabels, Counter>,
+    pub quota: Family<WorkspaceLabels, Counter>,
     /// Tokens at hand.
     pub tokens: Family<WorkspaceLabel, Gauge>,
     /// The workspaces with metrics of their own.
@@ -209,6 +211,7 @@
         calls: calls.clone(),
         registry: Arc::default(),
         requests: Family::default(),
+        workspace_requests: Family::default(),
         latency: Family::new_with_constructor(latency_histogram),
         running: Family::default(),
         retries: Family::default(),
@@ -236,6 +239,12 @@
     let m = metrics.clone();
     let help = |row: &Row| row.help.trim_end_matches('.').to_owned();
     r.register(table::REQUESTS.base, help(&table::REQUESTS), m.requests);
+    let workspace_requests = &table::WORKSPACE_REQUESTS;
+    r.register(
+        workspace_requests.base,
+        help(workspace_requests),
+        m.workspace_requests,
+    );
     let seconds = Unit::Seconds;
     r.register_with_unit(
         table::LATENCY.base,
@@ -342,7 +351,7 @@
 
     /// Counts a request of a workspace with a quota.
     pub fn count_quota(&self, workspace: &str, result: &'static str) {
-        let labels = QuotaLabels {
+        let labels = WorkspaceLabels {
             workspace: self.workspace_label(workspace),
             result,
         };
@@ -356,6 +365,16 @@
         self.tokens.get_or_create(&label).inc_by(tokens.into());
     }
 
+    /// Counts a request of a workspace that a target answered, or that failed with the
+    /// given stable code.
+    pub fn count_workspace(&self, workspace: &str, failure: Option<&'static str>) {
+        let labels = WorkspaceLabels {
+            workspace: self.workspace_label(workspace),
+            result: failure.unwrap_or("answered"),
+        };
+        self.workspace_requests.get_or_create(&labels).inc();
+    }
+
     fn workspace_label(&self, name: &str) -> String {
         let known = self.workspaces.lock();
         let mut known = known.unwrap_or_else(PoisonError::into_inner);
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -9,6 +9,7 @@
     State,
     exchange::{Outcome, TargetResponse, exchange},
     now,
+    quota::Admission,
     request::{self, RoutedRequest},
     response,
     slot::Slot,
@@ -126,8 +127,16 @@
                 delay: now(self.state) - self.request.arrived,
                 reported: None,
             });
+            // If this is dropped before the outcome, the request may have run.
+            let admission = self.request.admission.as_mut();
+            let spent = admission.and_then(Admission::spend);
             let outcome = exchange(self.state, &self.request, slot).await;
             self.record_outcome(&outcome);
+            if let (Some(admission), Some(spent)) = (&mut self.request.admission, spent)
+                && matches!(outcome, Outcome::Rejected | Outcome::Unsent(_))
+            {
+                admission.restore(spent);
+            }
             let refusal = match outcome {
                 Outcome::Response(response) if !response.head.status.is_server_error() => {
                     return Ok(response::pass_through(*response));
@@ -141,7 +150,7 @@
                 Outcome::Unsent(cause) => self.no_target(&cause),
                 Outcome::Unknown(cause) => Refusal::unknown(Code::ConnectionBroken, cause),
             };
-            if !self.take_retry() {
+            if !self.take_retry() || !self.renew_token().await {
                 break refusal;
             }
         };
@@ -177,6 +186,16 @@
         tracing::info!(request, target, cause, "gateway: attempt failed.");
     }
 
+    /// Returns whether the quota of the workspace allows a further attempt. If the last
+    /// one may have run the request, that takes a further token.
+    async fn renew_token(&mut self) -> bool {
+        let deadline = self.request.deadline;
+        match &mut self.request.admission {
+            Some(admission) => admission.renew(deadline).await,
+            None => true,
+        }
+    }
+
     /// Returns whether the request may be sent to another target, and takes the
     /// retry from the budget if it is one.
     fn take_retry(&mut self) -> bool {
@@ -224,15 +243,11 @@
     /// targets want a pause now, the caller has to wait for its end.
     fn rejected(&self) -> Refusal {
         let cause = "the target rejected the request";
-        let RoutedRequest {
-            service,
-            table,
-            rule,
-            ..
-        } = &self.request;
-        let withheld = self
-            .state
-            .with_pool(service, table, |pool, context| pool.withheld(context, rule));
+        let RoutedRequest { service, table, .. } = &self.request;
+        let homes = self.request.homes();
+        let withheld = self.state.with_pool(service, table, |pool, context| {
+            pool.withheld(context, homes)
+        });
         match withheld {
             Some(withheld) => self.withheld(cause, withheld),
             None => self.no_target(cause),
@@ -283,8 +298,22 @@
     /// Logs the result of the request and adds it to the metrics.
     fn report(&mut self, result: &Result<Response<Body>, Refusal>) {
         match result {
-            Ok(resp) => self.log_end(resp.status().as_str(), "complete", ""),
-            Err(e) => self.log_end(e.code.as_str(), e.outcome.as_str(), &e.detail),
+            Ok(resp) => {
+                self.log_end(resp.status().as_str(), "complete", "");
+                self.count_workspace(None);
+            }
+            Err(e) => {
+                self.log_end(e.code.as_str(), e.outcome.as_str(), &e.detail);
+                self.count_workspace(Some(e.code.as_str()));
+            }
+        }
+    }
+
+    /// Adds the request to the metrics of its workspace, with the code of its failure.
+    fn count_workspace(&self, failure: Option<&'static str>) {
+        if let Some(workspace) = &self.request.workspace {
+            let metrics = &self.state.ports.metrics;
+            metrics.count_workspace(workspace.name.as_str(), failure);
         }
     }
 
@@ -301,6 +330,8 @@
             request = request.label(),
             caller = self.caller.map(|c| c.to_string()),
             route = request.rule.name,
+            workspace = request.workspace.as_ref().map(|w| w.name.as_str()),
+            rank = %request.rank,
             version = %request.table.version,
             object = request.object.map(|o| format!("{o:016x}")),
             service = %request.service,
@@ -358,5 +389,6 @@
             outcome.as_str(),
             "the connection closed before the response",
         );
+        self.count_workspace(Some("cancelled"));
     }
 }
--- a/src/app/gateway/quota/admission.rs
+++ b/src/app/gateway/quota/admission.rs
@@ -5,6 +5,7 @@
     sync::{Arc, atomic::Ordering::Relaxed},
 };
 
+use http::HeaderValue;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -36,13 +37,13 @@
     ///
     /// # Errors
     ///
-    /// Returns the refusal if the quota is used up, or if that cannot be known. `label`
-    /// is the id of the request.
+    /// Returns the refusal if the quota is used up, or if that cannot be known. `id` is
+    /// the id of the request, by which the times of return are spread.
     pub async fn acquire(
         state: &Arc<State>,
         workspace: Option<&Arc<Workspace>>,
         deadline: Millis,
-        label: &str,
+        id: Option<&HeaderValue>,
     ) -> Result<Option<Self>, Refusal> {
         let Some((workspace, quota)) = workspace.and_then(|w| Some((w, w.quota?))) else {
             return Ok(None);
@@ -63,19 +64,19 @@
             state.ports.metrics.count_quota(name, "admitted");
             return Ok(Some(admission));
         }
-        let refusal = admission.refusal(label);
+        let refusal = admission.refusal(id);
         state.ports.metrics.count_quota(name, refusal.code.as_str());
         Err(refusal)
     }
 
-    /// Records that the request is about to be sent, so that it may run.
-    pub fn spend(&mut self) -> Spent {
-        Spent(self.token.take())
+    /// Takes the token, because the request is about to be sent and may run.
+    pub fn spend(&mut self) -> Option<Token> {
+        self.token.take()
     }
 
     /// Takes back the token after an attempt that has certainly not run the request.
-    pub fn restore(&mut self, spent: Spent) {
-        self.token = spent.0;
+    pub fn restore(&mut self, token: Token) {
+        self.token = Some(token);
     }
 
     /// Waits for a token for a further attempt, if the last one is spent. Returns whether
@@ -102,7 +103,7 @@
 
     /// Returns the refusal of the request, and logs the first one of a workspace that
     /// was below its limit.
-    fn refusal(&self, label: &str) -> Refusal {
+    fn refusal(&self, id: Option<&HeaderValue>) -> Refusal {
         let (quotas, name, at) = (self.state.quotas(), &self.workspace.name, now(&self.state));
         let Quota { rate, burst } = self.quota;
         let Some(room) = quotas.exhaustion(at, name) else {
@@ -121,7 +122,7 @@
             );
         }
         let detail = format!("workspace {name}: the quota of {rate} and {burst} is used up");
-        let retry_after = room.retry_after(xxh3_64(label.as_bytes()));
+        let retry_after = room.retry_after(id.map_or(at.0, |id| xxh3_64(id.as_bytes())));
         Refusal::not_run(Code::QuotaExceeded, detail).retry_after(retry_after)
     }
 }
@@ -144,10 +145,6 @@
     }
 }
 
-/// A token whose request may have run. It is lost when this is dropped.
-#[derive(Debug)]
-pub(in crate::app::gateway) struct Spent(Option<Token>);
-
 /// Counts a request as waiting for a token until it is dropped.
 struct Waiting<'a> {
     quotas: &'a Quotas,
--- a/src/app/gateway/quota/mod.rs
+++ b/src/app/gateway/quota/mod.rs
@@ -71,11 +71,10 @@
     fn exhaustion(&self, now: Millis, name: &WorkspaceName) -> Option<Room> {
         match self.holder.shortage(now, name) {
             Shortage::Exhausted(room) => Some(room),
-            Shortage::Pending => None,
             Shortage::Unknown if self.is_reached.load(Relaxed) => {
                 self.granter().exhaustion(now, name)
             }
-            Shortage::Unknown => None,
+            Shortage::Pending | Shortage::Unknown => None,
         }
     }
 
--- a/src/app/gateway/quota/rounds.rs
+++ b/src/app/gateway/quota/rounds.rs
@@ -175,7 +175,11 @@
     let is_known = state.sharer_count(at) > 0;
     View {
         regions,
-        sharers: is_known.then(|| state.peers()).unwrap_or_default(),
+        sharers: if is_known {
+            state.peers()
+        } else {
+            Arc::default()
+        },
     }
 }
 
--- a/tests/balance/simulation.rs
+++ b/tests/balance/simulation.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use savorybeam::{
     domain::{
-        AzName, Instance, InstanceId, InstanceState, Millis, Position, Rank, RegionName,
+        AzName, Homes, Instance, InstanceId, InstanceState, Millis, Position, Rank, RegionName,
         RequestKind, RouteRule, Size, Slots, TargetId, WeightedService,
     },
     policy::{
@@ -101,6 +101,8 @@
 pub fn request(rule: &RouteRule) -> Request<'_> {
     Request {
         rule,
+        homes: Homes::new(rule, None),
+        rank: rule.rank,
         object: None,
         tried: &[],
         time_left: rule.timeout,
