--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -11,8 +11,9 @@
 mod table;
 
 use std::{
+    collections::BTreeSet,
     fmt,
-    sync::{Arc, atomic::AtomicU64},
+    sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -36,6 +37,10 @@
 /// The content type of the output of [`Metrics::encode`].
 pub const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 
+/// The number of workspaces with metrics of their own. The others are counted together,
+/// since a configuration may have many.
+pub const WORKSPACES_MAX: usize = 100;
+
 /// The label of metrics per service.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct ServiceLabel {
@@ -54,6 +59,15 @@
     pub outcome: &'static str,
 }
 
+/// The labels of finished requests per workspace.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct WorkspaceLabels {
+    /// The workspace, `other` for those beyond the first [`WORKSPACES_MAX`].
+    pub workspace: String,
+    /// `answered`, or the stable code of a failure.
+    pub result: &'static str,
+}
+
 /// The label of metrics per stable code.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct CodeLabel {
@@ -104,6 +118,13 @@
     pub reason: &'static str,
 }
 
+/// The label of metrics per workspace.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct WorkspaceLabel {
+    /// The workspace, `other` for those beyond the first [`WORKSPACES_MAX`].
+    pub workspace: String,
+}
+
 /// The labels of calls for the platform's state.
 #[derive(Clone, Copy, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct SyncLabels {
@@ -125,6 +146,8 @@
     calls: Arc<CallCounters>,
     /// Finished requests by status or code and by outcome.
     pub requests: Family<RequestLabels, Counter>,
+    /// Finished requests by workspace.
+    pub workspace_requests: Family<WorkspaceLabels, Counter>,
     /// The time from the receipt of a request to the head of its response.
     pub latency: Family<ServiceLabel, Histogram, fn() -> Histogram>,
     /// Requests in progress, until the end of the response body.
@@ -165,6 +188,12 @@
     pub demand_entries: Gauge,
     /// The era of the platform's store.
     pub store_era: Gauge,
+    /// Requests of workspaces with a quota.
+    pub quota: Family<WorkspaceLabels, Counter>,
+    /// Tokens at hand.
+    pub tokens: Family<WorkspaceLabel, Gauge>,
+    /// The workspaces with metrics of their own.
+    workspaces: Arc<Mutex<BTreeSet<String>>>,
 }
 
 /// Returns a histogram with bounds from 1 ms to 65 s. Each bound is twice the one
@@ -182,6 +211,7 @@
         calls: calls.clone(),
         registry: Arc::default(),
         requests: Family::default(),
+        workspace_requests: Family::default(),
         latency: Family::new_with_constructor(latency_histogram),
         running: Family::default(),
         retries: Family::default(),
@@ -201,11 +231,20 @@
         demand_slots: Family::default(),
         demand_entries: Gauge::default(),
         store_era: Gauge::default(),
+        quota: Family::default(),
+        tokens: Family::default(),
+        workspaces: Arc::default(),
     };
     let r = &mut registry;
     let m = metrics.clone();
     let help = |row: &Row| row.help.trim_end_matches('.').to_owned();
     r.register(table::REQUESTS.base, help(&table::REQUESTS), m.requests);
+    let workspace_requests = &table::WORKSPACE_REQUESTS;
+    r.register(
+        workspace_requests.base,
+        help(workspace_requests),
+        m.workspace_requests,
+    );
     let seconds = Unit::Seconds;
     r.register_with_unit(
         table::LATENCY.base,
@@ -236,6 +275,8 @@
     r.register(slots.base, help(slots), m.demand_slots);
     r.register(entries.base, help(entries), m.demand_entries);
     r.register(table::STORE_ERA.base, help(&table::STORE_ERA), m.store_era);
+    r.register(table::QUOTA.base, help(&table::QUOTA), m.quota);
+    r.register(table::TOKENS.base, help(&table::TOKENS), m.tokens);
     r.register_collector(Box::new(store::StoreMetrics {
         calls: calls.clone(),
     }));
@@ -308,6 +349,45 @@
         self.demand_entries.set(entries);
     }
 
+    /// Counts a request of a workspace with a quota.
+    pub fn count_quota(&self, workspace: &str, result: &'static str) {
+        let labels = WorkspaceLabels {
+            workspace: self.workspace_label(workspace),
+            result,
+        };
+        self.quota.get_or_create(&labels).inc();
+    }
+
+    /// Adds tokens at hand.
+    pub fn add_tokens(&self, workspace: &str, tokens: u32) {
+        let workspace = self.workspace_label(workspace);
+        let label = WorkspaceLabel { workspace };
+        self.tokens.get_or_create(&label).inc_by(tokens.into());
+    }
+
+    /// Counts a request of a workspace that a target answered, or that failed with the
+    /// given stable code.
+    pub fn count_workspace(&self, workspace: &str, failure: Option<&'static str>) {
+        let labels = WorkspaceLabels {
+            workspace: self.workspace_label(workspace),
+            result: failure.unwrap_or("answered"),
+        };
+        self.workspace_requests.get_or_create(&labels).inc();
+    }
+
+    fn workspace_label(&self, name: &str) -> String {
+        let known = self.workspaces.lock();
+        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        if known.contains(name) {
+            return name.to_owned();
+        }
+        if known.len() >= WORKSPACES_MAX {
+            return "other".to_owned();
+        }
+        known.insert(name.to_owned());
+        name.to_owned()
+    }
+
     /// Reports whether the latest call to the store got a response.
     #[must_use]
     pub fn store_up(&self) -> bool {
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -5,7 +5,7 @@
 use http::{HeaderValue, Request, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 
-use super::{State, now};
+use super::{State, now, quota::Admission};
 use crate::{
     adapters::{
         http::{ReplayBody, strip_hop_by_hop},
@@ -71,6 +71,8 @@
     pub caller_deadline: Millis,
     /// How long the gateway had been stopping when the request arrived.
     pub stop_age: Option<Millis>,
+    /// Its token, if its workspace has a quota.
+    pub admission: Option<Admission>,
     head: Parts,
     body: ReplayBody,
 }
@@ -80,9 +82,9 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if no route matches, if a limit is exceeded or if the
-    /// body does not arrive in time.
-    pub async fn read(state: &State, req: Request<Body>) -> Result<Self, Refusal> {
+    /// Returns a refusal if no route matches, if a limit or the quota of the workspace is
+    /// exceeded or if the body does not arrive in time.
+    pub async fn read(state: &Arc<State>, req: Request<Body>) -> Result<Self, Refusal> {
         let arrived = now(state);
         let Some(table) = state.table() else {
             let detail = "no configuration has been read yet";
@@ -112,6 +114,8 @@
             ));
         }
         let object = affinity_key.map(|key| object_hash(&rule.prefix, key.as_bytes()));
+        let admission = Admission::acquire(state, workspace.as_ref(), deadline, id.as_ref());
+        let admission = admission.await?;
         let body = read_body(state, limits, deadline, body).await?;
         Ok(Self {
             table,
@@ -126,6 +130,7 @@
             deadline,
             caller_deadline: arrived + caller_timeout,
             stop_age,
+            admission,
             head,
             body,
         })
@@ -266,6 +271,8 @@
     if Homes::new(rule, Some(workspace)).is_void() {
         let (route, name) = (&rule.name, &workspace.name);
         let detail = format!("route {route} and workspace {name} have no home region in common");
+        let metrics = &state.ports.metrics;
+        metrics.count_workspace(name.as_str(), Some(Code::NoTarget.as_str()));
         return Err(Refusal::not_run(Code::NoTarget, detail));
     }
     Ok(Some(workspace.clone()))
@@ -290,7 +297,20 @@
         return Ok(());
     };
     let age = state.age(now(state));
-    if age <= limit {
+    let refuses = age > limit;
+    if state.set_refuses_keys(refuses) {
+        let (age_ms, limit_ms) = (age.0, limit.0);
+        if refuses {
+            tracing::warn!(
+                age_ms,
+                limit_ms,
+                "gateway: refusing all keys, the state is too old."
+            );
+        } else {
+            tracing::info!(age_ms, limit_ms, "gateway: admitting keys again.");
+        }
+    }
+    if !refuses {
         return Ok(());
     }
     let detail = format!("the state of this entry is {age} old, keys are valid for {limit}");
--- a/tests/demand_exchange.rs
+++ b/tests/demand_exchange.rs
@@ -400,6 +400,7 @@
                     fetch(request)
                 }),
             },
+            quotas: grpc::quotas(peers()),
             metrics: metrics::open(Arc::<CallCounters>::default()),
             clock,
         };
