--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -382,6 +382,8 @@
     };
     m.count_probe("slotboard");
     m.count_workspace("acme", None);
+    m.count_quota("acme", "admitted");
+    m.add_tokens("acme", 1);
     m.count_withheld("slotboard", withheld);
     m.count_sync("store", "changes", "ok");
     let services = [("slotboard".parse().expect("a name"), Demand::default())];
--- /dev/null
+++ b/tests/quota/entries.rs
@@ -0,0 +1,151 @@
+//! Real entries on loopback.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use http::{HeaderValue, Request, Response};
+use savorybeam::{
+    adapters::http::{self as web, Limits},
+    app::gateway::Gateway,
+    domain::{Configuration, Era, Millis, Position, RequestKind, Revision, RouteRule, Workspace},
+    ports::{Batch, Change, Platform},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+use volo_http::{body::Body, server::Router};
+
+use crate::{
+    vm::{
+        self, ANY_PORT,
+        entry::{self, presence, relay_settings, wait_until},
+    },
+    world::quota,
+};
+
+/// The changes of the platform. The revision of a change is its position.
+type Store = Arc<Mutex<Vec<Change>>>;
+
+fn platform(store: &Store) -> Platform {
+    let batch = |store: &Store, after: u64| {
+        let changes = store.lock().expect("changes");
+        let known = usize::try_from(after).expect("a small number");
+        Batch {
+            changes: changes[known..].to_vec(),
+            position: Position::new(Era(0), Revision(changes.len() as u64)),
+        }
+    };
+    let (all, some) = (store.clone(), store.clone());
+    Platform {
+        read: Arc::new(move |_| {
+            let batch = batch(&all, 0);
+            Box::pin(async { Ok(batch) })
+        }),
+        poll: Arc::new(move |poll| {
+            let batch = batch(&some, poll.after.revision.0);
+            Box::pin(async { Ok(batch.into()) })
+        }),
+        ..entry::platform(Vec::new(), Millis(0))
+    }
+}
+
+fn configuration() -> Configuration {
+    let limited = Workspace {
+        quota: Some(quota(5.0)),
+        ..vm::workspace("limited", &["key-limited"])
+    };
+    let rule = |prefix| vm::rule(RequestKind::Idempotent, prefix);
+    let public = RouteRule {
+        public: true,
+        ..rule("/public/")
+    };
+    Configuration {
+        workspaces: vec![limited, vm::workspace("free", &["key-free"])],
+        ..vm::configuration(1, vec![rule("/all/"), public], 10.0)
+    }
+}
+
+/// Sends requests to the entries in turn. Returns how many got each answer: the status,
+/// the code and whether a time of return was named.
+async fn send(entries: &[Gateway], count: usize, path: &str, key: &str) -> BTreeMap<String, u32> {
+    let mut answers = BTreeMap::new();
+    for entry in entries.iter().cycle().take(count) {
+        let answer = request(entry.front_addr(), path, key).await;
+        *answers.entry(answer).or_default() += 1;
+    }
+    answers
+}
+
+async fn request(addr: SocketAddr, path: &str, key: &str) -> String {
+    let mut stream = TcpStream::connect(addr).await.expect("a connection");
+    let text = format!(
+        "GET {path} HTTP/1.1\r\nhost: kitchens.example\r\nkey: {key}\r\nrequest-id: r-1\r\n\
+         connection: close\r\n\r\n"
+    );
+    stream.write_all(text.as_bytes()).await.expect("a request");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    let header = |name: &str| {
+        let line = answer.lines().find(|l| l.starts_with(name));
+        line.and_then(|l| l.split(' ').nth(1))
+    };
+    let (status, code) = (&answer[9..12], header("x-savorybeam-code"));
+    let outcome = header("x-savorybeam-outcome").unwrap_or_default();
+    let retry = header("retry-after").map_or("", |_| "retry-after");
+    let text = format!("{status} {} {outcome} {retry}", code.unwrap_or_default());
+    text.trim().to_owned()
+}
+
+/// Fails if entries count a quota each for itself, if a request that was refused for
+/// another reason keeps its token, or if callers without a quota are counted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_share_a_quota() {
+    let store: Store = Arc::default();
+    let put = |change| store.lock().expect("changes").push(change);
+    put(Change::Configured(Box::new(configuration())));
+    let mut entries = Vec::new();
+    for name in ["edge-1", "edge-2", "edge-3"] {
+        let settings = relay_settings(name, Vec::new());
+        let gateway = entry::spawn(settings, platform(&store)).await;
+        put(presence(&gateway, name));
+        entries.push(gateway);
+    }
+    wait_until("the entries know each other", || {
+        entries.iter().all(|g| g.state.peers().len() == 3)
+    })
+    .await;
+    // The entries use their parts when all others must be known, and fill them.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let without_target = send(&entries, 60, "/all/1", "key-limited").await;
+    let handler = async |req: Request<Body>| {
+        let mut resp = Response::new(Body::from("done"));
+        let id = req.headers().get("request-id").cloned();
+        let head = resp.headers_mut();
+        head.insert("request-id", id.unwrap_or(HeaderValue::from_static("none")));
+        head.insert("server-seal", HeaderValue::from_static("seal"));
+        resp
+    };
+    let router = Router::new().fallback(handler);
+    let target = web::bind(ANY_PORT, Limits::default(), router).await;
+    let target = target.expect("a port");
+    put(Change::Registered(vm::instance("i-1", target.addr())));
+    wait_until("the entries are ready", || {
+        entries.iter().all(|g| g.state.is_ready())
+    })
+    .await;
+    let mut limited = send(&entries, 80, "/all/1", "key-limited").await;
+    let free = send(&entries, 80, "/all/1", "key-free").await;
+    let public = send(&entries, 80, "/public/1", "key-limited").await;
+    // The number depends on the time that the requests take.
+    let served = limited.insert("200".to_owned(), 0).unwrap_or_default();
+    assert!((12..53).contains(&served), "{served}");
+    *limited
+        .get_mut("429 quota-exceeded not-run retry-after")
+        .expect("refusals") += served;
+    insta::assert_debug_snapshot!((without_target, limited, free, public));
+}
--- a/tests/quota/main.rs
+++ b/tests/quota/main.rs
@@ -1,6 +1,9 @@
 //! Tests the quotas of workspaces over many entries in virtual time: the sum of what
 //! all entries admit, and what is refused below a quota.
 
+mod entries;
+#[path = "../vm/mod.rs"]
+mod vm;
 mod world;
 
 use insta::assert_snapshot;
@@ -13,8 +16,9 @@
 
 /// Adds the same rate of requests in each region.
 fn evenly(world: &mut World, workspace: usize, rate: f64, from: u64, until: u64) {
-    for region in 0..3.min(world.nodes.len()) {
-        let rate = rate / 3.min(world.nodes.len()) as f64;
+    let regions = 3.min(world.nodes.len());
+    for region in 0..regions {
+        let rate = rate / f64::from(u8::try_from(regions).expect("a small number"));
         world.demand(Demand {
             workspace,
             region,
@@ -28,9 +32,9 @@
 /// Returns the quotas of 76 workspaces of which a few are large, at 1.6 times what they
 /// use, which is `total` together.
 fn uneven(total: f64) -> Vec<(f64, Quota)> {
-    let weight = |i: usize| (i as f64 + 1.0).powf(-1.2);
+    let weight = |i: u8| (f64::from(i) + 1.0).powf(-1.2);
     let sum: f64 = (0..76).map(weight).sum();
-    let rates = (0..76).map(|i| total * weight(i) / sum);
+    let rates = (0_u8..76).map(|i| total * weight(i) / sum);
     rates.map(|r| (r, quota((r * 1.6).ceil()))).collect()
 }
 
@@ -50,7 +54,7 @@
     let rest = 1..world.quotas.len();
     format!(
         "hot: {}\nrest: {}",
-        world.summary(0..1),
+        world.summary(0..=0),
         world.summary(rest)
     )
 }
@@ -89,7 +93,7 @@
     }
     evenly(&mut world, 2, 3.0, 5 * SECOND, 60 * SECOND);
     world.run(61 * SECOND);
-    let rows = (0..3).map(|w| world.summary(w..w + 1));
+    let rows = (0..3).map(|w| world.summary(w..=w));
     assert_snapshot!(rows.collect::<Vec<_>>().join("\n"));
 }
 
@@ -186,8 +190,8 @@
         world.unknown_from = count - count / 12;
         world.refresh_views();
     }
-    for workspace in 0..rates.len() {
-        let rate = rates[workspace] * rng.random_range(1.5..6.0);
+    for (workspace, rate) in rates.iter().enumerate() {
+        let rate = rate * rng.random_range(1.5..6.0);
         evenly(&mut world, workspace, rate, 3 * SECOND, 15 * SECOND);
     }
     for _ in 0..rng.random_range(0..8) {
--- a/tests/quota/world.rs
+++ b/tests/quota/world.rs
@@ -319,7 +319,7 @@
             let node = match &event {
                 Event::Request { node, .. } => Some(*node),
                 Event::Begin(i) | Event::Expire(i) | Event::Reply { to: i, .. } => Some(*i),
-                Event::Ask { call, .. } => self.index(&call.to),
+                Event::Ask { call, .. } => index(&call.to),
                 Event::Fault(_) => None,
             };
             let thaw = node.map_or(Millis(0), |i| self.nodes[i].frozen_until);
@@ -331,10 +331,6 @@
         }
     }
 
-    fn index(&self, presence: &Presence) -> Option<usize> {
-        presence.name.as_str()[1..].parse().ok()
-    }
-
     fn handle(&mut self, event: Event) {
         match event {
             Event::Request { workspace, node } => self.request(workspace, node),
@@ -434,7 +430,7 @@
                 answer: None,
             };
             self.at(self.now + call.timeout, timeout);
-            if let Some(to) = self.index(&call.to)
+            if let Some(to) = index(&call.to)
                 && let Some(delay) = self.delay(i, to)
             {
                 self.at(self.now + delay, Event::Ask { call, from: i });
@@ -464,7 +460,7 @@
     }
 
     fn ask(&mut self, call: Call, from: usize) {
-        let Some(to) = self.index(&call.to).filter(|i| !self.nodes[*i].is_down) else {
+        let Some(to) = index(&call.to).filter(|i| !self.nodes[*i].is_down) else {
             return;
         };
         let at = self.local(to);
@@ -599,6 +595,11 @@
     }
 }
 
+/// Returns the number of an entry.
+fn index(presence: &Presence) -> Option<usize> {
+    presence.name.as_str()[1..].parse().ok()
+}
+
 fn call_key(i: usize, run: u64, call: &Call) -> (usize, u64, String, Millis) {
     let others = if call.ask.for_others { "+" } else { "" };
     (i, run, format!("{}{others}", call.to.name), call.sent)
