--- a/src/policy/quota/granter.rs
+++ b/src/policy/quota/granter.rs
@@ -85,8 +85,8 @@
     }
 
     /// Returns the sum of the parts that are held.
-    #[must_use]
-    pub fn part(&self) -> f64 {
+    pub fn part(&mut self, now: Millis) -> f64 {
+        self.advance(now);
         self.part
     }
 
--- a/src/policy/quota/rounds.rs
+++ b/src/policy/quota/rounds.rs
@@ -85,7 +85,7 @@
         } else {
             ASK_PERIOD
         };
-        if granter.part() > 0.0 && self.exchanged_at + period <= now {
+        if granter.part(now) > 0.0 && self.exchanged_at + period <= now {
             self.exchanged_at = now;
             calls.extend(self.exchange(now, view, granter));
         }
--- a/tests/quota/main.rs
+++ b/tests/quota/main.rs
@@ -177,19 +177,20 @@
     assert!(peak <= 1.0);
 }
 
-/// Plays random faults, and returns the largest fraction of a quota that was used.
-fn random_peak(seed: u64) -> f64 {
+/// Plays random faults. Returns the largest fraction of a quota that was used, and the
+/// largest sum of parts in relation to what the views allow.
+fn play_random(seed: u64) -> (f64, f64) {
     let mut rng = SmallRng::seed_from_u64(seed);
-    let count = rng.random_range(1..40);
+    let total: u8 = rng.random_range(1..40);
+    let count = usize::from(total);
     let rates = [rng.random_range(1.0..400.0), rng.random_range(0.5..20.0)];
     let mut world = World::new(seed, count, rates.iter().map(|r| quota(*r)).collect());
     world.loss = rng.random_range(0.0..0.2);
     world.late = rng.random_range(0.0..0.3);
-    if rng.random_bool(0.5) {
-        // The entries that half of the others do not know.
-        world.unknown_from = count - count / 12;
-        world.refresh_views();
-    }
+    // The number of entries that half of the others do not know.
+    let unknown = if rng.random_bool(0.5) { total / 12 } else { 0 };
+    world.unknown_from = count - usize::from(unknown);
+    world.refresh_views();
     for (workspace, rate) in rates.iter().enumerate() {
         let rate = rate * rng.random_range(1.5..6.0);
         evenly(&mut world, workspace, rate, 3 * SECOND, 15 * SECOND);
@@ -223,19 +224,21 @@
         });
     }
     world.run(16 * SECOND);
-    world.worst_peak()
+    let allowed = f64::from(total) / f64::from(total - unknown);
+    (world.worst_peak(), world.most_parts / allowed)
 }
 
-/// Fails if the entries together exceed a quota in any window, whatever messages are
-/// lost or late, whichever entries stop, restart, are cut off or know different others.
+/// Fails if the entries together exceed a quota in any window, or use a part twice,
+/// whatever messages are lost or late, whichever entries stop, restart, are cut off or
+/// know different others.
 #[test]
 fn the_sum_stays_within_the_quota() {
     let keeps = |seed: u64| {
-        let peak = random_peak(seed);
-        if peak <= 1.0 {
+        let (peak, parts) = play_random(seed);
+        if peak <= 1.0 && parts <= 1.0 + 1e-9 {
             TestResult::passed()
         } else {
-            TestResult::error(format!("seed {seed}: {peak:.3} of the bound"))
+            TestResult::error(format!("seed {seed}: peak {peak:.3}, parts {parts:.3}"))
         }
     };
     QuickCheck::new()
--- a/tests/quota/world.rs
+++ b/tests/quota/world.rs
@@ -94,6 +94,8 @@
     pub bounds: Bounds,
     pub tally: Vec<Tally>,
     pub calls: usize,
+    /// The largest sum of the parts that all entries held at once.
+    pub most_parts: f64,
     /// The fraction of messages that are lost, and that are late.
     pub loss: f64,
     pub late: f64,
@@ -156,6 +158,7 @@
                 .collect(),
             quotas,
             calls: 0,
+            most_parts: 0.0,
             loss: 0.0,
             late: 0.0,
             cut: HashSet::new(),
@@ -410,6 +413,9 @@
             return;
         }
         let at = self.local(i);
+        if self.calls.is_multiple_of(20) {
+            self.add_parts();
+        }
         let is_known = self.now >= self.nodes[i].known_from;
         let view = &self.views[2 * usize::from(!is_known) + i % 2];
         let node = &mut self.nodes[i];
@@ -441,6 +447,14 @@
         }
     }
 
+    /// Adds up the parts that all entries hold.
+    fn add_parts(&mut self) {
+        let now = self.now;
+        let running = self.nodes.iter_mut().filter(|n| !n.is_down);
+        let parts = running.map(|n| n.granter.part(now + Millis(n.origin)));
+        self.most_parts = self.most_parts.max(parts.sum());
+    }
+
     /// Returns the time that a message takes, or none if it is lost.
     fn delay(&mut self, from: usize, to: usize) -> Option<Millis> {
         let region = |i: usize| self.nodes[i].region;
