--- a/tests/quota/main.rs
+++ b/tests/quota/main.rs
@@ -38,12 +38,12 @@
     rates.map(|r| (r, quota((r * 1.6).ceil()))).collect()
 }
 
-/// Plays 76 workspaces of which the largest sends six times its quota.
-fn hot(count: usize, total: f64) -> World {
+/// Plays 76 workspaces of which the largest sends `excess` times its quota.
+fn hot(count: usize, total: f64, excess: f64) -> World {
     let loads = uneven(total);
     let mut world = World::new(1, count, loads.iter().map(|l| l.1).collect());
     for (i, (rate, quota)) in loads.iter().enumerate() {
-        let rate = if i == 0 { quota.rate.0 * 6.0 } else { *rate };
+        let rate = if i == 0 { quota.rate.0 * excess } else { *rate };
         evenly(&mut world, i, rate, 5 * SECOND, 11 * SECOND);
     }
     world.run(12 * SECOND);
@@ -65,7 +65,7 @@
 fn others_are_served_beside_a_hot_workspace() {
     for count in [1, 9, 68, 295] {
         let total = if count == 295 { 600.0 } else { 1_200.0 };
-        let world = hot(count, total);
+        let world = hot(count, total, 6.0);
         insta::with_settings!({snapshot_suffix => count.to_string()}, {
             assert_snapshot!("hot", report(&world));
         });
@@ -73,6 +73,21 @@
     }
 }
 
+/// Fails if the calls between entries grow faster than the entries and the requests do.
+#[test]
+fn calls_grow_with_entries() {
+    let mut lines = Vec::new();
+    for (count, total) in [(9, 160.0), (68, 1_200.0), (295, 1_200.0)] {
+        let world = hot(count, total, 0.6);
+        let requests: usize = world.tally.iter().map(|t| t.asked).sum();
+        let World { calls, needs, .. } = world;
+        lines.push(format!(
+            "{count} entries: {requests} requests in 6 s, {calls} calls in 12 s with {needs} workspaces"
+        ));
+    }
+    assert_snapshot!(lines.join("\n"));
+}
+
 /// Fails if a workspace that stays below its quota is refused: one that uses all of it
 /// but a tenth, one whose callers move to another region, and one of three requests per
 /// second, which most entries do not see.
--- a/tests/quota/world.rs
+++ b/tests/quota/world.rs
@@ -61,6 +61,8 @@
     is_pending: bool,
     waiters: Vec<Waiter>,
     next_round: Millis,
+    /// When the next round begins if none is begun before.
+    due: Millis,
     known_from: Millis,
     frozen_until: Millis,
     pub is_down: bool,
@@ -72,7 +74,9 @@
         workspace: usize,
         node: usize,
     },
+    /// A round that is due, or that requests wait for.
     Begin(usize),
+    Wake(usize),
     Ask {
         call: Call,
         from: usize,
@@ -93,7 +97,9 @@
     pub quotas: Vec<Quota>,
     pub bounds: Bounds,
     pub tally: Vec<Tally>,
+    /// The calls, and the workspaces in them.
     pub calls: usize,
+    pub needs: usize,
     /// The largest sum of the parts that all entries held at once.
     pub most_parts: f64,
     /// The fraction of messages that are lost, and that are late.
@@ -158,6 +164,7 @@
                 .collect(),
             quotas,
             calls: 0,
+            needs: 0,
             most_parts: 0.0,
             loss: 0.0,
             late: 0.0,
@@ -209,6 +216,7 @@
             is_pending: false,
             waiters: Vec::new(),
             next_round: Millis(0),
+            due: Millis(0),
             known_from: Millis(0),
             frozen_until: Millis(0),
             is_down: false,
@@ -321,7 +329,10 @@
             };
             let node = match &event {
                 Event::Request { node, .. } => Some(*node),
-                Event::Begin(i) | Event::Expire(i) | Event::Reply { to: i, .. } => Some(*i),
+                Event::Begin(i)
+                | Event::Wake(i)
+                | Event::Expire(i)
+                | Event::Reply { to: i, .. } => Some(*i),
                 Event::Ask { call, .. } => index(&call.to),
                 Event::Fault(_) => None,
             };
@@ -337,7 +348,8 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Request { workspace, node } => self.request(workspace, node),
-            Event::Begin(i) => self.begin(i),
+            Event::Begin(i) if self.now < self.nodes[i].due => {}
+            Event::Begin(i) | Event::Wake(i) => self.begin(i),
             Event::Ask { call, from } => self.ask(call, from),
             Event::Reply {
                 call,
@@ -379,7 +391,7 @@
         });
         if node.open_calls == 0 {
             let soon = self.now.max(node.next_round);
-            self.at(soon, Event::Begin(i));
+            self.at(soon, Event::Wake(i));
         }
         self.at(self.now + ASK_TIMEOUT, Event::Expire(i));
     }
@@ -428,6 +440,7 @@
         let run = node.run;
         for call in calls {
             self.calls += 1;
+            self.needs += call.ask.needs.len();
             self.open.insert(call_key(i, run, &call));
             let timeout = Event::Reply {
                 call: call.clone(),
@@ -482,7 +495,7 @@
         let answer = granter.answer(at, &call.ask);
         if granter.is_short(at) {
             let soon = self.now.max(self.nodes[to].next_round);
-            self.at(soon, Event::Begin(to));
+            self.at(soon, Event::Wake(to));
         }
         let run = self.nodes[from].run;
         if let Some(delay) = self.delay(to, from) {
@@ -532,7 +545,8 @@
             (false, true) => ASK_PERIOD,
             (false, false) => ROUND_GAP,
         };
-        self.at(self.now + period, Event::Begin(i));
+        self.nodes[i].due = self.now + period;
+        self.at(self.nodes[i].due, Event::Begin(i));
     }
 
     /// Lets the requests that wait try again.
