Take a response without a final status for no answer

A target in trouble may respond with a status that no final response has. hyper fails the connection for 000, 099, statuses without three digits and other 1xx that are followed by no final response, but returns 101 and 600 to 999 as responses, and both interfaces passed those on to callers.

The port through which both interfaces send requests now returns an unknown outcome for a status outside 200 to 599 and drops the connection. The request may have run: its caller gets 502, or another attempt if the request may be sent again.

--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -6,7 +6,10 @@
 //! request runs. The target's kernel answers the probes, so a slow target is not
 //! mistaken for a silent connection.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::{
+    ops::RangeInclusive,
+    sync::{Arc, Mutex, PoisonError},
+};
 
 use http::{HeaderValue, Request, Response, header};
 use http_body::Body as _;
@@ -50,6 +53,10 @@
     }
 }
 
+/// The statuses of final responses (RFC 9110, section 15). Those below and above are
+/// read without an error, if they have three digits.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How long a target may take to close a connection after this side has. It
 /// equals [`TCP_USER_TIMEOUT`], after which the kernel gives up on unacknowledged
 /// data.
@@ -157,7 +164,7 @@
         match conn.sender.try_send_request(request).await {
             Ok(resp) => {
                 guard.disarm();
-                return Ok(respond(pool, clock, target, conn, resp, &may_reuse));
+                return respond(pool, clock, target, conn, resp, &may_reuse);
             }
             Err(mut e) => match e.take_message() {
                 // The connection closed while it was idle. No part of the
@@ -182,7 +189,7 @@
     match conn.sender.try_send_request(request).await {
         Ok(resp) => {
             guard.disarm();
-            Ok(respond(pool, clock, target, conn, resp, &may_reuse))
+            respond(pool, clock, target, conn, resp, &may_reuse)
         }
         Err(mut e) => match e.take_message() {
             Some(_) => Err(SendError::Unsent {
@@ -282,7 +289,8 @@
 
 /// Returns the response, and puts its connection back into the pool if the
 /// response allows that. A connection that is dropped instead closes when the
-/// response ends.
+/// response ends, or at once if the status is no final one: HTTP has no such answer,
+/// and what follows it on the connection cannot be trusted.
 fn respond(
     pool: &Pool,
     clock: &Clock,
@@ -290,16 +298,25 @@
     conn: Conn,
     resp: Response<hyper::body::Incoming>,
     may_reuse: &ReuseCheck,
-) -> Response<Body> {
+) -> Result<Response<Body>, SendError> {
+    let status = resp.status().as_u16();
+    if !FINAL_STATUSES.contains(&status) {
+        return Err(SendError::Unknown {
+            step: "answer from",
+            peer: target,
+            cause: format!("{status} is no status of a final response"),
+            broken: false,
+        });
+    }
     let progress = conn.progress.clone();
     if may_reuse(resp.status(), resp.headers()) {
         pool_when_idle(pool, clock, target, conn);
     }
-    resp.map(|body| {
+    Ok(resp.map(|body| {
         ProgressBody::new(body, progress)
             .map_err(Into::into)
             .boxed()
-    })
+    }))
 }
 
 /// Puts a connection back into the pool once the response that it carries has
--- a/tests/broken_response.rs
+++ b/tests/broken_response.rs
@@ -238,3 +238,65 @@
     let runs = fixture.runs.load(SeqCst);
     insta::assert_snapshot!(format!("{browse}; {pay}; {runs} runs"), @"200 a-kitchn; 200 a-kitchn; 2 runs");
 }
+
+/// Fails if a caller gets a response whose status is no final one as the answer to its
+/// request, or if such a response ends a request that may be sent again. The target
+/// responds like that to the first attempt of each request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn no_caller_gets_a_response_without_a_final_status() {
+    const STATUSES: [&str; 8] = ["000", "099", "100", "101", "199", "600", "999", "20"];
+    let mut lines = Vec::new();
+    for status in STATUSES {
+        let runs = Arc::<AtomicUsize>::default();
+        let mut changes = vec![Change::Configured(Box::new(vm::configuration(
+            3,
+            vec![
+                vm::rule(RequestKind::Idempotent, "/browse/"),
+                vm::rule(RequestKind::Once, "/pay/"),
+            ],
+            10.0,
+        )))];
+        for id in ["i-1", "i-2"] {
+            let counted = runs.clone();
+            let addr = raw::listen(move |_, stream| {
+                let counted = counted.clone();
+                async move {
+                    let mut stream = BufReader::new(stream);
+                    while let Some(request) = raw::read_request(&mut stream).await {
+                        let mut text = response(&request.id, Framing::Length);
+                        if counted.fetch_add(1, SeqCst) % 2 == 0 {
+                            text = text.replace("200 OK", status);
+                        }
+                        if stream.write_all(text.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+            });
+            changes.push(Change::Registered(vm::instance(id, addr.await)));
+        }
+        let fixture = Fixture {
+            gateway: vm::entry::open(vm::settings("edge-1"), changes, Millis(0)).await,
+            client: web::open(clock::open(), PoolConfig::default()),
+            cut: Arc::new(Mutex::new(Cut {
+                bytes: 0,
+                end: End::Close,
+            })),
+            runs,
+        };
+        let browse = fixture.send("/browse/a").await;
+        let pay = fixture.send("/pay/a").await;
+        let runs = fixture.runs.load(SeqCst);
+        lines.push(format!("{status}: {browse}; {pay}; {runs} runs"));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    000: 200 a-kitchn; 502 refusal; 3 runs
+    099: 200 a-kitchn; 502 refusal; 3 runs
+    100: 200 a-kitchn; 502 refusal; 3 runs
+    101: 200 a-kitchn; 502 refusal; 3 runs
+    199: 200 a-kitchn; 502 refusal; 3 runs
+    600: 200 a-kitchn; 502 refusal; 3 runs
+    999: 200 a-kitchn; 502 refusal; 3 runs
+    20: 200 a-kitchn; 502 refusal; 3 runs
+    ");
+}
--- a/tests/faults_target.rs
+++ b/tests/faults_target.rs
@@ -15,7 +15,11 @@
 };
 use http::Request;
 use http_body_util::Full;
-use tokio::task::JoinSet;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpListener,
+    task::JoinSet,
+};
 
 /// The time limit of a call, longer than any deadline of these tests.
 const CALL_TIMEOUT: Duration = Duration::from_secs(40);
@@ -229,3 +233,42 @@
         assert!(result.is_success(), "later request {n}: {result:?}");
     }
 }
+
+/// A response whose status is no final one must not be passed on as an answer: the
+/// request may have run, so that its outcome is unknown.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_response_without_a_final_status_is_no_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let addr = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::spawn(async move {
+                let mut head = [0; 1_024];
+                while stream.read(&mut head).await.is_ok_and(|n| n > 0) {
+                    let path = String::from_utf8_lossy(&head);
+                    let status = path.split(['/', ' ']).nth(2).unwrap_or_default();
+                    let text = format!("HTTP/1.1 {status} Odd\r\ncontent-length: 2\r\n\r\nok");
+                    if stream.write_all(text.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let deployment = with_timeout("start", Deployment::start(1, Vec::new())).await;
+    deployment.put_document(0, &document(&[addr], 3, "")).await;
+    let entry = deployment.entries[0].process.addr;
+    wait_until_success("serving", entry, CALL_TIMEOUT, || get_request("/200")).await;
+    for status in ["000", "099", "101", "199", "600", "999", "20"] {
+        let order = || request("POST", "slotboard", &format!("/{status}"), "");
+        let result = with_timeout("a request", call(entry, order(), CALL_TIMEOUT)).await;
+        match result {
+            HttpResult::Refused(code, outcome, _) => {
+                let found = (&*code, &*outcome);
+                assert_eq!(found, ("connection-broken", "unknown"), "{status}");
+            }
+            result => panic!("{status}: {result:?}"),
+        }
+        wait_until_success("serving", entry, CALL_TIMEOUT, || get_request("/200")).await;
+    }
+}
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -46,7 +46,8 @@
     /// connection and the path. Responses to `/then-extra` and `/early` are
     /// followed by [`EXTRA`] in the same segment. After `/early`, nothing more is
     /// read on the connection. The response to `/late` begins after [`LATE`], and
-    /// that to `/half` pauses for as long before the end of its body.
+    /// that to `/half` pauses for as long before the end of its body. The response
+    /// to `/status/` has what follows that, after the version, as its status line.
     fn open() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let target = Self {
@@ -91,6 +92,9 @@
         if ["/then-extra", "/early"].contains(&path) {
             text += EXTRA;
         }
+        if let Some(status) = path.strip_prefix("/status/") {
+            text = text.replace(" 200 OK", &status.replace('_', " "));
+        }
         if path == "/late" {
             thread::sleep(LATE);
         }
@@ -274,3 +278,49 @@
     once only: a new connection
     ");
 }
+
+/// Fails if a response whose status is no final one counts as the answer to a
+/// request, or if its connection is used again. The request may have run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_response_without_a_final_status_is_no_answer() {
+    const STATUSES: [&str; 12] = [
+        "_000_Odd",
+        "_099_Odd",
+        "_100_Odd",
+        "_101_Odd",
+        "_103_Odd",
+        "_199_Odd",
+        "_600_Odd",
+        "_999_Odd",
+        "_20_Odd",
+        "_2000_Odd",
+        "_Odd",
+        "",
+    ];
+    let mut lines = Vec::new();
+    for status in STATUSES {
+        let (target, pool) = (Target::open(), open_pool());
+        let path = format!("/status/{status}");
+        let odd = match (pool.send)(request(&target, &path)).await {
+            Ok(resp) => read(Ok(resp)).await,
+            Err(SendError::Unknown { .. }) => "may have run".to_owned(),
+            Err(SendError::Unsent { .. }) => "not run".to_owned(),
+        };
+        let next = read((pool.send)(request(&target, "/next")).await).await;
+        lines.push(format!("{status:?}: {odd}, {next}"));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r#"
+    "_000_Odd": may have run, 200 /next on connection 2
+    "_099_Odd": may have run, 200 /next on connection 2
+    "_100_Odd": may have run, 200 /next on connection 2
+    "_101_Odd": may have run, 200 /next on connection 2
+    "_103_Odd": may have run, 200 /next on connection 2
+    "_199_Odd": may have run, 200 /next on connection 2
+    "_600_Odd": may have run, 200 /next on connection 2
+    "_999_Odd": may have run, 200 /next on connection 2
+    "_20_Odd": may have run, 200 /next on connection 2
+    "_2000_Odd": may have run, 200 /next on connection 2
+    "_Odd": may have run, 200 /next on connection 2
+    "": may have run, 200 /next on connection 2
+    "#);
+}
