Order the tests of pauses by events in place of wall time

a_paused_target_gets_no_requests_until_the_end assumed that a burst reaches a target within 50 ms, before its first refusal, and that all requests under way when a target refuses arrive within 500 ms.

Targets now hold their responses until the whole burst has arrived or was refused by the gateway; each refusal waits until the one before it was handled, and served requests until all were. A request that callers send after the burst must not arrive before the end of the pause at all, where two were allowed, and a refused one not a second time. After the pause up to 1,000 requests are sent in place of requests for 2 s.

requests_are_refused_while_all_targets_are_paused accepted 20 to 32 s as the time to wait. It now compares with the instants at which the requests were sent and answered, which is narrower.

Both tests fail if pauses are ignored (tried in policy/balance/notice).

--- a/tests/notice.rs
+++ b/tests/notice.rs
@@ -4,6 +4,7 @@
 mod vm;
 
 use std::{
+    collections::BTreeSet,
     io,
     net::SocketAddr,
     sync::{Arc, Mutex},
@@ -33,15 +34,12 @@
     raw::{self, RawHead},
 };
 
-/// How long after a refusal requests that were under way may still arrive.
-const UNDER_WAY: Duration = Duration::from_millis(500);
-
-/// The number of requests that may arrive after that, as the users state it.
-const LATE_MAX: usize = 2;
-
 /// The number of callers in a burst.
 const BURST: usize = 200;
 
+/// After how many requests a target counts as getting none after a pause.
+const REQUESTS_MAX: usize = 1_000;
+
 /// A request as a target received it.
 #[derive(Clone, Debug)]
 struct Received {
@@ -130,6 +128,8 @@
 /// The response to a caller.
 #[derive(Debug)]
 struct Answer {
+    /// The id of the request.
+    id: String,
     status: u16,
     /// `of a target`, or the outcome of a refusal.
     outcome: String,
@@ -207,6 +207,7 @@
             value.map(|v| v.to_str().expect("text").to_owned())
         };
         Answer {
+            id: format!("r-{number}"),
             status: resp.status().as_u16(),
             outcome: text("x-savorybeam-outcome").unwrap_or_else(|| "of a target".to_owned()),
             retry_after: text("retry-after").map(|t| t.parse().expect("seconds")),
@@ -359,46 +360,123 @@
     "#);
 }
 
+/// Makes targets hold their responses in the test of a pause, so that their order
+/// doesn't depend on the speed of the machine: none responds before the whole burst
+/// has arrived, each refusal of `i-1` waits until the gateway has sent the request
+/// that was refused before it to `i-2` or refused it itself, and whoever else was sent a request responds
+/// after all of that.
+#[derive(Clone, Default)]
+struct Order {
+    progress: Arc<watch::Sender<Progress>>,
+}
+
+/// What has become of the requests of a burst.
+#[derive(Default)]
+struct Progress {
+    /// The ids of the requests that have arrived anywhere.
+    arrived: BTreeSet<String>,
+    /// The ids of those that have arrived at `i-2` or whose callers have an answer.
+    handled: BTreeSet<String>,
+    /// The ids of those that `i-1` refuses, in order.
+    refused: Vec<String>,
+    /// The number of callers with an answer. Before the first response of a target,
+    /// the gateway has refused them.
+    answered: usize,
+}
+
+impl Progress {
+    /// Returns whether the whole burst has arrived or was refused, and the first
+    /// `refusals` of `i-1` have been handled.
+    fn is_past(&self, refusals: usize) -> bool {
+        let mut earlier = self.refused.iter().take(refusals);
+        self.arrived.len() + self.answered >= BURST && earlier.all(|id| self.handled.contains(id))
+    }
+}
+
+impl Order {
+    /// Returns what the response to a request waits for. `refusals` is the number of
+    /// requests that `i-1` refuses.
+    fn response(&self, refusals: usize, received: &Received) -> BoxFuture<'static, ()> {
+        let id = &received.id;
+        let mut earlier = Some(refusals);
+        self.progress.send_modify(|p| {
+            p.arrived.insert(id.clone());
+            if received.target != "i-1" {
+                p.handled.insert(id.clone());
+                // A refused request that is sent again goes on.
+                earlier = earlier.filter(|_| !p.refused.contains(id));
+            } else if p.refused.len() < refusals {
+                earlier = Some(p.refused.len());
+                p.refused.push(id.clone());
+            }
+        });
+        let mut progress = self.progress.subscribe();
+        Box::pin(async move {
+            if let Some(earlier) = earlier {
+                drop(progress.wait_for(|p| p.is_past(earlier)).await);
+            }
+        })
+    }
+}
+
 /// Sends a burst at the start of a pause and one shortly before its end. The
-/// target refuses its first requests with the given values of `retry-after`,
-/// each 50 ms later than the one before it, and serves the others. Returns
-/// whether it received at most [`LATE_MAX`] requests in the pause after those
-/// that were under way, and whether it received some afterwards.
+/// target refuses its first requests with the given values of `retry-after`, and
+/// serves the others. Returns whether it received a request of the time after the
+/// first burst before the end of the pause, or a refused one once more, and whether
+/// it received some afterwards.
 async fn pause(values: &'static [&'static str]) -> String {
-    let script = first_target(move |number, received| {
-        let mut reply = match values.get(number) {
+    let order = Order::default();
+    let arrivals = order.clone();
+    let script = Arc::new(move |number: usize, received: &Received| {
+        let lines = values.get(number).filter(|_| received.target == "i-1");
+        let mut reply = match lines {
             Some(value) => reject(&received.id, &format!("retry-after: {value}\r\n")),
             None => answer(200, &received.id, ""),
         };
-        let delays = u32::try_from(number.min(values.len())).expect("small") + 1;
-        reply.wait = Box::pin(tokio::time::sleep(Duration::from_millis(50) * delays));
+        reply.wait = arrivals.response(values.len(), received);
         reply
     });
     let fixture = Fixture::open(&["i-1", "i-2"], script).await;
-    fixture.send_burst().await;
-    let received = fixture.received("i-1");
-    assert!(
-        received.len() > values.len(),
-        "the burst meets all refusals"
-    );
-    let start = received[0].at + UNDER_WAY;
-    let requested = received.iter().zip(values);
+    join_all((0..BURST).map(|_| async {
+        let id = fixture.send().await.id;
+        order.progress.send_modify(|p| {
+            p.answered += 1;
+            p.handled.insert(id);
+        });
+    }))
+    .await;
+    let first = fixture.received("i-1");
+    assert!(first.len() > values.len(), "the burst meets all refusals");
+    let requested = first.iter().zip(values);
     let ends = requested.map(|(r, value)| {
         let seconds = value.parse().expect("seconds");
         r.at + Duration::from_secs_f64(seconds)
     });
+    // The refusals follow the arrival of the requests, so that no pause ends earlier.
     let end = ends.max().expect("a pause");
     let before_end = end.checked_sub(Duration::from_millis(50));
     fixture.send_until(before_end.expect("an instant")).await;
     fixture.send_burst().await;
-    let after_end = end.max(Instant::now()) + Duration::from_secs(2);
-    fixture.send_until(after_end).await;
+    fixture.send_until(end).await;
+    let is_later = || fixture.received("i-1").iter().any(|r| r.at >= end);
+    for _ in 0..REQUESTS_MAX {
+        if is_later() {
+            break;
+        }
+        fixture.send().await;
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
     let received = fixture.received("i-1");
-    let during = received.iter().filter(|r| r.at >= start && r.at < end);
-    let later = received.iter().any(|r| r.at >= end);
-    let within = during.count() <= LATE_MAX;
-    let values = values.join(", ");
-    format!("{values}: within the bound: {within}, later: {later}")
+    let refused = &first[..values.len()];
+    let is_known = |r: &&Received| first.iter().any(|f| f.id == r.id);
+    let new = received.iter().filter(|r| !is_known(r));
+    let during = new.filter(|r| r.at < end).count();
+    let again = received[values.len()..].iter();
+    let again = again
+        .filter(|r| refused.iter().any(|f| f.id == r.id))
+        .count();
+    let (values, later) = (values.join(", "), is_later());
+    format!("{values}: {during} during the pause, {again} again, later: {later}")
 }
 
 /// Fails if a target that asked for a pause gets requests before its end, also
@@ -412,12 +490,12 @@
         lines.push(pause(values).await);
     }
     insta::assert_snapshot!(lines.join("\n"), @r"
-    0: within the bound: true, later: true
-    1: within the bound: true, later: true
-    1.5: within the bound: true, later: true
-    5: within the bound: true, later: true
-    1, 3: within the bound: true, later: true
-    3, 1: within the bound: true, later: true
+    0: 0 during the pause, 0 again, later: true
+    1: 0 during the pause, 0 again, later: true
+    1.5: 0 during the pause, 0 again, later: true
+    5: 0 during the pause, 0 again, later: true
+    1, 3: 0 during the pause, 0 again, later: true
+    3, 1: 0 during the pause, 0 again, later: true
     ");
 }
 
@@ -426,16 +504,29 @@
 /// counted.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn requests_are_refused_while_all_targets_are_paused() {
+    const PAUSE: Duration = Duration::from_secs(30);
+    // Callers are spread over this time after a pause.
+    const RAMP: Duration = Duration::from_secs(2);
+    // Milliseconds are whole, and the header may be rounded up to them.
+    const ROUNDING: f64 = 0.002;
     let script: Script = Arc::new(|_, received| reject(&received.id, "retry-after: 30\r\n"));
     let fixture = Fixture::open(&["i-1", "i-2"], script).await;
-    // Both targets have refused a request after its second attempt.
+    // Both targets have refused a request after its second attempt, so that both pauses
+    // start while the first request is under way.
+    let started = Instant::now();
+    let mut answered = None;
     let mut lines = Vec::new();
     for _ in 0..3 {
+        let sent = Instant::now();
         let answer = fixture.send().await;
         let count = fixture.log.lock().expect("a log").len();
-        let waits = answer
-            .retry_after
-            .is_some_and(|s| (20.0..=32.0).contains(&s));
+        let answered = *answered.get_or_insert_with(Instant::now);
+        let passed = sent.saturating_duration_since(answered);
+        let longest = (PAUSE + RAMP).saturating_sub(passed);
+        let shortest = PAUSE.saturating_sub(started.elapsed());
+        let waits = answer.retry_after.is_some_and(|s| {
+            (shortest.as_secs_f64()..=longest.as_secs_f64() + ROUNDING).contains(&s)
+        });
         let Answer {
             status, outcome, ..
         } = answer;
