--- a/tests/quota/entries.rs
+++ b/tests/quota/entries.rs
@@ -9,10 +9,14 @@
 
 use http::{HeaderValue, Request, Response};
 use savorybeam::{
-    adapters::http::{self as web, Limits},
+    adapters::{
+        grpc::{self, Peers, Routes, Traffic},
+        http::{self as web, Limits},
+    },
     app::gateway::Gateway,
     domain::{Configuration, Era, Millis, Position, RequestKind, Revision, RouteRule, Workspace},
-    ports::{Batch, Change, Platform},
+    policy::quota::{Answer, Ask, Echo, Grant, Need, Room},
+    ports::{Batch, Change, Platform, QuotaCall},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -149,3 +153,73 @@
         .expect("refusals") += served;
     insta::assert_debug_snapshot!((without_target, limited, free, public));
 }
+
+/// Fails if a message loses a value on its way, if a need that no entry can have is
+/// passed on, or if a call costs many bytes more than its content.
+#[tokio::test]
+async fn messages_keep_their_values() {
+    let asked: Arc<Mutex<Vec<Ask>>> = Arc::default();
+    let (seen, need) = (asked.clone(), |name: &str| {
+        Need::new(name.parse().expect("a name"))
+    });
+    let answer = Answer {
+        echo: Echo {
+            life: u64::MAX,
+            at: Millis(86_400_000),
+        },
+        grants: vec![Grant {
+            workspace: "cuka620".parse().expect("a name"),
+            tokens: 3,
+            pending: true,
+            room: Some(Room {
+                after: Millis(120),
+                spread: Millis(500),
+            }),
+        }],
+    };
+    let reply = answer.clone();
+    let routes = grpc::serve_quota(Routes::default(), move |ask| {
+        seen.lock().expect("asks").push(ask);
+        let reply = reply.clone();
+        async move { reply }
+    });
+    let server = grpc::bind(ANY_PORT, routes).await.expect("a port");
+    let ask = Ask {
+        entry: "edge-gyor-a-10".parse().expect("a name"),
+        sharers: 68,
+        echo: Some(answer.echo),
+        for_others: false,
+        needs: vec![
+            Need {
+                waiting: 1,
+                expected: 2,
+                returned: 3,
+                used: 4,
+                ..need("cuka620")
+            },
+            need("bako411"),
+        ],
+    };
+    let odd = Need {
+        expected: u32::MAX,
+        ..need("odd")
+    };
+    let sent = Ask {
+        needs: [ask.needs.clone(), vec![odd]].concat(),
+        ..ask.clone()
+    };
+    let traffic: Arc<Traffic> = Arc::default();
+    let quotas = grpc::quotas(Arc::new(Peers::new(Millis(500), traffic.clone())));
+    for _ in 0..100 {
+        let call = QuotaCall {
+            peer: server.addr(),
+            ask: sent.clone(),
+            timeout: Millis(500),
+        };
+        assert_eq!((quotas.ask)(call).await.as_ref(), Ok(&answer));
+    }
+    assert_eq!(asked.lock().expect("asks")[99], ask);
+    let counts = traffic.counts();
+    let (out, back) = (counts.bytes_out / 100, counts.bytes_in / 100);
+    assert!(out < 250 && back < 200, "{out} and {back} bytes a call");
+}
