--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -45,7 +45,12 @@
         if scope == Scope::Complete {
             let removals = removals_of_unlisted(&self.state, &changes);
             changes.splice(0..0, removals);
-            self.state.entries().record_read(at);
+            let me = &self.state.settings().name;
+            let is_me = |c: &Change| matches!(c, Change::Joined(p) if p.name == *me);
+            let is_listed = changes.iter().any(is_me);
+            let mut entries = self.state.entries();
+            entries.record_listed(is_listed);
+            entries.record_read(at);
         }
         // What led to the new era is a difference, however it is reported.
         let scope = match scope {
--- a/src/app/gateway/quota/rounds.rs
+++ b/src/app/gateway/quota/rounds.rs
@@ -172,7 +172,7 @@
         let region = regions.entry(presence.region.clone()).or_default();
         region.push(presence.clone());
     }
-    let is_known = state.sharer_count(at) > 0;
+    let is_known = state.knows_parts(at);
     View {
         regions,
         sharers: if is_known {
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -22,6 +22,7 @@
         drain::StopSchedule,
         overflow::{RequestCount, Sides, window_requests},
         presence::Entries,
+        quota::DELEGATION,
         replay,
         route::Table,
         upstream::{ChainTimes, ChangeLog},
@@ -343,6 +344,13 @@
         self.entries().sharers(now, poll_period, &peers).len()
     }
 
+    /// Returns whether the entries are known among which the quotas of workspaces are
+    /// divided.
+    pub(super) fn knows_parts(&self, now: Millis) -> bool {
+        let poll_period = self.chain_times().poll_period(false);
+        self.entries().knows_parts(now, poll_period, DELEGATION)
+    }
+
     /// Returns whether this entry can serve requests, so that lookups may name
     /// it.
     #[must_use]
--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -63,6 +63,9 @@
     departed: VecDeque<(Millis, EntryId)>,
     /// When the announcements were read for the first time.
     first_read: Option<Millis>,
+    /// Whether that read still contained the announcement of a former run of this
+    /// entry.
+    was_listed: bool,
 }
 
 impl Entries {
@@ -71,6 +74,26 @@
         self.first_read.get_or_insert(now);
     }
 
+    /// Records whether the first read contains an announcement of this entry, which has
+    /// not announced itself yet.
+    pub fn record_listed(&mut self, is_listed: bool) {
+        self.was_listed |= self.first_read.is_none() && is_listed;
+    }
+
+    /// Returns whether the entries among which parts are divided are known, given the
+    /// time for which a former run may still use its part.
+    ///
+    /// That is the case once all are settled, or earlier if the announcement of a former
+    /// run was listed: it had not expired, so the announcements of the others had not
+    /// either, as far as they were renewed as late. Of several entries that restart while
+    /// these expire, fewer see their own, just as fewer see the others.
+    #[must_use]
+    pub fn knows_parts(&self, now: Millis, poll_period: Millis, former: Millis) -> bool {
+        let is_over = |at: Millis| at + former <= now;
+        let is_early = self.was_listed && self.first_read.is_some_and(is_over);
+        is_early || self.is_settled(now, poll_period)
+    }
+
     /// Returns whether all other entries are known, as far as they reach the
     /// store, which is polled each `poll_period`. Until then an entry would take
     /// more than its share of a limit.
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -153,6 +153,24 @@
     insta::assert_compact_debug_snapshot!(shares, @"[0, 0, 0, 1]");
 }
 
+/// Fails if an entry that restarts while its announcement is still listed leaves its part
+/// of a quota unused until it is settled, or uses it while its former run may, or if one
+/// that finds only its own new announcement does not wait.
+#[test]
+fn a_listed_entry_knows_the_others_early() {
+    let knows = |listed: [bool; 2]| {
+        let mut entries = Entries::default();
+        for (at, is_listed) in [1_000, 1_100].into_iter().zip(listed) {
+            entries.record_listed(is_listed);
+            entries.record_read(Millis(at));
+        }
+        let known = |at| entries.knows_parts(Millis(at), Millis(900), Millis(1_000));
+        [1_999, 2_000, 3_399, 3_400].map(known)
+    };
+    let seen = [[true, true], [false, true]].map(knows);
+    insta::assert_compact_debug_snapshot!(seen, @"[[false, true, true, true], [false, false, false, true]]");
+}
+
 /// Fails if an entry whose lease has run out no longer counts when a limit is divided,
 /// although it may still use its share, or if the last entry never gets the shares of
 /// those that are gone.
