--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -24,6 +24,7 @@
         presence::Entries,
         quota::DELEGATION,
         replay,
+        room::Returns,
         route::Table,
         upstream::{ChainTimes, ChangeLog},
     },
@@ -77,6 +78,8 @@
     sides: Mutex<Sides>,
     /// What is known of the demand of the region besides that of this entry.
     demand: Mutex<DemandAccount>,
+    /// The requests that were refused lately for want of room.
+    returns: Mutex<Returns>,
     registry: Mutex<Registry>,
     change_log: Mutex<ChangeLog<Change>>,
     quotas: Quotas,
@@ -116,6 +119,7 @@
             request_count: Mutex::default(),
             sides: Mutex::default(),
             demand: Mutex::default(),
+            returns: Mutex::default(),
             registry: Mutex::default(),
             change_log: Mutex::default(),
             position: watch::Sender::new(Position::default()),
@@ -235,6 +239,11 @@
         lock(&self.demand).region(now, &own)
     }
 
+    /// Returns the requests that were refused lately for want of room.
+    pub(super) fn returns(&self) -> MutexGuard<'_, Returns> {
+        lock(&self.returns)
+    }
+
     /// Returns the registered targets.
     pub(super) fn registry(&self) -> MutexGuard<'_, Registry> {
         lock(&self.registry)
--- a/src/policy/balance/explain.rs
+++ b/src/policy/balance/explain.rs
@@ -4,7 +4,7 @@
 //! changes. See [docs/design/explain.md](../../../docs/design/explain.md).
 
 use super::{
-    choose::{ChooseError, millis, route_hash},
+    choose::{ChooseError, millis},
     context::{Context, Request},
     pool::Pool,
     score::{Estimates, LoadState},
@@ -96,10 +96,8 @@
     }
 
     /// Returns all targets as a request would find them.
-    fn consider_targets(&self, ctx: &Context<'_>, req: &Request<'_>) -> Vec<ConsideredTarget> {
-        let Some(estimate) = self.estimates.get(&route_hash(req)) else {
-            return Vec::new();
-        };
+    fn consider_targets(&mut self, ctx: &Context<'_>, req: &Request<'_>) -> Vec<ConsideredTarget> {
+        let (_, estimate) = self.route_estimate(req.rule);
         let estimates = Estimates {
             duration: estimate.duration,
             transfer: estimate.size.transfer_cost(req.size, req.rule.objective),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -25,6 +25,7 @@
 pub mod refusal;
 pub mod replay;
 pub mod retry;
+pub mod room;
 pub mod route;
 pub mod shift;
 pub mod silence;
