--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -119,6 +119,13 @@
     pub reason: &'static str,
 }
 
+/// The label of metrics per workspace.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub struct WorkspaceLabel {
+    /// The workspace, `other` for those beyond the first [`WORKSPACES_MAX`].
+    pub workspace: String,
+}
+
 /// The labels of calls for the platform's state.
 #[derive(Clone, Copy, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub struct SyncLabels {
@@ -142,8 +149,6 @@
     pub requests: Family<RequestLabels, Counter>,
     /// Finished requests by workspace.
     pub workspace_requests: Family<WorkspaceLabels, Counter>,
-    /// The workspaces with metrics of their own.
-    workspaces: Arc<Mutex<BTreeSet<String>>>,
     /// The time from the receipt of a request to the head of its response.
     pub latency: Family<ServiceLabel, Histogram, fn() -> Histogram>,
     /// Requests in progress, until the end of the response body.
@@ -190,6 +195,12 @@
     pub line_room: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     /// The era of the platform's store.
     pub store_era: Gauge,
+    /// Requests of workspaces with a quota.
+    pub quota: Family<WorkspaceLabels, Counter>,
+    /// Tokens at hand.
+    pub tokens: Family<WorkspaceLabel, Gauge>,
+    /// The workspaces with metrics of their own.
+    workspaces: Arc<Mutex<BTreeSet<String>>>,
 }
 
 /// Returns a histogram with bounds from 1 ms to 65 s. Each bound is twice the one
@@ -208,7 +219,6 @@
         registry: Arc::default(),
         requests: Family::default(),
         workspace_requests: Family::default(),
-        workspaces: Arc::default(),
         latency: Family::new_with_constructor(latency_histogram),
         running: Family::default(),
         retries: Family::default(),
@@ -231,6 +241,9 @@
         line_needed: Family::default(),
         line_room: Family::default(),
         store_era: Gauge::default(),
+        quota: Family::default(),
+        tokens: Family::default(),
+        workspaces: Arc::default(),
     };
     let r = &mut registry;
     let m = metrics.clone();
@@ -279,6 +292,8 @@
     );
     r.register(table::LINE_ROOM.base, help(&table::LINE_ROOM), m.line_room);
     r.register(table::STORE_ERA.base, help(&table::STORE_ERA), m.store_era);
+    r.register(table::QUOTA.base, help(&table::QUOTA), m.quota);
+    r.register(table::TOKENS.base, help(&table::TOKENS), m.tokens);
     r.register_collector(Box::new(store::StoreMetrics {
         calls: calls.clone(),
     }));
@@ -363,6 +378,22 @@
         self.demand_entries.set(entries);
     }
 
+    /// Counts a request of a workspace with a quota.
+    pub fn count_quota(&self, workspace: &str, result: &'static str) {
+        let labels = WorkspaceLabels {
+            workspace: self.workspace_label(workspace),
+            result,
+        };
+        self.quota.get_or_create(&labels).inc();
+    }
+
+    /// Adds tokens at hand.
+    pub fn add_tokens(&self, workspace: &str, tokens: u32) {
+        let workspace = self.workspace_label(workspace);
+        let label = WorkspaceLabel { workspace };
+        self.tokens.get_or_create(&label).inc_by(tokens.into());
+    }
+
     /// Counts a request of a workspace that a target answered, or that failed with the
     /// given stable code.
     pub fn count_workspace(&self, workspace: &str, failure: Option<&'static str>) {
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -9,6 +9,7 @@
     State,
     exchange::{Outcome, TargetResponse, exchange},
     now,
+    quota::Admission,
     request::{self, RoutedRequest},
     response,
     slot::Slot,
@@ -130,8 +131,16 @@
                 delay: now(self.state) - self.request.arrived,
                 reported: None,
             });
+            // If this is dropped before the outcome, the request may have run.
+            let admission = self.request.admission.as_mut();
+            let spent = admission.and_then(Admission::spend);
             let outcome = exchange(self.state, &self.request, slot).await;
             self.record_outcome(&outcome);
+            if let (Some(admission), Some(spent)) = (&mut self.request.admission, spent)
+                && matches!(outcome, Outcome::Rejected | Outcome::Unsent(_))
+            {
+                admission.restore(spent);
+            }
             let refusal = match outcome {
                 Outcome::Response(response) if !response.head.status.is_server_error() => {
                     return Ok(response::pass_through(*response));
@@ -145,7 +154,7 @@
                 Outcome::Unsent(cause) => self.no_target(&cause),
                 Outcome::Unknown(cause) => Refusal::unknown(Code::ConnectionBroken, cause),
             };
-            if !self.take_retry() {
+            if !self.take_retry() || !self.renew_token().await {
                 break refusal;
             }
         };
@@ -181,6 +190,16 @@
         tracing::info!(request, target, cause, "gateway: attempt failed.");
     }
 
+    /// Returns whether the quota of the workspace allows a further attempt. If the last
+    /// one may have run the request, that takes a further token.
+    async fn renew_token(&mut self) -> bool {
+        let deadline = self.request.deadline;
+        match &mut self.request.admission {
+            Some(admission) => admission.renew(deadline).await,
+            None => true,
+        }
+    }
+
     /// Returns whether the request may be sent to another target, and takes the
     /// retry from the budget if it is one.
     fn take_retry(&mut self) -> bool {
@@ -209,19 +228,13 @@
     /// Returns the refusal if no target could be chosen.
     fn choose_refusal(&mut self, error: ChooseError) -> Refusal {
         self.refused = error.basis();
+        let cause = error.to_string();
         match error {
-            ChooseError::NoTarget => self.no_target("no target is eligible"),
-            ChooseError::Unavailable => self.no_target("all targets are full or failing"),
-            ChooseError::Withheld(withheld) => {
-                self.withheld("all targets are paused or leaving", withheld)
-            }
-            ChooseError::Displacing(_) => {
-                self.no_target("the region is overloaded, and no target with room has the object")
-            }
+            ChooseError::Withheld(withheld) => self.withheld(&cause, withheld),
             ChooseError::TooLate { expected, .. } => {
-                let cause = format!("the response is expected only after {expected}");
                 self.without_vain_return(self.no_target(&cause), expected)
             }
+            _ => self.no_target(&cause),
         }
     }
 
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -9,6 +9,7 @@
     State,
     admit::{self, Arrival},
     now,
+    quota::Admission,
 };
 use crate::{
     adapters::{
@@ -75,6 +76,8 @@
     pub caller_deadline: Millis,
     /// How long the gateway had been stopping when the request arrived.
     pub stop_age: Option<Millis>,
+    /// Its token, if its workspace has a quota.
+    pub admission: Option<Admission>,
     head: Parts,
     body: ReplayBody,
 }
@@ -84,9 +87,9 @@
     ///
     /// # Errors
     ///
-    /// Returns a refusal if no route matches, if a limit is exceeded or if the
-    /// body does not arrive in time.
-    pub async fn read(state: &State, req: Request<Body>) -> Result<Self, Refusal> {
+    /// Returns a refusal if no route matches, if a limit or the quota of the workspace is
+    /// exceeded or if the body does not arrive in time.
+    pub async fn read(state: &Arc<State>, req: Request<Body>) -> Result<Self, Refusal> {
         let arrived = now(state);
         let Some(table) = state.table() else {
             let detail = "no configuration has been read yet";
@@ -116,6 +119,8 @@
             ));
         }
         let object = affinity_key.map(|key| object_hash(&rule.prefix, key.as_bytes()));
+        let admission = Admission::acquire(state, workspace.as_ref(), deadline, id.as_ref());
+        let admission = admission.await?;
         let arrival = Arrival {
             table: &table,
             rule: &rule,
@@ -142,6 +147,7 @@
             deadline,
             caller_deadline: arrived + caller_timeout,
             stop_age,
+            admission,
             head,
             body,
         })
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -11,6 +11,7 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::quota::Quotas;
 use crate::{
     adapters::metrics::Metrics,
     domain::{AzName, Bounds, Era, Millis, Position, ServiceName, Shards, Size},
@@ -21,12 +22,13 @@
         drain::StopSchedule,
         overflow::{RequestCount, Sides, window_requests},
         presence::Entries,
+        quota::DELEGATION,
         replay,
         room::Returns,
         route::Table,
         upstream::{ChainTimes, ChangeLog},
     },
-    ports::{Change, Changes, Clock, Platform, Targets, VmSettings},
+    ports::{Change, Changes, Clock, Platform, Quotas as QuotaPort, Targets, VmSettings},
 };
 
 /// The ports through which a gateway reaches everything outside of it.
@@ -40,6 +42,8 @@
     pub platform: Platform,
     /// Fetches changes of the platform from other entries.
     pub changes: Changes,
+    /// Asks other entries for tokens of quotas.
+    pub quotas: QuotaPort,
     /// The metrics of the process.
     pub metrics: Metrics,
 }
@@ -78,6 +82,7 @@
     returns: Mutex<Returns>,
     registry: Mutex<Registry>,
     change_log: Mutex<ChangeLog<Change>>,
+    quotas: Quotas,
     /// The position up to which the change log is complete.
     position: watch::Sender<Position>,
     /// The position before a new era of the store, while this entry keeps what the
@@ -105,6 +110,7 @@
             pools: Shards::new(),
             kept_bodies: replay::Budget::new(settings.memory),
             kept_responses: replay::Budget::new(settings.memory),
+            quotas: Quotas::new(&settings.name),
             settings: RwLock::new(Arc::new(settings)),
             table: RwLock::default(),
             evacuated: RwLock::default(),
@@ -145,6 +151,12 @@
 
     pub(super) fn set_table(&self, table: Arc<Table>) {
         write(&self.table, Some(table));
+        self.quotas.notify();
+    }
+
+    /// Returns the tokens and parts of quotas that this entry holds.
+    pub(super) fn quotas(&self) -> &Quotas {
+        &self.quotas
     }
 
     /// Returns the evacuated availability zones, to which no request may be
@@ -341,6 +353,13 @@
         self.entries().sharers(now, poll_period, &peers).len()
     }
 
+    /// Returns whether the entries are known among which the quotas of workspaces are
+    /// divided.
+    pub(super) fn knows_parts(&self, now: Millis) -> bool {
+        let poll_period = self.chain_times().poll_period(false);
+        self.entries().knows_parts(now, poll_period, DELEGATION)
+    }
+
     /// Returns whether this entry can serve requests, so that lookups may name
     /// it.
     #[must_use]
--- a/tests/vm/entry.rs
+++ b/tests/vm/entry.rs
@@ -148,10 +148,12 @@
 }
 
 fn ports(platform: Platform, clock: Clock) -> Ports {
+    let peers = Arc::new(Peers::new(Millis(500), TRAFFIC.clone()));
     Ports {
         targets: web::open(clock.clone(), PoolConfig::default()),
         platform,
-        changes: grpc::changes(Arc::new(Peers::new(Millis(500), TRAFFIC.clone()))),
+        changes: grpc::changes(peers.clone()),
+        quotas: grpc::quotas(peers),
         metrics: metrics::open(Arc::<CallCounters>::default()),
         clock,
     }
