--- a/src/policy/quota/bucket.rs
+++ b/src/policy/quota/bucket.rs
@@ -147,10 +147,12 @@
         whole(self.reserve(now) - self.level)
     }
 
-    /// Returns when there is room again, or none if this granter has no part.
+    /// Returns when there is room again, or none if nothing shows that the quota is used
+    /// up: this granter has no part, or has it since too short a time to have filled, as
+    /// less is asked here than is earned.
     #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
     pub fn room(&self, now: Millis) -> Option<Room> {
-        if self.rate <= 0.0 {
+        if self.rate <= 0.0 || self.usage.rate(now) < self.rate {
             return None;
         }
         let next = (1.0 - self.level).max(0.0) / self.rate * 1_000.0;
