Take an entry for settled by its own announcement

"Settled" was a time since the first read: with the store down at a start, an entry that knew nobody took its part of the limits as if it were alone. The time now runs from the entry's announcement, and a state that is later has to have been read. Quotas keep their earlier rule for a restart within the lease, which needs the time of the first read; its test announces the entry too.

--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -48,9 +48,7 @@
             let me = &self.state.settings().name;
             let is_me = |c: &Change| matches!(c, Change::Joined(p) if p.name == *me);
             let is_listed = changes.iter().any(is_me);
-            let mut entries = self.state.entries();
-            entries.record_listed(is_listed);
-            entries.record_read(at);
+            self.state.entries().record_read(at, is_listed);
         }
         // What led to the new era is a difference, however it is reported.
         let scope = match scope {
@@ -89,6 +87,9 @@
             self.state.set_has_targets();
         }
         self.state.refresh_peers(at);
+        if scope != Scope::FirstChanges {
+            self.state.entries().record_state(as_of);
+        }
         let is_first = self.after.is_none();
         self.after = self.after.max(Some(position));
         let era = i64::try_from(position.era.0).unwrap_or(i64::MAX);
--- a/src/app/gateway/presence.rs
+++ b/src/app/gateway/presence.rs
@@ -126,6 +126,7 @@
     match (state.ports.platform.announce)((presence, LEASE_TTL)).await {
         Ok(lease) => {
             tracing::info!("presence: announced.");
+            state.entries().record_announced((state.ports.clock.now)());
             Some(lease)
         }
         Err(e) => {
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -360,6 +360,13 @@
         self.entries().knows_parts(now, poll_period, DELEGATION)
     }
 
+    /// Returns whether all other entries are known, so that this one uses its part of
+    /// the limits of the whole fleet.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        self.sharer_count((self.ports.clock.now)()) > 0
+    }
+
     /// Returns whether this entry can serve requests, so that lookups may name
     /// it.
     #[must_use]
--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -71,18 +71,28 @@
     /// Whether that read still contained the announcement of a former run of this
     /// entry.
     was_listed: bool,
+    /// When the store took the announcement of this entry for the first time.
+    announced: Option<Millis>,
+    /// Whether a state of the store was read that is later than that.
+    listed: bool,
 }
 
 impl Entries {
-    /// Records that all announcements were read.
-    pub fn record_read(&mut self, now: Millis) {
-        self.first_read.get_or_insert(now);
+    /// Records that the store has taken the announcement of this entry.
+    pub fn record_announced(&mut self, now: Millis) {
+        self.announced.get_or_insert(now);
+    }
+
+    /// Records that all announcements are known which the store held at `as_of`.
+    pub fn record_state(&mut self, as_of: Millis) {
+        self.listed |= self.announced.is_some_and(|at| at <= as_of);
     }
 
-    /// Records whether the first read contains an announcement of this entry, which has
-    /// not announced itself yet.
-    pub fn record_listed(&mut self, is_listed: bool) {
+    /// Records that all announcements were read, and whether that of this entry is among
+    /// them. At the first read it has not announced itself yet.
+    pub fn record_read(&mut self, now: Millis, is_listed: bool) {
         self.was_listed |= self.first_read.is_none() && is_listed;
+        self.first_read.get_or_insert(now);
     }
 
     /// Returns whether the entries among which parts are divided are known, given the
@@ -102,10 +112,15 @@
     /// Returns whether all other entries are known, as far as they reach the
     /// store, which is polled each `poll_period`. Until then an entry would take
     /// more than its share of a limit.
+    ///
+    /// The time runs from the announcement of this entry and not from its first
+    /// read, which may be that of another entry: while the store is down nobody is
+    /// announced. Of two settled entries one knows the other, because it has read a
+    /// state that is later than both announcements.
     #[must_use]
     pub fn is_settled(&self, now: Millis, poll_period: Millis) -> bool {
         let is_over = |at| at + ANNOUNCE_TIME + poll_period <= now;
-        self.first_read.is_some_and(is_over)
+        self.listed && self.announced.is_some_and(is_over)
     }
 
     /// Returns the entries among which limits of the whole fleet are divided, given the
--- a/tests/balance/shares.rs
+++ b/tests/balance/shares.rs
@@ -128,7 +128,8 @@
     let mut first = None;
     for _ in 0..count {
         let mut entries = Entries::default();
-        entries.record_read(Millis(0));
+        entries.record_announced(Millis(0));
+        entries.record_state(Millis(0));
         let mut budget = RetryBudget::new();
         let mut known = vec![0];
         for now in (0..LIMITS.window.0).step_by(25).map(Millis) {
--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -363,16 +363,17 @@
 
 /// Returns whether three entries that start together at 1 s send requests to targets beyond
 /// `expected` ones for each request of a caller, at times around the one from which they
-/// take all others for known. Each gets `count` requests at each time.
+/// take all others for known if the store lists them. Each gets `count` requests at each time.
 async fn sent_after_a_start(
     targets: &[Instance],
     received: &ReceivedCounts,
     (prefix, suffix, count, expected): (&str, &str, u32, u32),
+    is_store_up: bool,
 ) -> String {
     let mut changes = vec![Change::Configured(Box::new(configuration()))];
     changes.extend(targets.iter().cloned().map(Change::Registered));
     let time = Arc::new(AtomicU64::new(1_000));
-    let mut gateways = Vec::new();
+    let (mut gateways, mut listings) = (Vec::new(), Vec::new());
     for n in 0..3 {
         let time = time.clone();
         let clock = Clock {
@@ -380,13 +381,18 @@
             ..clock::open()
         };
         let settings = vm::settings(&format!("edge-{n}"));
-        let platform = vm::entry::platform(changes.clone(), Millis(0));
-        let gateway = vm::entry::spawn_with_clock(settings, platform, clock).await;
-        while !gateway.state.is_ready() {
-            tokio::time::sleep(Duration::from_millis(5)).await;
+        let mut platform = vm::entry::platform(changes.clone(), Millis(0));
+        if !is_store_up {
+            platform.announce =
+                Arc::new(|_| Box::pin(async { Err(vm::entry::store_failure("announce")) }));
         }
-        gateways.push(gateway);
+        let (platform, polls) = vm::entry::count_polls(platform);
+        listings.push(polls);
+        gateways.push(vm::entry::spawn_with_clock(settings, platform, clock).await);
     }
+    // The second poll begins after the first one has been applied.
+    let is_listed = || listings.iter().all(|polls| polls.load(SeqCst) > 1);
+    vm::entry::wait_until("all entries have read the store again", is_listed).await;
     let mut lines = Vec::new();
     for at in [1_000, 3_800, 3_900] {
         time.store(at, SeqCst);
@@ -423,7 +429,7 @@
         cold: Millis(60_000),
         ..vm::instance("i-1", server.addr())
     };
-    let sent = sent_after_a_start(&[cold], &received, ("/pay/", "", 10, 0)).await;
+    let sent = sent_after_a_start(&[cold], &received, ("/pay/", "", 10, 0), true).await;
     insta::assert_snapshot!(sent, @r"
     1000 ms: none
     3800 ms: none
@@ -431,22 +437,37 @@
     ");
 }
 
-/// Fails if each of several entries that start together takes the whole slack of the
-/// retry budget, because it takes itself for the only one.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn entries_that_start_together_spare_the_retry_budget() {
+/// Returns the result of [`sent_after_a_start`] for requests that fail once. One request at
+/// a time adds less than a retry to the budget.
+async fn retries_after_a_start(is_store_up: bool) -> String {
     let received = ReceivedCounts::default();
     let servers = [
         target("i-1", &received).await,
         target("i-2", &received).await,
     ];
     let instances = [1, 2].map(|n| vm::instance(&format!("i-{n}"), servers[n - 1].addr()));
-    // One request at a time adds less than a retry to the budget.
     let case = ("/browse/", "/fail-once", 1, 1);
-    let sent = sent_after_a_start(&instances, &received, case).await;
-    insta::assert_snapshot!(sent, @r"
+    sent_after_a_start(&instances, &received, case, is_store_up).await
+}
+
+/// Fails if each of several entries that start together takes the whole slack of the
+/// retry budget, because it takes itself for the only one.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_start_together_spare_the_retry_budget() {
+    insta::assert_snapshot!(retries_after_a_start(true).await, @r"
     1000 ms: none
     3800 ms: none
     3900 ms: some
     ");
 }
+
+/// Fails if entries that start while the store is down, each of which knows no other one,
+/// take the whole slack of the retry budget each after some time.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_no_store_lists_spare_the_retry_budget() {
+    insta::assert_snapshot!(retries_after_a_start(false).await, @r"
+    1000 ms: none
+    3800 ms: none
+    3900 ms: none
+    ");
+}
--- a/tests/presence.rs
+++ b/tests/presence.rs
@@ -159,19 +159,39 @@
     let mut entries = Entries::default();
     let mut seen = vec![entries.is_settled(Millis(60_000), Millis(1_500))];
     for at in [1_000, 2_000, 3_999, 4_000] {
-        // A later read, after a compaction, does not start the time again.
-        entries.record_read(Millis(at));
+        // A later announcement, after the lease was lost, does not start the time again.
+        entries.record_announced(Millis(at));
+        entries.record_state(Millis(at));
         seen.push(entries.is_settled(Millis(at), Millis(1_500)));
     }
     insta::assert_compact_debug_snapshot!(seen, @"[false, false, false, false, true]");
 }
 
+/// Fails if entries that start while the store is down, and read the complete state from
+/// a seed, take themselves for the only ones after some time, or if one does so that has
+/// been announced and has read nothing since.
+#[test]
+fn an_entry_does_not_know_others_before_the_store_lists_it() {
+    let mut entries = Entries::default();
+    let mut seen = Vec::new();
+    let mut look = |entries: &Entries, at| seen.push(entries.is_settled(Millis(at), Millis(1_500)));
+    entries.record_state(Millis(1_000));
+    look(&entries, 60_000);
+    entries.record_announced(Millis(60_000));
+    entries.record_state(Millis(59_999));
+    look(&entries, 90_000);
+    entries.record_state(Millis(90_000));
+    look(&entries, 90_000);
+    insta::assert_compact_debug_snapshot!(seen, @"[false, false, true]");
+}
+
 /// Fails if an entry that restarts, and has forgotten what it sent, uses its share of the
 /// rate of a cold target twice in a second, however short the time between polls is.
 #[test]
 fn a_restarted_entry_has_no_share_for_a_second() {
     let mut entries = Entries::default();
-    entries.record_read(Millis(1_000));
+    entries.record_announced(Millis(1_000));
+    entries.record_state(Millis(1_000));
     let shares =
         [1_000, 2_000, 2_499, 2_500].map(|at| entries.sharers(Millis(at), Millis(0), &[1]).len());
     insta::assert_compact_debug_snapshot!(shares, @"[0, 0, 0, 1]");
@@ -185,9 +205,10 @@
     let knows = |listed: [bool; 2]| {
         let mut entries = Entries::default();
         for (at, is_listed) in [1_000, 1_100].into_iter().zip(listed) {
-            entries.record_listed(is_listed);
-            entries.record_read(Millis(at));
+            entries.record_read(Millis(at), is_listed);
         }
+        entries.record_announced(Millis(1_000));
+        entries.record_state(Millis(1_100));
         let known = |at| entries.knows_parts(Millis(at), Millis(900), Millis(1_000));
         [1_999, 2_000, 3_399, 3_400].map(known)
     };
--- a/tests/vm/entry.rs
+++ b/tests/vm/entry.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc, LazyLock, Mutex,
-        atomic::{AtomicU64, Ordering::SeqCst},
+        atomic::{AtomicBool, AtomicU64, Ordering::SeqCst},
     },
     time::Duration,
 };
@@ -62,8 +62,8 @@
     }
 }
 
-/// The time after which a gateway that is ready knows all others, so that it uses its
-/// share of the retry budget. Before, hardly any request is sent again.
+/// The time after which a gateway that is announced knows all others, so that it uses
+/// its share of the retry budget. Before, hardly any request is sent again.
 const SETTLE_TIME: Millis = Millis(3_000);
 
 /// Starts a gateway and waits until it is settled. Its clock is put forward for that, as
@@ -77,14 +77,39 @@
         now: Arc::new(move || now() + Millis(offset.load(SeqCst))),
         ..real
     };
-    let gateway = spawn_with_clock(settings, platform(changes, read_time), clock).await;
-    while !gateway.state.is_ready() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
+    let (platform, polls) = count_polls(platform(changes, read_time));
+    let gateway = spawn_with_clock(settings, platform, clock).await;
+    wait_until("the gateway is announced", || polls.load(SeqCst) > 0).await;
     ahead.store(SETTLE_TIME.0, SeqCst);
+    wait_until("the gateway is settled", || gateway.state.is_settled()).await;
     gateway
 }
 
+/// Returns the platform, and the number of polls that have begun after the first call by
+/// which its only entry announces itself.
+pub fn count_polls(platform: Platform) -> (Platform, Arc<AtomicU64>) {
+    let announced: Arc<AtomicBool> = Arc::default();
+    let polls: Arc<AtomicU64> = Arc::default();
+    let (announce, poll) = (platform.announce.clone(), platform.poll.clone());
+    let (is_announced, count) = (announced.clone(), polls.clone());
+    let platform = Platform {
+        announce: Arc::new(move |presence| {
+            let (done, announced) = (announce(presence), announced.clone());
+            Box::pin(async move {
+                let lease = done.await;
+                announced.store(true, SeqCst);
+                lease
+            })
+        }),
+        poll: Arc::new(move |request| {
+            count.fetch_add(u64::from(is_announced.load(SeqCst)), SeqCst);
+            poll(request)
+        }),
+        ..platform
+    };
+    (platform, polls)
+}
+
 /// Starts a gateway on a platform that reports updates, and waits until it is
 /// settled.
 pub async fn open_with_updates(
@@ -109,8 +134,7 @@
         ..ports(platform, clock::open())
     };
     let gateway = gateway::spawn(settings, ports).await.expect("a gateway");
-    wait_until("the gateway is ready", || gateway.state.is_ready()).await;
-    tokio::time::sleep(SETTLE_TIME.duration()).await;
+    wait_until("the gateway is settled", || gateway.state.is_settled()).await;
     gateway
 }
 
@@ -129,10 +153,7 @@
 /// Starts a gateway on the given platform and waits until it is settled.
 pub async fn open_with(settings: VmSettings, platform: Platform) -> Gateway {
     let gateway = spawn(settings, platform).await;
-    while !gateway.state.is_ready() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-    tokio::time::sleep(SETTLE_TIME.duration()).await;
+    wait_until("the gateway is settled", || gateway.state.is_settled()).await;
     gateway
 }
 
@@ -159,6 +180,15 @@
     }
 }
 
+/// Returns the failure of a call to the store that gets no answer.
+pub fn store_failure(step: &'static str) -> PlatformError {
+    PlatformError::Failed {
+        step,
+        peer: "127.0.0.1:9".parse().expect("an address"),
+        cause: "timed out".to_owned(),
+    }
+}
+
 /// Returns a platform with a fixed content. Reading it fails if the timeout is
 /// shorter than `read_time`.
 pub fn platform(changes: Vec<Change>, read_time: Millis) -> Platform {
@@ -172,11 +202,7 @@
             Box::pin(async move {
                 // Simulates a large registry that is read over a narrow link.
                 if limit < read_time {
-                    return Err(PlatformError::Failed {
-                        step: "read keys",
-                        peer: "127.0.0.1:9".parse().expect("an address"),
-                        cause: "timed out".to_owned(),
-                    });
+                    return Err(store_failure("read keys"));
                 }
                 Ok(batch)
             })
