--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -357,6 +357,7 @@
     m.hedges.get_or_create(&service).inc();
     m.revision.get_or_create(&service).set(2);
     m.set_far_share("slotboard", 0.25);
+    m.set_line("slotboard", 2.0, 1.0, None);
     let refusal = RefusalLabels {
         service: "slotboard".to_owned(),
         code: "overloaded",
