Explain the use of the quota and the line of admission

The answer now has the requests per second, those admitted and refused, the tokens at hand and the time until there is room, and the rank, the need, the room and the admitted fraction, as JSON and as text. The line is moved on the copy of the pool only.

Tests: balance an_explanation_shows_the_line, quota entries_share_a_quota (the counts of three entries add up to the 140 requests that were sent), explain.

--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -387,6 +387,17 @@
         self.quota.get_or_create(&labels).inc();
     }
 
+    /// Returns how many requests of a workspace with a quota ended with a result. Those
+    /// of workspaces that are counted together with others are not known.
+    #[must_use]
+    pub fn quota_count(&self, workspace: &str, result: &'static str) -> u64 {
+        let labels = WorkspaceLabels {
+            workspace: workspace.to_owned(),
+            result,
+        };
+        self.quota.get(&labels).map_or(0, |count| count.get())
+    }
+
     /// Adds tokens at hand.
     pub fn add_tokens(&self, workspace: &str, tokens: u32) {
         let workspace = self.workspace_label(workspace);
--- a/src/app/cli/explain.rs
+++ b/src/app/cli/explain.rs
@@ -78,6 +78,11 @@
             homes(&workspace["homes"])
         ));
     }
+    let usage = &workspace["usage"];
+    if !usage.is_null() {
+        lines.push(format_usage(usage));
+    }
+    lines.push(format_line(&answer["line"]));
     lines.push(format_choice(answer));
     for target in answer["targets"].as_array().into_iter().flatten() {
         lines.push(format_target(target));
@@ -90,6 +95,40 @@
     lines.join("\n") + "\n"
 }
 
+/// Formats how an entry has seen a quota used.
+fn format_usage(usage: &Value) -> String {
+    let state = match (&usage["room_in_ms"], &usage["at_limit"]) {
+        (Value::Null, Value::Bool(true)) => "; refused lately".to_owned(),
+        (Value::Null, _) => String::new(),
+        (room, _) => format!("; used up, room in {room} ms"),
+    };
+    format!(
+        "quota at this entry: {} requests/s, {} admitted, {} refused as used up, {} refused as unknown, {} tokens{state}",
+        rounded(&usage["requests_per_s"]),
+        usage["admitted"],
+        usage["refused_used_up"],
+        usage["refused_unavailable"],
+        usage["tokens"]
+    )
+}
+
+/// Formats the line of admission.
+fn format_line(line: &Value) -> String {
+    if line.is_null() {
+        return "admission: all, the need here is not known or this region is no home".to_owned();
+    }
+    let rank = match &line["rank"] {
+        Value::Null => "all ranks whole".to_owned(),
+        rank => format!("not whole from rank {rank}"),
+    };
+    format!(
+        "admission: {rank}, {} of this request's rank; {} slots needed, room for {}",
+        rounded(&line["admitted"]),
+        rounded(&line["needed_slots"]),
+        rounded(&line["room_slots"])
+    )
+}
+
 fn format_choice(answer: &Value) -> String {
     let choice = &answer["choice"];
     let service = text(&answer["service"]);
--- a/src/app/gateway/explain.rs
+++ b/src/app/gateway/explain.rs
@@ -11,9 +11,10 @@
 use super::{State, now};
 use crate::{
     adapters::http::Query,
-    domain::{Homes, Rank, RouteRule, ServiceName, Size, Workspace},
+    domain::{Homes, Rank, RouteRule, ServiceName, Size, Workspace, WorkspaceName},
     policy::{
         balance::{ConsideredTarget, Explanation, Request, Ticket, object_hash},
+        refusal::Code,
         route::Table,
     },
 };
@@ -68,7 +69,8 @@
     answer["stopping"] = json!(state.is_stopping());
     answer["route"] = describe_route(rule, rank);
     answer["service"] = json!(service.as_str());
-    answer["workspace"] = json!(workspace.as_deref().map(describe_workspace));
+    let described = workspace.as_deref().map(|w| describe_workspace(state, w));
+    answer["workspace"] = json!(described);
     Ok(answer)
 }
 
@@ -124,13 +126,29 @@
     })
 }
 
-fn describe_workspace(workspace: &Workspace) -> Value {
+fn describe_workspace(state: &State, workspace: &Workspace) -> Value {
     let homes = workspace.home_regions.iter();
     let homes: Vec<_> = homes.map(ToString::to_string).collect();
     json!({
         "name": workspace.name.as_str(),
         "homes": homes,
         "quota": workspace.quota.map(|q| json!({ "rate": q.rate.0, "burst": q.burst })),
+        "usage": workspace.quota.map(|_| describe_usage(state, &workspace.name)),
+    })
+}
+
+/// Describes what this entry has seen of the use of a quota.
+fn describe_usage(state: &State, name: &WorkspaceName) -> Value {
+    let (status, room) = state.quotas().status(now(state), name);
+    let count = |result| state.ports.metrics.quota_count(name.as_str(), result);
+    json!({
+        "requests_per_s": status.rate,
+        "admitted": count("admitted"),
+        "refused_used_up": count(Code::QuotaExceeded.as_str()),
+        "refused_unavailable": count(Code::QuotaUnavailable.as_str()),
+        "tokens": status.tokens,
+        "at_limit": status.is_at_limit,
+        "room_in_ms": room.map(|room| room.after.0),
     })
 }
 
@@ -142,6 +160,12 @@
     };
     json!({
         "choice": choice,
+        "line": explanation.line.map(|line| json!({
+            "rank": line.rank.map(|rank| rank.0),
+            "needed_slots": line.account.needed.total(),
+            "room_slots": line.account.room,
+            "admitted": line.admitted,
+        })),
         "targets": targets.collect::<Vec<_>>(),
         "target_count": explanation.total,
     })
--- a/src/app/gateway/quota/mod.rs
+++ b/src/app/gateway/quota/mod.rs
@@ -18,7 +18,7 @@
 use super::{State, now};
 use crate::{
     domain::{EntryId, Millis, WorkspaceName},
-    policy::quota::{Answer, Ask, Granter, Holder, Room, Shortage, Token},
+    policy::quota::{Answer, Ask, Granter, HandStatus, Holder, Room, Shortage, Token},
 };
 
 /// The tokens and the parts of quotas that this entry holds. The lock of the granter is
@@ -78,6 +78,12 @@
         }
     }
 
+    /// Returns the usage of a workspace at this entry, and when it has room again if its
+    /// quota is known to be used up.
+    pub fn status(&self, now: Millis, name: &WorkspaceName) -> (HandStatus, Option<Room>) {
+        (self.holder.status(now, name), self.exhaustion(now, name))
+    }
+
     /// Returns whether a granter still asks others for tokens of a workspace.
     fn is_pending(&self, now: Millis, name: &WorkspaceName) -> bool {
         self.holder.shortage(now, name) == Shortage::Pending || self.granter().is_pending(now, name)
--- a/src/policy/balance/admit.rs
+++ b/src/policy/balance/admit.rs
@@ -88,7 +88,7 @@
     /// Returns the account of the service in the region, if the demand by rank is known
     /// and the region has targets. There is none during a cold start: until enough answers
     /// have come, the durations behind the demand follow from objectives.
-    fn account(&self, ctx: &Context<'_>) -> Option<Account> {
+    pub(super) fn account(&self, ctx: &Context<'_>) -> Option<Account> {
         let demand = ctx.region_demand?;
         let Capacity { warm, .. } = self.capacity(ctx);
         let known = self.is_settled(ctx.now) && demand.by_rank.total() > 0.0 && warm > 0.0;
--- a/src/policy/balance/explain.rs
+++ b/src/policy/balance/explain.rs
@@ -11,7 +11,10 @@
     target::Target,
     ticket::Ticket,
 };
-use crate::domain::{AzName, InstanceId, InstanceState, Millis, word_enum};
+use crate::{
+    domain::{AzName, InstanceId, InstanceState, Millis, Rank, word_enum},
+    policy::room::Account,
+};
 
 /// The maximum number of targets that an explanation lists, best first.
 pub const LISTED_TARGETS_MAX: usize = 20;
@@ -59,11 +62,26 @@
     pub exclusion: Option<Exclusion>,
 }
 
+/// The line that admission draws now, as it concerns a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct DrawnLine {
+    /// The most urgent rank that is not admitted whole, none if all are.
+    pub rank: Option<Rank>,
+    /// The account by which it is drawn.
+    pub account: Account,
+    /// The admitted fraction of the rank of the request.
+    pub admitted: f64,
+}
+
 /// Where a request would go now, and why.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Explanation {
     /// The choice, or why there is none.
     pub choice: Result<Ticket, ChooseError>,
+    /// The line of admission, which comes before the choice. There is none if the need
+    /// of the region is not known or the region is no home of the request; then all
+    /// requests are admitted.
+    pub line: Option<DrawnLine>,
     /// The first [`LISTED_TARGETS_MAX`] targets: those that can take the request
     /// before the others, each in the order of their cost.
     pub targets: Vec<ConsideredTarget>,
@@ -76,6 +94,7 @@
     #[must_use]
     pub fn explain(&self, ctx: &Context<'_>, req: &Request<'_>) -> Explanation {
         let mut copy = self.clone();
+        let line = copy.draw_line(ctx, req);
         let choice = copy.choose(ctx, req).map(|choice| choice.ticket);
         // The copy has an estimate of the route now, and one request more at the chosen
         // target; the targets are described without that request.
@@ -90,11 +109,24 @@
         targets.truncate(LISTED_TARGETS_MAX);
         Explanation {
             choice,
+            line,
             targets,
             total,
         }
     }
 
+    /// Moves the line as the admission of a request does.
+    fn draw_line(&mut self, ctx: &Context<'_>, req: &Request<'_>) -> Option<DrawnLine> {
+        let account = self.account(ctx);
+        self.line.update(ctx.now, account);
+        let account = account.filter(|_| req.homes.contains(ctx.region))?;
+        Some(DrawnLine {
+            rank: self.line.rank(),
+            account,
+            admitted: self.line.admitted(req.rank),
+        })
+    }
+
     /// Returns all targets as a request would find them.
     fn consider_targets(&mut self, ctx: &Context<'_>, req: &Request<'_>) -> Vec<ConsideredTarget> {
         let (_, estimate) = self.route_estimate(req.rule);
--- a/src/policy/balance/mod.rs
+++ b/src/policy/balance/mod.rs
@@ -50,7 +50,7 @@
 pub use choose::ChooseError;
 pub use context::{Context, Request};
 pub use duration::object_hash;
-pub use explain::{ConsideredTarget, Exclusion, Explanation, LISTED_TARGETS_MAX};
+pub use explain::{ConsideredTarget, DrawnLine, Exclusion, Explanation, LISTED_TARGETS_MAX};
 pub use load::LoadReport;
 pub use notice::{NoticeEffect, PauseEffect, PauseRequest, TargetNotice, Withheld, WithheldCounts};
 pub use pool::Pool;
--- a/src/policy/quota/holder.rs
+++ b/src/policy/quota/holder.rs
@@ -115,6 +115,17 @@
     }
 }
 
+/// What an entry knows of the usage of one workspace.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct HandStatus {
+    /// The rate of its requests at this entry, in requests per second.
+    pub rate: f64,
+    /// The tokens at hand.
+    pub tokens: u32,
+    /// Whether requests were refused lately because the quota is used up.
+    pub is_at_limit: bool,
+}
+
 /// The tokens of all workspaces at one entry.
 #[derive(Debug, Default)]
 pub struct Holder {
@@ -182,6 +193,20 @@
         shortage.unwrap_or(Shortage::Unknown)
     }
 
+    /// Returns the usage of a workspace. One that has sent nothing lately has none.
+    #[must_use]
+    pub fn status(&self, now: Millis, name: &WorkspaceName) -> HandStatus {
+        let status = self.hands.get(name, |hand| {
+            hand.expire(now);
+            HandStatus {
+                rate: hand.usage.rate(now),
+                tokens: hand.held(),
+                is_at_limit: hand.refused_at.is_some(),
+            }
+        });
+        status.unwrap_or_default()
+    }
+
     /// Returns what to ask a granter for, and removes what is given back to it: the
     /// tokens of its run `life` that will hardly be used any more.
     #[must_use]
--- a/src/policy/room/line.rs
+++ b/src/policy/room/line.rs
@@ -108,6 +108,12 @@
         self.admitted[crate::policy::demand::RankSlots::index(rank)]
     }
 
+    /// Returns the most urgent rank that is not admitted whole, if there is a line.
+    #[must_use]
+    pub fn rank(&self) -> Option<Rank> {
+        self.rank
+    }
+
     /// Returns whether a rank is not admitted whole.
     #[must_use]
     pub fn is_drawn(&self) -> bool {
--- a/tests/balance/room.rs
+++ b/tests/balance/room.rs
@@ -2,11 +2,19 @@
 //! of it when the account of the region is lost. Callers give up after 800 ms, and an
 //! answer within 300 ms has its full value.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use savorybeam::domain::Millis;
+use savorybeam::{
+    domain::{Millis, RouteRule},
+    policy::{
+        balance::{Applicant, Context, Ending, Pool, object_hash},
+        demand::{Demand, RankSlots},
+    },
+};
 
-use super::simulation::{Counts, Load, Served, Surge, simulate};
+use super::simulation::{
+    Counts, Load, Served, Surge, az, context, instance, region, request, rule, simulate, zones,
+};
 
 const SEEDS: u64 = 3;
 
@@ -142,3 +150,61 @@
     let lines = cases.map(|(name, load)| format!("{name}: {}", describe(&load)));
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// Fails if an explanation does not show the line by which requests are refused, shows one
+/// where none applies, or moves it.
+#[test]
+fn an_explanation_shows_the_line() {
+    let (az, here, evacuated) = (az(0), region(0), BTreeSet::new());
+    let elsewhere = RouteRule {
+        home_regions: vec![region(1)],
+        ..rule()
+    };
+    let rule = rule();
+    let mut pool = Pool::new();
+    pool.put(Millis(0), instance(0, 0, 2), &zones());
+    let needs = |by_rank| Demand {
+        requests: 40.0,
+        slots: 3.0,
+        by_rank: RankSlots(by_rank),
+        ..Demand::default()
+    };
+    let (calm, peak) = (needs([0.5, 0.5, 0.0, 0.0]), needs([1.0, 1.5, 1.0, 0.0]));
+    let mut lines = Vec::new();
+    for n in 0..400_u32 {
+        let now = Millis(60_000 + u64::from(n) * 100);
+        let demand = [Some(calm), Some(peak), Some(peak), None][n as usize / 100];
+        let ctx = Context {
+            region_demand: demand,
+            ..context(now, &az, &here, &evacuated)
+        };
+        let req = request(&rule);
+        if n % 100 == 99 {
+            let [home, other] = [&rule, &elsewhere].map(|r| pool.explain(&ctx, &request(r)).line);
+            assert_eq!(pool.explain(&ctx, &req).line, home);
+            assert_eq!(other, None);
+            let text = home.map(|line| {
+                let (rank, account) = (line.rank, line.account);
+                let needed = account.needed.total();
+                format!(
+                    "{rank:?}, {needed} of {}, {:.2}",
+                    account.room, line.admitted
+                )
+            });
+            lines.push(format!("{:?}: {text:?}", demand.map(|d| d.by_rank.0)));
+        }
+        let applicant = Applicant {
+            rule: &rule,
+            homes: req.homes,
+            rank: rule.rank,
+            subject: object_hash("object", &n.to_be_bytes()),
+            returns: false,
+        };
+        if pool.admit(&ctx, &applicant).is_ok()
+            && let Ok(choice) = pool.choose(&ctx, &req)
+        {
+            pool.finish(now, &choice.ticket, Ending::Answered, None);
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- a/tests/quota/entries.rs
+++ b/tests/quota/entries.rs
@@ -105,8 +105,27 @@
     text.trim().to_owned()
 }
 
+/// Returns the use of the quota as an entry explains it.
+async fn explain_usage(entry: &Gateway) -> serde_json::Value {
+    let addr = entry.auxiliary_addrs().next().expect("an address");
+    let mut stream = TcpStream::connect(addr).await.expect("a connection");
+    let question = "GET /explain?host=kitchens.example&path=/all/1&workspace=limited HTTP/1.1\r\n\
+                    host: metrics\r\nconnection: close\r\n\r\n";
+    stream
+        .write_all(question.as_bytes())
+        .await
+        .expect("a question");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    let body = answer.split_once("\r\n\r\n").expect("a body").1;
+    assert!(!body.contains("key-limited"), "{body}");
+    let answer: serde_json::Value = serde_json::from_str(body).expect("JSON");
+    answer["workspace"]["usage"].clone()
+}
+
 /// Fails if entries count a quota each for itself, if a request that was refused for
-/// another reason keeps its token, or if callers without a quota are counted.
+/// another reason keeps its token, if callers without a quota are counted, or if an
+/// explanation counts other requests than the entry got.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn entries_share_a_quota() {
     let store: Store = Arc::default();
@@ -145,6 +164,18 @@
     let mut limited = send(&entries, 80, "/all/1", "key-limited").await;
     let free = send(&entries, 80, "/all/1", "key-free").await;
     let public = send(&entries, 80, "/public/1", "key-limited").await;
+    let mut counted = 0;
+    for entry in &entries {
+        let usage = explain_usage(entry).await;
+        let count = |name: &str| usage[name].as_u64().expect("a number");
+        assert!(count("refused_used_up") > 0, "{usage}");
+        assert_eq!(
+            (count("refused_unavailable"), &usage["at_limit"]),
+            (0, &true.into())
+        );
+        counted += count("admitted") + count("refused_used_up");
+    }
+    assert_eq!(counted, 140, "requests of the workspace with a quota");
     // The number depends on the time that the requests take.
     let served = limited.insert("200".to_owned(), 0).unwrap_or_default();
     assert!((12..53).contains(&served), "{served}");
