--- a/src/adapters/ini/document.rs
+++ b/src/adapters/ini/document.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashSet, fmt::Write};
 
-use super::reader::{Fault, Reader};
+use super::{
+    reader::{Fault, Reader},
+    workspace::{print_workspaces, workspaces},
+};
 use crate::domain::{Document, Lane, Millis, Place, PlaceState, Priority, Route, Rps, TargetId};
 
 /// The deadline of requests to a service whose document sets none.
@@ -15,7 +18,7 @@
 /// Returns all faults of the text. `file` is only used as the file name in them.
 pub fn parse_document(file: &str, text: &str) -> Result<Document, Vec<Fault>> {
     let mut r = Reader::open(file, text)?;
-    r.check_sections(&["service", "place", "route"]);
+    r.check_sections(&["service", "place", "route", "workspace"]);
     r.check_keys("service", &["name", "team", "deadline", "shift-cap"]);
     let service = r.required("service", "name");
     let team = r.required("service", "team");
@@ -23,6 +26,7 @@
     let shift_cap = r.value("service", "shift-cap", Rps(u32::MAX));
     let places = places(&mut r);
     let routes = routes(&mut r);
+    let workspaces = workspaces(&mut r, &places);
     if let (Some(service), Some(team), true) = (service, team, r.faults.is_empty()) {
         return Ok(Document {
             service,
@@ -31,6 +35,7 @@
             shift_cap,
             places,
             routes,
+            workspaces,
         });
     }
     Err(r.faults)
@@ -99,7 +104,7 @@
 fn routes(r: &mut Reader) -> Vec<Route> {
     let mut routes = Vec::new();
     for section in r.sections("route") {
-        r.check_keys(&section, &["lane", "priority", "idempotent"]);
+        r.check_keys(&section, &["lane", "priority", "idempotent", "public"]);
         let prefix = section.strip_prefix("route").unwrap_or_default().trim();
         if !prefix.starts_with('/') {
             r.add_fault(&section, "", prefix, "a path that begins with '/'");
@@ -109,11 +114,13 @@
             .and_then(|s| r.parse::<Lane>(&section, "lane", &s));
         let priority = r.value(&section, "priority", Priority::Normal);
         let idempotent = optional_flag(r, &section, "idempotent");
+        let public = optional_flag(r, &section, "public").unwrap_or(false);
         routes.push(Route {
             prefix: prefix.to_owned(),
             lane,
             priority,
             idempotent,
+            public,
         });
     }
     routes
@@ -165,7 +172,11 @@
         if let Some(idempotent) = r.idempotent {
             let _ = writeln!(out, "idempotent = {idempotent}");
         }
+        if r.public {
+            let _ = writeln!(out, "public = true");
+        }
     }
+    print_workspaces(&mut out, &doc.workspaces);
     out
 }
 
--- a/src/adapters/ini/mod.rs
+++ b/src/adapters/ini/mod.rs
@@ -8,6 +8,7 @@
 mod edit;
 mod reader;
 mod settings;
+mod workspace;
 
 pub use document::{parse_document, print_document};
 pub use edit::set_key;
--- a/src/adapters/store/documents.rs
+++ b/src/adapters/store/documents.rs
@@ -28,7 +28,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
 /// A revision of a document as read from the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct DocumentRevision {
     /// The service that the document configures.
     pub service: ServiceName,
--- a/src/app/cli/mod.rs
+++ b/src/app/cli/mod.rs
@@ -13,6 +13,7 @@
 mod entry;
 mod explain;
 mod gateway;
+mod key_digest;
 mod options;
 mod show;
 mod timeline;
@@ -57,6 +58,7 @@
         }) => block_on(show::explain(&Client::new(access), &service, json)),
         Command::Explain(Explain::Request(question)) => block_on(explain::run(question)),
         Command::Gateway { settings, metrics } => gateway::run(settings, metrics),
+        Command::KeyDigest => key_digest::run(),
         Command::Status { access, json } => block_on(show::status(&Client::new(access), json)),
         Command::Timeline(options) => block_on(timeline::run(options)),
     };
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -120,6 +120,13 @@
         #[bpaf(argument("PORT"), fallback(9464))]
         metrics: u16,
     },
+    /// Reads a key from standard input and prints the digest of it that documents
+    /// state
+    ///
+    ///
+    /// Example: savorybeam key-digest < key.txt
+    #[bpaf(command("key-digest"))]
+    KeyDigest,
     /// Shows the state of an entry
     ///
     ///
--- a/src/app/entry/admin/changes.rs
+++ b/src/app/entry/admin/changes.rs
@@ -4,7 +4,10 @@
 
 use serde_json::{Value, json};
 
-use crate::policy::document::Change;
+use crate::{
+    domain::{Priority, RegionName},
+    policy::document::Change,
+};
 
 pub(super) fn render(all: &[Change]) -> Value {
     all.iter().map(change_json).collect()
@@ -46,6 +49,23 @@
         Change::Lane(r, a, b) => changed_option("lane", r, *a, *b),
         Change::Priority(r, a, b) => changed("priority", r, a, b),
         Change::Idempotent(r, a, b) => changed_option("idempotent", r, *a, *b),
+        Change::Public(r, a, b) => changed("public", r, a, b),
+        Change::WorkspaceAdded(w) => added("workspace-added", w, w),
+        Change::WorkspaceRemoved(w) => removed("workspace-removed", w, w),
+        Change::KeyAdded(w, k) => added("key-added", w, k),
+        Change::KeyRemoved(w, k) => removed("key-removed", w, k),
+        Change::Rank(w, a, b) => {
+            let [a, b] = [a, b].map(|rank| rank.map(Priority::from));
+            changed_option("workspace-priority", w, a, b)
+        }
+        Change::Quota(w, a, b) => changed_option("workspace-limit", w, *a, *b),
+        Change::Homes(w, a, b) => {
+            let text = |homes: &[RegionName]| {
+                let names: Vec<_> = homes.iter().map(RegionName::as_str).collect();
+                (!names.is_empty()).then(|| names.join(", "))
+            };
+            changed_option("workspace-homes", w, text(a), text(b))
+        }
     }
 }
 
--- a/src/app/entry/admin/port.rs
+++ b/src/app/entry/admin/port.rs
@@ -4,9 +4,13 @@
 
 use crate::{
     adapters::grpc::Report,
-    app::entry::{Service, State, control, observe::Observer},
+    app::entry::{Service, State, control, limits::is_workspace_limit, observe::Observer},
     domain::{Document, EntryId, LimitName, PlaceName, PlaceState, ServiceName, TargetId},
-    policy::{limit, member, shift::Shift},
+    policy::{
+        limit::{self, WORKSPACE_REQUEST},
+        member,
+        shift::Shift,
+    },
     ports::{
         AdminPort,
         admin::{
@@ -131,6 +135,10 @@
     let status = ledger.status();
     let unit = match ledger.limit() {
         limit::Limit::Slots(_) => "slot".to_owned(),
+        limit::Limit::Rate { rate, .. } if is_workspace_limit(name) => {
+            let (whole, rest) = (rate / WORKSPACE_REQUEST, rate % WORKSPACE_REQUEST);
+            format!("1/{} of {whole}.{rest:03}/s", limit::RATE_UNITS)
+        }
         limit::Limit::Rate { rate, .. } => format!("1/{} of {rate}/s", limit::RATE_UNITS),
     };
     Limit {
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -10,20 +10,21 @@
 use http::{HeaderMap, Response, StatusCode, header};
 
 use super::{
-    State,
+    State, callers,
     claims::{self, ClaimOutcome, WonClaim},
     crashes, grants,
     job::{Inbound, Job},
     limits::link_limit,
     observe::DispatchReason,
     pacing::Pacer,
+    quota::Admission,
     reply,
     service::Service,
     slot::Slot,
 };
 use crate::{
     adapters::metrics::ServiceLabel,
-    domain::{Lane, Millis, TargetId},
+    domain::{Lane, Millis, TargetId, Workspace},
     policy::{
         refusal::{Code, Refusal},
         retry::{self, Percentiles},
@@ -40,8 +41,29 @@
 /// # Errors
 ///
 /// Returns the refusal for the caller if no target's answer can be passed on.
-pub(super) async fn carry(state: &Arc<State>, inbound: Inbound) -> Result<Response<Body>, Refusal> {
-    let job = Job::read(state, inbound).await?;
+pub(super) async fn carry(
+    state: &Arc<State>,
+    mut inbound: Inbound,
+) -> Result<Response<Body>, Refusal> {
+    let workspace = callers::resolve(state, &mut inbound)?;
+    let name = workspace.as_ref().map(|w| w.name.clone());
+    let result = carry_resolved(state, inbound, workspace).await;
+    if let Some(name) = name {
+        let failure = result.as_ref().err().map(|refusal| refusal.code.as_str());
+        state.ports.metrics.count_workspace(name.as_str(), failure);
+    }
+    result
+}
+
+/// Forwards a request whose workspace is known.
+async fn carry_resolved(
+    state: &Arc<State>,
+    inbound: Inbound,
+    workspace: Option<Arc<Workspace>>,
+) -> Result<Response<Body>, Refusal> {
+    let arrived = (state.ports.clock.now)();
+    let admission = Admission::acquire(state, &inbound, workspace.as_deref(), arrived).await?;
+    let job = Job::read(state, inbound, arrived, workspace).await?;
     let trial = crashes::admit(state, &job)?;
     let claim = match claims::claim(state, &job).await? {
         ClaimOutcome::Unkeyed => None,
@@ -53,6 +75,7 @@
     let delivery = Delivery {
         state,
         job,
+        admission,
         claim,
         suspect,
         in_flight: FuturesUnordered::new(),
@@ -69,6 +92,8 @@
 struct Delivery<'a> {
     state: &'a Arc<State>,
     job: Job,
+    /// Its part of the limit of its workspace, if that has one.
+    admission: Option<Admission>,
     claim: Option<WonClaim>,
     /// Whether a request with this fingerprint has broken a connection before.
     /// Such a request is not hedged.
@@ -124,16 +149,25 @@
     /// Sends the request to the target of a slot.
     fn send(&mut self, mut slot: Slot) -> Result<(), Refusal> {
         let now = self.now();
+        if let Some(admission) = &mut self.admission
+            && !admission.spend(now)
+        {
+            slot.set_completion(Completion::Cancelled);
+            let detail = "the limit of the workspace has no room for a further attempt";
+            return Err(Refusal::not_run(Code::QuotaExceeded, detail));
+        }
         // The claim is checked directly before the dispatch, because the
         // process may have been paused since the claim was won.
         if let Some(claim) = &mut self.claim
             && !claim.dispatch(now)
         {
+            self.restore_admission();
             let detail = "the claim is too old to be used";
             return Err(Refusal::not_run(Code::ClaimUnavailable, detail));
         }
         let target = slot.target();
         let Some(mut request) = self.job.request(now) else {
+            self.restore_admission();
             slot.set_completion(Completion::Cancelled);
             return Err(Refusal::unknown(
                 Code::ConnectionBroken,
@@ -303,12 +337,20 @@
         if let Some(claim) = &mut self.claim {
             claim.mark_unsent();
         }
+        self.restore_admission();
         if self.retry(false).await {
             return Ok(None);
         }
         Ok(Some(reply::forward(resp, slot, None, None)))
     }
 
+    /// Takes back the part of the limit that an attempt has used which was not run.
+    fn restore_admission(&mut self) {
+        if let Some(admission) = &mut self.admission {
+            admission.restore();
+        }
+    }
+
     /// Returns the pacer of an answer that comes from another region.
     fn pacer(&self, slot: &Slot) -> Option<Pacer> {
         let place = &slot.choice().place;
@@ -333,8 +375,11 @@
         self.sent |= sent;
         if sent {
             self.suspect |= crashes::record_strike(self.state, &self.job, &e).await;
-        } else if let Some(claim) = &mut self.claim {
-            claim.mark_unsent();
+        } else {
+            if let Some(claim) = &mut self.claim {
+                claim.mark_unsent();
+            }
+            self.restore_admission();
         }
         drop(slot);
         if !self.in_flight.is_empty() || self.retry(sent).await {
--- a/src/app/entry/claims.rs
+++ b/src/app/entry/claims.rs
@@ -161,7 +161,7 @@
     let homes = state.homes(&key);
     let vote = VoteRequest {
         key: key.clone(),
-        fingerprint: job.fingerprint,
+        fingerprint: job.claim_fingerprint(),
         attempt: AttemptId(rand::rng().random()),
         claimant: state.claims.me().clone(),
         epoch: homes.epoch,
--- a/src/app/entry/control/gauges.rs
+++ b/src/app/entry/control/gauges.rs
@@ -6,7 +6,7 @@
 use super::run_every;
 use crate::{
     adapters::metrics::{ServiceLabel, StateLabel, UnitLabels},
-    app::entry::State,
+    app::entry::{State, quota},
     domain::Millis,
     policy::{
         lookup::{LoadGauge, LoadLevel},
@@ -25,6 +25,7 @@
         count_members(&state);
         set_units(&state);
         report_load(&state, &mut gauge);
+        quota::tidy(&state);
     })
     .await;
 }
--- a/src/app/entry/grants.rs
+++ b/src/app/entry/grants.rs
@@ -8,7 +8,7 @@
     State,
     job::Job,
     limits::{region_limit, shift_limit, slots_limit},
-    service::{Granted, RequestEnd, Service},
+    service::{Granted, RequestEnd, Service, Waiting},
     slot::{Slot, SlotUse},
 };
 use crate::{
@@ -26,12 +26,17 @@
 struct QueuedRequest<'a> {
     state: &'a Arc<State>,
     service: &'a ServiceName,
+    /// The homes of its workspace.
+    homes: &'a [RegionName],
     id: WaitId,
 }
 
 impl Drop for QueuedRequest<'_> {
     fn drop(&mut self) {
-        let cancel = |s: &mut Service| s.queue.cancel(self.id);
+        let cancel = |s: &mut Service| match self.homes {
+            [] => s.queue.cancel(self.id),
+            homes => s.bound.cancel(homes, self.id),
+        };
         self.state.services.get(self.service, cancel);
     }
 }
@@ -47,7 +52,12 @@
     let place = wait_for_place(state, job).await?;
     let (grant, granted) = oneshot::channel();
     let ticket = job.ticket(now);
-    let offer = |s: &mut Service| s.offer(now, &mut rand::rng(), ticket, place, grant);
+    let waiting = Waiting {
+        place,
+        workspace: job.workspace.clone(),
+        grant,
+    };
+    let offer = |s: &mut Service| s.offer(now, &mut rand::rng(), ticket, waiting, &state.limits);
     let (id, displaced) = state
         .services
         .get(&job.service, offer)
@@ -56,7 +66,13 @@
         let _ = grant.send(Err(refusal));
     }
     let service = &job.service;
-    let queued = QueuedRequest { state, service, id };
+    let homes = job.workspace.as_ref().map_or(&[][..], |w| &w.home_regions);
+    let queued = QueuedRequest {
+        state,
+        service,
+        homes,
+        id,
+    };
     state.start_queued(&job.service);
     let left = job.deadline - now;
     let result = timeout(left.duration(), granted).await;
@@ -73,8 +89,9 @@
 /// Takes a slot for a retry or a hedge, if one is free now.
 pub(super) fn acquire_extra(state: &Arc<State>, job: &Job, avoid: &[TargetId]) -> Option<Slot> {
     let now = (state.ports.clock.now)();
+    let (lane, homes) = (job.lane, job.homes());
     let take =
-        |s: &mut Service| s.take_extra(now, &mut rand::rng(), job.lane, avoid, &state.limits);
+        |s: &mut Service| s.take_extra(now, &mut rand::rng(), lane, homes, avoid, &state.limits);
     let (choice, permit) = state.services.get(&job.service, take).flatten()?;
     let mut slot = state.slot(&job.service, job.lane, choice, permit);
     slot.set_route(&job.route);
@@ -109,11 +126,12 @@
     let cap = shift_limit(&job.service);
     let headroom = |r: &RegionName| state.admit(&region_limit(r));
     let choose = |s: &mut Service| {
-        if let Some(place) = s.draw_local_place(&mut rand::rng(), headroom) {
+        if let Some(place) = s.draw_local_place(&mut rand::rng(), job.homes(), headroom) {
             return Ok(place);
         }
         let shift = s.shift.as_mut().ok_or_else(|| job.unknown_service())?;
-        let place = shift.choose_place(&mut rand::rng(), || state.admit(&cap), headroom);
+        let admit = || state.admit(&cap);
+        let place = shift.choose_home(&mut rand::rng(), job.homes(), admit, headroom);
         place.map(|p| p.name.clone())
     };
     let chosen = state.services.get(&job.service, choose);
--- a/src/app/entry/job.rs
+++ b/src/app/entry/job.rs
@@ -4,10 +4,10 @@
 
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 
-use super::State;
+use super::{State, callers};
 use crate::{
     adapters::http::{Content, strip_hop_by_hop},
-    domain::{Lane, Millis, Priority, ServiceName},
+    domain::{Homes, Lane, Millis, Priority, ServiceName, Workspace},
     policy::{
         once::{ClaimKey, Fingerprint},
         queue::Ticket,
@@ -57,6 +57,8 @@
     pub fingerprint: Fingerprint,
     /// The route under which its duration is learned.
     pub route: String,
+    /// The workspace of its caller, if it belongs to one.
+    pub workspace: Option<Arc<Workspace>>,
     head: Head,
     content: Content,
 }
@@ -69,8 +71,8 @@
 }
 
 impl Job {
-    /// Reads the beginning of a request's body and looks up its route in the
-    /// document.
+    /// Reads the beginning of the body of a request that arrived at `arrived`, and
+    /// looks up its route in the document.
     ///
     /// The body is read before a slot is taken, so that a caller that sends
     /// slowly holds no slot.
@@ -78,7 +80,12 @@
     /// # Errors
     ///
     /// Refuses a request that is malformed or whose service is unknown.
-    pub async fn read(state: &Arc<State>, inbound: Inbound) -> Result<Self, Refusal> {
+    pub async fn read(
+        state: &Arc<State>,
+        inbound: Inbound,
+        arrived: Millis,
+        workspace: Option<Arc<Workspace>>,
+    ) -> Result<Self, Refusal> {
         let Inbound {
             service,
             deadline,
@@ -86,7 +93,6 @@
             priority,
             request,
         } = inbound;
-        let arrived = (state.ports.clock.now)();
         let unknown_service = || {
             Refusal::not_run(
                 Code::UnknownService,
@@ -105,13 +111,14 @@
         });
         let (doc, route, lane, expected_duration) = facts.ok_or_else(unknown_service)??;
         let route_rule = doc.route(path);
-        let max_priority = route_rule.map(|r| r.priority).unwrap_or_default();
+        let rank = workspace.as_ref().and_then(|w| w.rank);
         let idempotent = route_rule
             .and_then(|r| r.idempotent)
             .unwrap_or(parts.method.is_idempotent());
         let deadline = deadline.unwrap_or(doc.deadline);
         let declared_bytes = content_length(&parts.headers);
-        let content = tokio::time::timeout(deadline.duration(), read_body(body)).await;
+        let left = arrived + deadline - (state.ports.clock.now)();
+        let content = tokio::time::timeout(left.duration(), read_body(body)).await;
         let content = content.map_err(|_| {
             Refusal::not_run(
                 Code::DeadlineExceeded,
@@ -139,12 +146,12 @@
             deadline: arrived + deadline,
             lane,
             expected_duration,
-            // A caller may lower its priority but not raise it.
-            priority: priority.map_or(max_priority, |p| p.min(max_priority)),
+            priority: Priority::of_request(route_rule, rank, priority),
             idempotent,
             key,
             fingerprint,
             route,
+            workspace,
             head: Head {
                 method: parts.method,
                 uri: parts.uri,
@@ -154,6 +161,20 @@
         })
     }
 
+    /// Returns the regions in which the request may run.
+    pub fn homes(&self) -> Homes<'_> {
+        Homes::of_workspace(self.workspace.as_deref())
+    }
+
+    /// Returns the digest by which a repeat with the same key is recognised. It differs
+    /// between workspaces, so that none gets the recorded answer of another one.
+    pub fn claim_fingerprint(&self) -> Fingerprint {
+        match &self.workspace {
+            Some(workspace) => self.fingerprint.of_workspace(&workspace.name),
+            None => self.fingerprint,
+        }
+    }
+
     /// Returns the refusal of a request whose service no longer has a document.
     pub fn unknown_service(&self) -> Refusal {
         let detail = format!("no document is in force for {}", self.service);
@@ -195,6 +216,9 @@
         *request.headers_mut() = self.head.headers.clone();
         let headers = request.headers_mut();
         strip_hop_by_hop(headers);
+        if let Some(workspace) = &self.workspace {
+            callers::write_workspace(headers, workspace);
+        }
         let left = self.deadline - now;
         headers.insert("x-deadline-ms", HeaderValue::from(left.0));
         Some(request)
--- a/src/app/entry/limits.rs
+++ b/src/app/entry/limits.rs
@@ -1,6 +1,6 @@
 //! The names of the limits that entries share.
 
-use crate::domain::{LimitName, RegionName, ServiceName, TargetId};
+use crate::domain::{LimitName, RegionName, ServiceName, TargetId, WorkspaceName};
 
 /// Returns the name of the limit on a target's slots.
 #[must_use]
@@ -28,6 +28,21 @@
     limit_name(&format!("shift/{service}"))
 }
 
+/// Returns the name of the limit on the requests of a workspace of a service.
+#[must_use]
+pub fn workspace_limit(service: &ServiceName, workspace: &WorkspaceName) -> LimitName {
+    limit_name(&format!("{WORKSPACE_PREFIX}{service}/{workspace}"))
+}
+
+/// Returns whether a limit is that of a workspace.
+#[must_use]
+pub fn is_workspace_limit(name: &LimitName) -> bool {
+    name.as_str().starts_with(WORKSPACE_PREFIX)
+}
+
+/// The beginning of the names of the limits of workspaces.
+const WORKSPACE_PREFIX: &str = "workspace/";
+
 fn limit_name(text: &str) -> LimitName {
     // The parts are valid names, and together they are shorter than the longest
     // valid name of a limit.
--- a/src/app/entry/mod.rs
+++ b/src/app/entry/mod.rs
@@ -5,12 +5,14 @@
 //! so any VM can replace any other.
 //!
 //! A request passes through these modules in one direction: `inbound` accepts
-//! it, `job` reads it, `crashes` and `claims` decide whether it may run,
+//! it, `callers` finds the workspace of its caller, `quota` admits it, `job` reads it, `crashes` and `claims` decide whether it may run,
 //! `grants` waits for a `slot`, `carry` sends it, and `reply` forwards the
 //! answer. They use `state`, whose parts (`service`, `claim_tables`,
 //! `locations`, `observe`, `events`) do not depend on them.
 
 pub mod admin;
+mod bound;
+mod callers;
 mod carry;
 mod claim_tables;
 mod claims;
@@ -28,6 +30,7 @@
 mod observe;
 mod pacing;
 mod places;
+mod quota;
 mod reply;
 mod service;
 mod slot;
--- a/src/app/entry/places.rs
+++ b/src/app/entry/places.rs
@@ -7,7 +7,7 @@
     service::{Service, free_slots},
 };
 use crate::{
-    domain::{LimitName, Millis, PlaceName, RegionName, Shards},
+    domain::{Homes, LimitName, Millis, PlaceName, RegionName, Shards},
     policy::{
         limit::Ledger,
         shift::Shift,
@@ -36,22 +36,25 @@
             .collect();
     }
 
-    /// Draws a place by the local weights. Returns `None` if there are no local
-    /// weights or the region of the drawn place has no headroom.
+    /// Draws a place within the homes of a request by the local weights. Returns
+    /// `None` if there are no local weights or the region of the drawn place has no headroom.
     ///
     /// Also returns `None` while a shift is moving traffic, because the shift
     /// then chooses the place of each request.
     pub(super) fn draw_local_place<R: Rng>(
         &self,
         rng: &mut R,
+        homes: Homes<'_>,
         headroom: impl FnOnce(&RegionName) -> bool,
     ) -> Option<PlaceName> {
         if self.shift.as_ref().is_none_or(Shift::is_moving) {
             return None;
         }
-        let sum: u32 = self.local_weights.iter().map(|(_, _, w)| w).sum();
+        let weights = self.local_weights.iter();
+        let mut allowed = weights.filter(|(_, region, _)| homes.contains(region));
+        let sum: u32 = allowed.clone().map(|(_, _, w)| w).sum();
         let mut remaining = rng.random_range(0..sum.max(1));
-        let drawn = self.local_weights.iter().find(|(_, _, weight)| {
+        let drawn = allowed.find(|(_, _, weight)| {
             let is_drawn = remaining < *weight;
             remaining = remaining.saturating_sub(*weight);
             is_drawn
@@ -80,10 +83,12 @@
         now: Millis,
         rng: &mut R,
         criteria: &Criteria<'_>,
+        homes: Homes<'_>,
         limits: &Shards<LimitName, Ledger>,
     ) -> Option<Choice> {
         let (place, _) = criteria.places.first()?;
-        let places = self.remote_places(place);
+        let mut places = self.remote_places(place);
+        places.retain(|(name, _)| self.allows(homes, name));
         let criteria = Criteria {
             places: &places,
             extra: true,
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -5,11 +5,11 @@
 use rand::Rng;
 use tokio::sync::oneshot;
 
-use super::{limits::slots_limit, slot::Slot};
+use super::{bound::BoundQueues, limits::slots_limit, slot::Slot};
 use crate::{
     domain::{
-        Document, Lane, LimitName, Millis, PlaceName, RegionName, Revision, ServiceName, Shards,
-        TargetId,
+        Document, Homes, Lane, LimitName, Millis, PlaceName, RegionName, Revision, ServiceName,
+        Shards, TargetId, Workspace,
     },
     policy::{
         document::{Adoption, Content, DocumentState},
@@ -17,6 +17,7 @@
         queue::{Queue, RouteDurations, Ticket, WaitId},
         refusal::{Code, Refusal},
         retry::{Budget, Window},
+        route::Workspaces,
         shift::Shift,
         target::{Choice, ChooseError, Completion, Criteria, Pool, State},
     },
@@ -32,8 +33,10 @@
 /// A request that waits for a slot.
 #[derive(Debug)]
 pub(super) struct Waiting {
-    place: PlaceName,
-    grant: Grant,
+    pub place: PlaceName,
+    /// The workspace of its caller, which states its homes.
+    pub workspace: Option<Arc<Workspace>>,
+    pub grant: Grant,
 }
 
 /// A waiting request that may start, and its target.
@@ -72,8 +75,12 @@
     /// The names of the targets' limits. Every choice needs them, so they are
     /// formatted only once.
     pub(super) slot_limits: HashMap<TargetId, LimitName>,
-    /// The waiting and running requests.
+    /// The running requests, and the waiting ones that may run in all regions.
     pub(super) queue: Queue<Waiting>,
+    /// The waiting requests that are bound to homes.
+    pub(super) bound: BoundQueues<Waiting>,
+    /// The workspaces of the current document.
+    pub(super) workspaces: Arc<Workspaces>,
     /// The usual durations of requests.
     pub durations: RouteDurations,
     /// The times until the head of an answer, for the short and the long lane.
@@ -99,6 +106,8 @@
             pool: Pool::new(),
             slot_limits: HashMap::new(),
             queue: Queue::new(),
+            bound: BoundQueues::default(),
+            workspaces: Arc::default(),
             durations: RouteDurations::new(),
             latency_windows: [Window::new(), Window::new()],
             budget: Budget::new(),
@@ -122,8 +131,10 @@
         let Some(doc) = self.doc.document().cloned() else {
             self.pool.adopt(now, &[]);
             self.shift = None;
+            self.workspaces = Arc::default();
             return;
         };
+        self.workspaces = Arc::new(Workspaces::compile(doc.workspaces.clone()));
         self.pool.adopt(now, &doc.places);
         // They are computed again for the new places in the next control round.
         self.local_weights.clear();
@@ -161,12 +172,20 @@
         now: Millis,
         rng: &mut R,
         ticket: Ticket,
-        place: PlaceName,
-        grant: Grant,
+        item: Waiting,
+        limits: &Shards<LimitName, Ledger>,
     ) -> Result<(WaitId, Option<(Grant, Refusal)>), Refusal> {
         let mean = self.durations.mean(ticket.lane);
-        let item = Waiting { place, grant };
-        let queued = self.queue.offer(now, rng, ticket, mean, item)?;
+        let queue = match &item.workspace {
+            Some(w) if !w.home_regions.is_empty() => {
+                let units = self.usable_units(limits, Homes::of_workspace(Some(w)));
+                let queue = self.bound.queue(&w.home_regions);
+                queue.resize(units);
+                queue
+            }
+            _ => &mut self.queue,
+        };
+        let queued = queue.offer(now, rng, ticket, mean, item)?;
         let displaced = queued
             .displaced
             .map(|(item, refusal)| (item.grant, refusal));
@@ -182,15 +201,24 @@
         limits: &Shards<LimitName, Ledger>,
     ) -> Progress {
         let mut progress = Progress::default();
-        for lane in [Lane::Short, Lane::Long] {
-            let expired = self.queue.expire(now, lane);
-            progress
-                .refused
-                .extend(expired.into_iter().map(|(w, r)| (w.grant, r)));
+        let queues = std::iter::once(&mut self.queue).chain(self.bound.queues());
+        for queue in queues {
+            for lane in [Lane::Short, Lane::Long] {
+                let expired = queue.expire(now, lane);
+                progress
+                    .refused
+                    .extend(expired.into_iter().map(|(w, r)| (w.grant, r)));
+            }
         }
-        self.queue.resize(self.usable_units(limits));
+        self.queue
+            .resize(self.usable_units(limits, Homes::default()));
         while let Some(lane) = self.queue.next_lane(now) {
-            let Some((choice, permit)) = self.take(now, rng, lane, limits) else {
+            let Some((ticket, waiting)) = self.queue.peek(lane) else {
+                break;
+            };
+            let (ticket, place) = (*ticket, waiting.place.clone());
+            let homes = Homes::default();
+            let Some((choice, permit)) = self.take(now, rng, (ticket, place), homes, limits) else {
                 break;
             };
             let Some((_, waiting)) = self.queue.start(lane) else {
@@ -204,6 +232,7 @@
                 permit,
             });
         }
+        self.start_bound(now, rng, limits, &mut progress);
         // A request that was sent to another region is still demand for its own
         // place.
         let starved_place = self.starved_place.take();
@@ -213,16 +242,65 @@
         progress
     }
 
+    /// Starts waiting requests that are bound to homes. Each set of homes has its own
+    /// queue, so that a region without a free slot holds back only those bound to it.
+    /// The number of running requests is limited for all queues together.
+    fn start_bound<R: Rng>(
+        &mut self,
+        now: Millis,
+        rng: &mut R,
+        limits: &Shards<LimitName, Ledger>,
+        progress: &mut Progress,
+    ) {
+        while let Some(granted) = self.start_one_bound(now, rng, limits) {
+            progress.granted.push(granted);
+        }
+    }
+
+    /// Starts the waiting request with the earliest deadline that gets a slot.
+    fn start_one_bound<R: Rng>(
+        &mut self,
+        now: Millis,
+        rng: &mut R,
+        limits: &Shards<LimitName, Ledger>,
+    ) -> Option<Granted> {
+        for (homes, lane) in self.bound.heads(now) {
+            if !self.queue.can_start(lane) {
+                continue;
+            }
+            let head = self.bound.queue(&homes).peek(lane);
+            let (ticket, waiting) = head?;
+            let workspace = waiting.workspace.clone();
+            let head = (*ticket, waiting.place.clone());
+            let allowed = Homes::of_workspace(workspace.as_deref());
+            let Some((choice, permit)) = self.take(now, rng, head, allowed, limits) else {
+                continue;
+            };
+            let (_, waiting) = self.bound.start(&homes, lane)?;
+            self.queue.started(lane);
+            self.pool.started(choice.target, lane);
+            return Some(Granted {
+                grant: waiting.grant,
+                choice,
+                lane,
+                permit,
+            });
+        }
+        None
+    }
+
     /// Takes a slot for a retry or a hedge, if one is free now.
     pub(super) fn take_extra<R: Rng>(
         &mut self,
         now: Millis,
         rng: &mut R,
         lane: Lane,
+        homes: Homes<'_>,
         avoid: &[TargetId],
         limits: &Shards<LimitName, Ledger>,
     ) -> Option<(Choice, Permit)> {
-        let places = self.local_places();
+        let mut places = self.local_places();
+        places.retain(|(name, _)| self.allows(homes, name));
         let criteria = Criteria {
             lane,
             places: &places,
@@ -245,16 +323,16 @@
         Some((choice, permit))
     }
 
-    /// Takes a slot for the first request of a lane.
+    /// Takes a slot for the first request of a queue, whose place is given.
     fn take<R: Rng>(
         &mut self,
         now: Millis,
         rng: &mut R,
-        lane: Lane,
+        (ticket, place): (Ticket, PlaceName),
+        homes: Homes<'_>,
         limits: &Shards<LimitName, Ledger>,
     ) -> Option<(Choice, Permit)> {
-        let (ticket, waiting) = self.queue.peek(lane)?;
-        let (ticket, place) = (*ticket, waiting.place.clone());
+        let lane = ticket.lane;
         let own_place = [(place, 1)];
         // After half of the time until its deadline a request accepts slow
         // targets.
@@ -290,7 +368,7 @@
         let is_shedding = |c: &Choice| c.state == State::Shedding;
         if !keep_waiting
             && choice.as_ref().map_or(true, is_shedding)
-            && let Some(remote) = self.choose_remote_target(now, rng, &criteria, limits)
+            && let Some(remote) = self.choose_remote_target(now, rng, &criteria, homes, limits)
         {
             choice = Ok(remote);
         }
@@ -328,7 +406,8 @@
     /// Returns how many requests wait.
     #[must_use]
     pub fn waiting(&self) -> usize {
-        self.queue.waiting(Lane::Short) + self.queue.waiting(Lane::Long)
+        let waiting = |q: &Queue<Waiting>| q.waiting(Lane::Short) + q.waiting(Lane::Long);
+        waiting(&self.queue) + self.bound.iter().map(waiting).sum::<usize>()
     }
 
     /// Returns how many requests run at targets.
@@ -377,10 +456,24 @@
         out.unwrap_or_default()
     }
 
-    /// Returns how many units of the service's targets this entry may use.
-    fn usable_units(&self, limits: &Shards<LimitName, Ledger>) -> u32 {
+    /// Returns how many units of the service's targets in the homes of a request this
+    /// entry may use.
+    fn usable_units(&self, limits: &Shards<LimitName, Ledger>, homes: Homes<'_>) -> u32 {
         let usable = |l: &LimitName| limits.get(l, |l| l.status().usable);
-        self.slot_limits.values().filter_map(usable).sum()
+        if homes.is_unbound() {
+            return self.slot_limits.values().filter_map(usable).sum();
+        }
+        let places = self.doc.document().into_iter().flat_map(|doc| &doc.places);
+        let targets = places
+            .filter(|p| homes.contains(&p.region))
+            .flat_map(|p| &p.targets);
+        let limits = targets.filter_map(|t| self.slot_limits.get(t));
+        limits.filter_map(usable).sum()
+    }
+
+    /// Returns whether a request with these homes may run at a place.
+    pub(super) fn allows(&self, homes: Homes<'_>, place: &PlaceName) -> bool {
+        homes.is_unbound() || self.region(place).is_some_and(|r| homes.contains(r))
     }
 }
 
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -12,13 +12,15 @@
     claim_tables::Claims,
     events,
     fleet::{self, Fleet, Rosters},
-    limits::{link_limit, region_limit, shift_limit, slots_limit},
+    limits::{link_limit, region_limit, shift_limit, slots_limit, workspace_limit},
     locations::Locations,
     observe::Observer,
 };
 use crate::{
     adapters::{ini::Settings, store::roster::RosterRecord},
-    domain::{Document, Incarnation, LimitName, Revision, ServiceName, Shards, Slots, TargetId},
+    domain::{
+        Document, Incarnation, LimitName, Quota, Revision, ServiceName, Shards, Slots, TargetId,
+    },
     policy::{
         crash::{RecentSuccesses, StrikeTable},
         document::{Adoption, Content},
@@ -26,6 +28,7 @@
         lookup::EntryView,
         member::Seat,
         once,
+        quota::Holder,
         timeline::Kind,
     },
     ports::Events,
@@ -51,6 +54,9 @@
     pub services: Shards<ServiceName, Service>,
     /// This entry's ledger of each limit.
     pub limits: Shards<LimitName, Ledger>,
+    /// The requests of each workspace with a limit, and whether it is at its limit. The
+    /// names are those of the service and the workspace.
+    pub usage: Holder,
     /// The other entries.
     pub fleet: Fleet,
     /// The claims on keys of which this entry is a home.
@@ -106,6 +112,7 @@
             me,
             services: Shards::new(),
             limits: Shards::new(),
+            usage: Holder::default(),
             view: RwLock::new(Arc::new(fleet::empty_view())),
             strikes: Mutex::new(StrikeTable::new(claimant, MAX_SUSPECTS)),
             successes: Mutex::default(),
@@ -179,6 +186,20 @@
                 self.set_limit(&slots_limit(target), Limit::Slots(Slots(0)));
             }
         }
+        let quotas = |doc: &Document| -> Vec<(LimitName, Quota)> {
+            let limited = doc.workspaces.iter();
+            let limited = limited.filter_map(|w| Some((workspace_limit(name, &w.name), w.quota?)));
+            limited.collect()
+        };
+        let kept = new.map(quotas).unwrap_or_default();
+        for (limit, _) in old.map(quotas).unwrap_or_default() {
+            if kept.iter().all(|(name, _)| *name != limit) {
+                self.set_limit(&limit, Limit::unknown(&limit));
+            }
+        }
+        for (limit, quota) in &kept {
+            self.set_limit(limit, Limit::workspace(quota));
+        }
         let Some(doc) = new else {
             return;
         };
--- a/src/domain/document.rs
+++ b/src/domain/document.rs
@@ -5,12 +5,12 @@
 //! text, so that decisions do not depend on the format.
 
 use super::{
-    AzName, Millis, PlaceName, RegionName, Rps, ServiceName, Slots, TargetId, TeamName, Weight,
-    word_enum,
+    AzName, Millis, PlaceName, Rank, RegionName, Rps, ServiceName, Slots, TargetId, TeamName,
+    Weight, Workspace, word_enum,
 };
 
 /// The placement and routing of a service, as its team declares it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Document {
     /// The service, which callers name in the `Host` header.
     pub service: ServiceName,
@@ -26,6 +26,8 @@
     /// Settings for path prefixes. The route with the longest matching prefix
     /// applies.
     pub routes: Vec<Route>,
+    /// The workspaces. If there are none, callers need no keys.
+    pub workspaces: Vec<Workspace>,
 }
 
 /// A place where a service runs.
@@ -60,6 +62,8 @@
     pub priority: Priority,
     /// Whether requests may be repeated. If unset, their method decides.
     pub idempotent: Option<bool>,
+    /// Whether callers need no key. The requests then belong to no workspace.
+    pub public: bool,
 }
 
 impl Document {
@@ -102,3 +106,34 @@
     /// Refused last. Examples are an unlock or a payout.
     Critical = "critical"
 );
+
+impl Priority {
+    /// Returns the priority of a request: that of its workspace, else that of its route.
+    /// A caller may lower it but not raise it.
+    #[must_use]
+    pub fn of_request(route: Option<&Route>, rank: Option<Rank>, caller: Option<Self>) -> Self {
+        let max = rank.map(Self::from).or(route.map(|r| r.priority));
+        let max = max.unwrap_or_default();
+        caller.map_or(max, |priority| priority.min(max))
+    }
+}
+
+impl From<Priority> for Rank {
+    fn from(priority: Priority) -> Self {
+        Self(match priority {
+            Priority::Critical => 0,
+            Priority::Normal => 1,
+            Priority::Bulk => 2,
+        })
+    }
+}
+
+impl From<Rank> for Priority {
+    fn from(rank: Rank) -> Self {
+        match rank.0 {
+            0 => Self::Critical,
+            1 => Self::Normal,
+            _ => Self::Bulk,
+        }
+    }
+}
--- a/src/domain/homes.rs
+++ b/src/domain/homes.rs
@@ -21,6 +21,16 @@
         }
     }
 
+    /// Returns the homes of the requests of a workspace on the interface whose routes
+    /// have no homes.
+    #[must_use]
+    pub fn of_workspace(workspace: Option<&'a Workspace>) -> Self {
+        Self {
+            route: &[],
+            workspace: workspace.map_or(&[], |w| &w.home_regions),
+        }
+    }
+
     /// Returns whether the request may run in a region.
     #[must_use]
     pub fn contains(&self, region: &RegionName) -> bool {
@@ -28,6 +38,12 @@
         allows(self.route) && allows(self.workspace)
     }
 
+    /// Returns whether all regions are allowed.
+    #[must_use]
+    pub fn is_unbound(&self) -> bool {
+        self.route.is_empty() && self.workspace.is_empty()
+    }
+
     /// Returns whether the lists have no region in common, so that the request may not
     /// run anywhere.
     #[must_use]
--- a/src/domain/workspace.rs
+++ b/src/domain/workspace.rs
@@ -17,6 +17,8 @@
 
 const DIGEST_RULE: &str = "64 hexadecimal digits";
 
+const KEY_RULE: &str = "one line of printable ASCII characters without blanks";
+
 /// The SHA-256 digest of a caller's key. It identifies the key and does not reveal
 /// it, since keys are long and random.
 #[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -76,6 +78,21 @@
     pub fn digest(&self) -> KeyDigest {
         KeyDigest::of(&self.0)
     }
+
+    /// Reads a key as a person enters it: without the end of the line.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no caller can send the key in a header: it is empty, or it is
+    /// not printable ASCII without blanks. The error does not contain the key.
+    pub fn from_line(line: &[u8]) -> Result<Self, ParseError> {
+        let key = line.strip_suffix(b"\n").unwrap_or(line);
+        let key = key.strip_suffix(b"\r").unwrap_or(key);
+        if key.is_empty() || !key.iter().all(u8::is_ascii_graphic) {
+            return Err(ParseError::new("key", "(redacted)", KEY_RULE));
+        }
+        Ok(Self(Bytes::copy_from_slice(key)))
+    }
 }
 
 impl fmt::Display for CallerKey {
@@ -143,6 +160,12 @@
     pub burst: f64,
 }
 
+impl fmt::Display for Quota {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} and a burst of {}", self.rate, self.burst)
+    }
+}
+
 /// A customer whose callers may send requests.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Workspace {
--- a/src/policy/document/diff.rs
+++ b/src/policy/document/diff.rs
@@ -3,13 +3,14 @@
 use std::{collections::BTreeSet, fmt};
 
 use crate::domain::{
-    AzName, Document, Lane, Millis, Place, PlaceName, PlaceState, Priority, RegionName, Route, Rps,
-    ServiceName, Slots, TargetId, TeamName, Weight,
+    AzName, Document, KeyDigest, Lane, Millis, Place, PlaceName, PlaceState, Priority, Quota, Rank,
+    RegionName, Route, Rps, ServiceName, Slots, TargetId, TeamName, Weight, Workspace,
+    WorkspaceName,
 };
 
 /// One difference between two documents. A pair of values of the same type is
 /// the old and the new value.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Change {
     /// The service has a document where it had none.
     ServiceAdded(ServiceName),
@@ -53,6 +54,22 @@
     Priority(String, Priority, Priority),
     /// The declaration whether a route's requests may be repeated differs.
     Idempotent(String, Option<bool>, Option<bool>),
+    /// Whether callers of a route need no key differs.
+    Public(String, bool, bool),
+    /// A workspace is added.
+    WorkspaceAdded(WorkspaceName),
+    /// A workspace is removed, with all of its keys.
+    WorkspaceRemoved(WorkspaceName),
+    /// A workspace has a further key.
+    KeyAdded(WorkspaceName, KeyDigest),
+    /// A key of a workspace is withdrawn.
+    KeyRemoved(WorkspaceName, KeyDigest),
+    /// The rank of a workspace differs.
+    Rank(WorkspaceName, Option<Rank>, Option<Rank>),
+    /// The limit of a workspace differs.
+    Quota(WorkspaceName, Option<Quota>, Option<Quota>),
+    /// The homes of a workspace differ. Empty homes allow all regions.
+    Homes(WorkspaceName, Vec<RegionName>, Vec<RegionName>),
 }
 
 /// Returns the changes from one document to another. `None` stands for a
@@ -79,6 +96,7 @@
     let mut changes = vec![Change::ServiceAdded(new.service.clone())];
     diff_places(&[], &new.places, &mut changes);
     diff_routes(&[], &new.routes, &mut changes);
+    diff_workspaces(&[], &new.workspaces, &mut changes);
     changes
 }
 
@@ -95,6 +113,7 @@
     }
     diff_places(&old.places, &new.places, &mut changes);
     diff_routes(&old.routes, &new.routes, &mut changes);
+    diff_workspaces(&old.workspaces, &new.workspaces, &mut changes);
     changes
 }
 
@@ -164,9 +183,13 @@
         out.push(Change::RouteRemoved(o.prefix.clone()));
     }
     for n in new {
-        match old.iter().find(|o| o.prefix == n.prefix) {
-            Some(o) => diff_route(o, n, out),
-            None => out.push(Change::RouteAdded(n.prefix.clone())),
+        if let Some(o) = old.iter().find(|o| o.prefix == n.prefix) {
+            diff_route(o, n, out);
+            continue;
+        }
+        out.push(Change::RouteAdded(n.prefix.clone()));
+        if n.public {
+            out.push(Change::Public(n.prefix.clone(), false, true));
         }
     }
 }
@@ -183,6 +206,51 @@
         let pair = (old.idempotent, new.idempotent);
         out.push(Change::Idempotent(prefix(), pair.0, pair.1));
     }
+    if old.public != new.public {
+        out.push(Change::Public(prefix(), old.public, new.public));
+    }
+}
+
+fn diff_workspaces(old: &[Workspace], new: &[Workspace], out: &mut Vec<Change>) {
+    let removed = |o: &&Workspace| new.iter().all(|n| n.name != o.name);
+    for o in old.iter().filter(removed) {
+        out.push(Change::WorkspaceRemoved(o.name.clone()));
+    }
+    for n in new {
+        if let Some(o) = old.iter().find(|o| o.name == n.name) {
+            diff_workspace(o, n, out);
+            continue;
+        }
+        out.push(Change::WorkspaceAdded(n.name.clone()));
+        let empty = Workspace {
+            name: n.name.clone(),
+            keys: Vec::new(),
+            rank: None,
+            quota: None,
+            home_regions: Vec::new(),
+        };
+        diff_workspace(&empty, n, out);
+    }
+}
+
+fn diff_workspace(old: &Workspace, new: &Workspace, out: &mut Vec<Change>) {
+    let name = || new.name.clone();
+    let missing = |key: &&KeyDigest, keys: &[KeyDigest]| !keys.contains(key);
+    let removed = old.keys.iter().filter(|key| missing(key, &new.keys));
+    out.extend(removed.map(|key| Change::KeyRemoved(name(), *key)));
+    let added = new.keys.iter().filter(|key| missing(key, &old.keys));
+    out.extend(added.map(|key| Change::KeyAdded(name(), *key)));
+    if old.rank != new.rank {
+        out.push(Change::Rank(name(), old.rank, new.rank));
+    }
+    if old.quota != new.quota {
+        out.push(Change::Quota(name(), old.quota, new.quota));
+    }
+    let sorted = |homes: &[RegionName]| homes.iter().cloned().collect::<BTreeSet<_>>();
+    if sorted(&old.home_regions) != sorted(&new.home_regions) {
+        let homes = (old.home_regions.clone(), new.home_regions.clone());
+        out.push(Change::Homes(name(), homes.0, homes.1));
+    }
 }
 
 impl fmt::Display for Change {
@@ -218,10 +286,44 @@
                     or_unset(*b)
                 )
             }
+            Self::Public(r, a, b) => write!(f, "route {r}: public: {a} -> {b}"),
+            Self::WorkspaceAdded(w) => write!(f, "workspace {w}: added"),
+            Self::WorkspaceRemoved(w) => write!(f, "workspace {w}: removed"),
+            Self::KeyAdded(w, k) => write!(f, "workspace {w}: key {k}: added"),
+            Self::KeyRemoved(w, k) => write!(f, "workspace {w}: key {k}: withdrawn"),
+            Self::Rank(w, a, b) => {
+                let [a, b] = [a, b].map(|rank| or_unset(rank.map(Priority::from)));
+                write!(f, "workspace {w}: priority: {a} -> {b}")
+            }
+            Self::Quota(w, a, b) => {
+                write!(
+                    f,
+                    "workspace {w}: limit: {} -> {}",
+                    or_unset(*a),
+                    or_unset(*b)
+                )
+            }
+            Self::Homes(w, a, b) => {
+                write!(
+                    f,
+                    "workspace {w}: homes: {} -> {}",
+                    join_homes(a),
+                    join_homes(b)
+                )
+            }
         }
     }
 }
 
+fn join_homes(homes: &[RegionName]) -> String {
+    let names: Vec<&str> = homes.iter().map(RegionName::as_str).collect();
+    if names.is_empty() {
+        "all".to_owned()
+    } else {
+        names.join(", ")
+    }
+}
+
 fn or_unset(value: Option<impl fmt::Display>) -> String {
     value.map_or_else(|| "unset".to_owned(), |v| v.to_string())
 }
--- a/src/policy/document/state.rs
+++ b/src/policy/document/state.rs
@@ -5,7 +5,7 @@
 use crate::domain::{Document, Revision, ServiceName};
 
 /// The content of a revision, after parsing and validation.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Content {
     /// A document that passed all checks.
     Document(Arc<Document>),
@@ -20,7 +20,7 @@
 /// The caller holds the lock of the service's shard during
 /// [`adopt`](Self::adopt), so revisions of the same service are handled one at
 /// a time.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct DocumentState {
     service: ServiceName,
     revision: Revision,
@@ -120,7 +120,7 @@
 }
 
 /// The result of [`DocumentState::adopt`].
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Adoption {
     /// The revision is now in effect. A traffic shift starts from the document
     /// that it replaced.
--- a/src/policy/limit/ledger.rs
+++ b/src/policy/limit/ledger.rs
@@ -6,7 +6,7 @@
 use super::{
     Envelope, Limit, Member, Message, Outgoing, Roster,
     borrow::{BorrowRequest, Peer},
-    bucket::Bucket,
+    bucket::{Bucket, Size},
     demand::Demand,
     lend::QueuedRequest,
     survey::SurveyRound,
@@ -76,6 +76,8 @@
     /// Since when this entry has had more units than it needs.
     pub(super) surplus_since: Option<Millis>,
     pub(super) bucket: Bucket,
+    /// Until when units of other entries are not waited for.
+    pub(super) dry_until: Millis,
     pub(super) demand: Demand,
     pub(super) peers: Vec<Peer>,
     pub(super) open_requests: Vec<BorrowRequest>,
@@ -111,6 +113,7 @@
             missing: 0,
             surplus_since: None,
             bucket: Bucket::default(),
+            dry_until: Millis(0),
             demand: Demand::default(),
             peers: Vec::new(),
             open_requests: Vec::new(),
@@ -464,8 +467,18 @@
     }
 
     fn refill(&mut self, now: Millis, held: u32) {
-        if let Limit::Rate { rate, max_amount } = self.limit {
-            self.bucket.refill(now, rate, max_amount, held);
+        if let Limit::Rate {
+            rate,
+            max_amount,
+            burst,
+        } = self.limit
+        {
+            let size = Size {
+                rate,
+                max_amount,
+                burst,
+            };
+            self.bucket.refill(now, size, held);
         }
     }
 
--- a/src/policy/limit/mod.rs
+++ b/src/policy/limit/mod.rs
@@ -41,14 +41,16 @@
 mod lend;
 mod message;
 mod roster;
+mod shortage;
 mod survey;
 mod unit;
 
 pub use ledger::{Ledger, Permit, Status};
 pub use message::{Envelope, HeldUnits, Member, Message, Outgoing};
 pub use roster::{Roster, RosterMember};
+pub use shortage::Shortage;
 
-use crate::domain::{LimitName, Mbps, Millis, Rps, Slots};
+use crate::domain::{LimitName, Mbps, Millis, Quota, Rps, Slots};
 
 /// The number of units of every rate limit.
 pub const RATE_UNITS: u32 = 256;
@@ -82,9 +84,15 @@
         rate: u64,
         /// The largest amount that is admitted at once.
         max_amount: u64,
+        /// What may be admitted at once beyond the rate, over all entries together.
+        burst: u64,
     },
 }
 
+/// One request in the limit of a workspace, which counts in thousandths of a request
+/// because its rate may be a fraction.
+pub const WORKSPACE_REQUEST: u64 = 1_000;
+
 impl Limit {
     /// Returns a limit of requests a second.
     #[must_use]
@@ -92,6 +100,7 @@
         Self::Rate {
             rate: u64::from(rate.0),
             max_amount: 1,
+            burst: 0,
         }
     }
 
@@ -101,6 +110,25 @@
         Self::Rate {
             rate: u64::from(rate.0) * 1_000_000,
             max_amount: LINK_CHUNK_BITS,
+            burst: 0,
+        }
+    }
+
+    /// Returns the limit of a workspace, in thousandths of a request a second.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_precision_loss,
+        clippy::cast_sign_loss
+    )]
+    #[must_use]
+    pub fn workspace(quota: &Quota) -> Self {
+        // The conversion saturates.
+        let amount = |requests: f64| (requests * WORKSPACE_REQUEST as f64).round() as u64;
+        Self::Rate {
+            // A rate of zero would have no units.
+            rate: amount(quota.rate.0).max(1),
+            max_amount: WORKSPACE_REQUEST,
+            burst: amount(quota.burst),
         }
     }
 
@@ -114,6 +142,7 @@
             Self::Rate {
                 rate: 0,
                 max_amount: 1,
+                burst: 0,
             }
         }
     }
--- /dev/null
+++ b/src/policy/limit/shortage.rs
@@ -0,0 +1,60 @@
+//! What a request hears that a rate limit does not admit now.
+
+use super::{Ledger, Limit};
+use crate::{domain::Millis, policy::quota::Room};
+
+/// How long units of other entries are not waited for after a request has waited in vain.
+/// Meanwhile they are still asked for, so that refusals during an overload come at once.
+const DRY_TIME: Millis = Millis(500);
+
+/// The time over which those that return are spread.
+const SPREAD: Millis = Millis(2_000);
+
+/// The time to return if this entry holds no units and so cannot tell.
+const RETURN_DEFAULT: Millis = Millis(1_000);
+
+/// The latest time to return, before the spread.
+const RETURN_MAX: Millis = Millis(10_000);
+
+/// Why a rate limit does not admit an amount now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Shortage {
+    /// Other entries hold units, which may be lent within a moment.
+    Pending,
+    /// The limit is used up until there is room again.
+    Exhausted(Room),
+    /// This entry has no units, and some are at no entry yet, as after a start or the
+    /// loss of an entry. Nothing shows that the limit is used up.
+    Unavailable,
+}
+
+impl Ledger {
+    /// Returns why `amount` is not admitted.
+    #[must_use]
+    pub fn shortage(&self, amount: u64, now: Millis) -> Shortage {
+        if self.held < self.limit.units() && now >= self.dry_until {
+            return Shortage::Pending;
+        }
+        if self.held == 0 && (self.missing > 0 || self.position.is_none()) {
+            return Shortage::Unavailable;
+        }
+        let after = match self.limit {
+            Limit::Rate { rate, .. } => self.bucket.time_until(amount, rate, self.held),
+            Limit::Slots(_) => None,
+        };
+        Shortage::Exhausted(Room {
+            after: after.unwrap_or(RETURN_DEFAULT).min(RETURN_MAX),
+            spread: SPREAD,
+        })
+    }
+
+    /// Records that a request has waited in vain for units of other entries.
+    pub fn record_dry(&mut self, now: Millis) {
+        self.dry_until = now + DRY_TIME;
+    }
+
+    /// Puts back an amount that was admitted, for work that was not sent.
+    pub fn put_back(&mut self, amount: u64) {
+        self.bucket.put_back(amount);
+    }
+}
--- a/src/policy/once/key.rs
+++ b/src/policy/once/key.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
-use crate::domain::{ParseError, ServiceName, Size};
+use crate::domain::{ParseError, ServiceName, Size, WorkspaceName};
 
 /// The longest key, in bytes. It bounds the memory of a claim. Callers use UUIDs
 /// of 36 bytes or short compound names.
@@ -170,6 +170,12 @@
         Self::digest(b'r', &parts)
     }
 
+    /// Returns the digest of the same request of a workspace.
+    #[must_use]
+    pub fn of_workspace(self, name: &WorkspaceName) -> Self {
+        Self::digest(b'w', &[&self.0.to_be_bytes(), name.as_bytes()])
+    }
+
     /// Returns the digest of a key, which identifies a keyed request in the
     /// strikes of [`crash`](crate::policy::crash).
     #[must_use]
--- a/src/policy/queue/mod.rs
+++ b/src/policy/queue/mod.rs
@@ -152,14 +152,20 @@
     #[must_use]
     pub fn next_lane(&self, now: Millis) -> Option<Lane> {
         let startable = |lane| self.can_start(lane) && self.waiting(lane) > 0;
+        let mut order = self.lane_order(now).into_iter();
+        order.find(|&lane| startable(lane))
+    }
+
+    /// Returns the lanes in the order in which requests are to start from them.
+    #[must_use]
+    pub fn lane_order(&self, now: Millis) -> [Lane; 2] {
         let half_used = |lane| self.head_wait_percent(now, lane) > 50;
         let long_first = half_used(Lane::Long) && !half_used(Lane::Short);
-        let order = if long_first {
+        if long_first {
             [Lane::Long, Lane::Short]
         } else {
             [Lane::Short, Lane::Long]
-        };
-        order.into_iter().find(|&lane| startable(lane))
+        }
     }
 
     /// Returns the first request of a lane without removing it, so that a target
--- a/src/policy/route/mod.rs
+++ b/src/policy/route/mod.rs
@@ -22,7 +22,7 @@
     },
 };
 
-use self::workspaces::Workspaces;
+pub use self::workspaces::Workspaces;
 use crate::domain::{
     CallerLimits, Configuration, KeyDigest, Revision, RouteRule, ServiceName, ServiceRule,
     Workspace, WorkspaceName,
--- a/src/policy/route/workspaces.rs
+++ b/src/policy/route/workspaces.rs
@@ -1,4 +1,4 @@
-//! The workspaces of a route table, found by the digest of a caller's key.
+//! The workspaces of a route table or a document, found by the digest of a caller's key.
 
 use std::{
     collections::{HashMap, hash_map::Entry},
@@ -9,7 +9,7 @@
 
 /// The workspaces of one configuration.
 #[derive(Debug, Default)]
-pub(super) struct Workspaces {
+pub struct Workspaces {
     /// In the order of the configuration.
     all: Vec<Arc<Workspace>>,
     /// The index of the workspace that has each key.
@@ -22,6 +22,7 @@
     /// Compiles the workspaces of a configuration. A key that two of them state belongs
     /// to the first. Two with one name become one, which has the keys of both and is
     /// otherwise as the first: targets and quotas know a workspace by its name.
+    #[must_use]
     pub fn compile(workspaces: Vec<Workspace>) -> Self {
         let mut compiled = Self::default();
         let mut all: Vec<Workspace> = Vec::with_capacity(workspaces.len());
@@ -52,18 +53,25 @@
         compiled
     }
 
+    /// Returns all workspaces in the order of the configuration.
     pub fn all(&self) -> impl Iterator<Item = &Arc<Workspace>> {
         self.all.iter()
     }
 
+    /// Returns the workspace that has a key.
+    #[must_use]
     pub fn find(&self, key: &KeyDigest) -> Option<&Arc<Workspace>> {
         self.keys.get(key).map(|index| &self.all[*index])
     }
 
+    /// Returns the workspace with a name.
+    #[must_use]
     pub fn named(&self, name: &WorkspaceName) -> Option<&Arc<Workspace>> {
         self.names.get(name).map(|index| &self.all[*index])
     }
 
+    /// Returns the keys that two workspaces state, with their owner first.
+    #[must_use]
     pub fn shared_keys(&self) -> &[(WorkspaceName, WorkspaceName)] {
         &self.shared_keys
     }
--- a/src/policy/shift/choose.rs
+++ b/src/policy/shift/choose.rs
@@ -4,7 +4,7 @@
 
 use super::{Share, Shift, state::TrackedPlace};
 use crate::{
-    domain::{Millis, Place, RegionName},
+    domain::{Homes, Millis, Place, RegionName},
     policy::refusal::{Code, Refusal},
 };
 
@@ -27,17 +27,32 @@
     pub fn choose_place(
         &mut self,
         rng: &mut impl Rng,
+        take_unit: impl FnMut() -> bool,
+        take_headroom: impl FnMut(&RegionName) -> bool,
+    ) -> Result<&Place, Refusal> {
+        self.choose_home(rng, Homes::default(), take_unit, take_headroom)
+    }
+
+    /// Chooses the place of a request as [`choose_place`](Self::choose_place) does, but
+    /// only within its homes.
+    ///
+    /// # Errors
+    ///
+    /// Refuses with `not-run` if no place within the homes accepts requests, or if none
+    /// of their regions has headroom.
+    pub fn choose_home(
+        &mut self,
+        rng: &mut impl Rng,
+        homes: Homes<'_>,
         mut take_unit: impl FnMut() -> bool,
-        mut take_headroom: impl FnMut(&RegionName) -> bool,
+        take_headroom: impl FnMut(&RegionName) -> bool,
     ) -> Result<&Place, Refusal> {
         self.requests += 1;
-        let Some(origin) = self.choose_origin(rng) else {
-            return Err(Refusal::not_run(
-                Code::NoTarget,
-                "choose a place: no place of the service accepts requests",
-            ));
+        let mut take_headroom = homes_only(homes, take_headroom);
+        let Some(origin) = self.choose_origin(rng, homes) else {
+            return self.choose_growing_home(homes, &mut take_unit, &mut take_headroom);
         };
-        let at = if let Some(preferred) = self.choose_destination(origin, rng)
+        let at = if let Some(preferred) = self.choose_destination(origin, rng, homes)
             && let Some(destination) =
                 self.admit_extra(preferred, &mut take_unit, &mut take_headroom)
         {
@@ -52,20 +67,68 @@
     }
 
     /// Chooses a place by the base shares.
-    fn choose_origin(&self, rng: &mut impl Rng) -> Option<usize> {
-        let shares = self.places.iter().map(|p| p.base.0);
-        share_at(shares, rng.random_range(0..Share::WHOLE.0))
+    fn choose_origin(&self, rng: &mut impl Rng, homes: Homes<'_>) -> Option<usize> {
+        let share = |p: &TrackedPlace| {
+            if homes.contains(&p.place.region) {
+                p.base.0
+            } else {
+                0
+            }
+        };
+        let shares = self.places.iter().map(share);
+        let sum = if homes.is_unbound() {
+            Share::WHOLE.0
+        } else {
+            shares.clone().sum()
+        };
+        share_at(shares, rng.random_range(0..sum.max(1)))
+    }
+
+    /// Chooses a growing place for a request none of whose homes has a base share yet.
+    fn choose_growing_home(
+        &mut self,
+        homes: Homes<'_>,
+        take_unit: &mut impl FnMut() -> bool,
+        take_headroom: &mut impl FnMut(&RegionName) -> bool,
+    ) -> Result<&Place, Refusal> {
+        let grows = |p: &TrackedPlace| p.grows() && homes.contains(&p.place.region);
+        let preferred = self.places.iter().position(grows);
+        let Some(preferred) = preferred.filter(|_| !homes.is_unbound()) else {
+            let place = if homes.is_unbound() {
+                "place of the service"
+            } else {
+                "place in the homes of the workspace"
+            };
+            let detail = format!("choose a place: no {place} accepts requests");
+            return Err(Refusal::not_run(Code::NoTarget, detail));
+        };
+        match self.admit_extra(preferred, take_unit, take_headroom) {
+            Some(at) => Ok(&self.places[at].place),
+            None => Err(self.refuse_without_headroom(preferred)),
+        }
     }
 
     /// Decides whether a request moves away from `origin`, and returns the
     /// growing place it moves to.
-    fn choose_destination(&self, origin: usize, rng: &mut impl Rng) -> Option<usize> {
+    fn choose_destination(
+        &self,
+        origin: usize,
+        rng: &mut impl Rng,
+        homes: Homes<'_>,
+    ) -> Option<usize> {
         let tracked = &self.places[origin];
         let loss = tracked.loss();
         if loss == 0 || rng.random_range(0..tracked.base.0) >= loss {
             return None;
         }
-        let gains = || self.places.iter().map(TrackedPlace::gain);
+        let gain = |p: &TrackedPlace| {
+            if homes.contains(&p.place.region) {
+                p.gain()
+            } else {
+                0
+            }
+        };
+        let gains = || self.places.iter().map(gain);
         share_at(gains(), rng.random_range(0..gains().sum::<u32>().max(1)))
     }
 
@@ -128,6 +191,14 @@
     }
 }
 
+/// Restricts the regions with headroom to the homes of a request.
+fn homes_only<'a>(
+    homes: Homes<'a>,
+    mut take_headroom: impl FnMut(&RegionName) -> bool + 'a,
+) -> impl FnMut(&RegionName) -> bool + 'a {
+    move |region| homes.contains(region) && take_headroom(region)
+}
+
 /// Returns the index of the share that contains `offset`, with the shares laid
 /// end to end.
 fn share_at(shares: impl Iterator<Item = u32>, mut offset: u32) -> Option<usize> {
--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -225,6 +225,26 @@
     insta::assert_snapshot!(lines(&log));
 }
 
+/// Fails if a review or the timeline hides that a workspace, a key, a limit or a home has
+/// changed, or that a route is open to callers without keys.
+#[test]
+fn a_diff_names_every_change_of_workspaces() {
+    let key = |digit: &str| digit.repeat(64);
+    let text = |workspaces: &str| format!("{BASE}\n{workspaces}");
+    let old = document(&text(&format!(
+        "[workspace bakers]\nkeys = {}, {}\nrate = 5 rps\n[workspace gone]\n",
+        key("a"),
+        key("b")
+    )));
+    let new = document(&text(&format!(
+        "[workspace bakers]\nkeys = {}, {}\nrate = 2.5 rps\nburst = 4\npriority = critical\n\
+         homes = reykjanes\n[workspace cooks]\n[route /menu]\npublic = true\n",
+        key("b"),
+        key("c")
+    )));
+    insta::assert_snapshot!(lines(&diff(Some(&old), Some(&new))));
+}
+
 #[test]
 fn a_diff_names_every_kind_of_change() {
     let (old, new) = (document(BASE), document(EDITED));
--- a/tests/limit/main.rs
+++ b/tests/limit/main.rs
@@ -8,10 +8,12 @@
 mod wire;
 mod world;
 
+use std::sync::Arc;
+
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use savorybeam::domain::{Rps, Slots};
-use savorybeam::policy::limit::Limit;
+use savorybeam::domain::{Epoch, Millis, Quota, Rate, Rps, Slots};
+use savorybeam::policy::limit::{Ledger, Limit, Roster, RosterMember, WORKSPACE_REQUEST};
 use world::{Faults, STEP_MS, Scheme, World};
 
 /// Returns the number of seeds that a property is checked with. `SAVORYBEAM_SEEDS`
@@ -185,38 +187,92 @@
     ");
 }
 
-/// Guards against units that earn tokens at two entries for the same time when they
-/// move.
-#[test]
-fn admissions_stay_within_the_rate() {
-    check_property(seeds(4), |Seed(seed)| {
-        let mut world = random_world(seed, Scheme::Escrow, Some(Limit::requests(Rps(60))));
-        for entry in world.entries.iter_mut().flatten() {
-            entry.demand = 0.9;
-        }
-        if let Err(violation) = run_world(&mut world, 20_000) {
-            return to_test_result(seed, Err(violation));
-        }
+/// Returns why entries that all ask for more than a limit of 60 requests a second and a
+/// burst admit too many in some window, if so.
+fn excess_admissions(seed: u64, limit: Limit, burst: usize) -> Result<(), String> {
+    let mut world = random_world(seed, Scheme::Escrow, Some(limit));
+    for entry in world.entries.iter_mut().flatten() {
+        entry.demand = 0.9;
+    }
+    run_world(&mut world, 20_000)?;
+    let times = &world.admissions;
+    for (seconds, regular) in [(1, 63), (5, 315)] {
         // Clocks run up to 5% fast, and a bucket holds the tokens of 100 ms or of one
-        // request.
-        let max_admissions = 63 + 6 + world.entries.len();
-        let times = &world.admissions;
+        // request beside the burst.
+        let max_admissions = regular + 6 + world.entries.len() + burst;
         let starts = times.iter().enumerate();
-        let count =
-            |(i, t): (usize, &u64)| times[i..].iter().take_while(|u| **u < t + 1_000).count();
+        let count = |(i, t): (usize, &u64)| {
+            let window = |u: &&u64| **u < t + seconds * 1_000;
+            times[i..].iter().take_while(window).count()
+        };
         let worst = starts.map(count).max().unwrap_or(0);
         if worst > max_admissions {
-            return to_test_result(
-                seed,
-                Err(format!(
-                    "{worst} admissions in a second, of at most {max_admissions}"
-                )),
-            );
+            return Err(format!(
+                "{worst} admissions in {seconds} s, of at most {max_admissions}"
+            ));
         }
-        TestResult::passed()
+    }
+    Ok(())
+}
+
+/// Guards against units that earn tokens at two entries for the same time when they
+/// move.
+#[test]
+fn admissions_stay_within_the_rate() {
+    check_property(seeds(4), |Seed(seed)| {
+        to_test_result(seed, excess_admissions(seed, Limit::requests(Rps(60)), 0))
+    });
+}
+
+/// Guards against a burst of a workspace that each entry has as a whole, or that is
+/// earned again when units move or an entry restarts, and against a fraction of a request
+/// that is rounded up at each admission.
+#[test]
+fn a_workspace_stays_within_its_rate_and_burst() {
+    check_property(seeds(4), |Seed(seed)| {
+        let quota = Quota {
+            rate: Rate(59.5),
+            burst: 120.0,
+        };
+        to_test_result(seed, excess_admissions(seed, Limit::workspace(&quota), 120))
     });
 }
 
+/// Guards against refusals that do not tell a limit that is used up from units that may
+/// still arrive or that no entry has, and against a time to return before there is room.
+#[test]
+fn a_refusal_of_a_workspace_says_why() {
+    let quota = Quota {
+        rate: Rate(0.5),
+        burst: 1.0,
+    };
+    let member = world::member(0, 1);
+    let name = "workspace/slotboard/cooks".parse().expect("a name");
+    let mut ledger = Ledger::new(name, member.clone(), Limit::workspace(&quota));
+    let mut lines = Vec::new();
+    let mut ask = |ledger: &mut Ledger, ms| {
+        let admitted = ledger.admit(WORKSPACE_REQUEST, Millis(ms));
+        let shortage = ledger.shortage(WORKSPACE_REQUEST, Millis(ms));
+        lines.push(format!("{ms}: {admitted} {shortage:?}"));
+    };
+    ask(&mut ledger, 0);
+    ledger.record_dry(Millis(0));
+    ask(&mut ledger, 0);
+    let member = RosterMember {
+        member,
+        leaving: false,
+    };
+    let roster = Arc::new(Roster::new(Epoch(1), vec![member]));
+    ledger.set_roster(roster, Millis(1_000));
+    ledger.tick(Millis(1_000));
+    for ms in [1_000, 3_000, 3_000, 60_000, 60_000, 60_000] {
+        ask(&mut ledger, ms);
+    }
+    ledger.put_back(WORKSPACE_REQUEST);
+    ask(&mut ledger, 60_000);
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 /// The time in which all slots move to the demand without faults, in milliseconds:
 /// the longest request (3 s), the idle timeout (0.5 s), the decay of the average
 /// (2 s), the longest backoff (4 s) and a few round trips.
--- a/tests/limit/world.rs
+++ b/tests/limit/world.rs
@@ -384,7 +384,11 @@
                 let size = entry.size;
                 entry.running.extend(unit.map(|u| (u, end, size)));
             } else if let Some(ledger) = entry.node.ledger() {
-                if ledger.admit(1, clock) {
+                let amount = match ledger.limit() {
+                    Limit::Rate { max_amount, .. } => max_amount,
+                    Limit::Slots(_) => 1,
+                };
+                if ledger.admit(amount, clock) {
                     self.admissions.push(now);
                 }
                 let usable = ledger.status().usable as usize;
--- a/tests/shift.rs
+++ b/tests/shift.rs
@@ -9,7 +9,9 @@
 use quickcheck::quickcheck;
 use rand::{SeedableRng, rngs::SmallRng};
 use savorybeam::{
-    domain::{Millis, Place, PlaceName, PlaceState, RegionName, Revision, Weight},
+    domain::{
+        Homes, Millis, Place, PlaceName, PlaceState, RegionName, Revision, Weight, Workspace,
+    },
     policy::shift::{PlaceProgress, Progress, Share, Shift},
 };
 use shift_fleet::{Fleet, Mode, document, fleet, format_shares, name, rate_limit};
@@ -50,6 +52,41 @@
     insta::assert_snapshot!(naive.violations("west").join("\n"));
 }
 
+/// Guards against a request that runs outside of the homes of its workspace while traffic
+/// moves or its region has no headroom, and against homes that only grow and so would be
+/// refused until the end of the move.
+#[test]
+fn requests_stay_in_their_homes() {
+    let mut shift = Shift::new(&document(&START), Revision(1), None, Millis(0));
+    shift.adopt(&document(&MOVED), Revision(2), Millis(0));
+    shift.tick(None, Millis(1_000));
+    let mut rng = SmallRng::seed_from_u64(7);
+    let mut lines = Vec::new();
+    for home in ["east", "north", "west"] {
+        for (unit, full) in [(true, ""), (false, ""), (true, home)] {
+            let workspace = Workspace {
+                name: name("bakers"),
+                keys: Vec::new(),
+                rank: None,
+                quota: None,
+                home_regions: vec![name(home)],
+            };
+            let homes = Homes::of_workspace(Some(&workspace));
+            let mut outcomes = BTreeMap::new();
+            for _ in 0..500 {
+                let headroom = |r: &RegionName| r.as_str() != full;
+                let outcome = match shift.choose_home(&mut rng, homes, || unit, headroom) {
+                    Ok(place) => place.name.to_string(),
+                    Err(refusal) => refusal.to_string(),
+                };
+                *outcomes.entry(outcome).or_insert(0) += 1;
+            }
+            lines.push(format!("{home}, unit {unit}, full {full:?}: {outcomes:?}"));
+        }
+    }
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
 /// Guards against a reversal that jumps back to the original shares or
 /// continues the first move.
 #[test]
--- a/tests/shift_fleet/mod.rs
+++ b/tests/shift_fleet/mod.rs
@@ -41,6 +41,7 @@
         shift_cap: "40 rps".parse().expect("the rate is valid"),
         places: weights.iter().map(place).collect(),
         routes: Vec::new(),
+        workspaces: Vec::new(),
     }
 }
 
