Share how tests start stand-ins, late targets and repeated polls

The stand-ins of the store and of targets were started in two ways by tests/harness and tests/store, the late targets and their rules stood in stop and stop_edges, and endless read request heads by itself. tests/harness/example.rs, tests/vm/late.rs and tests/vm/raw.rs have these once. Steps, polls and roster cases that were written out in platform, claim_rules, member, grpc and the faults tests are functions of their files.

--- a/tests/claim_rules.rs
+++ b/tests/claim_rules.rs
@@ -1,7 +1,7 @@
 //! Tests rules of claims that random schedules rarely exercise. Without one of them,
 //! a key could be executed twice or be blocked for a day.
 
-use std::{collections::BTreeSet, sync::Arc};
+use std::{collections::BTreeSet, fmt::Debug, sync::Arc};
 
 use bytes::Bytes;
 use quickcheck::quickcheck;
@@ -233,48 +233,36 @@
         answer: answer(n),
     };
     let mut log = Vec::new();
-    let mut step = |name: &str, result: String| log.push(format!("{name}: {result}"));
+    let mut step = |name: &str, result: &dyn Debug| log.push(format!("{name}: {result:?}"));
     for (i, key) in keys.iter().enumerate().take(3) {
         let reply = table.vote(&vote(key, i as u64, 7), Millis(0));
-        step("vote", format!("{reply:?}"));
+        step("vote", &reply);
     }
-    step(
-        "answer kept",
-        table.finish(&finish(0, 15), Millis(10)).to_string(),
-    );
+    step("answer kept", &table.finish(&finish(0, 15), Millis(10)));
     step(
         "no room for a body",
-        table.finish(&finish(1, 15), Millis(10)).to_string(),
+        &table.finish(&finish(1, 15), Millis(10)),
     );
     step(
         "no room for a claim",
-        table.finish(&finish(3, 1), Millis(10)).to_string(),
+        &table.finish(&finish(3, 1), Millis(10)),
     );
     for key in keys.iter().take(2) {
-        step(
-            "repeat",
-            format!("{:?}", table.vote(&vote(key, 9, 7), Millis(20))),
-        );
-        step(
-            "other request",
-            format!("{:?}", table.vote(&vote(key, 9, 8), Millis(20))),
-        );
+        step("repeat", &table.vote(&vote(key, 9, 7), Millis(20)));
+        step("other request", &table.vote(&vote(key, 9, 8), Millis(20)));
     }
     let last = Millis(10 + CLAIM_RETENTION.0 - 1);
-    step(
-        "before the end",
-        format!("{:?}", table.vote(&vote(&keys[2], 9, 7), last)),
-    );
+    step("before the end", &table.vote(&vote(&keys[2], 9, 7), last));
     table.tick(last, |_| true);
     step(
         "repeat before the end",
-        format!("{:?}", table.vote(&vote(&keys[1], 9, 7), last)),
+        &table.vote(&vote(&keys[1], 9, 7), last),
     );
     table.tick(last + Millis(1), |_| true);
     let reply = table.vote(&vote(&keys[2], 9, 7), last + Millis(1));
     step(
         "after the end",
-        format!("{reply:?}, {} claims", table.len()),
+        &format_args!("{reply:?}, {} claims", table.len()),
     );
     insta::assert_snapshot!(log.join("\n"));
 }
--- a/tests/endless.rs
+++ b/tests/endless.rs
@@ -27,11 +27,13 @@
     ports::{Change, PlatformError, Poll, VmSettings},
 };
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    io::{AsyncReadExt, AsyncWriteExt, BufReader},
+    net::TcpStream,
     time::{Instant, timeout},
 };
 
+use vm::raw::{self, RawHead};
+
 /// How long a caller of these tests waits, in milliseconds.
 const DEADLINE_MS: u64 = 800;
 
@@ -102,21 +104,9 @@
 
 /// Serves one connection. The first request of a path gets the endless response
 /// that the path names, and a later one a proper response.
-async fn serve(mut stream: TcpStream, case: &str, seen: Arc<Seen>) {
-    loop {
-        let mut head = Vec::new();
-        while !head.ends_with(b"\r\n\r\n") {
-            match stream.read_u8().await {
-                Ok(byte) => head.push(byte),
-                Err(_) => return,
-            }
-        }
-        let head = String::from_utf8_lossy(&head).to_lowercase();
-        let path = head.split(' ').nth(1).unwrap_or_default().to_owned();
-        let id = head
-            .lines()
-            .find_map(|l| l.strip_prefix("request-id: "))
-            .unwrap_or_default();
+async fn serve(stream: TcpStream, case: &str, seen: Arc<Seen>) {
+    let mut stream = BufReader::new(stream);
+    while let Some(RawHead { path, id, .. }) = raw::read_head(&mut stream).await {
         let first = seen.begun.lock().expect("paths").insert(path.clone());
         if !first {
             let proper = format!(
@@ -145,7 +135,7 @@
         let named = path.rsplit('/').next().unwrap_or_default();
         let (start, part) = endless(if case.is_empty() { named } else { case });
         seen.open.fetch_add(1, SeqCst);
-        let start = start.replace("ID", id);
+        let start = start.replace("ID", &id);
         let mut result = stream.write_all(start.as_bytes()).await;
         while result.is_ok() {
             result = stream.write_all(&part).await;
@@ -170,15 +160,8 @@
 /// Serves connections with a stand-in. `case` replaces the last segment of each path
 /// if it is not empty.
 async fn serve_any(seen: &Arc<Seen>, case: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind(vm::ANY_PORT).await.expect("a port");
-    let addr = listener.local_addr().expect("an address");
     let seen = seen.clone();
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(serve(stream, case, seen.clone()));
-        }
-    });
-    addr
+    raw::listen(move |_, stream| serve(stream, case, seen.clone())).await
 }
 
 async fn gateway(seen: &Arc<Seen>) -> Gateway {
--- a/tests/faults_drain.rs
+++ b/tests/faults_drain.rs
@@ -151,13 +151,17 @@
     done.then_some(()).ok_or(drains.to_string())
 }
 
+/// Returns the document with the place of the first target marked as leaving.
+fn leaving(deployment: &Deployment) -> String {
+    let addrs: Vec<_> = deployment.targets.iter().map(|t| t.addr).collect();
+    let (active, leaving) = ("weight = 100\n", "weight = 100\nstate = leaving\n");
+    document(&addrs, 5, "").replacen(active, leaving, 1)
+}
+
 /// Marks the place of the first target as leaving in the document, and waits
 /// until every entry has applied it.
 async fn mark_leaving(deployment: &Deployment) {
-    let addrs: Vec<_> = deployment.targets.iter().map(|t| t.addr).collect();
-    let text =
-        document(&addrs, 5, "").replacen("weight = 100\n", "weight = 100\nstate = leaving\n", 1);
-    let response = deployment.put_document(1, &text).await;
+    let response = deployment.put_document(1, &leaving(deployment)).await;
     let revision = response.header("etag").trim_matches('"').parse();
     let revision = revision.expect("a revision");
     with_timeout("revision applied", deployment.wait_for_revision(revision)).await;
@@ -237,10 +241,7 @@
         dead.then_some(()).ok_or(status["members"].to_string())
     })
     .await;
-    let addrs: Vec<_> = deployment.targets.iter().map(|t| t.addr).collect();
-    let text =
-        document(&addrs, 5, "").replacen("weight = 100\n", "weight = 100\nstate = leaving\n", 1);
-    deployment.put_document(0, &text).await;
+    deployment.put_document(0, &leaving(&deployment)).await;
     wait_until("the drain is listed", || async {
         let drains = fetch_drains(&deployment.entries[0]).await;
         let known = drains["drains"].as_array().is_some_and(|d| !d.is_empty());
--- a/tests/faults_limit.rs
+++ b/tests/faults_limit.rs
@@ -76,6 +76,15 @@
     }
 }
 
+/// Fails if the target has run more requests at the same time than it has slots.
+async fn check_peak(deployment: &Deployment) {
+    let peak = deployment.targets[0].read_number("/peak").await;
+    assert!(
+        peak <= TARGET_SLOTS,
+        "{peak} requests ran at a target of {TARGET_SLOTS}"
+    );
+}
+
 /// If another entry used a slot of a frozen or killed entry whose request still
 /// runs, the target would run a fourth request.
 #[tokio::test(flavor = "multi_thread")]
@@ -99,11 +108,7 @@
     with_timeout("ready", deployment.entries[4].wait_until_ready()).await;
     load.wait_for_served(50).await;
     load.stop().await;
-    let peak = deployment.targets[0].read_number("/peak").await;
-    assert!(
-        peak <= TARGET_SLOTS,
-        "{peak} requests ran at a target of {TARGET_SLOTS}"
-    );
+    check_peak(&deployment).await;
 }
 
 /// If a slot were released before the target has stopped the cancelled request,
@@ -116,11 +121,7 @@
     steady.wait_for_served(300).await;
     cancelling.stop().await;
     steady.stop().await;
-    let peak = deployment.targets[0].read_number("/peak").await;
-    assert!(
-        peak <= TARGET_SLOTS,
-        "{peak} requests ran at a target of {TARGET_SLOTS}"
-    );
+    check_peak(&deployment).await;
 }
 
 /// If units stayed at idle entries, a busy entry could use only a part of the
@@ -144,11 +145,7 @@
         }
     })
     .await;
-    let peak = deployment.targets[0].read_number("/peak").await;
-    assert!(
-        peak <= TARGET_SLOTS,
-        "{peak} requests ran at a target of {TARGET_SLOTS}"
-    );
+    check_peak(&deployment).await;
 }
 
 /// The target must learn how long the caller waits, and must stop the request
--- a/tests/faults_once.rs
+++ b/tests/faults_once.rs
@@ -15,7 +15,7 @@
 };
 
 use harness::{
-    Deployment,
+    BufferedResponse, Deployment,
     faults::{
         HttpResult, call, come_back_from_copy, control_store, request_with_id, set_header,
         wait_until, with_timeout,
@@ -42,39 +42,57 @@
     log.push((id, key.to_owned(), result));
 }
 
-/// Spawns callers that send requests with the same key to several entries, both
-/// concurrently and repeatedly.
-fn spawn_callers(
-    addrs: &[SocketAddr],
-    seed: u64,
-    log: &CallLog,
-    stop: &Arc<AtomicBool>,
-) -> JoinSet<u64> {
-    let mut tasks = JoinSet::new();
-    for caller in 0..4 {
-        let (addrs, log, stop) = (addrs.to_vec(), log.clone(), stop.clone());
-        tasks.spawn(async move {
-            let mut rng = StdRng::seed_from_u64(seed + caller);
-            let mut id = caller * 1_000_000;
-            let mut key = 0;
-            while !stop.load(Ordering::SeqCst) {
-                key += 1;
-                let name = format!("key-{caller}-{key}");
-                for _ in 0..rng.random_range(1..4) {
-                    let mut concurrent = JoinSet::new();
-                    for _ in 0..rng.random_range(2..4) {
-                        id += 1;
-                        let addr = addrs[rng.random_range(0..addrs.len())];
-                        let (name, log) = (name.clone(), log.clone());
-                        concurrent.spawn(async move { send_keyed(addr, &name, id, &log).await });
+/// Callers that send requests with the same key to several entries, both concurrently
+/// and repeatedly, until their results are checked.
+struct Callers {
+    log: CallLog,
+    stop: Arc<AtomicBool>,
+    tasks: JoinSet<u64>,
+}
+
+impl Callers {
+    fn spawn(deployment: &Deployment, seed: u64) -> Self {
+        let addrs: Vec<SocketAddr> = deployment.entries.iter().map(|e| e.process.addr).collect();
+        let (log, stop) = <(CallLog, Arc<AtomicBool>)>::default();
+        let mut tasks = JoinSet::new();
+        for caller in 0..4 {
+            let (addrs, log, stop) = (addrs.clone(), log.clone(), stop.clone());
+            tasks.spawn(async move {
+                let mut rng = StdRng::seed_from_u64(seed + caller);
+                let mut id = caller * 1_000_000;
+                let mut key = 0;
+                while !stop.load(Ordering::SeqCst) {
+                    key += 1;
+                    let name = format!("key-{caller}-{key}");
+                    for _ in 0..rng.random_range(1..4) {
+                        let mut concurrent = JoinSet::new();
+                        for _ in 0..rng.random_range(2..4) {
+                            id += 1;
+                            let addr = addrs[rng.random_range(0..addrs.len())];
+                            let (name, log) = (name.clone(), log.clone());
+                            concurrent
+                                .spawn(async move { send_keyed(addr, &name, id, &log).await });
+                        }
+                        concurrent.join_all().await;
                     }
-                    concurrent.join_all().await;
                 }
-            }
-            key
-        });
+                key
+            });
+        }
+        Self { log, stop, tasks }
+    }
+
+    /// Stops the callers and fails if there is a violation. `dead` are the indexes of
+    /// killed targets.
+    async fn check(mut self, deployment: &Deployment, dead: &[usize]) {
+        self.stop.store(true, Ordering::SeqCst);
+        with_timeout("callers", async {
+            while self.tasks.join_next().await.is_some() {}
+        })
+        .await;
+        let violations = find_violations(deployment, &self.log, dead).await;
+        assert_eq!(violations, Vec::<String>::new());
     }
-    tasks
 }
 
 /// Compares the results of callers with the executions of targets, and returns
@@ -173,30 +191,21 @@
 async fn run_scenario(seed: u64) {
     let mut rng = StdRng::seed_from_u64(seed);
     let mut deployment = with_timeout("start", Deployment::start_serving(5, 3, 5)).await;
-    let addrs: Vec<SocketAddr> = deployment.entries.iter().map(|e| e.process.addr).collect();
-    let (log, stop) = <(CallLog, Arc<AtomicBool>)>::default();
-    let mut callers = spawn_callers(&addrs, seed, &log, &stop);
-    wait_for_successes(&log, 25).await;
+    let callers = Callers::spawn(&deployment, seed);
+    let log = &callers.log;
+    wait_for_successes(log, 25).await;
     let frozen = rng.random_range(0..5);
     deployment.entries[frozen].process.signal("STOP");
-    wait_for_successes(&log, 25).await;
+    wait_for_successes(log, 25).await;
     let killed = (frozen + rng.random_range(1..5)) % 5;
     deployment.restart(killed);
     deployment.entries[frozen].process.signal("CONT");
     with_timeout("ready", deployment.entries[killed].wait_until_ready()).await;
-    wait_for_successes(&log, 25).await;
+    wait_for_successes(log, 25).await;
     let dead = rng.random_range(0..3);
     deployment.targets[dead].signal("KILL");
-    wait_for_successes(&log, 25).await;
-    stop.store(true, Ordering::SeqCst);
-    with_timeout("callers", async {
-        while callers.join_next().await.is_some() {}
-    })
-    .await;
-    assert_eq!(
-        find_violations(&deployment, &log, &[dead]).await,
-        Vec::<String>::new()
-    );
+    wait_for_successes(log, 25).await;
+    callers.check(&deployment, &[dead]).await;
 }
 
 /// The rosters decide which entries keep the record of a key. The test fails if an older
@@ -205,27 +214,44 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn an_older_copy_of_the_store_lets_no_key_run_twice() {
     let mut deployment = with_timeout("start", Deployment::start_serving(5, 3, 5)).await;
-    let addrs: Vec<SocketAddr> = deployment.entries.iter().map(|e| e.process.addr).collect();
-    let (log, stop) = <(CallLog, Arc<AtomicBool>)>::default();
-    let mut callers = spawn_callers(&addrs, 7, &log, &stop);
-    wait_for_successes(&log, 25).await;
+    let callers = Callers::spawn(&deployment, 7);
+    let log = &callers.log;
+    wait_for_successes(log, 25).await;
     control_store(&deployment, "/copy").await;
     for n in [1, 3] {
         deployment.restart(n);
         with_timeout("ready", deployment.entries[n].wait_until_ready()).await;
-        wait_for_successes(&log, 25).await;
+        wait_for_successes(log, 25).await;
         come_back_from_copy(&deployment).await;
-        wait_for_successes(&log, 25).await;
+        wait_for_successes(log, 25).await;
     }
-    stop.store(true, Ordering::SeqCst);
-    with_timeout("callers", async {
-        while callers.join_next().await.is_some() {}
+    callers.check(&deployment, &[]).await;
+}
+
+/// Sends a request with a key until there is a response of a target, which must be the
+/// one to that key.
+async fn wait_for_response(
+    what: &str,
+    addr: SocketAddr,
+    (key, id): (&str, u64),
+    log: &CallLog,
+) -> BufferedResponse {
+    let found = Mutex::new(None);
+    wait_until(what, || async {
+        send_keyed(addr, key, id, log).await;
+        let result = log.lock().expect("no panic").pop();
+        match result {
+            Some((_, _, HttpResult::Response(response))) => {
+                assert_eq!(response.text(), key);
+                *found.lock().expect("no panic") = Some(response);
+                Ok(())
+            }
+            result => Err(format!("{result:?}")),
+        }
     })
     .await;
-    assert_eq!(
-        find_violations(&deployment, &log, &[]).await,
-        Vec::<String>::new()
-    );
+    let found = found.into_inner().expect("no panic");
+    found.expect("a response")
 }
 
 /// A repeated request must get the recorded response through every entry.
@@ -236,35 +262,15 @@
     let mut keys = Vec::new();
     for key in 0..5 {
         let key = format!("paid-{key}");
-        wait_until("the first request is executed", || async {
-            send_keyed(deployment.entries[0].process.addr, &key, 0, &log).await;
-            let result = log.lock().expect("no panic").pop();
-            match result {
-                Some((_, _, HttpResult::Response(r))) => {
-                    assert_eq!(r.text(), key);
-                    Ok(())
-                }
-                result => Err(format!("{result:?}")),
-            }
-        })
-        .await;
+        let addr = deployment.entries[0].process.addr;
+        wait_for_response("the first request is executed", addr, (&key, 0), &log).await;
         keys.push(key);
     }
     for entry in &deployment.entries {
         for key in &keys {
-            wait_until("the response is replayed", || async {
-                send_keyed(entry.process.addr, key, 1, &log).await;
-                let result = log.lock().expect("no panic").pop();
-                match result {
-                    Some((_, _, HttpResult::Response(r))) => {
-                        assert_eq!(r.text(), *key);
-                        assert_eq!(r.header("x-savorybeam-replayed"), "true");
-                        Ok(())
-                    }
-                    result => Err(format!("{result:?}")),
-                }
-            })
-            .await;
+            let addr = entry.process.addr;
+            let replay = wait_for_response("the response is replayed", addr, (key, 1), &log).await;
+            assert_eq!(replay.header("x-savorybeam-replayed"), "true");
             assert_eq!(deployment.run_count(key).await, 1, "{key}");
         }
     }
--- a/tests/grpc.rs
+++ b/tests/grpc.rs
@@ -71,6 +71,10 @@
     Peers::new(timeout, Arc::default())
 }
 
+async fn echo(pool: &Peers, peer: SocketAddr, len: usize) -> Result<Text, CallError> {
+    pool.call(peer, "Echo", text(len)).await
+}
+
 fn mask_address(error: &CallError) -> String {
     format!("{error}").replace(&error.peer.to_string(), "PEER")
 }
@@ -146,8 +150,8 @@
     let routes = serve_probe(routes, |p| async { Ok(p) });
     let server = serve(routes).await;
     let (addr, pool) = (server.addr(), peers(LONG_TIMEOUT));
-    let echo = pool.call::<Text, Text>(addr, "Echo", text(100_000)).await;
-    assert_eq!(echo, Ok(text(100_000)));
+    let reply = echo(&pool, addr, 100_000).await;
+    assert_eq!(reply, Ok(text(100_000)));
     let closed_port = {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
         listener.local_addr().expect("it is bound")
@@ -207,16 +211,14 @@
     let (one, two) = (serve(routes.clone()).await, serve(routes).await);
     let pool = peers(LONG_TIMEOUT);
     for server in [&one, &two] {
-        let echo = pool
-            .call::<Text, Text>(server.addr(), "Echo", text(1))
-            .await;
-        assert_eq!(echo, Ok(text(1)));
+        let reply = echo(&pool, server.addr(), 1).await;
+        assert_eq!(reply, Ok(text(1)));
     }
     pool.close_idle();
     assert_eq!(pool.open_channels(), 2);
     let addr = two.addr();
     assert!(one.stop(LONG_TIMEOUT).await && two.stop(LONG_TIMEOUT).await);
-    let failed = pool.call::<Text, Text>(addr, "Echo", text(1)).await;
+    let failed = echo(&pool, addr, 1).await;
     assert_eq!(
         failed.expect_err("the server has stopped").step,
         Step::Connect
@@ -264,10 +266,8 @@
     let server = serve(routes).await;
     let pool = Peers::new(LONG_TIMEOUT, Arc::clone(&client_side));
     for _ in 0..10 {
-        let echo = pool
-            .call::<Text, Text>(server.addr(), "Echo", text(1_000))
-            .await;
-        assert_eq!(echo, Ok(text(1_000)));
+        let reply = echo(&pool, server.addr(), 1_000).await;
+        assert_eq!(reply, Ok(text(1_000)));
     }
     let (client_side, server_side) = (client_side.counts(), server_side.counts());
     assert_eq!(
--- a/tests/harness/mod.rs
+++ b/tests/harness/mod.rs
@@ -6,12 +6,12 @@
 #![allow(dead_code, reason = "each test file uses only some of the helpers")]
 
 pub mod addr;
+mod example;
 pub mod faults;
 pub mod relay;
 
 use std::{
     fs,
-    io::{BufRead, BufReader},
     net::SocketAddr,
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -64,69 +64,20 @@
     }
 }
 
-/// Returns the path of an example binary, which cargo builds next to the tests.
-pub fn example_path(name: &str) -> PathBuf {
-    let test = std::env::current_exe().expect("the test has a path");
-    let deps = test.parent().expect("the test is in a directory");
-    deps.with_file_name("examples").join(name)
-}
-
 /// Starts a simulated target and waits until it serves requests.
 pub fn spawn_target(name: &str, slots: u32) -> Process {
-    let mut child = Command::new(example_path("target_standin"))
-        .args([
-            "--listen",
-            "127.0.0.1:0",
-            "--name",
-            name,
-            "--slots",
-            &slots.to_string(),
-        ])
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("the target starts");
-    let out = child.stdout.take().expect("standard output is piped");
-    let mut line = String::new();
-    BufReader::new(out)
-        .read_line(&mut line)
-        .expect("the target prints its address");
+    let slots = slots.to_string();
+    let args = ["--listen", "127.0.0.1:0", "--name", name, "--slots", &slots];
+    let (child, line) = example::spawn("target_standin", &args);
     let addr = line.trim().parse().expect("the line is an address");
     Process { child, addr }
 }
 
 /// Starts the simulated store and waits until it serves requests.
 pub fn spawn_store() -> Store {
-    let mut child = Command::new(example_path("store_standin"))
-        .args([
-            "--listen",
-            "127.0.0.1:0",
-            "--control",
-            "127.0.0.1:0",
-            "--until-eof",
-        ])
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .spawn()
-        .expect("the store starts");
-    let out = child.stdout.take().expect("standard output is piped");
-    let mut line = String::new();
-    BufReader::new(out)
-        .read_line(&mut line)
-        .expect("the store prints its addresses");
-    let addrs: serde_json::Value = serde_json::from_str(&line).expect("the line is JSON");
-    let addr = |key: &str| {
-        addrs[key]
-            .as_str()
-            .and_then(|s| s.parse().ok())
-            .expect("an address")
-    };
-    Store {
-        control: addr("control"),
-        process: Process {
-            child,
-            addr: addr("listen"),
-        },
-    }
+    let (child, addr, control) = example::spawn_store();
+    let process = Process { child, addr };
+    Store { control, process }
 }
 
 /// A running simulated store.
--- a/tests/member.rs
+++ b/tests/member.rs
@@ -438,48 +438,32 @@
         incarnation: Incarnation(2),
         ..member(1)
     };
+    let next = |live: &[Member], vms| next_roster(&start, live.iter(), vms);
+    let gone = vms(&[(0, vm(0, false)), (2, vm(0, false))]);
+    let leaving = vms(&[(0, vm(0, false)), (1, vm(0, true)), (2, vm(0, false))]);
+    let reported = vms(&[(0, vm(0, false)), (1, vm(2, false)), (2, vm(0, false))]);
+    let more = [&live[..], &[member(3)]].concat();
+    let again = [member(0), restarted, member(2)];
     let cases = [
         ("three members join at once", first),
-        ("nothing changed", next_roster(&start, live.iter(), &three)),
+        ("nothing changed", next(&live, &three)),
         (
             "two members are dead according to membership only",
-            next_roster(&start, live.iter().take(1), &three),
+            next(&live[..1], &three),
         ),
         (
             "the platform does not list a fourth member yet",
-            next_roster(&start, live.iter().chain(&[member(3)]), &three),
-        ),
-        (
-            "a VM is gone",
-            next_roster(
-                &start,
-                live.iter(),
-                &vms(&[(0, vm(0, false)), (2, vm(0, false))]),
-            ),
-        ),
-        (
-            "a VM is leaving",
-            next_roster(
-                &start,
-                live.iter(),
-                &vms(&[(0, vm(0, false)), (1, vm(0, true)), (2, vm(0, false))]),
-            ),
+            next(&more, &three),
         ),
+        ("a VM is gone", next(&live, &gone)),
+        ("a VM is leaving", next(&live, &leaving)),
         (
             "an entry restarted, the platform does not report its incarnation",
-            next_roster(
-                &start,
-                [member(0), restarted.clone(), member(2)].iter(),
-                &three,
-            ),
+            next(&again, &three),
         ),
         (
             "an entry restarted, the platform reports the new incarnation",
-            next_roster(
-                &start,
-                [member(0), restarted, member(2)].iter(),
-                &vms(&[(0, vm(0, false)), (1, vm(2, false)), (2, vm(0, false))]),
-            ),
+            next(&again, &reported),
         ),
     ];
     let lines: Vec<_> = cases
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -69,6 +69,15 @@
     }
 }
 
+/// Returns a poll of the changes after revision 3.
+fn poll() -> Poll {
+    Poll {
+        after: Position::new(Era(0), Revision(3)),
+        wait: Millis(500),
+        timeout: Millis(1_000),
+    }
+}
+
 fn item(key: &str, value: &str) -> String {
     let value = STANDARD.encode(value);
     format!(r#"{{"key":"{key}","value":"{value}","revision":5,"created":5,"lease":0}}"#)
@@ -163,12 +172,7 @@
     ];
     let text = format!(r#"{{"events":[{}],"at_rev":20}}"#, events.join(","));
     let store = store(vec![("GET /kv-watch", 200, text)]);
-    let poll = Poll {
-        after: Position::new(Era(0), Revision(3)),
-        wait: Millis(500),
-        timeout: Millis(1_000),
-    };
-    let polled = (store.platform.poll)(poll).await.expect("a batch");
+    let polled = (store.platform.poll)(poll()).await.expect("a batch");
     insta::assert_debug_snapshot!(polled.batch);
 }
 
@@ -182,12 +186,7 @@
         let events = item("op/config", &config);
         let text = format!(r#"{{"events":[{events}],"at_rev":20}}"#);
         let store = store(vec![("GET /kv-watch", 200, text)]);
-        let poll = Poll {
-            after: Position::new(Era(0), Revision(3)),
-            wait: Millis(500),
-            timeout: Millis(1_000),
-        };
-        let batch = (store.platform.poll)(poll).await.expect("a batch");
+        let batch = (store.platform.poll)(poll()).await.expect("a batch");
         for change in &batch.batch.changes {
             let Change::Configured(config) = change else {
                 lines.push(format!("{kind}: {change:?}"));
@@ -232,12 +231,7 @@
         (120, 8_000),
     ] {
         let store = store(vec![("GET /kv-watch", 200, heartbeats(count, length))]);
-        let poll = Poll {
-            after: Position::new(Era(0), Revision(3)),
-            wait: Millis(500),
-            timeout: Millis(1_000),
-        };
-        let has_more = (store.platform.poll)(poll).await.map(|b| b.has_more);
+        let has_more = (store.platform.poll)(poll()).await.map(|b| b.has_more);
         lines.push(format!("{count} items of {length} bytes: {has_more:?}"));
     }
     insta::assert_snapshot!(lines.join("\n"), @r"
@@ -288,17 +282,12 @@
         az: "a-1".parse().expect("a name"),
         region: "north".parse().expect("a name"),
     };
-    let poll = Poll {
-        after: Position::new(Era(0), Revision(3)),
-        wait: Millis(500),
-        timeout: Millis(1_000),
-    };
     let p = &store.platform;
     let mut results = Vec::new();
     for _ in 0..3 {
         results.push(format!(
             "{:?}",
-            (p.poll)(poll).await.map(|b| b.batch.position.revision)
+            (p.poll)(poll()).await.map(|b| b.batch.position.revision)
         ));
     }
     results.push(format!("{:?}", (p.renew)(lease(7)).await));
--- a/tests/stop.rs
+++ b/tests/stop.rs
@@ -5,40 +5,19 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use http::{HeaderValue, Request, Response};
-use savorybeam::{
-    adapters::http::{self as web, Limits, Server},
-    app::gateway::Gateway,
-    domain::{Millis, RequestKind, RouteRule},
-    ports::Change,
-};
+use savorybeam::{adapters::http::Server, app::gateway::Gateway, domain::Millis, ports::Change};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
     task::JoinHandle,
     time::{Instant, sleep, sleep_until},
 };
-use volo_http::{body::Body, server::Router};
+
+use vm::late;
 
 /// The time within which a stopped process must have ended.
 const GRACE_PERIOD: Millis = Millis(6_000);
 
-/// The timeout of each route, which lies behind the end of a stopping process.
-const ROUTE_TIMEOUT: Millis = Millis(10_000);
-
-/// Answers a request after the number of milliseconds that the path ends in.
-async fn respond(req: Request<Body>) -> Response<Body> {
-    let delay = req.uri().path().rsplit('/').next().expect("a delay");
-    let delay = Duration::from_millis(delay.parse().expect("a number"));
-    sleep(delay).await;
-    let mut resp = Response::new(Body::from("done"));
-    let id = req.headers().get("request-id").cloned();
-    let head = resp.headers_mut();
-    head.insert("request-id", id.expect("a request id"));
-    head.insert("server-seal", HeaderValue::from_static("seal"));
-    resp
-}
-
 /// A gateway in front of one target, whose stop has begun.
 struct Stop {
     front: SocketAddr,
@@ -49,21 +28,9 @@
 
 /// Starts a gateway and one target.
 async fn open() -> (Gateway, Server) {
-    let any_port = "127.0.0.1:0".parse().expect("an address");
-    let router = Router::new().fallback(respond);
-    let target = web::bind(any_port, Limits::default(), router).await;
-    let target = target.expect("a port");
-    let rule = |kind, prefix| RouteRule {
-        timeout: ROUTE_TIMEOUT,
-        objective: Millis(2_000),
-        ..vm::rule(kind, prefix)
-    };
-    let rules = vec![
-        rule(RequestKind::Idempotent, "/browse/"),
-        rule(RequestKind::Once, "/pay/"),
-    ];
+    let target = late::serve_paths(|_| ()).await;
     let changes = vec![
-        vm::configured(1, rules),
+        vm::configured(1, late::rules()),
         Change::Registered(vm::instance("i-1", target.addr())),
     ];
     let mut settings = vm::settings("edge-1");
--- a/tests/stop_edges.rs
+++ b/tests/stop_edges.rs
@@ -11,11 +11,11 @@
     time::Duration,
 };
 
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Response, StatusCode};
 use savorybeam::{
-    adapters::http::{self as web, Limits, Server},
+    adapters::http::Server,
     app::gateway::Gateway,
-    domain::{Instance, Millis, Presence, RequestKind, RouteRule, Slots},
+    domain::{Instance, Millis, Presence, Slots},
     ports::Change,
 };
 use tokio::{
@@ -24,7 +24,9 @@
     sync::Notify,
     time::{Instant, sleep, sleep_until, timeout},
 };
-use volo_http::{body::Body, server::Router};
+use volo_http::body::Body;
+
+use vm::late;
 
 /// The time within which a stopped process must have ended.
 const GRACE_PERIOD: Millis = Millis(6_000);
@@ -32,38 +34,11 @@
 /// The paths that a target has run.
 type Runs = Arc<Mutex<Vec<String>>>;
 
-/// A target that answers after the number of milliseconds that the path ends in.
+/// Starts a target that answers after the number of milliseconds that the path ends in.
 async fn target(runs: &Runs) -> Server {
     let runs = runs.clone();
-    serve(move |req| {
-        let path = req.uri().path().to_owned();
-        let delay = path.rsplit('/').next().expect("a delay").parse();
-        runs.lock().expect("paths").push(path);
-        let delay = Duration::from_millis(delay.expect("a number"));
-        (delay, Response::new(Body::from("done")))
-    })
-    .await
-}
-
-/// A target that answers with the response that `plan` returns, after the time
-/// that it returns.
-async fn serve(
-    plan: impl Fn(&Request<Body>) -> (Duration, Response<Body>) + Clone + Send + Sync + 'static,
-) -> Server {
-    let handler = move |req: Request<Body>| {
-        let (delay, mut resp) = plan(&req);
-        async move {
-            sleep(delay).await;
-            let id = req.headers().get("request-id").cloned();
-            let head = resp.headers_mut();
-            head.insert("request-id", id.expect("a request id"));
-            head.insert("server-seal", HeaderValue::from_static("seal"));
-            resp
-        }
-    };
-    let router = Router::new().fallback(handler);
-    let server = web::bind(vm::ANY_PORT, Limits::default(), router).await;
-    server.expect("a port")
+    let ran = move |path: &str| runs.lock().expect("paths").push(path.to_owned());
+    late::serve_paths(ran).await
 }
 
 /// Returns a registration with enough slots for all requests of a test.
@@ -77,17 +52,8 @@
 /// Starts a gateway in front of a target. `withdrawal` is the time that the
 /// store takes to withdraw its announcement.
 async fn open(addr: SocketAddr, entries: Vec<Presence>, withdrawal: Duration) -> Gateway {
-    let rule = |kind, prefix| RouteRule {
-        timeout: Millis(10_000),
-        objective: Millis(2_000),
-        ..vm::rule(kind, prefix)
-    };
-    let rules = vec![
-        rule(RequestKind::Idempotent, "/browse/"),
-        rule(RequestKind::Once, "/pay/"),
-    ];
     let mut changes = vec![
-        vm::configured(1, rules),
+        vm::configured(1, late::rules()),
         Change::Registered(registration("i-1", addr)),
     ];
     changes.extend(entries.into_iter().map(Change::Joined));
@@ -189,7 +155,7 @@
 /// the process ends before the deadline of the request.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn no_further_attempt_begins_late_in_a_stop() {
-    let rejecting = serve(|_| {
+    let rejecting = late::serve(|_| {
         let mut resp = Response::new(Body::empty());
         *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         resp.headers_mut()
@@ -353,7 +319,7 @@
 /// complete to its caller, or if it is cut before that.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_streamed_response_is_cut_visibly() {
-    let streaming = serve(|_| {
+    let streaming = late::serve(|_| {
         let parts = futures::stream::unfold(0, |n| async move {
             if n > 0 {
                 sleep(Duration::from_millis(500)).await;
--- a/tests/store/standin.rs
+++ b/tests/store/standin.rs
@@ -1,10 +1,12 @@
 //! Starts `examples/store_standin` as a child process.
 
+#[path = "../harness/example.rs"]
+mod example;
+
 use std::{
-    io::{BufRead, BufReader, Read, Write},
+    io::{Read, Write},
     net::{SocketAddr, TcpStream},
-    path::PathBuf,
-    process::{Child, Command, Stdio},
+    process::Child,
 };
 
 /// A running stand-in. The process is killed when the value is dropped.
@@ -18,29 +20,11 @@
 impl Standin {
     /// Starts a stand-in on free ports.
     pub fn spawn() -> Self {
-        let mut child = Command::new(binary_path())
-            .args(["--listen", "127.0.0.1:0", "--control", "127.0.0.1:0"])
-            // Makes it exit when its standard input is closed, which also
-            // happens if this process is killed.
-            .arg("--until-eof")
-            .stdin(Stdio::piped())
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the stand-in starts; build it with: cargo build --examples");
-        let output = child.stdout.take().expect("the output is piped");
-        let mut line = String::new();
-        BufReader::new(output)
-            .read_line(&mut line)
-            .expect("the stand-in prints its addresses");
-        let ready: serde_json::Value = serde_json::from_str(&line).expect("the line is JSON");
-        let address = |name: &str| {
-            let text = ready[name].as_str().expect("the address is text");
-            text.parse().expect("the address is valid")
-        };
+        let (child, address, control) = example::spawn_store();
         Self {
             child,
-            control: address("control"),
-            address: address("listen"),
+            control,
+            address,
         }
     }
 
@@ -79,14 +63,3 @@
         let _ = self.child.wait();
     }
 }
-
-/// Returns the path of the example's binary. Cargo puts test binaries into
-/// `deps` and examples into `examples` next to it.
-fn binary_path() -> PathBuf {
-    let test = std::env::current_exe().expect("the test has a path");
-    let deps = test.parent().expect("the test binary is in a directory");
-    let profile = deps
-        .parent()
-        .expect("the directory is in the profile's directory");
-    profile.join("examples").join("store_standin")
-}
--- a/tests/vm/mod.rs
+++ b/tests/vm/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod entry;
+pub mod late;
 pub mod raw;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
--- a/tests/workspace.rs
+++ b/tests/workspace.rs
@@ -28,7 +28,7 @@
         RouteRule, Workspace,
     },
     policy::route::Table,
-    ports::{Batch, Change, Platform, PlatformError, Poll, Targets, VmSettings},
+    ports::{Batch, Change, Platform, Poll, Targets, VmSettings},
 };
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
@@ -295,12 +295,7 @@
     let platform = Platform {
         poll: Arc::new(move |asked: Poll| {
             if down.load(SeqCst) {
-                let error = PlatformError::Failed {
-                    step: "poll",
-                    peer: vm::ANY_PORT,
-                    cause: "down".to_owned(),
-                };
-                return Box::pin(async { Err(error) });
+                return Box::pin(async { Err(entry::store_failure("poll")) });
             }
             poll(Poll {
                 wait: Millis(100),
