Add unused capacity of a quota to its rate

A workspace that asks for more than its quota all the time got only its rate, although a window has the burst as well. Buckets now add the capacity that was not used for a window, evenly and at most the burst, as long as level, tokens in use and surplus are at most the capacity for each beginning in the window.

--- a/src/policy/quota/bucket.rs
+++ b/src/policy/quota/bucket.rs
@@ -1,6 +1,8 @@
 //! The token bucket of one workspace at a granter.
 
-use super::{ASK_PERIOD, Limit, Room, TOKEN_VALIDITY, recent::Recent, usage::Usage};
+use super::{
+    ASK_PERIOD, Limit, Room, TOKEN_VALIDITY, recent::Recent, surplus::Surplus, usage::Usage,
+};
 use crate::domain::Millis;
 
 /// The time for which a granter keeps tokens in reserve for its own region.
@@ -31,6 +33,9 @@
     rate: f64,
     /// The capacity of these parts.
     capacity: f64,
+    /// The maximum surplus of these parts, in tokens per second.
+    surplus_rate: f64,
+    surplus: Surplus,
     level: f64,
     filled_at: Millis,
     /// The tokens that were granted, to other granters as well.
@@ -52,6 +57,8 @@
             limit,
             rate: 0.0,
             capacity: 0.0,
+            surplus_rate: 0.0,
+            surplus: Surplus::default(),
             level: 0.0,
             filled_at: now,
             granted: Recent::default(),
@@ -66,16 +73,21 @@
     pub fn refill(&mut self, now: Millis) {
         self.granted.expire(now);
         self.added.expire(now);
-        let earned = self.rate * seconds(now - self.filled_at);
+        let time = seconds(now - self.filled_at);
         self.filled_at = self.filled_at.max(now);
-        self.raise(earned);
+        let (window, most) = (self.limit.window, self.surplus_rate * time);
+        let surplus = self.surplus.add(now, window, self.capacity, most);
+        self.raise(self.rate * time + surplus);
     }
 
     fn raise(&mut self, tokens: f64) {
         let income = self.rate * seconds(TOKEN_VALIDITY) + f64::from(self.added.sum());
         let outstanding = f64::from(self.granted.sum()) - income;
-        let ceiling = self.capacity - outstanding.max(0.0);
+        let outstanding = outstanding.max(0.0);
+        let ceiling = self.capacity - outstanding;
         self.level = (self.level + tokens).min(ceiling).max(0.0);
+        self.surplus
+            .record(self.filled_at, self.level + outstanding);
     }
 
     /// Returns the limit.
@@ -91,9 +103,12 @@
     /// Sets the part of the limit that the granter holds, and its capacity. The level is
     /// cut to it.
     pub fn set_share(&mut self, part: f64, capacity: f64) {
+        let gained = (capacity - self.capacity).max(0.0);
         self.rate = self.limit.rate * part;
+        self.surplus_rate = self.limit.surplus_rate() * part;
         self.capacity = capacity;
         self.raise(0.0);
+        self.surplus.count_as_used(gained);
     }
 
     /// Records requests that ask for a token.
--- a/src/policy/quota/limit.rs
+++ b/src/policy/quota/limit.rs
@@ -1,7 +1,7 @@
 //! The limit of the buckets of one workspace, derived from its quota.
 
 use super::{TOKEN_VALIDITY, TRANSFER_VALIDITY};
-use crate::domain::{Bounds, Quota};
+use crate::domain::{Bounds, Millis, Quota};
 
 /// The fraction of the capacity that is used. The rest covers entries that do not know
 /// of each other yet.
@@ -14,6 +14,10 @@
     pub rate: f64,
     /// The maximum number of tokens.
     pub capacity: f64,
+    /// The maximum surplus in a window, in tokens.
+    surplus: f64,
+    /// The time over which the surplus is counted.
+    pub(super) window: Millis,
 }
 
 impl Limit {
@@ -33,9 +37,19 @@
         let regular = rate * seconds(window.0) + quota.burst.max(0.0);
         let allowed = regular * (1.0 + bounds.quota_overshoot) + bounds.quota_slack;
         let capacity = (allowed - rate * seconds(covered.0)) * USED_FRACTION;
+        let capacity = capacity.max(1.0);
         Self {
             rate,
-            capacity: capacity.max(1.0),
+            capacity,
+            // A window has the burst beyond the rate, also if it is used steadily.
+            surplus: quota.burst.clamp(0.0, capacity),
+            window: covered,
         }
     }
+
+    /// Returns the surplus in tokens per second.
+    #[expect(clippy::cast_precision_loss)]
+    pub(super) fn surplus_rate(&self) -> f64 {
+        self.surplus * 1_000.0 / self.window.0.max(1) as f64
+    }
 }
--- a/src/policy/quota/mod.rs
+++ b/src/policy/quota/mod.rs
@@ -19,6 +19,7 @@
 mod message;
 mod recent;
 mod rounds;
+mod surplus;
 mod usage;
 
 use choose::GranterSelector;
--- a/tests/quota/main.rs
+++ b/tests/quota/main.rs
@@ -112,6 +112,24 @@
     assert_snapshot!(rows.collect::<Vec<_>>().join("\n"));
 }
 
+/// Fails if a workspace that asks for more than its quota all the time gets less in each
+/// window than its rate and nearly its burst, or more than the bounds allow.
+#[test]
+fn a_steady_excess_gets_rate_and_burst() {
+    let mut lines = Vec::new();
+    for count in [1, 9, 68, 295] {
+        let mut world = World::new(5, count, vec![quota(120.0), quota(12.0)]);
+        for (workspace, rate) in [(0, 240.0), (1, 40.0)] {
+            evenly(&mut world, workspace, rate, 5 * SECOND, 35 * SECOND);
+        }
+        world.run(36 * SECOND);
+        let rows = (0..2).map(|w| world.summary(w..=w));
+        lines.push(format!("{count}\n{}", rows.collect::<Vec<_>>().join("\n")));
+        assert!(world.worst_peak() <= 1.0, "{count}: {}", world.worst_peak());
+    }
+    assert_snapshot!(lines.join("\n"));
+}
+
 /// Plays a workspace at twice its quota and one below it, beside a fault at 10 s.
 fn with_fault(fault: impl FnOnce(&mut World) + 'static) -> String {
     let mut world = World::new(3, 24, vec![quota(100.0), quota(60.0)]);
@@ -207,13 +225,19 @@
     world.unknown_from = count - usize::from(unknown);
     world.refresh_views();
     for (workspace, rate) in rates.iter().enumerate() {
-        let rate = rate * rng.random_range(1.5..6.0);
-        evenly(&mut world, workspace, rate, 3 * SECOND, 15 * SECOND);
+        // Requests in a row, and a pause after which all of the burst may be used.
+        let mut from = 3 * SECOND;
+        while from < 24 * SECOND {
+            let rate = rate * rng.random_range(1.5..6.0);
+            let until = from + rng.random_range(SECOND..14 * SECOND);
+            evenly(&mut world, workspace, rate, from, until.min(24 * SECOND));
+            from = until + rng.random_range(0..4 * SECOND);
+        }
     }
     for _ in 0..rng.random_range(0..8) {
         let (node, kind) = (rng.random_range(0..count), rng.random_range(0..5));
         let length = rng.random_range(50..4_000);
-        let at = rng.random_range(0..12 * SECOND);
+        let at = rng.random_range(0..21 * SECOND);
         world.fault(at, move |world| match kind {
             0 => {
                 world.kill(node);
@@ -238,7 +262,7 @@
             }
         });
     }
-    world.run(16 * SECOND);
+    world.run(25 * SECOND);
     let allowed = f64::from(total) / f64::from(total - unknown);
     (world.worst_peak(), world.most_parts / allowed)
 }
