Log a workspace at its limit at granters only

Each entry that refused a request logged the line, so that 68 entries wrote up to 68 of them for each workspace. The bucket of a granter knows when a quota is used up, hence one line a region: 3 in the model with 9, 68 and 295 entries. The model keeps the first event after the end of a run, so that a run can go on.

--- a/src/app/gateway/quota/admission.rs
+++ b/src/app/gateway/quota/admission.rs
@@ -11,7 +11,7 @@
 
 use super::{Quotas, State, now};
 use crate::{
-    domain::{Millis, Quota, Rate, Workspace, WorkspaceName},
+    domain::{Millis, Quota, Workspace, WorkspaceName},
     policy::{
         quota::{ASK_TIMEOUT, Token},
         refusal::{Code, Refusal},
@@ -101,8 +101,7 @@
         token.ok().flatten()
     }
 
-    /// Returns the refusal of the request, and logs the first one of a workspace that
-    /// was below its limit.
+    /// Returns the refusal of the request.
     fn refusal(&self, id: Option<&HeaderValue>) -> Refusal {
         let (quotas, name, at) = (self.state.quotas(), &self.workspace.name, now(&self.state));
         let Quota { rate, burst } = self.quota;
@@ -111,16 +110,6 @@
             let refusal = Refusal::not_run(Code::QuotaUnavailable, detail);
             return refusal.retry_after(UNAVAILABLE_RETRY_AFTER);
         };
-        if let Some(usage) = quotas.holder.record_refusal(at, name) {
-            tracing::warn!(
-                workspace = %name,
-                limit = %rate,
-                burst,
-                usage_here = %Rate(usage.round()),
-                cause = "all tokens of the quota are used",
-                "quota: a workspace has reached its limit."
-            );
-        }
         let detail = format!("workspace {name}: the quota of {rate} and {burst} is used up");
         let retry_after = room.retry_after(id.map_or(at.0, |id| xxh3_64(id.as_bytes())));
         Refusal::not_run(Code::QuotaExceeded, detail).retry_after(retry_after)
--- a/src/app/gateway/quota/rounds.rs
+++ b/src/app/gateway/quota/rounds.rs
@@ -10,9 +10,9 @@
 
 use super::{Quotas, State, now};
 use crate::{
-    domain::{Bounds, Millis, Presence, Rate, RegionName, Revision, WorkspaceName},
+    domain::{Bounds, Millis, Presence, RegionName, Revision, WorkspaceName},
     policy::{
-        quota::{ASK_PERIOD, Answer, Call, Limit, PENDING_PERIOD, Rounds, View},
+        quota::{ASK_PERIOD, Answer, Call, Limit, LimitChange, PENDING_PERIOD, Rounds, View},
         route::Table,
     },
     ports::QuotaCall,
@@ -138,7 +138,8 @@
         }
     }
 
-    /// Updates the metrics and logs which workspaces are below their limits again.
+    /// Updates the metrics, and logs which workspaces have reached their limits at this
+    /// granter or are below them again.
     fn tidy(&mut self, table: &Table) {
         let at = now(&self.state);
         if at < self.tidied_at + TIDY_PERIOD {
@@ -148,21 +149,33 @@
         let metrics = &self.state.ports.metrics;
         metrics.tokens.clear();
         let held = |name: &WorkspaceName, held| metrics.add_tokens(name.as_str(), held);
-        self.quotas()
-            .holder
-            .tidy(at, |name, usage| log_below(table, name, usage), held);
+        self.quotas().holder.tidy(at, held);
+        let changes = self.quotas().granter().limit_changes(at);
+        for change in &changes {
+            log(table, change);
+        }
     }
 }
 
-fn log_below(table: &Table, name: &WorkspaceName, usage: f64) {
-    let quota = table.workspace_named(name).and_then(|w| w.quota);
-    tracing::info!(
-        workspace = %name,
-        limit = quota.map(|q| q.rate.to_string()),
-        burst = quota.map(|q| q.burst),
-        usage_here = %Rate(usage.round()),
-        "quota: a workspace is below its limit again."
-    );
+fn log(table: &Table, change: &LimitChange) {
+    let LimitChange {
+        workspace, usage, ..
+    } = change;
+    let quota = table.workspace_named(workspace).and_then(|w| w.quota);
+    let limit = quota.map(|q| q.rate.to_string());
+    let burst = quota.map(|q| q.burst);
+    if change.is_at_limit {
+        tracing::warn!(
+            %workspace, limit, burst, %usage,
+            cause = "all tokens of the quota are used",
+            "quota: a workspace has reached its limit."
+        );
+    } else {
+        tracing::info!(
+            %workspace, limit, burst, %usage,
+            "quota: a workspace is below its limit again."
+        );
+    }
 }
 
 /// Returns what this entry knows of the others.
--- a/src/policy/quota/bucket.rs
+++ b/src/policy/quota/bucket.rs
@@ -3,7 +3,7 @@
 use super::{
     ASK_PERIOD, Limit, Room, TOKEN_VALIDITY, recent::Recent, surplus::Surplus, usage::Usage,
 };
-use crate::domain::Millis;
+use crate::domain::{Millis, Rate};
 
 /// The time for which a granter keeps tokens in reserve for its own region.
 const RESERVE: Millis = Millis(600);
@@ -17,6 +17,9 @@
 /// The bounds of the time over which callers without a token should return.
 const SPREAD_MS: [f64; 2] = [500.0, 5_000.0];
 
+/// The time without a lack of tokens after which a workspace counts as below its limit.
+const BELOW_AFTER: Millis = Millis(5_000);
+
 /// The maximum time until the next token that is reported.
 const ROOM_MAX_MS: f64 = 10_000.0;
 
@@ -47,6 +50,10 @@
     pub short: bool,
     /// The time until which the other granters are known to have no tokens.
     dry_until: Millis,
+    /// The latest time at which the quota was known to be used up.
+    exhausted_at: Option<Millis>,
+    /// Whether the workspace counts as at its limit.
+    is_at_limit: bool,
 }
 
 impl Bucket {
@@ -66,6 +73,8 @@
             usage: Usage::default(),
             short: false,
             dry_until: Millis(0),
+            exhausted_at: None,
+            is_at_limit: false,
         }
     }
 
@@ -183,6 +192,9 @@
     pub fn record_exchange(&mut self, now: Millis) {
         if self.short && self.level < 1.0 {
             self.dry_until = now + ASK_PERIOD;
+            if self.room(now).is_some() {
+                self.exhausted_at = Some(now);
+            }
         }
         self.short = false;
     }
@@ -197,6 +209,20 @@
         self.short && !self.is_dry(now)
     }
 
+    /// Returns whether the workspace has reached its limit, or is below it again, since
+    /// the last call. None if neither.
+    pub fn limit_change(&mut self, now: Millis) -> Option<bool> {
+        let is_recent = |at: Millis| now < at + BELOW_AFTER;
+        let is_at_limit = self.exhausted_at.is_some_and(is_recent);
+        let was_at_limit = std::mem::replace(&mut self.is_at_limit, is_at_limit);
+        (is_at_limit != was_at_limit).then_some(is_at_limit)
+    }
+
+    /// Returns the rate of the requests that ask for tokens here.
+    pub fn usage(&self, now: Millis) -> Rate {
+        Rate(self.usage.rate(now).round())
+    }
+
     fn reserve(&self, now: Millis) -> f64 {
         let expected = self.usage.expected(now, RESERVE);
         expected
--- a/src/policy/quota/granter.rs
+++ b/src/policy/quota/granter.rs
@@ -7,11 +7,22 @@
     bucket::Bucket,
     crumbs::{entry_hash, holds_token},
 };
-use crate::domain::{EntryId, Millis, WorkspaceName};
+use crate::domain::{EntryId, Millis, Rate, WorkspaceName};
 
 /// The maximum number of entries whose parts are held.
 const DELEGATIONS_MAX: usize = 4_096;
 
+/// A workspace that has reached its limit at a granter, or is below it again.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitChange {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// Whether it is at its limit now.
+    pub is_at_limit: bool,
+    /// The rate of its requests that ask this granter.
+    pub usage: Rate,
+}
+
 /// The part of one entry.
 #[derive(Clone, Copy, Debug)]
 struct Delegation {
@@ -244,6 +255,21 @@
         }
     }
 
+    /// Returns the workspaces that have reached their limits, or are below them again,
+    /// since the last call. Only granters know that, so that an operator sees it once for
+    /// each region and not for each entry.
+    pub fn limit_changes(&mut self, now: Millis) -> Vec<LimitChange> {
+        let change = |(name, bucket): (&WorkspaceName, &mut Bucket)| {
+            let is_at_limit = bucket.limit_change(now)?;
+            Some(LimitChange {
+                workspace: name.clone(),
+                is_at_limit,
+                usage: bucket.usage(now),
+            })
+        };
+        self.buckets.iter_mut().filter_map(change).collect()
+    }
+
     /// Ends the delegations that are over. The level is cut to what is left at that
     /// moment, so that a part which comes back later starts without tokens.
     fn advance(&mut self, now: Millis) {
--- a/src/policy/quota/holder.rs
+++ b/src/policy/quota/holder.rs
@@ -15,9 +15,6 @@
 /// The time without a request after which a workspace is forgotten.
 const IDLE_TIMEOUT: Millis = Millis(10_000);
 
-/// The time without a refusal after which a workspace counts as below its limit.
-const BELOW_AFTER: Millis = Millis(5_000);
-
 /// The right to send one request of a workspace to a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Token {
@@ -71,8 +68,6 @@
     is_pending: bool,
     /// The latest statement that the quota is used up, and until when it counts.
     exhausted: Option<(Millis, Room)>,
-    /// The time of the latest refusal while the workspace counts as at its limit.
-    refused_at: Option<Millis>,
 }
 
 impl Hand {
@@ -233,33 +228,12 @@
         pending
     }
 
-    /// Records that a request was refused because the quota is used up. Returns the rate
-    /// of its requests at this entry if the workspace was below its limit until now.
-    #[must_use]
-    pub fn record_refusal(&self, now: Millis, name: &WorkspaceName) -> Option<f64> {
-        let rate = self.hands.get(name, |hand| {
-            let was_below = hand.refused_at.replace(now).is_none();
-            was_below.then(|| hand.usage.rate(now))
-        });
-        rate.flatten()
-    }
-
-    /// Forgets idle workspaces. Calls `below` for each workspace that is below its limit
-    /// again, and `held` with the number of its tokens.
-    pub fn tidy(
-        &self,
-        now: Millis,
-        mut below: impl FnMut(&WorkspaceName, f64),
-        mut held: impl FnMut(&WorkspaceName, u32),
-    ) {
+    /// Forgets idle workspaces. Calls `held` with the number of tokens of each workspace.
+    pub fn tidy(&self, now: Millis, mut held: impl FnMut(&WorkspaceName, u32)) {
         let mut idle = Vec::new();
         self.hands.each(|name, hand| {
             hand.expire(now);
             held(name, hand.held());
-            if hand.refused_at.is_some_and(|at| at + BELOW_AFTER <= now) {
-                hand.refused_at = None;
-                below(name, hand.usage.rate(now));
-            }
             if hand.waiting == 0 && hand.last_request + IDLE_TIMEOUT <= now {
                 idle.push(name.clone());
             }
--- a/src/policy/quota/mod.rs
+++ b/src/policy/quota/mod.rs
@@ -24,7 +24,7 @@
 
 use choose::GranterSelector;
 use delegating::Delegating;
-pub use granter::Granter;
+pub use granter::{Granter, LimitChange};
 pub use holder::{Holder, Shortage, Token};
 pub use limit::Limit;
 pub use message::{Answer, Ask, Echo, Grant, NEEDS_MAX, Need, Room};
--- a/tests/quota/main.rs
+++ b/tests/quota/main.rs
@@ -65,11 +65,16 @@
 fn others_are_served_beside_a_hot_workspace() {
     for count in [1, 9, 68, 295] {
         let total = if count == 295 { 600.0 } else { 1_200.0 };
-        let world = hot(count, total, 6.0);
+        let mut world = hot(count, total, 6.0);
         insta::with_settings!({snapshot_suffix => count.to_string()}, {
             assert_snapshot!("hot", report(&world));
         });
         assert!(world.worst_peak() <= 1.0, "{count}: {}", report(&world));
+        // Fails if an operator gets a line of each entry for one workspace at its limit.
+        let changes: Vec<_> = world.limit_changes();
+        assert_eq!(changes, vec![(0, true); 3.min(count)], "{count}");
+        world.run(20 * SECOND);
+        assert_eq!(world.limit_changes(), vec![(0, false); 3.min(count)]);
     }
 }
 
--- a/tests/quota/world.rs
+++ b/tests/quota/world.rs
@@ -319,10 +319,11 @@
     }
 
     pub fn run(&mut self, until: u64) {
-        while let Some(Reverse((at, id))) = self.queue.pop() {
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
             if at.0 >= until {
                 return;
             }
+            self.queue.pop();
             self.now = at;
             let Some(event) = self.events.remove(&id) else {
                 continue;
@@ -592,6 +593,20 @@
         most / (regular * (1.0 + self.bounds.quota_overshoot) + self.bounds.quota_slack)
     }
 
+    /// Returns the workspaces that have reached their limits at an entry, or are below
+    /// them again.
+    pub fn limit_changes(&mut self) -> Vec<(usize, bool)> {
+        let now = self.now;
+        let changes = self.nodes.iter_mut().flat_map(|node| {
+            let changes = node.granter.limit_changes(now + Millis(node.origin));
+            changes.into_iter().map(|c| (c.workspace, c.is_at_limit))
+        });
+        let index = |name| self.names.iter().position(|n| *n == name);
+        changes
+            .filter_map(|(name, reached)| Some((index(name)?, reached)))
+            .collect()
+    }
+
     /// Returns the largest peak of all workspaces.
     pub fn worst_peak(&self) -> f64 {
         let peaks = self.quotas.iter().enumerate();
