--- a/src/app/entry/quota.rs
+++ b/src/app/entry/quota.rs
@@ -171,15 +171,15 @@
 
 /// Logs which workspaces are below their limits again, and forgets idle ones.
 pub(super) fn tidy(state: &State) {
-    let below = |subject: &WorkspaceName, usage: f64| {
+    let now = (state.ports.clock.now)();
+    for (subject, usage) in state.usage.take_below(now) {
         tracing::info!(
             workspace = %subject,
             usage_here = %Rate(usage.round()),
             "quota: a workspace is below its limit again."
         );
-    };
-    let now = (state.ports.clock.now)();
-    state.usage.tidy(now, below, |_, _| {});
+    }
+    state.usage.tidy(now, |_, _| {});
 }
 
 /// Returns the name under which the usage of a workspace is kept. Workspaces of different
--- a/src/policy/quota/bucket.rs
+++ b/src/policy/quota/bucket.rs
@@ -1,7 +1,9 @@
 //! The token bucket of one workspace at a granter.
 
-use super::{ASK_PERIOD, Limit, Room, TOKEN_VALIDITY, recent::Recent, usage::Usage};
-use crate::domain::Millis;
+use super::{
+    ASK_PERIOD, Limit, Room, TOKEN_VALIDITY, recent::Recent, surplus::Surplus, usage::Usage,
+};
+use crate::domain::{Millis, Rate};
 
 /// The time for which a granter keeps tokens in reserve for its own region.
 const RESERVE: Millis = Millis(600);
@@ -15,6 +17,9 @@
 /// The bounds of the time over which callers without a token should return.
 const SPREAD_MS: [f64; 2] = [500.0, 5_000.0];
 
+/// The time without a lack of tokens after which a workspace counts as below its limit.
+const BELOW_AFTER: Millis = Millis(5_000);
+
 /// The maximum time until the next token that is reported.
 const ROOM_MAX_MS: f64 = 10_000.0;
 
@@ -31,6 +36,9 @@
     rate: f64,
     /// The capacity of these parts.
     capacity: f64,
+    /// The maximum surplus of these parts, in tokens per second.
+    surplus_rate: f64,
+    surplus: Surplus,
     level: f64,
     filled_at: Millis,
     /// The tokens that were granted, to other granters as well.
@@ -42,6 +50,10 @@
     pub short: bool,
     /// The time until which the other granters are known to have no tokens.
     dry_until: Millis,
+    /// The latest time at which the quota was known to be used up.
+    exhausted_at: Option<Millis>,
+    /// Whether the workspace counts as at its limit.
+    is_at_limit: bool,
 }
 
 impl Bucket {
@@ -52,6 +64,8 @@
             limit,
             rate: 0.0,
             capacity: 0.0,
+            surplus_rate: 0.0,
+            surplus: Surplus::default(),
             level: 0.0,
             filled_at: now,
             granted: Recent::default(),
@@ -59,6 +73,8 @@
             usage: Usage::default(),
             short: false,
             dry_until: Millis(0),
+            exhausted_at: None,
+            is_at_limit: false,
         }
     }
 
@@ -66,16 +82,21 @@
     pub fn refill(&mut self, now: Millis) {
         self.granted.expire(now);
         self.added.expire(now);
-        let earned = self.rate * seconds(now - self.filled_at);
+        let time = seconds(now - self.filled_at);
         self.filled_at = self.filled_at.max(now);
-        self.raise(earned);
+        let (window, most) = (self.limit.window, self.surplus_rate * time);
+        let surplus = self.surplus.add(now, window, self.capacity, most);
+        self.raise(self.rate * time + surplus);
     }
 
     fn raise(&mut self, tokens: f64) {
         let income = self.rate * seconds(TOKEN_VALIDITY) + f64::from(self.added.sum());
         let outstanding = f64::from(self.granted.sum()) - income;
-        let ceiling = self.capacity - outstanding.max(0.0);
+        let outstanding = outstanding.max(0.0);
+        let ceiling = self.capacity - outstanding;
         self.level = (self.level + tokens).min(ceiling).max(0.0);
+        self.surplus
+            .record(self.filled_at, self.level + outstanding);
     }
 
     /// Returns the limit.
@@ -91,9 +112,12 @@
     /// Sets the part of the limit that the granter holds, and its capacity. The level is
     /// cut to it.
     pub fn set_share(&mut self, part: f64, capacity: f64) {
+        let gained = (capacity - self.capacity).max(0.0);
         self.rate = self.limit.rate * part;
+        self.surplus_rate = self.limit.surplus_rate() * part;
         self.capacity = capacity;
         self.raise(0.0);
+        self.surplus.count_as_used(gained);
     }
 
     /// Records requests that ask for a token.
@@ -168,6 +192,9 @@
     pub fn record_exchange(&mut self, now: Millis) {
         if self.short && self.level < 1.0 {
             self.dry_until = now + ASK_PERIOD;
+            if self.room(now).is_some() {
+                self.exhausted_at = Some(now);
+            }
         }
         self.short = false;
     }
@@ -182,6 +209,20 @@
         self.short && !self.is_dry(now)
     }
 
+    /// Returns whether the workspace has reached its limit, or is below it again, since
+    /// the last call. None if neither.
+    pub fn limit_change(&mut self, now: Millis) -> Option<bool> {
+        let is_recent = |at: Millis| now < at + BELOW_AFTER;
+        let is_at_limit = self.exhausted_at.is_some_and(is_recent);
+        let was_at_limit = std::mem::replace(&mut self.is_at_limit, is_at_limit);
+        (is_at_limit != was_at_limit).then_some(is_at_limit)
+    }
+
+    /// Returns the rate of the requests that ask for tokens here.
+    pub fn usage(&self, now: Millis) -> Rate {
+        Rate(self.usage.rate(now).round())
+    }
+
     fn reserve(&self, now: Millis) -> f64 {
         let expected = self.usage.expected(now, RESERVE);
         expected
--- a/src/policy/quota/holder.rs
+++ b/src/policy/quota/holder.rs
@@ -71,7 +71,7 @@
     is_pending: bool,
     /// The latest statement that the quota is used up, and until when it counts.
     exhausted: Option<(Millis, Room)>,
-    /// The time of the latest refusal while the workspace counts as at its limit.
+    /// The time of the latest recorded refusal while the workspace counts as at its limit.
     refused_at: Option<Millis>,
 }
 
@@ -122,8 +122,6 @@
     pub rate: f64,
     /// The tokens at hand.
     pub tokens: u32,
-    /// Whether requests were refused lately because the quota is used up.
-    pub is_at_limit: bool,
 }
 
 /// The tokens of all workspaces at one entry.
@@ -201,7 +199,6 @@
             HandStatus {
                 rate: hand.usage.rate(now),
                 tokens: hand.held(),
-                is_at_limit: hand.refused_at.is_some(),
             }
         });
         status.unwrap_or_default()
@@ -258,8 +255,9 @@
         pending
     }
 
-    /// Records that a request was refused because the quota is used up. Returns the rate
-    /// of its requests at this entry if the workspace was below its limit until now.
+    /// Records that a request was refused because the limit is used up, where no granter
+    /// knows that. Returns the rate of the workspace's requests at this entry if it was
+    /// below its limit until now.
     #[must_use]
     pub fn record_refusal(&self, now: Millis, name: &WorkspaceName) -> Option<f64> {
         let rate = self.hands.get(name, |hand| {
@@ -269,22 +267,26 @@
         rate.flatten()
     }
 
-    /// Forgets idle workspaces. Calls `below` for each workspace that is below its limit
-    /// again, and `held` with the number of its tokens.
-    pub fn tidy(
-        &self,
-        now: Millis,
-        mut below: impl FnMut(&WorkspaceName, f64),
-        mut held: impl FnMut(&WorkspaceName, u32),
-    ) {
-        let mut idle = Vec::new();
+    /// Returns the workspaces that are below their limits again, with the rates of their
+    /// requests.
+    #[must_use]
+    pub fn take_below(&self, now: Millis) -> Vec<(WorkspaceName, f64)> {
+        let mut below = Vec::new();
         self.hands.each(|name, hand| {
-            hand.expire(now);
-            held(name, hand.held());
             if hand.refused_at.is_some_and(|at| at + BELOW_AFTER <= now) {
                 hand.refused_at = None;
-                below(name, hand.usage.rate(now));
+                below.push((name.clone(), hand.usage.rate(now)));
             }
+        });
+        below
+    }
+
+    /// Forgets idle workspaces. Calls `held` with the number of tokens of each workspace.
+    pub fn tidy(&self, now: Millis, mut held: impl FnMut(&WorkspaceName, u32)) {
+        let mut idle = Vec::new();
+        self.hands.each(|name, hand| {
+            hand.expire(now);
+            held(name, hand.held());
             if hand.waiting == 0 && hand.last_request + IDLE_TIMEOUT <= now {
                 idle.push(name.clone());
             }
--- a/src/policy/quota/mod.rs
+++ b/src/policy/quota/mod.rs
@@ -19,11 +19,12 @@
 mod message;
 mod recent;
 mod rounds;
+mod surplus;
 mod usage;
 
 use choose::GranterSelector;
 use delegating::Delegating;
-pub use granter::Granter;
+pub use granter::{Granter, LimitChange};
 pub use holder::{HandStatus, Holder, Shortage, Token};
 pub use limit::Limit;
 pub use message::{Answer, Ask, Echo, Grant, NEEDS_MAX, Need, Room};
