--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -212,6 +212,7 @@
         vec!["entry"],
         vec!["explain"],
         vec!["gateway"],
+        vec!["key-digest"],
         vec!["status"],
         vec!["timeline"],
     ];
