--- a/src/app/entry/quota.rs
+++ b/src/app/entry/quota.rs
@@ -185,7 +185,8 @@
 /// Returns the name under which the usage of a workspace is kept. Workspaces of different
 /// services may have one name.
 fn subject(limit: &LimitName) -> WorkspaceName {
-    let name = limit.as_str().trim_start_matches("workspace/");
+    let name = limit.as_str();
+    let name = name.split_once('/').map_or(name, |(_, rest)| rest);
     // A limit's name is printable ASCII and not longer than that of a workspace.
     name.parse().unwrap_or_else(|e| unreachable!("{e}"))
 }
