Test when refused callers of a workspace return

Retry-After was only tested for being there. At three times the quota a token is there at the named time and not 2 ms before it, and those that are refused in a second return over three seconds.

--- a/tests/quota/main.rs
+++ b/tests/quota/main.rs
@@ -9,8 +9,13 @@
 use insta::assert_snapshot;
 use quickcheck::{QuickCheck, TestResult};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use savorybeam::domain::{Millis, Quota};
+use savorybeam::{
+    domain::{EntryId, Millis, Quota, WorkspaceName},
+    policy::quota::{Ask, Granter, Limit, Need},
+};
+use std::sync::Arc;
 use world::{Demand, World, quota};
+use xxhash_rust::xxh3::xxh3_64;
 
 const SECOND: u64 = 1_000;
 
@@ -135,6 +140,50 @@
     assert_snapshot!(lines.join("\n"));
 }
 
+/// Fails if callers are sent back before there is a token, long after it, or at one
+/// moment: those that are refused in a second return over three at three times the quota.
+#[test]
+fn refused_callers_return_when_there_is_room() {
+    let name: WorkspaceName = "w0".parse().expect("a name");
+    let me: EntryId = "e0".parse().expect("a name");
+    let limits = || std::iter::once((name.clone(), Limit::new(&quota(20.0), &world::bounds())));
+    let mut granter = Granter::new(&me, 1);
+    granter.configure(Millis(0), limits());
+    granter.set_own(Millis(0), &Arc::new(vec![xxh3_64(me.as_bytes())]), true);
+    // A workspace that asks for three times its quota.
+    let mut refused = Vec::new();
+    for at in (SECOND..4 * SECOND).step_by(100) {
+        let waiting = 6;
+        let needs = vec![Need {
+            waiting,
+            used: waiting,
+            ..Need::new(name.clone())
+        }];
+        let ask = Ask {
+            entry: me.clone(),
+            sharers: 0,
+            echo: None,
+            for_others: false,
+            needs,
+        };
+        let grant = granter.answer(Millis(at), &ask).grants.remove(0);
+        granter.record_exchange(Millis(at));
+        refused.extend(grant.room.map(|room| (at, room, waiting - grant.tokens)));
+    }
+    let (at, room, _) = refused.pop().expect("a refusal");
+    let early = granter.take(Millis(at) + room.after - Millis(2), &name);
+    let in_time = granter.take(Millis(at) + room.after + Millis(2), &name);
+    let mut returns = vec![0; 100];
+    for (at, room, count) in refused {
+        for caller in 0..count {
+            let id = format!("{at}-{caller}");
+            let back = at + room.retry_after(xxh3_64(id.as_bytes())).0;
+            returns[usize::try_from(back / SECOND).expect("a small number")] += 1;
+        }
+    }
+    assert_snapshot!(format!("{early} {in_time} {:?}", &returns[..10]));
+}
+
 /// Plays a workspace at twice its quota and one below it, beside a fault at 10 s.
 fn with_fault(fault: impl FnOnce(&mut World) + 'static) -> String {
     let mut world = World::new(3, 24, vec![quota(100.0), quota(60.0)]);
