Count the time of a former run from the start of the process

After a restart of all entries within their leases, quotas were refused for 1 s after the first read, which comes 0.5 s after the start of the process. The second is for what the former run delegated, and that run has ended at the start. In place of the wait, a state of the store must be known that is later than the start.

--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -48,7 +48,7 @@
             let me = &self.state.settings().name;
             let is_me = |c: &Change| matches!(c, Change::Joined(p) if p.name == *me);
             let is_listed = changes.iter().any(is_me);
-            self.state.entries().record_read(at, is_listed);
+            self.state.entries().record_read(is_listed);
         }
         // What led to the new era is a difference, however it is reported.
         let scope = match scope {
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -105,6 +105,7 @@
     /// yet.
     #[must_use]
     pub fn new(settings: VmSettings, ports: Ports) -> Self {
+        let entries = Entries::new((ports.clock.now)());
         Self {
             ports,
             pools: Shards::new(),
@@ -115,7 +116,7 @@
             table: RwLock::default(),
             evacuated: RwLock::default(),
             peers: RwLock::default(),
-            entries: Mutex::default(),
+            entries: Mutex::new(entries),
             request_count: Mutex::default(),
             sides: Mutex::default(),
             demand: Mutex::default(),
--- a/src/policy/presence/mod.rs
+++ b/src/policy/presence/mod.rs
@@ -66,11 +66,13 @@
     active: BTreeMap<EntryId, Presence>,
     /// Departed entries with the instants of their departure, in that order.
     departed: VecDeque<(Millis, EntryId)>,
-    /// When the announcements were read for the first time.
-    first_read: Option<Millis>,
-    /// Whether that read still contained the announcement of a former run of this
-    /// entry.
-    was_listed: bool,
+    /// When this run began. Former ones have ended by then.
+    started: Millis,
+    /// Whether a state of the store was read that is later than that.
+    is_current: bool,
+    /// Whether the first read of the announcements still contained that of a former run of
+    /// this entry, once there was one.
+    was_listed: Option<bool>,
     /// When the store took the announcement of this entry for the first time.
     announced: Option<Millis>,
     /// Whether a state of the store was read that is later than that.
@@ -78,6 +80,15 @@
 }
 
 impl Entries {
+    /// Returns the entries that a run knows which begins now, none.
+    #[must_use]
+    pub fn new(now: Millis) -> Self {
+        Self {
+            started: now,
+            ..Self::default()
+        }
+    }
+
     /// Records that the store has taken the announcement of this entry.
     pub fn record_announced(&mut self, now: Millis) {
         self.announced.get_or_insert(now);
@@ -86,13 +97,13 @@
     /// Records that all announcements are known which the store held at `as_of`.
     pub fn record_state(&mut self, as_of: Millis) {
         self.listed |= self.announced.is_some_and(|at| at <= as_of);
+        self.is_current |= self.started < as_of;
     }
 
     /// Records that all announcements were read, and whether that of this entry is among
     /// them. At the first read it has not announced itself yet.
-    pub fn record_read(&mut self, now: Millis, is_listed: bool) {
-        self.was_listed |= self.first_read.is_none() && is_listed;
-        self.first_read.get_or_insert(now);
+    pub fn record_read(&mut self, is_listed: bool) {
+        self.was_listed.get_or_insert(is_listed);
     }
 
     /// Returns whether the entries among which parts are divided are known, given the
@@ -101,11 +112,15 @@
     /// That is the case once all are settled, or earlier if the announcement of a former
     /// run was listed: it had not expired, so the announcements of the others had not
     /// either, as far as they were renewed as late. Of several entries that restart while
-    /// these expire, fewer see their own, just as fewer see the others.
+    /// these expire, fewer see their own, just as fewer see the others. What is known must
+    /// be later than the start, since the first read may be that of an entry which lags.
+    ///
+    /// The time of the former run counts from the start and not from the first read,
+    /// which comes some 500 ms later after a restart of all.
     #[must_use]
     pub fn knows_parts(&self, now: Millis, poll_period: Millis, former: Millis) -> bool {
-        let is_over = |at: Millis| at + former <= now;
-        let is_early = self.was_listed && self.first_read.is_some_and(is_over);
+        let is_over = self.started + former <= now;
+        let is_early = self.was_listed == Some(true) && self.is_current && is_over;
         is_early || self.is_settled(now, poll_period)
     }
 
