--- a/tests/quota/entries.rs
+++ b/tests/quota/entries.rs
@@ -4,7 +4,7 @@
     collections::BTreeMap,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use http::{HeaderValue, Request, Response};
@@ -58,9 +58,9 @@
     }
 }
 
-fn configuration() -> Configuration {
+fn configuration(version: u64, rate: f64) -> Configuration {
     let limited = Workspace {
-        quota: Some(quota(5.0)),
+        quota: Some(quota(rate)),
         ..vm::workspace("limited", &["key-limited"])
     };
     let rule = |prefix| vm::rule(RequestKind::Idempotent, prefix);
@@ -70,7 +70,7 @@
     };
     Configuration {
         workspaces: vec![limited, vm::workspace("free", &["key-free"])],
-        ..vm::configuration(1, vec![rule("/all/"), public], 10.0)
+        ..vm::configuration(version, vec![rule("/all/"), public], 10.0)
     }
 }
 
@@ -105,17 +105,14 @@
     text.trim().to_owned()
 }
 
-/// Fails if entries count a quota each for itself, if a request that was refused for
-/// another reason keeps its token, or if callers without a quota are counted.
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
-async fn entries_share_a_quota() {
-    let store: Store = Arc::default();
+/// Spawns three entries and waits until they use their parts.
+async fn spawn_entries(store: &Store) -> Vec<Gateway> {
     let put = |change| store.lock().expect("changes").push(change);
-    put(Change::Configured(Box::new(configuration())));
+    put(Change::Configured(Box::new(configuration(1, 5.0))));
     let mut entries = Vec::new();
     for name in ["edge-1", "edge-2", "edge-3"] {
         let settings = relay_settings(name, Vec::new());
-        let gateway = entry::spawn(settings, platform(&store)).await;
+        let gateway = entry::spawn(settings, platform(store)).await;
         put(presence(&gateway, name));
         entries.push(gateway);
     }
@@ -125,7 +122,12 @@
     .await;
     // The entries use their parts when all others must be known, and fill them.
     tokio::time::sleep(Duration::from_secs(6)).await;
-    let without_target = send(&entries, 60, "/all/1", "key-limited").await;
+    entries
+}
+
+/// Adds a target that answers all requests, and waits until the entries are ready. It
+/// answers while its server is kept.
+async fn add_target(store: &Store, entries: &[Gateway]) -> impl Sized + use<> {
     let handler = async |req: Request<Body>| {
         let mut resp = Response::new(Body::from("done"));
         let id = req.headers().get("request-id").cloned();
@@ -137,11 +139,23 @@
     let router = Router::new().fallback(handler);
     let target = web::bind(ANY_PORT, Limits::default(), router).await;
     let target = target.expect("a port");
-    put(Change::Registered(vm::instance("i-1", target.addr())));
+    let change = Change::Registered(vm::instance("i-1", target.addr()));
+    store.lock().expect("changes").push(change);
     wait_until("the entries are ready", || {
         entries.iter().all(|g| g.state.is_ready())
     })
     .await;
+    target
+}
+
+/// Fails if entries count a quota each for itself, if a request that was refused for
+/// another reason keeps its token, or if callers without a quota are counted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_share_a_quota() {
+    let store: Store = Arc::default();
+    let entries = spawn_entries(&store).await;
+    let without_target = send(&entries, 60, "/all/1", "key-limited").await;
+    let _target = add_target(&store, &entries).await;
     let mut limited = send(&entries, 80, "/all/1", "key-limited").await;
     let free = send(&entries, 80, "/all/1", "key-free").await;
     let public = send(&entries, 80, "/public/1", "key-limited").await;
@@ -154,6 +168,33 @@
     insta::assert_debug_snapshot!((without_target, limited, free, public));
 }
 
+/// Fails if a lower quota does not reach the buckets of real entries, or if entries use
+/// more than the quota after one of them is gone, or hardly anything.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_lower_quota_binds_while_an_entry_is_gone() {
+    let store: Store = Arc::default();
+    let mut entries = spawn_entries(&store).await;
+    let _target = add_target(&store, &entries).await;
+    // The buckets are full with what the first quota allows.
+    let change = Change::Configured(Box::new(configuration(2, 1.0)));
+    store.lock().expect("changes").push(change);
+    wait_until("the lower quota is in effect", || {
+        let version = |g: &Gateway| g.state.table().map(|t| t.version);
+        entries.iter().all(|g| version(g) == Some(Revision(2)))
+    })
+    .await;
+    // The first one keeps the parts of the others.
+    drop(entries.pop());
+    let start = Instant::now();
+    let mut served = 0;
+    while start.elapsed() < Duration::from_secs(4) {
+        let answers = send(&entries, 4, "/all/1", "key-limited").await;
+        served += answers.get("200").copied().unwrap_or_default();
+    }
+    // (1 x 5 + 1) x 1.1 + 20 is 26.6.
+    assert!((10..=26).contains(&served), "{served}");
+}
+
 /// Fails if a message loses a value on its way, if a need that no entry can have is
 /// passed on, or if a call costs many bytes more than its content.
 #[tokio::test]
