--- a/src/app/gateway/quota/admission.rs
+++ b/src/app/gateway/quota/admission.rs
@@ -110,6 +110,8 @@
             let refusal = Refusal::not_run(Code::QuotaUnavailable, detail);
             return refusal.retry_after(UNAVAILABLE_RETRY_AFTER);
         };
+        // The granter logs the change.
+        let _ = quotas.holder.record_refusal(at, name);
         let detail = format!("workspace {name}: the quota of {rate} and {burst} is used up");
         let retry_after = room.retry_after(id.map_or(at.0, |id| xxh3_64(id.as_bytes())));
         Refusal::not_run(Code::QuotaExceeded, detail).retry_after(retry_after)
