Remove functions that nothing calls

Found by compiling the library with private modules, so that the compiler names what the command does not reach, and keeping all that a test or an example uses. Gone are Query::names, Claims::counts, State::adopt of an entry, RevisionReports::remove_entry, LoadGauge::level, Outbox::len, ClaimTable::set_limits, Fingerprint::of_key and Pool::running of a place. The digest of a request hashes the same bytes as before.

--- a/src/adapters/http/query.rs
+++ b/src/adapters/http/query.rs
@@ -55,11 +55,6 @@
         self
     }
 
-    /// Returns the names in the order of the query string.
-    pub fn names(&self) -> impl Iterator<Item = &str> {
-        self.pairs.iter().map(|(name, _)| name.as_str())
-    }
-
     /// Returns the decoded value of a name.
     #[must_use]
     pub fn text(&self, name: &str) -> Option<&str> {
--- a/src/app/entry/claim_tables.rs
+++ b/src/app/entry/claim_tables.rs
@@ -111,16 +111,4 @@
         let bucket = page.request.bucket;
         self.tables.get(&bucket, |t| t.on_page(from, page, now));
     }
-
-    /// Returns the number of tables that vote, and the number of claims in all
-    /// tables.
-    #[must_use]
-    pub fn counts(&self) -> (usize, usize) {
-        let (mut ready, mut claims) = (0, 0);
-        self.tables.each(|_, t| {
-            ready += usize::from(t.is_ready());
-            claims += t.len();
-        });
-        (ready, claims)
-    }
 }
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -129,13 +129,6 @@
         }
     }
 
-    /// Adopts a document, unless the same or a newer revision was adopted
-    /// before.
-    pub fn adopt(self: &Arc<Self>, doc: &Document, revision: Revision) -> Adoption {
-        let content = Content::Document(Arc::new(doc.clone()));
-        self.adopt_content(&doc.service, revision, content)
-    }
-
     /// Adopts a revision if it is newer and valid. Documents change only
     /// through this function, so an entry never returns to an older revision.
     pub fn adopt_content(
--- a/src/policy/document/rollout.rs
+++ b/src/policy/document/rollout.rs
@@ -26,12 +26,6 @@
         *latest = (*latest).max((incarnation, revision));
     }
 
-    /// Removes an entry whose VM no longer exists, so that a rollout does not
-    /// wait for it.
-    pub fn remove_entry(&mut self, entry: &EntryId) {
-        self.reports.remove(entry);
-    }
-
     /// Returns which of `members` have `revision` or a later one in effect.
     ///
     /// A member without a report counts as behind, since it may still use an
--- a/src/policy/lookup/load.rs
+++ b/src/policy/lookup/load.rs
@@ -61,12 +61,6 @@
 }
 
 impl LoadGauge {
-    /// Returns the current level.
-    #[must_use]
-    pub fn level(&self) -> LoadLevel {
-        self.level
-    }
-
     /// Records that `used` of `total` capacity is in use, and returns the new
     /// level.
     pub fn observe(&mut self, used: u64, total: u64) -> LoadLevel {
--- a/src/policy/once/key.rs
+++ b/src/policy/once/key.rs
@@ -167,21 +167,15 @@
             &length,
             head,
         ];
-        Self::digest(b'r', &parts)
-    }
-
-    /// Returns the digest of a key, which identifies a keyed request in the
-    /// strikes of [`crash`](crate::policy::crash).
-    #[must_use]
-    pub fn of_key(key: &ClaimKey) -> Self {
-        Self::digest(b'k', &[key.service.as_bytes(), &key.key.0])
+        Self::digest(&parts)
     }
 
     /// Hashes the parts. Each is preceded by its length, so that `("ab", "c")` and
-    /// `("a", "bc")` have different digests.
-    fn digest(kind: u8, parts: &[&[u8]]) -> Self {
+    /// `("a", "bc")` have different digests. Entries compare digests, so that those of
+    /// different versions must hash the same bytes, also the first one.
+    fn digest(parts: &[&[u8]]) -> Self {
         let mut hash = Xxh3::new();
-        hash.update(&[kind]);
+        hash.update(b"r");
         for part in parts {
             hash.update(&(part.len() as u64).to_be_bytes());
             hash.update(part);
--- a/src/policy/once/outbox.rs
+++ b/src/policy/once/outbox.rs
@@ -55,12 +55,6 @@
         }
     }
 
-    /// Returns the number of messages.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.items.len()
-    }
-
     /// Returns whether there is no message.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/src/policy/once/table.rs
+++ b/src/policy/once/table.rs
@@ -140,11 +140,6 @@
         }
     }
 
-    /// Changes the limits, which depend on how many buckets the entry is a home of.
-    pub fn set_limits(&mut self, limits: ClaimLimits) {
-        self.limits = limits;
-    }
-
     /// Returns the number of claims.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/src/policy/target/mod.rs
+++ b/src/policy/target/mod.rs
@@ -292,22 +292,6 @@
         self.targets.iter().map(|t| t.status(now)).collect()
     }
 
-    /// Returns how many requests of this entry run at the targets of a place. If
-    /// `place` is `None`, counts those at targets that the document no longer
-    /// lists. A drain waits until the count is zero.
-    #[must_use]
-    pub fn running(&self, place: Option<&PlaceName>) -> u32 {
-        let place_index = match place {
-            Some(name) => self.place_indexes.get(name).copied(),
-            None => Some(usize::MAX),
-        };
-        let at_place = self
-            .targets
-            .iter()
-            .filter(|t| Some(t.place_index) == place_index);
-        at_place.map(Target::in_flight).sum()
-    }
-
     fn target(&mut self, id: TargetId) -> Option<&mut Target> {
         self.target_indexes
             .get(&id)
