Split the feed of the gateway by upstream

What calls the store is in feed/store.rs now and what calls another entry in feed/peer.rs, beside feed/seed.rs. The functions are moved as they are.

--- a/src/app/gateway/feed/seed.rs
+++ b/src/app/gateway/feed/seed.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Feed, apply::Scope, now, result_of};
+use super::{Feed, apply::Scope, now, peer::result_of};
 use crate::{
     domain::Millis,
     policy::upstream::Upstream,
