Lock in one way

Passed: admin, broken_response, crash, dev, gateway, lookup, platform, pool, shape, spread, stale_response, store, timeline, upload and the faults tests of the drain, of once, the store and the target.

--- a/src/adapters/http/replay.rs
+++ b/src/adapters/http/replay.rs
@@ -9,7 +9,7 @@
 use std::{
     future::poll_fn,
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex},
     task::{Context, Poll, Waker, ready},
 };
 
@@ -17,7 +17,7 @@
 use http_body::{Body as _, Frame, SizeHint};
 use http_body_util::BodyExt;
 
-use crate::{policy::replay::Share, ports::Body};
+use crate::{domain::lock, policy::replay::Share, ports::Body};
 
 type Error = Box<dyn std::error::Error + Send + Sync>;
 
@@ -239,7 +239,3 @@
         hint
     }
 }
-
-fn lock(source: &Mutex<Source>) -> MutexGuard<'_, Source> {
-    source.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/adapters/http/target.rs
+++ b/src/adapters/http/target.rs
@@ -8,7 +8,7 @@
 
 use std::{
     ops::RangeInclusive,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
 };
 
 use http::{HeaderValue, Request, Response, header};
@@ -28,7 +28,7 @@
     socket::{Socket, SocketProbe},
 };
 use crate::{
-    domain::{Millis, Shards, TargetId},
+    domain::{Millis, Shards, TargetId, lock},
     policy::silence::{
         KEEPALIVE_IDLE, KEEPALIVE_INTERVAL, KEEPALIVE_PROBES, POOL_IDLE_MAX, TCP_USER_TIMEOUT,
     },
@@ -86,21 +86,13 @@
 impl Conn {
     fn set_in_flight(&self, in_flight: &InFlight) {
         self.progress.record();
-        let mut current = self
-            .in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut current = lock(&self.in_flight);
         *current = Some(in_flight.clone());
     }
 }
 
 fn release_in_flight(in_flight: &Mutex<Option<InFlight>>) {
-    drop(
-        in_flight
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take(),
-    );
+    drop(lock(in_flight).take());
 }
 
 struct IdleConn {
--- a/src/adapters/logs/mod.rs
+++ b/src/adapters/logs/mod.rs
@@ -9,13 +9,15 @@
 use std::{
     io::{self, Write},
     mem,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
 
 use tracing_subscriber::{EnvFilter, fmt::MakeWriter};
 
+use crate::domain::lock;
+
 /// The size of the buffer, which holds a few hundred lines.
 const MAX_BUFFER_BYTES: usize = 192 * 1024;
 
@@ -64,7 +66,7 @@
     /// Writes out the buffered lines.
     pub fn flush(&self) {
         let (lines, dropped) = {
-            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut state = lock(&self.state);
             (mem::take(&mut state.lines), mem::take(&mut state.dropped))
         };
         if lines.is_empty() {
@@ -83,7 +85,7 @@
     }
 
     fn append_line(&self, line: &[u8]) {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = lock(&self.state);
         if state.lines.len() + line.len() > MAX_BUFFER_BYTES {
             state.dropped += 1;
         } else {
--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -13,7 +13,7 @@
 use std::{
     collections::BTreeSet,
     fmt,
-    sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
+    sync::{Arc, Mutex, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -31,7 +31,7 @@
 pub use self::table::{Row, TABLE};
 use crate::{
     adapters::store::CallCounters,
-    domain::Rank,
+    domain::{Rank, lock},
     policy::{balance::WithheldCounts, demand::RegionDemand},
 };
 
@@ -405,8 +405,7 @@
     }
 
     fn workspace_label(&self, name: &str) -> String {
-        let known = self.workspaces.lock();
-        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        let mut known = lock(&self.workspaces);
         if known.contains(name) {
             return name.to_owned();
         }
--- a/src/adapters/platform/era.rs
+++ b/src/adapters/platform/era.rs
@@ -1,13 +1,13 @@
 //! Reads the era of the store from its responses.
 
 use std::sync::{
-    Mutex, PoisonError,
+    Mutex,
     atomic::{AtomicBool, Ordering::Relaxed},
 };
 
 use http::HeaderMap;
 
-use crate::domain::Era;
+use crate::domain::{Era, lock};
 
 /// The header of all responses that names the era.
 const ERA: &str = "store-era";
@@ -44,7 +44,7 @@
     }
 
     fn known(&self) -> Option<Era> {
-        *self.latest.lock().unwrap_or_else(PoisonError::into_inner)
+        *lock(&self.latest)
     }
 
     /// Records that a call got no response.
@@ -66,7 +66,7 @@
     /// Returns an error if a response before this one has named a later era, or if
     /// one has named any and this one does not.
     pub fn record(&self, head: &HeaderMap) -> Result<Era, StaleEra> {
-        let mut known = self.latest.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut known = lock(&self.latest);
         let Some(latest) = *known else {
             *known = read(head).ok();
             return Ok(known.unwrap_or_default());
--- a/src/adapters/store/client.rs
+++ b/src/adapters/store/client.rs
@@ -14,7 +14,7 @@
     future::Future,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicUsize, Ordering::Relaxed},
     },
     time::Duration,
@@ -32,7 +32,10 @@
 use tonic_prost::ProstCodec;
 
 use super::CallCounters;
-use crate::{domain::Millis, ports::StoreError};
+use crate::{
+    domain::{Millis, lock},
+    ports::StoreError,
+};
 
 /// The size limit of a message from the store: a full page of values of the
 /// maximum size, plus the size of one more value for keys and framing.
@@ -256,7 +259,7 @@
 impl ServerState {
     /// Returns the current channel, or a new one that connects on first use.
     fn channel(&self, timeout: Duration) -> Result<Channel, Failure> {
-        let mut slot = self.channel.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut slot = lock(&self.channel);
         if let Some(channel) = slot.as_ref() {
             return Ok(channel.clone());
         }
@@ -274,7 +277,7 @@
 
     /// Makes the next call open a new connection.
     fn discard_channel(&self) {
-        *self.channel.lock().unwrap_or_else(PoisonError::into_inner) = None;
+        *lock(&self.channel) = None;
     }
 }
 
--- a/src/adapters/store/memory.rs
+++ b/src/adapters/store/memory.rs
@@ -15,7 +15,7 @@
     collections::VecDeque,
     fmt,
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError, Weak,
+        Arc, Mutex, MutexGuard, Weak,
         atomic::{AtomicU64, Ordering::Relaxed},
     },
 };
@@ -25,7 +25,7 @@
 
 use super::{CallCounters, MAX_VALUE_BYTES, MAX_WATCH_BACKLOG};
 use crate::{
-    domain::{Millis, Revision, Shards},
+    domain::{Millis, Revision, Shards, lock},
     ports::{Clock, Record, Snapshot, Store, StoreError, Update, Write},
 };
 
@@ -199,7 +199,7 @@
 
 impl Shared {
     fn log(&self) -> MutexGuard<'_, Log> {
-        self.log.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.log)
     }
 
     fn get(&self, key: &Bytes) -> Option<Record> {
--- a/src/app/dev/target.rs
+++ b/src/app/dev/target.rs
@@ -5,7 +5,7 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex, PoisonError,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
     },
     time::Duration,
@@ -16,7 +16,10 @@
 use http_body::Frame;
 use volo_http::{body::Body, server::Router};
 
-use crate::adapters::http::{self as web, BindError, Limits, Server};
+use crate::{
+    adapters::http::{self as web, BindError, Limits, Server},
+    domain::lock,
+};
 
 /// The behaviour of the target, which `/control` sets. Its `Debug` form is the
 /// body of the response.
@@ -151,14 +154,13 @@
         let header = |name: &str| req.headers().get(name).and_then(|v| v.to_str().ok());
         let key = header("idempotency-key").filter(|_| *req.method() == http::Method::POST);
         let call = header("x-call-id");
-        let mut runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut runs = lock(&self.runs);
         for name in key.into_iter().chain(call) {
             *runs.entry(name.to_owned()).or_default() += 1;
         }
         drop(runs);
         if let (Some(call), Some(left)) = (call, header("x-deadline-ms")) {
-            let deadlines = self.deadlines.lock();
-            let mut deadlines = deadlines.unwrap_or_else(PoisonError::into_inner);
+            let mut deadlines = lock(&self.deadlines);
             deadlines.insert(call.to_owned(), left.to_owned());
         }
     }
@@ -166,15 +168,14 @@
     /// Returns the deadline of a call in milliseconds, or an empty text if it had
     /// none.
     fn deadline(&self, call: &str) -> String {
-        let deadlines = self.deadlines.lock();
-        let deadlines = deadlines.unwrap_or_else(PoisonError::into_inner);
+        let deadlines = lock(&self.deadlines);
         deadlines.get(call).cloned().unwrap_or_default()
     }
 
     /// Returns how often a request with this idempotency key or call id was
     /// executed.
     fn runs(&self, key: &str) -> u64 {
-        let runs = self.runs.lock().unwrap_or_else(PoisonError::into_inner);
+        let runs = lock(&self.runs);
         runs.get(key).copied().unwrap_or(0)
     }
 }
--- a/src/app/entry/carry.rs
+++ b/src/app/entry/carry.rs
@@ -1,10 +1,7 @@
 //! Forwards one request to a target, with retries and a hedge, and returns the
 //! answer.
 
-use std::{
-    pin::Pin,
-    sync::{Arc, PoisonError},
-};
+use std::{pin::Pin, sync::Arc};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use http::{HeaderMap, Response, StatusCode, header};
@@ -23,7 +20,7 @@
 };
 use crate::{
     adapters::metrics::ServiceLabel,
-    domain::{Lane, Millis, TargetId},
+    domain::{Lane, Millis, TargetId, lock},
     policy::{
         refusal::{Code, Refusal},
         retry::{self, Percentiles},
@@ -276,11 +273,7 @@
                 .get(&self.job.service, |s| s.pool.report(target, report));
         }
         if !resp.status().is_server_error() {
-            let mut successes = self
-                .state
-                .successes
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
+            let mut successes = lock(&self.state.successes);
             successes.insert(self.job.fingerprint, now);
             drop(successes);
             if self.suspect {
@@ -355,11 +348,7 @@
         let now = self.now();
         let mut attempt = self.job.attempt(sent, self.attempts(), self.first_sent);
         attempt.strikes = {
-            let strikes = self
-                .state
-                .strikes
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
+            let strikes = lock(&self.state.strikes);
             strikes.count(self.job.fingerprint, now)
         };
         let withdraw = |s: &mut Service| s.budget.retry(now, &mut rand::rng(), &attempt);
--- a/src/app/entry/claim_tables.rs
+++ b/src/app/entry/claim_tables.rs
@@ -2,11 +2,11 @@
 
 use std::{
     collections::HashSet,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
 };
 
 use crate::{
-    domain::{Millis, Shards, Size},
+    domain::{Millis, Shards, Size, lock},
     policy::once::{
         Bucket, ClaimLimits, ClaimTable, HomeRequest, HomeResponse, Member, Outbox, Roster,
         TransferPage,
@@ -46,7 +46,7 @@
 
     /// Locks the releases and answers that are not yet acknowledged.
     pub(super) fn outbox(&self) -> MutexGuard<'_, Outbox> {
-        self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.outbox)
     }
 
     /// Adopts the current and the former roster.
--- a/src/app/entry/control/gossip.rs
+++ b/src/app/entry/control/gossip.rs
@@ -1,13 +1,13 @@
 //! Membership and dissemination: performs the actions that the two protocols
 //! request and passes the replies back to them.
 
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 
 use super::{documents, run_every, spawn_call};
 use crate::{
     adapters::grpc::{self, Fetch, Probe, Relay, Sync},
     app::entry::{State, fleet},
-    domain::{EntryId, Millis, ServiceName},
+    domain::{EntryId, Millis, ServiceName, write},
     policy::{
         lookup::{EntryView, RegionDelays},
         member::{Action, Event, EventKind},
@@ -83,7 +83,7 @@
     let links = state.settings.links.iter();
     let delays = RegionDelays::new(links.map(|l| (l.from.clone(), l.to.clone(), l.delay)));
     let view = Arc::new(EntryView::new(candidates, &delays));
-    *state.view.write().unwrap_or_else(PoisonError::into_inner) = view;
+    *write(&state.view) = view;
 }
 
 async fn run_member_action(state: Arc<State>, action: Action) {
--- a/src/app/entry/control/strikes.rs
+++ b/src/app/entry/control/strikes.rs
@@ -1,6 +1,6 @@
 //! Strikes: notifies the other entries of requests that break connections.
 
-use std::sync::{Arc, MutexGuard, PoisonError};
+use std::sync::{Arc, MutexGuard};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use rand::seq::IndexedRandom;
@@ -10,7 +10,7 @@
 use crate::{
     adapters::grpc::{self, Sender},
     app::entry::State,
-    domain::{EntryId, Millis},
+    domain::{EntryId, Millis, lock},
     policy::crash::{StrikeNotice, StrikeTable},
 };
 
@@ -28,7 +28,7 @@
 const PAGE_LEN: usize = 64;
 
 fn lock_strikes(state: &State) -> MutexGuard<'_, StrikeTable> {
-    state.strikes.lock().unwrap_or_else(PoisonError::into_inner)
+    lock(&state.strikes)
 }
 
 /// Periodically removes expired strikes and compares a page of the others with a
--- a/src/app/entry/crashes.rs
+++ b/src/app/entry/crashes.rs
@@ -1,10 +1,10 @@
 //! Requests that crash their targets, seen as broken connections.
 
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 
 use super::{State, control, job::Job, service::Service};
 use crate::{
-    domain::{Millis, TargetId},
+    domain::{Millis, TargetId, lock},
     policy::{
         crash::{Admission, Failure, FailureCause, Stage, is_strike},
         once::Fingerprint,
@@ -23,11 +23,7 @@
 
 impl Drop for Trial<'_> {
     fn drop(&mut self) {
-        let mut strikes = self
-            .state
-            .strikes
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut strikes = lock(&self.state.strikes);
         strikes.end_trial(self.fingerprint);
     }
 }
@@ -36,7 +32,7 @@
 /// suspected.
 pub(super) fn admit<'a>(state: &'a Arc<State>, job: &Job) -> Result<Option<Trial<'a>>, Refusal> {
     let now = (state.ports.clock.now)();
-    let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut strikes = lock(&state.strikes);
     match strikes.admit(job.fingerprint, now) {
         Admission::Unrestricted => Ok(None),
         Admission::Trial => Ok(Some(Trial {
@@ -56,7 +52,7 @@
 pub(super) fn clear_strikes(state: &Arc<State>, job: &Job) {
     let now = (state.ports.clock.now)();
     let cleared = {
-        let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut strikes = lock(&state.strikes);
         strikes.clear(job.fingerprint, now)
     };
     if let Some(strike) = cleared {
@@ -82,8 +78,7 @@
     };
     let fingerprint = job.fingerprint;
     let recently_succeeded = {
-        let successes = state.successes.lock();
-        let successes = successes.unwrap_or_else(PoisonError::into_inner);
+        let successes = lock(&state.successes);
         successes.contains(fingerprint, now)
     };
     if !is_strike(failure, recently_succeeded) {
@@ -95,7 +90,7 @@
     );
     (state.events.emit)(Kind::RequestStruck, text);
     let strike = {
-        let mut strikes = state.strikes.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut strikes = lock(&state.strikes);
         strikes.record_strike(fingerprint, now)
     };
     // The caller may repeat the request through another entry as soon as it
--- a/src/app/entry/events.rs
+++ b/src/app/entry/events.rs
@@ -1,10 +1,10 @@
 //! The timeline of one entry.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 
 use crate::{
     adapters::metrics::{EventLabels, Metrics},
-    domain::EntryId,
+    domain::{EntryId, lock},
     policy::timeline::{Event, EventRing, HybridClock, Stamp},
     ports::{Clock, Events},
 };
@@ -58,7 +58,3 @@
         }),
     }
 }
-
-fn lock(timeline: &Mutex<Timeline>) -> MutexGuard<'_, Timeline> {
-    timeline.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/src/app/entry/fleet.rs
+++ b/src/app/entry/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    sync::{Arc, Mutex, MutexGuard, RwLock},
 };
 
 use crate::{
@@ -11,7 +11,7 @@
         ini::Settings,
         store::roster::RosterRecord,
     },
-    domain::{EntryId, Epoch, Incarnation, Millis},
+    domain::{EntryId, Epoch, Incarnation, Millis, lock, read, write},
     policy::{
         limit,
         lookup::{Candidate, EntryState, EntryView, LoadLevel},
@@ -130,29 +130,24 @@
 
     /// Locks the membership.
     pub fn members(&self) -> MutexGuard<'_, Members> {
-        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.members)
     }
 
     /// Locks the dissemination of revisions.
     pub fn dissemination(&self) -> MutexGuard<'_, Dissemination> {
-        self.dissemination
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.dissemination)
     }
 
     /// Returns the current rosters.
     #[must_use]
     pub fn rosters(&self) -> Arc<Rosters> {
-        self.rosters
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        read(&self.rosters)
     }
 
     /// Replaces the rosters if the new epoch is greater. Returns whether they
     /// were replaced.
     pub(super) fn set_rosters(&self, rosters: Rosters) -> bool {
-        let mut current = self.rosters.write().unwrap_or_else(PoisonError::into_inner);
+        let mut current = write(&self.rosters);
         if rosters.epoch() <= current.epoch() {
             return false;
         }
--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -1,7 +1,7 @@
 //! The state of a running entry.
 
 use std::sync::{
-    Arc, Mutex, PoisonError, RwLock,
+    Arc, Mutex, RwLock,
     atomic::{AtomicBool, Ordering},
 };
 
@@ -18,7 +18,9 @@
 };
 use crate::{
     adapters::{ini::Settings, store::roster::RosterRecord},
-    domain::{Document, Incarnation, LimitName, Revision, ServiceName, Shards, Slots, TargetId},
+    domain::{
+        Document, Incarnation, LimitName, Revision, ServiceName, Shards, Slots, TargetId, read,
+    },
     policy::{
         crash::{RecentSuccesses, StrikeTable},
         document::{Adoption, Content},
@@ -299,10 +301,7 @@
     /// Returns the entries among which lookups choose.
     #[must_use]
     pub fn view(&self) -> Arc<EntryView> {
-        self.view
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        read(&self.view)
     }
 
     /// Passes messages about limits to the task that sends them. If the task
--- a/src/app/gateway/response.rs
+++ b/src/app/gateway/response.rs
@@ -2,7 +2,7 @@
 
 use std::{
     pin::Pin,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll, ready},
 };
 
@@ -20,7 +20,7 @@
         http::{self as web, Content, full_body, strip_hop_by_hop},
         platform::headers,
     },
-    domain::Millis,
+    domain::{Millis, lock},
     policy::{
         balance::{Ending, LoadReport},
         refusal::Refusal,
@@ -107,7 +107,7 @@
 
 impl SharedStream {
     fn lock(&self) -> MutexGuard<'_, Option<Stream>> {
-        self.stream.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.stream)
     }
 
     /// Waits until the cutoff. Then releases the slot and closes the connection to
--- a/src/domain/mod.rs
+++ b/src/domain/mod.rs
@@ -15,6 +15,7 @@
 mod homes;
 mod ids;
 mod instance;
+mod locks;
 mod position;
 mod presence;
 mod rates;
@@ -35,6 +36,7 @@
     Revision, ServiceName, TargetId, TeamName, WorkspaceName,
 };
 pub use instance::{Instance, InstanceState};
+pub use locks::{lock, read, write};
 pub use position::Position;
 pub use presence::Presence;
 pub use rates::{Mbps, Rps, Weight};
--- a/src/domain/shards.rs
+++ b/src/domain/shards.rs
@@ -3,9 +3,11 @@
 use std::{
     collections::HashMap,
     hash::{BuildHasher, Hash, RandomState},
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
 };
 
+use super::lock;
+
 /// The number of shards. It exceeds the number of cores of known entry VMs, so
 /// that two threads rarely contend for the same lock.
 const SHARD_COUNT: usize = 32;
@@ -60,7 +62,7 @@
     /// other, so `f` does not see a consistent snapshot of the map.
     pub fn each(&self, mut f: impl FnMut(&K, &mut V)) {
         for shard in &self.shards {
-            let mut shard = shard.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut shard = lock(shard);
             shard.iter_mut().for_each(|(k, v)| f(k, v));
         }
     }
@@ -68,11 +70,7 @@
     fn lock(&self, key: &K) -> MutexGuard<'_, HashMap<K, V>> {
         let index =
             usize::try_from(self.hasher.hash_one(key) % SHARD_COUNT as u64).unwrap_or_default();
-        // A panic in one request must not fail other requests to the same
-        // shard, so a poisoned lock is used as it is.
-        self.shards[index]
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        lock(&self.shards[index])
     }
 }
 
--- a/src/policy/lookup/block.rs
+++ b/src/policy/lookup/block.rs
@@ -3,11 +3,11 @@
 use std::{
     collections::BTreeMap,
     net::IpAddr,
-    sync::{Arc, Mutex, PoisonError, RwLock},
+    sync::{Arc, Mutex, RwLock},
 };
 
 use super::shard::{Block, Shard, width};
-use crate::domain::{Prefix, SiteId, Size};
+use crate::domain::{Prefix, SiteId, Size, lock, read, write};
 
 /// The number of leading bits of an IPv4 address that select a shard. With
 /// 4,096 shards, 1.3 million blocks are about 320 per shard, so a change copies
@@ -71,7 +71,7 @@
     /// Applies changes, shard by shard. If several changes concern the same
     /// block, the last one takes effect. The initial load uses this method too.
     pub fn apply(&self, changes: &[BlockChange]) {
-        let _writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let _writer = lock(&self.writer);
         self.v4
             .apply(changes.iter().filter_map(|c| match c.prefix.addr() {
                 IpAddr::V4(a) => Some((a.to_bits(), c.prefix.bits(), c.site)),
@@ -227,15 +227,8 @@
     edits
 }
 
-fn read<K>(cell: &ShardCell<K>) -> Arc<Shard<K>> {
-    Arc::clone(&cell.read().unwrap_or_else(PoisonError::into_inner))
-}
-
 fn replace<K>(cell: &ShardCell<K>, mut shard: Arc<Shard<K>>) {
     // The old array is freed after the lock is released, so that readers do not
     // wait for that.
-    std::mem::swap(
-        &mut *cell.write().unwrap_or_else(PoisonError::into_inner),
-        &mut shard,
-    );
+    std::mem::swap(&mut *write(cell), &mut shard);
 }
