--- a/src/app/entry/claim_tables.rs
+++ b/src/app/entry/claim_tables.rs
@@ -2,11 +2,11 @@
 
 use std::{
     collections::HashSet,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
 };
 
 use crate::{
-    domain::{Millis, Shards, Size},
+    domain::{Millis, Shards, Size, lock},
     policy::once::{
         Bucket, ClaimLimits, ClaimTable, HomeRequest, HomeResponse, Member, Outbox, Roster,
         TransferPage,
@@ -46,7 +46,7 @@
 
     /// Locks the releases and answers that are not yet acknowledged.
     pub(super) fn outbox(&self) -> MutexGuard<'_, Outbox> {
-        self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.outbox)
     }
 
     /// Adopts the current and the former roster.
@@ -111,16 +111,4 @@
         let bucket = page.request.bucket;
         self.tables.get(&bucket, |t| t.on_page(from, page, now));
     }
-
-    /// Returns the number of tables that vote, and the number of claims in all
-    /// tables.
-    #[must_use]
-    pub fn counts(&self) -> (usize, usize) {
-        let (mut ready, mut claims) = (0, 0);
-        self.tables.each(|_, t| {
-            ready += usize::from(t.is_ready());
-            claims += t.len();
-        });
-        (ready, claims)
-    }
 }
