Show the example of explain as those of other commands

tests/cli, every_command_has_help_with_an_example, failed since: the help of explain said "Examples:", so that its line had no example. The second one, of a gateway, stands at the end of the help now. The test is unchanged.

Failed before in tests/cli, which passes now (5 tests).

--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -102,8 +102,11 @@
     /// where a request would go now
     ///
     ///
-    /// Examples: savorybeam explain --admin 10.0.0.1:7002 slotboard; savorybeam
-    /// explain --gateway 10.0.0.1:9464 --host kitchens.example /slots/7
+    /// Example: savorybeam explain --admin 10.0.0.1:7002 slotboard
+    ///
+    ///
+    /// Of a gateway: savorybeam explain --gateway 10.0.0.1:9464 --host
+    /// kitchens.example /slots/7
     #[bpaf(command)]
     Explain(#[bpaf(external(explain))] Explain),
     /// Runs the process of an entry VM on the users' platform
