--- a/src/adapters/platform/settings.rs
+++ b/src/adapters/platform/settings.rs
@@ -13,6 +13,10 @@
 /// The environment variable that holds the path of the settings file.
 pub const SETTINGS_PATH_VARIABLE: &str = "SAVORYBEAM_BOOT";
 
+/// The help text of the option that replaces the variable.
+pub const SETTINGS_PATH_HELP: &str =
+    "The platform's settings file; defaults to the environment variable `SAVORYBEAM_BOOT`";
+
 /// Lists all faults of invalid settings.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SettingsError {
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -7,6 +7,7 @@
 
 use super::addr::AdminAddr;
 use crate::{
+    adapters::platform::settings::SETTINGS_PATH_HELP,
     domain::{PlaceName, Revision, ServiceName, Size, TargetId, WorkspaceName},
     policy::timeline::{Component, Stamp},
 };
@@ -115,9 +116,7 @@
     /// Example: savorybeam gateway --settings /etc/savorybeam/local.yaml
     #[bpaf(command)]
     Gateway {
-        /// The platform's settings file; defaults to the environment variable
-        /// `SAVORYBEAM_BOOT`
-        #[bpaf(argument("FILE"), optional)]
+        #[bpaf(long, help(SETTINGS_PATH_HELP), argument("FILE"), optional)]
         settings: Option<PathBuf>,
         /// Port on which the metrics are served
         #[bpaf(argument("PORT"), fallback(9464))]
