--- a/src/app/cli/client.rs
+++ b/src/app/cli/client.rs
@@ -138,6 +138,21 @@
         Err(last_error)
     }
 
+    /// Reads a path. With `json`, prints the response as received and returns none.
+    pub(super) async fn read(
+        &self,
+        path: impl Into<String>,
+        json: bool,
+    ) -> eyre::Result<Option<AdminResponse>> {
+        let response = self.call(&AdminRequest::get(path)).await?;
+        let response = response.error_for_status()?;
+        if json {
+            print!("{}", response.body);
+            return Ok(None);
+        }
+        Ok(Some(response))
+    }
+
     /// Sends a request to the entry at an address.
     pub(super) async fn call_entry(
         &self,
--- a/src/app/cli/documents.rs
+++ b/src/app/cli/documents.rs
@@ -143,14 +143,9 @@
 }
 
 async fn list(client: &Client, json: bool) -> eyre::Result<()> {
-    let response = client
-        .call(&AdminRequest::get("/v1/documents"))
-        .await?
-        .error_for_status()?;
-    if json {
-        print!("{}", response.body);
+    let Some(response) = client.read("/v1/documents", json).await? else {
         return Ok(());
-    }
+    };
     for document in array_field(&response, "documents")? {
         let service = document["service"].as_str().unwrap_or_default();
         if let Some(fault) = document["fault"].as_str() {
@@ -164,14 +159,9 @@
 
 async fn history(client: &Client, service: &ServiceName, json: bool) -> eyre::Result<()> {
     let path = format!("/v1/documents/{service}/history");
-    let response = client
-        .call(&AdminRequest::get(path))
-        .await?
-        .error_for_status()?;
-    if json {
-        print!("{}", response.body);
+    let Some(response) = client.read(path, json).await? else {
         return Ok(());
-    }
+    };
     for edit in array_field(&response, "revisions")? {
         println!("{}", format_edit(&edit));
         print_changes(&edit["changes"], "  ");
--- a/src/app/cli/drain.rs
+++ b/src/app/cli/drain.rs
@@ -156,14 +156,9 @@
     service: Option<&ServiceName>,
     json: bool,
 ) -> eyre::Result<()> {
-    let response = client
-        .call(&AdminRequest::get("/v1/drains"))
-        .await?
-        .error_for_status()?;
-    if json {
-        print!("{}", response.body);
+    let Some(response) = client.read("/v1/drains", json).await? else {
         return Ok(());
-    }
+    };
     let mut all = array_field(&response, "drains")?;
     all.retain(|d| service.is_none_or(|s| d["service"] == s.as_str()));
     if all.is_empty() {
--- a/src/app/cli/show.rs
+++ b/src/app/cli/show.rs
@@ -3,10 +3,7 @@
 
 use serde_json::Value;
 
-use super::{
-    client::{AdminRequest, Client},
-    documents::array_field,
-};
+use super::{client::Client, documents::array_field};
 use crate::{
     domain::{Millis, ServiceName},
     policy::timeline::Utc,
@@ -14,14 +11,9 @@
 
 /// Prints the state of an entry.
 pub(super) async fn status(client: &Client, json: bool) -> eyre::Result<()> {
-    let response = client
-        .call(&AdminRequest::get("/v1/status"))
-        .await?
-        .error_for_status()?;
-    if json {
-        print!("{}", response.body);
+    let Some(response) = client.read("/v1/status", json).await? else {
         return Ok(());
-    }
+    };
     let status = response.json()?;
     let yes_or_no = |v: &Value| if *v == true { "yes" } else { "no" };
     println!(
@@ -69,12 +61,10 @@
     service: &ServiceName,
     json: bool,
 ) -> eyre::Result<()> {
-    let request = AdminRequest::get(format!("/v1/explain?service={service}"));
-    let response = client.call(&request).await?.error_for_status()?;
-    if json {
-        print!("{}", response.body);
+    let path = format!("/v1/explain?service={service}");
+    let Some(response) = client.read(path, json).await? else {
         return Ok(());
-    }
+    };
     let decisions = array_field(&response, "decisions")?;
     if decisions.is_empty() {
         println!("no request of {service} went through this entry yet");
