--- a/src/app/entry/claim_tables.rs
+++ b/src/app/entry/claim_tables.rs
@@ -56,13 +56,7 @@
         for bucket in Bucket::all() {
             let (new, old) = (current.homes(bucket), former.homes(bucket));
             if new.contains(&self.me) {
-                let new_table = || {
-                    ClaimTable::new(
-                        self.me.clone(),
-                        bucket,
-                        CLAIM_LIMITS.per_bucket(u32::from(Bucket::COUNT)),
-                    )
-                };
+                let new_table = || self.new_table(bucket);
                 self.tables.with(bucket, new_table, |t| t.adopt(&old, &new));
             } else {
                 self.tables.get(&bucket, |t| t.adopt(&old, &new));
@@ -70,17 +64,16 @@
         }
     }
 
+    fn new_table(&self, bucket: Bucket) -> ClaimTable {
+        let limits = CLAIM_LIMITS.per_bucket(u32::from(Bucket::COUNT));
+        ClaimTable::new(self.me.clone(), bucket, limits)
+    }
+
     /// Answers a request of an entry. An entry that was never a home of the
     /// bucket refuses.
     pub(super) fn handle(&self, request: &HomeRequest, now: Millis) -> HomeResponse {
         let bucket = request.bucket();
-        let new_table = || {
-            ClaimTable::new(
-                self.me.clone(),
-                bucket,
-                CLAIM_LIMITS.per_bucket(u32::from(Bucket::COUNT)),
-            )
-        };
+        let new_table = || self.new_table(bucket);
         self.tables
             .with(bucket, new_table, |t| t.handle(request, now))
     }
