--- a/tests/gateway.rs
+++ b/tests/gateway.rs
@@ -342,7 +342,7 @@
     targets: &[Instance],
     received: &ReceivedCounts,
     (prefix, suffix, count, expected): (&str, &str, u32, u32),
-    is_store_up: bool,
+    store_up: bool,
 ) -> String {
     let mut changes = vec![configured()];
     changes.extend(targets.iter().cloned().map(Change::Registered));
@@ -352,7 +352,7 @@
         let clock = vm::entry::clock_at(&time);
         let settings = vm::settings(&format!("edge-{n}"));
         let mut platform = vm::entry::platform(changes.clone(), Millis(0));
-        if !is_store_up {
+        if !store_up {
             platform.announce =
                 Arc::new(|_| Box::pin(async { Err(vm::entry::store_failure("announce")) }));
         }
@@ -408,7 +408,7 @@
 
 /// Returns the result of [`sent_after_a_start`] for requests that fail once. One request at
 /// a time adds less than a retry to the budget.
-async fn retries_after_a_start(is_store_up: bool) -> String {
+async fn retries_after_a_start(store_up: bool) -> String {
     let received = ReceivedCounts::default();
     let servers = [
         target("i-1", &received).await,
@@ -416,7 +416,7 @@
     ];
     let instances = [1, 2].map(|n| vm::instance(&format!("i-{n}"), servers[n - 1].addr()));
     let case = ("/browse/", "/fail-once", 1, 1);
-    sent_after_a_start(&instances, &received, case, is_store_up).await
+    sent_after_a_start(&instances, &received, case, store_up).await
 }
 
 /// Fails if each of several entries that start together takes the whole slack of the
