Find out what targets take well, and don't displace objects in a cold start

Each entry fits how long requests take at each step of concurrency, by the answers of all targets of a service; the limit is the step with the highest power. Requests that find their preferred target busy are refused above half of the limit, and in a cold start, rather than displace objects elsewhere.

--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -193,6 +193,8 @@
     pub line_needed: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     /// The slots that there are for them.
     pub line_room: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
+    /// The part of their slots that targets take well.
+    pub limit_part: Family<ServiceLabel, Gauge<f64, AtomicU64>>,
     /// The era of the platform's store.
     pub store_era: Gauge,
     /// Requests of workspaces with a quota.
@@ -240,6 +242,7 @@
         line_rank: Family::default(),
         line_needed: Family::default(),
         line_room: Family::default(),
+        limit_part: Family::default(),
         store_era: Gauge::default(),
         quota: Family::default(),
         tokens: Family::default(),
@@ -291,6 +294,11 @@
         m.line_needed,
     );
     r.register(table::LINE_ROOM.base, help(&table::LINE_ROOM), m.line_room);
+    r.register(
+        table::LIMIT_PART.base,
+        help(&table::LIMIT_PART),
+        m.limit_part,
+    );
     r.register(table::STORE_ERA.base, help(&table::STORE_ERA), m.store_era);
     r.register(table::QUOTA.base, help(&table::QUOTA), m.quota);
     r.register(table::TOKENS.base, help(&table::TOKENS), m.tokens);
@@ -365,6 +373,14 @@
         self.line_room.get_or_create(&label).set(room);
     }
 
+    /// Sets the part of their slots that targets of a service take well.
+    pub fn set_limit(&self, service: &str, part: f64) {
+        let label = ServiceLabel {
+            service: service.to_owned(),
+        };
+        self.limit_part.get_or_create(&label).set(part);
+    }
+
     /// Sets the demand of the region. Services without demand disappear.
     pub fn set_demand(&self, demand: &RegionDemand) {
         self.demand_slots.clear();
--- a/src/adapters/metrics/table.rs
+++ b/src/adapters/metrics/table.rs
@@ -95,6 +95,8 @@
         "Slots that callers of the region asked for when this rank last changed.";
     LINE_ROOM = "line_room_slots" "savorybeam_line_room_slots", "slots", "service",
         "Slots that there were for them, near and far.";
+    LIMIT_PART = "limit_part" "savorybeam_limit_part", "0 to 1", "service",
+        "Part of their slots that targets take well, when it last changed by half.";
     STORE_ERA = "store_era" "savorybeam_store_era", "era", "",
         "The era of the store's state that a gateway has; it rises when the store comes back from an older copy.";
     QUOTA = "quota_requests" "savorybeam_quota_requests_total", "requests", "workspace, result",
--- a/src/app/gateway/explain.rs
+++ b/src/app/gateway/explain.rs
@@ -172,6 +172,7 @@
         "az": target.az.as_str(),
         "remote": target.remote,
         "slots": target.slots,
+        "limit": target.limit,
         "load": target.load,
         "slowdown": target.slowdown,
         "warm": target.warm,
--- a/src/app/gateway/slot.rs
+++ b/src/app/gateway/slot.rs
@@ -6,7 +6,7 @@
 use crate::{
     domain::{InstanceId, ServiceName, Size},
     policy::balance::{
-        Choice, ChooseError, Ending, LoadReport, Pool, Request, TargetNotice, Ticket,
+        Choice, ChooseError, Ending, LimitChange, LoadReport, Pool, Request, TargetNotice, Ticket,
     },
     ports::SendCheck,
 };
@@ -116,9 +116,16 @@
         self.finished = true;
         let at = now(&self.state);
         let ticket = &self.choice.ticket;
-        self.state.pools.get(&self.service, |pool| {
+        let change = self.state.pools.get(&self.service, |pool| {
             pool.finish(at, ticket, ending, report);
+            pool.take_limit_change()
         });
+        if let Some(LimitChange { from, to }) = change.flatten() {
+            let service = &self.service;
+            tracing::info!(%service, from, to, "gateway: the limit of targets has changed.");
+            let metrics = &self.state.ports.metrics;
+            metrics.set_limit(service.as_str(), to);
+        }
     }
 }
 
--- a/src/policy/balance/capacity.rs
+++ b/src/policy/balance/capacity.rs
@@ -61,11 +61,11 @@
             if ctx.evacuated.contains(&target.instance.az) {
                 continue;
             }
-            capacity.all += target.limit();
+            capacity.all += target.slots();
             if region == ctx.region {
-                capacity.local += target.limit();
+                capacity.local += target.slots();
                 if !target.is_cold(ctx.now) {
-                    capacity.warm += target.limit();
+                    capacity.warm += target.slots();
                 }
             }
             if !regions.contains(&region) {
@@ -113,19 +113,20 @@
         load.map_or(0.0, |load| load.slot_load(ctx.now))
     }
 
-    /// Returns the utilization of the region's targets: requests per slot, running
-    /// and waiting, up to [`MAX_UTILIZATION`].
+    /// Returns the utilization of the region's targets: requests, running and waiting,
+    /// relative to what they take well, up to [`MAX_UTILIZATION`].
     pub(super) fn region_utilization(
         &self,
         ctx: &Context<'_>,
         usable: &[usize],
         loads: &[f64],
     ) -> f64 {
+        let part = self.limits.part();
         let local = usable.iter().filter(|i| self.is_local(ctx, **i));
-        let (load, slots) = local.fold((0.0, 0.0), |(load, slots), i| {
-            (load + loads[*i], slots + self.targets[*i].slots())
+        let (load, limit) = local.fold((0.0, 0.0), |(load, limit), i| {
+            (load + loads[*i], limit + self.targets[*i].limit(part))
         });
-        (load / f64::max(slots, 1.0)).min(MAX_UTILIZATION)
+        (load / f64::max(limit, 1.0)).min(MAX_UTILIZATION)
     }
 
     /// Returns the fraction of its slots that the region has just lost, or zero if it is
--- a/src/policy/balance/choose.rs
+++ b/src/policy/balance/choose.rs
@@ -39,6 +39,11 @@
 /// same: such a region stays overloaded after the load has fallen.
 const SPILL_UTILIZATION_MAX: f64 = 1.2;
 
+/// The same in a cold start, and where targets slow down before their slots are full. A
+/// request for a cold object may take longer there than its route allows, and then it is
+/// given up before the object is warm.
+const SPILL_LIMITED_MAX: f64 = 0.5;
+
 /// Why no target was selected.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ChooseError {
@@ -170,7 +175,12 @@
             utilization,
             split: best.split,
         };
-        if !best.warm && !preferred.is_empty() && utilization > SPILL_UTILIZATION_MAX {
+        let spill_max = if self.limits.part() < 1.0 || !self.is_settled(ctx.now) {
+            SPILL_LIMITED_MAX
+        } else {
+            SPILL_UTILIZATION_MAX
+        };
+        if !best.warm && !preferred.is_empty() && utilization > spill_max {
             return Err(ChooseError::Displacing(basis));
         }
         let expected = millis(best.expected_ms);
--- a/src/policy/balance/explain.rs
+++ b/src/policy/balance/explain.rs
@@ -45,6 +45,8 @@
     pub remote: bool,
     /// The number of requests that it runs concurrently, as it has registered.
     pub slots: f64,
+    /// The number of requests at once that it takes well, as found out.
+    pub limit: f64,
     /// The estimated number of requests there.
     pub load: f64,
     /// How long its requests take relative to those of the others.
@@ -120,6 +122,7 @@
                 az: target.instance.az.clone(),
                 remote: scored.remote,
                 slots: target.slots(),
+                limit: target.limit(self.limits.part()),
                 load: scored.load,
                 slowdown: target.slowdown,
                 warm: scored.warm,
--- a/src/policy/balance/pool.rs
+++ b/src/policy/balance/pool.rs
@@ -8,6 +8,7 @@
 use super::{
     distance::SizeEstimate,
     duration::DurationEstimate,
+    limit::{LimitChange, LimitCurve},
     load::{LoadReport, RegionLoad},
     notice::{DepartedNotices, WithheldCounts},
     slow_start::ColdRequests,
@@ -71,6 +72,8 @@
     pub(super) has_traffic: bool,
     /// The fraction of recent requests with a long queueing delay.
     pub(super) long_fraction: f64,
+    /// How many requests at once the targets take well.
+    pub(super) limits: LimitCurve,
     /// Who is admitted when not all requests fit.
     pub(super) line: Line,
     /// The latest change of the line, until it is taken.
@@ -213,6 +216,7 @@
                     target.objects.record(object, now);
                 }
                 self.update_estimates(now, index, ticket);
+                self.update_limit(now, index, ticket, report.as_ref());
             }
             Ending::ErrorResponse => target.health.on_error(now, left),
             Ending::Rejected => {
@@ -237,6 +241,17 @@
         }
     }
 
+    /// Returns what is known of how many requests at once the targets take well.
+    #[must_use]
+    pub fn limits(&self) -> &LimitCurve {
+        &self.limits
+    }
+
+    /// Takes the change of that number, if it is by half or more.
+    pub fn take_limit_change(&mut self) -> Option<LimitChange> {
+        self.limits.take_change()
+    }
+
     /// Returns the hash of a route and what is known of its requests.
     pub(super) fn route_estimate(&mut self, rule: &RouteRule) -> (u64, RouteEstimate) {
         let route = xxh3_64(rule.prefix.as_bytes());
@@ -249,6 +264,23 @@
         self.targets.iter().position(|t| t.instance.id == *id)
     }
 
+    /// Learns from an answer how many requests at once the targets take well. Only
+    /// requests that found their object warm and a free slot are comparable.
+    fn update_limit(
+        &mut self,
+        now: Millis,
+        index: usize,
+        ticket: &Ticket,
+        report: Option<&LoadReport>,
+    ) {
+        let free = ticket.load < self.targets[index].slots();
+        if let Some(report) = report.filter(|_| ticket.warm && free) {
+            #[expect(clippy::cast_precision_loss)]
+            let elapsed_ms = (now - ticket.sent_at).0 as f64 - ticket.rtt_ms;
+            self.limits.record(ticket.route, elapsed_ms, report);
+        }
+    }
+
     /// Updates the duration estimate of the route and the target's slowdown
     /// from an answered request.
     fn update_estimates(&mut self, now: Millis, index: usize, ticket: &Ticket) {
--- a/src/policy/balance/target.rs
+++ b/src/policy/balance/target.rs
@@ -129,9 +129,10 @@
             && (!self.is_cold(now) || self.cold_requests.allows(now, self.hash, quota))
     }
 
-    /// Returns the number of requests at once that it takes well, at most its slots.
-    pub fn limit(&self) -> f64 {
-        self.slots()
+    /// Returns the number of requests at once that it takes well, if that is the given
+    /// part of its slots.
+    pub fn limit(&self, part: f64) -> f64 {
+        (self.slots() * part).max(1.0)
     }
 
     pub fn slots(&self) -> f64 {
--- a/tests/admin.rs
+++ b/tests/admin.rs
@@ -358,6 +358,7 @@
     m.revision.get_or_create(&service).set(2);
     m.set_far_share("slotboard", 0.25);
     m.set_line("slotboard", 2.0, 1.0, None);
+    m.set_limit("slotboard", 0.5);
     let refusal = RefusalLabels {
         service: "slotboard".to_owned(),
         code: "overloaded",
--- a/tests/balance/main.rs
+++ b/tests/balance/main.rs
@@ -2,6 +2,7 @@
 //! overload, large bodies and availability zones, shares of limits, and targets that
 //! fail or leave.
 
+mod limits;
 mod load;
 mod notice;
 mod odd_reports;
