Add up the reports of a region once for each report, not for each request

The sum of a service is kept until the next report or the end of the oldest one. The property test asks at later times too, which fails without the end.

--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -446,7 +446,7 @@
         let own = own.filter(|demand| demand.requests > 0.0);
         let own_rate = lock(&self.request_count).rate(now);
         let (region_demand, region_requests) = {
-            let account = lock(&self.demand);
+            let mut account = lock(&self.demand);
             let demand = account.service(now, service, own, region_entries);
             let rate = account.requests(now, own_rate, region_entries);
             (demand, window_requests(rate))
--- a/src/policy/demand/account.rs
+++ b/src/policy/demand/account.rs
@@ -26,6 +26,19 @@
     reports: BTreeMap<EntryId, (Millis, DemandReport)>,
     /// The latest sum of the entry's source, or one before it that covers more entries.
     received: Option<(Millis, RegionDemand)>,
+    /// The sums of the reports by service, until the next report. They are needed for
+    /// each request, and adding up the workspaces of all reports takes longer than the
+    /// rest of a choice.
+    sums: BTreeMap<ServiceName, ReportSum>,
+}
+
+/// The sum of the reports of one service.
+#[derive(Clone, Copy, Debug)]
+struct ReportSum {
+    /// The time until which all of these reports are valid.
+    until: Millis,
+    entries: usize,
+    demand: Option<Demand>,
 }
 
 impl DemandAccount {
@@ -40,6 +53,7 @@
         }
         sanitize(&mut report.services);
         self.reports.insert(entry, (now, report));
+        self.sums.clear();
     }
 
     /// Records the sum that this entry's source has sent. Implausible values are
@@ -85,7 +99,7 @@
     /// there was any request.
     #[must_use]
     pub fn service(
-        &self,
+        &mut self,
         now: Millis,
         service: &ServiceName,
         own: Option<Demand>,
@@ -94,15 +108,12 @@
         if let Some(received) = self.wider_total(now) {
             return received.of(service, region_entries);
         }
-        let mut known_entries = 1;
-        let mut sum = own;
-        for report in self.valid_reports(now) {
-            known_entries += 1;
-            if let Some(demand) = report.services.get(service) {
-                *sum.get_or_insert_default() += *demand;
-            }
+        let reports = self.report_sum(now, service);
+        let mut sum = reports.demand;
+        if let Some(own) = own {
+            *sum.get_or_insert_default() += own;
         }
-        sum?.extrapolate(known_entries, region_entries)
+        sum?.extrapolate(1 + reports.entries, region_entries)
     }
 
     /// Returns the requests per second of all services at all entries of the region.
@@ -128,6 +139,28 @@
         is_better.then_some(received)
     }
 
+    fn report_sum(&mut self, now: Millis, service: &ServiceName) -> ReportSum {
+        let known = self.sums.get(service).filter(|sum| now <= sum.until);
+        if let Some(sum) = known {
+            return *sum;
+        }
+        let valid = self.reports.values().filter(|(at, _)| is_valid(*at, now));
+        let oldest = valid.map(|(at, _)| *at).min().unwrap_or(now);
+        let mut sum = ReportSum {
+            until: oldest + REPORT_VALIDITY,
+            entries: 0,
+            demand: None,
+        };
+        for report in self.valid_reports(now) {
+            sum.entries += 1;
+            if let Some(demand) = report.services.get(service) {
+                *sum.demand.get_or_insert_default() += *demand;
+            }
+        }
+        self.sums.insert(service.clone(), sum);
+        sum
+    }
+
     fn valid_reports(&self, now: Millis) -> impl Iterator<Item = &DemandReport> {
         let reports = self.reports.values();
         reports
--- a/tests/demand.rs
+++ b/tests/demand.rs
@@ -259,8 +259,10 @@
         let total = RegionDemand { entries: entries.into(), services: requests(&items).services };
         account.record_total(Millis(u64::from(at) % 10_000), total);
         let own = reports.first().map_or_else(DemandReport::default, |(_, items)| requests(items));
-        let region = account.region(now, &own);
-        (0..5).map(service).all(|s| {
+        // Reports end at different times, also if none comes in between.
+        let times = (0..4).map(|n| now + Millis(n * 2_000));
+        times.flat_map(|now| (0..5).map(move |s| (now, service(s)))).all(|(now, s)| {
+            let region = account.region(now, &own);
             let one = account.service(now, &s, own.services.get(&s).copied(), region_entries.into());
             one == region.of(&s, region_entries.into())
         })
