--- a/src/app/entry/limits.rs
+++ b/src/app/entry/limits.rs
@@ -1,6 +1,11 @@
-//! The names of the limits that entries share.
+//! The limits that entries share: their names, and the slots that they leave.
 
-use crate::domain::{LimitName, RegionName, ServiceName, TargetId, WorkspaceName};
+use std::collections::HashMap;
+
+use crate::{
+    domain::{Lane, LimitName, RegionName, ServiceName, Shards, TargetId, WorkspaceName},
+    policy::limit::Ledger,
+};
 
 /// Returns the name of the limit on a target's slots.
 #[must_use]
@@ -48,3 +53,26 @@
     // valid name of a limit.
     text.parse().unwrap_or_else(|e| unreachable!("{e}"))
 }
+
+/// Returns how many more requests of a lane may run at a target.
+///
+/// An entry that holds all slots of a target reserves one for the short lane.
+/// With fewer slots, the queue limits the long lane across all targets.
+pub(super) fn free_slots(
+    limits: &Shards<LimitName, Ledger>,
+    slot_limits: &HashMap<TargetId, LimitName>,
+    target: TargetId,
+    lane: Lane,
+) -> u32 {
+    let limit = slot_limits.get(&target);
+    let status = limit.and_then(|l| limits.get(l, |l| l.status()));
+    let Some(status) = status else {
+        return 0;
+    };
+    let idle = status.usable.saturating_sub(status.busy);
+    let holds_all = status.usable >= status.size && status.size > 1;
+    if lane == Lane::Long && holds_all {
+        return idle.saturating_sub(1);
+    }
+    idle
+}
--- a/src/app/entry/places.rs
+++ b/src/app/entry/places.rs
@@ -3,8 +3,8 @@
 use rand::Rng;
 
 use super::{
-    limits::region_limit,
-    service::{Service, free_slots},
+    limits::{free_slots, region_limit},
+    service::Service,
 };
 use crate::{
     domain::{Homes, LimitName, Millis, PlaceName, RegionName, Shards},
--- a/src/app/entry/service.rs
+++ b/src/app/entry/service.rs
@@ -5,7 +5,11 @@
 use rand::Rng;
 use tokio::sync::oneshot;
 
-use super::{bound::BoundQueues, limits::slots_limit, slot::Slot};
+use super::{
+    bound::BoundQueues,
+    limits::{free_slots, slots_limit},
+    slot::Slot,
+};
 use crate::{
     domain::{
         Document, Homes, Lane, LimitName, Millis, PlaceName, RegionName, Revision, ServiceName,
@@ -489,26 +493,3 @@
     /// The route under which the duration is learned.
     pub route: &'a str,
 }
-
-/// Returns how many more requests of a lane may run at a target.
-///
-/// An entry that holds all slots of a target reserves one for the short lane.
-/// With fewer slots, the queue limits the long lane across all targets.
-pub(super) fn free_slots(
-    limits: &Shards<LimitName, Ledger>,
-    slot_limits: &HashMap<TargetId, LimitName>,
-    target: TargetId,
-    lane: Lane,
-) -> u32 {
-    let limit = slot_limits.get(&target);
-    let status = limit.and_then(|l| limits.get(l, |l| l.status()));
-    let Some(status) = status else {
-        return 0;
-    };
-    let idle = status.usable.saturating_sub(status.busy);
-    let holds_all = status.usable >= status.size && status.size > 1;
-    if lane == Lane::Long && holds_all {
-        return idle.saturating_sub(1);
-    }
-    idle
-}
--- a/src/app/gateway/explain.rs
+++ b/src/app/gateway/explain.rs
@@ -148,7 +148,7 @@
         "refused_used_up": count(Code::QuotaExceeded.as_str()),
         "refused_unavailable": count(Code::QuotaUnavailable.as_str()),
         "tokens": status.tokens,
-        "at_limit": status.is_at_limit,
+        "at_limit": status.at_limit,
         "room_in_ms": room.map(|room| room.after.0),
     })
 }
--- a/src/app/gateway/quota/rounds.rs
+++ b/src/app/gateway/quota/rounds.rs
@@ -164,7 +164,7 @@
     let quota = table.workspace_named(workspace).and_then(|w| w.quota);
     let limit = quota.map(|q| q.rate.to_string());
     let burst = quota.map(|q| q.burst);
-    if change.is_at_limit {
+    if change.at_limit {
         tracing::warn!(
             %workspace, limit, burst, %usage,
             cause = "all tokens of the quota are used",
--- a/src/policy/limit/mod.rs
+++ b/src/policy/limit/mod.rs
@@ -42,13 +42,15 @@
 mod message;
 mod roster;
 mod shortage;
+mod status;
 mod survey;
 mod unit;
 
-pub use ledger::{Ledger, Permit, Status};
+pub use ledger::{Ledger, Permit};
 pub use message::{Envelope, HeldUnits, Member, Message, Outgoing};
 pub use roster::{Roster, RosterMember};
 pub use shortage::Shortage;
+pub use status::Status;
 
 use crate::domain::{LimitName, Mbps, Millis, Quota, Rps, Slots};
 
--- a/src/policy/quota/bucket.rs
+++ b/src/policy/quota/bucket.rs
@@ -53,7 +53,7 @@
     /// The latest time at which the quota was known to be used up.
     exhausted_at: Option<Millis>,
     /// Whether the workspace counts as at its limit.
-    is_at_limit: bool,
+    at_limit: bool,
 }
 
 impl Bucket {
@@ -74,7 +74,7 @@
             short: false,
             dry_until: Millis(0),
             exhausted_at: None,
-            is_at_limit: false,
+            at_limit: false,
         }
     }
 
@@ -213,9 +213,9 @@
     /// the last call. None if neither.
     pub fn limit_change(&mut self, now: Millis) -> Option<bool> {
         let is_recent = |at: Millis| now < at + BELOW_AFTER;
-        let is_at_limit = self.exhausted_at.is_some_and(is_recent);
-        let was_at_limit = std::mem::replace(&mut self.is_at_limit, is_at_limit);
-        (is_at_limit != was_at_limit).then_some(is_at_limit)
+        let at_limit = self.exhausted_at.is_some_and(is_recent);
+        let was_at_limit = std::mem::replace(&mut self.at_limit, at_limit);
+        (at_limit != was_at_limit).then_some(at_limit)
     }
 
     /// Returns the rate of the requests that ask for tokens here.
--- a/src/policy/quota/granter.rs
+++ b/src/policy/quota/granter.rs
@@ -18,7 +18,7 @@
     /// The workspace.
     pub workspace: WorkspaceName,
     /// Whether it is at its limit now.
-    pub is_at_limit: bool,
+    pub at_limit: bool,
     /// The rate of its requests that ask this granter.
     pub usage: Rate,
 }
@@ -260,10 +260,10 @@
     /// each region and not for each entry.
     pub fn limit_changes(&mut self, now: Millis) -> Vec<LimitChange> {
         let change = |(name, bucket): (&WorkspaceName, &mut Bucket)| {
-            let is_at_limit = bucket.limit_change(now)?;
+            let at_limit = bucket.limit_change(now)?;
             Some(LimitChange {
                 workspace: name.clone(),
-                is_at_limit,
+                at_limit,
                 usage: bucket.usage(now),
             })
         };
--- a/src/policy/quota/holder.rs
+++ b/src/policy/quota/holder.rs
@@ -123,7 +123,7 @@
     /// The tokens at hand.
     pub tokens: u32,
     /// Whether requests were refused here lately because the limit is used up.
-    pub is_at_limit: bool,
+    pub at_limit: bool,
 }
 
 /// The tokens of all workspaces at one entry.
@@ -201,7 +201,7 @@
             HandStatus {
                 rate: hand.usage.rate(now),
                 tokens: hand.held(),
-                is_at_limit: hand.refused_at.is_some_and(|at| now < at + BELOW_AFTER),
+                at_limit: hand.refused_at.is_some_and(|at| now < at + BELOW_AFTER),
             }
         });
         status.unwrap_or_default()
--- a/tests/quota/world.rs
+++ b/tests/quota/world.rs
@@ -599,7 +599,7 @@
         let now = self.now;
         let changes = self.nodes.iter_mut().flat_map(|node| {
             let changes = node.granter.limit_changes(now + Millis(node.origin));
-            changes.into_iter().map(|c| (c.workspace, c.is_at_limit))
+            changes.into_iter().map(|c| (c.workspace, c.at_limit))
         });
         let index = |name| self.names.iter().position(|n| *n == name);
         changes
