--- a/src/app/entry/state.rs
+++ b/src/app/entry/state.rs
@@ -1,7 +1,7 @@
 //! The state of a running entry.
 
 use std::sync::{
-    Arc, Mutex, PoisonError, RwLock,
+    Arc, Mutex, RwLock,
     atomic::{AtomicBool, Ordering},
 };
 
@@ -20,6 +20,7 @@
     adapters::{ini::Settings, store::roster::RosterRecord},
     domain::{
         Document, Incarnation, LimitName, Quota, Revision, ServiceName, Shards, Slots, TargetId,
+        read,
     },
     policy::{
         crash::{RecentSuccesses, StrikeTable},
@@ -136,13 +137,6 @@
         }
     }
 
-    /// Adopts a document, unless the same or a newer revision was adopted
-    /// before.
-    pub fn adopt(self: &Arc<Self>, doc: &Document, revision: Revision) -> Adoption {
-        let content = Content::Document(Arc::new(doc.clone()));
-        self.adopt_content(&doc.service, revision, content)
-    }
-
     /// Adopts a revision if it is newer and valid. Documents change only
     /// through this function, so an entry never returns to an older revision.
     pub fn adopt_content(
@@ -327,10 +321,7 @@
     /// Returns the entries among which lookups choose.
     #[must_use]
     pub fn view(&self) -> Arc<EntryView> {
-        self.view
-            .read()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        read(&self.view)
     }
 
     /// Passes messages about limits to the task that sends them. If the task
--- a/src/policy/once/key.rs
+++ b/src/policy/once/key.rs
@@ -176,15 +176,10 @@
         Self::digest(b'w', &[&self.0.to_be_bytes(), name.as_bytes()])
     }
 
-    /// Returns the digest of a key, which identifies a keyed request in the
-    /// strikes of [`crash`](crate::policy::crash).
-    #[must_use]
-    pub fn of_key(key: &ClaimKey) -> Self {
-        Self::digest(b'k', &[key.service.as_bytes(), &key.key.0])
-    }
-
-    /// Hashes the parts. Each is preceded by its length, so that `("ab", "c")` and
-    /// `("a", "bc")` have different digests.
+    /// Hashes the parts. `kind` distinguishes digests of different things. Each part is
+    /// preceded by its length, so that `("ab", "c")` and `("a", "bc")` have different
+    /// digests. Entries compare digests, so that those of different versions must hash
+    /// the same bytes.
     fn digest(kind: u8, parts: &[&[u8]]) -> Self {
         let mut hash = Xxh3::new();
         hash.update(&[kind]);
--- a/src/policy/quota/holder.rs
+++ b/src/policy/quota/holder.rs
@@ -122,6 +122,8 @@
     pub rate: f64,
     /// The tokens at hand.
     pub tokens: u32,
+    /// Whether requests were refused here lately because the limit is used up.
+    pub is_at_limit: bool,
 }
 
 /// The tokens of all workspaces at one entry.
@@ -199,6 +201,7 @@
             HandStatus {
                 rate: hand.usage.rate(now),
                 tokens: hand.held(),
+                is_at_limit: hand.refused_at.is_some_and(|at| now < at + BELOW_AFTER),
             }
         });
         status.unwrap_or_default()
@@ -255,8 +258,7 @@
         pending
     }
 
-    /// Records that a request was refused because the limit is used up, where no granter
-    /// knows that. Returns the rate of the workspace's requests at this entry if it was
+    /// Records that a request was refused because the limit is used up. Returns the rate of the workspace's requests at this entry if it was
     /// below its limit until now.
     #[must_use]
     pub fn record_refusal(&self, now: Millis, name: &WorkspaceName) -> Option<f64> {
