--- a/src/adapters/metrics/mod.rs
+++ b/src/adapters/metrics/mod.rs
@@ -13,7 +13,7 @@
 use std::{
     collections::BTreeSet,
     fmt,
-    sync::{Arc, Mutex, PoisonError, atomic::AtomicU64},
+    sync::{Arc, Mutex, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -31,7 +31,7 @@
 pub use self::table::{Row, TABLE};
 use crate::{
     adapters::store::CallCounters,
-    domain::Rank,
+    domain::{Rank, lock},
     policy::{balance::WithheldCounts, demand::RegionDemand},
 };
 
@@ -387,6 +387,17 @@
         self.quota.get_or_create(&labels).inc();
     }
 
+    /// Returns how many requests of a workspace with a quota ended with a result. Those
+    /// of workspaces that are counted together with others are not known.
+    #[must_use]
+    pub fn quota_count(&self, workspace: &str, result: &'static str) -> u64 {
+        let labels = WorkspaceLabels {
+            workspace: workspace.to_owned(),
+            result,
+        };
+        self.quota.get(&labels).map_or(0, |count| count.get())
+    }
+
     /// Adds tokens at hand.
     pub fn add_tokens(&self, workspace: &str, tokens: u32) {
         let workspace = self.workspace_label(workspace);
@@ -405,8 +416,7 @@
     }
 
     fn workspace_label(&self, name: &str) -> String {
-        let known = self.workspaces.lock();
-        let mut known = known.unwrap_or_else(PoisonError::into_inner);
+        let mut known = lock(&self.workspaces);
         if known.contains(name) {
             return name.to_owned();
         }
--- a/src/app/cli/options.rs
+++ b/src/app/cli/options.rs
@@ -7,6 +7,7 @@
 
 use super::addr::AdminAddr;
 use crate::{
+    adapters::platform::settings::SETTINGS_PATH_HELP,
     domain::{PlaceName, Revision, ServiceName, Size, TargetId, WorkspaceName},
     policy::timeline::{Component, Stamp},
 };
@@ -102,8 +103,11 @@
     /// where a request would go now
     ///
     ///
-    /// Examples: savorybeam explain --admin 10.0.0.1:7002 slotboard; savorybeam
-    /// explain --gateway 10.0.0.1:9464 --host kitchens.example /slots/7
+    /// Example: savorybeam explain --admin 10.0.0.1:7002 slotboard
+    ///
+    ///
+    /// Example: savorybeam explain --gateway 10.0.0.1:9464 --host kitchens.example
+    /// /slots/7
     #[bpaf(command)]
     Explain(#[bpaf(external(explain))] Explain),
     /// Runs the process of an entry VM on the users' platform
@@ -112,14 +116,19 @@
     /// Example: savorybeam gateway --settings /etc/savorybeam/local.yaml
     #[bpaf(command)]
     Gateway {
-        /// The platform's settings file; defaults to the environment variable
-        /// `SAVORYBEAM_BOOT`
-        #[bpaf(argument("FILE"), optional)]
+        #[bpaf(long, help(SETTINGS_PATH_HELP), argument("FILE"), optional)]
         settings: Option<PathBuf>,
         /// Port on which the metrics are served
         #[bpaf(argument("PORT"), fallback(9464))]
         metrics: u16,
     },
+    /// Reads a key from standard input and prints the digest of it that documents
+    /// state
+    ///
+    ///
+    /// Example: savorybeam key-digest < key.txt
+    #[bpaf(command("key-digest"))]
+    KeyDigest,
     /// Shows the state of an entry
     ///
     ///
--- a/src/app/entry/claim_tables.rs
+++ b/src/app/entry/claim_tables.rs
@@ -2,11 +2,11 @@
 
 use std::{
     collections::HashSet,
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
 };
 
 use crate::{
-    domain::{Millis, Shards, Size},
+    domain::{Millis, Shards, Size, lock},
     policy::once::{
         Bucket, ClaimLimits, ClaimTable, HomeRequest, HomeResponse, Member, Outbox, Roster,
         TransferPage,
@@ -46,7 +46,7 @@
 
     /// Locks the releases and answers that are not yet acknowledged.
     pub(super) fn outbox(&self) -> MutexGuard<'_, Outbox> {
-        self.outbox.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.outbox)
     }
 
     /// Adopts the current and the former roster.
@@ -56,13 +56,7 @@
         for bucket in Bucket::all() {
             let (new, old) = (current.homes(bucket), former.homes(bucket));
             if new.contains(&self.me) {
-                let new_table = || {
-                    ClaimTable::new(
-                        self.me.clone(),
-                        bucket,
-                        CLAIM_LIMITS.per_bucket(u32::from(Bucket::COUNT)),
-                    )
-                };
+                let new_table = || self.new_table(bucket);
                 self.tables.with(bucket, new_table, |t| t.adopt(&old, &new));
             } else {
                 self.tables.get(&bucket, |t| t.adopt(&old, &new));
@@ -70,17 +64,16 @@
         }
     }
 
+    fn new_table(&self, bucket: Bucket) -> ClaimTable {
+        let limits = CLAIM_LIMITS.per_bucket(u32::from(Bucket::COUNT));
+        ClaimTable::new(self.me.clone(), bucket, limits)
+    }
+
     /// Answers a request of an entry. An entry that was never a home of the
     /// bucket refuses.
     pub(super) fn handle(&self, request: &HomeRequest, now: Millis) -> HomeResponse {
         let bucket = request.bucket();
-        let new_table = || {
-            ClaimTable::new(
-                self.me.clone(),
-                bucket,
-                CLAIM_LIMITS.per_bucket(u32::from(Bucket::COUNT)),
-            )
-        };
+        let new_table = || self.new_table(bucket);
         self.tables
             .with(bucket, new_table, |t| t.handle(request, now))
     }
@@ -111,16 +104,4 @@
         let bucket = page.request.bucket;
         self.tables.get(&bucket, |t| t.on_page(from, page, now));
     }
-
-    /// Returns the number of tables that vote, and the number of claims in all
-    /// tables.
-    #[must_use]
-    pub fn counts(&self) -> (usize, usize) {
-        let (mut ready, mut claims) = (0, 0);
-        self.tables.each(|_, t| {
-            ready += usize::from(t.is_ready());
-            claims += t.len();
-        });
-        (ready, claims)
-    }
 }
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -105,6 +105,7 @@
     /// yet.
     #[must_use]
     pub fn new(settings: VmSettings, ports: Ports) -> Self {
+        let entries = Entries::new((ports.clock.now)());
         Self {
             ports,
             pools: Shards::new(),
@@ -115,7 +116,7 @@
             table: RwLock::default(),
             evacuated: RwLock::default(),
             peers: RwLock::default(),
-            entries: Mutex::default(),
+            entries: Mutex::new(entries),
             request_count: Mutex::default(),
             sides: Mutex::default(),
             demand: Mutex::default(),
@@ -445,7 +446,7 @@
         let own = own.filter(|demand| demand.requests > 0.0);
         let own_rate = lock(&self.request_count).rate(now);
         let (region_demand, region_requests) = {
-            let account = lock(&self.demand);
+            let mut account = lock(&self.demand);
             let demand = account.service(now, service, own, region_entries);
             let rate = account.requests(now, own_rate, region_entries);
             (demand, window_requests(rate))
--- a/src/policy/once/key.rs
+++ b/src/policy/once/key.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
-use crate::domain::{ParseError, ServiceName, Size};
+use crate::domain::{ParseError, ServiceName, Size, WorkspaceName};
 
 /// The longest key, in bytes. It bounds the memory of a claim. Callers use UUIDs
 /// of 36 bytes or short compound names.
@@ -170,15 +170,16 @@
         Self::digest(b'r', &parts)
     }
 
-    /// Returns the digest of a key, which identifies a keyed request in the
-    /// strikes of [`crash`](crate::policy::crash).
+    /// Returns the digest of the same request of a workspace.
     #[must_use]
-    pub fn of_key(key: &ClaimKey) -> Self {
-        Self::digest(b'k', &[key.service.as_bytes(), &key.key.0])
+    pub fn of_workspace(self, name: &WorkspaceName) -> Self {
+        Self::digest(b'w', &[&self.0.to_be_bytes(), name.as_bytes()])
     }
 
-    /// Hashes the parts. Each is preceded by its length, so that `("ab", "c")` and
-    /// `("a", "bc")` have different digests.
+    /// Hashes the parts. `kind` distinguishes digests of different things. Each part is
+    /// preceded by its length, so that `("ab", "c")` and `("a", "bc")` have different
+    /// digests. Entries compare digests, so that those of different versions must hash
+    /// the same bytes.
     fn digest(kind: u8, parts: &[&[u8]]) -> Self {
         let mut hash = Xxh3::new();
         hash.update(&[kind]);
