Read callers' keys on both interfaces in one place

The own interface wrote again what the platform's headers did: exactly one key, both headers removed, the workspace's name set. Both now state only the names of their headers, and adapters/http/caller has the rule.

--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -8,6 +8,7 @@
 //! could not reliably say `not-run`. See
 //! [docs/design.md](../../../docs/design.md), section 6.
 
+mod caller;
 mod content;
 mod progress;
 mod query;
@@ -18,6 +19,7 @@
 mod target;
 mod unread;
 
+pub use caller::CallerHeaders;
 pub use content::{Content, full_body, strip_hop_by_hop};
 pub use query::Query;
 pub use refusal::{CODE_HEADER, OUTCOME_HEADER, refusal_response};
--- a/src/adapters/platform/headers.rs
+++ b/src/adapters/platform/headers.rs
@@ -1,10 +1,10 @@
 //! The headers of requests and responses.
 
-use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 
 use crate::{
-    domain::{CallerKey, InstanceId, Millis, Workspace},
+    adapters::http::CallerHeaders,
+    domain::{InstanceId, Millis},
     policy::balance::{LoadReport, PauseRequest, TargetNotice},
 };
 
@@ -20,10 +20,11 @@
 const SERVER_SEAL: HeaderName = HeaderName::from_static("server-seal");
 /// The instance of a target that may run the request.
 const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
-/// The key of a caller.
-const KEY: HeaderName = HeaderName::from_static("key");
-/// The name of the workspace whose key a caller has, for targets.
-const TENANT: HeaderName = HeaderName::from_static("tenant");
+/// The key of a caller and the name of its workspace.
+pub const CALLER: CallerHeaders = CallerHeaders {
+    key: HeaderName::from_static("key"),
+    workspace: HeaderName::from_static("tenant"),
+};
 /// The load that a target reports.
 const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
 /// Says that the target rejected the request without running it.
@@ -60,27 +61,6 @@
     }
 }
 
-/// Removes the caller's key from a request, with all that the caller states about its
-/// workspace. Returns the key if there is exactly one.
-pub fn take_key(headers: &mut HeaderMap) -> Option<CallerKey> {
-    let mut keys = headers.get_all(KEY).iter();
-    let key = match (keys.next(), keys.next()) {
-        (Some(key), None) => Some(CallerKey::new(Bytes::copy_from_slice(key.as_bytes()))),
-        _ => None,
-    };
-    headers.remove(KEY);
-    headers.remove(TENANT);
-    key
-}
-
-/// Sets the name of the workspace to which a request belongs.
-pub fn write_workspace(headers: &mut HeaderMap, workspace: &Workspace) {
-    // A name is printable ASCII and thus always a valid header value.
-    if let Ok(value) = HeaderValue::from_str(workspace.name.as_str()) {
-        headers.insert(TENANT, value);
-    }
-}
-
 /// Returns a request id for logs, `-` if there is none.
 #[must_use]
 pub fn label(id: Option<&HeaderValue>) -> &str {
--- a/src/app/entry/callers.rs
+++ b/src/app/entry/callers.rs
@@ -5,20 +5,20 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue};
+use http::HeaderName;
 
 use super::{State, job::Inbound, service::Service};
 use crate::{
-    domain::{CallerKey, Workspace},
+    adapters::http::CallerHeaders,
+    domain::Workspace,
     policy::refusal::{Code, Refusal},
 };
 
-/// The request header with the key of the caller. Targets never get it.
-const KEY: HeaderName = HeaderName::from_static("x-workspace-key");
-
-/// The request header that tells a target the workspace of the caller.
-const WORKSPACE: HeaderName = HeaderName::from_static("x-workspace");
+/// The headers with the key of the caller and the name of its workspace.
+pub(super) const CALLER: CallerHeaders = CallerHeaders {
+    key: HeaderName::from_static("x-workspace-key"),
+    workspace: HeaderName::from_static("x-workspace"),
+};
 
 /// Removes the key from a request, with all that the caller states about its workspace,
 /// and returns the workspace. Returns none if callers need no key.
@@ -42,7 +42,7 @@
     else {
         return Ok(None);
     };
-    let key = take_key(inbound.request.headers_mut());
+    let key = CALLER.take_key(inbound.request.headers_mut());
     if is_public {
         return Ok(None);
     }
@@ -57,22 +57,3 @@
         Refusal::not_run(Code::UnknownKey, detail)
     })
 }
-
-fn take_key(headers: &mut HeaderMap) -> Option<CallerKey> {
-    let mut keys = headers.get_all(KEY).iter();
-    let key = match (keys.next(), keys.next()) {
-        (Some(key), None) => Some(CallerKey::new(Bytes::copy_from_slice(key.as_bytes()))),
-        _ => None,
-    };
-    headers.remove(KEY);
-    headers.remove(WORKSPACE);
-    key
-}
-
-/// Sets the name of the workspace to which a request belongs.
-pub(super) fn write_workspace(headers: &mut HeaderMap, workspace: &Workspace) {
-    // A name is printable ASCII and thus always a valid header value.
-    if let Ok(value) = HeaderValue::from_str(workspace.name.as_str()) {
-        headers.insert(WORKSPACE, value);
-    }
-}
--- a/src/app/entry/job.rs
+++ b/src/app/entry/job.rs
@@ -217,7 +217,7 @@
         let headers = request.headers_mut();
         strip_hop_by_hop(headers);
         if let Some(workspace) = &self.workspace {
-            callers::write_workspace(headers, workspace);
+            callers::CALLER.write_workspace(headers, workspace);
         }
         let left = self.deadline - now;
         headers.insert("x-deadline-ms", HeaderValue::from(left.0));
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -170,7 +170,7 @@
         strip_hop_by_hop(head);
         headers::write_attempt(head, target, time_left);
         if let Some(workspace) = &self.workspace {
-            headers::write_workspace(head, workspace);
+            headers::CALLER.write_workspace(head, workspace);
         }
         Some(request)
     }
@@ -282,7 +282,7 @@
     if !table.has_workspaces() {
         return Ok(None);
     }
-    let key = headers::take_key(&mut head.headers);
+    let key = headers::CALLER.take_key(&mut head.headers);
     if rule.public {
         return Ok(None);
     }
