--- a/src/app/gateway/quota/mod.rs
+++ b/src/app/gateway/quota/mod.rs
@@ -8,7 +8,7 @@
 mod rounds;
 
 use std::sync::{
-    Mutex, MutexGuard, PoisonError,
+    Mutex, MutexGuard,
     atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
 };
 
@@ -17,7 +17,7 @@
 pub(super) use self::{admission::Admission, rounds::run};
 use super::{State, now};
 use crate::{
-    domain::{EntryId, Millis, WorkspaceName},
+    domain::{EntryId, Millis, WorkspaceName, lock},
     policy::quota::{Answer, Ask, Granter, HandStatus, Holder, Room, Shortage, Token},
 };
 
@@ -55,7 +55,7 @@
     }
 
     fn granter(&self) -> MutexGuard<'_, Granter> {
-        self.granter.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.granter)
     }
 
     /// Takes a token that is at hand, or one of the parts that this entry holds.
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        Arc, Mutex, MutexGuard, RwLock,
         atomic::{AtomicBool, AtomicU64, Ordering::Relaxed},
     },
 };
@@ -14,7 +14,7 @@
 use super::quota::Quotas;
 use crate::{
     adapters::metrics::Metrics,
-    domain::{AzName, Bounds, Era, Millis, Position, ServiceName, Shards, Size},
+    domain::{AzName, Bounds, Era, Millis, Position, ServiceName, Shards, Size, lock, read, write},
     policy::{
         balance::{Basis, ColdQuota, Context, Pool, Registry},
         budget::RetryLimits,
@@ -141,7 +141,7 @@
 
     /// Replaces the settings.
     pub fn set_settings(&self, settings: VmSettings) {
-        write(&self.settings, Arc::new(settings));
+        *write(&self.settings) = Arc::new(settings);
     }
 
     /// Returns the current route table, if a configuration has been read.
@@ -151,7 +151,7 @@
     }
 
     pub(super) fn set_table(&self, table: Arc<Table>) {
-        write(&self.table, Some(table));
+        *write(&self.table) = Some(table);
         self.quotas.notify();
     }
 
@@ -168,7 +168,7 @@
     }
 
     pub(super) fn set_evacuated(&self, evacuated: BTreeSet<AzName>) {
-        write(&self.evacuated, Arc::new(evacuated));
+        *write(&self.evacuated) = Arc::new(evacuated);
     }
 
     /// Returns the entries that are announced.
@@ -297,7 +297,7 @@
     /// Sets the position before a new era, or none at the end of the time in which
     /// it is to be written again.
     pub(super) fn set_settled(&self, before: Option<Position>) {
-        write(&self.settled, before);
+        *write(&self.settled) = before;
     }
 
     /// Records that another entry waits for changes until the given time.
@@ -338,7 +338,7 @@
         if !peers.contains(&me) {
             peers.push(me);
         }
-        write(&self.peers, Arc::new(peers));
+        *write(&self.peers) = Arc::new(peers);
     }
 
     /// Returns the hashed names of the entries that share limits.
@@ -471,15 +471,3 @@
             .with(service.clone(), Pool::new, |p| f(p, &context))
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-fn read<T: Clone>(lock: &RwLock<T>) -> T {
-    lock.read().unwrap_or_else(PoisonError::into_inner).clone()
-}
-
-fn write<T>(lock: &RwLock<T>, value: T) {
-    *lock.write().unwrap_or_else(PoisonError::into_inner) = value;
-}
