--- a/src/policy/quota/holder.rs
+++ b/src/policy/quota/holder.rs
@@ -174,14 +174,6 @@
         });
     }
 
-    /// Returns whether requests wait for a token.
-    #[must_use]
-    pub fn has_waiting(&self) -> bool {
-        let mut waiting = false;
-        self.hands.each(|_, hand| waiting |= hand.waiting > 0);
-        waiting
-    }
-
     /// Returns why a workspace without tokens has none.
     #[must_use]
     pub fn shortage(&self, now: Millis, name: &WorkspaceName) -> Shortage {
