--- a/tests/balance/room.rs
+++ b/tests/balance/room.rs
@@ -261,6 +261,13 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+/// Plays a load and describes how the callers of each region and each rank are served.
+fn describe_regions(load: &Load) -> String {
+    let runs = runs(load);
+    let percents = [0, 1, 2].map(|region| percent(&runs, |run| run.regions[region]));
+    format!("regions {percents:?}, {}", describe_runs(load, &runs))
+}
+
 /// Fails if the callers of a region with a tenth of the slots and a third of the callers
 /// are served worse than others while the regions together have room.
 #[test]
@@ -271,12 +278,7 @@
         surge: None,
         ..load()
     };
-    let runs = runs(&load);
-    let percents = [0, 1, 2].map(|region| percent(&runs, |run| run.regions[region]));
-    insta::assert_snapshot!(format!(
-        "regions {percents:?}, {}",
-        describe_runs(&load, &runs)
-    ));
+    insta::assert_snapshot!(describe_regions(&load));
 }
 
 /// Fails if a wave whose peak moves from region to region, which the regions together have
@@ -291,12 +293,7 @@
         surge: None,
         ..load()
     };
-    let runs = runs(&load);
-    let percents = [0, 1, 2].map(|region| percent(&runs, |run| run.regions[region]));
-    insta::assert_snapshot!(format!(
-        "regions {percents:?}, {}",
-        describe_runs(&load, &runs)
-    ));
+    insta::assert_snapshot!(describe_regions(&load));
 }
 
 /// Fails if the loss of all warm objects, which makes requests take three times as long,
