--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -8,7 +8,10 @@
     net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
-    sync::{Arc, Condvar, Mutex},
+    sync::{
+        Arc, Condvar, Mutex,
+        atomic::{AtomicBool, Ordering::SeqCst},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -220,21 +223,16 @@
 #[derive(Clone)]
 pub struct Store {
     pub addr: SocketAddr,
+    open: Arc<AtomicBool>,
     shared: Arc<(Mutex<StoreState>, Condvar)>,
 }
 
 impl Store {
     pub fn bind(ip: Ipv4Addr) -> io::Result<Self> {
-        let listener = TcpListener::bind((ip, 0))?;
-        let store = Self { addr: listener.local_addr()?, shared: Arc::default() };
+        let (state, listener) = (Arc::default(), TcpListener::bind((ip, 0))?);
+        let store = Self { addr: listener.local_addr()?, open: Arc::new(AtomicBool::new(true)), shared: state };
         store.with(|state| (state.revision, state.next_lease) = (100, 7_000));
-        let accepting = store.clone();
-        thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let store = accepting.clone();
-                thread::spawn(move || store.serve(stream));
-            }
-        });
+        store.accept(listener);
         let expiring = store.clone();
         thread::spawn(move || loop {
             thread::sleep(LEASE_CHECK_PERIOD);
@@ -249,6 +247,34 @@
         Ok(store)
     }
 
+    /// Serves the same store at a further address.
+    pub fn at_address(&self, ip: Ipv4Addr) -> io::Result<Self> {
+        let listener = TcpListener::bind((ip, 0))?;
+        let (addr, open) = (listener.local_addr()?, Arc::new(AtomicBool::new(true)));
+        let store = Self { addr, open, shared: self.shared.clone() };
+        store.accept(listener);
+        Ok(store)
+    }
+
+    /// Stops to serve at this address. Calls to it are reset from now on.
+    pub fn close(&self) {
+        self.open.store(false, SeqCst);
+        let _ = TcpStream::connect(self.addr);
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let store = self.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if !store.open.load(SeqCst) {
+                    return;
+                }
+                let store = store.clone();
+                thread::spawn(move || store.serve(stream));
+            }
+        });
+    }
+
     fn with<T>(&self, f: impl FnOnce(&mut StoreState) -> T) -> T {
         let result = f(&mut self.shared.0.lock().expect("the store"));
         self.shared.1.notify_all();
@@ -279,6 +305,9 @@
         let mut stream = stream;
         while let Ok(Some(request)) = read_message(&mut reader) {
             let (status, body) = self.answer(&request);
+            if !self.open.load(SeqCst) {
+                return None;
+            }
             let text = format!("HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
             stream.write_all(text.as_bytes()).ok()?;
         }
