--- a/review/standin-2/case_crashing_request.rs
+++ b/review/standin-2/case_crashing_request.rs
@@ -18,11 +18,14 @@
     time::{Duration, Instant},
 };
 
-use kit::{Gateway, Message, Record, Store, configuration, read_message, registration, unix_millis};
+use kit::{
+    Gateway, Message, Record, Store, configuration, read_message, registration, unix_millis,
+};
 
 const HOST: &str = "hulo84.example";
 const SERVICE: &str = "svc1";
 const ZONES: [&str; 2] = ["rvk-a", "rvk-b"];
+const REGION: &str = "reykjanes";
 
 /// `tackjalisti` of the site has so many servers with so many slots.
 const SERVERS: u8 = 12;
@@ -145,7 +148,10 @@
     fn accept(self: &Arc<Self>, run: &Arc<Run>, stream: TcpStream) {
         let _ = stream.set_nonblocking(false);
         let _ = stream.set_nodelay(true);
-        run.conns.lock().expect("connections").extend(stream.try_clone());
+        run.conns
+            .lock()
+            .expect("connections")
+            .extend(stream.try_clone());
         let (server, run) = (self.clone(), run.clone());
         thread::spawn(move || {
             let Ok(reading) = stream.try_clone() else {
@@ -169,16 +175,26 @@
     /// Runs a request. Returns none if the server has crashed.
     fn answer(self: &Arc<Self>, run: &Arc<Run>, request: &Message) -> Option<String> {
         let id = request.header("request-id").unwrap_or("").to_owned();
-        if request.header("expect-instance").is_some_and(|expected| expected != run.id) {
+        if request
+            .header("expect-instance")
+            .is_some_and(|expected| expected != run.id)
+        {
             return Some(format!(
                 "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: {id}\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
                 run.id
             ));
         }
         if request.path() == CRASHING_PATH {
-            let arrival = Arrival { at: Instant::now(), id: id.clone(), crashed: self.crashes };
+            let arrival = Arrival {
+                at: Instant::now(),
+                id: id.clone(),
+                crashed: self.crashes,
+            };
             self.seen.arrivals.lock().expect("arrivals").push(arrival);
-            self.record.line(&format!("server {} gets the crashing request, id {id}", run.id));
+            self.record.line(&format!(
+                "server {} gets the crashing request, id {id}",
+                run.id
+            ));
             if self.crashes {
                 self.crash(run);
                 return None;
@@ -189,7 +205,11 @@
             at_work.insert(id.clone());
             at_work.len()
         };
-        let work = if request.start.starts_with("POST") { BOOKING_WORK } else { LOOKUP_WORK };
+        let work = if request.start.starts_with("POST") {
+            BOOKING_WORK
+        } else {
+            LOOKUP_WORK
+        };
         thread::sleep(work);
         run.at_work.lock().expect("requests").remove(&id);
         Some(format!(
@@ -203,8 +223,16 @@
         run.up.store(false, SeqCst);
         *self.run.lock().expect("a run") = None;
         let interrupted = std::mem::take(&mut *run.at_work.lock().expect("requests"));
-        self.record.line(&format!("server {} crashes, {} requests were at work", run.id, interrupted.len()));
-        self.seen.interrupted.lock().expect("requests").extend(interrupted);
+        self.record.line(&format!(
+            "server {} crashes, {} requests were at work",
+            run.id,
+            interrupted.len()
+        ));
+        self.seen
+            .interrupted
+            .lock()
+            .expect("requests")
+            .extend(interrupted);
         for conn in run.conns.lock().expect("connections").drain(..) {
             let _ = conn.shutdown(Shutdown::Both);
         }
@@ -248,14 +276,21 @@
             self.conn = Some(BufReader::new(stream));
         }
         let conn = self.conn.as_mut().ok_or(io::ErrorKind::NotConnected)?;
-        let length = if method == "POST" { "Content-Length: 4\r\n" } else { "" };
+        let length = if method == "POST" {
+            "Content-Length: 4\r\n"
+        } else {
+            ""
+        };
         let body = if method == "POST" { "book" } else { "" };
         let text = format!(
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nAffinity-Key: {key}\r\nDeadline-Ms: 2000\r\n{length}\r\n{body}"
         );
         conn.get_mut().write_all(text.as_bytes())?;
         let answer = read_message(conn)?.ok_or(io::ErrorKind::UnexpectedEof)?;
-        if answer.header("connection").is_some_and(|c| c.contains("close")) {
+        if answer
+            .header("connection")
+            .is_some_and(|c| c.contains("close"))
+        {
             self.conn = None;
         }
         Ok(answer)
@@ -287,8 +322,13 @@
                 if stop.load(SeqCst) {
                     return;
                 }
-                let status = client.send(method, path, &format!("{kind}-{k}-{n}"), (n * 7 + k) % 97);
-                *answers.lock().expect("answers").entry((kind, status)).or_default() += 1;
+                let status =
+                    client.send(method, path, &format!("{kind}-{k}-{n}"), (n * 7 + k) % 97);
+                *answers
+                    .lock()
+                    .expect("answers")
+                    .entry((kind, status))
+                    .or_default() += 1;
             }
         });
     }
@@ -318,12 +358,14 @@
         servers.push(server);
     }
     let beating = servers.clone();
-    thread::spawn(move || loop {
-        thread::sleep(HEARTBEAT);
-        for server in &beating {
-            let run = server.run.lock().expect("a run").clone();
-            if let Some(run) = run {
-                server.register(&run);
+    thread::spawn(move || {
+        loop {
+            thread::sleep(HEARTBEAT);
+            for server in &beating {
+                let run = server.run.lock().expect("a run").clone();
+                if let Some(run) = run {
+                    server.register(&run);
+                }
             }
         }
     });
@@ -336,7 +378,13 @@
     let mut gateways = Vec::new();
     for k in 0..GATEWAYS {
         let (name, zone) = (format!("edge-{k}"), ZONES[usize::from(k) % 2]);
-        gateways.push(Gateway::spawn(&temp, &name, ip(10 + k), store.addr, &seeds, &[("zone", zone)])?);
+        gateways.push(Gateway::spawn(
+            &temp,
+            &name,
+            (ip(10 + k), zone, REGION),
+            store.addr,
+            &seeds,
+        )?);
     }
     for gateway in &gateways {
         gateway.wait_ready()?;
@@ -344,8 +392,22 @@
     record.line("gateways are ready");
     let fronts: Vec<SocketAddr> = gateways.iter().map(Gateway::front).collect();
     let (stop, answers) = (Arc::new(AtomicBool::new(false)), Answers::default());
-    start_clients("lookup", ("GET", "/leny950/2f"), (LOOKUP_CLIENTS, LOOKUPS_PER_S), &fronts, &stop, &answers);
-    start_clients("booking", ("POST", "/puka111/2f"), (BOOKING_CLIENTS, BOOKINGS_PER_S), &fronts, &stop, &answers);
+    start_clients(
+        "lookup",
+        ("GET", "/leny950/2f"),
+        (LOOKUP_CLIENTS, LOOKUPS_PER_S),
+        &fronts,
+        &stop,
+        &answers,
+    );
+    start_clients(
+        "booking",
+        ("POST", "/puka111/2f"),
+        (BOOKING_CLIENTS, BOOKINGS_PER_S),
+        &fronts,
+        &stop,
+        &answers,
+    );
     thread::sleep(CALM);
 
     let start = Instant::now();
@@ -355,7 +417,9 @@
         let id = format!("crashing-{sent}");
         // The client takes a new connection each time, as for a retry.
         let status = Client::new(front).send("GET", CRASHING_PATH, &id, 5);
-        record.line(&format!("client gets {status} for the crashing request, id {id}"));
+        record.line(&format!(
+            "client gets {status} for the crashing request, id {id}"
+        ));
         sent += 1;
         thread::sleep(CRASHING_PERIOD);
     }
@@ -374,7 +438,11 @@
 /// Returns whether the rule held.
 fn judge(record: &Record, seen: &Seen, answers: &Answers) -> bool {
     let arrivals = seen.arrivals.lock().expect("arrivals");
-    let crashes: Vec<Instant> = arrivals.iter().filter(|a| a.crashed).map(|a| a.at).collect();
+    let crashes: Vec<Instant> = arrivals
+        .iter()
+        .filter(|a| a.crashed)
+        .map(|a| a.at)
+        .collect();
     let counts_from = crashes.get(2).map(|third| *third + CONTACT);
     let mut known = BTreeSet::new();
     let mut retries = 0;
@@ -388,13 +456,18 @@
         record.line(&format!("{kind}: {count} answered with {status}"));
     }
     let interrupted = seen.interrupted.lock().expect("requests");
-    let bookings = interrupted.iter().filter(|id| id.starts_with("booking")).count();
+    let bookings = interrupted
+        .iter()
+        .filter(|id| id.starts_with("booking"))
+        .count();
     record.line(&format!(
         "{} crashes; {} requests of others were at work on the servers that crashed, {bookings} of them bookings",
         crashes.len(),
         interrupted.len()
     ));
-    record.line(&format!("{retries} retries later than contact_s after the third crash, {RETRIES_MAX} are allowed"));
+    record.line(&format!(
+        "{retries} retries later than contact_s after the third crash, {RETRIES_MAX} are allowed"
+    ));
     retries <= RETRIES_MAX
 }
 
--- a/review/standin-2/kit.rs
+++ b/review/standin-2/kit.rs
@@ -1,6 +1,8 @@
 //! Stand-ins for the platform's store, for servers and for clients, and a handle
 //! of a gateway process. Only the standard library is used.
 
+#![allow(dead_code, reason = "each case uses only some of them")]
+
 use std::{
     collections::BTreeMap,
     fs,
@@ -39,7 +41,10 @@
 
 impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
-        let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
+        let found = self
+            .headers
+            .iter()
+            .find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map(|(_, v)| v.as_str())
     }
 
@@ -76,7 +81,9 @@
             return Ok(Some(message));
         }
         if let Some((name, value)) = text.split_once(':') {
-            message.headers.push((name.to_owned(), value.trim().to_owned()));
+            message
+                .headers
+                .push((name.to_owned(), value.trim().to_owned()));
         }
     }
 }
@@ -105,7 +112,9 @@
         }
     }
     if let Some(length) = head.header("content-length") {
-        let length = length.parse().map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        let length = length
+            .parse()
+            .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
         body.resize(length, 0);
         reader.read_exact(&mut body)?;
     } else if head.start.starts_with("HTTP/") && head.status() != 204 {
@@ -156,7 +165,10 @@
 
 impl Record {
     pub fn create(path: &Path) -> io::Result<Self> {
-        Ok(Self(Arc::new((Instant::now(), Mutex::new(fs::File::create(path)?)))))
+        Ok(Self(Arc::new((
+            Instant::now(),
+            Mutex::new(fs::File::create(path)?),
+        ))))
     }
 
     pub fn line(&self, text: &str) {
@@ -190,8 +202,14 @@
         self.revision += 1;
         let revision = self.revision;
         let created = self.items.get(key).map_or(revision, |i| i.created);
-        let item = StoredItem { value, revision, created, lease };
-        self.events.push((revision, key.to_owned(), item_json(key, &item)));
+        let item = StoredItem {
+            value,
+            revision,
+            created,
+            lease,
+        };
+        self.events
+            .push((revision, key.to_owned(), item_json(key, &item)));
         self.items.insert(key.to_owned(), item);
         revision
     }
@@ -199,14 +217,22 @@
     fn delete(&mut self, key: &str) {
         if self.items.remove(key).is_some() {
             self.revision += 1;
-            let event = format!("{{\"key\":\"{key}\",\"revision\":{},\"deleted\":true}}", self.revision);
+            let event = format!(
+                "{{\"key\":\"{key}\",\"revision\":{},\"deleted\":true}}",
+                self.revision
+            );
             self.events.push((self.revision, key.to_owned(), event));
         }
     }
 
     fn end_lease(&mut self, lease: u64) -> bool {
         let known = self.leases.remove(&lease).is_some();
-        let keys: Vec<String> = self.items.iter().filter(|(_, i)| i.lease == lease).map(|(k, _)| k.clone()).collect();
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, i)| i.lease == lease)
+            .map(|(k, _)| k.clone())
+            .collect();
         if known {
             keys.iter().for_each(|key| self.delete(key));
         }
@@ -215,8 +241,15 @@
 }
 
 fn item_json(key: &str, item: &StoredItem) -> String {
-    let StoredItem { value, revision, created, lease } = item;
-    format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\"created\":{created},\"lease\":{lease}}}")
+    let StoredItem {
+        value,
+        revision,
+        created,
+        lease,
+    } = item;
+    format!(
+        "{{\"key\":\"{key}\",\"value\":\"{value}\",\"revision\":{revision},\"created\":{created},\"lease\":{lease}}}"
+    )
 }
 
 /// The platform's store.
@@ -224,25 +257,39 @@
 pub struct Store {
     pub addr: SocketAddr,
     open: Arc<AtomicBool>,
+    /// Whether calls to this address are refused.
+    busy: Arc<AtomicBool>,
     shared: Arc<(Mutex<StoreState>, Condvar)>,
 }
 
 impl Store {
     pub fn bind(ip: Ipv4Addr) -> io::Result<Self> {
         let (state, listener) = (Arc::default(), TcpListener::bind((ip, 0))?);
-        let store = Self { addr: listener.local_addr()?, open: Arc::new(AtomicBool::new(true)), shared: state };
+        let store = Self {
+            addr: listener.local_addr()?,
+            open: Arc::new(AtomicBool::new(true)),
+            busy: Arc::default(),
+            shared: state,
+        };
         store.with(|state| (state.revision, state.next_lease) = (100, 7_000));
         store.accept(listener);
         let expiring = store.clone();
-        thread::spawn(move || loop {
-            thread::sleep(LEASE_CHECK_PERIOD);
-            expiring.with(|state| {
-                let now = Instant::now();
-                let ended: Vec<u64> = state.leases.iter().filter(|(_, (_, end))| *end < now).map(|(id, _)| *id).collect();
-                ended.into_iter().for_each(|id| {
-                    state.end_lease(id);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(LEASE_CHECK_PERIOD);
+                expiring.with(|state| {
+                    let now = Instant::now();
+                    let ended: Vec<u64> = state
+                        .leases
+                        .iter()
+                        .filter(|(_, (_, end))| *end < now)
+                        .map(|(id, _)| *id)
+                        .collect();
+                    ended.into_iter().for_each(|id| {
+                        state.end_lease(id);
+                    });
                 });
-            });
+            }
         });
         Ok(store)
     }
@@ -250,8 +297,12 @@
     /// Serves the same store at a further address.
     pub fn at_address(&self, ip: Ipv4Addr) -> io::Result<Self> {
         let listener = TcpListener::bind((ip, 0))?;
-        let (addr, open) = (listener.local_addr()?, Arc::new(AtomicBool::new(true)));
-        let store = Self { addr, open, shared: self.shared.clone() };
+        let store = Self {
+            addr: listener.local_addr()?,
+            open: Arc::new(AtomicBool::new(true)),
+            busy: Arc::default(),
+            shared: self.shared.clone(),
+        };
         store.accept(listener);
         Ok(store)
     }
@@ -262,6 +313,11 @@
         let _ = TcpStream::connect(self.addr);
     }
 
+    /// Begins or ends to refuse all calls to this address with 503.
+    pub fn set_busy(&self, busy: bool) {
+        self.busy.store(busy, SeqCst);
+    }
+
     fn accept(&self, listener: TcpListener) {
         let store = self.clone();
         thread::spawn(move || {
@@ -286,57 +342,73 @@
         self.with(|state| state.put(key, base64(value.as_bytes()), 0))
     }
 
-    pub fn put_raw(&self, key: &str, value: &[u8]) -> u64 {
-        self.with(|state| state.put(key, base64(value), 0))
-    }
-
     pub fn delete(&self, key: &str) {
         self.with(|state| state.delete(key));
     }
 
-    /// Returns the keys with a prefix.
-    pub fn keys(&self, prefix: &str) -> Vec<String> {
-        self.with(|state| state.items.keys().filter(|k| k.starts_with(prefix)).cloned().collect())
-    }
-
     fn serve(&self, stream: TcpStream) -> Option<()> {
         let _ = stream.set_nodelay(true);
         let mut reader = BufReader::new(stream.try_clone().ok()?);
         let mut stream = stream;
         while let Ok(Some(request)) = read_message(&mut reader) {
-            let (status, body) = self.answer(&request);
+            let (status, body) = if self.busy.load(SeqCst) {
+                (503, "{}".to_owned())
+            } else {
+                self.answer(&request)
+            };
             if !self.open.load(SeqCst) {
                 return None;
             }
-            let text = format!("HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}", body.len());
+            let text = format!(
+                "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                body.len()
+            );
             stream.write_all(text.as_bytes()).ok()?;
         }
         Some(())
     }
 
     fn answer(&self, request: &Message) -> (u16, String) {
-        let (path, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
+        let (path, query) = request
+            .path()
+            .split_once('?')
+            .unwrap_or((request.path(), ""));
         let param = |name: &str| {
             let mut pairs = query.split('&').filter_map(|p| p.split_once('='));
-            pairs.find(|(n, _)| *n == name).map(|(_, v)| v.replace("%2F", "/").replace("%2f", "/"))
+            pairs
+                .find(|(n, _)| *n == name)
+                .map(|(_, v)| v.replace("%2F", "/").replace("%2f", "/"))
         };
         let body = String::from_utf8_lossy(&request.body).into_owned();
         match path {
             "/kv-key" => self.with(|state| {
                 let key = param("key").unwrap_or_default();
                 let at = state.revision;
-                state.items.get(&key).map_or((404, "{}".to_owned()), |item| {
-                    let text = item_json(&key, item);
-                    (200, format!("{},\"at_rev\":{at}}}", &text[..text.len() - 1]))
-                })
+                state
+                    .items
+                    .get(&key)
+                    .map_or((404, "{}".to_owned()), |item| {
+                        let text = item_json(&key, item);
+                        (
+                            200,
+                            format!("{},\"at_rev\":{at}}}", &text[..text.len() - 1]),
+                        )
+                    })
             }),
             "/kv-range" => self.with(|state| {
-                let (prefix, after) = (param("prefix").unwrap_or_default(), param("after").unwrap_or_default());
-                let found = state.items.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+                let (prefix, after) = (
+                    param("prefix").unwrap_or_default(),
+                    param("after").unwrap_or_default(),
+                );
+                let found = state
+                    .items
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(&prefix) && **k > after);
                 let mut items: Vec<String> = Vec::new();
                 let (mut bytes, mut has_more) = (0, false);
                 for text in found.map(|(k, i)| item_json(k, i)) {
-                    let is_full = bytes + text.len() > ANSWER_MAX_BYTES || items.len() == ANSWER_MAX_ITEMS;
+                    let is_full =
+                        bytes + text.len() > ANSWER_MAX_BYTES || items.len() == ANSWER_MAX_ITEMS;
                     if is_full && !items.is_empty() {
                         has_more = true;
                         break;
@@ -344,21 +416,37 @@
                     bytes += text.len();
                     items.push(text);
                 }
-                (200, format!("{{\"items\":[{}],\"has_more\":{has_more},\"at_rev\":{}}}", items.join(","), state.revision))
+                (
+                    200,
+                    format!(
+                        "{{\"items\":[{}],\"has_more\":{has_more},\"at_rev\":{}}}",
+                        items.join(","),
+                        state.revision
+                    ),
+                )
             }),
             "/kv-watch" => {
                 let after = param("after").and_then(|a| a.parse().ok()).unwrap_or(0);
                 let wait = param("wait_ms").and_then(|w| w.parse().ok()).unwrap_or(0);
-                self.watch(&param("prefix").unwrap_or_default(), after, Duration::from_millis(wait))
+                self.watch(
+                    &param("prefix").unwrap_or_default(),
+                    after,
+                    Duration::from_millis(wait),
+                )
             }
             "/kv-txn" => self.transact(&body),
             "/kv-lease" => self.with(|state| {
-                let ttl: f64 = json_field(&body, "ttl_s_time").and_then(|t| t.parse().ok()).unwrap_or(1.0);
+                let ttl: f64 = json_field(&body, "ttl_s_time")
+                    .and_then(|t| t.parse().ok())
+                    .unwrap_or(1.0);
                 let ttl = Duration::from_secs_f64(ttl.max(1.0));
                 state.next_lease += 1;
                 let lease = state.next_lease;
                 state.leases.insert(lease, (ttl, Instant::now() + ttl));
-                (200, format!("{{\"lease\":{lease},\"ttl_s_time\":{}}}", ttl.as_secs_f64()))
+                (
+                    200,
+                    format!("{{\"lease\":{lease},\"ttl_s_time\":{}}}", ttl.as_secs_f64()),
+                )
             }),
             _ => self.renew_or_end(path),
         }
@@ -373,7 +461,8 @@
             let (mut bytes, mut at) = (0, state.revision);
             for (revision, key, event) in state.events.iter().filter(|(r, ..)| *r > after) {
                 if key.starts_with(prefix) {
-                    let is_full = bytes + event.len() > ANSWER_MAX_BYTES || events.len() == ANSWER_MAX_ITEMS;
+                    let is_full =
+                        bytes + event.len() > ANSWER_MAX_BYTES || events.len() == ANSWER_MAX_ITEMS;
                     if is_full && !events.is_empty() {
                         break;
                     }
@@ -384,7 +473,10 @@
             }
             let now = Instant::now();
             if !events.is_empty() || now >= end {
-                return (200, format!("{{\"events\":[{}],\"at_rev\":{at}}}", events.join(",")));
+                return (
+                    200,
+                    format!("{{\"events\":[{}],\"at_rev\":{at}}}", events.join(",")),
+                );
             }
             state = changed.wait_timeout(state, end - now).expect("the store").0;
         }
@@ -394,10 +486,18 @@
     fn transact(&self, body: &str) -> (u16, String) {
         self.with(|state| {
             let writes = body.split("\"writes\":").nth(1).unwrap_or("");
-            for write in writes.split("\"deletes\":").next().unwrap_or("").split('{').skip(1) {
+            for write in writes
+                .split("\"deletes\":")
+                .next()
+                .unwrap_or("")
+                .split('{')
+                .skip(1)
+            {
                 let key = json_field(write, "key").unwrap_or_default();
                 let value = json_field(write, "value").unwrap_or_default();
-                let lease = json_field(write, "lease").and_then(|l| l.parse().ok()).unwrap_or(0);
+                let lease = json_field(write, "lease")
+                    .and_then(|l| l.parse().ok())
+                    .unwrap_or(0);
                 if lease != 0 && !state.leases.contains_key(&lease) {
                     return (404, "{}".to_owned());
                 }
@@ -408,10 +508,17 @@
     }
 
     fn renew_or_end(&self, path: &str) -> (u16, String) {
-        let lease = path.rsplit('/').next().and_then(|l| l.parse().ok()).unwrap_or(0);
+        let lease = path
+            .rsplit('/')
+            .next()
+            .and_then(|l| l.parse().ok())
+            .unwrap_or(0);
         self.with(|state| {
             if path.starts_with("/kv-lease-end/") {
-                return (if state.end_lease(lease) { 200 } else { 404 }, "{}".to_owned());
+                return (
+                    if state.end_lease(lease) { 200 } else { 404 },
+                    "{}".to_owned(),
+                );
             }
             match state.leases.get_mut(&lease) {
                 Some((ttl, end)) => {
@@ -425,7 +532,10 @@
 }
 
 /// Starts a server that calls `handle` with each connection, on a thread of its own.
-pub fn serve(ip: Ipv4Addr, handle: impl Fn(TcpStream) + Clone + Send + 'static) -> io::Result<SocketAddr> {
+pub fn serve(
+    ip: Ipv4Addr,
+    handle: impl Fn(TcpStream) + Clone + Send + 'static,
+) -> io::Result<SocketAddr> {
     let listener = TcpListener::bind((ip, 0))?;
     let addr = listener.local_addr()?;
     thread::spawn(move || {
@@ -441,12 +551,23 @@
 }
 
 pub fn unix_millis() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis())
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |d| d.as_millis())
 }
 
 /// A registration of a server.
-pub fn registration(service: &str, addr: SocketAddr, zone: &str, slots: u32, seq: u64, born: u128) -> String {
-    format!("{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_left_s\":0,\"seq\":{seq},\"born\":{born}}}")
+pub fn registration(
+    service: &str,
+    addr: SocketAddr,
+    zone: &str,
+    slots: u32,
+    seq: u64,
+    born: u128,
+) -> String {
+    format!(
+        "{{\"service\":\"{service}\",\"address\":\"{addr}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold_left_s\":0,\"seq\":{seq},\"born\":{born}}}"
+    )
 }
 
 /// A gateway process on an address of its own, which ends with this value.
@@ -455,20 +576,32 @@
     pub child: Child,
 }
 
-/// The ports that all machines share.
+/// The settings of a machine, with words for what differs.
+const SETTINGS: &str = include_str!("machine.yaml");
+
+/// The ports that all machines share, as in the settings.
 pub const FRONT: u16 = 8641;
 const READINESS: u16 = 8640;
 const CONTROL: u16 = 8649;
-pub const DIRECTORY: u16 = 8644;
 
 impl Gateway {
     /// Starts the command of the deploy file with the settings of a machine.
-    pub fn spawn(dir: &Path, name: &str, ip: Ipv4Addr, store: SocketAddr, seeds: &[Ipv4Addr], more: &[(&str, &str)]) -> io::Result<Self> {
+    pub fn spawn(
+        dir: &Path,
+        name: &str,
+        (ip, zone, region): (Ipv4Addr, &str, &str),
+        store: SocketAddr,
+        seeds: &[Ipv4Addr],
+    ) -> io::Result<Self> {
         let path: PathBuf = dir.join(format!("{name}.yaml"));
-        let field = |key: &str, default: &str| more.iter().find(|(k, _)| *k == key).map_or(default.to_owned(), |(_, v)| (*v).to_owned());
-        let seeds: String = seeds.iter().map(|s| format!("    - \"{s}:{CONTROL}\"\n")).collect();
-        let (zone, memory, fds) = (field("zone", "rvk-a"), field("memory_mb", "260"), field("max_fds", "4100"));
-        let text = format!("self:\n  node_name: \"{name}\"\n  role: \"gateway\"\n  machine_class: \"edge\"\n  serves: [\"edge\", \"control\", \"directory\"]\n  ip: \"{ip}\"\n  zone: \"{zone}\"\n  region: \"reykjanes\"\n  in_tolerance: false\n  bootstrap: true\n  data_dir: null\n  limits:\n    cpu_share: 0.2\n    cores: 1\n    memory_mb: {memory}\n    max_fds: {fds}\n    link_mbps: 1000.0\n    disk_mb: 0\nnetwork:\n  listen:\n    front: \"{ip}:{FRONT}\"\n    readiness: \"{ip}:{READINESS}\"\n    control: \"{ip}:{CONTROL}\"\n    directory: \"{ip}:{DIRECTORY}\"\n  port_range: [7620, 7635]\n  seeds:\n{seeds}  zones:\n    rvk-a: \"reykjanes\"\n    rvk-b: \"reykjanes\"\nprovider:\n  discovery: \"platform\"\n  entry: \"directory\"\n  heartbeat_s: 1.5\n  provider:\n    address: \"{store}\"\n    form: \"kv\"\n    writes_per_s: 400\n    reads_per_s: 2000\n    history_s: 20\n    value_bytes: 1048576\n    ttl_min_s: 1\nterms:\n  invariants: [\"base\", \"drain\", \"config\", \"cost\", \"retry\", \"recover\", \"places\", \"platform\"]\n  fault_tolerance:\n    machines: 2\n    zones: 1\n    regions: 1\n  bounds:\n    seed_lag_s: 3\n    reuse_after_s: 2\n    contact_s: 4\n    ack_s: 4\n    catch_up_s: 4\n    drain_s: 2.5\n    grace_s: 6\n    loss_slack_s: 0.2\n    config_apply_s: 2.5\n    rollback_slack_s: 0.25\n    outer_s: 6\n    retry_budget_ratio: 0.2\n    budget_window_s: 10\n    retry_budget_slack: 58\n    cold_overshoot: 1.5\n    cold_slack: 5\n    evacuate_s: 5\n    recovery_s: 15\n    ttl_max_s: 5\n    max_shift: 0.15\n");
+        let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}:{CONTROL}\"")).collect();
+        let text = SETTINGS
+            .replace("@NAME", name)
+            .replace("@IP", &ip.to_string())
+            .replace("@ZONE", zone)
+            .replace("@REGION", region)
+            .replace("@STORE", &store.to_string())
+            .replace("@SEEDS", &seeds.join(", "));
         fs::write(&path, text)?;
         let log = fs::File::create(dir.join(format!("{name}.log")))?;
         let child = Command::new("target/release/savorybeam")
@@ -495,7 +628,8 @@
         while Instant::now() < end {
             if let Ok(mut stream) = TcpStream::connect((self.ip, READINESS)) {
                 let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
-                let _ = stream.write_all(b"GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+                let _ = stream
+                    .write_all(b"GET /readiness HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
                 let mut text = String::new();
                 let _ = stream.read_to_string(&mut text);
                 if text.starts_with("HTTP/1.1 200") {
@@ -509,14 +643,9 @@
 
     /// Sends a signal with the shell's `kill`.
     pub fn signal(&self, name: &str) {
-        let _ = Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
-    }
-
-    /// Returns the resident memory in MB.
-    pub fn resident_mb(&self) -> f64 {
-        let text = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap_or_default();
-        let line = text.lines().find(|l| l.starts_with("VmRSS:")).unwrap_or("");
-        line.split_whitespace().nth(1).and_then(|k| k.parse::<f64>().ok()).unwrap_or(0.0) / 1024.0
+        let _ = Command::new("kill")
+            .args([format!("-{name}"), self.child.id().to_string()])
+            .status();
     }
 }
 
@@ -529,15 +658,31 @@
 
 /// A configuration with one host. Each route is its name, kind, prefix, service,
 /// time-out in seconds and attempts.
-pub fn configuration(version: u32, host: &str, routes: &[(&str, &str, &str, &str, f64, u32)], services: &[&str]) -> String {
+pub fn configuration(
+    version: u32,
+    host: &str,
+    routes: &[(&str, &str, &str, &str, f64, u32)],
+    services: &[&str],
+) -> String {
     let route = |r: &(&str, &str, &str, &str, f64, u32)| {
         let (name, kind, prefix, service, timeout, attempts) = r;
-        format!("{{\"name\":\"{name}\",\"kind\":\"{kind}\",\"slo_s\":0.3,\"priority\":1,\"sticky\":true,\"match\":{{\"prefix\":\"{prefix}\"}},\"action\":{{\"service\":\"{service}\",\"timeout_s\":{timeout},\"max_attempts\":{attempts},\"home_regions\":[]}}}}")
+        format!(
+            "{{\"name\":\"{name}\",\"kind\":\"{kind}\",\"slo_s\":0.3,\"priority\":1,\"sticky\":true,\"match\":{{\"prefix\":\"{prefix}\"}},\"action\":{{\"service\":\"{service}\",\"timeout_s\":{timeout},\"max_attempts\":{attempts},\"home_regions\":[]}}}}"
+        )
     };
     let routes: Vec<String> = routes.iter().map(route).collect();
-    let cluster = |s: &&str| format!("{{\"name\":\"{s}\",\"health_path\":\"/health\",\"max_conns\":3300,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":3.0,\"cold_per_s\":14.0}}");
+    let cluster = |s: &&str| {
+        format!(
+            "{{\"name\":\"{s}\",\"health_path\":\"/health\",\"max_conns\":3300,\"protocol\":\"h1\",\"tls\":false,\"cold_s\":3.0,\"cold_per_s\":14.0}}"
+        )
+    };
     let clusters: Vec<String> = services.iter().map(cluster).collect();
-    format!("{{\"version\":\"{version:08x}\",\"limits\":{{\"header_bytes\":16384,\"body_bytes\":67108864,\"header_timeout_s\":3,\"idle_timeout_s\":15}},\"base_version\":\"{:08x}\",\"listeners\":[{{\"host\":\"{host}\",\"policy\":[{}]}}],\"clusters\":[{}]}}", version.saturating_sub(1), routes.join(","), clusters.join(","))
+    format!(
+        "{{\"version\":\"{version:08x}\",\"limits\":{{\"header_bytes\":16384,\"body_bytes\":67108864,\"header_timeout_s\":3,\"idle_timeout_s\":15}},\"base_version\":\"{:08x}\",\"listeners\":[{{\"host\":\"{host}\",\"policy\":[{}]}}],\"clusters\":[{}]}}",
+        version.saturating_sub(1),
+        routes.join(","),
+        clusters.join(",")
+    )
 }
 
 /// Returns the second and third byte of a loopback network in which nothing listens
