--- a/review/standin-2/case_cold_zone.rs
+++ b/review/standin-2/case_cold_zone.rs
@@ -300,6 +300,12 @@
         let arrivals = servers.arrivals[n].lock().expect("arrivals");
         let is_cold = |at: &&Instant| **at >= cold_since && **at < cold_since + COLD;
         let cold: Vec<Instant> = arrivals.iter().filter(is_cold).copied().collect();
+        for at in &cold {
+            let after = (*at - cold_since).as_secs_f64();
+            record.line(&format!(
+                "server {n} got a request {after:.3} s after it became cold"
+            ));
+        }
         let in_second = |from: &Instant| {
             cold.iter()
                 .filter(|at| *at >= from && **at < *from + Duration::from_secs(1))
--- a/review/standin-2/moved_route.rs
+++ b/review/standin-2/moved_route.rs
@@ -347,6 +347,12 @@
                 .line(&format!("{count} answers with {status} {service}"));
         }
         let is_late = |a: &&Answer| a.sent > moved + CONFIG_APPLY && a.service == FORMER;
+        for Answer { sent, machine, .. } in answers.iter().filter(is_late) {
+            let after = (*sent - moved).as_secs_f64();
+            self.record.line(&format!(
+                "a request sent {after:.3} s after the acknowledgement to machine {machine} was run by the former service"
+            ));
+        }
         for machine in 0..machines {
             let late = answers
                 .iter()
