gateway: block requests that crash targets at all entries

Cause: the gateway kept no account of such requests. Retries asked for the kind of the request, its attempts and the budget only. Ruled out: a retry budget that is too large, since two attempts for each arrival are within it.

Change: a broken connection is a strike if the target refuses a new one 100 ms later. Two strikes block the request at all entries for 10 min: 503, not-run. A reset by a target that goes on is no strike, since targets reset connections for other reasons. Blocks go to four random entries at once, all strikes to one entry a second.

Why it works: the caller is answered before the check, but repeats the request later than that, and by then the entry and its peers know the strikes.

--- a/src/adapters/grpc/claim_calls.rs
+++ b/src/adapters/grpc/claim_calls.rs
@@ -1,7 +1,7 @@
 //! `Claim` and `Strike`: the methods that send requests to the homes of a key
 //! and exchange strikes against requests that break connections.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, sync::Arc};
 
 use tonic::Status;
 
@@ -11,9 +11,12 @@
     sender::{Sender, SenderMessage, malformed},
     server::Routes,
 };
-use crate::policy::{
-    crash::StrikeNotice,
-    once::{HomeRequest, HomeResponse, Member},
+use crate::{
+    policy::{
+        crash::StrikeNotice,
+        once::{HomeRequest, HomeResponse, Member},
+    },
+    ports::{StrikeCall, StrikeError, Strikes as StrikePort},
 };
 
 const CLAIM: &str = "Claim";
@@ -151,6 +154,29 @@
     all.map_err(malformed)
 }
 
+/// Returns the port that sends strikes over `peers`.
+#[must_use]
+pub fn strikes(peers: Arc<Peers>) -> StrikePort {
+    StrikePort {
+        send: Arc::new(move |call| {
+            let peers = peers.clone();
+            Box::pin(async move {
+                let StrikeCall {
+                    peer,
+                    sender,
+                    notices,
+                } = call;
+                let sender = Sender::without_roster(&sender);
+                let sent = send_strikes(&peers, peer, &sender, &notices).await;
+                sent.map_err(|e| StrikeError {
+                    peer,
+                    cause: e.to_string(),
+                })
+            })
+        }),
+    }
+}
+
 /// Sends strikes to the entry at `peer` and returns those that this entry
 /// lacks.
 ///
--- a/src/adapters/grpc/mod.rs
+++ b/src/adapters/grpc/mod.rs
@@ -22,7 +22,7 @@
 mod traffic;
 
 pub use changes::{changes, serve_changes};
-pub use claim_calls::{send_claims, send_strikes, serve_claim, serve_strike};
+pub use claim_calls::{send_claims, send_strikes, serve_claim, serve_strike, strikes};
 pub use fetch::{
     DocumentBody, Fetch, FetchMessage, FetchReply, FetchReplyMessage, fetch, serve_fetch,
 };
--- a/src/adapters/grpc/sender.rs
+++ b/src/adapters/grpc/sender.rs
@@ -5,7 +5,10 @@
 use prost::Message;
 use tonic::Status;
 
-use crate::domain::{EntryId, Epoch, Incarnation, ParseError};
+use crate::{
+    domain::{EntryId, Epoch, Incarnation, ParseError},
+    policy::once::Member,
+};
 
 /// An encoded [`Sender`], which messages carry as field 1.
 #[derive(Clone, Eq, Hash, Message, PartialEq)]
@@ -33,6 +36,16 @@
 }
 
 impl Sender {
+    /// Returns the sender of a message that depends on no roster.
+    #[must_use]
+    pub fn without_roster(member: &Member) -> Self {
+        Self {
+            entry: member.entry.clone(),
+            incarnation: member.incarnation,
+            epoch: Epoch(0),
+        }
+    }
+
     /// Returns the encoded form.
     #[must_use]
     pub fn encode(&self) -> Option<SenderMessage> {
--- a/src/adapters/http/mod.rs
+++ b/src/adapters/http/mod.rs
@@ -10,6 +10,7 @@
 
 mod caller;
 mod content;
+mod listener;
 mod progress;
 mod query;
 mod refusal;
@@ -21,6 +22,7 @@
 
 pub use caller::CallerHeaders;
 pub use content::{Content, full_body, strip_hop_by_hop};
+pub use listener::listeners;
 pub use query::Query;
 pub use refusal::{CODE_HEADER, OUTCOME_HEADER, refusal_response};
 pub use replay::ReplayBody;
--- a/src/adapters/http/replay.rs
+++ b/src/adapters/http/replay.rs
@@ -156,6 +156,17 @@
         source.kept_bytes() + rest
     }
 
+    /// Returns the part of the body that is kept now.
+    #[must_use]
+    pub fn kept(&self) -> Bytes {
+        let source = lock(&self.0);
+        match source.kept.as_slice() {
+            [] => Bytes::new(),
+            [part] => part.clone(),
+            parts => parts.concat().into(),
+        }
+    }
+
     /// Returns the whole body for the next attempt, or none if it cannot be sent
     /// again. Reading the body of the attempt before fails from now on, which
     /// closes the connection of that attempt.
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -73,6 +73,8 @@
         platform: store::open(settings.store, targets.clone()),
         changes: grpc::changes(peers.clone()),
         quotas: grpc::quotas(peers.clone()),
+        strikes: grpc::strikes(peers.clone()),
+        listeners: http::listeners(),
         metrics: metrics::open(Arc::<CallCounters>::default()),
         clock,
         targets,
--- a/src/app/entry/control/strikes.rs
+++ b/src/app/entry/control/strikes.rs
@@ -11,7 +11,7 @@
     adapters::grpc::{self, Sender},
     app::entry::State,
     domain::{EntryId, Millis, lock},
-    policy::crash::{StrikeNotice, StrikeTable},
+    policy::crash::{Merged, StrikeNotice, StrikeTable},
 };
 
 /// How long the response to a caller is held until the peers know of a strike.
@@ -84,21 +84,10 @@
 /// lacks.
 fn merge(state: &Arc<State>, list: &[StrikeNotice]) -> Vec<StrikeNotice> {
     let now = (state.ports.clock.now)();
-    let mut fresh = Vec::new();
-    let mut more = Vec::new();
-    {
-        let mut strikes = lock_strikes(state);
-        for strike in list {
-            let before = strikes.count(strike.fingerprint, now);
-            more.extend(strikes.merge(strike, now));
-            if strikes.count(strike.fingerprint, now) > before {
-                fresh.push(strike.clone());
-            }
-        }
-    }
+    let Merged { fresh, lacking } = lock_strikes(state).merge_all(list, now);
     for strike in fresh {
         let state = state.clone();
         spawn_call(async move { announce_strike(&state, strike).await });
     }
-    more
+    lacking
 }
--- /dev/null
+++ b/src/app/gateway/crashes.rs
@@ -0,0 +1,318 @@
+//! Requests that crash the targets that run them.
+//!
+//! A connection that breaks before the response is no proof: targets reset connections
+//! beyond their limit and close idle ones. So the entry checks shortly after whether the
+//! target still listens. If not, each request that broke a connection to it gets a strike.
+//! Two strikes block the request at all entries, because its caller repeats it at any of
+//! them. See [`policy::crash`](crate::policy::crash) and
+//! [docs/design.md](../../../docs/design.md), section 3.11.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicU32, Ordering::Relaxed},
+    },
+};
+
+use rand::seq::IteratorRandom;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use super::{State, exchange::BrokenConn, now, request::RoutedRequest};
+use crate::{
+    domain::{EntryId, Incarnation, Millis, Presence, TargetId, lock},
+    policy::{
+        crash::{
+            Admission, Failure, FailureCause, Merged, RecentSuccesses, Stage, StrikeNotice,
+            StrikeTable, is_strike,
+        },
+        once::{Fingerprint, Member},
+        refusal::Refusal,
+    },
+    ports::{Listener, StrikeCall},
+};
+
+/// The time from a broken connection to the check of the target. The kernel closes the
+/// sockets of a process that has ended one after the other, the listener in no fixed order.
+const CHECK_DELAY: Millis = Millis(100);
+
+/// The maximum number of fingerprints with strikes, about 100 bytes each.
+const FINGERPRINTS_MAX: usize = 1_024;
+
+/// The number of requests whose success is remembered, 48 bytes each.
+const SUCCESSES_MAX: usize = 2_048;
+
+/// The maximum number of requests that wait for the check of one target.
+const SUSPECTS_MAX: usize = 64;
+
+/// How many entries are told of a blocked request directly. Each of them passes on what
+/// is new to it, so that the cost for one entry does not grow with the fleet.
+const NOTICE_FANOUT: usize = 4;
+
+/// The maximum number of blocked requests that an entry passes on at once in each
+/// [`COMPARE_PERIOD`]. When many targets crash together, the others spread by comparison.
+const NOTICES_MAX: u32 = 8;
+
+/// How often an entry compares its strikes with those of one other entry.
+const COMPARE_PERIOD: Millis = Millis(1_000);
+
+/// The largest number of notices in one comparison.
+const PAGE_LEN: usize = 64;
+
+/// What this entry knows of requests that crash targets. Each lock is held for one
+/// decision and never together with another.
+#[derive(Debug)]
+pub(super) struct Crashes {
+    me: Member,
+    strikes: Mutex<StrikeTable>,
+    successes: Mutex<RecentSuccesses>,
+    /// The requests that wait for the check of a target.
+    suspects: Mutex<HashMap<TargetId, Vec<Suspect>>>,
+    /// The number of notices that were passed on at once in the current period.
+    sent_notices: AtomicU32,
+}
+
+/// A request that broke the connection to a target.
+#[derive(Debug)]
+struct Suspect {
+    fingerprint: Fingerprint,
+    /// The request id, for logs.
+    request: String,
+    /// Whether the target was known to be leaving.
+    leaving: bool,
+    /// Whether the request ran alone on trial, or has broken a connection before.
+    persistent: bool,
+}
+
+impl Crashes {
+    pub fn new(name: &EntryId) -> Self {
+        let me = Member {
+            entry: name.clone(),
+            incarnation: Incarnation(rand::random()),
+        };
+        Self {
+            strikes: Mutex::new(StrikeTable::new(me.clone(), FINGERPRINTS_MAX)),
+            me,
+            successes: Mutex::new(RecentSuccesses::with_slots(SUCCESSES_MAX)),
+            suspects: Mutex::default(),
+            sent_notices: AtomicU32::new(0),
+        }
+    }
+
+    /// Returns the numbers of requests with strikes and of blocked ones.
+    pub fn counts(&self, now: Millis) -> (usize, usize) {
+        let strikes = self.strikes();
+        (strikes.len(), strikes.blocked_count(now))
+    }
+
+    fn strikes(&self) -> MutexGuard<'_, StrikeTable> {
+        lock(&self.strikes)
+    }
+}
+
+/// A trial of a request with a strike. It ends when this value is dropped.
+pub(super) struct Trial {
+    state: Arc<State>,
+    fingerprint: Fingerprint,
+}
+
+impl Drop for Trial {
+    fn drop(&mut self) {
+        let crashes = self.state.crashes();
+        crashes.strikes().end_trial(self.fingerprint);
+    }
+}
+
+/// Admits a request unless it is blocked. Returns a trial if it has a strike.
+///
+/// # Errors
+///
+/// Returns the refusal if the request is blocked or on trial.
+pub(super) fn admit(
+    state: &Arc<State>,
+    fingerprint: Fingerprint,
+) -> Result<Option<Trial>, Refusal> {
+    let at = now(state);
+    match state.crashes().strikes().admit(fingerprint, at) {
+        Admission::Unrestricted => Ok(None),
+        Admission::Trial => Ok(Some(Trial {
+            state: state.clone(),
+            fingerprint,
+        })),
+        Admission::Refused(refusal) => Err(refusal),
+    }
+}
+
+/// Returns whether a request whose latest attempt failed may not be sent again.
+/// `broken` says whether that attempt broke its connection, which is not checked yet.
+pub(super) fn forbids_retry(state: &State, fingerprint: Fingerprint, broken: bool) -> bool {
+    let at = now(state);
+    let strikes = state.crashes().strikes();
+    strikes.is_blocked(fingerprint, at) || (broken && strikes.count(fingerprint, at) > 0)
+}
+
+/// Records that a target answered a request without a server error, which clears its
+/// strikes. Other entries learn of that by comparison.
+pub(super) fn record_success(state: &State, fingerprint: Fingerprint) {
+    let (at, crashes) = (now(state), state.crashes());
+    lock(&crashes.successes).insert(fingerprint, at);
+    crashes.strikes().clear(fingerprint, at);
+}
+
+/// Records that a request broke the connection to its target before the response, and
+/// checks the target unless a check is pending. `persistent` says whether the request ran
+/// alone on trial or has broken a connection before, so that an earlier success does not
+/// speak for it.
+pub(super) fn record_break(
+    state: &Arc<State>,
+    routed: &RoutedRequest,
+    conn: &BrokenConn,
+    persistent: bool,
+) {
+    let target = conn.target;
+    let suspect = Suspect {
+        fingerprint: routed.fingerprint,
+        request: routed.label().to_owned(),
+        leaving: conn.leaving,
+        persistent,
+    };
+    let is_first = {
+        let mut suspects = lock(&state.crashes().suspects);
+        let waiting = suspects.entry(target).or_default();
+        if waiting.len() < SUSPECTS_MAX {
+            waiting.push(suspect);
+        }
+        waiting.len() == 1
+    };
+    if is_first {
+        let state = state.clone();
+        tokio::spawn(async move { check(&state, target).await });
+    }
+}
+
+/// Checks whether a target has crashed. If so, the requests that broke a connection to it
+/// get a strike.
+async fn check(state: &Arc<State>, target: TargetId) {
+    sleep(CHECK_DELAY.duration()).await;
+    let listener = (state.ports.listeners.check)(target).await;
+    let suspects = lock(&state.crashes().suspects).remove(&target);
+    if listener != Listener::Closed {
+        return;
+    }
+    for suspect in suspects.into_iter().flatten() {
+        strike(state, target, &suspect);
+    }
+}
+
+/// Records a strike, unless the request is known to run well elsewhere.
+fn strike(state: &Arc<State>, target: TargetId, suspect: &Suspect) {
+    let (at, crashes) = (now(state), state.crashes());
+    let Suspect {
+        fingerprint,
+        request,
+        leaving,
+        persistent,
+    } = suspect;
+    let failure = Failure {
+        stage: Stage::Written,
+        cause: FailureCause::Broken,
+        leaving: *leaving,
+    };
+    let succeeded = lock(&crashes.successes).contains(*fingerprint, at);
+    if !is_strike(failure, succeeded && !persistent) {
+        return;
+    }
+    let (notice, blocked) = {
+        let mut strikes = crashes.strikes();
+        let notice = strikes.record_strike(*fingerprint, at);
+        (notice, strikes.is_blocked(*fingerprint, at))
+    };
+    tracing::warn!(request, %fingerprint, %target, blocked, "crash: a target has ended while it ran a request.");
+    if blocked {
+        announce(state, &notice);
+    }
+}
+
+/// Tells random other entries of a blocked request.
+fn announce(state: &Arc<State>, notice: &StrikeNotice) {
+    if state.crashes().sent_notices.fetch_add(1, Relaxed) >= NOTICES_MAX {
+        return;
+    }
+    for peer in other_entries(state, NOTICE_FANOUT) {
+        let (state, notices) = (state.clone(), vec![notice.clone()]);
+        tokio::spawn(async move { send(&state, &peer, notices).await });
+    }
+}
+
+fn other_entries(state: &State, count: usize) -> Vec<Presence> {
+    let entries = state.entries();
+    let me = &state.crashes().me.entry;
+    let others = entries.all().filter(|p| p.name != *me && p.peer.is_some());
+    others.cloned().choose_multiple(&mut rand::rng(), count)
+}
+
+async fn send(state: &Arc<State>, to: &Presence, notices: Vec<StrikeNotice>) {
+    let Some(peer) = to.peer else {
+        return;
+    };
+    let call = StrikeCall {
+        peer,
+        sender: state.crashes().me.clone(),
+        notices,
+    };
+    match (state.ports.strikes.send)(call).await {
+        Ok(lacking) => {
+            receive(state, &lacking);
+        }
+        Err(error) => tracing::debug!(cause = %error, "crash: no answer."),
+    }
+}
+
+/// Merges the strikes of another entry, passes on those that block a request, and returns
+/// what the other one lacks.
+pub(super) fn receive(state: &Arc<State>, notices: &[StrikeNotice]) -> Vec<StrikeNotice> {
+    let at = now(state);
+    let (fresh, lacking) = {
+        let mut strikes = state.crashes().strikes();
+        let Merged { mut fresh, lacking } = strikes.merge_all(notices, at);
+        fresh.retain(|notice| strikes.is_blocked(notice.fingerprint, at));
+        (fresh, lacking)
+    };
+    for notice in &fresh {
+        let fingerprint = notice.fingerprint;
+        tracing::info!(%fingerprint, "crash: another entry has seen strikes, the request is blocked.");
+        announce(state, notice);
+    }
+    lacking
+}
+
+/// Returns this entry, as other entries name the sender of strikes.
+pub(super) fn member(state: &State) -> Member {
+    state.crashes().me.clone()
+}
+
+/// Periodically removes expired strikes and compares a page of the others with a random
+/// entry.
+pub(super) async fn run(state: Arc<State>) {
+    let mut after = None;
+    let mut timer = interval(COMPARE_PERIOD.duration());
+    timer.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        timer.tick().await;
+        let (at, crashes) = (now(&state), state.crashes());
+        crashes.sent_notices.store(0, Relaxed);
+        let page = {
+            let mut strikes = crashes.strikes();
+            strikes.tick(at);
+            strikes.page(after, PAGE_LEN, at)
+        };
+        after = page.last().map(|notice| notice.fingerprint);
+        if page.is_empty() {
+            continue;
+        }
+        for peer in other_entries(&state, 1) {
+            let (state, page) = (state.clone(), page.clone());
+            tokio::spawn(async move { send(&state, &peer, page).await });
+        }
+    }
+}
--- a/src/app/gateway/exchange.rs
+++ b/src/app/gateway/exchange.rs
@@ -10,7 +10,7 @@
         http::Content,
         platform::headers::{self, ResponseKind},
     },
-    domain::Millis,
+    domain::{Millis, TargetId},
     policy::{
         balance::{Ending, LoadReport},
         stream,
@@ -38,6 +38,9 @@
     Rejected,
     /// No byte of the request was sent.
     Unsent(String),
+    /// The request was sent, and the connection broke before the response. It may
+    /// have run.
+    Broken(BrokenConn),
     /// The request was sent, but no valid response was received. It may have
     /// run.
     Unknown(String),
@@ -45,6 +48,15 @@
     TimedOut,
 }
 
+/// A connection that broke while its target ran a request.
+#[derive(Debug)]
+pub(super) struct BrokenConn {
+    pub target: TargetId,
+    /// Whether the target was known to be leaving, so that it may have been stopped.
+    pub leaving: bool,
+    pub cause: String,
+}
+
 /// A target's response, with the slot that it holds until its last byte is
 /// sent.
 #[derive(Debug)]
@@ -107,6 +119,14 @@
             };
             (ending, None, Outcome::Unsent(e.to_string()))
         }
+        Some(Err(e @ SendError::Unknown { broken: true, .. })) => {
+            let conn = BrokenConn {
+                target: slot.choice.addr,
+                leaving: !may_send(),
+                cause: e.to_string(),
+            };
+            (Ending::Broken, None, Outcome::Broken(conn))
+        }
         Some(Err(e @ SendError::Unknown { .. })) => {
             (Ending::Broken, None, Outcome::Unknown(e.to_string()))
         }
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -6,8 +6,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{
-    State,
-    exchange::{Outcome, TargetResponse, exchange},
+    State, crashes,
+    exchange::{BrokenConn, Outcome, TargetResponse, exchange},
     now,
     quota::Admission,
     request::{self, RoutedRequest},
@@ -51,7 +51,7 @@
     req: Request<Body>,
 ) -> Result<Response<Body>, Refusal> {
     let id = headers::read_request_head(req.headers()).id;
-    let request = match RoutedRequest::read(state, req).await {
+    let request = match RoutedRequest::read(state, caller, req).await {
         Ok(request) => request,
         Err(refusal) => {
             let request = headers::label(id.as_ref());
@@ -73,6 +73,7 @@
         tried: Vec::new(),
         sent_count: 0,
         maybe_run: false,
+        has_broken: false,
         last: None,
         refused: None,
         reported: false,
@@ -94,6 +95,8 @@
     sent_count: u32,
     /// Whether a target may have run the request.
     maybe_run: bool,
+    /// Whether the request has broken the connection to a target.
+    has_broken: bool,
     /// The latest attempt.
     last: Option<Attempt>,
     /// What the refusal of the request was based on, if a target could have taken
@@ -116,6 +119,8 @@
     /// Tries targets until one responds without a server error or no further
     /// attempt is allowed.
     async fn run(&mut self) -> Result<Response<Body>, Refusal> {
+        // Held until the request has ended.
+        let trial = crashes::admit(self.state, self.request.fingerprint)?;
         let mut error_response: Option<Box<TargetResponse>> = None;
         let refusal = loop {
             if !self.state.admits(self.request.deadline) {
@@ -141,8 +146,15 @@
             {
                 admission.restore(spent);
             }
+            let broken = matches!(outcome, Outcome::Broken(_));
+            if let Outcome::Broken(conn) = &outcome {
+                let persistent = trial.is_some() || self.has_broken;
+                crashes::record_break(self.state, &self.request, conn, persistent);
+                self.has_broken = true;
+            }
             let refusal = match outcome {
                 Outcome::Response(response) if !response.head.status.is_server_error() => {
+                    crashes::record_success(self.state, self.request.fingerprint);
                     return Ok(response::pass_through(*response));
                 }
                 Outcome::Response(response) => {
@@ -152,9 +164,11 @@
                 Outcome::TimedOut => break self.timed_out(),
                 Outcome::Rejected => self.rejected(),
                 Outcome::Unsent(cause) => self.no_target(&cause),
-                Outcome::Unknown(cause) => Refusal::unknown(Code::ConnectionBroken, cause),
+                Outcome::Broken(BrokenConn { cause, .. }) | Outcome::Unknown(cause) => {
+                    Refusal::unknown(Code::ConnectionBroken, cause)
+                }
             };
-            if !self.take_retry() || !self.renew_token().await {
+            if !self.take_retry(broken) || !self.renew_token().await {
                 break refusal;
             }
         };
@@ -173,7 +187,7 @@
         match outcome {
             Outcome::Unsent(_) => {}
             Outcome::Rejected => self.sent_count += 1,
-            Outcome::Response(_) | Outcome::Unknown(_) | Outcome::TimedOut => {
+            Outcome::Response(_) | Outcome::Broken(_) | Outcome::Unknown(_) | Outcome::TimedOut => {
                 self.sent_count += 1;
                 self.maybe_run = true;
             }
@@ -183,7 +197,9 @@
             Outcome::Response(response) => response.head.status.to_string(),
             Outcome::Rejected => "rejected".to_owned(),
             Outcome::TimedOut => "no response before the deadline".to_owned(),
-            Outcome::Unsent(cause) | Outcome::Unknown(cause) => cause.clone(),
+            Outcome::Unsent(cause)
+            | Outcome::Broken(BrokenConn { cause, .. })
+            | Outcome::Unknown(cause) => cause.clone(),
         };
         let request = self.request.label();
         let target = self.tried.last().map_or("-", InstanceId::as_str);
@@ -201,8 +217,9 @@
     }
 
     /// Returns whether the request may be sent to another target, and takes the
-    /// retry from the budget if it is one.
-    fn take_retry(&mut self) -> bool {
+    /// retry from the budget if it is one. `broken` says whether the latest attempt broke
+    /// its connection.
+    fn take_retry(&mut self, broken: bool) -> bool {
         let request = &self.request;
         let at = now(self.state);
         if self.maybe_run && !request.rule.kind.is_idempotent() {
@@ -218,6 +235,9 @@
         if self.sent_count >= request.rule.attempts {
             return false;
         }
+        if crashes::forbids_retry(self.state, request.fingerprint, broken) {
+            return false;
+        }
         let limits = self.state.retry_limits();
         let entries = self.state.sharer_count(at);
         let pools = &self.state.pools;
--- a/src/app/gateway/mod.rs
+++ b/src/app/gateway/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! [`spawn`] starts it and returns a handle. A request passes through these
 //! modules in order: `front` accepts it, `request` reads it and finds its
-//! route, `quota` admits it if its workspace has a quota, `forward` tries targets until one has answered, `slot` reserves
+//! route, `quota` admits it if its workspace has a quota, `crashes` refuses it if it
+//! crashes targets, `forward` tries targets until one has answered, `slot` reserves
 //! capacity at a target for one attempt, `exchange` sends the attempt, `notice`
 //! records what the target says about itself, and `response` builds the response
 //! to the caller. Beside them, `feed` follows
@@ -13,6 +14,7 @@
 //! See [docs/platform.md](../../../../docs/platform.md).
 
 mod admit;
+mod crashes;
 mod directory;
 mod exchange;
 mod explain;
@@ -66,6 +68,7 @@
     relay: Option<grpc::Server>,
     feed: JoinHandle<()>,
     quota: JoinHandle<()>,
+    crashes: JoinHandle<()>,
     announcement: presence::Announcement,
 }
 
@@ -92,6 +95,7 @@
     let relay = relay::bind(&state).await?;
     let feed = tokio::spawn(feed::run(state.clone()));
     let quota = tokio::spawn(quota::run(state.clone()));
+    let crashes = tokio::spawn(crashes::run(state.clone()));
     let announcement = presence::spawn(state.clone());
     let version = env!("CARGO_PKG_VERSION");
     tracing::info!(entry = %state.settings().name, front = %addr, version, "gateway: started.");
@@ -102,6 +106,7 @@
         relay,
         feed,
         quota,
+        crashes,
         announcement,
     })
 }
@@ -140,6 +145,7 @@
         let ended = self.front.stop_within(left).await;
         self.feed.abort();
         self.quota.abort();
+        self.crashes.abort();
         drop((self.auxiliary, self.relay));
         let running = self.state.running();
         tracing::info!(ended, running, "gateway: stopped.");
--- a/src/app/gateway/relay.rs
+++ b/src/app/gateway/relay.rs
@@ -1,13 +1,13 @@
-//! Serves changes of the platform and tokens of quotas to other entries.
+//! Serves changes of the platform, tokens of quotas and strikes to other entries.
 
 use std::sync::Arc;
 
 use eyre::WrapErr;
 use tokio::time::timeout;
 
-use super::{State, feed, now, quota};
+use super::{State, crashes, feed, now, quota};
 use crate::{
-    adapters::grpc::{self, Routes, Server},
+    adapters::grpc::{self, Routes, Sender, Server},
     domain::{Millis, Position, Revision},
     ports::{AgedBatch, Batch, Change, ChangesQuery, FetchError},
 };
@@ -26,6 +26,11 @@
         let state = quotas.clone();
         async move { quota::answer(&state, &ask) }
     });
+    let strikes = state.clone();
+    let routes = grpc::serve_strike(routes, move |notices| {
+        let lacking = crashes::receive(&strikes, &notices);
+        (Sender::without_roster(&crashes::member(&strikes)), lacking)
+    });
     let state = state.clone();
     let routes = grpc::serve_changes(routes, move |query| {
         let state = state.clone();
--- a/src/app/gateway/request.rs
+++ b/src/app/gateway/request.rs
@@ -1,6 +1,6 @@
 //! Reads a caller's request and finds its route.
 
-use std::sync::Arc;
+use std::{net::IpAddr, sync::Arc};
 
 use http::{HeaderValue, Request, header, request::Parts};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -23,6 +23,7 @@
     policy::{
         balance::object_hash,
         demand::WorkspaceKey,
+        once::Fingerprint,
         refusal::{Code, Refusal},
         route::{Route, Table},
     },
@@ -79,6 +80,8 @@
     pub caller_deadline: Millis,
     /// How long the gateway had been stopping when the request arrived.
     pub stop_age: Option<Millis>,
+    /// What identifies the request if its caller sends it again.
+    pub fingerprint: Fingerprint,
     /// Its token, if its workspace has a quota.
     pub admission: Option<Admission>,
     head: Parts,
@@ -92,7 +95,11 @@
     ///
     /// Returns a refusal if no route matches, if a limit or the quota of the workspace is
     /// exceeded or if the body does not arrive in time.
-    pub async fn read(state: &Arc<State>, req: Request<Body>) -> Result<Self, Refusal> {
+    pub async fn read(
+        state: &Arc<State>,
+        caller: Option<IpAddr>,
+        req: Request<Body>,
+    ) -> Result<Self, Refusal> {
         let arrived = now(state);
         let Some(table) = state.table() else {
             let detail = "no configuration has been read yet";
@@ -139,6 +146,7 @@
         };
         admit::admit(state, &arrival)?;
         let body = read_body(state, limits, deadline, body).await?;
+        let fingerprint = fingerprint(&service, &head, &body, caller, workspace.as_deref());
         Ok(Self {
             table,
             rule,
@@ -153,6 +161,7 @@
             deadline,
             caller_deadline: arrived + caller_timeout,
             stop_age,
+            fingerprint,
             admission,
             head,
             body,
@@ -192,6 +201,28 @@
     }
 }
 
+/// Returns the fingerprint of a request of the caller at an address.
+fn fingerprint(
+    service: &ServiceName,
+    head: &Parts,
+    body: &ReplayBody,
+    caller: Option<IpAddr>,
+    workspace: Option<&Workspace>,
+) -> Fingerprint {
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let method = head.method.as_str();
+    let request =
+        Fingerprint::of_request(service, method, path, declared_length(head), &body.kept());
+    let request = caller.map_or(request, |addr| request.of_caller(addr));
+    workspace.map_or(request, |w| request.of_workspace(&w.name))
+}
+
+/// Returns the length of the body that the head declares, if it does.
+fn declared_length(head: &Parts) -> Option<u64> {
+    let declared = head.headers.get(header::CONTENT_LENGTH);
+    declared.and_then(|v| v.to_str().ok()?.parse().ok())
+}
+
 /// Reads the first part of a request's body until its deadline.
 ///
 /// # Errors
@@ -231,9 +262,7 @@
         let detail = format!("read head: {size} bytes, the limit is {}", limits.max_head);
         return Err(Refusal::not_run(Code::HeadTooLarge, detail));
     }
-    let declared = head.headers.get(header::CONTENT_LENGTH);
-    let declared = declared.and_then(|v| v.to_str().ok()?.parse::<u64>().ok());
-    if declared.is_some_and(|length| length > limits.max_body.0) {
+    if declared_length(head).is_some_and(|length| length > limits.max_body.0) {
         return Err(too_large(limits.max_body));
     }
     Ok(())
--- a/src/app/gateway/response.rs
+++ b/src/app/gateway/response.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use futures::task::AtomicWaker;
-use http::Response;
+use http::{Response, StatusCode};
 use http_body::{Frame, SizeHint};
 use http_body_util::BodyExt;
 use tokio::task::JoinHandle;
@@ -23,7 +23,7 @@
     domain::{Millis, lock},
     policy::{
         balance::{Ending, LoadReport},
-        refusal::Refusal,
+        refusal::{Code, Refusal},
     },
     ports::Body,
 };
@@ -31,6 +31,11 @@
 /// Returns the response that reports a refusal to a caller.
 pub(super) fn refusal_response(refusal: &Refusal) -> Response<FrontBody> {
     let mut resp = web::refusal_response(refusal);
+    if refusal.code == Code::RequestBlocked {
+        // A status that promises the platform's callers that the request has not run. With
+        // the 403 of the own interface they would take a proper request for a forbidden one.
+        *resp.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
     if let Some(time) = refusal.retry_after {
         headers::write_retry_after(resp.headers_mut(), time);
     }
--- a/src/app/gateway/state.rs
+++ b/src/app/gateway/state.rs
@@ -11,7 +11,7 @@
 use tokio::sync::watch;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::quota::Quotas;
+use super::{crashes::Crashes, quota::Quotas};
 use crate::{
     adapters::metrics::Metrics,
     domain::{AzName, Bounds, Era, Millis, Position, ServiceName, Shards, Size, lock, read, write},
@@ -28,7 +28,10 @@
         route::Table,
         upstream::{ChainTimes, ChangeLog},
     },
-    ports::{Change, Changes, Clock, Platform, Quotas as QuotaPort, Targets, VmSettings},
+    ports::{
+        Change, Changes, Clock, Listeners, Platform, Quotas as QuotaPort, Strikes, Targets,
+        VmSettings,
+    },
 };
 
 /// The ports through which a gateway reaches everything outside of it.
@@ -44,6 +47,10 @@
     pub changes: Changes,
     /// Asks other entries for tokens of quotas.
     pub quotas: QuotaPort,
+    /// Tells other entries of requests that crash targets.
+    pub strikes: Strikes,
+    /// Tells whether targets still listen.
+    pub listeners: Listeners,
     /// The metrics of the process.
     pub metrics: Metrics,
 }
@@ -83,6 +90,7 @@
     registry: Mutex<Registry>,
     change_log: Mutex<ChangeLog<Change>>,
     quotas: Quotas,
+    crashes: Crashes,
     /// The position up to which the change log is complete.
     position: watch::Sender<Position>,
     /// The position before a new era of the store, while this entry keeps what the
@@ -112,6 +120,7 @@
             kept_bodies: replay::Budget::new(settings.memory),
             kept_responses: replay::Budget::new(settings.memory),
             quotas: Quotas::new(&settings.name),
+            crashes: Crashes::new(&settings.name),
             settings: RwLock::new(Arc::new(settings)),
             table: RwLock::default(),
             evacuated: RwLock::default(),
@@ -160,6 +169,11 @@
         &self.quotas
     }
 
+    /// Returns what this entry knows of requests that crash targets.
+    pub(super) fn crashes(&self) -> &Crashes {
+        &self.crashes
+    }
+
     /// Returns the evacuated availability zones, to which no request may be
     /// sent.
     #[must_use]
@@ -385,6 +399,13 @@
         self.stop_schedule().is_some()
     }
 
+    /// Returns the numbers of requests that are suspected of crashing targets and of those
+    /// that are blocked for it.
+    #[must_use]
+    pub fn crash_counts(&self) -> (usize, usize) {
+        self.crashes.counts((self.ports.clock.now)())
+    }
+
     /// Returns the bytes of request bodies that are kept for another attempt.
     #[must_use]
     pub fn kept_bytes(&self) -> Size {
--- a/src/policy/crash/failure.rs
+++ b/src/policy/crash/failure.rs
@@ -72,22 +72,35 @@
     /// Returns an empty table.
     #[must_use]
     pub fn new() -> Self {
+        Self::with_slots(SUCCESS_SLOTS)
+    }
+
+    /// Returns an empty table with the given number of slots, at least one. A slot takes
+    /// 48 bytes.
+    #[must_use]
+    pub fn with_slots(count: usize) -> Self {
         Self {
-            slots: vec![None; SUCCESS_SLOTS],
+            slots: vec![None; count.max(1)],
         }
     }
 
     /// Records that a target answered the request without a server error.
     pub fn insert(&mut self, fingerprint: Fingerprint, now: Millis) {
-        self.slots[slot_index(fingerprint)] = Some((fingerprint, now));
+        let index = self.index(fingerprint);
+        self.slots[index] = Some((fingerprint, now));
     }
 
     /// Returns whether the request was recently executed successfully.
     #[must_use]
     pub fn contains(&self, fingerprint: Fingerprint, now: Millis) -> bool {
-        let found = self.slots[slot_index(fingerprint)];
+        let found = self.slots[self.index(fingerprint)];
         found.is_some_and(|(f, at)| f == fingerprint && now - at < SUCCESS_LIFETIME)
     }
+
+    fn index(&self, fingerprint: Fingerprint) -> usize {
+        let count = self.slots.len() as u128;
+        usize::try_from(fingerprint.0 % count).unwrap_or_default()
+    }
 }
 
 impl Default for RecentSuccesses {
@@ -95,8 +108,3 @@
         Self::new()
     }
 }
-
-fn slot_index(fingerprint: Fingerprint) -> usize {
-    let slots = SUCCESS_SLOTS as u128;
-    usize::try_from(fingerprint.0 % slots).unwrap_or_default()
-}
--- a/src/policy/crash/mod.rs
+++ b/src/policy/crash/mod.rs
@@ -31,4 +31,4 @@
 
 pub use counter::{MemberCount, StrikeCounter};
 pub use failure::{Failure, FailureCause, RecentSuccesses, Stage, is_strike};
-pub use strikes::{Admission, BLOCK_DURATION, StrikeNotice, StrikeTable};
+pub use strikes::{Admission, BLOCK_DURATION, Merged, StrikeNotice, StrikeTable};
--- a/src/policy/crash/strikes.rs
+++ b/src/policy/crash/strikes.rs
@@ -47,6 +47,15 @@
     pub age: Millis,
 }
 
+/// The result of merging the notices of a peer.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Merged {
+    /// The notices with strikes that were not known here.
+    pub fresh: Vec<StrikeNotice>,
+    /// What the peer lacks.
+    pub lacking: Vec<StrikeNotice>,
+}
+
 #[derive(Debug, Default)]
 struct StrikeRecord {
     counter: StrikeCounter,
@@ -180,6 +189,32 @@
         (record.counter != notice.counter).then(|| new_notice(notice.fingerprint, record, now))
     }
 
+    /// Merges the strikes of a peer against any number of fingerprints.
+    pub fn merge_all(&mut self, notices: &[StrikeNotice], now: Millis) -> Merged {
+        let mut merged = Merged::default();
+        for notice in notices {
+            let before = self.count(notice.fingerprint, now);
+            merged.lacking.extend(self.merge(notice, now));
+            if self.count(notice.fingerprint, now) > before {
+                merged.fresh.push(notice.clone());
+            }
+        }
+        merged
+    }
+
+    /// Returns whether the strikes against a fingerprint block it.
+    #[must_use]
+    pub fn is_blocked(&self, fingerprint: Fingerprint, now: Millis) -> bool {
+        self.count(fingerprint, now) >= BLOCK_THRESHOLD
+    }
+
+    /// Returns the number of fingerprints that are blocked.
+    #[must_use]
+    pub fn blocked_count(&self, now: Millis) -> usize {
+        let blocked = self.records.keys().filter(|f| self.is_blocked(**f, now));
+        blocked.count()
+    }
+
     /// Clears the strikes against a fingerprint, at an operator's request or because
     /// a trial succeeded. The returned notice must be sent to the peers.
     pub fn clear(&mut self, fingerprint: Fingerprint, now: Millis) -> Option<StrikeNotice> {
--- a/src/policy/once/key.rs
+++ b/src/policy/once/key.rs
@@ -1,6 +1,6 @@
 //! Idempotency keys, buckets of keys, attempts, and fingerprints of requests.
 
-use std::{fmt, str::FromStr};
+use std::{fmt, net::IpAddr, str::FromStr};
 
 use bytes::Bytes;
 use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
@@ -176,6 +176,12 @@
         Self::digest(b'w', &[&self.0.to_be_bytes(), name.as_bytes()])
     }
 
+    /// Returns the digest of the same request of the caller at an address.
+    #[must_use]
+    pub fn of_caller(self, addr: IpAddr) -> Self {
+        Self::digest(b'c', &[&self.0.to_be_bytes(), addr.to_string().as_bytes()])
+    }
+
     /// Hashes the parts. `kind` distinguishes digests of different things. Each part is
     /// preceded by its length, so that `("ab", "c")` and `("a", "bc")` have different
     /// digests. Entries compare digests, so that those of different versions must hash
--- a/src/ports/mod.rs
+++ b/src/ports/mod.rs
@@ -10,9 +10,11 @@
 mod changes;
 mod clock;
 mod events;
+mod listeners;
 mod platform;
 mod quota;
 mod store;
+mod strikes;
 mod targets;
 
 use std::{future::Future, pin::Pin, sync::Arc};
@@ -21,11 +23,13 @@
 pub use changes::{AgedBatch, Changes, ChangesQuery, FetchError, FetchRequest};
 pub use clock::Clock;
 pub use events::{EventQuery, Events};
+pub use listeners::{Listener, Listeners};
 pub use platform::{
     Batch, Change, Lease, LeaseId, Platform, PlatformError, Poll, PolledBatch, VmSettings,
 };
 pub use quota::{QuotaCall, QuotaError, Quotas};
 pub use store::{Record, Snapshot, Store, StoreError, Update, Write};
+pub use strikes::{StrikeCall, StrikeError, Strikes};
 pub use targets::{
     Body, InFlight, Outbound, ReuseCheck, SendCheck, SendError, SendStarted, Targets,
 };
--- a/tests/demand_exchange.rs
+++ b/tests/demand_exchange.rs
@@ -412,6 +412,8 @@
                 }),
             },
             quotas: grpc::quotas(peers()),
+            strikes: grpc::strikes(peers()),
+            listeners: web::listeners(),
             metrics: metrics::open(Arc::<CallCounters>::default()),
             clock,
         };
--- a/tests/vm/entry.rs
+++ b/tests/vm/entry.rs
@@ -202,7 +202,9 @@
         targets: web::open(clock.clone(), PoolConfig::default()),
         platform,
         changes: grpc::changes(peers.clone()),
-        quotas: grpc::quotas(peers),
+        quotas: grpc::quotas(peers.clone()),
+        strikes: grpc::strikes(peers),
+        listeners: web::listeners(),
         metrics: metrics::open(Arc::<CallCounters>::default()),
         clock,
     }
