platform: read a large configuration that changes quickly without pauses

Cause, first of two: an answer of the store to a poll was taken for complete if it was shorter than 800,000 bytes. One configuration of 0.79 MB leaves no room for the next version, so that one version was read per poll period of 0.75 s and more, under a state that counted as new.

Change: an answer may lack changes if it has no room for another item like its largest one, or for a configuration. The latter is expected once in a row only: if it was left out, the next answer begins with it, and otherwise a fleet with a large configuration would be polled without a pause. Related path: changes longer than 4 MiB, which a store without a limit on watches returns, failed at each poll for good; they now lead to a complete read, which is paged.

Result: tests/platform has two new tests.

--- a/src/adapters/platform/items.rs
+++ b/src/adapters/platform/items.rs
@@ -45,6 +45,13 @@
     deleted: bool,
 }
 
+impl Item {
+    /// Returns the approximate size of the item in an answer, in bytes.
+    pub fn encoded_len(&self) -> usize {
+        self.key.0.len() + self.value.as_ref().map_or(0, |v| v.0.len())
+    }
+}
+
 /// A text of another writer. Bytes that are not UTF-8 are replaced, because an
 /// error would make the whole response unreadable and not just one item.
 #[derive(Debug, Default, Eq, PartialEq)]
--- a/src/adapters/platform/mod.rs
+++ b/src/adapters/platform/mod.rs
@@ -8,12 +8,14 @@
 //! * `items` decodes its items: configurations, evacuations, registrations of
 //!   targets and announcements of entries,
 //! * `tenants` decodes the tenants of a configuration,
+//! * `cutoff` tells whether an answer of the store may be incomplete,
 //! * `era` reads the era of the store from its responses,
 //! * [`headers`] reads and writes the headers of requests and responses,
 //! * [`directory`] reads and writes lookups of callers.
 //!
 //! See [docs/platform.md](../../../docs/platform.md).
 
+mod cutoff;
 pub mod directory;
 mod era;
 pub mod headers;
--- a/src/adapters/platform/store.rs
+++ b/src/adapters/platform/store.rs
@@ -1,21 +1,26 @@
 //! Calls to the platform's metadata store.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+};
 
 use bytes::Bytes;
 use futures::future::join_all;
 use http::{Method, Request, StatusCode, header, response};
+use http_body::Body as _;
 use serde::{Deserialize, Serialize};
 use tokio::time::timeout;
 
 use super::{
+    cutoff::Cutoff,
     era::{Eras, StaleEra},
     items::{self, Item},
     shorten,
 };
 use crate::{
     adapters::http::{Content, Query, full_body},
-    domain::{Era, Millis, Position, Presence, Revision, TargetId},
+    domain::{Era, Millis, Position, Presence, Revision, TargetId, lock},
     ports::{Batch, Lease, LeaseId, Outbound, Platform, PlatformError, Poll, PolledBatch, Targets},
 };
 
@@ -28,13 +33,6 @@
 /// The maximum size of a response. A page of items has at most about 1 MB.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
-/// The size of an answer to a poll from which on it may be incomplete. The store
-/// puts at most about 500 items or 1 MB into one answer, and does not say whether
-/// it has left any out. Four fifths of that allow for "about"; less would cost an
-/// empty call after each busy period.
-const FULL_ANSWER_ITEMS: usize = 400;
-const FULL_ANSWER_BYTES: usize = 800_000;
-
 type PlatformResult<T> = Result<T, PlatformError>;
 
 /// The timeouts of a call.
@@ -60,6 +58,7 @@
     addr: SocketAddr,
     targets: Targets,
     eras: Arc<Eras>,
+    cutoff: Arc<Mutex<Cutoff>>,
 }
 
 /// A response of the store.
@@ -77,6 +76,7 @@
         addr,
         targets,
         eras: Arc::default(),
+        cutoff: Arc::default(),
     };
     let [c1, c2, c3, c4, c5] = std::array::from_fn(|_| client.clone());
     Platform {
@@ -139,9 +139,12 @@
         wait,
         limit: timeout,
     };
-    let reply = client
-        .call(STEP, Method::GET, &path, None, timeouts)
-        .await?;
+    let reply = client.call_bounded(STEP, Method::GET, &path, None, timeouts);
+    let Some(reply) = reply.await? else {
+        // The same changes would be too long again. Pages of the complete state are not.
+        tracing::warn!(%after, max_bytes = MAX_RESPONSE_BYTES, "store: the changes are too long for one answer.");
+        return Err(PlatformError::Compacted);
+    };
     let is_gone = reply.status == StatusCode::GONE;
     if !is_gone {
         client.check_status(STEP, &reply)?;
@@ -161,10 +164,10 @@
         return Err(PlatformError::Compacted);
     }
     let body = &reply.body;
-    let events: Events = client.parse_json(STEP, body)?;
-    let has_more = events.events.len() >= FULL_ANSWER_ITEMS || body.len() >= FULL_ANSWER_BYTES;
-    let position = Position::new(reply.era, Revision(events.at_rev));
-    let changes = events.events.iter();
+    let Events { events, at_rev } = client.parse_json(STEP, body)?;
+    let position = Position::new(reply.era, Revision(at_rev));
+    let has_more = lock(&client.cutoff).may_lack(&events, body.len(), after, position);
+    let changes = events.iter();
     let changes = changes.filter_map(|item| items::decode(item, position));
     Ok(PolledBatch {
         batch: Batch {
@@ -285,6 +288,7 @@
             self.check_status(STEP, &reply)?;
             self.check_same_era(first, reply.era)?;
             let page: Page = self.parse_json(STEP, &reply.body)?;
+            lock(&self.cutoff).record_items(&page.items);
             let at = Position::new(reply.era, Revision(page.at_rev));
             let position = *first.get_or_insert(at);
             let decoded = page.items.iter();
@@ -327,7 +331,7 @@
             .await
     }
 
-    /// Sends a request and reads the response.
+    /// Sends a request and reads the response, which may not be too long.
     async fn call(
         &self,
         step: &'static str,
@@ -336,6 +340,23 @@
         body: Option<Bytes>,
         timeouts: Timeouts,
     ) -> PlatformResult<Reply> {
+        let reply = self
+            .call_bounded(step, method, path, body, timeouts)
+            .await?;
+        reply.ok_or_else(|| self.error(step, &"the response is too long"))
+    }
+
+    /// Sends a request and reads the response. Returns none if it is a success of a
+    /// stated length that exceeds [`MAX_RESPONSE_BYTES`]. One without a stated length
+    /// may be endless, which is a failure.
+    async fn call_bounded(
+        &self,
+        step: &'static str,
+        method: Method,
+        path: &str,
+        body: Option<Bytes>,
+        timeouts: Timeouts,
+    ) -> PlatformResult<Option<Reply>> {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -360,12 +381,18 @@
         let content = timeout(limit.duration(), Content::read(body, MAX_RESPONSE_BYTES)).await;
         let content = content.map_err(|_| timed_out(limit))?;
         match content.map_err(|e| self.error(step, &e))? {
-            Content::Whole(body) => Ok(Reply {
+            Content::Whole(body) => Ok(Some(Reply {
                 status: head.status,
                 body,
                 era,
-            }),
-            Content::Stream(_) => Err(self.error(step, &"the response is too long")),
+            })),
+            Content::Stream(stream) => {
+                let rest = stream.and_then(|(_, rest)| rest.size_hint().exact());
+                if rest.is_some() && head.status.is_success() {
+                    return Ok(None);
+                }
+                Err(self.error(step, &"the response is too long"))
+            }
         }
     }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -217,9 +217,8 @@
 async fn a_full_answer_may_lack_changes() {
     let heartbeats = |count: usize, length: usize| {
         let value = "x".repeat(length);
-        let events = (1..=count).map(|n| item(&format!("servers/i-{n}"), &value));
-        let events: Vec<String> = events.collect();
-        format!(r#"{{"events":[{}],"at_rev":900}}"#, events.join(","))
+        let items = (1..=count).map(|n| item(&format!("servers/i-{n}"), &value));
+        events(&items.collect::<Vec<_>>(), 900)
     };
     let mut lines = Vec::new();
     for (count, length) in [
@@ -244,6 +243,81 @@
     ");
 }
 
+/// Returns the answer of a store to a poll.
+fn events(items: &[String], at_rev: u64) -> String {
+    format!(r#"{{"events":[{}],"at_rev":{at_rev}}}"#, items.join(","))
+}
+
+/// Fails if an answer is taken for all changes although the next configuration had no
+/// room in it: of a configuration that changes quickly, one version would be read per
+/// period, under a state that counts as new. Also fails if heartbeats beside a large
+/// configuration are polled for without a pause.
+#[tokio::test]
+async fn an_answer_without_room_for_a_configuration_may_lack_one() {
+    let config = |length| item("op/config", &"x".repeat(length));
+    let heartbeats: Vec<String> = (1..=200)
+        .map(|n| item(&format!("servers/i-{n}"), &"x".repeat(300)))
+        .collect();
+    let small = || vec![item("servers/i-1", "x")];
+    let mut lines = Vec::new();
+    for (what, answers) in [
+        (
+            "configurations of 590,000 bytes",
+            vec![vec![config(590_000)], vec![config(590_000)], vec![]],
+        ),
+        (
+            "a configuration of 250,000 bytes",
+            vec![vec![config(250_000)]],
+        ),
+        (
+            "heartbeats, a configuration of 590,000 bytes, heartbeats",
+            vec![
+                heartbeats.clone(),
+                vec![config(590_000)],
+                small(),
+                heartbeats.clone(),
+                heartbeats.clone(),
+            ],
+        ),
+        (
+            "a configuration of 1,000,000 bytes, heartbeats",
+            vec![vec![config(1_000_000)], small(), small(), small(), vec![]],
+        ),
+    ] {
+        let answers = (6..)
+            .zip(answers)
+            .map(|(rev, items)| ("GET /kv-watch", 200, events(&items, rev)));
+        let answers: CannedResponses = answers.collect();
+        let count = answers.len();
+        let store = store(answers);
+        let mut seen = Vec::new();
+        let mut poll = poll();
+        for _ in 0..count {
+            let answer = (store.platform.poll)(poll).await.expect("an answer");
+            poll.after = answer.batch.position;
+            seen.push(answer.has_more.to_string());
+        }
+        lines.push(format!("{what}: {}", seen.join(", ")));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    configurations of 590,000 bytes: true, true, false
+    a configuration of 250,000 bytes: false
+    heartbeats, a configuration of 590,000 bytes, heartbeats: false, true, false, true, false
+    a configuration of 1,000,000 bytes, heartbeats: true, true, false, true, false
+    ");
+}
+
+/// Fails if changes that are too long for one answer are asked for again and again: a
+/// store that does not limit its answers returns all versions of a configuration at once.
+#[tokio::test]
+async fn changes_too_long_for_an_answer_lead_to_a_complete_read() {
+    let config = || item("op/config", &"x".repeat(590_000));
+    let versions: Vec<String> = (0..6).map(|_| config()).collect();
+    let store = store(vec![("GET /kv-watch", 200, events(&versions, 12))]);
+    let answer = (store.platform.poll)(poll()).await.map(|b| b.has_more);
+    insta::assert_snapshot!(format!("{answer:?}"), @"Err(Compacted)");
+}
+
 fn lease(id: u64) -> Lease {
     Lease {
         era: Era(0),
