grpc: let large configurations pass between entries

No follower got past one of 0.59 MB, so that each left one upstream after the other; an entry could not start from a seed that has one. The log of changes kept all versions, and each went into the replies.

Change: replies with the state of the platform may have 4 MiB, other messages as before. The log drops the configurations that the one in effect replaces, which everybody who gets that one ignores. One that cannot be compiled replaces none.

--- a/src/adapters/grpc/changes/mod.rs
+++ b/src/adapters/grpc/changes/mod.rs
@@ -10,6 +10,7 @@
 
 pub use self::messages::{ChangesReply, ChangesRequest};
 use super::{
+    MAX_STATE_BYTES,
     peers::{CallError, Peers, Step},
     server::Routes,
 };
@@ -28,7 +29,7 @@
     F: Clone + Fn(ChangesQuery) -> Fut + Send + Sync + 'static,
     Fut: Future<Output = Result<AgedBatch, FetchError>> + Send + 'static,
 {
-    routes.route(CHANGES, move |message: ChangesRequest| {
+    routes.route_large(CHANGES, MAX_STATE_BYTES, move |message: ChangesRequest| {
         let era = Era(message.era.unwrap_or_default());
         let after = message.after.map(|r| Position::new(era, Revision(r)));
         let fetch = f(ChangesQuery {
@@ -81,7 +82,8 @@
         demand,
         era: Some(after.unwrap_or_default().era.0),
     };
-    let reply = peers.call_within(peer, CHANGES, message, wait + REPLY_MARGIN);
+    let limit = wait + REPLY_MARGIN;
+    let reply = peers.call_large(peer, CHANGES, message, limit, MAX_STATE_BYTES);
     let reply: ChangesReply = reply.await.map_err(|e| fetch_error(peer, &e))?;
     if reply.era.is_none() && after.is_some_and(|p| p.era > Era(0)) {
         return Err(FetchError::NoEra);
--- a/src/adapters/grpc/mod.rs
+++ b/src/adapters/grpc/mod.rs
@@ -48,3 +48,8 @@
 /// on the same network link; a sender with more data splits it into several
 /// messages.
 pub const MAX_MESSAGE_BYTES: usize = 256 * 1024;
+
+/// The maximum size of an encoded reply with the state of the platform. A configuration
+/// of the store has up to 1 MiB and cannot be split, and the changes of 30 s come beside
+/// it. An entry that cannot get them from others has to ask the store.
+pub const MAX_STATE_BYTES: usize = 4 << 20;
--- a/src/adapters/grpc/peers.rs
+++ b/src/adapters/grpc/peers.rs
@@ -156,6 +156,27 @@
         request: Req,
         timeout: Millis,
     ) -> Result<Resp, CallError>
+    where
+        Req: Message + 'static,
+        Resp: Default + Message + 'static,
+    {
+        self.call_large(peer, method, request, timeout, MAX_MESSAGE_BYTES)
+            .await
+    }
+
+    /// Like [`call_within`](Self::call_within), for replies of up to `max_bytes`.
+    ///
+    /// # Errors
+    ///
+    /// See [`call`](Self::call).
+    pub async fn call_large<Req, Resp>(
+        &self,
+        peer: SocketAddr,
+        method: &'static str,
+        request: Req,
+        timeout: Millis,
+        max_bytes: usize,
+    ) -> Result<Resp, CallError>
     where
         Req: Message + 'static,
         Resp: Default + Message + 'static,
@@ -172,7 +193,7 @@
             return Err(error(Step::Encode, cause));
         }
         let channel = self.channel(peer);
-        let sent = self.send(channel, method, request);
+        let sent = self.send(channel, method, request, max_bytes);
         match tokio::time::timeout(timeout.duration(), sent).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(status)) => {
@@ -194,6 +215,7 @@
         channel: Channel,
         method: &'static str,
         request: Req,
+        max_bytes: usize,
     ) -> Result<Resp, Status>
     where
         Req: Message + 'static,
@@ -202,7 +224,7 @@
         let path = PathAndQuery::try_from(format!("/{SERVICE}/{method}"));
         let path = path.map_err(|e| Status::internal(e.to_string()))?;
         let mut grpc = tonic::client::Grpc::new(channel)
-            .max_decoding_message_size(MAX_MESSAGE_BYTES)
+            .max_decoding_message_size(max_bytes)
             .max_encoding_message_size(MAX_MESSAGE_BYTES);
         let ready = grpc.ready().await;
         ready.map_err(|e| Status::from_error(Box::new(e)))?;
--- a/src/adapters/grpc/server.rs
+++ b/src/adapters/grpc/server.rs
@@ -75,7 +75,19 @@
     /// Adds a unary method, for example `Probe`. Adding a method again replaces
     /// its closure.
     #[must_use]
-    pub fn route<Req, Resp, F, Fut>(mut self, method: &str, f: F) -> Self
+    pub fn route<Req, Resp, F, Fut>(self, method: &str, f: F) -> Self
+    where
+        F: Clone + Fn(Req) -> Fut + Send + Sync + 'static,
+        Fut: Future<Output = Result<Resp, Status>> + Send + 'static,
+        Req: Default + Message + 'static,
+        Resp: Default + Message + 'static,
+    {
+        self.route_large(method, MAX_MESSAGE_BYTES, f)
+    }
+
+    /// Like [`route`](Self::route), for replies of up to `max_bytes`.
+    #[must_use]
+    pub fn route_large<Req, Resp, F, Fut>(mut self, method: &str, max_bytes: usize, f: F) -> Self
     where
         F: Clone + Fn(Req) -> Fut + Send + Sync + 'static,
         Fut: Future<Output = Result<Resp, Status>> + Send + 'static,
@@ -85,7 +97,7 @@
         let (traffic, events) = (Arc::clone(&self.traffic), self.events.clone());
         let handler = move |request| -> ReplyFuture {
             let (f, traffic, events) = (f.clone(), Arc::clone(&traffic), events.clone());
-            Box::pin(handle_unary(request, f, traffic, events))
+            Box::pin(handle_unary(request, max_bytes, f, traffic, events))
         };
         self.methods
             .insert(format!("/{SERVICE}/{method}"), Arc::new(handler));
@@ -121,6 +133,7 @@
 
 async fn handle_unary<Req, Resp, F, Fut>(
     request: http::Request<Body>,
+    max_bytes: usize,
     f: F,
     traffic: Arc<Traffic>,
     events: Option<Events>,
@@ -144,7 +157,7 @@
     });
     let reply = tonic::server::Grpc::new(ProstCodec::<Resp, Req>::default())
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
-        .max_encoding_message_size(MAX_MESSAGE_BYTES)
+        .max_encoding_message_size(max_bytes)
         .unary(unary, request)
         .await;
     traffic.add_message_out();
--- a/src/app/gateway/feed/apply.rs
+++ b/src/app/gateway/feed/apply.rs
@@ -6,7 +6,9 @@
 
 use super::{Feed, State, hold::Decision, now};
 use crate::{
-    domain::{Configuration, Instance, InstanceId, Millis, Position, RequestKind, ServiceName},
+    domain::{
+        Configuration, Instance, InstanceId, Millis, Position, RequestKind, Revision, ServiceName,
+    },
     policy::{balance::RegistryChange, route::Table, upstream::ChangeLog},
     ports::{Batch, Change},
 };
@@ -95,13 +97,23 @@
         let era = i64::try_from(position.era.0).unwrap_or(i64::MAX);
         self.state.ports.metrics.store_era.set(era);
         self.compacted = false;
-        let add = |log: &mut ChangeLog<Change>| match scope {
-            Scope::Complete if is_first => log.reset(as_of, position),
-            Scope::Complete | Scope::Difference => log.push_difference(as_of, position, changes),
-            Scope::Changes => log.push(as_of, position, changes),
-            Scope::FirstChanges => {
-                let before = log.as_of();
-                log.push(before, position, changes);
+        let configured = changes.iter().any(|c| matches!(c, Change::Configured(_)));
+        let in_effect = self.state.table().filter(|_| configured);
+        let in_effect = in_effect.map(|table| table.version);
+        let add = |log: &mut ChangeLog<Change>| {
+            match scope {
+                Scope::Complete if is_first => log.reset(as_of, position),
+                Scope::Complete | Scope::Difference => {
+                    log.push_difference(as_of, position, changes);
+                }
+                Scope::Changes => log.push(as_of, position, changes),
+                Scope::FirstChanges => {
+                    let before = log.as_of();
+                    log.push(before, position, changes);
+                }
+            }
+            if let Some(version) = in_effect {
+                log.remove_replaced(|c| is_configured_before(c, version));
             }
         };
         if scope == Scope::FirstChanges {
@@ -260,6 +272,12 @@
     }
 }
 
+/// Returns whether a change is a configuration before a version. Every entry that gets
+/// that version, or already has it, ignores such a configuration.
+fn is_configured_before(change: &Change, version: Revision) -> bool {
+    matches!(change, Change::Configured(config) if config.version < version)
+}
+
 /// Puts a configuration into effect if it is newer than the current one, and
 /// returns whether it is.
 fn apply_configuration(state: &State, config: &Configuration) -> bool {
--- a/src/policy/upstream/change_log.rs
+++ b/src/policy/upstream/change_log.rs
@@ -95,6 +95,17 @@
         }
     }
 
+    /// Removes the changes that a later one replaces: an entry that gets only the later
+    /// one comes to the same state. Otherwise replies would have every version of a large
+    /// configuration.
+    pub fn remove_replaced(&mut self, is_replaced: impl Fn(&T) -> bool) {
+        for batch in &mut self.batches {
+            batch.changes.retain(|change| !is_replaced(change));
+        }
+        self.batches.retain(|batch| !batch.changes.is_empty());
+        self.count = self.batches.iter().map(|b| b.changes.len()).sum();
+    }
+
     /// Adds the difference between the state at the log's position and the full
     /// state at a later one, which was read at `at`.
     ///
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -22,8 +22,8 @@
 };
 
 use vm::entry::{
-    fetch, platform_of, presence, relay_settings, store_failure, wait_for_peers, wait_for_version,
-    wait_until,
+    describe_items, fetch, fetch_after, platform_of, presence, relay_settings, stop_all,
+    store_failure, wait_for_peers, wait_for_version, wait_until,
 };
 
 /// The store of the platform. The revision of a change is its position in the
@@ -164,6 +164,49 @@
     second.stop().await;
 }
 
+/// Returns a configuration whose messages are longer than those of other changes may be.
+fn large_configuration(version: u64) -> Change {
+    let rules = (0..3_000).map(|n| vm::rule(RequestKind::Download, &format!("/{n:0>64}/")));
+    let config = vm::configuration(version, rules.collect(), 10.5);
+    Change::Configured(Box::new(config))
+}
+
+/// Fails if entries cannot follow another one past a large configuration, so that each of
+/// them asks the store or the next entry in vain, if an entry cannot start from the state
+/// of another one that has such a configuration, or if entries get all its versions.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_configuration_passes_between_entries() {
+    let store: Arc<Store> = Arc::default();
+    store.put(configuration(1));
+    store.put(target(1, 1, InstanceState::Ready));
+    let (first_polls, polls): (Arc<AtomicU32>, Arc<AtomicU32>) = Default::default();
+    let (first, second) = spawn_pair(&store, [&first_polls, &polls]).await;
+    // The first poll of the second entry may still be in progress.
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let before = polls.load(SeqCst);
+    let known = fetch(&first).await.expect("a reply").batch.position;
+    for version in 2..=8 {
+        store.put(large_configuration(version));
+        wait_for_version([&second], version).await;
+    }
+    let asked = polls.load(SeqCst) - before;
+    store.unavailable.store(true, SeqCst);
+    let seed = first.relay_addr().expect("an address");
+    let third = vm::entry::spawn(
+        relay_settings("edge-3", vec![seed]),
+        platform(&store, &polls),
+    )
+    .await;
+    wait_for_version([&third], 8).await;
+    let reply = fetch_after(&first, Some(known)).await.expect("a reply");
+    stop_all(vec![first, second, third]).await;
+    let items = describe_items(&reply.batch).join(", ");
+    insta::assert_snapshot!(format!("the second entry polled the store {asked} times\nchanges after version 1: {items}"), @r"
+    the second entry polled the store 0 times
+    changes after version 1: version 8
+    ");
+}
+
 /// Returns the targets that a gateway uses, as it passes them on.
 async fn targets_of(gateway: &Gateway) -> String {
     let reply = fetch(gateway).await.expect("a reply");
--- a/tests/upstream.rs
+++ b/tests/upstream.rs
@@ -534,6 +534,32 @@
     insta::assert_snapshot!(seen.join("\n"));
 }
 
+/// Guards against a reply that has every version of a large configuration, and against a
+/// log that loses other changes, or its limits, with the replaced ones.
+#[test]
+fn replaced_changes_are_removed_from_the_log() {
+    let mut log = ChangeLog::default();
+    log.reset(Millis(0), first_era(5));
+    for n in 6..10 {
+        let changes = vec![("config", n), ("target", n)];
+        log.push(Millis(10 * n), first_era(n), changes);
+    }
+    log.push(Millis(100), first_era(12), vec![("config", 12)]);
+    log.remove_replaced(|(key, version)| *key == "config" && *version < 12);
+    let mut seen = vec![format!("{log:?}")];
+    seen.extend(
+        [4, 5, 8, 9, 12].map(|r| format!("after {r}: {:?}", log.changes_after(first_era(r)))),
+    );
+    insta::assert_snapshot!(seen.join("\n"), @r#"
+    ChangeLog(0:5..0:12, 5 changes)
+    after 4: None
+    after 5: Some([("target", 6), ("target", 7), ("target", 8), ("target", 9), ("config", 12)])
+    after 8: Some([("target", 9), ("config", 12)])
+    after 9: Some([("config", 12)])
+    after 12: Some([])
+    "#);
+}
+
 /// Guards against an entry that keeps a change of a former era which the store has
 /// lost, and against one that gets no changes because revisions are given out again.
 #[test]
--- a/tests/vm/entry.rs
+++ b/tests/vm/entry.rs
@@ -332,9 +332,18 @@
 
 /// Returns what an entry passes on to one that knows nothing.
 pub async fn fetch(gateway: &Gateway) -> Result<AgedBatch, FetchError> {
+    fetch_after(gateway, None).await
+}
+
+/// Returns what an entry tells another one that has all changes up to a position, or
+/// that knows nothing.
+pub async fn fetch_after(
+    gateway: &Gateway,
+    after: Option<Position>,
+) -> Result<AgedBatch, FetchError> {
     let request = FetchRequest {
         peer: gateway.relay_addr().expect("an address"),
-        after: None,
+        after,
         wait: Millis(0),
         report: None,
     };
