gateway: count all attempts of a request as one strike

Callers saw: a proper request that met two targets as they crashed together, for example with their rack, could be blocked for 10 min.

Cause: both attempts of one request counted, and two strikes block.

Change: all attempts of a request count once. A request that crashes its targets is now blocked after its second arrival, on which it runs alone and without a retry. Entries are told of the first strike, too, because the second arrival may come to another one.

--- a/src/app/gateway/crashes.rs
+++ b/src/app/gateway/crashes.rs
@@ -2,16 +2,17 @@
 //!
 //! A connection that breaks before the response is no proof: targets reset connections
 //! beyond their limit and close idle ones. So the entry checks shortly after whether the
-//! target still listens. If not, each request that broke a connection to it gets a strike.
-//! Two strikes block the request at all entries, because its caller repeats it at any of
-//! them. See [`policy::crash`](crate::policy::crash) and
+//! target still listens. If not, each request that broke a connection to it gets a strike,
+//! but only one for all of its attempts: when many targets crash together, a proper request
+//! may meet two of them. Two strikes block the request at all entries, because its caller
+//! repeats it at any of them. See [`policy::crash`](crate::policy::crash) and
 //! [docs/design.md](../../../docs/design.md), section 3.11.
 
 use std::{
     collections::HashMap,
     sync::{
         Arc, Mutex, MutexGuard,
-        atomic::{AtomicU32, Ordering::Relaxed},
+        atomic::{AtomicBool, AtomicU32, Ordering::Relaxed},
     },
 };
 
@@ -45,11 +46,11 @@
 /// The maximum number of requests that wait for the check of one target.
 const SUSPECTS_MAX: usize = 64;
 
-/// How many entries are told of a blocked request directly. Each of them passes on what
+/// How many entries are told of a strike directly. Each of them passes on what
 /// is new to it, so that the cost for one entry does not grow with the fleet.
 const NOTICE_FANOUT: usize = 4;
 
-/// The maximum number of blocked requests that an entry passes on at once in each
+/// The maximum number of strikes that an entry passes on at once in each
 /// [`COMPARE_PERIOD`]. When many targets crash together, the others spread by comparison.
 const NOTICES_MAX: u32 = 8;
 
@@ -82,6 +83,8 @@
     leaving: bool,
     /// Whether the request ran alone on trial, or has broken a connection before.
     persistent: bool,
+    /// Whether an attempt of the same request has led to a strike.
+    struck: Arc<AtomicBool>,
 }
 
 impl Crashes {
@@ -162,12 +165,13 @@
 /// Records that a request broke the connection to its target before the response, and
 /// checks the target unless a check is pending. `persistent` says whether the request ran
 /// alone on trial or has broken a connection before, so that an earlier success does not
-/// speak for it.
+/// speak for it. `struck` belongs to the request and says whether it has got a strike.
 pub(super) fn record_break(
     state: &Arc<State>,
     routed: &RoutedRequest,
     conn: &BrokenConn,
     persistent: bool,
+    struck: &Arc<AtomicBool>,
 ) {
     let target = conn.target;
     let suspect = Suspect {
@@ -175,6 +179,7 @@
         request: routed.label().to_owned(),
         leaving: conn.leaving,
         persistent,
+        struck: struck.clone(),
     };
     let is_first = {
         let mut suspects = lock(&state.crashes().suspects);
@@ -212,6 +217,7 @@
         request,
         leaving,
         persistent,
+        struck,
     } = suspect;
     let failure = Failure {
         stage: Stage::Written,
@@ -219,7 +225,7 @@
         leaving: *leaving,
     };
     let succeeded = lock(&crashes.successes).contains(*fingerprint, at);
-    if !is_strike(failure, succeeded && !persistent) {
+    if !is_strike(failure, succeeded && !persistent) || struck.swap(true, Relaxed) {
         return;
     }
     let (notice, blocked) = {
@@ -228,12 +234,10 @@
         (notice, strikes.is_blocked(*fingerprint, at))
     };
     tracing::warn!(request, %fingerprint, %target, blocked, "crash: a target has ended while it ran a request.");
-    if blocked {
-        announce(state, &notice);
-    }
+    announce(state, &notice);
 }
 
-/// Tells random other entries of a blocked request.
+/// Tells random other entries of strikes against a request.
 fn announce(state: &Arc<State>, notice: &StrikeNotice) {
     if state.crashes().sent_notices.fetch_add(1, Relaxed) >= NOTICES_MAX {
         return;
@@ -268,19 +272,15 @@
     }
 }
 
-/// Merges the strikes of another entry, passes on those that block a request, and returns
-/// what the other one lacks.
+/// Merges the strikes of another entry, passes on those that are new, and returns what the
+/// other one lacks.
 pub(super) fn receive(state: &Arc<State>, notices: &[StrikeNotice]) -> Vec<StrikeNotice> {
     let at = now(state);
-    let (fresh, lacking) = {
-        let mut strikes = state.crashes().strikes();
-        let Merged { mut fresh, lacking } = strikes.merge_all(notices, at);
-        fresh.retain(|notice| strikes.is_blocked(notice.fingerprint, at));
-        (fresh, lacking)
-    };
+    let Merged { fresh, lacking } = state.crashes().strikes().merge_all(notices, at);
     for notice in &fresh {
         let fingerprint = notice.fingerprint;
-        tracing::info!(%fingerprint, "crash: another entry has seen strikes, the request is blocked.");
+        let blocked = state.crashes().strikes().is_blocked(fingerprint, at);
+        tracing::info!(%fingerprint, blocked, "crash: another entry has seen strikes.");
         announce(state, notice);
     }
     lacking
--- a/src/app/gateway/forward.rs
+++ b/src/app/gateway/forward.rs
@@ -1,6 +1,10 @@
 //! Forwards one request to targets until one has answered.
 
-use std::{net::IpAddr, sync::Arc, time::Duration};
+use std::{
+    net::IpAddr,
+    sync::{Arc, atomic::AtomicBool},
+    time::Duration,
+};
 
 use http::{Request, Response};
 use xxhash_rust::xxh3::xxh3_64;
@@ -73,7 +77,7 @@
         tried: Vec::new(),
         sent_count: 0,
         maybe_run: false,
-        has_broken: false,
+        breaks: None,
         last: None,
         refused: None,
         reported: false,
@@ -95,8 +99,8 @@
     sent_count: u32,
     /// Whether a target may have run the request.
     maybe_run: bool,
-    /// Whether the request has broken the connection to a target.
-    has_broken: bool,
+    /// Whether the request has got a strike, if it has broken the connection to a target.
+    breaks: Option<Arc<AtomicBool>>,
     /// The latest attempt.
     last: Option<Attempt>,
     /// What the refusal of the request was based on, if a target could have taken
@@ -148,9 +152,9 @@
             }
             let broken = matches!(outcome, Outcome::Broken(_));
             if let Outcome::Broken(conn) = &outcome {
-                let persistent = trial.is_some() || self.has_broken;
-                crashes::record_break(self.state, &self.request, conn, persistent);
-                self.has_broken = true;
+                let persistent = trial.is_some() || self.breaks.is_some();
+                let struck = self.breaks.get_or_insert_default();
+                crashes::record_break(self.state, &self.request, conn, persistent, struck);
             }
             let refusal = match outcome {
                 Outcome::Response(response) if !response.head.status.is_server_error() => {
