gateway: keep strikes in shards with a lock each

Every request looked up its strikes and its success under one lock of the process. State lies in shards here, so both now lie in 16 shards by the highest bits of the fingerprint, under one lock each. The pages for other entries keep the order of the fingerprints, as the shards are in that order.

--- a/src/app/gateway/crashes.rs
+++ b/src/app/gateway/crashes.rs
@@ -8,12 +8,9 @@
 //! repeats it at any of them. See [`policy::crash`](crate::policy::crash) and
 //! [docs/design.md](../../../docs/design.md), section 3.11.
 
-use std::{
-    collections::HashMap,
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicBool, AtomicU32, Ordering::Relaxed},
-    },
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicBool, AtomicU32, Ordering::Relaxed},
 };
 
 use rand::seq::IteratorRandom;
@@ -21,11 +18,11 @@
 
 use super::{State, exchange::BrokenConn, now, request::RoutedRequest};
 use crate::{
-    domain::{EntryId, Incarnation, Millis, Presence, TargetId, lock},
+    domain::{EntryId, Incarnation, Millis, Presence, Shards, TargetId, lock},
     policy::{
         crash::{
-            Admission, Failure, FailureCause, Merged, RecentSuccesses, Stage, StrikeNotice,
-            StrikeTable, is_strike,
+            Admission, Failure, FailureCause, RecentSuccesses, Stage, StrikeNotice, StrikeTable,
+            is_strike,
         },
         once::{Fingerprint, Member},
         refusal::Refusal,
@@ -37,6 +34,10 @@
 /// sockets of a process that has ended one after the other, the listener in no fixed order.
 const CHECK_DELAY: Millis = Millis(100);
 
+/// The number of bits of a fingerprint that select its shard. They are the highest ones, so
+/// that the shards are in the order of the fingerprints.
+const SHARD_BITS: u32 = 4;
+
 /// The maximum number of fingerprints with strikes, about 100 bytes each.
 const FINGERPRINTS_MAX: usize = 1_024;
 
@@ -65,14 +66,20 @@
 #[derive(Debug)]
 pub(super) struct Crashes {
     me: Member,
-    strikes: Mutex<StrikeTable>,
-    successes: Mutex<RecentSuccesses>,
+    shards: Vec<Mutex<Shard>>,
     /// The requests that wait for the check of a target.
-    suspects: Mutex<HashMap<TargetId, Vec<Suspect>>>,
+    suspects: Shards<TargetId, Vec<Suspect>>,
     /// The number of notices that were passed on at once in the current period.
     sent_notices: AtomicU32,
 }
 
+/// What is known of the requests of some fingerprints.
+#[derive(Debug)]
+struct Shard {
+    strikes: StrikeTable,
+    successes: RecentSuccesses,
+}
+
 /// A request that broke the connection to a target.
 #[derive(Debug)]
 struct Suspect {
@@ -93,23 +100,43 @@
             entry: name.clone(),
             incarnation: Incarnation(rand::random()),
         };
+        let count = 1 << SHARD_BITS;
+        let shard = |_| {
+            Mutex::new(Shard {
+                strikes: StrikeTable::new(me.clone(), FINGERPRINTS_MAX / count),
+                successes: RecentSuccesses::with_slots(SUCCESSES_MAX / count),
+            })
+        };
         Self {
-            strikes: Mutex::new(StrikeTable::new(me.clone(), FINGERPRINTS_MAX)),
+            shards: (0..count).map(shard).collect(),
             me,
-            successes: Mutex::new(RecentSuccesses::with_slots(SUCCESSES_MAX)),
-            suspects: Mutex::default(),
+            suspects: Shards::new(),
             sent_notices: AtomicU32::new(0),
         }
     }
 
     /// Returns the numbers of requests with strikes and of blocked ones.
     pub fn counts(&self, now: Millis) -> (usize, usize) {
-        let strikes = self.strikes();
-        (strikes.len(), strikes.blocked_count(now))
+        let counts = self.shards.iter().map(|shard| {
+            let Shard { strikes, .. } = &*lock(shard);
+            (strikes.len(), strikes.blocked_count(now))
+        });
+        counts.fold((0, 0), |sum, n| (sum.0 + n.0, sum.1 + n.1))
+    }
+
+    /// Returns up to [`PAGE_LEN`] notices after a fingerprint, in order.
+    fn page(&self, after: Option<Fingerprint>, now: Millis) -> Vec<StrikeNotice> {
+        let mut page = Vec::new();
+        for shard in &self.shards {
+            let left = PAGE_LEN - page.len();
+            page.extend(lock(shard).strikes.page(after, left, now));
+        }
+        page
     }
 
-    fn strikes(&self) -> MutexGuard<'_, StrikeTable> {
-        lock(&self.strikes)
+    fn shard(&self, fingerprint: Fingerprint) -> MutexGuard<'_, Shard> {
+        let index = fingerprint.0 >> (u128::BITS - SHARD_BITS);
+        lock(&self.shards[usize::try_from(index).unwrap_or_default()])
     }
 }
 
@@ -122,7 +149,8 @@
 impl Drop for Trial {
     fn drop(&mut self) {
         let crashes = self.state.crashes();
-        crashes.strikes().end_trial(self.fingerprint);
+        let mut shard = crashes.shard(self.fingerprint);
+        shard.strikes.end_trial(self.fingerprint);
     }
 }
 
@@ -136,7 +164,12 @@
     fingerprint: Fingerprint,
 ) -> Result<Option<Trial>, Refusal> {
     let at = now(state);
-    match state.crashes().strikes().admit(fingerprint, at) {
+    let admission = state
+        .crashes()
+        .shard(fingerprint)
+        .strikes
+        .admit(fingerprint, at);
+    match admission {
         Admission::Unrestricted => Ok(None),
         Admission::Trial => Ok(Some(Trial {
             state: state.clone(),
@@ -150,16 +183,17 @@
 /// `broken` says whether that attempt broke its connection, which is not checked yet.
 pub(super) fn forbids_retry(state: &State, fingerprint: Fingerprint, broken: bool) -> bool {
     let at = now(state);
-    let strikes = state.crashes().strikes();
+    let Shard { strikes, .. } = &*state.crashes().shard(fingerprint);
     strikes.is_blocked(fingerprint, at) || (broken && strikes.count(fingerprint, at) > 0)
 }
 
 /// Records that a target answered a request without a server error, which clears its
 /// strikes. Other entries learn of that by comparison.
 pub(super) fn record_success(state: &State, fingerprint: Fingerprint) {
-    let (at, crashes) = (now(state), state.crashes());
-    lock(&crashes.successes).insert(fingerprint, at);
-    crashes.strikes().clear(fingerprint, at);
+    let at = now(state);
+    let mut shard = state.crashes().shard(fingerprint);
+    shard.successes.insert(fingerprint, at);
+    shard.strikes.clear(fingerprint, at);
 }
 
 /// Records that a request broke the connection to its target before the response, and
@@ -181,14 +215,14 @@
         persistent,
         struck: struck.clone(),
     };
-    let is_first = {
-        let mut suspects = lock(&state.crashes().suspects);
-        let waiting = suspects.entry(target).or_default();
+    let suspects = &state.crashes().suspects;
+    let is_first = suspects.with(target, Vec::new, |waiting| {
+        let is_first = waiting.is_empty();
         if waiting.len() < SUSPECTS_MAX {
             waiting.push(suspect);
         }
-        waiting.len() == 1
-    };
+        is_first
+    });
     if is_first {
         let state = state.clone();
         tokio::spawn(async move { check(&state, target).await });
@@ -200,7 +234,7 @@
 async fn check(state: &Arc<State>, target: TargetId) {
     sleep(CHECK_DELAY.duration()).await;
     let listener = (state.ports.listeners.check)(target).await;
-    let suspects = lock(&state.crashes().suspects).remove(&target);
+    let suspects = state.crashes().suspects.remove(&target);
     if listener != Listener::Closed {
         return;
     }
@@ -224,12 +258,15 @@
         cause: FailureCause::Broken,
         leaving: *leaving,
     };
-    let succeeded = lock(&crashes.successes).contains(*fingerprint, at);
+    let succeeded = crashes
+        .shard(*fingerprint)
+        .successes
+        .contains(*fingerprint, at);
     if !is_strike(failure, succeeded && !persistent) || struck.swap(true, Relaxed) {
         return;
     }
     let (notice, blocked) = {
-        let mut strikes = crashes.strikes();
+        let Shard { strikes, .. } = &mut *crashes.shard(*fingerprint);
         let notice = strikes.record_strike(*fingerprint, at);
         (notice, strikes.is_blocked(*fingerprint, at))
     };
@@ -276,10 +313,18 @@
 /// other one lacks.
 pub(super) fn receive(state: &Arc<State>, notices: &[StrikeNotice]) -> Vec<StrikeNotice> {
     let at = now(state);
-    let Merged { fresh, lacking } = state.crashes().strikes().merge_all(notices, at);
-    for notice in &fresh {
+    let mut lacking = Vec::new();
+    for notice in notices {
         let fingerprint = notice.fingerprint;
-        let blocked = state.crashes().strikes().is_blocked(fingerprint, at);
+        let (merged, blocked) = {
+            let Shard { strikes, .. } = &mut *state.crashes().shard(fingerprint);
+            let merged = strikes.merge_all(std::slice::from_ref(notice), at);
+            (merged, strikes.is_blocked(fingerprint, at))
+        };
+        lacking.extend(merged.lacking);
+        if merged.fresh.is_empty() {
+            continue;
+        }
         tracing::info!(%fingerprint, blocked, "crash: another entry has seen strikes.");
         announce(state, notice);
     }
@@ -301,11 +346,10 @@
         timer.tick().await;
         let (at, crashes) = (now(&state), state.crashes());
         crashes.sent_notices.store(0, Relaxed);
-        let page = {
-            let mut strikes = crashes.strikes();
-            strikes.tick(at);
-            strikes.page(after, PAGE_LEN, at)
-        };
+        for shard in &crashes.shards {
+            lock(shard).strikes.tick(at);
+        }
+        let page = crashes.page(after, at);
         after = page.last().map(|notice| notice.fingerprint);
         if page.is_empty() {
             continue;
