gateway: use a new address of the store after a reload

Cause: the client of the store was opened once, with the address of the first settings. A reload replaced the settings in the state, which the client does not look at. Ruled out: that the reload does not happen, as both processes log it.

Change: the client asks for the address before each call, and a reload sets it.

Why it works: every call to the store goes through one function, which takes the address once for the call.

--- a/src/adapters/platform/store.rs
+++ b/src/adapters/platform/store.rs
@@ -33,6 +33,9 @@
 /// The maximum size of a response. A page of items has at most about 1 MB.
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 
+/// Returns the store's current address. The settings that state it can change.
+type Address = Arc<dyn Fn() -> SocketAddr + Send + Sync>;
+
 type PlatformResult<T> = Result<T, PlatformError>;
 
 /// The timeouts of a call.
@@ -55,7 +58,7 @@
 
 #[derive(Clone)]
 struct Client {
-    addr: SocketAddr,
+    addr: Address,
     targets: Targets,
     eras: Arc<Eras>,
     cutoff: Arc<Mutex<Cutoff>>,
@@ -72,8 +75,18 @@
 /// `targets`.
 #[must_use]
 pub fn open(addr: SocketAddr, targets: Targets) -> Platform {
+    open_movable(move || addr, targets)
+}
+
+/// Opens a client of the store at the address that `addr` returns, which is asked before
+/// each call. The store keeps its content and its era when it moves.
+#[must_use]
+pub fn open_movable<F>(addr: F, targets: Targets) -> Platform
+where
+    F: Fn() -> SocketAddr + Send + Sync + 'static,
+{
     let client = Client {
-        addr,
+        addr: Arc::new(addr),
         targets,
         eras: Arc::default(),
         cutoff: Arc::default(),
@@ -357,10 +370,11 @@
         body: Option<Bytes>,
         timeouts: Timeouts,
     ) -> PlatformResult<Option<Reply>> {
+        let addr = (self.addr)();
         let mut request = Request::builder()
             .method(method)
             .uri(path)
-            .header(header::HOST, self.addr.to_string());
+            .header(header::HOST, addr.to_string());
         if body.is_some() {
             request = request.header(header::CONTENT_TYPE, "application/json");
         }
@@ -368,7 +382,7 @@
             .body(full_body(body.unwrap_or_default()))
             .map_err(|e| self.error(step, &e))?;
         let timed_out = |limit| self.error(step, &format!("timed out after {limit}"));
-        let out = Outbound::new(TargetId(self.addr), request);
+        let out = Outbound::new(TargetId(addr), request);
         let limit = timeouts.wait + DEFAULT_TIMEOUT.min(timeouts.limit);
         let response = timeout(limit.duration(), (self.targets.send)(out)).await;
         if !matches!(response, Ok(Ok(_))) {
@@ -442,7 +456,7 @@
     fn error(&self, step: &'static str, cause: &dyn std::fmt::Display) -> PlatformError {
         PlatformError::Failed {
             step,
-            peer: self.addr,
+            peer: (self.addr)(),
             cause: shorten(&cause.to_string()),
         }
     }
--- a/src/app/cli/gateway.rs
+++ b/src/app/cli/gateway.rs
@@ -1,6 +1,10 @@
 //! `savorybeam gateway`: runs the process of an entry VM on the users' platform.
 
-use std::{path::PathBuf, sync::Arc, time::Duration};
+use std::{
+    path::PathBuf,
+    sync::{Arc, RwLock},
+    time::Duration,
+};
 
 use eyre::{WrapErr, eyre};
 use tokio::{
@@ -16,8 +20,8 @@
         platform::{settings, store},
         store::CallCounters,
     },
-    app::gateway::{self, Ports, State},
-    domain::Millis,
+    app::gateway::{self, Ports},
+    domain::{Millis, read, write},
     ports::VmSettings,
 };
 
@@ -69,8 +73,10 @@
     let clock = clock::open();
     let targets = http::open(clock.clone(), IDLE_CONNECTIONS);
     let peers = Arc::new(Peers::new(PEER_TIMEOUT, Arc::default()));
+    let store_addr = Arc::new(RwLock::new(settings.store));
+    let current_addr = store_addr.clone();
     let ports = Ports {
-        platform: store::open(settings.store, targets.clone()),
+        platform: store::open_movable(move || read(&current_addr), targets.clone()),
         changes: grpc::changes(peers.clone()),
         quotas: grpc::quotas(peers.clone()),
         strikes: grpc::strikes(peers.clone()),
@@ -83,15 +89,20 @@
     let mut int = signal(SignalKind::interrupt())?;
     let mut hup = signal(SignalKind::hangup())?;
     let gateway = gateway::spawn(settings, ports).await?;
+    // Listening addresses stay; everything else takes effect with the next use.
+    let apply = |settings: VmSettings| {
+        *write(&store_addr) = settings.store;
+        gateway.state.set_settings(settings);
+    };
     let mut current = text;
     loop {
         tokio::select! {
             _ = term.recv() => break,
             _ = int.recv() => break,
-            _ = hup.recv() => file.reload(&gateway.state, &mut current),
+            _ = hup.recv() => file.reload(&mut current, &apply),
             () = tokio::time::sleep(RELOAD_PERIOD) => {
                 peers.close_idle();
-                file.reload(&gateway.state, &mut current);
+                file.reload(&mut current, &apply);
             }
         }
     }
@@ -129,12 +140,12 @@
 
     /// Applies the settings file if it has changed. If it cannot be read or
     /// parsed, the current settings stay in effect.
-    fn reload(&self, state: &State, current: &mut String) {
+    fn reload(&self, current: &mut String, apply: &impl Fn(VmSettings)) {
         match self.read() {
             Ok((text, _)) if text == *current => {}
             Ok((text, settings)) => {
                 *current = text;
-                state.set_settings(settings);
+                apply(settings);
                 tracing::info!("settings: reloaded.");
             }
             Err(e) => tracing::warn!(cause = format!("{e:#}"), "settings: not reloaded."),
