gateway: send strikes to fixed neighbours

Cause: strikes went to random entries and were compared with a random one each second, so that each of 295 entries had channels to many others, which stay open for 30 s. Ruled out: the tables themselves, which have at most 200 KB.

Change: the neighbours are fixed, the next entries by name and those at the distance of the square root. A strike needs 14 steps to reach 295 entries, and an entry opens channels to four others.

--- a/src/app/gateway/crashes.rs
+++ b/src/app/gateway/crashes.rs
@@ -22,7 +22,7 @@
     policy::{
         crash::{
             Admission, Failure, FailureCause, RecentSuccesses, Stage, StrikeNotice, StrikeTable,
-            is_strike,
+            is_strike, neighbour_places,
         },
         once::{Fingerprint, Member},
         refusal::Refusal,
@@ -274,22 +274,30 @@
     announce(state, &notice);
 }
 
-/// Tells random other entries of strikes against a request.
+/// Tells the neighbours of strikes against a request.
 fn announce(state: &Arc<State>, notice: &StrikeNotice) {
     if state.crashes().sent_notices.fetch_add(1, Relaxed) >= NOTICES_MAX {
         return;
     }
-    for peer in other_entries(state, NOTICE_FANOUT) {
+    for peer in neighbours(state, NOTICE_FANOUT) {
         let (state, notices) = (state.clone(), vec![notice.clone()]);
         tokio::spawn(async move { send(&state, &peer, notices).await });
     }
 }
 
-fn other_entries(state: &State, count: usize) -> Vec<Presence> {
+/// Returns up to `count` of the neighbours of this entry in random order.
+fn neighbours(state: &State, count: usize) -> Vec<Presence> {
     let entries = state.entries();
     let me = &state.crashes().me.entry;
-    let others = entries.all().filter(|p| p.name != *me && p.peer.is_some());
-    others.cloned().choose_multiple(&mut rand::rng(), count)
+    let mut all: Vec<&Presence> = entries.all().collect();
+    all.retain(|p| p.peer.is_some() || p.name == *me);
+    all.sort_by(|a, b| a.name.cmp(&b.name));
+    let Some(own) = all.iter().position(|p| p.name == *me) else {
+        return Vec::new();
+    };
+    let near = neighbour_places(own, all.len());
+    let near = near.into_iter().map(|place| all[place].clone());
+    near.choose_multiple(&mut rand::rng(), count)
 }
 
 async fn send(state: &Arc<State>, to: &Presence, notices: Vec<StrikeNotice>) {
@@ -336,8 +344,8 @@
     state.crashes().me.clone()
 }
 
-/// Periodically removes expired strikes and compares a page of the others with a random
-/// entry.
+/// Periodically removes expired strikes and compares a page of the others with a
+/// neighbour.
 pub(super) async fn run(state: Arc<State>) {
     let mut after = None;
     let mut timer = interval(COMPARE_PERIOD.duration());
@@ -354,7 +362,7 @@
         if page.is_empty() {
             continue;
         }
-        for peer in other_entries(&state, 1) {
+        for peer in neighbours(&state, 1) {
             let (state, page) = (state.clone(), page.clone());
             tokio::spawn(async move { send(&state, &peer, page).await });
         }
--- a/src/policy/crash/mod.rs
+++ b/src/policy/crash/mod.rs
@@ -27,8 +27,10 @@
 
 mod counter;
 mod failure;
+mod spread;
 mod strikes;
 
 pub use counter::{MemberCount, StrikeCounter};
 pub use failure::{Failure, FailureCause, RecentSuccesses, Stage, is_strike};
+pub use spread::neighbour_places;
 pub use strikes::{Admission, BLOCK_DURATION, Merged, StrikeNotice, StrikeTable};
--- a/tests/crash.rs
+++ b/tests/crash.rs
@@ -10,7 +10,7 @@
     policy::{
         crash::{
             Admission, BLOCK_DURATION, Failure, FailureCause, RecentSuccesses, Stage, StrikeNotice,
-            StrikeTable, is_strike,
+            StrikeTable, is_strike, neighbour_places,
         },
         once::{Fingerprint, Member},
     },
@@ -32,6 +32,39 @@
         .collect()
 }
 
+/// Guards against a strike that does not reach some entry, and against entries that open
+/// channels to many others to spread strikes.
+#[test]
+fn strikes_reach_all_entries_over_few_channels() {
+    let mut lines = Vec::new();
+    for len in [1, 2, 3, 9, 25, 100, 295] {
+        let mut reached = BTreeSet::from([0]);
+        let mut steps = 0;
+        loop {
+            let next = reached.iter().flat_map(|own| neighbour_places(*own, len));
+            let next: BTreeSet<usize> = next.chain(reached.iter().copied()).collect();
+            if next.len() == reached.len() {
+                break;
+            }
+            (reached, steps) = (next, steps + 1);
+        }
+        let most = (0..len).map(|own| neighbour_places(own, len).len()).max();
+        let (reached, most) = (reached.len(), most.unwrap_or(0));
+        lines.push(format!(
+            "{len} entries: {reached} reached in {steps} steps, {most} neighbours"
+        ));
+    }
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    1 entries: 1 reached in 0 steps, 0 neighbours
+    2 entries: 2 reached in 1 steps, 1 neighbours
+    3 entries: 3 reached in 1 steps, 2 neighbours
+    9 entries: 9 reached in 2 steps, 4 neighbours
+    25 entries: 25 reached in 4 steps, 4 neighbours
+    100 entries: 100 reached in 9 steps, 4 neighbours
+    295 entries: 295 reached in 14 steps, 4 neighbours
+    ");
+}
+
 /// Repeats a crashing request through random entries for less than ten minutes, and
 /// returns how many targets crash. If `naive`, strikes are ignored and each repeat
 /// runs. The notices sent before the response arrive at all entries; the periodic
